Lay the workspace: shared vocabulary, wire types and runtime

Cause: the project starts from nothing; every later crate needs ids, the clock, the entry-agent protocol and the duty threads. Ruled out: a push stream between entry and agent (tarpc carries calls, and a push can't be repeated after a lost answer); bincode (1.x is unmaintained).

--- /dev/null
+++ b/crates/masticsill/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/masticsill_agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The agent role: the process beside an endpoint.
--- /dev/null
+++ b/crates/masticsill_catalogue/src/lib.rs
@@ -0,0 +1,1 @@
+//! Catalogue entries, change application, de-duplication and audit.
--- /dev/null
+++ b/crates/masticsill_control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The control role: the catalogue's quorum and the administration API.
--- /dev/null
+++ b/crates/masticsill_entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry role: callers' HTTP interface, routing and resume.
--- /dev/null
+++ b/crates/masticsill_generation/src/lib.rs
@@ -0,0 +1,1 @@
+//! Generation records: attempts, contiguity, resume and claims.
--- /dev/null
+++ b/crates/masticsill_membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership without a list: incarnations, suspicion, deltas and digests.
--- /dev/null
+++ b/crates/masticsill_quorum/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated log: terms, votes, commit, membership, lease and durable storage.
--- /dev/null
+++ b/crates/masticsill_routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placement, classes, limits, shares, admission and retry budgets.
--- /dev/null
+++ b/crates/masticsill_runtime/src/lib.rs
@@ -0,0 +1,18 @@
+//! Threads, bounded rings, RPC listeners and clients, metrics and signals.
+//!
+//! A process is a set of duties, each on a thread of its own, joined by [`Ring`]s.
+
+mod duty;
+pub mod events;
+mod logging;
+mod metrics;
+mod ring;
+mod rpc;
+mod shutdown;
+
+pub use duty::{DutyHandle, spawn_async_duty, spawn_duty};
+pub use logging::start_logging;
+pub use metrics::{Metrics, MetricsError};
+pub use ring::{Ring, RingFull};
+pub use rpc::{RpcListener, RpcTransport, connect_transport, listen};
+pub use shutdown::{ShutdownSignal, watch_signals};
--- /dev/null
+++ b/crates/masticsill_settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! JSON settings of a process, checked as a whole.
--- /dev/null
+++ b/crates/masticsill_testkit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins and a fault-injecting proxy for tests and benches.
--- /dev/null
+++ b/crates/masticsill_types/src/event.rs
@@ -0,0 +1,44 @@
+//! Numbered log events.
+//!
+//! Each crate declares its events in its own `events` module; docs/EVENTS.md is the catalogue.
+//! Ranges: 1000 daemon and runtime, 2000 entry, 3000 agent, 4000 control and quorum,
+//! 5000 membership, 6000 routing.
+
+use std::fmt;
+
+/// A kind of log line, with a number that never changes meaning.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct Event {
+    /// The number that operators search for.
+    pub number: u16,
+    /// A short name in snake case.
+    pub name: &'static str,
+}
+
+impl Event {
+    /// Declares an event.
+    #[must_use]
+    pub const fn new(number: u16, name: &'static str) -> Self {
+        Self { number, name }
+    }
+}
+
+impl fmt::Display for Event {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "M{:04} {}", self.number, self.name)
+    }
+}
+
+/// Logs an event with its number and `key=value` fields.
+///
+/// `log_event!(info, events::STARTED, node = node_id, address = address)`. Crates that use it
+/// depend on `log`.
+#[macro_export]
+macro_rules! log_event {
+    ($level:ident, $event:expr $(, $key:ident = $value:expr)* $(,)?) => {
+        ::log::$level!(
+            concat!("{}" $(, " ", stringify!($key), "={}")*),
+            $event $(, $value)*
+        )
+    };
+}
--- /dev/null
+++ b/crates/masticsill_types/src/lib.rs
@@ -0,0 +1,25 @@
+//! Ids, clock, classes, outcomes and log events shared by every masticsill crate.
+//!
+//! This crate holds vocabulary only: no sockets, no threads and no policy.
+
+mod class;
+mod clock;
+mod endpoint;
+mod event;
+mod generation;
+mod id;
+mod outcome;
+
+pub use class::{Class, UnknownClass};
+pub use clock::{ClockMs, MonotonicClock};
+pub use endpoint::{EndpointKind, EndpointProfile, LoadReport, ModelTarget};
+pub use event::Event;
+pub use generation::{
+    AttemptFailure, AttemptState, FinishReason, GenerationSpec, Lineage, Sampling, Token,
+};
+pub use id::{
+    AdapterId, Attempt, CatalogueVersion, ChangeId, EntryId, FencingNumber, GenerationId, IdError,
+    Incarnation, ModelId, NodeId, OperatorId, OwnerEpoch, Term, TokenIndex, VersionId, WorkspaceId,
+    ZoneId,
+};
+pub use outcome::{Outcome, Refusal, RefusalKind, RefusedOutcome};
