Give records a history and owners unique epochs

Cause: two entries that take one generation over from two places would mint the same epoch, and a later re-attachment could join their branches. Ruled out: ordering records by (epoch, attempt) alone: a higher lineage need not descend from the one the caller saw. Change: an epoch carries its owner's nonce, a record lists its segments, calls name the agent's incarnation; masticsill_mesh is laid. Conclusion: re-attachment is decided by membership in the history alone.

--- /dev/null
+++ b/crates/masticsill_mesh/src/lib.rs
@@ -0,0 +1,1 @@
+//! What every node runs: membership exchange and the catalogue relay.
--- a/crates/masticsill_types/src/generation.rs
+++ b/crates/masticsill_types/src/generation.rs
@@ -4,7 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Attempt, Class, EntryId, GenerationId, ModelTarget, OwnerEpoch, WorkspaceId};
+use crate::{
+    Attempt, Class, EntryId, GenerationId, ModelTarget, OwnerEpoch, TokenIndex, WorkspaceId,
+};
 
 /// Sampling settings that every attempt of a generation shares.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -98,8 +100,6 @@
 }
 
 /// The owner epoch and attempt under which a token was delivered.
-///
-/// Records order by lineage: one of a lower lineage never continues an answer of a higher one.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Lineage {
     /// The ownership epoch.
@@ -109,14 +109,32 @@
 }
 
 impl Lineage {
-    /// The first owner's first attempt.
+    /// The first owner's first attempt; `nonce` is random.
     #[must_use]
-    pub fn first() -> Self {
+    pub fn first(nonce: u32) -> Self {
         Self {
-            epoch: OwnerEpoch(1),
+            epoch: OwnerEpoch::default().succeeded_by(nonce),
             attempt: Attempt(1),
         }
     }
+
+    /// The same owner's next attempt.
+    #[must_use]
+    pub fn next_attempt(self) -> Self {
+        Self {
+            epoch: self.epoch,
+            attempt: self.attempt.next(),
+        }
+    }
+
+    /// The same attempt under a new owner; `nonce` is random.
+    #[must_use]
+    pub fn next_owner(self, nonce: u32) -> Self {
+        Self {
+            epoch: self.epoch.succeeded_by(nonce),
+            attempt: self.attempt,
+        }
+    }
 }
 
 impl fmt::Display for Lineage {
@@ -124,3 +142,16 @@
         write!(formatter, "{}.{}", self.epoch, self.attempt)
     }
 }
+
+/// A stretch of an answer that was produced under one lineage.
+///
+/// A record's segments, in order, are its history. An answer may be continued from a record only
+/// where the lineage and index that the caller saw lie on that history; any other record belongs
+/// to another branch, and joining the two would mix generations.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Segment {
+    /// Index of the stretch's first token; it ends where the next segment begins.
+    pub first_index: TokenIndex,
+    /// The lineage.
+    pub lineage: Lineage,
+}
--- a/crates/masticsill_types/src/id.rs
+++ b/crates/masticsill_types/src/id.rs
@@ -171,7 +171,9 @@
     u32
 );
 number_id!(
-    /// Ownership of a generation by an entry; higher epochs fence lower ones.
+    /// Ownership of a generation by an entry: a counter above, the owner's random nonce below.
+    ///
+    /// Higher epochs fence lower ones, and no two owners ever share one.
     OwnerEpoch,
     u64
 );
@@ -191,7 +193,19 @@
     u64
 );
 
-/// A request's identity: the hash of its workspace and its request key.
+impl OwnerEpoch {
+    /// The epoch of the owner that follows this one.
+    #[must_use]
+    pub fn succeeded_by(self, nonce: u32) -> Self {
+        let counter = (self.0 >> u32::BITS) + 1;
+        Self((counter << u32::BITS) | u64::from(nonce))
+    }
+}
+
+/// The identity of a generation or of a plain call.
+///
+/// A generation's upper half is the hash of its workspace and request key, its lower half is
+/// random: running a request afresh gives another id. A plain call's id is the whole hash.
 #[derive(Clone, Copy, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct GenerationId(pub u128);
 
--- a/crates/masticsill_types/src/lib.rs
+++ b/crates/masticsill_types/src/lib.rs
@@ -15,7 +15,7 @@
 pub use endpoint::{EndpointKind, EndpointProfile, LoadReport, ModelTarget};
 pub use event::Event;
 pub use generation::{
-    AttemptFailure, AttemptState, FinishReason, GenerationSpec, Lineage, Sampling, Token,
+    AttemptFailure, AttemptState, FinishReason, GenerationSpec, Lineage, Sampling, Segment, Token,
 };
 pub use id::{
     AdapterId, Attempt, CatalogueVersion, ChangeId, EntryId, FencingNumber, GenerationId, IdError,
--- a/crates/masticsill_wire/src/agent.rs
+++ b/crates/masticsill_wire/src/agent.rs
@@ -4,20 +4,20 @@
 //! and the next index wanted. A pull is idempotent, so it is repeated after any lost answer.
 
 use masticsill_types::{
-    AttemptFailure, AttemptState, GenerationId, GenerationSpec, Incarnation, Lineage, LoadReport,
-    NodeId, Refusal, Token, TokenIndex,
+    AttemptState, GenerationId, GenerationSpec, Incarnation, Lineage, LoadReport, NodeId, Refusal,
+    Segment, Token, TokenIndex,
 };
 use serde::{Deserialize, Serialize};
 
 /// Starts one attempt of a generation.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct StartRequest {
-    /// Token ids accepted under earlier attempts; the engine continues after them.
-    pub accepted: Vec<u32>,
+    /// Tokens accepted under earlier attempts; the engine continues after them.
+    pub accepted: Vec<Token>,
     /// The owner.
     pub entry: NodeId,
-    /// Ownership epoch and attempt.
-    pub lineage: Lineage,
+    /// The record's history; the last segment is the attempt to start.
+    pub history: Vec<Segment>,
     /// What to generate.
     pub spec: GenerationSpec,
 }
@@ -101,21 +101,23 @@
     pub entry: NodeId,
     /// The generation.
     pub id: GenerationId,
-    /// The highest lineage that the caller has seen, if it received any token.
-    pub seen: Option<Lineage>,
     /// The next token index that the caller wants.
     pub next_index: TokenIndex,
+    /// Random number of the new owner, part of its epoch.
+    pub nonce: u32,
+    /// The lineage under which the caller received its last token.
+    pub seen: Lineage,
 }
 
 /// A record as handed to a new owner.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RecordSnapshot {
-    /// Where the attempt stands.
-    pub failure: Option<AttemptFailure>,
-    /// The lineage under which the new owner goes on.
-    pub lineage: Lineage,
+    /// The record's history; the last segment is the new owner's.
+    pub history: Vec<Segment>,
     /// What is generated.
     pub spec: GenerationSpec,
+    /// Where the attempt stands.
+    pub state: AttemptState,
     /// Every token of the answer so far, from index zero.
     pub tokens: Vec<Token>,
 }
@@ -125,7 +127,7 @@
 pub enum AttachReply {
     /// The caller's entry owns the generation from now on.
     Attached(Box<RecordSnapshot>),
-    /// The record here is older than what the caller has seen.
+    /// The record here does not contain what the caller has seen.
     Behind,
     /// No record here.
     Unknown,
@@ -151,6 +153,8 @@
     pub content_type: String,
     /// The call's identity.
     pub id: GenerationId,
+    /// The agent's life that the call is meant for; another life refuses it.
+    pub incarnation: Incarnation,
     /// Whether the call may be repeated.
     pub is_repeatable: bool,
     /// HTTP method.
@@ -186,6 +190,10 @@
 pub struct BuryRequest {
     /// The call's identity.
     pub id: GenerationId,
+    /// The agent's life that the call was meant for.
+    ///
+    /// A later life can't know what an earlier one sent: it answers [`CallReply::OutcomeUnknown`].
+    pub incarnation: Incarnation,
 }
 
 /// Operations of an agent.
