--- /dev/null
+++ b/crates/masticsill_quorum/src/candidate.rs
@@ -0,0 +1,206 @@
+//! Elections: pre-votes, votes and standing at the leader's request.
+
+use masticsill_types::{ClockMs, Term};
+
+use crate::durability::Deferred;
+use crate::replica::RoleState;
+use crate::{LogIndex, Message, Replica, VoterId};
+
+/// How complete a log is: the term of its last entry, then its index.
+pub(crate) type LogRank = (Term, LogIndex);
+
+impl Replica {
+    pub(crate) fn own_rank(&self) -> LogRank {
+        (self.log.last_term(), self.log.last_index())
+    }
+
+    /// Whether a leader was heard so lately that its lease may run.
+    fn hears_leader(&self, now: ClockMs) -> bool {
+        matches!(self.role, RoleState::Leader(_))
+            || now.since(self.heard_leader_at) < self.settings.election_min_ms
+    }
+
+    pub(crate) fn stand_if_due(&mut self, now: ClockMs) {
+        let is_voter = self.membership().is_voter(&self.id);
+        if is_voter && now >= self.election_due {
+            self.begin_pre_vote(now);
+        }
+    }
+
+    fn begin_pre_vote(&mut self, now: ClockMs) {
+        self.leader = None;
+        self.role = RoleState::PreCandidate {
+            granted: Vec::new(),
+        };
+        self.report_role();
+        // Asking again disturbs no one, so a lost or early question is soon repeated.
+        self.retry_election_soon(now);
+        let (last_term, last_index) = self.own_rank();
+        let term = self.term.next();
+        for voter in self.other_voters() {
+            let message = Message::PreVote {
+                term,
+                last_index,
+                last_term,
+            };
+            self.send(voter, message);
+        }
+        let own = self.id.clone();
+        self.count_pre_vote(now, own, true);
+    }
+
+    pub(crate) fn other_voters(&self) -> Vec<VoterId> {
+        let voters = self.membership().voters.iter();
+        voters.filter(|id| **id != self.id).cloned().collect()
+    }
+
+    pub(crate) fn answer_pre_vote(
+        &mut self,
+        now: ClockMs,
+        from: VoterId,
+        term: Term,
+        rank: LogRank,
+    ) {
+        let is_granted = term > self.term && !self.hears_leader(now) && rank >= self.own_rank();
+        let term = if is_granted { term } else { self.term };
+        self.send(from, Message::PreVoteReply { term, is_granted });
+    }
+
+    pub(crate) fn count_pre_vote(&mut self, now: ClockMs, from: VoterId, is_granted: bool) {
+        let RoleState::PreCandidate { granted } = &mut self.role else {
+            return;
+        };
+        if !is_granted {
+            return;
+        }
+        if !granted.contains(&from) {
+            granted.push(from);
+        }
+        let (_, membership) = self.log.membership();
+        if membership.is_majority(|id| granted.contains(id)) {
+            self.stand(now, false);
+        }
+    }
+
+    /// Stands in a new term. The own vote counts, and others are asked, once it is synced.
+    pub(crate) fn stand(&mut self, now: ClockMs, is_transfer: bool) {
+        self.term = self.term.next();
+        self.voted_for = Some(self.id.clone());
+        self.leader = None;
+        self.incoming = None;
+        self.role = RoleState::Candidate {
+            granted: Vec::new(),
+        };
+        self.persist_vote();
+        self.report_role();
+        self.delay_election(now);
+        let (last_term, last_index) = self.own_rank();
+        for voter in self.other_voters() {
+            let message = Message::Vote {
+                term: self.term,
+                last_index,
+                last_term,
+                is_transfer,
+            };
+            self.send_when_synced(voter, message);
+        }
+        let term = self.term;
+        self.durability.defer(Deferred::OwnVote { term });
+    }
+
+    /// Handles a message of a higher term; false when it is ignored or already answered.
+    pub(crate) fn enters_term_of(
+        &mut self,
+        now: ClockMs,
+        from: &VoterId,
+        message: &Message,
+    ) -> bool {
+        match message {
+            Message::PreVote {
+                term,
+                last_index,
+                last_term,
+            } => {
+                self.answer_pre_vote(now, from.clone(), *term, (*last_term, *last_index));
+                return false;
+            }
+            Message::PreVoteReply {
+                is_granted: true,
+                term,
+            } => {
+                if *term == self.term.next() {
+                    self.count_pre_vote(now, from.clone(), true);
+                }
+                return false;
+            }
+            // A replica that hears its leader is not moved by one that doesn't.
+            Message::Vote { is_transfer, .. } if !is_transfer && self.hears_leader(now) => {
+                return false;
+            }
+            _ => {}
+        }
+        self.enter_term(now, message.term());
+        true
+    }
+
+    pub(crate) fn answer_vote(
+        &mut self,
+        now: ClockMs,
+        from: VoterId,
+        rank: LogRank,
+        is_transfer: bool,
+    ) {
+        let is_free = self.voted_for.is_none() && self.leader.is_none();
+        let is_repeated = self.voted_for.as_ref() == Some(&from);
+        let is_patient = is_transfer || !self.hears_leader(now);
+        let is_granted = is_repeated || (is_free && is_patient && rank >= self.own_rank());
+        if is_granted && !is_repeated {
+            self.voted_for = Some(from.clone());
+            self.persist_vote();
+            self.delay_election(now);
+        }
+        let term = self.term;
+        self.send_in_term(from, Message::VoteReply { term, is_granted });
+    }
+
+    pub(crate) fn count_vote(&mut self, now: ClockMs, from: VoterId, is_granted: bool) {
+        let RoleState::Candidate { granted } = &mut self.role else {
+            return;
+        };
+        if !is_granted {
+            return;
+        }
+        if !granted.contains(&from) {
+            granted.push(from);
+        }
+        let (_, membership) = self.log.membership();
+        if membership.is_majority(|id| granted.contains(id)) {
+            self.lead(now);
+        }
+    }
+
+    /// Answers a message of a lower term so that its sender learns of this one.
+    pub(crate) fn answer_old_term(&mut self, from: VoterId, message: &Message) {
+        let term = self.term;
+        match message {
+            Message::Append { .. } | Message::SnapshotChunk { .. } | Message::Heartbeat { .. } => {
+                self.send_in_term(from, Message::HeartbeatAcknowledged { term, round: 0 });
+            }
+            Message::Vote { .. } => {
+                let is_granted = false;
+                self.send_in_term(from, Message::VoteReply { term, is_granted });
+            }
+            Message::PreVote { .. } => {
+                let is_granted = false;
+                self.send_in_term(from, Message::PreVoteReply { term, is_granted });
+            }
+            Message::AppendAccepted { .. }
+            | Message::AppendRejected { .. }
+            | Message::HeartbeatAcknowledged { .. }
+            | Message::PreVoteReply { .. }
+            | Message::SnapshotProgress { .. }
+            | Message::TimeoutNow { .. }
+            | Message::VoteReply { .. } => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticsill_quorum/src/durability.rs
@@ -0,0 +1,91 @@
+//! What is synced, and what waits for a sync.
+
+use std::collections::VecDeque;
+
+use masticsill_types::Term;
+
+use crate::{Envelope, LogIndex, SyncPoint};
+
+/// Something that counts only once a write is synced.
+#[derive(Debug)]
+pub(crate) enum Deferred {
+    /// The replica's own log is durable up to an entry.
+    OwnEntry { index: LogIndex, term: Term },
+    /// The replica's vote for itself is durable.
+    OwnVote { term: Term },
+    /// A message may go out.
+    Send(Envelope),
+}
+
+/// Write points asked for and synced, and what waits for them.
+#[derive(Debug)]
+pub(crate) struct Durability {
+    issued: SyncPoint,
+    synced: SyncPoint,
+    term_point: SyncPoint,
+    /// The last index that is synced in the log as it stands.
+    last_index: LogIndex,
+    waiting: VecDeque<(SyncPoint, Deferred)>,
+}
+
+impl Durability {
+    pub(crate) fn new(last_index: LogIndex) -> Self {
+        Self {
+            issued: SyncPoint::default(),
+            synced: SyncPoint::default(),
+            term_point: SyncPoint::default(),
+            last_index,
+            waiting: VecDeque::new(),
+        }
+    }
+
+    /// The last index that is synced in the log as it stands.
+    pub(crate) fn last_index(&self) -> LogIndex {
+        self.last_index
+    }
+
+    pub(crate) fn next_point(&mut self) -> SyncPoint {
+        self.issued = SyncPoint(self.issued.0 + 1);
+        self.issued
+    }
+
+    /// Notes that the newest write is that of the term and vote.
+    pub(crate) fn note_term_write(&mut self) {
+        self.term_point = self.issued;
+    }
+
+    pub(crate) fn is_term_synced(&self) -> bool {
+        self.term_point <= self.synced
+    }
+
+    pub(crate) fn truncate_from(&mut self, index: LogIndex) {
+        self.last_index = self.last_index.min(index.previous());
+        // The same entry may be appended again later; the old write no longer proves it durable.
+        self.waiting.retain(|(_, deferred)| match deferred {
+            Deferred::OwnEntry { index: own, .. } => *own < index,
+            Deferred::OwnVote { .. } | Deferred::Send(_) => true,
+        });
+    }
+
+    pub(crate) fn raise(&mut self, index: LogIndex) {
+        self.last_index = self.last_index.max(index);
+    }
+
+    /// Holds something until every write asked for so far is synced.
+    pub(crate) fn defer(&mut self, deferred: Deferred) {
+        self.waiting.push_back((self.issued, deferred));
+    }
+
+    pub(crate) fn sync(&mut self, up_to: SyncPoint) {
+        self.synced = self.synced.max(up_to.min(self.issued));
+    }
+
+    /// The next thing whose writes are all synced.
+    pub(crate) fn release(&mut self) -> Option<Deferred> {
+        let (point, _) = self.waiting.front()?;
+        if *point > self.synced {
+            return None;
+        }
+        self.waiting.pop_front().map(|(_, deferred)| deferred)
+    }
+}
--- /dev/null
+++ b/crates/masticsill_quorum/src/follower.rs
@@ -0,0 +1,150 @@
+//! Following a leader: its entries, heartbeats and requests.
+
+use masticsill_types::{ClockMs, Term};
+
+use crate::durability::Deferred;
+use crate::replica::RoleState;
+use crate::{Entry, LogIndex, Membership, Message, Replica, VoterId, Write};
+
+/// A snapshot that arrives part by part.
+#[derive(Debug)]
+pub(crate) struct IncomingSnapshot {
+    pub(crate) index: LogIndex,
+    pub(crate) term: Term,
+    pub(crate) membership: Membership,
+    pub(crate) total_bytes: u64,
+    pub(crate) data: Vec<u8>,
+}
+
+impl Replica {
+    /// Handles a message that only the leader of the current term sends.
+    pub(crate) fn follow(&mut self, now: ClockMs, from: VoterId, message: Message) {
+        if matches!(self.role, RoleState::Leader(_)) {
+            return;
+        }
+        let is_following = matches!(self.role, RoleState::Follower);
+        if !is_following || self.leader.as_ref() != Some(&from) {
+            self.become_follower(now, Some(from.clone()));
+        }
+        self.heard_leader_at = now;
+        self.delay_election(now);
+        match message {
+            Message::Append {
+                previous_index,
+                previous_term,
+                commit,
+                entries,
+                ..
+            } => self.take_entries(from, (previous_index, previous_term), commit, entries),
+            Message::Heartbeat { round, commit, .. } => self.take_heartbeat(from, round, commit),
+            Message::SnapshotChunk {
+                index,
+                index_term,
+                membership,
+                offset_bytes,
+                total_bytes,
+                data,
+                ..
+            } => {
+                let incoming = IncomingSnapshot {
+                    index,
+                    term: index_term,
+                    membership,
+                    total_bytes,
+                    data: data.to_vec(),
+                };
+                self.take_chunk(from, incoming, offset_bytes);
+            }
+            Message::TimeoutNow { .. } => self.stand_at_request(now),
+            _ => {}
+        }
+    }
+
+    fn stand_at_request(&mut self, now: ClockMs) {
+        if self.membership().is_voter(&self.id) {
+            self.stand(now, true);
+        }
+    }
+
+    fn take_heartbeat(&mut self, from: VoterId, round: u64, commit: LogIndex) {
+        let term = self.term;
+        self.send_in_term(from, Message::HeartbeatAcknowledged { term, round });
+        self.commit_up_to(commit);
+    }
+
+    fn take_entries(
+        &mut self,
+        from: VoterId,
+        (mut previous_index, mut previous_term): (LogIndex, Term),
+        commit: LogIndex,
+        mut entries: Vec<Entry>,
+    ) {
+        // Committed entries are equal in every log, so they need no comparison.
+        if previous_index < self.commit {
+            entries.retain(|entry| entry.index > self.commit);
+            previous_index = self.commit;
+            previous_term = self.log.term(self.commit).unwrap_or_default();
+        }
+        if self.log.term(previous_index) != Some(previous_term) {
+            self.reject_entries(from, previous_index);
+            return;
+        }
+        let match_index = entries.last().map_or(previous_index, |entry| entry.index);
+        let is_known = |entry: &Entry| self.log.term(entry.index) == Some(entry.term);
+        let known = entries.iter().take_while(|entry| is_known(entry)).count();
+        entries.drain(..known);
+        self.write_entries(entries);
+        self.accept_up_to(from, match_index);
+        self.commit_up_to(commit.min(match_index));
+    }
+
+    fn reject_entries(&mut self, from: VoterId, previous_index: LogIndex) {
+        let hint = self.log.before_term_of(previous_index);
+        let hint = if previous_index > self.log.last_index() {
+            self.log.last_index()
+        } else {
+            hint.max(self.commit)
+        };
+        let message = Message::AppendRejected {
+            term: self.term,
+            previous_index,
+            hint,
+        };
+        self.send_in_term(from, message);
+    }
+
+    /// Appends entries, in place of any that conflict with them.
+    pub(crate) fn write_entries(&mut self, entries: Vec<Entry>) {
+        let (Some(first), Some(last)) = (entries.first(), entries.last()) else {
+            return;
+        };
+        let (first_index, last_index, last_term) = (first.index, last.index, last.term);
+        if first_index <= self.log.last_index() {
+            self.drop_entries_from(first_index);
+        }
+        self.log.append(entries.clone());
+        self.persist(Write::Append { entries });
+        self.durability.defer(Deferred::OwnEntry {
+            index: last_index,
+            term: last_term,
+        });
+    }
+
+    pub(crate) fn drop_entries_from(&mut self, index: LogIndex) {
+        assert!(index > self.commit, "committed entries are never dropped");
+        self.log.truncate_from(index);
+        self.durability.truncate_from(index);
+        self.persist(Write::TruncateFrom { index });
+    }
+
+    /// Tells the leader that the log matches up to an index, once that is synced.
+    pub(crate) fn accept_up_to(&mut self, to: VoterId, match_index: LogIndex) {
+        let term = self.term;
+        let message = Message::AppendAccepted { term, match_index };
+        if match_index <= self.durability.last_index() {
+            self.send_in_term(to, message);
+        } else {
+            self.send_when_synced(to, message);
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticsill_quorum/src/leader.rs
@@ -0,0 +1,371 @@
+//! Leading: proposals, commitment, heartbeat rounds, the lease and handing over.
+
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+use masticsill_types::ClockMs;
+
+use crate::progress::Progress;
+use crate::read::PendingRead;
+use crate::replica::RoleState;
+use crate::{
+    CallerToken, Entry, LogIndex, Message, Output, Payload, Proposal, RefusalReason, Replica,
+    VoterId,
+};
+
+/// A heartbeat round and when it was sent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Round {
+    pub(crate) number: u64,
+    pub(crate) sent_at: ClockMs,
+}
+
+/// A handover of leadership in progress.
+#[derive(Debug)]
+pub(crate) struct Transfer {
+    pub(crate) target: VoterId,
+    pub(crate) give_up_at: ClockMs,
+}
+
+/// What only a leader keeps.
+#[derive(Debug)]
+pub(crate) struct LeaderState {
+    pub(crate) progress: IndexMap<VoterId, Progress>,
+    /// The leader's first entry; once it is committed, so is all before it.
+    pub(crate) first_index: LogIndex,
+    pub(crate) elected_at: ClockMs,
+    pub(crate) heartbeat_due: ClockMs,
+    /// Rounds sent and not yet confirmed, oldest first.
+    pub(crate) rounds: VecDeque<Round>,
+    pub(crate) last_round: u64,
+    /// The newest round that a majority acknowledged.
+    pub(crate) confirmed: Option<Round>,
+    pub(crate) pending: VecDeque<(LogIndex, CallerToken)>,
+    pub(crate) reads: VecDeque<PendingRead>,
+    pub(crate) transfer: Option<Transfer>,
+}
+
+impl Replica {
+    /// The send time of the newest heartbeat round of this term that a majority acknowledged.
+    ///
+    /// None when this replica does not lead, before the first such round, and past the lease. The
+    /// caller checks it again immediately before each step that can't be undone.
+    #[must_use]
+    pub fn confirmed_as_of(&self, now: ClockMs) -> Option<ClockMs> {
+        let RoleState::Leader(state) = &self.role else {
+            return None;
+        };
+        let sent_at = state.confirmed?.sent_at;
+        (now.since(sent_at) <= self.settings.lease_ms).then_some(sent_at)
+    }
+
+    /// A commit index at least as high as any entry accepted, by any leader, before the point of
+    /// this replica's clock that comes with it.
+    ///
+    /// None under the conditions of [`Self::confirmed_as_of`], and until the leader's first entry
+    /// is committed.
+    #[must_use]
+    pub fn current_as_of(&self, now: ClockMs) -> Option<(LogIndex, ClockMs)> {
+        let RoleState::Leader(state) = &self.role else {
+            return None;
+        };
+        let confirmed_at = self.confirmed_as_of(now)?;
+        (self.commit >= state.first_index).then_some((self.commit, confirmed_at))
+    }
+
+    /// A leader that no majority has acknowledged within its lease stops leading.
+    pub(crate) fn stop_past_lease(&mut self, now: ClockMs) {
+        let is_sole_voter = self.is_majority_alone();
+        let RoleState::Leader(state) = &mut self.role else {
+            return;
+        };
+        if is_sole_voter {
+            let number = state.last_round;
+            state.confirmed = Some(Round {
+                number,
+                sent_at: now,
+            });
+            return;
+        }
+        let confirmed_at = state.confirmed.map_or(state.elected_at, |it| it.sent_at);
+        if now.since(confirmed_at) > self.settings.lease_ms {
+            self.become_follower(now, None);
+        }
+    }
+
+    fn is_majority_alone(&self) -> bool {
+        self.membership().is_majority(|id| *id == self.id)
+    }
+
+    pub(crate) fn lead(&mut self, now: ClockMs) {
+        let first_index = self.log.last_index().next();
+        self.leader = Some(self.id.clone());
+        self.role = RoleState::Leader(Box::new(LeaderState {
+            progress: IndexMap::new(),
+            first_index,
+            elected_at: now,
+            heartbeat_due: now,
+            rounds: VecDeque::new(),
+            last_round: 0,
+            confirmed: None,
+            pending: VecDeque::new(),
+            reads: VecDeque::new(),
+            transfer: None,
+        }));
+        self.report_role();
+        self.track_members();
+        self.begin_round(now);
+        self.append_own(vec![Payload::Noop]);
+    }
+
+    /// Keeps a progress for each member but this replica.
+    pub(crate) fn track_members(&mut self) {
+        let next_index = self.log.last_index().next();
+        let RoleState::Leader(state) = &mut self.role else {
+            return;
+        };
+        let (_, membership) = self.log.membership();
+        state.progress.retain(|id, _| membership.is_member(id));
+        for id in membership.members() {
+            if *id != self.id && !state.progress.contains_key(id) {
+                state.progress.insert(id.clone(), Progress::new(next_index));
+            }
+        }
+    }
+
+    pub(crate) fn tick_leader(&mut self, now: ClockMs) {
+        let RoleState::Leader(state) = &mut self.role else {
+            return;
+        };
+        let is_transfer_over = |it: &Transfer| now >= it.give_up_at;
+        if state.transfer.as_ref().is_some_and(is_transfer_over) {
+            state.transfer = None;
+        }
+        if now >= state.heartbeat_due {
+            self.begin_round(now);
+        }
+        self.advance_membership(now);
+    }
+
+    /// Sends a heartbeat to every member.
+    pub(crate) fn begin_round(&mut self, now: ClockMs) {
+        let RoleState::Leader(state) = &mut self.role else {
+            return;
+        };
+        state.last_round += 1;
+        state.heartbeat_due = now + self.settings.heartbeat_ms;
+        let number = state.last_round;
+        state.rounds.push_back(Round {
+            number,
+            sent_at: now,
+        });
+        let peers = state.progress.iter();
+        let known: Vec<(VoterId, LogIndex)> = peers
+            .map(|(id, progress)| (id.clone(), progress.match_index))
+            .collect();
+        for (to, match_index) in known {
+            let message = Message::Heartbeat {
+                term: self.term,
+                round: number,
+                commit: self.commit.min(match_index),
+            };
+            self.send(to, message);
+        }
+        self.confirm_rounds(now);
+    }
+
+    pub(crate) fn note_acknowledged(&mut self, now: ClockMs, from: &VoterId, round: u64) {
+        let RoleState::Leader(state) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = state.progress.get_mut(from) else {
+            return;
+        };
+        progress.round = progress.round.max(round.min(state.last_round));
+        progress.heard_at = Some(now);
+        progress.resume();
+        let is_behind = progress.match_index < self.log.last_index();
+        self.confirm_rounds(now);
+        if is_behind {
+            self.replicate_to(from, true);
+        }
+    }
+
+    fn confirm_rounds(&mut self, now: ClockMs) {
+        let RoleState::Leader(state) = &mut self.role else {
+            return;
+        };
+        let (_, membership) = self.log.membership();
+        let newest = membership.majority_value(|id| {
+            if *id == self.id {
+                return state.last_round;
+            }
+            state.progress.get(id).map_or(0, |progress| progress.round)
+        });
+        let Some(newest) = newest else {
+            return;
+        };
+        while let Some(round) = state.rounds.front().copied()
+            && round.number <= newest
+        {
+            state.confirmed = Some(round);
+            state.rounds.pop_front();
+        }
+        self.answer_reads(now);
+    }
+
+    pub(crate) fn propose(&mut self, proposals: Vec<Proposal>) {
+        let mut payloads = Vec::with_capacity(proposals.len());
+        for Proposal { token, command } in proposals {
+            if let Some(reason) = self.refusal_reason() {
+                self.refuse(token, reason);
+                continue;
+            }
+            let index = LogIndex(self.log.last_index().0 + 1 + payloads.len() as u64);
+            self.await_commit(index, token);
+            payloads.push(Payload::Command(command));
+        }
+        if !payloads.is_empty() {
+            self.append_own(payloads);
+        }
+    }
+
+    pub(crate) fn refusal_reason(&self) -> Option<RefusalReason> {
+        let RoleState::Leader(state) = &self.role else {
+            return Some(RefusalReason::NotLeader);
+        };
+        if state.transfer.is_some() {
+            return Some(RefusalReason::Transferring);
+        }
+        let is_full = state.pending.len() >= self.settings.pending_proposals;
+        is_full.then_some(RefusalReason::TooManyPending)
+    }
+
+    pub(crate) fn refuse(&mut self, token: CallerToken, reason: RefusalReason) {
+        let leader_hint = match &self.role {
+            RoleState::Leader(state) => state.transfer.as_ref().map(|it| it.target.clone()),
+            _ => self.leader.clone(),
+        };
+        self.outputs.push(Output::RefusedPropose {
+            token,
+            reason,
+            leader_hint,
+        });
+    }
+
+    pub(crate) fn await_commit(&mut self, index: LogIndex, token: CallerToken) {
+        if let RoleState::Leader(state) = &mut self.role {
+            state.pending.push_back((index, token));
+        }
+    }
+
+    /// Appends entries of this term, syncs them and sends them.
+    pub(crate) fn append_own(&mut self, payloads: Vec<Payload>) {
+        let mut index = self.log.last_index();
+        let mut entries = Vec::with_capacity(payloads.len());
+        for payload in payloads {
+            index = index.next();
+            entries.push(Entry {
+                index,
+                term: self.term,
+                payload,
+            });
+        }
+        self.write_entries(entries);
+        self.replicate_to_all();
+    }
+
+    /// Commits what a majority has synced, counting from an entry of this term on.
+    pub(crate) fn advance_commit(&mut self) {
+        let RoleState::Leader(state) = &self.role else {
+            return;
+        };
+        let own_index = self.durability.last_index();
+        let reached = self.membership().majority_value(|id| {
+            if *id == self.id {
+                return own_index;
+            }
+            let progress = state.progress.get(id);
+            progress.map_or(LogIndex::default(), |it| it.match_index)
+        });
+        let Some(reached) = reached else {
+            return;
+        };
+        // An older term's entry held by a majority may still be replaced by a later leader.
+        if reached <= self.commit || self.log.term(reached) != Some(self.term) {
+            return;
+        }
+        self.commit_up_to(reached);
+        self.answer_committed();
+    }
+
+    fn answer_committed(&mut self) {
+        let RoleState::Leader(state) = &mut self.role else {
+            return;
+        };
+        while let Some((index, token)) = state.pending.front().copied()
+            && index <= self.commit
+        {
+            self.outputs.push(Output::Committed { token, index });
+            state.pending.pop_front();
+        }
+    }
+
+    /// Tells callers that leadership ended before their answers were known.
+    pub(crate) fn answer_abandoned(&mut self, state: LeaderState) {
+        for (_, token) in state.pending {
+            self.outputs.push(Output::OutcomeUnknown { token });
+        }
+        for read in state.reads {
+            self.outputs.push(Output::RefusedRead {
+                token: read.token,
+                leader_hint: None,
+            });
+        }
+    }
+
+    /// Begins to hand leadership over: nothing new is accepted until it is done or given up.
+    pub(crate) fn transfer_leadership(&mut self, now: ClockMs, target: Option<&VoterId>) {
+        let RoleState::Leader(state) = &mut self.role else {
+            return;
+        };
+        let (_, membership) = self.log.membership();
+        let is_candidate = |id: &VoterId| {
+            let is_wanted = target.is_none_or(|wanted| wanted == id);
+            is_wanted && membership.is_voter(id) && !membership.leaving.contains(id)
+        };
+        let candidates = state.progress.iter().filter(|(id, _)| is_candidate(id));
+        let best = candidates.max_by_key(|(_, progress)| (progress.heard_at, progress.match_index));
+        let Some((best, _)) = best else {
+            return;
+        };
+        let best = best.clone();
+        state.transfer = Some(Transfer {
+            target: best.clone(),
+            give_up_at: now + self.settings.election_min_ms,
+        });
+        self.replicate_to(&best, true);
+        self.finish_transfer(now);
+    }
+
+    /// Lets the target stand once it holds the whole log and every caller has its answer.
+    pub(crate) fn finish_transfer(&mut self, now: ClockMs) {
+        let RoleState::Leader(state) = &self.role else {
+            return;
+        };
+        let Some(transfer) = &state.transfer else {
+            return;
+        };
+        let target = transfer.target.clone();
+        let progress = state.progress.get(&target);
+        let match_index = progress.map_or(LogIndex::default(), |it| it.match_index);
+        let last_index = self.log.last_index();
+        if match_index < last_index || self.commit < last_index {
+            return;
+        }
+        let term = self.term;
+        self.send(target, Message::TimeoutNow { term });
+        // Voters won't wait for the old lease, so it ends here.
+        self.become_follower(now, None);
+    }
+}
--- a/crates/masticsill_quorum/src/lib.rs
+++ b/crates/masticsill_quorum/src/lib.rs
@@ -1,1 +1,33 @@
 //! Replicated log: terms, votes, commit, membership, lease and durable storage.
+//!
+//! [`Replica`] is pure: it is told time, messages and finished syncs by [`Replica::step`] and
+//! answers with [`Output`]s. Nothing counts before it is synced: what a message relies on is
+//! durable when its `Send` is given out. `storage` keeps a replica's data folder.
+
+mod candidate;
+mod durability;
+mod entry;
+mod follower;
+mod id;
+mod input;
+mod leader;
+mod log;
+mod member_change;
+mod membership;
+mod message;
+mod output;
+mod progress;
+mod read;
+mod replica;
+mod replicate;
+mod settings;
+mod snapshot;
+
+pub use entry::{Entry, Payload, Snapshot, StoredState};
+pub use id::{CallerToken, FolderId, LogIndex, SyncPoint, VoterId};
+pub use input::{Input, Proposal};
+pub use membership::{Learner, MAX_VOTERS, Membership, MembershipChange, MembershipError};
+pub use message::{Envelope, Message};
+pub use output::{Output, RefusalReason, Role, Write};
+pub use replica::Replica;
+pub use settings::{ReplicaSettings, SettingsError};
--- /dev/null
+++ b/crates/masticsill_quorum/src/membership.rs
@@ -0,0 +1,194 @@
+//! Who votes, who only learns, and how that changes one step at a time.
+
+use thiserror::Error;
+
+use crate::VoterId;
+
+/// Voters at most, apart from one that is being replaced.
+pub const MAX_VOTERS: usize = 7;
+
+/// A replica that receives the log and does not vote yet.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Learner {
+    /// The replica.
+    pub id: VoterId,
+    /// The voter that leaves once this one votes.
+    pub replaces: Option<VoterId>,
+}
+
+/// The members of the cluster at some entry.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Membership {
+    /// Replicas whose votes and acknowledgements count.
+    pub voters: Vec<VoterId>,
+    /// Replicas that catch up; the leader promotes them one at a time.
+    pub learners: Vec<Learner>,
+    /// Voters that the leader removes next.
+    pub leaving: Vec<VoterId>,
+}
+
+/// A change that a caller asks for.
+///
+/// A joining replica learns until it has caught up, is then promoted by the leader, and the voter
+/// that it replaces is removed after that: the whole is one durable request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum MembershipChange {
+    /// Admit a replica. A voter of the same name, or the one named, leaves afterwards.
+    Join {
+        /// The new replica.
+        id: VoterId,
+        /// The voter that it replaces, if that has another name.
+        replaces: Option<VoterId>,
+    },
+    /// Remove a learner or a voter.
+    Remove {
+        /// The member.
+        id: VoterId,
+    },
+}
+
+/// Why a membership change is refused.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum MembershipError {
+    /// The replica is a member already.
+    #[error("replica `{0}` is a member already; nothing needs to be done")]
+    AlreadyMember(VoterId),
+    /// Another change is not committed yet.
+    #[error("another membership change is in progress; send this one again when it is done")]
+    ChangeInProgress,
+    /// The only voter can't leave.
+    #[error("replica `{0}` is the only voter; let another one join first")]
+    LastVoter(VoterId),
+    /// There are as many voters as may be.
+    #[error("there are {MAX_VOTERS} voters; name the one that the new replica replaces")]
+    TooManyVoters,
+    /// The replica is not a member.
+    #[error("replica `{0}` is not a member; list the members and name one of them")]
+    UnknownMember(VoterId),
+}
+
+impl Membership {
+    /// A membership of voters only.
+    #[must_use]
+    pub fn of_voters(voters: impl IntoIterator<Item = VoterId>) -> Self {
+        Self {
+            voters: voters.into_iter().collect(),
+            ..Self::default()
+        }
+    }
+
+    /// Whether a replica votes.
+    #[must_use]
+    pub fn is_voter(&self, id: &VoterId) -> bool {
+        self.voters.contains(id)
+    }
+
+    /// Whether a replica votes or learns.
+    #[must_use]
+    pub fn is_member(&self, id: &VoterId) -> bool {
+        self.is_voter(id) || self.learners.iter().any(|learner| learner.id == *id)
+    }
+
+    /// Voters and learners, in that order.
+    pub fn members(&self) -> impl Iterator<Item = &VoterId> {
+        let learners = self.learners.iter().map(|learner| &learner.id);
+        self.voters.iter().chain(learners)
+    }
+
+    /// Voters that make a majority.
+    #[must_use]
+    pub fn majority(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// Whether the voters that satisfy `has_answered` are a majority.
+    pub(crate) fn is_majority(&self, has_answered: impl Fn(&VoterId) -> bool) -> bool {
+        let count = self.voters.iter().filter(|id| has_answered(id)).count();
+        !self.voters.is_empty() && count >= self.majority()
+    }
+
+    /// The highest value that a majority of the voters has reached; none without voters.
+    pub(crate) fn majority_value<V: Ord>(&self, value: impl Fn(&VoterId) -> V) -> Option<V> {
+        let mut values: Vec<V> = self.voters.iter().map(value).collect();
+        values.sort_unstable_by(|left, right| right.cmp(left));
+        values.into_iter().nth(self.majority() - 1)
+    }
+
+    /// The membership after a caller's change.
+    pub(crate) fn changed_by(&self, change: &MembershipChange) -> Result<Self, MembershipError> {
+        match change {
+            MembershipChange::Join { id, replaces } => self.joined_by(id, replaces.as_ref()),
+            MembershipChange::Remove { id } => self.removed_by(id),
+        }
+    }
+
+    fn joined_by(&self, id: &VoterId, replaces: Option<&VoterId>) -> Result<Self, MembershipError> {
+        if self.is_member(id) {
+            return Err(MembershipError::AlreadyMember(id.clone()));
+        }
+        let namesake = self.voters.iter().find(|voter| voter.name == id.name);
+        let replaces = replaces.or(namesake).cloned();
+        if let Some(replaced) = &replaces
+            && !self.is_voter(replaced)
+        {
+            return Err(MembershipError::UnknownMember(replaced.clone()));
+        }
+        let joining = self
+            .learners
+            .iter()
+            .filter(|learner| learner.replaces.is_none());
+        let planned = self.voters.len() + joining.count() - self.leaving.len();
+        if replaces.is_none() && planned >= MAX_VOTERS {
+            return Err(MembershipError::TooManyVoters);
+        }
+        let mut next = self.clone();
+        next.learners.retain(|learner| learner.id.name != id.name);
+        next.learners.push(Learner {
+            id: id.clone(),
+            replaces,
+        });
+        Ok(next)
+    }
+
+    fn removed_by(&self, id: &VoterId) -> Result<Self, MembershipError> {
+        if !self.is_member(id) {
+            return Err(MembershipError::UnknownMember(id.clone()));
+        }
+        if self.voters.len() == 1 && self.is_voter(id) {
+            return Err(MembershipError::LastVoter(id.clone()));
+        }
+        let mut next = self.clone();
+        if next.is_voter(id) {
+            next.leaving.retain(|leaving| leaving != id);
+            next.leaving.push(id.clone());
+        } else {
+            next.learners.retain(|learner| learner.id != *id);
+        }
+        Ok(next)
+    }
+
+    /// The membership without the first voter that leaves, if one does.
+    pub(crate) fn without_leaving(&self) -> Option<Self> {
+        let mut next = self.clone();
+        let leaving = next.leaving.first()?.clone();
+        next.leaving.remove(0);
+        next.voters.retain(|voter| *voter != leaving);
+        next.learners.iter_mut().for_each(|learner| {
+            if learner.replaces.as_ref() == Some(&leaving) {
+                learner.replaces = None;
+            }
+        });
+        (!next.voters.is_empty()).then_some(next)
+    }
+
+    /// The membership in which a learner votes and the voter that it replaces is to leave.
+    pub(crate) fn with_promoted(&self, id: &VoterId) -> Option<Self> {
+        let position = self.learners.iter().position(|learner| learner.id == *id)?;
+        let mut next = self.clone();
+        let learner = next.learners.remove(position);
+        next.voters.push(learner.id);
+        let replaced = learner.replaces.filter(|voter| next.is_voter(voter));
+        next.leaving.extend(replaced);
+        Some(next)
+    }
+}
--- /dev/null
+++ b/crates/masticsill_quorum/src/read.rs
@@ -0,0 +1,59 @@
+//! Reads of the current state, each proved by a heartbeat round that began after it arrived.
+
+use masticsill_types::ClockMs;
+
+use crate::replica::RoleState;
+use crate::{CallerToken, LogIndex, Output, Replica};
+
+/// A read that waits for its round and its index.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PendingRead {
+    pub(crate) token: CallerToken,
+    /// The entry that must be committed first.
+    pub(crate) index: LogIndex,
+    /// The round that must be acknowledged by a majority first.
+    pub(crate) round: u64,
+}
+
+impl Replica {
+    pub(crate) fn read_index(&mut self, now: ClockMs, token: CallerToken) {
+        let commit = self.commit;
+        let leader_hint = self.leader.clone();
+        let RoleState::Leader(state) = &mut self.role else {
+            let refusal = Output::RefusedRead { token, leader_hint };
+            self.outputs.push(refusal);
+            return;
+        };
+        let is_round_free = state.reads.is_empty();
+        state.reads.push_back(PendingRead {
+            token,
+            index: commit.max(state.first_index),
+            round: state.last_round + 1,
+        });
+        // Reads that arrive while a round is under way share the next one.
+        if is_round_free {
+            self.begin_round(now);
+        }
+    }
+
+    pub(crate) fn answer_reads(&mut self, now: ClockMs) {
+        let commit = self.commit;
+        let RoleState::Leader(state) = &mut self.role else {
+            return;
+        };
+        let confirmed = state.confirmed.map_or(0, |round| round.number);
+        while let Some(read) = state.reads.front().copied()
+            && read.round <= confirmed
+            && read.index <= commit
+        {
+            let PendingRead { token, index, .. } = read;
+            self.outputs.push(Output::ReadReady { token, index });
+            state.reads.pop_front();
+        }
+        let last_round = state.last_round;
+        let needs_round = |read: &PendingRead| read.round > last_round;
+        if state.reads.front().is_some_and(needs_round) {
+            self.begin_round(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticsill_quorum/src/replicate.rs
@@ -0,0 +1,120 @@
+//! Sending entries to peers and hearing how far they got.
+
+use masticsill_types::ClockMs;
+
+use crate::progress::Flow;
+use crate::replica::RoleState;
+use crate::{LogIndex, Message, Replica, VoterId};
+
+impl Replica {
+    pub(crate) fn replicate_to_all(&mut self) {
+        let RoleState::Leader(state) = &self.role else {
+            return;
+        };
+        let peers: Vec<VoterId> = state.progress.keys().cloned().collect();
+        for peer in peers {
+            self.replicate_to(&peer, false);
+        }
+    }
+
+    /// Sends a peer what it lacks; `is_checking` sends even an empty message, to find a gap.
+    pub(crate) fn replicate_to(&mut self, peer: &VoterId, is_checking: bool) {
+        let RoleState::Leader(state) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = state.progress.get(peer) else {
+            return;
+        };
+        let needs_snapshot = progress.next_index <= self.log.base_index();
+        match progress.flow {
+            Flow::Snapshot { .. } => self.send_chunk(peer),
+            Flow::Probe { .. } | Flow::Replicate if needs_snapshot => self.send_chunk(peer),
+            Flow::Probe { is_waiting: true } => {}
+            Flow::Probe { is_waiting: false } => self.send_batch(peer),
+            Flow::Replicate => self.fill_window(peer, is_checking),
+        }
+    }
+
+    fn fill_window(&mut self, peer: &VoterId, is_checking: bool) {
+        let mut must_send = is_checking;
+        while must_send || self.has_room(peer) {
+            must_send = false;
+            self.send_batch(peer);
+        }
+    }
+
+    fn has_room(&self, peer: &VoterId) -> bool {
+        let RoleState::Leader(state) = &self.role else {
+            return false;
+        };
+        let Some(progress) = state.progress.get(peer) else {
+            return false;
+        };
+        let in_flight = progress.next_index.0.saturating_sub(progress.match_index.0);
+        progress.next_index <= self.log.last_index() && in_flight <= self.settings.window_entries
+    }
+
+    fn send_batch(&mut self, peer: &VoterId) {
+        let RoleState::Leader(state) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = state.progress.get_mut(peer) else {
+            return;
+        };
+        let previous_index = progress.next_index.previous();
+        let Some(previous_term) = self.log.term(previous_index) else {
+            return;
+        };
+        let (max_entries, max_bytes) = (self.settings.append_entries, self.settings.append_bytes);
+        let entries = self.log.batch(progress.next_index, max_entries, max_bytes);
+        match &mut progress.flow {
+            Flow::Probe { is_waiting } => *is_waiting = true,
+            Flow::Replicate => progress.next_index.0 += entries.len() as u64,
+            Flow::Snapshot { .. } => {}
+        }
+        let message = Message::Append {
+            term: self.term,
+            previous_index,
+            previous_term,
+            commit: self.commit,
+            entries,
+        };
+        self.send(peer.clone(), message);
+    }
+
+    pub(crate) fn note_accepted(&mut self, now: ClockMs, from: &VoterId, match_index: LogIndex) {
+        let last_index = self.log.last_index();
+        let RoleState::Leader(state) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = state.progress.get_mut(from) else {
+            return;
+        };
+        progress.heard_at = Some(now);
+        progress.accept(match_index.min(last_index));
+        self.advance_commit();
+        self.answer_reads(now);
+        self.replicate_to(from, false);
+        self.finish_transfer(now);
+        self.advance_membership(now);
+    }
+
+    pub(crate) fn note_rejected(
+        &mut self,
+        now: ClockMs,
+        from: &VoterId,
+        previous_index: LogIndex,
+        hint: LogIndex,
+    ) {
+        let RoleState::Leader(state) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = state.progress.get_mut(from) else {
+            return;
+        };
+        progress.heard_at = Some(now);
+        if progress.reject(previous_index, hint) {
+            self.replicate_to(from, false);
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticsill_quorum/src/snapshot.rs
@@ -0,0 +1,189 @@
+//! Snapshots: taking them, sending them part by part and installing them.
+
+use std::sync::Arc;
+
+use masticsill_types::ClockMs;
+
+use crate::durability::Deferred;
+use crate::follower::IncomingSnapshot;
+use crate::progress::Flow;
+use crate::replica::RoleState;
+use crate::{LogIndex, Message, Output, Replica, Snapshot, VoterId, Write};
+
+impl Replica {
+    /// Asks for a snapshot once the log has grown long since the last.
+    pub(crate) fn ask_for_snapshot(&mut self) {
+        let grown = self.commit.0.saturating_sub(self.log.snapshot_index().0);
+        if self.is_snapshot_asked || grown < self.settings.snapshot_after_entries {
+            return;
+        }
+        self.is_snapshot_asked = true;
+        let index = self.commit;
+        self.outputs.push(Output::SnapshotWanted { index });
+    }
+
+    pub(crate) fn take_snapshot(&mut self, index: LogIndex, data: Arc<[u8]>) {
+        self.is_snapshot_asked = false;
+        let is_useful = index > self.log.snapshot_index() && index <= self.commit;
+        let Some(term) = self.log.term(index).filter(|_| is_useful) else {
+            return;
+        };
+        let snapshot = Snapshot {
+            index,
+            term,
+            membership: self.log.membership_at(index).clone(),
+            data,
+        };
+        self.persist(Write::Snapshot {
+            snapshot: snapshot.clone(),
+        });
+        self.log.compact(snapshot, self.settings.retained_entries);
+    }
+
+    /// Sends a peer the next part of the newest snapshot, unless one is under way.
+    pub(crate) fn send_chunk(&mut self, peer: &VoterId) {
+        let RoleState::Leader(state) = &mut self.role else {
+            return;
+        };
+        let (Some(progress), Some(snapshot)) = (state.progress.get_mut(peer), self.log.snapshot())
+        else {
+            return;
+        };
+        let offset_bytes = match progress.flow {
+            Flow::Snapshot {
+                index,
+                offset_bytes,
+                is_waiting,
+            } if index == snapshot.index => {
+                if is_waiting {
+                    return;
+                }
+                offset_bytes
+            }
+            _ => 0,
+        };
+        progress.flow = Flow::Snapshot {
+            index: snapshot.index,
+            offset_bytes,
+            is_waiting: true,
+        };
+        let message = chunk_at(snapshot, offset_bytes, self.settings.snapshot_chunk_bytes);
+        let message = message(self.term);
+        self.send(peer.clone(), message);
+    }
+
+    pub(crate) fn note_snapshot_progress(
+        &mut self,
+        now: ClockMs,
+        from: &VoterId,
+        index: LogIndex,
+        next_offset_bytes: u64,
+    ) {
+        let RoleState::Leader(state) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = state.progress.get_mut(from) else {
+            return;
+        };
+        progress.heard_at = Some(now);
+        match &mut progress.flow {
+            Flow::Snapshot {
+                index: sent,
+                offset_bytes,
+                is_waiting,
+            } if *sent == index => {
+                *offset_bytes = next_offset_bytes;
+                *is_waiting = false;
+            }
+            _ => return,
+        }
+        self.send_chunk(from);
+    }
+
+    pub(crate) fn take_chunk(&mut self, from: VoterId, part: IncomingSnapshot, offset_bytes: u64) {
+        if part.index <= self.commit {
+            self.accept_up_to(from, self.commit);
+            return;
+        }
+        let index = part.index;
+        let total_bytes = part.total_bytes;
+        let held_bytes = self.hold_part(part, offset_bytes);
+        if held_bytes >= total_bytes {
+            self.install_incoming(from);
+            return;
+        }
+        let message = Message::SnapshotProgress {
+            term: self.term,
+            index,
+            next_offset_bytes: held_bytes,
+        };
+        self.send_in_term(from, message);
+    }
+
+    /// Adds a part that continues what is held; returns the bytes held then.
+    fn hold_part(&mut self, part: IncomingSnapshot, offset_bytes: u64) -> u64 {
+        let is_same = |held: &IncomingSnapshot| held.index == part.index && held.term == part.term;
+        let held = match self.incoming.take() {
+            Some(mut held) if is_same(&held) => {
+                if held.data.len() as u64 == offset_bytes {
+                    held.data.extend_from_slice(&part.data);
+                }
+                held
+            }
+            _ if offset_bytes == 0 => part,
+            _ => return 0,
+        };
+        let held_bytes = held.data.len() as u64;
+        self.incoming = Some(held);
+        held_bytes
+    }
+
+    fn install_incoming(&mut self, from: VoterId) {
+        let Some(incoming) = self.incoming.take() else {
+            return;
+        };
+        let snapshot = Snapshot {
+            index: incoming.index,
+            term: incoming.term,
+            membership: incoming.membership,
+            data: Arc::from(incoming.data),
+        };
+        let (index, term) = (snapshot.index, snapshot.term);
+        let own_term = self.log.term(index);
+        if index <= self.log.last_index() && own_term != Some(term) {
+            self.drop_entries_from(index);
+        }
+        self.persist(Write::Snapshot {
+            snapshot: snapshot.clone(),
+        });
+        self.log.install(snapshot.clone());
+        self.durability.defer(Deferred::OwnEntry { index, term });
+        self.commit = index;
+        self.is_snapshot_asked = false;
+        self.outputs.push(Output::RestoreSnapshot { snapshot });
+        self.accept_up_to(from, index);
+    }
+}
+
+/// The part of a snapshot at an offset, as a message of the term that it is then given.
+fn chunk_at(
+    snapshot: &Snapshot,
+    offset_bytes: u64,
+    max_bytes: usize,
+) -> impl FnOnce(masticsill_types::Term) -> Message {
+    let length = snapshot.data.len();
+    let start = usize::try_from(offset_bytes).map_or(length, |offset| offset.min(length));
+    let end = length.min(start + max_bytes);
+    let (index, index_term) = (snapshot.index, snapshot.term);
+    let membership = snapshot.membership.clone();
+    let data: Arc<[u8]> = Arc::from(&snapshot.data[start..end]);
+    move |term| Message::SnapshotChunk {
+        term,
+        index,
+        index_term,
+        membership,
+        offset_bytes: start as u64,
+        total_bytes: length as u64,
+        data,
+    }
+}
