Add the replicated log's wire form and data folder

Cause: the control role carries messages as opaque bytes and needs synced storage. Ruled out: truncating log files in place (a crash could leave old and new records mixed); a frame whose length has no checksum of its own (a damaged length in the middle would look like a torn tail and silently cut acknowledged entries).

--- /dev/null
+++ b/crates/masticsill_quorum/src/events.rs
@@ -0,0 +1,20 @@
+//! Log events of the replicated log's storage.
+
+use masticsill_types::Event;
+
+/// A data folder received its identity.
+pub const FOLDER_CREATED: Event = Event::new(4900, "data_folder_created");
+/// The last record of the log was incomplete and was cut.
+pub const TORN_TAIL_CUT: Event = Event::new(4901, "torn_tail_cut");
+/// A write or sync failed; the storage refuses everything from now on.
+pub const STORAGE_FAILED: Event = Event::new(4902, "storage_failed");
+/// An operator made this replica the only voter after the majority was lost.
+pub const SOLE_VOTER_FORCED: Event = Event::new(4903, "sole_voter_forced");
+
+/// Every event of this crate.
+pub const ALL: &[Event] = &[
+    FOLDER_CREATED,
+    TORN_TAIL_CUT,
+    STORAGE_FAILED,
+    SOLE_VOTER_FORCED,
+];
--- a/crates/masticsill_quorum/src/lib.rs
+++ b/crates/masticsill_quorum/src/lib.rs
@@ -7,6 +7,7 @@
 mod candidate;
 mod durability;
 mod entry;
+pub mod events;
 mod follower;
 mod id;
 mod input;
@@ -22,6 +23,8 @@
 mod replicate;
 mod settings;
 mod snapshot;
+pub mod storage;
+mod wire;
 
 pub use entry::{Entry, Payload, Snapshot, StoredState};
 pub use id::{CallerToken, FolderId, LogIndex, SyncPoint, VoterId};
@@ -31,3 +34,4 @@
 pub use output::{Output, RefusalReason, Role, Write};
 pub use replica::Replica;
 pub use settings::{ReplicaSettings, SettingsError};
+pub use wire::{WireError, decode_message, encode_message};
--- /dev/null
+++ b/crates/masticsill_quorum/src/storage.rs
@@ -0,0 +1,305 @@
+//! A replica's data folder: identity, vote, snapshot and the log in segments.
+//!
+//! Every file is made of checksummed frames. The log is only ever appended to: one frame a sync,
+//! and a truncation is a record like any other. A failed write or sync is final: what the disk
+//! holds is not known then, so nothing more is written until the process has read it again.
+
+mod disk;
+mod error;
+mod frame;
+mod open;
+mod record;
+mod replay;
+
+use std::path::Path;
+
+use masticsill_types::{NodeId, Term, log_event};
+
+use crate::storage::open::recover;
+use crate::storage::record::{LogRecord, VoteRecord, encode_record};
+use crate::storage::replay::{Segment, segment_name};
+use crate::wire::{WireEntry, WireSnapshot, WireVoterId};
+use crate::{
+    Entry, FolderId, LogIndex, Membership, Payload, Snapshot, StoredState, SyncPoint, VoterId,
+    Write, events,
+};
+
+pub use disk::{Disk, FileDisk};
+pub use error::StorageError;
+pub use open::{Recovered, TornTail};
+
+pub(crate) const IDENTITY_FILE: &str = "identity";
+pub(crate) const SNAPSHOT_FILE: &str = "snapshot";
+pub(crate) const VOTE_FILE: &str = "vote";
+/// Size from which a new segment is begun.
+const SEGMENT_BYTES: u64 = 4 * 1024 * 1024;
+
+/// A replica's data folder, open for writing.
+#[derive(Debug)]
+pub struct Storage {
+    disk: Box<dyn Disk>,
+    id: VoterId,
+    segments: Vec<Segment>,
+    /// Records that the next sync writes.
+    unwritten: Vec<LogRecord>,
+    highest_unwritten: LogIndex,
+    point: SyncPoint,
+    is_pristine: bool,
+    is_failed: bool,
+}
+
+impl Storage {
+    /// Opens the data folder of a node, or creates it with a new identity.
+    ///
+    /// # Errors
+    ///
+    /// [`StorageError`] that names the file and the remedy.
+    pub fn open(
+        folder: &Path,
+        cluster: &str,
+        node: &NodeId,
+    ) -> Result<(Self, Recovered), StorageError> {
+        let disk = FileDisk::open(folder)?;
+        Self::open_on(Box::new(disk), cluster, node, FolderId(rand::random()))
+    }
+
+    /// Opens the data folder behind `disk`, or creates it with the identity `new_folder`, which
+    /// must be random.
+    ///
+    /// # Errors
+    ///
+    /// [`StorageError`] that names the file and the remedy.
+    pub fn open_on(
+        mut disk: Box<dyn Disk>,
+        cluster: &str,
+        node: &NodeId,
+        new_folder: FolderId,
+    ) -> Result<(Self, Recovered), StorageError> {
+        let new_id = VoterId {
+            name: node.clone(),
+            folder: new_folder,
+        };
+        let (recovered, segments) = recover(disk.as_mut(), cluster, new_id)?;
+        let state = &recovered.state;
+        let mut storage = Self {
+            disk,
+            id: state.id.clone(),
+            segments,
+            unwritten: Vec::new(),
+            highest_unwritten: LogIndex::default(),
+            point: SyncPoint::default(),
+            is_pristine: is_pristine(state),
+            is_failed: false,
+        };
+        storage.prepare_segment()?;
+        Ok((storage, recovered))
+    }
+
+    /// Makes a new folder one of the founding members of a new cluster. Every founding member is
+    /// given the same membership, once.
+    ///
+    /// # Errors
+    ///
+    /// [`StorageError::NotNew`] when the folder holds a log or snapshot.
+    pub fn found(
+        &mut self,
+        state: &mut StoredState,
+        membership: Membership,
+    ) -> Result<(), StorageError> {
+        if !self.is_pristine {
+            return Err(StorageError::NotNew);
+        }
+        let snapshot = Snapshot::founding(membership);
+        self.guarded(|storage| storage.write_snapshot(snapshot.clone()))?;
+        state.snapshot = Some(snapshot);
+        Ok(())
+    }
+
+    /// Makes this replica the only voter, after the majority of the voters was lost for good.
+    ///
+    /// What the lost voters had accepted and this one had not received is lost. The folders of all
+    /// other voters must never be used again: they would be a second cluster.
+    ///
+    /// # Errors
+    ///
+    /// [`StorageError`] of the writes.
+    pub fn force_sole_voter(&mut self, state: &mut StoredState) -> Result<(), StorageError> {
+        let snapshot_index = state.snapshot.as_ref().map_or(LogIndex(0), |it| it.index);
+        let last_index = state.entries.last().map_or(snapshot_index, |it| it.index);
+        let term = state.term.next();
+        let entry = Entry {
+            index: last_index.next(),
+            term,
+            payload: Payload::Membership(Membership::of_voters([self.id.clone()])),
+        };
+        let vote = Write::Vote {
+            term,
+            voted_for: Some(self.id.clone()),
+        };
+        let append = Write::Append {
+            entries: vec![entry.clone()],
+        };
+        self.write(self.point, &vote)?;
+        self.write(self.point, &append)?;
+        self.sync()?;
+        state.term = term;
+        state.voted_for = Some(self.id.clone());
+        state.entries.push(entry);
+        log_event!(warn, events::SOLE_VOTER_FORCED, replica = self.id);
+        Ok(())
+    }
+
+    /// Takes a write; it is durable after the next [`Self::sync`].
+    ///
+    /// # Errors
+    ///
+    /// [`StorageError`]; the storage refuses everything after it.
+    pub fn write(&mut self, point: SyncPoint, write: &Write) -> Result<(), StorageError> {
+        self.is_pristine = false;
+        match write {
+            Write::Append { entries } => self.hold_entries(entries),
+            Write::Snapshot { snapshot } => {
+                let snapshot = snapshot.clone();
+                self.guarded(|storage| storage.write_snapshot(snapshot))?;
+            }
+            Write::TruncateFrom { index } => {
+                self.unwritten.push(LogRecord::TruncateFrom(index.0));
+            }
+            Write::Vote { term, voted_for } => {
+                let record = VoteRecord {
+                    term: term.0,
+                    voted_for: voted_for.clone().map(WireVoterId::from),
+                };
+                self.guarded(|storage| storage.replace(VOTE_FILE, &encode_record(&record)))?;
+            }
+        }
+        self.point = point;
+        Ok(())
+    }
+
+    /// Makes every write taken so far durable and returns the point of the last.
+    ///
+    /// # Errors
+    ///
+    /// [`StorageError`]; the storage refuses everything after it.
+    pub fn sync(&mut self) -> Result<SyncPoint, StorageError> {
+        self.guarded(Self::flush)?;
+        Ok(self.point)
+    }
+
+    /// The identity that the folder gives the replica.
+    #[must_use]
+    pub fn id(&self) -> &VoterId {
+        &self.id
+    }
+
+    /// Runs an operation unless an earlier one failed; a failure is final.
+    fn guarded(
+        &mut self,
+        operation: impl FnOnce(&mut Self) -> Result<(), StorageError>,
+    ) -> Result<(), StorageError> {
+        if self.is_failed {
+            return Err(StorageError::Failed);
+        }
+        // A sync that failed once may succeed when asked again although data is lost.
+        let done = operation(self);
+        if let Err(error) = &done {
+            self.is_failed = true;
+            log_event!(error, events::STORAGE_FAILED, error = error);
+        }
+        done
+    }
+
+    fn hold_entries(&mut self, entries: &[Entry]) {
+        let records = entries.iter().cloned().map(WireEntry::from);
+        self.unwritten.extend(records.map(LogRecord::Append));
+        if let Some(last) = entries.last() {
+            self.highest_unwritten = self.highest_unwritten.max(last.index);
+        }
+    }
+
+    fn flush(&mut self) -> Result<(), StorageError> {
+        if self.unwritten.is_empty() {
+            return Ok(());
+        }
+        let frame = encode_record(&self.unwritten);
+        self.unwritten.clear();
+        let highest = std::mem::take(&mut self.highest_unwritten);
+        let segment = self
+            .segments
+            .last_mut()
+            .expect("an open storage always has a segment");
+        segment.highest_index = segment.highest_index.max(highest);
+        segment.size_bytes += frame.len() as u64;
+        let (sequence, size_bytes) = (segment.sequence, segment.size_bytes);
+        self.append(sequence, &frame)?;
+        if size_bytes >= SEGMENT_BYTES {
+            self.begin_segment(sequence + 1)?;
+        }
+        Ok(())
+    }
+
+    fn append(&mut self, sequence: u64, frame: &[u8]) -> Result<(), StorageError> {
+        let file = segment_name(sequence);
+        let appended = self.disk.append(&file, frame);
+        appended.map_err(StorageError::io("append to", &file))?;
+        let synced = self.disk.sync(&file);
+        synced.map_err(StorageError::io("sync", &file))
+    }
+
+    fn replace(&mut self, file: &str, bytes: &[u8]) -> Result<(), StorageError> {
+        let replaced = self.disk.replace(file, bytes);
+        replaced.map_err(StorageError::io("replace", file))
+    }
+
+    /// Begins the first segment, or begins the last one again if nothing of it was whole.
+    fn prepare_segment(&mut self) -> Result<(), StorageError> {
+        match self.segments.last().copied() {
+            None => self.begin_segment(1),
+            Some(last) if last.size_bytes == 0 => {
+                self.segments.pop();
+                self.begin_segment(last.sequence)
+            }
+            Some(_) => Ok(()),
+        }
+    }
+
+    fn begin_segment(&mut self, sequence: u64) -> Result<(), StorageError> {
+        let start = LogRecord::SegmentStart {
+            folder: self.id.folder.0,
+            sequence,
+        };
+        let frame = encode_record(&vec![start]);
+        self.append(sequence, &frame)?;
+        self.segments.push(Segment {
+            sequence,
+            highest_index: LogIndex::default(),
+            size_bytes: frame.len() as u64,
+        });
+        Ok(())
+    }
+
+    /// Writes a snapshot, then drops the segments that it covers.
+    fn write_snapshot(&mut self, snapshot: Snapshot) -> Result<(), StorageError> {
+        // A truncation that the snapshot relies on must be durable before it.
+        self.flush()?;
+        let index = snapshot.index;
+        let bytes = encode_record(&WireSnapshot::from(snapshot));
+        self.replace(SNAPSHOT_FILE, &bytes)?;
+        let last = self.segments.last().copied();
+        if let Some(last) = last.filter(|it| it.highest_index > LogIndex(0)) {
+            self.begin_segment(last.sequence + 1)?;
+        }
+        while self.segments.len() > 1 && self.segments[0].highest_index <= index {
+            let file = segment_name(self.segments.remove(0).sequence);
+            let removed = self.disk.remove(&file);
+            removed.map_err(StorageError::io("remove", &file))?;
+        }
+        Ok(())
+    }
+}
+
+/// Whether a folder has never taken part in anything.
+fn is_pristine(state: &StoredState) -> bool {
+    state.snapshot.is_none() && state.entries.is_empty() && state.term == Term::default()
+}
--- /dev/null
+++ b/crates/masticsill_quorum/src/storage/disk.rs
@@ -0,0 +1,184 @@
+//! The file operations that a data folder needs, replaceable so that tests can make them fail.
+
+use std::fmt;
+use std::fs::{self, File, OpenOptions, TryLockError};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+use crate::storage::StorageError;
+
+const LOCK_FILE: &str = "lock";
+const TEMPORARY_SUFFIX: &str = ".tmp";
+
+/// File operations within one data folder. Names are file names without a path.
+pub trait Disk: fmt::Debug + Send {
+    /// Appends to a file, creating it first if it is absent. Not durable before `sync`.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error.
+    fn append(&mut self, file: &str, bytes: &[u8]) -> io::Result<()>;
+
+    /// The names of the files, in no particular order.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error.
+    fn list(&self) -> io::Result<Vec<String>>;
+
+    /// A file's content; none when it is absent.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error.
+    fn read(&self, file: &str) -> io::Result<Option<Vec<u8>>>;
+
+    /// Removes a file.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error.
+    fn remove(&mut self, file: &str) -> io::Result<()>;
+
+    /// Puts content in place of a file's at once and durably.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error.
+    fn replace(&mut self, file: &str, bytes: &[u8]) -> io::Result<()>;
+
+    /// Makes a file's content and its name durable.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error.
+    fn sync(&mut self, file: &str) -> io::Result<()>;
+
+    /// Cuts a file to a size and makes that durable.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error.
+    fn truncate(&mut self, file: &str, size_bytes: u64) -> io::Result<()>;
+}
+
+/// A data folder of the file system, locked against other processes.
+#[derive(Debug)]
+pub struct FileDisk {
+    folder: PathBuf,
+    /// The file that was appended to last, kept open.
+    appended: Option<AppendedFile>,
+    _lock: File,
+}
+
+#[derive(Debug)]
+struct AppendedFile {
+    name: String,
+    file: File,
+    is_name_synced: bool,
+}
+
+impl FileDisk {
+    /// Creates the folder if it is absent and locks it.
+    ///
+    /// # Errors
+    ///
+    /// [`StorageError::Locked`] when another process holds it, [`StorageError::Io`] otherwise.
+    pub fn open(folder: &Path) -> Result<Self, StorageError> {
+        let shown = folder.display().to_string();
+        fs::create_dir_all(folder).map_err(StorageError::io("create", &shown))?;
+        let lock = File::create(folder.join(LOCK_FILE));
+        let lock = lock.map_err(StorageError::io("create", LOCK_FILE))?;
+        match lock.try_lock() {
+            Ok(()) => {}
+            Err(TryLockError::WouldBlock) => {
+                return Err(StorageError::Locked(folder.to_owned()));
+            }
+            Err(TryLockError::Error(error)) => {
+                return Err(StorageError::io("lock", LOCK_FILE)(error));
+            }
+        }
+        Ok(Self {
+            folder: folder.to_owned(),
+            appended: None,
+            _lock: lock,
+        })
+    }
+
+    fn sync_folder(&self) -> io::Result<()> {
+        File::open(&self.folder)?.sync_all()
+    }
+
+    fn appended(&mut self, name: &str) -> io::Result<&mut AppendedFile> {
+        let is_open = |it: &AppendedFile| it.name == name;
+        if !self.appended.as_ref().is_some_and(is_open) {
+            let path = self.folder.join(name);
+            let file = OpenOptions::new().append(true).create(true).open(path)?;
+            self.appended = Some(AppendedFile {
+                name: name.to_owned(),
+                file,
+                // A file that exists may still be unknown to the folder on the disk.
+                is_name_synced: false,
+            });
+        }
+        self.appended
+            .as_mut()
+            .ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+}
+
+impl Disk for FileDisk {
+    fn append(&mut self, file: &str, bytes: &[u8]) -> io::Result<()> {
+        self.appended(file)?.file.write_all(bytes)
+    }
+
+    fn list(&self) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for item in fs::read_dir(&self.folder)? {
+            let name = item?.file_name().to_string_lossy().into_owned();
+            if name != LOCK_FILE && !name.ends_with(TEMPORARY_SUFFIX) {
+                names.push(name);
+            }
+        }
+        Ok(names)
+    }
+
+    fn read(&self, file: &str) -> io::Result<Option<Vec<u8>>> {
+        match fs::read(self.folder.join(file)) {
+            Ok(bytes) => Ok(Some(bytes)),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    fn remove(&mut self, file: &str) -> io::Result<()> {
+        fs::remove_file(self.folder.join(file))
+    }
+
+    fn replace(&mut self, file: &str, bytes: &[u8]) -> io::Result<()> {
+        let temporary = self.folder.join(format!("{file}{TEMPORARY_SUFFIX}"));
+        let mut written = File::create(&temporary)?;
+        written.write_all(bytes)?;
+        written.sync_all()?;
+        fs::rename(&temporary, self.folder.join(file))?;
+        self.sync_folder()
+    }
+
+    fn sync(&mut self, file: &str) -> io::Result<()> {
+        let appended = self.appended(file)?;
+        appended.file.sync_data()?;
+        if !appended.is_name_synced {
+            appended.is_name_synced = true;
+            self.sync_folder()?;
+        }
+        Ok(())
+    }
+
+    fn truncate(&mut self, file: &str, size_bytes: u64) -> io::Result<()> {
+        let opened = OpenOptions::new()
+            .write(true)
+            .open(self.folder.join(file))?;
+        opened.set_len(size_bytes)?;
+        opened.sync_all()
+    }
+}
--- /dev/null
+++ b/crates/masticsill_quorum/src/storage/frame.rs
@@ -0,0 +1,115 @@
+//! Checksummed frames: length, checksum of the length, checksum of the body, body.
+
+use crate::storage::StorageError;
+
+const HEADER_BYTES: usize = 12;
+/// Mixed into a length's checksum, so that zeros are not a header.
+const MAGIC: u32 = 0x6d71_6c31;
+
+/// The frames of a file, and how it ends.
+#[derive(Debug)]
+pub(crate) struct FrameScan<'a> {
+    /// Offset and body of each whole frame.
+    pub(crate) frames: Vec<(usize, &'a [u8])>,
+    pub(crate) end: FrameEnd,
+}
+
+/// How a file of frames ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum FrameEnd {
+    /// With a whole frame.
+    Clean,
+    /// With damage that something follows.
+    Corrupt { offset: usize, reason: &'static str },
+    /// With a last frame that was not wholly written.
+    Torn { offset: usize },
+}
+
+/// A whole frame, or why there is none.
+enum FrameRead<'a> {
+    Corrupt(&'static str),
+    Torn,
+    Whole(&'a [u8]),
+}
+
+fn header_checksum(length: u32) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&MAGIC.to_le_bytes());
+    hasher.update(&length.to_le_bytes());
+    hasher.finalize()
+}
+
+/// A frame around a body.
+pub(crate) fn encode_frame(body: &[u8]) -> Vec<u8> {
+    let length = u32::try_from(body.len()).expect("bodies are far below 4 GiB");
+    let mut frame = Vec::with_capacity(HEADER_BYTES + body.len());
+    frame.extend_from_slice(&length.to_le_bytes());
+    frame.extend_from_slice(&header_checksum(length).to_le_bytes());
+    frame.extend_from_slice(&crc32fast::hash(body).to_le_bytes());
+    frame.extend_from_slice(body);
+    frame
+}
+
+/// Splits a file into frames.
+pub(crate) fn scan_frames(bytes: &[u8]) -> FrameScan<'_> {
+    let mut frames = Vec::new();
+    let mut offset = 0;
+    while offset < bytes.len() {
+        let end = match read_frame(&bytes[offset..]) {
+            FrameRead::Whole(body) => {
+                frames.push((offset, body));
+                offset += HEADER_BYTES + body.len();
+                continue;
+            }
+            FrameRead::Corrupt(reason) => FrameEnd::Corrupt { offset, reason },
+            FrameRead::Torn => FrameEnd::Torn { offset },
+        };
+        return FrameScan { frames, end };
+    }
+    let end = FrameEnd::Clean;
+    FrameScan { frames, end }
+}
+
+fn read_u32(bytes: &[u8], offset: usize) -> u32 {
+    let field = bytes[offset..offset + 4].try_into();
+    u32::from_le_bytes(field.expect("the slice holds four bytes"))
+}
+
+fn read_frame(rest: &[u8]) -> FrameRead<'_> {
+    // A file may have grown before the data reached the disk; it then ends in zeros.
+    if rest.len() < HEADER_BYTES || rest.iter().all(|byte| *byte == 0) {
+        return FrameRead::Torn;
+    }
+    let length = read_u32(rest, 0);
+    // Only a length that is proved whole may say where the file should have ended.
+    if read_u32(rest, 4) != header_checksum(length) {
+        return FrameRead::Corrupt("the record's length fails its checksum");
+    }
+    let end = HEADER_BYTES + length as usize;
+    if end > rest.len() {
+        return FrameRead::Torn;
+    }
+    let body = &rest[HEADER_BYTES..end];
+    if crc32fast::hash(body) == read_u32(rest, 8) {
+        return FrameRead::Whole(body);
+    }
+    if end == rest.len() {
+        FrameRead::Torn
+    } else {
+        FrameRead::Corrupt("the record fails its checksum")
+    }
+}
+
+/// The body of a file that holds exactly one frame.
+pub(crate) fn sole_frame<'a>(file: &str, bytes: &'a [u8]) -> Result<&'a [u8], StorageError> {
+    let scan = scan_frames(bytes);
+    match (scan.end, scan.frames.as_slice()) {
+        (FrameEnd::Clean, [(_, body)]) => Ok(body),
+        (FrameEnd::Corrupt { offset, reason }, _) => {
+            Err(StorageError::corrupt(file, offset, reason))
+        }
+        (FrameEnd::Clean | FrameEnd::Torn { .. }, _) => {
+            Err(StorageError::corrupt(file, 0, "the file is not whole"))
+        }
+    }
+}
