Compare replicas with a single copy over generated schedules

Ruled out: simulated durable state apart from the storage; the schedules run the real `Storage` on a memory disk that forgets unsynced bytes, tears records and fails syncs. Change: `tests/differential.rs` and its harness. A leader's lease counts from when it asked for votes.

--- a/crates/masticsill_quorum/src/candidate.rs
+++ b/crates/masticsill_quorum/src/candidate.rs
@@ -90,6 +90,7 @@
         self.incoming = None;
         self.role = RoleState::Candidate {
             granted: Vec::new(),
+            stood_at: now,
         };
         self.persist_vote();
         self.report_role();
@@ -108,6 +109,17 @@
         self.durability.defer(Deferred::OwnVote { term });
     }
 
+    /// A candidate that waited longer than a lease does not lead on old votes.
+    pub(crate) fn stop_late_candidate(&mut self, now: ClockMs) {
+        let RoleState::Candidate { stood_at, .. } = self.role else {
+            return;
+        };
+        if now.since(stood_at) > self.settings.lease_ms {
+            self.become_follower(now, None);
+            self.retry_election_soon(now);
+        }
+    }
+
     /// Handles a message of a higher term; false when it is ignored or already answered.
     pub(crate) fn enters_term_of(
         &mut self,
@@ -164,7 +176,7 @@
     }
 
     pub(crate) fn count_vote(&mut self, now: ClockMs, from: VoterId, is_granted: bool) {
-        let RoleState::Candidate { granted } = &mut self.role else {
+        let RoleState::Candidate { granted, stood_at } = &mut self.role else {
             return;
         };
         if !is_granted {
@@ -173,9 +185,10 @@
         if !granted.contains(&from) {
             granted.push(from);
         }
+        let stood_at = *stood_at;
         let (_, membership) = self.log.membership();
         if membership.is_majority(|id| granted.contains(id)) {
-            self.lead(now);
+            self.lead(now, stood_at);
         }
     }
 
--- a/crates/masticsill_quorum/src/leader.rs
+++ b/crates/masticsill_quorum/src/leader.rs
@@ -33,7 +33,8 @@
     pub(crate) progress: IndexMap<VoterId, Progress>,
     /// The leader's first entry; once it is committed, so is all before it.
     pub(crate) first_index: LogIndex,
-    pub(crate) elected_at: ClockMs,
+    /// When it asked for votes: the lease counts from there until a round is confirmed.
+    pub(crate) stood_at: ClockMs,
     pub(crate) heartbeat_due: ClockMs,
     /// Rounds sent and not yet confirmed, oldest first.
     pub(crate) rounds: VecDeque<Round>,
@@ -87,7 +88,7 @@
             });
             return;
         }
-        let confirmed_at = state.confirmed.map_or(state.elected_at, |it| it.sent_at);
+        let confirmed_at = state.confirmed.map_or(state.stood_at, |it| it.sent_at);
         if now.since(confirmed_at) > self.settings.lease_ms {
             self.become_follower(now, None);
         }
@@ -97,13 +98,13 @@
         self.membership().is_majority(|id| *id == self.id)
     }
 
-    pub(crate) fn lead(&mut self, now: ClockMs) {
+    pub(crate) fn lead(&mut self, now: ClockMs, stood_at: ClockMs) {
         let first_index = self.log.last_index().next();
         self.leader = Some(self.id.clone());
         self.role = RoleState::Leader(Box::new(LeaderState {
             progress: IndexMap::new(),
             first_index,
-            elected_at: now,
+            stood_at,
             heartbeat_due: now,
             rounds: VecDeque::new(),
             last_round: 0,
--- a/crates/masticsill_quorum/src/replica.rs
+++ b/crates/masticsill_quorum/src/replica.rs
@@ -18,10 +18,15 @@
 /// What a replica does in its term.
 #[derive(Debug)]
 pub(crate) enum RoleState {
-    Candidate { granted: Vec<VoterId> },
+    Candidate {
+        granted: Vec<VoterId>,
+        stood_at: ClockMs,
+    },
     Follower,
     Leader(Box<LeaderState>),
-    PreCandidate { granted: Vec<VoterId> },
+    PreCandidate {
+        granted: Vec<VoterId>,
+    },
 }
 
 /// One replica of the log, without sockets, threads or files.
@@ -88,6 +93,7 @@
     /// A leader's lease is checked before anything else, so that a pause is noticed first.
     pub fn step(&mut self, now: ClockMs, input: Input) -> Vec<Output> {
         self.stop_past_lease(now);
+        self.stop_late_candidate(now);
         match input {
             Input::ChangeMembership { token, change } => self.change_membership(token, &change),
             Input::Message(envelope) => self.receive(now, envelope),
--- /dev/null
+++ b/crates/masticsill_quorum/tests/simulation/node.rs
@@ -0,0 +1,161 @@
+//! One simulated node: replica, storage, state machine and its own clock.
+
+use std::sync::Arc;
+
+use masticsill_quorum::storage::Storage;
+use masticsill_quorum::{
+    Entry, FolderId, Input, LogIndex, Membership, Output, Replica, ReplicaSettings, Snapshot,
+    SyncPoint, VoterId, Write,
+};
+use masticsill_types::{ClockMs, NodeId};
+
+use super::disk::MemoryDisk;
+use super::model::{Model, command_of};
+
+const CLUSTER: &str = "simulated";
+
+pub struct Node {
+    pub id: VoterId,
+    pub disk: MemoryDisk,
+    pub replica: Option<Replica>,
+    pub life: u64,
+    pub machine: Vec<u64>,
+    pub applied: LogIndex,
+    pub paused_at: Option<u64>,
+    /// Since when nothing reaches this node.
+    pub deaf_since: Option<u64>,
+    pub backlog: Vec<Input>,
+    pub stalled: Vec<Output>,
+    storage: Option<Storage>,
+    clock_offset_ms: u64,
+    is_sync_due: bool,
+}
+
+impl Node {
+    pub fn new(place: usize, clock_offset_ms: u64) -> Self {
+        let name = NodeId::new(format!("control-{place}")).unwrap();
+        let folder = FolderId(place as u64 + 1);
+        Self {
+            id: VoterId { name, folder },
+            disk: MemoryDisk::default(),
+            replica: None,
+            life: 0,
+            machine: Vec::new(),
+            applied: LogIndex(0),
+            paused_at: None,
+            deaf_since: None,
+            backlog: Vec::new(),
+            stalled: Vec::new(),
+            storage: None,
+            clock_offset_ms,
+            is_sync_due: false,
+        }
+    }
+
+    fn open(&self) -> (Storage, masticsill_quorum::storage::Recovered) {
+        let disk = Box::new(self.disk.clone());
+        Storage::open_on(disk, CLUSTER, &self.id.name, self.id.folder).unwrap()
+    }
+
+    pub fn found(&mut self, founders: &[VoterId]) {
+        let (mut storage, mut recovered) = self.open();
+        let membership = Membership::of_voters(founders.iter().cloned());
+        storage.found(&mut recovered.state, membership).unwrap();
+    }
+
+    pub fn is_running(&self) -> bool {
+        self.replica.is_some()
+    }
+
+    fn clock(&self, now: u64) -> ClockMs {
+        ClockMs(now + self.clock_offset_ms)
+    }
+
+    pub fn start(&mut self, now: u64, seed: u64, settings: ReplicaSettings, model: &Model) {
+        let (storage, recovered) = self.open();
+        assert_eq!(recovered.state.id, self.id);
+        if let Some(snapshot) = &recovered.state.snapshot {
+            self.restore(snapshot, model);
+        }
+        let now = self.clock(now);
+        let replica = Replica::new(settings, recovered.state, now, seed).unwrap();
+        self.replica = Some(replica);
+        self.storage = Some(storage);
+        self.life += 1;
+    }
+
+    /// Stops and forgets what was not synced; `is_torn` stops in the middle of a sync.
+    pub fn crash(&mut self, is_torn: bool, keep: impl FnMut(usize) -> usize) {
+        if let Some(mut storage) = self.storage.take()
+            && is_torn
+        {
+            self.disk.set_sync_failing(true);
+            let _ = storage.sync();
+        }
+        self.disk.crash(keep);
+        self.replica = None;
+        self.life += 1;
+        self.machine.clear();
+        self.applied = LogIndex(0);
+        self.paused_at = None;
+        self.backlog.clear();
+        self.stalled.clear();
+        self.is_sync_due = false;
+    }
+
+    pub fn lose_folder(&mut self, folder: u64) {
+        self.crash(false, |_| 0);
+        self.disk = MemoryDisk::default();
+        self.id.folder = FolderId(folder);
+    }
+
+    pub fn step(&mut self, now: u64, input: Input) -> Vec<Output> {
+        let now = self.clock(now);
+        self.replica.as_mut().unwrap().step(now, input)
+    }
+
+    /// The replica's proof, with its point on the simulation's clock.
+    pub fn current_as_of(&self, now: u64) -> Option<(LogIndex, u64)> {
+        let replica = self.replica.as_ref()?;
+        let (commit, at) = replica.current_as_of(self.clock(now))?;
+        Some((commit, at.0 - self.clock_offset_ms))
+    }
+
+    /// Hands a write to the storage; true when a sync must be scheduled.
+    pub fn write(&mut self, point: SyncPoint, write: &Write) -> bool {
+        self.storage.as_mut().unwrap().write(point, write).unwrap();
+        !std::mem::replace(&mut self.is_sync_due, true)
+    }
+
+    pub fn sync(&mut self) -> Option<SyncPoint> {
+        self.is_sync_due = false;
+        self.storage.as_mut().map(|storage| storage.sync().unwrap())
+    }
+
+    pub fn apply(&mut self, entry: &Entry) {
+        assert_eq!(
+            entry.index,
+            self.applied.next(),
+            "entries are given out once, in order"
+        );
+        self.applied = entry.index;
+        self.machine.extend(command_of(entry));
+    }
+
+    pub fn restore(&mut self, snapshot: &Snapshot, model: &Model) {
+        let numbers = snapshot.data.chunks(8);
+        let numbers = numbers.map(|bytes| u64::from_le_bytes(bytes.try_into().unwrap()));
+        self.machine = numbers.collect();
+        self.applied = snapshot.index;
+        assert_eq!(
+            self.machine,
+            model.commands_up_to(snapshot.index),
+            "a wrong snapshot"
+        );
+    }
+
+    pub fn serialise(&self) -> (LogIndex, Arc<[u8]>) {
+        let bytes = self.machine.iter().flat_map(|id| id.to_le_bytes());
+        (self.applied, bytes.collect())
+    }
+}
