Add the agent's books and the freeze detector

Ruled out: answering each pull at its first token however many streams it follows (one reply for each token of a batch); judging a freeze by one stream's token gap (a long prefill or a full batch would look like death). Change: AgentBook (start, pull, attach, cancel, engine events by run number, orphans, eviction), Pulls (gather news for large pulls), FreezeDetector (all signs together, own pauses not counted), CallBook (start mark and tombstone exclude each other); a start whose attempt already has tokens is refused.

--- a/crates/masticsill_generation/src/lib.rs
+++ b/crates/masticsill_generation/src/lib.rs
@@ -3,8 +3,19 @@
 //! Pure logic: no sockets, threads or wall clock. A [`Record`] is held by the entry that owns a
 //! generation and by the agent that runs it; both apply the same rules, so either may die.
 
+mod book;
+mod call_book;
+mod freeze;
+mod held;
+mod pulls;
 mod record;
+mod run;
 mod utf8;
 
+pub use book::{AgentBook, BookCounts, BookLimits, PullAnswer};
+pub use call_book::{CallBook, CallLimits, CallStep};
+pub use freeze::{EngineHealth, FreezeDetector, FreezeLimits};
+pub use pulls::PullNumber;
 pub use record::{Record, RecordError, Taken};
+pub use run::{EngineCommand, EngineEvent, RunNumber, RunOrder};
 pub use utf8::Utf8Assembler;
--- a/crates/masticsill_generation/src/record.rs
+++ b/crates/masticsill_generation/src/record.rs
@@ -25,6 +25,8 @@
     HistoryOrder,
     /// The history names an index beyond the tokens given.
     MissingTokens,
+    /// The attempt to start has tokens already: another run of it would be another branch.
+    StartedBefore,
 }
 
 impl fmt::Display for RecordError {
@@ -33,6 +35,7 @@
             Self::HistoryStart => "the history does not begin at token zero; send it whole",
             Self::HistoryOrder => "the history does not ascend; send it in order",
             Self::MissingTokens => "tokens named by the history are missing; send them from zero",
+            Self::StartedBefore => "the attempt ran before; begin the next attempt",
         })
     }
 }
@@ -86,14 +89,19 @@
     ///
     /// # Errors
     ///
-    /// [`RecordError`] when the history does not fit the accepted tokens.
+    /// [`RecordError`] when the history does not fit the accepted tokens, or when tokens were
+    /// accepted under the attempt's own lineage.
     pub fn from_start(request: StartRequest) -> Result<Self, RecordError> {
-        Self::from_snapshot(RecordSnapshot {
+        let record = Self::from_snapshot(RecordSnapshot {
             history: request.history,
             spec: request.spec,
             state: AttemptState::Running,
             tokens: request.accepted,
-        })
+        })?;
+        if record.lineage_start() != record.next_index() {
+            return Err(RecordError::StartedBefore);
+        }
+        Ok(record)
     }
 
     /// A copy of the record for a peer.
