--- a/crates/masticsill_generation/src/book.rs
+++ b/crates/masticsill_generation/src/book.rs
@@ -3,12 +3,15 @@
 use std::mem;
 
 use indexmap::IndexMap;
-use masticsill_types::{AttemptFailure, AttemptState, ClockMs, GenerationId, Refusal, RefusalKind};
+use masticsill_types::{
+    AttemptFailure, AttemptState, ClockMs, GenerationId, Lineage, Refusal, RefusalKind,
+};
 use masticsill_wire::agent::{
     AttachReply, AttachRequest, CancelRequest, Progress, ProgressState, PullCursor, PullRequest,
     StartReply, StartRequest,
 };
 
+use crate::fences::Fences;
 use crate::held::{Held, RunStep};
 use crate::pulls::{PullNumber, Pulls};
 use crate::record::Record;
@@ -16,6 +19,8 @@
 
 /// Bytes of tokens in one answer to a pull, about; the rest follows with the next pull.
 const REPLY_BYTES: usize = 4 * 1024 * 1024;
+/// Lineages of forgotten records that are remembered, for each record that may be held.
+const FENCES_PER_RECORD: usize = 16;
 
 /// Limits of an [`AgentBook`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -60,6 +65,7 @@
 pub struct AgentBook {
     commands: Vec<EngineCommand>,
     counts: BookCounts,
+    fences: Fences,
     is_engine_available: bool,
     held: IndexMap<GenerationId, Held>,
     last_run: RunNumber,
@@ -76,6 +82,7 @@
         Self {
             commands: Vec::new(),
             counts: BookCounts::default(),
+            fences: Fences::with_capacity(limits.max_records * FENCES_PER_RECORD),
             is_engine_available: true,
             held: IndexMap::new(),
             last_run: RunNumber(0),
@@ -92,8 +99,7 @@
         let Some(lineage) = request.history.last().map(|segment| segment.lineage) else {
             return refuse_start(RefusalKind::InvalidRequest, "the start has no history");
         };
-        if let Some(held) = self.held.get(&id) {
-            let known = held.record.lineage();
+        if let Some(known) = self.known_lineage(id) {
             if lineage == known {
                 return StartReply::Accepted;
             }
@@ -241,7 +247,14 @@
             let ended_at = held.ended_at;
             ended_at.is_none_or(|ended_at| now.since(ended_at) < limits.keep_ms)
         };
-        self.held.retain(|_, held| is_kept(held));
+        let fences = &mut self.fences;
+        self.held.retain(|id, held| {
+            let is_kept = is_kept(held);
+            if !is_kept {
+                fences.remember(*id, held.record.lineage());
+            }
+            is_kept
+        });
     }
 
     /// Commands for the engine since the last call, in order.
@@ -286,6 +299,11 @@
         self.held.get(&id).map(|held| &held.record)
     }
 
+    fn known_lineage(&self, id: GenerationId) -> Option<Lineage> {
+        let held = self.held.get(&id).map(|held| held.record.lineage());
+        held.or_else(|| self.fences.get(id))
+    }
+
     fn admit(&mut self, id: GenerationId) -> Result<(), Refusal> {
         let retry_after_ms = self.limits.retry_after_ms;
         if self.is_leaving {
@@ -311,10 +329,12 @@
     fn evict(&mut self) -> bool {
         let delivered = self.held.values().filter(|held| held.is_delivered);
         let oldest = delivered.min_by_key(|held| held.ended_at);
-        let Some(id) = oldest.map(|held| held.record.id()) else {
+        let Some((id, lineage)) = oldest.map(|held| (held.record.id(), held.record.lineage()))
+        else {
             return false;
         };
         self.held.swap_remove(&id);
+        self.fences.remember(id, lineage);
         true
     }
 
--- a/crates/masticsill_generation/src/lib.rs
+++ b/crates/masticsill_generation/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod book;
 mod call_book;
+mod fences;
 mod freeze;
 mod held;
 mod pulls;
--- /dev/null
+++ b/crates/masticsill_generation/tests/agent_book.rs
@@ -0,0 +1,278 @@
+//! What an agent's book starts, tells and keeps.
+
+mod common;
+
+use assert_matches::assert_matches;
+use masticsill_generation::{
+    AgentBook, BookLimits, EngineCommand, EngineEvent, PullAnswer, Record, RunNumber,
+};
+use masticsill_types::{
+    AttemptFailure, AttemptState, ClockMs, FinishReason, Lineage, RefusalKind, TokenIndex,
+};
+use masticsill_wire::agent::{
+    AttachReply, AttachRequest, CancelRequest, Progress, ProgressState, PullCursor, PullRequest,
+    StartReply,
+};
+
+use common::{LIMITS, node, record, spec, tokens};
+
+const NOW: ClockMs = ClockMs(100);
+const FIRST_RUN: RunNumber = RunNumber(1);
+
+fn start(book: &mut AgentBook, record: &Record) -> StartReply {
+    book.start(NOW, record.start_request(node("entry-1")))
+}
+
+fn started() -> (AgentBook, Record) {
+    let mut book = AgentBook::new(LIMITS);
+    let record = record();
+    assert_eq!(start(&mut book, &record), StartReply::Accepted);
+    (book, record)
+}
+
+fn emit(book: &mut AgentBook, run: RunNumber, ids: std::ops::Range<u32>) {
+    let event = EngineEvent::Tokens {
+        finish: None,
+        first_index: TokenIndex(ids.start),
+        tokens: tokens(ids),
+    };
+    book.take_event(NOW, run, event);
+}
+
+fn pull(book: &mut AgentBook, lineage: Lineage, next_index: u32) -> PullAnswer {
+    let cursor = PullCursor {
+        id: record().id(),
+        lineage,
+        next_index: TokenIndex(next_index),
+    };
+    let request = PullRequest {
+        cursors: vec![cursor],
+        entry: node("entry-1"),
+        wait_ms: 200,
+    };
+    book.pull(NOW, &request)
+}
+
+fn news(answer: PullAnswer) -> Progress {
+    match answer {
+        PullAnswer::Ready(mut news) => news.remove(0),
+        PullAnswer::Waiting(number) => panic!("{number:?} waits"),
+    }
+}
+
+fn attach(seen: Lineage, next_index: u32, nonce: u32) -> AttachRequest {
+    AttachRequest {
+        entry: node("entry-2"),
+        id: record().id(),
+        next_index: TokenIndex(next_index),
+        nonce,
+        seen,
+    }
+}
+
+#[test]
+fn repeated_start_runs_once_and_a_lower_one_is_fenced() {
+    let (mut book, mut record) = started();
+    let first = record.clone();
+    assert_eq!(start(&mut book, &record), StartReply::Accepted);
+    assert_matches!(&book.take_commands()[..], [EngineCommand::Run(_)]);
+
+    let second = record.begin_attempt();
+    assert_eq!(start(&mut book, &record), StartReply::Accepted);
+    assert_matches!(
+        &book.take_commands()[..],
+        [EngineCommand::Cancel(FIRST_RUN), EngineCommand::Run(_)]
+    );
+    assert_eq!(start(&mut book, &first), StartReply::Fenced(second));
+    emit(&mut book, FIRST_RUN, 0..2);
+    assert_eq!(book.counts().late_events, 1);
+}
+
+#[test]
+fn start_past_its_records_time_does_not_run_again() {
+    let (mut book, mut record) = started();
+    let first = record.clone();
+    record.begin_attempt();
+    start(&mut book, &record);
+    let end = EngineEvent::Failed(AttemptFailure::EngineLost);
+    book.take_event(NOW, RunNumber(2), end);
+    book.tick(NOW + LIMITS.keep_ms);
+    assert!(book.is_empty());
+    let _ = book.take_commands();
+    assert_eq!(start(&mut book, &record), StartReply::Accepted);
+    assert_matches!(start(&mut book, &first), StartReply::Fenced(_));
+    assert_eq!(book.take_commands(), []);
+}
+
+#[test]
+fn pull_gives_news_at_once_or_waits_for_it() {
+    let (mut book, record) = started();
+    let lineage = record.lineage();
+    let PullAnswer::Waiting(number) = pull(&mut book, lineage, 0) else {
+        panic!("news without tokens");
+    };
+    assert_eq!(book.take_due_pulls(NOW), []);
+    emit(&mut book, FIRST_RUN, 0..2);
+    let due = book.take_due_pulls(NOW);
+    assert_matches!(&due[..], [(due, news)] if *due == number && news[0].tokens == tokens(0..2));
+    assert_eq!(news(pull(&mut book, lineage, 1)).tokens, tokens(1..2));
+    assert_matches!(pull(&mut book, lineage, 2), PullAnswer::Waiting(_));
+    assert_eq!(book.take_due_pulls(NOW + 199), []);
+    let heartbeat = book.take_due_pulls(NOW + 200);
+    assert_matches!(&heartbeat[..], [(_, news)] if news.is_empty());
+}
+
+#[test]
+fn large_pull_gathers_news_but_not_ends() {
+    let mut book = AgentBook::new(LIMITS);
+    let records = (0..20).map(|id| Record::new(spec(id, 100), 1));
+    let records: Vec<Record> = records.collect();
+    let cursor = |record: &Record| PullCursor {
+        id: record.id(),
+        lineage: record.lineage(),
+        next_index: TokenIndex(0),
+    };
+    for record in &records {
+        start(&mut book, record);
+    }
+    let request = PullRequest {
+        cursors: records.iter().map(cursor).collect(),
+        entry: node("entry-1"),
+        wait_ms: 200,
+    };
+    book.pull(NOW, &request);
+    emit(&mut book, RunNumber(3), 0..1);
+    emit(&mut book, RunNumber(4), 0..1);
+    assert_eq!(book.take_due_pulls(NOW), []);
+    let due = book.take_due_pulls(NOW + LIMITS.gather_ms);
+    assert_eq!(due[0].1.len(), 2);
+
+    book.pull(
+        NOW,
+        &PullRequest {
+            cursors: request.cursors[5..].to_vec(),
+            ..request
+        },
+    );
+    book.take_event(
+        NOW,
+        RunNumber(8),
+        EngineEvent::Failed(AttemptFailure::EngineLost),
+    );
+    assert_eq!(book.take_due_pulls(NOW).len(), 1);
+}
+
+#[test]
+fn attach_fences_the_former_owner_for_good() {
+    let (mut book, record) = started();
+    let former = record.lineage();
+    emit(&mut book, FIRST_RUN, 0..4);
+    assert_matches!(pull(&mut book, former, 4), PullAnswer::Waiting(_));
+    let request = attach(former, 2, 50);
+    let AttachReply::Attached(snapshot) = book.attach(NOW, &request) else {
+        panic!("not attached");
+    };
+    let current = snapshot.history[1].lineage;
+    assert_eq!(snapshot.tokens, tokens(0..4));
+    let due = book.take_due_pulls(NOW);
+    assert_eq!(due[0].1[0].state, ProgressState::Fenced(current));
+
+    let repeated = book.attach(NOW, &request);
+    assert_eq!(repeated, AttachReply::Attached(snapshot));
+    assert_matches!(
+        book.attach(NOW, &attach(former, 2, 51)),
+        AttachReply::Attached(_)
+    );
+    assert_eq!(book.attach(NOW, &request), AttachReply::Behind);
+    let stranger = Lineage::first(77);
+    assert_eq!(
+        book.attach(NOW, &attach(stranger, 2, 52)),
+        AttachReply::Behind
+    );
+    assert_eq!(
+        book.attach(NOW, &attach(former, 5, 53)),
+        AttachReply::Behind
+    );
+}
+
+#[test]
+fn gap_or_too_many_tokens_end_the_run() {
+    let (mut book, record) = started();
+    emit(&mut book, FIRST_RUN, 1..3);
+    let lost = ProgressState::Attempt(AttemptState::Failed(AttemptFailure::EngineLost));
+    assert_eq!(news(pull(&mut book, record.lineage(), 0)).state, lost);
+
+    let (mut book, record) = started();
+    emit(&mut book, FIRST_RUN, 0..100);
+    let whole = ProgressState::Attempt(AttemptState::Finished(FinishReason::Length));
+    assert_eq!(news(pull(&mut book, record.lineage(), 0)).state, whole);
+    assert_eq!(book.take_commands().len(), 2);
+}
+
+#[test]
+fn cancel_of_a_former_owner_is_ignored() {
+    let (mut book, mut record) = started();
+    let id = record.id();
+    let former = record.lineage();
+    let lineage = record.begin_attempt();
+    start(&mut book, &record);
+    book.cancel(
+        NOW,
+        &CancelRequest {
+            id,
+            lineage: former,
+        },
+    );
+    assert_eq!(book.running(), 1);
+    book.cancel(NOW, &CancelRequest { id, lineage });
+    assert_eq!(book.running(), 0);
+}
+
+#[test]
+fn orphans_end_and_pulled_ones_do_not() {
+    let (mut book, record) = started();
+    let later = NOW + LIMITS.orphan_ms;
+    let cursor = PullCursor {
+        id: record.id(),
+        lineage: record.lineage(),
+        next_index: TokenIndex(0),
+    };
+    let request = PullRequest {
+        cursors: vec![cursor],
+        entry: node("entry-1"),
+        wait_ms: 10,
+    };
+    book.pull(later.before(1), &request);
+    book.tick(later);
+    assert_eq!(book.running(), 1);
+    book.tick(later + LIMITS.orphan_ms);
+    assert_eq!((book.running(), book.counts().orphans), (0, 1));
+}
+
+#[test]
+fn full_or_leaving_book_refuses_as_not_run() {
+    let limits = BookLimits {
+        max_records: 1,
+        ..LIMITS
+    };
+    let mut book = AgentBook::new(limits);
+    let first = record();
+    let second = Record::new(spec(2, 100), 1);
+    start(&mut book, &first);
+    let refused = |reply| match reply {
+        StartReply::Refused(refusal) => refusal.kind,
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(refused(start(&mut book, &second)), RefusalKind::Overloaded);
+
+    let end = EngineEvent::Failed(AttemptFailure::EngineLost);
+    book.take_event(NOW, FIRST_RUN, end);
+    assert_eq!(refused(start(&mut book, &second)), RefusalKind::Overloaded);
+    news(pull(&mut book, first.lineage(), 0));
+    assert_eq!(start(&mut book, &second), StartReply::Accepted);
+
+    book.begin_leaving();
+    let third = Record::new(spec(3, 100), 1);
+    assert_eq!(refused(start(&mut book, &third)), RefusalKind::ShuttingDown);
+    assert_eq!(start(&mut book, &second), StartReply::Accepted);
+}
