Begin the entry: sessions, delivery and callers' types

Cause: the entry owns generations and hands their tokens to callers. Ruled out: pushing tokens to the connection directly: a slow reader would hold the sessions duty, so a full ring leaves the rest in the record. Conclusion: not yet wired to a process.

--- /dev/null
+++ b/crates/masticsill_entry/src/position.rs
@@ -0,0 +1,68 @@
+//! The place in an answer that a caller names when it comes back.
+
+use std::fmt;
+use std::str::FromStr;
+
+use masticsill_types::{Attempt, GenerationId, Lineage, OwnerEpoch, TokenIndex};
+
+/// A point of an answer: everything before `next_index` was received, the last of it under
+/// `lineage`.
+///
+/// As text, the `id` of a server-sent event: `GENERATION-EPOCH.ATTEMPT.NEXT_INDEX`.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Position {
+    /// The generation.
+    pub(crate) id: GenerationId,
+    /// Who produced the last token received.
+    pub(crate) lineage: Lineage,
+    /// The next token wanted.
+    pub(crate) next_index: TokenIndex,
+}
+
+/// An event id that this system never wrote.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct PositionError;
+
+impl fmt::Display for PositionError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(
+            "Last-Event-ID is not an id of this service; send the last `id:` received, unchanged",
+        )
+    }
+}
+
+impl std::error::Error for PositionError {}
+
+impl fmt::Display for Position {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}-{}.{}", self.id, self.lineage, self.next_index)
+    }
+}
+
+impl FromStr for Position {
+    type Err = PositionError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let (id, rest) = text.split_once('-').ok_or(PositionError)?;
+        let mut numbers = rest.splitn(3, '.');
+        let epoch = parse_next::<u64>(&mut numbers)?;
+        let attempt = parse_next::<u32>(&mut numbers)?;
+        let next_index = parse_next::<u32>(&mut numbers)?;
+        let id = u128::from_str_radix(id, 16).map_err(|_| PositionError)?;
+        Ok(Self {
+            id: GenerationId(id),
+            lineage: Lineage {
+                epoch: OwnerEpoch(epoch),
+                attempt: Attempt(attempt),
+            },
+            next_index: TokenIndex(next_index),
+        })
+    }
+}
+
+fn parse_next<'a, T: FromStr>(
+    numbers: &mut impl Iterator<Item = &'a str>,
+) -> Result<T, PositionError> {
+    let text = numbers.next().ok_or(PositionError)?;
+    text.parse().map_err(|_| PositionError)
+}
--- /dev/null
+++ b/crates/masticsill_entry/src/session/book.rs
@@ -0,0 +1,438 @@
+//! Every session of this entry, and what is to be done for them.
+
+use indexmap::{IndexMap, IndexSet};
+use masticsill_generation::Record;
+use masticsill_runtime::Ring;
+use masticsill_types::{
+    AttemptState, ClockMs, GenerationId, GenerationSpec, Lineage, NodeId, Refusal, RefusalKind,
+};
+use masticsill_wire::agent::{
+    AttachReply, AttachRequest, CancelRequest, Progress, ProgressState, PullCursor, RecordSnapshot,
+    StartReply, StartRequest,
+};
+
+use super::caller::{Caller, Delivery, StreamItem};
+use super::endpoint::EndpointTable;
+use super::session::{Phase, Session};
+use crate::position::Position;
+
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// Bounds of a [`SessionBook`].
+#[derive(Clone, Debug)]
+pub(crate) struct BookConfig {
+    /// Sessions at most.
+    pub(crate) max_sessions: usize,
+    /// The entry's name.
+    pub(crate) node: NodeId,
+    /// How long a generation outlives its caller's connection, in milliseconds.
+    pub(crate) reattach_ms: u64,
+    /// How long a session may be without an endpoint, in milliseconds.
+    pub(crate) waiting_ms: u64,
+}
+
+/// An admitted request.
+#[derive(Debug)]
+pub(crate) struct Submission {
+    /// The caller's ring.
+    pub(crate) ring: Ring<StreamItem>,
+    /// What to generate.
+    pub(crate) spec: GenerationSpec,
+}
+
+/// What the sessions duty is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Action {
+    /// End an attempt at an agent.
+    Cancel(NodeId, CancelRequest),
+    /// Follow an attempt that runs at an agent already.
+    Follow(NodeId, PullCursor),
+    /// Ask every possible holder for a generation.
+    Search(Position),
+    /// Start an attempt at an agent; once accepted it is followed.
+    Start(NodeId, StartRequest),
+}
+
+/// What a search for a generation brought.
+#[derive(Debug)]
+pub(crate) enum Found {
+    /// An agent handed its running record over.
+    AtAgent(NodeId, RecordSnapshot),
+    /// Another entry gave its record up; its agent is not known to run.
+    AtEntry(RecordSnapshot),
+    /// Nobody holds a record that contains what the caller saw.
+    Nowhere,
+}
+
+/// Every session of this entry.
+#[derive(Debug)]
+pub(crate) struct SessionBook {
+    actions: Vec<Action>,
+    config: BookConfig,
+    endpoints: EndpointTable,
+    searches: IndexMap<GenerationId, (Position, Ring<StreamItem>)>,
+    sessions: IndexMap<GenerationId, Session>,
+}
+
+impl SessionBook {
+    /// An empty book.
+    pub(crate) fn new(config: BookConfig) -> Self {
+        Self {
+            actions: Vec::new(),
+            config,
+            endpoints: EndpointTable::default(),
+            searches: IndexMap::new(),
+            sessions: IndexMap::new(),
+        }
+    }
+
+    /// The endpoints known.
+    pub(crate) fn endpoints(&self) -> &EndpointTable {
+        &self.endpoints
+    }
+
+    /// The endpoints known, to be changed.
+    pub(crate) fn endpoints_mut(&mut self) -> &mut EndpointTable {
+        &mut self.endpoints
+    }
+
+    /// Takes what is to be done since the last call.
+    pub(crate) fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Sessions that are not ended, searches included.
+    pub(crate) fn open_count(&self) -> usize {
+        let is_open = |session: &&Session| session.phase != Phase::Ended;
+        self.sessions.values().filter(is_open).count() + self.searches.len()
+    }
+
+    /// Begins a generation; `nonce` is random.
+    pub(crate) fn submit(&mut self, now: ClockMs, submission: Submission, nonce: u32) {
+        let Submission { ring, spec } = submission;
+        let mut caller = Caller::new(ring, masticsill_types::TokenIndex(0));
+        if self.sessions.len() >= self.config.max_sessions {
+            let refusal = Refusal::not_run(RefusalKind::Overloaded, "too many open generations");
+            caller.refuse(refusal.retry_after(RETRY_AFTER_MS));
+            return;
+        }
+        let id = spec.id;
+        let record = Record::new(spec, nonce);
+        self.sessions.insert(id, Session::new(record, caller, now));
+        self.place(now, id);
+    }
+
+    /// Continues a generation for a caller that came back.
+    pub(crate) fn reattach(&mut self, now: ClockMs, position: Position, ring: Ring<StreamItem>) {
+        let Some(session) = self.sessions.get_mut(&position.id) else {
+            self.search(position, ring);
+            return;
+        };
+        let mut caller = Caller::new(ring, position.next_index);
+        if !session.record.continues(position.lineage, position.next_index) {
+            caller.refuse(record_lost());
+            return;
+        }
+        if let Some(mut former) = session.caller.replace(caller) {
+            former.refuse(superseded());
+        }
+        session.since = now;
+        self.deliver(now, position.id);
+    }
+
+    /// Takes an agent's answer to a start.
+    pub(crate) fn start_replied(
+        &mut self,
+        now: ClockMs,
+        agent: &NodeId,
+        id: GenerationId,
+        lineage: Lineage,
+        reply: StartReply,
+    ) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            self.cancel_at(agent, id, lineage);
+            return;
+        };
+        let is_awaited = session.phase == Phase::Starting(agent.clone());
+        if !is_awaited || session.record.lineage() != lineage {
+            return;
+        }
+        match reply {
+            StartReply::Accepted => session.phase = Phase::Following(agent.clone()),
+            StartReply::Fenced(_) => self.refuse(now, id, superseded()),
+            StartReply::Refused(_) => self.move_on(now, id),
+        }
+    }
+
+    /// Takes news of a stream.
+    pub(crate) fn progress(&mut self, now: ClockMs, agent: &NodeId, news: Progress) {
+        let Some(session) = self.sessions.get_mut(&news.id) else {
+            return;
+        };
+        if !session.is_at(agent) || session.record.lineage() != news.lineage {
+            return;
+        }
+        let id = news.id;
+        let end_index = news.first_index.0 + u32::try_from(news.tokens.len()).unwrap_or(u32::MAX);
+        let taken = session.record.take(news.lineage, news.first_index, news.tokens);
+        if taken.accepted > 0 {
+            session.tried.clear();
+        }
+        match news.state {
+            ProgressState::Attempt(AttemptState::Running) => self.deliver(now, id),
+            ProgressState::Attempt(AttemptState::Finished(reason)) => {
+                let end = AttemptState::Finished(reason);
+                let end_index = masticsill_types::TokenIndex(end_index);
+                if session.record.conclude(news.lineage, end_index, end) {
+                    self.finish(now, id);
+                }
+            }
+            ProgressState::Attempt(AttemptState::Failed(_)) | ProgressState::Unknown => {
+                self.deliver(now, id);
+                self.move_on(now, id);
+            }
+            ProgressState::Fenced(_) => self.refuse(now, id, superseded()),
+        }
+    }
+
+    /// Moves every stream away from an agent that can't be reached or stayed silent.
+    pub(crate) fn agent_lost(&mut self, now: ClockMs, agent: &NodeId) {
+        self.endpoints.set_down(agent, true);
+        let is_there = |session: &&Session| session.is_at(agent);
+        let lost = self.sessions.values().filter(is_there);
+        let ids: Vec<GenerationId> = lost.map(|session| session.record.id()).collect();
+        for id in ids {
+            self.move_on(now, id);
+        }
+    }
+
+    /// Lets an agent take new work again.
+    pub(crate) fn agent_reached(&mut self, agent: &NodeId) {
+        self.endpoints.set_down(agent, false);
+    }
+
+    /// Takes the result of a search.
+    pub(crate) fn found(&mut self, now: ClockMs, id: GenerationId, found: Found) {
+        let Some((position, ring)) = self.searches.swap_remove(&id) else {
+            return;
+        };
+        let mut caller = Caller::new(ring, position.next_index);
+        let (agent, snapshot) = match found {
+            Found::AtAgent(agent, snapshot) => (Some(agent), snapshot),
+            Found::AtEntry(snapshot) => (None, snapshot),
+            Found::Nowhere => {
+                caller.refuse(record_lost());
+                return;
+            }
+        };
+        let Ok(record) = Record::from_snapshot(snapshot) else {
+            caller.refuse(record_lost());
+            return;
+        };
+        self.sessions.insert(id, Session::new(record, caller, now));
+        self.resume_found(now, id, agent);
+    }
+
+    /// Gives a generation up to another entry, to which its caller came back.
+    pub(crate) fn release(&mut self, request: &AttachRequest) -> AttachReply {
+        let Some(session) = self.sessions.get_mut(&request.id) else {
+            return AttachReply::Unknown;
+        };
+        if !session.record.continues(request.seen, request.next_index) {
+            return AttachReply::Behind;
+        }
+        session.record.change_owner(request.nonce);
+        let snapshot = session.record.snapshot();
+        if let Some(mut caller) = session.caller.take() {
+            caller.refuse(superseded());
+        }
+        self.leave_agent(request.id);
+        self.sessions.swap_remove(&request.id);
+        AttachReply::Attached(Box::new(snapshot))
+    }
+
+    /// Does what time asks for: full rings, callers gone, sessions without an endpoint.
+    pub(crate) fn tick(&mut self, now: ClockMs) {
+        let ids: Vec<GenerationId> = self.sessions.keys().copied().collect();
+        for id in ids {
+            self.deliver(now, id);
+            self.expire(now, id);
+        }
+    }
+
+    fn search(&mut self, position: Position, ring: Ring<StreamItem>) {
+        let former = self.searches.insert(position.id, (position, ring));
+        match former {
+            Some((seen, ring)) => Caller::new(ring, seen.next_index).refuse(superseded()),
+            None => self.actions.push(Action::Search(position)),
+        }
+    }
+
+    fn resume_found(&mut self, now: ClockMs, id: GenerationId, agent: Option<NodeId>) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        match (session.record.state(), agent) {
+            (AttemptState::Finished(_), _) => self.finish(now, id),
+            (AttemptState::Running, Some(agent)) => {
+                let cursor = PullCursor {
+                    id,
+                    lineage: session.record.lineage(),
+                    next_index: session.record.next_index(),
+                };
+                session.phase = Phase::Following(agent.clone());
+                self.endpoints.begin(&agent);
+                self.actions.push(Action::Follow(agent, cursor));
+                self.deliver(now, id);
+            }
+            (AttemptState::Running | AttemptState::Failed(_), _) => {
+                session.record.begin_attempt();
+                self.place(now, id);
+                self.deliver(now, id);
+            }
+        }
+    }
+
+    fn place(&mut self, now: ClockMs, id: GenerationId) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let target = &session.record.spec().target;
+        let Some(agent) = self.endpoints.choose_engine(target, &session.tried) else {
+            if session.phase != Phase::Waiting {
+                session.phase = Phase::Waiting;
+                session.since = now;
+            }
+            return;
+        };
+        let request = session.record.start_request(self.config.node.clone());
+        session.phase = Phase::Starting(agent.clone());
+        session.since = now;
+        self.endpoints.begin(&agent);
+        self.actions.push(Action::Start(agent, request));
+    }
+
+    /// Leaves the current agent and begins the next attempt elsewhere.
+    fn move_on(&mut self, now: ClockMs, id: GenerationId) {
+        let agent = self.leave_agent(id);
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        session.tried.extend(agent);
+        session.phase = Phase::Starting(self.config.node.clone());
+        session.record.begin_attempt();
+        self.place(now, id);
+    }
+
+    /// Ends the attempt at the session's agent, if any, and returns that agent.
+    fn leave_agent(&mut self, id: GenerationId) -> Option<NodeId> {
+        let session = self.sessions.get_mut(&id)?;
+        let agent = session.agent()?.clone();
+        let lineage = session.record.lineage();
+        self.endpoints.end(&agent);
+        self.cancel_at(&agent, id, lineage);
+        Some(agent)
+    }
+
+    fn cancel_at(&mut self, agent: &NodeId, id: GenerationId, lineage: Lineage) {
+        let request = CancelRequest { id, lineage };
+        self.actions.push(Action::Cancel(agent.clone(), request));
+    }
+
+    fn deliver(&mut self, now: ClockMs, id: GenerationId) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let Some(caller) = &mut session.caller else {
+            return;
+        };
+        match caller.deliver(&session.record) {
+            Delivery::Open => {}
+            Delivery::Complete | Delivery::Gone => {
+                session.caller = None;
+                session.since = now;
+            }
+        }
+    }
+
+    fn finish(&mut self, now: ClockMs, id: GenerationId) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        if let Some(agent) = session.agent() {
+            self.endpoints.end(agent);
+        }
+        session.phase = Phase::Ended;
+        session.since = now;
+        self.deliver(now, id);
+    }
+
+    fn refuse(&mut self, now: ClockMs, id: GenerationId, refusal: Refusal) {
+        self.leave_agent(id);
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        session.phase = Phase::Ended;
+        session.since = now;
+        if let Some(caller) = &mut session.caller {
+            caller.refuse(refusal);
+        }
+    }
+
+    fn expire(&mut self, now: ClockMs, id: GenerationId) {
+        let Some(session) = self.sessions.get(&id) else {
+            return;
+        };
+        let waited_ms = now - session.since;
+        if session.caller.is_none() && waited_ms >= self.config.reattach_ms {
+            self.leave_agent(id);
+            self.sessions.swap_remove(&id);
+            return;
+        }
+        if session.phase != Phase::Waiting {
+            return;
+        }
+        if waited_ms >= self.config.waiting_ms {
+            let refusal = self.explain_no_endpoint(session);
+            self.refuse(now, id, refusal);
+            return;
+        }
+        self.retry_waiting(now, id);
+    }
+
+    fn retry_waiting(&mut self, now: ClockMs, id: GenerationId) {
+        if let Some(session) = self.sessions.get_mut(&id) {
+            session.tried = IndexSet::new();
+        }
+        self.place(now, id);
+    }
+
+    fn explain_no_endpoint(&self, session: &Session) -> Refusal {
+        let target = &session.record.spec().target;
+        let detail = format!("no endpoint can run {} {}", target.model, target.version);
+        if session.is_untouched() {
+            let refusal = Refusal::not_run(RefusalKind::NoEndpoint, detail);
+            return refusal.retry_after(RETRY_AFTER_MS);
+        }
+        let kind = if self.endpoints.has_model(target) {
+            RefusalKind::BackEndFailed
+        } else {
+            RefusalKind::VersionGone
+        };
+        Refusal::failed(kind, detail).retry_after(RETRY_AFTER_MS)
+    }
+}
+
+fn superseded() -> Refusal {
+    Refusal::failed(
+        RefusalKind::Superseded,
+        "the generation goes on for a newer connection of its caller",
+    )
+}
+
+fn record_lost() -> Refusal {
+    Refusal::failed(
+        RefusalKind::RecordLost,
+        "no record contains the part of the answer that was received",
+    )
+}
--- /dev/null
+++ b/crates/masticsill_entry/src/session/caller.rs
@@ -0,0 +1,142 @@
+//! Delivery of one answer to one caller.
+
+use std::collections::VecDeque;
+
+use masticsill_generation::{Record, Utf8Assembler};
+use masticsill_runtime::Ring;
+use masticsill_types::{AttemptState, FinishReason, Refusal, TokenIndex};
+
+use crate::position::Position;
+
+/// What a caller's connection is given to write.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum StreamItem {
+    /// The answer is whole.
+    Finished {
+        /// Tokens of the whole answer.
+        token_count: u32,
+        /// Where the answer ended.
+        position: Position,
+        /// Why it ended.
+        reason: FinishReason,
+    },
+    /// The final answer is a refusal.
+    Refused(Refusal),
+    /// The next whole characters.
+    Text {
+        /// Where the caller stands once it has them.
+        position: Position,
+        /// The characters.
+        text: String,
+    },
+}
+
+/// Whether a caller still takes its answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Delivery {
+    /// Everything was handed over, the final item included.
+    Complete,
+    /// The connection is gone.
+    Gone,
+    /// More will follow.
+    Open,
+}
+
+/// A caller's connection and how far its answer was handed over.
+///
+/// A slow caller fills its ring; the rest stays in the record, which `max_tokens` bounds.
+#[derive(Debug)]
+pub(crate) struct Caller {
+    assembler: Utf8Assembler,
+    is_ended: bool,
+    next_fed: TokenIndex,
+    pending: VecDeque<StreamItem>,
+    ring: Ring<StreamItem>,
+}
+
+impl Caller {
+    /// A caller that wants the answer from `next_index` on.
+    pub(crate) fn new(ring: Ring<StreamItem>, next_index: TokenIndex) -> Self {
+        Self {
+            assembler: Utf8Assembler::starting_at(next_index),
+            is_ended: false,
+            next_fed: next_index,
+            pending: VecDeque::new(),
+            ring,
+        }
+    }
+
+    /// Hands over what the record has and the ring has room for.
+    pub(crate) fn deliver(&mut self, record: &Record) -> Delivery {
+        if self.flush() == Delivery::Open && self.pending.is_empty() && !self.is_ended {
+            self.feed(record);
+        }
+        self.flush()
+    }
+
+    /// Ends the answer with a refusal; nothing more of the record is handed over.
+    pub(crate) fn refuse(&mut self, refusal: Refusal) {
+        if !self.is_ended {
+            self.is_ended = true;
+            self.pending.push_back(StreamItem::Refused(refusal));
+        }
+        self.flush();
+    }
+
+    /// Hands over pending items.
+    pub(crate) fn flush(&mut self) -> Delivery {
+        while let Some(item) = self.pending.pop_front() {
+            if let Err(full) = self.ring.push(item) {
+                self.pending.push_front(full.0);
+                break;
+            }
+        }
+        if self.pending.is_empty() && self.is_ended {
+            return Delivery::Complete;
+        }
+        if self.ring.is_closed() {
+            return Delivery::Gone;
+        }
+        Delivery::Open
+    }
+
+    fn feed(&mut self, record: &Record) {
+        let mut text = String::new();
+        for token in record.tokens_from(self.next_fed) {
+            self.next_fed = self.next_fed.next();
+            if let Some(part) = self.assembler.push(&token.bytes) {
+                text.push_str(&part);
+            }
+        }
+        let AttemptState::Finished(reason) = record.state() else {
+            self.queue_text(text, record);
+            return;
+        };
+        if let Some(rest) = self.assembler.finish() {
+            text.push_str(&rest);
+        }
+        self.queue_text(text, record);
+        self.is_ended = true;
+        self.pending.push_back(StreamItem::Finished {
+            token_count: record.next_index().0,
+            position: self.position(record),
+            reason,
+        });
+    }
+
+    fn queue_text(&mut self, text: String, record: &Record) {
+        if !text.is_empty() {
+            let position = self.position(record);
+            self.pending.push_back(StreamItem::Text { position, text });
+        }
+    }
+
+    fn position(&self, record: &Record) -> Position {
+        let next_index = self.assembler.next_index();
+        Position {
+            id: record.id(),
+            lineage: record.lineage_before(next_index),
+            next_index,
+        }
+    }
+}
