Name the service of each connection by a preamble byte

Cause: a process offers several tarpc services but has one address. Ruled out: a listener for each service (more addresses to announce), one merged service trait (ties all crates together). Change: ServiceKind in masticsill_wire; listen() binds without a runtime; RpcListener::serve(dispatch) reads the preamble under a timeout and hands over a ServiceStream, which another duty turns into a transport; connect_transport takes the kind. Conclusion: every role's service can share the process's listener.

--- a/crates/masticsill_runtime/src/events.rs
+++ b/crates/masticsill_runtime/src/events.rs
@@ -14,6 +14,8 @@
 pub const PROCESS_STARTED: Event = Event::new(1005, "process_started");
 /// The process ended its graceful shutdown.
 pub const PROCESS_ENDED: Event = Event::new(1006, "process_ended");
+/// A connection did not name a service.
+pub const PREAMBLE_REFUSED: Event = Event::new(1007, "preamble_refused");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -23,4 +25,5 @@
     ACCEPT_FAILED,
     PROCESS_STARTED,
     PROCESS_ENDED,
+    PREAMBLE_REFUSED,
 ];
--- a/crates/masticsill_runtime/src/lib.rs
+++ b/crates/masticsill_runtime/src/lib.rs
@@ -14,5 +14,5 @@
 pub use logging::start_logging;
 pub use metrics::{Metrics, MetricsError};
 pub use ring::{Ring, RingFull};
-pub use rpc::{RpcListener, RpcTransport, connect_transport, listen};
+pub use rpc::{RpcListener, RpcTransport, ServiceStream, connect_transport, listen};
 pub use shutdown::{ShutdownSignal, watch_signals};
--- a/crates/masticsill_runtime/src/rpc.rs
+++ b/crates/masticsill_runtime/src/rpc.rs
@@ -1,16 +1,33 @@
 //! TCP transports for `tarpc` services.
+//!
+//! A process has one listener for all its services; a preamble byte tells them apart. The duty
+//! that accepts hands each connection as a [`ServiceStream`] to the duty that serves it.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{self, SocketAddr};
+use std::rc::Rc;
 use std::time::Duration;
 
-use masticsill_wire::{MAX_FRAME_BYTES, PostcardCodec};
+use masticsill_types::log_event;
+use masticsill_wire::{MAX_FRAME_BYTES, PostcardCodec, ServiceKind};
 use serde::{Serialize, de::DeserializeOwned};
 use tarpc::serde_transport::{self, Transport};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::timeout;
+use tokio::sync::Semaphore;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
 use tokio_util::codec::LengthDelimitedCodec;
 
+use crate::events;
+
+/// How long a peer may take to name the service.
+const PREAMBLE_TIMEOUT_MS: u64 = 2_000;
+/// Connections that may be waiting for their preamble at once.
+const MAX_UNNAMED_CONNECTIONS: usize = 512;
+/// Pause after a failed accept, so that a lack of descriptors does not spin.
+const ACCEPT_PAUSE_MS: u64 = 20;
+
 /// A transport that carries `Item`s in and `SinkItem`s out.
 pub type RpcTransport<Item, SinkItem> =
     Transport<TcpStream, Item, SinkItem, PostcardCodec<Item, SinkItem>>;
@@ -26,40 +43,73 @@
     serde_transport::new(framed, PostcardCodec::default())
 }
 
-/// Connects to a peer's service.
+/// Connects to a peer's service and names it.
 ///
 /// # Errors
 ///
 /// The connection's error, or `TimedOut` after `timeout_ms`.
 pub async fn connect_transport<Item, SinkItem>(
     address: SocketAddr,
+    kind: ServiceKind,
     timeout_ms: u64,
 ) -> io::Result<RpcTransport<Item, SinkItem>>
 where
     Item: DeserializeOwned,
     SinkItem: Serialize,
 {
-    let connecting = TcpStream::connect(address);
+    let connecting = async {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        stream.write_all(&[kind.preamble()]).await?;
+        io::Result::Ok(stream)
+    };
     let stream = timeout(Duration::from_millis(timeout_ms), connecting)
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-    stream.set_nodelay(true)?;
     Ok(frame(stream))
 }
 
-/// Accepts peers' connections to one service.
+/// An accepted connection whose service is known. It may be sent to another duty.
+#[derive(Debug)]
+pub struct ServiceStream {
+    stream: net::TcpStream,
+}
+
+impl ServiceStream {
+    fn release(stream: TcpStream) -> io::Result<Self> {
+        let stream = stream.into_std()?;
+        Ok(Self { stream })
+    }
+
+    /// The connection as a transport of the duty that calls this, inside its runtime.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error when the runtime can't watch the connection.
+    pub fn into_transport<Item, SinkItem>(self) -> io::Result<RpcTransport<Item, SinkItem>>
+    where
+        Item: DeserializeOwned,
+        SinkItem: Serialize,
+    {
+        let stream = TcpStream::from_std(self.stream)?;
+        Ok(frame(stream))
+    }
+}
+
+/// Accepts peers' connections to all services of a process.
 #[derive(Debug)]
 pub struct RpcListener {
-    listener: TcpListener,
+    listener: net::TcpListener,
 }
 
-/// Listens for peers.
+/// Listens for peers. It needs no runtime yet, so that a process can bind before its duties run.
 ///
 /// # Errors
 ///
 /// The operating system's error when the address can't be bound.
-pub async fn listen(address: SocketAddr) -> io::Result<RpcListener> {
-    let listener = TcpListener::bind(address).await?;
+pub fn listen(address: SocketAddr) -> io::Result<RpcListener> {
+    let listener = net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
     Ok(RpcListener { listener })
 }
 
@@ -73,18 +123,52 @@
         self.listener.local_addr()
     }
 
-    /// Waits for the next peer.
+    /// Accepts connections, reads their preambles and hands them to `dispatch`.
+    ///
+    /// It runs inside a local task set, until its future is dropped. A connection that
+    /// `dispatch` drops is closed.
     ///
     /// # Errors
     ///
-    /// The operating system's error; the listener can be used again.
-    pub async fn accept<Item, SinkItem>(&self) -> io::Result<RpcTransport<Item, SinkItem>>
+    /// The operating system's error when the runtime can't watch the listener.
+    pub async fn serve<F>(self, dispatch: F) -> io::Result<()>
     where
-        Item: DeserializeOwned,
-        SinkItem: Serialize,
+        F: Fn(ServiceKind, ServiceStream) + 'static,
     {
-        let (stream, _) = self.listener.accept().await?;
-        stream.set_nodelay(true)?;
-        Ok(frame(stream))
+        let listener = TcpListener::from_std(self.listener)?;
+        let dispatch = Rc::new(dispatch);
+        let unnamed = Rc::new(Semaphore::new(MAX_UNNAMED_CONNECTIONS));
+        loop {
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    log_event!(warn, events::ACCEPT_FAILED, error = error);
+                    sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+                    continue;
+                }
+            };
+            let dispatch = Rc::clone(&dispatch);
+            let unnamed = Rc::clone(&unnamed);
+            spawn_local(async move {
+                let Ok(_permit) = unnamed.try_acquire() else {
+                    return;
+                };
+                match read_preamble(stream).await {
+                    Ok((kind, stream)) => dispatch(kind, stream),
+                    Err(error) => log_event!(debug, events::PREAMBLE_REFUSED, error = error),
+                }
+            });
+        }
     }
 }
+
+async fn read_preamble(mut stream: TcpStream) -> io::Result<(ServiceKind, ServiceStream)> {
+    stream.set_nodelay(true)?;
+    let reading = stream.read_u8();
+    let preamble = timeout(Duration::from_millis(PREAMBLE_TIMEOUT_MS), reading)
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    let kind = ServiceKind::try_from(preamble)
+        .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))?;
+    Ok((kind, ServiceStream::release(stream)?))
+}
--- a/crates/masticsill_wire/src/lib.rs
+++ b/crates/masticsill_wire/src/lib.rs
@@ -7,5 +7,7 @@
 mod codec;
 pub mod engine;
 pub mod entry;
+mod service;
 
 pub use codec::{CodecError, MAX_FRAME_BYTES, PostcardCodec};
+pub use service::{ServiceKind, UnknownService};
