Add the entry's HTTP interface, filter chain and agent links

Cause: callers speak HTTP with server-sent events; agents speak the pull service. Ruled out: one call a stream towards an agent: a thousand streams would be a thousand calls in flight where one pull carries them all.

--- /dev/null
+++ b/crates/masticsill_entry/src/filter/catalogue_lease.rs
@@ -0,0 +1,19 @@
+//! No new work without a current catalogue.
+
+use masticsill_types::{Refusal, RefusalKind};
+
+use crate::http::Gateway;
+
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// Refuses while this node can't prove that its copy of the catalogue is in force.
+pub(crate) fn check(gateway: &Gateway) -> Result<(), Refusal> {
+    if gateway.catalogue().is_fresh(gateway.now()) {
+        return Ok(());
+    }
+    let refusal = Refusal::not_run(
+        RefusalKind::CatalogueStale,
+        "this entry has no proof that its catalogue is current",
+    );
+    Err(refusal.retry_after(RETRY_AFTER_MS))
+}
--- /dev/null
+++ b/crates/masticsill_entry/src/link/task.rs
@@ -0,0 +1,345 @@
+//! The task that serves one agent's link.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use futures::StreamExt;
+use futures::future::LocalBoxFuture;
+use futures::stream::FuturesUnordered;
+use indexmap::IndexMap;
+use masticsill_runtime::{Ring, connect_transport};
+use masticsill_types::{
+    ClockMs, GenerationId, Lineage, MonotonicClock, NodeId, TokenIndex, log_event,
+};
+use masticsill_wire::ServiceKind;
+use masticsill_wire::agent::{
+    AgentServiceClient, CancelRequest, PullCursor, PullReply, PullRequest, StartReply, StartRequest,
+};
+use tarpc::client::RpcError;
+use tarpc::{client, context};
+use tokio::task::spawn_local;
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+use super::cursors::Cursors;
+use super::silence::SilenceMeter;
+use crate::events;
+
+/// How long an agent may hold a pull without news, in milliseconds.
+const PULL_WAIT_MS: u64 = 100;
+const TICK_MS: u64 = 25;
+const RECONNECT_PAUSE_MS: u64 = 250;
+const CALL_DEADLINE_MS: u64 = 10_000;
+
+/// What a link is told at its start.
+#[derive(Clone, Debug)]
+pub(crate) struct LinkConfig {
+    /// Where the agent listens.
+    pub(crate) address: SocketAddr,
+    /// The agent.
+    pub(crate) agent: NodeId,
+    /// This entry.
+    pub(crate) entry: NodeId,
+    /// Silence after which the agent counts as lost, in milliseconds.
+    pub(crate) silence_ms: u64,
+}
+
+/// What a link is asked to do.
+#[derive(Debug)]
+pub(crate) enum LinkCommand {
+    /// End an attempt and follow it no more.
+    Cancel(CancelRequest),
+    /// Follow an attempt that runs at the agent.
+    Follow(PullCursor),
+    /// Start an attempt and follow it.
+    Start(StartRequest),
+}
+
+/// Takes what a link learns. The sessions duty implements it; tests use a small fake.
+pub(crate) trait LinkOwner {
+    /// An answer to a start.
+    fn on_started(&self, agent: &NodeId, id: GenerationId, lineage: Lineage, reply: StartReply);
+    /// News of streams.
+    fn on_pulled(&self, agent: &NodeId, reply: PullReply);
+    /// The agent can't be reached or stayed silent.
+    fn on_lost(&self, agent: &NodeId);
+    /// The agent was reached after it was lost.
+    fn on_reached(&self, agent: &NodeId);
+}
+
+enum Done {
+    Cancelled,
+    Pulled {
+        is_main: bool,
+        result: Result<PullReply, RpcError>,
+    },
+    Started {
+        id: GenerationId,
+        lineage: Lineage,
+        result: Result<StartReply, RpcError>,
+    },
+}
+
+struct Link<O> {
+    calls: FuturesUnordered<LocalBoxFuture<'static, Done>>,
+    client: Option<AgentServiceClient>,
+    commands: Ring<LinkCommand>,
+    config: LinkConfig,
+    cursors: Cursors,
+    is_main_pulling: bool,
+    is_lost: bool,
+    meter: SilenceMeter,
+    owner: O,
+    starts: IndexMap<GenerationId, StartRequest>,
+}
+
+/// Serves one agent's link until its ring is closed.
+pub(crate) async fn run_link<O: LinkOwner>(
+    config: LinkConfig,
+    commands: Ring<LinkCommand>,
+    clock: MonotonicClock,
+    owner: O,
+) {
+    let mut link = Link {
+        calls: FuturesUnordered::new(),
+        client: None,
+        commands,
+        config,
+        cursors: Cursors::default(),
+        is_main_pulling: false,
+        is_lost: false,
+        meter: SilenceMeter::new(clock.now()),
+        owner,
+        starts: IndexMap::new(),
+    };
+    let mut ticks = interval(Duration::from_millis(TICK_MS));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        link.connect_if_needed().await;
+        link.pull_all();
+        tokio::select! {
+            biased;
+            Some(done) = link.calls.next() => link.take(done),
+            command = link.commands.pop() => match command {
+                Some(command) => link.obey(command),
+                None => return,
+            },
+            _ = ticks.tick() => link.watch(clock.now()),
+        }
+    }
+}
+
+impl<O: LinkOwner> Link<O> {
+    async fn connect_if_needed(&mut self) {
+        if self.client.is_some() {
+            return;
+        }
+        let transport = connect_transport(
+            self.config.address,
+            ServiceKind::Agent,
+            self.config.silence_ms,
+        );
+        match transport.await {
+            Ok(transport) => {
+                let new = AgentServiceClient::new(client::Config::default(), transport);
+                spawn_local(async move {
+                    let _ = new.dispatch.await;
+                });
+                self.client = Some(new.client);
+                self.resume_calls();
+            }
+            Err(error) => {
+                self.lose(&error);
+                sleep(Duration::from_millis(RECONNECT_PAUSE_MS)).await;
+            }
+        }
+    }
+
+    /// Repeats what a broken connection left open; every call is idempotent.
+    fn resume_calls(&mut self) {
+        self.meter.reset();
+        if std::mem::take(&mut self.is_lost) {
+            log_event!(info, events::AGENT_REACHED, agent = self.config.agent);
+            self.owner.on_reached(&self.config.agent);
+        }
+        let starts: Vec<StartRequest> = self.starts.values().cloned().collect();
+        for request in starts {
+            self.call_start(request);
+        }
+    }
+
+    fn obey(&mut self, command: LinkCommand) {
+        match command {
+            LinkCommand::Cancel(request) => {
+                self.cursors.unfollow(request.id);
+                self.starts.swap_remove(&request.id);
+                self.call_cancel(request);
+            }
+            LinkCommand::Follow(cursor) => self.follow(cursor),
+            LinkCommand::Start(request) => {
+                self.starts.insert(request.spec.id, request.clone());
+                self.call_start(request);
+            }
+        }
+    }
+
+    fn take(&mut self, done: Done) {
+        match done {
+            Done::Cancelled => {}
+            Done::Pulled { is_main, result } => {
+                if is_main {
+                    self.is_main_pulling = false;
+                }
+                match result {
+                    Ok(reply) => self.take_reply(reply),
+                    Err(_) => self.disconnect(),
+                }
+            }
+            Done::Started {
+                id,
+                lineage,
+                result,
+            } => match result {
+                Ok(reply) => self.take_start(id, lineage, reply),
+                Err(_) => self.disconnect(),
+            },
+        }
+    }
+
+    fn take_reply(&mut self, reply: PullReply) {
+        self.meter.reset();
+        for news in &reply.progress {
+            self.cursors.advance(news);
+        }
+        self.owner.on_pulled(&self.config.agent, reply);
+    }
+
+    fn take_start(&mut self, id: GenerationId, lineage: Lineage, reply: StartReply) {
+        self.meter.reset();
+        let Some(request) = self.starts.get(&id) else {
+            return;
+        };
+        if last_lineage(request) != Some(lineage) {
+            return;
+        }
+        let token_count = u32::try_from(request.accepted.len()).unwrap_or(u32::MAX);
+        self.starts.swap_remove(&id);
+        let is_accepted = reply == StartReply::Accepted;
+        self.owner.on_started(&self.config.agent, id, lineage, reply);
+        if is_accepted {
+            self.follow(PullCursor {
+                id,
+                lineage,
+                next_index: TokenIndex(token_count),
+            });
+        }
+    }
+
+    /// Follows a stream, and asks for it at once when the main pull can't know of it.
+    fn follow(&mut self, cursor: PullCursor) {
+        self.cursors.follow(cursor);
+        if self.is_main_pulling {
+            self.call_pull(vec![cursor], false);
+        }
+    }
+
+    fn pull_all(&mut self) {
+        if self.is_main_pulling || self.cursors.is_empty() || self.client.is_none() {
+            return;
+        }
+        self.is_main_pulling = true;
+        self.call_pull(self.cursors.to_vec(), true);
+    }
+
+    fn watch(&mut self, now: ClockMs) {
+        let is_awaiting = !self.calls.is_empty();
+        let silence_ms = self.meter.tick(now, is_awaiting);
+        if silence_ms >= self.config.silence_ms {
+            self.disconnect();
+            self.lose(&io::Error::from(io::ErrorKind::TimedOut));
+        }
+    }
+
+    fn disconnect(&mut self) {
+        self.client = None;
+        self.calls = FuturesUnordered::new();
+        self.is_main_pulling = false;
+        self.meter.reset();
+    }
+
+    fn lose(&mut self, error: &io::Error) {
+        self.starts.clear();
+        self.cursors.clear();
+        self.drop_commands();
+        if !std::mem::replace(&mut self.is_lost, true) {
+            log_event!(
+                warn,
+                events::AGENT_LOST,
+                agent = self.config.agent,
+                error = error
+            );
+        }
+        self.owner.on_lost(&self.config.agent);
+    }
+
+    /// Drops what was asked of a lost agent: its owner moves every stream elsewhere.
+    ///
+    /// A cancel that is dropped is made up for by the agent's orphan timeout.
+    fn drop_commands(&self) {
+        while self.commands.try_pop().is_some() {}
+    }
+
+    fn call_start(&mut self, request: StartRequest) {
+        let Some(client) = self.client.clone() else {
+            return;
+        };
+        let Some(lineage) = last_lineage(&request) else {
+            return;
+        };
+        let id = request.spec.id;
+        self.calls.push(Box::pin(async move {
+            let result = client.start(call_context(), request).await;
+            Done::Started {
+                id,
+                lineage,
+                result,
+            }
+        }));
+    }
+
+    fn call_pull(&mut self, cursors: Vec<PullCursor>, is_main: bool) {
+        let Some(client) = self.client.clone() else {
+            return;
+        };
+        let request = PullRequest {
+            cursors,
+            entry: self.config.entry.clone(),
+            wait_ms: PULL_WAIT_MS,
+        };
+        self.calls.push(Box::pin(async move {
+            let result = client.pull(call_context(), request).await;
+            Done::Pulled { is_main, result }
+        }));
+    }
+
+    fn call_cancel(&mut self, request: CancelRequest) {
+        let Some(client) = self.client.clone() else {
+            return;
+        };
+        self.calls.push(Box::pin(async move {
+            // A lost cancel is made up for by the agent's orphan timeout.
+            let _ = client.cancel(call_context(), request).await;
+            Done::Cancelled
+        }));
+    }
+}
+
+fn last_lineage(request: &StartRequest) -> Option<Lineage> {
+    request.history.last().map(|segment| segment.lineage)
+}
+
+fn call_context() -> context::Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + Duration::from_millis(CALL_DEADLINE_MS);
+    context
+}
--- a/crates/masticsill_entry/src/session/book.rs
+++ b/crates/masticsill_entry/src/session/book.rs
@@ -5,6 +5,7 @@
 use masticsill_runtime::Ring;
 use masticsill_types::{
     AttemptState, ClockMs, GenerationId, GenerationSpec, Lineage, NodeId, Refusal, RefusalKind,
+    TokenIndex,
 };
 use masticsill_wire::agent::{
     AttachReply, AttachRequest, CancelRequest, Progress, ProgressState, PullCursor, RecordSnapshot,
@@ -16,7 +17,10 @@
 use super::session::{Phase, Session};
 use crate::position::Position;
 
+/// When a refused caller may come back, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_000;
+/// Pause between searches for an endpoint, in milliseconds.
+const RETRY_INTERVAL_MS: u64 = 200;
 
 /// Bounds of a [`SessionBook`].
 #[derive(Clone, Debug)]
@@ -110,7 +114,7 @@
     /// Begins a generation; `nonce` is random.
     pub(crate) fn submit(&mut self, now: ClockMs, submission: Submission, nonce: u32) {
         let Submission { ring, spec } = submission;
-        let mut caller = Caller::new(ring, masticsill_types::TokenIndex(0));
+        let mut caller = Caller::new(ring, TokenIndex(0));
         if self.sessions.len() >= self.config.max_sessions {
             let refusal = Refusal::not_run(RefusalKind::Overloaded, "too many open generations");
             caller.refuse(refusal.retry_after(RETRY_AFTER_MS));
@@ -155,10 +159,14 @@
         };
         let is_awaited = session.phase == Phase::Starting(agent.clone());
         if !is_awaited || session.record.lineage() != lineage {
+            self.cancel_at(agent, id, lineage);
             return;
         }
         match reply {
-            StartReply::Accepted => session.phase = Phase::Following(agent.clone()),
+            StartReply::Accepted => {
+                session.is_dispatched = true;
+                session.phase = Phase::Following(agent.clone());
+            }
             StartReply::Fenced(_) => self.refuse(now, id, superseded()),
             StartReply::Refused(_) => self.move_on(now, id),
         }
@@ -177,12 +185,13 @@
         let taken = session.record.take(news.lineage, news.first_index, news.tokens);
         if taken.accepted > 0 {
             session.tried.clear();
+            session.unserved_since = None;
         }
         match news.state {
             ProgressState::Attempt(AttemptState::Running) => self.deliver(now, id),
             ProgressState::Attempt(AttemptState::Finished(reason)) => {
                 let end = AttemptState::Finished(reason);
-                let end_index = masticsill_types::TokenIndex(end_index);
+                let end_index = TokenIndex(end_index);
                 if session.record.conclude(news.lineage, end_index, end) {
                     self.finish(now, id);
                 }
@@ -202,6 +211,7 @@
         let lost = self.sessions.values().filter(is_there);
         let ids: Vec<GenerationId> = lost.map(|session| session.record.id()).collect();
         for id in ids {
+            self.note_dispatched(id);
             self.move_on(now, id);
         }
     }
@@ -229,7 +239,9 @@
             caller.refuse(record_lost());
             return;
         };
-        self.sessions.insert(id, Session::new(record, caller, now));
+        let mut session = Session::new(record, caller, now);
+        session.is_dispatched = true;
+        self.sessions.insert(id, session);
         self.resume_found(now, id, agent);
     }
 
@@ -299,15 +311,12 @@
         };
         let target = &session.record.spec().target;
         let Some(agent) = self.endpoints.choose_engine(target, &session.tried) else {
-            if session.phase != Phase::Waiting {
-                session.phase = Phase::Waiting;
-                session.since = now;
-            }
+            session.phase = Phase::Waiting;
+            session.retry_at = now + RETRY_INTERVAL_MS;
             return;
         };
         let request = session.record.start_request(self.config.node.clone());
         session.phase = Phase::Starting(agent.clone());
-        session.since = now;
         self.endpoints.begin(&agent);
         self.actions.push(Action::Start(agent, request));
     }
@@ -319,7 +328,7 @@
             return;
         };
         session.tried.extend(agent);
-        session.phase = Phase::Starting(self.config.node.clone());
+        session.unserved_since.get_or_insert(now);
         session.record.begin_attempt();
         self.place(now, id);
     }
@@ -380,11 +389,10 @@
     }
 
     fn expire(&mut self, now: ClockMs, id: GenerationId) {
-        let Some(session) = self.sessions.get(&id) else {
+        let Some(session) = self.sessions.get_mut(&id) else {
             return;
         };
-        let waited_ms = now - session.since;
-        if session.caller.is_none() && waited_ms >= self.config.reattach_ms {
+        if session.caller.is_none() && now - session.since >= self.config.reattach_ms {
             self.leave_agent(id);
             self.sessions.swap_remove(&id);
             return;
@@ -392,35 +400,35 @@
         if session.phase != Phase::Waiting {
             return;
         }
-        if waited_ms >= self.config.waiting_ms {
-            let refusal = self.explain_no_endpoint(session);
+        let unserved_since = *session.unserved_since.get_or_insert(now);
+        if now - unserved_since >= self.config.waiting_ms {
+            let refusal = explain_no_endpoint(&self.endpoints, session);
             self.refuse(now, id, refusal);
-            return;
+        } else if now >= session.retry_at {
+            session.tried = IndexSet::new();
+            self.place(now, id);
         }
-        self.retry_waiting(now, id);
     }
 
-    fn retry_waiting(&mut self, now: ClockMs, id: GenerationId) {
+    /// Notes that an attempt may have reached its engine.
+    fn note_dispatched(&mut self, id: GenerationId) {
         if let Some(session) = self.sessions.get_mut(&id) {
-            session.tried = IndexSet::new();
+            session.is_dispatched = true;
         }
-        self.place(now, id);
     }
+}
 
-    fn explain_no_endpoint(&self, session: &Session) -> Refusal {
-        let target = &session.record.spec().target;
-        let detail = format!("no endpoint can run {} {}", target.model, target.version);
-        if session.is_untouched() {
-            let refusal = Refusal::not_run(RefusalKind::NoEndpoint, detail);
-            return refusal.retry_after(RETRY_AFTER_MS);
-        }
-        let kind = if self.endpoints.has_model(target) {
-            RefusalKind::BackEndFailed
-        } else {
-            RefusalKind::VersionGone
-        };
-        Refusal::failed(kind, detail).retry_after(RETRY_AFTER_MS)
-    }
+fn explain_no_endpoint(endpoints: &EndpointTable, session: &Session) -> Refusal {
+    let target = &session.record.spec().target;
+    let detail = format!("no endpoint can run {} {}", target.model, target.version);
+    let refusal = if !session.is_dispatched {
+        Refusal::not_run(RefusalKind::NoEndpoint, detail)
+    } else if session.is_untouched() || endpoints.has_model(target) {
+        Refusal::failed(RefusalKind::BackEndFailed, detail)
+    } else {
+        Refusal::failed(RefusalKind::VersionGone, detail)
+    };
+    refusal.retry_after(RETRY_AFTER_MS)
 }
 
 fn superseded() -> Refusal {
--- a/crates/masticsill_entry/src/session/session.rs
+++ b/crates/masticsill_entry/src/session/session.rs
@@ -24,14 +24,20 @@
 pub(crate) struct Session {
     /// The caller, while connected.
     pub(crate) caller: Option<Caller>,
+    /// Whether any attempt may have reached an engine; if not, a refusal is *not run*.
+    pub(crate) is_dispatched: bool,
     /// Where the attempt stands.
     pub(crate) phase: Phase,
-    /// When the phase or the caller last changed in a way that a timeout counts from.
-    pub(crate) since: ClockMs,
     /// The record.
     pub(crate) record: Record,
+    /// When a waiting session looks for an endpoint again.
+    pub(crate) retry_at: ClockMs,
+    /// When the caller last came or went.
+    pub(crate) since: ClockMs,
     /// Agents tried since the last token.
     pub(crate) tried: IndexSet<NodeId>,
+    /// Since when no endpoint has brought a token, if that is so.
+    pub(crate) unserved_since: Option<ClockMs>,
 }
 
 impl Session {
@@ -39,10 +45,13 @@
     pub(crate) fn new(record: Record, caller: Caller, now: ClockMs) -> Self {
         Self {
             caller: Some(caller),
+            is_dispatched: false,
             phase: Phase::Waiting,
-            since: now,
             record,
+            retry_at: now,
+            since: now,
             tried: IndexSet::new(),
+            unserved_since: None,
         }
     }
 
@@ -59,8 +68,7 @@
         self.agent() == Some(agent)
     }
 
-    /// Whether no token was ever taken, so that the work may still be called *not run* once the
-    /// attempt is off.
+    /// Whether no token was ever taken.
     pub(crate) fn is_untouched(&self) -> bool {
         self.record.tokens().is_empty()
     }
--- a/crates/masticsill_runtime/src/lib.rs
+++ b/crates/masticsill_runtime/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod duty;
 pub mod events;
+mod http;
 mod logging;
 mod metrics;
 mod ring;
@@ -11,6 +12,7 @@
 mod shutdown;
 
 pub use duty::{DutyHandle, spawn_async_duty, spawn_duty};
+pub use http::HttpHost;
 pub use logging::start_logging;
 pub use metrics::{Metrics, MetricsError};
 pub use ring::{Ring, RingFull};
