Apply changes, claims and audit as one replicated state

Ruled out: time-based windows for change answers (a wrong clock would drop them); dropping claims when full (could double a call). Change: Change, OperatorScope, ControlState, claims, audit, validation, JSON entry form.

--- a/crates/masticsill_catalogue/src/lib.rs
+++ b/crates/masticsill_catalogue/src/lib.rs
@@ -1,13 +1,30 @@
-//! Catalogue entries, change application, de-duplication and audit.
+//! Catalogue entries, change application, de-duplication, claims and audit.
 //!
 //! Pure logic: no sockets, no threads and no clock of its own.
 
+mod audit;
 mod catalogue;
+mod change;
+mod claim;
 mod entry;
+mod entry_json;
 mod follower;
+mod state;
 mod update;
+mod validation;
+mod window;
 
+pub use audit::{AuditAction, AuditRecord, AuditTrail, ChangeRecord, MAX_AUDIT_RECORDS};
 pub use catalogue::{Catalogue, MAX_TOMBSTONES, Tombstone, VersionedEntry};
+pub use change::{Change, ChangeAnswer, ChangeContent, ChangeRefusal, MAX_ENTRIES, OperatorScope};
+pub use claim::{
+    AgentLife, CallEnd, Claim, ClaimAnswer, ClaimRecord, KEY_WINDOW_MS, MAX_CLAIMS,
+    MAX_EXPIRED_KEYS, MAX_KEPT_BODIES_BYTES, MAX_KEPT_BODY_BYTES, Reassign, Settle, StoredAnswer,
+    StoredBody,
+};
 pub use entry::{BackEnd, CatalogueEntry, EngineRole, Limits, Placement, RoleReplicas};
+pub use entry_json::{BackEndJson, EntryJson, LimitsJson, PlacementJson};
 pub use follower::Follower;
+pub use state::{Action, Command, CommandAnswer, ControlState, MAX_CHANGE_ANSWERS};
 pub use update::{Applied, CatalogueDelta, CatalogueSnapshot, CatalogueUpdate};
+pub use validation::{FieldError, MAX_REPLICAS, MAX_ZONES};
--- /dev/null
+++ b/crates/masticsill_catalogue/src/state.rs
@@ -0,0 +1,284 @@
+//! The state that the control quorum replicates, applied command by command.
+//!
+//! Every replica applies the same commands in the same order, so nothing here reads a clock:
+//! wall-clock time comes with each command from the leader that proposed it.
+
+use masticsill_types::{CatalogueVersion, ChangeId, GenerationId, NodeId, OperatorId, WorkspaceId};
+use serde::{Deserialize, Serialize};
+
+use crate::audit::{AuditAction, AuditTrail, ChangeRecord};
+use crate::catalogue::Catalogue;
+use crate::change::{
+    Change, ChangeAnswer, ChangeContent, ChangeDigest, ChangeRefusal, MAX_ENTRIES, OperatorScope,
+};
+use crate::claim::{Claim, ClaimAnswer, ClaimRecord, Claims, Reassign, Settle};
+use crate::validation::FieldError;
+use crate::window::Window;
+
+/// Answers to changes kept for resends.
+///
+/// A change sent again after its answer was dropped is refused as a version conflict: its
+/// expected version is no longer in force, so it still is never applied twice.
+pub const MAX_CHANGE_ANSWERS: usize = 16_384;
+
+/// A command of the replicated log.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Command {
+    /// What to do.
+    pub action: Action,
+    /// The leader's wall clock when it proposed the command, in milliseconds since 1970.
+    pub at_wall_ms: u64,
+}
+
+/// What a command does.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Action {
+    /// An operator's change, with what the leader's settings allow the operator.
+    Change(Change, OperatorScope),
+    /// A claim.
+    Claim(Claim),
+    /// Draws the next sequence of orders to engines.
+    DrawOrderSequence,
+    /// Records that an operator began to change the replicas.
+    NoteReplicas {
+        /// Whether the replica is added, or removed.
+        is_added: bool,
+        /// Who.
+        operator: OperatorId,
+        /// The replica.
+        replica: NodeId,
+    },
+    /// Moves a claim.
+    Reassign(Reassign),
+    /// Settles a claim.
+    Settle(Settle),
+}
+
+/// The answer to a command.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum CommandAnswer {
+    /// Of a change.
+    Change(ChangeAnswer),
+    /// Of a claim, a reassignment or a settlement.
+    Claim(ClaimAnswer),
+    /// The sequence drawn.
+    OrderSequence(u64),
+    /// Nothing to tell.
+    Done,
+}
+
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+struct AnswerKey {
+    id: ChangeId,
+    operator: OperatorId,
+}
+
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct FirstAnswer {
+    answer: ChangeAnswer,
+    digest: ChangeDigest,
+}
+
+/// The replicated state.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ControlState {
+    answers: Window<AnswerKey, FirstAnswer>,
+    audit: AuditTrail,
+    catalogue: Catalogue,
+    claims: Claims,
+    order_sequence: u64,
+    wall_ms: u64,
+}
+
+impl ControlState {
+    /// The catalogue in force.
+    #[must_use]
+    pub fn catalogue(&self) -> &Catalogue {
+        &self.catalogue
+    }
+
+    /// The audit trail.
+    #[must_use]
+    pub fn audit(&self) -> &AuditTrail {
+        &self.audit
+    }
+
+    /// A claim of the key window.
+    #[must_use]
+    pub fn claim(&self, id: GenerationId) -> Option<&ClaimRecord> {
+        self.claims.get(id)
+    }
+
+    /// Claims of the key window.
+    #[must_use]
+    pub fn claim_count(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// The highest wall clock of any command, in milliseconds since 1970.
+    #[must_use]
+    pub fn wall_ms(&self) -> u64 {
+        self.wall_ms
+    }
+
+    /// Applies a committed command.
+    pub fn apply(&mut self, command: &Command) -> CommandAnswer {
+        // A new leader's clock may lie behind: time must not go back within the state.
+        self.wall_ms = self.wall_ms.max(command.at_wall_ms);
+        self.claims.expire(self.wall_ms);
+        match &command.action {
+            Action::Change(change, scope) => {
+                CommandAnswer::Change(self.answer_change(change, scope))
+            }
+            Action::Claim(claim) => CommandAnswer::Claim(self.claims.claim(claim, self.wall_ms)),
+            Action::DrawOrderSequence => {
+                self.order_sequence += 1;
+                CommandAnswer::OrderSequence(self.order_sequence)
+            }
+            Action::NoteReplicas {
+                is_added,
+                operator,
+                replica,
+            } => {
+                let action = AuditAction::Replicas {
+                    is_added: *is_added,
+                    replica: replica.clone(),
+                };
+                self.audit.push(operator, self.wall_ms, action);
+                CommandAnswer::Done
+            }
+            Action::Reassign(reassign) => CommandAnswer::Claim(self.claims.reassign(reassign)),
+            Action::Settle(settle) => CommandAnswer::Claim(self.claims.settle(settle)),
+        }
+    }
+
+    /// The first answer to a change that was sent before, if it is still kept.
+    #[must_use]
+    pub fn first_answer(&self, change: &Change) -> Option<ChangeAnswer> {
+        let first = self.answers.get(&answer_key(change))?;
+        Some(if first.digest == change.digest() {
+            first.answer.clone()
+        } else {
+            ChangeAnswer::Refused(ChangeRefusal::ChangeIdReused)
+        })
+    }
+
+    fn answer_change(&mut self, change: &Change, scope: &OperatorScope) -> ChangeAnswer {
+        if let Some(answer) = self.first_answer(change) {
+            if answer == ChangeAnswer::Refused(ChangeRefusal::ChangeIdReused) {
+                self.record(change, self.owner_of(change), answer.clone());
+            }
+            return answer;
+        }
+        let owner = self.owner_of(change);
+        let answer = match self.apply_change(change, scope) {
+            Ok(version) => ChangeAnswer::Accepted { version },
+            Err(refusal) => ChangeAnswer::Refused(refusal),
+        };
+        self.record(change, owner, answer.clone());
+        self.remember(change, answer.clone());
+        answer
+    }
+
+    fn apply_change(
+        &mut self,
+        change: &Change,
+        scope: &OperatorScope,
+    ) -> Result<CatalogueVersion, ChangeRefusal> {
+        self.check_scope(change, scope)?;
+        check_content(change)?;
+        let in_force = self.catalogue.entry_version(&change.entry);
+        if change.expected_version != in_force {
+            return Err(ChangeRefusal::VersionConflict {
+                expected: change.expected_version,
+                in_force,
+            });
+        }
+        match &change.content {
+            ChangeContent::Delete => Ok(self.catalogue.delete(&change.entry)),
+            ChangeContent::Put(entry) => {
+                let is_new = in_force == CatalogueVersion::default();
+                if is_new && self.catalogue.len() >= MAX_ENTRIES {
+                    return Err(ChangeRefusal::CatalogueFull);
+                }
+                Ok(self.catalogue.put((**entry).clone()))
+            }
+        }
+    }
+
+    /// The operator must be bound to the owner in force and to the owner that is to be.
+    fn check_scope(&self, change: &Change, scope: &OperatorScope) -> Result<(), ChangeRefusal> {
+        let in_force = self.catalogue.get(&change.entry);
+        let in_force = in_force.map(|held| &held.entry.owner);
+        let next = match &change.content {
+            ChangeContent::Delete => None,
+            ChangeContent::Put(entry) => Some(&entry.owner),
+        };
+        for workspace in in_force.into_iter().chain(next) {
+            if !scope.allows(workspace) {
+                return Err(ChangeRefusal::Forbidden {
+                    workspace: workspace.clone(),
+                });
+            }
+        }
+        Ok(())
+    }
+
+    fn owner_of(&self, change: &Change) -> Option<WorkspaceId> {
+        let in_force = self.catalogue.get(&change.entry);
+        let in_force = in_force.map(|held| held.entry.owner.clone());
+        in_force.or_else(|| match &change.content {
+            ChangeContent::Delete => None,
+            ChangeContent::Put(entry) => Some(entry.owner.clone()),
+        })
+    }
+
+    fn record(&mut self, change: &Change, owner: Option<WorkspaceId>, answer: ChangeAnswer) {
+        let record = ChangeRecord {
+            answer,
+            entry: change.entry.clone(),
+            expected_version: change.expected_version,
+            id: change.id.clone(),
+            is_delete: change.content == ChangeContent::Delete,
+            owner,
+        };
+        let action = AuditAction::Change(record);
+        self.audit.push(&change.operator, self.wall_ms, action);
+    }
+
+    fn remember(&mut self, change: &Change, answer: ChangeAnswer) {
+        let digest = change.digest();
+        let first = FirstAnswer { answer, digest };
+        self.answers.push(answer_key(change), first);
+        if self.answers.len() > MAX_CHANGE_ANSWERS {
+            self.answers.pop_oldest();
+        }
+    }
+}
+
+fn answer_key(change: &Change) -> AnswerKey {
+    AnswerKey {
+        id: change.id.clone(),
+        operator: change.operator.clone(),
+    }
+}
+
+fn check_content(change: &Change) -> Result<(), ChangeRefusal> {
+    let error = match &change.content {
+        ChangeContent::Delete => {
+            let remedy = "use the version of the entry to delete; zero means that there is none";
+            let is_absent = change.expected_version == CatalogueVersion::default();
+            is_absent.then(|| FieldError::new("expected_version", 0, remedy))
+        }
+        ChangeContent::Put(entry) => {
+            entry.validate().map_err(ChangeRefusal::Invalid)?;
+            let remedy = format!("use `{}`, the entry that the change names", change.entry);
+            let is_other = entry.id != change.entry;
+            is_other.then(|| FieldError::new("id", &entry.id, remedy))
+        }
+    };
+    match error {
+        Some(error) => Err(ChangeRefusal::Invalid(vec![error])),
+        None => Ok(()),
+    }
+}
