Add the control service and the administration API's wire types

Ruled out: opaque bytes for the catalogue (every node would decode them by hand). Change: masticsill_wire::control and masticsill_wire::admin; the wire crate depends on the pure catalogue.

--- /dev/null
+++ b/crates/masticsill_wire/src/control.rs
@@ -0,0 +1,232 @@
+//! The service that control replicas offer to each other and to every node.
+//!
+//! Changes, claims and reads are served by the leader; another replica answers
+//! [`ControlReply::NotLeader`]. A call whose answer was lost may be sent again: changes carry an
+//! id, claims a nonce, and everything else is idempotent.
+
+use std::net::SocketAddr;
+
+use masticsill_catalogue::{
+    AuditRecord, CatalogueUpdate, Change, ChangeAnswer, Claim, ClaimAnswer, OperatorScope,
+    Reassign, Settle,
+};
+use masticsill_types::{CatalogueVersion, NodeId, OperatorId, Term};
+use serde::{Deserialize, Serialize};
+
+/// Messages between two replicas, in the quorum's own encoding.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct QuorumBatch {
+    /// Where the sender listens.
+    pub address: SocketAddr,
+    /// The messages, oldest first.
+    pub messages: Vec<Vec<u8>>,
+    /// The sender.
+    pub node: NodeId,
+}
+
+/// A replica's identity: its name and the number that its data folder was given.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ReplicaIdentity {
+    /// The data folder's number; another folder makes another replica.
+    pub folder: u64,
+    /// Whether the folder belongs to a cluster already.
+    pub is_founded: bool,
+    /// The node.
+    pub node: NodeId,
+}
+
+/// Where the leader can be reached.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeaderHint {
+    /// Its RPC address, if this replica knows it.
+    pub address: Option<SocketAddr>,
+    /// The leader.
+    pub node: NodeId,
+}
+
+/// The answer of a replica to a call that only the leader serves.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum ControlReply<T> {
+    /// The leader's answer.
+    Done(T),
+    /// This replica does not lead, or can't prove that it does; nothing was done.
+    NotLeader(Option<LeaderHint>),
+    /// Leadership ended before the call's fate was known; send it again.
+    OutcomeUnknown,
+    /// Too many calls wait; nothing was done.
+    Overloaded {
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// The replica is shutting down; nothing was done.
+    ShuttingDown,
+}
+
+/// An operator's change, authenticated by the replica that took it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ChangeRequest {
+    /// The change.
+    pub change: Change,
+    /// What the operator may change.
+    pub scope: OperatorScope,
+}
+
+/// Asks for what a copy of the catalogue lacks, and for a proof of freshness.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RenewRequest {
+    /// The version that the asker has.
+    pub have: CatalogueVersion,
+}
+
+/// A proof of freshness, relayed from the leader.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RenewReply {
+    /// How long ago, at most, `version` held every accepted change; none without a proof.
+    ///
+    /// The asker counts it from when it asked, never from when the answer came.
+    pub age_ms: Option<u64>,
+    /// What the asker lacks.
+    pub update: Option<CatalogueUpdate>,
+    /// The answering copy's version.
+    pub version: CatalogueVersion,
+}
+
+/// Reads the state as it is now.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub enum ReadRequest {
+    /// Audit records after a sequence.
+    Audit {
+        /// The last sequence that the reader has.
+        after: u64,
+        /// Records at most.
+        limit: u32,
+    },
+    /// What changed in the catalogue since a version.
+    Catalogue {
+        /// The version that the reader has, zero for everything.
+        have: CatalogueVersion,
+    },
+    /// The control replicas.
+    Replicas,
+}
+
+/// The answer to a read.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum ReadAnswer {
+    /// Audit records.
+    Audit(AuditPage),
+    /// The catalogue's version, and the update if the reader lacks something.
+    Catalogue(CatalogueVersion, Option<CatalogueUpdate>),
+    /// The control replicas.
+    Replicas(ReplicasView),
+}
+
+/// A part of the audit trail.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct AuditPage {
+    /// The trail's last sequence.
+    pub last_sequence: u64,
+    /// Records, oldest first.
+    pub records: Vec<AuditRecord>,
+}
+
+/// The control replicas as the leader sees them.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ReplicasView {
+    /// The leader.
+    pub leader: NodeId,
+    /// The members.
+    pub replicas: Vec<ReplicaView>,
+    /// The leader's term.
+    pub term: Term,
+}
+
+/// One control replica.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ReplicaView {
+    /// Its RPC address, if known.
+    pub address: Option<SocketAddr>,
+    /// Its data folder's number.
+    pub folder: u64,
+    /// The node.
+    pub node: NodeId,
+    /// What it does in the quorum.
+    pub standing: ReplicaStanding,
+}
+
+/// What a replica does in the quorum.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ReplicaStanding {
+    /// Catches up and does not vote yet.
+    Learner,
+    /// Votes, and is to be removed.
+    Leaving,
+    /// Votes.
+    Voter,
+}
+
+/// An operator's change of the control replicas.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ReplicaChange {
+    /// What to do.
+    pub action: ReplicaAction,
+    /// Who, bound to every workspace.
+    pub operator: OperatorId,
+}
+
+/// What to do with the control replicas.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum ReplicaAction {
+    /// Admit a replica that runs with a new folder.
+    ///
+    /// It learns, is promoted once it has caught up, and only then the replaced one leaves. The
+    /// request is durable once accepted, and sending it again changes nothing.
+    Join {
+        /// Where the new replica listens; its address in the settings if left out.
+        address: Option<SocketAddr>,
+        /// The new replica's node.
+        node: NodeId,
+        /// The replica that leaves afterwards.
+        replaces: Option<NodeId>,
+    },
+    /// Remove a replica.
+    Remove {
+        /// Its node.
+        node: NodeId,
+    },
+}
+
+/// The answer to a change of the control replicas.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum ReplicaAnswer {
+    /// The change is durable and goes on by itself.
+    Accepted,
+    /// Nothing was changed; the text says why and what to do.
+    Refused(String),
+}
+
+/// Operations of a control replica.
+#[tarpc::service]
+pub trait ControlService {
+    /// Takes messages of another replica.
+    async fn quorum_messages(batch: QuorumBatch);
+    /// Tells who this replica is.
+    async fn identify() -> ReplicaIdentity;
+    /// Gives a replica with a new folder the founding members; returns whether it took them.
+    async fn found(members: Vec<ReplicaIdentity>) -> bool;
+    /// Changes the catalogue.
+    async fn change(request: ChangeRequest) -> ControlReply<ChangeAnswer>;
+    /// Claims a call that may not be repeated.
+    async fn claim(claim: Claim) -> ControlReply<ClaimAnswer>;
+    /// Moves a claim.
+    async fn reassign(reassign: Reassign) -> ControlReply<ClaimAnswer>;
+    /// Settles a claim.
+    async fn settle(settle: Settle) -> ControlReply<ClaimAnswer>;
+    /// Reads the state as it is now.
+    async fn read(request: ReadRequest) -> ControlReply<ReadAnswer>;
+    /// Changes the control replicas.
+    async fn change_replicas(change: ReplicaChange) -> ControlReply<ReplicaAnswer>;
+    /// Renews a copy of the catalogue; served by every replica.
+    async fn renew(request: RenewRequest) -> RenewReply;
+}
--- a/crates/masticsill_wire/src/lib.rs
+++ b/crates/masticsill_wire/src/lib.rs
@@ -3,8 +3,10 @@
 //! Between processes: `tarpc` services over TCP, length-delimited frames, `postcard` bodies.
 //! Towards engines: JSON over HTTP, streams by server-sent events.
 
+pub mod admin;
 pub mod agent;
 mod codec;
+pub mod control;
 pub mod engine;
 pub mod entry;
 
