Membership: public API and first implementation

Ruled out: gossiping the gone verdict (halves of a healed partition would bury each other). Change: Membership::new/step/answer, Record join, digests, probes, pushes, hold-down, change log. Conclusion: API to build on; not yet tested.

--- /dev/null
+++ b/crates/masticsill_membership/src/membership.rs
@@ -0,0 +1,460 @@
+//! The membership of one node, driven by its host.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use masticsill_types::{ClockMs, Incarnation, NodeId, ZoneId};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::change_log::ChangesSince;
+use crate::config::Periods;
+use crate::detector::Detector;
+use crate::member::{Member, Phase, Record, Role};
+use crate::message::{CallId, Input, Output, Reply, ReplyBody, Request, RequestBody};
+use crate::push::PushBudget;
+use crate::rumors::Rumors;
+use crate::table::MemberTable;
+
+/// A gap between ticks that is taken for a pause of this process.
+const PAUSE_MS: u64 = 1_500;
+/// Buckets reconciled in one call.
+const BUCKETS_AT_ONCE: usize = 64;
+
+/// How a node describes itself when it starts.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Description {
+    /// Address of its RPC listener.
+    pub address: SocketAddr,
+    /// Its life, higher than each earlier one of the same node.
+    pub incarnation: Incarnation,
+    /// Its id.
+    pub node: NodeId,
+    /// What it does.
+    pub role: Role,
+    /// Its availability zone.
+    pub zone: ZoneId,
+}
+
+#[derive(Clone, Debug)]
+enum Pending {
+    Compare { address: SocketAddr },
+    Probe { target: Record },
+    ProbeVia { target: Record },
+    Push,
+    Reconcile { address: SocketAddr, rest: Vec<u16> },
+}
+
+/// The membership of one node.
+///
+/// The host gives a [`Input::Tick`] a few times a second, answers peers through
+/// [`Membership::answer`], and carries each [`Output`] out, telling the end of every call.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    detector: Detector,
+    is_superseded: bool,
+    last_tick: ClockMs,
+    next_call: u64,
+    next_compare: ClockMs,
+    next_reconnect: ClockMs,
+    outputs: Vec<Output>,
+    own: Record,
+    pending: IndexMap<CallId, Pending>,
+    periods: Periods,
+    push: PushBudget,
+    rng: StdRng,
+    rumors: Rumors,
+    seeds: Vec<SocketAddr>,
+    table: MemberTable,
+}
+
+impl Membership {
+    /// A node that knows itself and the addresses of its seeds. `seed` is its randomness.
+    #[must_use]
+    pub fn new(
+        now: ClockMs,
+        description: Description,
+        seeds: Vec<SocketAddr>,
+        periods: Periods,
+        seed: u64,
+    ) -> Self {
+        let own = Record {
+            address: description.address,
+            incarnation: description.incarnation,
+            is_suspected: false,
+            node: description.node,
+            phase: Phase::Serving,
+            revision: 0,
+            role: description.role,
+            zone: description.zone,
+        };
+        let mut table = MemberTable::new(periods);
+        table.merge(now, own.clone());
+        Self {
+            detector: Detector::new(now, periods.probe_ms),
+            is_superseded: false,
+            last_tick: now,
+            next_call: 0,
+            next_compare: now,
+            next_reconnect: now,
+            outputs: Vec::new(),
+            own,
+            pending: IndexMap::new(),
+            periods,
+            push: PushBudget::default(),
+            rng: StdRng::seed_from_u64(seed),
+            rumors: Rumors::default(),
+            seeds,
+            table,
+        }
+    }
+
+    /// Members that are not gone, this node included.
+    pub fn members(&self) -> impl Iterator<Item = &Arc<Member>> {
+        self.table.members()
+    }
+
+    /// One member, unless it is gone.
+    #[must_use]
+    pub fn member(&self, node: &NodeId) -> Option<&Arc<Member>> {
+        self.table.member(node)
+    }
+
+    /// The cursor after the latest change.
+    #[must_use]
+    pub fn cursor(&self) -> u64 {
+        self.table.log().cursor()
+    }
+
+    /// Which members changed after a cursor.
+    #[must_use]
+    pub fn changes_since(&self, cursor: u64) -> ChangesSince {
+        self.table.log().since(cursor)
+    }
+
+    /// Takes what happened and tells what to do.
+    pub fn step(&mut self, now: ClockMs, input: Input) -> Vec<Output> {
+        match input {
+            Input::Tick => self.tick(now),
+            Input::Answered { call, reply } => self.on_answer(now, call, reply),
+            Input::ProbedVia { call, is_reached } => self.on_probed_via(now, call, is_reached),
+            Input::Failed { call } => self.on_failure(now, call),
+            Input::Described(role) => self.describe(now, |own| own.role = role),
+            Input::Leaving => self.describe(now, |own| own.phase = Phase::Leaving),
+            Input::Left => self.describe(now, |own| own.phase = Phase::Left),
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// Answers a peer. What follows from its news is done at the next tick.
+    pub fn answer(&mut self, now: ClockMs, request: Request) -> Reply {
+        for rumor in request.rumors {
+            self.absorb(now, rumor);
+        }
+        let body = match request.body {
+            RequestBody::Probe => ReplyBody::Here,
+            RequestBody::Compare(root) if root == self.table.digest().root() => ReplyBody::Here,
+            RequestBody::Compare(_) => ReplyBody::Buckets(self.table.digest().bucket_hashes()),
+            RequestBody::Reconcile { buckets, records } => {
+                ReplyBody::Records(self.reconcile(now, &buckets, records))
+            }
+        };
+        Reply {
+            body,
+            from: self.own.node.clone(),
+            incarnation: self.own.incarnation,
+            rumors: self.take_rumors(&request.from),
+        }
+    }
+
+    fn reconcile(&mut self, now: ClockMs, buckets: &[u16], records: Vec<Record>) -> Vec<Record> {
+        let mut answer = self.table.bucket_records(buckets);
+        let theirs: IndexMap<&NodeId, &Record> = records
+            .iter()
+            .map(|record| (&record.node, record))
+            .collect();
+        answer.retain(|own| {
+            let known = theirs.get(&own.node);
+            known.is_none_or(|their| own.supersedes(their))
+        });
+        for record in records {
+            self.absorb(now, record);
+        }
+        answer
+    }
+
+    fn tick(&mut self, now: ClockMs) {
+        let gap_ms = now.since(self.last_tick);
+        self.last_tick = now;
+        if gap_ms > PAUSE_MS {
+            self.table.postpone(gap_ms);
+            self.pending.clear();
+            self.detector.forget_groups();
+        }
+        self.table.expire(now);
+        if self.is_superseded {
+            return;
+        }
+        self.push_news(now);
+        self.probe_next(now);
+        self.compare_next(now);
+        self.reconnect_next(now);
+    }
+
+    fn push_news(&mut self, now: ClockMs) {
+        let Some(push) = self.push.next(now, &self.own, &self.table, &mut self.rng) else {
+            return;
+        };
+        for address in push.addresses {
+            let request = Request {
+                body: RequestBody::Probe,
+                from: self.own.node.clone(),
+                rumors: push.records.clone(),
+            };
+            self.call(address, request, Pending::Push);
+        }
+    }
+
+    fn probe_next(&mut self, now: ClockMs) {
+        let own = &self.own.node;
+        let Some(target) = self.detector.next(now, own, &self.table, &mut self.rng) else {
+            return;
+        };
+        let request = self.request_to(&target.node, RequestBody::Probe);
+        self.call(target.address, request, Pending::Probe { target });
+    }
+
+    fn compare_next(&mut self, now: ClockMs) {
+        if now < self.next_compare {
+            return;
+        }
+        self.next_compare = now + self.jittered(self.periods.compare_ms);
+        let peers = self
+            .table
+            .members()
+            .filter(|peer| peer.node != self.own.node);
+        let addresses: Vec<SocketAddr> = peers.map(|peer| peer.address).collect();
+        if let Some(address) = pick(&addresses, &mut self.rng) {
+            self.compare(address);
+        }
+    }
+
+    /// Looks for seeds and lost members, which heals a partition.
+    fn reconnect_next(&mut self, now: ClockMs) {
+        if now < self.next_reconnect {
+            return;
+        }
+        let known: Vec<SocketAddr> = self.table.members().map(|peer| peer.address).collect();
+        let is_alone = known.len() < 2;
+        let period_ms = if is_alone {
+            self.periods.join_ms
+        } else {
+            self.periods.reconnect_ms
+        };
+        self.next_reconnect = now + self.jittered(period_ms);
+        let lost = self.table.lost().map(|record| record.address);
+        let candidates = self.seeds.iter().copied().chain(lost);
+        let absent: Vec<SocketAddr> = candidates
+            .filter(|address| !known.contains(address))
+            .collect();
+        if let Some(address) = pick(&absent, &mut self.rng) {
+            self.compare(address);
+        }
+    }
+
+    fn compare(&mut self, address: SocketAddr) {
+        let root = self.table.digest().root();
+        let request = Request {
+            body: RequestBody::Compare(root),
+            from: self.own.node.clone(),
+            rumors: Vec::new(),
+        };
+        self.call(address, request, Pending::Compare { address });
+    }
+
+    fn on_answer(&mut self, now: ClockMs, call: CallId, reply: Reply) {
+        let pending = self.pending.swap_remove(&call);
+        for rumor in reply.rumors {
+            self.absorb(now, rumor);
+        }
+        match (pending, reply.body) {
+            (Some(Pending::Probe { target }), _) => {
+                let is_target = reply.from == target.node;
+                if !is_target || reply.incarnation < target.incarnation {
+                    self.probe_indirectly(now, &target);
+                }
+            }
+            (Some(Pending::Compare { address }), ReplyBody::Buckets(hashes)) => {
+                let differing = self.table.digest().differing(&hashes);
+                self.reconcile_next(address, differing);
+            }
+            (Some(Pending::Reconcile { address, rest }), ReplyBody::Records(records)) => {
+                self.take_records(now, records);
+                self.reconcile_next(address, rest);
+            }
+            _ => {}
+        }
+    }
+
+    fn take_records(&mut self, now: ClockMs, records: Vec<Record>) {
+        let was_alone = self.table.len() < 2;
+        for record in records {
+            self.absorb(now, record);
+        }
+        if was_alone {
+            self.rumors.start(&self.own.node);
+            self.push.add_arisen(self.own.node.clone());
+        }
+    }
+
+    fn reconcile_next(&mut self, address: SocketAddr, mut buckets: Vec<u16>) {
+        if buckets.is_empty() {
+            return;
+        }
+        let rest = buckets.split_off(buckets.len().min(BUCKETS_AT_ONCE));
+        let records = self.table.bucket_records(&buckets);
+        let request = Request {
+            body: RequestBody::Reconcile { buckets, records },
+            from: self.own.node.clone(),
+            rumors: Vec::new(),
+        };
+        self.call(address, request, Pending::Reconcile { address, rest });
+    }
+
+    fn on_failure(&mut self, now: ClockMs, call: CallId) {
+        match self.pending.swap_remove(&call) {
+            Some(Pending::Probe { target }) => self.probe_indirectly(now, &target),
+            Some(Pending::ProbeVia { target }) => self.end_indirect(now, &target, false),
+            Some(Pending::Compare { .. } | Pending::Push | Pending::Reconcile { .. }) | None => {}
+        }
+    }
+
+    fn on_probed_via(&mut self, now: ClockMs, call: CallId, is_reached: bool) {
+        if let Some(Pending::ProbeVia { target }) = self.pending.swap_remove(&call) {
+            self.end_indirect(now, &target, is_reached);
+        }
+    }
+
+    fn probe_indirectly(&mut self, now: ClockMs, target: &Record) {
+        let own = &self.own.node;
+        let helpers = self
+            .detector
+            .helpers(target, own, &self.table, &mut self.rng);
+        if helpers.is_empty() {
+            self.suspect(now, target);
+            return;
+        }
+        for address in helpers {
+            let call = self.next_call();
+            let pending = Pending::ProbeVia {
+                target: target.clone(),
+            };
+            self.pending.insert(call, pending);
+            self.outputs.push(Output::ProbeVia {
+                address,
+                call,
+                target: target.address,
+                target_node: target.node.clone(),
+                timeout_ms: self.periods.indirect_timeout_ms,
+            });
+        }
+    }
+
+    fn end_indirect(&mut self, now: ClockMs, target: &Record, is_reached: bool) {
+        if self.detector.end_helper(target, is_reached) {
+            self.suspect(now, target);
+        }
+    }
+
+    fn suspect(&mut self, now: ClockMs, target: &Record) {
+        let mut record = target.clone();
+        record.is_suspected = true;
+        if self.table.merge(now, record) {
+            self.rumors.start(&target.node);
+            self.push.add_arisen(target.node.clone());
+        }
+    }
+
+    fn absorb(&mut self, now: ClockMs, record: Record) {
+        if record.node == self.own.node {
+            self.hear_of_self(now, &record);
+            return;
+        }
+        let node = record.node.clone();
+        if self.table.merge(now, record) {
+            self.rumors.start(&node);
+            self.push.add_heard(node);
+        }
+    }
+
+    fn hear_of_self(&mut self, now: ClockMs, record: &Record) {
+        if record.incarnation > self.own.incarnation {
+            if !self.is_superseded {
+                self.outputs.push(Output::Superseded(record.incarnation));
+            }
+            self.is_superseded = true;
+        } else if record.supersedes(&self.own) && !self.is_superseded {
+            let revision = record.revision;
+            self.describe(now, |own| own.revision = revision);
+        }
+    }
+
+    fn describe(&mut self, now: ClockMs, change: impl FnOnce(&mut Record)) {
+        change(&mut self.own);
+        self.own.revision += 1;
+        self.table.merge(now, self.own.clone());
+        self.rumors.start(&self.own.node);
+        self.push.add_arisen(self.own.node.clone());
+    }
+
+    /// News for one peer; a peer that is suspected here is told first, so that it can refute.
+    fn take_rumors(&mut self, peer: &NodeId) -> Vec<Record> {
+        let nodes = self.rumors.take(self.table.len());
+        let records = nodes.iter().filter_map(|node| self.table.record(node));
+        let mut rumors: Vec<Record> = records.cloned().collect();
+        let about_peer = self.table.record(peer).filter(|record| record.is_suspected);
+        if let Some(record) = about_peer
+            && !nodes.contains(peer)
+        {
+            rumors.push(record.clone());
+        }
+        rumors
+    }
+
+    fn request_to(&mut self, peer: &NodeId, body: RequestBody) -> Request {
+        Request {
+            body,
+            from: self.own.node.clone(),
+            rumors: self.take_rumors(peer),
+        }
+    }
+
+    fn call(&mut self, address: SocketAddr, request: Request, pending: Pending) {
+        let call = self.next_call();
+        self.pending.insert(call, pending);
+        self.outputs.push(Output::Call {
+            address,
+            call,
+            request,
+            timeout_ms: self.periods.call_timeout_ms,
+        });
+    }
+
+    fn next_call(&mut self) -> CallId {
+        self.next_call += 1;
+        CallId(self.next_call)
+    }
+
+    /// A period shortened by up to a fifth, so that nodes don't fall into step.
+    fn jittered(&mut self, period_ms: u64) -> u64 {
+        period_ms - self.rng.random_range(0..=period_ms / 5)
+    }
+}
+
+fn pick(addresses: &[SocketAddr], rng: &mut StdRng) -> Option<SocketAddr> {
+    if addresses.is_empty() {
+        return None;
+    }
+    Some(addresses[rng.random_range(0..addresses.len())])
+}
