--- a/crates/masticsill_entry/src/http/body.rs
+++ b/crates/masticsill_entry/src/http/body.rs
@@ -14,7 +14,9 @@
     while let Some(chunk) = payload.recv().await {
         let chunk = chunk.map_err(|error| invalid(format!("the body broke off: {error}")))?;
         if body.len() + chunk.len() > max_bytes {
-            return Err(invalid(format!("the body is larger than {max_bytes} bytes")));
+            return Err(invalid(format!(
+                "the body is larger than {max_bytes} bytes"
+            )));
         }
         body.extend_from_slice(&chunk);
     }
@@ -27,7 +29,8 @@
 ///
 /// A refusal that names what is wrong and where.
 pub(crate) fn parse_json<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
-    serde_json::from_slice(body).map_err(|error| invalid(format!("the body is not as expected: {error}")))
+    serde_json::from_slice(body)
+        .map_err(|error| invalid(format!("the body is not as expected: {error}")))
 }
 
 /// A refusal of a request that is wrong by itself.
--- a/crates/masticsill_entry/src/http/completions.rs
+++ b/crates/masticsill_entry/src/http/completions.rs
@@ -83,7 +83,7 @@
     let seen = read_position(headers)?;
     let model = request.catalogue_entry.as_str().to_owned();
     let ring = Ring::with_capacity(CALLER_RING_ITEMS);
-    let receiver = Receiver(ring.clone());
+    let receiver = Receiver::new(ring.clone(), &gateway.open_work);
     let admitted = admit(gateway, &request, seen.is_some())?;
     let id = match seen {
         Some(position) => {
@@ -152,7 +152,7 @@
 }
 
 async fn respond(begun: Begun, interface: Interface) -> HttpResponse {
-    let Some(first) = begun.receiver.0.pop().await else {
+    let Some(first) = begun.receiver.next().await else {
         return answer_refusal(&lost());
     };
     if let StreamItem::Refused(refusal) = &first {
@@ -192,11 +192,14 @@
                 return HttpResponse::Ok().json(&answer);
             }
         }
-        next = begun.receiver.0.pop().await;
+        next = begun.receiver.next().await;
     }
     answer_refusal(&lost())
 }
 
 fn lost() -> Refusal {
-    Refusal::failed(RefusalKind::BackEndFailed, "the generation ended without an answer")
+    Refusal::failed(
+        RefusalKind::BackEndFailed,
+        "the generation ended without an answer",
+    )
 }
--- a/crates/masticsill_entry/src/http/plain.rs
+++ b/crates/masticsill_entry/src/http/plain.rs
@@ -64,10 +64,13 @@
         path: target_path(request),
         service: admitted.service,
     };
+    let _open = gateway.open_work.enter();
     let (reply, answered) = oneshot::channel();
     gateway.hand_over(SessionInput::Call(call, reply))?;
     answered.await.unwrap_or_else(|_| {
-        Err(Refusal::outcome_unknown("the entry ended while the call was open"))
+        Err(Refusal::outcome_unknown(
+            "the entry ended while the call was open",
+        ))
     })
 }
 
--- a/crates/masticsill_entry/src/http/server.rs
+++ b/crates/masticsill_entry/src/http/server.rs
@@ -10,6 +10,7 @@
 
 use super::{completions, health, models, plain};
 use crate::config::EntryConfig;
+use crate::open_work::OpenWork;
 use crate::readiness::Readiness;
 use crate::sessions_duty::SessionInput;
 
@@ -29,6 +30,8 @@
     pub(crate) mesh: MeshHandle,
     /// Counters.
     pub(crate) metrics: Metrics,
+    /// Requests that callers still wait for.
+    pub(crate) open_work: OpenWork,
     /// Whether requests are accepted.
     pub(crate) readiness: Readiness,
 }
--- a/crates/masticsill_entry/src/http/sse.rs
+++ b/crates/masticsill_entry/src/http/sse.rs
@@ -9,6 +9,7 @@
 use ntex::util::Bytes;
 use serde::Serialize;
 
+use crate::open_work::{OpenWork, OpenWorkGuard};
 use crate::openai::{Completion, ErrorBody, Interface};
 use crate::session::StreamItem;
 
@@ -17,11 +18,34 @@
 
 /// A caller's end of its ring; dropping it tells the sessions duty that the caller is gone.
 #[derive(Debug)]
-pub(crate) struct Receiver(pub(crate) Ring<StreamItem>);
+pub(crate) struct Receiver {
+    _open: OpenWorkGuard,
+    ring: Ring<StreamItem>,
+}
+
+impl Receiver {
+    /// The receiving end of a ring, which counts as open work while it lives.
+    pub(crate) fn new(ring: Ring<StreamItem>, open_work: &OpenWork) -> Self {
+        Self {
+            _open: open_work.enter(),
+            ring,
+        }
+    }
+
+    /// Waits for the next item.
+    pub(crate) async fn next(&self) -> Option<StreamItem> {
+        self.ring.pop().await
+    }
+
+    /// The next item, if it is there.
+    fn try_next(&self) -> Option<StreamItem> {
+        self.ring.try_pop()
+    }
+}
 
 impl Drop for Receiver {
     fn drop(&mut self) {
-        self.0.close();
+        self.ring.close();
     }
 }
 
@@ -47,7 +71,7 @@
         let (head, first, receiver) = state?;
         let first = match first {
             Some(item) => item,
-            None => receiver.0.pop().await?,
+            None => receiver.next().await?,
         };
         let (chunk, is_last) = encode_available(&head, first, &receiver);
         let rest = (!is_last).then_some((head, None, receiver));
@@ -64,7 +88,7 @@
             return (Bytes::from(buffer), true);
         }
         next = if buffer.len() < MAX_CHUNK_BYTES {
-            receiver.0.try_pop()
+            receiver.try_next()
         } else {
             None
         };
--- a/crates/masticsill_entry/src/lib.rs
+++ b/crates/masticsill_entry/src/lib.rs
@@ -1,1 +1,25 @@
 //! The entry role: callers' HTTP interface, routing and resume.
+//!
+//! Duties: `http` serves callers, `sessions` owns generations and the links to agents, `peers`
+//! answers other entries. They are joined by bounded rings.
+
+mod calls;
+mod config;
+mod control_client;
+pub mod events;
+mod filter;
+mod http;
+mod link;
+mod open_work;
+mod openai;
+mod peer_service;
+mod position;
+mod readiness;
+mod request;
+mod role;
+mod search;
+mod session;
+mod sessions_duty;
+
+pub use config::EntryConfig;
+pub use role::EntryRole;
--- a/crates/masticsill_entry/src/link/task.rs
+++ b/crates/masticsill_entry/src/link/task.rs
@@ -225,7 +225,8 @@
         let token_count = u32::try_from(request.accepted.len()).unwrap_or(u32::MAX);
         self.starts.swap_remove(&id);
         let is_accepted = reply == StartReply::Accepted;
-        self.owner.on_started(&self.config.agent, id, lineage, reply);
+        self.owner
+            .on_started(&self.config.agent, id, lineage, reply);
         if is_accepted {
             self.follow(PullCursor {
                 id,
--- a/crates/masticsill_entry/src/position.rs
+++ b/crates/masticsill_entry/src/position.rs
@@ -35,7 +35,11 @@
 
 impl fmt::Display for Position {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{}-{}.{}", self.id, self.lineage, self.next_index)
+        write!(
+            formatter,
+            "{}-{}.{}",
+            self.id, self.lineage, self.next_index
+        )
     }
 }
 
--- a/crates/masticsill_entry/src/request.rs
+++ b/crates/masticsill_entry/src/request.rs
@@ -30,7 +30,9 @@
     pub(crate) fn parse(text: &str) -> Result<Self, String> {
         let is_valid = !text.is_empty() && text.len() <= MAX_KEY_BYTES;
         if !is_valid {
-            return Err(format!("Idempotency-Key must have 1 to {MAX_KEY_BYTES} bytes"));
+            return Err(format!(
+                "Idempotency-Key must have 1 to {MAX_KEY_BYTES} bytes"
+            ));
         }
         Ok(Self(text.to_owned()))
     }
--- /dev/null
+++ b/crates/masticsill_entry/src/role.rs
@@ -0,0 +1,130 @@
+//! Starts the entry's duties and ends them in order.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::sleep;
+use std::time::Duration;
+
+use masticsill_mesh::MeshHandle;
+use masticsill_runtime::{DutyHandle, HttpHost, Metrics, Ring, ServiceStream, spawn_async_duty};
+use masticsill_types::{MonotonicClock, log_event};
+
+use crate::config::EntryConfig;
+use crate::events;
+use crate::http::{Gateway, start_http};
+use crate::open_work::OpenWork;
+use crate::peer_service::serve_peers;
+use crate::readiness::Readiness;
+use crate::sessions_duty::{INPUT_RING_ITEMS, SessionInput, run_sessions};
+
+/// Connections of other entries that wait to be served.
+const PEER_RING_ITEMS: usize = 256;
+const DRAIN_POLL_MS: u64 = 20;
+
+/// A running entry.
+#[derive(Debug)]
+pub struct EntryRole {
+    config: Arc<EntryConfig>,
+    duties: Vec<DutyHandle>,
+    host: HttpHost,
+    inputs: Ring<SessionInput>,
+    mesh: MeshHandle,
+    open_work: OpenWork,
+    peers: Ring<ServiceStream>,
+    readiness: Readiness,
+}
+
+impl EntryRole {
+    /// Starts the entry's duties.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error when the address can't be bound or no thread can be started.
+    pub fn start(
+        config: EntryConfig,
+        mesh: MeshHandle,
+        metrics: Metrics,
+        clock: MonotonicClock,
+    ) -> io::Result<Self> {
+        let inputs = Ring::with_capacity(INPUT_RING_ITEMS);
+        let peers = Ring::with_capacity(PEER_RING_ITEMS);
+        let open_work = OpenWork::default();
+        let readiness = Readiness::default();
+        let sessions = {
+            let session_metrics = metrics.clone();
+            let (config, inputs, mesh) = (config.clone(), inputs.clone(), mesh.clone());
+            spawn_async_duty("sessions", move || {
+                run_sessions(config, inputs, mesh, session_metrics, clock)
+            })?
+        };
+        let peer_duty = {
+            let (peers, inputs) = (peers.clone(), inputs.clone());
+            spawn_async_duty("peers", move || serve_peers(peers, inputs))?
+        };
+        let config = Arc::new(config);
+        let host = start_http(Gateway {
+            clock,
+            config: Arc::clone(&config),
+            inputs: inputs.clone(),
+            mesh: mesh.clone(),
+            metrics,
+            open_work: open_work.clone(),
+            readiness: readiness.clone(),
+        })?;
+        log_event!(info, events::ENTRY_READY, address = host.address());
+        Ok(Self {
+            config,
+            duties: vec![sessions, peer_duty],
+            host,
+            inputs,
+            mesh,
+            open_work,
+            peers,
+            readiness,
+        })
+    }
+
+    /// Where callers reach the entry.
+    #[must_use]
+    pub fn http_address(&self) -> SocketAddr {
+        self.host.address()
+    }
+
+    /// The ring that takes other entries' connections.
+    #[must_use]
+    pub fn peer_connections(&self) -> Ring<ServiceStream> {
+        self.peers.clone()
+    }
+
+    /// Ends gracefully: readiness goes off, requests are still accepted for the balancer's grace,
+    /// then running streams and calls finish, for the drain time at most.
+    ///
+    /// # Errors
+    ///
+    /// An error when a duty panicked.
+    pub fn stop(self) -> io::Result<()> {
+        self.readiness.leave();
+        self.mesh.leave();
+        log_event!(info, events::DRAIN_STARTED, open = self.open_work.count());
+        sleep(Duration::from_millis(self.config.balancer_grace_ms));
+        self.readiness.close();
+        self.wait_for_open_work();
+        log_event!(info, events::DRAIN_ENDED, open = self.open_work.count());
+        self.host.stop()?;
+        self.inputs.close();
+        self.peers.close();
+        for duty in self.duties {
+            duty.join()?;
+        }
+        Ok(())
+    }
+
+    fn wait_for_open_work(&self) {
+        let mut waited_ms = 0;
+        while self.open_work.count() > 0 && waited_ms < self.config.drain_ms {
+            sleep(Duration::from_millis(DRAIN_POLL_MS));
+            waited_ms += DRAIN_POLL_MS;
+        }
+    }
+}
--- a/crates/masticsill_entry/src/session/book.rs
+++ b/crates/masticsill_entry/src/session/book.rs
@@ -105,12 +105,6 @@
         std::mem::take(&mut self.actions)
     }
 
-    /// Sessions that are not ended, searches included.
-    pub(crate) fn open_count(&self) -> usize {
-        let is_open = |session: &&Session| session.phase != Phase::Ended;
-        self.sessions.values().filter(is_open).count() + self.searches.len()
-    }
-
     /// Begins a generation; `nonce` is random.
     pub(crate) fn submit(&mut self, now: ClockMs, submission: Submission, nonce: u32) {
         let Submission { ring, spec } = submission;
@@ -133,7 +127,10 @@
             return;
         };
         let mut caller = Caller::new(ring, position.next_index);
-        if !session.record.continues(position.lineage, position.next_index) {
+        if !session
+            .record
+            .continues(position.lineage, position.next_index)
+        {
             caller.refuse(record_lost());
             return;
         }
@@ -182,7 +179,9 @@
         }
         let id = news.id;
         let end_index = news.first_index.0 + u32::try_from(news.tokens.len()).unwrap_or(u32::MAX);
-        let taken = session.record.take(news.lineage, news.first_index, news.tokens);
+        let taken = session
+            .record
+            .take(news.lineage, news.first_index, news.tokens);
         if taken.accepted > 0 {
             session.tried.clear();
             session.unserved_since = None;
--- a/crates/masticsill_entry/src/session/endpoint.rs
+++ b/crates/masticsill_entry/src/session/endpoint.rs
@@ -34,18 +34,22 @@
 
 impl EndpointTable {
     /// Replaces the table by what the membership says now, keeping own counts.
-    pub(crate) fn replace(&mut self, members: IndexMap<NodeId, Endpoint>) {
+    ///
+    /// Returns the agents that are gone or began another life.
+    pub(crate) fn replace(&mut self, members: IndexMap<NodeId, Endpoint>) -> Vec<NodeId> {
         let former = std::mem::replace(&mut self.endpoints, members);
-        for (node, endpoint) in &mut self.endpoints {
-            let Some(known) = former.get(node) else {
-                continue;
-            };
-            endpoint.in_flight = known.in_flight;
-            if known.incarnation == endpoint.incarnation {
-                endpoint.is_down = known.is_down;
-                endpoint.load = known.load;
+        let mut lost = Vec::new();
+        for (node, known) in former {
+            match self.endpoints.get_mut(&node) {
+                Some(endpoint) if endpoint.incarnation == known.incarnation => {
+                    endpoint.in_flight = known.in_flight;
+                    endpoint.is_down = known.is_down;
+                    endpoint.load = known.load;
+                }
+                Some(_) | None => lost.push(node),
             }
         }
+        lost
     }
 
     /// An endpoint by its agent's name.
@@ -53,11 +57,6 @@
         self.endpoints.get(agent)
     }
 
-    /// Every endpoint.
-    pub(crate) fn iter(&self) -> impl Iterator<Item = (&NodeId, &Endpoint)> {
-        self.endpoints.iter()
-    }
-
     /// Notes whether an agent can be reached.
     pub(crate) fn set_down(&mut self, agent: &NodeId, is_down: bool) {
         if let Some(endpoint) = self.endpoints.get_mut(agent) {
--- a/crates/masticsill_entry/src/session/mod.rs
+++ b/crates/masticsill_entry/src/session/mod.rs
@@ -6,6 +6,6 @@
 #[expect(clippy::module_inception)]
 mod session;
 
-pub(crate) use book::{Action, BookConfig, SessionBook, Submission};
-pub(crate) use caller::{Caller, StreamItem};
-pub(crate) use endpoint::EndpointTable;
+pub(crate) use book::{Action, BookConfig, Found, SessionBook, Submission};
+pub(crate) use caller::StreamItem;
+pub(crate) use endpoint::Endpoint;
--- /dev/null
+++ b/crates/masticsill_entry/src/sessions_duty.rs
@@ -0,0 +1,325 @@
+//! The duty that owns all sessions of this entry, and the links to agents.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+use masticsill_catalogue::AgentLife;
+use masticsill_membership::{Member, MemberState, Role};
+use masticsill_mesh::MeshHandle;
+use masticsill_runtime::{Metrics, Ring};
+use masticsill_types::{
+    ClockMs, EndpointProfile, GenerationId, Lineage, LoadReport, ModelId, MonotonicClock, NodeId,
+    Refusal, log_event,
+};
+use masticsill_wire::agent::{AttachReply, AttachRequest, CallAnswer, PullReply, StartReply};
+use rand::Rng;
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::calls::{PlainCall, run_call};
+use crate::config::EntryConfig;
+use crate::events;
+use crate::link::{LinkCommand, LinkConfig, LinkOwner, run_link};
+use crate::position::Position;
+use crate::search::search_holders;
+use crate::session::{Action, BookConfig, Endpoint, Found, SessionBook, StreamItem, Submission};
+
+/// Work that other duties hand over and that waits here at most.
+pub(crate) const INPUT_RING_ITEMS: usize = 16_384;
+const LINK_RING_ITEMS: usize = 8_192;
+const MAX_SESSIONS: usize = 20_000;
+/// How long a generation may be without an endpoint before its final answer, in milliseconds.
+const WAITING_MS: u64 = 4_000;
+const TICK_MS: u64 = 20;
+/// Inputs taken before time and links get their turn.
+const INPUT_BATCH: usize = 256;
+
+/// What other duties hand to the sessions duty.
+#[derive(Debug)]
+pub(crate) enum SessionInput {
+    /// A call of a plain service.
+    Call(PlainCall, oneshot::Sender<Result<CallAnswer, Refusal>>),
+    /// A caller that came back.
+    Reattach(Position, Ring<StreamItem>),
+    /// Another entry asks for a generation.
+    Release(AttachRequest, oneshot::Sender<AttachReply>),
+    /// An admitted generation.
+    Submit(Submission),
+}
+
+/// What the duty, its links and its calls share; all run on the duty's thread.
+#[derive(Debug)]
+pub(crate) struct Sessions {
+    book: RefCell<SessionBook>,
+    /// The process's clock.
+    pub(crate) clock: MonotonicClock,
+    /// The entry's configuration.
+    pub(crate) config: Rc<EntryConfig>,
+    links: RefCell<IndexMap<NodeId, Ring<LinkCommand>>>,
+    /// Membership and catalogue.
+    pub(crate) mesh: MeshHandle,
+    metrics: Metrics,
+}
+
+/// Runs the duty until its ring is closed and no session is open.
+pub(crate) async fn run_sessions(
+    config: EntryConfig,
+    inputs: Ring<SessionInput>,
+    mesh: MeshHandle,
+    metrics: Metrics,
+    clock: MonotonicClock,
+) {
+    let book_config = BookConfig {
+        max_sessions: MAX_SESSIONS,
+        node: config.node.clone(),
+        reattach_ms: config.reattach_ms,
+        waiting_ms: WAITING_MS,
+    };
+    let sessions = Rc::new(Sessions {
+        book: RefCell::new(SessionBook::new(book_config)),
+        clock,
+        config: Rc::new(config),
+        links: RefCell::new(IndexMap::new()),
+        mesh: mesh.clone(),
+        metrics,
+    });
+    let mut ticks = interval(Duration::from_millis(TICK_MS));
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    sessions.refresh_members();
+    loop {
+        tokio::select! {
+            input = inputs.pop() => match input {
+                Some(input) => sessions.take_batch(input, &inputs),
+                None => return,
+            },
+            () = mesh.changed() => sessions.refresh_members(),
+            _ = ticks.tick() => sessions.with_book(|book, now| book.tick(now)),
+        }
+    }
+}
+
+impl Sessions {
+    /// Where an agent listens.
+    pub(crate) fn agent_address(&self, agent: &NodeId) -> Option<SocketAddr> {
+        let book = self.book.borrow();
+        book.endpoints().get(agent).map(|endpoint| endpoint.address)
+    }
+
+    /// The least loaded agent of a plain service, outside `tried`.
+    pub(crate) fn choose_service(
+        &self,
+        service: &ModelId,
+        tried: &IndexSet<NodeId>,
+    ) -> Option<AgentLife> {
+        let book = self.book.borrow();
+        let agent = book.endpoints().choose_service(service, tried)?;
+        let incarnation = book.endpoints().get(&agent)?.incarnation;
+        Some(AgentLife { agent, incarnation })
+    }
+
+    /// Notes a call begun at an agent.
+    pub(crate) fn begin_work(&self, agent: &NodeId) {
+        self.book.borrow_mut().endpoints_mut().begin(agent);
+    }
+
+    /// Notes a call that is over at an agent.
+    pub(crate) fn end_work(&self, agent: &NodeId) {
+        self.book.borrow_mut().endpoints_mut().end(agent);
+    }
+
+    /// Changes the book, then does what it asks for.
+    pub(crate) fn with_book<T>(
+        self: &Rc<Self>,
+        change: impl FnOnce(&mut SessionBook, ClockMs) -> T,
+    ) -> T {
+        let now = self.clock.now();
+        let (result, actions) = {
+            let mut book = self.book.borrow_mut();
+            let result = change(&mut book, now);
+            (result, book.take_actions())
+        };
+        for action in actions {
+            self.act(action);
+        }
+        result
+    }
+
+    fn take_batch(self: &Rc<Self>, first: SessionInput, inputs: &Ring<SessionInput>) {
+        self.take(first);
+        for _ in 0..INPUT_BATCH {
+            let Some(input) = inputs.try_pop() else {
+                return;
+            };
+            self.take(input);
+        }
+    }
+
+    fn take(self: &Rc<Self>, input: SessionInput) {
+        match input {
+            SessionInput::Call(call, reply) => self.begin_call(call, reply),
+            SessionInput::Reattach(position, ring) => {
+                self.with_book(|book, now| book.reattach(now, position, ring));
+            }
+            SessionInput::Release(request, reply) => {
+                let answer = self.with_book(|book, _| book.release(&request));
+                // The asker may have given up; the record is then lost to it, as it is told.
+                let _ = reply.send(answer);
+            }
+            SessionInput::Submit(submission) => {
+                self.metrics.count("entry.generations", 1);
+                let nonce = rand::rng().random();
+                self.with_book(|book, now| book.submit(now, submission, nonce));
+            }
+        }
+    }
+
+    fn begin_call(
+        self: &Rc<Self>,
+        call: PlainCall,
+        reply: oneshot::Sender<Result<CallAnswer, Refusal>>,
+    ) {
+        self.metrics.count("entry.calls", 1);
+        let sessions = Rc::clone(self);
+        spawn_local(async move {
+            let result = run_call(&sessions, call).await;
+            let _ = reply.send(result);
+        });
+    }
+
+    fn act(self: &Rc<Self>, action: Action) {
+        match action {
+            Action::Cancel(agent, request) => self.command(&agent, LinkCommand::Cancel(request)),
+            Action::Follow(agent, cursor) => self.command(&agent, LinkCommand::Follow(cursor)),
+            Action::Search(position) => self.begin_search(position),
+            Action::Start(agent, request) => {
+                if request.history.len() > 1 {
+                    self.metrics.count("entry.resumes", 1);
+                    log_event!(
+                        info,
+                        events::GENERATION_RESUMED,
+                        generation = request.spec.id,
+                        agent = agent,
+                        accepted_tokens = request.accepted.len()
+                    );
+                }
+                self.command(&agent, LinkCommand::Start(request));
+            }
+        }
+    }
+
+    fn begin_search(self: &Rc<Self>, position: Position) {
+        let sessions = Rc::clone(self);
+        spawn_local(async move {
+            let found = search_holders(&sessions, position).await;
+            log_event!(
+                info,
+                events::GENERATION_TAKEN_OVER,
+                generation = position.id,
+                is_found = !matches!(found, Found::Nowhere)
+            );
+            sessions.with_book(|book, now| book.found(now, position.id, found));
+        });
+    }
+
+    /// Hands a command to an agent's link; a link that can't take it counts as lost.
+    fn command(self: &Rc<Self>, agent: &NodeId, command: LinkCommand) {
+        let Some(ring) = self.link(agent) else {
+            self.lose_later(agent);
+            return;
+        };
+        if ring.push(command).is_err() {
+            self.lose_later(agent);
+        }
+    }
+
+    fn lose_later(self: &Rc<Self>, agent: &NodeId) {
+        let sessions = Rc::clone(self);
+        let agent = agent.clone();
+        spawn_local(async move { sessions.on_lost(&agent) });
+    }
+
+    fn link(self: &Rc<Self>, agent: &NodeId) -> Option<Ring<LinkCommand>> {
+        if let Some(ring) = self.links.borrow().get(agent) {
+            return Some(ring.clone());
+        }
+        let address = self.book.borrow().endpoints().get(agent)?.address;
+        let ring = Ring::with_capacity(LINK_RING_ITEMS);
+        let config = LinkConfig {
+            address,
+            agent: agent.clone(),
+            entry: self.config.node.clone(),
+            silence_ms: self.config.silence_ms,
+        };
+        let owner = Rc::clone(self);
+        spawn_local(run_link(config, ring.clone(), self.clock, owner));
+        self.links.borrow_mut().insert(agent.clone(), ring.clone());
+        Some(ring)
+    }
+
+    fn refresh_members(self: &Rc<Self>) {
+        let view = self.mesh.view();
+        let now = self.clock.now();
+        let members = view.members();
+        let endpoints: IndexMap<NodeId, Endpoint> = members
+            .filter_map(|member| to_endpoint(member, now))
+            .collect();
+        let lost = self.with_book(|book, _| book.endpoints_mut().replace(endpoints));
+        for agent in lost {
+            if let Some(ring) = self.links.borrow_mut().swap_remove(&agent) {
+                ring.close();
+            }
+            self.with_book(|book, now| book.agent_lost(now, &agent));
+        }
+    }
+}
+
+impl LinkOwner for Rc<Sessions> {
+    fn on_started(&self, agent: &NodeId, id: GenerationId, lineage: Lineage, reply: StartReply) {
+        self.with_book(|book, now| book.start_replied(now, agent, id, lineage, reply));
+    }
+
+    fn on_pulled(&self, agent: &NodeId, reply: PullReply) {
+        self.with_book(|book, now| {
+            book.endpoints_mut().report(agent, reply.load);
+            for news in reply.progress {
+                book.progress(now, agent, news);
+            }
+        });
+    }
+
+    fn on_lost(&self, agent: &NodeId) {
+        self.with_book(|book, now| book.agent_lost(now, agent));
+    }
+
+    fn on_reached(&self, agent: &NodeId) {
+        self.with_book(|book, _| book.agent_reached(agent));
+    }
+}
+
+/// The endpoint of an agent that is not gone.
+fn to_endpoint(member: &Member, now: ClockMs) -> Option<(NodeId, Endpoint)> {
+    let Role::Agent(profile) = &member.role else {
+        return None;
+    };
+    if member.state == MemberState::Gone {
+        return None;
+    }
+    let profile = EndpointProfile {
+        is_leaving: !member.takes_work(now),
+        ..profile.clone()
+    };
+    let endpoint = Endpoint {
+        address: member.address,
+        incarnation: member.incarnation,
+        in_flight: 0,
+        is_down: false,
+        load: LoadReport::default(),
+        profile,
+        zone: member.zone.clone(),
+    };
+    Some((member.node.clone(), endpoint))
+}
--- a/crates/masticsill_runtime/src/http.rs
+++ b/crates/masticsill_runtime/src/http.rs
@@ -3,13 +3,13 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 
+use ntex::SharedCfg;
 use ntex::http::HttpServiceConfig;
+use ntex::io::IoConfig;
 use ntex::rt::{DefaultRuntime, System};
 use ntex::server::Server;
 use ntex::time::Seconds;
 use ntex::web::{App, HttpServer, ServiceConfig};
-use ntex::io::IoConfig;
-use ntex::SharedCfg;
 use tokio::sync::oneshot;
 
 use crate::duty::{DutyHandle, spawn_duty};
@@ -28,6 +28,8 @@
 const BODY_TIMEOUT: Seconds = Seconds(10);
 /// Longest time for a whole body.
 const LONGEST_BODY_TIMEOUT: Seconds = Seconds(60);
+/// How long answers that are already written may take to leave at the stop.
+const SHUTDOWN_TIMEOUT: Seconds = Seconds(5);
 /// Bytes that a body must bring in each [`BODY_TIMEOUT`].
 const BODY_RATE_BYTES: u32 = 1_024;
 
@@ -63,7 +65,7 @@
                     return;
                 };
                 let _ = stopped.await;
-                server.stop(false).await;
+                server.stop(true).await;
             });
         })?;
         Ok(Self {
@@ -79,7 +81,7 @@
         self.address
     }
 
-    /// Closes every connection and waits for the duty's end. Drain first.
+    /// Lets written answers leave, closes every connection and waits for the duty's end.
     ///
     /// # Errors
     ///
@@ -105,6 +107,7 @@
     let config = SharedCfg::new("http").add(IoConfig::new()).add(limits);
     let server = HttpServer::new(factory)
         .workers(workers)
+        .shutdown_timeout(SHUTDOWN_TIMEOUT)
         .maxconn(MAX_CONNECTIONS)
         .config(config)
         .disable_signals()
--- a/crates/masticsill_settings/src/error.rs
+++ b/crates/masticsill_settings/src/error.rs
@@ -36,7 +36,11 @@
 }
 
 impl SettingsError {
-    pub(crate) fn refused(field: &str, value: impl Into<String>, remedy: impl Into<String>) -> Self {
+    pub(crate) fn refused(
+        field: &str,
+        value: impl Into<String>,
+        remedy: impl Into<String>,
+    ) -> Self {
         Self::Refused {
             field: field.to_owned(),
             value: value.into(),
