Add the process harness and a blocking caller

Cause: integration tests run real processes and speak to them as callers do. Ruled out: `libc` signals (unsafe is forbidden), so `rustix`, which the lock file already holds; an HTTP client of our own, so `ntex`'s on a thread. Lasting keep-alive connections: each call takes a fresh one, as through a balancer. Change: `ProcessUnderTest` (ready lines, SIGKILL, SIGSTOP, SIGCONT, SIGTERM, bounded waits), `Caller` with event streams, `wait_until`, `write_settings`, `built_binary`, `built_example`. The fake engine wakes idle streams, because `ntex` polls a response body, and so sees a closed peer, only when the body is woken; its load report is idle before the first step is old enough. Conclusion: other crates can spawn the daemon and read its streams.

--- a/crates/masticsill_testkit/src/engine/batch.rs
+++ b/crates/masticsill_testkit/src/engine/batch.rs
@@ -14,8 +14,12 @@
 use super::answer::{AnswerSpec, Sampler};
 use super::cache::{Prefix, PrefixCache};
 
+/// Wakes a stream without sending anything.
+pub(crate) const NUDGE: Bytes = Bytes::new();
 /// Events that may wait for a slow reader; beyond them its request pauses.
 const STREAM_CAPACITY: usize = 256;
+/// Steps between two wake-ups of a stream that has no token to send.
+const NUDGE_STEPS: u64 = 8;
 /// Step times that the reported token gap is taken over.
 const GAP_SAMPLES: usize = 16;
 
@@ -77,6 +81,7 @@
     running: Vec<Job>,
     settings: EngineSettings,
     stats: EngineStats,
+    step_count: u64,
     step_gaps_ms: VecDeque<u64>,
     waiting: VecDeque<Job>,
 }
@@ -99,6 +104,7 @@
             running: Vec::new(),
             settings,
             stats: EngineStats::default(),
+            step_count: 0,
             step_gaps_ms: VecDeque::new(),
             waiting: VecDeque::new(),
         }
@@ -145,6 +151,7 @@
     /// One step of the whole batch: each request that is ready gains a token.
     pub(crate) fn step(&mut self, now: ClockMs) {
         self.retain_jobs(|job| !job.stream.is_closed());
+        self.nudge_idle_streams(now);
         self.fill_slots(now);
         let mut running = std::mem::take(&mut self.running);
         running.retain_mut(|job| self.decode(now, job));
@@ -176,12 +183,17 @@
 
     /// The newest report that is as old as the load lag.
     pub(crate) fn load(&self, now: ClockMs) -> EngineLoad {
-        let Some((at, load)) = self.loads.front() else {
-            return EngineLoad::default();
-        };
-        EngineLoad {
-            age_ms: now.0.saturating_sub(at.0),
-            ..*load
+        let lag_ms = self.settings.load_lag_ms;
+        match self.loads.front() {
+            Some((at, load)) if at.0 + lag_ms <= now.0 => EngineLoad {
+                age_ms: now.0 - at.0,
+                ..*load
+            },
+            // Nothing ran before the first step.
+            _ => EngineLoad {
+                age_ms: lag_ms,
+                ..EngineLoad::default()
+            },
         }
     }
 
@@ -237,6 +249,19 @@
         }
     }
 
+    /// Wakes streams that are idle, because `ntex` sees a caller's disconnect only when it polls the
+    /// body.
+    fn nudge_idle_streams(&mut self, now: ClockMs) {
+        self.step_count += 1;
+        if !self.step_count.is_multiple_of(NUDGE_STEPS) {
+            return;
+        }
+        let prefilling = self.running.iter().filter(|job| now < job.ready_at);
+        for job in self.waiting.iter().chain(prefilling) {
+            let _ = job.stream.try_send(NUDGE);
+        }
+    }
+
     /// Counts a prefill and tells how long it takes, in milliseconds.
     fn prefill(&mut self, now: ClockMs, prefix: &Prefix) -> u64 {
         let cached_tokens = self.cache.take_in(now, prefix);
--- a/crates/masticsill_testkit/src/engine/http.rs
+++ b/crates/masticsill_testkit/src/engine/http.rs
@@ -2,17 +2,20 @@
 
 use std::io;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use futures::stream;
 use masticsill_types::{ClockMs, MonotonicClock};
 use masticsill_wire::engine::{CancelBody, CompletionBody, OrderBody};
+use ntex::util::Bytes;
 use ntex::web::types::{Json, JsonConfig, Query, State};
 use ntex::web::{HttpResponse, ServiceConfig, get, post};
 use serde::Deserialize;
+use tokio::sync::mpsc::Receiver;
 use tokio::time::MissedTickBehavior;
 
-use super::batch::{Batch, EngineRefusal};
+use super::batch::{Batch, EngineRefusal, NUDGE};
 
 /// Largest request body, in bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
@@ -90,8 +93,7 @@
         Ok(mut receiver) => HttpResponse::Ok()
             .content_type("text/event-stream")
             .streaming(stream::poll_fn(move |context| {
-                let polled = receiver.poll_recv(context);
-                polled.map(|event| event.map(Ok::<_, io::Error>))
+                poll_event(&mut receiver, context)
             })),
         Err(refusal) => refuse(refusal),
     }
@@ -141,6 +143,18 @@
     HttpResponse::Ok().finish()
 }
 
+fn poll_event(
+    receiver: &mut Receiver<Bytes>,
+    context: &mut Context<'_>,
+) -> Poll<Option<io::Result<Bytes>>> {
+    loop {
+        match ready!(receiver.poll_recv(context)) {
+            Some(event) if event == NUDGE => {}
+            event => return Poll::Ready(event.map(Ok)),
+        }
+    }
+}
+
 fn refuse(refusal: EngineRefusal) -> HttpResponse {
     match refusal {
         EngineRefusal::OldFencingNumber => {
--- a/crates/masticsill_testkit/src/lib.rs
+++ b/crates/masticsill_testkit/src/lib.rs
@@ -1,9 +1,17 @@
 //! Stand-ins and a fault-injecting proxy for tests and benches.
 
+mod caller;
 mod engine;
+mod events;
 mod hosting;
+mod process;
 
+pub use caller::{Caller, CallerAnswer, CallerError, CallerRequest, CallerStream};
 pub use engine::{
     AnswerSpec, EngineSettings, EngineStats, FakeEngine, expected_answer, expected_text,
     model_target, prefix_hashes,
 };
+pub use events::ServerEvent;
+pub use process::{
+    ProcessError, ProcessUnderTest, built_binary, built_example, wait_until, write_settings,
+};
