--- a/crates/masticsill_membership/src/membership.rs
+++ b/crates/masticsill_membership/src/membership.rs
@@ -19,6 +19,8 @@
 
 /// A gap between ticks that is taken for a pause of this process.
 const PAUSE_MS: u64 = 1_500;
+/// How long after the first contact a node takes its peers' members without spreading them.
+const JOINING_MS: u64 = 2_000;
 /// Buckets reconciled in one call.
 const BUCKETS_AT_ONCE: usize = 64;
 
@@ -54,6 +56,7 @@
 pub struct Membership {
     detector: Detector,
     is_superseded: bool,
+    joined_at: ClockMs,
     last_tick: ClockMs,
     next_call: u64,
     next_compare: ClockMs,
@@ -94,6 +97,7 @@
         Self {
             detector: Detector::new(now, periods.probe_ms),
             is_superseded: false,
+            joined_at: now,
             last_tick: now,
             next_call: 0,
             next_compare: now,
@@ -297,10 +301,19 @@
         }
     }
 
+    /// Takes what a peer holds. A node that just joined does not spread it: its peers know it.
     fn take_records(&mut self, now: ClockMs, records: Vec<Record>) {
+        let is_joining = now.since(self.joined_at) < JOINING_MS;
         let was_alone = self.table.len() < 2;
+        if was_alone {
+            self.joined_at = now;
+        }
         for record in records {
-            self.absorb(now, record);
+            if was_alone || is_joining {
+                self.learn(now, record);
+            } else {
+                self.absorb(now, record);
+            }
         }
         if was_alone {
             self.rumors.start(&self.own.node);
@@ -308,6 +321,14 @@
         }
     }
 
+    fn learn(&mut self, now: ClockMs, record: Record) {
+        if record.node == self.own.node {
+            self.hear_of_self(now, &record);
+        } else {
+            self.table.merge(now, record);
+        }
+    }
+
     fn reconcile_next(&mut self, address: SocketAddr, mut buckets: Vec<u16>) {
         if buckets.is_empty() {
             return;
--- /dev/null
+++ b/crates/masticsill_membership/tests/member_loss.rs
@@ -0,0 +1,205 @@
+//! Members leave, die, pause, return and flap.
+
+mod support;
+
+use masticsill_membership::{Input, MemberState, Role};
+use masticsill_types::NodeId;
+use support::{Net, TICK_MS, gathered, node, profile};
+
+/// Stated in the operators' pages: silence is noticed everywhere within this time.
+const SILENCE_BOUND_MS: u64 = 20_000;
+
+fn everywhere(net: &Net, is_met: impl Fn(&Net, &str) -> bool) -> bool {
+    let running = net.hosts.iter().filter(|(_, host)| !host.is_down);
+    running
+        .map(|(name, _)| name)
+        .all(|name: &NodeId| is_met(net, name.as_str()))
+}
+
+fn at_entries(net: &Net, is_met: impl Fn(&Net, &str) -> bool) -> bool {
+    everywhere(net, |net, name| {
+        !name.starts_with("entry") || is_met(net, name)
+    })
+}
+
+#[test]
+fn leaving_is_out_of_every_entrys_view_within_two_seconds() {
+    for entries in [3, 60] {
+        let mut net = gathered(entries, 3, 20);
+        net.input("agent-7", Input::Leaving);
+        let took = net.run_until(2_000, |net| {
+            at_entries(net, |net, name| {
+                let state = net.sees(name, "agent-7").map(|member| member.state);
+                state == Some(MemberState::Leaving)
+            })
+        });
+        assert!(took.is_some(), "{entries} entries");
+    }
+}
+
+#[test]
+fn a_change_of_the_profile_reaches_the_entries_too() {
+    let mut net = gathered(3, 3, 20);
+    net.input("agent-7", Input::Described(Role::Agent(profile(true))));
+    let took = net.run_until(2_000, |net| {
+        at_entries(net, |net, name| {
+            !net.sees(name, "agent-7").unwrap().takes_work(net.now)
+        })
+    });
+    assert!(took.is_some());
+}
+
+#[test]
+fn a_silent_member_is_gone_everywhere_within_the_stated_time() {
+    let mut net = gathered(4, 3, 60);
+    net.hosts[&node("agent-9")].is_down = true;
+    let took = net.run_until(SILENCE_BOUND_MS, |net| {
+        everywhere(net, |net, name| net.sees(name, "agent-9").is_none())
+    });
+    assert!(took.is_some());
+}
+
+#[test]
+fn a_live_member_is_not_declared_gone() {
+    let mut net = gathered(3, 3, 20);
+    for _ in 0..300 {
+        net.run(200);
+        assert!(everywhere(&net, |net, name| net
+            .view(name)
+            .members()
+            .count()
+            == 26));
+    }
+}
+
+#[test]
+fn a_false_suspicion_is_refuted() {
+    let mut net = gathered(3, 3, 20);
+    net.hosts[&node("agent-3")].is_paused = true;
+    let suspected = net.run_until(10_000, |net| {
+        let state = net.sees("entry-0", "agent-3").map(|member| member.state);
+        state == Some(MemberState::Suspect)
+    });
+    assert!(suspected.is_some());
+    net.hosts[&node("agent-3")].is_paused = false;
+    let refuted = net.run_until(10_000, |net| {
+        everywhere(net, |net, name| {
+            let member = net.sees(name, "agent-3");
+            member.is_some_and(|member| member.state == MemberState::Alive && member.revision > 0)
+        })
+    });
+    assert!(refuted.is_some());
+}
+
+#[test]
+fn a_paused_former_life_never_wins() {
+    let mut net = gathered(3, 3, 20);
+    let mut old = net.hosts.swap_remove(&node("agent-3")).unwrap();
+    net.start("agent-3", 9, 2, Role::Agent(profile(false)));
+    net.run(30_000);
+    let new = net.hosts.swap_remove(&node("agent-3")).unwrap();
+    old.is_paused = false;
+    net.hosts.insert(node("agent-3"), old);
+    net.run(30_000);
+    assert!(
+        net.superseded.contains(&node("agent-3")),
+        "the old life is told"
+    );
+    net.hosts.insert(node("agent-3"), new);
+    net.run(30_000);
+    let is_new = |net: &Net, name: &str| {
+        let member = net.sees(name, "agent-3");
+        member.is_some_and(|member| member.incarnation.0 == 2)
+    };
+    assert!(everywhere(&net, is_new));
+}
+
+#[test]
+fn a_process_that_was_paused_does_not_bury_the_others() {
+    let mut net = gathered(3, 3, 20);
+    net.hosts[&node("entry-1")].is_paused = true;
+    net.run(60_000);
+    net.hosts[&node("entry-1")].is_paused = false;
+    for _ in 0..100 {
+        net.run(100);
+        assert_eq!(net.view("entry-1").members().count(), 26);
+    }
+}
+
+#[test]
+fn halves_of_a_healed_partition_find_each_other_without_burials() {
+    let mut net = gathered(4, 3, 20);
+    let names: Vec<NodeId> = net.hosts.keys().cloned().collect();
+    for (index, name) in names.iter().enumerate() {
+        net.hosts[name].side = u8::from(index % 2 == 1);
+    }
+    let apart = net.run_until(40_000, |net| {
+        everywhere(net, |net, name| net.view(name).members().count() <= 14)
+    });
+    assert!(apart.is_some());
+    let healed_at = net.now;
+    for host in net.hosts.values_mut() {
+        host.side = 0;
+    }
+    let least = |net: &Net| {
+        let views = net
+            .hosts
+            .values()
+            .map(|host| host.membership.members().count());
+        views.min()
+    };
+    let mut before = least(&net);
+    while before != Some(27) {
+        assert!(
+            net.now < healed_at + 60_000,
+            "the halves did not find each other"
+        );
+        net.run(TICK_MS);
+        let now = least(&net);
+        assert!(now >= before, "a member that was known was buried");
+        before = now;
+    }
+    let held = |net: &Net, name: &str| {
+        net.view(name)
+            .members()
+            .all(|member| member.held_until <= net.now)
+    };
+    assert!(everywhere(&net, held), "a partition is no flapping");
+}
+
+#[test]
+fn a_flapping_endpoint_is_held_back_longer_each_time() {
+    let mut net = gathered(3, 3, 20);
+    let mut last_hold_ms = 0;
+    for life in 2..7 {
+        net.start("agent-3", 9, life, Role::Agent(profile(false)));
+        let seen = net.run_until(20_000, |net| {
+            let member = net.sees("entry-0", "agent-3");
+            member.is_some_and(|member| member.incarnation.0 == life)
+        });
+        assert!(seen.is_some());
+        let member = net.sees("entry-0", "agent-3").unwrap();
+        let hold_ms = member.held_until.since(net.now);
+        if life == 2 {
+            assert_eq!(hold_ms, 0, "one restart is no flapping");
+        } else {
+            assert!(!member.takes_work(net.now));
+            assert!(hold_ms > last_hold_ms);
+        }
+        last_hold_ms = hold_ms;
+        net.run(1_000);
+    }
+}
+
+#[test]
+fn a_restart_after_leaving_is_not_held_back() {
+    let mut net = gathered(3, 3, 20);
+    for life in 2..7 {
+        net.input("agent-3", Input::Leaving);
+        net.run(2_000);
+        net.start("agent-3", 9, life, Role::Agent(profile(false)));
+        net.run(5_000);
+        let member = net.sees("entry-0", "agent-3").unwrap();
+        assert!(member.takes_work(net.now), "life {life}");
+    }
+}
