Split freshness from the follower; keep admitted replicas' addresses

Cause: a control replica has its own copy of the state and needs only the proof. Ruled out: a second catalogue copy in each control replica. Change: Freshness; NoteReplicas carries the address an operator named.

--- a/crates/masticsill_catalogue/src/follower.rs
+++ b/crates/masticsill_catalogue/src/follower.rs
@@ -13,15 +13,61 @@
 /// What clocks in whole milliseconds may hide, added to every age that is told to a peer.
 const ROUNDING_MS: u64 = 1;
 
+/// When a copy of the catalogue was last known to hold every accepted change.
+///
+/// It starts unknown, and a proof that is not younger than the process is refused: what the
+/// process acted on in its former life may be newer.
+#[derive(Clone, Copy, Debug)]
+pub struct Freshness {
+    as_of: Option<ClockMs>,
+    started_at: ClockMs,
+}
+
+impl Freshness {
+    /// The freshness of a copy of a process that started at `started_at`.
+    #[must_use]
+    pub fn new(started_at: ClockMs) -> Self {
+        Self {
+            as_of: None,
+            started_at,
+        }
+    }
+
+    /// Takes in a proof that the copy held every change accepted before `as_of`.
+    ///
+    /// Returns whether the proof was taken; an older one than the last changes nothing.
+    pub fn renew(&mut self, as_of: ClockMs) -> bool {
+        let is_older = self.as_of.is_some_and(|held| as_of <= held);
+        // `as_of` is zero when it lies before the clock's origin, hence strictly later.
+        let is_before_start = as_of <= self.started_at;
+        if is_before_start || is_older {
+            return false;
+        }
+        self.as_of = Some(as_of);
+        true
+    }
+
+    /// Whether the copy held every accepted change less than `lease_ms` ago.
+    #[must_use]
+    pub fn is_fresh(&self, now: ClockMs, lease_ms: u64) -> bool {
+        self.age_ms(now).is_some_and(|age_ms| age_ms < lease_ms)
+    }
+
+    /// The age of the proof, to be told to peers; `None` without a proof.
+    #[must_use]
+    pub fn age_ms(&self, now: ClockMs) -> Option<u64> {
+        self.as_of.map(|as_of| now.since(as_of) + ROUNDING_MS)
+    }
+}
+
 /// A node's copy of the catalogue.
 ///
 /// A copy that was restarted holds nothing and is not fresh until a proof younger than the restart
 /// arrives, so what the node acts on never goes back, not even over a restart.
 #[derive(Clone, Debug)]
 pub struct Follower {
-    as_of: Option<ClockMs>,
     catalogue: Catalogue,
-    started_at: ClockMs,
+    freshness: Freshness,
 }
 
 impl Follower {
@@ -29,9 +75,8 @@
     #[must_use]
     pub fn new(started_at: ClockMs) -> Self {
         Self {
-            as_of: None,
             catalogue: Catalogue::default(),
-            started_at,
+            freshness: Freshness::new(started_at),
         }
     }
 
@@ -57,14 +102,7 @@
     /// Returns whether the proof was taken: the copy must have at least that version, the proof
     /// must be younger than the process, and an older proof changes nothing.
     pub fn renew(&mut self, version: CatalogueVersion, as_of: ClockMs) -> bool {
-        let is_older = self.as_of.is_some_and(|held| as_of <= held);
-        // `as_of` is zero when it lies before the clock's origin, hence strictly later.
-        let is_before_start = as_of <= self.started_at;
-        if self.version() < version || is_before_start || is_older {
-            return false;
-        }
-        self.as_of = Some(as_of);
-        true
+        self.version() >= version && self.freshness.renew(as_of)
     }
 
     /// Takes in a peer's proof: at the node's own `sent_at` or later, `version` was `age_ms` old.
@@ -80,12 +118,12 @@
     /// Whether the copy held every accepted change less than `lease_ms` ago.
     #[must_use]
     pub fn is_fresh(&self, now: ClockMs, lease_ms: u64) -> bool {
-        self.age_ms(now).is_some_and(|age_ms| age_ms < lease_ms)
+        self.freshness.is_fresh(now, lease_ms)
     }
 
     /// The age of the copy's proof, to be told to peers; `None` without a proof.
     #[must_use]
     pub fn age_ms(&self, now: ClockMs) -> Option<u64> {
-        self.as_of.map(|as_of| now.since(as_of) + ROUNDING_MS)
+        self.freshness.age_ms(now)
     }
 }
--- a/crates/masticsill_catalogue/src/lib.rs
+++ b/crates/masticsill_catalogue/src/lib.rs
@@ -24,7 +24,7 @@
 };
 pub use entry::{BackEnd, CatalogueEntry, EngineRole, Limits, Placement, RoleReplicas};
 pub use entry_json::{BackEndJson, EntryJson, LimitsJson, PlacementJson};
-pub use follower::Follower;
+pub use follower::{Follower, Freshness};
 pub use state::{Action, Command, CommandAnswer, ControlState, MAX_CHANGE_ANSWERS};
 pub use update::{Applied, CatalogueDelta, CatalogueSnapshot, CatalogueUpdate};
 pub use validation::{FieldError, MAX_REPLICAS, MAX_ZONES};
--- a/crates/masticsill_catalogue/src/state.rs
+++ b/crates/masticsill_catalogue/src/state.rs
@@ -3,6 +3,9 @@
 //! Every replica applies the same commands in the same order, so nothing here reads a clock:
 //! wall-clock time comes with each command from the leader that proposed it.
 
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
 use masticsill_types::{CatalogueVersion, ChangeId, GenerationId, NodeId, OperatorId, WorkspaceId};
 use serde::{Deserialize, Serialize};
 
@@ -41,6 +44,8 @@
     DrawOrderSequence,
     /// Records that an operator began to change the replicas.
     NoteReplicas {
+        /// Where the replica listens, when the operator named an address.
+        address: Option<SocketAddr>,
         /// Whether the replica is added, or removed.
         is_added: bool,
         /// Who.
@@ -87,6 +92,7 @@
     catalogue: Catalogue,
     claims: Claims,
     order_sequence: u64,
+    replica_addresses: IndexMap<NodeId, SocketAddr>,
     wall_ms: u64,
 }
 
@@ -115,6 +121,12 @@
         self.claims.len()
     }
 
+    /// Addresses of replicas that operators named when they admitted them.
+    #[must_use]
+    pub fn replica_addresses(&self) -> &IndexMap<NodeId, SocketAddr> {
+        &self.replica_addresses
+    }
+
     /// The highest wall clock of any command, in milliseconds since 1970.
     #[must_use]
     pub fn wall_ms(&self) -> u64 {
@@ -136,10 +148,14 @@
                 CommandAnswer::OrderSequence(self.order_sequence)
             }
             Action::NoteReplicas {
+                address,
                 is_added,
                 operator,
                 replica,
             } => {
+                if let Some(address) = address {
+                    self.replica_addresses.insert(replica.clone(), *address);
+                }
                 let action = AuditAction::Replicas {
                     is_added: *is_added,
                     replica: replica.clone(),
