Add the node service and read access to a follower's freshness

Cause: every node exchanges membership and relays the catalogue's proof. Ruled out: a second set of membership types on the wire; records are travelling types already, as the catalogue's updates are. Conclusion: the mesh can serve and publish.

--- a/crates/masticsill_catalogue/src/follower.rs
+++ b/crates/masticsill_catalogue/src/follower.rs
@@ -86,6 +86,12 @@
         &self.catalogue
     }
 
+    /// How fresh the copy is.
+    #[must_use]
+    pub fn freshness(&self) -> Freshness {
+        self.freshness
+    }
+
     /// The copy's version.
     #[must_use]
     pub fn version(&self) -> CatalogueVersion {
--- a/crates/masticsill_wire/src/lib.rs
+++ b/crates/masticsill_wire/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod control;
 pub mod engine;
 pub mod entry;
+pub mod node;
 mod service;
 
 pub use codec::{CodecError, MAX_FRAME_BYTES, PostcardCodec};
