--- /dev/null
+++ b/crates/masticsill_mesh/src/peers.rs
@@ -0,0 +1,69 @@
+//! Calls to other nodes.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use masticsill_membership::{Reply, Request};
+use masticsill_runtime::connect_transport;
+use masticsill_wire::ServiceKind;
+use masticsill_wire::node::{NodeServiceClient, ProbeViaRequest};
+use tarpc::client::{Config, RpcError};
+use tarpc::context::{self, Context};
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+/// Connects to a node. The connection ends with the client.
+pub(crate) async fn connect(address: SocketAddr, timeout_ms: u64) -> io::Result<NodeServiceClient> {
+    let transport = connect_transport(address, ServiceKind::Node, timeout_ms).await?;
+    let new = NodeServiceClient::new(Config::default(), transport);
+    spawn_local(async move {
+        let _ = new.dispatch.await;
+    });
+    Ok(new.client)
+}
+
+/// The context of a call that is given up after `timeout_ms`.
+pub(crate) fn call_context(timeout_ms: u64) -> Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + Duration::from_millis(timeout_ms);
+    context
+}
+
+/// Exchanges news with a node, on a connection of its own; `None` when that failed.
+pub(crate) async fn exchange(
+    address: SocketAddr,
+    request: Request,
+    timeout_ms: u64,
+) -> Option<Reply> {
+    let asking = async {
+        let client = connect(address, timeout_ms).await.ok()?;
+        client
+            .exchange(call_context(timeout_ms), request)
+            .await
+            .ok()
+    };
+    within(timeout_ms, asking).await
+}
+
+/// Asks a helper to probe a target; `None` when the helper did not answer.
+pub(crate) async fn probe_via(
+    helper: SocketAddr,
+    request: ProbeViaRequest,
+    timeout_ms: u64,
+) -> Option<bool> {
+    let asking = async {
+        let client = connect(helper, timeout_ms).await.ok()?;
+        let answer: Result<bool, RpcError> =
+            client.probe_via(call_context(timeout_ms), request).await;
+        answer.ok()
+    };
+    within(timeout_ms, asking).await
+}
+
+async fn within<T>(timeout_ms: u64, asking: impl Future<Output = Option<T>>) -> Option<T> {
+    timeout(Duration::from_millis(timeout_ms), asking)
+        .await
+        .ok()
+        .flatten()
+}
