Move sessions to a pure crate and test them under failure

Cause: the session book is the heart of exact resume and must be tested without processes. Ruled out: unit tests inside the module; tests live in test files.

--- /dev/null
+++ b/crates/masticsill/src/arguments.rs
@@ -0,0 +1,60 @@
+//! The daemon's command line.
+
+use std::path::PathBuf;
+
+use lexopt::prelude::{Long, Short, Value};
+
+/// What `--help` prints.
+pub(crate) const HELP: &str = "\
+masticsill: serves long generations on engines that fail
+
+Usage:
+  masticsill run FILE      run one process with the settings in FILE
+  masticsill check FILE    check a settings file and say what is wrong
+  masticsill --help        print this text
+  masticsill --version     print the version
+
+The settings name exactly one role: `entry` serves callers, `agent` stands beside an endpoint,
+`control` keeps the catalogue. docs/SETTINGS.md lists every field, examples/ holds sets to begin
+with. SIGTERM and SIGINT end the process gracefully.
+
+Once it serves, the process prints `listening KIND on ADDRESS` for each listener and then `ready`.
+Log lines go to standard error; RUST_LOG chooses the level. docs/EVENTS.md explains each event.
+
+Exit codes:
+  0  the process ended as asked, or the settings are sound
+  1  the process could not start or ended by a fault; the message names the remedy
+  2  the arguments are wrong
+";
+
+/// What the daemon was asked to do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Command {
+    /// Check a settings file.
+    Check(PathBuf),
+    /// Print the help.
+    Help,
+    /// Run a process.
+    Run(PathBuf),
+    /// Print the version.
+    Version,
+}
+
+/// Reads the command line.
+pub(crate) fn parse_arguments() -> Result<Command, lexopt::Error> {
+    let mut parser = lexopt::Parser::from_env();
+    let mut words: Vec<String> = Vec::new();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Short('h') | Long("help") => return Ok(Command::Help),
+            Short('V') | Long("version") => return Ok(Command::Version),
+            Value(word) => words.push(word.into_string()?),
+            Long(_) | Short(_) => return Err(argument.unexpected()),
+        }
+    }
+    match words.as_slice() {
+        [verb, file] if verb == "run" => Ok(Command::Run(PathBuf::from(file))),
+        [verb, file] if verb == "check" => Ok(Command::Check(PathBuf::from(file))),
+        _ => Err("give `run FILE` or `check FILE`".into()),
+    }
+}
--- a/crates/masticsill/src/main.rs
+++ b/crates/masticsill/src/main.rs
@@ -1,2 +1,60 @@
-//! Placeholder.
-fn main() {}
+//! The masticsill daemon: one process, one role, one settings file.
+
+mod arguments;
+mod node;
+mod settings_map;
+
+use std::process::ExitCode;
+
+use eyre::WrapErr;
+use masticsill_runtime::start_logging;
+use masticsill_settings::Settings;
+
+use crate::arguments::{Command, HELP, parse_arguments};
+
+/// Exit code of wrong arguments.
+const USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let command = match parse_arguments() {
+        Ok(command) => command,
+        Err(error) => {
+            eprintln!("masticsill: {error}\n\n{HELP}");
+            return ExitCode::from(USAGE);
+        }
+    };
+    match execute(&command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("masticsill: {report:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn execute(command: &Command) -> eyre::Result<()> {
+    match command {
+        Command::Check(path) => {
+            let settings = read_settings(path)?;
+            println!("{}: settings of node `{}` are sound", path.display(), settings.node);
+            Ok(())
+        }
+        Command::Help => {
+            print!("{HELP}");
+            Ok(())
+        }
+        Command::Run(path) => {
+            let settings = read_settings(path)?;
+            start_logging();
+            node::run(settings)
+        }
+        Command::Version => {
+            println!("masticsill {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+    }
+}
+
+fn read_settings(path: &std::path::Path) -> eyre::Result<Settings> {
+    Settings::read(path).wrap_err_with(|| format!("{} is refused", path.display()))
+}
--- a/crates/masticsill_entry/src/http/completions.rs
+++ b/crates/masticsill_entry/src/http/completions.rs
@@ -1,6 +1,7 @@
 //! `POST /v1/completions` and `POST /v1/chat/completions`.
 
 use masticsill_runtime::Ring;
+use masticsill_session::{Position, StreamItem};
 use masticsill_types::{Refusal, RefusalKind};
 use ntex::http::header::HeaderMap;
 use ntex::web::types::{Payload, State};
@@ -10,11 +11,10 @@
 use super::refusal::answer_refusal;
 use super::server::Gateway;
 use super::sse::{AnswerHead, Receiver, stream_answer};
+use crate::answer_ring::AnswerRing;
 use crate::filter::{Admitted, admit};
 use crate::openai::{ChatRequest, Completion, CompletionRequest, Interface, Usage};
-use crate::position::Position;
 use crate::request::{GenerationRequest, RequestKey};
-use crate::session::{StreamItem, Submission};
 use crate::sessions_duty::SessionInput;
 
 /// Items that wait for a slow caller; the rest of its answer stays in the record.
@@ -60,7 +60,10 @@
     let begun = read.and_then(|body| begin(request.headers(), body, gateway));
     match begun {
         Ok(begun) => respond(begun, interface).await,
-        Err(refusal) => answer_refusal(&refusal),
+        Err(refusal) => {
+            gateway.metrics.count("entry.refusals", 1);
+            answer_refusal(&refusal)
+        }
     }
 }
 
@@ -85,19 +88,16 @@
     let ring = Ring::with_capacity(CALLER_RING_ITEMS);
     let receiver = Receiver::new(ring.clone(), &gateway.open_work);
     let admitted = admit(gateway, &request, seen.is_some())?;
-    let id = match seen {
-        Some(position) => {
-            check_key(&admitted, key.as_ref(), &position)?;
-            gateway.hand_over(SessionInput::Reattach(position, ring))?;
-            position.id
-        }
-        None => {
-            let key = key.unwrap_or_else(RequestKey::random);
-            let id = key.new_generation(&admitted.entry.owner);
-            let spec = admitted.into_spec(id, request);
-            gateway.hand_over(SessionInput::Submit(Submission { ring, spec }))?;
-            id
-        }
+    let id = if let Some(position) = seen {
+        check_key(&admitted, key.as_ref(), &position)?;
+        gateway.hand_over(SessionInput::Reattach(position, AnswerRing(ring)))?;
+        position.id
+    } else {
+        let key = key.unwrap_or_else(RequestKey::random);
+        let id = key.new_generation(&admitted.entry.owner);
+        let spec = admitted.into_spec(id, request);
+        gateway.hand_over(SessionInput::Submit(Box::new(spec), AnswerRing(ring)))?;
+        id
     };
     Ok(Begun {
         id: format!("cmpl-{id}"),
--- a/crates/masticsill_entry/src/http/sse.rs
+++ b/crates/masticsill_entry/src/http/sse.rs
@@ -5,13 +5,13 @@
 use futures::Stream;
 use futures::stream;
 use masticsill_runtime::Ring;
+use masticsill_session::StreamItem;
 use masticsill_types::{FinishReason, Refusal};
 use ntex::util::Bytes;
 use serde::Serialize;
 
 use crate::open_work::{OpenWork, OpenWorkGuard};
 use crate::openai::{Completion, ErrorBody, Interface};
-use crate::session::StreamItem;
 
 /// Bytes written at once at most, so that one stream does not hold a worker.
 const MAX_CHUNK_BYTES: usize = 16 * 1024;
--- a/crates/masticsill_entry/src/lib.rs
+++ b/crates/masticsill_entry/src/lib.rs
@@ -3,6 +3,7 @@
 //! Duties: `http` serves callers, `sessions` owns generations and the links to agents, `peers`
 //! answers other entries. They are joined by bounded rings.
 
+mod answer_ring;
 mod calls;
 mod config;
 mod control_client;
@@ -13,12 +14,10 @@
 mod open_work;
 mod openai;
 mod peer_service;
-mod position;
 mod readiness;
 mod request;
 mod role;
 mod search;
-mod session;
 mod sessions_duty;
 
 pub use config::EntryConfig;
--- a/crates/masticsill_entry/src/link/task.rs
+++ b/crates/masticsill_entry/src/link/task.rs
@@ -52,7 +52,7 @@
     /// Follow an attempt that runs at the agent.
     Follow(PullCursor),
     /// Start an attempt and follow it.
-    Start(StartRequest),
+    Start(Box<StartRequest>),
 }
 
 /// Takes what a link learns. The sessions duty implements it; tests use a small fake.
@@ -177,8 +177,8 @@
             }
             LinkCommand::Follow(cursor) => self.follow(cursor),
             LinkCommand::Start(request) => {
-                self.starts.insert(request.spec.id, request.clone());
-                self.call_start(request);
+                self.starts.insert(request.spec.id, (*request).clone());
+                self.call_start(*request);
             }
         }
     }
--- a/crates/masticsill_entry/src/search.rs
+++ b/crates/masticsill_entry/src/search.rs
@@ -8,6 +8,7 @@
 use futures::stream::FuturesUnordered;
 use masticsill_membership::{MemberState, Role};
 use masticsill_runtime::connect_transport;
+use masticsill_session::{Found, Position};
 use masticsill_types::{NodeId, TokenIndex};
 use masticsill_wire::ServiceKind;
 use masticsill_wire::agent::{
@@ -19,8 +20,6 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
-use crate::position::Position;
-use crate::session::Found;
 use crate::sessions_duty::Sessions;
 
 /// How long one possible holder may take, in milliseconds.
@@ -47,7 +46,7 @@
         return Found::Nowhere;
     };
     for (other, record) in answers {
-        cancel_other(other, &record);
+        cancel_other(&other, &record);
     }
     match holder {
         Holder::Agent(agent, _) => Found::AtAgent(agent, snapshot),
@@ -118,13 +117,14 @@
 }
 
 /// Ends what a holder that was not chosen still runs.
-fn cancel_other(holder: Holder, record: &RecordSnapshot) {
+fn cancel_other(holder: &Holder, record: &RecordSnapshot) {
     let Holder::Agent(_, address) = holder else {
         return;
     };
     let Some(last) = record.history.last() else {
         return;
     };
+    let address = *address;
     let request = CancelRequest {
         id: record.spec.id,
         lineage: last.lineage,
--- a/crates/masticsill_entry/src/sessions_duty.rs
+++ b/crates/masticsill_entry/src/sessions_duty.rs
@@ -1,6 +1,6 @@
 //! The duty that owns all sessions of this entry, and the links to agents.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,9 +10,10 @@
 use masticsill_membership::{Member, MemberState, Role};
 use masticsill_mesh::MeshHandle;
 use masticsill_runtime::{Metrics, Ring};
+use masticsill_session::{Action, BookConfig, Endpoint, Found, Position, SessionBook, Submission};
 use masticsill_types::{
-    ClockMs, EndpointProfile, GenerationId, Lineage, LoadReport, ModelId, MonotonicClock, NodeId,
-    Refusal, log_event,
+    ClockMs, EndpointProfile, GenerationId, GenerationSpec, Lineage, LoadReport, ModelId,
+    MonotonicClock, NodeId, Refusal, log_event,
 };
 use masticsill_wire::agent::{AttachReply, AttachRequest, CallAnswer, PullReply, StartReply};
 use rand::Rng;
@@ -20,13 +21,12 @@
 use tokio::task::spawn_local;
 use tokio::time::{MissedTickBehavior, interval};
 
+use crate::answer_ring::AnswerRing;
 use crate::calls::{PlainCall, run_call};
 use crate::config::EntryConfig;
 use crate::events;
 use crate::link::{LinkCommand, LinkConfig, LinkOwner, run_link};
-use crate::position::Position;
 use crate::search::search_holders;
-use crate::session::{Action, BookConfig, Endpoint, Found, SessionBook, StreamItem, Submission};
 
 /// Work that other duties hand over and that waits here at most.
 pub(crate) const INPUT_RING_ITEMS: usize = 16_384;
@@ -35,6 +35,8 @@
 /// How long a generation may be without an endpoint before its final answer, in milliseconds.
 const WAITING_MS: u64 = 4_000;
 const TICK_MS: u64 = 20;
+/// Ticks between looks at the members without news, so that held-back endpoints come into use.
+const REFRESH_TICKS: u64 = 25;
 /// Inputs taken before time and links get their turn.
 const INPUT_BATCH: usize = 256;
 
@@ -44,11 +46,11 @@
     /// A call of a plain service.
     Call(PlainCall, oneshot::Sender<Result<CallAnswer, Refusal>>),
     /// A caller that came back.
-    Reattach(Position, Ring<StreamItem>),
+    Reattach(Position, AnswerRing),
     /// Another entry asks for a generation.
     Release(AttachRequest, oneshot::Sender<AttachReply>),
     /// An admitted generation.
-    Submit(Submission),
+    Submit(Box<GenerationSpec>, AnswerRing),
 }
 
 /// What the duty, its links and its calls share; all run on the duty's thread.
@@ -63,6 +65,7 @@
     /// Membership and catalogue.
     pub(crate) mesh: MeshHandle,
     metrics: Metrics,
+    ticks: Cell<u64>,
 }
 
 /// Runs the duty until its ring is closed and no session is open.
@@ -86,6 +89,7 @@
         links: RefCell::new(IndexMap::new()),
         mesh: mesh.clone(),
         metrics,
+        ticks: Cell::new(0),
     });
     let mut ticks = interval(Duration::from_millis(TICK_MS));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -97,7 +101,7 @@
                 None => return,
             },
             () = mesh.changed() => sessions.refresh_members(),
-            _ = ticks.tick() => sessions.with_book(|book, now| book.tick(now)),
+            _ = ticks.tick() => sessions.tick(),
         }
     }
 }
@@ -148,6 +152,15 @@
         result
     }
 
+    fn tick(self: &Rc<Self>) {
+        self.with_book(SessionBook::tick);
+        let ticks = self.ticks.get() + 1;
+        self.ticks.set(ticks);
+        if ticks.is_multiple_of(REFRESH_TICKS) {
+            self.refresh_members();
+        }
+    }
+
     fn take_batch(self: &Rc<Self>, first: SessionInput, inputs: &Ring<SessionInput>) {
         self.take(first);
         for _ in 0..INPUT_BATCH {
@@ -162,14 +175,19 @@
         match input {
             SessionInput::Call(call, reply) => self.begin_call(call, reply),
             SessionInput::Reattach(position, ring) => {
-                self.with_book(|book, now| book.reattach(now, position, ring));
+                let sink = Box::new(ring);
+                self.with_book(|book, now| book.reattach(now, position, sink));
             }
             SessionInput::Release(request, reply) => {
                 let answer = self.with_book(|book, _| book.release(&request));
                 // The asker may have given up; the record is then lost to it, as it is told.
                 let _ = reply.send(answer);
             }
-            SessionInput::Submit(submission) => {
+            SessionInput::Submit(spec, ring) => {
+                let submission = Submission {
+                    sink: Box::new(ring),
+                    spec: *spec,
+                };
                 self.metrics.count("entry.generations", 1);
                 let nonce = rand::rng().random();
                 self.with_book(|book, now| book.submit(now, submission, nonce));
@@ -279,7 +297,7 @@
 
 impl LinkOwner for Rc<Sessions> {
     fn on_started(&self, agent: &NodeId, id: GenerationId, lineage: Lineage, reply: StartReply) {
-        self.with_book(|book, now| book.start_replied(now, agent, id, lineage, reply));
+        self.with_book(|book, now| book.start_replied(now, agent, id, lineage, &reply));
     }
 
     fn on_pulled(&self, agent: &NodeId, reply: PullReply) {
--- a/crates/masticsill_entry/src/session/book.rs
+++ b/crates/masticsill_session/src/book.rs
@@ -2,7 +2,6 @@
 
 use indexmap::{IndexMap, IndexSet};
 use masticsill_generation::Record;
-use masticsill_runtime::Ring;
 use masticsill_types::{
     AttemptState, ClockMs, GenerationId, GenerationSpec, Lineage, NodeId, Refusal, RefusalKind,
     TokenIndex,
@@ -12,10 +11,10 @@
     StartReply, StartRequest,
 };
 
-use super::caller::{Caller, Delivery, StreamItem};
-use super::endpoint::EndpointTable;
-use super::session::{Phase, Session};
+use crate::caller::{AnswerSink, Caller, Delivery};
+use crate::endpoint::EndpointTable;
 use crate::position::Position;
+use crate::session::{Phase, Session};
 
 /// When a refused caller may come back, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_000;
@@ -24,29 +23,29 @@
 
 /// Bounds of a [`SessionBook`].
 #[derive(Clone, Debug)]
-pub(crate) struct BookConfig {
+pub struct BookConfig {
     /// Sessions at most.
-    pub(crate) max_sessions: usize,
+    pub max_sessions: usize,
     /// The entry's name.
-    pub(crate) node: NodeId,
+    pub node: NodeId,
     /// How long a generation outlives its caller's connection, in milliseconds.
-    pub(crate) reattach_ms: u64,
+    pub reattach_ms: u64,
     /// How long a session may be without an endpoint, in milliseconds.
-    pub(crate) waiting_ms: u64,
+    pub waiting_ms: u64,
 }
 
 /// An admitted request.
 #[derive(Debug)]
-pub(crate) struct Submission {
-    /// The caller's ring.
-    pub(crate) ring: Ring<StreamItem>,
+pub struct Submission {
+    /// Where the caller's answer goes.
+    pub sink: Box<dyn AnswerSink>,
     /// What to generate.
-    pub(crate) spec: GenerationSpec,
+    pub spec: GenerationSpec,
 }
 
 /// What the sessions duty is to do.
 #[derive(Clone, Debug, PartialEq)]
-pub(crate) enum Action {
+pub enum Action {
     /// End an attempt at an agent.
     Cancel(NodeId, CancelRequest),
     /// Follow an attempt that runs at an agent already.
@@ -54,12 +53,12 @@
     /// Ask every possible holder for a generation.
     Search(Position),
     /// Start an attempt at an agent; once accepted it is followed.
-    Start(NodeId, StartRequest),
+    Start(NodeId, Box<StartRequest>),
 }
 
 /// What a search for a generation brought.
 #[derive(Debug)]
-pub(crate) enum Found {
+pub enum Found {
     /// An agent handed its running record over.
     AtAgent(NodeId, RecordSnapshot),
     /// Another entry gave its record up; its agent is not known to run.
@@ -70,17 +69,18 @@
 
 /// Every session of this entry.
 #[derive(Debug)]
-pub(crate) struct SessionBook {
+pub struct SessionBook {
     actions: Vec<Action>,
     config: BookConfig,
     endpoints: EndpointTable,
-    searches: IndexMap<GenerationId, (Position, Ring<StreamItem>)>,
+    searches: IndexMap<GenerationId, (Position, Box<dyn AnswerSink>)>,
     sessions: IndexMap<GenerationId, Session>,
 }
 
 impl SessionBook {
     /// An empty book.
-    pub(crate) fn new(config: BookConfig) -> Self {
+    #[must_use]
+    pub fn new(config: BookConfig) -> Self {
         Self {
             actions: Vec::new(),
             config,
@@ -91,24 +91,25 @@
     }
 
     /// The endpoints known.
-    pub(crate) fn endpoints(&self) -> &EndpointTable {
+    #[must_use]
+    pub fn endpoints(&self) -> &EndpointTable {
         &self.endpoints
     }
 
     /// The endpoints known, to be changed.
-    pub(crate) fn endpoints_mut(&mut self) -> &mut EndpointTable {
+    pub fn endpoints_mut(&mut self) -> &mut EndpointTable {
         &mut self.endpoints
     }
 
     /// Takes what is to be done since the last call.
-    pub(crate) fn take_actions(&mut self) -> Vec<Action> {
+    pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.actions)
     }
 
     /// Begins a generation; `nonce` is random.
-    pub(crate) fn submit(&mut self, now: ClockMs, submission: Submission, nonce: u32) {
-        let Submission { ring, spec } = submission;
-        let mut caller = Caller::new(ring, TokenIndex(0));
+    pub fn submit(&mut self, now: ClockMs, submission: Submission, nonce: u32) {
+        let Submission { sink, spec } = submission;
+        let mut caller = Caller::new(sink, TokenIndex(0));
         if self.sessions.len() >= self.config.max_sessions {
             let refusal = Refusal::not_run(RefusalKind::Overloaded, "too many open generations");
             caller.refuse(refusal.retry_after(RETRY_AFTER_MS));
@@ -121,12 +122,12 @@
     }
 
     /// Continues a generation for a caller that came back.
-    pub(crate) fn reattach(&mut self, now: ClockMs, position: Position, ring: Ring<StreamItem>) {
+    pub fn reattach(&mut self, now: ClockMs, position: Position, sink: Box<dyn AnswerSink>) {
         let Some(session) = self.sessions.get_mut(&position.id) else {
-            self.search(position, ring);
+            self.search(position, sink);
             return;
         };
-        let mut caller = Caller::new(ring, position.next_index);
+        let mut caller = Caller::new(sink, position.next_index);
         if !session
             .record
             .continues(position.lineage, position.next_index)
@@ -142,13 +143,13 @@
     }
 
     /// Takes an agent's answer to a start.
-    pub(crate) fn start_replied(
+    pub fn start_replied(
         &mut self,
         now: ClockMs,
         agent: &NodeId,
         id: GenerationId,
         lineage: Lineage,
-        reply: StartReply,
+        reply: &StartReply,
     ) {
         let Some(session) = self.sessions.get_mut(&id) else {
             self.cancel_at(agent, id, lineage);
@@ -170,7 +171,7 @@
     }
 
     /// Takes news of a stream.
-    pub(crate) fn progress(&mut self, now: ClockMs, agent: &NodeId, news: Progress) {
+    pub fn progress(&mut self, now: ClockMs, agent: &NodeId, news: Progress) {
         let Some(session) = self.sessions.get_mut(&news.id) else {
             return;
         };
@@ -204,7 +205,7 @@
     }
 
     /// Moves every stream away from an agent that can't be reached or stayed silent.
-    pub(crate) fn agent_lost(&mut self, now: ClockMs, agent: &NodeId) {
+    pub fn agent_lost(&mut self, now: ClockMs, agent: &NodeId) {
         self.endpoints.set_down(agent, true);
         let is_there = |session: &&Session| session.is_at(agent);
         let lost = self.sessions.values().filter(is_there);
@@ -216,16 +217,16 @@
     }
 
     /// Lets an agent take new work again.
-    pub(crate) fn agent_reached(&mut self, agent: &NodeId) {
+    pub fn agent_reached(&mut self, agent: &NodeId) {
         self.endpoints.set_down(agent, false);
     }
 
     /// Takes the result of a search.
-    pub(crate) fn found(&mut self, now: ClockMs, id: GenerationId, found: Found) {
-        let Some((position, ring)) = self.searches.swap_remove(&id) else {
+    pub fn found(&mut self, now: ClockMs, id: GenerationId, found: Found) {
+        let Some((position, sink)) = self.searches.swap_remove(&id) else {
             return;
         };
-        let mut caller = Caller::new(ring, position.next_index);
+        let mut caller = Caller::new(sink, position.next_index);
         let (agent, snapshot) = match found {
             Found::AtAgent(agent, snapshot) => (Some(agent), snapshot),
             Found::AtEntry(snapshot) => (None, snapshot),
@@ -245,7 +246,7 @@
     }
 
     /// Gives a generation up to another entry, to which its caller came back.
-    pub(crate) fn release(&mut self, request: &AttachRequest) -> AttachReply {
+    pub fn release(&mut self, request: &AttachRequest) -> AttachReply {
         let Some(session) = self.sessions.get_mut(&request.id) else {
             return AttachReply::Unknown;
         };
@@ -262,8 +263,8 @@
         AttachReply::Attached(Box::new(snapshot))
     }
 
-    /// Does what time asks for: full rings, callers gone, sessions without an endpoint.
-    pub(crate) fn tick(&mut self, now: ClockMs) {
+    /// Does what time asks for: full sinks, callers gone, sessions without an endpoint.
+    pub fn tick(&mut self, now: ClockMs) {
         let ids: Vec<GenerationId> = self.sessions.keys().copied().collect();
         for id in ids {
             self.deliver(now, id);
@@ -271,10 +272,10 @@
         }
     }
 
-    fn search(&mut self, position: Position, ring: Ring<StreamItem>) {
-        let former = self.searches.insert(position.id, (position, ring));
+    fn search(&mut self, position: Position, sink: Box<dyn AnswerSink>) {
+        let former = self.searches.insert(position.id, (position, sink));
         match former {
-            Some((seen, ring)) => Caller::new(ring, seen.next_index).refuse(superseded()),
+            Some((seen, sink)) => Caller::new(sink, seen.next_index).refuse(superseded()),
             None => self.actions.push(Action::Search(position)),
         }
     }
@@ -317,7 +318,7 @@
         let request = session.record.start_request(self.config.node.clone());
         session.phase = Phase::Starting(agent.clone());
         self.endpoints.begin(&agent);
-        self.actions.push(Action::Start(agent, request));
+        self.actions.push(Action::Start(agent, Box::new(request)));
     }
 
     /// Leaves the current agent and begins the next attempt elsewhere.
--- a/crates/masticsill_entry/src/session/caller.rs
+++ b/crates/masticsill_session/src/caller.rs
@@ -1,16 +1,16 @@
 //! Delivery of one answer to one caller.
 
 use std::collections::VecDeque;
+use std::fmt;
 
 use masticsill_generation::{Record, Utf8Assembler};
-use masticsill_runtime::Ring;
 use masticsill_types::{AttemptState, FinishReason, Refusal, TokenIndex};
 
 use crate::position::Position;
 
 /// What a caller's connection is given to write.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub(crate) enum StreamItem {
+pub enum StreamItem {
     /// The answer is whole.
     Finished {
         /// Tokens of the whole answer.
@@ -31,6 +31,19 @@
     },
 }
 
+/// Where a caller's answer goes. An entry's connections implement it; tests use a small fake.
+pub trait AnswerSink: fmt::Debug {
+    /// Takes an item, or gives it back when there is no room for it now.
+    ///
+    /// # Errors
+    ///
+    /// The item, when there is no room.
+    fn offer(&self, item: StreamItem) -> Result<(), StreamItem>;
+
+    /// Whether the caller is gone.
+    fn is_closed(&self) -> bool;
+}
+
 /// Whether a caller still takes its answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Delivery {
@@ -44,25 +57,25 @@
 
 /// A caller's connection and how far its answer was handed over.
 ///
-/// A slow caller fills its ring; the rest stays in the record, which `max_tokens` bounds.
+/// A slow caller fills its sink; the rest stays in the record, which `max_tokens` bounds.
 #[derive(Debug)]
 pub(crate) struct Caller {
     assembler: Utf8Assembler,
     is_ended: bool,
     next_fed: TokenIndex,
     pending: VecDeque<StreamItem>,
-    ring: Ring<StreamItem>,
+    sink: Box<dyn AnswerSink>,
 }
 
 impl Caller {
     /// A caller that wants the answer from `next_index` on.
-    pub(crate) fn new(ring: Ring<StreamItem>, next_index: TokenIndex) -> Self {
+    pub(crate) fn new(sink: Box<dyn AnswerSink>, next_index: TokenIndex) -> Self {
         Self {
             assembler: Utf8Assembler::starting_at(next_index),
             is_ended: false,
             next_fed: next_index,
             pending: VecDeque::new(),
-            ring,
+            sink,
         }
     }
 
@@ -86,15 +99,15 @@
     /// Hands over pending items.
     pub(crate) fn flush(&mut self) -> Delivery {
         while let Some(item) = self.pending.pop_front() {
-            if let Err(full) = self.ring.push(item) {
-                self.pending.push_front(full.0);
+            if let Err(item) = self.sink.offer(item) {
+                self.pending.push_front(item);
                 break;
             }
         }
         if self.pending.is_empty() && self.is_ended {
             return Delivery::Complete;
         }
-        if self.ring.is_closed() {
+        if self.sink.is_closed() {
             return Delivery::Gone;
         }
         Delivery::Open
--- a/crates/masticsill_entry/src/session/endpoint.rs
+++ b/crates/masticsill_session/src/endpoint.rs
@@ -9,26 +9,26 @@
 
 /// One endpoint as this entry sees it.
 #[derive(Clone, Debug)]
-pub(crate) struct Endpoint {
+pub struct Endpoint {
     /// Where its agent listens.
-    pub(crate) address: SocketAddr,
+    pub address: SocketAddr,
     /// The agent's life.
-    pub(crate) incarnation: Incarnation,
+    pub incarnation: Incarnation,
     /// Attempts of this entry that run there.
-    pub(crate) in_flight: u32,
+    pub in_flight: u32,
     /// Whether the agent could not be reached or stayed silent.
-    pub(crate) is_down: bool,
+    pub is_down: bool,
     /// The engine's last load report.
-    pub(crate) load: LoadReport,
+    pub load: LoadReport,
     /// What the agent announced.
-    pub(crate) profile: EndpointProfile,
+    pub profile: EndpointProfile,
     /// Its availability zone.
-    pub(crate) zone: ZoneId,
+    pub zone: ZoneId,
 }
 
 /// Every endpoint known.
 #[derive(Debug, Default)]
-pub(crate) struct EndpointTable {
+pub struct EndpointTable {
     endpoints: IndexMap<NodeId, Endpoint>,
 }
 
@@ -36,7 +36,7 @@
     /// Replaces the table by what the membership says now, keeping own counts.
     ///
     /// Returns the agents that are gone or began another life.
-    pub(crate) fn replace(&mut self, members: IndexMap<NodeId, Endpoint>) -> Vec<NodeId> {
+    pub fn replace(&mut self, members: IndexMap<NodeId, Endpoint>) -> Vec<NodeId> {
         let former = std::mem::replace(&mut self.endpoints, members);
         let mut lost = Vec::new();
         for (node, known) in former {
@@ -53,50 +53,49 @@
     }
 
     /// An endpoint by its agent's name.
-    pub(crate) fn get(&self, agent: &NodeId) -> Option<&Endpoint> {
+    #[must_use]
+    pub fn get(&self, agent: &NodeId) -> Option<&Endpoint> {
         self.endpoints.get(agent)
     }
 
     /// Notes whether an agent can be reached.
-    pub(crate) fn set_down(&mut self, agent: &NodeId, is_down: bool) {
+    pub fn set_down(&mut self, agent: &NodeId, is_down: bool) {
         if let Some(endpoint) = self.endpoints.get_mut(agent) {
             endpoint.is_down = is_down;
         }
     }
 
     /// Notes an attempt begun at an agent.
-    pub(crate) fn begin(&mut self, agent: &NodeId) {
+    pub fn begin(&mut self, agent: &NodeId) {
         if let Some(endpoint) = self.endpoints.get_mut(agent) {
             endpoint.in_flight += 1;
         }
     }
 
     /// Notes an attempt that is over at an agent.
-    pub(crate) fn end(&mut self, agent: &NodeId) {
+    pub fn end(&mut self, agent: &NodeId) {
         if let Some(endpoint) = self.endpoints.get_mut(agent) {
             endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
         }
     }
 
     /// Notes a load report that came with an agent's tokens.
-    pub(crate) fn report(&mut self, agent: &NodeId, load: LoadReport) {
+    pub fn report(&mut self, agent: &NodeId, load: LoadReport) {
         if let Some(endpoint) = self.endpoints.get_mut(agent) {
             endpoint.load = load;
         }
     }
 
     /// Whether any endpoint that is not gone has the model loaded, reachable or not.
-    pub(crate) fn has_model(&self, target: &ModelTarget) -> bool {
+    #[must_use]
+    pub fn has_model(&self, target: &ModelTarget) -> bool {
         let mut endpoints = self.endpoints.values();
         endpoints.any(|endpoint| endpoint.has_loaded(target))
     }
 
     /// The least loaded endpoint that can take an attempt, outside `tried`.
-    pub(crate) fn choose_engine(
-        &self,
-        target: &ModelTarget,
-        tried: &IndexSet<NodeId>,
-    ) -> Option<NodeId> {
+    #[must_use]
+    pub fn choose_engine(&self, target: &ModelTarget, tried: &IndexSet<NodeId>) -> Option<NodeId> {
         let is_candidate = |(node, endpoint): &(&NodeId, &Endpoint)| {
             endpoint.can_start() && endpoint.has_loaded(target) && !tried.contains(*node)
         };
@@ -106,11 +105,8 @@
     }
 
     /// The least loaded endpoint of a plain service, outside `tried`.
-    pub(crate) fn choose_service(
-        &self,
-        service: &ModelId,
-        tried: &IndexSet<NodeId>,
-    ) -> Option<NodeId> {
+    #[must_use]
+    pub fn choose_service(&self, service: &ModelId, tried: &IndexSet<NodeId>) -> Option<NodeId> {
         let is_candidate = |(node, endpoint): &(&NodeId, &Endpoint)| {
             endpoint.can_start() && endpoint.is_service(service) && !tried.contains(*node)
         };
@@ -122,12 +118,14 @@
 
 impl Endpoint {
     /// Whether new work may be sent.
-    pub(crate) fn can_start(&self) -> bool {
+    #[must_use]
+    pub fn can_start(&self) -> bool {
         !self.is_down && !self.profile.is_leaving
     }
 
     /// Whether the engine has exactly this model, version and adapter loaded.
-    pub(crate) fn has_loaded(&self, target: &ModelTarget) -> bool {
+    #[must_use]
+    pub fn has_loaded(&self, target: &ModelTarget) -> bool {
         match &self.profile.kind {
             EndpointKind::Engine { loaded, .. } => loaded.contains(target),
             EndpointKind::PlainService { .. } => false,
--- /dev/null
+++ b/crates/masticsill_session/src/lib.rs
@@ -0,0 +1,16 @@
+//! The entry's sessions: generations, their callers and their attempts.
+//!
+//! Pure logic: no sockets, threads or wall clock. [`SessionBook`] takes requests, agents' answers
+//! and time, and says by [`Action`]s what is to be sent to agents. Each caller's answer is handed
+//! to an [`AnswerSink`].
+
+mod book;
+mod caller;
+mod endpoint;
+mod position;
+mod session;
+
+pub use book::{Action, BookConfig, Found, SessionBook, Submission};
+pub use caller::{AnswerSink, StreamItem};
+pub use endpoint::{Endpoint, EndpointTable};
+pub use position::{Position, PositionError};
--- a/crates/masticsill_entry/src/position.rs
+++ b/crates/masticsill_session/src/position.rs
@@ -10,18 +10,18 @@
 ///
 /// As text, the `id` of a server-sent event: `GENERATION-EPOCH.ATTEMPT.NEXT_INDEX`.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct Position {
+pub struct Position {
     /// The generation.
-    pub(crate) id: GenerationId,
+    pub id: GenerationId,
     /// Who produced the last token received.
-    pub(crate) lineage: Lineage,
+    pub lineage: Lineage,
     /// The next token wanted.
-    pub(crate) next_index: TokenIndex,
+    pub next_index: TokenIndex,
 }
 
 /// An event id that this system never wrote.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct PositionError;
+pub struct PositionError;
 
 impl fmt::Display for PositionError {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/masticsill_entry/src/session/session.rs
+++ b/crates/masticsill_session/src/session.rs
@@ -4,7 +4,7 @@
 use masticsill_generation::Record;
 use masticsill_types::{ClockMs, NodeId};
 
-use super::caller::Caller;
+use crate::caller::Caller;
 
 /// Where the current attempt of a session stands.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- /dev/null
+++ b/crates/masticsill_session/tests/sessions/caller_return.rs
@@ -0,0 +1,115 @@
+//! Callers that leave, come back, or come back through another entry.
+
+use masticsill_session::{Action, Found};
+use masticsill_types::{AttemptState, Lineage, RefusalKind, RefusedOutcome};
+use masticsill_wire::agent::{AttachReply, AttachRequest};
+
+use assert_matches::assert_matches;
+
+use crate::support::{FakeSink, REATTACH_MS, World, node, spec};
+
+const RUNNING: AttemptState = AttemptState::Running;
+
+fn follow_two_tokens(world: &mut World, sink: &FakeSink) -> crate::support::Started {
+    world.submit(sink);
+    let started = world.taken_start();
+    world.accept(&started);
+    world.push(&started, 0, &[b"a", b"b"], RUNNING);
+    started
+}
+
+#[test]
+fn a_returning_caller_gets_the_rest_and_the_old_connection_is_superseded() {
+    let mut world = World::new();
+    let sink = FakeSink::new(100);
+    let started = follow_two_tokens(&mut world, &sink);
+    let again = FakeSink::new(100);
+    world
+        .book
+        .reattach(world.now, sink.position(), Box::new(again.clone()));
+    world.push(&started, 2, &[b"c"], RUNNING);
+    assert_eq!(again.text(), "c");
+    let superseded = Some((RefusedOutcome::Failed, RefusalKind::Superseded));
+    assert_eq!(sink.refusal(), superseded);
+}
+
+#[test]
+fn a_position_of_another_branch_is_refused() {
+    let mut world = World::new();
+    let sink = FakeSink::new(100);
+    follow_two_tokens(&mut world, &sink);
+    let mut position = sink.position();
+    position.lineage = Lineage::first(999);
+    let again = FakeSink::new(100);
+    world
+        .book
+        .reattach(world.now, position, Box::new(again.clone()));
+    let lost = Some((RefusedOutcome::Failed, RefusalKind::RecordLost));
+    assert_eq!(again.refusal(), lost);
+}
+
+#[test]
+fn a_generation_without_its_caller_is_cancelled_after_a_while() {
+    let mut world = World::new();
+    let sink = FakeSink::new(100);
+    follow_two_tokens(&mut world, &sink);
+    sink.close();
+    world.pass(20);
+    world.pass(REATTACH_MS / 2);
+    assert_eq!(world.book.take_actions(), []);
+    world.pass(REATTACH_MS);
+    assert_matches!(world.book.take_actions().as_slice(), [Action::Cancel(_, _)]);
+}
+
+#[test]
+fn a_released_generation_is_owned_by_one_entry_only() {
+    let mut world = World::new();
+    let sink = FakeSink::new(100);
+    let started = follow_two_tokens(&mut world, &sink);
+    let position = sink.position();
+    let request = AttachRequest {
+        entry: node("other"),
+        id: position.id,
+        next_index: position.next_index,
+        nonce: 8,
+        seen: position.lineage,
+    };
+    let reply = world.book.release(&request);
+    world.push(&started, 2, &[b"c"], RUNNING);
+    assert_eq!(sink.text(), "ab", "nothing is delivered after the release");
+    assert_matches!(world.book.release(&request), AttachReply::Unknown);
+
+    let AttachReply::Attached(snapshot) = reply else {
+        panic!("the record is handed over");
+    };
+    let mut other = World::new();
+    let again = FakeSink::new(100);
+    other
+        .book
+        .reattach(other.now, position, Box::new(again.clone()));
+    assert_matches!(other.book.take_actions().as_slice(), [Action::Search(_)]);
+    other
+        .book
+        .found(other.now, position.id, Found::AtEntry(*snapshot));
+    let resumed = other.taken_start();
+    assert_eq!(resumed.1.accepted.len(), 2);
+    other.accept(&resumed);
+    other.push(&resumed, 2, &[b"c"], RUNNING);
+    assert_eq!(again.text(), "c");
+}
+
+#[test]
+fn a_record_that_nobody_holds_is_told_at_once() {
+    let mut world = World::new();
+    let sink = FakeSink::new(100);
+    follow_two_tokens(&mut world, &sink);
+    let position = sink.position();
+    let mut other = World::new();
+    let again = FakeSink::new(100);
+    other
+        .book
+        .reattach(other.now, position, Box::new(again.clone()));
+    other.book.found(other.now, spec().id, Found::Nowhere);
+    let lost = Some((RefusedOutcome::Failed, RefusalKind::RecordLost));
+    assert_eq!(again.refusal(), lost);
+}
--- /dev/null
+++ b/crates/masticsill_session/tests/sessions/main.rs
@@ -0,0 +1,6 @@
+//! Sessions under failure, with fake engines and callers.
+
+mod caller_return;
+mod exact_resume;
+mod support;
+mod true_refusals;
--- /dev/null
+++ b/crates/masticsill_session/tests/sessions/support.rs
@@ -0,0 +1,225 @@
+//! A book with two fake engines and sinks that remember what they were offered.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use indexmap::IndexMap;
+use masticsill_session::{
+    Action, AnswerSink, BookConfig, Endpoint, Position, SessionBook, StreamItem, Submission,
+};
+use masticsill_types::{
+    AttemptState, Class, ClockMs, EndpointKind, EndpointProfile, EntryId, GenerationId,
+    GenerationSpec, Incarnation, LoadReport, ModelId, ModelTarget, NodeId, RefusalKind,
+    RefusedOutcome, Sampling, Token, TokenIndex, VersionId, WorkspaceId, ZoneId,
+};
+use masticsill_wire::agent::{Progress, ProgressState, StartReply, StartRequest};
+
+pub(crate) const REATTACH_MS: u64 = 1_000;
+pub(crate) const WAITING_MS: u64 = 3_000;
+
+#[derive(Debug)]
+struct SinkState {
+    is_closed: Cell<bool>,
+    items: RefCell<Vec<StreamItem>>,
+    room: Cell<usize>,
+}
+
+/// A caller that takes up to `room` items.
+#[derive(Clone, Debug)]
+pub(crate) struct FakeSink(Rc<SinkState>);
+
+impl FakeSink {
+    pub(crate) fn new(room: usize) -> Self {
+        Self(Rc::new(SinkState {
+            is_closed: Cell::new(false),
+            items: RefCell::new(Vec::new()),
+            room: Cell::new(room),
+        }))
+    }
+
+    pub(crate) fn close(&self) {
+        self.0.is_closed.set(true);
+    }
+
+    pub(crate) fn make_room(&self, room: usize) {
+        self.0.room.set(self.0.room.get() + room);
+    }
+
+    pub(crate) fn text(&self) -> String {
+        let items = self.0.items.borrow();
+        let texts = items.iter().filter_map(|item| match item {
+            StreamItem::Text { text, .. } => Some(text.as_str()),
+            StreamItem::Finished { .. } | StreamItem::Refused(_) => None,
+        });
+        texts.collect()
+    }
+
+    pub(crate) fn position(&self) -> Position {
+        let items = self.0.items.borrow();
+        let mut positions = items.iter().rev().filter_map(|item| match item {
+            StreamItem::Text { position, .. } => Some(*position),
+            StreamItem::Finished { .. } | StreamItem::Refused(_) => None,
+        });
+        positions.next().expect("some text was delivered")
+    }
+
+    pub(crate) fn is_finished(&self) -> bool {
+        let items = self.0.items.borrow();
+        matches!(items.last(), Some(StreamItem::Finished { .. }))
+    }
+
+    pub(crate) fn refusal(&self) -> Option<(RefusedOutcome, RefusalKind)> {
+        match self.0.items.borrow().last() {
+            Some(StreamItem::Refused(refusal)) => Some((refusal.outcome, refusal.kind)),
+            _ => None,
+        }
+    }
+}
+
+impl AnswerSink for FakeSink {
+    fn offer(&self, item: StreamItem) -> Result<(), StreamItem> {
+        if self.0.room.get() == 0 || self.0.is_closed.get() {
+            return Err(item);
+        }
+        self.0.room.set(self.0.room.get() - 1);
+        self.0.items.borrow_mut().push(item);
+        Ok(())
+    }
+
+    fn is_closed(&self) -> bool {
+        self.0.is_closed.get()
+    }
+}
+
+/// A book that knows the agents `a` and `b`.
+pub(crate) struct World {
+    pub(crate) book: SessionBook,
+    pub(crate) now: ClockMs,
+}
+
+impl World {
+    pub(crate) fn new() -> Self {
+        let mut book = SessionBook::new(BookConfig {
+            max_sessions: 4,
+            node: node("entry"),
+            reattach_ms: REATTACH_MS,
+            waiting_ms: WAITING_MS,
+        });
+        let members = ["a", "b"].map(|name| (node(name), endpoint()));
+        book.endpoints_mut().replace(IndexMap::from(members));
+        Self {
+            book,
+            now: ClockMs(1_000),
+        }
+    }
+
+    pub(crate) fn submit(&mut self, sink: &FakeSink) {
+        let submission = Submission {
+            sink: Box::new(sink.clone()),
+            spec: spec(),
+        };
+        self.book.submit(self.now, submission, 7);
+    }
+
+    /// The one start among the actions, with its agent.
+    pub(crate) fn taken_start(&mut self) -> Started {
+        let starts = self.book.take_actions().into_iter();
+        let mut starts = starts.filter_map(|action| match action {
+            Action::Start(agent, request) => Some((agent, *request)),
+            _ => None,
+        });
+        starts.next().expect("an attempt is started")
+    }
+
+    pub(crate) fn reply(&mut self, started: &Started, reply: &StartReply) {
+        let (agent, request) = started;
+        let lineage = request.history.last().expect("a history").lineage;
+        let id = request.spec.id;
+        self.book.start_replied(self.now, agent, id, lineage, reply);
+    }
+
+    pub(crate) fn accept(&mut self, started: &Started) {
+        self.reply(started, &StartReply::Accepted);
+    }
+
+    pub(crate) fn push(
+        &mut self,
+        started: &Started,
+        first_index: u32,
+        tokens: &[&[u8]],
+        state: AttemptState,
+    ) {
+        let (agent, request) = started;
+        let news = Progress {
+            first_index: TokenIndex(first_index),
+            id: request.spec.id,
+            lineage: request.history.last().expect("a history").lineage,
+            state: ProgressState::Attempt(state),
+            tokens: tokens.iter().map(|bytes| token(bytes)).collect(),
+        };
+        self.book.progress(self.now, agent, news);
+    }
+
+    pub(crate) fn pass(&mut self, duration_ms: u64) {
+        self.now = self.now + duration_ms;
+        self.book.tick(self.now);
+    }
+}
+
+/// An attempt as it was started, with its agent.
+pub(crate) type Started = (NodeId, StartRequest);
+
+pub(crate) fn node(name: &str) -> NodeId {
+    NodeId::new(name).expect("a valid name")
+}
+
+fn token(bytes: &[u8]) -> Token {
+    Token {
+        id: u32::from(bytes[0]),
+        bytes: bytes.to_vec(),
+    }
+}
+
+fn target() -> ModelTarget {
+    ModelTarget {
+        adapter: None,
+        model: ModelId::new("planner").expect("a valid name"),
+        version: VersionId::new("v1").expect("a valid name"),
+    }
+}
+
+pub(crate) fn spec() -> GenerationSpec {
+    GenerationSpec {
+        catalogue_entry: EntryId::new("layout").expect("a valid name"),
+        class: Class::PatientDraft,
+        id: GenerationId(5),
+        prompt: "plan".to_owned(),
+        sampling: Sampling {
+            max_tokens: 100,
+            seed: 1,
+            temperature_milli: 1_000,
+            top_p_milli: 1_000,
+        },
+        target: target(),
+        workspace: WorkspaceId::new("layouts").expect("a valid name"),
+    }
+}
+
+fn endpoint() -> Endpoint {
+    Endpoint {
+        address: "127.0.0.1:1".parse().expect("an address"),
+        incarnation: Incarnation(1),
+        in_flight: 0,
+        is_down: false,
+        load: LoadReport::default(),
+        profile: EndpointProfile {
+            kind: EndpointKind::Engine {
+                loaded: vec![target()],
+                slots: 4,
+                is_checking_fencing: true,
+            },
+            is_leaving: false,
+        },
+        zone: ZoneId::new("muc-a").expect("a valid name"),
+    }
+}
--- a/crates/masticsill_settings/src/check.rs
+++ b/crates/masticsill_settings/src/check.rs
@@ -35,6 +35,7 @@
                 file.advertised_rpc_address.as_deref(),
             )?,
             catalogue_lease_ms: lease_ms,
+            cluster: name("cluster", &file.cluster)?,
             node: name("node", &file.node)?,
             role: check_role(file.entry, file.agent, file.control)?,
             rpc_address: address("rpc_address", &file.rpc_address)?,
--- a/crates/masticsill_settings/src/file.rs
+++ b/crates/masticsill_settings/src/file.rs
@@ -5,6 +5,8 @@
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct SettingsFile {
+    #[serde(default = "default_cluster")]
+    pub(crate) cluster: String,
     pub(crate) node: String,
     pub(crate) zone: String,
     pub(crate) rpc_address: String,
@@ -96,6 +98,10 @@
     pub(crate) is_administrator: bool,
 }
 
+fn default_cluster() -> String {
+    "masticsill".to_owned()
+}
+
 fn default_catalogue_lease_ms() -> u64 {
     4_000
 }
--- a/crates/masticsill_settings/src/settings.rs
+++ b/crates/masticsill_settings/src/settings.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use masticsill_types::{ModelId, NodeId, OperatorId, WorkspaceId, ZoneId};
+use masticsill_types::{ClusterId, ModelId, NodeId, OperatorId, WorkspaceId, ZoneId};
 
 use crate::error::SettingsError;
 use crate::file::SettingsFile;
@@ -16,6 +16,8 @@
     pub advertised_rpc_address: Option<SocketAddr>,
     /// How long a copy of the catalogue may be acted on without a new proof, in milliseconds.
     pub catalogue_lease_ms: u64,
+    /// The cluster that the process belongs to; a data folder of another one is refused.
+    pub cluster: ClusterId,
     /// The process's name, unique among all processes.
     pub node: NodeId,
     /// What the process does.
--- a/crates/masticsill_types/src/id.rs
+++ b/crates/masticsill_types/src/id.rs
@@ -115,6 +115,11 @@
     };
 }
 
+name_id!(
+    /// A cluster: all processes that share one catalogue.
+    ClusterId,
+    "cluster"
+);
 name_id!(
     /// A process of the system, as named in its settings.
     NodeId,
--- a/crates/masticsill_types/src/lib.rs
+++ b/crates/masticsill_types/src/lib.rs
@@ -18,8 +18,8 @@
     AttemptFailure, AttemptState, FinishReason, GenerationSpec, Lineage, Sampling, Segment, Token,
 };
 pub use id::{
-    AdapterId, Attempt, CatalogueVersion, ChangeId, EntryId, FencingNumber, GenerationId, IdError,
-    Incarnation, ModelId, NodeId, OperatorId, OwnerEpoch, Term, TokenIndex, VersionId, WorkspaceId,
-    ZoneId,
+    AdapterId, Attempt, CatalogueVersion, ChangeId, ClusterId, EntryId, FencingNumber,
+    GenerationId, IdError, Incarnation, ModelId, NodeId, OperatorId, OwnerEpoch, Term, TokenIndex,
+    VersionId, WorkspaceId, ZoneId,
 };
 pub use outcome::{Outcome, Refusal, RefusalKind, RefusedOutcome};
