Add the fault proxy and the fake plain service

Cause: partitions, resets and lost answers have to be brought about between real processes. Closing the listener alone for a cut: its port could be lost to another process, so a bound socket that never listens keeps it. Change: `FaultProxy` with pass, delay, cut, black holes by direction, resets and an upstream that may move; `FakeService` that counts runs by `X-Request-Id` and body, delays, and closes after a run; example `fake_service`.

--- a/crates/masticsill_testkit/src/lib.rs
+++ b/crates/masticsill_testkit/src/lib.rs
@@ -5,6 +5,8 @@
 mod events;
 mod hosting;
 mod process;
+mod proxy;
+mod service;
 
 pub use caller::{Caller, CallerAnswer, CallerError, CallerRequest, CallerStream};
 pub use engine::{
@@ -15,3 +17,5 @@
 pub use process::{
     ProcessError, ProcessUnderTest, built_binary, built_example, wait_until, write_settings,
 };
+pub use proxy::{Direction, FaultProxy, ProxyMode};
+pub use service::{FakeService, ServiceSettings, ServiceStats};
