Bound an agent's records by bytes too

Cause: a prompt or a token limit of any size fitted under the limit on records. Ruled out: a limit on tokens alone (prompts count as well). Change: Shelf counts each record at its answer's full length and keeps the fences; an attempt that has all its tokens is whole without a run; tokens beyond the limit are dropped; the books refuse new work while leaving or while the engine is gone. Conclusion: the differential test found that an attempt resumed at its token limit ran past it.

--- a/crates/masticsill_generation/src/book.rs
+++ b/crates/masticsill_generation/src/book.rs
@@ -3,24 +3,20 @@
 use std::mem;
 
 use indexmap::IndexMap;
-use masticsill_types::{
-    AttemptFailure, AttemptState, ClockMs, GenerationId, Lineage, Refusal, RefusalKind,
-};
+use masticsill_types::{AttemptFailure, AttemptState, ClockMs, GenerationId, Refusal, RefusalKind};
 use masticsill_wire::agent::{
     AttachReply, AttachRequest, CancelRequest, Progress, ProgressState, PullCursor, PullRequest,
     StartReply, StartRequest,
 };
 
-use crate::fences::Fences;
 use crate::held::{Held, RunStep};
 use crate::pulls::{PullNumber, Pulls};
 use crate::record::Record;
 use crate::run::{EngineCommand, EngineEvent, RunNumber, RunOrder};
+use crate::shelf::Shelf;
 
 /// Bytes of tokens in one answer to a pull, about; the rest follows with the next pull.
 const REPLY_BYTES: usize = 4 * 1024 * 1024;
-/// Lineages of forgotten records that are remembered, for each record that may be held.
-const FENCES_PER_RECORD: usize = 16;
 
 /// Limits of an [`AgentBook`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -29,6 +25,8 @@
     pub gather_ms: u64,
     /// How long an ended record is kept for owners and their successors, in milliseconds.
     pub keep_ms: u64,
+    /// Memory of all records at most, in bytes, counting each answer at its full length.
+    pub max_bytes: usize,
     /// Records held at most; a start beyond it is refused as not run.
     pub max_records: usize,
     /// A running generation that nobody pulled for so long is cancelled, in milliseconds.
@@ -65,14 +63,13 @@
 pub struct AgentBook {
     commands: Vec<EngineCommand>,
     counts: BookCounts,
-    fences: Fences,
     is_engine_available: bool,
-    held: IndexMap<GenerationId, Held>,
     last_run: RunNumber,
     limits: BookLimits,
     is_leaving: bool,
     pulls: Pulls,
     runs: IndexMap<RunNumber, GenerationId>,
+    shelf: Shelf,
 }
 
 impl AgentBook {
@@ -82,14 +79,13 @@
         Self {
             commands: Vec::new(),
             counts: BookCounts::default(),
-            fences: Fences::with_capacity(limits.max_records * FENCES_PER_RECORD),
             is_engine_available: true,
-            held: IndexMap::new(),
             last_run: RunNumber(0),
             limits,
             is_leaving: false,
             pulls: Pulls::new(limits.gather_ms),
             runs: IndexMap::new(),
+            shelf: Shelf::new(limits.max_records, limits.max_bytes),
         }
     }
 
@@ -99,7 +95,7 @@
         let Some(lineage) = request.history.last().map(|segment| segment.lineage) else {
             return refuse_start(RefusalKind::InvalidRequest, "the start has no history");
         };
-        if let Some(known) = self.known_lineage(id) {
+        if let Some(known) = self.shelf.known_lineage(id) {
             if lineage == known {
                 return StartReply::Accepted;
             }
@@ -108,13 +104,14 @@
                 return StartReply::Fenced(known);
             }
         }
-        if let Err(refusal) = self.admit(id) {
+        let record = match Record::from_start(request) {
+            Ok(record) => record,
+            Err(error) => return refuse_start(RefusalKind::InvalidRequest, &error.to_string()),
+        };
+        if let Err(refusal) = self.admit(&record) {
             return StartReply::Refused(refusal);
         }
-        match Record::from_start(request) {
-            Ok(record) => self.run(now, record),
-            Err(error) => refuse_start(RefusalKind::InvalidRequest, &error.to_string()),
-        }
+        self.run(now, record)
     }
 
     /// Takes an event of a run; events of runs that are no longer current are dropped.
@@ -123,7 +120,7 @@
             self.counts.late_events += 1;
             return;
         };
-        let Some(held) = self.held.get_mut(&id) else {
+        let Some(held) = self.shelf.get_mut(id) else {
             return;
         };
         match held.take_event(event) {
@@ -145,7 +142,7 @@
         }
         let number = self.pulls.begin(now, request);
         for (position, cursor) in request.cursors.iter().enumerate() {
-            if let Some(held) = self.held.get_mut(&cursor.id) {
+            if let Some(held) = self.shelf.get_mut(cursor.id) {
                 held.watcher = Some((number, position));
             }
         }
@@ -177,7 +174,7 @@
     /// Repeating the current owner's request gives the record again. A former owner's request that
     /// arrives late is answered `Behind`, so that it can't take the generation back.
     pub fn attach(&mut self, now: ClockMs, request: &AttachRequest) -> AttachReply {
-        let Some(held) = self.held.get_mut(&request.id) else {
+        let Some(held) = self.shelf.get_mut(request.id) else {
             return AttachReply::Unknown;
         };
         if !held.record.continues(request.seen, request.next_index) {
@@ -197,7 +194,7 @@
 
     /// Ends a generation that its caller no longer wants.
     pub fn cancel(&mut self, now: ClockMs, request: &CancelRequest) {
-        let Some(held) = self.held.get(&request.id) else {
+        let Some(held) = self.shelf.get(request.id) else {
             return;
         };
         if request.lineage < held.record.lineage() {
@@ -237,24 +234,13 @@
         let limits = self.limits;
         let is_orphan =
             |held: &Held| held.record.is_running() && now.since(held.pulled_at) >= limits.orphan_ms;
-        let orphans = self.held.values().filter(|held| is_orphan(held));
+        let orphans = self.shelf.values().filter(|held| is_orphan(held));
         let orphans: Vec<GenerationId> = orphans.map(|held| held.record.id()).collect();
         for id in orphans {
             self.counts.orphans += 1;
             self.abandon(now, id);
         }
-        let is_kept = |held: &Held| {
-            let ended_at = held.ended_at;
-            ended_at.is_none_or(|ended_at| now.since(ended_at) < limits.keep_ms)
-        };
-        let fences = &mut self.fences;
-        self.held.retain(|id, held| {
-            let is_kept = is_kept(held);
-            if !is_kept {
-                fences.remember(*id, held.record.lineage());
-            }
-            is_kept
-        });
+        self.shelf.expire(now, limits.keep_ms);
     }
 
     /// Commands for the engine since the last call, in order.
@@ -272,19 +258,19 @@
     /// Records held, the ended ones included.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.held.len()
+        self.shelf.len()
     }
 
     /// Whether no record is held.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.held.is_empty()
+        self.shelf.len() == 0
     }
 
     /// Whether every ended record's end was handed to its owner.
     #[must_use]
     pub fn is_handed_over(&self) -> bool {
-        self.held.values().all(|held| held.is_delivered)
+        self.shelf.values().all(|held| held.is_delivered)
     }
 
     /// What was refused so far.
@@ -296,51 +282,44 @@
     /// The record of a generation.
     #[must_use]
     pub fn record(&self, id: GenerationId) -> Option<&Record> {
-        self.held.get(&id).map(|held| &held.record)
+        self.shelf.get(id).map(|held| &held.record)
     }
 
-    fn known_lineage(&self, id: GenerationId) -> Option<Lineage> {
-        let held = self.held.get(&id).map(|held| held.record.lineage());
-        held.or_else(|| self.fences.get(id))
-    }
-
-    fn admit(&mut self, id: GenerationId) -> Result<(), Refusal> {
+    fn admit(&mut self, record: &Record) -> Result<(), Refusal> {
         let retry_after_ms = self.limits.retry_after_ms;
+        let refuse = |kind, detail| {
+            let refusal = Refusal::not_run(kind, detail);
+            Err(refusal.retry_after(retry_after_ms))
+        };
         if self.is_leaving {
-            let detail = "the endpoint is leaving";
-            let refusal = Refusal::not_run(RefusalKind::ShuttingDown, detail);
-            return Err(refusal.retry_after(retry_after_ms));
+            return refuse(RefusalKind::ShuttingDown, "the endpoint is leaving");
         }
         if !self.is_engine_available {
-            let detail = "the engine gives no sign of life";
-            let refusal = Refusal::not_run(RefusalKind::NoEndpoint, detail);
-            return Err(refusal.retry_after(retry_after_ms));
+            return refuse(RefusalKind::NoEndpoint, "the engine gives no sign of life");
         }
-        let is_full = self.held.len() >= self.limits.max_records;
-        if is_full && !self.held.contains_key(&id) && !self.evict() {
+        if !self.shelf.make_room(record) {
             let detail = "the agent holds as many generations as it may";
-            let refusal = Refusal::not_run(RefusalKind::Overloaded, detail);
-            return Err(refusal.retry_after(retry_after_ms));
+            return refuse(RefusalKind::Overloaded, detail);
         }
         Ok(())
     }
 
-    /// Makes room by the oldest ended record whose owner has its end.
-    fn evict(&mut self) -> bool {
-        let delivered = self.held.values().filter(|held| held.is_delivered);
-        let oldest = delivered.min_by_key(|held| held.ended_at);
-        let Some((id, lineage)) = oldest.map(|held| (held.record.id(), held.record.lineage()))
-        else {
-            return false;
-        };
-        self.held.swap_remove(&id);
-        self.fences.remember(id, lineage);
-        true
-    }
-
     fn run(&mut self, now: ClockMs, record: Record) -> StartReply {
         let id = record.id();
         self.stop_run(id);
+        let former = if record.is_full() {
+            self.shelf.insert(Held::whole(now, record))
+        } else {
+            let run = self.order(&record);
+            self.shelf.insert(Held::started(now, run, record))
+        };
+        if let Some((number, position)) = former.and_then(|held| held.watcher) {
+            self.pulls.tell(now, number, position, true);
+        }
+        StartReply::Accepted
+    }
+
+    fn order(&mut self, record: &Record) -> RunNumber {
         self.last_run = RunNumber(self.last_run.0 + 1);
         let run = self.last_run;
         let order = RunOrder {
@@ -349,18 +328,14 @@
             spec: record.spec().clone(),
         };
         self.commands.push(EngineCommand::Run(Box::new(order)));
-        self.runs.insert(run, id);
-        let former = self.held.insert(id, Held::started(now, run, record));
-        if let Some((number, position)) = former.and_then(|held| held.watcher) {
-            self.pulls.tell(now, number, position, true);
-        }
-        StartReply::Accepted
+        self.runs.insert(run, record.id());
+        run
     }
 
     /// Cancels a generation that nobody waits for; its record may make room for others.
     fn abandon(&mut self, now: ClockMs, id: GenerationId) {
         self.fail(now, id, AttemptFailure::Cancelled);
-        if let Some(held) = self.held.get_mut(&id) {
+        if let Some(held) = self.shelf.get_mut(id) {
             held.is_delivered = true;
         }
     }
@@ -372,14 +347,14 @@
 
     fn end(&mut self, now: ClockMs, id: GenerationId, end: AttemptState) {
         self.stop_run(id);
-        if let Some(held) = self.held.get_mut(&id) {
+        if let Some(held) = self.shelf.get_mut(id) {
             held.end(now, end);
         }
     }
 
     /// Detaches the record from its run, so that later events of the run are dropped.
     fn stop_run(&mut self, id: GenerationId) {
-        let held = self.held.get_mut(&id);
+        let held = self.shelf.get_mut(id);
         let Some(run) = held.and_then(|held| held.run.take()) else {
             return;
         };
@@ -388,7 +363,7 @@
     }
 
     fn tell(&mut self, now: ClockMs, id: GenerationId) {
-        let Some(held) = self.held.get_mut(&id) else {
+        let Some(held) = self.shelf.get_mut(id) else {
             return;
         };
         if let Some((number, position)) = held.watcher.take() {
@@ -409,7 +384,7 @@
         cursor: &PullCursor,
         room_bytes: &mut usize,
     ) -> Option<Progress> {
-        let Some(held) = self.held.get_mut(&cursor.id) else {
+        let Some(held) = self.shelf.get_mut(cursor.id) else {
             return Some(news_without_tokens(cursor, ProgressState::Unknown));
         };
         let known = held.record.lineage();
--- a/crates/masticsill_generation/src/call_book.rs
+++ b/crates/masticsill_generation/src/call_book.rs
@@ -61,6 +61,7 @@
     answer_bytes: usize,
     calls: IndexMap<GenerationId, CallRecord>,
     incarnation: Incarnation,
+    is_leaving: bool,
     limits: CallLimits,
 }
 
@@ -72,10 +73,16 @@
             answer_bytes: 0,
             calls: IndexMap::new(),
             incarnation,
+            is_leaving: false,
             limits,
         }
     }
 
+    /// Refuses new calls from now on.
+    pub fn begin_leaving(&mut self) {
+        self.is_leaving = true;
+    }
+
     /// Takes a call in.
     pub fn begin(
         &mut self,
@@ -93,6 +100,10 @@
             Some(CallState::Taken | CallState::Started) => return CallStep::Join,
             Some(CallState::Lost) if is_repeatable => {}
             Some(state) => return CallStep::Reply(self.reply(state)),
+            None if self.is_leaving => {
+                let detail = "the endpoint is leaving";
+                return CallStep::Reply(self.not_run(RefusalKind::ShuttingDown, detail));
+            }
             None if self.calls.len() >= self.limits.max_calls => {
                 let detail = "the agent remembers as many calls as it may";
                 return CallStep::Reply(self.not_run(RefusalKind::Overloaded, detail));
--- a/crates/masticsill_generation/src/held.rs
+++ b/crates/masticsill_generation/src/held.rs
@@ -38,12 +38,23 @@
 
 impl Held {
     pub(crate) fn started(now: ClockMs, run: RunNumber, record: Record) -> Self {
+        Self::new(now, Some(run), record)
+    }
+
+    /// A record that has all tokens it may have: there is nothing left to run.
+    pub(crate) fn whole(now: ClockMs, record: Record) -> Self {
+        let mut held = Self::new(now, None, record);
+        held.end(now, AttemptState::Finished(FinishReason::Length));
+        held
+    }
+
+    fn new(now: ClockMs, run: Option<RunNumber>, record: Record) -> Self {
         Self {
             ended_at: None,
             is_delivered: false,
             pulled_at: now,
             record,
-            run: Some(run),
+            run,
             watcher: None,
         }
     }
@@ -71,11 +82,14 @@
             // A gap can't be closed: the engine does not send a token twice.
             return RunStep::Broken(AttemptState::Failed(AttemptFailure::EngineLost));
         }
+        let room = usize::try_from(self.record.max_tokens().saturating_sub(first_index.0))
+            .unwrap_or_default();
+        let tokens = tokens.into_iter().take(room).collect();
         self.record.take(self.record.lineage(), first_index, tokens);
         if let Some(reason) = finish {
             return RunStep::Ended(AttemptState::Finished(reason));
         }
-        if self.record.next_index().0 >= self.record.spec().sampling.max_tokens {
+        if self.record.is_full() {
             return RunStep::Broken(AttemptState::Finished(FinishReason::Length));
         }
         RunStep::Goes
--- a/crates/masticsill_generation/src/lib.rs
+++ b/crates/masticsill_generation/src/lib.rs
@@ -11,6 +11,7 @@
 mod pulls;
 mod record;
 mod run;
+mod shelf;
 mod utf8;
 
 pub use book::{AgentBook, BookCounts, BookLimits, PullAnswer};
--- a/crates/masticsill_generation/src/record.rs
+++ b/crates/masticsill_generation/src/record.rs
@@ -174,6 +174,18 @@
         index_at(self.tokens.len())
     }
 
+    /// Tokens of the whole answer at most.
+    #[must_use]
+    pub fn max_tokens(&self) -> u32 {
+        self.spec.sampling.max_tokens
+    }
+
+    /// Whether the answer has as many tokens as it may have.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        self.next_index().0 >= self.max_tokens()
+    }
+
     /// Where the current attempt stands.
     #[must_use]
     pub fn state(&self) -> AttemptState {
--- a/crates/masticsill_generation/tests/agent_book.rs
+++ b/crates/masticsill_generation/tests/agent_book.rs
@@ -203,12 +203,25 @@
     assert_eq!(news(pull(&mut book, record.lineage(), 0)).state, lost);
 
     let (mut book, record) = started();
-    emit(&mut book, FIRST_RUN, 0..100);
+    emit(&mut book, FIRST_RUN, 0..102);
     let whole = ProgressState::Attempt(AttemptState::Finished(FinishReason::Length));
-    assert_eq!(news(pull(&mut book, record.lineage(), 0)).state, whole);
+    let answer = news(pull(&mut book, record.lineage(), 0));
+    assert_eq!((answer.state, answer.tokens.len()), (whole, 100));
     assert_eq!(book.take_commands().len(), 2);
 }
 
+#[test]
+fn attempt_with_all_its_tokens_is_whole_without_a_run() {
+    let mut book = AgentBook::new(LIMITS);
+    let mut record = record();
+    record.take(record.lineage(), TokenIndex(0), tokens(0..100));
+    let lineage = record.begin_attempt();
+    assert_eq!(start(&mut book, &record), StartReply::Accepted);
+    assert_eq!(book.take_commands(), []);
+    let whole = ProgressState::Attempt(AttemptState::Finished(FinishReason::Length));
+    assert_eq!(news(pull(&mut book, lineage, 100)).state, whole);
+}
+
 #[test]
 fn cancel_of_a_former_owner_is_ignored() {
     let (mut book, mut record) = started();
@@ -271,6 +284,9 @@
     news(pull(&mut book, first.lineage(), 0));
     assert_eq!(start(&mut book, &second), StartReply::Accepted);
 
+    let huge = Record::new(spec(4, u32::MAX), 1);
+    assert_eq!(refused(start(&mut book, &huge)), RefusalKind::Overloaded);
+
     book.begin_leaving();
     let third = Record::new(spec(3, 100), 1);
     assert_eq!(refused(start(&mut book, &third)), RefusalKind::ShuttingDown);
--- a/crates/masticsill_generation/tests/call_once.rs
+++ b/crates/masticsill_generation/tests/call_once.rs
@@ -70,6 +70,16 @@
     assert_eq!(bury(&mut book, ID, LIFE), reply);
 }
 
+#[test]
+fn leaving_book_takes_nothing_new_and_still_answers_repeats() {
+    let mut book = book();
+    begin(&mut book, ID);
+    book.begin_leaving();
+    let other = begin(&mut book, GenerationId(6));
+    assert_matches!(other, CallStep::Reply(CallReply::NotRun(_)));
+    assert_eq!(begin(&mut book, ID), CallStep::Join);
+}
+
 #[test]
 fn another_life_is_refused_and_its_burial_is_unknown() {
     let mut book = book();
--- a/crates/masticsill_generation/tests/common/mod.rs
+++ b/crates/masticsill_generation/tests/common/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) const LIMITS: BookLimits = BookLimits {
     gather_ms: 2,
     keep_ms: 10_000,
+    max_bytes: 1_000_000,
     max_records: 64,
     orphan_ms: 2_000,
     retry_after_ms: 500,
