Start the agent role: books, engine streams and plain calls

Ruled out: ntex's connection limit of zero (its pool never wakes a request that waits while another connection to the same address is opened: with it many_starts_at_once_all_reach_the_engine hangs); pooled connections for streams and calls (one may be from an engine's earlier life, and whether it took a call before it broke is unknown); a thread hop for each RPC (the agent duty serves RPC and owns the books). Change: AgentRole (duties agent and endpoint, joined by two rings), AgentHandle (leave, drained, stop), engine polls, completion streams, plain calls, health and announcement, planned stop. Conclusion: orders to engines are not served yet; metrics and load of plain services are counted only.

--- /dev/null
+++ b/crates/masticsill_agent/src/config.rs
@@ -0,0 +1,87 @@
+//! What an agent needs to know to start.
+
+use std::net::SocketAddr;
+
+use masticsill_generation::{BookLimits, CallLimits, FreezeLimits};
+use masticsill_types::{ModelId, NodeId};
+
+/// What stands beside the agent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Endpoint {
+    /// A model engine.
+    Engine {
+        /// Whether it refuses orders with an old fencing number by itself.
+        is_checking_fencing: bool,
+    },
+    /// A plain service.
+    PlainService {
+        /// Its name, as catalogue entries refer to it.
+        service: ModelId,
+    },
+}
+
+/// Periods and bounds of an agent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AgentLimits {
+    /// Bounds of the generations.
+    pub book: BookLimits,
+    /// How long the agent waits for a plain service's answer, to store it for repeats, in
+    /// milliseconds.
+    pub call_timeout_ms: u64,
+    /// Bounds of the plain calls.
+    pub calls: CallLimits,
+    /// How long running attempts may go on after the agent began to leave, in milliseconds.
+    pub drain_ms: u64,
+    /// When an engine is judged frozen.
+    pub freeze: FreezeLimits,
+    /// Bytes of a plain service's answer at most.
+    pub max_answer_bytes: usize,
+    /// How long a leaving agent stays at least, so that no view sends it work after its end, in
+    /// milliseconds.
+    pub min_leave_ms: u64,
+    /// Between two polls of the engine's load, in milliseconds.
+    pub poll_ms: u64,
+    /// After which an unanswered poll is sent again, in milliseconds.
+    pub poll_timeout_ms: u64,
+}
+
+impl Default for AgentLimits {
+    fn default() -> Self {
+        Self {
+            book: BookLimits {
+                gather_ms: 2,
+                keep_ms: 60_000,
+                max_bytes: 128 * 1024 * 1024,
+                max_records: 4_096,
+                orphan_ms: 15_000,
+                retry_after_ms: 1_000,
+            },
+            call_timeout_ms: 60_000,
+            calls: CallLimits {
+                key_window_ms: 3_600_000,
+                max_answer_bytes: 32 * 1024 * 1024,
+                max_calls: 65_536,
+                retry_after_ms: 1_000,
+            },
+            drain_ms: 30_000,
+            freeze: FreezeLimits::default(),
+            max_answer_bytes: 4 * 1024 * 1024,
+            min_leave_ms: 2_000,
+            poll_ms: 100,
+            poll_timeout_ms: 1_000,
+        }
+    }
+}
+
+/// What an agent needs to know to start.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AgentConfig {
+    /// What stands beside the agent.
+    pub endpoint: Endpoint,
+    /// Where the endpoint listens.
+    pub endpoint_address: SocketAddr,
+    /// Periods and bounds.
+    pub limits: AgentLimits,
+    /// This node.
+    pub node: NodeId,
+}
--- /dev/null
+++ b/crates/masticsill_agent/src/endpoint_duty.rs
@@ -0,0 +1,118 @@
+//! The duty that speaks HTTP with the endpoint.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use indexmap::IndexMap;
+use masticsill_generation::{EngineCommand, RunNumber, RunOrder};
+use masticsill_runtime::Ring;
+use masticsill_types::log_event;
+use ntex::SharedCfg;
+use ntex::client::{Client, Connector};
+use ntex::rt::{DefaultRuntime, System, spawn};
+use tokio::sync::oneshot;
+
+use crate::call::run_call;
+use crate::completion::run_order;
+use crate::config::{AgentConfig, Endpoint};
+use crate::engine_poll::poll_engine;
+use crate::events;
+use crate::messages::{EndpointCommand, EndpointNews};
+
+/// More than the books let run at once.
+///
+/// Zero would be no limit, but then `ntex` 3.12 never wakes a request that waits while another
+/// connection to the same address is being opened.
+const MAX_CONNECTIONS: usize = 131_072;
+
+/// Runs until the ring of commands is closed.
+pub(crate) fn run_endpoint(
+    config: AgentConfig,
+    commands: Ring<EndpointCommand>,
+    news: Ring<EndpointNews>,
+) {
+    let system = System::new("endpoint", DefaultRuntime);
+    system.block_on(async move {
+        let Some(client) = build_client().await else {
+            return;
+        };
+        let duty = EndpointDuty {
+            client,
+            config,
+            news,
+            runs: Rc::default(),
+        };
+        duty.run(commands).await;
+    });
+}
+
+async fn build_client() -> Option<Client> {
+    let built = Client::builder()
+        .connector::<()>(Connector::new().limit(MAX_CONNECTIONS))
+        .disable_redirects()
+        .disable_timeout()
+        .build(SharedCfg::new("endpoint"))
+        .await;
+    built
+        .inspect_err(|error| log_event!(error, events::CLIENT_FAILED, error = error))
+        .ok()
+}
+
+struct EndpointDuty {
+    client: Client,
+    config: AgentConfig,
+    news: Ring<EndpointNews>,
+    /// A run ends when its guard is dropped.
+    runs: Rc<RefCell<IndexMap<RunNumber, oneshot::Sender<()>>>>,
+}
+
+impl EndpointDuty {
+    async fn run(self, commands: Ring<EndpointCommand>) {
+        if matches!(self.config.endpoint, Endpoint::Engine { .. }) {
+            spawn(poll_engine(
+                self.client.clone(),
+                self.config.endpoint_address,
+                self.config.limits,
+                self.news.clone(),
+            ));
+        }
+        while let Some(command) = commands.pop().await {
+            match command {
+                EndpointCommand::Call(request) => {
+                    spawn(run_call(
+                        self.client.clone(),
+                        self.config.endpoint_address,
+                        self.config.limits,
+                        *request,
+                        self.news.clone(),
+                    ));
+                }
+                EndpointCommand::Engine(EngineCommand::Run(order)) => self.start_run(*order),
+                EndpointCommand::Engine(EngineCommand::Cancel(run)) => {
+                    self.runs.borrow_mut().swap_remove(&run);
+                }
+            }
+        }
+    }
+
+    fn start_run(&self, order: RunOrder) {
+        let run = order.run;
+        let (guard, is_cancelled) = oneshot::channel();
+        self.runs.borrow_mut().insert(run, guard);
+        let runs = Rc::clone(&self.runs);
+        let running = run_order(
+            self.client.clone(),
+            self.config.endpoint_address,
+            order,
+            self.news.clone(),
+        );
+        spawn(async move {
+            // Dropping the exchange closes its connection, which cancels it at the engine.
+            tokio::select! {
+                () = running => {}
+                _ = is_cancelled => {}
+            }
+            runs.borrow_mut().swap_remove(&run);
+        });
+    }
+}
--- /dev/null
+++ b/crates/masticsill_agent/src/health.rs
@@ -0,0 +1,128 @@
+//! The engine's health and what is announced of the endpoint.
+
+use masticsill_generation::{EngineHealth, FreezeDetector};
+use masticsill_mesh::MeshHandle;
+use masticsill_types::{ClockMs, EndpointKind, EndpointProfile, LoadReport, log_event};
+use masticsill_wire::engine::{EngineLoad, LoadedModels};
+
+use crate::config::{AgentConfig, Endpoint};
+use crate::events;
+
+/// What the agent knows of its endpoint.
+#[derive(Debug)]
+pub(crate) struct EndpointHealth {
+    announced: Option<EndpointProfile>,
+    detector: FreezeDetector,
+    endpoint: Endpoint,
+    load: EngineLoad,
+    load_seen_at: ClockMs,
+    mesh: MeshHandle,
+    models: LoadedModels,
+}
+
+impl EndpointHealth {
+    pub(crate) fn new(now: ClockMs, config: &AgentConfig, mesh: MeshHandle) -> Self {
+        Self {
+            announced: None,
+            detector: FreezeDetector::new(now, config.limits.freeze),
+            endpoint: config.endpoint.clone(),
+            load: EngineLoad::default(),
+            load_seen_at: now,
+            mesh,
+            models: LoadedModels::default(),
+        }
+    }
+
+    pub(crate) fn note_sign(&mut self, now: ClockMs) {
+        if self.detector.health() != EngineHealth::Alive {
+            log_event!(info, events::ENGINE_ALIVE, at = now);
+        }
+        self.detector.note_sign(now);
+    }
+
+    pub(crate) fn note_load(&mut self, now: ClockMs, load: EngineLoad) {
+        self.load = load;
+        self.load_seen_at = now;
+        self.note_sign(now);
+    }
+
+    pub(crate) fn note_models(&mut self, now: ClockMs, models: LoadedModels) {
+        self.models = models;
+        self.note_sign(now);
+    }
+
+    pub(crate) fn note_unreachable(&mut self, now: ClockMs) {
+        if self.detector.health() != EngineHealth::Lost {
+            log_event!(warn, events::ENGINE_LOST, at = now);
+        }
+        self.detector.note_refusal(now);
+    }
+
+    /// Whether the engine is judged frozen just now.
+    pub(crate) fn judge(&mut self, now: ClockMs) -> bool {
+        let threshold_ms = self.detector.threshold_ms();
+        let is_frozen = self.detector.judge(now);
+        if is_frozen {
+            log_event!(
+                warn,
+                events::ENGINE_FROZEN,
+                at = now,
+                after_ms = threshold_ms
+            );
+        }
+        is_frozen
+    }
+
+    /// Whether new attempts make sense; an engine that was never seen gets the benefit of the doubt.
+    pub(crate) fn is_available(&self) -> bool {
+        match self.detector.health() {
+            EngineHealth::Alive | EngineHealth::Unknown => true,
+            EngineHealth::Frozen | EngineHealth::Lost => false,
+        }
+    }
+
+    /// The engine's last load report, as old as it is now.
+    pub(crate) fn load(&self, now: ClockMs) -> LoadReport {
+        LoadReport {
+            running: self.load.running,
+            waiting: self.load.waiting,
+            age_ms: self.load.age_ms + now.since(self.load_seen_at),
+            token_gap_ms: self.load.token_gap_ms,
+        }
+    }
+
+    /// Announces the endpoint if anything changed; repeated until the mesh takes it.
+    pub(crate) fn announce(&mut self, is_leaving: bool) {
+        let profile = EndpointProfile {
+            kind: self.kind(),
+            is_leaving,
+        };
+        if self.announced.as_ref() != Some(&profile) && self.mesh.announce(profile.clone()) {
+            self.announced = Some(profile);
+        }
+    }
+
+    pub(crate) fn leave(&self) {
+        self.mesh.leave();
+    }
+
+    fn kind(&self) -> EndpointKind {
+        match &self.endpoint {
+            Endpoint::Engine {
+                is_checking_fencing,
+            } => EndpointKind::Engine {
+                // What can't be used now is not offered.
+                loaded: if self.is_available() {
+                    self.models.loaded.clone()
+                } else {
+                    Vec::new()
+                },
+                slots: self.models.slots,
+                is_checking_fencing: *is_checking_fencing,
+            },
+            Endpoint::PlainService { service } => EndpointKind::PlainService {
+                service: service.clone(),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticsill_agent/src/state.rs
@@ -0,0 +1,287 @@
+//! The state of the agent duty.
+
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+use masticsill_generation::{
+    AgentBook, BookCounts, CallBook, CallStep, EngineEvent, PullAnswer, PullNumber,
+};
+use masticsill_runtime::{Metrics, Ring, RingFull, ShutdownSignal};
+use masticsill_types::{
+    AttemptFailure, ClockMs, GenerationId, Incarnation, MonotonicClock, log_event,
+};
+use masticsill_wire::agent::{
+    AttachReply, AttachRequest, BuryRequest, CallReply, CallRequest, CancelRequest, Progress,
+    PullReply, PullRequest, StartReply, StartRequest,
+};
+use tokio::sync::oneshot;
+
+use crate::config::{AgentConfig, AgentLimits};
+use crate::events;
+use crate::health::EndpointHealth;
+use crate::leaving::{Leaving, Remaining};
+use crate::messages::{CallEnd, EndpointCommand, EndpointNews};
+use crate::role::AgentLinks;
+
+/// A pull may wait for this part of the orphan time at most.
+const PULLS_PER_ORPHAN_TIME: u64 = 3;
+
+/// An answer that is there, or that will come.
+pub(crate) enum Answer<T> {
+    Now(T),
+    Later(oneshot::Receiver<T>),
+}
+
+/// Everything that the agent duty owns.
+#[derive(Debug)]
+pub(crate) struct AgentState {
+    backlog: VecDeque<EndpointCommand>,
+    book: AgentBook,
+    call_waiters: IndexMap<GenerationId, Vec<oneshot::Sender<CallReply>>>,
+    calls: CallBook,
+    clock: MonotonicClock,
+    commands: Ring<EndpointCommand>,
+    counted: BookCounts,
+    drained: ShutdownSignal,
+    health: EndpointHealth,
+    incarnation: Incarnation,
+    leaving: Option<Leaving>,
+    limits: AgentLimits,
+    metrics: Metrics,
+    pulls: IndexMap<PullNumber, oneshot::Sender<Vec<Progress>>>,
+}
+
+impl AgentState {
+    pub(crate) fn new(
+        config: &AgentConfig,
+        links: AgentLinks,
+        commands: Ring<EndpointCommand>,
+        drained: ShutdownSignal,
+    ) -> Self {
+        let now = links.clock.now();
+        let incarnation = links.mesh.incarnation();
+        Self {
+            backlog: VecDeque::new(),
+            book: AgentBook::new(config.limits.book),
+            call_waiters: IndexMap::new(),
+            calls: CallBook::new(incarnation, config.limits.calls),
+            clock: links.clock,
+            commands,
+            counted: BookCounts::default(),
+            drained,
+            health: EndpointHealth::new(now, config, links.mesh),
+            incarnation,
+            leaving: None,
+            limits: config.limits,
+            metrics: links.metrics,
+            pulls: IndexMap::new(),
+        }
+    }
+
+    pub(crate) fn now(&self) -> ClockMs {
+        self.clock.now()
+    }
+
+    pub(crate) fn start(&mut self, request: StartRequest) -> StartReply {
+        let now = self.now();
+        let reply = self.book.start(now, request);
+        self.settle(now);
+        reply
+    }
+
+    pub(crate) fn pull(&mut self, mut request: PullRequest) -> Answer<Vec<Progress>> {
+        let now = self.now();
+        let longest_ms = self.limits.book.orphan_ms / PULLS_PER_ORPHAN_TIME;
+        request.wait_ms = request.wait_ms.min(longest_ms);
+        match self.book.pull(now, &request) {
+            PullAnswer::Ready(progress) => Answer::Now(progress),
+            PullAnswer::Waiting(number) => {
+                let (reply, answered) = oneshot::channel();
+                self.pulls.insert(number, reply);
+                Answer::Later(answered)
+            }
+        }
+    }
+
+    pub(crate) fn pull_reply(&self, progress: Vec<Progress>) -> PullReply {
+        PullReply {
+            incarnation: self.incarnation,
+            is_leaving: self.leaving.is_some(),
+            load: self.health.load(self.now()),
+            progress,
+        }
+    }
+
+    pub(crate) fn attach(&mut self, request: &AttachRequest) -> AttachReply {
+        let now = self.now();
+        let reply = self.book.attach(now, request);
+        self.settle(now);
+        reply
+    }
+
+    pub(crate) fn cancel(&mut self, request: &CancelRequest) {
+        let now = self.now();
+        self.book.cancel(now, request);
+        self.settle(now);
+    }
+
+    pub(crate) fn call(&mut self, request: CallRequest) -> Answer<CallReply> {
+        let now = self.now();
+        let id = request.id;
+        let step = self
+            .calls
+            .begin(now, id, request.incarnation, request.is_repeatable);
+        match step {
+            CallStep::Reply(reply) => return Answer::Now(reply),
+            CallStep::Join => {}
+            CallStep::Send => {
+                // The other duty sends it as soon as it takes the command, so it is started now.
+                self.calls.mark_started(now, id);
+                let command = EndpointCommand::Call(Box::new(request));
+                if self.commands.push(command).is_err() {
+                    let detail = "the agent has more calls to send than it may";
+                    return Answer::Now(self.calls.note_unsent(now, id, detail));
+                }
+            }
+        }
+        let (reply, answered) = oneshot::channel();
+        self.call_waiters.entry(id).or_default().push(reply);
+        Answer::Later(answered)
+    }
+
+    pub(crate) fn bury(&mut self, request: &BuryRequest) -> CallReply {
+        self.calls.bury(self.now(), request)
+    }
+
+    /// Takes all news that there is.
+    pub(crate) fn take_news(&mut self, first: EndpointNews, rest: &Ring<EndpointNews>) {
+        let now = self.now();
+        self.take_one(now, first);
+        // Bounded, so that a flood of tokens does not keep the pulls waiting.
+        for _ in 0..rest.capacity() {
+            let Some(news) = rest.try_pop() else {
+                break;
+            };
+            self.take_one(now, news);
+        }
+        self.book.set_engine_available(self.health.is_available());
+        self.health.announce(self.leaving.is_some());
+    }
+
+    /// Lets time pass.
+    pub(crate) fn tick(&mut self) {
+        let now = self.now();
+        if self.health.judge(now) {
+            self.book.fail_all(now, AttemptFailure::EngineFrozen);
+            self.book.set_engine_available(false);
+        }
+        self.book.tick(now);
+        self.calls.tick(now);
+        self.health.announce(self.leaving.is_some());
+        self.go_on_leaving(now);
+        self.count();
+        self.settle(now);
+    }
+
+    /// Begins the planned stop.
+    pub(crate) fn begin_leaving(&mut self) {
+        let now = self.now();
+        log_event!(info, events::AGENT_LEAVING, running = self.book.running());
+        self.leaving = Some(Leaving::begin(now, &self.limits));
+        self.book.begin_leaving();
+        self.calls.begin_leaving();
+        self.health.announce(true);
+        self.health.leave();
+        self.settle(now);
+    }
+
+    /// Hands out commands and due pulls.
+    pub(crate) fn settle(&mut self, now: ClockMs) {
+        let commands = self.book.take_commands().into_iter();
+        self.backlog.extend(commands.map(EndpointCommand::Engine));
+        while let Some(command) = self.backlog.pop_front() {
+            if let Err(RingFull(command)) = self.commands.push(command) {
+                self.backlog.push_front(command);
+                break;
+            }
+        }
+        for (number, progress) in self.book.take_due_pulls(now) {
+            if let Some(reply) = self.pulls.swap_remove(&number) {
+                let _ = reply.send(progress);
+            }
+        }
+    }
+
+    /// When the next pull is due, if any waits.
+    pub(crate) fn next_due(&self) -> Option<ClockMs> {
+        self.book.next_due()
+    }
+
+    fn take_one(&mut self, now: ClockMs, news: EndpointNews) {
+        match news {
+            EndpointNews::Call(id, end) => self.end_call(now, id, end),
+            EndpointNews::Load(load) => self.health.note_load(now, load),
+            EndpointNews::Models(models) => self.health.note_models(now, models),
+            EndpointNews::Run(run, event) => {
+                if matches!(event, EngineEvent::Tokens { .. }) {
+                    self.health.note_sign(now);
+                }
+                self.book.take_event(now, run, event);
+            }
+            EndpointNews::Unreachable => self.health.note_unreachable(now),
+        }
+    }
+
+    fn end_call(&mut self, now: ClockMs, id: GenerationId, end: CallEnd) {
+        let reply = match end {
+            CallEnd::Answered(answer) => self.calls.note_answer(now, id, answer),
+            CallEnd::Lost => self.calls.note_lost(now, id),
+            CallEnd::Unsent(detail) => self.calls.note_unsent(now, id, &detail),
+        };
+        for waiter in self.call_waiters.swap_remove(&id).unwrap_or_default() {
+            let _ = waiter.send(reply.clone());
+        }
+    }
+
+    fn go_on_leaving(&mut self, now: ClockMs) {
+        let Some(leaving) = &mut self.leaving else {
+            return;
+        };
+        if leaving.is_drain_over(now) && self.book.running() > 0 {
+            log_event!(warn, events::DRAIN_TIME_OVER, running = self.book.running());
+            self.book.fail_all(now, AttemptFailure::Leaving);
+        }
+        let remaining = Remaining {
+            is_handed_over: self.book.is_handed_over(),
+            running: self.book.running() + self.calls.pending(),
+        };
+        if leaving.is_done(now, remaining) && !self.drained.is_requested() {
+            log_event!(info, events::AGENT_DRAINED, after_ms = leaving.age_ms(now));
+            self.drained.request();
+        }
+    }
+
+    fn count(&mut self) {
+        let counts = self.book.counts();
+        let counted = std::mem::replace(&mut self.counted, counts);
+        let orphans = counts.orphans - counted.orphans;
+        if orphans > 0 {
+            log_event!(info, events::ORPHANS_CANCELLED, count = orphans);
+        }
+        let changes = [
+            (
+                "agent.late_events",
+                counts.late_events - counted.late_events,
+            ),
+            ("agent.fenced", counts.fenced - counted.fenced),
+            ("agent.orphans", orphans),
+        ];
+        for (name, change) in changes {
+            if change > 0 {
+                self.metrics.count(name, change);
+            }
+        }
+        self.metrics
+            .gauge("agent.running", self.book.running() as u64);
+    }
+}
--- /dev/null
+++ b/crates/masticsill_agent/tests/plain_calls.rs
@@ -0,0 +1,154 @@
+//! Calls of a plain service through its agent.
+
+mod support;
+
+use std::thread;
+
+use assert_matches::assert_matches;
+use masticsill_testkit::{FakeService, ServiceSettings};
+use masticsill_types::{GenerationId, Incarnation};
+use masticsill_wire::agent::{BuryRequest, CallReply, CallRequest};
+
+use support::{TestAgent, TestEntry, context, wait_for};
+
+struct Fixture {
+    agent: TestAgent,
+    entry: TestEntry,
+    service: FakeService,
+}
+
+impl Fixture {
+    fn start() -> Self {
+        let service = FakeService::start(ServiceSettings::default()).unwrap();
+        let agent = TestAgent::beside_service(service.address(), |_| {});
+        let entry = TestEntry::connect(&agent);
+        Self {
+            agent,
+            entry,
+            service,
+        }
+    }
+
+    fn request(&self, id: u128) -> CallRequest {
+        CallRequest {
+            deadline_ms: 20_000,
+            body: b"two pallets".to_vec(),
+            content_type: "text/plain".to_owned(),
+            id: GenerationId(id),
+            incarnation: self.agent.mesh.incarnation(),
+            is_repeatable: false,
+            method: "POST".to_owned(),
+            path: "/orders".to_owned(),
+        }
+    }
+
+    fn call(&self, request: CallRequest) -> CallReply {
+        let called = self.entry.client.call(context(), request);
+        self.entry.run(called).unwrap()
+    }
+
+    fn bury(&self, id: u128, incarnation: Incarnation) -> CallReply {
+        let request = BuryRequest {
+            id: GenerationId(id),
+            incarnation,
+        };
+        let buried = self.entry.client.bury(context(), request);
+        self.entry.run(buried).unwrap()
+    }
+}
+
+#[test]
+fn repeated_call_runs_once_and_gets_the_stored_answer() {
+    let fixture = Fixture::start();
+    let first = fixture.call(fixture.request(1));
+    assert_matches!(&first, CallReply::Answered(answer) if answer.status == 200);
+    assert_eq!(fixture.call(fixture.request(1)), first);
+    assert_eq!(fixture.bury(1, fixture.agent.mesh.incarnation()), first);
+    assert_eq!(fixture.service.stats().sequence, 1);
+    fixture.agent.stop();
+}
+
+#[test]
+fn calls_at_the_same_time_join() {
+    let fixture = Fixture::start();
+    fixture.service.set_delay(200);
+    let client = &fixture.entry.client;
+    let replies = fixture.entry.run(async {
+        let first = client.call(context(), fixture.request(2));
+        let second = client.call(context(), fixture.request(2));
+        tokio::join!(first, second)
+    });
+    assert_eq!(replies.0.unwrap(), replies.1.unwrap());
+    assert_eq!(fixture.service.stats().sequence, 1);
+    fixture.agent.stop();
+}
+
+#[test]
+fn lost_answer_is_unknown_and_the_call_is_not_sent_again() {
+    let fixture = Fixture::start();
+    fixture.service.close_after_run(1);
+    assert_eq!(fixture.call(fixture.request(3)), CallReply::OutcomeUnknown);
+    assert_eq!(fixture.call(fixture.request(3)), CallReply::OutcomeUnknown);
+    let life = fixture.agent.mesh.incarnation();
+    assert_eq!(fixture.bury(3, life), CallReply::OutcomeUnknown);
+    assert_eq!(fixture.service.stats().sequence, 1);
+    fixture.agent.stop();
+}
+
+#[test]
+fn buried_call_and_one_for_another_life_are_not_run() {
+    let fixture = Fixture::start();
+    let life = fixture.agent.mesh.incarnation();
+    assert_matches!(fixture.bury(4, life), CallReply::NotRun(_));
+    assert_matches!(fixture.call(fixture.request(4)), CallReply::NotRun(_));
+    let mut late = fixture.request(5);
+    late.incarnation = Incarnation(life.0 - 1);
+    assert_matches!(fixture.call(late), CallReply::NotRun(_));
+    assert_eq!(
+        fixture.bury(5, Incarnation(life.0 - 1)),
+        CallReply::OutcomeUnknown
+    );
+    assert_eq!(fixture.service.stats().sequence, 0);
+    fixture.agent.stop();
+}
+
+#[test]
+fn deadline_ends_the_wait_and_a_repeat_gets_the_late_answer() {
+    let fixture = Fixture::start();
+    fixture.service.set_delay(500);
+    let mut hasty = fixture.request(6);
+    hasty.deadline_ms = 1;
+    assert_eq!(fixture.call(hasty), CallReply::OutcomeUnknown);
+    assert_matches!(fixture.call(fixture.request(6)), CallReply::Answered(_));
+    assert_eq!(fixture.service.stats().sequence, 1);
+    fixture.agent.stop();
+}
+
+#[test]
+fn refused_connection_is_not_run() {
+    let mut fixture = Fixture::start();
+    fixture.service = FakeService::start(ServiceSettings::default()).unwrap();
+    assert_matches!(fixture.call(fixture.request(7)), CallReply::NotRun(_));
+    fixture.agent.stop();
+}
+
+#[test]
+fn leaving_agent_finishes_calls_and_takes_none() {
+    let fixture = Fixture::start();
+    fixture.service.set_delay(300);
+    let other = TestEntry::connect(&fixture.agent);
+    let request = fixture.request(8);
+    let running = thread::spawn(move || other.run(other.client.call(context(), request)));
+    wait_for("the call runs", || fixture.service.stats().sequence == 1);
+    fixture.agent.handle.leave();
+    // A new id each time: a call taken before the agent began to leave keeps its answer.
+    let mut ids = 9..;
+    wait_for("new calls are refused", || {
+        let id = ids.next().unwrap();
+        matches!(fixture.call(fixture.request(id)), CallReply::NotRun(_))
+    });
+    let reply = running.join().unwrap();
+    assert_matches!(reply.unwrap(), CallReply::Answered(_));
+    wait_for("the agent is drained", || fixture.agent.handle.is_drained());
+    fixture.agent.stop();
+}
--- /dev/null
+++ b/crates/masticsill_agent/tests/planned_stop.rs
@@ -0,0 +1,53 @@
+//! The planned stop of an agent.
+
+mod support;
+
+use assert_matches::assert_matches;
+use masticsill_generation::Record;
+use masticsill_types::{AttemptFailure, AttemptState, RefusalKind, TokenIndex};
+use masticsill_wire::agent::StartReply;
+
+use support::{TestAgent, TestEntry, engine, spec, wait_for, whole_answer};
+
+#[test]
+fn leaving_agent_finishes_what_runs_and_takes_nothing_new() {
+    let engine = engine(|_| {});
+    let agent = TestAgent::beside(&engine);
+    let entry = TestEntry::connect(&agent);
+    let mut record = Record::new(spec(1, 200), 5);
+    entry.start(&record);
+    entry.pull_until(&mut record, |record| record.next_index() >= TokenIndex(5));
+    agent.handle.leave();
+    wait_for("leaving is told with pulls", || {
+        entry.pull(&record).is_leaving
+    });
+    wait_for("leaving is announced", || {
+        agent.announced().is_some_and(|profile| profile.is_leaving)
+    });
+    let StartReply::Refused(refusal) = entry.start(&Record::new(spec(2, 10), 5)) else {
+        panic!("a leaving agent took new work");
+    };
+    assert_eq!(refusal.kind, RefusalKind::ShuttingDown);
+    assert!(refusal.retry_after_ms.is_some());
+    assert!(!agent.handle.is_drained());
+    assert_matches!(entry.pull_to_end(&mut record), AttemptState::Finished(_));
+    assert_eq!(record.tokens(), whole_answer(record.spec()));
+    wait_for("the agent is drained", || agent.handle.is_drained());
+    agent.stop();
+}
+
+#[test]
+fn attempts_that_outlast_the_drain_time_are_handed_back() {
+    let engine = engine(|_| {});
+    let agent = TestAgent::start(engine.address(), |limits| limits.drain_ms = 200);
+    let entry = TestEntry::connect(&agent);
+    let mut record = Record::new(spec(3, 100_000), 5);
+    entry.start(&record);
+    entry.pull_until(&mut record, |record| record.next_index() >= TokenIndex(5));
+    agent.handle.leave();
+    let end = entry.pull_to_end(&mut record);
+    assert_eq!(end, AttemptState::Failed(AttemptFailure::Leaving));
+    wait_for("the agent is drained", || agent.handle.is_drained());
+    wait_for("the engine is free", || engine.stats().cancelled == 1);
+    agent.stop();
+}
