Add a deployment of real processes behind fault proxies

Cause: integration tests and benches need the same whole system. Ruled out: fixed ports and a shared folder; both make verdicts depend on the machine. Change: Deployment in the testkit. Conclusion: used by the daemon's tests once all roles stand.

--- a/crates/masticsill_testkit/src/lib.rs
+++ b/crates/masticsill_testkit/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and a fault-injecting proxy for tests and benches.
 
 mod caller;
+mod deployment;
 mod engine;
 mod events;
 mod hosting;
@@ -9,6 +10,7 @@
 mod service;
 
 pub use caller::{Caller, CallerAnswer, CallerError, CallerRequest, CallerStream};
+pub use deployment::{Deployment, Node, OPERATOR_TOKEN, engine_entry, service_entry};
 pub use engine::{
     AnswerSpec, EngineSettings, EngineStats, FakeEngine, expected_answer, expected_text,
     model_target, prefix_hashes,
