--- /dev/null
+++ b/crates/masticsill_control/src/config.rs
@@ -0,0 +1,81 @@
+//! What a control replica is told at its start.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::str::FromStr;
+
+use indexmap::IndexMap;
+use masticsill_catalogue::OperatorScope;
+use masticsill_quorum::ReplicaSettings;
+use masticsill_types::{NodeId, OperatorId};
+use thiserror::Error;
+
+/// Settings of a control replica.
+#[derive(Clone, Debug)]
+pub struct ControlConfig {
+    /// Where other processes reach this replica, if that is not the address it listens on.
+    pub advertised_rpc_address: Option<SocketAddr>,
+    /// Where the replica's durable state lives.
+    pub data_folder: PathBuf,
+    /// The replicas that found a new cluster; the first of them does it once all are up.
+    ///
+    /// It matters only while every folder is new: a founded cluster is never founded again.
+    pub founders: Vec<NodeId>,
+    /// Where the administration API listens.
+    pub http_address: SocketAddr,
+    /// This node.
+    pub node: NodeId,
+    /// Operators of the administration API.
+    pub operators: Vec<OperatorConfig>,
+    /// RPC addresses of the other control replicas, as far as they are known.
+    pub peers: IndexMap<NodeId, SocketAddr>,
+    /// Timing and sizes of the quorum.
+    pub replica: ReplicaSettings,
+    /// Where other processes call this replica.
+    pub rpc_address: SocketAddr,
+}
+
+/// An operator of the administration API.
+#[derive(Clone, Debug)]
+pub struct OperatorConfig {
+    /// The operator's name in the audit trail.
+    pub operator: OperatorId,
+    /// What the operator may change.
+    pub scope: OperatorScope,
+    /// Hash of the operator's token.
+    pub token_hash: TokenHash,
+}
+
+/// `blake3` hash of an operator's token; the token itself is kept nowhere.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct TokenHash(blake3::Hash);
+
+impl TokenHash {
+    /// Hashes a token.
+    #[must_use]
+    pub fn of_token(token: &str) -> Self {
+        Self(blake3::hash(token.as_bytes()))
+    }
+}
+
+impl fmt::Display for TokenHash {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.0)
+    }
+}
+
+/// A token hash that is not 64 hexadecimal digits.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+#[error("the token hash is not 64 hexadecimal digits; use the `blake3` hash of the token")]
+pub struct TokenHashError;
+
+impl FromStr for TokenHash {
+    type Err = TokenHashError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        blake3::Hash::from_hex(text)
+            .map(Self)
+            .map_err(|_| TokenHashError)
+    }
+}
--- /dev/null
+++ b/crates/masticsill_control/src/error.rs
@@ -0,0 +1,26 @@
+//! Why a control replica can't start.
+
+use std::io;
+
+use masticsill_quorum::SettingsError;
+use masticsill_quorum::storage::StorageError;
+use thiserror::Error;
+
+use crate::quorum::StateError;
+
+/// Why a control replica can't start.
+#[derive(Debug, Error)]
+pub enum ControlError {
+    /// An address can't be bound, or a thread can't be started.
+    #[error("control replica can't start: {0}; check its addresses and the process limits")]
+    Io(#[from] io::Error),
+    /// The quorum's settings can't keep a leader's lease.
+    #[error("control settings are refused: {0}")]
+    Settings(#[from] SettingsError),
+    /// The durable state can't be read.
+    #[error(transparent)]
+    State(#[from] StateError),
+    /// The data folder can't be used.
+    #[error(transparent)]
+    Storage(#[from] StorageError),
+}
--- /dev/null
+++ b/crates/masticsill_control/src/events.rs
@@ -0,0 +1,44 @@
+//! Log events of the control role, numbers 4100 to 4199.
+
+use masticsill_types::Event;
+
+/// The replica runs.
+pub const CONTROL_STARTED: Event = Event::new(4101, "control_started");
+/// The replica's role, term or known leader changed.
+pub const ROLE_CHANGED: Event = Event::new(4102, "control_role_changed");
+/// Writing or syncing failed; the replica stops.
+pub const STORAGE_FAILED: Event = Event::new(4103, "control_storage_failed");
+/// The log or a snapshot holds what this version can't read; the replica stops.
+pub const STATE_UNREADABLE: Event = Event::new(4104, "control_state_unreadable");
+/// The replica took the founding members.
+pub const FOUNDED: Event = Event::new(4105, "control_founded");
+/// The data folder is new, and the replica waits until an operator admits it.
+pub const WAITS_FOR_ADMISSION: Event = Event::new(4106, "control_waits_for_admission");
+/// A message of a peer could not be decoded.
+pub const MESSAGE_UNREADABLE: Event = Event::new(4107, "control_message_unreadable");
+/// An operator's token is not known.
+pub const OPERATOR_UNKNOWN: Event = Event::new(4108, "control_operator_unknown");
+/// Leadership is handed over before a stop.
+pub const HANDING_OVER: Event = Event::new(4109, "control_handing_over");
+/// The replica stopped.
+pub const CONTROL_STOPPED: Event = Event::new(4110, "control_stopped");
+/// The state was restored from a snapshot of the leader.
+pub const SNAPSHOT_RESTORED: Event = Event::new(4111, "control_snapshot_restored");
+/// A snapshot of the state was taken.
+pub const SNAPSHOT_TAKEN: Event = Event::new(4112, "control_snapshot_taken");
+
+/// Every event of this crate.
+pub const ALL: &[Event] = &[
+    CONTROL_STARTED,
+    ROLE_CHANGED,
+    STORAGE_FAILED,
+    STATE_UNREADABLE,
+    FOUNDED,
+    WAITS_FOR_ADMISSION,
+    MESSAGE_UNREADABLE,
+    OPERATOR_UNKNOWN,
+    HANDING_OVER,
+    CONTROL_STOPPED,
+    SNAPSHOT_RESTORED,
+    SNAPSHOT_TAKEN,
+];
--- a/crates/masticsill_control/src/lib.rs
+++ b/crates/masticsill_control/src/lib.rs
@@ -1,1 +1,20 @@
 //! The control role: the catalogue's quorum and the administration API.
+//!
+//! Duties, each on a thread of its own: the quorum (replicated log and state), the storage (one
+//! sync for many writes), the RPC edge (other replicas and nodes) and the HTTP edge (operators).
+
+mod book;
+mod client;
+mod config;
+mod error;
+pub mod events;
+mod http;
+mod quorum;
+mod role;
+mod rpc;
+
+pub use book::AddressBook;
+pub use client::{ControlClient, ControlUnavailable};
+pub use config::{ControlConfig, OperatorConfig, TokenHash, TokenHashError};
+pub use error::ControlError;
+pub use role::ControlRole;
--- /dev/null
+++ b/crates/masticsill_control/src/quorum.rs
@@ -0,0 +1,14 @@
+//! The quorum duty: the replicated log, the state it leads to and its storage.
+
+mod duty;
+mod machine;
+mod members;
+mod request;
+mod storage;
+mod waiting;
+
+pub(crate) use duty::{DutyParts, QuorumDuty};
+pub use machine::StateError;
+pub(crate) use machine::Machine;
+pub(crate) use request::{JoiningReplica, QuorumHandle, ReplicaOrder, Request, Status};
+pub(crate) use storage::{Job, StorageProgress, StorageQueue, run_storage};
--- /dev/null
+++ b/crates/masticsill_control/src/quorum/machine.rs
@@ -0,0 +1,152 @@
+//! The replicated state of this replica, its durable form and its freshness.
+
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use masticsill_catalogue::{Action, Command, CommandAnswer, ControlState, Freshness};
+use masticsill_quorum::{Entry, LogIndex, Payload, Snapshot};
+use masticsill_types::{CatalogueVersion, ClockMs};
+use masticsill_wire::control::{AuditPage, RenewReply, RenewRequest};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Bytes of the log or of a snapshot that this version can't read.
+#[derive(Clone, Debug, Error)]
+#[error("{what} can't be read ({source}); run the version of masticsill that wrote it, or newer")]
+pub struct StateError {
+    what: &'static str,
+    source: postcard::Error,
+}
+
+/// The durable form of a command. Variants are only ever added at the end.
+#[derive(Deserialize, Serialize)]
+enum StoredCommand {
+    V1(Command),
+}
+
+/// The durable form of the state. Variants are only ever added at the end.
+#[derive(Deserialize, Serialize)]
+enum StoredState {
+    V1(ControlState),
+}
+
+/// The replicated state, applied up to an index.
+#[derive(Debug)]
+pub(crate) struct Machine {
+    applied: LogIndex,
+    /// A proof about a version that is not applied here yet.
+    awaited_proof: Option<(CatalogueVersion, ClockMs)>,
+    freshness: Freshness,
+    state: ControlState,
+}
+
+impl Machine {
+    pub(crate) fn new(started_at: ClockMs) -> Self {
+        Self {
+            applied: LogIndex::default(),
+            awaited_proof: None,
+            freshness: Freshness::new(started_at),
+            state: ControlState::default(),
+        }
+    }
+
+    pub(crate) fn state(&self) -> &ControlState {
+        &self.state
+    }
+
+    /// Replaces the state by a snapshot's; a founding snapshot holds none.
+    pub(crate) fn restore(&mut self, snapshot: &Snapshot) -> Result<(), StateError> {
+        let what = "the snapshot";
+        self.state = if snapshot.data.is_empty() {
+            ControlState::default()
+        } else {
+            let StoredState::V1(state) = postcard::from_bytes(&snapshot.data)
+                .map_err(|source| StateError { what, source })?;
+            state
+        };
+        self.applied = snapshot.index;
+        Ok(())
+    }
+
+    /// Applies a committed entry; returns the answer when it holds a command.
+    pub(crate) fn apply(&mut self, entry: &Entry) -> Result<Option<CommandAnswer>, StateError> {
+        let answer = match &entry.payload {
+            Payload::Command(bytes) => {
+                let what = "a command of the log";
+                let StoredCommand::V1(command) =
+                    postcard::from_bytes(bytes).map_err(|source| StateError { what, source })?;
+                Some(self.state.apply(&command))
+            }
+            Payload::Membership(_) | Payload::Noop => None,
+        };
+        self.applied = entry.index;
+        Ok(answer)
+    }
+
+    /// Takes in that this state, as applied up to `index`, held every accepted change at `as_of`.
+    pub(crate) fn renew_as_leader(&mut self, index: LogIndex, as_of: ClockMs) {
+        if self.applied >= index {
+            self.freshness.renew(as_of);
+        }
+    }
+
+    /// Takes in the leader's proof about a version, now or once that version is applied.
+    pub(crate) fn renew_by_proof(&mut self, version: CatalogueVersion, as_of: ClockMs) {
+        self.renew_if_awaited();
+        if self.state.catalogue().version() >= version {
+            self.freshness.renew(as_of);
+        } else if self.awaited_proof.is_none() {
+            // The first is kept, so that a stream of newer ones can't starve it.
+            self.awaited_proof = Some((version, as_of));
+        }
+    }
+
+    fn renew_if_awaited(&mut self) {
+        if let Some((version, as_of)) = self.awaited_proof
+            && self.state.catalogue().version() >= version
+        {
+            self.freshness.renew(as_of);
+            self.awaited_proof = None;
+        }
+    }
+
+    pub(crate) fn answer_renewal(&mut self, now: ClockMs, request: RenewRequest) -> RenewReply {
+        self.renew_if_awaited();
+        let catalogue = self.state.catalogue();
+        RenewReply {
+            age_ms: self.freshness.age_ms(now),
+            update: catalogue.update_since(request.have),
+            version: catalogue.version(),
+        }
+    }
+
+    pub(crate) fn audit_page(&self, after: u64, limit: u32) -> AuditPage {
+        let audit = self.state.audit();
+        AuditPage {
+            last_sequence: audit.last_sequence(),
+            records: audit.after(after).take(limit as usize).cloned().collect(),
+        }
+    }
+}
+
+/// A command's durable form, stamped with the wall clock.
+pub(crate) fn encode_command(action: Action) -> Arc<[u8]> {
+    let command = Command {
+        action,
+        at_wall_ms: wall_ms(),
+    };
+    let bytes = postcard::to_stdvec(&StoredCommand::V1(command));
+    Arc::from(bytes.expect("commands always encode into memory"))
+}
+
+/// The state's durable form.
+pub(crate) fn encode_state(state: ControlState) -> Vec<u8> {
+    let bytes = postcard::to_stdvec(&StoredState::V1(state));
+    bytes.expect("the state always encodes into memory")
+}
+
+fn wall_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    let elapsed_ms = elapsed.map_or(0, |elapsed| elapsed.as_millis());
+    u64::try_from(elapsed_ms).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/masticsill_control/src/quorum/members.rs
@@ -0,0 +1,108 @@
+//! The members of the quorum, as callers name and see them.
+
+use masticsill_quorum::{FolderId, Membership, MembershipChange, Replica, VoterId};
+use masticsill_types::NodeId;
+use masticsill_wire::control::{
+    LeaderHint, ReplicaIdentity, ReplicaStanding, ReplicaView, ReplicasView,
+};
+
+use crate::book::AddressBook;
+use crate::quorum::request::ReplicaOrder;
+
+/// What an operator's order means for the present members.
+#[derive(Debug)]
+pub(crate) enum Meaning {
+    /// It is done already.
+    AlreadyDone,
+    /// This change, of this replica.
+    Change(MembershipChange),
+    /// Nothing that can be done; the text says why and what to do.
+    Refused(String),
+}
+
+pub(crate) fn interpret(order: &ReplicaOrder, membership: &Membership) -> Meaning {
+    match order {
+        ReplicaOrder::Join {
+            replica, replaces, ..
+        } => interpret_join(&replica.id, replaces.as_ref(), membership),
+        ReplicaOrder::Remove { node, .. } => {
+            let member = membership.members().find(|member| member.name == *node);
+            match member.cloned() {
+                Some(id) => Meaning::Change(MembershipChange::Remove { id }),
+                None => Meaning::Refused(format!(
+                    "replica `{node}` is not a member; list the replicas and name one of them"
+                )),
+            }
+        }
+    }
+}
+
+fn interpret_join(id: &VoterId, replaces: Option<&NodeId>, membership: &Membership) -> Meaning {
+    if membership.is_member(id) {
+        return Meaning::AlreadyDone;
+    }
+    let replaced = match replaces {
+        None => None,
+        Some(name) => {
+            let voter = membership.voters.iter().find(|voter| voter.name == *name);
+            let Some(voter) = voter else {
+                return Meaning::Refused(format!(
+                    "replica `{name}` is not a voter; list the replicas and name the one to replace"
+                ));
+            };
+            Some(voter.clone())
+        }
+    };
+    Meaning::Change(MembershipChange::Join {
+        id: id.clone(),
+        replaces: replaced,
+    })
+}
+
+/// The members as the leader sees them.
+pub(crate) fn view(replica: &Replica, book: &AddressBook) -> ReplicasView {
+    let membership = replica.membership();
+    let show = |id: &VoterId| ReplicaView {
+        address: book.get(&id.name),
+        folder: id.folder.0,
+        node: id.name.clone(),
+        standing: standing(id, membership),
+    };
+    ReplicasView {
+        leader: replica.id().name.clone(),
+        replicas: membership.members().map(show).collect(),
+        term: replica.term(),
+    }
+}
+
+fn standing(id: &VoterId, membership: &Membership) -> ReplicaStanding {
+    if membership.leaving.contains(id) {
+        ReplicaStanding::Leaving
+    } else if membership.is_voter(id) {
+        ReplicaStanding::Voter
+    } else {
+        ReplicaStanding::Learner
+    }
+}
+
+pub(crate) fn hint(leader: &VoterId, book: &AddressBook) -> LeaderHint {
+    LeaderHint {
+        address: book.get(&leader.name),
+        node: leader.name.clone(),
+    }
+}
+
+pub(crate) fn identity(id: &VoterId, is_founded: bool) -> ReplicaIdentity {
+    ReplicaIdentity {
+        folder: id.folder.0,
+        is_founded,
+        node: id.name.clone(),
+    }
+}
+
+pub(crate) fn voter(identity: &ReplicaIdentity) -> VoterId {
+    VoterId {
+        name: identity.node.clone(),
+        folder: FolderId(identity.folder),
+    }
+}
