Draft the control role: quorum, storage, RPC and HTTP duties

Ruled out: tarpc on ntex's threads; a second catalogue copy in the role. Change: duties, client, administration API, first in-process tests.

--- a/crates/masticsill_catalogue/src/claim.rs
+++ b/crates/masticsill_catalogue/src/claim.rs
@@ -73,6 +73,19 @@
     pub version: u64,
 }
 
+impl Settle {
+    /// The same settlement, with a body too large to keep cut to its digest.
+    #[must_use]
+    pub fn trimmed(mut self) -> Self {
+        if let CallEnd::Answered(answer) = &mut self.end
+            && answer.body.kept_bytes() > MAX_KEPT_BODY_BYTES
+        {
+            answer.body.drop_body();
+        }
+        self
+    }
+}
+
 /// How a call ended.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum CallEnd {
@@ -239,12 +252,7 @@
         let Some(record) = self.records.get_mut(&command.id) else {
             return self.absent(command.id);
         };
-        let mut end = command.end.clone();
-        if let CallEnd::Answered(answer) = &mut end
-            && answer.body.kept_bytes() > MAX_KEPT_BODY_BYTES
-        {
-            answer.body.drop_body();
-        }
+        let end = command.clone().trimmed().end;
         if record.version != command.version || !may_follow(record.end.as_ref(), &end) {
             return ClaimAnswer::Existing(record.clone());
         }
--- a/crates/masticsill_catalogue/src/validation.rs
+++ b/crates/masticsill_catalogue/src/validation.rs
@@ -26,7 +26,8 @@
 }
 
 impl FieldError {
-    pub(crate) fn new(
+    /// An error of a field; the value is cut to a readable length.
+    pub fn new(
         field: impl Into<String>,
         value: impl fmt::Display,
         remedy: impl Into<String>,
--- a/crates/masticsill_control/src/book.rs
+++ b/crates/masticsill_control/src/book.rs
@@ -52,7 +52,10 @@
             &addresses.configured,
             &addresses.learned,
         ];
-        sources.into_iter().find_map(|known| known.get(node)).copied()
+        sources
+            .into_iter()
+            .find_map(|known| known.get(node))
+            .copied()
     }
 
     /// Every address, each once.
--- a/crates/masticsill_control/src/client.rs
+++ b/crates/masticsill_control/src/client.rs
@@ -176,16 +176,15 @@
 
     /// Asks the replica at an address for a proof of freshness; `None` when it does not answer.
     pub async fn renew(&self, address: SocketAddr, request: RenewRequest) -> Option<RenewReply> {
-        let send = async |client: ControlServiceClient, context| {
-            client.renew(context, request).await
-        };
+        let send =
+            async |client: ControlServiceClient, context| client.renew(context, request).await;
         self.call_once(address, send).await
     }
 
     /// Asks the replica at an address who it is; `None` when it does not answer.
     pub(crate) async fn identify(&self, address: SocketAddr) -> Option<ReplicaIdentity> {
         let send = async |client: ControlServiceClient, context| client.identify(context).await;
-        self.call_once(address, send).await
+        self.call_once(address, send).await.flatten()
     }
 
     /// Gives the founding members to the replica at an address.
@@ -202,13 +201,11 @@
         send: impl AsyncFn(ControlServiceClient, Context) -> Result<T, RpcError>,
     ) -> Option<T> {
         let client = self.connect(address).await?;
-        match send(client, context_of(ATTEMPT_TIMEOUT_MS)).await {
-            Ok(reply) => Some(reply),
-            Err(_) => {
-                self.disconnect(address);
-                None
-            }
+        let reply = send(client, context_of(ATTEMPT_TIMEOUT_MS)).await;
+        if reply.is_err() {
+            self.disconnect(address);
         }
+        reply.ok()
     }
 
     async fn call_leader<T>(
--- a/crates/masticsill_control/src/config.rs
+++ b/crates/masticsill_control/src/config.rs
@@ -16,6 +16,8 @@
 pub struct ControlConfig {
     /// Where other processes reach this replica, if that is not the address it listens on.
     pub advertised_rpc_address: Option<SocketAddr>,
+    /// The cluster's name; a data folder of another cluster is refused.
+    pub cluster: String,
     /// Where the replica's durable state lives.
     pub data_folder: PathBuf,
     /// The replicas that found a new cluster; the first of them does it once all are up.
--- /dev/null
+++ b/crates/masticsill_control/src/http/catalogue.rs
@@ -0,0 +1,261 @@
+//! Reading, watching and changing the catalogue.
+
+use std::time::Duration;
+
+use masticsill_catalogue::{
+    CatalogueEntry, CatalogueUpdate, Change, ChangeAnswer, ChangeContent, ChangeRefusal,
+    FieldError, VersionedEntry,
+};
+use masticsill_types::{CatalogueVersion, EntryId};
+use masticsill_wire::admin::{
+    AcceptedJson, CatalogueJson, DeleteJson, DeletedJson, EntryInForceJson, ErrorJson, PutJson,
+    WatchJson,
+};
+use masticsill_wire::control::{ChangeRequest, ReadAnswer, ReadRequest};
+use ntex::http::StatusCode;
+use ntex::util::Bytes;
+use ntex::web::HttpRequest;
+use ntex::web::HttpResponse;
+use ntex::web::types::{Path, Query, State};
+use serde::Deserialize;
+use tokio::time::{Instant, timeout_at};
+
+use super::auth::authenticate;
+use super::{HttpState, reply};
+use crate::client::ControlUnavailable;
+use crate::config::OperatorConfig;
+use crate::rpc::Forward;
+
+const DEFAULT_WAIT_MS: u64 = 30_000;
+const MAX_WAIT_MS: u64 = 55_000;
+
+/// Query of `GET /v1/catalogue`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct ListQuery {
+    wait_ms: Option<u64>,
+    watch: Option<u64>,
+}
+
+pub(crate) async fn list(state: State<HttpState>, request: HttpRequest) -> HttpResponse {
+    if let Err(refusal) = authenticate(&state, &request) {
+        return refusal;
+    }
+    let query = match Query::<ListQuery>::from_query(request.query_string()) {
+        Ok(query) => query.into_inner(),
+        Err(error) => {
+            return reply::bad_request(format!("{error}; use `watch=VERSION` and `wait_ms=N`"));
+        }
+    };
+    let answer = match query.watch {
+        Some(from) => {
+            let wait_ms = query.wait_ms.unwrap_or(DEFAULT_WAIT_MS).min(MAX_WAIT_MS);
+            watch(&state, CatalogueVersion(from), wait_ms)
+                .await
+                .map(|json| reply::ok(&json))
+        }
+        None => whole(&state).await.map(|json| reply::ok(&json)),
+    };
+    answer.unwrap_or_else(reply::unavailable)
+}
+
+async fn read_since(
+    state: &HttpState,
+    have: CatalogueVersion,
+) -> Result<(CatalogueVersion, Option<CatalogueUpdate>), ControlUnavailable> {
+    let request = ReadRequest::Catalogue { have };
+    let answer = state
+        .forward(|reply_to| Forward::Read(request, reply_to))
+        .await?;
+    match answer {
+        ReadAnswer::Catalogue(version, update) => Ok((version, update)),
+        ReadAnswer::Audit(_) | ReadAnswer::Replicas(_) => Err(ControlUnavailable {
+            is_outcome_unknown: false,
+        }),
+    }
+}
+
+fn entries_of(update: Option<CatalogueUpdate>) -> Vec<VersionedEntry> {
+    let mut entries = match update {
+        Some(CatalogueUpdate::Delta(delta)) => delta.puts,
+        Some(CatalogueUpdate::Snapshot(snapshot)) => snapshot.entries,
+        None => Vec::new(),
+    };
+    entries.sort_by(|left, right| left.entry.id.cmp(&right.entry.id));
+    entries
+}
+
+async fn whole(state: &HttpState) -> Result<CatalogueJson, ControlUnavailable> {
+    let (version, update) = read_since(state, CatalogueVersion::default()).await?;
+    let entries = entries_of(update);
+    Ok(CatalogueJson {
+        entries: entries.iter().map(EntryInForceJson::from).collect(),
+        version: version.0,
+    })
+}
+
+/// Waits for a version past `from`; after the wait it answers without a change.
+async fn watch(
+    state: &HttpState,
+    from: CatalogueVersion,
+    wait_ms: u64,
+) -> Result<WatchJson, ControlUnavailable> {
+    let until = Instant::now() + Duration::from_millis(wait_ms);
+    let mut status = state.quorum.status.clone();
+    let news = status.wait_for(|status| status.version > from);
+    let stopped = state.stopping.requested();
+    let _ = timeout_at(until, async {
+        tokio::select! {
+            _ = news => {}
+            () = stopped => {}
+        }
+    })
+    .await;
+    let (version, update) = read_since(state, from).await?;
+    Ok(watch_json(version, update))
+}
+
+fn watch_json(version: CatalogueVersion, update: Option<CatalogueUpdate>) -> WatchJson {
+    let is_whole = matches!(update, Some(CatalogueUpdate::Snapshot(_)));
+    let deleted = match &update {
+        Some(CatalogueUpdate::Delta(delta)) => {
+            let is_gone = |id: &EntryId| !delta.puts.iter().any(|held| held.entry.id == *id);
+            let gone = delta.deletes.iter().filter(|grave| is_gone(&grave.id));
+            gone.map(|grave| DeletedJson {
+                id: grave.id.to_string(),
+                version: grave.version.0,
+            })
+            .collect()
+        }
+        Some(CatalogueUpdate::Snapshot(_)) | None => Vec::new(),
+    };
+    let entries = entries_of(update);
+    WatchJson {
+        deleted,
+        entries: entries.iter().map(EntryInForceJson::from).collect(),
+        is_whole,
+        version: version.0,
+    }
+}
+
+pub(crate) async fn read(
+    state: State<HttpState>,
+    request: HttpRequest,
+    id: Path<String>,
+) -> HttpResponse {
+    if let Err(refusal) = authenticate(&state, &request) {
+        return refusal;
+    }
+    let (_, update) = match read_since(&state, CatalogueVersion::default()).await {
+        Ok(read) => read,
+        Err(cause) => return reply::unavailable(cause),
+    };
+    let entries = entries_of(update);
+    let held = entries
+        .iter()
+        .find(|held| held.entry.id.as_str() == id.as_str());
+    let Some(held) = held else {
+        let message = format!("there is no entry `{}`; list the catalogue", id.as_str());
+        let error = ErrorJson::new("unknown_entry", message);
+        return reply::error(StatusCode::NOT_FOUND, &error);
+    };
+    reply::ok(&EntryInForceJson::from(held))
+}
+
+pub(crate) async fn put(
+    state: State<HttpState>,
+    request: HttpRequest,
+    id: Path<String>,
+    body: Bytes,
+) -> HttpResponse {
+    let operator = match authenticate(&state, &request) {
+        Ok(operator) => operator,
+        Err(refusal) => return refusal,
+    };
+    let json: PutJson = match reply::parse(&body) {
+        Ok(json) => json,
+        Err(refusal) => return refusal,
+    };
+    let entry = match CatalogueEntry::try_from(json.entry) {
+        Ok(entry) => entry,
+        Err(errors) => return reply::refusal(&ChangeRefusal::Invalid(errors)),
+    };
+    let content = ChangeContent::Put(Box::new(entry));
+    let sent = Sent {
+        change_id: &json.change_id,
+        entry_id: &id,
+        expected_version: json.expected_version,
+    };
+    change(&state, operator, sent, content).await
+}
+
+pub(crate) async fn delete(
+    state: State<HttpState>,
+    request: HttpRequest,
+    id: Path<String>,
+    body: Bytes,
+) -> HttpResponse {
+    let operator = match authenticate(&state, &request) {
+        Ok(operator) => operator,
+        Err(refusal) => return refusal,
+    };
+    let json: DeleteJson = match reply::parse(&body) {
+        Ok(json) => json,
+        Err(refusal) => return refusal,
+    };
+    let sent = Sent {
+        change_id: &json.change_id,
+        entry_id: &id,
+        expected_version: json.expected_version,
+    };
+    change(&state, operator, sent, ChangeContent::Delete).await
+}
+
+/// What names a change, as sent.
+struct Sent<'a> {
+    change_id: &'a str,
+    entry_id: &'a str,
+    expected_version: u64,
+}
+
+async fn change(
+    state: &HttpState,
+    operator: &OperatorConfig,
+    sent: Sent<'_>,
+    content: ChangeContent,
+) -> HttpResponse {
+    let change = match name_change(operator, &sent, content) {
+        Ok(change) => change,
+        Err(error) => return reply::refusal(&ChangeRefusal::Invalid(vec![error])),
+    };
+    let scope = operator.scope.clone();
+    let request = ChangeRequest { change, scope };
+    let answer = state
+        .forward(|reply_to| Forward::Change(request, reply_to))
+        .await;
+    match answer {
+        Ok(ChangeAnswer::Accepted { version }) => reply::ok(&AcceptedJson { version: version.0 }),
+        Ok(ChangeAnswer::Refused(refusal)) => reply::refusal(&refusal),
+        Err(cause) => reply::unavailable(cause),
+    }
+}
+
+fn name_change(
+    operator: &OperatorConfig,
+    sent: &Sent<'_>,
+    content: ChangeContent,
+) -> Result<Change, FieldError> {
+    let id = sent.change_id.parse();
+    let entry = sent.entry_id.parse();
+    Ok(Change {
+        content,
+        entry: entry.map_err(|error: masticsill_types::IdError| {
+            FieldError::new("id", sent.entry_id, error.to_string())
+        })?,
+        expected_version: CatalogueVersion(sent.expected_version),
+        id: id.map_err(|error: masticsill_types::IdError| {
+            FieldError::new("change_id", sent.change_id, error.to_string())
+        })?,
+        operator: operator.operator.clone(),
+    })
+}
--- a/crates/masticsill_control/src/lib.rs
+++ b/crates/masticsill_control/src/lib.rs
@@ -17,4 +17,5 @@
 pub use client::{ControlClient, ControlUnavailable};
 pub use config::{ControlConfig, OperatorConfig, TokenHash, TokenHashError};
 pub use error::ControlError;
+pub use quorum::StateError;
 pub use role::ControlRole;
--- a/crates/masticsill_control/src/quorum.rs
+++ b/crates/masticsill_control/src/quorum.rs
@@ -7,8 +7,9 @@
 mod storage;
 mod waiting;
 
-pub(crate) use duty::{DutyParts, QuorumDuty};
-pub use machine::StateError;
+pub(crate) use duty::{DutyParts, Outgoing, QuorumDuty};
 pub(crate) use machine::Machine;
+pub use machine::StateError;
+pub(crate) use members::voter;
 pub(crate) use request::{JoiningReplica, QuorumHandle, ReplicaOrder, Request, Status};
 pub(crate) use storage::{Job, StorageProgress, StorageQueue, run_storage};
--- a/crates/masticsill_control/src/quorum/duty.rs
+++ b/crates/masticsill_control/src/quorum/duty.rs
@@ -6,8 +6,8 @@
 use indexmap::IndexMap;
 use masticsill_catalogue::{Action, CommandAnswer};
 use masticsill_quorum::{
-    Entry, Input, LogIndex, Membership, Output, Proposal, RefusalReason, Replica, ReplicaSettings,
-    Role, Snapshot, StoredState, VoterId, encode_message,
+    CallerToken, Entry, Input, LogIndex, Membership, Output, Proposal, RefusalReason, Replica,
+    ReplicaSettings, Role, Snapshot, StoredState, SyncPoint, VoterId, Write, encode_message,
 };
 use masticsill_runtime::{Metrics, Ring, spawn_duty};
 use masticsill_types::{ClockMs, MonotonicClock, NodeId, log_event};
@@ -20,8 +20,8 @@
 use super::machine::{self, Machine, StateError};
 use super::members::{self, Meaning};
 use super::request::{ReplicaOrder, ReplyTo, Request, Status};
-use super::storage::{StorageProgress, StorageQueue};
-use super::waiting::{IntoReply, Refused, Waiting, WaitingList};
+use super::storage::{self, StorageProgress, StorageQueue};
+use super::waiting::{Refused, Waiting, WaitingList};
 use crate::book::AddressBook;
 use crate::events;
 
@@ -214,7 +214,12 @@
                 let _ = reply_to.send(self.machine.answer_renewal(now, request));
             }
             Request::SnapshotTaken(index, data) => {
-                log_event!(info, events::SNAPSHOT_TAKEN, index = index, bytes = data.len());
+                log_event!(
+                    info,
+                    events::SNAPSHOT_TAKEN,
+                    index = index,
+                    bytes = data.len()
+                );
                 let data = Arc::from(data);
                 return self.step(Input::SnapshotTaken { index, data });
             }
@@ -235,6 +240,13 @@
 
     /// Records the change in the audit trail first; the change itself follows.
     fn change_replicas(&mut self, order: ReplicaOrder, reply_to: ReplyTo<ReplicaAnswer>) {
+        if self.replica.current_as_of(self.clock.now()).is_none() {
+            // Only a leader knows the newest members.
+            let leader = self.replica.leader();
+            let leader = leader.map(|leader| members::hint(leader, &self.book));
+            let _ = reply_to.send(ControlReply::NotLeader(leader));
+            return;
+        }
         let change = match members::interpret(&order, self.replica.membership()) {
             Meaning::AlreadyDone => {
                 let _ = reply_to.send(ControlReply::Done(ReplicaAnswer::Accepted));
@@ -280,7 +292,7 @@
     async fn found(&mut self, identities: &[ReplicaIdentity]) -> Result<bool, StateError> {
         let membership = Membership::of_voters(identities.iter().map(members::voter));
         if self.is_founded() {
-            return Ok(self.founding.as_ref() == Some(&membership));
+            return Ok(true);
         }
         let is_named = membership.is_voter(self.replica.id());
         if !is_named || !self.storage.is_synced() {
@@ -343,10 +355,7 @@
             Output::Committed { token, index } => self.answer_committed(token, index),
             Output::OutcomeUnknown { token } => self.refuse(token, ControlReply::OutcomeUnknown),
             Output::Persist { point, write } => {
-                if let Some(unfounded) = &mut self.unfounded {
-                    super::storage::mirror(unfounded, &write);
-                }
-                self.storage.write(point, write);
+                self.persist(point, write);
             }
             Output::ReadReady { token, .. } => self.answer_read(token),
             Output::RefusedMembership { token, error } => {
@@ -381,18 +390,29 @@
         Ok(())
     }
 
+    fn persist(&mut self, point: SyncPoint, write: Write) {
+        if self.is_founded() {
+            self.unfounded = None;
+        }
+        if let Some(unfounded) = &mut self.unfounded {
+            storage::mirror(unfounded, &write);
+        }
+        self.storage.write(point, write);
+    }
+
     fn apply(&mut self, entries: &[Entry]) -> Result<(), StateError> {
         for entry in entries {
             if let Some(answer) = self.machine.apply(entry)? {
                 self.answers.insert(entry.index, answer);
             }
         }
-        self.metrics.count("control.committed", entries.len() as u64);
+        self.metrics
+            .count("control.committed", entries.len() as u64);
         self.book.admit(self.machine.state().replica_addresses());
         Ok(())
     }
 
-    fn answer_committed(&mut self, token: masticsill_quorum::CallerToken, index: LogIndex) {
+    fn answer_committed(&mut self, token: CallerToken, index: LogIndex) {
         match self.waiting.take(token) {
             Some(Waiting::Act(reply_to)) => {
                 let answer = self.answers.swap_remove(&index);
@@ -417,7 +437,7 @@
         }
     }
 
-    fn answer_read(&mut self, token: masticsill_quorum::CallerToken) {
+    fn answer_read(&mut self, token: CallerToken) {
         let Some(Waiting::Read(request, reply_to)) = self.waiting.take(token) else {
             return;
         };
@@ -429,14 +449,12 @@
             ReadRequest::Catalogue { have } => {
                 ReadAnswer::Catalogue(catalogue.version(), catalogue.update_since(have))
             }
-            ReadRequest::Replicas => {
-                ReadAnswer::Replicas(members::view(&self.replica, &self.book))
-            }
+            ReadRequest::Replicas => ReadAnswer::Replicas(members::view(&self.replica, &self.book)),
         };
         let _ = reply_to.send(ControlReply::Done(answer));
     }
 
-    fn refuse(&mut self, token: masticsill_quorum::CallerToken, refused: Refused) {
+    fn refuse(&mut self, token: CallerToken, refused: Refused) {
         if let Some(waiting) = self.waiting.take(token) {
             waiting.refuse(refused);
         }
@@ -468,7 +486,9 @@
 
     fn publish(&mut self) {
         let now = self.clock.now();
-        let is_leader = self.replica.role() == Role::Leader;
+        // A sole voter that stops has no successor to wait for.
+        let is_ending = self.is_stopping && self.replica.membership().voters.len() == 1;
+        let is_leader = self.replica.role() == Role::Leader && !is_ending;
         let status = Status {
             has_failed: self.status.borrow().has_failed,
             is_founded: self.is_founded(),
--- a/crates/masticsill_control/src/quorum/members.rs
+++ b/crates/masticsill_control/src/quorum/members.rs
@@ -41,7 +41,7 @@
     if membership.is_member(id) {
         return Meaning::AlreadyDone;
     }
-    let replaced = match replaces {
+    let leaving = match replaces {
         None => None,
         Some(name) => {
             let voter = membership.voters.iter().find(|voter| voter.name == *name);
@@ -55,7 +55,7 @@
     };
     Meaning::Change(MembershipChange::Join {
         id: id.clone(),
-        replaces: replaced,
+        replaces: leaving,
     })
 }
 
--- a/crates/masticsill_control/src/quorum/request.rs
+++ b/crates/masticsill_control/src/quorum/request.rs
@@ -7,8 +7,7 @@
 use masticsill_runtime::Ring;
 use masticsill_types::{CatalogueVersion, ClockMs, NodeId, OperatorId, Term};
 use masticsill_wire::control::{
-    ControlReply, ReadAnswer, ReadRequest, RenewReply, RenewRequest, ReplicaAnswer,
-    ReplicaIdentity,
+    ControlReply, ReadAnswer, ReadRequest, RenewReply, RenewRequest, ReplicaAnswer, ReplicaIdentity,
 };
 use tokio::sync::{oneshot, watch};
 
--- /dev/null
+++ b/crates/masticsill_control/src/rpc/service.rs
@@ -0,0 +1,194 @@
+//! The service that this replica offers to other processes.
+
+use masticsill_catalogue::{
+    Action, ChangeAnswer, Claim, ClaimAnswer, CommandAnswer, Reassign, Settle,
+};
+use masticsill_quorum::decode_message;
+use masticsill_types::log_event;
+use masticsill_wire::control::{
+    ChangeRequest, ControlReply, ControlService, QuorumBatch, ReadAnswer, ReadRequest, RenewReply,
+    RenewRequest, ReplicaAction, ReplicaAnswer, ReplicaChange, ReplicaIdentity,
+};
+use tarpc::context::Context;
+
+use crate::book::AddressBook;
+use crate::client::ControlClient;
+use crate::events;
+use crate::quorum::{JoiningReplica, QuorumHandle, ReplicaOrder, Request, voter};
+
+/// Answers other processes. Each connection has a clone.
+#[derive(Clone, Debug)]
+pub(crate) struct ControlServer {
+    pub(crate) book: AddressBook,
+    pub(crate) client: ControlClient,
+    pub(crate) quorum: QuorumHandle,
+}
+
+impl ControlServer {
+    async fn act(&self, action: Action) -> ControlReply<CommandAnswer> {
+        self.quorum
+            .ask(|reply_to| Request::Act(action, reply_to))
+            .await
+    }
+
+    async fn act_on_claim(&self, action: Action) -> ControlReply<ClaimAnswer> {
+        let reply = self.act(action).await;
+        map_done(reply, |answer| match answer {
+            CommandAnswer::Claim(answer) => Some(answer),
+            _ => None,
+        })
+    }
+
+    pub(crate) async fn change_here(&self, request: ChangeRequest) -> ControlReply<ChangeAnswer> {
+        let reply = self
+            .act(Action::Change(request.change, request.scope))
+            .await;
+        map_done(reply, |answer| match answer {
+            CommandAnswer::Change(answer) => Some(answer),
+            _ => None,
+        })
+    }
+
+    pub(crate) async fn read_here(&self, request: ReadRequest) -> ControlReply<ReadAnswer> {
+        self.quorum
+            .ask(|reply_to| Request::Read(request, reply_to))
+            .await
+    }
+
+    pub(crate) async fn change_replicas_here(
+        &self,
+        change: ReplicaChange,
+    ) -> ControlReply<ReplicaAnswer> {
+        let operator = change.operator;
+        let order = match change.action {
+            ReplicaAction::Join {
+                address,
+                node,
+                replaces,
+            } => {
+                if !self.quorum.status().is_leading {
+                    // The leader looks the new replica up itself.
+                    return self.refuse_as_follower().await;
+                }
+                let Some(address_to_ask) = address.or_else(|| self.book.get(&node)) else {
+                    return refused(format!(
+                        "no address of replica `{node}` is known; name its RPC address"
+                    ));
+                };
+                let Some(identity) = self.client.identify(address_to_ask).await else {
+                    return refused(format!(
+                        "replica `{node}` does not answer at {address_to_ask}; \
+                         start it there with an empty data folder, then send this again"
+                    ));
+                };
+                if identity.node != node {
+                    return refused(format!(
+                        "replica `{}` answers at {address_to_ask}, not `{node}`; name its address",
+                        identity.node
+                    ));
+                }
+                let id = voter(&identity);
+                ReplicaOrder::Join {
+                    replica: JoiningReplica { address, id },
+                    operator,
+                    replaces,
+                }
+            }
+            ReplicaAction::Remove { node } => ReplicaOrder::Remove { node, operator },
+        };
+        self.quorum
+            .ask(|reply_to| Request::ChangeReplicas(order, reply_to))
+            .await
+    }
+
+    async fn refuse_as_follower<T>(&self) -> ControlReply<T> {
+        let probe = self.read_here(ReadRequest::Replicas).await;
+        match probe {
+            ControlReply::NotLeader(hint) => ControlReply::NotLeader(hint),
+            _ => ControlReply::NotLeader(None),
+        }
+    }
+}
+
+fn refused(text: String) -> ControlReply<ReplicaAnswer> {
+    ControlReply::Done(ReplicaAnswer::Refused(text))
+}
+
+/// Changes the type of a leader's answer.
+fn map_done<T, U>(reply: ControlReply<T>, map: impl FnOnce(T) -> Option<U>) -> ControlReply<U> {
+    match reply {
+        ControlReply::Done(answer) => {
+            map(answer).map_or(ControlReply::OutcomeUnknown, ControlReply::Done)
+        }
+        ControlReply::NotLeader(hint) => ControlReply::NotLeader(hint),
+        ControlReply::OutcomeUnknown => ControlReply::OutcomeUnknown,
+        ControlReply::Overloaded { retry_after_ms } => ControlReply::Overloaded { retry_after_ms },
+        ControlReply::ShuttingDown => ControlReply::ShuttingDown,
+    }
+}
+
+impl ControlService for ControlServer {
+    async fn quorum_messages(self, _: Context, batch: QuorumBatch) {
+        self.book.learn(batch.node, batch.address);
+        for bytes in batch.messages {
+            match decode_message(&bytes) {
+                // A full ring loses the message, which the quorum bears.
+                Ok(envelope) => drop(self.quorum.requests.push(Request::Message(envelope))),
+                Err(error) => log_event!(warn, events::MESSAGE_UNREADABLE, cause = error),
+            }
+        }
+    }
+
+    async fn identify(self, _: Context) -> Option<ReplicaIdentity> {
+        let (own, _) = self.quorum.ask_any(Request::Identify).await?;
+        Some(own)
+    }
+
+    async fn found(self, _: Context, members: Vec<ReplicaIdentity>) -> bool {
+        let reply = self
+            .quorum
+            .ask_any(|reply_to| Request::Found(members, reply_to))
+            .await;
+        reply.unwrap_or(false)
+    }
+
+    async fn change(self, _: Context, request: ChangeRequest) -> ControlReply<ChangeAnswer> {
+        self.change_here(request).await
+    }
+
+    async fn claim(self, _: Context, claim: Claim) -> ControlReply<ClaimAnswer> {
+        self.act_on_claim(Action::Claim(claim)).await
+    }
+
+    async fn reassign(self, _: Context, reassign: Reassign) -> ControlReply<ClaimAnswer> {
+        self.act_on_claim(Action::Reassign(reassign)).await
+    }
+
+    async fn settle(self, _: Context, settle: Settle) -> ControlReply<ClaimAnswer> {
+        self.act_on_claim(Action::Settle(settle.trimmed())).await
+    }
+
+    async fn read(self, _: Context, request: ReadRequest) -> ControlReply<ReadAnswer> {
+        self.read_here(request).await
+    }
+
+    async fn change_replicas(
+        self,
+        _: Context,
+        change: ReplicaChange,
+    ) -> ControlReply<ReplicaAnswer> {
+        self.change_replicas_here(change).await
+    }
+
+    async fn renew(self, _: Context, request: RenewRequest) -> RenewReply {
+        let reply = self
+            .quorum
+            .ask_any(|reply_to| Request::Renew(request, reply_to))
+            .await;
+        reply.unwrap_or(RenewReply {
+            age_ms: None,
+            update: None,
+            version: request.have,
+        })
+    }
+}
--- /dev/null
+++ b/crates/masticsill_control/tests/control_quorum.rs
@@ -0,0 +1,253 @@
+//! Three replicas and what they promise when some are lost.
+
+mod common;
+
+use assert_matches::assert_matches;
+use common::{BOUND_MS, Cluster, accepted, await_until, block_on, node, put};
+use masticsill_catalogue::{AgentLife, ChangeAnswer, ChangeRefusal, Claim, ClaimAnswer, Follower};
+use masticsill_control::ControlUnavailable;
+use masticsill_types::{CatalogueVersion, GenerationId, Incarnation, NodeId};
+use masticsill_wire::control::{
+    ReadAnswer, ReadRequest, RenewRequest, ReplicaAction, ReplicaAnswer, ReplicaChange,
+    ReplicaStanding, ReplicasView,
+};
+
+async fn replicas(cluster: &Cluster) -> ReplicasView {
+    let answer = cluster.client().read(ReadRequest::Replicas, BOUND_MS).await;
+    assert_matches!(answer.unwrap(), ReadAnswer::Replicas(view) => view)
+}
+
+fn voters(view: &ReplicasView) -> Vec<NodeId> {
+    let voters = view.replicas.iter();
+    let voters = voters.filter(|replica| replica.standing == ReplicaStanding::Voter);
+    let mut names: Vec<NodeId> = voters.map(|replica| replica.node.clone()).collect();
+    names.sort();
+    names
+}
+
+async fn replace(cluster: &Cluster, number: usize) {
+    let change = ReplicaChange {
+        action: ReplicaAction::Join {
+            address: Some(cluster.rpc_address(number)),
+            node: node(number),
+            replaces: Some(node(number)),
+        },
+        operator: "anna".parse().unwrap(),
+    };
+    let before = replicas(cluster).await;
+    let answer = cluster.client().change_replicas(&change, BOUND_MS).await;
+    assert_eq!(answer.unwrap(), ReplicaAnswer::Accepted);
+    loop {
+        let view = replicas(cluster).await;
+        let is_same = |folder| {
+            before
+                .replicas
+                .iter()
+                .any(|replica| replica.folder == folder)
+        };
+        let is_replaced = view.replicas.iter().any(|replica| {
+            replica.node == node(number)
+                && replica.standing == ReplicaStanding::Voter
+                && !is_same(replica.folder)
+        });
+        if is_replaced && view.replicas.len() == before.replicas.len() {
+            return;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+}
+
+#[test]
+fn a_resend_after_the_leaders_death_gets_the_first_answer() {
+    let mut cluster = Cluster::start(3);
+    block_on(async {
+        let client = cluster.client();
+        assert_eq!(
+            client.change(&put("c1", "e", 0), BOUND_MS).await,
+            Ok(accepted(1))
+        );
+        let leader = cluster.leader();
+        cluster.abort(&leader);
+        assert_eq!(
+            client.change(&put("c1", "e", 0), BOUND_MS).await,
+            Ok(accepted(1))
+        );
+        assert_eq!(
+            client.change(&put("c2", "e", 1), BOUND_MS).await,
+            Ok(accepted(2))
+        );
+    });
+}
+
+#[test]
+fn of_racing_operators_one_wins() {
+    let cluster = Cluster::start(3);
+    let race = |number: usize| {
+        let client = cluster.client();
+        std::thread::spawn(move || {
+            let change = put(&format!("c{number}"), "e", 0);
+            block_on(async move { client.change(&change, BOUND_MS).await.unwrap() })
+        })
+    };
+    let racers: Vec<_> = (0..8).map(race).collect();
+    let answers: Vec<ChangeAnswer> = racers.into_iter().map(|it| it.join().unwrap()).collect();
+    let winners = answers.iter().filter(|answer| **answer == accepted(1));
+    assert_eq!(winners.count(), 1);
+    for loser in answers.iter().filter(|answer| **answer != accepted(1)) {
+        assert_matches!(
+            loser,
+            ChangeAnswer::Refused(ChangeRefusal::VersionConflict { in_force, .. })
+                if *in_force == CatalogueVersion(1)
+        );
+    }
+}
+
+#[test]
+fn what_was_accepted_survives_a_restart_of_every_replica() {
+    let mut cluster = Cluster::start(3);
+    block_on(async {
+        let client = cluster.client();
+        for number in 0..20 {
+            let change = put(&format!("c{number}"), &format!("e{number}"), 0);
+            client.change(&change, BOUND_MS).await.unwrap();
+        }
+    });
+    for number in 1..=3 {
+        cluster.abort(&node(number));
+    }
+    for number in 1..=3 {
+        cluster.restart(number);
+    }
+    block_on(async {
+        let client = cluster.client();
+        let answer = client.change(&put("c7", "e7", 0), BOUND_MS).await;
+        assert_eq!(answer, Ok(accepted(8)));
+        let read = ReadRequest::Audit {
+            after: 0,
+            limit: 100,
+        };
+        let audit = client.read(read, BOUND_MS).await.unwrap();
+        assert_matches!(audit, ReadAnswer::Audit(page) if page.records.len() == 20);
+    });
+}
+
+#[test]
+fn a_replica_without_majority_accepts_nothing_and_proves_nothing() {
+    let mut cluster = Cluster::start(3);
+    let leader = cluster.leader();
+    let others = (1..=3).map(node).filter(|name| *name != leader);
+    for other in others.collect::<Vec<_>>() {
+        cluster.abort(&other);
+    }
+    await_until("the leader to step down", || {
+        !cluster.roles[&leader].is_leading()
+    });
+    block_on(async {
+        let client = cluster.client();
+        let unavailable = client.change(&put("c1", "e", 0), 1_500).await;
+        assert_matches!(unavailable, Err(ControlUnavailable { .. }));
+        let read = client.read(ReadRequest::Replicas, 500).await;
+        assert_matches!(read, Err(ControlUnavailable { .. }));
+        let address = cluster.roles[&leader].rpc_address();
+        let have = CatalogueVersion(0);
+        let mut ages = Vec::new();
+        for _ in 0..2 {
+            let reply = client.renew(address, RenewRequest { have }).await.unwrap();
+            ages.push(reply.age_ms.unwrap());
+            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+        }
+        assert!(ages[1] >= ages[0] + 50, "the proof grows old: {ages:?}");
+    });
+}
+
+#[test]
+fn every_replica_renews_a_nodes_copy() {
+    let cluster = Cluster::start(3);
+    block_on(async {
+        let client = cluster.client();
+        client.change(&put("c1", "e", 0), BOUND_MS).await.unwrap();
+        for number in 1..=3 {
+            let mut copy = Follower::new(cluster.clock.now());
+            while !copy.is_fresh(cluster.clock.now(), 3_000) || copy.version().0 < 1 {
+                let sent_at = cluster.clock.now();
+                let have = copy.version();
+                let address = cluster.rpc_address(number);
+                let reply = client.renew(address, RenewRequest { have }).await.unwrap();
+                if let Some(update) = reply.update {
+                    copy.apply(update);
+                }
+                if let Some(age_ms) = reply.age_ms {
+                    copy.renew_by_age(reply.version, sent_at, age_ms);
+                }
+                tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+            }
+        }
+    });
+}
+
+#[test]
+fn a_stop_hands_leadership_over_first() {
+    let mut cluster = Cluster::start(3);
+    let leader = cluster.leader();
+    cluster.stop(&leader);
+    let next = cluster.leader();
+    assert_ne!(next, leader);
+    block_on(async {
+        let answer = cluster.client().change(&put("c1", "e", 0), BOUND_MS).await;
+        assert_eq!(answer, Ok(accepted(1)));
+    });
+}
+
+#[test]
+fn a_lost_folder_never_votes_until_it_is_admitted_and_then_bears_a_second_loss() {
+    let mut cluster = Cluster::start(3);
+    block_on(async {
+        let client = cluster.client();
+        client.change(&put("c1", "e", 0), BOUND_MS).await.unwrap();
+        cluster.abort(&node(3));
+        cluster.lose_folder(3);
+        cluster.restart(3);
+        // The empty replica does not count: with one more lost there is no majority.
+        cluster.abort(&node(2));
+        let unavailable = client.change(&put("c2", "e", 1), 2_000).await;
+        assert_matches!(unavailable, Err(ControlUnavailable { .. }));
+        cluster.restart(2);
+        replace(&cluster, 3).await;
+        assert_eq!(
+            voters(&replicas(&cluster).await),
+            [node(1), node(2), node(3)]
+        );
+        // A second loss right after the repair.
+        cluster.abort(&node(2));
+        let answer = client.change(&put("c3", "f", 0), BOUND_MS).await.unwrap();
+        assert_matches!(answer, ChangeAnswer::Accepted { .. });
+        let first = client.change(&put("c1", "e", 0), BOUND_MS).await;
+        assert_eq!(first, Ok(accepted(1)));
+    });
+}
+
+#[test]
+fn a_claim_is_granted_once_whichever_replica_leads() {
+    let mut cluster = Cluster::start(3);
+    let claim = |owner: &str, nonce| Claim {
+        agent: AgentLife {
+            agent: "agent-1".parse().unwrap(),
+            incarnation: Incarnation(1),
+        },
+        caller_wall_ms: None,
+        fingerprint: 1,
+        id: GenerationId(1),
+        nonce,
+        owner: owner.parse().unwrap(),
+    };
+    block_on(async {
+        let client = cluster.client();
+        let granted = Ok(ClaimAnswer::Granted { version: 1 });
+        assert_eq!(client.claim(&claim("entry-a", 1), BOUND_MS).await, granted);
+        let leader = cluster.leader();
+        cluster.abort(&leader);
+        assert_eq!(client.claim(&claim("entry-a", 1), BOUND_MS).await, granted);
+        let other = client.claim(&claim("entry-b", 2), BOUND_MS).await;
+        assert_matches!(other, Ok(ClaimAnswer::Existing(_)));
+    });
+}
--- a/crates/masticsill_wire/src/control.rs
+++ b/crates/masticsill_wire/src/control.rs
@@ -211,8 +211,8 @@
 pub trait ControlService {
     /// Takes messages of another replica.
     async fn quorum_messages(batch: QuorumBatch);
-    /// Tells who this replica is.
-    async fn identify() -> ReplicaIdentity;
+    /// Tells who this replica is; none when it has stopped or is overloaded.
+    async fn identify() -> Option<ReplicaIdentity>;
     /// Gives a replica with a new folder the founding members; returns whether it took them.
     async fn found(members: Vec<ReplicaIdentity>) -> bool;
     /// Changes the catalogue.
