--- /dev/null
+++ b/crates/masticsillctl/src/api.rs
@@ -0,0 +1,183 @@
+//! Calls of the administration API that are repeated until they are answered.
+
+use std::cell::Cell;
+use std::time::{Duration, Instant};
+
+use masticsill_wire::admin::ErrorJson;
+use ntex::client::{Client, ClientRequest, ClientResponse};
+use ntex::http::{Method, StatusCode};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::arguments::Arguments;
+use crate::failure::Failure;
+
+const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(8);
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+
+/// A connection to the control instances.
+pub(crate) struct Api {
+    addresses: Vec<String>,
+    bound: Duration,
+    client: Client,
+    current: Cell<usize>,
+    token: String,
+}
+
+/// A call without an answer.
+#[derive(Debug)]
+pub(crate) struct Lost {
+    pub(crate) cause: String,
+    /// Whether an instance may have carried the call out.
+    pub(crate) is_outcome_unknown: bool,
+}
+
+impl From<Lost> for Failure {
+    fn from(lost: Lost) -> Self {
+        Self::Unavailable { cause: lost.cause }
+    }
+}
+
+/// A call's end.
+pub(crate) type Answer<T> = Result<Result<T, ErrorJson>, Lost>;
+
+impl Api {
+    pub(crate) async fn connect(arguments: &Arguments) -> Result<Self, Failure> {
+        if arguments.addresses.is_empty() {
+            let text = "no address was given; use --address or MASTICSILL_ADDRESS";
+            return Err(Failure::Usage(text.to_owned()));
+        }
+        let Some(token) = arguments.token.clone() else {
+            let text = "no token was given; use --token-file or MASTICSILL_TOKEN";
+            return Err(Failure::Usage(text.to_owned()));
+        };
+        let client = Client::builder()
+            .disable_timeout()
+            .response_payload_limit(MAX_BODY_BYTES)
+            .build(ntex::SharedCfg::default())
+            .await
+            .map_err(|error| Failure::Usage(error.to_string()))?;
+        Ok(Self {
+            addresses: arguments.addresses.clone(),
+            bound: Duration::from_secs(arguments.timeout_s),
+            client,
+            current: Cell::new(0),
+            token,
+        })
+    }
+
+    /// How long a command goes on without an answer.
+    pub(crate) fn bound(&self) -> Duration {
+        self.bound
+    }
+
+    /// Reads something.
+    pub(crate) async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Failure> {
+        self.get_within(path, ATTEMPT_TIMEOUT).await
+    }
+
+    /// Reads something that the instance may hold back for a while.
+    pub(crate) async fn get_within<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<T, Failure> {
+        let answer = self.call::<(), T>(Method::GET, path, None, timeout).await?;
+        answer.map_err(Failure::Refused)
+    }
+
+    /// Sends a body; the call must be safe to repeat.
+    pub(crate) async fn send<B: Serialize, T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: &B,
+    ) -> Answer<T> {
+        self.call(method, path, Some(body), ATTEMPT_TIMEOUT).await
+    }
+
+    async fn call<B: Serialize, T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<&B>,
+        timeout: Duration,
+    ) -> Answer<T> {
+        let until = Instant::now() + self.bound;
+        let mut is_outcome_unknown = false;
+        loop {
+            let request = self.request(method.clone(), path);
+            let lost = match attempt(request, body, timeout).await {
+                Ok(answer) => return Ok(answer),
+                Err(lost) => lost,
+            };
+            is_outcome_unknown |= lost.is_outcome_unknown;
+            self.current.set(self.current.get() + 1);
+            if Instant::now() >= until {
+                return Err(Lost {
+                    cause: lost.cause,
+                    is_outcome_unknown,
+                });
+            }
+            tokio::time::sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    fn request(&self, method: Method, path: &str) -> ClientRequest {
+        let address = &self.addresses[self.current.get() % self.addresses.len()];
+        let url = format!("http://{address}{path}");
+        self.client.request(method, url).bearer_auth(&self.token)
+    }
+}
+
+async fn attempt<B: Serialize, T: DeserializeOwned>(
+    request: ClientRequest,
+    body: Option<&B>,
+    timeout: Duration,
+) -> Answer<T> {
+    let sent = async {
+        match body {
+            Some(body) => request.send_json(body).await,
+            None => request.send().await,
+        }
+    };
+    let lost = |cause: String, is_outcome_unknown| Lost {
+        cause,
+        is_outcome_unknown,
+    };
+    let response = match tokio::time::timeout(timeout, sent).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(error)) => {
+            let is_unsent = matches!(error, ntex::client::error::ClientError::Connect(_));
+            return Err(lost(error.to_string(), !is_unsent));
+        }
+        Err(_) => return Err(lost("the instance did not answer in time".to_owned(), true)),
+    };
+    read_answer(response).await
+}
+
+async fn read_answer<T: DeserializeOwned>(response: ClientResponse) -> Answer<T> {
+    let status = response.status();
+    let unreadable = |cause: String| Lost {
+        cause,
+        is_outcome_unknown: true,
+    };
+    let body = response.body().limit(MAX_BODY_BYTES).await;
+    let body = body.map_err(|error| unreadable(error.to_string()))?;
+    if status.is_success() {
+        let answer = serde_json::from_slice(&body);
+        return answer
+            .map(Ok)
+            .map_err(|error| unreadable(error.to_string()));
+    }
+    let error: ErrorJson = serde_json::from_slice(&body)
+        .map_err(|_| unreadable(format!("the address answered status {status}")))?;
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        return Err(Lost {
+            is_outcome_unknown: error.reason == "outcome_unknown",
+            cause: error.message,
+        });
+    }
+    Ok(Err(error))
+}
--- /dev/null
+++ b/crates/masticsillctl/src/catalogue.rs
@@ -0,0 +1,220 @@
+//! Commands on the catalogue.
+
+use std::io::Read;
+use std::time::Duration;
+use std::{fs, io};
+
+use masticsill_catalogue::{CatalogueEntry, EntryJson};
+use masticsill_wire::admin::{
+    AcceptedJson, CatalogueJson, DeleteJson, EntryInForceJson, ErrorJson, PutJson, WatchJson,
+};
+use ntex::http::Method;
+use serde::Serialize;
+use uuid::Uuid;
+
+use crate::api::{Answer, Api, Lost};
+use crate::arguments::ChangeArguments;
+use crate::failure::Failure;
+use crate::output::Output;
+
+const WATCH_WAIT_MS: u64 = 30_000;
+/// A watch's answer is held back by the instance, so it gets more time.
+const WATCH_TIMEOUT: Duration = Duration::from_secs(45);
+
+fn read_entry(file: &str) -> Result<EntryJson, Failure> {
+    let shown = |error: &dyn std::fmt::Display| Failure::Usage(format!("`{file}`: {error}"));
+    let text = if file == "-" {
+        let mut text = String::new();
+        let read = io::stdin().read_to_string(&mut text);
+        read.map(|_| text)
+    } else {
+        fs::read_to_string(file)
+    };
+    let text = text.map_err(|error| shown(&error))?;
+    let json: EntryJson = serde_json::from_str(&text).map_err(|error| shown(&error))?;
+    let checked = CatalogueEntry::try_from(json.clone());
+    checked.map_err(|errors| {
+        let lines: Vec<String> = errors.iter().map(ToString::to_string).collect();
+        shown(&lines.join("; "))
+    })?;
+    Ok(json)
+}
+
+/// Checks an entry's file.
+pub(crate) fn check(file: &str) -> eyre::Result<()> {
+    let entry = read_entry(file)?;
+    println!("`{file}` is valid: entry `{}`", entry.id);
+    Ok(())
+}
+
+pub(crate) async fn apply(
+    api: &Api,
+    output: Output,
+    arguments: ChangeArguments,
+) -> eyre::Result<()> {
+    let entry = read_entry(&arguments.subject)?;
+    let id = entry.id.clone();
+    let expected_version = expected_version(api, &arguments, &id).await?;
+    let change_id = name_change(&arguments);
+    let body = PutJson {
+        change_id: change_id.clone(),
+        entry,
+        expected_version,
+    };
+    let answer = api.send(Method::PUT, &path(&id), &body).await;
+    finish(output, &id, answer, change_id, expected_version)
+}
+
+pub(crate) async fn delete(
+    api: &Api,
+    output: Output,
+    arguments: ChangeArguments,
+) -> eyre::Result<()> {
+    let id = arguments.subject.clone();
+    let expected_version = expected_version(api, &arguments, &id).await?;
+    let change_id = name_change(&arguments);
+    let body = DeleteJson {
+        change_id: change_id.clone(),
+        expected_version,
+    };
+    let answer = api.send(Method::DELETE, &path(&id), &body).await;
+    finish(output, &id, answer, change_id, expected_version)
+}
+
+fn path(id: &str) -> String {
+    format!("/v1/catalogue/{id}")
+}
+
+/// The version given, or else the one in force.
+async fn expected_version(
+    api: &Api,
+    arguments: &ChangeArguments,
+    id: &str,
+) -> Result<u64, Failure> {
+    if let Some(version) = arguments.expected_version {
+        return Ok(version);
+    }
+    if arguments.change_id.is_some() {
+        let text = "a change sent before needs its --expected-version beside its --change-id";
+        return Err(Failure::Usage(text.to_owned()));
+    }
+    match api.get::<EntryInForceJson>(&path(id)).await {
+        Ok(held) => Ok(held.version),
+        Err(Failure::Refused(error)) if error.reason == "unknown_entry" => Ok(0),
+        Err(failure) => Err(failure),
+    }
+}
+
+/// Names the change once, and says the name before anything is sent.
+fn name_change(arguments: &ChangeArguments) -> String {
+    let given = arguments.change_id.clone();
+    let change_id = given.unwrap_or_else(|| Uuid::new_v4().to_string());
+    eprintln!("change id: {change_id}");
+    change_id
+}
+
+fn finish(
+    output: Output,
+    id: &str,
+    answer: Answer<AcceptedJson>,
+    change_id: String,
+    expected_version: u64,
+) -> eyre::Result<()> {
+    /// An accepted change, for scripts.
+    #[derive(Serialize)]
+    struct Accepted<'a> {
+        change_id: &'a str,
+        entry: &'a str,
+        version: u64,
+    }
+    let accepted = match answer {
+        Ok(Ok(accepted)) => accepted,
+        Ok(Err(error)) => return Err(refusal(error).into()),
+        Err(Lost {
+            cause,
+            is_outcome_unknown: true,
+        }) => {
+            return Err(Failure::OutcomeUnknown {
+                cause,
+                change_id,
+                expected_version,
+            }
+            .into());
+        }
+        Err(lost) => return Err(Failure::from(lost).into()),
+    };
+    let json = Accepted {
+        change_id: &change_id,
+        entry: id,
+        version: accepted.version,
+    };
+    output.show(&json, || {
+        format!("`{id}` is accepted as version {}", accepted.version)
+    })
+}
+
+fn refusal(error: ErrorJson) -> Failure {
+    match error.reason.as_str() {
+        "version_conflict" => Failure::Conflict(error),
+        _ => Failure::Refused(error),
+    }
+}
+
+pub(crate) async fn get(api: &Api, output: Output, id: &str) -> eyre::Result<()> {
+    let held: EntryInForceJson = api.get(&path(id)).await?;
+    let shown = serde_json::to_string_pretty(&held.entry)?;
+    output.show(&held, || format!("version {}\n{shown}", held.version))
+}
+
+pub(crate) async fn list(api: &Api, output: Output) -> eyre::Result<()> {
+    let catalogue: CatalogueJson = api.get("/v1/catalogue").await?;
+    output.show(&catalogue, || {
+        let mut lines = vec![format!("catalogue version {}", catalogue.version)];
+        lines.extend(catalogue.entries.iter().map(entry_line));
+        lines.join("\n")
+    })
+}
+
+fn entry_line(held: &EntryInForceJson) -> String {
+    let EntryJson {
+        id,
+        owner,
+        class,
+        placement,
+        ..
+    } = &held.entry;
+    let replicas = placement.replicas;
+    format!(
+        "{id}  version {}  {owner}  {class}  {replicas} replicas",
+        held.version
+    )
+}
+
+pub(crate) async fn watch(
+    api: &Api,
+    output: Output,
+    mut from: u64,
+    is_once: bool,
+) -> eyre::Result<()> {
+    loop {
+        let path = format!("/v1/catalogue?watch={from}&wait_ms={WATCH_WAIT_MS}");
+        let news: WatchJson = api.get_within(&path, WATCH_TIMEOUT).await?;
+        if news.version <= from {
+            continue;
+        }
+        from = news.version;
+        output.show(&news, || watch_text(&news))?;
+        if is_once {
+            return Ok(());
+        }
+    }
+}
+
+fn watch_text(news: &WatchJson) -> String {
+    let kind = if news.is_whole { " (whole)" } else { "" };
+    let mut lines = vec![format!("catalogue version {}{kind}", news.version)];
+    lines.extend(news.entries.iter().map(entry_line));
+    let deleted = news.deleted.iter();
+    lines.extend(deleted.map(|gone| format!("{}  deleted in version {}", gone.id, gone.version)));
+    lines.join("\n")
+}
--- /dev/null
+++ b/crates/masticsillctl/src/help.rs
@@ -0,0 +1,62 @@
+//! The help text.
+
+/// What `--help` prints.
+pub(crate) const TEXT: &str = "\
+masticsillctl reads and changes the catalogue of a masticsill installation.
+
+Usage: masticsillctl [OPTIONS] COMMAND
+
+Catalogue:
+  apply FILE               put the entry in FILE in force (`-` reads standard input)
+  delete ID                take an entry out of force
+  get ID                   show an entry in force
+  list                     show every entry in force
+  watch                    show changes as they come into force, until interrupted
+  check FILE               check an entry's file without sending it
+  audit                    show who changed what, when, and what became of it
+
+Control instances:
+  replicas                 show the control instances
+  replace-replica OLD      replace a control instance whose folder or machine was lost by one
+                           that runs with an empty data folder, and wait until it is done
+
+Options:
+  --address HOST:PORT      administration API of any control instance; may be repeated, the next
+                           one is tried when one does not answer (or MASTICSILL_ADDRESS, separated
+                           by commas)
+  --token-file FILE        file with the operator's token (or the token in MASTICSILL_TOKEN)
+  --json                   print JSON for scripts
+  --timeout-s N            how long a call is repeated without an answer (default 30)
+  -h, --help               print this text
+
+Options of apply and delete:
+  --expected-version N     the entry's version that the change replaces, 0 when it must not exist;
+                           without it, the version now in force is read first
+  --change-id ID           the id of a change sent before, to learn its answer; without it, a new
+                           id is made and printed
+
+Options of audit:
+  --after N                show records after this sequence (default 0)
+  --limit N                show this many at most (default 100)
+
+Options of watch:
+  --from N                 show changes after this version (default: everything in force first)
+  --once                   end after the first change
+
+Options of replace-replica:
+  --node NEW               the new instance's name (default: OLD, on a new folder)
+  --replica-address A      the new instance's RPC address (default: the one in the settings)
+
+A change is named once, before it is sent, and repeated under that name until its answer is known:
+it takes effect once at most. If the tool ends with 6, run it again with the same --change-id and
+--expected-version.
+
+Exit codes:
+  0  done
+  1  another failure
+  2  wrong usage, or a file that is not valid
+  3  another change came first; read the entry and decide again
+  4  refused; the message says why and what to do
+  5  no control instance answered; nothing was done
+  6  no answer; the change may be in force or not
+";
--- a/crates/masticsillctl/src/main.rs
+++ b/crates/masticsillctl/src/main.rs
@@ -1,2 +1,61 @@
-//! Placeholder.
-fn main() {}
+//! The operators' command line tool.
+
+mod api;
+mod arguments;
+mod catalogue;
+mod failure;
+mod help;
+mod operations;
+mod output;
+
+use std::process::ExitCode;
+
+use arguments::{Arguments, Command};
+
+use crate::failure::Failure;
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("masticsillctl: {report:#}");
+            let failure = report.downcast_ref::<Failure>();
+            ExitCode::from(failure.map_or(failure::OTHER, Failure::exit_code))
+        }
+    }
+}
+
+fn run() -> eyre::Result<()> {
+    let arguments = arguments::parse(lexopt::Parser::from_env())?;
+    match &arguments.command {
+        Command::Help => {
+            print!("{}", help::TEXT);
+            Ok(())
+        }
+        Command::Check { file } => catalogue::check(file),
+        _ => {
+            let system = ntex::rt::System::new("masticsillctl", ntex::rt::DefaultRuntime);
+            system.block_on(run_remote(arguments))
+        }
+    }
+}
+
+async fn run_remote(arguments: Arguments) -> eyre::Result<()> {
+    let api = api::Api::connect(&arguments).await?;
+    let output = output::Output {
+        is_json: arguments.is_json,
+    };
+    match arguments.command {
+        Command::Apply(change) => catalogue::apply(&api, output, change).await,
+        Command::Audit { after, limit } => operations::audit(&api, output, after, limit).await,
+        Command::Delete(change) => catalogue::delete(&api, output, change).await,
+        Command::Get { id } => catalogue::get(&api, output, &id).await,
+        Command::List => catalogue::list(&api, output).await,
+        Command::Replicas => operations::replicas(&api, output).await,
+        Command::ReplaceReplica(replacement) => {
+            operations::replace_replica(&api, output, replacement).await
+        }
+        Command::Watch { from, is_once } => catalogue::watch(&api, output, from, is_once).await,
+        Command::Check { .. } | Command::Help => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/masticsillctl/src/operations.rs
@@ -0,0 +1,143 @@
+//! Commands on the audit trail and the control instances.
+
+use std::time::{Duration, Instant};
+
+use masticsill_wire::admin::{AuditJson, AuditRecordJson, JoinJson, ReplicaJson, ReplicasJson};
+use masticsill_wire::control::ReplicaStanding;
+use ntex::http::Method;
+
+use crate::api::Api;
+use crate::arguments::Replacement;
+use crate::failure::Failure;
+use crate::output::Output;
+
+const POLL_INTERVAL: Duration = Duration::from_millis(300);
+
+pub(crate) async fn audit(api: &Api, output: Output, after: u64, limit: u32) -> eyre::Result<()> {
+    let path = format!("/v1/audit?after={after}&limit={limit}");
+    let page: AuditJson = api.get(&path).await?;
+    output.show(&page, || {
+        let lines: Vec<String> = page.records.iter().map(record_line).collect();
+        lines.join("\n")
+    })
+}
+
+fn record_line(record: &AuditRecordJson) -> String {
+    let AuditRecordJson {
+        action,
+        at_wall_ms,
+        operator,
+        outcome,
+        sequence,
+        subject,
+        ..
+    } = record;
+    let expected = record
+        .expected_version
+        .map_or_else(String::new, |version| format!("  from version {version}"));
+    let version = record
+        .version
+        .map_or_else(String::new, |version| format!("  to version {version}"));
+    let message = record
+        .message
+        .as_deref()
+        .map_or_else(String::new, |message| format!("  ({message})"));
+    format!(
+        "{sequence}  {at_wall_ms} ms  {operator}  {action} {subject}  \
+         {outcome}{expected}{version}{message}"
+    )
+}
+
+pub(crate) async fn replicas(api: &Api, output: Output) -> eyre::Result<()> {
+    let view = read_replicas(api).await?;
+    output.show(&view, || {
+        let mut lines = vec![format!("leader {} in term {}", view.leader, view.term)];
+        lines.extend(view.replicas.iter().map(replica_line));
+        lines.join("\n")
+    })
+}
+
+async fn read_replicas(api: &Api) -> Result<ReplicasJson, Failure> {
+    api.get("/v1/replicas").await
+}
+
+fn replica_line(replica: &ReplicaJson) -> String {
+    let standing = match replica.standing {
+        ReplicaStanding::Learner => "learner",
+        ReplicaStanding::Leaving => "leaving",
+        ReplicaStanding::Voter => "voter",
+    };
+    let address = replica.address.as_deref().unwrap_or("address unknown");
+    format!(
+        "{}  {standing}  {address}  folder {}",
+        replica.node, replica.folder
+    )
+}
+
+/// Asks for the replacement and waits until the new replica votes and the old one is gone.
+pub(crate) async fn replace_replica(
+    api: &Api,
+    output: Output,
+    replacement: Replacement,
+) -> eyre::Result<()> {
+    let before = read_replicas(api).await?;
+    let Some(old) = before.replicas.iter().find(|it| it.node == replacement.old) else {
+        let text = format!(
+            "replica `{}` is not a member; run `masticsillctl replicas` and name one of them",
+            replacement.old
+        );
+        return Err(Failure::Usage(text).into());
+    };
+    let node = replacement.node.unwrap_or_else(|| replacement.old.clone());
+    let body = JoinJson {
+        address: replacement.address,
+        node: node.clone(),
+        replaces: Some(replacement.old.clone()),
+    };
+    let answer = api.send(Method::POST, "/v1/replicas", &body).await;
+    let accepted: Result<serde_json::Value, _> = answer.map_err(Failure::from)?;
+    accepted.map_err(Failure::Refused)?;
+    let view = read_replicas(api).await?;
+    if is_unreplaceable(&view, &node, &old.folder) {
+        return output.show(&view, || {
+            format!("`{node}` runs with the folder that it votes with; nothing to replace")
+        });
+    }
+    eprintln!("accepted: `{node}` catches up, then votes, then the old replica leaves");
+    let after = await_replacement(api, &node, &old.folder).await?;
+    output.show(&after, || {
+        format!(
+            "`{node}` votes; the old replica, folder {}, has left",
+            old.folder
+        )
+    })
+}
+
+/// Whether the replica named runs with the very folder that was to be replaced.
+fn is_unreplaceable(view: &ReplicasJson, node: &str, old_folder: &str) -> bool {
+    let mut namesakes = view.replicas.iter().filter(|it| it.node == node);
+    namesakes.all(|it| it.folder == old_folder) && view.replicas.iter().any(|it| it.node == node)
+}
+
+async fn await_replacement(
+    api: &Api,
+    node: &str,
+    old_folder: &str,
+) -> Result<ReplicasJson, Failure> {
+    let until = Instant::now() + api.bound();
+    loop {
+        let view = read_replicas(api).await?;
+        let is_old = |replica: &ReplicaJson| replica.folder == old_folder;
+        let is_new = |replica: &ReplicaJson| {
+            replica.node == node && replica.standing == ReplicaStanding::Voter
+        };
+        if view.replicas.iter().any(is_new) && !view.replicas.iter().any(is_old) {
+            return Ok(view);
+        }
+        if Instant::now() >= until {
+            let node = node.to_owned();
+            return Err(Failure::StillReplacing { node });
+        }
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
+}
