--- a/crates/masticsill_wire/src/lib.rs
+++ b/crates/masticsill_wire/src/lib.rs
@@ -9,5 +9,8 @@
 pub mod control;
 pub mod engine;
 pub mod entry;
+pub mod node;
+mod service;
 
 pub use codec::{CodecError, MAX_FRAME_BYTES, PostcardCodec};
+pub use service::{ServiceKind, UnknownService};
