--- a/crates/masticsill_catalogue/src/catalogue.rs
+++ b/crates/masticsill_catalogue/src/catalogue.rs
@@ -1,6 +1,7 @@
 //! The catalogue: every entry in force, and what changed since a version.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use indexmap::IndexMap;
 use masticsill_types::{CatalogueVersion, EntryId};
@@ -35,7 +36,8 @@
 /// The version counts accepted changes, so it and every entry's version only go up.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Catalogue {
-    entries: IndexMap<EntryId, VersionedEntry>,
+    /// Shared, so that copying a catalogue copies no entry.
+    entries: IndexMap<EntryId, Arc<VersionedEntry>>,
     /// Deletions after `tombstones_since`, oldest first.
     tombstones: VecDeque<Tombstone>,
     tombstones_since: CatalogueVersion,
@@ -52,7 +54,7 @@
     /// An entry in force.
     #[must_use]
     pub fn get(&self, id: &EntryId) -> Option<&VersionedEntry> {
-        self.entries.get(id)
+        self.entries.get(id).map(Arc::as_ref)
     }
 
     /// The version that last changed an entry in force; zero when there is none.
@@ -64,7 +66,7 @@
     /// Every entry in force, in no order that has a meaning.
     #[must_use]
     pub fn entries(&self) -> impl ExactSizeIterator<Item = &VersionedEntry> {
-        self.entries.values()
+        self.entries.values().map(Arc::as_ref)
     }
 
     /// Entries in force.
@@ -125,7 +127,7 @@
     #[must_use]
     pub fn snapshot(&self) -> CatalogueSnapshot {
         CatalogueSnapshot {
-            entries: self.entries.values().cloned().collect(),
+            entries: self.entries().cloned().collect(),
             version: self.version,
         }
     }
@@ -135,7 +137,7 @@
         let deletes = self.tombstones.iter().filter(|grave| grave.version > have);
         CatalogueDelta {
             deletes: deletes.cloned().collect(),
-            puts: self.entries.values().filter(is_new).cloned().collect(),
+            puts: self.entries().filter(is_new).cloned().collect(),
             since: have,
             version: self.version,
         }
@@ -155,7 +157,7 @@
     }
 
     fn replace(&mut self, snapshot: CatalogueSnapshot) {
-        let by_id = |held: VersionedEntry| (held.entry.id.clone(), held);
+        let by_id = |held: VersionedEntry| (held.entry.id.clone(), Arc::new(held));
         self.entries = snapshot.entries.into_iter().map(by_id).collect();
         self.tombstones.clear();
         self.tombstones_since = snapshot.version;
@@ -179,7 +181,7 @@
     }
 
     fn hold(&mut self, held: VersionedEntry) {
-        self.entries.insert(held.entry.id.clone(), held);
+        self.entries.insert(held.entry.id.clone(), Arc::new(held));
     }
 
     fn bury(&mut self, grave: Tombstone) {
--- a/crates/masticsill_control/src/client.rs
+++ b/crates/masticsill_control/src/client.rs
@@ -8,6 +8,7 @@
 use indexmap::IndexMap;
 use masticsill_catalogue::{ChangeAnswer, Claim, ClaimAnswer, Reassign, Settle};
 use masticsill_runtime::connect_transport;
+use masticsill_wire::ServiceKind;
 use masticsill_wire::control::{
     ChangeRequest, ControlReply, ControlServiceClient, LeaderHint, ReadAnswer, ReadRequest,
     RenewReply, RenewRequest, ReplicaAnswer, ReplicaChange, ReplicaIdentity,
@@ -150,11 +151,12 @@
     /// [`ControlUnavailable`] after `bound_ms`.
     pub async fn read(
         &self,
-        request: ReadRequest,
+        request: &ReadRequest,
         bound_ms: u64,
     ) -> Result<ReadAnswer, ControlUnavailable> {
-        let send =
-            async |client: ControlServiceClient, context| client.read(context, request).await;
+        let send = async |client: ControlServiceClient, context| {
+            client.read(context, request.clone()).await
+        };
         self.call_leader(bound_ms, send).await
     }
 
@@ -200,12 +202,21 @@
         address: SocketAddr,
         send: impl AsyncFn(ControlServiceClient, Context) -> Result<T, RpcError>,
     ) -> Option<T> {
-        let client = self.connect(address).await?;
-        let reply = send(client, context_of(ATTEMPT_TIMEOUT_MS)).await;
-        if reply.is_err() {
+        // A connection from before may lead to a process that has ended since.
+        let attempts = if self.is_connected(address) { 2 } else { 1 };
+        for _ in 0..attempts {
+            let client = self.connect(address).await?;
+            let reply = send(client, context_of(ATTEMPT_TIMEOUT_MS)).await;
+            if let Ok(reply) = reply {
+                return Some(reply);
+            }
             self.disconnect(address);
         }
-        reply.ok()
+        None
+    }
+
+    fn is_connected(&self, address: SocketAddr) -> bool {
+        self.lock().by_address.contains_key(&address)
     }
 
     async fn call_leader<T>(
@@ -296,9 +307,7 @@
         if let Some(client) = self.lock().by_address.get(&address) {
             return Some(client.clone());
         }
-        let transport = connect_transport(address, CONNECT_TIMEOUT_MS).await.ok()?;
-        let config = tarpc::client::Config::default();
-        let client = ControlServiceClient::new(config, transport).spawn();
+        let client = connect(address).await?;
         self.lock().by_address.insert(address, client.clone());
         Some(client)
     }
@@ -322,6 +331,13 @@
     }
 }
 
+pub(crate) async fn connect(address: SocketAddr) -> Option<ControlServiceClient> {
+    let transport = connect_transport(address, ServiceKind::Control, CONNECT_TIMEOUT_MS);
+    let transport = transport.await.ok()?;
+    let config = tarpc::client::Config::default();
+    Some(ControlServiceClient::new(config, transport).spawn())
+}
+
 fn context_of(timeout_ms: u64) -> Context {
     let mut context = tarpc::context::current();
     context.deadline = Instant::now() + Duration::from_millis(timeout_ms);
--- a/crates/masticsill_control/src/config.rs
+++ b/crates/masticsill_control/src/config.rs
@@ -14,8 +14,6 @@
 /// Settings of a control replica.
 #[derive(Clone, Debug)]
 pub struct ControlConfig {
-    /// Where other processes reach this replica, if that is not the address it listens on.
-    pub advertised_rpc_address: Option<SocketAddr>,
     /// The cluster's name; a data folder of another cluster is refused.
     pub cluster: String,
     /// Where the replica's durable state lives.
@@ -34,7 +32,7 @@
     pub peers: IndexMap<NodeId, SocketAddr>,
     /// Timing and sizes of the quorum.
     pub replica: ReplicaSettings,
-    /// Where other processes call this replica.
+    /// Where other processes reach this replica's process.
     pub rpc_address: SocketAddr,
 }
 
--- a/crates/masticsill_control/src/http/catalogue.rs
+++ b/crates/masticsill_control/src/http/catalogue.rs
@@ -69,9 +69,11 @@
         .await?;
     match answer {
         ReadAnswer::Catalogue(version, update) => Ok((version, update)),
-        ReadAnswer::Audit(_) | ReadAnswer::Replicas(_) => Err(ControlUnavailable {
-            is_outcome_unknown: false,
-        }),
+        ReadAnswer::Audit(_) | ReadAnswer::Entry(_) | ReadAnswer::Replicas(_) => {
+            Err(ControlUnavailable {
+                is_outcome_unknown: false,
+            })
+        }
     }
 }
 
@@ -146,20 +148,21 @@
     if let Err(refusal) = authenticate(&state, &request) {
         return refusal;
     }
-    let (_, update) = match read_since(&state, CatalogueVersion::default()).await {
-        Ok(read) => read,
-        Err(cause) => return reply::unavailable(cause),
-    };
-    let entries = entries_of(update);
-    let held = entries
-        .iter()
-        .find(|held| held.entry.id.as_str() == id.as_str());
-    let Some(held) = held else {
+    let unknown = || {
         let message = format!("there is no entry `{}`; list the catalogue", id.as_str());
         let error = ErrorJson::new("unknown_entry", message);
-        return reply::error(StatusCode::NOT_FOUND, &error);
+        reply::error(StatusCode::NOT_FOUND, &error)
     };
-    reply::ok(&EntryInForceJson::from(held))
+    let Ok(entry_id) = id.parse() else {
+        return unknown();
+    };
+    let request = ReadRequest::Entry { id: entry_id };
+    let answer = state.forward(|reply_to| Forward::Read(request, reply_to));
+    match answer.await {
+        Ok(ReadAnswer::Entry(Some(held))) => reply::ok(&EntryInForceJson::from(&held)),
+        Ok(_) => unknown(),
+        Err(cause) => reply::unavailable(cause),
+    }
 }
 
 pub(crate) async fn put(
--- a/crates/masticsill_control/src/quorum.rs
+++ b/crates/masticsill_control/src/quorum.rs
@@ -3,6 +3,7 @@
 mod duty;
 mod machine;
 mod members;
+mod published;
 mod request;
 mod storage;
 mod waiting;
@@ -11,5 +12,6 @@
 pub(crate) use machine::Machine;
 pub use machine::StateError;
 pub(crate) use members::voter;
+pub(crate) use published::PublishedState;
 pub(crate) use request::{JoiningReplica, QuorumHandle, ReplicaOrder, Request, Status};
 pub(crate) use storage::{Job, StorageProgress, StorageQueue, run_storage};
--- a/crates/masticsill_control/src/quorum/duty.rs
+++ b/crates/masticsill_control/src/quorum/duty.rs
@@ -19,6 +19,7 @@
 
 use super::machine::{self, Machine, StateError};
 use super::members::{self, Meaning};
+use super::published::PublishedState;
 use super::request::{ReplicaOrder, ReplyTo, Request, Status};
 use super::storage::{self, StorageProgress, StorageQueue};
 use super::waiting::{Refused, Waiting, WaitingList};
@@ -46,6 +47,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) outgoing: Ring<Outgoing>,
     pub(crate) progress: watch::Receiver<StorageProgress>,
+    pub(crate) published: PublishedState,
     pub(crate) requests: Ring<Request>,
     pub(crate) settings: ReplicaSettings,
     pub(crate) status: watch::Sender<Status>,
@@ -67,6 +69,7 @@
     outgoing: Ring<Outgoing>,
     progress: watch::Receiver<StorageProgress>,
     proposals: Vec<Proposal>,
+    published: PublishedState,
     replica: Replica,
     requests: Ring<Request>,
     settings: ReplicaSettings,
@@ -86,6 +89,7 @@
             metrics,
             outgoing,
             progress,
+            published,
             requests,
             settings,
             status,
@@ -110,6 +114,7 @@
             outgoing,
             progress,
             proposals: Vec::new(),
+            published,
             replica,
             requests,
             settings,
@@ -149,6 +154,8 @@
             self.publish();
         }
         requests.close();
+        // A caller whose request is dropped hears that its outcome is not known.
+        while requests.try_pop().is_some() {}
         self.waiting.abandon_all();
     }
 
@@ -208,11 +215,6 @@
                 let token = self.waiting.add(Waiting::Read(request, reply_to));
                 return self.step(Input::ReadIndex { token });
             }
-            Request::Renew(request, reply_to) => {
-                let now = self.clock.now();
-                self.renew_own_proof(now);
-                let _ = reply_to.send(self.machine.answer_renewal(now, request));
-            }
             Request::SnapshotTaken(index, data) => {
                 log_event!(
                     info,
@@ -449,6 +451,7 @@
             ReadRequest::Catalogue { have } => {
                 ReadAnswer::Catalogue(catalogue.version(), catalogue.update_since(have))
             }
+            ReadRequest::Entry { id } => ReadAnswer::Entry(catalogue.get(&id).cloned()),
             ReadRequest::Replicas => ReadAnswer::Replicas(members::view(&self.replica, &self.book)),
         };
         let _ = reply_to.send(ControlReply::Done(answer));
@@ -486,6 +489,10 @@
 
     fn publish(&mut self) {
         let now = self.clock.now();
+        self.renew_own_proof(now);
+        let freshness = self.machine.freshness();
+        let catalogue = self.machine.state().catalogue();
+        self.published.publish(catalogue, freshness);
         // A sole voter that stops has no successor to wait for.
         let is_ending = self.is_stopping && self.replica.membership().voters.len() == 1;
         let is_leader = self.replica.role() == Role::Leader && !is_ending;
--- a/crates/masticsill_control/src/quorum/machine.rs
+++ b/crates/masticsill_control/src/quorum/machine.rs
@@ -6,7 +6,7 @@
 use masticsill_catalogue::{Action, Command, CommandAnswer, ControlState, Freshness};
 use masticsill_quorum::{Entry, LogIndex, Payload, Snapshot};
 use masticsill_types::{CatalogueVersion, ClockMs};
-use masticsill_wire::control::{AuditPage, RenewReply, RenewRequest};
+use masticsill_wire::control::AuditPage;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -110,14 +110,10 @@
         }
     }
 
-    pub(crate) fn answer_renewal(&mut self, now: ClockMs, request: RenewRequest) -> RenewReply {
+    /// When this state was last known to hold every accepted change.
+    pub(crate) fn freshness(&mut self) -> Freshness {
         self.renew_if_awaited();
-        let catalogue = self.state.catalogue();
-        RenewReply {
-            age_ms: self.freshness.age_ms(now),
-            update: catalogue.update_since(request.have),
-            version: catalogue.version(),
-        }
+        self.freshness
     }
 
     pub(crate) fn audit_page(&self, after: u64, limit: u32) -> AuditPage {
--- a/crates/masticsill_control/src/quorum/request.rs
+++ b/crates/masticsill_control/src/quorum/request.rs
@@ -1,17 +1,21 @@
 //! What other duties ask of the quorum duty, and what it publishes.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use masticsill_catalogue::{Action, CommandAnswer};
 use masticsill_quorum::{Envelope, LogIndex, VoterId};
 use masticsill_runtime::Ring;
 use masticsill_types::{CatalogueVersion, ClockMs, NodeId, OperatorId, Term};
 use masticsill_wire::control::{
-    ControlReply, ReadAnswer, ReadRequest, RenewReply, RenewRequest, ReplicaAnswer, ReplicaIdentity,
+    ControlReply, ReadAnswer, ReadRequest, ReplicaAnswer, ReplicaIdentity,
 };
 use tokio::sync::{oneshot, watch};
+use tokio::time::timeout;
 
 const OVERLOADED_RETRY_AFTER_MS: u64 = 200;
+/// Longest wait for the quorum duty; its answer to a command is not known after that.
+const ANSWER_BOUND: Duration = Duration::from_secs(5);
 
 /// Where an answer goes.
 pub(crate) type ReplyTo<T> = oneshot::Sender<ControlReply<T>>;
@@ -38,8 +42,6 @@
     },
     /// Read the state as it is now.
     Read(ReadRequest, ReplyTo<ReadAnswer>),
-    /// Renew a copy of the catalogue.
-    Renew(RenewRequest, oneshot::Sender<RenewReply>),
     /// A snapshot of the state was serialised.
     SnapshotTaken(LogIndex, Vec<u8>),
     /// Hand leadership over and accept nothing more.
@@ -109,7 +111,10 @@
                 }
             };
         }
-        reply.await.unwrap_or(ControlReply::OutcomeUnknown)
+        let reply = timeout(ANSWER_BOUND, reply).await;
+        reply.map_or(ControlReply::OutcomeUnknown, |reply| {
+            reply.unwrap_or(ControlReply::OutcomeUnknown)
+        })
     }
 
     /// Asks something that every replica answers; `None` when it has stopped or is overloaded.
@@ -119,7 +124,7 @@
     ) -> Option<T> {
         let (reply_to, reply) = oneshot::channel();
         self.requests.push(request(reply_to)).ok()?;
-        reply.await.ok()
+        timeout(ANSWER_BOUND, reply).await.ok()?.ok()
     }
 
     pub(crate) fn status(&self) -> Status {
--- a/crates/masticsill_control/src/role.rs
+++ b/crates/masticsill_control/src/role.rs
@@ -1,14 +1,16 @@
 //! Starting and stopping a control replica.
 
 use std::net::SocketAddr;
-use std::sync::mpsc;
 use std::thread;
 use std::time::{Duration, Instant};
 use std::{fmt, io};
 
 use masticsill_quorum::storage::Storage;
-use masticsill_runtime::{DutyHandle, Metrics, Ring, ShutdownSignal, spawn_async_duty};
+use masticsill_runtime::{
+    DutyHandle, Metrics, Ring, ServiceStream, ShutdownSignal, spawn_async_duty,
+};
 use masticsill_types::{MonotonicClock, log_event};
+use masticsill_wire::control::{RenewReply, RenewRequest};
 use tokio::sync::watch;
 
 use crate::book::AddressBook;
@@ -17,8 +19,8 @@
 use crate::events;
 use crate::http::{self, HttpEdge};
 use crate::quorum::{
-    DutyParts, Machine, QuorumDuty, QuorumHandle, Request, Status, StorageProgress, StorageQueue,
-    run_storage,
+    DutyParts, Job, Machine, PublishedState, QuorumDuty, QuorumHandle, Request, Status,
+    StorageProgress, StorageQueue, run_storage,
 };
 use crate::rpc::{self, RpcParts};
 
@@ -32,18 +34,19 @@
 
 /// A running control replica.
 pub struct ControlRole {
+    clock: MonotonicClock,
     duties: Vec<DutyHandle>,
     ended: ShutdownSignal,
     http: HttpEdge,
-    jobs: Ring<crate::quorum::Job>,
+    jobs: Ring<Job>,
+    published: PublishedState,
     quorum: QuorumHandle,
-    rpc_address: SocketAddr,
 }
 
 impl fmt::Debug for ControlRole {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let mut shown = formatter.debug_struct("ControlRole");
-        shown.field("rpc_address", &self.rpc_address);
+        shown.field("http_address", &self.http.address());
         shown.finish_non_exhaustive()
     }
 }
@@ -51,11 +54,16 @@
 impl ControlRole {
     /// Opens the data folder and starts the replica's duties.
     ///
+    /// `connections` brings the connections to [`ServiceKind::Control`] that the process accepts.
+    ///
+    /// [`ServiceKind::Control`]: masticsill_wire::ServiceKind::Control
+    ///
     /// # Errors
     ///
     /// [`ControlError`] when the folder, the settings or an address can't be used.
     pub fn start(
         config: &ControlConfig,
+        connections: Ring<ServiceStream>,
         clock: MonotonicClock,
         metrics: Metrics,
     ) -> Result<Self, ControlError> {
@@ -68,6 +76,7 @@
         let calls = Ring::with_capacity(CALLS);
         let (status, status_receiver) = watch::channel(Status::default());
         let (progress, progress_receiver) = watch::channel(StorageProgress::default());
+        let published = PublishedState::new(clock.now());
         let quorum_duty = QuorumDuty::new(DutyParts {
             book: book.clone(),
             clock,
@@ -75,6 +84,7 @@
             metrics,
             outgoing: outgoing.clone(),
             progress: progress_receiver,
+            published: published.clone(),
             requests: requests.clone(),
             settings: config.replica.clone(),
             status,
@@ -90,15 +100,17 @@
             book,
             calls: calls.clone(),
             clock,
+            connections,
             ended: ended.clone(),
             outgoing,
+            published: published.clone(),
             quorum: quorum.clone(),
         };
-        let (rpc_duty, rpc_address) = start_rpc(config.clone(), parts)?;
+        let rpc_config = config.clone();
         let http = HttpEdge::start(config.http_address, http::state(config, &quorum, calls))?;
         let jobs_taken = jobs.clone();
         let duties = vec![
-            rpc_duty,
+            spawn_async_duty("control_rpc", || rpc::run(rpc_config, parts))?,
             spawn_async_duty("control_storage", || {
                 run_storage(storage, jobs_taken, progress)
             })?,
@@ -108,16 +120,17 @@
             info,
             events::CONTROL_STARTED,
             node = node,
-            rpc = rpc_address,
+            rpc = config.rpc_address,
             http = http.address()
         );
         Ok(Self {
+            clock,
             duties,
             ended,
             http,
             jobs,
+            published,
             quorum,
-            rpc_address,
         })
     }
 
@@ -127,10 +140,11 @@
         self.http.address()
     }
 
-    /// The bound address for other processes.
-    #[must_use]
-    pub fn rpc_address(&self) -> SocketAddr {
-        self.rpc_address
+    /// Answers renewals of catalogue copies at once, from this replica's state and its proof.
+    pub fn renewals(&self) -> impl Fn(RenewRequest) -> RenewReply + Send + Sync + 'static {
+        let published = self.published.clone();
+        let clock = self.clock;
+        move |request| published.answer_renewal(clock.now(), request)
     }
 
     /// Whether storage or state failed: the replica has stopped and the process must end.
@@ -169,6 +183,7 @@
     }
 
     fn end(self, is_graceful: bool) -> io::Result<()> {
+        let address = self.http.address();
         self.http.stop(is_graceful)?;
         self.quorum.requests.close();
         self.ended.request();
@@ -176,7 +191,7 @@
         for duty in self.duties {
             duty.join()?;
         }
-        log_event!(info, events::CONTROL_STOPPED, rpc = self.rpc_address);
+        log_event!(info, events::CONTROL_STOPPED, http = address);
         Ok(())
     }
 
@@ -187,15 +202,3 @@
         }
     }
 }
-
-fn start_rpc(
-    config: ControlConfig,
-    parts: RpcParts,
-) -> Result<(DutyHandle, SocketAddr), ControlError> {
-    let (started, is_started) = mpsc::channel();
-    let duty = spawn_async_duty("control_rpc", move || rpc::run(config, parts, started))?;
-    let address = is_started
-        .recv()
-        .map_err(|_| io::Error::other("the control RPC duty ended early; see its log lines"))??;
-    Ok((duty, address))
-}
--- a/crates/masticsill_control/src/rpc/duty.rs
+++ b/crates/masticsill_control/src/rpc/duty.rs
@@ -1,11 +1,9 @@
 //! Accepts connections and runs this replica's own calls.
 
-use std::io;
 use std::net::SocketAddr;
-use std::sync::mpsc;
 
 use futures::StreamExt;
-use masticsill_runtime::{Ring, RpcListener, ShutdownSignal, events as runtime_events, listen};
+use masticsill_runtime::{Ring, ServiceStream, ShutdownSignal, events as runtime_events};
 use masticsill_types::{MonotonicClock, NodeId, log_event};
 use masticsill_wire::control::ControlService;
 use tarpc::server::{BaseChannel, Channel};
@@ -18,7 +16,7 @@
 use crate::book::AddressBook;
 use crate::client::ControlClient;
 use crate::config::ControlConfig;
-use crate::quorum::{Outgoing, QuorumHandle};
+use crate::quorum::{Outgoing, PublishedState, QuorumHandle};
 
 /// What the RPC duty is built from.
 #[derive(Debug)]
@@ -26,43 +24,38 @@
     pub(crate) book: AddressBook,
     pub(crate) calls: Ring<Forward>,
     pub(crate) clock: MonotonicClock,
+    pub(crate) connections: Ring<ServiceStream>,
     pub(crate) ended: ShutdownSignal,
     pub(crate) outgoing: Ring<Outgoing>,
+    pub(crate) published: PublishedState,
     pub(crate) quorum: QuorumHandle,
 }
 
-/// Listens, reports the address to `started`, and serves until the replica ends.
-pub(crate) async fn run(
-    config: ControlConfig,
-    parts: RpcParts,
-    started: mpsc::Sender<io::Result<SocketAddr>>,
-) {
-    let (listener, address) = match bind(config.rpc_address).await {
-        Ok(bound) => bound,
-        Err(error) => {
-            let _ = started.send(Err(error));
-            return;
-        }
-    };
-    let _ = started.send(Ok(address));
+/// Serves until the replica ends.
+pub(crate) async fn run(config: ControlConfig, parts: RpcParts) {
     let sender = Sender {
-        address: config.advertised_rpc_address.unwrap_or(address),
+        address: config.rpc_address,
         node: config.node.clone(),
     };
     parts.book.learn(sender.node.clone(), sender.address);
     let server = ControlServer {
         book: parts.book.clone(),
         client: ControlClient::new(parts.book.clone()),
+        clock: parts.clock,
+        published: parts.published,
         quorum: parts.quorum,
     };
     start_tasks(&config, &server, &sender);
-    spawn_local(run_proofs(server.clone(), parts.clock));
+    spawn_local(run_proofs(server.clone()));
     spawn_local(run_outgoing(sender, parts.book, parts.outgoing));
     spawn_local(run_router(server.clone(), parts.calls));
     tokio::select! {
-        () = accept(&listener, server) => {}
+        () = serve_connections(&parts.connections, server) => {}
         () = parts.ended.requested() => {}
     }
+    // What the process still accepts is closed at once, so that peers turn elsewhere.
+    parts.connections.close();
+    while parts.connections.try_pop().is_some() {}
 }
 
 fn start_tasks(config: &ControlConfig, server: &ControlServer, sender: &Sender) {
@@ -74,15 +67,9 @@
     spawn_local(run_founding(server.clone(), config.node.clone(), founders));
 }
 
-async fn bind(address: SocketAddr) -> io::Result<(RpcListener, SocketAddr)> {
-    let listener = listen(address).await?;
-    let address = listener.local_address()?;
-    Ok((listener, address))
-}
-
-async fn accept(listener: &RpcListener, server: ControlServer) {
-    loop {
-        match listener.accept().await {
+async fn serve_connections(connections: &Ring<ServiceStream>, server: ControlServer) {
+    while let Some(stream) = connections.pop().await {
+        match stream.into_transport() {
             Ok(transport) => {
                 let calls = BaseChannel::with_defaults(transport).execute(server.clone().serve());
                 spawn_local(calls.for_each_concurrent(None, |call| call));
--- a/crates/masticsill_control/src/rpc/founding.rs
+++ b/crates/masticsill_control/src/rpc/founding.rs
@@ -88,7 +88,22 @@
         }
         members.push(identity);
     }
+    if knows_cluster(server).await {
+        log_event!(warn, events::WAITS_FOR_ADMISSION, node = own.node);
+        return true;
+    }
     let founding = |reply_to| Request::Found(members, reply_to);
     server.quorum.ask_any(founding).await;
     false
 }
+
+/// Whether any replica that answers, founder or not, belongs to a cluster already.
+async fn knows_cluster(server: &ControlServer) -> bool {
+    for address in server.book.all() {
+        let identity = server.client.identify(address).await;
+        if identity.is_some_and(|identity| identity.is_founded) {
+            return true;
+        }
+    }
+    false
+}
--- a/crates/masticsill_control/src/rpc/peers.rs
+++ b/crates/masticsill_control/src/rpc/peers.rs
@@ -4,15 +4,15 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use masticsill_runtime::{Ring, connect_transport};
-use masticsill_types::{MonotonicClock, NodeId};
+use masticsill_runtime::Ring;
+use masticsill_types::NodeId;
 use masticsill_wire::control::{ControlServiceClient, QuorumBatch, RenewRequest};
 
 use super::service::ControlServer;
 use crate::book::AddressBook;
+use crate::client::connect;
 use crate::quorum::{Outgoing, Request};
 
-const CONNECT_TIMEOUT_MS: u64 = 500;
 const BATCH_TIMEOUT: Duration = Duration::from_secs(1);
 const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
 const PROOF_INTERVAL: Duration = Duration::from_millis(250);
@@ -111,12 +111,6 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Option<ControlServiceClient> {
-    let transport = connect_transport(address, CONNECT_TIMEOUT_MS).await.ok()?;
-    let config = tarpc::client::Config::default();
-    Some(ControlServiceClient::new(config, transport).spawn())
-}
-
 async fn send_batch(client: &ControlServiceClient, batch: QuorumBatch) -> bool {
     let mut context = tarpc::context::current();
     context.deadline = Instant::now() + BATCH_TIMEOUT;
@@ -136,7 +130,7 @@
 }
 
 /// Asks the leader for proofs of freshness while this replica does not lead.
-pub(crate) async fn run_proofs(server: ControlServer, clock: MonotonicClock) {
+pub(crate) async fn run_proofs(server: ControlServer) {
     loop {
         tokio::time::sleep(PROOF_INTERVAL).await;
         let status = server.quorum.status();
@@ -148,7 +142,7 @@
             continue;
         };
         // The proof counts from here: the network may hold the answer back.
-        let sent_at = clock.now();
+        let sent_at = server.clock.now();
         let have = status.version;
         let Some(reply) = server.client.renew(address, RenewRequest { have }).await else {
             continue;
--- a/crates/masticsill_control/src/rpc/router.rs
+++ b/crates/masticsill_control/src/rpc/router.rs
@@ -42,9 +42,9 @@
             let _ = reply_to.send(answer);
         }
         Forward::Read(request, reply_to) => {
-            let answer = match server.read_here(request).await {
+            let answer = match server.read_here(request.clone()).await {
                 ControlReply::Done(answer) => Ok(answer),
-                _ => server.client.read(request, bound_ms).await,
+                _ => server.client.read(&request, bound_ms).await,
             };
             let _ = reply_to.send(answer);
         }
--- a/crates/masticsill_control/src/rpc/service.rs
+++ b/crates/masticsill_control/src/rpc/service.rs
@@ -1,10 +1,12 @@
 //! The service that this replica offers to other processes.
 
+use std::net::SocketAddr;
+
 use masticsill_catalogue::{
     Action, ChangeAnswer, Claim, ClaimAnswer, CommandAnswer, Reassign, Settle,
 };
-use masticsill_quorum::decode_message;
-use masticsill_types::log_event;
+use masticsill_quorum::{VoterId, decode_message};
+use masticsill_types::{MonotonicClock, NodeId, log_event};
 use masticsill_wire::control::{
     ChangeRequest, ControlReply, ControlService, QuorumBatch, ReadAnswer, ReadRequest, RenewReply,
     RenewRequest, ReplicaAction, ReplicaAnswer, ReplicaChange, ReplicaIdentity,
@@ -14,13 +16,15 @@
 use crate::book::AddressBook;
 use crate::client::ControlClient;
 use crate::events;
-use crate::quorum::{JoiningReplica, QuorumHandle, ReplicaOrder, Request, voter};
+use crate::quorum::{JoiningReplica, PublishedState, QuorumHandle, ReplicaOrder, Request, voter};
 
 /// Answers other processes. Each connection has a clone.
 #[derive(Clone, Debug)]
 pub(crate) struct ControlServer {
     pub(crate) book: AddressBook,
     pub(crate) client: ControlClient,
+    pub(crate) clock: MonotonicClock,
+    pub(crate) published: PublishedState,
     pub(crate) quorum: QuorumHandle,
 }
 
@@ -70,24 +74,10 @@
                     // The leader looks the new replica up itself.
                     return self.refuse_as_follower().await;
                 }
-                let Some(address_to_ask) = address.or_else(|| self.book.get(&node)) else {
-                    return refused(format!(
-                        "no address of replica `{node}` is known; name its RPC address"
-                    ));
-                };
-                let Some(identity) = self.client.identify(address_to_ask).await else {
-                    return refused(format!(
-                        "replica `{node}` does not answer at {address_to_ask}; \
-                         start it there with an empty data folder, then send this again"
-                    ));
+                let id = match self.look_up(&node, address).await {
+                    Ok(id) => id,
+                    Err(text) => return ControlReply::Done(ReplicaAnswer::Refused(text)),
                 };
-                if identity.node != node {
-                    return refused(format!(
-                        "replica `{}` answers at {address_to_ask}, not `{node}`; name its address",
-                        identity.node
-                    ));
-                }
-                let id = voter(&identity);
                 ReplicaOrder::Join {
                     replica: JoiningReplica { address, id },
                     operator,
@@ -101,6 +91,32 @@
             .await
     }
 
+    /// The identity of a running replica, or why it can't be had and what to do.
+    async fn look_up(&self, node: &NodeId, address: Option<SocketAddr>) -> Result<VoterId, String> {
+        let own = self.quorum.ask_any(Request::Identify).await;
+        if let Some((own, _)) = own
+            && own.node == *node
+        {
+            return Ok(voter(&own));
+        }
+        let address = address.or_else(|| self.book.get(node)).ok_or_else(|| {
+            format!("no address of replica `{node}` is known; name its RPC address")
+        })?;
+        let identity = self.client.identify(address).await.ok_or_else(|| {
+            format!(
+                "replica `{node}` does not answer at {address}; \
+                 start it there with an empty data folder, then send this again"
+            )
+        })?;
+        if identity.node != *node {
+            let found = identity.node;
+            return Err(format!(
+                "replica `{found}` answers at {address}, not `{node}`; name its address"
+            ));
+        }
+        Ok(voter(&identity))
+    }
+
     async fn refuse_as_follower<T>(&self) -> ControlReply<T> {
         let probe = self.read_here(ReadRequest::Replicas).await;
         match probe {
@@ -110,10 +126,6 @@
     }
 }
 
-fn refused(text: String) -> ControlReply<ReplicaAnswer> {
-    ControlReply::Done(ReplicaAnswer::Refused(text))
-}
-
 /// Changes the type of a leader's answer.
 fn map_done<T, U>(reply: ControlReply<T>, map: impl FnOnce(T) -> Option<U>) -> ControlReply<U> {
     match reply {
@@ -181,14 +193,6 @@
     }
 
     async fn renew(self, _: Context, request: RenewRequest) -> RenewReply {
-        let reply = self
-            .quorum
-            .ask_any(|reply_to| Request::Renew(request, reply_to))
-            .await;
-        reply.unwrap_or(RenewReply {
-            age_ms: None,
-            update: None,
-            version: request.have,
-        })
+        self.published.answer_renewal(self.clock.now(), request)
     }
 }
--- a/crates/masticsill_control/tests/common/mod.rs
+++ b/crates/masticsill_control/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, unreachable_pub, reason = "each test file uses a part")]
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
@@ -10,7 +11,8 @@
     AddressBook, ControlClient, ControlConfig, ControlRole, OperatorConfig, TokenHash,
 };
 use masticsill_quorum::ReplicaSettings;
-use masticsill_runtime::Metrics;
+use masticsill_runtime::{DutyHandle, Metrics, Ring, ShutdownSignal, listen, spawn_async_duty};
+use masticsill_testkit::{Direction, FaultProxy, ProxyMode};
 use masticsill_types::{CatalogueVersion, MonotonicClock, NodeId};
 use masticsill_wire::control::ChangeRequest;
 use tempfile::TempDir;
@@ -21,9 +23,28 @@
 
 pub struct Cluster {
     pub clock: MonotonicClock,
-    configs: IndexMap<NodeId, ControlConfig>,
     folders: TempDir,
-    pub roles: IndexMap<NodeId, ControlRole>,
+    founders: Vec<NodeId>,
+    /// The way from one replica to another.
+    links: IndexMap<(usize, usize), FaultProxy>,
+    replica_settings: ReplicaSettings,
+    replicas: IndexMap<NodeId, Replica>,
+}
+
+/// A replica and the listener of its process.
+struct Replica {
+    address: SocketAddr,
+    listener: DutyHandle,
+    listener_stop: ShutdownSignal,
+    role: Option<ControlRole>,
+}
+
+impl Replica {
+    fn end(mut self, end: impl FnOnce(ControlRole) -> std::io::Result<()>) {
+        end(self.role.take().unwrap()).unwrap();
+        self.listener_stop.request();
+        self.listener.join().unwrap();
+    }
 }
 
 pub fn node(number: usize) -> NodeId {
@@ -44,101 +65,165 @@
 
 impl Cluster {
     pub fn start(count: usize) -> Self {
+        Self::start_with(count, ReplicaSettings::default())
+    }
+
+    pub fn start_with(count: usize, replica_settings: ReplicaSettings) -> Self {
         let mut cluster = Self {
             clock: MonotonicClock::start(),
-            configs: IndexMap::new(),
             folders: TempDir::new().unwrap(),
-            roles: IndexMap::new(),
+            founders: (1..=count).map(node).collect(),
+            links: IndexMap::new(),
+            replica_settings,
+            replicas: IndexMap::new(),
         };
-        let founders: Vec<NodeId> = (1..=count).map(node).collect();
+        for from in 1..=count {
+            for to in (1..=count).filter(|to| *to != from) {
+                let link = FaultProxy::start(None).unwrap();
+                cluster.links.insert((from, to), link);
+            }
+        }
         for number in 1..=count {
-            cluster.start_new(number, &founders);
+            cluster.run(number);
         }
         cluster.leader();
         cluster
     }
 
-    /// Starts a replica that has no folder yet; it knows those that were started before it.
-    pub fn start_new(&mut self, number: usize, founders: &[NodeId]) {
-        let peers = self.roles.iter();
-        let peers = peers.map(|(name, role)| (name.clone(), role.rpc_address()));
-        let config = ControlConfig {
-            advertised_rpc_address: None,
+    /// Starts a replica on its folder, which may be new.
+    pub fn run(&mut self, number: usize) {
+        let listener = listen(local()).unwrap();
+        let address = listener.local_address().unwrap();
+        let connections = Ring::with_capacity(64);
+        let to_role = connections.clone();
+        let listener_stop = ShutdownSignal::default();
+        let stop = listener_stop.clone();
+        let listener = spawn_async_duty("listener", move || async move {
+            let accept = listener.serve(move |_, stream| drop(to_role.push(stream)));
+            tokio::select! {
+                result = accept => result.unwrap(),
+                () = stop.requested() => {}
+            }
+        })
+        .unwrap();
+        for ((_, to), link) in &self.links {
+            if *to == number {
+                link.set_upstream(address);
+            }
+        }
+        let config = self.config(number, address);
+        let role = ControlRole::start(&config, connections, self.clock, Metrics::disabled());
+        let replica = Replica {
+            address,
+            listener,
+            listener_stop,
+            role: Some(role.unwrap()),
+        };
+        self.replicas.insert(node(number), replica);
+    }
+
+    fn config(&self, number: usize, rpc_address: SocketAddr) -> ControlConfig {
+        let links = self.links.iter().filter(|((from, _), _)| *from == number);
+        let peers = links.map(|((_, to), link)| (node(*to), link.address()));
+        ControlConfig {
             cluster: "test".to_owned(),
-            data_folder: self.folders.path().join(format!("folder-{number}")),
-            founders: founders.to_vec(),
+            data_folder: self.folder(number),
+            founders: self.founders.clone(),
             http_address: local(),
             node: node(number),
             operators: operators(),
             peers: peers.collect(),
-            replica: ReplicaSettings::default(),
-            rpc_address: local(),
-        };
-        let role = self.run(&config);
-        let config = ControlConfig {
-            http_address: role.http_address(),
-            rpc_address: role.rpc_address(),
-            ..config
-        };
-        self.configs.insert(config.node.clone(), config);
-        self.roles.insert(node(number), role);
-    }
-
-    fn run(&self, config: &ControlConfig) -> ControlRole {
-        ControlRole::start(config, self.clock, Metrics::disabled()).unwrap()
+            replica: self.replica_settings.clone(),
+            rpc_address,
+        }
     }
 
-    /// Starts a replica again at its old addresses, knowing every other.
-    pub fn restart(&mut self, number: usize) {
-        let peers = self.configs.values();
-        let peers = peers.map(|config| (config.node.clone(), config.rpc_address));
-        let config = ControlConfig {
-            peers: peers.collect(),
-            ..self.configs[&node(number)].clone()
-        };
-        let role = self.run(&config);
-        self.roles.insert(node(number), role);
+    fn folder(&self, number: usize) -> PathBuf {
+        self.folders.path().join(format!("folder-{number}"))
     }
 
     /// Ends a replica without a handover.
     pub fn abort(&mut self, name: &NodeId) {
-        self.roles.swap_remove(name).unwrap().abort().unwrap();
+        let replica = self.replicas.swap_remove(name).unwrap();
+        replica.end(ControlRole::abort);
     }
 
     /// Ends a replica gracefully.
     pub fn stop(&mut self, name: &NodeId) {
-        self.roles.swap_remove(name).unwrap().stop().unwrap();
+        let replica = self.replicas.swap_remove(name).unwrap();
+        replica.end(ControlRole::stop);
     }
 
     pub fn lose_folder(&self, number: usize) {
-        std::fs::remove_dir_all(&self.configs[&node(number)].data_folder).unwrap();
+        std::fs::remove_dir_all(self.folder(number)).unwrap();
+    }
+
+    /// Changes what the links from or to a replica do, in one direction or both.
+    pub fn set_links(&self, name: &NodeId, mode: ProxyMode) {
+        for ((from, to), link) in &self.links {
+            if node(*from) == *name || node(*to) == *name {
+                link.set_mode(mode);
+            }
+        }
+    }
+
+    /// Lets nothing that this replica sends arrive, while it still hears the others.
+    pub fn mute(&self, name: &NodeId) {
+        for ((from, to), link) in &self.links {
+            if node(*from) == *name {
+                link.set_mode(ProxyMode::BlackHole(Some(Direction::ToUpstream)));
+            }
+            if node(*to) == *name {
+                link.set_mode(ProxyMode::BlackHole(Some(Direction::ToClient)));
+            }
+        }
+    }
+
+    pub fn is_leading(&self, name: &NodeId) -> bool {
+        let replica = self.replicas.get(name);
+        replica.is_some_and(|replica| replica.role.as_ref().unwrap().is_leading())
     }
 
     /// Waits for a leader.
     pub fn leader(&self) -> NodeId {
-        let leading = || self.roles.iter().find(|(_, role)| role.is_leading());
-        await_until("a leader", || leading().is_some());
-        leading().map_or_else(|| self.leader(), |(name, _)| name.clone())
+        self.leader_other_than(None)
     }
 
+    pub fn leader_other_than(&self, former: Option<&NodeId>) -> NodeId {
+        let is_next = |name: &NodeId| Some(name) != former && self.is_leading(name);
+        let mut leader = None;
+        await_until("a leader", || {
+            leader = self.replicas.keys().find(|name| is_next(name)).cloned();
+            leader.is_some()
+        });
+        leader.unwrap()
+    }
+
+    /// A client that knows every running replica's own address.
     pub fn client(&self) -> ControlClient {
-        let addresses = self.configs.values().map(|config| config.rpc_address);
+        let addresses = self.replicas.values().map(|replica| replica.address);
         ControlClient::new(AddressBook::from_seeds(addresses))
     }
 
-    pub fn rpc_address(&self, number: usize) -> SocketAddr {
-        self.configs[&node(number)].rpc_address
+    /// A client of one replica, which does not follow it to others.
+    pub fn client_of(&self, name: &NodeId) -> ControlClient {
+        ControlClient::new(AddressBook::from_seeds([self.address(name)]))
+    }
+
+    pub fn address(&self, name: &NodeId) -> SocketAddr {
+        self.replicas[name].address
     }
 
     pub fn http_address(&self, number: usize) -> SocketAddr {
-        self.configs[&node(number)].http_address
+        let role = self.replicas[&node(number)].role.as_ref();
+        role.unwrap().http_address()
     }
 }
 
 impl Drop for Cluster {
     fn drop(&mut self) {
-        for (_, role) in self.roles.drain(..) {
-            let _ = role.abort();
+        for (_, replica) in self.replicas.drain(..) {
+            replica.end(ControlRole::abort);
         }
     }
 }
--- a/crates/masticsill_control/tests/control_quorum.rs
+++ b/crates/masticsill_control/tests/control_quorum.rs
@@ -6,56 +6,8 @@
 use common::{BOUND_MS, Cluster, accepted, await_until, block_on, node, put};
 use masticsill_catalogue::{AgentLife, ChangeAnswer, ChangeRefusal, Claim, ClaimAnswer, Follower};
 use masticsill_control::ControlUnavailable;
-use masticsill_types::{CatalogueVersion, GenerationId, Incarnation, NodeId};
-use masticsill_wire::control::{
-    ReadAnswer, ReadRequest, RenewRequest, ReplicaAction, ReplicaAnswer, ReplicaChange,
-    ReplicaStanding, ReplicasView,
-};
-
-async fn replicas(cluster: &Cluster) -> ReplicasView {
-    let answer = cluster.client().read(ReadRequest::Replicas, BOUND_MS).await;
-    assert_matches!(answer.unwrap(), ReadAnswer::Replicas(view) => view)
-}
-
-fn voters(view: &ReplicasView) -> Vec<NodeId> {
-    let voters = view.replicas.iter();
-    let voters = voters.filter(|replica| replica.standing == ReplicaStanding::Voter);
-    let mut names: Vec<NodeId> = voters.map(|replica| replica.node.clone()).collect();
-    names.sort();
-    names
-}
-
-async fn replace(cluster: &Cluster, number: usize) {
-    let change = ReplicaChange {
-        action: ReplicaAction::Join {
-            address: Some(cluster.rpc_address(number)),
-            node: node(number),
-            replaces: Some(node(number)),
-        },
-        operator: "anna".parse().unwrap(),
-    };
-    let before = replicas(cluster).await;
-    let answer = cluster.client().change_replicas(&change, BOUND_MS).await;
-    assert_eq!(answer.unwrap(), ReplicaAnswer::Accepted);
-    loop {
-        let view = replicas(cluster).await;
-        let is_same = |folder| {
-            before
-                .replicas
-                .iter()
-                .any(|replica| replica.folder == folder)
-        };
-        let is_replaced = view.replicas.iter().any(|replica| {
-            replica.node == node(number)
-                && replica.standing == ReplicaStanding::Voter
-                && !is_same(replica.folder)
-        });
-        if is_replaced && view.replicas.len() == before.replicas.len() {
-            return;
-        }
-        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
-    }
-}
+use masticsill_types::{CatalogueVersion, GenerationId, Incarnation};
+use masticsill_wire::control::{ReadAnswer, ReadRequest, RenewRequest};
 
 #[test]
 fn a_resend_after_the_leaders_death_gets_the_first_answer() {
@@ -116,7 +68,7 @@
         cluster.abort(&node(number));
     }
     for number in 1..=3 {
-        cluster.restart(number);
+        cluster.run(number);
     }
     block_on(async {
         let client = cluster.client();
@@ -126,7 +78,7 @@
             after: 0,
             limit: 100,
         };
-        let audit = client.read(read, BOUND_MS).await.unwrap();
+        let audit = client.read(&read, BOUND_MS).await.unwrap();
         assert_matches!(audit, ReadAnswer::Audit(page) if page.records.len() == 20);
     });
 }
@@ -139,16 +91,14 @@
     for other in others.collect::<Vec<_>>() {
         cluster.abort(&other);
     }
-    await_until("the leader to step down", || {
-        !cluster.roles[&leader].is_leading()
-    });
+    await_until("the leader to step down", || !cluster.is_leading(&leader));
     block_on(async {
         let client = cluster.client();
         let unavailable = client.change(&put("c1", "e", 0), 1_500).await;
         assert_matches!(unavailable, Err(ControlUnavailable { .. }));
-        let read = client.read(ReadRequest::Replicas, 500).await;
+        let read = client.read(&ReadRequest::Replicas, 500).await;
         assert_matches!(read, Err(ControlUnavailable { .. }));
-        let address = cluster.roles[&leader].rpc_address();
+        let address = cluster.address(&leader);
         let have = CatalogueVersion(0);
         let mut ages = Vec::new();
         for _ in 0..2 {
@@ -171,7 +121,7 @@
             while !copy.is_fresh(cluster.clock.now(), 3_000) || copy.version().0 < 1 {
                 let sent_at = cluster.clock.now();
                 let have = copy.version();
-                let address = cluster.rpc_address(number);
+                let address = cluster.address(&node(number));
                 let reply = client.renew(address, RenewRequest { have }).await.unwrap();
                 if let Some(update) = reply.update {
                     copy.apply(update);
@@ -198,34 +148,6 @@
     });
 }
 
-#[test]
-fn a_lost_folder_never_votes_until_it_is_admitted_and_then_bears_a_second_loss() {
-    let mut cluster = Cluster::start(3);
-    block_on(async {
-        let client = cluster.client();
-        client.change(&put("c1", "e", 0), BOUND_MS).await.unwrap();
-        cluster.abort(&node(3));
-        cluster.lose_folder(3);
-        cluster.restart(3);
-        // The empty replica does not count: with one more lost there is no majority.
-        cluster.abort(&node(2));
-        let unavailable = client.change(&put("c2", "e", 1), 2_000).await;
-        assert_matches!(unavailable, Err(ControlUnavailable { .. }));
-        cluster.restart(2);
-        replace(&cluster, 3).await;
-        assert_eq!(
-            voters(&replicas(&cluster).await),
-            [node(1), node(2), node(3)]
-        );
-        // A second loss right after the repair.
-        cluster.abort(&node(2));
-        let answer = client.change(&put("c3", "f", 0), BOUND_MS).await.unwrap();
-        assert_matches!(answer, ChangeAnswer::Accepted { .. });
-        let first = client.change(&put("c1", "e", 0), BOUND_MS).await;
-        assert_eq!(first, Ok(accepted(1)));
-    });
-}
-
 #[test]
 fn a_claim_is_granted_once_whichever_replica_leads() {
     let mut cluster = Cluster::start(3);
--- /dev/null
+++ b/crates/masticsill_control/tests/control_repair.rs
@@ -0,0 +1,182 @@
+//! Snapshots, lost folders, new replicas and founding.
+
+mod common;
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use common::{BOUND_MS, Cluster, accepted, block_on, node, put};
+use masticsill_catalogue::ChangeAnswer;
+use masticsill_control::ControlUnavailable;
+use masticsill_quorum::ReplicaSettings;
+use masticsill_types::{CatalogueVersion, NodeId};
+use masticsill_wire::control::{
+    ReadAnswer, ReadRequest, RenewRequest, ReplicaAction, ReplicaAnswer, ReplicaChange,
+    ReplicaStanding, ReplicasView,
+};
+
+async fn replicas(cluster: &Cluster) -> ReplicasView {
+    let answer = cluster
+        .client()
+        .read(&ReadRequest::Replicas, BOUND_MS)
+        .await;
+    assert_matches!(answer.unwrap(), ReadAnswer::Replicas(view) => view)
+}
+
+fn voters(view: &ReplicasView) -> Vec<NodeId> {
+    let voters = view.replicas.iter();
+    let voters = voters.filter(|replica| replica.standing == ReplicaStanding::Voter);
+    let mut names: Vec<NodeId> = voters.map(|replica| replica.node.clone()).collect();
+    names.sort();
+    names
+}
+
+/// Replaces a replica by a running one and waits until the old one has left.
+async fn replace(cluster: &Cluster, old: usize, new: usize) {
+    let change = ReplicaChange {
+        action: ReplicaAction::Join {
+            address: (old != new).then(|| cluster.address(&node(new))),
+            node: node(new),
+            replaces: Some(node(old)),
+        },
+        operator: "anna".parse().unwrap(),
+    };
+    let before = replicas(cluster).await;
+    let leaving = before.replicas.iter().find(|it| it.node == node(old));
+    let leaving = leaving.unwrap().folder;
+    let answer = cluster.client().change_replicas(&change, BOUND_MS).await;
+    assert_eq!(answer.unwrap(), ReplicaAnswer::Accepted);
+    loop {
+        let view = replicas(cluster).await;
+        let is_gone = view.replicas.iter().all(|it| it.folder != leaving);
+        if is_gone && voters(&view).contains(&node(new)) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[test]
+fn a_lost_folder_never_votes_until_it_is_admitted_and_then_bears_a_second_loss() {
+    let mut cluster = Cluster::start(3);
+    block_on(async {
+        let answer = cluster.client().change(&put("c1", "e", 0), BOUND_MS).await;
+        assert_eq!(answer, Ok(accepted(1)));
+        cluster.abort(&node(3));
+        cluster.lose_folder(3);
+        cluster.run(3);
+        // The empty replica does not count: with one more lost there is no majority.
+        cluster.abort(&node(2));
+        let unavailable = cluster.client().change(&put("c2", "e", 1), 2_000).await;
+        assert_matches!(unavailable, Err(ControlUnavailable { .. }));
+        cluster.run(2);
+        replace(&cluster, 3, 3).await;
+        let all = [node(1), node(2), node(3)];
+        assert_eq!(voters(&replicas(&cluster).await), all);
+        // A second loss right after the repair.
+        cluster.abort(&node(2));
+        let client = cluster.client();
+        let answer = client.change(&put("c3", "f", 0), BOUND_MS).await.unwrap();
+        assert_matches!(answer, ChangeAnswer::Accepted { .. });
+        let first = client.change(&put("c1", "e", 0), BOUND_MS).await;
+        assert_eq!(first, Ok(accepted(1)));
+    });
+}
+
+#[test]
+fn a_second_loss_during_a_repair_only_delays_it() {
+    let mut cluster = Cluster::start(5);
+    block_on(async {
+        cluster.abort(&node(5));
+        cluster.lose_folder(5);
+        cluster.run(5);
+        let change = ReplicaChange {
+            action: ReplicaAction::Join {
+                address: None,
+                node: node(5),
+                replaces: Some(node(5)),
+            },
+            operator: "anna".parse().unwrap(),
+        };
+        let answer = cluster.client().change_replicas(&change, BOUND_MS).await;
+        assert_eq!(answer.unwrap(), ReplicaAnswer::Accepted);
+        let leader = cluster.leader();
+        cluster.abort(&leader);
+        replace(&cluster, 5, 5).await;
+        let answer = cluster.client().change(&put("c1", "e", 0), BOUND_MS).await;
+        assert_eq!(answer, Ok(accepted(1)));
+        assert_eq!(voters(&replicas(&cluster).await).len(), 5);
+    });
+}
+
+#[test]
+fn a_founder_that_lost_its_folder_founds_no_second_cluster() {
+    let mut cluster = Cluster::start(3);
+    block_on(async {
+        let answer = cluster.client().change(&put("c1", "e", 0), BOUND_MS).await;
+        assert_eq!(answer, Ok(accepted(1)));
+        cluster.abort(&node(1));
+        cluster.lose_folder(1);
+        cluster.run(1);
+        let leader = cluster.leader();
+        assert_ne!(leader, node(1));
+        replace(&cluster, 1, 1).await;
+        let answer = cluster.client().change(&put("c1", "e", 0), BOUND_MS).await;
+        assert_eq!(answer, Ok(accepted(1)));
+    });
+}
+
+#[test]
+fn a_replica_on_a_new_machine_takes_an_old_ones_place() {
+    let mut cluster = Cluster::start(3);
+    block_on(async {
+        let answer = cluster.client().change(&put("c1", "e", 0), BOUND_MS).await;
+        assert_eq!(answer, Ok(accepted(1)));
+        cluster.abort(&node(2));
+        cluster.run(4);
+        replace(&cluster, 2, 4).await;
+        let all = [node(1), node(3), node(4)];
+        assert_eq!(voters(&replicas(&cluster).await), all);
+        cluster.abort(&node(1));
+        let answer = cluster.client().change(&put("c2", "e", 1), BOUND_MS).await;
+        assert_eq!(answer, Ok(accepted(2)));
+    });
+}
+
+#[test]
+fn answers_survive_snapshots_and_reach_replicas_that_missed_hundreds_of_changes() {
+    let settings = ReplicaSettings {
+        snapshot_after_entries: 50,
+        retained_entries: 10,
+        ..ReplicaSettings::default()
+    };
+    let mut cluster = Cluster::start_with(3, settings);
+    block_on(async {
+        cluster.abort(&node(3));
+        let client = cluster.client();
+        for number in 0..300 {
+            let change = put(&format!("c{number}"), &format!("e{number}"), 0);
+            client.change(&change, BOUND_MS).await.unwrap();
+        }
+        cluster.run(3);
+        let have = CatalogueVersion(0);
+        loop {
+            let address = cluster.address(&node(3));
+            let reply = client.renew(address, RenewRequest { have }).await;
+            if reply.is_some_and(|reply| reply.version == CatalogueVersion(300)) {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+    for number in 1..=3 {
+        cluster.abort(&node(number));
+    }
+    // One of the two that run now has its state from the leader's snapshot.
+    cluster.run(2);
+    cluster.run(3);
+    block_on(async {
+        let answer = cluster.client().change(&put("c7", "e7", 0), BOUND_MS).await;
+        assert_eq!(answer, Ok(accepted(8)));
+    });
+}
--- a/crates/masticsill_wire/src/control.rs
+++ b/crates/masticsill_wire/src/control.rs
@@ -8,9 +8,9 @@
 
 use masticsill_catalogue::{
     AuditRecord, CatalogueUpdate, Change, ChangeAnswer, Claim, ClaimAnswer, OperatorScope,
-    Reassign, Settle,
+    Reassign, Settle, VersionedEntry,
 };
-use masticsill_types::{CatalogueVersion, NodeId, OperatorId, Term};
+use masticsill_types::{CatalogueVersion, EntryId, NodeId, OperatorId, Term};
 use serde::{Deserialize, Serialize};
 
 /// Messages between two replicas, in the quorum's own encoding.
@@ -92,7 +92,7 @@
 }
 
 /// Reads the state as it is now.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum ReadRequest {
     /// Audit records after a sequence.
     Audit {
@@ -106,6 +106,11 @@
         /// The version that the reader has, zero for everything.
         have: CatalogueVersion,
     },
+    /// One entry of the catalogue.
+    Entry {
+        /// The entry.
+        id: EntryId,
+    },
     /// The control replicas.
     Replicas,
 }
@@ -117,6 +122,8 @@
     Audit(AuditPage),
     /// The catalogue's version, and the update if the reader lacks something.
     Catalogue(CatalogueVersion, Option<CatalogueUpdate>),
+    /// The entry, if it is in force.
+    Entry(Option<VersionedEntry>),
     /// The control replicas.
     Replicas(ReplicasView),
 }
--- a/crates/masticsillctl/tests/operator_tool.rs
+++ b/crates/masticsillctl/tests/operator_tool.rs
@@ -8,7 +8,7 @@
 use masticsill_catalogue::OperatorScope;
 use masticsill_control::{ControlConfig, ControlRole, OperatorConfig, TokenHash};
 use masticsill_quorum::ReplicaSettings;
-use masticsill_runtime::Metrics;
+use masticsill_runtime::{Metrics, Ring};
 use masticsill_types::MonotonicClock;
 use tempfile::TempDir;
 
@@ -35,7 +35,6 @@
             token_hash: TokenHash::of_token("secret"),
         };
         let config = ControlConfig {
-            advertised_rpc_address: None,
             cluster: "test".to_owned(),
             data_folder: folder.path().join("data"),
             founders: vec![node.clone()],
@@ -47,7 +46,9 @@
             rpc_address: "127.0.0.1:0".parse().unwrap(),
         };
         fs::write(folder.path().join("token"), "secret\n").unwrap();
-        let role = ControlRole::start(&config, MonotonicClock::start(), Metrics::disabled());
+        let no_peers = Ring::with_capacity(1);
+        let clock = MonotonicClock::start();
+        let role = ControlRole::start(&config, no_peers, clock, Metrics::disabled());
         let role = role.unwrap();
         let bound = Instant::now() + PATIENCE;
         while !role.is_leading() {
