Compose the daemon and write the system's failure tests

Cause: the roles need one process around them, and each promise needs real processes that die. Ruled out: several roles in one process; tests against in-process roles only. Change: masticsill run and check; tests of single and double losses, returning callers, planned stops and calls that run once.

--- a/crates/masticsill/src/main.rs
+++ b/crates/masticsill/src/main.rs
@@ -36,7 +36,11 @@
     match command {
         Command::Check(path) => {
             let settings = read_settings(path)?;
-            println!("{}: settings of node `{}` are sound", path.display(), settings.node);
+            println!(
+                "{}: settings of node `{}` are sound",
+                path.display(),
+                settings.node
+            );
             Ok(())
         }
         Command::Help => {
--- /dev/null
+++ b/crates/masticsill/src/node.rs
@@ -0,0 +1,225 @@
+//! Runs one process: its mesh and its role, until it is asked to end.
+
+use std::net::SocketAddr;
+use std::thread::sleep;
+use std::time::Duration;
+
+use eyre::{WrapErr, bail};
+use masticsill_agent::{AgentHandle, AgentLinks, AgentRole};
+use masticsill_control::ControlRole;
+use masticsill_entry::EntryRole;
+use masticsill_membership::{Periods, Role};
+use masticsill_mesh::{
+    Mesh, MeshConfig, MeshHandle, RenewSource, RenewalPeriods, ServiceRoutes, new_incarnation,
+};
+use masticsill_runtime::{
+    DutyHandle, Metrics, Ring, RpcListener, ServiceStream, ShutdownSignal, events, listen,
+    watch_signals,
+};
+use masticsill_settings::{
+    AgentSettings, ControlSettings, EndpointSettings, EntrySettings, RoleSettings, Settings,
+};
+use masticsill_types::{EndpointKind, EndpointProfile, MonotonicClock, log_event};
+
+use crate::settings_map::{to_agent_config, to_control_config, to_entry_config};
+
+/// Connections to the role's service that wait to be served.
+const CONNECTION_RING_ITEMS: usize = 1_024;
+const POLL: Duration = Duration::from_millis(20);
+
+/// What every role needs of its process.
+struct Process {
+    address: SocketAddr,
+    clock: MonotonicClock,
+    connections: Ring<ServiceStream>,
+    listener: RpcListener,
+    metrics: Metrics,
+    settings: Settings,
+    shutdown: ShutdownSignal,
+}
+
+/// A running mesh.
+struct RunningMesh {
+    duty: DutyHandle,
+    handle: MeshHandle,
+}
+
+/// Runs the process that the settings describe, until it is asked to end.
+///
+/// # Errors
+///
+/// An error that names what could not be started, or the duty that failed.
+pub(crate) fn run(settings: Settings) -> eyre::Result<()> {
+    let shutdown = ShutdownSignal::default();
+    watch_signals(shutdown.clone()).wrap_err("signals can't be watched")?;
+    let listener = listen(settings.rpc_address)
+        .wrap_err_with(|| format!("rpc_address {} can't be bound", settings.rpc_address))?;
+    let bound = listener.local_address()?;
+    let process = Process {
+        address: settings.advertised_rpc_address.unwrap_or(bound),
+        clock: MonotonicClock::start(),
+        connections: Ring::with_capacity(CONNECTION_RING_ITEMS),
+        listener,
+        metrics: start_metrics(&settings)?,
+        settings,
+        shutdown,
+    };
+    println!("listening rpc on {bound}");
+    let node = process.settings.node.clone();
+    log_event!(info, events::PROCESS_STARTED, node = node);
+    match process.settings.role.clone() {
+        RoleSettings::Agent(agent) => run_agent(process, &agent)?,
+        RoleSettings::Control(control) => run_control(process, &control)?,
+        RoleSettings::Entry(entry) => run_entry(process, &entry)?,
+    }
+    log_event!(info, events::PROCESS_ENDED, node = node);
+    Ok(())
+}
+
+fn start_metrics(settings: &Settings) -> eyre::Result<Metrics> {
+    match settings.statsd_address {
+        Some(address) => Ok(Metrics::to_statsd(address)?),
+        None => Ok(Metrics::disabled()),
+    }
+}
+
+fn run_entry(process: Process, entry: &EntrySettings) -> eyre::Result<()> {
+    let config = to_entry_config(&process.settings, entry);
+    let (clock, shutdown) = (process.clock, process.shutdown.clone());
+    let (connections, metrics) = (process.connections.clone(), process.metrics.clone());
+    let routes = ServiceRoutes {
+        entry: Some(connections.clone()),
+        ..ServiceRoutes::default()
+    };
+    let mesh = start_mesh(process, Role::Entry, routes, None)?;
+    let role = EntryRole::start(config, connections, mesh.handle.clone(), metrics, clock)
+        .wrap_err("the entry can't be started")?;
+    println!("listening http on {}", role.http_address());
+    println!("ready");
+    await_shutdown(&shutdown);
+    role.stop()?;
+    mesh.stop()
+}
+
+fn run_agent(process: Process, agent: &AgentSettings) -> eyre::Result<()> {
+    let config = to_agent_config(&process.settings, agent);
+    let links = (process.clock, process.metrics.clone());
+    let (connections, shutdown) = (process.connections.clone(), process.shutdown.clone());
+    let routes = ServiceRoutes {
+        agent: Some(connections.clone()),
+        ..ServiceRoutes::default()
+    };
+    let role = Role::Agent(first_profile(&agent.endpoint));
+    let mesh = start_mesh(process, role, routes, None)?;
+    let handle = AgentRole::start(
+        config,
+        AgentLinks {
+            clock: links.0,
+            connections,
+            mesh: mesh.handle.clone(),
+            metrics: links.1,
+        },
+    )
+    .wrap_err("the agent can't be started")?;
+    println!("ready");
+    await_shutdown(&shutdown);
+    drain_agent(&handle);
+    handle.stop()?;
+    mesh.stop()
+}
+
+fn drain_agent(handle: &AgentHandle) {
+    handle.leave();
+    while !handle.is_drained() {
+        sleep(POLL);
+    }
+}
+
+fn run_control(process: Process, control: &ControlSettings) -> eyre::Result<()> {
+    let config = to_control_config(&process.settings, control, process.address)?;
+    let (connections, shutdown) = (process.connections.clone(), process.shutdown.clone());
+    let role = ControlRole::start(
+        &config,
+        connections.clone(),
+        process.clock,
+        process.metrics.clone(),
+    )
+    .wrap_err("the control replica can't be started")?;
+    let routes = ServiceRoutes {
+        control: Some(connections),
+        ..ServiceRoutes::default()
+    };
+    let source = RenewSource::new(role.renewals());
+    let mesh = start_mesh(process, Role::Control, routes, Some(source))?;
+    println!("listening http on {}", role.http_address());
+    println!("ready");
+    while !shutdown.is_requested() && !role.has_failed() {
+        sleep(POLL);
+    }
+    if role.has_failed() {
+        role.abort()?;
+        bail!("the control replica failed; its log names the cause and the remedy");
+    }
+    mesh.handle.leave();
+    role.stop()?;
+    mesh.stop()
+}
+
+fn await_shutdown(shutdown: &ShutdownSignal) {
+    while !shutdown.is_requested() {
+        sleep(POLL);
+    }
+}
+
+/// What is announced before the endpoint was asked: nothing is loaded yet.
+fn first_profile(endpoint: &EndpointSettings) -> EndpointProfile {
+    let kind = match endpoint {
+        EndpointSettings::Engine {
+            is_checking_fencing,
+            ..
+        } => EndpointKind::Engine {
+            loaded: Vec::new(),
+            slots: 0,
+            is_checking_fencing: *is_checking_fencing,
+        },
+        EndpointSettings::PlainService { service, .. } => EndpointKind::PlainService {
+            service: service.clone(),
+        },
+    };
+    EndpointProfile {
+        kind,
+        is_leaving: false,
+    }
+}
+
+fn start_mesh(
+    process: Process,
+    role: Role,
+    routes: ServiceRoutes,
+    source: Option<RenewSource>,
+) -> eyre::Result<RunningMesh> {
+    let config = MeshConfig {
+        address: process.address,
+        incarnation: new_incarnation(),
+        membership: Periods::default(),
+        node: process.settings.node,
+        renewal: RenewalPeriods {
+            lease_ms: process.settings.catalogue_lease_ms,
+            ..RenewalPeriods::default()
+        },
+        role,
+        seeds: process.settings.seeds,
+        zone: process.settings.zone,
+    };
+    let (handle, duty) = Mesh::start(config, process.listener, routes, source, process.clock)
+        .wrap_err("the mesh can't be started")?;
+    Ok(RunningMesh { duty, handle })
+}
+
+impl RunningMesh {
+    fn stop(self) -> eyre::Result<()> {
+        self.handle.stop();
+        self.duty.join()?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/masticsill/src/settings_map.rs
@@ -0,0 +1,123 @@
+//! From checked settings to the roles' configurations.
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use masticsill_agent::{AgentConfig, AgentLimits, Endpoint};
+use masticsill_catalogue::OperatorScope;
+use masticsill_control::{ControlConfig, OperatorConfig, TokenHashError};
+use masticsill_entry::EntryConfig;
+use masticsill_quorum::ReplicaSettings;
+use masticsill_settings::{
+    AgentSettings, ControlSettings, EndpointSettings, EntrySettings, OperatorSettings, Settings,
+};
+
+/// How long an agent remembers plain calls: longer than the quorum remembers claims, so that no
+/// tombstone is forgotten while its claim could still be moved.
+const CALL_WINDOW_MS: u64 = 25 * 60 * 60 * 1_000;
+
+/// The entry role's configuration.
+pub(crate) fn to_entry_config(settings: &Settings, entry: &EntrySettings) -> EntryConfig {
+    EntryConfig {
+        balancer_grace_ms: entry.balancer_grace_ms,
+        catalogue_lease_ms: settings.catalogue_lease_ms,
+        drain_ms: entry.drain_ms,
+        http_address: entry.http_address,
+        max_body_bytes: entry.max_body_bytes,
+        node: settings.node.clone(),
+        reattach_ms: entry.reattach_ms,
+        silence_ms: entry.silence_ms,
+        workers: entry.workers,
+    }
+}
+
+/// The agent role's configuration.
+pub(crate) fn to_agent_config(settings: &Settings, agent: &AgentSettings) -> AgentConfig {
+    let (endpoint, endpoint_address) = match &agent.endpoint {
+        EndpointSettings::Engine {
+            address,
+            is_checking_fencing,
+        } => {
+            let is_checking_fencing = *is_checking_fencing;
+            (
+                Endpoint::Engine {
+                    is_checking_fencing,
+                },
+                *address,
+            )
+        }
+        EndpointSettings::PlainService { address, service } => {
+            let service = service.clone();
+            (Endpoint::PlainService { service }, *address)
+        }
+    };
+    let mut limits = AgentLimits::default();
+    limits.book.orphan_ms = agent.orphan_ms;
+    limits.calls.key_window_ms = CALL_WINDOW_MS;
+    limits.drain_ms = agent.drain_ms;
+    AgentConfig {
+        endpoint,
+        endpoint_address,
+        limits,
+        node: settings.node.clone(),
+    }
+}
+
+/// The control role's configuration; `address` is where peers reach this process.
+///
+/// # Errors
+///
+/// An error when an operator's token hash is not one.
+pub(crate) fn to_control_config(
+    settings: &Settings,
+    control: &ControlSettings,
+    address: SocketAddr,
+) -> Result<ControlConfig, TokenHashError> {
+    let others = control
+        .voters
+        .iter()
+        .filter(|voter| voter.node != settings.node);
+    let peers: IndexMap<_, _> = others
+        .map(|voter| (voter.node.clone(), voter.rpc_address))
+        .collect();
+    let operators = control.operators.iter().map(to_operator_config);
+    Ok(ControlConfig {
+        cluster: settings.cluster.as_str().to_owned(),
+        data_folder: control.data_folder.clone(),
+        founders: control
+            .voters
+            .iter()
+            .map(|voter| voter.node.clone())
+            .collect(),
+        http_address: control.http_address,
+        node: settings.node.clone(),
+        operators: operators.collect::<Result<_, _>>()?,
+        peers,
+        replica: to_replica_settings(control.election_timeout_ms),
+        rpc_address: address,
+    })
+}
+
+fn to_operator_config(operator: &OperatorSettings) -> Result<OperatorConfig, TokenHashError> {
+    let scope = if operator.is_administrator {
+        OperatorScope::All
+    } else {
+        OperatorScope::Workspaces(operator.workspaces.iter().cloned().collect())
+    };
+    Ok(OperatorConfig {
+        operator: operator.name.clone(),
+        scope,
+        token_hash: operator.token_blake3.parse()?,
+    })
+}
+
+/// Keeps the quorum's order of periods: heartbeat, lease, election.
+fn to_replica_settings(election_timeout_ms: u64) -> ReplicaSettings {
+    ReplicaSettings {
+        election_max_ms: election_timeout_ms * 2,
+        election_min_ms: election_timeout_ms,
+        heartbeat_ms: (election_timeout_ms / 5).max(1),
+        lease_ms: election_timeout_ms * 4 / 5,
+        ..ReplicaSettings::default()
+    }
+}
--- /dev/null
+++ b/crates/masticsill/tests/system/lost_entries.rs
@@ -0,0 +1,94 @@
+//! Callers that come back through another entry.
+
+use masticsill_testkit::wait_until;
+
+use crate::support::{BOUND_MS, Draft, End, SmallSystem};
+
+const TOKENS: u32 = 150;
+
+#[test]
+fn the_rest_comes_through_another_entry() {
+    let mut system = SmallSystem::start(2, 2);
+    let draft = Draft::new("lost entry", TOKENS);
+    let mut reader = system.open("entry-0", &draft);
+    reader.read_bytes(20);
+    system.deployment.node_mut("entry-0").process.kill();
+    reader.read_to_end();
+    let mut again = system.reopen("entry-1", &draft, &reader.last_id);
+    assert_eq!(again.read_to_end(), End::Done);
+    assert_eq!(reader.text + &again.text, draft.expected());
+    let started: u64 = system
+        .engines
+        .iter()
+        .flatten()
+        .map(|engine| engine.stats().started)
+        .sum();
+    assert_eq!(
+        started, 1,
+        "the running attempt is continued, not begun again"
+    );
+}
+
+#[test]
+fn a_living_entry_gives_its_generation_up() {
+    let system = SmallSystem::start(2, 2);
+    let draft = Draft::new("moved caller", TOKENS);
+    let mut reader = system.open("entry-0", &draft);
+    reader.read_bytes(20);
+    let seen = reader.last_id.clone();
+    let text = reader.text.clone();
+    let mut again = system.reopen("entry-1", &draft, &seen);
+    assert_eq!(again.read_to_end(), End::Done);
+    assert_eq!(text + &again.text, draft.expected());
+    assert_eq!(reader.read_to_end(), End::Refused("superseded".to_owned()));
+    assert!(draft.expected().starts_with(&reader.text));
+}
+
+#[test]
+fn two_entries_never_both_go_on() {
+    let mut system = SmallSystem::start(3, 2);
+    let draft = Draft::new("raced", TOKENS);
+    let mut reader = system.open("entry-0", &draft);
+    reader.read_bytes(20);
+    system.deployment.node_mut("entry-0").process.kill();
+    reader.read_to_end();
+    let mut readers =
+        ["entry-1", "entry-2"].map(|entry| system.reopen(entry, &draft, &reader.last_id));
+    let ends = readers.each_mut().map(|reader| reader.read_to_end());
+    let done = ends.iter().filter(|end| **end == End::Done).count();
+    assert_eq!(done, 1, "one of them owns the generation: {ends:?}");
+    for (end, again) in ends.iter().zip(&readers) {
+        let whole = reader.text.clone() + &again.text;
+        match end {
+            End::Done => assert_eq!(whole, draft.expected()),
+            End::Cut | End::Refused(_) => assert!(draft.expected().starts_with(&whole)),
+        }
+    }
+}
+
+#[test]
+fn another_key_does_not_open_a_generation() {
+    let system = SmallSystem::start(1, 1);
+    let draft = Draft::new("secret", TOKENS);
+    let mut reader = system.open("entry-0", &draft);
+    reader.read_bytes(20);
+    let thief = Draft::new("thief", TOKENS);
+    let stolen = system.reopen("entry-0", &thief, &reader.last_id);
+    assert_eq!(stolen.status(), 422);
+    assert_eq!(reader.read_to_end(), End::Done);
+}
+
+#[test]
+fn a_caller_that_left_for_good_costs_nothing_more() {
+    let mut system = SmallSystem::start(0, 1);
+    let extra = serde_json::json!({"reattach_ms": 300});
+    system.deployment.start_entry("entry-9", "zone-0", &extra);
+    system.deployment.await_models("entry-9", 1);
+    let draft = Draft::new("left", 30_000);
+    let mut reader = system.open("entry-9", &draft);
+    reader.read_bytes(20);
+    drop(reader);
+    let engine = system.engines[0].as_ref().expect("the engine runs");
+    let is_idle = wait_until(BOUND_MS, || engine.stats().running == 0);
+    assert!(is_idle, "the generation is cancelled");
+}
--- /dev/null
+++ b/crates/masticsill/tests/system/main.rs
@@ -0,0 +1,9 @@
+//! The whole system as real processes, behind fault proxies.
+
+mod calls_once;
+mod double_losses;
+mod lost_entries;
+mod planned_stops;
+mod single_losses;
+mod support;
+mod whole_path;
--- /dev/null
+++ b/crates/masticsill/tests/system/single_losses.rs
@@ -0,0 +1,113 @@
+//! One loss at a time, in the middle of an answer.
+
+use masticsill_testkit::{Direction, ProxyMode, wait_until};
+
+use crate::support::{BOUND_MS, Draft, End, Reader, SmallSystem};
+
+const TOKENS: u32 = 150;
+const FREEZE_MS: u64 = 4_000;
+
+/// Begins an answer and returns once some of it has come, with the agent that runs it.
+fn begin(system: &SmallSystem, draft: &Draft) -> (Reader, String, usize) {
+    let mut reader = system.open("entry-0", draft);
+    reader.read_bytes(20);
+    let busy = system.busy_engine();
+    (reader, format!("agent-{busy}"), busy)
+}
+
+fn assert_whole(mut reader: Reader, draft: &Draft) {
+    assert_eq!(reader.read_to_end(), End::Done, "so far: {}", reader.text);
+    assert_eq!(reader.text, draft.expected());
+}
+
+#[test]
+fn a_frozen_engine_is_left_and_its_late_tokens_are_dropped() {
+    let system = SmallSystem::start(1, 2);
+    let draft = Draft::new("frozen", TOKENS);
+    let (reader, _, busy) = begin(&system, &draft);
+    let engine = system.engines[busy].as_ref().expect("the engine runs");
+    engine.freeze(FREEZE_MS);
+    assert_whole(reader, &draft);
+}
+
+#[test]
+fn a_lost_instance_is_left() {
+    let mut system = SmallSystem::start(1, 2);
+    let draft = Draft::new("instance", TOKENS);
+    let (reader, agent, busy) = begin(&system, &draft);
+    system.deployment.node_mut(&agent).process.kill();
+    system.engines[busy] = None;
+    assert_whole(reader, &draft);
+}
+
+#[test]
+fn a_dead_agent_is_left_though_its_engine_lives() {
+    let mut system = SmallSystem::start(1, 2);
+    let draft = Draft::new("agent", TOKENS);
+    let (reader, agent, busy) = begin(&system, &draft);
+    system.deployment.node_mut(&agent).process.kill();
+    assert_whole(reader, &draft);
+    let engine = system.engines[busy].as_ref().expect("the engine runs");
+    let is_idle = wait_until(BOUND_MS, || engine.stats().running == 0);
+    assert!(is_idle, "the dead agent's engine stops its generation");
+}
+
+#[test]
+fn a_paused_agent_is_left_and_changes_nothing_when_it_goes_on() {
+    let mut system = SmallSystem::start(1, 2);
+    let draft = Draft::new("paused", TOKENS);
+    let (reader, agent, busy) = begin(&system, &draft);
+    let process = &mut system.deployment.node_mut(&agent).process;
+    process.pause().expect("the agent runs");
+    assert_whole(reader, &draft);
+    let process = &mut system.deployment.node_mut(&agent).process;
+    process.resume().expect("the agent runs");
+    let engine = system.engines[busy].as_ref().expect("the engine runs");
+    let is_idle = wait_until(BOUND_MS, || engine.stats().running == 0);
+    assert!(is_idle, "the abandoned attempt is ended");
+}
+
+#[test]
+fn a_cut_between_entry_and_agent_is_bridged() {
+    let cuts = [
+        ("cut", ProxyMode::Cut),
+        ("silent", ProxyMode::BlackHole(None)),
+        ("one way", ProxyMode::BlackHole(Some(Direction::ToClient))),
+    ];
+    for (name, mode) in cuts {
+        let system = SmallSystem::start(1, 2);
+        let draft = Draft::new(name, TOKENS);
+        let (reader, agent, _) = begin(&system, &draft);
+        system.deployment.node(&agent).proxy.set_mode(mode);
+        assert_whole(reader, &draft);
+    }
+}
+
+#[test]
+fn a_reset_connection_is_made_again() {
+    let system = SmallSystem::start(1, 2);
+    let draft = Draft::new("reset", TOKENS);
+    let (reader, agent, _) = begin(&system, &draft);
+    system.deployment.node(&agent).proxy.reset();
+    assert_whole(reader, &draft);
+}
+
+#[test]
+fn a_paused_entry_moves_nothing() {
+    let mut system = SmallSystem::start(1, 2);
+    let draft = Draft::new("entry paused", TOKENS);
+    let (reader, _, busy) = begin(&system, &draft);
+    let other = 1 - busy;
+    let entry = &mut system.deployment.node_mut("entry-0").process;
+    entry.pause().expect("the entry runs");
+    std::thread::sleep(std::time::Duration::from_millis(1_500));
+    let entry = &mut system.deployment.node_mut("entry-0").process;
+    entry.resume().expect("the entry runs");
+    assert_whole(reader, &draft);
+    let idle = system.engines[other].as_ref().expect("the engine runs");
+    assert_eq!(
+        idle.stats().started,
+        0,
+        "its own pause is not a peer's silence"
+    );
+}
--- /dev/null
+++ b/crates/masticsill/tests/system/support.rs
@@ -0,0 +1,202 @@
+//! A small system and callers that check their whole answer.
+
+use std::path::Path;
+
+use masticsill_testkit::{
+    AnswerSpec, CallerRequest, CallerStream, Deployment, EngineSettings, FakeEngine, ServerEvent,
+    engine_entry, expected_text, model_target,
+};
+use masticsill_types::{ModelId, VersionId};
+use serde_json::{Value, json};
+
+/// Patience of every wait; no verdict depends on it unless the condition never comes.
+pub(crate) const BOUND_MS: u64 = 30_000;
+const STEP_MS: u64 = 10;
+const SEED: u64 = 7;
+
+/// One control replica, entries, and agents with an engine each.
+pub(crate) struct SmallSystem {
+    pub(crate) deployment: Deployment,
+    pub(crate) engines: Vec<Option<FakeEngine>>,
+}
+
+impl SmallSystem {
+    pub(crate) fn start(entry_count: usize, engine_count: usize) -> Self {
+        let mut deployment = Deployment::new(Path::new(env!("CARGO_BIN_EXE_masticsill")));
+        deployment.start_controls(1);
+        for index in 0..entry_count {
+            let name = format!("entry-{index}");
+            deployment.start_entry(&name, "zone-0", &json!({}));
+        }
+        let mut system = Self {
+            deployment,
+            engines: Vec::new(),
+        };
+        for index in 0..engine_count {
+            system.add_engine(index, &json!({}));
+        }
+        let entry = engine_entry("draft", "patient_draft", "draft", "v1");
+        system.deployment.put(&entry, 0);
+        for index in 0..entry_count {
+            system.deployment.await_models(&format!("entry-{index}"), 1);
+        }
+        system
+    }
+
+    pub(crate) fn add_engine(&mut self, index: usize, agent: &Value) {
+        let engine = FakeEngine::start(EngineSettings {
+            loaded: vec![model_target("draft", "v1")],
+            step_ms: STEP_MS,
+            ..EngineSettings::default()
+        });
+        let engine = engine.expect("an engine can be started");
+        let name = format!("agent-{index}");
+        self.deployment
+            .start_engine_agent(&name, "zone-0", engine.address(), agent);
+        self.engines.push(Some(engine));
+    }
+
+    /// The engine that runs a generation now.
+    pub(crate) fn busy_engine(&self) -> usize {
+        let is_busy = |engine: &Option<FakeEngine>| {
+            engine
+                .as_ref()
+                .is_some_and(|engine| engine.stats().running > 0)
+        };
+        let position = self.engines.iter().position(is_busy);
+        position.expect("an engine runs the generation")
+    }
+
+    pub(crate) fn open(&self, entry: &str, request: &Draft) -> Reader {
+        let call = CallerRequest::post(
+            self.deployment.http(entry),
+            "/v1/completions",
+            &request.body(),
+        );
+        let call = call.idempotency_key(&request.prompt);
+        self.open_call(call)
+    }
+
+    pub(crate) fn reopen(&self, entry: &str, request: &Draft, last_id: &str) -> Reader {
+        let call = CallerRequest::post(
+            self.deployment.http(entry),
+            "/v1/completions",
+            &request.body(),
+        );
+        let call = call.idempotency_key(&request.prompt).last_event_id(last_id);
+        self.open_call(call)
+    }
+
+    fn open_call(&self, call: CallerRequest) -> Reader {
+        let stream = self.deployment.caller().open(call, BOUND_MS);
+        Reader {
+            last_id: String::new(),
+            stream: stream.expect("the entry answers"),
+            text: String::new(),
+        }
+    }
+}
+
+/// A draft whose answer is known.
+pub(crate) struct Draft {
+    pub(crate) max_tokens: u32,
+    pub(crate) prompt: String,
+}
+
+impl Draft {
+    pub(crate) fn new(prompt: &str, max_tokens: u32) -> Self {
+        Self {
+            max_tokens,
+            prompt: prompt.to_owned(),
+        }
+    }
+
+    pub(crate) fn body(&self) -> Value {
+        json!({
+            "model": "draft",
+            "prompt": self.prompt,
+            "max_tokens": self.max_tokens,
+            "seed": SEED,
+            "stream": true,
+        })
+    }
+
+    pub(crate) fn expected(&self) -> String {
+        expected_text(&AnswerSpec {
+            adapter: None,
+            max_tokens: self.max_tokens,
+            model: ModelId::new("draft").expect("a valid name"),
+            prompt: self.prompt.clone(),
+            seed: SEED,
+            version: VersionId::new("v1").expect("a valid name"),
+        })
+    }
+}
+
+/// How an answer ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum End {
+    Cut,
+    Done,
+    Refused(String),
+}
+
+/// A streamed answer as far as it was read.
+pub(crate) struct Reader {
+    pub(crate) last_id: String,
+    stream: CallerStream,
+    pub(crate) text: String,
+}
+
+impl Reader {
+    pub(crate) fn status(&self) -> u16 {
+        self.stream.status()
+    }
+
+    /// Reads until at least `length` bytes of text have come.
+    pub(crate) fn read_bytes(&mut self, length: usize) {
+        while self.text.len() < length {
+            assert_eq!(
+                self.read_event(),
+                None,
+                "the answer ended early: {}",
+                self.text
+            );
+        }
+    }
+
+    /// Reads to the end.
+    pub(crate) fn read_to_end(&mut self) -> End {
+        loop {
+            if let Some(end) = self.read_event() {
+                return end;
+            }
+        }
+    }
+
+    fn read_event(&mut self) -> Option<End> {
+        let Ok(event) = self.stream.next_event(BOUND_MS) else {
+            return Some(End::Cut);
+        };
+        let Some(event) = event else {
+            return Some(End::Cut);
+        };
+        self.take(&event)
+    }
+
+    fn take(&mut self, event: &ServerEvent) -> Option<End> {
+        if event.data == "[DONE]" {
+            return Some(End::Done);
+        }
+        let data: Value = serde_json::from_str(&event.data).expect("events carry JSON");
+        if let Some(kind) = data["error"]["kind"].as_str() {
+            return Some(End::Refused(kind.to_owned()));
+        }
+        if let Some(id) = &event.id {
+            self.last_id.clone_from(id);
+        }
+        let text = data["choices"][0]["text"].as_str().unwrap_or_default();
+        self.text.push_str(text);
+        None
+    }
+}
--- a/crates/masticsill_entry/src/role.rs
+++ b/crates/masticsill_entry/src/role.rs
@@ -18,37 +18,35 @@
 use crate::readiness::Readiness;
 use crate::sessions_duty::{INPUT_RING_ITEMS, SessionInput, run_sessions};
 
-/// Connections of other entries that wait to be served.
-const PEER_RING_ITEMS: usize = 256;
 const DRAIN_POLL_MS: u64 = 20;
 
 /// A running entry.
 #[derive(Debug)]
 pub struct EntryRole {
     config: Arc<EntryConfig>,
+    connections: Ring<ServiceStream>,
     duties: Vec<DutyHandle>,
     host: HttpHost,
     inputs: Ring<SessionInput>,
     mesh: MeshHandle,
     open_work: OpenWork,
-    peers: Ring<ServiceStream>,
     readiness: Readiness,
 }
 
 impl EntryRole {
-    /// Starts the entry's duties.
+    /// Starts the entry's duties; `connections` brings other entries' connections.
     ///
     /// # Errors
     ///
     /// The operating system's error when the address can't be bound or no thread can be started.
     pub fn start(
         config: EntryConfig,
+        connections: Ring<ServiceStream>,
         mesh: MeshHandle,
         metrics: Metrics,
         clock: MonotonicClock,
     ) -> io::Result<Self> {
         let inputs = Ring::with_capacity(INPUT_RING_ITEMS);
-        let peers = Ring::with_capacity(PEER_RING_ITEMS);
         let open_work = OpenWork::default();
         let readiness = Readiness::default();
         let sessions = {
@@ -59,8 +57,8 @@
             })?
         };
         let peer_duty = {
-            let (peers, inputs) = (peers.clone(), inputs.clone());
-            spawn_async_duty("peers", move || serve_peers(peers, inputs))?
+            let (connections, inputs) = (connections.clone(), inputs.clone());
+            spawn_async_duty("peers", move || serve_peers(connections, inputs))?
         };
         let config = Arc::new(config);
         let host = start_http(Gateway {
@@ -75,12 +73,12 @@
         log_event!(info, events::ENTRY_READY, address = host.address());
         Ok(Self {
             config,
+            connections,
             duties: vec![sessions, peer_duty],
             host,
             inputs,
             mesh,
             open_work,
-            peers,
             readiness,
         })
     }
@@ -91,12 +89,6 @@
         self.host.address()
     }
 
-    /// The ring that takes other entries' connections.
-    #[must_use]
-    pub fn peer_connections(&self) -> Ring<ServiceStream> {
-        self.peers.clone()
-    }
-
     /// Ends gracefully: readiness goes off, requests are still accepted for the balancer's grace,
     /// then running streams and calls finish, for the drain time at most.
     ///
@@ -113,7 +105,7 @@
         log_event!(info, events::DRAIN_ENDED, open = self.open_work.count());
         self.host.stop()?;
         self.inputs.close();
-        self.peers.close();
+        self.connections.close();
         for duty in self.duties {
             duty.join()?;
         }
