--- /dev/null
+++ b/crates/masticsill_control/src/role.rs
@@ -0,0 +1,204 @@
+//! Starting and stopping a control replica.
+
+use std::net::SocketAddr;
+use std::thread;
+use std::time::{Duration, Instant};
+use std::{fmt, io};
+
+use masticsill_quorum::storage::Storage;
+use masticsill_runtime::{
+    DutyHandle, Metrics, Ring, ServiceStream, ShutdownSignal, spawn_async_duty,
+};
+use masticsill_types::{MonotonicClock, log_event};
+use masticsill_wire::control::{RenewReply, RenewRequest};
+use tokio::sync::watch;
+
+use crate::book::AddressBook;
+use crate::config::ControlConfig;
+use crate::error::ControlError;
+use crate::events;
+use crate::http::{self, HttpEdge};
+use crate::quorum::{
+    DutyParts, Job, Machine, PublishedState, QuorumDuty, QuorumHandle, Request, Status,
+    StorageProgress, StorageQueue, run_storage,
+};
+use crate::rpc::{self, RpcParts};
+
+const REQUESTS: usize = 8_192;
+const JOBS: usize = 4_096;
+const MESSAGES: usize = 16_384;
+const CALLS: usize = 1_024;
+/// How long a stop waits for another replica to take leadership over.
+const HANDOVER_BOUND: Duration = Duration::from_secs(2);
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// A running control replica.
+pub struct ControlRole {
+    clock: MonotonicClock,
+    duties: Vec<DutyHandle>,
+    ended: ShutdownSignal,
+    http: HttpEdge,
+    jobs: Ring<Job>,
+    published: PublishedState,
+    quorum: QuorumHandle,
+}
+
+impl fmt::Debug for ControlRole {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut shown = formatter.debug_struct("ControlRole");
+        shown.field("http_address", &self.http.address());
+        shown.finish_non_exhaustive()
+    }
+}
+
+impl ControlRole {
+    /// Opens the data folder and starts the replica's duties.
+    ///
+    /// `connections` brings the connections to [`ServiceKind::Control`] that the process accepts.
+    ///
+    /// [`ServiceKind::Control`]: masticsill_wire::ServiceKind::Control
+    ///
+    /// # Errors
+    ///
+    /// [`ControlError`] when the folder, the settings or an address can't be used.
+    pub fn start(
+        config: &ControlConfig,
+        connections: Ring<ServiceStream>,
+        clock: MonotonicClock,
+        metrics: Metrics,
+    ) -> Result<Self, ControlError> {
+        let node = config.node.clone();
+        let (storage, recovered) = Storage::open(&config.data_folder, &config.cluster, &node)?;
+        let book = AddressBook::from_settings(config.peers.clone());
+        let requests = Ring::with_capacity(REQUESTS);
+        let jobs = Ring::with_capacity(JOBS);
+        let outgoing = Ring::with_capacity(MESSAGES);
+        let calls = Ring::with_capacity(CALLS);
+        let (status, status_receiver) = watch::channel(Status::default());
+        let (progress, progress_receiver) = watch::channel(StorageProgress::default());
+        let published = PublishedState::new(clock.now());
+        let quorum_duty = QuorumDuty::new(DutyParts {
+            book: book.clone(),
+            clock,
+            machine: Machine::new(clock.now()),
+            metrics,
+            outgoing: outgoing.clone(),
+            progress: progress_receiver,
+            published: published.clone(),
+            requests: requests.clone(),
+            settings: config.replica.clone(),
+            status,
+            storage: StorageQueue::new(jobs.clone()),
+            stored: recovered.state,
+        })?;
+        let quorum = QuorumHandle {
+            requests,
+            status: status_receiver,
+        };
+        let ended = ShutdownSignal::default();
+        let parts = RpcParts {
+            book,
+            calls: calls.clone(),
+            clock,
+            connections,
+            ended: ended.clone(),
+            outgoing,
+            published: published.clone(),
+            quorum: quorum.clone(),
+        };
+        let rpc_config = config.clone();
+        let http = HttpEdge::start(config.http_address, http::state(config, &quorum, calls))?;
+        let jobs_taken = jobs.clone();
+        let duties = vec![
+            spawn_async_duty("control_rpc", || rpc::run(rpc_config, parts))?,
+            spawn_async_duty("control_storage", || {
+                run_storage(storage, jobs_taken, progress)
+            })?,
+            spawn_async_duty("control_quorum", || quorum_duty.run())?,
+        ];
+        log_event!(
+            info,
+            events::CONTROL_STARTED,
+            node = node,
+            rpc = config.rpc_address,
+            http = http.address()
+        );
+        Ok(Self {
+            clock,
+            duties,
+            ended,
+            http,
+            jobs,
+            published,
+            quorum,
+        })
+    }
+
+    /// The bound address of the administration API.
+    #[must_use]
+    pub fn http_address(&self) -> SocketAddr {
+        self.http.address()
+    }
+
+    /// Answers renewals of catalogue copies at once, from this replica's state and its proof.
+    pub fn renewals(&self) -> impl Fn(RenewRequest) -> RenewReply + Send + Sync + 'static {
+        let published = self.published.clone();
+        let clock = self.clock;
+        move |request| published.answer_renewal(clock.now(), request)
+    }
+
+    /// Whether storage or state failed: the replica has stopped and the process must end.
+    #[must_use]
+    pub fn has_failed(&self) -> bool {
+        self.quorum.status().has_failed
+    }
+
+    /// Whether this replica leads and has proved it within its lease.
+    #[must_use]
+    pub fn is_leading(&self) -> bool {
+        self.quorum.status().is_leading
+    }
+
+    /// Ends the replica: hands leadership over, finishes the calls under way, syncs and stops.
+    ///
+    /// # Errors
+    ///
+    /// An error naming a duty that panicked.
+    pub fn stop(self) -> io::Result<()> {
+        self.http.refuse_readiness();
+        if self.quorum.requests.push(Request::Stop).is_ok() {
+            self.await_handover();
+        }
+        self.end(true)
+    }
+
+    /// Ends the replica at once, as far as a process can do that to itself.
+    ///
+    /// # Errors
+    ///
+    /// An error naming a duty that panicked.
+    pub fn abort(self) -> io::Result<()> {
+        self.quorum.requests.close();
+        self.end(false)
+    }
+
+    fn end(self, is_graceful: bool) -> io::Result<()> {
+        let address = self.http.address();
+        self.http.stop(is_graceful)?;
+        self.quorum.requests.close();
+        self.ended.request();
+        self.jobs.close();
+        for duty in self.duties {
+            duty.join()?;
+        }
+        log_event!(info, events::CONTROL_STOPPED, http = address);
+        Ok(())
+    }
+
+    fn await_handover(&self) {
+        let bound = Instant::now() + HANDOVER_BOUND;
+        while self.is_leading() && Instant::now() < bound {
+            thread::sleep(POLL_INTERVAL);
+        }
+    }
+}
