Keep the test caller's concurrent requests from hanging

Cause: with a connection limit of zero, ntex's client pool wakes no request that waits while another connection to the same address is being opened (pool.rs: acquired < limit). Ruled out: one client for each request (slower, and hides nothing else). Change: a high limit instead of zero.

--- a/crates/masticsill_testkit/src/caller.rs
+++ b/crates/masticsill_testkit/src/caller.rs
@@ -17,8 +17,11 @@
 
 use crate::events::{ServerEvent, ServerEventDecoder};
 
-/// `ntex` takes zero as no limit; its default is 8 connections.
-const UNLIMITED_CONNECTIONS: usize = 0;
+/// More than any test opens; the default is 8.
+///
+/// Zero would be no limit, but then `ntex` 3.12 never wakes a request that waits while another
+/// connection to the same address is being opened.
+const MAX_CONNECTIONS: usize = 65_536;
 
 /// Why a call gave nothing more.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
@@ -298,7 +301,7 @@
 
 async fn run_commands(mut commands: async_mpsc::UnboundedReceiver<Command>) {
     let built = Client::builder()
-        .connector::<()>(Connector::new().limit(UNLIMITED_CONNECTIONS))
+        .connector::<()>(Connector::new().limit(MAX_CONNECTIONS))
         .disable_redirects()
         .disable_timeout()
         .build(SharedCfg::new("CALLER"))
