--- a/crates/masticsill_agent/src/config.rs
+++ b/crates/masticsill_agent/src/config.rs
@@ -5,6 +5,9 @@
 use masticsill_generation::{BookLimits, CallLimits, FreezeLimits};
 use masticsill_types::{ModelId, NodeId};
 
+/// Room for 1,000 running answers of 16,384 tokens each.
+const MAX_RECORD_BYTES: usize = 1024 * 1024 * 1024;
+
 /// What stands beside the agent.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Endpoint {
@@ -51,7 +54,7 @@
             book: BookLimits {
                 gather_ms: 2,
                 keep_ms: 60_000,
-                max_bytes: 128 * 1024 * 1024,
+                max_bytes: MAX_RECORD_BYTES,
                 max_records: 4_096,
                 orphan_ms: 15_000,
                 retry_after_ms: 1_000,
--- a/crates/masticsill_agent/tests/token_streams.rs
+++ b/crates/masticsill_agent/tests/token_streams.rs
@@ -147,6 +147,30 @@
     agent.stop();
 }
 
+#[test]
+fn later_life_of_an_agent_knows_nothing_and_the_engine_is_free() {
+    let engine = engine(|_| {});
+    let agent = TestAgent::beside(&engine);
+    let entry = TestEntry::connect(&agent);
+    let mut record = Record::new(spec(8, 400), 5);
+    entry.start(&record);
+    entry.pull_until(&mut record, |record| record.next_index() >= TokenIndex(5));
+    let life = entry.pull(&record).incarnation;
+    agent.stop();
+    wait_for("the engine is free", || engine.stats().cancelled == 1);
+
+    let agent = TestAgent::beside(&engine);
+    let entry = TestEntry::connect(&agent);
+    let reply = entry.pull(&record);
+    assert_eq!(reply.progress[0].state, ProgressState::Unknown);
+    assert!(reply.incarnation > life);
+    record.begin_attempt();
+    assert_eq!(entry.start(&record), StartReply::Accepted);
+    assert_matches!(entry.pull_to_end(&mut record), AttemptState::Finished(_));
+    assert_eq!(record.tokens(), whole_answer(record.spec()));
+    agent.stop();
+}
+
 #[test]
 fn missing_version_is_said() {
     let engine = engine(|_| {});
