--- a/crates/masticsill_runtime/src/lib.rs
+++ b/crates/masticsill_runtime/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod duty;
 pub mod events;
+mod http;
 mod logging;
 mod metrics;
 mod ring;
@@ -11,8 +12,9 @@
 mod shutdown;
 
 pub use duty::{DutyHandle, spawn_async_duty, spawn_duty};
+pub use http::HttpHost;
 pub use logging::start_logging;
 pub use metrics::{Metrics, MetricsError};
 pub use ring::{Ring, RingFull};
-pub use rpc::{RpcListener, RpcTransport, connect_transport, listen};
+pub use rpc::{RpcListener, RpcTransport, ServiceStream, connect_transport, listen};
 pub use shutdown::{ShutdownSignal, watch_signals};
