Kill and freeze real engine processes in the system's tests

Cause: dropping an in-process stand-in left its open streams running, so the test of a dead engine passed without a death; the trial showed it when no engine was busy for 30 s. Ruled out: the entry or agent missing the loss: agents said engine_lost at once. Change: EngineProcess; tests kill and stop real processes and check that the other engine continued; a dead service instead of a proxied dead agent shows not run, because a proxy accepts for the dead. Conclusion: single and double losses, returning callers, planned stops and calls that run once hold with real processes.

--- a/crates/masticsill/tests/system/calls_once.rs
+++ b/crates/masticsill/tests/system/calls_once.rs
@@ -1,5 +1,6 @@
 //! Calls that may not be repeated run at most once, and callers are told the truth.
 
+use std::net::TcpListener;
 use std::path::Path;
 
 use masticsill_testkit::{
@@ -107,11 +108,42 @@
 
 #[test]
 fn a_call_that_never_left_is_not_run_and_moves_on() {
+    let mut system = CallSystem::start(1, 1, 1);
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let dead = listener.local_addr().expect("the port is bound");
+    drop(listener);
+    let deployment = &mut system.deployment;
+    deployment.start_service_agent("agent-dead", "zone-0", dead, "orders");
+    let is_known = wait_until(BOUND_MS, || {
+        let log = system.deployment.node("entry-0").process.log();
+        log.contains("node=agent-dead")
+    });
+    assert!(is_known, "the entry knows the agent without a service");
+    for number in 0..6 {
+        let item = format!("grout {number}");
+        let answer = system.order("entry-0", &item, &item);
+        assert_eq!(answer.status, 200, "{}", answer.json());
+        assert_eq!(system.runs(&item), 1);
+    }
+}
+
+#[test]
+fn a_dead_agent_gives_a_true_answer() {
     let mut system = CallSystem::start(1, 1, 2);
     system.deployment.node_mut("agent-0").process.kill();
-    let answer = system.order("entry-0", "key-4", "grout");
-    assert_eq!(answer.status, 200, "{}", answer.json());
-    assert_eq!(system.runs("grout"), 1);
+    for number in 0..6 {
+        let item = format!("joint {number}");
+        let answer = system.order("entry-0", &item, &item);
+        let runs = system.runs(&item);
+        if answer.status == 200 {
+            assert_eq!(runs, 1);
+        } else if outcome(&answer) == json!("not_run") {
+            assert_eq!(runs, 0);
+        } else {
+            assert_eq!(outcome(&answer), json!("outcome_unknown"));
+            assert!(runs <= 1);
+        }
+    }
 }
 
 #[test]
--- a/crates/masticsill/tests/system/double_losses.rs
+++ b/crates/masticsill/tests/system/double_losses.rs
@@ -12,7 +12,7 @@
     for length in [20, 60] {
         reader.read_bytes(length);
         let busy = system.busy_engine();
-        system.engines[busy] = None;
+        system.engines[busy].process.kill();
     }
     assert_eq!(reader.read_to_end(), End::Done);
     assert_eq!(reader.text, draft.expected());
@@ -29,7 +29,7 @@
     for lost in [busy, other] {
         let agent = format!("agent-{lost}");
         system.deployment.node_mut(&agent).process.kill();
-        system.engines[lost] = None;
+        system.engines[lost].process.kill();
     }
     assert_eq!(reader.read_to_end(), End::Done);
     assert_eq!(reader.text, draft.expected());
@@ -43,7 +43,7 @@
     reader.read_bytes(20);
     let busy = system.busy_engine();
     system.deployment.node_mut("entry-0").process.kill();
-    system.engines[busy] = None;
+    system.engines[busy].process.kill();
     reader.read_to_end();
     let mut again = system.reopen("entry-1", &draft, &reader.last_id);
     assert_eq!(again.read_to_end(), End::Done);
--- a/crates/masticsill/tests/system/lost_entries.rs
+++ b/crates/masticsill/tests/system/lost_entries.rs
@@ -17,12 +17,7 @@
     let mut again = system.reopen("entry-1", &draft, &reader.last_id);
     assert_eq!(again.read_to_end(), End::Done);
     assert_eq!(reader.text + &again.text, draft.expected());
-    let started: u64 = system
-        .engines
-        .iter()
-        .flatten()
-        .map(|engine| engine.stats().started)
-        .sum();
+    let started = system.started(0) + system.started(1);
     assert_eq!(
         started, 1,
         "the running attempt is continued, not begun again"
@@ -88,7 +83,6 @@
     let mut reader = system.open("entry-9", &draft);
     reader.read_bytes(20);
     drop(reader);
-    let engine = system.engines[0].as_ref().expect("the engine runs");
-    let is_idle = wait_until(BOUND_MS, || engine.stats().running == 0);
+    let is_idle = wait_until(BOUND_MS, || system.running(0) == 0);
     assert!(is_idle, "the generation is cancelled");
 }
--- a/crates/masticsill/tests/system/planned_stops.rs
+++ b/crates/masticsill/tests/system/planned_stops.rs
@@ -22,16 +22,12 @@
     let process = &mut system.deployment.node_mut(&agent).process;
     let status = process.wait_for_end(BOUND_MS).expect("the agent ends");
     assert!(status.success());
-    let before = system.engines[busy]
-        .as_ref()
-        .map(|engine| engine.stats().started);
+    let before = system.started(busy);
     for number in 0..4 {
         let draft = Draft::new(&format!("after {number}"), 5);
         assert_eq!(system.open("entry-0", &draft).read_to_end(), End::Done);
     }
-    let after = system.engines[busy]
-        .as_ref()
-        .map(|engine| engine.stats().started);
+    let after = system.started(busy);
     assert_eq!(after, before, "nothing new reaches the endpoint that left");
 }
 
--- a/crates/masticsill/tests/system/single_losses.rs
+++ b/crates/masticsill/tests/system/single_losses.rs
@@ -5,7 +5,6 @@
 use crate::support::{BOUND_MS, Draft, End, Reader, SmallSystem};
 
 const TOKENS: u32 = 150;
-const FREEZE_MS: u64 = 4_000;
 
 /// Begins an answer and returns once some of it has come, with the agent that runs it.
 fn begin(system: &SmallSystem, draft: &Draft) -> (Reader, String, usize) {
@@ -22,12 +21,16 @@
 
 #[test]
 fn a_frozen_engine_is_left_and_its_late_tokens_are_dropped() {
-    let system = SmallSystem::start(1, 2);
+    let mut system = SmallSystem::start(1, 2);
     let draft = Draft::new("frozen", TOKENS);
-    let (reader, _, busy) = begin(&system, &draft);
-    let engine = system.engines[busy].as_ref().expect("the engine runs");
-    engine.freeze(FREEZE_MS);
+    let (mut reader, _, busy) = begin(&system, &draft);
+    let engine = &mut system.engines[busy].process;
+    engine.pause().expect("the engine runs");
+    reader.read_bytes(draft.expected().len() / 2);
+    let engine = &mut system.engines[busy].process;
+    engine.resume().expect("the engine runs");
     assert_whole(reader, &draft);
+    assert_eq!(system.started(1 - busy), 1, "the other engine continued it");
 }
 
 #[test]
@@ -36,7 +39,7 @@
     let draft = Draft::new("instance", TOKENS);
     let (reader, agent, busy) = begin(&system, &draft);
     system.deployment.node_mut(&agent).process.kill();
-    system.engines[busy] = None;
+    system.engines[busy].process.kill();
     assert_whole(reader, &draft);
 }
 
@@ -47,8 +50,7 @@
     let (reader, agent, busy) = begin(&system, &draft);
     system.deployment.node_mut(&agent).process.kill();
     assert_whole(reader, &draft);
-    let engine = system.engines[busy].as_ref().expect("the engine runs");
-    let is_idle = wait_until(BOUND_MS, || engine.stats().running == 0);
+    let is_idle = wait_until(BOUND_MS, || system.running(busy) == 0);
     assert!(is_idle, "the dead agent's engine stops its generation");
 }
 
@@ -62,8 +64,7 @@
     assert_whole(reader, &draft);
     let process = &mut system.deployment.node_mut(&agent).process;
     process.resume().expect("the agent runs");
-    let engine = system.engines[busy].as_ref().expect("the engine runs");
-    let is_idle = wait_until(BOUND_MS, || engine.stats().running == 0);
+    let is_idle = wait_until(BOUND_MS, || system.running(busy) == 0);
     assert!(is_idle, "the abandoned attempt is ended");
 }
 
@@ -104,9 +105,8 @@
     let entry = &mut system.deployment.node_mut("entry-0").process;
     entry.resume().expect("the entry runs");
     assert_whole(reader, &draft);
-    let idle = system.engines[other].as_ref().expect("the engine runs");
     assert_eq!(
-        idle.stats().started,
+        system.started(other),
         0,
         "its own pause is not a peer's silence"
     );
--- a/crates/masticsill/tests/system/support.rs
+++ b/crates/masticsill/tests/system/support.rs
@@ -3,11 +3,12 @@
 use std::path::Path;
 
 use masticsill_testkit::{
-    AnswerSpec, CallerRequest, CallerStream, Deployment, EngineSettings, FakeEngine, ServerEvent,
-    engine_entry, expected_text, model_target,
+    AnswerSpec, CallerRequest, CallerStream, Deployment, EngineProcess, EngineProcessSettings,
+    ServerEvent, engine_entry, expected_text, wait_until,
 };
 use masticsill_types::{ModelId, VersionId};
 use serde_json::{Value, json};
+use tempfile::TempDir;
 
 /// Patience of every wait; no verdict depends on it unless the condition never comes.
 pub(crate) const BOUND_MS: u64 = 30_000;
@@ -17,7 +18,8 @@
 /// One control replica, entries, and agents with an engine each.
 pub(crate) struct SmallSystem {
     pub(crate) deployment: Deployment,
-    pub(crate) engines: Vec<Option<FakeEngine>>,
+    pub(crate) engines: Vec<EngineProcess>,
+    folder: TempDir,
 }
 
 impl SmallSystem {
@@ -31,6 +33,7 @@
         let mut system = Self {
             deployment,
             engines: Vec::new(),
+            folder: TempDir::new().expect("a temporary folder can be made"),
         };
         for index in 0..engine_count {
             system.add_engine(index, &json!({}));
@@ -44,29 +47,42 @@
     }
 
     pub(crate) fn add_engine(&mut self, index: usize, agent: &Value) {
-        let engine = FakeEngine::start(EngineSettings {
-            loaded: vec![model_target("draft", "v1")],
+        let settings = EngineProcessSettings {
+            model: "draft",
+            slots: 16,
             step_ms: STEP_MS,
-            ..EngineSettings::default()
-        });
-        let engine = engine.expect("an engine can be started");
+            version: "v1",
+        };
+        let log = self.folder.path().join(format!("engine-{index}.log"));
+        let engine = EngineProcess::start(settings, &log);
         let name = format!("agent-{index}");
         self.deployment
             .start_engine_agent(&name, "zone-0", engine.address(), agent);
-        self.engines.push(Some(engine));
+        self.engines.push(engine);
     }
 
-    /// The engine that runs a generation now.
+    /// The engine that runs a generation; between two engines it waits for the next one.
     pub(crate) fn busy_engine(&self) -> usize {
-        let is_busy = |engine: &Option<FakeEngine>| {
-            engine
-                .as_ref()
-                .is_some_and(|engine| engine.stats().running > 0)
-        };
-        let position = self.engines.iter().position(is_busy);
+        let mut position = None;
+        wait_until(BOUND_MS, || {
+            position = (0..self.engines.len()).find(|engine| self.running(*engine) > 0);
+            position.is_some()
+        });
         position.expect("an engine runs the generation")
     }
 
+    /// Generations that an engine decodes now; none when it is dead.
+    pub(crate) fn running(&self, engine: usize) -> u64 {
+        let stats = self.engines[engine].stats(self.deployment.caller());
+        stats.map_or(0, |stats| stats.running)
+    }
+
+    /// Generations that a living engine has taken in.
+    pub(crate) fn started(&self, engine: usize) -> u64 {
+        let stats = self.engines[engine].stats(self.deployment.caller());
+        stats.expect("the engine answers").started
+    }
+
     pub(crate) fn open(&self, entry: &str, request: &Draft) -> Reader {
         let call = CallerRequest::post(
             self.deployment.http(entry),
--- a/crates/masticsill/tests/system/whole_path.rs
+++ b/crates/masticsill/tests/system/whole_path.rs
@@ -36,7 +36,8 @@
     let mut reader = system.open("entry-0", &draft);
     reader.read_bytes(20);
     let busy = system.busy_engine();
-    system.engines[busy] = None;
+    system.engines[busy].process.kill();
     assert_eq!(reader.read_to_end(), End::Done);
     assert_eq!(reader.text, draft.expected());
+    assert_eq!(system.started(1 - busy), 1, "the other engine continued it");
 }
--- a/crates/masticsill_testkit/src/lib.rs
+++ b/crates/masticsill_testkit/src/lib.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod deployment;
 mod engine;
+mod engine_process;
 mod events;
 mod hosting;
 mod process;
@@ -15,6 +16,7 @@
     AnswerSpec, EngineSettings, EngineStats, FakeEngine, expected_answer, expected_text,
     model_target, prefix_hashes,
 };
+pub use engine_process::{EngineProcess, EngineProcessSettings};
 pub use events::ServerEvent;
 pub use process::{
     ProcessError, ProcessUnderTest, built_binary, built_example, wait_until, write_settings,
