--- a/crates/masticsill/tests/system/lost_entries.rs
+++ b/crates/masticsill/tests/system/lost_entries.rs
@@ -2,7 +2,7 @@
 
 use masticsill_testkit::wait_until;
 
-use crate::support::{BOUND_MS, Draft, End, SmallSystem};
+use crate::support::{BOUND_MS, Draft, End, Reader, SmallSystem};
 
 const TOKENS: u32 = 150;
 
@@ -49,7 +49,7 @@
     reader.read_to_end();
     let mut readers =
         ["entry-1", "entry-2"].map(|entry| system.reopen(entry, &draft, &reader.last_id));
-    let ends = readers.each_mut().map(|reader| reader.read_to_end());
+    let ends = readers.each_mut().map(Reader::read_to_end);
     let done = ends.iter().filter(|end| **end == End::Done).count();
     assert_eq!(done, 1, "one of them owns the generation: {ends:?}");
     for (end, again) in ends.iter().zip(&readers) {
--- a/crates/masticsillctl/src/arguments.rs
+++ b/crates/masticsillctl/src/arguments.rs
@@ -30,6 +30,7 @@
     Check { file: String },
     Delete(ChangeArguments),
     Get { id: String },
+    HashToken,
     Help,
     List,
     ReplaceReplica(Replacement),
@@ -175,6 +176,7 @@
         }),
         ["delete", id] => Ok(Command::Delete(change(id))),
         ["get", id] => Ok(Command::Get { id: id.to_owned() }),
+        ["hash-token"] => Ok(Command::HashToken),
         ["help"] => Ok(Command::Help),
         ["list"] => Ok(Command::List),
         ["replace-replica", old] => Ok(Command::ReplaceReplica(Replacement {
--- a/crates/masticsillctl/src/help.rs
+++ b/crates/masticsillctl/src/help.rs
@@ -20,6 +20,9 @@
   replace-replica OLD      replace a control instance whose folder or machine was lost by one
                            that runs with an empty data folder, and wait until it is done
 
+Operators:
+  hash-token               print the hash of the token, for `token_blake3` in the settings
+
 Options:
   --address HOST:PORT      administration API of any control instance; may be repeated, the next
                            one is tried when one does not answer (or MASTICSILL_ADDRESS, separated
--- a/crates/masticsillctl/src/main.rs
+++ b/crates/masticsillctl/src/main.rs
@@ -33,6 +33,7 @@
             Ok(())
         }
         Command::Check { file } => catalogue::check(file),
+        Command::HashToken => print_token_hash(&arguments),
         _ => {
             let system = ntex::rt::System::new("masticsillctl", ntex::rt::DefaultRuntime);
             system.block_on(run_remote(arguments))
@@ -40,6 +41,16 @@
     }
 }
 
+/// Prints the hash under which a control replica's settings know the operator's token.
+fn print_token_hash(arguments: &Arguments) -> eyre::Result<()> {
+    let Some(token) = &arguments.token else {
+        let message = "hash-token needs a token; name its file with --token-file";
+        return Err(Failure::Usage(message.to_owned()).into());
+    };
+    println!("{}", blake3::hash(token.as_bytes()).to_hex());
+    Ok(())
+}
+
 async fn run_remote(arguments: Arguments) -> eyre::Result<()> {
     let api = api::Api::connect(&arguments).await?;
     let output = output::Output {
@@ -56,6 +67,6 @@
             operations::replace_replica(&api, output, replacement).await
         }
         Command::Watch { from, is_once } => catalogue::watch(&api, output, from, is_once).await,
-        Command::Check { .. } | Command::Help => Ok(()),
+        Command::Check { .. } | Command::HashToken | Command::Help => Ok(()),
     }
 }
