Routing: public API and first implementation

Ruled out: one queue for all models (a blocked model would hold up the others); deciding by reported load alone. Change: Router, placement policies, fair queues, limits, retry budgets, leased shares. Conclusion: API to build on; not yet tested.

--- /dev/null
+++ b/crates/masticsill_routing/src/cache_view.rs
@@ -0,0 +1,84 @@
+//! What is known of an engine's prefix cache from late events with gaps.
+
+use indexmap::IndexMap;
+
+const KEPT_PREFIXES: usize = 512;
+
+/// One change of an engine's prefix cache.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CacheChange {
+    /// Whether the prefix was stored, or dropped.
+    pub is_stored: bool,
+    /// Hash of the prefix.
+    pub prefix_hash: u64,
+    /// Position in the engine's sequence of events; a jump is a gap.
+    pub sequence: u64,
+}
+
+/// Whether a prefix is in an engine's cache.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Cached {
+    No,
+    Unknown,
+    Yes,
+}
+
+/// The prefixes that an engine said it stored.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct CacheView {
+    /// Raised by each gap; what was known before it is only likely afterwards.
+    epoch: u32,
+    last_sequence: Option<u64>,
+    stored: IndexMap<u64, u32>,
+}
+
+impl CacheView {
+    pub(crate) fn take(&mut self, change: CacheChange) {
+        let is_repeated = self
+            .last_sequence
+            .is_some_and(|last| change.sequence <= last);
+        if is_repeated {
+            return;
+        }
+        let is_next = match self.last_sequence {
+            Some(last) => change.sequence == last + 1,
+            None => change.sequence <= 1,
+        };
+        if !is_next {
+            self.epoch += 1;
+        }
+        self.last_sequence = Some(change.sequence);
+        if change.is_stored {
+            self.store(change.prefix_hash, self.epoch);
+        } else {
+            self.stored.swap_remove(&change.prefix_hash);
+        }
+    }
+
+    /// Notes that work with this prefix was sent there; its event is still to come.
+    pub(crate) fn expect(&mut self, prefix_hash: u64) {
+        if !self.stored.contains_key(&prefix_hash) {
+            self.store(prefix_hash, self.epoch.wrapping_sub(1));
+        }
+    }
+
+    pub(crate) fn holds(&self, prefix_hash: u64) -> Cached {
+        match self.stored.get(&prefix_hash) {
+            Some(epoch) if *epoch == self.epoch => Cached::Yes,
+            None if self.epoch == 0 && self.last_sequence.is_some() => Cached::No,
+            Some(_) | None => Cached::Unknown,
+        }
+    }
+
+    /// Whether this very prefix was stored or sent there, so that unknown means likely.
+    pub(crate) fn has_seen(&self, prefix_hash: u64) -> bool {
+        self.stored.contains_key(&prefix_hash)
+    }
+
+    fn store(&mut self, prefix_hash: u64, epoch: u32) {
+        if self.stored.len() >= KEPT_PREFIXES {
+            self.stored.swap_remove_index(0);
+        }
+        self.stored.insert(prefix_hash, epoch);
+    }
+}
--- /dev/null
+++ b/crates/masticsill_routing/src/fair_queue.rs
@@ -0,0 +1,196 @@
+//! Requests that wait for one model in one class, fairly among workspaces.
+//!
+//! Start-time fair queueing: each workspace has a tag, raised by the cost of each request that it
+//! starts; the lowest tag is served first, and a workspace that was idle begins at the tag of the
+//! one served last, so that it earns no credit. A workspace may fill half of the room that is
+//! left, so a large one never shuts the others out.
+
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+use masticsill_types::{ClockMs, GenerationId, WorkspaceId};
+
+use crate::request::WorkRequest;
+
+/// Workspaces whose first request is tried when earlier ones can't start yet.
+const TRIED_FLOWS: usize = 16;
+
+/// What came of trying to start a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Trial<T> {
+    /// It starts, with this.
+    Started(T),
+    /// It can't start now; others may.
+    Skipped,
+    /// Nothing in this queue can start now.
+    Stopped,
+}
+
+/// A request that waits.
+#[derive(Clone, Debug)]
+pub(crate) struct Waiting {
+    pub(crate) expires_at: ClockMs,
+    pub(crate) request: WorkRequest,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Flow {
+    cost: u64,
+    tag: u64,
+    waiting: VecDeque<Waiting>,
+}
+
+/// What is ahead of a new request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Ahead {
+    /// Cost that is served before it, as well as can be told.
+    pub(crate) cost: u64,
+    /// Whether there is room for it.
+    pub(crate) has_room: bool,
+}
+
+/// The waiting requests of one class for one model.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FairQueue {
+    cost: u64,
+    flows: IndexMap<WorkspaceId, Flow>,
+    length: usize,
+    next_expiry: Option<ClockMs>,
+    virtual_time: u64,
+}
+
+impl FairQueue {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.length == 0
+    }
+
+    /// What would be ahead of a new request: its workspace's own, and of each other workspace as
+    /// much as that one may have in the same time.
+    pub(crate) fn ahead(&self, request: &WorkRequest, capacity: usize) -> Ahead {
+        let flow = self.flows.get(&request.workspace);
+        let own_length = flow.map_or(0, |flow| flow.waiting.len());
+        let own_cost = flow.map_or(0, |flow| flow.cost);
+        let share = own_cost + request.cost();
+        let others = self
+            .flows
+            .iter()
+            .filter(|(name, _)| **name != request.workspace);
+        let others_cost: u64 = others.map(|(_, flow)| flow.cost.min(share)).sum();
+        let room = capacity.saturating_sub(self.length);
+        Ahead {
+            cost: own_cost + others_cost,
+            has_room: own_length < room,
+        }
+    }
+
+    pub(crate) fn push(&mut self, waiting: Waiting) {
+        let cost = waiting.request.cost();
+        let virtual_time = self.virtual_time;
+        let workspace = waiting.request.workspace.clone();
+        let flow = self.flows.entry(workspace).or_default();
+        if flow.waiting.is_empty() {
+            flow.tag = flow.tag.max(virtual_time);
+        }
+        flow.cost += cost;
+        self.cost += cost;
+        self.length += 1;
+        let expires_at = waiting.expires_at;
+        self.next_expiry = Some(
+            self.next_expiry
+                .map_or(expires_at, |next| next.min(expires_at)),
+        );
+        flow.waiting.push_back(waiting);
+    }
+
+    /// Takes the first request in order that `try_start` can start, and what it gave.
+    pub(crate) fn start_next<T>(
+        &mut self,
+        mut try_start: impl FnMut(&WorkRequest) -> Trial<T>,
+    ) -> Option<(WorkRequest, T)> {
+        let mut passed: Option<(u64, usize)> = None;
+        for _ in 0..TRIED_FLOWS {
+            let next = self.flow_after(passed)?;
+            let flow = &self.flows[next.1];
+            let head = flow
+                .waiting
+                .front()
+                .expect("only flows with work are listed");
+            match try_start(&head.request) {
+                Trial::Started(started) => return Some((self.take_head(next.1), started)),
+                Trial::Skipped => passed = Some(next),
+                Trial::Stopped => return None,
+            }
+        }
+        None
+    }
+
+    /// The flow with work that comes next in order after one that was passed over.
+    fn flow_after(&self, passed: Option<(u64, usize)>) -> Option<(u64, usize)> {
+        let flows = self.flows.values().enumerate();
+        let busy = flows.filter(|(_, flow)| !flow.waiting.is_empty());
+        let places = busy.map(|(index, flow)| (flow.tag, index));
+        places
+            .filter(|place| passed.is_none_or(|passed| *place > passed))
+            .min()
+    }
+
+    fn take_head(&mut self, index: usize) -> WorkRequest {
+        let flow = &mut self.flows[index];
+        let waiting = flow
+            .waiting
+            .pop_front()
+            .expect("only flows with work are listed");
+        let cost = waiting.request.cost();
+        self.virtual_time = self.virtual_time.max(flow.tag);
+        flow.tag += cost;
+        flow.cost -= cost;
+        self.cost -= cost;
+        self.length -= 1;
+        self.forget_idle();
+        waiting.request
+    }
+
+    /// Takes out a request that is no longer wanted.
+    pub(crate) fn withdraw(&mut self, workspace: &WorkspaceId, id: GenerationId) -> bool {
+        let Some(flow) = self.flows.get_mut(workspace) else {
+            return false;
+        };
+        let mut waiting = flow.waiting.iter();
+        let Some(place) = waiting.position(|waiting| waiting.request.id == id) else {
+            return false;
+        };
+        let removed = flow
+            .waiting
+            .remove(place)
+            .expect("the place was just found");
+        let cost = removed.request.cost();
+        flow.cost -= cost;
+        self.cost -= cost;
+        self.length -= 1;
+        true
+    }
+
+    /// Takes out one request whose wait is over.
+    pub(crate) fn expire_next(&mut self, now: ClockMs) -> Option<WorkRequest> {
+        if self.next_expiry.is_none_or(|next| next > now) {
+            return None;
+        }
+        let all = self.flows.values().flat_map(|flow| &flow.waiting);
+        let Some(due) = all.clone().find(|waiting| waiting.expires_at <= now) else {
+            self.next_expiry = all.map(|waiting| waiting.expires_at).min();
+            return None;
+        };
+        let request = due.request.clone();
+        self.withdraw(&request.workspace, request.id);
+        Some(request)
+    }
+
+    /// Forgets workspaces that wait for nothing and have no turn to make up.
+    fn forget_idle(&mut self) {
+        let virtual_time = self.virtual_time;
+        let is_kept = |flow: &Flow| !flow.waiting.is_empty() || flow.tag > virtual_time;
+        if self.flows.len() > 2 * self.length + 64 {
+            self.flows.retain(|_, flow| is_kept(flow));
+        }
+    }
+}
--- a/crates/masticsill_routing/src/lib.rs
+++ b/crates/masticsill_routing/src/lib.rs
@@ -1,1 +1,30 @@
 //! Placement, classes, limits, shares, admission and retry budgets.
+//!
+//! [`Router`] decides for one entry which endpoint gets which request, who waits, who is refused
+//! and who is tried again. [`ShareLedger`] and [`ShareClient`] hold a limit across all entries by
+//! leased shares. Pure logic: no sockets, threads or wall clock.
+
+mod cache_view;
+mod config;
+mod endpoint;
+mod fair_queue;
+mod lane;
+mod limits;
+mod number;
+mod placement;
+mod pool;
+mod request;
+mod retry_budget;
+mod router;
+mod shares;
+
+pub use cache_view::CacheChange;
+pub use config::{PlacementPolicy, RouterConfig};
+pub use endpoint::EndpointDescription;
+pub use limits::{LocalLimits, TokenBucket};
+pub use request::{
+    Admit, BackEndTarget, Dequeued, Placement, PrefixBlock, WorkEnd, WorkKind, WorkOutcome,
+    WorkRequest,
+};
+pub use router::{EntryPolicy, Router};
+pub use shares::{ShareClient, ShareGrant, ShareLedger, ShareRequest};
--- /dev/null
+++ b/crates/masticsill_routing/src/placement.rs
@@ -0,0 +1,226 @@
+//! Which endpoint gets a request.
+
+use indexmap::IndexMap;
+use masticsill_types::{Class, ClockMs, NodeId, ZoneId};
+use rand::Rng;
+use rand::rngs::StdRng;
+
+use crate::config::{PlacementPolicy, RouterConfig};
+use crate::endpoint::Endpoint;
+use crate::number::mix;
+use crate::pool::{EndpointIndex, EndpointTable, PoolMember};
+use crate::request::{PrefixBlock, WorkRequest};
+
+/// Random candidates; the better of two avoids herding on stale reports.
+const RANDOM_CHOICES: usize = 2;
+/// Tries to find those among endpoints without a free slot.
+const RANDOM_TRIES: usize = 8;
+/// Endpoints searched one by one when the random tries found none.
+const SEARCHED: usize = 256;
+/// Candidates by rendezvous hash of the prefix.
+const PREFIX_CHOICES: usize = 2;
+/// What a full endpoint costs beside an empty one, in prompt tokens to be computed again.
+const FULL_LOAD_TOKENS: f64 = 4_000.0;
+/// What another zone costs, in prompt tokens.
+const OTHER_ZONE_TOKENS: f64 = 50.0;
+/// Endpoints remembered for one prefix, and prefixes remembered.
+const HOLDERS: usize = 3;
+const KEPT_PREFIXES: usize = 65_536;
+
+/// What is asked of the placement.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Wanted<'a> {
+    /// The class whose slots may be used.
+    pub(crate) class: Class,
+    /// The request.
+    pub(crate) request: &'a WorkRequest,
+    /// Zones allowed; empty allows all.
+    pub(crate) zones: &'a [ZoneId],
+}
+
+/// Chooses endpoints, and remembers which prefixes went where.
+#[derive(Clone, Debug)]
+pub(crate) struct Placer {
+    /// Entries that share the endpoints, this one included.
+    pub(crate) entries: u32,
+    holders: IndexMap<u64, Vec<EndpointIndex>>,
+    next_turn: usize,
+}
+
+impl Placer {
+    pub(crate) fn new() -> Self {
+        Self {
+            entries: 1,
+            holders: IndexMap::new(),
+            next_turn: 0,
+        }
+    }
+
+    /// Chooses an endpoint with a free slot.
+    pub(crate) fn choose(
+        &mut self,
+        now: ClockMs,
+        wanted: Wanted<'_>,
+        table: &EndpointTable,
+        config: &RouterConfig,
+        rng: &mut StdRng,
+    ) -> Option<EndpointIndex> {
+        let search = Search {
+            config,
+            entries: self.entries,
+            now,
+            pool: table.pool(&wanted.request.target),
+            table,
+            wanted,
+        };
+        match config.policy {
+            PlacementPolicy::Affinity => self.choose_by_cost(&search, rng),
+            PlacementPolicy::LeastConnections => search.least_connections(),
+            PlacementPolicy::RoundRobin => {
+                self.next_turn = self.next_turn.wrapping_add(1);
+                search.in_turn(self.next_turn)
+            }
+        }
+    }
+
+    /// Notes where a prompt's prefixes went.
+    pub(crate) fn remember(&mut self, prefix: &[PrefixBlock], index: EndpointIndex) {
+        for block in prefix {
+            if self.holders.len() >= KEPT_PREFIXES {
+                self.holders.swap_remove_index(0);
+            }
+            let holders = self.holders.entry(block.hash).or_default();
+            holders.retain(|known| *known != index);
+            holders.insert(0, index);
+            holders.truncate(HOLDERS);
+        }
+    }
+
+    fn choose_by_cost(&self, search: &Search<'_>, rng: &mut StdRng) -> Option<EndpointIndex> {
+        let mut candidates = search.random(rng);
+        let prefix = &search.wanted.request.prefix;
+        candidates.extend(self.known_holders(prefix));
+        if let Some(first) = prefix.first() {
+            candidates.extend(search.by_rendezvous(first.hash));
+        }
+        let costs = candidates
+            .into_iter()
+            .filter_map(|index| Some((index, search.cost(index)?)));
+        let (index, _) = costs.min_by(|(_, one), (_, other)| one.total_cmp(other))?;
+        Some(index)
+    }
+
+    fn known_holders(&self, prefix: &[PrefixBlock]) -> Vec<EndpointIndex> {
+        let known = |block: &PrefixBlock| self.holders.get(&block.hash).cloned();
+        prefix.iter().rev().find_map(known).unwrap_or_default()
+    }
+}
+
+struct Search<'a> {
+    config: &'a RouterConfig,
+    entries: u32,
+    now: ClockMs,
+    pool: &'a [PoolMember],
+    table: &'a EndpointTable,
+    wanted: Wanted<'a>,
+}
+
+impl Search<'_> {
+    fn allowed(&self, index: EndpointIndex) -> Option<&Endpoint> {
+        let endpoint = self.table.at(index)?;
+        let is_tried = |node: &NodeId| *node == endpoint.node;
+        let zones = self.wanted.zones;
+        let is_allowed = endpoint.is_usable(self.now)
+            && (zones.is_empty() || zones.contains(&endpoint.description.zone))
+            && !self.wanted.request.tried.iter().any(is_tried);
+        is_allowed.then_some(endpoint)
+    }
+
+    fn estimate(&self, endpoint: &Endpoint) -> u32 {
+        endpoint.estimate(self.now, self.config.stale_report_ms, self.entries)
+    }
+
+    fn has_free_slot(&self, endpoint: &Endpoint) -> bool {
+        endpoint.free_slots(self.wanted.class, self.estimate(endpoint)) > 0
+    }
+
+    /// What it costs to run the request there, in prompt tokens; `None` where it can't run.
+    fn cost(&self, index: EndpointIndex) -> Option<f64> {
+        let endpoint = self.allowed(index)?;
+        if !self.has_free_slot(endpoint) {
+            return None;
+        }
+        let request = self.wanted.request;
+        let cached = endpoint
+            .cached_tokens(&request.prefix)
+            .min(request.prompt_tokens);
+        let computed = f64::from(request.prompt_tokens - cached);
+        let ratio = endpoint.load_ratio(self.estimate(endpoint));
+        let is_near = endpoint.description.zone == self.config.zone;
+        let zone = if is_near { 0.0 } else { OTHER_ZONE_TOKENS };
+        Some(computed + ratio * ratio * FULL_LOAD_TOKENS + zone)
+    }
+
+    /// Random endpoints with a free slot.
+    fn random(&self, rng: &mut StdRng) -> Vec<EndpointIndex> {
+        let mut chosen = Vec::with_capacity(RANDOM_CHOICES + PREFIX_CHOICES + HOLDERS);
+        if self.pool.is_empty() {
+            return chosen;
+        }
+        for _ in 0..RANDOM_TRIES {
+            let member = self.pool[rng.random_range(0..self.pool.len())];
+            let endpoint = self.allowed(member.index);
+            if endpoint.is_some_and(|endpoint| self.has_free_slot(endpoint)) {
+                chosen.push(member.index);
+            }
+            if chosen.len() == RANDOM_CHOICES {
+                return chosen;
+            }
+        }
+        if chosen.is_empty() {
+            let start = rng.random_range(0..self.pool.len());
+            let members = self.pool.iter().cycle().skip(start);
+            let mut searched = members.take(self.pool.len().min(SEARCHED));
+            let found = searched.find(|member| {
+                let endpoint = self.allowed(member.index);
+                endpoint.is_some_and(|endpoint| self.has_free_slot(endpoint))
+            });
+            chosen.extend(found.map(|member| member.index));
+        }
+        chosen
+    }
+
+    /// The endpoints that rank highest for a prefix, whatever entry asks.
+    fn by_rendezvous(&self, prefix_hash: u64) -> Vec<EndpointIndex> {
+        let mut best: [Option<(u64, EndpointIndex)>; PREFIX_CHOICES] = [None; PREFIX_CHOICES];
+        for member in self.pool {
+            let rank = mix(member.hash, prefix_hash);
+            if best[1].is_some_and(|(least, _)| rank <= least) {
+                continue;
+            }
+            if best[0].is_none_or(|(most, _)| rank > most) {
+                best[1] = best[0];
+                best[0] = Some((rank, member.index));
+            } else {
+                best[1] = Some((rank, member.index));
+            }
+        }
+        best.iter().flatten().map(|(_, index)| *index).collect()
+    }
+
+    fn least_connections(&self) -> Option<EndpointIndex> {
+        let open = self.pool.iter().filter_map(|member| {
+            let endpoint = self.allowed(member.index)?;
+            Some((member.index, endpoint.in_flight.total()))
+        });
+        let (index, _) = open.min_by_key(|(_, in_flight)| *in_flight)?;
+        Some(index)
+    }
+
+    fn in_turn(&self, turn: usize) -> Option<EndpointIndex> {
+        let start = turn.checked_rem(self.pool.len())?;
+        let members = self.pool.iter().cycle().skip(start).take(self.pool.len());
+        let mut indices = members.map(|member| member.index);
+        indices.find(|index| self.allowed(*index).is_some())
+    }
+}
--- /dev/null
+++ b/crates/masticsill_routing/src/pool.rs
@@ -0,0 +1,136 @@
+//! Every endpoint, and which of them serve what.
+
+use indexmap::IndexMap;
+use masticsill_types::{ClockMs, NodeId};
+
+use crate::config::RouterConfig;
+use crate::endpoint::{Endpoint, EndpointDescription};
+use crate::request::BackEndTarget;
+
+/// Where an endpoint lies in the table; stays the same while the endpoint is known.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct EndpointIndex(usize);
+
+/// An endpoint of a pool and the hash that ranks it for a prefix.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PoolMember {
+    pub(crate) hash: u64,
+    pub(crate) index: EndpointIndex,
+}
+
+/// Every endpoint, and which of them serve what.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct EndpointTable {
+    endpoints: Vec<Option<Endpoint>>,
+    indices: IndexMap<NodeId, EndpointIndex>,
+    pools: IndexMap<BackEndTarget, Vec<PoolMember>>,
+    vacant: Vec<EndpointIndex>,
+}
+
+impl EndpointTable {
+    pub(crate) fn index_of(&self, node: &NodeId) -> Option<EndpointIndex> {
+        self.indices.get(node).copied()
+    }
+
+    pub(crate) fn at(&self, index: EndpointIndex) -> Option<&Endpoint> {
+        self.endpoints.get(index.0)?.as_ref()
+    }
+
+    pub(crate) fn get_mut(&mut self, node: &NodeId) -> Option<&mut Endpoint> {
+        let index = self.index_of(node)?;
+        self.endpoints[index.0].as_mut()
+    }
+
+    /// Takes a description, or the end of an endpoint.
+    pub(crate) fn describe(
+        &mut self,
+        node: &NodeId,
+        description: Option<EndpointDescription>,
+        config: &RouterConfig,
+    ) {
+        self.leave_pools(node);
+        let Some(description) = description else {
+            if let Some(index) = self.indices.swap_remove(node) {
+                self.endpoints[index.0] = None;
+                self.vacant.push(index);
+            }
+            return;
+        };
+        let index = self.index_of(node).unwrap_or_else(|| self.new_index(node));
+        let place = &mut self.endpoints[index.0];
+        if let Some(endpoint) = place {
+            endpoint.describe(description, config);
+        } else {
+            *place = Some(Endpoint::new(node.clone(), description, config));
+        }
+        self.join_pools(index);
+    }
+
+    fn new_index(&mut self, node: &NodeId) -> EndpointIndex {
+        let index = self.vacant.pop().unwrap_or_else(|| {
+            self.endpoints.push(None);
+            EndpointIndex(self.endpoints.len() - 1)
+        });
+        self.indices.insert(node.clone(), index);
+        index
+    }
+
+    fn join_pools(&mut self, index: EndpointIndex) {
+        let Some(endpoint) = &self.endpoints[index.0] else {
+            return;
+        };
+        let member = PoolMember {
+            hash: endpoint.hash,
+            index,
+        };
+        for target in endpoint.targets() {
+            self.pools.entry(target).or_default().push(member);
+        }
+    }
+
+    fn leave_pools(&mut self, node: &NodeId) {
+        let Some(index) = self.index_of(node) else {
+            return;
+        };
+        let targets = self.at(index).map(Endpoint::targets).unwrap_or_default();
+        for target in targets {
+            if let Some(pool) = self.pools.get_mut(&target) {
+                pool.retain(|member| member.index != index);
+                if pool.is_empty() {
+                    self.pools.swap_remove(&target);
+                }
+            }
+        }
+    }
+
+    /// What requests can find at an endpoint.
+    pub(crate) fn targets_of(&self, node: &NodeId) -> Vec<BackEndTarget> {
+        let endpoint = self.index_of(node).and_then(|index| self.at(index));
+        endpoint.map(Endpoint::targets).unwrap_or_default()
+    }
+
+    /// The endpoints that serve a target, usable or not.
+    pub(crate) fn pool(&self, target: &BackEndTarget) -> &[PoolMember] {
+        self.pools.get(target).map_or(&[], Vec::as_slice)
+    }
+
+    pub(crate) fn endpoints_of(&self, target: &BackEndTarget) -> impl Iterator<Item = &Endpoint> {
+        let pool = self.pool(target).iter();
+        pool.filter_map(|member| self.at(member.index))
+    }
+
+    /// Slots of all endpoints of a target that are not leaving.
+    pub(crate) fn total_slots(&self, target: &BackEndTarget) -> u32 {
+        let endpoints = self.endpoints_of(target);
+        let staying = endpoints.filter(|one| !one.description.is_leaving && !one.is_down);
+        staying.map(|endpoint| endpoint.slots).sum()
+    }
+
+    /// When the first endpoint of a target that is held back may be used again.
+    pub(crate) fn next_return(&self, now: ClockMs, target: &BackEndTarget) -> Option<ClockMs> {
+        let endpoints = self.endpoints_of(target);
+        let staying = endpoints.filter(|endpoint| !endpoint.description.is_leaving);
+        let ends = staying.map(|endpoint| endpoint.description.held_until);
+        ends.filter(|end| *end > now).min()
+    }
+}
--- /dev/null
+++ b/crates/masticsill_routing/src/retry_budget.rs
@@ -0,0 +1,73 @@
+//! Retries are paid for by successes, so that failures don't multiply the load.
+
+use indexmap::IndexMap;
+use masticsill_types::{NodeId, WorkspaceId};
+
+/// Successes that pay for one retry.
+const SUCCESSES_A_RETRY: u32 = 10;
+/// Retries that may be saved up; a new budget starts full.
+const SAVED_RETRIES: u32 = 10;
+
+/// Tokens saved by successes, in tenths of a retry.
+#[derive(Clone, Copy, Debug)]
+struct Budget {
+    saved: u32,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self {
+            saved: SAVED_RETRIES * SUCCESSES_A_RETRY,
+        }
+    }
+}
+
+impl Budget {
+    fn earn(&mut self) {
+        self.saved = (self.saved + 1).min(SAVED_RETRIES * SUCCESSES_A_RETRY);
+    }
+
+    fn can_pay(self) -> bool {
+        self.saved >= SUCCESSES_A_RETRY
+    }
+
+    fn pay(&mut self) {
+        self.saved = self.saved.saturating_sub(SUCCESSES_A_RETRY);
+    }
+}
+
+/// The budgets of all workspaces and endpoints.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RetryBudgets {
+    endpoints: IndexMap<NodeId, Budget>,
+    workspaces: IndexMap<WorkspaceId, Budget>,
+}
+
+impl RetryBudgets {
+    /// Notes an answer of an endpoint to a workspace.
+    pub(crate) fn earn(&mut self, workspace: &WorkspaceId, node: &NodeId) {
+        if let Some(budget) = self.workspaces.get_mut(workspace) {
+            budget.earn();
+        }
+        if let Some(budget) = self.endpoints.get_mut(node) {
+            budget.earn();
+        }
+    }
+
+    /// Pays for a retry of work that failed at an endpoint. Returns whether both could.
+    pub(crate) fn pay(&mut self, workspace: &WorkspaceId, failed: &NodeId) -> bool {
+        let workspace = self.workspaces.entry(workspace.clone()).or_default();
+        let endpoint = self.endpoints.entry(failed.clone()).or_default();
+        if !workspace.can_pay() || !endpoint.can_pay() {
+            return false;
+        }
+        workspace.pay();
+        endpoint.pay();
+        true
+    }
+
+    /// Forgets an endpoint that is gone.
+    pub(crate) fn forget(&mut self, node: &NodeId) {
+        self.endpoints.swap_remove(node);
+    }
+}
