--- a/crates/masticsill_routing/src/endpoint.rs
+++ b/crates/masticsill_routing/src/endpoint.rs
@@ -196,6 +196,11 @@
         self.slots.saturating_sub(estimate).saturating_sub(kept)
     }
 
+    /// Slots beside those kept for lookups.
+    pub(crate) fn draft_slots(&self) -> u32 {
+        self.slots - self.reserved_slots()
+    }
+
     /// Slots that each class always finds free of the other; none where there is but one.
     fn reserved_slots(&self) -> u32 {
         match &self.description.kind {
--- a/crates/masticsill_routing/src/limits.rs
+++ b/crates/masticsill_routing/src/limits.rs
@@ -6,6 +6,8 @@
 
 /// What a bucket may hold, in milliseconds of its rate.
 const BURST_MS: u64 = 1_000;
+/// Sums of floats may fall short of a whole by this much.
+const ROUNDING: f64 = 1e-9;
 const LONGEST_WAIT_MS: u64 = 60_000;
 
 /// A token bucket. A withdrawal may leave it in debt, which is worked off before the next.
@@ -57,11 +59,11 @@
         if self.per_s <= 0.0 {
             return Err(LONGEST_WAIT_MS);
         }
-        // Sums of floats may fall short of a whole by a hair.
-        if self.level + 1e-9 >= 1.0 {
+        let missing = 1.0 - self.level - ROUNDING;
+        if missing <= 0.0 {
             return Ok(());
         }
-        let wait_ms = (1.0 - self.level) / self.per_s * 1_000.0;
+        let wait_ms = missing / self.per_s * 1_000.0;
         Err(to_count(wait_ms, LONGEST_WAIT_MS).max(1))
     }
 
--- a/crates/masticsill_routing/src/pool.rs
+++ b/crates/masticsill_routing/src/pool.rs
@@ -119,11 +119,11 @@
         pool.filter_map(|member| self.at(member.index))
     }
 
-    /// Slots of all endpoints of a target that are not leaving.
-    pub(crate) fn total_slots(&self, target: &BackEndTarget) -> u32 {
+    /// Slots that drafts may always use, of all endpoints of a target that are not leaving.
+    pub(crate) fn draft_slots(&self, target: &BackEndTarget) -> u32 {
         let endpoints = self.endpoints_of(target);
         let staying = endpoints.filter(|one| !one.description.is_leaving && !one.is_down);
-        staying.map(|endpoint| endpoint.slots).sum()
+        staying.map(Endpoint::draft_slots).sum()
     }
 
     /// When the first endpoint of a target that is held back may be used again.
--- a/crates/masticsill_routing/src/router.rs
+++ b/crates/masticsill_routing/src/router.rs
@@ -28,6 +28,8 @@
 const NO_ENDPOINT_RETRY_MS: u64 = 2_000;
 /// When to come back once a retry budget is used up.
 const BUDGET_RETRY_MS: u64 = 1_000;
+/// Waits are estimates: work is only queued when this part of the longest wait is left over.
+const WAIT_MARGIN_PART: u64 = 10;
 /// Queues are looked through again after this time even when nothing happened.
 const REVISIT_MS: u64 = 50;
 
@@ -200,14 +202,14 @@
             self.wake_all();
         }
         for lane in 0..self.lanes.len() {
-            if !self.lanes[lane].has_news {
-                continue;
-            }
             if let Some(request) = self.expire(now, lane) {
                 self.forget_queued(&request);
                 let refusal = self.overloaded(&request, "its wait was over before its turn");
                 return Some(Dequeued::Refused(request.id, refusal));
             }
+            if !self.lanes[lane].has_news {
+                continue;
+            }
             for class in [Class::InstantLookup, Class::PatientDraft] {
                 if let Some((request, index)) = self.start_in_lane(now, lane, class) {
                     self.forget_queued(&request);
@@ -405,6 +407,7 @@
             return Some(self.overloaded(request, "the queue is full"));
         }
         let longest_ms = self.config.longest_wait_ms(request.class);
+        let longest_ms = longest_ms - longest_ms / WAIT_MARGIN_PART;
         if wait.wait_ms > longest_ms {
             return Some(self.overloaded(request, "the wait would be too long"));
         }
@@ -435,7 +438,7 @@
     }
 
     fn expect_wait(&self, request: &WorkRequest) -> ExpectedWait {
-        let slots = self.table.total_slots(&request.target) / self.placer.entries;
+        let slots = self.table.draft_slots(&request.target) / self.placer.entries;
         let Some(lanes) = self.lanes.get(&request.target) else {
             return ExpectedWait {
                 has_room: true,
--- a/crates/masticsill_routing/src/shares.rs
+++ b/crates/masticsill_routing/src/shares.rs
@@ -38,6 +38,8 @@
 /// The holder's answer.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ShareGrant {
+    /// The life of the entry that asked.
+    pub incarnation: Incarnation,
     /// How long the share may be used, counted from when the entry asked.
     pub lease_ms: u64,
     /// Sequence of the ask.
@@ -129,6 +131,7 @@
         };
         self.accounts[&key].leases.push(lease);
         Some(ShareGrant {
+            incarnation: request.incarnation,
             lease_ms: self.lease_ms,
             sequence: request.sequence,
             units,
@@ -234,7 +237,8 @@
         let is_taken = self
             .held
             .is_some_and(|lease| lease.sequence == grant.sequence);
-        if grant.sequence != self.sequence || is_taken {
+        let is_awaited = grant.incarnation == self.incarnation && grant.sequence == self.sequence;
+        if !is_awaited || is_taken {
             return;
         }
         let usable_ms = grant.lease_ms - grant.lease_ms / DRIFT_PART;
--- /dev/null
+++ b/crates/masticsill_routing/tests/placement_choice.rs
@@ -0,0 +1,259 @@
+//! Which endpoint gets a request, and which never does.
+
+mod support;
+
+use assert_matches::assert_matches;
+use indexmap::IndexMap;
+use masticsill_routing::{
+    Admit, CacheChange, EndpointDescription, EntryPolicy, LocalLimits, PlacementPolicy,
+    PrefixBlock, Router, WorkRequest,
+};
+use masticsill_types::{
+    AdapterId, Class, ClockMs, EndpointKind, Incarnation, LoadReport, NodeId, RefusalKind,
+};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use support::{
+    Fleet, engine, entry_id, model, node, request, router, router_with, set_limits, zone,
+};
+
+const NOW: ClockMs = ClockMs(10_000);
+
+fn place(router: &mut Router, request: WorkRequest) -> Option<NodeId> {
+    match router.admit(NOW, request) {
+        Admit::Start(placement) => Some(placement.node),
+        Admit::Queued | Admit::Refused(_) => None,
+    }
+}
+
+fn draft(id: u128) -> WorkRequest {
+    request(id, "fliesenwerk", Class::PatientDraft, 100)
+}
+
+#[test]
+fn an_unusable_endpoint_gets_nothing() {
+    let usable = engine(8, "muc-a");
+    let cases: [(&str, EndpointDescription); 4] = [
+        (
+            "leaving",
+            EndpointDescription {
+                is_leaving: true,
+                ..usable.clone()
+            },
+        ),
+        (
+            "held back",
+            EndpointDescription {
+                held_until: NOW + 1,
+                ..usable.clone()
+            },
+        ),
+        (
+            "another version",
+            EndpointDescription {
+                kind: EndpointKind::Engine {
+                    loaded: vec![model("planner", "v2")],
+                    slots: 8,
+                    is_checking_fencing: true,
+                },
+                ..usable.clone()
+            },
+        ),
+        (
+            "without the adapter",
+            EndpointDescription {
+                kind: EndpointKind::Engine {
+                    loaded: vec![model("planner", "v1")],
+                    slots: 8,
+                    is_checking_fencing: true,
+                },
+                ..usable.clone()
+            },
+        ),
+    ];
+    for (name, description) in cases {
+        let mut router = router_with(&["fliesenwerk"], 0, 0);
+        router.on_member_change(&node("bad"), Some(description));
+        let mut wanted = draft(1);
+        if name == "without the adapter" {
+            let mut target = model("planner", "v1");
+            target.adapter = Some(AdapterId::new("bavaria").unwrap());
+            wanted.target = masticsill_routing::BackEndTarget::Engine(target);
+        }
+        let answer = router.admit(NOW, wanted);
+        assert_matches!(answer, Admit::Refused(refusal) if {
+            assert!(refusal.retry_after_ms.is_some(), "{name}");
+            refusal.kind == RefusalKind::NoEndpoint
+        }, "{name}");
+    }
+}
+
+#[test]
+fn an_endpoint_that_begins_to_leave_gets_no_more() {
+    for policy in [
+        PlacementPolicy::Affinity,
+        PlacementPolicy::LeastConnections,
+        PlacementPolicy::RoundRobin,
+    ] {
+        let mut router = router(policy, 3);
+        set_limits(&mut router, NOW, "fliesenwerk", LocalLimits::default());
+        for name in ["stays", "leaves"] {
+            router.on_member_change(&node(name), Some(engine(200, "muc-a")));
+        }
+        let leaving = EndpointDescription {
+            is_leaving: true,
+            ..engine(200, "muc-a")
+        };
+        router.on_member_change(&node("leaves"), Some(leaving));
+        for id in 0..100 {
+            assert_eq!(
+                place(&mut router, draft(id)),
+                Some(node("stays")),
+                "{policy:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_down_a_tried_and_a_far_endpoint_are_passed_over() {
+    let mut router = router_with(&["fliesenwerk"], 3, 50);
+    router.set_down(&node("agent-0"), true);
+    for id in 0..40 {
+        let mut wanted = draft(id);
+        wanted.tried = vec![node("agent-1")];
+        assert_eq!(place(&mut router, wanted), Some(node("agent-2")));
+    }
+    let policy = EntryPolicy {
+        zones: vec![zone("fs-c")],
+        ..EntryPolicy::default()
+    };
+    router.set_entry(NOW, &entry_id("fliesenwerk/patient_draft"), policy);
+    assert_eq!(place(&mut router, draft(99)), None);
+    router.on_member_change(&node("far"), Some(engine(8, "fs-c")));
+    assert_eq!(place(&mut router, draft(100)), Some(node("far")));
+}
+
+#[test]
+fn a_new_life_is_placed_afresh() {
+    let mut router = router_with(&["fliesenwerk"], 1, 8);
+    router.set_down(&node("agent-0"), true);
+    assert_eq!(place(&mut router, draft(1)), None);
+    let reborn = EndpointDescription {
+        incarnation: Incarnation(2),
+        ..engine(8, "muc-a")
+    };
+    router.on_member_change(&node("agent-0"), Some(reborn));
+    assert_eq!(place(&mut router, draft(2)), Some(node("agent-0")));
+}
+
+fn chain(seed: u64) -> Vec<PrefixBlock> {
+    vec![
+        PrefixBlock {
+            hash: seed * 1_000,
+            tokens: 500,
+        },
+        PrefixBlock {
+            hash: seed * 1_000 + 1,
+            tokens: 2_000,
+        },
+    ]
+}
+
+#[test]
+fn one_prefix_goes_to_one_endpoint_from_every_entry() {
+    let mut first = router_with(&["fliesenwerk"], 20, 32);
+    let mut second = router_with(&["fliesenwerk"], 20, 32);
+    for seed in 1..40 {
+        let mut wanted = draft(seed.into());
+        wanted.prompt_tokens = 8_000;
+        wanted.prefix = chain(seed);
+        let one = place(&mut first, wanted.clone());
+        wanted.id.0 += 1_000;
+        let again = place(&mut first, wanted.clone());
+        assert_eq!(one, again, "the same entry finds its prefix again");
+        assert!(one.is_some() && place(&mut second, wanted).is_some());
+    }
+}
+
+#[test]
+fn a_hot_prefix_spills_over_before_its_endpoint_is_full() {
+    let mut router = router_with(&["fliesenwerk"], 4, 16);
+    let mut counts: IndexMap<NodeId, u32> = IndexMap::new();
+    for id in 0..40 {
+        let mut wanted = draft(id);
+        wanted.prompt_tokens = 2_100;
+        wanted.prefix = chain(1);
+        *counts
+            .entry(place(&mut router, wanted).unwrap())
+            .or_default() += 1;
+    }
+    assert!(counts.len() >= 3, "{counts:?}");
+    assert!(counts.values().all(|count| *count <= 14), "{counts:?}");
+}
+
+#[test]
+fn a_gap_in_cache_events_means_unknown_and_not_empty() {
+    let stored = |sequence, prefix_hash| CacheChange {
+        is_stored: true,
+        prefix_hash,
+        sequence,
+    };
+    let expected = |changes: &[CacheChange]| {
+        let mut router = router_with(&["fliesenwerk"], 1, 8);
+        router.on_cache_changes(&node("agent-0"), changes);
+        let mut wanted = draft(1);
+        wanted.prompt_tokens = 4_000;
+        wanted.prefix = chain(1);
+        assert_matches!(router.admit(NOW, wanted), Admit::Start(placement) => placement.cached_tokens)
+    };
+    let known = expected(&[stored(1, 1_000), stored(2, 1_001)]);
+    let after_gap = expected(&[stored(1, 1_000), stored(2, 1_001), stored(9, 77)]);
+    let dropped = CacheChange {
+        is_stored: false,
+        ..stored(3, 1_001)
+    };
+    let after_drop = expected(&[stored(1, 1_000), stored(2, 1_001), dropped]);
+    assert_eq!(known, 2_000);
+    assert!(after_gap > 0 && after_gap < known, "{after_gap}");
+    assert_eq!(after_drop, 500);
+}
+
+#[test]
+fn entries_with_stale_reports_do_not_herd() {
+    let mut rng = StdRng::seed_from_u64(11);
+    for seed in 0..5 {
+        let routers = (0..6).map(|index| {
+            let mut router = router(PlacementPolicy::Affinity, seed * 10 + index);
+            set_limits(
+                &mut router,
+                ClockMs(0),
+                "fliesenwerk",
+                LocalLimits::default(),
+            );
+            router
+        });
+        let mut fleet = Fleet::new(routers.collect(), 1_000);
+        for index in 0..20 {
+            fleet.add_engine(&format!("agent-{index}"), 32, "muc-a");
+        }
+        // One engine looks idle and all others half full, in reports that are never renewed.
+        fleet.are_reports_frozen = true;
+        for router in &mut fleet.routers {
+            for index in 0..20 {
+                let running = if index == 0 { 0 } else { 16 };
+                let load = LoadReport {
+                    running,
+                    ..LoadReport::default()
+                };
+                router.on_load_report(ClockMs(0), &node(&format!("agent-{index}")), load);
+            }
+        }
+        for id in 0..240 {
+            let entry = rng.random_range(0..6);
+            fleet.offer(entry, draft(id), 1_000);
+        }
+        let loads = fleet.loads();
+        assert!(loads[0] <= 36, "the idle one got {} of 240", loads[0]);
+    }
+}
--- /dev/null
+++ b/crates/masticsill_routing/tests/share_leases.rs
@@ -0,0 +1,131 @@
+//! The shares of a limit never sum up to more than the limit.
+
+use masticsill_routing::{ShareClient, ShareGrant, ShareLedger, ShareRequest};
+use masticsill_types::{ClockMs, Incarnation, NodeId};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const LEASE_MS: u64 = 2_000;
+
+fn client(index: usize, life: u64) -> ShareClient {
+    let node = NodeId::new(format!("entry-{index}")).unwrap();
+    ShareClient::new(node, Incarnation(life))
+}
+
+enum Message {
+    Ask(usize, ShareRequest),
+    Answer(usize, ShareGrant),
+}
+
+/// Clients that restart, a holder that restarts, and messages that are lost, repeated and late.
+#[test]
+fn no_fault_lets_the_sum_exceed_the_limit() {
+    for seed in 0..60 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let limit = rng.random_range(1..500);
+        let mut now = ClockMs(0);
+        let mut ledger = ShareLedger::new(now, limit, LEASE_MS);
+        let mut clients: Vec<ShareClient> = (0..5).map(|index| client(index, 1)).collect();
+        // What a former life may still use: its work goes on until its lease ends.
+        let mut former: Vec<ShareClient> = Vec::new();
+        let mut mail: Vec<(ClockMs, Message)> = Vec::new();
+        let mut granted = 0;
+        for step in 0..4_000_u64 {
+            now = now + rng.random_range(1..60);
+            for (index, client) in clients.iter_mut().enumerate() {
+                if rng.random_bool(0.2) {
+                    let ask = client.ask(now, rng.random_range(0..limit * 2));
+                    let copies = [0, 1, 1, 1, 2][rng.random_range(0..5)];
+                    for _ in 0..copies {
+                        let at = now + rng.random_range(0..1_500);
+                        mail.push((at, Message::Ask(index, ask.clone())));
+                    }
+                }
+            }
+            if rng.random_bool(0.002) {
+                ledger = ShareLedger::new(now, limit, LEASE_MS);
+            }
+            if rng.random_bool(0.005) {
+                let index = rng.random_range(0..clients.len());
+                let fresh = client(index, 2 + step);
+                former.push(std::mem::replace(&mut clients[index], fresh));
+            }
+            let due: Vec<(ClockMs, Message)> = mail.extract_if(.., |(at, _)| *at <= now).collect();
+            for (_, message) in due {
+                match message {
+                    Message::Ask(index, ask) => {
+                        let Some(grant) = ledger.grant(now, &ask) else {
+                            continue;
+                        };
+                        granted += grant.units;
+                        if rng.random_bool(0.8) {
+                            let at = now + rng.random_range(0..1_500);
+                            mail.push((at, Message::Answer(index, grant)));
+                        }
+                    }
+                    Message::Answer(index, grant) => clients[index].take(grant),
+                }
+            }
+            let all = clients.iter().chain(&former);
+            let usable: u64 = all.map(|client| client.units(now)).sum();
+            assert!(usable <= limit, "seed {seed}: {usable} of {limit} usable");
+        }
+        assert!(granted > 0, "seed {seed}: nothing was ever granted");
+    }
+}
+
+fn settle(ledger: &mut ShareLedger, clients: &mut [ShareClient], wants: &[u64], start: u64) -> u64 {
+    let mut now = ClockMs(start);
+    for _ in 0..20 {
+        now = now + 300;
+        for (client, want) in clients.iter_mut().zip(wants) {
+            let ask = client.ask(now, *want);
+            client.take(ledger.grant(now, &ask).unwrap());
+        }
+    }
+    now.0
+}
+
+#[test]
+fn shares_follow_demand() {
+    let mut ledger = ShareLedger::new(ClockMs(0), 100, LEASE_MS);
+    let mut clients: Vec<ShareClient> = (0..3).map(|index| client(index, 1)).collect();
+    let cases = [
+        ([1_000, 0, 0], [100, 0, 0]),
+        ([0, 1_000, 0], [0, 100, 0]),
+        ([1_000, 1_000, 1_000], [34, 33, 33]),
+        ([10, 1_000, 1_000], [10, 45, 45]),
+        ([10, 20, 30], [23, 33, 43]),
+    ];
+    let mut now = LEASE_MS;
+    for (wants, shares) in cases {
+        now = settle(&mut ledger, &mut clients, &wants, now);
+        let held: Vec<u64> = clients
+            .iter()
+            .map(|client| client.units(ClockMs(now)))
+            .collect();
+        assert_eq!(held, shares, "wants {wants:?}");
+    }
+}
+
+#[test]
+fn a_restarted_holder_waits_one_lease() {
+    let mut ledger = ShareLedger::new(ClockMs(0), 100, LEASE_MS);
+    let mut one = client(0, 1);
+    let ask = one.ask(ClockMs(LEASE_MS - 1), 50);
+    assert_eq!(ledger.grant(ClockMs(LEASE_MS - 1), &ask).unwrap().units, 0);
+    let ask = one.ask(ClockMs(LEASE_MS), 50);
+    assert_eq!(ledger.grant(ClockMs(LEASE_MS), &ask).unwrap().units, 100);
+}
+
+#[test]
+fn a_late_answer_is_worth_what_is_left_of_its_lease() {
+    let mut ledger = ShareLedger::new(ClockMs(0), 100, LEASE_MS);
+    let mut one = client(0, 1);
+    let asked_at = ClockMs(5_000);
+    let ask = one.ask(asked_at, 50);
+    let grant = ledger.grant(ClockMs(5_400), &ask).unwrap();
+    one.take(grant);
+    assert!(one.units(asked_at + (LEASE_MS - 100)) > 0);
+    assert_eq!(one.units(asked_at + LEASE_MS), 0, "counted from the ask");
+}
