Routing: divide free slots among entries; add the agents' slot gate; rank by rendezvous

Cause: three entries with late reports took the same free slots; lookups waited behind drafts at the engines. Ruled out: reserving more slots everywhere (costs goodput and did not cure it); taking turns by the clock (entries' clocks are not comparable). Change: each entry claims its part of the slots a report shows free, and refills at once what its own drafts left; SlotGate holds the excess back at the agent; the endpoint that ranks highest for a prefix is taken to have it; slots are reserved only where lookups are served. Conclusion: the gate is needed for lookups; the agent has to use it.

--- /dev/null
+++ b/crates/masticsill_routing/examples/policy_comparison.rs
@@ -0,0 +1,219 @@
+//! Compares the placement policies in one run: prompts computed again, lookups beside saturating
+//! drafts, goodput under overload, and a zone's loss.
+//!
+//! Small engines on a virtual clock, with late load reports and a prefix cache each; three entries.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use masticsill_routing::{LocalLimits, PlacementPolicy, PrefixBlock, WorkRequest};
+use masticsill_types::{Class, ClockMs, GenerationId};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use support::{Fleet, request, router, set_limits};
+
+/// A policy, and whether agents hold back what their engine has no slot for.
+#[derive(Clone, Copy, Debug)]
+struct Way {
+    is_gated: bool,
+    name: &'static str,
+    policy: PlacementPolicy,
+}
+
+const WAYS: [Way; 4] = [
+    Way {
+        is_gated: true,
+        name: "affinity, agents' gate",
+        policy: PlacementPolicy::Affinity,
+    },
+    Way {
+        is_gated: false,
+        name: "affinity, no gate",
+        policy: PlacementPolicy::Affinity,
+    },
+    Way {
+        is_gated: false,
+        name: "least connections",
+        policy: PlacementPolicy::LeastConnections,
+    },
+    Way {
+        is_gated: false,
+        name: "round robin",
+        policy: PlacementPolicy::RoundRobin,
+    },
+];
+/// Prefixes that an engine's cache holds: all engines together hold a third of those in use, or
+/// all of them once.
+const SMALL_CACHE: usize = 40;
+const LARGE_CACHE: usize = 125;
+const ENTRIES: usize = 3;
+const ENGINES: usize = 24;
+const SLOTS: u32 = 16;
+const ZONES: [&str; 3] = ["muc-a", "muc-b", "fs-c"];
+
+fn fleet(way: Way, cache_capacity: usize) -> Fleet {
+    let routers = (0..ENTRIES).map(|index| {
+        let mut router = router(way.policy, index as u64);
+        for workspace in ["w0", "w1"] {
+            set_limits(&mut router, ClockMs(0), workspace, LocalLimits::default());
+        }
+        router
+    });
+    let mut fleet = Fleet::new(routers.collect(), 500);
+    fleet.are_gated = way.is_gated;
+    fleet.cache_capacity = cache_capacity;
+    for index in 0..ENGINES {
+        fleet.add_engine(&format!("agent-{index}"), SLOTS, ZONES[index % ZONES.len()]);
+    }
+    fleet
+}
+
+/// A prompt of 3,200 tokens: a plan that many callers work on, then the caller's own question.
+fn plan_request(id: u128, rng: &mut StdRng) -> WorkRequest {
+    let plan = rng.random_range(0..600_u64);
+    let turn = rng.random_range(0..4_u64);
+    let mut wanted = request(id, "w0", Class::PatientDraft, 60);
+    wanted.prompt_tokens = 3_200;
+    wanted.prefix = vec![
+        PrefixBlock {
+            hash: plan * 100 + 1,
+            tokens: 2_000,
+        },
+        PrefixBlock {
+            hash: plan * 100 + 2 + turn,
+            tokens: 3_000,
+        },
+    ];
+    wanted
+}
+
+/// Prompt tokens computed a request at half load.
+fn recomputed(way: Way, cache_capacity: usize) -> u64 {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut fleet = fleet(way, cache_capacity);
+    let mut id = 0;
+    for _ in 0..12_000 {
+        if rng.random_bool(0.5) {
+            id += 1;
+            let wanted = plan_request(id, &mut rng);
+            fleet.offer(rng.random_range(0..ENTRIES), wanted, 60);
+        }
+        fleet.tick();
+    }
+    fleet.run_until_idle(600_000);
+    fleet.assert_none_lost();
+    fleet.tally.recomputed / fleet.tally.done.len() as u64
+}
+
+/// The 99th percentile of lookups' times, with or without drafts that fill every slot.
+fn lookup_p99_ms(way: Way, has_drafts: bool) -> u64 {
+    let mut rng = StdRng::seed_from_u64(2);
+    let mut fleet = fleet(way, SMALL_CACHE);
+    let mut lookups = Vec::new();
+    let mut id = 0;
+    for tick in 0..6_000 {
+        if has_drafts && rng.random_bool(0.6) {
+            id += 1;
+            let wanted = request(id, "w0", Class::PatientDraft, 250);
+            fleet.offer(rng.random_range(0..ENTRIES), wanted, 250);
+        }
+        if tick > 1_000 && rng.random_bool(0.2) {
+            id += 1;
+            lookups.push((GenerationId(id), fleet.now));
+            let wanted = request(id, "w1", Class::InstantLookup, 4);
+            fleet.offer(rng.random_range(0..ENTRIES), wanted, 4);
+        }
+        fleet.tick();
+    }
+    fleet.run_until_idle(600_000);
+    let mut times: Vec<u64> = lookups
+        .iter()
+        .map(|(id, offered)| {
+            let done = fleet.tally.done.get(id);
+            done.map_or(u64::MAX, |(at, _)| at.since(*offered))
+        })
+        .collect();
+    times.sort_unstable();
+    times[times.len() * 99 / 100]
+}
+
+/// Drafts answered within a caller's patience of 20 s, in percent of what the slots can do,
+/// while twice that is offered.
+fn goodput_percent(way: Way) -> usize {
+    let mut rng = StdRng::seed_from_u64(3);
+    let mut fleet = fleet(way, SMALL_CACHE);
+    let mut offered = Vec::new();
+    let mut id = 0;
+    // A draft takes 2.02 s; 384 slots serve 190 a second, and 380 are offered.
+    for _ in 0..12_000 {
+        for _ in 0..2 {
+            if rng.random_bool(0.95) {
+                id += 1;
+                offered.push((GenerationId(id), fleet.now));
+                let mut wanted = request(id, "w0", Class::PatientDraft, 100);
+                wanted.deadline = Some(fleet.now + 20_000);
+                fleet.offer(rng.random_range(0..ENTRIES), wanted, 100);
+            }
+        }
+        fleet.tick();
+    }
+    let good = offered.iter().filter(|(id, at)| {
+        let done = fleet.tally.done.get(id);
+        done.is_some_and(|(end, _)| end.since(*at) <= 20_000)
+    });
+    let possible = 60_000 * (ENGINES * SLOTS as usize) / 2_020;
+    good.count() * 100 / possible
+}
+
+/// Lookups refused or later than 2 s while one of three zones is lost at 60% load.
+fn lookups_missed_in_zone_loss(way: Way) -> (usize, usize) {
+    let mut rng = StdRng::seed_from_u64(4);
+    let mut fleet = fleet(way, SMALL_CACHE);
+    let mut lookups = Vec::new();
+    let mut id = 0;
+    for tick in 0..6_000 {
+        if tick == 3_000 {
+            for index in (0..ENGINES).step_by(ZONES.len()) {
+                fleet.kill(&format!("agent-{index}"));
+            }
+        }
+        if rng.random_bool(0.57) {
+            id += 1;
+            let wanted = request(id, "w0", Class::PatientDraft, 100);
+            fleet.offer(rng.random_range(0..ENTRIES), wanted, 100);
+        }
+        if rng.random_bool(0.2) {
+            id += 1;
+            lookups.push((GenerationId(id), fleet.now));
+            let wanted = request(id, "w1", Class::InstantLookup, 4);
+            fleet.offer(rng.random_range(0..ENTRIES), wanted, 4);
+        }
+        fleet.tick();
+    }
+    fleet.run_until_idle(600_000);
+    let missed = lookups.iter().filter(|(id, offered)| {
+        let done = fleet.tally.done.get(id);
+        done.is_none_or(|(at, _)| at.since(*offered) > 2_000)
+    });
+    (missed.count(), lookups.len())
+}
+
+fn main() {
+    println!(
+        "way                     prompt tokens computed, small/large caches  \
+         lookup p99 idle/busy ms  goodput at 2x %  lookups missed in a zone's loss"
+    );
+    for way in WAYS {
+        let small = recomputed(way, SMALL_CACHE);
+        let large = recomputed(way, LARGE_CACHE);
+        let idle = lookup_p99_ms(way, false);
+        let busy = lookup_p99_ms(way, true);
+        let goodput = goodput_percent(way);
+        let (missed, lookups) = lookups_missed_in_zone_loss(way);
+        println!(
+            "{:22}  {small:30} / {large:10}  {idle:10} / {busy:9}  {goodput:15}  \
+             {missed} of {lookups}",
+            way.name
+        );
+    }
+}
--- a/crates/masticsill_routing/src/endpoint.rs
+++ b/crates/masticsill_routing/src/endpoint.rs
@@ -6,15 +6,17 @@
 
 use crate::cache_view::{CacheView, Cached};
 use crate::config::RouterConfig;
-use crate::number::{hash_text, to_float};
+use crate::number::{hash_text, mix, to_float};
 use crate::request::{BackEndTarget, PrefixBlock};
+use crate::slot_gate::reserved_slots;
 
-/// Parts of an engine's slots that one class always finds free of the other.
-const RESERVED_PART: u32 = 8;
 /// What a likely prefix is worth, in hundredths of a known one.
 const LIKELY_PERCENT: u32 = 60;
 /// Reports that lag more than this are not corrected by what was done since.
 const LONGEST_LAG_MS: u64 = 10_000;
+/// How long a slot that own work left is this entry's to fill again; later, a report may have
+/// shown it to others.
+const REFILL_MS: u64 = 50;
 
 /// An endpoint as membership describes it.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -55,9 +57,70 @@
 #[derive(Clone, Copy, Debug)]
 struct Reported {
     as_of: ClockMs,
-    ended_since: u32,
+    /// Own drafts started since, on slots that the report may show to others as free.
+    claimed_since: u32,
+    ended_since: InFlight,
     load: LoadReport,
-    started_since: u32,
+    started_since: InFlight,
+}
+
+impl Reported {
+    fn counted(&self) -> u32 {
+        self.load.running + self.load.waiting
+    }
+
+    fn add(&mut self, step: Step) {
+        match step.kind {
+            StepKind::Claim | StepKind::Refill => *self.started_since.of_mut(step.class) += 1,
+            StepKind::End => *self.ended_since.of_mut(step.class) += 1,
+        }
+        if step.kind == StepKind::Claim && step.class == Class::PatientDraft {
+            self.claimed_since += 1;
+        }
+    }
+}
+
+/// A start or an end of own work.
+#[derive(Clone, Copy, Debug)]
+struct Step {
+    at: ClockMs,
+    class: Class,
+    kind: StepKind,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum StepKind {
+    /// A start on a slot that own work left just before.
+    Refill,
+    /// Any other start.
+    Claim,
+    End,
+}
+
+/// The entries that share the endpoints.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EntrySeat {
+    /// Entries, this one included.
+    pub count: u32,
+    /// This entry's place among them, from zero; no two entries have the same.
+    pub place: u32,
+}
+
+impl Default for EntrySeat {
+    fn default() -> Self {
+        Self { count: 1, place: 0 }
+    }
+}
+
+impl EntrySeat {
+    /// This entry's part of some free slots of an endpoint, so that all entries together take
+    /// no more. What does not divide goes to entries chosen by the endpoint's hash.
+    fn part(self, free: u32, endpoint_hash: u64) -> u32 {
+        let count = self.count.max(1);
+        let first = mix(endpoint_hash, 0) % u64::from(count);
+        let place = (u64::from(self.place) + first) % u64::from(count);
+        free / count + u32::from(place < u64::from(free % count))
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -68,9 +131,13 @@
     pub(crate) in_flight: InFlight,
     /// Whether the agent could not be reached.
     pub(crate) is_down: bool,
+    /// Whether entries of both classes use it.
+    pub(crate) is_shared: bool,
     pub(crate) node: NodeId,
+    /// When own drafts left slots that were not filled again yet.
+    left_at: VecDeque<ClockMs>,
     /// Own starts and ends, newest last, to be counted against a report that is late.
-    recent: VecDeque<(ClockMs, bool)>,
+    recent: VecDeque<Step>,
     reported: Option<Reported>,
     pub(crate) slots: u32,
 }
@@ -88,6 +155,8 @@
             hash: hash_text(node.as_str()),
             in_flight: InFlight::default(),
             is_down: false,
+            is_shared: false,
+            left_at: VecDeque::new(),
             node,
             recent: VecDeque::new(),
             reported: None,
@@ -100,6 +169,7 @@
         if description.incarnation != self.description.incarnation {
             self.cache = CacheView::default();
             self.is_down = false;
+            self.left_at.clear();
             self.recent.clear();
             self.reported = None;
         }
@@ -119,6 +189,19 @@
         }
     }
 
+    pub(crate) fn serves(&self, target: &BackEndTarget) -> bool {
+        match (&self.description.kind, target) {
+            (EndpointKind::Engine { loaded, .. }, BackEndTarget::Engine(model)) => {
+                loaded.contains(model)
+            }
+            (EndpointKind::PlainService { service }, BackEndTarget::PlainService(wanted)) => {
+                service == wanted
+            }
+            (EndpointKind::Engine { .. }, BackEndTarget::PlainService(_))
+            | (EndpointKind::PlainService { .. }, BackEndTarget::Engine(_)) => false,
+        }
+    }
+
     /// Whether it may be given new work at all.
     pub(crate) fn is_usable(&self, now: ClockMs) -> bool {
         !self.is_down && !self.description.is_leaving && self.description.held_until <= now
@@ -126,27 +209,40 @@
 
     pub(crate) fn begin(&mut self, now: ClockMs, class: Class) {
         *self.in_flight.of_mut(class) += 1;
-        self.note(now, true);
-        if let Some(reported) = &mut self.reported {
-            reported.started_since += 1;
-        }
+        self.forget_left(now);
+        let is_refill = class == Class::PatientDraft && self.left_at.pop_front().is_some();
+        let kind = if is_refill {
+            StepKind::Refill
+        } else {
+            StepKind::Claim
+        };
+        self.note(now, class, kind);
     }
 
     pub(crate) fn end(&mut self, now: ClockMs, class: Class) {
         let count = self.in_flight.of_mut(class);
         *count = count.saturating_sub(1);
-        self.note(now, false);
-        if let Some(reported) = &mut self.reported {
-            reported.ended_since += 1;
+        self.forget_left(now);
+        if class == Class::PatientDraft {
+            self.left_at.push_back(now);
         }
+        self.note(now, class, StepKind::End);
+    }
+
+    fn forget_left(&mut self, now: ClockMs) {
+        self.left_at.retain(|left| now.since(*left) <= REFILL_MS);
     }
 
-    fn note(&mut self, now: ClockMs, is_start: bool) {
-        let oldest = now.before(LONGEST_LAG_MS);
-        while self.recent.front().is_some_and(|(at, _)| *at < oldest) {
+    fn note(&mut self, at: ClockMs, class: Class, kind: StepKind) {
+        let oldest = at.before(LONGEST_LAG_MS);
+        while self.recent.front().is_some_and(|step| step.at < oldest) {
             self.recent.pop_front();
         }
-        self.recent.push_back((now, is_start));
+        let step = Step { at, class, kind };
+        self.recent.push_back(step);
+        if let Some(reported) = &mut self.reported {
+            reported.add(step);
+        }
     }
 
     /// Takes a report; one that is older than the last says nothing new.
@@ -155,45 +251,80 @@
         if self.reported.is_some_and(|reported| reported.as_of > as_of) {
             return;
         }
-        self.recent.retain(|(at, _)| *at >= as_of);
-        let count = |is_start: bool| {
-            let events = self.recent.iter().filter(|(_, start)| *start == is_start);
-            u32::try_from(events.count()).unwrap_or(u32::MAX)
-        };
-        self.reported = Some(Reported {
+        self.recent.retain(|step| step.at >= as_of);
+        let mut reported = Reported {
             as_of,
-            ended_since: count(false),
+            claimed_since: 0,
+            ended_since: InFlight::default(),
             load,
-            started_since: count(true),
-        });
+            started_since: InFlight::default(),
+        };
+        for step in &self.recent {
+            reported.add(*step);
+        }
+        self.reported = Some(reported);
     }
 
     /// Requests at the endpoint, all entries together, as well as can be told.
     ///
     /// A fresh report counts everybody; own starts and ends since are added. Without one, the
     /// other entries are taken to do as much as this one.
-    pub(crate) fn estimate(&self, now: ClockMs, stale_ms: u64, entries: u32) -> u32 {
+    pub(crate) fn estimate(&self, now: ClockMs, stale_ms: u64, seat: EntrySeat) -> u32 {
         let own = self.in_flight.total();
-        match &self.reported {
-            Some(reported) if now.since(reported.as_of) <= stale_ms => {
-                let counted = reported.load.running + reported.load.waiting;
-                let moved = counted + reported.started_since;
-                moved.saturating_sub(reported.ended_since).max(own)
+        match self.fresh_report(now, stale_ms) {
+            Some(reported) => {
+                let moved = reported.counted() + reported.started_since.total();
+                moved.saturating_sub(reported.ended_since.total()).max(own)
             }
-            Some(_) | None => own.saturating_mul(entries.max(1)),
+            None => own.saturating_mul(seat.count.max(1)),
         }
     }
 
-    /// Slots that a class may still use, given the requests at the endpoint.
-    pub(crate) fn free_slots(&self, class: Class, estimate: u32) -> u32 {
+    fn fresh_report(&self, now: ClockMs, stale_ms: u64) -> Option<&Reported> {
+        let reported = self.reported.as_ref()?;
+        (now.since(reported.as_of) <= stale_ms).then_some(reported)
+    }
+
+    /// Slots that a class may still use.
+    pub(crate) fn free_slots(
+        &self,
+        now: ClockMs,
+        class: Class,
+        stale_ms: u64,
+        seat: EntrySeat,
+    ) -> u32 {
+        let estimate = self.estimate(now, stale_ms, seat);
         let reserved = self.reserved_slots();
         let lookups = self.in_flight.lookups.min(estimate);
         let drafts = estimate - lookups;
-        let kept = match class {
-            Class::InstantLookup => reserved.saturating_sub(drafts),
-            Class::PatientDraft => reserved.saturating_sub(lookups),
+        match class {
+            Class::InstantLookup => {
+                let kept = reserved.saturating_sub(drafts);
+                self.slots.saturating_sub(estimate + kept)
+            }
+            Class::PatientDraft => {
+                let kept = reserved.saturating_sub(lookups);
+                let free = self.slots.saturating_sub(estimate + kept);
+                free.min(self.allowance(now, kept, stale_ms, seat))
+            }
+        }
+    }
+
+    /// Drafts that this entry may start before the next report, lest several entries take the
+    /// same free slot: its part of the slots reported free, and those that its own drafts left.
+    fn allowance(&self, now: ClockMs, kept: u32, stale_ms: u64, seat: EntrySeat) -> u32 {
+        let Some(reported) = self.fresh_report(now, stale_ms) else {
+            return u32::MAX;
         };
-        self.slots.saturating_sub(estimate).saturating_sub(kept)
+        let free = self.slots.saturating_sub(reported.counted() + kept);
+        let claims = seat
+            .part(free, self.hash)
+            .saturating_sub(reported.claimed_since);
+        let left = self
+            .left_at
+            .iter()
+            .filter(|left| now.since(**left) <= REFILL_MS);
+        claims + u32::try_from(left.count()).unwrap_or(u32::MAX)
     }
 
     /// Slots beside those kept for lookups.
@@ -201,10 +332,10 @@
         self.slots - self.reserved_slots()
     }
 
-    /// Slots that each class always finds free of the other; none where there is but one.
+    /// Slots that each class always finds free of the other, where both are served.
     fn reserved_slots(&self) -> u32 {
         match &self.description.kind {
-            EndpointKind::Engine { .. } if self.slots > 1 => (self.slots / RESERVED_PART).max(1),
+            EndpointKind::Engine { .. } if self.is_shared => reserved_slots(self.slots),
             EndpointKind::Engine { .. } | EndpointKind::PlainService { .. } => 0,
         }
     }
--- a/crates/masticsill_routing/src/lib.rs
+++ b/crates/masticsill_routing/src/lib.rs
@@ -17,10 +17,11 @@
 mod retry_budget;
 mod router;
 mod shares;
+mod slot_gate;
 
 pub use cache_view::CacheChange;
 pub use config::{PlacementPolicy, RouterConfig};
-pub use endpoint::EndpointDescription;
+pub use endpoint::{EndpointDescription, EntrySeat};
 pub use limits::{LocalLimits, TokenBucket};
 pub use request::{
     Admit, BackEndTarget, Dequeued, Placement, PrefixBlock, WorkEnd, WorkKind, WorkOutcome,
@@ -28,3 +29,4 @@
 };
 pub use router::{EntryPolicy, Router};
 pub use shares::{ShareClient, ShareGrant, ShareLedger, ShareRequest};
+pub use slot_gate::SlotGate;
--- a/crates/masticsill_routing/src/placement.rs
+++ b/crates/masticsill_routing/src/placement.rs
@@ -1,12 +1,14 @@
 //! Which endpoint gets a request.
 
+use std::collections::VecDeque;
+
 use indexmap::IndexMap;
 use masticsill_types::{Class, ClockMs, NodeId, ZoneId};
 use rand::Rng;
 use rand::rngs::StdRng;
 
 use crate::config::{PlacementPolicy, RouterConfig};
-use crate::endpoint::Endpoint;
+use crate::endpoint::{Endpoint, EntrySeat};
 use crate::number::mix;
 use crate::pool::{EndpointIndex, EndpointTable, PoolMember};
 use crate::request::{PrefixBlock, WorkRequest};
@@ -17,8 +19,13 @@
 const RANDOM_TRIES: usize = 8;
 /// Endpoints searched one by one when the random tries found none.
 const SEARCHED: usize = 256;
+/// Candidates by own work that ended there.
+const LEFT_CHOICES: usize = 4;
 /// Candidates by rendezvous hash of the prefix.
 const PREFIX_CHOICES: usize = 2;
+/// Part of the first prefix that is taken to be cached at the endpoint that ranks highest for it,
+/// since every entry sends it there.
+const EXPECTED_PERCENT: u32 = 60;
 /// What a full endpoint costs beside an empty one, in prompt tokens to be computed again.
 const FULL_LOAD_TOKENS: f64 = 4_000.0;
 /// What another zone costs, in prompt tokens.
@@ -41,18 +48,21 @@
 /// Chooses endpoints, and remembers which prefixes went where.
 #[derive(Clone, Debug)]
 pub(crate) struct Placer {
-    /// Entries that share the endpoints, this one included.
-    pub(crate) entries: u32,
     holders: IndexMap<u64, Vec<EndpointIndex>>,
+    /// Endpoints where own work ended last; a slot there may be filled again at once.
+    left: VecDeque<EndpointIndex>,
     next_turn: usize,
+    /// The entries that share the endpoints.
+    pub(crate) seat: EntrySeat,
 }
 
 impl Placer {
     pub(crate) fn new() -> Self {
         Self {
-            entries: 1,
             holders: IndexMap::new(),
+            left: VecDeque::new(),
             next_turn: 0,
+            seat: EntrySeat::default(),
         }
     }
 
@@ -67,9 +77,9 @@
     ) -> Option<EndpointIndex> {
         let search = Search {
             config,
-            entries: self.entries,
             now,
             pool: table.pool(&wanted.request.target),
+            seat: self.seat,
             table,
             wanted,
         };
@@ -83,6 +93,14 @@
         }
     }
 
+    /// Notes an endpoint where own work ended.
+    pub(crate) fn note_left(&mut self, index: EndpointIndex) {
+        if self.left.len() == LEFT_CHOICES {
+            self.left.pop_front();
+        }
+        self.left.push_back(index);
+    }
+
     /// Notes where a prompt's prefixes went.
     pub(crate) fn remember(&mut self, prefix: &[PrefixBlock], index: EndpointIndex) {
         for block in prefix {
@@ -97,15 +115,19 @@
     }
 
     fn choose_by_cost(&self, search: &Search<'_>, rng: &mut StdRng) -> Option<EndpointIndex> {
-        let mut candidates = search.random(rng);
         let prefix = &search.wanted.request.prefix;
-        candidates.extend(self.known_holders(prefix));
+        let known = search.random(rng).into_iter();
+        let known = known.chain(self.known_holders(prefix));
+        let known = known.chain(search.serving(&self.left));
+        let mut candidates: Vec<(EndpointIndex, u32)> = known.map(|index| (index, 0)).collect();
         if let Some(first) = prefix.first() {
-            candidates.extend(search.by_rendezvous(first.hash));
+            let expected = first.tokens * EXPECTED_PERCENT / 100;
+            let ranked = search.by_rendezvous(first.hash).into_iter();
+            candidates.extend(ranked.zip([expected, expected / 2]));
         }
         let costs = candidates
             .into_iter()
-            .filter_map(|index| Some((index, search.cost(index)?)));
+            .filter_map(|(index, expected)| Some((index, search.cost(index, expected)?)));
         let (index, _) = costs.min_by(|(_, one), (_, other)| one.total_cmp(other))?;
         Some(index)
     }
@@ -118,9 +140,9 @@
 
 struct Search<'a> {
     config: &'a RouterConfig,
-    entries: u32,
     now: ClockMs,
     pool: &'a [PoolMember],
+    seat: EntrySeat,
     table: &'a EndpointTable,
     wanted: Wanted<'a>,
 }
@@ -136,26 +158,25 @@
         is_allowed.then_some(endpoint)
     }
 
-    fn estimate(&self, endpoint: &Endpoint) -> u32 {
-        endpoint.estimate(self.now, self.config.stale_report_ms, self.entries)
-    }
-
     fn has_free_slot(&self, endpoint: &Endpoint) -> bool {
-        endpoint.free_slots(self.wanted.class, self.estimate(endpoint)) > 0
+        let stale_ms = self.config.stale_report_ms;
+        endpoint.free_slots(self.now, self.wanted.class, stale_ms, self.seat) > 0
     }
 
     /// What it costs to run the request there, in prompt tokens; `None` where it can't run.
-    fn cost(&self, index: EndpointIndex) -> Option<f64> {
+    ///
+    /// `expected` tokens are taken to be cached even when nothing is known of them.
+    fn cost(&self, index: EndpointIndex, expected: u32) -> Option<f64> {
         let endpoint = self.allowed(index)?;
         if !self.has_free_slot(endpoint) {
             return None;
         }
         let request = self.wanted.request;
-        let cached = endpoint
-            .cached_tokens(&request.prefix)
-            .min(request.prompt_tokens);
+        let known = endpoint.cached_tokens(&request.prefix);
+        let cached = known.max(expected).min(request.prompt_tokens);
         let computed = f64::from(request.prompt_tokens - cached);
-        let ratio = endpoint.load_ratio(self.estimate(endpoint));
+        let estimate = endpoint.estimate(self.now, self.config.stale_report_ms, self.seat);
+        let ratio = endpoint.load_ratio(estimate);
         let is_near = endpoint.description.zone == self.config.zone;
         let zone = if is_near { 0.0 } else { OTHER_ZONE_TOKENS };
         Some(computed + ratio * ratio * FULL_LOAD_TOKENS + zone)
@@ -208,6 +229,16 @@
         best.iter().flatten().map(|(_, index)| *index).collect()
     }
 
+    /// Those of some endpoints that serve the request.
+    fn serving(&self, indices: &VecDeque<EndpointIndex>) -> Vec<EndpointIndex> {
+        let target = &self.wanted.request.target;
+        let endpoints = indices.iter().filter(|index| {
+            let endpoint = self.table.at(**index);
+            endpoint.is_some_and(|endpoint| endpoint.serves(target))
+        });
+        endpoints.copied().collect()
+    }
+
     fn least_connections(&self) -> Option<EndpointIndex> {
         let open = self.pool.iter().filter_map(|member| {
             let endpoint = self.allowed(member.index)?;
--- a/crates/masticsill_routing/src/pool.rs
+++ b/crates/masticsill_routing/src/pool.rs
@@ -1,6 +1,6 @@
 //! Every endpoint, and which of them serve what.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use masticsill_types::{ClockMs, NodeId};
 
 use crate::config::RouterConfig;
@@ -23,6 +23,8 @@
 pub(crate) struct EndpointTable {
     endpoints: Vec<Option<Endpoint>>,
     indices: IndexMap<NodeId, EndpointIndex>,
+    /// Targets that entries of the lookup class use.
+    lookup_targets: IndexSet<BackEndTarget>,
     pools: IndexMap<BackEndTarget, Vec<PoolMember>>,
     vacant: Vec<EndpointIndex>,
 }
@@ -64,6 +66,25 @@
             *place = Some(Endpoint::new(node.clone(), description, config));
         }
         self.join_pools(index);
+        self.note_sharing(index);
+    }
+
+    /// Tells which targets entries of the lookup class use.
+    pub(crate) fn set_lookup_targets(&mut self, targets: IndexSet<BackEndTarget>) {
+        if targets == self.lookup_targets {
+            return;
+        }
+        self.lookup_targets = targets;
+        for place in 0..self.endpoints.len() {
+            self.note_sharing(EndpointIndex(place));
+        }
+    }
+
+    fn note_sharing(&mut self, index: EndpointIndex) {
+        if let Some(endpoint) = &mut self.endpoints[index.0] {
+            let mut targets = endpoint.targets().into_iter();
+            endpoint.is_shared = targets.any(|target| self.lookup_targets.contains(&target));
+        }
     }
 
     fn new_index(&mut self, node: &NodeId) -> EndpointIndex {
--- a/crates/masticsill_routing/src/router.rs
+++ b/crates/masticsill_routing/src/router.rs
@@ -10,7 +10,7 @@
 
 use crate::cache_view::CacheChange;
 use crate::config::{PlacementPolicy, RouterConfig};
-use crate::endpoint::EndpointDescription;
+use crate::endpoint::{EndpointDescription, EntrySeat};
 use crate::fair_queue::{Trial, Waiting};
 use crate::lane::{Lane, Lanes};
 use crate::limits::{Limiter, LocalLimits};
@@ -34,17 +34,23 @@
 const REVISIT_MS: u64 = 50;
 
 /// What the router needs to know of a catalogue entry.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EntryPolicy {
+    /// Its class.
+    pub class: Class,
     /// What its callers may consume at this node.
     pub limits: LocalLimits,
+    /// What its requests need.
+    pub target: BackEndTarget,
     /// Zones allowed; empty allows all.
     pub zones: Vec<ZoneId>,
 }
 
 #[derive(Clone, Debug)]
 struct EntryState {
+    class: Class,
     limiter: Limiter,
+    target: BackEndTarget,
     zones: Vec<ZoneId>,
 }
 
@@ -109,27 +115,40 @@
     /// Sets a catalogue entry's policy, or changes it and keeps what is counted.
     pub fn set_entry(&mut self, now: ClockMs, id: &EntryId, policy: EntryPolicy) {
         self.wake_all();
-        if let Some(entry) = self.entries.get_mut(id) {
-            entry.limiter.set(now, policy.limits);
-            entry.zones = policy.zones;
-            return;
-        }
+        let limiter = match self.entries.swap_remove(id) {
+            Some(mut former) => {
+                former.limiter.set(now, policy.limits);
+                former.limiter
+            }
+            None => Limiter::new(now, policy.limits),
+        };
         let entry = EntryState {
-            limiter: Limiter::new(now, policy.limits),
+            class: policy.class,
+            limiter,
+            target: policy.target,
             zones: policy.zones,
         };
         self.entries.insert(id.clone(), entry);
+        self.note_lookup_targets();
     }
 
     /// Forgets a catalogue entry: new work is refused, queued work is refused in its turn.
     pub fn remove_entry(&mut self, id: &EntryId) {
         self.wake_all();
         self.entries.swap_remove(id);
+        self.note_lookup_targets();
+    }
+
+    fn note_lookup_targets(&mut self) {
+        let entries = self.entries.values();
+        let lookups = entries.filter(|entry| entry.class == Class::InstantLookup);
+        let targets = lookups.map(|entry| entry.target.clone()).collect();
+        self.table.set_lookup_targets(targets);
     }
 
-    /// Tells how many entries share the endpoints, this one included.
-    pub fn set_entry_count(&mut self, entries: u32) {
-        self.placer.entries = entries.max(1);
+    /// Tells which entries share the endpoints.
+    pub fn set_seat(&mut self, seat: EntrySeat) {
+        self.placer.seat = seat;
     }
 
     /// Takes what membership says of an endpoint; `None` when it is gone.
@@ -266,6 +285,9 @@
         if let Some(endpoint) = self.table.get_mut(&running.node) {
             endpoint.end(now, running.class);
         }
+        if let Some(index) = self.table.index_of(&running.node) {
+            self.placer.note_left(index);
+        }
         if let Some(entry) = self.entries.get_mut(&running.entry) {
             entry
                 .limiter
@@ -438,7 +460,7 @@
     }
 
     fn expect_wait(&self, request: &WorkRequest) -> ExpectedWait {
-        let slots = self.table.draft_slots(&request.target) / self.placer.entries;
+        let slots = self.table.draft_slots(&request.target) / self.placer.seat.count.max(1);
         let Some(lanes) = self.lanes.get(&request.target) else {
             return ExpectedWait {
                 has_room: true,
--- a/crates/masticsill_routing/tests/placement_choice.rs
+++ b/crates/masticsill_routing/tests/placement_choice.rs
@@ -125,8 +125,10 @@
         assert_eq!(place(&mut router, wanted), Some(node("agent-2")));
     }
     let policy = EntryPolicy {
+        class: Class::PatientDraft,
+        limits: LocalLimits::default(),
+        target: draft(0).target,
         zones: vec![zone("fs-c")],
-        ..EntryPolicy::default()
     };
     router.set_entry(NOW, &entry_id("fliesenwerk/patient_draft"), policy);
     assert_eq!(place(&mut router, draft(99)), None);
--- a/crates/masticsill_routing/tests/support/mod.rs
+++ b/crates/masticsill_routing/tests/support/mod.rs
@@ -5,9 +5,9 @@
 
 use indexmap::{IndexMap, IndexSet};
 use masticsill_routing::{
-    Admit, BackEndTarget, Dequeued, EndpointDescription, EntryPolicy, LocalLimits, Placement,
-    PlacementPolicy, PrefixBlock, Router, RouterConfig, WorkEnd, WorkKind, WorkOutcome,
-    WorkRequest,
+    Admit, BackEndTarget, Dequeued, EndpointDescription, EntryPolicy, EntrySeat, LocalLimits,
+    Placement, PlacementPolicy, PrefixBlock, Router, RouterConfig, SlotGate, WorkEnd, WorkKind,
+    WorkOutcome, WorkRequest,
 };
 use masticsill_types::{
     Class, ClockMs, EndpointKind, EntryId, GenerationId, Incarnation, LoadReport, ModelId,
@@ -18,8 +18,6 @@
 /// Time of a generated token and of a prompt token that is not cached, in microseconds.
 const TOKEN_US: u64 = 20_000;
 const PROMPT_TOKEN_US: u64 = 200;
-/// Prefixes in an engine's cache.
-const CACHED_PREFIXES: usize = 40;
 
 pub(crate) fn node(name: &str) -> NodeId {
     NodeId::new(name).unwrap()
@@ -97,7 +95,9 @@
 pub(crate) fn set_limits(router: &mut Router, now: ClockMs, workspace: &str, limits: LocalLimits) {
     for class in [Class::InstantLookup, Class::PatientDraft] {
         let policy = EntryPolicy {
+            class,
             limits,
+            target: BackEndTarget::Engine(model("planner", "v1")),
             zones: Vec::new(),
         };
         router.set_entry(now, &entry_id(&format!("{workspace}/{class}")), policy);
@@ -119,7 +119,11 @@
 
 /// An engine with slots, priorities and a prefix cache.
 struct Engine {
+    /// Prefixes that the cache holds.
+    cache_capacity: usize,
     cache: IndexSet<u64>,
+    /// The agent's gate; without one, work goes to the engine as it comes.
+    gate: Option<SlotGate>,
     is_dead: bool,
     node: NodeId,
     running: Vec<(ClockMs, Job)>,
@@ -128,11 +132,40 @@
 }
 
 impl Engine {
+    fn take(&mut self, now: ClockMs, job: Job) {
+        if let Some(gate) = &mut self.gate {
+            gate.offer(now, job.id, job.class);
+        }
+        self.waiting.push_back(job);
+    }
+
+    fn end(&mut self, now: ClockMs) -> Vec<Job> {
+        let ended: Vec<(ClockMs, Job)> = self
+            .running
+            .extract_if(.., |(end, _)| *end <= now)
+            .collect();
+        for (_, job) in &ended {
+            if let Some(gate) = &mut self.gate {
+                gate.remove(job.id);
+            }
+        }
+        ended.into_iter().map(|(_, job)| job).collect()
+    }
+
+    fn next_job(&mut self) -> Option<Job> {
+        let place = if let Some(gate) = &mut self.gate {
+            let id = gate.pass_next()?;
+            self.waiting.iter().position(|job| job.id == id)?
+        } else {
+            let urgent = |job: &Job| job.class == Class::InstantLookup;
+            self.waiting.iter().position(urgent).unwrap_or(0)
+        };
+        self.waiting.remove(place)
+    }
+
     fn begin_next(&mut self, now: ClockMs, recomputed: &mut u64) {
         while self.running.len() < self.slots {
-            let urgent = |job: &Job| job.class == Class::InstantLookup;
-            let place = self.waiting.iter().position(urgent).unwrap_or(0);
-            let Some(job) = self.waiting.remove(place) else {
+            let Some(job) = self.next_job() else {
                 return;
             };
             let cached = self.use_cache(&job.prefix);
@@ -152,7 +185,7 @@
             self.cache.shift_remove(&block.hash);
             self.cache.insert(block.hash);
         }
-        while self.cache.len() > CACHED_PREFIXES {
+        while self.cache.len() > self.cache_capacity {
             self.cache.shift_remove_index(0);
         }
         cached
@@ -171,7 +204,9 @@
 
 /// Entries before engines whose load reports come late.
 pub(crate) struct Fleet {
+    pub(crate) are_gated: bool,
     pub(crate) are_reports_frozen: bool,
+    pub(crate) cache_capacity: usize,
     engines: IndexMap<NodeId, Engine>,
     pub(crate) now: ClockMs,
     pub(crate) routers: Vec<Router>,
@@ -184,7 +219,9 @@
 impl Fleet {
     pub(crate) fn new(routers: Vec<Router>, report_lag_ms: u64) -> Self {
         Self {
+            are_gated: true,
             are_reports_frozen: false,
+            cache_capacity: 40,
             engines: IndexMap::new(),
             now: ClockMs(0),
             routers,
@@ -197,12 +234,14 @@
 
     pub(crate) fn add_engine(&mut self, name: &str, slots: u32, at: &str) {
         let count = u32::try_from(self.routers.len()).unwrap();
-        for router in &mut self.routers {
-            router.set_entry_count(count);
+        for (place, router) in (0..).zip(&mut self.routers) {
+            router.set_seat(EntrySeat { count, place });
             router.on_member_change(&node(name), Some(engine(slots, at)));
         }
         let engine = Engine {
             cache: IndexSet::new(),
+            cache_capacity: self.cache_capacity,
+            gate: self.are_gated.then(|| SlotGate::new(slots)),
             is_dead: false,
             node: node(name),
             running: Vec::new(),
@@ -256,7 +295,7 @@
         };
         let engine = &mut self.engines[&placement.node];
         assert!(!engine.is_dead, "{} is gone and got work", engine.node);
-        engine.waiting.push_back(job);
+        engine.take(self.now, job);
         engine.begin_next(self.now, &mut self.tally.recomputed);
     }
 
@@ -264,11 +303,10 @@
         self.now = self.now + TICK_MS;
         let mut ends = Vec::new();
         for engine in self.engines.values_mut() {
-            let now = self.now;
-            ends.extend(engine.running.extract_if(.., |(end, _)| *end <= now));
-            engine.begin_next(now, &mut self.tally.recomputed);
+            ends.extend(engine.end(self.now));
+            engine.begin_next(self.now, &mut self.tally.recomputed);
         }
-        for (_, job) in ends {
+        for job in ends {
             let end = ended(WorkOutcome::Completed, job.tokens);
             self.routers[job.entry].on_finished(self.now, job.id, end);
             let twice = self.tally.done.insert(job.id, (self.now, job.tokens));
