--- a/crates/masticsill_routing/examples/decision_time.rs
+++ b/crates/masticsill_routing/examples/decision_time.rs
@@ -1,4 +1,4 @@
-//! Measures the time of a decision and the router's memory at the size of letter 1: 1,800
+//! Measures the time of a decision, on arrival and from the queues, and the router's memory at the size of letter 1: 1,800
 //! replicas of 35 models and 2,500 workspaces.
 //!
 //! `decision_time [--one-model]`: with the flag all replicas serve one model, the worst case.
@@ -9,7 +9,7 @@
 use std::time::Instant;
 
 use masticsill_routing::{
-    Admit, BackEndTarget, EndpointDescription, EntrySeat, LocalLimits, PlacementPolicy,
+    Admit, BackEndTarget, Dequeued, EndpointDescription, EntrySeat, LocalLimits, PlacementPolicy,
     PrefixBlock, Router, WorkOutcome, WorkRequest,
 };
 use masticsill_types::{Class, ClockMs, EndpointKind, GenerationId, LoadReport};
@@ -98,7 +98,7 @@
     let before_kib = resident_kib();
     let mut router = new_router(policy, models);
     let mut running: Vec<GenerationId> = Vec::new();
-    let mut times = Vec::with_capacity(DECISIONS as usize);
+    let mut times = Vec::with_capacity(2 * DECISIONS as usize);
     let (mut started, mut queued, mut refused) = (0, 0, 0);
     for id in 0..DECISIONS {
         let now = ClockMs(u64::from(id) / 17);
@@ -122,6 +122,12 @@
             let done = running.swap_remove(rng.random_range(0..running.len()));
             router.on_finished(now, done, ended(WorkOutcome::Completed, 100));
         }
+        let begun = Instant::now();
+        let dequeued = router.next_queued(now);
+        times.push(u64::try_from(begun.elapsed().as_nanos()).unwrap_or(u64::MAX));
+        if let Some(Dequeued::Start(id, _)) = dequeued {
+            running.push(id);
+        }
     }
     let grown_kib = resident_kib().saturating_sub(before_kib);
     times.sort_unstable();
--- a/crates/masticsill_routing/examples/policy_comparison.rs
+++ b/crates/masticsill_routing/examples/policy_comparison.rs
@@ -10,7 +10,7 @@
 use masticsill_types::{Class, ClockMs, GenerationId};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use support::{Fleet, request, router, set_limits};
+use support::{Fleet, entry_id, request, router, set_limits};
 
 /// A policy, and whether agents hold back what their engine has no slot for.
 #[derive(Clone, Copy, Debug)]
@@ -139,9 +139,17 @@
 
 /// Drafts answered within a caller's patience of 20 s, in percent of what the slots can do,
 /// while twice that is offered.
-fn goodput_percent(way: Way) -> usize {
+fn goodput_percent(way: Way, is_shared: bool) -> usize {
     let mut rng = StdRng::seed_from_u64(3);
     let mut fleet = fleet(way, SMALL_CACHE);
+    fleet.set_shared(is_shared);
+    if !is_shared {
+        for router in &mut fleet.routers {
+            for workspace in ["w0", "w1"] {
+                router.remove_entry(&entry_id(&format!("{workspace}/{}", Class::InstantLookup)));
+            }
+        }
+    }
     let mut offered = Vec::new();
     let mut id = 0;
     // A draft takes 2.02 s; 384 slots serve 190 a second, and 380 are offered.
@@ -201,17 +209,18 @@
 fn main() {
     println!(
         "way                     prompt tokens computed, small/large caches  \
-         lookup p99 idle/busy ms  goodput at 2x %  lookups missed in a zone's loss"
+         lookup p99 idle/busy ms  goodput at 2x, unshared/shared %  lookups missed in a zone's loss"
     );
     for way in WAYS {
         let small = recomputed(way, SMALL_CACHE);
         let large = recomputed(way, LARGE_CACHE);
         let idle = lookup_p99_ms(way, false);
         let busy = lookup_p99_ms(way, true);
-        let goodput = goodput_percent(way);
+        let goodput = goodput_percent(way, false);
+        let shared = goodput_percent(way, true);
         let (missed, lookups) = lookups_missed_in_zone_loss(way);
         println!(
-            "{:22}  {small:30} / {large:10}  {idle:10} / {busy:9}  {goodput:15}  \
+            "{:22}  {small:30} / {large:10}  {idle:10} / {busy:9}  {goodput:18} / {shared:10}  \
              {missed} of {lookups}",
             way.name
         );
--- a/crates/masticsill_routing/src/endpoint.rs
+++ b/crates/masticsill_routing/src/endpoint.rs
@@ -265,18 +265,33 @@
         self.reported = Some(reported);
     }
 
-    /// Requests at the endpoint, all entries together, as well as can be told.
+    /// Requests in the way of a class at the endpoint, all entries together, as well as can be
+    /// told.
     ///
     /// A fresh report counts everybody; own starts and ends since are added. Without one, the
-    /// other entries are taken to do as much as this one.
-    pub(crate) fn estimate(&self, now: ClockMs, stale_ms: u64, seat: EntrySeat) -> u32 {
+    /// other entries are taken to do as much as this one. Lookups go before waiting drafts, so
+    /// only what runs is in their way.
+    pub(crate) fn estimate(
+        &self,
+        now: ClockMs,
+        class: Class,
+        stale_ms: u64,
+        seat: EntrySeat,
+    ) -> u32 {
         let own = self.in_flight.total();
-        match self.fresh_report(now, stale_ms) {
-            Some(reported) => {
+        let Some(reported) = self.fresh_report(now, stale_ms) else {
+            return own.saturating_mul(seat.count.max(1));
+        };
+        match class {
+            Class::InstantLookup => {
+                let moved = reported.load.running + reported.started_since.lookups;
+                let left = moved.saturating_sub(reported.ended_since.lookups);
+                left.max(self.in_flight.lookups)
+            }
+            Class::PatientDraft => {
                 let moved = reported.counted() + reported.started_since.total();
                 moved.saturating_sub(reported.ended_since.total()).max(own)
             }
-            None => own.saturating_mul(seat.count.max(1)),
         }
     }
 
@@ -293,7 +308,7 @@
         stale_ms: u64,
         seat: EntrySeat,
     ) -> u32 {
-        let estimate = self.estimate(now, stale_ms, seat);
+        let estimate = self.estimate(now, class, stale_ms, seat);
         let reserved = self.reserved_slots();
         let lookups = self.in_flight.lookups.min(estimate);
         let drafts = estimate - lookups;
--- a/crates/masticsill_routing/src/fair_queue.rs
+++ b/crates/masticsill_routing/src/fair_queue.rs
@@ -12,9 +12,6 @@
 
 use crate::request::WorkRequest;
 
-/// Workspaces whose first request is tried when earlier ones can't start yet.
-const TRIED_FLOWS: usize = 16;
-
 /// What came of trying to start a request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Trial<T> {
@@ -107,31 +104,42 @@
         &mut self,
         mut try_start: impl FnMut(&WorkRequest) -> Trial<T>,
     ) -> Option<(WorkRequest, T)> {
-        let mut passed: Option<(u64, usize)> = None;
-        for _ in 0..TRIED_FLOWS {
-            let next = self.flow_after(passed)?;
-            let flow = &self.flows[next.1];
-            let head = flow
-                .waiting
-                .front()
-                .expect("only flows with work are listed");
-            match try_start(&head.request) {
-                Trial::Started(started) => return Some((self.take_head(next.1), started)),
-                Trial::Skipped => passed = Some(next),
+        let first = self.first_flow()?;
+        match try_start(self.head(first)) {
+            Trial::Started(started) => return Some((self.take_head(first), started)),
+            Trial::Stopped => return None,
+            Trial::Skipped => {}
+        }
+        for index in self.flows_in_order().into_iter().skip(1) {
+            match try_start(self.head(index)) {
+                Trial::Started(started) => return Some((self.take_head(index), started)),
                 Trial::Stopped => return None,
+                Trial::Skipped => {}
             }
         }
         None
     }
 
-    /// The flow with work that comes next in order after one that was passed over.
-    fn flow_after(&self, passed: Option<(u64, usize)>) -> Option<(u64, usize)> {
+    /// Tags and places of the workspaces with waiting work.
+    fn busy_flows(&self) -> impl Iterator<Item = (u64, usize)> {
         let flows = self.flows.values().enumerate();
         let busy = flows.filter(|(_, flow)| !flow.waiting.is_empty());
-        let places = busy.map(|(index, flow)| (flow.tag, index));
-        places
-            .filter(|place| passed.is_none_or(|passed| *place > passed))
-            .min()
+        busy.map(|(index, flow)| (flow.tag, index))
+    }
+
+    fn first_flow(&self) -> Option<usize> {
+        self.busy_flows().min().map(|(_, index)| index)
+    }
+
+    fn flows_in_order(&self) -> Vec<usize> {
+        let mut flows: Vec<(u64, usize)> = self.busy_flows().collect();
+        flows.sort_unstable();
+        flows.into_iter().map(|(_, index)| index).collect()
+    }
+
+    fn head(&self, index: usize) -> &WorkRequest {
+        let head = self.flows[index].waiting.front();
+        &head.expect("only flows with work are listed").request
     }
 
     fn take_head(&mut self, index: usize) -> WorkRequest {
--- a/crates/masticsill_routing/src/lane.rs
+++ b/crates/masticsill_routing/src/lane.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use masticsill_types::{ClockMs, GenerationId};
+use masticsill_types::{Class, ClockMs, GenerationId};
 
 use crate::fair_queue::{FairQueue, Trial, Waiting};
 use crate::number::{Average, to_count, to_float};
@@ -106,6 +106,20 @@
 }
 
 impl Lanes {
+    pub(crate) fn of(&self, class: Class) -> &Lane {
+        match class {
+            Class::InstantLookup => &self.lookups,
+            Class::PatientDraft => &self.drafts,
+        }
+    }
+
+    pub(crate) fn of_mut(&mut self, class: Class) -> &mut Lane {
+        match class {
+            Class::InstantLookup => &mut self.lookups,
+            Class::PatientDraft => &mut self.drafts,
+        }
+    }
+
     pub(crate) fn is_idle(&self) -> bool {
         self.drafts.is_idle() && self.lookups.is_idle()
     }
--- a/crates/masticsill_routing/src/lib.rs
+++ b/crates/masticsill_routing/src/lib.rs
@@ -13,6 +13,8 @@
 mod number;
 mod placement;
 mod pool;
+mod queueing;
+mod refusals;
 mod request;
 mod retry_budget;
 mod router;
--- a/crates/masticsill_routing/src/placement.rs
+++ b/crates/masticsill_routing/src/placement.rs
@@ -175,7 +175,8 @@
         let known = endpoint.cached_tokens(&request.prefix);
         let cached = known.max(expected).min(request.prompt_tokens);
         let computed = f64::from(request.prompt_tokens - cached);
-        let estimate = endpoint.estimate(self.now, self.config.stale_report_ms, self.seat);
+        let stale_ms = self.config.stale_report_ms;
+        let estimate = endpoint.estimate(self.now, self.wanted.class, stale_ms, self.seat);
         let ratio = endpoint.load_ratio(estimate);
         let is_near = endpoint.description.zone == self.config.zone;
         let zone = if is_near { 0.0 } else { OTHER_ZONE_TOKENS };
--- a/crates/masticsill_routing/src/pool.rs
+++ b/crates/masticsill_routing/src/pool.rs
@@ -1,7 +1,7 @@
 //! Every endpoint, and which of them serve what.
 
-use indexmap::{IndexMap, IndexSet};
-use masticsill_types::{ClockMs, NodeId};
+use indexmap::IndexMap;
+use masticsill_types::{Class, ClockMs, NodeId};
 
 use crate::config::RouterConfig;
 use crate::endpoint::{Endpoint, EndpointDescription};
@@ -23,8 +23,8 @@
 pub(crate) struct EndpointTable {
     endpoints: Vec<Option<Endpoint>>,
     indices: IndexMap<NodeId, EndpointIndex>,
-    /// Targets that entries of the lookup class use.
-    lookup_targets: IndexSet<BackEndTarget>,
+    /// Catalogue entries of the lookup class that use each target.
+    lookup_entries: IndexMap<BackEndTarget, u32>,
     pools: IndexMap<BackEndTarget, Vec<PoolMember>>,
     vacant: Vec<EndpointIndex>,
 }
@@ -69,21 +69,44 @@
         self.note_sharing(index);
     }
 
-    /// Tells which targets entries of the lookup class use.
-    pub(crate) fn set_lookup_targets(&mut self, targets: IndexSet<BackEndTarget>) {
-        if targets == self.lookup_targets {
+    /// Counts a catalogue entry; endpoints that lookups use keep slots for each class.
+    pub(crate) fn add_entry(&mut self, class: Class, target: &BackEndTarget) {
+        if class != Class::InstantLookup {
             return;
         }
-        self.lookup_targets = targets;
-        for place in 0..self.endpoints.len() {
-            self.note_sharing(EndpointIndex(place));
+        let count = self.lookup_entries.entry(target.clone()).or_default();
+        *count += 1;
+        if *count == 1 {
+            self.note_sharing_of(target);
+        }
+    }
+
+    /// Ends the count of a catalogue entry.
+    pub(crate) fn forget_entry(&mut self, class: Class, target: &BackEndTarget) {
+        if class != Class::InstantLookup {
+            return;
+        }
+        let Some(count) = self.lookup_entries.get_mut(target) else {
+            return;
+        };
+        *count -= 1;
+        if *count == 0 {
+            self.lookup_entries.swap_remove(target);
+            self.note_sharing_of(target);
+        }
+    }
+
+    fn note_sharing_of(&mut self, target: &BackEndTarget) {
+        let members = self.pool(target).to_vec();
+        for member in members {
+            self.note_sharing(member.index);
         }
     }
 
     fn note_sharing(&mut self, index: EndpointIndex) {
         if let Some(endpoint) = &mut self.endpoints[index.0] {
             let mut targets = endpoint.targets().into_iter();
-            endpoint.is_shared = targets.any(|target| self.lookup_targets.contains(&target));
+            endpoint.is_shared = targets.any(|target| self.lookup_entries.contains_key(&target));
         }
     }
 
--- /dev/null
+++ b/crates/masticsill_routing/src/refusals.rs
@@ -0,0 +1,162 @@
+//! Why a request is refused, and when its caller is told to come back.
+
+use masticsill_types::{Class, ClockMs, EntryId, Refusal, RefusalKind};
+
+use crate::request::{WorkKind, WorkRequest};
+use crate::router::Router;
+
+/// Refusals ask callers to come back within these bounds.
+const SHORTEST_RETRY_MS: u64 = 250;
+const LONGEST_RETRY_MS: u64 = 60_000;
+/// When to come back while no endpoint serves the model.
+const NO_ENDPOINT_RETRY_MS: u64 = 2_000;
+/// When to come back once a retry budget is used up.
+const BUDGET_RETRY_MS: u64 = 1_000;
+/// Waits are estimates: work is only queued when this part of the longest wait is left over.
+const WAIT_MARGIN_PART: u64 = 10;
+
+impl Router {
+    /// Refusals that need no look at endpoints or queues.
+    pub(crate) fn refuse_at_door(
+        &mut self,
+        now: ClockMs,
+        request: &WorkRequest,
+    ) -> Option<Refusal> {
+        let Some(entry) = self.entries.get_mut(&request.catalogue_entry) else {
+            return Some(unknown_entry(&request.catalogue_entry));
+        };
+        match &request.kind {
+            WorkKind::Resume => None,
+            WorkKind::New => {
+                let retry_after_ms = entry.limiter.admit(now).err()?;
+                Some(limit_reached("requests per second", retry_after_ms))
+            }
+            WorkKind::Retry { failed } => {
+                let is_paid = self.retry_budgets.pay(&request.workspace, failed);
+                (!is_paid).then(|| {
+                    let detail = "too many attempts failed lately to try another endpoint";
+                    Refusal::not_run(RefusalKind::BackEndFailed, detail)
+                        .retry_after(BUDGET_RETRY_MS)
+                })
+            }
+        }
+    }
+
+    /// Why a request that can't start now may not wait either.
+    pub(crate) fn refuse_to_queue(
+        &mut self,
+        now: ClockMs,
+        request: &WorkRequest,
+    ) -> Option<Refusal> {
+        let is_resume = request.kind == WorkKind::Resume;
+        if is_resume {
+            return None;
+        }
+        if !self.has_endpoint(now, request) {
+            return Some(self.no_endpoint(now, request));
+        }
+        let entry = self.entries.get(&request.catalogue_entry)?;
+        let has_entry_room = entry.limiter.has_queue_room();
+        let wait = self.expect_wait(request);
+        let has_resumes = self.has_resumes(request);
+        if !has_entry_room {
+            return Some(limit_reached("waiting requests", bound_retry(wait.wait_ms)));
+        }
+        if has_resumes && request.class == Class::PatientDraft {
+            return Some(self.overloaded(request, "broken generations are continued first"));
+        }
+        if !wait.has_room {
+            return Some(self.overloaded(request, "the queue is full"));
+        }
+        let longest_ms = self.config.longest_wait_ms(request.class);
+        let longest_ms = longest_ms - longest_ms / WAIT_MARGIN_PART;
+        if wait.wait_ms > longest_ms {
+            return Some(self.overloaded(request, "the wait would be too long"));
+        }
+        let end = now + wait.wait_ms + wait.service_ms;
+        if request.deadline.is_some_and(|deadline| end > deadline) {
+            return Some(self.overloaded(request, "its deadline can't be met"));
+        }
+        None
+    }
+
+    pub(crate) fn has_endpoint(&self, now: ClockMs, request: &WorkRequest) -> bool {
+        let zones = self
+            .entries
+            .get(&request.catalogue_entry)
+            .map_or(&[][..], |entry| entry.zones.as_slice());
+        let mut endpoints = self.table.endpoints_of(&request.target);
+        endpoints.any(|endpoint| {
+            let is_in_zone = zones.is_empty() || zones.contains(&endpoint.description.zone);
+            is_in_zone && endpoint.is_usable(now) && !request.tried.contains(&endpoint.node)
+        })
+    }
+
+    pub(crate) fn has_resumes(&self, request: &WorkRequest) -> bool {
+        let lanes = self.lanes.get(&request.target);
+        lanes.is_some_and(|lanes| {
+            !lanes.drafts.resumes.is_empty() || !lanes.lookups.resumes.is_empty()
+        })
+    }
+
+    pub(crate) fn expect_wait(&self, request: &WorkRequest) -> ExpectedWait {
+        let slots = self.table.draft_slots(&request.target) / self.placer.seat.count.max(1);
+        let Some(lanes) = self.lanes.get(&request.target) else {
+            return ExpectedWait {
+                has_room: true,
+                service_ms: 0,
+                wait_ms: 0,
+            };
+        };
+        let lane = lanes.of(request.class);
+        let ahead = lane.queue.ahead(request, self.config.queue_length);
+        ExpectedWait {
+            has_room: ahead.has_room,
+            service_ms: lane.service_ms(request.cost()).unwrap_or(0),
+            wait_ms: lane.wait_ms(ahead.cost, slots),
+        }
+    }
+
+    pub(crate) fn give_back_request(&mut self, request: &WorkRequest) {
+        if request.kind == WorkKind::New
+            && let Some(entry) = self.entries.get_mut(&request.catalogue_entry)
+        {
+            entry.limiter.give_back_request();
+        }
+    }
+
+    /// A refusal with the time until the work that is ahead now will be done.
+    pub(crate) fn overloaded(&self, request: &WorkRequest, reason: &str) -> Refusal {
+        let wait = self.expect_wait(request);
+        Refusal::not_run(RefusalKind::Overloaded, reason).retry_after(bound_retry(wait.wait_ms))
+    }
+
+    pub(crate) fn no_endpoint(&self, now: ClockMs, request: &WorkRequest) -> Refusal {
+        let held = self.table.next_return(now, &request.target);
+        let retry_after_ms = held.map_or(NO_ENDPOINT_RETRY_MS, |end| end.since(now));
+        let detail = format!("no endpoint serves `{}` now", request.catalogue_entry);
+        Refusal::not_run(RefusalKind::NoEndpoint, detail).retry_after(bound_retry(retry_after_ms))
+    }
+}
+
+/// What waiting would mean for a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ExpectedWait {
+    has_room: bool,
+    service_ms: u64,
+    wait_ms: u64,
+}
+
+fn bound_retry(wait_ms: u64) -> u64 {
+    wait_ms.clamp(SHORTEST_RETRY_MS, LONGEST_RETRY_MS)
+}
+
+pub(crate) fn unknown_entry(entry: &EntryId) -> Refusal {
+    let detail = format!("catalogue entry `{entry}` is not in force");
+    Refusal::not_run(RefusalKind::UnknownModel, detail)
+}
+
+fn limit_reached(limit: &str, retry_after_ms: u64) -> Refusal {
+    let detail = format!("the entry's limit of {limit} is used up");
+    Refusal::not_run(RefusalKind::LimitReached, detail).retry_after(bound_retry(retry_after_ms))
+}
--- a/crates/masticsill_routing/src/router.rs
+++ b/crates/masticsill_routing/src/router.rs
@@ -2,8 +2,7 @@
 
 use indexmap::IndexMap;
 use masticsill_types::{
-    Class, ClockMs, EntryId, GenerationId, LoadReport, NodeId, Refusal, RefusalKind, WorkspaceId,
-    ZoneId,
+    Class, ClockMs, EntryId, GenerationId, LoadReport, NodeId, WorkspaceId, ZoneId,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -11,28 +10,15 @@
 use crate::cache_view::CacheChange;
 use crate::config::{PlacementPolicy, RouterConfig};
 use crate::endpoint::{EndpointDescription, EntrySeat};
-use crate::fair_queue::{Trial, Waiting};
-use crate::lane::{Lane, Lanes};
+use crate::lane::Lanes;
 use crate::limits::{Limiter, LocalLimits};
 use crate::placement::{Placer, Wanted};
 use crate::pool::{EndpointIndex, EndpointTable};
 use crate::request::{
-    Admit, BackEndTarget, Dequeued, Placement, WorkEnd, WorkKind, WorkOutcome, WorkRequest,
+    Admit, BackEndTarget, Placement, WorkEnd, WorkKind, WorkOutcome, WorkRequest,
 };
 use crate::retry_budget::RetryBudgets;
 
-/// Refusals ask callers to come back within these bounds.
-const SHORTEST_RETRY_MS: u64 = 250;
-const LONGEST_RETRY_MS: u64 = 60_000;
-/// When to come back while no endpoint serves the model.
-const NO_ENDPOINT_RETRY_MS: u64 = 2_000;
-/// When to come back once a retry budget is used up.
-const BUDGET_RETRY_MS: u64 = 1_000;
-/// Waits are estimates: work is only queued when this part of the longest wait is left over.
-const WAIT_MARGIN_PART: u64 = 10;
-/// Queues are looked through again after this time even when nothing happened.
-const REVISIT_MS: u64 = 50;
-
 /// What the router needs to know of a catalogue entry.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EntryPolicy {
@@ -47,32 +33,32 @@
 }
 
 #[derive(Clone, Debug)]
-struct EntryState {
-    class: Class,
-    limiter: Limiter,
-    target: BackEndTarget,
-    zones: Vec<ZoneId>,
+pub(crate) struct EntryState {
+    pub(crate) class: Class,
+    pub(crate) limiter: Limiter,
+    pub(crate) target: BackEndTarget,
+    pub(crate) zones: Vec<ZoneId>,
 }
 
 #[derive(Clone, Debug)]
-struct Running {
-    class: Class,
-    cost: u64,
-    entry: EntryId,
-    max_tokens: u32,
-    node: NodeId,
-    started_at: ClockMs,
-    target: BackEndTarget,
-    workspace: WorkspaceId,
+pub(crate) struct Running {
+    pub(crate) class: Class,
+    pub(crate) cost: u64,
+    pub(crate) entry: EntryId,
+    pub(crate) max_tokens: u32,
+    pub(crate) node: NodeId,
+    pub(crate) started_at: ClockMs,
+    pub(crate) target: BackEndTarget,
+    pub(crate) workspace: WorkspaceId,
 }
 
 #[derive(Clone, Debug)]
-struct Queued {
-    class: Class,
-    entry: EntryId,
-    is_resume: bool,
-    target: BackEndTarget,
-    workspace: WorkspaceId,
+pub(crate) struct Queued {
+    pub(crate) class: Class,
+    pub(crate) entry: EntryId,
+    pub(crate) is_resume: bool,
+    pub(crate) target: BackEndTarget,
+    pub(crate) workspace: WorkspaceId,
 }
 
 /// Decides which endpoint gets which request, who waits and who is refused.
@@ -82,16 +68,18 @@
 /// with [`Router::on_finished`].
 #[derive(Clone, Debug)]
 pub struct Router {
-    config: RouterConfig,
-    entries: IndexMap<EntryId, EntryState>,
-    lanes: IndexMap<BackEndTarget, Lanes>,
-    placer: Placer,
-    queued: IndexMap<GenerationId, Queued>,
-    retry_budgets: RetryBudgets,
-    revisit_at: ClockMs,
-    rng: StdRng,
-    running: IndexMap<GenerationId, Running>,
-    table: EndpointTable,
+    pub(crate) config: RouterConfig,
+    /// Queued work whose catalogue entry is gone, to be refused.
+    pub(crate) dropped: Vec<GenerationId>,
+    pub(crate) entries: IndexMap<EntryId, EntryState>,
+    pub(crate) lanes: IndexMap<BackEndTarget, Lanes>,
+    pub(crate) placer: Placer,
+    pub(crate) queued: IndexMap<GenerationId, Queued>,
+    pub(crate) retry_budgets: RetryBudgets,
+    pub(crate) revisit_at: ClockMs,
+    pub(crate) rng: StdRng,
+    pub(crate) running: IndexMap<GenerationId, Running>,
+    pub(crate) table: EndpointTable,
 }
 
 impl Router {
@@ -100,6 +88,7 @@
     pub fn new(config: RouterConfig, seed: u64) -> Self {
         Self {
             config,
+            dropped: Vec::new(),
             entries: IndexMap::new(),
             lanes: IndexMap::new(),
             placer: Placer::new(),
@@ -117,11 +106,13 @@
         self.wake_all();
         let limiter = match self.entries.swap_remove(id) {
             Some(mut former) => {
+                self.table.forget_entry(former.class, &former.target);
                 former.limiter.set(now, policy.limits);
                 former.limiter
             }
             None => Limiter::new(now, policy.limits),
         };
+        self.table.add_entry(policy.class, &policy.target);
         let entry = EntryState {
             class: policy.class,
             limiter,
@@ -129,21 +120,16 @@
             zones: policy.zones,
         };
         self.entries.insert(id.clone(), entry);
-        self.note_lookup_targets();
     }
 
-    /// Forgets a catalogue entry: new work is refused, queued work is refused in its turn.
+    /// Forgets a catalogue entry: new and queued work is refused.
     pub fn remove_entry(&mut self, id: &EntryId) {
         self.wake_all();
-        self.entries.swap_remove(id);
-        self.note_lookup_targets();
-    }
-
-    fn note_lookup_targets(&mut self) {
-        let entries = self.entries.values();
-        let lookups = entries.filter(|entry| entry.class == Class::InstantLookup);
-        let targets = lookups.map(|entry| entry.target.clone()).collect();
-        self.table.set_lookup_targets(targets);
+        if let Some(former) = self.entries.swap_remove(id) {
+            self.table.forget_entry(former.class, &former.target);
+        }
+        let waiting = self.queued.iter().filter(|(_, queued)| queued.entry == *id);
+        self.dropped.extend(waiting.map(|(id, _)| *id));
     }
 
     /// Tells which entries share the endpoints.
@@ -210,73 +196,6 @@
         Admit::Queued
     }
 
-    /// The next end of a wait. Call it after each event until it gives `None`, and again within
-    /// a few tens of milliseconds.
-    pub fn next_queued(&mut self, now: ClockMs) -> Option<Dequeued> {
-        if self.queued.is_empty() {
-            return None;
-        }
-        if now >= self.revisit_at {
-            self.revisit_at = now + REVISIT_MS;
-            self.wake_all();
-        }
-        for lane in 0..self.lanes.len() {
-            if let Some(request) = self.expire(now, lane) {
-                self.forget_queued(&request);
-                let refusal = self.overloaded(&request, "its wait was over before its turn");
-                return Some(Dequeued::Refused(request.id, refusal));
-            }
-            if !self.lanes[lane].has_news {
-                continue;
-            }
-            for class in [Class::InstantLookup, Class::PatientDraft] {
-                if let Some((request, index)) = self.start_in_lane(now, lane, class) {
-                    self.forget_queued(&request);
-                    let placement = self.start(now, &request, index);
-                    return Some(Dequeued::Start(request.id, placement));
-                }
-            }
-            self.lanes[lane].has_news = false;
-        }
-        None
-    }
-
-    fn wake_all(&mut self) {
-        for lanes in self.lanes.values_mut() {
-            lanes.has_news = !lanes.is_idle();
-        }
-    }
-
-    /// Marks the lanes of an endpoint's targets for another look.
-    fn wake_lanes_of(&mut self, node: &NodeId) {
-        for target in self.table.targets_of(node) {
-            if let Some(lanes) = self.lanes.get_mut(&target) {
-                lanes.has_news = true;
-            }
-        }
-    }
-
-    /// Takes out a request that its caller no longer wants. Returns whether it was queued.
-    pub fn withdraw(&mut self, id: GenerationId) -> bool {
-        let Some(queued) = self.queued.get(&id).cloned() else {
-            return false;
-        };
-        let Some(lanes) = self.lanes.get_mut(&queued.target) else {
-            return false;
-        };
-        let lane = lane_of(lanes, queued.class);
-        let is_removed = if queued.is_resume {
-            lane.withdraw_resume(id)
-        } else {
-            lane.queue.withdraw(&queued.workspace, id)
-        };
-        self.queued.swap_remove(&id);
-        if let Some(entry) = self.entries.get_mut(&queued.entry) {
-            entry.limiter.queued = entry.limiter.queued.saturating_sub(1);
-        }
-        is_removed
-    }
-
     /// Notes the end of started work; an unknown id is ignored.
     pub fn on_finished(&mut self, now: ClockMs, id: GenerationId, end: WorkEnd) {
         let Some(running) = self.running.swap_remove(&id) else {
@@ -297,7 +216,9 @@
             self.retry_budgets.earn(&running.workspace, &running.node);
             let lanes = self.lanes.entry(running.target).or_default();
             let duration_ms = now.since(running.started_at);
-            lane_of(lanes, running.class).served(running.cost, duration_ms);
+            lanes
+                .of_mut(running.class)
+                .served(running.cost, duration_ms);
         }
         self.wake_lanes_of(&running.node);
     }
@@ -314,50 +235,25 @@
         self.running.len()
     }
 
-    /// Refusals that need no look at endpoints or queues.
-    fn refuse_at_door(&mut self, now: ClockMs, request: &WorkRequest) -> Option<Refusal> {
-        let Some(entry) = self.entries.get_mut(&request.catalogue_entry) else {
-            return Some(unknown_entry(request));
-        };
-        match &request.kind {
-            WorkKind::Resume => None,
-            WorkKind::New => {
-                let retry_after_ms = entry.limiter.admit(now).err()?;
-                Some(limit_reached("requests per second", retry_after_ms))
-            }
-            WorkKind::Retry { failed } => {
-                let is_paid = self.retry_budgets.pay(&request.workspace, failed);
-                (!is_paid).then(|| {
-                    let detail = "too many attempts failed lately to try another endpoint";
-                    Refusal::not_run(RefusalKind::BackEndFailed, detail)
-                        .retry_after(BUDGET_RETRY_MS)
-                })
-            }
-        }
-    }
-
     /// Whether the limits let a request start now.
-    fn may_start(&mut self, now: ClockMs, request: &WorkRequest) -> bool {
+    pub(crate) fn may_start(&mut self, now: ClockMs, request: &WorkRequest) -> bool {
         let entry = self.entries.get_mut(&request.catalogue_entry);
         entry.is_some_and(|entry| entry.limiter.may_start(now))
     }
 
     /// Whether others wait for the same and go first.
-    fn must_wait(&self, request: &WorkRequest) -> bool {
+    pub(crate) fn must_wait(&self, request: &WorkRequest) -> bool {
         let Some(lanes) = self.lanes.get(&request.target) else {
             return false;
         };
-        let lane = match request.class {
-            Class::InstantLookup => &lanes.lookups,
-            Class::PatientDraft => &lanes.drafts,
-        };
+        let lane = lanes.of(request.class);
         match request.kind {
             WorkKind::Resume => !lane.resumes.is_empty(),
             WorkKind::New | WorkKind::Retry { .. } => !lane.is_idle(),
         }
     }
 
-    fn choose(&mut self, now: ClockMs, request: &WorkRequest) -> Option<EndpointIndex> {
+    pub(crate) fn choose(&mut self, now: ClockMs, request: &WorkRequest) -> Option<EndpointIndex> {
         let entry = self.entries.get(&request.catalogue_entry)?;
         let wanted = Wanted {
             class: request.class,
@@ -368,7 +264,12 @@
             .choose(now, wanted, &self.table, &self.config, &mut self.rng)
     }
 
-    fn start(&mut self, now: ClockMs, request: &WorkRequest, index: EndpointIndex) -> Placement {
+    pub(crate) fn start(
+        &mut self,
+        now: ClockMs,
+        request: &WorkRequest,
+        index: EndpointIndex,
+    ) -> Placement {
         let node = self
             .table
             .at(index)
@@ -405,219 +306,4 @@
             node,
         }
     }
-
-    /// Why a request that can't start now may not wait either.
-    fn refuse_to_queue(&mut self, now: ClockMs, request: &WorkRequest) -> Option<Refusal> {
-        let is_resume = request.kind == WorkKind::Resume;
-        if is_resume {
-            return None;
-        }
-        if !self.has_endpoint(now, request) {
-            return Some(self.no_endpoint(now, request));
-        }
-        let entry = self.entries.get(&request.catalogue_entry)?;
-        let has_entry_room = entry.limiter.has_queue_room();
-        let wait = self.expect_wait(request);
-        let has_resumes = self.has_resumes(request);
-        if !has_entry_room {
-            return Some(limit_reached("waiting requests", bound_retry(wait.wait_ms)));
-        }
-        if has_resumes && request.class == Class::PatientDraft {
-            return Some(self.overloaded(request, "broken generations are continued first"));
-        }
-        if !wait.has_room {
-            return Some(self.overloaded(request, "the queue is full"));
-        }
-        let longest_ms = self.config.longest_wait_ms(request.class);
-        let longest_ms = longest_ms - longest_ms / WAIT_MARGIN_PART;
-        if wait.wait_ms > longest_ms {
-            return Some(self.overloaded(request, "the wait would be too long"));
-        }
-        let end = now + wait.wait_ms + wait.service_ms;
-        if request.deadline.is_some_and(|deadline| end > deadline) {
-            return Some(self.overloaded(request, "its deadline can't be met"));
-        }
-        None
-    }
-
-    fn has_endpoint(&self, now: ClockMs, request: &WorkRequest) -> bool {
-        let zones = self
-            .entries
-            .get(&request.catalogue_entry)
-            .map_or(&[][..], |entry| entry.zones.as_slice());
-        let mut endpoints = self.table.endpoints_of(&request.target);
-        endpoints.any(|endpoint| {
-            let is_in_zone = zones.is_empty() || zones.contains(&endpoint.description.zone);
-            is_in_zone && endpoint.is_usable(now) && !request.tried.contains(&endpoint.node)
-        })
-    }
-
-    fn has_resumes(&self, request: &WorkRequest) -> bool {
-        let lanes = self.lanes.get(&request.target);
-        lanes.is_some_and(|lanes| {
-            !lanes.drafts.resumes.is_empty() || !lanes.lookups.resumes.is_empty()
-        })
-    }
-
-    fn expect_wait(&self, request: &WorkRequest) -> ExpectedWait {
-        let slots = self.table.draft_slots(&request.target) / self.placer.seat.count.max(1);
-        let Some(lanes) = self.lanes.get(&request.target) else {
-            return ExpectedWait {
-                has_room: true,
-                service_ms: 0,
-                wait_ms: 0,
-            };
-        };
-        let lane = match request.class {
-            Class::InstantLookup => &lanes.lookups,
-            Class::PatientDraft => &lanes.drafts,
-        };
-        let ahead = lane.queue.ahead(request, self.config.queue_length);
-        ExpectedWait {
-            has_room: ahead.has_room,
-            service_ms: lane.service_ms(request.cost()).unwrap_or(0),
-            wait_ms: lane.wait_ms(ahead.cost, slots),
-        }
-    }
-
-    fn enqueue(&mut self, now: ClockMs, request: WorkRequest) {
-        let longest = now + self.config.longest_wait_ms(request.class);
-        let expires_at = request
-            .deadline
-            .map_or(longest, |deadline| deadline.min(longest));
-        let is_resume = request.kind == WorkKind::Resume;
-        let queued = Queued {
-            class: request.class,
-            entry: request.catalogue_entry.clone(),
-            is_resume,
-            target: request.target.clone(),
-            workspace: request.workspace.clone(),
-        };
-        if let Some(entry) = self.entries.get_mut(&request.catalogue_entry) {
-            entry.limiter.queued += 1;
-        }
-        self.queued.insert(request.id, queued);
-        let lanes = self.lanes.entry(request.target.clone()).or_default();
-        lanes.has_news = true;
-        let lane = lane_of(lanes, request.class);
-        let waiting = Waiting {
-            expires_at,
-            request,
-        };
-        if is_resume {
-            lane.push_resume(waiting);
-        } else {
-            lane.queue.push(waiting);
-        }
-    }
-
-    fn forget_queued(&mut self, request: &WorkRequest) {
-        self.queued.swap_remove(&request.id);
-        if let Some(entry) = self.entries.get_mut(&request.catalogue_entry) {
-            entry.limiter.queued = entry.limiter.queued.saturating_sub(1);
-        }
-    }
-
-    fn expire(&mut self, now: ClockMs, lane: usize) -> Option<WorkRequest> {
-        let lanes = &mut self.lanes[lane];
-        [&mut lanes.lookups, &mut lanes.drafts]
-            .into_iter()
-            .find_map(|lane| {
-                lane.expire_resume(now)
-                    .or_else(|| lane.queue.expire_next(now))
-            })
-    }
-
-    /// Starts the first request of a lane that can start, resumes first.
-    fn start_in_lane(
-        &mut self,
-        now: ClockMs,
-        lane: usize,
-        class: Class,
-    ) -> Option<(WorkRequest, EndpointIndex)> {
-        let lanes = &mut self.lanes[lane];
-        if lanes.is_idle() {
-            return None;
-        }
-        // The lane is taken out so that its requests can be tried against the rest.
-        let mut taken = std::mem::take(lane_of(lanes, class));
-        let started = taken
-            .start_resume(|request| self.try_start(now, request))
-            .or_else(|| {
-                taken
-                    .queue
-                    .start_next(|request| self.try_start(now, request))
-            });
-        *lane_of(&mut self.lanes[lane], class) = taken;
-        started
-    }
-
-    fn try_start(&mut self, now: ClockMs, request: &WorkRequest) -> Trial<EndpointIndex> {
-        if !self.may_start(now, request) {
-            return Trial::Skipped;
-        }
-        if let Some(index) = self.choose(now, request) {
-            return Trial::Started(index);
-        }
-        let entry = self.entries.get(&request.catalogue_entry);
-        let is_choosy = entry.is_none_or(|entry| !entry.zones.is_empty());
-        if is_choosy || !request.tried.is_empty() {
-            Trial::Skipped
-        } else {
-            Trial::Stopped
-        }
-    }
-
-    fn give_back_request(&mut self, request: &WorkRequest) {
-        if request.kind == WorkKind::New
-            && let Some(entry) = self.entries.get_mut(&request.catalogue_entry)
-        {
-            entry.limiter.give_back_request();
-        }
-    }
-
-    /// A refusal with the time until the work that is ahead now will be done.
-    fn overloaded(&self, request: &WorkRequest, reason: &str) -> Refusal {
-        let wait = self.expect_wait(request);
-        Refusal::not_run(RefusalKind::Overloaded, reason).retry_after(bound_retry(wait.wait_ms))
-    }
-
-    fn no_endpoint(&self, now: ClockMs, request: &WorkRequest) -> Refusal {
-        let held = self.table.next_return(now, &request.target);
-        let retry_after_ms = held.map_or(NO_ENDPOINT_RETRY_MS, |end| end.since(now));
-        let detail = format!("no endpoint serves `{}` now", request.catalogue_entry);
-        Refusal::not_run(RefusalKind::NoEndpoint, detail).retry_after(bound_retry(retry_after_ms))
-    }
-}
-
-/// What waiting would mean for a request.
-#[derive(Clone, Copy, Debug)]
-struct ExpectedWait {
-    has_room: bool,
-    service_ms: u64,
-    wait_ms: u64,
-}
-
-fn lane_of(lanes: &mut Lanes, class: Class) -> &mut Lane {
-    match class {
-        Class::InstantLookup => &mut lanes.lookups,
-        Class::PatientDraft => &mut lanes.drafts,
-    }
-}
-
-fn bound_retry(wait_ms: u64) -> u64 {
-    wait_ms.clamp(SHORTEST_RETRY_MS, LONGEST_RETRY_MS)
-}
-
-fn unknown_entry(request: &WorkRequest) -> Refusal {
-    let detail = format!(
-        "catalogue entry `{}` is not in force",
-        request.catalogue_entry
-    );
-    Refusal::not_run(RefusalKind::UnknownModel, detail)
-}
-
-fn limit_reached(limit: &str, retry_after_ms: u64) -> Refusal {
-    let detail = format!("the entry's limit of {limit} is used up");
-    Refusal::not_run(RefusalKind::LimitReached, detail).retry_after(bound_retry(retry_after_ms))
 }
--- a/crates/masticsill_routing/src/shares.rs
+++ b/crates/masticsill_routing/src/shares.rs
@@ -27,6 +27,8 @@
     pub holding: u64,
     /// The entry's life.
     pub incarnation: Incarnation,
+    /// What the entry uses at most of the grant that it holds, from this ask on.
+    pub keeps: u64,
     /// The entry.
     pub node: NodeId,
     /// Rises with each ask of this life.
@@ -123,6 +125,9 @@
         account
             .leases
             .retain(|lease| lease.sequence == request.holding);
+        for lease in &mut account.leases {
+            lease.units = lease.units.min(request.keeps);
+        }
         let units = self.units_for(now, &key);
         let lease = Lease {
             ends_at: now + self.lease_ms,
@@ -220,12 +225,18 @@
     }
 
     /// Asks for a share; the answers to earlier asks are void from now on.
+    ///
+    /// What is held beyond `wanted` is given up at once, whether or not the ask arrives.
     pub fn ask(&mut self, now: ClockMs, wanted: u64) -> ShareRequest {
         self.sequence += 1;
         self.asked_at = now;
+        if let Some(lease) = &mut self.held {
+            lease.units = lease.units.min(wanted);
+        }
         ShareRequest {
             holding: self.held.map_or(0, |lease| lease.sequence),
             incarnation: self.incarnation,
+            keeps: self.held.map_or(0, |lease| lease.units),
             node: self.node.clone(),
             sequence: self.sequence,
             wanted,
--- a/crates/masticsill_routing/src/slot_gate.rs
+++ b/crates/masticsill_routing/src/slot_gate.rs
@@ -27,6 +27,7 @@
 #[derive(Clone, Debug)]
 pub struct SlotGate {
     drafts: VecDeque<GenerationId>,
+    is_shared: bool,
     lookups: VecDeque<GenerationId>,
     /// The most lookups at once in the last window and in this one.
     peaks: [u32; 2],
@@ -41,6 +42,7 @@
     pub fn new(slots: u32) -> Self {
         Self {
             drafts: VecDeque::new(),
+            is_shared: true,
             lookups: VecDeque::new(),
             peaks: [0; 2],
             running: IndexMap::new(),
@@ -54,6 +56,12 @@
         self.slots = slots;
     }
 
+    /// Tells whether catalogue entries of the lookup class use the engine; if not, nothing is
+    /// kept for them. A new gate takes it that they do.
+    pub fn set_shared(&mut self, is_shared: bool) {
+        self.is_shared = is_shared;
+    }
+
     /// Takes new work; [`SlotGate::pass_next`] tells when to pass it on.
     pub fn offer(&mut self, now: ClockMs, id: GenerationId, class: Class) {
         match class {
@@ -74,11 +82,18 @@
         self.peaks[1] = self.peaks[1].max(lookups);
     }
 
-    /// Slots kept for lookups: as many as came at once lately.
+    /// Slots kept for lookups: one more than came at once lately.
     fn reserve(&self) -> u32 {
+        if !self.is_shared {
+            return 0;
+        }
+        let least = reserved_slots(self.slots);
         let peak = self.peaks[0].max(self.peaks[1]);
+        if peak == 0 {
+            return least;
+        }
         let most = self.slots / LARGEST_RESERVE_PART;
-        peak.min(most).max(reserved_slots(self.slots))
+        (peak + 1).min(most).max(least)
     }
 
     /// Takes out work that ended at the engine or is no longer wanted.
@@ -122,7 +137,10 @@
         let drafts = self.running(Class::PatientDraft);
         let lookups = self.running(Class::InstantLookup);
         let kept = match class {
-            Class::InstantLookup => reserved_slots(self.slots).saturating_sub(drafts),
+            Class::InstantLookup if self.is_shared => {
+                reserved_slots(self.slots).saturating_sub(drafts)
+            }
+            Class::InstantLookup => 0,
             Class::PatientDraft => self.reserve().saturating_sub(lookups),
         };
         drafts + lookups + kept < self.slots
--- a/crates/masticsill_routing/tests/fair_admission.rs
+++ b/crates/masticsill_routing/tests/fair_admission.rs
@@ -162,6 +162,39 @@
     assert_eq!(router.queued_count(), 0);
 }
 
+#[test]
+fn queued_work_of_a_removed_entry_is_refused_at_once() {
+    let mut router = router_with(&["w0"], 1, 2);
+    for id in 0..3 {
+        router.admit(ClockMs(0), request(id, "w0", Class::PatientDraft, 10));
+    }
+    assert_eq!(router.queued_count(), 2);
+    router.remove_entry(&support::entry_id("w0/patient_draft"));
+    for _ in 0..2 {
+        assert_matches!(router.next_queued(ClockMs(1)), Some(Dequeued::Refused(..)));
+    }
+    assert_eq!(router.queued_count(), 0);
+}
+
+#[test]
+fn workspaces_at_their_limit_do_not_hold_up_the_others() {
+    let names: Vec<String> = (0..100).map(|index| format!("w{index}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut router = router_with(&names, 4, 16);
+    let none = LocalLimits {
+        concurrent: Some(0),
+        ..LocalLimits::default()
+    };
+    for name in &names[..99] {
+        set_limits(&mut router, ClockMs(0), name, none);
+    }
+    for (id, name) in (0..).zip(&names) {
+        router.admit(ClockMs(0), request(id, name, Class::PatientDraft, 10));
+    }
+    let next = router.next_queued(ClockMs(0));
+    assert_matches!(next, Some(Dequeued::Start(GenerationId(99), _)));
+}
+
 #[test]
 fn retries_stop_when_their_budget_is_used_up() {
     let mut router = router_with(&["w0", "w1"], 3, 1_000);
--- /dev/null
+++ b/crates/masticsill_routing/tests/slot_gate.rs
@@ -0,0 +1,72 @@
+//! An agent passes on what its engine has slots for, and each class finds some.
+
+use masticsill_routing::SlotGate;
+use masticsill_types::{Class, ClockMs, GenerationId};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const NOW: ClockMs = ClockMs(0);
+
+fn offer(gate: &mut SlotGate, ids: std::ops::Range<u128>, class: Class) -> usize {
+    for id in ids {
+        gate.offer(NOW, GenerationId(id), class);
+    }
+    std::iter::from_fn(|| gate.pass_next()).count()
+}
+
+#[test]
+fn drafts_leave_a_slot_to_lookups_and_lookups_to_drafts() {
+    for (first, second) in [
+        (Class::PatientDraft, Class::InstantLookup),
+        (Class::InstantLookup, Class::PatientDraft),
+    ] {
+        let mut gate = SlotGate::new(16);
+        assert_eq!(offer(&mut gate, 0..40, first), 15);
+        assert_eq!(offer(&mut gate, 100..101, second), 1);
+        assert_eq!(offer(&mut gate, 101..110, second), 0);
+    }
+}
+
+#[test]
+fn nothing_is_kept_where_lookups_are_not_served() {
+    let mut gate = SlotGate::new(16);
+    gate.set_shared(false);
+    assert_eq!(offer(&mut gate, 0..40, Class::PatientDraft), 16);
+}
+
+#[test]
+fn the_reserve_follows_the_lookups() {
+    let mut gate = SlotGate::new(16);
+    assert_eq!(offer(&mut gate, 100..102, Class::InstantLookup), 2);
+    for id in 100..102 {
+        gate.remove(GenerationId(id));
+    }
+    assert_eq!(offer(&mut gate, 0..40, Class::PatientDraft), 13);
+}
+
+#[test]
+fn random_work_passes_each_once_and_never_more_than_the_slots() {
+    for seed in 0..30 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut gate = SlotGate::new(8);
+        let mut running: Vec<GenerationId> = Vec::new();
+        let mut passed = 0;
+        for step in 0..5_000_u64 {
+            let now = ClockMs(step * 7);
+            if step < 2_000 {
+                let class = [Class::InstantLookup, Class::PatientDraft][rng.random_range(0..2)];
+                gate.offer(now, GenerationId(step.into()), class);
+            }
+            if !running.is_empty() && rng.random_bool(0.9) {
+                gate.remove(running.swap_remove(rng.random_range(0..running.len())));
+            }
+            while let Some(id) = gate.pass_next() {
+                assert!(!running.contains(&id));
+                running.push(id);
+                passed += 1;
+            }
+            assert!(running.len() <= 8);
+        }
+        assert_eq!((passed, gate.waiting()), (2_000, 0), "seed {seed}");
+    }
+}
--- a/crates/masticsill_routing/tests/support/mod.rs
+++ b/crates/masticsill_routing/tests/support/mod.rs
@@ -251,6 +251,17 @@
         self.engines.insert(node(name), engine);
     }
 
+    /// Tells all agents whether lookups use their engines.
+    pub(crate) fn set_shared(&mut self, is_shared: bool) {
+        let gates = self
+            .engines
+            .values_mut()
+            .filter_map(|engine| engine.gate.as_mut());
+        for gate in gates {
+            gate.set_shared(is_shared);
+        }
+    }
+
     /// Kills an engine; its work comes back to its entries as resumes.
     pub(crate) fn kill(&mut self, name: &str) {
         for router in &mut self.routers {
