--- /dev/null
+++ b/crates/masticsill_control/src/rpc/duty.rs
@@ -0,0 +1,80 @@
+//! Accepts connections and runs this replica's own calls.
+
+use std::net::SocketAddr;
+
+use futures::StreamExt;
+use masticsill_runtime::{Ring, ServiceStream, ShutdownSignal, events as runtime_events};
+use masticsill_types::{MonotonicClock, NodeId, log_event};
+use masticsill_wire::control::ControlService;
+use tarpc::server::{BaseChannel, Channel};
+use tokio::task::spawn_local;
+
+use super::founding::run_founding;
+use super::peers::{Sender, run_outgoing, run_proofs, say_hello};
+use super::router::{Forward, run_router};
+use super::service::ControlServer;
+use crate::book::AddressBook;
+use crate::client::ControlClient;
+use crate::config::ControlConfig;
+use crate::quorum::{Outgoing, PublishedState, QuorumHandle};
+
+/// What the RPC duty is built from.
+#[derive(Debug)]
+pub(crate) struct RpcParts {
+    pub(crate) book: AddressBook,
+    pub(crate) calls: Ring<Forward>,
+    pub(crate) clock: MonotonicClock,
+    pub(crate) connections: Ring<ServiceStream>,
+    pub(crate) ended: ShutdownSignal,
+    pub(crate) outgoing: Ring<Outgoing>,
+    pub(crate) published: PublishedState,
+    pub(crate) quorum: QuorumHandle,
+}
+
+/// Serves until the replica ends.
+pub(crate) async fn run(config: ControlConfig, parts: RpcParts) {
+    let sender = Sender {
+        address: config.rpc_address,
+        node: config.node.clone(),
+    };
+    parts.book.learn(sender.node.clone(), sender.address);
+    let server = ControlServer {
+        book: parts.book.clone(),
+        client: ControlClient::new(parts.book.clone()),
+        clock: parts.clock,
+        published: parts.published,
+        quorum: parts.quorum,
+    };
+    start_tasks(&config, &server, &sender);
+    spawn_local(run_proofs(server.clone()));
+    spawn_local(run_outgoing(sender, parts.book, parts.outgoing));
+    spawn_local(run_router(server.clone(), parts.calls));
+    tokio::select! {
+        () = serve_connections(&parts.connections, server) => {}
+        () = parts.ended.requested() => {}
+    }
+    // What the process still accepts is closed at once, so that peers turn elsewhere.
+    parts.connections.close();
+    while parts.connections.try_pop().is_some() {}
+}
+
+fn start_tasks(config: &ControlConfig, server: &ControlServer, sender: &Sender) {
+    let is_other = |(node, _): &(&NodeId, &SocketAddr)| **node != config.node;
+    for (_, peer) in config.peers.iter().filter(is_other) {
+        spawn_local(say_hello(sender.clone(), *peer));
+    }
+    let founders = config.founders.clone();
+    spawn_local(run_founding(server.clone(), config.node.clone(), founders));
+}
+
+async fn serve_connections(connections: &Ring<ServiceStream>, server: ControlServer) {
+    while let Some(stream) = connections.pop().await {
+        match stream.into_transport() {
+            Ok(transport) => {
+                let calls = BaseChannel::with_defaults(transport).execute(server.clone().serve());
+                spawn_local(calls.for_each_concurrent(None, |call| call));
+            }
+            Err(error) => log_event!(warn, runtime_events::ACCEPT_FAILED, cause = error),
+        }
+    }
+}
