Mesh: ask along a tree when nodes are many; pass over sources with old proofs

Cause: with 2,150 nodes asking 7 control replicas every 300 ms each replica would answer 1,000 calls a second; the budget is 3 KB/s a node. Ruled out: slowing all renewals (today's sizes need the short period); the proof on the back of probes alone (about log2 n seconds to reach everybody).

--- a/crates/masticsill_membership/src/member.rs
+++ b/crates/masticsill_membership/src/member.rs
@@ -120,6 +120,12 @@
         is_reachable && self.held_until <= now
     }
 
+    /// Whether it belongs to the control quorum.
+    #[must_use]
+    pub fn is_control(&self) -> bool {
+        self.role == Role::Control
+    }
+
     /// The endpoint that the member stands beside, for agents.
     #[must_use]
     pub fn endpoint(&self) -> Option<&EndpointProfile> {
--- a/crates/masticsill_mesh/src/config.rs
+++ b/crates/masticsill_mesh/src/config.rs
@@ -19,8 +19,10 @@
 pub struct RenewalPeriods {
     /// How long a proof of freshness is good for.
     pub lease_ms: u64,
-    /// Between two renewals.
+    /// Between two renewals while everybody asks the control quorum.
     pub renew_ms: u64,
+    /// Between two renewals while nodes are so many that they ask along a tree.
+    pub tree_renew_ms: u64,
     /// After which a source that does not answer is passed over.
     pub timeout_ms: u64,
 }
@@ -30,6 +32,7 @@
         Self {
             lease_ms: 4_000,
             renew_ms: 300,
+            tree_renew_ms: 900,
             timeout_ms: 500,
         }
     }
--- a/crates/masticsill_mesh/src/renewal.rs
+++ b/crates/masticsill_mesh/src/renewal.rs
@@ -30,6 +30,7 @@
     avoided: IndexMap<SocketAddr, ClockMs>,
     client: Option<(SocketAddr, NodeServiceClient)>,
     is_fresh: bool,
+    is_tree: bool,
 }
 
 impl Renewal {
@@ -38,6 +39,7 @@
             avoided: IndexMap::new(),
             client: None,
             is_fresh: false,
+            is_tree: false,
         }
     }
 
@@ -46,7 +48,13 @@
         loop {
             self.renew_once(&node).await;
             self.note_freshness(&node);
-            sleep(Duration::from_millis(node.config.renewal.renew_ms)).await;
+            let periods = &node.config.renewal;
+            let period_ms = if self.is_tree {
+                periods.tree_renew_ms
+            } else {
+                periods.renew_ms
+            };
+            sleep(Duration::from_millis(period_ms)).await;
         }
     }
 
@@ -57,10 +65,12 @@
         let now = node.clock.now();
         self.avoided.retain(|_, until| *until > now);
         let view = node.published.members.borrow().clone();
-        let mut sources = {
+        let sources = {
             let mut rng = rand::rng();
             list_sources(&view, &node.config.node, &node.config.seeds, &mut rng)
         };
+        self.is_tree = sources.is_tree;
+        let mut sources = sources.addresses;
         sources.retain(|address| *address != node.config.address);
         sources.sort_by_key(|address| self.avoided.contains_key(address));
         for address in sources.into_iter().take(TRIES) {
--- a/crates/masticsill_mesh/src/sources.rs
+++ b/crates/masticsill_mesh/src/sources.rs
@@ -21,30 +21,39 @@
 /// Random peers tried when all else failed.
 const OTHER_PEERS: usize = 2;
 
-/// Addresses to ask, best first.
-pub(crate) fn list_sources(
+/// Whom to ask.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Sources {
+    /// Addresses, best first.
+    pub addresses: Vec<SocketAddr>,
+    /// Whether the first is the node's parent in the tree.
+    pub is_tree: bool,
+}
+
+/// Lists whom a node asks for the catalogue and its proof.
+pub fn list_sources(
     view: &MembershipView,
     own: &NodeId,
     seeds: &[SocketAddr],
     rng: &mut impl Rng,
-) -> Vec<SocketAddr> {
+) -> Sources {
     let others = || view.members().filter(|member| member.node != *own);
-    let mut controls: Vec<&Member> = view
-        .controls()
-        .filter(|member| member.node != *own)
-        .collect();
+    let mut controls: Vec<&Member> = others().filter(|member| member.is_control()).collect();
     let parent = find_parent(view, own, &controls);
     controls.shuffle(rng);
     let mut peers: Vec<SocketAddr> = others().map(|member| member.address).collect();
     peers.shuffle(rng);
     peers.truncate(OTHER_PEERS);
-    let mut sources: Vec<SocketAddr> = parent.into_iter().collect();
-    sources.extend(controls.iter().map(|member| member.address));
-    if sources.is_empty() {
-        sources.extend(seeds);
+    let mut addresses: Vec<SocketAddr> = parent.into_iter().collect();
+    addresses.extend(controls.iter().map(|member| member.address));
+    if controls.is_empty() {
+        addresses.extend(seeds);
+    }
+    addresses.extend(peers);
+    Sources {
+        addresses,
+        is_tree: parent.is_some(),
     }
-    sources.extend(peers);
-    sources
 }
 
 /// The node's parent in the tree, when there are enough members for one.
@@ -54,7 +63,7 @@
     }
     let mut roots: Vec<&Member> = controls.to_vec();
     roots.sort_by(|one, other| one.node.cmp(&other.node));
-    let branches = view.members().filter(|member| !controls.contains(member));
+    let branches = view.members().filter(|member| !member.is_control());
     let mut order: Vec<&Member> = branches.collect();
     order.sort_by_cached_key(|member| (spread(&member.node), member.node.clone()));
     let place = order.iter().position(|member| member.node == *own)?;
--- a/crates/masticsill_mesh/src/view.rs
+++ b/crates/masticsill_mesh/src/view.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 use masticsill_catalogue::{Catalogue, Freshness};
-use masticsill_membership::{Member, Role};
+use masticsill_membership::Member;
 use masticsill_types::{CatalogueVersion, ClockMs, NodeId};
 
 /// The members as seen by this node at one moment.
@@ -14,7 +14,8 @@
 }
 
 impl MembershipView {
-    pub(crate) fn new<'a>(members: impl Iterator<Item = &'a Arc<Member>>) -> Self {
+    /// A view of some members.
+    pub fn new<'a>(members: impl Iterator<Item = &'a Arc<Member>>) -> Self {
         let by_node = |member: &Arc<Member>| (member.node.clone(), Arc::clone(member));
         Self {
             members: members.map(by_node).collect(),
@@ -33,7 +34,7 @@
 
     /// The members of the control quorum.
     pub fn controls(&self) -> impl Iterator<Item = &Member> {
-        self.members().filter(|member| member.role == Role::Control)
+        self.members().filter(|member| member.is_control())
     }
 
     /// One member, unless it is gone.
--- a/crates/masticsill_mesh/tests/catalogue_relay.rs
+++ b/crates/masticsill_mesh/tests/catalogue_relay.rs
@@ -62,3 +62,37 @@
         last.is_fresh() && last.version() == 3
     });
 }
+
+#[test]
+fn a_source_whose_proof_grows_old_is_passed_over() {
+    let (fresh, cut_off) = (Quorum::default(), Quorum::default());
+    for quorum in [&fresh, &cut_off] {
+        quorum.accept(4);
+        quorum.set_proving(true);
+    }
+    cut_off.set_age_ms(60_000);
+    let one = TestNode::start(
+        "control-1",
+        Role::Control,
+        Vec::new(),
+        Some(cut_off.source()),
+    );
+    let seeds = vec![one.address];
+    let two = TestNode::start(
+        "control-2",
+        Role::Control,
+        seeds.clone(),
+        Some(fresh.source()),
+    );
+    let entry = TestNode::start("entry-1", Role::Entry, seeds, None);
+    wait_for("all know each other", || entry.mesh.view().len() == 3);
+    wait_for("fresh", || entry.is_fresh());
+    for _ in 0..200 {
+        assert!(
+            entry.is_fresh(),
+            "it fell back to the source that was cut off"
+        );
+        std::thread::sleep(std::time::Duration::from_millis(20));
+    }
+    drop((one, two));
+}
--- a/crates/masticsill_mesh/tests/support/mod.rs
+++ b/crates/masticsill_mesh/tests/support/mod.rs
@@ -45,10 +45,17 @@
     }
 }
 
-/// What a control quorum would hold, and whether it can prove that it is current.
+/// What a control replica would hold, and the age of its proof.
+#[derive(Default)]
+struct QuorumState {
+    age_ms: Option<u64>,
+    catalogue: Catalogue,
+}
+
+/// What a control replica would hold, and whether it can prove that it is current.
 #[derive(Clone, Default)]
 pub(crate) struct Quorum {
-    state: Arc<Mutex<(Catalogue, bool)>>,
+    state: Arc<Mutex<QuorumState>>,
 }
 
 impl Quorum {
@@ -70,11 +77,15 @@
             version,
         };
         let mut state = self.state.lock().unwrap();
-        state.0.apply(CatalogueUpdate::Snapshot(snapshot));
+        state.catalogue.apply(CatalogueUpdate::Snapshot(snapshot));
     }
 
     pub(crate) fn set_proving(&self, is_proving: bool) {
-        self.state.lock().unwrap().1 = is_proving;
+        self.state.lock().unwrap().age_ms = is_proving.then_some(5);
+    }
+
+    pub(crate) fn set_age_ms(&self, age_ms: u64) {
+        self.state.lock().unwrap().age_ms = Some(age_ms);
     }
 
     pub(crate) fn source(&self) -> RenewSource {
@@ -82,9 +93,9 @@
         RenewSource::new(move |request: RenewRequest| {
             let state = state.lock().unwrap();
             RenewReply {
-                age_ms: state.1.then_some(5),
-                update: state.0.update_since(request.have),
-                version: state.0.version(),
+                age_ms: state.age_ms,
+                update: state.catalogue.update_since(request.have),
+                version: state.catalogue.version(),
             }
         })
     }
