--- a/crates/masticsill_mesh/tests/catalogue_relay.rs
+++ b/crates/masticsill_mesh/tests/catalogue_relay.rs
@@ -78,12 +78,8 @@
         Some(cut_off.source()),
     );
     let seeds = vec![one.address];
-    let two = TestNode::start(
-        "control-2",
-        Role::Control,
-        seeds.clone(),
-        Some(fresh.source()),
-    );
+    // Only a peer has a young proof; the one control replica in sight answers with an old one.
+    let two = TestNode::start("entry-2", Role::Entry, seeds.clone(), Some(fresh.source()));
     let entry = TestNode::start("entry-1", Role::Entry, seeds, None);
     wait_for("all know each other", || entry.mesh.view().len() == 3);
     wait_for("fresh", || entry.is_fresh());
