Membership: random loss and restarts end in equal views

Cause: lost messages were not tried. Ruled out: none. Change: a seeded loop with a tenth of calls and replies lost, deaths, restarts and changes. Conclusion: the views agree once the loss ends.

--- a/crates/masticsill_membership/tests/member_loss.rs
+++ b/crates/masticsill_membership/tests/member_loss.rs
@@ -4,6 +4,8 @@
 
 use masticsill_membership::{Input, MemberState, Role};
 use masticsill_types::NodeId;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use support::{Net, TICK_MS, gathered, node, profile};
 
 /// Stated in the operators' pages: silence is noticed everywhere within this time.
@@ -235,3 +237,46 @@
         assert!(member.takes_work(net.now), "life {life}");
     }
 }
+
+#[test]
+fn lost_messages_and_restarts_end_in_equal_views() {
+    for seed in 0..5 {
+        let mut net = gathered(4, 3, 20);
+        let mut rng = StdRng::seed_from_u64(seed);
+        net.loss = 0.1;
+        net.rng = Some(StdRng::seed_from_u64(seed + 100));
+        for round in 0..60 {
+            let index = rng.random_range(0..20);
+            let name = format!("agent-{index}");
+            match rng.random_range(0..4) {
+                0 => net.hosts[&node(&name)].is_down = true,
+                1 => net.start(&name, 7 + index, 2 + round, Role::Agent(profile(false))),
+                2 => net.input(
+                    &name,
+                    Input::Described(Role::Agent(profile(round % 2 == 0))),
+                ),
+                _ => net.run(3_000),
+            }
+            net.run(500);
+        }
+        net.loss = 0.0;
+        net.run(60_000);
+        let words = |net: &Net, name: &str| {
+            let members = net.view(name).members();
+            let words = members.map(|member| {
+                let state = (member.incarnation, member.revision, member.state);
+                (member.node.clone(), state)
+            });
+            let mut words: Vec<_> = words.collect();
+            words.sort_by(|one, other| one.0.cmp(&other.0));
+            words
+        };
+        let expected = words(&net, "entry-0");
+        let running = net.hosts.values().filter(|host| !host.is_down).count();
+        assert_eq!(expected.len(), running, "seed {seed}");
+        assert!(
+            everywhere(&net, |net, name| words(net, name) == expected),
+            "seed {seed}"
+        );
+    }
+}
--- a/crates/masticsill_membership/tests/support/mod.rs
+++ b/crates/masticsill_membership/tests/support/mod.rs
@@ -11,6 +11,8 @@
     ClockMs, EndpointKind, EndpointProfile, Incarnation, ModelId, ModelTarget, NodeId, VersionId,
     ZoneId,
 };
+use rand::Rng;
+use rand::rngs::StdRng;
 
 pub(crate) const TICK_MS: u64 = 100;
 
@@ -35,6 +37,9 @@
     pub(crate) hosts: IndexMap<NodeId, Host>,
     pub(crate) now: ClockMs,
     by_address: IndexMap<SocketAddr, NodeId>,
+    /// Part of the calls that fail, and where the choice comes from.
+    pub(crate) loss: f64,
+    pub(crate) rng: Option<StdRng>,
     failures: Vec<(ClockMs, NodeId, Input)>,
     pub(crate) superseded: IndexSet<NodeId>,
 }
@@ -200,10 +205,22 @@
         }
     }
 
+    fn is_lost(&mut self) -> bool {
+        let loss = self.loss;
+        let rng = self.rng.as_mut();
+        rng.is_some_and(|rng| rng.random_bool(loss))
+    }
+
     fn ask(&mut self, from: &NodeId, to: SocketAddr, request: Request) -> Option<Reply> {
+        if self.is_lost() {
+            return None;
+        }
         let name = self.reach(from, to)?;
         let asked = size(&request);
         let reply = self.hosts[&name].membership.answer(self.now, request);
+        if self.is_lost() {
+            return None;
+        }
         let bytes = asked + size(&reply);
         for side in [from, &name] {
             let traffic = &mut self.hosts[side].traffic;
