--- /dev/null
+++ b/crates/masticsill_routing/src/router.rs
@@ -0,0 +1,309 @@
+//! The router of one entry.
+
+use indexmap::IndexMap;
+use masticsill_types::{
+    Class, ClockMs, EntryId, GenerationId, LoadReport, NodeId, WorkspaceId, ZoneId,
+};
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::cache_view::CacheChange;
+use crate::config::{PlacementPolicy, RouterConfig};
+use crate::endpoint::{EndpointDescription, EntrySeat};
+use crate::lane::Lanes;
+use crate::limits::{Limiter, LocalLimits};
+use crate::placement::{Placer, Wanted};
+use crate::pool::{EndpointIndex, EndpointTable};
+use crate::request::{
+    Admit, BackEndTarget, Placement, WorkEnd, WorkKind, WorkOutcome, WorkRequest,
+};
+use crate::retry_budget::RetryBudgets;
+
+/// What the router needs to know of a catalogue entry.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EntryPolicy {
+    /// Its class.
+    pub class: Class,
+    /// What its callers may consume at this node.
+    pub limits: LocalLimits,
+    /// What its requests need.
+    pub target: BackEndTarget,
+    /// Zones allowed; empty allows all.
+    pub zones: Vec<ZoneId>,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct EntryState {
+    pub(crate) class: Class,
+    pub(crate) limiter: Limiter,
+    pub(crate) target: BackEndTarget,
+    pub(crate) zones: Vec<ZoneId>,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Running {
+    pub(crate) class: Class,
+    pub(crate) cost: u64,
+    pub(crate) entry: EntryId,
+    pub(crate) max_tokens: u32,
+    pub(crate) node: NodeId,
+    pub(crate) started_at: ClockMs,
+    pub(crate) target: BackEndTarget,
+    pub(crate) workspace: WorkspaceId,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Queued {
+    pub(crate) class: Class,
+    pub(crate) entry: EntryId,
+    pub(crate) is_resume: bool,
+    pub(crate) target: BackEndTarget,
+    pub(crate) workspace: WorkspaceId,
+}
+
+/// Decides which endpoint gets which request, who waits and who is refused.
+///
+/// Each request given to [`Router::admit`] is started, refused or queued. A queued one is later
+/// started or refused by [`Router::next_queued`], unless it is withdrawn. Each started one ends
+/// with [`Router::on_finished`].
+#[derive(Clone, Debug)]
+pub struct Router {
+    pub(crate) config: RouterConfig,
+    /// Queued work whose catalogue entry is gone, to be refused.
+    pub(crate) dropped: Vec<GenerationId>,
+    pub(crate) entries: IndexMap<EntryId, EntryState>,
+    pub(crate) lanes: IndexMap<BackEndTarget, Lanes>,
+    pub(crate) placer: Placer,
+    pub(crate) queued: IndexMap<GenerationId, Queued>,
+    pub(crate) retry_budgets: RetryBudgets,
+    pub(crate) revisit_at: ClockMs,
+    pub(crate) rng: StdRng,
+    pub(crate) running: IndexMap<GenerationId, Running>,
+    pub(crate) table: EndpointTable,
+}
+
+impl Router {
+    /// A router without endpoints and catalogue entries. `seed` is its randomness.
+    #[must_use]
+    pub fn new(config: RouterConfig, seed: u64) -> Self {
+        Self {
+            config,
+            dropped: Vec::new(),
+            entries: IndexMap::new(),
+            lanes: IndexMap::new(),
+            placer: Placer::new(),
+            queued: IndexMap::new(),
+            retry_budgets: RetryBudgets::default(),
+            revisit_at: ClockMs::default(),
+            rng: StdRng::seed_from_u64(seed),
+            running: IndexMap::new(),
+            table: EndpointTable::default(),
+        }
+    }
+
+    /// Sets a catalogue entry's policy, or changes it and keeps what is counted.
+    pub fn set_entry(&mut self, now: ClockMs, id: &EntryId, policy: EntryPolicy) {
+        self.wake_all();
+        let limiter = match self.entries.swap_remove(id) {
+            Some(mut former) => {
+                self.table.forget_entry(former.class, &former.target);
+                former.limiter.set(now, policy.limits);
+                former.limiter
+            }
+            None => Limiter::new(now, policy.limits),
+        };
+        self.table.add_entry(policy.class, &policy.target);
+        let entry = EntryState {
+            class: policy.class,
+            limiter,
+            target: policy.target,
+            zones: policy.zones,
+        };
+        self.entries.insert(id.clone(), entry);
+    }
+
+    /// Forgets a catalogue entry: new and queued work is refused.
+    pub fn remove_entry(&mut self, id: &EntryId) {
+        self.wake_all();
+        if let Some(former) = self.entries.swap_remove(id) {
+            self.table.forget_entry(former.class, &former.target);
+        }
+        let waiting = self.queued.iter().filter(|(_, queued)| queued.entry == *id);
+        self.dropped.extend(waiting.map(|(id, _)| *id));
+    }
+
+    /// Tells which entries share the endpoints.
+    pub fn set_seat(&mut self, seat: EntrySeat) {
+        self.placer.seat = seat;
+    }
+
+    /// Takes what membership says of an endpoint; `None` when it is gone.
+    pub fn on_member_change(&mut self, node: &NodeId, description: Option<EndpointDescription>) {
+        if description.is_none() {
+            self.retry_budgets.forget(node);
+        }
+        self.table.describe(node, description, &self.config);
+        self.wake_lanes_of(node);
+    }
+
+    /// Notes whether an endpoint's agent can be reached.
+    pub fn set_down(&mut self, node: &NodeId, is_down: bool) {
+        if let Some(endpoint) = self.table.get_mut(node) {
+            endpoint.is_down = is_down;
+        }
+        self.wake_lanes_of(node);
+    }
+
+    /// Takes an endpoint's load report.
+    pub fn on_load_report(&mut self, now: ClockMs, node: &NodeId, load: LoadReport) {
+        if let Some(endpoint) = self.table.get_mut(node) {
+            endpoint.report(now, load);
+        }
+        self.wake_lanes_of(node);
+    }
+
+    /// Takes changes of an engine's prefix cache.
+    pub fn on_cache_changes(&mut self, node: &NodeId, changes: &[CacheChange]) {
+        if let Some(endpoint) = self.table.get_mut(node) {
+            for change in changes {
+                endpoint.cache.take(*change);
+            }
+        }
+    }
+
+    /// Decides on a request.
+    pub fn admit(&mut self, now: ClockMs, request: WorkRequest) -> Admit {
+        if self.queued.contains_key(&request.id) {
+            return Admit::Queued;
+        }
+        let former = WorkEnd {
+            outcome: WorkOutcome::Failed,
+            tokens: 0,
+        };
+        self.on_finished(now, request.id, former);
+        if let Some(refusal) = self.refuse_at_door(now, &request) {
+            return Admit::Refused(refusal);
+        }
+        let is_held_back = !self.may_start(now, &request) || self.must_wait(&request);
+        if !is_held_back && let Some(index) = self.choose(now, &request) {
+            return Admit::Start(self.start(now, &request, index));
+        }
+        if let Some(refusal) = self.refuse_to_queue(now, &request) {
+            self.give_back_request(&request);
+            return Admit::Refused(refusal);
+        }
+        self.enqueue(now, request);
+        Admit::Queued
+    }
+
+    /// Notes the end of started work; an unknown id is ignored.
+    pub fn on_finished(&mut self, now: ClockMs, id: GenerationId, end: WorkEnd) {
+        let Some(running) = self.running.swap_remove(&id) else {
+            return;
+        };
+        if let Some(endpoint) = self.table.get_mut(&running.node) {
+            endpoint.end(now, running.class);
+        }
+        if let Some(index) = self.table.index_of(&running.node) {
+            self.placer.note_left(index);
+        }
+        if let Some(entry) = self.entries.get_mut(&running.entry) {
+            entry
+                .limiter
+                .end(running.max_tokens.saturating_sub(end.tokens));
+        }
+        if end.outcome == WorkOutcome::Completed {
+            self.retry_budgets.earn(&running.workspace, &running.node);
+            let lanes = self.lanes.entry(running.target).or_default();
+            let duration_ms = now.since(running.started_at);
+            lanes
+                .of_mut(running.class)
+                .served(running.cost, duration_ms);
+        }
+        self.wake_lanes_of(&running.node);
+    }
+
+    /// Requests that wait.
+    #[must_use]
+    pub fn queued_count(&self) -> usize {
+        self.queued.len()
+    }
+
+    /// Requests that run.
+    #[must_use]
+    pub fn running_count(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Whether the limits let a request start now.
+    pub(crate) fn may_start(&mut self, now: ClockMs, request: &WorkRequest) -> bool {
+        let entry = self.entries.get_mut(&request.catalogue_entry);
+        entry.is_some_and(|entry| entry.limiter.may_start(now))
+    }
+
+    /// Whether others wait for the same and go first.
+    pub(crate) fn must_wait(&self, request: &WorkRequest) -> bool {
+        let Some(lanes) = self.lanes.get(&request.target) else {
+            return false;
+        };
+        let lane = lanes.of(request.class);
+        match request.kind {
+            WorkKind::Resume => !lane.resumes.is_empty(),
+            WorkKind::New | WorkKind::Retry { .. } => !lane.is_idle(),
+        }
+    }
+
+    pub(crate) fn choose(&mut self, now: ClockMs, request: &WorkRequest) -> Option<EndpointIndex> {
+        let entry = self.entries.get(&request.catalogue_entry)?;
+        let wanted = Wanted {
+            class: request.class,
+            request,
+            zones: &entry.zones,
+        };
+        self.placer
+            .choose(now, wanted, &self.table, &self.config, &mut self.rng)
+    }
+
+    pub(crate) fn start(
+        &mut self,
+        now: ClockMs,
+        request: &WorkRequest,
+        index: EndpointIndex,
+    ) -> Placement {
+        let node = self
+            .table
+            .at(index)
+            .expect("a chosen endpoint is in the table")
+            .node
+            .clone();
+        if self.config.policy == PlacementPolicy::Affinity {
+            self.placer.remember(&request.prefix, index);
+        }
+        if let Some(entry) = self.entries.get_mut(&request.catalogue_entry) {
+            entry.limiter.start(request.max_tokens);
+        }
+        let mut cached_tokens = 0;
+        if let Some(endpoint) = self.table.get_mut(&node) {
+            cached_tokens = endpoint.cached_tokens(&request.prefix);
+            endpoint.begin(now, request.class);
+            for block in &request.prefix {
+                endpoint.cache.expect(block.hash);
+            }
+        }
+        let running = Running {
+            class: request.class,
+            cost: request.cost(),
+            entry: request.catalogue_entry.clone(),
+            max_tokens: request.max_tokens,
+            node: node.clone(),
+            started_at: now,
+            target: request.target.clone(),
+            workspace: request.workspace.clone(),
+        };
+        self.running.insert(request.id, running);
+        Placement {
+            cached_tokens,
+            node,
+        }
+    }
+}
