Bound the waits of the control tests

Cause: a test waited without a bound for a folder that it had misread (the old replica had left already). Ruled out: a fault of the replacement; the folder to wait for is now read before it begins. Change: poll with a bound in every wait; the stale connection is asked again once.

--- a/crates/masticsill_control/tests/common/mod.rs
+++ b/crates/masticsill_control/tests/common/mod.rs
@@ -273,6 +273,15 @@
     }
 }
 
+/// Asks again and again until the answer is `true`.
+pub async fn poll(what: &str, mut ask: impl AsyncFnMut() -> bool) {
+    let bound = Instant::now() + PATIENCE;
+    while !ask().await {
+        assert!(Instant::now() < bound, "waited in vain for: {what}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
 /// Runs a future on a runtime of its own.
 pub fn block_on<T>(future: impl Future<Output = T>) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread()
--- a/crates/masticsill_control/tests/control_isolation.rs
+++ b/crates/masticsill_control/tests/control_isolation.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use common::{BOUND_MS, Cluster, accepted, await_until, block_on, put};
+use common::{BOUND_MS, Cluster, accepted, await_until, block_on, poll, put};
 use masticsill_catalogue::ChangeAnswer;
 use masticsill_control::ControlUnavailable;
 use masticsill_testkit::ProxyMode;
@@ -43,15 +43,13 @@
     let client = cluster.client();
     let answer = client.change(&put("c4", "g", 0), BOUND_MS).await;
     assert_matches!(answer, Ok(ChangeAnswer::Accepted { version }) => {
-        loop {
+        poll("the former leader to follow", async || {
             let have = CatalogueVersion(0);
             let address = cluster.address(former);
             let reply = client.renew(address, RenewRequest { have }).await.unwrap();
-            if reply.version >= version && reply.age_ms.is_some_and(|age_ms| age_ms < 1_000) {
-                break;
-            }
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
+            reply.version >= version && reply.age_ms.is_some_and(|age_ms| age_ms < 1_000)
+        })
+        .await;
     });
 }
 
--- a/crates/masticsill_control/tests/control_quorum.rs
+++ b/crates/masticsill_control/tests/control_quorum.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use assert_matches::assert_matches;
-use common::{BOUND_MS, Cluster, accepted, await_until, block_on, node, put};
+use common::{BOUND_MS, Cluster, accepted, await_until, block_on, node, poll, put};
 use masticsill_catalogue::{AgentLife, ChangeAnswer, ChangeRefusal, Claim, ClaimAnswer, Follower};
 use masticsill_control::ControlUnavailable;
 use masticsill_types::{CatalogueVersion, GenerationId, Incarnation};
@@ -118,7 +118,7 @@
         client.change(&put("c1", "e", 0), BOUND_MS).await.unwrap();
         for number in 1..=3 {
             let mut copy = Follower::new(cluster.clock.now());
-            while !copy.is_fresh(cluster.clock.now(), 3_000) || copy.version().0 < 1 {
+            poll("a fresh copy", async || {
                 let sent_at = cluster.clock.now();
                 let have = copy.version();
                 let address = cluster.address(&node(number));
@@ -129,8 +129,9 @@
                 if let Some(age_ms) = reply.age_ms {
                     copy.renew_by_age(reply.version, sent_at, age_ms);
                 }
-                tokio::time::sleep(std::time::Duration::from_millis(10)).await;
-            }
+                copy.is_fresh(cluster.clock.now(), 3_000) && copy.version().0 == 1
+            })
+            .await;
         }
     });
 }
--- a/crates/masticsill_control/tests/control_repair.rs
+++ b/crates/masticsill_control/tests/control_repair.rs
@@ -2,10 +2,8 @@
 
 mod common;
 
-use std::time::Duration;
-
 use assert_matches::assert_matches;
-use common::{BOUND_MS, Cluster, accepted, block_on, node, put};
+use common::{BOUND_MS, Cluster, accepted, block_on, node, poll, put};
 use masticsill_catalogue::ChangeAnswer;
 use masticsill_control::ControlUnavailable;
 use masticsill_quorum::ReplicaSettings;
@@ -31,8 +29,13 @@
     names
 }
 
-/// Replaces a replica by a running one and waits until the old one has left.
-async fn replace(cluster: &Cluster, old: usize, new: usize) {
+async fn folder_of(cluster: &Cluster, number: usize) -> u64 {
+    let view = replicas(cluster).await;
+    let member = view.replicas.iter().find(|it| it.node == node(number));
+    member.unwrap().folder
+}
+
+async fn begin_replacement(cluster: &Cluster, old: usize, new: usize) {
     let change = ReplicaChange {
         action: ReplicaAction::Join {
             address: (old != new).then(|| cluster.address(&node(new))),
@@ -41,19 +44,24 @@
         },
         operator: "anna".parse().unwrap(),
     };
-    let before = replicas(cluster).await;
-    let leaving = before.replicas.iter().find(|it| it.node == node(old));
-    let leaving = leaving.unwrap().folder;
     let answer = cluster.client().change_replicas(&change, BOUND_MS).await;
     assert_eq!(answer.unwrap(), ReplicaAnswer::Accepted);
-    loop {
+}
+
+/// Waits until the replica on the old folder has left and the new one votes.
+async fn await_replacement(cluster: &Cluster, old_folder: u64, new: usize) {
+    poll("the replacement", async || {
         let view = replicas(cluster).await;
-        let is_gone = view.replicas.iter().all(|it| it.folder != leaving);
-        if is_gone && voters(&view).contains(&node(new)) {
-            return;
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+        let is_gone = view.replicas.iter().all(|it| it.folder != old_folder);
+        is_gone && voters(&view).contains(&node(new))
+    })
+    .await;
+}
+
+async fn replace(cluster: &Cluster, old: usize, new: usize) {
+    let old_folder = folder_of(cluster, old).await;
+    begin_replacement(cluster, old, new).await;
+    await_replacement(cluster, old_folder, new).await;
 }
 
 #[test]
@@ -87,22 +95,15 @@
 fn a_second_loss_during_a_repair_only_delays_it() {
     let mut cluster = Cluster::start(5);
     block_on(async {
+        let old_folder = folder_of(&cluster, 5).await;
         cluster.abort(&node(5));
         cluster.lose_folder(5);
         cluster.run(5);
-        let change = ReplicaChange {
-            action: ReplicaAction::Join {
-                address: None,
-                node: node(5),
-                replaces: Some(node(5)),
-            },
-            operator: "anna".parse().unwrap(),
-        };
-        let answer = cluster.client().change_replicas(&change, BOUND_MS).await;
-        assert_eq!(answer.unwrap(), ReplicaAnswer::Accepted);
+        begin_replacement(&cluster, 5, 5).await;
         let leader = cluster.leader();
         cluster.abort(&leader);
-        replace(&cluster, 5, 5).await;
+        begin_replacement(&cluster, 5, 5).await;
+        await_replacement(&cluster, old_folder, 5).await;
         let answer = cluster.client().change(&put("c1", "e", 0), BOUND_MS).await;
         assert_eq!(answer, Ok(accepted(1)));
         assert_eq!(voters(&replicas(&cluster).await).len(), 5);
@@ -160,14 +161,12 @@
         }
         cluster.run(3);
         let have = CatalogueVersion(0);
-        loop {
+        poll("the replica to catch up", async || {
             let address = cluster.address(&node(3));
             let reply = client.renew(address, RenewRequest { have }).await;
-            if reply.is_some_and(|reply| reply.version == CatalogueVersion(300)) {
-                break;
-            }
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
+            reply.is_some_and(|reply| reply.version == CatalogueVersion(300))
+        })
+        .await;
     });
     for number in 1..=3 {
         cluster.abort(&node(number));
