Split the control role's large modules; test the administration API; add recovery

Ruled out: nothing. Change: quorum duty into loop, outputs and founding; client into calls and attempts; claims into types and table; recover_as_sole_voter; tests over HTTP.

--- a/crates/masticsill_catalogue/src/claim.rs
+++ b/crates/masticsill_catalogue/src/claim.rs
@@ -3,13 +3,9 @@
 //! A claim is granted before the call is dispatched. It may move to another agent only by
 //! [`Reassign`], once the former agent has answered that the call was not run and never will be.
 
-use std::collections::VecDeque;
-
 use masticsill_types::{GenerationId, Incarnation, NodeId};
 use serde::{Deserialize, Serialize};
 
-use crate::window::Window;
-
 /// How long a claim is kept after it was granted, in milliseconds.
 pub const KEY_WINDOW_MS: u64 = 24 * 60 * 60 * 1000;
 /// Claims kept at most; beyond that new ones are refused, because dropping one could double a call.
@@ -123,14 +119,14 @@
 }
 
 impl StoredBody {
-    fn kept_bytes(&self) -> usize {
+    pub(crate) fn kept_bytes(&self) -> usize {
         match self {
             Self::Digest { .. } => 0,
             Self::Kept(body) => body.len(),
         }
     }
 
-    fn drop_body(&mut self) {
+    pub(crate) fn drop_body(&mut self) {
         if let Self::Kept(body) = self {
             *self = Self::Digest {
                 hash: *blake3::hash(body).as_bytes(),
@@ -180,172 +176,3 @@
     /// No claim of this call.
     Unknown,
 }
-
-/// All claims of the key window.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub(crate) struct Claims {
-    /// Calls with a kept body, oldest first.
-    bodies: VecDeque<GenerationId>,
-    expired: Window<GenerationId, ()>,
-    kept_body_bytes: usize,
-    records: Window<GenerationId, ClaimRecord>,
-}
-
-impl Claims {
-    pub(crate) fn len(&self) -> usize {
-        self.records.len()
-    }
-
-    pub(crate) fn get(&self, id: GenerationId) -> Option<&ClaimRecord> {
-        self.records.get(&id)
-    }
-
-    pub(crate) fn claim(&mut self, claim: &Claim, now_wall_ms: u64) -> ClaimAnswer {
-        if let Some(record) = self.records.get(&claim.id) {
-            return repeat_claim(claim, record);
-        }
-        let is_outside = |made_ms: u64| made_ms.saturating_add(KEY_WINDOW_MS) <= now_wall_ms;
-        if self.expired.contains(&claim.id) || claim.caller_wall_ms.is_some_and(is_outside) {
-            return ClaimAnswer::Expired;
-        }
-        if self.records.len() >= MAX_CLAIMS {
-            return ClaimAnswer::Full;
-        }
-        let record = ClaimRecord {
-            agent: claim.agent.clone(),
-            claimed_wall_ms: now_wall_ms,
-            end: None,
-            fingerprint: claim.fingerprint,
-            nonce: claim.nonce,
-            owner: claim.owner.clone(),
-            version: 1,
-        };
-        self.records.push(claim.id, record);
-        ClaimAnswer::Granted { version: 1 }
-    }
-
-    pub(crate) fn reassign(&mut self, command: &Reassign) -> ClaimAnswer {
-        let Some(record) = self.records.get_mut(&command.id) else {
-            return self.absent(command.id);
-        };
-        let is_repeat = record.nonce == command.nonce && record.owner == command.owner;
-        if is_repeat && record.end.is_none() {
-            return ClaimAnswer::Granted {
-                version: record.version,
-            };
-        }
-        let is_movable = matches!(record.end, None | Some(CallEnd::NotRun));
-        if record.version != command.expected_version || !is_movable {
-            return ClaimAnswer::Existing(record.clone());
-        }
-        record.agent = command.agent.clone();
-        record.end = None;
-        record.nonce = command.nonce;
-        record.owner = command.owner.clone();
-        record.version += 1;
-        ClaimAnswer::Granted {
-            version: record.version,
-        }
-    }
-
-    pub(crate) fn settle(&mut self, command: &Settle) -> ClaimAnswer {
-        let Some(record) = self.records.get_mut(&command.id) else {
-            return self.absent(command.id);
-        };
-        let end = command.clone().trimmed().end;
-        if record.version != command.version || !may_follow(record.end.as_ref(), &end) {
-            return ClaimAnswer::Existing(record.clone());
-        }
-        if record.end.as_ref() == Some(&end) {
-            return ClaimAnswer::Settled;
-        }
-        let kept_bytes = kept_bytes(&end);
-        record.end = Some(end);
-        self.keep_body(command.id, kept_bytes);
-        ClaimAnswer::Settled
-    }
-
-    fn absent(&self, id: GenerationId) -> ClaimAnswer {
-        if self.expired.contains(&id) {
-            ClaimAnswer::Expired
-        } else {
-            ClaimAnswer::Unknown
-        }
-    }
-
-    fn keep_body(&mut self, id: GenerationId, kept_bytes: usize) {
-        if kept_bytes == 0 {
-            return;
-        }
-        self.kept_body_bytes += kept_bytes;
-        self.bodies.push_back(id);
-        while self.kept_body_bytes > MAX_KEPT_BODIES_BYTES {
-            let Some(oldest) = self.bodies.pop_front() else {
-                return;
-            };
-            self.drop_body(oldest);
-        }
-    }
-
-    fn drop_body(&mut self, id: GenerationId) {
-        let record = self.records.get_mut(&id);
-        if let Some(CallEnd::Answered(answer)) = record.and_then(|record| record.end.as_mut()) {
-            self.kept_body_bytes -= answer.body.kept_bytes();
-            answer.body.drop_body();
-        }
-    }
-
-    /// Drops the claims that are older than the key window, and remembers their keys.
-    pub(crate) fn expire(&mut self, now_wall_ms: u64) {
-        let is_old = |record: &ClaimRecord| record.claimed_wall_ms + KEY_WINDOW_MS <= now_wall_ms;
-        while self
-            .records
-            .oldest()
-            .is_some_and(|(_, record)| is_old(record))
-        {
-            let Some((id, record)) = self.records.pop_oldest() else {
-                return;
-            };
-            self.kept_body_bytes -= record.end.as_ref().map_or(0, kept_bytes);
-            self.expired.push(id, ());
-            if self.expired.len() > MAX_EXPIRED_KEYS {
-                self.expired.pop_oldest();
-            }
-        }
-        let records = &self.records;
-        while self.bodies.front().is_some_and(|id| !records.contains(id)) {
-            self.bodies.pop_front();
-        }
-    }
-}
-
-fn repeat_claim(claim: &Claim, record: &ClaimRecord) -> ClaimAnswer {
-    if record.fingerprint != claim.fingerprint {
-        return ClaimAnswer::FingerprintDiffers;
-    }
-    let is_repeat = record.nonce == claim.nonce && record.owner == claim.owner;
-    if is_repeat && record.end.is_none() {
-        return ClaimAnswer::Granted {
-            version: record.version,
-        };
-    }
-    ClaimAnswer::Existing(record.clone())
-}
-
-/// Whether an end may be recorded after what is recorded already.
-///
-/// An unknown outcome may become known; every other end is final under its version.
-fn may_follow(recorded: Option<&CallEnd>, end: &CallEnd) -> bool {
-    match recorded {
-        None => true,
-        Some(CallEnd::OutcomeUnknown) => *end != CallEnd::NotRun,
-        Some(final_end) => final_end == end,
-    }
-}
-
-fn kept_bytes(end: &CallEnd) -> usize {
-    match end {
-        CallEnd::Answered(answer) => answer.body.kept_bytes(),
-        CallEnd::NotRun | CallEnd::OutcomeUnknown => 0,
-    }
-}
--- a/crates/masticsill_catalogue/src/lib.rs
+++ b/crates/masticsill_catalogue/src/lib.rs
@@ -6,6 +6,7 @@
 mod catalogue;
 mod change;
 mod claim;
+mod claims;
 mod entry;
 mod entry_json;
 mod follower;
--- a/crates/masticsill_catalogue/src/state.rs
+++ b/crates/masticsill_catalogue/src/state.rs
@@ -14,7 +14,8 @@
 use crate::change::{
     Change, ChangeAnswer, ChangeContent, ChangeDigest, ChangeRefusal, MAX_ENTRIES, OperatorScope,
 };
-use crate::claim::{Claim, ClaimAnswer, ClaimRecord, Claims, Reassign, Settle};
+use crate::claim::{Claim, ClaimAnswer, ClaimRecord, Reassign, Settle};
+use crate::claims::Claims;
 use crate::validation::FieldError;
 use crate::window::Window;
 
--- a/crates/masticsill_control/src/lib.rs
+++ b/crates/masticsill_control/src/lib.rs
@@ -3,6 +3,7 @@
 //! Duties, each on a thread of its own: the quorum (replicated log and state), the storage (one
 //! sync for many writes), the RPC edge (other replicas and nodes) and the HTTP edge (operators).
 
+mod attempts;
 mod book;
 mod client;
 mod config;
@@ -10,6 +11,7 @@
 pub mod events;
 mod http;
 mod quorum;
+mod recovery;
 mod role;
 mod rpc;
 
@@ -18,4 +20,5 @@
 pub use config::{ControlConfig, OperatorConfig, TokenHash, TokenHashError};
 pub use error::ControlError;
 pub use quorum::StateError;
+pub use recovery::recover_as_sole_voter;
 pub use role::ControlRole;
--- a/crates/masticsill_control/src/quorum.rs
+++ b/crates/masticsill_control/src/quorum.rs
@@ -1,8 +1,10 @@
 //! The quorum duty: the replicated log, the state it leads to and its storage.
 
 mod duty;
+mod founding;
 mod machine;
 mod members;
+mod outputs;
 mod published;
 mod request;
 mod storage;
--- a/crates/masticsill_control/src/quorum/duty.rs
+++ b/crates/masticsill_control/src/quorum/duty.rs
@@ -1,4 +1,4 @@
-//! The loop that drives the replica and carries out what it asks for.
+//! The loop that drives the replica.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -6,31 +6,26 @@
 use indexmap::IndexMap;
 use masticsill_catalogue::{Action, CommandAnswer};
 use masticsill_quorum::{
-    CallerToken, Entry, Input, LogIndex, Membership, Output, Proposal, RefusalReason, Replica,
-    ReplicaSettings, Role, Snapshot, StoredState, SyncPoint, VoterId, Write, encode_message,
+    Input, LogIndex, Membership, Proposal, Replica, ReplicaSettings, Role, StoredState,
 };
-use masticsill_runtime::{Metrics, Ring, spawn_duty};
+use masticsill_runtime::{Metrics, Ring};
 use masticsill_types::{ClockMs, MonotonicClock, NodeId, log_event};
-use masticsill_wire::control::{
-    ControlReply, ReadAnswer, ReadRequest, ReplicaAnswer, ReplicaIdentity,
-};
-use tokio::sync::{oneshot, watch};
+use masticsill_wire::control::ControlReply;
+use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 
+use super::founding::founding_members;
 use super::machine::{self, Machine, StateError};
-use super::members::{self, Meaning};
 use super::published::PublishedState;
-use super::request::{ReplicaOrder, ReplyTo, Request, Status};
-use super::storage::{self, StorageProgress, StorageQueue};
-use super::waiting::{Refused, Waiting, WaitingList};
+use super::request::{Request, Status};
+use super::storage::{StorageProgress, StorageQueue};
+use super::waiting::{Waiting, WaitingList};
 use crate::book::AddressBook;
 use crate::events;
 
 const TICK: Duration = Duration::from_millis(20);
 /// Requests taken together, so that their commands share a sync.
 const BATCH_REQUESTS: usize = 512;
-const TOO_MANY_RETRY_AFTER_MS: u64 = 200;
-const MEMBERSHIP_RETRY_AFTER_MS: u64 = 300;
 
 /// A message on its way to another replica.
 #[derive(Debug)]
@@ -58,26 +53,26 @@
 /// The quorum duty.
 pub(crate) struct QuorumDuty {
     /// Answers of the commands that were committed in this step.
-    answers: IndexMap<LogIndex, CommandAnswer>,
-    book: AddressBook,
-    clock: MonotonicClock,
+    pub(super) answers: IndexMap<LogIndex, CommandAnswer>,
+    pub(super) book: AddressBook,
+    pub(super) clock: MonotonicClock,
     /// The founding members, while the log holds no other membership.
-    founding: Option<Membership>,
-    is_stopping: bool,
-    machine: Machine,
-    metrics: Metrics,
-    outgoing: Ring<Outgoing>,
-    progress: watch::Receiver<StorageProgress>,
-    proposals: Vec<Proposal>,
-    published: PublishedState,
-    replica: Replica,
-    requests: Ring<Request>,
-    settings: ReplicaSettings,
-    status: watch::Sender<Status>,
-    storage: StorageQueue,
+    pub(super) founding: Option<Membership>,
+    pub(super) is_stopping: bool,
+    pub(super) machine: Machine,
+    pub(super) metrics: Metrics,
+    pub(super) outgoing: Ring<Outgoing>,
+    pub(super) progress: watch::Receiver<StorageProgress>,
+    pub(super) proposals: Vec<Proposal>,
+    pub(super) published: PublishedState,
+    pub(super) replica: Replica,
+    pub(super) requests: Ring<Request>,
+    pub(super) settings: ReplicaSettings,
+    pub(super) status: watch::Sender<Status>,
+    pub(super) storage: StorageQueue,
     /// What storage holds while the folder belongs to no cluster.
-    unfounded: Option<StoredState>,
-    waiting: WaitingList,
+    pub(super) unfounded: Option<StoredState>,
+    pub(super) waiting: WaitingList,
 }
 
 impl QuorumDuty {
@@ -231,7 +226,7 @@
     }
 
     /// Queues a command; the queue becomes one proposal with one sync.
-    fn propose(&mut self, action: Action, waiting: Waiting) {
+    pub(super) fn propose(&mut self, action: Action, waiting: Waiting) {
         if self.is_stopping {
             return waiting.refuse(ControlReply::ShuttingDown);
         }
@@ -240,92 +235,17 @@
         self.proposals.push(Proposal { token, command });
     }
 
-    /// Records the change in the audit trail first; the change itself follows.
-    fn change_replicas(&mut self, order: ReplicaOrder, reply_to: ReplyTo<ReplicaAnswer>) {
-        if self.replica.current_as_of(self.clock.now()).is_none() {
-            // Only a leader knows the newest members.
-            let leader = self.replica.leader();
-            let leader = leader.map(|leader| members::hint(leader, &self.book));
-            let _ = reply_to.send(ControlReply::NotLeader(leader));
-            return;
-        }
-        let change = match members::interpret(&order, self.replica.membership()) {
-            Meaning::AlreadyDone => {
-                let _ = reply_to.send(ControlReply::Done(ReplicaAnswer::Accepted));
-                return;
-            }
-            Meaning::Refused(text) => {
-                let _ = reply_to.send(ControlReply::Done(ReplicaAnswer::Refused(text)));
-                return;
-            }
-            Meaning::Change(change) => change,
-        };
-        let action = match order {
-            ReplicaOrder::Join {
-                replica, operator, ..
-            } => Action::NoteReplicas {
-                address: replica.address,
-                is_added: true,
-                operator,
-                replica: replica.id.name,
-            },
-            ReplicaOrder::Remove { node, operator } => Action::NoteReplicas {
-                address: None,
-                is_added: false,
-                operator,
-                replica: node,
-            },
-        };
-        self.propose(action, Waiting::Note(change, reply_to));
-    }
-
-    fn identify(&self) -> (ReplicaIdentity, Vec<ReplicaIdentity>) {
-        let own = members::identity(self.replica.id(), self.is_founded());
-        let founding = self.founding.iter().flat_map(|it| &it.voters);
-        let founding = founding.map(|id| members::identity(id, true)).collect();
-        (own, founding)
-    }
-
-    fn is_founded(&self) -> bool {
+    pub(super) fn is_founded(&self) -> bool {
         !self.replica.membership().voters.is_empty()
     }
 
-    /// Takes the founding members into a folder that belongs to no cluster.
-    async fn found(&mut self, identities: &[ReplicaIdentity]) -> Result<bool, StateError> {
-        let membership = Membership::of_voters(identities.iter().map(members::voter));
-        if self.is_founded() {
-            return Ok(true);
-        }
-        let is_named = membership.is_voter(self.replica.id());
-        if !is_named || !self.storage.is_synced() {
-            return Ok(false);
-        }
-        let Some(mut stored) = self.unfounded.take() else {
-            return Ok(false);
-        };
-        let snapshot = Snapshot::founding(membership.clone());
-        let (done, is_done) = oneshot::channel();
-        self.storage.found(snapshot.clone(), done);
-        if is_done.await.is_err() {
-            // Storage failed and says so itself.
-            return Ok(false);
-        }
-        stored.snapshot = Some(snapshot);
-        let settings = self.settings.clone();
-        let replica = Replica::new(settings, stored, self.clock.now(), rand::random());
-        self.replica = replica.expect("the settings were checked when the duty was built");
-        self.founding = Some(membership);
-        log_event!(info, events::FOUNDED, replica = self.replica.id());
-        Ok(true)
-    }
-
     fn stop(&mut self) -> Result<(), StateError> {
         self.is_stopping = true;
         log_event!(info, events::HANDING_OVER, replica = self.replica.id());
         self.step(Input::TransferLeadership { target: None })
     }
 
-    fn step(&mut self, input: Input) -> Result<(), StateError> {
+    pub(super) fn step(&mut self, input: Input) -> Result<(), StateError> {
         let now = self.clock.now();
         for output in self.replica.step(now, input) {
             self.carry_out(output)?;
@@ -341,152 +261,6 @@
         }
     }
 
-    fn carry_out(&mut self, output: Output) -> Result<(), StateError> {
-        match output {
-            Output::Became { role, term, leader } => {
-                let leader = leader.map_or_else(|| "none".to_owned(), |id| id.to_string());
-                log_event!(
-                    info,
-                    events::ROLE_CHANGED,
-                    role = role,
-                    term = term,
-                    leader = leader
-                );
-            }
-            Output::Commit { entries } => return self.apply(&entries),
-            Output::Committed { token, index } => self.answer_committed(token, index),
-            Output::OutcomeUnknown { token } => self.refuse(token, ControlReply::OutcomeUnknown),
-            Output::Persist { point, write } => {
-                self.persist(point, write);
-            }
-            Output::ReadReady { token, .. } => self.answer_read(token),
-            Output::RefusedMembership { token, error } => {
-                if let Some(Waiting::Member(reply_to)) = self.waiting.take(token) {
-                    let _ = reply_to.send(refused_membership(&error));
-                }
-            }
-            Output::RefusedPropose {
-                token,
-                reason,
-                leader_hint,
-            } => self.refuse(token, self.refusal(reason, leader_hint.as_ref())),
-            Output::RefusedRead { token, leader_hint } => {
-                let refused = self.refusal(RefusalReason::NotLeader, leader_hint.as_ref());
-                self.refuse(token, refused);
-            }
-            Output::RestoreSnapshot { snapshot } => {
-                self.machine.restore(&snapshot)?;
-                self.founding = None;
-                self.unfounded = None;
-                self.book.admit(self.machine.state().replica_addresses());
-                log_event!(info, events::SNAPSHOT_RESTORED, index = snapshot.index);
-            }
-            Output::Send(envelope) => {
-                let to = envelope.to.name.clone();
-                let message = encode_message(envelope);
-                // The quorum bears lost messages; a full ring must not stop it.
-                let _ = self.outgoing.push(Outgoing { message, to });
-            }
-            Output::SnapshotWanted { index } => self.take_snapshot(index),
-        }
-        Ok(())
-    }
-
-    fn persist(&mut self, point: SyncPoint, write: Write) {
-        if self.is_founded() {
-            self.unfounded = None;
-        }
-        if let Some(unfounded) = &mut self.unfounded {
-            storage::mirror(unfounded, &write);
-        }
-        self.storage.write(point, write);
-    }
-
-    fn apply(&mut self, entries: &[Entry]) -> Result<(), StateError> {
-        for entry in entries {
-            if let Some(answer) = self.machine.apply(entry)? {
-                self.answers.insert(entry.index, answer);
-            }
-        }
-        self.metrics
-            .count("control.committed", entries.len() as u64);
-        self.book.admit(self.machine.state().replica_addresses());
-        Ok(())
-    }
-
-    fn answer_committed(&mut self, token: CallerToken, index: LogIndex) {
-        match self.waiting.take(token) {
-            Some(Waiting::Act(reply_to)) => {
-                let answer = self.answers.swap_remove(&index);
-                let reply = answer.map_or(ControlReply::OutcomeUnknown, ControlReply::Done);
-                let _ = reply_to.send(reply);
-            }
-            Some(Waiting::Member(reply_to)) => {
-                let _ = reply_to.send(ControlReply::Done(ReplicaAnswer::Accepted));
-            }
-            Some(Waiting::Note(change, reply_to)) => {
-                let token = self.waiting.add(Waiting::Member(reply_to));
-                let now = self.clock.now();
-                let input = Input::ChangeMembership { token, change };
-                let outputs = self.replica.step(now, input);
-                // A membership change commits nothing in the step that begins it.
-                for output in outputs {
-                    let result = self.carry_out(output);
-                    debug_assert!(result.is_ok(), "no entry is applied in this step");
-                }
-            }
-            Some(Waiting::Read(..)) | None => {}
-        }
-    }
-
-    fn answer_read(&mut self, token: CallerToken) {
-        let Some(Waiting::Read(request, reply_to)) = self.waiting.take(token) else {
-            return;
-        };
-        let catalogue = self.machine.state().catalogue();
-        let answer = match request {
-            ReadRequest::Audit { after, limit } => {
-                ReadAnswer::Audit(self.machine.audit_page(after, limit))
-            }
-            ReadRequest::Catalogue { have } => {
-                ReadAnswer::Catalogue(catalogue.version(), catalogue.update_since(have))
-            }
-            ReadRequest::Entry { id } => ReadAnswer::Entry(catalogue.get(&id).cloned()),
-            ReadRequest::Replicas => ReadAnswer::Replicas(members::view(&self.replica, &self.book)),
-        };
-        let _ = reply_to.send(ControlReply::Done(answer));
-    }
-
-    fn refuse(&mut self, token: CallerToken, refused: Refused) {
-        if let Some(waiting) = self.waiting.take(token) {
-            waiting.refuse(refused);
-        }
-    }
-
-    fn refusal(&self, reason: RefusalReason, leader: Option<&VoterId>) -> Refused {
-        let leader = leader.map(|leader| members::hint(leader, &self.book));
-        match reason {
-            RefusalReason::NotLeader | RefusalReason::Transferring => {
-                ControlReply::NotLeader(leader)
-            }
-            RefusalReason::TooManyPending => ControlReply::Overloaded {
-                retry_after_ms: TOO_MANY_RETRY_AFTER_MS,
-            },
-        }
-    }
-
-    /// Serialises a copy of the state on a thread of its own, so that heartbeats go on.
-    fn take_snapshot(&mut self, index: LogIndex) {
-        let state = self.machine.state().clone();
-        let requests = self.requests.clone();
-        let serialise = move || {
-            let data = machine::encode_state(state);
-            // Without an answer the replica asks again after its next start.
-            let _ = requests.push(Request::SnapshotTaken(index, data));
-        };
-        let _ = spawn_duty("control_snapshot", serialise);
-    }
-
     fn publish(&mut self) {
         let now = self.clock.now();
         self.renew_own_proof(now);
@@ -513,19 +287,3 @@
         });
     }
 }
-
-fn founding_members(stored: &StoredState) -> Option<Membership> {
-    let snapshot = stored.snapshot.as_ref()?;
-    (snapshot.index == LogIndex::default()).then(|| snapshot.membership.clone())
-}
-
-fn refused_membership(error: &masticsill_quorum::MembershipError) -> ControlReply<ReplicaAnswer> {
-    use masticsill_quorum::MembershipError::{AlreadyMember, ChangeInProgress};
-    match error {
-        AlreadyMember(_) => ControlReply::Done(ReplicaAnswer::Accepted),
-        ChangeInProgress => ControlReply::Overloaded {
-            retry_after_ms: MEMBERSHIP_RETRY_AFTER_MS,
-        },
-        _ => ControlReply::Done(ReplicaAnswer::Refused(error.to_string())),
-    }
-}
--- /dev/null
+++ b/crates/masticsill_control/src/quorum/founding.rs
@@ -0,0 +1,103 @@
+//! Founding and changing the members.
+
+use masticsill_catalogue::Action;
+use masticsill_quorum::{LogIndex, Membership, Replica, Snapshot, StoredState};
+use masticsill_types::log_event;
+use masticsill_wire::control::{ControlReply, ReplicaAnswer, ReplicaIdentity};
+use tokio::sync::oneshot;
+
+use super::duty::QuorumDuty;
+use super::machine::StateError;
+use super::members::{self, Meaning};
+use super::request::{ReplicaOrder, ReplyTo};
+use super::waiting::Waiting;
+use crate::events;
+
+impl QuorumDuty {
+    /// Records the change in the audit trail first; the change itself follows.
+    pub(super) fn change_replicas(
+        &mut self,
+        order: ReplicaOrder,
+        reply_to: ReplyTo<ReplicaAnswer>,
+    ) {
+        if self.replica.current_as_of(self.clock.now()).is_none() {
+            // Only a leader knows the newest members.
+            let leader = self.replica.leader();
+            let leader = leader.map(|leader| members::hint(leader, &self.book));
+            let _ = reply_to.send(ControlReply::NotLeader(leader));
+            return;
+        }
+        let change = match members::interpret(&order, self.replica.membership()) {
+            Meaning::AlreadyDone => {
+                let _ = reply_to.send(ControlReply::Done(ReplicaAnswer::Accepted));
+                return;
+            }
+            Meaning::Refused(text) => {
+                let _ = reply_to.send(ControlReply::Done(ReplicaAnswer::Refused(text)));
+                return;
+            }
+            Meaning::Change(change) => change,
+        };
+        let action = match order {
+            ReplicaOrder::Join {
+                replica, operator, ..
+            } => Action::NoteReplicas {
+                address: replica.address,
+                is_added: true,
+                operator,
+                replica: replica.id.name,
+            },
+            ReplicaOrder::Remove { node, operator } => Action::NoteReplicas {
+                address: None,
+                is_added: false,
+                operator,
+                replica: node,
+            },
+        };
+        self.propose(action, Waiting::Note(change, reply_to));
+    }
+
+    pub(super) fn identify(&self) -> (ReplicaIdentity, Vec<ReplicaIdentity>) {
+        let own = members::identity(self.replica.id(), self.is_founded());
+        let founding = self.founding.iter().flat_map(|it| &it.voters);
+        let founding = founding.map(|id| members::identity(id, true)).collect();
+        (own, founding)
+    }
+
+    /// Takes the founding members into a folder that belongs to no cluster.
+    pub(super) async fn found(
+        &mut self,
+        identities: &[ReplicaIdentity],
+    ) -> Result<bool, StateError> {
+        let membership = Membership::of_voters(identities.iter().map(members::voter));
+        if self.is_founded() {
+            return Ok(true);
+        }
+        let is_named = membership.is_voter(self.replica.id());
+        if !is_named || !self.storage.is_synced() {
+            return Ok(false);
+        }
+        let Some(mut stored) = self.unfounded.take() else {
+            return Ok(false);
+        };
+        let snapshot = Snapshot::founding(membership.clone());
+        let (done, is_done) = oneshot::channel();
+        self.storage.found(snapshot.clone(), done);
+        if is_done.await.is_err() {
+            // Storage failed and says so itself.
+            return Ok(false);
+        }
+        stored.snapshot = Some(snapshot);
+        let settings = self.settings.clone();
+        let replica = Replica::new(settings, stored, self.clock.now(), rand::random());
+        self.replica = replica.expect("the settings were checked when the duty was built");
+        self.founding = Some(membership);
+        log_event!(info, events::FOUNDED, replica = self.replica.id());
+        Ok(true)
+    }
+}
+
+pub(super) fn founding_members(stored: &StoredState) -> Option<Membership> {
+    let snapshot = stored.snapshot.as_ref()?;
+    (snapshot.index == LogIndex::default()).then(|| snapshot.membership.clone())
+}
--- /dev/null
+++ b/crates/masticsill_control/src/quorum/outputs.rs
@@ -0,0 +1,179 @@
+//! What the replica asks for, carried out: writes, messages, commands and callers' answers.
+
+use masticsill_quorum::{
+    CallerToken, Entry, Input, LogIndex, Output, RefusalReason, SyncPoint, VoterId, Write,
+    encode_message,
+};
+use masticsill_runtime::spawn_duty;
+use masticsill_types::log_event;
+use masticsill_wire::control::{ControlReply, ReadAnswer, ReadRequest, ReplicaAnswer};
+
+use super::duty::{Outgoing, QuorumDuty};
+use super::machine::{self, StateError};
+use super::members;
+use super::request::Request;
+use super::storage;
+use super::waiting::{Refused, Waiting};
+use crate::events;
+
+const TOO_MANY_RETRY_AFTER_MS: u64 = 200;
+const MEMBERSHIP_RETRY_AFTER_MS: u64 = 300;
+
+impl QuorumDuty {
+    pub(super) fn carry_out(&mut self, output: Output) -> Result<(), StateError> {
+        match output {
+            Output::Became { role, term, leader } => {
+                let leader = leader.map_or_else(|| "none".to_owned(), |id| id.to_string());
+                log_event!(
+                    info,
+                    events::ROLE_CHANGED,
+                    role = role,
+                    term = term,
+                    leader = leader
+                );
+            }
+            Output::Commit { entries } => return self.apply(&entries),
+            Output::Committed { token, index } => self.answer_committed(token, index),
+            Output::OutcomeUnknown { token } => self.refuse(token, ControlReply::OutcomeUnknown),
+            Output::Persist { point, write } => {
+                self.persist(point, write);
+            }
+            Output::ReadReady { token, .. } => self.answer_read(token),
+            Output::RefusedMembership { token, error } => {
+                if let Some(Waiting::Member(reply_to)) = self.waiting.take(token) {
+                    let _ = reply_to.send(refused_membership(&error));
+                }
+            }
+            Output::RefusedPropose {
+                token,
+                reason,
+                leader_hint,
+            } => self.refuse(token, self.refusal(reason, leader_hint.as_ref())),
+            Output::RefusedRead { token, leader_hint } => {
+                let refused = self.refusal(RefusalReason::NotLeader, leader_hint.as_ref());
+                self.refuse(token, refused);
+            }
+            Output::RestoreSnapshot { snapshot } => {
+                self.machine.restore(&snapshot)?;
+                self.founding = None;
+                self.unfounded = None;
+                self.book.admit(self.machine.state().replica_addresses());
+                log_event!(info, events::SNAPSHOT_RESTORED, index = snapshot.index);
+            }
+            Output::Send(envelope) => {
+                let to = envelope.to.name.clone();
+                let message = encode_message(envelope);
+                // The quorum bears lost messages; a full ring must not stop it.
+                let _ = self.outgoing.push(Outgoing { message, to });
+            }
+            Output::SnapshotWanted { index } => self.take_snapshot(index),
+        }
+        Ok(())
+    }
+
+    fn persist(&mut self, point: SyncPoint, write: Write) {
+        if self.is_founded() {
+            self.unfounded = None;
+        }
+        if let Some(unfounded) = &mut self.unfounded {
+            storage::mirror(unfounded, &write);
+        }
+        self.storage.write(point, write);
+    }
+
+    fn apply(&mut self, entries: &[Entry]) -> Result<(), StateError> {
+        for entry in entries {
+            if let Some(answer) = self.machine.apply(entry)? {
+                self.answers.insert(entry.index, answer);
+            }
+        }
+        self.metrics
+            .count("control.committed", entries.len() as u64);
+        self.book.admit(self.machine.state().replica_addresses());
+        Ok(())
+    }
+
+    fn answer_committed(&mut self, token: CallerToken, index: LogIndex) {
+        match self.waiting.take(token) {
+            Some(Waiting::Act(reply_to)) => {
+                let answer = self.answers.swap_remove(&index);
+                let reply = answer.map_or(ControlReply::OutcomeUnknown, ControlReply::Done);
+                let _ = reply_to.send(reply);
+            }
+            Some(Waiting::Member(reply_to)) => {
+                let _ = reply_to.send(ControlReply::Done(ReplicaAnswer::Accepted));
+            }
+            Some(Waiting::Note(change, reply_to)) => {
+                let token = self.waiting.add(Waiting::Member(reply_to));
+                let now = self.clock.now();
+                let input = Input::ChangeMembership { token, change };
+                let outputs = self.replica.step(now, input);
+                // A membership change commits nothing in the step that begins it.
+                for output in outputs {
+                    let result = self.carry_out(output);
+                    debug_assert!(result.is_ok(), "no entry is applied in this step");
+                }
+            }
+            Some(Waiting::Read(..)) | None => {}
+        }
+    }
+
+    fn answer_read(&mut self, token: CallerToken) {
+        let Some(Waiting::Read(request, reply_to)) = self.waiting.take(token) else {
+            return;
+        };
+        let catalogue = self.machine.state().catalogue();
+        let answer = match request {
+            ReadRequest::Audit { after, limit } => {
+                ReadAnswer::Audit(self.machine.audit_page(after, limit))
+            }
+            ReadRequest::Catalogue { have } => {
+                ReadAnswer::Catalogue(catalogue.version(), catalogue.update_since(have))
+            }
+            ReadRequest::Entry { id } => ReadAnswer::Entry(catalogue.get(&id).cloned()),
+            ReadRequest::Replicas => ReadAnswer::Replicas(members::view(&self.replica, &self.book)),
+        };
+        let _ = reply_to.send(ControlReply::Done(answer));
+    }
+
+    fn refuse(&mut self, token: CallerToken, refused: Refused) {
+        if let Some(waiting) = self.waiting.take(token) {
+            waiting.refuse(refused);
+        }
+    }
+
+    fn refusal(&self, reason: RefusalReason, leader: Option<&VoterId>) -> Refused {
+        let leader = leader.map(|leader| members::hint(leader, &self.book));
+        match reason {
+            RefusalReason::NotLeader | RefusalReason::Transferring => {
+                ControlReply::NotLeader(leader)
+            }
+            RefusalReason::TooManyPending => ControlReply::Overloaded {
+                retry_after_ms: TOO_MANY_RETRY_AFTER_MS,
+            },
+        }
+    }
+
+    /// Serialises a copy of the state on a thread of its own, so that heartbeats go on.
+    fn take_snapshot(&mut self, index: LogIndex) {
+        let state = self.machine.state().clone();
+        let requests = self.requests.clone();
+        let serialise = move || {
+            let data = machine::encode_state(state);
+            // Without an answer the replica asks again after its next start.
+            let _ = requests.push(Request::SnapshotTaken(index, data));
+        };
+        let _ = spawn_duty("control_snapshot", serialise);
+    }
+}
+
+fn refused_membership(error: &masticsill_quorum::MembershipError) -> ControlReply<ReplicaAnswer> {
+    use masticsill_quorum::MembershipError::{AlreadyMember, ChangeInProgress};
+    match error {
+        AlreadyMember(_) => ControlReply::Done(ReplicaAnswer::Accepted),
+        ChangeInProgress => ControlReply::Overloaded {
+            retry_after_ms: MEMBERSHIP_RETRY_AFTER_MS,
+        },
+        _ => ControlReply::Done(ReplicaAnswer::Refused(error.to_string())),
+    }
+}
--- a/crates/masticsill_control/src/rpc/peers.rs
+++ b/crates/masticsill_control/src/rpc/peers.rs
@@ -9,8 +9,8 @@
 use masticsill_wire::control::{ControlServiceClient, QuorumBatch, RenewRequest};
 
 use super::service::ControlServer;
+use crate::attempts::connect;
 use crate::book::AddressBook;
-use crate::client::connect;
 use crate::quorum::{Outgoing, Request};
 
 const BATCH_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/masticsill_control/tests/common/mod.rs
+++ b/crates/masticsill_control/tests/common/mod.rs
@@ -138,7 +138,7 @@
         }
     }
 
-    fn folder(&self, number: usize) -> PathBuf {
+    pub fn folder(&self, number: usize) -> PathBuf {
         self.folders.path().join(format!("folder-{number}"))
     }
 
--- a/crates/masticsill_control/tests/control_repair.rs
+++ b/crates/masticsill_control/tests/control_repair.rs
@@ -5,7 +5,7 @@
 use assert_matches::assert_matches;
 use common::{BOUND_MS, Cluster, accepted, block_on, node, poll, put};
 use masticsill_catalogue::ChangeAnswer;
-use masticsill_control::ControlUnavailable;
+use masticsill_control::{ControlUnavailable, recover_as_sole_voter};
 use masticsill_quorum::ReplicaSettings;
 use masticsill_types::{CatalogueVersion, NodeId};
 use masticsill_wire::control::{
@@ -179,3 +179,23 @@
         assert_eq!(answer, Ok(accepted(8)));
     });
 }
+
+#[test]
+fn the_last_replica_can_be_made_the_only_voter() {
+    let mut cluster = Cluster::start(3);
+    block_on(async {
+        let answer = cluster.client().change(&put("c1", "e", 0), BOUND_MS).await;
+        assert_eq!(answer, Ok(accepted(1)));
+        let survivor = cluster.leader();
+        for number in 1..=3 {
+            cluster.abort(&node(number));
+        }
+        let number = (1..=3).find(|number| node(*number) == survivor).unwrap();
+        let folder = cluster.folder(number);
+        recover_as_sole_voter(&folder, "test", &survivor).unwrap();
+        cluster.run(number);
+        let first = cluster.client().change(&put("c1", "e", 0), BOUND_MS).await;
+        assert_eq!(first, Ok(accepted(1)));
+        assert_eq!(voters(&replicas(&cluster).await), [survivor]);
+    });
+}
