--- a/crates/masticsill_control/src/quorum/duty.rs
+++ b/crates/masticsill_control/src/quorum/duty.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 use masticsill_catalogue::{Action, CommandAnswer};
 use masticsill_quorum::{
-    Input, LogIndex, Membership, Proposal, Replica, ReplicaSettings, Role, StoredState,
+    Envelope, Input, LogIndex, Membership, Proposal, Replica, ReplicaSettings, Role, StoredState,
 };
 use masticsill_runtime::{Metrics, Ring};
 use masticsill_types::{ClockMs, MonotonicClock, NodeId, log_event};
@@ -26,6 +26,7 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Requests taken together, so that their commands share a sync.
 const BATCH_REQUESTS: usize = 512;
+const BATCH_MESSAGES: usize = 256;
 
 /// A message on its way to another replica.
 #[derive(Debug)]
@@ -39,6 +40,7 @@
     pub(crate) book: AddressBook,
     pub(crate) clock: MonotonicClock,
     pub(crate) machine: Machine,
+    pub(crate) messages: Ring<Envelope>,
     pub(crate) metrics: Metrics,
     pub(crate) outgoing: Ring<Outgoing>,
     pub(crate) progress: watch::Receiver<StorageProgress>,
@@ -60,6 +62,7 @@
     pub(super) founding: Option<Membership>,
     pub(super) is_stopping: bool,
     pub(super) machine: Machine,
+    pub(super) messages: Ring<Envelope>,
     pub(super) metrics: Metrics,
     pub(super) outgoing: Ring<Outgoing>,
     pub(super) progress: watch::Receiver<StorageProgress>,
@@ -81,6 +84,7 @@
             book,
             clock,
             mut machine,
+            messages,
             metrics,
             outgoing,
             progress,
@@ -105,6 +109,7 @@
             founding,
             is_stopping: false,
             machine,
+            messages,
             metrics,
             outgoing,
             progress,
@@ -124,6 +129,7 @@
     pub(crate) async fn run(mut self) {
         let mut ticks = tokio::time::interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let messages = self.messages.clone();
         let requests = self.requests.clone();
         let mut progress = self.progress.clone();
         loop {
@@ -133,6 +139,10 @@
                     Ok(()) => self.take_progress(),
                     Err(_) => break,
                 },
+                message = messages.pop() => match message {
+                    Some(message) => self.take_messages(message),
+                    None => break,
+                },
                 request = requests.pop() => match request {
                     Some(request) => self.take_requests(request).await,
                     None => break,
@@ -176,6 +186,19 @@
         Ok(())
     }
 
+    fn take_messages(&mut self, first: Envelope) -> Result<(), StateError> {
+        let mut next = Some(first);
+        let mut taken = 0;
+        while let Some(message) = next {
+            self.step(Input::Message(message))?;
+            taken += 1;
+            next = (taken < BATCH_MESSAGES)
+                .then(|| self.messages.try_pop())
+                .flatten();
+        }
+        Ok(())
+    }
+
     async fn take_requests(&mut self, first: Request) -> Result<(), StateError> {
         let mut next = Some(first);
         let mut taken = 0;
@@ -204,7 +227,6 @@
             Request::Identify(reply_to) => {
                 let _ = reply_to.send(self.identify());
             }
-            Request::Message(envelope) => return self.step(Input::Message(envelope)),
             Request::Proof { version, as_of } => self.machine.renew_by_proof(version, as_of),
             Request::Read(request, reply_to) => {
                 let token = self.waiting.add(Waiting::Read(request, reply_to));
--- a/crates/masticsill_control/src/quorum/outputs.rs
+++ b/crates/masticsill_control/src/quorum/outputs.rs
@@ -1,5 +1,8 @@
 //! What the replica asks for, carried out: writes, messages, commands and callers' answers.
 
+use std::thread;
+use std::time::Duration;
+
 use masticsill_quorum::{
     CallerToken, Entry, Input, LogIndex, Output, RefusalReason, SyncPoint, VoterId, Write,
     encode_message,
@@ -16,6 +19,7 @@
 use super::waiting::{Refused, Waiting};
 use crate::events;
 
+const SNAPSHOT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 const TOO_MANY_RETRY_AFTER_MS: u64 = 200;
 const MEMBERSHIP_RETRY_AFTER_MS: u64 = 300;
 
@@ -160,8 +164,15 @@
         let requests = self.requests.clone();
         let serialise = move || {
             let data = machine::encode_state(state);
-            // Without an answer the replica asks again after its next start.
-            let _ = requests.push(Request::SnapshotTaken(index, data));
+            let mut taken = Request::SnapshotTaken(index, data);
+            // The replica asks only once, so the answer must not get lost in a full ring.
+            while let Err(full) = requests.push(taken) {
+                if requests.is_closed() {
+                    return;
+                }
+                taken = full.0;
+                thread::sleep(SNAPSHOT_RETRY_PAUSE);
+            }
         };
         let _ = spawn_duty("control_snapshot", serialise);
     }
--- a/crates/masticsill_control/src/quorum/request.rs
+++ b/crates/masticsill_control/src/quorum/request.rs
@@ -31,8 +31,6 @@
     Found(Vec<ReplicaIdentity>, oneshot::Sender<bool>),
     /// Tell who this replica is, and the founding members while nothing has changed them.
     Identify(oneshot::Sender<(ReplicaIdentity, Vec<ReplicaIdentity>)>),
-    /// A message of another replica.
-    Message(Envelope),
     /// A proof of freshness that the leader gave this replica.
     Proof {
         /// The version that the proof is about.
@@ -91,6 +89,8 @@
 /// The other duties' end of the quorum duty.
 #[derive(Clone, Debug)]
 pub(crate) struct QuorumHandle {
+    /// Messages of other replicas; apart, so that no crowd of callers keeps heartbeats out.
+    pub(crate) messages: Ring<Envelope>,
     pub(crate) requests: Ring<Request>,
     pub(crate) status: watch::Receiver<Status>,
 }
--- a/crates/masticsill_control/src/role.rs
+++ b/crates/masticsill_control/src/role.rs
@@ -71,6 +71,7 @@
         let (storage, recovered) = Storage::open(&config.data_folder, &config.cluster, &node)?;
         let book = AddressBook::from_settings(config.peers.clone());
         let requests = Ring::with_capacity(REQUESTS);
+        let messages = Ring::with_capacity(MESSAGES);
         let jobs = Ring::with_capacity(JOBS);
         let outgoing = Ring::with_capacity(MESSAGES);
         let calls = Ring::with_capacity(CALLS);
@@ -81,6 +82,7 @@
             book: book.clone(),
             clock,
             machine: Machine::new(clock.now()),
+            messages: messages.clone(),
             metrics,
             outgoing: outgoing.clone(),
             progress: progress_receiver,
@@ -92,6 +94,7 @@
             stored: recovered.state,
         })?;
         let quorum = QuorumHandle {
+            messages,
             requests,
             status: status_receiver,
         };
--- a/crates/masticsill_control/src/rpc/service.rs
+++ b/crates/masticsill_control/src/rpc/service.rs
@@ -145,7 +145,7 @@
         for bytes in batch.messages {
             match decode_message(&bytes) {
                 // A full ring loses the message, which the quorum bears.
-                Ok(envelope) => drop(self.quorum.requests.push(Request::Message(envelope))),
+                Ok(envelope) => drop(self.quorum.messages.push(envelope)),
                 Err(error) => log_event!(warn, events::MESSAGE_UNREADABLE, cause = error),
             }
         }
