--- a/crates/masticsill_generation/src/lib.rs
+++ b/crates/masticsill_generation/src/lib.rs
@@ -5,11 +5,13 @@
 
 mod book;
 mod call_book;
+mod fences;
 mod freeze;
 mod held;
 mod pulls;
 mod record;
 mod run;
+mod shelf;
 mod utf8;
 
 pub use book::{AgentBook, BookCounts, BookLimits, PullAnswer};
--- a/crates/masticsill_quorum/tests/simulation/mod.rs
+++ b/crates/masticsill_quorum/tests/simulation/mod.rs
@@ -277,13 +277,18 @@
         let stall_permille = self.faults.stall_permille;
         if !outputs.is_empty() && self.random.random_range(0..1000) < stall_permille {
             let duration_ms = self.random.random_range(1..250);
-            self.pause(node, duration_ms);
-            self.nodes[node].stalled = outputs;
+            self.stall(node, outputs, duration_ms);
             return;
         }
         self.carry_out(node, outputs);
     }
 
+    /// Pauses a node between its decision and what it does about it.
+    pub fn stall(&mut self, node: usize, outputs: Vec<Output>, duration_ms: u64) {
+        self.pause(node, duration_ms);
+        self.nodes[node].stalled = outputs;
+    }
+
     fn check_isolation(&self, node: usize, outputs: &[Output]) {
         let deaf_since = self.nodes[node].deaf_since;
         let is_past = |since: u64| self.now - since > self.settings.lease_ms;
@@ -329,7 +334,7 @@
             }
             Output::OutcomeUnknown { token } => self.model.settle(now, token.0, Fate::Unknown),
             Output::Persist { point, write } => {
-                if self.nodes[node].write(point, &write) {
+                if self.nodes[node].write(point, write) {
                     let life = self.nodes[node].life;
                     let delay_ms = self.random.random_range(0..=self.faults.sync_max_ms);
                     self.schedule(delay_ms, Event::Sync { node, life });
@@ -386,28 +391,30 @@
         self.run_until("a leader that proves its state current", |simulation| {
             leader = simulation.leader().filter(|place| {
                 let node = &simulation.nodes[*place];
-                node.current_as_of(simulation.now).is_some()
+                node.paused_at.is_none() && node.current_as_of(simulation.now).is_some()
             });
             leader.is_some()
         });
         leader.unwrap()
     }
 
+    /// Registers a command with the model and returns its number and proposal.
+    pub fn new_proposal(&mut self) -> (u64, Proposal) {
+        let id = self.next_number();
+        self.model.propose(id);
+        let token = CallerToken(id);
+        let command = Arc::from(id.to_le_bytes());
+        (id, Proposal { token, command })
+    }
+
     /// Proposes one command and returns its number.
     pub fn propose_to(&mut self, node: usize) -> u64 {
         self.propose_batch_to(node, 1)[0]
     }
 
     pub fn propose_batch_to(&mut self, node: usize, count: usize) -> Vec<u64> {
-        let ids: Vec<u64> = (0..count).map(|_| self.next_number()).collect();
-        let mut proposals = Vec::new();
-        for id in &ids {
-            self.model.propose(*id);
-            proposals.push(Proposal {
-                token: CallerToken(*id),
-                command: Arc::from(id.to_le_bytes()),
-            });
-        }
+        let made = (0..count).map(|_| self.new_proposal());
+        let (ids, proposals) = made.unzip();
         self.input(node, Input::Propose { proposals });
         ids
     }
@@ -466,10 +473,14 @@
             simulation.repair();
             simulation.is_whole()
         });
-        let leader = self.wait_for_leader();
-        let command = self.propose_to(leader);
-        self.run_until("an answer", |simulation| {
+        let mut command = 0;
+        self.run_until("an accepted command", |simulation| {
             let fate = simulation.model.fate(command);
+            // A pause that ends only now may still depose a leader.
+            let is_open = matches!(fate, None | Some(Fate::Refused | Fate::Unknown));
+            if is_open && let Some(leader) = simulation.leader() {
+                command = simulation.propose_to(leader);
+            }
             matches!(fate, Some(Fate::Accepted(_)))
         });
         let last_index = self.model.last_index();
