Prove the handover, not only the next election

Cause: the test of a planned stop passed as well when nothing was handed over. Ruled out: a bound on time. Change: the successors would wait ten minutes for an election of their own. Conclusion: as strict as before and more.

--- a/crates/masticsill_control/tests/common/mod.rs
+++ b/crates/masticsill_control/tests/common/mod.rs
@@ -27,7 +27,7 @@
     founders: Vec<NodeId>,
     /// The way from one replica to another.
     links: IndexMap<(usize, usize), FaultProxy>,
-    replica_settings: ReplicaSettings,
+    pub replica_settings: ReplicaSettings,
     replicas: IndexMap<NodeId, Replica>,
 }
 
--- a/crates/masticsill_control/tests/control_quorum.rs
+++ b/crates/masticsill_control/tests/control_quorum.rs
@@ -140,13 +140,23 @@
 fn a_stop_hands_leadership_over_first() {
     let mut cluster = Cluster::start(3);
     let leader = cluster.leader();
-    cluster.stop(&leader);
-    let next = cluster.leader();
-    assert_ne!(next, leader);
+    // With this patience the others lead only if they are asked to.
+    cluster.replica_settings.election_min_ms = 10 * 60 * 1_000;
+    cluster.replica_settings.election_max_ms = 20 * 60 * 1_000;
+    for other in (1..=3).filter(|number| node(*number) != leader) {
+        cluster.abort(&node(other));
+        cluster.run(other);
+    }
     block_on(async {
         let answer = cluster.client().change(&put("c1", "e", 0), BOUND_MS).await;
         assert_eq!(answer, Ok(accepted(1)));
     });
+    cluster.stop(&leader);
+    assert_ne!(cluster.leader(), leader);
+    block_on(async {
+        let answer = cluster.client().change(&put("c2", "e", 1), BOUND_MS).await;
+        assert_eq!(answer, Ok(accepted(2)));
+    });
 }
 
 #[test]
