Prove that a leaving agent is not drained under a stream

Cause: with the wait for running streams off, no test of the agent failed: the stream ended within the patience for owners that do not fetch an end. Ruled out: a shorter patience only for tests. Change: the stream outlasts the patience, and the test looks at each pull.

--- a/crates/masticsill_agent/tests/planned_stop.rs
+++ b/crates/masticsill_agent/tests/planned_stop.rs
@@ -14,7 +14,7 @@
     let engine = engine(|_| {});
     let agent = TestAgent::beside(&engine);
     let entry = TestEntry::connect(&agent);
-    let mut record = Record::new(spec(1, 200), 5);
+    let mut record = Record::new(spec(1, 700), 5);
     entry.start(&record);
     entry.pull_until(&mut record, |record| record.next_index() >= TokenIndex(5));
     agent.handle.leave();
@@ -29,8 +29,16 @@
     };
     assert_eq!(refusal.kind, RefusalKind::ShuttingDown);
     assert!(refusal.retry_after_ms.is_some());
-    assert!(!agent.handle.is_drained());
-    assert_matches!(entry.pull_to_end(&mut record), AttemptState::Finished(_));
+    // Longer than the patience for owners that do not fetch an end.
+    entry.pull_until(&mut record, |record| {
+        let is_drained = agent.handle.is_drained();
+        assert!(
+            !record.is_running() || !is_drained,
+            "drained under a stream"
+        );
+        !record.is_running()
+    });
+    assert_matches!(record.state(), AttemptState::Finished(_));
     assert_eq!(record.tokens(), whole_answer(record.spec()));
     wait_for("the agent is drained", || agent.handle.is_drained());
     agent.stop();
