--- a/crates/masticsill_agent/src/config.rs
+++ b/crates/masticsill_agent/src/config.rs
@@ -63,7 +63,7 @@
             calls: CallLimits {
                 key_window_ms: 3_600_000,
                 max_answer_bytes: 32 * 1024 * 1024,
-                max_calls: 65_536,
+                max_calls: 1_000_000,
                 retry_after_ms: 1_000,
             },
             drain_ms: 30_000,
--- a/crates/masticsill_generation/src/call_book.rs
+++ b/crates/masticsill_generation/src/call_book.rs
@@ -1,9 +1,14 @@
 //! Plain calls that run at most once.
 
+use std::collections::VecDeque;
+
 use indexmap::IndexMap;
 use masticsill_types::{ClockMs, GenerationId, Incarnation, Refusal, RefusalKind};
 use masticsill_wire::agent::{BuryRequest, CallAnswer, CallReply};
 
+/// A sweep looks at every id, so it is not done at each tick.
+const SWEEPS_PER_WINDOW: u64 = 100;
+
 /// Limits of a [`CallBook`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CallLimits {
@@ -11,7 +16,9 @@
     pub key_window_ms: u64,
     /// Bytes of stored answers at most; the oldest lose their bodies first.
     pub max_answer_bytes: usize,
-    /// Ids remembered at most; tombstones may take as many again.
+    /// Ids remembered at most, about 100 bytes each; tombstones may take as many again.
+    ///
+    /// It has to hold the calls of a whole key window: a full book refuses new ones.
     pub max_calls: usize,
     /// When a refused caller may come back, in milliseconds.
     pub retry_after_ms: u64,
@@ -35,7 +42,7 @@
     /// Sent, at least in part.
     Started,
     /// The service answered.
-    Answered(CallAnswer),
+    Answered(Box<CallAnswer>),
     /// The service answered, and the answer is no longer stored.
     Forgotten,
     /// Sent, and its end is not known.
@@ -59,10 +66,13 @@
 #[derive(Debug)]
 pub struct CallBook {
     answer_bytes: usize,
+    /// Ids of stored answers, the oldest first.
+    answered: VecDeque<GenerationId>,
     calls: IndexMap<GenerationId, CallRecord>,
     incarnation: Incarnation,
     is_leaving: bool,
     limits: CallLimits,
+    swept_at: ClockMs,
 }
 
 impl CallBook {
@@ -71,10 +81,12 @@
     pub fn new(incarnation: Incarnation, limits: CallLimits) -> Self {
         Self {
             answer_bytes: 0,
+            answered: VecDeque::new(),
             calls: IndexMap::new(),
             incarnation,
             is_leaving: false,
             limits,
+            swept_at: ClockMs(0),
         }
     }
 
@@ -136,7 +148,8 @@
             return reply;
         }
         self.answer_bytes += answer.body.len();
-        self.set(now, id, false, CallState::Answered(answer));
+        self.set(now, id, false, CallState::Answered(Box::new(answer)));
+        self.answered.push_back(id);
         self.forget_answers();
         reply
     }
@@ -179,6 +192,10 @@
     /// Forgets ids whose key window is over.
     pub fn tick(&mut self, now: ClockMs) {
         let key_window_ms = self.limits.key_window_ms;
+        if now.since(self.swept_at) < key_window_ms / SWEEPS_PER_WINDOW {
+            return;
+        }
+        self.swept_at = now;
         let mut freed_bytes = 0;
         self.calls.retain(|_, call| {
             let is_pending = matches!(call.state, CallState::Taken | CallState::Started);
@@ -189,6 +206,8 @@
             is_kept
         });
         self.answer_bytes -= freed_bytes;
+        let calls = &self.calls;
+        self.answered.retain(|id| calls.contains_key(id));
     }
 
     /// Ids remembered.
@@ -213,7 +232,7 @@
 
     fn reply(&self, state: &CallState) -> CallReply {
         match state {
-            CallState::Answered(answer) => CallReply::Answered(answer.clone()),
+            CallState::Answered(answer) => CallReply::Answered(answer.as_ref().clone()),
             CallState::Buried => self.not_run(
                 RefusalKind::Superseded,
                 "the call was buried before it was sent",
@@ -247,13 +266,15 @@
 
     /// Drops the bodies of the oldest answers until the rest fits.
     fn forget_answers(&mut self) {
-        for call in self.calls.values_mut() {
-            if self.answer_bytes <= self.limits.max_answer_bytes {
+        while self.answer_bytes > self.limits.max_answer_bytes {
+            let Some(id) = self.answered.pop_front() else {
                 return;
-            }
-            let bytes = stored_bytes(&call.state);
-            if bytes > 0 {
-                self.answer_bytes -= bytes;
+            };
+            let Some(call) = self.calls.get_mut(&id) else {
+                continue;
+            };
+            if matches!(call.state, CallState::Answered(_)) {
+                self.answer_bytes -= stored_bytes(&call.state);
                 call.state = CallState::Forgotten;
             }
         }
