Never send a start twice under one lineage; notice callers that left in silence

Cause: a link repeated unanswered starts after a reconnect; if the agent had been restarted, one lineage would have had two runs, which a record's history can't tell apart. An idle response body does not notice a closed connection. Ruled out: an agent-side memory of starts; it dies with the agent's life. Change: a start whose answer is lost becomes the next attempt; an idle stream writes a comment each second.

--- a/crates/masticsill_entry/src/http/sse.rs
+++ b/crates/masticsill_entry/src/http/sse.rs
@@ -1,6 +1,7 @@
 //! Streamed answers as server-sent events.
 
 use std::convert::Infallible;
+use std::time::Duration;
 
 use futures::Stream;
 use futures::stream;
@@ -9,6 +10,7 @@
 use masticsill_types::{FinishReason, Refusal};
 use ntex::util::Bytes;
 use serde::Serialize;
+use tokio::time::timeout;
 
 use crate::open_work::{OpenWork, OpenWorkGuard};
 use crate::openai::{Completion, ErrorBody, Interface};
@@ -16,6 +18,11 @@
 /// Bytes written at once at most, so that one stream does not hold a worker.
 const MAX_CHUNK_BYTES: usize = 16 * 1024;
 
+/// Longest silence on a connection. A caller that left is only noticed by writing to it.
+const IDLE: Duration = Duration::from_secs(1);
+/// A comment, which callers' clients pass over.
+const IDLE_COMMENT: &[u8] = b": waiting\n\n";
+
 /// A caller's end of its ring; dropping it tells the sessions duty that the caller is gone.
 #[derive(Debug)]
 pub(crate) struct Receiver {
@@ -71,7 +78,13 @@
         let (head, first, receiver) = state?;
         let first = match first {
             Some(item) => item,
-            None => receiver.next().await?,
+            None => {
+                let Ok(item) = timeout(IDLE, receiver.next()).await else {
+                    let comment = Ok(Bytes::from_static(IDLE_COMMENT));
+                    return Some((comment, Some((head, None, receiver))));
+                };
+                item?
+            }
         };
         let (chunk, is_last) = encode_available(&head, first, &receiver);
         let rest = (!is_last).then_some((head, None, receiver));
--- a/crates/masticsill_entry/src/link/task.rs
+++ b/crates/masticsill_entry/src/link/task.rs
@@ -57,6 +57,8 @@
 
 /// Takes what a link learns. The sessions duty implements it; tests use a small fake.
 pub(crate) trait LinkOwner {
+    /// A start was sent and its answer was lost: the attempt may run, and must not be sent again.
+    fn on_start_lost(&self, agent: &NodeId, id: GenerationId, lineage: Lineage);
     /// An answer to a start.
     fn on_started(&self, agent: &NodeId, id: GenerationId, lineage: Lineage, reply: StartReply);
     /// News of streams.
@@ -90,7 +92,7 @@
     is_lost: bool,
     meter: SilenceMeter,
     owner: O,
-    starts: IndexMap<GenerationId, StartRequest>,
+    starts: IndexMap<GenerationId, PullCursor>,
 }
 
 /// Serves one agent's link until its ring is closed.
@@ -146,7 +148,7 @@
                     let _ = new.dispatch.await;
                 });
                 self.client = Some(new.client);
-                self.resume_calls();
+                self.note_reached();
             }
             Err(error) => {
                 self.lose(&error);
@@ -155,17 +157,12 @@
         }
     }
 
-    /// Repeats what a broken connection left open; every call is idempotent.
-    fn resume_calls(&mut self) {
+    fn note_reached(&mut self) {
         self.meter.reset();
         if std::mem::take(&mut self.is_lost) {
             log_event!(info, events::AGENT_REACHED, agent = self.config.agent);
             self.owner.on_reached(&self.config.agent);
         }
-        let starts: Vec<StartRequest> = self.starts.values().cloned().collect();
-        for request in starts {
-            self.call_start(request);
-        }
     }
 
     fn obey(&mut self, command: LinkCommand) {
@@ -176,10 +173,7 @@
                 self.call_cancel(request);
             }
             LinkCommand::Follow(cursor) => self.follow(cursor),
-            LinkCommand::Start(request) => {
-                self.starts.insert(request.spec.id, (*request).clone());
-                self.call_start(*request);
-            }
+            LinkCommand::Start(request) => self.call_start(*request),
         }
     }
 
@@ -216,23 +210,19 @@
 
     fn take_start(&mut self, id: GenerationId, lineage: Lineage, reply: StartReply) {
         self.meter.reset();
-        let Some(request) = self.starts.get(&id) else {
-            return;
-        };
-        if last_lineage(request) != Some(lineage) {
+        let is_awaited = self
+            .starts
+            .get(&id)
+            .is_some_and(|cursor| cursor.lineage == lineage);
+        if !is_awaited {
             return;
         }
-        let token_count = u32::try_from(request.accepted.len()).unwrap_or(u32::MAX);
-        self.starts.swap_remove(&id);
+        let cursor = self.starts.swap_remove(&id);
         let is_accepted = reply == StartReply::Accepted;
         self.owner
             .on_started(&self.config.agent, id, lineage, reply);
-        if is_accepted {
-            self.follow(PullCursor {
-                id,
-                lineage,
-                next_index: TokenIndex(token_count),
-            });
+        if let Some(cursor) = cursor.filter(|_| is_accepted) {
+            self.follow(cursor);
         }
     }
 
@@ -266,10 +256,19 @@
         self.calls = FuturesUnordered::new();
         self.is_main_pulling = false;
         self.meter.reset();
+        self.lose_starts();
+    }
+
+    /// Gives up starts whose answers were lost. Sending one again could reach a later life of the
+    /// agent, and one lineage would then have two runs.
+    fn lose_starts(&mut self) {
+        for (id, cursor) in std::mem::take(&mut self.starts) {
+            let agent = &self.config.agent;
+            self.owner.on_start_lost(agent, id, cursor.lineage);
+        }
     }
 
     fn lose(&mut self, error: &io::Error) {
-        self.starts.clear();
         self.cursors.clear();
         self.drop_commands();
         if !std::mem::replace(&mut self.is_lost, true) {
@@ -294,10 +293,17 @@
         let Some(client) = self.client.clone() else {
             return;
         };
-        let Some(lineage) = last_lineage(&request) else {
+        let Some(segment) = request.history.last() else {
             return;
         };
-        let id = request.spec.id;
+        let (id, lineage) = (request.spec.id, segment.lineage);
+        let token_count = u32::try_from(request.accepted.len()).unwrap_or(u32::MAX);
+        let cursor = PullCursor {
+            id,
+            lineage,
+            next_index: TokenIndex(token_count),
+        };
+        self.starts.insert(id, cursor);
         self.calls.push(Box::pin(async move {
             let result = client.start(call_context(), request).await;
             Done::Started {
@@ -335,10 +341,6 @@
     }
 }
 
-fn last_lineage(request: &StartRequest) -> Option<Lineage> {
-    request.history.last().map(|segment| segment.lineage)
-}
-
 fn call_context() -> context::Context {
     let mut context = context::current();
     context.deadline = Instant::now() + Duration::from_millis(CALL_DEADLINE_MS);
--- a/crates/masticsill_entry/src/sessions_duty.rs
+++ b/crates/masticsill_entry/src/sessions_duty.rs
@@ -296,6 +296,10 @@
 }
 
 impl LinkOwner for Rc<Sessions> {
+    fn on_start_lost(&self, agent: &NodeId, id: GenerationId, lineage: Lineage) {
+        self.with_book(|book, now| book.start_lost(now, agent, id, lineage));
+    }
+
     fn on_started(&self, agent: &NodeId, id: GenerationId, lineage: Lineage, reply: StartReply) {
         self.with_book(|book, now| book.start_replied(now, agent, id, lineage, &reply));
     }
--- a/crates/masticsill_session/src/book.rs
+++ b/crates/masticsill_session/src/book.rs
@@ -170,6 +170,18 @@
         }
     }
 
+    /// Takes the loss of a start's answer: the attempt may run, so the next one is another.
+    pub fn start_lost(&mut self, now: ClockMs, agent: &NodeId, id: GenerationId, lineage: Lineage) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        let is_awaited = session.phase == Phase::Starting(agent.clone());
+        if is_awaited && session.record.lineage() == lineage {
+            session.is_dispatched = true;
+            self.move_on(now, id);
+        }
+    }
+
     /// Takes news of a stream.
     pub fn progress(&mut self, now: ClockMs, agent: &NodeId, news: Progress) {
         let Some(session) = self.sessions.get_mut(&news.id) else {
--- a/crates/masticsill_session/tests/sessions/exact_resume.rs
+++ b/crates/masticsill_session/tests/sessions/exact_resume.rs
@@ -98,3 +98,21 @@
     world.push(&started, 1, &[b"\xbc"], STOPPED);
     assert_eq!(sink.text(), "ü");
 }
+
+#[test]
+fn a_start_whose_answer_is_lost_is_never_sent_again_under_its_lineage() {
+    let mut world = World::new();
+    let sink = FakeSink::new(100);
+    world.submit(&sink);
+    let first = world.taken_start();
+    let lineage = first.1.history[0].lineage;
+    let id = first.1.spec.id;
+    world.book.start_lost(world.now, &first.0, id, lineage);
+    let second = world.taken_start();
+    let again = second.1.history.last().expect("a history").lineage;
+    assert_ne!(again, lineage);
+    world.push(&first, 0, &[b"X"], RUNNING);
+    world.accept(&second);
+    world.push(&second, 0, &[b"a"], STOPPED);
+    assert_eq!(sink.text(), "a");
+}
