Stop the commit rate example cleanly and carry out outputs step by step

Cause: the example hung at its end under load: a stop that arrived while a voter emptied its inbox was dropped.

--- a/crates/masticsill_quorum/examples/commit_rate.rs
+++ b/crates/masticsill_quorum/examples/commit_rate.rs
@@ -47,6 +47,7 @@
     peers: Vec<(VoterId, SyncSender<Mail>)>,
     reports: SyncSender<Report>,
     has_written: bool,
+    is_stopping: bool,
 }
 
 impl Voter {
@@ -55,7 +56,7 @@
         loop {
             let wait = next_tick.saturating_duration_since(Instant::now());
             match self.inbox.recv_timeout(wait) {
-                Ok(Mail::Stop) | Err(RecvTimeoutError::Disconnected) => return,
+                Err(RecvTimeoutError::Disconnected) => return,
                 Ok(mail) => self.take(mail),
                 Err(RecvTimeoutError::Timeout) => {
                     next_tick = Instant::now() + TICK;
@@ -65,6 +66,9 @@
             while let Ok(mail) = self.inbox.try_recv() {
                 self.take(mail);
             }
+            if self.is_stopping {
+                return;
+            }
             // One sync covers all that arrived meanwhile.
             while std::mem::take(&mut self.has_written) {
                 let up_to = self.storage.sync().expect("the disk works");
@@ -80,14 +84,24 @@
                 self.step(Input::Message(envelope));
             }
             Mail::Propose(proposals) => self.step(Input::Propose { proposals }),
-            Mail::Stop => {}
+            Mail::Stop => self.is_stopping = true,
         }
     }
 
     fn step(&mut self, input: Input) {
+        let mut snapshot_at = None;
         for output in self.replica.step(self.clock.now(), input) {
+            if let Output::SnapshotWanted { index } = output {
+                snapshot_at = Some(index);
+                continue;
+            }
             self.carry_out(output);
         }
+        // The next input waits until every output of this one is carried out.
+        if let Some(index) = snapshot_at {
+            let data = Arc::from([]);
+            self.step(Input::SnapshotTaken { index, data });
+        }
     }
 
     fn carry_out(&mut self, output: Output) {
@@ -109,10 +123,6 @@
                 // A full inbox loses the message, as a network would.
                 let _ = mailbox.try_send(Mail::Message(encode_message(envelope)));
             }
-            Output::SnapshotWanted { index } => {
-                let data = Arc::from([]);
-                self.step(Input::SnapshotTaken { index, data });
-            }
             _ => {}
         }
     }
@@ -203,6 +213,7 @@
             peers: peers.clone(),
             reports: reports.clone(),
             has_written: false,
+            is_stopping: false,
         };
         threads.push(thread::spawn(move || voter.run()));
     }
--- a/crates/masticsill_quorum/src/output.rs
+++ b/crates/masticsill_quorum/src/output.rs
@@ -8,7 +8,10 @@
     CallerToken, Entry, Envelope, LogIndex, MembershipError, Snapshot, SyncPoint, VoterId,
 };
 
-/// What a replica asks of its caller. Outputs are carried out in order.
+/// What a replica asks of its caller.
+///
+/// Outputs are carried out in order, all of one step before the next step's: a write that is
+/// overtaken by a later one would break the order that [`SyncPoint`] stands for.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Output {
     /// The replica's role, term or known leader changed.
--- a/crates/masticsill_quorum/tests/simulation/mod.rs
+++ b/crates/masticsill_quorum/tests/simulation/mod.rs
@@ -310,9 +310,16 @@
     }
 
     fn carry_out(&mut self, node: usize, outputs: Vec<Output>) {
+        let is_wanted = |output: &Output| matches!(output, Output::SnapshotWanted { .. });
+        let needs_snapshot = outputs.iter().any(is_wanted);
         for output in outputs {
             self.carry_out_one(node, output);
         }
+        // The next input waits until every output of this one is carried out.
+        if needs_snapshot {
+            let (index, data) = self.nodes[node].serialise();
+            self.input(node, Input::SnapshotTaken { index, data });
+        }
     }
 
     fn carry_out_one(&mut self, node: usize, output: Output) {
@@ -347,15 +354,11 @@
             Output::RefusedPropose { token, .. } | Output::RefusedMembership { token, .. } => {
                 self.model.settle(now, token.0, Fate::Refused);
             }
-            Output::RefusedRead { .. } => {}
+            Output::RefusedRead { .. } | Output::SnapshotWanted { .. } => {}
             Output::RestoreSnapshot { snapshot } => {
                 self.nodes[node].restore(&snapshot, &self.model);
             }
             Output::Send(envelope) => self.send(node, envelope),
-            Output::SnapshotWanted { .. } => {
-                let (index, data) = self.nodes[node].serialise();
-                self.input(node, Input::SnapshotTaken { index, data });
-            }
         }
     }
 
