Check that a founder with a lost folder founds nothing

Cause: the test passed as long as the replacement went through. Ruled out: nothing. Change: the test looks at the replica itself before it is admitted.

--- a/crates/masticsill_control/tests/control_repair.rs
+++ b/crates/masticsill_control/tests/control_repair.rs
@@ -2,15 +2,19 @@
 
 mod common;
 
+use std::time::Duration;
+
 use assert_matches::assert_matches;
 use common::{BOUND_MS, Cluster, accepted, block_on, node, poll, put};
 use masticsill_catalogue::ChangeAnswer;
 use masticsill_control::{ControlUnavailable, recover_as_sole_voter};
 use masticsill_quorum::ReplicaSettings;
+use masticsill_runtime::connect_transport;
 use masticsill_types::{CatalogueVersion, NodeId};
+use masticsill_wire::ServiceKind;
 use masticsill_wire::control::{
-    ReadAnswer, ReadRequest, RenewRequest, ReplicaAction, ReplicaAnswer, ReplicaChange,
-    ReplicaStanding, ReplicasView,
+    ControlServiceClient, ReadAnswer, ReadRequest, RenewRequest, ReplicaAction, ReplicaAnswer,
+    ReplicaChange, ReplicaStanding, ReplicasView,
 };
 
 async fn replicas(cluster: &Cluster) -> ReplicasView {
@@ -29,6 +33,15 @@
     names
 }
 
+async fn is_founded(cluster: &Cluster, number: usize) -> bool {
+    let address = cluster.address(&node(number));
+    let transport = connect_transport(address, ServiceKind::Control, BOUND_MS).await;
+    let config = tarpc::client::Config::default();
+    let client = ControlServiceClient::new(config, transport.unwrap()).spawn();
+    let identity = client.identify(tarpc::context::current()).await;
+    identity.unwrap().unwrap().is_founded
+}
+
 async fn folder_of(cluster: &Cluster, number: usize) -> u64 {
     let view = replicas(cluster).await;
     let member = view.replicas.iter().find(|it| it.node == node(number));
@@ -119,8 +132,12 @@
         cluster.abort(&node(1));
         cluster.lose_folder(1);
         cluster.run(1);
-        let leader = cluster.leader();
-        assert_ne!(leader, node(1));
+        // A founding would take a few tenths of a second.
+        for _ in 0..10 {
+            assert!(!is_founded(&cluster, 1).await);
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        assert_ne!(cluster.leader(), node(1));
         replace(&cluster, 1, 1).await;
         let answer = cluster.client().change(&put("c1", "e", 0), BOUND_MS).await;
         assert_eq!(answer, Ok(accepted(1)));
