Kill, pause and race control replicas as real processes

Ruled out: an in-process pause (threads can't be stopped as a process can). Conclusion: a paused leader accepts nothing that it had in hand; its callers get the conflict.

--- a/crates/masticsill/tests/system/main.rs
+++ b/crates/masticsill/tests/system/main.rs
@@ -1,6 +1,7 @@
 //! The whole system as real processes, behind fault proxies.
 
 mod calls_once;
+mod control_losses;
 mod double_losses;
 mod lost_entries;
 mod planned_stops;
