Replace a lost replica by one command in a test

Cause: replace-replica was tested only where nothing was to be replaced. Ruled out: nothing. Change: masticsillctl's tests run three replicas from the control tests' common module.

--- a/crates/masticsill_control/tests/common/mod.rs
+++ b/crates/masticsill_control/tests/common/mod.rs
@@ -184,6 +184,12 @@
         replica.is_some_and(|replica| replica.role.as_ref().unwrap().is_leading())
     }
 
+    /// Administration APIs of the replicas that run.
+    pub fn http_addresses(&self) -> Vec<SocketAddr> {
+        let roles = self.replicas.values().map(|replica| replica.role.as_ref());
+        roles.map(|role| role.unwrap().http_address()).collect()
+    }
+
     /// Waits for a leader.
     pub fn leader(&self) -> NodeId {
         self.leader_other_than(None)
