--- a/crates/masticsill/tests/system/main.rs
+++ b/crates/masticsill/tests/system/main.rs
@@ -1,9 +1,11 @@
 //! The whole system as real processes, behind fault proxies.
 
 mod calls_once;
+mod catalogue_force;
 mod control_losses;
 mod double_losses;
 mod lost_entries;
+mod operators;
 mod planned_stops;
 mod single_losses;
 mod support;
--- a/crates/masticsill_testkit/src/deployment.rs
+++ b/crates/masticsill_testkit/src/deployment.rs
@@ -85,7 +85,7 @@
             let name = self.controls[index].clone();
             let role = json!({
                 "http_address": LOCAL,
-                "data_folder": self.folder.path().join(format!("data-{name}")),
+                "data_folder": self.data_folder(&name),
                 "voters": voters,
                 "operators": [operator],
             });
@@ -173,6 +173,16 @@
         node.proxy.set_upstream(node.process.address("rpc"));
     }
 
+    /// Deletes the data folder of a control replica that has ended.
+    ///
+    /// # Panics
+    ///
+    /// When the folder can't be deleted.
+    pub fn lose_data(&self, control: &str) {
+        let folder = self.data_folder(control);
+        std::fs::remove_dir_all(folder).expect("the folder is the test's own");
+    }
+
     /// Where callers or operators reach a node.
     #[must_use]
     pub fn http(&self, name: &str) -> SocketAddr {
@@ -293,6 +303,10 @@
         self.nodes.insert(name.to_owned(), node);
     }
 
+    fn data_folder(&self, control: &str) -> PathBuf {
+        self.folder.path().join(format!("data-{control}"))
+    }
+
     fn log_file(&self, name: &str) -> PathBuf {
         self.folder.path().join(format!("{name}.log"))
     }
