--- a/crates/masticsill_entry/src/http/completions.rs
+++ b/crates/masticsill_entry/src/http/completions.rs
@@ -2,13 +2,13 @@
 
 use masticsill_runtime::Ring;
 use masticsill_session::{Position, StreamItem};
-use masticsill_types::{Refusal, RefusalKind};
+use masticsill_types::{ClockMs, Refusal, RefusalKind};
 use ntex::http::header::HeaderMap;
 use ntex::web::types::{Payload, State};
 use ntex::web::{HttpRequest, HttpResponse};
 
 use super::body::{invalid, parse_json, read_body};
-use super::refusal::answer_refusal;
+use super::refusal::{answer_refusal, log_refusal};
 use super::server::Gateway;
 use super::sse::{AnswerHead, Receiver, stream_answer};
 use crate::answer_ring::AnswerRing;
@@ -59,7 +59,7 @@
 ) -> HttpResponse {
     let begun = read.and_then(|body| begin(request.headers(), body, gateway));
     match begun {
-        Ok(begun) => respond(begun, interface).await,
+        Ok(begun) => respond(begun, gateway, interface).await,
         Err(refusal) => {
             gateway.metrics.count("entry.refusals", 1);
             answer_refusal(&refusal)
@@ -69,6 +69,7 @@
 
 /// A generation handed to the sessions duty.
 struct Begun {
+    accepted_at: ClockMs,
     id: String,
     is_streamed: bool,
     model: String,
@@ -100,6 +101,7 @@
         id
     };
     Ok(Begun {
+        accepted_at: gateway.now(),
         id: format!("cmpl-{id}"),
         is_streamed,
         model,
@@ -151,13 +153,16 @@
         .map_err(|error| invalid(error.to_string()))
 }
 
-async fn respond(begun: Begun, interface: Interface) -> HttpResponse {
+async fn respond(begun: Begun, gateway: &Gateway, interface: Interface) -> HttpResponse {
     let Some(first) = begun.receiver.next().await else {
         return answer_refusal(&lost());
     };
     if let StreamItem::Refused(refusal) = &first {
+        log_refusal(&begun.id, refusal);
         return answer_refusal(refusal);
     }
+    let waited_ms = gateway.now() - begun.accepted_at;
+    gateway.metrics.time_ms("entry.first_token", waited_ms);
     if !begun.is_streamed {
         return respond_whole(begun, interface, first).await;
     }
@@ -178,7 +183,10 @@
     while let Some(item) = next {
         match item {
             StreamItem::Text { text, .. } => whole.push_str(&text),
-            StreamItem::Refused(refusal) => return answer_refusal(&refusal),
+            StreamItem::Refused(refusal) => {
+                log_refusal(&begun.id, &refusal);
+                return answer_refusal(&refusal);
+            }
             StreamItem::Finished {
                 reason,
                 token_count,
--- a/crates/masticsill_entry/src/http/refusal.rs
+++ b/crates/masticsill_entry/src/http/refusal.rs
@@ -1,10 +1,11 @@
 //! Refusals as HTTP answers.
 
-use masticsill_types::{Refusal, RefusalKind};
+use masticsill_types::{Refusal, RefusalKind, log_event};
 use ntex::http::StatusCode;
 use ntex::http::header::RETRY_AFTER;
 use ntex::web::HttpResponse;
 
+use crate::events;
 use crate::openai::ErrorBody;
 
 const MS_PER_S: u64 = 1_000;
@@ -19,6 +20,18 @@
     response.json(&ErrorBody::from(refusal))
 }
 
+/// Logs the refusal of a request that was admitted.
+pub(crate) fn log_refusal(answer_id: &str, refusal: &Refusal) {
+    log_event!(
+        info,
+        events::GENERATION_REFUSED,
+        answer = answer_id,
+        kind = refusal.kind,
+        outcome = refusal.outcome.as_str(),
+        detail = refusal.detail
+    );
+}
+
 fn status(kind: RefusalKind) -> StatusCode {
     match kind {
         RefusalKind::InvalidRequest => StatusCode::BAD_REQUEST,
--- a/crates/masticsill_entry/src/http/sse.rs
+++ b/crates/masticsill_entry/src/http/sse.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 use tokio::time::timeout;
 
+use super::refusal::log_refusal;
 use crate::open_work::{OpenWork, OpenWorkGuard};
 use crate::openai::{Completion, ErrorBody, Interface};
 
@@ -76,17 +77,16 @@
     let state = Some((head, Some(first), receiver));
     stream::unfold(state, async |state| {
         let (head, first, receiver) = state?;
-        let first = match first {
-            Some(item) => item,
-            None => {
-                let Ok(item) = timeout(IDLE, receiver.next()).await else {
-                    let comment = Ok(Bytes::from_static(IDLE_COMMENT));
-                    return Some((comment, Some((head, None, receiver))));
-                };
-                item?
-            }
+        let item = if first.is_some() {
+            first
+        } else {
+            let Ok(item) = timeout(IDLE, receiver.next()).await else {
+                let comment = Ok(Bytes::from_static(IDLE_COMMENT));
+                return Some((comment, Some((head, None, receiver))));
+            };
+            item
         };
-        let (chunk, is_last) = encode_available(&head, first, &receiver);
+        let (chunk, is_last) = encode_available(&head, item?, &receiver);
         let rest = (!is_last).then_some((head, None, receiver));
         Some((Ok(chunk), rest))
     })
@@ -126,6 +126,7 @@
             true
         }
         StreamItem::Refused(refusal) => {
+            log_refusal(&head.id, refusal);
             encode_refusal(buffer, refusal);
             true
         }
