Prove that bad input is refused and stays with its sender

Cause: nothing showed what the whole system makes of broken, oversized or unread exchanges. Ruled out: an early end of the connection as an error of its own; HTTP lets a server refuse so. Change: bad_input.rs, 7 tests, each with a stream that must come through whole meanwhile, and no panic in any log.

--- a/crates/masticsill/tests/system/main.rs
+++ b/crates/masticsill/tests/system/main.rs
@@ -1,5 +1,6 @@
 //! The whole system as real processes, behind fault proxies.
 
+mod bad_input;
 mod calls_once;
 mod catalogue_force;
 mod control_losses;
