Prove that requests in the balancer's grace are served

Cause: the test of a leaving entry passes also when readiness goes off only at its end. Ruled out: changing that test; it proves the drain. Change: balancer_grace.rs.

--- a/crates/masticsill/tests/system/main.rs
+++ b/crates/masticsill/tests/system/main.rs
@@ -1,6 +1,7 @@
 //! The whole system as real processes, behind fault proxies.
 
 mod bad_input;
+mod balancer_grace;
 mod calls_once;
 mod catalogue_force;
 mod control_losses;
