Wait for the lost folder's removal before the second loss

It took the new folder's vote as the repair's end; the lost folder may then still be leaving, and it counts towards the majority until it is gone: 4 votes, 3 needed, 2 alive. Ruled out: a fault of the quorum: masticsillctl's replace-replica waits for the same end. Change: the wait asks that the lost folder is no longer listed. Conclusion: a second loss during a repair of three replicas remains a loss of the majority.

--- a/crates/masticsill/tests/system/control_losses.rs
+++ b/crates/masticsill/tests/system/control_losses.rs
@@ -187,16 +187,14 @@
     }
 }
 
-/// The folder number of each voting replica.
-fn voters(deployment: &Deployment, control: &str) -> Vec<(String, String)> {
+/// Name, folder number and standing of each replica, as one replica shows them.
+fn replicas(deployment: &Deployment, control: &str) -> Vec<[String; 3]> {
     let answer = deployment.ask_operator(control, "GET", "/v1/replicas", &json!({}));
     let view = answer.map_or(Value::Null, |answer| answer.json());
     let replicas = view["replicas"].as_array().cloned().unwrap_or_default();
-    let voters = replicas.iter().filter(|it| it["standing"] == "voter");
     let text = |value: &Value| value.as_str().unwrap_or_default().to_owned();
-    voters
-        .map(|voter| (text(&voter["node"]), text(&voter["folder"])))
-        .collect()
+    let fields = |replica: &Value| ["node", "folder", "standing"].map(|name| text(&replica[name]));
+    replicas.iter().map(fields).collect()
 }
 
 #[test]
@@ -206,8 +204,9 @@
     let first = put(&deployment, control, &put_body("before", "v1", 0));
     assert_eq!(first, (200, json!({"version": 1})));
     let lost = CONTROLS.into_iter().find(|name| *name != control).unwrap();
-    let old = voters(&deployment, control);
-    assert_eq!(old.len(), 3);
+    let old = replicas(&deployment, control);
+    let old = old.iter().find(|replica| replica[0] == lost);
+    let old_folder = old.expect("the replica is listed")[1].clone();
     deployment.node_mut(lost).process.kill();
     deployment.lose_data(lost);
     deployment.restart(lost);
@@ -217,12 +216,14 @@
         answer.is_ok_and(|answer| answer.status == 202)
     });
     assert!(is_accepted, "the replacement is accepted");
+    // The repair is done once the new folder votes and the lost one, which still counts towards
+    // the majority while it is leaving, is gone.
     let is_replaced = wait_until(BOUND_MS, || {
-        let now = voters(&deployment, control);
-        let is_new = |voter: &&(String, String)| voter.0 == lost && !old.contains(voter);
-        now.len() == 3 && now.iter().find(is_new).is_some()
+        let now = replicas(&deployment, control);
+        let is_gone = now.iter().all(|replica| replica[1] != old_folder);
+        now.len() == 3 && is_gone && now.iter().all(|replica| replica[2] == "voter")
     });
-    assert!(is_replaced, "{:?}", voters(&deployment, control));
+    assert!(is_replaced, "{:?}", replicas(&deployment, control));
     // The second loss: the leader, so that the new replica's vote is needed.
     deployment.node_mut(control).process.kill();
     let next = leader(&deployment, Some(control));
