Write the operators' page and run its procedures as a test

Cause: a page for the night is only worth what was run; growing the quorum and recovering a lost majority had no command. Ruled out: replace-replica for growing: it names a member that leaves. Conclusion: grow, replace and recover are run as written.

--- a/crates/masticsill/src/arguments.rs
+++ b/crates/masticsill/src/arguments.rs
@@ -11,6 +11,9 @@
 Usage:
   masticsill run FILE      run one process with the settings in FILE
   masticsill check FILE    check a settings file and say what is wrong
+  masticsill recover FILE --accept-loss
+                           make this control replica the only voter, after the majority was
+                           lost for good; docs/OPERATIONS.md says what it risks
   masticsill --help        print this text
   masticsill --version     print the version
 
@@ -34,6 +37,8 @@
     Check(PathBuf),
     /// Print the help.
     Help,
+    /// Make a control replica the only voter.
+    Recover(PathBuf),
     /// Run a process.
     Run(PathBuf),
     /// Print the version.
@@ -44,10 +49,12 @@
 pub(crate) fn parse_arguments() -> Result<Command, lexopt::Error> {
     let mut parser = lexopt::Parser::from_env();
     let mut words: Vec<String> = Vec::new();
+    let mut is_loss_accepted = false;
     while let Some(argument) = parser.next()? {
         match argument {
             Short('h') | Long("help") => return Ok(Command::Help),
             Short('V') | Long("version") => return Ok(Command::Version),
+            Long("accept-loss") => is_loss_accepted = true,
             Value(word) => words.push(word.into_string()?),
             Long(_) | Short(_) => return Err(argument.unexpected()),
         }
@@ -55,6 +62,12 @@
     match words.as_slice() {
         [verb, file] if verb == "run" => Ok(Command::Run(PathBuf::from(file))),
         [verb, file] if verb == "check" => Ok(Command::Check(PathBuf::from(file))),
-        _ => Err("give `run FILE` or `check FILE`".into()),
+        [verb, file] if verb == "recover" && is_loss_accepted => {
+            Ok(Command::Recover(PathBuf::from(file)))
+        }
+        [verb, _] if verb == "recover" => {
+            Err("`recover` can lose accepted changes; add --accept-loss once you have read docs/OPERATIONS.md".into())
+        }
+        _ => Err("give `run FILE`, `check FILE` or `recover FILE --accept-loss`".into()),
     }
 }
--- a/crates/masticsill/src/main.rs
+++ b/crates/masticsill/src/main.rs
@@ -2,6 +2,7 @@
 
 mod arguments;
 mod node;
+mod recover;
 mod settings_map;
 
 use std::process::ExitCode;
@@ -47,6 +48,10 @@
             print!("{HELP}");
             Ok(())
         }
+        Command::Recover(path) => {
+            start_logging();
+            recover::recover(&read_settings(path)?)
+        }
         Command::Run(path) => {
             let settings = read_settings(path)?;
             start_logging();
--- a/crates/masticsill/tests/system/main.rs
+++ b/crates/masticsill/tests/system/main.rs
@@ -4,6 +4,7 @@
 mod control_losses;
 mod double_losses;
 mod lost_entries;
+mod operator_pages;
 mod planned_stops;
 mod single_losses;
 mod support;
--- a/crates/masticsill_agent/src/call.rs
+++ b/crates/masticsill_agent/src/call.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use masticsill_runtime::Ring;
+use masticsill_runtime::{Ring, is_unsent};
 use masticsill_wire::agent::{CallAnswer, CallRequest};
 use ntex::client::{Client, ClientResponse};
 use ntex::http::Method;
@@ -11,7 +11,6 @@
 use tokio::time::timeout;
 
 use crate::config::AgentLimits;
-use crate::engine_poll::is_unsent;
 use crate::messages::{CallEnd, EndpointNews, send_news};
 
 const REQUEST_ID_HEADER: &str = "x-request-id";
--- a/crates/masticsill_agent/src/engine_poll.rs
+++ b/crates/masticsill_agent/src/engine_poll.rs
@@ -1,12 +1,11 @@
 //! Polls of an engine's load and loaded models.
 
-use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use masticsill_runtime::Ring;
+use masticsill_runtime::{Ring, is_unsent};
 use ntex::client::Client;
-use ntex::client::error::{ClientError, ConnectError};
+
 use serde::de::DeserializeOwned;
 use tokio::time::{sleep, timeout};
 
@@ -75,21 +74,3 @@
     })?;
     response.json().await.map_err(|_| PollError::Other)
 }
-
-/// Whether an error proves that no byte of the request was sent.
-pub(crate) fn is_unsent(error: &ClientError) -> bool {
-    let ClientError::Connect(error) = error else {
-        return false;
-    };
-    match error {
-        ConnectError::Disconnected(Some(error)) => {
-            // Only a connection that was never made is refused; a reset may follow the request.
-            error.kind() == io::ErrorKind::ConnectionRefused
-        }
-        ConnectError::Resolver(_)
-        | ConnectError::NoRecords
-        | ConnectError::Unresolved
-        | ConnectError::SslIsNotSupported => true,
-        ConnectError::Disconnected(None) | ConnectError::Timeout => false,
-    }
-}
--- a/crates/masticsill_runtime/src/lib.rs
+++ b/crates/masticsill_runtime/src/lib.rs
@@ -5,6 +5,7 @@
 mod duty;
 pub mod events;
 mod http;
+mod http_client;
 mod logging;
 mod metrics;
 mod ring;
@@ -13,6 +14,7 @@
 
 pub use duty::{DutyHandle, spawn_async_duty, spawn_duty};
 pub use http::HttpHost;
+pub use http_client::is_unsent;
 pub use logging::start_logging;
 pub use metrics::{Metrics, MetricsError};
 pub use ring::{Ring, RingFull};
--- a/crates/masticsill_testkit/src/deployment.rs
+++ b/crates/masticsill_testkit/src/deployment.rs
@@ -27,7 +27,8 @@
     pub process: ProcessUnderTest,
     /// The proxy that peers connect to.
     pub proxy: FaultProxy,
-    settings: PathBuf,
+    /// The process's settings file.
+    pub settings: PathBuf,
 }
 
 /// A whole system on loopback.
@@ -70,10 +71,33 @@
         let proxies: Vec<FaultProxy> = (0..count).map(|_| start_proxy()).collect();
         self.seeds = proxies.iter().map(FaultProxy::address).collect();
         self.controls = (0..count).map(|index| format!("control-{index}")).collect();
-        let voters: Vec<Value> = self
-            .controls
-            .iter()
-            .zip(&self.seeds)
+        for (index, proxy) in proxies.into_iter().enumerate() {
+            let name = self.controls[index].clone();
+            let role = self.control_role(&name);
+            let zone = format!("zone-{index}");
+            self.start_node(&name, &zone, "control", &role, proxy);
+        }
+    }
+
+    /// Starts a control replica that is not a founder; an operator has to admit it.
+    ///
+    /// # Panics
+    ///
+    /// When the process does not start.
+    pub fn start_new_control(&mut self, name: &str) {
+        let role = self.control_role(name);
+        self.start_node(name, "zone-0", "control", &role, start_proxy());
+    }
+
+    /// The folder of a control replica's durable state.
+    #[must_use]
+    pub fn data_folder(&self, name: &str) -> PathBuf {
+        self.folder.path().join(format!("data-{name}"))
+    }
+
+    fn control_role(&self, name: &str) -> Value {
+        let founders = self.controls.iter().zip(&self.seeds);
+        let voters: Vec<Value> = founders
             .map(|(node, address)| json!({"node": node, "rpc_address": address}))
             .collect();
         let operator = json!({
@@ -81,17 +105,12 @@
             "token_blake3": blake3::hash(OPERATOR_TOKEN.as_bytes()).to_hex().as_str(),
             "is_administrator": true,
         });
-        for (index, proxy) in proxies.into_iter().enumerate() {
-            let name = self.controls[index].clone();
-            let role = json!({
-                "http_address": LOCAL,
-                "data_folder": self.folder.path().join(format!("data-{name}")),
-                "voters": voters,
-                "operators": [operator],
-            });
-            let zone = format!("zone-{index}");
-            self.start_node(&name, &zone, "control", &role, proxy);
-        }
+        json!({
+            "http_address": LOCAL,
+            "data_folder": self.data_folder(name),
+            "voters": voters,
+            "operators": [operator],
+        })
     }
 
     /// Starts an entry; `extra` holds more fields of its role.
--- a/crates/masticsillctl/src/api.rs
+++ b/crates/masticsillctl/src/api.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 
+use masticsill_runtime::is_unsent;
 use masticsill_wire::admin::ErrorJson;
 use ntex::client::{Client, ClientRequest, ClientResponse};
 use ntex::http::{Method, StatusCode};
@@ -149,8 +150,8 @@
     let response = match tokio::time::timeout(timeout, sent).await {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
-            let is_unsent = matches!(error, ntex::client::error::ClientError::Connect(_));
-            return Err(lost(error.to_string(), !is_unsent));
+            let is_outcome_unknown = !is_unsent(&error);
+            return Err(lost(error.to_string(), is_outcome_unknown));
         }
         Err(_) => return Err(lost("the instance did not answer in time".to_owned(), true)),
     };
--- a/crates/masticsillctl/src/arguments.rs
+++ b/crates/masticsillctl/src/arguments.rs
@@ -26,16 +26,30 @@
 #[derive(Debug)]
 pub(crate) enum Command {
     Apply(ChangeArguments),
-    Audit { after: u64, limit: u32 },
-    Check { file: String },
+    Audit {
+        after: u64,
+        limit: u32,
+    },
+    Check {
+        file: String,
+    },
     Delete(ChangeArguments),
-    Get { id: String },
+    Get {
+        id: String,
+    },
     HashToken,
+    JoinReplica {
+        address: Option<String>,
+        node: String,
+    },
     Help,
     List,
     ReplaceReplica(Replacement),
     Replicas,
-    Watch { from: u64, is_once: bool },
+    Watch {
+        from: u64,
+        is_once: bool,
+    },
 }
 
 /// A change to send.
@@ -177,6 +191,10 @@
         ["delete", id] => Ok(Command::Delete(change(id))),
         ["get", id] => Ok(Command::Get { id: id.to_owned() }),
         ["hash-token"] => Ok(Command::HashToken),
+        ["join-replica", node] => Ok(Command::JoinReplica {
+            address: options.replica_address.clone(),
+            node: node.to_owned(),
+        }),
         ["help"] => Ok(Command::Help),
         ["list"] => Ok(Command::List),
         ["replace-replica", old] => Ok(Command::ReplaceReplica(Replacement {
--- a/crates/masticsillctl/src/help.rs
+++ b/crates/masticsillctl/src/help.rs
@@ -16,6 +16,8 @@
   audit                    show who changed what, when, and what became of it
 
 Control instances:
+  join-replica NEW         admit one more control instance, which runs with an empty data folder,
+                           and wait until it votes
   replicas                 show the control instances
   replace-replica OLD      replace a control instance whose folder or machine was lost by one
                            that runs with an empty data folder, and wait until it is done
@@ -46,7 +48,7 @@
   --from N                 show changes after this version (default: everything in force first)
   --once                   end after the first change
 
-Options of replace-replica:
+Options of join-replica and replace-replica:
   --node NEW               the new instance's name (default: OLD, on a new folder)
   --replica-address A      the new instance's RPC address (default: the one in the settings)
 
--- a/crates/masticsillctl/src/main.rs
+++ b/crates/masticsillctl/src/main.rs
@@ -61,6 +61,9 @@
         Command::Audit { after, limit } => operations::audit(&api, output, after, limit).await,
         Command::Delete(change) => catalogue::delete(&api, output, change).await,
         Command::Get { id } => catalogue::get(&api, output, &id).await,
+        Command::JoinReplica { address, node } => {
+            operations::join_replica(&api, output, address, node).await
+        }
         Command::List => catalogue::list(&api, output).await,
         Command::Replicas => operations::replicas(&api, output).await,
         Command::ReplaceReplica(replacement) => {
--- a/crates/masticsillctl/src/operations.rs
+++ b/crates/masticsillctl/src/operations.rs
@@ -94,9 +94,7 @@
         node: node.clone(),
         replaces: Some(replacement.old.clone()),
     };
-    let answer = api.send(Method::POST, "/v1/replicas", &body).await;
-    let accepted: Result<serde_json::Value, _> = answer.map_err(Failure::from)?;
-    accepted.map_err(Failure::Refused)?;
+    send_join(api, &body).await?;
     let view = read_replicas(api).await?;
     if is_unreplaceable(&view, &node, &old.folder) {
         return output.show(&view, || {
@@ -113,6 +111,32 @@
     })
 }
 
+/// Admits one more replica and waits until it votes.
+pub(crate) async fn join_replica(
+    api: &Api,
+    output: Output,
+    address: Option<String>,
+    node: String,
+) -> eyre::Result<()> {
+    let body = JoinJson {
+        address,
+        node: node.clone(),
+        replaces: None,
+    };
+    send_join(api, &body).await?;
+    eprintln!("accepted: `{node}` catches up, then votes");
+    let is_voter =
+        |replica: &ReplicaJson| replica.node == node && replica.standing == ReplicaStanding::Voter;
+    let after = await_members(api, &node, |view| view.replicas.iter().any(is_voter)).await?;
+    output.show(&after, || format!("`{node}` votes"))
+}
+
+async fn send_join(api: &Api, body: &JoinJson) -> Result<(), Failure> {
+    let answer = api.send(Method::POST, "/v1/replicas", body).await;
+    let accepted: Result<serde_json::Value, _> = answer.map_err(Failure::from)?;
+    accepted.map(|_| ()).map_err(Failure::Refused)
+}
+
 /// Whether the replica named runs with the very folder that was to be replaced.
 fn is_unreplaceable(view: &ReplicasJson, node: &str, old_folder: &str) -> bool {
     let mut namesakes = view.replicas.iter().filter(|it| it.node == node);
@@ -123,15 +147,25 @@
     api: &Api,
     node: &str,
     old_folder: &str,
+) -> Result<ReplicasJson, Failure> {
+    let is_old = |replica: &ReplicaJson| replica.folder == old_folder;
+    let is_new =
+        |replica: &ReplicaJson| replica.node == node && replica.standing == ReplicaStanding::Voter;
+    let is_replaced =
+        |view: &ReplicasJson| view.replicas.iter().any(is_new) && !view.replicas.iter().any(is_old);
+    await_members(api, node, is_replaced).await
+}
+
+/// Waits until the members are as wanted.
+async fn await_members(
+    api: &Api,
+    node: &str,
+    is_wanted: impl Fn(&ReplicasJson) -> bool,
 ) -> Result<ReplicasJson, Failure> {
     let until = Instant::now() + api.bound();
     loop {
         let view = read_replicas(api).await?;
-        let is_old = |replica: &ReplicaJson| replica.folder == old_folder;
-        let is_new = |replica: &ReplicaJson| {
-            replica.node == node && replica.standing == ReplicaStanding::Voter
-        };
-        if view.replicas.iter().any(is_new) && !view.replicas.iter().any(is_old) {
+        if is_wanted(&view) {
             return Ok(view);
         }
         if Instant::now() >= until {
