Refuse a returning caller again at once; release without ending the attempt

A caller that came back to a generation already given up was attached to a session that would never say anything more. An entry that released a generation cancelled its attempt under the new owner's epoch; with the higher nonce of the two that ended the very attempt the new owner went on with. Ruled out: cancelling under the old lineage: it still ends an attempt that the new owner is about to attach to. Change: a session keeps its refusal; a release only stops following. Conclusion: an attempt that no new owner takes ends by the agent's orphan timeout.

--- a/crates/masticsill_entry/src/link/task.rs
+++ b/crates/masticsill_entry/src/link/task.rs
@@ -53,6 +53,8 @@
     Follow(PullCursor),
     /// Start an attempt and follow it.
     Start(Box<StartRequest>),
+    /// Follow an attempt no more, without ending it.
+    Unfollow(GenerationId),
 }
 
 /// Takes what a link learns. The sessions duty implements it; tests use a small fake.
@@ -174,6 +176,10 @@
             }
             LinkCommand::Follow(cursor) => self.follow(cursor),
             LinkCommand::Start(request) => self.call_start(*request),
+            LinkCommand::Unfollow(id) => {
+                self.cursors.unfollow(id);
+                self.starts.swap_remove(&id);
+            }
         }
     }
 
--- a/crates/masticsill_entry/src/sessions_duty.rs
+++ b/crates/masticsill_entry/src/sessions_duty.rs
@@ -212,6 +212,7 @@
         match action {
             Action::Cancel(agent, request) => self.command(&agent, LinkCommand::Cancel(request)),
             Action::Follow(agent, cursor) => self.command(&agent, LinkCommand::Follow(cursor)),
+            Action::Unfollow(agent, id) => self.command(&agent, LinkCommand::Unfollow(id)),
             Action::Search(position) => self.begin_search(position),
             Action::Start(agent, request) => {
                 if request.history.len() > 1 {
--- a/crates/masticsill_session/src/book.rs
+++ b/crates/masticsill_session/src/book.rs
@@ -52,6 +52,8 @@
     Follow(NodeId, PullCursor),
     /// Ask every possible holder for a generation.
     Search(Position),
+    /// Follow an attempt no more; its new owner does.
+    Unfollow(NodeId, GenerationId),
     /// Start an attempt at an agent; once accepted it is followed.
     Start(NodeId, Box<StartRequest>),
 }
@@ -135,6 +137,10 @@
             caller.refuse(record_lost());
             return;
         }
+        if let Some(refusal) = session.refusal.clone() {
+            caller.refuse(refusal);
+            return;
+        }
         if let Some(mut former) = session.caller.replace(caller) {
             former.refuse(superseded());
         }
@@ -270,7 +276,11 @@
         if let Some(mut caller) = session.caller.take() {
             caller.refuse(superseded());
         }
-        self.leave_agent(request.id);
+        // The attempt is not cancelled: its new owner may go on with it.
+        if let Some(agent) = session.agent().cloned() {
+            self.endpoints.end(&agent);
+            self.actions.push(Action::Unfollow(agent, request.id));
+        }
         self.sessions.swap_remove(&request.id);
         AttachReply::Attached(Box::new(snapshot))
     }
@@ -396,8 +406,9 @@
         session.phase = Phase::Ended;
         session.since = now;
         if let Some(caller) = &mut session.caller {
-            caller.refuse(refusal);
+            caller.refuse(refusal.clone());
         }
+        session.refusal = Some(refusal);
     }
 
     fn expire(&mut self, now: ClockMs, id: GenerationId) {
--- a/crates/masticsill_session/src/session.rs
+++ b/crates/masticsill_session/src/session.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexSet;
 use masticsill_generation::Record;
-use masticsill_types::{ClockMs, NodeId};
+use masticsill_types::{ClockMs, NodeId, Refusal};
 
 use crate::caller::Caller;
 
@@ -30,6 +30,8 @@
     pub(crate) phase: Phase,
     /// The record.
     pub(crate) record: Record,
+    /// The final refusal, once the generation was given up.
+    pub(crate) refusal: Option<Refusal>,
     /// When a waiting session looks for an endpoint again.
     pub(crate) retry_at: ClockMs,
     /// When the caller last came or went.
@@ -48,6 +50,7 @@
             is_dispatched: false,
             phase: Phase::Waiting,
             record,
+            refusal: None,
             retry_at: now,
             since: now,
             tried: IndexSet::new(),
--- a/crates/masticsill_session/tests/sessions/caller_return.rs
+++ b/crates/masticsill_session/tests/sessions/caller_return.rs
@@ -6,7 +6,7 @@
 
 use assert_matches::assert_matches;
 
-use crate::support::{FakeSink, REATTACH_MS, World, node, spec};
+use crate::support::{FakeSink, REATTACH_MS, WAITING_MS, World, node, spec};
 
 const RUNNING: AttemptState = AttemptState::Running;
 
@@ -113,3 +113,40 @@
     let lost = Some((RefusedOutcome::Failed, RefusalKind::RecordLost));
     assert_eq!(again.refusal(), lost);
 }
+
+#[test]
+fn a_caller_that_returns_after_a_refusal_is_refused_again_at_once() {
+    let mut world = World::new();
+    let sink = FakeSink::new(100);
+    follow_two_tokens(&mut world, &sink);
+    let position = sink.position();
+    for agent in ["a", "b"] {
+        world.book.agent_lost(world.now, &node(agent));
+    }
+    world.pass(WAITING_MS);
+    let refusal = sink.refusal();
+    assert_matches!(refusal, Some((RefusedOutcome::Failed, _)));
+    let again = FakeSink::new(100);
+    world
+        .book
+        .reattach(world.now, position, Box::new(again.clone()));
+    assert_eq!(again.refusal(), refusal);
+}
+
+#[test]
+fn a_release_does_not_end_the_attempt_that_its_new_owner_goes_on_with() {
+    let mut world = World::new();
+    let sink = FakeSink::new(100);
+    follow_two_tokens(&mut world, &sink);
+    let position = sink.position();
+    let request = AttachRequest {
+        entry: node("other"),
+        id: position.id,
+        next_index: position.next_index,
+        nonce: u32::MAX,
+        seen: position.lineage,
+    };
+    assert_matches!(world.book.release(&request), AttachReply::Attached(_));
+    let actions = world.book.take_actions();
+    assert_matches!(actions.as_slice(), [Action::Unfollow(_, _)]);
+}
