Let a deployment run without proxies between entries and agents

Cause: every process advertised its proxy, so a measurement of the path would have counted the proxy between entry and agent. Ruled out: proxies for control replicas stay, since their addresses are seeds that must be known before the processes start. Change: Deployment::without_proxies; entries and agents then advertise their own addresses.

--- a/crates/masticsill_testkit/src/deployment.rs
+++ b/crates/masticsill_testkit/src/deployment.rs
@@ -37,6 +37,7 @@
     change_count: u64,
     controls: Vec<String>,
     folder: TempDir,
+    is_proxied: bool,
     nodes: IndexMap<String, Node>,
     program: PathBuf,
     seeds: Vec<SocketAddr>,
@@ -55,12 +56,21 @@
             change_count: 0,
             controls: Vec::new(),
             folder: TempDir::new().expect("a temporary folder can be made"),
+            is_proxied: true,
             nodes: IndexMap::new(),
             program: program.to_owned(),
             seeds: Vec::new(),
         }
     }
 
+    /// The same deployment, whose entries and agents advertise their own addresses, so that no
+    /// proxy stands between them. Control replicas stay behind theirs.
+    #[must_use]
+    pub fn without_proxies(mut self) -> Self {
+        self.is_proxied = false;
+        self
+    }
+
     /// Starts a control quorum of `count` replicas named `control-0` and so on.
     ///
     /// # Panics
@@ -273,15 +283,17 @@
         role: &Value,
         proxy: FaultProxy,
     ) {
-        let settings = json!({
+        let mut settings = json!({
             "cluster": "trial",
             "node": name,
             "zone": zone,
             "rpc_address": LOCAL,
-            "advertised_rpc_address": proxy.address(),
             "seeds": self.seeds,
             role_name: role,
         });
+        if self.is_proxied || role_name == "control" {
+            settings["advertised_rpc_address"] = json!(proxy.address());
+        }
         let file = write_settings(self.folder.path(), name, &settings);
         let process = spawn(&self.program, &file, &self.log_file(name));
         proxy.set_upstream(process.address("rpc"));
