Revert the batched wakes

Ruled out: keeping it for its idea; it adds a hub and a thread-local. Change: back to one wake a caller. Conclusion: the entry's cost a token needs a quiet machine and a profile by call chain before the next try.

--- a/crates/masticsill_entry/src/answer_ring.rs
+++ b/crates/masticsill_entry/src/answer_ring.rs
@@ -3,27 +3,16 @@
 use masticsill_runtime::{Ring, RingFull};
 use masticsill_session::{AnswerSink, StreamItem};
 
-use crate::wakes::WorkerWakes;
-
-/// The sending end of a caller's ring, and the worker that reads it.
+/// The sending end of a caller's ring.
 #[derive(Clone, Debug)]
-pub(crate) struct AnswerRing {
-    /// The caller's items.
-    pub(crate) ring: Ring<StreamItem>,
-    /// The worker of the caller's connection.
-    pub(crate) wakes: WorkerWakes,
-}
+pub(crate) struct AnswerRing(pub(crate) Ring<StreamItem>);
 
 impl AnswerSink for AnswerRing {
     fn offer(&self, item: StreamItem) -> Result<(), StreamItem> {
-        self.ring
-            .push_quietly(item)
-            .map_err(|RingFull(item)| item)?;
-        self.wakes.note(&self.ring);
-        Ok(())
+        self.0.push(item).map_err(|RingFull(item)| item)
     }
 
     fn is_closed(&self) -> bool {
-        self.ring.is_closed()
+        self.0.is_closed()
     }
 }
--- a/crates/masticsill_entry/src/http/completions.rs
+++ b/crates/masticsill_entry/src/http/completions.rs
@@ -88,18 +88,16 @@
     let model = request.catalogue_entry.as_str().to_owned();
     let ring = Ring::with_capacity(CALLER_RING_ITEMS);
     let receiver = Receiver::new(ring.clone(), &gateway.open_work);
-    let wakes = gateway.wakes.worker();
-    let sink = AnswerRing { ring, wakes };
     let admitted = admit(gateway, &request, seen.is_some())?;
     let id = if let Some(position) = seen {
         check_key(&admitted, key.as_ref(), &position)?;
-        gateway.hand_over(SessionInput::Reattach(position, sink))?;
+        gateway.hand_over(SessionInput::Reattach(position, AnswerRing(ring)))?;
         position.id
     } else {
         let key = key.unwrap_or_else(RequestKey::random);
         let id = key.new_generation(&admitted.entry.owner);
         let spec = admitted.into_spec(id, request);
-        gateway.hand_over(SessionInput::Submit(Box::new(spec), sink))?;
+        gateway.hand_over(SessionInput::Submit(Box::new(spec), AnswerRing(ring)))?;
         id
     };
     Ok(Begun {
--- a/crates/masticsill_entry/src/http/server.rs
+++ b/crates/masticsill_entry/src/http/server.rs
@@ -13,7 +13,6 @@
 use crate::open_work::OpenWork;
 use crate::readiness::Readiness;
 use crate::sessions_duty::SessionInput;
-use crate::wakes::WakeHub;
 
 /// When a caller may come back after this entry's own queue was full, in milliseconds.
 const FULL_QUEUE_RETRY_MS: u64 = 500;
@@ -35,8 +34,6 @@
     pub(crate) open_work: OpenWork,
     /// Whether requests are accepted.
     pub(crate) readiness: Readiness,
-    /// Wakes the workers' callers.
-    pub(crate) wakes: WakeHub,
 }
 
 impl Gateway {
--- a/crates/masticsill_entry/src/lib.rs
+++ b/crates/masticsill_entry/src/lib.rs
@@ -19,7 +19,6 @@
 mod role;
 mod search;
 mod sessions_duty;
-mod wakes;
 
 pub use config::EntryConfig;
 pub use role::EntryRole;
--- a/crates/masticsill_entry/src/role.rs
+++ b/crates/masticsill_entry/src/role.rs
@@ -17,7 +17,6 @@
 use crate::peer_service::serve_peers;
 use crate::readiness::Readiness;
 use crate::sessions_duty::{INPUT_RING_ITEMS, SessionInput, run_sessions};
-use crate::wakes::WakeHub;
 
 const DRAIN_POLL_MS: u64 = 20;
 
@@ -48,14 +47,13 @@
         clock: MonotonicClock,
     ) -> io::Result<Self> {
         let inputs = Ring::with_capacity(INPUT_RING_ITEMS);
-        let wakes = WakeHub::default();
         let open_work = OpenWork::default();
         let readiness = Readiness::default();
         let sessions = {
-            let (session_metrics, wakes) = (metrics.clone(), wakes.clone());
+            let session_metrics = metrics.clone();
             let (config, inputs, mesh) = (config.clone(), inputs.clone(), mesh.clone());
             spawn_async_duty("sessions", move || {
-                run_sessions(config, inputs, mesh, session_metrics, wakes, clock)
+                run_sessions(config, inputs, mesh, session_metrics, clock)
             })?
         };
         let peer_duty = {
@@ -71,7 +69,6 @@
             metrics,
             open_work: open_work.clone(),
             readiness: readiness.clone(),
-            wakes,
         })?;
         log_event!(info, events::ENTRY_READY, address = host.address());
         Ok(Self {
--- a/crates/masticsill_entry/src/sessions_duty.rs
+++ b/crates/masticsill_entry/src/sessions_duty.rs
@@ -27,7 +27,6 @@
 use crate::events;
 use crate::link::{LinkCommand, LinkConfig, LinkOwner, run_link};
 use crate::search::search_holders;
-use crate::wakes::WakeHub;
 
 /// Work that other duties hand over and that waits here at most.
 pub(crate) const INPUT_RING_ITEMS: usize = 16_384;
@@ -67,7 +66,6 @@
     pub(crate) mesh: MeshHandle,
     metrics: Metrics,
     ticks: Cell<u64>,
-    wakes: WakeHub,
 }
 
 /// Runs the duty until its ring is closed and no session is open.
@@ -76,7 +74,6 @@
     inputs: Ring<SessionInput>,
     mesh: MeshHandle,
     metrics: Metrics,
-    wakes: WakeHub,
     clock: MonotonicClock,
 ) {
     let book_config = BookConfig {
@@ -93,7 +90,6 @@
         mesh: mesh.clone(),
         metrics,
         ticks: Cell::new(0),
-        wakes,
     });
     let mut ticks = interval(Duration::from_millis(TICK_MS));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -153,7 +149,6 @@
         for action in actions {
             self.act(action);
         }
-        self.wakes.flush();
         result
     }
 
--- a/crates/masticsill_runtime/src/ring.rs
+++ b/crates/masticsill_runtime/src/ring.rs
@@ -57,29 +57,12 @@
     ///
     /// [`RingFull`] with the item when the ring is full or closed.
     pub fn push(&self, item: T) -> Result<(), RingFull<T>> {
-        self.push_quietly(item)?;
-        self.wake();
-        Ok(())
-    }
-
-    /// Adds an item without waking the receiver; [`Ring::wake`] has to follow.
-    ///
-    /// Waking another thread costs a system call, so a sender with many receivers on one thread
-    /// pushes to all of them first.
-    ///
-    /// # Errors
-    ///
-    /// As [`Ring::push`].
-    pub fn push_quietly(&self, item: T) -> Result<(), RingFull<T>> {
         if self.is_closed() {
             return Err(RingFull(item));
         }
-        self.shared.items.push(item).map_err(RingFull)
-    }
-
-    /// Wakes the receiver.
-    pub fn wake(&self) {
+        self.shared.items.push(item).map_err(RingFull)?;
         self.shared.wake.notify_one();
+        Ok(())
     }
 
     /// Takes the oldest item, if there is one.
