Place generations and plain calls by the router

Cause: the entry placed by a least-in-flight table; classes, queues, fairness, limits, zones and prefixes had no effect. Change: SessionBook owns the Router; new, retried and resumed attempts are admitted, queued and refused by it, plain calls ask the same one under a fresh work id. The entry follows the catalogue and splits limits evenly by its seat. A restarted agent is no longer marked down by the end of its former life. A repeatable call that may have run once is not called not run later. Generations that go on need a concurrency place but no token credit, and outlive their catalogue entry.

--- a/crates/masticsill/src/settings_map.rs
+++ b/crates/masticsill/src/settings_map.rs
@@ -27,6 +27,7 @@
         node: settings.node.clone(),
         reattach_ms: entry.reattach_ms,
         silence_ms: entry.silence_ms,
+        zone: settings.zone.clone(),
         workers: entry.workers,
     }
 }
--- a/crates/masticsill_entry/src/calls.rs
+++ b/crates/masticsill_entry/src/calls.rs
@@ -11,11 +11,13 @@
 use masticsill_catalogue::{
     AgentLife, CallEnd, Claim, ClaimAnswer, ClaimRecord, Reassign, Settle, StoredAnswer, StoredBody,
 };
-use masticsill_types::{GenerationId, ModelId, Refusal, RefusalKind};
+use masticsill_routing::{WorkKind, WorkOutcome};
+use masticsill_types::{Class, EntryId, GenerationId, ModelId, Refusal, RefusalKind, WorkspaceId};
 use masticsill_wire::agent::{BuryRequest, CallAnswer, CallReply, CallRequest};
 use rand::Rng;
 use tarpc::context;
 
+use crate::call_place::{Place, no_endpoint};
 use crate::control_client::{ClaimCommand, send_command};
 use crate::search::connect_agent;
 use crate::sessions_duty::Sessions;
@@ -33,6 +35,10 @@
 pub(crate) struct PlainCall {
     /// The call's body.
     pub(crate) body: Vec<u8>,
+    /// The catalogue entry that the caller named.
+    pub(crate) catalogue_entry: EntryId,
+    /// Its class.
+    pub(crate) class: Class,
     /// `Content-Type` of the body.
     pub(crate) content_type: String,
     /// The call's identity.
@@ -45,6 +51,15 @@
     pub(crate) path: String,
     /// The service's name.
     pub(crate) service: ModelId,
+    /// The owner of the catalogue entry.
+    pub(crate) workspace: WorkspaceId,
+}
+
+fn outcome_of(reply: &CallReply) -> WorkOutcome {
+    match reply {
+        CallReply::Answered(_) => WorkOutcome::Completed,
+        CallReply::NotRun(_) | CallReply::OutcomeUnknown => WorkOutcome::Failed,
+    }
 }
 
 /// Runs a call to its end.
@@ -64,43 +79,65 @@
 
 async fn run_repeatable(sessions: &Rc<Sessions>, call: &PlainCall) -> Result<CallAnswer, Refusal> {
     let mut tried = IndexSet::new();
-    let mut last = None;
-    while tried.len() < MAX_AGENTS {
-        let Some(life) = sessions.choose_service(&call.service, &tried) else {
-            break;
-        };
-        tried.insert(life.agent.clone());
-        match dispatch(sessions, call, &life).await {
+    let mut place = Place::find(sessions, call, WorkKind::New, &tried).await?;
+    let mut broken = None;
+    loop {
+        let agent = place.life.agent.clone();
+        tried.insert(agent.clone());
+        let reply = dispatch(sessions, call, &place.life).await;
+        place.end(sessions, outcome_of(&reply));
+        let refusal = match reply {
             CallReply::Answered(answer) => return Ok(answer),
-            CallReply::NotRun(refusal) => last = Some(refusal),
+            CallReply::NotRun(refusal) => refusal,
             CallReply::OutcomeUnknown => {
                 let detail = "every endpoint tried broke off";
-                last = Some(Refusal::failed(RefusalKind::BackEndFailed, detail));
+                let refusal = Refusal::failed(RefusalKind::BackEndFailed, detail);
+                broken.insert(refusal).clone()
             }
+        };
+        if tried.len() == MAX_AGENTS {
+            return Err(broken.unwrap_or(refusal));
         }
+        place = match Place::find_next(sessions, call, &agent, &tried).await {
+            Ok(next) => next,
+            Err(_) => return Err(broken.unwrap_or(refusal)),
+        };
     }
-    Err(last.unwrap_or_else(|| no_endpoint(&call.service)))
 }
 
 async fn run_once(sessions: &Rc<Sessions>, call: &PlainCall) -> Result<CallAnswer, Refusal> {
-    let mut tried = IndexSet::new();
-    let Some(mut life) = sessions.choose_service(&call.service, &tried) else {
-        return Err(no_endpoint(&call.service));
-    };
-    let mut version = match claim(sessions, call, &life).await? {
-        Claimed::Granted(version) => version,
-        Claimed::Before(record) => {
-            let moved = take_over(sessions, call, &record).await?;
-            let (new_life, version) = match moved {
-                TakenOver::Answered(answer) => return Ok(answer),
-                TakenOver::Reassigned(life, version) => (life, version),
-            };
-            life = new_life;
-            version
+    let place = Place::find(sessions, call, WorkKind::New, &IndexSet::new()).await?;
+    match claim(sessions, call, &place.life).await {
+        Ok(Claimed::Granted(version)) => run_claimed(sessions, call, place, version).await,
+        Ok(Claimed::Before(record)) => {
+            place.end(sessions, WorkOutcome::Cancelled);
+            match take_over(sessions, call, &record).await? {
+                TakenOver::Answered(answer) => Ok(answer),
+                TakenOver::Reassigned(place, version) => {
+                    run_claimed(sessions, call, place, version).await
+                }
+            }
         }
-    };
+        Err(refusal) => {
+            place.end(sessions, WorkOutcome::Cancelled);
+            Err(refusal)
+        }
+    }
+}
+
+/// Runs a call that is claimed for its place.
+async fn run_claimed(
+    sessions: &Rc<Sessions>,
+    call: &PlainCall,
+    mut place: Place,
+    mut version: u64,
+) -> Result<CallAnswer, Refusal> {
+    let mut tried = IndexSet::new();
     loop {
-        let refusal = match dispatch_once(sessions, call, &life).await {
+        let agent = place.life.agent.clone();
+        let reply = dispatch_once(sessions, call, &place.life).await;
+        place.end(sessions, outcome_of(&reply));
+        let refusal = match reply {
             CallReply::Answered(answer) => {
                 settle(sessions, call.id, version, answered(&answer)).await;
                 return Ok(answer);
@@ -111,14 +148,17 @@
             }
             CallReply::NotRun(refusal) => refusal,
         };
-        tried.insert(life.agent.clone());
-        let next = sessions.choose_service(&call.service, &tried);
-        let Some(next) = next.filter(|_| tried.len() < MAX_AGENTS) else {
+        tried.insert(agent.clone());
+        let next = if tried.len() < MAX_AGENTS {
+            Place::find_next(sessions, call, &agent, &tried).await.ok()
+        } else {
+            None
+        };
+        let Some(next) = next else {
             settle(sessions, call.id, version, CallEnd::NotRun).await;
             return Err(refusal);
         };
-        version = reassign(sessions, call, &next, version).await?;
-        life = next;
+        (place, version) = reassign(sessions, call, next, version).await?;
     }
 }
 
@@ -165,7 +205,7 @@
 
 enum TakenOver {
     Answered(CallAnswer),
-    Reassigned(AgentLife, u64),
+    Reassigned(Place, u64),
 }
 
 /// Ends or takes over a call that was claimed before, by this entry or another.
@@ -187,32 +227,34 @@
             CallReply::NotRun(_) => {}
         },
     }
-    let tried = IndexSet::from([record.agent.agent.clone()]);
-    let Some(next) = sessions.choose_service(&call.service, &tried) else {
-        return Err(no_endpoint(&call.service));
-    };
-    let version = reassign(sessions, call, &next, record.version).await?;
-    Ok(TakenOver::Reassigned(next, version))
+    let former = &record.agent.agent;
+    let tried = IndexSet::from([former.clone()]);
+    let next = Place::find_next(sessions, call, former, &tried).await?;
+    let (place, version) = reassign(sessions, call, next, record.version).await?;
+    Ok(TakenOver::Reassigned(place, version))
 }
 
+/// Moves a claim to another place; without the grant the place is given back.
 async fn reassign(
     sessions: &Rc<Sessions>,
     call: &PlainCall,
-    next: &AgentLife,
+    next: Place,
     expected_version: u64,
-) -> Result<u64, Refusal> {
+) -> Result<(Place, u64), Refusal> {
     let command = ClaimCommand::Reassign(Reassign {
-        agent: next.clone(),
+        agent: next.life.clone(),
         expected_version,
         id: call.id,
         nonce: rand::rng().random(),
         owner: sessions.config.node.clone(),
     });
-    match send_command(&sessions.mesh, &command).await {
-        Some(ClaimAnswer::Granted { version }) => Ok(version),
-        Some(ClaimAnswer::Existing(_)) => Err(raced()),
-        Some(_) | None => Err(no_leader()),
-    }
+    let refusal = match send_command(&sessions.mesh, &command).await {
+        Some(ClaimAnswer::Granted { version }) => return Ok((next, version)),
+        Some(ClaimAnswer::Existing(_)) => raced(),
+        Some(_) | None => no_leader(),
+    };
+    next.end(sessions, WorkOutcome::Cancelled);
+    Err(refusal)
 }
 
 /// Records a call's end; if no leader takes it, a repeat asks the agent instead.
@@ -246,9 +288,7 @@
         method: call.method.clone(),
         path: call.path.clone(),
     };
-    sessions.begin_work(&life.agent);
     let reply = client.call(deadline(CALL_DEADLINE_MS), request).await;
-    sessions.end_work(&life.agent);
     reply.unwrap_or(CallReply::OutcomeUnknown)
 }
 
@@ -307,11 +347,6 @@
     context
 }
 
-fn no_endpoint(service: &ModelId) -> Refusal {
-    let detail = format!("no endpoint of service `{service}` takes the call");
-    Refusal::not_run(RefusalKind::NoEndpoint, detail).retry_after(RETRY_AFTER_MS)
-}
-
 fn no_leader() -> Refusal {
     let detail = "the control quorum did not grant the call; it was not sent";
     Refusal::not_run(RefusalKind::Overloaded, detail).retry_after(RETRY_AFTER_MS)
--- a/crates/masticsill_entry/src/config.rs
+++ b/crates/masticsill_entry/src/config.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use masticsill_types::NodeId;
+use masticsill_types::{NodeId, ZoneId};
 
 /// What an entry is told at its start.
 #[derive(Clone, Debug)]
@@ -25,4 +25,6 @@
     pub silence_ms: u64,
     /// Threads that serve callers.
     pub workers: usize,
+    /// The entry's availability zone.
+    pub zone: ZoneId,
 }
--- a/crates/masticsill_entry/src/filter/mod.rs
+++ b/crates/masticsill_entry/src/filter/mod.rs
@@ -6,7 +6,8 @@
 
 use masticsill_catalogue::{BackEnd, CatalogueEntry};
 use masticsill_types::{
-    EntryId, GenerationId, GenerationSpec, ModelId, ModelTarget, Refusal, RefusalKind, WorkspaceId,
+    Class, EntryId, GenerationId, GenerationSpec, ModelId, ModelTarget, Refusal, RefusalKind,
+    WorkspaceId,
 };
 
 use crate::http::Gateway;
@@ -57,6 +58,8 @@
 /// A call that passed the chain.
 #[derive(Debug)]
 pub(crate) struct AdmittedCall {
+    /// The class of the catalogue entry.
+    pub(crate) class: Class,
     /// Whether the service's calls may be repeated.
     pub(crate) is_repeatable: bool,
     /// The owner of the catalogue entry.
@@ -100,6 +103,7 @@
             service,
             is_repeatable,
         } => Ok(AdmittedCall {
+            class: entry.class,
             is_repeatable,
             owner: entry.owner,
             service,
--- a/crates/masticsill_entry/src/http/plain.rs
+++ b/crates/masticsill_entry/src/http/plain.rs
@@ -57,12 +57,15 @@
     let key = key.unwrap_or_else(RequestKey::random);
     let call = PlainCall {
         body,
+        catalogue_entry: entry,
+        class: admitted.class,
         content_type: content_type(request),
         id: key.call_id(&admitted.owner),
         is_repeatable: admitted.is_repeatable,
         method: request.method().as_str().to_owned(),
         path: target_path(request),
         service: admitted.service,
+        workspace: admitted.owner,
     };
     let _open = gateway.open_work.enter();
     let (reply, answered) = oneshot::channel();
--- a/crates/masticsill_entry/src/lib.rs
+++ b/crates/masticsill_entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! answers other entries. They are joined by bounded rings.
 
 mod answer_ring;
+mod call_place;
 mod calls;
 mod config;
 mod control_client;
@@ -14,6 +15,7 @@
 mod open_work;
 mod openai;
 mod peer_service;
+mod policies;
 mod readiness;
 mod request;
 mod role;
--- a/crates/masticsill_entry/src/sessions_duty.rs
+++ b/crates/masticsill_entry/src/sessions_duty.rs
@@ -5,15 +5,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use indexmap::{IndexMap, IndexSet};
-use masticsill_catalogue::AgentLife;
+use indexmap::IndexMap;
 use masticsill_membership::{Member, MemberState, Role};
 use masticsill_mesh::MeshHandle;
+use masticsill_routing::{Admit, EndpointDescription, RouterConfig, WorkOutcome, WorkRequest};
 use masticsill_runtime::{Metrics, Ring};
-use masticsill_session::{Action, BookConfig, Endpoint, Found, Position, SessionBook, Submission};
+use masticsill_session::{
+    Action, AnswerSink, BookConfig, Endpoint, Found, Position, SessionBook, StreamItem, Submission,
+};
 use masticsill_types::{
-    ClockMs, EndpointProfile, GenerationId, GenerationSpec, Lineage, LoadReport, ModelId,
-    MonotonicClock, NodeId, Refusal, log_event,
+    ClockMs, GenerationId, GenerationSpec, Incarnation, Lineage, MonotonicClock, NodeId, Refusal,
+    RefusalKind, log_event,
 };
 use masticsill_wire::agent::{AttachReply, AttachRequest, CallAnswer, PullReply, StartReply};
 use rand::Rng;
@@ -26,6 +28,7 @@
 use crate::config::EntryConfig;
 use crate::events;
 use crate::link::{LinkCommand, LinkConfig, LinkOwner, run_link};
+use crate::policies::{Policies, find_seat};
 use crate::search::search_holders;
 
 /// Work that other duties hand over and that waits here at most.
@@ -65,7 +68,10 @@
     /// Membership and catalogue.
     pub(crate) mesh: MeshHandle,
     metrics: Metrics,
+    policies: RefCell<Policies>,
     ticks: Cell<u64>,
+    /// Plain calls that wait for a place.
+    waiting_calls: RefCell<IndexMap<GenerationId, oneshot::Sender<Result<NodeId, Refusal>>>>,
 }
 
 /// Runs the duty until its ring is closed and no session is open.
@@ -80,6 +86,8 @@
         max_sessions: MAX_SESSIONS,
         node: config.node.clone(),
         reattach_ms: config.reattach_ms,
+        router: RouterConfig::in_zone(config.zone.clone()),
+        seed: rand::rng().random(),
         waiting_ms: WAITING_MS,
     };
     let sessions = Rc::new(Sessions {
@@ -89,7 +97,9 @@
         links: RefCell::new(IndexMap::new()),
         mesh: mesh.clone(),
         metrics,
+        policies: RefCell::default(),
         ticks: Cell::new(0),
+        waiting_calls: RefCell::default(),
     });
     let mut ticks = interval(Duration::from_millis(TICK_MS));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -113,26 +123,55 @@
         book.endpoints().get(agent).map(|endpoint| endpoint.address)
     }
 
-    /// The least loaded agent of a plain service, outside `tried`.
-    pub(crate) fn choose_service(
-        &self,
-        service: &ModelId,
-        tried: &IndexSet<NodeId>,
-    ) -> Option<AgentLife> {
+    /// The life in which an agent is known.
+    pub(crate) fn agent_life(&self, agent: &NodeId) -> Option<Incarnation> {
         let book = self.book.borrow();
-        let agent = book.endpoints().choose_service(service, tried)?;
-        let incarnation = book.endpoints().get(&agent)?.incarnation;
-        Some(AgentLife { agent, incarnation })
+        let endpoint = book.endpoints().get(agent)?;
+        Some(endpoint.description.incarnation)
     }
 
-    /// Notes a call begun at an agent.
-    pub(crate) fn begin_work(&self, agent: &NodeId) {
-        self.book.borrow_mut().endpoints_mut().begin(agent);
+    /// Waits for a place for a plain call.
+    ///
+    /// # Errors
+    ///
+    /// A refusal, *not run*, when the call can't have one.
+    pub(crate) async fn place_call(
+        self: &Rc<Self>,
+        request: WorkRequest,
+    ) -> Result<NodeId, Refusal> {
+        self.policies
+            .borrow()
+            .check_share(&request.catalogue_entry)?;
+        let id = request.id;
+        // The router may decide before this task waits, so the answer's way is laid first.
+        let (reply, placed) = oneshot::channel();
+        self.waiting_calls.borrow_mut().insert(id, reply);
+        let admitted = self.with_book(|book, now| book.admit_call(now, request));
+        match admitted {
+            Admit::Queued => placed.await.unwrap_or_else(|_| Err(shutting_down())),
+            Admit::Start(placement) => {
+                self.waiting_calls.borrow_mut().swap_remove(&id);
+                Ok(placement.node)
+            }
+            Admit::Refused(refusal) => {
+                self.waiting_calls.borrow_mut().swap_remove(&id);
+                Err(refusal)
+            }
+        }
     }
 
-    /// Notes a call that is over at an agent.
-    pub(crate) fn end_work(&self, agent: &NodeId) {
-        self.book.borrow_mut().endpoints_mut().end(agent);
+    /// Notes the end of a plain call at its agent.
+    pub(crate) fn end_call(self: &Rc<Self>, id: GenerationId, outcome: WorkOutcome) {
+        self.with_book(|book, now| book.end_call(now, id, outcome));
+    }
+
+    fn answer_waiting_call(self: &Rc<Self>, id: GenerationId, placed: Result<NodeId, Refusal>) {
+        let is_placed = placed.is_ok();
+        let waiter = self.waiting_calls.borrow_mut().swap_remove(&id);
+        let is_taken = waiter.is_some_and(|waiter| waiter.send(placed).is_ok());
+        if is_placed && !is_taken {
+            self.end_call(id, WorkOutcome::Cancelled);
+        }
     }
 
     /// Changes the book, then does what it asks for.
@@ -144,6 +183,7 @@
         let (result, actions) = {
             let mut book = self.book.borrow_mut();
             let result = change(&mut book, now);
+            book.settle(now);
             (result, book.take_actions())
         };
         for action in actions {
@@ -179,20 +219,29 @@
                 self.with_book(|book, now| book.reattach(now, position, sink));
             }
             SessionInput::Release(request, reply) => {
-                let answer = self.with_book(|book, _| book.release(&request));
+                let answer = self.with_book(|book, now| book.release(now, &request));
                 // The asker may have given up; the record is then lost to it, as it is told.
                 let _ = reply.send(answer);
             }
-            SessionInput::Submit(spec, ring) => {
-                let submission = Submission {
-                    sink: Box::new(ring),
-                    spec: *spec,
-                };
-                self.metrics.count("entry.generations", 1);
-                let nonce = rand::rng().random();
-                self.with_book(|book, now| book.submit(now, submission, nonce));
-            }
+            SessionInput::Submit(spec, ring) => self.submit(*spec, ring),
+        }
+    }
+
+    fn submit(self: &Rc<Self>, spec: GenerationSpec, ring: AnswerRing) {
+        self.metrics.count("entry.generations", 1);
+        self.refresh_policies();
+        let checked = self.policies.borrow().check_share(&spec.catalogue_entry);
+        if let Err(refusal) = checked {
+            // The ring is new and has room; a caller that is gone needs no answer.
+            let _ = ring.offer(StreamItem::Refused(refusal));
+            return;
         }
+        let submission = Submission {
+            sink: Box::new(ring),
+            spec,
+        };
+        let nonce = rand::rng().random();
+        self.with_book(|book, now| book.submit(now, submission, nonce));
     }
 
     fn begin_call(
@@ -201,6 +250,7 @@
         reply: oneshot::Sender<Result<CallAnswer, Refusal>>,
     ) {
         self.metrics.count("entry.calls", 1);
+        self.refresh_policies();
         let sessions = Rc::clone(self);
         spawn_local(async move {
             let result = run_call(&sessions, call).await;
@@ -210,6 +260,7 @@
 
     fn act(self: &Rc<Self>, action: Action) {
         match action {
+            Action::CallPlaced(id, placed) => self.answer_waiting_call(id, placed),
             Action::Cancel(agent, request) => self.command(&agent, LinkCommand::Cancel(request)),
             Action::Follow(agent, cursor) => self.command(&agent, LinkCommand::Follow(cursor)),
             Action::Search(position) => self.begin_search(position),
@@ -279,20 +330,28 @@
     }
 
     fn refresh_members(self: &Rc<Self>) {
+        self.refresh_policies();
         let view = self.mesh.view();
-        let now = self.clock.now();
         let members = view.members();
-        let endpoints: IndexMap<NodeId, Endpoint> = members
-            .filter_map(|member| to_endpoint(member, now))
-            .collect();
-        let lost = self.with_book(|book, _| book.endpoints_mut().replace(endpoints));
+        let endpoints: IndexMap<NodeId, Endpoint> = members.filter_map(to_endpoint).collect();
+        let lost = self.with_book(|book, _| book.replace_endpoints(endpoints));
         for agent in lost {
             if let Some(ring) = self.links.borrow_mut().swap_remove(&agent) {
                 ring.close();
             }
-            self.with_book(|book, now| book.agent_lost(now, &agent));
+            self.with_book(|book, now| book.life_ended(now, &agent));
         }
     }
+
+    /// Follows the catalogue and the entries; callers' requests may be ahead of the wake-up.
+    fn refresh_policies(self: &Rc<Self>) {
+        let catalogue = self.mesh.catalogue();
+        let seat = find_seat(&self.mesh.view(), &self.config.node);
+        self.with_book(|book, now| {
+            let mut policies = self.policies.borrow_mut();
+            policies.refresh(now, &catalogue, seat, book.router_mut());
+        });
+    }
 }
 
 impl LinkOwner for Rc<Sessions> {
@@ -306,7 +365,7 @@
 
     fn on_pulled(&self, agent: &NodeId, reply: PullReply) {
         self.with_book(|book, now| {
-            book.endpoints_mut().report(agent, reply.load);
+            book.report(now, agent, reply.load);
             for news in reply.progress {
                 book.progress(now, agent, news);
             }
@@ -323,25 +382,27 @@
 }
 
 /// The endpoint of an agent that is not gone.
-fn to_endpoint(member: &Member, now: ClockMs) -> Option<(NodeId, Endpoint)> {
+fn to_endpoint(member: &Member) -> Option<(NodeId, Endpoint)> {
     let Role::Agent(profile) = &member.role else {
         return None;
     };
     if member.state == MemberState::Gone {
         return None;
     }
-    let profile = EndpointProfile {
-        is_leaving: !member.takes_work(now),
-        ..profile.clone()
-    };
     let endpoint = Endpoint {
         address: member.address,
-        incarnation: member.incarnation,
-        in_flight: 0,
-        is_down: false,
-        load: LoadReport::default(),
-        profile,
-        zone: member.zone.clone(),
+        description: EndpointDescription {
+            held_until: member.held_until,
+            incarnation: member.incarnation,
+            is_leaving: profile.is_leaving || member.state == MemberState::Leaving,
+            kind: profile.kind.clone(),
+            zone: member.zone.clone(),
+        },
     };
     Some((member.node.clone(), endpoint))
 }
+
+fn shutting_down() -> Refusal {
+    let detail = "this entry is shutting down; the call was not sent";
+    Refusal::not_run(RefusalKind::ShuttingDown, detail)
+}
--- a/crates/masticsill_routing/src/limits.rs
+++ b/crates/masticsill_routing/src/limits.rs
@@ -139,9 +139,14 @@
         }
     }
 
+    /// Whether another request may run beside those that run.
+    pub(crate) fn has_place(&self) -> bool {
+        self.concurrent.is_none_or(|limit| self.running < limit)
+    }
+
     /// Whether a request may start now.
     pub(crate) fn may_start(&mut self, now: ClockMs) -> bool {
-        let has_place = self.concurrent.is_none_or(|limit| self.running < limit);
+        let has_place = self.has_place();
         let has_tokens = match &mut self.tokens {
             Some(bucket) => bucket.check(now).is_ok(),
             None => true,
--- a/crates/masticsill_routing/src/refusals.rs
+++ b/crates/masticsill_routing/src/refusals.rs
@@ -22,6 +22,9 @@
         now: ClockMs,
         request: &WorkRequest,
     ) -> Option<Refusal> {
+        if request.kind == WorkKind::Resume {
+            return None;
+        }
         let Some(entry) = self.entries.get_mut(&request.catalogue_entry) else {
             return Some(unknown_entry(&request.catalogue_entry));
         };
@@ -81,10 +84,7 @@
     }
 
     pub(crate) fn has_endpoint(&self, now: ClockMs, request: &WorkRequest) -> bool {
-        let zones = self
-            .entries
-            .get(&request.catalogue_entry)
-            .map_or(&[][..], |entry| entry.zones.as_slice());
+        let zones = self.zones_of(&request.catalogue_entry);
         let mut endpoints = self.table.endpoints_of(&request.target);
         endpoints.any(|endpoint| {
             let is_in_zone = zones.is_empty() || zones.contains(&endpoint.description.zone);
--- a/crates/masticsill_routing/src/router.rs
+++ b/crates/masticsill_routing/src/router.rs
@@ -122,13 +122,14 @@
         self.entries.insert(id.clone(), entry);
     }
 
-    /// Forgets a catalogue entry: new and queued work is refused.
+    /// Forgets a catalogue entry: new and queued work is refused. What was admitted goes on.
     pub fn remove_entry(&mut self, id: &EntryId) {
         self.wake_all();
         if let Some(former) = self.entries.swap_remove(id) {
             self.table.forget_entry(former.class, &former.target);
         }
-        let waiting = self.queued.iter().filter(|(_, queued)| queued.entry == *id);
+        let waiting = self.queued.iter();
+        let waiting = waiting.filter(|(_, queued)| queued.entry == *id && !queued.is_resume);
         self.dropped.extend(waiting.map(|(id, _)| *id));
     }
 
@@ -196,6 +197,24 @@
         Admit::Queued
     }
 
+    /// Takes over work that runs at an endpoint already; nothing is decided.
+    pub fn adopt(&mut self, now: ClockMs, request: &WorkRequest, node: &NodeId) {
+        if let Some(index) = self.table.index_of(node) {
+            self.start(now, request, index);
+        }
+    }
+
+    /// Whether any endpoint may now be given work of a catalogue entry, free or not.
+    #[must_use]
+    pub fn can_serve(&self, now: ClockMs, entry: &EntryId, target: &BackEndTarget) -> bool {
+        let zones = self.zones_of(entry);
+        let mut endpoints = self.table.endpoints_of(target);
+        endpoints.any(|endpoint| {
+            let is_in_zone = zones.is_empty() || zones.contains(&endpoint.description.zone);
+            is_in_zone && endpoint.is_usable(now)
+        })
+    }
+
     /// Notes the end of started work; an unknown id is ignored.
     pub fn on_finished(&mut self, now: ClockMs, id: GenerationId, end: WorkEnd) {
         let Some(running) = self.running.swap_remove(&id) else {
@@ -235,10 +254,21 @@
         self.running.len()
     }
 
-    /// Whether the limits let a request start now.
+    /// Whether the limits let a request start now. A generation that goes on needs a place, and
+    /// no tokens: they were counted when it was admitted.
     pub(crate) fn may_start(&mut self, now: ClockMs, request: &WorkRequest) -> bool {
         let entry = self.entries.get_mut(&request.catalogue_entry);
-        entry.is_some_and(|entry| entry.limiter.may_start(now))
+        match (entry, &request.kind) {
+            (Some(entry), WorkKind::Resume) => entry.limiter.has_place(),
+            (Some(entry), WorkKind::New | WorkKind::Retry { .. }) => entry.limiter.may_start(now),
+            (None, kind) => *kind == WorkKind::Resume,
+        }
+    }
+
+    /// Zones allowed to a catalogue entry; empty allows all.
+    pub(crate) fn zones_of(&self, entry: &EntryId) -> &[ZoneId] {
+        let entry = self.entries.get(entry);
+        entry.map_or(&[], |entry| entry.zones.as_slice())
     }
 
     /// Whether others wait for the same and go first.
@@ -254,11 +284,11 @@
     }
 
     pub(crate) fn choose(&mut self, now: ClockMs, request: &WorkRequest) -> Option<EndpointIndex> {
-        let entry = self.entries.get(&request.catalogue_entry)?;
+        let entry = self.entries.get(&request.catalogue_entry);
         let wanted = Wanted {
             class: request.class,
             request,
-            zones: &entry.zones,
+            zones: entry.map_or(&[], |entry| entry.zones.as_slice()),
         };
         self.placer
             .choose(now, wanted, &self.table, &self.config, &mut self.rng)
--- a/crates/masticsill_session/src/book.rs
+++ b/crates/masticsill_session/src/book.rs
@@ -1,10 +1,11 @@
 //! Every session of this entry, and what is to be done for them.
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use masticsill_generation::Record;
+use masticsill_routing::{Router, RouterConfig, WorkEnd, WorkOutcome};
 use masticsill_types::{
-    AttemptState, ClockMs, GenerationId, GenerationSpec, Lineage, NodeId, Refusal, RefusalKind,
-    TokenIndex,
+    AttemptFailure, AttemptState, ClockMs, GenerationId, GenerationSpec, Lineage, LoadReport,
+    NodeId, Refusal, RefusalKind, TokenIndex,
 };
 use masticsill_wire::agent::{
     AttachReply, AttachRequest, CancelRequest, Progress, ProgressState, PullCursor, RecordSnapshot,
@@ -12,14 +13,13 @@
 };
 
 use crate::caller::{AnswerSink, Caller, Delivery};
-use crate::endpoint::EndpointTable;
+use crate::endpoint::{Endpoint, EndpointTable};
 use crate::position::Position;
 use crate::session::{Phase, Session};
+use crate::work::describe_work;
 
 /// When a refused caller may come back, in milliseconds.
-const RETRY_AFTER_MS: u64 = 1_000;
-/// Pause between searches for an endpoint, in milliseconds.
-const RETRY_INTERVAL_MS: u64 = 200;
+pub(crate) const RETRY_AFTER_MS: u64 = 1_000;
 
 /// Bounds of a [`SessionBook`].
 #[derive(Clone, Debug)]
@@ -30,6 +30,10 @@
     pub node: NodeId,
     /// How long a generation outlives its caller's connection, in milliseconds.
     pub reattach_ms: u64,
+    /// The router's numbers.
+    pub router: RouterConfig,
+    /// The router's randomness.
+    pub seed: u64,
     /// How long a session may be without an endpoint, in milliseconds.
     pub waiting_ms: u64,
 }
@@ -46,6 +50,8 @@
 /// What the sessions duty is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
+    /// The wait of a plain call is over: it has an agent, or is refused and not run.
+    CallPlaced(GenerationId, Result<NodeId, Refusal>),
     /// End an attempt at an agent.
     Cancel(NodeId, CancelRequest),
     /// Follow an attempt that runs at an agent already.
@@ -70,21 +76,24 @@
 /// Every session of this entry.
 #[derive(Debug)]
 pub struct SessionBook {
-    actions: Vec<Action>,
-    config: BookConfig,
-    endpoints: EndpointTable,
+    pub(crate) actions: Vec<Action>,
+    pub(crate) config: BookConfig,
+    pub(crate) endpoints: EndpointTable,
+    pub(crate) router: Router,
     searches: IndexMap<GenerationId, (Position, Box<dyn AnswerSink>)>,
-    sessions: IndexMap<GenerationId, Session>,
+    pub(crate) sessions: IndexMap<GenerationId, Session>,
 }
 
 impl SessionBook {
     /// An empty book.
     #[must_use]
     pub fn new(config: BookConfig) -> Self {
+        let router = Router::new(config.router.clone(), config.seed);
         Self {
             actions: Vec::new(),
             config,
             endpoints: EndpointTable::default(),
+            router,
             searches: IndexMap::new(),
             sessions: IndexMap::new(),
         }
@@ -96,9 +105,22 @@
         &self.endpoints
     }
 
-    /// The endpoints known, to be changed.
-    pub fn endpoints_mut(&mut self) -> &mut EndpointTable {
-        &mut self.endpoints
+    /// Replaces the endpoints by what the membership says now.
+    ///
+    /// Returns the agents that are gone or began another life; [`SessionBook::life_ended`] is to
+    /// be called for each.
+    pub fn replace_endpoints(&mut self, members: IndexMap<NodeId, Endpoint>) -> Vec<NodeId> {
+        self.endpoints.replace(members, &mut self.router)
+    }
+
+    /// The router, to be told of catalogue entries and of the entries that share the endpoints.
+    pub fn router_mut(&mut self) -> &mut Router {
+        &mut self.router
+    }
+
+    /// Takes the load report that came with an agent's tokens.
+    pub fn report(&mut self, now: ClockMs, agent: &NodeId, load: LoadReport) {
+        self.router.on_load_report(now, agent, load);
     }
 
     /// Takes what is to be done since the last call.
@@ -166,7 +188,7 @@
                 session.phase = Phase::Following(agent.clone());
             }
             StartReply::Fenced(_) => self.refuse(now, id, superseded()),
-            StartReply::Refused(_) => self.move_on(now, id),
+            StartReply::Refused(_) => self.move_on(now, id, WorkOutcome::Failed),
         }
     }
 
@@ -178,7 +200,7 @@
         let is_awaited = session.phase == Phase::Starting(agent.clone());
         if is_awaited && session.record.lineage() == lineage {
             session.is_dispatched = true;
-            self.move_on(now, id);
+            self.move_on(now, id, WorkOutcome::Failed);
         }
     }
 
@@ -196,6 +218,7 @@
             .record
             .take(news.lineage, news.first_index, news.tokens);
         if taken.accepted > 0 {
+            session.failures = 0;
             session.tried.clear();
             session.unserved_since = None;
         }
@@ -208,9 +231,13 @@
                     self.finish(now, id);
                 }
             }
-            ProgressState::Attempt(AttemptState::Failed(_)) | ProgressState::Unknown => {
+            ProgressState::Attempt(AttemptState::Failed(failure)) => {
                 self.deliver(now, id);
-                self.move_on(now, id);
+                self.move_on(now, id, outcome_of(failure));
+            }
+            ProgressState::Unknown => {
+                self.deliver(now, id);
+                self.move_on(now, id, WorkOutcome::Failed);
             }
             ProgressState::Fenced(_) => self.refuse(now, id, superseded()),
         }
@@ -218,19 +245,24 @@
 
     /// Moves every stream away from an agent that can't be reached or stayed silent.
     pub fn agent_lost(&mut self, now: ClockMs, agent: &NodeId) {
-        self.endpoints.set_down(agent, true);
+        self.router.set_down(agent, true);
+        self.life_ended(now, agent);
+    }
+
+    /// Moves every stream away from an agent whose life has ended; another life may take them.
+    pub fn life_ended(&mut self, now: ClockMs, agent: &NodeId) {
         let is_there = |session: &&Session| session.is_at(agent);
         let lost = self.sessions.values().filter(is_there);
         let ids: Vec<GenerationId> = lost.map(|session| session.record.id()).collect();
         for id in ids {
             self.note_dispatched(id);
-            self.move_on(now, id);
+            self.move_on(now, id, WorkOutcome::Failed);
         }
     }
 
     /// Lets an agent take new work again.
     pub fn agent_reached(&mut self, agent: &NodeId) {
-        self.endpoints.set_down(agent, false);
+        self.router.set_down(agent, false);
     }
 
     /// Takes the result of a search.
@@ -258,7 +290,7 @@
     }
 
     /// Gives a generation up to another entry, to which its caller came back.
-    pub fn release(&mut self, request: &AttachRequest) -> AttachReply {
+    pub fn release(&mut self, now: ClockMs, request: &AttachRequest) -> AttachReply {
         let Some(session) = self.sessions.get_mut(&request.id) else {
             return AttachReply::Unknown;
         };
@@ -270,7 +302,7 @@
         if let Some(mut caller) = session.caller.take() {
             caller.refuse(superseded());
         }
-        self.leave_agent(request.id);
+        self.leave_agent(now, request.id, WorkOutcome::Cancelled);
         self.sessions.swap_remove(&request.id);
         AttachReply::Attached(Box::new(snapshot))
     }
@@ -282,6 +314,7 @@
             self.deliver(now, id);
             self.expire(now, id);
         }
+        self.settle(now);
     }
 
     fn search(&mut self, position: Position, sink: Box<dyn AnswerSink>) {
@@ -305,7 +338,8 @@
                     next_index: session.record.next_index(),
                 };
                 session.phase = Phase::Following(agent.clone());
-                self.endpoints.begin(&agent);
+                let request = describe_work(session);
+                self.router.adopt(now, &request, &agent);
                 self.actions.push(Action::Follow(agent, cursor));
                 self.deliver(now, id);
             }
@@ -317,45 +351,7 @@
         }
     }
 
-    fn place(&mut self, now: ClockMs, id: GenerationId) {
-        let Some(session) = self.sessions.get_mut(&id) else {
-            return;
-        };
-        let target = &session.record.spec().target;
-        let Some(agent) = self.endpoints.choose_engine(target, &session.tried) else {
-            session.phase = Phase::Waiting;
-            session.retry_at = now + RETRY_INTERVAL_MS;
-            return;
-        };
-        let request = session.record.start_request(self.config.node.clone());
-        session.phase = Phase::Starting(agent.clone());
-        self.endpoints.begin(&agent);
-        self.actions.push(Action::Start(agent, Box::new(request)));
-    }
-
-    /// Leaves the current agent and begins the next attempt elsewhere.
-    fn move_on(&mut self, now: ClockMs, id: GenerationId) {
-        let agent = self.leave_agent(id);
-        let Some(session) = self.sessions.get_mut(&id) else {
-            return;
-        };
-        session.tried.extend(agent);
-        session.unserved_since.get_or_insert(now);
-        session.record.begin_attempt();
-        self.place(now, id);
-    }
-
-    /// Ends the attempt at the session's agent, if any, and returns that agent.
-    fn leave_agent(&mut self, id: GenerationId) -> Option<NodeId> {
-        let session = self.sessions.get_mut(&id)?;
-        let agent = session.agent()?.clone();
-        let lineage = session.record.lineage();
-        self.endpoints.end(&agent);
-        self.cancel_at(&agent, id, lineage);
-        Some(agent)
-    }
-
-    fn cancel_at(&mut self, agent: &NodeId, id: GenerationId, lineage: Lineage) {
+    pub(crate) fn cancel_at(&mut self, agent: &NodeId, id: GenerationId, lineage: Lineage) {
         let request = CancelRequest { id, lineage };
         self.actions.push(Action::Cancel(agent.clone(), request));
     }
@@ -380,16 +376,18 @@
         let Some(session) = self.sessions.get_mut(&id) else {
             return;
         };
-        if let Some(agent) = session.agent() {
-            self.endpoints.end(agent);
-        }
+        let end = WorkEnd {
+            outcome: WorkOutcome::Completed,
+            tokens: session.attempt_tokens(),
+        };
+        self.router.on_finished(now, id, end);
         session.phase = Phase::Ended;
         session.since = now;
         self.deliver(now, id);
     }
 
-    fn refuse(&mut self, now: ClockMs, id: GenerationId, refusal: Refusal) {
-        self.leave_agent(id);
+    pub(crate) fn refuse(&mut self, now: ClockMs, id: GenerationId, refusal: Refusal) {
+        self.leave_agent(now, id, WorkOutcome::Cancelled);
         let Some(session) = self.sessions.get_mut(&id) else {
             return;
         };
@@ -405,20 +403,12 @@
             return;
         };
         if session.caller.is_none() && now - session.since >= self.config.reattach_ms {
-            self.leave_agent(id);
+            self.leave_agent(now, id, WorkOutcome::Cancelled);
             self.sessions.swap_remove(&id);
             return;
         }
-        if session.phase != Phase::Waiting {
-            return;
-        }
-        let unserved_since = *session.unserved_since.get_or_insert(now);
-        if now - unserved_since >= self.config.waiting_ms {
-            let refusal = explain_no_endpoint(&self.endpoints, session);
-            self.refuse(now, id, refusal);
-        } else if now >= session.retry_at {
-            session.tried = IndexSet::new();
-            self.place(now, id);
+        if session.phase == Phase::Waiting {
+            self.go_on_waiting(now, id);
         }
     }
 
@@ -430,17 +420,14 @@
     }
 }
 
-fn explain_no_endpoint(endpoints: &EndpointTable, session: &Session) -> Refusal {
-    let target = &session.record.spec().target;
-    let detail = format!("no endpoint can run {} {}", target.model, target.version);
-    let refusal = if !session.is_dispatched {
-        Refusal::not_run(RefusalKind::NoEndpoint, detail)
-    } else if session.is_untouched() || endpoints.has_model(target) {
-        Refusal::failed(RefusalKind::BackEndFailed, detail)
-    } else {
-        Refusal::failed(RefusalKind::VersionGone, detail)
-    };
-    refusal.retry_after(RETRY_AFTER_MS)
+fn outcome_of(failure: AttemptFailure) -> WorkOutcome {
+    match failure {
+        AttemptFailure::Leaving | AttemptFailure::Cancelled => WorkOutcome::Cancelled,
+        AttemptFailure::EngineLost
+        | AttemptFailure::EngineFrozen
+        | AttemptFailure::EngineRefused
+        | AttemptFailure::VersionMissing => WorkOutcome::Failed,
+    }
 }
 
 fn superseded() -> Refusal {
--- a/crates/masticsill_session/src/endpoint.rs
+++ b/crates/masticsill_session/src/endpoint.rs
@@ -1,29 +1,18 @@
-//! The endpoints that this entry knows, with its own work in flight at each.
+//! The endpoints that this entry knows.
 
 use std::net::SocketAddr;
 
-use indexmap::{IndexMap, IndexSet};
-use masticsill_types::{
-    EndpointKind, EndpointProfile, Incarnation, LoadReport, ModelId, ModelTarget, NodeId, ZoneId,
-};
+use indexmap::IndexMap;
+use masticsill_routing::{EndpointDescription, Router};
+use masticsill_types::{EndpointKind, ModelTarget, NodeId};
 
-/// One endpoint as this entry sees it.
-#[derive(Clone, Debug)]
+/// One endpoint as the membership describes it.
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Endpoint {
     /// Where its agent listens.
     pub address: SocketAddr,
-    /// The agent's life.
-    pub incarnation: Incarnation,
-    /// Attempts of this entry that run there.
-    pub in_flight: u32,
-    /// Whether the agent could not be reached or stayed silent.
-    pub is_down: bool,
-    /// The engine's last load report.
-    pub load: LoadReport,
-    /// What the agent announced.
-    pub profile: EndpointProfile,
-    /// Its availability zone.
-    pub zone: ZoneId,
+    /// What it offers.
+    pub description: EndpointDescription,
 }
 
 /// Every endpoint known.
@@ -33,109 +22,53 @@
 }
 
 impl EndpointTable {
-    /// Replaces the table by what the membership says now, keeping own counts.
-    ///
-    /// Returns the agents that are gone or began another life.
-    pub fn replace(&mut self, members: IndexMap<NodeId, Endpoint>) -> Vec<NodeId> {
-        let former = std::mem::replace(&mut self.endpoints, members);
-        let mut lost = Vec::new();
-        for (node, known) in former {
-            match self.endpoints.get_mut(&node) {
-                Some(endpoint) if endpoint.incarnation == known.incarnation => {
-                    endpoint.in_flight = known.in_flight;
-                    endpoint.is_down = known.is_down;
-                    endpoint.load = known.load;
-                }
-                Some(_) | None => lost.push(node),
-            }
-        }
-        lost
-    }
-
     /// An endpoint by its agent's name.
     #[must_use]
     pub fn get(&self, agent: &NodeId) -> Option<&Endpoint> {
         self.endpoints.get(agent)
     }
 
-    /// Notes whether an agent can be reached.
-    pub fn set_down(&mut self, agent: &NodeId, is_down: bool) {
-        if let Some(endpoint) = self.endpoints.get_mut(agent) {
-            endpoint.is_down = is_down;
-        }
-    }
-
-    /// Notes an attempt begun at an agent.
-    pub fn begin(&mut self, agent: &NodeId) {
-        if let Some(endpoint) = self.endpoints.get_mut(agent) {
-            endpoint.in_flight += 1;
-        }
-    }
-
-    /// Notes an attempt that is over at an agent.
-    pub fn end(&mut self, agent: &NodeId) {
-        if let Some(endpoint) = self.endpoints.get_mut(agent) {
-            endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
+    /// Replaces the table by what the membership says now, and tells the router what changed.
+    ///
+    /// Returns the agents that are gone or began another life.
+    pub(crate) fn replace(
+        &mut self,
+        members: IndexMap<NodeId, Endpoint>,
+        router: &mut Router,
+    ) -> Vec<NodeId> {
+        let former = std::mem::replace(&mut self.endpoints, members);
+        for (node, endpoint) in &self.endpoints {
+            let known = former.get(node).map(|known| &known.description);
+            if known != Some(&endpoint.description) {
+                router.on_member_change(node, Some(endpoint.description.clone()));
+            }
         }
-    }
-
-    /// Notes a load report that came with an agent's tokens.
-    pub fn report(&mut self, agent: &NodeId, load: LoadReport) {
-        if let Some(endpoint) = self.endpoints.get_mut(agent) {
-            endpoint.load = load;
+        let mut lost = Vec::new();
+        for (node, known) in former {
+            let current = self.endpoints.get(&node);
+            if current.is_none() {
+                router.on_member_change(&node, None);
+            }
+            let life = current.map(|endpoint| endpoint.description.incarnation);
+            if life != Some(known.description.incarnation) {
+                lost.push(node);
+            }
         }
+        lost
     }
 
     /// Whether any endpoint that is not gone has the model loaded, reachable or not.
-    #[must_use]
-    pub fn has_model(&self, target: &ModelTarget) -> bool {
+    pub(crate) fn has_model(&self, target: &ModelTarget) -> bool {
         let mut endpoints = self.endpoints.values();
         endpoints.any(|endpoint| endpoint.has_loaded(target))
     }
-
-    /// The least loaded endpoint that can take an attempt, outside `tried`.
-    #[must_use]
-    pub fn choose_engine(&self, target: &ModelTarget, tried: &IndexSet<NodeId>) -> Option<NodeId> {
-        let is_candidate = |(node, endpoint): &(&NodeId, &Endpoint)| {
-            endpoint.can_start() && endpoint.has_loaded(target) && !tried.contains(*node)
-        };
-        let candidates = self.endpoints.iter().filter(is_candidate);
-        let (node, _) = candidates.min_by_key(|(_, endpoint)| endpoint.in_flight)?;
-        Some(node.clone())
-    }
-
-    /// The least loaded endpoint of a plain service, outside `tried`.
-    #[must_use]
-    pub fn choose_service(&self, service: &ModelId, tried: &IndexSet<NodeId>) -> Option<NodeId> {
-        let is_candidate = |(node, endpoint): &(&NodeId, &Endpoint)| {
-            endpoint.can_start() && endpoint.is_service(service) && !tried.contains(*node)
-        };
-        let candidates = self.endpoints.iter().filter(is_candidate);
-        let (node, _) = candidates.min_by_key(|(_, endpoint)| endpoint.in_flight)?;
-        Some(node.clone())
-    }
 }
 
 impl Endpoint {
-    /// Whether new work may be sent.
-    #[must_use]
-    pub fn can_start(&self) -> bool {
-        !self.is_down && !self.profile.is_leaving
-    }
-
-    /// Whether the engine has exactly this model, version and adapter loaded.
-    #[must_use]
-    pub fn has_loaded(&self, target: &ModelTarget) -> bool {
-        match &self.profile.kind {
+    fn has_loaded(&self, target: &ModelTarget) -> bool {
+        match &self.description.kind {
             EndpointKind::Engine { loaded, .. } => loaded.contains(target),
             EndpointKind::PlainService { .. } => false,
         }
     }
-
-    fn is_service(&self, wanted: &ModelId) -> bool {
-        match &self.profile.kind {
-            EndpointKind::Engine { .. } => false,
-            EndpointKind::PlainService { service } => service == wanted,
-        }
-    }
 }
--- a/crates/masticsill_session/tests/sessions/caller_return.rs
+++ b/crates/masticsill_session/tests/sessions/caller_return.rs
@@ -74,10 +74,13 @@
         nonce: 8,
         seen: position.lineage,
     };
-    let reply = world.book.release(&request);
+    let reply = world.book.release(world.now, &request);
     world.push(&started, 2, &[b"c"], RUNNING);
     assert_eq!(sink.text(), "ab", "nothing is delivered after the release");
-    assert_matches!(world.book.release(&request), AttachReply::Unknown);
+    assert_matches!(
+        world.book.release(world.now, &request),
+        AttachReply::Unknown
+    );
 
     let AttachReply::Attached(snapshot) = reply else {
         panic!("the record is handed over");
--- a/crates/masticsill_session/tests/sessions/support.rs
+++ b/crates/masticsill_session/tests/sessions/support.rs
@@ -4,13 +4,16 @@
 use std::rc::Rc;
 
 use indexmap::IndexMap;
+use masticsill_routing::{
+    BackEndTarget, EndpointDescription, EntryPolicy, LocalLimits, RouterConfig,
+};
 use masticsill_session::{
     Action, AnswerSink, BookConfig, Endpoint, Position, SessionBook, StreamItem, Submission,
 };
 use masticsill_types::{
-    AttemptState, Class, ClockMs, EndpointKind, EndpointProfile, EntryId, GenerationId,
-    GenerationSpec, Incarnation, LoadReport, ModelId, ModelTarget, NodeId, RefusalKind,
-    RefusedOutcome, Sampling, Token, TokenIndex, VersionId, WorkspaceId, ZoneId,
+    AttemptState, Class, ClockMs, EndpointKind, EntryId, GenerationId, GenerationSpec, Incarnation,
+    ModelId, ModelTarget, NodeId, RefusalKind, RefusedOutcome, Sampling, Token, TokenIndex,
+    VersionId, WorkspaceId, ZoneId,
 };
 use masticsill_wire::agent::{Progress, ProgressState, StartReply, StartRequest};
 
@@ -103,14 +106,16 @@
             max_sessions: 4,
             node: node("entry"),
             reattach_ms: REATTACH_MS,
+            router: RouterConfig::in_zone(zone()),
+            seed: 1,
             waiting_ms: WAITING_MS,
         });
         let members = ["a", "b"].map(|name| (node(name), endpoint()));
-        book.endpoints_mut().replace(IndexMap::from(members));
-        Self {
-            book,
-            now: ClockMs(1_000),
-        }
+        book.replace_endpoints(IndexMap::from(members));
+        let now = ClockMs(1_000);
+        book.router_mut()
+            .set_entry(now, &spec().catalogue_entry, policy());
+        Self { book, now }
     }
 
     pub(crate) fn submit(&mut self, sink: &FakeSink) {
@@ -205,21 +210,32 @@
     }
 }
 
+fn zone() -> ZoneId {
+    ZoneId::new("muc-a").expect("a valid name")
+}
+
+fn policy() -> EntryPolicy {
+    EntryPolicy {
+        class: Class::PatientDraft,
+        limits: LocalLimits::default(),
+        target: BackEndTarget::Engine(target()),
+        zones: Vec::new(),
+    }
+}
+
 fn endpoint() -> Endpoint {
     Endpoint {
         address: "127.0.0.1:1".parse().expect("an address"),
-        incarnation: Incarnation(1),
-        in_flight: 0,
-        is_down: false,
-        load: LoadReport::default(),
-        profile: EndpointProfile {
+        description: EndpointDescription {
+            held_until: ClockMs(0),
+            incarnation: Incarnation(1),
+            is_leaving: false,
             kind: EndpointKind::Engine {
                 loaded: vec![target()],
                 slots: 4,
                 is_checking_fencing: true,
             },
-            is_leaving: false,
+            zone: zone(),
         },
-        zone: ZoneId::new("muc-a").expect("a valid name"),
     }
 }
