Hold drafts back at the agent so that lookups find a slot

Cause: lookups waited behind drafts that entries had sent to a full engine. Ruled out: leaving it to the engine's priorities, which reorder its queue but free no slot. Nothing is kept for lookups while no catalogue entry of their class uses the engine, and nothing is held before the engine has told its slots.

--- a/crates/masticsill_agent/src/health.rs
+++ b/crates/masticsill_agent/src/health.rs
@@ -2,7 +2,7 @@
 
 use masticsill_generation::{EngineHealth, FreezeDetector};
 use masticsill_mesh::MeshHandle;
-use masticsill_types::{ClockMs, EndpointKind, EndpointProfile, LoadReport, log_event};
+use masticsill_types::{Class, ClockMs, EndpointKind, EndpointProfile, LoadReport, log_event};
 use masticsill_wire::engine::{EngineLoad, LoadedModels};
 
 use crate::config::{AgentConfig, Endpoint};
@@ -81,11 +81,22 @@
         }
     }
 
-    /// The engine's last load report, as old as it is now.
-    pub(crate) fn load(&self, now: ClockMs) -> LoadReport {
+    /// Whether catalogue entries of the lookup class use what the engine has loaded.
+    pub(crate) fn is_shared(&self) -> bool {
+        let view = self.mesh.catalogue();
+        view.catalogue().entries().any(|versioned| {
+            let entry = &versioned.entry;
+            let target = entry.back_end.target();
+            entry.class == Class::InstantLookup
+                && target.is_some_and(|target| self.models.loaded.contains(target))
+        })
+    }
+
+    /// The engine's last load report, as old as it is now; `held` runs wait at the agent.
+    pub(crate) fn load(&self, now: ClockMs, held: u32) -> LoadReport {
         LoadReport {
             running: self.load.running,
-            waiting: self.load.waiting,
+            waiting: self.load.waiting.saturating_add(held),
             age_ms: self.load.age_ms + now.since(self.load_seen_at),
             token_gap_ms: self.load.token_gap_ms,
         }
--- a/crates/masticsill_agent/src/lib.rs
+++ b/crates/masticsill_agent/src/lib.rs
@@ -7,6 +7,7 @@
 mod completion;
 mod config;
 mod endpoint_duty;
+mod engine_gate;
 mod engine_poll;
 pub mod events;
 mod health;
--- a/crates/masticsill_agent/src/state.rs
+++ b/crates/masticsill_agent/src/state.rs
@@ -17,6 +17,7 @@
 use tokio::sync::oneshot;
 
 use crate::config::{AgentConfig, AgentLimits};
+use crate::engine_gate::EngineGate;
 use crate::events;
 use crate::health::EndpointHealth;
 use crate::leaving::{Leaving, Remaining};
@@ -43,6 +44,7 @@
     commands: Ring<EndpointCommand>,
     counted: BookCounts,
     drained: ShutdownSignal,
+    gate: EngineGate,
     health: EndpointHealth,
     incarnation: Incarnation,
     leaving: Option<Leaving>,
@@ -69,6 +71,7 @@
             commands,
             counted: BookCounts::default(),
             drained,
+            gate: EngineGate::new(),
             health: EndpointHealth::new(now, config, links.mesh),
             incarnation,
             leaving: None,
@@ -107,7 +110,7 @@
         PullReply {
             incarnation: self.incarnation,
             is_leaving: self.leaving.is_some(),
-            load: self.health.load(self.now()),
+            load: self.health.load(self.now(), self.gate.waiting()),
             progress,
         }
     }
@@ -177,6 +180,7 @@
         }
         self.book.tick(now);
         self.calls.tick(now);
+        self.gate.set_shared(self.health.is_shared());
         self.health.announce(self.leaving.is_some());
         self.go_on_leaving(now);
         self.count();
@@ -197,8 +201,13 @@
 
     /// Hands out commands and due pulls.
     pub(crate) fn settle(&mut self, now: ClockMs) {
-        let commands = self.book.take_commands().into_iter();
-        self.backlog.extend(commands.map(EndpointCommand::Engine));
+        for command in self.book.take_commands() {
+            let passed = self.gate.take(now, command);
+            self.backlog.extend(passed.map(EndpointCommand::Engine));
+        }
+        while let Some(command) = self.gate.pass_next() {
+            self.backlog.push_back(EndpointCommand::Engine(command));
+        }
         while let Some(command) = self.backlog.pop_front() {
             if let Err(RingFull(command)) = self.commands.push(command) {
                 self.backlog.push_front(command);
@@ -221,11 +230,17 @@
         match news {
             EndpointNews::Call(id, end) => self.end_call(now, id, end),
             EndpointNews::Load(load) => self.health.note_load(now, load),
-            EndpointNews::Models(models) => self.health.note_models(now, models),
+            EndpointNews::Models(models) => {
+                self.gate.set_slots(models.slots);
+                self.health.note_models(now, models);
+            }
             EndpointNews::Run(run, event) => {
                 if matches!(event, EngineEvent::Tokens { .. }) {
                     self.health.note_sign(now);
                 }
+                if is_end(&event) {
+                    self.gate.note_ended(run);
+                }
                 self.book.take_event(now, run, event);
             }
             EndpointNews::Unreachable => self.health.note_unreachable(now),
@@ -285,3 +300,10 @@
             .gauge("agent.running", self.book.running() as u64);
     }
 }
+
+fn is_end(event: &EngineEvent) -> bool {
+    match event {
+        EngineEvent::Failed(_) => true,
+        EngineEvent::Tokens { finish, .. } => finish.is_some(),
+    }
+}
