--- a/crates/masticsill_session/src/placing.rs
+++ b/crates/masticsill_session/src/placing.rs
@@ -98,24 +98,35 @@
         self.place(now, id);
     }
 
-    /// Ends the attempt at the session's agent, if any, and returns that agent; a session that
-    /// waits for one waits no more.
+    /// Ends the attempt at the session's agent, if any, and returns that agent.
     pub(crate) fn leave_agent(
         &mut self,
         now: ClockMs,
         id: GenerationId,
         outcome: WorkOutcome,
+    ) -> Option<NodeId> {
+        let agent = self.end_work(now, id, outcome)?;
+        let lineage = self.sessions.get(&id)?.record.lineage();
+        self.cancel_at(&agent, id, lineage);
+        Some(agent)
+    }
+
+    /// Tells the router that the session needs its place no more, and returns the place's agent;
+    /// a session that waits for one waits no more.
+    pub(crate) fn end_work(
+        &mut self,
+        now: ClockMs,
+        id: GenerationId,
+        outcome: WorkOutcome,
     ) -> Option<NodeId> {
         let session = self.sessions.get_mut(&id)?;
         let Some(agent) = session.agent().cloned() else {
             self.router.withdraw(id);
             return None;
         };
-        let lineage = session.record.lineage();
         let tokens = session.attempt_tokens();
-        self.router
-            .on_finished(now, id, WorkEnd { outcome, tokens });
-        self.cancel_at(&agent, id, lineage);
+        let end = WorkEnd { outcome, tokens };
+        self.router.on_finished(now, id, end);
         Some(agent)
     }
 
--- a/crates/masticsill_session/src/session.rs
+++ b/crates/masticsill_session/src/session.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexSet;
 use masticsill_generation::Record;
 use masticsill_routing::WorkKind;
-use masticsill_types::{Class, ClockMs, NodeId, TokenIndex};
+use masticsill_types::{Class, ClockMs, NodeId, Refusal, TokenIndex};
 
 use crate::caller::Caller;
 
@@ -41,6 +41,8 @@
     pub(crate) phase: Phase,
     /// The record.
     pub(crate) record: Record,
+    /// The final refusal, once the generation was given up.
+    pub(crate) refusal: Option<Refusal>,
     /// When a waiting session may also use the agents tried before.
     pub(crate) retry_at: ClockMs,
     /// When the caller last came or went.
@@ -64,6 +66,7 @@
             is_parked: false,
             phase: Phase::Waiting,
             record,
+            refusal: None,
             retry_at: now,
             since: now,
             tried: IndexSet::new(),
