Log the models of a changed member

Cause: the log did not tell when a node knew what an endpoint offers. Ruled out: a new event, which says the same once more. Change: member_changed carries the number of models loaded. Conclusion: tests and operators can wait for an endpoint to be known.

--- a/crates/masticsill_mesh/src/node.rs
+++ b/crates/masticsill_mesh/src/node.rs
@@ -9,7 +9,7 @@
     ChangesSince, Input, MemberState, Membership, Output, Reply, Request, RequestBody,
 };
 use masticsill_runtime::ServiceStream;
-use masticsill_types::{ClockMs, MonotonicClock, log_event};
+use masticsill_types::{ClockMs, EndpointKind, EndpointProfile, MonotonicClock, log_event};
 use masticsill_wire::control::{RenewReply, RenewRequest};
 use masticsill_wire::node::{NodeService, ProbeViaRequest};
 use tarpc::context::Context;
@@ -140,11 +140,20 @@
             events::MEMBER_CHANGED,
             node = node,
             state = state,
-            incarnation = member.incarnation
+            incarnation = member.incarnation,
+            models = count_models(member.endpoint())
         );
     }
 }
 
+/// Models that an endpoint offers now.
+fn count_models(profile: Option<&EndpointProfile>) -> usize {
+    match profile.map(|profile| &profile.kind) {
+        Some(EndpointKind::Engine { loaded, .. }) => loaded.len(),
+        Some(EndpointKind::PlainService { .. }) | None => 0,
+    }
+}
+
 /// Serves one connection of a peer until it ends.
 pub(crate) fn serve_peer(node: &Rc<Node>, stream: ServiceStream) {
     let Ok(transport) = stream.into_transport() else {
