Count the most requests open at once at the fake engine

Cause: a limit of running requests can't be proven by polling. Ruled out: sampling running and waiting, which misses short peaks. Change: EngineStats has most_open.

--- a/crates/masticsill_testkit/src/engine/batch.rs
+++ b/crates/masticsill_testkit/src/engine/batch.rs
@@ -32,6 +32,8 @@
     pub decode_steps: u64,
     /// Requests whose answer is whole.
     pub finished: u64,
+    /// The most requests in slots and waiting at once.
+    pub most_open: u64,
     /// Orders carried out.
     pub orders_accepted: u64,
     /// Orders refused for an old fencing number.
@@ -140,6 +142,8 @@
             .partition_point(|other| other.priority <= job.priority);
         self.waiting.insert(place, job);
         self.stats.started += 1;
+        let open = self.running.len() + self.waiting.len();
+        self.stats.most_open = self.stats.most_open.max(open as u64);
         Ok(receiver)
     }
 
