Prove how sessions wait, go before and are refused

Cause: the book's use of the router was proven only through whole systems. Ruled out: one large step of time in the expiry test, which no tick makes. Conclusion: queue order, truth of refusals and retry budget hold at the book.

--- a/crates/masticsill_session/tests/sessions/main.rs
+++ b/crates/masticsill_session/tests/sessions/main.rs
@@ -1,5 +1,6 @@
 //! Sessions under failure, with fake engines and callers.
 
+mod admission;
 mod caller_return;
 mod exact_resume;
 mod support;
--- a/crates/masticsill_session/tests/sessions/support.rs
+++ b/crates/masticsill_session/tests/sessions/support.rs
@@ -102,6 +102,12 @@
 
 impl World {
     pub(crate) fn new() -> Self {
+        let mut world = Self::without_agents();
+        world.set_agents(&["a", "b"], 4);
+        world
+    }
+
+    pub(crate) fn without_agents() -> Self {
         let mut book = SessionBook::new(BookConfig {
             max_sessions: 4,
             node: node("entry"),
@@ -110,29 +116,65 @@
             seed: 1,
             waiting_ms: WAITING_MS,
         });
-        let members = ["a", "b"].map(|name| (node(name), endpoint()));
-        book.replace_endpoints(IndexMap::from(members));
         let now = ClockMs(1_000);
         book.router_mut()
             .set_entry(now, &spec().catalogue_entry, policy());
         Self { book, now }
     }
 
+    /// Replaces the agents by first lives of those named.
+    pub(crate) fn set_agents(&mut self, names: &[&str], slots: u32) {
+        let members = names.iter().map(|name| (node(name), endpoint(slots)));
+        self.replace_agents(members.collect());
+    }
+
+    /// Lets an agent begin its second life.
+    pub(crate) fn restart_agent(&mut self, name: &str, slots: u32) {
+        let mut restarted = endpoint(slots);
+        restarted.description.incarnation = Incarnation(2);
+        self.replace_agents(IndexMap::from([(node(name), restarted)]));
+    }
+
+    fn replace_agents(&mut self, members: IndexMap<NodeId, Endpoint>) {
+        for lost in self.book.replace_endpoints(members) {
+            self.book.life_ended(self.now, &lost);
+        }
+    }
+
     pub(crate) fn submit(&mut self, sink: &FakeSink) {
+        self.submit_spec(sink, spec());
+    }
+
+    pub(crate) fn submit_spec(&mut self, sink: &FakeSink, spec: GenerationSpec) {
         let submission = Submission {
             sink: Box::new(sink.clone()),
-            spec: spec(),
+            spec,
         };
         self.book.submit(self.now, submission, 7);
+        self.book.settle(self.now);
     }
 
-    /// The one start among the actions, with its agent.
-    pub(crate) fn taken_start(&mut self) -> Started {
-        let starts = self.book.take_actions().into_iter();
-        let mut starts = starts.filter_map(|action| match action {
+    /// The attempts that were started since the last look.
+    pub(crate) fn started(&mut self) -> Vec<Started> {
+        let actions = self.book.take_actions().into_iter();
+        let starts = actions.filter_map(|action| match action {
             Action::Start(agent, request) => Some((agent, *request)),
             _ => None,
         });
+        starts.collect()
+    }
+
+    /// The agents and generations of [`World::started`].
+    pub(crate) fn starts(&mut self) -> Vec<(NodeId, u128)> {
+        let started = self.started().into_iter();
+        started
+            .map(|(agent, request)| (agent, request.spec.id.0))
+            .collect()
+    }
+
+    /// The one start among the actions, with its agent.
+    pub(crate) fn taken_start(&mut self) -> Started {
+        let mut starts = self.started().into_iter();
         starts.next().expect("an attempt is started")
     }
 
@@ -223,7 +265,7 @@
     }
 }
 
-fn endpoint() -> Endpoint {
+fn endpoint(slots: u32) -> Endpoint {
     Endpoint {
         address: "127.0.0.1:1".parse().expect("an address"),
         description: EndpointDescription {
@@ -232,7 +274,7 @@
             is_leaving: false,
             kind: EndpointKind::Engine {
                 loaded: vec![target()],
-                slots: 4,
+                slots,
                 is_checking_fencing: true,
             },
             zone: zone(),
