Give work to an agent again that began another life

Cause: when membership shows an agent with a new incarnation, the entry moved its streams with agent_lost, which also marked the new life as down; its link was closed, so nothing ever marked it as reached. After each quick restart of an agent its endpoint got no work from that entry for ever. Ruled out: membership (the entry logs the new incarnation as alive within 0.1 s) and the engine. Change: the entry marks the new life as reachable after it has moved the former life's streams; system test a_killed_agent_gets_work_again_after_its_restart.

--- a/crates/masticsill/tests/system/main.rs
+++ b/crates/masticsill/tests/system/main.rs
@@ -6,6 +6,7 @@
 mod lost_entries;
 mod operator_pages;
 mod planned_stops;
+mod restarted_agents;
 mod single_losses;
 mod support;
 mod whole_path;
--- a/crates/masticsill_entry/src/sessions_duty.rs
+++ b/crates/masticsill_entry/src/sessions_duty.rs
@@ -291,7 +291,11 @@
             if let Some(ring) = self.links.borrow_mut().swap_remove(&agent) {
                 ring.close();
             }
-            self.with_book(|book, now| book.agent_lost(now, &agent));
+            self.with_book(|book, now| {
+                book.agent_lost(now, &agent);
+                // An agent that began another life can be reached until its new link says no.
+                book.agent_reached(&agent);
+            });
         }
     }
 }
