Let resume run single rows and print refusals; measure how long an agent's rejoin takes

Cause: a refused answer hid its reason, and histograms of the resume run held only zeroes. Ruled out: nothing. Change: refusals keep their body; bounded histograms; mode rejoin of slopes.

--- a/crates/masticsill_bench/examples/resume.rs
+++ b/crates/masticsill_bench/examples/resume.rs
@@ -1,7 +1,7 @@
 //! How long answers stand still after a death, and what the deaths cost, by kind of death.
 //!
-//! `resume [DEATHS [LANES]]`: deaths of each kind, spread over that many systems of a kind, all at
-//! once. Each system has one entry and four agents with an engine each; a round begins eight
+//! `resume [DEATHS [LANES [ROW]]]`: deaths of each kind, spread over that many systems of a kind, all
+//! at once; with a row, only that row of the table, counted from 0. Each system has one entry and four agents with an engine each; a round begins eight
 //! streams, brings about one death below some of them and puts everything right again. Every
 //! fourth round is the naive baseline: callers ask the engines and begin again from the start.
 
@@ -37,6 +37,8 @@
 const ANSWER_BOUND_MS: u64 = 20_000;
 const DEFAULT_SILENCE_MS: u64 = 800;
 const NAIVE_EVERY: usize = 4;
+/// Longest stall that the histograms tell apart, in microseconds.
+const LARGEST_US: u64 = 60_000_000;
 /// What stands before the index in an event id.
 const LINEAGE_END: char = '.';
 
@@ -121,7 +123,7 @@
 
 impl Tally {
     fn new() -> Self {
-        let histogram = || Histogram::new(3).expect("three digits are valid");
+        let histogram = || Histogram::new_with_max(LARGEST_US, 3).expect("the bounds are valid");
         Self {
             answers: 0,
             broken: 0,
@@ -188,14 +190,19 @@
             .transpose()?
             .unwrap_or(default))
     };
-    let (deaths, lanes) = (argument(200)?, argument(2)?);
+    let (deaths, lanes, only) = (argument(200)?, argument(2)?, argument(usize::MAX)?);
     let mut plans: Vec<(Death, u64)> = Death::ALL.map(|death| (death, DEFAULT_SILENCE_MS)).to_vec();
     plans.extend([(Death::InstanceSilent, 300), (Death::InstanceSilent, 2_000)]);
+    if only < plans.len() {
+        plans = vec![plans[only]];
+    }
     let mut running = Vec::new();
     for (plan, (death, silence_ms)) in plans.iter().copied().enumerate() {
         for lane in 0..lanes {
             let number = (plan * lanes + lane) as u64;
-            let lane_deaths = deaths / lanes;
+            // The ends of the setting get half as many: their rounds are the longest.
+            let is_end = silence_ms != DEFAULT_SILENCE_MS;
+            let lane_deaths = deaths / lanes / if is_end { 2 } else { 1 };
             let lane = move || run_lane(death, silence_ms, lane_deaths, number);
             running.push((plan, thread::spawn(lane)));
         }
@@ -262,7 +269,7 @@
             ]);
         }
         for (problem, count) in &through.problems {
-            println!("{death}: {count} x {problem}");
+            println!("{death}, silence {silence_ms} ms: {count} x {problem}");
         }
     }
     println!("{table}");
@@ -335,7 +342,8 @@
         let delay_ms = self.random.random_range(EARLIEST_DEATH_MS..LATEST_DEATH_MS);
         let mut streams = self.begin_streams(round, way);
         let runtime = &self.runtime;
-        runtime.block_on(tokio::time::sleep(Duration::from_millis(delay_ms)));
+        let delay = Duration::from_millis(delay_ms);
+        runtime.block_on(async { tokio::time::sleep(delay).await });
         // The callers go on reading on the runtime's own thread meanwhile.
         let at_death = self.stats();
         let victim = (0..ENGINES).max_by_key(|index| at_death[*index].running);
@@ -402,16 +410,17 @@
 
     fn begin_streams(&self, round: usize, way: Way) -> JoinSet<Seen> {
         let mut streams = JoinSet::new();
-        let _context = self.runtime.enter();
+        let runtime = self.runtime.handle();
         for stream in 0..STREAMS {
             let prompt = prompt(&format!("{:03}x{round:05}x{stream}", self.number));
             if way == Way::Naive {
                 let engines: VecDeque<SocketAddr> = (0..ENGINES)
                     .map(|index| self.system.engines[(stream + index) % ENGINES].address())
                     .collect();
-                streams.spawn(ask_naively(engines, prompt, self.silence_ms));
+                streams.spawn_on(ask_naively(engines, prompt, self.silence_ms), runtime);
             } else {
-                streams.spawn(ask_through(self.system.deployment.http("entry-0"), prompt));
+                let entry = self.system.deployment.http("entry-0");
+                streams.spawn_on(ask_through(entry, prompt), runtime);
             }
         }
         streams
@@ -521,9 +530,10 @@
     Ok(())
 }
 
+/// Kind and message of an error.
 fn kind_of(data: &str) -> String {
     let error: Value = serde_json::from_str(data).unwrap_or_default();
-    error["error"]["kind"].as_str().unwrap_or(data).to_owned()
+    format!("{}: {}", error["error"]["kind"], error["error"]["message"])
 }
 
 /// An id without its index.
--- a/crates/masticsill_bench/examples/slopes.rs
+++ b/crates/masticsill_bench/examples/slopes.rs
@@ -1,6 +1,6 @@
 //! What entry, agent and control cost by streams, tokens, requests, changes and nodes.
 //!
-//! `slopes streams|requests|changes|idle`: each prints its table and the fits over it.
+//! `slopes streams|requests|changes|idle|rejoin`: each prints its table and the fits over it.
 
 use std::time::{Duration, Instant};
 
@@ -10,7 +10,7 @@
     Fit, StreamLoad, System, SystemSettings, Table, UsageMeter, ms, number, open_connection_bytes,
     run_streams, thread_processor_us,
 };
-use masticsill_testkit::{CallerRequest, engine_entry};
+use masticsill_testkit::{CallerRequest, engine_entry, wait_until};
 use serde_json::{Value, json};
 use tokio::runtime::Runtime;
 
@@ -27,6 +27,8 @@
 const ENTRY_COUNTS: [usize; 4] = [1, 4, 8, 16];
 const CHANGES_IN_FORCE: u32 = 60;
 const NODE_COUNTS: [usize; 4] = [5, 20, 60, 120];
+/// Longest wait for a restarted agent.
+const REJOIN_BOUND_MS: u64 = 40_000;
 const IDLE_SETTLE_MS: u64 = 15_000;
 const IDLE_WINDOW_MS: u64 = 20_000;
 
@@ -48,7 +50,11 @@
             measure_idle();
             Ok(())
         }
-        _ => bail!("usage: slopes streams|requests|changes|idle"),
+        "rejoin" => {
+            measure_rejoin();
+            Ok(())
+        }
+        _ => bail!("usage: slopes streams|requests|changes|idle|rejoin"),
     }
 }
 
@@ -97,7 +103,7 @@
         "entry core %",
         "entry sessions thread %",
         "agent core %",
-        "agent stream thread %",
+        "agent endpoint thread %",
         "engine core %",
         "entry MiB",
         "agent MiB",
@@ -163,7 +169,7 @@
         format!("{:.1}", cores[0]),
         format!("{:.1}", thread(0, "sessions")),
         format!("{:.1}", cores[1]),
-        format!("{:.1}", thread(1, "agent")),
+        format!("{:.1}", thread(1, "endpoint")),
         format!("{:.1}", cores[2]),
         format!("{:.1}", mebibytes[0]),
         format!("{:.1}", mebibytes[1]),
@@ -179,6 +185,10 @@
                 thread(0, "sessions") * 10_000.0,
             ),
             ("agent µs/s", cores[1] * 10_000.0),
+            (
+                "agent endpoint thread µs/s",
+                thread(1, "endpoint") * 10_000.0,
+            ),
             ("entry KiB", mebibytes[0] * 1_024.0),
             ("agent KiB", mebibytes[1] * 1_024.0),
         ],
@@ -333,7 +343,8 @@
         for index in 0..entry_count {
             system.deployment.await_models(&format!("entry-{index}"), 1);
         }
-        let mut times = hdrhistogram::Histogram::<u64>::new(3).expect("three digits are valid");
+        let mut times = hdrhistogram::Histogram::<u64>::new_with_max(60_000_000, 3)
+            .expect("the bounds are valid");
         for serial in 0..CHANGES_IN_FORCE {
             let id = format!("in-force-{serial}");
             let entry = engine_entry(&id, "patient_draft", "draft", "v1");
@@ -488,3 +499,42 @@
 fn largest(values: &[f64]) -> f64 {
     values.iter().copied().fold(0.0, f64::max)
 }
+
+/// How long after its restart a killed agent serves again; the only one, so that all depends on it.
+fn measure_rejoin() {
+    let mut table = Table::new(&["proxies", "dead for ms", "serves again after ms"]);
+    for is_proxied in [true, false] {
+        for dead_ms in [0, 2_000, 20_000] {
+            let mut system = System::start(SystemSettings {
+                is_proxied,
+                ..SystemSettings::default()
+            });
+            pause(2_000);
+            system.deployment.node_mut("agent-0").process.kill();
+            pause(dead_ms);
+            system.deployment.restart("agent-0");
+            let restarted = Instant::now();
+            let is_back = wait_until(REJOIN_BOUND_MS, || serves(&system));
+            let elapsed_ms = restarted.elapsed().as_millis();
+            table.add([
+                is_proxied.to_string(),
+                dead_ms.to_string(),
+                if is_back {
+                    elapsed_ms.to_string()
+                } else {
+                    format!("not within {elapsed_ms}")
+                },
+            ]);
+        }
+    }
+    println!("{table}");
+}
+
+fn serves(system: &System) -> bool {
+    let mut body = body(1);
+    body["stream"] = json!(false);
+    let address = system.deployment.http("entry-0");
+    let request = CallerRequest::post(address, "/v1/completions", &body);
+    let answer = system.deployment.caller().call(request, 5_000);
+    answer.is_ok_and(|answer| answer.status == 200)
+}
--- a/crates/masticsill_bench/src/event_reader.rs
+++ b/crates/masticsill_bench/src/event_reader.rs
@@ -74,12 +74,12 @@
     ///
     /// # Errors
     ///
-    /// An error of the connection, or of kind `Other` with the head when the status is not 200.
+    /// An error of the connection, or of kind `Other` with the answer when the status is not 200.
     pub async fn next_event(&mut self) -> io::Result<Option<AnswerEvent>> {
         loop {
             while let Some(line) = self.next_line() {
                 if line.starts_with("HTTP/1.1 ") && !line.starts_with("HTTP/1.1 200") {
-                    return Err(io::Error::other(line));
+                    return Err(self.read_refusal(line).await);
                 }
                 if let Some(id) = line.strip_prefix("id: ") {
                     id.clone_into(&mut self.id);
@@ -103,6 +103,16 @@
         }
     }
 
+    /// The status line and what follows, as an error.
+    async fn read_refusal(&mut self, status: String) -> io::Error {
+        let mut rest = self.pending.split_off(self.start);
+        let read = self.stream.read_to_end(&mut rest).await;
+        let rest = String::from_utf8_lossy(&rest);
+        let body = rest.split("\r\n\r\n").nth(1).unwrap_or_default();
+        let cut = if read.is_err() { " (cut)" } else { "" };
+        io::Error::other(format!("{status}: {body}{cut}"))
+    }
+
     fn next_line(&mut self) -> Option<String> {
         let rest = &self.pending[self.start..];
         let end = rest.iter().position(|byte| *byte == b'\n')?;
