--- a/crates/masticsill/tests/system/main.rs
+++ b/crates/masticsill/tests/system/main.rs
@@ -1,10 +1,13 @@
 //! The whole system as real processes, behind fault proxies.
 
+mod bad_input;
 mod calls_once;
+mod catalogue_force;
 mod control_losses;
 mod double_losses;
 mod lost_entries;
 mod operator_pages;
+mod operators;
 mod planned_stops;
 mod restarted_agents;
 mod routing_load;
