--- a/crates/masticsill/src/node.rs
+++ b/crates/masticsill/src/node.rs
@@ -138,7 +138,7 @@
 fn run_control(process: Process, control: &ControlSettings) -> eyre::Result<()> {
     let config = to_control_config(&process.settings, control, process.address)?;
     let (connections, shutdown) = (process.connections.clone(), process.shutdown.clone());
-    let role = ControlRole::start(
+    let mut role = ControlRole::start(
         &config,
         connections.clone(),
         process.clock,
@@ -151,6 +151,8 @@
     };
     let source = RenewSource::new(role.renewals());
     let mesh = start_mesh(process, Role::Control, routes, Some(source))?;
+    role.start_orders(mesh.handle.clone())
+        .wrap_err("the orders to engines can't be started")?;
     println!("listening http on {}", role.http_address());
     println!("ready");
     while !shutdown.is_requested() && !role.has_failed() {
--- a/crates/masticsill_agent/src/endpoint_duty.rs
+++ b/crates/masticsill_agent/src/endpoint_duty.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 use masticsill_generation::{EngineCommand, RunNumber, RunOrder};
 use masticsill_runtime::Ring;
-use masticsill_types::log_event;
+use masticsill_types::{ModelTarget, log_event};
 use ntex::SharedCfg;
 use ntex::client::{Client, Connector};
 use ntex::rt::{DefaultRuntime, System, spawn};
@@ -18,6 +18,7 @@
 use crate::engine_poll::poll_engine;
 use crate::events;
 use crate::messages::{EndpointCommand, EndpointNews};
+use crate::orders::run_engine_order;
 
 /// More than the books let run at once.
 ///
@@ -62,10 +63,18 @@
     client: Client,
     config: AgentConfig,
     news: Ring<EndpointNews>,
-    /// A run ends when its guard is dropped.
-    runs: Rc<RefCell<IndexMap<RunNumber, oneshot::Sender<()>>>>,
+    runs: Runs,
 }
 
+/// A run at the engine; it ends when its guard is dropped.
+pub(crate) struct ActiveRun {
+    _guard: oneshot::Sender<()>,
+    pub(crate) target: ModelTarget,
+}
+
+/// The runs at the engine.
+pub(crate) type Runs = Rc<RefCell<IndexMap<RunNumber, ActiveRun>>>;
+
 impl EndpointDuty {
     async fn run(self, commands: Ring<EndpointCommand>) {
         if matches!(self.config.endpoint, Endpoint::Engine { .. }) {
@@ -87,6 +96,14 @@
                         self.news.clone(),
                     ));
                 }
+                EndpointCommand::Order(order) => {
+                    spawn(run_engine_order(
+                        self.client.clone(),
+                        self.config.endpoint_address,
+                        Rc::clone(&self.runs),
+                        order,
+                    ));
+                }
                 EndpointCommand::Engine(EngineCommand::Run(order)) => self.start_run(*order),
                 EndpointCommand::Engine(EngineCommand::Cancel(run)) => {
                     self.runs.borrow_mut().swap_remove(&run);
@@ -98,7 +115,12 @@
     fn start_run(&self, order: RunOrder) {
         let run = order.run;
         let (guard, is_cancelled) = oneshot::channel();
-        self.runs.borrow_mut().insert(run, guard);
+        let target = order.spec.target.clone();
+        let active = ActiveRun {
+            _guard: guard,
+            target,
+        };
+        self.runs.borrow_mut().insert(run, active);
         let runs = Rc::clone(&self.runs);
         let running = run_order(
             self.client.clone(),
--- a/crates/masticsill_agent/src/events.rs
+++ b/crates/masticsill_agent/src/events.rs
@@ -24,6 +24,10 @@
 pub const CONNECTION_REFUSED: Event = Event::new(3010, "connection_refused");
 /// The HTTP client could not be built; the endpoint can't be reached.
 pub const CLIENT_FAILED: Event = Event::new(3011, "client_failed");
+/// Orders to the engine may pass: the highest number drawn is known since the agent's start.
+pub const ORDERS_OPEN: Event = Event::new(3020, "orders_open");
+/// An order of the control leader ended.
+pub const ORDER_ENDED: Event = Event::new(3021, "order_ended");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -38,4 +42,6 @@
     DRAIN_TIME_OVER,
     CONNECTION_REFUSED,
     CLIENT_FAILED,
+    ORDERS_OPEN,
+    ORDER_ENDED,
 ];
--- a/crates/masticsill_agent/src/lib.rs
+++ b/crates/masticsill_agent/src/lib.rs
@@ -12,6 +12,7 @@
 mod health;
 mod leaving;
 mod messages;
+mod orders;
 mod role;
 mod server_events;
 mod service;
--- a/crates/masticsill_agent/src/messages.rs
+++ b/crates/masticsill_agent/src/messages.rs
@@ -7,6 +7,8 @@
 use masticsill_wire::engine::{EngineLoad, LoadedModels};
 use tokio::time::{Duration, sleep};
 
+use crate::orders::OrderCommand;
+
 /// Pause before a full ring is tried again.
 const FULL_RING_PAUSE: Duration = Duration::from_millis(1);
 
@@ -15,6 +17,7 @@
 pub(crate) enum EndpointCommand {
     Call(Box<CallRequest>),
     Engine(EngineCommand),
+    Order(OrderCommand),
 }
 
 /// What the endpoint duty saw.
--- /dev/null
+++ b/crates/masticsill_agent/src/orders.rs
@@ -0,0 +1,97 @@
+//! Orders of the control leader to the engine beside this agent.
+//!
+//! The agent is the only way to an engine that ignores the fencing number, so it checks for it:
+//! one order at a time, each with a higher number than all before, also across a restart.
+
+mod opening;
+mod send;
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use masticsill_orders::{GateRefusal, OrderGate};
+use masticsill_runtime::Ring;
+use masticsill_types::FencingNumber;
+use masticsill_wire::agent::{FenceReply, OrderRefusal, OrderReply, OrderRequest};
+use tokio::sync::oneshot;
+
+use crate::config::Endpoint;
+use crate::messages::EndpointCommand;
+use crate::state::Answer;
+
+pub(crate) use opening::open_gate;
+pub(crate) use send::run_engine_order;
+
+/// The gate, shared by the duty that takes orders in and the duty that sends them.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SharedGate(Arc<Mutex<OrderGate>>);
+
+impl SharedGate {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, OrderGate> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// An admitted order on its way to the duty that sends it.
+#[derive(Debug)]
+pub(crate) struct OrderCommand {
+    pub(crate) gate: SharedGate,
+    pub(crate) reply_to: oneshot::Sender<OrderReply>,
+    pub(crate) request: OrderRequest,
+}
+
+/// Takes orders in.
+#[derive(Clone, Debug)]
+pub(crate) struct OrderDesk {
+    commands: Ring<EndpointCommand>,
+    gate: SharedGate,
+    is_engine: bool,
+}
+
+impl OrderDesk {
+    pub(crate) fn new(endpoint: &Endpoint, commands: Ring<EndpointCommand>) -> Self {
+        Self {
+            commands,
+            gate: SharedGate::default(),
+            is_engine: matches!(endpoint, Endpoint::Engine { .. }),
+        }
+    }
+
+    pub(crate) fn take_in(&self, request: OrderRequest) -> Answer<OrderReply> {
+        if !self.is_engine {
+            return Answer::Now(OrderReply::Refused(OrderRefusal::EngineRefused));
+        }
+        let fencing = request.fencing;
+        let admitted = self.gate.lock().admit(fencing, &request.order);
+        if let Err(refusal) = admitted {
+            return Answer::Now(refused(refusal));
+        }
+        let (reply_to, ended) = oneshot::channel();
+        let command = OrderCommand {
+            gate: self.gate.clone(),
+            reply_to,
+            request,
+        };
+        if self.commands.push(EndpointCommand::Order(command)).is_err() {
+            self.gate.lock().finish(fencing);
+            return Answer::Now(OrderReply::Refused(OrderRefusal::Busy));
+        }
+        Answer::Later(ended)
+    }
+
+    pub(crate) fn fence(&self, fencing: FencingNumber) -> FenceReply {
+        let mut gate = self.gate.lock();
+        gate.raise(fencing);
+        FenceReply {
+            highest: gate.highest(),
+            under_way: gate.under_way().cloned(),
+        }
+    }
+}
+
+fn refused(refusal: GateRefusal) -> OrderReply {
+    match refusal {
+        GateRefusal::Busy => OrderReply::Refused(OrderRefusal::Busy),
+        GateRefusal::Closed => OrderReply::Refused(OrderRefusal::Closed),
+        GateRefusal::Fenced(highest) => OrderReply::Fenced(highest),
+    }
+}
--- a/crates/masticsill_agent/src/role.rs
+++ b/crates/masticsill_agent/src/role.rs
@@ -18,6 +18,7 @@
 use crate::endpoint_duty::run_endpoint;
 use crate::events;
 use crate::messages::EndpointNews;
+use crate::orders::open_gate;
 use crate::service::{SharedState, serve_entries};
 use crate::state::AgentState;
 
@@ -75,7 +76,9 @@
             let (leaving, drained) = (leaving.clone(), drained.clone());
             spawn_async_duty("agent", move || async move {
                 let connections = links.connections.clone();
+                let mesh = links.mesh.clone();
                 let state = AgentState::new(&config, links, commands, drained);
+                spawn_local(open_gate(mesh, state.orders().clone()));
                 run_agent(state, connections, news, leaving).await;
             })?
         };
--- a/crates/masticsill_agent/src/service.rs
+++ b/crates/masticsill_agent/src/service.rs
@@ -5,10 +5,10 @@
 
 use futures::StreamExt;
 use masticsill_runtime::{Ring, ServiceStream};
-use masticsill_types::log_event;
+use masticsill_types::{FencingNumber, log_event};
 use masticsill_wire::agent::{
     AgentService, AttachReply, AttachRequest, BuryRequest, CallReply, CallRequest, CancelRequest,
-    PullReply, PullRequest, StartReply, StartRequest,
+    FenceReply, OrderReply, OrderRequest, PullReply, PullRequest, StartReply, StartRequest,
 };
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
@@ -84,4 +84,17 @@
     async fn bury(self, _: Context, request: BuryRequest) -> CallReply {
         self.state.borrow_mut().bury(&request)
     }
+
+    async fn order(self, _: Context, request: OrderRequest) -> OrderReply {
+        let ordered = self.state.borrow_mut().order(request);
+        match ordered {
+            Answer::Now(reply) => reply,
+            // The order ends in the other duty, also when nobody waits here any more.
+            Answer::Later(ended) => ended.await.unwrap_or(OrderReply::OutcomeUnknown),
+        }
+    }
+
+    async fn fence(self, _: Context, fencing: FencingNumber) -> FenceReply {
+        self.state.borrow().orders().fence(fencing)
+    }
 }
--- a/crates/masticsill_agent/src/state.rs
+++ b/crates/masticsill_agent/src/state.rs
@@ -11,8 +11,8 @@
     AttemptFailure, ClockMs, GenerationId, Incarnation, MonotonicClock, log_event,
 };
 use masticsill_wire::agent::{
-    AttachReply, AttachRequest, BuryRequest, CallReply, CallRequest, CancelRequest, Progress,
-    PullReply, PullRequest, StartReply, StartRequest,
+    AttachReply, AttachRequest, BuryRequest, CallReply, CallRequest, CancelRequest, OrderRefusal,
+    OrderReply, OrderRequest, Progress, PullReply, PullRequest, StartReply, StartRequest,
 };
 use tokio::sync::oneshot;
 
@@ -21,6 +21,7 @@
 use crate::health::EndpointHealth;
 use crate::leaving::{Leaving, Remaining};
 use crate::messages::{CallEnd, EndpointCommand, EndpointNews};
+use crate::orders::OrderDesk;
 use crate::role::AgentLinks;
 
 /// A pull may wait for this part of the orphan time at most.
@@ -48,6 +49,7 @@
     leaving: Option<Leaving>,
     limits: AgentLimits,
     metrics: Metrics,
+    orders: OrderDesk,
     pulls: IndexMap<PullNumber, oneshot::Sender<Vec<Progress>>>,
 }
 
@@ -66,7 +68,7 @@
             call_waiters: IndexMap::new(),
             calls: CallBook::new(incarnation, config.limits.calls),
             clock: links.clock,
-            commands,
+            commands: commands.clone(),
             counted: BookCounts::default(),
             drained,
             health: EndpointHealth::new(now, config, links.mesh),
@@ -74,6 +76,7 @@
             leaving: None,
             limits: config.limits,
             metrics: links.metrics,
+            orders: OrderDesk::new(&config.endpoint, commands),
             pulls: IndexMap::new(),
         }
     }
@@ -82,6 +85,18 @@
         self.clock.now()
     }
 
+    pub(crate) fn orders(&self) -> &OrderDesk {
+        &self.orders
+    }
+
+    /// Takes an order in; it is passed on, or its end is told at once.
+    pub(crate) fn order(&mut self, request: OrderRequest) -> Answer<OrderReply> {
+        if !self.health.is_available() {
+            return Answer::Now(OrderReply::Refused(OrderRefusal::EngineUnavailable));
+        }
+        self.orders.take_in(request)
+    }
+
     pub(crate) fn start(&mut self, request: StartRequest) -> StartReply {
         let now = self.now();
         let reply = self.book.start(now, request);
--- a/crates/masticsill_catalogue/src/state.rs
+++ b/crates/masticsill_catalogue/src/state.rs
@@ -122,6 +122,12 @@
         self.claims.len()
     }
 
+    /// The last sequence of orders to engines that was drawn; zero before the first.
+    #[must_use]
+    pub fn order_sequence(&self) -> u64 {
+        self.order_sequence
+    }
+
     /// Addresses of replicas that operators named when they admitted them.
     #[must_use]
     pub fn replica_addresses(&self) -> &IndexMap<NodeId, SocketAddr> {
--- a/crates/masticsill_control/src/events.rs
+++ b/crates/masticsill_control/src/events.rs
@@ -26,6 +26,12 @@
 pub const SNAPSHOT_RESTORED: Event = Event::new(4111, "control_snapshot_restored");
 /// A snapshot of the state was taken.
 pub const SNAPSHOT_TAKEN: Event = Event::new(4112, "control_snapshot_taken");
+/// This replica leads and gives the orders to engines, after it fenced its predecessors.
+pub const ORDERS_BEGUN: Event = Event::new(4120, "control_orders_begun");
+/// An order to an engine ended.
+pub const ORDER_ENDED: Event = Event::new(4121, "control_order_ended");
+/// An agent could not be told that former leaders' orders are void; it gets no order yet.
+pub const AGENT_NOT_FENCED: Event = Event::new(4122, "control_agent_not_fenced");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -41,4 +47,7 @@
     CONTROL_STOPPED,
     SNAPSHOT_RESTORED,
     SNAPSHOT_TAKEN,
+    ORDERS_BEGUN,
+    ORDER_ENDED,
+    AGENT_NOT_FENCED,
 ];
--- a/crates/masticsill_control/src/http/catalogue.rs
+++ b/crates/masticsill_control/src/http/catalogue.rs
@@ -69,11 +69,12 @@
         .await?;
     match answer {
         ReadAnswer::Catalogue(version, update) => Ok((version, update)),
-        ReadAnswer::Audit(_) | ReadAnswer::Entry(_) | ReadAnswer::Replicas(_) => {
-            Err(ControlUnavailable {
-                is_outcome_unknown: false,
-            })
-        }
+        ReadAnswer::Audit(_)
+        | ReadAnswer::Entry(_)
+        | ReadAnswer::HighestOrder(_)
+        | ReadAnswer::Replicas(_) => Err(ControlUnavailable {
+            is_outcome_unknown: false,
+        }),
     }
 }
 
--- a/crates/masticsill_control/src/lib.rs
+++ b/crates/masticsill_control/src/lib.rs
@@ -1,7 +1,8 @@
 //! The control role: the catalogue's quorum and the administration API.
 //!
 //! Duties, each on a thread of its own: the quorum (replicated log and state), the storage (one
-//! sync for many writes), the RPC edge (other replicas and nodes) and the HTTP edge (operators).
+//! sync for many writes), the RPC edge (other replicas and nodes), the HTTP edge (operators) and,
+//! once the membership is known, the orders to engines.
 
 mod attempts;
 mod book;
@@ -10,6 +11,7 @@
 mod error;
 pub mod events;
 mod http;
+mod orders;
 mod quorum;
 mod recovery;
 mod role;
--- /dev/null
+++ b/crates/masticsill_control/src/orders/calls.rs
@@ -0,0 +1,103 @@
+//! Calls of agents.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use masticsill_catalogue::{Action, CommandAnswer};
+use masticsill_orders::{OrderEnd, PlannedOrder};
+use masticsill_runtime::connect_transport;
+use masticsill_types::{FencingNumber, MonotonicClock, Term};
+use masticsill_wire::ServiceKind;
+use masticsill_wire::agent::{AgentServiceClient, FenceReply, OrderReply, OrderRequest};
+use masticsill_wire::control::ControlReply;
+use tarpc::client::Config;
+use tarpc::context::Context;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use crate::quorum::{PublishedState, QuorumHandle, Request};
+
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+const FENCE_TIMEOUT_MS: u64 = 1_000;
+/// Longer than an agent waits for its engine, and less than a planner waits for an effect.
+const ORDER_TIMEOUT_MS: u64 = 110_000;
+
+/// What an order needs on its way.
+#[derive(Clone, Debug)]
+pub(crate) struct Giver {
+    pub(crate) clock: MonotonicClock,
+    pub(crate) lease_ms: u64,
+    pub(crate) published: PublishedState,
+    pub(crate) quorum: QuorumHandle,
+    pub(crate) term: Term,
+}
+
+impl Giver {
+    /// Gives an order; one that could not be given counts as refused.
+    pub(crate) async fn give(&self, address: SocketAddr, planned: &PlannedOrder) -> OrderEnd {
+        let Some(client) = connect(address).await else {
+            return OrderEnd::Refused;
+        };
+        let Some(sequence) = self.draw_sequence().await else {
+            return OrderEnd::Refused;
+        };
+        let request = OrderRequest {
+            fencing: FencingNumber {
+                term: self.term,
+                sequence,
+            },
+            order: planned.order.clone(),
+        };
+        // Any await before may have been a pause: what was proven then proves nothing now.
+        if !self.is_leading() {
+            return OrderEnd::Refused;
+        }
+        let reply = client.order(context_of(ORDER_TIMEOUT_MS), request).await;
+        match reply {
+            Ok(OrderReply::Done) => OrderEnd::Done,
+            Ok(OrderReply::Fenced(_) | OrderReply::Refused(_)) => OrderEnd::Refused,
+            Ok(OrderReply::OutcomeUnknown) | Err(_) => OrderEnd::Unknown,
+        }
+    }
+
+    fn is_leading(&self) -> bool {
+        let led = self.published.led_term(self.clock.now(), self.lease_ms);
+        led == Some(self.term)
+    }
+
+    async fn draw_sequence(&self) -> Option<u64> {
+        let draw = |reply_to| Request::Act(Action::DrawOrderSequence, reply_to);
+        match self.quorum.ask(draw).await {
+            ControlReply::Done(CommandAnswer::OrderSequence(sequence)) => Some(sequence),
+            _ => None,
+        }
+    }
+
+    /// Tells an agent that orders of former terms are void; `None` when it does not answer.
+    pub(crate) async fn fence(&self, address: SocketAddr) -> Option<FenceReply> {
+        let fencing = FencingNumber {
+            term: self.term,
+            sequence: 0,
+        };
+        let client = connect(address).await?;
+        let asking = client.fence(context_of(FENCE_TIMEOUT_MS), fencing);
+        let bound = Duration::from_millis(FENCE_TIMEOUT_MS);
+        timeout(bound, asking).await.ok()?.ok()
+    }
+}
+
+/// Connects to an agent. The connection ends with the client.
+async fn connect(address: SocketAddr) -> Option<AgentServiceClient> {
+    let transport = connect_transport(address, ServiceKind::Agent, CONNECT_TIMEOUT_MS);
+    let new = AgentServiceClient::new(Config::default(), transport.await.ok()?);
+    spawn_local(async move {
+        let _ = new.dispatch.await;
+    });
+    Some(new.client)
+}
+
+fn context_of(timeout_ms: u64) -> Context {
+    let mut context = tarpc::context::current();
+    context.deadline = Instant::now() + Duration::from_millis(timeout_ms);
+    context
+}
--- a/crates/masticsill_control/src/quorum/duty.rs
+++ b/crates/masticsill_control/src/quorum/duty.rs
@@ -16,7 +16,7 @@
 
 use super::founding::founding_members;
 use super::machine::{self, Machine, StateError};
-use super::published::PublishedState;
+use super::published::{Leadership, PublishedState};
 use super::request::{Request, Status};
 use super::storage::{StorageProgress, StorageQueue};
 use super::waiting::{Waiting, WaitingList};
@@ -288,14 +288,19 @@
         self.renew_own_proof(now);
         let freshness = self.machine.freshness();
         let catalogue = self.machine.state().catalogue();
-        self.published.publish(catalogue, freshness);
         // A sole voter that stops has no successor to wait for.
         let is_ending = self.is_stopping && self.replica.membership().voters.len() == 1;
         let is_leader = self.replica.role() == Role::Leader && !is_ending;
+        let current_as_of = self.replica.current_as_of(now).filter(|_| is_leader);
+        let leadership = current_as_of.map(|(_, as_of)| Leadership {
+            as_of,
+            term: self.replica.term(),
+        });
+        self.published.publish(catalogue, freshness, leadership);
         let status = Status {
             has_failed: self.status.borrow().has_failed,
             is_founded: self.is_founded(),
-            is_leading: is_leader && self.replica.current_as_of(now).is_some(),
+            is_leading: leadership.is_some(),
             leader: self.replica.leader().map(|id| id.name.clone()),
             term: self.replica.term(),
             version: self.machine.state().catalogue().version(),
--- a/crates/masticsill_control/src/quorum/outputs.rs
+++ b/crates/masticsill_control/src/quorum/outputs.rs
@@ -8,7 +8,7 @@
     encode_message,
 };
 use masticsill_runtime::spawn_duty;
-use masticsill_types::log_event;
+use masticsill_types::{FencingNumber, log_event};
 use masticsill_wire::control::{ControlReply, ReadAnswer, ReadRequest, ReplicaAnswer};
 
 use super::duty::{Outgoing, QuorumDuty};
@@ -135,6 +135,10 @@
                 ReadAnswer::Catalogue(catalogue.version(), catalogue.update_since(have))
             }
             ReadRequest::Entry { id } => ReadAnswer::Entry(catalogue.get(&id).cloned()),
+            ReadRequest::HighestOrder => ReadAnswer::HighestOrder(FencingNumber {
+                term: self.replica.term(),
+                sequence: self.machine.state().order_sequence(),
+            }),
             ReadRequest::Replicas => ReadAnswer::Replicas(members::view(&self.replica, &self.book)),
         };
         let _ = reply_to.send(ControlReply::Done(answer));
--- a/crates/masticsill_control/src/quorum/published.rs
+++ b/crates/masticsill_control/src/quorum/published.rs
@@ -3,13 +3,22 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use masticsill_catalogue::{Catalogue, Freshness};
-use masticsill_types::ClockMs;
+use masticsill_types::{ClockMs, Term};
 use masticsill_wire::control::{RenewReply, RenewRequest};
 
 #[derive(Debug)]
-struct Copy {
+struct Shown {
     catalogue: Arc<Catalogue>,
     freshness: Freshness,
+    leadership: Option<Leadership>,
+}
+
+/// Proven leadership of this replica.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Leadership {
+    /// When a majority was last known to follow.
+    pub(crate) as_of: ClockMs,
+    pub(crate) term: Term,
 }
 
 /// What the quorum duty last published. Clones share it.
@@ -17,31 +26,52 @@
 /// A proof that is published late only counts as older, never as younger.
 #[derive(Clone, Debug)]
 pub(crate) struct PublishedState {
-    copy: Arc<Mutex<Copy>>,
+    copy: Arc<Mutex<Shown>>,
 }
 
 impl PublishedState {
     pub(crate) fn new(started_at: ClockMs) -> Self {
-        let copy = Copy {
+        let copy = Shown {
             catalogue: Arc::default(),
             freshness: Freshness::new(started_at),
+            leadership: None,
         };
         Self {
             copy: Arc::new(Mutex::new(copy)),
         }
     }
 
-    /// Publishes the catalogue, if its version is another, and the proof.
-    pub(crate) fn publish(&self, catalogue: &Catalogue, freshness: Freshness) {
+    /// Publishes the catalogue, if its version is another, and the proofs.
+    pub(crate) fn publish(
+        &self,
+        catalogue: &Catalogue,
+        freshness: Freshness,
+        leadership: Option<Leadership>,
+    ) {
         let is_known = self.lock().catalogue.version() == catalogue.version();
         let changed = (!is_known).then(|| Arc::new(catalogue.clone()));
         let mut copy = self.lock();
         copy.freshness = freshness;
+        copy.leadership = leadership;
         if let Some(changed) = changed {
             copy.catalogue = changed;
         }
     }
 
+    /// The term that this replica leads within its lease.
+    ///
+    /// The lease is compared with `now`, so a process that was paused is not told what it was
+    /// before its pause.
+    pub(crate) fn led_term(&self, now: ClockMs, lease_ms: u64) -> Option<Term> {
+        let leadership = self.lock().leadership?;
+        (now.since(leadership.as_of) <= lease_ms).then_some(leadership.term)
+    }
+
+    /// The catalogue as applied here.
+    pub(crate) fn catalogue(&self) -> Arc<Catalogue> {
+        Arc::clone(&self.lock().catalogue)
+    }
+
     /// Answers a node or peer that renews its copy.
     pub(crate) fn answer_renewal(&self, now: ClockMs, request: RenewRequest) -> RenewReply {
         let (catalogue, freshness) = {
@@ -55,7 +85,7 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Copy> {
+    fn lock(&self) -> MutexGuard<'_, Shown> {
         self.copy.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/masticsill_control/src/role.rs
+++ b/crates/masticsill_control/src/role.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 use std::{fmt, io};
 
+use masticsill_mesh::MeshHandle;
 use masticsill_quorum::storage::Storage;
 use masticsill_runtime::{
     DutyHandle, Metrics, Ring, ServiceStream, ShutdownSignal, spawn_async_duty,
@@ -18,6 +19,7 @@
 use crate::error::ControlError;
 use crate::events;
 use crate::http::{self, HttpEdge};
+use crate::orders::OrdersDuty;
 use crate::quorum::{
     DutyParts, Job, Machine, PublishedState, QuorumDuty, QuorumHandle, Request, Status,
     StorageProgress, StorageQueue, run_storage,
@@ -39,6 +41,7 @@
     ended: ShutdownSignal,
     http: HttpEdge,
     jobs: Ring<Job>,
+    lease_ms: u64,
     published: PublishedState,
     quorum: QuorumHandle,
 }
@@ -132,11 +135,33 @@
             ended,
             http,
             jobs,
+            lease_ms: config.replica.lease_ms,
             published,
             quorum,
         })
     }
 
+    /// Starts to give orders to engines whenever this replica leads.
+    ///
+    /// `mesh` tells which engines there are; it runs in this process, on the same clock.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error when no thread can be started.
+    pub fn start_orders(&mut self, mesh: MeshHandle) -> io::Result<()> {
+        let duty = OrdersDuty {
+            clock: self.clock,
+            ended: self.ended.clone(),
+            lease_ms: self.lease_ms,
+            mesh,
+            published: self.published.clone(),
+            quorum: self.quorum.clone(),
+        };
+        let duty = spawn_async_duty("control_orders", || duty.run())?;
+        self.duties.push(duty);
+        Ok(())
+    }
+
     /// The bound address of the administration API.
     #[must_use]
     pub fn http_address(&self) -> SocketAddr {
--- /dev/null
+++ b/crates/masticsill_orders/src/bucket.rs
@@ -0,0 +1,41 @@
+//! The token bucket before the weight store.
+
+use masticsill_types::ClockMs;
+
+/// Lets loads through at a mean rate; each takes one token.
+#[derive(Clone, Debug)]
+pub(crate) struct TokenBucket {
+    burst: u32,
+    refill_ms: u64,
+    refilled_at: ClockMs,
+    tokens: u32,
+}
+
+impl TokenBucket {
+    /// A bucket with one token: a predecessor may have spent the burst just now.
+    pub(crate) fn new(now: ClockMs, burst: u32, refill_ms: u64) -> Self {
+        Self {
+            burst: burst.max(1),
+            refill_ms: refill_ms.max(1),
+            refilled_at: now,
+            tokens: 1,
+        }
+    }
+
+    /// Takes a token if there is one.
+    pub(crate) fn take(&mut self, now: ClockMs) -> bool {
+        self.refill(now);
+        let Some(left) = self.tokens.checked_sub(1) else {
+            return false;
+        };
+        self.tokens = left;
+        true
+    }
+
+    fn refill(&mut self, now: ClockMs) {
+        let periods = now.since(self.refilled_at) / self.refill_ms;
+        let gained = u32::try_from(periods).unwrap_or(u32::MAX);
+        self.tokens = self.tokens.saturating_add(gained).min(self.burst);
+        self.refilled_at = self.refilled_at + periods * self.refill_ms;
+    }
+}
--- /dev/null
+++ b/crates/masticsill_orders/src/planner.rs
@@ -0,0 +1,283 @@
+//! Which engine loads or unloads what, and when.
+
+use indexmap::{IndexMap, IndexSet};
+use masticsill_catalogue::Catalogue;
+use masticsill_types::{CatalogueVersion, ClockMs, EntryId, ModelId, ModelTarget, NodeId};
+use masticsill_wire::engine::EngineOrder;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::bucket::TokenBucket;
+use crate::plan::{OrderEnd, PlanLimits, PlannedOrder, model, target};
+use crate::seen::EngineSeen;
+use crate::wanted::{Wanted, list_named, list_wanted};
+
+#[derive(Clone, Debug)]
+struct UnderWay {
+    /// Whether its effect may be looked for; what is seen before the answer may have other causes.
+    is_answered: bool,
+    order: EngineOrder,
+    since: ClockMs,
+}
+
+/// Decides the next orders from the catalogue and from what engines announce.
+///
+/// At any time at most one order is under way at an engine and at most one for a model, so never
+/// do all replicas of a model load at once. An order is under way from its planning until its
+/// effect is seen, it is refused, or its timeout is over.
+#[derive(Clone, Debug)]
+pub struct LoadPlanner {
+    bucket: TokenBucket,
+    limits: PlanLimits,
+    next_load_at: ClockMs,
+    paused_until: IndexMap<(NodeId, ModelTarget), ClockMs>,
+    random: ChaCha8Rng,
+    short_since: IndexMap<EntryId, ClockMs>,
+    under_way: IndexMap<NodeId, UnderWay>,
+    unnamed_since: IndexMap<ModelTarget, ClockMs>,
+}
+
+impl LoadPlanner {
+    /// A planner that has given no order yet.
+    #[must_use]
+    pub fn new(now: ClockMs, limits: PlanLimits, seed: u64) -> Self {
+        Self {
+            bucket: TokenBucket::new(now, limits.store_burst, limits.store_refill_ms),
+            limits,
+            next_load_at: now,
+            paused_until: IndexMap::new(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            short_since: IndexMap::new(),
+            under_way: IndexMap::new(),
+            unnamed_since: IndexMap::new(),
+        }
+    }
+
+    /// Takes in an order that a predecessor gave and that has not ended.
+    pub fn note_under_way(&mut self, now: ClockMs, agent: NodeId, order: EngineOrder) {
+        let under_way = UnderWay {
+            is_answered: true,
+            order,
+            since: now,
+        };
+        self.under_way.insert(agent, under_way);
+    }
+
+    /// Takes in what became of an order.
+    pub fn note_end(&mut self, now: ClockMs, ended: PlannedOrder, end: OrderEnd) {
+        let PlannedOrder { agent, order } = ended;
+        let under_way = self.under_way.get_mut(&agent);
+        let under_way = under_way.filter(|under_way| under_way.order == order);
+        match (end, under_way) {
+            (OrderEnd::Done | OrderEnd::Unknown, Some(under_way)) => under_way.is_answered = true,
+            (OrderEnd::Done | OrderEnd::Unknown, None) => {}
+            (OrderEnd::Refused, under_way) => {
+                if under_way.is_some() {
+                    self.under_way.swap_remove(&agent);
+                }
+                let until = now + self.limits.refused_pause_ms;
+                let paused = (agent, target(&order).clone());
+                self.paused_until.insert(paused, until);
+            }
+        }
+    }
+
+    /// Decides which orders to give now. Each counts as given.
+    pub fn step(
+        &mut self,
+        now: ClockMs,
+        catalogue: &Catalogue,
+        engines: &[EngineSeen],
+    ) -> Vec<PlannedOrder> {
+        self.end_visible(now, engines);
+        self.paused_until.retain(|_, until| *until > now);
+        let wanted = list_wanted(catalogue);
+        self.note_shortages(now, &wanted, engines);
+        self.note_unnamed(now, &wanted, engines);
+        let mut planned = Vec::new();
+        // An empty catalogue says nothing about what was loaded before it.
+        if catalogue.version() > CatalogueVersion::default() {
+            // First, since an engine without room for both takes no load before the unload.
+            self.plan_unloads(now, engines, &mut planned);
+        }
+        self.plan_loads(now, &wanted, engines, &mut planned);
+        planned
+    }
+
+    /// Ends the orders whose effect is seen, and those that are past their timeout.
+    fn end_visible(&mut self, now: ClockMs, engines: &[EngineSeen]) {
+        let timeout_ms = self.limits.order_timeout_ms;
+        self.under_way.retain(|agent, under_way| {
+            let engine = engines.iter().find(|engine| engine.agent == *agent);
+            let is_visible = engine.is_some_and(|engine| match &under_way.order {
+                EngineOrder::Load(target) => engine.has(target),
+                // An engine that can't be used announces nothing as loaded.
+                EngineOrder::Unload(target) => engine.takes_orders && !engine.has(target),
+            });
+            !(under_way.is_answered && is_visible) && now.since(under_way.since) < timeout_ms
+        });
+    }
+
+    fn note_shortages(&mut self, now: ClockMs, wanted: &[Wanted<'_>], engines: &[EngineSeen]) {
+        let short: IndexSet<&EntryId> = wanted
+            .iter()
+            .filter(|wanted| self.count(wanted, engines) < wanted.replicas)
+            .map(|wanted| wanted.entry)
+            .collect();
+        self.short_since.retain(|entry, _| short.contains(entry));
+        for entry in short {
+            self.short_since.entry(entry.clone()).or_insert(now);
+        }
+    }
+
+    fn note_unnamed(&mut self, now: ClockMs, wanted: &[Wanted<'_>], engines: &[EngineSeen]) {
+        let named = list_named(wanted);
+        let loaded = engines.iter().flat_map(|engine| &engine.loaded);
+        let unnamed: IndexSet<&ModelTarget> =
+            loaded.filter(|target| !named.contains(target)).collect();
+        // A target stays noted while no engine announces it, so that a blink starts no new grace.
+        self.unnamed_since
+            .retain(|target, _| !named.contains(target));
+        for target in unnamed {
+            self.unnamed_since.entry(target.clone()).or_insert(now);
+        }
+    }
+
+    /// Replicas that an entry has, those being loaded included.
+    fn count(&self, wanted: &Wanted<'_>, engines: &[EngineSeen]) -> usize {
+        let engines = engines.iter();
+        engines
+            .filter(|engine| wanted.allows(&engine.zone) && self.holds(engine, wanted.target))
+            .count()
+    }
+
+    fn holds(&self, engine: &EngineSeen, target: &ModelTarget) -> bool {
+        let is_loading = || match self.under_way.get(&engine.agent) {
+            Some(under_way) => matches!(&under_way.order, EngineOrder::Load(it) if it == target),
+            None => false,
+        };
+        !engine.is_leaving && (engine.has(target) || is_loading())
+    }
+
+    fn plan_loads(
+        &mut self,
+        now: ClockMs,
+        wanted: &[Wanted<'_>],
+        engines: &[EngineSeen],
+        planned: &mut Vec<PlannedOrder>,
+    ) {
+        for wanted in wanted {
+            if !self.may_load(now, wanted) {
+                continue;
+            }
+            let Some(engine) = self.choose(wanted, engines) else {
+                continue;
+            };
+            if !self.bucket.take(now) {
+                return;
+            }
+            self.next_load_at = now + self.random.random_range(0..=self.limits.jitter_ms);
+            let order = EngineOrder::Load(wanted.target.clone());
+            self.give(now, &engine.agent, order, planned);
+        }
+    }
+
+    fn may_load(&self, now: ClockMs, wanted: &Wanted<'_>) -> bool {
+        let is_short = self.short_since.get(wanted.entry);
+        let is_short = is_short.is_some_and(|since| now.since(*since) >= self.limits.shortage_ms);
+        let loads = self.under_way.values();
+        let loads = loads.filter(|under_way| matches!(under_way.order, EngineOrder::Load(_)));
+        is_short
+            && now >= self.next_load_at
+            && loads.count() < self.limits.loads_at_once
+            && !self.is_model_busy(&wanted.target.model)
+    }
+
+    /// An engine for one more replica: in the zone with the fewest, then the emptiest.
+    fn choose<'a>(
+        &mut self,
+        wanted: &Wanted<'_>,
+        engines: &'a [EngineSeen],
+    ) -> Option<&'a EngineSeen> {
+        // Another entry's load in this very step may have filled the shortage.
+        if self.count(wanted, engines) >= wanted.replicas {
+            return None;
+        }
+        let start = self.random.random::<u32>() as usize;
+        let is_free = |engine: &&EngineSeen| {
+            wanted.allows(&engine.zone)
+                && self.is_free(engine, wanted.target)
+                && !self.holds(engine, wanted.target)
+        };
+        let in_zone = |engine: &EngineSeen| {
+            let same_zone = engines.iter().filter(|other| other.zone == engine.zone);
+            let holders = same_zone.filter(|other| self.holds(other, wanted.target));
+            holders.count()
+        };
+        let mut candidates: Vec<&EngineSeen> = engines.iter().filter(is_free).collect();
+        if candidates.is_empty() {
+            return None;
+        }
+        // Of equals the first is taken: which one that is, chance decides.
+        let first = start % candidates.len();
+        candidates.rotate_left(first);
+        let candidates = candidates.into_iter();
+        candidates.min_by_key(|engine| (in_zone(engine), engine.loaded.len()))
+    }
+
+    fn is_free(&self, engine: &EngineSeen, target: &ModelTarget) -> bool {
+        let is_paused =
+            |(agent, it): &(NodeId, ModelTarget)| *agent == engine.agent && it == target;
+        engine.takes_orders
+            && !engine.is_leaving
+            && !self.under_way.contains_key(&engine.agent)
+            && !self.paused_until.keys().any(is_paused)
+    }
+
+    fn plan_unloads(
+        &mut self,
+        now: ClockMs,
+        engines: &[EngineSeen],
+        planned: &mut Vec<PlannedOrder>,
+    ) {
+        let grace_ms = self.limits.grace_ms;
+        let due = self.unnamed_since.iter();
+        let due = due.filter(|(_, since)| now.since(**since) >= grace_ms);
+        let due: Vec<ModelTarget> = due.map(|(target, _)| target.clone()).collect();
+        for target in due {
+            if self.is_model_busy(&target.model) {
+                continue;
+            }
+            let mut holders = engines.iter().filter(|engine| engine.has(&target));
+            if let Some(engine) = holders.find(|engine| self.is_free(engine, &target)) {
+                let order = EngineOrder::Unload(target);
+                self.give(now, &engine.agent, order, planned);
+            }
+        }
+    }
+
+    fn is_model_busy(&self, id: &ModelId) -> bool {
+        let mut orders = self.under_way.values();
+        orders.any(|under_way| model(&under_way.order) == id)
+    }
+
+    fn give(
+        &mut self,
+        now: ClockMs,
+        agent: &NodeId,
+        order: EngineOrder,
+        planned: &mut Vec<PlannedOrder>,
+    ) {
+        debug_assert!(!self.is_model_busy(&target(&order).model));
+        let under_way = UnderWay {
+            is_answered: false,
+            order: order.clone(),
+            since: now,
+        };
+        self.under_way.insert(agent.clone(), under_way);
+        planned.push(PlannedOrder {
+            agent: agent.clone(),
+            order,
+        });
+    }
+}
--- /dev/null
+++ b/crates/masticsill_orders/src/wanted.rs
@@ -0,0 +1,42 @@
+//! What the catalogue wants of engines.
+
+use indexmap::IndexSet;
+use masticsill_catalogue::{Catalogue, CatalogueEntry};
+use masticsill_types::{EntryId, ModelTarget, ZoneId};
+
+/// Replicas of a target that an entry wants.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Wanted<'a> {
+    pub(crate) entry: &'a EntryId,
+    pub(crate) replicas: usize,
+    pub(crate) target: &'a ModelTarget,
+    zones: &'a [ZoneId],
+}
+
+impl Wanted<'_> {
+    pub(crate) fn allows(&self, zone: &ZoneId) -> bool {
+        self.zones.is_empty() || self.zones.contains(zone)
+    }
+}
+
+fn read(entry: &CatalogueEntry) -> Option<Wanted<'_>> {
+    Some(Wanted {
+        entry: &entry.id,
+        replicas: entry.placement.replicas as usize,
+        target: entry.back_end.target()?,
+        zones: &entry.placement.zones,
+    })
+}
+
+/// What the entries in force want, ordered by entry so that every planner reads it alike.
+pub(crate) fn list_wanted(catalogue: &Catalogue) -> Vec<Wanted<'_>> {
+    let entries = catalogue.entries();
+    let mut wanted: Vec<_> = entries.filter_map(|held| read(&held.entry)).collect();
+    wanted.sort_by_key(|wanted| wanted.entry);
+    wanted
+}
+
+/// The targets that entries in force name.
+pub(crate) fn list_named<'a>(wanted: &[Wanted<'a>]) -> IndexSet<&'a ModelTarget> {
+    wanted.iter().map(|wanted| wanted.target).collect()
+}
--- /dev/null
+++ b/crates/masticsill_orders/tests/load_plan.rs
@@ -0,0 +1,260 @@
+//! Which orders the planner gives, in single cases and over seeded runs.
+
+mod support;
+
+use indexmap::IndexMap;
+use masticsill_orders::{LoadPlanner, OrderEnd, PlanLimits, PlannedOrder};
+use masticsill_types::{ClockMs, ModelId};
+use masticsill_wire::engine::EngineOrder;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use support::{Cluster, catalogue, engine, entry, node, target};
+
+const RUNS: u64 = 300;
+
+fn eager() -> PlanLimits {
+    PlanLimits {
+        jitter_ms: 0,
+        shortage_ms: 0,
+        store_burst: 100,
+        store_refill_ms: 1,
+        ..PlanLimits::default()
+    }
+}
+
+fn planner(limits: PlanLimits) -> LoadPlanner {
+    LoadPlanner::new(ClockMs(0), limits, 1)
+}
+
+#[test]
+fn replicas_are_spread_over_zones_one_after_the_other() {
+    let catalogue = catalogue(&[entry("draft", "v1", 3, &[])]);
+    let mut engines = vec![
+        engine("a1", "a", &[]),
+        engine("a2", "a", &[]),
+        engine("b1", "b", &[]),
+        engine("c1", "c", &[]),
+    ];
+    let mut planner = planner(eager());
+    let mut zones = Vec::new();
+    for now in 1..=3 {
+        let given = planner.step(ClockMs(now), &catalogue, &engines);
+        assert_eq!(given.len(), 1, "one replica of a model at a time");
+        assert!(planner.step(ClockMs(now), &catalogue, &engines).is_empty());
+        let loading = &given[0].agent;
+        let engine = engines.iter_mut().find(|it| it.agent == *loading).unwrap();
+        zones.push(engine.zone.as_str().to_owned());
+        engine.loaded.push(target("draft", "v1"));
+        planner.note_end(ClockMs(now), given[0].clone(), OrderEnd::Done);
+    }
+    zones.sort();
+    assert_eq!(zones, ["a", "b", "c"]);
+    assert!(planner.step(ClockMs(9), &catalogue, &engines).is_empty());
+}
+
+#[test]
+fn engines_that_may_not_load_are_passed_over() {
+    let mut leaving = engine("a1", "a", &[]);
+    leaving.is_leaving = true;
+    let mut held = engine("a2", "a", &[]);
+    held.takes_orders = false;
+    let engines = [leaving, held, engine("b1", "b", &[])];
+    let catalogue = catalogue(&[entry("draft", "v1", 1, &["a"])]);
+    let mut planner = planner(eager());
+    for now in 1..5 {
+        assert!(planner.step(ClockMs(now), &catalogue, &engines).is_empty());
+    }
+}
+
+#[test]
+fn an_order_is_given_again_only_after_its_timeout_or_refusal() {
+    let limits = eager();
+    let catalogue = catalogue(&[entry("draft", "v1", 1, &[])]);
+    let engines = [engine("a1", "a", &[])];
+    let mut planner = planner(limits);
+    let given = planner.step(ClockMs(1), &catalogue, &engines);
+    assert_eq!(given.len(), 1);
+    let before = ClockMs(limits.order_timeout_ms);
+    assert!(planner.step(before, &catalogue, &engines).is_empty());
+    let after = before + 1;
+    let again = planner.step(after, &catalogue, &engines);
+    assert_eq!(again, given);
+    planner.note_end(after, again[0].clone(), OrderEnd::Refused);
+    assert!(planner.step(after, &catalogue, &engines).is_empty());
+    let later = after + limits.refused_pause_ms;
+    assert_eq!(planner.step(later, &catalogue, &engines), given);
+}
+
+#[test]
+fn a_predecessors_order_counts_as_under_way() {
+    let catalogue = catalogue(&[entry("draft", "v1", 2, &[])]);
+    let engines = [engine("a1", "a", &[]), engine("b1", "b", &[])];
+    let mut planner = planner(eager());
+    let order = EngineOrder::Load(target("draft", "v1"));
+    planner.note_under_way(ClockMs(0), node("a1"), order);
+    assert!(planner.step(ClockMs(1), &catalogue, &engines).is_empty());
+}
+
+#[test]
+fn a_target_is_unloaded_replica_by_replica_once_nobody_named_it_for_the_grace() {
+    let limits = eager();
+    let old = catalogue(&[entry("draft", "v1", 2, &[])]);
+    let new = catalogue(&[entry("draft", "v2", 2, &[])]);
+    let mut engines = ["a1", "b1"].map(|name| engine(name, name, &[("draft", "v1")]));
+    let mut planner = planner(limits);
+    assert!(planner.step(ClockMs(0), &old, &engines).is_empty());
+    for engine in &mut engines {
+        engine.loaded.push(target("draft", "v2"));
+    }
+    assert!(planner.step(ClockMs(5), &new, &engines).is_empty());
+    let due = ClockMs(5) + limits.grace_ms;
+    assert!(planner.step(due.before(1), &new, &engines).is_empty());
+    let first = planner.step(due, &new, &engines);
+    assert_eq!(first.len(), 1, "one replica at a time");
+    assert_eq!(first[0].order, EngineOrder::Unload(target("draft", "v1")));
+    assert!(planner.step(due, &new, &engines).is_empty());
+    let position = usize::from(first[0].agent == node("b1"));
+    engines[position]
+        .loaded
+        .retain(|it| *it != target("draft", "v1"));
+    planner.note_end(due, first[0].clone(), OrderEnd::Done);
+    let second = planner.step(due + 1, &new, &engines);
+    assert_eq!(second.len(), 1);
+    assert_ne!(second[0].agent, first[0].agent);
+}
+
+#[test]
+fn a_refused_unload_keeps_no_load_waiting() {
+    let limits = eager();
+    let new = catalogue(&[entry("draft", "v2", 1, &[])]);
+    let engines = [engine("a1", "a", &[("draft", "v1")])];
+    let limits = PlanLimits {
+        grace_ms: 0,
+        ..limits
+    };
+    let mut planner = planner(limits);
+    let unload = planner.step(ClockMs(1), &new, &engines);
+    assert_eq!(unload[0].order, EngineOrder::Unload(target("draft", "v1")));
+    planner.note_end(ClockMs(2), unload[0].clone(), OrderEnd::Refused);
+    let load = planner.step(ClockMs(2), &new, &engines);
+    assert_eq!(load[0].order, EngineOrder::Load(target("draft", "v2")));
+}
+
+#[test]
+fn nothing_is_unloaded_before_the_first_entry() {
+    let engines = [engine("a1", "a", &[("draft", "v1")])];
+    let mut planner = planner(eager());
+    for now in [0, 1_000_000] {
+        let given = planner.step(ClockMs(now), &catalogue(&[]), &engines);
+        assert!(given.is_empty());
+    }
+}
+
+/// Orders under way in the simulation, by agent.
+type UnderWay = IndexMap<String, (PlannedOrder, ClockMs)>;
+
+fn check_under_way(under_way: &UnderWay, limits: &PlanLimits, seed: u64) {
+    let mut of_model: IndexMap<&ModelId, usize> = IndexMap::new();
+    let mut loads = 0;
+    for (given, _) in under_way.values() {
+        let target = match &given.order {
+            EngineOrder::Load(target) => {
+                loads += 1;
+                target
+            }
+            EngineOrder::Unload(target) => target,
+        };
+        *of_model.entry(&target.model).or_default() += 1;
+    }
+    assert!(loads <= limits.loads_at_once, "seed {seed}: {loads} loads");
+    for (model, count) in of_model {
+        assert_eq!(count, 1, "seed {seed}: {count} orders for {model}");
+    }
+}
+
+fn check_store(loads: &[ClockMs], limits: &PlanLimits, seed: u64) {
+    for (first, from) in loads.iter().enumerate() {
+        for (last, to) in loads.iter().enumerate().skip(first) {
+            let bearable =
+                u64::from(limits.store_burst) + 1 + to.since(*from) / limits.store_refill_ms;
+            let count = (last - first + 1) as u64;
+            assert!(
+                count <= bearable,
+                "seed {seed}: {count} loads, {bearable} bearable"
+            );
+        }
+    }
+}
+
+/// One seeded run: engines that take their time, refuse, forget everything and are seen late.
+fn run(seed: u64) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let limits = PlanLimits {
+        grace_ms: 500,
+        jitter_ms: random.random_range(0..100),
+        loads_at_once: random.random_range(1..4),
+        order_timeout_ms: 5_000,
+        refused_pause_ms: 100,
+        shortage_ms: 50,
+        store_burst: random.random_range(1..4),
+        store_refill_ms: random.random_range(20..200),
+    };
+    let mut planner = LoadPlanner::new(ClockMs(0), limits, seed);
+    let mut cluster = Cluster::random(&mut random);
+    let mut under_way = UnderWay::new();
+    let mut loads = Vec::new();
+    let quiet_at = 8_000;
+    for now in (0..40_000).step_by(20).map(ClockMs) {
+        let is_quiet = now.0 >= quiet_at;
+        if !is_quiet && random.random_ratio(1, 200) {
+            cluster.change(&mut random);
+        }
+        let catalogue = cluster.catalogue();
+        let seen = cluster.seen(&mut random);
+        for given in planner.step(now, &catalogue, &seen) {
+            match &given.order {
+                EngineOrder::Load(target) => {
+                    assert!(!cluster.has(&given.agent, target), "seed {seed}");
+                    loads.push(now);
+                }
+                EngineOrder::Unload(target) => {
+                    assert!(
+                        !cluster.names(target),
+                        "seed {seed}: {target:?} is in force"
+                    );
+                }
+            }
+            let ends_at = now + random.random_range(10..1_000);
+            let agent = given.agent.as_str().to_owned();
+            let former = under_way.insert(agent, (given, ends_at));
+            assert!(former.is_none(), "seed {seed}: two orders at one engine");
+        }
+        check_under_way(&under_way, &limits, seed);
+        let is_over = |(_, (_, ends_at)): &(&String, &(PlannedOrder, ClockMs))| *ends_at <= now;
+        let over: Vec<String> = under_way
+            .iter()
+            .filter(is_over)
+            .map(|it| it.0.clone())
+            .collect();
+        for agent in over {
+            let (given, _) = under_way.swap_remove(&agent).unwrap();
+            let is_refused = !is_quiet && random.random_ratio(1, 4);
+            let end = if is_refused {
+                OrderEnd::Refused
+            } else {
+                cluster.carry_out(&given);
+                OrderEnd::Done
+            };
+            planner.note_end(now, given, end);
+        }
+    }
+    check_store(&loads, &limits, seed);
+    cluster.check_converged(seed);
+}
+
+#[test]
+fn seeded_runs_keep_every_bound_and_converge() {
+    for seed in 0..RUNS {
+        run(seed);
+    }
+}
--- /dev/null
+++ b/crates/masticsill_orders/tests/order_gate.rs
@@ -0,0 +1,81 @@
+//! What the gate before an engine lets pass.
+
+use assert_matches::assert_matches;
+use masticsill_orders::{GateRefusal, OrderGate};
+use masticsill_types::{FencingNumber, ModelId, ModelTarget, Term, VersionId};
+use masticsill_wire::engine::EngineOrder;
+
+fn number(term: u64, sequence: u64) -> FencingNumber {
+    FencingNumber {
+        term: Term(term),
+        sequence,
+    }
+}
+
+fn load() -> EngineOrder {
+    EngineOrder::Load(ModelTarget {
+        adapter: None,
+        model: ModelId::new("draft").unwrap(),
+        version: VersionId::new("v1").unwrap(),
+    })
+}
+
+fn open_gate(highest: FencingNumber) -> OrderGate {
+    let mut gate = OrderGate::default();
+    gate.open(highest);
+    gate
+}
+
+#[test]
+fn only_higher_numbers_pass() {
+    let cases = [
+        (number(3, 6), true),
+        (number(4, 1), true),
+        (number(3, 5), false),
+        (number(3, 4), false),
+        (number(2, 9), false),
+    ];
+    for (fencing, is_passing) in cases {
+        let mut gate = open_gate(number(3, 5));
+        let admitted = gate.admit(fencing, &load());
+        assert_eq!(admitted.is_ok(), is_passing, "{fencing:?}");
+        assert_eq!(gate.may_send(fencing), is_passing, "{fencing:?}");
+    }
+}
+
+#[test]
+fn a_gate_is_closed_until_it_is_told_the_highest_number() {
+    let mut gate = OrderGate::default();
+    assert_matches!(gate.admit(number(9, 9), &load()), Err(GateRefusal::Closed));
+    gate.raise(number(3, 0));
+    assert_matches!(gate.admit(number(9, 9), &load()), Err(GateRefusal::Closed));
+    gate.open(number(2, 7));
+    let refused = gate.admit(number(2, 8), &load());
+    assert_eq!(refused, Err(GateRefusal::Fenced(number(3, 0))));
+    assert_matches!(gate.admit(number(3, 1), &load()), Ok(()));
+}
+
+#[test]
+fn an_admitted_order_is_not_sent_after_a_higher_number_was_seen() {
+    let mut gate = open_gate(number(1, 0));
+    gate.admit(number(1, 1), &load()).unwrap();
+    assert!(gate.may_send(number(1, 1)));
+    gate.raise(number(2, 0));
+    assert!(!gate.may_send(number(1, 1)));
+}
+
+#[test]
+fn orders_pass_one_at_a_time() {
+    let mut gate = open_gate(number(1, 0));
+    gate.admit(number(1, 1), &load()).unwrap();
+    assert_eq!(
+        gate.admit(number(2, 2), &load()),
+        Err(GateRefusal::Busy),
+        "both could take effect in any sequence"
+    );
+    assert_eq!(gate.under_way(), Some(&load()));
+    gate.finish(number(1, 1));
+    assert_eq!(gate.under_way(), None);
+    assert!(!gate.may_send(number(1, 1)));
+    assert_matches!(gate.admit(number(2, 2), &load()), Ok(()));
+}
--- a/crates/masticsill_wire/src/agent.rs
+++ b/crates/masticsill_wire/src/agent.rs
@@ -4,11 +4,13 @@
 //! and the next index wanted. A pull is idempotent, so it is repeated after any lost answer.
 
 use masticsill_types::{
-    AttemptState, GenerationId, GenerationSpec, Incarnation, Lineage, LoadReport, NodeId, Refusal,
-    Segment, Token, TokenIndex,
+    AttemptState, FencingNumber, GenerationId, GenerationSpec, Incarnation, Lineage, LoadReport,
+    NodeId, Refusal, Segment, Token, TokenIndex,
 };
 use serde::{Deserialize, Serialize};
 
+use crate::engine::EngineOrder;
+
 /// Starts one attempt of a generation.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct StartRequest {
@@ -196,6 +198,54 @@
     pub incarnation: Incarnation,
 }
 
+/// An order of the control leader to the engine beside an agent.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct OrderRequest {
+    /// The order's number; only a higher one than the agent has seen is passed on.
+    pub fencing: FencingNumber,
+    /// What the engine is to do.
+    pub order: EngineOrder,
+}
+
+/// The end of an order.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum OrderReply {
+    /// The engine took the order.
+    Done,
+    /// An order or leader with this higher number is known here; nothing was sent.
+    Fenced(FencingNumber),
+    /// The order was sent and its end is not known.
+    OutcomeUnknown,
+    /// Nothing took effect.
+    Refused(OrderRefusal),
+}
+
+/// Why an order had no effect.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum OrderRefusal {
+    /// Another order is under way at this engine.
+    Busy,
+    /// The agent has not yet been told the highest number drawn.
+    Closed,
+    /// The engine itself refused the number as old.
+    EngineFenced,
+    /// The engine refused the order for another reason, or there is none.
+    EngineRefused,
+    /// The engine gives no sign of life.
+    EngineUnavailable,
+    /// Generations run on the target that is to be unloaded.
+    InUse,
+}
+
+/// What an agent tells a new leader that fences its predecessors.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct FenceReply {
+    /// The highest number known here now; orders up to it are refused.
+    pub highest: FencingNumber,
+    /// The order that was passed to the engine and has not ended.
+    pub under_way: Option<EngineOrder>,
+}
+
 /// Operations of an agent.
 #[tarpc::service]
 pub trait AgentService {
@@ -211,4 +261,8 @@
     async fn call(request: CallRequest) -> CallReply;
     /// Sets a tombstone for a call, or tells its end.
     async fn bury(request: BuryRequest) -> CallReply;
+    /// Passes an order on to the engine.
+    async fn order(request: OrderRequest) -> OrderReply;
+    /// Refuses orders up to a number from now on, and tells what is under way.
+    async fn fence(fencing: FencingNumber) -> FenceReply;
 }
--- a/crates/masticsill_wire/src/control.rs
+++ b/crates/masticsill_wire/src/control.rs
@@ -10,7 +10,7 @@
     AuditRecord, CatalogueUpdate, Change, ChangeAnswer, Claim, ClaimAnswer, OperatorScope,
     Reassign, Settle, VersionedEntry,
 };
-use masticsill_types::{CatalogueVersion, EntryId, NodeId, OperatorId, Term};
+use masticsill_types::{CatalogueVersion, EntryId, FencingNumber, NodeId, OperatorId, Term};
 use serde::{Deserialize, Serialize};
 
 /// Messages between two replicas, in the quorum's own encoding.
@@ -111,6 +111,8 @@
         /// The entry.
         id: EntryId,
     },
+    /// The highest number of any order to engines.
+    HighestOrder,
     /// The control replicas.
     Replicas,
 }
@@ -124,6 +126,8 @@
     Catalogue(CatalogueVersion, Option<CatalogueUpdate>),
     /// The entry, if it is in force.
     Entry(Option<VersionedEntry>),
+    /// The leader's term and the last sequence drawn; every number drawn before is not higher.
+    HighestOrder(FencingNumber),
     /// The control replicas.
     Replicas(ReplicasView),
 }
