Prove orders to engines with real processes

Ruled out: holding a former leader's bytes in the proxy (released bytes arrive before the successor's); the test sends them to the agent itself instead. Change: tests/system/engine_orders.rs; open_draft split from SmallSystem::open in support.rs. Conclusion: a new entry is loaded and serves, another version replaces the old one without a cut, and neither a thawed leader nor a restarted agent lets an old order through.

--- /dev/null
+++ b/crates/masticsill/tests/system/engine_orders.rs
@@ -0,0 +1,273 @@
+//! Orders to engines: what gets loaded, and which orders must not pass.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use assert_matches::assert_matches;
+use masticsill_runtime::connect_transport;
+use masticsill_testkit::{
+    CallerRequest, Deployment, EngineStats, ProcessUnderTest, ProxyMode, built_example,
+    engine_entry, model_target, wait_until,
+};
+use masticsill_types::{FencingNumber, ModelTarget, Term};
+use masticsill_wire::ServiceKind;
+use masticsill_wire::agent::{AgentServiceClient, OrderRefusal, OrderReply, OrderRequest};
+use masticsill_wire::engine::{EngineOrder, LoadedModels};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+use crate::support::{BOUND_MS, Draft, End, open_draft};
+
+const AGENT: &str = "agent-0";
+/// At ten milliseconds a token it outlasts the grace after which an old version is unloaded.
+const LONG_TOKENS: u32 = 1_500;
+
+/// Engines that hold the model `other`, each beside an agent in a zone of its own.
+struct OrderSystem {
+    controls: Vec<String>,
+    deployment: Deployment,
+    engines: Vec<ProcessUnderTest>,
+    _folder: TempDir,
+}
+
+impl OrderSystem {
+    fn start(control_count: usize, engine_count: usize, is_checking: bool) -> Self {
+        let mut deployment = Deployment::new(Path::new(env!("CARGO_BIN_EXE_masticsill")));
+        deployment.start_controls(control_count);
+        let folder = TempDir::new().unwrap();
+        let mut engines = Vec::new();
+        for index in 0..engine_count {
+            let mut arguments = vec!["--step-ms", "10", "--model", "other"];
+            arguments.extend(is_checking.then_some("--checks-fencing"));
+            let log = folder.path().join(format!("engine-{index}.log"));
+            let program = built_example("fake_engine");
+            let engine = ProcessUnderTest::spawn(&program, arguments, &log).unwrap();
+            let zone = format!("zone-{index}");
+            let agent = format!("agent-{index}");
+            deployment.start_engine_agent(&agent, &zone, engine.address("http"), &json!({}));
+            engines.push(engine);
+        }
+        Self {
+            controls: (0..control_count)
+                .map(|it| format!("control-{it}"))
+                .collect(),
+            deployment,
+            engines,
+            _folder: folder,
+        }
+    }
+
+    fn get(&self, engine: usize, path: &str) -> Value {
+        let request = CallerRequest::get(self.engines[engine].address("http"), path);
+        let answer = self.deployment.caller().call(request, BOUND_MS).unwrap();
+        answer.json()
+    }
+
+    fn loaded(&self, engine: usize) -> Vec<ModelTarget> {
+        let models = serde_json::from_value(self.get(engine, "/v1/models"));
+        models.map(|it: LoadedModels| it.loaded).unwrap()
+    }
+
+    fn orders_taken(&self, engine: usize) -> u64 {
+        let stats = serde_json::from_value(self.get(engine, "/stats"));
+        stats.map(|it: EngineStats| it.orders_accepted).unwrap()
+    }
+
+    fn await_loaded(&self, engine: usize, names: &[(&str, &str)]) {
+        let wanted: Vec<_> = names.iter().map(|it| model_target(it.0, it.1)).collect();
+        let is_loaded = wait_until(BOUND_MS, || self.loaded(engine) == wanted);
+        assert!(is_loaded, "engine {engine} holds {:?}", self.loaded(engine));
+    }
+
+    /// The replica that leads, other than one that was lost, and its term.
+    fn leader(&self, lost: Option<&str>) -> (String, Term) {
+        let mut leader = None;
+        wait_until(BOUND_MS, || {
+            let others = self.controls.iter().filter(|it| Some(it.as_str()) != lost);
+            leader = others.cloned().find_map(|name| {
+                let term = self.led_term(&name)?;
+                Some((name, term))
+            });
+            leader.is_some()
+        });
+        leader.expect("a leader is elected")
+    }
+
+    fn led_term(&self, control: &str) -> Option<Term> {
+        let request = CallerRequest::get(self.deployment.http(control), "/readyz");
+        let answer = self.deployment.caller().call(request, 1_000).ok()?.json();
+        (answer["is_leading"] == true).then(|| Term(answer["term"].as_u64().unwrap()))
+    }
+
+    /// Puts an entry through one replica.
+    fn put_at(&self, control: &str, entry: &Value, expected_version: u64) {
+        let id = entry["id"].as_str().unwrap();
+        let body = json!({
+            "change_id": format!("{id}-after-{expected_version}"),
+            "entry": entry,
+            "expected_version": expected_version,
+        });
+        let path = format!("/v1/catalogue/{id}");
+        let is_accepted = wait_until(BOUND_MS, || {
+            let answer = self.deployment.ask_operator(control, "PUT", &path, &body);
+            answer.is_ok_and(|answer| answer.status == 200)
+        });
+        assert!(is_accepted, "{id} is accepted");
+    }
+
+    /// Sends an order to the first agent, as if a leader's bytes arrived now.
+    fn replay(&self, term: Term, sequence: u64, order: EngineOrder) -> OrderReply {
+        let address = self.deployment.node(AGENT).process.address("rpc");
+        let fencing = FencingNumber { term, sequence };
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .unwrap();
+        runtime.block_on(send_order(address, OrderRequest { fencing, order }))
+    }
+}
+
+async fn send_order(address: SocketAddr, request: OrderRequest) -> OrderReply {
+    let transport = connect_transport(address, ServiceKind::Agent, BOUND_MS).await;
+    let config = tarpc::client::Config::default();
+    let client = AgentServiceClient::new(config, transport.unwrap()).spawn();
+    let mut context = tarpc::context::current();
+    context.deadline = Instant::now() + Duration::from_millis(BOUND_MS);
+    client.order(context, request).await.unwrap()
+}
+
+fn draft_entry(version: &str, replicas: u32) -> Value {
+    let mut entry = engine_entry("draft", "patient_draft", "draft", version);
+    entry["placement"]["replicas"] = json!(replicas);
+    entry
+}
+
+#[test]
+fn a_new_entrys_model_is_loaded_in_every_zone_and_serves() {
+    let mut system = OrderSystem::start(1, 2, false);
+    system
+        .deployment
+        .start_entry("entry-0", "zone-0", &json!({}));
+    system.deployment.put(&draft_entry("v1", 2), 0);
+    for engine in 0..2 {
+        system.await_loaded(engine, &[("other", "v1"), ("draft", "v1")]);
+    }
+    system.deployment.await_models("entry-0", 1);
+    let draft = Draft::new("loaded by order", 40);
+    let mut reader = open_draft(&system.deployment, "entry-0", &draft);
+    assert_eq!(reader.read_to_end(), End::Done);
+    assert_eq!(reader.text, draft.expected());
+}
+
+#[test]
+fn another_version_is_loaded_and_the_old_one_finishes_what_it_has() {
+    let mut system = OrderSystem::start(1, 1, false);
+    system
+        .deployment
+        .start_entry("entry-0", "zone-0", &json!({}));
+    system.deployment.put(&draft_entry("v1", 1), 0);
+    system.await_loaded(0, &[("other", "v1"), ("draft", "v1")]);
+    system.deployment.await_models("entry-0", 1);
+    let draft = Draft::new("pinned", LONG_TOKENS);
+    let mut reader = open_draft(&system.deployment, "entry-0", &draft);
+    reader.read_bytes(20);
+    system.deployment.put(&draft_entry("v2", 1), 1);
+    let v2 = model_target("draft", "v2");
+    let is_loaded = wait_until(BOUND_MS, || system.loaded(0).contains(&v2));
+    assert!(is_loaded, "engine holds {:?}", system.loaded(0));
+    assert_eq!(reader.read_to_end(), End::Done);
+    assert_eq!(reader.text, draft.expected());
+    let v1 = model_target("draft", "v1");
+    let is_unloaded = wait_until(BOUND_MS, || !system.loaded(0).contains(&v1));
+    assert!(is_unloaded, "engine holds {:?}", system.loaded(0));
+}
+
+fn check_thawed_leader(is_checking: bool) {
+    let mut system = OrderSystem::start(3, 1, is_checking);
+    let (former, former_term) = system.leader(None);
+    // The former leader wants to load v1 and finds no way, until it is paused.
+    system.deployment.node(AGENT).proxy.set_mode(ProxyMode::Cut);
+    system.put_at(&former, &draft_entry("v1", 1), 0);
+    system.deployment.node_mut(&former).process.pause().unwrap();
+    let (next, next_term) = system.leader(Some(&former));
+    assert!(next_term > former_term);
+    system.put_at(&next, &draft_entry("v2", 1), 1);
+    system
+        .deployment
+        .node(AGENT)
+        .proxy
+        .set_mode(ProxyMode::Pass);
+    let v2 = model_target("draft", "v2");
+    let is_loaded = wait_until(BOUND_MS, || system.loaded(0).contains(&v2));
+    assert!(is_loaded, "engine holds {:?}", system.loaded(0));
+    system
+        .deployment
+        .node_mut(&former)
+        .process
+        .resume()
+        .unwrap();
+    let is_in_line = wait_until(BOUND_MS, || system.led_term(&former).is_none());
+    assert!(is_in_line, "the former leader notices");
+    // Its bytes may also have been on their way all the time.
+    let late = EngineOrder::Load(model_target("draft", "v1"));
+    let reply = system.replay(former_term, 1_000, late);
+    assert_matches!(reply, OrderReply::Fenced(highest) if highest.term >= next_term);
+    let last = engine_entry("last", "patient_draft", "last", "v1");
+    system.put_at(&next, &last, 0);
+    let expected = [("other", "v1"), ("draft", "v2"), ("last", "v1")];
+    let expected = expected.map(|it| model_target(it.0, it.1));
+    let last = &expected[2];
+    wait_until(BOUND_MS, || system.loaded(0).contains(last));
+    let v1 = model_target("draft", "v1");
+    let loaded = system.loaded(0);
+    assert!(loaded.contains(last), "engine holds {loaded:?}");
+    assert!(!loaded.contains(&v1), "engine holds {loaded:?}");
+}
+
+#[test]
+fn a_thawed_leaders_order_does_not_reach_an_engine_that_ignores_the_number() {
+    check_thawed_leader(false);
+}
+
+#[test]
+fn a_thawed_leaders_order_does_not_reach_an_engine_that_checks_the_number() {
+    check_thawed_leader(true);
+}
+
+#[test]
+fn a_restarted_agent_passes_no_order_from_before() {
+    let mut system = OrderSystem::start(1, 1, false);
+    system.deployment.put(&draft_entry("v1", 1), 0);
+    system.await_loaded(0, &[("other", "v1"), ("draft", "v1")]);
+    let (control, term) = system.leader(None);
+    let taken = system.orders_taken(0);
+    system.deployment.node_mut(AGENT).process.kill();
+    system
+        .deployment
+        .node(&control)
+        .proxy
+        .set_mode(ProxyMode::Cut);
+    system.deployment.restart(AGENT);
+    let old = || EngineOrder::Unload(model_target("draft", "v1"));
+    // Without a leader to ask the agent can't know which numbers are old.
+    let mut reply = system.replay(term, 1, old());
+    assert_eq!(reply, OrderReply::Refused(OrderRefusal::Closed));
+    system
+        .deployment
+        .node(&control)
+        .proxy
+        .set_mode(ProxyMode::Pass);
+    let is_open = wait_until(BOUND_MS, || {
+        reply = system.replay(term, 1, old());
+        reply != OrderReply::Refused(OrderRefusal::Closed)
+    });
+    assert!(is_open, "the agent learns the highest number");
+    assert_matches!(reply, OrderReply::Fenced(_));
+    assert_eq!(system.orders_taken(0), taken, "nothing reached the engine");
+    let last = engine_entry("last", "patient_draft", "last", "v1");
+    system.deployment.put(&last, 0);
+    let last = model_target("last", "v1");
+    let is_loaded = wait_until(BOUND_MS, || system.loaded(0).contains(&last));
+    assert!(is_loaded, "new orders pass: {:?}", system.loaded(0));
+}
--- a/crates/masticsill/tests/system/main.rs
+++ b/crates/masticsill/tests/system/main.rs
@@ -3,6 +3,7 @@
 mod calls_once;
 mod control_losses;
 mod double_losses;
+mod engine_orders;
 mod lost_entries;
 mod planned_stops;
 mod single_losses;
--- a/crates/masticsill/tests/system/support.rs
+++ b/crates/masticsill/tests/system/support.rs
@@ -84,13 +84,7 @@
     }
 
     pub(crate) fn open(&self, entry: &str, request: &Draft) -> Reader {
-        let call = CallerRequest::post(
-            self.deployment.http(entry),
-            "/v1/completions",
-            &request.body(),
-        );
-        let call = call.idempotency_key(&request.prompt);
-        self.open_call(call)
+        open_draft(&self.deployment, entry, request)
     }
 
     pub(crate) fn reopen(&self, entry: &str, request: &Draft, last_id: &str) -> Reader {
@@ -100,16 +94,23 @@
             &request.body(),
         );
         let call = call.idempotency_key(&request.prompt).last_event_id(last_id);
-        self.open_call(call)
+        open_call(&self.deployment, call)
     }
+}
 
-    fn open_call(&self, call: CallerRequest) -> Reader {
-        let stream = self.deployment.caller().open(call, BOUND_MS);
-        Reader {
-            last_id: String::new(),
-            stream: stream.expect("the entry answers"),
-            text: String::new(),
-        }
+/// Asks an entry for a draft.
+pub(crate) fn open_draft(deployment: &Deployment, entry: &str, request: &Draft) -> Reader {
+    let address = deployment.http(entry);
+    let call = CallerRequest::post(address, "/v1/completions", &request.body());
+    open_call(deployment, call.idempotency_key(&request.prompt))
+}
+
+fn open_call(deployment: &Deployment, call: CallerRequest) -> Reader {
+    let stream = deployment.caller().open(call, BOUND_MS);
+    Reader {
+        last_id: String::new(),
+        stream: stream.expect("the entry answers"),
+        text: String::new(),
     }
 }
 
