--- a/crates/masticsill_agent/src/orders/send.rs
+++ b/crates/masticsill_agent/src/orders/send.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use masticsill_runtime::is_unsent;
 use masticsill_types::{ModelTarget, log_event};
 use masticsill_wire::agent::{OrderRefusal, OrderReply};
 use masticsill_wire::engine::{EngineOrder, OrderBody};
@@ -12,7 +13,7 @@
 
 use super::OrderCommand;
 use crate::endpoint_duty::Runs;
-use crate::engine_poll::is_unsent;
+
 use crate::events;
 
 /// How long an engine may take to load, in milliseconds.
