Prove that a new leader loads nothing beside its predecessor's load

Cause: 'never all replicas of a model at once' was shown for one leader only. Ruled out: pausing the engine's process (the agent then judges it frozen and refuses the order). Change: the fake engine holds orders back on demand (POST /fault {"hold_orders": true}) and counts them; the leader's proof moved into masticsill_orders, with a table of cases. Conclusion: a successor learns from the agents what is under way before its first order.

--- a/crates/masticsill/tests/system/engine_orders.rs
+++ b/crates/masticsill/tests/system/engine_orders.rs
@@ -69,9 +69,17 @@
         models.map(|it: LoadedModels| it.loaded).unwrap()
     }
 
-    fn orders_taken(&self, engine: usize) -> u64 {
-        let stats = serde_json::from_value(self.get(engine, "/stats"));
-        stats.map(|it: EngineStats| it.orders_accepted).unwrap()
+    fn stats(&self, engine: usize) -> EngineStats {
+        serde_json::from_value(self.get(engine, "/stats")).unwrap()
+    }
+
+    /// Lets an engine load for as long as the test wants.
+    fn hold_orders(&self, engine: usize, is_holding: bool) {
+        let address = self.engines[engine].address("http");
+        let body = json!({"hold_orders": is_holding});
+        let request = CallerRequest::post(address, "/fault", &body);
+        let answer = self.deployment.caller().call(request, BOUND_MS).unwrap();
+        assert_eq!(answer.status, 200);
     }
 
     fn await_loaded(&self, engine: usize, names: &[(&str, &str)]) {
@@ -241,7 +249,7 @@
     system.deployment.put(&draft_entry("v1", 1), 0);
     system.await_loaded(0, &[("other", "v1"), ("draft", "v1")]);
     let (control, term) = system.leader(None);
-    let taken = system.orders_taken(0);
+    let taken = system.stats(0).orders_accepted;
     system.deployment.node_mut(AGENT).process.kill();
     system
         .deployment
@@ -264,10 +272,47 @@
     });
     assert!(is_open, "the agent learns the highest number");
     assert_matches!(reply, OrderReply::Fenced(_));
-    assert_eq!(system.orders_taken(0), taken, "nothing reached the engine");
+    assert_eq!(
+        system.stats(0).orders_accepted,
+        taken,
+        "nothing reached the engine"
+    );
     let last = engine_entry("last", "patient_draft", "last", "v1");
     system.deployment.put(&last, 0);
     let last = model_target("last", "v1");
     let is_loaded = wait_until(BOUND_MS, || system.loaded(0).contains(&last));
     assert!(is_loaded, "new orders pass: {:?}", system.loaded(0));
 }
+
+#[test]
+fn a_new_leader_loads_nothing_beside_its_predecessors_load() {
+    let mut system = OrderSystem::start(3, 2, false);
+    for engine in 0..2 {
+        system.hold_orders(engine, true);
+    }
+    let (former, _) = system.leader(None);
+    system.put_at(&former, &draft_entry("v1", 2), 0);
+    let mut loading = None;
+    wait_until(BOUND_MS, || {
+        loading = (0..2).find(|engine| system.stats(*engine).orders_held > 0);
+        loading.is_some()
+    });
+    let loading = loading.expect("an engine loads");
+    let other = 1 - loading;
+    assert_eq!(system.stats(other).orders_held, 0, "one replica at a time");
+    system.deployment.node_mut(&former).process.kill();
+    let (next, _) = system.leader(Some(&former));
+    system.hold_orders(other, false);
+    // Once this is loaded, the new leader gives orders, and `draft` would have been first.
+    let mut last = engine_entry("last", "patient_draft", "last", "v1");
+    last["placement"]["zones"] = json!([format!("zone-{other}")]);
+    system.put_at(&next, &last, 0);
+    system.await_loaded(other, &[("other", "v1"), ("last", "v1")]);
+    assert_eq!(system.stats(loading).orders_held, 1);
+    system.hold_orders(loading, false);
+    let draft = model_target("draft", "v1");
+    for engine in [loading, other] {
+        let is_loaded = wait_until(BOUND_MS, || system.loaded(engine).contains(&draft));
+        assert!(is_loaded, "engine holds {:?}", system.loaded(engine));
+    }
+}
--- a/crates/masticsill_control/src/quorum/duty.rs
+++ b/crates/masticsill_control/src/quorum/duty.rs
@@ -5,6 +5,7 @@
 
 use indexmap::IndexMap;
 use masticsill_catalogue::{Action, CommandAnswer};
+use masticsill_orders::LeaderProof;
 use masticsill_quorum::{
     Envelope, Input, LogIndex, Membership, Proposal, Replica, ReplicaSettings, Role, StoredState,
 };
@@ -16,7 +17,7 @@
 
 use super::founding::founding_members;
 use super::machine::{self, Machine, StateError};
-use super::published::{Leadership, PublishedState};
+use super::published::PublishedState;
 use super::request::{Request, Status};
 use super::storage::{StorageProgress, StorageQueue};
 use super::waiting::{Waiting, WaitingList};
@@ -292,7 +293,7 @@
         let is_ending = self.is_stopping && self.replica.membership().voters.len() == 1;
         let is_leader = self.replica.role() == Role::Leader && !is_ending;
         let current_as_of = self.replica.current_as_of(now).filter(|_| is_leader);
-        let leadership = current_as_of.map(|(_, as_of)| Leadership {
+        let leadership = current_as_of.map(|(_, as_of)| LeaderProof {
             as_of,
             term: self.replica.term(),
         });
--- a/crates/masticsill_control/src/quorum/published.rs
+++ b/crates/masticsill_control/src/quorum/published.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use masticsill_catalogue::{Catalogue, Freshness};
+use masticsill_orders::LeaderProof;
 use masticsill_types::{ClockMs, Term};
 use masticsill_wire::control::{RenewReply, RenewRequest};
 
@@ -10,15 +11,7 @@
 struct Shown {
     catalogue: Arc<Catalogue>,
     freshness: Freshness,
-    leadership: Option<Leadership>,
-}
-
-/// Proven leadership of this replica.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Leadership {
-    /// When a majority was last known to follow.
-    pub(crate) as_of: ClockMs,
-    pub(crate) term: Term,
+    leadership: Option<LeaderProof>,
 }
 
 /// What the quorum duty last published. Clones share it.
@@ -46,7 +39,7 @@
         &self,
         catalogue: &Catalogue,
         freshness: Freshness,
-        leadership: Option<Leadership>,
+        leadership: Option<LeaderProof>,
     ) {
         let is_known = self.lock().catalogue.version() == catalogue.version();
         let changed = (!is_known).then(|| Arc::new(catalogue.clone()));
@@ -59,12 +52,8 @@
     }
 
     /// The term that this replica leads within its lease.
-    ///
-    /// The lease is compared with `now`, so a process that was paused is not told what it was
-    /// before its pause.
     pub(crate) fn led_term(&self, now: ClockMs, lease_ms: u64) -> Option<Term> {
-        let leadership = self.lock().leadership?;
-        (now.since(leadership.as_of) <= lease_ms).then_some(leadership.term)
+        self.lock().leadership?.led_term(now, lease_ms)
     }
 
     /// The catalogue as applied here.
--- a/crates/masticsill_orders/src/lib.rs
+++ b/crates/masticsill_orders/src/lib.rs
@@ -6,12 +6,14 @@
 
 mod bucket;
 mod gate;
+mod leader_proof;
 mod plan;
 mod planner;
 mod seen;
 mod wanted;
 
 pub use gate::{GateRefusal, OrderGate};
+pub use leader_proof::LeaderProof;
 pub use plan::{OrderEnd, PlanLimits, PlannedOrder};
 pub use planner::LoadPlanner;
 pub use seen::EngineSeen;
--- a/crates/masticsill_orders/tests/order_gate.rs
+++ b/crates/masticsill_orders/tests/order_gate.rs
@@ -1,8 +1,8 @@
 //! What the gate before an engine lets pass.
 
 use assert_matches::assert_matches;
-use masticsill_orders::{GateRefusal, OrderGate};
-use masticsill_types::{FencingNumber, ModelId, ModelTarget, Term, VersionId};
+use masticsill_orders::{GateRefusal, LeaderProof, OrderGate};
+use masticsill_types::{ClockMs, FencingNumber, ModelId, ModelTarget, Term, VersionId};
 use masticsill_wire::engine::EngineOrder;
 
 fn number(term: u64, sequence: u64) -> FencingNumber {
@@ -79,3 +79,21 @@
     assert!(!gate.may_send(number(1, 1)));
     assert_matches!(gate.admit(number(2, 2), &load()), Ok(()));
 }
+
+#[test]
+fn a_proof_is_worth_nothing_past_the_lease() {
+    let proof = LeaderProof {
+        as_of: ClockMs(1_000),
+        term: Term(4),
+    };
+    let cases = [
+        (1_000, true),
+        (1_400, true),
+        (1_401, false),
+        (60_000, false),
+    ];
+    for (now, is_leading) in cases {
+        let led = proof.led_term(ClockMs(now), 400);
+        assert_eq!(led, is_leading.then_some(Term(4)), "at {now} ms");
+    }
+}
--- a/crates/masticsill_testkit/src/engine/batch.rs
+++ b/crates/masticsill_testkit/src/engine/batch.rs
@@ -34,6 +34,8 @@
     pub finished: u64,
     /// Orders carried out.
     pub orders_accepted: u64,
+    /// Orders held back now.
+    pub orders_held: u64,
     /// Orders refused for an old fencing number.
     pub orders_refused: u64,
     /// Tokens prefilled, without those found in the prefix cache.
@@ -74,6 +76,7 @@
     cache: PrefixCache,
     freeze_ms: u64,
     highest_fencing: FencingNumber,
+    is_holding_orders: bool,
     last_step: Option<ClockMs>,
     loaded: Vec<ModelTarget>,
     loads: VecDeque<(ClockMs, EngineLoad)>,
@@ -97,6 +100,7 @@
             cache,
             freeze_ms: 0,
             highest_fencing: FencingNumber::default(),
+            is_holding_orders: false,
             last_step: None,
             loaded: settings.loaded.clone(),
             loads: VecDeque::new(),
@@ -221,6 +225,23 @@
         self.freeze_ms = freeze_ms;
     }
 
+    /// Holds orders back, as an engine that loads for a long time, or lets them go on.
+    pub(crate) fn hold_orders(&mut self, is_holding: bool) {
+        self.is_holding_orders = is_holding;
+    }
+
+    pub(crate) fn is_holding_orders(&self) -> bool {
+        self.is_holding_orders
+    }
+
+    pub(crate) fn note_held(&mut self, is_held: bool) {
+        if is_held {
+            self.stats.orders_held += 1;
+        } else {
+            self.stats.orders_held -= 1;
+        }
+    }
+
     /// Takes the pending freeze, in milliseconds.
     pub(crate) fn take_freeze(&mut self) -> u64 {
         std::mem::take(&mut self.freeze_ms)
--- a/crates/masticsill_testkit/src/engine/http.rs
+++ b/crates/masticsill_testkit/src/engine/http.rs
@@ -19,6 +19,8 @@
 
 /// Largest request body, in bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+/// Between two looks whether held orders may go on.
+const HOLD_POLL: Duration = Duration::from_millis(5);
 
 /// A batch shared by the HTTP handlers, the step loop and the owning test.
 #[derive(Clone, Debug)]
@@ -56,6 +58,8 @@
 enum FaultBody {
     /// Stops steps and HTTP for a while.
     FreezeMs(u64),
+    /// Holds orders back until told otherwise.
+    HoldOrders(bool),
     /// Lengthens the next prefill.
     LongPrefillMs(u64),
 }
@@ -117,6 +121,7 @@
 
 #[post("/v1/orders")]
 async fn orders(batch: State<SharedBatch>, body: Json<OrderBody>) -> HttpResponse {
+    await_release(&batch).await;
     let ordered = batch.lock().order(body.into_inner());
     match ordered {
         Ok(()) => HttpResponse::Ok().finish(),
@@ -124,6 +129,17 @@
     }
 }
 
+async fn await_release(batch: &SharedBatch) {
+    if !batch.lock().is_holding_orders() {
+        return;
+    }
+    batch.lock().note_held(true);
+    while batch.lock().is_holding_orders() {
+        tokio::time::sleep(HOLD_POLL).await;
+    }
+    batch.lock().note_held(false);
+}
+
 #[get("/v1/models")]
 async fn models(batch: State<SharedBatch>) -> HttpResponse {
     HttpResponse::Ok().json(&batch.lock().models())
@@ -138,6 +154,7 @@
 async fn fault(batch: State<SharedBatch>, body: Json<FaultBody>) -> HttpResponse {
     match body.into_inner() {
         FaultBody::FreezeMs(freeze_ms) => batch.lock().freeze(freeze_ms),
+        FaultBody::HoldOrders(is_holding) => batch.lock().hold_orders(is_holding),
         FaultBody::LongPrefillMs(prefill_ms) => batch.lock().lengthen_prefill(prefill_ms),
     }
     HttpResponse::Ok().finish()
