Rename a binding that Clippy finds too similar

Cause: clippy::similar_names. Ruled out: allowing the lint. Change: one name in a test. Conclusion: none.

--- a/crates/masticsill_orders/tests/load_plan.rs
+++ b/crates/masticsill_orders/tests/load_plan.rs
@@ -210,8 +210,8 @@
             cluster.change(&mut random);
         }
         let catalogue = cluster.catalogue();
-        let seen = cluster.seen(&mut random);
-        for given in planner.step(now, &catalogue, &seen) {
+        let engines = cluster.seen(&mut random);
+        for given in planner.step(now, &catalogue, &engines) {
             match &given.order {
                 EngineOrder::Load(target) => {
                     assert!(!cluster.has(&given.agent, target), "seed {seed}");
