--- a/crates/masticsill/tests/system/main.rs
+++ b/crates/masticsill/tests/system/main.rs
@@ -5,6 +5,7 @@
 mod catalogue_force;
 mod control_losses;
 mod double_losses;
+mod engine_orders;
 mod lost_entries;
 mod operator_pages;
 mod operators;
