Let an entry come back while no replica can be asked

Ruled out: delaying the replicas' answers; a cut shows more. Change: the controls are cut while both entries come back; each refuses as stale until the heal. Counters of both engines are added up, since models may be loaded elsewhere now.

--- a/crates/masticsill/tests/system/catalogue_force.rs
+++ b/crates/masticsill/tests/system/catalogue_force.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use masticsill_testkit::{
-    AnswerSpec, CallerRequest, Deployment, EngineProcess, EngineProcessSettings, ProxyMode,
-    engine_entry, expected_text, wait_until,
+    AnswerSpec, CallerRequest, Deployment, EngineProcess, EngineProcessSettings, EngineStats,
+    ProxyMode, engine_entry, expected_text, wait_until,
 };
 use masticsill_types::{ModelId, VersionId};
 use serde_json::{Value, json};
@@ -14,6 +14,8 @@
 use crate::operators::{CONTROLS, ENTRY_PATH, change, leader, put, put_body};
 use crate::support::BOUND_MS;
 
+/// Requests to each entry while no replica can be asked.
+const ASKED_WHILE_CUT: usize = 50;
 const CHANGES_WHILE_AWAY: u64 = 300;
 const ENTRIES: [&str; 2] = ["entry-0", "entry-1"];
 const LEASE: Duration = Duration::from_secs(4);
@@ -114,6 +116,15 @@
         error
     }
 
+    /// A counter of the engines, over all of them.
+    fn count(&self, counter: impl Fn(&EngineStats) -> u64) -> u64 {
+        let caller = self.deployment.caller();
+        let stats = self.engines.iter().map(|engine| engine.stats(caller));
+        stats
+            .map(|stats| counter(&stats.expect("the engine answers")))
+            .sum()
+    }
+
     fn set_controls(&self, mode: ProxyMode) {
         for control in CONTROLS {
             self.deployment.node(control).proxy.set_mode(mode);
@@ -252,10 +263,9 @@
         assert_stale_refusal(&system.await_refusal(entry, "catalogue_stale"));
         assert!(!system.deployment.is_ready(entry));
     }
-    let stats = system.engines[0].stats(system.deployment.caller());
-    let stats = stats.expect("the engine answers");
-    assert_eq!(stats.running, 1, "the stream outlasts the lease");
-    let started = stats.started;
+    let started = system.count(|stats| stats.started);
+    let running = system.count(|stats| stats.running);
+    assert_eq!(running, 1, "the stream outlasts the lease");
     let events = stream.collect_events(BOUND_MS).expect("the stream goes on");
     let texts = events.iter().filter_map(|event| text_of(&event.data));
     assert_eq!(
@@ -263,8 +273,7 @@
         expected("long", LONG_TOKENS, "v1")
     );
     assert_eq!(events.last().expect("events came").data, "[DONE]");
-    let stats = system.engines[0].stats(system.deployment.caller());
-    assert_eq!(stats.expect("the engine answers").started, started);
+    assert_eq!(system.count(|stats| stats.started), started);
     system.set_controls(ProxyMode::Pass);
     for entry in ENTRIES {
         system.await_served(entry, &Served::Version("v1"));
@@ -325,10 +334,21 @@
         let path = "/v1/catalogue/other";
         version = accepted(change(&system.deployment, control, "PUT", path, &body));
     }
+    // No replica can be asked when both come back, only peers whose proofs have lapsed.
+    system.set_controls(ProxyMode::Cut);
     await_lapse(Instant::now());
     let process = &mut system.deployment.node_mut("entry-0").process;
     process.resume().expect("the entry runs");
     system.deployment.restart("entry-1");
+    for _ in 0..ASKED_WHILE_CUT {
+        for entry in ENTRIES {
+            let Served::Refused(error) = system.ask(entry) else {
+                panic!("{entry} served without a proof");
+            };
+            assert_stale_refusal(&error);
+        }
+    }
+    system.set_controls(ProxyMode::Pass);
     for entry in ["entry-1", "entry-0"] {
         let until_current = system.await_served(entry, &Served::Version("v2"));
         let rest = until_current.iter().filter(|answer| {
