--- a/crates/masticsill/tests/system/calls_once.rs
+++ b/crates/masticsill/tests/system/calls_once.rs
@@ -11,13 +11,13 @@
 
 use crate::support::BOUND_MS;
 
-struct CallSystem {
-    deployment: Deployment,
-    services: Vec<FakeService>,
+pub(crate) struct CallSystem {
+    pub(crate) deployment: Deployment,
+    pub(crate) services: Vec<FakeService>,
 }
 
 impl CallSystem {
-    fn start(control_count: usize, entry_count: usize, service_count: usize) -> Self {
+    pub(crate) fn start(control_count: usize, entry_count: usize, service_count: usize) -> Self {
         let mut deployment = Deployment::new(Path::new(env!("CARGO_BIN_EXE_masticsill")));
         deployment.start_controls(control_count);
         for index in 0..entry_count {
@@ -49,7 +49,7 @@
         assert!(is_served, "{}", self.deployment.node(entry).process.log());
     }
 
-    fn order(&self, entry: &str, key: &str, item: &str) -> CallerAnswer {
+    pub(crate) fn order(&self, entry: &str, key: &str, item: &str) -> CallerAnswer {
         let address = self.deployment.http(entry);
         let path = "/v1/services/tile-orders/order";
         let request = CallerRequest::post(address, path, &json!({"item": item}));
@@ -59,7 +59,7 @@
     }
 
     /// How often an order reached a service, over all services.
-    fn runs(&self, item: &str) -> u64 {
+    pub(crate) fn runs(&self, item: &str) -> u64 {
         let body = json!({"item": item}).to_string();
         let counts = self.services.iter().map(|service| {
             let stats = service.stats();
@@ -69,7 +69,7 @@
     }
 }
 
-fn outcome(answer: &CallerAnswer) -> Value {
+pub(crate) fn outcome(answer: &CallerAnswer) -> Value {
     answer.json()["error"]["outcome"].clone()
 }
 
--- a/crates/masticsill/tests/system/main.rs
+++ b/crates/masticsill/tests/system/main.rs
@@ -2,6 +2,7 @@
 
 mod bad_input;
 mod balancer_grace;
+mod calls_cut;
 mod calls_once;
 mod catalogue_force;
 mod control_losses;
