--- a/crates/masticsill/tests/proofs_table.rs
+++ b/crates/masticsill/tests/proofs_table.rs
@@ -83,13 +83,17 @@
 fn holds_test(source: &str, function: &str) -> bool {
     let head = format!("fn {function}(");
     let lines: Vec<&str> = source.lines().map(str::trim).collect();
-    let found = lines.iter().position(|line| line.starts_with(&head));
+    let is_head = |line: &&str| {
+        let line = line.strip_prefix("async ").unwrap_or(line);
+        line.starts_with(&head)
+    };
+    let found = lines.iter().position(is_head);
     found.is_some_and(|place| {
-        let attributes = lines[..place].iter().rev();
-        let mut attributes = attributes.take_while(|line| line.starts_with("#["));
-        let is_ignored = |line: &&str| line.starts_with("#[ignore");
-        let attributes: Vec<&str> = attributes.by_ref().copied().collect();
-        attributes.contains(&"#[test]") && !attributes.iter().any(is_ignored)
+        let lines = lines[..place].iter().rev();
+        let attributes: Vec<&&str> = lines.take_while(|line| line.starts_with("#[")).collect();
+        let is_test = |line: &&&str| **line == "#[test]" || line.starts_with("#[tokio::test");
+        let is_ignored = |line: &&&str| line.starts_with("#[ignore");
+        attributes.iter().any(is_test) && !attributes.iter().any(is_ignored)
     })
 }
 
@@ -127,9 +131,11 @@
 
 #[test]
 fn a_missing_or_ignored_test_is_noticed() {
-    let source = "#[test]\nfn runs() {}\n#[test]\n#[ignore]\nfn rests() {}\nfn helps() {}\n";
+    let source = "#[test]\nfn runs() {}\n#[test]\n#[ignore]\nfn rests() {}\nfn helps() {}\n\
+                  #[tokio::test]\nasync fn waits() {}\n";
     let cases = [
         ("runs", true),
+        ("waits", true),
         ("rests", false),
         ("helps", false),
         ("run", false),
