Count an agent as reached only once it has answered

What accepts a connection may stand before a dead agent (a proxy, a load balancer); the link took the accepted connection for the agent, gave it streams again, lost them, and each round counted as a failure until the wait was bounded. A connection that broke again and again was made again without a pause. Ruled out: the wait for a free slot itself: the router bounds that, and it is unbounded by failures below four. Change: a connection is proven by its first answer; one that breaks unproven is the agent's loss, followed by a pause; a lost agent is probed by an empty pull. Conclusion: reached means answered.

--- a/crates/masticsill_entry/src/link/task.rs
+++ b/crates/masticsill_entry/src/link/task.rs
@@ -84,14 +84,39 @@
     },
 }
 
+/// The connection to the agent.
+enum Connection {
+    Closed,
+    /// It brought an answer.
+    Proven(AgentServiceClient),
+    /// It was accepted, which proves nothing yet.
+    Unproven(AgentServiceClient),
+}
+
+impl Connection {
+    fn client(&self) -> Option<&AgentServiceClient> {
+        match self {
+            Self::Closed => None,
+            Self::Proven(client) | Self::Unproven(client) => Some(client),
+        }
+    }
+
+    fn prove(&mut self) {
+        if let Self::Unproven(client) = self {
+            *self = Self::Proven(client.clone());
+        }
+    }
+}
+
 struct Link<O> {
     calls: FuturesUnordered<LocalBoxFuture<'static, Done>>,
-    client: Option<AgentServiceClient>,
     commands: Ring<LinkCommand>,
     config: LinkConfig,
+    connection: Connection,
     cursors: Cursors,
     is_main_pulling: bool,
     is_lost: bool,
+    is_pausing: bool,
     meter: SilenceMeter,
     owner: O,
     starts: IndexMap<GenerationId, PullCursor>,
@@ -106,12 +131,13 @@
 ) {
     let mut link = Link {
         calls: FuturesUnordered::new(),
-        client: None,
         commands,
         config,
+        connection: Connection::Closed,
         cursors: Cursors::default(),
         is_main_pulling: false,
         is_lost: false,
+        is_pausing: false,
         meter: SilenceMeter::new(clock.now()),
         owner,
         starts: IndexMap::new(),
@@ -135,9 +161,12 @@
 
 impl<O: LinkOwner> Link<O> {
     async fn connect_if_needed(&mut self) {
-        if self.client.is_some() {
+        if self.connection.client().is_some() {
             return;
         }
+        if std::mem::take(&mut self.is_pausing) {
+            sleep(Duration::from_millis(RECONNECT_PAUSE_MS)).await;
+        }
         let transport = connect_transport(
             self.config.address,
             ServiceKind::Agent,
@@ -149,18 +178,23 @@
                 spawn_local(async move {
                     let _ = new.dispatch.await;
                 });
-                self.client = Some(new.client);
-                self.note_reached();
+                self.connection = Connection::Unproven(new.client);
+                self.meter.reset();
+                if self.is_lost {
+                    self.call_pull(Vec::new(), false);
+                }
             }
             Err(error) => {
                 self.lose(&error);
-                sleep(Duration::from_millis(RECONNECT_PAUSE_MS)).await;
             }
         }
     }
 
-    fn note_reached(&mut self) {
+    /// Notes an answer. Only that proves an agent reached: what accepts a connection may stand
+    /// before a dead one.
+    fn note_reply(&mut self) {
         self.meter.reset();
+        self.connection.prove();
         if std::mem::take(&mut self.is_lost) {
             log_event!(info, events::AGENT_REACHED, agent = self.config.agent);
             self.owner.on_reached(&self.config.agent);
@@ -192,7 +226,7 @@
                 }
                 match result {
                     Ok(reply) => self.take_reply(reply),
-                    Err(_) => self.disconnect(),
+                    Err(_) => self.break_off(),
                 }
             }
             Done::Started {
@@ -201,13 +235,13 @@
                 result,
             } => match result {
                 Ok(reply) => self.take_start(id, lineage, reply),
-                Err(_) => self.disconnect(),
+                Err(_) => self.break_off(),
             },
         }
     }
 
     fn take_reply(&mut self, reply: PullReply) {
-        self.meter.reset();
+        self.note_reply();
         for news in &reply.progress {
             self.cursors.advance(news);
         }
@@ -215,7 +249,7 @@
     }
 
     fn take_start(&mut self, id: GenerationId, lineage: Lineage, reply: StartReply) {
-        self.meter.reset();
+        self.note_reply();
         let is_awaited = self
             .starts
             .get(&id)
@@ -241,7 +275,7 @@
     }
 
     fn pull_all(&mut self) {
-        if self.is_main_pulling || self.cursors.is_empty() || self.client.is_none() {
+        if self.is_main_pulling || self.cursors.is_empty() || self.connection.client().is_none() {
             return;
         }
         self.is_main_pulling = true;
@@ -257,8 +291,18 @@
         }
     }
 
+    /// Drops a broken connection. One that never brought an answer counts as the agent's loss; one
+    /// that did is made again first.
+    fn break_off(&mut self) {
+        let is_proven = matches!(self.connection, Connection::Proven(_));
+        self.disconnect();
+        if !is_proven {
+            self.lose(&io::Error::from(io::ErrorKind::ConnectionReset));
+        }
+    }
+
     fn disconnect(&mut self) {
-        self.client = None;
+        self.connection = Connection::Closed;
         self.calls = FuturesUnordered::new();
         self.is_main_pulling = false;
         self.meter.reset();
@@ -277,6 +321,7 @@
     fn lose(&mut self, error: &io::Error) {
         self.cursors.clear();
         self.drop_commands();
+        self.is_pausing = true;
         if !std::mem::replace(&mut self.is_lost, true) {
             log_event!(
                 warn,
@@ -296,7 +341,7 @@
     }
 
     fn call_start(&mut self, request: StartRequest) {
-        let Some(client) = self.client.clone() else {
+        let Some(client) = self.connection.client().cloned() else {
             return;
         };
         let Some(segment) = request.history.last() else {
@@ -321,7 +366,7 @@
     }
 
     fn call_pull(&mut self, cursors: Vec<PullCursor>, is_main: bool) {
-        let Some(client) = self.client.clone() else {
+        let Some(client) = self.connection.client().cloned() else {
             return;
         };
         let request = PullRequest {
@@ -336,7 +381,7 @@
     }
 
     fn call_cancel(&mut self, request: CancelRequest) {
-        let Some(client) = self.client.clone() else {
+        let Some(client) = self.connection.client().cloned() else {
             return;
         };
         self.calls.push(Box::pin(async move {
