--- /dev/null
+++ b/crates/masticsill/tests/system/load_system.rs
@@ -0,0 +1,216 @@
+//! A system with more callers than slots, and how their requests ended.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::{Arc, Mutex};
+use std::thread::{self, JoinHandle};
+
+use masticsill_testkit::{
+    AnswerSpec, Caller, CallerRequest, Deployment, EngineProcess, EngineProcessSettings,
+    EngineStats, expected_text, wait_until,
+};
+use masticsill_types::{ModelId, VersionId};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+use crate::support::BOUND_MS;
+
+/// Patience for one answer under load; no verdict depends on it unless the answer never comes.
+const ANSWER_BOUND_MS: u64 = 120_000;
+const STEP_MS: u64 = 10;
+const SEED: u64 = 7;
+pub(crate) const ZONE: &str = "zone-0";
+
+/// How a request ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum End {
+    /// It was refused, not run, with a time to come back.
+    NotRun,
+    /// The whole answer came.
+    Whole,
+    /// Anything else.
+    Wrong(String),
+}
+
+/// Callers of some entries, and how their requests ended, in that order.
+pub(crate) struct Crowd {
+    caller: Caller,
+    ends: Mutex<Vec<(&'static str, End)>>,
+    entries: Vec<SocketAddr>,
+    /// What every prompt begins with.
+    prompt_start: String,
+}
+
+impl Crowd {
+    /// Sends requests of one model, each in a thread of its own, to each entry in turn.
+    pub(crate) fn send(self: &Arc<Self>, model: &'static str, count: usize, tokens: u32) -> Sent {
+        let send = |number| {
+            let crowd = Arc::clone(self);
+            thread::spawn(move || crowd.ask(model, number, tokens))
+        };
+        Sent((0..count).map(send).collect())
+    }
+
+    /// Sends a request and waits for its end.
+    pub(crate) fn ask(&self, model: &'static str, number: usize, tokens: u32) {
+        let prompt = format!("{}{model} {number}", self.prompt_start);
+        let body = json!({"model": model, "prompt": prompt, "max_tokens": tokens, "seed": SEED});
+        let address = self.entries[number % self.entries.len()];
+        let request = CallerRequest::post(address, "/v1/completions", &body);
+        let end = match self.caller.call(request, ANSWER_BOUND_MS) {
+            Ok(answer) => judge(&answer.json(), prompt, tokens),
+            Err(error) => End::Wrong(error.to_string()),
+        };
+        let mut ends = self.ends.lock().expect("no thread panics with the lock");
+        ends.push((model, end));
+    }
+
+    pub(crate) fn ends(&self) -> Vec<(&'static str, End)> {
+        let ends = self.ends.lock();
+        ends.expect("no thread panics with the lock").clone()
+    }
+
+    pub(crate) fn assert_all_whole(&self) {
+        let ends = self.ends();
+        let is_whole = |one: &(&str, End)| one.1 == End::Whole;
+        assert!(ends.iter().all(is_whole), "{ends:?}");
+    }
+}
+
+/// Requests that are open.
+pub(crate) struct Sent(Vec<JoinHandle<()>>);
+
+impl Sent {
+    pub(crate) fn join(self) {
+        for thread in self.0 {
+            thread.join().expect("a caller does not panic");
+        }
+    }
+}
+
+fn judge(told: &Value, prompt: String, max_tokens: u32) -> End {
+    let expected = expected_text(&AnswerSpec {
+        adapter: None,
+        max_tokens,
+        model: ModelId::new("draft").expect("a valid name"),
+        prompt,
+        seed: SEED,
+        version: VersionId::new("v1").expect("a valid name"),
+    });
+    let error = &told["error"];
+    if told["choices"][0]["text"] == json!(expected) {
+        End::Whole
+    } else if error["outcome"] == json!("not_run") && error["retry_after_ms"].is_u64() {
+        End::NotRun
+    } else {
+        End::Wrong(told.to_string())
+    }
+}
+
+/// Engines with one model behind agents, and entries that know all of them.
+pub(crate) struct LoadedSystem {
+    pub(crate) deployment: Deployment,
+    pub(crate) engines: Vec<EngineProcess>,
+    folder: TempDir,
+}
+
+impl LoadedSystem {
+    pub(crate) fn start(
+        entry_count: usize,
+        zones: &[&str],
+        slots: u32,
+        catalogue: &[Value],
+    ) -> Self {
+        let mut deployment = Deployment::new(Path::new(env!("CARGO_BIN_EXE_masticsill")));
+        deployment.start_controls(1);
+        for index in 0..entry_count {
+            deployment.start_entry(&format!("entry-{index}"), ZONE, &json!({}));
+        }
+        let mut system = Self {
+            deployment,
+            engines: Vec::new(),
+            folder: TempDir::new().expect("a temporary folder can be made"),
+        };
+        for (index, zone) in zones.iter().enumerate() {
+            system.add_engine(index, zone, slots);
+        }
+        for entry in catalogue {
+            system.deployment.put(entry, 0);
+        }
+        for index in 0..entry_count {
+            let entry = format!("entry-{index}");
+            system.deployment.await_models(&entry, catalogue.len());
+            system.await_nodes(&entry, entry_count);
+        }
+        system
+    }
+
+    fn add_engine(&mut self, index: usize, zone: &str, slots: u32) {
+        let settings = EngineProcessSettings {
+            model: "draft",
+            slots,
+            step_ms: STEP_MS,
+            version: "v1",
+        };
+        let log = self.folder.path().join(format!("engine-{index}.log"));
+        let engine = EngineProcess::start(settings, &log);
+        let name = format!("agent-{index}");
+        self.deployment
+            .start_engine_agent(&name, zone, engine.address(), &json!({}));
+        self.engines.push(engine);
+    }
+
+    /// Waits until an entry knows every engine's model and all entries.
+    fn await_nodes(&self, entry: &str, entry_count: usize) {
+        let entries = (0..entry_count).map(|index| (format!("entry-{index}"), 0));
+        let agents = (0..self.engines.len()).map(|index| (format!("agent-{index}"), 1));
+        let others = entries.filter(|(node, _)| node != entry);
+        let wanted: Vec<(String, usize)> = others.chain(agents).collect();
+        let is_known = wait_until(BOUND_MS, || {
+            let log = self.deployment.node(entry).process.log();
+            let has_seen = |(node, models): &(String, usize)| {
+                let (node, models) = (format!(" node={node} "), format!(" models={models}"));
+                let mut lines = log.lines();
+                lines.any(|line| line.contains(&node) && line.contains(&models))
+            };
+            wanted.iter().all(has_seen)
+        });
+        let log = self.deployment.node(entry).process.log();
+        assert!(is_known, "{entry} does not know all nodes: {log}");
+    }
+
+    pub(crate) fn crowd(&self, entry_count: usize) -> Arc<Crowd> {
+        self.crowd_with_prompt(entry_count, "")
+    }
+
+    pub(crate) fn crowd_with_prompt(&self, entry_count: usize, prompt_start: &str) -> Arc<Crowd> {
+        let address = |index| self.deployment.http(&format!("entry-{index}"));
+        Arc::new(Crowd {
+            caller: Caller::start().expect("a thread can be started"),
+            ends: Mutex::default(),
+            entries: (0..entry_count).map(address).collect(),
+            prompt_start: prompt_start.to_owned(),
+        })
+    }
+
+    /// A counter summed over living engines.
+    pub(crate) fn sum(&self, count: impl Fn(EngineStats) -> u64) -> u64 {
+        let caller = self.deployment.caller();
+        let stats = self.engines.iter().filter_map(|one| one.stats(caller));
+        stats.map(count).sum()
+    }
+
+    /// Generations that each engine took in.
+    pub(crate) fn started(&self) -> Vec<u64> {
+        let caller = self.deployment.caller();
+        let stats = self.engines.iter().map(|one| one.stats(caller));
+        stats
+            .map(|stats| stats.expect("it lives").started)
+            .collect()
+    }
+
+    pub(crate) fn await_running(&self, running: u64) {
+        let is_running = wait_until(BOUND_MS, || self.sum(|stats| stats.running) >= running);
+        assert!(is_running, "{running} generations run");
+    }
+}
--- a/crates/masticsill/tests/system/main.rs
+++ b/crates/masticsill/tests/system/main.rs
@@ -3,6 +3,7 @@
 mod calls_once;
 mod control_losses;
 mod double_losses;
+mod load_system;
 mod lost_entries;
 mod operator_pages;
 mod planned_stops;
