--- a/crates/masticsill/tests/system/main.rs
+++ b/crates/masticsill/tests/system/main.rs
@@ -6,6 +6,7 @@
 mod control_losses;
 mod double_losses;
 mod engine_orders;
+mod load_system;
 mod lost_entries;
 mod operator_pages;
 mod operators;
