--- a/crates/masticsill_bench/src/lib.rs
+++ b/crates/masticsill_bench/src/lib.rs
@@ -14,4 +14,6 @@
 pub use report::{Table, ms, us_per};
 pub use stream::{StreamLoad, StreamReport, run_streams};
 pub use system::{System, SystemSettings};
-pub use usage::{ProcessHoldings, Usage, UsageMeter, open_connection_bytes, thread_processor_us};
+pub use usage::{
+    NetworkCounters, ProcessHoldings, Usage, UsageMeter, open_connection_bytes, thread_processor_us,
+};
--- a/crates/masticsill_bench/src/usage.rs
+++ b/crates/masticsill_bench/src/usage.rs
@@ -157,3 +157,35 @@
     let end = rest.find(|character: char| !character.is_ascii_digit());
     rest[..end.unwrap_or(rest.len())].parse().ok()
 }
+
+/// What the whole network namespace has done since its start; other processes count too.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct NetworkCounters {
+    /// Bytes sent over loopback, with all headers; each is received once as well.
+    pub loopback_bytes: u64,
+    /// TCP connections opened.
+    pub opened_connections: u64,
+}
+
+impl NetworkCounters {
+    /// Reads the counters; zeroes where the kernel does not tell.
+    #[must_use]
+    pub fn read() -> Self {
+        let devices = fs::read_to_string("/proc/net/dev").unwrap_or_default();
+        let loopback = devices.lines().find(|line| line.trim().starts_with("lo:"));
+        // After the name: received bytes is column 1, sent bytes column 9.
+        let sent = loopback.and_then(|line| line.split_whitespace().nth(9));
+        let protocols = fs::read_to_string("/proc/net/snmp").unwrap_or_default();
+        let tcp = protocols
+            .lines()
+            .filter(|line| line.starts_with("Tcp:"))
+            .nth(1);
+        // After the name: active opens is column 5.
+        let opened = tcp.and_then(|line| line.split_whitespace().nth(5));
+        let parse = |text: Option<&str>| text.and_then(|text| text.parse().ok()).unwrap_or(0);
+        Self {
+            loopback_bytes: parse(sent),
+            opened_connections: parse(opened),
+        }
+    }
+}
