Join what stood twice in the callers' and operators' bodies

Cause: duplicates named the completion bodies and the change handlers. Change: Options shared by both completion bodies; read_change in the control API. Conclusion: behaviour as before.

--- a/crates/masticsill/tests/proofs_table.rs
+++ b/crates/masticsill/tests/proofs_table.rs
@@ -50,7 +50,11 @@
     let mut parts = quoted.split("::");
     let (package, file) = (parts.next()?, parts.next()?);
     let function = parts.next()?;
-    assert_eq!(parts.next(), None, "{quoted} is not `package::file::function`");
+    assert_eq!(
+        parts.next(),
+        None,
+        "{quoted} is not `package::file::function`"
+    );
     Some(TestName {
         file: file.to_owned(),
         function: function.to_owned(),
@@ -124,7 +128,12 @@
 #[test]
 fn a_missing_or_ignored_test_is_noticed() {
     let source = "#[test]\nfn runs() {}\n#[test]\n#[ignore]\nfn rests() {}\nfn helps() {}\n";
-    let cases = [("runs", true), ("rests", false), ("helps", false), ("run", false)];
+    let cases = [
+        ("runs", true),
+        ("rests", false),
+        ("helps", false),
+        ("run", false),
+    ];
     for (function, is_found) in cases {
         assert_eq!(holds_test(source, function), is_found, "{function}");
     }
--- a/crates/masticsill_control/src/http/catalogue.rs
+++ b/crates/masticsill_control/src/http/catalogue.rs
@@ -18,6 +18,7 @@
 use ntex::web::HttpResponse;
 use ntex::web::types::{Path, Query, State};
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use tokio::time::{Instant, timeout_at};
 
 use super::auth::authenticate;
@@ -172,12 +173,8 @@
     id: Path<String>,
     body: Bytes,
 ) -> HttpResponse {
-    let operator = match authenticate(&state, &request) {
-        Ok(operator) => operator,
-        Err(refusal) => return refusal,
-    };
-    let json: PutJson = match reply::parse(&body) {
-        Ok(json) => json,
+    let (operator, json) = match read_change::<PutJson>(&state, &request, &body) {
+        Ok(read) => read,
         Err(refusal) => return refusal,
     };
     let entry = match CatalogueEntry::try_from(json.entry) {
@@ -199,12 +196,8 @@
     id: Path<String>,
     body: Bytes,
 ) -> HttpResponse {
-    let operator = match authenticate(&state, &request) {
-        Ok(operator) => operator,
-        Err(refusal) => return refusal,
-    };
-    let json: DeleteJson = match reply::parse(&body) {
-        Ok(json) => json,
+    let (operator, json) = match read_change::<DeleteJson>(&state, &request, &body) {
+        Ok(read) => read,
         Err(refusal) => return refusal,
     };
     let sent = Sent {
@@ -215,6 +208,17 @@
     change(&state, operator, sent, ChangeContent::Delete).await
 }
 
+/// Who sends a change, and its body.
+fn read_change<'a, T: DeserializeOwned>(
+    state: &'a HttpState,
+    request: &HttpRequest,
+    body: &[u8],
+) -> Result<(&'a OperatorConfig, T), HttpResponse> {
+    let operator = authenticate(state, request)?;
+    let json = reply::parse(body)?;
+    Ok((operator, json))
+}
+
 /// What names a change, as sent.
 struct Sent<'a> {
     change_id: &'a str,
--- a/crates/masticsill_entry/src/http/completions.rs
+++ b/crates/masticsill_entry/src/http/completions.rs
@@ -81,7 +81,7 @@
     body: CompletionRequest,
     gateway: &Gateway,
 ) -> Result<Begun, Refusal> {
-    let is_streamed = body.stream;
+    let is_streamed = body.options.stream;
     let request = GenerationRequest::try_from(body).map_err(invalid)?;
     let key = read_key(headers)?;
     let seen = read_position(headers)?;
--- a/crates/masticsill_entry/src/openai.rs
+++ b/crates/masticsill_entry/src/openai.rs
@@ -3,12 +3,11 @@
 use masticsill_types::{FinishReason, Refusal};
 use serde::{Deserialize, Serialize};
 
-/// Body of `POST /v1/completions`. Fields that are not listed are ignored.
+/// What both completion interfaces share. Fields that are not listed are ignored.
 #[derive(Debug, Deserialize)]
-pub(crate) struct CompletionRequest {
+pub(crate) struct Options {
     pub(crate) max_tokens: Option<u32>,
     pub(crate) model: String,
-    pub(crate) prompt: String,
     pub(crate) seed: Option<u64>,
     #[serde(default)]
     pub(crate) stream: bool,
@@ -16,18 +15,21 @@
     pub(crate) top_p: Option<f64>,
 }
 
-/// Body of `POST /v1/chat/completions`. Fields that are not listed are ignored.
+/// Body of `POST /v1/completions`.
+#[derive(Debug, Deserialize)]
+pub(crate) struct CompletionRequest {
+    #[serde(flatten)]
+    pub(crate) options: Options,
+    pub(crate) prompt: String,
+}
+
+/// Body of `POST /v1/chat/completions`.
 #[derive(Debug, Deserialize)]
 pub(crate) struct ChatRequest {
     pub(crate) max_completion_tokens: Option<u32>,
-    pub(crate) max_tokens: Option<u32>,
     pub(crate) messages: Vec<ChatMessage>,
-    pub(crate) model: String,
-    pub(crate) seed: Option<u64>,
-    #[serde(default)]
-    pub(crate) stream: bool,
-    pub(crate) temperature: Option<f64>,
-    pub(crate) top_p: Option<f64>,
+    #[serde(flatten)]
+    pub(crate) options: Options,
 }
 
 /// One message of a chat.
@@ -39,14 +41,11 @@
 
 impl From<ChatRequest> for CompletionRequest {
     fn from(chat: ChatRequest) -> Self {
+        let mut options = chat.options;
+        options.max_tokens = chat.max_completion_tokens.or(options.max_tokens);
         Self {
-            max_tokens: chat.max_completion_tokens.or(chat.max_tokens),
-            model: chat.model,
+            options,
             prompt: join_messages(&chat.messages),
-            seed: chat.seed,
-            stream: chat.stream,
-            temperature: chat.temperature,
-            top_p: chat.top_p,
         }
     }
 }
--- a/crates/masticsill_entry/src/request.rs
+++ b/crates/masticsill_entry/src/request.rs
@@ -74,11 +74,12 @@
     type Error = String;
 
     fn try_from(body: CompletionRequest) -> Result<Self, Self::Error> {
-        let catalogue_entry = EntryId::new(body.model).map_err(|error| error.to_string())?;
+        let options = body.options;
+        let catalogue_entry = EntryId::new(options.model).map_err(|error| error.to_string())?;
         if body.prompt.is_empty() {
             return Err("`prompt` is empty; send at least one character".to_owned());
         }
-        let max_tokens = body.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
+        let max_tokens = options.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
         if !(1..=LARGEST_MAX_TOKENS).contains(&max_tokens) {
             return Err(format!(
                 "`max_tokens` is {max_tokens}; use 1 to {LARGEST_MAX_TOKENS}"
@@ -86,9 +87,9 @@
         }
         let sampling = Sampling {
             max_tokens,
-            seed: body.seed.unwrap_or_else(|| rand::rng().random()),
-            temperature_milli: to_thousandths("temperature", body.temperature, MAX_TEMPERATURE)?,
-            top_p_milli: to_thousandths("top_p", body.top_p, 1.0)?,
+            seed: options.seed.unwrap_or_else(|| rand::rng().random()),
+            temperature_milli: to_thousandths("temperature", options.temperature, MAX_TEMPERATURE)?,
+            top_p_milli: to_thousandths("top_p", options.top_p, 1.0)?,
         };
         Ok(Self {
             catalogue_entry,
