Prove that crossed and late answers reach nobody but their own caller

Ruled out: swapping bytes between connections: a frame names its call, so the proxy delays, holds, releases late and resets instead. Change: crossed_answers: 24 callers through two entries while three agents' connections are disturbed.

--- a/crates/masticsill/tests/system/main.rs
+++ b/crates/masticsill/tests/system/main.rs
@@ -5,6 +5,7 @@
 mod calls_once;
 mod catalogue_force;
 mod control_losses;
+mod crossed_answers;
 mod double_losses;
 mod engine_orders;
 mod load_system;
