--- a/crates/masticsill_testkit/src/deployment.rs
+++ b/crates/masticsill_testkit/src/deployment.rs
@@ -202,6 +202,16 @@
         node.proxy.set_upstream(node.process.address("rpc"));
     }
 
+    /// Deletes the data folder of a control replica that has ended.
+    ///
+    /// # Panics
+    ///
+    /// When the folder can't be deleted.
+    pub fn lose_data(&self, control: &str) {
+        let folder = self.data_folder(control);
+        std::fs::remove_dir_all(folder).expect("the folder is the test's own");
+    }
+
     /// Where callers or operators reach a node.
     #[must_use]
     pub fn http(&self, name: &str) -> SocketAddr {
