Use an agent again after it was restarted

Cause: the end of an agent's former life marked the new one as not reachable, and no link was left that could take the mark back. Late reports of a former life's link could do the same, and so could a full command ring. Ruled out: clearing the mark at each membership change, which would hide an agent that stays silent. Change: the end of a life moves streams and marks nothing; a link's reports of reach and load count for its own life only; streams leave an agent whose link can't take a command, without a mark.

--- a/crates/masticsill/tests/system/routing_load.rs
+++ b/crates/masticsill/tests/system/routing_load.rs
@@ -184,3 +184,20 @@
     assert!(refused > 0, "39 calls at once are more than one a second");
     assert_eq!(after - before, 39 - refused, "a refused call is not run");
 }
+
+#[test]
+fn a_restarted_agent_gets_work_again() {
+    let mut system = LoadedSystem::start(1, &[ZONE], 4, &[drafts()]);
+    let crowd = system.crowd(1);
+    crowd.ask("draft", 0, 5);
+    for _ in 0..2 {
+        system.deployment.node_mut("agent-0").process.kill();
+        system.deployment.restart("agent-0");
+    }
+    let is_served = wait_until(BOUND_MS, || {
+        crowd.ask("draft", 1, 5);
+        let ends = crowd.ends();
+        ends.last().is_some_and(|(_, end)| *end == End::Whole)
+    });
+    assert!(is_served, "{:?}", crowd.ends());
+}
--- a/crates/masticsill_entry/src/lib.rs
+++ b/crates/masticsill_entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod filter;
 mod http;
 mod link;
+mod link_reporter;
 mod open_work;
 mod openai;
 mod peer_service;
--- a/crates/masticsill_entry/src/sessions_duty.rs
+++ b/crates/masticsill_entry/src/sessions_duty.rs
@@ -14,10 +14,10 @@
     Action, AnswerSink, BookConfig, Endpoint, Found, Position, SessionBook, StreamItem, Submission,
 };
 use masticsill_types::{
-    ClockMs, GenerationId, GenerationSpec, Incarnation, Lineage, MonotonicClock, NodeId, Refusal,
+    ClockMs, GenerationId, GenerationSpec, Incarnation, MonotonicClock, NodeId, Refusal,
     RefusalKind, log_event,
 };
-use masticsill_wire::agent::{AttachReply, AttachRequest, CallAnswer, PullReply, StartReply};
+use masticsill_wire::agent::{AttachReply, AttachRequest, CallAnswer};
 use rand::Rng;
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
@@ -27,7 +27,8 @@
 use crate::calls::{PlainCall, run_call};
 use crate::config::EntryConfig;
 use crate::events;
-use crate::link::{LinkCommand, LinkConfig, LinkOwner, run_link};
+use crate::link::{LinkCommand, LinkConfig, run_link};
+use crate::link_reporter::LinkReporter;
 use crate::policies::{Policies, find_seat};
 use crate::search::search_holders;
 
@@ -295,28 +296,34 @@
         });
     }
 
-    /// Hands a command to an agent's link; a link that can't take it counts as lost.
+    /// Hands a command to an agent's link; streams leave an agent whose link can't take it.
     fn command(self: &Rc<Self>, agent: &NodeId, command: LinkCommand) {
         let Some(ring) = self.link(agent) else {
-            self.lose_later(agent);
+            self.leave_later(agent);
             return;
         };
         if ring.push(command).is_err() {
-            self.lose_later(agent);
+            self.leave_later(agent);
         }
     }
 
-    fn lose_later(self: &Rc<Self>, agent: &NodeId) {
+    fn leave_later(self: &Rc<Self>, agent: &NodeId) {
         let sessions = Rc::clone(self);
         let agent = agent.clone();
-        spawn_local(async move { sessions.on_lost(&agent) });
+        spawn_local(async move {
+            sessions.with_book(|book, now| book.life_ended(now, &agent));
+        });
     }
 
     fn link(self: &Rc<Self>, agent: &NodeId) -> Option<Ring<LinkCommand>> {
         if let Some(ring) = self.links.borrow().get(agent) {
             return Some(ring.clone());
         }
-        let address = self.book.borrow().endpoints().get(agent)?.address;
+        let (address, incarnation) = {
+            let book = self.book.borrow();
+            let endpoint = book.endpoints().get(agent)?;
+            (endpoint.address, endpoint.description.incarnation)
+        };
         let ring = Ring::with_capacity(LINK_RING_ITEMS);
         let config = LinkConfig {
             address,
@@ -324,7 +331,10 @@
             entry: self.config.node.clone(),
             silence_ms: self.config.silence_ms,
         };
-        let owner = Rc::clone(self);
+        let owner = LinkReporter {
+            incarnation,
+            sessions: Rc::clone(self),
+        };
         spawn_local(run_link(config, ring.clone(), self.clock, owner));
         self.links.borrow_mut().insert(agent.clone(), ring.clone());
         Some(ring)
@@ -355,33 +365,6 @@
     }
 }
 
-impl LinkOwner for Rc<Sessions> {
-    fn on_start_lost(&self, agent: &NodeId, id: GenerationId, lineage: Lineage) {
-        self.with_book(|book, now| book.start_lost(now, agent, id, lineage));
-    }
-
-    fn on_started(&self, agent: &NodeId, id: GenerationId, lineage: Lineage, reply: StartReply) {
-        self.with_book(|book, now| book.start_replied(now, agent, id, lineage, &reply));
-    }
-
-    fn on_pulled(&self, agent: &NodeId, reply: PullReply) {
-        self.with_book(|book, now| {
-            book.report(now, agent, reply.load);
-            for news in reply.progress {
-                book.progress(now, agent, news);
-            }
-        });
-    }
-
-    fn on_lost(&self, agent: &NodeId) {
-        self.with_book(|book, now| book.agent_lost(now, agent));
-    }
-
-    fn on_reached(&self, agent: &NodeId) {
-        self.with_book(|book, _| book.agent_reached(agent));
-    }
-}
-
 /// The endpoint of an agent that is not gone.
 fn to_endpoint(member: &Member) -> Option<(NodeId, Endpoint)> {
     let Role::Agent(profile) = &member.role else {
