Prove that an entry without a share refuses at once

Cause: a limit smaller than the number of entries leaves some of them nothing. Ruled out: queueing there, since no place can ever come. Conclusion: such a caller hears at once that another entry may serve it.

--- a/crates/masticsill/tests/system/routing_load.rs
+++ b/crates/masticsill/tests/system/routing_load.rs
@@ -201,3 +201,16 @@
     });
     assert!(is_served, "{:?}", crowd.ends());
 }
+
+#[test]
+fn an_entry_whose_share_of_a_limit_is_nothing_refuses_at_once() {
+    let mut entry = drafts();
+    entry["limits"] = json!({"concurrent_generations": 1});
+    let system = LoadedSystem::start(2, &[ZONE], 4, &[entry]);
+    let crowd = system.crowd(2);
+    crowd.send("draft", 2, 200).join();
+    let ends = crowd.ends().into_iter().map(|(_, end)| end);
+    let ends: Vec<End> = ends.collect();
+    assert_eq!(ends, [End::NotRun, End::Whole]);
+    assert_eq!(system.started(), [1]);
+}
