Plan loads in turn and look holders up once a step

Cause: an entry whose loads are refused took every token of the weight store; each entry's replicas were counted over all engines at every step; a new leader connected to all agents at once. Ruled out: a longer pause after a refusal alone, which grows useless with the number of engines. Change: entries take turns; Holders is listed once a step; 128 fences at once; targets that no engine holds are forgotten after their grace. Conclusion: one bad entry costs the others their turn's share, no more.

--- a/crates/masticsill_control/src/orders/duty.rs
+++ b/crates/masticsill_control/src/orders/duty.rs
@@ -15,7 +15,7 @@
 use super::session::{AgentLife, Session};
 use crate::quorum::{PublishedState, QuorumHandle};
 
-const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(100);
 /// More than the orders and fences under way at once: one an agent.
 const REPORTS: usize = 16_384;
 
--- a/crates/masticsill_control/src/orders/session.rs
+++ b/crates/masticsill_control/src/orders/session.rs
@@ -15,6 +15,8 @@
 /// How long a new leader waits at least, for its view of the members to become whole.
 const SETTLE_MS: u64 = 1_000;
 const FENCE_RETRY_MS: u64 = 500;
+/// A new leader must not open a connection to every agent at the same moment.
+const FENCES_AT_ONCE: usize = 128;
 
 /// One life of an agent, and where it listens.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -59,7 +61,11 @@
             Some(retry_at) => retry_at.is_some_and(|retry_at| retry_at <= now),
             None => !self.fenced.contains(life),
         };
-        let due: Vec<AgentLife> = lives.into_iter().filter(|life| is_due(life)).collect();
+        let being_asked = self.asked.values().filter(|it| it.is_none()).count();
+        let due = lives.into_iter().filter(is_due);
+        let due: Vec<AgentLife> = due
+            .take(FENCES_AT_ONCE.saturating_sub(being_asked))
+            .collect();
         for life in &due {
             self.asked.insert(life.clone(), None);
         }
@@ -73,9 +79,7 @@
             return;
         };
         self.asked.swap_remove(&life);
-        if let Some(order) = reply.under_way
-            && !self.is_begun
-        {
+        if let Some(order) = reply.under_way {
             self.planner.note_under_way(now, life.agent.clone(), order);
         }
         self.fenced.insert(life);
--- a/crates/masticsill_orders/src/lib.rs
+++ b/crates/masticsill_orders/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod bucket;
 mod gate;
+mod holders;
 mod leader_proof;
 mod plan;
 mod planner;
--- a/crates/masticsill_orders/src/planner.rs
+++ b/crates/masticsill_orders/src/planner.rs
@@ -8,6 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::bucket::TokenBucket;
+use crate::holders::Holders;
 use crate::plan::{OrderEnd, PlanLimits, PlannedOrder, model, target};
 use crate::seen::EngineSeen;
 use crate::wanted::{Wanted, list_named, list_wanted};
@@ -28,6 +29,8 @@
 #[derive(Clone, Debug)]
 pub struct LoadPlanner {
     bucket: TokenBucket,
+    /// The entry that was given the last load.
+    last_loaded: Option<EntryId>,
     limits: PlanLimits,
     next_load_at: ClockMs,
     paused_until: IndexMap<(NodeId, ModelTarget), ClockMs>,
@@ -43,6 +46,7 @@
     pub fn new(now: ClockMs, limits: PlanLimits, seed: u64) -> Self {
         Self {
             bucket: TokenBucket::new(now, limits.store_burst, limits.store_refill_ms),
+            last_loaded: None,
             limits,
             next_load_at: now,
             paused_until: IndexMap::new(),
@@ -53,14 +57,15 @@
         }
     }
 
-    /// Takes in an order that a predecessor gave and that has not ended.
+    /// Takes in an order that a predecessor gave and that has not ended; this planner's own order
+    /// at the same engine goes before.
     pub fn note_under_way(&mut self, now: ClockMs, agent: NodeId, order: EngineOrder) {
         let under_way = UnderWay {
             is_answered: true,
             order,
             since: now,
         };
-        self.under_way.insert(agent, under_way);
+        self.under_way.entry(agent).or_insert(under_way);
     }
 
     /// Takes in what became of an order.
@@ -92,7 +97,9 @@
         self.end_visible(now, engines);
         self.paused_until.retain(|_, until| *until > now);
         let wanted = list_wanted(catalogue);
-        self.note_shortages(now, &wanted, engines);
+        let loading = self.list_loading();
+        let holders = Holders::list(engines, &loading);
+        self.note_shortages(now, &wanted, &holders);
         self.note_unnamed(now, &wanted, engines);
         let mut planned = Vec::new();
         // An empty catalogue says nothing about what was loaded before it.
@@ -100,7 +107,7 @@
             // First, since an engine without room for both takes no load before the unload.
             self.plan_unloads(now, engines, &mut planned);
         }
-        self.plan_loads(now, &wanted, engines, &mut planned);
+        self.plan_loads(now, &wanted, engines, &holders, &mut planned);
         planned
     }
 
@@ -118,10 +125,19 @@
         });
     }
 
-    fn note_shortages(&mut self, now: ClockMs, wanted: &[Wanted<'_>], engines: &[EngineSeen]) {
+    fn list_loading(&self) -> IndexMap<NodeId, ModelTarget> {
+        let under_way = self.under_way.iter();
+        let loading = under_way.filter_map(|(agent, under_way)| match &under_way.order {
+            EngineOrder::Load(target) => Some((agent.clone(), target.clone())),
+            EngineOrder::Unload(_) => None,
+        });
+        loading.collect()
+    }
+
+    fn note_shortages(&mut self, now: ClockMs, wanted: &[Wanted<'_>], holders: &Holders<'_>) {
         let short: IndexSet<&EntryId> = wanted
             .iter()
-            .filter(|wanted| self.count(wanted, engines) < wanted.replicas)
+            .filter(|wanted| holders.count(wanted) < wanted.replicas)
             .map(|wanted| wanted.entry)
             .collect();
         self.short_since.retain(|entry, _| short.contains(entry));
@@ -143,40 +159,29 @@
         }
     }
 
-    /// Replicas that an entry has, those being loaded included.
-    fn count(&self, wanted: &Wanted<'_>, engines: &[EngineSeen]) -> usize {
-        let engines = engines.iter();
-        engines
-            .filter(|engine| wanted.allows(&engine.zone) && self.holds(engine, wanted.target))
-            .count()
-    }
-
-    fn holds(&self, engine: &EngineSeen, target: &ModelTarget) -> bool {
-        let is_loading = || match self.under_way.get(&engine.agent) {
-            Some(under_way) => matches!(&under_way.order, EngineOrder::Load(it) if it == target),
-            None => false,
-        };
-        !engine.is_leaving && (engine.has(target) || is_loading())
-    }
-
     fn plan_loads(
         &mut self,
         now: ClockMs,
         wanted: &[Wanted<'_>],
         engines: &[EngineSeen],
+        holders: &Holders<'_>,
         planned: &mut Vec<PlannedOrder>,
     ) {
-        for wanted in wanted {
+        // In turn, so that an entry whose loads are refused does not keep the others waiting.
+        let is_served = |it: &Wanted<'_>| self.last_loaded.as_ref() >= Some(it.entry);
+        let (served, next) = wanted.split_at(wanted.partition_point(is_served));
+        for wanted in next.iter().chain(served) {
             if !self.may_load(now, wanted) {
                 continue;
             }
-            let Some(engine) = self.choose(wanted, engines) else {
+            let Some(engine) = self.choose(wanted, engines, holders) else {
                 continue;
             };
             if !self.bucket.take(now) {
                 return;
             }
             self.next_load_at = now + self.random.random_range(0..=self.limits.jitter_ms);
+            self.last_loaded = Some(wanted.entry.clone());
             let order = EngineOrder::Load(wanted.target.clone());
             self.give(now, &engine.agent, order, planned);
         }
@@ -198,31 +203,24 @@
         &mut self,
         wanted: &Wanted<'_>,
         engines: &'a [EngineSeen],
+        holders: &Holders<'_>,
     ) -> Option<&'a EngineSeen> {
-        // Another entry's load in this very step may have filled the shortage.
-        if self.count(wanted, engines) >= wanted.replicas {
-            return None;
-        }
-        let start = self.random.random::<u32>() as usize;
-        let is_free = |engine: &&EngineSeen| {
+        let is_candidate = |engine: &&EngineSeen| {
             wanted.allows(&engine.zone)
+                && !engine.has(wanted.target)
                 && self.is_free(engine, wanted.target)
-                && !self.holds(engine, wanted.target)
         };
-        let in_zone = |engine: &EngineSeen| {
-            let same_zone = engines.iter().filter(|other| other.zone == engine.zone);
-            let holders = same_zone.filter(|other| self.holds(other, wanted.target));
-            holders.count()
-        };
-        let mut candidates: Vec<&EngineSeen> = engines.iter().filter(is_free).collect();
+        let mut candidates: Vec<&EngineSeen> = engines.iter().filter(is_candidate).collect();
         if candidates.is_empty() {
             return None;
         }
         // Of equals the first is taken: which one that is, chance decides.
-        let first = start % candidates.len();
+        let first = self.random.random_range(0..candidates.len());
         candidates.rotate_left(first);
-        let candidates = candidates.into_iter();
-        candidates.min_by_key(|engine| (in_zone(engine), engine.loaded.len()))
+        candidates.into_iter().min_by_key(|engine| {
+            let in_zone = holders.count_in_zone(wanted.target, &engine.zone);
+            (in_zone, engine.loaded.len())
+        })
     }
 
     fn is_free(&self, engine: &EngineSeen, target: &ModelTarget) -> bool {
@@ -248,7 +246,13 @@
             if self.is_model_busy(&target.model) {
                 continue;
             }
-            let mut holders = engines.iter().filter(|engine| engine.has(&target));
+            let holders = engines.iter().filter(|engine| engine.has(&target));
+            let holders: Vec<&EngineSeen> = holders.collect();
+            if holders.is_empty() {
+                self.unnamed_since.swap_remove(&target);
+                continue;
+            }
+            let mut holders = holders.into_iter();
             if let Some(engine) = holders.find(|engine| self.is_free(engine, &target)) {
                 let order = EngineOrder::Unload(target);
                 self.give(now, &engine.agent, order, planned);
--- a/crates/masticsill_orders/tests/load_plan.rs
+++ b/crates/masticsill_orders/tests/load_plan.rs
@@ -140,6 +140,28 @@
     assert_eq!(load[0].order, EngineOrder::Load(target("draft", "v2")));
 }
 
+#[test]
+fn an_entry_whose_loads_are_refused_keeps_no_other_waiting() {
+    let limits = PlanLimits {
+        loads_at_once: 1,
+        refused_pause_ms: 0,
+        ..eager()
+    };
+    let catalogue = catalogue(&[entry("bad", "v1", 1, &[]), entry("good", "v1", 1, &[])]);
+    let engines = [engine("a1", "a", &[])];
+    let mut planner = planner(limits);
+    let mut models = Vec::new();
+    for now in 1..=2 {
+        let given = planner.step(ClockMs(now), &catalogue, &engines);
+        let EngineOrder::Load(target) = &given[0].order else {
+            panic!("nothing is loaded that could be unloaded");
+        };
+        models.push(target.model.as_str().to_owned());
+        planner.note_end(ClockMs(now), given[0].clone(), OrderEnd::Refused);
+    }
+    assert_eq!(models, ["bad", "good"]);
+}
+
 #[test]
 fn nothing_is_unloaded_before_the_first_entry() {
     let engines = [engine("a1", "a", &[("draft", "v1")])];
