Make the successor's test see a second load for certain

Ruled out: naming the engine that the planner has to choose. Change: a second barrier entry; loads take turns, so the model had its own in between.

--- a/crates/masticsill/tests/system/engine_orders.rs
+++ b/crates/masticsill/tests/system/engine_orders.rs
@@ -303,11 +303,15 @@
     system.deployment.node_mut(&former).process.kill();
     let (next, _) = system.leader(Some(&former));
     system.hold_orders(other, false);
-    // Once this is loaded, the new leader gives orders, and `draft` would have been first.
-    let mut last = engine_entry("last", "patient_draft", "last", "v1");
-    last["placement"]["zones"] = json!([format!("zone-{other}")]);
-    system.put_at(&next, &last, 0);
-    system.await_loaded(other, &[("other", "v1"), ("last", "v1")]);
+    // Loads take turns, so between these two `draft` had its own.
+    let mut expected = vec![("other", "v1")];
+    for model in ["last", "later"] {
+        let mut entry = engine_entry(model, "patient_draft", model, "v1");
+        entry["placement"]["zones"] = json!([format!("zone-{other}")]);
+        system.put_at(&next, &entry, 0);
+        expected.push((model, "v1"));
+        system.await_loaded(other, &expected);
+    }
     assert_eq!(system.stats(loading).orders_held, 1);
     system.hold_orders(loading, false);
     let draft = model_target("draft", "v1");
