Ask the agent that a returning caller's position names first

Cause: docs/CAPACITY.md names the search for a lost entry's record as the first part to give way: each returning caller made its entry ask every agent and entry. Ruled out: a directory of records: one more copy to keep right; a hint in the event id costs nothing and may be wrong without harm. Change: the event id carries a hash of the agent's name; that agent is asked first, all others only if it can't continue the answer.

--- a/crates/masticsill_entry/src/search.rs
+++ b/crates/masticsill_entry/src/search.rs
@@ -8,7 +8,7 @@
 use futures::stream::FuturesUnordered;
 use masticsill_membership::{MemberState, Role};
 use masticsill_runtime::connect_transport;
-use masticsill_session::{Found, Position};
+use masticsill_session::{Found, HolderHint, Position};
 use masticsill_types::{NodeId, TokenIndex};
 use masticsill_wire::ServiceKind;
 use masticsill_wire::agent::{
@@ -32,10 +32,24 @@
     Entry(SocketAddr),
 }
 
-/// Asks every agent and entry at once, and takes the best record that contains what the caller
-/// saw. An agent's record is preferred to an entry's, because its engine goes on.
+/// Asks the agent that the caller's position hints at, and if it can't continue the answer, every
+/// other agent and entry at once.
 pub(crate) async fn search_holders(sessions: &Rc<Sessions>, position: Position) -> Found {
-    let asked: FuturesUnordered<_> = list_holders(sessions)
+    let is_hinted = |holder: &Holder| match holder {
+        Holder::Agent(agent, _) => HolderHint::from(agent) == position.holder,
+        Holder::Entry(_) => false,
+    };
+    let (hinted, others) = list_holders(sessions).into_iter().partition(is_hinted);
+    match ask_holders(sessions, hinted, position).await {
+        Found::Nowhere => ask_holders(sessions, others, position).await,
+        found => found,
+    }
+}
+
+/// Asks holders at once, and takes the best record that contains what the caller saw. An agent's
+/// record is preferred to an entry's, because its engine goes on.
+async fn ask_holders(sessions: &Rc<Sessions>, holders: Vec<Holder>, position: Position) -> Found {
+    let asked: FuturesUnordered<_> = holders
         .into_iter()
         .map(|holder| ask_holder(sessions, holder, position))
         .collect();
--- a/crates/masticsill_session/src/book.rs
+++ b/crates/masticsill_session/src/book.rs
@@ -14,7 +14,7 @@
 
 use crate::caller::{AnswerSink, Caller, Delivery};
 use crate::endpoint::{Endpoint, EndpointTable};
-use crate::position::Position;
+use crate::position::{HolderHint, Position};
 use crate::session::{Phase, Session};
 use crate::work::describe_work;
 
@@ -346,6 +346,7 @@
                     lineage: session.record.lineage(),
                     next_index: session.record.next_index(),
                 };
+                session.holder = HolderHint::from(&agent);
                 session.phase = Phase::Following(agent.clone());
                 let request = describe_work(session);
                 self.router.adopt(now, &request, &agent);
@@ -372,7 +373,7 @@
         let Some(caller) = &mut session.caller else {
             return;
         };
-        match caller.deliver(&session.record) {
+        match caller.deliver(&session.record, session.holder) {
             Delivery::Open => {}
             Delivery::Complete | Delivery::Gone => {
                 session.caller = None;
--- a/crates/masticsill_session/src/caller.rs
+++ b/crates/masticsill_session/src/caller.rs
@@ -6,7 +6,7 @@
 use masticsill_generation::{Record, Utf8Assembler};
 use masticsill_types::{AttemptState, FinishReason, Refusal, TokenIndex};
 
-use crate::position::Position;
+use crate::position::{HolderHint, Position};
 
 /// What a caller's connection is given to write.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -61,6 +61,7 @@
 #[derive(Debug)]
 pub(crate) struct Caller {
     assembler: Utf8Assembler,
+    holder: HolderHint,
     is_ended: bool,
     next_fed: TokenIndex,
     pending: VecDeque<StreamItem>,
@@ -72,6 +73,7 @@
     pub(crate) fn new(sink: Box<dyn AnswerSink>, next_index: TokenIndex) -> Self {
         Self {
             assembler: Utf8Assembler::starting_at(next_index),
+            holder: HolderHint::default(),
             is_ended: false,
             next_fed: next_index,
             pending: VecDeque::new(),
@@ -79,9 +81,10 @@
         }
     }
 
-    /// Hands over what the record has and the ring has room for.
-    pub(crate) fn deliver(&mut self, record: &Record) -> Delivery {
+    /// Hands over what the record has and the sink has room for; `holder` is who runs it now.
+    pub(crate) fn deliver(&mut self, record: &Record, holder: HolderHint) -> Delivery {
         if self.flush() == Delivery::Open && self.pending.is_empty() && !self.is_ended {
+            self.holder = holder;
             self.feed(record);
         }
         self.flush()
@@ -147,6 +150,7 @@
     fn position(&self, record: &Record) -> Position {
         let next_index = self.assembler.next_index();
         Position {
+            holder: self.holder,
             id: record.id(),
             lineage: record.lineage_before(next_index),
             next_index,
--- a/crates/masticsill_session/src/lib.rs
+++ b/crates/masticsill_session/src/lib.rs
@@ -16,4 +16,4 @@
 pub use book::{Action, BookConfig, Found, SessionBook, Submission};
 pub use caller::{AnswerSink, StreamItem};
 pub use endpoint::{Endpoint, EndpointTable};
-pub use position::{Position, PositionError};
+pub use position::{HolderHint, Position, PositionError};
--- a/crates/masticsill_session/src/placing.rs
+++ b/crates/masticsill_session/src/placing.rs
@@ -5,6 +5,7 @@
 
 use crate::book::{Action, RETRY_AFTER_MS, SessionBook};
 use crate::endpoint::EndpointTable;
+use crate::position::HolderHint;
 use crate::session::{Phase, Session};
 use crate::work::describe_work;
 
@@ -68,6 +69,7 @@
         let request = session.record.start_request(self.config.node.clone());
         session.attempt_from = session.record.next_index();
         session.phase = Phase::Starting(agent.clone());
+        session.holder = HolderHint::from(&agent);
         self.actions.push(Action::Start(agent, Box::new(request)));
     }
 
--- a/crates/masticsill_session/src/position.rs
+++ b/crates/masticsill_session/src/position.rs
@@ -1,16 +1,34 @@
 //! The place in an answer that a caller names when it comes back.
 
 use std::fmt;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::str::FromStr;
 
-use masticsill_types::{Attempt, GenerationId, Lineage, OwnerEpoch, TokenIndex};
+use masticsill_types::{Attempt, GenerationId, Lineage, NodeId, OwnerEpoch, TokenIndex};
+
+/// Which agent ran a generation, as a hash of its name.
+///
+/// It only says whom to ask first: a wrong or old hint costs time, never correctness.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct HolderHint(pub u32);
+
+impl From<&NodeId> for HolderHint {
+    fn from(agent: &NodeId) -> Self {
+        let mut hasher = DefaultHasher::new();
+        agent.hash(&mut hasher);
+        let upper_half = hasher.finish() >> u32::BITS;
+        Self(u32::try_from(upper_half).expect("half of 64 bits fits 32 bits"))
+    }
+}
 
 /// A point of an answer: everything before `next_index` was received, the last of it under
 /// `lineage`.
 ///
-/// As text, the `id` of a server-sent event: `GENERATION-EPOCH.ATTEMPT.NEXT_INDEX`.
+/// As text, the `id` of a server-sent event: `GENERATION-EPOCH.ATTEMPT.NEXT_INDEX.HOLDER`.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Position {
+    /// Who ran the generation when the last token was handed over.
+    pub holder: HolderHint,
     /// The generation.
     pub id: GenerationId,
     /// Who produced the last token received.
@@ -37,8 +55,8 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             formatter,
-            "{}-{}.{}",
-            self.id, self.lineage, self.next_index
+            "{}-{}.{}.{:x}",
+            self.id, self.lineage, self.next_index, self.holder.0
         )
     }
 }
@@ -48,12 +66,15 @@
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let (id, rest) = text.split_once('-').ok_or(PositionError)?;
-        let mut numbers = rest.splitn(3, '.');
+        let mut numbers = rest.splitn(4, '.');
         let epoch = parse_next::<u64>(&mut numbers)?;
         let attempt = parse_next::<u32>(&mut numbers)?;
         let next_index = parse_next::<u32>(&mut numbers)?;
+        let holder = numbers.next().ok_or(PositionError)?;
+        let holder = u32::from_str_radix(holder, 16).map_err(|_| PositionError)?;
         let id = u128::from_str_radix(id, 16).map_err(|_| PositionError)?;
         Ok(Self {
+            holder: HolderHint(holder),
             id: GenerationId(id),
             lineage: Lineage {
                 epoch: OwnerEpoch(epoch),
--- a/crates/masticsill_session/src/session.rs
+++ b/crates/masticsill_session/src/session.rs
@@ -6,6 +6,7 @@
 use masticsill_types::{Class, ClockMs, NodeId, Refusal, TokenIndex};
 
 use crate::caller::Caller;
+use crate::position::HolderHint;
 
 /// Where the current attempt of a session stands.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -33,6 +34,8 @@
     pub(crate) failed_at: Option<NodeId>,
     /// Whether the router has admitted it, so that its limits have counted it.
     pub(crate) is_admitted: bool,
+    /// Who ran the latest attempt.
+    pub(crate) holder: HolderHint,
     /// Whether any attempt may have reached an engine; if not, a refusal is *not run*.
     pub(crate) is_dispatched: bool,
     /// Whether it waits for the first endpoint that can serve it, outside the router's queue.
@@ -61,6 +64,7 @@
             caller: Some(caller),
             failed_at: None,
             failures: 0,
+            holder: HolderHint::default(),
             is_admitted: false,
             is_dispatched: false,
             is_parked: false,
--- a/crates/masticsill_session/tests/sessions/caller_return.rs
+++ b/crates/masticsill_session/tests/sessions/caller_return.rs
@@ -1,6 +1,6 @@
 //! Callers that leave, come back, or come back through another entry.
 
-use masticsill_session::{Action, Found};
+use masticsill_session::{Action, Found, HolderHint};
 use masticsill_types::{AttemptState, Lineage, RefusalKind, RefusedOutcome};
 use masticsill_wire::agent::{AttachReply, AttachRequest};
 
@@ -156,3 +156,13 @@
     let actions = world.book.take_actions();
     assert_matches!(actions.as_slice(), [Action::Unfollow(_, _)]);
 }
+
+#[test]
+fn a_position_names_the_agent_that_runs_the_generation() {
+    let mut world = World::new();
+    let sink = FakeSink::new(100);
+    let started = follow_two_tokens(&mut world, &sink);
+    let position = sink.position();
+    assert_eq!(position.holder, HolderHint::from(&started.0));
+    assert_eq!(position.to_string().parse(), Ok(position));
+}
