Answer a call at once, and record its end beside it

Cause: the caller of a call that ran waited for the quorum to record the end: up to 4 s without a leader, though its answer was there. Ruled out: leaving the end unrecorded: a repeat after the agent's loss would then be told that the outcome is unknown. Change: the end is recorded by a task of its own. Conclusion: a repeat that comes before the record asks the agent, as before.

--- a/crates/masticsill_entry/src/calls.rs
+++ b/crates/masticsill_entry/src/calls.rs
@@ -16,6 +16,7 @@
 use masticsill_wire::agent::{BuryRequest, CallAnswer, CallReply, CallRequest};
 use rand::Rng;
 use tarpc::context;
+use tokio::task::spawn_local;
 
 use crate::call_place::{Place, no_endpoint};
 use crate::control_client::{ClaimCommand, send_command};
@@ -139,11 +140,11 @@
         place.end(sessions, outcome_of(&reply));
         let refusal = match reply {
             CallReply::Answered(answer) => {
-                settle(sessions, call.id, version, answered(&answer)).await;
+                settle(sessions, call.id, version, answered(&answer));
                 return Ok(answer);
             }
             CallReply::OutcomeUnknown => {
-                settle(sessions, call.id, version, CallEnd::OutcomeUnknown).await;
+                settle(sessions, call.id, version, CallEnd::OutcomeUnknown);
                 return Err(unknown());
             }
             CallReply::NotRun(refusal) => refusal,
@@ -155,7 +156,7 @@
             None
         };
         let Some(next) = next else {
-            settle(sessions, call.id, version, CallEnd::NotRun).await;
+            settle(sessions, call.id, version, CallEnd::NotRun);
             return Err(refusal);
         };
         (place, version) = reassign(sessions, call, next, version).await?;
@@ -220,7 +221,7 @@
         Some(CallEnd::NotRun) => {}
         None => match bury(sessions, call.id, &record.agent).await {
             CallReply::Answered(answer) => {
-                settle(sessions, call.id, record.version, answered(&answer)).await;
+                settle(sessions, call.id, record.version, answered(&answer));
                 return Ok(TakenOver::Answered(answer));
             }
             CallReply::OutcomeUnknown => return Err(unknown()),
@@ -257,10 +258,15 @@
     Err(refusal)
 }
 
-/// Records a call's end; if no leader takes it, a repeat asks the agent instead.
-async fn settle(sessions: &Rc<Sessions>, id: GenerationId, version: u64, end: CallEnd) {
+/// Records a call's end, without letting the caller wait for it.
+///
+/// If no leader takes it, or this entry dies before, a repeat asks the agent instead.
+fn settle(sessions: &Rc<Sessions>, id: GenerationId, version: u64, end: CallEnd) {
     let command = ClaimCommand::Settle(Settle { end, id, version });
-    let _ = send_command(&sessions.mesh, &command).await;
+    let mesh = sessions.mesh.clone();
+    spawn_local(async move {
+        let _ = send_command(&mesh, &command).await;
+    });
 }
 
 /// Sends the call under one version of its claim, never twice.
