--- a/crates/masticsill_bench/examples/slopes.rs
+++ b/crates/masticsill_bench/examples/slopes.rs
@@ -28,7 +28,16 @@
 const CHANGES_IN_FORCE: u32 = 60;
 const NODE_COUNTS: [usize; 4] = [5, 20, 60, 120];
 /// Agents and entries of one point; each pair of them has a connection and pulls of its own.
-const PAIRS: [(usize, usize); 7] = [(1, 1), (8, 1), (32, 1), (96, 1), (1, 4), (1, 16), (1, 32)];
+const PAIRS: [(usize, usize); 8] = [
+    (1, 1),
+    (8, 1),
+    (32, 1),
+    (96, 1),
+    (192, 1),
+    (1, 4),
+    (1, 16),
+    (1, 32),
+];
 const PAIR_STREAMS: u32 = 192;
 /// Longest wait for a restarted agent.
 const REJOIN_BOUND_MS: u64 = 40_000;
