Let an agent that is not there keep no new leader waiting

Ruled out: a shorter wait for silent agents, which may have a load under way. Change: an agent whose address refuses connections counts as absent: it gets no order, is asked again, and keeps no other from its orders. Silent ones are waited for as before. Conclusion: the wait is mended; that clusters mix in the mesh is not, and is reported.

--- a/crates/masticsill_control/src/orders/calls.rs
+++ b/crates/masticsill_control/src/orders/calls.rs
@@ -1,5 +1,6 @@
 //! Calls of agents.
 
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -22,6 +23,17 @@
 /// Longer than an agent waits for its engine, and less than a planner waits for an effect.
 const ORDER_TIMEOUT_MS: u64 = 110_000;
 
+/// What came of telling an agent that orders of former terms are void.
+#[derive(Debug)]
+pub(crate) enum FenceEnd {
+    /// Nobody listens at its address: the process has ended, though the members don't know yet.
+    Absent,
+    /// It refuses them from now on.
+    Fenced(FenceReply),
+    /// It did not answer, and may have an order under way.
+    Silent,
+}
+
 /// What an order needs on its way.
 #[derive(Clone, Debug)]
 pub(crate) struct Giver {
@@ -35,7 +47,7 @@
 impl Giver {
     /// Gives an order; one that could not be given counts as refused.
     pub(crate) async fn give(&self, address: SocketAddr, planned: &PlannedOrder) -> OrderEnd {
-        let Some(client) = connect(address).await else {
+        let Ok(client) = connect(address).await else {
             return OrderEnd::Refused;
         };
         let Some(sequence) = self.draw_sequence().await else {
@@ -73,27 +85,34 @@
         }
     }
 
-    /// Tells an agent that orders of former terms are void; `None` when it does not answer.
-    pub(crate) async fn fence(&self, address: SocketAddr) -> Option<FenceReply> {
+    /// Tells an agent that orders of former terms are void.
+    pub(crate) async fn fence(&self, address: SocketAddr) -> FenceEnd {
         let fencing = FencingNumber {
             term: self.term,
             sequence: 0,
         };
-        let client = connect(address).await?;
+        let client = match connect(address).await {
+            Ok(client) => client,
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => return FenceEnd::Absent,
+            Err(_) => return FenceEnd::Silent,
+        };
         let asking = client.fence(context_of(FENCE_TIMEOUT_MS), fencing);
         let bound = Duration::from_millis(FENCE_TIMEOUT_MS);
-        timeout(bound, asking).await.ok()?.ok()
+        match timeout(bound, asking).await {
+            Ok(Ok(reply)) => FenceEnd::Fenced(reply),
+            Ok(Err(_)) | Err(_) => FenceEnd::Silent,
+        }
     }
 }
 
 /// Connects to an agent. The connection ends with the client.
-async fn connect(address: SocketAddr) -> Option<AgentServiceClient> {
+async fn connect(address: SocketAddr) -> io::Result<AgentServiceClient> {
     let transport = connect_transport(address, ServiceKind::Agent, CONNECT_TIMEOUT_MS);
-    let new = AgentServiceClient::new(Config::default(), transport.await.ok()?);
+    let new = AgentServiceClient::new(Config::default(), transport.await?);
     spawn_local(async move {
         let _ = new.dispatch.await;
     });
-    Some(new.client)
+    Ok(new.client)
 }
 
 fn context_of(timeout_ms: u64) -> Context {
--- a/crates/masticsill_control/src/orders/duty.rs
+++ b/crates/masticsill_control/src/orders/duty.rs
@@ -7,11 +7,10 @@
 use masticsill_orders::{OrderEnd, PlanLimits, PlannedOrder};
 use masticsill_runtime::{Ring, ShutdownSignal};
 use masticsill_types::{MonotonicClock, Term};
-use masticsill_wire::agent::FenceReply;
 use tokio::task::spawn_local;
 use tokio::time::{MissedTickBehavior, interval};
 
-use super::calls::Giver;
+use super::calls::{FenceEnd, Giver};
 use super::session::{AgentLife, Session};
 use crate::quorum::{PublishedState, QuorumHandle};
 
@@ -22,7 +21,7 @@
 /// What a call of an agent came to.
 #[derive(Debug)]
 enum Report {
-    Fenced(AgentLife, Option<FenceReply>),
+    Fenced(AgentLife, FenceEnd),
     Ended(PlannedOrder, OrderEnd),
 }
 
@@ -62,7 +61,7 @@
         let now = self.clock.now();
         match report {
             Report::Ended(planned, end) => session.note_end(now, planned, end),
-            Report::Fenced(life, reply) => session.note_fence(now, life, reply),
+            Report::Fenced(life, end) => session.note_fence(now, life, end),
         }
     }
 
@@ -89,8 +88,8 @@
     fn spawn_fence(&self, term: Term, life: AgentLife, reports: &Ring<(Term, Report)>) {
         let (giver, reports) = (self.giver(term), reports.clone());
         spawn_local(async move {
-            let reply = giver.fence(life.address).await;
-            let _ = reports.push((term, Report::Fenced(life, reply)));
+            let end = giver.fence(life.address).await;
+            let _ = reports.push((term, Report::Fenced(life, end)));
         });
     }
 
--- a/crates/masticsill_control/src/orders/session.rs
+++ b/crates/masticsill_control/src/orders/session.rs
@@ -8,8 +8,8 @@
 use masticsill_mesh::MembershipView;
 use masticsill_orders::{EngineSeen, LoadPlanner, OrderEnd, PlanLimits, PlannedOrder};
 use masticsill_types::{ClockMs, EndpointKind, Incarnation, NodeId, Term, log_event};
-use masticsill_wire::agent::FenceReply;
 
+use super::calls::FenceEnd;
 use crate::events;
 
 /// How long a new leader waits at least, for its view of the members to become whole.
@@ -29,6 +29,8 @@
 /// What the leader of one term knows of its orders.
 #[derive(Debug)]
 pub(crate) struct Session {
+    /// Nobody listened there when it was asked last; asked again, as it may be a short cut.
+    absent: IndexSet<AgentLife>,
     /// Being asked, or not to be asked again before then.
     asked: IndexMap<AgentLife, Option<ClockMs>>,
     fenced: IndexSet<AgentLife>,
@@ -42,6 +44,7 @@
 impl Session {
     pub(crate) fn new(now: ClockMs, term: Term, limits: PlanLimits, seed: u64) -> Self {
         Self {
+            absent: IndexSet::new(),
             asked: IndexMap::new(),
             fenced: IndexSet::new(),
             is_begun: false,
@@ -56,6 +59,7 @@
     pub(crate) fn take_unfenced(&mut self, now: ClockMs, view: &MembershipView) -> Vec<AgentLife> {
         let lives: IndexSet<AgentLife> = engine_members(view).map(|it| life(it.0)).collect();
         self.fenced.retain(|life| lives.contains(life));
+        self.absent.retain(|life| lives.contains(life));
         self.asked.retain(|life, _| lives.contains(life));
         let is_due = |life: &AgentLife| match self.asked.get(life) {
             Some(retry_at) => retry_at.is_some_and(|retry_at| retry_at <= now),
@@ -72,17 +76,25 @@
         due
     }
 
-    pub(crate) fn note_fence(&mut self, now: ClockMs, life: AgentLife, reply: Option<FenceReply>) {
-        let Some(reply) = reply else {
-            log_event!(warn, events::AGENT_NOT_FENCED, agent = life.agent);
-            self.asked.insert(life, Some(now + FENCE_RETRY_MS));
-            return;
-        };
-        self.asked.swap_remove(&life);
-        if let Some(order) = reply.under_way {
-            self.planner.note_under_way(now, life.agent.clone(), order);
+    pub(crate) fn note_fence(&mut self, now: ClockMs, life: AgentLife, end: FenceEnd) {
+        self.absent.swap_remove(&life);
+        match end {
+            FenceEnd::Absent => {
+                self.asked.insert(life.clone(), Some(now + FENCE_RETRY_MS));
+                self.absent.insert(life);
+            }
+            FenceEnd::Fenced(reply) => {
+                self.asked.swap_remove(&life);
+                if let Some(order) = reply.under_way {
+                    self.planner.note_under_way(now, life.agent.clone(), order);
+                }
+                self.fenced.insert(life);
+            }
+            FenceEnd::Silent => {
+                log_event!(warn, events::AGENT_NOT_FENCED, agent = life.agent);
+                self.asked.insert(life, Some(now + FENCE_RETRY_MS));
+            }
         }
-        self.fenced.insert(life);
     }
 
     pub(crate) fn note_end(&mut self, now: ClockMs, ended: PlannedOrder, end: OrderEnd) {
@@ -123,12 +135,15 @@
         self.planner.step(now, catalogue, &engines)
     }
 
-    /// Until every agent is fenced, a predecessor's order may be under way where nobody looked.
+    /// Until every agent that is there is fenced, a predecessor's order may be under way where nobody looked.
     fn is_ready(&self, now: ClockMs, view: &MembershipView) -> bool {
         let age_ms = now.since(self.started_at);
         let mut members = engine_members(view);
-        let is_fenced = |(member, _): (&Member, _)| self.fenced.contains(&life(member));
-        let are_fenced = age_ms >= SETTLE_MS && members.all(is_fenced);
+        let is_settled = |(member, _): (&Member, _)| {
+            let life = life(member);
+            self.fenced.contains(&life) || self.absent.contains(&life)
+        };
+        let are_fenced = age_ms >= SETTLE_MS && members.all(is_settled);
         self.is_begun || are_fenced || age_ms >= self.limits.order_timeout_ms
     }
 }
