--- a/crates/masticsill_session/tests/sessions/caller_return.rs
+++ b/crates/masticsill_session/tests/sessions/caller_return.rs
@@ -1,6 +1,6 @@
 //! Callers that leave, come back, or come back through another entry.
 
-use masticsill_session::{Action, Found};
+use masticsill_session::{Action, Found, HolderHint};
 use masticsill_types::{AttemptState, Lineage, RefusalKind, RefusedOutcome};
 use masticsill_wire::agent::{AttachReply, AttachRequest};
 
@@ -74,10 +74,13 @@
         nonce: 8,
         seen: position.lineage,
     };
-    let reply = world.book.release(&request);
+    let reply = world.book.release(world.now, &request);
     world.push(&started, 2, &[b"c"], RUNNING);
     assert_eq!(sink.text(), "ab", "nothing is delivered after the release");
-    assert_matches!(world.book.release(&request), AttachReply::Unknown);
+    assert_matches!(
+        world.book.release(world.now, &request),
+        AttachReply::Unknown
+    );
 
     let AttachReply::Attached(snapshot) = reply else {
         panic!("the record is handed over");
@@ -146,7 +149,20 @@
         nonce: u32::MAX,
         seen: position.lineage,
     };
-    assert_matches!(world.book.release(&request), AttachReply::Attached(_));
+    assert_matches!(
+        world.book.release(world.now, &request),
+        AttachReply::Attached(_)
+    );
     let actions = world.book.take_actions();
     assert_matches!(actions.as_slice(), [Action::Unfollow(_, _)]);
 }
+
+#[test]
+fn a_position_names_the_agent_that_runs_the_generation() {
+    let mut world = World::new();
+    let sink = FakeSink::new(100);
+    let started = follow_two_tokens(&mut world, &sink);
+    let position = sink.position();
+    assert_eq!(position.holder, HolderHint::from(&started.0));
+    assert_eq!(position.to_string().parse(), Ok(position));
+}
