--- a/crates/masticsill_bench/examples/resume.rs
+++ b/crates/masticsill_bench/examples/resume.rs
@@ -38,7 +38,7 @@
 const DEFAULT_SILENCE_MS: u64 = 800;
 const NAIVE_EVERY: usize = 4;
 /// A lane that has not had all its deaths by then ends; the table says how many it had.
-const LONGEST_RUN: Duration = Duration::from_secs(480);
+const LONGEST_RUN: Duration = Duration::from_mins(8);
 /// Longest stall that the histograms tell apart, in microseconds.
 const LARGEST_US: u64 = 60_000_000;
 /// What stands before the index in an event id.
@@ -528,7 +528,7 @@
     }
     seen.is_wrong = seen.is_whole && text != expected(prompt);
     if !seen.is_whole {
-        seen.problem = "cut without an end".to_owned();
+        "cut without an end".clone_into(&mut seen.problem);
     }
     Ok(())
 }
@@ -551,7 +551,7 @@
     let mut progress = NaiveProgress::default();
     while !seen.is_whole {
         let Some(engine) = engines.pop_front() else {
-            seen.problem = "no engine is left".to_owned();
+            "no engine is left".clone_into(&mut seen.problem);
             return seen;
         };
         // An error is a cut: the answer begins again at the next engine.
