--- a/crates/masticsill_agent/src/state.rs
+++ b/crates/masticsill_agent/src/state.rs
@@ -11,16 +11,18 @@
     AttemptFailure, ClockMs, GenerationId, Incarnation, MonotonicClock, log_event,
 };
 use masticsill_wire::agent::{
-    AttachReply, AttachRequest, BuryRequest, CallReply, CallRequest, CancelRequest, Progress,
-    PullReply, PullRequest, StartReply, StartRequest,
+    AttachReply, AttachRequest, BuryRequest, CallReply, CallRequest, CancelRequest, OrderRefusal,
+    OrderReply, OrderRequest, Progress, PullReply, PullRequest, StartReply, StartRequest,
 };
 use tokio::sync::oneshot;
 
 use crate::config::{AgentConfig, AgentLimits};
+use crate::engine_gate::EngineGate;
 use crate::events;
 use crate::health::EndpointHealth;
 use crate::leaving::{Leaving, Remaining};
 use crate::messages::{CallEnd, EndpointCommand, EndpointNews};
+use crate::orders::OrderDesk;
 use crate::role::AgentLinks;
 
 /// A pull may wait for this part of the orphan time at most.
@@ -43,11 +45,13 @@
     commands: Ring<EndpointCommand>,
     counted: BookCounts,
     drained: ShutdownSignal,
+    gate: EngineGate,
     health: EndpointHealth,
     incarnation: Incarnation,
     leaving: Option<Leaving>,
     limits: AgentLimits,
     metrics: Metrics,
+    orders: OrderDesk,
     pulls: IndexMap<PullNumber, oneshot::Sender<Vec<Progress>>>,
 }
 
@@ -66,14 +70,16 @@
             call_waiters: IndexMap::new(),
             calls: CallBook::new(incarnation, config.limits.calls),
             clock: links.clock,
-            commands,
+            commands: commands.clone(),
             counted: BookCounts::default(),
             drained,
+            gate: EngineGate::new(),
             health: EndpointHealth::new(now, config, links.mesh),
             incarnation,
             leaving: None,
             limits: config.limits,
             metrics: links.metrics,
+            orders: OrderDesk::new(&config.endpoint, commands),
             pulls: IndexMap::new(),
         }
     }
@@ -82,6 +88,18 @@
         self.clock.now()
     }
 
+    pub(crate) fn orders(&self) -> &OrderDesk {
+        &self.orders
+    }
+
+    /// Takes an order in; it is passed on, or its end is told at once.
+    pub(crate) fn order(&mut self, request: OrderRequest) -> Answer<OrderReply> {
+        if !self.health.is_available() {
+            return Answer::Now(OrderReply::Refused(OrderRefusal::EngineUnavailable));
+        }
+        self.orders.take_in(request)
+    }
+
     pub(crate) fn start(&mut self, request: StartRequest) -> StartReply {
         let now = self.now();
         let reply = self.book.start(now, request);
@@ -107,7 +125,7 @@
         PullReply {
             incarnation: self.incarnation,
             is_leaving: self.leaving.is_some(),
-            load: self.health.load(self.now()),
+            load: self.health.load(self.now(), self.gate.waiting()),
             progress,
         }
     }
@@ -177,6 +195,7 @@
         }
         self.book.tick(now);
         self.calls.tick(now);
+        self.gate.set_shared(self.health.is_shared());
         self.health.announce(self.leaving.is_some());
         self.go_on_leaving(now);
         self.count();
@@ -197,8 +216,13 @@
 
     /// Hands out commands and due pulls.
     pub(crate) fn settle(&mut self, now: ClockMs) {
-        let commands = self.book.take_commands().into_iter();
-        self.backlog.extend(commands.map(EndpointCommand::Engine));
+        for command in self.book.take_commands() {
+            let passed = self.gate.take(now, command);
+            self.backlog.extend(passed.map(EndpointCommand::Engine));
+        }
+        while let Some(command) = self.gate.pass_next() {
+            self.backlog.push_back(EndpointCommand::Engine(command));
+        }
         while let Some(command) = self.backlog.pop_front() {
             if let Err(RingFull(command)) = self.commands.push(command) {
                 self.backlog.push_front(command);
@@ -221,11 +245,17 @@
         match news {
             EndpointNews::Call(id, end) => self.end_call(now, id, end),
             EndpointNews::Load(load) => self.health.note_load(now, load),
-            EndpointNews::Models(models) => self.health.note_models(now, models),
+            EndpointNews::Models(models) => {
+                self.gate.set_slots(models.slots);
+                self.health.note_models(now, models);
+            }
             EndpointNews::Run(run, event) => {
                 if matches!(event, EngineEvent::Tokens { .. }) {
                     self.health.note_sign(now);
                 }
+                if is_end(&event) {
+                    self.gate.note_ended(run);
+                }
                 self.book.take_event(now, run, event);
             }
             EndpointNews::Unreachable => self.health.note_unreachable(now),
@@ -285,3 +315,10 @@
             .gauge("agent.running", self.book.running() as u64);
     }
 }
+
+fn is_end(event: &EngineEvent) -> bool {
+    match event {
+        EngineEvent::Failed(_) => true,
+        EngineEvent::Tokens { finish, .. } => finish.is_some(),
+    }
+}
--- a/crates/masticsill_entry/src/lib.rs
+++ b/crates/masticsill_entry/src/lib.rs
@@ -4,6 +4,7 @@
 //! answers other entries. They are joined by bounded rings.
 
 mod answer_ring;
+mod call_place;
 mod calls;
 mod config;
 mod control_client;
@@ -11,9 +12,11 @@
 mod filter;
 mod http;
 mod link;
+mod link_reporter;
 mod open_work;
 mod openai;
 mod peer_service;
+mod policies;
 mod readiness;
 mod request;
 mod role;
