Close connections of other clusters

Cause: a test of orders failed now and then; its log showed agents of another deployment in the membership. Membership and mesh named no cluster, so a port used again, or a wrong seed, joined two systems into one. Ruled out: the cluster's name in each message: more bytes for ever, and agent, entry and control services would each need it. Change: a connection's preamble carries a hash of the cluster's name; a listener closes others; each test deployment has a name of its own. Conclusion: the flake's logged cause is gone; whether it was the only one is to be seen.

--- a/crates/masticsill/src/node.rs
+++ b/crates/masticsill/src/node.rs
@@ -13,8 +13,8 @@
     Mesh, MeshConfig, MeshHandle, RenewSource, RenewalPeriods, ServiceRoutes, new_incarnation,
 };
 use masticsill_runtime::{
-    DutyHandle, Metrics, Ring, RpcListener, ServiceStream, ShutdownSignal, events, listen,
-    watch_signals,
+    DutyHandle, Metrics, Ring, RpcListener, ServiceStream, ShutdownSignal, events, join_cluster,
+    listen, watch_signals,
 };
 use masticsill_settings::{
     AgentSettings, ControlSettings, EndpointSettings, EntrySettings, RoleSettings, Settings,
@@ -50,6 +50,7 @@
 ///
 /// An error that names what could not be started, or the duty that failed.
 pub(crate) fn run(settings: Settings) -> eyre::Result<()> {
+    join_cluster(&settings.cluster);
     let shutdown = ShutdownSignal::default();
     watch_signals(shutdown.clone()).wrap_err("signals can't be watched")?;
     let listener = listen(settings.rpc_address)
--- a/crates/masticsill/tests/system/engine_orders.rs
+++ b/crates/masticsill/tests/system/engine_orders.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use assert_matches::assert_matches;
-use masticsill_runtime::connect_transport;
+use masticsill_runtime::{ClusterTag, cluster_tag, connect_to_cluster};
 use masticsill_testkit::{
     CallerRequest, Deployment, EngineStats, ProcessUnderTest, ProxyMode, built_example,
     engine_entry, model_target, wait_until,
@@ -132,12 +132,13 @@
             .enable_all()
             .build()
             .unwrap();
-        runtime.block_on(send_order(address, OrderRequest { fencing, order }))
+        let tag = cluster_tag(&self.deployment.cluster());
+        runtime.block_on(send_order(address, tag, OrderRequest { fencing, order }))
     }
 }
 
-async fn send_order(address: SocketAddr, request: OrderRequest) -> OrderReply {
-    let transport = connect_transport(address, ServiceKind::Agent, BOUND_MS).await;
+async fn send_order(address: SocketAddr, tag: ClusterTag, request: OrderRequest) -> OrderReply {
+    let transport = connect_to_cluster(address, ServiceKind::Agent, tag, BOUND_MS).await;
     let config = tarpc::client::Config::default();
     let client = AgentServiceClient::new(config, transport.unwrap()).spawn();
     let mut context = tarpc::context::current();
--- a/crates/masticsill_runtime/src/lib.rs
+++ b/crates/masticsill_runtime/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! A process is a set of duties, each on a thread of its own, joined by [`Ring`]s.
 
+mod cluster;
 mod duty;
 pub mod events;
 mod http;
@@ -12,11 +13,14 @@
 mod rpc;
 mod shutdown;
 
+pub use cluster::{ClusterTag, cluster_tag, join_cluster};
 pub use duty::{DutyHandle, spawn_async_duty, spawn_duty};
 pub use http::HttpHost;
 pub use http_client::is_unsent;
 pub use logging::start_logging;
 pub use metrics::{Metrics, MetricsError};
 pub use ring::{Ring, RingFull};
-pub use rpc::{RpcListener, RpcTransport, ServiceStream, connect_transport, listen};
+pub use rpc::{
+    RpcListener, RpcTransport, ServiceStream, connect_to_cluster, connect_transport, listen,
+};
 pub use shutdown::{ShutdownSignal, watch_signals};
--- a/crates/masticsill_runtime/src/rpc.rs
+++ b/crates/masticsill_runtime/src/rpc.rs
@@ -1,6 +1,6 @@
 //! TCP transports for `tarpc` services.
 //!
-//! A process has one listener for all its services; a preamble byte tells them apart. The duty
+//! A process has one listener for all its services; a preamble tells them apart and names the cluster. The duty
 //! that accepts hands each connection as a [`ServiceStream`] to the duty that serves it.
 
 use std::io;
@@ -19,6 +19,7 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::LengthDelimitedCodec;
 
+use crate::cluster::{ClusterTag, own_tag};
 use crate::events;
 
 /// How long a peer may take to name the service.
@@ -43,7 +44,7 @@
     serde_transport::new(framed, PostcardCodec::default())
 }
 
-/// Connects to a peer's service and names it.
+/// Connects to a peer's service within this process's cluster.
 ///
 /// # Errors
 ///
@@ -53,6 +54,24 @@
     kind: ServiceKind,
     timeout_ms: u64,
 ) -> io::Result<RpcTransport<Item, SinkItem>>
+where
+    Item: DeserializeOwned,
+    SinkItem: Serialize,
+{
+    connect_to_cluster(address, kind, own_tag(), timeout_ms).await
+}
+
+/// Connects to a service of the cluster that a tag names; for tools that belong to none.
+///
+/// # Errors
+///
+/// As [`connect_transport`].
+pub async fn connect_to_cluster<Item, SinkItem>(
+    address: SocketAddr,
+    kind: ServiceKind,
+    tag: ClusterTag,
+    timeout_ms: u64,
+) -> io::Result<RpcTransport<Item, SinkItem>>
 where
     Item: DeserializeOwned,
     SinkItem: Serialize,
@@ -60,7 +79,9 @@
     let connecting = async {
         let mut stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        stream.write_all(&[kind.preamble()]).await?;
+        let mut preamble = vec![kind.preamble()];
+        preamble.extend(tag);
+        stream.write_all(&preamble).await?;
         io::Result::Ok(stream)
     };
     let stream = timeout(Duration::from_millis(timeout_ms), connecting)
@@ -164,11 +185,19 @@
 
 async fn read_preamble(mut stream: TcpStream) -> io::Result<(ServiceKind, ServiceStream)> {
     stream.set_nodelay(true)?;
-    let reading = stream.read_u8();
-    let preamble = timeout(Duration::from_millis(PREAMBLE_TIMEOUT_MS), reading)
+    let reading = async {
+        let kind = ServiceKind::try_from(stream.read_u8().await?)
+            .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))?;
+        let mut tag = ClusterTag::default();
+        stream.read_exact(&mut tag).await?;
+        io::Result::Ok((kind, tag))
+    };
+    let (kind, tag) = timeout(Duration::from_millis(PREAMBLE_TIMEOUT_MS), reading)
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-    let kind = ServiceKind::try_from(preamble)
-        .map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))?;
+    if tag != own_tag() {
+        let detail = "the peer belongs to another cluster; correct its `seeds` or `cluster`";
+        return Err(io::Error::new(io::ErrorKind::PermissionDenied, detail));
+    }
     Ok((kind, ServiceStream::release(stream)?))
 }
--- a/crates/masticsill_runtime/tests/service_preamble.rs
+++ b/crates/masticsill_runtime/tests/service_preamble.rs
@@ -5,7 +5,10 @@
 use std::time::Duration;
 
 use futures::{SinkExt, StreamExt};
-use masticsill_runtime::{Ring, ServiceStream, connect_transport, listen, spawn_async_duty};
+use masticsill_runtime::{
+    Ring, ServiceStream, cluster_tag, connect_transport, listen, spawn_async_duty,
+};
+use masticsill_types::ClusterId;
 use masticsill_wire::ServiceKind;
 
 const LOOPBACK: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
@@ -71,3 +74,16 @@
     assert_eq!(stranger.read(&mut answer).unwrap(), 0);
     assert!(accepted.is_empty());
 }
+
+#[tokio::test]
+async fn a_connection_of_another_cluster_is_closed() {
+    let (address, accepted) = start();
+    let other = cluster_tag(&ClusterId::new("other").unwrap());
+    let mut stranger = TcpStream::connect(address).unwrap();
+    stranger.set_read_timeout(Some(BOUND)).unwrap();
+    let preamble = [&[ServiceKind::Node.preamble()], other.as_slice()].concat();
+    stranger.write_all(&preamble).unwrap();
+    let mut answer = [0; 1];
+    assert_eq!(stranger.read(&mut answer).unwrap(), 0);
+    assert!(accepted.is_empty());
+}
--- a/crates/masticsill_testkit/src/deployment.rs
+++ b/crates/masticsill_testkit/src/deployment.rs
@@ -7,6 +7,7 @@
 use std::path::{Path, PathBuf};
 
 use indexmap::IndexMap;
+use masticsill_types::ClusterId;
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
@@ -313,7 +314,7 @@
         proxy: FaultProxy,
     ) {
         let mut settings = json!({
-            "cluster": "trial",
+            "cluster": self.cluster(),
             "node": name,
             "zone": zone,
             "rpc_address": LOCAL,
@@ -334,6 +335,18 @@
         self.nodes.insert(name.to_owned(), node);
     }
 
+    /// A name of its own, so that a port used again by another deployment joins nothing.
+    ///
+    /// # Panics
+    ///
+    /// Never: names of temporary folders are valid.
+    #[must_use]
+    pub fn cluster(&self) -> ClusterId {
+        let folder = self.folder.path().file_name().unwrap_or_default();
+        let name = format!("trial{}", folder.to_string_lossy());
+        ClusterId::new(name).expect("the folder's name is valid in an id")
+    }
+
     fn log_file(&self, name: &str) -> PathBuf {
         self.folder.path().join(format!("{name}.log"))
     }
