Split returning callers from the session book

Ruled out: splitting by visibility; the functions share the book's state. Change: returning.rs holds re-attachment, search and release. Conclusion: behaviour as before.

--- a/crates/masticsill_session/src/book.rs
+++ b/crates/masticsill_session/src/book.rs
@@ -8,15 +8,13 @@
     NodeId, Refusal, RefusalKind, TokenIndex,
 };
 use masticsill_wire::agent::{
-    AttachReply, AttachRequest, CancelRequest, Progress, ProgressState, PullCursor, RecordSnapshot,
-    StartReply, StartRequest,
+    CancelRequest, Progress, ProgressState, PullCursor, RecordSnapshot, StartReply, StartRequest,
 };
 
 use crate::caller::{AnswerSink, Caller, Delivery};
 use crate::endpoint::{Endpoint, EndpointTable};
-use crate::position::{HolderHint, Position};
+use crate::position::Position;
 use crate::session::{Phase, Session};
-use crate::work::describe_work;
 
 /// When a refused caller may come back, in milliseconds.
 pub(crate) const RETRY_AFTER_MS: u64 = 1_000;
@@ -82,7 +80,7 @@
     pub(crate) config: BookConfig,
     pub(crate) endpoints: EndpointTable,
     pub(crate) router: Router,
-    searches: IndexMap<GenerationId, (Position, Box<dyn AnswerSink>)>,
+    pub(crate) searches: IndexMap<GenerationId, (Position, Box<dyn AnswerSink>)>,
     pub(crate) sessions: IndexMap<GenerationId, Session>,
 }
 
@@ -145,31 +143,6 @@
         self.place(now, id);
     }
 
-    /// Continues a generation for a caller that came back.
-    pub fn reattach(&mut self, now: ClockMs, position: Position, sink: Box<dyn AnswerSink>) {
-        let Some(session) = self.sessions.get_mut(&position.id) else {
-            self.search(position, sink);
-            return;
-        };
-        let mut caller = Caller::new(sink, position.next_index);
-        if !session
-            .record
-            .continues(position.lineage, position.next_index)
-        {
-            caller.refuse(record_lost());
-            return;
-        }
-        if let Some(refusal) = session.refusal.clone() {
-            caller.refuse(refusal);
-            return;
-        }
-        if let Some(mut former) = session.caller.replace(caller) {
-            former.refuse(superseded());
-        }
-        session.since = now;
-        self.deliver(now, position.id);
-    }
-
     /// Takes an agent's answer to a start.
     pub fn start_replied(
         &mut self,
@@ -272,51 +245,6 @@
         self.router.set_down(agent, false);
     }
 
-    /// Takes the result of a search.
-    pub fn found(&mut self, now: ClockMs, id: GenerationId, found: Found) {
-        let Some((position, sink)) = self.searches.swap_remove(&id) else {
-            return;
-        };
-        let mut caller = Caller::new(sink, position.next_index);
-        let (agent, snapshot) = match found {
-            Found::AtAgent(agent, snapshot) => (Some(agent), snapshot),
-            Found::AtEntry(snapshot) => (None, snapshot),
-            Found::Nowhere => {
-                caller.refuse(record_lost());
-                return;
-            }
-        };
-        let Ok(record) = Record::from_snapshot(snapshot) else {
-            caller.refuse(record_lost());
-            return;
-        };
-        let mut session = Session::new(record, caller, now);
-        session.is_dispatched = true;
-        self.sessions.insert(id, session);
-        self.resume_found(now, id, agent);
-    }
-
-    /// Gives a generation up to another entry, to which its caller came back.
-    pub fn release(&mut self, now: ClockMs, request: &AttachRequest) -> AttachReply {
-        let Some(session) = self.sessions.get_mut(&request.id) else {
-            return AttachReply::Unknown;
-        };
-        if !session.record.continues(request.seen, request.next_index) {
-            return AttachReply::Behind;
-        }
-        session.record.change_owner(request.nonce);
-        let snapshot = session.record.snapshot();
-        if let Some(mut caller) = session.caller.take() {
-            caller.refuse(superseded());
-        }
-        // The attempt is not cancelled: its new owner may go on with it.
-        if let Some(agent) = self.end_work(now, request.id, WorkOutcome::Cancelled) {
-            self.actions.push(Action::Unfollow(agent, request.id));
-        }
-        self.sessions.swap_remove(&request.id);
-        AttachReply::Attached(Box::new(snapshot))
-    }
-
     /// Does what time asks for: full sinks, callers gone, sessions without an endpoint.
     pub fn tick(&mut self, now: ClockMs) {
         let ids: Vec<GenerationId> = self.sessions.keys().copied().collect();
@@ -327,47 +255,12 @@
         self.settle(now);
     }
 
-    fn search(&mut self, position: Position, sink: Box<dyn AnswerSink>) {
-        let former = self.searches.insert(position.id, (position, sink));
-        match former {
-            Some((seen, sink)) => Caller::new(sink, seen.next_index).refuse(superseded()),
-            None => self.actions.push(Action::Search(position)),
-        }
-    }
-
-    fn resume_found(&mut self, now: ClockMs, id: GenerationId, agent: Option<NodeId>) {
-        let Some(session) = self.sessions.get_mut(&id) else {
-            return;
-        };
-        match (session.record.state(), agent) {
-            (AttemptState::Finished(_), _) => self.finish(now, id),
-            (AttemptState::Running, Some(agent)) => {
-                let cursor = PullCursor {
-                    id,
-                    lineage: session.record.lineage(),
-                    next_index: session.record.next_index(),
-                };
-                session.holder = HolderHint::from(&agent);
-                session.phase = Phase::Following(agent.clone());
-                let request = describe_work(session);
-                self.router.adopt(now, &request, &agent);
-                self.actions.push(Action::Follow(agent, cursor));
-                self.deliver(now, id);
-            }
-            (AttemptState::Running | AttemptState::Failed(_), _) => {
-                session.record.begin_attempt();
-                self.place(now, id);
-                self.deliver(now, id);
-            }
-        }
-    }
-
     pub(crate) fn cancel_at(&mut self, agent: &NodeId, id: GenerationId, lineage: Lineage) {
         let request = CancelRequest { id, lineage };
         self.actions.push(Action::Cancel(agent.clone(), request));
     }
 
-    fn deliver(&mut self, now: ClockMs, id: GenerationId) {
+    pub(crate) fn deliver(&mut self, now: ClockMs, id: GenerationId) {
         let Some(session) = self.sessions.get_mut(&id) else {
             return;
         };
@@ -383,7 +276,7 @@
         }
     }
 
-    fn finish(&mut self, now: ClockMs, id: GenerationId) {
+    pub(crate) fn finish(&mut self, now: ClockMs, id: GenerationId) {
         let Some(session) = self.sessions.get_mut(&id) else {
             return;
         };
@@ -442,16 +335,9 @@
     }
 }
 
-fn superseded() -> Refusal {
+pub(crate) fn superseded() -> Refusal {
     Refusal::failed(
         RefusalKind::Superseded,
         "the generation goes on for a newer connection of its caller",
     )
 }
-
-fn record_lost() -> Refusal {
-    Refusal::failed(
-        RefusalKind::RecordLost,
-        "no record contains the part of the answer that was received",
-    )
-}
--- a/crates/masticsill_session/src/lib.rs
+++ b/crates/masticsill_session/src/lib.rs
@@ -10,6 +10,7 @@
 mod endpoint;
 mod placing;
 mod position;
+mod returning;
 mod session;
 mod work;
 
--- /dev/null
+++ b/crates/masticsill_session/src/returning.rs
@@ -0,0 +1,126 @@
+//! Callers that come back, and generations that change their entry.
+
+use masticsill_generation::Record;
+use masticsill_routing::WorkOutcome;
+use masticsill_types::{AttemptState, ClockMs, GenerationId, NodeId, Refusal, RefusalKind};
+use masticsill_wire::agent::{AttachReply, AttachRequest, PullCursor};
+
+use crate::book::{Action, Found, SessionBook, superseded};
+use crate::caller::{AnswerSink, Caller};
+use crate::position::{HolderHint, Position};
+use crate::session::{Phase, Session};
+use crate::work::describe_work;
+
+impl SessionBook {
+    /// Continues a generation for a caller that came back.
+    pub fn reattach(&mut self, now: ClockMs, position: Position, sink: Box<dyn AnswerSink>) {
+        let Some(session) = self.sessions.get_mut(&position.id) else {
+            self.search(position, sink);
+            return;
+        };
+        let mut caller = Caller::new(sink, position.next_index);
+        if !session
+            .record
+            .continues(position.lineage, position.next_index)
+        {
+            caller.refuse(record_lost());
+            return;
+        }
+        if let Some(refusal) = session.refusal.clone() {
+            caller.refuse(refusal);
+            return;
+        }
+        if let Some(mut former) = session.caller.replace(caller) {
+            former.refuse(superseded());
+        }
+        session.since = now;
+        self.deliver(now, position.id);
+    }
+
+    /// Takes the result of a search.
+    pub fn found(&mut self, now: ClockMs, id: GenerationId, found: Found) {
+        let Some((position, sink)) = self.searches.swap_remove(&id) else {
+            return;
+        };
+        let mut caller = Caller::new(sink, position.next_index);
+        let (agent, snapshot) = match found {
+            Found::AtAgent(agent, snapshot) => (Some(agent), snapshot),
+            Found::AtEntry(snapshot) => (None, snapshot),
+            Found::Nowhere => {
+                caller.refuse(record_lost());
+                return;
+            }
+        };
+        let Ok(record) = Record::from_snapshot(snapshot) else {
+            caller.refuse(record_lost());
+            return;
+        };
+        let mut session = Session::new(record, caller, now);
+        session.is_dispatched = true;
+        self.sessions.insert(id, session);
+        self.resume_found(now, id, agent);
+    }
+
+    /// Gives a generation up to another entry, to which its caller came back.
+    pub fn release(&mut self, now: ClockMs, request: &AttachRequest) -> AttachReply {
+        let Some(session) = self.sessions.get_mut(&request.id) else {
+            return AttachReply::Unknown;
+        };
+        if !session.record.continues(request.seen, request.next_index) {
+            return AttachReply::Behind;
+        }
+        session.record.change_owner(request.nonce);
+        let snapshot = session.record.snapshot();
+        if let Some(mut caller) = session.caller.take() {
+            caller.refuse(superseded());
+        }
+        // The attempt is not cancelled: its new owner may go on with it.
+        if let Some(agent) = self.end_work(now, request.id, WorkOutcome::Cancelled) {
+            self.actions.push(Action::Unfollow(agent, request.id));
+        }
+        self.sessions.swap_remove(&request.id);
+        AttachReply::Attached(Box::new(snapshot))
+    }
+
+    fn search(&mut self, position: Position, sink: Box<dyn AnswerSink>) {
+        let former = self.searches.insert(position.id, (position, sink));
+        match former {
+            Some((seen, sink)) => Caller::new(sink, seen.next_index).refuse(superseded()),
+            None => self.actions.push(Action::Search(position)),
+        }
+    }
+
+    fn resume_found(&mut self, now: ClockMs, id: GenerationId, agent: Option<NodeId>) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            return;
+        };
+        match (session.record.state(), agent) {
+            (AttemptState::Finished(_), _) => self.finish(now, id),
+            (AttemptState::Running, Some(agent)) => {
+                let cursor = PullCursor {
+                    id,
+                    lineage: session.record.lineage(),
+                    next_index: session.record.next_index(),
+                };
+                session.holder = HolderHint::from(&agent);
+                session.phase = Phase::Following(agent.clone());
+                let request = describe_work(session);
+                self.router.adopt(now, &request, &agent);
+                self.actions.push(Action::Follow(agent, cursor));
+                self.deliver(now, id);
+            }
+            (AttemptState::Running | AttemptState::Failed(_), _) => {
+                session.record.begin_attempt();
+                self.place(now, id);
+                self.deliver(now, id);
+            }
+        }
+    }
+}
+
+fn record_lost() -> Refusal {
+    Refusal::failed(
+        RefusalKind::RecordLost,
+        "no record contains the part of the answer that was received",
+    )
+}
