Continue a found record only for the caller that it continues

Cause: while a record is searched for, a second connection takes the place of the first; the record found was then joined to the second caller's position without asking whether it continues that one. Two branches could have met. Ruled out: a second search: the record at hand answers the question. Change: Record::continues is asked again where the record joins its caller.

--- a/crates/masticsill_session/src/returning.rs
+++ b/crates/masticsill_session/src/returning.rs
@@ -55,6 +55,11 @@
             caller.refuse(record_lost());
             return;
         };
+        // A later caller may have taken the place of the one that was searched for.
+        if !record.continues(position.lineage, position.next_index) {
+            caller.refuse(record_lost());
+            return;
+        }
         let mut session = Session::new(record, caller, now);
         session.is_dispatched = true;
         self.sessions.insert(id, session);
--- a/crates/masticsill_session/tests/sessions/caller_return.rs
+++ b/crates/masticsill_session/tests/sessions/caller_return.rs
@@ -166,3 +166,36 @@
     assert_eq!(position.holder, HolderHint::from(&started.0));
     assert_eq!(position.to_string().parse(), Ok(position));
 }
+
+#[test]
+fn a_record_found_for_one_position_does_not_continue_another() {
+    let mut world = World::new();
+    let sink = FakeSink::new(100);
+    follow_two_tokens(&mut world, &sink);
+    let position = sink.position();
+    let request = AttachRequest {
+        entry: node("other"),
+        id: position.id,
+        next_index: position.next_index,
+        nonce: 8,
+        seen: position.lineage,
+    };
+    let AttachReply::Attached(snapshot) = world.book.release(world.now, &request) else {
+        panic!("the record is handed over");
+    };
+    let mut other = World::new();
+    let sinks = [FakeSink::new(100), FakeSink::new(100)];
+    let mut elsewhere = position;
+    elsewhere.lineage = Lineage::first(999);
+    for (sink, position) in sinks.iter().zip([position, elsewhere]) {
+        other
+            .book
+            .reattach(other.now, position, Box::new(sink.clone()));
+    }
+    other
+        .book
+        .found(other.now, position.id, Found::AtEntry(*snapshot));
+    let lost = Some((RefusedOutcome::Failed, RefusalKind::RecordLost));
+    assert_eq!(sinks[1].refusal(), lost, "it saw another branch");
+    assert_eq!(sinks[1].text(), "");
+}
