--- a/crates/masticsill_bench/examples/resume.rs
+++ b/crates/masticsill_bench/examples/resume.rs
@@ -541,8 +541,9 @@
 
 /// An id without its index.
 fn lineage_of(id: &str) -> String {
-    let (lineage, _) = id.rsplit_once(LINEAGE_END).unwrap_or((id, ""));
-    lineage.to_owned()
+    let mut parts = id.rsplitn(3, LINEAGE_END);
+    // After the lineage stand the next index and the holder's hint.
+    parts.nth(2).unwrap_or(id).to_owned()
 }
 
 /// Asks one engine after another, each time from the start, until the whole answer has come.
