Drop a field of the entry that nothing reads

Cause: found on reading the whole change: EntryConfig carried the catalogue's lease, which the mesh has known since it keeps the copy. Ruled out: reading it in the filter: the view answers is_fresh itself. Change: the field and its mapping are gone. Conclusion: behaviour as before.

--- a/crates/masticsill/src/settings_map.rs
+++ b/crates/masticsill/src/settings_map.rs
@@ -20,7 +20,6 @@
 pub(crate) fn to_entry_config(settings: &Settings, entry: &EntrySettings) -> EntryConfig {
     EntryConfig {
         balancer_grace_ms: entry.balancer_grace_ms,
-        catalogue_lease_ms: settings.catalogue_lease_ms,
         drain_ms: entry.drain_ms,
         http_address: entry.http_address,
         max_body_bytes: entry.max_body_bytes,
--- a/crates/masticsill_entry/src/config.rs
+++ b/crates/masticsill_entry/src/config.rs
@@ -9,8 +9,6 @@
 pub struct EntryConfig {
     /// How long requests are still accepted after readiness is off, in milliseconds.
     pub balancer_grace_ms: u64,
-    /// How long a copy of the catalogue may be acted on without a new proof, in milliseconds.
-    pub catalogue_lease_ms: u64,
     /// Longest wait for running streams at a planned stop, in milliseconds.
     pub drain_ms: u64,
     /// Where callers reach the entry.
