Write the request of a release once in the session tests

Cause: duplicates named the same request three times in one test file. Change: ask_for in caller_return; every assertion stays. Conclusion: behaviour as before.

--- a/crates/masticsill_session/tests/sessions/caller_return.rs
+++ b/crates/masticsill_session/tests/sessions/caller_return.rs
@@ -1,6 +1,6 @@
 //! Callers that leave, come back, or come back through another entry.
 
-use masticsill_session::{Action, Found, HolderHint};
+use masticsill_session::{Action, Found, HolderHint, Position};
 use masticsill_types::{AttemptState, Lineage, RefusalKind, RefusedOutcome};
 use masticsill_wire::agent::{AttachReply, AttachRequest};
 
@@ -18,6 +18,17 @@
     started
 }
 
+/// What another entry asks when the caller of a position comes back to it.
+fn ask_for(position: Position, nonce: u32) -> AttachRequest {
+    AttachRequest {
+        entry: node("other"),
+        id: position.id,
+        next_index: position.next_index,
+        nonce,
+        seen: position.lineage,
+    }
+}
+
 #[test]
 fn a_returning_caller_gets_the_rest_and_the_old_connection_is_superseded() {
     let mut world = World::new();
@@ -67,13 +78,7 @@
     let sink = FakeSink::new(100);
     let started = follow_two_tokens(&mut world, &sink);
     let position = sink.position();
-    let request = AttachRequest {
-        entry: node("other"),
-        id: position.id,
-        next_index: position.next_index,
-        nonce: 8,
-        seen: position.lineage,
-    };
+    let request = ask_for(position, 8);
     let reply = world.book.release(world.now, &request);
     world.push(&started, 2, &[b"c"], RUNNING);
     assert_eq!(sink.text(), "ab", "nothing is delivered after the release");
@@ -142,13 +147,7 @@
     let sink = FakeSink::new(100);
     follow_two_tokens(&mut world, &sink);
     let position = sink.position();
-    let request = AttachRequest {
-        entry: node("other"),
-        id: position.id,
-        next_index: position.next_index,
-        nonce: u32::MAX,
-        seen: position.lineage,
-    };
+    let request = ask_for(position, u32::MAX);
     assert_matches!(
         world.book.release(world.now, &request),
         AttachReply::Attached(_)
@@ -173,13 +172,7 @@
     let sink = FakeSink::new(100);
     follow_two_tokens(&mut world, &sink);
     let position = sink.position();
-    let request = AttachRequest {
-        entry: node("other"),
-        id: position.id,
-        next_index: position.next_index,
-        nonce: 8,
-        seen: position.lineage,
-    };
+    let request = ask_for(position, 8);
     let AttachReply::Attached(snapshot) = world.book.release(world.now, &request) else {
         panic!("the record is handed over");
     };
