--- a/crates/masticsill/src/arguments.rs
+++ b/crates/masticsill/src/arguments.rs
@@ -11,6 +11,8 @@
 Usage:
   masticsill run FILE      run one process with the settings in FILE
   masticsill check FILE    check a settings file and say what is wrong
+  masticsill platform FILE [--check]
+                           run, or check, one process of the users' platform with its settings
   masticsill recover FILE --accept-loss
                            make this control replica the only voter, after the majority was
                            lost for good; docs/OPERATIONS.md says what it risks
@@ -35,8 +37,12 @@
 pub(crate) enum Command {
     /// Check a settings file.
     Check(PathBuf),
+    /// Check the platform's settings of a process.
+    CheckPlatform(PathBuf),
     /// Print the help.
     Help,
+    /// Run a process of the platform.
+    Platform(PathBuf),
     /// Make a control replica the only voter.
     Recover(PathBuf),
     /// Run a process.
@@ -50,11 +56,13 @@
     let mut parser = lexopt::Parser::from_env();
     let mut words: Vec<String> = Vec::new();
     let mut is_loss_accepted = false;
+    let mut is_check = false;
     while let Some(argument) = parser.next()? {
         match argument {
             Short('h') | Long("help") => return Ok(Command::Help),
             Short('V') | Long("version") => return Ok(Command::Version),
             Long("accept-loss") => is_loss_accepted = true,
+            Long("check") => is_check = true,
             Value(word) => words.push(word.into_string()?),
             Long(_) | Short(_) => return Err(argument.unexpected()),
         }
@@ -62,12 +70,16 @@
     match words.as_slice() {
         [verb, file] if verb == "run" => Ok(Command::Run(PathBuf::from(file))),
         [verb, file] if verb == "check" => Ok(Command::Check(PathBuf::from(file))),
+        [verb, file] if verb == "platform" && is_check => {
+            Ok(Command::CheckPlatform(PathBuf::from(file)))
+        }
+        [verb, file] if verb == "platform" => Ok(Command::Platform(PathBuf::from(file))),
         [verb, file] if verb == "recover" && is_loss_accepted => {
             Ok(Command::Recover(PathBuf::from(file)))
         }
         [verb, _] if verb == "recover" => {
             Err("`recover` can lose accepted changes; add --accept-loss once you have read docs/OPERATIONS.md".into())
         }
-        _ => Err("give `run FILE`, `check FILE` or `recover FILE --accept-loss`".into()),
+        _ => Err("give `run FILE`, `check FILE`, `platform FILE` or `recover FILE --accept-loss`".into()),
     }
 }
--- a/crates/masticsill/src/main.rs
+++ b/crates/masticsill/src/main.rs
@@ -8,6 +8,7 @@
 use std::process::ExitCode;
 
 use eyre::WrapErr;
+use masticsill_platform::PlatformSettings;
 use masticsill_runtime::start_logging;
 use masticsill_settings::Settings;
 
@@ -44,10 +45,20 @@
             );
             Ok(())
         }
+        Command::CheckPlatform(path) => {
+            let settings = PlatformSettings::read(path);
+            settings.wrap_err_with(|| format!("{} is refused", path.display()))?;
+            println!("{}: the platform's settings are sound", path.display());
+            Ok(())
+        }
         Command::Help => {
             print!("{HELP}");
             Ok(())
         }
+        Command::Platform(path) => {
+            start_logging();
+            masticsill_platform::run(path)
+        }
         Command::Recover(path) => {
             start_logging();
             recover::recover(&read_settings(path)?)
--- a/crates/masticsill/src/settings_map.rs
+++ b/crates/masticsill/src/settings_map.rs
@@ -5,9 +5,10 @@
 use indexmap::IndexMap;
 use masticsill_agent::{AgentConfig, AgentLimits, Endpoint};
 use masticsill_catalogue::OperatorScope;
-use masticsill_control::{ControlConfig, OperatorConfig, TokenHashError};
+use masticsill_control::{AdmissionPolicy, ControlConfig, OperatorConfig, TokenHashError};
 use masticsill_entry::EntryConfig;
 use masticsill_quorum::ReplicaSettings;
+use masticsill_registry::RegistryPeriods;
 use masticsill_settings::{
     AgentSettings, ControlSettings, EndpointSettings, EntrySettings, OperatorSettings, Settings,
 };
@@ -82,6 +83,8 @@
         .collect();
     let operators = control.operators.iter().map(to_operator_config);
     Ok(ControlConfig {
+        admission: AdmissionPolicy::Operators,
+        endpoints: RegistryPeriods::default(),
         cluster: settings.cluster.as_str().to_owned(),
         data_folder: control.data_folder.clone(),
         founders: control
@@ -95,6 +98,7 @@
         peers,
         replica: to_replica_settings(control.election_timeout_ms),
         rpc_address: address,
+        zone: settings.zone.clone(),
     })
 }
 
--- a/crates/masticsill_catalogue/src/audit.rs
+++ b/crates/masticsill_catalogue/src/audit.rs
@@ -35,6 +35,13 @@
         /// The replica.
         replica: NodeId,
     },
+    /// The catalogue as one document.
+    Document {
+        /// Whether it came into force, or a version as high was there already.
+        is_accepted: bool,
+        /// The operator's version.
+        version: u64,
+    },
 }
 
 /// A change of the catalogue, as recorded.
--- /dev/null
+++ b/crates/masticsill_catalogue/src/document.rs
@@ -0,0 +1,40 @@
+//! The catalogue as one document: routes, services, workspaces and limits under one version that
+//! the operator chooses. The highest version accepted is in force.
+//!
+//! The quorum stores the operator's bytes unread, so that they are read back as they were sent;
+//! [`RouteDocument`] is what they mean.
+
+mod index;
+mod routes;
+mod rules;
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+pub use index::RouteIndex;
+pub use routes::{
+    ApiKey, EngineTraits, RequestLimits, Route, RouteDocument, RouteKind, ServiceEntry,
+    ServiceShare, WorkspaceEntry,
+};
+
+/// A document as an operator sent it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StoredDocument {
+    /// The bytes sent.
+    pub bytes: Arc<[u8]>,
+    /// The operator's version.
+    pub version: u64,
+}
+
+/// What became of a document.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum DocumentAnswer {
+    /// It is in force.
+    Accepted,
+    /// One of this or a higher version was in force already; nothing changed.
+    Superseded {
+        /// The version in force.
+        in_force: u64,
+    },
+}
--- a/crates/masticsill_catalogue/src/lib.rs
+++ b/crates/masticsill_catalogue/src/lib.rs
@@ -7,6 +7,7 @@
 mod change;
 mod claim;
 mod claims;
+mod document;
 mod entry;
 mod entry_json;
 mod follower;
@@ -23,6 +24,10 @@
     MAX_EXPIRED_KEYS, MAX_KEPT_BODIES_BYTES, MAX_KEPT_BODY_BYTES, Reassign, Settle, StoredAnswer,
     StoredBody,
 };
+pub use document::{
+    ApiKey, DocumentAnswer, EngineTraits, RequestLimits, Route, RouteDocument, RouteIndex,
+    RouteKind, ServiceEntry, ServiceShare, StoredDocument, WorkspaceEntry,
+};
 pub use entry::{BackEnd, CatalogueEntry, EngineRole, Limits, Placement, RoleReplicas};
 pub use entry_json::{BackEndJson, EntryJson, LimitsJson, PlacementJson};
 pub use follower::{Follower, Freshness};
--- a/crates/masticsill_catalogue/src/state.rs
+++ b/crates/masticsill_catalogue/src/state.rs
@@ -16,6 +16,7 @@
 };
 use crate::claim::{Claim, ClaimAnswer, ClaimRecord, Reassign, Settle};
 use crate::claims::Claims;
+use crate::document::{DocumentAnswer, StoredDocument};
 use crate::validation::FieldError;
 use crate::window::Window;
 
@@ -58,6 +59,13 @@
     Reassign(Reassign),
     /// Settles a claim.
     Settle(Settle),
+    /// Puts the catalogue as one document in force, if its version is the highest.
+    PutDocument {
+        /// The document.
+        document: StoredDocument,
+        /// Who.
+        operator: OperatorId,
+    },
 }
 
 /// The answer to a command.
@@ -71,6 +79,8 @@
     OrderSequence(u64),
     /// Nothing to tell.
     Done,
+    /// Of a document.
+    Document(DocumentAnswer),
 }
 
 #[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
@@ -92,6 +102,9 @@
     audit: AuditTrail,
     catalogue: Catalogue,
     claims: Claims,
+    /// Stored beside the rest, whose durable form is older.
+    #[serde(skip)]
+    document: Option<StoredDocument>,
     order_sequence: u64,
     replica_addresses: IndexMap<NodeId, SocketAddr>,
     wall_ms: u64,
@@ -104,6 +117,19 @@
         &self.catalogue
     }
 
+    /// The catalogue as one document, if an operator sent one.
+    #[must_use]
+    pub fn document(&self) -> Option<&StoredDocument> {
+        self.document.as_ref()
+    }
+
+    /// This state with a document, as read back from its durable form.
+    #[must_use]
+    pub fn with_document(mut self, document: Option<StoredDocument>) -> Self {
+        self.document = document;
+        self
+    }
+
     /// The audit trail.
     #[must_use]
     pub fn audit(&self) -> &AuditTrail {
@@ -172,6 +198,9 @@
             }
             Action::Reassign(reassign) => CommandAnswer::Claim(self.claims.reassign(reassign)),
             Action::Settle(settle) => CommandAnswer::Claim(self.claims.settle(settle)),
+            Action::PutDocument { document, operator } => {
+                CommandAnswer::Document(self.put_document(document, operator))
+            }
         }
     }
 
@@ -186,6 +215,23 @@
         })
     }
 
+    fn put_document(&mut self, document: &StoredDocument, operator: &OperatorId) -> DocumentAnswer {
+        let in_force = self.document.as_ref().map(|held| held.version);
+        let is_accepted = in_force.is_none_or(|in_force| document.version > in_force);
+        let action = AuditAction::Document {
+            is_accepted,
+            version: document.version,
+        };
+        self.audit.push(operator, self.wall_ms, action);
+        match in_force.filter(|_| !is_accepted) {
+            Some(in_force) => DocumentAnswer::Superseded { in_force },
+            None => {
+                self.document = Some(document.clone());
+                DocumentAnswer::Accepted
+            }
+        }
+    }
+
     fn answer_change(&mut self, change: &Change, scope: &OperatorScope) -> ChangeAnswer {
         if let Some(answer) = self.first_answer(change) {
             if answer == ChangeAnswer::Refused(ChangeRefusal::ChangeIdReused) {
--- /dev/null
+++ b/crates/masticsill_control/src/admission.rs
@@ -0,0 +1,88 @@
+//! A quorum that looks after its own members.
+//!
+//! A replica whose folder belongs to no cluster asks to be admitted; it takes the place of a voter
+//! of its name, whose folder was lost, or else joins beside the others. The leader removes a voter
+//! that has been silent for long, but only while more voters remain than the losses to be borne
+//! ask for. Both are the changes that operators make otherwise: one at a time, and a replica
+//! counts only once it has caught up.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use masticsill_types::{NodeId, OperatorId, log_event};
+use masticsill_wire::control::{ReplicaAction, ReplicaAnswer, ReplicaChange};
+
+use crate::events;
+use crate::quorum::Request;
+use crate::rpc::ControlServer;
+
+/// Pause between requests; a lost disk must be made good within a few seconds.
+const ASK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time for one request.
+const ASK_BOUND_MS: u64 = 1_000;
+/// How often the leader looks for silent voters.
+const TRIM_INTERVAL: Duration = Duration::from_millis(500);
+/// Who is named in the audit trail.
+const OPERATOR: &str = "quorum";
+
+/// Asks to be admitted until this replica belongs to a cluster.
+pub(crate) async fn run_admission(server: ControlServer, node: NodeId, address: SocketAddr) {
+    loop {
+        tokio::time::sleep(ASK_INTERVAL).await;
+        let Some((own, _)) = server.quorum.ask_any(Request::Identify).await else {
+            return;
+        };
+        if own.is_founded {
+            return;
+        }
+        let join = ReplicaAction::Join {
+            address: Some(address),
+            node: node.clone(),
+            replaces: None,
+        };
+        let answer = server
+            .client
+            .change_replicas(&change(join), ASK_BOUND_MS)
+            .await;
+        let outcome = match answer {
+            Ok(ReplicaAnswer::Accepted) => "accepted".to_owned(),
+            Ok(ReplicaAnswer::Refused(text)) => text,
+            Err(unavailable) => unavailable.to_string(),
+        };
+        log_event!(
+            info,
+            events::ADMISSION_ASKED,
+            node = node,
+            outcome = outcome
+        );
+    }
+}
+
+/// Removes voters that are silent and more than are needed, while this replica leads.
+pub(crate) async fn run_trimming(server: ControlServer, wanted_voters: usize) {
+    loop {
+        tokio::time::sleep(TRIM_INTERVAL).await;
+        let status = server.quorum.status();
+        if !status.is_leading || status.voters <= wanted_voters {
+            continue;
+        }
+        let Some(node) = status.silent_members.first().cloned() else {
+            continue;
+        };
+        let remove = ReplicaAction::Remove { node: node.clone() };
+        let reply = server.change_replicas_here(change(remove)).await;
+        log_event!(
+            info,
+            events::VOTER_TRIMMED,
+            node = node,
+            voters = status.voters,
+            wanted = wanted_voters,
+            outcome = format!("{reply:?}")
+        );
+    }
+}
+
+fn change(action: ReplicaAction) -> ReplicaChange {
+    let operator = OperatorId::new(OPERATOR).expect("the name holds letters only");
+    ReplicaChange { action, operator }
+}
--- a/crates/masticsill_control/src/config.rs
+++ b/crates/masticsill_control/src/config.rs
@@ -8,16 +8,21 @@
 use indexmap::IndexMap;
 use masticsill_catalogue::OperatorScope;
 use masticsill_quorum::ReplicaSettings;
-use masticsill_types::{NodeId, OperatorId};
+use masticsill_registry::RegistryPeriods;
+use masticsill_types::{NodeId, OperatorId, ZoneId};
 use thiserror::Error;
 
 /// Settings of a control replica.
 #[derive(Clone, Debug)]
 pub struct ControlConfig {
+    /// Who admits and removes replicas.
+    pub admission: AdmissionPolicy,
     /// The cluster's name; a data folder of another cluster is refused.
     pub cluster: String,
     /// Where the replica's durable state lives.
     pub data_folder: PathBuf,
+    /// When endpoints count as lost and are forgotten.
+    pub endpoints: RegistryPeriods,
     /// The replicas that found a new cluster; the first of them does it once all are up.
     ///
     /// It matters only while every folder is new: a founded cluster is never founded again.
@@ -34,6 +39,21 @@
     pub replica: ReplicaSettings,
     /// Where other processes reach this replica's process.
     pub rpc_address: SocketAddr,
+    /// This replica's availability zone.
+    pub zone: ZoneId,
+}
+
+/// Who admits and removes replicas.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AdmissionPolicy {
+    /// Operators do.
+    Operators,
+    /// The quorum does: a replica with a new folder asks to be admitted, and a leader removes a
+    /// voter that stays silent once there are more than `voters` of them.
+    Quorum {
+        /// Voters that the losses to be borne at once ask for.
+        voters: usize,
+    },
 }
 
 /// An operator of the administration API.
--- /dev/null
+++ b/crates/masticsill_control/src/endpoints.rs
@@ -0,0 +1,8 @@
+//! Endpoints that register by heartbeat: what this replica heard, what it exchanges with the
+//! others, and whom it tells.
+
+mod exchange;
+mod hub;
+
+pub(crate) use exchange::run_exchange;
+pub(crate) use hub::EndpointHub;
--- /dev/null
+++ b/crates/masticsill_control/src/endpoints/exchange.rs
@@ -0,0 +1,86 @@
+//! Exchange of what was heard with the other replicas.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use masticsill_types::{ClockMs, NodeId};
+use masticsill_wire::control::{WatchRequest, Watcher};
+use tokio::task::spawn_local;
+
+use crate::rpc::ControlServer;
+
+/// Longest wait of one exchange; also how old a heartbeat's age may be when it arrives.
+const WAIT_MS: u64 = 1_000;
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// How often silence is judged and new replicas are looked for.
+const JUDGE_INTERVAL: Duration = Duration::from_millis(500);
+/// A replica that answered within this time counts as reached.
+const REACHED_MS: u64 = 2_500;
+
+/// When each other replica answered last.
+type Answers = Rc<RefCell<IndexMap<NodeId, ClockMs>>>;
+
+/// Exchanges records with every other replica and judges silence, until the duty ends.
+pub(crate) async fn run_exchange(server: ControlServer, node: NodeId, silence_ms: u64) {
+    let started_at = server.clock.now();
+    let answers: Answers = Rc::default();
+    loop {
+        let others = server.book.named();
+        let others = others.into_iter().filter(|(other, _)| *other != node);
+        for (other, _) in others {
+            if !answers.borrow().contains_key(&other) {
+                // Not heard yet: the origin of the clock lies before any answer.
+                answers.borrow_mut().insert(other.clone(), ClockMs(0));
+                let following = follow(server.clone(), node.clone(), other, Rc::clone(&answers));
+                spawn_local(following);
+            }
+        }
+        let now = server.clock.now();
+        // A replica that has just started has heard nobody yet.
+        let is_settled = now.since(started_at) > silence_ms;
+        server
+            .endpoints
+            .judge_silence(is_settled && reaches_majority(&answers, now));
+        tokio::time::sleep(JUDGE_INTERVAL).await;
+    }
+}
+
+fn reaches_majority(answers: &Answers, now: ClockMs) -> bool {
+    let answers = answers.borrow();
+    let is_reached = |at: &&ClockMs| **at != ClockMs(0) && now.since(**at) < REACHED_MS;
+    let reached = answers.values().filter(is_reached).count();
+    (reached + 1) * 2 > answers.len() + 1
+}
+
+/// Follows one replica's registry.
+async fn follow(server: ControlServer, node: NodeId, other: NodeId, answers: Answers) {
+    let mut request = WatchRequest {
+        document_held: Some(u64::MAX),
+        document_seen: Some(u64::MAX),
+        registry: 0,
+        revision: 0,
+        wait_ms: WAIT_MS,
+        wants_document: false,
+        watcher: Watcher::Replica(node),
+    };
+    loop {
+        let address: Option<SocketAddr> = server.book.get(&other);
+        let reply = match address {
+            Some(address) => server.client.watch(address, &request).await,
+            None => None,
+        };
+        let Some(reply) = reply else {
+            tokio::time::sleep(RETRY_PAUSE).await;
+            continue;
+        };
+        answers
+            .borrow_mut()
+            .insert(other.clone(), server.clock.now());
+        server.endpoints.merge(&reply.endpoints, &reply.heard);
+        request.registry = reply.registry;
+        request.revision = reply.revision;
+    }
+}
--- /dev/null
+++ b/crates/masticsill_control/src/endpoints/hub.rs
@@ -0,0 +1,271 @@
+//! The registry of this process, and the watchers that hear of its changes.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use masticsill_registry::{
+    Announcement, EndpointId, EndpointRecord, EndpointState, Heard, Registry, RegistryPeriods,
+};
+use masticsill_types::{ClockMs, MonotonicClock, NodeId, ZoneId, log_event};
+use masticsill_wire::control::{WatchReply, WatchRequest, Watcher};
+use tokio::sync::{Notify, watch};
+use tokio::time::{Instant, timeout_at};
+
+use crate::events;
+use crate::quorum::PublishedState;
+
+/// Longest wait of one watch, whatever it asks for.
+const MAX_WAIT_MS: u64 = 2_000;
+/// A watcher that asked for nothing in this time has gone: twice the usual wait, and an answer.
+const WATCHER_GONE_MS: u64 = 2_500;
+/// Longest wait for the watchers before a farewell is acknowledged; senders give up after 1 s.
+const TELL_BOUND: Duration = Duration::from_millis(400);
+
+/// What a watcher has acknowledged.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    at: ClockMs,
+    revision: u64,
+}
+
+#[derive(Debug)]
+struct Shared {
+    acknowledged: Notify,
+    clock: MonotonicClock,
+    /// Tells this registry from that of another life of the process.
+    life: u64,
+    registry: Mutex<Registry>,
+    revision: watch::Sender<u64>,
+    watchers: Mutex<IndexMap<Watcher, Seen>>,
+    zone: ZoneId,
+}
+
+/// The registry and its watchers. Clones share them.
+#[derive(Clone, Debug)]
+pub(crate) struct EndpointHub {
+    shared: Arc<Shared>,
+}
+
+impl EndpointHub {
+    pub(crate) fn new(clock: MonotonicClock, periods: RegistryPeriods, zone: ZoneId) -> Self {
+        let shared = Shared {
+            acknowledged: Notify::new(),
+            clock,
+            life: rand::random(),
+            registry: Mutex::new(Registry::new(periods)),
+            revision: watch::Sender::new(0),
+            watchers: Mutex::default(),
+            zone,
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Takes a heartbeat. That of an endpoint which is leaving is done only once the watchers
+    /// that can be reached hold it, so that they send it nothing new.
+    pub(crate) async fn announce(&self, announcement: Announcement) {
+        let now = self.shared.clock.now();
+        let (is_changed, revision) = {
+            let mut registry = self.registry();
+            let is_changed = registry.announce(now, &announcement);
+            (is_changed, registry.revision())
+        };
+        if !is_changed {
+            return;
+        }
+        log_event!(
+            info,
+            events::ENDPOINT_HEARD,
+            endpoint = announcement.id,
+            service = announcement.service,
+            address = announcement.address,
+            zone = announcement.zone,
+            state = announcement.state.name(),
+            sequence = announcement.sequence,
+            revision = revision
+        );
+        self.shared.revision.send_replace(revision);
+        if announcement.state > EndpointState::Ready {
+            self.await_watchers(revision).await;
+        }
+    }
+
+    /// Takes an endpoint's farewell, as [`Self::announce`].
+    pub(crate) async fn depart(&self, id: EndpointId) {
+        let now = self.shared.clock.now();
+        let (is_changed, revision) = {
+            let mut registry = self.registry();
+            let is_changed = registry.depart(now, &id);
+            (is_changed, registry.revision())
+        };
+        if is_changed {
+            log_event!(
+                info,
+                events::ENDPOINT_LEFT,
+                endpoint = id,
+                revision = revision
+            );
+            self.shared.revision.send_replace(revision);
+        }
+        self.await_watchers(revision).await;
+    }
+
+    /// Joins what another replica told.
+    pub(crate) fn merge(&self, records: &[EndpointRecord], heard: &[Heard]) {
+        let now = self.shared.clock.now();
+        let mut registry = self.registry();
+        registry.note_heard(now, heard);
+        if registry.merge(now, records) {
+            self.shared.revision.send_replace(registry.revision());
+        }
+    }
+
+    /// Marks endpoints that fell silent or are heard again.
+    pub(crate) fn judge_silence(&self, can_judge: bool) {
+        let now = self.shared.clock.now();
+        let mut registry = self.registry();
+        let before = registry.revision();
+        if !registry.judge_silence(now, can_judge) {
+            return;
+        }
+        let changes = registry.changes_since(before);
+        self.shared.revision.send_replace(registry.revision());
+        drop(registry);
+        for record in changes {
+            log_event!(
+                info,
+                events::ENDPOINT_SILENCE,
+                endpoint = record.announcement.id,
+                is_silent = record.is_silent,
+                sequence = record.announcement.sequence
+            );
+        }
+    }
+
+    /// Answers a watcher once there is news, or its wait is over.
+    pub(crate) async fn watch(
+        &self,
+        published: &PublishedState,
+        members: Vec<(NodeId, std::net::SocketAddr)>,
+        request: WatchRequest,
+    ) -> WatchReply {
+        self.note_watcher(&request);
+        let mut revisions = self.shared.revision.subscribe();
+        let mut documents = published.watch_document();
+        let wait_ms = request.wait_ms.min(MAX_WAIT_MS);
+        let bound = Instant::now() + Duration::from_millis(wait_ms);
+        while !self.has_news(published, &request) {
+            let change = async {
+                tokio::select! {
+                    _ = revisions.changed() => {}
+                    _ = documents.changed() => {}
+                }
+            };
+            if timeout_at(bound, change).await.is_err() {
+                break;
+            }
+        }
+        self.reply(published, members, &request)
+    }
+
+    fn has_news(&self, published: &PublishedState, request: &WatchRequest) -> bool {
+        let is_same_registry = request.registry == self.shared.life;
+        if !is_same_registry || self.registry().revision() > request.revision {
+            return true;
+        }
+        let version = *published.watch_document().borrow();
+        let is_wanted = request.wants_document && version > request.document_held;
+        is_wanted || version > request.document_seen
+    }
+
+    fn reply(
+        &self,
+        published: &PublishedState,
+        members: Vec<(NodeId, std::net::SocketAddr)>,
+        request: &WatchRequest,
+    ) -> WatchReply {
+        let document = published.document();
+        let document_version = document.as_ref().map(|document| document.version);
+        let is_wanted = request.wants_document && document_version > request.document_held;
+        let registry = self.registry();
+        let since = if request.registry == self.shared.life {
+            request.revision
+        } else {
+            0
+        };
+        let heard = match request.watcher {
+            Watcher::Entry(_) => Vec::new(),
+            Watcher::Replica(_) => registry.heard_here(self.shared.clock.now()),
+        };
+        WatchReply {
+            document: document.filter(|_| is_wanted),
+            document_version,
+            entries: self.count_entries(),
+            endpoints: registry.changes_since(since),
+            heard,
+            members,
+            registry: self.shared.life,
+            revision: registry.revision(),
+            zone: self.shared.zone.clone(),
+        }
+    }
+
+    fn count_entries(&self) -> u32 {
+        let watchers = self.watchers();
+        let entries = watchers.keys().filter(|it| matches!(it, Watcher::Entry(_)));
+        u32::try_from(entries.count()).unwrap_or(u32::MAX)
+    }
+
+    fn note_watcher(&self, request: &WatchRequest) {
+        let is_same_registry = request.registry == self.shared.life;
+        let seen = Seen {
+            at: self.shared.clock.now(),
+            revision: if is_same_registry {
+                request.revision
+            } else {
+                0
+            },
+        };
+        let mut watchers = self.watchers();
+        watchers.retain(|_, other| seen.at.since(other.at) < WATCHER_GONE_MS);
+        watchers.insert(request.watcher.clone(), seen);
+        drop(watchers);
+        self.shared.acknowledged.notify_waiters();
+    }
+
+    /// Waits until each watcher that still asks holds a revision, for a bounded time.
+    async fn await_watchers(&self, revision: u64) {
+        let bound = Instant::now() + TELL_BOUND;
+        loop {
+            let acknowledged = self.shared.acknowledged.notified();
+            tokio::pin!(acknowledged);
+            acknowledged.as_mut().enable();
+            if self.have_all_seen(revision) {
+                return;
+            }
+            if timeout_at(bound, acknowledged).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn have_all_seen(&self, revision: u64) -> bool {
+        let now = self.shared.clock.now();
+        let watchers = self.watchers();
+        let has_seen =
+            |seen: &Seen| seen.revision >= revision || now.since(seen.at) >= WATCHER_GONE_MS;
+        watchers.values().all(has_seen)
+    }
+
+    fn registry(&self) -> MutexGuard<'_, Registry> {
+        let registry = self.shared.registry.lock();
+        registry.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn watchers(&self) -> MutexGuard<'_, IndexMap<Watcher, Seen>> {
+        let watchers = self.shared.watchers.lock();
+        watchers.unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/masticsill_control/src/events.rs
+++ b/crates/masticsill_control/src/events.rs
@@ -32,6 +32,16 @@
 pub const ORDER_ENDED: Event = Event::new(4121, "control_order_ended");
 /// An agent could not be told that former leaders' orders are void; it gets no order yet.
 pub const AGENT_NOT_FENCED: Event = Event::new(4122, "control_agent_not_fenced");
+/// An endpoint announced itself, or says something else of itself than before.
+pub const ENDPOINT_HEARD: Event = Event::new(4130, "control_endpoint_heard");
+/// An endpoint said that it has ended.
+pub const ENDPOINT_LEFT: Event = Event::new(4131, "control_endpoint_left");
+/// An endpoint fell silent, or is heard again.
+pub const ENDPOINT_SILENCE: Event = Event::new(4132, "control_endpoint_silence");
+/// This replica asked to be admitted to the quorum.
+pub const ADMISSION_ASKED: Event = Event::new(4133, "control_admission_asked");
+/// The leader removes a silent voter that is not needed.
+pub const VOTER_TRIMMED: Event = Event::new(4134, "control_voter_trimmed");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -50,4 +60,9 @@
     ORDERS_BEGUN,
     ORDER_ENDED,
     AGENT_NOT_FENCED,
+    ENDPOINT_HEARD,
+    ENDPOINT_LEFT,
+    ENDPOINT_SILENCE,
+    ADMISSION_ASKED,
+    VOTER_TRIMMED,
 ];
--- a/crates/masticsill_control/src/http.rs
+++ b/crates/masticsill_control/src/http.rs
@@ -12,10 +12,11 @@
 use ntex::web::{self, ServiceConfig};
 use tokio::sync::oneshot;
 
-use crate::client::ControlUnavailable;
 use crate::config::{ControlConfig, OperatorConfig};
+use crate::handle::forward;
 use crate::quorum::QuorumHandle;
 use crate::rpc::Forward;
+use masticsill_control_client::ControlUnavailable;
 
 pub(crate) use server::HttpEdge;
 
@@ -47,17 +48,7 @@
         &self,
         call: impl FnOnce(oneshot::Sender<Result<T, ControlUnavailable>>) -> Forward,
     ) -> Result<T, ControlUnavailable> {
-        let not_run = ControlUnavailable {
-            is_outcome_unknown: false,
-        };
-        let (reply_to, reply) = oneshot::channel();
-        if self.calls.push(call(reply_to)).is_err() {
-            return Err(not_run);
-        }
-        let lost = ControlUnavailable {
-            is_outcome_unknown: true,
-        };
-        reply.await.unwrap_or(Err(lost))
+        forward(&self.calls, call).await
     }
 }
 
--- a/crates/masticsill_control/src/http/catalogue.rs
+++ b/crates/masticsill_control/src/http/catalogue.rs
@@ -23,9 +23,9 @@
 
 use super::auth::authenticate;
 use super::{HttpState, reply};
-use crate::client::ControlUnavailable;
 use crate::config::OperatorConfig;
 use crate::rpc::Forward;
+use masticsill_control_client::ControlUnavailable;
 
 const DEFAULT_WAIT_MS: u64 = 30_000;
 const MAX_WAIT_MS: u64 = 55_000;
@@ -71,6 +71,7 @@
     match answer {
         ReadAnswer::Catalogue(version, update) => Ok((version, update)),
         ReadAnswer::Audit(_)
+        | ReadAnswer::Document(_)
         | ReadAnswer::Entry(_)
         | ReadAnswer::HighestOrder(_)
         | ReadAnswer::Replicas(_) => Err(ControlUnavailable {
--- a/crates/masticsill_control/src/http/reply.rs
+++ b/crates/masticsill_control/src/http/reply.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::client::ControlUnavailable;
+use masticsill_control_client::ControlUnavailable;
 
 const RETRY_AFTER_S: &str = "1";
 
--- a/crates/masticsill_control/src/lib.rs
+++ b/crates/masticsill_control/src/lib.rs
@@ -4,12 +4,12 @@
 //! sync for many writes), the RPC edge (other replicas and nodes), the HTTP edge (operators) and,
 //! once the membership is known, the orders to engines.
 
-mod attempts;
-mod book;
-mod client;
+mod admission;
 mod config;
+mod endpoints;
 mod error;
 pub mod events;
+mod handle;
 mod http;
 mod orders;
 mod quorum;
@@ -17,10 +17,10 @@
 mod role;
 mod rpc;
 
-pub use book::AddressBook;
-pub use client::{ControlClient, ControlUnavailable};
-pub use config::{ControlConfig, OperatorConfig, TokenHash, TokenHashError};
+pub use config::{AdmissionPolicy, ControlConfig, OperatorConfig, TokenHash, TokenHashError};
 pub use error::ControlError;
+pub use handle::ControlHandle;
+pub use masticsill_control_client::{AddressBook, ControlClient, ControlUnavailable};
 pub use quorum::StateError;
 pub use recovery::recover_as_sole_voter;
 pub use role::ControlRole;
--- a/crates/masticsill_control/src/quorum/duty.rs
+++ b/crates/masticsill_control/src/quorum/duty.rs
@@ -21,13 +21,15 @@
 use super::request::{Request, Status};
 use super::storage::{StorageProgress, StorageQueue};
 use super::waiting::{Waiting, WaitingList};
-use crate::book::AddressBook;
 use crate::events;
+use masticsill_control_client::AddressBook;
 
 const TICK: Duration = Duration::from_millis(20);
 /// Requests taken together, so that their commands share a sync.
 const BATCH_REQUESTS: usize = 512;
 const BATCH_MESSAGES: usize = 256;
+/// Silence after which a spare member may be removed: far beyond a restart, which takes about 1 s.
+const MEMBER_SILENCE_MS: u64 = 4_000;
 
 /// A message on its way to another replica.
 #[derive(Debug)]
@@ -284,11 +286,16 @@
         }
     }
 
+    fn silent_members(&self, now: ClockMs) -> Vec<NodeId> {
+        let silent = self.replica.silent_members(now, MEMBER_SILENCE_MS);
+        silent.into_iter().map(|id| id.name).collect()
+    }
+
     fn publish(&mut self) {
         let now = self.clock.now();
         self.renew_own_proof(now);
         let freshness = self.machine.freshness();
-        let catalogue = self.machine.state().catalogue();
+        let state = self.machine.state();
         // A sole voter that stops has no successor to wait for.
         let is_ending = self.is_stopping && self.replica.membership().voters.len() == 1;
         let is_leader = self.replica.role() == Role::Leader && !is_ending;
@@ -297,14 +304,16 @@
             as_of,
             term: self.replica.term(),
         });
-        self.published.publish(catalogue, freshness, leadership);
+        self.published.publish(state, freshness, leadership);
         let status = Status {
             has_failed: self.status.borrow().has_failed,
             is_founded: self.is_founded(),
             is_leading: leadership.is_some(),
             leader: self.replica.leader().map(|id| id.name.clone()),
+            silent_members: self.silent_members(now),
             term: self.replica.term(),
             version: self.machine.state().catalogue().version(),
+            voters: self.replica.membership().voters.len(),
         };
         self.status.send_if_modified(|published| {
             let is_changed = *published != status;
--- a/crates/masticsill_control/src/quorum/machine.rs
+++ b/crates/masticsill_control/src/quorum/machine.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use masticsill_catalogue::{Action, Command, CommandAnswer, ControlState, Freshness};
+use masticsill_catalogue::{
+    Action, Command, CommandAnswer, ControlState, Freshness, StoredDocument,
+};
 use masticsill_quorum::{Entry, LogIndex, Payload, Snapshot};
 use masticsill_types::{CatalogueVersion, ClockMs};
 use masticsill_wire::control::AuditPage;
@@ -28,6 +30,8 @@
 #[derive(Deserialize, Serialize)]
 enum StoredState {
     V1(ControlState),
+    /// With the catalogue as one document.
+    V2(ControlState, Option<StoredDocument>),
 }
 
 /// The replicated state, applied up to an index.
@@ -60,9 +64,12 @@
         self.state = if snapshot.data.is_empty() {
             ControlState::default()
         } else {
-            let StoredState::V1(state) = postcard::from_bytes(&snapshot.data)
+            let stored = postcard::from_bytes(&snapshot.data)
                 .map_err(|source| StateError { what, source })?;
-            state
+            match stored {
+                StoredState::V1(state) => state,
+                StoredState::V2(state, document) => state.with_document(document),
+            }
         };
         self.applied = snapshot.index;
         Ok(())
@@ -137,7 +144,8 @@
 
 /// The state's durable form.
 pub(crate) fn encode_state(state: ControlState) -> Vec<u8> {
-    let bytes = postcard::to_stdvec(&StoredState::V1(state));
+    let document = state.document().cloned();
+    let bytes = postcard::to_stdvec(&StoredState::V2(state, document));
     bytes.expect("the state always encodes into memory")
 }
 
--- a/crates/masticsill_control/src/quorum/members.rs
+++ b/crates/masticsill_control/src/quorum/members.rs
@@ -6,8 +6,8 @@
     LeaderHint, ReplicaIdentity, ReplicaStanding, ReplicaView, ReplicasView,
 };
 
-use crate::book::AddressBook;
 use crate::quorum::request::ReplicaOrder;
+use masticsill_control_client::AddressBook;
 
 /// What an operator's order means for the present members.
 #[derive(Debug)]
--- a/crates/masticsill_control/src/quorum/outputs.rs
+++ b/crates/masticsill_control/src/quorum/outputs.rs
@@ -135,6 +135,7 @@
                 ReadAnswer::Catalogue(catalogue.version(), catalogue.update_since(have))
             }
             ReadRequest::Entry { id } => ReadAnswer::Entry(catalogue.get(&id).cloned()),
+            ReadRequest::Document => ReadAnswer::Document(self.machine.state().document().cloned()),
             ReadRequest::HighestOrder => ReadAnswer::HighestOrder(FencingNumber {
                 term: self.replica.term(),
                 sequence: self.machine.state().order_sequence(),
--- a/crates/masticsill_control/src/quorum/published.rs
+++ b/crates/masticsill_control/src/quorum/published.rs
@@ -2,14 +2,16 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use masticsill_catalogue::{Catalogue, Freshness};
+use masticsill_catalogue::{Catalogue, ControlState, Freshness, StoredDocument};
 use masticsill_orders::LeaderProof;
 use masticsill_types::{ClockMs, Term};
 use masticsill_wire::control::{RenewReply, RenewRequest};
+use tokio::sync::watch;
 
 #[derive(Debug)]
 struct Shown {
     catalogue: Arc<Catalogue>,
+    document: Option<StoredDocument>,
     freshness: Freshness,
     leadership: Option<LeaderProof>,
 }
@@ -20,27 +22,33 @@
 #[derive(Clone, Debug)]
 pub(crate) struct PublishedState {
     copy: Arc<Mutex<Shown>>,
+    /// Version of the document, for those who wait for a newer one.
+    document_version: Arc<watch::Sender<Option<u64>>>,
 }
 
 impl PublishedState {
     pub(crate) fn new(started_at: ClockMs) -> Self {
         let copy = Shown {
             catalogue: Arc::default(),
+            document: None,
             freshness: Freshness::new(started_at),
             leadership: None,
         };
         Self {
             copy: Arc::new(Mutex::new(copy)),
+            document_version: Arc::new(watch::Sender::new(None)),
         }
     }
 
-    /// Publishes the catalogue, if its version is another, and the proofs.
+    /// Publishes the catalogue and the document, if their versions are others, and the proofs.
     pub(crate) fn publish(
         &self,
-        catalogue: &Catalogue,
+        state: &ControlState,
         freshness: Freshness,
         leadership: Option<LeaderProof>,
     ) {
+        self.publish_document(state.document());
+        let catalogue = state.catalogue();
         let is_known = self.lock().catalogue.version() == catalogue.version();
         let changed = (!is_known).then(|| Arc::new(catalogue.clone()));
         let mut copy = self.lock();
@@ -51,6 +59,25 @@
         }
     }
 
+    fn publish_document(&self, document: Option<&StoredDocument>) {
+        let version = document.map(|document| document.version);
+        if *self.document_version.borrow() == version {
+            return;
+        }
+        self.lock().document = document.cloned();
+        self.document_version.send_replace(version);
+    }
+
+    /// The document as applied here.
+    pub(crate) fn document(&self) -> Option<StoredDocument> {
+        self.lock().document.clone()
+    }
+
+    /// Follows the version of the document.
+    pub(crate) fn watch_document(&self) -> watch::Receiver<Option<u64>> {
+        self.document_version.subscribe()
+    }
+
     /// The term that this replica leads within its lease.
     pub(crate) fn led_term(&self, now: ClockMs, lease_ms: u64) -> Option<Term> {
         self.lock().leadership?.led_term(now, lease_ms)
--- a/crates/masticsill_control/src/quorum/request.rs
+++ b/crates/masticsill_control/src/quorum/request.rs
@@ -80,10 +80,14 @@
     pub(crate) is_founded: bool,
     /// The leader, if known.
     pub(crate) leader: Option<NodeId>,
+    /// Members that have been silent for long, while this replica leads.
+    pub(crate) silent_members: Vec<NodeId>,
     /// The term.
     pub(crate) term: Term,
     /// The version of the applied catalogue.
     pub(crate) version: CatalogueVersion,
+    /// Voters of the newest membership.
+    pub(crate) voters: usize,
 }
 
 /// The other duties' end of the quorum duty.
--- a/crates/masticsill_control/src/role.rs
+++ b/crates/masticsill_control/src/role.rs
@@ -14,10 +14,11 @@
 use masticsill_wire::control::{RenewReply, RenewRequest};
 use tokio::sync::watch;
 
-use crate::book::AddressBook;
 use crate::config::ControlConfig;
+use crate::endpoints::EndpointHub;
 use crate::error::ControlError;
 use crate::events;
+use crate::handle::ControlHandle;
 use crate::http::{self, HttpEdge};
 use crate::orders::OrdersDuty;
 use crate::quorum::{
@@ -25,6 +26,7 @@
     StorageProgress, StorageQueue, run_storage,
 };
 use crate::rpc::{self, RpcParts};
+use masticsill_control_client::AddressBook;
 
 const REQUESTS: usize = 8_192;
 const JOBS: usize = 4_096;
@@ -39,6 +41,7 @@
     clock: MonotonicClock,
     duties: Vec<DutyHandle>,
     ended: ShutdownSignal,
+    handle: ControlHandle,
     http: HttpEdge,
     jobs: Ring<Job>,
     lease_ms: u64,
@@ -102,16 +105,23 @@
             status: status_receiver,
         };
         let ended = ShutdownSignal::default();
+        let zone = config.zone.clone();
+        let endpoints = EndpointHub::new(clock, config.endpoints, zone);
         let parts = RpcParts {
             book,
             calls: calls.clone(),
             clock,
             connections,
+            endpoints: endpoints.clone(),
             ended: ended.clone(),
             outgoing,
             published: published.clone(),
             quorum: quorum.clone(),
         };
+        let handle = ControlHandle {
+            calls: calls.clone(),
+            endpoints,
+        };
         let rpc_config = config.clone();
         let http = HttpEdge::start(config.http_address, http::state(config, &quorum, calls))?;
         let jobs_taken = jobs.clone();
@@ -133,6 +143,7 @@
             clock,
             duties,
             ended,
+            handle,
             http,
             jobs,
             lease_ms: config.replica.lease_ms,
@@ -162,6 +173,12 @@
         Ok(())
     }
 
+    /// What edges of this process use.
+    #[must_use]
+    pub fn handle(&self) -> ControlHandle {
+        self.handle.clone()
+    }
+
     /// The bound address of the administration API.
     #[must_use]
     pub fn http_address(&self) -> SocketAddr {
--- a/crates/masticsill_control/src/rpc.rs
+++ b/crates/masticsill_control/src/rpc.rs
@@ -7,4 +7,5 @@
 mod service;
 
 pub(crate) use duty::{RpcParts, run};
-pub(crate) use router::Forward;
+pub(crate) use router::{Forward, ForwardReply};
+pub(crate) use service::ControlServer;
--- a/crates/masticsill_control/src/rpc/duty.rs
+++ b/crates/masticsill_control/src/rpc/duty.rs
@@ -13,10 +13,12 @@
 use super::peers::{Sender, run_outgoing, run_proofs, say_hello};
 use super::router::{Forward, run_router};
 use super::service::ControlServer;
-use crate::book::AddressBook;
-use crate::client::ControlClient;
-use crate::config::ControlConfig;
+use crate::admission::{run_admission, run_trimming};
+use crate::config::{AdmissionPolicy, ControlConfig};
+use crate::endpoints::{EndpointHub, run_exchange};
 use crate::quorum::{Outgoing, PublishedState, QuorumHandle};
+use masticsill_control_client::AddressBook;
+use masticsill_control_client::ControlClient;
 
 /// What the RPC duty is built from.
 #[derive(Debug)]
@@ -25,6 +27,7 @@
     pub(crate) calls: Ring<Forward>,
     pub(crate) clock: MonotonicClock,
     pub(crate) connections: Ring<ServiceStream>,
+    pub(crate) endpoints: EndpointHub,
     pub(crate) ended: ShutdownSignal,
     pub(crate) outgoing: Ring<Outgoing>,
     pub(crate) published: PublishedState,
@@ -42,6 +45,7 @@
         book: parts.book.clone(),
         client: ControlClient::new(parts.book.clone()),
         clock: parts.clock,
+        endpoints: parts.endpoints,
         published: parts.published,
         quorum: parts.quorum,
     };
@@ -65,6 +69,20 @@
     }
     let founders = config.founders.clone();
     spawn_local(run_founding(server.clone(), config.node.clone(), founders));
+    let silence_ms = config.endpoints.silence_ms;
+    spawn_local(run_exchange(
+        server.clone(),
+        config.node.clone(),
+        silence_ms,
+    ));
+    match config.admission {
+        AdmissionPolicy::Operators => {}
+        AdmissionPolicy::Quorum { voters } => {
+            let (node, address) = (config.node.clone(), config.rpc_address);
+            spawn_local(run_admission(server.clone(), node, address));
+            spawn_local(run_trimming(server.clone(), voters));
+        }
+    }
 }
 
 async fn serve_connections(connections: &Ring<ServiceStream>, server: ControlServer) {
--- a/crates/masticsill_control/src/rpc/peers.rs
+++ b/crates/masticsill_control/src/rpc/peers.rs
@@ -9,9 +9,9 @@
 use masticsill_wire::control::{ControlServiceClient, QuorumBatch, RenewRequest};
 
 use super::service::ControlServer;
-use crate::attempts::connect;
-use crate::book::AddressBook;
 use crate::quorum::{Outgoing, Request};
+use masticsill_control_client::AddressBook;
+use masticsill_control_client::connect;
 
 const BATCH_TIMEOUT: Duration = Duration::from_secs(1);
 const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
--- a/crates/masticsill_control/src/rpc/router.rs
+++ b/crates/masticsill_control/src/rpc/router.rs
@@ -1,14 +1,15 @@
 //! Operators' calls: answered here by the leader, passed on to it by every other replica.
 
-use masticsill_catalogue::ChangeAnswer;
+use masticsill_catalogue::{ChangeAnswer, DocumentAnswer};
 use masticsill_runtime::Ring;
 use masticsill_wire::control::{
-    ChangeRequest, ControlReply, ReadAnswer, ReadRequest, ReplicaAnswer, ReplicaChange,
+    ChangeRequest, ControlReply, DocumentChange, ReadAnswer, ReadRequest, ReplicaAnswer,
+    ReplicaChange,
 };
 use tokio::sync::oneshot;
 
 use super::service::ControlServer;
-use crate::client::ControlUnavailable;
+use masticsill_control_client::ControlUnavailable;
 
 /// Time for the whole of a call that is passed on, in milliseconds.
 const FORWARD_BOUND_MS: u64 = 5_000;
@@ -20,6 +21,7 @@
 #[derive(Debug)]
 pub(crate) enum Forward {
     Change(ChangeRequest, ForwardReply<ChangeAnswer>),
+    Document(DocumentChange, ForwardReply<DocumentAnswer>),
     Read(ReadRequest, ForwardReply<ReadAnswer>),
     Replicas(ReplicaChange, ForwardReply<ReplicaAnswer>),
 }
@@ -41,6 +43,13 @@
             };
             let _ = reply_to.send(answer);
         }
+        Forward::Document(change, reply_to) => {
+            let answer = match server.put_document_here(change.clone()).await {
+                ControlReply::Done(answer) => Ok(answer),
+                _ => server.client.put_document(&change, bound_ms).await,
+            };
+            let _ = reply_to.send(answer);
+        }
         Forward::Read(request, reply_to) => {
             let answer = match server.read_here(request.clone()).await {
                 ControlReply::Done(answer) => Ok(answer),
--- a/crates/masticsill_control/src/rpc/service.rs
+++ b/crates/masticsill_control/src/rpc/service.rs
@@ -3,20 +3,22 @@
 use std::net::SocketAddr;
 
 use masticsill_catalogue::{
-    Action, ChangeAnswer, Claim, ClaimAnswer, CommandAnswer, Reassign, Settle,
+    Action, ChangeAnswer, Claim, ClaimAnswer, CommandAnswer, DocumentAnswer, Reassign, Settle,
 };
 use masticsill_quorum::{VoterId, decode_message};
 use masticsill_types::{MonotonicClock, NodeId, log_event};
 use masticsill_wire::control::{
-    ChangeRequest, ControlReply, ControlService, QuorumBatch, ReadAnswer, ReadRequest, RenewReply,
-    RenewRequest, ReplicaAction, ReplicaAnswer, ReplicaChange, ReplicaIdentity,
+    ChangeRequest, ControlReply, ControlService, DocumentChange, QuorumBatch, ReadAnswer,
+    ReadRequest, RenewReply, RenewRequest, ReplicaAction, ReplicaAnswer, ReplicaChange,
+    ReplicaIdentity, WatchReply, WatchRequest,
 };
 use tarpc::context::Context;
 
-use crate::book::AddressBook;
-use crate::client::ControlClient;
+use crate::endpoints::EndpointHub;
 use crate::events;
 use crate::quorum::{JoiningReplica, PublishedState, QuorumHandle, ReplicaOrder, Request, voter};
+use masticsill_control_client::AddressBook;
+use masticsill_control_client::ControlClient;
 
 /// Answers other processes. Each connection has a clone.
 #[derive(Clone, Debug)]
@@ -24,6 +26,7 @@
     pub(crate) book: AddressBook,
     pub(crate) client: ControlClient,
     pub(crate) clock: MonotonicClock,
+    pub(crate) endpoints: EndpointHub,
     pub(crate) published: PublishedState,
     pub(crate) quorum: QuorumHandle,
 }
@@ -53,6 +56,24 @@
         })
     }
 
+    /// Puts a document in force. One that is as old as what is applied here changes nothing, so
+    /// any replica can say so.
+    pub(crate) async fn put_document_here(
+        &self,
+        change: DocumentChange,
+    ) -> ControlReply<DocumentAnswer> {
+        let applied = self.published.document().map(|document| document.version);
+        if let Some(in_force) = applied.filter(|version| *version >= change.document.version) {
+            return ControlReply::Done(DocumentAnswer::Superseded { in_force });
+        }
+        let DocumentChange { document, operator } = change;
+        let reply = self.act(Action::PutDocument { document, operator }).await;
+        map_done(reply, |answer| match answer {
+            CommandAnswer::Document(answer) => Some(answer),
+            _ => None,
+        })
+    }
+
     pub(crate) async fn read_here(&self, request: ReadRequest) -> ControlReply<ReadAnswer> {
         self.quorum
             .ask(|reply_to| Request::Read(request, reply_to))
@@ -195,4 +216,19 @@
     async fn renew(self, _: Context, request: RenewRequest) -> RenewReply {
         self.published.answer_renewal(self.clock.now(), request)
     }
+
+    async fn put_document(
+        self,
+        _: Context,
+        change: DocumentChange,
+    ) -> ControlReply<DocumentAnswer> {
+        self.put_document_here(change).await
+    }
+
+    async fn watch(self, _: Context, request: WatchRequest) -> WatchReply {
+        let members = self.book.named();
+        self.endpoints
+            .watch(&self.published, members, request)
+            .await
+    }
 }
--- a/crates/masticsill_control/tests/common/mod.rs
+++ b/crates/masticsill_control/tests/common/mod.rs
@@ -8,9 +8,11 @@
 use indexmap::{IndexMap, IndexSet};
 use masticsill_catalogue::{Change, ChangeAnswer, ChangeContent, EntryJson, OperatorScope};
 use masticsill_control::{
-    AddressBook, ControlClient, ControlConfig, ControlRole, OperatorConfig, TokenHash,
+    AddressBook, AdmissionPolicy, ControlClient, ControlConfig, ControlRole, OperatorConfig,
+    TokenHash,
 };
 use masticsill_quorum::ReplicaSettings;
+use masticsill_registry::RegistryPeriods;
 use masticsill_runtime::{DutyHandle, Metrics, Ring, ShutdownSignal, listen, spawn_async_duty};
 use masticsill_testkit::{Direction, FaultProxy, ProxyMode};
 use masticsill_types::{CatalogueVersion, MonotonicClock, NodeId};
@@ -126,6 +128,9 @@
         let links = self.links.iter().filter(|((from, _), _)| *from == number);
         let peers = links.map(|((_, to), link)| (node(*to), link.address()));
         ControlConfig {
+            admission: AdmissionPolicy::Operators,
+            endpoints: RegistryPeriods::default(),
+            zone: "a".parse().unwrap(),
             cluster: "test".to_owned(),
             data_folder: self.folder(number),
             founders: self.founders.clone(),
--- a/crates/masticsill_control/src/attempts.rs
+++ b/crates/masticsill_control_client/src/attempts.rs
@@ -14,7 +14,7 @@
 use crate::client::{ControlClient, ControlUnavailable};
 
 const CONNECT_TIMEOUT_MS: u64 = 500;
-const ATTEMPT_TIMEOUT_MS: u64 = 1_000;
+pub(crate) const ATTEMPT_TIMEOUT_MS: u64 = 1_000;
 const RETRY_PAUSE_MS: u64 = 40;
 
 /// Open connections and whom to ask next.
@@ -37,12 +37,22 @@
         &self,
         address: SocketAddr,
         send: impl AsyncFn(ControlServiceClient, Context) -> Result<T, RpcError>,
+    ) -> Option<T> {
+        self.call_within(address, ATTEMPT_TIMEOUT_MS, send).await
+    }
+
+    /// Calls the replica at an address, each attempt within a time.
+    pub(crate) async fn call_within<T>(
+        &self,
+        address: SocketAddr,
+        timeout_ms: u64,
+        send: impl AsyncFn(ControlServiceClient, Context) -> Result<T, RpcError>,
     ) -> Option<T> {
         // A connection from before may lead to a process that has ended since.
         let attempts = if self.is_connected(address) { 2 } else { 1 };
         for _ in 0..attempts {
             let client = self.connect(address).await?;
-            let reply = send(client, context_of(ATTEMPT_TIMEOUT_MS)).await;
+            let reply = send(client, context_of(timeout_ms)).await;
             if let Ok(reply) = reply {
                 return Some(reply);
             }
@@ -167,7 +177,8 @@
     }
 }
 
-pub(crate) async fn connect(address: SocketAddr) -> Option<ControlServiceClient> {
+/// Connects to the control replica at an address; `None` when it can't be reached.
+pub async fn connect(address: SocketAddr) -> Option<ControlServiceClient> {
     let transport = connect_transport(address, ServiceKind::Control, CONNECT_TIMEOUT_MS);
     let transport = transport.await.ok()?;
     let config = tarpc::client::Config::default();
--- a/crates/masticsill_control/src/book.rs
+++ b/crates/masticsill_control_client/src/book.rs
@@ -58,9 +58,9 @@
             .copied()
     }
 
-    /// Every address, each once.
+    /// Every node whose address is known.
     #[must_use]
-    pub fn all(&self) -> Vec<SocketAddr> {
+    pub fn named(&self) -> Vec<(NodeId, SocketAddr)> {
         let nodes = {
             let addresses = self.lock();
             let named = addresses.configured.keys();
@@ -68,19 +68,28 @@
             let named = named.chain(addresses.learned.keys());
             named.cloned().collect::<IndexSet<NodeId>>()
         };
-        let named = nodes.iter().filter_map(|node| self.get(node));
+        let named = nodes.into_iter();
+        named
+            .filter_map(|node| self.get(&node).map(|address| (node, address)))
+            .collect()
+    }
+
+    /// Every address, each once.
+    #[must_use]
+    pub fn all(&self) -> Vec<SocketAddr> {
+        let named = self.named().into_iter().map(|(_, address)| address);
         let seeds = self.lock().seeds.clone();
         let all: IndexSet<SocketAddr> = named.chain(seeds).collect();
         all.into_iter().collect()
     }
 
     /// Notes what a node told of itself.
-    pub(crate) fn learn(&self, node: NodeId, address: SocketAddr) {
+    pub fn learn(&self, node: NodeId, address: SocketAddr) {
         self.lock().learned.insert(node, address);
     }
 
     /// Replaces what operators named.
-    pub(crate) fn admit(&self, admitted: &IndexMap<NodeId, SocketAddr>) {
+    pub fn admit(&self, admitted: &IndexMap<NodeId, SocketAddr>) {
         self.lock().admitted.clone_from(admitted);
     }
 
--- a/crates/masticsill_control/src/client.rs
+++ b/crates/masticsill_control_client/src/client.rs
@@ -4,13 +4,13 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
-use masticsill_catalogue::{ChangeAnswer, Claim, ClaimAnswer, Reassign, Settle};
+use masticsill_catalogue::{ChangeAnswer, Claim, ClaimAnswer, DocumentAnswer, Reassign, Settle};
 use masticsill_wire::control::{
-    ChangeRequest, ControlServiceClient, ReadAnswer, ReadRequest, RenewReply, RenewRequest,
-    ReplicaAnswer, ReplicaChange, ReplicaIdentity,
+    ChangeRequest, ControlServiceClient, DocumentChange, ReadAnswer, ReadRequest, RenewReply,
+    RenewRequest, ReplicaAnswer, ReplicaChange, ReplicaIdentity, WatchReply, WatchRequest,
 };
 
-use crate::attempts::Connections;
+use crate::attempts::{ATTEMPT_TIMEOUT_MS, Connections};
 use crate::book::AddressBook;
 
 /// No leader answered within the time allowed.
@@ -153,6 +153,22 @@
         self.call_leader(bound_ms, send).await
     }
 
+    /// Puts the catalogue as one document in force.
+    ///
+    /// # Errors
+    ///
+    /// [`ControlUnavailable`] after `bound_ms`.
+    pub async fn put_document(
+        &self,
+        change: &DocumentChange,
+        bound_ms: u64,
+    ) -> Result<DocumentAnswer, ControlUnavailable> {
+        let send = async |client: ControlServiceClient, context| {
+            client.put_document(context, change.clone()).await
+        };
+        self.call_leader(bound_ms, send).await
+    }
+
     /// Asks the replica at an address for a proof of freshness; `None` when it does not answer.
     pub async fn renew(&self, address: SocketAddr, request: RenewRequest) -> Option<RenewReply> {
         let send =
@@ -160,14 +176,23 @@
         self.call_once(address, send).await
     }
 
+    /// Waits at the replica at an address for news; `None` when it does not answer.
+    pub async fn watch(&self, address: SocketAddr, request: &WatchRequest) -> Option<WatchReply> {
+        let timeout_ms = request.wait_ms + ATTEMPT_TIMEOUT_MS;
+        let send = async |client: ControlServiceClient, context| {
+            client.watch(context, request.clone()).await
+        };
+        self.call_within(address, timeout_ms, send).await
+    }
+
     /// Asks the replica at an address who it is; `None` when it does not answer.
-    pub(crate) async fn identify(&self, address: SocketAddr) -> Option<ReplicaIdentity> {
+    pub async fn identify(&self, address: SocketAddr) -> Option<ReplicaIdentity> {
         let send = async |client: ControlServiceClient, context| client.identify(context).await;
         self.call_once(address, send).await.flatten()
     }
 
     /// Gives the founding members to the replica at an address.
-    pub(crate) async fn found(&self, address: SocketAddr, members: &[ReplicaIdentity]) -> bool {
+    pub async fn found(&self, address: SocketAddr, members: &[ReplicaIdentity]) -> bool {
         let send = async |client: ControlServiceClient, context| {
             client.found(context, members.to_vec()).await
         };
--- /dev/null
+++ b/crates/masticsill_http1/src/head.rs
@@ -0,0 +1,191 @@
+//! Heads of requests and responses.
+
+use bytes::{Buf, BytesMut};
+
+use crate::body::Framing;
+use crate::error::ParseError;
+use crate::headers::{HeaderList, parse_digits};
+
+/// Header fields of one message, at most.
+const MAX_FIELDS: usize = 96;
+
+/// The head of a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RequestHead {
+    /// How the body ends.
+    pub framing: Framing,
+    /// The header fields.
+    pub headers: HeaderList,
+    /// Whether the caller keeps the connection open afterwards.
+    pub is_keep_alive: bool,
+    /// The method.
+    pub method: String,
+    /// Path and query, as they came.
+    pub target: String,
+}
+
+/// The head of a response.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ResponseHead {
+    /// How the body ends.
+    pub framing: Framing,
+    /// The header fields.
+    pub headers: HeaderList,
+    /// Whether the sender keeps the connection open afterwards.
+    pub is_keep_alive: bool,
+    /// The status code.
+    pub status: u16,
+}
+
+/// Takes a request's head off the front of a buffer; `None` while it is not whole.
+///
+/// # Errors
+///
+/// [`ParseError`] when the bytes are no head, or one longer than `max_bytes`.
+pub fn parse_request(
+    buffer: &mut BytesMut,
+    max_bytes: usize,
+) -> Result<Option<RequestHead>, ParseError> {
+    skip_blank_lines(buffer);
+    let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut parsed = httparse::Request::new(&mut fields);
+    let status = parsed.parse(buffer).map_err(head_error)?;
+    let Some(size_bytes) = size_of(status, buffer.len(), max_bytes)? else {
+        return Ok(None);
+    };
+    let headers = HeaderList::from_parsed(parsed.headers);
+    let is_newer = parsed.version == Some(1);
+    let head = RequestHead {
+        framing: request_framing(&headers, is_newer)?,
+        is_keep_alive: is_keep_alive(&headers, is_newer),
+        method: parsed.method.ok_or(ParseError::Head)?.to_owned(),
+        target: parsed.path.ok_or(ParseError::Head)?.to_owned(),
+        headers,
+    };
+    buffer.advance(size_bytes);
+    Ok(Some(head))
+}
+
+/// Takes the head of a response to `method` off the front of a buffer; `None` while it is not
+/// whole. Interim responses are skipped.
+///
+/// # Errors
+///
+/// [`ParseError`] when the bytes are no head, or one longer than `max_bytes`.
+pub fn parse_response(
+    buffer: &mut BytesMut,
+    method: &str,
+    max_bytes: usize,
+) -> Result<Option<ResponseHead>, ParseError> {
+    loop {
+        let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
+        let mut parsed = httparse::Response::new(&mut fields);
+        let status = parsed.parse(buffer).map_err(head_error)?;
+        let Some(size_bytes) = size_of(status, buffer.len(), max_bytes)? else {
+            return Ok(None);
+        };
+        let status = parsed.code.ok_or(ParseError::Head)?;
+        let headers = HeaderList::from_parsed(parsed.headers);
+        let is_newer = parsed.version == Some(1);
+        buffer.advance(size_bytes);
+        if (100..200).contains(&status) {
+            continue;
+        }
+        let framing = response_framing(&headers, method, status)?;
+        let is_delimited = framing != Framing::UntilClose;
+        return Ok(Some(ResponseHead {
+            framing,
+            is_keep_alive: is_delimited && is_keep_alive(&headers, is_newer),
+            headers,
+            status,
+        }));
+    }
+}
+
+/// Callers may send empty lines between requests.
+fn skip_blank_lines(buffer: &mut BytesMut) {
+    while buffer.starts_with(b"\r\n") {
+        buffer.advance(2);
+    }
+}
+
+fn head_error(error: httparse::Error) -> ParseError {
+    match error {
+        httparse::Error::TooManyHeaders => ParseError::HeadTooLong,
+        _ => ParseError::Head,
+    }
+}
+
+fn size_of(
+    status: httparse::Status<usize>,
+    have_bytes: usize,
+    max_bytes: usize,
+) -> Result<Option<usize>, ParseError> {
+    match status {
+        httparse::Status::Complete(size_bytes) if size_bytes <= max_bytes => Ok(Some(size_bytes)),
+        httparse::Status::Partial if have_bytes <= max_bytes => Ok(None),
+        _ => Err(ParseError::HeadTooLong),
+    }
+}
+
+fn is_keep_alive(headers: &HeaderList, is_newer: bool) -> bool {
+    if headers.has_token("connection", "close") {
+        return false;
+    }
+    is_newer || headers.has_token("connection", "keep-alive")
+}
+
+fn request_framing(headers: &HeaderList, is_newer: bool) -> Result<Framing, ParseError> {
+    let length = content_length(headers)?;
+    if !is_chunked(headers)? {
+        return Ok(length.map_or(Framing::Empty, Framing::from_length));
+    }
+    // Two ways to end one body are how one request is smuggled inside another.
+    if length.is_some() || !is_newer {
+        return Err(ParseError::Framing);
+    }
+    Ok(Framing::Chunked)
+}
+
+fn response_framing(
+    headers: &HeaderList,
+    method: &str,
+    status: u16,
+) -> Result<Framing, ParseError> {
+    if method == "HEAD" || status == 204 || status == 304 {
+        return Ok(Framing::Empty);
+    }
+    let length = content_length(headers)?;
+    if is_chunked(headers)? {
+        return match length {
+            Some(_) => Err(ParseError::Framing),
+            None => Ok(Framing::Chunked),
+        };
+    }
+    Ok(length.map_or(Framing::UntilClose, Framing::from_length))
+}
+
+fn is_chunked(headers: &HeaderList) -> Result<bool, ParseError> {
+    let mut codings = headers.all("transfer-encoding");
+    let Some(first) = codings.next() else {
+        return Ok(false);
+    };
+    let is_only_chunked = first.eq_ignore_ascii_case(b"chunked") && codings.next().is_none();
+    if is_only_chunked {
+        Ok(true)
+    } else {
+        Err(ParseError::TransferCoding)
+    }
+}
+
+fn content_length(headers: &HeaderList) -> Result<Option<u64>, ParseError> {
+    let mut lengths = headers.all("content-length");
+    let Some(first) = lengths.next() else {
+        return Ok(None);
+    };
+    if lengths.next().is_some() {
+        return Err(ParseError::Framing);
+    }
+    let length = parse_digits(first).ok_or(ParseError::Framing)?;
+    Ok(Some(length))
+}
--- /dev/null
+++ b/crates/masticsill_http1/src/write.rs
@@ -0,0 +1,114 @@
+//! Writing heads and chunks.
+
+use std::fmt::{Display, Write};
+
+use bytes::{BufMut, BytesMut};
+
+use crate::headers::Header;
+
+/// Writes a head, line by line.
+#[derive(Debug)]
+pub struct HeadWriter {
+    buffer: BytesMut,
+}
+
+impl HeadWriter {
+    /// Begins a request.
+    #[must_use]
+    pub fn request(method: &str, target: &str) -> Self {
+        let mut buffer = BytesMut::with_capacity(512);
+        buffer.put_slice(method.as_bytes());
+        buffer.put_u8(b' ');
+        buffer.put_slice(target.as_bytes());
+        buffer.put_slice(b" HTTP/1.1\r\n");
+        Self { buffer }
+    }
+
+    /// Begins a response.
+    #[must_use]
+    pub fn response(status: u16) -> Self {
+        let mut buffer = BytesMut::with_capacity(512);
+        buffer.put_slice(b"HTTP/1.1 ");
+        put_text(&mut buffer, status);
+        buffer.put_u8(b' ');
+        buffer.put_slice(reason_phrase(status).as_bytes());
+        buffer.put_slice(b"\r\n");
+        Self { buffer }
+    }
+
+    /// Adds a field that came from elsewhere.
+    pub fn copy(&mut self, header: &Header) {
+        self.buffer.put_slice(header.name.as_bytes());
+        self.buffer.put_slice(b": ");
+        self.buffer.put_slice(&header.value);
+        self.buffer.put_slice(b"\r\n");
+    }
+
+    /// Adds a field.
+    pub fn field(&mut self, name: &str, value: impl Display) {
+        self.buffer.put_slice(name.as_bytes());
+        self.buffer.put_slice(b": ");
+        put_text(&mut self.buffer, value);
+        self.buffer.put_slice(b"\r\n");
+    }
+
+    /// Ends the head.
+    #[must_use]
+    pub fn finish(mut self) -> BytesMut {
+        self.buffer.put_slice(b"\r\n");
+        self.buffer
+    }
+}
+
+/// Writes one chunk; an empty one would end the body, so it writes nothing then.
+pub fn write_chunk(buffer: &mut BytesMut, data: &[u8]) {
+    if data.is_empty() {
+        return;
+    }
+    put_text(buffer, format_args!("{:x}\r\n", data.len()));
+    buffer.put_slice(data);
+    buffer.put_slice(b"\r\n");
+}
+
+/// Ends a body of chunks.
+pub fn write_last_chunk(buffer: &mut BytesMut) {
+    buffer.put_slice(b"0\r\n\r\n");
+}
+
+fn put_text(buffer: &mut BytesMut, value: impl Display) {
+    // Writing into memory can't fail.
+    let _ = write!(buffer, "{value}");
+}
+
+/// The usual phrase of a status code.
+#[must_use]
+pub fn reason_phrase(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        202 => "Accepted",
+        204 => "No Content",
+        301 => "Moved Permanently",
+        302 => "Found",
+        304 => "Not Modified",
+        307 => "Temporary Redirect",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        403 => "Forbidden",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        501 => "Not Implemented",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
--- a/crates/masticsill_quorum/src/lib.rs
+++ b/crates/masticsill_quorum/src/lib.rs
@@ -22,6 +22,7 @@
 mod replica;
 mod replicate;
 mod settings;
+mod silence;
 mod snapshot;
 pub mod storage;
 mod wire;
--- a/crates/masticsill_quorum/tests/control/naive.rs
+++ b/crates/masticsill_quorum/tests/control/naive.rs
@@ -43,7 +43,9 @@
                 self.order_sequence += 1;
                 CommandAnswer::OrderSequence(self.order_sequence)
             }
-            Action::NoteReplicas { .. } => panic!("no client does that here"),
+            Action::NoteReplicas { .. } | Action::PutDocument { .. } => {
+                panic!("no client does that here")
+            }
             Action::Reassign(reassign) => CommandAnswer::Claim(self.reassign(reassign)),
             Action::Settle(settle) => CommandAnswer::Claim(self.settle(settle)),
         };
--- a/crates/masticsill_quorum/tests/control/operators.rs
+++ b/crates/masticsill_quorum/tests/control/operators.rs
@@ -222,6 +222,6 @@
         Action::Claim(claim) => claim.owner = owner.parse().unwrap(),
         Action::Reassign(reassign) => reassign.owner = owner.parse().unwrap(),
         Action::Settle(settle) => settle.end = CallEnd::NotRun,
-        Action::DrawOrderSequence | Action::NoteReplicas { .. } => {}
+        Action::DrawOrderSequence | Action::NoteReplicas { .. } | Action::PutDocument { .. } => {}
     }
 }
--- /dev/null
+++ b/crates/masticsill_registry/tests/heartbeats.rs
@@ -0,0 +1,146 @@
+//! Heartbeats that come late, twice, out of order and through other instances.
+
+use masticsill_registry::{
+    Announcement, EndpointId, EndpointState, Heard, Registry, RegistryPeriods,
+};
+use masticsill_types::{ClockMs, ZoneId};
+
+const PERIODS: RegistryPeriods = RegistryPeriods {
+    forget_ms: 60_000,
+    silence_ms: 5_000,
+};
+
+fn id(name: &str) -> EndpointId {
+    EndpointId(name.to_owned())
+}
+
+fn heartbeat(name: &str, sequence: u64, state: EndpointState) -> Announcement {
+    Announcement {
+        address: "10.0.0.1:80".parse().unwrap(),
+        cold_left_ms: 0,
+        id: id(name),
+        sequence,
+        service: "drafts".to_owned(),
+        slots: 4,
+        state,
+        zone: ZoneId::new("a").unwrap(),
+    }
+}
+
+fn state_of(registry: &Registry, name: &str) -> EndpointState {
+    registry.get(&id(name)).unwrap().announcement.state
+}
+
+#[test]
+fn a_late_heartbeat_does_not_undo_draining() {
+    let mut registry = Registry::new(PERIODS);
+    let now = ClockMs(1_000);
+    assert!(registry.announce(now, &heartbeat("e", 1, EndpointState::Ready)));
+    assert!(registry.announce(now, &heartbeat("e", 3, EndpointState::Draining)));
+    assert!(!registry.announce(now, &heartbeat("e", 2, EndpointState::Ready)));
+    assert!(!registry.announce(now, &heartbeat("e", 4, EndpointState::Ready)));
+    assert_eq!(state_of(&registry, "e"), EndpointState::Draining);
+}
+
+#[test]
+fn an_incarnation_that_has_ended_never_comes_back() {
+    let mut registry = Registry::new(PERIODS);
+    registry.announce(ClockMs(0), &heartbeat("e", 1, EndpointState::Ready));
+    assert!(registry.depart(ClockMs(1), &id("e")));
+    assert!(!registry.depart(ClockMs(1), &id("e")));
+    registry.announce(ClockMs(10), &heartbeat("e", 9, EndpointState::Ready));
+    assert_eq!(state_of(&registry, "e"), EndpointState::Gone);
+}
+
+#[test]
+fn the_end_of_an_unknown_incarnation_reaches_those_who_know_it() {
+    let mut restarted = Registry::new(PERIODS);
+    assert!(restarted.depart(ClockMs(0), &id("e")));
+    let mut reader = Registry::new(PERIODS);
+    reader.announce(ClockMs(0), &heartbeat("e", 7, EndpointState::Ready));
+    assert!(reader.merge(ClockMs(1), &restarted.changes_since(0)));
+    assert_eq!(state_of(&reader, "e"), EndpointState::Gone);
+}
+
+#[test]
+fn readers_get_what_changed_since_their_revision() {
+    let mut registry = Registry::new(PERIODS);
+    registry.announce(ClockMs(0), &heartbeat("e", 1, EndpointState::Ready));
+    let seen = registry.revision();
+    registry.announce(ClockMs(1), &heartbeat("e", 2, EndpointState::Ready));
+    assert_eq!(registry.revision(), seen);
+    registry.announce(ClockMs(2), &heartbeat("f", 1, EndpointState::Ready));
+    registry.announce(ClockMs(3), &heartbeat("e", 3, EndpointState::Draining));
+    let changed = registry.changes_since(seen);
+    let names: Vec<&str> = changed
+        .iter()
+        .map(|it| it.announcement.id.0.as_str())
+        .collect();
+    assert_eq!(names, ["e", "f"]);
+    assert!(registry.changes_since(registry.revision()).is_empty());
+}
+
+#[test]
+fn what_another_instance_hears_is_not_silent() {
+    let mut registry = Registry::new(PERIODS);
+    registry.announce(ClockMs(0), &heartbeat("e", 1, EndpointState::Ready));
+    registry.announce(ClockMs(0), &heartbeat("f", 1, EndpointState::Ready));
+    let heard = Heard {
+        age_ms: 500,
+        id: id("e"),
+    };
+    registry.note_heard(ClockMs(5_000), &[heard]);
+    assert!(registry.judge_silence(ClockMs(5_500), true));
+    assert!(!registry.get(&id("e")).unwrap().is_silent);
+    assert!(registry.get(&id("f")).unwrap().is_silent);
+    registry.announce(ClockMs(5_600), &heartbeat("f", 2, EndpointState::Ready));
+    assert!(registry.judge_silence(ClockMs(5_700), true));
+    assert!(!registry.get(&id("f")).unwrap().is_silent);
+}
+
+#[test]
+fn an_instance_that_is_cut_off_declares_nobody_lost() {
+    let mut registry = Registry::new(PERIODS);
+    registry.announce(ClockMs(0), &heartbeat("e", 1, EndpointState::Ready));
+    assert!(!registry.judge_silence(ClockMs(50_000), false));
+    assert!(!registry.get(&id("e")).unwrap().is_silent);
+}
+
+#[test]
+fn a_held_up_heartbeat_is_no_sign_of_life() {
+    let mut registry = Registry::new(PERIODS);
+    registry.announce(ClockMs(0), &heartbeat("e", 5, EndpointState::Ready));
+    registry.announce(ClockMs(4_900), &heartbeat("e", 4, EndpointState::Ready));
+    registry.judge_silence(ClockMs(5_000), true);
+    assert!(registry.get(&id("e")).unwrap().is_silent);
+}
+
+#[test]
+fn joining_records_in_any_order_gives_the_same() {
+    let beats = [
+        heartbeat("e", 1, EndpointState::Ready),
+        heartbeat("e", 2, EndpointState::Draining),
+        heartbeat("e", 3, EndpointState::Ready),
+    ];
+    let mut results = Vec::new();
+    for order in [[0, 1, 2], [2, 1, 0], [1, 0, 2], [2, 0, 1]] {
+        let mut registry = Registry::new(PERIODS);
+        for position in order {
+            registry.announce(ClockMs(0), &beats[position]);
+        }
+        results.push(registry.get(&id("e")).unwrap().clone());
+    }
+    assert!(results.windows(2).all(|pair| pair[0] == pair[1]));
+    assert_eq!(results[0].announcement.state, EndpointState::Draining);
+}
+
+#[test]
+fn what_is_long_past_is_forgotten() {
+    let mut registry = Registry::new(PERIODS);
+    registry.announce(ClockMs(0), &heartbeat("e", 1, EndpointState::Ready));
+    registry.depart(ClockMs(1), &id("e"));
+    registry.judge_silence(ClockMs(59_000), true);
+    assert!(registry.get(&id("e")).is_some());
+    registry.judge_silence(ClockMs(60_000), true);
+    assert!(registry.get(&id("e")).is_none());
+}
--- /dev/null
+++ b/crates/masticsill_relay/src/admission.rs
@@ -0,0 +1,74 @@
+//! The filters that a request passes before it is sent anywhere: route, workspace, deadline.
+
+use bytes::Bytes;
+use masticsill_catalogue::{Route, RouteIndex};
+use masticsill_http1::RequestHead;
+use masticsill_types::ClockMs;
+
+use crate::answer::Refusal;
+use crate::config::HeaderNames;
+use crate::request::RelayRequest;
+
+/// Admits a whole request under one document, or says why not.
+pub(crate) fn admit(
+    index: &RouteIndex,
+    names: &HeaderNames,
+    received_at: ClockMs,
+    head: RequestHead,
+    body: Bytes,
+) -> Result<RelayRequest, Refusal> {
+    let host = head.headers.text("host").ok_or(Refusal::Malformed)?;
+    if head.headers.all("host").count() > 1 || !head.target.starts_with('/') {
+        return Err(Refusal::Malformed);
+    }
+    let host = host.split(':').next().unwrap_or(host);
+    let path = head.target.split('?').next().unwrap_or(&head.target);
+    let route = index.find(host, path).ok_or(Refusal::NoRoute)?;
+    let workspace = workspace_of(index, names, route, &head)?;
+    let asked_ms = head.headers.number(&names.deadline_ms);
+    let timeout_ms = asked_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
+    Ok(RelayRequest {
+        body,
+        deadline_at: received_at + timeout_ms,
+        id: head
+            .headers
+            .text(&names.request_id)
+            .unwrap_or_default()
+            .to_owned(),
+        received_at,
+        service: choose_service(route, rand::random()),
+        route: std::sync::Arc::clone(route),
+        workspace,
+        head,
+    })
+}
+
+fn workspace_of(
+    index: &RouteIndex,
+    names: &HeaderNames,
+    route: &Route,
+    head: &RequestHead,
+) -> Result<Option<String>, Refusal> {
+    if route.is_anonymous || !index.has_workspaces() {
+        return Ok(None);
+    }
+    let key = head
+        .headers
+        .text(&names.api_key)
+        .ok_or(Refusal::UnknownKey)?;
+    let workspace = index.workspace_of_key(key).ok_or(Refusal::UnknownKey)?;
+    Ok(Some(workspace.name.clone()))
+}
+
+/// A service by the route's weights; `random` is any number.
+fn choose_service(route: &Route, random: u64) -> String {
+    let total: u64 = route.services.iter().map(|share| share.weight).sum();
+    let mut left = random % total.max(1);
+    for share in &route.services {
+        if left < share.weight {
+            return share.service.clone();
+        }
+        left -= share.weight;
+    }
+    String::new()
+}
--- /dev/null
+++ b/crates/masticsill_relay/src/attempt.rs
@@ -0,0 +1,237 @@
+//! One send of a request to one endpoint, up to the head of its answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use masticsill_http1::ResponseHead;
+use masticsill_registry::Announcement;
+use masticsill_types::{ClockMs, log_event};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep_until};
+
+use crate::dial::dial;
+use crate::events;
+use crate::health::Failure;
+use crate::relay::Relay;
+use crate::request::{RelayRequest, SendOptions};
+use crate::upstream::{Break, Expected, Upstream};
+
+/// Longest wait for a connection: a healthy endpoint accepts within a few milliseconds, and what
+/// was not sent costs nothing to send elsewhere.
+const DIAL_TIMEOUT_MS: u64 = 120;
+/// Longest idle time of a connection for a request that may not run twice: the less, the less
+/// likely it crosses the endpoint's close, which would leave its outcome unknown.
+const IDLE_ONCE_MS: u64 = 1_500;
+/// Silence of an endpoint, while others of its zone are silent, after which it is given up.
+const ALARM_SILENCE_MS: u64 = 150;
+
+/// The connection of one send, and the endpoint's count of it. Dropped, it closes the connection.
+#[derive(Debug)]
+pub(crate) struct Sent {
+    pub(crate) endpoint: Announcement,
+    relay: Rc<Relay>,
+    pub(crate) sent_at: ClockMs,
+    upstream: Option<Upstream>,
+}
+
+/// How a send ended before an answer.
+#[derive(Debug)]
+pub(crate) enum SendFailure {
+    /// Nothing was sent: any request may be sent elsewhere.
+    NotSent,
+    /// The request was sent and may have run.
+    MayHaveRun(Failure),
+}
+
+impl Sent {
+    pub(crate) fn upstream(&mut self) -> &mut Upstream {
+        self.upstream
+            .as_mut()
+            .expect("it is taken only with the whole value")
+    }
+
+    /// Keeps the connection for the next request if the answer allows it.
+    pub(crate) fn keep(mut self, head: &ResponseHead) {
+        let upstream = self.upstream.take();
+        let stream = upstream.and_then(Upstream::into_reusable);
+        let mut pool = self.relay.pool.borrow_mut();
+        match stream.filter(|_| head.is_keep_alive) {
+            Some(stream) => {
+                let keep_ms = keep_alive_ms(head);
+                pool.put(self.relay.now(), &self.endpoint.id, stream, keep_ms);
+            }
+            None => pool.note_closed(&self.endpoint.id),
+        }
+    }
+}
+
+impl Drop for Sent {
+    fn drop(&mut self) {
+        if self.upstream.take().is_some() {
+            self.relay.pool.borrow_mut().note_closed(&self.endpoint.id);
+        }
+        if let Some(endpoint) = self.relay.endpoints.borrow_mut().get_mut(&self.endpoint.id) {
+            endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
+        }
+    }
+}
+
+/// Sends a request and waits for the head of the answer, `patience_ms` at most.
+pub(crate) async fn send(
+    relay: &Rc<Relay>,
+    request: &RelayRequest,
+    endpoint: Announcement,
+    options: &SendOptions,
+    patience_ms: u64,
+) -> Result<(Sent, ResponseHead), SendFailure> {
+    let stream = match connect(relay, request, &endpoint).await {
+        Ok(stream) => stream,
+        Err(error) => {
+            let cause = error.to_string();
+            log_failure(relay, request, &endpoint, "not_sent", &cause);
+            relay.note_failure(&endpoint, Failure::Broken);
+            return Err(SendFailure::NotSent);
+        }
+    };
+    if let Some(known) = relay.endpoints.borrow_mut().get_mut(&endpoint.id) {
+        known.in_flight += 1;
+    }
+    let mut sent = Sent {
+        endpoint,
+        relay: Rc::clone(relay),
+        sent_at: relay.now(),
+        upstream: Some(Upstream::new(stream)),
+    };
+    let names = Rc::clone(relay);
+    let names = &names.config.headers;
+    let bytes = request.bytes_for(names, &sent.endpoint, sent.sent_at, options);
+    let expected = Expected {
+        method: &request.head.method,
+        id_field: &names.request_id,
+        request_id: &request.id,
+    };
+    let sent_at = sent.sent_at;
+    let zone = sent.endpoint.clone();
+    let exchange = sent.upstream().exchange(&bytes, expected);
+    let end = with_patience(relay, &zone, sent_at, patience_ms, exchange).await;
+    match end {
+        Some(Ok(head)) => {
+            let latency_ms = relay.now().since(sent_at);
+            relay.note_answer(&sent.endpoint.id, latency_ms, head.status);
+            Ok((sent, head))
+        }
+        Some(Err(error)) => {
+            let failure = failure_of(&error);
+            let cause = error.to_string();
+            Err(fail(relay, request, sent, failure, &cause))
+        }
+        None => Err(fail(relay, request, sent, Failure::Silent, "no answer")),
+    }
+}
+
+/// Ends a send that failed after the request had left.
+pub(crate) fn fail(
+    relay: &Relay,
+    request: &RelayRequest,
+    sent: Sent,
+    failure: Failure,
+    cause: &str,
+) -> SendFailure {
+    log_failure(relay, request, &sent.endpoint, failure.name(), cause);
+    relay.note_failure(&sent.endpoint, failure);
+    drop(sent);
+    SendFailure::MayHaveRun(failure)
+}
+
+fn log_failure(
+    relay: &Relay,
+    request: &RelayRequest,
+    endpoint: &Announcement,
+    failure: &str,
+    cause: &str,
+) {
+    log_event!(
+        info,
+        events::ATTEMPT_FAILED,
+        request = request.id,
+        route = request.route.name,
+        endpoint = endpoint.id,
+        zone = endpoint.zone,
+        failure = failure,
+        cause = cause,
+        left_ms = request.left_ms(relay.now())
+    );
+}
+
+pub(crate) fn failure_of(error: &Break) -> Failure {
+    match error {
+        Break::Connection(_) => Failure::Broken,
+        Break::Parse(_) => Failure::Malformed,
+    }
+}
+
+async fn connect(
+    relay: &Relay,
+    request: &RelayRequest,
+    endpoint: &Announcement,
+) -> std::io::Result<TcpStream> {
+    let idle_ms = if request.route.may_repeat() {
+        u64::MAX
+    } else {
+        IDLE_ONCE_MS
+    };
+    let kept = relay
+        .pool
+        .borrow_mut()
+        .take(relay.now(), &endpoint.id, idle_ms);
+    if let Some(stream) = kept {
+        return Ok(stream);
+    }
+    let timeout_ms = DIAL_TIMEOUT_MS.min(request.left_ms(relay.now()));
+    let stream = dial(endpoint.address, timeout_ms).await?;
+    relay.pool.borrow_mut().note_opened(&endpoint.id);
+    Ok(stream)
+}
+
+/// Waits for something of an endpoint that was last heard at `heard_at`; `None` once it has been
+/// silent for too long, or for a shorter time while its zone is suspect.
+pub(crate) async fn with_patience<T>(
+    relay: &Relay,
+    endpoint: &Announcement,
+    heard_at: ClockMs,
+    patience_ms: u64,
+    waiting: impl Future<Output = T>,
+) -> Option<T> {
+    tokio::pin!(waiting);
+    let mut alarms = relay.alarms.subscribe();
+    let mut give_up_at = heard_at + patience_ms;
+    loop {
+        let left_ms = give_up_at.since(relay.now());
+        let bound = Instant::now() + Duration::from_millis(left_ms);
+        tokio::select! {
+            biased;
+            done = &mut waiting => return Some(done),
+            () = sleep_until(bound) => return None,
+            _ = alarms.changed() => {
+                let alarm = alarms.borrow_and_update().clone();
+                let is_meant = alarm.is_some_and(|alarm| {
+                    alarm.zone == endpoint.zone && alarm.service == endpoint.service
+                });
+                if is_meant {
+                    give_up_at = give_up_at.min(heard_at + ALARM_SILENCE_MS);
+                }
+            }
+        }
+    }
+}
+
+/// How long the endpoint keeps the connection, if it says.
+fn keep_alive_ms(head: &ResponseHead) -> Option<u64> {
+    let parameters = head.headers.text("keep-alive")?;
+    let mut parameters = parameters.split(',').map(str::trim);
+    let seconds: u64 = parameters
+        .find_map(|it| it.strip_prefix("timeout="))?
+        .parse()
+        .ok()?;
+    Some(seconds * 1_000)
+}
--- /dev/null
+++ b/crates/masticsill_relay/src/budget.rs
@@ -0,0 +1,103 @@
+//! The retry budget of one service, as this entry's share of what all entries may spend.
+//!
+//! The bound is linear in the requests, so the entries need not talk: each keeps to the ratio of
+//! its own requests, and to its part of what is free.
+
+use std::collections::VecDeque;
+
+use masticsill_types::ClockMs;
+
+use crate::config::BudgetSettings;
+
+/// Part of the bound that is used: the rest covers requests that other parties count elsewhere
+/// in their windows than this entry does.
+const USED_SHARE: f64 = 0.6;
+/// Length of the pieces into which a window is counted.
+const PIECE_MS: u64 = 500;
+
+#[derive(Clone, Copy, Debug)]
+struct Piece {
+    began_at: ClockMs,
+    extra: u32,
+    requests: u32,
+}
+
+/// Counts requests and extra sends to one service.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    pieces: VecDeque<Piece>,
+    settings: BudgetSettings,
+}
+
+impl RetryBudget {
+    /// A budget of which nothing is spent.
+    #[must_use]
+    pub fn new(settings: BudgetSettings) -> Self {
+        Self {
+            pieces: VecDeque::new(),
+            settings,
+        }
+    }
+
+    /// Counts a caller's request to the service.
+    pub fn note_request(&mut self, now: ClockMs) {
+        self.piece(now).requests += 1;
+    }
+
+    /// Counts an extra send if the budget allows it; returns whether it does.
+    ///
+    /// `entries` is the number of entries that share what is free.
+    pub fn try_spend(&mut self, now: ClockMs, entries: u32) -> bool {
+        let left = self.left(now, entries);
+        if left == 0 {
+            return false;
+        }
+        self.piece(now).extra += 1;
+        true
+    }
+
+    /// Extra sends that are left.
+    #[must_use]
+    pub fn left(&self, now: ClockMs, entries: u32) -> u32 {
+        let window = self
+            .pieces
+            .iter()
+            .filter(|piece| self.is_within(now, piece));
+        let (requests, extra) = window.fold((0, 0), |(requests, extra), piece| {
+            (requests + piece.requests, extra + piece.extra)
+        });
+        let free = f64::from(self.settings.extra) / f64::from(entries.max(1));
+        let bound = USED_SHARE * (self.settings.ratio * f64::from(requests) + free);
+        // The bound is small and not negative.
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let bound = bound as u32;
+        bound.saturating_sub(extra)
+    }
+
+    fn is_within(&self, now: ClockMs, piece: &Piece) -> bool {
+        now.since(piece.began_at) < self.settings.window_ms
+    }
+
+    fn piece(&mut self, now: ClockMs) -> &mut Piece {
+        while self
+            .pieces
+            .front()
+            .is_some_and(|it| !self.is_within(now, it))
+        {
+            self.pieces.pop_front();
+        }
+        let is_open = self
+            .pieces
+            .back()
+            .is_some_and(|it| now.since(it.began_at) < PIECE_MS);
+        if !is_open {
+            self.pieces.push_back(Piece {
+                began_at: now,
+                extra: 0,
+                requests: 0,
+            });
+        }
+        let last = self.pieces.len() - 1;
+        &mut self.pieces[last]
+    }
+}
--- /dev/null
+++ b/crates/masticsill_relay/src/config.rs
@@ -0,0 +1,90 @@
+//! What a relay is told at its start.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use masticsill_catalogue::RouteDocument;
+use masticsill_types::{NodeId, ZoneId};
+
+/// Reads the operator's bytes of a document; the text names what is wrong.
+pub type DocumentReader = fn(&[u8]) -> Result<RouteDocument, String>;
+
+/// Settings of a relay.
+#[derive(Clone, Debug)]
+pub struct RelayConfig {
+    /// Extra sends to endpoints that the system may make.
+    pub budget: BudgetSettings,
+    /// Addresses of control replicas to begin with.
+    pub control_seeds: Vec<SocketAddr>,
+    /// How long a shutdown may take.
+    pub grace_ms: u64,
+    /// The names of header fields.
+    pub headers: Arc<HeaderNames>,
+    /// Where callers connect.
+    pub listen_address: SocketAddr,
+    /// This process.
+    pub node: NodeId,
+    /// Reads documents.
+    pub read_document: DocumentReader,
+    /// This process's availability zone.
+    pub zone: ZoneId,
+}
+
+/// Extra sends that all entries together may make to a service in any window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetSettings {
+    /// Extra sends whatever the number of requests.
+    pub extra: u32,
+    /// Extra sends for each request.
+    pub ratio: f64,
+    /// Length of the window.
+    pub window_ms: u64,
+}
+
+/// The names of the header fields that callers, endpoints and the relay exchange.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HeaderNames {
+    /// The caller's API key; never passed on.
+    pub api_key: String,
+    /// Where an engine keeps a copy of a run's memory.
+    pub backup_at: String,
+    /// Milliseconds that are left to answer.
+    pub deadline_ms: String,
+    /// The incarnation that a request is meant for.
+    pub expected_endpoint: String,
+    /// The last event that the caller has.
+    pub last_event: String,
+    /// What only the system sets, besides the fields named here; dropped when a caller sends it.
+    pub reserved: Vec<String>,
+    /// Names one attempt of a caller; endpoints repeat it.
+    pub request_id: String,
+    /// Where an engine finds the memory that a run goes on from.
+    pub resume_from: String,
+    /// An endpoint's signature of its answer.
+    pub signature: String,
+    /// The numbers of prompt tokens and of output tokens at most, separated by a comma.
+    pub token_count: String,
+    /// Says that an endpoint did not run a request.
+    pub not_run: String,
+    /// The caller's workspace.
+    pub workspace: String,
+}
+
+impl Default for HeaderNames {
+    fn default() -> Self {
+        Self {
+            api_key: "X-Api-Key".to_owned(),
+            backup_at: "X-Backup-At".to_owned(),
+            deadline_ms: "X-Deadline-Ms".to_owned(),
+            expected_endpoint: "X-Expected-Endpoint".to_owned(),
+            last_event: "Last-Event-ID".to_owned(),
+            reserved: Vec::new(),
+            request_id: "X-Request-Id".to_owned(),
+            resume_from: "X-Resume-From".to_owned(),
+            signature: "X-Signature".to_owned(),
+            token_count: "X-Token-Count".to_owned(),
+            not_run: "X-Not-Run".to_owned(),
+            workspace: "X-Workspace".to_owned(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -0,0 +1,186 @@
+//! Follows the control replicas: the document in force and the endpoints that registered.
+//!
+//! Every replica is followed at once, so that an entry in touch with the one that acknowledged
+//! something hears of it directly. The document's bytes come from the replica of the own zone,
+//! and from another one only when that is late.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use indexmap::IndexSet;
+use masticsill_catalogue::{RouteIndex, StoredDocument};
+use masticsill_control_client::{AddressBook, ControlClient};
+use masticsill_types::{ClockMs, NodeId, log_event};
+use masticsill_wire::control::{WatchReply, WatchRequest, Watcher};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::events;
+use crate::relay::Relay;
+
+/// Longest wait for news.
+const WAIT_MS: u64 = 1_000;
+/// How long the own zone's replica may be behind before another is asked for the bytes.
+const BEHIND_MS: u64 = 150;
+/// Pause after a replica did not answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// What the followers share.
+struct Discovery {
+    client: ControlClient,
+    followed: RefCell<IndexSet<SocketAddr>>,
+    /// The newest version heard of, and when.
+    newest: Cell<Option<(u64, ClockMs)>>,
+    relay: Rc<Relay>,
+}
+
+/// Follows the seeds, and every replica that they tell of.
+pub(crate) fn start_discovery(relay: &Rc<Relay>) {
+    let discovery = Rc::new(Discovery {
+        client: ControlClient::new(AddressBook::default()),
+        followed: RefCell::default(),
+        newest: Cell::new(None),
+        relay: Rc::clone(relay),
+    });
+    for seed in &relay.config.control_seeds {
+        discovery.follow_once(*seed);
+    }
+}
+
+impl Discovery {
+    fn follow_once(self: &Rc<Self>, address: SocketAddr) {
+        if self.followed.borrow_mut().insert(address) {
+            spawn_local(follow(Rc::clone(self), address));
+        }
+    }
+
+    fn held(&self) -> Option<u64> {
+        let index = self.relay.index.borrow();
+        index.as_ref().map(|index| index.document().version)
+    }
+
+    /// Whether a newer version has been known for a while and its bytes have not come.
+    fn is_behind(&self) -> bool {
+        let Some((newest, since)) = self.newest.get() else {
+            return false;
+        };
+        Some(newest) > self.held() && self.relay.now().since(since) >= BEHIND_MS
+    }
+
+    fn note_newest(&self, version: Option<u64>) {
+        let known = self.newest.get().map(|(version, _)| version);
+        if let Some(version) = version.filter(|version| Some(*version) > known) {
+            self.newest.set(Some((version, self.relay.now())));
+        }
+    }
+
+    fn take_document(&self, document: &StoredDocument, from: SocketAddr) {
+        if self.held() >= Some(document.version) {
+            return;
+        }
+        let read = (self.relay.config.read_document)(&document.bytes);
+        match read {
+            Ok(read) => {
+                self.relay.take_index(RouteIndex::new(read));
+                log_event!(
+                    info,
+                    events::DOCUMENT_TAKEN,
+                    version = document.version,
+                    from = from,
+                    bytes = document.bytes.len()
+                );
+            }
+            Err(cause) => {
+                log_event!(
+                    error,
+                    events::DOCUMENT_UNREADABLE,
+                    version = document.version,
+                    from = from,
+                    cause = cause
+                );
+            }
+        }
+    }
+
+    fn take_endpoints(&self, node: &NodeId, reply: &WatchReply) {
+        let mut endpoints = self.relay.endpoints.borrow_mut();
+        for id in endpoints.merge(node, &reply.endpoints) {
+            let Some(endpoint) = endpoints.get(&id) else {
+                continue;
+            };
+            log_event!(
+                info,
+                events::ENDPOINT_CHANGED,
+                endpoint = id,
+                state = endpoint.announcement.state.name(),
+                address = endpoint.announcement.address,
+                zone = endpoint.announcement.zone,
+                sequence = endpoint.announcement.sequence,
+                from = node,
+                revision = reply.revision
+            );
+        }
+    }
+}
+
+/// Follows one replica for good.
+async fn follow(discovery: Rc<Discovery>, address: SocketAddr) {
+    let relay = Rc::clone(&discovery.relay);
+    // The replica is named by its address here: its node is of no use to an entry.
+    let node = NodeId::new(address.to_string()).expect("an address holds allowed characters");
+    let mut request = WatchRequest {
+        document_held: None,
+        document_seen: None,
+        registry: 0,
+        revision: 0,
+        wait_ms: WAIT_MS,
+        wants_document: true,
+        watcher: Watcher::Entry(relay.config.node.clone()),
+    };
+    let mut is_reached = false;
+    let mut is_own_zone = false;
+    loop {
+        request.document_held = discovery.held();
+        let is_behind = discovery.is_behind();
+        request.wants_document = is_own_zone || is_behind || request.document_held.is_none();
+        let has_newer = discovery.newest.get().map(|(version, _)| version) > request.document_held;
+        request.wait_ms = if has_newer && !is_behind {
+            BEHIND_MS
+        } else {
+            WAIT_MS
+        };
+        let reply = discovery.client.watch(address, &request).await;
+        let Some(reply) = reply else {
+            if is_reached {
+                log_event!(warn, events::CONTROL_LOST, address = address);
+            }
+            is_reached = false;
+            sleep(RETRY_PAUSE).await;
+            continue;
+        };
+        if !is_reached {
+            log_event!(
+                info,
+                events::CONTROL_REACHED,
+                address = address,
+                zone = reply.zone
+            );
+        }
+        is_reached = true;
+        is_own_zone = reply.zone == relay.config.zone;
+        request.document_seen = reply.document_version.max(request.document_seen);
+        request.registry = reply.registry;
+        request.revision = reply.revision;
+        discovery.note_newest(reply.document_version);
+        discovery.take_endpoints(&node, &reply);
+        if let Some(document) = &reply.document {
+            discovery.take_document(document, address);
+        }
+        relay.entries.set(reply.entries.max(1));
+        for (_, member) in &reply.members {
+            discovery.follow_once(*member);
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticsill_relay/src/events.rs
@@ -0,0 +1,59 @@
+//! Log events of the relay, numbers 2100 to 2199.
+
+use masticsill_types::Event;
+
+/// The relay serves callers.
+pub const RELAY_STARTED: Event = Event::new(2100, "relay_started");
+/// The relay has ended.
+pub const RELAY_STOPPED: Event = Event::new(2101, "relay_stopped");
+/// A graceful shutdown began: readiness is off and answers close their connections.
+pub const RELAY_STOPPING: Event = Event::new(2102, "relay_stopping");
+/// A request was answered with an endpoint's answer.
+pub const REQUEST_ANSWERED: Event = Event::new(2110, "request_answered");
+/// A request was answered by the relay itself.
+pub const REQUEST_REFUSED: Event = Event::new(2111, "request_refused");
+/// An exchange with an endpoint ended without an answer that can be passed on.
+pub const ATTEMPT_FAILED: Event = Event::new(2112, "attempt_failed");
+/// A stream goes on at another endpoint.
+pub const STREAM_RESUMED: Event = Event::new(2113, "stream_resumed");
+/// A stream was broken off towards its caller.
+pub const STREAM_BROKEN_OFF: Event = Event::new(2114, "stream_broken_off");
+/// A caller left before its answer was whole.
+pub const CALLER_LEFT: Event = Event::new(2115, "caller_left");
+/// Bytes of a caller are no request that can be relayed.
+pub const REQUEST_MALFORMED: Event = Event::new(2116, "request_malformed");
+/// A document came into force here.
+pub const DOCUMENT_TAKEN: Event = Event::new(2120, "document_taken");
+/// A document could not be read.
+pub const DOCUMENT_UNREADABLE: Event = Event::new(2121, "document_unreadable");
+/// What a control replica told changed what is believed of an endpoint.
+pub const ENDPOINT_CHANGED: Event = Event::new(2122, "endpoint_changed");
+/// Several endpoints of a zone failed at once; requests there turn elsewhere.
+pub const ZONE_SUSPECT: Event = Event::new(2123, "zone_suspect");
+/// A control replica answers.
+pub const CONTROL_REACHED: Event = Event::new(2124, "control_reached");
+/// A control replica stopped answering.
+pub const CONTROL_LOST: Event = Event::new(2125, "control_lost");
+/// The listener can't accept.
+pub const ACCEPT_FAILED: Event = Event::new(2126, "relay_accept_failed");
+
+/// Every event of this crate.
+pub const ALL: &[Event] = &[
+    RELAY_STARTED,
+    RELAY_STOPPED,
+    RELAY_STOPPING,
+    REQUEST_ANSWERED,
+    REQUEST_REFUSED,
+    ATTEMPT_FAILED,
+    STREAM_RESUMED,
+    STREAM_BROKEN_OFF,
+    CALLER_LEFT,
+    REQUEST_MALFORMED,
+    DOCUMENT_TAKEN,
+    DOCUMENT_UNREADABLE,
+    ENDPOINT_CHANGED,
+    ZONE_SUSPECT,
+    CONTROL_REACHED,
+    CONTROL_LOST,
+    ACCEPT_FAILED,
+];
--- /dev/null
+++ b/crates/masticsill_relay/src/health.rs
@@ -0,0 +1,100 @@
+//! What this entry's own requests tell of an endpoint.
+
+use masticsill_types::ClockMs;
+
+/// First time that an endpoint is left alone after a failure.
+const FIRST_HOLD_MS: u64 = 150;
+/// Longest time that an endpoint is left alone: one request then finds out.
+const LONGEST_HOLD_MS: u64 = 1_200;
+/// Weight of the newest observation in a moving average.
+const NEWEST_WEIGHT: f64 = 0.15;
+
+/// How an exchange with an endpoint failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Failure {
+    /// It broke the connection, or refused it.
+    Broken,
+    /// Another incarnation has the address.
+    Replaced,
+    /// It said nothing for too long.
+    Silent,
+    /// What it sent is no answer to the request.
+    Malformed,
+}
+
+impl Failure {
+    /// The name in logs and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Broken => "broken",
+            Self::Replaced => "replaced",
+            Self::Silent => "silent",
+            Self::Malformed => "malformed",
+        }
+    }
+}
+
+/// The health of one endpoint, as seen from here.
+#[derive(Clone, Debug, Default)]
+pub struct Health {
+    /// Share of answers that were failures, as a moving average.
+    error_share: f64,
+    failures: u32,
+    held_until: Option<ClockMs>,
+    last_failure_at: Option<ClockMs>,
+    /// Time to the first byte of an answer, as a moving average.
+    latency_ms: Option<f64>,
+}
+
+impl Health {
+    /// Notes a failed exchange; the endpoint is left alone, longer each time.
+    pub fn note_failure(&mut self, now: ClockMs) {
+        let doubled = FIRST_HOLD_MS << self.failures.min(8);
+        self.failures += 1;
+        self.held_until = Some(now + doubled.min(LONGEST_HOLD_MS));
+        self.last_failure_at = Some(now);
+        self.error_share = blend(self.error_share, 1.0);
+    }
+
+    /// Notes the first byte of an answer.
+    pub fn note_answer(&mut self, latency_ms: u64, is_error: bool) {
+        self.failures = 0;
+        self.held_until = None;
+        // Times are far below the precision of the type.
+        #[allow(clippy::cast_precision_loss)]
+        let latency_ms = latency_ms as f64;
+        let before = self.latency_ms.unwrap_or(latency_ms);
+        self.latency_ms = Some(blend(before, latency_ms));
+        self.error_share = blend(self.error_share, if is_error { 1.0 } else { 0.0 });
+    }
+
+    /// Whether the endpoint is left alone now.
+    #[must_use]
+    pub fn is_held(&self, now: ClockMs) -> bool {
+        self.held_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether an exchange failed within a time.
+    #[must_use]
+    pub fn has_failed_within(&self, now: ClockMs, time_ms: u64) -> bool {
+        let at = self.last_failure_at;
+        at.is_some_and(|at| now.since(at) < time_ms)
+    }
+
+    /// Share of answers that were failures.
+    #[must_use]
+    pub fn error_share(&self) -> f64 {
+        self.error_share
+    }
+
+    /// Usual time to the first byte of an answer.
+    #[must_use]
+    pub fn latency_ms(&self) -> Option<f64> {
+        self.latency_ms
+    }
+}
+
+fn blend(before: f64, newest: f64) -> f64 {
+    before + (newest - before) * NEWEST_WEIGHT
+}
--- /dev/null
+++ b/crates/masticsill_relay/src/lib.rs
@@ -0,0 +1,37 @@
+//! Relays requests and event streams of callers to endpoints that register themselves.
+//!
+//! Callers and endpoints speak HTTP/1.1; answers are passed on byte by byte. What may be repeated
+//! follows from a route's kind: an idempotent request may run again, a stream goes on after its
+//! last event, and everything else is sent at most once unless the endpoint says that it did not
+//! run it. One thread serves all connections of an entry; the decisions (placement, health,
+//! budgets) are pure and are tested without sockets.
+
+mod admission;
+mod answer;
+mod attempt;
+mod budget;
+mod config;
+mod connection;
+mod dial;
+mod discovery;
+mod endpoints;
+pub mod events;
+mod health;
+mod lineage;
+mod placement;
+mod plain;
+mod pool;
+mod relay;
+mod request;
+mod role;
+mod server;
+mod stream;
+mod upstream;
+
+pub use budget::RetryBudget;
+pub use config::{BudgetSettings, DocumentReader, HeaderNames, RelayConfig};
+pub use endpoints::{Endpoint, EndpointTable};
+pub use health::{Failure, Health};
+pub use lineage::{EventOrder, Placed};
+pub use placement::{Choice, Wanted, choose};
+pub use role::RelayRole;
--- /dev/null
+++ b/crates/masticsill_relay/src/placement.rs
@@ -0,0 +1,109 @@
+//! Which endpoint a request goes to.
+
+use masticsill_registry::EndpointId;
+use masticsill_types::{ClockMs, ZoneId};
+
+use crate::endpoints::{Endpoint, EndpointTable};
+
+/// What another zone costs, in requests in flight: bytes between zones are dear, a queue is worse.
+const OTHER_ZONE_COST: f64 = 2.0;
+/// What an endpoint costs that fails every answer, in requests in flight.
+const ERROR_COST: f64 = 12.0;
+/// What a silent endpoint costs: it is used only where no other is left.
+const SILENT_COST: f64 = 1_000.0;
+/// What an endpoint costs that is left alone after a failure: below silence, above all else.
+const HELD_COST: f64 = 500.0;
+/// What an endpoint costs while its zone has just failed elsewhere.
+const SUSPECT_ZONE_COST: f64 = 50.0;
+/// How long the failures of neighbours count against a zone.
+const SUSPECT_MS: u64 = 700;
+/// Longest of the random differences that keep entries from choosing alike.
+const JITTER: f64 = 0.5;
+
+/// What a request wants of an endpoint.
+#[derive(Clone, Debug)]
+pub struct Wanted<'a> {
+    /// Endpoints that it was sent to already.
+    pub excluded: &'a [EndpointId],
+    /// The zone to avoid, for a copy that is to survive the zone.
+    pub not_in_zone: Option<&'a ZoneId>,
+    /// The service.
+    pub service: &'a str,
+    /// The zone of this entry.
+    pub zone: &'a ZoneId,
+}
+
+/// The endpoint chosen and why.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// Candidates that were weighed.
+    pub candidates: usize,
+    /// Its cost; lower is better.
+    pub cost: f64,
+    /// The endpoint.
+    pub id: EndpointId,
+}
+
+/// Chooses the endpoint of the lowest cost; `jitter` gives numbers from zero to one.
+pub fn choose(
+    table: &EndpointTable,
+    now: ClockMs,
+    wanted: &Wanted<'_>,
+    mut jitter: impl FnMut() -> f64,
+) -> Option<Choice> {
+    let is_candidate = |it: &&Endpoint| {
+        it.is_ready()
+            && it.announcement.service == wanted.service
+            && wanted.not_in_zone != Some(&it.announcement.zone)
+            && !wanted.excluded.contains(&it.announcement.id)
+    };
+    let candidates: Vec<&Endpoint> = table.iter().filter(is_candidate).collect();
+    let usual_ms = usual_latency_ms(&candidates);
+    let costs = candidates.iter().map(|endpoint| {
+        let suspect = suspect_cost(&candidates, endpoint, now);
+        let cost = cost(endpoint, now, wanted.zone, usual_ms) + suspect + jitter() * JITTER;
+        (cost, endpoint)
+    });
+    let (cost, best) = costs.min_by(|(left, _), (right, _)| left.total_cmp(right))?;
+    Some(Choice {
+        candidates: candidates.len(),
+        cost,
+        id: best.announcement.id.clone(),
+    })
+}
+
+fn cost(endpoint: &Endpoint, now: ClockMs, zone: &ZoneId, usual_ms: Option<f64>) -> f64 {
+    let load = f64::from(endpoint.in_flight);
+    let slowness = match (endpoint.health.latency_ms(), usual_ms) {
+        (Some(latency_ms), Some(usual_ms)) if usual_ms > 0.0 => (latency_ms / usual_ms).max(1.0),
+        _ => 1.0,
+    };
+    let mut cost = (load + 1.0) * slowness + endpoint.health.error_share() * ERROR_COST;
+    if endpoint.announcement.zone != *zone {
+        cost += OTHER_ZONE_COST;
+    }
+    if endpoint.health.is_held(now) {
+        cost += HELD_COST;
+    }
+    if endpoint.is_silent() {
+        cost += SILENT_COST;
+    }
+    cost
+}
+
+fn suspect_cost(candidates: &[&Endpoint], endpoint: &Endpoint, now: ClockMs) -> f64 {
+    let is_failing_neighbour = |it: &&&Endpoint| {
+        it.announcement.zone == endpoint.announcement.zone
+            && it.health.has_failed_within(now, SUSPECT_MS)
+    };
+    let failing = candidates.iter().filter(is_failing_neighbour).count();
+    if failing >= 2 { SUSPECT_ZONE_COST } else { 0.0 }
+}
+
+/// The median of the endpoints' latencies.
+fn usual_latency_ms(candidates: &[&Endpoint]) -> Option<f64> {
+    let known = candidates.iter().filter_map(|it| it.health.latency_ms());
+    let mut known: Vec<f64> = known.collect();
+    known.sort_by(f64::total_cmp);
+    known.get(known.len() / 2).copied()
+}
--- /dev/null
+++ b/crates/masticsill_relay/src/request.rs
@@ -0,0 +1,119 @@
+//! A caller's request once it is whole, and the head under which it is sent on.
+
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use masticsill_catalogue::Route;
+use masticsill_http1::{HeadWriter, Header, HeaderList, RequestHead};
+use masticsill_registry::Announcement;
+use masticsill_types::ClockMs;
+
+use crate::config::HeaderNames;
+
+/// A request that may be sent to endpoints.
+#[derive(Clone, Debug)]
+pub(crate) struct RelayRequest {
+    pub(crate) body: Bytes,
+    pub(crate) deadline_at: ClockMs,
+    pub(crate) head: RequestHead,
+    /// The id of this attempt of the caller; empty when it gave none.
+    pub(crate) id: String,
+    pub(crate) received_at: ClockMs,
+    pub(crate) route: Arc<Route>,
+    /// The service chosen among the route's.
+    pub(crate) service: String,
+    /// The workspace that holds the caller's key.
+    pub(crate) workspace: Option<String>,
+}
+
+/// What one send adds to the caller's request.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SendOptions {
+    /// Where the engine is to keep a copy of the run's memory.
+    pub(crate) backup_at: Option<String>,
+    /// The last event that the caller has, where that is not what it said itself.
+    pub(crate) last_event: Option<u64>,
+    /// Where the engine finds the memory that the run goes on from.
+    pub(crate) resume_from: Option<String>,
+}
+
+impl RelayRequest {
+    /// Time that is left, in milliseconds.
+    pub(crate) fn left_ms(&self, now: ClockMs) -> u64 {
+        self.deadline_at.since(now)
+    }
+
+    /// The last event that the caller says it has.
+    pub(crate) fn last_event(&self, names: &HeaderNames) -> Option<u64> {
+        self.head.headers.number(&names.last_event)
+    }
+
+    /// Tokens of the prompt, if the caller says.
+    pub(crate) fn prompt_tokens(&self, names: &HeaderNames) -> Option<u64> {
+        let counts = self.head.headers.text(&names.token_count)?;
+        counts.split(',').next()?.trim().parse().ok()
+    }
+
+    /// The bytes to send to an endpoint.
+    pub(crate) fn bytes_for(
+        &self,
+        names: &HeaderNames,
+        endpoint: &Announcement,
+        now: ClockMs,
+        options: &SendOptions,
+    ) -> BytesMut {
+        let mut writer = HeadWriter::request(&self.head.method, &self.head.target);
+        let is_kept = |field: &&Header| !is_own(names, options, &field.name);
+        for field in self.head.headers.end_to_end().filter(is_kept) {
+            writer.copy(field);
+        }
+        writer.field(&names.deadline_ms, self.left_ms(now));
+        writer.field(&names.expected_endpoint, &endpoint.id);
+        if let Some(workspace) = &self.workspace {
+            writer.field(&names.workspace, workspace);
+        }
+        if let Some(last_event) = options.last_event {
+            writer.field(&names.last_event, last_event);
+        }
+        if let Some(backup_at) = &options.backup_at {
+            writer.field(&names.backup_at, backup_at);
+        }
+        if let Some(resume_from) = &options.resume_from {
+            writer.field(&names.resume_from, resume_from);
+        }
+        if !self.body.is_empty() || has_length(&self.head.headers) {
+            writer.field("Content-Length", self.body.len());
+        }
+        let mut bytes = writer.finish();
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+}
+
+/// A body without bytes is still a body, and some servers insist on its length.
+fn has_length(headers: &HeaderList) -> bool {
+    let mut fields = headers.iter();
+    fields.any(|field| field.is("content-length") || field.is("transfer-encoding"))
+}
+
+/// Fields that the relay writes itself, or that no caller may set.
+fn is_own(names: &HeaderNames, options: &SendOptions, field: &str) -> bool {
+    let own = [
+        "content-length",
+        "expect",
+        &names.api_key,
+        &names.backup_at,
+        &names.deadline_ms,
+        &names.expected_endpoint,
+        &names.resume_from,
+        &names.workspace,
+    ];
+    let is_replaced = options.last_event.is_some() && field.eq_ignore_ascii_case(&names.last_event);
+    let is_reserved = || {
+        names
+            .reserved
+            .iter()
+            .any(|name| field.eq_ignore_ascii_case(name))
+    };
+    is_replaced || own.iter().any(|name| field.eq_ignore_ascii_case(name)) || is_reserved()
+}
--- /dev/null
+++ b/crates/masticsill_relay/src/role.rs
@@ -0,0 +1,81 @@
+//! Starting and stopping a relay.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use masticsill_runtime::{DutyHandle, ShutdownSignal, spawn_async_duty};
+use masticsill_types::{MonotonicClock, log_event};
+
+use crate::config::RelayConfig;
+use crate::discovery::start_discovery;
+use crate::events;
+use crate::relay::Relay;
+use crate::server::serve;
+
+/// A running relay.
+#[derive(Debug)]
+pub struct RelayRole {
+    address: SocketAddr,
+    duty: DutyHandle,
+    has_document: Arc<AtomicBool>,
+    stopping: ShutdownSignal,
+}
+
+impl RelayRole {
+    /// Binds the callers' address and starts to serve.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error when the address can't be bound or no thread can be started.
+    pub fn start(config: RelayConfig, clock: MonotonicClock) -> io::Result<Self> {
+        let listener = TcpListener::bind(config.listen_address)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let has_document = Arc::new(AtomicBool::new(false));
+        let stopping = ShutdownSignal::default();
+        log_event!(
+            info,
+            events::RELAY_STARTED,
+            node = config.node,
+            address = address
+        );
+        let (shown, signal) = (Arc::clone(&has_document), stopping.clone());
+        let duty = spawn_async_duty("relay", move || async move {
+            let relay = Rc::new(Relay::new(config, clock, signal, shown));
+            start_discovery(&relay);
+            serve(relay, listener).await;
+        })?;
+        Ok(Self {
+            address,
+            duty,
+            has_document,
+            stopping,
+        })
+    }
+
+    /// The bound address.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Tells whether new callers should be sent here.
+    pub fn readiness(&self) -> impl Fn() -> bool + Clone + Send + Sync + 'static {
+        let has_document = Arc::clone(&self.has_document);
+        let stopping = self.stopping.clone();
+        move || has_document.load(Ordering::Acquire) && !stopping.is_requested()
+    }
+
+    /// Ends gracefully: what was read is answered, nothing new is taken once balancers know.
+    ///
+    /// # Errors
+    ///
+    /// An error when the duty panicked.
+    pub fn stop(self) -> io::Result<()> {
+        self.stopping.request();
+        self.duty.join()
+    }
+}
--- /dev/null
+++ b/crates/masticsill_relay/src/server.rs
@@ -0,0 +1,78 @@
+//! Accepts callers and ends without cutting them off.
+
+use std::net;
+use std::rc::Rc;
+use std::time::Duration;
+
+use masticsill_types::log_event;
+use tokio::net::TcpListener;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use crate::connection::serve_connection;
+use crate::events;
+use crate::relay::Relay;
+
+/// Pause after a failed accept, so that a lack of descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// How long new connections are taken after a shutdown began: a balancer that asks once a second
+/// turns elsewhere after two answers.
+const ACCEPT_UNTIL: Duration = Duration::from_millis(2_500);
+/// Part of the grace that is left for the end of the process itself.
+const END_MARGIN: Duration = Duration::from_millis(700);
+/// How often the end of the last request is looked for.
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+/// How often idle connections to endpoints are looked through.
+const HOUSEKEEPING: Duration = Duration::from_millis(500);
+
+/// Serves callers until a graceful shutdown is over.
+pub(crate) async fn serve(relay: Rc<Relay>, listener: net::TcpListener) {
+    let listener = match TcpListener::from_std(listener) {
+        Ok(listener) => listener,
+        Err(error) => {
+            log_event!(error, events::ACCEPT_FAILED, cause = error);
+            return;
+        }
+    };
+    spawn_local(keep_house(Rc::clone(&relay)));
+    tokio::select! {
+        () = accept(&relay, &listener) => {}
+        () = relay.stopping.requested() => {}
+    }
+    relay.stopping_since.set(Some(relay.now()));
+    log_event!(info, events::RELAY_STOPPING, active = relay.active.get());
+    let began = Instant::now();
+    let last_call = sleep_until(began + ACCEPT_UNTIL);
+    tokio::select! {
+        () = accept(&relay, &listener) => {}
+        () = last_call => {}
+    }
+    drop(listener);
+    let grace = Duration::from_millis(relay.config.grace_ms);
+    let end_by = began + grace.saturating_sub(END_MARGIN);
+    while relay.active.get() > 0 && Instant::now() < end_by {
+        sleep(DRAIN_POLL).await;
+    }
+    log_event!(info, events::RELAY_STOPPED, cut = relay.active.get());
+}
+
+async fn accept(relay: &Rc<Relay>, listener: &TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                spawn_local(serve_connection(Rc::clone(relay), stream));
+            }
+            Err(error) => {
+                log_event!(warn, events::ACCEPT_FAILED, cause = error);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn keep_house(relay: Rc<Relay>) {
+    loop {
+        sleep(HOUSEKEEPING).await;
+        relay.pool.borrow_mut().close_idle(relay.now());
+    }
+}
--- /dev/null
+++ b/crates/masticsill_relay/src/stream.rs
@@ -0,0 +1,347 @@
+//! Requests whose answer is a stream of numbered events.
+//!
+//! One answer to the caller may be made of several runs: each goes on after the last event that
+//! the caller has. The head, with its signature, is that of the first run.
+
+use std::io;
+use std::rc::Rc;
+
+use bytes::BytesMut;
+use masticsill_http1::{
+    BodyDecoder, EventSplitter, HeadWriter, ResponseHead, write_chunk, write_last_chunk,
+};
+use masticsill_registry::{Announcement, EndpointId};
+use masticsill_types::{ClockMs, log_event};
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedWriteHalf;
+
+use crate::answer::{Answer, Refusal};
+use crate::attempt::{SendFailure, Sent, fail, failure_of, send, with_patience};
+use crate::events;
+use crate::health::Failure;
+use crate::lineage::{EventOrder, Placed};
+use crate::placement::Wanted;
+use crate::plain::{Tries, Verdict, collect, passed_headers};
+use crate::relay::Relay;
+use crate::request::{RelayRequest, SendOptions};
+
+/// Silence between events after which a run is given up: twice the longest usual gap, which is
+/// that of six decoding steps beside another request's prefill (180 ms).
+const EVENT_SILENCE_MS: u64 = 350;
+/// Silence before the first event, beside the time that the prompt takes to read.
+const FIRST_EVENT_MS: u64 = 1_500;
+/// Prompt tokens that an engine is expected to read in a millisecond, beside other requests.
+const PROMPT_TOKENS_PER_MS: u64 = 5;
+
+/// How a stream ended towards its caller.
+#[derive(Debug)]
+pub(crate) enum StreamEnd {
+    /// Whole: all of it has been written.
+    Whole { endpoint: EndpointId, resumes: u32 },
+    /// An endpoint's answer that is no stream, to be written as a whole.
+    Plain(Answer, EndpointId),
+    /// The relay's own answer, to be written; nothing of the stream was.
+    Refused(Refusal),
+    /// Part of it was written and the rest can't be had: the connection must be closed.
+    BrokenOff(Refusal),
+    /// The caller takes nothing any more.
+    CallerLeft(io::Error),
+}
+
+/// How one run ended.
+enum RunEnd {
+    Whole,
+    Plain(Answer),
+    NotRun(Answer),
+    Failed(SendFailure),
+    CallerLeft(io::Error),
+}
+
+/// A copy of a run's memory elsewhere.
+#[derive(Clone, Debug)]
+struct Copy {
+    at: Announcement,
+}
+
+/// One stream on its way to its caller.
+pub(crate) struct StreamRelay<'a> {
+    copy: Option<Copy>,
+    /// Events passed on by any run.
+    delivered: u64,
+    is_closing: bool,
+    is_head_written: bool,
+    order: EventOrder,
+    relay: &'a Rc<Relay>,
+    request: &'a RelayRequest,
+    resumes: u32,
+    tries: Tries,
+    writer: &'a mut OwnedWriteHalf,
+}
+
+impl<'a> StreamRelay<'a> {
+    pub(crate) fn new(
+        relay: &'a Rc<Relay>,
+        request: &'a RelayRequest,
+        writer: &'a mut OwnedWriteHalf,
+        is_closing: bool,
+    ) -> Self {
+        Self {
+            copy: None,
+            delivered: 0,
+            is_closing,
+            is_head_written: false,
+            order: EventOrder::after(request.last_event(&relay.config.headers)),
+            relay,
+            request,
+            resumes: 0,
+            tries: Tries::default(),
+            writer,
+        }
+    }
+
+    /// Relays until the stream is whole or given up.
+    pub(crate) async fn run(mut self) -> StreamEnd {
+        while self.request.left_ms(self.relay.now()) > 0 {
+            let Some((endpoint, from_copy)) = self.choose() else {
+                break;
+            };
+            let id = endpoint.id.clone();
+            match self.run_once(endpoint, from_copy.as_ref()).await {
+                RunEnd::Whole => {
+                    return StreamEnd::Whole {
+                        endpoint: id,
+                        resumes: self.resumes,
+                    };
+                }
+                RunEnd::Plain(answer) => return StreamEnd::Plain(answer, id),
+                RunEnd::CallerLeft(error) => return StreamEnd::CallerLeft(error),
+                RunEnd::NotRun(answer) => {
+                    self.tries.sends += u32::from(answer.status != 421 && from_copy.is_none());
+                    // An engine without the copy may still run the request from its prompt.
+                    if from_copy.is_none() {
+                        self.tries.excluded.push(id);
+                    }
+                }
+                RunEnd::Failed(failure) => self.tries.note(id, &failure),
+            }
+            if !self.tries.may_go_on(self.relay, self.request) {
+                break;
+            }
+        }
+        let refusal = self.tries.refusal(self.relay, self.request);
+        if self.is_head_written {
+            StreamEnd::BrokenOff(refusal)
+        } else {
+            StreamEnd::Refused(refusal)
+        }
+    }
+
+    /// The endpoint that holds a copy of the run, while it can be used, or the best of all.
+    fn choose(&mut self) -> Option<(Announcement, Option<Copy>)> {
+        if let Some(copy) = self.copy.take()
+            && self.relay.is_usable(&copy.at.id)
+            && !self.tries.excluded.contains(&copy.at.id)
+        {
+            return Some((copy.at.clone(), Some(copy)));
+        }
+        let wanted = Wanted {
+            excluded: &self.tries.excluded,
+            not_in_zone: None,
+            service: &self.request.service,
+            zone: &self.relay.config.zone,
+        };
+        let (_, endpoint) = self.relay.choose(&wanted)?;
+        Some((endpoint, None))
+    }
+
+    /// Where the engine is to keep a copy: in another zone, so that it survives this one.
+    fn choose_copy(&self, endpoint: &Announcement) -> Option<Copy> {
+        let index = self.relay.index()?;
+        let engine = index.service(&self.request.service)?.engine?;
+        if !engine.has_backups || !self.request.route.is_resumable {
+            return None;
+        }
+        let mut excluded = self.tries.excluded.clone();
+        excluded.push(endpoint.id.clone());
+        let wanted = Wanted {
+            excluded: &excluded,
+            not_in_zone: Some(&endpoint.zone),
+            service: &self.request.service,
+            zone: &self.relay.config.zone,
+        };
+        let (_, at) = self.relay.choose(&wanted)?;
+        Some(Copy { at })
+    }
+
+    async fn run_once(&mut self, endpoint: Announcement, from_copy: Option<&Copy>) -> RunEnd {
+        let copy = self.choose_copy(&endpoint);
+        let options = SendOptions {
+            backup_at: copy.as_ref().map(|copy| copy.at.address.to_string()),
+            last_event: self.order.last().filter(|_| self.delivered > 0),
+            resume_from: from_copy.map(|it| format!("{}/{}", it.at.address, self.request.id)),
+        };
+        if self.delivered > 0 {
+            self.resumes += 1;
+            log_event!(
+                info,
+                events::STREAM_RESUMED,
+                request = self.request.id,
+                endpoint = endpoint.id,
+                zone = endpoint.zone,
+                after_event = self.order.last().unwrap_or_default(),
+                from_copy = from_copy.is_some(),
+                sends = self.tries.sends
+            );
+        }
+        let patience_ms = self.first_patience_ms();
+        let sent_at = self.relay.now();
+        let sending = send(self.relay, self.request, endpoint, &options, patience_ms);
+        let (sent, head) = match sending.await {
+            Ok(answered) => answered,
+            Err(failure) => return RunEnd::Failed(failure),
+        };
+        if head.status != 200 {
+            return match collect(self.relay, self.request, sent, head).await {
+                Ok((Verdict::NotRun, answer)) => RunEnd::NotRun(answer),
+                Ok((_, answer)) if self.is_head_written => {
+                    // The caller has another run's head already.
+                    let _ = answer;
+                    RunEnd::Failed(SendFailure::MayHaveRun(Failure::Malformed))
+                }
+                Ok((_, answer)) => RunEnd::Plain(answer),
+                Err(failure) => RunEnd::Failed(failure),
+            };
+        }
+        self.copy = copy;
+        self.pass_events(sent, &head, sent_at + patience_ms).await
+    }
+
+    fn first_patience_ms(&self) -> u64 {
+        let tokens = self.request.prompt_tokens(&self.relay.config.headers);
+        let reading_ms = tokens.unwrap_or_default() / PROMPT_TOKENS_PER_MS;
+        let left_ms = self.request.left_ms(self.relay.now());
+        left_ms.min(FIRST_EVENT_MS + reading_ms)
+    }
+
+    /// Passes a run's events on until it ends.
+    async fn pass_events(
+        &mut self,
+        mut sent: Sent,
+        head: &ResponseHead,
+        first_by: ClockMs,
+    ) -> RunEnd {
+        let endpoint = sent.endpoint.clone();
+        let mut decoder = BodyDecoder::new(head.framing);
+        let mut splitter = EventSplitter::default();
+        let mut has_event = false;
+        loop {
+            let now = self.relay.now();
+            let left_ms = self.request.left_ms(now);
+            let silence_ms = if has_event {
+                EVENT_SILENCE_MS
+            } else {
+                first_by.since(now)
+            };
+            let reading = sent.upstream().next_piece(&mut decoder);
+            let patience_ms = silence_ms.min(left_ms);
+            let piece = with_patience(self.relay, &endpoint, now, patience_ms, reading).await;
+            let cause = match piece {
+                Some(Ok(Some(piece))) => {
+                    splitter.push(&piece);
+                    match self.pass_whole_events(&mut splitter, head).await {
+                        Ok(true) => {
+                            has_event = true;
+                            continue;
+                        }
+                        Ok(false) => continue,
+                        Err(PassError::Caller(error)) => return RunEnd::CallerLeft(error),
+                        Err(PassError::Order) => {
+                            (Failure::Malformed, "events are missing".to_owned())
+                        }
+                    }
+                }
+                Some(Ok(None)) if splitter.pending_bytes() == 0 => {
+                    return self.finish(sent, head).await;
+                }
+                Some(Ok(None)) => (Failure::Broken, "the last event is cut".to_owned()),
+                Some(Err(error)) => (failure_of(&error), error.to_string()),
+                None => (Failure::Silent, format!("silent for {patience_ms} ms")),
+            };
+            let (failure, cause) = cause;
+            return RunEnd::Failed(fail(self.relay, self.request, sent, failure, &cause));
+        }
+    }
+
+    /// Writes the events that are whole; returns whether there was one.
+    async fn pass_whole_events(
+        &mut self,
+        splitter: &mut EventSplitter,
+        head: &ResponseHead,
+    ) -> Result<bool, PassError> {
+        let mut passed = BytesMut::new();
+        let mut is_missing = false;
+        let mut has_event = false;
+        while let Some(event) = splitter.next_event() {
+            has_event = true;
+            match self.order.place(event.id) {
+                Placed::Known => {}
+                Placed::Next => {
+                    self.order.deliver(event.id);
+                    self.delivered += 1;
+                    passed.extend_from_slice(&event.bytes);
+                }
+                Placed::Missing => {
+                    is_missing = true;
+                    break;
+                }
+            }
+        }
+        if !passed.is_empty() {
+            self.write(head, &passed).await.map_err(PassError::Caller)?;
+        }
+        if is_missing {
+            Err(PassError::Order)
+        } else {
+            Ok(has_event)
+        }
+    }
+
+    async fn write(&mut self, head: &ResponseHead, events: &[u8]) -> io::Result<()> {
+        let mut bytes = self.head_bytes(head);
+        write_chunk(&mut bytes, events);
+        self.writer.write_all(&bytes).await
+    }
+
+    /// The head of the answer, before its first event.
+    fn head_bytes(&mut self, head: &ResponseHead) -> BytesMut {
+        if self.is_head_written {
+            return BytesMut::new();
+        }
+        self.is_head_written = true;
+        let mut writer = HeadWriter::response(head.status);
+        for header in &passed_headers(head) {
+            writer.copy(header);
+        }
+        writer.field("Transfer-Encoding", "chunked");
+        if self.is_closing {
+            writer.field("Connection", "close");
+        }
+        writer.finish()
+    }
+
+    async fn finish(&mut self, sent: Sent, head: &ResponseHead) -> RunEnd {
+        sent.keep(head);
+        let mut bytes = self.head_bytes(head);
+        write_last_chunk(&mut bytes);
+        match self.writer.write_all(&bytes).await {
+            Ok(()) => RunEnd::Whole,
+            Err(error) => RunEnd::CallerLeft(error),
+        }
+    }
+}
+
+/// Why events could not be passed on.
+enum PassError {
+    Caller(io::Error),
+    Order,
+}
--- /dev/null
+++ b/crates/masticsill_relay/src/upstream.rs
@@ -0,0 +1,177 @@
+//! One exchange on a connection to an endpoint.
+
+use std::io;
+
+use bytes::BytesMut;
+use masticsill_http1::{BodyDecoder, BodyStep, ParseError, ResponseHead, parse_response};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Bytes of an answer's head at most.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Room made for each read.
+const READ_BYTES: usize = 16 * 1024;
+/// Answers of earlier requests that are skipped before a connection is given up.
+const MAX_FOREIGN_ANSWERS: u32 = 4;
+
+/// Why an exchange ended without a whole answer.
+#[derive(Debug)]
+pub(crate) enum Break {
+    /// The connection ended or failed.
+    Connection(io::Error),
+    /// The bytes are no answer.
+    Parse(ParseError),
+}
+
+impl From<io::Error> for Break {
+    fn from(error: io::Error) -> Self {
+        Self::Connection(error)
+    }
+}
+
+impl From<ParseError> for Break {
+    fn from(error: ParseError) -> Self {
+        Self::Parse(error)
+    }
+}
+
+impl std::fmt::Display for Break {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Connection(error) => write!(formatter, "connection: {error}"),
+            Self::Parse(error) => write!(formatter, "answer: {error}"),
+        }
+    }
+}
+
+/// The connection of one exchange.
+#[derive(Debug)]
+pub(crate) struct Upstream {
+    buffer: BytesMut,
+    /// Whether all of the request has left.
+    is_sent: bool,
+    stream: TcpStream,
+}
+
+/// How answers are told apart.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Expected<'a> {
+    pub(crate) method: &'a str,
+    /// The header field in which endpoints repeat the request's id.
+    pub(crate) id_field: &'a str,
+    pub(crate) request_id: &'a str,
+}
+
+impl Upstream {
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        Self {
+            buffer: BytesMut::with_capacity(READ_BYTES),
+            is_sent: false,
+            stream,
+        }
+    }
+
+    /// Sends a request and reads the head of its answer, both at once: an endpoint may answer
+    /// before it has read a long body. Answers to other requests are skipped.
+    pub(crate) async fn exchange(
+        &mut self,
+        request: &[u8],
+        expected: Expected<'_>,
+    ) -> Result<ResponseHead, Break> {
+        let (mut reader, mut writer) = self.stream.split();
+        let writing = writer.write_all(request);
+        tokio::pin!(writing);
+        let mut skipped = 0;
+        loop {
+            let head = read_head(&mut reader, &mut self.buffer, expected.method);
+            let head = tokio::select! {
+                biased;
+                written = &mut writing, if !self.is_sent => {
+                    written?;
+                    self.is_sent = true;
+                    continue;
+                }
+                head = head => head?,
+            };
+            let id = head.headers.text(expected.id_field);
+            if id.is_none_or(|id| id == expected.request_id) {
+                return Ok(head);
+            }
+            skipped += 1;
+            if skipped > MAX_FOREIGN_ANSWERS {
+                return Err(Break::Parse(ParseError::Head));
+            }
+            let mut decoder = BodyDecoder::new(head.framing);
+            skip_body(&mut reader, &mut self.buffer, &mut decoder).await?;
+        }
+    }
+
+    /// Reads the next piece of the answer's body; `None` at its proper end.
+    pub(crate) async fn next_piece(
+        &mut self,
+        decoder: &mut BodyDecoder,
+    ) -> Result<Option<bytes::Bytes>, Break> {
+        loop {
+            match decoder.step(&mut self.buffer)? {
+                BodyStep::Data(data) => return Ok(Some(data)),
+                BodyStep::End => return Ok(None),
+                BodyStep::NeedMore => {}
+            }
+            if read_more(&mut self.stream, &mut self.buffer).await? {
+                continue;
+            }
+            if decoder.ends_with_connection() {
+                return Ok(None);
+            }
+            return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
+        }
+    }
+
+    /// The connection, if the next request may use it: the request has left whole and nothing
+    /// follows the answer.
+    pub(crate) fn into_reusable(self) -> Option<TcpStream> {
+        (self.is_sent && self.buffer.is_empty()).then_some(self.stream)
+    }
+}
+
+async fn read_head(
+    reader: &mut (impl AsyncReadExt + Unpin),
+    buffer: &mut BytesMut,
+    method: &str,
+) -> Result<ResponseHead, Break> {
+    loop {
+        if let Some(head) = parse_response(buffer, method, MAX_HEAD_BYTES)? {
+            return Ok(head);
+        }
+        if !read_more(reader, buffer).await? {
+            return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
+        }
+    }
+}
+
+async fn skip_body(
+    reader: &mut (impl AsyncReadExt + Unpin),
+    buffer: &mut BytesMut,
+    decoder: &mut BodyDecoder,
+) -> Result<(), Break> {
+    loop {
+        match decoder.step(buffer)? {
+            BodyStep::Data(_) => {}
+            BodyStep::End => return Ok(()),
+            BodyStep::NeedMore => {
+                if !read_more(reader, buffer).await? {
+                    return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
+                }
+            }
+        }
+    }
+}
+
+/// Reads once; false at the end of the connection.
+async fn read_more(
+    reader: &mut (impl AsyncReadExt + Unpin),
+    buffer: &mut BytesMut,
+) -> io::Result<bool> {
+    buffer.reserve(READ_BYTES);
+    Ok(reader.read_buf(buffer).await? > 0)
+}
--- a/crates/masticsill_types/src/clock.rs
+++ b/crates/masticsill_types/src/clock.rs
@@ -1,10 +1,9 @@
 //! The project's one clock type, in milliseconds.
 
+use rustix::time::{ClockId, clock_gettime};
+use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::ops::{Add, Sub};
-use std::time::Instant;
-
-use serde::{Deserialize, Serialize};
 
 /// A point on a process's monotonic clock, in milliseconds since that clock's origin.
 ///
@@ -50,10 +49,13 @@
     }
 }
 
-/// Reads the machine's monotonic clock. Copies share one origin.
+/// Reads the machine's boot clock, which goes on while the machine is suspended.
+///
+/// The steady clock stands still in that time: a leader that wakes would take its lease for
+/// valid, and an entry its proof. Copies share one origin.
 #[derive(Clone, Copy, Debug)]
 pub struct MonotonicClock {
-    origin: Instant,
+    origin_ms: u64,
 }
 
 impl MonotonicClock {
@@ -61,14 +63,20 @@
     #[must_use]
     pub fn start() -> Self {
         Self {
-            origin: Instant::now(),
+            origin_ms: boot_ms(),
         }
     }
 
     /// The current point.
     #[must_use]
     pub fn now(&self) -> ClockMs {
-        let elapsed_ms = self.origin.elapsed().as_millis();
-        ClockMs(u64::try_from(elapsed_ms).unwrap_or(u64::MAX))
+        ClockMs(boot_ms().saturating_sub(self.origin_ms))
     }
 }
+
+/// Milliseconds since the machine's boot.
+fn boot_ms() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds_ms = u64::try_from(time.tv_sec).unwrap_or_default() * 1_000;
+    seconds_ms + u64::try_from(time.tv_nsec).unwrap_or_default() / 1_000_000
+}
--- a/crates/masticsill_types/src/event.rs
+++ b/crates/masticsill_types/src/event.rs
@@ -29,7 +29,7 @@
     }
 }
 
-/// Logs an event with its number and `key=value` fields.
+/// Logs an event with its number and fields, as text and as key-value pairs.
 ///
 /// `log_event!(info, events::STARTED, node = node_id, address = address)`. Crates that use it
 /// depend on `log`.
@@ -37,6 +37,7 @@
 macro_rules! log_event {
     ($level:ident, $event:expr $(, $key:ident = $value:expr)* $(,)?) => {
         ::log::$level!(
+            number = $event.number, event = $event.name $(, $key:% = $value)*;
             concat!("{}" $(, " ", stringify!($key), "={}")*),
             $event $(, $value)*
         )
--- a/crates/masticsill_wire/src/admin.rs
+++ b/crates/masticsill_wire/src/admin.rs
@@ -124,7 +124,7 @@
 /// One record of the audit trail.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct AuditRecordJson {
-    /// `put`, `delete`, `add_replica` or `remove_replica`.
+    /// `put`, `delete`, `add_replica`, `remove_replica` or `document`.
     pub action: String,
     /// When, in milliseconds since 1970.
     pub at_wall_ms: u64,
@@ -286,6 +286,16 @@
                 action.clone_into(&mut json.action);
                 json.subject = replica.to_string();
             }
+            AuditAction::Document {
+                is_accepted,
+                version,
+            } => {
+                "document".clone_into(&mut json.action);
+                json.version = Some(*version);
+                if !is_accepted {
+                    "superseded".clone_into(&mut json.outcome);
+                }
+            }
         }
         json
     }
--- a/crates/masticsill_wire/src/control.rs
+++ b/crates/masticsill_wire/src/control.rs
@@ -7,10 +7,13 @@
 use std::net::SocketAddr;
 
 use masticsill_catalogue::{
-    AuditRecord, CatalogueUpdate, Change, ChangeAnswer, Claim, ClaimAnswer, OperatorScope,
-    Reassign, Settle, VersionedEntry,
+    AuditRecord, CatalogueUpdate, Change, ChangeAnswer, Claim, ClaimAnswer, DocumentAnswer,
+    OperatorScope, Reassign, Settle, StoredDocument, VersionedEntry,
+};
+use masticsill_registry::{EndpointRecord, Heard};
+use masticsill_types::{
+    CatalogueVersion, EntryId, FencingNumber, NodeId, OperatorId, Term, ZoneId,
 };
-use masticsill_types::{CatalogueVersion, EntryId, FencingNumber, NodeId, OperatorId, Term};
 use serde::{Deserialize, Serialize};
 
 /// Messages between two replicas, in the quorum's own encoding.
@@ -111,6 +114,8 @@
         /// The entry.
         id: EntryId,
     },
+    /// The catalogue as one document.
+    Document,
     /// The highest number of any order to engines.
     HighestOrder,
     /// The control replicas.
@@ -126,12 +131,76 @@
     Catalogue(CatalogueVersion, Option<CatalogueUpdate>),
     /// The entry, if it is in force.
     Entry(Option<VersionedEntry>),
+    /// The document in force, if there is one.
+    Document(Option<StoredDocument>),
     /// The leader's term and the last sequence drawn; every number drawn before is not higher.
     HighestOrder(FencingNumber),
     /// The control replicas.
     Replicas(ReplicasView),
 }
 
+/// An operator's catalogue as one document, checked by the replica that took it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct DocumentChange {
+    /// The document.
+    pub document: StoredDocument,
+    /// Who, bound to every workspace.
+    pub operator: OperatorId,
+}
+
+/// Waits for news of the document and of the endpoints.
+///
+/// It also acknowledges the news of the reply before.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct WatchRequest {
+    /// Version of the document that the watcher has; zero for none.
+    pub document_held: Option<u64>,
+    /// Newest version that the watcher knows of.
+    pub document_seen: Option<u64>,
+    /// The registry that `revision` is of; zero at first.
+    pub registry: u64,
+    /// Revision of the registry that the watcher has.
+    pub revision: u64,
+    /// Longest wait for news.
+    pub wait_ms: u64,
+    /// Whether the bytes of a newer document are wanted, or its version only.
+    pub wants_document: bool,
+    /// Who watches.
+    pub watcher: Watcher,
+}
+
+/// Who watches.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub enum Watcher {
+    /// An entry.
+    Entry(NodeId),
+    /// Another control replica, which also learns whom this one heard.
+    Replica(NodeId),
+}
+
+/// News of the document and of the endpoints.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct WatchReply {
+    /// The document, if it was wanted and is newer.
+    pub document: Option<StoredDocument>,
+    /// Version of the document applied here.
+    pub document_version: Option<u64>,
+    /// Entries that watch here, to share what endpoints accept from all of them together.
+    pub entries: u32,
+    /// What changed since the watcher's revision.
+    pub endpoints: Vec<EndpointRecord>,
+    /// Whom this replica heard lately; for other replicas only.
+    pub heard: Vec<Heard>,
+    /// Addresses of the control replicas known here.
+    pub members: Vec<(NodeId, SocketAddr)>,
+    /// The registry that `revision` is of: another number for each life of the process.
+    pub registry: u64,
+    /// Revision of the registry.
+    pub revision: u64,
+    /// Availability zone of this replica.
+    pub zone: ZoneId,
+}
+
 /// A part of the audit trail.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct AuditPage {
@@ -240,4 +309,8 @@
     async fn change_replicas(change: ReplicaChange) -> ControlReply<ReplicaAnswer>;
     /// Renews a copy of the catalogue; served by every replica.
     async fn renew(request: RenewRequest) -> RenewReply;
+    /// Puts the catalogue as one document in force.
+    async fn put_document(change: DocumentChange) -> ControlReply<DocumentAnswer>;
+    /// Waits for news of the document and of the endpoints; served by every replica.
+    async fn watch(request: WatchRequest) -> WatchReply;
 }
