Survive SIGHUP, log in JSON, spend the retry budget on every arrival

An answer that the deadline overtook was held against its endpoint. Connections were not shared among entries.

--- a/crates/masticsill/src/main.rs
+++ b/crates/masticsill/src/main.rs
@@ -66,7 +66,7 @@
         Command::Run(path) => {
             let settings = read_settings(path)?;
             start_logging();
-            node::run(settings)
+            node::run(settings, path.clone())
         }
         Command::Version => {
             println!("masticsill {}", env!("CARGO_PKG_VERSION"));
--- a/crates/masticsill/src/node.rs
+++ b/crates/masticsill/src/node.rs
@@ -1,6 +1,7 @@
 //! Runs one process: its mesh and its role, until it is asked to end.
 
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::thread::sleep;
 use std::time::Duration;
 
@@ -49,10 +50,12 @@
 /// # Errors
 ///
 /// An error that names what could not be started, or the duty that failed.
-pub(crate) fn run(settings: Settings) -> eyre::Result<()> {
+pub(crate) fn run(settings: Settings, path: PathBuf) -> eyre::Result<()> {
     join_cluster(&settings.cluster);
     let shutdown = ShutdownSignal::default();
-    watch_signals(shutdown.clone()).wrap_err("signals can't be watched")?;
+    let started = settings.clone();
+    watch_signals(shutdown.clone(), move || check_reload(&path, &started))
+        .wrap_err("signals can't be watched")?;
     let listener = listen(settings.rpc_address)
         .wrap_err_with(|| format!("rpc_address {} can't be bound", settings.rpc_address))?;
     let bound = listener.local_address()?;
@@ -77,6 +80,20 @@
     Ok(())
 }
 
+/// Says what a changed settings file means for a process that reads it only at its start.
+fn check_reload(path: &Path, started: &Settings) {
+    match Settings::read(path) {
+        Ok(settings) if settings == *started => {
+            log_event!(info, events::SETTINGS_RELOADED, change = "none");
+        }
+        Ok(_) => {
+            let remedy = "restart the process to put the change in force";
+            log_event!(warn, events::SETTINGS_RELOADED, change = remedy);
+        }
+        Err(error) => log_event!(error, events::RELOAD_REFUSED, cause = error),
+    }
+}
+
 fn start_metrics(settings: &Settings) -> eyre::Result<Metrics> {
     match settings.statsd_address {
         Some(address) => Ok(Metrics::to_statsd(address)?),
--- a/crates/masticsill_catalogue/src/state.rs
+++ b/crates/masticsill_catalogue/src/state.rs
@@ -223,13 +223,11 @@
             version: document.version,
         };
         self.audit.push(operator, self.wall_ms, action);
-        match in_force.filter(|_| !is_accepted) {
-            Some(in_force) => DocumentAnswer::Superseded { in_force },
-            None => {
-                self.document = Some(document.clone());
-                DocumentAnswer::Accepted
-            }
+        if let Some(in_force) = in_force.filter(|_| !is_accepted) {
+            return DocumentAnswer::Superseded { in_force };
         }
+        self.document = Some(document.clone());
+        DocumentAnswer::Accepted
     }
 
     fn answer_change(&mut self, change: &Change, scope: &OperatorScope) -> ChangeAnswer {
--- a/crates/masticsill_control/src/role.rs
+++ b/crates/masticsill_control/src/role.rs
@@ -5,12 +5,13 @@
 use std::time::{Duration, Instant};
 use std::{fmt, io};
 
+use indexmap::IndexMap;
 use masticsill_mesh::MeshHandle;
 use masticsill_quorum::storage::Storage;
 use masticsill_runtime::{
     DutyHandle, Metrics, Ring, ServiceStream, ShutdownSignal, spawn_async_duty,
 };
-use masticsill_types::{MonotonicClock, log_event};
+use masticsill_types::{MonotonicClock, NodeId, log_event};
 use masticsill_wire::control::{RenewReply, RenewRequest};
 use tokio::sync::watch;
 
@@ -38,6 +39,7 @@
 
 /// A running control replica.
 pub struct ControlRole {
+    book: AddressBook,
     clock: MonotonicClock,
     duties: Vec<DutyHandle>,
     ended: ShutdownSignal,
@@ -108,7 +110,7 @@
         let zone = config.zone.clone();
         let endpoints = EndpointHub::new(clock, config.endpoints, zone);
         let parts = RpcParts {
-            book,
+            book: book.clone(),
             calls: calls.clone(),
             clock,
             connections,
@@ -140,6 +142,7 @@
             http = http.address()
         );
         Ok(Self {
+            book,
             clock,
             duties,
             ended,
@@ -173,6 +176,13 @@
         Ok(())
     }
 
+    /// Takes addresses of other replicas that became known after the start.
+    pub fn learn_peers(&self, peers: IndexMap<NodeId, SocketAddr>) {
+        for (node, address) in peers {
+            self.book.learn(node, address);
+        }
+    }
+
     /// What edges of this process use.
     #[must_use]
     pub fn handle(&self) -> ControlHandle {
--- a/crates/masticsill_http1/src/body.rs
+++ b/crates/masticsill_http1/src/body.rs
@@ -126,9 +126,8 @@
     fn after_line(&self, line: &[u8]) -> Result<State, ParseError> {
         match self.state {
             State::ChunkEnd if line.is_empty() => Ok(State::ChunkSize),
-            State::ChunkEnd => Err(ParseError::Chunk),
             State::Trailers { .. } if line.is_empty() => Ok(State::Done),
-            State::Trailers { left: 0 } => Err(ParseError::Chunk),
+            State::ChunkEnd | State::Trailers { left: 0 } => Err(ParseError::Chunk),
             State::Trailers { left } => Ok(State::Trailers { left: left - 1 }),
             _ => match chunk_size(line)? {
                 0 => Ok(State::Trailers { left: MAX_TRAILERS }),
--- a/crates/masticsill_registry/src/registry.rs
+++ b/crates/masticsill_registry/src/registry.rs
@@ -127,22 +127,18 @@
 
     fn take(&mut self, announcement: &Announcement, heard_at: ClockMs) -> bool {
         let next_revision = self.revision + 1;
-        let tracked = self.tracked.get_mut(&announcement.id);
-        let is_changed = match tracked {
-            Some(tracked) => {
-                if announcement.sequence > tracked.record.announcement.sequence {
-                    tracked.heard_at = tracked.heard_at.max(heard_at);
-                }
-                let is_changed = tracked.record.join(announcement);
-                if is_changed {
-                    tracked.revision = next_revision;
-                }
-                is_changed
+        let is_changed = if let Some(tracked) = self.tracked.get_mut(&announcement.id) {
+            if announcement.sequence > tracked.record.announcement.sequence {
+                tracked.heard_at = tracked.heard_at.max(heard_at);
             }
-            None => {
-                self.insert(announcement, heard_at, next_revision);
-                true
+            let is_changed = tracked.record.join(announcement);
+            if is_changed {
+                tracked.revision = next_revision;
             }
+            is_changed
+        } else {
+            self.insert(announcement, heard_at, next_revision);
+            true
         };
         if is_changed {
             self.revision = next_revision;
--- a/crates/masticsill_relay/src/attempt.rs
+++ b/crates/masticsill_relay/src/attempt.rs
@@ -30,7 +30,7 @@
 pub(crate) struct Sent {
     pub(crate) endpoint: Announcement,
     relay: Rc<Relay>,
-    pub(crate) sent_at: ClockMs,
+    began_at: ClockMs,
     upstream: Option<Upstream>,
 }
 
@@ -40,7 +40,7 @@
     /// Nothing was sent: any request may be sent elsewhere.
     NotSent,
     /// The request was sent and may have run.
-    MayHaveRun(Failure),
+    MayHaveRun,
 }
 
 impl Sent {
@@ -99,18 +99,18 @@
     let mut sent = Sent {
         endpoint,
         relay: Rc::clone(relay),
-        sent_at: relay.now(),
+        began_at: relay.now(),
         upstream: Some(Upstream::new(stream)),
     };
     let names = Rc::clone(relay);
     let names = &names.config.headers;
-    let bytes = request.bytes_for(names, &sent.endpoint, sent.sent_at, options);
+    let bytes = request.bytes_for(names, &sent.endpoint, sent.began_at, options);
     let expected = Expected {
         method: &request.head.method,
         id_field: &names.request_id,
         request_id: &request.id,
     };
-    let sent_at = sent.sent_at;
+    let sent_at = sent.began_at;
     let zone = sent.endpoint.clone();
     let exchange = sent.upstream().exchange(&bytes, expected);
     let end = with_patience(relay, &zone, sent_at, patience_ms, exchange).await;
@@ -138,9 +138,13 @@
     cause: &str,
 ) -> SendFailure {
     log_failure(relay, request, &sent.endpoint, failure.name(), cause);
-    relay.note_failure(&sent.endpoint, failure);
+    // An answer that the deadline overtook says nothing against its endpoint.
+    let is_overtaken = failure == Failure::Silent && request.left_ms(relay.now()) == 0;
+    if !is_overtaken {
+        relay.note_failure(&sent.endpoint, failure);
+    }
     drop(sent);
-    SendFailure::MayHaveRun(failure)
+    SendFailure::MayHaveRun
 }
 
 fn log_failure(
@@ -151,7 +155,7 @@
     cause: &str,
 ) {
     log_event!(
-        info,
+        warn,
         events::ATTEMPT_FAILED,
         request = request.id,
         route = request.route.name,
--- a/crates/masticsill_relay/src/connection.rs
+++ b/crates/masticsill_relay/src/connection.rs
@@ -273,7 +273,7 @@
     is_kept: bool,
 ) -> After {
     log_event!(
-        info,
+        warn,
         events::REQUEST_REFUSED,
         request = request,
         reason = refusal.name(),
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -12,6 +12,7 @@
 use indexmap::IndexSet;
 use masticsill_catalogue::{RouteIndex, StoredDocument};
 use masticsill_control_client::{AddressBook, ControlClient};
+use masticsill_runtime::Ring;
 use masticsill_types::{ClockMs, NodeId, log_event};
 use masticsill_wire::control::{WatchReply, WatchRequest, Watcher};
 use tokio::task::spawn_local;
@@ -36,8 +37,8 @@
     relay: Rc<Relay>,
 }
 
-/// Follows the seeds, and every replica that they tell of.
-pub(crate) fn start_discovery(relay: &Rc<Relay>) {
+/// Follows the seeds, every replica that they tell of, and those that are told later.
+pub(crate) fn start_discovery(relay: &Rc<Relay>, told: Ring<SocketAddr>) {
     let discovery = Rc::new(Discovery {
         client: ControlClient::new(AddressBook::default()),
         followed: RefCell::default(),
@@ -47,6 +48,11 @@
     for seed in &relay.config.control_seeds {
         discovery.follow_once(*seed);
     }
+    spawn_local(async move {
+        while let Some(address) = told.pop().await {
+            discovery.follow_once(address);
+        }
+    });
 }
 
 impl Discovery {
--- a/crates/masticsill_relay/src/plain.rs
+++ b/crates/masticsill_relay/src/plain.rs
@@ -15,6 +15,8 @@
 
 /// Endpoints that can't be connected to before a request is given up.
 const MAX_DIALS: usize = 8;
+/// Endpoints that a request may reach, those included that did not run it.
+const MAX_ARRIVALS: u32 = 10;
 /// Part of the time aimed at after which an idempotent request is sent elsewhere: what is left
 /// suffices for a healthy endpoint.
 const FIRST_SHARE_PERCENT: u64 = 60;
@@ -24,21 +26,42 @@
 /// What is known of a request that has not been answered yet.
 #[derive(Debug, Default)]
 pub(crate) struct Tries {
+    /// Sends that reached an endpoint, those included that it did not run: all of them count
+    /// against the retry budget.
+    arrivals: u32,
     /// Endpoints that it must not go to again.
     pub(crate) excluded: Vec<EndpointId>,
     /// Whether it may have run somewhere.
     pub(crate) may_have_run: bool,
-    /// Sends that reached an endpoint.
+    /// Sends that count against the route's attempts.
     pub(crate) sends: u32,
 }
 
 impl Tries {
+    /// Notes an answer that says that the request did not run.
+    ///
+    /// One that had the run's copy in mind, or came from another incarnation's address, is no
+    /// attempt of the request.
+    pub(crate) fn note_not_run(&mut self, is_attempt: bool) {
+        self.arrivals += 1;
+        self.sends += u32::from(is_attempt);
+    }
+
+    /// Notes an answer that is a failure.
+    pub(crate) fn note_failed(&mut self, id: EndpointId) {
+        self.excluded.push(id);
+        self.arrivals += 1;
+        self.sends += 1;
+        self.may_have_run = true;
+    }
+
     /// Notes a send that failed; the endpoint is not asked again.
     pub(crate) fn note(&mut self, id: EndpointId, failure: &SendFailure) {
         self.excluded.push(id);
         match failure {
             SendFailure::NotSent => {}
-            SendFailure::MayHaveRun(_) => {
+            SendFailure::MayHaveRun => {
+                self.arrivals += 1;
                 self.sends += 1;
                 self.may_have_run = true;
             }
@@ -47,13 +70,16 @@
 
     /// Whether the request may be sent once more; the retry budget is spent then.
     pub(crate) fn may_go_on(&self, relay: &Relay, request: &RelayRequest) -> bool {
-        if self.excluded.len() >= MAX_DIALS || self.sends >= request.route.max_attempts {
+        if self.excluded.len() >= MAX_DIALS || self.arrivals >= MAX_ARRIVALS {
+            return false;
+        }
+        if self.sends >= request.route.max_attempts {
             return false;
         }
         if self.may_have_run && !request.route.may_repeat() {
             return false;
         }
-        self.sends == 0 || relay.try_spend(&request.service)
+        self.arrivals == 0 || relay.try_spend(&request.service)
     }
 
     /// Why the request is given up, by what may have become of it.
@@ -109,14 +135,11 @@
         match send_whole(relay, request, endpoint, &options, patience_ms).await {
             Ok((Verdict::Answer, answer)) => return PlainEnd::answered(answer, &id, &tries),
             Ok((Verdict::Failed, answer)) => {
-                tries.sends += 1;
-                tries.may_have_run = true;
-                tries.excluded.push(id.clone());
+                tries.note_failed(id.clone());
                 failed = Some((answer, id));
             }
             Ok((Verdict::NotRun, answer)) => {
-                // An address that belongs to another incarnation is no endpoint of the request.
-                tries.sends += u32::from(answer.status != 421);
+                tries.note_not_run(answer.status != 421);
                 tries.excluded.push(id);
             }
             Err(failure) => tries.note(id, &failure),
@@ -126,7 +149,10 @@
         }
     }
     match failed {
-        Some((answer, id)) => PlainEnd::answered(answer, &id, &tries),
+        Some((answer, id)) => PlainEnd {
+            sends: tries.sends,
+            ..PlainEnd::answered(answer, &id, &tries)
+        },
         None => PlainEnd {
             answer: None,
             endpoint: None,
--- a/crates/masticsill_relay/src/pool.rs
+++ b/crates/masticsill_relay/src/pool.rs
@@ -71,9 +71,10 @@
         });
     }
 
-    /// Open connections to an endpoint.
-    pub(crate) fn open(&self, id: &EndpointId) -> u32 {
-        self.open.get(id).copied().unwrap_or_default()
+    /// Whether a request finds a connection to an endpoint while at most `limit` may be open.
+    pub(crate) fn has_room(&self, id: &EndpointId, limit: u32) -> bool {
+        let is_kept = self.kept.get(id).is_some_and(|kept| !kept.is_empty());
+        is_kept || self.open.get(id).copied().unwrap_or_default() < limit
     }
 
     pub(crate) fn note_opened(&mut self, id: &EndpointId) {
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -20,6 +20,10 @@
 use crate::placement::{Choice, Wanted, choose};
 use crate::pool::Pool;
 
+/// Part of the connections that an endpoint accepts which the entries use: health checks and
+/// connections that are just closing take the rest.
+const USED_PERCENT: u32 = 85;
+
 /// A zone in which several endpoints of a service fell silent.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) struct ZoneAlarm {
@@ -96,11 +100,36 @@
     /// Chooses an endpoint and returns what it said of itself.
     pub(crate) fn choose(&self, wanted: &Wanted<'_>) -> Option<(Choice, Announcement)> {
         let endpoints = self.endpoints.borrow();
-        let choice = choose(&endpoints, self.now(), wanted, rand::random)?;
+        let full = self.full_endpoints(&endpoints, wanted.service);
+        let excluded = [wanted.excluded, &full].concat();
+        let wanted = Wanted {
+            excluded: &excluded,
+            ..wanted.clone()
+        };
+        let choice = choose(&endpoints, self.now(), &wanted, rand::random)?;
         let endpoint = endpoints.get(&choice.id)?;
         Some((choice, endpoint.announcement.clone()))
     }
 
+    /// Endpoints that accept no more connections of this entry: all entries share what one
+    /// accepts, and it resets what is beyond.
+    fn full_endpoints(&self, endpoints: &EndpointTable, service: &str) -> Vec<EndpointId> {
+        let index = self.index();
+        let accepted = index.and_then(|index| index.service(service)?.max_connections);
+        let Some(accepted) = accepted else {
+            return Vec::new();
+        };
+        let limit = (accepted * USED_PERCENT / 100 / self.entries.get()).max(1);
+        let pool = self.pool.borrow();
+        let of_service = endpoints
+            .iter()
+            .filter(|it| it.announcement.service == service);
+        let ids = of_service.map(|it| &it.announcement.id);
+        ids.filter(|id| !pool.has_room(id, limit))
+            .cloned()
+            .collect()
+    }
+
     /// Whether an endpoint takes requests and is not left alone after a failure.
     pub(crate) fn is_usable(&self, id: &EndpointId) -> bool {
         let endpoints = self.endpoints.borrow();
--- a/crates/masticsill_relay/src/role.rs
+++ b/crates/masticsill_relay/src/role.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use masticsill_runtime::{DutyHandle, ShutdownSignal, spawn_async_duty};
+use masticsill_runtime::{DutyHandle, Ring, ShutdownSignal, spawn_async_duty};
 use masticsill_types::{MonotonicClock, log_event};
 
 use crate::config::RelayConfig;
@@ -15,12 +15,16 @@
 use crate::relay::Relay;
 use crate::server::serve;
 
+/// Addresses that wait to be followed.
+const SEED_RING_ITEMS: usize = 64;
+
 /// A running relay.
 #[derive(Debug)]
 pub struct RelayRole {
     address: SocketAddr,
     duty: DutyHandle,
     has_document: Arc<AtomicBool>,
+    seeds: Ring<SocketAddr>,
     stopping: ShutdownSignal,
 }
 
@@ -42,16 +46,19 @@
             node = config.node,
             address = address
         );
+        let seeds = Ring::with_capacity(SEED_RING_ITEMS);
+        let new_seeds = seeds.clone();
         let (shown, signal) = (Arc::clone(&has_document), stopping.clone());
         let duty = spawn_async_duty("relay", move || async move {
             let relay = Rc::new(Relay::new(config, clock, signal, shown));
-            start_discovery(&relay);
+            start_discovery(&relay, new_seeds);
             serve(relay, listener).await;
         })?;
         Ok(Self {
             address,
             duty,
             has_document,
+            seeds,
             stopping,
         })
     }
@@ -62,6 +69,14 @@
         self.address
     }
 
+    /// Follows control replicas at more addresses; known ones are followed already.
+    pub fn follow(&self, addresses: impl IntoIterator<Item = SocketAddr>) {
+        for address in addresses {
+            // A full ring is emptied within moments, and the caller tells of its seeds again.
+            let _ = self.seeds.push(address);
+        }
+    }
+
     /// Tells whether new callers should be sent here.
     pub fn readiness(&self) -> impl Fn() -> bool + Clone + Send + Sync + 'static {
         let has_document = Arc::clone(&self.has_document);
--- a/crates/masticsill_relay/src/stream.rs
+++ b/crates/masticsill_relay/src/stream.rs
@@ -116,7 +116,10 @@
                 RunEnd::Plain(answer) => return StreamEnd::Plain(answer, id),
                 RunEnd::CallerLeft(error) => return StreamEnd::CallerLeft(error),
                 RunEnd::NotRun(answer) => {
-                    self.tries.sends += u32::from(answer.status != 421 && from_copy.is_none());
+                    // Nothing ran here that could have made a copy.
+                    self.copy = None;
+                    let is_attempt = answer.status != 421 && from_copy.is_none();
+                    self.tries.note_not_run(is_attempt);
                     // An engine without the copy may still run the request from its prompt.
                     if from_copy.is_none() {
                         self.tries.excluded.push(id);
@@ -193,6 +196,8 @@
                 sends = self.tries.sends
             );
         }
+        // The engine begins its copy while it reads the prompt, before any answer.
+        self.copy = copy;
         let patience_ms = self.first_patience_ms();
         let sent_at = self.relay.now();
         let sending = send(self.relay, self.request, endpoint, &options, patience_ms);
@@ -206,13 +211,12 @@
                 Ok((_, answer)) if self.is_head_written => {
                     // The caller has another run's head already.
                     let _ = answer;
-                    RunEnd::Failed(SendFailure::MayHaveRun(Failure::Malformed))
+                    RunEnd::Failed(SendFailure::MayHaveRun)
                 }
                 Ok((_, answer)) => RunEnd::Plain(answer),
                 Err(failure) => RunEnd::Failed(failure),
             };
         }
-        self.copy = copy;
         self.pass_events(sent, &head, sent_at + patience_ms).await
     }
 
--- a/crates/masticsill_runtime/src/events.rs
+++ b/crates/masticsill_runtime/src/events.rs
@@ -16,6 +16,14 @@
 pub const PROCESS_ENDED: Event = Event::new(1006, "process_ended");
 /// A connection did not name a service.
 pub const PREAMBLE_REFUSED: Event = Event::new(1007, "preamble_refused");
+/// A hangup signal arrived: the settings may have changed.
+pub const RELOAD_REQUESTED: Event = Event::new(1008, "reload_requested");
+/// The settings were read again, and what may change while the process runs was taken.
+pub const SETTINGS_RELOADED: Event = Event::new(1009, "settings_reloaded");
+/// The settings were read again and can't be used; those from before stay in force.
+pub const RELOAD_REFUSED: Event = Event::new(1010, "reload_refused");
+/// Log lines were left out, so that writing them delays nothing.
+pub const LOG_LINES_LEFT_OUT: Event = Event::new(1011, "log_lines_left_out");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -26,4 +34,8 @@
     PROCESS_STARTED,
     PROCESS_ENDED,
     PREAMBLE_REFUSED,
+    RELOAD_REQUESTED,
+    SETTINGS_RELOADED,
+    RELOAD_REFUSED,
+    LOG_LINES_LEFT_OUT,
 ];
--- a/crates/masticsill_runtime/src/lib.rs
+++ b/crates/masticsill_runtime/src/lib.rs
@@ -12,6 +12,7 @@
 mod ring;
 mod rpc;
 mod shutdown;
+mod structured;
 
 pub use cluster::{ClusterTag, cluster_tag, join_cluster};
 pub use duty::{DutyHandle, spawn_async_duty, spawn_duty};
@@ -24,3 +25,4 @@
     RpcListener, RpcTransport, ServiceStream, connect_to_cluster, connect_transport, listen,
 };
 pub use shutdown::{ShutdownSignal, watch_signals};
+pub use structured::{LogGuard, start_structured_logging, start_structured_logging_to};
--- a/crates/masticsill_runtime/src/shutdown.rs
+++ b/crates/masticsill_runtime/src/shutdown.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use masticsill_types::log_event;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use tokio::sync::watch;
 
@@ -48,15 +48,24 @@
     }
 }
 
-/// Starts the duty that turns `SIGTERM` and `SIGINT` into a shutdown request.
+/// Starts the duty that turns `SIGTERM` and `SIGINT` into a shutdown request, and calls
+/// `on_hangup` at `SIGHUP`, which ends a process that does not expect it.
 ///
 /// # Errors
 ///
 /// The operating system's error when signals can't be registered.
-pub fn watch_signals(shutdown: ShutdownSignal) -> io::Result<DutyHandle> {
-    let mut signals = Signals::new([SIGINT, SIGTERM])?;
+pub fn watch_signals(
+    shutdown: ShutdownSignal,
+    on_hangup: impl Fn() + Send + 'static,
+) -> io::Result<DutyHandle> {
+    let mut signals = Signals::new([SIGHUP, SIGINT, SIGTERM])?;
     spawn_duty("signals", move || {
         for signal in signals.forever() {
+            if signal == SIGHUP {
+                log_event!(info, events::RELOAD_REQUESTED, signal = signal);
+                on_hangup();
+                continue;
+            }
             log_event!(info, events::SHUTDOWN_REQUESTED, signal = signal);
             shutdown.request();
         }
