Tell a zone that stands still from long prompts, and a slow engine from a busy one

The time to the first event, which follows the prompt, counted as an engine's slowness, so entries herded on the same engines. Change: only streams whose events stop raise an alarm, and a zone's alarm needs every endpoint at work there to be silent; pace is measured between events; longer patience for a first event.

--- a/crates/masticsill/src/main.rs
+++ b/crates/masticsill/src/main.rs
@@ -55,10 +55,7 @@
             print!("{HELP}");
             Ok(())
         }
-        Command::Platform(path) => {
-            start_logging();
-            masticsill_platform::run(path)
-        }
+        Command::Platform(path) => masticsill_platform::run(path),
         Command::Recover(path) => {
             start_logging();
             recover::recover(&read_settings(path)?)
--- a/crates/masticsill_relay/src/attempt.rs
+++ b/crates/masticsill_relay/src/attempt.rs
@@ -22,7 +22,7 @@
 /// Longest idle time of a connection for a request that may not run twice: the less, the less
 /// likely it crosses the endpoint's close, which would leave its outcome unknown.
 const IDLE_ONCE_MS: u64 = 1_500;
-/// Silence of an endpoint, while others of its zone are silent, after which it is given up.
+/// Silence of an endpoint after which it is given up once it is known to stand still.
 const ALARM_SILENCE_MS: u64 = 150;
 
 /// The connection of one send, and the endpoint's count of it. Dropped, it closes the connection.
@@ -30,7 +30,7 @@
 pub(crate) struct Sent {
     pub(crate) endpoint: Announcement,
     relay: Rc<Relay>,
-    began_at: ClockMs,
+    pub(crate) began_at: ClockMs,
     upstream: Option<Upstream>,
 }
 
@@ -116,8 +116,8 @@
     let end = with_patience(relay, &zone, sent_at, patience_ms, exchange).await;
     match end {
         Some(Ok(head)) => {
-            let latency_ms = relay.now().since(sent_at);
-            relay.note_answer(&sent.endpoint.id, latency_ms, head.status);
+            relay.note_heard(&sent.endpoint.id);
+            relay.note_answer(&sent.endpoint.id, head.status);
             Ok((sent, head))
         }
         Some(Err(error)) => {
@@ -139,7 +139,8 @@
 ) -> SendFailure {
     log_failure(relay, request, &sent.endpoint, failure.name(), cause);
     // An answer that the deadline overtook says nothing against its endpoint.
-    let is_overtaken = failure == Failure::Silent && request.left_ms(relay.now()) == 0;
+    let is_silence = matches!(failure, Failure::Silent | Failure::Stalled);
+    let is_overtaken = is_silence && request.left_ms(relay.now()) == 0;
     if !is_overtaken {
         relay.note_failure(&sent.endpoint, failure);
     }
@@ -218,10 +219,7 @@
             () = sleep_until(bound) => return None,
             _ = alarms.changed() => {
                 let alarm = alarms.borrow_and_update().clone();
-                let is_meant = alarm.is_some_and(|alarm| {
-                    alarm.zone == endpoint.zone && alarm.service == endpoint.service
-                });
-                if is_meant {
+                if alarm.is_some_and(|alarm| alarm.is_about(endpoint)) {
                     give_up_at = give_up_at.min(heard_at + ALARM_SILENCE_MS);
                 }
             }
--- a/crates/masticsill_relay/src/endpoints.rs
+++ b/crates/masticsill_relay/src/endpoints.rs
@@ -9,11 +9,10 @@
 
 use crate::health::{Failure, Health};
 
-/// Distinct endpoints of one zone and service whose failures within [`ZONE_WINDOW_MS`] make the
-/// whole zone suspect.
-const ZONE_FAILURES: usize = 2;
-/// Window of the evidence against a zone: a zone that goes down takes its endpoints within this.
-const ZONE_WINDOW_MS: u64 = 600;
+/// Endpoints of a zone that are at work when their common silence tells of the zone.
+const WORKING_ENDPOINTS: usize = 2;
+/// Silence of each of them: above the usual gap between events beside a long prompt (180 ms).
+const STILL_MS: u64 = 250;
 
 /// One incarnation of an endpoint.
 #[derive(Clone, Debug)]
@@ -149,20 +148,24 @@
         endpoint.health.note_failure(now);
         if failure == Failure::Replaced {
             endpoint.is_replaced = true;
-            return false;
         }
         let failed = endpoint.announcement.clone();
-        self.is_zone_suspect(now, &failed)
+        failure == Failure::Stalled && self.is_zone_still(now, &failed)
     }
 
-    /// Whether several endpoints of the zone and service failed just now.
-    fn is_zone_suspect(&self, now: ClockMs, failed: &Announcement) -> bool {
+    /// Whether no endpoint of the zone and service says anything, though several are at work.
+    ///
+    /// One that does speaks for its neighbours: then a single endpoint is slow, not the zone down.
+    fn is_zone_still(&self, now: ClockMs, failed: &Announcement) -> bool {
         let is_neighbour = |it: &&Endpoint| {
-            it.announcement.service == failed.service && it.announcement.zone == failed.zone
+            it.announcement.service == failed.service
+                && it.announcement.zone == failed.zone
+                && it.in_flight > 0
         };
-        let neighbours = self.endpoints.values().filter(is_neighbour);
-        let failing = neighbours.filter(|it| it.health.has_failed_within(now, ZONE_WINDOW_MS));
-        failing.count() >= ZONE_FAILURES
+        let mut working = self.endpoints.values().filter(is_neighbour);
+        let is_still = |it: &Endpoint| !it.health.is_heard_within(now, STILL_MS);
+        let count = working.clone().count();
+        count >= WORKING_ENDPOINTS && working.all(is_still)
     }
 }
 
--- a/crates/masticsill_relay/src/health.rs
+++ b/crates/masticsill_relay/src/health.rs
@@ -18,6 +18,8 @@
     Replaced,
     /// It said nothing for too long.
     Silent,
+    /// Its stream stood still for too long, or its neighbours' did and its own as well.
+    Stalled,
     /// What it sent is no answer to the request.
     Malformed,
 }
@@ -30,6 +32,7 @@
             Self::Broken => "broken",
             Self::Replaced => "replaced",
             Self::Silent => "silent",
+            Self::Stalled => "stalled",
             Self::Malformed => "malformed",
         }
     }
@@ -41,10 +44,13 @@
     /// Share of answers that were failures, as a moving average.
     error_share: f64,
     failures: u32,
+    /// When a byte of an answer came last.
+    heard_at: Option<ClockMs>,
     held_until: Option<ClockMs>,
     last_failure_at: Option<ClockMs>,
-    /// Time to the first byte of an answer, as a moving average.
-    latency_ms: Option<f64>,
+    /// Time that it takes for one unit of work, as a moving average: an answer of a plain
+    /// service, an event of an engine.
+    pace_ms: Option<f64>,
 }
 
 impl Health {
@@ -57,16 +63,33 @@
         self.error_share = blend(self.error_share, 1.0);
     }
 
-    /// Notes the first byte of an answer.
-    pub fn note_answer(&mut self, latency_ms: u64, is_error: bool) {
+    /// Notes that a byte of an answer came.
+    pub fn note_heard(&mut self, now: ClockMs) {
+        self.heard_at = Some(now);
+    }
+
+    /// Whether a byte of an answer came within a time.
+    #[must_use]
+    pub fn is_heard_within(&self, now: ClockMs, time_ms: u64) -> bool {
+        self.heard_at.is_some_and(|at| now.since(at) < time_ms)
+    }
+
+    /// Notes the head of an answer.
+    pub fn note_answer(&mut self, is_error: bool) {
         self.failures = 0;
         self.held_until = None;
+        self.error_share = blend(self.error_share, if is_error { 1.0 } else { 0.0 });
+    }
+
+    /// Notes the time that one unit of work took.
+    ///
+    /// The time to the first event of a stream is none: it depends on the prompt.
+    pub fn note_pace(&mut self, pace_ms: u64) {
         // Times are far below the precision of the type.
         #[allow(clippy::cast_precision_loss)]
-        let latency_ms = latency_ms as f64;
-        let before = self.latency_ms.unwrap_or(latency_ms);
-        self.latency_ms = Some(blend(before, latency_ms));
-        self.error_share = blend(self.error_share, if is_error { 1.0 } else { 0.0 });
+        let pace_ms = pace_ms as f64;
+        let before = self.pace_ms.unwrap_or(pace_ms);
+        self.pace_ms = Some(blend(before, pace_ms));
     }
 
     /// Whether the endpoint is left alone now.
@@ -88,10 +111,10 @@
         self.error_share
     }
 
-    /// Usual time to the first byte of an answer.
+    /// Usual time of one unit of work.
     #[must_use]
-    pub fn latency_ms(&self) -> Option<f64> {
-        self.latency_ms
+    pub fn pace_ms(&self) -> Option<f64> {
+        self.pace_ms
     }
 }
 
--- a/crates/masticsill_relay/src/placement.rs
+++ b/crates/masticsill_relay/src/placement.rs
@@ -17,6 +17,8 @@
 const SUSPECT_ZONE_COST: f64 = 50.0;
 /// How long the failures of neighbours count against a zone.
 const SUSPECT_MS: u64 = 700;
+/// How many times slower than usual an endpoint may count, so that no measure outweighs a failure.
+const MAX_SLOWNESS: f64 = 5.0;
 /// Longest of the random differences that keep entries from choosing alike.
 const JITTER: f64 = 0.5;
 
@@ -58,7 +60,7 @@
             && !wanted.excluded.contains(&it.announcement.id)
     };
     let candidates: Vec<&Endpoint> = table.iter().filter(is_candidate).collect();
-    let usual_ms = usual_latency_ms(&candidates);
+    let usual_ms = usual_pace_ms(&candidates);
     let costs = candidates.iter().map(|endpoint| {
         let suspect = suspect_cost(&candidates, endpoint, now);
         let cost = cost(endpoint, now, wanted.zone, usual_ms) + suspect + jitter() * JITTER;
@@ -74,8 +76,10 @@
 
 fn cost(endpoint: &Endpoint, now: ClockMs, zone: &ZoneId, usual_ms: Option<f64>) -> f64 {
     let load = f64::from(endpoint.in_flight);
-    let slowness = match (endpoint.health.latency_ms(), usual_ms) {
-        (Some(latency_ms), Some(usual_ms)) if usual_ms > 0.0 => (latency_ms / usual_ms).max(1.0),
+    let slowness = match (endpoint.health.pace_ms(), usual_ms) {
+        (Some(pace_ms), Some(usual_ms)) if usual_ms > 0.0 => {
+            (pace_ms / usual_ms).clamp(1.0, MAX_SLOWNESS)
+        }
         _ => 1.0,
     };
     let mut cost = (load + 1.0) * slowness + endpoint.health.error_share() * ERROR_COST;
@@ -100,9 +104,9 @@
     if failing >= 2 { SUSPECT_ZONE_COST } else { 0.0 }
 }
 
-/// The median of the endpoints' latencies.
-fn usual_latency_ms(candidates: &[&Endpoint]) -> Option<f64> {
-    let known = candidates.iter().filter_map(|it| it.health.latency_ms());
+/// The median of the endpoints' paces.
+fn usual_pace_ms(candidates: &[&Endpoint]) -> Option<f64> {
+    let known = candidates.iter().filter_map(|it| it.health.pace_ms());
     let mut known: Vec<f64> = known.collect();
     known.sort_by(f64::total_cmp);
     known.get(known.len() / 2).copied()
--- a/crates/masticsill_relay/src/plain.rs
+++ b/crates/masticsill_relay/src/plain.rs
@@ -238,6 +238,9 @@
         return Err(fail(relay, request, sent, Failure::Malformed, cause));
     }
     let verdict = judge(relay, &head);
+    if matches!(verdict, Verdict::Answer) {
+        relay.note_pace(&endpoint.id, relay.now().since(sent.began_at));
+    }
     if head.status == 421 {
         relay.note_failure(&endpoint, Failure::Replaced);
     }
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -24,12 +24,23 @@
 /// connections that are just closing take the rest.
 const USED_PERCENT: u32 = 85;
 
-/// A zone in which several endpoints of a service fell silent.
+/// Endpoints that stand still: those who wait for them turn elsewhere.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub(crate) struct ZoneAlarm {
-    pub(crate) raised_at: ClockMs,
-    pub(crate) service: String,
-    pub(crate) zone: ZoneId,
+pub(crate) enum Alarm {
+    /// One endpoint.
+    Endpoint(EndpointId),
+    /// Those of a service in a zone.
+    Zone { service: String, zone: ZoneId },
+}
+
+impl Alarm {
+    /// Whether it tells of an endpoint.
+    pub(crate) fn is_about(&self, endpoint: &Announcement) -> bool {
+        match self {
+            Self::Endpoint(id) => *id == endpoint.id,
+            Self::Zone { service, zone } => *service == endpoint.service && *zone == endpoint.zone,
+        }
+    }
 }
 
 /// What the tasks of one relay share; all run on one thread.
@@ -37,7 +48,7 @@
 pub(crate) struct Relay {
     /// Requests that are being answered.
     pub(crate) active: Cell<u32>,
-    pub(crate) alarms: watch::Sender<Option<ZoneAlarm>>,
+    pub(crate) alarms: watch::Sender<Option<Alarm>>,
     pub(crate) budgets: RefCell<IndexMap<String, RetryBudget>>,
     pub(crate) clock: MonotonicClock,
     pub(crate) config: RelayConfig,
@@ -159,32 +170,48 @@
     pub(crate) fn note_failure(&self, endpoint: &Announcement, failure: Failure) {
         let now = self.now();
         let id = &endpoint.id;
-        let is_zone_suspect = self.endpoints.borrow_mut().note_failure(now, id, failure);
+        let is_zone_still = self.endpoints.borrow_mut().note_failure(now, id, failure);
         self.pool.borrow_mut().drop_endpoint(id);
-        if is_zone_suspect && failure == Failure::Silent {
-            self.raise_alarm(now, endpoint);
+        if failure != Failure::Stalled {
+            return;
         }
+        let alarm = if is_zone_still {
+            log_event!(
+                warn,
+                events::ZONE_SUSPECT,
+                zone = endpoint.zone,
+                service = endpoint.service,
+                endpoint = endpoint.id
+            );
+            Alarm::Zone {
+                service: endpoint.service.clone(),
+                zone: endpoint.zone.clone(),
+            }
+        } else {
+            Alarm::Endpoint(id.clone())
+        };
+        self.alarms.send_replace(Some(alarm));
     }
 
-    fn raise_alarm(&self, now: ClockMs, endpoint: &Announcement) {
-        log_event!(
-            info,
-            events::ZONE_SUSPECT,
-            zone = endpoint.zone,
-            service = endpoint.service,
-            endpoint = endpoint.id
-        );
-        self.alarms.send_replace(Some(ZoneAlarm {
-            raised_at: now,
-            service: endpoint.service.clone(),
-            zone: endpoint.zone.clone(),
-        }));
+    /// Notes that a byte of an endpoint's answer came.
+    pub(crate) fn note_heard(&self, id: &EndpointId) {
+        let now = self.now();
+        if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(id) {
+            endpoint.health.note_heard(now);
+        }
     }
 
     /// Notes the head of an answer.
-    pub(crate) fn note_answer(&self, id: &EndpointId, latency_ms: u64, status: u16) {
+    pub(crate) fn note_answer(&self, id: &EndpointId, status: u16) {
+        if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(id) {
+            endpoint.health.note_answer(status >= 500);
+        }
+    }
+
+    /// Notes the time that one unit of an endpoint's work took.
+    pub(crate) fn note_pace(&self, id: &EndpointId, pace_ms: u64) {
         if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(id) {
-            endpoint.health.note_answer(latency_ms, status >= 500);
+            endpoint.health.note_pace(pace_ms);
         }
     }
 }
--- a/crates/masticsill_relay/src/stream.rs
+++ b/crates/masticsill_relay/src/stream.rs
@@ -29,9 +29,9 @@
 /// that of six decoding steps beside another request's prefill (180 ms).
 const EVENT_SILENCE_MS: u64 = 350;
 /// Silence before the first event, beside the time that the prompt takes to read.
-const FIRST_EVENT_MS: u64 = 1_500;
-/// Prompt tokens that an engine is expected to read in a millisecond, beside other requests.
-const PROMPT_TOKENS_PER_MS: u64 = 5;
+const FIRST_EVENT_MS: u64 = 3_000;
+/// Prompt tokens that an engine is expected to read in a millisecond, behind other prompts.
+const PROMPT_TOKENS_PER_MS: u64 = 3;
 
 /// How a stream ended towards its caller.
 #[derive(Debug)]
@@ -251,9 +251,14 @@
             let piece = with_patience(self.relay, &endpoint, now, patience_ms, reading).await;
             let cause = match piece {
                 Some(Ok(Some(piece))) => {
+                    self.relay.note_heard(&endpoint.id);
                     splitter.push(&piece);
                     match self.pass_whole_events(&mut splitter, head).await {
                         Ok(true) => {
+                            if has_event {
+                                let pace_ms = self.relay.now().since(now);
+                                self.relay.note_pace(&endpoint.id, pace_ms);
+                            }
                             has_event = true;
                             continue;
                         }
@@ -269,7 +274,8 @@
                 }
                 Some(Ok(None)) => (Failure::Broken, "the last event is cut".to_owned()),
                 Some(Err(error)) => (failure_of(&error), error.to_string()),
-                None => (Failure::Silent, format!("silent for {patience_ms} ms")),
+                None if has_event => (Failure::Stalled, "no event".to_owned()),
+                None => (Failure::Silent, "no first event".to_owned()),
             };
             let (failure, cause) = cause;
             return RunEnd::Failed(fail(self.relay, self.request, sent, failure, &cause));
