--- a/crates/masticsill_relay/src/budget.rs
+++ b/crates/masticsill_relay/src/budget.rs
@@ -11,7 +11,7 @@
 
 /// Part of the bound that is used: the rest covers requests that other parties count elsewhere
 /// in their windows than this entry does.
-const USED_SHARE: f64 = 0.6;
+const USED_SHARE: f64 = 0.85;
 /// Length of the pieces into which a window is counted.
 const PIECE_MS: u64 = 500;
 
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -184,7 +184,7 @@
         if let Some(document) = &reply.document {
             discovery.take_document(document, address);
         }
-        relay.entries.set(reply.entries.max(1));
+        relay.entries.borrow_mut().note(relay.now(), reply.entries);
         for (_, member) in &reply.members {
             discovery.follow_once(*member);
         }
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -15,6 +15,7 @@
 use crate::budget::RetryBudget;
 use crate::config::RelayConfig;
 use crate::endpoints::EndpointTable;
+use crate::entries::EntryCount;
 use crate::events;
 use crate::health::Failure;
 use crate::placement::{Choice, Wanted, choose};
@@ -55,8 +56,8 @@
     pub(crate) endpoints: RefCell<EndpointTable>,
     /// Whether a document is in force here, for the readiness that other duties tell.
     pub(crate) has_document: Arc<AtomicBool>,
-    /// Entries that share what endpoints accept, this one included.
-    pub(crate) entries: Cell<u32>,
+    /// Entries that share budgets and connections, this one included.
+    pub(crate) entries: RefCell<EntryCount>,
     /// The document in force here; swapped as a whole, so that no request sees two versions.
     pub(crate) index: RefCell<Option<Arc<RouteIndex>>>,
     pub(crate) pool: RefCell<Pool>,
@@ -80,7 +81,7 @@
             config,
             endpoints: RefCell::default(),
             has_document,
-            entries: Cell::new(1),
+            entries: RefCell::default(),
             index: RefCell::new(None),
             pool: RefCell::default(),
             stopping,
@@ -130,7 +131,7 @@
         let Some(accepted) = accepted else {
             return Vec::new();
         };
-        let limit = (accepted * USED_PERCENT / 100 / self.entries.get()).max(1);
+        let limit = (accepted * USED_PERCENT / 100 / self.entry_count()).max(1);
         let pool = self.pool.borrow();
         let of_service = endpoints
             .iter()
@@ -153,9 +154,13 @@
         self.with_budget(service, |budget| budget.note_request(now));
     }
 
+    fn entry_count(&self) -> u32 {
+        self.entries.borrow().highest(self.now())
+    }
+
     /// Whether one more send of a request fits into the retry budget; it is spent then.
     pub(crate) fn try_spend(&self, service: &str) -> bool {
-        let (now, entries) = (self.now(), self.entries.get());
+        let (now, entries) = (self.now(), self.entry_count());
         self.with_budget(service, |budget| budget.try_spend(now, entries))
     }
 
