--- a/crates/masticsill_control/src/endpoints.rs
+++ b/crates/masticsill_control/src/endpoints.rs
@@ -3,6 +3,8 @@
 
 mod exchange;
 mod hub;
+mod memory;
 
 pub(crate) use exchange::run_exchange;
 pub(crate) use hub::EndpointHub;
+pub(crate) use memory::{read as read_endpoints, run_memory};
--- a/crates/masticsill_control/src/endpoints/hub.rs
+++ b/crates/masticsill_control/src/endpoints/hub.rs
@@ -15,6 +15,8 @@
 use crate::events;
 use crate::quorum::PublishedState;
 
+/// How long an endpoint of a former life is believed in without a heartbeat: two of them.
+const RESTORED_MS: u64 = 2_500;
 /// Longest wait of one watch, whatever it asks for.
 const MAX_WAIT_MS: u64 = 2_000;
 /// A watcher that asked for nothing in this time has gone: twice the usual wait, and an answer.
@@ -112,6 +114,26 @@
         self.await_watchers(revision).await;
     }
 
+    /// Takes the records of a former life of this replica.
+    pub(crate) fn restore(&self, records: &[EndpointRecord]) {
+        let mut registry = self.registry();
+        let age_ms = registry.silence_ms().saturating_sub(RESTORED_MS);
+        registry.restore(self.shared.clock.now(), records, age_ms);
+        self.shared.revision.send_replace(registry.revision());
+    }
+
+    /// Every record that has not ended.
+    pub(crate) fn records(&self) -> Vec<EndpointRecord> {
+        let registry = self.registry();
+        let lives = |it: &&EndpointRecord| it.announcement.state < EndpointState::Gone;
+        registry.records().filter(lives).cloned().collect()
+    }
+
+    /// Follows the revision.
+    pub(crate) fn revisions(&self) -> watch::Receiver<u64> {
+        self.shared.revision.subscribe()
+    }
+
     /// Joins what another replica told.
     pub(crate) fn merge(&self, records: &[EndpointRecord], heard: &[Heard]) {
         let now = self.shared.clock.now();
@@ -189,6 +211,7 @@
         let document = published.document();
         let document_version = document.as_ref().map(|document| document.version);
         let is_wanted = request.wants_document && document_version > request.document_held;
+        let (entries, entries_nearby) = self.entries(&request.watcher);
         let registry = self.registry();
         let since = if request.registry == self.shared.life {
             request.revision
@@ -196,13 +219,14 @@
             0
         };
         let heard = match request.watcher {
-            Watcher::Entry(_) => Vec::new(),
+            Watcher::Entry { .. } => Vec::new(),
             Watcher::Replica(_) => registry.heard_here(self.shared.clock.now()),
         };
         WatchReply {
             document: document.filter(|_| is_wanted),
             document_version,
-            entries: self.count_entries(),
+            entries,
+            entries_nearby,
             endpoints: registry.changes_since(since),
             heard,
             members,
@@ -212,10 +236,21 @@
         }
     }
 
-    fn count_entries(&self) -> u32 {
+    /// The number of entries that watch, and the names of those in the watcher's zone.
+    fn entries(&self, watcher: &Watcher) -> (u32, Vec<NodeId>) {
         let watchers = self.watchers();
-        let entries = watchers.keys().filter(|it| matches!(it, Watcher::Entry(_)));
-        u32::try_from(entries.count()).unwrap_or(u32::MAX)
+        let entries = watchers.keys().filter_map(|it| match it {
+            Watcher::Entry { node, zone } => Some((node, zone)),
+            Watcher::Replica(_) => None,
+        });
+        let count = u32::try_from(entries.clone().count()).unwrap_or(u32::MAX);
+        let Watcher::Entry { zone: near, .. } = watcher else {
+            return (count, Vec::new());
+        };
+        let nearby = entries.filter(|(_, zone)| *zone == near);
+        let mut nearby: Vec<NodeId> = nearby.map(|(node, _)| node.clone()).collect();
+        nearby.sort();
+        (count, nearby)
     }
 
     fn note_watcher(&self, request: &WatchRequest) {
--- /dev/null
+++ b/crates/masticsill_control/src/endpoints/memory.rs
@@ -0,0 +1,76 @@
+//! The registry's records on the disk, so that a replica that starts again knows at once whom to
+//! name: endpoints announce themselves only once a second.
+//!
+//! Nothing relies on them: they may be old, and requests name the incarnation that they mean.
+
+use std::fs::{self, File};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use masticsill_registry::EndpointRecord;
+use masticsill_runtime::ShutdownSignal;
+use masticsill_types::log_event;
+use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
+
+use super::EndpointHub;
+use crate::events;
+
+const FILE: &str = "endpoints";
+const TEMPORARY_FILE: &str = "endpoints.tmp";
+/// Pause between writes, so that a burst of changes is one write.
+const WRITE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The durable form. Variants are only ever added at the end.
+#[derive(Deserialize, Serialize)]
+enum StoredEndpoints {
+    V1(Vec<EndpointRecord>),
+}
+
+/// Reads what a former life left; nothing when there is none or it can't be read.
+pub(crate) fn read(folder: &Path) -> Vec<EndpointRecord> {
+    let bytes = match fs::read(folder.join(FILE)) {
+        Ok(bytes) => bytes,
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Vec::new(),
+        Err(error) => {
+            log_event!(warn, events::ENDPOINTS_NOT_KEPT, cause = error);
+            return Vec::new();
+        }
+    };
+    match postcard::from_bytes(&bytes) {
+        Ok(StoredEndpoints::V1(records)) => records,
+        Err(error) => {
+            log_event!(warn, events::ENDPOINTS_NOT_KEPT, cause = error);
+            Vec::new()
+        }
+    }
+}
+
+/// Writes the records whenever they have changed, until the replica ends.
+pub(crate) async fn run_memory(folder: PathBuf, endpoints: EndpointHub, ended: ShutdownSignal) {
+    let mut revisions = endpoints.revisions();
+    loop {
+        tokio::select! {
+            changed = revisions.changed() => if changed.is_err() { return },
+            () = ended.requested() => return,
+        }
+        if let Err(error) = write(&folder, endpoints.records()) {
+            log_event!(warn, events::ENDPOINTS_NOT_KEPT, cause = error);
+        }
+        tokio::select! {
+            () = sleep(WRITE_INTERVAL) => {}
+            () = ended.requested() => return,
+        }
+    }
+}
+
+fn write(folder: &Path, records: Vec<EndpointRecord>) -> io::Result<()> {
+    let bytes = postcard::to_stdvec(&StoredEndpoints::V1(records)).map_err(io::Error::other)?;
+    let temporary = folder.join(TEMPORARY_FILE);
+    let mut file = File::create(&temporary)?;
+    file.write_all(&bytes)?;
+    // A name that leads to half a file would be worse than an old one.
+    file.sync_all()?;
+    fs::rename(&temporary, folder.join(FILE))
+}
--- a/crates/masticsill_control/src/events.rs
+++ b/crates/masticsill_control/src/events.rs
@@ -42,6 +42,8 @@
 pub const ADMISSION_ASKED: Event = Event::new(4133, "control_admission_asked");
 /// The leader removes a silent voter that is not needed.
 pub const VOTER_TRIMMED: Event = Event::new(4134, "control_voter_trimmed");
+/// The endpoints' records could not be read or written; only a restart is slower for it.
+pub const ENDPOINTS_NOT_KEPT: Event = Event::new(4135, "control_endpoints_not_kept");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -65,4 +67,5 @@
     ENDPOINT_SILENCE,
     ADMISSION_ASKED,
     VOTER_TRIMMED,
+    ENDPOINTS_NOT_KEPT,
 ];
--- a/crates/masticsill_control/src/role.rs
+++ b/crates/masticsill_control/src/role.rs
@@ -16,7 +16,7 @@
 use tokio::sync::watch;
 
 use crate::config::ControlConfig;
-use crate::endpoints::EndpointHub;
+use crate::endpoints::{EndpointHub, read_endpoints, run_memory};
 use crate::error::ControlError;
 use crate::events;
 use crate::handle::ControlHandle;
@@ -109,6 +109,8 @@
         let ended = ShutdownSignal::default();
         let zone = config.zone.clone();
         let endpoints = EndpointHub::new(clock, config.endpoints, zone);
+        endpoints.restore(&read_endpoints(&config.data_folder));
+        let memory = (config.data_folder.clone(), endpoints.clone(), ended.clone());
         let parts = RpcParts {
             book: book.clone(),
             calls: calls.clone(),
@@ -133,6 +135,10 @@
                 run_storage(storage, jobs_taken, progress)
             })?,
             spawn_async_duty("control_quorum", || quorum_duty.run())?,
+            spawn_async_duty("control_endpoints", || {
+                let (folder, endpoints, ended) = memory;
+                run_memory(folder, endpoints, ended)
+            })?,
         ];
         log_event!(
             info,
--- a/crates/masticsill_registry/src/registry.rs
+++ b/crates/masticsill_registry/src/registry.rs
@@ -62,6 +62,12 @@
         self.revision
     }
 
+    /// Silence after which an incarnation counts as lost.
+    #[must_use]
+    pub fn silence_ms(&self) -> u64 {
+        self.periods.silence_ms
+    }
+
     /// Every record.
     pub fn records(&self) -> impl Iterator<Item = &EndpointRecord> {
         self.tracked.values().map(|tracked| &tracked.record)
@@ -116,6 +122,13 @@
         is_changed
     }
 
+    /// Takes the records of a former life of this process: they count as heard `age_ms` ago.
+    pub fn restore(&mut self, now: ClockMs, records: &[EndpointRecord], age_ms: u64) {
+        for record in records {
+            self.take(&record.announcement, now.before(age_ms));
+        }
+    }
+
     /// Takes the ages of heartbeats that another process heard itself.
     pub fn note_heard(&mut self, now: ClockMs, heard: &[Heard]) {
         for Heard { age_ms, id } in heard {
--- a/crates/masticsill_relay/src/attempt.rs
+++ b/crates/masticsill_relay/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use masticsill_catalogue::RouteKind;
 use masticsill_http1::ResponseHead;
 use masticsill_registry::Announcement;
 use masticsill_types::{ClockMs, log_event};
@@ -29,6 +30,8 @@
 #[derive(Debug)]
 pub(crate) struct Sent {
     pub(crate) endpoint: Announcement,
+    /// Whether the endpoint still reads the prompt of a stream.
+    is_reading: bool,
     relay: Rc<Relay>,
     pub(crate) began_at: ClockMs,
     upstream: Option<Upstream>,
@@ -50,6 +53,16 @@
             .expect("it is taken only with the whole value")
     }
 
+    /// Notes the first event of a stream: its prompt has been read.
+    pub(crate) fn end_reading(&mut self) {
+        if !std::mem::take(&mut self.is_reading) {
+            return;
+        }
+        if let Some(endpoint) = self.relay.endpoints.borrow_mut().get_mut(&self.endpoint.id) {
+            endpoint.reading = endpoint.reading.saturating_sub(1);
+        }
+    }
+
     /// Keeps the connection for the next request if the answer allows it.
     pub(crate) fn keep(mut self, head: &ResponseHead) {
         let upstream = self.upstream.take();
@@ -67,6 +80,7 @@
 
 impl Drop for Sent {
     fn drop(&mut self) {
+        self.end_reading();
         if self.upstream.take().is_some() {
             self.relay.pool.borrow_mut().note_closed(&self.endpoint.id);
         }
@@ -93,11 +107,14 @@
             return Err(SendFailure::NotSent);
         }
     };
+    let is_reading = request.route.kind == RouteKind::Stream;
     if let Some(known) = relay.endpoints.borrow_mut().get_mut(&endpoint.id) {
         known.in_flight += 1;
+        known.reading += u32::from(is_reading);
     }
     let mut sent = Sent {
         endpoint,
+        is_reading,
         relay: Rc::clone(relay),
         began_at: relay.now(),
         upstream: Some(Upstream::new(stream)),
--- a/crates/masticsill_relay/src/connection.rs
+++ b/crates/masticsill_relay/src/connection.rs
@@ -18,7 +18,7 @@
 use crate::dial::watch_peer;
 use crate::events;
 use crate::plain::relay_plain;
-use crate::relay::{Active, Relay};
+use crate::relay::{Active, NEWS_BOUND_MS, NEWS_SHARE, Relay};
 use crate::request::RelayRequest;
 use crate::stream::{StreamEnd, StreamRelay};
 
@@ -52,7 +52,10 @@
 /// Whether the connection goes on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum After {
+    /// Ended after an answer that said so.
     Close,
+    /// Ended after an answer that did not say so: the shutdown began meanwhile.
+    CloseUnsaid,
     /// Cut without an end: the answer is not whole.
     Cut,
     Keep,
@@ -91,6 +94,12 @@
                 caller.linger(&mut writer).await;
                 break;
             }
+            After::CloseUnsaid => {
+                // Nothing more is read: a request that crosses this is the caller's to send again.
+                let _ = writer.shutdown().await;
+                tokio::time::sleep(LINGER).await;
+                break;
+            }
             After::Cut => break,
         }
     }
@@ -140,7 +149,9 @@
         .unwrap_or_default()
         .to_owned();
     let is_kept = head.is_keep_alive;
-    let Some(index) = relay.index() else {
+    let asked_ms = head.headers.number(&names.deadline_ms).unwrap_or_default();
+    let bound_ms = (asked_ms / NEWS_SHARE).min(NEWS_BOUND_MS);
+    let Some(index) = relay.await_news(bound_ms, || relay.index()).await else {
         return refuse(relay, writer, &id, Refusal::NoDocument, is_kept).await;
     };
     let request = match admit(&index, names, received_at, head, body) {
@@ -197,10 +208,10 @@
                 resumes + 1,
                 resumes,
             );
-            if is_closing {
-                After::Close
-            } else {
-                After::Keep
+            match (is_closing, relay.stopping.is_requested()) {
+                (true, _) => After::Close,
+                (false, true) => After::CloseUnsaid,
+                (false, false) => After::Keep,
             }
         }
         StreamEnd::Plain(answer, endpoint) => {
@@ -310,7 +321,7 @@
     fn at_least_close(self) -> Self {
         match self {
             Self::Keep => Self::Close,
-            Self::Close | Self::Cut => self,
+            Self::Close | Self::CloseUnsaid | Self::Cut => self,
         }
     }
 }
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -143,7 +143,10 @@
         revision: 0,
         wait_ms: WAIT_MS,
         wants_document: true,
-        watcher: Watcher::Entry(relay.config.node.clone()),
+        watcher: Watcher::Entry {
+            node: relay.config.node.clone(),
+            zone: relay.config.zone.clone(),
+        },
     };
     let mut is_reached = false;
     let mut is_own_zone = false;
@@ -185,6 +188,10 @@
             discovery.take_document(document, address);
         }
         relay.entries.borrow_mut().note(relay.now(), reply.entries);
+        relay.take_nearby(&reply.entries_nearby);
+        if !reply.endpoints.is_empty() {
+            relay.note_news();
+        }
         for (_, member) in &reply.members {
             discovery.follow_once(*member);
         }
--- a/crates/masticsill_relay/src/endpoints.rs
+++ b/crates/masticsill_relay/src/endpoints.rs
@@ -23,6 +23,8 @@
     pub health: Health,
     /// Requests of this entry that it works on.
     pub in_flight: u32,
+    /// Those of them whose prompt it still reads.
+    pub reading: u32,
     /// Whether an answer said that the address belongs to another incarnation.
     is_replaced: bool,
     /// Order in which incarnations became known; a later one of an address goes first.
@@ -90,6 +92,7 @@
             announcement: record.announcement.clone(),
             health: Health::default(),
             in_flight: 0,
+            reading: 0,
             is_replaced: false,
             order: self.last_order,
             silent_at: record.is_silent.then(|| from.clone()).into_iter().collect(),
--- a/crates/masticsill_relay/src/events.rs
+++ b/crates/masticsill_relay/src/events.rs
@@ -22,6 +22,10 @@
 pub const CALLER_LEFT: Event = Event::new(2115, "caller_left");
 /// Bytes of a caller are no request that can be relayed.
 pub const REQUEST_MALFORMED: Event = Event::new(2116, "request_malformed");
+/// An endpoint said that it did not run a request; it goes elsewhere, or back to its caller.
+pub const ATTEMPT_NOT_RUN: Event = Event::new(2117, "attempt_not_run");
+/// The endpoint that holds a copy of a stream's run can't take it over.
+pub const COPY_UNUSABLE: Event = Event::new(2118, "copy_unusable");
 /// A document came into force here.
 pub const DOCUMENT_TAKEN: Event = Event::new(2120, "document_taken");
 /// A document could not be read.
@@ -49,6 +53,8 @@
     STREAM_BROKEN_OFF,
     CALLER_LEFT,
     REQUEST_MALFORMED,
+    ATTEMPT_NOT_RUN,
+    COPY_UNUSABLE,
     DOCUMENT_TAKEN,
     DOCUMENT_UNREADABLE,
     ENDPOINT_CHANGED,
--- a/crates/masticsill_relay/src/lib.rs
+++ b/crates/masticsill_relay/src/lib.rs
@@ -35,5 +35,5 @@
 pub use entries::EntryCount;
 pub use health::{Failure, Health};
 pub use lineage::{EventOrder, Placed};
-pub use placement::{Choice, Wanted, choose};
+pub use placement::{Choice, Wanted, ZoneShare, choose};
 pub use role::RelayRole;
--- a/crates/masticsill_relay/src/placement.rs
+++ b/crates/masticsill_relay/src/placement.rs
@@ -7,6 +7,11 @@
 
 /// What another zone costs, in requests in flight: bytes between zones are dear, a queue is worse.
 const OTHER_ZONE_COST: f64 = 2.0;
+/// What an endpoint of another entry's part costs: less than another request in flight there.
+const OTHER_ENTRY_COST: f64 = 0.8;
+/// What a prompt that is being read costs beyond any request in flight: the next one waits about
+/// a second behind it, and slows the streams there for as long again.
+const READING_COST: f64 = 1.5;
 /// What an endpoint costs that fails every answer, in requests in flight.
 const ERROR_COST: f64 = 12.0;
 /// What a silent endpoint costs: it is used only where no other is left.
@@ -31,10 +36,33 @@
     pub not_in_zone: Option<&'a ZoneId>,
     /// The service.
     pub service: &'a str,
+    /// This entry's part of its zone's endpoints.
+    pub share: ZoneShare,
     /// The zone of this entry.
     pub zone: &'a ZoneId,
 }
 
+/// The place of an entry among those of its zone.
+///
+/// Entries don't see each other's requests. Each prefers a part of its zone's endpoints of its
+/// own, so that two seldom send to the same one at once.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ZoneShare {
+    /// Entries of the zone.
+    pub entries: usize,
+    /// Which of them this one is, from zero.
+    pub place: usize,
+}
+
+impl Default for ZoneShare {
+    fn default() -> Self {
+        Self {
+            entries: 1,
+            place: 0,
+        }
+    }
+}
+
 /// The endpoint chosen and why.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Choice {
@@ -61,9 +89,13 @@
     };
     let candidates: Vec<&Endpoint> = table.iter().filter(is_candidate).collect();
     let usual_ms = usual_pace_ms(&candidates);
+    let others = others_endpoints(&candidates, wanted);
     let costs = candidates.iter().map(|endpoint| {
-        let suspect = suspect_cost(&candidates, endpoint, now);
-        let cost = cost(endpoint, now, wanted.zone, usual_ms) + suspect + jitter() * JITTER;
+        let suspect = suspect_cost(table, endpoint, now);
+        let mut cost = cost(endpoint, now, wanted.zone, usual_ms) + suspect + jitter() * JITTER;
+        if others.contains(&&endpoint.announcement.id) {
+            cost += OTHER_ENTRY_COST;
+        }
         (cost, endpoint)
     });
     let (cost, best) = costs.min_by(|(left, _), (right, _)| left.total_cmp(right))?;
@@ -74,8 +106,21 @@
     })
 }
 
+/// Endpoints of the own zone that are other entries' part of it.
+fn others_endpoints<'a>(candidates: &[&'a Endpoint], wanted: &Wanted<'_>) -> Vec<&'a EndpointId> {
+    let ZoneShare { entries, place } = wanted.share;
+    let near = candidates
+        .iter()
+        .filter(|it| it.announcement.zone == *wanted.zone);
+    let mut near: Vec<&EndpointId> = near.map(|it| &it.announcement.id).collect();
+    near.sort();
+    let dealt = near.into_iter().enumerate();
+    let others = dealt.filter(|(position, _)| position % entries.max(1) != place);
+    others.map(|(_, id)| id).collect()
+}
+
 fn cost(endpoint: &Endpoint, now: ClockMs, zone: &ZoneId, usual_ms: Option<f64>) -> f64 {
-    let load = f64::from(endpoint.in_flight);
+    let load = f64::from(endpoint.in_flight) + f64::from(endpoint.reading) * READING_COST;
     let slowness = match (endpoint.health.pace_ms(), usual_ms) {
         (Some(pace_ms), Some(usual_ms)) if usual_ms > 0.0 => {
             (pace_ms / usual_ms).clamp(1.0, MAX_SLOWNESS)
@@ -95,12 +140,14 @@
     cost
 }
 
-fn suspect_cost(candidates: &[&Endpoint], endpoint: &Endpoint, now: ClockMs) -> f64 {
-    let is_failing_neighbour = |it: &&&Endpoint| {
-        it.announcement.zone == endpoint.announcement.zone
+/// Neighbours that the request went to already count as well: it is they that failed.
+fn suspect_cost(table: &EndpointTable, endpoint: &Endpoint, now: ClockMs) -> f64 {
+    let is_failing_neighbour = |it: &&Endpoint| {
+        it.announcement.service == endpoint.announcement.service
+            && it.announcement.zone == endpoint.announcement.zone
             && it.health.has_failed_within(now, SUSPECT_MS)
     };
-    let failing = candidates.iter().filter(is_failing_neighbour).count();
+    let failing = table.iter().filter(is_failing_neighbour).count();
     if failing >= 2 { SUSPECT_ZONE_COST } else { 0.0 }
 }
 
--- a/crates/masticsill_relay/src/plain.rs
+++ b/crates/masticsill_relay/src/plain.rs
@@ -5,9 +5,11 @@
 use bytes::BytesMut;
 use masticsill_http1::{BodyDecoder, Header, ResponseHead};
 use masticsill_registry::EndpointId;
+use masticsill_types::log_event;
 
 use crate::answer::{Answer, Refusal};
 use crate::attempt::{SendFailure, Sent, fail, failure_of, send, with_patience};
+use crate::events;
 use crate::health::Failure;
 use crate::placement::Wanted;
 use crate::relay::Relay;
@@ -123,10 +125,11 @@
         let wanted = Wanted {
             excluded: &tries.excluded,
             not_in_zone: None,
+            share: relay.share.get(),
             service: &request.service,
             zone: &relay.config.zone,
         };
-        let Some((choice, endpoint)) = relay.choose(&wanted) else {
+        let Some((choice, endpoint)) = relay.choose_or_wait(request, &wanted).await else {
             break;
         };
         let id = endpoint.id.clone();
@@ -241,6 +244,17 @@
     if matches!(verdict, Verdict::Answer) {
         relay.note_pace(&endpoint.id, relay.now().since(sent.began_at));
     }
+    if matches!(verdict, Verdict::NotRun) {
+        log_event!(
+            info,
+            events::ATTEMPT_NOT_RUN,
+            request = request.id,
+            endpoint = endpoint.id,
+            zone = endpoint.zone,
+            status = head.status,
+            left_ms = request.left_ms(relay.now())
+        );
+    }
     if head.status == 421 {
         relay.note_failure(&endpoint, Failure::Replaced);
     }
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -4,13 +4,15 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use masticsill_catalogue::RouteIndex;
 use masticsill_registry::{Announcement, EndpointId};
 use masticsill_runtime::ShutdownSignal;
-use masticsill_types::{ClockMs, MonotonicClock, ZoneId, log_event};
+use masticsill_types::{ClockMs, MonotonicClock, NodeId, ZoneId, log_event};
 use tokio::sync::watch;
+use tokio::time::{Instant, timeout_at};
 
 use crate::budget::RetryBudget;
 use crate::config::RelayConfig;
@@ -18,9 +20,15 @@
 use crate::entries::EntryCount;
 use crate::events;
 use crate::health::Failure;
-use crate::placement::{Choice, Wanted, choose};
+use crate::placement::{Choice, Wanted, ZoneShare, choose};
 use crate::pool::Pool;
+use crate::request::RelayRequest;
 
+/// Part of a request's time that it may wait for a first document or endpoint: the rest must
+/// suffice to serve it, or to come back elsewhere.
+pub(crate) const NEWS_SHARE: u64 = 10;
+/// Longest such wait: an instance that starts knows both within a second or two.
+pub(crate) const NEWS_BOUND_MS: u64 = 2_500;
 /// Part of the connections that an endpoint accepts which the entries use: health checks and
 /// connections that are just closing take the rest.
 const USED_PERCENT: u32 = 85;
@@ -58,9 +66,13 @@
     pub(crate) has_document: Arc<AtomicBool>,
     /// Entries that share budgets and connections, this one included.
     pub(crate) entries: RefCell<EntryCount>,
+    /// Counts what was learned of the document and the endpoints, for requests that wait for it.
+    pub(crate) news: watch::Sender<u64>,
     /// The document in force here; swapped as a whole, so that no request sees two versions.
     pub(crate) index: RefCell<Option<Arc<RouteIndex>>>,
     pub(crate) pool: RefCell<Pool>,
+    /// This entry's place among those of its zone.
+    pub(crate) share: Cell<ZoneShare>,
     pub(crate) stopping: ShutdownSignal,
     /// When the graceful shutdown began.
     pub(crate) stopping_since: Cell<Option<ClockMs>>,
@@ -82,8 +94,10 @@
             endpoints: RefCell::default(),
             has_document,
             entries: RefCell::default(),
+            news: watch::Sender::new(0),
             index: RefCell::new(None),
             pool: RefCell::default(),
+            share: Cell::new(ZoneShare::default()),
             stopping,
             stopping_since: Cell::new(None),
         }
@@ -101,6 +115,42 @@
     pub(crate) fn take_index(&self, index: RouteIndex) {
         *self.index.borrow_mut() = Some(Arc::new(index));
         self.has_document.store(true, Ordering::Release);
+        self.note_news();
+    }
+
+    /// Wakes the requests that wait for a document or an endpoint.
+    pub(crate) fn note_news(&self) {
+        self.news.send_modify(|count| *count += 1);
+    }
+
+    /// Waits until something is found, `bound_ms` at most.
+    ///
+    /// Of an instance that has just started, a request asks for what will be known in a moment: it
+    /// has not been given up, and is better served here than sent away.
+    pub(crate) async fn await_news<T>(
+        &self,
+        bound_ms: u64,
+        mut find: impl FnMut() -> Option<T>,
+    ) -> Option<T> {
+        let mut news = self.news.subscribe();
+        let bound = Instant::now() + Duration::from_millis(bound_ms);
+        loop {
+            if let Some(found) = find() {
+                return Some(found);
+            }
+            if timeout_at(bound, news.changed()).await.is_err() {
+                return None;
+            }
+        }
+    }
+
+    /// Takes the names of the entries in this zone.
+    pub(crate) fn take_nearby(&self, nearby: &[NodeId]) {
+        let place = nearby.iter().position(|node| *node == self.config.node);
+        if let Some(place) = place {
+            let entries = nearby.len();
+            self.share.set(ZoneShare { entries, place });
+        }
     }
 
     /// How long the graceful shutdown has lasted; `None` while there is none.
@@ -123,6 +173,20 @@
         Some((choice, endpoint.announcement.clone()))
     }
 
+    /// Chooses an endpoint, or waits a little for one while the request has gone nowhere yet.
+    pub(crate) async fn choose_or_wait(
+        &self,
+        request: &RelayRequest,
+        wanted: &Wanted<'_>,
+    ) -> Option<(Choice, Announcement)> {
+        if !wanted.excluded.is_empty() {
+            return self.choose(wanted);
+        }
+        let bound_ms = request.left_ms(self.now()) / NEWS_SHARE;
+        self.await_news(bound_ms.min(NEWS_BOUND_MS), || self.choose(wanted))
+            .await
+    }
+
     /// Endpoints that accept no more connections of this entry: all entries share what one
     /// accepts, and it resets what is beyond.
     fn full_endpoints(&self, endpoints: &EndpointTable, service: &str) -> Vec<EndpointId> {
@@ -149,6 +213,17 @@
         endpoint.is_some_and(|it| it.is_ready() && !it.health.is_held(self.now()))
     }
 
+    /// Why an endpoint is not usable, for the log.
+    pub(crate) fn why_unusable(&self, id: &EndpointId) -> &'static str {
+        let endpoints = self.endpoints.borrow();
+        match endpoints.get(id) {
+            None => "forgotten",
+            Some(endpoint) if !endpoint.is_ready() => "gone or draining",
+            Some(endpoint) if endpoint.health.is_held(self.now()) => "failed just now",
+            Some(_) => "tried before",
+        }
+    }
+
     pub(crate) fn note_request(&self, service: &str) {
         let now = self.now();
         self.with_budget(service, |budget| budget.note_request(now));
--- a/crates/masticsill_relay/src/stream.rs
+++ b/crates/masticsill_relay/src/stream.rs
@@ -102,7 +102,7 @@
     /// Relays until the stream is whole or given up.
     pub(crate) async fn run(mut self) -> StreamEnd {
         while self.request.left_ms(self.relay.now()) > 0 {
-            let Some((endpoint, from_copy)) = self.choose() else {
+            let Some((endpoint, from_copy)) = self.choose().await else {
                 break;
             };
             let id = endpoint.id.clone();
@@ -140,20 +140,31 @@
     }
 
     /// The endpoint that holds a copy of the run, while it can be used, or the best of all.
-    fn choose(&mut self) -> Option<(Announcement, Option<Copy>)> {
-        if let Some(copy) = self.copy.take()
-            && self.relay.is_usable(&copy.at.id)
-            && !self.tries.excluded.contains(&copy.at.id)
-        {
-            return Some((copy.at.clone(), Some(copy)));
+    async fn choose(&mut self) -> Option<(Announcement, Option<Copy>)> {
+        if let Some(copy) = &self.copy {
+            let is_tried = self.tries.excluded.contains(&copy.at.id);
+            if !is_tried && self.relay.is_usable(&copy.at.id) {
+                return Some((copy.at.clone(), Some(copy.clone())));
+            }
+            log_event!(
+                info,
+                events::COPY_UNUSABLE,
+                request = self.request.id,
+                endpoint = copy.at.id,
+                zone = copy.at.zone,
+                is_tried = is_tried,
+                cause = self.relay.why_unusable(&copy.at.id)
+            );
+            self.copy = None;
         }
         let wanted = Wanted {
             excluded: &self.tries.excluded,
             not_in_zone: None,
+            share: self.relay.share.get(),
             service: &self.request.service,
             zone: &self.relay.config.zone,
         };
-        let (_, endpoint) = self.relay.choose(&wanted)?;
+        let (_, endpoint) = self.relay.choose_or_wait(self.request, &wanted).await?;
         Some((endpoint, None))
     }
 
@@ -169,6 +180,7 @@
         let wanted = Wanted {
             excluded: &excluded,
             not_in_zone: Some(&endpoint.zone),
+            share: self.relay.share.get(),
             service: &self.request.service,
             zone: &self.relay.config.zone,
         };
@@ -196,12 +208,16 @@
                 sends = self.tries.sends
             );
         }
-        // The engine begins its copy while it reads the prompt, before any answer.
-        self.copy = copy;
         let patience_ms = self.first_patience_ms();
         let sent_at = self.relay.now();
         let sending = send(self.relay, self.request, endpoint, &options, patience_ms);
-        let (sent, head) = match sending.await {
+        let sending = sending.await;
+        if !matches!(sending, Err(SendFailure::NotSent)) {
+            // The engine begins its copy while it reads the prompt, before any answer. A request
+            // that never left makes none: what an earlier run left is still the newest.
+            self.copy = copy;
+        }
+        let (sent, head) = match sending {
             Ok(answered) => answered,
             Err(failure) => return RunEnd::Failed(failure),
         };
@@ -255,6 +271,7 @@
                     splitter.push(&piece);
                     match self.pass_whole_events(&mut splitter, head).await {
                         Ok(true) => {
+                            sent.end_reading();
                             if has_event {
                                 let pace_ms = self.relay.now().since(now);
                                 self.relay.note_pace(&endpoint.id, pace_ms);
--- a/crates/masticsill_wire/src/control.rs
+++ b/crates/masticsill_wire/src/control.rs
@@ -173,7 +173,12 @@
 #[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum Watcher {
     /// An entry.
-    Entry(NodeId),
+    Entry {
+        /// The process.
+        node: NodeId,
+        /// Its availability zone.
+        zone: ZoneId,
+    },
     /// Another control replica, which also learns whom this one heard.
     Replica(NodeId),
 }
@@ -187,6 +192,8 @@
     pub document_version: Option<u64>,
     /// Entries that watch here, to share what endpoints accept from all of them together.
     pub entries: u32,
+    /// Those of the watcher's zone, in order.
+    pub entries_nearby: Vec<NodeId>,
     /// What changed since the watcher's revision.
     pub endpoints: Vec<EndpointRecord>,
     /// Whom this replica heard lately; for other replicas only.
