Entries tell each other their loads through their zone's control replica

Cause: a prompt that is read slows every stream of its engine about six times for a second; two entries of a zone that did not see each other's requests put them on the same engines, and streams took 9 s where 5 s would do, so that zones, entries and the final fault cut more of them. Change: watches carry the entry's requests by endpoint, replies those of the others, every 0.2 s within the zone; placement counts both.

--- a/crates/masticsill_control/src/endpoints/exchange.rs
+++ b/crates/masticsill_control/src/endpoints/exchange.rs
@@ -60,6 +60,7 @@
     let mut request = WatchRequest {
         document_held: Some(u64::MAX),
         document_seen: Some(u64::MAX),
+        loads: Vec::new(),
         registry: 0,
         revision: 0,
         wait_ms: WAIT_MS,
--- a/crates/masticsill_control/src/endpoints/hub.rs
+++ b/crates/masticsill_control/src/endpoints/hub.rs
@@ -8,7 +8,7 @@
     Announcement, EndpointId, EndpointRecord, EndpointState, Heard, Registry, RegistryPeriods,
 };
 use masticsill_types::{ClockMs, MonotonicClock, NodeId, ZoneId, log_event};
-use masticsill_wire::control::{WatchReply, WatchRequest, Watcher};
+use masticsill_wire::control::{EndpointLoad, WatchReply, WatchRequest, Watcher};
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, timeout_at};
 
@@ -24,10 +24,11 @@
 /// Longest wait for the watchers before a farewell is acknowledged; senders give up after 1 s.
 const TELL_BOUND: Duration = Duration::from_millis(400);
 
-/// What a watcher has acknowledged.
-#[derive(Clone, Copy, Debug)]
+/// What a watcher has acknowledged and told.
+#[derive(Clone, Debug)]
 struct Seen {
     at: ClockMs,
+    loads: Vec<EndpointLoad>,
     revision: u64,
 }
 
@@ -229,6 +230,7 @@
             entries_nearby,
             endpoints: registry.changes_since(since),
             heard,
+            loads: self.loads_of_others(&request.watcher),
             members,
             registry: self.shared.life,
             revision: registry.revision(),
@@ -253,10 +255,35 @@
         (count, nearby)
     }
 
+    /// Requests that the other watchers told of, by endpoint.
+    fn loads_of_others(&self, watcher: &Watcher) -> Vec<EndpointLoad> {
+        let now = self.shared.clock.now();
+        let watchers = self.watchers();
+        let is_other = |(other, seen): &(&Watcher, &Seen)| {
+            *other != watcher && now.since(seen.at) < WATCHER_GONE_MS
+        };
+        let mut sums: IndexMap<EndpointId, EndpointLoad> = IndexMap::new();
+        for load in watchers
+            .iter()
+            .filter(is_other)
+            .flat_map(|(_, seen)| &seen.loads)
+        {
+            let sum = sums.entry(load.id.clone()).or_insert_with(|| EndpointLoad {
+                id: load.id.clone(),
+                in_flight: 0,
+                reading: 0,
+            });
+            sum.in_flight = sum.in_flight.saturating_add(load.in_flight);
+            sum.reading = sum.reading.saturating_add(load.reading);
+        }
+        sums.into_values().collect()
+    }
+
     fn note_watcher(&self, request: &WatchRequest) {
         let is_same_registry = request.registry == self.shared.life;
         let seen = Seen {
             at: self.shared.clock.now(),
+            loads: request.loads.clone(),
             revision: if is_same_registry {
                 request.revision
             } else {
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -23,6 +23,9 @@
 
 /// Longest wait for news.
 const WAIT_MS: u64 = 1_000;
+/// How often the own zone's replica is told of this entry's load and asked for the others':
+/// about as often as requests for long generations come.
+const LOADS_MS: u64 = 200;
 /// How long the own zone's replica may be behind before another is asked for the bytes.
 const BEHIND_MS: u64 = 150;
 /// Pause after a replica did not answer.
@@ -139,6 +142,7 @@
     let mut request = WatchRequest {
         document_held: None,
         document_seen: None,
+        loads: Vec::new(),
         registry: 0,
         revision: 0,
         wait_ms: WAIT_MS,
@@ -150,16 +154,20 @@
     };
     let mut is_reached = false;
     let mut is_own_zone = false;
+    let mut zone = None;
     loop {
         request.document_held = discovery.held();
         let is_behind = discovery.is_behind();
         request.wants_document = is_own_zone || is_behind || request.document_held.is_none();
         let has_newer = discovery.newest.get().map(|(version, _)| version) > request.document_held;
-        request.wait_ms = if has_newer && !is_behind {
-            BEHIND_MS
-        } else {
-            WAIT_MS
+        request.wait_ms = match (has_newer && !is_behind, is_own_zone) {
+            (true, _) => BEHIND_MS,
+            (false, true) => LOADS_MS,
+            (false, false) => WAIT_MS,
         };
+        if let Some(zone) = &zone {
+            request.loads = relay.endpoints.borrow().loads_in(zone);
+        }
         let reply = discovery.client.watch(address, &request).await;
         let Some(reply) = reply else {
             if is_reached {
@@ -178,6 +186,11 @@
             );
         }
         is_reached = true;
+        relay
+            .endpoints
+            .borrow_mut()
+            .take_loads(&reply.zone, &reply.loads);
+        zone = Some(reply.zone.clone());
         is_own_zone = reply.zone == relay.config.zone;
         request.document_seen = reply.document_version.max(request.document_seen);
         request.registry = reply.registry;
--- a/crates/masticsill_relay/src/endpoints.rs
+++ b/crates/masticsill_relay/src/endpoints.rs
@@ -5,7 +5,8 @@
 
 use indexmap::IndexMap;
 use masticsill_registry::{Announcement, EndpointId, EndpointRecord, EndpointState};
-use masticsill_types::{ClockMs, NodeId};
+use masticsill_types::{ClockMs, NodeId, ZoneId};
+use masticsill_wire::control::EndpointLoad;
 
 use crate::health::{Failure, Health};
 
@@ -14,6 +15,15 @@
 /// Silence of each of them: above the usual gap between events beside a long prompt (180 ms).
 const STILL_MS: u64 = 250;
 
+/// Requests of the other entries at an endpoint.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct OtherLoad {
+    /// Requests that it works on.
+    pub in_flight: u32,
+    /// Those of them whose prompt it still reads.
+    pub reading: u32,
+}
+
 /// One incarnation of an endpoint.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
@@ -25,6 +35,8 @@
     pub in_flight: u32,
     /// Those of them whose prompt it still reads.
     pub reading: u32,
+    /// Requests of the other entries, as a control replica told last.
+    pub others: OtherLoad,
     /// Whether an answer said that the address belongs to another incarnation.
     is_replaced: bool,
     /// Order in which incarnations became known; a later one of an address goes first.
@@ -93,6 +105,7 @@
             health: Health::default(),
             in_flight: 0,
             reading: 0,
+            others: OtherLoad::default(),
             is_replaced: false,
             order: self.last_order,
             silent_at: record.is_silent.then(|| from.clone()).into_iter().collect(),
@@ -127,6 +140,38 @@
         }
     }
 
+    /// This entry's requests at the endpoints of a zone.
+    #[must_use]
+    pub fn loads_in(&self, zone: &ZoneId) -> Vec<EndpointLoad> {
+        let busy = self
+            .endpoints
+            .iter()
+            .filter(|(_, endpoint)| endpoint.in_flight > 0 && endpoint.announcement.zone == *zone);
+        let loads = busy.map(|(id, endpoint)| EndpointLoad {
+            id: id.clone(),
+            in_flight: endpoint.in_flight,
+            reading: endpoint.reading,
+        });
+        loads.collect()
+    }
+
+    /// Takes what the other entries have at the endpoints of a zone.
+    pub fn take_loads(&mut self, zone: &ZoneId, loads: &[EndpointLoad]) {
+        for endpoint in self.endpoints.values_mut() {
+            if endpoint.announcement.zone == *zone {
+                endpoint.others = OtherLoad::default();
+            }
+        }
+        for load in loads {
+            if let Some(endpoint) = self.endpoints.get_mut(&load.id) {
+                endpoint.others = OtherLoad {
+                    in_flight: load.in_flight,
+                    reading: load.reading,
+                };
+            }
+        }
+    }
+
     /// An incarnation.
     #[must_use]
     pub fn get(&self, id: &EndpointId) -> Option<&Endpoint> {
--- a/crates/masticsill_relay/src/lib.rs
+++ b/crates/masticsill_relay/src/lib.rs
@@ -31,7 +31,7 @@
 
 pub use budget::RetryBudget;
 pub use config::{BudgetSettings, DocumentReader, HeaderNames, RelayConfig};
-pub use endpoints::{Endpoint, EndpointTable};
+pub use endpoints::{Endpoint, EndpointTable, OtherLoad};
 pub use entries::EntryCount;
 pub use health::{Failure, Health};
 pub use lineage::{EventOrder, Placed};
--- a/crates/masticsill_relay/src/placement.rs
+++ b/crates/masticsill_relay/src/placement.rs
@@ -7,8 +7,8 @@
 
 /// What another zone costs, in requests in flight: bytes between zones are dear, a queue is worse.
 const OTHER_ZONE_COST: f64 = 2.0;
-/// What an endpoint of another entry's part costs: less than another request in flight there.
-const OTHER_ENTRY_COST: f64 = 0.8;
+/// What an endpoint of another entry's part costs: less than one request in flight there.
+const OTHER_ENTRY_COST: f64 = 0.4;
 /// What a prompt that is being read costs beyond any request in flight: the next one waits about
 /// a second behind it, and slows the streams there for as long again.
 const READING_COST: f64 = 1.5;
@@ -44,8 +44,8 @@
 
 /// The place of an entry among those of its zone.
 ///
-/// Entries don't see each other's requests. Each prefers a part of its zone's endpoints of its
-/// own, so that two seldom send to the same one at once.
+/// Entries hear of each other's requests a little late. Each prefers a part of its zone's
+/// endpoints of its own, so that two seldom send to the same one at once.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ZoneShare {
     /// Entries of the zone.
@@ -120,7 +120,9 @@
 }
 
 fn cost(endpoint: &Endpoint, now: ClockMs, zone: &ZoneId, usual_ms: Option<f64>) -> f64 {
-    let load = f64::from(endpoint.in_flight) + f64::from(endpoint.reading) * READING_COST;
+    let in_flight = endpoint.in_flight + endpoint.others.in_flight;
+    let reading = endpoint.reading + endpoint.others.reading;
+    let load = f64::from(in_flight) + f64::from(reading) * READING_COST;
     let slowness = match (endpoint.health.pace_ms(), usual_ms) {
         (Some(pace_ms), Some(usual_ms)) if usual_ms > 0.0 => {
             (pace_ms / usual_ms).clamp(1.0, MAX_SLOWNESS)
--- a/crates/masticsill_wire/src/control.rs
+++ b/crates/masticsill_wire/src/control.rs
@@ -10,7 +10,7 @@
     AuditRecord, CatalogueUpdate, Change, ChangeAnswer, Claim, ClaimAnswer, DocumentAnswer,
     OperatorScope, Reassign, Settle, StoredDocument, VersionedEntry,
 };
-use masticsill_registry::{EndpointRecord, Heard};
+use masticsill_registry::{EndpointId, EndpointRecord, Heard};
 use masticsill_types::{
     CatalogueVersion, EntryId, FencingNumber, NodeId, OperatorId, Term, ZoneId,
 };
@@ -157,6 +157,8 @@
     pub document_held: Option<u64>,
     /// Newest version that the watcher knows of.
     pub document_seen: Option<u64>,
+    /// The watcher's own requests at endpoints of the replica's zone.
+    pub loads: Vec<EndpointLoad>,
     /// The registry that `revision` is of; zero at first.
     pub registry: u64,
     /// Revision of the registry that the watcher has.
@@ -169,6 +171,17 @@
     pub watcher: Watcher,
 }
 
+/// Requests at one endpoint.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EndpointLoad {
+    /// The endpoint.
+    pub id: EndpointId,
+    /// Requests that it works on.
+    pub in_flight: u32,
+    /// Those of them whose prompt it still reads.
+    pub reading: u32,
+}
+
 /// Who watches.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum Watcher {
@@ -198,6 +211,8 @@
     pub endpoints: Vec<EndpointRecord>,
     /// Whom this replica heard lately; for other replicas only.
     pub heard: Vec<Heard>,
+    /// Requests of the other entries, as they told last.
+    pub loads: Vec<EndpointLoad>,
     /// Addresses of the control replicas known here.
     pub members: Vec<(NodeId, SocketAddr)>,
     /// The registry that `revision` is of: another number for each life of the process.
