--- a/crates/masticsill_relay/src/config.rs
+++ b/crates/masticsill_relay/src/config.rs
@@ -16,6 +16,8 @@
     pub budget: BudgetSettings,
     /// Addresses of control replicas to begin with.
     pub control_seeds: Vec<SocketAddr>,
+    /// How engines are asked for copies of a run's memory.
+    pub engine_calls: Arc<EngineCalls>,
     /// How long a shutdown may take.
     pub grace_ms: u64,
     /// The names of header fields.
@@ -41,6 +43,36 @@
     pub window_ms: u64,
 }
 
+/// The calls to engines about copies of a run's memory: paths and fields of their JSON.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EngineCalls {
+    /// Path of the call that copies a run's memory to another engine.
+    pub copy_path: String,
+    /// Field of its answer that names the copy.
+    pub handle_field: String,
+    /// Field with the request's id.
+    pub id_field: String,
+    /// Field that says whether the run is to stop.
+    pub is_last_field: String,
+    /// Path of the call that drops a copy, before the copy's name.
+    pub release_path: String,
+    /// Field with the other engine's address.
+    pub target_field: String,
+}
+
+impl Default for EngineCalls {
+    fn default() -> Self {
+        Self {
+            copy_path: "/v1/copies".to_owned(),
+            handle_field: "handle".to_owned(),
+            id_field: "request".to_owned(),
+            is_last_field: "is_last".to_owned(),
+            release_path: "/v1/copies/".to_owned(),
+            target_field: "target".to_owned(),
+        }
+    }
+}
+
 /// The names of the header fields that callers, endpoints and the relay exchange.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct HeaderNames {
--- a/crates/masticsill_relay/src/connection.rs
+++ b/crates/masticsill_relay/src/connection.rs
@@ -199,14 +199,24 @@
         .run()
         .await
     {
-        StreamEnd::Whole { endpoint, resumes } => {
-            log_answered(
-                relay,
-                request,
-                200,
-                &endpoint.to_string(),
-                resumes + 1,
-                resumes,
+        StreamEnd::Whole {
+            endpoint,
+            resumes,
+            timing,
+        } => {
+            log_event!(
+                info,
+                events::REQUEST_ANSWERED,
+                request = request.id,
+                route = request.route.name,
+                kind = request.route.kind.name(),
+                status = 200,
+                endpoint = endpoint,
+                sends = resumes + 1,
+                resumes = resumes,
+                first_ms = timing.first_ms.unwrap_or_default(),
+                longest_gap_ms = timing.longest_gap_ms,
+                duration_ms = relay.now().since(request.received_at)
             );
             match (is_closing, relay.stopping.is_requested()) {
                 (true, _) => After::Close,
--- /dev/null
+++ b/crates/masticsill_relay/src/copies.rs
@@ -0,0 +1,246 @@
+//! Copies of a run's memory, from which another engine goes on when the run breaks.
+//!
+//! An engine sends its memory to a second one as it grows, if the request asks for it. That copy
+//! dies with its holder, while the run may have seconds to go: then a new copy is made from the
+//! running engine, and made again before it expires.
+
+use std::rc::Rc;
+
+use bytes::BytesMut;
+use masticsill_http1::{BodyDecoder, HeadWriter};
+use masticsill_registry::Announcement;
+use masticsill_types::{ClockMs, log_event};
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+
+use crate::attempt::with_patience;
+use crate::config::EngineCalls;
+use crate::dial::dial;
+use crate::events;
+use crate::relay::Relay;
+use crate::upstream::{Expected, Upstream};
+
+/// Longest wait for a copy: 14,400 tokens take a quarter of a second between zones, behind others.
+const COPY_BOUND_MS: u64 = 1_500;
+/// Longest wait for a connection.
+const DIAL_TIMEOUT_MS: u64 = 120;
+/// Age at which a copy is made again: engines drop one that is not used within four seconds.
+const RENEW_MS: u64 = 2_800;
+/// Pause after a copy could not be made.
+const RETRY_MS: u64 = 400;
+/// Bytes of an engine's answer to such a call.
+const MAX_ANSWER_BYTES: usize = 64 * 1024;
+
+/// A copy of a run's memory.
+#[derive(Clone, Debug)]
+pub(crate) struct Copy {
+    /// The engine that holds it.
+    pub(crate) at: Announcement,
+    origin: Origin,
+}
+
+/// How a copy was made.
+#[derive(Clone, Debug)]
+enum Origin {
+    /// The running engine sends what it has as it grows.
+    Backup,
+    /// The running engine was asked for it; it names the copy by this handle.
+    Asked {
+        handle: String,
+        made_at: ClockMs,
+        source: Announcement,
+    },
+}
+
+impl Copy {
+    /// The copy that an engine keeps as the run grows.
+    pub(crate) fn backup(at: Announcement) -> Self {
+        let origin = Origin::Backup;
+        Self { at, origin }
+    }
+
+    /// What a request that goes on from the copy names.
+    pub(crate) fn reference(&self, request_id: &str) -> String {
+        match &self.origin {
+            Origin::Backup => format!("{}/{request_id}", self.at.address),
+            Origin::Asked { handle, source, .. } => format!("{}/{handle}", source.address),
+        }
+    }
+}
+
+/// Keeps a copy of one run while it lasts.
+#[derive(Debug, Default)]
+pub(crate) struct CopyKeeper {
+    copy: Option<Copy>,
+    pending: Option<Pending>,
+    retry_at: ClockMs,
+}
+
+/// A copy that is being made.
+#[derive(Debug)]
+struct Pending {
+    at: Announcement,
+    made: oneshot::Receiver<Option<String>>,
+    source: Announcement,
+}
+
+impl CopyKeeper {
+    /// The copy, if there is one.
+    pub(crate) fn copy(&self) -> Option<&Copy> {
+        self.copy.as_ref()
+    }
+
+    /// Starts anew with a run's own copy.
+    pub(crate) fn begin(&mut self, copy: Option<Copy>) {
+        self.copy = copy;
+        self.pending = None;
+    }
+
+    /// Forgets the copy.
+    pub(crate) fn forget(&mut self) {
+        self.begin(None);
+    }
+
+    /// Takes in a copy that was made meanwhile.
+    pub(crate) fn collect(&mut self, now: ClockMs) {
+        let Some(mut pending) = self.pending.take() else {
+            return;
+        };
+        match pending.made.try_recv() {
+            Ok(Some(handle)) => {
+                self.copy = Some(Copy {
+                    at: pending.at,
+                    origin: Origin::Asked {
+                        handle,
+                        made_at: now,
+                        source: pending.source,
+                    },
+                });
+            }
+            Ok(None) | Err(oneshot::error::TryRecvError::Closed) => {
+                self.retry_at = now + RETRY_MS;
+            }
+            Err(oneshot::error::TryRecvError::Empty) => self.pending = Some(pending),
+        }
+    }
+
+    /// Whether a copy must be made now: there is none that lives, or it is about to expire.
+    pub(crate) fn needs_copy(&self, now: ClockMs, lives: impl Fn(&Copy) -> bool) -> bool {
+        if self.pending.is_some() || now < self.retry_at {
+            return false;
+        }
+        let Some(copy) = self.copy.as_ref().filter(|copy| lives(copy)) else {
+            return true;
+        };
+        match &copy.origin {
+            Origin::Backup => false,
+            Origin::Asked { made_at, .. } => now.since(*made_at) >= RENEW_MS,
+        }
+    }
+
+    /// Asks the running engine for a copy at another one.
+    pub(crate) fn ask(
+        &mut self,
+        relay: &Rc<Relay>,
+        request_id: &str,
+        source: &Announcement,
+        at: Announcement,
+    ) {
+        let (made, receiver) = oneshot::channel();
+        let (calling, from, id) = (Rc::clone(relay), source.clone(), request_id.to_owned());
+        let target = at.clone();
+        spawn_local(async move {
+            let handle = ask_for_copy(&calling, &id, &from, &target).await;
+            log_event!(
+                info,
+                events::COPY_ASKED,
+                request = id,
+                endpoint = from.id,
+                to = target.id,
+                zone = target.zone,
+                is_made = handle.is_some()
+            );
+            let _ = made.send(handle);
+        });
+        self.pending = Some(Pending {
+            at,
+            made: receiver,
+            source: source.clone(),
+        });
+    }
+
+    /// Lets the engines drop the copy of a run that has ended.
+    pub(crate) fn release(&mut self, relay: &Rc<Relay>) {
+        let copy = self.copy.take();
+        let Some(Origin::Asked { handle, source, .. }) = copy.map(|copy| copy.origin) else {
+            return;
+        };
+        let relay = Rc::clone(relay);
+        spawn_local(async move {
+            let calls = &relay.config.engine_calls;
+            let target = format!("{}{handle}", calls.release_path);
+            let _ = call(&relay, &source, "DELETE", &target, "").await;
+        });
+    }
+}
+
+async fn ask_for_copy(
+    relay: &Rc<Relay>,
+    request_id: &str,
+    source: &Announcement,
+    at: &Announcement,
+) -> Option<String> {
+    let EngineCalls {
+        copy_path,
+        handle_field,
+        id_field,
+        is_last_field,
+        target_field,
+        ..
+    } = relay.config.engine_calls.as_ref();
+    let body = serde_json::json!({
+        id_field: request_id,
+        target_field: at.address.to_string(),
+        is_last_field: false,
+    });
+    let answer = call(relay, source, "POST", copy_path, &body.to_string()).await?;
+    let answer: serde_json::Value = serde_json::from_slice(&answer).ok()?;
+    answer.get(handle_field)?.as_str().map(str::to_owned)
+}
+
+/// Calls an engine; its answer's body if it says 200.
+async fn call(
+    relay: &Rc<Relay>,
+    engine: &Announcement,
+    method: &str,
+    target: &str,
+    body: &str,
+) -> Option<BytesMut> {
+    let stream = dial(engine.address, DIAL_TIMEOUT_MS).await.ok()?;
+    let mut upstream = Upstream::new(stream);
+    let mut head = HeadWriter::request(method, target);
+    head.field("Host", engine.address);
+    head.field("Content-Type", "application/json");
+    head.field("Content-Length", body.len());
+    head.field("Connection", "close");
+    let mut bytes = head.finish();
+    bytes.extend_from_slice(body.as_bytes());
+    let expected = Expected {
+        method,
+        id_field: &relay.config.headers.request_id,
+        request_id: "",
+    };
+    let exchange = async {
+        let head = upstream.exchange(&bytes, expected).await.ok()?;
+        let mut decoder = BodyDecoder::new(head.framing);
+        let mut answer = BytesMut::new();
+        while let Some(piece) = upstream.next_piece(&mut decoder).await.ok()? {
+            answer.extend_from_slice(&piece);
+            if answer.len() > MAX_ANSWER_BYTES {
+                return None;
+            }
+        }
+        (head.status == 200).then_some(answer)
+    };
+    with_patience(relay, engine, relay.now(), COPY_BOUND_MS, exchange).await?
+}
--- a/crates/masticsill_relay/src/events.rs
+++ b/crates/masticsill_relay/src/events.rs
@@ -26,6 +26,8 @@
 pub const ATTEMPT_NOT_RUN: Event = Event::new(2117, "attempt_not_run");
 /// The endpoint that holds a copy of a stream's run can't take it over.
 pub const COPY_UNUSABLE: Event = Event::new(2118, "copy_unusable");
+/// A running engine was asked for a copy of a run's memory, because the run's first one is lost.
+pub const COPY_ASKED: Event = Event::new(2119, "copy_asked");
 /// A document came into force here.
 pub const DOCUMENT_TAKEN: Event = Event::new(2120, "document_taken");
 /// A document could not be read.
@@ -55,6 +57,7 @@
     REQUEST_MALFORMED,
     ATTEMPT_NOT_RUN,
     COPY_UNUSABLE,
+    COPY_ASKED,
     DOCUMENT_TAKEN,
     DOCUMENT_UNREADABLE,
     ENDPOINT_CHANGED,
--- a/crates/masticsill_relay/src/lib.rs
+++ b/crates/masticsill_relay/src/lib.rs
@@ -12,6 +12,7 @@
 mod budget;
 mod config;
 mod connection;
+mod copies;
 mod dial;
 mod discovery;
 mod endpoints;
@@ -30,7 +31,7 @@
 mod upstream;
 
 pub use budget::RetryBudget;
-pub use config::{BudgetSettings, DocumentReader, HeaderNames, RelayConfig};
+pub use config::{BudgetSettings, DocumentReader, EngineCalls, HeaderNames, RelayConfig};
 pub use endpoints::{Endpoint, EndpointTable, OtherLoad};
 pub use entries::EntryCount;
 pub use health::{Failure, Health};
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -16,7 +16,7 @@
 
 use crate::budget::RetryBudget;
 use crate::config::RelayConfig;
-use crate::endpoints::EndpointTable;
+use crate::endpoints::{Endpoint, EndpointTable};
 use crate::entries::EntryCount;
 use crate::events;
 use crate::health::Failure;
@@ -213,6 +213,12 @@
         endpoint.is_some_and(|it| it.is_ready() && !it.health.is_held(self.now()))
     }
 
+    /// Whether an endpoint takes requests, as far as is known.
+    pub(crate) fn is_ready(&self, id: &EndpointId) -> bool {
+        let endpoints = self.endpoints.borrow();
+        endpoints.get(id).is_some_and(Endpoint::is_ready)
+    }
+
     /// Why an endpoint is not usable, for the log.
     pub(crate) fn why_unusable(&self, id: &EndpointId) -> &'static str {
         let endpoints = self.endpoints.borrow();
--- a/crates/masticsill_relay/src/stream.rs
+++ b/crates/masticsill_relay/src/stream.rs
@@ -17,6 +17,7 @@
 
 use crate::answer::{Answer, Refusal};
 use crate::attempt::{SendFailure, Sent, fail, failure_of, send, with_patience};
+use crate::copies::{Copy, CopyKeeper};
 use crate::events;
 use crate::health::Failure;
 use crate::lineage::{EventOrder, Placed};
@@ -37,7 +38,11 @@
 #[derive(Debug)]
 pub(crate) enum StreamEnd {
     /// Whole: all of it has been written.
-    Whole { endpoint: EndpointId, resumes: u32 },
+    Whole {
+        endpoint: EndpointId,
+        resumes: u32,
+        timing: Timing,
+    },
     /// An endpoint's answer that is no stream, to be written as a whole.
     Plain(Answer, EndpointId),
     /// The relay's own answer, to be written; nothing of the stream was.
@@ -48,6 +53,26 @@
     CallerLeft(io::Error),
 }
 
+/// When the caller got the events of a stream.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Timing {
+    /// Time from the request to the first event.
+    pub(crate) first_ms: Option<u64>,
+    last_at: ClockMs,
+    /// Longest pause between events.
+    pub(crate) longest_gap_ms: u64,
+}
+
+impl Timing {
+    fn note_events(&mut self, received_at: ClockMs, now: ClockMs) {
+        match self.first_ms {
+            None => self.first_ms = Some(now.since(received_at)),
+            Some(_) => self.longest_gap_ms = self.longest_gap_ms.max(now.since(self.last_at)),
+        }
+        self.last_at = now;
+    }
+}
+
 /// How one run ended.
 enum RunEnd {
     Whole,
@@ -57,15 +82,9 @@
     CallerLeft(io::Error),
 }
 
-/// A copy of a run's memory elsewhere.
-#[derive(Clone, Debug)]
-struct Copy {
-    at: Announcement,
-}
-
 /// One stream on its way to its caller.
 pub(crate) struct StreamRelay<'a> {
-    copy: Option<Copy>,
+    copies: CopyKeeper,
     /// Events passed on by any run.
     delivered: u64,
     is_closing: bool,
@@ -74,6 +93,7 @@
     relay: &'a Rc<Relay>,
     request: &'a RelayRequest,
     resumes: u32,
+    timing: Timing,
     tries: Tries,
     writer: &'a mut OwnedWriteHalf,
 }
@@ -86,7 +106,7 @@
         is_closing: bool,
     ) -> Self {
         Self {
-            copy: None,
+            copies: CopyKeeper::default(),
             delivered: 0,
             is_closing,
             is_head_written: false,
@@ -94,6 +114,7 @@
             relay,
             request,
             resumes: 0,
+            timing: Timing::default(),
             tries: Tries::default(),
             writer,
         }
@@ -111,13 +132,14 @@
                     return StreamEnd::Whole {
                         endpoint: id,
                         resumes: self.resumes,
+                        timing: self.timing,
                     };
                 }
                 RunEnd::Plain(answer) => return StreamEnd::Plain(answer, id),
                 RunEnd::CallerLeft(error) => return StreamEnd::CallerLeft(error),
                 RunEnd::NotRun(answer) => {
                     // Nothing ran here that could have made a copy.
-                    self.copy = None;
+                    self.copies.forget();
                     let is_attempt = answer.status != 421 && from_copy.is_none();
                     self.tries.note_not_run(is_attempt);
                     // An engine without the copy may still run the request from its prompt.
@@ -141,7 +163,8 @@
 
     /// The endpoint that holds a copy of the run, while it can be used, or the best of all.
     async fn choose(&mut self) -> Option<(Announcement, Option<Copy>)> {
-        if let Some(copy) = &self.copy {
+        self.copies.collect(self.relay.now());
+        if let Some(copy) = self.copies.copy() {
             let is_tried = self.tries.excluded.contains(&copy.at.id);
             if !is_tried && self.relay.is_usable(&copy.at.id) {
                 return Some((copy.at.clone(), Some(copy.clone())));
@@ -155,7 +178,7 @@
                 is_tried = is_tried,
                 cause = self.relay.why_unusable(&copy.at.id)
             );
-            self.copy = None;
+            self.copies.forget();
         }
         let wanted = Wanted {
             excluded: &self.tries.excluded,
@@ -185,7 +208,7 @@
             zone: &self.relay.config.zone,
         };
         let (_, at) = self.relay.choose(&wanted)?;
-        Some(Copy { at })
+        Some(Copy::backup(at))
     }
 
     async fn run_once(&mut self, endpoint: Announcement, from_copy: Option<&Copy>) -> RunEnd {
@@ -193,7 +216,7 @@
         let options = SendOptions {
             backup_at: copy.as_ref().map(|copy| copy.at.address.to_string()),
             last_event: self.order.last().filter(|_| self.delivered > 0),
-            resume_from: from_copy.map(|it| format!("{}/{}", it.at.address, self.request.id)),
+            resume_from: from_copy.map(|copy| copy.reference(&self.request.id)),
         };
         if self.delivered > 0 {
             self.resumes += 1;
@@ -215,7 +238,7 @@
         if !matches!(sending, Err(SendFailure::NotSent)) {
             // The engine begins its copy while it reads the prompt, before any answer. A request
             // that never left makes none: what an earlier run left is still the newest.
-            self.copy = copy;
+            self.copies.begin(copy);
         }
         let (sent, head) = match sending {
             Ok(answered) => answered,
@@ -277,6 +300,7 @@
                                 self.relay.note_pace(&endpoint.id, pace_ms);
                             }
                             has_event = true;
+                            self.keep_copy(&endpoint);
                             continue;
                         }
                         Ok(false) => continue,
@@ -324,6 +348,8 @@
             }
         }
         if !passed.is_empty() {
+            let received_at = self.request.received_at;
+            self.timing.note_events(received_at, self.relay.now());
             self.write(head, &passed).await.map_err(PassError::Caller)?;
         }
         if is_missing {
@@ -356,6 +382,26 @@
         writer.finish()
     }
 
+    /// Sees to it that another engine holds a copy of the run.
+    fn keep_copy(&mut self, running: &Announcement) {
+        let now = self.relay.now();
+        self.copies.collect(now);
+        let relay = self.relay;
+        if !self
+            .copies
+            .needs_copy(now, |copy| relay.is_ready(&copy.at.id))
+        {
+            return;
+        }
+        // The engine that holds it gets what is new; another one would get all of it.
+        let held = self.copies.copy().map(|copy| copy.at.clone());
+        let held = held.filter(|at| relay.is_ready(&at.id));
+        let at = held.or_else(|| self.choose_copy(running).map(|copy| copy.at));
+        if let Some(at) = at {
+            self.copies.ask(relay, &self.request.id, running, at);
+        }
+    }
+
     async fn finish(&mut self, sent: Sent, head: &ResponseHead) -> RunEnd {
         sent.keep(head);
         let mut bytes = self.head_bytes(head);
@@ -367,6 +413,14 @@
     }
 }
 
+impl Drop for StreamRelay<'_> {
+    /// However the stream ends, its copy must not hold an engine's memory any longer.
+    fn drop(&mut self) {
+        self.copies.collect(self.relay.now());
+        self.copies.release(self.relay);
+    }
+}
+
 /// Why events could not be passed on.
 enum PassError {
     Caller(io::Error),
