--- a/crates/masticsill/src/node.rs
+++ b/crates/masticsill/src/node.rs
@@ -15,12 +15,13 @@
 };
 use masticsill_runtime::{
     DutyHandle, Metrics, Ring, RpcListener, ServiceStream, ShutdownSignal, events, join_cluster,
-    listen, watch_signals,
+    listen, serve_text_metrics, watch_signals,
 };
 use masticsill_settings::{
     AgentSettings, ControlSettings, EndpointSettings, EntrySettings, RoleSettings, Settings,
 };
 use masticsill_types::{EndpointKind, EndpointProfile, MonotonicClock, log_event};
+use prometheus_client::registry::Registry;
 
 use crate::settings_map::{to_agent_config, to_control_config, to_entry_config};
 
@@ -156,13 +157,19 @@
 fn run_control(process: Process, control: &ControlSettings) -> eyre::Result<()> {
     let config = to_control_config(&process.settings, control, process.address)?;
     let (connections, shutdown) = (process.connections.clone(), process.shutdown.clone());
+    let mut registry = Registry::default();
     let mut role = ControlRole::start(
         &config,
         connections.clone(),
         process.clock,
         process.metrics.clone(),
+        &mut registry,
     )
     .wrap_err("the control replica can't be started")?;
+    let text_metrics = match process.settings.metrics_address {
+        Some(address) => Some(serve_text_metrics(address, registry)?),
+        None => None,
+    };
     let routes = ServiceRoutes {
         control: Some(connections),
         ..ServiceRoutes::default()
@@ -182,6 +189,9 @@
     }
     mesh.handle.leave();
     role.stop()?;
+    if let Some(text_metrics) = text_metrics {
+        text_metrics.stop()?;
+    }
     mesh.stop()
 }
 
--- a/crates/masticsill/tests/event_catalogue.rs
+++ b/crates/masticsill/tests/event_catalogue.rs
@@ -12,6 +12,7 @@
         masticsill_entry::events::ALL,
         masticsill_mesh::events::ALL,
         masticsill_quorum::events::ALL,
+        masticsill_relay::events::ALL,
         masticsill_runtime::events::ALL,
     ];
     let mut events = crates.concat();
@@ -57,9 +58,10 @@
 fn each_declared_event_is_logged_somewhere() {
     let crates = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
     let mut source = String::new();
-    for package in fs::read_dir(crates).unwrap() {
+    for package in fs::read_dir(&crates).unwrap() {
         read_sources(&package.unwrap().path().join("src"), &mut source);
     }
+    read_sources(&crates.join("../platform/src"), &mut source);
     for event in declared() {
         let constant = event_constant(&source, event);
         let uses = source.matches(&format!("events::{constant}")).count();
--- a/crates/masticsill/tests/metric_catalogue.rs
+++ b/crates/masticsill/tests/metric_catalogue.rs
@@ -4,8 +4,8 @@
 use std::fs;
 use std::path::Path;
 
-const SENDERS: [&str; 3] = ["count(", "gauge(", "time_ms("];
-const PREFIXES: [&str; 3] = ["agent.", "control.", "entry."];
+const SENDERS: [&str; 4] = ["count(", "gauge(", "time_ms(", "register("];
+const PREFIXES: [&str; 4] = ["agent.", "control.", "entry.", "masticsill_"];
 
 #[test]
 fn page_and_code_list_the_same_metrics() {
@@ -16,7 +16,7 @@
         .map(|row| row.split('`').next().unwrap().to_owned())
         .collect();
     let mut sent = BTreeSet::new();
-    for role in ["agent", "control", "entry"] {
+    for role in ["agent", "control", "entry", "relay"] {
         let source = root.join(format!("crates/masticsill_{role}/src"));
         collect_sent(&source, &mut sent);
     }
--- /dev/null
+++ b/crates/masticsill_control/src/gauges.rs
@@ -0,0 +1,94 @@
+//! Gauges of a control replica. Their names stand in docs/METRICS.md.
+
+use std::sync::atomic::AtomicU64;
+use std::time::Duration;
+
+use masticsill_registry::EndpointState;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+use tokio::time::sleep;
+
+use crate::rpc::ControlServer;
+
+/// How often the gauges follow the state.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// What endpoints say of themselves.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct StateLabel {
+    state: &'static str,
+}
+
+/// Gauges of one replica.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ControlGauges {
+    document_version: Gauge<u64, AtomicU64>,
+    endpoints: Family<StateLabel, Gauge>,
+    is_founded: Gauge,
+    is_leading: Gauge,
+    term: Gauge<u64, AtomicU64>,
+    voters: Gauge,
+}
+
+impl ControlGauges {
+    /// Gauges that are shown by a registry.
+    pub(crate) fn new(registry: &mut Registry) -> Self {
+        let gauges = Self::default();
+        let help = "Version of the document applied here";
+        let version = gauges.document_version.clone();
+        registry.register("masticsill_control_document_version", help, version);
+        let help = "Endpoints by what they say of themselves";
+        registry.register(
+            "masticsill_control_endpoints",
+            help,
+            gauges.endpoints.clone(),
+        );
+        let help = "Whether the data folder belongs to a cluster";
+        registry.register(
+            "masticsill_control_founded",
+            help,
+            gauges.is_founded.clone(),
+        );
+        let help = "Whether this replica leads and has proved it";
+        registry.register(
+            "masticsill_control_leading",
+            help,
+            gauges.is_leading.clone(),
+        );
+        let help = "Term of the quorum";
+        registry.register("masticsill_control_term", help, gauges.term.clone());
+        let help = "Voters of the newest membership";
+        registry.register("masticsill_control_voters", help, gauges.voters.clone());
+        gauges
+    }
+
+    fn follow(&self, server: &ControlServer) {
+        let status = server.quorum.status();
+        let version = server.published.document().map(|document| document.version);
+        self.document_version.set(version.unwrap_or_default());
+        self.is_founded.set(i64::from(status.is_founded));
+        self.is_leading.set(i64::from(status.is_leading));
+        self.term.set(status.term.0);
+        self.voters
+            .set(i64::try_from(status.voters).unwrap_or(i64::MAX));
+        let records = server.endpoints.records();
+        for state in [EndpointState::Ready, EndpointState::Draining] {
+            let is_so = records.iter().filter(|it| it.announcement.state == state);
+            let count = i64::try_from(is_so.count()).unwrap_or(i64::MAX);
+            let label = StateLabel {
+                state: state.name(),
+            };
+            self.endpoints.get_or_create(&label).set(count);
+        }
+    }
+}
+
+/// Keeps the gauges in step until the duty ends.
+pub(crate) async fn run_gauges(server: ControlServer, gauges: ControlGauges) {
+    loop {
+        gauges.follow(&server);
+        sleep(INTERVAL).await;
+    }
+}
--- a/crates/masticsill_control/src/lib.rs
+++ b/crates/masticsill_control/src/lib.rs
@@ -9,6 +9,7 @@
 mod endpoints;
 mod error;
 pub mod events;
+mod gauges;
 mod handle;
 mod http;
 mod orders;
--- a/crates/masticsill_control/src/role.rs
+++ b/crates/masticsill_control/src/role.rs
@@ -13,12 +13,14 @@
 };
 use masticsill_types::{MonotonicClock, NodeId, log_event};
 use masticsill_wire::control::{RenewReply, RenewRequest};
+use prometheus_client::registry::Registry;
 use tokio::sync::watch;
 
 use crate::config::ControlConfig;
 use crate::endpoints::{EndpointHub, read_endpoints, run_memory};
 use crate::error::ControlError;
 use crate::events;
+use crate::gauges::ControlGauges;
 use crate::handle::ControlHandle;
 use crate::http::{self, HttpEdge};
 use crate::orders::OrdersDuty;
@@ -62,7 +64,7 @@
 impl ControlRole {
     /// Opens the data folder and starts the replica's duties.
     ///
-    /// `connections` brings the connections to [`ServiceKind::Control`] that the process accepts.
+    /// Gauges are shown by `registry`; `connections` brings the connections to [`ServiceKind::Control`] that the process accepts.
     ///
     /// [`ServiceKind::Control`]: masticsill_wire::ServiceKind::Control
     ///
@@ -74,6 +76,7 @@
         connections: Ring<ServiceStream>,
         clock: MonotonicClock,
         metrics: Metrics,
+        registry: &mut Registry,
     ) -> Result<Self, ControlError> {
         let node = config.node.clone();
         let (storage, recovered) = Storage::open(&config.data_folder, &config.cluster, &node)?;
@@ -118,6 +121,7 @@
             connections,
             endpoints: endpoints.clone(),
             ended: ended.clone(),
+            gauges: ControlGauges::new(registry),
             outgoing,
             published: published.clone(),
             quorum: quorum.clone(),
--- a/crates/masticsill_control/src/rpc/duty.rs
+++ b/crates/masticsill_control/src/rpc/duty.rs
@@ -16,6 +16,7 @@
 use crate::admission::{run_admission, run_trimming};
 use crate::config::{AdmissionPolicy, ControlConfig};
 use crate::endpoints::{EndpointHub, run_exchange};
+use crate::gauges::{ControlGauges, run_gauges};
 use crate::quorum::{Outgoing, PublishedState, QuorumHandle};
 use masticsill_control_client::AddressBook;
 use masticsill_control_client::ControlClient;
@@ -29,6 +30,7 @@
     pub(crate) connections: Ring<ServiceStream>,
     pub(crate) endpoints: EndpointHub,
     pub(crate) ended: ShutdownSignal,
+    pub(crate) gauges: ControlGauges,
     pub(crate) outgoing: Ring<Outgoing>,
     pub(crate) published: PublishedState,
     pub(crate) quorum: QuorumHandle,
@@ -50,6 +52,7 @@
         quorum: parts.quorum,
     };
     start_tasks(&config, &server, &sender);
+    spawn_local(run_gauges(server.clone(), parts.gauges));
     spawn_local(run_proofs(server.clone()));
     spawn_local(run_outgoing(sender, parts.book, parts.outgoing));
     spawn_local(run_router(server.clone(), parts.calls));
--- a/crates/masticsill_control/tests/common/mod.rs
+++ b/crates/masticsill_control/tests/common/mod.rs
@@ -17,6 +17,7 @@
 use masticsill_testkit::{Direction, FaultProxy, ProxyMode};
 use masticsill_types::{CatalogueVersion, MonotonicClock, NodeId};
 use masticsill_wire::control::ChangeRequest;
+use prometheus_client::registry::Registry;
 use tempfile::TempDir;
 
 /// Patience of every wait; no verdict depends on it unless the condition never comes.
@@ -114,7 +115,13 @@
             }
         }
         let config = self.config(number, address);
-        let role = ControlRole::start(&config, connections, self.clock, Metrics::disabled());
+        let role = ControlRole::start(
+            &config,
+            connections,
+            self.clock,
+            Metrics::disabled(),
+            &mut Registry::default(),
+        );
         let replica = Replica {
             address,
             listener,
--- a/crates/masticsill_relay/src/connection.rs
+++ b/crates/masticsill_relay/src/connection.rs
@@ -17,6 +17,7 @@
 use crate::answer::{Answer, Refusal};
 use crate::dial::watch_peer;
 use crate::events;
+use crate::metrics::as_f64;
 use crate::plain::relay_plain;
 use crate::relay::{Active, NEWS_BOUND_MS, NEWS_SHARE, Relay};
 use crate::request::RelayRequest;
@@ -42,6 +43,9 @@
 /// it to turn elsewhere, and they still end within the grace.
 const STREAMS_UNTIL_MS: u64 = 1_200;
 
+/// Kind of a request that no route was found for, in metrics.
+const UNADMITTED: &str = "unadmitted";
+
 /// What ended the wait for a request.
 enum Next {
     Request(RequestHead, ClockMs),
@@ -152,11 +156,17 @@
     let asked_ms = head.headers.number(&names.deadline_ms).unwrap_or_default();
     let bound_ms = (asked_ms / NEWS_SHARE).min(NEWS_BOUND_MS);
     let Some(index) = relay.await_news(bound_ms, || relay.index()).await else {
+        relay
+            .metrics
+            .note_end(UNADMITTED, Refusal::NoDocument.name());
         return refuse(relay, writer, &id, Refusal::NoDocument, is_kept).await;
     };
     let request = match admit(&index, names, received_at, head, body) {
         Ok(request) => request,
-        Err(refusal) => return refuse(relay, writer, &id, refusal, is_kept).await,
+        Err(refusal) => {
+            relay.metrics.note_end(UNADMITTED, refusal.name());
+            return refuse(relay, writer, &id, refusal, is_kept).await;
+        }
     };
     drop(index);
     relay.note_request(&request.service);
@@ -204,6 +214,11 @@
             resumes,
             timing,
         } => {
+            let metrics = &relay.metrics;
+            let first_ms = timing.first_ms.unwrap_or_default();
+            metrics.first_event_ms.observe(as_f64(first_ms));
+            metrics.event_gap_ms.observe(as_f64(timing.longest_gap_ms));
+            note_end(relay, request, "whole");
             log_event!(
                 info,
                 events::REQUEST_ANSWERED,
@@ -214,7 +229,7 @@
                 endpoint = endpoint,
                 sends = resumes + 1,
                 resumes = resumes,
-                first_ms = timing.first_ms.unwrap_or_default(),
+                first_ms = first_ms,
                 longest_gap_ms = timing.longest_gap_ms,
                 duration_ms = relay.now().since(request.received_at)
             );
@@ -232,6 +247,7 @@
             refuse_admitted(relay, writer, request, refusal, is_kept).await
         }
         StreamEnd::BrokenOff(refusal) => {
+            note_end(relay, request, "broken_off");
             log_event!(
                 warn,
                 events::STREAM_BROKEN_OFF,
@@ -242,6 +258,7 @@
             After::Cut
         }
         StreamEnd::CallerLeft(error) => {
+            note_end(relay, request, "caller_left");
             log_event!(
                 info,
                 events::CALLER_LEFT,
@@ -254,6 +271,14 @@
     }
 }
 
+/// Counts the end of an admitted request.
+fn note_end(relay: &Relay, request: &RelayRequest, outcome: &'static str) {
+    let kind = request.route.kind.name();
+    relay.metrics.note_end(kind, outcome);
+    let answer_ms = relay.now().since(request.received_at);
+    relay.metrics.note_answer_ms(kind, answer_ms);
+}
+
 fn log_answered(
     relay: &Relay,
     request: &RelayRequest,
@@ -262,6 +287,12 @@
     sends: u32,
     resumes: u32,
 ) {
+    let outcome = if status < 400 {
+        "whole"
+    } else {
+        "endpoint_failed"
+    };
+    note_end(relay, request, outcome);
     log_event!(
         info,
         events::REQUEST_ANSWERED,
@@ -283,6 +314,7 @@
     refusal: Refusal,
     is_kept: bool,
 ) -> After {
+    note_end(relay, request, refusal.name());
     refuse(relay, writer, &request.id, refusal, is_kept).await
 }
 
--- a/crates/masticsill_relay/src/events.rs
+++ b/crates/masticsill_relay/src/events.rs
@@ -42,6 +42,8 @@
 pub const CONTROL_LOST: Event = Event::new(2125, "control_lost");
 /// The listener can't accept.
 pub const ACCEPT_FAILED: Event = Event::new(2126, "relay_accept_failed");
+/// The retry budget of a service does not allow one more send.
+pub const RETRY_REFUSED: Event = Event::new(2127, "retry_refused");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -65,4 +67,5 @@
     CONTROL_REACHED,
     CONTROL_LOST,
     ACCEPT_FAILED,
+    RETRY_REFUSED,
 ];
--- a/crates/masticsill_relay/src/lib.rs
+++ b/crates/masticsill_relay/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod events;
 mod health;
 mod lineage;
+mod metrics;
 mod placement;
 mod plain;
 mod pool;
--- /dev/null
+++ b/crates/masticsill_relay/src/metrics.rs
@@ -0,0 +1,165 @@
+//! Counters, gauges and histograms of a relay. Their names and labels stand in docs/METRICS.md.
+
+use std::sync::atomic::AtomicU64;
+
+use masticsill_registry::EndpointState;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+use crate::endpoints::EndpointTable;
+
+/// Bounds of times in milliseconds: from a lookup to a long generation.
+const TIME_BOUNDS_MS: [f64; 14] = [
+    5.0, 10.0, 25.0, 50.0, 100.0, 200.0, 350.0, 700.0, 1_500.0, 3_000.0, 4_500.0, 8_000.0,
+    15_000.0, 30_000.0,
+];
+
+/// A request's kind and what became of it.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct RequestLabels {
+    pub(crate) kind: &'static str,
+    pub(crate) outcome: &'static str,
+}
+
+/// The kind of a request.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct KindLabel {
+    pub(crate) kind: &'static str,
+}
+
+/// Why something happened.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct CauseLabel {
+    pub(crate) cause: &'static str,
+}
+
+/// What endpoints say of themselves.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct StateLabel {
+    pub(crate) state: &'static str,
+}
+
+/// The metrics of one relay.
+#[derive(Clone, Debug)]
+pub(crate) struct RelayMetrics {
+    pub(crate) active: Gauge,
+    pub(crate) answer_ms: Family<KindLabel, Histogram, fn() -> Histogram>,
+    pub(crate) attempt_failures: Family<CauseLabel, Counter>,
+    pub(crate) document_version: Gauge<u64, AtomicU64>,
+    pub(crate) endpoints: Family<StateLabel, Gauge>,
+    pub(crate) event_gap_ms: Histogram,
+    pub(crate) first_event_ms: Histogram,
+    pub(crate) requests: Family<RequestLabels, Counter>,
+    pub(crate) resumes: Family<CauseLabel, Counter>,
+    pub(crate) retries_left: Gauge,
+    pub(crate) retries_refused: Counter,
+}
+
+fn time_histogram() -> Histogram {
+    Histogram::new(TIME_BOUNDS_MS)
+}
+
+impl RelayMetrics {
+    /// Metrics that count in a registry.
+    pub(crate) fn new(registry: &mut Registry) -> Self {
+        let metrics = Self {
+            active: Gauge::default(),
+            answer_ms: Family::new_with_constructor(time_histogram),
+            attempt_failures: Family::default(),
+            document_version: Gauge::default(),
+            endpoints: Family::default(),
+            event_gap_ms: time_histogram(),
+            first_event_ms: time_histogram(),
+            requests: Family::default(),
+            resumes: Family::default(),
+            retries_left: Gauge::default(),
+            retries_refused: Counter::default(),
+        };
+        metrics.register(registry);
+        metrics
+    }
+
+    fn register(&self, registry: &mut Registry) {
+        let help = "Requests that are being answered";
+        registry.register("masticsill_relay_active", help, self.active.clone());
+        let help = "Time from a request to the end of its answer";
+        registry.register("masticsill_relay_answer_ms", help, self.answer_ms.clone());
+        let help = "Exchanges with endpoints that gave no answer to pass on";
+        let failures = self.attempt_failures.clone();
+        registry.register("masticsill_relay_attempt_failures", help, failures);
+        let help = "Version of the document in force here";
+        let version = self.document_version.clone();
+        registry.register("masticsill_relay_document_version", help, version);
+        let help = "Endpoints by what they say of themselves";
+        registry.register("masticsill_relay_endpoints", help, self.endpoints.clone());
+        let help = "Longest pause between the events of a stream";
+        registry.register(
+            "masticsill_relay_event_gap_ms",
+            help,
+            self.event_gap_ms.clone(),
+        );
+        let help = "Time from a request to its first event";
+        registry.register(
+            "masticsill_relay_first_event_ms",
+            help,
+            self.first_event_ms.clone(),
+        );
+        let help = "Requests by kind and outcome";
+        registry.register("masticsill_relay_requests", help, self.requests.clone());
+        let help = "Streams that went on at another endpoint";
+        registry.register("masticsill_relay_resumes", help, self.resumes.clone());
+        let help = "Extra sends that the scarcest service's budget still allows";
+        registry.register(
+            "masticsill_relay_retries_left",
+            help,
+            self.retries_left.clone(),
+        );
+        let help = "Extra sends that a budget did not allow";
+        registry.register(
+            "masticsill_relay_retries_refused",
+            help,
+            self.retries_refused.clone(),
+        );
+    }
+
+    /// Counts a request's end.
+    pub(crate) fn note_end(&self, kind: &'static str, outcome: &'static str) {
+        self.requests
+            .get_or_create(&RequestLabels { kind, outcome })
+            .inc();
+    }
+
+    /// Notes the time of a whole answer.
+    pub(crate) fn note_answer_ms(&self, kind: &'static str, answer_ms: u64) {
+        self.answer_ms
+            .get_or_create(&KindLabel { kind })
+            .observe(as_f64(answer_ms));
+    }
+
+    /// Notes the endpoints as they are now.
+    pub(crate) fn note_endpoints(&self, table: &EndpointTable) {
+        for state in [
+            EndpointState::Ready,
+            EndpointState::Draining,
+            EndpointState::Gone,
+        ] {
+            let is_so = table.iter().filter(|it| it.announcement.state == state);
+            let count = i64::try_from(is_so.count()).unwrap_or(i64::MAX);
+            let label = StateLabel {
+                state: state.name(),
+            };
+            self.endpoints.get_or_create(&label).set(count);
+        }
+    }
+}
+
+/// A time as a histogram takes it; times are far below the type's precision.
+pub(crate) fn as_f64(time_ms: u64) -> f64 {
+    #[allow(clippy::cast_precision_loss)]
+    let time_ms = time_ms as f64;
+    time_ms
+}
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -20,6 +20,7 @@
 use crate::entries::EntryCount;
 use crate::events;
 use crate::health::Failure;
+use crate::metrics::{CauseLabel, RelayMetrics};
 use crate::placement::{Choice, Wanted, ZoneShare, choose};
 use crate::pool::Pool;
 use crate::request::RelayRequest;
@@ -66,6 +67,7 @@
     pub(crate) has_document: Arc<AtomicBool>,
     /// Entries that share budgets and connections, this one included.
     pub(crate) entries: RefCell<EntryCount>,
+    pub(crate) metrics: RelayMetrics,
     /// Counts what was learned of the document and the endpoints, for requests that wait for it.
     pub(crate) news: watch::Sender<u64>,
     /// The document in force here; swapped as a whole, so that no request sees two versions.
@@ -84,6 +86,7 @@
         clock: MonotonicClock,
         stopping: ShutdownSignal,
         has_document: Arc<AtomicBool>,
+        metrics: RelayMetrics,
     ) -> Self {
         Self {
             active: Cell::new(0),
@@ -94,6 +97,7 @@
             endpoints: RefCell::default(),
             has_document,
             entries: RefCell::default(),
+            metrics,
             news: watch::Sender::new(0),
             index: RefCell::new(None),
             pool: RefCell::default(),
@@ -113,6 +117,7 @@
 
     /// Puts a document in force here.
     pub(crate) fn take_index(&self, index: RouteIndex) {
+        self.metrics.document_version.set(index.document().version);
         *self.index.borrow_mut() = Some(Arc::new(index));
         self.has_document.store(true, Ordering::Release);
         self.note_news();
@@ -242,7 +247,30 @@
     /// Whether one more send of a request fits into the retry budget; it is spent then.
     pub(crate) fn try_spend(&self, service: &str) -> bool {
         let (now, entries) = (self.now(), self.entry_count());
-        self.with_budget(service, |budget| budget.try_spend(now, entries))
+        let is_spent = self.with_budget(service, |budget| budget.try_spend(now, entries));
+        if !is_spent {
+            self.metrics.retries_refused.inc();
+            log_event!(
+                warn,
+                events::RETRY_REFUSED,
+                service = service,
+                entries = entries
+            );
+        }
+        is_spent
+    }
+
+    /// Notes what changes too often to be counted at each change.
+    pub(crate) fn note_gauges(&self) {
+        let (now, entries) = (self.now(), self.entry_count());
+        self.metrics.active.set(i64::from(self.active.get()));
+        self.metrics.note_endpoints(&self.endpoints.borrow());
+        let budgets = self.budgets.borrow();
+        let left = budgets
+            .values()
+            .map(|budget| budget.left(now, entries))
+            .min();
+        self.metrics.retries_left.set(left.map_or(0, i64::from));
     }
 
     fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
@@ -256,6 +284,11 @@
     pub(crate) fn note_failure(&self, endpoint: &Announcement, failure: Failure) {
         let now = self.now();
         let id = &endpoint.id;
+        let cause = failure.name();
+        self.metrics
+            .attempt_failures
+            .get_or_create(&CauseLabel { cause })
+            .inc();
         let is_zone_still = self.endpoints.borrow_mut().note_failure(now, id, failure);
         self.pool.borrow_mut().drop_endpoint(id);
         if failure != Failure::Stalled {
--- a/crates/masticsill_relay/src/role.rs
+++ b/crates/masticsill_relay/src/role.rs
@@ -8,10 +8,12 @@
 
 use masticsill_runtime::{DutyHandle, Ring, ShutdownSignal, spawn_async_duty};
 use masticsill_types::{MonotonicClock, log_event};
+use prometheus_client::registry::Registry;
 
 use crate::config::RelayConfig;
 use crate::discovery::start_discovery;
 use crate::events;
+use crate::metrics::RelayMetrics;
 use crate::relay::Relay;
 use crate::server::serve;
 
@@ -29,12 +31,16 @@
 }
 
 impl RelayRole {
-    /// Binds the callers' address and starts to serve.
+    /// Binds the callers' address and starts to serve; metrics are counted in `registry`.
     ///
     /// # Errors
     ///
     /// The operating system's error when the address can't be bound or no thread can be started.
-    pub fn start(config: RelayConfig, clock: MonotonicClock) -> io::Result<Self> {
+    pub fn start(
+        config: RelayConfig,
+        clock: MonotonicClock,
+        registry: &mut Registry,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind(config.listen_address)?;
         listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
@@ -46,11 +52,12 @@
             node = config.node,
             address = address
         );
+        let metrics = RelayMetrics::new(registry);
         let seeds = Ring::with_capacity(SEED_RING_ITEMS);
         let new_seeds = seeds.clone();
         let (shown, signal) = (Arc::clone(&has_document), stopping.clone());
         let duty = spawn_async_duty("relay", move || async move {
-            let relay = Rc::new(Relay::new(config, clock, signal, shown));
+            let relay = Rc::new(Relay::new(config, clock, signal, shown, metrics));
             start_discovery(&relay, new_seeds);
             serve(relay, listener).await;
         })?;
--- a/crates/masticsill_relay/src/server.rs
+++ b/crates/masticsill_relay/src/server.rs
@@ -19,7 +19,7 @@
 /// turns elsewhere after two answers.
 const ACCEPT_UNTIL: Duration = Duration::from_millis(2_500);
 /// Part of the grace that is left for the end of the process itself.
-const END_MARGIN: Duration = Duration::from_millis(700);
+const END_MARGIN: Duration = Duration::from_millis(900);
 /// How often the end of the last request is looked for.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 /// How often idle connections to endpoints are looked through.
@@ -74,5 +74,6 @@
     loop {
         sleep(HOUSEKEEPING).await;
         relay.pool.borrow_mut().close_idle(relay.now());
+        relay.note_gauges();
     }
 }
--- a/crates/masticsill_relay/src/stream.rs
+++ b/crates/masticsill_relay/src/stream.rs
@@ -21,6 +21,7 @@
 use crate::events;
 use crate::health::Failure;
 use crate::lineage::{EventOrder, Placed};
+use crate::metrics::CauseLabel;
 use crate::placement::Wanted;
 use crate::plain::{Tries, Verdict, collect, passed_headers};
 use crate::relay::Relay;
@@ -220,6 +221,16 @@
         };
         if self.delivered > 0 {
             self.resumes += 1;
+            let cause = if from_copy.is_some() {
+                "copy"
+            } else {
+                "prompt"
+            };
+            self.relay
+                .metrics
+                .resumes
+                .get_or_create(&CauseLabel { cause })
+                .inc();
             log_event!(
                 info,
                 events::STREAM_RESUMED,
--- a/crates/masticsill_runtime/src/lib.rs
+++ b/crates/masticsill_runtime/src/lib.rs
@@ -13,6 +13,7 @@
 mod rpc;
 mod shutdown;
 mod structured;
+mod text_metrics;
 
 pub use cluster::{ClusterTag, cluster_tag, join_cluster};
 pub use duty::{DutyHandle, spawn_async_duty, spawn_duty};
@@ -26,3 +27,4 @@
 };
 pub use shutdown::{ShutdownSignal, watch_signals};
 pub use structured::{LogGuard, start_structured_logging, start_structured_logging_to};
+pub use text_metrics::{METRICS_PATH, serve_text_metrics};
--- a/crates/masticsill_settings/src/check.rs
+++ b/crates/masticsill_settings/src/check.rs
@@ -40,6 +40,7 @@
             role: check_role(file.entry, file.agent, file.control)?,
             rpc_address: address("rpc_address", &file.rpc_address)?,
             seeds: check_seeds(&file.seeds)?,
+            metrics_address: optional_address("metrics_address", file.metrics_address.as_deref())?,
             statsd_address: optional_address("statsd_address", file.statsd_address.as_deref())?,
             zone: name("zone", &file.zone)?,
         })
--- a/crates/masticsill_settings/src/file.rs
+++ b/crates/masticsill_settings/src/file.rs
@@ -17,6 +17,8 @@
     #[serde(default = "default_catalogue_lease_ms")]
     pub(crate) catalogue_lease_ms: u64,
     #[serde(default)]
+    pub(crate) metrics_address: Option<String>,
+    #[serde(default)]
     pub(crate) statsd_address: Option<String>,
     #[serde(default)]
     pub(crate) entry: Option<EntryFile>,
--- a/crates/masticsill_settings/src/settings.rs
+++ b/crates/masticsill_settings/src/settings.rs
@@ -26,6 +26,8 @@
     pub rpc_address: SocketAddr,
     /// Peers to make the first contact with; never a list of endpoints.
     pub seeds: Vec<SocketAddr>,
+    /// Where a control replica serves its metrics as text, if anywhere.
+    pub metrics_address: Option<SocketAddr>,
     /// Where metrics go, if anywhere.
     pub statsd_address: Option<SocketAddr>,
     /// The availability zone that the process runs in.
