--- a/crates/masticsill_runtime/src/structured.rs
+++ b/crates/masticsill_runtime/src/structured.rs
@@ -224,13 +224,13 @@
 
 impl Log for StructuredLog {
     fn enabled(&self, metadata: &Metadata<'_>) -> bool {
-        // Libraries speak only where something is wrong.
-        let is_own = metadata.target().starts_with("masticsill");
-        metadata.level() <= if is_own { Level::Info } else { Level::Warn }
+        metadata.level() <= Level::Info
     }
 
     fn log(&self, record: &Record<'_>) {
-        if !self.enabled(record.metadata()) {
+        // Libraries, whose lines have no number, speak only where something is wrong.
+        let is_event = record.key_values().get(Key::from("number")).is_some();
+        if !self.enabled(record.metadata()) || !is_event && record.level() > Level::Warn {
             return;
         }
         let now_ms = self.clock.now().0;
--- a/crates/masticsillctl/src/arguments.rs
+++ b/crates/masticsillctl/src/arguments.rs
@@ -34,6 +34,10 @@
         file: String,
     },
     Delete(ChangeArguments),
+    Explain {
+        files: Vec<String>,
+        request: String,
+    },
     Get {
         id: String,
     },
@@ -181,6 +185,10 @@
     };
     match words[..] {
         ["apply", file] => Ok(Command::Apply(change(file))),
+        ["explain", request, ref files @ ..] if !files.is_empty() => Ok(Command::Explain {
+            files: files.iter().map(|file| (*file).to_owned()).collect(),
+            request: (*request).to_owned(),
+        }),
         ["audit"] => Ok(Command::Audit {
             after: options.after.unwrap_or(0),
             limit: options.limit.unwrap_or(DEFAULT_AUDIT_LIMIT),
--- a/crates/masticsillctl/src/help.rs
+++ b/crates/masticsillctl/src/help.rs
@@ -13,6 +13,8 @@
   list                     show every entry in force
   watch                    show changes as they come into force, until interrupted
   check FILE               check an entry's file without sending it
+  explain REQUEST_ID FILE...
+                           say from the relays' structured logs what became of a request
   audit                    show who changed what, when, and what became of it
 
 Control instances:
--- a/crates/masticsillctl/src/main.rs
+++ b/crates/masticsillctl/src/main.rs
@@ -3,6 +3,7 @@
 mod api;
 mod arguments;
 mod catalogue;
+mod explain;
 mod failure;
 mod help;
 mod operations;
@@ -33,6 +34,12 @@
             Ok(())
         }
         Command::Check { file } => catalogue::check(file),
+        Command::Explain { files, request } => {
+            let output = output::Output {
+                is_json: arguments.is_json,
+            };
+            explain::explain(output, request, files)
+        }
         Command::HashToken => print_token_hash(&arguments),
         _ => {
             let system = ntex::rt::System::new("masticsillctl", ntex::rt::DefaultRuntime);
@@ -70,6 +77,8 @@
             operations::replace_replica(&api, output, replacement).await
         }
         Command::Watch { from, is_once } => catalogue::watch(&api, output, from, is_once).await,
-        Command::Check { .. } | Command::HashToken | Command::Help => Ok(()),
+        Command::Check { .. } | Command::Explain { .. } | Command::HashToken | Command::Help => {
+            Ok(())
+        }
     }
 }
