--- /dev/null
+++ b/crates/masticsill_relay/src/caller.rs
@@ -0,0 +1,190 @@
+//! Reading from a caller: heads, bodies, and whether it is still there.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use masticsill_catalogue::RequestLimits;
+use masticsill_http1::{BodyDecoder, BodyStep, Framing, ParseError, RequestHead, parse_request};
+use masticsill_types::ClockMs;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::time::timeout;
+
+use crate::answer::Refusal;
+use crate::relay::Relay;
+
+/// Room made for each read.
+const READ_BYTES: usize = 8 * 1024;
+/// Bytes of a next request that are read ahead while one is being answered.
+const READ_AHEAD_BYTES: usize = 64 * 1024;
+/// Limits while no document is known.
+const DEFAULT_LIMITS: RequestLimits = RequestLimits {
+    body_bytes: 4 * 1024 * 1024,
+    header_bytes: 16 * 1024,
+    header_timeout_ms: 3_000,
+    idle_timeout_ms: 15_000,
+};
+/// Idle time beyond the stated limit: a caller that uses its connection at the limit still gets
+/// an answer.
+const IDLE_SLACK_MS: u64 = 1_000;
+/// How long a closing side reads on, so that the last answer is not lost to a reset.
+pub(crate) const LINGER: Duration = Duration::from_millis(300);
+
+/// What ended the wait for a request.
+pub(crate) enum Next {
+    Request(RequestHead, ClockMs),
+    Refused(Refusal),
+    Ended,
+}
+
+/// A caller's side of the connection.
+pub(crate) struct Caller {
+    buffer: BytesMut,
+    reader: OwnedReadHalf,
+}
+
+/// Why a body could not be had.
+pub(crate) enum BodyError {
+    Ended,
+    Refused(Refusal),
+}
+
+impl From<ParseError> for BodyError {
+    fn from(_: ParseError) -> Self {
+        Self::Refused(Refusal::Malformed)
+    }
+}
+
+impl Caller {
+    pub(crate) fn new(reader: OwnedReadHalf) -> Self {
+        Self {
+            buffer: BytesMut::with_capacity(READ_BYTES),
+            reader,
+        }
+    }
+
+    /// Waits for the head of the next request.
+    pub(crate) async fn next_request(&mut self, relay: &Rc<Relay>) -> Next {
+        if self.buffer.is_empty() && !self.await_bytes(relay).await {
+            return Next::Ended;
+        }
+        let received_at = relay.now();
+        let limits = limits_of(relay);
+        let max_bytes = usize::try_from(limits.header_bytes).unwrap_or(usize::MAX);
+        let reading = self.read_head(max_bytes);
+        match timeout(Duration::from_millis(limits.header_timeout_ms), reading).await {
+            Ok(Ok(Some(head))) => Next::Request(head, received_at),
+            Ok(Ok(None)) => Next::Ended,
+            Ok(Err(ParseError::HeadTooLong)) => Next::Refused(Refusal::HeadTooLong),
+            Ok(Err(_)) => Next::Refused(Refusal::Malformed),
+            Err(_) => Next::Refused(Refusal::SlowHead),
+        }
+    }
+
+    /// Waits while the connection is idle; false when it is to end.
+    async fn await_bytes(&mut self, relay: &Rc<Relay>) -> bool {
+        let idle_ms = limits_of(relay).idle_timeout_ms + IDLE_SLACK_MS;
+        let idle = Duration::from_millis(idle_ms);
+        tokio::select! {
+            biased;
+            read = timeout(idle, read_more(&mut self.reader, &mut self.buffer)) => {
+                matches!(read, Ok(Ok(true)))
+            }
+            () = relay.stopping.requested() => {
+                // What is on its way when the shutdown begins is still answered.
+                let last = read_more(&mut self.reader, &mut self.buffer);
+                matches!(timeout(LINGER, last).await, Ok(Ok(true)))
+            }
+        }
+    }
+
+    async fn read_head(&mut self, max_bytes: usize) -> Result<Option<RequestHead>, ParseError> {
+        loop {
+            if let Some(head) = parse_request(&mut self.buffer, max_bytes)? {
+                return Ok(Some(head));
+            }
+            let read = read_more(&mut self.reader, &mut self.buffer).await;
+            if !read.unwrap_or(false) {
+                return Ok(None);
+            }
+        }
+    }
+
+    pub(crate) async fn read_body(
+        &mut self,
+        relay: &Rc<Relay>,
+        writer: &mut OwnedWriteHalf,
+        head: &RequestHead,
+    ) -> Result<Bytes, BodyError> {
+        let limit_bytes = limits_of(relay).body_bytes;
+        if matches!(head.framing, Framing::Length(length) if length > limit_bytes) {
+            return Err(BodyError::Refused(Refusal::BodyTooLong));
+        }
+        if head.headers.has_token("expect", "100-continue") {
+            let go_on = writer.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+            go_on.map_err(|_| BodyError::Ended)?;
+        }
+        let mut decoder = BodyDecoder::new(head.framing);
+        let mut body = BytesMut::new();
+        loop {
+            match decoder.step(&mut self.buffer)? {
+                BodyStep::Data(data) => body.extend_from_slice(&data),
+                BodyStep::End => return Ok(body.freeze()),
+                BodyStep::NeedMore => {
+                    let read = read_more(&mut self.reader, &mut self.buffer).await;
+                    if !read.unwrap_or(false) {
+                        return Err(BodyError::Ended);
+                    }
+                }
+            }
+            if body.len() as u64 > limit_bytes {
+                return Err(BodyError::Refused(Refusal::BodyTooLong));
+            }
+        }
+    }
+
+    /// Waits until the caller has closed its side. What it sends meanwhile is read ahead.
+    pub(crate) async fn left(&mut self) {
+        loop {
+            if self.buffer.len() >= READ_AHEAD_BYTES {
+                std::future::pending::<()>().await;
+            }
+            match read_more(&mut self.reader, &mut self.buffer).await {
+                Ok(true) => {}
+                Ok(false) | Err(_) => return,
+            }
+        }
+    }
+
+    /// Ends the connection so that the last answer still arrives.
+    pub(crate) async fn linger(&mut self, writer: &mut OwnedWriteHalf) {
+        if writer.shutdown().await.is_err() {
+            return;
+        }
+        let draining = async {
+            loop {
+                self.buffer.clear();
+                match read_more(&mut self.reader, &mut self.buffer).await {
+                    Ok(true) => {}
+                    Ok(false) | Err(_) => return,
+                }
+            }
+        };
+        let _ = timeout(LINGER, draining).await;
+    }
+}
+
+fn limits_of(relay: &Relay) -> RequestLimits {
+    let index = relay.index.borrow();
+    index
+        .as_ref()
+        .map_or(DEFAULT_LIMITS, |index| index.document().limits)
+}
+
+/// Reads once; false at the end of the connection.
+async fn read_more(reader: &mut OwnedReadHalf, buffer: &mut BytesMut) -> io::Result<bool> {
+    buffer.reserve(READ_BYTES);
+    Ok(reader.read_buf(buffer).await? > 0)
+}
--- /dev/null
+++ b/crates/masticsill_relay/src/ending.rs
@@ -0,0 +1,250 @@
+//! The ends of requests: what is written, logged and counted, and whether the connection goes on.
+
+use std::rc::Rc;
+
+use masticsill_registry::EndpointId;
+use masticsill_types::log_event;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedWriteHalf;
+
+use crate::answer::{Answer, Refusal};
+use crate::events;
+use crate::metrics::as_f64;
+use crate::plain::PlainEnd;
+use crate::relay::Relay;
+use crate::request::RelayRequest;
+use crate::stream::{StreamEnd, Timing};
+
+/// Kind of a request that no route was found for, in metrics.
+const UNADMITTED: &str = "unadmitted";
+
+/// Whether the connection goes on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum After {
+    /// Ended after an answer that said so.
+    Close,
+    /// Ended after an answer that did not say so: the shutdown began meanwhile.
+    CloseUnsaid,
+    /// Cut without an end: the answer is not whole.
+    Cut,
+    /// Goes on with the next request.
+    Keep,
+}
+
+impl After {
+    /// The same for a caller that sends no further request.
+    pub(crate) fn at_least_close(self) -> Self {
+        match self {
+            Self::Keep => Self::Close,
+            Self::Close | Self::CloseUnsaid | Self::Cut => self,
+        }
+    }
+}
+
+/// Ends a plain request.
+pub(crate) async fn end_plain(
+    relay: &Rc<Relay>,
+    writer: &mut OwnedWriteHalf,
+    request: &RelayRequest,
+    end: PlainEnd,
+) -> After {
+    match end {
+        PlainEnd::Answered {
+            answer,
+            endpoint,
+            sends,
+        } => {
+            log_answered(relay, request, answer.status, &endpoint, sends);
+            write_answer(relay, writer, &answer, request.head.is_keep_alive).await
+        }
+        PlainEnd::Refused(refusal) => refuse(relay, writer, request, refusal).await,
+    }
+}
+
+/// Ends a stream.
+pub(crate) async fn end_stream(
+    relay: &Rc<Relay>,
+    writer: &mut OwnedWriteHalf,
+    request: &RelayRequest,
+    end: StreamEnd,
+    is_closing: bool,
+) -> After {
+    match end {
+        StreamEnd::Whole {
+            endpoint,
+            resumes,
+            timing,
+        } => {
+            note_end(relay, request, "whole");
+            log_whole_stream(relay, request, &endpoint, resumes, timing);
+            match (is_closing, relay.stopping.is_requested()) {
+                (true, _) => After::Close,
+                (false, true) => After::CloseUnsaid,
+                (false, false) => After::Keep,
+            }
+        }
+        StreamEnd::Plain(answer, endpoint) => {
+            log_answered(relay, request, answer.status, &endpoint, 1);
+            write_answer(relay, writer, &answer, request.head.is_keep_alive).await
+        }
+        StreamEnd::Refused(refusal) => refuse(relay, writer, request, refusal).await,
+        StreamEnd::BrokenOff(refusal) => {
+            note_end(relay, request, "broken_off");
+            log_event!(
+                warn,
+                events::STREAM_BROKEN_OFF,
+                request = request.id,
+                route = request.route.name,
+                reason = refusal.name()
+            );
+            After::Cut
+        }
+        StreamEnd::CallerLeft(error) => {
+            note_end(relay, request, "caller_left");
+            log_event!(
+                info,
+                events::CALLER_LEFT,
+                request = request.id,
+                cause = error,
+                after_ms = relay.now().since(request.received_at)
+            );
+            After::Cut
+        }
+    }
+}
+
+/// Answers an admitted request with the relay's own answer.
+pub(crate) async fn refuse(
+    relay: &Rc<Relay>,
+    writer: &mut OwnedWriteHalf,
+    request: &RelayRequest,
+    refusal: Refusal,
+) -> After {
+    note_end(relay, request, refusal.name());
+    write_refusal(
+        relay,
+        writer,
+        &request.id,
+        refusal,
+        request.head.is_keep_alive,
+    )
+    .await
+}
+
+/// Answers a request that passed no route.
+pub(crate) async fn refuse_unadmitted(
+    relay: &Rc<Relay>,
+    writer: &mut OwnedWriteHalf,
+    request_id: &str,
+    refusal: Refusal,
+    is_kept: bool,
+) -> After {
+    relay.metrics.note_end(UNADMITTED, refusal.name());
+    write_refusal(relay, writer, request_id, refusal, is_kept).await
+}
+
+/// Answers what is no request; the connection can't go on after it.
+pub(crate) async fn write_own(writer: &mut OwnedWriteHalf, refusal: Refusal) -> After {
+    let bytes = Answer::own(refusal).to_bytes(true);
+    match writer.write_all(&bytes).await {
+        Ok(()) => After::Close,
+        Err(_) => After::Cut,
+    }
+}
+
+async fn write_refusal(
+    relay: &Rc<Relay>,
+    writer: &mut OwnedWriteHalf,
+    request_id: &str,
+    refusal: Refusal,
+    is_kept: bool,
+) -> After {
+    log_event!(
+        warn,
+        events::REQUEST_REFUSED,
+        request = request_id,
+        reason = refusal.name(),
+        status = refusal.status(),
+        active = relay.active.get()
+    );
+    write_answer(relay, writer, &Answer::own(refusal), is_kept).await
+}
+
+async fn write_answer(
+    relay: &Rc<Relay>,
+    writer: &mut OwnedWriteHalf,
+    answer: &Answer,
+    is_kept: bool,
+) -> After {
+    let is_closing = !is_kept || relay.stopping.is_requested();
+    let bytes = answer.to_bytes(is_closing);
+    match writer.write_all(&bytes).await {
+        Ok(()) if is_closing => After::Close,
+        Ok(()) => After::Keep,
+        Err(_) => After::Cut,
+    }
+}
+
+/// Counts the end of an admitted request.
+fn note_end(relay: &Relay, request: &RelayRequest, outcome: &'static str) {
+    let kind = request.route.kind.name();
+    relay.metrics.note_end(kind, outcome);
+    let answer_ms = relay.now().since(request.received_at);
+    relay.metrics.note_answer_ms(kind, answer_ms);
+}
+
+fn log_answered(
+    relay: &Relay,
+    request: &RelayRequest,
+    status: u16,
+    endpoint: &EndpointId,
+    sends: u32,
+) {
+    let is_failure = status >= 400;
+    let outcome = if is_failure {
+        "endpoint_failed"
+    } else {
+        "whole"
+    };
+    note_end(relay, request, outcome);
+    log_event!(
+        info,
+        events::REQUEST_ANSWERED,
+        request = request.id,
+        route = request.route.name,
+        kind = request.route.kind.name(),
+        status = status,
+        endpoint = endpoint,
+        sends = sends,
+        duration_ms = relay.now().since(request.received_at)
+    );
+}
+
+fn log_whole_stream(
+    relay: &Relay,
+    request: &RelayRequest,
+    endpoint: &EndpointId,
+    resumes: u32,
+    timing: Timing,
+) {
+    let first_ms = timing.first_ms.unwrap_or_default();
+    relay.metrics.first_event_ms.observe(as_f64(first_ms));
+    relay
+        .metrics
+        .event_gap_ms
+        .observe(as_f64(timing.longest_gap_ms));
+    log_event!(
+        info,
+        events::REQUEST_ANSWERED,
+        request = request.id,
+        route = request.route.name,
+        kind = request.route.kind.name(),
+        status = 200,
+        endpoint = endpoint,
+        sends = resumes + 1,
+        resumes = resumes,
+        first_ms = first_ms,
+        longest_gap_ms = timing.longest_gap_ms,
+        duration_ms = relay.now().since(request.received_at)
+    );
+}
--- a/crates/masticsill_relay/src/plain.rs
+++ b/crates/masticsill_relay/src/plain.rs
@@ -136,7 +136,13 @@
         let patience_ms = patience_ms(relay, request, &tries, choice.candidates);
         let options = SendOptions::default();
         match send_whole(relay, request, endpoint, &options, patience_ms).await {
-            Ok((Verdict::Answer, answer)) => return PlainEnd::answered(answer, &id, &tries),
+            Ok((Verdict::Answer, answer)) => {
+                return PlainEnd::Answered {
+                    answer,
+                    endpoint: id,
+                    sends: tries.sends + 1,
+                };
+            }
             Ok((Verdict::Failed, answer)) => {
                 tries.note_failed(id.clone());
                 failed = Some((answer, id));
@@ -152,37 +158,26 @@
         }
     }
     match failed {
-        Some((answer, id)) => PlainEnd {
-            sends: tries.sends,
-            ..PlainEnd::answered(answer, &id, &tries)
-        },
-        None => PlainEnd {
-            answer: None,
-            endpoint: None,
-            refusal: Some(tries.refusal(relay, request)),
+        Some((answer, endpoint)) => PlainEnd::Answered {
+            answer,
+            endpoint,
             sends: tries.sends,
         },
+        None => PlainEnd::Refused(tries.refusal(relay, request)),
     }
 }
 
 /// The end of a plain request.
 #[derive(Debug)]
-pub(crate) struct PlainEnd {
-    pub(crate) answer: Option<Answer>,
-    pub(crate) endpoint: Option<EndpointId>,
-    pub(crate) refusal: Option<Refusal>,
-    pub(crate) sends: u32,
-}
-
-impl PlainEnd {
-    fn answered(answer: Answer, endpoint: &EndpointId, tries: &Tries) -> Self {
-        Self {
-            answer: Some(answer),
-            endpoint: Some(endpoint.clone()),
-            refusal: None,
-            sends: tries.sends + 1,
-        }
-    }
+pub(crate) enum PlainEnd {
+    /// With an endpoint's answer.
+    Answered {
+        answer: Answer,
+        endpoint: EndpointId,
+        sends: u32,
+    },
+    /// With the relay's own.
+    Refused(Refusal),
 }
 
 /// How long an endpoint may take before an idempotent request is sent to another.
--- a/crates/masticsill_runtime/src/structured.rs
+++ b/crates/masticsill_runtime/src/structured.rs
@@ -38,7 +38,7 @@
 #[derive(Debug)]
 struct Lines {
     left_out: AtomicU64,
-    queue: ArrayQueue<String>,
+    queue: ArrayQueue<(u64, String)>,
     /// The second that is counted, above, and its lines, below.
     rate: AtomicU64,
 }
@@ -66,8 +66,8 @@
         !is_same || (before & u64::from(u32::MAX)) < LINES_PER_SECOND
     }
 
-    fn push(&self, now_ms: u64, line: impl FnOnce() -> String) {
-        if !self.admit(now_ms) || self.queue.push(line()).is_err() {
+    fn push(&self, now_ms: u64, number: u64, line: impl FnOnce() -> String) {
+        if !self.admit(now_ms) || self.queue.push((number, line())).is_err() {
             self.left_out.fetch_add(1, Ordering::Relaxed);
         }
     }
@@ -78,6 +78,8 @@
 struct StructuredLog {
     clock: MonotonicClock,
     failures: Lines,
+    /// Number of the next line, by which readers put the lines of one process in order.
+    next_number: AtomicU64,
     node: String,
     ordinary: Lines,
     writer: OnceLock<Thread>,
@@ -134,6 +136,7 @@
     let log: &'static StructuredLog = Box::leak(Box::new(StructuredLog {
         clock: MonotonicClock::start(),
         failures: Lines::new(),
+        next_number: AtomicU64::new(0),
         node: node.to_owned(),
         ordinary: Lines::new(),
         writer: OnceLock::new(),
@@ -179,10 +182,12 @@
     }
 
     fn collect(&self, batch: &mut String) {
-        for lines in [&self.failures, &self.ordinary] {
-            while let Some(line) = lines.queue.pop() {
-                batch.push_str(&line);
-            }
+        let waiting = [&self.failures, &self.ordinary].into_iter();
+        let waiting = waiting.flat_map(|lines| std::iter::from_fn(|| lines.queue.pop()));
+        let mut waiting: Vec<(u64, String)> = waiting.collect();
+        waiting.sort_unstable_by_key(|(number, _)| *number);
+        for (_, line) in waiting {
+            batch.push_str(&line);
         }
     }
 
@@ -199,12 +204,12 @@
         }
     }
 
-    fn line(&self, record: &Record<'_>, boot_ms: u64) -> String {
+    fn line(&self, record: &Record<'_>, up_ms: u64, number: u64) -> String {
         let mut line = String::with_capacity(256);
         let level = record.level().as_str().to_ascii_lowercase();
         let _ = write!(
             line,
-            "{{\"wall_ms\":{},\"up_ms\":{boot_ms},\"level\":\"{level}\",\"node\":",
+            "{{\"wall_ms\":{},\"up_ms\":{up_ms},\"line\":{number},\"level\":\"{level}\",\"node\":",
             wall_ms()
         );
         push_text(&mut line, &self.node);
@@ -238,7 +243,8 @@
             Level::Error | Level::Warn => &self.failures,
             Level::Info | Level::Debug | Level::Trace => &self.ordinary,
         };
-        lines.push(now_ms, || self.line(record, now_ms));
+        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
+        lines.push(now_ms, number, || self.line(record, now_ms, number));
         if let Some(writer) = self.writer.get() {
             writer.unpark();
         }
--- a/crates/masticsillctl/src/explain.rs
+++ b/crates/masticsillctl/src/explain.rs
@@ -15,8 +15,10 @@
     /// Time of day, as the process that wrote the line knew it.
     at_wall_ms: u64,
     event: String,
+    /// Number of the line in its process.
+    line: u64,
     node: String,
-    /// Time since that process started; orders its own lines whatever its time of day does.
+    /// Time since that process started.
     up_ms: u64,
     what: String,
 }
@@ -26,6 +28,10 @@
 /// Times of day differ between instances by what their clocks differ: lines of one process are in
 /// order, those of two are as far as their clocks agree.
 pub(crate) fn explain(output: Output, request: &str, files: &[String]) -> eyre::Result<()> {
+    if request.is_empty() {
+        let message = "the request id is empty; name the id that the caller sent";
+        return Err(Failure::Usage(message.to_owned()).into());
+    }
     let mut steps = Vec::new();
     for file in files {
         read_steps(request, file, &mut steps)?;
@@ -39,7 +45,7 @@
     }
     steps.sort_by(|left, right| {
         let by_wall = left.at_wall_ms.cmp(&right.at_wall_ms);
-        by_wall.then(left.up_ms.cmp(&right.up_ms))
+        by_wall.then(left.line.cmp(&right.line))
     });
     let first_at = steps[0].at_wall_ms;
     output.show(&steps, || {
@@ -71,6 +77,7 @@
             steps.push(Step {
                 at_wall_ms: number(&fields, "wall_ms"),
                 event: text(&fields, "event"),
+                line: number(&fields, "line"),
                 node: text(&fields, "node"),
                 up_ms: number(&fields, "up_ms"),
                 what: in_words(&fields),
