--- a/crates/masticsill_quorum/src/events.rs
+++ b/crates/masticsill_quorum/src/events.rs
@@ -10,6 +10,10 @@
 pub const STORAGE_FAILED: Event = Event::new(4902, "storage_failed");
 /// An operator made this replica the only voter after the majority was lost.
 pub const SOLE_VOTER_FORCED: Event = Event::new(4903, "sole_voter_forced");
+/// The disk is full; what can't be written waits, and nothing is acknowledged meanwhile.
+pub const DISK_FULL: Event = Event::new(4904, "disk_full");
+/// What waited for space was written.
+pub const DISK_HAS_SPACE: Event = Event::new(4905, "disk_has_space");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -17,4 +21,6 @@
     TORN_TAIL_CUT,
     STORAGE_FAILED,
     SOLE_VOTER_FORCED,
+    DISK_FULL,
+    DISK_HAS_SPACE,
 ];
--- a/crates/masticsill_quorum/src/storage.rs
+++ b/crates/masticsill_quorum/src/storage.rs
@@ -8,6 +8,7 @@
 mod error;
 mod frame;
 mod open;
+mod patience;
 mod record;
 mod replay;
 
@@ -27,6 +28,7 @@
 pub use disk::{Disk, FileDisk};
 pub use error::StorageError;
 pub use open::{Recovered, TornTail};
+pub use patience::PatientDisk;
 
 pub(crate) const IDENTITY_FILE: &str = "identity";
 pub(crate) const SNAPSHOT_FILE: &str = "snapshot";
@@ -59,7 +61,7 @@
         cluster: &str,
         node: &NodeId,
     ) -> Result<(Self, Recovered), StorageError> {
-        let disk = FileDisk::open(folder)?;
+        let disk = PatientDisk::new(FileDisk::open(folder)?);
         Self::open_on(Box::new(disk), cluster, node, FolderId(rand::random()))
     }
 
--- /dev/null
+++ b/crates/masticsill_quorum/tests/full_disk.rs
@@ -0,0 +1,113 @@
+//! A full disk is waited for, and leaves no half record behind.
+
+use std::io;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use masticsill_quorum::storage::{Disk, PatientDisk};
+
+/// A file in memory that takes so many bytes, and more after each try that it refused.
+#[derive(Clone, Debug, Default)]
+struct SmallDisk {
+    shared: Arc<Mutex<Small>>,
+}
+
+#[derive(Debug, Default)]
+struct Small {
+    content: Vec<u8>,
+    free_bytes: usize,
+    refused: usize,
+}
+
+fn full() -> io::Error {
+    io::ErrorKind::StorageFull.into()
+}
+
+impl SmallDisk {
+    fn with_free(free_bytes: usize) -> Self {
+        let disk = Self::default();
+        disk.shared.lock().unwrap().free_bytes = free_bytes;
+        disk
+    }
+}
+
+impl Disk for SmallDisk {
+    fn append(&mut self, _: &str, bytes: &[u8]) -> io::Result<()> {
+        let mut small = self.shared.lock().unwrap();
+        let taken = bytes.len().min(small.free_bytes);
+        small.content.extend(&bytes[..taken]);
+        small.free_bytes -= taken;
+        if taken == bytes.len() {
+            return Ok(());
+        }
+        small.refused += 1;
+        // Space comes back bit by bit.
+        small.free_bytes += 2;
+        Err(full())
+    }
+
+    fn list(&self) -> io::Result<Vec<String>> {
+        Ok(Vec::new())
+    }
+
+    fn read(&self, _: &str) -> io::Result<Option<Vec<u8>>> {
+        Ok(Some(self.shared.lock().unwrap().content.clone()))
+    }
+
+    fn remove(&mut self, _: &str) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn replace(&mut self, _: &str, bytes: &[u8]) -> io::Result<()> {
+        let mut small = self.shared.lock().unwrap();
+        if bytes.len() > small.free_bytes {
+            small.refused += 1;
+            small.free_bytes += 2;
+            return Err(full());
+        }
+        small.content = bytes.to_vec();
+        Ok(())
+    }
+
+    fn sync(&mut self, _: &str) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn truncate(&mut self, _: &str, size_bytes: u64) -> io::Result<()> {
+        let mut small = self.shared.lock().unwrap();
+        let size = usize::try_from(size_bytes).unwrap();
+        small.free_bytes += small.content.len() - size;
+        small.content.truncate(size);
+        Ok(())
+    }
+}
+
+fn patient(disk: &SmallDisk) -> PatientDisk<SmallDisk> {
+    PatientDisk::waiting_by(disk.clone(), |_: Duration| {})
+}
+
+#[test]
+fn an_append_waits_for_space_and_leaves_nothing_half() {
+    let disk = SmallDisk::with_free(10);
+    let mut patient = patient(&disk);
+    patient.append("log", b"12345678").unwrap();
+    patient.append("log", b"abcdefgh").unwrap();
+    let small = disk.shared.lock().unwrap();
+    assert_eq!(small.content, b"12345678abcdefgh");
+    assert!(small.refused >= 3);
+}
+
+#[test]
+fn a_replacement_waits_for_space() {
+    let disk = SmallDisk::with_free(0);
+    patient(&disk).replace("vote", b"term 7").unwrap();
+    assert_eq!(disk.shared.lock().unwrap().content, b"term 7");
+}
+
+#[test]
+fn an_append_after_a_restart_is_cut_where_the_file_ended() {
+    let disk = SmallDisk::with_free(4);
+    disk.shared.lock().unwrap().content = b"before ".to_vec();
+    patient(&disk).append("log", b"after").unwrap();
+    assert_eq!(disk.shared.lock().unwrap().content, b"before after");
+}
