--- a/crates/masticsill_relay/src/config.rs
+++ b/crates/masticsill_relay/src/config.rs
@@ -107,14 +107,14 @@
         Self {
             api_key: "X-Api-Key".to_owned(),
             backup_at: "X-Backup-At".to_owned(),
-            deadline_ms: "X-Deadline-Ms".to_owned(),
+            deadline_ms: "X-Time-Left-Ms".to_owned(),
             expected_endpoint: "X-Expected-Endpoint".to_owned(),
             last_event: "Last-Event-ID".to_owned(),
             reserved: Vec::new(),
             request_id: "X-Request-Id".to_owned(),
             resume_from: "X-Resume-From".to_owned(),
             signature: "X-Signature".to_owned(),
-            token_count: "X-Token-Count".to_owned(),
+            token_count: "X-Tokens".to_owned(),
             not_run: "X-Not-Run".to_owned(),
             workspace: "X-Workspace".to_owned(),
         }
