One call context, one wall clock, one way past a control reply, one note of a heard peer

Cause: reading the whole change. The context of a call with a deadline stood nine times in six crates, under three names; the wall clock in milliseconds three times; the passing on of a control reply without an answer twice; "a peer answered" three times in the quorum; and the router's four arms repeated one choice. The imports of the moved control client had stayed out of order. Change: masticsill_runtime::call_context, masticsill_types::wall_ms, ControlReply::and_then, Replica::heard_from and the router's done_or serve all of them. No behaviour changes: the same deadlines and the same replies; the passed-on call is a future that begins only when polled.

--- a/crates/masticsill_agent/src/orders/opening.rs
+++ b/crates/masticsill_agent/src/orders/opening.rs
@@ -1,14 +1,14 @@
 //! Opening the gate after the agent's start.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use masticsill_mesh::MeshHandle;
-use masticsill_runtime::connect_transport;
+use masticsill_runtime::{call_context, connect_transport};
 use masticsill_types::{FencingNumber, log_event};
 use masticsill_wire::ServiceKind;
 use masticsill_wire::control::{ControlReply, ControlServiceClient, ReadAnswer, ReadRequest};
-use tarpc::{client, context};
+use tarpc::client;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -58,8 +58,7 @@
     spawn_local(async move {
         let _ = new.dispatch.await;
     });
-    let mut context = context::current();
-    context.deadline = Instant::now() + Duration::from_millis(REPLICA_TIMEOUT_MS);
+    let context = call_context(REPLICA_TIMEOUT_MS);
     match new.client.read(context, ReadRequest::HighestOrder).await {
         Ok(ControlReply::Done(ReadAnswer::HighestOrder(highest))) => Some(highest),
         _ => None,
--- a/crates/masticsill_control/src/http.rs
+++ b/crates/masticsill_control/src/http.rs
@@ -8,6 +8,7 @@
 
 use std::sync::Arc;
 
+use masticsill_control_client::ControlUnavailable;
 use masticsill_runtime::{Ring, ShutdownSignal};
 use ntex::web::{self, ServiceConfig};
 use tokio::sync::oneshot;
@@ -16,7 +17,6 @@
 use crate::handle::forward;
 use crate::quorum::QuorumHandle;
 use crate::rpc::Forward;
-use masticsill_control_client::ControlUnavailable;
 
 pub(crate) use server::HttpEdge;
 
--- a/crates/masticsill_control/src/http/catalogue.rs
+++ b/crates/masticsill_control/src/http/catalogue.rs
@@ -6,6 +6,7 @@
     CatalogueEntry, CatalogueUpdate, Change, ChangeAnswer, ChangeContent, ChangeRefusal,
     FieldError, VersionedEntry,
 };
+use masticsill_control_client::ControlUnavailable;
 use masticsill_types::{CatalogueVersion, EntryId};
 use masticsill_wire::admin::{
     AcceptedJson, CatalogueJson, DeleteJson, DeletedJson, EntryInForceJson, ErrorJson, PutJson,
@@ -25,7 +26,6 @@
 use super::{HttpState, reply};
 use crate::config::OperatorConfig;
 use crate::rpc::Forward;
-use masticsill_control_client::ControlUnavailable;
 
 const DEFAULT_WAIT_MS: u64 = 30_000;
 const MAX_WAIT_MS: u64 = 55_000;
--- a/crates/masticsill_control/src/http/reply.rs
+++ b/crates/masticsill_control/src/http/reply.rs
@@ -1,6 +1,7 @@
 //! Answers of the administration API.
 
 use masticsill_catalogue::ChangeRefusal;
+use masticsill_control_client::ControlUnavailable;
 use masticsill_wire::admin::ErrorJson;
 use ntex::http::StatusCode;
 use ntex::http::header::RETRY_AFTER;
@@ -8,8 +9,6 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use masticsill_control_client::ControlUnavailable;
-
 const RETRY_AFTER_S: &str = "1";
 
 pub(crate) fn finish<T: Serialize>(mut response: HttpResponseBuilder, body: &T) -> HttpResponse {
--- a/crates/masticsill_control/src/orders/calls.rs
+++ b/crates/masticsill_control/src/orders/calls.rs
@@ -2,17 +2,16 @@
 
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use masticsill_catalogue::{Action, CommandAnswer};
 use masticsill_orders::{OrderEnd, PlannedOrder};
-use masticsill_runtime::connect_transport;
+use masticsill_runtime::{call_context, connect_transport};
 use masticsill_types::{FencingNumber, MonotonicClock, Term};
 use masticsill_wire::ServiceKind;
 use masticsill_wire::agent::{AgentServiceClient, FenceReply, OrderReply, OrderRequest};
 use masticsill_wire::control::ControlReply;
 use tarpc::client::Config;
-use tarpc::context::Context;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
@@ -64,7 +63,7 @@
         if !self.is_leading() {
             return OrderEnd::Refused;
         }
-        let reply = client.order(context_of(ORDER_TIMEOUT_MS), request).await;
+        let reply = client.order(call_context(ORDER_TIMEOUT_MS), request).await;
         match reply {
             Ok(OrderReply::Done) => OrderEnd::Done,
             Ok(OrderReply::Fenced(_) | OrderReply::Refused(_)) => OrderEnd::Refused,
@@ -96,7 +95,7 @@
             Err(error) if error.kind() == ErrorKind::ConnectionRefused => return FenceEnd::Absent,
             Err(_) => return FenceEnd::Silent,
         };
-        let asking = client.fence(context_of(FENCE_TIMEOUT_MS), fencing);
+        let asking = client.fence(call_context(FENCE_TIMEOUT_MS), fencing);
         let bound = Duration::from_millis(FENCE_TIMEOUT_MS);
         match timeout(bound, asking).await {
             Ok(Ok(reply)) => FenceEnd::Fenced(reply),
@@ -114,9 +113,3 @@
     });
     Ok(new.client)
 }
-
-fn context_of(timeout_ms: u64) -> Context {
-    let mut context = tarpc::context::current();
-    context.deadline = Instant::now() + Duration::from_millis(timeout_ms);
-    context
-}
--- a/crates/masticsill_control/src/quorum/duty.rs
+++ b/crates/masticsill_control/src/quorum/duty.rs
@@ -5,6 +5,7 @@
 
 use indexmap::IndexMap;
 use masticsill_catalogue::{Action, CommandAnswer};
+use masticsill_control_client::AddressBook;
 use masticsill_orders::LeaderProof;
 use masticsill_quorum::{
     Envelope, Input, LogIndex, Membership, Proposal, Replica, ReplicaSettings, Role, StoredState,
@@ -22,7 +23,6 @@
 use super::storage::{StorageProgress, StorageQueue};
 use super::waiting::{Waiting, WaitingList};
 use crate::events;
-use masticsill_control_client::AddressBook;
 
 const TICK: Duration = Duration::from_millis(20);
 /// Requests taken together, so that their commands share a sync.
--- a/crates/masticsill_control/src/quorum/machine.rs
+++ b/crates/masticsill_control/src/quorum/machine.rs
@@ -1,13 +1,12 @@
 //! The replicated state of this replica, its durable form and its freshness.
 
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use masticsill_catalogue::{
     Action, Command, CommandAnswer, ControlState, Freshness, StoredDocument,
 };
 use masticsill_quorum::{Entry, LogIndex, Payload, Snapshot};
-use masticsill_types::{CatalogueVersion, ClockMs};
+use masticsill_types::{CatalogueVersion, ClockMs, wall_ms};
 use masticsill_wire::control::AuditPage;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -148,9 +147,3 @@
     let bytes = postcard::to_stdvec(&StoredState::V2(state, document));
     bytes.expect("the state always encodes into memory")
 }
-
-fn wall_ms() -> u64 {
-    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
-    let elapsed_ms = elapsed.map_or(0, |elapsed| elapsed.as_millis());
-    u64::try_from(elapsed_ms).unwrap_or(u64::MAX)
-}
--- a/crates/masticsill_control/src/quorum/members.rs
+++ b/crates/masticsill_control/src/quorum/members.rs
@@ -1,5 +1,6 @@
 //! The members of the quorum, as callers name and see them.
 
+use masticsill_control_client::AddressBook;
 use masticsill_quorum::{FolderId, Membership, MembershipChange, Replica, VoterId};
 use masticsill_types::NodeId;
 use masticsill_wire::control::{
@@ -7,7 +8,6 @@
 };
 
 use crate::quorum::request::ReplicaOrder;
-use masticsill_control_client::AddressBook;
 
 /// What an operator's order means for the present members.
 #[derive(Debug)]
--- a/crates/masticsill_control/src/quorum/waiting.rs
+++ b/crates/masticsill_control/src/quorum/waiting.rs
@@ -24,11 +24,11 @@
     /// Tells the caller that it gets no answer here. A caller that has gone is not missed.
     pub(crate) fn refuse(self, reason: Refused) {
         match self {
-            Self::Act(reply_to) => drop(reply_to.send(reason.into_reply())),
+            Self::Act(reply_to) => drop(reply_to.send(to_caller(reason))),
             Self::Member(reply_to) | Self::Note(_, reply_to) => {
-                drop(reply_to.send(reason.into_reply()));
+                drop(reply_to.send(to_caller(reason)));
             }
-            Self::Read(_, reply_to) => drop(reply_to.send(reason.into_reply())),
+            Self::Read(_, reply_to) => drop(reply_to.send(to_caller(reason))),
         }
     }
 }
@@ -36,21 +36,9 @@
 /// A reply without an answer.
 pub(crate) type Refused = ControlReply<std::convert::Infallible>;
 
-/// Changes the type of a reply without an answer.
-pub(crate) trait IntoReply {
-    fn into_reply<T>(self) -> ControlReply<T>;
-}
-
-impl IntoReply for Refused {
-    fn into_reply<T>(self) -> ControlReply<T> {
-        match self {
-            Self::Done(never) => match never {},
-            Self::NotLeader(hint) => ControlReply::NotLeader(hint),
-            Self::OutcomeUnknown => ControlReply::OutcomeUnknown,
-            Self::Overloaded { retry_after_ms } => ControlReply::Overloaded { retry_after_ms },
-            Self::ShuttingDown => ControlReply::ShuttingDown,
-        }
-    }
+/// The same reply to a caller that waits for an answer of any type.
+fn to_caller<T>(refused: Refused) -> ControlReply<T> {
+    refused.and_then(|never| match never {})
 }
 
 /// Callers by token.
--- a/crates/masticsill_control/src/role.rs
+++ b/crates/masticsill_control/src/role.rs
@@ -6,6 +6,7 @@
 use std::{fmt, io};
 
 use indexmap::IndexMap;
+use masticsill_control_client::AddressBook;
 use masticsill_mesh::MeshHandle;
 use masticsill_quorum::storage::Storage;
 use masticsill_runtime::{
@@ -29,7 +30,6 @@
     StorageProgress, StorageQueue, run_storage,
 };
 use crate::rpc::{self, RpcParts};
-use masticsill_control_client::AddressBook;
 
 const REQUESTS: usize = 8_192;
 const JOBS: usize = 4_096;
--- a/crates/masticsill_control/src/rpc/duty.rs
+++ b/crates/masticsill_control/src/rpc/duty.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use futures::StreamExt;
+use masticsill_control_client::{AddressBook, ControlClient};
 use masticsill_runtime::{Ring, ServiceStream, ShutdownSignal, events as runtime_events};
 use masticsill_types::{MonotonicClock, NodeId, log_event};
 use masticsill_wire::control::ControlService;
@@ -18,8 +19,6 @@
 use crate::endpoints::{EndpointHub, run_exchange};
 use crate::gauges::{ControlGauges, run_gauges};
 use crate::quorum::{Outgoing, PublishedState, QuorumHandle};
-use masticsill_control_client::AddressBook;
-use masticsill_control_client::ControlClient;
 
 /// What the RPC duty is built from.
 #[derive(Debug)]
--- a/crates/masticsill_control/src/rpc/peers.rs
+++ b/crates/masticsill_control/src/rpc/peers.rs
@@ -1,19 +1,18 @@
 //! Messages to the other replicas, and the proofs of freshness that the leader gives.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use indexmap::IndexMap;
-use masticsill_runtime::Ring;
+use masticsill_control_client::{AddressBook, connect};
+use masticsill_runtime::{Ring, call_context};
 use masticsill_types::NodeId;
 use masticsill_wire::control::{ControlServiceClient, QuorumBatch, RenewRequest};
 
 use super::service::ControlServer;
 use crate::quorum::{Outgoing, Request};
-use masticsill_control_client::AddressBook;
-use masticsill_control_client::connect;
 
-const BATCH_TIMEOUT: Duration = Duration::from_secs(1);
+const BATCH_TIMEOUT_MS: u64 = 1_000;
 const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
 const PROOF_INTERVAL: Duration = Duration::from_millis(250);
 const HELLO_INTERVAL: Duration = Duration::from_millis(250);
@@ -112,8 +111,7 @@
 }
 
 async fn send_batch(client: &ControlServiceClient, batch: QuorumBatch) -> bool {
-    let mut context = tarpc::context::current();
-    context.deadline = Instant::now() + BATCH_TIMEOUT;
+    let context = call_context(BATCH_TIMEOUT_MS);
     client.quorum_messages(context, batch).await.is_ok()
 }
 
--- a/crates/masticsill_control/src/rpc/router.rs
+++ b/crates/masticsill_control/src/rpc/router.rs
@@ -1,6 +1,7 @@
 //! Operators' calls: answered here by the leader, passed on to it by every other replica.
 
 use masticsill_catalogue::{ChangeAnswer, DocumentAnswer};
+use masticsill_control_client::ControlUnavailable;
 use masticsill_runtime::Ring;
 use masticsill_wire::control::{
     ChangeRequest, ControlReply, DocumentChange, ReadAnswer, ReadRequest, ReplicaAnswer,
@@ -9,7 +10,6 @@
 use tokio::sync::oneshot;
 
 use super::service::ControlServer;
-use masticsill_control_client::ControlUnavailable;
 
 /// Time for the whole of a call that is passed on, in milliseconds.
 const FORWARD_BOUND_MS: u64 = 5_000;
@@ -35,34 +35,38 @@
 
 async fn route(server: ControlServer, call: Forward) {
     let bound_ms = FORWARD_BOUND_MS;
+    let client = server.client.clone();
     match call {
         Forward::Change(request, reply_to) => {
-            let answer = match server.change_here(request.clone()).await {
-                ControlReply::Done(answer) => Ok(answer),
-                _ => server.client.change(&request, bound_ms).await,
-            };
-            let _ = reply_to.send(answer);
+            let here = server.change_here(request.clone()).await;
+            let passed_on = client.change(&request, bound_ms);
+            let _ = reply_to.send(done_or(here, passed_on).await);
         }
         Forward::Document(change, reply_to) => {
-            let answer = match server.put_document_here(change.clone()).await {
-                ControlReply::Done(answer) => Ok(answer),
-                _ => server.client.put_document(&change, bound_ms).await,
-            };
-            let _ = reply_to.send(answer);
+            let here = server.put_document_here(change.clone()).await;
+            let passed_on = client.put_document(&change, bound_ms);
+            let _ = reply_to.send(done_or(here, passed_on).await);
         }
         Forward::Read(request, reply_to) => {
-            let answer = match server.read_here(request.clone()).await {
-                ControlReply::Done(answer) => Ok(answer),
-                _ => server.client.read(&request, bound_ms).await,
-            };
-            let _ = reply_to.send(answer);
+            let here = server.read_here(request.clone()).await;
+            let passed_on = client.read(&request, bound_ms);
+            let _ = reply_to.send(done_or(here, passed_on).await);
         }
         Forward::Replicas(change, reply_to) => {
-            let answer = match server.change_replicas_here(change.clone()).await {
-                ControlReply::Done(answer) => Ok(answer),
-                _ => server.client.change_replicas(&change, bound_ms).await,
-            };
-            let _ = reply_to.send(answer);
+            let here = server.change_replicas_here(change.clone()).await;
+            let passed_on = client.change_replicas(&change, bound_ms);
+            let _ = reply_to.send(done_or(here, passed_on).await);
         }
     }
 }
+
+/// The answer that was had here, or else that of the call passed on, which begins only now.
+async fn done_or<T>(
+    here: ControlReply<T>,
+    passed_on: impl Future<Output = Result<T, ControlUnavailable>>,
+) -> Result<T, ControlUnavailable> {
+    match here {
+        ControlReply::Done(answer) => Ok(answer),
+        _ => passed_on.await,
+    }
+}
--- a/crates/masticsill_control/src/rpc/service.rs
+++ b/crates/masticsill_control/src/rpc/service.rs
@@ -5,6 +5,7 @@
 use masticsill_catalogue::{
     Action, ChangeAnswer, Claim, ClaimAnswer, CommandAnswer, DocumentAnswer, Reassign, Settle,
 };
+use masticsill_control_client::{AddressBook, ControlClient};
 use masticsill_quorum::{VoterId, decode_message};
 use masticsill_types::{MonotonicClock, NodeId, log_event};
 use masticsill_wire::control::{
@@ -17,8 +18,6 @@
 use crate::endpoints::EndpointHub;
 use crate::events;
 use crate::quorum::{JoiningReplica, PublishedState, QuorumHandle, ReplicaOrder, Request, voter};
-use masticsill_control_client::AddressBook;
-use masticsill_control_client::ControlClient;
 
 /// Answers other processes. Each connection has a clone.
 #[derive(Clone, Debug)]
@@ -147,17 +146,9 @@
     }
 }
 
-/// Changes the type of a leader's answer.
+/// Takes the answer that a command of its kind gets.
 fn map_done<T, U>(reply: ControlReply<T>, map: impl FnOnce(T) -> Option<U>) -> ControlReply<U> {
-    match reply {
-        ControlReply::Done(answer) => {
-            map(answer).map_or(ControlReply::OutcomeUnknown, ControlReply::Done)
-        }
-        ControlReply::NotLeader(hint) => ControlReply::NotLeader(hint),
-        ControlReply::OutcomeUnknown => ControlReply::OutcomeUnknown,
-        ControlReply::Overloaded { retry_after_ms } => ControlReply::Overloaded { retry_after_ms },
-        ControlReply::ShuttingDown => ControlReply::ShuttingDown,
-    }
+    reply.and_then(|answer| map(answer).map_or(ControlReply::OutcomeUnknown, ControlReply::Done))
 }
 
 impl ControlService for ControlServer {
--- a/crates/masticsill_control_client/src/attempts.rs
+++ b/crates/masticsill_control_client/src/attempts.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use indexmap::IndexMap;
-use masticsill_runtime::connect_transport;
+use masticsill_runtime::{call_context, connect_transport};
 use masticsill_wire::ServiceKind;
 use masticsill_wire::control::{ControlReply, ControlServiceClient, LeaderHint};
 use tarpc::client::RpcError;
@@ -52,7 +52,7 @@
         let attempts = if self.is_connected(address) { 2 } else { 1 };
         for _ in 0..attempts {
             let client = self.connect(address).await?;
-            let reply = send(client, context_of(timeout_ms)).await;
+            let reply = send(client, call_context(timeout_ms)).await;
             if let Ok(reply) = reply {
                 return Some(reply);
             }
@@ -103,7 +103,7 @@
             self.forget_leader();
             return Attempt::Refused { pause_ms };
         };
-        match send(client, context_of(timeout_ms)).await {
+        match send(client, call_context(timeout_ms)).await {
             Ok(ControlReply::Done(answer)) => {
                 self.lock().leader = Some(address);
                 Attempt::Done(answer)
@@ -185,12 +185,6 @@
     Some(ControlServiceClient::new(config, transport).spawn())
 }
 
-fn context_of(timeout_ms: u64) -> Context {
-    let mut context = tarpc::context::current();
-    context.deadline = Instant::now() + Duration::from_millis(timeout_ms);
-    context
-}
-
 fn duration_ms(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/masticsill_entry/src/calls.rs
+++ b/crates/masticsill_entry/src/calls.rs
@@ -5,17 +5,16 @@
 //! former one has promised that it was not run and never will be.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
 
 use indexmap::IndexSet;
 use masticsill_catalogue::{
     AgentLife, CallEnd, Claim, ClaimAnswer, ClaimRecord, Reassign, Settle, StoredAnswer, StoredBody,
 };
 use masticsill_routing::{WorkKind, WorkOutcome};
+use masticsill_runtime::call_context;
 use masticsill_types::{Class, EntryId, GenerationId, ModelId, Refusal, RefusalKind, WorkspaceId};
 use masticsill_wire::agent::{BuryRequest, CallAnswer, CallReply, CallRequest};
 use rand::Rng;
-use tarpc::context;
 use tokio::task::spawn_local;
 
 use crate::call_place::{Place, no_endpoint};
@@ -294,7 +293,7 @@
         method: call.method.clone(),
         path: call.path.clone(),
     };
-    let reply = client.call(deadline(CALL_DEADLINE_MS), request).await;
+    let reply = client.call(call_context(CALL_DEADLINE_MS), request).await;
     reply.unwrap_or(CallReply::OutcomeUnknown)
 }
 
@@ -309,7 +308,7 @@
         id,
         incarnation: life.incarnation,
     };
-    let reply = client.bury(deadline(BURY_DEADLINE_MS), request).await;
+    let reply = client.bury(call_context(BURY_DEADLINE_MS), request).await;
     reply.unwrap_or(CallReply::OutcomeUnknown)
 }
 
@@ -347,12 +346,6 @@
     u128::from_be_bytes(digest)
 }
 
-fn deadline(duration_ms: u64) -> context::Context {
-    let mut context = context::current();
-    context.deadline = Instant::now() + Duration::from_millis(duration_ms);
-    context
-}
-
 fn no_leader() -> Refusal {
     let detail = "the control quorum did not grant the call; it was not sent";
     Refusal::not_run(RefusalKind::Overloaded, detail).retry_after(RETRY_AFTER_MS)
--- a/crates/masticsill_entry/src/link/task.rs
+++ b/crates/masticsill_entry/src/link/task.rs
@@ -2,13 +2,13 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures::StreamExt;
 use futures::future::LocalBoxFuture;
 use futures::stream::FuturesUnordered;
 use indexmap::IndexMap;
-use masticsill_runtime::{Ring, connect_transport};
+use masticsill_runtime::{Ring, call_context, connect_transport};
 use masticsill_types::{
     ClockMs, GenerationId, Lineage, MonotonicClock, NodeId, TokenIndex, log_event,
 };
@@ -16,8 +16,7 @@
 use masticsill_wire::agent::{
     AgentServiceClient, CancelRequest, PullCursor, PullReply, PullRequest, StartReply, StartRequest,
 };
-use tarpc::client::RpcError;
-use tarpc::{client, context};
+use tarpc::client::{self, RpcError};
 use tokio::task::spawn_local;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
@@ -356,7 +355,7 @@
         };
         self.starts.insert(id, cursor);
         self.calls.push(Box::pin(async move {
-            let result = client.start(call_context(), request).await;
+            let result = client.start(call_context(CALL_DEADLINE_MS), request).await;
             Done::Started {
                 id,
                 lineage,
@@ -375,7 +374,7 @@
             wait_ms: PULL_WAIT_MS,
         };
         self.calls.push(Box::pin(async move {
-            let result = client.pull(call_context(), request).await;
+            let result = client.pull(call_context(CALL_DEADLINE_MS), request).await;
             Done::Pulled { is_main, result }
         }));
     }
@@ -386,14 +385,8 @@
         };
         self.calls.push(Box::pin(async move {
             // A lost cancel is made up for by the agent's orphan timeout.
-            let _ = client.cancel(call_context(), request).await;
+            let _ = client.cancel(call_context(CALL_DEADLINE_MS), request).await;
             Done::Cancelled
         }));
     }
 }
-
-fn call_context() -> context::Context {
-    let mut context = context::current();
-    context.deadline = Instant::now() + Duration::from_millis(CALL_DEADLINE_MS);
-    context
-}
--- a/crates/masticsill_entry/src/search.rs
+++ b/crates/masticsill_entry/src/search.rs
@@ -2,12 +2,12 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use masticsill_membership::{MemberState, Role};
-use masticsill_runtime::connect_transport;
+use masticsill_runtime::{call_context, connect_transport};
 use masticsill_session::{Found, HolderHint, Position};
 use masticsill_types::{NodeId, TokenIndex};
 use masticsill_wire::ServiceKind;
@@ -16,7 +16,7 @@
 };
 use masticsill_wire::entry::EntryServiceClient;
 use rand::Rng;
-use tarpc::{client, context};
+use tarpc::client;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
@@ -112,7 +112,10 @@
     match holder {
         Holder::Agent(_, address) => {
             let client = connect_agent(*address).await?;
-            client.attach(call_context(), request).await.ok()
+            client
+                .attach(call_context(HOLDER_TIMEOUT_MS), request)
+                .await
+                .ok()
         }
         Holder::Entry(address) => {
             let kind = ServiceKind::Entry;
@@ -121,7 +124,10 @@
             spawn_local(async move {
                 let _ = new.dispatch.await;
             });
-            new.client.release(call_context(), request).await.ok()
+            new.client
+                .release(call_context(HOLDER_TIMEOUT_MS), request)
+                .await
+                .ok()
         }
     }
 }
@@ -146,7 +152,9 @@
     spawn_local(async move {
         if let Some(client) = connect_agent(address).await {
             // A lost cancel is made up for by the agent's orphan timeout.
-            let _ = client.cancel(call_context(), request).await;
+            let _ = client
+                .cancel(call_context(HOLDER_TIMEOUT_MS), request)
+                .await;
         }
     });
 }
@@ -160,9 +168,3 @@
     });
     Some(new.client)
 }
-
-fn call_context() -> context::Context {
-    let mut context = context::current();
-    context.deadline = Instant::now() + Duration::from_millis(HOLDER_TIMEOUT_MS);
-    context
-}
--- a/crates/masticsill_mesh/src/config.rs
+++ b/crates/masticsill_mesh/src/config.rs
@@ -3,11 +3,10 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use masticsill_membership::{Periods, Role};
 use masticsill_runtime::{Ring, ServiceStream};
-use masticsill_types::{Incarnation, NodeId, ZoneId};
+use masticsill_types::{Incarnation, NodeId, ZoneId, wall_ms};
 use masticsill_wire::ServiceKind;
 use masticsill_wire::control::{RenewReply, RenewRequest};
 use rand::Rng;
@@ -65,11 +64,8 @@
 /// 5003 says so.
 #[must_use]
 pub fn new_incarnation() -> Incarnation {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    let wall_ms = since_epoch.map_or(0, |elapsed| elapsed.as_millis());
-    let wall_ms = u64::try_from(wall_ms).unwrap_or(u64::MAX >> RANDOM_BITS);
     let random = rand::rng().random_range(0..1_u64 << RANDOM_BITS);
-    Incarnation((wall_ms << RANDOM_BITS) | random)
+    Incarnation((wall_ms() << RANDOM_BITS) | random)
 }
 
 type AnswerRenewal = dyn Fn(RenewRequest) -> RenewReply + Send + Sync;
--- a/crates/masticsill_mesh/src/peers.rs
+++ b/crates/masticsill_mesh/src/peers.rs
@@ -2,14 +2,13 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use masticsill_membership::{Reply, Request};
-use masticsill_runtime::connect_transport;
+use masticsill_runtime::{call_context, connect_transport};
 use masticsill_wire::ServiceKind;
 use masticsill_wire::node::{NodeServiceClient, ProbeViaRequest};
 use tarpc::client::{Config, RpcError};
-use tarpc::context::{self, Context};
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
@@ -23,13 +22,6 @@
     Ok(new.client)
 }
 
-/// The context of a call that is given up after `timeout_ms`.
-pub(crate) fn call_context(timeout_ms: u64) -> Context {
-    let mut context = context::current();
-    context.deadline = Instant::now() + Duration::from_millis(timeout_ms);
-    context
-}
-
 /// Exchanges news with a node, on a connection of its own; `None` when that failed.
 pub(crate) async fn exchange(
     address: SocketAddr,
--- a/crates/masticsill_mesh/src/renewal.rs
+++ b/crates/masticsill_mesh/src/renewal.rs
@@ -7,6 +7,7 @@
 
 use indexmap::IndexMap;
 use masticsill_catalogue::{Applied, Follower};
+use masticsill_runtime::call_context;
 use masticsill_types::{ClockMs, log_event};
 use masticsill_wire::control::{RenewReply, RenewRequest};
 use masticsill_wire::node::NodeServiceClient;
@@ -14,7 +15,7 @@
 
 use crate::events;
 use crate::node::Node;
-use crate::peers::{call_context, connect};
+use crate::peers::connect;
 use crate::sources::list_sources;
 use crate::view::CatalogueView;
 
--- a/crates/masticsill_quorum/src/replicate.rs
+++ b/crates/masticsill_quorum/src/replicate.rs
@@ -2,7 +2,7 @@
 
 use masticsill_types::ClockMs;
 
-use crate::progress::Flow;
+use crate::progress::{Flow, Progress};
 use crate::replica::RoleState;
 use crate::{LogIndex, Message, Replica, VoterId};
 
@@ -82,15 +82,21 @@
         self.send(peer.clone(), message);
     }
 
-    pub(crate) fn note_accepted(&mut self, now: ClockMs, from: &VoterId, match_index: LogIndex) {
-        let last_index = self.log.last_index();
+    /// Notes that a peer answered; what a leader knows of it, if this is one.
+    pub(crate) fn heard_from(&mut self, now: ClockMs, from: &VoterId) -> Option<&mut Progress> {
         let RoleState::Leader(state) = &mut self.role else {
-            return;
+            return None;
         };
-        let Some(progress) = state.progress.get_mut(from) else {
+        let progress = state.progress.get_mut(from)?;
+        progress.heard_at = Some(now);
+        Some(progress)
+    }
+
+    pub(crate) fn note_accepted(&mut self, now: ClockMs, from: &VoterId, match_index: LogIndex) {
+        let last_index = self.log.last_index();
+        let Some(progress) = self.heard_from(now, from) else {
             return;
         };
-        progress.heard_at = Some(now);
         progress.accept(match_index.min(last_index));
         self.advance_commit();
         self.answer_reads(now);
@@ -106,13 +112,9 @@
         previous_index: LogIndex,
         hint: LogIndex,
     ) {
-        let RoleState::Leader(state) = &mut self.role else {
+        let Some(progress) = self.heard_from(now, from) else {
             return;
         };
-        let Some(progress) = state.progress.get_mut(from) else {
-            return;
-        };
-        progress.heard_at = Some(now);
         if progress.reject(previous_index, hint) {
             self.replicate_to(from, false);
         }
--- a/crates/masticsill_quorum/src/snapshot.rs
+++ b/crates/masticsill_quorum/src/snapshot.rs
@@ -79,13 +79,9 @@
         index: LogIndex,
         next_offset_bytes: u64,
     ) {
-        let RoleState::Leader(state) = &mut self.role else {
-            return;
-        };
-        let Some(progress) = state.progress.get_mut(from) else {
+        let Some(progress) = self.heard_from(now, from) else {
             return;
         };
-        progress.heard_at = Some(now);
         match &mut progress.flow {
             Flow::Snapshot {
                 index: sent,
--- a/crates/masticsill_runtime/src/lib.rs
+++ b/crates/masticsill_runtime/src/lib.rs
@@ -23,7 +23,8 @@
 pub use metrics::{Metrics, MetricsError};
 pub use ring::{Ring, RingFull};
 pub use rpc::{
-    RpcListener, RpcTransport, ServiceStream, connect_to_cluster, connect_transport, listen,
+    RpcListener, RpcTransport, ServiceStream, call_context, connect_to_cluster, connect_transport,
+    listen,
 };
 pub use shutdown::{ShutdownSignal, watch_signals};
 pub use structured::{LogGuard, start_structured_logging, start_structured_logging_to};
--- a/crates/masticsill_runtime/src/rpc.rs
+++ b/crates/masticsill_runtime/src/rpc.rs
@@ -6,11 +6,12 @@
 use std::io;
 use std::net::{self, SocketAddr};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use masticsill_types::log_event;
 use masticsill_wire::{MAX_FRAME_BYTES, PostcardCodec, ServiceKind};
 use serde::{Serialize, de::DeserializeOwned};
+use tarpc::context::Context;
 use tarpc::serde_transport::{self, Transport};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -44,6 +45,14 @@
     serde_transport::new(framed, PostcardCodec::default())
 }
 
+/// The context of a call that is given up after `timeout_ms`.
+#[must_use]
+pub fn call_context(timeout_ms: u64) -> Context {
+    let mut context = tarpc::context::current();
+    context.deadline = Instant::now() + Duration::from_millis(timeout_ms);
+    context
+}
+
 /// Connects to a peer's service within this process's cluster.
 ///
 /// # Errors
--- a/crates/masticsill_runtime/src/structured.rs
+++ b/crates/masticsill_runtime/src/structured.rs
@@ -7,15 +7,15 @@
 
 use std::fmt::Write as _;
 use std::io::{self, Write};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::thread::{self, Thread};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use crossbeam_queue::ArrayQueue;
 use log::kv::{Error, Key, Value, VisitSource};
 use log::{Level, LevelFilter, Log, Metadata, Record};
-use masticsill_types::{MonotonicClock, log_event};
+use masticsill_types::{MonotonicClock, log_event, wall_ms};
 
 use crate::duty::{DutyHandle, spawn_duty};
 use crate::events;
@@ -29,6 +29,8 @@
 const MAX_LINE_BYTES: usize = 2_048;
 /// Pause between writes, so that many lines share one.
 const WRITE_INTERVAL: Duration = Duration::from_millis(20);
+/// Polls for the end of the writer: half a second.
+const END_POLLS: u32 = 25;
 /// Digits of a number that every reader of JSON holds exactly.
 const MAX_NUMBER_DIGITS: usize = 15;
 /// Fields that are names also where they consist of digits only.
@@ -89,7 +91,7 @@
 #[derive(Debug)]
 pub struct LogGuard {
     duty: Option<DutyHandle>,
-    is_ending: Arc<std::sync::atomic::AtomicBool>,
+    is_ending: Arc<AtomicBool>,
     log: Option<&'static StructuredLog>,
 }
 
@@ -112,9 +114,6 @@
     }
 }
 
-/// Polls for the end of the writer: half a second.
-const END_POLLS: u32 = 25;
-
 /// Starts to log to standard output. A second call in one process changes nothing.
 ///
 /// # Errors
@@ -141,7 +140,7 @@
         ordinary: Lines::new(),
         writer: OnceLock::new(),
     }));
-    let is_ending = Arc::new(std::sync::atomic::AtomicBool::new(false));
+    let is_ending = Arc::new(AtomicBool::new(false));
     if log::set_logger(log).is_err() {
         return Ok(LogGuard {
             duty: None,
@@ -160,7 +159,7 @@
 }
 
 impl StructuredLog {
-    fn write_until(&self, mut output: impl Write, is_ending: &std::sync::atomic::AtomicBool) {
+    fn write_until(&self, mut output: impl Write, is_ending: &AtomicBool) {
         let _ = self.writer.set(thread::current());
         let mut batch = String::new();
         loop {
@@ -301,9 +300,3 @@
     }
     line.push('"');
 }
-
-fn wall_ms() -> u64 {
-    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
-    let elapsed_ms = elapsed.map_or(0, |elapsed| elapsed.as_millis());
-    u64::try_from(elapsed_ms).unwrap_or(u64::MAX)
-}
--- a/crates/masticsill_types/src/clock.rs
+++ b/crates/masticsill_types/src/clock.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::ops::{Add, Sub};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// A point on a process's monotonic clock, in milliseconds since that clock's origin.
 ///
@@ -80,3 +81,14 @@
     let seconds_ms = u64::try_from(time.tv_sec).unwrap_or_default() * 1_000;
     seconds_ms + u64::try_from(time.tv_nsec).unwrap_or_default() / 1_000_000
 }
+
+/// The wall clock in milliseconds since 1970, zero before then.
+///
+/// For records that people read, and for numbers that must be higher after a restart; it may
+/// jump, so ages and leases never come from it.
+#[must_use]
+pub fn wall_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    let elapsed_ms = elapsed.map_or(0, |elapsed| elapsed.as_millis());
+    u64::try_from(elapsed_ms).unwrap_or(u64::MAX)
+}
--- a/crates/masticsill_types/src/lib.rs
+++ b/crates/masticsill_types/src/lib.rs
@@ -11,7 +11,7 @@
 mod outcome;
 
 pub use class::{Class, UnknownClass};
-pub use clock::{ClockMs, MonotonicClock};
+pub use clock::{ClockMs, MonotonicClock, wall_ms};
 pub use endpoint::{EndpointKind, EndpointProfile, LoadReport, ModelTarget};
 pub use event::Event;
 pub use generation::{
--- a/crates/masticsill_wire/src/control.rs
+++ b/crates/masticsill_wire/src/control.rs
@@ -65,6 +65,19 @@
     ShuttingDown,
 }
 
+impl<T> ControlReply<T> {
+    /// What follows from the leader's answer; every other reply stays as it is.
+    pub fn and_then<U>(self, then: impl FnOnce(T) -> ControlReply<U>) -> ControlReply<U> {
+        match self {
+            Self::Done(answer) => then(answer),
+            Self::NotLeader(hint) => ControlReply::NotLeader(hint),
+            Self::OutcomeUnknown => ControlReply::OutcomeUnknown,
+            Self::Overloaded { retry_after_ms } => ControlReply::Overloaded { retry_after_ms },
+            Self::ShuttingDown => ControlReply::ShuttingDown,
+        }
+    }
+}
+
 /// An operator's change, authenticated by the replica that took it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ChangeRequest {
