Relay: tries, whole answers and timing have files of their own; one choice, one reading, one label

Cause: reading the whole change. Streams took the bookkeeping of tries and the judging of answers from the file of plain requests. Three places put together the same wish for an endpoint; two read a body to its bound, two skipped or read its pieces, two read once more from a connection. The status 421 was looked at in four places; a failed answer was noted by two functions; whether a copy can be used, and why not, by two more. The zones that are suspect were counted anew for each candidate. Both kinds of process counted endpoints by state with a label and a loop of their own. Same costs, bounds, texts and metrics. Figures: none of speed.

--- a/crates/masticsill_control/src/endpoints/hub.rs
+++ b/crates/masticsill_control/src/endpoints/hub.rs
@@ -194,8 +194,7 @@
     }
 
     fn has_news(&self, published: &PublishedState, request: &WatchRequest) -> bool {
-        let is_same_registry = request.registry == self.shared.life;
-        if !is_same_registry || self.registry().revision() > request.revision {
+        if !self.is_followed(request) || self.registry().revision() > request.revision {
             return true;
         }
         let version = *published.watch_document().borrow();
@@ -214,11 +213,6 @@
         let is_wanted = request.wants_document && document_version > request.document_held;
         let (entries, entries_nearby) = self.entries(&request.watcher);
         let registry = self.registry();
-        let since = if request.registry == self.shared.life {
-            request.revision
-        } else {
-            0
-        };
         let heard = match request.watcher {
             Watcher::Entry { .. } => Vec::new(),
             Watcher::Replica(_) => registry.heard_here(self.shared.clock.now()),
@@ -228,7 +222,7 @@
             document_version,
             entries,
             entries_nearby,
-            endpoints: registry.changes_since(since),
+            endpoints: registry.changes_since(self.known_revision(request)),
             heard,
             loads: self.loads_of_others(&request.watcher),
             members,
@@ -279,16 +273,25 @@
         sums.into_values().collect()
     }
 
+    /// Whether a watcher goes on from this life of the registry.
+    fn is_followed(&self, request: &WatchRequest) -> bool {
+        request.registry == self.shared.life
+    }
+
+    /// The revision up to which a watcher holds this registry.
+    fn known_revision(&self, request: &WatchRequest) -> u64 {
+        if self.is_followed(request) {
+            request.revision
+        } else {
+            0
+        }
+    }
+
     fn note_watcher(&self, request: &WatchRequest) {
-        let is_same_registry = request.registry == self.shared.life;
         let seen = Seen {
             at: self.shared.clock.now(),
             loads: request.loads.clone(),
-            revision: if is_same_registry {
-                request.revision
-            } else {
-                0
-            },
+            revision: self.known_revision(request),
         };
         let mut watchers = self.watchers();
         watchers.retain(|_, other| seen.at.since(other.at) < WATCHER_GONE_MS);
--- a/crates/masticsill_control/src/gauges.rs
+++ b/crates/masticsill_control/src/gauges.rs
@@ -3,9 +3,7 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
-use masticsill_registry::EndpointState;
-use prometheus_client::encoding::EncodeLabelSet;
-use prometheus_client::metrics::family::Family;
+use masticsill_registry::{EndpointState, StateGauges};
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::registry::Registry;
 use tokio::time::sleep;
@@ -15,17 +13,11 @@
 /// How often the gauges follow the state.
 const INTERVAL: Duration = Duration::from_secs(1);
 
-/// What endpoints say of themselves.
-#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
-struct StateLabel {
-    state: &'static str,
-}
-
 /// Gauges of one replica.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ControlGauges {
     document_version: Gauge<u64, AtomicU64>,
-    endpoints: Family<StateLabel, Gauge>,
+    endpoints: StateGauges,
     is_founded: Gauge,
     is_leading: Gauge,
     term: Gauge<u64, AtomicU64>,
@@ -39,12 +31,9 @@
         let help = "Version of the document applied here";
         let version = gauges.document_version.clone();
         registry.register("masticsill_control_document_version", help, version);
-        let help = "Endpoints by what they say of themselves";
-        registry.register(
-            "masticsill_control_endpoints",
-            help,
-            gauges.endpoints.clone(),
-        );
+        gauges
+            .endpoints
+            .register(registry, "masticsill_control_endpoints");
         let help = "Whether the data folder belongs to a cluster";
         registry.register(
             "masticsill_control_founded",
@@ -74,14 +63,9 @@
         self.voters
             .set(i64::try_from(status.voters).unwrap_or(i64::MAX));
         let records = server.endpoints.records();
-        for state in [EndpointState::Ready, EndpointState::Draining] {
-            let is_so = records.iter().filter(|it| it.announcement.state == state);
-            let count = i64::try_from(is_so.count()).unwrap_or(i64::MAX);
-            let label = StateLabel {
-                state: state.name(),
-            };
-            self.endpoints.get_or_create(&label).set(count);
-        }
+        let said: Vec<EndpointState> = records.iter().map(|it| it.announcement.state).collect();
+        let shown = [EndpointState::Ready, EndpointState::Draining];
+        self.endpoints.follow(&shown, &said);
     }
 }
 
--- a/crates/masticsill_http1/src/lib.rs
+++ b/crates/masticsill_http1/src/lib.rs
@@ -15,4 +15,4 @@
 pub use events::{EventSplitter, StreamEvent};
 pub use head::{RequestHead, ResponseHead, parse_request, parse_response};
 pub use headers::{Header, HeaderList};
-pub use write::{HeadWriter, reason_phrase, write_chunk, write_last_chunk};
+pub use write::{HeadWriter, write_chunk, write_last_chunk};
--- a/crates/masticsill_http1/src/write.rs
+++ b/crates/masticsill_http1/src/write.rs
@@ -81,8 +81,7 @@
 }
 
 /// The usual phrase of a status code.
-#[must_use]
-pub fn reason_phrase(status: u16) -> &'static str {
+fn reason_phrase(status: u16) -> &'static str {
     match status {
         200 => "OK",
         201 => "Created",
--- a/crates/masticsill_registry/src/lib.rs
+++ b/crates/masticsill_registry/src/lib.rs
@@ -5,9 +5,11 @@
 //! joined by (state, sequence), so that a heartbeat which was held up behind a partition never
 //! undoes a newer one. Pure logic: no sockets, and time comes with each call.
 
+mod gauges;
 mod record;
 mod registry;
 mod silence;
 
+pub use gauges::StateGauges;
 pub use record::{Announcement, EndpointId, EndpointRecord, EndpointState, Heard};
 pub use registry::{Registry, RegistryPeriods};
--- a/crates/masticsill_relay/src/admission.rs
+++ b/crates/masticsill_relay/src/admission.rs
@@ -30,11 +30,7 @@
     Ok(RelayRequest {
         body,
         deadline_at: received_at + timeout_ms,
-        id: head
-            .headers
-            .text(&names.request_id)
-            .unwrap_or_default()
-            .to_owned(),
+        id: names.request_id_of(&head).to_owned(),
         received_at,
         service: choose_service(route, rand::random()),
         route: std::sync::Arc::clone(route),
--- a/crates/masticsill_relay/src/attempt.rs
+++ b/crates/masticsill_relay/src/attempt.rs
@@ -58,9 +58,9 @@
         if !std::mem::take(&mut self.is_reading) {
             return;
         }
-        if let Some(endpoint) = self.relay.endpoints.borrow_mut().get_mut(&self.endpoint.id) {
-            endpoint.reading = endpoint.reading.saturating_sub(1);
-        }
+        let id = &self.endpoint.id;
+        self.relay
+            .with_endpoint(id, |it| it.reading = it.reading.saturating_sub(1));
     }
 
     /// Keeps the connection for the next request if the answer allows it.
@@ -84,9 +84,9 @@
         if self.upstream.take().is_some() {
             self.relay.pool.borrow_mut().note_closed(&self.endpoint.id);
         }
-        if let Some(endpoint) = self.relay.endpoints.borrow_mut().get_mut(&self.endpoint.id) {
-            endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
-        }
+        let id = &self.endpoint.id;
+        self.relay
+            .with_endpoint(id, |it| it.in_flight = it.in_flight.saturating_sub(1));
     }
 }
 
@@ -108,10 +108,10 @@
         }
     };
     let is_reading = request.route.kind == RouteKind::Stream;
-    if let Some(known) = relay.endpoints.borrow_mut().get_mut(&endpoint.id) {
-        known.in_flight += 1;
-        known.reading += u32::from(is_reading);
-    }
+    relay.with_endpoint(&endpoint.id, |it| {
+        it.in_flight += 1;
+        it.reading += u32::from(is_reading);
+    });
     let mut sent = Sent {
         endpoint,
         is_reading,
@@ -119,19 +119,16 @@
         began_at: relay.now(),
         upstream: Some(Upstream::new(stream)),
     };
-    let names = Rc::clone(relay);
-    let names = &names.config.headers;
+    let names = &relay.config.headers;
     let bytes = request.bytes_for(names, &sent.endpoint, sent.began_at, options);
     let expected = Expected {
         method: &request.head.method,
         id_field: &names.request_id,
         request_id: &request.id,
     };
-    let sent_at = sent.began_at;
-    let zone = sent.endpoint.clone();
+    let (endpoint, sent_at) = (sent.endpoint.clone(), sent.began_at);
     let exchange = sent.upstream().exchange(&bytes, expected);
-    let end = with_patience(relay, &zone, sent_at, patience_ms, exchange).await;
-    match end {
+    match with_patience(relay, &endpoint, sent_at, patience_ms, exchange).await {
         Some(Ok(head)) => {
             relay.note_heard(&sent.endpoint.id);
             relay.note_answer(&sent.endpoint.id, head.status);
--- a/crates/masticsill_relay/src/caller.rs
+++ b/crates/masticsill_relay/src/caller.rs
@@ -8,11 +8,12 @@
 use masticsill_catalogue::RequestLimits;
 use masticsill_http1::{BodyDecoder, BodyStep, Framing, ParseError, RequestHead, parse_request};
 use masticsill_types::ClockMs;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::timeout;
 
 use crate::answer::Refusal;
+use crate::read::read_more;
 use crate::relay::Relay;
 
 /// Room made for each read.
@@ -89,23 +90,28 @@
         let idle = Duration::from_millis(idle_ms);
         tokio::select! {
             biased;
-            read = timeout(idle, read_more(&mut self.reader, &mut self.buffer)) => {
+            read = timeout(idle, self.read_more()) => {
                 matches!(read, Ok(Ok(true)))
             }
             () = relay.stopping.requested() => {
                 // What is on its way when the shutdown begins is still answered.
-                let last = read_more(&mut self.reader, &mut self.buffer);
+                let last = self.read_more();
                 matches!(timeout(LINGER, last).await, Ok(Ok(true)))
             }
         }
     }
 
+    /// Reads once; false at the end of the connection.
+    async fn read_more(&mut self) -> io::Result<bool> {
+        read_more(&mut self.reader, &mut self.buffer, READ_BYTES).await
+    }
+
     async fn read_head(&mut self, max_bytes: usize) -> Result<Option<RequestHead>, ParseError> {
         loop {
             if let Some(head) = parse_request(&mut self.buffer, max_bytes)? {
                 return Ok(Some(head));
             }
-            let read = read_more(&mut self.reader, &mut self.buffer).await;
+            let read = self.read_more().await;
             if !read.unwrap_or(false) {
                 return Ok(None);
             }
@@ -133,7 +139,7 @@
                 BodyStep::Data(data) => body.extend_from_slice(&data),
                 BodyStep::End => return Ok(body.freeze()),
                 BodyStep::NeedMore => {
-                    let read = read_more(&mut self.reader, &mut self.buffer).await;
+                    let read = self.read_more().await;
                     if !read.unwrap_or(false) {
                         return Err(BodyError::Ended);
                     }
@@ -151,7 +157,7 @@
             if self.buffer.len() >= READ_AHEAD_BYTES {
                 std::future::pending::<()>().await;
             }
-            match read_more(&mut self.reader, &mut self.buffer).await {
+            match self.read_more().await {
                 Ok(true) => {}
                 Ok(false) | Err(_) => return,
             }
@@ -166,7 +172,7 @@
         let draining = async {
             loop {
                 self.buffer.clear();
-                match read_more(&mut self.reader, &mut self.buffer).await {
+                match self.read_more().await {
                     Ok(true) => {}
                     Ok(false) | Err(_) => return,
                 }
@@ -182,9 +188,3 @@
         .as_ref()
         .map_or(DEFAULT_LIMITS, |index| index.document().limits)
 }
-
-/// Reads once; false at the end of the connection.
-async fn read_more(reader: &mut OwnedReadHalf, buffer: &mut BytesMut) -> io::Result<bool> {
-    buffer.reserve(READ_BYTES);
-    Ok(reader.read_buf(buffer).await? > 0)
-}
--- a/crates/masticsill_relay/src/config.rs
+++ b/crates/masticsill_relay/src/config.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use masticsill_catalogue::RouteDocument;
+use masticsill_http1::RequestHead;
 use masticsill_types::{NodeId, ZoneId};
 
 /// Reads the operator's bytes of a document; the text names what is wrong.
@@ -102,6 +103,13 @@
     pub workspace: String,
 }
 
+impl HeaderNames {
+    /// The id that a caller gave to its attempt; empty when it gave none.
+    pub(crate) fn request_id_of<'a>(&self, head: &'a RequestHead) -> &'a str {
+        head.headers.text(&self.request_id).unwrap_or_default()
+    }
+}
+
 impl Default for HeaderNames {
     fn default() -> Self {
         Self {
--- a/crates/masticsill_relay/src/connection.rs
+++ b/crates/masticsill_relay/src/connection.rs
@@ -14,7 +14,9 @@
 use crate::answer::Refusal;
 use crate::caller::{BodyError, Caller, LINGER, Next};
 use crate::dial::watch_peer;
-use crate::ending::{After, end_plain, end_stream, refuse, refuse_unadmitted, write_own};
+use crate::ending::{
+    After, end_plain, end_stream, log_caller_left, refuse, refuse_unadmitted, write_own,
+};
 use crate::events;
 use crate::plain::relay_plain;
 use crate::relay::{Active, NEWS_BOUND_MS, NEWS_SHARE, Relay};
@@ -68,26 +70,19 @@
     received_at: ClockMs,
 ) -> After {
     let _active = Active::begin(relay);
-    let id = head.headers.text(&relay.config.headers.request_id);
-    let id = id.unwrap_or_default().to_owned();
+    let id = relay.config.headers.request_id_of(&head).to_owned();
     let is_kept = head.is_keep_alive;
     let body = match caller.read_body(relay, writer, &head).await {
         Ok(body) => body,
         Err(BodyError::Refused(refusal)) => return write_own(writer, refusal).await,
         Err(BodyError::Ended) => return After::Cut,
     };
-    let answering = answer_whole(relay, writer, head, body, received_at);
+    let answering = answer_whole(relay, writer, &id, head, body, received_at);
     tokio::select! {
         biased;
         after = answering => if is_kept { after } else { after.at_least_close() },
         () = caller.left() => {
-            log_event!(
-                info,
-                events::CALLER_LEFT,
-                request = id,
-                cause = "closed its connection",
-                after_ms = relay.now().since(received_at)
-            );
+            log_caller_left(relay, &id, received_at, "closed its connection");
             After::Cut
         }
     }
@@ -97,25 +92,21 @@
 async fn answer_whole(
     relay: &Rc<Relay>,
     writer: &mut OwnedWriteHalf,
+    id: &str,
     head: RequestHead,
     body: Bytes,
     received_at: ClockMs,
 ) -> After {
     let names = &relay.config.headers;
-    let id = head
-        .headers
-        .text(&names.request_id)
-        .unwrap_or_default()
-        .to_owned();
     let is_kept = head.is_keep_alive;
     let asked_ms = head.headers.number(&names.deadline_ms).unwrap_or_default();
     let bound_ms = (asked_ms / NEWS_SHARE).min(NEWS_BOUND_MS);
     let Some(index) = relay.await_news(bound_ms, || relay.index()).await else {
-        return refuse_unadmitted(relay, writer, &id, Refusal::NoDocument, is_kept).await;
+        return refuse_unadmitted(relay, writer, id, Refusal::NoDocument, is_kept).await;
     };
     let request = match admit(&index, names, received_at, head, body) {
         Ok(request) => request,
-        Err(refusal) => return refuse_unadmitted(relay, writer, &id, refusal, is_kept).await,
+        Err(refusal) => return refuse_unadmitted(relay, writer, id, refusal, is_kept).await,
     };
     drop(index);
     relay.note_request(&request.service);
--- a/crates/masticsill_relay/src/copies.rs
+++ b/crates/masticsill_relay/src/copies.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 
 use bytes::BytesMut;
-use masticsill_http1::{BodyDecoder, HeadWriter, ParseError};
+use masticsill_http1::HeadWriter;
 use masticsill_registry::Announcement;
 use masticsill_types::{ClockMs, log_event};
 use tokio::sync::oneshot;
@@ -240,14 +240,7 @@
     };
     let exchange = async {
         let head = upstream.exchange(&bytes, expected).await?;
-        let mut decoder = BodyDecoder::new(head.framing);
-        let mut answer = BytesMut::new();
-        while let Some(piece) = upstream.next_piece(&mut decoder).await? {
-            answer.extend_from_slice(&piece);
-            if answer.len() > MAX_ANSWER_BYTES {
-                return Err(ParseError::Framing.into());
-            }
-        }
+        let answer = upstream.read_whole(head.framing, MAX_ANSWER_BYTES).await?;
         Ok::<_, Break>((head.status, answer))
     };
     let exchange = with_patience(relay, engine, relay.now(), COPY_BOUND_MS, exchange).await;
--- a/crates/masticsill_relay/src/ending.rs
+++ b/crates/masticsill_relay/src/ending.rs
@@ -1,9 +1,10 @@
 //! The ends of requests: what is written, logged and counted, and whether the connection goes on.
 
+use std::fmt::Display;
 use std::rc::Rc;
 
 use masticsill_registry::EndpointId;
-use masticsill_types::log_event;
+use masticsill_types::{ClockMs, log_event};
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 
@@ -13,7 +14,8 @@
 use crate::plain::PlainEnd;
 use crate::relay::Relay;
 use crate::request::RelayRequest;
-use crate::stream::{StreamEnd, Timing};
+use crate::stream::StreamEnd;
+use crate::timing::Timing;
 
 /// Kind of a request that no route was found for, in metrics.
 const UNADMITTED: &str = "unadmitted";
@@ -101,13 +103,7 @@
         }
         StreamEnd::CallerLeft(error) => {
             note_end(relay, request, "caller_left");
-            log_event!(
-                info,
-                events::CALLER_LEFT,
-                request = request.id,
-                cause = error,
-                after_ms = relay.now().since(request.received_at)
-            );
+            log_caller_left(relay, &request.id, request.received_at, error);
             After::Cut
         }
     }
@@ -193,6 +189,21 @@
     relay.metrics.note_answer_ms(kind, answer_ms);
 }
 
+pub(crate) fn log_caller_left(
+    relay: &Relay,
+    request_id: &str,
+    received_at: ClockMs,
+    cause: impl Display,
+) {
+    log_event!(
+        info,
+        events::CALLER_LEFT,
+        request = request_id,
+        cause = cause,
+        after_ms = relay.now().since(received_at)
+    );
+}
+
 fn log_answered(
     relay: &Relay,
     request: &RelayRequest,
--- a/crates/masticsill_relay/src/endpoints.rs
+++ b/crates/masticsill_relay/src/endpoints.rs
@@ -14,6 +14,8 @@
 const WORKING_ENDPOINTS: usize = 2;
 /// Silence of each of them: above the usual gap between events beside a long prompt (180 ms).
 const STILL_MS: u64 = 250;
+/// Incarnations that have ended and are still remembered.
+const MAX_ENDED: usize = 512;
 
 /// Requests of the other entries at an endpoint.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -216,6 +218,3 @@
         count >= WORKING_ENDPOINTS && working.all(is_still)
     }
 }
-
-/// Incarnations that have ended and are still remembered.
-const MAX_ENDED: usize = 512;
--- a/crates/masticsill_relay/src/lib.rs
+++ b/crates/masticsill_relay/src/lib.rs
@@ -26,12 +26,16 @@
 mod placement;
 mod plain;
 mod pool;
+mod read;
 mod relay;
 mod request;
 mod role;
 mod server;
 mod stream;
+mod timing;
+mod tries;
 mod upstream;
+mod whole;
 
 pub use budget::RetryBudget;
 pub use config::{BudgetSettings, DocumentReader, EngineCalls, HeaderNames, RelayConfig};
--- a/crates/masticsill_relay/src/metrics.rs
+++ b/crates/masticsill_relay/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::AtomicU64;
 
-use masticsill_registry::EndpointState;
+use masticsill_registry::{EndpointState, StateGauges};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -37,12 +37,6 @@
     pub(crate) cause: &'static str,
 }
 
-/// What endpoints say of themselves.
-#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
-pub(crate) struct StateLabel {
-    pub(crate) state: &'static str,
-}
-
 /// The metrics of one relay.
 #[derive(Clone, Debug)]
 pub(crate) struct RelayMetrics {
@@ -50,7 +44,7 @@
     pub(crate) answer_ms: Family<KindLabel, Histogram, fn() -> Histogram>,
     pub(crate) attempt_failures: Family<CauseLabel, Counter>,
     pub(crate) document_version: Gauge<u64, AtomicU64>,
-    pub(crate) endpoints: Family<StateLabel, Gauge>,
+    pub(crate) endpoints: StateGauges,
     pub(crate) event_gap_ms: Histogram,
     pub(crate) first_event_ms: Histogram,
     pub(crate) requests: Family<RequestLabels, Counter>,
@@ -71,7 +65,7 @@
             answer_ms: Family::new_with_constructor(time_histogram),
             attempt_failures: Family::default(),
             document_version: Gauge::default(),
-            endpoints: Family::default(),
+            endpoints: StateGauges::default(),
             event_gap_ms: time_histogram(),
             first_event_ms: time_histogram(),
             requests: Family::default(),
@@ -94,8 +88,8 @@
         let help = "Version of the document in force here";
         let version = self.document_version.clone();
         registry.register("masticsill_relay_document_version", help, version);
-        let help = "Endpoints by what they say of themselves";
-        registry.register("masticsill_relay_endpoints", help, self.endpoints.clone());
+        self.endpoints
+            .register(registry, "masticsill_relay_endpoints");
         let help = "Longest pause between the events of a stream";
         registry.register(
             "masticsill_relay_event_gap_ms",
@@ -142,18 +136,13 @@
 
     /// Notes the endpoints as they are now.
     pub(crate) fn note_endpoints(&self, table: &EndpointTable) {
-        for state in [
+        let shown = [
             EndpointState::Ready,
             EndpointState::Draining,
             EndpointState::Gone,
-        ] {
-            let is_so = table.iter().filter(|it| it.announcement.state == state);
-            let count = i64::try_from(is_so.count()).unwrap_or(i64::MAX);
-            let label = StateLabel {
-                state: state.name(),
-            };
-            self.endpoints.get_or_create(&label).set(count);
-        }
+        ];
+        let said: Vec<EndpointState> = table.iter().map(|it| it.announcement.state).collect();
+        self.endpoints.follow(&shown, &said);
     }
 }
 
--- a/crates/masticsill_relay/src/placement.rs
+++ b/crates/masticsill_relay/src/placement.rs
@@ -1,5 +1,6 @@
 //! Which endpoint a request goes to.
 
+use indexmap::IndexMap;
 use masticsill_registry::EndpointId;
 use masticsill_types::{ClockMs, ZoneId};
 
@@ -20,6 +21,8 @@
 const HELD_COST: f64 = 500.0;
 /// What an endpoint costs while its zone has just failed elsewhere.
 const SUSPECT_ZONE_COST: f64 = 50.0;
+/// Endpoints of a zone that have just failed when the zone itself is suspect.
+const SUSPECT_ENDPOINTS: usize = 2;
 /// How long the failures of neighbours count against a zone.
 const SUSPECT_MS: u64 = 700;
 /// How many times slower than usual an endpoint may count, so that no measure outweighs a failure.
@@ -88,11 +91,14 @@
             && !wanted.excluded.contains(&it.announcement.id)
     };
     let candidates: Vec<&Endpoint> = table.iter().filter(is_candidate).collect();
+    let suspect_zones = suspect_zones(table, wanted.service, now);
     let usual_ms = usual_pace_ms(&candidates);
     let others = others_endpoints(&candidates, wanted);
     let costs = candidates.iter().map(|endpoint| {
-        let suspect = suspect_cost(table, endpoint, now);
-        let mut cost = cost(endpoint, now, wanted.zone, usual_ms) + suspect + jitter() * JITTER;
+        let mut cost = cost(endpoint, now, wanted.zone, usual_ms) + jitter() * JITTER;
+        if suspect_zones.contains(&&endpoint.announcement.zone) {
+            cost += SUSPECT_ZONE_COST;
+        }
         if others.contains(&&endpoint.announcement.id) {
             cost += OTHER_ENTRY_COST;
         }
@@ -142,15 +148,19 @@
     cost
 }
 
-/// Neighbours that the request went to already count as well: it is they that failed.
-fn suspect_cost(table: &EndpointTable, endpoint: &Endpoint, now: ClockMs) -> f64 {
-    let is_failing_neighbour = |it: &&Endpoint| {
-        it.announcement.service == endpoint.announcement.service
-            && it.announcement.zone == endpoint.announcement.zone
-            && it.health.has_failed_within(now, SUSPECT_MS)
+/// Zones in which several endpoints of a service failed just now.
+///
+/// Those that the request went to already count as well: it is they that failed.
+fn suspect_zones<'a>(table: &'a EndpointTable, service: &str, now: ClockMs) -> Vec<&'a ZoneId> {
+    let is_failing = |it: &&Endpoint| {
+        it.announcement.service == service && it.health.has_failed_within(now, SUSPECT_MS)
     };
-    let failing = table.iter().filter(is_failing_neighbour).count();
-    if failing >= 2 { SUSPECT_ZONE_COST } else { 0.0 }
+    let mut failing: IndexMap<&ZoneId, usize> = IndexMap::new();
+    for endpoint in table.iter().filter(is_failing) {
+        *failing.entry(&endpoint.announcement.zone).or_default() += 1;
+    }
+    failing.retain(|_, count| *count >= SUSPECT_ENDPOINTS);
+    failing.into_keys().collect()
 }
 
 /// The median of the endpoints' paces.
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -164,14 +164,21 @@
         Some(self.now().since(since))
     }
 
-    /// Chooses an endpoint and returns what it said of itself.
-    pub(crate) fn choose(&self, wanted: &Wanted<'_>) -> Option<(Choice, Announcement)> {
+    /// Chooses an endpoint of a service and returns what it said of itself.
+    pub(crate) fn choose(
+        &self,
+        service: &str,
+        excluded: &[EndpointId],
+        not_in_zone: Option<&ZoneId>,
+    ) -> Option<(Choice, Announcement)> {
         let endpoints = self.endpoints.borrow();
-        let full = self.full_endpoints(&endpoints, wanted.service);
-        let excluded = [wanted.excluded, &full].concat();
+        let full = self.full_endpoints(&endpoints, service);
         let wanted = Wanted {
-            excluded: &excluded,
-            ..wanted.clone()
+            excluded: &[excluded, &full].concat(),
+            not_in_zone,
+            service,
+            share: self.share.get(),
+            zone: &self.config.zone,
         };
         let choice = choose(&endpoints, self.now(), &wanted, rand::random)?;
         let endpoint = endpoints.get(&choice.id)?;
@@ -182,14 +189,14 @@
     pub(crate) async fn choose_or_wait(
         &self,
         request: &RelayRequest,
-        wanted: &Wanted<'_>,
+        excluded: &[EndpointId],
     ) -> Option<(Choice, Announcement)> {
-        if !wanted.excluded.is_empty() {
-            return self.choose(wanted);
+        let choose = || self.choose(&request.service, excluded, None);
+        if !excluded.is_empty() {
+            return choose();
         }
         let bound_ms = request.left_ms(self.now()) / NEWS_SHARE;
-        self.await_news(bound_ms.min(NEWS_BOUND_MS), || self.choose(wanted))
-            .await
+        self.await_news(bound_ms.min(NEWS_BOUND_MS), choose).await
     }
 
     /// Endpoints that accept no more connections of this entry: all entries share what one
@@ -211,27 +218,20 @@
             .collect()
     }
 
-    /// Whether an endpoint takes requests and is not left alone after a failure.
-    pub(crate) fn is_usable(&self, id: &EndpointId) -> bool {
-        let endpoints = self.endpoints.borrow();
-        let endpoint = endpoints.get(id);
-        endpoint.is_some_and(|it| it.is_ready() && !it.health.is_held(self.now()))
-    }
-
     /// Whether an endpoint takes requests, as far as is known.
     pub(crate) fn is_ready(&self, id: &EndpointId) -> bool {
         let endpoints = self.endpoints.borrow();
         endpoints.get(id).is_some_and(Endpoint::is_ready)
     }
 
-    /// Why an endpoint is not usable, for the log.
-    pub(crate) fn why_unusable(&self, id: &EndpointId) -> &'static str {
+    /// What keeps requests from an endpoint, if anything does.
+    pub(crate) fn obstacle(&self, id: &EndpointId) -> Option<&'static str> {
         let endpoints = self.endpoints.borrow();
         match endpoints.get(id) {
-            None => "forgotten",
-            Some(endpoint) if !endpoint.is_ready() => "gone or draining",
-            Some(endpoint) if endpoint.health.is_held(self.now()) => "failed just now",
-            Some(_) => "tried before",
+            None => Some("forgotten"),
+            Some(endpoint) if !endpoint.is_ready() => Some("gone or draining"),
+            Some(endpoint) if endpoint.health.is_held(self.now()) => Some("failed just now"),
+            Some(_) => None,
         }
     }
 
@@ -315,22 +315,23 @@
     /// Notes that a byte of an endpoint's answer came.
     pub(crate) fn note_heard(&self, id: &EndpointId) {
         let now = self.now();
-        if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(id) {
-            endpoint.health.note_heard(now);
-        }
+        self.with_endpoint(id, |it| it.health.note_heard(now));
     }
 
     /// Notes the head of an answer.
     pub(crate) fn note_answer(&self, id: &EndpointId, status: u16) {
-        if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(id) {
-            endpoint.health.note_answer(status >= 500);
-        }
+        self.with_endpoint(id, |it| it.health.note_answer(status >= 500));
     }
 
     /// Notes the time that one unit of an endpoint's work took.
     pub(crate) fn note_pace(&self, id: &EndpointId, pace_ms: u64) {
+        self.with_endpoint(id, |it| it.health.note_pace(pace_ms));
+    }
+
+    /// Notes something of an endpoint, unless it is forgotten.
+    pub(crate) fn with_endpoint(&self, id: &EndpointId, note: impl FnOnce(&mut Endpoint)) {
         if let Some(endpoint) = self.endpoints.borrow_mut().get_mut(id) {
-            endpoint.health.note_pace(pace_ms);
+            note(endpoint);
         }
     }
 }
--- a/crates/masticsill_relay/src/stream.rs
+++ b/crates/masticsill_relay/src/stream.rs
@@ -22,10 +22,11 @@
 use crate::health::Failure;
 use crate::lineage::{EventOrder, Placed};
 use crate::metrics::CauseLabel;
-use crate::placement::Wanted;
-use crate::plain::{Tries, Verdict, collect, passed_headers};
 use crate::relay::Relay;
 use crate::request::{RelayRequest, SendOptions};
+use crate::timing::Timing;
+use crate::tries::Tries;
+use crate::whole::{Verdict, collect, passed_headers};
 
 /// Silence between events after which a run is given up: twice the longest usual gap, which is
 /// that of six decoding steps beside another request's prefill (180 ms).
@@ -54,31 +55,14 @@
     CallerLeft(io::Error),
 }
 
-/// When the caller got the events of a stream.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Timing {
-    /// Time from the request to the first event.
-    pub(crate) first_ms: Option<u64>,
-    last_at: ClockMs,
-    /// Longest pause between events.
-    pub(crate) longest_gap_ms: u64,
-}
-
-impl Timing {
-    fn note_events(&mut self, received_at: ClockMs, now: ClockMs) {
-        match self.first_ms {
-            None => self.first_ms = Some(now.since(received_at)),
-            Some(_) => self.longest_gap_ms = self.longest_gap_ms.max(now.since(self.last_at)),
-        }
-        self.last_at = now;
-    }
-}
-
 /// How one run ended.
 enum RunEnd {
     Whole,
     Plain(Answer),
-    NotRun(Answer),
+    /// It did not run; whether because the address belongs to another incarnation.
+    NotRun {
+        is_replaced: bool,
+    },
     Failed(SendFailure),
     CallerLeft(io::Error),
 }
@@ -138,11 +122,10 @@
                 }
                 RunEnd::Plain(answer) => return StreamEnd::Plain(answer, id),
                 RunEnd::CallerLeft(error) => return StreamEnd::CallerLeft(error),
-                RunEnd::NotRun(answer) => {
+                RunEnd::NotRun { is_replaced } => {
                     // Nothing ran here that could have made a copy.
                     self.copies.forget();
-                    let is_attempt = answer.status != 421 && from_copy.is_none();
-                    self.tries.note_not_run(is_attempt);
+                    self.tries.note_not_run(!is_replaced && from_copy.is_none());
                     // An engine without the copy may still run the request from its prompt.
                     if from_copy.is_none() {
                         self.tries.excluded.push(id);
@@ -167,9 +150,10 @@
         self.copies.collect(self.relay.now());
         if let Some(copy) = self.copies.copy() {
             let is_tried = self.tries.excluded.contains(&copy.at.id);
-            if !is_tried && self.relay.is_usable(&copy.at.id) {
+            let obstacle = self.relay.obstacle(&copy.at.id);
+            let Some(cause) = obstacle.or(is_tried.then_some("tried before")) else {
                 return Some((copy.at.clone(), Some(copy.clone())));
-            }
+            };
             log_event!(
                 info,
                 events::COPY_UNUSABLE,
@@ -177,38 +161,28 @@
                 endpoint = copy.at.id,
                 zone = copy.at.zone,
                 is_tried = is_tried,
-                cause = self.relay.why_unusable(&copy.at.id)
+                cause = cause
             );
             self.copies.forget();
         }
-        let wanted = Wanted {
-            excluded: &self.tries.excluded,
-            not_in_zone: None,
-            share: self.relay.share.get(),
-            service: &self.request.service,
-            zone: &self.relay.config.zone,
-        };
-        let (_, endpoint) = self.relay.choose_or_wait(self.request, &wanted).await?;
+        let excluded = &self.tries.excluded;
+        let (_, endpoint) = self.relay.choose_or_wait(self.request, excluded).await?;
         Some((endpoint, None))
     }
 
     /// Where the engine is to keep a copy: in another zone, so that it survives this one.
     fn choose_copy(&self, endpoint: &Announcement) -> Option<Copy> {
         let index = self.relay.index()?;
-        let engine = index.service(&self.request.service)?.engine?;
+        let service = &self.request.service;
+        let engine = index.service(service)?.engine?;
         if !engine.has_backups || !self.request.route.is_resumable {
             return None;
         }
         let mut excluded = self.tries.excluded.clone();
         excluded.push(endpoint.id.clone());
-        let wanted = Wanted {
-            excluded: &excluded,
-            not_in_zone: Some(&endpoint.zone),
-            share: self.relay.share.get(),
-            service: &self.request.service,
-            zone: &self.relay.config.zone,
-        };
-        let (_, at) = self.relay.choose(&wanted)?;
+        let (_, at) = self
+            .relay
+            .choose(service, &excluded, Some(&endpoint.zone))?;
         Some(Copy::backup(at))
     }
 
@@ -257,12 +231,9 @@
         };
         if head.status != 200 {
             return match collect(self.relay, self.request, sent, head).await {
-                Ok((Verdict::NotRun, answer)) => RunEnd::NotRun(answer),
-                Ok((_, answer)) if self.is_head_written => {
-                    // The caller has another run's head already.
-                    let _ = answer;
-                    RunEnd::Failed(SendFailure::MayHaveRun)
-                }
+                Ok((Verdict::NotRun { is_replaced }, _)) => RunEnd::NotRun { is_replaced },
+                // The caller has another run's head already.
+                Ok(_) if self.is_head_written => RunEnd::Failed(SendFailure::MayHaveRun),
                 Ok((_, answer)) => RunEnd::Plain(answer),
                 Err(failure) => RunEnd::Failed(failure),
             };
@@ -299,7 +270,7 @@
             let reading = sent.upstream().next_piece(&mut decoder);
             let patience_ms = silence_ms.min(left_ms);
             let piece = with_patience(self.relay, &endpoint, now, patience_ms, reading).await;
-            let cause = match piece {
+            let (failure, cause) = match piece {
                 Some(Ok(Some(piece))) => {
                     self.relay.note_heard(&endpoint.id);
                     splitter.push(&piece);
@@ -329,7 +300,6 @@
                 None if has_event => (Failure::Stalled, "no event".to_owned()),
                 None => (Failure::Silent, "no first event".to_owned()),
             };
-            let (failure, cause) = cause;
             return RunEnd::Failed(fail(self.relay, self.request, sent, failure, &cause));
         }
     }
--- /dev/null
+++ b/crates/masticsill_relay/src/tries.rs
@@ -0,0 +1,76 @@
+//! What has been tried for a request, and what may still be.
+
+use masticsill_registry::EndpointId;
+
+use crate::answer::Refusal;
+use crate::attempt::SendFailure;
+use crate::relay::Relay;
+use crate::request::RelayRequest;
+
+/// Endpoints that can't be connected to before a request is given up.
+const MAX_DIALS: usize = 8;
+/// Endpoints that a request may reach, those included that did not run it.
+const MAX_ARRIVALS: u32 = 10;
+
+/// What is known of a request that has not been answered yet.
+#[derive(Debug, Default)]
+pub(crate) struct Tries {
+    /// Sends that reached an endpoint, those included that it did not run: all of them count
+    /// against the retry budget.
+    arrivals: u32,
+    /// Endpoints that it must not go to again.
+    pub(crate) excluded: Vec<EndpointId>,
+    /// Whether it may have run somewhere.
+    pub(crate) may_have_run: bool,
+    /// Sends that count against the route's attempts.
+    pub(crate) sends: u32,
+}
+
+impl Tries {
+    /// Notes an answer that says that the request did not run.
+    ///
+    /// It is no attempt where the endpoint was asked for a copy's sake only, or where its address
+    /// belongs to another incarnation.
+    pub(crate) fn note_not_run(&mut self, is_attempt: bool) {
+        self.arrivals += 1;
+        self.sends += u32::from(is_attempt);
+    }
+
+    /// Notes a send that failed; the endpoint is not asked again.
+    pub(crate) fn note(&mut self, id: EndpointId, failure: &SendFailure) {
+        self.excluded.push(id);
+        match failure {
+            SendFailure::NotSent => {}
+            SendFailure::MayHaveRun => {
+                self.arrivals += 1;
+                self.sends += 1;
+                self.may_have_run = true;
+            }
+        }
+    }
+
+    /// Whether the request may be sent once more; the retry budget is spent then.
+    pub(crate) fn may_go_on(&self, relay: &Relay, request: &RelayRequest) -> bool {
+        if self.excluded.len() >= MAX_DIALS || self.arrivals >= MAX_ARRIVALS {
+            return false;
+        }
+        if self.sends >= request.route.max_attempts {
+            return false;
+        }
+        if self.may_have_run && !request.route.may_repeat() {
+            return false;
+        }
+        self.arrivals == 0 || relay.try_spend(&request.service)
+    }
+
+    /// Why the request is given up, by what may have become of it.
+    pub(crate) fn refusal(&self, relay: &Relay, request: &RelayRequest) -> Refusal {
+        let is_over = request.left_ms(relay.now()) == 0;
+        match (self.may_have_run, is_over) {
+            (true, true) => Refusal::DeadlineAfterSend,
+            (true, false) => Refusal::Broken,
+            (false, true) => Refusal::DeadlineBeforeSend,
+            (false, false) => Refusal::NoEndpoint,
+        }
+    }
+}
--- a/crates/masticsill_relay/src/upstream.rs
+++ b/crates/masticsill_relay/src/upstream.rs
@@ -2,11 +2,13 @@
 
 use std::io;
 
-use bytes::BytesMut;
-use masticsill_http1::{BodyDecoder, BodyStep, ParseError, ResponseHead, parse_response};
+use bytes::{Bytes, BytesMut};
+use masticsill_http1::{BodyDecoder, BodyStep, Framing, ParseError, ResponseHead, parse_response};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use crate::read::read_more;
+
 /// Bytes of an answer's head at most.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Room made for each read.
@@ -102,7 +104,10 @@
                 return Err(Break::Parse(ParseError::Head));
             }
             let mut decoder = BodyDecoder::new(head.framing);
-            skip_body(&mut reader, &mut self.buffer, &mut decoder).await?;
+            while next_piece(&mut reader, &mut self.buffer, &mut decoder)
+                .await?
+                .is_some()
+            {}
         }
     }
 
@@ -110,21 +115,25 @@
     pub(crate) async fn next_piece(
         &mut self,
         decoder: &mut BodyDecoder,
-    ) -> Result<Option<bytes::Bytes>, Break> {
-        loop {
-            match decoder.step(&mut self.buffer)? {
-                BodyStep::Data(data) => return Ok(Some(data)),
-                BodyStep::End => return Ok(None),
-                BodyStep::NeedMore => {}
-            }
-            if read_more(&mut self.stream, &mut self.buffer).await? {
-                continue;
-            }
-            if decoder.ends_with_connection() {
-                return Ok(None);
+    ) -> Result<Option<Bytes>, Break> {
+        next_piece(&mut self.stream, &mut self.buffer, decoder).await
+    }
+
+    /// Reads the whole body of an answer, of `max_bytes` at most.
+    pub(crate) async fn read_whole(
+        &mut self,
+        framing: Framing,
+        max_bytes: usize,
+    ) -> Result<BytesMut, Break> {
+        let mut decoder = BodyDecoder::new(framing);
+        let mut body = BytesMut::new();
+        while let Some(piece) = self.next_piece(&mut decoder).await? {
+            body.extend_from_slice(&piece);
+            if body.len() > max_bytes {
+                return Err(ParseError::Framing.into());
             }
-            return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
         }
+        Ok(body)
     }
 
     /// The connection, if the next request may use it: the request has left whole and nothing
@@ -143,35 +152,29 @@
         if let Some(head) = parse_response(buffer, method, MAX_HEAD_BYTES)? {
             return Ok(head);
         }
-        if !read_more(reader, buffer).await? {
+        if !read_more(reader, buffer, READ_BYTES).await? {
             return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
         }
     }
 }
 
-async fn skip_body(
+async fn next_piece(
     reader: &mut (impl AsyncReadExt + Unpin),
     buffer: &mut BytesMut,
     decoder: &mut BodyDecoder,
-) -> Result<(), Break> {
+) -> Result<Option<Bytes>, Break> {
     loop {
         match decoder.step(buffer)? {
-            BodyStep::Data(_) => {}
-            BodyStep::End => return Ok(()),
-            BodyStep::NeedMore => {
-                if !read_more(reader, buffer).await? {
-                    return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
-                }
-            }
+            BodyStep::Data(data) => return Ok(Some(data)),
+            BodyStep::End => return Ok(None),
+            BodyStep::NeedMore => {}
+        }
+        if read_more(reader, buffer, READ_BYTES).await? {
+            continue;
+        }
+        if decoder.ends_with_connection() {
+            return Ok(None);
         }
+        return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
     }
 }
-
-/// Reads once; false at the end of the connection.
-async fn read_more(
-    reader: &mut (impl AsyncReadExt + Unpin),
-    buffer: &mut BytesMut,
-) -> io::Result<bool> {
-    buffer.reserve(READ_BYTES);
-    Ok(reader.read_buf(buffer).await? > 0)
-}
