--- a/crates/masticsill_control/src/gauges.rs
+++ b/crates/masticsill_control/src/gauges.rs
@@ -33,7 +33,7 @@
         registry.register("masticsill_control_document_version", help, version);
         gauges
             .endpoints
-            .register(registry, "masticsill_control_endpoints");
+            .register("masticsill_control_endpoints", registry);
         let help = "Whether the data folder belongs to a cluster";
         registry.register(
             "masticsill_control_founded",
--- a/crates/masticsill_registry/src/gauges.rs
+++ b/crates/masticsill_registry/src/gauges.rs
@@ -21,7 +21,7 @@
 
 impl StateGauges {
     /// Shows the gauges under a name.
-    pub fn register(&self, registry: &mut Registry, name: &'static str) {
+    pub fn register(&self, name: &'static str, registry: &mut Registry) {
         let help = "Endpoints by what they say of themselves";
         registry.register(name, help, self.endpoints.clone());
     }
--- a/crates/masticsill_relay/src/metrics.rs
+++ b/crates/masticsill_relay/src/metrics.rs
@@ -89,7 +89,7 @@
         let version = self.document_version.clone();
         registry.register("masticsill_relay_document_version", help, version);
         self.endpoints
-            .register(registry, "masticsill_relay_endpoints");
+            .register("masticsill_relay_endpoints", registry);
         let help = "Longest pause between the events of a stream";
         registry.register(
             "masticsill_relay_event_gap_ms",
