Relays tell each other of their streams as they change

Change: a replica is told of a change at once (tell_loads) and wakes those who watch, 2 ms a watcher later (8 ms for another zone), so that the number of answers is bounded. Who watches and what they have is WatcherBook in masticsill_registry, pure. endpoint_chosen (M2128) logs each choice with its inputs and their age.

--- a/crates/masticsill_control/src/endpoints/exchange.rs
+++ b/crates/masticsill_control/src/endpoints/exchange.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use masticsill_registry::Watcher;
 use masticsill_types::{ClockMs, NodeId};
-use masticsill_wire::control::{WatchRequest, Watcher};
+use masticsill_wire::control::WatchRequest;
 use tokio::task::spawn_local;
 
 use crate::rpc::ControlServer;
@@ -61,6 +62,8 @@
         document_held: Some(u64::MAX),
         document_seen: Some(u64::MAX),
         loads: Vec::new(),
+        // Replicas send no requests to endpoints, so they need no word of others'.
+        loads_revision: u64::MAX,
         registry: 0,
         revision: 0,
         wait_ms: WAIT_MS,
--- a/crates/masticsill_control/src/endpoints/hub.rs
+++ b/crates/masticsill_control/src/endpoints/hub.rs
@@ -3,12 +3,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use indexmap::IndexMap;
 use masticsill_registry::{
-    Announcement, EndpointId, EndpointRecord, EndpointState, Heard, Registry, RegistryPeriods,
+    Announcement, EndpointId, EndpointLoad, EndpointRecord, EndpointState, Heard, LoadsChange,
+    Registry, RegistryPeriods, Watcher, WatcherBook,
 };
-use masticsill_types::{ClockMs, MonotonicClock, NodeId, ZoneId, log_event};
-use masticsill_wire::control::{EndpointLoad, WatchReply, WatchRequest, Watcher};
+use masticsill_types::{MonotonicClock, NodeId, ZoneId, log_event};
+use masticsill_wire::control::{WatchReply, WatchRequest};
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, timeout_at};
 
@@ -19,18 +19,14 @@
 const RESTORED_MS: u64 = 2_500;
 /// Longest wait of one watch, whatever it asks for.
 const MAX_WAIT_MS: u64 = 2_000;
-/// A watcher that asked for nothing in this time has gone: twice the usual wait, and an answer.
-const WATCHER_GONE_MS: u64 = 2_500;
 /// Longest wait for the watchers before a deregistration is acknowledged; senders give up after 1 s.
 const TELL_BOUND: Duration = Duration::from_millis(400);
-
-/// What a watcher has acknowledged and told.
-#[derive(Clone, Debug)]
-struct Seen {
-    at: ClockMs,
-    loads: Vec<EndpointLoad>,
-    revision: u64,
-}
+/// Pause for each watcher before news that are of loads only are told, so that a replica with many
+/// watchers answers each less often: 16 ms for the eight of a small system, 64 ms for 32.
+const LOADS_PAUSE_MS: u64 = 2;
+/// How many times longer watchers of another zone wait for them: bytes between zones are dear, and
+/// their requests seldom come here.
+const FAR_PAUSES: u64 = 4;
 
 #[derive(Debug)]
 struct Shared {
@@ -38,9 +34,11 @@
     clock: MonotonicClock,
     /// Tells this registry from that of another life of the process.
     life: u64,
+    /// Raised when some watcher's loads change.
+    loads: watch::Sender<u64>,
     registry: Mutex<Registry>,
     revision: watch::Sender<u64>,
-    watchers: Mutex<IndexMap<Watcher, Seen>>,
+    watchers: Mutex<WatcherBook>,
     zone: ZoneId,
 }
 
@@ -56,6 +54,7 @@
             acknowledged: Notify::new(),
             clock,
             life: rand::random(),
+            loads: watch::Sender::new(0),
             registry: Mutex::new(Registry::new(periods)),
             revision: watch::Sender::new(0),
             watchers: Mutex::default(),
@@ -177,13 +176,19 @@
         self.note_watcher(&request);
         let mut revisions = self.shared.revision.subscribe();
         let mut documents = published.watch_document();
+        let mut loads = self.shared.loads.subscribe();
         let wait_ms = request.wait_ms.min(MAX_WAIT_MS);
-        let bound = Instant::now() + Duration::from_millis(wait_ms);
+        let began = Instant::now();
+        let mut bound = began + Duration::from_millis(wait_ms);
         while !self.has_news(published, &request) {
+            if self.have_loads_changed(&request) {
+                bound = bound.min(began + self.loads_pause(&request.watcher));
+            }
             let change = async {
                 tokio::select! {
                     _ = revisions.changed() => {}
                     _ = documents.changed() => {}
+                    _ = loads.changed() => {}
                 }
             };
             if timeout_at(bound, change).await.is_err() {
@@ -193,6 +198,32 @@
         self.reply(published, members, &request)
     }
 
+    /// Takes a watcher's requests at the endpoints of this zone.
+    pub(crate) fn take_loads(&self, watcher: &Watcher, loads: &[EndpointLoad]) {
+        let change = self.watchers().take_loads(watcher, loads);
+        self.tell_of_loads(change);
+    }
+
+    fn tell_of_loads(&self, change: LoadsChange) {
+        match change {
+            LoadsChange::Changed => self.shared.loads.send_modify(|changes| *changes += 1),
+            LoadsChange::None => {}
+        }
+    }
+
+    fn have_loads_changed(&self, request: &WatchRequest) -> bool {
+        let watchers = self.watchers();
+        watchers.have_others_changed(&request.watcher, request.loads_revision)
+    }
+
+    /// How long changed loads wait, counted from the question, so that many share one answer.
+    fn loads_pause(&self, watcher: &Watcher) -> Duration {
+        let watchers = u64::try_from(self.watchers().len()).unwrap_or(u64::MAX);
+        let is_near = matches!(watcher, Watcher::Entry { zone, .. } if *zone == self.shared.zone);
+        let pauses = if is_near { 1 } else { FAR_PAUSES };
+        Duration::from_millis(LOADS_PAUSE_MS * watchers * pauses)
+    }
+
     fn has_news(&self, published: &PublishedState, request: &WatchRequest) -> bool {
         if !self.is_followed(request) || self.registry().revision() > request.revision {
             return true;
@@ -211,11 +242,16 @@
         let document = published.document();
         let document_version = document.as_ref().map(|document| document.version);
         let is_wanted = request.wants_document && document_version > request.document_held;
-        let (entries, entries_nearby) = self.entries(&request.watcher);
+        let now = self.shared.clock.now();
+        let watchers = self.watchers();
+        let (entries, entries_nearby) = watchers.entries(&request.watcher);
+        let loads = watchers.loads_of_others(now, &request.watcher);
+        let loads_revision = watchers.loads_revision();
+        drop(watchers);
         let registry = self.registry();
         let heard = match request.watcher {
             Watcher::Entry { .. } => Vec::new(),
-            Watcher::Replica(_) => registry.heard_here(self.shared.clock.now()),
+            Watcher::Replica(_) => registry.heard_here(now),
         };
         WatchReply {
             document: document.filter(|_| is_wanted),
@@ -224,7 +260,8 @@
             entries_nearby,
             endpoints: registry.changes_since(self.known_revision(request)),
             heard,
-            loads: self.loads_of_others(&request.watcher),
+            loads,
+            loads_revision,
             members,
             registry: self.shared.life,
             revision: registry.revision(),
@@ -232,47 +269,6 @@
         }
     }
 
-    /// The number of entries that watch, and the names of those in the watcher's zone.
-    fn entries(&self, watcher: &Watcher) -> (u32, Vec<NodeId>) {
-        let watchers = self.watchers();
-        let entries = watchers.keys().filter_map(|it| match it {
-            Watcher::Entry { node, zone } => Some((node, zone)),
-            Watcher::Replica(_) => None,
-        });
-        let count = u32::try_from(entries.clone().count()).unwrap_or(u32::MAX);
-        let Watcher::Entry { zone: near, .. } = watcher else {
-            return (count, Vec::new());
-        };
-        let nearby = entries.filter(|(_, zone)| *zone == near);
-        let mut nearby: Vec<NodeId> = nearby.map(|(node, _)| node.clone()).collect();
-        nearby.sort();
-        (count, nearby)
-    }
-
-    /// Requests that the other watchers told of, by endpoint.
-    fn loads_of_others(&self, watcher: &Watcher) -> Vec<EndpointLoad> {
-        let now = self.shared.clock.now();
-        let watchers = self.watchers();
-        let is_other = |(other, seen): &(&Watcher, &Seen)| {
-            *other != watcher && now.since(seen.at) < WATCHER_GONE_MS
-        };
-        let mut sums: IndexMap<EndpointId, EndpointLoad> = IndexMap::new();
-        for load in watchers
-            .iter()
-            .filter(is_other)
-            .flat_map(|(_, seen)| &seen.loads)
-        {
-            let sum = sums.entry(load.id.clone()).or_insert_with(|| EndpointLoad {
-                id: load.id.clone(),
-                in_flight: 0,
-                reading: 0,
-            });
-            sum.in_flight = sum.in_flight.saturating_add(load.in_flight);
-            sum.reading = sum.reading.saturating_add(load.reading);
-        }
-        sums.into_values().collect()
-    }
-
     /// Whether a watcher goes on from this life of the registry.
     fn is_followed(&self, request: &WatchRequest) -> bool {
         request.registry == self.shared.life
@@ -288,15 +284,12 @@
     }
 
     fn note_watcher(&self, request: &WatchRequest) {
-        let seen = Seen {
-            at: self.shared.clock.now(),
-            loads: request.loads.clone(),
-            revision: self.known_revision(request),
-        };
-        let mut watchers = self.watchers();
-        watchers.retain(|_, other| seen.at.since(other.at) < WATCHER_GONE_MS);
-        watchers.insert(request.watcher.clone(), seen);
-        drop(watchers);
+        let now = self.shared.clock.now();
+        let revision = self.known_revision(request);
+        let change = self
+            .watchers()
+            .note(now, &request.watcher, revision, &request.loads);
+        self.tell_of_loads(change);
         self.shared.acknowledged.notify_waiters();
     }
 
@@ -318,10 +311,7 @@
 
     fn have_all_seen(&self, revision: u64) -> bool {
         let now = self.shared.clock.now();
-        let watchers = self.watchers();
-        let has_seen =
-            |seen: &Seen| seen.revision >= revision || now.since(seen.at) >= WATCHER_GONE_MS;
-        watchers.values().all(has_seen)
+        self.watchers().have_all_seen(now, revision)
     }
 
     fn registry(&self) -> MutexGuard<'_, Registry> {
@@ -329,7 +319,7 @@
         registry.unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn watchers(&self) -> MutexGuard<'_, IndexMap<Watcher, Seen>> {
+    fn watchers(&self) -> MutexGuard<'_, WatcherBook> {
         let watchers = self.shared.watchers.lock();
         watchers.unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/masticsill_control_client/src/client.rs
+++ b/crates/masticsill_control_client/src/client.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 
 use masticsill_catalogue::{ChangeAnswer, Claim, ClaimAnswer, DocumentAnswer, Reassign, Settle};
+use masticsill_registry::{EndpointLoad, Watcher};
 use masticsill_wire::control::{
     ChangeRequest, ControlServiceClient, DocumentChange, ReadAnswer, ReadRequest, RenewReply,
     RenewRequest, ReplicaAnswer, ReplicaChange, ReplicaIdentity, WatchReply, WatchRequest,
@@ -185,6 +186,22 @@
         self.call_within(address, timeout_ms, send).await
     }
 
+    /// Tells the replica at an address what a watcher has at the endpoints of its zone; returns
+    /// whether it heard.
+    pub async fn tell_loads(
+        &self,
+        address: SocketAddr,
+        watcher: &Watcher,
+        loads: &[EndpointLoad],
+    ) -> bool {
+        let send = async |client: ControlServiceClient, context| {
+            client
+                .tell_loads(context, watcher.clone(), loads.to_vec())
+                .await
+        };
+        self.call_once(address, send).await.is_some()
+    }
+
     /// Asks the replica at an address who it is; `None` when it does not answer.
     pub async fn identify(&self, address: SocketAddr) -> Option<ReplicaIdentity> {
         let send = async |client: ControlServiceClient, context| client.identify(context).await;
--- a/crates/masticsill_registry/src/lib.rs
+++ b/crates/masticsill_registry/src/lib.rs
@@ -9,7 +9,9 @@
 mod record;
 mod registry;
 mod silence;
+mod watchers;
 
 pub use gauges::StateGauges;
 pub use record::{Announcement, EndpointId, EndpointRecord, EndpointState, Heard};
 pub use registry::{Registry, RegistryPeriods};
+pub use watchers::{EndpointLoad, LoadsChange, Watcher, WatcherBook};
--- a/crates/masticsill_relay/src/attempt.rs
+++ b/crates/masticsill_relay/src/attempt.rs
@@ -30,11 +30,21 @@
 #[derive(Debug)]
 pub(crate) struct Sent {
     pub(crate) endpoint: Announcement,
-    /// Whether the endpoint still reads the prompt of a stream.
-    is_reading: bool,
     relay: Rc<Relay>,
     pub(crate) began_at: ClockMs,
     upstream: Option<Upstream>,
+    work: Work,
+}
+
+/// What an endpoint does for a send.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Work {
+    /// It reads the prompt of a stream.
+    Prompt,
+    /// It makes the events of a stream.
+    Events,
+    /// It makes a whole answer.
+    Whole,
 }
 
 /// How a send ended before an answer.
@@ -55,12 +65,14 @@
 
     /// Notes the first event of a stream: its prompt has been read.
     pub(crate) fn end_reading(&mut self) {
-        if !std::mem::take(&mut self.is_reading) {
+        if self.work != Work::Prompt {
             return;
         }
+        self.work = Work::Events;
         let id = &self.endpoint.id;
         self.relay
             .with_endpoint(id, |it| it.reading = it.reading.saturating_sub(1));
+        self.relay.note_load_change(&self.endpoint.zone);
     }
 
     /// Keeps the connection for the next request if the answer allows it.
@@ -87,6 +99,9 @@
         let id = &self.endpoint.id;
         self.relay
             .with_endpoint(id, |it| it.in_flight = it.in_flight.saturating_sub(1));
+        if self.work != Work::Whole {
+            self.relay.note_load_change(&self.endpoint.zone);
+        }
     }
 }
 
@@ -107,17 +122,23 @@
             return Err(SendFailure::NotSent);
         }
     };
-    let is_reading = request.route.kind == RouteKind::Stream;
+    let work = match request.route.kind {
+        RouteKind::Stream => Work::Prompt,
+        RouteKind::Idempotent | RouteKind::NonIdempotent => Work::Whole,
+    };
     relay.with_endpoint(&endpoint.id, |it| {
         it.in_flight += 1;
-        it.reading += u32::from(is_reading);
+        it.reading += u32::from(work == Work::Prompt);
     });
+    if work == Work::Prompt {
+        relay.note_load_change(&endpoint.zone);
+    }
     let mut sent = Sent {
         endpoint,
-        is_reading,
         relay: Rc::clone(relay),
         began_at: relay.now(),
         upstream: Some(Upstream::new(stream)),
+        work,
     };
     let names = &relay.config.headers;
     let bytes = request.bytes_for(names, &sent.endpoint, sent.began_at, options);
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -12,9 +12,10 @@
 use indexmap::IndexSet;
 use masticsill_catalogue::{RouteIndex, StoredDocument};
 use masticsill_control_client::{AddressBook, ControlClient};
+use masticsill_registry::Watcher;
 use masticsill_runtime::Ring;
-use masticsill_types::{ClockMs, NodeId, log_event};
-use masticsill_wire::control::{WatchReply, WatchRequest, Watcher};
+use masticsill_types::{ClockMs, NodeId, ZoneId, log_event};
+use masticsill_wire::control::{WatchReply, WatchRequest};
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -26,6 +27,8 @@
 /// How often the own zone's replica is told of this entry's load and asked for the others':
 /// about as often as requests for long generations come.
 const LOADS_MS: u64 = 200;
+/// Pause before changed loads are told, so that what happens at the same moment shares a message.
+const LOADS_PAUSE: Duration = Duration::from_millis(4);
 /// How long the own zone's replica may be behind before another is asked for the bytes.
 const BEHIND_MS: u64 = 150;
 /// Pause after a replica did not answer.
@@ -139,18 +142,20 @@
     let relay = Rc::clone(&discovery.relay);
     // The replica is named by its address here: its node is of no use to an entry.
     let node = NodeId::new(address.to_string()).expect("an address holds allowed characters");
+    let watcher = Watcher::Entry {
+        node: relay.config.node.clone(),
+        zone: relay.config.zone.clone(),
+    };
     let mut request = WatchRequest {
         document_held: None,
         document_seen: None,
         loads: Vec::new(),
+        loads_revision: 0,
         registry: 0,
         revision: 0,
         wait_ms: WAIT_MS,
         wants_document: true,
-        watcher: Watcher::Entry {
-            node: relay.config.node.clone(),
-            zone: relay.config.zone.clone(),
-        },
+        watcher: watcher.clone(),
     };
     let mut is_reached = false;
     let mut is_own_zone = false;
@@ -189,10 +194,20 @@
         relay
             .endpoints
             .borrow_mut()
-            .take_loads(&reply.zone, &reply.loads);
+            .take_loads(relay.now(), &reply.zone, &reply.loads);
+        if zone.is_none() {
+            let telling = tell_loads(
+                Rc::clone(&discovery),
+                address,
+                reply.zone.clone(),
+                watcher.clone(),
+            );
+            spawn_local(telling);
+        }
         zone = Some(reply.zone.clone());
         is_own_zone = reply.zone == relay.config.zone;
         request.document_seen = reply.document_version.max(request.document_seen);
+        request.loads_revision = reply.loads_revision;
         request.registry = reply.registry;
         request.revision = reply.revision;
         discovery.note_newest(reply.document_version);
@@ -210,3 +225,24 @@
         }
     }
 }
+
+/// Tells a replica of this entry's streams in its zone whenever they change, for good.
+///
+/// A question brings the loads along as well, but the next one may be a second away, and entries
+/// that choose on old loads send their prompts to the same engine.
+async fn tell_loads(discovery: Rc<Discovery>, address: SocketAddr, zone: ZoneId, watcher: Watcher) {
+    let relay = &discovery.relay;
+    let mut changes = relay.load_changes.subscribe();
+    let mut told = 0;
+    while changes.changed().await.is_ok() {
+        sleep(LOADS_PAUSE).await;
+        let count = changes.borrow_and_update().get(&zone).copied();
+        if count.is_none_or(|count| count == told) {
+            continue;
+        }
+        told = count.unwrap_or_default();
+        let loads = relay.endpoints.borrow().loads_in(&zone);
+        // What a replica that can't be reached misses comes with the next question.
+        discovery.client.tell_loads(address, &watcher, &loads).await;
+    }
+}
--- a/crates/masticsill_relay/src/endpoints.rs
+++ b/crates/masticsill_relay/src/endpoints.rs
@@ -4,9 +4,8 @@
 use std::net::SocketAddr;
 
 use indexmap::IndexMap;
-use masticsill_registry::{Announcement, EndpointId, EndpointRecord, EndpointState};
+use masticsill_registry::{Announcement, EndpointId, EndpointLoad, EndpointRecord, EndpointState};
 use masticsill_types::{ClockMs, NodeId, ZoneId};
-use masticsill_wire::control::EndpointLoad;
 
 use crate::health::{Failure, Health};
 
@@ -66,6 +65,8 @@
 pub struct EndpointTable {
     endpoints: IndexMap<EndpointId, Endpoint>,
     last_order: u64,
+    /// When the other entries' requests in each zone were told last.
+    loads_told_at: IndexMap<ZoneId, ClockMs>,
 }
 
 impl EndpointTable {
@@ -157,8 +158,16 @@
         loads.collect()
     }
 
+    /// Age of what is known of the other entries' requests in a zone.
+    #[must_use]
+    pub fn loads_age_ms(&self, now: ClockMs, zone: &ZoneId) -> Option<u64> {
+        let told_at = self.loads_told_at.get(zone)?;
+        Some(now.since(*told_at))
+    }
+
     /// Takes what the other entries have at the endpoints of a zone.
-    pub fn take_loads(&mut self, zone: &ZoneId, loads: &[EndpointLoad]) {
+    pub fn take_loads(&mut self, now: ClockMs, zone: &ZoneId, loads: &[EndpointLoad]) {
+        self.loads_told_at.insert(zone.clone(), now);
         for endpoint in self.endpoints.values_mut() {
             if endpoint.announcement.zone == *zone {
                 endpoint.others = OtherLoad::default();
--- a/crates/masticsill_relay/src/events.rs
+++ b/crates/masticsill_relay/src/events.rs
@@ -44,6 +44,8 @@
 pub const ACCEPT_FAILED: Event = Event::new(2126, "relay_accept_failed");
 /// The retry budget of a service does not allow one more send.
 pub const RETRY_REFUSED: Event = Event::new(2127, "retry_refused");
+/// An endpoint was chosen for a stream, or for one more send of any request.
+pub const ENDPOINT_CHOSEN: Event = Event::new(2128, "endpoint_chosen");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -68,4 +70,5 @@
     CONTROL_LOST,
     ACCEPT_FAILED,
     RETRY_REFUSED,
+    ENDPOINT_CHOSEN,
 ];
--- a/crates/masticsill_relay/src/placement.rs
+++ b/crates/masticsill_relay/src/placement.rs
@@ -75,6 +75,10 @@
     pub cost: f64,
     /// The endpoint.
     pub id: EndpointId,
+    /// Requests that it works on, as far as is known.
+    pub in_flight: u32,
+    /// Those of them whose prompt it still reads.
+    pub reading: u32,
 }
 
 /// Chooses the endpoint of the lowest cost; `jitter` gives numbers from zero to one.
@@ -109,6 +113,8 @@
         candidates: candidates.len(),
         cost,
         id: best.announcement.id.clone(),
+        in_flight: best.in_flight + best.others.in_flight,
+        reading: best.reading + best.others.reading,
     })
 }
 
--- a/crates/masticsill_relay/src/plain.rs
+++ b/crates/masticsill_relay/src/plain.rs
@@ -20,7 +20,7 @@
     let mut tries = Tries::default();
     let mut failed = None;
     while request.left_ms(relay.now()) > 0 {
-        let chosen = relay.choose_or_wait(request, &tries.excluded).await;
+        let chosen = relay.choose_or_wait(request, &tries).await;
         let Some((choice, endpoint)) = chosen else {
             break;
         };
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use masticsill_catalogue::RouteIndex;
+use masticsill_catalogue::{RouteIndex, RouteKind};
 use masticsill_registry::{Announcement, EndpointId};
 use masticsill_runtime::ShutdownSignal;
 use masticsill_types::{ClockMs, MonotonicClock, NodeId, ZoneId, log_event};
@@ -24,6 +24,7 @@
 use crate::placement::{Choice, Wanted, ZoneShare, choose};
 use crate::pool::Pool;
 use crate::request::RelayRequest;
+use crate::tries::Tries;
 
 /// Part of a request's time that it may wait for a first document or endpoint: the rest must
 /// suffice to serve it, or to come back elsewhere.
@@ -65,6 +66,9 @@
     pub(crate) endpoints: RefCell<EndpointTable>,
     /// Whether a document is in force here, for the readiness that other duties tell.
     pub(crate) has_document: Arc<AtomicBool>,
+    /// Changes of this entry's streams at the endpoints of each zone, counted, for the replicas
+    /// that pass them on. Whole answers end sooner than the word of them would arrive.
+    pub(crate) load_changes: watch::Sender<IndexMap<ZoneId, u64>>,
     /// Entries that share budgets and connections, this one included.
     pub(crate) entries: RefCell<EntryCount>,
     pub(crate) metrics: RelayMetrics,
@@ -96,6 +100,7 @@
             config,
             endpoints: RefCell::default(),
             has_document,
+            load_changes: watch::Sender::default(),
             entries: RefCell::default(),
             metrics,
             news: watch::Sender::new(0),
@@ -189,14 +194,48 @@
     pub(crate) async fn choose_or_wait(
         &self,
         request: &RelayRequest,
-        excluded: &[EndpointId],
+        tries: &Tries,
     ) -> Option<(Choice, Announcement)> {
-        let choose = || self.choose(&request.service, excluded, None);
-        if !excluded.is_empty() {
-            return choose();
+        let choose = || self.choose(&request.service, &tries.excluded, None);
+        let is_first = tries.excluded.is_empty();
+        let chosen = if is_first {
+            let bound_ms = request.left_ms(self.now()) / NEWS_SHARE;
+            self.await_news(bound_ms.min(NEWS_BOUND_MS), choose).await
+        } else {
+            choose()
+        };
+        if let Some((choice, endpoint)) = &chosen
+            && (!is_first || request.route.kind == RouteKind::Stream)
+        {
+            self.log_choice(request, choice, endpoint, tries.sends);
         }
-        let bound_ms = request.left_ms(self.now()) / NEWS_SHARE;
-        self.await_news(bound_ms.min(NEWS_BOUND_MS), choose).await
+        chosen
+    }
+
+    fn log_choice(
+        &self,
+        request: &RelayRequest,
+        choice: &Choice,
+        endpoint: &Announcement,
+        sends: u32,
+    ) {
+        let now = self.now();
+        let endpoints = self.endpoints.borrow();
+        let loads_age_ms = endpoints.loads_age_ms(now, &endpoint.zone);
+        log_event!(
+            info,
+            events::ENDPOINT_CHOSEN,
+            request = request.id,
+            endpoint = endpoint.id,
+            zone = endpoint.zone,
+            candidates = choice.candidates,
+            cost = format_args!("{:.2}", choice.cost),
+            in_flight = choice.in_flight,
+            reading = choice.reading,
+            loads_age_ms = loads_age_ms.map_or(-1, u64::cast_signed),
+            sends = sends,
+            left_ms = request.left_ms(now)
+        );
     }
 
     /// Endpoints that accept no more connections of this entry: all entries share what one
@@ -218,6 +257,17 @@
             .collect()
     }
 
+    /// Notes that a stream begins, goes on from its prompt to its events, or ends in a zone.
+    pub(crate) fn note_load_change(&self, zone: &ZoneId) {
+        self.load_changes.send_modify(|changes| {
+            if let Some(count) = changes.get_mut(zone) {
+                *count += 1;
+            } else {
+                changes.insert(zone.clone(), 1);
+            }
+        });
+    }
+
     /// Whether an endpoint takes requests, as far as is known.
     pub(crate) fn is_ready(&self, id: &EndpointId) -> bool {
         let endpoints = self.endpoints.borrow();
--- a/crates/masticsill_relay/src/stream.rs
+++ b/crates/masticsill_relay/src/stream.rs
@@ -165,8 +165,8 @@
             );
             self.copies.forget();
         }
-        let excluded = &self.tries.excluded;
-        let (_, endpoint) = self.relay.choose_or_wait(self.request, excluded).await?;
+        let choosing = self.relay.choose_or_wait(self.request, &self.tries);
+        let (_, endpoint) = choosing.await?;
         Some((endpoint, None))
     }
 
--- a/crates/masticsill_relay/tests/placement_choice.rs
+++ b/crates/masticsill_relay/tests/placement_choice.rs
@@ -1,9 +1,8 @@
 //! Which endpoint is chosen, by load, zone, failures and what control replicas tell.
 
-use masticsill_registry::{Announcement, EndpointId, EndpointRecord, EndpointState};
+use masticsill_registry::{Announcement, EndpointId, EndpointLoad, EndpointRecord, EndpointState};
 use masticsill_relay::{EndpointTable, Failure, Wanted, ZoneShare, choose};
 use masticsill_types::{ClockMs, NodeId, ZoneId};
-use masticsill_wire::control::EndpointLoad;
 
 const NOW: ClockMs = ClockMs(100_000);
 
@@ -85,9 +84,9 @@
         in_flight: 2,
         reading: 0,
     };
-    table.take_loads(&zone("a"), &[load]);
+    table.take_loads(NOW, &zone("a"), &[load]);
     assert_eq!(chosen(&table).as_deref(), Some("a2"));
-    table.take_loads(&zone("a"), &[]);
+    table.take_loads(NOW, &zone("a"), &[]);
     table.get_mut(&id("a2")).unwrap().in_flight = 1;
     assert_eq!(chosen(&table).as_deref(), Some("a1"));
 }
--- a/crates/masticsill_wire/src/control.rs
+++ b/crates/masticsill_wire/src/control.rs
@@ -10,7 +10,7 @@
     AuditRecord, CatalogueUpdate, Change, ChangeAnswer, Claim, ClaimAnswer, DocumentAnswer,
     OperatorScope, Reassign, Settle, StoredDocument, VersionedEntry,
 };
-use masticsill_registry::{EndpointId, EndpointRecord, Heard};
+use masticsill_registry::{EndpointLoad, EndpointRecord, Heard, Watcher};
 use masticsill_types::{
     CatalogueVersion, EntryId, FencingNumber, NodeId, OperatorId, Term, ZoneId,
 };
@@ -172,6 +172,8 @@
     pub document_seen: Option<u64>,
     /// The watcher's own requests at endpoints of the replica's zone.
     pub loads: Vec<EndpointLoad>,
+    /// Revision of the other watchers' loads that the watcher has.
+    pub loads_revision: u64,
     /// The registry that `revision` is of; zero at first.
     pub registry: u64,
     /// Revision of the registry that the watcher has.
@@ -184,31 +186,6 @@
     pub watcher: Watcher,
 }
 
-/// Requests at one endpoint.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct EndpointLoad {
-    /// The endpoint.
-    pub id: EndpointId,
-    /// Requests that it works on.
-    pub in_flight: u32,
-    /// Those of them whose prompt it still reads.
-    pub reading: u32,
-}
-
-/// Who watches.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
-pub enum Watcher {
-    /// An entry.
-    Entry {
-        /// The process.
-        node: NodeId,
-        /// Its availability zone.
-        zone: ZoneId,
-    },
-    /// Another control replica, which also learns whom this one heard.
-    Replica(NodeId),
-}
-
 /// News of the document and of the endpoints.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct WatchReply {
@@ -226,6 +203,8 @@
     pub heard: Vec<Heard>,
     /// Requests of the other entries, as they told last.
     pub loads: Vec<EndpointLoad>,
+    /// Revision of these loads.
+    pub loads_revision: u64,
     /// Addresses of the control replicas known here.
     pub members: Vec<(NodeId, SocketAddr)>,
     /// The registry that `revision` is of: another number for each life of the process.
@@ -348,4 +327,6 @@
     async fn put_document(change: DocumentChange) -> ControlReply<DocumentAnswer>;
     /// Waits for news of the document and of the endpoints; served by every replica.
     async fn watch(request: WatchRequest) -> WatchReply;
+    /// Takes a watcher's requests at endpoints of the replica's zone, as soon as they change.
+    async fn tell_loads(watcher: Watcher, loads: Vec<EndpointLoad>);
 }
