Ask an engine for all that it keeps once its news were lost

Change: where news are lost, the engine's list is asked for, at most every 10 s, since it delays the engine.

--- a/crates/masticsill_control/src/config.rs
+++ b/crates/masticsill_control/src/config.rs
@@ -48,13 +48,17 @@
 /// Reads an engine's news of prompts; the text names what is wrong.
 pub type PromptNewsReader = fn(&[u8]) -> Result<KeptNews, String>;
 
-/// The call that waits for an engine's news of the prompts that it keeps.
+/// The calls that tell what an engine keeps of prompts: one waits for news, one lists all.
 #[derive(Clone, Debug)]
 pub struct PromptNewsCall {
-    /// Path and query, before the position from which the news are wanted.
+    /// Path of the list.
+    pub list_path: String,
+    /// Path and query of the call for news, before the position from which they are wanted.
     pub path: String,
-    /// Reads its answer.
+    /// Reads news.
     pub read: PromptNewsReader,
+    /// Reads the list.
+    pub read_list: PromptNewsReader,
     /// Header field with the longest wait, in milliseconds.
     pub wait_field: String,
 }
--- a/crates/masticsill_control/src/endpoints/hub.rs
+++ b/crates/masticsill_control/src/endpoints/hub.rs
@@ -232,6 +232,11 @@
         self.kept().take(endpoint, news);
     }
 
+    /// Takes the whole list of the prompts that an engine keeps.
+    pub(crate) fn take_all_kept(&self, endpoint: &EndpointId, list: KeptNews) {
+        self.kept().take_all(endpoint, list);
+    }
+
     /// Forgets what an engine kept.
     pub(crate) fn forget_kept(&self, endpoint: &EndpointId) {
         self.kept().forget(endpoint);
--- a/crates/masticsill_control/src/endpoints/prompts.rs
+++ b/crates/masticsill_control/src/endpoints/prompts.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::BytesMut;
 use indexmap::IndexSet;
 use masticsill_registry::{Announcement, EndpointId};
 use masticsill_types::log_event;
@@ -23,6 +24,8 @@
 /// what happens in a second and a half shares one. A caller that comes back later than that finds
 /// its prompt.
 const INTERVAL: Duration = Duration::from_millis(1_500);
+/// Time from one list to the next: a list delays the engine's work.
+const LIST_INTERVAL_MS: u64 = 10_000;
 /// Pause after a call that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// How often new engines are looked for.
@@ -53,11 +56,17 @@
     followed: Followed,
 ) {
     let id = &engine.id;
-    let mut caller = Caller::new(engine.address);
+    let mut follower = Follower {
+        call,
+        caller: Caller::new(engine.address),
+        endpoints: endpoints.clone(),
+        engine: id.clone(),
+        listed_at: None,
+    };
     let mut was_heard = None;
     while endpoints.takes_requests(id) {
         let next_call = Instant::now() + INTERVAL;
-        let asked = ask(&endpoints, &call, &mut caller, id).await;
+        let asked = follower.ask().await;
         let is_changed = was_heard != Some(asked.is_ok());
         was_heard = Some(asked.is_ok());
         match asked {
@@ -79,23 +88,46 @@
     followed.borrow_mut().swap_remove(id);
 }
 
-async fn ask(
-    endpoints: &EndpointHub,
-    call: &PromptNewsCall,
-    caller: &mut Caller,
-    id: &EndpointId,
-) -> Result<(), String> {
-    let target = format!("{}{}", call.path, endpoints.kept_position(id));
-    let call_now = EndpointCall {
-        body: "",
-        fields: &[(&call.wait_field, WAIT_MS)],
-        method: "GET",
-        target: &target,
-    };
-    let (status, body) = caller.call(&call_now, WAIT_MS + ANSWER_MS).await?;
-    if status != 200 {
-        return Err(format!("the engine answered {status}"));
+/// What is asked of one engine.
+struct Follower {
+    call: PromptNewsCall,
+    caller: Caller,
+    endpoints: EndpointHub,
+    engine: EndpointId,
+    listed_at: Option<Instant>,
+}
+
+impl Follower {
+    /// Asks for news once, and for the whole list where news are lost: a replica that has just
+    /// started finds the newest ones only.
+    async fn ask(&mut self) -> Result<(), String> {
+        let position = self.endpoints.kept_position(&self.engine);
+        let target = format!("{}{position}", self.call.path);
+        let read = self.call.read;
+        let news = read(&self.get(&target).await?)?;
+        let is_gap = news.is_gap;
+        self.endpoints.take_kept(&self.engine, news);
+        let is_due = |at: Instant| at.elapsed() >= Duration::from_millis(LIST_INTERVAL_MS);
+        if is_gap && self.listed_at.is_none_or(is_due) {
+            self.listed_at = Some(Instant::now());
+            let target = self.call.list_path.clone();
+            let read = self.call.read_list;
+            let list = read(&self.get(&target).await?)?;
+            self.endpoints.take_all_kept(&self.engine, list);
+        }
+        Ok(())
+    }
+
+    async fn get(&mut self, target: &str) -> Result<BytesMut, String> {
+        let call = EndpointCall {
+            body: "",
+            fields: &[(&self.call.wait_field, WAIT_MS)],
+            method: "GET",
+            target,
+        };
+        match self.caller.call(&call, WAIT_MS + ANSWER_MS).await? {
+            (200, body) => Ok(body),
+            (status, _) => Err(format!("the engine answered {status}")),
+        }
     }
-    endpoints.take_kept(id, (call.read)(&body)?);
-    Ok(())
 }
--- a/crates/masticsill_registry/src/kept.rs
+++ b/crates/masticsill_registry/src/kept.rs
@@ -76,7 +76,7 @@
 
     /// Takes an engine's news.
     ///
-    /// After a gap, what was known is kept: a request that goes where its prompt no longer is
+    /// What was known before a gap is kept until the whole list comes: a request that goes where its prompt no longer is
     /// only waits as long as it would elsewhere.
     pub fn take(&mut self, endpoint: &EndpointId, news: KeptNews) {
         let engine = self.engines.entry(endpoint.clone()).or_default();
@@ -95,6 +95,12 @@
         drop(engine.parts.drain(..excess));
     }
 
+    /// Takes all that an engine keeps, in place of what was known.
+    pub fn take_all(&mut self, endpoint: &EndpointId, news: KeptNews) {
+        self.forget(endpoint);
+        self.take(endpoint, news);
+    }
+
     /// Forgets an engine that has ended.
     pub fn forget(&mut self, endpoint: &EndpointId) {
         self.engines.swap_remove(endpoint);
--- a/crates/masticsill_registry/tests/kept_prompts.rs
+++ b/crates/masticsill_registry/tests/kept_prompts.rs
@@ -85,6 +85,16 @@
     assert_eq!(prompts.position(&engine("e")), 0);
 }
 
+#[test]
+fn a_list_replaces_what_was_known() {
+    let mut prompts = KeptPrompts::default();
+    prompts.take(&engine("e"), news(7, 1, &[("own", 8_000)]));
+    prompts.take_all(&engine("e"), news(7, 40, &[("other", 500)]));
+    assert!(found(&prompts, &[("own", 8_000)]).is_empty());
+    assert_eq!(found(&prompts, &[("other", 500)]).len(), 1);
+    assert_eq!(prompts.position(&engine("e")), 40);
+}
+
 #[test]
 fn only_so_many_parts_are_remembered() {
     let mut prompts = KeptPrompts::default();
