A request takes its place at an endpoint when it is chosen

Cause: a place was counted once the connection stood. Change: Reservation takes the place in the same step as the choice and gives it back when dropped; Sent holds it.

--- a/crates/masticsill_relay/src/attempt.rs
+++ b/crates/masticsill_relay/src/attempt.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use masticsill_catalogue::RouteKind;
 use masticsill_http1::ResponseHead;
 use masticsill_registry::Announcement;
 use masticsill_types::{ClockMs, log_event};
@@ -15,6 +14,7 @@
 use crate::health::Failure;
 use crate::relay::Relay;
 use crate::request::{RelayRequest, SendOptions};
+use crate::reservation::Reservation;
 
 /// Longest wait for a connection: a healthy endpoint accepts within a few milliseconds, and what
 /// was not sent costs nothing to send elsewhere.
@@ -25,25 +25,13 @@
 /// Silence of an endpoint after which it is given up once it is known to stand still.
 const ALARM_SILENCE_MS: u64 = 150;
 
-/// The connection of one send, and the endpoint's count of it. Dropped, it closes the connection.
+/// The connection of one send, and its place at the endpoint. Dropped, it closes the connection.
 #[derive(Debug)]
 pub(crate) struct Sent {
-    pub(crate) endpoint: Announcement,
-    relay: Rc<Relay>,
     pub(crate) began_at: ClockMs,
+    relay: Rc<Relay>,
+    reservation: Reservation,
     upstream: Option<Upstream>,
-    work: Work,
-}
-
-/// What an endpoint does for a send.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Work {
-    /// It reads the prompt of a stream.
-    Prompt,
-    /// It makes the events of a stream.
-    Events,
-    /// It makes a whole answer.
-    Whole,
 }
 
 /// How a send ended before an answer.
@@ -62,16 +50,14 @@
             .expect("it is taken only with the whole value")
     }
 
+    /// Where it was sent.
+    pub(crate) fn endpoint(&self) -> &Announcement {
+        self.reservation.endpoint()
+    }
+
     /// Notes the first event of a stream: its prompt has been read.
     pub(crate) fn end_reading(&mut self) {
-        if self.work != Work::Prompt {
-            return;
-        }
-        self.work = Work::Events;
-        let id = &self.endpoint.id;
-        self.relay
-            .with_endpoint(id, |it| it.reading = it.reading.saturating_sub(1));
-        self.relay.note_load_change(&self.endpoint.zone);
+        self.reservation.end_reading();
     }
 
     /// Keeps the connection for the next request if the answer allows it.
@@ -82,24 +68,18 @@
         match stream.filter(|_| head.is_keep_alive) {
             Some(stream) => {
                 let keep_ms = keep_alive_ms(head);
-                pool.put(self.relay.now(), &self.endpoint.id, stream, keep_ms);
+                pool.put(self.relay.now(), &self.endpoint().id, stream, keep_ms);
             }
-            None => pool.note_closed(&self.endpoint.id),
+            None => pool.note_closed(&self.endpoint().id),
         }
     }
 }
 
 impl Drop for Sent {
     fn drop(&mut self) {
-        self.end_reading();
         if self.upstream.take().is_some() {
-            self.relay.pool.borrow_mut().note_closed(&self.endpoint.id);
-        }
-        let id = &self.endpoint.id;
-        self.relay
-            .with_endpoint(id, |it| it.in_flight = it.in_flight.saturating_sub(1));
-        if self.work != Work::Whole {
-            self.relay.note_load_change(&self.endpoint.zone);
+            let id = &self.reservation.endpoint().id;
+            self.relay.pool.borrow_mut().note_closed(id);
         }
     }
 }
@@ -108,10 +88,11 @@
 pub(crate) async fn send(
     relay: &Rc<Relay>,
     request: &RelayRequest,
-    endpoint: Announcement,
+    reservation: Reservation,
     options: &SendOptions,
     patience_ms: u64,
 ) -> Result<(Sent, ResponseHead), SendFailure> {
+    let endpoint = reservation.endpoint().clone();
     let stream = match connect(relay, request, &endpoint).await {
         Ok(stream) => stream,
         Err(error) => {
@@ -121,37 +102,25 @@
             return Err(SendFailure::NotSent);
         }
     };
-    let work = match request.route.kind {
-        RouteKind::Stream => Work::Prompt,
-        RouteKind::Idempotent | RouteKind::NonIdempotent => Work::Whole,
-    };
-    relay.with_endpoint(&endpoint.id, |it| {
-        it.in_flight += 1;
-        it.reading += u32::from(work == Work::Prompt);
-    });
-    if work == Work::Prompt {
-        relay.note_load_change(&endpoint.zone);
-    }
     let mut sent = Sent {
-        endpoint,
-        relay: Rc::clone(relay),
         began_at: relay.now(),
+        relay: Rc::clone(relay),
+        reservation,
         upstream: Some(Upstream::new(stream)),
-        work,
     };
     let names = &relay.config.headers;
-    let bytes = request.bytes_for(names, &sent.endpoint, sent.began_at, options);
+    let bytes = request.bytes_for(names, &endpoint, sent.began_at, options);
     let expected = Expected {
         method: &request.head.method,
         id_field: &names.request_id,
         request_id: &request.id,
     };
-    let (endpoint, sent_at) = (sent.endpoint.clone(), sent.began_at);
+    let sent_at = sent.began_at;
     let exchange = sent.upstream().exchange(&bytes, expected);
     match with_patience(relay, &endpoint, sent_at, patience_ms, exchange).await {
         Some(Ok(head)) => {
-            relay.note_heard(&sent.endpoint.id);
-            relay.note_answer(&sent.endpoint.id, head.status);
+            relay.note_heard(&endpoint.id);
+            relay.note_answer(&endpoint.id, head.status);
             Ok((sent, head))
         }
         Some(Err(error)) => {
@@ -171,12 +140,12 @@
     failure: Failure,
     cause: &str,
 ) -> SendFailure {
-    log_failure(relay, request, &sent.endpoint, failure.name(), cause);
+    log_failure(relay, request, sent.endpoint(), failure.name(), cause);
     // An answer that the deadline overtook says nothing against its endpoint.
     let is_silence = matches!(failure, Failure::Silent | Failure::Stalled);
     let is_overtaken = is_silence && request.left_ms(relay.now()) == 0;
     if !is_overtaken {
-        relay.note_failure(&sent.endpoint, failure);
+        relay.note_failure(sent.endpoint(), failure);
     }
     drop(sent);
     SendFailure::MayHaveRun
--- a/crates/masticsill_relay/src/lib.rs
+++ b/crates/masticsill_relay/src/lib.rs
@@ -28,6 +28,7 @@
 mod prompts;
 mod relay;
 mod request;
+mod reservation;
 mod role;
 mod server;
 mod stream;
--- a/crates/masticsill_relay/src/plain.rs
+++ b/crates/masticsill_relay/src/plain.rs
@@ -2,12 +2,13 @@
 
 use std::rc::Rc;
 
-use masticsill_registry::{Announcement, EndpointId};
+use masticsill_registry::EndpointId;
 
 use crate::answer::{Answer, Refusal};
 use crate::attempt::{SendFailure, send};
 use crate::relay::Relay;
 use crate::request::{RelayRequest, SendOptions};
+use crate::reservation::Reservation;
 use crate::tries::Tries;
 use crate::whole::{Verdict, collect};
 
@@ -21,12 +22,12 @@
     let mut failed = None;
     while request.left_ms(relay.now()) > 0 {
         let chosen = relay.choose_or_wait(request, &tries).await;
-        let Some((choice, endpoint)) = chosen else {
+        let Some((choice, reservation)) = chosen else {
             break;
         };
-        let id = endpoint.id.clone();
+        let id = reservation.endpoint().id.clone();
         let patience_ms = patience_ms(relay, request, &tries, choice.candidates);
-        match send_whole(relay, request, endpoint, patience_ms).await {
+        match send_whole(relay, request, reservation, patience_ms).await {
             Ok((Verdict::Answer, answer)) => {
                 return PlainEnd::Answered {
                     answer,
@@ -85,10 +86,10 @@
 async fn send_whole(
     relay: &Rc<Relay>,
     request: &RelayRequest,
-    endpoint: Announcement,
+    reservation: Reservation,
     patience_ms: u64,
 ) -> Result<(Verdict, Answer), SendFailure> {
     let options = SendOptions::default();
-    let (sent, head) = send(relay, request, endpoint, &options, patience_ms).await?;
+    let (sent, head) = send(relay, request, reservation, &options, patience_ms).await?;
     collect(relay, request, sent, head).await
 }
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -27,6 +27,7 @@
 use crate::pool::Pool;
 use crate::prompts::find_kept;
 use crate::request::RelayRequest;
+use crate::reservation::Reservation;
 use crate::tries::Tries;
 
 /// Part of a request's time that it may wait for a first document or endpoint: the rest must
@@ -205,22 +206,21 @@
         self: &Rc<Self>,
         request: &RelayRequest,
         tries: &Tries,
-    ) -> Option<(Choice, Announcement)> {
+    ) -> Option<(Choice, Reservation)> {
         let kept = find_kept(self, request).await;
         let choose = || self.choose(&request.service, &tries.excluded, None, &kept);
         let is_first = tries.excluded.is_empty();
-        let chosen = if is_first {
+        let (choice, endpoint) = if is_first {
             let bound_ms = request.left_ms(self.now()) / NEWS_SHARE;
             self.await_news(bound_ms.min(NEWS_BOUND_MS), choose).await
         } else {
             choose()
-        };
-        if let Some((choice, endpoint)) = &chosen
-            && (!is_first || request.route.kind == RouteKind::Stream)
-        {
-            self.note_choice(request, choice, endpoint, tries.sends);
+        }?;
+        let kind = request.route.kind;
+        if !is_first || kind == RouteKind::Stream {
+            self.note_choice(request, &choice, &endpoint, tries.sends);
         }
-        chosen
+        Some((choice, Reservation::take(self, endpoint, kind)))
     }
 
     /// Logs and counts a choice with what decided it.
--- a/crates/masticsill_relay/src/stream.rs
+++ b/crates/masticsill_relay/src/stream.rs
@@ -24,6 +24,7 @@
 use crate::metrics::CauseLabel;
 use crate::relay::Relay;
 use crate::request::{RelayRequest, SendOptions};
+use crate::reservation::Reservation;
 use crate::timing::Timing;
 use crate::tries::Tries;
 use crate::whole::{Verdict, collect, passed_headers};
@@ -108,11 +109,11 @@
     /// Relays until the stream is whole or given up.
     pub(crate) async fn run(mut self) -> StreamEnd {
         while self.request.left_ms(self.relay.now()) > 0 {
-            let Some((endpoint, from_copy)) = self.choose().await else {
+            let Some((reservation, from_copy)) = self.choose().await else {
                 break;
             };
-            let id = endpoint.id.clone();
-            match self.run_once(endpoint, from_copy.as_ref()).await {
+            let id = reservation.endpoint().id.clone();
+            match self.run_once(reservation, from_copy.as_ref()).await {
                 RunEnd::Whole => {
                     return StreamEnd::Whole {
                         endpoint: id,
@@ -146,13 +147,15 @@
     }
 
     /// The endpoint that holds a copy of the run, while it can be used, or the best of all.
-    async fn choose(&mut self) -> Option<(Announcement, Option<Copy>)> {
+    async fn choose(&mut self) -> Option<(Reservation, Option<Copy>)> {
         self.copies.collect(self.relay.now());
         if let Some(copy) = self.copies.copy() {
             let is_tried = self.tries.excluded.contains(&copy.at.id);
             let obstacle = self.relay.obstacle(&copy.at.id);
             let Some(cause) = obstacle.or(is_tried.then_some("tried before")) else {
-                return Some((copy.at.clone(), Some(copy.clone())));
+                let kind = self.request.route.kind;
+                let reservation = Reservation::take(self.relay, copy.at.clone(), kind);
+                return Some((reservation, Some(copy.clone())));
             };
             log_event!(
                 info,
@@ -166,8 +169,8 @@
             self.copies.forget();
         }
         let choosing = self.relay.choose_or_wait(self.request, &self.tries);
-        let (_, endpoint) = choosing.await?;
-        Some((endpoint, None))
+        let (_, reservation) = choosing.await?;
+        Some((reservation, None))
     }
 
     /// Where the engine is to keep a copy: in another zone, so that it survives this one.
@@ -186,7 +189,8 @@
         Some(Copy::backup(at))
     }
 
-    async fn run_once(&mut self, endpoint: Announcement, from_copy: Option<&Copy>) -> RunEnd {
+    async fn run_once(&mut self, reservation: Reservation, from_copy: Option<&Copy>) -> RunEnd {
+        let endpoint = reservation.endpoint().clone();
         let copy = self.choose_copy(&endpoint);
         let options = SendOptions {
             backup_at: copy.as_ref().map(|copy| copy.at.address.to_string()),
@@ -218,7 +222,7 @@
         }
         let patience_ms = self.first_patience_ms();
         let sent_at = self.relay.now();
-        let sending = send(self.relay, self.request, endpoint, &options, patience_ms);
+        let sending = send(self.relay, self.request, reservation, &options, patience_ms);
         let sending = sending.await;
         if !matches!(sending, Err(SendFailure::NotSent)) {
             // The engine begins its copy while it reads the prompt, before any answer. A request
@@ -255,7 +259,7 @@
         head: &ResponseHead,
         first_by: ClockMs,
     ) -> RunEnd {
-        let endpoint = sent.endpoint.clone();
+        let endpoint = sent.endpoint().clone();
         let mut decoder = BodyDecoder::new(head.framing);
         let mut splitter = EventSplitter::default();
         let mut has_event = false;
--- a/crates/masticsill_relay/src/whole.rs
+++ b/crates/masticsill_relay/src/whole.rs
@@ -49,7 +49,7 @@
     mut sent: Sent,
     head: ResponseHead,
 ) -> Result<(Verdict, Answer), SendFailure> {
-    let endpoint = sent.endpoint.clone();
+    let endpoint = sent.endpoint().clone();
     let now = relay.now();
     let left_ms = request.left_ms(now);
     let reading = sent.upstream().read_whole(head.framing, MAX_ANSWER_BYTES);
