--- a/crates/masticsill_control/src/config.rs
+++ b/crates/masticsill_control/src/config.rs
@@ -77,7 +77,7 @@
 }
 
 /// An operator of the administration API.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct OperatorConfig {
     /// The operator's name in the audit trail.
     pub operator: OperatorId,
--- a/crates/masticsill_control/src/endpoints/hub.rs
+++ b/crates/masticsill_control/src/endpoints/hub.rs
@@ -127,6 +127,11 @@
         self.shared.revision.send_replace(registry.revision());
     }
 
+    /// Every record, ended ones that are still remembered included.
+    pub(crate) fn all_records(&self) -> Vec<EndpointRecord> {
+        self.registry().records().cloned().collect()
+    }
+
     /// Every record that has not ended.
     pub(crate) fn records(&self) -> Vec<EndpointRecord> {
         let registry = self.registry();
--- a/crates/masticsill_control/src/endpoints/prompts.rs
+++ b/crates/masticsill_control/src/endpoints/prompts.rs
@@ -56,7 +56,7 @@
     followed: Followed,
 ) {
     let id = &engine.id;
-    let mut follower = Follower {
+    let mut news = EngineNews {
         call,
         caller: Caller::new(engine.address),
         endpoints: endpoints.clone(),
@@ -66,7 +66,7 @@
     let mut was_heard = None;
     while endpoints.takes_requests(id) {
         let next_call = Instant::now() + INTERVAL;
-        let asked = follower.ask().await;
+        let asked = news.ask().await;
         let is_changed = was_heard != Some(asked.is_ok());
         was_heard = Some(asked.is_ok());
         match asked {
@@ -89,7 +89,7 @@
 }
 
 /// What is asked of one engine.
-struct Follower {
+struct EngineNews {
     call: PromptNewsCall,
     caller: Caller,
     endpoints: EndpointHub,
@@ -97,7 +97,7 @@
     listed_at: Option<Instant>,
 }
 
-impl Follower {
+impl EngineNews {
     /// Asks for news once, and for the whole list where news are lost: a replica that has just
     /// started finds the newest ones only.
     async fn ask(&mut self) -> Result<(), String> {
--- a/crates/masticsill_control/src/http.rs
+++ b/crates/masticsill_control/src/http.rs
@@ -4,6 +4,7 @@
 mod catalogue;
 mod operations;
 mod reply;
+mod routed;
 mod server;
 
 use std::sync::Arc;
@@ -14,7 +15,8 @@
 use tokio::sync::oneshot;
 
 use crate::config::{ControlConfig, OperatorConfig};
-use crate::handle::forward;
+use crate::endpoints::EndpointHub;
+use crate::handle::{ControlHandle, forward};
 use crate::quorum::QuorumHandle;
 use crate::rpc::Forward;
 
@@ -24,6 +26,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct HttpState {
     calls: Ring<Forward>,
+    endpoints: EndpointHub,
     operators: Arc<[OperatorConfig]>,
     quorum: QuorumHandle,
     stopping: ShutdownSignal,
@@ -32,10 +35,11 @@
 pub(crate) fn state(
     config: &ControlConfig,
     quorum: &QuorumHandle,
-    calls: Ring<Forward>,
+    handle: &ControlHandle,
 ) -> HttpState {
     HttpState {
-        calls,
+        calls: handle.calls.clone(),
+        endpoints: handle.endpoints.clone(),
         operators: Arc::from(config.operators.clone()),
         quorum: quorum.clone(),
         stopping: ShutdownSignal::default(),
@@ -60,6 +64,8 @@
         .route("/v1/catalogue/{id}*", web::get().to(catalogue::read))
         .route("/v1/catalogue/{id}*", web::put().to(catalogue::put))
         .route("/v1/catalogue/{id}*", web::delete().to(catalogue::delete))
+        .route("/v1/document", web::get().to(routed::document))
+        .route("/v1/endpoints", web::get().to(routed::endpoints))
         .route("/v1/audit", web::get().to(operations::audit))
         .route("/v1/replicas", web::get().to(operations::replicas))
         .route("/v1/replicas", web::post().to(operations::join))
--- a/crates/masticsill_control/src/http/operations.rs
+++ b/crates/masticsill_control/src/http/operations.rs
@@ -60,12 +60,15 @@
     }
 }
 
-async fn read_state(state: &HttpState, request: ReadRequest) -> Result<ReadAnswer, HttpResponse> {
+pub(super) async fn read_state(
+    state: &HttpState,
+    request: ReadRequest,
+) -> Result<ReadAnswer, HttpResponse> {
     let answer = state.forward(|reply_to| Forward::Read(request, reply_to));
     answer.await.map_err(reply::unavailable)
 }
 
-fn unexpected() -> HttpResponse {
+pub(super) fn unexpected() -> HttpResponse {
     let message = "the leader answered something else; run the same version on every instance";
     let error = ErrorJson::new("wrong_answer", message);
     reply::error(StatusCode::BAD_GATEWAY, &error)
--- /dev/null
+++ b/crates/masticsill_control/src/http/routed.rs
@@ -0,0 +1,44 @@
+//! The catalogue as one document, and the endpoints that registered themselves.
+
+use masticsill_wire::admin::{DocumentJson, EndpointJson, EndpointsJson, ErrorJson};
+use masticsill_wire::control::{ReadAnswer, ReadRequest};
+use ntex::http::StatusCode;
+use ntex::web::types::State;
+use ntex::web::{HttpRequest, HttpResponse};
+
+use super::auth::authenticate;
+use super::operations::{read_state, unexpected};
+use super::{HttpState, reply};
+
+/// The document in force, read through the quorum.
+pub(crate) async fn document(state: State<HttpState>, request: HttpRequest) -> HttpResponse {
+    if let Err(refusal) = authenticate(&state, &request) {
+        return refusal;
+    }
+    match read_state(&state, ReadRequest::Document).await {
+        Ok(ReadAnswer::Document(Some(document))) => reply::ok(&DocumentJson {
+            text: String::from_utf8_lossy(&document.bytes).into_owned(),
+            version: document.version,
+        }),
+        Ok(ReadAnswer::Document(None)) => {
+            let message = "no document was accepted yet; send one";
+            reply::error(
+                StatusCode::NOT_FOUND,
+                &ErrorJson::new("no_document", message),
+            )
+        }
+        Ok(_) => unexpected(),
+        Err(refusal) => refusal,
+    }
+}
+
+/// The endpoints, as this replica knows them.
+pub(crate) async fn endpoints(state: State<HttpState>, request: HttpRequest) -> HttpResponse {
+    if let Err(refusal) = authenticate(&state, &request) {
+        return refusal;
+    }
+    let records = state.endpoints.all_records();
+    reply::ok(&EndpointsJson {
+        endpoints: records.iter().map(EndpointJson::from).collect(),
+    })
+}
--- a/crates/masticsill_control/src/role.rs
+++ b/crates/masticsill_control/src/role.rs
@@ -126,12 +126,9 @@
             published: published.clone(),
             quorum: quorum.clone(),
         };
-        let handle = ControlHandle {
-            calls: calls.clone(),
-            endpoints,
-        };
+        let handle = ControlHandle { calls, endpoints };
         let rpc_config = config.clone();
-        let http = HttpEdge::start(config.http_address, http::state(config, &quorum, calls))?;
+        let http = HttpEdge::start(config.http_address, http::state(config, &quorum, &handle))?;
         let jobs_taken = jobs.clone();
         let duties = vec![
             spawn_async_duty("control_rpc", || rpc::run(rpc_config, parts))?,
--- a/crates/masticsill_runtime/src/structured.rs
+++ b/crates/masticsill_runtime/src/structured.rs
@@ -33,6 +33,9 @@
 const END_POLLS: u32 = 25;
 /// Digits of a number that every reader of JSON holds exactly.
 const MAX_NUMBER_DIGITS: usize = 15;
+/// Fields of every line. An event's own field of such a name is written with a prefix: a reader
+/// of JSON would take one of the two.
+const LINE_FIELDS: [&str; 5] = ["wall_ms", "up_ms", "line", "level", "node"];
 /// Fields that are names also where they consist of digits only.
 const NAME_FIELDS: [&str; 4] = ["request", "endpoint", "node", "route"];
 
@@ -264,7 +267,12 @@
             return Ok(());
         }
         self.count += 1;
-        let _ = write!(self.line, ",\"{key}\":");
+        let prefix = if LINE_FIELDS.contains(&key.as_str()) {
+            "event_"
+        } else {
+            ""
+        };
+        let _ = write!(self.line, ",\"{prefix}{key}\":");
         let text = value.to_string();
         if is_literal(key.as_str(), &text) {
             self.line.push_str(&text);
--- a/crates/masticsill_runtime/tests/structured_log.rs
+++ b/crates/masticsill_runtime/tests/structured_log.rs
@@ -79,11 +79,13 @@
         request = "0123",
         count = 7,
         is_so = true,
+        node = "another",
         text = text
     );
     let line = output.await_line(|line| line["number"] == 9_999);
     assert_eq!(line["event"], "example");
     assert_eq!(line["node"], "node-1");
+    assert_eq!(line["event_node"], "another");
     assert_eq!(line["level"], "info");
     assert_eq!(line["request"], "0123", "an id stays text");
     assert_eq!(line["count"], 7);
--- a/crates/masticsill_wire/src/admin.rs
+++ b/crates/masticsill_wire/src/admin.rs
@@ -7,12 +7,14 @@
 //!   both answer an [`AcceptedJson`], or an [`ErrorJson`] with the reason.
 //! - `GET /v1/audit?after=SEQUENCE&limit=N` answers an [`AuditJson`].
 //! - `GET /v1/replicas` answers a [`ReplicasJson`], `POST /v1/replicas` takes a [`JoinJson`].
+//! - `GET /v1/document` answers a [`DocumentJson`], `GET /v1/endpoints` an [`EndpointsJson`].
 //! - Every refusal answers an [`ErrorJson`].
 
 use masticsill_catalogue::{
     AuditAction, AuditRecord, CatalogueEntry, ChangeAnswer, ChangeRefusal, EntryJson, FieldError,
     VersionedEntry,
 };
+use masticsill_registry::EndpointRecord;
 use serde::{Deserialize, Serialize};
 
 use crate::control::{AuditPage, ReplicaStanding, ReplicaView, ReplicasView};
@@ -112,6 +114,43 @@
     pub version: u64,
 }
 
+/// The catalogue as one document, as it was accepted.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct DocumentJson {
+    /// The operator's bytes; what is no text in them is replaced.
+    pub text: String,
+    /// The operator's version.
+    pub version: u64,
+}
+
+/// The endpoints that registered themselves, as one control replica knows them.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct EndpointsJson {
+    /// Every incarnation that is remembered.
+    pub endpoints: Vec<EndpointJson>,
+}
+
+/// One incarnation of an endpoint.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct EndpointJson {
+    /// Where it serves.
+    pub address: String,
+    /// The incarnation.
+    pub id: String,
+    /// Whether it has not been heard for long.
+    pub is_silent: bool,
+    /// The number of its newest heartbeat.
+    pub sequence: u64,
+    /// The service that it belongs to.
+    pub service: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// `ready`, `draining` or `gone`.
+    pub state: String,
+    /// Its availability zone.
+    pub zone: String,
+}
+
 /// A part of the audit trail.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct AuditJson {
@@ -313,6 +352,22 @@
     }
 }
 
+impl From<&EndpointRecord> for EndpointJson {
+    fn from(record: &EndpointRecord) -> Self {
+        let said = &record.announcement;
+        Self {
+            address: said.address.to_string(),
+            id: said.id.to_string(),
+            is_silent: record.is_silent,
+            sequence: said.sequence,
+            service: said.service.clone(),
+            slots: said.slots,
+            state: said.state.name().to_owned(),
+            zone: said.zone.to_string(),
+        }
+    }
+}
+
 impl From<&AuditPage> for AuditJson {
     fn from(page: &AuditPage) -> Self {
         Self {
--- a/crates/masticsillctl/src/arguments.rs
+++ b/crates/masticsillctl/src/arguments.rs
@@ -34,6 +34,8 @@
         file: String,
     },
     Delete(ChangeArguments),
+    Document,
+    Endpoints,
     Explain {
         files: Vec<String>,
         request: String,
@@ -189,6 +191,8 @@
             files: files.iter().map(|file| (*file).to_owned()).collect(),
             request: (*request).to_owned(),
         }),
+        ["document"] => Ok(Command::Document),
+        ["endpoints"] => Ok(Command::Endpoints),
         ["audit"] => Ok(Command::Audit {
             after: options.after.unwrap_or(0),
             limit: options.limit.unwrap_or(DEFAULT_AUDIT_LIMIT),
--- a/crates/masticsillctl/src/help.rs
+++ b/crates/masticsillctl/src/help.rs
@@ -12,6 +12,8 @@
   get ID                   show an entry in force
   list                     show every entry in force
   watch                    show changes as they come into force, until interrupted
+  document                 show the catalogue as one document, where operators send it so
+  endpoints                show the endpoints that registered themselves, as one instance knows them
   check FILE               check an entry's file without sending it
   explain REQUEST_ID FILE...
                            say from the relays' structured logs what became of a request
--- a/crates/masticsillctl/src/main.rs
+++ b/crates/masticsillctl/src/main.rs
@@ -8,6 +8,7 @@
 mod help;
 mod operations;
 mod output;
+mod routed;
 
 use std::process::ExitCode;
 
@@ -67,6 +68,8 @@
         Command::Apply(change) => catalogue::apply(&api, output, change).await,
         Command::Audit { after, limit } => operations::audit(&api, output, after, limit).await,
         Command::Delete(change) => catalogue::delete(&api, output, change).await,
+        Command::Document => routed::document(&api, output).await,
+        Command::Endpoints => routed::endpoints(&api, output).await,
         Command::Get { id } => catalogue::get(&api, output, &id).await,
         Command::JoinReplica { address, node } => {
             operations::join_replica(&api, output, address, node).await
