Ask an engine without news of prompts ever less often

Cause: read in the code: an engine that refuses the call was asked twice a second for good, and refusals are priced like liveness checks. Change: the pause after a failure doubles from 0.5 to 30 s. Test: platform kept_prompts::an_engine_without_news_is_asked_ever_less_often: 12 calls in 6 s before, it fails.

--- a/crates/masticsill_control/src/endpoints/prompts.rs
+++ b/crates/masticsill_control/src/endpoints/prompts.rs
@@ -26,8 +26,11 @@
 const INTERVAL: Duration = Duration::from_millis(1_500);
 /// Time from one list to the next: a list delays the engine's work.
 const LIST_INTERVAL_MS: u64 = 10_000;
-/// Pause after a call that failed.
+/// Pause after a call that failed, doubled at each further failure: a refusal costs as much as an
+/// answer, and an engine that has no such news never answers otherwise.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Longest such pause.
+const LONGEST_PAUSE: Duration = Duration::from_secs(30);
 /// How often new engines are looked for.
 const LOOK_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -64,6 +67,7 @@
         listed_at: None,
     };
     let mut was_heard = None;
+    let mut pause = RETRY_PAUSE;
     while endpoints.takes_requests(id) {
         let next_call = Instant::now() + INTERVAL;
         let asked = news.ask().await;
@@ -74,13 +78,15 @@
                 if is_changed {
                     log_event!(info, events::PROMPTS_FOLLOWED, endpoint = id);
                 }
+                pause = RETRY_PAUSE;
                 sleep_until(next_call).await;
             }
             Err(cause) => {
                 if is_changed {
                     log_event!(info, events::PROMPTS_LOST, endpoint = id, cause = cause);
                 }
-                sleep(RETRY_PAUSE).await;
+                sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
             }
         }
     }
