--- a/crates/masticsill_control/src/endpoints/prompts.rs
+++ b/crates/masticsill_control/src/endpoints/prompts.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexSet;
 use masticsill_registry::{Announcement, EndpointId};
 use masticsill_types::log_event;
-use masticsill_upstream::{Caller, EndpointCall};
+use masticsill_upstream::{EndpointCall, EndpointClient};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -61,7 +61,7 @@
     let id = &engine.id;
     let mut news = EngineNews {
         call,
-        caller: Caller::new(engine.address),
+        client: EndpointClient::new(engine.address),
         endpoints: endpoints.clone(),
         engine: id.clone(),
         listed_at: None,
@@ -97,7 +97,7 @@
 /// What is asked of one engine.
 struct EngineNews {
     call: PromptNewsCall,
-    caller: Caller,
+    client: EndpointClient,
     endpoints: EndpointHub,
     engine: EndpointId,
     listed_at: Option<Instant>,
@@ -131,7 +131,7 @@
             method: "GET",
             target,
         };
-        match self.caller.call(&call, WAIT_MS + ANSWER_MS).await? {
+        match self.client.call(&call, WAIT_MS + ANSWER_MS).await? {
             (200, body) => Ok(body),
             (status, _) => Err(format!("the engine answered {status}")),
         }
--- a/crates/masticsill_relay/src/copies.rs
+++ b/crates/masticsill_relay/src/copies.rs
@@ -9,7 +9,7 @@
 use bytes::BytesMut;
 use masticsill_registry::Announcement;
 use masticsill_types::{ClockMs, log_event};
-use masticsill_upstream::{Caller, EndpointCall};
+use masticsill_upstream::{EndpointCall, EndpointClient};
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 
@@ -217,14 +217,14 @@
     target: &str,
     body: &str,
 ) -> Result<BytesMut, String> {
-    let mut caller = Caller::new(engine.address);
+    let mut client = EndpointClient::new(engine.address);
     let call = EndpointCall {
         body,
         fields: &[],
         method,
         target,
     };
-    let calling = caller.call(&call, COPY_BOUND_MS);
+    let calling = client.call(&call, COPY_BOUND_MS);
     // A zone that stands still ends the wait sooner.
     match with_patience(relay, engine, relay.now(), COPY_BOUND_MS, calling).await {
         Some(Ok((200, answer))) => Ok(answer),
--- a/crates/masticsill_relay/src/lib.rs
+++ b/crates/masticsill_relay/src/lib.rs
@@ -11,6 +11,7 @@
 mod attempt;
 mod budget;
 mod caller;
+mod choosing;
 mod config;
 mod connection;
 mod copies;
--- a/crates/masticsill_upstream/src/call.rs
+++ b/crates/masticsill_upstream/src/call.rs
@@ -31,13 +31,13 @@
 
 /// Calls one endpoint and keeps the connection from one call to the next.
 #[derive(Debug)]
-pub struct Caller {
+pub struct EndpointClient {
     address: SocketAddr,
     kept: Option<TcpStream>,
 }
 
-impl Caller {
-    /// A caller without a connection yet.
+impl EndpointClient {
+    /// A client without a connection yet.
     #[must_use]
     pub fn new(address: SocketAddr) -> Self {
         Self {
--- a/crates/masticsill_upstream/src/lib.rs
+++ b/crates/masticsill_upstream/src/lib.rs
@@ -8,7 +8,7 @@
 mod exchange;
 mod read;
 
-pub use call::{Caller, EndpointCall};
+pub use call::{EndpointCall, EndpointClient};
 pub use dial::{dial, watch_peer};
 pub use exchange::{Break, Expected, Upstream};
 pub use read::read_more;
