Control on every machine with a disk, and forwarders where there is none

Two control processes a zone put some on machines without a disk, and the seeds that all processes start with may name only those. Ruled out: a share of the front machines instead of a count, which needs no forwarder on today's deployments but leaves a zone of five fronts and two disks with one voter. Change: a process without a disk is a forwarder: it never votes, passes operators' calls to the leader and heartbeats to a replica, and keeps a directory of the replicas. Control processes introduce themselves to the seeds; the replicas with new folders found with all that are known, by the first in order that has reserved each member and a majority of the seeds. A first seed that never comes no longer keeps the others from founding.

--- a/crates/masticsill/src/settings_map.rs
+++ b/crates/masticsill/src/settings_map.rs
@@ -5,7 +5,9 @@
 use indexmap::IndexMap;
 use masticsill_agent::{AgentConfig, AgentLimits, Endpoint};
 use masticsill_catalogue::OperatorScope;
-use masticsill_control::{AdmissionPolicy, ControlConfig, OperatorConfig, TokenHashError};
+use masticsill_control::{
+    AdmissionPolicy, ControlConfig, FoundingPolicy, OperatorConfig, TokenHashError,
+};
 use masticsill_entry::EntryConfig;
 use masticsill_quorum::ReplicaSettings;
 use masticsill_registry::RegistryPeriods;
@@ -81,17 +83,14 @@
     let peers: IndexMap<_, _> = others
         .map(|voter| (voter.node.clone(), voter.rpc_address))
         .collect();
+    let founders = control.voters.iter().map(|voter| voter.node.clone());
     let operators = control.operators.iter().map(to_operator_config);
     Ok(ControlConfig {
         admission: AdmissionPolicy::Operators,
         endpoints: RegistryPeriods::default(),
         cluster: settings.cluster.as_str().to_owned(),
         data_folder: control.data_folder.clone(),
-        founders: control
-            .voters
-            .iter()
-            .map(|voter| voter.node.clone())
-            .collect(),
+        founding: FoundingPolicy::Named(founders.collect()),
         http_address: control.http_address,
         node: settings.node.clone(),
         operators: operators.collect::<Result<_, _>>()?,
@@ -99,6 +98,7 @@
         prompt_news: None,
         replica: to_replica_settings(control.election_timeout_ms),
         rpc_address: address,
+        seeds: Vec::new(),
         zone: settings.zone.clone(),
     })
 }
--- a/crates/masticsill_control/src/config.rs
+++ b/crates/masticsill_control/src/config.rs
@@ -23,10 +23,10 @@
     pub data_folder: PathBuf,
     /// When endpoints count as lost and are forgotten.
     pub endpoints: RegistryPeriods,
-    /// The replicas that found a new cluster; the first of them does it once all are up.
+    /// Who founds a new cluster.
     ///
     /// It matters only while every folder is new: a founded cluster is never founded again.
-    pub founders: Vec<NodeId>,
+    pub founding: FoundingPolicy,
     /// Where the administration API listens.
     pub http_address: SocketAddr,
     /// This node.
@@ -41,6 +41,8 @@
     pub replica: ReplicaSettings,
     /// Where other processes reach this replica's process.
     pub rpc_address: SocketAddr,
+    /// RPC addresses at which control is served, by replicas or by processes without state.
+    pub seeds: Vec<SocketAddr>,
     /// This replica's availability zone.
     pub zone: ZoneId,
 }
@@ -63,6 +65,20 @@
     pub wait_field: String,
 }
 
+/// Who founds a new cluster.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum FoundingPolicy {
+    /// The replicas that are found at the seeds, or through them.
+    Found {
+        /// Voters that the losses to be borne at once ask for.
+        voters: usize,
+    },
+    /// The first of these replicas, once all of them are up.
+    Named(Vec<NodeId>),
+    /// Nobody: the system was started before.
+    Nobody,
+}
+
 /// Who admits and removes replicas.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum AdmissionPolicy {
--- a/crates/masticsill_control/src/events.rs
+++ b/crates/masticsill_control/src/events.rs
@@ -48,6 +48,12 @@
 pub const PROMPTS_FOLLOWED: Event = Event::new(4136, "control_prompts_followed");
 /// An engine's news of prompts can't be had; requests are placed without them.
 pub const PROMPTS_LOST: Event = Event::new(4137, "control_prompts_lost");
+/// A process without a disk serves control by passing calls on.
+pub const FORWARDER_STARTED: Event = Event::new(4138, "control_forwarder_started");
+/// No replica took a heartbeat that was passed on; the endpoint calls another process.
+pub const HEARTBEAT_NOT_PASSED: Event = Event::new(4139, "control_heartbeat_not_passed");
+/// This replica founds a cluster, or could not reserve the members for it.
+pub const FOUNDING_PROPOSED: Event = Event::new(4140, "control_founding_proposed");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -74,4 +80,7 @@
     ENDPOINTS_NOT_KEPT,
     PROMPTS_FOLLOWED,
     PROMPTS_LOST,
+    FORWARDER_STARTED,
+    HEARTBEAT_NOT_PASSED,
+    FOUNDING_PROPOSED,
 ];
--- /dev/null
+++ b/crates/masticsill_control/src/forwarder/role.rs
@@ -0,0 +1,137 @@
+//! Starting and stopping a forwarder.
+
+use std::io;
+use std::net::SocketAddr;
+
+use futures::StreamExt;
+use masticsill_control_client::AddressBook;
+use masticsill_runtime::{DutyHandle, Ring, ServiceStream, ShutdownSignal, spawn_async_duty};
+use masticsill_types::{MonotonicClock, NodeId, ZoneId, log_event};
+use masticsill_wire::control::ControlService;
+use tarpc::server::{BaseChannel, Channel};
+use tokio::task::spawn_local;
+
+use super::calls::run_calls;
+use super::service::ForwarderServer;
+use crate::events;
+use crate::handle::{ControlHandle, HeartbeatSink};
+use crate::rpc::{Forward, Newcomer, run_introductions};
+
+const CALLS: usize = 1_024;
+
+/// Settings of a forwarder.
+#[derive(Clone, Debug)]
+pub struct ForwarderConfig {
+    /// This node.
+    pub node: NodeId,
+    /// Where other processes reach this process.
+    pub rpc_address: SocketAddr,
+    /// RPC addresses at which control is served, by replicas or by processes without state.
+    pub seeds: Vec<SocketAddr>,
+    /// This process's availability zone.
+    pub zone: ZoneId,
+}
+
+/// A running forwarder.
+#[derive(Debug)]
+pub struct ControlForwarder {
+    book: AddressBook,
+    calls: Ring<Forward>,
+    duty: DutyHandle,
+    ended: ShutdownSignal,
+}
+
+impl ControlForwarder {
+    /// Starts the forwarder's duty; `connections` brings the connections to the control service.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error when no thread can be started.
+    pub fn start(
+        config: ForwarderConfig,
+        connections: Ring<ServiceStream>,
+        clock: MonotonicClock,
+    ) -> io::Result<Self> {
+        let book = AddressBook::from_seeds(config.seeds.iter().copied());
+        let calls = Ring::with_capacity(CALLS);
+        let ended = ShutdownSignal::default();
+        let server = ForwarderServer::new(&config, book.clone(), clock);
+        let (taken, stop) = (calls.clone(), ended.clone());
+        log_event!(
+            info,
+            events::FORWARDER_STARTED,
+            node = config.node,
+            rpc = config.rpc_address
+        );
+        let duty = spawn_async_duty("control_forwarder", move || async move {
+            let newcomer = Newcomer {
+                address: config.rpc_address,
+                keeps_state: false,
+                node: config.node,
+            };
+            spawn_local(run_introductions(server.client.clone(), newcomer, || false));
+            spawn_local(run_calls(server.client.clone(), taken));
+            tokio::select! {
+                () = serve_connections(&connections, server) => {}
+                () = stop.requested() => {}
+            }
+            connections.close();
+            while connections.try_pop().is_some() {}
+        })?;
+        Ok(Self {
+            book,
+            calls,
+            duty,
+            ended,
+        })
+    }
+
+    /// What edges of this process use.
+    #[must_use]
+    pub fn handle(&self) -> ControlHandle {
+        ControlHandle {
+            calls: self.calls.clone(),
+            heartbeats: HeartbeatSink::Others,
+        }
+    }
+
+    /// Takes addresses of control that became known after the start.
+    pub fn learn_seeds(&self, seeds: impl IntoIterator<Item = SocketAddr>) {
+        self.book.add_seeds(seeds);
+    }
+
+    /// The replicas that are known, which endpoints may call themselves.
+    #[must_use]
+    pub fn replicas(&self) -> AddressBook {
+        self.book.clone()
+    }
+
+    /// Ends the forwarder: calls under way are answered no more.
+    ///
+    /// # Errors
+    ///
+    /// An error naming a duty that panicked.
+    pub fn stop(self) -> io::Result<()> {
+        self.calls.close();
+        self.ended.request();
+        self.duty.join()
+    }
+}
+
+async fn serve_connections(connections: &Ring<ServiceStream>, server: ForwarderServer) {
+    while let Some(stream) = connections.pop().await {
+        match stream.into_transport() {
+            Ok(transport) => {
+                let calls = BaseChannel::with_defaults(transport).execute(server.clone().serve());
+                spawn_local(calls.for_each_concurrent(None, |call| call));
+            }
+            Err(error) => {
+                log_event!(
+                    warn,
+                    masticsill_runtime::events::ACCEPT_FAILED,
+                    cause = error
+                );
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/masticsill_control/src/forwarder/service.rs
@@ -0,0 +1,151 @@
+//! The service that a forwarder offers to other processes.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use masticsill_catalogue::{ChangeAnswer, Claim, ClaimAnswer, DocumentAnswer, Reassign, Settle};
+use masticsill_control_client::{AddressBook, ControlClient};
+use masticsill_quorum::Reservations;
+use masticsill_registry::{
+    Announcement, EndpointId, EndpointLoad, KeptTokens, PromptPart, Watcher,
+};
+use masticsill_types::{CatalogueVersion, MonotonicClock, NodeId, ZoneId};
+use masticsill_wire::control::{
+    ChangeRequest, ControlReply, ControlService, Directory, DocumentChange, FoundingProposal,
+    Introduction, QuorumBatch, ReadAnswer, ReadRequest, RenewReply, RenewRequest, ReplicaAnswer,
+    ReplicaChange, ReplicaIdentity, WatchReply, WatchRequest,
+};
+use tarpc::context::Context;
+
+use super::role::ForwarderConfig;
+use crate::rpc::{attempt_of, note_introduction};
+
+/// Answers other processes. Each connection has a clone.
+#[derive(Clone, Debug)]
+pub(super) struct ForwarderServer {
+    pub(super) client: ControlClient,
+    clock: MonotonicClock,
+    node: NodeId,
+    reservations: Arc<Mutex<Reservations>>,
+    zone: ZoneId,
+}
+
+impl ForwarderServer {
+    pub(super) fn new(config: &ForwarderConfig, book: AddressBook, clock: MonotonicClock) -> Self {
+        let reservations = Reservations::new(clock.now());
+        Self {
+            client: ControlClient::new(book),
+            clock,
+            node: config.node.clone(),
+            reservations: Arc::new(Mutex::new(reservations)),
+            zone: config.zone.clone(),
+        }
+    }
+
+    fn reservations(&self) -> MutexGuard<'_, Reservations> {
+        let reservations = self.reservations.lock();
+        reservations.unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl ControlService for ForwarderServer {
+    async fn quorum_messages(self, _: Context, _: QuorumBatch) {}
+
+    async fn identify(self, _: Context) -> Option<ReplicaIdentity> {
+        None
+    }
+
+    async fn found(self, _: Context, _: Vec<ReplicaIdentity>) -> bool {
+        false
+    }
+
+    async fn directory(self, _: Context, introduction: Option<Introduction>) -> Directory {
+        if let Some(introduction) = introduction {
+            note_introduction(self.client.book(), &introduction);
+            if introduction.is_founded {
+                self.reservations().note_founded();
+            }
+        }
+        Directory {
+            keeps_state: false,
+            node: self.node.clone(),
+            replicas: self.client.replicas(),
+        }
+    }
+
+    async fn reserve_founding(self, _: Context, proposal: FoundingProposal) -> bool {
+        let now = self.clock.now();
+        self.reservations().reserve(now, &attempt_of(proposal))
+    }
+
+    async fn release_founding(self, _: Context, proposal: FoundingProposal) {
+        self.reservations().release(&attempt_of(proposal));
+    }
+
+    async fn announce(self, _: Context, _: Announcement) -> bool {
+        false
+    }
+
+    async fn depart(self, _: Context, _: EndpointId) -> bool {
+        false
+    }
+
+    async fn change(self, _: Context, _: ChangeRequest) -> ControlReply<ChangeAnswer> {
+        ControlReply::NotLeader(None)
+    }
+
+    async fn claim(self, _: Context, _: Claim) -> ControlReply<ClaimAnswer> {
+        ControlReply::NotLeader(None)
+    }
+
+    async fn reassign(self, _: Context, _: Reassign) -> ControlReply<ClaimAnswer> {
+        ControlReply::NotLeader(None)
+    }
+
+    async fn settle(self, _: Context, _: Settle) -> ControlReply<ClaimAnswer> {
+        ControlReply::NotLeader(None)
+    }
+
+    async fn read(self, _: Context, _: ReadRequest) -> ControlReply<ReadAnswer> {
+        ControlReply::NotLeader(None)
+    }
+
+    async fn change_replicas(self, _: Context, _: ReplicaChange) -> ControlReply<ReplicaAnswer> {
+        ControlReply::NotLeader(None)
+    }
+
+    async fn renew(self, _: Context, _: RenewRequest) -> RenewReply {
+        RenewReply {
+            age_ms: None,
+            update: None,
+            version: CatalogueVersion::default(),
+        }
+    }
+
+    async fn put_document(self, _: Context, _: DocumentChange) -> ControlReply<DocumentAnswer> {
+        ControlReply::NotLeader(None)
+    }
+
+    /// Nothing is known here: who asks has not read the directory.
+    async fn watch(self, _: Context, _: WatchRequest) -> WatchReply {
+        WatchReply {
+            document: None,
+            document_version: None,
+            endpoints: Vec::new(),
+            entries: 0,
+            entries_nearby: Vec::new(),
+            heard: Vec::new(),
+            loads: Vec::new(),
+            loads_revision: 0,
+            members: self.client.replicas(),
+            registry: 0,
+            revision: 0,
+            zone: self.zone.clone(),
+        }
+    }
+
+    async fn tell_loads(self, _: Context, _: Watcher, _: Vec<EndpointLoad>) {}
+
+    async fn find_kept(self, _: Context, _: Vec<PromptPart>) -> Vec<KeptTokens> {
+        Vec::new()
+    }
+}
--- a/crates/masticsill_control/src/handle.rs
+++ b/crates/masticsill_control/src/handle.rs
@@ -14,7 +14,16 @@
 #[derive(Clone, Debug)]
 pub struct ControlHandle {
     pub(crate) calls: Ring<Forward>,
-    pub(crate) endpoints: EndpointHub,
+    pub(crate) heartbeats: HeartbeatSink,
+}
+
+/// Where the heartbeats go that come to this process.
+#[derive(Clone, Debug)]
+pub(crate) enum HeartbeatSink {
+    /// Into the registry of this process.
+    Here(EndpointHub),
+    /// On to a replica.
+    Others,
 }
 
 impl ControlHandle {
@@ -47,13 +56,36 @@
     }
 
     /// Takes an endpoint's heartbeat.
-    pub async fn announce(&self, announcement: Announcement) {
-        self.endpoints.announce(announcement).await;
+    ///
+    /// # Errors
+    ///
+    /// [`ControlUnavailable`] when it had to be passed on and no replica took it.
+    pub async fn announce(&self, announcement: Announcement) -> Result<(), ControlUnavailable> {
+        match &self.heartbeats {
+            HeartbeatSink::Here(endpoints) => {
+                endpoints.announce(announcement).await;
+                Ok(())
+            }
+            HeartbeatSink::Others => {
+                self.forward(|reply_to| Forward::Announce(announcement, reply_to))
+                    .await
+            }
+        }
     }
 
     /// Takes an endpoint's deregistration.
-    pub async fn depart(&self, id: EndpointId) {
-        self.endpoints.depart(id).await;
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::announce`].
+    pub async fn depart(&self, id: EndpointId) -> Result<(), ControlUnavailable> {
+        match &self.heartbeats {
+            HeartbeatSink::Here(endpoints) => {
+                endpoints.depart(id).await;
+                Ok(())
+            }
+            HeartbeatSink::Others => self.forward(|reply_to| Forward::Depart(id, reply_to)).await,
+        }
     }
 
     async fn forward<T>(
--- a/crates/masticsill_control/src/http.rs
+++ b/crates/masticsill_control/src/http.rs
@@ -16,7 +16,7 @@
 
 use crate::config::{ControlConfig, OperatorConfig};
 use crate::endpoints::EndpointHub;
-use crate::handle::{ControlHandle, forward};
+use crate::handle::forward;
 use crate::quorum::QuorumHandle;
 use crate::rpc::Forward;
 
@@ -35,11 +35,12 @@
 pub(crate) fn state(
     config: &ControlConfig,
     quorum: &QuorumHandle,
-    handle: &ControlHandle,
+    calls: &Ring<Forward>,
+    endpoints: &EndpointHub,
 ) -> HttpState {
     HttpState {
-        calls: handle.calls.clone(),
-        endpoints: handle.endpoints.clone(),
+        calls: calls.clone(),
+        endpoints: endpoints.clone(),
         operators: Arc::from(config.operators.clone()),
         quorum: quorum.clone(),
         stopping: ShutdownSignal::default(),
--- a/crates/masticsill_control/src/lib.rs
+++ b/crates/masticsill_control/src/lib.rs
@@ -9,6 +9,7 @@
 mod endpoints;
 mod error;
 pub mod events;
+mod forwarder;
 mod gauges;
 mod handle;
 mod http;
@@ -19,10 +20,11 @@
 mod rpc;
 
 pub use config::{
-    AdmissionPolicy, ControlConfig, OperatorConfig, PromptNewsCall, PromptNewsReader, TokenHash,
-    TokenHashError,
+    AdmissionPolicy, ControlConfig, FoundingPolicy, OperatorConfig, PromptNewsCall,
+    PromptNewsReader, TokenHash, TokenHashError,
 };
 pub use error::ControlError;
+pub use forwarder::{ControlForwarder, ForwarderConfig};
 pub use handle::ControlHandle;
 pub use masticsill_control_client::{AddressBook, ControlClient, ControlUnavailable};
 pub use quorum::StateError;
--- a/crates/masticsill_control/src/role.rs
+++ b/crates/masticsill_control/src/role.rs
@@ -5,14 +5,13 @@
 use std::time::{Duration, Instant};
 use std::{fmt, io};
 
-use indexmap::IndexMap;
 use masticsill_control_client::AddressBook;
 use masticsill_mesh::MeshHandle;
 use masticsill_quorum::storage::Storage;
 use masticsill_runtime::{
     DutyHandle, Metrics, Ring, ServiceStream, ShutdownSignal, spawn_async_duty,
 };
-use masticsill_types::{MonotonicClock, NodeId, log_event};
+use masticsill_types::{MonotonicClock, log_event};
 use masticsill_wire::control::{RenewReply, RenewRequest};
 use prometheus_client::registry::Registry;
 use tokio::sync::watch;
@@ -22,7 +21,7 @@
 use crate::error::ControlError;
 use crate::events;
 use crate::gauges::ControlGauges;
-use crate::handle::ControlHandle;
+use crate::handle::{ControlHandle, HeartbeatSink};
 use crate::http::{self, HttpEdge};
 use crate::orders::OrdersDuty;
 use crate::quorum::{
@@ -81,6 +80,7 @@
         let node = config.node.clone();
         let (storage, recovered) = Storage::open(&config.data_folder, &config.cluster, &node)?;
         let book = AddressBook::from_settings(config.peers.clone());
+        book.add_seeds(config.seeds.iter().copied());
         let requests = Ring::with_capacity(REQUESTS);
         let messages = Ring::with_capacity(MESSAGES);
         let jobs = Ring::with_capacity(JOBS);
@@ -126,9 +126,11 @@
             published: published.clone(),
             quorum: quorum.clone(),
         };
-        let handle = ControlHandle { calls, endpoints };
         let rpc_config = config.clone();
-        let http = HttpEdge::start(config.http_address, http::state(config, &quorum, &handle))?;
+        let http_state = http::state(config, &quorum, &calls, &endpoints);
+        let http = HttpEdge::start(config.http_address, http_state)?;
+        let heartbeats = HeartbeatSink::Here(endpoints);
+        let handle = ControlHandle { calls, heartbeats };
         let jobs_taken = jobs.clone();
         let duties = vec![
             spawn_async_duty("control_rpc", || rpc::run(rpc_config, parts))?,
@@ -183,11 +185,9 @@
         Ok(())
     }
 
-    /// Takes addresses of other replicas that became known after the start.
-    pub fn learn_peers(&self, peers: IndexMap<NodeId, SocketAddr>) {
-        for (node, address) in peers {
-            self.book.learn(node, address);
-        }
+    /// Takes addresses of control that became known after the start.
+    pub fn learn_seeds(&self, seeds: impl IntoIterator<Item = SocketAddr>) {
+        self.book.add_seeds(seeds);
     }
 
     /// What edges of this process use.
--- a/crates/masticsill_control/src/rpc/duty.rs
+++ b/crates/masticsill_control/src/rpc/duty.rs
@@ -1,21 +1,23 @@
 //! Accepts connections and runs this replica's own calls.
 
-use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 
 use futures::StreamExt;
 use masticsill_control_client::{AddressBook, ControlClient};
+use masticsill_quorum::Reservations;
 use masticsill_runtime::{Ring, ServiceStream, ShutdownSignal, events as runtime_events};
-use masticsill_types::{MonotonicClock, NodeId, log_event};
+use masticsill_types::{MonotonicClock, log_event};
 use masticsill_wire::control::ControlService;
 use tarpc::server::{BaseChannel, Channel};
 use tokio::task::spawn_local;
 
-use super::founding::run_founding;
-use super::peers::{Sender, run_outgoing, run_proofs, say_hello};
+use super::founding::{found_with_others, run_founding};
+use super::introductions::{Newcomer, run_introductions};
+use super::peers::{Sender, run_outgoing, run_proofs};
 use super::router::{Forward, run_router};
 use super::service::ControlServer;
 use crate::admission::{run_admission, run_trimming};
-use crate::config::{AdmissionPolicy, ControlConfig};
+use crate::config::{AdmissionPolicy, ControlConfig, FoundingPolicy};
 use crate::endpoints::{EndpointHub, follow_prompts, run_exchange};
 use crate::gauges::{ControlGauges, run_gauges};
 use crate::quorum::{Outgoing, PublishedState, QuorumHandle};
@@ -47,8 +49,11 @@
         client: ControlClient::new(parts.book.clone()),
         clock: parts.clock,
         endpoints: parts.endpoints,
+        first_seeds: config.seeds.clone().into(),
+        node: config.node.clone(),
         published: parts.published,
         quorum: parts.quorum,
+        reservations: Arc::new(Mutex::new(Reservations::new(parts.clock.now()))),
     };
     start_tasks(&config, &server, &sender);
     spawn_local(run_gauges(server.clone(), parts.gauges));
@@ -65,12 +70,28 @@
 }
 
 fn start_tasks(config: &ControlConfig, server: &ControlServer, sender: &Sender) {
-    let is_other = |(node, _): &(&NodeId, &SocketAddr)| **node != config.node;
-    for (_, peer) in config.peers.iter().filter(is_other) {
-        spawn_local(say_hello(sender.clone(), *peer));
+    let newcomer = Newcomer {
+        address: sender.address,
+        keeps_state: true,
+        node: sender.node.clone(),
+    };
+    let status = server.quorum.clone();
+    let is_founded = move || status.status().is_founded;
+    spawn_local(run_introductions(
+        server.client.clone(),
+        newcomer,
+        is_founded,
+    ));
+    match &config.founding {
+        FoundingPolicy::Found { voters } => {
+            spawn_local(found_with_others(server.clone(), *voters));
+        }
+        FoundingPolicy::Named(founders) => {
+            let node = config.node.clone();
+            spawn_local(run_founding(server.clone(), node, founders.clone()));
+        }
+        FoundingPolicy::Nobody => {}
     }
-    let founders = config.founders.clone();
-    spawn_local(run_founding(server.clone(), config.node.clone(), founders));
     spawn_local(run_exchange(server.clone(), config.node.clone()));
     if let Some(call) = &config.prompt_news {
         spawn_local(follow_prompts(server.endpoints.clone(), call.clone()));
--- a/crates/masticsill_control/src/rpc/founding.rs
+++ b/crates/masticsill_control/src/rpc/founding.rs
@@ -1,15 +1,19 @@
 //! Founding a cluster out of new folders.
 //!
-//! One replica decides, so that no two differ: the first of the founders, once every founder is up
-//! with a new folder. Its decision is durable before the others hear of it, and it repeats it
-//! until each has it. A founder that belongs to a cluster already stops a second founding.
+//! One replica decides, so that no two differ, and its decision is durable before the others hear
+//! of it; it repeats it until each has it. A replica that belongs to a cluster already stops a
+//! second founding. Where the founders are named, the first of them decides once every one is up
+//! with a new folder. Where they are found, the one decides that has reserved them all.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use indexmap::IndexSet;
+use masticsill_quorum::{FOUND_WITHIN_MS, FoundingPlan};
 use masticsill_types::{NodeId, log_event};
-use masticsill_wire::control::ReplicaIdentity;
+use masticsill_wire::control::{FoundingProposal, ReplicaIdentity};
 
+use super::introductions::attempt_of;
 use super::service::ControlServer;
 use crate::events;
 use crate::quorum::Request;
@@ -107,3 +111,134 @@
     }
     false
 }
+
+/// Founds the cluster with the replicas that are found, unless one of them does it first.
+pub(crate) async fn found_with_others(server: ControlServer, voters: usize) {
+    let mut plan = FoundingPlan::new(server.clock.now(), server.node.clone(), voters);
+    let mut number = 0;
+    loop {
+        tokio::time::sleep(INTERVAL).await;
+        if server.quorum.status().is_founded || server.reservations().is_founding_over() {
+            break;
+        }
+        for (node, _) in server.book.named() {
+            plan.note_candidate(server.clock.now(), &node);
+        }
+        let Some(members) = plan.members(server.clock.now()) else {
+            continue;
+        };
+        if knows_cluster(&server).await {
+            server.reservations().note_founded();
+            break;
+        }
+        number += 1;
+        let is_founded = propose(&server, &mut plan, number, &members).await;
+        log_event!(
+            info,
+            events::FOUNDING_PROPOSED,
+            node = server.node,
+            members = members.len(),
+            number = number,
+            is_founded = is_founded
+        );
+        if !is_founded {
+            plan.note_refused(server.clock.now());
+        }
+    }
+    let mut told = IndexSet::from([server.node.clone()]);
+    loop {
+        let Some((own, founding)) = server.quorum.ask_any(Request::Identify).await else {
+            return;
+        };
+        // Only the proposer tells the members: the others were told by it.
+        let is_proposer = number > 0 && own.is_founded;
+        if !is_proposer || tell_members(&server, &founding, &mut told).await {
+            return;
+        }
+        tokio::time::sleep(INTERVAL).await;
+    }
+}
+
+/// Founds the cluster here once all members and most seeds are reserved for it; returns whether
+/// it did.
+async fn propose(
+    server: &ControlServer,
+    plan: &mut FoundingPlan,
+    number: u64,
+    members: &[NodeId],
+) -> bool {
+    let proposal = FoundingProposal {
+        number,
+        proposer: server.node.clone(),
+    };
+    let began = server.clock.now();
+    let is_reserved = reserve(server, plan, &proposal, members).await;
+    let identities = if is_reserved {
+        identify_all(server, members).await
+    } else {
+        None
+    };
+    let is_in_time = server.clock.now().since(began) < FOUND_WITHIN_MS;
+    if let Some(identities) = identities.filter(|_| is_in_time) {
+        let founding = |reply_to| Request::Found(identities, reply_to);
+        let reply = server.quorum.ask_any(founding).await;
+        return reply.unwrap_or(false);
+    }
+    server.reservations().release(&attempt_of(proposal.clone()));
+    for address in server.book.all() {
+        server.client.release_founding(address, &proposal).await;
+    }
+    false
+}
+
+/// Reserves every member and a majority of the seeds.
+async fn reserve(
+    server: &ControlServer,
+    plan: &mut FoundingPlan,
+    proposal: &FoundingProposal,
+    members: &[NodeId],
+) -> bool {
+    let now = server.clock.now();
+    let own = attempt_of(proposal.clone());
+    if !server.reservations().reserve(now, &own) {
+        return false;
+    }
+    let own_address = server.book.get(&server.node);
+    let mut reserved: IndexSet<SocketAddr> = own_address.into_iter().collect();
+    for member in members.iter().filter(|member| **member != server.node) {
+        let Some(address) = server.book.get(member) else {
+            return false;
+        };
+        if !server.client.reserve_founding(address, proposal).await {
+            plan.drop_candidate(member);
+            return false;
+        }
+        reserved.insert(address);
+    }
+    let seeds = &server.first_seeds;
+    for seed in seeds.iter() {
+        if !reserved.contains(seed) && server.client.reserve_founding(*seed, proposal).await {
+            reserved.insert(*seed);
+        }
+    }
+    let granted = seeds.iter().filter(|seed| reserved.contains(*seed)).count();
+    granted * 2 > seeds.len()
+}
+
+/// The members' identities, if all of them answer and none belongs to a cluster.
+async fn identify_all(server: &ControlServer, members: &[NodeId]) -> Option<Vec<ReplicaIdentity>> {
+    let mut identities = Vec::with_capacity(members.len());
+    for member in members {
+        let identity = if *member == server.node {
+            server.quorum.ask_any(Request::Identify).await?.0
+        } else {
+            let address = server.book.get(member)?;
+            server.client.identify(address).await?
+        };
+        if identity.is_founded {
+            return None;
+        }
+        identities.push(identity);
+    }
+    Some(identities)
+}
--- a/crates/masticsill_control/src/rpc/peers.rs
+++ b/crates/masticsill_control/src/rpc/peers.rs
@@ -15,7 +15,6 @@
 const BATCH_TIMEOUT_MS: u64 = 1_000;
 const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
 const PROOF_INTERVAL: Duration = Duration::from_millis(250);
-const HELLO_INTERVAL: Duration = Duration::from_millis(250);
 /// Messages that may wait for one peer; the quorum sends again what is dropped.
 const QUEUE_MESSAGES: usize = 4_096;
 /// Message bytes in one call.
@@ -115,18 +114,6 @@
     client.quorum_messages(context, batch).await.is_ok()
 }
 
-/// Tells an address of the settings where this replica listens, until it has heard it.
-pub(crate) async fn say_hello(sender: Sender, address: SocketAddr) {
-    loop {
-        if let Some(client) = connect(address).await
-            && send_batch(&client, sender.batch(Vec::new())).await
-        {
-            return;
-        }
-        tokio::time::sleep(HELLO_INTERVAL).await;
-    }
-}
-
 /// Asks the leader for proofs of freshness while this replica does not lead.
 pub(crate) async fn run_proofs(server: ControlServer) {
     loop {
--- a/crates/masticsill_control/src/rpc/router.rs
+++ b/crates/masticsill_control/src/rpc/router.rs
@@ -2,6 +2,7 @@
 
 use masticsill_catalogue::{ChangeAnswer, DocumentAnswer};
 use masticsill_control_client::ControlUnavailable;
+use masticsill_registry::{Announcement, EndpointId};
 use masticsill_runtime::Ring;
 use masticsill_wire::control::{
     ChangeRequest, ControlReply, DocumentChange, ReadAnswer, ReadRequest, ReplicaAnswer,
@@ -12,7 +13,7 @@
 use super::service::ControlServer;
 
 /// Time for the whole of a call that is passed on, in milliseconds.
-const FORWARD_BOUND_MS: u64 = 5_000;
+pub(crate) const FORWARD_BOUND_MS: u64 = 5_000;
 
 /// Where the answer to a call goes.
 pub(crate) type ForwardReply<T> = oneshot::Sender<Result<T, ControlUnavailable>>;
@@ -20,7 +21,9 @@
 /// An operator's call on its way to the leader.
 #[derive(Debug)]
 pub(crate) enum Forward {
+    Announce(Announcement, ForwardReply<()>),
     Change(ChangeRequest, ForwardReply<ChangeAnswer>),
+    Depart(EndpointId, ForwardReply<()>),
     Document(DocumentChange, ForwardReply<DocumentAnswer>),
     Read(ReadRequest, ForwardReply<ReadAnswer>),
     Replicas(ReplicaChange, ForwardReply<ReplicaAnswer>),
@@ -37,6 +40,14 @@
     let bound_ms = FORWARD_BOUND_MS;
     let client = server.client.clone();
     match call {
+        Forward::Announce(announcement, reply_to) => {
+            server.endpoints.announce(announcement).await;
+            let _ = reply_to.send(Ok(()));
+        }
+        Forward::Depart(id, reply_to) => {
+            server.endpoints.depart(id).await;
+            let _ = reply_to.send(Ok(()));
+        }
         Forward::Change(request, reply_to) => {
             let here = server.change_here(request.clone()).await;
             let passed_on = client.change(&request, bound_ms);
--- a/crates/masticsill_control/src/rpc/service.rs
+++ b/crates/masticsill_control/src/rpc/service.rs
@@ -1,21 +1,25 @@
 //! The service that this replica offers to other processes.
 
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use masticsill_catalogue::{
     Action, ChangeAnswer, Claim, ClaimAnswer, CommandAnswer, DocumentAnswer, Reassign, Settle,
 };
 use masticsill_control_client::{AddressBook, ControlClient};
-use masticsill_quorum::{VoterId, decode_message};
-use masticsill_registry::{EndpointLoad, KeptTokens, PromptPart, Watcher};
+use masticsill_quorum::{Reservations, VoterId, decode_message};
+use masticsill_registry::{
+    Announcement, EndpointId, EndpointLoad, KeptTokens, PromptPart, Watcher,
+};
 use masticsill_types::{MonotonicClock, NodeId, log_event};
 use masticsill_wire::control::{
-    ChangeRequest, ControlReply, ControlService, DocumentChange, QuorumBatch, ReadAnswer,
-    ReadRequest, RenewReply, RenewRequest, ReplicaAction, ReplicaAnswer, ReplicaChange,
-    ReplicaIdentity, WatchReply, WatchRequest,
+    ChangeRequest, ControlReply, ControlService, Directory, DocumentChange, FoundingProposal,
+    Introduction, QuorumBatch, ReadAnswer, ReadRequest, RenewReply, RenewRequest, ReplicaAction,
+    ReplicaAnswer, ReplicaChange, ReplicaIdentity, WatchReply, WatchRequest,
 };
 use tarpc::context::Context;
 
+use super::introductions::{attempt_of, note_introduction};
 use crate::endpoints::EndpointHub;
 use crate::events;
 use crate::quorum::{JoiningReplica, PublishedState, QuorumHandle, ReplicaOrder, Request, voter};
@@ -27,8 +31,12 @@
     pub(crate) client: ControlClient,
     pub(crate) clock: MonotonicClock,
     pub(crate) endpoints: EndpointHub,
+    /// The addresses of control that every process of a first start is told alike.
+    pub(crate) first_seeds: Arc<[SocketAddr]>,
+    pub(crate) node: NodeId,
     pub(crate) published: PublishedState,
     pub(crate) quorum: QuorumHandle,
+    pub(crate) reservations: Arc<Mutex<Reservations>>,
 }
 
 impl ControlServer {
@@ -152,6 +160,18 @@
     reply.and_then(|answer| map(answer).map_or(ControlReply::OutcomeUnknown, ControlReply::Done))
 }
 
+impl ControlServer {
+    /// What this process grants to foundings.
+    pub(crate) fn reservations(&self) -> MutexGuard<'_, Reservations> {
+        let reservations = self.reservations.lock();
+        let mut reservations = reservations.unwrap_or_else(PoisonError::into_inner);
+        if self.quorum.status().is_founded {
+            reservations.note_founded();
+        }
+        reservations
+    }
+}
+
 impl ControlService for ControlServer {
     async fn quorum_messages(self, _: Context, batch: QuorumBatch) {
         self.book.learn(batch.node, batch.address);
@@ -177,6 +197,39 @@
         reply.unwrap_or(false)
     }
 
+    async fn directory(self, _: Context, introduction: Option<Introduction>) -> Directory {
+        if let Some(introduction) = introduction {
+            note_introduction(&self.book, &introduction);
+            if introduction.is_founded {
+                self.reservations().note_founded();
+            }
+        }
+        Directory {
+            keeps_state: true,
+            node: self.node,
+            replicas: self.book.named(),
+        }
+    }
+
+    async fn reserve_founding(self, _: Context, proposal: FoundingProposal) -> bool {
+        let now = self.clock.now();
+        self.reservations().reserve(now, &attempt_of(proposal))
+    }
+
+    async fn release_founding(self, _: Context, proposal: FoundingProposal) {
+        self.reservations().release(&attempt_of(proposal));
+    }
+
+    async fn announce(self, _: Context, announcement: Announcement) -> bool {
+        self.endpoints.announce(announcement).await;
+        true
+    }
+
+    async fn depart(self, _: Context, id: EndpointId) -> bool {
+        self.endpoints.depart(id).await;
+        true
+    }
+
     async fn change(self, _: Context, request: ChangeRequest) -> ControlReply<ChangeAnswer> {
         self.change_here(request).await
     }
--- a/crates/masticsill_control/tests/common/mod.rs
+++ b/crates/masticsill_control/tests/common/mod.rs
@@ -8,8 +8,8 @@
 use indexmap::{IndexMap, IndexSet};
 use masticsill_catalogue::{Change, ChangeAnswer, ChangeContent, EntryJson, OperatorScope};
 use masticsill_control::{
-    AddressBook, AdmissionPolicy, ControlClient, ControlConfig, ControlRole, OperatorConfig,
-    TokenHash,
+    AddressBook, AdmissionPolicy, ControlClient, ControlConfig, ControlRole, FoundingPolicy,
+    OperatorConfig, TokenHash,
 };
 use masticsill_quorum::ReplicaSettings;
 use masticsill_registry::RegistryPeriods;
@@ -140,7 +140,7 @@
             zone: "a".parse().unwrap(),
             cluster: "test".to_owned(),
             data_folder: self.folder(number),
-            founders: self.founders.clone(),
+            founding: FoundingPolicy::Named(self.founders.clone()),
             http_address: local(),
             node: node(number),
             operators: operators(),
@@ -148,6 +148,7 @@
             prompt_news: None,
             replica: self.replica_settings.clone(),
             rpc_address,
+            seeds: Vec::new(),
         }
     }
 
--- a/crates/masticsill_control_client/src/attempts.rs
+++ b/crates/masticsill_control_client/src/attempts.rs
@@ -133,7 +133,12 @@
 
     /// The leader if it is known, else the next replica in turn.
     fn choose(&self) -> Option<SocketAddr> {
-        let all = self.book.all();
+        // Behind an address without a name there may be a process that only passes calls on.
+        let named = self.book.named().into_iter().map(|(_, address)| address);
+        let mut all: Vec<SocketAddr> = named.collect();
+        if all.is_empty() {
+            all = self.book.all();
+        }
         let mut connections = self.lock();
         if let Some(leader) = connections.leader {
             return Some(leader);
--- a/crates/masticsill_control_client/src/book.rs
+++ b/crates/masticsill_control_client/src/book.rs
@@ -43,6 +43,22 @@
         book
     }
 
+    /// Adds addresses whose nodes are not known.
+    pub fn add_seeds(&self, seeds: impl IntoIterator<Item = SocketAddr>) {
+        let mut addresses = self.lock();
+        for seed in seeds {
+            if !addresses.seeds.contains(&seed) {
+                addresses.seeds.push(seed);
+            }
+        }
+    }
+
+    /// Addresses whose nodes are not known.
+    #[must_use]
+    pub fn seeds(&self) -> Vec<SocketAddr> {
+        self.lock().seeds.clone()
+    }
+
     /// A node's address.
     #[must_use]
     pub fn get(&self, node: &NodeId) -> Option<SocketAddr> {
--- a/crates/masticsill_control_client/src/client.rs
+++ b/crates/masticsill_control_client/src/client.rs
@@ -5,10 +5,14 @@
 use std::sync::{Arc, Mutex};
 
 use masticsill_catalogue::{ChangeAnswer, Claim, ClaimAnswer, DocumentAnswer, Reassign, Settle};
-use masticsill_registry::{EndpointLoad, KeptTokens, PromptPart, Watcher};
+use masticsill_registry::{
+    Announcement, EndpointId, EndpointLoad, KeptTokens, PromptPart, Watcher,
+};
+use masticsill_types::NodeId;
 use masticsill_wire::control::{
-    ChangeRequest, ControlServiceClient, DocumentChange, ReadAnswer, ReadRequest, RenewReply,
-    RenewRequest, ReplicaAnswer, ReplicaChange, ReplicaIdentity, WatchReply, WatchRequest,
+    ChangeRequest, ControlServiceClient, Directory, DocumentChange, FoundingProposal, Introduction,
+    ReadAnswer, ReadRequest, RenewReply, RenewRequest, ReplicaAnswer, ReplicaChange,
+    ReplicaIdentity, WatchReply, WatchRequest,
 };
 
 use crate::attempts::{ATTEMPT_TIMEOUT_MS, Connections};
@@ -57,6 +61,18 @@
         }
     }
 
+    /// The addresses that this client calls.
+    #[must_use]
+    pub fn book(&self) -> &AddressBook {
+        &self.book
+    }
+
+    /// Replicas whose address is known.
+    #[must_use]
+    pub fn replicas(&self) -> Vec<(NodeId, SocketAddr)> {
+        self.book.named()
+    }
+
     /// Changes the catalogue.
     ///
     /// # Errors
@@ -221,6 +237,55 @@
         self.call_once(address, send).await.flatten()
     }
 
+    /// Asks the process at an address who serves control; `None` when it does not answer.
+    pub async fn directory(
+        &self,
+        address: SocketAddr,
+        introduction: Option<&Introduction>,
+    ) -> Option<Directory> {
+        let send = async |client: ControlServiceClient, context| {
+            client.directory(context, introduction.cloned()).await
+        };
+        self.call_once(address, send).await
+    }
+
+    /// Reserves the process at an address for a founding; returns whether it is.
+    pub async fn reserve_founding(&self, address: SocketAddr, proposal: &FoundingProposal) -> bool {
+        let send = async |client: ControlServiceClient, context| {
+            client.reserve_founding(context, proposal.clone()).await
+        };
+        self.call_once(address, send).await == Some(true)
+    }
+
+    /// Gives a reservation at an address up.
+    pub async fn release_founding(&self, address: SocketAddr, proposal: &FoundingProposal) {
+        let send = async |client: ControlServiceClient, context| {
+            client.release_founding(context, proposal.clone()).await
+        };
+        // One that can't be reached forgets the reservation by itself.
+        let _ = self.call_once(address, send).await;
+    }
+
+    /// Passes an endpoint's heartbeat to the replica at an address; returns whether it took it.
+    pub async fn announce(
+        &self,
+        address: SocketAddr,
+        announcement: &Announcement,
+        timeout_ms: u64,
+    ) -> bool {
+        let send = async |client: ControlServiceClient, context| {
+            client.announce(context, announcement.clone()).await
+        };
+        self.call_within(address, timeout_ms, send).await == Some(true)
+    }
+
+    /// Passes an endpoint's deregistration on, as [`Self::announce`].
+    pub async fn depart(&self, address: SocketAddr, id: &EndpointId, timeout_ms: u64) -> bool {
+        let send =
+            async |client: ControlServiceClient, context| client.depart(context, id.clone()).await;
+        self.call_within(address, timeout_ms, send).await == Some(true)
+    }
+
     /// Gives the founding members to the replica at an address.
     pub async fn found(&self, address: SocketAddr, members: &[ReplicaIdentity]) -> bool {
         let send = async |client: ControlServiceClient, context| {
--- a/crates/masticsill_quorum/src/lib.rs
+++ b/crates/masticsill_quorum/src/lib.rs
@@ -9,6 +9,7 @@
 mod entry;
 pub mod events;
 mod follower;
+mod founding;
 mod id;
 mod input;
 mod leader;
@@ -28,6 +29,7 @@
 mod wire;
 
 pub use entry::{Entry, Payload, Snapshot, StoredState};
+pub use founding::{FOUND_WITHIN_MS, FoundingAttempt, FoundingPlan, MAX_FOUNDERS, Reservations};
 pub use id::{CallerToken, FolderId, LogIndex, SyncPoint, VoterId};
 pub use input::{Input, Proposal};
 pub use membership::{Learner, MAX_VOTERS, Membership, MembershipChange, MembershipError};
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -30,6 +30,8 @@
 const LOADS_PAUSE: Duration = Duration::from_millis(4);
 /// How long the own zone's replica may be behind before another is asked for the bytes.
 const BEHIND_MS: u64 = 150;
+/// Pause before an address is asked again whether it serves control, and who else does.
+const DIRECTORY_INTERVAL: Duration = Duration::from_millis(200);
 /// Pause after a replica did not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
 
@@ -65,6 +67,18 @@
         }
     }
 
+    /// Whether a replica answers at an address. A process without state knows of the replicas, and
+    /// they are followed.
+    async fn is_replica(self: &Rc<Self>, address: SocketAddr) -> bool {
+        let Some(directory) = self.relay.control.directory(address, None).await else {
+            return false;
+        };
+        for (_, replica) in directory.replicas {
+            self.follow_once(replica);
+        }
+        directory.keeps_state
+    }
+
     fn held(&self) -> Option<u64> {
         let index = self.relay.index.borrow();
         index.as_ref().map(|index| index.document().version)
@@ -137,6 +151,9 @@
 /// Follows one replica for good.
 async fn follow(discovery: Rc<Discovery>, address: SocketAddr) {
     let relay = Rc::clone(&discovery.relay);
+    while !discovery.is_replica(address).await {
+        sleep(DIRECTORY_INTERVAL).await;
+    }
     // The replica is named by its address here: its node is of no use to an entry.
     let node = NodeId::new(address.to_string()).expect("an address holds allowed characters");
     let watcher = Watcher::Entry {
--- a/crates/masticsill_wire/src/control.rs
+++ b/crates/masticsill_wire/src/control.rs
@@ -10,7 +10,9 @@
     AuditRecord, CatalogueUpdate, Change, ChangeAnswer, Claim, ClaimAnswer, DocumentAnswer,
     OperatorScope, Reassign, Settle, StoredDocument, VersionedEntry,
 };
-use masticsill_registry::{EndpointLoad, EndpointRecord, Heard, KeptTokens, PromptPart, Watcher};
+use masticsill_registry::{
+    Announcement, EndpointId, EndpointLoad, EndpointRecord, Heard, KeptTokens, PromptPart, Watcher,
+};
 use masticsill_types::{
     CatalogueVersion, EntryId, FencingNumber, NodeId, OperatorId, Term, ZoneId,
 };
@@ -38,6 +40,39 @@
     pub node: NodeId,
 }
 
+/// How a process that serves control introduces itself to another.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Introduction {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Whether its folder belongs to a cluster already.
+    pub is_founded: bool,
+    /// Whether it keeps state on a disk, and so may vote.
+    pub keeps_state: bool,
+    /// The node.
+    pub node: NodeId,
+}
+
+/// Who serves control, as far as one process knows.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Directory {
+    /// Whether the process that answers keeps state itself; one that doesn't passes calls on.
+    pub keeps_state: bool,
+    /// The process that answers.
+    pub node: NodeId,
+    /// Replicas that keep state.
+    pub replicas: Vec<(NodeId, SocketAddr)>,
+}
+
+/// A founding that a replica is about to carry out.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct FoundingProposal {
+    /// Tells this attempt from the proposer's others.
+    pub number: u64,
+    /// The replica that founds.
+    pub proposer: NodeId,
+}
+
 /// Where the leader can be reached.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LeaderHint {
@@ -309,6 +344,16 @@
     async fn identify() -> Option<ReplicaIdentity>;
     /// Gives a replica with a new folder the founding members; returns whether it took them.
     async fn found(members: Vec<ReplicaIdentity>) -> bool;
+    /// Tells who serves control; `introduction` is that of a process that serves it itself.
+    async fn directory(introduction: Option<Introduction>) -> Directory;
+    /// Reserves this process for one founding for a few seconds; returns whether it is.
+    async fn reserve_founding(proposal: FoundingProposal) -> bool;
+    /// Gives a reservation up.
+    async fn release_founding(proposal: FoundingProposal);
+    /// Takes an endpoint's heartbeat that came to a process without state; returns whether it did.
+    async fn announce(announcement: Announcement) -> bool;
+    /// Takes an endpoint's deregistration, as [`ControlService::announce`].
+    async fn depart(id: EndpointId) -> bool;
     /// Changes the catalogue.
     async fn change(request: ChangeRequest) -> ControlReply<ChangeAnswer>;
     /// Claims a call that may not be repeated.
