Plain services: a limit at each endpoint learned from its answers, and no second sends in a crowd

Cause: beyond 12 times the usual lookups the queues of the three endpoints were always full, so that every answer was late; each refusal made the relay ask the next endpoint, and idempotent requests were sent twice after 60% of their aim: 28,165 arrivals for 17,088 requests, 15,655 turned away. Change: each relay limits what it has at an endpoint. The limit is unknown until answers take more than 0.4 of the aim (and 1.8 times what they take without a crowd) or the endpoint refuses; it is cut once in the time of an answer and grows by half a request in as long; below one, requests are spaced out. What finds no room waits a tenth of its aim before it is refused or kept for good. In a crowd nothing is sent twice for being slow. Once a crowd presses, what is late already makes way. Times to come back are taken from the caller's own time, not from the route's shorter one.

--- a/crates/masticsill_bench/src/crowd/play.rs
+++ b/crates/masticsill_bench/src/crowd/play.rs
@@ -336,7 +336,9 @@
             now + aim_ms
         };
         let terms = Terms {
+            aim_ms,
             aim_at,
+            caller_leaves_at: live.deadline_at,
             deadline_at: live.deadline_at,
             has_come_back: is_back,
             is_resume: false,
--- a/crates/masticsill_dispatch/src/dispatcher.rs
+++ b/crates/masticsill_dispatch/src/dispatcher.rs
@@ -17,14 +17,13 @@
 /// How much longer than the usual prompt one may be that is still answered in time after the
 /// longest wait. One bound for all: with each prompt's own, long ones would be refused first.
 const LONG_PROMPT: f64 = 1.5;
-/// Time kept free of the aim for the way to the engine and back, and for what is not foreseen.
-const MARGIN_MS: u64 = 300;
-/// Wait after which a request is refused or served for good. Its caller hears of a refusal within
-/// half a second, and who has waited longer than that is not sent away any more.
-const COMMIT_MS: u64 = 400;
-/// Age of a crowd from which what is late already is refused: a shorter one is over before its
-/// callers are, and they are served then.
-const LATE_CROWD_MS: u64 = 1_500;
+/// Part of the aim kept free for the way to the endpoint and back, and for what is not foreseen.
+const MARGIN_SHARE: u64 = 15;
+/// Part of the aim after which a request that waits is refused or served for good, and the most of
+/// it: its caller hears of a refusal within half a second, and who has waited longer than that is
+/// not sent away any more.
+const COMMIT_SHARE: u64 = 10;
+const MOST_COMMIT_MS: u64 = 400;
 /// Longest wait of what is late already: about two prompts of every engine's.
 const LATE_WAIT_MS: u64 = 3_000;
 /// Requests that may wait for one service at one entry: more than are ever served in time, so
@@ -109,9 +108,16 @@
         let rank = rank_of(lane, now, table, need, terms);
         let ahead = lane.ahead_of(rank);
         let waited = lane.waited(now, now);
-        if ahead == 0
-            && let Some(choice) = place(now, table, need, waited, around, &mut jitter)
-        {
+        let makes_way = rank == Rank::Late && lane.is_pressed(now);
+        let choice = if ahead == 0 && !makes_way {
+            place(now, table, need, waited, around, &mut jitter)
+        } else {
+            None
+        };
+        if matches!(rank, Rank::ComeBack | Rank::Fresh) {
+            lane.note_room(choice.is_some());
+        }
+        if let Some(choice) = choice {
             lane.note_start(now, need);
             return Decision::Send(choice);
         }
@@ -129,7 +135,7 @@
                 let places = usize::try_from(longest_ms / one_ms).unwrap_or(usize::MAX);
                 wait_ms <= longest_ms && !lane.has_its_part(terms, places)
             }
-            Rank::Late => lane.crowded_ms(now) < LATE_CROWD_MS,
+            Rank::Late => !makes_way,
         };
         if !is_in_time || lane.len() >= MAX_WAITING {
             let overload = refuse(lane, now, terms, ahead, wait_ms, jitter());
@@ -183,6 +189,13 @@
         }
     }
 
+    /// Whether more is asked of a service than fits.
+    #[must_use]
+    pub fn is_crowded(&self, now: ClockMs, service: &str) -> bool {
+        let lane = self.lanes.get(service);
+        lane.is_some_and(|lane| lane.is_crowded(now))
+    }
+
     /// Requests that wait.
     #[must_use]
     pub fn waiting(&self) -> usize {
@@ -273,7 +286,7 @@
     // The time is positive and far below the type's range.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let usual_ms = usual_ms as u64;
-    terms.aim_at.before(usual_ms + MARGIN_MS)
+    terms.aim_at.before(usual_ms + terms.aim_ms / MARGIN_SHARE)
 }
 
 /// Time from a usual request's start to its first event, with nothing before it.
@@ -283,7 +296,7 @@
             let ms_per_token = table.usual_ms_per_token(&need.service);
             ms_per_token.unwrap_or_default() * lane.usual_prompt_tokens()
         }
-        Work::Whole => 0.0,
+        Work::Whole => table.usual_pace_ms(&need.service).unwrap_or_default(),
     }
 }
 
@@ -307,9 +320,16 @@
     ahead: usize,
 ) -> u64 {
     let work_ms = usual_work_ms(lane, table, need).max(1.0);
-    let reading = table.reading(&need.service);
-    let own = f64::from(reading.own) * 1_000.0 / work_ms;
-    let all = f64::from(reading.all) * 1_000.0 / work_ms;
+    let (own, all) = match need.work {
+        Work::Stream { .. } => {
+            let reading = table.reading(&need.service);
+            (reading.own, reading.all)
+        }
+        // Of others' lookups nothing is known.
+        Work::Whole => (table.own_in_flight(&need.service), 0),
+    };
+    let own = f64::from(own) * 1_000.0 / work_ms;
+    let all = f64::from(all) * 1_000.0 / work_ms;
     let part = all * PART_OF_ALL / f64::from(entries.max(1));
     let rate = lane.starts_per_s(now).unwrap_or(own).max(part);
     if rate <= 0.0 {
@@ -330,15 +350,13 @@
     let mut overdue = None;
     for (ahead, waiting) in lane.in_order().into_iter().enumerate() {
         let is_over = now >= waiting.terms.deadline_at;
-        let is_due = !waiting.is_committed && now.since(waiting.since) >= COMMIT_MS;
+        let commit_ms = MOST_COMMIT_MS.min(waiting.terms.aim_ms / COMMIT_SHARE);
+        let is_due = !waiting.is_committed && now.since(waiting.since) >= commit_ms;
         let is_in_vain = is_due && {
             let wait_ms = wait_ms(lane, now, table, &waiting.need, entries, ahead);
             let latest = latest_start(lane, table, &waiting.need, &waiting.terms);
             match waiting.rank {
-                Rank::Late => {
-                    let is_crowd = lane.crowded_ms(now) >= LATE_CROWD_MS;
-                    is_crowd || now.since(waiting.since) >= LATE_WAIT_MS
-                }
+                Rank::Late => lane.is_pressed(now) || now.since(waiting.since) >= LATE_WAIT_MS,
                 Rank::Resume | Rank::ComeBack | Rank::Fresh => now + wait_ms > latest,
             }
         };
@@ -370,12 +388,12 @@
     wait_ms: u64,
     random: f64,
 ) -> Overload {
-    let longest_ms = terms.deadline_at.since(now) / RETRY_SHARE;
+    let left_ms = terms.caller_leaves_at.since(now);
+    let longest_ms = left_ms / RETRY_SHARE;
     let one_ms = wait_ms / (ahead as u64 + 1);
     // Nobody knows how long a crowd stays: as a rule as long again as it has been there.
     let mut soonest_ms = wait_ms.max(lane.crowded_ms(now));
-    if lane.crowded_ms(now) >= LATE_CROWD_MS {
-        let left_ms = terms.deadline_at.since(now);
+    if lane.is_pressed(now) {
         soonest_ms = soonest_ms.max(left_ms * KNOWN_PERCENT / 100);
     }
     let booked = lane.booked_until.max(now + soonest_ms) + one_ms;
--- a/crates/masticsill_dispatch/src/endpoints.rs
+++ b/crates/masticsill_dispatch/src/endpoints.rs
@@ -7,6 +7,7 @@
 use masticsill_registry::{Announcement, EndpointId, EndpointLoad, EndpointRecord, EndpointState};
 use masticsill_types::{ClockMs, NodeId, ZoneId};
 
+use crate::gate::Gate;
 use crate::health::{Failure, Health};
 use crate::reading::ReadingPace;
 use crate::room::FULL_MS;
@@ -55,6 +56,8 @@
     pub announcement: Announcement,
     /// What requests tell of it.
     pub health: Health,
+    /// How many whole answers it makes at once for this entry.
+    pub gate: Gate,
     /// Until when it takes nothing, as it said itself.
     full_until: Option<ClockMs>,
     /// Tokens that requests of this entry hold in its memory, copies included.
@@ -206,6 +209,7 @@
         let endpoint = Endpoint {
             announcement: record.announcement.clone(),
             full_until: None,
+            gate: Gate::default(),
             health: Health::default(),
             held_tokens: 0,
             room_since: ClockMs(0),
@@ -296,6 +300,23 @@
         self.endpoints.get_mut(id)
     }
 
+    /// Requests of this entry that the endpoints of a service work on.
+    pub(crate) fn own_in_flight(&self, service: &str) -> u32 {
+        let of_service = self.endpoints.values();
+        let of_service = of_service.filter(|it| it.announcement.service == service);
+        of_service.map(|it| it.in_flight).sum()
+    }
+
+    /// Time of an answer, or of an event, at the middle one of a service's endpoints.
+    pub(crate) fn usual_pace_ms(&self, service: &str) -> Option<f64> {
+        let of_service = self.endpoints.values();
+        let of_service = of_service.filter(|it| it.announcement.service == service);
+        let known = of_service.filter_map(|it| it.health.pace_ms());
+        let mut known: Vec<f64> = known.collect();
+        known.sort_by(f64::total_cmp);
+        known.get(known.len() / 2).copied()
+    }
+
     /// Prompts that the endpoints of a service read.
     pub(crate) fn reading(&self, service: &str) -> Reading {
         let of_service = self.endpoints.values();
--- a/crates/masticsill_dispatch/src/lane.rs
+++ b/crates/masticsill_dispatch/src/lane.rs
@@ -10,6 +10,14 @@
 
 /// Time over which starts are counted: about two prompts of every engine's.
 const RATE_MS: u64 = 2_500;
+/// Age of a crowd from which what is late already makes way: a shorter one is over before its
+/// callers are, and they are served then.
+const PRESSED_MS: u64 = 1_500;
+/// Part of the requests that find no room at once from which it makes way. Where fewer do, there is
+/// room to spare for all.
+const PRESSED_SHARE: f64 = 0.3;
+/// Weight of the newest request in that part.
+const ROOM_WEIGHT: f64 = 0.1;
 /// Time without a request that finds no room after which a crowd is over.
 const CROWD_OVER_MS: u64 = 1_000;
 /// Time for which a workspace that asked counts among those that share the queue.
@@ -61,9 +69,13 @@
 /// For how long a request may wait, and who goes before whom.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Terms {
+    /// Time in which callers of its route want an answer, or its first event.
+    pub aim_ms: u64,
     /// When it should have been answered, or its first event have come.
     pub aim_at: ClockMs,
-    /// When its caller gives up.
+    /// When its caller gives up, in this attempt and in those that may follow.
+    pub caller_leaves_at: ClockMs,
+    /// When the attempt must have ended.
     pub deadline_at: ClockMs,
     /// Whether its caller was refused before and has come back.
     pub has_come_back: bool,
@@ -105,6 +117,8 @@
     /// Until when those who were refused have been given times to come back.
     pub(crate) booked_until: ClockMs,
     starts: VecDeque<ClockMs>,
+    /// Part of the latest requests that found no room at once.
+    without_room: f64,
     usual_prompt_tokens: Option<f64>,
     waiting: Vec<Waiting>,
 }
@@ -118,6 +132,24 @@
         crowded.map_or(0, |(since, _)| now.since(since))
     }
 
+    /// Whether a request has found no room lately.
+    pub(crate) fn is_crowded(&self, now: ClockMs) -> bool {
+        let crowded = self.crowded;
+        crowded.is_some_and(|(_, last)| now.since(last) < CROWD_OVER_MS)
+    }
+
+    /// Whether more has been asked for than fits for so long, and so much more, that room which
+    /// is free now is needed by those who can still be answered in time.
+    pub(crate) fn is_pressed(&self, now: ClockMs) -> bool {
+        self.crowded_ms(now) >= PRESSED_MS && self.without_room > PRESSED_SHARE
+    }
+
+    /// Notes whether a new request finds room at once.
+    pub(crate) fn note_room(&mut self, has_room: bool) {
+        let newest = if has_room { 0.0 } else { 1.0 };
+        self.without_room += (newest - self.without_room) * ROOM_WEIGHT;
+    }
+
     /// Notes that a request finds no room.
     pub(crate) fn note_crowded(&mut self, now: ClockMs) {
         let since = now.before(self.crowded_ms(now));
@@ -126,10 +158,7 @@
 
     /// How long a request counts as having waited that came at `since`.
     pub(crate) fn waited(&self, now: ClockMs, since: ClockMs) -> Waited {
-        let is_crowded = self
-            .crowded
-            .is_some_and(|(_, last)| now.since(last) < CROWD_OVER_MS);
-        if is_crowded {
+        if self.is_crowded(now) {
             Waited::InCrowd(now.since(since))
         } else {
             Waited::Alone
--- a/crates/masticsill_dispatch/src/room.rs
+++ b/crates/masticsill_dispatch/src/room.rs
@@ -112,7 +112,7 @@
         return false;
     }
     match &need.work {
-        Work::Whole => true,
+        Work::Whole => endpoint.gate.has_room(now, endpoint.in_flight),
         Work::Stream {
             memory_tokens,
             prompt_tokens,
--- a/crates/masticsill_dispatch/tests/crowd_decisions.rs
+++ b/crates/masticsill_dispatch/tests/crowd_decisions.rs
@@ -60,7 +60,9 @@
 
 fn terms(workspace: &str) -> Terms {
     Terms {
+        aim_ms: 4_500,
         aim_at: NOW + 4_500,
+        caller_leaves_at: NOW + 25_000,
         deadline_at: NOW + 25_000,
         has_come_back: false,
         is_resume: false,
--- a/crates/masticsill_relay/src/admission.rs
+++ b/crates/masticsill_relay/src/admission.rs
@@ -34,6 +34,7 @@
     let timeout_ms = asked_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
     Ok(RelayRequest {
         body,
+        caller_leaves_at: received_at + asked_ms.unwrap_or(timeout_ms),
         deadline_at: received_at + timeout_ms,
         had_waited_ms,
         id: names.request_id_of(&head).to_owned(),
--- a/crates/masticsill_relay/src/choosing.rs
+++ b/crates/masticsill_relay/src/choosing.rs
@@ -183,7 +183,9 @@
 fn terms_of(request: &RelayRequest, is_resume: bool) -> Terms {
     let asked_at = request.received_at.before(request.had_waited_ms);
     Terms {
+        aim_ms: request.route.target_latency_ms,
         aim_at: asked_at + request.route.target_latency_ms,
+        caller_leaves_at: request.caller_leaves_at,
         deadline_at: request.deadline_at,
         has_come_back: request.had_waited_ms > 0,
         is_resume,
--- a/crates/masticsill_relay/src/events.rs
+++ b/crates/masticsill_relay/src/events.rs
@@ -50,6 +50,8 @@
 pub const REQUEST_WAITED: Event = Event::new(2129, "request_waited");
 /// A request is refused, since it could not be answered in time.
 pub const OVERLOAD_REFUSED: Event = Event::new(2130, "overload_refused");
+/// An endpoint of a plain service is given fewer requests at once from now on, or no longer so.
+pub const ENDPOINT_LIMITED: Event = Event::new(2131, "endpoint_limited");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -77,4 +79,5 @@
     ENDPOINT_CHOSEN,
     REQUEST_WAITED,
     OVERLOAD_REFUSED,
+    ENDPOINT_LIMITED,
 ];
--- a/crates/masticsill_relay/src/metrics.rs
+++ b/crates/masticsill_relay/src/metrics.rs
@@ -45,6 +45,7 @@
     pub(crate) attempt_failures: Family<CauseLabel, Counter>,
     pub(crate) document_version: Gauge<u64, AtomicU64>,
     pub(crate) endpoints: StateGauges,
+    pub(crate) endpoints_limited: Gauge,
     pub(crate) event_gap_ms: Histogram,
     pub(crate) first_event_ms: Histogram,
     pub(crate) kept_tokens: Counter,
@@ -69,6 +70,7 @@
             attempt_failures: Family::default(),
             document_version: Gauge::default(),
             endpoints: StateGauges::default(),
+            endpoints_limited: Gauge::default(),
             event_gap_ms: time_histogram(),
             first_event_ms: time_histogram(),
             kept_tokens: Counter::default(),
@@ -96,6 +98,12 @@
         registry.register("masticsill_relay_document_version", help, version);
         self.endpoints
             .register("masticsill_relay_endpoints", registry);
+        let help = "Endpoints of plain services that are given fewer requests at once";
+        registry.register(
+            "masticsill_relay_endpoints_limited",
+            help,
+            self.endpoints_limited.clone(),
+        );
         let help = "Longest pause between the events of a stream";
         registry.register(
             "masticsill_relay_event_gap_ms",
@@ -165,6 +173,9 @@
         ];
         let said: Vec<EndpointState> = table.iter().map(|it| it.announcement.state).collect();
         self.endpoints.follow(&shown, &said);
+        let limited = table.iter().filter(|it| it.gate.is_limited()).count();
+        self.endpoints_limited
+            .set(i64::try_from(limited).unwrap_or(i64::MAX));
     }
 }
 
--- a/crates/masticsill_relay/src/request.rs
+++ b/crates/masticsill_relay/src/request.rs
@@ -14,6 +14,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct RelayRequest {
     pub(crate) body: Bytes,
+    /// When the caller gives up, whatever the route allows.
+    pub(crate) caller_leaves_at: ClockMs,
     pub(crate) deadline_at: ClockMs,
     /// How long its caller has waited in attempts before this one, as far as can be told.
     pub(crate) had_waited_ms: u64,
--- a/crates/masticsill_relay/src/whole.rs
+++ b/crates/masticsill_relay/src/whole.rs
@@ -72,7 +72,10 @@
     }
     let verdict = judge(relay, &head);
     match verdict {
-        Verdict::Answer => relay.note_pace(&endpoint.id, relay.now().since(sent.began_at)),
+        Verdict::Answer => {
+            let answer_ms = relay.now().since(sent.began_at);
+            relay.note_answer_ms(&endpoint.id, answer_ms, request.route.target_latency_ms);
+        }
         Verdict::Failed => {}
         Verdict::NotRun { is_replaced } => {
             log_event!(
