Documents are stored, replicated and passed on packed

Ruled out: the processor (0.014 of 0.09 cores at most). Change: StoredDocument holds the operator's bytes deflated; what a former version stored is still read.

--- a/crates/masticsill_catalogue/src/document.rs
+++ b/crates/masticsill_catalogue/src/document.rs
@@ -7,8 +7,7 @@
 mod index;
 mod routes;
 mod rules;
-
-use std::sync::Arc;
+mod stored;
 
 use serde::{Deserialize, Serialize};
 
@@ -17,15 +16,7 @@
     ApiKey, EngineTraits, RequestLimits, Route, RouteDocument, RouteKind, ServiceEntry,
     ServiceShare, WorkspaceEntry,
 };
-
-/// A document as an operator sent it.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct StoredDocument {
-    /// The bytes sent.
-    pub bytes: Arc<[u8]>,
-    /// The operator's version.
-    pub version: u64,
-}
+pub use stored::{StoredDocument, UnpackError};
 
 /// What became of a document.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/masticsill_catalogue/src/lib.rs
+++ b/crates/masticsill_catalogue/src/lib.rs
@@ -26,7 +26,7 @@
 };
 pub use document::{
     ApiKey, DocumentAnswer, EngineTraits, RequestLimits, Route, RouteDocument, RouteIndex,
-    RouteKind, ServiceEntry, ServiceShare, StoredDocument, WorkspaceEntry,
+    RouteKind, ServiceEntry, ServiceShare, StoredDocument, UnpackError, WorkspaceEntry,
 };
 pub use entry::{BackEnd, CatalogueEntry, EngineRole, Limits, Placement, RoleReplicas};
 pub use entry_json::{BackEndJson, EntryJson, LimitsJson, PlacementJson};
--- a/crates/masticsill_catalogue/tests/document_versions.rs
+++ b/crates/masticsill_catalogue/tests/document_versions.rs
@@ -8,10 +8,7 @@
 };
 
 fn stored(version: u64, text: &str) -> StoredDocument {
-    StoredDocument {
-        bytes: text.as_bytes().into(),
-        version,
-    }
+    StoredDocument::pack(text.as_bytes(), version)
 }
 
 fn put(state: &mut ControlState, document: StoredDocument) -> DocumentAnswer {
@@ -158,3 +155,24 @@
     assert_eq!(index.workspace_of_key("k2").unwrap().name, "w");
     assert!(index.workspace_of_key("k3").is_none());
 }
+
+#[test]
+fn document_is_read_back_as_sent_in_a_tenth_of_its_bytes() {
+    let routes: Vec<String> = (0..350)
+        .map(|number| format!(r#"{{"name":"r-{number}","host":"shop.example","kind":"stream"}}"#))
+        .collect();
+    let text = format!("[{}]", routes.join(", \n"));
+    let document = stored(7, &text);
+    assert_eq!(document.unpack().unwrap(), text.as_bytes());
+    assert!(document.packed_bytes() * 5 < text.len());
+}
+
+#[test]
+fn document_of_a_former_version_is_read() {
+    let former = postcard::to_stdvec(&(b"{}".to_vec(), 7_u64)).unwrap();
+    let document: StoredDocument = postcard::from_bytes(&former).unwrap();
+    assert_eq!(
+        (document.unpack().unwrap(), document.version),
+        (b"{}".to_vec(), 7)
+    );
+}
--- a/crates/masticsill_control/src/http/routed.rs
+++ b/crates/masticsill_control/src/http/routed.rs
@@ -16,10 +16,16 @@
         return refusal;
     }
     match read_state(&state, ReadRequest::Document).await {
-        Ok(ReadAnswer::Document(Some(document))) => reply::ok(&DocumentJson {
-            text: String::from_utf8_lossy(&document.bytes).into_owned(),
-            version: document.version,
-        }),
+        Ok(ReadAnswer::Document(Some(document))) => match document.unpack() {
+            Ok(bytes) => reply::ok(&DocumentJson {
+                text: String::from_utf8_lossy(&bytes).into_owned(),
+                version: document.version,
+            }),
+            Err(error) => reply::error(
+                StatusCode::INTERNAL_SERVER_ERROR,
+                &ErrorJson::new("document_damaged", &error.to_string()),
+            ),
+        },
         Ok(ReadAnswer::Document(None)) => {
             let message = "no document was accepted yet; send one";
             reply::error(
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -103,7 +103,8 @@
         if self.held() >= Some(document.version) {
             return;
         }
-        let read = (self.relay.config.read_document)(&document.bytes);
+        let bytes = document.unpack().map_err(|error| error.to_string());
+        let read = bytes.and_then(|bytes| (self.relay.config.read_document)(&bytes));
         match read {
             Ok(read) => {
                 self.relay.take_index(RouteIndex::new(read));
@@ -112,7 +113,7 @@
                     events::DOCUMENT_TAKEN,
                     version = document.version,
                     from = from,
-                    bytes = document.bytes.len()
+                    bytes = document.packed_bytes()
                 );
             }
             Err(cause) => {
