--- a/crates/masticsill_catalogue/src/document/stored.rs
+++ b/crates/masticsill_catalogue/src/document/stored.rs
@@ -46,6 +46,10 @@
 
 impl StoredDocument {
     /// Packs an operator's bytes.
+    ///
+    /// # Panics
+    ///
+    /// Never: writing to memory does not fail.
     #[must_use]
     pub fn pack(bytes: &[u8], version: u64) -> Self {
         let mut encoder = DeflateEncoder::new(vec![PACKED], Compression::fast());
--- a/crates/masticsill_control/src/http/routed.rs
+++ b/crates/masticsill_control/src/http/routed.rs
@@ -23,7 +23,7 @@
             }),
             Err(error) => reply::error(
                 StatusCode::INTERNAL_SERVER_ERROR,
-                &ErrorJson::new("document_damaged", &error.to_string()),
+                &ErrorJson::new("document_damaged", error.to_string()),
             ),
         },
         Ok(ReadAnswer::Document(None)) => {
