Waiting requests heed how many connections their endpoints accept

Cause: read in the code at the landing: what ended a wait was chosen among all endpoints, also those that accept no further connection of this relay; requests that are sent at once were not. Change: the connection limits of every service with waiting requests are looked at before a wait ends. Result: the new test fails where the limits are left out.

--- a/crates/masticsill_dispatch/src/concurrency_limit.rs
+++ b/crates/masticsill_dispatch/src/concurrency_limit.rs
@@ -4,7 +4,8 @@
 //! late and is of no use to anybody: with 20 times the usual lookups 4,228 of 17,088 came in time,
 //! though the endpoints made 12,000. The limit is unknown until answers slow down or an endpoint
 //! says that it is full; then it follows the time that answers take, as far as callers' aim allows.
-//! All entries share an endpoint and know nothing of each other's lookups, so it may fall below one.
+//! All entries share an endpoint and know nothing of each other's lookups, so it may fall below
+//! one.
 
 use masticsill_types::ClockMs;
 
--- a/crates/masticsill_dispatch/src/dispatcher.rs
+++ b/crates/masticsill_dispatch/src/dispatcher.rs
@@ -1,7 +1,7 @@
 //! Who is sent where now, who waits, and who is refused.
 //!
-//! The load that this answers is any beyond what the endpoints can bear, from a zone's loss to a
-//! overload of ten times the usual number: what does not fit is not sent, since every prompt that an
+//! The load that this answers is any beyond what the endpoints can bear, from a zone's loss to ten
+//! times the usual number of requests: what does not fit is not sent, since every prompt that an
 //! engine reads for nobody takes the place of one that could be answered in time. What can still
 //! be answered in time waits here for the first free place; all else is refused at once.
 
@@ -17,10 +17,10 @@
 use crate::refusal::{Overload, refuse};
 use crate::room::{Turns, Waited, has_room};
 
-/// Part of the aim after which a request that waits is refused or served for good, and the most of
-/// it: its caller hears of a refusal within half a second, and who has waited longer than that is
-/// not sent away any more.
+/// Part of the aim (a tenth) after which a request that waits is refused or served for good: who
+/// has waited longer than that is not sent away any more.
 const COMMIT_SHARE: u64 = 10;
+/// The most of it: callers hear of a refusal within half a second.
 const MOST_COMMIT_MS: u64 = 400;
 /// Longest wait of what is late already: about two prompts of every engine's.
 const LATE_WAIT_MS: u64 = 3_000;
@@ -169,6 +169,12 @@
         lane.is_some_and(|lane| lane.is_overloaded(now))
     }
 
+    /// Services for which requests wait.
+    pub fn waiting_services(&self) -> impl Iterator<Item = &str> {
+        let lanes = self.lanes.iter().filter(|(_, lane)| !lane.is_empty());
+        lanes.map(|(service, _)| service.as_str())
+    }
+
     /// Requests that wait.
     #[must_use]
     pub fn waiting(&self) -> usize {
--- a/crates/masticsill_dispatch/src/estimate.rs
+++ b/crates/masticsill_dispatch/src/estimate.rs
@@ -41,9 +41,9 @@
 
 /// How long a request waits with so many before it: as long as as many starts take.
 ///
-/// The rate is that of this entry's own starts, or at the onset of an overload that of the ends of what
-/// it has under way; at least its part of what all entries have under way, which counts when others
-/// have taken every place for a while.
+/// The rate is that of this entry's own starts, or at the onset of an overload that of the ends of
+/// what it has under way; at least its part of what all entries have under way, which counts when
+/// others have taken every place for a while.
 // Counts and times are far below the precision of the types.
 #[allow(
     clippy::cast_possible_truncation,
--- a/crates/masticsill_dispatch/src/patience.rs
+++ b/crates/masticsill_dispatch/src/patience.rs
@@ -6,9 +6,9 @@
 use indexmap::IndexMap;
 use masticsill_types::ClockMs;
 
-/// For how long the longest time that callers of a route gave is remembered: it must outlast a
-/// overload, in which most of those who ask may have been refused before, and forget a route's former
-/// habits within a minute.
+/// For how long the longest time that callers of a route gave is remembered: it must outlast an
+/// overload, in which most of those who ask may have been refused before, and forget a route's
+/// former habits within a minute.
 const REMEMBERED_MS: u64 = 30_000;
 /// Part of the longest time given, in hundredths, below which a caller counts as one that has come
 /// back: first attempts of callers of one route differ by a sixth.
--- a/crates/masticsill_dispatch/src/refusal.rs
+++ b/crates/masticsill_dispatch/src/refusal.rs
@@ -4,13 +4,13 @@
 
 use crate::lane::{Lane, Terms};
 
-/// Part of the time left, in hundredths, for which a caller is sent away by an overload that lasts: one
-/// that comes back sooner can't be told from a newcomer, and takes the place of one that can still
-/// be answered in time. At six times the usual load that were 95 of 380 answers.
+/// Part of the time left, in hundredths, for which a caller is sent away by an overload that lasts.
+/// One that comes back sooner can't be told from a newcomer, and takes the place of one that can
+/// still be answered in time: 95 of 380 answers of the model at six times the usual load.
 const KNOWN_PERCENT: u64 = 25;
 /// Soonest time to come back.
 const LEAST_RETRY_MS: u64 = 200;
-/// Part of the time left after which a caller comes back whatever it is told.
+/// Part of the time left (a third) after which callers come back whatever they are told.
 const RETRY_SHARE: u64 = 3;
 /// Part of a time to come back by which it is drawn longer at random, so that those who were
 /// refused by several entries at once don't return at once.
--- a/crates/masticsill_dispatch/tests/overload_decisions.rs
+++ b/crates/masticsill_dispatch/tests/overload_decisions.rs
@@ -283,6 +283,27 @@
     assert_matches!(entry.ask(NOW, &need(), &terms("w")), Decision::Wait(_));
 }
 
+#[test]
+fn endpoint_without_connections_ends_no_wait() {
+    let mut entry = Entry::busy(&["e1", "e2"]);
+    let ticket = entry.waits(NOW, &terms("w"));
+    entry.first_event(NOW + 100, "e1");
+    assert_eq!(
+        entry.dispatcher.waiting_services().collect::<Vec<_>>(),
+        [SERVICE]
+    );
+    let closed = [id("e1")];
+    let around = Surroundings {
+        closed: &closed,
+        ..around(&entry.node, &entry.zone)
+    };
+    let ended = entry
+        .dispatcher
+        .next(NOW + 300, &entry.table, &around, || 0.0);
+    assert_eq!(ended, None);
+    assert_matches!(entry.next(NOW + 300), Some(Ended::Send(sent, _)) if sent == ticket);
+}
+
 #[test]
 fn nobody_is_nobody() {
     let mut entry = Entry::new(&[]);
--- a/crates/masticsill_relay/src/dispatching.rs
+++ b/crates/masticsill_relay/src/dispatching.rs
@@ -7,7 +7,7 @@
 use masticsill_dispatch::{
     Choice, Decision, Ended, Need, Overload, Surroundings, Terms, Ticket, Turns,
 };
-use masticsill_registry::Announcement;
+use masticsill_registry::{Announcement, EndpointId};
 use masticsill_types::log_event;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -136,7 +136,10 @@
         return None;
     }
     let endpoints = relay.endpoints.borrow();
-    let around = surroundings(relay, &[]);
+    let services = dispatcher.waiting_services();
+    let closed = services.flat_map(|service| relay.full_endpoints(&endpoints, service));
+    let closed: Vec<EndpointId> = closed.collect();
+    let around = surroundings(relay, &closed);
     dispatcher.next(relay.now(), &endpoints, &around, rand::random)
 }
 
@@ -162,10 +165,7 @@
     }
 }
 
-fn surroundings<'a>(
-    relay: &'a Relay,
-    closed: &'a [masticsill_registry::EndpointId],
-) -> Surroundings<'a> {
+fn surroundings<'a>(relay: &'a Relay, closed: &'a [EndpointId]) -> Surroundings<'a> {
     Surroundings {
         closed,
         turns: Turns {
