--- a/crates/masticsill_control/src/forwarder/role.rs
+++ b/crates/masticsill_control/src/forwarder/role.rs
@@ -3,19 +3,16 @@
 use std::io;
 use std::net::SocketAddr;
 
-use futures::StreamExt;
 use masticsill_control_client::AddressBook;
 use masticsill_runtime::{DutyHandle, Ring, ServiceStream, ShutdownSignal, spawn_async_duty};
 use masticsill_types::{MonotonicClock, NodeId, ZoneId, log_event};
-use masticsill_wire::control::ControlService;
-use tarpc::server::{BaseChannel, Channel};
 use tokio::task::spawn_local;
 
 use super::calls::run_calls;
 use super::service::ForwarderServer;
 use crate::events;
 use crate::handle::{ControlHandle, HeartbeatSink};
-use crate::rpc::{Forward, Newcomer, run_introductions};
+use crate::rpc::{Forward, Newcomer, run_introductions, serve_connections};
 
 const CALLS: usize = 1_024;
 
@@ -100,12 +97,6 @@
         self.book.add_seeds(seeds);
     }
 
-    /// The replicas that are known, which endpoints may call themselves.
-    #[must_use]
-    pub fn replicas(&self) -> AddressBook {
-        self.book.clone()
-    }
-
     /// Ends the forwarder: calls under way are answered no more.
     ///
     /// # Errors
@@ -117,21 +108,3 @@
         self.duty.join()
     }
 }
-
-async fn serve_connections(connections: &Ring<ServiceStream>, server: ForwarderServer) {
-    while let Some(stream) = connections.pop().await {
-        match stream.into_transport() {
-            Ok(transport) => {
-                let calls = BaseChannel::with_defaults(transport).execute(server.clone().serve());
-                spawn_local(calls.for_each_concurrent(None, |call| call));
-            }
-            Err(error) => {
-                log_event!(
-                    warn,
-                    masticsill_runtime::events::ACCEPT_FAILED,
-                    cause = error
-                );
-            }
-        }
-    }
-}
--- a/crates/masticsill_control/src/rpc.rs
+++ b/crates/masticsill_control/src/rpc.rs
@@ -7,7 +7,7 @@
 mod router;
 mod service;
 
-pub(crate) use duty::{RpcParts, run};
+pub(crate) use duty::{RpcParts, run, serve_connections};
 pub(crate) use introductions::{Newcomer, attempt_of, note_introduction, run_introductions};
 pub(crate) use router::{FORWARD_BOUND_MS, Forward, ForwardReply};
 pub(crate) use service::ControlServer;
--- a/crates/masticsill_control/src/rpc/duty.rs
+++ b/crates/masticsill_control/src/rpc/duty.rs
@@ -106,7 +106,11 @@
     }
 }
 
-async fn serve_connections(connections: &Ring<ServiceStream>, server: ControlServer) {
+/// Answers the calls of every connection that the process accepts, until there are no more.
+pub(crate) async fn serve_connections<S>(connections: &Ring<ServiceStream>, server: S)
+where
+    S: ControlService + Clone + 'static,
+{
     while let Some(stream) = connections.pop().await {
         match stream.into_transport() {
             Ok(transport) => {
--- a/crates/masticsill_control_client/src/book.rs
+++ b/crates/masticsill_control_client/src/book.rs
@@ -53,12 +53,6 @@
         }
     }
 
-    /// Addresses whose nodes are not known.
-    #[must_use]
-    pub fn seeds(&self) -> Vec<SocketAddr> {
-        self.lock().seeds.clone()
-    }
-
     /// A node's address.
     #[must_use]
     pub fn get(&self, node: &NodeId) -> Option<SocketAddr> {
--- a/crates/masticsill_dispatch/src/endpoints.rs
+++ b/crates/masticsill_dispatch/src/endpoints.rs
@@ -148,27 +148,18 @@
 
     /// Requests of this entry that the endpoints of a service work on.
     pub(crate) fn own_in_flight(&self, service: &str) -> u32 {
-        let of_service = self.endpoints.values();
-        let of_service = of_service.filter(|it| it.announcement.service == service);
-        of_service.map(|it| it.in_flight).sum()
+        self.of_service(service).map(|it| it.in_flight).sum()
     }
 
     /// Time of an answer, or of an event, at the middle one of a service's endpoints.
     pub(crate) fn usual_pace_ms(&self, service: &str) -> Option<f64> {
-        let of_service = self.endpoints.values();
-        let of_service = of_service.filter(|it| it.announcement.service == service);
-        let known = of_service.filter_map(|it| it.health.pace_ms());
-        let mut known: Vec<f64> = known.collect();
-        known.sort_by(f64::total_cmp);
-        known.get(known.len() / 2).copied()
+        self.middle_of(service, |it| it.health.pace_ms())
     }
 
     /// Prompts that the endpoints of a service read.
     pub(crate) fn reading(&self, service: &str) -> Reading {
-        let of_service = self.endpoints.values();
-        let of_service = of_service.filter(|it| it.announcement.service == service);
         let mut reading = Reading::default();
-        for endpoint in of_service {
+        for endpoint in self.of_service(service) {
             reading.own += endpoint.reading;
             reading.all += endpoint.reading_total();
         }
@@ -176,16 +167,23 @@
     }
 
     /// Milliseconds that a token of a prompt takes at the middle one of a service's engines.
-    #[must_use]
-    pub fn usual_ms_per_token(&self, service: &str) -> Option<f64> {
-        let of_service = self.endpoints.values();
-        let of_service = of_service.filter(|it| it.announcement.service == service);
-        let known = of_service.filter_map(|it| it.reading_pace.ms_per_token());
+    pub(crate) fn usual_ms_per_token(&self, service: &str) -> Option<f64> {
+        self.middle_of(service, |it| it.reading_pace.ms_per_token())
+    }
+
+    /// The middle one of what is known of a service's endpoints.
+    fn middle_of(&self, service: &str, of: impl Fn(&Endpoint) -> Option<f64>) -> Option<f64> {
+        let known = self.of_service(service).filter_map(of);
         let mut known: Vec<f64> = known.collect();
         known.sort_by(f64::total_cmp);
         known.get(known.len() / 2).copied()
     }
 
+    fn of_service(&self, service: &str) -> impl Iterator<Item = &Endpoint> {
+        let endpoints = self.endpoints.values();
+        endpoints.filter(move |it| it.announcement.service == service)
+    }
+
     /// Every incarnation.
     pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
         self.endpoints.values()
--- a/crates/masticsill_dispatch/src/lib.rs
+++ b/crates/masticsill_dispatch/src/lib.rs
@@ -31,4 +31,4 @@
 pub use placement::{Choice, Wanted, ZoneShare, choose};
 pub use reading::ReadingPace;
 pub use refusal::Overload;
-pub use room::{MAX_READING, Turns, Waited, has_memory_for_copy, has_room};
+pub use room::{Turns, has_memory_for_copy};
--- a/crates/masticsill_dispatch/src/room.rs
+++ b/crates/masticsill_dispatch/src/room.rs
@@ -15,7 +15,7 @@
 /// load beyond what all engines read: with more, each engine's queue grows until first events come
 /// too late for anybody (at four times the usual load, 10 prompts at each engine and 1 of 5 streams
 /// in time).
-pub const MAX_READING: u32 = 1;
+const MAX_READING: u32 = 1;
 /// Part of a prompt, in hundredths, that an engine must keep to take it beside one that it reads:
 /// little is left to read, and anywhere else all of it would be.
 const KEPT_PERCENT: u64 = 60;
@@ -57,7 +57,7 @@
 
 /// How long a request has waited where more is asked for than fits.
 #[derive(Clone, Copy, Debug)]
-pub enum Waited {
+pub(crate) enum Waited {
     /// Nobody else waits, here or elsewhere as far as is known: no turns are needed.
     Alone,
     /// For so long, in milliseconds.
@@ -100,8 +100,7 @@
 }
 
 /// Whether an endpoint can take a request now.
-#[must_use]
-pub fn has_room(
+pub(crate) fn has_room(
     endpoint: &Endpoint,
     now: ClockMs,
     need: &Need,
--- a/crates/masticsill_relay/src/choosing.rs
+++ b/crates/masticsill_relay/src/choosing.rs
@@ -15,7 +15,6 @@
 use crate::prompts::find_kept;
 use crate::relay::{NEWS_BOUND_MS, NEWS_SHARE, Relay};
 use crate::request::RelayRequest;
-use crate::reservation::Place;
 use crate::tries::Tries;
 
 /// Part of the connections that an endpoint accepts which the entries use: health checks and
@@ -66,13 +65,12 @@
     ) -> Dispatched {
         let need = self.need_of(request, tries).await;
         let terms = terms_of(request, is_resume);
-        let place = place_of(&need);
         let is_first = tries.excluded.is_empty();
         let news_ms = request.left_ms(self.now()) / NEWS_SHARE;
         let news_by = Instant::now() + std::time::Duration::from_millis(news_ms.min(NEWS_BOUND_MS));
         loop {
             let mut news = self.news.subscribe();
-            match dispatch(self, request, &need, &terms, place).await {
+            match dispatch(self, request, &need, &terms).await {
                 Dispatched::Nobody if is_first => {
                     let changed = tokio::time::timeout_at(news_by, news.changed());
                     if changed.await.is_err() {
@@ -192,17 +190,3 @@
         workspace: request.workspace.clone(),
     }
 }
-
-fn place_of(need: &Need) -> Place {
-    match need.work {
-        Work::Stream {
-            prompt_tokens,
-            tokens,
-            ..
-        } => Place::Prompt {
-            prompt_tokens,
-            tokens,
-        },
-        Work::Whole => Place::Whole,
-    }
-}
--- a/crates/masticsill_relay/src/dispatching.rs
+++ b/crates/masticsill_relay/src/dispatching.rs
@@ -63,8 +63,8 @@
     request: &RelayRequest,
     need: &Need,
     terms: &Terms,
-    place: Place,
 ) -> Dispatched {
+    let place = Place::from(&need.work);
     let now = relay.now();
     let decision = {
         let endpoints = relay.endpoints.borrow();
--- a/crates/masticsill_relay/src/reservation.rs
+++ b/crates/masticsill_relay/src/reservation.rs
@@ -5,6 +5,7 @@
 
 use std::rc::Rc;
 
+use masticsill_dispatch::Work;
 use masticsill_registry::{Announcement, EndpointId};
 use masticsill_types::ClockMs;
 
@@ -29,6 +30,22 @@
     Whole,
 }
 
+impl From<&Work> for Place {
+    fn from(work: &Work) -> Self {
+        match work {
+            Work::Stream {
+                prompt_tokens,
+                tokens,
+                ..
+            } => Self::Prompt {
+                prompt_tokens: *prompt_tokens,
+                tokens: *tokens,
+            },
+            Work::Whole => Self::Whole,
+        }
+    }
+}
+
 impl Place {
     fn tokens(self) -> u64 {
         match self {
