The overload model asks the product who has come back

Cause: the model had the rule of CallerPatience written out again, with its 80%. Change: each of its entries has a CallerPatience.

--- a/crates/masticsill_bench/src/overload/entry.rs
+++ b/crates/masticsill_bench/src/overload/entry.rs
@@ -1,8 +1,7 @@
 //! An entry of the model, and the endpoints that it knows.
 
 use indexmap::IndexMap;
-use masticsill_dispatch::Ticket;
-use masticsill_dispatch::{Dispatcher, EndpointTable, Turns, ZoneShare};
+use masticsill_dispatch::{CallerPatience, Dispatcher, EndpointTable, Ticket, Turns, ZoneShare};
 use masticsill_registry::{Announcement, EndpointId, EndpointRecord, EndpointState};
 use masticsill_types::{NodeId, ZoneId};
 
@@ -15,6 +14,7 @@
 pub(super) struct Entry {
     pub(super) dispatcher: Dispatcher,
     pub(super) node: NodeId,
+    pub(super) patience: CallerPatience,
     pub(super) share: ZoneShare,
     pub(super) table: EndpointTable,
     pub(super) waiting: IndexMap<Ticket, usize>,
@@ -33,6 +33,7 @@
         Self {
             dispatcher: Dispatcher::default(),
             node,
+            patience: CallerPatience::default(),
             share: ZoneShare { entries, place },
             table,
             waiting: IndexMap::new(),
--- a/crates/masticsill_bench/src/overload/play.rs
+++ b/crates/masticsill_bench/src/overload/play.rs
@@ -259,21 +259,15 @@
         let now = self.now;
         let live = self.live[&request].clone();
         let given_ms = live.deadline_at.since(now);
-        let had_waited_ms = self.plan.deadline_ms - given_ms;
-        // An entry can't tell short waits from less patience.
-        let is_back = given_ms * 100 < self.plan.deadline_ms * 80;
+        let patience = &mut self.entries[live.entry].patience;
+        let had_waited_ms = patience.note(now, SERVICE, given_ms);
         let aim_ms = self.plan.aim_ms;
-        let aim_at = if is_back {
-            now.before(had_waited_ms) + aim_ms
-        } else {
-            now + aim_ms
-        };
         let terms = Terms {
             aim_ms,
-            aim_at,
+            aim_at: now.before(had_waited_ms) + aim_ms,
             caller_leaves_at: live.deadline_at,
             deadline_at: live.deadline_at,
-            has_come_back: is_back,
+            has_come_back: had_waited_ms > 0,
             is_resume: false,
             workspace: Some(live.workspace.clone()),
         };
