Say why a stream was broken off, and when the relay itself was late

Change: stream_broken_off names obstacle, last failure, sends, events, time left and how long nobody was heard; relay_late; two metrics. No decision is another one.

--- a/crates/masticsill_relay/src/attempt.rs
+++ b/crates/masticsill_relay/src/attempt.rs
@@ -43,6 +43,16 @@
     MayHaveRun,
 }
 
+impl SendFailure {
+    /// The name in logs.
+    pub(crate) fn name(&self) -> &'static str {
+        match self {
+            Self::NotSent => "not_sent",
+            Self::MayHaveRun => "no_answer",
+        }
+    }
+}
+
 impl Sent {
     pub(crate) fn upstream(&mut self) -> &mut Upstream {
         self.upstream
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -207,6 +207,7 @@
             );
         }
         is_reached = true;
+        relay.note_control_heard();
         relay.control_reached.borrow_mut().insert(address);
         relay
             .endpoints
--- a/crates/masticsill_relay/src/ending.rs
+++ b/crates/masticsill_relay/src/ending.rs
@@ -10,11 +10,11 @@
 
 use crate::answer::{Answer, Refusal};
 use crate::events;
-use crate::metrics::as_f64;
+use crate::metrics::{CauseLabel, as_f64};
 use crate::plain::PlainEnd;
 use crate::relay::Relay;
 use crate::request::RelayRequest;
-use crate::stream::StreamEnd;
+use crate::stream::{BrokenOff, StreamEnd};
 use crate::timing::Timing;
 
 /// Kind of a request that no route was found for, in metrics.
@@ -90,15 +90,8 @@
             write_answer(relay, writer, &answer, request.head.is_keep_alive).await
         }
         StreamEnd::Refused(refusal) => refuse(relay, writer, request, refusal).await,
-        StreamEnd::BrokenOff(refusal) => {
-            note_end(relay, request, "broken_off");
-            log_event!(
-                warn,
-                events::STREAM_BROKEN_OFF,
-                request = request.id,
-                route = request.route.name,
-                reason = refusal.name()
-            );
+        StreamEnd::BrokenOff(broken) => {
+            note_broken_off(relay, request, &broken);
             After::Cut
         }
         StreamEnd::CallerLeft(error) => {
@@ -109,6 +102,29 @@
     }
 }
 
+fn note_broken_off(relay: &Relay, request: &RelayRequest, broken: &BrokenOff) {
+    note_end(relay, request, "broken_off");
+    let cause = broken.obstacle.name();
+    relay
+        .metrics
+        .broken_off
+        .get_or_create(&CauseLabel { cause })
+        .inc();
+    log_event!(
+        warn,
+        events::STREAM_BROKEN_OFF,
+        request = request.id,
+        route = request.route.name,
+        reason = broken.refusal.name(),
+        obstacle = cause,
+        last_failure = broken.last_failure,
+        sends = broken.sends,
+        delivered = broken.delivered,
+        left_ms = request.left_ms(relay.now()),
+        silent_ms = relay.silent_ms()
+    );
+}
+
 /// Answers an admitted request with the relay's own answer.
 pub(crate) async fn refuse(
     relay: &Rc<Relay>,
--- a/crates/masticsill_relay/src/lib.rs
+++ b/crates/masticsill_relay/src/lib.rs
@@ -18,6 +18,7 @@
 mod dispatching;
 mod ending;
 pub mod events;
+mod lateness;
 mod lineage;
 mod metrics;
 mod plain;
--- a/crates/masticsill_relay/src/metrics.rs
+++ b/crates/masticsill_relay/src/metrics.rs
@@ -43,12 +43,14 @@
     pub(crate) active: Gauge,
     pub(crate) answer_ms: Family<KindLabel, Histogram, fn() -> Histogram>,
     pub(crate) attempt_failures: Family<CauseLabel, Counter>,
+    pub(crate) broken_off: Family<CauseLabel, Counter>,
     pub(crate) document_version: Gauge<u64, AtomicU64>,
     pub(crate) endpoints: StateGauges,
     pub(crate) endpoints_limited: Gauge,
     pub(crate) event_gap_ms: Histogram,
     pub(crate) first_event_ms: Histogram,
     pub(crate) kept_tokens: Counter,
+    pub(crate) late_ms: Histogram,
     pub(crate) overload_refused: Counter,
     pub(crate) requests: Family<RequestLabels, Counter>,
     pub(crate) resumes: Family<CauseLabel, Counter>,
@@ -68,12 +70,14 @@
             active: Gauge::default(),
             answer_ms: Family::new_with_constructor(time_histogram),
             attempt_failures: Family::default(),
+            broken_off: Family::default(),
             document_version: Gauge::default(),
             endpoints: StateGauges::default(),
             endpoints_limited: Gauge::default(),
             event_gap_ms: time_histogram(),
             first_event_ms: time_histogram(),
             kept_tokens: Counter::default(),
+            late_ms: time_histogram(),
             overload_refused: Counter::default(),
             requests: Family::default(),
             resumes: Family::default(),
@@ -93,6 +97,11 @@
         let help = "Exchanges with endpoints that gave no answer to pass on";
         let failures = self.attempt_failures.clone();
         registry.register("masticsill_relay_attempt_failures", help, failures);
+        let help = "Streams that were broken off, by what kept them from going on";
+        let broken_off = self.broken_off.clone();
+        registry.register("masticsill_relay_streams_broken_off", help, broken_off);
+        let help = "Time by which the relay's own thread ran too late";
+        registry.register("masticsill_relay_late_ms", help, self.late_ms.clone());
         let help = "Version of the document in force here";
         let version = self.document_version.clone();
         registry.register("masticsill_relay_document_version", help, version);
--- a/crates/masticsill_relay/src/plain.rs
+++ b/crates/masticsill_relay/src/plain.rs
@@ -50,7 +50,7 @@
             }
             Err(failure) => tries.note(id, &failure),
         }
-        if !tries.may_go_on(relay, request) {
+        if tries.may_go_on(relay, request).is_err() {
             break;
         }
     }
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -73,6 +73,8 @@
     pub(crate) load_changes: watch::Sender<IndexMap<ZoneId, u64>>,
     /// Entries that share budgets and connections, this one included.
     pub(crate) entries: RefCell<EntryCount>,
+    /// When anything came last, from an endpoint or a control replica.
+    pub(crate) heard_at: Cell<ClockMs>,
     pub(crate) metrics: RelayMetrics,
     /// Counts what was learned of the document and the endpoints, for requests that wait for it.
     pub(crate) news: watch::Sender<u64>,
@@ -108,6 +110,7 @@
         has_document: Arc<AtomicBool>,
         metrics: RelayMetrics,
     ) -> Self {
+        let heard_at = Cell::new(clock.now());
         Self {
             active: Cell::new(0),
             alarms: watch::Sender::new(None),
@@ -121,6 +124,7 @@
             has_document,
             load_changes: watch::Sender::default(),
             entries: RefCell::default(),
+            heard_at,
             metrics,
             news: watch::Sender::new(0),
             index: RefCell::new(None),
@@ -296,9 +300,20 @@
         });
     }
 
+    /// Notes that a control replica answered.
+    pub(crate) fn note_control_heard(&self) {
+        self.heard_at.set(self.now());
+    }
+
+    /// How long nothing has come from any endpoint or control replica.
+    pub(crate) fn silent_ms(&self) -> u64 {
+        self.now().since(self.heard_at.get())
+    }
+
     /// Notes that a byte of an endpoint's answer came.
     pub(crate) fn note_heard(&self, id: &EndpointId) {
         let now = self.now();
+        self.heard_at.set(now);
         self.with_endpoint(id, |it| it.health.note_heard(now));
     }
 
--- a/crates/masticsill_relay/src/server.rs
+++ b/crates/masticsill_relay/src/server.rs
@@ -11,6 +11,7 @@
 
 use crate::connection::serve_connection;
 use crate::events;
+use crate::lateness::watch_lateness;
 use crate::relay::Relay;
 
 /// Pause after a failed accept, so that a lack of descriptors does not spin.
@@ -35,6 +36,7 @@
         }
     };
     spawn_local(run_housekeeping(Rc::clone(&relay)));
+    spawn_local(watch_lateness(Rc::clone(&relay)));
     tokio::select! {
         () = accept(&relay, &listener) => {}
         () = relay.stopping.requested() => {}
--- a/crates/masticsill_relay/src/stream.rs
+++ b/crates/masticsill_relay/src/stream.rs
@@ -26,7 +26,7 @@
 use crate::request::{RelayRequest, SendOptions};
 use crate::reservation::{CopyPlace, Place, Reservation};
 use crate::timing::Timing;
-use crate::tries::Tries;
+use crate::tries::{Obstacle, Tries};
 use crate::whole::{Verdict, collect, passed_headers};
 use masticsill_dispatch::Failure;
 
@@ -52,11 +52,25 @@
     /// The relay's own answer, to be written; nothing of the stream was.
     Refused(Refusal),
     /// Part of it was written and the rest can't be had: the connection must be closed.
-    BrokenOff(Refusal),
+    BrokenOff(BrokenOff),
     /// The caller takes nothing any more.
     CallerLeft(io::Error),
 }
 
+/// What is known of a stream that was broken off.
+#[derive(Debug)]
+pub(crate) struct BrokenOff {
+    /// Events that the caller got.
+    pub(crate) delivered: u64,
+    /// What kept it from going on.
+    pub(crate) obstacle: Obstacle,
+    pub(crate) refusal: Refusal,
+    /// Sends that may have run.
+    pub(crate) sends: u32,
+    /// How its last run ended.
+    pub(crate) last_failure: &'static str,
+}
+
 /// How one run ended.
 enum RunEnd {
     Whole,
@@ -76,6 +90,7 @@
     delivered: u64,
     is_closing: bool,
     is_head_written: bool,
+    last_failure: &'static str,
     order: EventOrder,
     relay: &'a Rc<Relay>,
     request: &'a RelayRequest,
@@ -97,6 +112,7 @@
             delivered: 0,
             is_closing,
             is_head_written: false,
+            last_failure: "none",
             order: EventOrder::after(request.last_event(&relay.config.headers)),
             relay,
             request,
@@ -109,9 +125,14 @@
 
     /// Relays until the stream is whole or given up.
     pub(crate) async fn run(mut self) -> StreamEnd {
+        let mut obstacle = Obstacle::Deadline;
         while self.request.left_ms(self.relay.now()) > 0 {
-            let Some((reservation, from_copy)) = self.choose().await else {
-                break;
+            let (reservation, from_copy) = match self.choose().await {
+                Ok(chosen) => chosen,
+                Err(it) => {
+                    obstacle = it;
+                    break;
+                }
             };
             let id = reservation.endpoint().id.clone();
             let delivered_before = self.delivered;
@@ -144,20 +165,27 @@
                     self.tries.note(id, &failure);
                 }
             }
-            if !self.tries.may_go_on(self.relay, self.request) {
+            if let Err(it) = self.tries.may_go_on(self.relay, self.request) {
+                obstacle = it;
                 break;
             }
         }
         let refusal = self.tries.refusal(self.relay, self.request);
         if self.is_head_written {
-            StreamEnd::BrokenOff(refusal)
+            StreamEnd::BrokenOff(BrokenOff {
+                delivered: self.delivered,
+                last_failure: self.last_failure,
+                obstacle,
+                refusal,
+                sends: self.tries.sends,
+            })
         } else {
             StreamEnd::Refused(refusal)
         }
     }
 
     /// The endpoint that holds a copy of the run, while it can be used, or the best of all.
-    async fn choose(&mut self) -> Option<(Reservation, Option<Copy>)> {
+    async fn choose(&mut self) -> Result<(Reservation, Option<Copy>), Obstacle> {
         self.copies.collect(self.relay.now());
         if let Some(copy) = self.copies.copy() {
             let is_tried = self.tries.excluded.contains(&copy.at.id);
@@ -166,7 +194,7 @@
                 let tokens = self.request.held_tokens(&self.relay.config.headers);
                 let place = Place::Copy { tokens };
                 let reservation = Reservation::take(self.relay, copy.at.clone(), place);
-                return Some((reservation, Some(copy.clone())));
+                return Ok((reservation, Some(copy.clone())));
             };
             log_event!(
                 info,
@@ -184,12 +212,12 @@
             .relay
             .choose_or_wait(self.request, &self.tries, is_resume);
         match choosing.await {
-            Dispatched::Sent(_, reservation) => Some((*reservation, None)),
+            Dispatched::Sent(_, reservation) => Ok((*reservation, None)),
             Dispatched::Refused(overload) => {
                 self.tries.note_overload(overload);
-                None
+                Err(Obstacle::Overloaded)
             }
-            Dispatched::Nobody => None,
+            Dispatched::Nobody => Err(Obstacle::Nobody),
         }
     }
 
@@ -246,7 +274,10 @@
         }
         let (sent, head) = match sending {
             Ok(answered) => answered,
-            Err(failure) => return RunEnd::Failed(failure),
+            Err(failure) => {
+                self.last_failure = failure.name();
+                return RunEnd::Failed(failure);
+            }
         };
         if head.status != 200 {
             return match collect(self.relay, self.request, sent, head).await {
@@ -319,6 +350,7 @@
                 None if has_event => (Failure::Stalled, "no event".to_owned()),
                 None => (Failure::Silent, "no first event".to_owned()),
             };
+            self.last_failure = failure.name();
             return RunEnd::Failed(fail(self.relay, self.request, sent, failure, &cause));
         }
     }
--- a/crates/masticsill_relay/src/tries.rs
+++ b/crates/masticsill_relay/src/tries.rs
@@ -13,6 +13,43 @@
 /// Endpoints that a request may reach, those included that did not run it.
 const MAX_ARRIVALS: u32 = 10;
 
+/// What keeps a request from being sent once more.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Obstacle {
+    /// It has reached as many endpoints as it may, those included that did not run it.
+    Arrivals,
+    /// It has been sent as often as its route allows.
+    Attempts,
+    /// The service's retry budget is spent.
+    Budget,
+    /// Its time is over.
+    Deadline,
+    /// Too many endpoints could not be connected to.
+    Dials,
+    /// It may have run, and may not run twice.
+    MayNotRepeat,
+    /// No endpoint is known that it could go to.
+    Nobody,
+    /// It could not be answered in time.
+    Overloaded,
+}
+
+impl Obstacle {
+    /// The name in logs and metrics.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Arrivals => "arrivals",
+            Self::Attempts => "attempts",
+            Self::Budget => "budget",
+            Self::Deadline => "deadline",
+            Self::Dials => "dials",
+            Self::MayNotRepeat => "may_not_repeat",
+            Self::Nobody => "nobody",
+            Self::Overloaded => "overloaded",
+        }
+    }
+}
+
 /// What is known of a request that has not been answered yet.
 #[derive(Debug, Default)]
 pub(crate) struct Tries {
@@ -58,17 +95,28 @@
     }
 
     /// Whether the request may be sent once more; the retry budget is spent then.
-    pub(crate) fn may_go_on(&self, relay: &Relay, request: &RelayRequest) -> bool {
-        if self.excluded.len() >= MAX_DIALS || self.arrivals >= MAX_ARRIVALS {
-            return false;
+    ///
+    /// # Errors
+    ///
+    /// What keeps it from that.
+    pub(crate) fn may_go_on(&self, relay: &Relay, request: &RelayRequest) -> Result<(), Obstacle> {
+        if self.excluded.len() >= MAX_DIALS {
+            return Err(Obstacle::Dials);
+        }
+        if self.arrivals >= MAX_ARRIVALS {
+            return Err(Obstacle::Arrivals);
         }
         if self.sends >= request.route.max_attempts {
-            return false;
+            return Err(Obstacle::Attempts);
         }
         if self.may_have_run && !request.route.may_repeat() {
-            return false;
+            return Err(Obstacle::MayNotRepeat);
+        }
+        if self.arrivals == 0 || relay.try_spend(&request.service) {
+            Ok(())
+        } else {
+            Err(Obstacle::Budget)
         }
-        self.arrivals == 0 || relay.try_spend(&request.service)
     }
 
     /// Why the request is given up, by what may have become of it.
