A silent run is listened to until its successor is connected; what was begun waits for its next send

A relay that was late itself, reading large documents, ended runs that engines were making, found no connection in 120 ms, spent the retry budget on sends that never left, and cut the streams up to 19 s before their deadline.

Ruled out: routes, keys or endpoints that went away (none of 285 ends), broken engines.

Change: a run that falls silent is doubted: its successor is chosen, connected and paid for while the run is still listened to, and whichever comes first goes on. The retry budget is spent when the connection stands. A stream that was begun waits for budget, engines and connections until its time is over; each connection may take longer than the one before. A connection that rests is measured by the limit that is in force when it seems over.

--- a/crates/masticsill_relay/src/attempt.rs
+++ b/crates/masticsill_relay/src/attempt.rs
@@ -14,18 +14,17 @@
 use crate::relay::Relay;
 use crate::request::{RelayRequest, SendOptions};
 use crate::reservation::Reservation;
+use crate::tries::{Obstacle, Tries};
 use masticsill_dispatch::Failure;
 
-/// Longest wait for a connection: a healthy endpoint accepts within a few milliseconds, and what
-/// was not sent costs nothing to send elsewhere.
-const DIAL_TIMEOUT_MS: u64 = 120;
 /// Longest idle time of a connection for a request that may not run twice: the less, the less
 /// likely it crosses the endpoint's close, which would leave its outcome unknown.
 const IDLE_ONCE_MS: u64 = 1_500;
 /// Silence of an endpoint after which it is given up once it is known to stand still.
 const ALARM_SILENCE_MS: u64 = 150;
 
-/// The connection of one send, and its place at the endpoint. Dropped, it closes the connection.
+/// The connection of one send, and its place at the endpoint. Dropped, it closes the connection,
+/// whether the request has left or not.
 #[derive(Debug)]
 pub(crate) struct Sent {
     pub(crate) began_at: ClockMs,
@@ -94,52 +93,63 @@
     }
 }
 
-/// Sends a request and waits for the head of the answer, `patience_ms` at most.
-pub(crate) async fn send(
+/// Connects to an endpoint, and spends the retry budget if the request has been anywhere before.
+///
+/// It is spent only now: what could not be connected reaches nobody.
+///
+/// # Errors
+///
+/// Why there is no connection: the endpoint, which is left out of `tries` then, or the budget.
+pub(crate) async fn open(
     relay: &Rc<Relay>,
     request: &RelayRequest,
     reservation: Reservation,
-    options: &SendOptions,
-    patience_ms: u64,
-) -> Result<(Sent, ResponseHead), SendFailure> {
+    tries: &mut Tries,
+) -> Result<Sent, Obstacle> {
     let endpoint = reservation.endpoint().clone();
-    let stream = match connect(relay, request, &endpoint).await {
+    let stream = match connect(relay, request, &endpoint, tries.dial_ms()).await {
         Ok(stream) => stream,
         Err(error) => {
             let cause = error.to_string();
-            log_failure(relay, request, &endpoint, "not_sent", &cause);
+            let failure = SendFailure::NotSent;
+            log_failure(relay, request, &endpoint, failure.name(), &cause);
             relay.note_failure(&endpoint, Failure::Broken);
-            return Err(SendFailure::NotSent);
+            tries.note(endpoint.id, &failure);
+            return Err(Obstacle::Unreached);
         }
     };
-    let mut sent = Sent {
+    let sent = Sent {
         began_at: relay.now(),
         relay: Rc::clone(relay),
         reservation,
         upstream: Some(Upstream::new(stream)),
     };
+    if tries.spend(relay, request) {
+        Ok(sent)
+    } else {
+        Err(Obstacle::Budget)
+    }
+}
+
+/// Sends a request on its connection and waits for the head of the answer.
+pub(crate) async fn exchange(
+    relay: &Relay,
+    request: &RelayRequest,
+    sent: &mut Sent,
+    options: &SendOptions,
+) -> Result<ResponseHead, Break> {
+    sent.began_at = relay.now();
     let names = &relay.config.headers;
-    let bytes = request.bytes_for(names, &endpoint, sent.began_at, options);
+    let bytes = request.bytes_for(names, sent.endpoint(), sent.began_at, options);
     let expected = Expected {
         method: &request.head.method,
         id_field: &names.request_id,
         request_id: &request.id,
     };
-    let sent_at = sent.began_at;
-    let exchange = sent.upstream().exchange(&bytes, expected);
-    match with_patience(relay, &endpoint, sent_at, patience_ms, exchange).await {
-        Some(Ok(head)) => {
-            relay.note_heard(&endpoint.id);
-            relay.note_answer(&endpoint.id, head.status);
-            Ok((sent, head))
-        }
-        Some(Err(error)) => {
-            let failure = failure_of(&error);
-            let cause = error.to_string();
-            Err(fail(relay, request, sent, failure, &cause))
-        }
-        None => Err(fail(relay, request, sent, Failure::Silent, "no answer")),
-    }
+    let head = sent.upstream().exchange(&bytes, expected).await?;
+    relay.note_heard(&sent.endpoint().id);
+    relay.note_answer(&sent.endpoint().id, head.status);
+    Ok(head)
 }
 
 /// Ends a send that failed after the request had left.
@@ -161,7 +171,7 @@
     SendFailure::MayHaveRun
 }
 
-fn log_failure(
+pub(crate) fn log_failure(
     relay: &Relay,
     request: &RelayRequest,
     endpoint: &Announcement,
@@ -192,6 +202,7 @@
     relay: &Relay,
     request: &RelayRequest,
     endpoint: &Announcement,
+    dial_ms: u64,
 ) -> std::io::Result<TcpStream> {
     let idle_ms = if request.route.may_repeat() {
         u64::MAX
@@ -205,7 +216,7 @@
     if let Some(stream) = kept {
         return Ok(stream);
     }
-    let timeout_ms = DIAL_TIMEOUT_MS.min(request.left_ms(relay.now()));
+    let timeout_ms = dial_ms.min(request.left_ms(relay.now()));
     let stream = dial(endpoint.address, timeout_ms).await?;
     relay.pool.borrow_mut().note_opened(&endpoint.id);
     Ok(stream)
--- a/crates/masticsill_relay/src/caller.rs
+++ b/crates/masticsill_relay/src/caller.rs
@@ -85,18 +85,29 @@
     }
 
     /// Waits while the connection is idle; false when it is to end.
+    ///
+    /// The limit is read again when it seems to be over: a caller goes by the newest document, and may
+    /// send its next request later than the one allowed that was in force when the rest began.
     async fn await_bytes(&mut self, relay: &Rc<Relay>) -> bool {
-        let idle_ms = limits_of(relay).idle_timeout_ms + IDLE_SLACK_MS;
-        let idle = Duration::from_millis(idle_ms);
-        tokio::select! {
-            biased;
-            read = timeout(idle, self.read_more()) => {
-                matches!(read, Ok(Ok(true)))
+        let began_at = relay.now();
+        loop {
+            let idle_ms = limits_of(relay).idle_timeout_ms + IDLE_SLACK_MS;
+            let left_ms = (began_at + idle_ms).since(relay.now());
+            if left_ms == 0 {
+                return false;
             }
-            () = relay.stopping.requested() => {
-                // What is on its way when the shutdown begins is still answered.
-                let last = self.read_more();
-                matches!(timeout(LINGER, last).await, Ok(Ok(true)))
+            tokio::select! {
+                biased;
+                read = timeout(Duration::from_millis(left_ms), self.read_more()) => {
+                    if let Ok(read) = read {
+                        return matches!(read, Ok(true));
+                    }
+                }
+                () = relay.stopping.requested() => {
+                    // What is on its way when the shutdown begins is still answered.
+                    let last = self.read_more();
+                    return matches!(timeout(LINGER, last).await, Ok(Ok(true)));
+                }
             }
         }
     }
--- a/crates/masticsill_relay/src/events.rs
+++ b/crates/masticsill_relay/src/events.rs
@@ -54,6 +54,10 @@
 pub const ENDPOINT_LIMITED: Event = Event::new(2131, "endpoint_limited");
 /// The relay itself was late, or nothing at all reached it for a while.
 pub const RELAY_LATE: Event = Event::new(2132, "relay_late");
+/// A run that had been silent for too long goes on, before its successor was connected.
+pub const RUN_WENT_ON: Event = Event::new(2133, "run_went_on");
+/// A stream that was begun waits for what keeps it from its next send.
+pub const STREAM_WAITS: Event = Event::new(2134, "stream_waits");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -83,4 +87,6 @@
     OVERLOAD_REFUSED,
     ENDPOINT_LIMITED,
     RELAY_LATE,
+    RUN_WENT_ON,
+    STREAM_WAITS,
 ];
--- a/crates/masticsill_relay/src/plain.rs
+++ b/crates/masticsill_relay/src/plain.rs
@@ -5,13 +5,13 @@
 use masticsill_registry::EndpointId;
 
 use crate::answer::{Answer, Refusal};
-use crate::attempt::{SendFailure, send};
+use crate::attempt::{SendFailure, Sent, exchange, fail, failure_of, open, with_patience};
 use crate::dispatching::Dispatched;
 use crate::relay::Relay;
 use crate::request::{RelayRequest, SendOptions};
-use crate::reservation::Reservation;
-use crate::tries::Tries;
+use crate::tries::{Obstacle, Tries};
 use crate::whole::{Verdict, collect};
+use masticsill_dispatch::Failure;
 
 /// Part of the time aimed at after which an idempotent request is sent elsewhere: what is left
 /// suffices for a healthy endpoint.
@@ -32,7 +32,12 @@
         };
         let id = reservation.endpoint().id.clone();
         let patience_ms = patience_ms(relay, request, &tries, choice.candidates);
-        match send_whole(relay, request, reservation, patience_ms).await {
+        let sent = match open(relay, request, reservation, &mut tries).await {
+            Ok(sent) => sent,
+            Err(Obstacle::Unreached) if tries.may_go_on(request, false).is_ok() => continue,
+            Err(_) => break,
+        };
+        match send_whole(relay, request, sent, patience_ms).await {
             Ok((Verdict::Answer, answer)) => {
                 return PlainEnd::Answered {
                     answer,
@@ -50,7 +55,11 @@
             }
             Err(failure) => tries.note(id, &failure),
         }
-        if tries.may_go_on(relay, request).is_err() {
+        if tries.may_go_on(request, false).is_err() {
+            break;
+        }
+        if !tries.has_budget(relay, request) {
+            relay.note_retry_refused(&request.service);
             break;
         }
     }
@@ -90,14 +99,25 @@
     left_ms.min(request.route.target_latency_ms * FIRST_SHARE_PERCENT / 100)
 }
 
-/// Sends a request and reads its whole answer.
+/// Sends a request on its connection and reads its whole answer.
 async fn send_whole(
     relay: &Rc<Relay>,
     request: &RelayRequest,
-    reservation: Reservation,
+    mut sent: Sent,
     patience_ms: u64,
 ) -> Result<(Verdict, Answer), SendFailure> {
+    let endpoint = sent.endpoint().clone();
+    let sent_at = relay.now();
     let options = SendOptions::default();
-    let (sent, head) = send(relay, request, reservation, &options, patience_ms).await?;
+    let exchange = exchange(relay, request, &mut sent, &options);
+    let head = match with_patience(relay, &endpoint, sent_at, patience_ms, exchange).await {
+        Some(Ok(head)) => head,
+        Some(Err(error)) => {
+            let failure = failure_of(&error);
+            let cause = error.to_string();
+            return Err(fail(relay, request, sent, failure, &cause));
+        }
+        None => return Err(fail(relay, request, sent, Failure::Silent, "no answer")),
+    };
     collect(relay, request, sent, head).await
 }
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -221,22 +221,33 @@
         self.entries.borrow().highest(self.now())
     }
 
+    /// Whether the retry budget allows one more send.
+    pub(crate) fn has_retries_left(&self, service: &str) -> bool {
+        let (now, entries) = (self.now(), self.entry_count());
+        self.with_budget(service, |budget| budget.left(now, entries) > 0)
+    }
+
     /// Whether one more send of a request fits into the retry budget; it is spent then.
     pub(crate) fn try_spend(&self, service: &str) -> bool {
         let (now, entries) = (self.now(), self.entry_count());
         let is_spent = self.with_budget(service, |budget| budget.try_spend(now, entries));
         if !is_spent {
-            self.metrics.retries_refused.inc();
-            log_event!(
-                warn,
-                events::RETRY_REFUSED,
-                service = service,
-                entries = entries
-            );
+            self.note_retry_refused(service);
         }
         is_spent
     }
 
+    /// Notes that the retry budget does not allow one more send.
+    pub(crate) fn note_retry_refused(&self, service: &str) {
+        self.metrics.retries_refused.inc();
+        log_event!(
+            warn,
+            events::RETRY_REFUSED,
+            service = service,
+            entries = self.entry_count()
+        );
+    }
+
     /// Notes what changes too often to be counted at each change.
     pub(crate) fn note_gauges(&self) {
         let (now, entries) = (self.now(), self.entry_count());
--- a/crates/masticsill_relay/src/stream.rs
+++ b/crates/masticsill_relay/src/stream.rs
@@ -2,9 +2,15 @@
 //!
 //! One answer to the caller may be made of several runs: each goes on after the last event that
 //! the caller has. The head, with its signature, is that of the first run.
+//!
+//! A run that falls silent is doubted, not ended: it is listened to until the connection of its
+//! successor stands, and goes on if it speaks before. Silence may be the relay's own, and where no
+//! successor can be had, a late answer is worth more than half of one. What was begun is ended only
+//! when its time is over, or when its engine broke it and no further send is allowed.
 
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::BytesMut;
 use masticsill_http1::{
@@ -14,9 +20,12 @@
 use masticsill_types::{ClockMs, log_event};
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
+use tokio::time::{sleep, timeout};
 
 use crate::answer::{Answer, Refusal};
-use crate::attempt::{SendFailure, Sent, fail, failure_of, send, with_patience};
+use crate::attempt::{
+    SendFailure, Sent, exchange, fail, failure_of, log_failure, open, with_patience,
+};
 use crate::copies::{Copy, CopyKeeper};
 use crate::dispatching::Dispatched;
 use crate::events;
@@ -71,6 +80,25 @@
     pub(crate) last_failure: &'static str,
 }
 
+/// Pause before what was begun is tried again, where neither an engine nor the retry budget can be
+/// had now: a tenth of the time after which a pause in the events is late.
+const AGAIN: Duration = Duration::from_millis(70);
+
+/// The next run of a stream, about to be sent.
+struct Next {
+    from_copy: Option<Copy>,
+    sent: Sent,
+}
+
+/// How the wait for something of a run ended.
+enum Waited<T> {
+    Done(T),
+    /// The connection of its successor stands.
+    Replaced(Box<Next>),
+    /// The request's time is over.
+    Over,
+}
+
 /// How one run ended.
 enum RunEnd {
     Whole,
@@ -80,6 +108,8 @@
         is_replaced: bool,
     },
     Failed(SendFailure),
+    /// It was silent, and its successor's connection stands.
+    Replaced(Box<Next>),
     CallerLeft(io::Error),
 }
 
@@ -89,6 +119,8 @@
     /// Events passed on by any run.
     delivered: u64,
     is_closing: bool,
+    /// Whether the copy can be gone on from: its run has read its prompt.
+    is_copy_usable: bool,
     is_head_written: bool,
     last_failure: &'static str,
     order: EventOrder,
@@ -111,6 +143,7 @@
             copies: CopyKeeper::default(),
             delivered: 0,
             is_closing,
+            is_copy_usable: false,
             is_head_written: false,
             last_failure: "none",
             order: EventOrder::after(request.last_event(&relay.config.headers)),
@@ -125,18 +158,19 @@
 
     /// Relays until the stream is whole or given up.
     pub(crate) async fn run(mut self) -> StreamEnd {
-        let mut obstacle = Obstacle::Deadline;
-        while self.request.left_ms(self.relay.now()) > 0 {
-            let (reservation, from_copy) = match self.choose().await {
-                Ok(chosen) => chosen,
-                Err(it) => {
-                    obstacle = it;
-                    break;
-                }
+        let mut next = self.open_next(None).await;
+        let obstacle = loop {
+            let Next { from_copy, sent } = match next {
+                Ok(next) => next,
+                Err(obstacle) => break obstacle,
             };
-            let id = reservation.endpoint().id.clone();
+            let id = sent.endpoint().id.clone();
             let delivered_before = self.delivered;
-            match self.run_once(reservation, from_copy.as_ref()).await {
+            let end = self.run_once(sent, from_copy.as_ref()).await;
+            // Its prompt was not read to the end: of 612 such copies engines refused 594, and each
+            // refusal uses up the retry budget.
+            let is_unread = self.delivered == delivered_before && from_copy.is_none();
+            next = match end {
                 RunEnd::Whole => {
                     return StreamEnd::Whole {
                         endpoint: id,
@@ -152,24 +186,20 @@
                     self.tries.note_not_run(!is_replaced && from_copy.is_none());
                     // An engine without the copy may still run the request from its prompt.
                     if from_copy.is_none() {
-                        self.tries.excluded.push(id);
+                        self.tries.exclude(id);
                     }
+                    self.open_next(None).await
                 }
                 RunEnd::Failed(failure) => {
-                    let is_unread = self.delivered == delivered_before && from_copy.is_none();
-                    if is_unread && matches!(failure, SendFailure::MayHaveRun) {
-                        // Its prompt was not read to the end: of 612 such copies engines
-                        // refused 594, and each refusal uses up the retry budget.
+                    if is_unread {
                         self.copies.forget();
                     }
                     self.tries.note(id, &failure);
+                    self.open_next(None).await
                 }
-            }
-            if let Err(it) = self.tries.may_go_on(self.relay, self.request) {
-                obstacle = it;
-                break;
-            }
-        }
+                RunEnd::Replaced(next) => Ok(*next),
+            };
+        };
         let refusal = self.tries.refusal(self.relay, self.request);
         if self.is_head_written {
             StreamEnd::BrokenOff(BrokenOff {
@@ -184,10 +214,66 @@
         }
     }
 
+    /// Chooses where the stream goes on, and connects there. `doubted` is the engine of a run that is
+    /// listened to meanwhile.
+    ///
+    /// For a stream that was begun, what time alone may remove is waited for.
+    async fn open_next(&mut self, doubted: Option<&EndpointId>) -> Result<Next, Obstacle> {
+        let is_begun = self.is_head_written || doubted.is_some();
+        let mut told = None;
+        loop {
+            if self.request.left_ms(self.relay.now()) == 0 {
+                return Err(Obstacle::Deadline);
+            }
+            let obstacle = match self.try_open(is_begun).await {
+                Ok(next) => return Ok(next),
+                Err(Obstacle::Unreached) => continue,
+                Err(obstacle) => obstacle,
+            };
+            if !is_begun || !obstacle.is_passing() {
+                return Err(obstacle);
+            }
+            if told != Some(obstacle) {
+                told = Some(obstacle);
+                self.log_wait(obstacle, doubted);
+            }
+            if matches!(obstacle, Obstacle::Dials | Obstacle::Nobody) {
+                self.tries.ask_again(doubted);
+            }
+            sleep(AGAIN).await;
+        }
+    }
+
+    async fn try_open(&mut self, is_begun: bool) -> Result<Next, Obstacle> {
+        self.tries.may_go_on(self.request, is_begun)?;
+        if !self.tries.has_budget(self.relay, self.request) {
+            return Err(Obstacle::Budget);
+        }
+        let (reservation, from_copy) = self.choose().await?;
+        let sent = open(self.relay, self.request, reservation, &mut self.tries).await?;
+        Ok(Next { from_copy, sent })
+    }
+
+    fn log_wait(&self, obstacle: Obstacle, doubted: Option<&EndpointId>) {
+        if obstacle == Obstacle::Budget {
+            self.relay.note_retry_refused(&self.request.service);
+        }
+        log_event!(
+            info,
+            events::STREAM_WAITS,
+            request = self.request.id,
+            obstacle = obstacle.name(),
+            is_listened_to = doubted.is_some(),
+            sends = self.tries.sends,
+            left_ms = self.request.left_ms(self.relay.now())
+        );
+    }
+
     /// The endpoint that holds a copy of the run, while it can be used, or the best of all.
     async fn choose(&mut self) -> Result<(Reservation, Option<Copy>), Obstacle> {
         self.copies.collect(self.relay.now());
-        if let Some(copy) = self.copies.copy() {
+        let copy = self.copies.copy().filter(|_| self.is_copy_usable);
+        if let Some(copy) = copy {
             let is_tried = self.tries.excluded.contains(&copy.at.id);
             let obstacle = self.relay.obstacle(&copy.at.id);
             let Some(cause) = obstacle.or(is_tried.then_some("tried before")) else {
@@ -232,55 +318,36 @@
         Some(Copy::backup(at, place))
     }
 
-    async fn run_once(&mut self, reservation: Reservation, from_copy: Option<&Copy>) -> RunEnd {
-        let endpoint = reservation.endpoint().clone();
+    async fn run_once(&mut self, mut sent: Sent, from_copy: Option<&Copy>) -> RunEnd {
+        let (relay, request) = (self.relay, self.request);
+        let endpoint = sent.endpoint().clone();
         let copy = self.choose_copy(&endpoint);
         let options = SendOptions {
             backup_at: copy.as_ref().map(|copy| copy.at.address.to_string()),
             last_event: self.order.last().filter(|_| self.delivered > 0),
-            resume_from: from_copy.map(|copy| copy.reference(&self.request.id)),
+            resume_from: from_copy.map(|copy| copy.reference(&request.id)),
         };
         if self.delivered > 0 {
-            self.resumes += 1;
-            let cause = if from_copy.is_some() {
-                "copy"
-            } else {
-                "prompt"
-            };
-            self.relay
-                .metrics
-                .resumes
-                .get_or_create(&CauseLabel { cause })
-                .inc();
-            log_event!(
-                info,
-                events::STREAM_RESUMED,
-                request = self.request.id,
-                endpoint = endpoint.id,
-                zone = endpoint.zone,
-                after_event = self.order.last().unwrap_or_default(),
-                from_copy = from_copy.is_some(),
-                sends = self.tries.sends
-            );
+            self.note_resume(&endpoint, from_copy.is_some());
         }
+        // The engine begins its copy while it reads the prompt, before any answer.
+        self.copies.begin(copy);
+        self.is_copy_usable = from_copy.is_some();
         let patience_ms = self.first_patience_ms();
-        let sent_at = self.relay.now();
-        let sending = send(self.relay, self.request, reservation, &options, patience_ms);
-        let sending = sending.await;
-        if !matches!(sending, Err(SendFailure::NotSent)) {
-            // The engine begins its copy while it reads the prompt, before any answer. A request
-            // that never left makes none: what an earlier run left is still the newest.
-            self.copies.begin(copy);
-        }
-        let (sent, head) = match sending {
-            Ok(answered) => answered,
-            Err(failure) => {
-                self.last_failure = failure.name();
-                return RunEnd::Failed(failure);
+        let sent_at = relay.now();
+        let exchange = exchange(relay, request, &mut sent, &options);
+        let failure = Failure::Silent;
+        let waited = self.listen(&endpoint, sent_at, patience_ms, failure, exchange);
+        let head = match waited.await {
+            Waited::Done(Ok(head)) => head,
+            Waited::Done(Err(error)) => {
+                return self.run_failed(sent, failure_of(&error), &error.to_string());
             }
+            Waited::Replaced(next) => return RunEnd::Replaced(next),
+            Waited::Over => return self.run_failed(sent, failure, "no answer"),
         };
         if head.status != 200 {
-            return match collect(self.relay, self.request, sent, head).await {
+            return match collect(relay, request, sent, head).await {
                 Ok((Verdict::NotRun { is_replaced }, _)) => RunEnd::NotRun { is_replaced },
                 // The caller has another run's head already.
                 Ok(_) if self.is_head_written => RunEnd::Failed(SendFailure::MayHaveRun),
@@ -291,6 +358,85 @@
         self.pass_events(sent, &head, sent_at + patience_ms).await
     }
 
+    fn run_failed(&mut self, sent: Sent, failure: Failure, cause: &str) -> RunEnd {
+        self.last_failure = failure.name();
+        RunEnd::Failed(fail(self.relay, self.request, sent, failure, cause))
+    }
+
+    /// Counts and logs that the stream goes on at another engine.
+    fn note_resume(&mut self, endpoint: &Announcement, is_from_copy: bool) {
+        self.resumes += 1;
+        let cause = if is_from_copy { "copy" } else { "prompt" };
+        let resumes = &self.relay.metrics.resumes;
+        resumes.get_or_create(&CauseLabel { cause }).inc();
+        log_event!(
+            info,
+            events::STREAM_RESUMED,
+            request = self.request.id,
+            endpoint = endpoint.id,
+            zone = endpoint.zone,
+            after_event = self.order.last().unwrap_or_default(),
+            from_copy = is_from_copy,
+            sends = self.tries.sends
+        );
+    }
+
+    /// Waits for something of a run that was last heard at `heard_at`. After `patience_ms` of silence
+    /// the run is doubted: a successor is looked for, and the run listened to until it is connected.
+    async fn listen<T>(
+        &mut self,
+        endpoint: &Announcement,
+        heard_at: ClockMs,
+        patience_ms: u64,
+        failure: Failure,
+        waiting: impl Future<Output = T>,
+    ) -> Waited<T> {
+        let (relay, request) = (self.relay, self.request);
+        tokio::pin!(waiting);
+        let patience_ms = patience_ms.min(request.left_ms(relay.now()));
+        let heard = with_patience(relay, endpoint, heard_at, patience_ms, waiting.as_mut());
+        if let Some(done) = heard.await {
+            return Waited::Done(done);
+        }
+        if request.left_ms(relay.now()) == 0 {
+            return Waited::Over;
+        }
+        relay.note_failure(endpoint, failure);
+        let doubt = self.tries.begin_doubt(endpoint.id.clone());
+        let found = tokio::select! {
+            biased;
+            done = waiting.as_mut() => Err(done),
+            next = self.open_next(Some(&endpoint.id)) => Ok(next),
+        };
+        let done = match found {
+            Ok(Ok(next)) => {
+                self.last_failure = failure.name();
+                let cause = "silent until its successor was connected";
+                log_failure(relay, request, endpoint, failure.name(), cause);
+                return Waited::Replaced(Box::new(next));
+            }
+            // No successor may be had any more: it is listened to as long as there is time.
+            Ok(Err(_)) => {
+                let left_ms = request.left_ms(relay.now());
+                match timeout(Duration::from_millis(left_ms), waiting).await {
+                    Ok(done) => done,
+                    Err(_) => return Waited::Over,
+                }
+            }
+            Err(done) => done,
+        };
+        self.tries.end_doubt(&doubt);
+        log_event!(
+            info,
+            events::RUN_WENT_ON,
+            request = request.id,
+            endpoint = endpoint.id,
+            silent_ms = relay.now().since(heard_at),
+            left_ms = request.left_ms(relay.now())
+        );
+        Waited::Done(done)
+    }
+
     fn first_patience_ms(&self) -> u64 {
         let tokens = self.request.prompt_tokens(&self.relay.config.headers);
         let reading_ms = tokens.unwrap_or_default() / PROMPT_TOKENS_PER_MS;
@@ -311,17 +457,22 @@
         let mut has_event = false;
         loop {
             let now = self.relay.now();
-            let left_ms = self.request.left_ms(now);
             let silence_ms = if has_event {
                 EVENT_SILENCE_MS
             } else {
                 first_by.since(now)
             };
+            let silence = if has_event {
+                Failure::Stalled
+            } else {
+                Failure::Silent
+            };
             let reading = sent.upstream().next_piece(&mut decoder);
-            let patience_ms = silence_ms.min(left_ms);
-            let piece = with_patience(self.relay, &endpoint, now, patience_ms, reading).await;
-            let (failure, cause) = match piece {
-                Some(Ok(Some(piece))) => {
+            let waited = self.listen(&endpoint, now, silence_ms, silence, reading);
+            let (failure, cause) = match waited.await {
+                Waited::Replaced(next) => return RunEnd::Replaced(next),
+                Waited::Over => (silence, "no event".to_owned()),
+                Waited::Done(Ok(Some(piece))) => {
                     self.relay.note_heard(&endpoint.id);
                     splitter.push(&piece);
                     match self.pass_whole_events(&mut splitter, head).await {
@@ -332,6 +483,7 @@
                                 self.relay.note_pace(&endpoint.id, pace_ms);
                             }
                             has_event = true;
+                            self.is_copy_usable = true;
                             self.keep_copy(&endpoint);
                             continue;
                         }
@@ -342,16 +494,13 @@
                         }
                     }
                 }
-                Some(Ok(None)) if splitter.pending_bytes() == 0 => {
+                Waited::Done(Ok(None)) if splitter.pending_bytes() == 0 => {
                     return self.finish(sent, head).await;
                 }
-                Some(Ok(None)) => (Failure::Broken, "the last event is cut".to_owned()),
-                Some(Err(error)) => (failure_of(&error), error.to_string()),
-                None if has_event => (Failure::Stalled, "no event".to_owned()),
-                None => (Failure::Silent, "no first event".to_owned()),
+                Waited::Done(Ok(None)) => (Failure::Broken, "the last event is cut".to_owned()),
+                Waited::Done(Err(error)) => (failure_of(&error), error.to_string()),
             };
-            self.last_failure = failure.name();
-            return RunEnd::Failed(fail(self.relay, self.request, sent, failure, &cause));
+            return self.run_failed(sent, failure, &cause);
         }
     }
 
--- a/crates/masticsill_relay/src/tries.rs
+++ b/crates/masticsill_relay/src/tries.rs
@@ -8,8 +8,13 @@
 use crate::relay::Relay;
 use crate::request::RelayRequest;
 
-/// Endpoints that can't be connected to before a request is given up.
+/// Endpoints that can't be connected to before a request is given up of which nothing was passed on.
 const MAX_DIALS: usize = 8;
+/// Longest wait for the first connection: a healthy endpoint accepts within a few milliseconds, and
+/// what was not sent costs nothing to send elsewhere.
+const FIRST_DIAL_MS: u64 = 120;
+/// Longest wait for any: a lost first packet is sent again after a second.
+const LONGEST_DIAL_MS: u64 = 1_200;
 /// Endpoints that a request may reach, those included that did not run it.
 const MAX_ARRIVALS: u32 = 10;
 
@@ -32,6 +37,8 @@
     Nobody,
     /// It could not be answered in time.
     Overloaded,
+    /// The endpoint that was chosen could not be connected to.
+    Unreached,
 }
 
 impl Obstacle {
@@ -46,16 +53,37 @@
             Self::MayNotRepeat => "may_not_repeat",
             Self::Nobody => "nobody",
             Self::Overloaded => "overloaded",
+            Self::Unreached => "unreached",
         }
     }
 }
 
+impl Obstacle {
+    /// Whether time alone may remove it.
+    pub(crate) fn is_passing(self) -> bool {
+        match self {
+            Self::Budget | Self::Dials | Self::Nobody | Self::Overloaded | Self::Unreached => true,
+            Self::Arrivals | Self::Attempts | Self::Deadline | Self::MayNotRepeat => false,
+        }
+    }
+}
+
+/// A run that is counted as failed, though it may still go on.
+#[derive(Debug)]
+pub(crate) struct Doubt {
+    id: EndpointId,
+    /// Whether anything may have run before.
+    may_have_run: bool,
+}
+
 /// What is known of a request that has not been answered yet.
 #[derive(Debug, Default)]
 pub(crate) struct Tries {
     /// Sends that reached an endpoint, those included that it did not run: all of them count
     /// against the retry budget.
     arrivals: u32,
+    /// Connections that could not be had, one after the other.
+    dials_failed: u32,
     /// Endpoints that it must not go to again.
     pub(crate) excluded: Vec<EndpointId>,
     /// Why it is not sent anywhere any more.
@@ -83,9 +111,9 @@
 
     /// Notes a send that failed; the endpoint is not asked again.
     pub(crate) fn note(&mut self, id: EndpointId, failure: &SendFailure) {
-        self.excluded.push(id);
+        self.exclude(id);
         match failure {
-            SendFailure::NotSent => {}
+            SendFailure::NotSent => self.dials_failed += 1,
             SendFailure::MayHaveRun => {
                 self.arrivals += 1;
                 self.sends += 1;
@@ -94,29 +122,75 @@
         }
     }
 
-    /// Whether the request may be sent once more; the retry budget is spent then.
+    /// Leaves an endpoint out from now on.
+    pub(crate) fn exclude(&mut self, id: EndpointId) {
+        if !self.excluded.contains(&id) {
+            self.excluded.push(id);
+        }
+    }
+
+    /// Counts a run that is doubted as one that failed, until it goes on.
+    pub(crate) fn begin_doubt(&mut self, id: EndpointId) -> Doubt {
+        let doubt = Doubt {
+            id: id.clone(),
+            may_have_run: self.may_have_run,
+        };
+        self.note(id, &SendFailure::MayHaveRun);
+        doubt
+    }
+
+    /// Takes a doubt back: the run goes on.
+    pub(crate) fn end_doubt(&mut self, doubt: &Doubt) {
+        self.excluded.retain(|id| *id != doubt.id);
+        self.arrivals -= 1;
+        self.sends -= 1;
+        self.may_have_run = doubt.may_have_run;
+    }
+
+    /// Lets endpoints be asked again that could not be reached or had no room, but not `running`.
+    pub(crate) fn ask_again(&mut self, running: Option<&EndpointId>) {
+        self.dials_failed = 0;
+        self.excluded.retain(|id| Some(id) == running);
+    }
+
+    /// How long the next connection may take: longer each time, since what is slow may be this
+    /// relay's own link.
+    pub(crate) fn dial_ms(&self) -> u64 {
+        (FIRST_DIAL_MS << self.dials_failed.min(8)).min(LONGEST_DIAL_MS)
+    }
+
+    /// Whether the request may be sent once more, as far as it is known here.
+    ///
+    /// What was begun goes on until its time is over: it may be connected, and turned away, as often
+    /// as the retry budget allows.
     ///
     /// # Errors
     ///
     /// What keeps it from that.
-    pub(crate) fn may_go_on(&self, relay: &Relay, request: &RelayRequest) -> Result<(), Obstacle> {
-        if self.excluded.len() >= MAX_DIALS {
-            return Err(Obstacle::Dials);
-        }
-        if self.arrivals >= MAX_ARRIVALS {
-            return Err(Obstacle::Arrivals);
-        }
+    pub(crate) fn may_go_on(&self, request: &RelayRequest, is_begun: bool) -> Result<(), Obstacle> {
         if self.sends >= request.route.max_attempts {
             return Err(Obstacle::Attempts);
         }
         if self.may_have_run && !request.route.may_repeat() {
             return Err(Obstacle::MayNotRepeat);
         }
-        if self.arrivals == 0 || relay.try_spend(&request.service) {
-            Ok(())
-        } else {
-            Err(Obstacle::Budget)
+        if self.excluded.len() >= MAX_DIALS {
+            return Err(Obstacle::Dials);
+        }
+        if self.arrivals >= MAX_ARRIVALS && !is_begun {
+            return Err(Obstacle::Arrivals);
         }
+        Ok(())
+    }
+
+    /// Whether the retry budget has something left for one more send, if that needs it.
+    pub(crate) fn has_budget(&self, relay: &Relay, request: &RelayRequest) -> bool {
+        self.arrivals == 0 || relay.has_retries_left(&request.service)
+    }
+
+    /// Spends the retry budget for a send that is about to leave; false if there is nothing left.
+    pub(crate) fn spend(&self, relay: &Relay, request: &RelayRequest) -> bool {
+        self.arrivals == 0 || relay.try_spend(&request.service)
     }
 
     /// Why the request is given up, by what may have become of it.
