A late answer to a lookup is listened to until another endpoint is connected

Change: the wait of streams moves to a module of its own (doubt.rs) and serves plain requests too: an idempotent request that has waited for 60% of its aim is sent elsewhere only once that connection stands and is paid for, and goes on otherwise.

--- /dev/null
+++ b/crates/masticsill_relay/src/doubt.rs
@@ -0,0 +1,79 @@
+//! What becomes of a send whose endpoint has been silent for too long.
+//!
+//! Silence proves nothing: it may be the relay's own, and an answer that comes late is worth more than
+//! none. So the send is listened to until the connection of its successor stands, and to its end where
+//! no successor can be had. Ended first, it would be lost whenever the retry budget, the route's
+//! attempts or a connection are then wanting.
+
+use std::time::Duration;
+
+use masticsill_dispatch::Failure;
+use masticsill_registry::Announcement;
+use masticsill_types::{ClockMs, log_event};
+use tokio::time::timeout;
+
+use crate::attempt::log_failure;
+use crate::events;
+use crate::relay::Relay;
+use crate::request::RelayRequest;
+use crate::tries::Obstacle;
+
+/// How the wait for something of a send ended.
+pub(crate) enum Waited<T, N> {
+    Done(T),
+    /// The connection of its successor stands.
+    Replaced(N),
+    /// The request's time is over.
+    Over,
+}
+
+/// Waits for something of a send, or for its successor, whichever comes first.
+pub(crate) async fn until_replaced<T, N>(
+    relay: &Relay,
+    request: &RelayRequest,
+    waiting: impl Future<Output = T>,
+    next: impl Future<Output = Result<N, Obstacle>>,
+) -> Waited<T, N> {
+    tokio::pin!(waiting);
+    let next = tokio::select! {
+        biased;
+        done = waiting.as_mut() => return Waited::Done(done),
+        next = next => next,
+    };
+    if let Ok(next) = next {
+        return Waited::Replaced(next);
+    }
+    let left = Duration::from_millis(request.left_ms(relay.now()));
+    match timeout(left, waiting).await {
+        Ok(done) => Waited::Done(done),
+        Err(_) => Waited::Over,
+    }
+}
+
+/// Logs that a send was ended for its successor.
+pub(crate) fn log_replaced(
+    relay: &Relay,
+    request: &RelayRequest,
+    endpoint: &Announcement,
+    failure: Failure,
+) {
+    let cause = "silent until its successor was connected";
+    log_failure(relay, request, endpoint, failure.name(), cause);
+}
+
+/// Logs that a send which was doubted goes on.
+pub(crate) fn log_went_on(
+    relay: &Relay,
+    request: &RelayRequest,
+    endpoint: &Announcement,
+    heard_at: ClockMs,
+) {
+    log_event!(
+        info,
+        events::RUN_WENT_ON,
+        request = request.id,
+        endpoint = endpoint.id,
+        silent_ms = relay.now().since(heard_at),
+        left_ms = request.left_ms(relay.now())
+    );
+}
--- a/crates/masticsill_relay/src/lib.rs
+++ b/crates/masticsill_relay/src/lib.rs
@@ -16,6 +16,7 @@
 mod copies;
 mod discovery;
 mod dispatching;
+mod doubt;
 mod ending;
 pub mod events;
 mod lateness;
--- a/crates/masticsill_relay/src/plain.rs
+++ b/crates/masticsill_relay/src/plain.rs
@@ -2,11 +2,12 @@
 
 use std::rc::Rc;
 
-use masticsill_registry::EndpointId;
+use masticsill_registry::{Announcement, EndpointId};
 
 use crate::answer::{Answer, Refusal};
 use crate::attempt::{SendFailure, Sent, exchange, fail, failure_of, open, with_patience};
 use crate::dispatching::Dispatched;
+use crate::doubt::{Waited, log_replaced, log_went_on, until_replaced};
 use crate::relay::Relay;
 use crate::request::{RelayRequest, SendOptions};
 use crate::tries::{Obstacle, Tries};
@@ -17,51 +18,50 @@
 /// suffices for a healthy endpoint.
 const FIRST_SHARE_PERCENT: u64 = 60;
 
+/// The next send of a request, about to leave.
+struct Next {
+    patience_ms: u64,
+    sent: Sent,
+}
+
+/// How one send ended.
+enum SendEnd {
+    Answered(Verdict, Answer),
+    Failed(SendFailure),
+    /// It was silent, and its successor's connection stands.
+    Replaced(Next),
+}
+
 /// Relays a request until it is answered or given up.
 pub(crate) async fn relay_plain(relay: &Rc<Relay>, request: &RelayRequest) -> PlainEnd {
     let mut tries = Tries::default();
     let mut failed = None;
-    while request.left_ms(relay.now()) > 0 {
-        let (choice, reservation) = match relay.choose_or_wait(request, &tries, false).await {
-            Dispatched::Sent(choice, reservation) => (choice, *reservation),
-            Dispatched::Refused(overload) => {
-                tries.note_overload(overload);
-                break;
-            }
-            Dispatched::Nobody => break,
-        };
-        let id = reservation.endpoint().id.clone();
-        let patience_ms = patience_ms(relay, request, &tries, choice.candidates);
-        let sent = match open(relay, request, reservation, &mut tries).await {
-            Ok(sent) => sent,
-            Err(Obstacle::Unreached) if tries.may_go_on(request, false).is_ok() => continue,
-            Err(_) => break,
-        };
-        match send_whole(relay, request, sent, patience_ms).await {
-            Ok((Verdict::Answer, answer)) => {
+    let mut next = open_next(relay, request, &mut tries).await;
+    while let Ok(Next { patience_ms, sent }) = next {
+        let id = sent.endpoint().id.clone();
+        match send_whole(relay, request, sent, patience_ms, &mut tries).await {
+            SendEnd::Answered(Verdict::Answer, answer) => {
                 return PlainEnd::Answered {
                     answer,
                     endpoint: id,
                     sends: tries.sends + 1,
                 };
             }
-            Ok((Verdict::Failed, answer)) => {
+            SendEnd::Answered(Verdict::Failed, answer) => {
                 tries.note(id.clone(), &SendFailure::MayHaveRun);
                 failed = Some((answer, id));
             }
-            Ok((Verdict::NotRun { is_replaced }, _)) => {
+            SendEnd::Answered(Verdict::NotRun { is_replaced }, _) => {
                 tries.note_not_run(!is_replaced);
-                tries.excluded.push(id);
+                tries.exclude(id);
+            }
+            SendEnd::Failed(failure) => tries.note(id, &failure),
+            SendEnd::Replaced(it) => {
+                next = Ok(it);
+                continue;
             }
-            Err(failure) => tries.note(id, &failure),
-        }
-        if tries.may_go_on(request, false).is_err() {
-            break;
-        }
-        if !tries.has_budget(relay, request) {
-            relay.note_retry_refused(&request.service);
-            break;
         }
+        next = open_next(relay, request, &mut tries).await;
     }
     match failed {
         Some((answer, endpoint)) => PlainEnd::Answered {
@@ -73,6 +73,38 @@
     }
 }
 
+/// Chooses where a request goes next, and connects there.
+async fn open_next(
+    relay: &Rc<Relay>,
+    request: &RelayRequest,
+    tries: &mut Tries,
+) -> Result<Next, Obstacle> {
+    loop {
+        if request.left_ms(relay.now()) == 0 {
+            return Err(Obstacle::Deadline);
+        }
+        tries.may_go_on(request, false)?;
+        if !tries.has_budget(relay, request) {
+            relay.note_retry_refused(&request.service);
+            return Err(Obstacle::Budget);
+        }
+        let (choice, reservation) = match relay.choose_or_wait(request, tries, false).await {
+            Dispatched::Sent(choice, reservation) => (choice, *reservation),
+            Dispatched::Refused(overload) => {
+                tries.note_overload(overload);
+                return Err(Obstacle::Overloaded);
+            }
+            Dispatched::Nobody => return Err(Obstacle::Nobody),
+        };
+        let patience_ms = patience_ms(relay, request, tries, choice.candidates);
+        match open(relay, request, reservation, tries).await {
+            Ok(sent) => return Ok(Next { patience_ms, sent }),
+            Err(Obstacle::Unreached) => {}
+            Err(obstacle) => return Err(obstacle),
+        }
+    }
+}
+
 /// The end of a plain request.
 #[derive(Debug)]
 pub(crate) enum PlainEnd {
@@ -99,25 +131,67 @@
     left_ms.min(request.route.target_latency_ms * FIRST_SHARE_PERCENT / 100)
 }
 
-/// Sends a request on its connection and reads its whole answer.
+/// Sends a request on its connection and reads its whole answer. After `patience_ms` it is listened to
+/// until its successor is connected.
 async fn send_whole(
     relay: &Rc<Relay>,
     request: &RelayRequest,
     mut sent: Sent,
     patience_ms: u64,
-) -> Result<(Verdict, Answer), SendFailure> {
+    tries: &mut Tries,
+) -> SendEnd {
     let endpoint = sent.endpoint().clone();
-    let sent_at = relay.now();
     let options = SendOptions::default();
     let exchange = exchange(relay, request, &mut sent, &options);
-    let head = match with_patience(relay, &endpoint, sent_at, patience_ms, exchange).await {
-        Some(Ok(head)) => head,
-        Some(Err(error)) => {
-            let failure = failure_of(&error);
-            let cause = error.to_string();
-            return Err(fail(relay, request, sent, failure, &cause));
+    let waited = listen(relay, request, &endpoint, patience_ms, tries, exchange).await;
+    let head = match waited {
+        Waited::Done(Ok(head)) => head,
+        Waited::Done(Err(error)) => {
+            let (failure, cause) = (failure_of(&error), error.to_string());
+            return SendEnd::Failed(fail(relay, request, sent, failure, &cause));
+        }
+        Waited::Replaced(next) => return SendEnd::Replaced(next),
+        Waited::Over => {
+            let failure = Failure::Silent;
+            return SendEnd::Failed(fail(relay, request, sent, failure, "no answer"));
         }
-        None => return Err(fail(relay, request, sent, Failure::Silent, "no answer")),
     };
-    collect(relay, request, sent, head).await
+    match collect(relay, request, sent, head).await {
+        Ok((verdict, answer)) => SendEnd::Answered(verdict, answer),
+        Err(failure) => SendEnd::Failed(failure),
+    }
+}
+
+/// Waits for the head of an answer; after `patience_ms`, for a successor as well.
+async fn listen<T>(
+    relay: &Rc<Relay>,
+    request: &RelayRequest,
+    endpoint: &Announcement,
+    patience_ms: u64,
+    tries: &mut Tries,
+    waiting: impl Future<Output = T>,
+) -> Waited<T, Next> {
+    tokio::pin!(waiting);
+    let sent_at = relay.now();
+    let heard = with_patience(relay, endpoint, sent_at, patience_ms, waiting.as_mut());
+    if let Some(done) = heard.await {
+        return Waited::Done(done);
+    }
+    if request.left_ms(relay.now()) == 0 {
+        return Waited::Over;
+    }
+    let failure = Failure::Silent;
+    relay.note_failure(endpoint, failure);
+    let doubt = tries.begin_doubt(endpoint.id.clone());
+    let next = open_next(relay, request, tries);
+    let waited = until_replaced(relay, request, waiting, next).await;
+    match &waited {
+        Waited::Done(_) => {
+            tries.end_doubt(&doubt);
+            log_went_on(relay, request, endpoint, sent_at);
+        }
+        Waited::Replaced(_) => log_replaced(relay, request, endpoint, failure),
+        Waited::Over => tries.end_doubt(&doubt),
+    }
+    waited
 }
--- a/crates/masticsill_relay/src/stream.rs
+++ b/crates/masticsill_relay/src/stream.rs
@@ -20,14 +20,13 @@
 use masticsill_types::{ClockMs, log_event};
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::answer::{Answer, Refusal};
-use crate::attempt::{
-    SendFailure, Sent, exchange, fail, failure_of, log_failure, open, with_patience,
-};
+use crate::attempt::{SendFailure, Sent, exchange, fail, failure_of, open, with_patience};
 use crate::copies::{Copy, CopyKeeper};
 use crate::dispatching::Dispatched;
+use crate::doubt::{Waited, log_replaced, log_went_on, until_replaced};
 use crate::events;
 use crate::lineage::{EventOrder, Placed};
 use crate::metrics::CauseLabel;
@@ -90,15 +89,6 @@
     sent: Sent,
 }
 
-/// How the wait for something of a run ended.
-enum Waited<T> {
-    Done(T),
-    /// The connection of its successor stands.
-    Replaced(Box<Next>),
-    /// The request's time is over.
-    Over,
-}
-
 /// How one run ended.
 enum RunEnd {
     Whole,
@@ -343,7 +333,7 @@
             Waited::Done(Err(error)) => {
                 return self.run_failed(sent, failure_of(&error), &error.to_string());
             }
-            Waited::Replaced(next) => return RunEnd::Replaced(next),
+            Waited::Replaced(next) => return RunEnd::Replaced(Box::new(next)),
             Waited::Over => return self.run_failed(sent, failure, "no answer"),
         };
         if head.status != 200 {
@@ -390,7 +380,7 @@
         patience_ms: u64,
         failure: Failure,
         waiting: impl Future<Output = T>,
-    ) -> Waited<T> {
+    ) -> Waited<T, Next> {
         let (relay, request) = (self.relay, self.request);
         tokio::pin!(waiting);
         let patience_ms = patience_ms.min(request.left_ms(relay.now()));
@@ -403,37 +393,21 @@
         }
         relay.note_failure(endpoint, failure);
         let doubt = self.tries.begin_doubt(endpoint.id.clone());
-        let found = tokio::select! {
-            biased;
-            done = waiting.as_mut() => Err(done),
-            next = self.open_next(Some(&endpoint.id)) => Ok(next),
-        };
-        let done = match found {
-            Ok(Ok(next)) => {
+        let next = self.open_next(Some(&endpoint.id));
+        let done = match until_replaced(relay, request, waiting, next).await {
+            Waited::Done(done) => done,
+            Waited::Replaced(next) => {
                 self.last_failure = failure.name();
-                let cause = "silent until its successor was connected";
-                log_failure(relay, request, endpoint, failure.name(), cause);
-                return Waited::Replaced(Box::new(next));
+                log_replaced(relay, request, endpoint, failure);
+                return Waited::Replaced(next);
             }
-            // No successor may be had any more: it is listened to as long as there is time.
-            Ok(Err(_)) => {
-                let left_ms = request.left_ms(relay.now());
-                match timeout(Duration::from_millis(left_ms), waiting).await {
-                    Ok(done) => done,
-                    Err(_) => return Waited::Over,
-                }
+            Waited::Over => {
+                self.tries.end_doubt(&doubt);
+                return Waited::Over;
             }
-            Err(done) => done,
         };
         self.tries.end_doubt(&doubt);
-        log_event!(
-            info,
-            events::RUN_WENT_ON,
-            request = request.id,
-            endpoint = endpoint.id,
-            silent_ms = relay.now().since(heard_at),
-            left_ms = request.left_ms(relay.now())
-        );
+        log_went_on(relay, request, endpoint, heard_at);
         Waited::Done(done)
     }
 
@@ -470,7 +444,7 @@
             let reading = sent.upstream().next_piece(&mut decoder);
             let waited = self.listen(&endpoint, now, silence_ms, silence, reading);
             let (failure, cause) = match waited.await {
-                Waited::Replaced(next) => return RunEnd::Replaced(next),
+                Waited::Replaced(next) => return RunEnd::Replaced(Box::new(next)),
                 Waited::Over => (silence, "no event".to_owned()),
                 Waited::Done(Ok(Some(piece))) => {
                     self.relay.note_heard(&endpoint.id);
