--- a/crates/masticsill_relay/src/plain.rs
+++ b/crates/masticsill_relay/src/plain.rs
@@ -29,7 +29,7 @@
     Answered(Verdict, Answer),
     Failed(SendFailure),
     /// It was silent, and its successor's connection stands.
-    Replaced(Next),
+    Replaced(Box<Next>),
 }
 
 /// Relays a request until it is answered or given up.
@@ -57,7 +57,7 @@
             }
             SendEnd::Failed(failure) => tries.note(id, &failure),
             SendEnd::Replaced(it) => {
-                next = Ok(it);
+                next = Ok(*it);
                 continue;
             }
         }
@@ -150,7 +150,7 @@
             let (failure, cause) = (failure_of(&error), error.to_string());
             return SendEnd::Failed(fail(relay, request, sent, failure, &cause));
         }
-        Waited::Replaced(next) => return SendEnd::Replaced(next),
+        Waited::Replaced(next) => return SendEnd::Replaced(Box::new(next)),
         Waited::Over => {
             let failure = Failure::Silent;
             return SendEnd::Failed(fail(relay, request, sent, failure, "no answer"));
