A late relay looks again before it doubts; a doubt leaves no mark; waits grow longer

Change: a timer that fires 50 ms late or more tells of the relay's own standstill, and what came meanwhile is read first, up to the same patience again; a run whose head has just come has at least the silence of any event; a doubt that was wrong lifts the hold it laid on the engine, and costs the run no copy; from the eighth connection in vain, or the tenth arrival, a stream that was begun pauses, 70 ms to 1.1 s. The first two connections in vain cost 120 ms each as before, for lookups' sake.

--- a/crates/masticsill_dispatch/src/health.rs
+++ b/crates/masticsill_dispatch/src/health.rs
@@ -63,6 +63,13 @@
         self.error_share = blend(self.error_share, 1.0);
     }
 
+    /// Takes the last failure back: what was thought to have failed goes on.
+    pub fn take_back_failure(&mut self) {
+        self.failures = self.failures.saturating_sub(1);
+        self.held_until = None;
+        self.last_failure_at = None;
+    }
+
     /// Notes that a byte of an answer came.
     pub fn note_heard(&mut self, now: ClockMs) {
         self.heard_at = Some(now);
--- a/crates/masticsill_relay/src/attempt.rs
+++ b/crates/masticsill_relay/src/attempt.rs
@@ -22,6 +22,11 @@
 const IDLE_ONCE_MS: u64 = 1_500;
 /// Silence of an endpoint after which it is given up once it is known to stand still.
 const ALARM_SILENCE_MS: u64 = 150;
+/// Lateness of a timer that tells of the relay's own standstill: several times what timers and a
+/// busy processor cost (10 ms).
+const OWN_LATENESS_MS: u64 = 50;
+/// Time to read what came while the relay stood still.
+const LOOK_AGAIN_MS: u64 = 100;
 
 /// The connection of one send, and its place at the endpoint. Dropped, it closes the connection,
 /// whether the request has left or not.
@@ -118,6 +123,7 @@
             return Err(Obstacle::Unreached);
         }
     };
+    tries.note_connected();
     let sent = Sent {
         began_at: relay.now(),
         relay: Rc::clone(relay),
@@ -224,6 +230,9 @@
 
 /// Waits for something of an endpoint that was last heard at `heard_at`; `None` once it has been
 /// silent for too long, or for a shorter time while its zone is suspect.
+///
+/// Time in which the relay itself stood still says nothing of the endpoint, whose bytes may lie in the
+/// relay's own socket: they are waited for once more, up to the same time again.
 pub(crate) async fn with_patience<T>(
     relay: &Relay,
     endpoint: &Announcement,
@@ -234,13 +243,23 @@
     tokio::pin!(waiting);
     let mut alarms = relay.alarms.subscribe();
     let mut give_up_at = heard_at + patience_ms;
+    let mut granted_ms = 0;
     loop {
-        let left_ms = give_up_at.since(relay.now());
+        let began_at = relay.now();
+        let left_ms = give_up_at.since(began_at);
         let bound = Instant::now() + Duration::from_millis(left_ms);
         tokio::select! {
             biased;
             done = &mut waiting => return Some(done),
-            () = sleep_until(bound) => return None,
+            () = sleep_until(bound) => {
+                let now = relay.now();
+                let is_late = now.since(began_at + left_ms) >= OWN_LATENESS_MS;
+                if !is_late || granted_ms >= patience_ms {
+                    return None;
+                }
+                granted_ms += LOOK_AGAIN_MS;
+                give_up_at = now + LOOK_AGAIN_MS;
+            }
             _ = alarms.changed() => {
                 let alarm = alarms.borrow_and_update().clone();
                 if alarm.is_some_and(|alarm| alarm.is_about(endpoint)) {
--- a/crates/masticsill_relay/src/doubt.rs
+++ b/crates/masticsill_relay/src/doubt.rs
@@ -61,13 +61,14 @@
     log_failure(relay, request, endpoint, failure.name(), cause);
 }
 
-/// Logs that a send which was doubted goes on.
-pub(crate) fn log_went_on(
+/// Notes that a send which was doubted goes on: its endpoint bears no mark of that.
+pub(crate) fn note_went_on(
     relay: &Relay,
     request: &RelayRequest,
     endpoint: &Announcement,
     heard_at: ClockMs,
 ) {
+    relay.with_endpoint(&endpoint.id, |it| it.health.take_back_failure());
     log_event!(
         info,
         events::RUN_WENT_ON,
--- a/crates/masticsill_relay/src/plain.rs
+++ b/crates/masticsill_relay/src/plain.rs
@@ -7,7 +7,7 @@
 use crate::answer::{Answer, Refusal};
 use crate::attempt::{SendFailure, Sent, exchange, fail, failure_of, open, with_patience};
 use crate::dispatching::Dispatched;
-use crate::doubt::{Waited, log_replaced, log_went_on, until_replaced};
+use crate::doubt::{Waited, log_replaced, note_went_on, until_replaced};
 use crate::relay::Relay;
 use crate::request::{RelayRequest, SendOptions};
 use crate::tries::{Obstacle, Tries};
@@ -188,7 +188,7 @@
     match &waited {
         Waited::Done(_) => {
             tries.end_doubt(&doubt);
-            log_went_on(relay, request, endpoint, sent_at);
+            note_went_on(relay, request, endpoint, sent_at);
         }
         Waited::Replaced(_) => log_replaced(relay, request, endpoint, failure),
         Waited::Over => tries.end_doubt(&doubt),
--- a/crates/masticsill_relay/src/stream.rs
+++ b/crates/masticsill_relay/src/stream.rs
@@ -26,7 +26,7 @@
 use crate::attempt::{SendFailure, Sent, exchange, fail, failure_of, open, with_patience};
 use crate::copies::{Copy, CopyKeeper};
 use crate::dispatching::Dispatched;
-use crate::doubt::{Waited, log_replaced, log_went_on, until_replaced};
+use crate::doubt::{Waited, log_replaced, note_went_on, until_replaced};
 use crate::events;
 use crate::lineage::{EventOrder, Placed};
 use crate::metrics::CauseLabel;
@@ -79,10 +79,6 @@
     pub(crate) last_failure: &'static str,
 }
 
-/// Pause before what was begun is tried again, where neither an engine nor the retry budget can be
-/// had now: a tenth of the time after which a pause in the events is late.
-const AGAIN: Duration = Duration::from_millis(70);
-
 /// The next run of a stream, about to be sent.
 struct Next {
     from_copy: Option<Copy>,
@@ -178,6 +174,10 @@
                     if from_copy.is_none() {
                         self.tries.exclude(id);
                     }
+                    if self.is_head_written && self.tries.is_to_pause() {
+                        let pause_ms = self.tries.next_pause_ms();
+                        sleep(Duration::from_millis(pause_ms)).await;
+                    }
                     self.open_next(None).await
                 }
                 RunEnd::Failed(failure) => {
@@ -215,9 +215,9 @@
             if self.request.left_ms(self.relay.now()) == 0 {
                 return Err(Obstacle::Deadline);
             }
-            let obstacle = match self.try_open(is_begun).await {
+            let obstacle = match self.try_open(is_begun, doubted).await {
                 Ok(next) => return Ok(next),
-                Err(Obstacle::Unreached) => continue,
+                Err(Obstacle::Unreached) if !is_begun || !self.tries.is_to_pause() => continue,
                 Err(obstacle) => obstacle,
             };
             if !is_begun || !obstacle.is_passing() {
@@ -230,16 +230,21 @@
             if matches!(obstacle, Obstacle::Dials | Obstacle::Nobody) {
                 self.tries.ask_again(doubted);
             }
-            sleep(AGAIN).await;
+            let pause_ms = self.tries.next_pause_ms();
+            sleep(Duration::from_millis(pause_ms)).await;
         }
     }
 
-    async fn try_open(&mut self, is_begun: bool) -> Result<Next, Obstacle> {
+    async fn try_open(
+        &mut self,
+        is_begun: bool,
+        doubted: Option<&EndpointId>,
+    ) -> Result<Next, Obstacle> {
         self.tries.may_go_on(self.request, is_begun)?;
         if !self.tries.has_budget(self.relay, self.request) {
             return Err(Obstacle::Budget);
         }
-        let (reservation, from_copy) = self.choose().await?;
+        let (reservation, from_copy) = self.choose(doubted).await?;
         let sent = open(self.relay, self.request, reservation, &mut self.tries).await?;
         Ok(Next { from_copy, sent })
     }
@@ -260,7 +265,10 @@
     }
 
     /// The endpoint that holds a copy of the run, while it can be used, or the best of all.
-    async fn choose(&mut self) -> Result<(Reservation, Option<Copy>), Obstacle> {
+    async fn choose(
+        &mut self,
+        doubted: Option<&EndpointId>,
+    ) -> Result<(Reservation, Option<Copy>), Obstacle> {
         self.copies.collect(self.relay.now());
         let copy = self.copies.copy().filter(|_| self.is_copy_usable);
         if let Some(copy) = copy {
@@ -281,7 +289,10 @@
                 is_tried = is_tried,
                 cause = cause
             );
-            self.copies.forget();
+            // A run that is only doubted may go on, and needs its copy then.
+            if doubted.is_none() {
+                self.copies.forget();
+            }
         }
         let is_resume = self.delivered > 0;
         let choosing = self
@@ -407,7 +418,7 @@
             }
         };
         self.tries.end_doubt(&doubt);
-        log_went_on(relay, request, endpoint, heard_at);
+        note_went_on(relay, request, endpoint, heard_at);
         Waited::Done(done)
     }
 
@@ -434,7 +445,8 @@
             let silence_ms = if has_event {
                 EVENT_SILENCE_MS
             } else {
-                first_by.since(now)
+                // Whose head came in the last moment has that much time for its first event.
+                first_by.since(now).max(EVENT_SILENCE_MS)
             };
             let silence = if has_event {
                 Failure::Stalled
@@ -458,6 +470,7 @@
                             }
                             has_event = true;
                             self.is_copy_usable = true;
+                            self.tries.note_at_work();
                             self.keep_copy(&endpoint);
                             continue;
                         }
--- a/crates/masticsill_relay/src/tries.rs
+++ b/crates/masticsill_relay/src/tries.rs
@@ -13,6 +13,11 @@
 /// Longest wait for the first connection: a healthy endpoint accepts within a few milliseconds, and
 /// what was not sent costs nothing to send elsewhere.
 const FIRST_DIAL_MS: u64 = 120;
+/// First pause before what was begun is tried again: a tenth of the pause between events from which a
+/// stream is late (700 ms).
+const FIRST_PAUSE_MS: u64 = 70;
+/// Longest of them: no longer than an endpoint is left alone after its failures.
+const LONGEST_PAUSE_MS: u64 = 1_120;
 /// Longest wait for any: a lost first packet is sent again after a second.
 const LONGEST_DIAL_MS: u64 = 1_200;
 /// Endpoints that a request may reach, those included that did not run it.
@@ -90,6 +95,8 @@
     overload: Option<Overload>,
     /// Whether it may have run somewhere.
     pub(crate) may_have_run: bool,
+    /// Pauses made so far.
+    pauses: u32,
     /// Sends that count against the route's attempts.
     pub(crate) sends: u32,
 }
@@ -149,14 +156,38 @@
 
     /// Lets endpoints be asked again that could not be reached or had no room, but not `running`.
     pub(crate) fn ask_again(&mut self, running: Option<&EndpointId>) {
-        self.dials_failed = 0;
         self.excluded.retain(|id| Some(id) == running);
     }
 
-    /// How long the next connection may take: longer each time, since what is slow may be this
-    /// relay's own link.
+    /// How long the next connection may take: longer each time from the third on, since what is slow
+    /// may be this relay's own link.
     pub(crate) fn dial_ms(&self) -> u64 {
-        (FIRST_DIAL_MS << self.dials_failed.min(8)).min(LONGEST_DIAL_MS)
+        let doublings = self.dials_failed.saturating_sub(1).min(8);
+        (FIRST_DIAL_MS << doublings).min(LONGEST_DIAL_MS)
+    }
+
+    /// Notes that a connection stands.
+    pub(crate) fn note_connected(&mut self) {
+        self.dials_failed = 0;
+    }
+
+    /// Notes that a run is at work.
+    pub(crate) fn note_at_work(&mut self) {
+        self.pauses = 0;
+    }
+
+    /// Pause before what was begun is tried again: longer each time, so that an engine that refuses is
+    /// not asked without end.
+    pub(crate) fn next_pause_ms(&mut self) -> u64 {
+        let pause_ms = (FIRST_PAUSE_MS << self.pauses.min(8)).min(LONGEST_PAUSE_MS);
+        self.pauses += 1;
+        pause_ms
+    }
+
+    /// Whether so many endpoints could not be reached, or did not run it, that the next one is asked
+    /// only after a pause.
+    pub(crate) fn is_to_pause(&self) -> bool {
+        self.dials_failed as usize >= MAX_DIALS || self.arrivals >= MAX_ARRIVALS
     }
 
     /// Whether the request may be sent once more, as far as it is known here.
