Relays fetch the pieces of a document that changed, on a thread of its own

Cause: a relay that was 150 ms behind asked each replica it follows for the whole document, each call began anew when its time was over, every version was fetched whole, and reading it took the thread that serves streams. On a link of 10 Mbit/s with 0.09 of a core, three versions of 1 to 5 MB a second left streams without events.

Change: control replicas cut a version on a thread of their own, when it is asked for, into pieces of 8 to 64 KB by content, and keep those of the last eight versions. A relay's documents duty fetches one version at a time, of its pieces only those it lacks, 32 KB packed in a call, and leaves the link alone for as long as each call took while requests are answered. Another replica is asked for one piece when an answer is late by the calls before. Pieces are named by content, so that any replica can go on; the whole is checked by its hash. Reading runs on the same thread, and the relay's thread swaps the finished index. Watches carry versions only.

--- a/crates/masticsill_catalogue/src/lib.rs
+++ b/crates/masticsill_catalogue/src/lib.rs
@@ -25,8 +25,10 @@
     StoredBody,
 };
 pub use document::{
-    ApiKey, DocumentAnswer, EngineTraits, RequestLimits, Route, RouteDocument, RouteIndex,
-    RouteKind, ServiceEntry, ServiceShare, StoredDocument, UnpackError, WorkspaceEntry,
+    ApiKey, DocumentAnswer, DocumentSource, DocumentSources, EngineTraits, FetchPace,
+    JoinedDocument, PackedPiece, PieceBook, PieceEntry, PieceError, PieceFetch, PieceHash,
+    PieceList, RequestLimits, Route, RouteDocument, RouteIndex, RouteKind, ServiceEntry,
+    ServiceShare, StoredDocument, UnpackError, WorkspaceEntry,
 };
 pub use entry::{BackEnd, CatalogueEntry, EngineRole, Limits, Placement, RoleReplicas};
 pub use entry_json::{BackEndJson, EntryJson, LimitsJson, PlacementJson};
--- a/crates/masticsill_control/src/endpoints/exchange.rs
+++ b/crates/masticsill_control/src/endpoints/exchange.rs
@@ -61,7 +61,6 @@
 /// Follows one replica's registry.
 async fn follow(server: ControlServer, node: NodeId, other: NodeId, answers: Answers) {
     let mut request = WatchRequest {
-        document_held: Some(u64::MAX),
         document_seen: Some(u64::MAX),
         loads: Vec::new(),
         // Replicas send no requests to endpoints, so they need no word of others'.
@@ -69,7 +68,6 @@
         registry: 0,
         revision: 0,
         wait_ms: WAIT_MS,
-        wants_document: false,
         watcher: Watcher::Replica(node),
     };
     loop {
--- a/crates/masticsill_control/src/endpoints/hub.rs
+++ b/crates/masticsill_control/src/endpoints/hub.rs
@@ -282,9 +282,7 @@
         if !self.is_followed(request) || self.registry().revision() > request.revision {
             return true;
         }
-        let version = *published.watch_document().borrow();
-        let is_wanted = request.wants_document && version > request.document_held;
-        is_wanted || version > request.document_seen
+        *published.watch_document().borrow() > request.document_seen
     }
 
     fn reply(
@@ -293,9 +291,6 @@
         members: Vec<(NodeId, std::net::SocketAddr)>,
         request: &WatchRequest,
     ) -> WatchReply {
-        let document = published.document();
-        let document_version = document.as_ref().map(|document| document.version);
-        let is_wanted = request.wants_document && document_version > request.document_held;
         let now = self.shared.clock.now();
         let watchers = self.watchers();
         let (entries, entries_nearby) = watchers.entries(&request.watcher);
@@ -308,8 +303,7 @@
             Watcher::Replica(_) => registry.heard_here(now),
         };
         WatchReply {
-            document: document.filter(|_| is_wanted),
-            document_version,
+            document_version: *published.watch_document().borrow(),
             entries,
             entries_nearby,
             endpoints: registry.changes_since(self.known_revision(request)),
--- a/crates/masticsill_control/src/forwarder/service.rs
+++ b/crates/masticsill_control/src/forwarder/service.rs
@@ -2,7 +2,10 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use masticsill_catalogue::{ChangeAnswer, Claim, ClaimAnswer, DocumentAnswer, Reassign, Settle};
+use masticsill_catalogue::{
+    ChangeAnswer, Claim, ClaimAnswer, DocumentAnswer, PackedPiece, PieceHash, PieceList, Reassign,
+    Settle,
+};
 use masticsill_control_client::{AddressBook, ControlClient};
 use masticsill_quorum::Reservations;
 use masticsill_registry::{
@@ -128,7 +131,6 @@
     /// Nothing is known here: who asks has not read the directory.
     async fn watch(self, _: Context, _: WatchRequest) -> WatchReply {
         WatchReply {
-            document: None,
             document_version: None,
             endpoints: Vec::new(),
             entries: 0,
@@ -148,4 +150,12 @@
     async fn find_kept(self, _: Context, _: Vec<PromptPart>) -> Vec<KeptTokens> {
         Vec::new()
     }
+
+    async fn document_pieces(self, _: Context, _: u64) -> Option<PieceList> {
+        None
+    }
+
+    async fn find_pieces(self, _: Context, _: Vec<PieceHash>) -> Vec<(PieceHash, PackedPiece)> {
+        Vec::new()
+    }
 }
--- a/crates/masticsill_control/src/lib.rs
+++ b/crates/masticsill_control/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admission;
 mod config;
+mod cutting;
 mod endpoints;
 mod error;
 pub mod events;
--- a/crates/masticsill_control/src/role.rs
+++ b/crates/masticsill_control/src/role.rs
@@ -17,6 +17,7 @@
 use tokio::sync::watch;
 
 use crate::config::ControlConfig;
+use crate::cutting::{CutDocuments, run_cutting};
 use crate::endpoints::{EndpointHub, read_endpoints, run_memory};
 use crate::error::ControlError;
 use crate::events;
@@ -114,11 +115,14 @@
         let endpoints = EndpointHub::new(clock, config.endpoints, zone);
         endpoints.restore(&read_endpoints(&config.data_folder));
         let memory = (config.data_folder.clone(), endpoints.clone(), ended.clone());
+        let documents = CutDocuments::default();
+        let cutting = (documents.clone(), published.clone(), ended.clone());
         let parts = RpcParts {
             book: book.clone(),
             calls: calls.clone(),
             clock,
             connections,
+            documents: documents.clone(),
             endpoints: endpoints.clone(),
             ended: ended.clone(),
             gauges: ControlGauges::new(registry),
@@ -142,6 +146,10 @@
                 let (folder, endpoints, ended) = memory;
                 run_memory(folder, endpoints, ended)
             })?,
+            spawn_async_duty("control_cutting", || {
+                let (documents, published, ended) = cutting;
+                run_cutting(documents, published, ended)
+            })?,
         ];
         log_event!(
             info,
--- a/crates/masticsill_control/src/rpc/duty.rs
+++ b/crates/masticsill_control/src/rpc/duty.rs
@@ -18,6 +18,7 @@
 use super::service::ControlServer;
 use crate::admission::{run_admission, run_trimming};
 use crate::config::{AdmissionPolicy, ControlConfig, FoundingPolicy};
+use crate::cutting::CutDocuments;
 use crate::endpoints::{EndpointHub, follow_prompts, run_exchange};
 use crate::gauges::{ControlGauges, run_gauges};
 use crate::quorum::{Outgoing, PublishedState, QuorumHandle};
@@ -29,6 +30,7 @@
     pub(crate) calls: Ring<Forward>,
     pub(crate) clock: MonotonicClock,
     pub(crate) connections: Ring<ServiceStream>,
+    pub(crate) documents: CutDocuments,
     pub(crate) endpoints: EndpointHub,
     pub(crate) ended: ShutdownSignal,
     pub(crate) gauges: ControlGauges,
@@ -48,6 +50,7 @@
         book: parts.book.clone(),
         client: ControlClient::new(parts.book.clone()),
         clock: parts.clock,
+        documents: parts.documents,
         endpoints: parts.endpoints,
         first_seeds: config.seeds.clone().into(),
         node: config.node.clone(),
--- a/crates/masticsill_control/src/rpc/service.rs
+++ b/crates/masticsill_control/src/rpc/service.rs
@@ -4,7 +4,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use masticsill_catalogue::{
-    Action, ChangeAnswer, Claim, ClaimAnswer, CommandAnswer, DocumentAnswer, Reassign, Settle,
+    Action, ChangeAnswer, Claim, ClaimAnswer, CommandAnswer, DocumentAnswer, PackedPiece,
+    PieceHash, PieceList, Reassign, Settle,
 };
 use masticsill_control_client::{AddressBook, ControlClient};
 use masticsill_quorum::{Reservations, VoterId, decode_message};
@@ -20,6 +21,7 @@
 use tarpc::context::Context;
 
 use super::introductions::{attempt_of, note_introduction};
+use crate::cutting::CutDocuments;
 use crate::endpoints::EndpointHub;
 use crate::events;
 use crate::quorum::{JoiningReplica, PublishedState, QuorumHandle, ReplicaOrder, Request, voter};
@@ -30,6 +32,7 @@
     pub(crate) book: AddressBook,
     pub(crate) client: ControlClient,
     pub(crate) clock: MonotonicClock,
+    pub(crate) documents: CutDocuments,
     pub(crate) endpoints: EndpointHub,
     /// The addresses of control that every process of a first start is told alike.
     pub(crate) first_seeds: Arc<[SocketAddr]>,
@@ -284,4 +287,16 @@
     async fn find_kept(self, _: Context, prompt: Vec<PromptPart>) -> Vec<KeptTokens> {
         self.endpoints.find_kept(&prompt)
     }
+
+    async fn document_pieces(self, _: Context, version: u64) -> Option<PieceList> {
+        self.documents.list(version).await
+    }
+
+    async fn find_pieces(
+        self,
+        _: Context,
+        hashes: Vec<PieceHash>,
+    ) -> Vec<(PieceHash, PackedPiece)> {
+        self.documents.pieces(&hashes)
+    }
 }
--- a/crates/masticsill_control_client/src/attempts.rs
+++ b/crates/masticsill_control_client/src/attempts.rs
@@ -53,16 +53,28 @@
         // A connection from before may lead to a process that has ended since.
         let attempts = if self.is_connected(address) { 2 } else { 1 };
         for _ in 0..attempts {
-            let client = self.connect(address).await?;
-            let reply = send(client, call_context(timeout_ms)).await;
-            if let Ok(reply) = reply {
+            if let Some(reply) = self.try_within(address, timeout_ms, &send).await {
                 return Some(reply);
             }
-            self.disconnect(address);
         }
         None
     }
 
+    /// Calls the replica at an address once, within a time.
+    pub(crate) async fn try_within<T>(
+        &self,
+        address: SocketAddr,
+        timeout_ms: u64,
+        send: &impl AsyncFn(ControlServiceClient, Context) -> Result<T, RpcError>,
+    ) -> Option<T> {
+        let client = self.connect(address).await?;
+        let reply = send(client, call_context(timeout_ms)).await;
+        if reply.is_err() {
+            self.disconnect(address);
+        }
+        reply.ok()
+    }
+
     fn is_connected(&self, address: SocketAddr) -> bool {
         self.lock().by_address.contains_key(&address)
     }
--- a/crates/masticsill_control_client/src/client.rs
+++ b/crates/masticsill_control_client/src/client.rs
@@ -4,7 +4,10 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 
-use masticsill_catalogue::{ChangeAnswer, Claim, ClaimAnswer, DocumentAnswer, Reassign, Settle};
+use masticsill_catalogue::{
+    ChangeAnswer, Claim, ClaimAnswer, DocumentAnswer, PackedPiece, PieceHash, PieceList, Reassign,
+    Settle,
+};
 use masticsill_registry::{
     Announcement, EndpointId, EndpointLoad, KeptTokens, PromptPart, Watcher,
 };
@@ -231,6 +234,34 @@
         self.call_once(address, send).await
     }
 
+    /// Asks the replica at an address what its document consists of, which is `version` or newer;
+    /// `None` when it does not answer within `timeout_ms` or has no such document.
+    pub async fn document_pieces(
+        &self,
+        address: SocketAddr,
+        version: u64,
+        timeout_ms: u64,
+    ) -> Option<PieceList> {
+        let send = async |client: ControlServiceClient, context| {
+            client.document_pieces(context, version).await
+        };
+        self.try_within(address, timeout_ms, &send).await.flatten()
+    }
+
+    /// Asks the replica at an address for pieces of a document; `None` when it does not answer
+    /// within `timeout_ms`.
+    pub async fn find_pieces(
+        &self,
+        address: SocketAddr,
+        hashes: &[PieceHash],
+        timeout_ms: u64,
+    ) -> Option<Vec<(PieceHash, PackedPiece)>> {
+        let send = async |client: ControlServiceClient, context| {
+            client.find_pieces(context, hashes.to_vec()).await
+        };
+        self.try_within(address, timeout_ms, &send).await
+    }
+
     /// Asks the replica at an address who it is; `None` when it does not answer.
     pub async fn identify(&self, address: SocketAddr) -> Option<ReplicaIdentity> {
         let send = async |client: ControlServiceClient, context| client.identify(context).await;
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -1,23 +1,25 @@
 //! Follows the control replicas: the document in force and the endpoints that registered.
 //!
 //! Every replica is followed at once, so that an entry in touch with the one that acknowledged
-//! something hears of it directly. The document's bytes come from the replica of the own zone,
-//! and from another one only when that is late.
+//! something hears of it directly. What they tell of the document's version goes to the duty that
+//! fetches it, and what that has read comes into force here.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use indexmap::IndexSet;
-use masticsill_catalogue::{RouteIndex, StoredDocument};
+use masticsill_catalogue::{DocumentSource, DocumentSources};
 use masticsill_registry::Watcher;
 use masticsill_runtime::Ring;
-use masticsill_types::{ClockMs, NodeId, ZoneId, log_event};
+use masticsill_types::{NodeId, ZoneId, log_event};
 use masticsill_wire::control::{WatchReply, WatchRequest};
+use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::documents::ReadDocument;
 use crate::events;
 use crate::relay::Relay;
 
@@ -28,8 +30,6 @@
 const LOADS_MS: u64 = 200;
 /// Pause before changed loads are told, so that what happens at the same moment shares a message.
 const LOADS_PAUSE: Duration = Duration::from_millis(4);
-/// How long the own zone's replica may be behind before another is asked for the bytes.
-const BEHIND_MS: u64 = 150;
 /// Pause before an address is asked again whether it serves control, and who else does.
 const DIRECTORY_INTERVAL: Duration = Duration::from_millis(200);
 /// Pause after a replica did not answer.
@@ -38,18 +38,24 @@
 /// What the followers share.
 struct Discovery {
     followed: RefCell<IndexSet<SocketAddr>>,
-    /// The newest version heard of, and when.
-    newest: Cell<Option<(u64, ClockMs)>>,
     relay: Rc<Relay>,
+    /// For the duty that fetches documents.
+    sources: watch::Sender<DocumentSources>,
 }
 
 /// Follows the seeds, every replica that they tell of, and those that are told later.
-pub(crate) fn start_discovery(relay: &Rc<Relay>, told: Ring<SocketAddr>) {
+pub(crate) fn start_discovery(
+    relay: &Rc<Relay>,
+    told: Ring<SocketAddr>,
+    sources: watch::Sender<DocumentSources>,
+    read: Ring<ReadDocument>,
+) {
     let discovery = Rc::new(Discovery {
         followed: RefCell::default(),
-        newest: Cell::new(None),
         relay: Rc::clone(relay),
+        sources,
     });
+    spawn_local(take_documents(Rc::clone(relay), read));
     for seed in &relay.config.control_seeds {
         discovery.follow_once(*seed);
     }
@@ -79,53 +85,22 @@
         directory.keeps_state
     }
 
-    fn held(&self) -> Option<u64> {
-        let index = self.relay.index.borrow();
-        index.as_ref().map(|index| index.document().version)
-    }
-
-    /// Whether a newer version has been known for a while and its bytes have not come.
-    fn is_behind(&self) -> bool {
-        let Some((newest, since)) = self.newest.get() else {
-            return false;
+    /// Notes which version a replica has.
+    fn note_document(&self, address: SocketAddr, reply: &WatchReply) {
+        let source = DocumentSource {
+            is_near: reply.zone == self.relay.config.zone,
+            version: reply.document_version,
         };
-        Some(newest) > self.held() && self.relay.now().since(since) >= BEHIND_MS
+        self.sources.send_if_modified(|sources| {
+            let before = sources.get(&address);
+            sources.note(self.relay.now(), address, source);
+            before != Some(source)
+        });
+        self.relay.note_document_version(reply.document_version);
     }
 
-    fn note_newest(&self, version: Option<u64>) {
-        let known = self.newest.get().map(|(version, _)| version);
-        if let Some(version) = version.filter(|version| Some(*version) > known) {
-            self.newest.set(Some((version, self.relay.now())));
-        }
-    }
-
-    fn take_document(&self, document: &StoredDocument, from: SocketAddr) {
-        if self.held() >= Some(document.version) {
-            return;
-        }
-        let bytes = document.unpack().map_err(|error| error.to_string());
-        let read = bytes.and_then(|bytes| (self.relay.config.read_document)(&bytes));
-        match read {
-            Ok(read) => {
-                self.relay.take_index(RouteIndex::new(read));
-                log_event!(
-                    info,
-                    events::DOCUMENT_TAKEN,
-                    version = document.version,
-                    from = from,
-                    bytes = document.packed_bytes()
-                );
-            }
-            Err(cause) => {
-                log_event!(
-                    error,
-                    events::DOCUMENT_UNREADABLE,
-                    version = document.version,
-                    from = from,
-                    cause = cause
-                );
-            }
-        }
+    fn forget_source(&self, address: SocketAddr) {
+        self.sources.send_modify(|sources| sources.forget(&address));
     }
 
     fn take_endpoints(&self, node: &NodeId, reply: &WatchReply) {
@@ -149,6 +124,25 @@
     }
 }
 
+/// Puts the documents that were read in force, one after the other.
+async fn take_documents(relay: Rc<Relay>, read: Ring<ReadDocument>) {
+    while let Some(document) = read.pop().await {
+        let version = document.index.document().version;
+        relay.take_index(document.index);
+        log_event!(
+            info,
+            events::DOCUMENT_TAKEN,
+            version = version,
+            from = document.from,
+            bytes = document.fetched_bytes,
+            pieces = document.fetched_pieces,
+            reused = document.reused_pieces,
+            fetch_ms = document.fetch_ms,
+            read_ms = document.read_ms
+        );
+    }
+}
+
 /// Follows one replica for good.
 async fn follow(discovery: Rc<Discovery>, address: SocketAddr) {
     let relay = Rc::clone(&discovery.relay);
@@ -162,29 +156,19 @@
         zone: relay.config.zone.clone(),
     };
     let mut request = WatchRequest {
-        document_held: None,
         document_seen: None,
         loads: Vec::new(),
         loads_revision: 0,
         registry: 0,
         revision: 0,
         wait_ms: WAIT_MS,
-        wants_document: true,
         watcher: watcher.clone(),
     };
     let mut is_reached = false;
     let mut is_own_zone = false;
     let mut zone = None;
     loop {
-        request.document_held = discovery.held();
-        let is_behind = discovery.is_behind();
-        request.wants_document = is_own_zone || is_behind || request.document_held.is_none();
-        let has_newer = discovery.newest.get().map(|(version, _)| version) > request.document_held;
-        request.wait_ms = match (has_newer && !is_behind, is_own_zone) {
-            (true, _) => BEHIND_MS,
-            (false, true) => LOADS_MS,
-            (false, false) => WAIT_MS,
-        };
+        request.wait_ms = if is_own_zone { LOADS_MS } else { WAIT_MS };
         if let Some(zone) = &zone {
             request.loads = relay.endpoints.borrow().loads_in(zone);
         }
@@ -195,6 +179,7 @@
             }
             is_reached = false;
             relay.control_reached.borrow_mut().swap_remove(&address);
+            discovery.forget_source(address);
             sleep(RETRY_PAUSE).await;
             continue;
         };
@@ -227,11 +212,8 @@
         request.loads_revision = reply.loads_revision;
         request.registry = reply.registry;
         request.revision = reply.revision;
-        discovery.note_newest(reply.document_version);
+        discovery.note_document(address, &reply);
         discovery.take_endpoints(&node, &reply);
-        if let Some(document) = &reply.document {
-            discovery.take_document(document, address);
-        }
         relay.entries.borrow_mut().note(relay.now(), reply.entries);
         relay.take_nearby(&reply.entries_nearby);
         if !reply.endpoints.is_empty() {
--- a/crates/masticsill_relay/src/events.rs
+++ b/crates/masticsill_relay/src/events.rs
@@ -52,6 +52,8 @@
 pub const OVERLOAD_REFUSED: Event = Event::new(2130, "overload_refused");
 /// An endpoint of a plain service is given fewer requests at once from now on, or no longer so.
 pub const ENDPOINT_LIMITED: Event = Event::new(2131, "endpoint_limited");
+/// A piece of a document, or the whole, has other bytes than its hash says; it is fetched again.
+pub const PIECE_DAMAGED: Event = Event::new(2132, "piece_damaged");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -80,4 +82,5 @@
     REQUEST_WAITED,
     OVERLOAD_REFUSED,
     ENDPOINT_LIMITED,
+    PIECE_DAMAGED,
 ];
--- a/crates/masticsill_relay/src/lib.rs
+++ b/crates/masticsill_relay/src/lib.rs
@@ -16,6 +16,7 @@
 mod copies;
 mod discovery;
 mod dispatching;
+mod documents;
 mod ending;
 pub mod events;
 mod lineage;
--- a/crates/masticsill_relay/src/metrics.rs
+++ b/crates/masticsill_relay/src/metrics.rs
@@ -43,6 +43,7 @@
     pub(crate) active: Gauge,
     pub(crate) answer_ms: Family<KindLabel, Histogram, fn() -> Histogram>,
     pub(crate) attempt_failures: Family<CauseLabel, Counter>,
+    pub(crate) document_behind: Gauge,
     pub(crate) document_version: Gauge<u64, AtomicU64>,
     pub(crate) endpoints: StateGauges,
     pub(crate) endpoints_limited: Gauge,
@@ -68,6 +69,7 @@
             active: Gauge::default(),
             answer_ms: Family::new_with_constructor(time_histogram),
             attempt_failures: Family::default(),
+            document_behind: Gauge::default(),
             document_version: Gauge::default(),
             endpoints: StateGauges::default(),
             endpoints_limited: Gauge::default(),
@@ -93,6 +95,9 @@
         let help = "Exchanges with endpoints that gave no answer to pass on";
         let failures = self.attempt_failures.clone();
         registry.register("masticsill_relay_attempt_failures", help, failures);
+        let help = "Whether a newer document than the one in force here is known";
+        let behind = self.document_behind.clone();
+        registry.register("masticsill_relay_document_behind", help, behind);
         let help = "Version of the document in force here";
         let version = self.document_version.clone();
         registry.register("masticsill_relay_document_version", help, version);
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -68,12 +68,16 @@
     pub(crate) endpoints: RefCell<EndpointTable>,
     /// Whether a document is in force here, for the readiness that other duties tell.
     pub(crate) has_document: Arc<AtomicBool>,
+    /// Whether requests are being answered, for the duty that fetches documents.
+    pub(crate) is_relaying: Arc<AtomicBool>,
     /// Changes of this entry's streams at the endpoints of each zone, counted, for the replicas
     /// that pass them on. Whole answers end sooner than the word of them would arrive.
     pub(crate) load_changes: watch::Sender<IndexMap<ZoneId, u64>>,
     /// Entries that share budgets and connections, this one included.
     pub(crate) entries: RefCell<EntryCount>,
     pub(crate) metrics: RelayMetrics,
+    /// The newest version of the document that a control replica told of.
+    newest_document: Cell<Option<u64>>,
     /// Counts what was learned of the document and the endpoints, for requests that wait for it.
     pub(crate) news: watch::Sender<u64>,
     /// The document in force here; swapped as a whole, so that no request sees two versions.
@@ -106,6 +110,7 @@
         clock: MonotonicClock,
         stopping: ShutdownSignal,
         has_document: Arc<AtomicBool>,
+        is_relaying: Arc<AtomicBool>,
         metrics: RelayMetrics,
     ) -> Self {
         Self {
@@ -119,9 +124,11 @@
             dispatcher: RefCell::default(),
             endpoints: RefCell::default(),
             has_document,
+            is_relaying,
             load_changes: watch::Sender::default(),
             entries: RefCell::default(),
             metrics,
+            newest_document: Cell::new(None),
             news: watch::Sender::new(0),
             index: RefCell::new(None),
             patience: RefCell::default(),
@@ -150,6 +157,19 @@
         self.note_news();
     }
 
+    /// Notes the version of the document that a control replica has.
+    pub(crate) fn note_document_version(&self, version: Option<u64>) {
+        let newest = self.newest_document.get();
+        self.newest_document.set(newest.max(version));
+    }
+
+    /// Whether a newer document than the one in force here is known.
+    pub(crate) fn is_behind_document(&self) -> bool {
+        let index = self.index.borrow();
+        let held = index.as_ref().map(|index| index.document().version);
+        self.newest_document.get() > held
+    }
+
     /// Wakes the requests that wait for a document or an endpoint.
     pub(crate) fn note_news(&self) {
         self.news.send_modify(|count| *count += 1);
@@ -237,6 +257,8 @@
     pub(crate) fn note_gauges(&self) {
         let (now, entries) = (self.now(), self.entry_count());
         self.metrics.active.set(i64::from(self.active.get()));
+        let is_behind = self.is_behind_document();
+        self.metrics.document_behind.set(i64::from(is_behind));
         self.metrics.note_endpoints(&self.endpoints.borrow());
         let budgets = self.budgets.borrow();
         let left = budgets
@@ -359,6 +381,7 @@
 impl Active {
     pub(crate) fn begin(relay: &Rc<Relay>) -> Self {
         relay.active.set(relay.active.get() + 1);
+        relay.is_relaying.store(true, Ordering::Relaxed);
         Self {
             relay: Rc::clone(relay),
         }
@@ -367,6 +390,8 @@
 
 impl Drop for Active {
     fn drop(&mut self) {
-        self.relay.active.set(self.relay.active.get() - 1);
+        let left = self.relay.active.get() - 1;
+        self.relay.active.set(left);
+        self.relay.is_relaying.store(left > 0, Ordering::Relaxed);
     }
 }
--- a/crates/masticsill_relay/src/role.rs
+++ b/crates/masticsill_relay/src/role.rs
@@ -6,14 +6,17 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use masticsill_catalogue::DocumentSources;
 use masticsill_runtime::{DutyHandle, Ring, ShutdownSignal, spawn_async_duty};
 use masticsill_types::{MonotonicClock, log_event};
 use prometheus_client::registry::Registry;
+use tokio::sync::watch;
 use tokio::task::spawn_local;
 
 use crate::config::RelayConfig;
 use crate::discovery::start_discovery;
 use crate::dispatching::run_dispatch;
+use crate::documents::{DocumentParts, READ_RING_ITEMS, run_documents};
 use crate::events;
 use crate::metrics::RelayMetrics;
 use crate::relay::Relay;
@@ -26,6 +29,8 @@
 #[derive(Debug)]
 pub struct RelayRole {
     address: SocketAddr,
+    /// Fetches and reads documents.
+    documents: DutyHandle,
     duty: DutyHandle,
     has_document: Arc<AtomicBool>,
     seeds: Ring<SocketAddr>,
@@ -58,14 +63,30 @@
         let seeds = Ring::with_capacity(SEED_RING_ITEMS);
         let new_seeds = seeds.clone();
         let (shown, signal) = (Arc::clone(&has_document), stopping.clone());
+        let ended = ShutdownSignal::default();
+        let is_relaying = Arc::new(AtomicBool::new(false));
+        let read = Ring::with_capacity(READ_RING_ITEMS);
+        let (sources, known_sources) = watch::channel(DocumentSources::default());
+        let parts = DocumentParts {
+            clock,
+            ended: ended.clone(),
+            is_relaying: Arc::clone(&is_relaying),
+            read: read.clone(),
+            reader: config.read_document,
+            sources: known_sources,
+        };
+        let documents = spawn_async_duty("relay_documents", || run_documents(parts))?;
         let duty = spawn_async_duty("relay", move || async move {
-            let relay = Rc::new(Relay::new(config, clock, signal, shown, metrics));
-            start_discovery(&relay, new_seeds);
+            let relay = Relay::new(config, clock, signal, shown, is_relaying, metrics);
+            let relay = Rc::new(relay);
+            start_discovery(&relay, new_seeds, sources, read);
             spawn_local(run_dispatch(Rc::clone(&relay)));
             serve(relay, listener).await;
+            ended.request();
         })?;
         Ok(Self {
             address,
+            documents,
             duty,
             has_document,
             seeds,
@@ -101,6 +122,11 @@
     /// An error when the duty panicked.
     pub fn stop(self) -> io::Result<()> {
         self.stopping.request();
-        self.duty.join()
+        self.duty.join()?;
+        if self.documents.is_finished() {
+            self.documents.join()?;
+        }
+        // A document that is still being read is of no use any more, and is not waited for.
+        Ok(())
     }
 }
--- a/crates/masticsill_wire/src/control.rs
+++ b/crates/masticsill_wire/src/control.rs
@@ -8,7 +8,8 @@
 
 use masticsill_catalogue::{
     AuditRecord, CatalogueUpdate, Change, ChangeAnswer, Claim, ClaimAnswer, DocumentAnswer,
-    OperatorScope, Reassign, Settle, StoredDocument, VersionedEntry,
+    OperatorScope, PackedPiece, PieceHash, PieceList, Reassign, Settle, StoredDocument,
+    VersionedEntry,
 };
 use masticsill_registry::{
     Announcement, EndpointId, EndpointLoad, EndpointRecord, Heard, KeptTokens, PromptPart, Watcher,
@@ -201,8 +202,6 @@
 /// It also acknowledges the news of the reply before.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct WatchRequest {
-    /// Version of the document that the watcher has; zero for none.
-    pub document_held: Option<u64>,
     /// Newest version that the watcher knows of.
     pub document_seen: Option<u64>,
     /// The watcher's own requests at endpoints of the replica's zone.
@@ -215,8 +214,6 @@
     pub revision: u64,
     /// Longest wait for news.
     pub wait_ms: u64,
-    /// Whether the bytes of a newer document are wanted, or its version only.
-    pub wants_document: bool,
     /// Who watches.
     pub watcher: Watcher,
 }
@@ -224,8 +221,6 @@
 /// News of the document and of the endpoints.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct WatchReply {
-    /// The document, if it was wanted and is newer.
-    pub document: Option<StoredDocument>,
     /// Version of the document applied here.
     pub document_version: Option<u64>,
     /// Entries that watch here, to share what endpoints accept from all of them together.
@@ -376,4 +371,9 @@
     async fn tell_loads(watcher: Watcher, loads: Vec<EndpointLoad>);
     /// Finds the engines of the replica's zone that keep the beginning of a prompt.
     async fn find_kept(prompt: Vec<PromptPart>) -> Vec<KeptTokens>;
+    /// Tells what the newest document applied here consists of; none when it is older than
+    /// `version`.
+    async fn document_pieces(version: u64) -> Option<PieceList>;
+    /// Gives pieces of the last documents; those that are not kept are left out.
+    async fn find_pieces(hashes: Vec<PieceHash>) -> Vec<(PieceHash, PackedPiece)>;
 }
