--- a/crates/masticsill_catalogue/src/document/index.rs
+++ b/crates/masticsill_catalogue/src/document/index.rs
@@ -1,5 +1,6 @@
 //! A document made ready for look-ups.
 
+use std::mem;
 use std::sync::Arc;
 
 use indexmap::IndexMap;
@@ -9,6 +10,7 @@
 /// A document with its routes by host and its workspaces by key. Cheap to share, never changed.
 #[derive(Clone, Debug)]
 pub struct RouteIndex {
+    /// The document without its routes and services, which are held below.
     document: RouteDocument,
     /// Positions of workspaces by API key.
     keys: IndexMap<String, usize>,
@@ -20,14 +22,11 @@
 impl RouteIndex {
     /// Makes a document ready.
     #[must_use]
-    pub fn new(document: RouteDocument) -> Self {
+    pub fn new(mut document: RouteDocument) -> Self {
         let mut routes: IndexMap<String, Vec<Arc<Route>>> = IndexMap::new();
-        for route in &document.routes {
+        for route in mem::take(&mut document.routes) {
             let host = route.host.to_ascii_lowercase();
-            routes
-                .entry(host)
-                .or_default()
-                .push(Arc::new(route.clone()));
+            routes.entry(host).or_default().push(Arc::new(route));
         }
         for of_host in routes.values_mut() {
             of_host.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
@@ -38,8 +37,8 @@
                 keys.insert(key.0.clone(), position);
             }
         }
-        let services = document.services.iter();
-        let services = services.map(|it| (it.name.clone(), Arc::new(it.clone())));
+        let services = mem::take(&mut document.services).into_iter();
+        let services = services.map(|it| (it.name.clone(), Arc::new(it)));
         Self {
             keys,
             routes,
@@ -48,7 +47,7 @@
         }
     }
 
-    /// The document.
+    /// The document without its routes and services, which are looked up.
     #[must_use]
     pub fn document(&self) -> &RouteDocument {
         &self.document
