Fetches of documents over slow, silent and overtaken links

A relay and stand-in replicas behind proxies that hold each 64 KB for 50 ms, as a link of 10 Mbit/s: changes of a document of 8,000 entries are in force within 2 s for less than one whole copy in eight changes; a fetch goes on at another replica where a silent one left it; versions that were not begun are skipped.

--- /dev/null
+++ b/crates/masticsill_relay/tests/document_fetch.rs
@@ -0,0 +1,182 @@
+//! A relay fetches documents over slow and failing links: what changed, one version at a time.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use common::{Replica, node};
+use masticsill_catalogue::{RequestLimits, RouteDocument};
+use masticsill_relay::{BudgetSettings, EngineCalls, HeaderNames, RelayConfig, RelayRole};
+use masticsill_testkit::{Direction, ProxyMode};
+use masticsill_types::MonotonicClock;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::registry::Registry;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+/// From a change until it is in force at the relay.
+const IN_FORCE: Duration = Duration::from_secs(2);
+/// What a slow link holds 64 KB for, each way: 10 Mbit/s.
+const HELD_MS: u64 = 50;
+
+/// A relay, and what it shows of itself.
+struct Relay {
+    registry: Registry,
+    role: Option<RelayRole>,
+}
+
+impl Relay {
+    fn start(replicas: &[&Replica]) -> Self {
+        let mut registry = Registry::default();
+        let seeds = replicas.iter().map(|it| it.proxy.address());
+        let config = RelayConfig {
+            budget: BudgetSettings {
+                extra: 10,
+                ratio: 0.5,
+                window_ms: 10_000,
+            },
+            control_seeds: seeds.collect(),
+            engine_calls: Arc::new(EngineCalls::default()),
+            grace_ms: 0,
+            headers: Arc::new(HeaderNames::default()),
+            listen_address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            node: node(),
+            read_document,
+            zone: "near".parse().unwrap(),
+        };
+        let role = RelayRole::start(config, MonotonicClock::start(), &mut registry).unwrap();
+        Self {
+            registry,
+            role: Some(role),
+        }
+    }
+
+    /// The version in force.
+    fn version(&self) -> u64 {
+        let mut text = String::new();
+        encode(&mut text, &self.registry).unwrap();
+        let mut lines = text.lines();
+        let shown = lines.find_map(|it| it.strip_prefix("masticsill_relay_document_version "));
+        shown.unwrap().parse().unwrap()
+    }
+
+    fn await_version(&self, version: u64) {
+        let bound = Instant::now() + PATIENCE;
+        while self.version() < version {
+            assert!(Instant::now() < bound, "version {version} did not come");
+            sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if let Some(role) = self.role.take() {
+            let _ = role.stop();
+        }
+    }
+}
+
+/// The version stands at the beginning of a text.
+fn read_document(bytes: &[u8]) -> Result<RouteDocument, String> {
+    let version = bytes.split(|byte| *byte == b' ').next().unwrap_or_default();
+    let version = str::from_utf8(version).map_err(|error| error.to_string())?;
+    Ok(RouteDocument {
+        limits: RequestLimits {
+            body_bytes: 1_000,
+            header_bytes: 1_000,
+            header_timeout_ms: 1_000,
+            idle_timeout_ms: 1_000,
+        },
+        routes: Vec::new(),
+        services: Vec::new(),
+        version: version.parse().map_err(|error| format!("{error}"))?,
+        workspaces: None,
+    })
+}
+
+/// Thousands of entries that pack badly, of which one changes with each version.
+fn text(version: u64) -> String {
+    let entry = |number: u64| {
+        let salt = if number == 2_000 { version } else { 0 };
+        let noise = (number + salt * 7_919).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        let more = noise.rotate_left(29).wrapping_mul(0xD6E8_FEB8_6659_FD93);
+        format!("{{\"{number}\": \"{noise:x}{more:x}, and the same words in every entry\"}}\n")
+    };
+    let entries: String = (0..8_000).map(entry).collect();
+    format!("{version} {entries}")
+}
+
+#[test]
+fn changes_come_in_time_over_slow_links() {
+    let (near, far) = (Replica::start("near"), Replica::start("far"));
+    let replicas = [&near, &far];
+    for replica in replicas {
+        replica.proxy.set_mode(ProxyMode::Delay(HELD_MS));
+        replica.apply(1, &text(1));
+    }
+    let relay = Relay::start(&replicas);
+    relay.await_version(1);
+    let whole_bytes = near.sent_bytes() + far.sent_bytes();
+    let mut times = Vec::new();
+    for version in 2..10 {
+        let changed = text(version);
+        for replica in replicas {
+            replica.apply(version, &changed);
+        }
+        let began = Instant::now();
+        relay.await_version(version);
+        times.push(began.elapsed());
+    }
+    assert!(times.iter().all(|it| *it < IN_FORCE), "{times:?}");
+    let bytes = near.sent_bytes() + far.sent_bytes() - whole_bytes;
+    assert!(bytes < whole_bytes, "{bytes} for 8 changes, {whole_bytes}");
+}
+
+#[test]
+fn a_fetch_goes_on_where_a_silent_replica_left_it() {
+    let (near, far) = (Replica::start("near"), Replica::start("far"));
+    let replicas = [&near, &far];
+    near.proxy.set_mode(ProxyMode::Delay(HELD_MS));
+    for replica in replicas {
+        replica.apply(1, &text(1));
+    }
+    let relay = Relay::start(&[&near]);
+    let bound = Instant::now() + PATIENCE;
+    while near.calls() < 4 {
+        assert!(Instant::now() < bound, "the fetch did not begin");
+        sleep(Duration::from_millis(1));
+    }
+    relay.role.as_ref().unwrap().follow([far.proxy.address()]);
+    near.proxy
+        .set_mode(ProxyMode::BlackHole(Some(Direction::ToClient)));
+    relay.await_version(1);
+    assert!(far.calls() > 0, "the other one has not been asked");
+    let whole: usize = {
+        let alone = Replica::start("near");
+        alone.apply(1, &text(1));
+        let other = Relay::start(&[&alone]);
+        other.await_version(1);
+        usize::try_from(alone.sent_bytes()).unwrap()
+    };
+    let far_bytes = usize::try_from(far.sent_bytes()).unwrap();
+    assert!(far_bytes < whole, "{far_bytes} of {whole} bytes again");
+}
+
+#[test]
+fn versions_that_were_not_begun_are_skipped() {
+    let near = Replica::start("near");
+    near.proxy.set_mode(ProxyMode::Delay(HELD_MS));
+    near.apply(1, &text(1));
+    let relay = Relay::start(&[&near]);
+    relay.await_version(1);
+    let (before, calls) = (near.sent_bytes(), near.calls());
+    for version in 2..=40 {
+        near.apply(version, &text(version));
+    }
+    relay.await_version(40);
+    assert!(near.calls() - calls < 20);
+    assert!(near.sent_bytes() < before * 2);
+}
