--- a/crates/masticsill_relay/src/documents.rs
+++ b/crates/masticsill_relay/src/documents.rs
@@ -8,6 +8,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use indexmap::IndexSet;
 use masticsill_catalogue::{
     DocumentSources, FetchPace, JoinedDocument, PackedPiece, PieceFetch, PieceHash, PieceList,
@@ -17,7 +19,7 @@
 use masticsill_runtime::{Ring, RingFull, ShutdownSignal};
 use masticsill_types::{ClockMs, MonotonicClock, log_event};
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::config::DocumentReader;
 use crate::events;
@@ -156,25 +158,40 @@
         None
     }
 
-    /// Asks one replica after the other what the newest version consists of.
+    /// Asks what the newest version consists of: one replica, and the next as well once the answer is
+    /// late. A list is small; a replica that cuts a large document first needs some time for it.
     async fn list(&self) -> Option<(PieceList, SocketAddr)> {
+        let late = Duration::from_millis(self.pace.late_ms() * 2);
         let mut passed_over = IndexSet::new();
+        let mut calls = FuturesUnordered::new();
         loop {
-            let (newest, address) = {
-                let sources = self.parts.sources.borrow();
-                let now = self.parts.clock.now();
-                let address = sources.lister(now, self.turn, &passed_over)?;
-                (sources.newest()?, address)
-            };
-            let timeout_ms = CALL_TIMEOUT_MS.min(self.pace.late_ms() * 2);
-            let asked = self.client.document_pieces(address, newest, timeout_ms);
-            if let Some(list) = asked.await {
-                return Some((list, address));
+            match self.lister(&passed_over) {
+                Some((version, address)) => {
+                    passed_over.insert(address);
+                    calls.push(self.ask_list(address, version));
+                }
+                None if calls.is_empty() => return None,
+                None => {}
+            }
+            if let Ok(Some(Some(listed))) = timeout(late, calls.next()).await {
+                return Some(listed);
             }
-            passed_over.insert(address);
         }
     }
 
+    fn lister(&self, passed_over: &IndexSet<SocketAddr>) -> Option<(u64, SocketAddr)> {
+        let sources = self.parts.sources.borrow();
+        let now = self.parts.clock.now();
+        let address = sources.lister(now, self.turn, passed_over)?;
+        Some((sources.newest()?, address))
+    }
+
+    async fn ask_list(&self, address: SocketAddr, version: u64) -> Option<(PieceList, SocketAddr)> {
+        let client = &self.client;
+        let asked = client.document_pieces(address, version, CALL_TIMEOUT_MS);
+        Some((asked.await?, address))
+    }
+
     /// Fetches the next pieces, from one replica after the other; false when none has them.
     async fn fetch_some(&mut self) -> bool {
         let mut passed_over = self.slow.clone();
--- a/crates/masticsill_relay/tests/document_fetch.rs
+++ b/crates/masticsill_relay/tests/document_fetch.rs
@@ -165,6 +165,25 @@
     assert!(far_bytes < whole, "{far_bytes} of {whole} bytes again");
 }
 
+#[test]
+fn a_silent_replica_holds_no_version_up() {
+    let (near, far) = (Replica::start("near"), Replica::start("far"));
+    for replica in [&near, &far] {
+        replica.apply(1, &text(1));
+    }
+    let relay = Relay::start(&[&near, &far]);
+    relay.await_version(1);
+    for replica in [&near, &far] {
+        replica.apply(2, &text(2));
+    }
+    // Whether or not the near one has told of the version, nothing more is heard from it.
+    near.proxy
+        .set_mode(ProxyMode::BlackHole(Some(Direction::ToClient)));
+    let began = Instant::now();
+    relay.await_version(2);
+    assert!(began.elapsed() < IN_FORCE, "{:?}", began.elapsed());
+}
+
 #[test]
 fn versions_that_were_not_begun_are_skipped() {
     let near = Replica::start("near");
