--- a/crates/masticsill_relay/src/events.rs
+++ b/crates/masticsill_relay/src/events.rs
@@ -58,6 +58,8 @@
 pub const RUN_WENT_ON: Event = Event::new(2133, "run_went_on");
 /// A stream that was begun waits for what keeps it from its next send.
 pub const STREAM_WAITS: Event = Event::new(2134, "stream_waits");
+/// A piece of a document, or the whole, has other bytes than its hash says; it is fetched again.
+pub const PIECE_DAMAGED: Event = Event::new(2135, "piece_damaged");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -89,4 +91,5 @@
     RELAY_LATE,
     RUN_WENT_ON,
     STREAM_WAITS,
+    PIECE_DAMAGED,
 ];
--- a/crates/masticsill_relay/src/metrics.rs
+++ b/crates/masticsill_relay/src/metrics.rs
@@ -44,6 +44,7 @@
     pub(crate) answer_ms: Family<KindLabel, Histogram, fn() -> Histogram>,
     pub(crate) attempt_failures: Family<CauseLabel, Counter>,
     pub(crate) broken_off: Family<CauseLabel, Counter>,
+    pub(crate) document_behind: Gauge,
     pub(crate) document_version: Gauge<u64, AtomicU64>,
     pub(crate) endpoints: StateGauges,
     pub(crate) endpoints_limited: Gauge,
@@ -71,6 +72,7 @@
             answer_ms: Family::new_with_constructor(time_histogram),
             attempt_failures: Family::default(),
             broken_off: Family::default(),
+            document_behind: Gauge::default(),
             document_version: Gauge::default(),
             endpoints: StateGauges::default(),
             endpoints_limited: Gauge::default(),
@@ -102,6 +104,9 @@
         registry.register("masticsill_relay_streams_broken_off", help, broken_off);
         let help = "Time by which the relay's own thread ran too late";
         registry.register("masticsill_relay_late_ms", help, self.late_ms.clone());
+        let help = "Whether a newer document than the one in force here is known";
+        let behind = self.document_behind.clone();
+        registry.register("masticsill_relay_document_behind", help, behind);
         let help = "Version of the document in force here";
         let version = self.document_version.clone();
         registry.register("masticsill_relay_document_version", help, version);
