Lose two disks at every step of a founding and of a change

Cause: nothing tried the quorum's membership changes with two disks lost at once, as the users may do right after any acknowledgement, also while all other machines lose power.

--- a/crates/masticsill_quorum/tests/simulation/mod.rs
+++ b/crates/masticsill_quorum/tests/simulation/mod.rs
@@ -114,6 +114,17 @@
         faults: Faults,
         settings: ReplicaSettings,
         application: A,
+    ) -> Self {
+        Self::found_among(seed, [count, count], faults, settings, application)
+    }
+
+    /// The first `founders` of `count` nodes are founded as voters; the others' folders are new.
+    pub fn found_among(
+        seed: u64,
+        [founders, count]: [usize; 2],
+        faults: Faults,
+        settings: ReplicaSettings,
+        application: A,
     ) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let nodes = (0..count).map(|place| Node::new(place, random.random_range(0..10_000)));
@@ -130,10 +141,13 @@
             last_number: 0,
             cuts: vec![vec![false; count]; count],
         };
-        let founders: Vec<VoterId> = simulation.nodes.iter().map(|it| it.id.clone()).collect();
-        simulation.model.membership = Membership::of_voters(founders.iter().cloned());
+        let founding = simulation.nodes.iter().take(founders);
+        let voters: Vec<VoterId> = founding.map(|it| it.id.clone()).collect();
+        simulation.model.membership = Membership::of_voters(voters.iter().cloned());
         for node in 0..count {
-            simulation.nodes[node].found(&founders);
+            if node < founders {
+                simulation.nodes[node].found(&voters);
+            }
             simulation.start(node);
         }
         simulation
@@ -167,6 +181,13 @@
         self.now = end;
     }
 
+    /// Handles the next event, whenever it is due.
+    pub fn run_event(&mut self) {
+        let Reverse((at, _, event)) = self.events.pop().unwrap();
+        self.now = at;
+        self.handle(event);
+    }
+
     /// Runs until a condition holds; fails after ten simulated seconds.
     pub fn run_until(&mut self, what: &str, mut is_met: impl FnMut(&mut Self) -> bool) {
         for _ in 0..2_000 {
@@ -216,6 +237,17 @@
         self.schedule(down_ms, Event::Start { node });
     }
 
+    /// Cuts a node's power: nothing that it has not synced is left.
+    pub fn cut_power(&mut self, node: usize, down_ms: u64) {
+        self.nodes[node].crash(false, |_| 0);
+        self.schedule(down_ms, Event::Start { node });
+    }
+
+    /// Takes a node away, which never comes back.
+    pub fn take_away(&mut self, node: usize) {
+        self.nodes[node].crash(false, |_| 0);
+    }
+
     /// Loses a node's folder; it starts under a new identity after `down_ms`.
     pub fn lose_folder(&mut self, node: usize, down_ms: u64) {
         let folder = self.random.random();
@@ -494,6 +526,46 @@
         }
     }
 
+    /// What a quorum does that looks after itself: it admits each node that asks, and removes
+    /// silent members while more than `wanted` vote.
+    pub fn tend(&mut self, wanted: usize, silence_ms: u64) {
+        let Some(leader) = self.leader() else {
+            return;
+        };
+        let node = &self.nodes[leader];
+        let replica = node.replica.as_ref().unwrap();
+        let mut changes = Vec::new();
+        for id in self.running() {
+            if !replica.membership().is_member(&id) {
+                let replaces = None;
+                changes.push(MembershipChange::Join { id, replaces });
+            }
+        }
+        let silent = node.silent_members(self.now, silence_ms);
+        if replica.membership().voters.len() > wanted {
+            let silent = silent.into_iter().take(1);
+            changes.extend(silent.map(|id| MembershipChange::Remove { id }));
+        }
+        for change in changes {
+            self.change_at(leader, change);
+        }
+    }
+
+    /// Identities of the nodes that run.
+    pub fn running(&self) -> Vec<VoterId> {
+        let running = self.nodes.iter().filter(|node| node.is_running());
+        running.map(|node| node.id.clone()).collect()
+    }
+
+    /// Whether the committed membership is that of the nodes that run.
+    pub fn is_tended(&self) -> bool {
+        let membership = &self.model.membership;
+        let is_settled = membership.learners.is_empty() && membership.leaving.is_empty();
+        let running = self.running();
+        let is_exact = membership.voters.len() == running.len();
+        is_settled && is_exact && running.iter().all(|id| membership.is_voter(id))
+    }
+
     /// Whether the committed membership has exactly the identities that exist now as voters.
     pub fn is_repaired(&self) -> bool {
         let membership = &self.model.membership;
--- a/crates/masticsill_quorum/tests/simulation/model.rs
+++ b/crates/masticsill_quorum/tests/simulation/model.rs
@@ -130,6 +130,12 @@
         self.raise_floor(now, applied);
     }
 
+    /// The newest entry that a client was told of.
+    pub fn newest_accepted(&self) -> Option<&Entry> {
+        self.log
+            .get(usize::try_from(self.floor.0).unwrap().checked_sub(1)?)
+    }
+
     pub fn done_reads(&self) -> usize {
         self.reads.values().filter(|(_, is_done)| *is_done).count()
     }
--- a/crates/masticsill_quorum/tests/simulation/node.rs
+++ b/crates/masticsill_quorum/tests/simulation/node.rs
@@ -66,6 +66,14 @@
         storage.found(&mut recovered.state, membership).unwrap();
     }
 
+    /// Whether an entry is durable in the node's folder.
+    pub fn keeps(&self, entry: &Entry) -> bool {
+        let (_, recovered) = self.open();
+        let state = recovered.state;
+        let is_covered = state.snapshot.is_some_and(|it| it.index >= entry.index);
+        is_covered || state.entries.contains(entry)
+    }
+
     pub fn is_running(&self) -> bool {
         self.replica.is_some()
     }
@@ -136,6 +144,12 @@
         Some((commit, at.0 - self.clock_offset_ms))
     }
 
+    /// Members that this node, as a leader, has not heard for so long.
+    pub fn silent_members(&self, now: u64, silence_ms: u64) -> Vec<VoterId> {
+        let replica = self.replica.as_ref().unwrap();
+        replica.silent_members(self.clock(now), silence_ms)
+    }
+
     /// Queues a write for the storage; true when a sync must be scheduled.
     pub fn write(&mut self, point: SyncPoint, write: Write) -> bool {
         self.unwritten.push((point, write));
