No fewer than f + 1 voters commit an entry or elect a leader

Cause: a cluster founded by three where two disks may be lost at once (the others came late) committed with a majority of two: two disks took an accepted entry along. Weighed: founding with four at least needs no new setting, but three of five that are left at a first start would never serve; waiting for all five would not either.

--- a/crates/masticsill_quorum/src/candidate.rs
+++ b/crates/masticsill_quorum/src/candidate.rs
@@ -77,7 +77,7 @@
             granted.push(from);
         }
         let (_, membership) = self.log.membership();
-        if membership.is_majority(|id| granted.contains(id)) {
+        if membership.is_quorum(self.settings.min_quorum, |id| granted.contains(id)) {
             self.stand(now, false);
         }
     }
@@ -187,7 +187,7 @@
         }
         let stood_at = *stood_at;
         let (_, membership) = self.log.membership();
-        if membership.is_majority(|id| granted.contains(id)) {
+        if membership.is_quorum(self.settings.min_quorum, |id| granted.contains(id)) {
             self.lead(now, stood_at);
         }
     }
--- a/crates/masticsill_quorum/src/leader.rs
+++ b/crates/masticsill_quorum/src/leader.rs
@@ -76,7 +76,7 @@
 
     /// A leader that no majority has acknowledged within its lease stops leading.
     pub(crate) fn stop_past_lease(&mut self, now: ClockMs) {
-        let is_sole_voter = self.is_majority_alone();
+        let is_sole_voter = self.decides_alone();
         let RoleState::Leader(state) = &mut self.role else {
             return;
         };
@@ -94,8 +94,9 @@
         }
     }
 
-    fn is_majority_alone(&self) -> bool {
-        self.membership().is_majority(|id| *id == self.id)
+    fn decides_alone(&self) -> bool {
+        let min_quorum = self.settings.min_quorum;
+        self.membership().is_quorum(min_quorum, |id| *id == self.id)
     }
 
     pub(crate) fn lead(&mut self, now: ClockMs, stood_at: ClockMs) {
@@ -197,7 +198,7 @@
             return;
         };
         let (_, membership) = self.log.membership();
-        let newest = membership.majority_value(|id| {
+        let newest = membership.quorum_value(self.settings.min_quorum, |id| {
             if *id == self.id {
                 return state.last_round;
             }
@@ -282,7 +283,8 @@
             return;
         };
         let own_index = self.durability.last_index();
-        let reached = self.membership().majority_value(|id| {
+        let min_quorum = self.settings.min_quorum;
+        let reached = self.membership().quorum_value(min_quorum, |id| {
             if *id == self.id {
                 return own_index;
             }
@@ -292,7 +294,7 @@
         let Some(reached) = reached else {
             return;
         };
-        // An older term's entry held by a majority may still be replaced by a later leader.
+        // An older term's entry held by most voters may still be replaced by a later leader.
         if reached <= self.commit || self.log.term(reached) != Some(self.term) {
             return;
         }
--- a/crates/masticsill_quorum/src/membership.rs
+++ b/crates/masticsill_quorum/src/membership.rs
@@ -101,17 +101,30 @@
         self.voters.len() / 2 + 1
     }
 
-    /// Whether the voters that satisfy `has_answered` are a majority.
-    pub(crate) fn is_majority(&self, has_answered: impl Fn(&VoterId) -> bool) -> bool {
+    /// Voters that decide: a majority, and `min_quorum` of them or all where fewer vote.
+    pub(crate) fn quorum(&self, min_quorum: usize) -> usize {
+        self.majority().max(min_quorum.min(self.voters.len()))
+    }
+
+    /// Whether the voters that satisfy `has_answered` are enough to decide.
+    pub(crate) fn is_quorum(
+        &self,
+        min_quorum: usize,
+        has_answered: impl Fn(&VoterId) -> bool,
+    ) -> bool {
         let count = self.voters.iter().filter(|id| has_answered(id)).count();
-        !self.voters.is_empty() && count >= self.majority()
+        !self.voters.is_empty() && count >= self.quorum(min_quorum)
     }
 
-    /// The highest value that a majority of the voters has reached; none without voters.
-    pub(crate) fn majority_value<V: Ord>(&self, value: impl Fn(&VoterId) -> V) -> Option<V> {
+    /// The highest value that enough voters to decide have reached; none without voters.
+    pub(crate) fn quorum_value<V: Ord>(
+        &self,
+        min_quorum: usize,
+        value: impl Fn(&VoterId) -> V,
+    ) -> Option<V> {
         let mut values: Vec<V> = self.voters.iter().map(value).collect();
         values.sort_unstable_by(|left, right| right.cmp(left));
-        values.into_iter().nth(self.majority() - 1)
+        values.into_iter().nth(self.quorum(min_quorum) - 1)
     }
 
     /// The membership after a caller's change.
--- a/crates/masticsill_quorum/src/settings.rs
+++ b/crates/masticsill_quorum/src/settings.rs
@@ -13,6 +13,10 @@
     pub election_min_ms: u64,
     /// Longest silence after which a follower stands.
     pub election_max_ms: u64,
+    /// Voters that commit an entry or elect a leader at least, or all where fewer vote: one more
+    /// than the disks that may be lost at once. A cluster that was founded by few then keeps an
+    /// entry on a disk that is left.
+    pub min_quorum: usize,
     /// Payload bytes in one append message, at most, unless one entry is larger.
     pub append_bytes: usize,
     /// Entries in one append message, at most.
@@ -36,6 +40,7 @@
             lease_ms: 400,
             election_min_ms: 500,
             election_max_ms: 900,
+            min_quorum: 1,
             append_bytes: 256 * 1024,
             append_entries: 1024,
             window_entries: 8192,
--- a/crates/masticsill_quorum/tests/simulation/mod.rs
+++ b/crates/masticsill_quorum/tests/simulation/mod.rs
@@ -33,6 +33,7 @@
         lease_ms: 90,
         election_min_ms: 100,
         election_max_ms: 200,
+        min_quorum: 1,
         append_bytes: 64,
         append_entries: 5,
         window_entries: 16,
--- a/crates/masticsill_quorum/tests/two_lost_disks.rs
+++ b/crates/masticsill_quorum/tests/two_lost_disks.rs
@@ -4,10 +4,13 @@
 
 use std::panic::{AssertUnwindSafe, catch_unwind};
 
+use masticsill_quorum::ReplicaSettings;
 use simulation::{CALM, Numbers, Simulation, settings};
 
-/// Voters with which a cluster bears the loss of two.
-const WHOLE: usize = 5;
+/// Disks that are lost at once.
+const LOSSES: usize = 2;
+/// Voters with which a cluster goes on after that.
+const WHOLE: usize = 2 * LOSSES + 1;
 /// How long a node whose disk or power was lost is away.
 const DOWN_MS: u64 = 20;
 /// Between commands of the clients, and between requests of nodes to be admitted.
@@ -53,8 +56,11 @@
 impl Course {
     fn begin(growth: Growth) -> Self {
         let counts = [growth.founders, growth.nodes];
-        let mut simulation =
-            Simulation::found_among(growth.seed, counts, CALM, settings(), Numbers);
+        let settings = ReplicaSettings {
+            min_quorum: LOSSES + 1,
+            ..settings()
+        };
+        let mut simulation = Simulation::found_among(growth.seed, counts, CALM, settings, Numbers);
         let is_replaced = growth.replaced == 0;
         if !is_replaced {
             (growth.founders..growth.nodes).for_each(|node| simulation.take_away(node));
@@ -276,6 +282,27 @@
     lose_at_every_step(growth, &[Vec::new()]);
 }
 
+#[test]
+fn two_newcomers_lost_while_they_learn() {
+    let growth = Growth {
+        founders: 5,
+        nodes: 7,
+        replaced: 0,
+        seed: 9,
+    };
+    let mut course = Course::begin(growth);
+    course.simulation.isolate(5);
+    course.simulation.isolate(6);
+    for _ in 0..400 {
+        course.advance();
+    }
+    assert_eq!(course.simulation.model.membership.learners.len(), 2);
+    course.simulation.heal();
+    course.lose_disks(&[5, 6], Others::GoOn);
+    course.simulation.run_for(DOWN_MS);
+    course.heal();
+}
+
 #[test]
 fn newcomer_lost_while_it_learns() {
     let growth = Growth {
