A learner that lost its folder does not count against its successor

Cause: two learners whose disks were lost beside five voters made seven that were planned, so their successors of the same name were refused for good, and no voter was spare to be removed. Change: a learner of the newcomer's name, which it replaces, is not counted.

--- a/crates/masticsill_quorum/src/membership.rs
+++ b/crates/masticsill_quorum/src/membership.rs
@@ -146,10 +146,11 @@
         {
             return Err(MembershipError::UnknownMember(replaced.clone()));
         }
+        // A learner of the same name lost its folder: the new one takes its place.
         let joining = self
             .learners
             .iter()
-            .filter(|learner| learner.replaces.is_none());
+            .filter(|learner| learner.replaces.is_none() && learner.id.name != id.name);
         let planned = self.voters.len() + joining.count() - self.leaving.len();
         if replaces.is_none() && planned >= MAX_VOTERS {
             return Err(MembershipError::TooManyVoters);
