Silent learners are removed, and the members that go are named whole

Cause: where a machine that had lost its disk was taken away while it learned again, its learner kept the dead voter that it was to replace: nothing is removed while a replacement goes on, and this one never ended. And a removal named a member by name only, which such a learner shares with a voter. Change: Replica::spare_members names silent learners first, whatever the number of voters, and voters as before; the leader removes exactly the identity named. A learner that was never heard is counted from its admission, no longer from the election.

--- a/crates/masticsill_control/src/admission.rs
+++ b/crates/masticsill_control/src/admission.rs
@@ -1,9 +1,9 @@
 //! A quorum that looks after its own members.
 //!
 //! A replica whose folder belongs to no cluster asks to be admitted; it takes the place of a voter
-//! of its name, whose folder was lost, or else joins beside the others. The leader removes a voter
-//! that has been silent for long, but only while more voters remain than the losses to be borne
-//! ask for. Both are the changes that operators make otherwise: one at a time, and a replica
+//! of its name, whose folder was lost, or else joins beside the others. The leader removes members
+//! that have been silent for long: learners, and voters while more remain than the losses to be
+//! borne ask for. Both are the changes that operators make otherwise: one at a time, and a replica
 //! counts only once it has caught up.
 
 use std::net::SocketAddr;
@@ -13,7 +13,7 @@
 use masticsill_wire::control::{ReplicaAction, ReplicaAnswer, ReplicaChange};
 
 use crate::events;
-use crate::quorum::Request;
+use crate::quorum::{ReplicaOrder, Request};
 use crate::rpc::ControlServer;
 
 /// Pause between requests; a lost disk must be made good within a few seconds.
@@ -40,10 +40,11 @@
             node: node.clone(),
             replaces: None,
         };
-        let answer = server
-            .client
-            .change_replicas(&change(join), ASK_BOUND_MS)
-            .await;
+        let change = ReplicaChange {
+            action: join,
+            operator: operator(),
+        };
+        let answer = server.client.change_replicas(&change, ASK_BOUND_MS).await;
         let outcome = match answer {
             Ok(ReplicaAnswer::Accepted) => "accepted".to_owned(),
             Ok(ReplicaAnswer::Refused(text)) => text,
@@ -58,31 +59,30 @@
     }
 }
 
-/// Removes voters that are silent and more than are needed, while this replica leads.
-pub(crate) async fn run_trimming(server: ControlServer, wanted_voters: usize) {
+/// Removes silent members that are not needed, while this replica leads.
+pub(crate) async fn run_trimming(server: ControlServer) {
     loop {
         tokio::time::sleep(TRIM_INTERVAL).await;
         let status = server.quorum.status();
-        if !status.is_leading || status.voters <= wanted_voters {
-            continue;
-        }
-        let Some(node) = status.silent_members.first().cloned() else {
+        let Some(id) = status.spare_members.first().filter(|_| status.is_leading) else {
             continue;
         };
-        let remove = ReplicaAction::Remove { node: node.clone() };
-        let reply = server.change_replicas_here(change(remove)).await;
+        let order = ReplicaOrder::Trim {
+            id: id.clone(),
+            operator: operator(),
+        };
+        let trim = |reply_to| Request::ChangeReplicas(order, reply_to);
+        let reply = server.quorum.ask(trim).await;
         log_event!(
             info,
             events::VOTER_TRIMMED,
-            node = node,
+            node = id.name,
             voters = status.voters,
-            wanted = wanted_voters,
             outcome = format!("{reply:?}")
         );
     }
 }
 
-fn change(action: ReplicaAction) -> ReplicaChange {
-    let operator = OperatorId::new(OPERATOR).expect("the name holds letters only");
-    ReplicaChange { action, operator }
+fn operator() -> OperatorId {
+    OperatorId::new(OPERATOR).expect("the name holds letters only")
 }
--- a/crates/masticsill_control/src/config.rs
+++ b/crates/masticsill_control/src/config.rs
@@ -92,6 +92,16 @@
     },
 }
 
+impl AdmissionPolicy {
+    /// Voters that the quorum keeps by itself; none where operators look after it.
+    pub(crate) fn wanted_voters(self) -> Option<usize> {
+        match self {
+            Self::Operators => None,
+            Self::Quorum { voters } => Some(voters),
+        }
+    }
+}
+
 /// An operator of the administration API.
 #[derive(Clone, Debug, PartialEq)]
 pub struct OperatorConfig {
--- a/crates/masticsill_control/src/quorum/duty.rs
+++ b/crates/masticsill_control/src/quorum/duty.rs
@@ -9,6 +9,7 @@
 use masticsill_orders::LeaderProof;
 use masticsill_quorum::{
     Envelope, Input, LogIndex, Membership, Proposal, Replica, ReplicaSettings, Role, StoredState,
+    VoterId,
 };
 use masticsill_runtime::{Metrics, Ring};
 use masticsill_types::{ClockMs, MonotonicClock, NodeId, log_event};
@@ -28,7 +29,7 @@
 /// Requests taken together, so that their commands share a sync.
 const BATCH_REQUESTS: usize = 512;
 const BATCH_MESSAGES: usize = 256;
-/// Silence after which a spare member may be removed: far beyond a restart, which takes about 1 s.
+/// Silence after which a spare member is removed: far beyond a restart, which takes about 1 s.
 const MEMBER_SILENCE_MS: u64 = 4_000;
 
 /// A message on its way to another replica.
@@ -53,6 +54,8 @@
     pub(crate) status: watch::Sender<Status>,
     pub(crate) storage: StorageQueue,
     pub(crate) stored: StoredState,
+    /// Voters that the quorum keeps where it looks after itself.
+    pub(crate) wanted_voters: Option<usize>,
 }
 
 /// The quorum duty.
@@ -79,6 +82,7 @@
     /// What storage holds while the folder belongs to no cluster.
     pub(super) unfounded: Option<StoredState>,
     pub(super) waiting: WaitingList,
+    wanted_voters: Option<usize>,
 }
 
 impl QuorumDuty {
@@ -97,6 +101,7 @@
             status,
             storage,
             stored,
+            wanted_voters,
         } = parts;
         if let Some(snapshot) = &stored.snapshot {
             machine.restore(snapshot)?;
@@ -125,6 +130,7 @@
             storage,
             unfounded,
             waiting: WaitingList::default(),
+            wanted_voters,
         })
     }
 
@@ -286,9 +292,12 @@
         }
     }
 
-    fn silent_members(&self, now: ClockMs) -> Vec<NodeId> {
-        let silent = self.replica.silent_members(now, MEMBER_SILENCE_MS);
-        silent.into_iter().map(|id| id.name).collect()
+    fn spare_members(&self, now: ClockMs) -> Vec<VoterId> {
+        let Some(wanted) = self.wanted_voters else {
+            return Vec::new();
+        };
+        let replica = &self.replica;
+        replica.spare_members(now, MEMBER_SILENCE_MS, wanted)
     }
 
     fn publish(&mut self) {
@@ -310,7 +319,7 @@
             is_founded: self.is_founded(),
             is_leading: leadership.is_some(),
             leader: self.replica.leader().map(|id| id.name.clone()),
-            silent_members: self.silent_members(now),
+            spare_members: self.spare_members(now),
             term: self.replica.term(),
             version: self.machine.state().catalogue().version(),
             voters: self.replica.membership().voters.len(),
--- a/crates/masticsill_control/src/quorum/founding.rs
+++ b/crates/masticsill_control/src/quorum/founding.rs
@@ -53,6 +53,12 @@
                 operator,
                 replica: node,
             },
+            ReplicaOrder::Trim { id, operator } => Action::NoteReplicas {
+                address: None,
+                is_added: false,
+                operator,
+                replica: id.name,
+            },
         };
         self.propose(action, Waiting::Note(change, reply_to));
     }
--- a/crates/masticsill_control/src/quorum/members.rs
+++ b/crates/masticsill_control/src/quorum/members.rs
@@ -9,7 +9,7 @@
 
 use crate::quorum::request::ReplicaOrder;
 
-/// What an operator's order means for the present members.
+/// What an order means for the present members.
 #[derive(Debug)]
 pub(crate) enum Meaning {
     /// It is done already.
@@ -25,6 +25,13 @@
         ReplicaOrder::Join {
             replica, replaces, ..
         } => interpret_join(&replica.id, replaces.as_ref(), membership),
+        ReplicaOrder::Trim { id, .. } => {
+            if membership.is_member(id) {
+                Meaning::Change(MembershipChange::Remove { id: id.clone() })
+            } else {
+                Meaning::AlreadyDone
+            }
+        }
         ReplicaOrder::Remove { node, .. } => {
             let member = membership.members().find(|member| member.name == *node);
             match member.cloned() {
--- a/crates/masticsill_control/src/quorum/request.rs
+++ b/crates/masticsill_control/src/quorum/request.rs
@@ -46,7 +46,7 @@
     Stop,
 }
 
-/// An operator's change of the members, with the identities looked up.
+/// A change of the members, with the identities looked up.
 #[derive(Debug)]
 pub(crate) enum ReplicaOrder {
     Join {
@@ -58,6 +58,11 @@
         node: NodeId,
         operator: OperatorId,
     },
+    /// Remove exactly this member, which may share its name with another.
+    Trim {
+        id: VoterId,
+        operator: OperatorId,
+    },
 }
 
 /// A replica that is to be admitted.
@@ -80,8 +85,8 @@
     pub(crate) is_founded: bool,
     /// The leader, if known.
     pub(crate) leader: Option<NodeId>,
-    /// Members that have been silent for long, while this replica leads.
-    pub(crate) silent_members: Vec<NodeId>,
+    /// Silent members that the quorum removes itself, while this replica leads.
+    pub(crate) spare_members: Vec<VoterId>,
     /// The term.
     pub(crate) term: Term,
     /// The version of the applied catalogue.
--- a/crates/masticsill_control/src/role.rs
+++ b/crates/masticsill_control/src/role.rs
@@ -103,6 +103,7 @@
             status,
             storage: StorageQueue::new(jobs.clone()),
             stored: recovered.state,
+            wanted_voters: config.admission.wanted_voters(),
         })?;
         let quorum = QuorumHandle {
             messages,
--- a/crates/masticsill_control/src/rpc/duty.rs
+++ b/crates/masticsill_control/src/rpc/duty.rs
@@ -98,10 +98,10 @@
     }
     match config.admission {
         AdmissionPolicy::Operators => {}
-        AdmissionPolicy::Quorum { voters } => {
+        AdmissionPolicy::Quorum { .. } => {
             let (node, address) = (config.node.clone(), config.rpc_address);
             spawn_local(run_admission(server.clone(), node, address));
-            spawn_local(run_trimming(server.clone(), voters));
+            spawn_local(run_trimming(server.clone()));
         }
     }
 }
--- a/crates/masticsill_quorum/src/leader.rs
+++ b/crates/masticsill_quorum/src/leader.rs
@@ -115,13 +115,13 @@
             transfer: None,
         }));
         self.report_role();
-        self.track_members();
+        self.track_members(now);
         self.begin_round(now);
         self.append_own(vec![Payload::Noop]);
     }
 
     /// Keeps a progress for each member but this replica.
-    pub(crate) fn track_members(&mut self) {
+    pub(crate) fn track_members(&mut self, now: ClockMs) {
         let next_index = self.log.last_index().next();
         let RoleState::Leader(state) = &mut self.role else {
             return;
@@ -130,7 +130,9 @@
         state.progress.retain(|id, _| membership.is_member(id));
         for id in membership.members() {
             if *id != self.id && !state.progress.contains_key(id) {
-                state.progress.insert(id.clone(), Progress::new(next_index));
+                state
+                    .progress
+                    .insert(id.clone(), Progress::new(now, next_index));
             }
         }
     }
--- a/crates/masticsill_quorum/src/member_change.rs
+++ b/crates/masticsill_quorum/src/member_change.rs
@@ -8,7 +8,12 @@
 };
 
 impl Replica {
-    pub(crate) fn change_membership(&mut self, token: CallerToken, change: &MembershipChange) {
+    pub(crate) fn change_membership(
+        &mut self,
+        now: ClockMs,
+        token: CallerToken,
+        change: &MembershipChange,
+    ) {
         if let Some(reason) = self.refusal_reason() {
             self.refuse(token, reason);
             return;
@@ -22,7 +27,7 @@
             Ok(membership) => {
                 let index = self.log.last_index().next();
                 self.await_commit(index, token);
-                self.append_membership(membership);
+                self.append_membership(now, membership);
             }
             Err(error) => self
                 .outputs
@@ -39,9 +44,9 @@
         set_at <= self.commit && state.first_index <= self.commit
     }
 
-    fn append_membership(&mut self, membership: Membership) {
+    fn append_membership(&mut self, now: ClockMs, membership: Membership) {
         self.append_own(vec![Payload::Membership(membership)]);
-        self.track_members();
+        self.track_members(now);
         self.replicate_to_all();
     }
 
@@ -62,7 +67,7 @@
                 .and_then(|id| self.membership().with_promoted(&id)),
         };
         if let Some(next) = next {
-            self.append_membership(next);
+            self.append_membership(now, next);
         }
     }
 
--- a/crates/masticsill_quorum/src/progress.rs
+++ b/crates/masticsill_quorum/src/progress.rs
@@ -31,16 +31,19 @@
     pub(crate) round: u64,
     /// When the peer was last heard of in this term.
     pub(crate) heard_at: Option<ClockMs>,
+    /// When the leader began to track the peer.
+    pub(crate) tracked_at: ClockMs,
 }
 
 impl Progress {
-    pub(crate) fn new(next_index: LogIndex) -> Self {
+    pub(crate) fn new(tracked_at: ClockMs, next_index: LogIndex) -> Self {
         Self {
             flow: Flow::Probe { is_waiting: false },
             match_index: LogIndex::default(),
             next_index,
             round: 0,
             heard_at: None,
+            tracked_at,
         }
     }
 
--- a/crates/masticsill_quorum/src/replica.rs
+++ b/crates/masticsill_quorum/src/replica.rs
@@ -95,7 +95,9 @@
         self.stop_past_lease(now);
         self.stop_late_candidate(now);
         match input {
-            Input::ChangeMembership { token, change } => self.change_membership(token, &change),
+            Input::ChangeMembership { token, change } => {
+                self.change_membership(now, token, &change);
+            }
             Input::Message(envelope) => self.receive(now, envelope),
             Input::Propose { proposals } => self.propose(proposals),
             Input::ReadIndex { token } => self.read_index(now, token),
--- a/crates/masticsill_quorum/src/silence.rs
+++ b/crates/masticsill_quorum/src/silence.rs
@@ -6,26 +6,35 @@
 use crate::{Replica, VoterId};
 
 impl Replica {
-    /// Members that have been silent for `silence_ms` while this replica led; none on others.
+    /// Members that may be removed, as they have been silent for `silence_ms` while this replica
+    /// led; none on others.
     ///
-    /// Where one is being replaced, none is named: the change that is under way ends it.
+    /// A silent learner comes first: it would keep the voter that it replaces. A silent voter may
+    /// go while more than `wanted` vote and none is being replaced.
     #[must_use]
-    pub fn silent_members(&self, now: ClockMs, silence_ms: u64) -> Vec<VoterId> {
-        let RoleState::Leader(state) = &self.role else {
-            return Vec::new();
-        };
+    pub fn spare_members(&self, now: ClockMs, silence_ms: u64, wanted: usize) -> Vec<VoterId> {
         let membership = self.membership();
+        let silent = self.silent_members(now, silence_ms);
+        let learners = silent.iter().filter(|id| !membership.is_voter(id));
+        let learners: Vec<VoterId> = learners.cloned().collect();
         let is_replacing = membership.learners.iter().any(|it| it.replaces.is_some());
-        if is_replacing || !membership.leaving.is_empty() {
-            return Vec::new();
+        let is_changing = is_replacing || !membership.leaving.is_empty();
+        if !learners.is_empty() || is_changing || membership.voters.len() <= wanted {
+            return learners;
         }
-        let is_silent = |id: &&VoterId| {
-            let progress = state.progress.get(*id);
-            let heard_at = progress.and_then(|progress| progress.heard_at);
-            // One that was never heard is counted from the election.
-            let heard_at = heard_at.unwrap_or(state.stood_at);
-            **id != self.id && now.since(heard_at) >= silence_ms
+        silent
+    }
+
+    fn silent_members(&self, now: ClockMs, silence_ms: u64) -> Vec<VoterId> {
+        let RoleState::Leader(state) = &self.role else {
+            return Vec::new();
         };
-        membership.members().filter(is_silent).cloned().collect()
+        let progress = state.progress.iter();
+        let silent = progress.filter(|(_, progress)| {
+            // One that was never heard is counted from when the leader began to track it.
+            let heard_at = progress.heard_at.unwrap_or(progress.tracked_at);
+            now.since(heard_at) >= silence_ms
+        });
+        silent.map(|(id, _)| id.clone()).collect()
     }
 }
--- a/crates/masticsill_quorum/tests/lost_folder.rs
+++ b/crates/masticsill_quorum/tests/lost_folder.rs
@@ -110,6 +110,27 @@
     assert!(simulation.is_repaired());
 }
 
+#[test]
+fn a_learner_is_spare_once_it_was_silent_for_long() {
+    let mut simulation = with_commands(10, 3);
+    let leader = simulation.wait_for_leader();
+    simulation.run_for(1_000);
+    let id = VoterId {
+        name: NodeId::new("control-9").unwrap(),
+        folder: FolderId(9),
+    };
+    let replaces = None;
+    let join = MembershipChange::Join {
+        id: id.clone(),
+        replaces,
+    };
+    simulation.change_at(leader, join);
+    let spare = |it: &Simulation| it.nodes[leader].spare_members(it.now, 500, 3);
+    assert_eq!(spare(&simulation), [], "it has had no time to answer");
+    simulation.run_for(600);
+    assert_eq!(spare(&simulation), [id]);
+}
+
 #[test]
 fn a_voter_that_is_removed_leaves_the_others_in_peace() {
     let mut simulation = with_commands(7, 5);
--- a/crates/masticsill_quorum/tests/simulation/mod.rs
+++ b/crates/masticsill_quorum/tests/simulation/mod.rs
@@ -542,11 +542,9 @@
                 changes.push(MembershipChange::Join { id, replaces });
             }
         }
-        let silent = node.silent_members(self.now, silence_ms);
-        if replica.membership().voters.len() > wanted {
-            let silent = silent.into_iter().take(1);
-            changes.extend(silent.map(|id| MembershipChange::Remove { id }));
-        }
+        let spare = node.spare_members(self.now, silence_ms, wanted);
+        let spare = spare.into_iter().take(1);
+        changes.extend(spare.map(|id| MembershipChange::Remove { id }));
         for change in changes {
             self.change_at(leader, change);
         }
--- a/crates/masticsill_quorum/tests/simulation/node.rs
+++ b/crates/masticsill_quorum/tests/simulation/node.rs
@@ -144,10 +144,10 @@
         Some((commit, at.0 - self.clock_offset_ms))
     }
 
-    /// Members that this node, as a leader, has not heard for so long.
-    pub fn silent_members(&self, now: u64, silence_ms: u64) -> Vec<VoterId> {
+    /// Members that may go, of those that this node, as a leader, has not heard for so long.
+    pub fn spare_members(&self, now: u64, silence_ms: u64, wanted: usize) -> Vec<VoterId> {
         let replica = self.replica.as_ref().unwrap();
-        replica.silent_members(self.clock(now), silence_ms)
+        replica.spare_members(self.clock(now), silence_ms, wanted)
     }
 
     /// Queues a write for the storage; true when a sync must be scheduled.
--- a/crates/masticsill_quorum/tests/two_lost_disks.rs
+++ b/crates/masticsill_quorum/tests/two_lost_disks.rs
@@ -41,7 +41,7 @@
 /// Disks lost at one step.
 #[derive(Clone, Debug)]
 struct Loss {
-    lost: Vec<usize>,
+    disks: Vec<usize>,
     others: Others,
     steps: usize,
 }
@@ -176,7 +176,7 @@
         course.advance();
     }
     let voters = course.simulation.model.membership.voters.len();
-    course.lose_disks(&loss.lost, loss.others);
+    course.lose_disks(&loss.disks, loss.others);
     // Fewer voters keep what was accepted, but two that are left can't know that they are all.
     if voters < WHOLE {
         return;
@@ -203,13 +203,12 @@
     let (steps, accepted_at) = count_steps(growth);
     let each = (0..=steps).map(|step| (step, &choices[step % choices.len()]));
     let answered = accepted_at.iter();
-    let answered = answered.flat_map(|step| choices.iter().map(move |lost| (*step, lost)));
+    let answered = answered.flat_map(|step| choices.iter().map(move |disks| (*step, disks)));
     let mut count = 0;
-    for (steps, lost) in each.chain(answered) {
+    for (steps, disks) in each.chain(answered) {
         for others in [Others::GoOn, Others::LosePower] {
-            let lost = lost.clone();
             let loss = Loss {
-                lost,
+                disks: disks.clone(),
                 others,
                 steps,
             };
