A control replica that ends gives up waiting for space

Cause: on a full disk the storage thread waits for space for good, and the end of the role joins it. Ruled out: giving up at SIGTERM, which would fail the replica before it has handed over. Change: Patience, ended once leadership is handed over and requests are closed; the refused write is a failure of the storage like any other, so no sync point covers it, and nothing of it half remains.

--- a/crates/masticsill_control/src/role.rs
+++ b/crates/masticsill_control/src/role.rs
@@ -7,7 +7,7 @@
 
 use masticsill_control_client::AddressBook;
 use masticsill_mesh::MeshHandle;
-use masticsill_quorum::storage::Storage;
+use masticsill_quorum::storage::{Patience, Storage};
 use masticsill_runtime::{
     DutyHandle, Metrics, Ring, ServiceStream, ShutdownSignal, spawn_async_duty,
 };
@@ -48,6 +48,7 @@
     http: HttpEdge,
     jobs: Ring<Job>,
     lease_ms: u64,
+    patience: Patience,
     published: PublishedState,
     quorum: QuorumHandle,
 }
@@ -79,6 +80,7 @@
     ) -> Result<Self, ControlError> {
         let node = config.node.clone();
         let (storage, recovered) = Storage::open(&config.data_folder, &config.cluster, &node)?;
+        let patience = storage.patience();
         let book = AddressBook::from_settings(config.peers.clone());
         book.add_seeds(config.seeds.iter().copied());
         let requests = Ring::with_capacity(REQUESTS);
@@ -160,6 +162,7 @@
             http,
             jobs,
             lease_ms: config.replica.lease_ms,
+            patience,
             published,
             quorum,
         })
@@ -251,6 +254,8 @@
         self.quorum.requests.close();
         self.ended.request();
         self.jobs.close();
+        // A write that is given up is never reported as synced, so nothing acknowledged needs it.
+        self.patience.end();
         for duty in self.duties {
             duty.join()?;
         }
--- a/crates/masticsill_quorum/src/storage.rs
+++ b/crates/masticsill_quorum/src/storage.rs
@@ -28,7 +28,7 @@
 pub use disk::{Disk, FileDisk};
 pub use error::StorageError;
 pub use open::{Recovered, TornTail};
-pub use patience::PatientDisk;
+pub use patience::{Patience, PatientDisk};
 
 pub(crate) const IDENTITY_FILE: &str = "identity";
 pub(crate) const SNAPSHOT_FILE: &str = "snapshot";
@@ -48,6 +48,7 @@
     point: SyncPoint,
     is_pristine: bool,
     is_failed: bool,
+    patience: Patience,
 }
 
 impl Storage {
@@ -62,7 +63,11 @@
         node: &NodeId,
     ) -> Result<(Self, Recovered), StorageError> {
         let disk = PatientDisk::new(FileDisk::open(folder)?);
-        Self::open_on(Box::new(disk), cluster, node, FolderId(rand::random()))
+        let patience = disk.patience();
+        let opened = Self::open_on(Box::new(disk), cluster, node, FolderId(rand::random()));
+        let (mut storage, recovered) = opened?;
+        storage.patience = patience;
+        Ok((storage, recovered))
     }
 
     /// Opens the data folder behind `disk`, or creates it with the identity `new_folder`, which
@@ -92,6 +97,7 @@
             point: SyncPoint::default(),
             is_pristine: is_pristine(state),
             is_failed: false,
+            patience: Patience::default(),
         };
         storage.prepare_segment()?;
         Ok((storage, recovered))
@@ -195,6 +201,12 @@
         &self.id
     }
 
+    /// What ends this storage's waits for space; a write that is given up is a failure.
+    #[must_use]
+    pub fn patience(&self) -> Patience {
+        self.patience.clone()
+    }
+
     /// Runs an operation unless an earlier one failed; a failure is final.
     fn guarded(
         &mut self,
--- a/crates/masticsill_quorum/src/storage/patience.rs
+++ b/crates/masticsill_quorum/src/storage/patience.rs
@@ -2,10 +2,13 @@
 //!
 //! A full disk is no reason to end: nothing is acknowledged meanwhile, while heartbeats and reads
 //! go on, and the replica is whole again as soon as there is space. What a refused append left
-//! behind is cut before it is tried again, so that no half record stands in the log.
+//! behind is cut before it is tried again, so that no half record stands in the log. A process that
+//! ends gives up waiting; what it could not write never counted.
 
 use std::fmt;
 use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
 
@@ -18,9 +21,27 @@
 /// Pause between tries.
 const PAUSE: Duration = Duration::from_millis(200);
 
+/// Lets a process that ends give up waiting for space. Copies share one state.
+#[derive(Clone, Debug, Default)]
+pub struct Patience {
+    is_over: Arc<AtomicBool>,
+}
+
+impl Patience {
+    /// Lets every write for which there is no space be refused from now on.
+    pub fn end(&self) {
+        self.is_over.store(true, Ordering::Release);
+    }
+
+    fn is_over(&self) -> bool {
+        self.is_over.load(Ordering::Acquire)
+    }
+}
+
 /// A disk that waits for space. It blocks its caller, which must be a thread of its own.
 pub struct PatientDisk<D> {
     disk: D,
+    patience: Patience,
     /// Sizes of the files that were appended to, as far as every append was whole.
     sizes_bytes: IndexMap<String, u64>,
     wait: fn(Duration),
@@ -43,11 +64,17 @@
     pub fn waiting_by(disk: D, wait: fn(Duration)) -> Self {
         Self {
             disk,
+            patience: Patience::default(),
             sizes_bytes: IndexMap::new(),
             wait,
         }
     }
 
+    /// What ends its waits.
+    pub fn patience(&self) -> Patience {
+        self.patience.clone()
+    }
+
     fn size_bytes(&mut self, file: &str) -> io::Result<u64> {
         if let Some(size_bytes) = self.sizes_bytes.get(file) {
             return Ok(*size_bytes);
@@ -56,7 +83,8 @@
         Ok(content.len() as u64)
     }
 
-    /// Runs a write until the disk is no longer full; `undo` removes what a refused one left.
+    /// Runs a write until the disk is no longer full or patience is over; `undo` removes what a
+    /// refused one left.
     fn until_space(
         &mut self,
         file: &str,
@@ -65,16 +93,19 @@
     ) -> io::Result<()> {
         let mut is_said = false;
         loop {
-            match write(&mut self.disk) {
-                Err(error) if error.kind() == io::ErrorKind::StorageFull => {}
+            let refused = match write(&mut self.disk) {
+                Err(error) if error.kind() == io::ErrorKind::StorageFull => error,
                 done => {
                     if is_said {
                         log_event!(info, events::DISK_HAS_SPACE, file = file);
                     }
                     return done;
                 }
-            }
+            };
             undo(&mut self.disk);
+            if self.patience.is_over() {
+                return Err(refused);
+            }
             if !is_said {
                 log_event!(warn, events::DISK_FULL, file = file);
             }
