A founding of which nothing came is given up for a cluster that exists

Cause: a replica that founded, told nobody and was away for 4 s found a cluster without it, asked for votes for good and joined nobody. Weighed: giving up at every start without an entry loses the only founding where all are killed right after it (they start with bootstrap false). Admitting it under its old identity lets a vote for the old founding count beside the new one. So: only once a leader, confirmed by its quorum, names members without this folder, and under a new identity. The folder holds no entry, so no commit counted on it; its term doesn't matter, since the old identity never votes again. The former term check (never voted) can't be used: a refused pre-vote raises the term. Also: a file of the disk that is removed is no longer kept open for appends.

--- a/crates/masticsill_control/src/admission.rs
+++ b/crates/masticsill_control/src/admission.rs
@@ -1,6 +1,7 @@
 //! A quorum that looks after its own members.
 //!
-//! A replica whose folder belongs to no cluster asks to be admitted; it takes the place of a voter
+//! A replica whose folder belongs to no cluster, or only to a founding of which nothing came, asks
+//! to be admitted; it takes the place of a voter
 //! of its name, whose folder was lost, or else joins beside the others. The leader removes members
 //! that have been silent for long: learners, and voters while more remain than the losses to be
 //! borne ask for. Both are the changes that operators make otherwise: one at a time, and a replica
@@ -9,8 +10,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use masticsill_quorum::LogIndex;
 use masticsill_types::{NodeId, OperatorId, log_event};
-use masticsill_wire::control::{ReplicaAction, ReplicaAnswer, ReplicaChange};
+use masticsill_wire::control::{
+    ReadAnswer, ReadRequest, ReplicaAction, ReplicaAnswer, ReplicaChange, ReplicaIdentity,
+    ReplicaView,
+};
 
 use crate::events;
 use crate::quorum::{ReplicaOrder, Request};
@@ -33,7 +38,13 @@
             return;
         };
         if own.is_founded {
-            return;
+            if server.quorum.status().last_index > LogIndex::default() {
+                return;
+            }
+            if is_left_out(&server, &own).await {
+                server.quorum.ask_any(Request::GiveUpFounding).await;
+            }
+            continue;
         }
         let join = ReplicaAction::Join {
             address: Some(address),
@@ -59,6 +70,19 @@
     }
 }
 
+/// Whether a cluster with a leader exists of which this founded replica is no member.
+///
+/// That happens where it founded, lost power before it told anyone and was away for so long that
+/// the others founded without it.
+async fn is_left_out(server: &ControlServer, own: &ReplicaIdentity) -> bool {
+    let view = server.client.read(&ReadRequest::Replicas, ASK_BOUND_MS);
+    let Ok(ReadAnswer::Replicas(view)) = view.await else {
+        return false;
+    };
+    let is_own = |it: &ReplicaView| it.node == own.node && it.folder == own.folder;
+    !view.replicas.iter().any(is_own)
+}
+
 /// Removes silent members that are not needed, while this replica leads.
 pub(crate) async fn run_trimming(server: ControlServer) {
     loop {
--- a/crates/masticsill_control/src/quorum/duty.rs
+++ b/crates/masticsill_control/src/quorum/duty.rs
@@ -233,6 +233,9 @@
                 let is_taken = self.found(&members).await?;
                 let _ = reply_to.send(is_taken);
             }
+            Request::GiveUpFounding(reply_to) => {
+                let _ = reply_to.send(self.give_up_founding().await);
+            }
             Request::Identify(reply_to) => {
                 let _ = reply_to.send(self.identify());
             }
@@ -318,6 +321,7 @@
             has_failed: self.status.borrow().has_failed,
             is_founded: self.is_founded(),
             is_leading: leadership.is_some(),
+            last_index: self.replica.last_index(),
             leader: self.replica.leader().map(|id| id.name.clone()),
             spare_members: self.spare_members(now),
             term: self.replica.term(),
--- a/crates/masticsill_control/src/quorum/founding.rs
+++ b/crates/masticsill_control/src/quorum/founding.rs
@@ -101,6 +101,36 @@
         log_event!(info, events::FOUNDED, replica = self.replica.id());
         Ok(true)
     }
+
+    /// Gives up a founding of which nothing came here; the replica goes on with a new identity.
+    ///
+    /// Nothing that counts is lost: without an entry this replica has taken part in no commit, and
+    /// its old identity never votes again, as if its disk had been lost.
+    pub(super) async fn give_up_founding(&mut self) -> bool {
+        let has_entries = self.replica.last_index() > LogIndex::default();
+        if !self.is_founded() || has_entries || !self.storage.is_synced() {
+            return false;
+        }
+        let former = self.replica.id().clone();
+        let (done, is_done) = oneshot::channel();
+        self.storage.give_up(done);
+        let Ok(stored) = is_done.await else {
+            // Storage failed and says so itself.
+            return false;
+        };
+        self.unfounded = Some(stored.clone());
+        self.founding = None;
+        let settings = self.settings.clone();
+        let replica = Replica::new(settings, stored, self.clock.now(), rand::random());
+        self.replica = replica.expect("the settings were checked when the duty was built");
+        log_event!(
+            warn,
+            events::FOUNDING_GIVEN_UP,
+            former = former,
+            replica = self.replica.id()
+        );
+        true
+    }
 }
 
 pub(super) fn founding_members(stored: &StoredState) -> Option<Membership> {
--- a/crates/masticsill_control/src/quorum/request.rs
+++ b/crates/masticsill_control/src/quorum/request.rs
@@ -29,6 +29,8 @@
     ChangeReplicas(ReplicaOrder, ReplyTo<ReplicaAnswer>),
     /// Take the founding members.
     Found(Vec<ReplicaIdentity>, oneshot::Sender<bool>),
+    /// Give up a founding of which nothing came; tells whether it was.
+    GiveUpFounding(oneshot::Sender<bool>),
     /// Tell who this replica is, and the founding members while nothing has changed them.
     Identify(oneshot::Sender<(ReplicaIdentity, Vec<ReplicaIdentity>)>),
     /// A proof of freshness that the leader gave this replica.
@@ -83,6 +85,8 @@
     pub(crate) is_leading: bool,
     /// Whether the folder belongs to a cluster.
     pub(crate) is_founded: bool,
+    /// The last entry of the log.
+    pub(crate) last_index: LogIndex,
     /// The leader, if known.
     pub(crate) leader: Option<NodeId>,
     /// Silent members that the quorum removes itself, while this replica leads.
--- a/crates/masticsill_control/src/quorum/storage.rs
+++ b/crates/masticsill_control/src/quorum/storage.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use masticsill_quorum::storage::{Storage, StorageError};
-use masticsill_quorum::{Snapshot, StoredState, SyncPoint, Write};
+use masticsill_quorum::{FolderId, Snapshot, StoredState, SyncPoint, Write};
 use masticsill_runtime::Ring;
 use tokio::sync::{oneshot, watch};
 
@@ -12,6 +12,8 @@
 pub(crate) enum Job {
     /// Store the founding members and answer once they are durable.
     Found(Snapshot, oneshot::Sender<()>),
+    /// Give the founding up and answer with what the folder holds then.
+    GiveUp(oneshot::Sender<StoredState>),
     /// Write, and report the point once it is synced.
     Write(SyncPoint, Write),
 }
@@ -57,6 +59,13 @@
         self.push(Job::Found(snapshot, done));
     }
 
+    /// Gives the founding up; the order of points begins anew with the next write.
+    pub(crate) fn give_up(&mut self, done: oneshot::Sender<StoredState>) {
+        self.asked = SyncPoint::default();
+        self.synced = SyncPoint::default();
+        self.push(Job::GiveUp(done));
+    }
+
     /// Whether every write is durable.
     pub(crate) fn is_synced(&self) -> bool {
         self.asked == self.synced
@@ -120,6 +129,11 @@
                 progress.send_modify(|progress| progress.synced = SyncPoint::default());
                 let _ = done.send(());
             }
+            Job::GiveUp(done) => {
+                let stored = storage.give_up(FolderId(rand::random()))?;
+                progress.send_modify(|progress| progress.synced = SyncPoint::default());
+                let _ = done.send(stored);
+            }
             Job::Write(point, write) => {
                 storage.write(point, &write)?;
                 has_written = true;
--- a/crates/masticsill_quorum/src/storage.rs
+++ b/crates/masticsill_quorum/src/storage.rs
@@ -33,12 +33,15 @@
 pub(crate) const IDENTITY_FILE: &str = "identity";
 pub(crate) const SNAPSHOT_FILE: &str = "snapshot";
 pub(crate) const VOTE_FILE: &str = "vote";
+/// Stands while the folder is emptied, so that a power loss leaves no half of it in use.
+pub(crate) const GIVEN_UP_FILE: &str = "given_up";
 /// Size from which a new segment is begun.
 const SEGMENT_BYTES: u64 = 4 * 1024 * 1024;
 
 /// A replica's data folder, open for writing.
 #[derive(Debug)]
 pub struct Storage {
+    cluster: String,
     disk: Box<dyn Disk>,
     id: VoterId,
     segments: Vec<Segment>,
@@ -89,6 +92,7 @@
         let (recovered, segments) = recover(disk.as_mut(), cluster, new_id)?;
         let state = &recovered.state;
         let mut storage = Self {
+            cluster: cluster.to_owned(),
             disk,
             id: state.id.clone(),
             segments,
@@ -123,6 +127,38 @@
         Ok(())
     }
 
+    /// Gives up a founding: the folder gets the new identity `new_folder`, which must be random,
+    /// and belongs to no cluster.
+    ///
+    /// It may be done where the log was never begun: no entry counts on this folder then, and its
+    /// old identity never votes again, as if the disk had been lost.
+    ///
+    /// # Errors
+    ///
+    /// [`StorageError::NotNew`] when the folder holds an entry; [`StorageError`] of the writes.
+    pub fn give_up(&mut self, new_folder: FolderId) -> Result<StoredState, StorageError> {
+        let has_entries = |segment: &Segment| segment.highest_index > LogIndex(0);
+        if !self.unwritten.is_empty() || self.segments.iter().any(has_entries) {
+            return Err(StorageError::NotNew);
+        }
+        let mut given = None;
+        self.guarded(|storage| {
+            storage.replace(GIVEN_UP_FILE, &[])?;
+            let new_id = VoterId {
+                name: storage.id.name.clone(),
+                folder: new_folder,
+            };
+            let (recovered, segments) = recover(storage.disk.as_mut(), &storage.cluster, new_id)?;
+            storage.id = recovered.state.id.clone();
+            storage.segments = segments;
+            storage.point = SyncPoint::default();
+            storage.is_pristine = true;
+            given = Some(recovered.state);
+            storage.prepare_segment()
+        })?;
+        given.ok_or(StorageError::Failed)
+    }
+
     /// Makes this replica the only voter, after the majority of the voters was lost for good.
     ///
     /// What the lost voters had accepted and this one had not received is lost. The folders of all
--- a/crates/masticsill_quorum/src/storage/disk.rs
+++ b/crates/masticsill_quorum/src/storage/disk.rs
@@ -152,6 +152,8 @@
     }
 
     fn remove(&mut self, file: &str) -> io::Result<()> {
+        // A file of the same name that is begun later is another one.
+        self.appended.take_if(|appended| appended.name == file);
         fs::remove_file(self.folder.join(file))
     }
 
--- a/crates/masticsill_quorum/src/storage/open.rs
+++ b/crates/masticsill_quorum/src/storage/open.rs
@@ -5,7 +5,7 @@
 
 use crate::storage::record::{IdentityRecord, VoteRecord, decode_record, encode_record};
 use crate::storage::replay::{Replay, Segment, segment_name, segment_sequence};
-use crate::storage::{Disk, IDENTITY_FILE, SNAPSHOT_FILE, StorageError, VOTE_FILE};
+use crate::storage::{Disk, GIVEN_UP_FILE, IDENTITY_FILE, SNAPSHOT_FILE, StorageError, VOTE_FILE};
 use crate::wire::WireSnapshot;
 use crate::{LogIndex, Snapshot, StoredState, VoterId, events};
 
@@ -37,7 +37,7 @@
     cluster: &str,
     new_id: VoterId,
 ) -> Result<(Recovered, Vec<Segment>), StorageError> {
-    let names = disk.list().map_err(StorageError::io("list", "."))?;
+    let names = empty_if_given_up(disk)?;
     let is_new = !names.iter().any(|name| name == IDENTITY_FILE);
     let id = if is_new {
         create_identity(disk, &names, cluster, new_id)?
@@ -67,6 +67,29 @@
     Ok((recovered, replay.segments))
 }
 
+/// Ends the emptying of a folder that was given up; returns the files that are left.
+fn empty_if_given_up(disk: &mut dyn Disk) -> Result<Vec<String>, StorageError> {
+    let list = |disk: &dyn Disk| disk.list().map_err(StorageError::io("list", "."));
+    let names = list(disk)?;
+    if !names.iter().any(|name| name == GIVEN_UP_FILE) {
+        return Ok(names);
+    }
+    let is_own = |name: &&String| {
+        let is_kept = [IDENTITY_FILE, SNAPSHOT_FILE, VOTE_FILE].contains(&name.as_str());
+        is_kept || segment_sequence(name).is_some()
+    };
+    for name in names.iter().filter(is_own) {
+        disk.remove(name)
+            .map_err(StorageError::io("remove", name))?;
+    }
+    // Writing the mark again makes the removals durable before it goes itself.
+    let marked = disk.replace(GIVEN_UP_FILE, &[]);
+    marked.map_err(StorageError::io("replace", GIVEN_UP_FILE))?;
+    let removed = disk.remove(GIVEN_UP_FILE);
+    removed.map_err(StorageError::io("remove", GIVEN_UP_FILE))?;
+    list(disk)
+}
+
 /// Refuses a log whose beginning was taken away.
 fn check_first_segment(
     replay: &Replay,
--- a/crates/masticsill_quorum/tests/storage.rs
+++ b/crates/masticsill_quorum/tests/storage.rs
@@ -2,10 +2,11 @@
 
 mod simulation;
 
+use std::io;
 use std::sync::Arc;
 
 use assert_matches::assert_matches;
-use masticsill_quorum::storage::{Recovered, Storage, StorageError, TornTail};
+use masticsill_quorum::storage::{Disk, Recovered, Storage, StorageError, TornTail};
 use masticsill_quorum::{
     Entry, FolderId, LogIndex, Membership, Payload, Snapshot, SyncPoint, VoterId, Write,
 };
@@ -279,6 +280,133 @@
     assert_matches!(again, Err(StorageError::NotNew));
 }
 
+/// A disk on which power is lost at one of its changes, before or after that.
+#[derive(Debug)]
+struct FaultyDisk {
+    changes_left: usize,
+    disk: MemoryDisk,
+}
+
+impl FaultyDisk {
+    fn change<T>(
+        &mut self,
+        change: impl FnOnce(&mut MemoryDisk) -> io::Result<T>,
+    ) -> io::Result<T> {
+        let Some(left) = self.changes_left.checked_sub(1) else {
+            return Err(io::Error::other("power is lost"));
+        };
+        self.changes_left = left;
+        change(&mut self.disk)
+    }
+}
+
+impl Disk for FaultyDisk {
+    fn append(&mut self, file: &str, bytes: &[u8]) -> io::Result<()> {
+        self.change(|disk| disk.append(file, bytes))
+    }
+
+    fn list(&self) -> io::Result<Vec<String>> {
+        self.disk.list()
+    }
+
+    fn read(&self, file: &str) -> io::Result<Option<Vec<u8>>> {
+        self.disk.read(file)
+    }
+
+    fn remove(&mut self, file: &str) -> io::Result<()> {
+        self.change(|disk| disk.remove(file))
+    }
+
+    fn replace(&mut self, file: &str, bytes: &[u8]) -> io::Result<()> {
+        self.change(|disk| disk.replace(file, bytes))
+    }
+
+    fn sync(&mut self, file: &str) -> io::Result<()> {
+        self.change(|disk| disk.sync(file))
+    }
+
+    fn truncate(&mut self, file: &str, size_bytes: u64) -> io::Result<()> {
+        self.change(|disk| disk.truncate(file, size_bytes))
+    }
+}
+
+/// A folder that was founded with others, and has taken a term since.
+fn founded(disk: &MemoryDisk) -> VoterId {
+    let (mut storage, mut recovered) = open(disk).unwrap();
+    let id = recovered.state.id.clone();
+    let membership = Membership::of_voters([id.clone()]);
+    storage.found(&mut recovered.state, membership).unwrap();
+    let term = Term(3);
+    let vote = Write::Vote {
+        term,
+        voted_for: None,
+    };
+    storage.write(SyncPoint(1), &vote).unwrap();
+    storage.sync().unwrap();
+    id
+}
+
+#[test]
+fn a_founding_that_is_given_up_leaves_a_new_folder_whenever_power_is_lost() {
+    for changes_left in 0..20 {
+        let disk = MemoryDisk::default();
+        let id = founded(&disk);
+        let faulty = FaultyDisk {
+            changes_left,
+            disk: disk.clone(),
+        };
+        let opened = Storage::open_on(Box::new(faulty), "cluster", &node(), FolderId(8));
+        let (mut storage, _) = opened.unwrap();
+        let given_up = storage.give_up(FolderId(9));
+        disk.crash(|_| 0);
+        let reopened = Storage::open_on(Box::new(disk.clone()), "cluster", &node(), FolderId(10));
+        let (_, recovered) = reopened.unwrap();
+        let state = recovered.state;
+        if state.id == id {
+            // It was not begun: all is as before.
+            assert!(given_up.is_err() && state.snapshot.is_some() && state.term == Term(3));
+            continue;
+        }
+        assert_eq!(
+            (state.snapshot, state.term, state.entries),
+            (None, Term(0), Vec::new())
+        );
+        if let Ok(given_up) = given_up {
+            assert_eq!(given_up.id, state.id);
+            return;
+        }
+    }
+    panic!("it is never whole");
+}
+
+#[test]
+fn a_folder_with_entries_is_not_given_up() {
+    let disk = MemoryDisk::default();
+    founded(&disk);
+    let (mut storage, _) = open(&disk).unwrap();
+    storage.write(SyncPoint(1), &entries(1..=1, 3)).unwrap();
+    assert_matches!(storage.give_up(FolderId(9)), Err(StorageError::NotNew));
+    storage.sync().unwrap();
+    assert_matches!(storage.give_up(FolderId(9)), Err(StorageError::NotNew));
+}
+
+#[test]
+fn a_file_system_folder_is_given_up() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut storage, mut recovered) = Storage::open(folder.path(), "cluster", &node()).unwrap();
+    let membership = Membership::of_voters([recovered.state.id.clone()]);
+    storage.found(&mut recovered.state, membership).unwrap();
+    let state = storage.give_up(FolderId(9)).unwrap();
+    assert_eq!((state.id.folder, state.snapshot), (FolderId(9), None));
+    // What is written now must be in the new files.
+    storage.write(SyncPoint(1), &entries(1..=2, 1)).unwrap();
+    storage.sync().unwrap();
+    drop(storage);
+    let (_, recovered) = Storage::open(folder.path(), "cluster", &node()).unwrap();
+    assert_eq!(recovered.state.id.folder, FolderId(9));
+    assert_eq!(indexes_and_terms(&recovered), [(1, 1), (2, 1)]);
+}
+
 #[test]
 fn a_file_system_folder_is_locked_and_read_back() {
     let folder = tempfile::tempdir().unwrap();
