A document accepted on a founding that few were told of is lost with their disks

A member that was not told of the founding takes entries without knowing any member, so it neither stands nor is admitted: with all who were told lost, what is left holds the document and elects nobody. Only the founder tells, and only in the life in which it founded, so a kill right after it is enough.

--- a/crates/masticsill_quorum/tests/simulation/mod.rs
+++ b/crates/masticsill_quorum/tests/simulation/mod.rs
@@ -116,13 +116,14 @@
         settings: ReplicaSettings,
         application: A,
     ) -> Self {
-        Self::found_among(seed, [count, count], faults, settings, application)
+        Self::found_among(seed, [count; 3], faults, settings, application)
     }
 
-    /// The first `founders` of `count` nodes are founded as voters; the others' folders are new.
+    /// The first `founders` of `count` nodes are founded as voters, of whom the first `told` know it
+    /// already; the others' folders are new.
     pub fn found_among(
         seed: u64,
-        [founders, count]: [usize; 2],
+        [told, founders, count]: [usize; 3],
         faults: Faults,
         settings: ReplicaSettings,
         application: A,
@@ -146,7 +147,7 @@
         let voters: Vec<VoterId> = founding.map(|it| it.id.clone()).collect();
         simulation.model.membership = Membership::of_voters(voters.iter().cloned());
         for node in 0..count {
-            if node < founders {
+            if node < told {
                 simulation.nodes[node].found(&voters);
             }
             simulation.start(node);
--- a/crates/masticsill_quorum/tests/two_lost_disks.rs
+++ b/crates/masticsill_quorum/tests/two_lost_disks.rs
@@ -25,6 +25,8 @@
 struct Growth {
     founders: usize,
     nodes: usize,
+    /// Founders that were told so before the one that founded was lost, from the first on.
+    told: usize,
     /// Founders that are taken away for good after some commands, from the first on. The nodes
     /// that are no founders start then.
     replaced: usize,
@@ -55,7 +57,7 @@
 
 impl Course {
     fn begin(growth: Growth) -> Self {
-        let counts = [growth.founders, growth.nodes];
+        let counts = [growth.told, growth.founders, growth.nodes];
         let settings = ReplicaSettings {
             min_quorum: LOSSES + 1,
             ..settings()
@@ -181,6 +183,10 @@
     if voters < WHOLE {
         return;
     }
+    // Before anything is accepted, a founding that nobody knows of is none.
+    if course.growth.told <= LOSSES && course.simulation.model.newest_accepted().is_none() {
+        return;
+    }
     course.simulation.run_for(DOWN_MS);
     course.heal();
     let present = course.present();
@@ -225,6 +231,7 @@
     let growth = Growth {
         founders,
         nodes,
+        told: founders,
         replaced: 0,
         seed,
     };
@@ -247,6 +254,20 @@
     grow(3, 7, 3);
 }
 
+#[test]
+fn founding_that_few_were_told_of() {
+    for told in 1..5 {
+        let growth = Growth {
+            founders: 5,
+            nodes: 5,
+            told,
+            replaced: 0,
+            seed: 10 + told as u64,
+        };
+        lose_at_every_step(growth, &pairs(&[0, 1, 2, 3, 4]));
+    }
+}
+
 #[test]
 fn five_that_stay_five() {
     grow(5, 5, 4);
@@ -262,6 +283,7 @@
     let growth = Growth {
         founders: 5,
         nodes: 6,
+        told: 5,
         replaced: 1,
         seed: 6,
     };
@@ -275,6 +297,7 @@
     let growth = Growth {
         founders: 5,
         nodes: 7,
+        told: 5,
         replaced: 2,
         seed: 7,
     };
@@ -286,6 +309,7 @@
     let growth = Growth {
         founders: 5,
         nodes: 7,
+        told: 5,
         replaced: 0,
         seed: 9,
     };
@@ -307,6 +331,7 @@
     let growth = Growth {
         founders: 5,
         nodes: 6,
+        told: 5,
         replaced: 1,
         seed: 8,
     };
