A leader's first entry names the founding members

Cause: members that were not told of the founding held entries and knew no member. Weighed: letting every founded member tell the others; that leaves the time until it has, and a member that can't be reached then. Change: as long as the newest membership is that of the founding, a new leader's first entry is that membership in place of an empty one. Nothing is committed before it, so whoever holds an accepted entry knows the members.

--- a/crates/masticsill_quorum/src/leader.rs
+++ b/crates/masticsill_quorum/src/leader.rs
@@ -117,7 +117,19 @@
         self.report_role();
         self.track_members(now);
         self.begin_round(now);
-        self.append_own(vec![Payload::Noop]);
+        let payload = self.first_payload();
+        self.append_own(vec![payload]);
+    }
+
+    /// What a leader's first entry says: the founding members, as long as no entry names members.
+    ///
+    /// A member that was not told of the founding would take entries and know no member; with the
+    /// others lost, nobody could be elected from what it holds.
+    fn first_payload(&self) -> Payload {
+        match self.log.membership() {
+            (LogIndex(0), membership) => Payload::Membership(membership.clone()),
+            _ => Payload::Noop,
+        }
     }
 
     /// Keeps a progress for each member but this replica.
