--- a/crates/masticsill_control/src/events.rs
+++ b/crates/masticsill_control/src/events.rs
@@ -56,6 +56,8 @@
 pub const FOUNDING_PROPOSED: Event = Event::new(4140, "control_founding_proposed");
 /// The document in force can't be cut into pieces, so that relays can't fetch it.
 pub const DOCUMENT_UNCUT: Event = Event::new(4141, "control_document_uncut");
+/// This replica's folder was founded, nothing came of it, and a cluster exists without it.
+pub const FOUNDING_GIVEN_UP: Event = Event::new(4143, "control_founding_given_up");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -86,4 +88,5 @@
     HEARTBEAT_NOT_PASSED,
     FOUNDING_PROPOSED,
     DOCUMENT_UNCUT,
+    FOUNDING_GIVEN_UP,
 ];
--- a/crates/masticsill_control/src/quorum/request.rs
+++ b/crates/masticsill_control/src/quorum/request.rs
@@ -29,6 +29,8 @@
     ChangeReplicas(ReplicaOrder, ReplyTo<ReplicaAnswer>),
     /// Take the founding members.
     Found(Vec<ReplicaIdentity>, oneshot::Sender<bool>),
+    /// Give up a founding of which nothing came; tells whether it was.
+    GiveUpFounding(oneshot::Sender<bool>),
     /// Tell who this replica is, and the founding members while nothing has changed them.
     Identify(oneshot::Sender<(ReplicaIdentity, Vec<ReplicaIdentity>)>),
     /// A proof of freshness that the leader gave this replica.
@@ -46,7 +48,7 @@
     Stop,
 }
 
-/// An operator's change of the members, with the identities looked up.
+/// A change of the members, with the identities looked up.
 #[derive(Debug)]
 pub(crate) enum ReplicaOrder {
     Join {
@@ -58,6 +60,11 @@
         node: NodeId,
         operator: OperatorId,
     },
+    /// Remove exactly this member, which may share its name with another.
+    Trim {
+        id: VoterId,
+        operator: OperatorId,
+    },
 }
 
 /// A replica that is to be admitted.
@@ -78,10 +85,12 @@
     pub(crate) is_leading: bool,
     /// Whether the folder belongs to a cluster.
     pub(crate) is_founded: bool,
+    /// The last entry of the log.
+    pub(crate) last_index: LogIndex,
     /// The leader, if known.
     pub(crate) leader: Option<NodeId>,
-    /// Members that have been silent for long, while this replica leads.
-    pub(crate) silent_members: Vec<NodeId>,
+    /// Silent members that the quorum removes itself, while this replica leads.
+    pub(crate) spare_members: Vec<VoterId>,
     /// The term.
     pub(crate) term: Term,
     /// The version of the applied catalogue.
--- a/crates/masticsill_quorum/src/storage.rs
+++ b/crates/masticsill_quorum/src/storage.rs
@@ -28,17 +28,20 @@
 pub use disk::{Disk, FileDisk};
 pub use error::StorageError;
 pub use open::{Recovered, TornTail};
-pub use patience::PatientDisk;
+pub use patience::{Patience, PatientDisk};
 
 pub(crate) const IDENTITY_FILE: &str = "identity";
 pub(crate) const SNAPSHOT_FILE: &str = "snapshot";
 pub(crate) const VOTE_FILE: &str = "vote";
+/// Stands while the folder is emptied, so that a power loss leaves no half of it in use.
+pub(crate) const GIVEN_UP_FILE: &str = "given_up";
 /// Size from which a new segment is begun.
 const SEGMENT_BYTES: u64 = 4 * 1024 * 1024;
 
 /// A replica's data folder, open for writing.
 #[derive(Debug)]
 pub struct Storage {
+    cluster: String,
     disk: Box<dyn Disk>,
     id: VoterId,
     segments: Vec<Segment>,
@@ -48,6 +51,7 @@
     point: SyncPoint,
     is_pristine: bool,
     is_failed: bool,
+    patience: Patience,
 }
 
 impl Storage {
@@ -62,7 +66,11 @@
         node: &NodeId,
     ) -> Result<(Self, Recovered), StorageError> {
         let disk = PatientDisk::new(FileDisk::open(folder)?);
-        Self::open_on(Box::new(disk), cluster, node, FolderId(rand::random()))
+        let patience = disk.patience();
+        let opened = Self::open_on(Box::new(disk), cluster, node, FolderId(rand::random()));
+        let (mut storage, recovered) = opened?;
+        storage.patience = patience;
+        Ok((storage, recovered))
     }
 
     /// Opens the data folder behind `disk`, or creates it with the identity `new_folder`, which
@@ -84,6 +92,7 @@
         let (recovered, segments) = recover(disk.as_mut(), cluster, new_id)?;
         let state = &recovered.state;
         let mut storage = Self {
+            cluster: cluster.to_owned(),
             disk,
             id: state.id.clone(),
             segments,
@@ -92,6 +101,7 @@
             point: SyncPoint::default(),
             is_pristine: is_pristine(state),
             is_failed: false,
+            patience: Patience::default(),
         };
         storage.prepare_segment()?;
         Ok((storage, recovered))
@@ -117,6 +127,38 @@
         Ok(())
     }
 
+    /// Gives up a founding: the folder gets the new identity `new_folder`, which must be random,
+    /// and belongs to no cluster.
+    ///
+    /// It may be done where the log was never begun: no entry counts on this folder then, and its
+    /// old identity never votes again, as if the disk had been lost.
+    ///
+    /// # Errors
+    ///
+    /// [`StorageError::NotNew`] when the folder holds an entry; [`StorageError`] of the writes.
+    pub fn give_up(&mut self, new_folder: FolderId) -> Result<StoredState, StorageError> {
+        let has_entries = |segment: &Segment| segment.highest_index > LogIndex(0);
+        if !self.unwritten.is_empty() || self.segments.iter().any(has_entries) {
+            return Err(StorageError::NotNew);
+        }
+        let mut given = None;
+        self.guarded(|storage| {
+            storage.replace(GIVEN_UP_FILE, &[])?;
+            let new_id = VoterId {
+                name: storage.id.name.clone(),
+                folder: new_folder,
+            };
+            let (recovered, segments) = recover(storage.disk.as_mut(), &storage.cluster, new_id)?;
+            storage.id = recovered.state.id.clone();
+            storage.segments = segments;
+            storage.point = SyncPoint::default();
+            storage.is_pristine = true;
+            given = Some(recovered.state);
+            storage.prepare_segment()
+        })?;
+        given.ok_or(StorageError::Failed)
+    }
+
     /// Makes this replica the only voter, after the majority of the voters was lost for good.
     ///
     /// What the lost voters had accepted and this one had not received is lost. The folders of all
@@ -195,6 +237,12 @@
         &self.id
     }
 
+    /// What ends this storage's waits for space; a write that is given up is a failure.
+    #[must_use]
+    pub fn patience(&self) -> Patience {
+        self.patience.clone()
+    }
+
     /// Runs an operation unless an earlier one failed; a failure is final.
     fn guarded(
         &mut self,
