Endpoints that start again under their old id are another incarnation

Cause: an id was taken for one life. A process that starts again under it counts its heartbeats from 1, so they were refused until they outran the former life's, and connections, load, health, kept prompts and copies of the former life were used for it; a late heartbeat of the former life went before its own.

Change: a heartbeat, a deregistration and news of prompts may tell `born`, in whole milliseconds. It becomes the `Life` of an `EndpointId`, so that pool, places, health, kept prompts, copies, loads, alarms and excluded endpoints of one life are never found for another, without a change where they are kept. Control replicas join words by life, then state, then heartbeat; the join is commutative, associative and idempotent, also for two heartbeats of one number. Without `born` as before; an unnamed life comes before a named one. A deregistration without `born` ends the life that is known where it arrives: a request sent to an endpoint that leaves is worse than one endpoint less. The endpoints' file of a control replica gets a new form; older ones are passed over, which costs a restarted replica one heartbeat's time.

Ruled out: a life beside the id in every table (pool, reservations, copies, loads): the same with a dozen places to forget it.

Trials, one mechanism off at a time: older lives taken at replicas and relays, connections, prompts and copies found by name, no alarm: the test of each fails. With older lives taken at control replicas alone the process tests pass, since relays refuse them as well; the join's property tests fail then.

--- a/crates/masticsill_bench/src/overload/entry.rs
+++ b/crates/masticsill_bench/src/overload/entry.rs
@@ -58,7 +58,7 @@
 }
 
 pub(super) fn engine_id(engine: usize) -> EndpointId {
-    EndpointId(format!("engine-{engine:03}"))
+    EndpointId::unnamed_life(format!("engine-{engine:03}"))
 }
 
 fn engine_zone(engine: usize) -> ZoneId {
--- a/crates/masticsill_control/src/endpoints/hub.rs
+++ b/crates/masticsill_control/src/endpoints/hub.rs
@@ -86,6 +86,7 @@
             info,
             events::ENDPOINT_HEARD,
             endpoint = announcement.id,
+            life = announcement.id.life,
             service = announcement.service,
             address = announcement.address,
             zone = announcement.zone,
@@ -112,6 +113,7 @@
                 info,
                 events::ENDPOINT_LEFT,
                 endpoint = id,
+                life = id.life,
                 revision = revision
             );
             self.shared.revision.send_replace(revision);
--- a/crates/masticsill_control/src/endpoints/memory.rs
+++ b/crates/masticsill_control/src/endpoints/memory.rs
@@ -25,9 +25,10 @@
 /// The durable form. Variants are only ever added at the end.
 #[derive(Deserialize, Serialize)]
 enum StoredEndpoints {
-    /// Of a former version, whose records lack fields: they are not worth a second reader.
+    /// Of former versions, whose records lack fields: they are not worth a second reader.
     V1,
-    V2(Vec<EndpointRecord>),
+    V2,
+    V3(Vec<EndpointRecord>),
 }
 
 /// Reads what a former life left; nothing when there is none or it can't be read.
@@ -41,8 +42,8 @@
         }
     };
     match postcard::from_bytes(&bytes) {
-        Ok(StoredEndpoints::V1) => Vec::new(),
-        Ok(StoredEndpoints::V2(records)) => records,
+        Ok(StoredEndpoints::V1 | StoredEndpoints::V2) => Vec::new(),
+        Ok(StoredEndpoints::V3(records)) => records,
         Err(error) => {
             log_event!(warn, events::ENDPOINTS_NOT_KEPT, cause = error);
             Vec::new()
@@ -69,7 +70,7 @@
 }
 
 fn write(folder: &Path, records: Vec<EndpointRecord>) -> io::Result<()> {
-    let bytes = postcard::to_stdvec(&StoredEndpoints::V2(records)).map_err(io::Error::other)?;
+    let bytes = postcard::to_stdvec(&StoredEndpoints::V3(records)).map_err(io::Error::other)?;
     let temporary = folder.join(TEMPORARY_FILE);
     let mut file = File::create(&temporary)?;
     file.write_all(&bytes)?;
--- a/crates/masticsill_control/src/endpoints/prompts.rs
+++ b/crates/masticsill_control/src/endpoints/prompts.rs
@@ -6,7 +6,7 @@
 
 use bytes::BytesMut;
 use indexmap::IndexSet;
-use masticsill_registry::{Announcement, EndpointId};
+use masticsill_registry::{Announcement, EndpointId, KeptNews};
 use masticsill_types::log_event;
 use masticsill_upstream::{EndpointCall, EndpointClient};
 use tokio::task::spawn_local;
@@ -111,6 +111,7 @@
         let target = format!("{}{position}", self.call.path);
         let read = self.call.read;
         let news = read(&self.get(&target).await?)?;
+        let news = self.own(news)?;
         let is_gap = news.is_gap;
         self.endpoints.take_kept(&self.engine, news);
         let is_due = |at: Instant| at.elapsed() >= Duration::from_millis(LIST_INTERVAL_MS);
@@ -119,11 +120,21 @@
             let target = self.call.list_path.clone();
             let read = self.call.read_list;
             let list = read(&self.get(&target).await?)?;
+            let list = self.own(list)?;
             self.endpoints.take_all_kept(&self.engine, list);
         }
         Ok(())
     }
 
+    /// News of the engine that is followed: at its address, another life of it may answer, which
+    /// keeps nothing of what this one did.
+    fn own(&mut self, news: KeptNews) -> Result<KeptNews, String> {
+        if !news.are_of(&self.engine) {
+            return Err(format!("the engine's life {} answers", news.life));
+        }
+        Ok(news)
+    }
+
     async fn get(&mut self, target: &str) -> Result<BytesMut, String> {
         let call = EndpointCall {
             body: "",
--- a/crates/masticsill_dispatch/src/endpoints.rs
+++ b/crates/masticsill_dispatch/src/endpoints.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 
 use indexmap::IndexMap;
-use masticsill_registry::{Announcement, EndpointId, EndpointLoad, EndpointRecord};
+use masticsill_registry::{
+    Announcement, EndpointId, EndpointLoad, EndpointRecord, EndpointState, Joined, Life,
+};
 use masticsill_types::{ClockMs, NodeId, ZoneId};
 
 use crate::endpoint::{Endpoint, OtherLoad};
@@ -31,17 +33,25 @@
 pub struct EndpointTable {
     endpoints: IndexMap<EndpointId, Endpoint>,
     last_order: u64,
+    /// The newest life of each name.
+    lives: IndexMap<String, Life>,
     /// When the other entries' requests in each zone were told last.
     loads_told_at: IndexMap<ZoneId, ClockMs>,
 }
 
 impl EndpointTable {
-    /// Joins what a control replica tells; returns ids whose state is another now.
+    /// Joins what a control replica tells; returns ids whose state is another now, former lives
+    /// that a newer one has ended included.
     pub fn merge(&mut self, from: &NodeId, records: &[EndpointRecord]) -> Vec<EndpointId> {
         let mut changed = Vec::new();
         for record in records {
+            let id = &record.announcement.id;
+            if self.is_outlived(id) {
+                continue;
+            }
+            changed.extend(self.end_former_life(id));
             if self.merge_one(from, record) {
-                changed.push(record.announcement.id.clone());
+                changed.push(id.clone());
             }
         }
         self.drop_replaced();
@@ -55,13 +65,38 @@
             return true;
         };
         known.note_word(from, record.is_silent);
-        let state = known.announcement.state.max(announcement.state);
-        let is_changed = state != known.announcement.state;
-        if announcement.sequence > known.announcement.sequence {
-            known.announcement = announcement.clone();
+        let state = known.announcement.state;
+        match known.announcement.join(announcement) {
+            Joined::Same => false,
+            // A former life is not in the place of this one: lives are kept apart by their ids.
+            Joined::Changed | Joined::Reborn => state != known.announcement.state,
         }
-        known.announcement.state = state;
-        is_changed
+    }
+
+    /// Whether a newer life of an incarnation's name is known: it has ended, and nothing that is
+    /// still told of it counts.
+    #[must_use]
+    pub fn is_outlived(&self, id: &EndpointId) -> bool {
+        let newest = self.lives.get(&id.name);
+        newest.is_some_and(|newest| id.life < *newest)
+    }
+
+    /// Notes a name's newest life, and ends the one that was known before; returns that.
+    ///
+    /// It stays in the table with what this entry still has there, so that nothing of it is counted
+    /// at its successor.
+    fn end_former_life(&mut self, newest: &EndpointId) -> Option<EndpointId> {
+        let life = self.lives.insert(newest.name.clone(), newest.life)?;
+        if life == newest.life {
+            return None;
+        }
+        let former = EndpointId {
+            life,
+            name: newest.name.clone(),
+        };
+        let endpoint = self.endpoints.get_mut(&former)?;
+        endpoint.announcement.state = EndpointState::Gone;
+        Some(former)
     }
 
     fn insert(&mut self, from: &NodeId, record: &EndpointRecord) {
@@ -95,6 +130,12 @@
                 left_over -= usize::from(is_dropped);
                 !is_dropped
             });
+            let endpoints = &self.endpoints;
+            let is_known = |name: &String, life: Life| {
+                let name = name.clone();
+                endpoints.contains_key(&EndpointId { life, name })
+            };
+            self.lives.retain(|name, life| is_known(name, *life));
         }
     }
 
--- a/crates/masticsill_dispatch/src/room.rs
+++ b/crates/masticsill_dispatch/src/room.rs
@@ -118,7 +118,8 @@
             tokens,
         } => {
             let kept_tokens = need.kept_at(&endpoint.announcement.id);
-            let is_kept = kept_tokens * 100 >= prompt_tokens * KEPT_PERCENT && kept_tokens > 0;
+            let least = prompt_tokens.saturating_mul(KEPT_PERCENT);
+            let is_kept = kept_tokens.saturating_mul(100) >= least && kept_tokens > 0;
             let is_idle = endpoint.reading_total() < MAX_READING;
             let is_own_turn = || endpoint.room_known_ms(now) >= turns.wait_ms(endpoint, waited);
             (is_kept || is_idle && is_own_turn())
--- a/crates/masticsill_dispatch/tests/overload_decisions.rs
+++ b/crates/masticsill_dispatch/tests/overload_decisions.rs
@@ -15,7 +15,7 @@
 const SERVICE: &str = "engines";
 
 fn id(name: &str) -> EndpointId {
-    EndpointId(name.to_owned())
+    EndpointId::unnamed_life(name)
 }
 
 fn zone() -> ZoneId {
@@ -347,7 +347,7 @@
             let terms = Terms { aim_at: now + 4_500, deadline_at, ..terms(names[which]) };
             match step {
                 0 | 1 => match entry.ask(now, &need(), &terms) {
-                    Decision::Send(choice) => entry.begin(&choice.id.0),
+                    Decision::Send(choice) => entry.begin(&choice.id.name),
                     Decision::Wait(ticket) => waiting.push(ticket),
                     Decision::Refuse(overload) => prop_assert!(overload.retry_after_ms >= 200),
                     Decision::Nobody => prop_assert!(false, "there are engines"),
@@ -372,7 +372,7 @@
                 prop_assert!(place.is_some(), "ended twice");
                 waiting.remove(place.unwrap());
                 if let Ended::Send(_, choice) = ended {
-                    entry.begin(&choice.id.0);
+                    entry.begin(&choice.id.name);
                 }
             }
             prop_assert_eq!(entry.dispatcher.waiting(), waiting.len());
--- a/crates/masticsill_dispatch/tests/placement_choice.rs
+++ b/crates/masticsill_dispatch/tests/placement_choice.rs
@@ -13,7 +13,7 @@
 }
 
 fn id(name: &str) -> EndpointId {
-    EndpointId(name.to_owned())
+    EndpointId::unnamed_life(name)
 }
 
 /// A record of an endpoint; its name begins with its zone.
@@ -57,7 +57,7 @@
         share,
         zone: &zone("a"),
     };
-    choose(table, NOW, &wanted, |_| true, || 0.0).map(|choice| choice.id.0)
+    choose(table, NOW, &wanted, |_| true, || 0.0).map(|choice| choice.id.name)
 }
 
 fn chosen(table: &EndpointTable) -> Option<String> {
@@ -107,7 +107,7 @@
         share: ZoneShare::default(),
         zone: &zone("a"),
     };
-    choose(table, NOW, &wanted, |_| true, || 0.0).map(|choice| choice.id.0)
+    choose(table, NOW, &wanted, |_| true, || 0.0).map(|choice| choice.id.name)
 }
 
 #[test]
--- a/crates/masticsill_registry/src/kept.rs
+++ b/crates/masticsill_registry/src/kept.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use crate::record::EndpointId;
+use crate::id::{EndpointId, Life};
 
 /// Parts remembered for one engine: its memory holds some tens of long prompts.
 const MAX_PARTS: usize = 1_024;
@@ -37,10 +37,23 @@
     pub epoch: u64,
     /// Whether news before these are lost.
     pub is_gap: bool,
+    /// The life that speaks, if it says so.
+    pub life: Life,
     /// What changed, oldest first.
     pub parts: Vec<KeptPart>,
     /// From where the next news go on.
     pub position: u64,
+    /// Entries that could not be read; they name nothing.
+    pub unreadable: u64,
+}
+
+impl KeptNews {
+    /// Whether they may be an incarnation's own: one that names no birth can't be told apart.
+    #[must_use]
+    pub fn are_of(&self, endpoint: &EndpointId) -> bool {
+        let lives = [self.life, endpoint.life];
+        !lives.into_iter().all(Life::is_named) || self.life == endpoint.life
+    }
 }
 
 /// Tokens of one prompt that an engine keeps.
@@ -121,10 +134,10 @@
 impl Engine {
     /// Tokens from a prompt's beginning: a part serves only where all parts before it are whole.
     fn kept_tokens(&self, prompt: &[PromptPart]) -> u64 {
-        let mut tokens = 0;
+        let mut tokens = 0_u64;
         for part in prompt {
             let kept = self.parts.get(&part.id).copied().unwrap_or_default();
-            tokens += kept.min(part.tokens);
+            tokens = kept.min(part.tokens).saturating_add(tokens);
             if kept < part.tokens {
                 break;
             }
--- a/crates/masticsill_registry/src/record.rs
+++ b/crates/masticsill_registry/src/record.rs
@@ -1,26 +1,17 @@
 //! What is known of one incarnation of an endpoint.
 
-use std::fmt;
 use std::net::SocketAddr;
 use std::sync::LazyLock;
 
 use masticsill_types::ZoneId;
 use serde::{Deserialize, Serialize};
 
+use crate::id::EndpointId;
+
 /// The zone of an incarnation of which only the end was heard.
 static UNKNOWN_ZONE: LazyLock<ZoneId> =
     LazyLock::new(|| ZoneId::new("unknown").expect("the name holds letters only"));
 
-/// One incarnation of an endpoint: a restarted endpoint has another id.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
-pub struct EndpointId(pub String);
-
-impl fmt::Display for EndpointId {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(&self.0)
-    }
-}
-
 /// What an incarnation says of itself. It only ever moves down this list.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum EndpointState {
@@ -93,24 +84,6 @@
     pub is_silent: bool,
 }
 
-impl EndpointRecord {
-    /// Joins what another instance knows into this; returns whether anything that matters to
-    /// requests changed.
-    pub(crate) fn join(&mut self, other: &Announcement) -> bool {
-        let own = &mut self.announcement;
-        let state = own.state.max(other.state);
-        let is_changed = state != own.state;
-        if other.sequence > own.sequence {
-            let is_moved = own.address != other.address || own.slots != other.slots;
-            *own = other.clone();
-            own.state = state;
-            return is_changed || is_moved;
-        }
-        own.state = state;
-        is_changed
-    }
-}
-
 /// How long ago a control instance heard an incarnation itself.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Heard {
--- a/crates/masticsill_registry/src/registry.rs
+++ b/crates/masticsill_registry/src/registry.rs
@@ -3,7 +3,9 @@
 use indexmap::IndexMap;
 use masticsill_types::ClockMs;
 
-use crate::record::{Announcement, EndpointId, EndpointRecord, Heard};
+use crate::id::EndpointId;
+use crate::join::Joined;
+use crate::record::{Announcement, EndpointRecord, Heard};
 
 /// Periods of a registry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -37,12 +39,13 @@
     pub(crate) revision: u64,
 }
 
-/// Every known incarnation. Each change raises the revision, from which readers go on.
+/// The newest life of every known id. Each change raises the revision, from which readers go on.
 #[derive(Clone, Debug)]
 pub struct Registry {
     pub(crate) periods: RegistryPeriods,
     pub(crate) revision: u64,
-    pub(crate) tracked: IndexMap<EndpointId, Tracked>,
+    /// By name.
+    pub(crate) tracked: IndexMap<String, Tracked>,
 }
 
 impl Registry {
@@ -73,10 +76,17 @@
         self.tracked.values().map(|tracked| &tracked.record)
     }
 
-    /// An incarnation's record.
+    /// An incarnation's record, unless another life of its name is known.
     #[must_use]
     pub fn get(&self, id: &EndpointId) -> Option<&EndpointRecord> {
-        self.tracked.get(id).map(|tracked| &tracked.record)
+        let record = self.newest(&id.name)?;
+        (record.announcement.id == *id).then_some(record)
+    }
+
+    /// The record of a name's newest life.
+    #[must_use]
+    pub fn newest(&self, name: &str) -> Option<&EndpointRecord> {
+        self.tracked.get(name).map(|tracked| &tracked.record)
     }
 
     /// Records that changed after a revision.
@@ -90,11 +100,11 @@
     /// Takes a heartbeat that came to this process; returns whether anything changed.
     pub fn announce(&mut self, now: ClockMs, announcement: &Announcement) -> bool {
         let is_newer = self
-            .get(&announcement.id)
-            .is_none_or(|held| announcement.sequence > held.announcement.sequence);
+            .newest(&announcement.id.name)
+            .is_none_or(|held| announcement.is_newer_than(&held.announcement));
         let is_changed = self.take(announcement, now);
         // A heartbeat that was held up says nothing of the present.
-        if is_newer && let Some(tracked) = self.tracked.get_mut(&announcement.id) {
+        if is_newer && let Some(tracked) = self.tracked.get_mut(&announcement.id.name) {
             tracked.heard_here_at = Some(now);
         }
         is_changed
@@ -102,9 +112,17 @@
 
     /// Takes an incarnation's deregistration; returns whether anything changed.
     ///
-    /// One that is not known here is noted as well: other processes may know it and must hear.
+    /// One that is not known here is noted as well: other processes may know it and must hear. One
+    /// without a birth ends the life that is known here: it comes from a writer that tells births
+    /// in heartbeats only, and a request sent to an endpoint that leaves is worse than one endpoint
+    /// less.
     pub fn depart(&mut self, now: ClockMs, id: &EndpointId) -> bool {
-        self.take(&Announcement::deregistration(id), now)
+        let known = self.newest(&id.name).map(|record| &record.announcement.id);
+        let ended = match known {
+            Some(known) if !id.life.is_named() => known.clone(),
+            _ => id.clone(),
+        };
+        self.take(&Announcement::deregistration(&ended), now)
     }
 
     /// Joins what another process knows; returns whether anything changed.
@@ -132,33 +150,38 @@
     /// Takes the ages of heartbeats that another process heard itself.
     pub fn note_heard(&mut self, now: ClockMs, heard: &[Heard]) {
         for Heard { age_ms, id } in heard {
-            if let Some(tracked) = self.tracked.get_mut(id) {
+            let tracked = self.tracked.get_mut(&id.name);
+            let of_this_life = tracked.filter(|it| it.record.announcement.id == *id);
+            if let Some(tracked) = of_this_life {
                 tracked.heard_at = tracked.heard_at.max(now.before(*age_ms));
             }
         }
     }
 
     fn take(&mut self, announcement: &Announcement, heard_at: ClockMs) -> bool {
-        let next_revision = self.revision + 1;
-        let is_changed = if let Some(tracked) = self.tracked.get_mut(&announcement.id) {
-            if announcement.sequence > tracked.record.announcement.sequence {
-                tracked.heard_at = tracked.heard_at.max(heard_at);
-            }
-            let is_changed = tracked.record.join(announcement);
-            if is_changed {
-                tracked.revision = next_revision;
-            }
-            is_changed
-        } else {
-            self.insert(announcement, heard_at, next_revision);
-            true
+        let revision = self.revision + 1;
+        let Some(tracked) = self.tracked.get_mut(&announcement.id.name) else {
+            self.insert(announcement, heard_at, revision);
+            return true;
         };
-        if is_changed {
-            self.revision = next_revision;
+        let held = &mut tracked.record.announcement;
+        let is_newer = announcement.is_newer_than(held);
+        let joined = held.join(announcement);
+        if joined == Joined::Reborn {
+            self.insert(announcement, heard_at, revision);
+            return true;
         }
-        is_changed
+        if is_newer {
+            tracked.heard_at = tracked.heard_at.max(heard_at);
+        }
+        if joined == Joined::Changed {
+            tracked.revision = revision;
+            self.revision = revision;
+        }
+        joined == Joined::Changed
     }
 
+    /// Tracks a life of which nothing was known, in place of a former one.
     fn insert(&mut self, announcement: &Announcement, heard_at: ClockMs, revision: u64) {
         let record = EndpointRecord {
             announcement: announcement.clone(),
@@ -170,6 +193,7 @@
             record,
             revision,
         };
-        self.tracked.insert(announcement.id.clone(), tracked);
+        self.revision = revision;
+        self.tracked.insert(announcement.id.name.clone(), tracked);
     }
 }
--- a/crates/masticsill_registry/src/silence.rs
+++ b/crates/masticsill_registry/src/silence.rs
@@ -10,9 +10,9 @@
     #[must_use]
     pub fn heard_here(&self, now: ClockMs) -> Vec<Heard> {
         let silence_ms = self.periods.silence_ms;
-        let ages = self.tracked.iter().filter_map(|(id, tracked)| {
+        let ages = self.tracked.values().filter_map(|tracked| {
             let age_ms = now.since(tracked.heard_here_at?);
-            let id = id.clone();
+            let id = tracked.record.announcement.id.clone();
             (age_ms < silence_ms).then_some(Heard { age_ms, id })
         });
         ages.collect()
--- a/crates/masticsill_registry/src/watchers.rs
+++ b/crates/masticsill_registry/src/watchers.rs
@@ -4,7 +4,7 @@
 use masticsill_types::{ClockMs, NodeId, ZoneId};
 use serde::{Deserialize, Serialize};
 
-use crate::record::EndpointId;
+use crate::id::EndpointId;
 
 /// A watcher that asked for nothing in this time has gone: twice the usual wait, and an answer.
 const GONE_MS: u64 = 2_500;
--- /dev/null
+++ b/crates/masticsill_registry/tests/endpoint_lives.rs
@@ -0,0 +1,242 @@
+//! Words of several lives of one id: late, twice, in any order and over other instances.
+
+use std::net::SocketAddr;
+
+use masticsill_registry::{
+    Announcement, EndpointId, EndpointState, Heard, Joined, Life, Registry, RegistryPeriods,
+};
+use masticsill_types::{ClockMs, ZoneId};
+use proptest::prelude::*;
+
+const NOW: ClockMs = ClockMs(1_000);
+const STATES: [EndpointState; 3] = [
+    EndpointState::Ready,
+    EndpointState::Draining,
+    EndpointState::Gone,
+];
+
+fn id(life: Life) -> EndpointId {
+    EndpointId {
+        life,
+        name: "e".to_owned(),
+    }
+}
+
+fn born(born_ms: u64) -> EndpointId {
+    id(Life::born_at(born_ms))
+}
+
+/// A heartbeat from the address with this last number.
+fn heartbeat(id: EndpointId, sequence: u64, state: EndpointState, host: u8) -> Announcement {
+    Announcement {
+        address: SocketAddr::from(([10, 0, 0, host], 80)),
+        cold_left_ms: 0,
+        id,
+        keeps_prompts: false,
+        sequence,
+        service: "drafts".to_owned(),
+        slots: 4,
+        state,
+        zone: ZoneId::new("a").unwrap(),
+    }
+}
+
+fn ready(id: EndpointId, sequence: u64) -> Announcement {
+    heartbeat(id, sequence, EndpointState::Ready, 1)
+}
+
+fn registry() -> Registry {
+    Registry::new(RegistryPeriods::default())
+}
+
+fn newest(registry: &Registry) -> &Announcement {
+    &registry.newest("e").unwrap().announcement
+}
+
+/// Words of up to four lives, one of them without a birth. Few values, so that they meet often.
+fn words() -> impl Strategy<Value = Announcement> {
+    let life = prop_oneof![
+        Just(Life::UNNAMED),
+        (1_u64..4).prop_map(Life::born_at),
+        Just(Life::born_at(u64::MAX)),
+    ];
+    let state = prop::sample::select(&STATES);
+    (life, 0_u64..4, state, 1_u8..4)
+        .prop_map(|(life, sequence, state, host)| heartbeat(id(life), sequence, state, host))
+}
+
+fn joined(words: &[Announcement]) -> Announcement {
+    let mut joined = words[0].clone();
+    for word in &words[1..] {
+        joined.join(word);
+    }
+    joined
+}
+
+/// What must be known in the end, by looking at all words at once.
+fn expected(words: &[Announcement]) -> (Life, EndpointState, u64) {
+    let life = words.iter().map(|word| word.id.life).max().unwrap();
+    let of_life: Vec<_> = words.iter().filter(|word| word.id.life == life).collect();
+    let state = of_life.iter().map(|word| word.state).max().unwrap();
+    let sequence = of_life.iter().map(|word| word.sequence).max().unwrap();
+    (life, state, sequence)
+}
+
+fn known(announcement: &Announcement) -> (Life, EndpointState, u64) {
+    let Announcement {
+        id,
+        sequence,
+        state,
+        ..
+    } = announcement;
+    (id.life, *state, *sequence)
+}
+
+proptest! {
+    #[test]
+    fn join_is_commutative(left in words(), right in words()) {
+        prop_assert_eq!(joined(&[left.clone(), right.clone()]), joined(&[right, left]));
+    }
+
+    #[test]
+    fn join_is_associative(first in words(), second in words(), third in words()) {
+        let right = joined(&[second.clone(), third.clone()]);
+        let left = joined(&[first.clone(), second]);
+        prop_assert_eq!(joined(&[left, third]), joined(&[first, right]));
+    }
+
+    #[test]
+    fn join_is_idempotent(word in words(), other in words()) {
+        prop_assert_eq!(joined(&[word.clone(), word.clone()]), word.clone());
+        let both = joined(&[word, other.clone()]);
+        let mut again = both.clone();
+        prop_assert_eq!(again.join(&other), Joined::Same);
+        prop_assert_eq!(again, both);
+    }
+
+    #[test]
+    fn nothing_goes_back(words in prop::collection::vec(words(), 2..20)) {
+        let mut known_now = words[0].clone();
+        for word in &words[1..] {
+            let before = known_now.clone();
+            let joined = known_now.join(word);
+            let has_moved = (known_now.id.life, known_now.state) > (before.id.life, before.state);
+            let is_reborn = known_now.id.life > before.id.life;
+            prop_assert!(has_moved || (known_now.id.life, known_now.state) == (before.id.life, before.state));
+            prop_assert_eq!(joined == Joined::Reborn, is_reborn);
+            prop_assert!(joined != Joined::Same || !has_moved);
+        }
+    }
+
+    /// Three instances hear words in any order, some of them twice, exchange all they know in any
+    /// order, and a reader follows one of them: all know the same as a model that sees everything.
+    #[test]
+    fn instances_agree_with_the_model(
+        words in prop::collection::vec(words(), 1..20),
+        heard in prop::collection::vec((0_usize..3, any::<prop::sample::Index>()), 0..60),
+        exchanges in prop::collection::vec((0_usize..3, 0_usize..3), 0..20),
+    ) {
+        let mut instances = [registry(), registry(), registry()];
+        for (instance, word) in &heard {
+            instances[*instance].announce(NOW, word.get(&words));
+        }
+        // Each word comes somewhere once at least.
+        for (position, word) in words.iter().enumerate() {
+            instances[position % 3].announce(NOW, word);
+        }
+        let whole_rounds = [(0, 1), (1, 2), (2, 0), (0, 1)];
+        for (from, to) in exchanges.into_iter().chain(whole_rounds) {
+            let records = instances[from].changes_since(0);
+            instances[to].merge(NOW, &records);
+        }
+        let (life, state, _) = expected(&words);
+        for instance in &instances {
+            let (known_life, known_state, _) = known(newest(instance));
+            prop_assert_eq!((known_life, known_state), (life, state));
+            prop_assert_eq!(instance.records().count(), 1);
+        }
+    }
+
+    #[test]
+    fn one_instance_ends_with_the_newest_word(words in prop::collection::vec(words(), 1..20)) {
+        let mut registry = registry();
+        for word in &words {
+            registry.announce(NOW, word);
+        }
+        prop_assert_eq!(known(newest(&registry)), expected(&words));
+    }
+
+    #[test]
+    fn readers_hear_of_each_change(words in prop::collection::vec(words(), 1..20)) {
+        let (mut told, mut reader) = (registry(), registry());
+        let mut seen = 0;
+        for word in &words {
+            told.announce(NOW, word);
+            let changes = told.changes_since(seen);
+            seen = told.revision();
+            reader.merge(NOW, &changes);
+            let (life, state, _) = known(newest(&told));
+            let (read_life, read_state, _) = known(newest(&reader));
+            prop_assert_eq!((read_life, read_state), (life, state));
+            prop_assert_eq!(newest(&reader).address, newest(&told).address);
+        }
+    }
+}
+
+#[test]
+fn a_newer_life_begins_anew() {
+    let mut registry = registry();
+    registry.announce(NOW, &ready(born(1), 90));
+    registry.depart(NOW, &born(1));
+    assert!(registry.announce(NOW, &ready(born(2), 1)));
+    assert_eq!(newest(&registry), &ready(born(2), 1));
+    assert!(registry.get(&born(1)).is_none());
+}
+
+#[test]
+fn a_late_word_of_a_former_life_changes_nothing() {
+    let mut registry = registry();
+    registry.announce(NOW, &ready(born(2), 1));
+    let revision = registry.revision();
+    assert!(!registry.announce(NOW, &heartbeat(born(1), 99, EndpointState::Draining, 9)));
+    assert!(!registry.announce(NOW, &ready(EndpointId::unnamed_life("e"), 100)));
+    assert!(!registry.depart(NOW, &born(1)));
+    assert_eq!(newest(&registry), &ready(born(2), 1));
+    assert_eq!(registry.revision(), revision);
+}
+
+#[test]
+fn a_late_word_of_a_former_life_is_no_sign_of_life() {
+    let mut registry = registry();
+    registry.announce(ClockMs(0), &ready(born(2), 1));
+    registry.announce(ClockMs(4_900), &ready(born(1), 50));
+    let heard = Heard {
+        age_ms: 0,
+        id: born(1),
+    };
+    registry.note_heard(ClockMs(4_900), &[heard]);
+    registry.judge_silence(ClockMs(5_000), true);
+    assert!(registry.get(&born(2)).unwrap().is_silent);
+}
+
+#[test]
+fn a_newer_life_is_not_silent_as_its_former_one() {
+    let mut registry = registry();
+    registry.announce(ClockMs(0), &ready(born(1), 1));
+    registry.judge_silence(ClockMs(5_000), true);
+    assert!(registry.get(&born(1)).unwrap().is_silent);
+    registry.announce(ClockMs(5_100), &ready(born(2), 1));
+    assert!(!registry.get(&born(2)).unwrap().is_silent);
+    let heard = registry.heard_here(ClockMs(5_200));
+    assert_eq!(heard[0].id, born(2));
+}
+
+#[test]
+fn a_deregistration_without_a_birth_ends_the_known_life() {
+    let mut registry = registry();
+    registry.announce(NOW, &ready(born(2), 1));
+    assert!(registry.depart(NOW, &EndpointId::unnamed_life("e")));
+    assert_eq!(newest(&registry).id, born(2));
+    assert_eq!(newest(&registry).state, EndpointState::Gone);
+    assert!(registry.announce(NOW, &ready(born(3), 1)));
+}
--- a/crates/masticsill_registry/tests/heartbeats.rs
+++ b/crates/masticsill_registry/tests/heartbeats.rs
@@ -11,7 +11,7 @@
 };
 
 fn id(name: &str) -> EndpointId {
-    EndpointId(name.to_owned())
+    EndpointId::unnamed_life(name)
 }
 
 fn heartbeat(name: &str, sequence: u64, state: EndpointState) -> Announcement {
@@ -75,7 +75,7 @@
     let changed = registry.changes_since(seen);
     let names: Vec<&str> = changed
         .iter()
-        .map(|it| it.announcement.id.0.as_str())
+        .map(|it| it.announcement.id.name.as_str())
         .collect();
     assert_eq!(names, ["e", "f"]);
     assert!(registry.changes_since(registry.revision()).is_empty());
--- a/crates/masticsill_registry/tests/kept_prompts.rs
+++ b/crates/masticsill_registry/tests/kept_prompts.rs
@@ -1,9 +1,11 @@
 //! What engines keep of prompts, by news that come late, with gaps and across restarts.
 
-use masticsill_registry::{EndpointId, KeptNews, KeptPart, KeptPrompts, KeptTokens, PromptPart};
+use masticsill_registry::{
+    EndpointId, KeptNews, KeptPart, KeptPrompts, KeptTokens, Life, PromptPart,
+};
 
 fn engine(name: &str) -> EndpointId {
-    EndpointId(name.to_owned())
+    EndpointId::unnamed_life(name)
 }
 
 fn news(epoch: u64, position: u64, parts: &[(&str, u64)]) -> KeptNews {
@@ -14,8 +16,10 @@
     KeptNews {
         epoch,
         is_gap: false,
+        life: Life::UNNAMED,
         parts: parts.collect(),
         position,
+        unreadable: 0,
     }
 }
 
@@ -30,7 +34,7 @@
 fn found(prompts: &KeptPrompts, parts: &[(&str, u64)]) -> Vec<(String, u64)> {
     let found = prompts.find(&prompt(parts), 1).into_iter();
     found
-        .map(|KeptTokens { endpoint, tokens }| (endpoint.0, tokens))
+        .map(|KeptTokens { endpoint, tokens }| (endpoint.name, tokens))
         .collect()
 }
 
@@ -107,3 +111,40 @@
     prompts.forget(&engine("e"));
     assert!(found(&prompts, &[("1999", 100)]).is_empty());
 }
+
+#[test]
+fn a_new_life_keeps_nothing_of_the_former_one() {
+    let reborn = EndpointId {
+        life: Life::born_at(2),
+        ..engine("e")
+    };
+    let mut prompts = KeptPrompts::default();
+    prompts.take(&engine("e"), news(1, 1, &[("own", 8_000)]));
+    assert_eq!(prompts.position(&reborn), 0);
+    let found = prompts.find(&prompt(&[("own", 8_000)]), 1);
+    assert!(found.iter().all(|kept| kept.endpoint == engine("e")));
+    prompts.take(&reborn, news(1, 0, &[]));
+    prompts.forget(&engine("e"));
+    assert!(prompts.find(&prompt(&[("own", 8_000)]), 1).is_empty());
+}
+
+#[test]
+fn news_of_another_life_are_told_apart() {
+    let life = |born_ms| EndpointId {
+        life: Life::born_at(born_ms),
+        ..engine("e")
+    };
+    let mut told = news(1, 1, &[]);
+    assert!(told.are_of(&engine("e")) && told.are_of(&life(2)));
+    told.life = Life::born_at(2);
+    assert!(told.are_of(&life(2)) && told.are_of(&engine("e")));
+    assert!(!told.are_of(&life(1)) && !told.are_of(&life(3)));
+}
+
+#[test]
+fn absurd_lengths_are_no_overflow() {
+    let mut prompts = KeptPrompts::default();
+    let parts = [("a", u64::MAX), ("b", u64::MAX)];
+    prompts.take(&engine("e"), news(1, 2, &parts));
+    assert_eq!(found(&prompts, &parts), [("e".to_owned(), u64::MAX)]);
+}
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -134,10 +134,14 @@
             let Some(endpoint) = endpoints.get(&id) else {
                 continue;
             };
+            if endpoints.is_outlived(&id) {
+                self.relay.end_life(&id);
+            }
             log_event!(
                 info,
                 events::ENDPOINT_CHANGED,
                 endpoint = id,
+                life = id.life,
                 state = endpoint.announcement.state.name(),
                 address = endpoint.announcement.address,
                 zone = endpoint.announcement.zone,
--- a/crates/masticsill_relay/src/prompts.rs
+++ b/crates/masticsill_relay/src/prompts.rs
@@ -24,7 +24,10 @@
 /// costs a reading and nothing else.
 pub(crate) async fn find_kept(relay: &Rc<Relay>, request: &RelayRequest) -> Vec<KeptTokens> {
     let prompt = prompt_of(relay, request);
-    let tokens: u64 = prompt.iter().map(|part| part.tokens).sum();
+    // Callers name the lengths.
+    let tokens = prompt
+        .iter()
+        .fold(0, |sum: u64, part| sum.saturating_add(part.tokens));
     if request.route.kind != RouteKind::Stream || tokens < LEAST_TOKENS {
         return Vec::new();
     }
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -285,6 +285,14 @@
         self.alarms.send_replace(Some(alarm));
     }
 
+    /// Ends a life of an endpoint that has begun anew under its id: it answers nothing any more.
+    ///
+    /// Its connections lead to nobody, or to its successor. What was sent on them may have run.
+    pub(crate) fn end_life(&self, id: &EndpointId) {
+        self.pool.borrow_mut().drop_endpoint(id);
+        self.alarms.send_replace(Some(Alarm::Endpoint(id.clone())));
+    }
+
     /// Notes that an endpoint refused a request for want of room.
     pub(crate) fn note_full(&self, id: &EndpointId) {
         let now = self.now();
