What endpoints say and nobody can read is counted and logged

Cause: a heartbeat that was refused left no trace at the control replica, and one entry of another form made all news of an engine unreadable.

Change: M4142 control_word_unreadable, one line a second at most with the number held back, foreign texts cut at 160 characters and escaped, and a counter by kind of word.

--- a/crates/masticsill_control/src/endpoints/hub.rs
+++ b/crates/masticsill_control/src/endpoints/hub.rs
@@ -15,6 +15,7 @@
 
 use crate::events;
 use crate::quorum::PublishedState;
+use crate::unreadable::{UnreadableWord, UnreadableWords};
 
 /// How long an endpoint of a former life is believed in without a heartbeat: two of them.
 pub(super) const RESTORED_MS: u64 = 2_500;
@@ -42,6 +43,7 @@
     loads: watch::Sender<u64>,
     registry: Mutex<Registry>,
     revision: watch::Sender<u64>,
+    unreadable: UnreadableWords,
     watchers: Mutex<WatcherBook>,
     zone: ZoneId,
 }
@@ -53,7 +55,12 @@
 }
 
 impl EndpointHub {
-    pub(crate) fn new(clock: MonotonicClock, periods: RegistryPeriods, zone: ZoneId) -> Self {
+    pub(crate) fn new(
+        clock: MonotonicClock,
+        periods: RegistryPeriods,
+        zone: ZoneId,
+        unreadable: UnreadableWords,
+    ) -> Self {
         let shared = Shared {
             acknowledged: Notify::new(),
             clock,
@@ -62,6 +69,7 @@
             loads: watch::Sender::new(0),
             registry: Mutex::new(Registry::new(periods)),
             revision: watch::Sender::new(0),
+            unreadable,
             watchers: Mutex::default(),
             zone,
         };
@@ -244,6 +252,13 @@
         self.kept().take_all(endpoint, list);
     }
 
+    /// Notes entries of an engine's news of prompts that could not be read.
+    pub(crate) fn note_unreadable_news(&self, endpoint: &EndpointId, entries: u64) {
+        let word = UnreadableWord::PromptNews;
+        let cause = "entries of its news are of another form; they are passed over";
+        self.shared.unreadable.note(word, endpoint, entries, cause);
+    }
+
     /// Forgets what an engine kept.
     pub(crate) fn forget_kept(&self, endpoint: &EndpointId) {
         self.kept().forget(endpoint);
--- a/crates/masticsill_control/src/endpoints/prompts.rs
+++ b/crates/masticsill_control/src/endpoints/prompts.rs
@@ -132,6 +132,10 @@
         if !news.are_of(&self.engine) {
             return Err(format!("the engine's life {} answers", news.life));
         }
+        if news.unreadable > 0 {
+            self.endpoints
+                .note_unreadable_news(&self.engine, news.unreadable);
+        }
         Ok(news)
     }
 
--- a/crates/masticsill_control/src/events.rs
+++ b/crates/masticsill_control/src/events.rs
@@ -54,6 +54,8 @@
 pub const HEARTBEAT_NOT_PASSED: Event = Event::new(4139, "control_heartbeat_not_passed");
 /// This replica founds a cluster, or could not reserve the members for it.
 pub const FOUNDING_PROPOSED: Event = Event::new(4140, "control_founding_proposed");
+/// An endpoint said something that can't be read; it is refused or passed over.
+pub const WORD_UNREADABLE: Event = Event::new(4142, "control_word_unreadable");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -83,4 +85,5 @@
     FORWARDER_STARTED,
     HEARTBEAT_NOT_PASSED,
     FOUNDING_PROPOSED,
+    WORD_UNREADABLE,
 ];
--- a/crates/masticsill_control/src/forwarder/role.rs
+++ b/crates/masticsill_control/src/forwarder/role.rs
@@ -13,6 +13,7 @@
 use crate::events;
 use crate::handle::{ControlHandle, HeartbeatSink};
 use crate::rpc::{Forward, Newcomer, run_introductions, serve_connections};
+use crate::unreadable::UnreadableWords;
 
 const CALLS: usize = 1_024;
 
@@ -36,6 +37,7 @@
     calls: Ring<Forward>,
     duty: DutyHandle,
     ended: ShutdownSignal,
+    unreadable: UnreadableWords,
 }
 
 impl ControlForwarder {
@@ -80,6 +82,7 @@
             calls,
             duty,
             ended,
+            unreadable: UnreadableWords::new(clock),
         })
     }
 
@@ -89,6 +92,7 @@
         ControlHandle {
             calls: self.calls.clone(),
             heartbeats: HeartbeatSink::Others,
+            unreadable: self.unreadable.clone(),
         }
     }
 
--- a/crates/masticsill_control/src/handle.rs
+++ b/crates/masticsill_control/src/handle.rs
@@ -9,12 +9,14 @@
 
 use crate::endpoints::EndpointHub;
 use crate::rpc::{Forward, ForwardReply};
+use crate::unreadable::{UnreadableWord, UnreadableWords};
 
 /// Operators' and endpoints' calls, from any duty of the process. Clones share one replica.
 #[derive(Clone, Debug)]
 pub struct ControlHandle {
     pub(crate) calls: Ring<Forward>,
     pub(crate) heartbeats: HeartbeatSink,
+    pub(crate) unreadable: UnreadableWords,
 }
 
 /// Where the heartbeats go that come to this process.
@@ -73,6 +75,12 @@
         }
     }
 
+    /// Notes a heartbeat or a deregistration that was refused since it can't be read.
+    pub fn note_unreadable(&self, endpoint: &EndpointId, cause: &str) {
+        let word = UnreadableWord::Heartbeat;
+        self.unreadable.note(word, endpoint, 1, cause);
+    }
+
     /// Takes an endpoint's deregistration.
     ///
     /// # Errors
--- a/crates/masticsill_control/src/lib.rs
+++ b/crates/masticsill_control/src/lib.rs
@@ -18,6 +18,7 @@
 mod recovery;
 mod role;
 mod rpc;
+mod unreadable;
 
 pub use config::{
     AdmissionPolicy, ControlConfig, FoundingPolicy, OperatorConfig, PromptNewsCall,
--- a/crates/masticsill_control/src/role.rs
+++ b/crates/masticsill_control/src/role.rs
@@ -29,6 +29,7 @@
     StorageProgress, StorageQueue, run_storage,
 };
 use crate::rpc::{self, RpcParts};
+use crate::unreadable::UnreadableWords;
 
 const REQUESTS: usize = 8_192;
 const JOBS: usize = 4_096;
@@ -111,7 +112,9 @@
         };
         let ended = ShutdownSignal::default();
         let zone = config.zone.clone();
-        let endpoints = EndpointHub::new(clock, config.endpoints, zone);
+        let unreadable = UnreadableWords::new(clock);
+        unreadable.register(registry);
+        let endpoints = EndpointHub::new(clock, config.endpoints, zone, unreadable.clone());
         endpoints.restore(&read_endpoints(&config.data_folder));
         let memory = (config.data_folder.clone(), endpoints.clone(), ended.clone());
         let parts = RpcParts {
@@ -130,7 +133,11 @@
         let http_state = http::state(config, &quorum, &calls, &endpoints);
         let http = HttpEdge::start(config.http_address, http_state)?;
         let heartbeats = HeartbeatSink::Here(endpoints);
-        let handle = ControlHandle { calls, heartbeats };
+        let handle = ControlHandle {
+            calls,
+            heartbeats,
+            unreadable,
+        };
         let jobs_taken = jobs.clone();
         let duties = vec![
             spawn_async_duty("control_rpc", || rpc::run(rpc_config, parts))?,
