--- a/crates/masticsill_control/src/role.rs
+++ b/crates/masticsill_control/src/role.rs
@@ -30,6 +30,7 @@
     StorageProgress, StorageQueue, run_storage,
 };
 use crate::rpc::{self, RpcParts};
+use crate::unreadable::UnreadableWords;
 
 const REQUESTS: usize = 8_192;
 const JOBS: usize = 4_096;
@@ -62,6 +63,18 @@
     }
 }
 
+/// The registry of endpoints, with those that were known when this process ended last.
+fn restored_endpoints(
+    config: &ControlConfig,
+    clock: MonotonicClock,
+    unreadable: &UnreadableWords,
+) -> EndpointHub {
+    let zone = config.zone.clone();
+    let endpoints = EndpointHub::new(clock, config.endpoints, zone, unreadable.clone());
+    endpoints.restore(&read_endpoints(&config.data_folder));
+    endpoints
+}
+
 impl ControlRole {
     /// Opens the data folder and starts the replica's duties.
     ///
@@ -114,9 +127,9 @@
             status: status_receiver,
         };
         let ended = ShutdownSignal::default();
-        let zone = config.zone.clone();
-        let endpoints = EndpointHub::new(clock, config.endpoints, zone);
-        endpoints.restore(&read_endpoints(&config.data_folder));
+        let unreadable = UnreadableWords::new(clock);
+        unreadable.register(registry);
+        let endpoints = restored_endpoints(config, clock, &unreadable);
         let memory = (config.data_folder.clone(), endpoints.clone(), ended.clone());
         let documents = CutDocuments::default();
         let cutting = (documents.clone(), published.clone(), ended.clone());
@@ -137,7 +150,11 @@
         let http_state = http::state(config, &quorum, &calls, &endpoints);
         let http = HttpEdge::start(config.http_address, http_state)?;
         let heartbeats = HeartbeatSink::Here(endpoints);
-        let handle = ControlHandle { calls, heartbeats };
+        let handle = ControlHandle {
+            calls,
+            heartbeats,
+            unreadable,
+        };
         let jobs_taken = jobs.clone();
         let duties = vec![
             spawn_async_duty("control_rpc", || rpc::run(rpc_config, parts))?,
--- a/crates/masticsill_dispatch/src/endpoint.rs
+++ b/crates/masticsill_dispatch/src/endpoint.rs
@@ -97,6 +97,12 @@
         self.announcement.state == EndpointState::Ready && !self.is_replaced
     }
 
+    /// Whether its life has ended, since another one has its id or its address.
+    #[must_use]
+    pub fn is_replaced(&self) -> bool {
+        self.is_replaced
+    }
+
     /// Whether requests of this entry, or copies of their runs, are there.
     pub(crate) fn is_used(&self) -> bool {
         self.in_flight > 0 || self.held_tokens > 0
--- a/crates/masticsill_relay/src/doubt.rs
+++ b/crates/masticsill_relay/src/doubt.rs
@@ -18,9 +18,14 @@
 use crate::request::RelayRequest;
 use crate::tries::Obstacle;
 
+/// Cause of a send's end where its endpoint's life has ended.
+pub(crate) const LIFE_ENDED: &str = "another life has its id or address";
+
 /// How the wait for something of a send ended.
 pub(crate) enum Waited<T, N> {
     Done(T),
+    /// Its endpoint's life has ended: nothing more can come.
+    Ended,
     /// The connection of its successor stands.
     Replaced(N),
     /// The request's time is over.
--- a/crates/masticsill_relay/src/plain.rs
+++ b/crates/masticsill_relay/src/plain.rs
@@ -7,7 +7,7 @@
 use crate::answer::{Answer, Refusal};
 use crate::attempt::{SendFailure, Sent, exchange, fail, failure_of, open, with_patience};
 use crate::dispatching::Dispatched;
-use crate::doubt::{Waited, log_replaced, note_went_on, until_replaced};
+use crate::doubt::{LIFE_ENDED, Waited, log_replaced, note_went_on, until_replaced};
 use crate::relay::Relay;
 use crate::request::{RelayRequest, SendOptions};
 use crate::tries::{Obstacle, Tries};
@@ -150,6 +150,10 @@
             let (failure, cause) = (failure_of(&error), error.to_string());
             return SendEnd::Failed(fail(relay, request, sent, failure, &cause));
         }
+        Waited::Ended => {
+            let failure = Failure::Replaced;
+            return SendEnd::Failed(fail(relay, request, sent, failure, LIFE_ENDED));
+        }
         Waited::Replaced(next) => return SendEnd::Replaced(Box::new(next)),
         Waited::Over => {
             let failure = Failure::Silent;
@@ -180,6 +184,9 @@
     if request.left_ms(relay.now()) == 0 {
         return Waited::Over;
     }
+    if relay.has_ended(&endpoint.id) {
+        return Waited::Ended;
+    }
     let failure = Failure::Silent;
     relay.note_failure(endpoint, failure);
     let doubt = tries.begin_doubt(endpoint.id.clone());
@@ -191,7 +198,7 @@
             note_went_on(relay, request, endpoint, sent_at);
         }
         Waited::Replaced(_) => log_replaced(relay, request, endpoint, failure),
-        Waited::Over => tries.end_doubt(&doubt),
+        Waited::Ended | Waited::Over => tries.end_doubt(&doubt),
     }
     waited
 }
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -232,6 +232,12 @@
         endpoints.get(id).is_some_and(Endpoint::is_ready)
     }
 
+    /// Whether an endpoint's life is known to have ended, so that nothing more can come of it.
+    pub(crate) fn has_ended(&self, id: &EndpointId) -> bool {
+        let endpoints = self.endpoints.borrow();
+        endpoints.is_outlived(id) || endpoints.get(id).is_some_and(Endpoint::is_replaced)
+    }
+
     pub(crate) fn note_request(&self, service: &str) {
         let now = self.now();
         self.with_budget(service, |budget| budget.note_request(now));
@@ -322,6 +328,14 @@
         self.alarms.send_replace(Some(alarm));
     }
 
+    /// Ends a life of an endpoint that has begun anew under its id: it answers nothing any more.
+    ///
+    /// Its connections lead to nobody, or to its successor. What was sent on them may have run.
+    pub(crate) fn end_life(&self, id: &EndpointId) {
+        self.pool.borrow_mut().drop_endpoint(id);
+        self.alarms.send_replace(Some(Alarm::Endpoint(id.clone())));
+    }
+
     /// Notes that an endpoint refused a request for want of room.
     pub(crate) fn note_full(&self, id: &EndpointId) {
         let now = self.now();
--- a/crates/masticsill_relay/src/stream.rs
+++ b/crates/masticsill_relay/src/stream.rs
@@ -26,7 +26,7 @@
 use crate::attempt::{SendFailure, Sent, exchange, fail, failure_of, open, with_patience};
 use crate::copies::{Copy, CopyKeeper};
 use crate::dispatching::Dispatched;
-use crate::doubt::{Waited, log_replaced, note_went_on, until_replaced};
+use crate::doubt::{LIFE_ENDED, Waited, log_replaced, note_went_on, until_replaced};
 use crate::events;
 use crate::lineage::{EventOrder, Placed};
 use crate::metrics::CauseLabel;
@@ -345,6 +345,7 @@
                 return self.run_failed(sent, failure_of(&error), &error.to_string());
             }
             Waited::Replaced(next) => return RunEnd::Replaced(Box::new(next)),
+            Waited::Ended => return self.run_failed(sent, Failure::Replaced, LIFE_ENDED),
             Waited::Over => return self.run_failed(sent, failure, "no answer"),
         };
         if head.status != 200 {
@@ -402,6 +403,9 @@
         if request.left_ms(relay.now()) == 0 {
             return Waited::Over;
         }
+        if relay.has_ended(&endpoint.id) {
+            return Waited::Ended;
+        }
         relay.note_failure(endpoint, failure);
         let doubt = self.tries.begin_doubt(endpoint.id.clone());
         let next = self.open_next(Some(&endpoint.id));
@@ -412,7 +416,7 @@
                 log_replaced(relay, request, endpoint, failure);
                 return Waited::Replaced(next);
             }
-            Waited::Over => {
+            Waited::Ended | Waited::Over => {
                 self.tries.end_doubt(&doubt);
                 return Waited::Over;
             }
@@ -457,6 +461,7 @@
             let waited = self.listen(&endpoint, now, silence_ms, silence, reading);
             let (failure, cause) = match waited.await {
                 Waited::Replaced(next) => return RunEnd::Replaced(Box::new(next)),
+                Waited::Ended => (Failure::Replaced, LIFE_ENDED.to_owned()),
                 Waited::Over => (silence, "no event".to_owned()),
                 Waited::Done(Ok(Some(piece))) => {
                     self.relay.note_heard(&endpoint.id);
