--- a/crates/masticsill_relay/tests/common/mod.rs
+++ b/crates/masticsill_relay/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! A control replica that has documents and nothing else, behind a proxy.
 
+#![allow(dead_code, reason = "each test file uses a part of this module")]
+
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -89,6 +91,11 @@
         self.shared.versions.send_replace(Some(version));
     }
 
+    /// Tells of a version whose pieces can't be had yet.
+    pub(crate) fn announce(&self, version: u64) {
+        self.shared.versions.send_replace(Some(version));
+    }
+
     /// Calls for pieces so far.
     pub(crate) fn calls(&self) -> u64 {
         self.shared.calls.load(Ordering::Relaxed)
