No route or key is refused for good by a document that is known to be old

Change: an unknown route or key waits for the newer document as one without any document does, and is refused as not run if that does not come in a tenth of its time (2.5 s at most).

--- a/crates/masticsill_relay/src/admission.rs
+++ b/crates/masticsill_relay/src/admission.rs
@@ -1,5 +1,7 @@
 //! The filters that a request passes before it is sent anywhere: route, workspace, deadline.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use masticsill_catalogue::{Route, RouteIndex};
 use masticsill_dispatch::CallerPatience;
@@ -10,15 +12,19 @@
 use crate::config::HeaderNames;
 use crate::request::RelayRequest;
 
-/// Admits a whole request under one document, or says why not.
-pub(crate) fn admit(
+/// What a document says of a request.
+pub(crate) struct Entitled {
+    route: Arc<Route>,
+    /// The workspace that holds the caller's key.
+    workspace: Option<String>,
+}
+
+/// Finds a request's route, and whose it is, under one document; or says why not.
+pub(crate) fn entitle(
     index: &RouteIndex,
     names: &HeaderNames,
-    patience: &mut CallerPatience,
-    received_at: ClockMs,
-    head: RequestHead,
-    body: Bytes,
-) -> Result<RelayRequest, Refusal> {
+    head: &RequestHead,
+) -> Result<Entitled, Refusal> {
     let host = head.headers.text("host").ok_or(Refusal::Malformed)?;
     if head.headers.all("host").count() > 1 || !head.target.starts_with('/') {
         return Err(Refusal::Malformed);
@@ -26,24 +32,40 @@
     let host = host.split(':').next().unwrap_or(host);
     let path = head.target.split('?').next().unwrap_or(&head.target);
     let route = index.find(host, path).ok_or(Refusal::NoRoute)?;
-    let workspace = workspace_of(index, names, route, &head)?;
+    let workspace = workspace_of(index, names, route, head)?;
+    Ok(Entitled {
+        route: Arc::clone(route),
+        workspace,
+    })
+}
+
+/// Admits a whole request that a document allows.
+pub(crate) fn admit(
+    entitled: Entitled,
+    names: &HeaderNames,
+    patience: &mut CallerPatience,
+    received_at: ClockMs,
+    head: RequestHead,
+    body: Bytes,
+) -> RelayRequest {
+    let Entitled { route, workspace } = entitled;
     let asked_ms = head.headers.number(&names.deadline_ms);
     let had_waited_ms = asked_ms.map_or(0, |given_ms| {
         patience.note(received_at, &route.name, given_ms)
     });
     let timeout_ms = asked_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
-    Ok(RelayRequest {
+    RelayRequest {
         body,
         caller_leaves_at: received_at + asked_ms.unwrap_or(timeout_ms),
         deadline_at: received_at + timeout_ms,
         had_waited_ms,
         id: names.request_id_of(&head).to_owned(),
         received_at,
-        service: choose_service(route, rand::random()),
-        route: std::sync::Arc::clone(route),
+        service: choose_service(&route, rand::random()),
+        route,
         workspace,
         head,
-    })
+    }
 }
 
 fn workspace_of(
--- a/crates/masticsill_relay/src/answer.rs
+++ b/crates/masticsill_relay/src/answer.rs
@@ -76,7 +76,7 @@
     Malformed,
     /// The head came too slowly.
     SlowHead,
-    /// This instance knows no document.
+    /// This instance knows no document, or knows that its own is old and may be wrong here.
     NoDocument,
     /// No endpoint can take the request now, and it has not run.
     NoEndpoint,
@@ -157,7 +157,9 @@
             Self::HeadTooLong => "the head is too long; send fewer or shorter headers\n",
             Self::Malformed => "this is no HTTP/1.1 request that can be relayed; correct it\n",
             Self::SlowHead => "the request came too slowly; it has not run\n",
-            Self::NoDocument => "this instance knows no catalogue yet; the request has not run\n",
+            Self::NoDocument => {
+                "this instance waits for the newest catalogue; the request has not run\n"
+            }
             Self::NoEndpoint => "no endpoint can take the request now; it has not run\n",
             Self::NoRoute => "no route leads to this host and path\n",
             Self::Overloaded { .. } => "too much is asked for; it has not run, come back later\n",
--- a/crates/masticsill_relay/src/connection.rs
+++ b/crates/masticsill_relay/src/connection.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedWriteHalf;
 
-use crate::admission::admit;
+use crate::admission::{Entitled, admit, entitle};
 use crate::answer::Refusal;
 use crate::caller::{BodyError, Caller, LINGER, Next};
 use crate::ending::{
@@ -101,18 +101,18 @@
     let is_kept = head.is_keep_alive;
     let asked_ms = head.headers.number(&names.deadline_ms).unwrap_or_default();
     let bound_ms = (asked_ms / NEWS_SHARE).min(NEWS_BOUND_MS);
-    let Some(index) = relay.await_news(bound_ms, || relay.index()).await else {
-        return refuse_unadmitted(relay, writer, id, Refusal::NoDocument, is_kept).await;
+    let entitled = relay.await_news(bound_ms, || entitle_now(relay, &head));
+    let entitled = match entitled.await {
+        Some(Ok(entitled)) => entitled,
+        Some(Err(refusal)) => {
+            return refuse_unadmitted(relay, writer, id, refusal, is_kept).await;
+        }
+        None => return refuse_unadmitted(relay, writer, id, Refusal::NoDocument, is_kept).await,
     };
-    let admitted = {
+    let request = {
         let mut patience = relay.patience.borrow_mut();
-        admit(&index, names, &mut patience, received_at, head, body)
-    };
-    let request = match admitted {
-        Ok(request) => request,
-        Err(refusal) => return refuse_unadmitted(relay, writer, id, refusal, is_kept).await,
+        admit(entitled, names, &mut patience, received_at, head, body)
     };
-    drop(index);
     relay.note_request(&request.service);
     match request.route.kind {
         RouteKind::Idempotent | RouteKind::NonIdempotent => {
@@ -123,6 +123,17 @@
     }
 }
 
+/// What is known to be in force says of a request; `None` while that can't be told.
+///
+/// Callers don't come back after an unknown route or key, so that neither is said by a document which
+/// is known to be old: the newer one may have it.
+fn entitle_now(relay: &Relay, head: &RequestHead) -> Option<Result<Entitled, Refusal>> {
+    let index = relay.index()?;
+    let entitled = entitle(&index, &relay.config.headers, head);
+    let is_final = !matches!(entitled, Err(Refusal::NoRoute | Refusal::UnknownKey));
+    (is_final || !relay.is_behind_document()).then_some(entitled)
+}
+
 async fn answer_stream(
     relay: &Rc<Relay>,
     writer: &mut OwnedWriteHalf,
