--- a/crates/masticsill_relay/src/stream_times.rs
+++ b/crates/masticsill_relay/src/stream_times.rs
@@ -19,8 +19,9 @@
         self.longest_ms = took_ms.max(faded_ms);
     }
 
-    /// Whether a stream that begins now ends within a time, as far as can be told.
+    /// Whether a stream that begins now ends within a time, as far as can be told: with a third more
+    /// than the longest one took, since it may wait behind one prompt more.
     pub(crate) fn fits(self, left: Duration) -> bool {
-        Duration::from_millis(self.longest_ms) <= left
+        Duration::from_millis(self.longest_ms + self.longest_ms / 3) <= left
     }
 }
