--- a/crates/masticsill_bench/src/overload/engine.rs
+++ b/crates/masticsill_bench/src/overload/engine.rs
@@ -67,6 +67,12 @@
         true
     }
 
+    /// Whether a prompt is read, or waits to be.
+    pub(super) fn is_reading(&self) -> bool {
+        let is_unread = |job: &Job| job.unread_tokens > 0.0;
+        !self.queued.is_empty() || self.running.iter().any(is_unread)
+    }
+
     /// Drops a request whose caller has left.
     pub(super) fn cancel(&mut self, request: usize) {
         self.queued.retain(|job| job.request != request);
--- a/crates/masticsill_bench/src/overload/entry.rs
+++ b/crates/masticsill_bench/src/overload/entry.rs
@@ -67,10 +67,10 @@
 }
 
 fn record(engine: usize) -> EndpointRecord {
-    let host = u8::try_from(engine % 250).unwrap_or_default();
+    let [.., net, host] = u32::try_from(engine).unwrap_or_default().to_be_bytes();
     EndpointRecord {
         announcement: Announcement {
-            address: ([10, 0, 1, host], 8_000).into(),
+            address: ([10, 0, net, host], 8_000).into(),
             cold_left_ms: 0,
             id: engine_id(engine),
             keeps_prompts: false,
--- a/crates/masticsill_bench/src/overload/plan.rs
+++ b/crates/masticsill_bench/src/overload/plan.rs
@@ -34,6 +34,9 @@
     pub length_ms: u64,
     /// The overload's requests, in times of the usual ones.
     pub load: f64,
+    /// Pause between two words of the others' requests that an entry hears; zero if it hears each as it
+    /// comes.
+    pub pause_ms: u64,
     /// Who decides.
     pub policy: Policy,
     /// Seed of all that is random.
@@ -58,6 +61,7 @@
             hot_share: 0.1,
             length_ms: 34_000,
             load: 1.0,
+            pause_ms: 0,
             policy: Policy::Dispatcher,
             seed: 1,
             usual_per_s: 6.24,
--- a/crates/masticsill_bench/src/overload/play.rs
+++ b/crates/masticsill_bench/src/overload/play.rs
@@ -48,6 +48,7 @@
 
 struct World {
     arrivals: Vec<Arrival>,
+    engine_ids: Vec<EndpointId>,
     engines: Vec<Engine>,
     entries: Vec<Entry>,
     live: IndexMap<usize, Live>,
@@ -76,6 +77,7 @@
         let random = ChaCha8Rng::seed_from_u64(plan.seed);
         let mut world = Self {
             arrivals: Vec::new(),
+            engine_ids: (0..plan.engines).map(engine_id).collect(),
             engines: vec![Engine::default(); plan.engines],
             entries: Vec::new(),
             live: IndexMap::new(),
@@ -127,29 +129,41 @@
         let now = self.now;
         let due = self.words.extract_if(.., |(at, _, _)| *at <= now);
         let due: Vec<(ClockMs, usize, Vec<EndpointLoad>)> = due.collect();
-        if due.is_empty() {
-            return;
-        }
+        let has_news = !due.is_empty();
         for (_, entry, loads) in due {
             self.heard[entry] = loads;
         }
-        for listener in 0..self.entries.len() {
+        let listeners = 0..self.entries.len();
+        let listeners: Vec<usize> = listeners
+            .filter(|listener| self.hears_now(*listener, has_news))
+            .collect();
+        for listener in listeners {
+            let loads = self.loads_of_others(listener);
             for zone in ZONES {
                 let zone = ZoneId::new(zone).expect("the name holds letters only");
-                let loads = self.loads_of_others(listener);
                 self.entries[listener].table.take_loads(now, &zone, &loads);
             }
         }
     }
 
+    /// Whether an entry is told of the others' requests now; where there is a pause between two such
+    /// words, entries are not all told at the same moment.
+    fn hears_now(&self, listener: usize, has_news: bool) -> bool {
+        match self.plan.pause_ms {
+            0 => has_news,
+            pause_ms => (self.now.0 + listener as u64 * STEP_MS) % pause_ms < STEP_MS,
+        }
+    }
+
     fn loads_of_others(&self, listener: usize) -> Vec<EndpointLoad> {
-        let mut sums: IndexMap<EndpointId, EndpointLoad> = IndexMap::new();
+        let mut sums: IndexMap<&EndpointId, EndpointLoad> = IndexMap::new();
         let others = self.heard.iter().enumerate();
         for load in others
             .filter(|(entry, _)| *entry != listener)
             .flat_map(|(_, loads)| loads)
         {
-            let sum = sums.entry(load.id.clone()).or_insert(EndpointLoad {
+            let sum = sums.entry(&load.id);
+            let sum = sum.or_insert_with(|| EndpointLoad {
                 id: load.id.clone(),
                 in_flight: 0,
                 reading: 0,
@@ -367,7 +381,7 @@
     #[allow(clippy::cast_precision_loss)]
     fn send(&mut self, request: usize, id: &EndpointId) {
         let now = self.now;
-        let engine = (0..self.engines.len()).find(|engine| engine_id(*engine) == *id);
+        let engine = self.engine_ids.iter().position(|engine| engine == id);
         let engine = engine.expect("only engines are chosen");
         let live = &mut self.live[&request];
         let tokens = live.prompt_tokens + OUTPUT_TOKENS;
@@ -377,6 +391,7 @@
             tokens,
             unread_tokens: live.prompt_tokens as f64,
         };
+        self.records[request].has_met |= self.engines[engine].is_reading();
         if !self.engines[engine].offer(&self.plan.engine, job) {
             self.refuse(request, now, BLIND_RETRY_MS);
             return;
--- a/crates/masticsill_bench/src/overload/tally.rs
+++ b/crates/masticsill_bench/src/overload/tally.rs
@@ -10,6 +10,8 @@
     pub(super) is_done: bool,
     pub(super) is_hot: bool,
     pub(super) is_long: bool,
+    /// Whether its prompt came to an engine that read another one.
+    pub(super) has_met: bool,
     /// Longest time from an attempt to its refusal.
     pub(super) refusal_ms: Option<u64>,
     pub(super) refusals: u32,
@@ -28,6 +30,8 @@
     pub refused: usize,
     /// Neither answered nor refused in time.
     pub lost: usize,
+    /// Those whose prompt came to an engine that read another one.
+    pub met: usize,
     /// Part in time of the requests that came later than 2 s after the overload had gone.
     pub after_share: f64,
     /// Part in time of the longest tenth of the prompts.
@@ -73,6 +77,7 @@
             late: done - in_aim,
             refused,
             lost: records.len() - done - refused,
+            met: records.iter().filter(|it| it.has_met).count(),
             after_share: share(&|it| it.asked_at > after),
             long_share: share(&|it| it.is_long),
             hot_share: share(&|it| it.is_hot),
