Places at engines are handed out by their zone's control replica

What was told of the others' loads counts for less the older it is, and after a second says nothing of a single engine; a prompt told of 1.5 s ago has been read. Without a replica the entry chooses as before from what it knows.

--- a/crates/masticsill_bench/examples/dispatch_cost.rs
+++ b/crates/masticsill_bench/examples/dispatch_cost.rs
@@ -63,6 +63,7 @@
     let need = Need {
         excluded: Vec::new(),
         kept: Vec::new(),
+        place: None,
         service: "engines".to_owned(),
         work: Work::Stream {
             memory_tokens: Some(88_000),
--- a/crates/masticsill_bench/src/overload/entry.rs
+++ b/crates/masticsill_bench/src/overload/entry.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 use masticsill_dispatch::{CallerPatience, Dispatcher, EndpointTable, Ticket, Turns, ZoneShare};
-use masticsill_registry::{Announcement, EndpointId, EndpointRecord, EndpointState};
+use masticsill_registry::{Announcement, EndpointId, EndpointRecord, EndpointState, Watcher};
 use masticsill_types::{NodeId, ZoneId};
 
 use super::plan::OverloadPlan;
@@ -42,6 +42,16 @@
     }
 }
 
+impl Entry {
+    /// The entry as control replicas know it.
+    pub(super) fn watcher(&self) -> Watcher {
+        Watcher::Entry {
+            node: self.node.clone(),
+            zone: self.zone.clone(),
+        }
+    }
+}
+
 /// Where an entry stands among all.
 pub(super) fn turns<'a>(
     node: &'a NodeId,
--- a/crates/masticsill_bench/src/overload/play.rs
+++ b/crates/masticsill_bench/src/overload/play.rs
@@ -4,7 +4,7 @@
 use masticsill_dispatch::{
     Decision, Ended, Need, Overload, Surroundings, Terms, Wanted, Work, choose,
 };
-use masticsill_registry::{EndpointId, EndpointLoad};
+use masticsill_registry::{EndpointId, EndpointLoad, PlaceRequest, Watcher, WatcherBook};
 use masticsill_types::{ClockMs, ZoneId};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -48,6 +48,8 @@
 
 struct World {
     arrivals: Vec<Arrival>,
+    /// What the replica of each zone knows, in the order of the zones.
+    books: Vec<WatcherBook>,
     engine_ids: Vec<EndpointId>,
     engines: Vec<Engine>,
     entries: Vec<Entry>,
@@ -72,11 +74,18 @@
     Tally::of(&world.records, plan.aim_ms, plan.ends_ms)
 }
 
+/// The place of an engine's zone among the zones.
+fn zone_of(id: &EndpointId, engines: &[EndpointId]) -> Option<usize> {
+    let engine = engines.binary_search(id).ok()?;
+    Some(engine % ZONES.len())
+}
+
 impl World {
     fn new(plan: &OverloadPlan) -> Self {
         let random = ChaCha8Rng::seed_from_u64(plan.seed);
         let mut world = Self {
             arrivals: Vec::new(),
+            books: vec![WatcherBook::default(); ZONES.len()],
             engine_ids: (0..plan.engines).map(engine_id).collect(),
             engines: vec![Engine::default(); plan.engines],
             entries: Vec::new(),
@@ -131,6 +140,15 @@
         let due: Vec<(ClockMs, usize, Vec<EndpointLoad>)> = due.collect();
         let has_news = !due.is_empty();
         for (_, entry, loads) in due {
+            let watcher = self.entries[entry].watcher();
+            for (zone, book) in self.books.iter_mut().enumerate() {
+                let loads: Vec<EndpointLoad> = loads
+                    .iter()
+                    .filter(|load| zone_of(&load.id, &self.engine_ids) == Some(zone))
+                    .cloned()
+                    .collect();
+                book.note(now, &watcher, 0, &loads);
+            }
             self.heard[entry] = loads;
         }
         let listeners = 0..self.entries.len();
@@ -163,12 +181,7 @@
             .flat_map(|(_, loads)| loads)
         {
             let sum = sums.entry(&load.id);
-            let sum = sum.or_insert_with(|| EndpointLoad {
-                id: load.id.clone(),
-                in_flight: 0,
-                reading: 0,
-                held_tokens: 0,
-            });
+            let sum = sum.or_insert_with(|| EndpointLoad::none(load.id.clone()));
             sum.in_flight += load.in_flight;
             sum.reading += load.reading;
             sum.held_tokens += load.held_tokens;
@@ -179,7 +192,7 @@
     fn tell(&mut self, entry: usize) {
         let table = &self.entries[entry].table;
         let zones = ZONES.map(|zone| ZoneId::new(zone).expect("the name holds letters only"));
-        let loads = zones.iter().flat_map(|zone| table.loads_in(zone));
+        let loads = zones.iter().flat_map(|zone| table.loads_in(self.now, zone));
         let loads = loads.collect();
         self.words
             .push((self.now + self.plan.word_ms, entry, loads));
@@ -256,10 +269,33 @@
         }
     }
 
-    fn need_of(&self, live: &Live) -> Need {
+    /// Asks the own zone's replica for a place, and then another one's. The question takes less than a
+    /// step of the clock.
+    fn take_place(&mut self, entry: usize) -> Option<EndpointId> {
+        let now = self.now;
+        let near = entry % ZONES.len();
+        let far = (near + self.random.random_range(1..ZONES.len())) % ZONES.len();
+        let request = PlaceRequest {
+            avoided: Vec::new(),
+            service: SERVICE.to_owned(),
+            watcher: self.entries[entry].watcher(),
+        };
+        for zone in [near, far] {
+            let engines = self.engine_ids.iter().skip(zone).step_by(ZONES.len());
+            let place = self.books[zone].hand_out_place(now, &request, engines);
+            if let Some(load) = place {
+                self.entries[entry].table.take_place(now, &load);
+                return Some(load.id);
+            }
+        }
+        None
+    }
+
+    fn need_of(&self, live: &Live, place: Option<EndpointId>) -> Need {
         Need {
             excluded: Vec::new(),
             kept: Vec::new(),
+            place,
             service: SERVICE.to_owned(),
             work: Work::Stream {
                 memory_tokens: Some(self.plan.engine.memory_tokens),
@@ -285,7 +321,8 @@
             is_resume: false,
             workspace: Some(live.workspace.clone()),
         };
-        let need = self.need_of(&live);
+        let place = self.take_place(live.entry);
+        let need = self.need_of(&live, place);
         let entries = self.entries.len();
         let random = &mut self.random;
         let entry = &mut self.entries[live.entry];
@@ -368,6 +405,7 @@
             excluded: &[],
             kept: &[],
             not_in_zone: None,
+            place: None,
             service: SERVICE,
             share: entry.share,
             zone: &entry.zone,
@@ -400,7 +438,7 @@
         live.has_first = false;
         let mut is_alone = true;
         if let Some(endpoint) = self.entries[entry].table.get_mut(id) {
-            is_alone = endpoint.reading_total() == 0;
+            is_alone = endpoint.reading_total(now) == 0;
             endpoint.begin_reading();
             endpoint.in_flight += 1;
             endpoint.held_tokens += tokens;
--- a/crates/masticsill_control/src/endpoints/hub.rs
+++ b/crates/masticsill_control/src/endpoints/hub.rs
@@ -5,8 +5,8 @@
 
 use masticsill_registry::{
     Announcement, EndpointId, EndpointLoad, EndpointRecord, EndpointState, Heard, KeptNews,
-    KeptPrompts, KeptTokens, LoadsChange, PromptPart, Registry, RegistryPeriods, Watcher,
-    WatcherBook,
+    KeptPrompts, KeptTokens, LoadsChange, PlaceRequest, PromptPart, Registry, RegistryPeriods,
+    Watcher, WatcherBook,
 };
 use masticsill_types::{MonotonicClock, NodeId, ZoneId, log_event};
 use masticsill_wire::control::{WatchReply, WatchRequest};
@@ -271,10 +271,25 @@
 
     /// Takes a watcher's requests at the endpoints of this zone.
     pub(crate) fn take_loads(&self, watcher: &Watcher, loads: &[EndpointLoad]) {
-        let change = self.watchers().take_loads(watcher, loads);
+        let now = self.shared.clock.now();
+        let change = self.watchers().take_loads(now, watcher, loads);
         self.tell_of_loads(change);
     }
 
+    /// Hands out a place at an engine of this zone; tells what the other watchers have there.
+    pub(crate) fn take_place(&self, request: &PlaceRequest) -> Option<EndpointLoad> {
+        let now = self.shared.clock.now();
+        let registry = self.registry();
+        let takes_more = |it: &&EndpointRecord| {
+            let said = &it.announcement;
+            let is_ready = said.state == EndpointState::Ready && !it.is_silent;
+            is_ready && said.service == request.service && said.zone == self.shared.zone
+        };
+        let engines = registry.records().filter(takes_more);
+        let engines = engines.map(|it| &it.announcement.id);
+        self.watchers().hand_out_place(now, request, engines)
+    }
+
     fn tell_of_loads(&self, change: LoadsChange) {
         match change {
             LoadsChange::Changed => self.shared.loads.send_modify(|changes| *changes += 1),
--- a/crates/masticsill_control/src/forwarder/service.rs
+++ b/crates/masticsill_control/src/forwarder/service.rs
@@ -9,7 +9,7 @@
 use masticsill_control_client::{AddressBook, ControlClient};
 use masticsill_quorum::Reservations;
 use masticsill_registry::{
-    Announcement, EndpointId, EndpointLoad, KeptTokens, PromptPart, Watcher,
+    Announcement, EndpointId, EndpointLoad, KeptTokens, PlaceRequest, PromptPart, Watcher,
 };
 use masticsill_types::{CatalogueVersion, MonotonicClock, NodeId, ZoneId};
 use masticsill_wire::control::{
@@ -151,6 +151,10 @@
         Vec::new()
     }
 
+    async fn take_place(self, _: Context, _: PlaceRequest) -> Option<EndpointLoad> {
+        None
+    }
+
     async fn document_pieces(self, _: Context, _: u64) -> Option<PieceList> {
         None
     }
--- a/crates/masticsill_control/src/rpc/service.rs
+++ b/crates/masticsill_control/src/rpc/service.rs
@@ -10,7 +10,7 @@
 use masticsill_control_client::{AddressBook, ControlClient};
 use masticsill_quorum::{Reservations, VoterId, decode_message};
 use masticsill_registry::{
-    Announcement, EndpointId, EndpointLoad, KeptTokens, PromptPart, Watcher,
+    Announcement, EndpointId, EndpointLoad, KeptTokens, PlaceRequest, PromptPart, Watcher,
 };
 use masticsill_types::{MonotonicClock, NodeId, log_event};
 use masticsill_wire::control::{
@@ -288,6 +288,10 @@
         self.endpoints.find_kept(&prompt)
     }
 
+    async fn take_place(self, _: Context, request: PlaceRequest) -> Option<EndpointLoad> {
+        self.endpoints.take_place(&request)
+    }
+
     async fn document_pieces(self, _: Context, version: u64) -> Option<PieceList> {
         self.documents.list(version).await
     }
--- a/crates/masticsill_control_client/src/client.rs
+++ b/crates/masticsill_control_client/src/client.rs
@@ -9,7 +9,7 @@
     Settle,
 };
 use masticsill_registry::{
-    Announcement, EndpointId, EndpointLoad, KeptTokens, PromptPart, Watcher,
+    Announcement, EndpointId, EndpointLoad, KeptTokens, PlaceRequest, PromptPart, Watcher,
 };
 use masticsill_types::NodeId;
 use masticsill_wire::control::{
@@ -234,6 +234,19 @@
         self.call_once(address, send).await
     }
 
+    /// Asks the replica at an address for a place at an engine of its zone; `None` when it does not
+    /// answer or has none.
+    pub async fn take_place(
+        &self,
+        address: SocketAddr,
+        request: &PlaceRequest,
+    ) -> Option<EndpointLoad> {
+        let send = async |client: ControlServiceClient, context| {
+            client.take_place(context, request.clone()).await
+        };
+        self.call_once(address, send).await.flatten()
+    }
+
     /// Asks the replica at an address what its document consists of, which is `version` or newer;
     /// `None` when it does not answer within `timeout_ms` or has no such document.
     pub async fn document_pieces(
--- a/crates/masticsill_dispatch/src/dispatcher.rs
+++ b/crates/masticsill_dispatch/src/dispatcher.rs
@@ -118,7 +118,11 @@
         let ticket = Ticket(self.last_ticket);
         lane.push(Waiting {
             is_committed: rank == Rank::Resume,
-            need: need.clone(),
+            // A place is kept for a moment only.
+            need: Need {
+                place: None,
+                ..need.clone()
+            },
             rank,
             since: now,
             terms: terms.clone(),
@@ -223,7 +227,7 @@
     let asked = wanted(need, around);
     let suspect = suspect_zones(table, &need.service, now);
     let is_sound = |it: &Endpoint| {
-        !it.is_silent() && !it.health.is_held(now) && !suspect.contains(&&it.announcement.zone)
+        !it.is_silent() && !it.is_held(now) && !suspect.contains(&&it.announcement.zone)
     };
     let is_any_sound = table
         .iter()
@@ -241,6 +245,7 @@
         excluded: &need.excluded,
         kept: &need.kept,
         not_in_zone: None,
+        place: need.place.as_ref(),
         service: &need.service,
         share: around.turns.share,
         zone: around.turns.zone,
--- a/crates/masticsill_dispatch/src/endpoint.rs
+++ b/crates/masticsill_dispatch/src/endpoint.rs
@@ -8,6 +8,11 @@
 use crate::reading::ReadingPace;
 use crate::room::FULL_MS;
 
+/// Time after which a prompt has been read, and what was told of it means nothing any more.
+const READ_MS: u64 = 1_500;
+/// How long another entry's word counts that an endpoint has failed it: endpoints come back.
+const TOLD_FAILING_MS: u64 = 1_000;
+
 /// Requests of the other entries at an endpoint.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct OtherLoad {
@@ -17,6 +22,8 @@
     pub reading: u32,
     /// Tokens that they hold in its memory, copies included.
     pub held_tokens: u64,
+    /// Whether it has just failed one of them.
+    pub is_failing: bool,
 }
 
 impl From<&EndpointLoad> for OtherLoad {
@@ -25,6 +32,7 @@
             in_flight: load.in_flight,
             reading: load.reading,
             held_tokens: load.held_tokens,
+            is_failing: load.is_failing,
         }
     }
 }
@@ -54,6 +62,8 @@
     pub reading_pace: ReadingPace,
     /// Requests of the other entries, as a control replica told last.
     pub others: OtherLoad,
+    /// When it told them.
+    others_told_at: Option<ClockMs>,
     /// Whether an answer said that the address belongs to another incarnation.
     pub(crate) is_replaced: bool,
     /// Order in which incarnations became known; a later one of an address goes first.
@@ -76,6 +86,7 @@
             is_replaced: false,
             order,
             others: OtherLoad::default(),
+            others_told_at: None,
             reading: 0,
             reading_pace: ReadingPace::default(),
             room_since: ClockMs(0),
@@ -108,10 +119,28 @@
         self.in_flight > 0 || self.held_tokens > 0
     }
 
-    /// Prompts of all entries that it reads, as far as is known.
+    /// Prompts of all entries that it reads, as far as is known. A prompt of which an entry told
+    /// long ago has been read since, though nobody could say so.
+    #[must_use]
+    pub fn reading_total(&self, now: ClockMs) -> u32 {
+        if self.others_age_ms(now) < READ_MS {
+            self.reading + self.others.reading
+        } else {
+            self.reading
+        }
+    }
+
+    /// Age of what is known of the other entries' requests; none where nobody has told of any.
+    #[must_use]
+    pub fn others_age_ms(&self, now: ClockMs) -> u64 {
+        self.others_told_at.map_or(0, |at| now.since(at))
+    }
+
+    /// Whether its last exchange failed here or elsewhere just now, so that it is left alone.
     #[must_use]
-    pub fn reading_total(&self) -> u32 {
-        self.reading + self.others.reading
+    pub fn is_held(&self, now: ClockMs) -> bool {
+        let is_told = self.others.is_failing && self.others_age_ms(now) < TOLD_FAILING_MS;
+        is_told || self.health.is_held(now)
     }
 
     /// Notes that it reads a prompt of this entry.
@@ -139,6 +168,7 @@
         let is_more =
             others.reading > self.others.reading || others.held_tokens > self.others.held_tokens;
         self.others = others;
+        self.others_told_at = Some(now);
         if is_less || is_more {
             self.is_left_here = false;
         }
--- a/crates/masticsill_dispatch/src/endpoints.rs
+++ b/crates/masticsill_dispatch/src/endpoints.rs
@@ -139,18 +139,20 @@
         }
     }
 
-    /// This entry's requests at the endpoints of a zone.
+    /// This entry's requests at the endpoints of a zone, and which of those have just failed it.
     #[must_use]
-    pub fn loads_in(&self, zone: &ZoneId) -> Vec<EndpointLoad> {
+    pub fn loads_in(&self, now: ClockMs, zone: &ZoneId) -> Vec<EndpointLoad> {
         let busy = self
             .endpoints
             .iter()
-            .filter(|(_, endpoint)| endpoint.is_used() && endpoint.announcement.zone == *zone);
+            .filter(|(_, endpoint)| endpoint.announcement.zone == *zone)
+            .filter(|(_, endpoint)| endpoint.is_used() || endpoint.health.is_held(now));
         let loads = busy.map(|(id, endpoint)| EndpointLoad {
             id: id.clone(),
             in_flight: endpoint.in_flight,
             reading: endpoint.reading,
             held_tokens: endpoint.held_tokens,
+            is_failing: endpoint.health.is_held(now),
         });
         loads.collect()
     }
@@ -176,6 +178,13 @@
         }
     }
 
+    /// Takes what the other entries have at the endpoint of a place that was handed out here.
+    pub fn take_place(&mut self, now: ClockMs, load: &EndpointLoad) {
+        if let Some(endpoint) = self.endpoints.get_mut(&load.id) {
+            endpoint.take_others(now, OtherLoad::from(load));
+        }
+    }
+
     /// An incarnation.
     #[must_use]
     pub fn get(&self, id: &EndpointId) -> Option<&Endpoint> {
@@ -198,11 +207,11 @@
     }
 
     /// Prompts that the endpoints of a service read.
-    pub(crate) fn reading(&self, service: &str) -> Reading {
+    pub(crate) fn reading(&self, now: ClockMs, service: &str) -> Reading {
         let mut reading = Reading::default();
         for endpoint in self.of_service(service) {
             reading.own += endpoint.reading;
-            reading.all += endpoint.reading_total();
+            reading.all += endpoint.reading_total(now);
         }
         reading
     }
--- a/crates/masticsill_dispatch/src/estimate.rs
+++ b/crates/masticsill_dispatch/src/estimate.rs
@@ -61,7 +61,7 @@
     let work_ms = usual_work_ms(lane, table, need).max(1.0);
     let (own, all) = match need.work {
         Work::Stream { .. } => {
-            let reading = table.reading(&need.service);
+            let reading = table.reading(now, &need.service);
             (reading.own, reading.all)
         }
         // Of others' lookups nothing is known.
--- a/crates/masticsill_dispatch/src/lane.rs
+++ b/crates/masticsill_dispatch/src/lane.rs
@@ -52,6 +52,8 @@
     pub excluded: Vec<EndpointId>,
     /// Engines that keep the beginning of its prompt.
     pub kept: Vec<KeptTokens>,
+    /// The engine at which a control replica has just handed out a place to it.
+    pub place: Option<EndpointId>,
     /// The service.
     pub service: String,
     /// What it makes the endpoint do.
--- a/crates/masticsill_dispatch/src/placement.rs
+++ b/crates/masticsill_dispatch/src/placement.rs
@@ -33,6 +33,13 @@
 const SUSPECT_MS: u64 = 700;
 /// How many times slower than usual an endpoint may count, so that no measure outweighs a failure.
 const MAX_SLOWNESS: f64 = 5.0;
+/// What an endpoint costs less at which a place was handed out to the request: nobody else begins
+/// there now, as may be at those that only look idle.
+const PLACE_GAIN: f64 = 3.0;
+/// Age at which what was told of the other entries' requests says nothing any more of a single
+/// endpoint: by then an engine has read a prompt. Each is taken to do as much as the usual one, so that
+/// entries which hear nothing new don't all go on to the ones that were idle once.
+const FORGOTTEN_MS: u64 = 1_000;
 /// Longest of the random differences that keep entries from choosing alike.
 const JITTER: f64 = 0.5;
 
@@ -47,6 +54,8 @@
     pub kept: &'a [KeptTokens],
     /// The zone to avoid, for a copy that is to survive the zone.
     pub not_in_zone: Option<&'a ZoneId>,
+    /// The endpoint at which a place was handed out to the request.
+    pub place: Option<&'a EndpointId>,
     /// The service.
     pub service: &'a str,
     /// This entry's part of its zone's endpoints.
@@ -99,6 +108,8 @@
     pub id: EndpointId,
     /// Requests that it works on, as far as is known.
     pub in_flight: u32,
+    /// Whether a place there was handed out to the request.
+    pub is_handed_out: bool,
     /// Tokens of the prompt that it keeps.
     pub kept_tokens: u64,
     /// Those requests whose prompt it still reads.
@@ -121,14 +132,18 @@
     let suspect_zones = suspect_zones(table, wanted.service, now);
     let usual_ms = usual_pace_ms(&candidates);
     let others = others_endpoints(&candidates, wanted);
+    let usual_load = usual_others_load(&candidates);
     let costs = candidates.iter().map(|endpoint| {
-        let mut cost = cost(endpoint, now, wanted.zone, usual_ms) + jitter() * JITTER;
+        let mut cost = cost(endpoint, now, wanted.zone, usual_ms, usual_load) + jitter() * JITTER;
         if suspect_zones.contains(&&endpoint.announcement.zone) {
             cost += SUSPECT_ZONE_COST;
         }
         if others.contains(&&endpoint.announcement.id) {
             cost += OTHER_ENTRY_COST;
         }
+        if wanted.place == Some(&endpoint.announcement.id) {
+            cost -= PLACE_GAIN;
+        }
         cost -= kept_tokens(endpoint, wanted).min(MAX_KEPT_TOKENS) as f64 * KEPT_GAIN;
         (cost, endpoint)
     });
@@ -138,6 +153,7 @@
         cost,
         id: best.announcement.id.clone(),
         in_flight: best.in_flight + best.others.in_flight,
+        is_handed_out: wanted.place == Some(&best.announcement.id),
         kept_tokens: kept_tokens(best, wanted),
         reading: best.reading + best.others.reading,
     })
@@ -163,10 +179,43 @@
     others.map(|(_, id)| id).collect()
 }
 
-fn cost(endpoint: &Endpoint, now: ClockMs, zone: &ZoneId, usual_ms: Option<f64>) -> f64 {
-    let in_flight = endpoint.in_flight + endpoint.others.in_flight;
-    let reading = endpoint.reading + endpoint.others.reading;
-    let load = f64::from(in_flight) + f64::from(reading) * READING_COST;
+/// What requests cost a further one beside them.
+fn load_cost(in_flight: u32, reading: u32) -> f64 {
+    f64::from(in_flight) + f64::from(reading) * READING_COST
+}
+
+fn others_load(endpoint: &Endpoint) -> f64 {
+    load_cost(endpoint.others.in_flight, endpoint.others.reading)
+}
+
+/// What the other entries' requests are at the mean endpoint.
+// Counts are far below the precision of the type.
+#[allow(clippy::cast_precision_loss)]
+fn usual_others_load(candidates: &[&Endpoint]) -> f64 {
+    let sum: f64 = candidates.iter().map(|it| others_load(it)).sum();
+    sum / candidates.len().max(1) as f64
+}
+
+/// What the other entries' requests at an endpoint are believed to be: the older the news, the closer
+/// to the usual.
+// Times are far below the precision of the type.
+#[allow(clippy::cast_precision_loss)]
+fn believed_load(endpoint: &Endpoint, now: ClockMs, usual: f64) -> f64 {
+    let age_ms = endpoint.others_age_ms(now).min(FORGOTTEN_MS);
+    let forgotten = age_ms as f64 / FORGOTTEN_MS as f64;
+    let told = others_load(endpoint);
+    told + (usual - told) * forgotten
+}
+
+fn cost(
+    endpoint: &Endpoint,
+    now: ClockMs,
+    zone: &ZoneId,
+    usual_ms: Option<f64>,
+    usual_load: f64,
+) -> f64 {
+    let own = load_cost(endpoint.in_flight, endpoint.reading);
+    let load = own + believed_load(endpoint, now, usual_load);
     let slowness = match (endpoint.health.pace_ms(), usual_ms) {
         (Some(pace_ms), Some(usual_ms)) if usual_ms > 0.0 => {
             (pace_ms / usual_ms).clamp(1.0, MAX_SLOWNESS)
@@ -177,7 +226,7 @@
     if endpoint.announcement.zone != *zone {
         cost += OTHER_ZONE_COST;
     }
-    if endpoint.health.is_held(now) {
+    if endpoint.is_held(now) {
         cost += HELD_COST;
     }
     if endpoint.is_silent() {
@@ -189,11 +238,7 @@
 /// Zones in which several endpoints of a service failed just now.
 ///
 /// Those that the request went to already count as well: it is they that failed.
-pub(crate) fn suspect_zones<'a>(
-    table: &'a EndpointTable,
-    service: &str,
-    now: ClockMs,
-) -> Vec<&'a ZoneId> {
+pub fn suspect_zones<'a>(table: &'a EndpointTable, service: &str, now: ClockMs) -> Vec<&'a ZoneId> {
     let is_failing = |it: &&Endpoint| {
         it.announcement.service == service && it.health.has_failed_within(now, SUSPECT_MS)
     };
--- a/crates/masticsill_dispatch/src/room.rs
+++ b/crates/masticsill_dispatch/src/room.rs
@@ -120,8 +120,10 @@
             let kept_tokens = need.kept_at(&endpoint.announcement.id);
             let least = prompt_tokens.saturating_mul(KEPT_PERCENT);
             let is_kept = kept_tokens.saturating_mul(100) >= least && kept_tokens > 0;
-            let is_idle = endpoint.reading_total() < MAX_READING;
-            let is_own_turn = || endpoint.room_known_ms(now) >= turns.wait_ms(endpoint, waited);
+            let is_idle = endpoint.reading_total(now) < MAX_READING;
+            let is_handed_out = need.place.as_ref() == Some(&endpoint.announcement.id);
+            let is_own_turn =
+                || is_handed_out || endpoint.room_known_ms(now) >= turns.wait_ms(endpoint, waited);
             (is_kept || is_idle && is_own_turn())
                 && fits(endpoint, *memory_tokens, *tokens, MEMORY_PERCENT)
         }
--- a/crates/masticsill_dispatch/tests/endpoint_lives.rs
+++ b/crates/masticsill_dispatch/tests/endpoint_lives.rs
@@ -61,6 +61,7 @@
         excluded: &[],
         kept,
         not_in_zone: None,
+        place: None,
         service: "s",
         share: ZoneShare::default(),
         zone: &zone(),
@@ -168,6 +169,7 @@
         in_flight: 5,
         reading: 1,
         held_tokens: 7_000,
+        is_failing: false,
     };
     table.take_loads(NOW, &zone(), &[load(1)]);
     assert_eq!(table.get(&born("e", 2)).unwrap().others.in_flight, 0);
--- a/crates/masticsill_dispatch/tests/overload_decisions.rs
+++ b/crates/masticsill_dispatch/tests/overload_decisions.rs
@@ -49,6 +49,7 @@
     Need {
         excluded: Vec::new(),
         kept: Vec::new(),
+        place: None,
         service: SERVICE.to_owned(),
         work: Work::Stream {
             memory_tokens: Some(88_000),
@@ -178,6 +179,7 @@
         in_flight: 4,
         reading: 0,
         held_tokens: 36_000,
+        is_failing: false,
     };
     entry.table.take_loads(NOW, &zone(), &[load]);
     assert_matches!(entry.ask(NOW, &need(), &terms("w")), Decision::Wait(_));
--- a/crates/masticsill_dispatch/tests/placement_choice.rs
+++ b/crates/masticsill_dispatch/tests/placement_choice.rs
@@ -53,6 +53,7 @@
         excluded: &excluded,
         kept: &[],
         not_in_zone: None,
+        place: None,
         service: "s",
         share,
         zone: &zone("a"),
@@ -89,6 +90,7 @@
         in_flight: 2,
         reading: 0,
         held_tokens: 0,
+        is_failing: false,
     };
     table.take_loads(NOW, &zone("a"), &[load]);
     assert_eq!(chosen(&table).as_deref(), Some("a2"));
@@ -103,6 +105,7 @@
         excluded: &[],
         kept,
         not_in_zone: None,
+        place: None,
         service: "s",
         share: ZoneShare::default(),
         zone: &zone("a"),
--- a/crates/masticsill_registry/src/watchers.rs
+++ b/crates/masticsill_registry/src/watchers.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::EndpointId;
+use crate::places::{PlaceBook, PlaceRequest};
 
 /// A watcher that asked for nothing in this time has gone: twice the usual wait, and an answer.
 const GONE_MS: u64 = 2_500;
@@ -34,6 +35,29 @@
     pub reading: u32,
     /// Tokens that they hold in its memory, copies at other engines included.
     pub held_tokens: u64,
+    /// Whether it has just failed the watcher, so that it is left alone.
+    pub is_failing: bool,
+}
+
+impl EndpointLoad {
+    /// No request at an endpoint.
+    #[must_use]
+    pub fn none(id: EndpointId) -> Self {
+        Self {
+            held_tokens: 0,
+            id,
+            in_flight: 0,
+            is_failing: false,
+            reading: 0,
+        }
+    }
+
+    fn add(&mut self, other: &Self) {
+        self.held_tokens = self.held_tokens.saturating_add(other.held_tokens);
+        self.in_flight = self.in_flight.saturating_add(other.in_flight);
+        self.is_failing |= other.is_failing;
+        self.reading = self.reading.saturating_add(other.reading);
+    }
 }
 
 /// What a watcher has acknowledged and told.
@@ -51,6 +75,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct WatcherBook {
     loads_revision: u64,
+    places: PlaceBook,
     watchers: IndexMap<Watcher, Seen>,
 }
 
@@ -73,18 +98,24 @@
         });
         seen.asked_at = now;
         seen.revision = revision;
-        self.take_loads(watcher, loads)
+        self.take_loads(now, watcher, loads)
     }
 
     /// Takes what a watcher has at the endpoints now. One that has not asked yet is passed over:
     /// its first question brings its loads along.
-    pub fn take_loads(&mut self, watcher: &Watcher, loads: &[EndpointLoad]) -> LoadsChange {
+    pub fn take_loads(
+        &mut self,
+        now: ClockMs,
+        watcher: &Watcher,
+        loads: &[EndpointLoad],
+    ) -> LoadsChange {
         let Some(seen) = self.watchers.get_mut(watcher) else {
             return LoadsChange::None;
         };
         if seen.loads == loads {
             return LoadsChange::None;
         }
+        self.places.note_loads(now, watcher, &seen.loads, loads);
         self.loads_revision += 1;
         seen.loads = loads.to_vec();
         seen.loads_revision = self.loads_revision;
@@ -109,23 +140,41 @@
     /// Requests that the other watchers told of, by endpoint.
     #[must_use]
     pub fn loads_of_others(&self, now: ClockMs, watcher: &Watcher) -> Vec<EndpointLoad> {
-        let is_other = |(other, seen): &(&Watcher, &Seen)| {
-            *other != watcher && now.since(seen.asked_at) < GONE_MS
+        let sums = self.sum_loads(now, |other| other != watcher);
+        sums.into_values().collect()
+    }
+
+    /// Hands out a place at one of a service's engines, and tells what the other watchers have
+    /// there.
+    pub fn hand_out_place<'a>(
+        &mut self,
+        now: ClockMs,
+        request: &PlaceRequest,
+        engines: impl Iterator<Item = &'a EndpointId>,
+    ) -> Option<EndpointLoad> {
+        let loads = self.sum_loads(now, |_| true);
+        let place = self.places.hand_out(now, request, engines, &loads)?;
+        let mut others = self.sum_loads(now, |other| *other != request.watcher);
+        let load = others.swap_remove(&place);
+        Some(load.unwrap_or_else(|| EndpointLoad::none(place)))
+    }
+
+    fn sum_loads(
+        &self,
+        now: ClockMs,
+        is_counted: impl Fn(&Watcher) -> bool,
+    ) -> IndexMap<EndpointId, EndpointLoad> {
+        let is_counted = |(watcher, seen): &(&Watcher, &Seen)| {
+            is_counted(watcher) && now.since(seen.asked_at) < GONE_MS
         };
-        let others = self.watchers.iter().filter(is_other);
+        let counted = self.watchers.iter().filter(is_counted);
         let mut sums: IndexMap<EndpointId, EndpointLoad> = IndexMap::new();
-        for load in others.flat_map(|(_, seen)| &seen.loads) {
-            let sum = sums.entry(load.id.clone()).or_insert_with(|| EndpointLoad {
-                id: load.id.clone(),
-                in_flight: 0,
-                reading: 0,
-                held_tokens: 0,
-            });
-            sum.in_flight = sum.in_flight.saturating_add(load.in_flight);
-            sum.reading = sum.reading.saturating_add(load.reading);
-            sum.held_tokens = sum.held_tokens.saturating_add(load.held_tokens);
+        for load in counted.flat_map(|(_, seen)| &seen.loads) {
+            let sum = sums.entry(load.id.clone());
+            sum.or_insert_with(|| EndpointLoad::none(load.id.clone()))
+                .add(load);
         }
-        sums.into_values().collect()
+        sums
     }
 
     /// The number of entries that watch, and the names of those in the watcher's zone, in order.
--- a/crates/masticsill_registry/tests/watcher_loads.rs
+++ b/crates/masticsill_registry/tests/watcher_loads.rs
@@ -18,6 +18,7 @@
         in_flight,
         reading,
         held_tokens: 0,
+        is_failing: false,
     }
 }
 
@@ -33,7 +34,7 @@
     let mut book = book();
     let before = book.loads_revision();
     assert_eq!(
-        book.take_loads(&entry("one"), &[load(1, 1)]),
+        book.take_loads(NOW, &entry("one"), &[load(1, 1)]),
         LoadsChange::Changed
     );
     assert!(book.have_others_changed(&entry("two"), before));
@@ -46,8 +47,8 @@
 #[test]
 fn the_same_loads_again_are_no_news() {
     let mut book = book();
-    book.take_loads(&entry("one"), &[load(1, 1)]);
-    let again = book.take_loads(&entry("one"), &[load(1, 1)]);
+    book.take_loads(NOW, &entry("one"), &[load(1, 1)]);
+    let again = book.take_loads(NOW, &entry("one"), &[load(1, 1)]);
     assert_eq!(again, LoadsChange::None);
     let asked = book.note(NOW, &entry("one"), 2, &[load(1, 1)]);
     assert_eq!(asked, LoadsChange::None);
@@ -57,21 +58,21 @@
 fn loads_of_several_watchers_are_added_up() {
     let mut book = book();
     book.note(NOW, &entry("three"), 1, &[load(2, 0)]);
-    book.take_loads(&entry("one"), &[load(3, 1)]);
+    book.take_loads(NOW, &entry("one"), &[load(3, 1)]);
     assert_eq!(book.loads_of_others(NOW, &entry("two")), [load(5, 1)]);
 }
 
 #[test]
 fn a_watcher_that_is_gone_has_no_loads() {
     let mut book = book();
-    book.take_loads(&entry("one"), &[load(1, 0)]);
+    book.take_loads(NOW, &entry("one"), &[load(1, 0)]);
     let later = NOW + 10_000;
     book.note(later, &entry("two"), 1, &[]);
     assert!(book.loads_of_others(later, &entry("two")).is_empty());
     assert_eq!(book.entries(&entry("two")).0, 1);
     // It asks again, and brings them along.
     assert_eq!(
-        book.take_loads(&entry("one"), &[load(1, 0)]),
+        book.take_loads(NOW, &entry("one"), &[load(1, 0)]),
         LoadsChange::None
     );
     let back = book.note(later, &entry("one"), 1, &[load(1, 0)]);
--- a/crates/masticsill_relay/src/choosing.rs
+++ b/crates/masticsill_relay/src/choosing.rs
@@ -4,14 +4,16 @@
 
 use masticsill_catalogue::RouteKind;
 use masticsill_dispatch::{
-    Choice, EndpointTable, Need, Terms, Wanted, Work, choose, has_memory_for_copy,
+    Choice, Endpoint, EndpointTable, Need, Terms, Wanted, Work, choose, has_memory_for_copy,
+    suspect_zones,
 };
 use masticsill_registry::{Announcement, EndpointId};
-use masticsill_types::log_event;
+use masticsill_types::{ZoneId, log_event};
 use tokio::time::Instant;
 
 use crate::dispatching::{Dispatched, dispatch};
 use crate::events;
+use crate::places::take_place;
 use crate::prompts::find_kept;
 use crate::relay::{NEWS_BOUND_MS, NEWS_SHARE, Relay};
 use crate::request::RelayRequest;
@@ -42,6 +44,7 @@
             excluded: &[excluded, std::slice::from_ref(&running.id)].concat(),
             kept: &[],
             not_in_zone: Some(&running.zone),
+            place: None,
             service: &request.service,
             share: self.share.get(),
             zone: &self.config.zone,
@@ -91,8 +94,14 @@
 
     /// What a request needs of an endpoint.
     async fn need_of(self: &Rc<Self>, request: &RelayRequest, tries: &Tries) -> Need {
-        let kept = find_kept(self, request).await;
         let names = &self.config.headers;
+        let (kept, place) = match request.route.kind {
+            RouteKind::Stream => {
+                let asked = (find_kept(self, request), take_place(self, request, tries));
+                tokio::join!(asked.0, asked.1)
+            }
+            RouteKind::Idempotent | RouteKind::NonIdempotent => (Vec::new(), None),
+        };
         let work = match request.route.kind {
             RouteKind::Stream => {
                 let index = self.index();
@@ -108,6 +117,7 @@
         Need {
             excluded: tries.excluded.clone(),
             kept,
+            place,
             service: request.service.clone(),
             work,
         }
@@ -134,6 +144,7 @@
             candidates = choice.candidates,
             cost = format_args!("{:.2}", choice.cost),
             in_flight = choice.in_flight,
+            is_handed_out = choice.is_handed_out,
             kept_tokens = choice.kept_tokens,
             reading = choice.reading,
             loads_age_ms = loads_age_ms.map_or(-1, u64::cast_signed),
@@ -165,13 +176,34 @@
             .collect()
     }
 
+    /// Endpoints that a request would not be sent to, whoever has room for it.
+    pub(crate) fn avoided(&self, service: &str, tries: &Tries) -> Vec<EndpointId> {
+        let now = self.now();
+        let endpoints = self.endpoints.borrow();
+        let mut avoided = self.full_endpoints(&endpoints, service);
+        avoided.extend(tries.excluded.iter().cloned());
+        let is_avoided = |it: &&Endpoint| {
+            it.announcement.service == service
+                && (!it.is_ready() || it.is_held(now) || it.is_silent() || it.is_full(now))
+        };
+        let known = endpoints.iter().filter(is_avoided);
+        avoided.extend(known.map(|it| it.announcement.id.clone()));
+        avoided
+    }
+
+    /// Whether a service's endpoints in a zone seem to be down together.
+    pub(crate) fn is_suspect(&self, service: &str, zone: &ZoneId) -> bool {
+        let endpoints = self.endpoints.borrow();
+        suspect_zones(&endpoints, service, self.now()).contains(&zone)
+    }
+
     /// What keeps requests from an endpoint, if anything does.
     pub(crate) fn obstacle(&self, id: &EndpointId) -> Option<&'static str> {
         let endpoints = self.endpoints.borrow();
         match endpoints.get(id) {
             None => Some("forgotten"),
             Some(endpoint) if !endpoint.is_ready() => Some("gone or draining"),
-            Some(endpoint) if endpoint.health.is_held(self.now()) => Some("failed just now"),
+            Some(endpoint) if endpoint.is_held(self.now()) => Some("failed just now"),
             Some(_) => None,
         }
     }
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -155,10 +155,7 @@
     }
     // The replica is named by its address here: its node is of no use to an entry.
     let node = NodeId::new(address.to_string()).expect("an address holds allowed characters");
-    let watcher = Watcher::Entry {
-        node: relay.config.node.clone(),
-        zone: relay.config.zone.clone(),
-    };
+    let watcher = relay.watcher();
     let mut request = WatchRequest {
         document_seen: None,
         loads: Vec::new(),
@@ -174,7 +171,7 @@
     loop {
         request.wait_ms = if is_own_zone { LOADS_MS } else { WAIT_MS };
         if let Some(zone) = &zone {
-            request.loads = relay.endpoints.borrow().loads_in(zone);
+            request.loads = relay.endpoints.borrow().loads_in(relay.now(), zone);
         }
         let reply = relay.control.watch(address, &request).await;
         let Some(reply) = reply else {
@@ -197,7 +194,10 @@
         }
         is_reached = true;
         relay.note_control_heard();
-        relay.control_reached.borrow_mut().insert(address);
+        relay
+            .control_reached
+            .borrow_mut()
+            .insert(address, reply.zone.clone());
         relay
             .endpoints
             .borrow_mut()
@@ -246,7 +246,7 @@
             continue;
         }
         told = count.unwrap_or_default();
-        let loads = relay.endpoints.borrow().loads_in(&zone);
+        let loads = relay.endpoints.borrow().loads_in(relay.now(), &zone);
         // What a replica that can't be reached misses comes with the next question.
         relay.control.tell_loads(address, &watcher, &loads).await;
     }
--- a/crates/masticsill_relay/src/lib.rs
+++ b/crates/masticsill_relay/src/lib.rs
@@ -23,6 +23,7 @@
 mod lateness;
 mod lineage;
 mod metrics;
+mod places;
 mod plain;
 mod pool;
 mod prompts;
--- /dev/null
+++ b/crates/masticsill_relay/src/places.rs
@@ -0,0 +1,64 @@
+//! Places at engines that control replicas hand out.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use masticsill_registry::{EndpointId, PlaceRequest};
+use masticsill_types::ZoneId;
+use rand::seq::IteratorRandom;
+use tokio::time::{Instant, timeout_at};
+
+use crate::prompts::BOUND;
+use crate::relay::Relay;
+use crate::request::RelayRequest;
+use crate::tries::Tries;
+
+/// Asks for a place at an engine for a stream: in the own zone, and where that has none, or its
+/// replica does not answer, in one of the others.
+///
+/// Without any, what is known of the engines here must do.
+pub(crate) async fn take_place(
+    relay: &Rc<Relay>,
+    request: &RelayRequest,
+    tries: &Tries,
+) -> Option<EndpointId> {
+    let service = &request.service;
+    let bound = Instant::now() + BOUND;
+    let near = near_replica(relay).filter(|_| !relay.is_suspect(service, &relay.config.zone));
+    for replica in [near, far_replica(relay, service)].into_iter().flatten() {
+        let asked = PlaceRequest {
+            avoided: relay.avoided(service, tries),
+            service: service.clone(),
+            watcher: relay.watcher(),
+        };
+        let asking = relay.control.take_place(replica, &asked);
+        let Ok(place) = timeout_at(bound, asking).await else {
+            return None;
+        };
+        if let Some(load) = place {
+            let now = relay.now();
+            relay.endpoints.borrow_mut().take_place(now, &load);
+            return Some(load.id);
+        }
+    }
+    None
+}
+
+/// The replica of the own zone that hands out its places: all entries there ask the same one.
+fn near_replica(relay: &Relay) -> Option<SocketAddr> {
+    let reached = relay.control_reached.borrow();
+    let near = reached
+        .iter()
+        .filter(|(_, zone)| **zone == relay.config.zone);
+    near.map(|(address, _)| *address).min()
+}
+
+/// A replica of another zone, drawn at random so that not all who find no place go to the same one.
+fn far_replica(relay: &Relay, service: &str) -> Option<SocketAddr> {
+    let reached = relay.control_reached.borrow();
+    let is_far = |zone: &ZoneId| *zone != relay.config.zone && !relay.is_suspect(service, zone);
+    let far = reached.iter().filter(|(_, zone)| is_far(zone));
+    let zone = far.clone().map(|(_, zone)| zone).choose(&mut rand::rng())?;
+    let replicas = far.filter(|(_, it)| *it == zone);
+    replicas.map(|(address, _)| *address).min()
+}
--- a/crates/masticsill_relay/src/prompts.rs
+++ b/crates/masticsill_relay/src/prompts.rs
@@ -1,5 +1,6 @@
 //! Where a request's prompt is kept already.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,7 +15,7 @@
 
 /// Longest wait for the control replicas: several times the way to another zone and back (3 ms),
 /// and a few hundredths of what reading a long prompt takes.
-const BOUND: Duration = Duration::from_millis(25);
+pub(crate) const BOUND: Duration = Duration::from_millis(25);
 /// Prompts below this are read faster than they are asked about.
 const LEAST_TOKENS: u64 = 512;
 
@@ -31,7 +32,7 @@
     if request.route.kind != RouteKind::Stream || tokens < LEAST_TOKENS {
         return Vec::new();
     }
-    let replicas = relay.control_reached.borrow().clone();
+    let replicas: Vec<SocketAddr> = relay.control_reached.borrow().keys().copied().collect();
     let (found, mut answers) = mpsc::channel(replicas.len().max(1));
     for address in replicas {
         let (relay, prompt, found) = (Rc::clone(relay), prompt.clone(), found.clone());
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -8,14 +8,14 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use masticsill_catalogue::RouteIndex;
 use masticsill_control_client::{AddressBook, ControlClient};
 use masticsill_dispatch::{
     CallerPatience, Dispatcher, Endpoint, EndpointTable, EntryCount, Failure, RetryBudget,
     ZoneShare,
 };
-use masticsill_registry::{Announcement, EndpointId};
+use masticsill_registry::{Announcement, EndpointId, Watcher};
 use masticsill_runtime::ShutdownSignal;
 use masticsill_types::{ClockMs, MonotonicClock, NodeId, ZoneId, log_event};
 use tokio::sync::{Notify, watch};
@@ -67,8 +67,8 @@
     pub(crate) clock: MonotonicClock,
     pub(crate) config: RelayConfig,
     pub(crate) control: ControlClient,
-    /// Control replicas that answered last time.
-    pub(crate) control_reached: RefCell<IndexSet<SocketAddr>>,
+    /// Control replicas that answered last time, and their zones.
+    pub(crate) control_reached: RefCell<IndexMap<SocketAddr, ZoneId>>,
     /// The requests that wait for an endpoint, in the order in which they go.
     pub(crate) dispatcher: RefCell<Dispatcher>,
     pub(crate) endpoints: RefCell<EndpointTable>,
@@ -240,6 +240,14 @@
         stopping_for_ms <= STREAMS_UNTIL_MS && self.stream_times.get().fits(left)
     }
 
+    /// This entry, as control replicas know it.
+    pub(crate) fn watcher(&self) -> Watcher {
+        Watcher::Entry {
+            node: self.config.node.clone(),
+            zone: self.config.zone.clone(),
+        }
+    }
+
     /// Notes that a stream begins, goes on from its prompt to its events, or ends in a zone.
     pub(crate) fn note_load_change(&self, zone: &ZoneId) {
         self.load_changes.send_modify(|changes| {
@@ -332,6 +340,7 @@
             .inc();
         let is_zone_still = self.endpoints.borrow_mut().note_failure(now, id, failure);
         self.pool.borrow_mut().drop_endpoint(id);
+        self.note_load_change(&endpoint.zone);
         if failure != Failure::Stalled {
             return;
         }
--- a/crates/masticsill_relay/src/reservation.rs
+++ b/crates/masticsill_relay/src/reservation.rs
@@ -82,7 +82,7 @@
             if let Place::Prompt { prompt_tokens, .. } = place {
                 reading = Some(Reading {
                     began_at,
-                    is_alone: it.reading_total() == 0,
+                    is_alone: it.reading_total(began_at) == 0,
                     tokens: prompt_tokens,
                 });
                 it.begin_reading();
--- a/crates/masticsill_relay/tests/common/mod.rs
+++ b/crates/masticsill_relay/tests/common/mod.rs
@@ -13,7 +13,7 @@
     Reassign, Settle, StoredDocument,
 };
 use masticsill_registry::{
-    Announcement, EndpointId, EndpointLoad, KeptTokens, PromptPart, Watcher,
+    Announcement, EndpointId, EndpointLoad, KeptTokens, PlaceRequest, PromptPart, Watcher,
 };
 use masticsill_runtime::{DutyHandle, ShutdownSignal, listen, spawn_async_duty};
 use masticsill_testkit::FaultProxy;
@@ -171,6 +171,10 @@
         Vec::new()
     }
 
+    async fn take_place(self, _: Context, _: PlaceRequest) -> Option<EndpointLoad> {
+        None
+    }
+
     async fn quorum_messages(self, _: Context, _: QuorumBatch) {}
 
     async fn identify(self, _: Context) -> Option<ReplicaIdentity> {
--- a/crates/masticsill_wire/src/control.rs
+++ b/crates/masticsill_wire/src/control.rs
@@ -12,7 +12,8 @@
     VersionedEntry,
 };
 use masticsill_registry::{
-    Announcement, EndpointId, EndpointLoad, EndpointRecord, Heard, KeptTokens, PromptPart, Watcher,
+    Announcement, EndpointId, EndpointLoad, EndpointRecord, Heard, KeptTokens, PlaceRequest,
+    PromptPart, Watcher,
 };
 use masticsill_types::{
     CatalogueVersion, EntryId, FencingNumber, NodeId, OperatorId, Term, ZoneId,
@@ -371,6 +372,9 @@
     async fn tell_loads(watcher: Watcher, loads: Vec<EndpointLoad>);
     /// Finds the engines of the replica's zone that keep the beginning of a prompt.
     async fn find_kept(prompt: Vec<PromptPart>) -> Vec<KeptTokens>;
+    /// Hands out a place at an engine of the replica's zone that reads no prompt, and tells what the
+    /// other watchers have there.
+    async fn take_place(request: PlaceRequest) -> Option<EndpointLoad>;
     /// Tells what the newest document applied here consists of; none when it is older than
     /// `version`.
     async fn document_pieces(version: u64) -> Option<PieceList>;
