Places: the newest life at an address only, short lists to avoid; copies are spread

Change: the life heard last at an address; only ready engines of the asked zone are named; a holder is the emptier one of two drawn at random. Failures told by others count; news of a lost replica are dropped.

--- a/crates/masticsill_bench/src/overload/play.rs
+++ b/crates/masticsill_bench/src/overload/play.rs
@@ -4,7 +4,7 @@
 use masticsill_dispatch::{
     Decision, Ended, Need, Overload, Surroundings, Terms, Wanted, Work, choose,
 };
-use masticsill_registry::{EndpointId, EndpointLoad, PlaceRequest, Watcher, WatcherBook};
+use masticsill_registry::{EndpointId, EndpointLoad, PlaceRequest, WatcherBook};
 use masticsill_types::{ClockMs, ZoneId};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -282,7 +282,8 @@
         };
         for zone in [near, far] {
             let engines = self.engine_ids.iter().skip(zone).step_by(ZONES.len());
-            let place = self.books[zone].hand_out_place(now, &request, engines);
+            let engines: Vec<&EndpointId> = engines.collect();
+            let place = self.books[zone].hand_out_place(now, &request, &engines);
             if let Some(load) = place {
                 self.entries[entry].table.take_place(now, &load);
                 return Some(load.id);
--- a/crates/masticsill_control/src/endpoints/hub.rs
+++ b/crates/masticsill_control/src/endpoints/hub.rs
@@ -280,14 +280,8 @@
     pub(crate) fn take_place(&self, request: &PlaceRequest) -> Option<EndpointLoad> {
         let now = self.shared.clock.now();
         let registry = self.registry();
-        let takes_more = |it: &&EndpointRecord| {
-            let said = &it.announcement;
-            let is_ready = said.state == EndpointState::Ready && !it.is_silent;
-            is_ready && said.service == request.service && said.zone == self.shared.zone
-        };
-        let engines = registry.records().filter(takes_more);
-        let engines = engines.map(|it| &it.announcement.id);
-        self.watchers().hand_out_place(now, request, engines)
+        let engines = registry.takers(&request.service, &self.shared.zone);
+        self.watchers().hand_out_place(now, request, &engines)
     }
 
     fn tell_of_loads(&self, change: LoadsChange) {
--- a/crates/masticsill_dispatch/src/endpoint.rs
+++ b/crates/masticsill_dispatch/src/endpoint.rs
@@ -177,6 +177,11 @@
         }
     }
 
+    /// Notes that what the other entries have there is not known any more.
+    pub(crate) fn forget_others(&mut self) {
+        self.others_told_at = Some(ClockMs(0));
+    }
+
     /// For how long the room there has been known here.
     #[must_use]
     pub fn room_known_ms(&self, now: ClockMs) -> u64 {
--- a/crates/masticsill_dispatch/src/endpoints.rs
+++ b/crates/masticsill_dispatch/src/endpoints.rs
@@ -178,6 +178,16 @@
         }
     }
 
+    /// Notes that nobody tells any more what the other entries have in a zone: what was told last
+    /// counts as long past.
+    pub fn forget_loads(&mut self, zone: &ZoneId) {
+        self.loads_told_at.swap_remove(zone);
+        let endpoints = self.endpoints.values_mut();
+        for endpoint in endpoints.filter(|it| it.announcement.zone == *zone) {
+            endpoint.forget_others();
+        }
+    }
+
     /// Takes what the other entries have at the endpoint of a place that was handed out here.
     pub fn take_place(&mut self, now: ClockMs, load: &EndpointLoad) {
         if let Some(endpoint) = self.endpoints.get_mut(&load.id) {
--- a/crates/masticsill_dispatch/src/lib.rs
+++ b/crates/masticsill_dispatch/src/lib.rs
@@ -28,7 +28,7 @@
 pub use health::{Failure, Health};
 pub use lane::{Need, Terms, Ticket, Work};
 pub use patience::CallerPatience;
-pub use placement::{Choice, Wanted, ZoneShare, choose, suspect_zones};
+pub use placement::{Choice, Wanted, ZoneShare, choose, choose_holder, suspect_zones};
 pub use reading::ReadingPace;
 pub use refusal::Overload;
 pub use room::{Turns, has_memory_for_copy};
--- a/crates/masticsill_dispatch/src/placement.rs
+++ b/crates/masticsill_dispatch/src/placement.rs
@@ -159,6 +159,45 @@
     })
 }
 
+/// Chooses the engine that is to hold a copy of a run: of two drawn at random among those with room the one
+/// whose memory is less in use.
+///
+/// Every entry chooses holders in other zones, of whose memory it hears late. Were it always the
+/// emptiest one, the copies of many runs would meet there, queue on its link and find no room. `random`
+/// gives numbers from zero to one.
+pub fn choose_holder<'a>(
+    table: &'a EndpointTable,
+    now: ClockMs,
+    wanted: &Wanted<'_>,
+    has_room: impl Fn(&Endpoint) -> bool,
+    mut random: impl FnMut() -> f64,
+) -> Option<&'a Endpoint> {
+    let suspect_zones = suspect_zones(table, wanted.service, now);
+    let is_sound = |it: &Endpoint| {
+        let zone = &it.announcement.zone;
+        !it.is_silent() && !it.is_held(now) && !suspect_zones.contains(&zone)
+    };
+    let candidates = table.iter().filter(|it| wanted.is_candidate(it));
+    let candidates: Vec<&Endpoint> = candidates
+        .filter(|it| is_sound(it) && has_room(it))
+        .collect();
+    let drawn = [random(), random()].map(|part| draw(&candidates, part));
+    let drawn = drawn.into_iter().flatten();
+    drawn.min_by_key(|it| it.held_tokens + it.others.held_tokens)
+}
+
+/// The candidate at a part of the list.
+// The number is not negative and below the count, which is far below the precision of the type.
+#[allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss
+)]
+fn draw<'a>(candidates: &[&'a Endpoint], part: f64) -> Option<&'a Endpoint> {
+    let place = (part * candidates.len() as f64) as usize;
+    candidates.get(place).copied()
+}
+
 /// Tokens of the prompt that an engine keeps.
 fn kept_tokens(endpoint: &Endpoint, wanted: &Wanted<'_>) -> u64 {
     let id = &endpoint.announcement.id;
--- a/crates/masticsill_dispatch/tests/placement_choice.rs
+++ b/crates/masticsill_dispatch/tests/placement_choice.rs
@@ -1,10 +1,12 @@
 //! Which endpoint is chosen, by load, zone, failures and what control replicas tell.
 
-use masticsill_dispatch::{EndpointTable, Failure, Wanted, ZoneShare, choose};
+use masticsill_dispatch::{EndpointTable, Failure, Wanted, ZoneShare, choose, choose_holder};
 use masticsill_registry::{
     Announcement, EndpointId, EndpointLoad, EndpointRecord, EndpointState, KeptTokens,
 };
 use masticsill_types::{ClockMs, NodeId, ZoneId};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 const NOW: ClockMs = ClockMs(100_000);
 
@@ -243,3 +245,141 @@
         Some("a1")
     );
 }
+
+/// The endpoint chosen at a time, if a place at one was handed out.
+fn chosen_at(table: &EndpointTable, now: ClockMs, place: Option<&str>) -> Option<String> {
+    let place = place.map(id);
+    let wanted = Wanted {
+        closed: &[],
+        excluded: &[],
+        kept: &[],
+        not_in_zone: None,
+        place: place.as_ref(),
+        service: "s",
+        share: ZoneShare::default(),
+        zone: &zone("a"),
+    };
+    choose(table, now, &wanted, |_| true, || 0.0).map(|choice| choice.id.name)
+}
+
+fn others(name: &str, in_flight: u32) -> EndpointLoad {
+    EndpointLoad {
+        in_flight,
+        ..EndpointLoad::none(id(name))
+    }
+}
+
+#[test]
+fn a_place_that_was_handed_out_beats_an_engine_that_looks_idle() {
+    let mut table = table(&["a1", "a2"]);
+    table.take_loads(NOW, &zone("a"), &[others("a2", 2)]);
+    assert_eq!(chosen_at(&table, NOW, None).as_deref(), Some("a1"));
+    let chosen = chosen_at(&table, NOW, Some("a2"));
+    assert_eq!(chosen.as_deref(), Some("a2"));
+}
+
+#[test]
+fn a_place_at_a_failing_endpoint_is_not_taken() {
+    let mut table = table(&["a1", "a2"]);
+    table.note_failure(NOW, &id("a2"), Failure::Broken);
+    let chosen = chosen_at(&table, NOW + 1, Some("a2"));
+    assert_eq!(chosen.as_deref(), Some("a1"));
+}
+
+/// A control replica that stands still: its zone's engines look idle for as long.
+#[test]
+fn old_news_of_idle_engines_decide_nothing() {
+    let mut table = table(&["a1", "b1", "b2"]);
+    table.take_loads(NOW, &zone("b"), &[]);
+    let later = NOW + 5_000;
+    table.take_loads(later, &zone("a"), &[others("a1", 3)]);
+    // By the news of 5 s ago the engines of zone b do nothing; they do as much as the usual one.
+    assert_eq!(chosen_at(&table, later, None).as_deref(), Some("a1"));
+    table.take_loads(later, &zone("b"), &[]);
+    assert_eq!(chosen_at(&table, later, None).as_deref(), Some("b1"));
+}
+
+#[test]
+fn a_word_of_a_prompt_is_forgotten_once_it_has_been_read() {
+    let mut table = table(&["a1"]);
+    let reading = EndpointLoad {
+        reading: 1,
+        ..others("a1", 1)
+    };
+    table.take_loads(NOW, &zone("a"), &[reading]);
+    let one = table.get(&id("a1")).unwrap();
+    assert_eq!(one.reading_total(NOW + 1_499), 1);
+    assert_eq!(one.reading_total(NOW + 1_500), 0);
+}
+
+#[test]
+fn a_failure_that_another_entry_told_keeps_requests_away_for_a_while() {
+    let mut table = table(&["a1", "a2"]);
+    let failing = EndpointLoad {
+        is_failing: true,
+        ..others("a1", 0)
+    };
+    table.take_loads(NOW, &zone("a"), &[failing, others("a2", 4)]);
+    assert_eq!(chosen_at(&table, NOW, None).as_deref(), Some("a2"));
+    assert!(!table.get(&id("a1")).unwrap().is_held(NOW + 1_000));
+}
+
+#[test]
+fn news_of_a_replica_that_stopped_answering_are_dropped() {
+    let mut table = table(&["a1", "b1"]);
+    let loads = [others("a1", 1)];
+    table.take_loads(NOW, &zone("a"), &loads);
+    table.take_loads(NOW, &zone("b"), &[others("b1", 9)]);
+    table.forget_loads(&zone("b"));
+    let age_ms = table.get(&id("b1")).unwrap().others_age_ms(NOW);
+    assert!(age_ms >= 1_500, "{age_ms}");
+}
+
+/// Engines that hold copies of runs of the own zone, for entries that have heard the same.
+fn holders(table: &EndpointTable, entries: u32) -> Vec<String> {
+    let wanted = Wanted {
+        closed: &[],
+        excluded: &[],
+        kept: &[],
+        not_in_zone: Some(&zone("a")),
+        place: None,
+        service: "s",
+        share: ZoneShare::default(),
+        zone: &zone("a"),
+    };
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let holders = (0..entries).map(|_| {
+        let holder = choose_holder(table, NOW, &wanted, |_| true, || random.random());
+        holder.unwrap().announcement.id.name.clone()
+    });
+    holders.collect()
+}
+
+/// The copies of a moment's runs, where one engine of another zone looks emptier than all others.
+#[test]
+fn copies_of_many_entries_are_spread() {
+    let names: Vec<String> = (0..72).map(|engine| format!("b{engine}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut table = table(&names);
+    let loads: Vec<EndpointLoad> = names[1..].iter().map(|name| others(name, 1)).collect();
+    table.take_loads(NOW, &zone("b"), &loads);
+    let holders = holders(&table, 72);
+    for name in names {
+        let copies = holders.iter().filter(|holder| **holder == name).count();
+        assert!(copies <= 6, "{copies} at {name}");
+    }
+}
+
+#[test]
+fn copies_go_where_memory_is_free() {
+    let mut table = table(&["a1", "b1", "b2"]);
+    let full = EndpointLoad {
+        held_tokens: 40_000,
+        ..others("b1", 4)
+    };
+    table.take_loads(NOW, &zone("b"), &[full]);
+    let holders = holders(&table, 100);
+    let at = |name: &str| holders.iter().filter(|holder| *holder == name).count();
+    assert_eq!(at("a1"), 0);
+    assert!(at("b2") > 60, "{}", at("b2"));
+}
--- a/crates/masticsill_registry/src/places.rs
+++ b/crates/masticsill_registry/src/places.rs
@@ -80,11 +80,11 @@
 
     /// Hands out a place at the engine that has the least to do among those that read no prompt;
     /// `loads` are those of all watchers.
-    pub(crate) fn hand_out<'a>(
+    pub(crate) fn hand_out(
         &mut self,
         now: ClockMs,
         request: &PlaceRequest,
-        engines: impl Iterator<Item = &'a EndpointId>,
+        engines: &[&EndpointId],
         loads: &IndexMap<EndpointId, EndpointLoad>,
     ) -> Option<EndpointId> {
         self.drop_old(now);
@@ -101,7 +101,8 @@
             let load = loads.get(id);
             load.map_or((0, 0), |load| (load.in_flight, load.held_tokens))
         };
-        let idlest = engines.filter(is_wanted).min_by_key(|id| work(id))?.clone();
+        let wanted = engines.iter().copied().filter(is_wanted);
+        let idlest = wanted.min_by_key(|id| work(id))?.clone();
         self.places.push(Place {
             endpoint: idlest.clone(),
             holder: request.watcher.clone(),
--- a/crates/masticsill_registry/src/registry.rs
+++ b/crates/masticsill_registry/src/registry.rs
@@ -1,11 +1,13 @@
 //! The registry of one process.
 
+use std::net::SocketAddr;
+
 use indexmap::IndexMap;
-use masticsill_types::ClockMs;
+use masticsill_types::{ClockMs, ZoneId};
 
 use crate::id::EndpointId;
 use crate::join::Joined;
-use crate::record::{Announcement, EndpointRecord, Heard};
+use crate::record::{Announcement, EndpointRecord, EndpointState, Heard};
 
 /// Periods of a registry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -76,6 +78,28 @@
         self.tracked.values().map(|tracked| &tracked.record)
     }
 
+    /// Incarnations that take requests: of those that named the same address the one that was heard last.
+    /// A former one that crashed says nothing, and counts as lost only after several heartbeats.
+    #[must_use]
+    pub fn takers(&self, service: &str, zone: &ZoneId) -> Vec<&EndpointId> {
+        let mut newest: IndexMap<SocketAddr, &Tracked> = IndexMap::new();
+        let is_asked_for = |it: &&Tracked| {
+            let said = &it.record.announcement;
+            said.service == service && said.zone == *zone
+        };
+        for tracked in self.tracked.values().filter(is_asked_for) {
+            let address = tracked.record.announcement.address;
+            let known = newest.entry(address).or_insert(tracked);
+            if tracked.heard_at >= known.heard_at {
+                *known = tracked;
+            }
+        }
+        let records = newest.into_values().map(|tracked| &tracked.record);
+        let takers =
+            records.filter(|it| it.announcement.state == EndpointState::Ready && !it.is_silent);
+        takers.map(|it| &it.announcement.id).collect()
+    }
+
     /// An incarnation's record, unless another life of its name is known.
     #[must_use]
     pub fn get(&self, id: &EndpointId) -> Option<&EndpointRecord> {
--- a/crates/masticsill_registry/src/watchers.rs
+++ b/crates/masticsill_registry/src/watchers.rs
@@ -144,13 +144,13 @@
         sums.into_values().collect()
     }
 
-    /// Hands out a place at one of a service's engines, and tells what the other watchers have
+    /// Hands out a place at one of the engines, and tells what the other watchers have
     /// there.
-    pub fn hand_out_place<'a>(
+    pub fn hand_out_place(
         &mut self,
         now: ClockMs,
         request: &PlaceRequest,
-        engines: impl Iterator<Item = &'a EndpointId>,
+        engines: &[&EndpointId],
     ) -> Option<EndpointLoad> {
         let loads = self.sum_loads(now, |_| true);
         let place = self.places.hand_out(now, request, engines, &loads)?;
--- a/crates/masticsill_registry/tests/heartbeats.rs
+++ b/crates/masticsill_registry/tests/heartbeats.rs
@@ -145,3 +145,31 @@
     registry.judge_silence(ClockMs(60_000), true);
     assert!(registry.get(&id("e")).is_none());
 }
+
+fn takers(registry: &Registry) -> Vec<&str> {
+    let takers = registry.takers("drafts", &ZoneId::new("a").unwrap());
+    takers.into_iter().map(|id| id.name.as_str()).collect()
+}
+
+/// An endpoint that crashed and began anew: its former life counts as lost after seconds only.
+#[test]
+fn only_the_life_heard_last_at_an_address_takes_requests() {
+    let mut registry = Registry::new(PERIODS);
+    registry.announce(ClockMs(0), &heartbeat("former", 9, EndpointState::Ready));
+    assert_eq!(takers(&registry), ["former"]);
+    registry.announce(ClockMs(1_500), &heartbeat("later", 1, EndpointState::Ready));
+    assert_eq!(takers(&registry), ["later"]);
+    registry.announce(
+        ClockMs(2_000),
+        &heartbeat("later", 2, EndpointState::Draining),
+    );
+    assert!(takers(&registry).is_empty());
+}
+
+#[test]
+fn silent_endpoints_take_no_requests() {
+    let mut registry = Registry::new(PERIODS);
+    registry.announce(ClockMs(0), &heartbeat("e", 1, EndpointState::Ready));
+    registry.judge_silence(ClockMs(5_000), true);
+    assert!(takers(&registry).is_empty());
+}
--- a/crates/masticsill_relay/src/choosing.rs
+++ b/crates/masticsill_relay/src/choosing.rs
@@ -4,7 +4,7 @@
 
 use masticsill_catalogue::RouteKind;
 use masticsill_dispatch::{
-    Choice, Endpoint, EndpointTable, Need, Terms, Wanted, Work, choose, has_memory_for_copy,
+    Choice, Endpoint, EndpointTable, Need, Terms, Wanted, Work, choose_holder, has_memory_for_copy,
     suspect_zones,
 };
 use masticsill_registry::{Announcement, EndpointId};
@@ -52,8 +52,8 @@
         let tokens = request.held_tokens(&self.config.headers);
         let memory_tokens = Some(engine.memory_tokens);
         let has_memory = |it: &_| has_memory_for_copy(it, memory_tokens, tokens);
-        let choice = choose(&endpoints, self.now(), &wanted, has_memory, rand::random)?;
-        Some(endpoints.get(&choice.id)?.announcement.clone())
+        let holder = choose_holder(&endpoints, self.now(), &wanted, has_memory, rand::random)?;
+        Some(holder.announcement.clone())
     }
 
     /// Has a request sent to an endpoint, waiting for a place while there is none.
@@ -176,19 +176,21 @@
             .collect()
     }
 
-    /// Endpoints that a request would not be sent to, whoever has room for it.
-    pub(crate) fn avoided(&self, service: &str, tries: &Tries) -> Vec<EndpointId> {
+    /// Endpoints of a zone that take requests, but would not be sent this one.
+    pub(crate) fn avoided(&self, service: &str, zone: &ZoneId, tries: &Tries) -> Vec<EndpointId> {
         let now = self.now();
         let endpoints = self.endpoints.borrow();
-        let mut avoided = self.full_endpoints(&endpoints, service);
-        avoided.extend(tries.excluded.iter().cloned());
+        let closed = self.full_endpoints(&endpoints, service);
         let is_avoided = |it: &&Endpoint| {
-            it.announcement.service == service
-                && (!it.is_ready() || it.is_held(now) || it.is_silent() || it.is_full(now))
+            let id = &it.announcement.id;
+            let is_known_bad = it.is_held(now) || it.is_silent() || it.is_full(now);
+            is_known_bad || closed.contains(id) || tries.excluded.contains(id)
         };
-        let known = endpoints.iter().filter(is_avoided);
-        avoided.extend(known.map(|it| it.announcement.id.clone()));
-        avoided
+        let ready = endpoints.iter().filter(|it| it.is_ready());
+        let of_zone = ready.filter(|it| it.announcement.zone == *zone);
+        let avoided = of_zone.filter(|it| it.announcement.service == service);
+        let avoided = avoided.filter(is_avoided);
+        avoided.map(|it| it.announcement.id.clone()).collect()
     }
 
     /// Whether a service's endpoints in a zone seem to be down together.
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -179,7 +179,7 @@
                 log_event!(warn, events::CONTROL_LOST, address = address);
             }
             is_reached = false;
-            relay.control_reached.borrow_mut().swap_remove(&address);
+            relay.note_control_lost(&address);
             discovery.forget_source(address);
             sleep(RETRY_PAUSE).await;
             continue;
--- a/crates/masticsill_relay/src/places.rs
+++ b/crates/masticsill_relay/src/places.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use indexmap::IndexSet;
 use masticsill_registry::{EndpointId, PlaceRequest};
 use masticsill_types::ZoneId;
 use rand::seq::IteratorRandom;
@@ -25,9 +26,9 @@
     let service = &request.service;
     let bound = Instant::now() + BOUND;
     let near = near_replica(relay).filter(|_| !relay.is_suspect(service, &relay.config.zone));
-    for replica in [near, far_replica(relay, service)].into_iter().flatten() {
+    for (replica, zone) in [near, far_replica(relay, service)].into_iter().flatten() {
         let asked = PlaceRequest {
-            avoided: relay.avoided(service, tries),
+            avoided: relay.avoided(service, &zone, tries),
             service: service.clone(),
             watcher: relay.watcher(),
         };
@@ -45,20 +46,21 @@
 }
 
 /// The replica of the own zone that hands out its places: all entries there ask the same one.
-fn near_replica(relay: &Relay) -> Option<SocketAddr> {
-    let reached = relay.control_reached.borrow();
-    let near = reached
-        .iter()
-        .filter(|(_, zone)| **zone == relay.config.zone);
-    near.map(|(address, _)| *address).min()
+fn near_replica(relay: &Relay) -> Option<(SocketAddr, ZoneId)> {
+    let near = relay.config.zone.clone();
+    Some((first_replica(relay, &near)?, near))
 }
 
 /// A replica of another zone, drawn at random so that not all who find no place go to the same one.
-fn far_replica(relay: &Relay, service: &str) -> Option<SocketAddr> {
-    let reached = relay.control_reached.borrow();
+fn far_replica(relay: &Relay, service: &str) -> Option<(SocketAddr, ZoneId)> {
+    let zones: IndexSet<ZoneId> = relay.control_reached.borrow().values().cloned().collect();
     let is_far = |zone: &ZoneId| *zone != relay.config.zone && !relay.is_suspect(service, zone);
-    let far = reached.iter().filter(|(_, zone)| is_far(zone));
-    let zone = far.clone().map(|(_, zone)| zone).choose(&mut rand::rng())?;
-    let replicas = far.filter(|(_, it)| *it == zone);
-    replicas.map(|(address, _)| *address).min()
+    let zone = zones.into_iter().filter(is_far).choose(&mut rand::rng())?;
+    Some((first_replica(relay, &zone)?, zone))
+}
+
+fn first_replica(relay: &Relay, zone: &ZoneId) -> Option<SocketAddr> {
+    let reached = relay.control_reached.borrow();
+    let of_zone = reached.iter().filter(|(_, it)| *it == zone);
+    of_zone.map(|(address, _)| *address).min()
 }
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -386,6 +386,18 @@
         self.heard_at.set(self.now());
     }
 
+    /// Notes that a control replica stopped answering; where no other one of its zone answers, nothing
+    /// is known of the other entries' requests there any more.
+    pub(crate) fn note_control_lost(&self, address: &SocketAddr) {
+        let mut reached = self.control_reached.borrow_mut();
+        let Some(zone) = reached.swap_remove(address) else {
+            return;
+        };
+        if !reached.values().any(|other| *other == zone) {
+            self.endpoints.borrow_mut().forget_loads(&zone);
+        }
+    }
+
     /// How long nothing has come from any endpoint or control replica.
     pub(crate) fn silent_ms(&self) -> u64 {
         self.now().since(self.heard_at.get())
