--- /dev/null
+++ b/crates/masticsill_control/tests/watch_news.rs
@@ -0,0 +1,116 @@
+//! What watchers hear of endpoints, how soon and in how many answers.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use common::{Cluster, block_on, node};
+use masticsill_control::ControlClient;
+use masticsill_registry::{Announcement, EndpointId, EndpointState, Watcher};
+use masticsill_types::{NodeId, ZoneId};
+use masticsill_wire::control::{WatchReply, WatchRequest};
+
+/// Watchers: with 2 ms for each, news that can wait are told after 200 ms.
+const WATCHERS: usize = 100;
+const ENDPOINTS: u16 = 40;
+/// Far longer than any pause.
+const WAIT_MS: u64 = 1_500;
+
+fn zone() -> ZoneId {
+    ZoneId::new("a").unwrap()
+}
+
+fn request(number: usize, before: Option<&WatchReply>, wait_ms: u64) -> WatchRequest {
+    WatchRequest {
+        document_seen: None,
+        loads: Vec::new(),
+        loads_revision: u64::MAX,
+        registry: before.map_or(0, |reply| reply.registry),
+        revision: before.map_or(0, |reply| reply.revision),
+        wait_ms,
+        watcher: Watcher::Entry {
+            node: NodeId::new(format!("entry-{number}")).unwrap(),
+            zone: zone(),
+        },
+    }
+}
+
+fn endpoint(number: u16) -> Announcement {
+    Announcement {
+        address: ([10, 0, 0, 1], 8_000 + number).into(),
+        cold_left_ms: 0,
+        id: EndpointId::unnamed_life(format!("e{number}")),
+        keeps_prompts: false,
+        sequence: 1,
+        service: "s".to_owned(),
+        slots: 4,
+        state: EndpointState::Ready,
+        zone: zone(),
+    }
+}
+
+/// A replica with many watchers, and the first answer to one of them.
+async fn watched(client: &ControlClient, address: SocketAddr) -> WatchReply {
+    for number in 1..WATCHERS {
+        client.watch(address, &request(number, None, 0)).await;
+    }
+    let first = client.watch(address, &request(0, None, 0)).await;
+    first.unwrap()
+}
+
+#[test]
+fn endpoints_that_begin_at_once_share_an_answer() {
+    let cluster = Cluster::start(1);
+    let address = cluster.address(&node(1));
+    block_on(async {
+        let client = cluster.client();
+        let mut reply = watched(&client, address).await;
+        let announcing = cluster.client();
+        let announced = async {
+            for number in 0..ENDPOINTS {
+                announcing
+                    .announce(address, &endpoint(number), WAIT_MS)
+                    .await;
+                tokio::time::sleep(Duration::from_millis(2)).await;
+            }
+        };
+        let listened = async {
+            let (mut answers, mut heard) = (0, 0);
+            while heard < usize::from(ENDPOINTS) {
+                let asked = request(0, Some(&reply), WAIT_MS);
+                reply = client.watch(address, &asked).await.unwrap();
+                answers += 1;
+                heard += reply.endpoints.len();
+            }
+            answers
+        };
+        let ((), answers) = tokio::join!(announced, listened);
+        assert!(answers <= 5, "{answers} answers");
+    });
+}
+
+#[test]
+fn an_endpoint_that_leaves_is_told_at_once() {
+    let cluster = Cluster::start(1);
+    let address = cluster.address(&node(1));
+    block_on(async {
+        let client = cluster.client();
+        client.announce(address, &endpoint(0), WAIT_MS).await;
+        let reply = watched(&client, address).await;
+        let leaving = cluster.client();
+        let began = Instant::now();
+        let left = async {
+            let id = endpoint(0).id;
+            leaving.depart(address, &id, WAIT_MS).await
+        };
+        let told = async {
+            let asked = request(0, Some(&reply), WAIT_MS);
+            let told = client.watch(address, &asked).await.unwrap();
+            assert_eq!(told.endpoints.len(), 1);
+            began.elapsed()
+        };
+        let (_, told_after) = tokio::join!(left, told);
+        assert!(told_after < Duration::from_millis(150), "{told_after:?}");
+    });
+}
