Registry: news that can wait share one answer

Cause: each change of the registry was told at once to every watcher, with all loads of the zone. When the 63 engines of a zone begin anew within a second, five replicas answered 105 relays up to 63 times each, four of five answers between zones, on links of 10 Mbit/s. Ruled out: the question about kept prompts (5 replicas, some 250 bytes a stream) and far loads (one answer a second of 2 KB), by reckoning. Change: only endpoints that leave, documents and new registries are told at once; others wait 2 ms for each watcher, as loads do.

--- a/crates/masticsill_control/src/endpoints/hub.rs
+++ b/crates/masticsill_control/src/endpoints/hub.rs
@@ -25,12 +25,14 @@
 const TELL_BOUND: Duration = Duration::from_millis(400);
 /// Tokens of a prompt that are worth a word: they are read in a few hundredths of a second.
 const LEAST_KEPT_TOKENS: u64 = 256;
-/// Pause for each watcher before news that are of loads only are told, so that a replica with many
-/// watchers answers each less often: 16 ms for the eight of a small system, 64 ms for 32.
-const LOADS_PAUSE_MS: u64 = 2;
-/// How many times longer watchers of another zone wait for them: bytes between zones are dear, and
+/// Pause for each watcher before news that can wait are told, those of loads and of endpoints that began
+/// or fell silent, so that a replica with many watchers answers each less often: 16 ms for the
+/// eight of a small system, 64 ms for 32. When a zone's endpoints begin anew within a second, each
+/// watcher hears of them in a few answers instead of one for each.
+const NEWS_PAUSE_MS: u64 = 2;
+/// How many times longer watchers of another zone wait for loads: bytes between zones are dear, and
 /// their requests seldom come here.
-const FAR_PAUSES: u64 = 4;
+const FAR_PAUSES: u32 = 4;
 
 #[derive(Debug)]
 struct Shared {
@@ -200,7 +202,10 @@
         let wait_ms = request.wait_ms.min(MAX_WAIT_MS);
         let began = Instant::now();
         let mut bound = began + Duration::from_millis(wait_ms);
-        while !self.has_news(published, &request) {
+        while !self.has_urgent_news(published, &request) {
+            if self.registry().revision() > request.revision {
+                bound = bound.min(began + self.news_pause());
+            }
             if self.have_loads_changed(&request) {
                 bound = bound.min(began + self.loads_pause(&request.watcher));
             }
@@ -296,16 +301,22 @@
         watchers.have_others_changed(&request.watcher, request.loads_revision)
     }
 
-    /// How long changed loads wait, counted from the question, so that many share one answer.
+    /// How long news that are not urgent wait, counted from the question, so that many share one answer.
+    fn news_pause(&self) -> Duration {
+        let watchers = u32::try_from(self.watchers().len()).unwrap_or(u32::MAX);
+        Duration::from_millis(NEWS_PAUSE_MS) * watchers
+    }
+
+    /// How long changed loads wait, likewise.
     fn loads_pause(&self, watcher: &Watcher) -> Duration {
-        let watchers = u64::try_from(self.watchers().len()).unwrap_or(u64::MAX);
         let is_near = matches!(watcher, Watcher::Entry { zone, .. } if *zone == self.shared.zone);
         let pauses = if is_near { 1 } else { FAR_PAUSES };
-        Duration::from_millis(LOADS_PAUSE_MS * watchers * pauses)
+        self.news_pause() * pauses
     }
 
-    fn has_news(&self, published: &PublishedState, request: &WatchRequest) -> bool {
-        if !self.is_followed(request) || self.registry().revision() > request.revision {
+    /// Whether a watcher must hear at once: of an endpoint that leaves, or of a document.
+    fn has_urgent_news(&self, published: &PublishedState, request: &WatchRequest) -> bool {
+        if !self.is_followed(request) || self.registry().has_left_since(request.revision) {
             return true;
         }
         *published.watch_document().borrow() > request.document_seen
--- a/crates/masticsill_registry/src/registry.rs
+++ b/crates/masticsill_registry/src/registry.rs
@@ -44,6 +44,8 @@
 /// The newest life of every known id. Each change raises the revision, from which readers go on.
 #[derive(Clone, Debug)]
 pub struct Registry {
+    /// The revision at which an incarnation last began to leave, or left.
+    left_revision: u64,
     pub(crate) periods: RegistryPeriods,
     pub(crate) revision: u64,
     /// By name.
@@ -55,6 +57,7 @@
     #[must_use]
     pub fn new(periods: RegistryPeriods) -> Self {
         Self {
+            left_revision: 0,
             periods,
             revision: 0,
             tracked: IndexMap::new(),
@@ -67,6 +70,13 @@
         self.revision
     }
 
+    /// Whether an incarnation began to leave, or left, after a revision: whoever sends requests must
+    /// hear of that at once. Other changes can wait for each other.
+    #[must_use]
+    pub fn has_left_since(&self, revision: u64) -> bool {
+        self.left_revision > revision
+    }
+
     /// Silence after which an incarnation counts as lost.
     #[must_use]
     pub fn silence_ms(&self) -> u64 {
@@ -201,6 +211,9 @@
         if joined == Joined::Changed {
             tracked.revision = revision;
             self.revision = revision;
+            if tracked.record.announcement.state > EndpointState::Ready {
+                self.left_revision = revision;
+            }
         }
         joined == Joined::Changed
     }
@@ -218,6 +231,9 @@
             revision,
         };
         self.revision = revision;
+        if announcement.state > EndpointState::Ready {
+            self.left_revision = revision;
+        }
         self.tracked.insert(announcement.id.name.clone(), tracked);
     }
 }
