Places of all zones are asked for; a zone that is down for others is suspect here

After a zone's loss its replica gives no places for a second, one further zone was asked only, and relays that chose by themselves took the zone that was down: its engines had lost their work, looked idle, and only relays of which several runs broke there knew why. Change: the other zones are asked one after the other, in an order drawn at random; a zone in which a sixth of the endpoints at work failed any entry within a second counts as suspect at each.

--- a/crates/masticsill_dispatch/src/endpoint.rs
+++ b/crates/masticsill_dispatch/src/endpoint.rs
@@ -139,8 +139,17 @@
     /// Whether its last exchange failed here or elsewhere just now, so that it is left alone.
     #[must_use]
     pub fn is_held(&self, now: ClockMs) -> bool {
-        let is_told = self.others.is_failing && self.others_age_ms(now) < TOLD_FAILING_MS;
-        is_told || self.health.is_held(now)
+        self.is_told_failing(now) || self.health.is_held(now)
+    }
+
+    /// Whether another entry told just now that it had failed it.
+    pub(crate) fn is_told_failing(&self, now: ClockMs) -> bool {
+        self.others.is_failing && self.others_age_ms(now) < TOLD_FAILING_MS
+    }
+
+    /// Whether requests of any entry are there, as far as is known.
+    pub(crate) fn is_at_work(&self) -> bool {
+        self.in_flight + self.others.in_flight > 0
     }
 
     /// Notes that it reads a prompt of this entry.
--- a/crates/masticsill_dispatch/src/placement.rs
+++ b/crates/masticsill_dispatch/src/placement.rs
@@ -1,7 +1,7 @@
 //! Which endpoint a request goes to.
 
 use indexmap::IndexMap;
-use masticsill_registry::{EndpointId, KeptTokens};
+use masticsill_registry::{EndpointId, KeptTokens, is_zone_down};
 use masticsill_types::{ClockMs, ZoneId};
 
 use crate::endpoint::Endpoint;
@@ -274,19 +274,40 @@
     cost
 }
 
-/// Zones in which several endpoints of a service failed just now.
+/// Zones in which several endpoints of a service failed just now: two of them this entry, or a part of
+/// those at work there any entry. Engines of a zone that is down lose their work, and those that
+/// nobody has tried since would look the idlest of all.
 ///
 /// Those that the request went to already count as well: it is they that failed.
+#[must_use]
 pub fn suspect_zones<'a>(table: &'a EndpointTable, service: &str, now: ClockMs) -> Vec<&'a ZoneId> {
-    let is_failing = |it: &&Endpoint| {
-        it.announcement.service == service && it.health.has_failed_within(now, SUSPECT_MS)
-    };
-    let mut failing: IndexMap<&ZoneId, usize> = IndexMap::new();
-    for endpoint in table.iter().filter(is_failing) {
-        *failing.entry(&endpoint.announcement.zone).or_default() += 1;
+    let mut zones: IndexMap<&ZoneId, ZoneFailures> = IndexMap::new();
+    let of_service = table.iter().filter(|it| it.announcement.service == service);
+    for endpoint in of_service {
+        let zone = zones.entry(&endpoint.announcement.zone).or_default();
+        let has_failed = endpoint.health.has_failed_within(now, SUSPECT_MS);
+        zone.at_work += usize::from(endpoint.is_at_work());
+        zone.own += usize::from(has_failed);
+        zone.told += usize::from(has_failed || endpoint.is_told_failing(now));
+    }
+    zones.retain(|_, zone| zone.is_suspect());
+    zones.into_keys().collect()
+}
+
+/// Endpoints of a zone and service that failed lately.
+#[derive(Clone, Copy, Debug, Default)]
+struct ZoneFailures {
+    at_work: usize,
+    /// Those that failed this entry.
+    own: usize,
+    /// Those that failed any entry.
+    told: usize,
+}
+
+impl ZoneFailures {
+    fn is_suspect(self) -> bool {
+        self.own >= SUSPECT_ENDPOINTS || is_zone_down(self.told, self.at_work)
     }
-    failing.retain(|_, count| *count >= SUSPECT_ENDPOINTS);
-    failing.into_keys().collect()
 }
 
 /// The median of the endpoints' paces.
--- a/crates/masticsill_dispatch/tests/placement_choice.rs
+++ b/crates/masticsill_dispatch/tests/placement_choice.rs
@@ -383,3 +383,37 @@
     assert_eq!(at("a1"), 0);
     assert!(at("b2") > 60, "{}", at("b2"));
 }
+
+/// Engines that lost their work look idle; other entries have seen that their zone is down.
+#[test]
+fn a_zone_that_is_down_for_others_is_avoided() {
+    let mut table = table(&["a1", "a2", "a3", "a4", "b1"]);
+    let failing = ["a1", "a2", "a3"].map(|name| EndpointLoad {
+        is_failing: true,
+        ..others(name, 1)
+    });
+    table.take_loads(NOW, &zone("a"), &failing);
+    table.take_loads(NOW, &zone("b"), &[others("b1", 8)]);
+    assert_eq!(chosen_at(&table, NOW, None).as_deref(), Some("b1"));
+    // Nobody says so any more: the own zone is used again.
+    let later = chosen_at(&table, NOW + 1_000, None).unwrap();
+    assert!(later.starts_with('a'), "{later}");
+}
+
+#[test]
+fn few_failures_told_among_many_leave_a_zone_in_use() {
+    let names: Vec<String> = (0..30).map(|engine| format!("a{engine}")).collect();
+    let mut names: Vec<&str> = names.iter().map(String::as_str).collect();
+    names.push("b1");
+    let mut table = table(&names);
+    let loads = names[..30]
+        .iter()
+        .enumerate()
+        .map(|(engine, name)| EndpointLoad {
+            is_failing: engine < 3,
+            ..others(name, 1)
+        });
+    table.take_loads(NOW, &zone("a"), &loads.collect::<Vec<_>>());
+    let chosen = chosen_at(&table, NOW, None).unwrap();
+    assert_ne!(chosen, "b1");
+}
--- a/crates/masticsill_registry/src/lib.rs
+++ b/crates/masticsill_registry/src/lib.rs
@@ -19,7 +19,7 @@
 pub use id::{EndpointId, Life};
 pub use join::Joined;
 pub use kept::{KeptNews, KeptPart, KeptPrompts, KeptTokens, PromptPart};
-pub use places::PlaceRequest;
+pub use places::{PlaceRequest, is_zone_down};
 pub use record::{Announcement, EndpointRecord, EndpointState, Heard};
 pub use registry::{Registry, RegistryPeriods};
 pub use watchers::{EndpointLoad, LoadsChange, Watcher, WatcherBook};
--- a/crates/masticsill_registry/src/places.rs
+++ b/crates/masticsill_registry/src/places.rs
@@ -116,12 +116,16 @@
         self.failed_at.retain(|_, at| now.since(*at) < FAILED_MS);
     }
 
-    /// Whether so many engines have just failed that the rest may stand still as well. Engines of a
-    /// zone that is down lose their work, and would look idle.
     fn is_zone_down(&self, loads: &IndexMap<EndpointId, EndpointLoad>) -> bool {
         let is_at_work = |load: &&EndpointLoad| load.in_flight > 0;
         let at_work = loads.values().filter(is_at_work).count();
-        let failed = self.failed_at.len();
-        failed >= DOWN_ENGINES && failed * DOWN_PART >= at_work
+        is_zone_down(self.failed_at.len(), at_work)
     }
 }
+
+/// Whether so many endpoints of a zone have just failed, of those at work there, that the rest may stand
+/// still as well.
+#[must_use]
+pub fn is_zone_down(failed: usize, at_work: usize) -> bool {
+    failed >= DOWN_ENGINES && failed * DOWN_PART >= at_work
+}
--- a/crates/masticsill_relay/src/places.rs
+++ b/crates/masticsill_relay/src/places.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexSet;
 use masticsill_registry::{EndpointId, PlaceRequest};
 use masticsill_types::ZoneId;
-use rand::seq::IteratorRandom;
+use rand::seq::SliceRandom;
 use tokio::time::{Instant, timeout_at};
 
 use crate::prompts::BOUND;
@@ -14,8 +14,8 @@
 use crate::request::RelayRequest;
 use crate::tries::Tries;
 
-/// Asks for a place at an engine for a stream: in the own zone, and where that has none, or its
-/// replica does not answer, in one of the others.
+/// Asks for a place at an engine for a stream: in the own zone, and where that has none in the others,
+/// one after the other.
 ///
 /// Without any, what is known of the engines here must do.
 pub(crate) async fn take_place(
@@ -26,7 +26,7 @@
     let service = &request.service;
     let bound = Instant::now() + BOUND;
     let near = near_replica(relay).filter(|_| !relay.is_suspect(service, &relay.config.zone));
-    for (replica, zone) in [near, far_replica(relay, service)].into_iter().flatten() {
+    for (replica, zone) in near.into_iter().chain(far_replicas(relay, service)) {
         let asked = PlaceRequest {
             avoided: relay.avoided(service, &zone, tries),
             service: service.clone(),
@@ -51,12 +51,16 @@
     Some((first_replica(relay, &near)?, near))
 }
 
-/// A replica of another zone, drawn at random so that not all who find no place go to the same one.
-fn far_replica(relay: &Relay, service: &str) -> Option<(SocketAddr, ZoneId)> {
+/// A replica of each other zone, in an order drawn at random so that not all who find no place go to
+/// the same one.
+fn far_replicas(relay: &Relay, service: &str) -> Vec<(SocketAddr, ZoneId)> {
     let zones: IndexSet<ZoneId> = relay.control_reached.borrow().values().cloned().collect();
     let is_far = |zone: &ZoneId| *zone != relay.config.zone && !relay.is_suspect(service, zone);
-    let zone = zones.into_iter().filter(is_far).choose(&mut rand::rng())?;
-    Some((first_replica(relay, &zone)?, zone))
+    let mut zones: Vec<ZoneId> = zones.into_iter().filter(is_far).collect();
+    zones.shuffle(&mut rand::rng());
+    let replicas = zones.into_iter();
+    let replicas = replicas.filter_map(|zone| Some((first_replica(relay, &zone)?, zone)));
+    replicas.collect()
 }
 
 fn first_replica(relay: &Relay, zone: &ZoneId) -> Option<SocketAddr> {
