Questions of a placement are boxed; the model counts meetings

Linter: the futures of requests had grown to 27 KB with the question for places, and a record of the model had four flags. No change of behaviour.

--- a/crates/masticsill_bench/src/overload/callers.rs
+++ b/crates/masticsill_bench/src/overload/callers.rs
@@ -55,7 +55,7 @@
         record: CallerRecord {
             asked_at,
             first_at: None,
-            has_met: false,
+            meetings: 0,
             is_done: false,
             is_hot,
             is_long: prompt_tokens >= LONG_TOKENS,
--- a/crates/masticsill_bench/src/overload/play.rs
+++ b/crates/masticsill_bench/src/overload/play.rs
@@ -430,7 +430,7 @@
             tokens,
             unread_tokens: live.prompt_tokens as f64,
         };
-        self.records[request].has_met |= self.engines[engine].is_reading();
+        self.records[request].meetings += u32::from(self.engines[engine].is_reading());
         if !self.engines[engine].offer(&self.plan.engine, job) {
             self.refuse(request, now, BLIND_RETRY_MS);
             return;
--- a/crates/masticsill_bench/src/overload/tally.rs
+++ b/crates/masticsill_bench/src/overload/tally.rs
@@ -10,8 +10,8 @@
     pub(super) is_done: bool,
     pub(super) is_hot: bool,
     pub(super) is_long: bool,
-    /// Whether its prompt came to an engine that read another one.
-    pub(super) has_met: bool,
+    /// How often its prompt came to an engine that read another one.
+    pub(super) meetings: u32,
     /// Longest time from an attempt to its refusal.
     pub(super) refusal_ms: Option<u64>,
     pub(super) refusals: u32,
@@ -77,7 +77,7 @@
             late: done - in_aim,
             refused,
             lost: records.len() - done - refused,
-            met: records.iter().filter(|it| it.has_met).count(),
+            met: records.iter().filter(|it| it.meetings > 0).count(),
             after_share: share(&|it| it.asked_at > after),
             long_share: share(&|it| it.is_long),
             hot_share: share(&|it| it.is_hot),
--- a/crates/masticsill_relay/src/choosing.rs
+++ b/crates/masticsill_relay/src/choosing.rs
@@ -97,8 +97,10 @@
         let names = &self.config.headers;
         let (kept, place) = match request.route.kind {
             RouteKind::Stream => {
-                let asked = (find_kept(self, request), take_place(self, request, tries));
-                tokio::join!(asked.0, asked.1)
+                // Boxed, as every request's own state would hold both questions otherwise.
+                let kept = Box::pin(find_kept(self, request));
+                let place = Box::pin(take_place(self, request, tries));
+                tokio::join!(kept, place)
             }
             RouteKind::Idempotent | RouteKind::NonIdempotent => (Vec::new(), None),
         };
