--- a/crates/masticsill_registry/src/places.rs
+++ b/crates/masticsill_registry/src/places.rs
@@ -60,6 +60,7 @@
         before: &[EndpointLoad],
         loads: &[EndpointLoad],
     ) {
+        self.drop_old(now);
         for load in loads {
             if load.is_failing {
                 self.failed_at.insert(load.id.clone(), now);
