--- a/crates/masticsill_control/src/endpoints/hub.rs
+++ b/crates/masticsill_control/src/endpoints/hub.rs
@@ -25,9 +25,9 @@
 const TELL_BOUND: Duration = Duration::from_millis(400);
 /// Tokens of a prompt that are worth a word: they are read in a few hundredths of a second.
 const LEAST_KEPT_TOKENS: u64 = 256;
-/// Pause for each watcher before news that can wait are told, those of loads and of endpoints that began
-/// or fell silent, so that a replica with many watchers answers each less often: 16 ms for the
-/// eight of a small system, 64 ms for 32. When a zone's endpoints begin anew within a second, each
+/// Pause for each watcher before news that can wait are told, those of loads and of endpoints that
+/// began or fell silent, so that a replica with many watchers answers each less often: 16 ms for
+/// the eight of a small system, 64 ms for 32. When a zone's endpoints begin anew within a second, each
 /// watcher hears of them in a few answers instead of one for each.
 const NEWS_PAUSE_MS: u64 = 2;
 /// How many times longer watchers of another zone wait for loads: bytes between zones are dear, and
@@ -301,7 +301,8 @@
         watchers.have_others_changed(&request.watcher, request.loads_revision)
     }
 
-    /// How long news that are not urgent wait, counted from the question, so that many share one answer.
+    /// How long news that are not urgent wait, counted from the question, so that many share one
+    /// answer.
     fn news_pause(&self) -> Duration {
         let watchers = u32::try_from(self.watchers().len()).unwrap_or(u32::MAX);
         Duration::from_millis(NEWS_PAUSE_MS) * watchers
--- a/crates/masticsill_dispatch/src/placement.rs
+++ b/crates/masticsill_dispatch/src/placement.rs
@@ -37,8 +37,8 @@
 /// there now, as may be at those that only look idle.
 const PLACE_GAIN: f64 = 3.0;
 /// Age at which what was told of the other entries' requests says nothing any more of a single
-/// endpoint: by then an engine has read a prompt. Each is taken to do as much as the usual one, so that
-/// entries which hear nothing new don't all go on to the ones that were idle once.
+/// endpoint: by then an engine has read a prompt. Each is taken to do as much as the usual one, so
+/// that entries which hear nothing new don't all go on to the ones that were idle once.
 const FORGOTTEN_MS: u64 = 1_000;
 /// Longest of the random differences that keep entries from choosing alike.
 const JITTER: f64 = 0.5;
@@ -159,12 +159,12 @@
     })
 }
 
-/// Chooses the engine that is to hold a copy of a run: of two drawn at random among those with room the one
-/// whose memory is less in use.
+/// Chooses the engine that is to hold a copy of a run: of two drawn at random among those with room
+/// the one whose memory is less in use.
 ///
 /// Every entry chooses holders in other zones, of whose memory it hears late. Were it always the
-/// emptiest one, the copies of many runs would meet there, queue on its link and find no room. `random`
-/// gives numbers from zero to one.
+/// emptiest one, the copies of many runs would meet there, queue on its link and find no room.
+/// `random` gives numbers from zero to one.
 pub fn choose_holder<'a>(
     table: &'a EndpointTable,
     now: ClockMs,
@@ -235,8 +235,8 @@
     sum / candidates.len().max(1) as f64
 }
 
-/// What the other entries' requests at an endpoint are believed to be: the older the news, the closer
-/// to the usual.
+/// What the other entries' requests at an endpoint are believed to be: the older the news, the
+/// closer to the usual.
 // Times are far below the precision of the type.
 #[allow(clippy::cast_precision_loss)]
 fn believed_load(endpoint: &Endpoint, now: ClockMs, usual: f64) -> f64 {
@@ -274,8 +274,8 @@
     cost
 }
 
-/// Zones in which several endpoints of a service failed just now: two of them this entry, or a part of
-/// those at work there any entry. Engines of a zone that is down lose their work, and those that
+/// Zones in which several endpoints of a service failed just now: two of them this entry, or a part
+/// of those at work there any entry. Engines of a zone that is down lose their work, and those that
 /// nobody has tried since would look the idlest of all.
 ///
 /// Those that the request went to already count as well: it is they that failed.
--- a/crates/masticsill_registry/src/places.rs
+++ b/crates/masticsill_registry/src/places.rs
@@ -12,9 +12,9 @@
 use crate::id::EndpointId;
 use crate::watchers::{EndpointLoad, Watcher};
 
-/// How long a place is kept for an entry that says nothing of it: several times the way to the
+/// How long a place is leased to an entry that says nothing of it: several times the way to the
 /// entry, a connection and the way back.
-const KEPT_MS: u64 = 150;
+const LEASE_MS: u64 = 150;
 /// How long an engine that failed an entry gets no place: about as long as one that was lost takes
 /// to come back.
 const FAILED_MS: u64 = 1_000;
@@ -39,7 +39,7 @@
 struct Place {
     endpoint: EndpointId,
     holder: Watcher,
-    kept_until: ClockMs,
+    leased_until: ClockMs,
 }
 
 /// The places of one zone's engines.
@@ -52,7 +52,7 @@
 
 impl PlaceBook {
     /// Takes what a watcher tells of its requests, instead of what it told before: the places of
-    /// which it speaks are no longer kept for it, and engines that failed it get none for a while.
+    /// which it speaks are no longer leased to it, and engines that failed it get none for a while.
     pub(crate) fn note_loads(
         &mut self,
         now: ClockMs,
@@ -94,9 +94,9 @@
         }
         let is_wanted = |id: &&EndpointId| {
             let is_reading = loads.get(*id).is_some_and(|load| load.reading > 0);
-            let is_kept = self.places.iter().any(|place| place.endpoint == **id);
+            let is_leased = self.places.iter().any(|place| place.endpoint == **id);
             let has_failed = self.failed_at.contains_key(*id);
-            !is_reading && !is_kept && !has_failed && !request.avoided.contains(*id)
+            !is_reading && !is_leased && !has_failed && !request.avoided.contains(*id)
         };
         let work = |id: &EndpointId| {
             let load = loads.get(id);
@@ -107,13 +107,13 @@
         self.places.push(Place {
             endpoint: idlest.clone(),
             holder: request.watcher.clone(),
-            kept_until: now + KEPT_MS,
+            leased_until: now + LEASE_MS,
         });
         Some(idlest)
     }
 
     fn drop_old(&mut self, now: ClockMs) {
-        self.places.retain(|place| now < place.kept_until);
+        self.places.retain(|place| now < place.leased_until);
         self.failed_at.retain(|_, at| now.since(*at) < FAILED_MS);
     }
 
@@ -124,8 +124,8 @@
     }
 }
 
-/// Whether so many endpoints of a zone have just failed, of those at work there, that the rest may stand
-/// still as well.
+/// Whether so many endpoints of a zone have just failed, of those at work there, that the rest may
+/// stand still as well.
 #[must_use]
 pub fn is_zone_down(failed: usize, at_work: usize) -> bool {
     failed >= DOWN_ENGINES && failed * DOWN_PART >= at_work
--- a/crates/masticsill_registry/src/registry.rs
+++ b/crates/masticsill_registry/src/registry.rs
@@ -70,8 +70,8 @@
         self.revision
     }
 
-    /// Whether an incarnation began to leave, or left, after a revision: whoever sends requests must
-    /// hear of that at once. Other changes can wait for each other.
+    /// Whether an incarnation began to leave, or left, after a revision: whoever sends requests
+    /// must hear of that at once. Other changes can wait for each other.
     #[must_use]
     pub fn has_left_since(&self, revision: u64) -> bool {
         self.left_revision > revision
@@ -88,8 +88,9 @@
         self.tracked.values().map(|tracked| &tracked.record)
     }
 
-    /// Incarnations that take requests: of those that named the same address the one that was heard last.
-    /// A former one that crashed says nothing, and counts as lost only after several heartbeats.
+    /// Incarnations that take requests: of those that named the same address the one that was heard
+    /// last. A former one that crashed says nothing, and counts as lost only after several
+    /// heartbeats.
     #[must_use]
     pub fn takers(&self, service: &str, zone: &ZoneId) -> Vec<&EndpointId> {
         let mut newest: IndexMap<SocketAddr, &Tracked> = IndexMap::new();
--- a/crates/masticsill_registry/src/watchers.rs
+++ b/crates/masticsill_registry/src/watchers.rs
@@ -144,8 +144,7 @@
         sums.into_values().collect()
     }
 
-    /// Hands out a place at one of the engines, and tells what the other watchers have
-    /// there.
+    /// Hands out a place at one of the engines, and tells what the other watchers have there.
     pub fn hand_out_place(
         &mut self,
         now: ClockMs,
--- a/crates/masticsill_relay/src/places.rs
+++ b/crates/masticsill_relay/src/places.rs
@@ -14,8 +14,8 @@
 use crate::request::RelayRequest;
 use crate::tries::Tries;
 
-/// Asks for a place at an engine for a stream: in the own zone, and where that has none in the others,
-/// one after the other.
+/// Asks for a place at an engine for a stream: in the own zone, and where that has none in the
+/// others, one after the other.
 ///
 /// Without any, what is known of the engines here must do.
 pub(crate) async fn take_place(
@@ -51,8 +51,8 @@
     Some((first_replica(relay, &near)?, near))
 }
 
-/// A replica of each other zone, in an order drawn at random so that not all who find no place go to
-/// the same one.
+/// A replica of each other zone, in an order drawn at random so that not all who find no place go
+/// to the same one.
 fn far_replicas(relay: &Relay, service: &str) -> Vec<(SocketAddr, ZoneId)> {
     let zones: IndexSet<ZoneId> = relay.control_reached.borrow().values().cloned().collect();
     let is_far = |zone: &ZoneId| *zone != relay.config.zone && !relay.is_suspect(service, zone);
