Logs name a request's content, and whether its endpoint is down after a break

Cause: two attempts of the same request could not be told from two others, and a connection that was reset could not be told from an engine whose process had ended, so that the incident's hypotheses could not be told apart.

Nothing is decided by either yet.

--- a/crates/masticsill_relay/src/admission.rs
+++ b/crates/masticsill_relay/src/admission.rs
@@ -6,6 +6,7 @@
 use masticsill_catalogue::{Route, RouteIndex};
 use masticsill_dispatch::CallerPatience;
 use masticsill_http1::RequestHead;
+use masticsill_quarantine::{Fingerprint, RequestContent};
 use masticsill_types::ClockMs;
 
 use crate::answer::Refusal;
@@ -54,7 +55,15 @@
         patience.note(received_at, &route.name, given_ms)
     });
     let timeout_ms = asked_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
+    let content = RequestContent {
+        body: &body,
+        host: head.headers.text("host").unwrap_or_default(),
+        method: &head.method,
+        target: &head.target,
+        workspace: workspace.as_deref(),
+    };
     RelayRequest {
+        fingerprint: Fingerprint::from(content),
         body,
         caller_leaves_at: received_at + asked_ms.unwrap_or(timeout_ms),
         deadline_at: received_at + timeout_ms,
--- a/crates/masticsill_relay/src/attempt.rs
+++ b/crates/masticsill_relay/src/attempt.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep_until};
 
+use crate::crash_watch::watch_for_crash;
 use crate::events;
 use crate::relay::Relay;
 use crate::request::{RelayRequest, SendOptions};
@@ -172,6 +173,13 @@
     let is_overtaken = is_silence && request.left_ms(relay.now()) == 0;
     if !is_overtaken {
         relay.note_failure(sent.endpoint(), failure);
+        watch_for_crash(
+            &sent.relay,
+            request,
+            sent.endpoint(),
+            failure,
+            sent.began_at,
+        );
     }
     drop(sent);
     SendFailure::MayHaveRun
@@ -193,6 +201,7 @@
         zone = endpoint.zone,
         failure = failure,
         cause = cause,
+        fingerprint = request.fingerprint,
         left_ms = request.left_ms(relay.now())
     );
 }
--- /dev/null
+++ b/crates/masticsill_relay/src/crash_watch.rs
@@ -0,0 +1,96 @@
+//! Finds out whether a run ended together with its endpoint.
+//!
+//! A connection breaks for many reasons: it was reset, an answer was cut, the endpoint's process has
+//! ended. Only the last one may be the request's doing.
+
+use std::io::ErrorKind;
+use std::rc::Rc;
+
+use masticsill_dispatch::Failure;
+use masticsill_registry::{Announcement, EndpointState};
+use masticsill_types::{ClockMs, log_event};
+use masticsill_upstream::dial;
+use tokio::task::spawn_local;
+
+use crate::events;
+use crate::relay::Relay;
+use crate::request::RelayRequest;
+
+/// Longest wait for a connection: an endpoint that runs accepts within a few milliseconds.
+const PROBE_MS: u64 = 120;
+
+/// What a failure says of its endpoint's process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Suspicion {
+    /// It has ended.
+    Down,
+    /// It may have, and is down if it can't be connected to.
+    Likely,
+    /// It stands still, or can't be reached; it has ended only if it refuses connections.
+    Unlikely,
+    /// It runs.
+    Up,
+}
+
+impl From<Failure> for Suspicion {
+    fn from(failure: Failure) -> Self {
+        match failure {
+            Failure::Replaced => Self::Down,
+            Failure::Broken => Self::Likely,
+            Failure::Silent | Failure::Stalled => Self::Unlikely,
+            Failure::Malformed => Self::Up,
+        }
+    }
+}
+
+/// Asks the endpoint of a run that failed for a connection, and notes whether it is down.
+pub(crate) fn watch_for_crash(
+    relay: &Rc<Relay>,
+    request: &RelayRequest,
+    endpoint: &Announcement,
+    failure: Failure,
+    began_at: ClockMs,
+) {
+    let suspicion = Suspicion::from(failure);
+    // One that leaves ends by itself, and what it still ran with it.
+    let is_innocent = suspicion != Suspicion::Down && is_leaving(relay, endpoint);
+    if suspicion == Suspicion::Up || is_innocent {
+        return;
+    }
+    let ended_at = relay.now();
+    let (relay, endpoint) = (Rc::clone(relay), endpoint.clone());
+    let (id, fingerprint) = (request.id.clone(), request.fingerprint);
+    spawn_local(async move {
+        let is_down = is_down(&endpoint, suspicion).await;
+        log_event!(
+            info,
+            events::CRASH_CHECKED,
+            request = id,
+            fingerprint = fingerprint,
+            endpoint = endpoint.id,
+            zone = endpoint.zone,
+            failure = failure.name(),
+            is_down = is_down,
+            ran_ms = ended_at.since(began_at),
+            age_ms = relay.now().since(ended_at)
+        );
+    });
+}
+
+fn is_leaving(relay: &Relay, endpoint: &Announcement) -> bool {
+    let endpoints = relay.endpoints.borrow();
+    let known = endpoints.get(&endpoint.id);
+    known.is_some_and(|it| it.announcement.state > EndpointState::Ready)
+}
+
+async fn is_down(endpoint: &Announcement, suspicion: Suspicion) -> bool {
+    if suspicion == Suspicion::Down {
+        return true;
+    }
+    match dial(endpoint.address, PROBE_MS).await {
+        Ok(_) => false,
+        Err(error) => {
+            suspicion == Suspicion::Likely || error.kind() == ErrorKind::ConnectionRefused
+        }
+    }
+}
--- a/crates/masticsill_relay/src/doubt.rs
+++ b/crates/masticsill_relay/src/doubt.rs
@@ -5,6 +5,7 @@
 //! no successor can be had. Ended first, it would be lost whenever the retry budget, the route's
 //! attempts or a connection are then wanting.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use masticsill_dispatch::Failure;
@@ -13,6 +14,7 @@
 use tokio::time::timeout;
 
 use crate::attempt::log_failure;
+use crate::crash_watch::watch_for_crash;
 use crate::events;
 use crate::relay::Relay;
 use crate::request::RelayRequest;
@@ -55,15 +57,17 @@
     }
 }
 
-/// Logs that a send was ended for its successor.
-pub(crate) fn log_replaced(
-    relay: &Relay,
+/// Notes that a send, which began at `began_at`, was ended for its successor.
+pub(crate) fn note_replaced(
+    relay: &Rc<Relay>,
     request: &RelayRequest,
     endpoint: &Announcement,
     failure: Failure,
+    began_at: ClockMs,
 ) {
     let cause = "silent until its successor was connected";
     log_failure(relay, request, endpoint, failure.name(), cause);
+    watch_for_crash(relay, request, endpoint, failure, began_at);
 }
 
 /// Notes that a send which was doubted goes on: its endpoint bears no mark of that.
--- a/crates/masticsill_relay/src/events.rs
+++ b/crates/masticsill_relay/src/events.rs
@@ -60,6 +60,8 @@
 pub const STREAM_WAITS: Event = Event::new(2134, "stream_waits");
 /// A piece of a document, or the whole, has other bytes than its hash says; it is fetched again.
 pub const PIECE_DAMAGED: Event = Event::new(2135, "piece_damaged");
+/// An exchange broke, and the endpoint was asked for a connection to learn whether it is down.
+pub const CRASH_CHECKED: Event = Event::new(2136, "crash_checked");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -92,4 +94,5 @@
     RUN_WENT_ON,
     STREAM_WAITS,
     PIECE_DAMAGED,
+    CRASH_CHECKED,
 ];
--- a/crates/masticsill_relay/src/lib.rs
+++ b/crates/masticsill_relay/src/lib.rs
@@ -14,6 +14,7 @@
 mod config;
 mod connection;
 mod copies;
+mod crash_watch;
 mod discovery;
 mod dispatching;
 mod documents;
--- a/crates/masticsill_relay/src/plain.rs
+++ b/crates/masticsill_relay/src/plain.rs
@@ -7,7 +7,7 @@
 use crate::answer::{Answer, Refusal};
 use crate::attempt::{SendFailure, Sent, exchange, fail, failure_of, open, with_patience};
 use crate::dispatching::Dispatched;
-use crate::doubt::{LIFE_ENDED, Waited, log_replaced, note_went_on, until_replaced};
+use crate::doubt::{LIFE_ENDED, Waited, note_replaced, note_went_on, until_replaced};
 use crate::relay::Relay;
 use crate::request::{RelayRequest, SendOptions};
 use crate::tries::{Obstacle, Tries};
@@ -197,7 +197,7 @@
             tries.end_doubt(&doubt);
             note_went_on(relay, request, endpoint, sent_at);
         }
-        Waited::Replaced(_) => log_replaced(relay, request, endpoint, failure),
+        Waited::Replaced(_) => note_replaced(relay, request, endpoint, failure, sent_at),
         Waited::Ended | Waited::Over => tries.end_doubt(&doubt),
     }
     waited
--- a/crates/masticsill_relay/src/request.rs
+++ b/crates/masticsill_relay/src/request.rs
@@ -5,6 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use masticsill_catalogue::Route;
 use masticsill_http1::{HeadWriter, Header, HeaderList, RequestHead};
+use masticsill_quarantine::Fingerprint;
 use masticsill_registry::Announcement;
 use masticsill_types::ClockMs;
 
@@ -17,6 +18,8 @@
     /// When the caller gives up, whatever the route allows.
     pub(crate) caller_leaves_at: ClockMs,
     pub(crate) deadline_at: ClockMs,
+    /// Names its content, whatever the attempt.
+    pub(crate) fingerprint: Fingerprint,
     /// How long its caller has waited in attempts before this one, as far as can be told.
     pub(crate) had_waited_ms: u64,
     pub(crate) head: RequestHead,
--- a/crates/masticsill_relay/src/stream.rs
+++ b/crates/masticsill_relay/src/stream.rs
@@ -26,7 +26,7 @@
 use crate::attempt::{SendFailure, Sent, exchange, fail, failure_of, open, with_patience};
 use crate::copies::{Copy, CopyKeeper};
 use crate::dispatching::Dispatched;
-use crate::doubt::{LIFE_ENDED, Waited, log_replaced, note_went_on, until_replaced};
+use crate::doubt::{LIFE_ENDED, Waited, note_replaced, note_went_on, until_replaced};
 use crate::events;
 use crate::lineage::{EventOrder, Placed};
 use crate::metrics::CauseLabel;
@@ -113,6 +113,8 @@
     relay: &'a Rc<Relay>,
     request: &'a RelayRequest,
     resumes: u32,
+    /// When its newest run was sent.
+    run_began_at: ClockMs,
     timing: Timing,
     tries: Tries,
     writer: &'a mut OwnedWriteHalf,
@@ -136,6 +138,7 @@
             relay,
             request,
             resumes: 0,
+            run_began_at: request.received_at,
             timing: Timing::default(),
             tries: Tries::default(),
             writer,
@@ -336,6 +339,7 @@
         self.is_copy_usable = from_copy.is_some();
         let patience_ms = self.first_patience_ms();
         let sent_at = relay.now();
+        self.run_began_at = sent_at;
         let exchange = exchange(relay, request, &mut sent, &options);
         let failure = Failure::Silent;
         let waited = self.listen(&endpoint, sent_at, patience_ms, failure, exchange);
@@ -413,7 +417,7 @@
             Waited::Done(done) => done,
             Waited::Replaced(next) => {
                 self.last_failure = failure.name();
-                log_replaced(relay, request, endpoint, failure);
+                note_replaced(relay, request, endpoint, failure, self.run_began_at);
                 return Waited::Replaced(next);
             }
             Waited::Ended | Waited::Over => {
