--- a/crates/masticsill_quarantine/src/ledger.rs
+++ b/crates/masticsill_quarantine/src/ledger.rs
@@ -47,7 +47,7 @@
     pub weight: Weight,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Entry {
     /// Whether it has been suspicious, so that every change concerns all.
     is_spread: bool,
@@ -98,36 +98,42 @@
 
     fn merge_one(&mut self, now: ClockMs, record: &RequestRecord) {
         let fingerprint = record.fingerprint;
-        let own_completion = self.completed.last(&fingerprint);
         let suspect = &mut self.entry(fingerprint).suspect;
+        let crashes = record.crashes.iter();
+        let crashes: Vec<CrashedRun> = crashes.map(|it| CrashedRun::from_record(now, it)).collect();
+        let told_completion = record.completed_ago_ms.map(|ago_ms| now.before(ago_ms));
+        // Who told this may not know that the request was run to an end here.
+        let is_cleared_here = suspect.completed_at().is_some_and(|own| {
+            let is_cleared = |it: &CrashedRun| {
+                it.ended_at <= own && told_completion.is_none_or(|told| told < it.ended_at)
+            };
+            told_completion.is_none() || crashes.iter().any(is_cleared)
+        });
         let mut is_changed = false;
-        for crash in &record.crashes {
-            is_changed |= suspect.take_crash(CrashedRun::from_record(now, crash));
+        for crash in crashes {
+            is_changed |= suspect.take_crash(crash);
         }
-        if let Some(ago_ms) = record.completed_ago_ms {
-            is_changed |= suspect.take_completion(now.before(ago_ms));
+        if let Some(at) = told_completion {
+            is_changed |= suspect.take_completion(at);
         }
-        // Who told this may not know that the request was run to an end here.
-        let is_news = own_completion.is_some_and(|at| suspect.take_completion(at));
-        if is_news {
+        if is_cleared_here {
             self.note_change(fingerprint, Origin::Here);
         } else if is_changed {
             self.note_change(fingerprint, Origin::Told);
         }
     }
 
+    /// A request's entry, a new one with what is remembered of it.
     fn entry(&mut self, fingerprint: Fingerprint) -> &mut Entry {
         if !self.suspects.contains_key(&fingerprint) {
             self.make_room();
         }
         let completed_at = self.completed.last(&fingerprint);
-        let entry = self.suspects.entry(fingerprint);
-        entry.or_insert_with(|| Entry {
-            is_spread: false,
-            noted_revision: 0,
-            revision: 0,
-            suspect: Suspect::new(completed_at),
-        })
+        let entry = self.suspects.entry(fingerprint).or_default();
+        if let Some(at) = completed_at {
+            entry.suspect.take_completion(at);
+        }
+        entry
     }
 
     fn make_room(&mut self) {
--- a/crates/masticsill_quarantine/src/suspect.rs
+++ b/crates/masticsill_quarantine/src/suspect.rs
@@ -5,8 +5,8 @@
 
 use crate::crash::{CrashedRun, Weight};
 
-/// Crashes remembered of one request: the newest.
-const MAX_CRASHES: usize = 8;
+/// Crashes remembered of one request.
+const MAX_CRASHES: usize = 16;
 /// Crashes after which a request is sent nowhere any more.
 const STRIKES: usize = 3;
 /// The same for a request that was also run to an end not long ago.
@@ -45,13 +45,6 @@
 }
 
 impl Suspect {
-    pub(crate) fn new(completed_at: Option<ClockMs>) -> Self {
-        Self {
-            crashes: Vec::new(),
-            completed_at,
-        }
-    }
-
     pub(crate) fn crashes(&self) -> &[CrashedRun] {
         &self.crashes
     }
@@ -82,11 +75,26 @@
             true
         };
         self.crashes.sort_by_key(|it| it.ended_at);
-        let surplus = self.crashes.len().saturating_sub(MAX_CRASHES);
-        self.crashes.drain(..surplus);
+        if self.crashes.len() > MAX_CRASHES {
+            // The oldest, unless one of the others adds nothing to the strikes.
+            let dropped = self.redundant().unwrap_or_default();
+            self.crashes.remove(dropped);
+        }
         is_changed
     }
 
+    /// The place of the first crash that fell together with the one before.
+    fn redundant(&self) -> Option<usize> {
+        let mut last_end = None;
+        self.crashes.iter().position(|crash| {
+            let is_separate = is_separate(crash, last_end);
+            if is_separate {
+                last_end = Some(crash.ended_at);
+            }
+            !is_separate
+        })
+    }
+
     /// Notes that it was run to an end; returns whether that clears it of anything, or was not known.
     pub(crate) fn take_completion(&mut self, at: ClockMs) -> bool {
         let is_first = self.completed_at.is_none();
@@ -109,10 +117,7 @@
         let mut strikes = 0;
         let mut last_end = None;
         for crash in self.crashes_since_completion() {
-            let is_separate = last_end.is_none_or(|last_end: ClockMs| {
-                crash.began_at >= last_end || crash.ended_at >= last_end + APART_MS
-            });
-            if is_counted(crash.weight) && is_separate {
+            if is_counted(crash.weight) && is_separate(crash, last_end) {
                 strikes += 1;
                 last_end = Some(crash.ended_at);
             }
@@ -161,3 +166,9 @@
         until.max(last) + REMEMBERED_MS
     }
 }
+
+/// Whether a crash is another one than the crash before it: its run began later, or its end lies apart.
+fn is_separate(crash: &CrashedRun, last_end: Option<ClockMs>) -> bool {
+    last_end
+        .is_none_or(|last_end| crash.began_at >= last_end || crash.ended_at >= last_end + APART_MS)
+}
--- /dev/null
+++ b/crates/masticsill_quarantine/tests/support/mod.rs
@@ -0,0 +1,74 @@
+//! Crashes for the tests, in short.
+
+#![allow(dead_code)]
+
+use masticsill_quarantine::{CrashLedger, CrashRecord, Fingerprint, RequestContent, Weight};
+use masticsill_registry::EndpointId;
+use masticsill_types::{ClockMs, ZoneId};
+
+pub(crate) fn fingerprint(request: u32) -> Fingerprint {
+    Fingerprint::from(RequestContent {
+        body: &request.to_le_bytes(),
+        host: "",
+        method: "",
+        target: "",
+        workspace: None,
+    })
+}
+
+pub(crate) fn crash(
+    endpoint: u64,
+    began_ago_ms: u64,
+    ended_ago_ms: u64,
+    zone: &str,
+) -> CrashRecord {
+    CrashRecord {
+        began_ago_ms,
+        endpoint: EndpointId::unnamed_life(format!("e{endpoint}")),
+        ended_ago_ms,
+        weight: Weight::Pending,
+        zone: ZoneId::new(zone).unwrap(),
+    }
+}
+
+/// A run that ended with its endpoint.
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    began_ms: u64,
+    ended_ms: u64,
+    endpoint: u64,
+    zone: String,
+}
+
+impl Run {
+    /// In a zone of its own.
+    pub(crate) fn new(endpoint: u64, began_ms: u64, ended_ms: u64) -> Self {
+        Self {
+            began_ms,
+            ended_ms,
+            endpoint,
+            zone: format!("zone-{endpoint}"),
+        }
+    }
+
+    pub(crate) fn in_zone(self, zone: &str) -> Self {
+        Self {
+            zone: zone.to_owned(),
+            ..self
+        }
+    }
+}
+
+/// Notes a run at the moment of its end.
+pub(crate) fn note(ledger: &mut CrashLedger, request: u32, run: &Run) {
+    let ran_ms = run.ended_ms - run.began_ms;
+    let crash = crash(run.endpoint, ran_ms, 0, &run.zone);
+    ledger.note_crash(ClockMs(run.ended_ms), fingerprint(request), &crash);
+}
+
+/// Judges everything that is due at a time; that time.
+pub(crate) fn judge_all(ledger: &mut CrashLedger, at_ms: u64) -> ClockMs {
+    let now = ClockMs(at_ms);
+    ledger.judge(now);
+    now
+}
