A request waits while the crash that would quarantine it is judged

Cause: a crash counts half a second after it happened, and until then its request was sent on, at once and by the same attempt: with three crashes known further endpoints got it, the more attempts there were at a time.

Change: with three crashes, judged or not, a request is held for 0.8 s at most; with two and a check under way, until that ends.

--- a/crates/masticsill_control/src/endpoints/suspects.rs
+++ b/crates/masticsill_control/src/endpoints/suspects.rs
@@ -108,7 +108,7 @@
 
 fn log_judgement(judgement: &Judgement) {
     let (is_quarantined, strikes, left_ms) = match judgement.standing {
-        Standing::Free => (false, 0, 0),
+        Standing::Free | Standing::Held { .. } => (false, 0, 0),
         Standing::Quarantined { left_ms, strikes } => (true, strikes, left_ms),
     };
     log_event!(
--- a/crates/masticsill_quarantine/src/ledger.rs
+++ b/crates/masticsill_quarantine/src/ledger.rs
@@ -263,13 +263,21 @@
         entry.map_or(Standing::Free, |it| it.suspect.standing(moment(now)))
     }
 
+    /// Whether one crash more may have a request sent nowhere.
+    #[must_use]
+    pub fn is_suspicious(&self, fingerprint: &Fingerprint) -> bool {
+        let entry = self.suspects.get(fingerprint);
+        entry.is_some_and(|it| it.suspect.is_suspicious())
+    }
+
     /// Requests that are sent nowhere.
     #[must_use]
     pub fn quarantined(&self, now: ClockMs) -> usize {
         let at = moment(now);
         let entries = self.suspects.values();
-        entries
-            .filter(|it| it.suspect.standing(at) != Standing::Free)
+        let standings = entries.map(|it| it.suspect.standing(at));
+        standings
+            .filter(|it| matches!(it, Standing::Quarantined { .. }))
             .count()
     }
 
--- a/crates/masticsill_quarantine/src/suspect.rs
+++ b/crates/masticsill_quarantine/src/suspect.rs
@@ -16,6 +16,8 @@
 const SUSPECT_STRIKES: usize = 2;
 /// Ends of runs that overlap are separate crashes from this distance on.
 const APART_MS: u64 = 500;
+/// How long a request waits for the judgement of its last crash: until that is due, and told.
+const HELD_MS: u64 = 800;
 /// How long a request is sent nowhere after its last crash, doubled with each one more.
 const FIRST_QUARANTINE_MS: u64 = 600_000;
 /// How long a request is remembered once nothing keeps it from being sent.
@@ -26,6 +28,11 @@
 pub enum Standing {
     /// Nothing is held against it, or too little.
     Free,
+    /// Crashes that are not judged yet would have it sent nowhere: it waits for that.
+    Held {
+        /// For how long at most, in milliseconds.
+        left_ms: u64,
+    },
     /// It is sent nowhere.
     Quarantined {
         /// For how long, in milliseconds.
@@ -135,25 +142,42 @@
         self.strikes(|weight| weight != Weight::Shared) >= SUSPECT_STRIKES
     }
 
-    /// Until when it is sent nowhere, and how many crashes count against it.
-    fn quarantine(&self) -> Option<(ClockMs, usize)> {
-        let strikes = self.counted_strikes();
-        let allowed = if self.completed_at.is_some() {
+    /// Crashes from which it is sent nowhere.
+    fn allowed(&self) -> usize {
+        if self.completed_at.is_some() {
             STRIKES_AFTER_SUCCESS
         } else {
             STRIKES
-        };
-        let beyond = strikes.checked_sub(allowed)?;
+        }
+    }
+
+    /// Until when it is sent nowhere, and how many crashes count against it.
+    fn quarantine(&self) -> Option<(ClockMs, usize)> {
+        let strikes = self.counted_strikes();
+        let beyond = strikes.checked_sub(self.allowed())?;
         let counted = self.crashes_since_completion();
         let last = counted.filter(|it| it.weight == Weight::Counted).last()?;
         Some((last.ended_at + (FIRST_QUARANTINE_MS << beyond), strikes))
     }
 
+    /// Until when it waits for the judgement of its crashes.
+    fn held_until(&self) -> Option<ClockMs> {
+        let crashes = self.crashes_since_completion();
+        let pending = crashes.filter(|it| it.weight == Weight::Pending).last()?;
+        let strikes = self.strikes(|weight| weight != Weight::Shared);
+        (strikes >= self.allowed()).then_some(pending.ended_at + HELD_MS)
+    }
+
     pub(crate) fn standing(&self, now: ClockMs) -> Standing {
-        match self.quarantine() {
-            Some((until, strikes)) if now < until => Standing::Quarantined {
+        if let Some((until, strikes)) = self.quarantine()
+            && now < until
+        {
+            let left_ms = until.since(now);
+            return Standing::Quarantined { left_ms, strikes };
+        }
+        match self.held_until() {
+            Some(until) if now < until => Standing::Held {
                 left_ms: until.since(now),
-                strikes,
             },
             _ => Standing::Free,
         }
--- a/crates/masticsill_quarantine/tests/crash_ledger.rs
+++ b/crates/masticsill_quarantine/tests/crash_ledger.rs
@@ -11,7 +11,8 @@
 const TEN_MINUTES_MS: u64 = 600_000;
 
 fn is_quarantined(ledger: &CrashLedger, now: ClockMs, request: u32) -> bool {
-    ledger.standing(now, &fingerprint(request)) != Standing::Free
+    let standing = ledger.standing(now, &fingerprint(request));
+    matches!(standing, Standing::Quarantined { .. })
 }
 
 /// Crashes under one request, one after the other, each in a zone of its own.
@@ -152,6 +153,10 @@
     crash_in_turn(&mut ledger, 1, 2, 1_000);
     note(&mut ledger, 1, &Run::new(9, 2_000, 2_050));
     assert!(!is_quarantined(&ledger, ClockMs(2_100), 1));
+    let standing = |ledger: &CrashLedger, now_ms| ledger.standing(ClockMs(now_ms), &fingerprint(1));
+    assert_eq!(standing(&ledger, 2_100), Standing::Held { left_ms: 750 });
+    // Nobody judges.
+    assert_eq!(standing(&ledger, 2_850), Standing::Free);
     let now = ClockMs(2_050);
     assert_eq!(ledger.judged_in_ms(now), Some(500));
     assert!(ledger.judge(ClockMs(2_400)).is_empty());
--- a/crates/masticsill_quarantine/tests/joined_records.rs
+++ b/crates/masticsill_quarantine/tests/joined_records.rs
@@ -47,7 +47,12 @@
 
 fn standings(ledger: &CrashLedger) -> Vec<(Fingerprint, bool)> {
     let requests = (0..REQUESTS).map(fingerprint);
-    let standings = requests.map(|it| (it, ledger.standing(NOW, &it) != Standing::Free));
+    let standings = requests.map(|it| {
+        (
+            it,
+            matches!(ledger.standing(NOW, &it), Standing::Quarantined { .. }),
+        )
+    });
     standings.collect()
 }
 
--- a/crates/masticsill_relay/src/attempt.rs
+++ b/crates/masticsill_relay/src/attempt.rs
@@ -132,9 +132,7 @@
         upstream: Some(Upstream::new(stream)),
     };
     // It may have waited for a place, or for the connection, while endpoints crashed under it elsewhere.
-    if relay.quarantine_left_ms(request).is_some() {
-        return Err(Obstacle::Quarantined);
-    }
+    relay.check_crashes(request)?;
     if tries.spend(relay, request) {
         Ok(sent)
     } else {
--- a/crates/masticsill_relay/src/crash_watch.rs
+++ b/crates/masticsill_relay/src/crash_watch.rs
@@ -18,7 +18,7 @@
 use crate::request::RelayRequest;
 
 /// Longest wait for a connection: an endpoint that runs accepts within a few milliseconds.
-const PROBE_MS: u64 = 120;
+pub(crate) const PROBE_MS: u64 = 120;
 
 /// What a failure says of its endpoint's process.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -61,8 +61,10 @@
     let ended_at = relay.now();
     let (relay, endpoint) = (Rc::clone(relay), endpoint.clone());
     let (id, fingerprint) = (request.id.clone(), request.fingerprint);
+    relay.checked.borrow_mut().push(fingerprint);
     spawn_local(async move {
         let is_down = is_down(&endpoint, suspicion).await;
+        relay.end_check(fingerprint);
         if is_down {
             let now = relay.now();
             let crash = CrashRecord {
--- a/crates/masticsill_relay/src/plain.rs
+++ b/crates/masticsill_relay/src/plain.rs
@@ -83,28 +83,37 @@
         if request.left_ms(relay.now()) == 0 {
             return Err(Obstacle::Deadline);
         }
-        tries.may_go_on(relay, request, false)?;
-        if !tries.has_budget(relay, request) {
-            relay.note_retry_refused(&request.service);
-            return Err(Obstacle::Budget);
-        }
-        let (choice, reservation) = match relay.choose_or_wait(request, tries, false).await {
-            Dispatched::Sent(choice, reservation) => (choice, *reservation),
-            Dispatched::Refused(overload) => {
-                tries.note_overload(overload);
-                return Err(Obstacle::Overloaded);
-            }
-            Dispatched::Nobody => return Err(Obstacle::Nobody),
-        };
-        let patience_ms = patience_ms(relay, request, tries, choice.candidates);
-        match open(relay, request, reservation, tries).await {
-            Ok(sent) => return Ok(Next { patience_ms, sent }),
+        match try_open(relay, request, tries).await {
             Err(Obstacle::Unreached) => {}
-            Err(obstacle) => return Err(obstacle),
+            Err(Obstacle::Held { left_ms }) => relay.await_judgement(left_ms).await,
+            opened => return opened,
         }
     }
 }
 
+async fn try_open(
+    relay: &Rc<Relay>,
+    request: &RelayRequest,
+    tries: &mut Tries,
+) -> Result<Next, Obstacle> {
+    tries.may_go_on(relay, request, false)?;
+    if !tries.has_budget(relay, request) {
+        relay.note_retry_refused(&request.service);
+        return Err(Obstacle::Budget);
+    }
+    let (choice, reservation) = match relay.choose_or_wait(request, tries, false).await {
+        Dispatched::Sent(choice, reservation) => (choice, *reservation),
+        Dispatched::Refused(overload) => {
+            tries.note_overload(overload);
+            return Err(Obstacle::Overloaded);
+        }
+        Dispatched::Nobody => return Err(Obstacle::Nobody),
+    };
+    let patience_ms = patience_ms(relay, request, tries, choice.candidates);
+    let sent = open(relay, request, reservation, tries).await?;
+    Ok(Next { patience_ms, sent })
+}
+
 /// The end of a plain request.
 #[derive(Debug)]
 pub(crate) enum PlainEnd {
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -15,7 +15,7 @@
     CallerPatience, Dispatcher, Endpoint, EndpointTable, EntryCount, Failure, RetryBudget,
     ZoneShare,
 };
-use masticsill_quarantine::CrashLedger;
+use masticsill_quarantine::{CrashLedger, Fingerprint};
 use masticsill_registry::{Announcement, EndpointId, Watcher};
 use masticsill_runtime::ShutdownSignal;
 use masticsill_types::{ClockMs, MonotonicClock, NodeId, ZoneId, log_event};
@@ -70,6 +70,8 @@
     pub(crate) control: ControlClient,
     /// Control replicas that answered last time, and their zones.
     pub(crate) control_reached: RefCell<IndexMap<SocketAddr, ZoneId>>,
+    /// Requests of whose endpoints it is being found out whether they crashed.
+    pub(crate) checked: RefCell<Vec<Fingerprint>>,
     /// Requests under which endpoints crashed.
     pub(crate) crashes: RefCell<CrashLedger>,
     /// The requests that wait for an endpoint, in the order in which they go.
@@ -136,6 +138,7 @@
             config,
             control: ControlClient::new(AddressBook::default()),
             control_reached: RefCell::default(),
+            checked: RefCell::default(),
             crashes: RefCell::default(),
             dispatcher: RefCell::default(),
             endpoints: RefCell::default(),
--- a/crates/masticsill_relay/src/stream.rs
+++ b/crates/masticsill_relay/src/stream.rs
@@ -221,6 +221,10 @@
             let obstacle = match self.try_open(is_begun, doubted).await {
                 Ok(next) => return Ok(next),
                 Err(Obstacle::Unreached) if !is_begun || !self.tries.is_to_pause() => continue,
+                Err(Obstacle::Held { left_ms }) => {
+                    self.relay.await_judgement(left_ms).await;
+                    continue;
+                }
                 Err(obstacle) => obstacle,
             };
             if !is_begun || !obstacle.is_passing() {
--- a/crates/masticsill_relay/src/suspects.rs
+++ b/crates/masticsill_relay/src/suspects.rs
@@ -7,11 +7,13 @@
 
 use masticsill_quarantine::{CrashLedger, CrashRecord, Fingerprint, RequestRecord, Standing};
 use masticsill_types::log_event;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
+use crate::crash_watch::PROBE_MS;
 use crate::events;
 use crate::relay::Relay;
 use crate::request::RelayRequest;
+use crate::tries::Obstacle;
 
 /// Pause before a replica that did not answer is told again.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -40,6 +42,16 @@
         self.wake_tellers();
     }
 
+    /// Notes that it is known of an endpoint whether it crashed under a request.
+    pub(crate) fn end_check(&self, fingerprint: Fingerprint) {
+        let mut checked = self.checked.borrow_mut();
+        if let Some(place) = checked.iter().position(|it| *it == fingerprint) {
+            checked.swap_remove(place);
+        }
+        drop(checked);
+        self.wake_tellers();
+    }
+
     /// Notes that an endpoint ran a request to an end, well or not: it bore it.
     pub(crate) fn note_completion(&self, request: &RelayRequest) {
         let (now, fingerprint) = (self.now(), request.fingerprint);
@@ -59,7 +71,8 @@
         let now = self.now();
         let mut ledger = self.crashes.borrow_mut();
         let is_free = |ledger: &CrashLedger, record: &RequestRecord| {
-            ledger.standing(now, &record.fingerprint) == Standing::Free
+            let standing = ledger.standing(now, &record.fingerprint);
+            !matches!(standing, Standing::Quarantined { .. })
         };
         let free: Vec<&RequestRecord> = records.iter().filter(|it| is_free(&ledger, it)).collect();
         ledger.merge(now, records);
@@ -89,14 +102,43 @@
         self.noted_crashes.send_modify(|count| *count += 1);
     }
 
+    /// Whether a request may be sent, as far as the endpoints are concerned that crashed under it.
+    ///
+    /// # Errors
+    ///
+    /// It is sent nowhere, or is to wait for the judgement of a crash.
+    pub(crate) fn check_crashes(&self, request: &RelayRequest) -> Result<(), Obstacle> {
+        let fingerprint = &request.fingerprint;
+        let is_checked = self.checked.borrow().contains(fingerprint);
+        if is_checked && self.crashes.borrow().is_suspicious(fingerprint) {
+            return Err(Obstacle::Held { left_ms: PROBE_MS });
+        }
+        match self.standing(request) {
+            Standing::Free => Ok(()),
+            Standing::Held { left_ms } => Err(Obstacle::Held { left_ms }),
+            Standing::Quarantined { .. } => Err(Obstacle::Quarantined),
+        }
+    }
+
     /// For how long a request is sent nowhere, since it crashes endpoints; none if it may be sent.
     pub(crate) fn quarantine_left_ms(&self, request: &RelayRequest) -> Option<u64> {
-        let ledger = self.crashes.borrow();
-        match ledger.standing(self.now(), &request.fingerprint) {
-            Standing::Free => None,
+        match self.standing(request) {
+            Standing::Free | Standing::Held { .. } => None,
             Standing::Quarantined { left_ms, .. } => Some(left_ms),
         }
     }
+
+    fn standing(&self, request: &RelayRequest) -> Standing {
+        let ledger = self.crashes.borrow();
+        ledger.standing(self.now(), &request.fingerprint)
+    }
+
+    /// Waits until something is learned of crashes, `bound_ms` at most.
+    pub(crate) async fn await_judgement(&self, bound_ms: u64) {
+        let mut noted = self.noted_crashes.subscribe();
+        // The bound ends the wait where nobody judges.
+        let _ = timeout(Duration::from_millis(bound_ms), noted.changed()).await;
+    }
 }
 
 /// Tells a control replica what is noted here of requests under which endpoints crashed, for good.
--- a/crates/masticsill_relay/src/tries.rs
+++ b/crates/masticsill_relay/src/tries.rs
@@ -36,6 +36,11 @@
     Deadline,
     /// Too many endpoints could not be connected to.
     Dials,
+    /// Endpoints crashed under it, and whether that counts is judged in a moment.
+    Held {
+        /// The longest wait for that.
+        left_ms: u64,
+    },
     /// It may have run, and may not run twice.
     MayNotRepeat,
     /// No endpoint is known that it could go to.
@@ -57,6 +62,7 @@
             Self::Budget => "budget",
             Self::Deadline => "deadline",
             Self::Dials => "dials",
+            Self::Held { .. } => "held",
             Self::MayNotRepeat => "may_not_repeat",
             Self::Nobody => "nobody",
             Self::Overloaded => "overloaded",
@@ -70,7 +76,12 @@
     /// Whether time alone may remove it.
     pub(crate) fn is_passing(self) -> bool {
         match self {
-            Self::Budget | Self::Dials | Self::Nobody | Self::Overloaded | Self::Unreached => true,
+            Self::Budget
+            | Self::Dials
+            | Self::Held { .. }
+            | Self::Nobody
+            | Self::Overloaded
+            | Self::Unreached => true,
             Self::Arrivals
             | Self::Attempts
             | Self::Deadline
@@ -211,9 +222,7 @@
         request: &RelayRequest,
         is_begun: bool,
     ) -> Result<(), Obstacle> {
-        if relay.quarantine_left_ms(request).is_some() {
-            return Err(Obstacle::Quarantined);
-        }
+        relay.check_crashes(request)?;
         if self.sends >= request.route.max_attempts {
             return Err(Obstacle::Attempts);
         }
