--- a/crates/masticsill_quarantine/tests/crash_ledger.rs
+++ b/crates/masticsill_quarantine/tests/crash_ledger.rs
@@ -66,13 +66,14 @@
 #[test]
 fn a_run_to_an_end_clears_the_crashes_before() {
     let mut ledger = CrashLedger::default();
-    crash_in_turn(&mut ledger, 1, 2, 1_000);
-    ledger.note_completion(ClockMs(2_000), fingerprint(1));
-    for number in 5..7 {
-        let began_ms = 2_500 + number * 100;
+    ledger.note_completion(ClockMs(500), fingerprint(1));
+    crash_in_turn(&mut ledger, 1, 5, 1_000);
+    ledger.note_completion(ClockMs(3_000), fingerprint(1));
+    for number in 5..10 {
+        let began_ms = 3_500 + number * 100;
         note(&mut ledger, 1, &Run::new(number, began_ms, began_ms + 50));
     }
-    let now = judge_all(&mut ledger, 5_000);
+    let now = judge_all(&mut ledger, 6_000);
     assert!(!is_quarantined(&ledger, now, 1));
 }
 
@@ -110,10 +111,10 @@
 #[test]
 fn endpoints_that_fell_under_the_same_request_do_not_explain_each_other() {
     let mut ledger = CrashLedger::default();
-    // Four engines of a zone crash at the same moment, each under this request, three times.
+    // Eight engines of a zone crash at the same moment, each under this request, three times.
     for wave in 0..3 {
         let began_ms = 1_000 + wave * 1_000;
-        for number in 0..4 {
+        for number in 0..8 {
             let run = Run::new(wave * 10 + number, began_ms, began_ms + 100).in_zone("north");
             note(&mut ledger, 1, &run);
         }
@@ -265,7 +266,8 @@
 #[test]
 fn crashes_before_the_start_of_a_process_keep_their_order() {
     let mut former = CrashLedger::default();
-    let now = crash_in_turn(&mut former, 1, 3, 1_000_000);
+    former.note_completion(ClockMs(999_000), fingerprint(1));
+    let now = crash_in_turn(&mut former, 1, 6, 1_000_000);
     let records = former.spread_since(now, 0);
     // Just started: its clock begins with zero.
     let mut started = CrashLedger::default();
