Crash ledger: tasks that tell replicas look only when something was noted here

Each word of a replica woke them, and each looked through all records: some thousand for each broken run and replica on the large site, by reckoning.

--- a/crates/masticsill_quarantine/src/ledger.rs
+++ b/crates/masticsill_quarantine/src/ledger.rs
@@ -61,6 +61,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct CrashLedger {
     completed: CompletedRuns,
+    /// Revision of the last change that this process noted itself.
+    noted_revision: u64,
     revision: u64,
     /// Revision of the last change that concerns every entry.
     spread_revision: u64,
@@ -158,6 +160,7 @@
         entry.revision = self.revision;
         if origin == Origin::Here {
             entry.noted_revision = self.revision;
+            self.noted_revision = self.revision;
         }
         entry.is_spread |= entry.suspect.is_suspicious();
         if entry.is_spread {
@@ -287,6 +290,12 @@
         self.revision
     }
 
+    /// Revision of the last change that this process noted itself.
+    #[must_use]
+    pub fn noted_revision(&self) -> u64 {
+        self.noted_revision
+    }
+
     /// Revision of the last change that concerns every entry.
     #[must_use]
     pub fn spread_revision(&self) -> u64 {
--- a/crates/masticsill_relay/src/suspects.rs
+++ b/crates/masticsill_relay/src/suspects.rs
@@ -56,9 +56,9 @@
     pub(crate) fn note_completion(&self, request: &RelayRequest) {
         let (now, fingerprint) = (self.now(), request.fingerprint);
         let mut ledger = self.crashes.borrow_mut();
-        let before = ledger.revision();
+        let before = ledger.noted_revision();
         ledger.note_completion(now, fingerprint);
-        if ledger.revision() != before {
+        if ledger.noted_revision() != before {
             self.wake_tellers();
         }
     }
@@ -148,12 +148,12 @@
         loop {
             let (revision, records) = {
                 let ledger = relay.crashes.borrow();
+                if ledger.noted_revision() <= told.revision.get() {
+                    break;
+                }
                 let records = ledger.noted_since(relay.now(), told.revision.get());
                 (ledger.revision(), records)
             };
-            if records.is_empty() {
-                break;
-            }
             if relay.control.tell_crashes(address, &records).await {
                 told.revision.set(revision);
                 continue;
