Requests that run beside one that crashes its endpoints are excused and kept apart from it

Cause: a stream whose engine crashed under another request went on at the same engine as that one, three times within 100 ms, and was quarantined with it; another met three different ones.

Change: what is held against a request is taken back where another one that ran beside it is quarantined; requests under which an endpoint has crashed, or is just being asked whether it has, are placed apart by their relay where there is room.

--- a/crates/masticsill_quarantine/src/crash.rs
+++ b/crates/masticsill_quarantine/src/crash.rs
@@ -11,7 +11,8 @@
     Pending,
     /// It is.
     Counted,
-    /// It is not: other endpoints of the zone fell at the same moment without this request.
+    /// It is not: other endpoints of the zone fell at the same moment without this request, or one
+    /// ran beside it that is known to crash endpoints.
     Shared,
 }
 
--- a/crates/masticsill_quarantine/src/ledger.rs
+++ b/crates/masticsill_quarantine/src/ledger.rs
@@ -192,6 +192,7 @@
     pub fn judge(&mut self, now: ClockMs) -> Vec<Judgement> {
         let at = moment(now);
         self.forget_old(now);
+        self.excuse_bystanders(at);
         let due = self.due_crashes(at);
         let judged = due.into_iter().map(|(fingerprint, crash)| {
             let others = self.others_fallen(&fingerprint, &crash);
@@ -203,7 +204,36 @@
             .filter_map(|(fingerprint, endpoint, others)| {
                 self.decide(at, fingerprint, endpoint, others)
             });
-        decided.collect()
+        let decided = decided.collect();
+        self.excuse_bystanders(at);
+        decided
+    }
+
+    /// Takes back what is held against requests that ran beside one that is quarantined now, where
+    /// that one crashed their endpoint.
+    fn excuse_bystanders(&mut self, at: ClockMs) {
+        let is_quarantined =
+            |entry: &Entry| matches!(entry.suspect.standing(at), Standing::Quarantined { .. });
+        let culprits = self.suspects.values().filter(|it| is_quarantined(it));
+        let crashes = culprits.flat_map(|it| it.suspect.crashes());
+        let counted = crashes.filter(|it| it.weight == Weight::Counted);
+        let explained: IndexSet<EndpointId> = counted.map(|it| it.endpoint.clone()).collect();
+        let mut excused = Vec::new();
+        for (fingerprint, entry) in &mut self.suspects {
+            if is_quarantined(entry) {
+                continue;
+            }
+            let crashes = entry.suspect.crashes_mut();
+            for crash in crashes.filter(|it| explained.contains(&it.endpoint)) {
+                if crash.weight != Weight::Shared {
+                    crash.weight = Weight::Shared;
+                    excused.push(*fingerprint);
+                }
+            }
+        }
+        for fingerprint in excused {
+            self.note_change(fingerprint, Origin::Told);
+        }
     }
 
     fn due_crashes(&self, at: ClockMs) -> Vec<(Fingerprint, CrashedRun)> {
@@ -266,9 +296,16 @@
         entry.map_or(Standing::Free, |it| it.suspect.standing(moment(now)))
     }
 
+    /// Whether anything is held against a request.
+    #[must_use]
+    pub fn is_suspect(&self, fingerprint: &Fingerprint) -> bool {
+        let entry = self.suspects.get(fingerprint);
+        entry.is_some_and(|it| it.suspect.is_suspect())
+    }
+
     /// Whether one crash more may have a request sent nowhere.
     #[must_use]
-    pub fn is_suspicious(&self, fingerprint: &Fingerprint) -> bool {
+    pub fn is_one_crash_short(&self, fingerprint: &Fingerprint) -> bool {
         let entry = self.suspects.get(fingerprint);
         entry.is_some_and(|it| it.suspect.is_suspicious())
     }
--- a/crates/masticsill_quarantine/src/suspect.rs
+++ b/crates/masticsill_quarantine/src/suspect.rs
@@ -137,6 +137,12 @@
         self.strikes(|weight| weight == Weight::Counted)
     }
 
+    /// Whether any crash may be held against it.
+    pub(crate) fn is_suspect(&self) -> bool {
+        let mut crashes = self.crashes_since_completion();
+        crashes.any(|it| it.weight != Weight::Shared)
+    }
+
     /// Whether every entry must hear of it.
     pub(crate) fn is_suspicious(&self) -> bool {
         self.strikes(|weight| weight != Weight::Shared) >= SUSPECT_STRIKES
--- a/crates/masticsill_quarantine/tests/crash_ledger.rs
+++ b/crates/masticsill_quarantine/tests/crash_ledger.rs
@@ -276,3 +276,31 @@
     started.note_crash(ClockMs(6), fingerprint(2), &crash(7, 10, 5, "north"));
     assert!(is_quarantined(&started, ClockMs(7), 1));
 }
+
+#[test]
+fn requests_that_ran_beside_one_that_crashes_endpoints_are_excused() {
+    let mut ledger = CrashLedger::default();
+    // Three requests crash three endpoints each, and one ran beside each of them once.
+    for culprit in 0..3 {
+        let from_ms = 1_000 + culprit * 1_000;
+        let request = 10 + u32::try_from(culprit).unwrap();
+        for number in 0..3 {
+            let began_ms = from_ms + number * 200;
+            let run = Run::new(culprit * 10 + number, began_ms, began_ms + 100);
+            note(&mut ledger, request, &run);
+        }
+        note(
+            &mut ledger,
+            1,
+            &Run::new(culprit * 10, from_ms - 300, from_ms + 100),
+        );
+        let now = judge_all(&mut ledger, from_ms + 990);
+        assert!(!is_quarantined(&ledger, now, 1), "after {culprit}");
+    }
+    let now = judge_all(&mut ledger, 6_000);
+    for culprit in 10..13 {
+        assert!(is_quarantined(&ledger, now, culprit));
+    }
+    assert!(!is_quarantined(&ledger, now, 1));
+    assert!(!ledger.is_suspect(&fingerprint(1)));
+}
--- a/crates/masticsill_relay/src/choosing.rs
+++ b/crates/masticsill_relay/src/choosing.rs
@@ -66,14 +66,22 @@
         tries: &Tries,
         is_resume: bool,
     ) -> Dispatched {
-        let need = self.need_of(request, tries).await;
+        let mut need = self.need_of(request, tries).await;
         let terms = terms_of(request, is_resume);
         let is_first = tries.excluded.is_empty();
         let news_ms = request.left_ms(self.now()) / NEWS_SHARE;
         let news_by = Instant::now() + std::time::Duration::from_millis(news_ms.min(NEWS_BOUND_MS));
         loop {
             let mut news = self.news.subscribe();
-            match dispatch(self, request, &need, &terms).await {
+            let others = self.endpoints_of_other_suspects(request);
+            let is_kept_apart = !others.is_empty();
+            need.excluded = [tries.excluded.as_slice(), &others].concat();
+            let mut dispatched = dispatch(self, request, &need, &terms).await;
+            if is_kept_apart && matches!(dispatched, Dispatched::Nobody) {
+                need.excluded.clone_from(&tries.excluded);
+                dispatched = dispatch(self, request, &need, &terms).await;
+            }
+            match dispatched {
                 Dispatched::Nobody if is_first => {
                     let changed = tokio::time::timeout_at(news_by, news.changed());
                     if changed.await.is_err() {
@@ -82,6 +90,9 @@
                 }
                 Dispatched::Sent(choice, mut reservation) => {
                     reservation.note_kept(choice.kept_tokens);
+                    if self.is_crash_suspect(request) {
+                        reservation.note_suspect(request.fingerprint);
+                    }
                     if !is_first || request.route.kind == RouteKind::Stream {
                         self.note_choice(request, &choice, reservation.endpoint(), tries.sends);
                     }
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -105,6 +105,8 @@
     /// This entry's place among those of its zone.
     pub(crate) share: Cell<ZoneShare>,
     pub(crate) stopping: ShutdownSignal,
+    /// Where requests run under which an endpoint has crashed.
+    pub(crate) suspect_runs: RefCell<Vec<(Fingerprint, EndpointId)>>,
     pub(crate) stream_times: Cell<StreamTimes>,
     /// Where the ends of waits go.
     pub(crate) waiters: RefCell<Waiters>,
@@ -157,6 +159,7 @@
             room_changed: Notify::new(),
             share: Cell::new(ZoneShare::default()),
             stopping,
+            suspect_runs: RefCell::default(),
             stream_times: Cell::default(),
             waiters: RefCell::default(),
             stopping_since: Cell::new(None),
--- a/crates/masticsill_relay/src/reservation.rs
+++ b/crates/masticsill_relay/src/reservation.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use masticsill_dispatch::Work;
+use masticsill_quarantine::Fingerprint;
 use masticsill_registry::{Announcement, EndpointId};
 use masticsill_types::ClockMs;
 
@@ -71,6 +72,8 @@
     place: Place,
     reading: Option<Reading>,
     relay: Rc<Relay>,
+    /// The request, if an endpoint has crashed under it.
+    suspect: Option<Fingerprint>,
 }
 
 impl Reservation {
@@ -95,6 +98,7 @@
             place,
             reading,
             relay: Rc::clone(relay),
+            suspect: None,
         };
         reservation.tell();
         reservation
@@ -105,6 +109,13 @@
         &self.endpoint
     }
 
+    /// Notes that an endpoint has crashed under the request, so that others of the kind go elsewhere.
+    pub(crate) fn note_suspect(&mut self, fingerprint: Fingerprint) {
+        self.suspect = Some(fingerprint);
+        let run = (fingerprint, self.endpoint.id.clone());
+        self.relay.suspect_runs.borrow_mut().push(run);
+    }
+
     /// Notes how much of the prompt the engine keeps: that much is not read.
     pub(crate) fn note_kept(&mut self, tokens: u64) {
         if let Some(reading) = &mut self.reading {
@@ -142,6 +153,13 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
+        if let Some(suspect) = self.suspect {
+            let run = (suspect, self.endpoint.id.clone());
+            let mut runs = self.relay.suspect_runs.borrow_mut();
+            if let Some(place) = runs.iter().position(|it| *it == run) {
+                runs.swap_remove(place);
+            }
+        }
         let is_reading = self.reading.is_some();
         let now = self.relay.now();
         self.relay.with_endpoint(&self.endpoint.id, |it| {
--- a/crates/masticsill_relay/src/suspects.rs
+++ b/crates/masticsill_relay/src/suspects.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use masticsill_quarantine::{CrashLedger, CrashRecord, Fingerprint, RequestRecord, Standing};
+use masticsill_registry::EndpointId;
 use masticsill_types::log_event;
 use tokio::time::{sleep, timeout};
 
@@ -102,6 +103,24 @@
         self.noted_crashes.send_modify(|count| *count += 1);
     }
 
+    /// Endpoints that a request is kept from, since another one runs there under which an endpoint
+    /// has crashed as well: together again, nobody could tell which of them it was.
+    pub(crate) fn endpoints_of_other_suspects(&self, request: &RelayRequest) -> Vec<EndpointId> {
+        if !self.is_crash_suspect(request) {
+            return Vec::new();
+        }
+        let runs = self.suspect_runs.borrow();
+        let others = runs.iter().filter(|(it, _)| *it != request.fingerprint);
+        others.map(|(_, endpoint)| endpoint.clone()).collect()
+    }
+
+    /// Whether an endpoint has crashed under a request, or may have.
+    pub(crate) fn is_crash_suspect(&self, request: &RelayRequest) -> bool {
+        let fingerprint = &request.fingerprint;
+        let is_checked = self.checked.borrow().contains(fingerprint);
+        is_checked || self.crashes.borrow().is_suspect(fingerprint)
+    }
+
     /// Whether a request may be sent, as far as the endpoints are concerned that crashed under it.
     ///
     /// # Errors
@@ -110,7 +129,7 @@
     pub(crate) fn check_crashes(&self, request: &RelayRequest) -> Result<(), Obstacle> {
         let fingerprint = &request.fingerprint;
         let is_checked = self.checked.borrow().contains(fingerprint);
-        if is_checked && self.crashes.borrow().is_suspicious(fingerprint) {
+        if is_checked && self.crashes.borrow().is_one_crash_short(fingerprint) {
             return Err(Obstacle::Held { left_ms: PROBE_MS });
         }
         match self.standing(request) {
