--- a/crates/masticsill_relay/src/choosing.rs
+++ b/crates/masticsill_relay/src/choosing.rs
@@ -90,9 +90,7 @@
                 }
                 Dispatched::Sent(choice, mut reservation) => {
                     reservation.note_kept(choice.kept_tokens);
-                    if self.is_crash_suspect(request) {
-                        reservation.note_suspect(request.fingerprint);
-                    }
+                    self.mark_suspect(request, &mut reservation);
                     if !is_first || request.route.kind == RouteKind::Stream {
                         self.note_choice(request, &choice, reservation.endpoint(), tries.sends);
                     }
--- a/crates/masticsill_relay/src/stream.rs
+++ b/crates/masticsill_relay/src/stream.rs
@@ -269,7 +269,8 @@
             let Some(cause) = obstacle.or(is_tried.then_some("tried before")) else {
                 let tokens = self.request.held_tokens(&self.relay.config.headers);
                 let place = Place::Copy { tokens };
-                let reservation = Reservation::take(self.relay, copy.at.clone(), place);
+                let mut reservation = Reservation::take(self.relay, copy.at.clone(), place);
+                self.relay.mark_suspect(self.request, &mut reservation);
                 return Ok((reservation, Some(copy.clone())));
             };
             log_event!(
--- a/crates/masticsill_relay/src/suspects.rs
+++ b/crates/masticsill_relay/src/suspects.rs
@@ -14,6 +14,7 @@
 use crate::events;
 use crate::relay::Relay;
 use crate::request::RelayRequest;
+use crate::reservation::Reservation;
 use crate::tries::Obstacle;
 
 /// Pause before a replica that did not answer is told again.
@@ -114,8 +115,14 @@
         others.map(|(_, endpoint)| endpoint.clone()).collect()
     }
 
-    /// Whether an endpoint has crashed under a request, or may have.
-    pub(crate) fn is_crash_suspect(&self, request: &RelayRequest) -> bool {
+    /// Marks where a request goes to run, if an endpoint has crashed under it, or may have.
+    pub(crate) fn mark_suspect(&self, request: &RelayRequest, reservation: &mut Reservation) {
+        if self.is_crash_suspect(request) {
+            reservation.note_suspect(request.fingerprint);
+        }
+    }
+
+    fn is_crash_suspect(&self, request: &RelayRequest) -> bool {
         let fingerprint = &request.fingerprint;
         let is_checked = self.checked.borrow().contains(fingerprint);
         is_checked || self.crashes.borrow().is_suspect(fingerprint)
