--- a/crates/masticsill_bench/src/lib.rs
+++ b/crates/masticsill_bench/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod blame;
 mod event_reader;
 mod fit;
+pub mod lookups;
 pub mod overload;
 mod report;
 mod stream;
