Crash ledger: one way to weigh a crash, one to tell a standing; rivals are looked for only while they matter

Cause: read over. The weight of a crash was set in three places, note_progress had its own copy of the loop that excuses, two callers matched on Standing::Quarantined after joining suspect and doubt by hand, and the table of rivals was built anew for each arrival of a request in quarantine, where no doubt can count any more. crashes_mut and surpassed_by are gone.

Behaviour: none changed.

--- a/crates/masticsill_quarantine/src/ledger.rs
+++ b/crates/masticsill_quarantine/src/ledger.rs
@@ -98,17 +98,14 @@
     /// Notes that an endpoint has answered a request for so long by now, with the runs that it went on
     /// from: it is not the end of endpoints that ended earlier in its answer.
     pub fn note_progress(&mut self, fingerprint: Fingerprint, reached_ms: u64) {
-        let Some(entry) = self.suspects.get_mut(&fingerprint) else {
+        let Some(entry) = self.suspects.get(&fingerprint) else {
             return;
         };
-        let surpassed = entry.suspect.surpassed_by(reached_ms);
-        let excused: Vec<EndpointId> = surpassed.map(|it| it.endpoint.clone()).collect();
-        for endpoint in &excused {
-            entry.suspect.excuse(endpoint);
-        }
-        if !excused.is_empty() {
-            self.note_change(fingerprint, Origin::Here);
-        }
+        let open = entry.suspect.open_crashes();
+        let surpassed = open.filter(|it| it.is_surpassed_by(reached_ms));
+        let excused = surpassed.map(|it| (fingerprint, it.endpoint.clone()));
+        let excused = excused.collect();
+        self.excuse(excused, Origin::Here);
     }
 
     /// Joins what another process tells.
@@ -222,9 +219,14 @@
         });
         let judged: Vec<(Fingerprint, EndpointId, usize)> = judged.collect();
         for (fingerprint, endpoint, others) in &judged {
-            self.decide(*fingerprint, endpoint, *others);
+            let weight = if *others >= FELL_TOGETHER {
+                Weight::Shared
+            } else {
+                Weight::Counted
+            };
+            self.weigh(*fingerprint, endpoint, weight, Origin::Told);
         }
-        self.excuse(self.unlikely());
+        self.excuse(self.unlikely(), Origin::Told);
         self.excuse_bystanders(at);
         let judgements = judged.into_iter();
         judgements
@@ -238,13 +240,10 @@
     /// that one crashed their endpoint.
     fn excuse_bystanders(&mut self, at: ClockMs) {
         let rivals = Rivals::of(self.suspects());
-        let is_quarantined = |fingerprint: &Fingerprint, suspect: &Suspect| {
-            let standing = suspect.standing(at, rivals.doubt_of(fingerprint, suspect));
-            matches!(standing, Standing::Quarantined { .. })
-        };
-        let (culprits, others): (Vec<_>, Vec<_>) = self
-            .suspects()
-            .partition(|(fingerprint, suspect)| is_quarantined(fingerprint, suspect));
+        let (culprits, others): (Vec<_>, Vec<_>) =
+            self.suspects().partition(|(fingerprint, suspect)| {
+                rivals.standing(at, fingerprint, suspect).is_quarantined()
+            });
         let crashes = culprits.iter().flat_map(|(_, it)| it.crashes());
         let counted = crashes.filter(|it| it.weight == Weight::Counted);
         let explained: IndexSet<&EndpointId> = counted.map(|it| &it.endpoint).collect();
@@ -254,7 +253,7 @@
             excused.map(|it| (*fingerprint, it.endpoint.clone()))
         });
         let excused = excused.collect();
-        self.excuse(excused);
+        self.excuse(excused, Origin::Told);
     }
 
     fn suspects(&self) -> impl Iterator<Item = (&Fingerprint, &Suspect)> {
@@ -265,35 +264,35 @@
     /// Crashes that their requests are unlikely to have caused.
     fn unlikely(&self) -> Vec<(Fingerprint, EndpointId)> {
         let rivals = Rivals::of(self.suspects());
-        let unlikely = self.suspects().flat_map(|(fingerprint, suspect)| {
-            let crashes = suspect.crashes().iter();
-            let furthest_ms = crashes.map(|it| it.reached_ms).max().unwrap_or_default();
-            let open = suspect.open_crashes();
-            let unlikely = open.filter(|it| {
+        let mut unlikely = Vec::new();
+        for (fingerprint, suspect) in self.suspects() {
+            let reached = suspect.crashes().iter().map(|it| it.reached_ms);
+            let furthest_ms = reached.max().unwrap_or_default();
+            let is_unlikely = |it: &&CrashedRun| {
                 it.is_surpassed_by(furthest_ms) || rivals.is_likelier_cause(fingerprint, it)
-            });
-            let unlikely: Vec<&CrashedRun> = unlikely.collect();
-            unlikely
-                .into_iter()
-                .map(|it| (*fingerprint, it.endpoint.clone()))
-        });
-        unlikely.collect()
+            };
+            let crashes = suspect.open_crashes().filter(is_unlikely);
+            unlikely.extend(crashes.map(|it| (*fingerprint, it.endpoint.clone())));
+        }
+        unlikely
     }
 
-    fn doubt_of(&self, fingerprint: &Fingerprint, suspect: &Suspect) -> Doubt {
-        if suspect.is_at_limit() {
-            Rivals::of(self.suspects()).doubt_of(fingerprint, suspect)
-        } else {
-            Doubt::None
+    fn excuse(&mut self, excused: Vec<(Fingerprint, EndpointId)>, origin: Origin) {
+        for (fingerprint, endpoint) in excused {
+            self.weigh(fingerprint, &endpoint, Weight::Shared, origin);
         }
     }
 
-    fn excuse(&mut self, excused: Vec<(Fingerprint, EndpointId)>) {
-        for (fingerprint, endpoint) in excused {
-            if let Some(entry) = self.suspects.get_mut(&fingerprint) {
-                entry.suspect.excuse(&endpoint);
-                self.note_change(fingerprint, Origin::Told);
-            }
+    fn weigh(
+        &mut self,
+        fingerprint: Fingerprint,
+        endpoint: &EndpointId,
+        weight: Weight,
+        origin: Origin,
+    ) {
+        if let Some(entry) = self.suspects.get_mut(&fingerprint) {
+            entry.suspect.weigh(endpoint, weight);
+            self.note_change(fingerprint, origin);
         }
     }
 
@@ -301,8 +300,8 @@
         let is_due = |it: &&CrashedRun| {
             it.weight == Weight::Pending && at.since(it.ended_at) >= JUDGED_AFTER_MS
         };
-        let due = self.suspects.iter().flat_map(|(fingerprint, entry)| {
-            let due = entry.suspect.crashes().iter().filter(is_due);
+        let due = self.suspects().flat_map(|(fingerprint, suspect)| {
+            let due = suspect.crashes().iter().filter(is_due);
             due.map(|crash| (*fingerprint, crash.clone()))
         });
         due.collect()
@@ -323,22 +322,6 @@
         others.len()
     }
 
-    fn decide(&mut self, fingerprint: Fingerprint, endpoint: &EndpointId, others: usize) {
-        let Some(entry) = self.suspects.get_mut(&fingerprint) else {
-            return;
-        };
-        let mut crashes = entry.suspect.crashes_mut();
-        if let Some(crash) = crashes.find(|it| it.endpoint == *endpoint) {
-            crash.weight = if others >= FELL_TOGETHER {
-                Weight::Shared
-            } else {
-                Weight::Counted
-            };
-        }
-        drop(crashes);
-        self.note_change(fingerprint, Origin::Told);
-    }
-
     /// What was decided of a crash in the end.
     fn judgement(
         &self,
@@ -363,10 +346,15 @@
     /// What is to become of a request.
     #[must_use]
     pub fn standing(&self, now: ClockMs, fingerprint: &Fingerprint) -> Standing {
+        let at = moment(now);
         let entry = self.suspects.get(fingerprint);
         entry.map_or(Standing::Free, |it| {
-            let doubt = self.doubt_of(fingerprint, &it.suspect);
-            it.suspect.standing(moment(now), doubt)
+            // Who else may be the cause is looked for only while it matters.
+            if it.suspect.may_be_doubted(at) {
+                Rivals::of(self.suspects()).standing(at, fingerprint, &it.suspect)
+            } else {
+                it.suspect.standing(at, Doubt::None)
+            }
         })
     }
 
@@ -390,12 +378,10 @@
         let at = moment(now);
         let rivals = Rivals::of(self.suspects());
         let suspects = self.suspects();
-        let standings = suspects.map(|(fingerprint, suspect)| {
-            suspect.standing(at, rivals.doubt_of(fingerprint, suspect))
+        let quarantined = suspects.filter(|(fingerprint, suspect)| {
+            rivals.standing(at, fingerprint, suspect).is_quarantined()
         });
-        standings
-            .filter(|it| matches!(it, Standing::Quarantined { .. }))
-            .count()
+        quarantined.count()
     }
 
     /// Revision of the last change.
--- a/crates/masticsill_quarantine/src/rivals.rs
+++ b/crates/masticsill_quarantine/src/rivals.rs
@@ -2,10 +2,11 @@
 
 use indexmap::IndexMap;
 use masticsill_registry::EndpointId;
+use masticsill_types::ClockMs;
 
 use crate::crash::CrashedRun;
 use crate::fingerprint::Fingerprint;
-use crate::suspect::{Doubt, Suspect};
+use crate::suspect::{Doubt, Standing, Suspect};
 
 /// Crashes of a request that may also be another's doing without casting doubt on it.
 const UNDOUBTED: usize = 1;
@@ -69,11 +70,23 @@
         suspect.open_crashes().filter(is_disputed).count()
     }
 
+    /// What is to become of a request.
+    pub(crate) fn standing(
+        &self,
+        now: ClockMs,
+        fingerprint: &Fingerprint,
+        suspect: &Suspect,
+    ) -> Standing {
+        let doubt = if suspect.may_be_doubted(now) {
+            self.doubt_of(fingerprint, suspect)
+        } else {
+            Doubt::None
+        };
+        suspect.standing(now, doubt)
+    }
+
     /// Whether other requests may have caused the crashes that are held against one.
-    pub(crate) fn doubt_of(&self, fingerprint: &Fingerprint, suspect: &Suspect) -> Doubt {
-        if !suspect.is_at_limit() {
-            return Doubt::None;
-        }
+    fn doubt_of(&self, fingerprint: &Fingerprint, suspect: &Suspect) -> Doubt {
         let own = suspect.open_crashes().count();
         let is_doubted = |crashes| self.disputed(fingerprint, suspect, crashes) > UNDOUBTED;
         if is_doubted(own + 1) {
--- a/crates/masticsill_quarantine/src/suspect.rs
+++ b/crates/masticsill_quarantine/src/suspect.rs
@@ -47,6 +47,14 @@
     },
 }
 
+impl Standing {
+    /// Whether the request is sent nowhere.
+    #[must_use]
+    pub fn is_quarantined(self) -> bool {
+        matches!(self, Self::Quarantined { .. })
+    }
+}
+
 /// Whether another request may be the one that crashes the endpoints.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Doubt {
@@ -73,10 +81,6 @@
         &self.crashes
     }
 
-    pub(crate) fn crashes_mut(&mut self) -> impl Iterator<Item = &mut CrashedRun> {
-        self.crashes.iter_mut()
-    }
-
     pub(crate) fn completed_at(&self) -> Option<ClockMs> {
         self.completed_at
     }
@@ -87,17 +91,11 @@
         crashes.filter(|it| it.weight != Weight::Shared)
     }
 
-    /// Crashes that a run excuses which was answered for this long; none of one that did not begin.
-    pub(crate) fn surpassed_by(&self, reached_ms: u64) -> impl Iterator<Item = &CrashedRun> {
-        let open = self.open_crashes();
-        open.filter(move |it| it.is_surpassed_by(reached_ms))
-    }
-
-    /// Excuses it from the crash of an endpoint.
-    pub(crate) fn excuse(&mut self, endpoint: &EndpointId) {
+    /// Decides whether the crash of an endpoint is held against it.
+    pub(crate) fn weigh(&mut self, endpoint: &EndpointId, weight: Weight) {
         let crash = self.crashes.iter_mut().find(|it| it.endpoint == *endpoint);
         if let Some(crash) = crash {
-            crash.weight = Weight::Shared;
+            crash.weight = weight;
         }
     }
 
@@ -212,10 +210,16 @@
     }
 
     /// Whether its crashes are enough to have it sent nowhere, but for a doubt.
-    pub(crate) fn is_at_limit(&self) -> bool {
+    fn is_at_limit(&self) -> bool {
         self.open_strikes() >= self.allowed(Doubt::None)
     }
 
+    /// Whether a doubt would keep it from being sent nowhere.
+    pub(crate) fn may_be_doubted(&self, now: ClockMs) -> bool {
+        let last_end = self.open_crashes().last().map(|it| it.ended_at);
+        last_end.is_some_and(|last_end| now < last_end + DOUBTED_MS) && self.is_at_limit()
+    }
+
     /// Until when it is sent nowhere, and how many crashes count against it.
     fn quarantine(&self, doubt: Doubt) -> Option<(ClockMs, usize)> {
         let strikes = self.counted_strikes();
@@ -233,9 +237,6 @@
     }
 
     pub(crate) fn standing(&self, now: ClockMs, doubt: Doubt) -> Standing {
-        let last_end = self.open_crashes().last().map(|it| it.ended_at);
-        let is_settled = last_end.is_none_or(|last_end| now >= last_end + DOUBTED_MS);
-        let doubt = if is_settled { Doubt::None } else { doubt };
         if let Some((until, strikes)) = self.quarantine(doubt)
             && now < until
         {
--- a/crates/masticsill_quarantine/tests/crash_ledger.rs
+++ b/crates/masticsill_quarantine/tests/crash_ledger.rs
@@ -4,17 +4,10 @@
 
 use masticsill_quarantine::{CrashLedger, Standing, Weight};
 use masticsill_types::ClockMs;
-use support::{Run, crash, fingerprint, judge_all, note};
+use support::{JUDGED_MS, Run, crash, fingerprint, is_quarantined, judge_all, note};
 
-/// Later than every crash is judged.
-const JUDGED_MS: u64 = 600;
 const TEN_MINUTES_MS: u64 = 600_000;
 
-fn is_quarantined(ledger: &CrashLedger, now: ClockMs, request: u32) -> bool {
-    let standing = ledger.standing(now, &fingerprint(request));
-    matches!(standing, Standing::Quarantined { .. })
-}
-
 /// Crashes under one request, one after the other, each in a zone of its own.
 fn crash_in_turn(ledger: &mut CrashLedger, request: u32, count: u64, from_ms: u64) -> ClockMs {
     for number in 0..count {
--- a/crates/masticsill_quarantine/tests/innocent_requests.rs
+++ b/crates/masticsill_quarantine/tests/innocent_requests.rs
@@ -2,19 +2,12 @@
 
 mod support;
 
-use masticsill_quarantine::{CrashLedger, Standing};
+use masticsill_quarantine::CrashLedger;
 use masticsill_types::ClockMs;
-use support::{Run, fingerprint, judge_all, note};
+use support::{JUDGED_MS, Run, fingerprint, is_quarantined, judge_all, note};
 
 const CRASHING: u32 = 1;
 const INNOCENT: u32 = 2;
-/// Later than every crash is judged.
-const JUDGED_MS: u64 = 600;
-
-fn is_quarantined(ledger: &CrashLedger, now: ClockMs, request: u32) -> bool {
-    let standing = ledger.standing(now, &fingerprint(request));
-    matches!(standing, Standing::Quarantined { .. })
-}
 
 /// Notes a run of the crashing request and one of the innocent, which end with an endpoint.
 fn fall_together(ledger: &mut CrashLedger, endpoint: u64, ended_ms: u64, borne: (u64, u64)) {
@@ -26,6 +19,15 @@
     note(ledger, INNOCENT, &innocent);
 }
 
+/// Notes three runs of a request that end with their endpoints, each after 300 ms of its answer.
+fn fall_thrice(ledger: &mut CrashLedger, request: u32, first_endpoint: u64) {
+    for number in 0..3 {
+        let ended_ms = 2_000 + number * 600;
+        let run = Run::new(first_endpoint + number, ended_ms - 900, ended_ms).answered(300, 300);
+        note(ledger, request, &run);
+    }
+}
+
 #[test]
 fn a_bystander_that_goes_where_the_crashing_request_goes_is_not_quarantined() {
     let mut ledger = CrashLedger::default();
@@ -80,20 +82,12 @@
 #[test]
 fn an_answer_that_got_further_elsewhere_excuses_the_ends_before() {
     let mut ledger = CrashLedger::default();
-    for number in 0..3 {
-        let ended_ms = 2_000 + number * 600;
-        let run = Run::new(number, ended_ms - 900, ended_ms).answered(300, 300);
-        note(&mut ledger, INNOCENT, &run);
-    }
+    fall_thrice(&mut ledger, INNOCENT, 0);
     ledger.note_progress(fingerprint(INNOCENT), 1_700);
     let now = judge_all(&mut ledger, 3_200 + JUDGED_MS);
     assert!(!is_quarantined(&ledger, now, INNOCENT));
     // Nothing excuses one that never gets further than where it crashes its endpoints.
-    for number in 0..3 {
-        let ended_ms = 2_000 + number * 600;
-        let run = Run::new(10 + number, ended_ms - 900, ended_ms).answered(300, 300);
-        note(&mut ledger, CRASHING, &run);
-    }
+    fall_thrice(&mut ledger, CRASHING, 10);
     ledger.note_progress(fingerprint(CRASHING), 400);
     let now = judge_all(&mut ledger, 3_200 + JUDGED_MS);
     assert!(is_quarantined(&ledger, now, CRASHING));
@@ -114,11 +108,7 @@
 #[test]
 fn what_was_learned_of_an_innocent_request_reaches_every_process() {
     let mut replica = CrashLedger::default();
-    for number in 0..3 {
-        let ended_ms = 2_000 + number * 600;
-        let run = Run::new(number, ended_ms - 900, ended_ms).answered(300, 300);
-        note(&mut replica, INNOCENT, &run);
-    }
+    fall_thrice(&mut replica, INNOCENT, 0);
     let now = judge_all(&mut replica, 3_200 + JUDGED_MS);
     assert!(is_quarantined(&replica, now, INNOCENT));
     // Another entry has a run of it that got further.
--- a/crates/masticsill_quarantine/tests/support/mod.rs
+++ b/crates/masticsill_quarantine/tests/support/mod.rs
@@ -6,6 +6,13 @@
 use masticsill_registry::EndpointId;
 use masticsill_types::{ClockMs, ZoneId};
 
+/// Later than every crash is judged.
+pub(crate) const JUDGED_MS: u64 = 600;
+
+pub(crate) fn is_quarantined(ledger: &CrashLedger, now: ClockMs, request: u32) -> bool {
+    ledger.standing(now, &fingerprint(request)).is_quarantined()
+}
+
 pub(crate) fn fingerprint(request: u32) -> Fingerprint {
     Fingerprint::from(RequestContent {
         body: &request.to_le_bytes(),
--- a/crates/masticsill_relay/src/suspects.rs
+++ b/crates/masticsill_relay/src/suspects.rs
@@ -82,14 +82,14 @@
         }
         let now = self.now();
         let mut ledger = self.crashes.borrow_mut();
-        let is_free = |ledger: &CrashLedger, record: &RequestRecord| {
-            let standing = ledger.standing(now, &record.fingerprint);
-            !matches!(standing, Standing::Quarantined { .. })
-        };
-        let free: Vec<&RequestRecord> = records.iter().filter(|it| is_free(&ledger, it)).collect();
+        let standing =
+            |ledger: &CrashLedger, of: &RequestRecord| ledger.standing(now, &of.fingerprint);
+        let free = records.iter();
+        let free = free.filter(|it| !standing(&ledger, it).is_quarantined());
+        let free: Vec<&RequestRecord> = free.collect();
         ledger.merge(now, records);
         for record in free {
-            log_if_quarantined(record, ledger.standing(now, &record.fingerprint));
+            log_if_quarantined(record, standing(&ledger, record));
         }
         drop(ledger);
         // One that was run to an end here is to be cleared elsewhere.
