--- a/crates/masticsill_relay/src/choosing.rs
+++ b/crates/masticsill_relay/src/choosing.rs
@@ -128,7 +128,8 @@
             RouteKind::Idempotent | RouteKind::NonIdempotent => Work::Whole,
         };
         Need {
-            excluded: tries.excluded.clone(),
+            // Filled in for each choice.
+            excluded: Vec::new(),
             kept,
             place,
             service: request.service.clone(),
