Relay: a send that falls silent is listened to by one piece of code

Cause: read over. The wait for silence, the checks of the caller's time and of the endpoint's life, the mark against the endpoint and the wait for a successor stood twice, for plain requests and for streams, and each new input (what the endpoint had borne) had to be passed through both. Listened does it for both; what differs, who looks for the successor, stays with each.

Behaviour: none changed. The relay's tests and 45 of real processes (crashing requests, doubted runs, unbroken streams, event streams, kept prompts, repeats, callers that leave) pass unchanged.

--- a/crates/masticsill_relay/src/doubt.rs
+++ b/crates/masticsill_relay/src/doubt.rs
@@ -13,7 +13,7 @@
 use masticsill_types::{ClockMs, log_event};
 use tokio::time::timeout;
 
-use crate::attempt::{Borne, log_failure};
+use crate::attempt::{Borne, log_failure, with_patience};
 use crate::crash_watch::watch_for_crash;
 use crate::events;
 use crate::relay::Relay;
@@ -34,49 +34,95 @@
     Over,
 }
 
-/// Waits for something of a send, or for its successor, whichever comes first.
-pub(crate) async fn until_replaced<T, N>(
-    relay: &Relay,
-    request: &RelayRequest,
-    waiting: impl Future<Output = T>,
-    next: impl Future<Output = Result<N, Obstacle>>,
-) -> Waited<T, N> {
-    tokio::pin!(waiting);
-    let next = tokio::select! {
-        biased;
-        done = waiting.as_mut() => return Waited::Done(done),
-        next = next => next,
-    };
-    if let Ok(next) = next {
-        return Waited::Replaced(next);
+/// A send that is listened to.
+pub(crate) struct Listened<'a> {
+    /// What its endpoint had borne of the request when it was last heard.
+    pub(crate) borne: Borne,
+    pub(crate) endpoint: &'a Announcement,
+    /// How its silence is told.
+    pub(crate) failure: Failure,
+    /// When something of it was heard last.
+    pub(crate) heard_at: ClockMs,
+    /// Silence after which it is doubted.
+    pub(crate) patience_ms: u64,
+    pub(crate) relay: &'a Rc<Relay>,
+    pub(crate) request: &'a RelayRequest,
+}
+
+impl Listened<'_> {
+    /// Waits for something of the send until it is to be doubted; `None` then.
+    pub(crate) async fn until_doubted<T, N>(
+        &self,
+        waiting: impl Future<Output = T>,
+    ) -> Option<Waited<T, N>> {
+        let (relay, endpoint) = (self.relay, self.endpoint);
+        let heard = with_patience(relay, endpoint, self.heard_at, self.patience_ms, waiting);
+        if let Some(done) = heard.await {
+            return Some(Waited::Done(done));
+        }
+        if self.request.left_ms(relay.now()) == 0 {
+            return Some(Waited::Over);
+        }
+        if relay.has_ended(&endpoint.id) {
+            return Some(Waited::Ended);
+        }
+        relay.note_failure(endpoint, self.failure);
+        None
     }
-    let left = Duration::from_millis(request.left_ms(relay.now()));
-    match timeout(left, waiting).await {
-        Ok(done) => Waited::Done(done),
-        Err(_) => Waited::Over,
+
+    /// Waits for something of a send that is doubted, or for its successor, whichever comes first; to
+    /// the end of the request's time where no successor can be had.
+    pub(crate) async fn until_replaced<T, N>(
+        &self,
+        waiting: impl Future<Output = T>,
+        next: impl Future<Output = Result<N, Obstacle>>,
+    ) -> Waited<T, N> {
+        let (relay, request) = (self.relay, self.request);
+        tokio::pin!(waiting);
+        let next = tokio::select! {
+            biased;
+            done = waiting.as_mut() => {
+                note_went_on(relay, request, self.endpoint, self.heard_at);
+                return Waited::Done(done);
+            }
+            next = next => next,
+        };
+        if let Ok(next) = next {
+            self.note_replaced();
+            return Waited::Replaced(next);
+        }
+        let left = Duration::from_millis(request.left_ms(relay.now()));
+        match timeout(left, waiting).await {
+            Ok(done) => {
+                note_went_on(relay, request, self.endpoint, self.heard_at);
+                Waited::Done(done)
+            }
+            Err(_) => Waited::Over,
+        }
     }
-}
 
-/// Notes that a send was ended for its successor.
-pub(crate) fn note_replaced(
-    relay: &Rc<Relay>,
-    request: &RelayRequest,
-    endpoint: &Announcement,
-    failure: Failure,
-    borne: Borne,
-) {
-    let cause = "silent until its successor was connected";
-    log_failure(relay, request, endpoint, failure.name(), cause);
-    watch_for_crash(relay, request, endpoint, failure, borne);
+    /// Notes that the send was ended for its successor.
+    fn note_replaced(&self) {
+        let cause = "silent until its successor was connected";
+        log_failure(
+            self.relay,
+            self.request,
+            self.endpoint,
+            self.failure.name(),
+            cause,
+        );
+        watch_for_crash(
+            self.relay,
+            self.request,
+            self.endpoint,
+            self.failure,
+            self.borne,
+        );
+    }
 }
 
 /// Notes that a send which was doubted goes on: its endpoint bears no mark of that.
-pub(crate) fn note_went_on(
-    relay: &Relay,
-    request: &RelayRequest,
-    endpoint: &Announcement,
-    heard_at: ClockMs,
-) {
+fn note_went_on(relay: &Relay, request: &RelayRequest, endpoint: &Announcement, heard_at: ClockMs) {
     relay.with_endpoint(&endpoint.id, |it| it.health.take_back_failure());
     log_event!(
         info,
--- a/crates/masticsill_relay/src/plain.rs
+++ b/crates/masticsill_relay/src/plain.rs
@@ -2,12 +2,12 @@
 
 use std::rc::Rc;
 
-use masticsill_registry::{Announcement, EndpointId};
+use masticsill_registry::EndpointId;
 
 use crate::answer::{Answer, Refusal};
-use crate::attempt::{Borne, SendFailure, Sent, exchange, fail, failure_of, open, with_patience};
+use crate::attempt::{SendFailure, Sent, exchange, fail, failure_of, open};
 use crate::dispatching::Dispatched;
-use crate::doubt::{LIFE_ENDED, Waited, note_replaced, note_went_on, until_replaced};
+use crate::doubt::{LIFE_ENDED, Listened, Waited};
 use crate::relay::Relay;
 use crate::request::{RelayRequest, SendOptions};
 use crate::tries::{Obstacle, Tries};
@@ -151,18 +151,17 @@
 ) -> SendEnd {
     let endpoint = sent.endpoint().clone();
     let options = SendOptions::default();
-    let borne = sent.begin(0);
-    let exchange = exchange(relay, request, &mut sent, &options);
-    let waited = listen(
+    let listened = Listened {
+        borne: sent.begin(0),
+        endpoint: &endpoint,
+        failure: Failure::Silent,
+        heard_at: relay.now(),
+        patience_ms,
         relay,
         request,
-        &endpoint,
-        borne,
-        patience_ms,
-        tries,
-        exchange,
-    )
-    .await;
+    };
+    let exchange = exchange(relay, request, &mut sent, &options);
+    let waited = listen(&listened, tries, exchange).await;
     let head = match waited {
         Waited::Done(Ok(head)) => head,
         Waited::Done(Err(error)) => {
@@ -185,40 +184,21 @@
     }
 }
 
-/// Waits for the head of an answer; after `patience_ms`, for a successor as well.
+/// Waits for the head of an answer; once it is doubted, for a successor as well.
 async fn listen<T>(
-    relay: &Rc<Relay>,
-    request: &RelayRequest,
-    endpoint: &Announcement,
-    borne: Borne,
-    patience_ms: u64,
+    listened: &Listened<'_>,
     tries: &mut Tries,
     waiting: impl Future<Output = T>,
 ) -> Waited<T, Next> {
     tokio::pin!(waiting);
-    let sent_at = relay.now();
-    let heard = with_patience(relay, endpoint, sent_at, patience_ms, waiting.as_mut());
-    if let Some(done) = heard.await {
-        return Waited::Done(done);
-    }
-    if request.left_ms(relay.now()) == 0 {
-        return Waited::Over;
+    if let Some(ended) = listened.until_doubted(waiting.as_mut()).await {
+        return ended;
     }
-    if relay.has_ended(&endpoint.id) {
-        return Waited::Ended;
-    }
-    let failure = Failure::Silent;
-    relay.note_failure(endpoint, failure);
-    let doubt = tries.begin_doubt(endpoint.id.clone());
-    let next = open_next(relay, request, tries);
-    let waited = until_replaced(relay, request, waiting, next).await;
-    match &waited {
-        Waited::Done(_) => {
-            tries.end_doubt(&doubt);
-            note_went_on(relay, request, endpoint, sent_at);
-        }
-        Waited::Replaced(_) => note_replaced(relay, request, endpoint, failure, borne),
-        Waited::Ended | Waited::Over => tries.end_doubt(&doubt),
+    let doubt = tries.begin_doubt(listened.endpoint.id.clone());
+    let next = open_next(listened.relay, listened.request, tries);
+    let waited = listened.until_replaced(waiting, next).await;
+    if !matches!(waited, Waited::Replaced(_)) {
+        tries.end_doubt(&doubt);
     }
     waited
 }
--- a/crates/masticsill_relay/src/stream/run.rs
+++ b/crates/masticsill_relay/src/stream/run.rs
@@ -12,9 +12,9 @@
 use tokio::io::AsyncWriteExt;
 
 use super::{Next, RunEnd, StreamRelay};
-use crate::attempt::{Borne, SendFailure, Sent, exchange, fail, failure_of, with_patience};
+use crate::attempt::{Borne, SendFailure, Sent, exchange, fail, failure_of};
 use crate::copies::Copy;
-use crate::doubt::{LIFE_ENDED, Waited, note_replaced, note_went_on, until_replaced};
+use crate::doubt::{LIFE_ENDED, Listened, Waited};
 use crate::events;
 use crate::lineage::Placed;
 use crate::metrics::CauseLabel;
@@ -47,19 +47,18 @@
         self.copies.begin(copy);
         self.is_copy_usable = from_copy.is_some();
         let patience_ms = self.first_patience_ms();
-        let sent_at = relay.now();
         let borne = sent.begin(self.reached_ms);
-        let failure = Failure::Silent;
+        let listened = self.listened(&endpoint, borne, patience_ms, Failure::Silent);
+        let sent_at = listened.heard_at;
         let exchange = exchange(relay, request, &mut sent, &options);
-        let waited = self.listen(&endpoint, borne, sent_at, patience_ms, failure, exchange);
-        let head = match waited.await {
+        let head = match self.listen(&listened, exchange).await {
             Waited::Done(Ok(head)) => head,
             Waited::Done(Err(error)) => {
                 return self.run_failed(sent, failure_of(&error), &error.to_string());
             }
             Waited::Replaced(next) => return RunEnd::Replaced(Box::new(next)),
             Waited::Ended => return self.run_failed(sent, Failure::Replaced, LIFE_ENDED),
-            Waited::Over => return self.run_failed(sent, failure, "no answer"),
+            Waited::Over => return self.run_failed(sent, Failure::Silent, "no answer"),
         };
         if head.status != 200 {
             return match collect(relay, request, sent, head).await {
@@ -96,48 +95,50 @@
         );
     }
 
-    /// Waits for something of a run that was last heard at `heard_at`. After `patience_ms` of silence
-    /// the run is doubted: a successor is looked for, and the run listened to until it is connected.
+    /// Waits for something of a run. Once it is doubted, a successor is looked for, and the run listened
+    /// to until that is connected.
     async fn listen<T>(
         &mut self,
-        endpoint: &Announcement,
-        borne: Borne,
-        heard_at: ClockMs,
-        patience_ms: u64,
-        failure: Failure,
+        listened: &Listened<'_>,
         waiting: impl Future<Output = T>,
     ) -> Waited<T, Next> {
-        let (relay, request) = (self.relay, self.request);
         tokio::pin!(waiting);
-        let patience_ms = patience_ms.min(request.left_ms(relay.now()));
-        let heard = with_patience(relay, endpoint, heard_at, patience_ms, waiting.as_mut());
-        if let Some(done) = heard.await {
-            return Waited::Done(done);
+        if let Some(ended) = listened.until_doubted(waiting.as_mut()).await {
+            return ended;
         }
-        if request.left_ms(relay.now()) == 0 {
-            return Waited::Over;
+        let id = &listened.endpoint.id;
+        let doubt = self.tries.begin_doubt(id.clone());
+        let next = self.open_next(Some(id));
+        let waited = listened.until_replaced(waiting, next).await;
+        if matches!(waited, Waited::Replaced(_)) {
+            self.last_failure = listened.failure.name();
+        } else {
+            self.tries.end_doubt(&doubt);
         }
-        if relay.has_ended(&endpoint.id) {
-            return Waited::Ended;
+        waited
+    }
+
+    /// The run as it is listened to from now on.
+    fn listened<'b>(
+        &self,
+        endpoint: &'b Announcement,
+        borne: Borne,
+        patience_ms: u64,
+        failure: Failure,
+    ) -> Listened<'b>
+    where
+        Self: 'b,
+    {
+        let heard_at = self.relay.now();
+        Listened {
+            borne,
+            endpoint,
+            failure,
+            heard_at,
+            patience_ms: patience_ms.min(self.request.left_ms(heard_at)),
+            relay: self.relay,
+            request: self.request,
         }
-        relay.note_failure(endpoint, failure);
-        let doubt = self.tries.begin_doubt(endpoint.id.clone());
-        let next = self.open_next(Some(&endpoint.id));
-        let done = match until_replaced(relay, request, waiting, next).await {
-            Waited::Done(done) => done,
-            Waited::Replaced(next) => {
-                self.last_failure = failure.name();
-                note_replaced(relay, request, endpoint, failure, borne);
-                return Waited::Replaced(next);
-            }
-            Waited::Ended | Waited::Over => {
-                self.tries.end_doubt(&doubt);
-                return Waited::Over;
-            }
-        };
-        self.tries.end_doubt(&doubt);
-        note_went_on(relay, request, endpoint, heard_at);
-        Waited::Done(done)
     }
 
     fn first_patience_ms(&self) -> u64 {
@@ -171,10 +172,9 @@
             } else {
                 Failure::Silent
             };
-            let borne = sent.borne;
+            let listened = self.listened(&endpoint, sent.borne, silence_ms, silence);
             let reading = sent.upstream().next_piece(&mut decoder);
-            let waited = self.listen(&endpoint, borne, now, silence_ms, silence, reading);
-            let (failure, cause) = match waited.await {
+            let (failure, cause) = match self.listen(&listened, reading).await {
                 Waited::Replaced(next) => return RunEnd::Replaced(Box::new(next)),
                 Waited::Ended => (Failure::Replaced, LIFE_ENDED.to_owned()),
                 Waited::Over => (silence, "no event".to_owned()),
