--- a/crates/masticsill_bench/examples/blame.rs
+++ b/crates/masticsill_bench/examples/blame.rs
@@ -2,19 +2,11 @@
 //!
 //! `cargo run --release -p masticsill_bench --example blame -- [--seeds N]`
 
-use lexopt::prelude::{Long, ValueExt};
-use masticsill_bench::Table;
 use masticsill_bench::blame::{BlamePlan, BlameTally, play};
+use masticsill_bench::{Table, read_seeds};
 
 fn main() -> eyre::Result<()> {
-    let mut seeds = 10;
-    let mut arguments = lexopt::Parser::from_env();
-    while let Some(argument) = arguments.next()? {
-        match argument {
-            Long("seeds") => seeds = arguments.value()?.parse()?,
-            _ => return Err(argument.unexpected().into()),
-        }
-    }
+    let seeds = read_seeds(10)?;
     let columns = [
         "load",
         "asked",
--- a/crates/masticsill_bench/examples/overload.rs
+++ b/crates/masticsill_bench/examples/overload.rs
@@ -2,21 +2,13 @@
 //!
 //! `cargo run --release -p masticsill_bench --example overload -- [--seeds N]`
 
-use lexopt::prelude::{Long, ValueExt};
-use masticsill_bench::Table;
 use masticsill_bench::overload::{OverloadPlan, Policy, Tally, play};
+use masticsill_bench::{Table, read_seeds};
 
 const LOADS: [f64; 9] = [0.5, 1.0, 2.0, 2.5, 3.0, 4.0, 6.0, 8.0, 10.0];
 
 fn main() -> eyre::Result<()> {
-    let mut seeds = 5;
-    let mut arguments = lexopt::Parser::from_env();
-    while let Some(argument) = arguments.next()? {
-        match argument {
-            Long("seeds") => seeds = arguments.value()?.parse()?,
-            _ => return Err(argument.unexpected().into()),
-        }
-    }
+    let seeds = read_seeds(5)?;
     let columns = [
         "load", "policy", "asked", "in aim", "late", "refused", "lost", "after", "long", "p99 ms",
     ];
--- a/crates/masticsill_bench/src/blame/fleet.rs
+++ b/crates/masticsill_bench/src/blame/fleet.rs
@@ -6,8 +6,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::BlamePlan;
+use crate::entry::{ZONES, zone_of};
 
-const ZONES: [&str; 3] = ["north", "south", "west"];
 /// How long an engine is away after its end.
 const AWAY_MS: u64 = 1_200;
 /// Part of a zone's engines that end when the zone falls.
@@ -91,7 +91,7 @@
         life: 0,
         number,
         runs: 0,
-        zone: ZoneId::new(ZONES[number % ZONES.len()]).expect("a name of a zone"),
+        zone: zone_of(number),
     });
     engines.collect()
 }
--- a/crates/masticsill_bench/src/lib.rs
+++ b/crates/masticsill_bench/src/lib.rs
@@ -2,7 +2,9 @@
 //!
 //! Each experiment is an example of this crate; docs/BENCH.md names the command behind each table.
 
+mod arguments;
 pub mod blame;
+mod entry;
 mod event_reader;
 mod fit;
 pub mod lookups;
@@ -12,6 +14,7 @@
 mod system;
 mod usage;
 
+pub use arguments::read_seeds;
 pub use event_reader::{AnswerEvent, EventReader};
 pub use fit::{Fit, number};
 pub use report::{Table, ms, us_per};
--- a/crates/masticsill_bench/src/lookups/play.rs
+++ b/crates/masticsill_bench/src/lookups/play.rs
@@ -2,20 +2,15 @@
 
 use std::collections::VecDeque;
 
-use indexmap::IndexMap;
-use masticsill_dispatch::{
-    CallerPatience, Decision, Dispatcher, Ended, EndpointTable, Need, Surroundings, Terms, Ticket,
-    Turns, Work, ZoneShare,
-};
-use masticsill_registry::{Announcement, EndpointId, EndpointRecord, EndpointState};
-use masticsill_types::{ClockMs, NodeId, ZoneId};
+use masticsill_dispatch::{Decision, Ended, Need, Work};
+use masticsill_registry::{EndpointId, EndpointState};
+use masticsill_types::ClockMs;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use super::{LookupPlan, LookupTally};
+use crate::entry::{Entry, SERVICE, endpoint_id};
 
-const SERVICE: &str = "lookups";
-const ZONES: [&str; 3] = ["north", "south", "west"];
 /// How often an entry looks through the requests that wait.
 const LOOK_EVERY_MS: u64 = 25;
 /// Attempts of one caller.
@@ -32,16 +27,6 @@
     deadline_at: ClockMs,
 }
 
-struct Entry {
-    dispatcher: Dispatcher,
-    node: NodeId,
-    patience: CallerPatience,
-    share: ZoneShare,
-    table: EndpointTable,
-    waiting: IndexMap<Ticket, usize>,
-    zone: ZoneId,
-}
-
 /// A request at an endpoint.
 #[derive(Clone, Copy)]
 struct Sent {
@@ -60,6 +45,7 @@
     /// When callers ask, or ask again.
     arrivals: Vec<(ClockMs, usize)>,
     callers: Vec<Caller>,
+    endpoint_ids: Vec<EndpointId>,
     endpoints: Vec<Endpoint>,
     entries: Vec<Entry>,
     now: ClockMs,
@@ -74,9 +60,10 @@
     let mut world = World {
         arrivals: Vec::new(),
         callers: Vec::new(),
+        endpoint_ids: (0..plan.endpoints).map(endpoint_id).collect(),
         endpoints: (0..plan.endpoints).map(|_| Endpoint::default()).collect(),
         entries: (0..plan.entries)
-            .map(|entry| new_entry(plan, entry))
+            .map(|entry| Entry::new(entry, plan.entries, plan.endpoints))
             .collect(),
         now: ClockMs(0),
         plan: *plan,
@@ -91,58 +78,6 @@
     world.tally()
 }
 
-fn new_entry(plan: &LookupPlan, entry: usize) -> Entry {
-    let node = NodeId::new(format!("entry-{entry}")).expect("the name is allowed");
-    let mut table = EndpointTable::default();
-    let records: Vec<EndpointRecord> = (0..plan.endpoints).map(record).collect();
-    table.merge(&node, &records);
-    Entry {
-        dispatcher: Dispatcher::default(),
-        node,
-        patience: CallerPatience::default(),
-        share: ZoneShare {
-            entries: plan.entries / ZONES.len(),
-            place: entry / ZONES.len(),
-        },
-        table,
-        waiting: IndexMap::new(),
-        zone: zone(entry),
-    }
-}
-
-fn zone(number: usize) -> ZoneId {
-    ZoneId::new(ZONES[number % ZONES.len()]).expect("the name holds letters only")
-}
-
-fn id(endpoint: usize) -> EndpointId {
-    EndpointId::unnamed_life(format!("endpoint-{endpoint}"))
-}
-
-fn number(id: &EndpointId, endpoints: usize) -> usize {
-    let mut numbers = 0..endpoints;
-    numbers
-        .find(|it| self::id(*it) == *id)
-        .expect("entries know these only")
-}
-
-fn record(endpoint: usize) -> EndpointRecord {
-    let host = u8::try_from(endpoint).unwrap_or(u8::MAX);
-    EndpointRecord {
-        announcement: Announcement {
-            address: ([10, 0, 0, host], 8_000).into(),
-            cold_left_ms: 0,
-            id: id(endpoint),
-            keeps_prompts: false,
-            sequence: 1,
-            service: SERVICE.to_owned(),
-            slots: 6,
-            state: EndpointState::Ready,
-            zone: zone(endpoint),
-        },
-        is_silent: false,
-    }
-}
-
 impl World {
     fn draw_callers(&mut self) {
         for at_ms in 0..self.plan.length_ms {
@@ -179,8 +114,8 @@
 
     fn let_endpoints_leave(&mut self) {
         for entry in &mut self.entries {
-            for endpoint in self.plan.endpoints_left..self.plan.endpoints {
-                if let Some(endpoint) = entry.table.get_mut(&id(endpoint)) {
+            for id in &self.endpoint_ids[self.plan.endpoints_left..] {
+                if let Some(endpoint) = entry.table.get_mut(id) {
                     endpoint.announcement.state = EndpointState::Draining;
                 }
             }
@@ -212,7 +147,7 @@
         let now = self.now;
         self.callers[sent.caller].answered_at = Some(now);
         let entry = &mut self.entries[sent.entry];
-        if let Some(known) = entry.table.get_mut(&id(endpoint)) {
+        if let Some(known) = entry.table.get_mut(&self.endpoint_ids[endpoint]) {
             known.health.note_pace(now.since(sent.since));
             let usual_ms = known.health.pace_ms().unwrap_or_default();
             let in_flight = known.in_flight;
@@ -229,19 +164,9 @@
         let now = self.now;
         let asking = &mut self.callers[caller];
         asking.attempts += 1;
-        let given_ms = asking.deadline_at.since(now);
         let deadline_at = asking.deadline_at;
         let entry = &mut self.entries[number];
-        let had_waited_ms = entry.patience.note(now, SERVICE, given_ms);
-        let terms = Terms {
-            aim_ms: self.plan.aim_ms,
-            aim_at: now.before(had_waited_ms) + self.plan.aim_ms,
-            caller_leaves_at: deadline_at,
-            deadline_at,
-            has_come_back: had_waited_ms > 0,
-            is_resume: false,
-            workspace: None,
-        };
+        let terms = entry.terms(now, self.plan.aim_ms, deadline_at, None);
         let need = Need {
             excluded: Vec::new(),
             kept: Vec::new(),
@@ -249,16 +174,7 @@
             service: SERVICE.to_owned(),
             work: Work::Whole,
         };
-        let around = Surroundings {
-            closed: &[],
-            turns: turns(&entry.node, entry.share, &entry.zone, self.plan.entries),
-        };
-        let random = &mut self.random;
-        let decision = entry
-            .dispatcher
-            .ask(now, &entry.table, &need, &terms, &around, || {
-                random.random()
-            });
+        let decision = entry.ask(now, &need, &terms, &mut self.random);
         match decision {
             Decision::Nobody => self.refuse(caller, TURNED_AWAY_MS),
             Decision::Refuse(overload) => self.refuse(caller, overload.retry_after_ms),
@@ -273,14 +189,7 @@
     fn look(&mut self, number: usize) {
         loop {
             let entry = &mut self.entries[number];
-            let around = Surroundings {
-                closed: &[],
-                turns: turns(&entry.node, entry.share, &entry.zone, self.plan.entries),
-            };
-            let random = &mut self.random;
-            let ended = entry
-                .dispatcher
-                .next(self.now, &entry.table, &around, || random.random());
+            let ended = entry.next_end(self.now, &mut self.random);
             match ended {
                 None => return,
                 Some(Ended::Refuse(ticket, overload)) => {
@@ -299,7 +208,8 @@
 
     fn send(&mut self, entry: usize, caller: usize, endpoint: &EndpointId) {
         let now = self.now;
-        let number = number(endpoint, self.endpoints.len());
+        let number = self.endpoint_ids.iter().position(|id| id == endpoint);
+        let number = number.expect("entries know these only");
         let has_place = self.endpoints[number].queued.len() < self.plan.queue;
         let Some(known) = self.entries[entry].table.get_mut(endpoint) else {
             return;
@@ -345,12 +255,3 @@
         tally
     }
 }
-
-fn turns<'a>(node: &'a NodeId, share: ZoneShare, zone: &'a ZoneId, entries: usize) -> Turns<'a> {
-    Turns {
-        entries: u32::try_from(entries).unwrap_or(u32::MAX),
-        node,
-        share,
-        zone,
-    }
-}
--- a/crates/masticsill_bench/src/overload.rs
+++ b/crates/masticsill_bench/src/overload.rs
@@ -7,7 +7,6 @@
 
 mod callers;
 mod engine;
-mod entry;
 mod plan;
 mod play;
 mod tally;
--- a/crates/masticsill_bench/src/overload/play.rs
+++ b/crates/masticsill_bench/src/overload/play.rs
@@ -1,17 +1,16 @@
 //! One overload, from its first request to the last answer.
 
 use indexmap::IndexMap;
-use masticsill_dispatch::{
-    Decision, Ended, Need, Overload, Surroundings, Terms, Wanted, Work, choose,
-};
+use masticsill_dispatch::{Decision, Ended, Need, Overload, Wanted, Work, choose};
 use masticsill_registry::{EndpointId, EndpointLoad, PlaceRequest, WatcherBook};
 use masticsill_types::{ClockMs, ZoneId};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::entry::{Entry, SERVICE, ZONES, endpoint_id};
+
 use super::callers::{Ask, draw_asks};
 use super::engine::{Engine, EngineEvent, Job};
-use super::entry::{Entry, SERVICE, ZONES, engine_id, turns};
 use super::plan::{OverloadPlan, Policy};
 use super::tally::{CallerRecord, Tally};
 
@@ -75,7 +74,7 @@
 }
 
 /// The place of an engine's zone among the zones.
-fn zone_of(id: &EndpointId, engines: &[EndpointId]) -> Option<usize> {
+fn zone_place(id: &EndpointId, engines: &[EndpointId]) -> Option<usize> {
     let engine = engines.binary_search(id).ok()?;
     Some(engine % ZONES.len())
 }
@@ -86,7 +85,7 @@
         let mut world = Self {
             arrivals: Vec::new(),
             books: vec![WatcherBook::default(); ZONES.len()],
-            engine_ids: (0..plan.engines).map(engine_id).collect(),
+            engine_ids: (0..plan.engines).map(endpoint_id).collect(),
             engines: vec![Engine::default(); plan.engines],
             entries: Vec::new(),
             live: IndexMap::new(),
@@ -98,7 +97,9 @@
             heard: vec![Vec::new(); plan.entries],
         };
         for entry in 0..plan.entries {
-            world.entries.push(Entry::new(plan, entry));
+            world
+                .entries
+                .push(Entry::new(entry, plan.entries, plan.engines));
         }
         for ask in draw_asks(plan, &mut world.random) {
             world.expect(ask);
@@ -144,7 +145,7 @@
             for (zone, book) in self.books.iter_mut().enumerate() {
                 let loads: Vec<EndpointLoad> = loads
                     .iter()
-                    .filter(|load| zone_of(&load.id, &self.engine_ids) == Some(zone))
+                    .filter(|load| zone_place(&load.id, &self.engine_ids) == Some(zone))
                     .cloned()
                     .collect();
                 book.note(now, &watcher, 0, &loads);
@@ -220,7 +221,7 @@
         live.has_first = true;
         let (entry, tokens) = (live.entry, live.prompt_tokens);
         let began = live.sent.map(|(_, began, is_alone)| (began, is_alone));
-        if let Some(endpoint) = self.entries[entry].table.get_mut(&engine_id(engine)) {
+        if let Some(endpoint) = self.entries[entry].table.get_mut(&endpoint_id(engine)) {
             endpoint.end_reading(now);
             if let Some((began, true)) = began {
                 endpoint.reading_pace.note(tokens, now.since(began));
@@ -240,7 +241,7 @@
     fn leave(&mut self, live: &Live, engine: usize) {
         let now = self.now;
         let tokens = live.prompt_tokens + OUTPUT_TOKENS;
-        if let Some(endpoint) = self.entries[live.entry].table.get_mut(&engine_id(engine)) {
+        if let Some(endpoint) = self.entries[live.entry].table.get_mut(&endpoint_id(engine)) {
             if !live.has_first {
                 endpoint.end_reading(now);
             }
@@ -309,30 +310,13 @@
     fn ask(&mut self, request: usize) {
         let now = self.now;
         let live = self.live[&request].clone();
-        let given_ms = live.deadline_at.since(now);
-        let patience = &mut self.entries[live.entry].patience;
-        let had_waited_ms = patience.note(now, SERVICE, given_ms);
-        let aim_ms = self.plan.aim_ms;
-        let terms = Terms {
-            aim_ms,
-            aim_at: now.before(had_waited_ms) + aim_ms,
-            caller_leaves_at: live.deadline_at,
-            deadline_at: live.deadline_at,
-            has_come_back: had_waited_ms > 0,
-            is_resume: false,
-            workspace: Some(live.workspace.clone()),
-        };
+        let workspace = Some(live.workspace.clone());
+        let entry = &mut self.entries[live.entry];
+        let terms = entry.terms(now, self.plan.aim_ms, live.deadline_at, workspace);
         let place = self.take_place(live.entry);
         let need = self.need_of(&live, place);
-        let entries = self.entries.len();
-        let random = &mut self.random;
         let entry = &mut self.entries[live.entry];
-        let turns = turns(&entry.node, entry.share, &entry.zone, entries);
-        let around = Surroundings { closed: &[], turns };
-        let jitter = || random.random();
-        let decision = entry
-            .dispatcher
-            .ask(now, &entry.table, &need, &terms, &around, jitter);
+        let decision = entry.ask(now, &need, &terms, &mut self.random);
         match decision {
             Decision::Nobody => {}
             Decision::Refuse(overload) => self.refuse(request, now, overload.retry_after_ms),
@@ -345,18 +329,8 @@
 
     fn end_waits(&mut self) {
         let now = self.now;
-        let entries = self.entries.len();
-        for index in 0..entries {
-            loop {
-                let random = &mut self.random;
-                let entry = &mut self.entries[index];
-                let turns = turns(&entry.node, entry.share, &entry.zone, entries);
-                let around = Surroundings { closed: &[], turns };
-                let jitter = || random.random();
-                let ended = entry.dispatcher.next(now, &entry.table, &around, jitter);
-                let Some(ended) = ended else {
-                    break;
-                };
+        for index in 0..self.entries.len() {
+            while let Some(ended) = self.entries[index].next_end(now, &mut self.random) {
                 self.end_wait(index, &ended);
             }
         }
@@ -472,8 +446,7 @@
                 let entry = &mut self.entries[live.entry];
                 let ticket = entry.waiting.iter().find(|(_, waits)| **waits == request);
                 if let Some(ticket) = ticket.map(|(ticket, _)| *ticket) {
-                    entry.dispatcher.withdraw(ticket);
-                    entry.waiting.swap_remove(&ticket);
+                    entry.withdraw(ticket);
                 }
                 self.live.swap_remove(&request);
             } else {
