Dispatch by priority: the more urgent request goes first, and less urgent ones make way

Cause: the priority of routes and workspaces was read and used nowhere. In a burst, requests with a long target latency were queued where a more urgent one with a short one was refused.

Change: in a queue, requests in time go by priority, then those that come back, then by arrival; resumes keep their place. For 4 s after the refusal of a request that would have waited too long, less urgent ones are not queued. The load that this answers: a burst beyond capacity of any kind. Engines are told the priority; a caller's own field is dropped.

--- a/crates/masticsill_bench/examples/dispatch_cost.rs
+++ b/crates/masticsill_bench/examples/dispatch_cost.rs
@@ -78,6 +78,7 @@
         deadline_at: NOW + 25_000,
         is_returning: false,
         is_resume: false,
+        priority: 0,
         workspace: Some("w".to_owned()),
     };
     let mut shown = Table::new(&["engines", "sent, µs", "refused, µs"]);
--- a/crates/masticsill_bench/src/entry.rs
+++ b/crates/masticsill_bench/src/entry.rs
@@ -75,6 +75,7 @@
             deadline_at,
             is_returning: had_waited_ms > 0,
             is_resume: false,
+            priority: 0,
             workspace,
         }
     }
--- a/crates/masticsill_bench/src/overload.rs
+++ b/crates/masticsill_bench/src/overload.rs
@@ -12,6 +12,6 @@
 mod tally;
 
 pub use engine::EngineModel;
-pub use plan::{OverloadPlan, Policy};
+pub use plan::{KINDS, KindPlan, OverloadPlan, Policy};
 pub use play::play;
-pub use tally::Tally;
+pub use tally::{KindTally, Tally};
--- a/crates/masticsill_bench/src/overload/callers.rs
+++ b/crates/masticsill_bench/src/overload/callers.rs
@@ -4,7 +4,7 @@
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
-use super::plan::OverloadPlan;
+use super::plan::{KINDS, OverloadPlan};
 use super::tally::CallerRecord;
 
 /// Tokens of the shortest and the longest prompt.
@@ -34,15 +34,33 @@
     while (at_ms as u64) < plan.length_ms {
         let now_ms = at_ms as u64;
         let is_overload = (plan.begins_ms..plan.ends_ms).contains(&now_ms);
-        let times = if is_overload { plan.load } else { 1.0 };
-        asks.push(draw_ask(plan, random, ClockMs(now_ms)));
+        let weights = plan
+            .kinds
+            .map(|it| it.share * if is_overload { it.load } else { 1.0 });
+        let times = if is_overload { plan.load } else { 1.0 } * weights.iter().sum::<f64>();
+        let kind = draw_kind(&weights, random);
+        asks.push(draw_ask(plan, random, ClockMs(now_ms), kind));
         let per_ms = plan.usual_per_s * times / 1_000.0;
         at_ms += -random.random::<f64>().max(1e-9).ln() / per_ms;
     }
     asks
 }
 
-fn draw_ask(plan: &OverloadPlan, random: &mut ChaCha8Rng, asked_at: ClockMs) -> Ask {
+/// Draws the number of a kind in proportion to the weights.
+fn draw_kind(weights: &[f64; KINDS], random: &mut ChaCha8Rng) -> usize {
+    // A plan with a single kind draws nothing.
+    if weights[1..].iter().all(|weight| *weight == 0.0) {
+        return 0;
+    }
+    let mut left = random.random::<f64>() * weights.iter().sum::<f64>();
+    let is_drawn = |weight: &f64| {
+        left -= weight;
+        left < 0.0
+    };
+    weights.iter().position(is_drawn).unwrap_or_default()
+}
+
+fn draw_ask(plan: &OverloadPlan, random: &mut ChaCha8Rng, asked_at: ClockMs, kind: usize) -> Ask {
     let prompt_tokens = random.random_range(PROMPT_TOKENS.0..=PROMPT_TOKENS.1);
     let is_hot = random.random::<f64>() < plan.hot_share;
     let workspace = if is_hot {
@@ -53,12 +71,14 @@
     Ask {
         prompt_tokens,
         record: CallerRecord {
+            aim_ms: plan.kinds[kind].aim_ms,
             asked_at,
             first_at: None,
             meetings: 0,
             is_done: false,
             is_hot,
             is_long: prompt_tokens >= LONG_TOKENS,
+            kind,
             refusal_ms: None,
             refusals: 0,
         },
--- a/crates/masticsill_bench/src/overload/plan.rs
+++ b/crates/masticsill_bench/src/overload/plan.rs
@@ -11,11 +11,25 @@
     LeastLoaded,
 }
 
+/// Requests of one kind.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct KindPlan {
+    /// Time to the first event that callers aim at.
+    pub aim_ms: u64,
+    /// The overload's requests of this kind, in times of those of the plan's load.
+    pub load: f64,
+    /// Priority; zero is the most urgent.
+    pub priority: u32,
+    /// Share of the usual requests.
+    pub share: f64,
+}
+
+/// Maximum number of kinds of requests in a plan.
+pub const KINDS: usize = 3;
+
 /// An overload.
 #[derive(Clone, Copy, Debug)]
 pub struct OverloadPlan {
-    /// Time to the first event that callers aim at.
-    pub aim_ms: u64,
     /// When the overload comes.
     pub begins_ms: u64,
     /// Time that callers give.
@@ -28,8 +42,12 @@
     pub engine: EngineModel,
     /// Entries.
     pub entries: usize,
+    /// Whether entries know the priorities of requests.
+    pub has_priorities: bool,
     /// Part of the requests that one workspace sends, from zero to one.
     pub hot_share: f64,
+    /// The kinds of requests; their shares add up to one.
+    pub kinds: [KindPlan; KINDS],
     /// How long new requests come.
     pub length_ms: u64,
     /// The overload's requests, in times of the usual ones.
@@ -50,15 +68,23 @@
 impl Default for OverloadPlan {
     /// Today's small deployment: an overload of 20 s on a day of 34 s.
     fn default() -> Self {
-        Self {
+        let only = KindPlan {
             aim_ms: 4_500,
+            load: 1.0,
+            priority: 0,
+            share: 1.0,
+        };
+        let none = KindPlan { share: 0.0, ..only };
+        Self {
             begins_ms: 4_000,
             deadline_ms: 25_000,
             ends_ms: 24_000,
             engines: 24,
             engine: EngineModel::default(),
             entries: 9,
+            has_priorities: true,
             hot_share: 0.1,
+            kinds: [only, none, none],
             length_ms: 34_000,
             load: 1.0,
             pause_ms: 0,
--- a/crates/masticsill_bench/src/overload/play.rs
+++ b/crates/masticsill_bench/src/overload/play.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 use masticsill_dispatch::{
-    Decision, Overload, PlacementRequest, Requirements, WaitOutcome, Work, choose,
+    Decision, Overload, PlacementRequest, Requirements, Terms, WaitOutcome, Work, choose,
 };
 use masticsill_registry::{EndpointId, EndpointLoad, EngineReservationRequest, WatcherTable};
 use masticsill_types::{ClockMs, ZoneId};
@@ -72,7 +72,7 @@
     while world.now < end && !(world.arrivals.is_empty() && world.live.is_empty()) {
         world.step();
     }
-    Tally::of(&world.records, plan.aim_ms, plan.ends_ms)
+    Tally::of(&world.records, plan.ends_ms)
 }
 
 /// The place of an engine's zone among the zones.
@@ -316,7 +316,16 @@
         let live = self.live[&request].clone();
         let workspace = Some(live.workspace.clone());
         let entry = &mut self.entries[live.entry];
-        let terms = entry.terms(now, self.plan.aim_ms, live.deadline_at, workspace);
+        let kind = &self.plan.kinds[self.records[request].kind];
+        let priority = if self.plan.has_priorities {
+            kind.priority
+        } else {
+            0
+        };
+        let terms = Terms {
+            priority,
+            ..entry.terms(now, kind.aim_ms, live.deadline_at, workspace)
+        };
         let place = self.take_place(live.entry);
         let need = self.need_of(&live, place);
         let entry = &mut self.entries[live.entry];
--- a/crates/masticsill_bench/src/overload/tally.rs
+++ b/crates/masticsill_bench/src/overload/tally.rs
@@ -2,14 +2,19 @@
 
 use masticsill_types::ClockMs;
 
+use super::plan::KINDS;
+
 /// One caller's request, over all of its attempts.
 #[derive(Clone, Debug)]
 pub(super) struct CallerRecord {
+    pub(super) aim_ms: u64,
     pub(super) asked_at: ClockMs,
     pub(super) first_at: Option<ClockMs>,
     pub(super) is_done: bool,
     pub(super) is_hot: bool,
     pub(super) is_long: bool,
+    /// Number of the kind in the plan.
+    pub(super) kind: usize,
     /// How often its prompt came to an engine that read another one.
     pub(super) meetings: u32,
     /// Longest time from an attempt to its refusal.
@@ -17,9 +22,36 @@
     pub(super) refusals: u32,
 }
 
+/// What the callers of one kind got.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct KindTally {
+    /// Requests.
+    pub asked: usize,
+    /// Whole answers that began in time.
+    pub in_aim: usize,
+    /// Whole answers, late ones included.
+    pub served: usize,
+}
+
+impl KindTally {
+    /// Part of the requests that was answered in time.
+    #[must_use]
+    pub fn aim_share(&self) -> f64 {
+        ratio(self.in_aim, self.asked)
+    }
+
+    /// Part of the requests that was answered.
+    #[must_use]
+    pub fn served_share(&self) -> f64 {
+        ratio(self.served, self.asked)
+    }
+}
+
 /// What all callers got.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Tally {
+    /// The same by kind, in the order of the plan.
+    pub by_kind: [KindTally; KINDS],
     /// Requests.
     pub asked: usize,
     /// Whole answers that began in time.
@@ -54,11 +86,18 @@
         ratio(self.in_aim, self.asked)
     }
 
-    pub(super) fn of(records: &[CallerRecord], aim_ms: u64, overload_ends_ms: u64) -> Self {
+    pub(super) fn of(records: &[CallerRecord], overload_ends_ms: u64) -> Self {
         let is_in_aim = |it: &&CallerRecord| {
             let first = it.first_at.filter(|_| it.is_done);
-            first.is_some_and(|first| first.since(it.asked_at) <= aim_ms)
+            first.is_some_and(|first| first.since(it.asked_at) <= it.aim_ms)
         };
+        let mut by_kind = [KindTally::default(); KINDS];
+        for record in records {
+            let kind = &mut by_kind[record.kind];
+            kind.asked += 1;
+            kind.in_aim += usize::from(is_in_aim(&record));
+            kind.served += usize::from(record.is_done);
+        }
         let share = |of: &dyn Fn(&CallerRecord) -> bool| {
             let all = records.iter().filter(|it| of(it));
             let good = all.clone().filter(is_in_aim).count();
@@ -72,6 +111,7 @@
         refusals.sort_unstable();
         let after = ClockMs(overload_ends_ms + RECOVERY_MS);
         Self {
+            by_kind,
             asked: records.len(),
             in_aim,
             late: done - in_aim,
--- a/crates/masticsill_dispatch/src/dispatcher.rs
+++ b/crates/masticsill_dispatch/src/dispatcher.rs
@@ -4,7 +4,8 @@
 //! ten times the usual number of requests. Excess requests are not sent, since every prompt that an
 //! engine reads for a caller that has given up takes the place of one that could be answered in
 //! time. Requests that can still be answered in time wait for the first endpoint with capacity; all
-//! others are refused at once.
+//! others are refused at once. When a burst exceeds the capacity, the more urgent requests wait and
+//! start first, and less urgent ones are not queued while more urgent ones are refused.
 
 use indexmap::IndexMap;
 use masticsill_registry::EndpointId;
@@ -16,7 +17,9 @@
 use crate::estimate::{latest_start, wait_ms};
 use crate::placement::{Choice, PlacementRequest, choose, suspect_zones};
 use crate::refusal::{Overload, refuse};
-use crate::service_queue::{QueuedRequest, Rank, Requirements, ServiceQueue, Terms, Ticket};
+use crate::service_queue::{
+    QueuePlace, QueuedRequest, Rank, Requirements, ServiceQueue, Terms, Ticket,
+};
 
 /// Divisor of the target latency: after this part of it (a tenth), a queued request is either
 /// refused or committed. A committed request is not refused any more unless its deadline passes.
@@ -82,7 +85,7 @@
         let queue = self.queues.entry(requirements.service.clone()).or_default();
         queue.note_workspace(now, terms);
         let rank = rank_of(queue, now, table, requirements, terms);
-        let ahead = queue.ahead_of(rank);
+        let ahead = queue.ahead_of(QueuePlace::of(rank, terms));
         let contention = queue.contention(now, now);
         let yields = rank == Rank::Late && queue.is_overload_sustained(now);
         let choice = if ahead == 0 && !yields {
@@ -124,9 +127,20 @@
                 let max_wait_ms = latest_start(queue, table, requirements, terms).since(now);
                 let per_request_ms = (wait_ms / (ahead as u64 + 1)).max(1);
                 let places = usize::try_from(max_wait_ms / per_request_ms).unwrap_or(usize::MAX);
-                wait_ms <= max_wait_ms && !queue.is_share_exhausted(terms, places)
+                let is_soon_enough = wait_ms <= max_wait_ms;
+                if !is_soon_enough {
+                    queue.note_refusal(now, terms.priority);
+                }
+                is_soon_enough
+                    && !queue.is_share_exhausted(terms, places)
+                    && !queue.has_refused_more_urgent(now, terms.priority)
+            }
+            Rank::Late => {
+                if yields {
+                    queue.note_refusal(now, terms.priority);
+                }
+                !yields
             }
-            Rank::Late => !yields,
         };
         if !is_in_time || queue.len() >= MAX_QUEUED_REQUESTS {
             let overload = refuse(queue, now, terms, ahead, wait_ms, jitter());
@@ -162,7 +176,8 @@
     ) -> Option<WaitOutcome> {
         for queue in self.queues.values_mut().filter(|queue| !queue.is_empty()) {
             if let Some(waiting) = take_expired(queue, now, table, context.entry.entries) {
-                let ahead = queue.ahead_of(waiting.rank);
+                queue.note_refusal(now, waiting.terms.priority);
+                let ahead = queue.ahead_of(waiting.place());
                 let wait_ms = wait_ms(
                     queue,
                     now,
--- a/crates/masticsill_dispatch/src/service_queue.rs
+++ b/crates/masticsill_dispatch/src/service_queue.rs
@@ -23,6 +23,10 @@
 const OVERLOAD_OVER_MS: u64 = 1_000;
 /// How long a workspace counts among those that share the queue after its last request.
 const ACTIVE_WORKSPACE_MS: u64 = 2_000;
+/// How long after the refusal of a request less urgent ones are not queued. Their target latency is
+/// often longer, so that they would be queued where the more urgent one was refused, and take the
+/// capacity that the next urgent request needs.
+const URGENT_REFUSAL_MS: u64 = 4_000;
 /// Weight of the newest prompt in the moving average of the prompt length.
 const NEWEST_WEIGHT: f64 = 0.1;
 
@@ -89,11 +93,13 @@
     pub is_returning: bool,
     /// Whether the caller has already received a part of the answer.
     pub is_resume: bool,
+    /// Priority of the request; zero is the most urgent.
+    pub priority: u32,
     /// The workspace of the caller; none for an anonymous caller.
     pub workspace: Option<String>,
 }
 
-/// Order of queued requests. Resumed answers go before new ones, so that started work is finished
+/// Rank of queued requests. Resumed answers go before new ones, so that started work is finished
 /// first. Retries of refused callers go next, so that they are not refused again in favor of new
 /// requests. Requests that can't meet their target latency any more get what capacity is left.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -104,6 +110,41 @@
     Late,
 }
 
+/// Place of a request in the order of a queue, before its time of arrival is considered.
+///
+/// Among requests that can still be answered in time, and among those that can't, the more urgent
+/// ones go first. A resumed answer keeps its place whatever its priority.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct QueuePlace {
+    stage: Stage,
+    priority: u32,
+    rank: Rank,
+}
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Stage {
+    Resume,
+    InTime,
+    Late,
+}
+
+impl QueuePlace {
+    pub(crate) fn of(rank: Rank, terms: &Terms) -> Self {
+        Self {
+            stage: match rank {
+                Rank::Resume => Stage::Resume,
+                Rank::Returning | Rank::New => Stage::InTime,
+                Rank::Late => Stage::Late,
+            },
+            priority: match rank {
+                Rank::Resume => 0,
+                Rank::Returning | Rank::New | Rank::Late => terms.priority,
+            },
+            rank,
+        }
+    }
+}
+
 /// A queued request.
 #[derive(Clone, Debug)]
 pub(crate) struct QueuedRequest {
@@ -116,6 +157,12 @@
     pub(crate) ticket: Ticket,
 }
 
+impl QueuedRequest {
+    pub(crate) fn place(&self) -> QueuePlace {
+        QueuePlace::of(self.rank, &self.terms)
+    }
+}
+
 /// The queue of one service.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ServiceQueue {
@@ -123,6 +170,8 @@
     overloaded: Option<(ClockMs, ClockMs)>,
     /// Time of each workspace's last request.
     active_workspaces: IndexMap<String, ClockMs>,
+    /// Time of the last refusal of each priority.
+    refused_priorities: IndexMap<u32, ClockMs>,
     /// The latest retry time that has been assigned to a refused request.
     pub(crate) retries_scheduled_until: ClockMs,
     starts: VecDeque<ClockMs>,
@@ -183,9 +232,9 @@
         self.waiting.len()
     }
 
-    /// Number of queued requests that go before a new one of the given rank.
-    pub(crate) fn ahead_of(&self, rank: Rank) -> usize {
-        let before = self.waiting.iter().filter(|it| it.rank <= rank);
+    /// Number of queued requests that go before a new one at the given place.
+    pub(crate) fn ahead_of(&self, place: QueuePlace) -> usize {
+        let before = self.waiting.iter().filter(|it| it.place() <= place);
         before.count()
     }
 
@@ -205,17 +254,30 @@
         Some(self.waiting.remove(position))
     }
 
-    /// The queued requests in the order in which they start: by rank, then by arrival.
+    /// The queued requests in the order in which they start: by place, then by arrival.
     ///
-    /// The order is not changed in favor of newer requests: a request that could be overtaken
-    /// would wait longer than estimated at its admission. Fairness between workspaces is enforced
-    /// at admission.
+    /// Among requests of the same priority the order is not changed in favor of newer ones: a
+    /// request that could be overtaken would wait longer than estimated at its admission. Fairness
+    /// between workspaces is enforced at admission.
     pub(crate) fn in_order(&self) -> Vec<&QueuedRequest> {
         let mut order: Vec<&QueuedRequest> = self.waiting.iter().collect();
-        order.sort_by_key(|it| (it.rank, it.since));
+        order.sort_by_key(|it| (it.place(), it.since));
         order
     }
 
+    /// Records that a request of a priority was refused because it would have waited too long.
+    pub(crate) fn note_refusal(&mut self, now: ClockMs, priority: u32) {
+        self.refused_priorities
+            .retain(|_, last| now.since(*last) < URGENT_REFUSAL_MS);
+        self.refused_priorities.insert(priority, now);
+    }
+
+    /// Whether a more urgent request was refused lately.
+    pub(crate) fn has_refused_more_urgent(&self, now: ClockMs, priority: u32) -> bool {
+        let mut refused = self.refused_priorities.iter();
+        refused.any(|(it, last)| *it < priority && now.since(*last) < URGENT_REFUSAL_MS)
+    }
+
     /// Records that a workspace sent a request.
     pub(crate) fn note_workspace(&mut self, now: ClockMs, terms: &Terms) {
         self.active_workspaces
--- a/crates/masticsill_dispatch/tests/overload_decisions.rs
+++ b/crates/masticsill_dispatch/tests/overload_decisions.rs
@@ -1,151 +1,15 @@
 //! Which requests are sent, queued and refused when demand exceeds the capacity of the endpoints.
 
+mod common;
+
 use assert_matches::assert_matches;
 use masticsill_dispatch::{
-    Decision, DispatchContext, Dispatcher, EndpointTable, EntryPosition, Failure,
-    PriorWaitEstimator, Requirements, Terms, Ticket, WaitOutcome, Work, ZoneShare,
-};
-use masticsill_registry::{
-    Announcement, CachedTokens, EndpointId, EndpointLoad, EndpointRecord, EndpointState,
+    Decision, DispatchContext, Failure, PriorWaitEstimator, Terms, Ticket, WaitOutcome,
 };
-use masticsill_types::{ClockMs, NodeId, ZoneId};
+use masticsill_registry::{CachedTokens, EndpointLoad};
 use proptest::prelude::*;
 
-const NOW: ClockMs = ClockMs(100_000);
-const SERVICE: &str = "engines";
-
-fn id(name: &str) -> EndpointId {
-    EndpointId::with_unknown_incarnation(name)
-}
-
-fn zone() -> ZoneId {
-    ZoneId::new("a").unwrap()
-}
-
-fn table(names: &[&str]) -> EndpointTable {
-    let records: Vec<EndpointRecord> = (8_000..)
-        .zip(names)
-        .map(|(port, name)| EndpointRecord {
-            announcement: Announcement {
-                address: ([10, 0, 0, 1], port).into(),
-                cold_left_ms: 0,
-                id: id(name),
-                keeps_prompts: true,
-                sequence: 1,
-                service: SERVICE.to_owned(),
-                slots: 64,
-                state: EndpointState::Ready,
-                zone: zone(),
-            },
-            is_silent: false,
-        })
-        .collect();
-    let mut table = EndpointTable::default();
-    table.merge(&NodeId::new("c").unwrap(), &records);
-    table
-}
-
-fn requirements() -> Requirements {
-    Requirements {
-        excluded: Vec::new(),
-        cached: Vec::new(),
-        reserved_endpoint: None,
-        service: SERVICE.to_owned(),
-        work: Work::Stream {
-            kv_cache_tokens: Some(88_000),
-            prompt_tokens: 8_000,
-            tokens: 8_650,
-        },
-    }
-}
-
-fn terms(workspace: &str) -> Terms {
-    Terms {
-        target_latency_ms: 4_500,
-        answer_due_at: NOW + 4_500,
-        caller_leaves_at: NOW + 25_000,
-        deadline_at: NOW + 25_000,
-        is_returning: false,
-        is_resume: false,
-        workspace: Some(workspace.to_owned()),
-    }
-}
-
-/// Dispatcher and endpoints of a single entry.
-struct Entry {
-    dispatcher: Dispatcher,
-    node: NodeId,
-    table: EndpointTable,
-    zone: ZoneId,
-}
-
-impl Entry {
-    fn new(names: &[&str]) -> Self {
-        Self {
-            dispatcher: Dispatcher::default(),
-            node: NodeId::new("entry").unwrap(),
-            table: table(names),
-            zone: zone(),
-        }
-    }
-
-    /// Creates an entry whose engines have each read a prompt in 1.2 s and are reading another one.
-    fn busy(names: &[&str]) -> Self {
-        let mut entry = Self::new(names);
-        for name in names {
-            let endpoint = entry.table.get_mut(&id(name)).unwrap();
-            endpoint.reading_pace.note(8_000, 1_200);
-            assert_matches!(
-                entry.submit(NOW, &requirements(), &terms("w")),
-                Decision::Send(_)
-            );
-            entry.begin(name);
-        }
-        entry
-    }
-
-    fn begin(&mut self, name: &str) {
-        let endpoint = self.table.get_mut(&id(name)).unwrap();
-        endpoint.begin_reading();
-        endpoint.in_flight += 1;
-        endpoint.held_tokens += 8_650;
-    }
-
-    fn first_event(&mut self, now: ClockMs, name: &str) {
-        self.table.get_mut(&id(name)).unwrap().end_reading(now);
-    }
-
-    fn submit(&mut self, now: ClockMs, requirements: &Requirements, terms: &Terms) -> Decision {
-        let context = context(&self.node, &self.zone);
-        self.dispatcher
-            .submit(now, &self.table, requirements, terms, &context, || 0.0)
-    }
-
-    fn submit_queued(&mut self, now: ClockMs, terms: &Terms) -> Ticket {
-        let decision = self.submit(now, &requirements(), terms);
-        let Decision::Wait(ticket) = decision else {
-            panic!("{decision:?}");
-        };
-        ticket
-    }
-
-    fn next(&mut self, now: ClockMs) -> Option<WaitOutcome> {
-        let context = context(&self.node, &self.zone);
-        self.dispatcher.next(now, &self.table, &context, || 0.0)
-    }
-}
-
-fn context<'a>(node: &'a NodeId, zone: &'a ZoneId) -> DispatchContext<'a> {
-    DispatchContext {
-        closed: &[],
-        entry: EntryPosition {
-            entries: 1,
-            node,
-            share: ZoneShare::default(),
-            zone,
-        },
-    }
-}
+use crate::common::{Entry, NOW, SERVICE, context, id, requirements, table, terms, zone};
 
 #[test]
 fn engine_reads_one_prompt_at_a_time() {
--- a/crates/masticsill_relay/src/admission.rs
+++ b/crates/masticsill_relay/src/admission.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use masticsill_catalogue::{Route, RouteIndex};
+use masticsill_catalogue::{Route, RouteIndex, WorkspaceEntry};
 use masticsill_dispatch::PriorWaitEstimator;
 use masticsill_http1::RequestHead;
 use masticsill_quarantine::{Fingerprint, RequestContent};
@@ -16,6 +16,8 @@
 
 /// The route and workspace that a document assigns to a request.
 pub(crate) struct Authorized {
+    /// Priority of the workspace or else of the route.
+    priority: u32,
     route: Arc<Route>,
     /// The workspace that owns the caller's API key.
     workspace: Option<String>,
@@ -39,9 +41,11 @@
     let path = head.target.split('?').next().unwrap_or(&head.target);
     let route = index.find(host, path).ok_or(Refusal::NoRoute)?;
     let workspace = workspace_of(index, names, route, head)?;
+    let priority = workspace.and_then(|it| it.priority);
     Ok(Authorized {
+        priority: priority.unwrap_or(route.priority),
         route: Arc::clone(route),
-        workspace,
+        workspace: workspace.map(|it| it.name.clone()),
     })
 }
 
@@ -54,7 +58,11 @@
     head: RequestHead,
     body: Bytes,
 ) -> RelayRequest {
-    let Authorized { route, workspace } = authorized;
+    let Authorized {
+        priority,
+        route,
+        workspace,
+    } = authorized;
     let asked_ms = head.headers.number(&names.deadline_ms);
     let had_waited_ms = asked_ms.map_or(0, |given_ms| {
         prior_wait_estimator.record(received_at, &route.name, given_ms)
@@ -74,6 +82,7 @@
         deadline_at: received_at + timeout_ms,
         had_waited_ms,
         id: names.request_id_of(&head).to_owned(),
+        priority,
         received_at,
         service: choose_service(&route, rand::random()),
         route,
@@ -82,12 +91,12 @@
     }
 }
 
-fn workspace_of(
-    index: &RouteIndex,
+fn workspace_of<'a>(
+    index: &'a RouteIndex,
     names: &HeaderNames,
     route: &Route,
     head: &RequestHead,
-) -> Result<Option<String>, Refusal> {
+) -> Result<Option<&'a WorkspaceEntry>, Refusal> {
     if route.is_anonymous || !index.has_workspaces() {
         return Ok(None);
     }
@@ -95,8 +104,8 @@
         .headers
         .text(&names.api_key)
         .ok_or(Refusal::UnknownKey)?;
-    let workspace = index.workspace_of_key(key).ok_or(Refusal::UnknownKey)?;
-    Ok(Some(workspace.name.clone()))
+    let workspace = index.workspace_of_key(key);
+    workspace.map(Some).ok_or(Refusal::UnknownKey)
 }
 
 /// Picks one of the route's services according to their weights; `random` is any random number.
--- a/crates/masticsill_relay/src/config.rs
+++ b/crates/masticsill_relay/src/config.rs
@@ -78,6 +78,8 @@
     pub expected_endpoint: String,
     /// Number of the last event that the caller has received.
     pub last_event: String,
+    /// Priority of a stream at the engine; zero is the most urgent, and nine the least.
+    pub priority: String,
     /// Further fields that only the system sets; dropped when a caller sends them.
     pub reserved: Vec<String>,
     /// The parts of a prompt in order, each as `id:tokens`, separated by commas.
@@ -111,6 +113,7 @@
             deadline_ms: "X-Time-Left-Ms".to_owned(),
             expected_endpoint: "X-Expected-Endpoint".to_owned(),
             last_event: "Last-Event-ID".to_owned(),
+            priority: "X-Priority".to_owned(),
             prompt_parts: "X-Prompt-Parts".to_owned(),
             reserved: Vec::new(),
             request_id: "X-Request-Id".to_owned(),
--- a/crates/masticsill_relay/src/endpoint_choice.rs
+++ b/crates/masticsill_relay/src/endpoint_choice.rs
@@ -252,6 +252,7 @@
         deadline_at: request.deadline_at,
         is_returning: request.had_waited_ms > 0,
         is_resume,
+        priority: request.priority,
         workspace: request.workspace.clone(),
     }
 }
--- a/crates/masticsill_relay/src/request.rs
+++ b/crates/masticsill_relay/src/request.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::{Bytes, BytesMut};
-use masticsill_catalogue::Route;
+use masticsill_catalogue::{Route, RouteKind};
 use masticsill_http1::{HeadWriter, Header, HeaderList, RequestHead};
 use masticsill_quarantine::Fingerprint;
 use masticsill_registry::Announcement;
@@ -11,6 +11,9 @@
 
 use crate::config::HeaderNames;
 
+/// The lowest priority that engines distinguish.
+const LOWEST_PRIORITY: u32 = 9;
+
 /// A request that may be sent to endpoints.
 #[derive(Clone, Debug)]
 pub(crate) struct RelayRequest {
@@ -25,6 +28,8 @@
     pub(crate) head: RequestHead,
     /// The id of this attempt of the caller; empty if it gave none.
     pub(crate) id: String,
+    /// Priority of the workspace or else of the route; zero is the most urgent.
+    pub(crate) priority: u32,
     pub(crate) received_at: ClockMs,
     pub(crate) route: Arc<Route>,
     /// The service chosen among those of the route.
@@ -88,6 +93,9 @@
         if let Some(workspace) = &self.workspace {
             writer.field(&names.workspace, workspace);
         }
+        if self.route.kind == RouteKind::Stream {
+            writer.field(&names.priority, self.priority.min(LOWEST_PRIORITY));
+        }
         if let Some(last_event) = options.last_event {
             writer.field(&names.last_event, last_event);
         }
@@ -122,6 +130,7 @@
         &names.backup_at,
         &names.deadline_ms,
         &names.expected_endpoint,
+        &names.priority,
         &names.resume_from,
         &names.workspace,
     ];
