--- a/crates/masticsill_bench/src/blame.rs
+++ b/crates/masticsill_bench/src/blame.rs
@@ -50,7 +50,7 @@
     }
 }
 
-/// What came of it.
+/// Counts of requests and crashes over one play.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct BlameTally {
     /// Harmless requests that were asked.
--- a/crates/masticsill_bench/src/overload.rs
+++ b/crates/masticsill_bench/src/overload.rs
@@ -2,8 +2,8 @@
 //! callers that come back, and what each caller gets.
 //!
 //! Engines and network are models: an engine reads one prompt after the other between the tokens
-//! of its runs, and throws nothing out; the word of an entry's streams takes its time to the
-//! others. The decisions are the product's own code.
+//! of its runs, and evicts nothing; entries learn of each other's streams after a delay. The
+//! decisions are the product's own code.
 
 mod callers;
 mod engine;
--- a/crates/masticsill_bench/src/overload/plan.rs
+++ b/crates/masticsill_bench/src/overload/plan.rs
@@ -61,7 +61,7 @@
     pub seed: u64,
     /// Usual requests in a second.
     pub usual_per_s: f64,
-    /// How long the word of a stream takes to the other entries.
+    /// Delay until the other entries know of a stream, in milliseconds.
     pub word_ms: u64,
 }
 
--- a/crates/masticsill_bench/src/overload/play.rs
+++ b/crates/masticsill_bench/src/overload/play.rs
@@ -169,8 +169,8 @@
         }
     }
 
-    /// Whether an entry is told of the others' requests now; where there is a pause between two such
-    /// words, entries are not all told at the same moment.
+    /// Whether an entry receives the other entries' loads in this step. If reports have a fixed
+    /// interval, entries receive them at different steps of it.
     fn hears_now(&self, listener: usize, has_news: bool) -> bool {
         match self.plan.pause_ms {
             0 => has_news,
--- a/crates/masticsill_bench/src/overload/tally.rs
+++ b/crates/masticsill_bench/src/overload/tally.rs
@@ -1,4 +1,4 @@
-//! What the callers got.
+//! Counts of answers by their time and of refusals, for all callers and by kind of request.
 
 use masticsill_types::ClockMs;
 
--- a/crates/masticsill_bench/tests/overload_goodput.rs
+++ b/crates/masticsill_bench/tests/overload_goodput.rs
@@ -3,7 +3,7 @@
 
 use masticsill_bench::overload::{OverloadPlan, Policy, Tally, play};
 
-/// Plays of each load: chance must not decide.
+/// Seeds of each load. One play alone may differ from the mean by several percent.
 const SEEDS: [u64; 4] = [0, 1, 2, 3];
 
 fn plays(load: f64, policy: Policy) -> Vec<Tally> {
--- a/crates/masticsill_catalogue/src/follower.rs
+++ b/crates/masticsill_catalogue/src/follower.rs
@@ -94,7 +94,7 @@
         self.freshness
     }
 
-    /// The copy's version.
+    /// Version of the last update that was applied.
     #[must_use]
     pub fn version(&self) -> CatalogueVersion {
         self.catalogue.version()
--- a/crates/masticsill_quorum/src/output.rs
+++ b/crates/masticsill_quorum/src/output.rs
@@ -120,7 +120,7 @@
     },
     /// Store the term and the vote.
     Vote {
-        /// The term.
+        /// The current term; it never decreases.
         term: Term,
         /// The replica that receives the vote in `term`, if any.
         voted_for: Option<VoterId>,
