Log the priority of refused requests, and whether they made way

Cause: the line of a refusal told the wait, but not that a request was refused since more urgent ones had been.

Change: overload_refused has the priority and yields_to_urgent.

Measured: tests of masticsill_dispatch.

--- a/crates/masticsill_dispatch/tests/priorities.rs
+++ b/crates/masticsill_dispatch/tests/priorities.rs
@@ -83,7 +83,7 @@
     );
     assert_matches!(
         entry.submit(NOW + 100, &requirements(), &patient(2, "w5")),
-        Decision::Refuse(_)
+        Decision::Refuse(overload) if overload.yields_to_urgent
     );
 }
 
--- a/crates/masticsill_relay/src/dispatch_queue.rs
+++ b/crates/masticsill_relay/src/dispatch_queue.rs
@@ -193,6 +193,8 @@
         request = request.id,
         route = request.route.name,
         service = request.service,
+        priority = request.priority,
+        yields_to_urgent = overload.yields_to_urgent,
         ahead = overload.ahead,
         wait_ms = overload.wait_ms,
         waited_ms = waited_ms,
