Priorities: one plan for the burst, one type for the place in a queue, less state

Cause: a second reading of the change. The plan of the bursts stood in the example and in the test; playing it with several seeds stood there and twice more. A queue's place had a second enum that only repeated the rank. The model's records kept a target latency that the plan has, and its plan a flag for what equal priorities say. Placement added up a maximum over all engines where one that suffices ends the search. A test spelled out the same placement request five times.

Change: OverloadPlan::burst_of, without_priorities and play_seeds; QueuePlace is one enum; one branch notes a refusal at admission. Behaviour is the same.

--- a/crates/masticsill_bench/examples/overload.rs
+++ b/crates/masticsill_bench/examples/overload.rs
@@ -2,7 +2,7 @@
 //!
 //! `cargo run --release -p masticsill_bench --example overload -- [--seeds N]`
 
-use masticsill_bench::overload::{OverloadPlan, Policy, Tally, play};
+use masticsill_bench::overload::{OverloadPlan, Policy, Tally, play_seeds};
 use masticsill_bench::{Table, read_seeds};
 
 const LOADS: [f64; 9] = [0.5, 1.0, 2.0, 2.5, 3.0, 4.0, 6.0, 8.0, 10.0];
@@ -25,13 +25,12 @@
 /// Means over the seeds.
 #[allow(clippy::cast_precision_loss)]
 fn row(load: f64, policy: Policy, seeds: u64) -> Vec<String> {
-    let plans = (0..seeds).map(|seed| OverloadPlan {
+    let plan = OverloadPlan {
         load,
         policy,
-        seed,
         ..OverloadPlan::default()
-    });
-    let tallies: Vec<Tally> = plans.map(|plan| play(&plan)).collect();
+    };
+    let tallies = play_seeds(&plan, seeds);
     let mean = |of: &dyn Fn(&Tally) -> f64| tallies.iter().map(of).sum::<f64>() / seeds as f64;
     let count = |of: &dyn Fn(&Tally) -> usize| format!("{:.0}", mean(&|it| of(it) as f64));
     vec![
--- a/crates/masticsill_bench/src/entry.rs
+++ b/crates/masticsill_bench/src/entry.rs
@@ -64,6 +64,7 @@
         now: ClockMs,
         aim_ms: u64,
         deadline_at: ClockMs,
+        priority: u32,
         workspace: Option<String>,
     ) -> Terms {
         let given_ms = deadline_at.since(now);
@@ -75,7 +76,7 @@
             deadline_at,
             is_returning: had_waited_ms > 0,
             is_resume: false,
-            priority: 0,
+            priority,
             workspace,
         }
     }
--- a/crates/masticsill_bench/src/lookups/play.rs
+++ b/crates/masticsill_bench/src/lookups/play.rs
@@ -166,7 +166,7 @@
         asking.attempts += 1;
         let deadline_at = asking.deadline_at;
         let entry = &mut self.entries[number];
-        let terms = entry.terms(now, self.plan.aim_ms, deadline_at, None);
+        let terms = entry.terms(now, self.plan.aim_ms, deadline_at, 0, None);
         let need = Requirements {
             excluded: Vec::new(),
             cached: Vec::new(),
--- a/crates/masticsill_bench/src/overload.rs
+++ b/crates/masticsill_bench/src/overload.rs
@@ -13,5 +13,5 @@
 
 pub use engine::EngineModel;
 pub use plan::{KINDS, KindPlan, OverloadPlan, Policy};
-pub use play::play;
+pub use play::{play, play_seeds};
 pub use tally::{KindTally, Tally};
--- a/crates/masticsill_bench/src/overload/callers.rs
+++ b/crates/masticsill_bench/src/overload/callers.rs
@@ -71,7 +71,6 @@
     Ask {
         prompt_tokens,
         record: CallerRecord {
-            aim_ms: plan.kinds[kind].aim_ms,
             asked_at,
             first_at: None,
             meetings: 0,
--- a/crates/masticsill_bench/src/overload/plan.rs
+++ b/crates/masticsill_bench/src/overload/plan.rs
@@ -42,8 +42,6 @@
     pub engine: EngineModel,
     /// Entries.
     pub entries: usize,
-    /// Whether entries know the priorities of requests.
-    pub has_priorities: bool,
     /// Part of the requests that one workspace sends, from zero to one.
     pub hot_share: f64,
     /// The kinds of requests; their shares add up to one.
@@ -82,7 +80,6 @@
             engines: 24,
             engine: EngineModel::default(),
             entries: 9,
-            has_priorities: true,
             hot_share: 0.1,
             kinds: [only, none, none],
             length_ms: 34_000,
@@ -95,3 +92,37 @@
         }
     }
 }
+
+impl OverloadPlan {
+    /// Twice the usual load, of three kinds that differ in priority and target latency, the most
+    /// urgent first. During the overload one of them comes `times` as often as that.
+    #[must_use]
+    pub fn burst_of(kind: usize, times: f64) -> Self {
+        let calm = |aim_ms, share, priority| KindPlan {
+            aim_ms,
+            load: 1.0,
+            priority,
+            share,
+        };
+        let mut kinds = [
+            calm(4_000, 0.27, 0),
+            calm(5_000, 0.53, 1),
+            calm(10_000, 0.2, 2),
+        ];
+        kinds[kind].load = times;
+        Self {
+            kinds,
+            load: 2.0,
+            ..Self::default()
+        }
+    }
+
+    /// The same plan, with all kinds equally urgent.
+    #[must_use]
+    pub fn without_priorities(mut self) -> Self {
+        for kind in &mut self.kinds {
+            kind.priority = 0;
+        }
+        self
+    }
+}
--- a/crates/masticsill_bench/src/overload/play.rs
+++ b/crates/masticsill_bench/src/overload/play.rs
@@ -2,7 +2,7 @@
 
 use indexmap::IndexMap;
 use masticsill_dispatch::{
-    Decision, Overload, PlacementRequest, Requirements, Terms, WaitOutcome, Work, choose,
+    Decision, Overload, PlacementRequest, Requirements, WaitOutcome, Work, choose,
 };
 use masticsill_registry::{EndpointId, EndpointLoad, EngineReservationRequest, WatcherTable};
 use masticsill_types::{ClockMs, ZoneId};
@@ -72,7 +72,14 @@
     while world.now < end && !(world.arrivals.is_empty() && world.live.is_empty()) {
         world.step();
     }
-    Tally::of(&world.records, plan.ends_ms)
+    Tally::of(&world.records, plan)
+}
+
+/// Plays an overload with each of the seeds from zero on.
+#[must_use]
+pub fn play_seeds(plan: &OverloadPlan, seeds: u64) -> Vec<Tally> {
+    let plays = (0..seeds).map(|seed| play(&OverloadPlan { seed, ..*plan }));
+    plays.collect()
 }
 
 /// The place of an engine's zone among the zones.
@@ -317,15 +324,7 @@
         let workspace = Some(live.workspace.clone());
         let entry = &mut self.entries[live.entry];
         let kind = &self.plan.kinds[self.records[request].kind];
-        let priority = if self.plan.has_priorities {
-            kind.priority
-        } else {
-            0
-        };
-        let terms = Terms {
-            priority,
-            ..entry.terms(now, kind.aim_ms, live.deadline_at, workspace)
-        };
+        let terms = entry.terms(now, kind.aim_ms, live.deadline_at, kind.priority, workspace);
         let place = self.take_place(live.entry);
         let need = self.need_of(&live, place);
         let entry = &mut self.entries[live.entry];
--- a/crates/masticsill_bench/src/overload/tally.rs
+++ b/crates/masticsill_bench/src/overload/tally.rs
@@ -2,12 +2,11 @@
 
 use masticsill_types::ClockMs;
 
-use super::plan::KINDS;
+use super::plan::{KINDS, OverloadPlan};
 
 /// One caller's request, over all of its attempts.
 #[derive(Clone, Debug)]
 pub(super) struct CallerRecord {
-    pub(super) aim_ms: u64,
     pub(super) asked_at: ClockMs,
     pub(super) first_at: Option<ClockMs>,
     pub(super) is_done: bool,
@@ -86,10 +85,10 @@
         ratio(self.in_aim, self.asked)
     }
 
-    pub(super) fn of(records: &[CallerRecord], overload_ends_ms: u64) -> Self {
+    pub(super) fn of(records: &[CallerRecord], plan: &OverloadPlan) -> Self {
         let is_in_aim = |it: &&CallerRecord| {
             let first = it.first_at.filter(|_| it.is_done);
-            first.is_some_and(|first| first.since(it.asked_at) <= it.aim_ms)
+            first.is_some_and(|first| first.since(it.asked_at) <= plan.kinds[it.kind].aim_ms)
         };
         let mut by_kind = [KindTally::default(); KINDS];
         for record in records {
@@ -109,7 +108,7 @@
         let refused = records.iter().filter(is_refused).count();
         let mut refusals: Vec<u64> = records.iter().filter_map(|it| it.refusal_ms).collect();
         refusals.sort_unstable();
-        let after = ClockMs(overload_ends_ms + RECOVERY_MS);
+        let after = ClockMs(plan.ends_ms + RECOVERY_MS);
         Self {
             by_kind,
             asked: records.len(),
--- a/crates/masticsill_bench/tests/overload_goodput.rs
+++ b/crates/masticsill_bench/tests/overload_goodput.rs
@@ -1,19 +1,18 @@
 //! What callers get of overload: goodput that does not fall, refusals at once, and an end of it all
 //! when the overload has gone.
 
-use masticsill_bench::overload::{OverloadPlan, Policy, Tally, play};
+use masticsill_bench::overload::{OverloadPlan, Policy, Tally, play, play_seeds};
 
 /// Seeds of each load. One play alone may differ from the mean by several percent.
-const SEEDS: [u64; 4] = [0, 1, 2, 3];
+const SEEDS: u64 = 4;
 
 fn plays(load: f64, policy: Policy) -> Vec<Tally> {
-    let plans = SEEDS.map(|seed| OverloadPlan {
+    let plan = OverloadPlan {
         load,
         policy,
-        seed,
         ..OverloadPlan::default()
-    });
-    plans.iter().map(play).collect()
+    };
+    play_seeds(&plan, SEEDS)
 }
 
 fn in_aim(tallies: &[Tally]) -> usize {
--- a/crates/masticsill_bench/tests/urgency_bursts.rs
+++ b/crates/masticsill_bench/tests/urgency_bursts.rs
@@ -1,33 +1,11 @@
 //! What callers of three priorities get in bursts of one of them.
 
-use masticsill_bench::overload::{KINDS, KindPlan, OverloadPlan, Tally, play};
+use masticsill_bench::overload::{KINDS, OverloadPlan, Tally, play_seeds};
 
 /// How much more often a less urgent kind may be served than a more urgent one.
 const MAX_INVERSION: f64 = 0.05;
 const SEEDS: u64 = 4;
 
-/// The kinds' shares of the usual requests and their target latencies, the most urgent first.
-const SHARES: [f64; KINDS] = [0.27, 0.53, 0.2];
-const AIMS_MS: [u64; KINDS] = [4_000, 5_000, 10_000];
-
-/// Twice the usual requests, and during the overload one kind `times` as often as that.
-fn plays(burst: usize, times: f64, has_priorities: bool) -> Vec<Tally> {
-    let kinds = [0, 1, 2].map(|kind| KindPlan {
-        aim_ms: AIMS_MS[kind],
-        load: if kind == burst { times } else { 1.0 },
-        priority: u32::try_from(kind).unwrap(),
-        share: SHARES[kind],
-    });
-    let plans = (0..SEEDS).map(|seed| OverloadPlan {
-        has_priorities,
-        kinds,
-        load: 2.0,
-        seed,
-        ..OverloadPlan::default()
-    });
-    plans.map(|plan| play(&plan)).collect()
-}
-
 /// Served shares by kind, over all plays.
 #[allow(clippy::cast_precision_loss)]
 fn served_shares(tallies: &[Tally]) -> [f64; KINDS] {
@@ -37,7 +15,7 @@
 
 fn check_no_inversion(burst: usize) {
     for times in [2.4, 8.0] {
-        let served = served_shares(&plays(burst, times, true));
+        let served = served_shares(&play_seeds(&OverloadPlan::burst_of(burst, times), SEEDS));
         for (urgent, less_urgent) in [(0, 1), (0, 2), (1, 2)] {
             assert!(
                 served[urgent] + MAX_INVERSION >= served[less_urgent],
@@ -64,7 +42,7 @@
 
 #[test]
 fn less_urgent_kinds_are_not_starved() {
-    let tallies = plays(0, 8.0, true);
+    let tallies = play_seeds(&OverloadPlan::burst_of(0, 8.0), SEEDS);
     let asked: usize = tallies.iter().map(|it| it.asked).sum();
     let done: usize = tallies.iter().map(|it| it.in_aim + it.late).sum();
     #[allow(clippy::cast_precision_loss)]
@@ -78,6 +56,9 @@
 
 #[test]
 fn urgent_kind_is_served_less_often_without_priorities() {
-    let served = served_shares(&plays(0, 8.0, false));
+    let served = served_shares(&play_seeds(
+        &OverloadPlan::burst_of(0, 8.0).without_priorities(),
+        SEEDS,
+    ));
     assert!(served[0] + MAX_INVERSION < served[2], "{served:?}");
 }
--- a/crates/masticsill_dispatch/src/dispatcher.rs
+++ b/crates/masticsill_dispatch/src/dispatcher.rs
@@ -121,29 +121,26 @@
             context.entry.entries,
             ahead,
         );
-        let mut yields_to_urgent = false;
-        let is_in_time = match rank {
+        let mut is_within_share = true;
+        let is_soon_enough = match rank {
             Rank::Resume => true,
             Rank::Returning | Rank::New => {
                 let max_wait_ms = latest_start(queue, table, requirements, terms).since(now);
                 let per_request_ms = (wait_ms / (ahead as u64 + 1)).max(1);
                 let places = usize::try_from(max_wait_ms / per_request_ms).unwrap_or(usize::MAX);
-                let is_soon_enough = wait_ms <= max_wait_ms;
-                if !is_soon_enough {
-                    queue.note_refusal(now, terms.priority);
-                }
-                let would_queue = is_soon_enough && !queue.is_share_exhausted(terms, places);
-                yields_to_urgent = would_queue && queue.yields_to_urgent(now, terms.priority);
-                would_queue && !yields_to_urgent
-            }
-            Rank::Late => {
-                if yields {
-                    queue.note_refusal(now, terms.priority);
-                }
-                !yields
+                is_within_share = !queue.is_share_exhausted(terms, places);
+                wait_ms <= max_wait_ms
             }
+            Rank::Late => !yields,
         };
-        if !is_in_time || queue.len() >= MAX_QUEUED_REQUESTS {
+        if !is_soon_enough {
+            queue.note_refusal(now, terms.priority);
+        }
+        let may_wait = is_soon_enough && is_within_share;
+        let yields_to_urgent = may_wait
+            && matches!(rank, Rank::Returning | Rank::New)
+            && queue.yields_to_urgent(now, terms.priority);
+        if !may_wait || yields_to_urgent || queue.len() >= MAX_QUEUED_REQUESTS {
             let overload = refuse(queue, now, terms, ahead, wait_ms, jitter());
             return Decision::Refuse(Overload {
                 yields_to_urgent,
--- a/crates/masticsill_dispatch/src/placement.rs
+++ b/crates/masticsill_dispatch/src/placement.rs
@@ -138,9 +138,10 @@
     let median_ms = median_pace_ms(&candidates);
     let others = other_shares_endpoints(&candidates, request);
     let mean_load = mean_others_load(&candidates);
-    let reading_nothing = candidates.iter().filter(|it| it.reading_total(now) == 0);
-    let most_cached = reading_nothing.map(|it| cached_gain(it, request));
-    let is_cached_at_idle = most_cached.fold(0.0, f64::max) > RESERVATION_GAIN;
+    let is_cached_at_idle = candidates
+        .iter()
+        .any(|it| cached_gain(it, request) > RESERVATION_GAIN && it.reading_total(now) == 0);
+    let reserved = request.reserved_endpoint.filter(|_| !is_cached_at_idle);
     let costs = candidates.iter().map(|endpoint| {
         let mut cost =
             cost(endpoint, now, request.zone, median_ms, mean_load) + jitter() * MAX_JITTER_COST;
@@ -150,7 +151,7 @@
         if others.contains(&&endpoint.announcement.id) {
             cost += OTHER_ENTRY_COST;
         }
-        if request.reserved_endpoint == Some(&endpoint.announcement.id) && !is_cached_at_idle {
+        if reserved == Some(&endpoint.announcement.id) {
             cost -= RESERVATION_GAIN;
         }
         cost -= cached_gain(endpoint, request);
--- a/crates/masticsill_dispatch/src/service_queue.rs
+++ b/crates/masticsill_dispatch/src/service_queue.rs
@@ -117,32 +117,19 @@
 /// Among requests that can still be answered in time, and among those that can't, the more urgent
 /// ones go first. A resumed answer keeps its place whatever its priority.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(crate) struct QueuePlace {
-    stage: Stage,
-    priority: u32,
-    rank: Rank,
-}
-
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-enum Stage {
+pub(crate) enum QueuePlace {
     Resume,
-    InTime,
-    Late,
+    InTime { priority: u32, rank: Rank },
+    Late { priority: u32 },
 }
 
 impl QueuePlace {
     pub(crate) fn of(rank: Rank, terms: &Terms) -> Self {
-        Self {
-            stage: match rank {
-                Rank::Resume => Stage::Resume,
-                Rank::Returning | Rank::New => Stage::InTime,
-                Rank::Late => Stage::Late,
-            },
-            priority: match rank {
-                Rank::Resume => 0,
-                Rank::Returning | Rank::New | Rank::Late => terms.priority,
-            },
-            rank,
+        let priority = terms.priority;
+        match rank {
+            Rank::Resume => Self::Resume,
+            Rank::Returning | Rank::New => Self::InTime { priority, rank },
+            Rank::Late => Self::Late { priority },
         }
     }
 }
--- a/crates/masticsill_dispatch/tests/common/mod.rs
+++ b/crates/masticsill_dispatch/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! An entry with its dispatcher, and engines that it knows.
 
-#![allow(dead_code, reason = "not every test file uses all of it")]
+#![allow(dead_code, reason = "each test file uses a part")]
 
 use assert_matches::assert_matches;
 use masticsill_dispatch::{
--- a/crates/masticsill_dispatch/tests/placement_choice.rs
+++ b/crates/masticsill_dispatch/tests/placement_choice.rs
@@ -50,17 +50,27 @@
     table
 }
 
-fn chosen_excluding(table: &EndpointTable, excluded: &[&str], share: ZoneShare) -> Option<String> {
-    let excluded: Vec<EndpointId> = excluded.iter().map(|name| id(name)).collect();
-    let wanted = PlacementRequest {
+/// A request of an entry in the given zone, without any preference.
+fn request(zone: &ZoneId) -> PlacementRequest<'_> {
+    PlacementRequest {
         closed: &[],
-        excluded: &excluded,
+        excluded: &[],
         cached: &[],
         not_in_zone: None,
         reserved_endpoint: None,
         service: "s",
+        share: ZoneShare::default(),
+        zone,
+    }
+}
+
+fn chosen_excluding(table: &EndpointTable, excluded: &[&str], share: ZoneShare) -> Option<String> {
+    let excluded: Vec<EndpointId> = excluded.iter().map(|name| id(name)).collect();
+    let own_zone = zone("a");
+    let wanted = PlacementRequest {
+        excluded: &excluded,
         share,
-        zone: &zone("a"),
+        ..request(&own_zone)
     };
     choose(table, NOW, &wanted, |_| true, || 0.0).map(|choice| choice.id.name)
 }
@@ -104,15 +114,10 @@
 }
 
 fn chosen_with_cached(table: &EndpointTable, cached: &[CachedTokens]) -> Option<String> {
+    let own_zone = zone("a");
     let wanted = PlacementRequest {
-        closed: &[],
-        excluded: &[],
         cached,
-        not_in_zone: None,
-        reserved_endpoint: None,
-        service: "s",
-        share: ZoneShare::default(),
-        zone: &zone("a"),
+        ..request(&own_zone)
     };
     choose(table, NOW, &wanted, |_| true, || 0.0).map(|choice| choice.id.name)
 }
@@ -149,15 +154,11 @@
         tokens: 8_000,
     }];
     let reserved = id("a1");
+    let own_zone = zone("a");
     let wanted = PlacementRequest {
-        closed: &[],
-        excluded: &[],
         cached: &cached,
-        not_in_zone: None,
         reserved_endpoint: Some(&reserved),
-        service: "s",
-        share: ZoneShare::default(),
-        zone: &zone("a"),
+        ..request(&own_zone)
     };
     let mut random = ChaCha8Rng::seed_from_u64(1);
     for _ in 0..100 {
@@ -286,15 +287,10 @@
 /// The endpoint chosen at `now`, with an optional reservation at `reserved`.
 fn chosen_at(table: &EndpointTable, now: ClockMs, reserved: Option<&str>) -> Option<String> {
     let reserved = reserved.map(id);
+    let own_zone = zone("a");
     let wanted = PlacementRequest {
-        closed: &[],
-        excluded: &[],
-        cached: &[],
-        not_in_zone: None,
         reserved_endpoint: reserved.as_ref(),
-        service: "s",
-        share: ZoneShare::default(),
-        zone: &zone("a"),
+        ..request(&own_zone)
     };
     choose(table, now, &wanted, |_| true, || 0.0).map(|choice| choice.id.name)
 }
@@ -376,15 +372,10 @@
 
 /// The engines chosen to hold copies of runs of zone a by entries that have the same reports.
 fn holders(table: &EndpointTable, entries: u32) -> Vec<String> {
+    let own_zone = zone("a");
     let wanted = PlacementRequest {
-        closed: &[],
-        excluded: &[],
-        cached: &[],
-        not_in_zone: Some(&zone("a")),
-        reserved_endpoint: None,
-        service: "s",
-        share: ZoneShare::default(),
-        zone: &zone("a"),
+        not_in_zone: Some(&own_zone),
+        ..request(&own_zone)
     };
     let mut random = ChaCha8Rng::seed_from_u64(1);
     let holders = (0..entries).map(|_| {
