--- a/crates/masticsill_dispatch/tests/placement_choice.rs
+++ b/crates/masticsill_dispatch/tests/placement_choice.rs
@@ -1,5 +1,6 @@
 //! Which endpoint is chosen, by load, zone, failures and reports of control replicas.
 
+use indexmap::IndexSet;
 use masticsill_dispatch::{
     EndpointTable, Failure, PlacementRequest, ZoneShare, choose, choose_holder,
 };
@@ -136,15 +137,14 @@
     assert_eq!(chosen_with_cached(&table, &cached).as_deref(), Some("a1"));
 }
 
-/// A relay that has just been lost still counts at the engine that has the prompt of its stream
-/// cached; an idle engine of the own zone is reserved.
-#[test]
-fn resumed_prompt_is_not_read_again_at_a_reserved_engine() {
+/// The engines chosen in 100 draws for a prompt that is cached in another zone, where `reading`
+/// prompts are being read, while an idle engine of the own zone is reserved.
+fn chosen_beside_reservation(reading: u32) -> IndexSet<String> {
     let mut table = table(&["b1", "a1"]);
     let load = EndpointLoad {
         id: id("b1"),
         in_flight: 1,
-        reading: 0,
+        reading,
         held_tokens: 8_650,
         is_failing: false,
     };
@@ -153,18 +153,30 @@
         endpoint: id("b1"),
         tokens: 8_000,
     }];
-    let reserved = id("a1");
-    let own_zone = zone("a");
+    let (own_zone, reserved) = (zone("a"), id("a1"));
     let wanted = PlacementRequest {
         cached: &cached,
         reserved_endpoint: Some(&reserved),
         ..request(&own_zone)
     };
     let mut random = ChaCha8Rng::seed_from_u64(1);
-    for _ in 0..100 {
+    let chosen = (0..100).map(|_| {
         let choice = choose(&table, NOW, &wanted, |_| true, || random.random());
-        assert_eq!(choice.unwrap().id, id("b1"));
-    }
+        choice.unwrap().id.name
+    });
+    chosen.collect()
+}
+
+/// A relay that has just been lost still counts at the engine that has the prompt of its stream
+/// cached.
+#[test]
+fn resumed_prompt_is_not_read_again_at_a_reserved_engine() {
+    assert_eq!(chosen_beside_reservation(0), ["b1".to_owned()].into());
+}
+
+#[test]
+fn reservation_counts_while_the_engine_with_the_prompt_reads_another_one() {
+    assert_eq!(chosen_beside_reservation(1), ["a1".to_owned()].into());
 }
 
 #[test]
