Log the limit of requests a second that an endpoint states

The logs name no limit, so that a relay which doesn't read it can't be told from one that keeps to it alone. request_limit_stated says at each change which limit an endpoint states, how many requests the relay has there and how many relays share it. Nothing is decided by it.

--- a/crates/masticsill_dispatch/src/endpoint.rs
+++ b/crates/masticsill_dispatch/src/endpoint.rs
@@ -7,6 +7,7 @@
 use crate::concurrency_limit::ConcurrencyLimit;
 use crate::health::Health;
 use crate::reading::ReadingPace;
+use crate::request_limit::RequestLimit;
 
 /// How long another entry's report of prompts being read counts: by then a prompt has been read.
 const OTHERS_READING_TTL_MS: u64 = 1_500;
@@ -60,6 +61,8 @@
     pub reading: u32,
     /// How fast the endpoint reads prompts.
     pub reading_pace: ReadingPace,
+    /// The limit of requests per second that the endpoint states.
+    pub request_limit: RequestLimit,
     /// The load of the other entries, as a control replica reported it last.
     pub others: OtherLoad,
     /// When that load was reported.
@@ -89,6 +92,7 @@
             others_reported_at: None,
             reading: 0,
             reading_pace: ReadingPace::default(),
+            request_limit: RequestLimit::default(),
             capacity_since: ClockMs(0),
             silent_to: Vec::new(),
         }
--- a/crates/masticsill_dispatch/src/lib.rs
+++ b/crates/masticsill_dispatch/src/lib.rs
@@ -17,6 +17,7 @@
 mod prior_wait;
 mod reading;
 mod refusal;
+mod request_limit;
 mod service_queue;
 
 pub use budget::{BudgetSettings, RetryBudget};
@@ -31,4 +32,5 @@
 pub use prior_wait::PriorWaitEstimator;
 pub use reading::ReadingPace;
 pub use refusal::Overload;
+pub use request_limit::RequestLimit;
 pub use service_queue::{Requirements, Terms, Ticket, Work};
--- a/crates/masticsill_relay/src/attempt.rs
+++ b/crates/masticsill_relay/src/attempt.rs
@@ -16,6 +16,7 @@
 use crate::request::{RelayRequest, SendOptions};
 use crate::reservation::Reservation;
 use crate::retry_state::{Obstacle, RetryState};
+use crate::stated_limit::note_stated_limit;
 use masticsill_dispatch::Failure;
 
 /// Maximum idle time of a pooled connection used for a request that may not run twice. A short
@@ -219,6 +220,7 @@
     let head = attempt.upstream().exchange(&bytes, expected).await?;
     relay.record_received(&attempt.endpoint().id);
     relay.note_answer(&attempt.endpoint().id, head.status);
+    note_stated_limit(relay, attempt, &head);
     Ok(head)
 }
 
--- a/crates/masticsill_relay/src/config.rs
+++ b/crates/masticsill_relay/src/config.rs
@@ -86,6 +86,8 @@
     pub prompt_parts: String,
     /// Id of one attempt of a caller; endpoints repeat it in their responses.
     pub request_id: String,
+    /// Requests per second that an endpoint accepts from all entries together.
+    pub request_limit: String,
     /// Location of the KV cache copy that a run resumes from.
     pub resume_from: String,
     /// An endpoint's signature of its response.
@@ -117,6 +119,7 @@
             prompt_parts: "X-Prompt-Parts".to_owned(),
             reserved: Vec::new(),
             request_id: "X-Request-Id".to_owned(),
+            request_limit: "X-Request-Limit".to_owned(),
             resume_from: "X-Resume-From".to_owned(),
             signature: "X-Signature".to_owned(),
             token_count: "X-Tokens".to_owned(),
--- a/crates/masticsill_relay/src/endpoint_response.rs
+++ b/crates/masticsill_relay/src/endpoint_response.rs
@@ -15,7 +15,7 @@
 /// Maximum size of a complete response, which is buffered until its end.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 /// Status sent by an endpoint that is not the incarnation for which the request was meant.
-const MISDIRECTED_REQUEST: u16 = 421;
+pub(crate) const MISDIRECTED_REQUEST: u16 = 421;
 
 /// What a response means for the request.
 pub(crate) enum Verdict {
--- a/crates/masticsill_relay/src/events.rs
+++ b/crates/masticsill_relay/src/events.rs
@@ -65,6 +65,8 @@
 pub const CRASH_CHECKED: Event = Event::new(2136, "crash_checked");
 /// A control replica reported that a request crashes endpoints; it is no longer sent to any.
 pub const REQUEST_QUARANTINED: Event = Event::new(2137, "request_quarantined");
+/// An endpoint states another limit of requests per second than before, or none any more.
+pub const REQUEST_LIMIT_STATED: Event = Event::new(2138, "request_limit_stated");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -99,4 +101,5 @@
     PIECE_DAMAGED,
     CRASH_CHECKED,
     REQUEST_QUARANTINED,
+    REQUEST_LIMIT_STATED,
 ];
