Keep to the limit of requests a second that an endpoint states, over all entries

Cause: a response's statement about the endpoint was forwarded with the other fields and read by nobody.

Change: each entry gets turns at its part of the rate, at times that differ between entries at random; an unused turn lapses after a second. No message is needed, so it holds at any number of entries and while no control replica is reachable. The turn is taken with the choice of the endpoint, wherever one is chosen: new requests, repeats, hedges, queued ones, and resumes from a copy; a limited engine holds no copies and is not reserved. A request whose turn would come too late is refused at once.

--- a/crates/masticsill_dispatch/src/dispatcher.rs
+++ b/crates/masticsill_dispatch/src/dispatcher.rs
@@ -131,7 +131,7 @@
                 is_within_share = !queue.is_share_exhausted(terms, places);
                 wait_ms <= max_wait_ms
             }
-            Rank::Late => !yields,
+            Rank::Late => !yields && has_turn_in_time(now, table, requirements, terms, ahead),
         };
         if !is_soon_enough {
             queue.note_refusal(now, terms.priority);
@@ -283,7 +283,7 @@
     };
     let is_any_healthy = table
         .iter()
-        .any(|it| request.is_candidate(it) && is_healthy(it));
+        .any(|it| request.is_candidate(it) && is_healthy(it) && it.request_limit.has_turn(now));
     let is_available = |it: &Endpoint| {
         let has_capacity = has_capacity(it, now, requirements, &context.entry, contention);
         has_capacity && (is_healthy(it) || !is_any_healthy)
@@ -325,6 +325,18 @@
     }
 }
 
+/// Whether this entry may send the request to an endpoint before its deadline, as far as the limits
+/// that endpoints state are concerned.
+fn has_turn_in_time(
+    now: ClockMs,
+    table: &EndpointTable,
+    requirements: &Requirements,
+    terms: &Terms,
+    ahead: usize,
+) -> bool {
+    now + table.turn_wait_ms(now, &requirements.service, ahead) < terms.deadline_at
+}
+
 /// Removes the first queued request that can't be served in time.
 ///
 /// Each request is checked against the latest estimates once it has waited for the commit delay,
@@ -347,7 +359,10 @@
             let latest = latest_start(queue, table, &waiting.requirements, &waiting.terms);
             match waiting.rank {
                 Rank::Late => {
-                    queue.is_overload_sustained(now) || now.since(waiting.since) >= MAX_LATE_WAIT_MS
+                    let (requirements, terms) = (&waiting.requirements, &waiting.terms);
+                    queue.is_overload_sustained(now)
+                        || now.since(waiting.since) >= MAX_LATE_WAIT_MS
+                        || !has_turn_in_time(now, table, requirements, terms, ahead)
                 }
                 Rank::Resume | Rank::Returning | Rank::New => now + wait_ms > latest,
             }
--- a/crates/masticsill_dispatch/src/endpoints.rs
+++ b/crates/masticsill_dispatch/src/endpoints.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexMap;
 use masticsill_registry::{
     Announcement, EndpointId, EndpointIncarnation, EndpointLoad, EndpointRecord, EndpointState,
-    JoinOutcome,
+    JoinOutcome, RequestRate,
 };
 use masticsill_types::{ClockMs, NodeId, ZoneId};
 
@@ -35,6 +35,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct EndpointTable {
     endpoints: IndexMap<EndpointId, Endpoint>,
+    /// Number of entries that share the endpoints' request limits; zero before it is known.
+    entries: u32,
     last_order: u64,
     /// The newest incarnation of each name.
     newest_incarnations: IndexMap<String, EndpointIncarnation>,
@@ -155,13 +157,17 @@
             .endpoints
             .iter()
             .filter(|(_, endpoint)| endpoint.announcement.zone == *zone)
-            .filter(|(_, endpoint)| endpoint.is_used() || endpoint.health.is_backing_off(now));
+            .filter(|(_, endpoint)| {
+                let is_busy = endpoint.is_used() || endpoint.health.is_backing_off(now);
+                is_busy || endpoint.request_limit.statement(now).is_some()
+            });
         let loads = busy.map(|(id, endpoint)| EndpointLoad {
             id: id.clone(),
             in_flight: endpoint.in_flight,
             reading: endpoint.reading,
             held_tokens: endpoint.held_tokens,
             is_failing: endpoint.health.is_backing_off(now),
+            stated: endpoint.request_limit.statement(now),
         });
         loads.collect()
     }
@@ -174,6 +180,84 @@
         Some(now.since(*reported_at))
     }
 
+    /// Sets the number of entries that share the endpoints' request limits.
+    pub fn set_entries(&mut self, now: ClockMs, entries: u32) {
+        if self.entries == entries {
+            return;
+        }
+        self.entries = entries;
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.request_limit.set_entries(now, entries);
+        }
+    }
+
+    /// Records what a response of an endpoint states about the requests that the endpoint accepts;
+    /// the request was sent at `sent_at`. `phase`, from 0 to 1, decides when this entry's first turn
+    /// is. Returns whether the limit changed.
+    pub fn note_stated_limit(
+        &mut self,
+        now: ClockMs,
+        id: &EndpointId,
+        sent_at: ClockMs,
+        rate: Option<RequestRate>,
+        phase: f64,
+    ) -> bool {
+        let entries = self.entries;
+        self.endpoints.get_mut(id).is_some_and(|endpoint| {
+            let limit = &mut endpoint.request_limit;
+            limit.note_response(now, sent_at, rate, entries, phase)
+        })
+    }
+
+    /// Records what endpoints stated to other entries. Returns the endpoints whose limits changed.
+    pub fn note_limit_reports(
+        &mut self,
+        now: ClockMs,
+        loads: &[EndpointLoad],
+        mut phase: impl FnMut() -> f64,
+    ) -> Vec<EndpointId> {
+        let mut changed = Vec::new();
+        for load in loads {
+            let Some(stated) = load.stated else { continue };
+            let Some(endpoint) = self.endpoints.get_mut(&load.id) else {
+                continue;
+            };
+            let limit = &mut endpoint.request_limit;
+            if limit.note_report(now, stated, self.entries, phase()) {
+                changed.push(load.id.clone());
+            }
+        }
+        changed
+    }
+
+    /// Estimated wait of a request with `ahead` requests before it until an endpoint of the service
+    /// accepts it, in milliseconds; zero if any endpoint states no limit.
+    ///
+    /// It is known exactly until the next turn, and by the rate of this entry's turns from then on.
+    pub(crate) fn turn_wait_ms(&self, now: ClockMs, service: &str, ahead: usize) -> u64 {
+        let ready = self.of_service(service).filter(|it| it.is_ready());
+        let mut first_ms = u64::MAX;
+        let mut turns_per_s = 0.0;
+        for endpoint in ready {
+            let Some(per_s) = endpoint.request_limit.turns_per_s() else {
+                return 0;
+            };
+            turns_per_s += per_s;
+            first_ms = first_ms.min(endpoint.request_limit.next_turn_ms(now));
+        }
+        if turns_per_s <= 0.0 {
+            return 0;
+        }
+        // Counts and times are far below the precision of the types.
+        #[allow(
+            clippy::cast_possible_truncation,
+            clippy::cast_precision_loss,
+            clippy::cast_sign_loss
+        )]
+        let ahead_ms = (ahead as f64 * 1_000.0 / turns_per_s) as u64;
+        first_ms + ahead_ms
+    }
+
     /// Replaces the reported loads of the other entries at all endpoints of a zone.
     pub fn update_loads(&mut self, now: ClockMs, zone: &ZoneId, loads: &[EndpointLoad]) {
         self.loads_reported_at.insert(zone.clone(), now);
--- a/crates/masticsill_dispatch/src/estimate.rs
+++ b/crates/masticsill_dispatch/src/estimate.rs
@@ -55,7 +55,8 @@
 /// The rate is that of this entry's own starts; at the onset of an overload, it is the rate at
 /// which the requests in flight from this entry end. It is never below this entry's part of the
 /// rate at which the requests of all entries end, which matters when other entries have taken all
-/// capacity for a while.
+/// capacity for a while. If all endpoints state limits of requests per second, the wait is not
+/// shorter than until the entry's turn.
 // Counts and times are far below the precision of the types.
 #[allow(
     clippy::cast_possible_truncation,
@@ -83,8 +84,11 @@
     let all = f64::from(all) * 1_000.0 / work_ms;
     let fair_share = all * FAIR_SHARE_USED / f64::from(entries.max(1));
     let rate = queue.starts_per_s(now).unwrap_or(own).max(fair_share);
-    if rate <= 0.0 {
-        return work_ms as u64;
-    }
-    ((ahead + 1) as f64 * 1_000.0 / rate) as u64
+    let wait_ms = if rate <= 0.0 {
+        work_ms
+    } else {
+        (ahead + 1) as f64 * 1_000.0 / rate
+    };
+    // The rate is that of the time before endpoints stated limits.
+    (wait_ms as u64).max(table.turn_wait_ms(now, &requirements.service, ahead))
 }
--- a/crates/masticsill_dispatch/src/request_limit.rs
+++ b/crates/masticsill_dispatch/src/request_limit.rs
@@ -1,17 +1,47 @@
 //! The limit of requests per second that an endpoint states in its responses.
 //!
 //! An endpoint that can't keep up names the rate that it accepts from all entries together, in
-//! every response for as long as the limit applies.
+//! every response for as long as the limit applies. Entries keep to it without coordination, so
+//! that it also holds while no control replica is reachable: each entry gets turns at its part of
+//! the rate, at times that differ between entries at random. A turn that is not used lapses.
+//! Otherwise each entry would keep one, and all of them would be used at once when other endpoints
+//! fail.
 
-use masticsill_registry::RequestRate;
+use masticsill_registry::{LimitStatement, RequestRate};
 use masticsill_types::ClockMs;
 
-/// The limit that an endpoint stated last.
+/// Share of the stated rate, in percent, that all turns together amount to. Turns of different
+/// entries coincide by chance, the more so the more entries there are.
+const USED_PERCENT: f64 = 75.0;
+/// How long a turn may be used. Requests wait for a turn for a fraction of this time only.
+const TURN_VALIDITY_MS: u64 = 1_000;
+/// Lowest rate that is assumed, so that the end of the lowest limit is noticed.
+const MIN_RATE: RequestRate = RequestRate { per_1000_s: 100 };
+/// How long an entry reports what an endpoint stated in one of its responses.
+const REPORT_MS: u64 = 3_000;
+/// How much newer a reported response without a limit must be than the last one with a limit. The
+/// time of a reported response is known only as exactly as reports are fast.
+const REPORT_DELAY_MS: u64 = 200;
+
+/// The limit that an endpoint stated last, and this entry's turns under it.
 #[derive(Clone, Debug, Default)]
 pub struct RequestLimit {
+    /// What this entry's last responses stated, and when it began to apply.
+    own: Option<(Option<RequestRate>, ClockMs)>,
     rate: Option<RequestRate>,
-    /// When the last response that stated a limit arrived.
+    /// When the last response that stated a limit arrived, here or at another entry.
     stated_at: ClockMs,
+    turns: Option<Turns>,
+}
+
+/// Turns of one entry at one endpoint: points in time at constant intervals.
+#[derive(Clone, Copy, Debug)]
+struct Turns {
+    interval_ms: f64,
+    /// Time of turn zero, which can't be used; before the clock's origin if it is negative.
+    origin_ms: f64,
+    /// The first turn that has not been used.
+    next: u64,
 }
 
 impl RequestLimit {
@@ -21,7 +51,8 @@
         self.rate
     }
 
-    /// Records what a response states. Returns whether the limit changed.
+    /// Records what a response states. `phase`, from 0 to 1, decides when the first turn is. Returns
+    /// whether the limit changed.
     ///
     /// A response without a limit lifts it only if its request was sent after the last response
     /// with one had arrived: responses on different connections overtake each other.
@@ -30,14 +61,165 @@
         now: ClockMs,
         sent_at: ClockMs,
         rate: Option<RequestRate>,
+        entries: u32,
+        phase: f64,
     ) -> bool {
-        if rate.is_some() {
-            self.stated_at = now;
-        } else if sent_at <= self.stated_at {
+        if rate.is_none() && (self.rate.is_none() || sent_at <= self.stated_at) {
+            return false;
+        }
+        let applies_from = if rate.is_some() { now } else { sent_at };
+        self.own = Some((rate, applies_from));
+        self.apply(now, applies_from, rate, entries, phase)
+    }
+
+    /// Records what a response to another entry stated. Returns whether the limit changed.
+    pub fn note_report(
+        &mut self,
+        now: ClockMs,
+        statement: LimitStatement,
+        entries: u32,
+        phase: f64,
+    ) -> bool {
+        let applies_from = now.before(statement.age_ms);
+        let is_newer = match statement.rate {
+            Some(_) => applies_from > self.stated_at,
+            None => applies_from > self.stated_at + REPORT_DELAY_MS,
+        };
+        is_newer && self.apply(now, applies_from, statement.rate, entries, phase)
+    }
+
+    fn apply(
+        &mut self,
+        now: ClockMs,
+        applies_from: ClockMs,
+        rate: Option<RequestRate>,
+        entries: u32,
+        phase: f64,
+    ) -> bool {
+        self.stated_at = self.stated_at.max(applies_from);
+        if self.rate == rate {
             return false;
         }
-        let is_changed = self.rate != rate;
         self.rate = rate;
-        is_changed
+        self.turns = rate.map(|rate| {
+            let interval_ms = interval_ms(rate, entries);
+            match self.turns {
+                Some(turns) => turns.with_interval(now, interval_ms),
+                None => Turns::starting(now, interval_ms, phase),
+            }
+        });
+        true
+    }
+
+    /// Adapts the turns to the number of entries that share the limit.
+    pub(crate) fn set_entries(&mut self, now: ClockMs, entries: u32) {
+        if let (Some(rate), Some(turns)) = (self.rate, &mut self.turns) {
+            *turns = turns.with_interval(now, interval_ms(rate, entries));
+        }
+    }
+
+    /// What this entry reports to the others; `None` if it got no response lately.
+    pub(crate) fn statement(&self, now: ClockMs) -> Option<LimitStatement> {
+        let (rate, applies_from) = self.own?;
+        let age_ms = now.since(applies_from);
+        (age_ms < REPORT_MS).then_some(LimitStatement { age_ms, rate })
+    }
+
+    /// Whether a request may be sent now.
+    #[must_use]
+    pub fn has_turn(&self, now: ClockMs) -> bool {
+        self.turns.is_none_or(|turns| turns.usable(now).is_some())
+    }
+
+    /// Time until a request may be sent, in milliseconds; zero if it may be sent now.
+    #[must_use]
+    pub fn next_turn_ms(&self, now: ClockMs) -> u64 {
+        self.turns.map_or(0, |turns| turns.wait_ms(now))
     }
+
+    /// Requests per second that this entry may send; `None` without a limit.
+    pub(crate) fn turns_per_s(&self) -> Option<f64> {
+        self.turns.map(|turns| 1_000.0 / turns.interval_ms)
+    }
+
+    /// Records that a request is sent.
+    pub fn take_turn(&mut self, now: ClockMs) {
+        if let Some(turns) = &mut self.turns {
+            turns.take(now);
+        }
+    }
+}
+
+impl Turns {
+    /// Turns of which the first one comes after a fraction of the interval.
+    fn starting(now: ClockMs, interval_ms: f64, phase: f64) -> Self {
+        Self {
+            interval_ms,
+            origin_ms: clock_ms(now) - interval_ms * (1.0 - phase),
+            next: 1,
+        }
+    }
+
+    /// Turns at another interval. The next one comes after the same fraction of it.
+    fn with_interval(self, now: ClockMs, interval_ms: f64) -> Self {
+        // The interval is stored as computed, so that equal inputs give equal values.
+        #[allow(clippy::float_cmp)]
+        if self.interval_ms == interval_ms {
+            return self;
+        }
+        let elapsed = (clock_ms(now) - self.origin_ms) / self.interval_ms;
+        Self::starting(now, interval_ms, 1.0 - elapsed.fract())
+    }
+
+    /// The number of the last turn that has begun.
+    // Numbers of turns are positive and far below the precision of the types.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    fn last(self, now: ClockMs) -> u64 {
+        ((clock_ms(now) - self.origin_ms) / self.interval_ms) as u64
+    }
+
+    /// The first turn that can be used now.
+    fn usable(self, now: ClockMs) -> Option<u64> {
+        let lapsed = self.last(now.before(TURN_VALIDITY_MS));
+        let first = self.next.max(lapsed + 1);
+        (first <= self.last(now)).then_some(first)
+    }
+
+    fn take(&mut self, now: ClockMs) {
+        // A request that is sent without a turn uses up the next one.
+        let used = self
+            .usable(now)
+            .unwrap_or(self.next.max(self.last(now) + 1));
+        self.next = used + 1;
+    }
+
+    // Numbers of turns are far below the precision of the type.
+    #[allow(clippy::cast_precision_loss)]
+    fn wait_ms(self, now: ClockMs) -> u64 {
+        if self.usable(now).is_some() {
+            return 0;
+        }
+        let next = self.next.max(self.last(now) + 1);
+        let next_at_ms = self.origin_ms + next as f64 * self.interval_ms;
+        // Rounded up, so that the turn has begun by then.
+        whole_ms((next_at_ms - clock_ms(now)).max(0.0)) + 1
+    }
+}
+
+/// Time between two turns of one of `entries` entries, in milliseconds.
+fn interval_ms(rate: RequestRate, entries: u32) -> f64 {
+    let used_per_s = rate.max(MIN_RATE).per_s() * USED_PERCENT / 100.0;
+    f64::from(entries.max(1)) * 1_000.0 / used_per_s
+}
+
+// Times are far below the precision of the type.
+#[allow(clippy::cast_precision_loss)]
+fn clock_ms(now: ClockMs) -> f64 {
+    now.0 as f64
+}
+
+// The time is positive, and the conversion saturates.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn whole_ms(time_ms: f64) -> u64 {
+    time_ms as u64
 }
--- a/crates/masticsill_dispatch/tests/endpoint_lives.rs
+++ b/crates/masticsill_dispatch/tests/endpoint_lives.rs
@@ -180,6 +180,7 @@
         reading: 1,
         held_tokens: 7_000,
         is_failing: false,
+        stated: None,
     };
     table.update_loads(NOW, &zone(), &[load(1)]);
     assert_eq!(
--- a/crates/masticsill_registry/src/lib.rs
+++ b/crates/masticsill_registry/src/lib.rs
@@ -21,7 +21,7 @@
 pub use id::{EndpointId, EndpointIncarnation};
 pub use join::JoinOutcome;
 pub use prompt_cache::{CacheUpdate, CachedPart, CachedTokens, PromptCacheIndex, PromptPart};
-pub use rate::RequestRate;
+pub use rate::{LimitStatement, RequestRate};
 pub use record::{Announcement, EndpointRecord, EndpointState, HeartbeatAge};
 pub use registry::{Registry, RegistryTimeouts};
 pub use reservations::{EngineReservationRequest, is_zone_down};
--- a/crates/masticsill_registry/src/rate.rs
+++ b/crates/masticsill_registry/src/rate.rs
@@ -35,6 +35,15 @@
     }
 }
 
+/// What an endpoint stated in a response about the requests that it accepts from all entries.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LimitStatement {
+    /// For how long the statement has applied, in milliseconds.
+    pub age_ms: u64,
+    /// The rate that the endpoint accepts; `None` if it stated no limit.
+    pub rate: Option<RequestRate>,
+}
+
 impl fmt::Display for RequestRate {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{}", self.per_s())
--- a/crates/masticsill_registry/src/watchers.rs
+++ b/crates/masticsill_registry/src/watchers.rs
@@ -5,12 +5,19 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::EndpointId;
+use crate::rate::{LimitStatement, RequestRate};
 use crate::reservations::{EngineReservationRequest, EngineReservations};
 
 /// A watcher that has not polled for this long counts as gone: twice the usual wait of a poll, and
 /// the time for an answer.
 const WATCHER_TIMEOUT_MS: u64 = 2_500;
 
+/// How long a statement without a limit is remembered, so that an older one with a limit doesn't
+/// replace it.
+const LIFTED_RETENTION_MS: u64 = 10_000;
+/// How long a stated limit is passed on to entries that have not heard of it.
+const LIMIT_RETENTION_MS: u64 = 600_000;
+
 /// A process that polls a registry.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum Watcher {
@@ -39,6 +46,8 @@
     pub held_tokens: u64,
     /// Whether it has just failed the watcher, so that no new requests are sent to it.
     pub is_failing: bool,
+    /// What the endpoint stated last about the requests that it accepts, if that is recent.
+    pub stated: Option<LimitStatement>,
 }
 
 impl EndpointLoad {
@@ -51,6 +60,7 @@
             in_flight: 0,
             is_failing: false,
             reading: 0,
+            stated: None,
         }
     }
 
@@ -78,6 +88,8 @@
 pub struct WatcherTable {
     loads_revision: u64,
     reservations: EngineReservations,
+    /// What endpoints stated last, and since when it applies.
+    stated: IndexMap<EndpointId, (Option<RequestRate>, ClockMs)>,
     watchers: IndexMap<Watcher, WatcherState>,
 }
 
@@ -115,20 +127,51 @@
         watcher: &Watcher,
         loads: &[EndpointLoad],
     ) -> LoadsChange {
-        let Some(state) = self.watchers.get_mut(watcher) else {
+        if !self.watchers.contains_key(watcher) {
             return LoadsChange::None;
-        };
-        if state.loads == loads {
+        }
+        let is_limit_changed = self.take_statements(now, loads);
+        // The age of a statement differs in each report.
+        let loads = loads.iter().cloned().map(|load| EndpointLoad {
+            stated: None,
+            ..load
+        });
+        let loads: Vec<EndpointLoad> = loads.collect();
+        let state = &mut self.watchers[watcher];
+        if state.loads == loads && !is_limit_changed {
             return LoadsChange::None;
         }
         self.reservations
-            .apply_loads(now, watcher, &state.loads, loads);
+            .apply_loads(now, watcher, &state.loads, &loads);
         self.loads_revision += 1;
-        state.loads = loads.to_vec();
+        state.loads = loads;
         state.loads_revision = self.loads_revision;
         LoadsChange::Changed
     }
 
+    /// Keeps the newest statement of each endpoint. Returns whether any limit changed.
+    fn take_statements(&mut self, now: ClockMs, loads: &[EndpointLoad]) -> bool {
+        self.stated.retain(|_, (rate, applies_from)| {
+            let retention_ms = match rate {
+                Some(_) => LIMIT_RETENTION_MS,
+                None => LIFTED_RETENTION_MS,
+            };
+            now.since(*applies_from) < retention_ms
+        });
+        let mut is_changed = false;
+        for load in loads {
+            let Some(stated) = load.stated else { continue };
+            let applies_from = now.before(stated.age_ms);
+            let known = self.stated.get(&load.id);
+            if known.is_none_or(|(_, known_from)| applies_from > *known_from) {
+                is_changed |= known.map(|(rate, _)| *rate) != Some(stated.rate);
+                self.stated
+                    .insert(load.id.clone(), (stated.rate, applies_from));
+            }
+        }
+        is_changed
+    }
+
     /// The revision of the last change of any watcher's loads.
     #[must_use]
     pub fn loads_revision(&self) -> u64 {
@@ -144,10 +187,19 @@
             .any(|(_, state)| state.loads_revision > loads_revision)
     }
 
-    /// Sums of the loads that the other watchers reported, by endpoint.
+    /// Sums of the loads that the other watchers reported, by endpoint, and what endpoints stated
+    /// last to any watcher.
     #[must_use]
     pub fn loads_of_others(&self, now: ClockMs, watcher: &Watcher) -> Vec<EndpointLoad> {
-        let sums = self.sum_loads(now, |other| other != watcher);
+        let mut sums = self.sum_loads(now, |other| other != watcher);
+        for (id, (rate, applies_from)) in &self.stated {
+            let sum = sums.entry(id.clone());
+            let sum = sum.or_insert_with(|| EndpointLoad::none(id.clone()));
+            sum.stated = Some(LimitStatement {
+                age_ms: now.since(*applies_from),
+                rate: *rate,
+            });
+        }
         sums.into_values().collect()
     }
 
--- a/crates/masticsill_registry/tests/handed_places.rs
+++ b/crates/masticsill_registry/tests/handed_places.rs
@@ -31,6 +31,7 @@
 fn failing(name: &str) -> EndpointLoad {
     EndpointLoad {
         is_failing: true,
+        stated: None,
         ..load(name, 1, 0)
     }
 }
--- a/crates/masticsill_registry/tests/watcher_loads.rs
+++ b/crates/masticsill_registry/tests/watcher_loads.rs
@@ -1,6 +1,8 @@
 //! The loads that watchers report, and which watchers must learn of a change.
 
-use masticsill_registry::{EndpointId, EndpointLoad, LoadsChange, Watcher, WatcherTable};
+use masticsill_registry::{
+    EndpointId, EndpointLoad, LimitStatement, LoadsChange, RequestRate, Watcher, WatcherTable,
+};
 use masticsill_types::{ClockMs, NodeId, ZoneId};
 
 const NOW: ClockMs = ClockMs(10_000);
@@ -19,6 +21,7 @@
         reading,
         held_tokens: 0,
         is_failing: false,
+        stated: None,
     }
 }
 
@@ -91,3 +94,47 @@
     assert!(!table.is_acknowledged_by_all(NOW + 2_400, 8));
     assert!(table.is_acknowledged_by_all(NOW + 2_600, 8));
 }
+
+fn stating(age_ms: u64, per_s: Option<&str>) -> EndpointLoad {
+    let rate = per_s.and_then(RequestRate::parse_per_s);
+    EndpointLoad {
+        stated: Some(LimitStatement { age_ms, rate }),
+        ..load(0, 0)
+    }
+}
+
+#[test]
+fn newest_stated_limit_reaches_all_watchers() {
+    let mut table = table();
+    let limited = table.take_loads(NOW, &entry("one"), &[stating(0, Some("2.4"))]);
+    assert_eq!(limited, LoadsChange::Changed);
+    // What the other one was told before is older.
+    let older = table.take_loads(NOW + 50, &entry("two"), &[stating(200, None)]);
+    assert_eq!(older, LoadsChange::Changed);
+    for watcher in ["one", "two"] {
+        let loads = table.loads_of_others(NOW + 50, &entry(watcher));
+        assert_eq!(loads, [stating(50, Some("2.4"))]);
+    }
+    table.take_loads(NOW + 100, &entry("two"), &[stating(0, None)]);
+    let loads = table.loads_of_others(NOW + 100, &entry("one"));
+    assert_eq!(loads, [stating(0, None)]);
+}
+
+#[test]
+fn repeated_statement_is_no_change() {
+    let mut table = table();
+    table.take_loads(NOW, &entry("one"), &[stating(0, Some("2.4"))]);
+    let again = table.take_loads(NOW + 40, &entry("one"), &[stating(0, Some("2.4"))]);
+    assert_eq!(again, LoadsChange::None);
+    let loads = table.loads_of_others(NOW + 40, &entry("two"));
+    assert_eq!(loads, [stating(0, Some("2.4"))]);
+}
+
+#[test]
+fn negative_and_unreadable_rates_are_no_rates() {
+    for text in ["", "-1", "nan", "inf", "many"] {
+        assert_eq!(RequestRate::parse_per_s(text), None, "{text}");
+    }
+    let rate = RequestRate { per_1000_s: 2_400 };
+    assert_eq!(RequestRate::parse_per_s(" 2.4 "), Some(rate));
+}
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -22,6 +22,7 @@
 use crate::documents::ParsedDocument;
 use crate::events;
 use crate::relay::Relay;
+use crate::stated_limit::note_limit_reports;
 use crate::suspects::{ReportedRevision, report_crashes};
 
 /// Maximum wait for a watch reply, in milliseconds.
@@ -214,6 +215,7 @@
             .endpoints
             .borrow_mut()
             .update_loads(relay.now(), &reply.zone, &reply.loads);
+        note_limit_reports(&relay, &reply.loads);
         if zone.is_none() {
             let reporting = report_loads(
                 Rc::clone(&discovery),
@@ -238,7 +240,7 @@
         request.revision = reply.revision;
         discovery.note_document(address, &reply);
         discovery.merge_endpoints(&node, &reply);
-        relay.entries.borrow_mut().note(relay.now(), reply.entries);
+        relay.note_entries(reply.entries);
         relay.update_zone_share(&reply.entries_nearby);
         if !reply.endpoints.is_empty() {
             relay.notify_discovery();
--- a/crates/masticsill_relay/src/endpoint_choice.rs
+++ b/crates/masticsill_relay/src/endpoint_choice.rs
@@ -52,8 +52,12 @@
         };
         let tokens = request.held_tokens(&self.config.headers);
         let kv_cache_tokens = Some(engine.kv_cache_tokens);
-        let has_memory = |it: &_| has_memory_for_copy(it, kv_cache_tokens, tokens);
-        let holder = choose_holder(&endpoints, self.now(), &wanted, has_memory, rand::random)?;
+        // Resuming from a copy is a request at its holder.
+        let is_suitable = |it: &Endpoint| {
+            let has_memory = has_memory_for_copy(it, kv_cache_tokens, tokens);
+            has_memory && it.request_limit.rate().is_none()
+        };
+        let holder = choose_holder(&endpoints, self.now(), &wanted, is_suitable, rand::random)?;
         Some(holder.announcement.clone())
     }
 
@@ -215,7 +219,8 @@
         let is_unusable = |it: &&Endpoint| {
             let id = &it.announcement.id;
             let is_known_bad = it.is_backing_off(now) || it.is_silent() || it.is_full(now);
-            is_known_bad || closed.contains(id) || retry_state.excluded.contains(id)
+            let has_turn = it.request_limit.has_turn(now);
+            is_known_bad || !has_turn || closed.contains(id) || retry_state.excluded.contains(id)
         };
         let ready = endpoints.iter().filter(|it| it.is_ready());
         let of_zone = ready.filter(|it| it.announcement.zone == *zone);
@@ -237,6 +242,9 @@
             None => Some("forgotten"),
             Some(endpoint) if !endpoint.is_ready() => Some("gone or draining"),
             Some(endpoint) if endpoint.is_backing_off(self.now()) => Some("failed just now"),
+            Some(endpoint) if !endpoint.request_limit.has_turn(self.now()) => {
+                Some("accepts no more requests for now")
+            }
             Some(_) => None,
         }
     }
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -297,6 +297,14 @@
         self.with_budget(service, |budget| budget.note_request(now));
     }
 
+    /// Records the number of entries that a control replica reports.
+    pub(crate) fn note_entries(&self, entries: u32) {
+        let now = self.now();
+        self.entries.borrow_mut().note(now, entries);
+        let entries = self.entry_count();
+        self.endpoints.borrow_mut().set_entries(now, entries);
+    }
+
     pub(crate) fn entry_count(&self) -> u32 {
         self.entries.borrow().highest(self.now())
     }
--- a/crates/masticsill_relay/src/reservation.rs
+++ b/crates/masticsill_relay/src/reservation.rs
@@ -93,6 +93,7 @@
                 it.begin_reading();
             }
             it.in_flight += 1;
+            it.request_limit.take_turn(began_at);
             it.held_tokens += load.tokens();
         });
         let reservation = Self {
--- a/crates/masticsill_relay/src/stated_limit.rs
+++ b/crates/masticsill_relay/src/stated_limit.rs
@@ -1,7 +1,7 @@
 //! Limits of requests per second that endpoints state in their responses.
 
 use masticsill_http1::ResponseHead;
-use masticsill_registry::RequestRate;
+use masticsill_registry::{EndpointId, EndpointLoad, RequestRate};
 use masticsill_types::log_event;
 
 use crate::attempt::Attempt;
@@ -9,7 +9,8 @@
 use crate::events;
 use crate::relay::Relay;
 
-/// Records whether a response states a limit of the endpoint's requests, and logs each change.
+/// Records whether a response states a limit of the endpoint's requests. Each change is logged, and
+/// reported to the other entries at once.
 pub(crate) fn note_stated_limit(relay: &Relay, attempt: &Attempt, head: &ResponseHead) {
     if head.status == MISDIRECTED_REQUEST {
         // Another endpoint has the address.
@@ -22,19 +23,49 @@
         // The former statement holds, since this one can't be read.
         return;
     }
-    let (now, sent_at) = (relay.now(), attempt.progress.began_at);
-    let entries = relay.entry_count();
-    relay.with_endpoint(&endpoint.id, |it| {
-        if it.request_limit.note_response(now, sent_at, rate) {
-            log_event!(
-                info,
-                events::REQUEST_LIMIT_STATED,
-                endpoint = endpoint.id,
-                zone = endpoint.zone,
-                per_s = rate.map_or(-1.0, RequestRate::per_s),
-                in_flight = it.in_flight,
-                entries = entries
-            );
-        }
-    });
+    let sent_at = attempt.progress.began_at;
+    let is_changed = relay.endpoints.borrow_mut().note_stated_limit(
+        relay.now(),
+        &endpoint.id,
+        sent_at,
+        rate,
+        rand::random(),
+    );
+    if is_changed {
+        log_change(relay, &endpoint.id, "response");
+        relay.note_load_change(&endpoint.zone);
+        relay.capacity_changed.notify_one();
+    }
+}
+
+/// Records what endpoints stated to other entries, and logs each change.
+pub(crate) fn note_limit_reports(relay: &Relay, loads: &[EndpointLoad]) {
+    let now = relay.now();
+    let mut endpoints = relay.endpoints.borrow_mut();
+    let changed = endpoints.note_limit_reports(now, loads, rand::random);
+    drop(endpoints);
+    for id in &changed {
+        log_change(relay, id, "report");
+    }
+}
+
+fn log_change(relay: &Relay, id: &EndpointId, source: &str) {
+    let now = relay.now();
+    let endpoints = relay.endpoints.borrow();
+    let Some(endpoint) = endpoints.get(id) else {
+        return;
+    };
+    let limit = &endpoint.request_limit;
+    log_event!(
+        info,
+        events::REQUEST_LIMIT_STATED,
+        endpoint = id,
+        zone = endpoint.announcement.zone,
+        is_limited = limit.rate().is_some(),
+        per_s = limit.rate().map_or(0.0, RequestRate::per_s),
+        source = source,
+        next_turn_ms = limit.next_turn_ms(now),
+        in_flight = endpoint.in_flight,
+        entries = relay.entry_count()
+    );
 }
