Keep the last number of entries while no control replica reports one

An entry that reached no control replica for 30 s took itself for the only one: its part of each endpoint's stated limit, of connections and of the retry budget became the whole, at each entry. Now a count is forgotten only once a lower one has been reported 30 s later.

--- a/crates/masticsill_dispatch/src/entries.rs
+++ b/crates/masticsill_dispatch/src/entries.rs
@@ -4,8 +4,8 @@
 
 use masticsill_types::ClockMs;
 
-/// How long a count is remembered. A control replica that has just started knows few entries, and
-/// an entry that used its count would take more than its share.
+/// How long a count is remembered after a lower one has been reported. A control replica that has
+/// just started knows few entries, and an entry that used its count would take more than its share.
 const RETENTION_MS: u64 = 30_000;
 
 /// Counts of entries that control replicas reported lately.
@@ -24,12 +24,12 @@
     }
 
     /// The highest count reported lately; at least 1, for this entry itself.
+    ///
+    /// Without reports the last ones stay in force: an entry that reaches no control replica still
+    /// shares the endpoints with the others.
     #[must_use]
-    pub fn highest(&self, now: ClockMs) -> u32 {
-        let recent = self
-            .reported
-            .iter()
-            .filter(|(_, at)| now.since(*at) < RETENTION_MS);
-        recent.map(|(count, _)| *count).max().unwrap_or(1).max(1)
+    pub fn highest(&self) -> u32 {
+        let highest = self.reported.front().map(|(count, _)| *count);
+        highest.unwrap_or(1).max(1)
     }
 }
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -306,7 +306,7 @@
     }
 
     pub(crate) fn entry_count(&self) -> u32 {
-        self.entries.borrow().highest(self.now())
+        self.entries.borrow().highest()
     }
 
     /// Whether the retry budget allows another attempt.
