--- a/crates/masticsill_relay/src/endpoint_response.rs
+++ b/crates/masticsill_relay/src/endpoint_response.rs
@@ -16,6 +16,8 @@
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 /// Status sent by an endpoint that is not the incarnation for which the request was meant.
 pub(crate) const MISDIRECTED_REQUEST: u16 = 421;
+/// Status sent by an endpoint that refuses a request for now.
+const SERVICE_UNAVAILABLE: u16 = 503;
 
 /// What a response means for the request.
 pub(crate) enum Verdict {
@@ -42,6 +44,16 @@
     }
 }
 
+/// How long an endpoint that refuses a request wants no further ones from this entry, in
+/// milliseconds; `None` if it doesn't say.
+fn rest_ms(head: &ResponseHead) -> Option<u64> {
+    let seconds: f64 = head.headers.text("retry-after")?.parse().ok()?;
+    let is_refusal = head.status == SERVICE_UNAVAILABLE && seconds.is_finite() && seconds > 0.0;
+    // The time is positive, and the conversion saturates.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    is_refusal.then_some((seconds * 1_000.0).ceil() as u64)
+}
+
 /// Reads the rest of a response whose head has arrived.
 ///
 /// # Errors
@@ -93,6 +105,7 @@
                 endpoint = endpoint.id,
                 zone = endpoint.zone,
                 status = head.status,
+                rest_ms = rest_ms(&head).unwrap_or_default(),
                 left_ms = request.left_ms(relay.now())
             );
             if is_replaced {
