Send nothing to an endpoint for as long as it asks for rest

Seen by callers: each draft of four seconds passed through up to five engines that turned it away, and some were refused though 17 engines had room.

Cause: a refusal held an endpoint back for 250 ms whatever it said, and the end of any other request there cleared that: the relay's own guess stood in for the endpoint's word. After it, an engine that turns everything away looks idle, so that control replicas reserved it first.

Change: the time in Retry-After of a 503 holds for the endpoint, is never cut short, and goes before reservations, copies and the lack of others. It is checked where an endpoint is chosen and once more after the connection stands. A request for which no rest ends in time is refused at once, with a time to come back that is not before the rest's end as far as callers can wait.

--- a/crates/masticsill_dispatch/src/capacity.rs
+++ b/crates/masticsill_dispatch/src/capacity.rs
@@ -112,7 +112,7 @@
     position: &EntryPosition<'_>,
     contention: Contention,
 ) -> bool {
-    if endpoint.is_full(now) || !endpoint.request_limit.has_turn(now) {
+    if endpoint.is_full(now) || !endpoint.accepts_requests(now) {
         return false;
     }
     match &requirements.work {
--- a/crates/masticsill_dispatch/src/dispatcher.rs
+++ b/crates/masticsill_dispatch/src/dispatcher.rs
@@ -131,7 +131,7 @@
                 is_within_share = !queue.is_share_exhausted(terms, places);
                 wait_ms <= max_wait_ms
             }
-            Rank::Late => !yields && has_turn_in_time(now, table, requirements, terms, ahead),
+            Rank::Late => !yields && is_accepted_in_time(now, table, requirements, terms, ahead),
         };
         if !is_soon_enough {
             queue.note_refusal(now, terms.priority);
@@ -283,7 +283,7 @@
     };
     let is_any_healthy = table
         .iter()
-        .any(|it| request.is_candidate(it) && is_healthy(it) && it.request_limit.has_turn(now));
+        .any(|it| request.is_candidate(it) && is_healthy(it) && it.accepts_requests(now));
     let is_available = |it: &Endpoint| {
         let has_capacity = has_capacity(it, now, requirements, &context.entry, contention);
         has_capacity && (is_healthy(it) || !is_any_healthy)
@@ -325,16 +325,15 @@
     }
 }
 
-/// Whether this entry may send the request to an endpoint before its deadline, as far as the limits
-/// that endpoints state are concerned.
-fn has_turn_in_time(
+/// Whether an endpoint accepts the request before its deadline, by what endpoints said of themselves.
+fn is_accepted_in_time(
     now: ClockMs,
     table: &EndpointTable,
     requirements: &Requirements,
     terms: &Terms,
     ahead: usize,
 ) -> bool {
-    now + table.turn_wait_ms(now, &requirements.service, ahead) < terms.deadline_at
+    now + table.acceptance_wait_ms(now, &requirements.service, ahead) < terms.deadline_at
 }
 
 /// Removes the first queued request that can't be served in time.
@@ -362,7 +361,7 @@
                     let (requirements, terms) = (&waiting.requirements, &waiting.terms);
                     queue.is_overload_sustained(now)
                         || now.since(waiting.since) >= MAX_LATE_WAIT_MS
-                        || !has_turn_in_time(now, table, requirements, terms, ahead)
+                        || !is_accepted_in_time(now, table, requirements, terms, ahead)
                 }
                 Rank::Resume | Rank::Returning | Rank::New => now + wait_ms > latest,
             }
--- a/crates/masticsill_dispatch/src/endpoint.rs
+++ b/crates/masticsill_dispatch/src/endpoint.rs
@@ -49,6 +49,8 @@
     pub concurrency: ConcurrencyLimit,
     /// When the endpoint may be used again after it has refused a request as full.
     full_until: Option<ClockMs>,
+    /// Until when the endpoint has asked this entry to send nothing.
+    resting_until: Option<ClockMs>,
     /// Tokens that requests of this entry hold in the KV cache, including copies of runs.
     pub held_tokens: u64,
     /// When this entry learned that work ended at the endpoint, which may have freed capacity.
@@ -93,6 +95,7 @@
             reading: 0,
             reading_pace: ReadingPace::default(),
             request_limit: RequestLimit::default(),
+            resting_until: None,
             capacity_since: ClockMs(0),
             silent_to: Vec::new(),
         }
@@ -219,6 +222,31 @@
         self.full_until.is_some_and(|until| now < until)
     }
 
+    /// Records that the endpoint asked for `rest_ms` milliseconds without requests of this entry.
+    /// The end of other requests there doesn't shorten that time.
+    pub fn note_rest(&mut self, now: ClockMs, rest_ms: u64) {
+        self.resting_until = self.resting_until.max(Some(now + rest_ms));
+    }
+
+    /// Whether the endpoint has asked this entry to send nothing at present.
+    #[must_use]
+    pub fn is_resting(&self, now: ClockMs) -> bool {
+        self.resting_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether the endpoint accepts a request of this entry, by what it said of itself.
+    #[must_use]
+    pub fn accepts_requests(&self, now: ClockMs) -> bool {
+        self.accepts_in_ms(now) == 0
+    }
+
+    /// Time in milliseconds until the endpoint accepts a request of this entry, by what it said of
+    /// itself.
+    pub(crate) fn accepts_in_ms(&self, now: ClockMs) -> u64 {
+        let rest_ms = self.resting_until.map_or(0, |until| until.since(now));
+        rest_ms.max(self.request_limit.next_turn_ms(now))
+    }
+
     /// Whether at least one control replica reports the endpoint as silent.
     #[must_use]
     pub fn is_silent(&self) -> bool {
--- a/crates/masticsill_dispatch/src/endpoints.rs
+++ b/crates/masticsill_dispatch/src/endpoints.rs
@@ -231,31 +231,36 @@
     }
 
     /// Estimated wait of a request with `ahead` requests before it until an endpoint of the service
-    /// accepts it, in milliseconds; zero if any endpoint states no limit.
+    /// accepts it, in milliseconds, by what the endpoints said of themselves.
     ///
-    /// It is known exactly until the next turn, and by the rate of this entry's turns from then on.
-    pub(crate) fn turn_wait_ms(&self, now: ClockMs, service: &str, ahead: usize) -> u64 {
-        let ready = self.of_service(service).filter(|it| it.is_ready());
-        let mut first_ms = u64::MAX;
+    /// Requests of this entry are accepted at the rate of its turns where endpoints state limits, and
+    /// all at once where an endpoint has only asked for rest.
+    pub(crate) fn acceptance_wait_ms(&self, now: ClockMs, service: &str, ahead: usize) -> u64 {
+        let mut unlimited_ms = None;
+        let mut first_turn_ms = u64::MAX;
         let mut turns_per_s = 0.0;
-        for endpoint in ready {
-            let Some(per_s) = endpoint.request_limit.turns_per_s() else {
-                return 0;
-            };
-            turns_per_s += per_s;
-            first_ms = first_ms.min(endpoint.request_limit.next_turn_ms(now));
-        }
-        if turns_per_s <= 0.0 {
-            return 0;
+        for endpoint in self.of_service(service).filter(|it| it.is_ready()) {
+            let accepts_in_ms = endpoint.accepts_in_ms(now);
+            if let Some(per_s) = endpoint.request_limit.turns_per_s() {
+                turns_per_s += per_s;
+                first_turn_ms = first_turn_ms.min(accepts_in_ms);
+            } else {
+                let earlier_ms = unlimited_ms.unwrap_or(u64::MAX);
+                unlimited_ms = Some(accepts_in_ms.min(earlier_ms));
+            }
         }
-        // Counts and times are far below the precision of the types.
-        #[allow(
-            clippy::cast_possible_truncation,
-            clippy::cast_precision_loss,
-            clippy::cast_sign_loss
-        )]
-        let ahead_ms = (ahead as f64 * 1_000.0 / turns_per_s) as u64;
-        first_ms + ahead_ms
+        let limited_ms = (turns_per_s > 0.0).then(|| {
+            // Counts and times are far below the precision of the types.
+            #[allow(
+                clippy::cast_possible_truncation,
+                clippy::cast_precision_loss,
+                clippy::cast_sign_loss
+            )]
+            let ahead_ms = (ahead as f64 * 1_000.0 / turns_per_s) as u64;
+            first_turn_ms.saturating_add(ahead_ms)
+        });
+        let waits_ms = [unlimited_ms, limited_ms].into_iter().flatten();
+        waits_ms.min().unwrap_or(0)
     }
 
     /// Replaces the reported loads of the other entries at all endpoints of a zone.
--- a/crates/masticsill_dispatch/src/estimate.rs
+++ b/crates/masticsill_dispatch/src/estimate.rs
@@ -55,8 +55,8 @@
 /// The rate is that of this entry's own starts; at the onset of an overload, it is the rate at
 /// which the requests in flight from this entry end. It is never below this entry's part of the
 /// rate at which the requests of all entries end, which matters when other entries have taken all
-/// capacity for a while. If all endpoints state limits of requests per second, the wait is not
-/// shorter than until the entry's turn.
+/// capacity for a while. If all endpoints state limits of requests per second or ask for rest, the
+/// wait is not shorter than until one of them accepts the request.
 // Counts and times are far below the precision of the types.
 #[allow(
     clippy::cast_possible_truncation,
@@ -89,6 +89,6 @@
     } else {
         (ahead + 1) as f64 * 1_000.0 / rate
     };
-    // The rate is that of the time before endpoints stated limits.
-    (wait_ms as u64).max(table.turn_wait_ms(now, &requirements.service, ahead))
+    // The rate is that of the time before endpoints stated limits or asked for rest.
+    (wait_ms as u64).max(table.acceptance_wait_ms(now, &requirements.service, ahead))
 }
--- a/crates/masticsill_relay/src/attempt.rs
+++ b/crates/masticsill_relay/src/attempt.rs
@@ -16,7 +16,7 @@
 use crate::request::{RelayRequest, SendOptions};
 use crate::reservation::Reservation;
 use crate::retry_state::{Obstacle, RetryState};
-use crate::stated_limit::note_stated_limit;
+use crate::statements::note_statements;
 use masticsill_dispatch::Failure;
 
 /// Maximum idle time of a pooled connection used for a request that may not run twice. A short
@@ -154,7 +154,8 @@
 /// # Errors
 ///
 /// Why there is no attempt: the connection failed, which excludes the endpoint in `retry_state`; a
-/// crash check holds or quarantines the request; or the retry budget is exhausted.
+/// crash check holds or quarantines the request; the endpoint wants no request any more; or the
+/// retry budget is exhausted.
 pub(crate) async fn open(
     relay: &Rc<Relay>,
     request: &RelayRequest,
@@ -184,6 +185,9 @@
         reservation,
         upstream: Some(UpstreamConnection::new(stream)),
     };
+    if relay.has_withdrawn(&attempt.endpoint().id) {
+        return Err(Obstacle::Withdrawn);
+    }
     // Other endpoints may have crashed under this request while it waited for a reservation or for
     // the connection.
     relay.check_crashes(request)?;
@@ -220,7 +224,7 @@
     let head = attempt.upstream().exchange(&bytes, expected).await?;
     relay.record_received(&attempt.endpoint().id);
     relay.note_answer(&attempt.endpoint().id, head.status);
-    note_stated_limit(relay, attempt, &head);
+    note_statements(relay, attempt, &head);
     Ok(head)
 }
 
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -22,7 +22,7 @@
 use crate::documents::ParsedDocument;
 use crate::events;
 use crate::relay::Relay;
-use crate::stated_limit::note_limit_reports;
+use crate::statements::note_limit_reports;
 use crate::suspects::{ReportedRevision, report_crashes};
 
 /// Maximum wait for a watch reply, in milliseconds.
--- a/crates/masticsill_relay/src/endpoint_choice.rs
+++ b/crates/masticsill_relay/src/endpoint_choice.rs
@@ -53,11 +53,12 @@
         let tokens = request.held_tokens(&self.config.headers);
         let kv_cache_tokens = Some(engine.kv_cache_tokens);
         // Resuming from a copy is a request at its holder.
+        let now = self.now();
         let is_suitable = |it: &Endpoint| {
             let has_memory = has_memory_for_copy(it, kv_cache_tokens, tokens);
-            has_memory && it.request_limit.rate().is_none()
+            has_memory && it.request_limit.rate().is_none() && !it.is_resting(now)
         };
-        let holder = choose_holder(&endpoints, self.now(), &wanted, is_suitable, rand::random)?;
+        let holder = choose_holder(&endpoints, now, &wanted, is_suitable, rand::random)?;
         Some(holder.announcement.clone())
     }
 
@@ -219,8 +220,11 @@
         let is_unusable = |it: &&Endpoint| {
             let id = &it.announcement.id;
             let is_known_bad = it.is_backing_off(now) || it.is_silent() || it.is_full(now);
-            let has_turn = it.request_limit.has_turn(now);
-            is_known_bad || !has_turn || closed.contains(id) || retry_state.excluded.contains(id)
+            let accepts_requests = it.accepts_requests(now);
+            is_known_bad
+                || !accepts_requests
+                || closed.contains(id)
+                || retry_state.excluded.contains(id)
         };
         let ready = endpoints.iter().filter(|it| it.is_ready());
         let of_zone = ready.filter(|it| it.announcement.zone == *zone);
@@ -242,7 +246,7 @@
             None => Some("forgotten"),
             Some(endpoint) if !endpoint.is_ready() => Some("gone or draining"),
             Some(endpoint) if endpoint.is_backing_off(self.now()) => Some("failed just now"),
-            Some(endpoint) if !endpoint.request_limit.has_turn(self.now()) => {
+            Some(endpoint) if !endpoint.accepts_requests(self.now()) => {
                 Some("accepts no more requests for now")
             }
             Some(_) => None,
--- a/crates/masticsill_relay/src/endpoint_response.rs
+++ b/crates/masticsill_relay/src/endpoint_response.rs
@@ -46,7 +46,7 @@
 
 /// How long an endpoint that refuses a request wants no further ones from this entry, in
 /// milliseconds; `None` if it doesn't say.
-fn rest_ms(head: &ResponseHead) -> Option<u64> {
+pub(crate) fn rest_ms(head: &ResponseHead) -> Option<u64> {
     let seconds: f64 = head.headers.text("retry-after")?.parse().ok()?;
     let is_refusal = head.status == SERVICE_UNAVAILABLE && seconds.is_finite() && seconds > 0.0;
     // The time is positive, and the conversion saturates.
--- a/crates/masticsill_relay/src/lib.rs
+++ b/crates/masticsill_relay/src/lib.rs
@@ -35,7 +35,7 @@
 mod retry_state;
 mod role;
 mod server;
-mod stated_limit;
+mod statements;
 mod stream;
 mod stream_durations;
 mod stream_timing;
--- a/crates/masticsill_relay/src/plain.rs
+++ b/crates/masticsill_relay/src/plain.rs
@@ -96,7 +96,7 @@
             return Err(Obstacle::Deadline);
         }
         match try_open(relay, request, retry_state).await {
-            Err(Obstacle::Unreachable) => {}
+            Err(Obstacle::Unreachable | Obstacle::Withdrawn) => {}
             Err(Obstacle::Held { left_ms }) => relay.wait_for_crash_change(left_ms).await,
             opened => return opened,
         }
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -285,6 +285,14 @@
         endpoints.get(id).is_some_and(Endpoint::is_ready)
     }
 
+    /// Whether an endpoint that had been chosen wants no request any more.
+    pub(crate) fn has_withdrawn(&self, id: &EndpointId) -> bool {
+        let endpoints = self.endpoints.borrow();
+        endpoints
+            .get(id)
+            .is_some_and(|it| it.is_resting(self.now()))
+    }
+
     /// Whether an endpoint's incarnation is known to have ended, so that nothing more can arrive
     /// from it.
     pub(crate) fn has_incarnation_ended(&self, id: &EndpointId) -> bool {
--- a/crates/masticsill_relay/src/retry_state.rs
+++ b/crates/masticsill_relay/src/retry_state.rs
@@ -53,6 +53,8 @@
     Quarantined,
     /// The chosen endpoint could not be connected to.
     Unreachable,
+    /// The chosen endpoint has asked for rest since it was chosen.
+    Withdrawn,
 }
 
 impl Obstacle {
@@ -70,6 +72,7 @@
             Self::Overloaded => "overloaded",
             Self::Quarantined => "quarantined",
             Self::Unreachable => "unreached",
+            Self::Withdrawn => "withdrawn",
         }
     }
 }
@@ -83,7 +86,8 @@
             | Self::Held { .. }
             | Self::NoEndpoint
             | Self::Overloaded
-            | Self::Unreachable => true,
+            | Self::Unreachable
+            | Self::Withdrawn => true,
             Self::Arrivals
             | Self::Attempts
             | Self::Deadline
--- a/crates/masticsill_relay/src/stated_limit.rs
+++ b/crates/masticsill_relay/src/statements.rs
@@ -1,21 +1,31 @@
-//! Limits of requests per second that endpoints state in their responses.
+//! What endpoints say of themselves in their responses: limits of requests per second, and times in
+//! which they want no requests.
 
 use masticsill_http1::ResponseHead;
 use masticsill_registry::{EndpointId, EndpointLoad, RequestRate};
 use masticsill_types::log_event;
 
 use crate::attempt::Attempt;
-use crate::endpoint_response::MISDIRECTED_REQUEST;
+use crate::endpoint_response::{MISDIRECTED_REQUEST, rest_ms};
 use crate::events;
 use crate::relay::Relay;
 
-/// Records whether a response states a limit of the endpoint's requests. Each change is logged, and
-/// reported to the other entries at once.
-pub(crate) fn note_stated_limit(relay: &Relay, attempt: &Attempt, head: &ResponseHead) {
+/// Records what a response says of its endpoint.
+pub(crate) fn note_statements(relay: &Relay, attempt: &Attempt, head: &ResponseHead) {
     if head.status == MISDIRECTED_REQUEST {
         // Another endpoint has the address.
         return;
     }
+    note_stated_limit(relay, attempt, head);
+    if let Some(rest_ms) = rest_ms(head) {
+        let now = relay.now();
+        relay.with_endpoint(&attempt.endpoint().id, |it| it.note_rest(now, rest_ms));
+    }
+}
+
+/// Records whether a response states a limit of the endpoint's requests. Each change is logged, and
+/// reported to the other entries at once.
+fn note_stated_limit(relay: &Relay, attempt: &Attempt, head: &ResponseHead) {
     let endpoint = attempt.endpoint();
     let stated = head.headers.text(&relay.config.headers.request_limit);
     let rate = stated.and_then(RequestRate::parse_per_s);
--- a/crates/masticsill_relay/src/stream.rs
+++ b/crates/masticsill_relay/src/stream.rs
@@ -214,6 +214,7 @@
                 Err(Obstacle::Unreachable) if !is_begun || !self.retry_state.needs_pause() => {
                     continue;
                 }
+                Err(Obstacle::Withdrawn) => continue,
                 Err(Obstacle::Held { left_ms }) => {
                     self.relay.wait_for_crash_change(left_ms).await;
                     continue;
