Send nothing new to an endpoint that says in a response that it leaves

Cause: the same as for limits and rests: what an endpoint says of itself in a response was read by nobody. Only its heartbeats counted, and a later heartbeat would have undone it.

Change: the word holds for the incarnation, whatever heartbeats say, and travels with the loads to all entries and the replica that reserves engines. A request whose endpoint has begun to leave, or asked for rest, while it waited for the connection is sent elsewhere.

--- a/crates/masticsill_dispatch/src/endpoint.rs
+++ b/crates/masticsill_dispatch/src/endpoint.rs
@@ -69,6 +69,8 @@
     pub others: OtherLoad,
     /// When that load was reported.
     others_reported_at: Option<ClockMs>,
+    /// Whether the endpoint has said in a response, here or to another entry, that it leaves.
+    is_leaving: bool,
     /// Whether another incarnation has taken over the address.
     pub(crate) is_replaced: bool,
     /// Order in which incarnations became known; the latest one at an address takes precedence.
@@ -88,6 +90,7 @@
             held_tokens: 0,
             in_flight: 0,
             is_freed_here: false,
+            is_leaving: false,
             is_replaced: false,
             order,
             others: OtherLoad::default(),
@@ -112,7 +115,19 @@
     /// Whether the endpoint accepts new requests, as far as is known.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.announcement.state == EndpointState::Ready && !self.is_replaced
+        let is_announced_ready = self.announcement.state == EndpointState::Ready;
+        is_announced_ready && !self.is_leaving && !self.is_replaced
+    }
+
+    /// Records that the endpoint has said in a response that it leaves. Unlike its state, that is
+    /// never undone by a heartbeat, which may have been sent before. Returns whether it is news.
+    pub(crate) fn note_leaving(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_leaving, true)
+    }
+
+    /// Whether other entries can't know from the endpoint's heartbeats yet that it leaves.
+    pub(crate) fn is_leaving_unannounced(&self) -> bool {
+        self.is_leaving && self.announcement.state == EndpointState::Ready
     }
 
     /// Whether another incarnation has taken over the endpoint's address.
--- a/crates/masticsill_dispatch/src/endpoints.rs
+++ b/crates/masticsill_dispatch/src/endpoints.rs
@@ -159,7 +159,8 @@
             .filter(|(_, endpoint)| endpoint.announcement.zone == *zone)
             .filter(|(_, endpoint)| {
                 let is_busy = endpoint.is_used() || endpoint.health.is_backing_off(now);
-                is_busy || endpoint.request_limit.statement(now).is_some()
+                let has_stated = endpoint.request_limit.statement(now).is_some();
+                is_busy || has_stated || endpoint.is_leaving_unannounced()
             });
         let loads = busy.map(|(id, endpoint)| EndpointLoad {
             id: id.clone(),
@@ -167,6 +168,7 @@
             reading: endpoint.reading,
             held_tokens: endpoint.held_tokens,
             is_failing: endpoint.health.is_backing_off(now),
+            is_leaving: endpoint.is_leaving_unannounced(),
             stated: endpoint.request_limit.statement(now),
         });
         loads.collect()
@@ -209,6 +211,21 @@
         })
     }
 
+    /// Records that an endpoint has said in a response that it leaves. Returns whether it is news.
+    pub fn note_leaving(&mut self, id: &EndpointId) -> bool {
+        self.endpoints
+            .get_mut(id)
+            .is_some_and(Endpoint::note_leaving)
+    }
+
+    /// Records which endpoints have told other entries that they leave. Returns those of which it is
+    /// news.
+    pub fn note_leaving_reports(&mut self, loads: &[EndpointLoad]) -> Vec<EndpointId> {
+        let leaving = loads.iter().filter(|load| load.is_leaving);
+        let leaving = leaving.map(|load| load.id.clone());
+        leaving.filter(|id| self.note_leaving(id)).collect()
+    }
+
     /// Records what endpoints stated to other entries. Returns the endpoints whose limits changed.
     pub fn note_limit_reports(
         &mut self,
--- a/crates/masticsill_dispatch/tests/endpoint_lives.rs
+++ b/crates/masticsill_dispatch/tests/endpoint_lives.rs
@@ -180,6 +180,7 @@
         reading: 1,
         held_tokens: 7_000,
         is_failing: false,
+        is_leaving: false,
         stated: None,
     };
     table.update_loads(NOW, &zone(), &[load(1)]);
@@ -211,3 +212,27 @@
         Some((id_started_at("e", 2), 8_000))
     );
 }
+
+#[test]
+fn heartbeat_does_not_undo_the_word_that_an_endpoint_leaves() {
+    let mut table = EndpointTable::default();
+    let id = id_started_at("e", 1);
+    merge_report(&mut table, ready(id.clone()));
+    assert!(table.note_leaving(&id));
+    assert!(!table.note_leaving(&id));
+    let mut later = ready(id.clone());
+    later.announcement.sequence = 2;
+    merge_report(&mut table, later);
+    assert_eq!(chosen(&table, &[]), None);
+    let reported = table.loads_in(NOW, &zone());
+    assert!(reported[0].is_leaving);
+    // Another entry that has only heard heartbeats learns of it.
+    let mut other = EndpointTable::default();
+    merge_report(&mut other, ready(id.clone()));
+    assert_eq!(other.note_leaving_reports(&reported), [id]);
+    assert_eq!(chosen(&other, &[]), None);
+    // The next incarnation has not said so.
+    let next = id_started_at("e", 2);
+    merge_report(&mut other, ready(next.clone()));
+    assert_eq!(chosen(&other, &[]), Some((next, 0)));
+}
--- a/crates/masticsill_dispatch/tests/overload_decisions.rs
+++ b/crates/masticsill_dispatch/tests/overload_decisions.rs
@@ -47,6 +47,7 @@
         reading: 0,
         held_tokens: 36_000,
         is_failing: false,
+        is_leaving: false,
         stated: None,
     };
     entry.table.update_loads(NOW, &zone(), &[load]);
--- a/crates/masticsill_dispatch/tests/placement_choice.rs
+++ b/crates/masticsill_dispatch/tests/placement_choice.rs
@@ -106,6 +106,7 @@
         reading: 0,
         held_tokens: 0,
         is_failing: false,
+        is_leaving: false,
         stated: None,
     };
     table.update_loads(NOW, &zone("a"), &[load]);
@@ -148,6 +149,7 @@
         reading,
         held_tokens: 8_650,
         is_failing: false,
+        is_leaving: false,
         stated: None,
     };
     table.update_loads(NOW, &zone("b"), &[load]);
@@ -366,6 +368,7 @@
     let mut table = table(&["a1", "a2"]);
     let failing = EndpointLoad {
         is_failing: true,
+        is_leaving: false,
         stated: None,
         ..others("a1", 0)
     };
@@ -437,6 +440,7 @@
     let mut table = table(&["a1", "a2", "a3", "a4", "b1"]);
     let failing = ["a1", "a2", "a3"].map(|name| EndpointLoad {
         is_failing: true,
+        is_leaving: false,
         stated: None,
         ..others(name, 1)
     });
@@ -459,6 +463,7 @@
         .enumerate()
         .map(|(engine, name)| EndpointLoad {
             is_failing: engine < 3,
+            is_leaving: false,
             stated: None,
             ..others(name, 1)
         });
--- a/crates/masticsill_registry/src/reservations.rs
+++ b/crates/masticsill_registry/src/reservations.rs
@@ -83,8 +83,8 @@
         }
     }
 
-    /// Reserves the least loaded of the engines that are neither processing a prompt, reserved,
-    /// recently failed nor avoided by the entry; `loads` are the sums over all watchers. Returns
+    /// Reserves the least loaded of the engines that are neither processing a prompt, leaving,
+    /// reserved, recently failed nor avoided by the entry; `loads` are the sums over all watchers. Returns
     /// `None` if there is none or the zone may be down.
     pub(crate) fn reserve(
         &mut self,
@@ -98,13 +98,14 @@
             return None;
         }
         let is_wanted = |id: &&EndpointId| {
-            let is_reading = loads.get(*id).is_some_and(|load| load.reading > 0);
+            let load = loads.get(*id);
+            let is_unusable = load.is_some_and(|load| load.reading > 0 || load.is_leaving);
             let is_leased = self
                 .reservations
                 .iter()
                 .any(|reservation| reservation.endpoint == **id);
             let has_failed = self.failed_at.contains_key(*id);
-            !is_reading && !is_leased && !has_failed && !request.avoided.contains(*id)
+            !is_unusable && !is_leased && !has_failed && !request.avoided.contains(*id)
         };
         let work = |id: &EndpointId| {
             let load = loads.get(id);
--- a/crates/masticsill_registry/src/watchers.rs
+++ b/crates/masticsill_registry/src/watchers.rs
@@ -46,6 +46,8 @@
     pub held_tokens: u64,
     /// Whether it has just failed the watcher, so that no new requests are sent to it.
     pub is_failing: bool,
+    /// Whether it has said in a response that it leaves, and not yet in a heartbeat.
+    pub is_leaving: bool,
     /// What the endpoint stated last about the requests that it accepts, if that is recent.
     pub stated: Option<LimitStatement>,
 }
@@ -59,6 +61,7 @@
             id,
             in_flight: 0,
             is_failing: false,
+            is_leaving: false,
             reading: 0,
             stated: None,
         }
@@ -68,6 +71,7 @@
         self.held_tokens = self.held_tokens.saturating_add(other.held_tokens);
         self.in_flight = self.in_flight.saturating_add(other.in_flight);
         self.is_failing |= other.is_failing;
+        self.is_leaving |= other.is_leaving;
         self.reading = self.reading.saturating_add(other.reading);
     }
 }
--- a/crates/masticsill_registry/tests/handed_places.rs
+++ b/crates/masticsill_registry/tests/handed_places.rs
@@ -31,6 +31,7 @@
 fn failing(name: &str) -> EndpointLoad {
     EndpointLoad {
         is_failing: true,
+        is_leaving: false,
         stated: None,
         ..load(name, 1, 0)
     }
@@ -210,3 +211,14 @@
         }
     }
 }
+
+#[test]
+fn leaving_engine_is_not_reserved() {
+    let mut zone = Zone::new(&["e1"]);
+    let leaving = EndpointLoad {
+        is_leaving: true,
+        ..EndpointLoad::none(id("e1"))
+    };
+    zone.poll(NOW, "one", &[leaving]);
+    assert_eq!(zone.reserve(NOW, "two"), None);
+}
--- a/crates/masticsill_registry/tests/watcher_loads.rs
+++ b/crates/masticsill_registry/tests/watcher_loads.rs
@@ -21,6 +21,7 @@
         reading,
         held_tokens: 0,
         is_failing: false,
+        is_leaving: false,
         stated: None,
     }
 }
--- a/crates/masticsill_relay/src/config.rs
+++ b/crates/masticsill_relay/src/config.rs
@@ -76,6 +76,8 @@
     pub deadline_ms: String,
     /// The endpoint incarnation that a request is meant for.
     pub expected_endpoint: String,
+    /// Says that the endpoint of a response leaves; the value is 1.
+    pub leaving: String,
     /// Number of the last event that the caller has received.
     pub last_event: String,
     /// Priority of a stream at the engine; zero is the most urgent, and nine the least.
@@ -114,6 +116,7 @@
             backup_at: "X-Backup-At".to_owned(),
             deadline_ms: "X-Time-Left-Ms".to_owned(),
             expected_endpoint: "X-Expected-Endpoint".to_owned(),
+            leaving: "X-Leaving".to_owned(),
             last_event: "Last-Event-ID".to_owned(),
             priority: "X-Priority".to_owned(),
             prompt_parts: "X-Prompt-Parts".to_owned(),
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -22,7 +22,7 @@
 use crate::documents::ParsedDocument;
 use crate::events;
 use crate::relay::Relay;
-use crate::statements::note_limit_reports;
+use crate::statements::note_reports;
 use crate::suspects::{ReportedRevision, report_crashes};
 
 /// Maximum wait for a watch reply, in milliseconds.
@@ -215,7 +215,7 @@
             .endpoints
             .borrow_mut()
             .update_loads(relay.now(), &reply.zone, &reply.loads);
-        note_limit_reports(&relay, &reply.loads);
+        note_reports(&relay, &reply.loads);
         if zone.is_none() {
             let reporting = report_loads(
                 Rc::clone(&discovery),
--- a/crates/masticsill_relay/src/events.rs
+++ b/crates/masticsill_relay/src/events.rs
@@ -67,6 +67,8 @@
 pub const REQUEST_QUARANTINED: Event = Event::new(2137, "request_quarantined");
 /// An endpoint states another limit of requests per second than before, or none any more.
 pub const REQUEST_LIMIT_STATED: Event = Event::new(2138, "request_limit_stated");
+/// An endpoint said in a response that it leaves.
+pub const ENDPOINT_LEAVES: Event = Event::new(2139, "endpoint_leaves");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -102,4 +104,5 @@
     CRASH_CHECKED,
     REQUEST_QUARANTINED,
     REQUEST_LIMIT_STATED,
+    ENDPOINT_LEAVES,
 ];
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -288,9 +288,8 @@
     /// Whether an endpoint that had been chosen wants no request any more.
     pub(crate) fn has_withdrawn(&self, id: &EndpointId) -> bool {
         let endpoints = self.endpoints.borrow();
-        endpoints
-            .get(id)
-            .is_some_and(|it| it.is_resting(self.now()))
+        let endpoint = endpoints.get(id);
+        endpoint.is_some_and(|it| !it.is_ready() || it.is_resting(self.now()))
     }
 
     /// Whether an endpoint's incarnation is known to have ended, so that nothing more can arrive
--- a/crates/masticsill_relay/src/retry_state.rs
+++ b/crates/masticsill_relay/src/retry_state.rs
@@ -53,7 +53,7 @@
     Quarantined,
     /// The chosen endpoint could not be connected to.
     Unreachable,
-    /// The chosen endpoint has asked for rest since it was chosen.
+    /// The chosen endpoint has asked for rest, or begun to leave, since it was chosen.
     Withdrawn,
 }
 
--- a/crates/masticsill_relay/src/statements.rs
+++ b/crates/masticsill_relay/src/statements.rs
@@ -1,8 +1,8 @@
 //! What endpoints say of themselves in their responses: limits of requests per second, and times in
-//! which they want no requests.
+//! which they want no requests, and that they leave.
 
 use masticsill_http1::ResponseHead;
-use masticsill_registry::{EndpointId, EndpointLoad, RequestRate};
+use masticsill_registry::{Announcement, EndpointId, EndpointLoad, RequestRate};
 use masticsill_types::log_event;
 
 use crate::attempt::Attempt;
@@ -21,6 +21,26 @@
         let now = relay.now();
         relay.with_endpoint(&attempt.endpoint().id, |it| it.note_rest(now, rest_ms));
     }
+    if head.headers.text(&relay.config.headers.leaving) == Some("1") {
+        note_leaving(relay, attempt.endpoint());
+    }
+}
+
+/// Records that an endpoint leaves, and reports it to the other entries at once.
+fn note_leaving(relay: &Relay, endpoint: &Announcement) {
+    if relay.endpoints.borrow_mut().note_leaving(&endpoint.id) {
+        log_leaving(&endpoint.id, "response");
+        relay.note_load_change(&endpoint.zone);
+    }
+}
+
+fn log_leaving(id: &EndpointId, source: &str) {
+    log_event!(
+        info,
+        events::ENDPOINT_LEAVES,
+        endpoint = id,
+        source = source
+    );
 }
 
 /// Records whether a response states a limit of the endpoint's requests. Each change is logged, and
@@ -48,12 +68,16 @@
     }
 }
 
-/// Records what endpoints stated to other entries, and logs each change.
-pub(crate) fn note_limit_reports(relay: &Relay, loads: &[EndpointLoad]) {
+/// Records what endpoints said of themselves to other entries, and logs each change.
+pub(crate) fn note_reports(relay: &Relay, loads: &[EndpointLoad]) {
     let now = relay.now();
     let mut endpoints = relay.endpoints.borrow_mut();
     let changed = endpoints.note_limit_reports(now, loads, rand::random);
+    let leaving = endpoints.note_leaving_reports(loads);
     drop(endpoints);
+    for id in &leaving {
+        log_leaving(id, "report");
+    }
     for id in &changed {
         log_change(relay, id, "report");
     }
