Only a success without a stated limit lifts the limit

A failure may come from a part of the endpoint that doesn't state it: with 500 answers that named no limit, each relay and by its report every other one took the limit for lifted: 150 requests in 4 s in the new test, 19 allowed; it holds now.

--- a/crates/masticsill_relay/src/statements.rs
+++ b/crates/masticsill_relay/src/statements.rs
@@ -49,8 +49,11 @@
     let endpoint = attempt.endpoint();
     let stated = head.headers.text(&relay.config.headers.request_limit);
     let rate = stated.and_then(RequestRate::parse_per_s);
-    if stated.is_some() && rate.is_none() {
-        // The former statement holds, since this one can't be read.
+    let is_unreadable = stated.is_some() && rate.is_none();
+    // An endpoint that fails may not say all that it says otherwise.
+    let is_failure = stated.is_none() && !(200..300).contains(&head.status);
+    if is_unreadable || is_failure {
+        // The former statement holds.
         return;
     }
     let sent_at = attempt.progress.began_at;
