Permits of control replicas for requests without a turn at endpoints that state limits

Load: every endpoint of a service states a limit, and callers come to few of many entries.

Change: turns take three tenths of the limit in place of three quarters, and a control replica of the endpoint's zone grants permits at 45 of a hundred, which are asked for only if no endpoint accepts the request otherwise. Turns keep their place when the number of entries changes: an unused one lapsed then.

The price: while no control replica is reached, three tenths of the limit are used where it was three quarters.

--- a/crates/masticsill_control/src/endpoints/hub.rs
+++ b/crates/masticsill_control/src/endpoints/hub.rs
@@ -310,6 +310,12 @@
         self.watchers().reserve_engine(now, request, &engines)
     }
 
+    /// Grants one request at one of the endpoints, which state limits; `None` if none accepts more.
+    pub(crate) fn grant_request(&self, endpoints: &[EndpointId]) -> Option<EndpointId> {
+        let now = self.shared.clock.now();
+        self.watchers().grant_request(now, endpoints)
+    }
+
     fn notify_loads_change(&self, change: LoadsChange) {
         match change {
             LoadsChange::Changed => self.shared.loads.send_modify(|changes| *changes += 1),
--- a/crates/masticsill_control/src/forwarder/service.rs
+++ b/crates/masticsill_control/src/forwarder/service.rs
@@ -161,6 +161,10 @@
         None
     }
 
+    async fn grant_request(self, _: Context, _: Vec<EndpointId>) -> Option<EndpointId> {
+        None
+    }
+
     async fn document_pieces(self, _: Context, _: u64) -> Option<PieceList> {
         None
     }
--- a/crates/masticsill_control/src/rpc/service.rs
+++ b/crates/masticsill_control/src/rpc/service.rs
@@ -313,6 +313,10 @@
         self.endpoints.reserve_engine(&request)
     }
 
+    async fn grant_request(self, _: Context, endpoints: Vec<EndpointId>) -> Option<EndpointId> {
+        self.endpoints.grant_request(&endpoints)
+    }
+
     async fn document_pieces(self, _: Context, version: u64) -> Option<PieceList> {
         self.documents.list(version).await
     }
--- a/crates/masticsill_control_client/src/client.rs
+++ b/crates/masticsill_control_client/src/client.rs
@@ -261,6 +261,19 @@
         self.call_once(address, send).await.flatten()
     }
 
+    /// Requests a permit for one request at one of the endpoints in the zone of the replica at an
+    /// address; `None` when the replica does not answer or grants none.
+    pub async fn grant_request(
+        &self,
+        address: SocketAddr,
+        endpoints: &[EndpointId],
+    ) -> Option<EndpointId> {
+        let send = async |client: ControlServiceClient, context| {
+            client.grant_request(context, endpoints.to_vec()).await
+        };
+        self.call_once(address, send).await.flatten()
+    }
+
     /// Asks the replica at an address for the list of pieces of its document, of version `version`
     /// or newer; `None` when it does not answer within `timeout_ms` or has no such document.
     pub async fn document_pieces(
--- a/crates/masticsill_dispatch/src/endpoints.rs
+++ b/crates/masticsill_dispatch/src/endpoints.rs
@@ -247,6 +247,30 @@
         changed
     }
 
+    /// Endpoints of a service, with their zones, at which a request could be sent now with a permit;
+    /// none if any endpoint accepts it without one.
+    #[must_use]
+    pub fn lacking_permits(
+        &self,
+        now: ClockMs,
+        service: &str,
+        excluded: &[EndpointId],
+    ) -> Vec<(ZoneId, EndpointId)> {
+        let usable = |it: &&Endpoint| it.is_ready() && !excluded.contains(&it.announcement.id);
+        let mut usable = self.of_service(service).filter(usable);
+        if usable.any(|it| it.accepts_requests(now)) {
+            return Vec::new();
+        }
+        let lacking = self.of_service(service).filter(|it| {
+            let is_live = it.is_ready() && !it.is_silent() && !it.is_resting(now);
+            is_live
+                && !excluded.contains(&it.announcement.id)
+                && it.request_limit.may_ask_permit(now)
+        });
+        let lacking = lacking.map(|it| &it.announcement);
+        lacking.map(|it| (it.zone.clone(), it.id.clone())).collect()
+    }
+
     /// Estimated wait of a request with `ahead` requests before it until an endpoint of the service
     /// accepts it, in milliseconds, by what the endpoints said of themselves.
     ///
--- a/crates/masticsill_dispatch/src/request_limit.rs
+++ b/crates/masticsill_dispatch/src/request_limit.rs
@@ -3,16 +3,22 @@
 //! An endpoint that can't keep up names the rate that it accepts from all entries together, in
 //! every response for as long as the limit applies. Entries keep to it without coordination, so
 //! that it also holds while no control replica is reachable: each entry gets turns at its part of
-//! the rate, at times that differ between entries at random. A turn that is not used lapses.
-//! Otherwise each entry would keep one, and all of them would be used at once when other endpoints
-//! fail.
+//! a share of the rate, at times that differ between entries at random. A turn that is not used
+//! lapses. Otherwise each entry would keep one, and all of them would be used at once when other
+//! endpoints fail. Most of the rate is given out in permits by control replicas, to entries that have
+//! a request and no turn.
 
 use masticsill_registry::{LimitStatement, RequestRate};
 use masticsill_types::ClockMs;
 
-/// Share of the stated rate, in percent, that all turns together amount to. Turns of different
-/// entries coincide by chance, the more so the more entries there are.
-const USED_PERCENT: f64 = 75.0;
+/// Share of the stated rate, in percent, that all turns together amount to. Permits of control
+/// replicas use another share; both together stay below the rate, since turns of different entries
+/// coincide by chance.
+const TURNS_PERCENT: f64 = 30.0;
+/// How long a permit may be used: long enough to place the request that it was asked for.
+const PERMIT_VALIDITY_MS: u64 = 200;
+/// Pause before a control replica that granted no permit is asked again.
+const PERMIT_RETRY_PAUSE_MS: u64 = 40;
 /// How long a turn may be used. Requests wait for a turn for a fraction of this time only.
 const TURN_VALIDITY_MS: u64 = 1_000;
 /// Lowest rate that is assumed, so that the end of the lowest limit is noticed.
@@ -32,6 +38,10 @@
     /// When the last response that stated a limit arrived, here or at another entry.
     stated_at: ClockMs,
     turns: Option<Turns>,
+    /// Until when a permit may be used.
+    permitted_until: Option<ClockMs>,
+    /// When a permit may be asked for again.
+    ask_permit_at: ClockMs,
 }
 
 /// Turns of one entry at one endpoint: points in time at constant intervals.
@@ -128,15 +138,36 @@
     /// Whether a request may be sent now.
     #[must_use]
     pub fn has_turn(&self, now: ClockMs) -> bool {
-        self.turns.is_none_or(|turns| turns.usable(now).is_some())
+        self.is_permitted(now) || self.turns.is_none_or(|turns| turns.usable(now).is_some())
     }
 
     /// Time until a request may be sent, in milliseconds; zero if it may be sent now.
     #[must_use]
     pub fn next_turn_ms(&self, now: ClockMs) -> u64 {
+        if self.is_permitted(now) {
+            return 0;
+        }
         self.turns.map_or(0, |turns| turns.wait_ms(now))
     }
 
+    /// Whether a control replica may be asked for a permit.
+    pub(crate) fn may_ask_permit(&self, now: ClockMs) -> bool {
+        self.turns.is_some() && !self.has_turn(now) && now >= self.ask_permit_at
+    }
+
+    /// Records whether a control replica granted a permit at this endpoint.
+    pub fn note_permit_reply(&mut self, now: ClockMs, is_granted: bool) {
+        if is_granted {
+            self.permitted_until = Some(now + PERMIT_VALIDITY_MS);
+        } else {
+            self.ask_permit_at = now + PERMIT_RETRY_PAUSE_MS;
+        }
+    }
+
+    fn is_permitted(&self, now: ClockMs) -> bool {
+        self.permitted_until.is_some_and(|until| now < until)
+    }
+
     /// Requests per second that this entry may send; `None` without a limit.
     pub(crate) fn turns_per_s(&self) -> Option<f64> {
         self.turns.map(|turns| 1_000.0 / turns.interval_ms)
@@ -144,7 +175,9 @@
 
     /// Records that a request is sent.
     pub fn take_turn(&mut self, now: ClockMs) {
-        if let Some(turns) = &mut self.turns {
+        if self.is_permitted(now) {
+            self.permitted_until = None;
+        } else if let Some(turns) = &mut self.turns {
             turns.take(now);
         }
     }
@@ -160,7 +193,8 @@
         }
     }
 
-    /// Turns at another interval. The next one comes after the same fraction of it.
+    /// Turns at another interval. The next one comes after the same fraction of it, and one that has
+    /// begun and not been used may still be used.
     fn with_interval(self, now: ClockMs, interval_ms: f64) -> Self {
         // The interval is stored as computed, so that equal inputs give equal values.
         #[allow(clippy::float_cmp)]
@@ -168,7 +202,11 @@
             return self;
         }
         let elapsed = (clock_ms(now) - self.origin_ms) / self.interval_ms;
-        Self::starting(now, interval_ms, 1.0 - elapsed.fract())
+        Self {
+            interval_ms,
+            origin_ms: clock_ms(now) - elapsed * interval_ms,
+            next: self.next,
+        }
     }
 
     /// The number of the last turn that has begun.
@@ -208,7 +246,7 @@
 
 /// Time between two turns of one of `entries` entries, in milliseconds.
 fn interval_ms(rate: RequestRate, entries: u32) -> f64 {
-    let used_per_s = rate.max(MIN_RATE).per_s() * USED_PERCENT / 100.0;
+    let used_per_s = rate.max(MIN_RATE).per_s() * TURNS_PERCENT / 100.0;
     f64::from(entries.max(1)) * 1_000.0 / used_per_s
 }
 
--- a/crates/masticsill_registry/src/lib.rs
+++ b/crates/masticsill_registry/src/lib.rs
@@ -9,6 +9,7 @@
 mod gauges;
 mod id;
 mod join;
+mod permits;
 mod prompt_cache;
 mod rate;
 mod record;
--- a/crates/masticsill_registry/src/watchers.rs
+++ b/crates/masticsill_registry/src/watchers.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::EndpointId;
+use crate::permits::RequestPermits;
 use crate::rate::{LimitStatement, RequestRate};
 use crate::reservations::{EngineReservationRequest, EngineReservations};
 
@@ -91,6 +92,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct WatcherTable {
     loads_revision: u64,
+    permits: RequestPermits,
     reservations: EngineReservations,
     /// What endpoints stated last, and since when it applies.
     stated: IndexMap<EndpointId, (Option<RequestRate>, ClockMs)>,
@@ -222,6 +224,18 @@
         Some(load.unwrap_or_else(|| EndpointLoad::none(reserved)))
     }
 
+    /// Grants an entry one request at one of the endpoints, which state limits; `None` if none of
+    /// them accepts more at present, or none is known to state a limit.
+    pub fn grant_request(&mut self, now: ClockMs, endpoints: &[EndpointId]) -> Option<EndpointId> {
+        let stated = &self.stated;
+        let permits = &mut self.permits;
+        let granted = endpoints.iter().find(|id| {
+            let rate = stated.get(*id).and_then(|(rate, _)| *rate);
+            rate.is_some_and(|rate| permits.grant(now, id, rate))
+        });
+        granted.cloned()
+    }
+
     fn sum_loads(
         &self,
         now: ClockMs,
--- a/crates/masticsill_registry/tests/watcher_loads.rs
+++ b/crates/masticsill_registry/tests/watcher_loads.rs
@@ -139,3 +139,17 @@
     let rate = RequestRate { per_1000_s: 2_400 };
     assert_eq!(RequestRate::parse_per_s(" 2.4 "), Some(rate));
 }
+
+#[test]
+fn permits_stay_below_the_stated_limit() {
+    let mut table = table();
+    let ids = [EndpointId::with_unknown_incarnation("e")];
+    assert_eq!(table.grant_request(NOW, &ids), None);
+    table.take_loads(NOW, &entry("one"), &[stating(0, Some("2.4"))]);
+    let asked = (0..1_000).map(|step| NOW + step * 10);
+    let granted = asked.filter_map(|now| table.grant_request(now, &ids));
+    // Less than half of the limit in ten seconds.
+    assert_eq!(granted.count(), 11);
+    table.take_loads(NOW + 10_000, &entry("one"), &[stating(0, None)]);
+    assert_eq!(table.grant_request(NOW + 20_000, &ids), None);
+}
--- a/crates/masticsill_relay/src/endpoint_choice.rs
+++ b/crates/masticsill_relay/src/endpoint_choice.rs
@@ -18,6 +18,7 @@
 use crate::prompts::find_cached;
 use crate::relay::{DISCOVERY_WAIT_DIVISOR, MAX_DISCOVERY_WAIT_MS, Relay};
 use crate::request::RelayRequest;
+use crate::request_permit::request_permit;
 use crate::retry_state::RetryState;
 
 /// Percentage of the connections accepted by an endpoint that the entries use. Health checks and
@@ -78,6 +79,15 @@
         let discovery_wait_ms = request.left_ms(self.now()) / DISCOVERY_WAIT_DIVISOR;
         let discovery_deadline = Instant::now()
             + std::time::Duration::from_millis(discovery_wait_ms.min(MAX_DISCOVERY_WAIT_MS));
+        let lacking = self.endpoints.borrow().lacking_permits(
+            self.now(),
+            &request.service,
+            &retry_state.excluded,
+        );
+        if !lacking.is_empty() {
+            // Boxed, since few requests need it.
+            Box::pin(request_permit(self, lacking)).await;
+        }
         loop {
             let mut discovery_changes = self.discovery_changes.subscribe();
             let mut dispatched = Dispatched::NoEndpoint;
--- a/crates/masticsill_relay/src/engine_reservation.rs
+++ b/crates/masticsill_relay/src/engine_reservation.rs
@@ -69,7 +69,7 @@
     replicas.collect()
 }
 
-fn first_replica(relay: &Relay, zone: &ZoneId) -> Option<SocketAddr> {
+pub(crate) fn first_replica(relay: &Relay, zone: &ZoneId) -> Option<SocketAddr> {
     let reached = relay.control_reached.borrow();
     let of_zone = reached.iter().filter(|(_, it)| *it == zone);
     of_zone.map(|(address, _)| *address).min()
--- a/crates/masticsill_relay/src/lib.rs
+++ b/crates/masticsill_relay/src/lib.rs
@@ -30,6 +30,7 @@
 mod relay;
 mod request;
 mod request_end;
+mod request_permit;
 mod reservation;
 mod response;
 mod retry_state;
--- a/crates/masticsill_relay/tests/common/mod.rs
+++ b/crates/masticsill_relay/tests/common/mod.rs
@@ -181,6 +181,10 @@
         None
     }
 
+    async fn grant_request(self, _: Context, _: Vec<EndpointId>) -> Option<EndpointId> {
+        None
+    }
+
     async fn quorum_messages(self, _: Context, _: QuorumBatch) {}
 
     async fn identify(self, _: Context) -> Option<ReplicaIdentity> {
--- a/crates/masticsill_wire/src/control.rs
+++ b/crates/masticsill_wire/src/control.rs
@@ -389,6 +389,9 @@
     /// Reserves an engine in the replica's zone that is not processing a prompt; returns the other
     /// watchers' load there.
     async fn take_place(request: EngineReservationRequest) -> Option<EndpointLoad>;
+    /// Grants one request at one of the endpoints, which are in the replica's zone and state limits of
+    /// requests per second.
+    async fn grant_request(endpoints: Vec<EndpointId>) -> Option<EndpointId>;
     /// Lists the pieces of the newest document applied by this replica; `None` when it is older
     /// than `version`.
     async fn document_pieces(version: u64) -> Option<PieceList>;
