Statements of endpoints: one module reads them; shorter candidates of permits

No change of behaviour. The time of a rest is read where the other statements are, lacking_permits tests its candidates once, and a Display that nothing used is gone.

--- a/crates/masticsill_dispatch/src/endpoints.rs
+++ b/crates/masticsill_dispatch/src/endpoints.rs
@@ -256,16 +256,16 @@
         service: &str,
         excluded: &[EndpointId],
     ) -> Vec<(ZoneId, EndpointId)> {
-        let usable = |it: &&Endpoint| it.is_ready() && !excluded.contains(&it.announcement.id);
-        let mut usable = self.of_service(service).filter(usable);
-        if usable.any(|it| it.accepts_requests(now)) {
+        let is_candidate =
+            |it: &&Endpoint| it.is_ready() && !excluded.contains(&it.announcement.id);
+        let mut candidates = self.of_service(service).filter(is_candidate);
+        if candidates.any(|it| it.accepts_requests(now)) {
             return Vec::new();
         }
-        let lacking = self.of_service(service).filter(|it| {
-            let is_live = it.is_ready() && !it.is_silent() && !it.is_resting(now);
-            is_live
-                && !excluded.contains(&it.announcement.id)
-                && it.request_limit.may_ask_permit(now)
+        let candidates = self.of_service(service).filter(is_candidate);
+        let lacking = candidates.filter(|it| {
+            let is_live = !it.is_silent() && !it.is_resting(now);
+            is_live && it.request_limit.may_ask_permit(now)
         });
         let lacking = lacking.map(|it| &it.announcement);
         lacking.map(|it| (it.zone.clone(), it.id.clone())).collect()
--- a/crates/masticsill_dispatch/src/request_limit.rs
+++ b/crates/masticsill_dispatch/src/request_limit.rs
@@ -1,12 +1,13 @@
 //! The limit of requests per second that an endpoint states in its responses.
 //!
 //! An endpoint that can't keep up names the rate that it accepts from all entries together, in
-//! every response for as long as the limit applies. Entries keep to it without coordination, so
-//! that it also holds while no control replica is reachable: each entry gets turns at its part of
-//! a share of the rate, at times that differ between entries at random. A turn that is not used
-//! lapses. Otherwise each entry would keep one, and all of them would be used at once when other
-//! endpoints fail. Most of the rate is given out in permits by control replicas, to entries that have
-//! a request and no turn.
+//! every response for as long as the limit applies.
+//!
+//! A share of the rate is divided among the entries without coordination, so that endpoints are used
+//! while no control replica is reachable: each entry gets turns, at times that differ between
+//! entries at random. A turn that is not used lapses. Otherwise each entry would keep one, and all
+//! of them would be used at once when other endpoints fail. Control replicas give out another share
+//! in permits, to entries that have a request and no turn.
 
 use masticsill_registry::{LimitStatement, RequestRate};
 use masticsill_types::ClockMs;
--- a/crates/masticsill_registry/src/rate.rs
+++ b/crates/masticsill_registry/src/rate.rs
@@ -1,7 +1,5 @@
 //! Rates of requests that endpoints state.
 
-use std::fmt;
-
 use serde::{Deserialize, Serialize};
 
 /// A rate of requests.
@@ -43,9 +41,3 @@
     /// The rate that the endpoint accepts; `None` if it stated no limit.
     pub rate: Option<RequestRate>,
 }
-
-impl fmt::Display for RequestRate {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{}", self.per_s())
-    }
-}
--- a/crates/masticsill_relay/src/endpoint_response.rs
+++ b/crates/masticsill_relay/src/endpoint_response.rs
@@ -10,14 +10,13 @@
 use crate::relay::Relay;
 use crate::request::RelayRequest;
 use crate::response::Response;
+use crate::statements::rest_ms;
 use masticsill_dispatch::Failure;
 
 /// Maximum size of a complete response, which is buffered until its end.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
 /// Status sent by an endpoint that is not the incarnation for which the request was meant.
 pub(crate) const MISDIRECTED_REQUEST: u16 = 421;
-/// Status sent by an endpoint that refuses a request for now.
-const SERVICE_UNAVAILABLE: u16 = 503;
 
 /// What a response means for the request.
 pub(crate) enum Verdict {
@@ -44,16 +43,6 @@
     }
 }
 
-/// How long an endpoint that refuses a request wants no further ones from this entry, in
-/// milliseconds; `None` if it doesn't say.
-pub(crate) fn rest_ms(head: &ResponseHead) -> Option<u64> {
-    let seconds: f64 = head.headers.text("retry-after")?.parse().ok()?;
-    let is_refusal = head.status == SERVICE_UNAVAILABLE && seconds.is_finite() && seconds > 0.0;
-    // The time is positive, and the conversion saturates.
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    is_refusal.then_some((seconds * 1_000.0).ceil() as u64)
-}
-
 /// Reads the rest of a response whose head has arrived.
 ///
 /// # Errors
--- a/crates/masticsill_relay/src/statements.rs
+++ b/crates/masticsill_relay/src/statements.rs
@@ -1,15 +1,18 @@
-//! What endpoints say of themselves in their responses: limits of requests per second, and times in
-//! which they want no requests, and that they leave.
+//! What endpoints say of themselves in their responses: how many requests per second they accept, for
+//! how long they want none, and that they leave.
 
 use masticsill_http1::ResponseHead;
 use masticsill_registry::{Announcement, EndpointId, EndpointLoad, RequestRate};
 use masticsill_types::log_event;
 
 use crate::attempt::Attempt;
-use crate::endpoint_response::{MISDIRECTED_REQUEST, rest_ms};
+use crate::endpoint_response::MISDIRECTED_REQUEST;
 use crate::events;
 use crate::relay::Relay;
 
+/// Status sent by an endpoint that refuses a request for now.
+const SERVICE_UNAVAILABLE: u16 = 503;
+
 /// Records what a response says of its endpoint.
 pub(crate) fn note_statements(relay: &Relay, attempt: &Attempt, head: &ResponseHead) {
     if head.status == MISDIRECTED_REQUEST {
@@ -26,6 +29,16 @@
     }
 }
 
+/// How long an endpoint that refuses a request wants no further ones from this entry, in
+/// milliseconds; `None` if it doesn't say.
+pub(crate) fn rest_ms(head: &ResponseHead) -> Option<u64> {
+    let seconds: f64 = head.headers.text("retry-after")?.parse().ok()?;
+    let is_refusal = head.status == SERVICE_UNAVAILABLE && seconds.is_finite() && seconds > 0.0;
+    // The time is positive, and the conversion saturates.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    is_refusal.then_some((seconds * 1_000.0).ceil() as u64)
+}
+
 /// Records that an endpoint leaves, and reports it to the other entries at once.
 fn note_leaving(relay: &Relay, endpoint: &Announcement) {
     if relay.endpoints.borrow_mut().note_leaving(&endpoint.id) {
