Registry: stated limits in a module of their own; reports are compared without a copy

Since limits are passed on, each poll of a watcher copied all of its loads, with their ids, before it compared them with those known, and looked the watcher up twice. The loads are copied only where a statement is with them or they changed; the newest statements and how long they are kept are StatedLimits. No change of behaviour, same tests.

--- a/crates/masticsill_registry/src/lib.rs
+++ b/crates/masticsill_registry/src/lib.rs
@@ -16,6 +16,7 @@
 mod registry;
 mod reservations;
 mod silence;
+mod stated_limits;
 mod watchers;
 
 pub use gauges::StateGauges;
--- a/crates/masticsill_registry/src/reservations.rs
+++ b/crates/masticsill_registry/src/reservations.rs
@@ -84,8 +84,8 @@
     }
 
     /// Reserves the least loaded of the engines that are neither processing a prompt, leaving,
-    /// reserved, recently failed nor avoided by the entry; `loads` are the sums over all watchers. Returns
-    /// `None` if there is none or the zone may be down.
+    /// reserved, recently failed nor avoided by the entry; `loads` are the sums over all watchers.
+    /// Returns `None` if there is none or the zone may be down.
     pub(crate) fn reserve(
         &mut self,
         now: ClockMs,
--- a/crates/masticsill_registry/src/watchers.rs
+++ b/crates/masticsill_registry/src/watchers.rs
@@ -1,24 +1,21 @@
 //! The processes that poll a registry, and the loads that they report.
 
+use std::borrow::Cow;
+
 use indexmap::IndexMap;
 use masticsill_types::{ClockMs, NodeId, ZoneId};
 use serde::{Deserialize, Serialize};
 
 use crate::id::EndpointId;
 use crate::permits::RequestPermits;
-use crate::rate::{LimitStatement, RequestRate};
+use crate::rate::LimitStatement;
 use crate::reservations::{EngineReservationRequest, EngineReservations};
+use crate::stated_limits::StatedLimits;
 
 /// A watcher that has not polled for this long counts as gone: twice the usual wait of a poll, and
 /// the time for an answer.
 const WATCHER_TIMEOUT_MS: u64 = 2_500;
 
-/// How long a statement without a limit is remembered, so that an older one with a limit doesn't
-/// replace it.
-const LIFTED_RETENTION_MS: u64 = 10_000;
-/// How long a stated limit is passed on to entries that have not heard of it.
-const LIMIT_RETENTION_MS: u64 = 600_000;
-
 /// A process that polls a registry.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum Watcher {
@@ -94,8 +91,7 @@
     loads_revision: u64,
     permits: RequestPermits,
     reservations: EngineReservations,
-    /// What endpoints stated last, and since when it applies.
-    stated: IndexMap<EndpointId, (Option<RequestRate>, ClockMs)>,
+    stated_limits: StatedLimits,
     watchers: IndexMap<Watcher, WatcherState>,
 }
 
@@ -133,51 +129,25 @@
         watcher: &Watcher,
         loads: &[EndpointLoad],
     ) -> LoadsChange {
-        if !self.watchers.contains_key(watcher) {
+        let Some(state) = self.watchers.get_mut(watcher) else {
             return LoadsChange::None;
-        }
-        let is_limit_changed = self.take_statements(now, loads);
-        // The age of a statement differs in each report.
-        let loads = loads.iter().cloned().map(|load| EndpointLoad {
-            stated: None,
-            ..load
-        });
-        let loads: Vec<EndpointLoad> = loads.collect();
-        let state = &mut self.watchers[watcher];
-        if state.loads == loads && !is_limit_changed {
+        };
+        let reported = loads
+            .iter()
+            .filter_map(|load| Some((&load.id, load.stated?)));
+        let is_limit_changed = self.stated_limits.merge(now, reported);
+        let loads = without_statements(loads);
+        if state.loads == *loads && !is_limit_changed {
             return LoadsChange::None;
         }
         self.reservations
             .apply_loads(now, watcher, &state.loads, &loads);
         self.loads_revision += 1;
-        state.loads = loads;
+        state.loads = loads.into_owned();
         state.loads_revision = self.loads_revision;
         LoadsChange::Changed
     }
 
-    /// Keeps the newest statement of each endpoint. Returns whether any limit changed.
-    fn take_statements(&mut self, now: ClockMs, loads: &[EndpointLoad]) -> bool {
-        self.stated.retain(|_, (rate, applies_from)| {
-            let retention_ms = match rate {
-                Some(_) => LIMIT_RETENTION_MS,
-                None => LIFTED_RETENTION_MS,
-            };
-            now.since(*applies_from) < retention_ms
-        });
-        let mut is_changed = false;
-        for load in loads {
-            let Some(stated) = load.stated else { continue };
-            let applies_from = now.before(stated.age_ms);
-            let known = self.stated.get(&load.id);
-            if known.is_none_or(|(_, known_from)| applies_from > *known_from) {
-                is_changed |= known.map(|(rate, _)| *rate) != Some(stated.rate);
-                self.stated
-                    .insert(load.id.clone(), (stated.rate, applies_from));
-            }
-        }
-        is_changed
-    }
-
     /// The revision of the last change of any watcher's loads.
     #[must_use]
     pub fn loads_revision(&self) -> u64 {
@@ -198,13 +168,10 @@
     #[must_use]
     pub fn loads_of_others(&self, now: ClockMs, watcher: &Watcher) -> Vec<EndpointLoad> {
         let mut sums = self.sum_loads(now, |other| other != watcher);
-        for (id, (rate, applies_from)) in &self.stated {
+        for (id, statement) in self.stated_limits.statements(now) {
             let sum = sums.entry(id.clone());
             let sum = sum.or_insert_with(|| EndpointLoad::none(id.clone()));
-            sum.stated = Some(LimitStatement {
-                age_ms: now.since(*applies_from),
-                rate: *rate,
-            });
+            sum.stated = Some(statement);
         }
         sums.into_values().collect()
     }
@@ -227,10 +194,13 @@
     /// Grants an entry one request at one of the endpoints, which state limits; `None` if none of
     /// them accepts more at present, or none is known to state a limit.
     pub fn grant_request(&mut self, now: ClockMs, endpoints: &[EndpointId]) -> Option<EndpointId> {
-        let stated = &self.stated;
-        let permits = &mut self.permits;
+        let Self {
+            permits,
+            stated_limits,
+            ..
+        } = self;
         let granted = endpoints.iter().find(|id| {
-            let rate = stated.get(*id).and_then(|(rate, _)| *rate);
+            let rate = stated_limits.rate(id);
             rate.is_some_and(|rate| permits.grant(now, id, rate))
         });
         granted.cloned()
@@ -294,6 +264,20 @@
     }
 }
 
+/// The loads without what endpoints stated: the age of a statement differs in each report, so that
+/// equal loads would look different.
+fn without_statements(loads: &[EndpointLoad]) -> Cow<'_, [EndpointLoad]> {
+    if loads.iter().all(|load| load.stated.is_none()) {
+        return Cow::Borrowed(loads);
+    }
+    let loads = loads.iter().cloned();
+    let loads = loads.map(|load| EndpointLoad {
+        stated: None,
+        ..load
+    });
+    Cow::Owned(loads.collect())
+}
+
 /// The effect of a watcher's report on its loads.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LoadsChange {
