Dispatch: a limit and its turns are one value; loads and waits are worked out once

The rate stood beside the turns that follow from it, both set or both not; each caller worked out the interval. loads_in asked twice for what each endpoint states and whether it fails; acceptance_wait_ms kept three running values for two minima and a sum.

--- a/crates/masticsill_dispatch/src/endpoints.rs
+++ b/crates/masticsill_dispatch/src/endpoints.rs
@@ -153,23 +153,24 @@
     /// This entry's load at each endpoint of a zone, and which of them have just failed it.
     #[must_use]
     pub fn loads_in(&self, now: ClockMs, zone: &ZoneId) -> Vec<EndpointLoad> {
-        let busy = self
+        let of_zone = self
             .endpoints
             .iter()
-            .filter(|(_, endpoint)| endpoint.announcement.zone == *zone)
-            .filter(|(_, endpoint)| {
-                let is_busy = endpoint.is_used() || endpoint.health.is_backing_off(now);
-                let has_stated = endpoint.request_limit.statement(now).is_some();
-                is_busy || has_stated || endpoint.is_leaving_unannounced()
-            });
-        let loads = busy.map(|(id, endpoint)| EndpointLoad {
-            id: id.clone(),
-            in_flight: endpoint.in_flight,
-            reading: endpoint.reading,
-            held_tokens: endpoint.held_tokens,
-            is_failing: endpoint.health.is_backing_off(now),
-            is_leaving: endpoint.is_leaving_unannounced(),
-            stated: endpoint.request_limit.statement(now),
+            .filter(|(_, endpoint)| endpoint.announcement.zone == *zone);
+        let loads = of_zone.filter_map(|(id, endpoint)| {
+            let is_failing = endpoint.health.is_backing_off(now);
+            let is_leaving = endpoint.is_leaving_unannounced();
+            let stated = endpoint.request_limit.statement(now);
+            let is_reported = endpoint.is_used() || is_failing || is_leaving || stated.is_some();
+            is_reported.then(|| EndpointLoad {
+                id: id.clone(),
+                in_flight: endpoint.in_flight,
+                reading: endpoint.reading,
+                held_tokens: endpoint.held_tokens,
+                is_failing,
+                is_leaving,
+                stated,
+            })
         });
         loads.collect()
     }
@@ -277,28 +278,22 @@
     /// Requests of this entry are accepted at the rate of its turns where endpoints state limits, and
     /// all at once where an endpoint has only asked for rest.
     pub(crate) fn acceptance_wait_ms(&self, now: ClockMs, service: &str, ahead: usize) -> u64 {
-        let mut unlimited_ms = None;
-        let mut first_turn_ms = u64::MAX;
-        let mut turns_per_s = 0.0;
-        for endpoint in self.of_service(service).filter(|it| it.is_ready()) {
-            let accepts_in_ms = endpoint.accepts_in_ms(now);
-            if let Some(per_s) = endpoint.request_limit.turns_per_s() {
-                turns_per_s += per_s;
-                first_turn_ms = first_turn_ms.min(accepts_in_ms);
-            } else {
-                let earlier_ms = unlimited_ms.unwrap_or(u64::MAX);
-                unlimited_ms = Some(accepts_in_ms.min(earlier_ms));
-            }
-        }
-        let limited_ms = (turns_per_s > 0.0).then(|| {
+        let ready = || self.of_service(service).filter(|it| it.is_ready());
+        let soonest_ms = |is_limited: bool| {
+            let alike = ready().filter(|it| it.request_limit.rate().is_some() == is_limited);
+            alike.map(|it| it.accepts_in_ms(now)).min()
+        };
+        let unlimited_ms = soonest_ms(false);
+        let limited_ms = soonest_ms(true).map(|first_ms| {
+            let turns_per_s = ready().filter_map(|it| it.request_limit.turns_per_s());
             // Counts and times are far below the precision of the types.
             #[allow(
                 clippy::cast_possible_truncation,
                 clippy::cast_precision_loss,
                 clippy::cast_sign_loss
             )]
-            let ahead_ms = (ahead as f64 * 1_000.0 / turns_per_s) as u64;
-            first_turn_ms.saturating_add(ahead_ms)
+            let ahead_ms = (ahead as f64 * 1_000.0 / turns_per_s.sum::<f64>()) as u64;
+            first_ms.saturating_add(ahead_ms)
         });
         let waits_ms = [unlimited_ms, limited_ms].into_iter().flatten();
         waits_ms.min().unwrap_or(0)
--- a/crates/masticsill_dispatch/src/request_limit.rs
+++ b/crates/masticsill_dispatch/src/request_limit.rs
@@ -35,9 +35,9 @@
 pub struct RequestLimit {
     /// What this entry's last responses stated, and when it began to apply.
     own: Option<(Option<RequestRate>, ClockMs)>,
-    rate: Option<RequestRate>,
     /// When the last response that stated a limit arrived, here or at another entry.
     stated_at: ClockMs,
+    /// This entry's turns; none if the endpoint states no limit.
     turns: Option<Turns>,
     /// Until when a permit may be used.
     permitted_until: Option<ClockMs>,
@@ -49,6 +49,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Turns {
     interval_ms: f64,
+    /// The rate that the endpoint accepts.
+    rate: RequestRate,
     /// Time of turn zero, which can't be used; before the clock's origin if it is negative.
     origin_ms: f64,
     /// The first turn that has not been used.
@@ -59,7 +61,7 @@
     /// The rate that the endpoint accepts; `None` if it states no limit.
     #[must_use]
     pub fn rate(&self) -> Option<RequestRate> {
-        self.rate
+        self.turns.map(|turns| turns.rate)
     }
 
     /// Records what a response states. `phase`, from 0 to 1, decides when the first turn is. Returns
@@ -75,7 +77,7 @@
         entries: u32,
         phase: f64,
     ) -> bool {
-        if rate.is_none() && (self.rate.is_none() || sent_at <= self.stated_at) {
+        if rate.is_none() && (self.turns.is_none() || sent_at <= self.stated_at) {
             return false;
         }
         let applies_from = if rate.is_some() { now } else { sent_at };
@@ -108,24 +110,20 @@
         phase: f64,
     ) -> bool {
         self.stated_at = self.stated_at.max(applies_from);
-        if self.rate == rate {
+        if self.rate() == rate {
             return false;
         }
-        self.rate = rate;
-        self.turns = rate.map(|rate| {
-            let interval_ms = interval_ms(rate, entries);
-            match self.turns {
-                Some(turns) => turns.with_interval(now, interval_ms),
-                None => Turns::starting(now, interval_ms, phase),
-            }
+        self.turns = rate.map(|rate| match self.turns {
+            Some(turns) => turns.adapted(now, rate, entries),
+            None => Turns::starting(now, rate, entries, phase),
         });
         true
     }
 
     /// Adapts the turns to the number of entries that share the limit.
     pub(crate) fn set_entries(&mut self, now: ClockMs, entries: u32) {
-        if let (Some(rate), Some(turns)) = (self.rate, &mut self.turns) {
-            *turns = turns.with_interval(now, interval_ms(rate, entries));
+        if let Some(turns) = &mut self.turns {
+            *turns = turns.adapted(now, turns.rate, entries);
         }
     }
 
@@ -186,25 +184,24 @@
 
 impl Turns {
     /// Turns of which the first one comes after a fraction of the interval.
-    fn starting(now: ClockMs, interval_ms: f64, phase: f64) -> Self {
+    fn starting(now: ClockMs, rate: RequestRate, entries: u32, phase: f64) -> Self {
+        let interval_ms = interval_ms(rate, entries);
         Self {
             interval_ms,
+            rate,
             origin_ms: clock_ms(now) - interval_ms * (1.0 - phase),
             next: 1,
         }
     }
 
-    /// Turns at another interval. The next one comes after the same fraction of it, and one that has
-    /// begun and not been used may still be used.
-    fn with_interval(self, now: ClockMs, interval_ms: f64) -> Self {
-        // The interval is stored as computed, so that equal inputs give equal values.
-        #[allow(clippy::float_cmp)]
-        if self.interval_ms == interval_ms {
-            return self;
-        }
+    /// The turns at another rate or number of entries. The next one comes after the same fraction of
+    /// the interval, and one that has begun and not been used may still be used.
+    fn adapted(self, now: ClockMs, rate: RequestRate, entries: u32) -> Self {
+        let interval_ms = interval_ms(rate, entries);
         let elapsed = (clock_ms(now) - self.origin_ms) / self.interval_ms;
         Self {
             interval_ms,
+            rate,
             origin_ms: clock_ms(now) - elapsed * interval_ms,
             next: self.next,
         }
--- a/crates/masticsill_relay/src/endpoint_choice.rs
+++ b/crates/masticsill_relay/src/endpoint_choice.rs
@@ -229,12 +229,9 @@
         let closed = self.full_endpoints(&endpoints, service);
         let is_unusable = |it: &&Endpoint| {
             let id = &it.announcement.id;
-            let is_known_bad = it.is_backing_off(now) || it.is_silent() || it.is_full(now);
-            let accepts_requests = it.accepts_requests(now);
-            is_known_bad
-                || !accepts_requests
-                || closed.contains(id)
-                || retry_state.excluded.contains(id)
+            let is_known_bad = it.is_backing_off(now) || it.is_silent();
+            let has_room = !it.is_full(now) && it.accepts_requests(now);
+            is_known_bad || !has_room || closed.contains(id) || retry_state.excluded.contains(id)
         };
         let ready = endpoints.iter().filter(|it| it.is_ready());
         let of_zone = ready.filter(|it| it.announcement.zone == *zone);
--- a/crates/masticsill_relay/src/statements.rs
+++ b/crates/masticsill_relay/src/statements.rs
@@ -78,7 +78,7 @@
         rand::random(),
     );
     if is_changed {
-        log_change(relay, &endpoint.id, "response");
+        log_limit(relay, &endpoint.id, "response");
         relay.note_load_change(&endpoint.zone);
         relay.capacity_changed.notify_one();
     }
@@ -95,11 +95,11 @@
         log_leaving(id, "report");
     }
     for id in &changed {
-        log_change(relay, id, "report");
+        log_limit(relay, id, "report");
     }
 }
 
-fn log_change(relay: &Relay, id: &EndpointId, source: &str) {
+fn log_limit(relay: &Relay, id: &EndpointId, source: &str) {
     let now = relay.now();
     let endpoints = relay.endpoints.borrow();
     let Some(endpoint) = endpoints.get(id) else {
