Model of shared limits: small steps with named state, and the product's own share

One function of eighty lines held the play, with tuples for those who wait, and a copy of a constant of RequestLimit, which would have gone wrong in silence.

--- a/crates/masticsill_bench/examples/request_limits.rs
+++ b/crates/masticsill_bench/examples/request_limits.rs
@@ -22,8 +22,6 @@
 const LENGTH_MS: u64 = 30_000;
 const WINDOW_MS: u64 = 4_000;
 const SEEDS: u64 = 5;
-/// Percentage of the stated rate that the turns of `RequestLimit` use.
-const TURNS_PERCENT: u32 = 30;
 
 #[derive(Clone, Copy, Debug)]
 enum Policy {
@@ -81,8 +79,8 @@
             Policy::LapsingTurns(_) | Policy::TurnsAndPermits(..) => {
                 let mut limit = RequestLimit::default();
                 let percent = policy.turns_percent();
-                // The limit is reduced by `RequestLimit` itself.
-                let per_s = LIMIT_PER_S * percent / f64::from(TURNS_PERCENT);
+                // `RequestLimit` itself uses a share of the rate only.
+                let per_s = LIMIT_PER_S * percent / RequestLimit::TURNS_PERCENT;
                 let rate = RequestRate::parse_per_s(&per_s.to_string());
                 limit.note_response(ClockMs(1), ClockMs(0), rate, entries, random.random());
                 Self::Lapsing(limit)
@@ -118,70 +116,150 @@
     most: usize,
 }
 
-fn play(policy: Policy, entries: u32, asked_per_s: f64, begin_ms: u64, seed: u64) -> Tally {
-    let mut random = ChaCha8Rng::seed_from_u64(seed);
-    let mut gates: Vec<Vec<Gate>> = (0..entries)
-        .map(|_| {
-            let of_entry = (0..ENDPOINTS).map(|_| Gate::new(policy, entries, &mut random));
-            of_entry.collect()
-        })
-        .collect();
-    let mut granted_until = [ClockMs(begin_ms); ENDPOINTS];
-    let mut sent: [Vec<u64>; ENDPOINTS] = Default::default();
-    // Entry, end of the wait, and whether the caller may come back.
-    let mut waiting: Vec<(usize, u64, bool)> = Vec::new();
-    let mut returning: Vec<(u64, usize)> = Vec::new();
-    let mut tally = Tally::default();
-    for at_ms in begin_ms..begin_ms + LENGTH_MS {
+/// A request that waits at an entry.
+struct Waiting {
+    entry: usize,
+    may_return: bool,
+    until_ms: u64,
+}
+
+/// A refused caller on its way to another entry.
+struct Returning {
+    at_ms: u64,
+    entry: usize,
+}
+
+struct World {
+    asked: usize,
+    /// The gates of each entry, one for each endpoint.
+    gates: Vec<Vec<Gate>>,
+    /// When the next permit may be granted at each endpoint.
+    permits_from: [ClockMs; ENDPOINTS],
+    policy: Policy,
+    random: ChaCha8Rng,
+    returning: Vec<Returning>,
+    /// Times of the requests at each endpoint.
+    sent: [Vec<u64>; ENDPOINTS],
+    waiting: Vec<Waiting>,
+}
+
+impl World {
+    fn new(policy: Policy, entries: u32, begin_ms: u64, seed: u64) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut gates_of_entry = || {
+            let gates = (0..ENDPOINTS).map(|_| Gate::new(policy, entries, &mut random));
+            gates.collect()
+        };
+        let gates = (0..entries).map(|_| gates_of_entry()).collect();
+        Self {
+            asked: 0,
+            gates,
+            permits_from: [ClockMs(begin_ms); ENDPOINTS],
+            policy,
+            random,
+            returning: Vec::new(),
+            sent: Default::default(),
+            waiting: Vec::new(),
+        }
+    }
+
+    fn step(&mut self, at_ms: u64, asked_per_s: f64) {
+        if self.random.random_bool((asked_per_s / 1_000.0).min(1.0)) {
+            self.asked += 1;
+            let entry = self.draw_entry();
+            self.wait_at(entry, at_ms, true);
+        }
+        let back = self.returning.extract_if(.., |it| it.at_ms <= at_ms);
+        let back: Vec<Returning> = back.collect();
+        for Returning { entry, .. } in back {
+            self.wait_at(entry, at_ms, false);
+        }
+        for waiting in std::mem::take(&mut self.waiting) {
+            self.try_send(waiting, at_ms);
+        }
+    }
+
+    fn draw_entry(&mut self) -> usize {
+        self.random.random_range(0..self.gates.len())
+    }
+
+    fn wait_at(&mut self, entry: usize, at_ms: u64, may_return: bool) {
+        self.waiting.push(Waiting {
+            entry,
+            may_return,
+            until_ms: at_ms + MAX_WAIT_MS,
+        });
+    }
+
+    /// Sends a request, or has it wait on, or refuses it.
+    fn try_send(&mut self, waiting: Waiting, at_ms: u64) {
         let now = ClockMs(at_ms);
-        if random.random_bool((asked_per_s / 1_000.0).min(1.0)) {
-            tally.asked += 1;
-            let entry = random.random_range(0..gates.len());
-            waiting.push((entry, at_ms + MAX_WAIT_MS, true));
+        if let Some(endpoint) = self.open_endpoint(waiting.entry, now) {
+            self.sent[endpoint].push(at_ms);
+        } else if at_ms < waiting.until_ms {
+            self.waiting.push(waiting);
+        } else if waiting.may_return {
+            let entry = self.draw_entry();
+            self.returning.push(Returning {
+                at_ms: at_ms + RETRY_AFTER_MS,
+                entry,
+            });
         }
-        for (_, entry) in returning.extract_if(.., |(due, _)| *due <= at_ms) {
-            waiting.push((entry, at_ms + MAX_WAIT_MS, false));
+    }
+
+    /// Takes a turn of the entry, or else a permit, at any endpoint.
+    fn open_endpoint(&mut self, entry: usize, now: ClockMs) -> Option<usize> {
+        let first = self.random.random_range(0..ENDPOINTS);
+        let mut endpoints = (0..ENDPOINTS).map(|offset| (first + offset) % ENDPOINTS);
+        let gates = &mut self.gates[entry];
+        let needs_permit = matches!(self.policy, Policy::Permits);
+        let with_turn = endpoints
+            .clone()
+            .find(|endpoint| !needs_permit && gates[*endpoint].is_open(now));
+        if let Some(endpoint) = with_turn {
+            gates[endpoint].pass(now);
+            return Some(endpoint);
         }
-        let mut kept = Vec::new();
-        for (entry, until, may_return) in waiting.drain(..) {
-            let first = random.random_range(0..ENDPOINTS);
-            let open = (0..ENDPOINTS).map(|offset| (first + offset) % ENDPOINTS);
-            let open: Vec<usize> = open.collect();
-            let has_turn = |endpoint: &&usize| {
-                let gate = &gates[entry][**endpoint];
-                !matches!(policy, Policy::Permits) && gate.is_open(now)
-            };
-            let is_granted = |endpoint: &&usize| {
-                policy.permits_percent() > 0.0 && now >= granted_until[**endpoint]
-            };
-            if let Some(endpoint) = open.iter().find(has_turn).copied() {
-                gates[entry][endpoint].pass(now);
-                sent[endpoint].push(at_ms);
-                tally.served += 1;
-            } else if let Some(endpoint) = open.iter().find(is_granted).copied() {
-                let per_s = LIMIT_PER_S * policy.permits_percent() / 100.0;
-                // The interval is positive and far below the type's range.
-                #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-                let interval_ms = (1_000.0 / per_s) as u64;
-                granted_until[endpoint] = now + interval_ms;
-                sent[endpoint].push(at_ms);
-                tally.served += 1;
-            } else if at_ms < until {
-                kept.push((entry, until, may_return));
-            } else if may_return {
-                returning.push((at_ms + RETRY_AFTER_MS, random.random_range(0..gates.len())));
-            }
+        let permits_per_s = LIMIT_PER_S * self.policy.permits_percent() / 100.0;
+        if permits_per_s <= 0.0 {
+            return None;
+        }
+        let endpoint = endpoints.find(|endpoint| now >= self.permits_from[*endpoint])?;
+        // The interval is positive and far below the type's range.
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let interval_ms = (1_000.0 / permits_per_s) as u64;
+        self.permits_from[endpoint] = now + interval_ms;
+        Some(endpoint)
+    }
+
+    fn tally(&self) -> Tally {
+        Tally {
+            asked: self.asked,
+            served: self.sent.iter().map(Vec::len).sum(),
+            most: self
+                .sent
+                .iter()
+                .map(|times| most_in_window(times))
+                .max()
+                .unwrap_or_default(),
         }
-        waiting = kept;
     }
-    let most = sent.iter().flat_map(|times| {
-        times.iter().enumerate().map(|(first, begin)| {
-            let rest = times[first..].iter();
-            rest.take_while(|at| **at < begin + WINDOW_MS).count()
-        })
+}
+
+fn most_in_window(times: &[u64]) -> usize {
+    let counts = times.iter().enumerate().map(|(first, begin)| {
+        let rest = times[first..].iter();
+        rest.take_while(|at| **at < begin + WINDOW_MS).count()
     });
-    tally.most = most.max().unwrap_or_default();
-    tally
+    counts.max().unwrap_or_default()
+}
+
+fn play(policy: Policy, entries: u32, asked_per_s: f64, begin_ms: u64, seed: u64) -> Tally {
+    let mut world = World::new(policy, entries, begin_ms, seed);
+    for at_ms in begin_ms..begin_ms + LENGTH_MS {
+        world.step(at_ms, asked_per_s);
+    }
+    world.tally()
 }
 
 fn main() {
@@ -205,27 +283,32 @@
                 Policy::Permits,
                 Policy::TurnsAndPermits(30, 45),
             ] {
-                let mut sum = Tally::default();
-                let mut most_after_calm = 0;
-                for seed in 0..SEEDS {
-                    let played = play(policy, entries, asked_per_s, 1, seed);
-                    sum.asked += played.asked;
-                    sum.served += played.served;
-                    sum.most = sum.most.max(played.most);
-                    let later = play(policy, entries, asked_per_s, CALM_MS, seed);
-                    most_after_calm = most_after_calm.max(later.most);
-                }
-                table.add(vec![
-                    entries.to_string(),
-                    asked_per_s.to_string(),
-                    format!("{policy:?}"),
-                    sum.asked.to_string(),
-                    sum.served.to_string(),
-                    sum.most.to_string(),
-                    most_after_calm.to_string(),
-                ]);
+                table.add(row(entries, asked_per_s, policy));
             }
         }
     }
     println!("{table}");
 }
+
+/// Sums over the seeds, and the most of any.
+fn row(entries: u32, asked_per_s: f64, policy: Policy) -> Vec<String> {
+    let mut sum = Tally::default();
+    let mut most_after_calm = 0;
+    for seed in 0..SEEDS {
+        let played = play(policy, entries, asked_per_s, 1, seed);
+        sum.asked += played.asked;
+        sum.served += played.served;
+        sum.most = sum.most.max(played.most);
+        let later = play(policy, entries, asked_per_s, CALM_MS, seed);
+        most_after_calm = most_after_calm.max(later.most);
+    }
+    vec![
+        entries.to_string(),
+        asked_per_s.to_string(),
+        format!("{policy:?}"),
+        sum.asked.to_string(),
+        sum.served.to_string(),
+        sum.most.to_string(),
+        most_after_calm.to_string(),
+    ]
+}
--- a/crates/masticsill_dispatch/src/request_limit.rs
+++ b/crates/masticsill_dispatch/src/request_limit.rs
@@ -12,10 +12,6 @@
 use masticsill_registry::{LimitStatement, RequestRate};
 use masticsill_types::ClockMs;
 
-/// Share of the stated rate, in percent, that all turns together amount to. Permits of control
-/// replicas use another share; both together stay below the rate, since turns of different entries
-/// coincide by chance.
-const TURNS_PERCENT: f64 = 30.0;
 /// How long a permit may be used: long enough to place the request that it was asked for.
 const PERMIT_VALIDITY_MS: u64 = 200;
 /// Pause before a control replica that granted no permit is asked again.
@@ -58,6 +54,11 @@
 }
 
 impl RequestLimit {
+    /// Share of the stated rate, in percent, that all turns together amount to. Permits of control
+    /// replicas use another share; both together stay below the rate, since turns of different
+    /// entries coincide by chance.
+    pub const TURNS_PERCENT: f64 = 30.0;
+
     /// The rate that the endpoint accepts; `None` if it states no limit.
     #[must_use]
     pub fn rate(&self) -> Option<RequestRate> {
@@ -244,7 +245,7 @@
 
 /// Time between two turns of one of `entries` entries, in milliseconds.
 fn interval_ms(rate: RequestRate, entries: u32) -> f64 {
-    let used_per_s = rate.max(MIN_RATE).per_s() * TURNS_PERCENT / 100.0;
+    let used_per_s = rate.max(MIN_RATE).per_s() * RequestLimit::TURNS_PERCENT / 100.0;
     f64::from(entries.max(1)) * 1_000.0 / used_per_s
 }
 
