--- a/crates/masticsill_dispatch/tests/request_limits.rs
+++ b/crates/masticsill_dispatch/tests/request_limits.rs
@@ -25,6 +25,15 @@
     (1.5 * per_s * 4.0) as usize + 5
 }
 
+/// Has an endpoint state a limit in a response to the entry, whose first turn comes after a fraction
+/// of the interval.
+fn state_limit(entry: &mut Entry, name: &str, per_s: f64, phase: f64) {
+    let limit = Some(rate(per_s));
+    entry
+        .table
+        .note_stated_limit(NOW, &id(name), NOW, limit, phase);
+}
+
 fn limits(entries: u32, per_s: f64, random: &mut ChaCha8Rng) -> Vec<RequestLimit> {
     let limits = (0..entries).map(|_| {
         let mut limit = RequestLimit::default();
@@ -140,10 +149,7 @@
 fn changed_number_of_entries_gives_no_additional_turn() {
     let mut entry = Entry::new(&["e1"]);
     entry.table.set_entries(NOW, 6);
-    let limit = Some(rate(2.0));
-    entry
-        .table
-        .note_stated_limit(NOW, &id("e1"), NOW, limit, 0.5);
+    state_limit(&mut entry, "e1", 2.0, 0.5);
     let mut used = 0;
     for step in 0..4_000 {
         let now = NOW + step * 10;
@@ -188,11 +194,9 @@
 #[test]
 fn limit_is_reported_to_the_other_entries_while_it_is_fresh() {
     let mut entry = Entry::new(&["e1"]);
-    let limit = Some(rate(2.0));
-    entry
-        .table
-        .note_stated_limit(NOW, &id("e1"), NOW, limit, 0.5);
+    state_limit(&mut entry, "e1", 2.0, 0.5);
     let loads = entry.table.loads_in(NOW + 40, &entry.zone);
+    let limit = Some(rate(2.0));
     let stated = LimitStatement {
         age_ms: 40,
         rate: limit,
@@ -229,10 +233,7 @@
 fn endpoint_without_a_turn_is_passed_over() {
     let mut entry = Entry::new(&["e1", "e2"]);
     entry.table.set_entries(NOW, 6);
-    let limit = Some(rate(2.0));
-    entry
-        .table
-        .note_stated_limit(NOW, &id("e1"), NOW, limit, 0.5);
+    state_limit(&mut entry, "e1", 2.0, 0.5);
     let (requirements, terms) = lookup();
     for _ in 0..10 {
         let decision = entry.submit(NOW, &requirements, &terms);
@@ -245,10 +246,7 @@
     let mut entry = Entry::new(&["e1", "e2"]);
     entry.table.set_entries(NOW, 33);
     for name in ["e1", "e2"] {
-        let limit = Some(rate(2.0));
-        entry
-            .table
-            .note_stated_limit(NOW, &id(name), NOW, limit, 0.5);
+        state_limit(&mut entry, name, 2.0, 0.5);
     }
     let (requirements, terms) = lookup();
     let decision = entry.submit(NOW, &requirements, &terms);
@@ -265,11 +263,8 @@
 #[test]
 fn request_waits_for_a_turn_that_comes_in_time() {
     let mut entry = Entry::new(&["e1"]);
-    let limit = Some(rate(40.0));
     // The first turn comes after nine tenths of 83 ms.
-    entry
-        .table
-        .note_stated_limit(NOW, &id("e1"), NOW, limit, 0.9);
+    state_limit(&mut entry, "e1", 40.0, 0.9);
     let (requirements, terms) = lookup();
     assert_matches!(entry.submit(NOW, &requirements, &terms), Decision::Wait(_));
     assert_eq!(entry.next(NOW + 65), None);
@@ -281,15 +276,10 @@
 fn permit_is_asked_for_only_if_no_endpoint_accepts_the_request() {
     let mut entry = Entry::new(&["e1", "e2"]);
     entry.table.set_entries(NOW, 33);
-    let limit = Some(rate(2.0));
     let lacking = |entry: &Entry, at_ms| entry.table.lacking_permits(NOW + at_ms, SERVICE, &[]);
-    entry
-        .table
-        .note_stated_limit(NOW, &id("e1"), NOW, limit, 0.5);
+    state_limit(&mut entry, "e1", 2.0, 0.5);
     assert!(lacking(&entry, 0).is_empty());
-    entry
-        .table
-        .note_stated_limit(NOW, &id("e2"), NOW, limit, 0.5);
+    state_limit(&mut entry, "e2", 2.0, 0.5);
     assert_eq!(lacking(&entry, 0).len(), 2);
     let endpoint = entry.table.get_mut(&id("e1")).unwrap();
     endpoint.request_limit.note_permit_reply(NOW, false);
@@ -301,10 +291,7 @@
 fn permit_lets_one_request_pass() {
     let mut entry = Entry::new(&["e1"]);
     entry.table.set_entries(NOW, 33);
-    let limit = Some(rate(2.0));
-    entry
-        .table
-        .note_stated_limit(NOW, &id("e1"), NOW, limit, 0.5);
+    state_limit(&mut entry, "e1", 2.0, 0.5);
     let (requirements, terms) = lookup();
     let endpoint = entry.table.get_mut(&id("e1")).unwrap();
     endpoint.request_limit.note_permit_reply(NOW, true);
