Priority: the workspace's priority first, then the route's

Cause: where a workspace had a priority of its own, it took the place of the route's. On deployments where most workspaces carry the same priority, all kinds of requests were equally urgent, and those with the longest target latency were served best.

Change: a request's priority is ordered by two keys, that of the workspace (or of the route where the workspace has none) and that of the route within it. Refusals log both. Engines are told the first key, as before.

--- a/crates/masticsill_bench/examples/dispatch_cost.rs
+++ b/crates/masticsill_bench/examples/dispatch_cost.rs
@@ -9,7 +9,7 @@
     DispatchContext, Dispatcher, EndpointTable, EntryPosition, Requirements, Terms, Work, ZoneShare,
 };
 use masticsill_registry::{Announcement, EndpointId, EndpointRecord, EndpointState};
-use masticsill_types::{ClockMs, NodeId, ZoneId};
+use masticsill_types::{ClockMs, NodeId, Priority, ZoneId};
 
 /// Decisions of each figure.
 const DECISIONS: u32 = 20_000;
@@ -78,7 +78,7 @@
         deadline_at: NOW + 25_000,
         is_returning: false,
         is_resume: false,
-        priority: 0,
+        priority: Priority::default(),
         workspace: Some("w".to_owned()),
     };
     let mut shown = Table::new(&["engines", "sent, µs", "refused, µs"]);
--- a/crates/masticsill_bench/src/entry.rs
+++ b/crates/masticsill_bench/src/entry.rs
@@ -6,7 +6,7 @@
     Requirements, Terms, Ticket, WaitOutcome, ZoneShare,
 };
 use masticsill_registry::{Announcement, EndpointId, EndpointRecord, EndpointState, Watcher};
-use masticsill_types::{ClockMs, NodeId, ZoneId};
+use masticsill_types::{ClockMs, NodeId, Priority, ZoneId};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 
@@ -64,7 +64,7 @@
         now: ClockMs,
         aim_ms: u64,
         deadline_at: ClockMs,
-        priority: u32,
+        priority: Priority,
         workspace: Option<String>,
     ) -> Terms {
         let given_ms = deadline_at.since(now);
--- a/crates/masticsill_bench/src/lookups/play.rs
+++ b/crates/masticsill_bench/src/lookups/play.rs
@@ -4,7 +4,7 @@
 
 use masticsill_dispatch::{Decision, Requirements, WaitOutcome, Work};
 use masticsill_registry::{EndpointId, EndpointState};
-use masticsill_types::ClockMs;
+use masticsill_types::{ClockMs, Priority};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -166,7 +166,13 @@
         asking.attempts += 1;
         let deadline_at = asking.deadline_at;
         let entry = &mut self.entries[number];
-        let terms = entry.terms(now, self.plan.aim_ms, deadline_at, 0, None);
+        let terms = entry.terms(
+            now,
+            self.plan.aim_ms,
+            deadline_at,
+            Priority::default(),
+            None,
+        );
         let need = Requirements {
             excluded: Vec::new(),
             cached: Vec::new(),
--- a/crates/masticsill_bench/src/overload/plan.rs
+++ b/crates/masticsill_bench/src/overload/plan.rs
@@ -18,7 +18,7 @@
     pub aim_ms: u64,
     /// The overload's requests of this kind, in times of those of the plan's load.
     pub load: f64,
-    /// Priority; zero is the most urgent.
+    /// Priority of the route; zero is the most urgent.
     pub priority: u32,
     /// Share of the usual requests.
     pub share: f64,
@@ -57,6 +57,8 @@
     pub policy: Policy,
     /// Seed of all that is random.
     pub seed: u64,
+    /// Priority of every workspace, if workspaces have one.
+    pub workspace_priority: Option<u32>,
     /// Usual requests in a second.
     pub usual_per_s: f64,
     /// Delay until the other entries know of a stream, in milliseconds.
@@ -87,6 +89,7 @@
             pause_ms: 0,
             policy: Policy::Dispatcher,
             seed: 1,
+            workspace_priority: None,
             usual_per_s: 6.24,
             word_ms: 40,
         }
--- a/crates/masticsill_bench/src/overload/play.rs
+++ b/crates/masticsill_bench/src/overload/play.rs
@@ -5,7 +5,7 @@
     Decision, Overload, PlacementRequest, Requirements, WaitOutcome, Work, choose,
 };
 use masticsill_registry::{EndpointId, EndpointLoad, EngineReservationRequest, WatcherTable};
-use masticsill_types::{ClockMs, ZoneId};
+use masticsill_types::{ClockMs, Priority, ZoneId};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -324,7 +324,8 @@
         let workspace = Some(live.workspace.clone());
         let entry = &mut self.entries[live.entry];
         let kind = &self.plan.kinds[self.records[request].kind];
-        let terms = entry.terms(now, kind.aim_ms, live.deadline_at, kind.priority, workspace);
+        let priority = Priority::new(self.plan.workspace_priority, kind.priority);
+        let terms = entry.terms(now, kind.aim_ms, live.deadline_at, priority, workspace);
         let place = self.take_place(live.entry);
         let need = self.need_of(&live, place);
         let entry = &mut self.entries[live.entry];
--- a/crates/masticsill_bench/tests/urgency_bursts.rs
+++ b/crates/masticsill_bench/tests/urgency_bursts.rs
@@ -14,8 +14,16 @@
 }
 
 fn check_no_inversion(burst: usize) {
+    check_no_inversion_with(None, burst);
+}
+
+fn check_no_inversion_with(workspace_priority: Option<u32>, burst: usize) {
     for times in [2.4, 8.0] {
-        let served = served_shares(&play_seeds(&OverloadPlan::burst_of(burst, times), SEEDS));
+        let plan = OverloadPlan {
+            workspace_priority,
+            ..OverloadPlan::burst_of(burst, times)
+        };
+        let served = served_shares(&play_seeds(&plan, SEEDS));
         for (urgent, less_urgent) in [(0, 1), (0, 2), (1, 2)] {
             assert!(
                 served[urgent] + MAX_INVERSION >= served[less_urgent],
@@ -40,6 +48,15 @@
     check_no_inversion(2);
 }
 
+/// Guards against a workspace's priority replacing that of the route: where all workspaces have the
+/// same one, no kind would be more urgent than another.
+#[test]
+fn order_of_routes_holds_among_workspaces_of_equal_priority() {
+    for burst in 0..KINDS {
+        check_no_inversion_with(Some(1), burst);
+    }
+}
+
 #[test]
 fn less_urgent_kinds_are_not_starved() {
     let tallies = play_seeds(&OverloadPlan::burst_of(0, 8.0), SEEDS);
--- a/crates/masticsill_catalogue/src/document/routes.rs
+++ b/crates/masticsill_catalogue/src/document/routes.rs
@@ -127,7 +127,7 @@
     pub api_keys: Vec<ApiKey>,
     /// The workspace's name, which is sent to endpoints.
     pub name: String,
-    /// Priority that overrides the route's, if set.
+    /// Priority that goes before the route's, if set.
     pub priority: Option<u32>,
 }
 
--- a/crates/masticsill_dispatch/src/service_queue.rs
+++ b/crates/masticsill_dispatch/src/service_queue.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 use masticsill_registry::{CachedTokens, EndpointId};
-use masticsill_types::ClockMs;
+use masticsill_types::{ClockMs, Priority};
 
 use crate::capacity::Contention;
 
@@ -95,8 +95,8 @@
     pub is_returning: bool,
     /// Whether the caller has already received a part of the answer.
     pub is_resume: bool,
-    /// Priority of the request; zero is the most urgent.
-    pub priority: u32,
+    /// Priority of the request.
+    pub priority: Priority,
     /// The workspace of the caller; none for an anonymous caller.
     pub workspace: Option<String>,
 }
@@ -119,8 +119,8 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum QueuePlace {
     Resume,
-    InTime { priority: u32, rank: Rank },
-    Late { priority: u32 },
+    InTime { priority: Priority, rank: Rank },
+    Late { priority: Priority },
 }
 
 impl QueuePlace {
@@ -161,7 +161,7 @@
     active_workspaces: IndexMap<String, ClockMs>,
     /// Priorities and times of refused requests, each of which may take the place of one less
     /// urgent request.
-    refusals: VecDeque<(u32, ClockMs)>,
+    refusals: VecDeque<(Priority, ClockMs)>,
     /// The latest retry time that has been assigned to a refused request.
     pub(crate) retries_scheduled_until: ClockMs,
     starts: VecDeque<ClockMs>,
@@ -256,7 +256,7 @@
     }
 
     /// Records that a request of a priority was refused because it would have waited too long.
-    pub(crate) fn note_refusal(&mut self, now: ClockMs, priority: u32) {
+    pub(crate) fn note_refusal(&mut self, now: ClockMs, priority: Priority) {
         if self.refusals.len() >= MAX_URGENT_REFUSALS {
             self.refusals.pop_front();
         }
@@ -266,7 +266,7 @@
     /// Whether a request of a priority gives up its place in the queue because a more urgent one was
     /// refused lately. Each refusal costs one place only, so that a few urgent requests can't keep
     /// all others out.
-    pub(crate) fn yields_to_urgent(&mut self, now: ClockMs, priority: u32) -> bool {
+    pub(crate) fn yields_to_urgent(&mut self, now: ClockMs, priority: Priority) -> bool {
         self.refusals
             .retain(|(_, at)| now.since(*at) < URGENT_REFUSAL_MS);
         let refusal = self.refusals.iter().position(|(it, _)| *it < priority);
--- a/crates/masticsill_dispatch/tests/common/mod.rs
+++ b/crates/masticsill_dispatch/tests/common/mod.rs
@@ -8,7 +8,7 @@
     Ticket, WaitOutcome, Work, ZoneShare,
 };
 use masticsill_registry::{Announcement, EndpointId, EndpointRecord, EndpointState};
-use masticsill_types::{ClockMs, NodeId, ZoneId};
+use masticsill_types::{ClockMs, NodeId, Priority, ZoneId};
 
 pub(crate) const NOW: ClockMs = ClockMs(100_000);
 pub(crate) const SERVICE: &str = "engines";
@@ -66,7 +66,7 @@
         deadline_at: NOW + 25_000,
         is_returning: false,
         is_resume: false,
-        priority: 0,
+        priority: Priority::default(),
         workspace: Some(workspace.to_owned()),
     }
 }
--- a/crates/masticsill_dispatch/tests/priorities.rs
+++ b/crates/masticsill_dispatch/tests/priorities.rs
@@ -4,12 +4,13 @@
 
 use assert_matches::assert_matches;
 use masticsill_dispatch::{Decision, Terms, WaitOutcome};
+use masticsill_types::Priority;
 
 use crate::common::{Entry, NOW, requirements, terms};
 
 fn prioritized(priority: u32, workspace: &str) -> Terms {
     Terms {
-        priority,
+        priority: Priority::new(None, priority),
         ..terms(workspace)
     }
 }
@@ -32,6 +33,32 @@
     assert_matches!(entry.next(NOW + 700), Some(WaitOutcome::Send(sent, _)) if sent == urgent);
 }
 
+/// A request of a workspace that has a priority of its own.
+fn of_workspace(workspace_priority: u32, route_priority: u32, workspace: &str) -> Terms {
+    Terms {
+        priority: Priority::new(Some(workspace_priority), route_priority),
+        ..terms(workspace)
+    }
+}
+
+#[test]
+fn urgent_route_goes_first_among_workspaces_of_equal_priority() {
+    let mut entry = Entry::busy(&["e1"]);
+    entry.submit_queued(NOW, &of_workspace(1, 2, "w1"));
+    let urgent = entry.submit_queued(NOW, &of_workspace(1, 0, "w2"));
+    entry.first_event(NOW + 100, "e1");
+    assert_matches!(entry.next(NOW + 700), Some(WaitOutcome::Send(sent, _)) if sent == urgent);
+}
+
+#[test]
+fn urgent_workspace_goes_before_an_urgent_route() {
+    let mut entry = Entry::busy(&["e1"]);
+    entry.submit_queued(NOW, &of_workspace(1, 0, "w1"));
+    let urgent = entry.submit_queued(NOW, &of_workspace(0, 2, "w2"));
+    entry.first_event(NOW + 100, "e1");
+    assert_matches!(entry.next(NOW + 700), Some(WaitOutcome::Send(sent, _)) if sent == urgent);
+}
+
 #[test]
 fn resumed_request_goes_before_an_urgent_one() {
     let mut entry = Entry::busy(&["e1"]);
--- a/crates/masticsill_relay/src/admission.rs
+++ b/crates/masticsill_relay/src/admission.rs
@@ -8,7 +8,7 @@
 use masticsill_dispatch::PriorWaitEstimator;
 use masticsill_http1::RequestHead;
 use masticsill_quarantine::{Fingerprint, RequestContent};
-use masticsill_types::ClockMs;
+use masticsill_types::{ClockMs, Priority};
 
 use crate::config::HeaderNames;
 use crate::request::RelayRequest;
@@ -16,8 +16,7 @@
 
 /// The route and workspace that a document assigns to a request.
 pub(crate) struct Authorized {
-    /// Priority of the workspace or else of the route.
-    priority: u32,
+    priority: Priority,
     route: Arc<Route>,
     /// The workspace that owns the caller's API key.
     workspace: Option<String>,
@@ -43,7 +42,7 @@
     let workspace = workspace_of(index, names, route, head)?;
     let priority = workspace.and_then(|it| it.priority);
     Ok(Authorized {
-        priority: priority.unwrap_or(route.priority),
+        priority: Priority::new(priority, route.priority),
         route: Arc::clone(route),
         workspace: workspace.map(|it| it.name.clone()),
     })
--- a/crates/masticsill_relay/src/request.rs
+++ b/crates/masticsill_relay/src/request.rs
@@ -7,7 +7,7 @@
 use masticsill_http1::{HeadWriter, Header, HeaderList, RequestHead};
 use masticsill_quarantine::Fingerprint;
 use masticsill_registry::Announcement;
-use masticsill_types::ClockMs;
+use masticsill_types::{ClockMs, Priority};
 
 use crate::config::HeaderNames;
 
@@ -28,8 +28,7 @@
     pub(crate) head: RequestHead,
     /// The id of this attempt of the caller; empty if it gave none.
     pub(crate) id: String,
-    /// Priority of the workspace or else of the route; zero is the most urgent.
-    pub(crate) priority: u32,
+    pub(crate) priority: Priority,
     pub(crate) received_at: ClockMs,
     pub(crate) route: Arc<Route>,
     /// The service chosen among those of the route.
@@ -94,7 +93,10 @@
             writer.field(&names.workspace, workspace);
         }
         if self.route.kind == RouteKind::Stream {
-            writer.field(&names.priority, self.priority.min(LOWEST_PRIORITY));
+            writer.field(
+                &names.priority,
+                self.priority.workspace.min(LOWEST_PRIORITY),
+            );
         }
         if let Some(last_event) = options.last_event {
             writer.field(&names.last_event, last_event);
--- a/crates/masticsill_types/src/lib.rs
+++ b/crates/masticsill_types/src/lib.rs
@@ -9,6 +9,7 @@
 mod generation;
 mod id;
 mod outcome;
+mod priority;
 
 pub use class::{Class, UnknownClass};
 pub use clock::{ClockMs, MonotonicClock, wall_ms};
@@ -23,3 +24,4 @@
     VersionId, WorkspaceId, ZoneId,
 };
 pub use outcome::{Outcome, Refusal, RefusalKind, RefusedOutcome};
+pub use priority::Priority;
