Versions of endpoints and roll-outs in the messages between processes

Cause: roll-outs need to be known by every relay, with who leads, and relays have to report what they see.

Change: watch replies have room for roll-outs and say whether the replica leads; relays can send evidence; heartbeats keep the version that an endpoint announces. Nothing fills or reads the new fields yet. The stored records of endpoints get a new format; files of the former one are ignored, as before at such a change.

--- a/crates/masticsill_bench/examples/dispatch_cost.rs
+++ b/crates/masticsill_bench/examples/dispatch_cost.rs
@@ -29,6 +29,7 @@
                 service: "engines".to_owned(),
                 slots: 64,
                 state: EndpointState::Ready,
+                version: String::new(),
                 zone: ZoneId::new(ZONES[engine % ZONES.len()])?,
             },
             is_silent: false,
--- a/crates/masticsill_bench/src/entry.rs
+++ b/crates/masticsill_bench/src/entry.rs
@@ -157,6 +157,7 @@
             service: SERVICE.to_owned(),
             slots: 64,
             state: EndpointState::Ready,
+            version: String::new(),
             zone: zone_of(endpoint),
         },
         is_silent: false,
--- a/crates/masticsill_control/src/endpoints/persistence.rs
+++ b/crates/masticsill_control/src/endpoints/persistence.rs
@@ -28,13 +28,14 @@
 /// Durable encoding. Variants are only ever added at the end.
 #[derive(Deserialize, Serialize)]
 enum StoredEndpoints {
-    /// V1, V2 and V4 were written by former versions, whose records lack fields. Such a file is
-    /// ignored: a decoder of its own is not worthwhile.
+    /// V1 to V5 were written by former versions, whose records lack fields. Such a file is ignored:
+    /// a decoder of its own is not worthwhile.
     V1,
     V2,
-    V3(Vec<EndpointRecord>),
+    V3,
     V4,
-    V5(PersistedEndpoints),
+    V5,
+    V6(PersistedEndpoints),
 }
 
 /// The records that are kept over a restart of this replica.
@@ -59,14 +60,14 @@
         }
     };
     match postcard::from_bytes(&bytes) {
-        Ok(StoredEndpoints::V1 | StoredEndpoints::V2 | StoredEndpoints::V4) => {
-            PersistedEndpoints::default()
-        }
-        Ok(StoredEndpoints::V3(endpoints)) => PersistedEndpoints {
-            endpoints,
-            suspects: Vec::new(),
-        },
-        Ok(StoredEndpoints::V5(persisted)) => persisted,
+        Ok(
+            StoredEndpoints::V1
+            | StoredEndpoints::V2
+            | StoredEndpoints::V3
+            | StoredEndpoints::V4
+            | StoredEndpoints::V5,
+        ) => PersistedEndpoints::default(),
+        Ok(StoredEndpoints::V6(persisted)) => persisted,
         Err(error) => {
             log_event!(warn, events::ENDPOINTS_NOT_KEPT, cause = error);
             PersistedEndpoints::default()
@@ -103,7 +104,7 @@
 }
 
 fn write(folder: &Path, persisted: PersistedEndpoints) -> io::Result<()> {
-    let bytes = postcard::to_stdvec(&StoredEndpoints::V5(persisted)).map_err(io::Error::other)?;
+    let bytes = postcard::to_stdvec(&StoredEndpoints::V6(persisted)).map_err(io::Error::other)?;
     let temporary = folder.join(TEMPORARY_FILE);
     let mut file = File::create(&temporary)?;
     file.write_all(&bytes)?;
--- a/crates/masticsill_control/src/forwarder/service.rs
+++ b/crates/masticsill_control/src/forwarder/service.rs
@@ -13,6 +13,7 @@
     Announcement, CachedTokens, EndpointId, EndpointLoad, EngineReservationRequest, PromptPart,
     Watcher,
 };
+use masticsill_rollout::EvidenceReport;
 use masticsill_types::{CatalogueVersion, MonotonicClock, NodeId, ZoneId};
 use masticsill_wire::control::{
     ChangeRequest, ControlReply, ControlService, Directory, DocumentChange, FoundingProposal,
@@ -138,11 +139,14 @@
             entries: 0,
             entries_nearby: Vec::new(),
             heard: Vec::new(),
+            is_leading: false,
             loads: Vec::new(),
             loads_revision: 0,
             members: self.client.replicas(),
             registry: 0,
             revision: 0,
+            rollouts: Vec::new(),
+            rollouts_revision: 0,
             suspects: Vec::new(),
             suspects_revision: 0,
             zone: self.zone.clone(),
@@ -153,6 +157,8 @@
 
     async fn tell_crashes(self, _: Context, _: Vec<RequestRecord>) {}
 
+    async fn tell_rollout_evidence(self, _: Context, _: Vec<EvidenceReport>) {}
+
     async fn find_kept(self, _: Context, _: Vec<PromptPart>) -> Vec<CachedTokens> {
         Vec::new()
     }
--- a/crates/masticsill_control/src/rpc/service.rs
+++ b/crates/masticsill_control/src/rpc/service.rs
@@ -14,6 +14,7 @@
     Announcement, CachedTokens, EndpointId, EndpointLoad, EngineReservationRequest, PromptPart,
     Watcher,
 };
+use masticsill_rollout::EvidenceReport;
 use masticsill_types::{MonotonicClock, NodeId, log_event};
 use masticsill_wire::control::{
     ChangeRequest, ControlReply, ControlService, Directory, DocumentChange, FoundingProposal,
@@ -301,6 +302,9 @@
         self.endpoints.suspects().merge(&records);
     }
 
+    /// Nothing orders roll-outs yet, so reports are not expected.
+    async fn tell_rollout_evidence(self, _: Context, _: Vec<EvidenceReport>) {}
+
     async fn find_kept(self, _: Context, prompt: Vec<PromptPart>) -> Vec<CachedTokens> {
         self.endpoints.find_cached(&prompt)
     }
--- a/crates/masticsill_control/tests/watch_news.rs
+++ b/crates/masticsill_control/tests/watch_news.rs
@@ -28,6 +28,7 @@
         loads_revision: u64::MAX,
         registry: before.map_or(0, |reply| reply.registry),
         revision: before.map_or(0, |reply| reply.revision),
+        rollouts_revision: before.map_or(0, |reply| reply.rollouts_revision),
         suspects_revision: before.map_or(0, |reply| reply.suspects_revision),
         wait_ms,
         watcher: Watcher::Entry {
@@ -47,6 +48,7 @@
         service: "s".to_owned(),
         slots: 4,
         state: EndpointState::Ready,
+        version: String::new(),
         zone: zone(),
     }
 }
--- a/crates/masticsill_control_client/src/client.rs
+++ b/crates/masticsill_control_client/src/client.rs
@@ -13,6 +13,7 @@
     Announcement, CachedTokens, EndpointId, EndpointLoad, EngineReservationRequest, PromptPart,
     Watcher,
 };
+use masticsill_rollout::EvidenceReport;
 use masticsill_types::NodeId;
 use masticsill_wire::control::{
     ChangeRequest, ControlServiceClient, Directory, DocumentChange, FoundingProposal, Introduction,
@@ -235,6 +236,21 @@
         self.call_once(address, send).await.is_some()
     }
 
+    /// Sends the replica at an address what this entry has seen of roll-outs in progress; returns
+    /// whether the replica received it.
+    pub async fn tell_rollout_evidence(
+        &self,
+        address: SocketAddr,
+        reports: &[EvidenceReport],
+    ) -> bool {
+        let send = async |client: ControlServiceClient, context| {
+            client
+                .tell_rollout_evidence(context, reports.to_vec())
+                .await
+        };
+        self.call_once(address, send).await.is_some()
+    }
+
     /// Asks the replica at an address which engines of its zone have a prefix of a prompt in their
     /// cache; `None` when it does not answer.
     pub async fn find_kept(
--- a/crates/masticsill_dispatch/tests/common/mod.rs
+++ b/crates/masticsill_dispatch/tests/common/mod.rs
@@ -34,6 +34,7 @@
                 service: SERVICE.to_owned(),
                 slots: 64,
                 state: EndpointState::Ready,
+                version: String::new(),
                 zone: zone(),
             },
             is_silent: false,
--- a/crates/masticsill_dispatch/tests/endpoint_lives.rs
+++ b/crates/masticsill_dispatch/tests/endpoint_lives.rs
@@ -42,6 +42,7 @@
             service: "s".to_owned(),
             slots: 4,
             state,
+            version: String::new(),
             zone: zone(),
         },
         is_silent: false,
--- a/crates/masticsill_dispatch/tests/placement_choice.rs
+++ b/crates/masticsill_dispatch/tests/placement_choice.rs
@@ -33,6 +33,7 @@
             service: "s".to_owned(),
             slots: 4,
             state: EndpointState::Ready,
+            version: String::new(),
             zone: zone(&name[..1]),
         },
         is_silent: false,
--- a/crates/masticsill_registry/src/join.rs
+++ b/crates/masticsill_registry/src/join.rs
@@ -25,7 +25,17 @@
 /// The order of the heartbeats of one incarnation: by sequence and, for equal sequences, by all
 /// other fields but the state, so that every process chooses the same one. States are joined
 /// separately.
-type Recency<'a> = (u64, bool, &'a str, SocketAddr, &'a ZoneId, u32, u64, bool);
+type Recency<'a> = (
+    u64,
+    bool,
+    &'a str,
+    SocketAddr,
+    &'a ZoneId,
+    u32,
+    u64,
+    bool,
+    &'a str,
+);
 
 impl Announcement {
     /// Joins another announcement of the same name into this one.
@@ -74,6 +84,7 @@
             self.slots,
             self.cold_left_ms,
             self.keeps_prompts,
+            &self.version,
         )
     }
 }
--- a/crates/masticsill_registry/src/record.rs
+++ b/crates/masticsill_registry/src/record.rs
@@ -54,6 +54,8 @@
     pub slots: u32,
     /// The state that it announces.
     pub state: EndpointState,
+    /// The version of the software or model that it runs; empty if it announces none.
+    pub version: String,
     /// Its availability zone.
     pub zone: ZoneId,
 }
@@ -71,6 +73,7 @@
             service: String::new(),
             slots: 0,
             state: EndpointState::Gone,
+            version: String::new(),
             zone: UNKNOWN_ZONE.clone(),
         }
     }
--- a/crates/masticsill_registry/tests/endpoint_lives.rs
+++ b/crates/masticsill_registry/tests/endpoint_lives.rs
@@ -39,6 +39,7 @@
         service: "drafts".to_owned(),
         slots: 4,
         state,
+        version: String::new(),
         zone: ZoneId::new("a").unwrap(),
     }
 }
--- a/crates/masticsill_registry/tests/heartbeats.rs
+++ b/crates/masticsill_registry/tests/heartbeats.rs
@@ -24,6 +24,7 @@
         service: "drafts".to_owned(),
         slots: 4,
         state,
+        version: String::new(),
         zone: ZoneId::new("a").unwrap(),
     }
 }
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -167,6 +167,7 @@
         loads_revision: 0,
         registry: 0,
         revision: 0,
+        rollouts_revision: 0,
         suspects_revision: 0,
         wait_ms: WATCH_TIMEOUT_MS,
         watcher: watcher.clone(),
--- a/crates/masticsill_relay/tests/common/mod.rs
+++ b/crates/masticsill_relay/tests/common/mod.rs
@@ -17,6 +17,7 @@
     Announcement, CachedTokens, EndpointId, EndpointLoad, EngineReservationRequest, PromptPart,
     Watcher,
 };
+use masticsill_rollout::EvidenceReport;
 use masticsill_runtime::{DutyHandle, ShutdownSignal, listen, spawn_async_duty};
 use masticsill_testkit::FaultProxy;
 use masticsill_types::{NodeId, ZoneId};
@@ -138,11 +139,14 @@
             entries: 1,
             entries_nearby: Vec::new(),
             heard: Vec::new(),
+            is_leading: false,
             loads: Vec::new(),
             loads_revision: 0,
             members: Vec::new(),
             registry: 1,
             revision: 0,
+            rollouts: Vec::new(),
+            rollouts_revision: 0,
             suspects: Vec::new(),
             suspects_revision: 0,
             zone: self.shared.zone.clone(),
@@ -173,6 +177,8 @@
 
     async fn tell_crashes(self, _: Context, _: Vec<RequestRecord>) {}
 
+    async fn tell_rollout_evidence(self, _: Context, _: Vec<EvidenceReport>) {}
+
     async fn find_kept(self, _: Context, _: Vec<PromptPart>) -> Vec<CachedTokens> {
         Vec::new()
     }
--- a/crates/masticsill_wire/src/control.rs
+++ b/crates/masticsill_wire/src/control.rs
@@ -16,6 +16,7 @@
     Announcement, CachedTokens, EndpointId, EndpointLoad, EndpointRecord, EngineReservationRequest,
     HeartbeatAge, PromptPart, Watcher,
 };
+use masticsill_rollout::{EvidenceReport, ServingRollout};
 use masticsill_types::{
     CatalogueVersion, EntryId, FencingNumber, NodeId, OperatorId, Term, ZoneId,
 };
@@ -215,6 +216,8 @@
     pub registry: u64,
     /// Revision of the registry that the watcher has.
     pub revision: u64,
+    /// Revision that the watcher has of the roll-outs.
+    pub rollouts_revision: u64,
     /// Revision that the watcher has of the records of requests that crash endpoints.
     pub suspects_revision: u64,
     /// Maximum wait for changes, in milliseconds.
@@ -236,6 +239,8 @@
     pub endpoints: Vec<EndpointRecord>,
     /// Ages of heartbeats that this replica received directly; only for other replicas.
     pub heard: Vec<HeartbeatAge>,
+    /// Whether this replica leads the quorum, with its lease confirmed at the moment of the reply.
+    pub is_leading: bool,
     /// Requests of the other entries, as last reported.
     pub loads: Vec<EndpointLoad>,
     /// Revision of these loads.
@@ -246,6 +251,10 @@
     pub registry: u64,
     /// Revision of the registry.
     pub revision: u64,
+    /// The latest roll-out of each service, as applied by this replica.
+    pub rollouts: Vec<ServingRollout>,
+    /// Revision of the roll-outs.
+    pub rollouts_revision: u64,
     /// Records of requests during which endpoints crashed, as far as every watcher needs them.
     pub suspects: Vec<RequestRecord>,
     /// Revision of these records.
@@ -384,6 +393,8 @@
     async fn tell_loads(watcher: Watcher, loads: Vec<EndpointLoad>);
     /// Receives a watcher's records of requests during which endpoints crashed.
     async fn tell_crashes(records: Vec<RequestRecord>);
+    /// Receives what entries have seen of roll-outs in progress; only the leader uses it.
+    async fn tell_rollout_evidence(reports: Vec<EvidenceReport>);
     /// Finds the engines in the replica's zone that have a prefix of the prompt cached.
     async fn find_kept(prompt: Vec<PromptPart>) -> Vec<CachedTokens>;
     /// Reserves an engine in the replica's zone that is not processing a prompt; returns the other
