--- a/crates/masticsill_bench/examples/dispatch_cost.rs
+++ b/crates/masticsill_bench/examples/dispatch_cost.rs
@@ -9,6 +9,7 @@
     DispatchContext, Dispatcher, EndpointTable, EntryPosition, Requirements, Terms, Work, ZoneShare,
 };
 use masticsill_registry::{Announcement, EndpointId, EndpointRecord, EndpointState};
+use masticsill_rollout::RequestVersions;
 use masticsill_types::{ClockMs, NodeId, Priority, ZoneId};
 
 /// Decisions of each figure.
@@ -60,12 +61,14 @@
             },
             zone: &zone,
         },
+        queue_versions: &[],
     };
     let need = Requirements {
         excluded: Vec::new(),
         cached: Vec::new(),
         reserved_endpoint: None,
         service: "engines".to_owned(),
+        versions: RequestVersions::default(),
         work: Work::Stream {
             kv_cache_tokens: Some(88_000),
             prompt_tokens: 8_000,
--- a/crates/masticsill_bench/src/entry.rs
+++ b/crates/masticsill_bench/src/entry.rs
@@ -93,6 +93,7 @@
         let around = DispatchContext {
             closed: &[],
             entry: turns,
+            queue_versions: &[],
         };
         self.dispatcher
             .submit(now, &self.table, need, terms, &around, || random.random())
@@ -108,6 +109,7 @@
         let around = DispatchContext {
             closed: &[],
             entry: turns,
+            queue_versions: &[],
         };
         self.dispatcher
             .next(now, &self.table, &around, || random.random())
--- a/crates/masticsill_bench/src/lookups/play.rs
+++ b/crates/masticsill_bench/src/lookups/play.rs
@@ -4,6 +4,7 @@
 
 use masticsill_dispatch::{Decision, Requirements, WaitOutcome, Work};
 use masticsill_registry::{EndpointId, EndpointState};
+use masticsill_rollout::RequestVersions;
 use masticsill_types::{ClockMs, Priority};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -178,6 +179,7 @@
             cached: Vec::new(),
             reserved_endpoint: None,
             service: SERVICE.to_owned(),
+            versions: RequestVersions::default(),
             work: Work::Whole,
         };
         let decision = entry.ask(now, &need, &terms, &mut self.random);
--- a/crates/masticsill_bench/src/overload/play.rs
+++ b/crates/masticsill_bench/src/overload/play.rs
@@ -5,6 +5,7 @@
     Decision, Overload, PlacementRequest, Requirements, WaitOutcome, Work, choose,
 };
 use masticsill_registry::{EndpointId, EndpointLoad, EngineReservationRequest, WatcherTable};
+use masticsill_rollout::{ANY_VERSION, RequestVersions, VersionFilter};
 use masticsill_types::{ClockMs, Priority, ZoneId};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -290,6 +291,7 @@
         let request = EngineReservationRequest {
             avoided: Vec::new(),
             service: SERVICE.to_owned(),
+            versions: VersionFilter::default(),
             watcher: self.entries[entry].watcher(),
         };
         for zone in [near, far] {
@@ -310,6 +312,7 @@
             cached: Vec::new(),
             reserved_endpoint: place,
             service: SERVICE.to_owned(),
+            versions: RequestVersions::default(),
             work: Work::Stream {
                 kv_cache_tokens: Some(self.plan.engine.memory_tokens),
                 prompt_tokens: live.prompt_tokens,
@@ -396,6 +399,7 @@
             reserved_endpoint: None,
             service: SERVICE,
             share: entry.share,
+            versions: &ANY_VERSION,
             zone: &entry.zone,
         };
         let choice = choose(&entry.table, now, &wanted, |_| true, || random.random());
--- a/crates/masticsill_control/src/endpoints/hub.rs
+++ b/crates/masticsill_control/src/endpoints/hub.rs
@@ -306,7 +306,14 @@
     ) -> Option<EndpointLoad> {
         let now = self.shared.clock.now();
         let registry = self.registry();
-        let engines = registry.ready_endpoints(&request.service, &self.shared.zone);
+        let mut engines = registry.ready_endpoints(&request.service, &self.shared.zone);
+        if !request.versions.is_unrestricted() {
+            let is_allowed = |it: &EndpointRecord| {
+                let version = &it.announcement.version;
+                request.versions.allows(version)
+            };
+            engines.retain(|id| registry.get(id).is_some_and(is_allowed));
+        }
         self.watchers().reserve_engine(now, request, &engines)
     }
 
--- a/crates/masticsill_dispatch/src/dispatcher.rs
+++ b/crates/masticsill_dispatch/src/dispatcher.rs
@@ -9,6 +9,7 @@
 
 use indexmap::IndexMap;
 use masticsill_registry::EndpointId;
+use masticsill_rollout::{ANY_VERSION, VersionFilter};
 use masticsill_types::ClockMs;
 
 use crate::capacity::{Contention, EntryPosition, has_capacity};
@@ -40,6 +41,21 @@
     pub closed: &'a [EndpointId],
     /// This entry's position among all entries.
     pub entry: EntryPosition<'a>,
+    /// By service, the versions that queued requests may be sent to at present; any version for
+    /// services that are not listed. Only [`Dispatcher::next`] uses them.
+    pub queue_versions: &'a [(String, VersionFilter)],
+}
+
+impl DispatchContext<'_> {
+    /// The versions that a queued request may be sent to at present.
+    fn versions_of<'a>(&'a self, requirements: &'a Requirements) -> &'a VersionFilter {
+        if requirements.versions.is_fixed {
+            return &requirements.versions.allowed;
+        }
+        let mut listed = self.queue_versions.iter();
+        let listed = listed.find(|(service, _)| *service == requirements.service);
+        listed.map_or(&ANY_VERSION, |(_, versions)| versions)
+    }
 }
 
 /// The decision on a new request.
@@ -88,11 +104,33 @@
         let ahead = queue.ahead_of(QueuePlace::of(rank, terms));
         let contention = queue.contention(now, now);
         let yields = rank == Rank::Late && queue.is_overload_sustained(now);
-        let choice = if ahead == 0 && !yields {
-            choose_available(now, table, requirements, contention, context, &mut jitter)
-        } else {
-            None
+        let allowed = or_any(table, requirements, &requirements.versions.allowed);
+        let choose_of = |versions: &VersionFilter, jitter: &mut _| {
+            let request = placement_request(requirements, context, versions);
+            choose_available(
+                now,
+                table,
+                requirements,
+                &request,
+                contention,
+                context,
+                jitter,
+            )
         };
+        let mut choice = None;
+        // Queued requests wait for the allowed versions, so that they don't need what is drawn.
+        let is_first = ahead == 0 || !allowed.is_unrestricted();
+        if let Some(drawn) = requirements
+            .versions
+            .drawn
+            .as_ref()
+            .filter(|_| is_first && !yields)
+        {
+            choice = choose_of(drawn, &mut jitter).filter(|it| is_healthy(table, now, &it.id));
+        }
+        if choice.is_none() && ahead == 0 && !yields {
+            choice = choose_of(allowed, &mut jitter);
+        }
         if matches!(rank, Rank::Returning | Rank::New) {
             queue.note_placement(choice.is_some());
         }
@@ -104,7 +142,7 @@
         if choose(
             table,
             now,
-            &placement_request(requirements, context),
+            &placement_request(requirements, context, allowed),
             any_endpoint,
             &mut jitter,
         )
@@ -232,8 +270,8 @@
 /// Returns the first queued request that can start, and its endpoint.
 ///
 /// A request that finds no capacity blocks those behind it; otherwise small requests would take all
-/// capacity before a large one could start. A request that excludes some endpoints doesn't block
-/// others.
+/// capacity before a large one could start. A request that excludes some endpoints, or has to stay
+/// on its version, doesn't block others.
 fn next_start(
     queue: &ServiceQueue,
     now: ClockMs,
@@ -246,10 +284,13 @@
             Rank::Resume => Contention::Uncontended,
             Rank::Returning | Rank::New | Rank::Late => queue.contention(now, waiting.since),
         };
+        let requirements = &waiting.requirements;
+        let versions = or_any(table, requirements, context.versions_of(requirements));
         let choice = choose_available(
             now,
             table,
-            &waiting.requirements,
+            requirements,
+            &placement_request(requirements, context, versions),
             contention,
             context,
             jitter,
@@ -257,7 +298,8 @@
         if let Some(choice) = choice {
             return Some((waiting.ticket, choice));
         }
-        if waiting.requirements.excluded.is_empty() {
+        let is_bound_to_side = requirements.versions.is_fixed && !versions.is_unrestricted();
+        if requirements.excluded.is_empty() && !is_bound_to_side {
             return None;
         }
     }
@@ -272,11 +314,11 @@
     now: ClockMs,
     table: &EndpointTable,
     requirements: &Requirements,
+    request: &PlacementRequest<'_>,
     contention: Contention,
     context: &DispatchContext<'_>,
     jitter: &mut impl FnMut() -> f64,
 ) -> Option<Choice> {
-    let request = placement_request(requirements, context);
     let suspect = suspect_zones(table, &requirements.service, now);
     let is_healthy = |it: &Endpoint| {
         !it.is_silent() && !it.is_backing_off(now) && !suspect.contains(&&it.announcement.zone)
@@ -288,12 +330,33 @@
         let has_capacity = has_capacity(it, now, requirements, &context.entry, contention);
         has_capacity && (is_healthy(it) || !is_any_healthy)
     };
-    choose(table, now, &request, is_available, jitter)
+    choose(table, now, request, is_available, jitter)
+}
+
+/// The versions, or any if no endpoint of theirs is registered as ready: they may have been stopped
+/// while the request waited.
+fn or_any<'a>(
+    table: &EndpointTable,
+    requirements: &Requirements,
+    versions: &'a VersionFilter,
+) -> &'a VersionFilter {
+    if versions.is_unrestricted() || table.has_ready(&requirements.service, versions, &[]) {
+        versions
+    } else {
+        &ANY_VERSION
+    }
+}
+
+/// Whether an endpoint is neither silent nor backing off.
+fn is_healthy(table: &EndpointTable, now: ClockMs, id: &EndpointId) -> bool {
+    let endpoint = table.get(id);
+    endpoint.is_some_and(|it| !it.is_silent() && !it.is_backing_off(now))
 }
 
 fn placement_request<'a>(
     requirements: &'a Requirements,
     context: &DispatchContext<'a>,
+    versions: &'a VersionFilter,
 ) -> PlacementRequest<'a> {
     PlacementRequest {
         closed: context.closed,
@@ -303,6 +366,7 @@
         reserved_endpoint: requirements.reserved_endpoint.as_ref(),
         service: &requirements.service,
         share: context.entry.share,
+        versions,
         zone: context.entry.zone,
     }
 }
--- a/crates/masticsill_dispatch/src/endpoints.rs
+++ b/crates/masticsill_dispatch/src/endpoints.rs
@@ -8,6 +8,7 @@
     Announcement, EndpointId, EndpointIncarnation, EndpointLoad, EndpointRecord, EndpointState,
     JoinOutcome, RequestRate,
 };
+use masticsill_rollout::VersionFilter;
 use masticsill_types::{ClockMs, NodeId, ZoneId};
 
 use crate::endpoint::{Endpoint, OtherLoad};
@@ -249,16 +250,19 @@
     }
 
     /// Endpoints of a service, with their zones, at which a request could be sent now with a permit;
-    /// none if any endpoint accepts it without one.
+    /// none if any endpoint accepts it without one. Only endpoints of the given versions count.
     #[must_use]
     pub fn lacking_permits(
         &self,
         now: ClockMs,
         service: &str,
+        versions: &VersionFilter,
         excluded: &[EndpointId],
     ) -> Vec<(ZoneId, EndpointId)> {
-        let is_candidate =
-            |it: &&Endpoint| it.is_ready() && !excluded.contains(&it.announcement.id);
+        let is_candidate = |it: &&Endpoint| {
+            let is_excluded = excluded.contains(&it.announcement.id);
+            it.is_ready() && !is_excluded && versions.allows(&it.announcement.version)
+        };
         let mut candidates = self.of_service(service).filter(is_candidate);
         if candidates.any(|it| it.accepts_requests(now)) {
             return Vec::new();
@@ -341,6 +345,22 @@
         self.endpoints.get_mut(id)
     }
 
+    /// Whether a service has an endpoint of the given versions that is registered as ready and not
+    /// among the excluded ones.
+    #[must_use]
+    pub fn has_ready(
+        &self,
+        service: &str,
+        versions: &VersionFilter,
+        excluded: &[EndpointId],
+    ) -> bool {
+        let mut ready = self.of_service(service).filter(|it| it.is_ready());
+        ready.any(|it| {
+            let announcement = &it.announcement;
+            versions.allows(&announcement.version) && !excluded.contains(&announcement.id)
+        })
+    }
+
     /// Requests in flight from this entry at all endpoints of a service.
     pub(crate) fn own_in_flight(&self, service: &str) -> u32 {
         self.of_service(service).map(|it| it.in_flight).sum()
--- a/crates/masticsill_dispatch/src/placement.rs
+++ b/crates/masticsill_dispatch/src/placement.rs
@@ -5,6 +5,7 @@
 
 use indexmap::IndexMap;
 use masticsill_registry::{CachedTokens, EndpointId, is_zone_down};
+use masticsill_rollout::VersionFilter;
 use masticsill_types::{ClockMs, ZoneId};
 
 use crate::endpoint::Endpoint;
@@ -67,6 +68,8 @@
     pub service: &'a str,
     /// This entry's share of the endpoints in its zone.
     pub share: ZoneShare,
+    /// The versions that the endpoint may have.
+    pub versions: &'a VersionFilter,
     /// The zone of this entry.
     pub zone: &'a ZoneId,
 }
@@ -77,6 +80,7 @@
         let announcement = &endpoint.announcement;
         endpoint.is_ready()
             && announcement.service == self.service
+            && self.versions.allows(&announcement.version)
             && self.not_in_zone != Some(&announcement.zone)
             && !self.excluded.contains(&announcement.id)
             && !self.closed.contains(&announcement.id)
--- a/crates/masticsill_dispatch/src/service_queue.rs
+++ b/crates/masticsill_dispatch/src/service_queue.rs
@@ -4,6 +4,7 @@
 
 use indexmap::IndexMap;
 use masticsill_registry::{CachedTokens, EndpointId};
+use masticsill_rollout::RequestVersions;
 use masticsill_types::{ClockMs, Priority};
 
 use crate::capacity::Contention;
@@ -64,6 +65,8 @@
     pub reserved_endpoint: Option<EndpointId>,
     /// The name of the service.
     pub service: String,
+    /// The versions that the endpoint may have.
+    pub versions: RequestVersions,
     /// The work that the request causes.
     pub work: Work,
 }
--- a/crates/masticsill_dispatch/tests/common/mod.rs
+++ b/crates/masticsill_dispatch/tests/common/mod.rs
@@ -8,6 +8,7 @@
     Ticket, WaitOutcome, Work, ZoneShare,
 };
 use masticsill_registry::{Announcement, EndpointId, EndpointRecord, EndpointState};
+use masticsill_rollout::RequestVersions;
 use masticsill_types::{ClockMs, NodeId, Priority, ZoneId};
 
 pub(crate) const NOW: ClockMs = ClockMs(100_000);
@@ -51,6 +52,7 @@
         cached: Vec::new(),
         reserved_endpoint: None,
         service: SERVICE.to_owned(),
+        versions: RequestVersions::default(),
         work: Work::Stream {
             kv_cache_tokens: Some(88_000),
             prompt_tokens: 8_000,
@@ -150,5 +152,6 @@
             share: ZoneShare::default(),
             zone,
         },
+        queue_versions: &[],
     }
 }
--- a/crates/masticsill_dispatch/tests/endpoint_lives.rs
+++ b/crates/masticsill_dispatch/tests/endpoint_lives.rs
@@ -5,6 +5,7 @@
     Announcement, CachedTokens, EndpointId, EndpointIncarnation, EndpointLoad, EndpointRecord,
     EndpointState,
 };
+use masticsill_rollout::ANY_VERSION;
 use masticsill_types::{ClockMs, NodeId, ZoneId};
 use proptest::prelude::*;
 
@@ -66,6 +67,7 @@
         reserved_endpoint: None,
         service: "s",
         share: ZoneShare::default(),
+        versions: &ANY_VERSION,
         zone: &zone(),
     };
     let choice = choose(table, NOW, &wanted, |_| true, || 0.0)?;
--- a/crates/masticsill_dispatch/tests/placement_choice.rs
+++ b/crates/masticsill_dispatch/tests/placement_choice.rs
@@ -7,6 +7,7 @@
 use masticsill_registry::{
     Announcement, CachedTokens, EndpointId, EndpointLoad, EndpointRecord, EndpointState,
 };
+use masticsill_rollout::ANY_VERSION;
 use masticsill_types::{ClockMs, NodeId, ZoneId};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -62,6 +63,7 @@
         reserved_endpoint: None,
         service: "s",
         share: ZoneShare::default(),
+        versions: &ANY_VERSION,
         zone,
     }
 }
--- a/crates/masticsill_dispatch/tests/request_limits.rs
+++ b/crates/masticsill_dispatch/tests/request_limits.rs
@@ -7,6 +7,7 @@
 use common::{Entry, NOW, SERVICE, id, requirements, terms};
 use masticsill_dispatch::{Decision, RequestLimit, Requirements, Terms, Work};
 use masticsill_registry::{EndpointLoad, LimitStatement, RequestRate, Watcher, WatcherTable};
+use masticsill_rollout::ANY_VERSION;
 use masticsill_types::{ClockMs, NodeId};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -276,7 +277,10 @@
 fn permit_is_asked_for_only_if_no_endpoint_accepts_the_request() {
     let mut entry = Entry::new(&["e1", "e2"]);
     entry.table.set_entries(NOW, 33);
-    let lacking = |entry: &Entry, at_ms| entry.table.lacking_permits(NOW + at_ms, SERVICE, &[]);
+    let lacking = |entry: &Entry, at_ms| {
+        let table = &entry.table;
+        table.lacking_permits(NOW + at_ms, SERVICE, &ANY_VERSION, &[])
+    };
     state_limit(&mut entry, "e1", 2.0, 0.5);
     assert!(lacking(&entry, 0).is_empty());
     state_limit(&mut entry, "e2", 2.0, 0.5);
--- a/crates/masticsill_registry/src/reservations.rs
+++ b/crates/masticsill_registry/src/reservations.rs
@@ -6,6 +6,7 @@
 //! reservation's lease has expired.
 
 use indexmap::IndexMap;
+use masticsill_rollout::VersionFilter;
 use masticsill_types::ClockMs;
 use serde::{Deserialize, Serialize};
 
@@ -31,6 +32,8 @@
     pub avoided: Vec<EndpointId>,
     /// The service that the engine must belong to.
     pub service: String,
+    /// The versions that the engine may have.
+    pub versions: VersionFilter,
     /// The entry that asks.
     pub watcher: Watcher,
 }
--- a/crates/masticsill_registry/tests/handed_places.rs
+++ b/crates/masticsill_registry/tests/handed_places.rs
@@ -4,6 +4,7 @@
 use masticsill_registry::{
     EndpointId, EndpointLoad, EngineReservationRequest, Watcher, WatcherTable,
 };
+use masticsill_rollout::VersionFilter;
 use masticsill_types::{ClockMs, NodeId, ZoneId};
 use proptest::prelude::*;
 
@@ -66,6 +67,7 @@
         let request = EngineReservationRequest {
             avoided: avoided.iter().map(|name| id(name)).collect(),
             service: "s".to_owned(),
+            versions: VersionFilter::default(),
             watcher: entry(name),
         };
         let engines: Vec<&EndpointId> = self.engines.iter().collect();
--- a/crates/masticsill_relay/src/attempt.rs
+++ b/crates/masticsill_relay/src/attempt.rs
@@ -16,6 +16,7 @@
 use crate::request::{RelayRequest, SendOptions};
 use crate::reservation::Reservation;
 use crate::retry_state::{Obstacle, RetryState};
+use crate::rollout_evidence::{AttemptOutcome, EvidenceArm};
 use crate::statements::note_statements;
 use masticsill_dispatch::Failure;
 
@@ -40,6 +41,8 @@
     /// Time in milliseconds for which the preceding runs that this run resumes had produced events.
     prior_answered_ms: u64,
     pub(crate) began_at: ClockMs,
+    /// Where the outcome counts as evidence on a roll-out.
+    pub(crate) evidence: Option<EvidenceArm>,
 }
 
 impl RunProgress {
@@ -48,6 +51,11 @@
         self.answered_at.map_or(0, |at| now.since(at))
     }
 
+    /// Whether the endpoint has sent an event.
+    pub(crate) fn is_answered(&self) -> bool {
+        self.answered_at.is_some()
+    }
+
     /// Like [`Self::answered_ms`], including the preceding runs that this run resumes.
     pub(crate) fn reached_ms(&self, now: ClockMs) -> u64 {
         self.prior_answered_ms + self.answered_ms(now)
@@ -97,12 +105,22 @@
     }
 
     /// Records that the request is sent now. `prior_answered_ms` is the time for which the
-    /// preceding runs that this run resumes had produced events.
-    pub(crate) fn begin(&mut self, prior_answered_ms: u64) -> RunProgress {
+    /// preceding runs that this run resumes had produced events; `is_resume` says whether there
+    /// were any events.
+    pub(crate) fn begin(
+        &mut self,
+        request: &RelayRequest,
+        prior_answered_ms: u64,
+        is_resume: bool,
+    ) -> RunProgress {
+        let evidence = self
+            .relay
+            .begin_evidence(request, self.endpoint(), is_resume);
         self.progress = RunProgress {
             answered_at: None,
             prior_answered_ms,
             began_at: self.relay.now(),
+            evidence,
         };
         self.progress
     }
@@ -112,11 +130,23 @@
     /// that this run resumes.
     pub(crate) fn note_event(&mut self) -> u64 {
         let now = self.relay.now();
-        self.progress.answered_at.get_or_insert(now);
+        if self.progress.answered_at.is_none() {
+            self.progress.answered_at = Some(now);
+            let latency_ms = Some(now.since(self.progress.began_at));
+            let outcome = AttemptOutcome::Answered { latency_ms };
+            self.note_evidence(outcome);
+        }
         self.reservation.end_prefill();
         self.progress.reached_ms(now)
     }
 
+    /// Counts the outcome of the attempt as evidence on a roll-out.
+    pub(crate) fn note_evidence(&self, outcome: AttemptOutcome) {
+        let service = &self.endpoint().service;
+        self.relay
+            .note_evidence(service, self.progress.evidence, outcome);
+    }
+
     /// Returns the connection to the pool if the response allows its reuse.
     pub(crate) fn return_to_pool(mut self, head: &ResponseHead) {
         let upstream = self.upstream.take();
@@ -180,6 +210,7 @@
             answered_at: None,
             prior_answered_ms: 0,
             began_at: relay.now(),
+            evidence: None,
         },
         relay: Rc::clone(relay),
         reservation,
@@ -188,10 +219,17 @@
     if relay.has_withdrawn(&attempt.endpoint().id) {
         return Err(Obstacle::Withdrawn);
     }
+    let version = &attempt.endpoint().version;
+    if !relay.may_use_version(request, retry_state, version) {
+        return Err(Obstacle::Withdrawn);
+    }
     // Other endpoints may have crashed under this request while it waited for a reservation or for
     // the connection.
     relay.check_crashes(request)?;
     if retry_state.spend(relay, request) {
+        if relay.rollouts.is_some() {
+            retry_state.note_version(&attempt.endpoint().version);
+        }
         Ok(attempt)
     } else {
         Err(Obstacle::Budget)
@@ -237,6 +275,13 @@
     cause: &str,
 ) -> SendFailure {
     log_failure(relay, request, attempt.endpoint(), failure.name(), cause);
+    match failure {
+        Failure::Broken | Failure::Malformed | Failure::Replaced => {
+            let is_answered = attempt.progress.is_answered();
+            attempt.note_evidence(AttemptOutcome::Failed { is_answered });
+        }
+        Failure::Silent | Failure::Stalled => {}
+    }
     // A response that missed the request's deadline says nothing about the endpoint's health.
     let is_silence = matches!(failure, Failure::Silent | Failure::Stalled);
     let is_deadline_over = is_silence && request.left_ms(relay.now()) == 0;
--- a/crates/masticsill_relay/src/config.rs
+++ b/crates/masticsill_relay/src/config.rs
@@ -31,10 +31,20 @@
     pub node: NodeId,
     /// Parser of documents.
     pub read_document: DocumentReader,
+    /// Roll-outs of versions; none if requests are sent to endpoints of any version.
+    pub rollouts: Option<RolloutConfig>,
     /// Availability zone of this process.
     pub zone: ZoneId,
 }
 
+/// Settings of roll-outs of versions.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct RolloutConfig {
+    /// How long a version that appears beside another one is held back while no order for it is
+    /// known, in milliseconds.
+    pub hold_ms: u64,
+}
+
 /// Calls to engines about copies of a run's KV cache: paths and JSON field names.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EngineCalls {
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -124,6 +124,7 @@
                 state = endpoint.announcement.state.name(),
                 address = endpoint.announcement.address,
                 zone = endpoint.announcement.zone,
+                version = endpoint.announcement.version,
                 sequence = endpoint.announcement.sequence,
                 from = node,
                 revision = reply.revision
@@ -186,6 +187,7 @@
         if let Some(zone) = &zone {
             request.loads = relay.endpoints.borrow().loads_in(relay.now(), zone);
         }
+        let asked_at = relay.now();
         let reply = relay.control.watch(address, &request).await;
         let Some(reply) = reply else {
             if is_reached {
@@ -193,6 +195,7 @@
             }
             is_reached = false;
             relay.note_control_lost(&address);
+            relay.note_rollouts_lost(&address);
             discovery.forget_source(address);
             sleep(RETRY_PAUSE).await;
             continue;
@@ -240,10 +243,14 @@
         request.registry = reply.registry;
         request.revision = reply.revision;
         discovery.note_document(address, &reply);
+        // Before the endpoints, so that no request is sent to a version by an outdated rule.
+        relay.note_rollouts(address, asked_at, &reply);
+        request.rollouts_revision = reply.rollouts_revision;
         discovery.merge_endpoints(&node, &reply);
         relay.note_entries(reply.entries);
         relay.update_zone_share(&reply.entries_nearby);
         if !reply.endpoints.is_empty() {
+            relay.note_versions();
             relay.notify_discovery();
         }
         relay.capacity_changed.notify_one();
--- a/crates/masticsill_relay/src/dispatch_queue.rs
+++ b/crates/masticsill_relay/src/dispatch_queue.rs
@@ -9,6 +9,7 @@
     WaitOutcome,
 };
 use masticsill_registry::{Announcement, EndpointId};
+use masticsill_rollout::VersionFilter;
 use masticsill_types::log_event;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -70,7 +71,7 @@
     let decision = {
         let endpoints = relay.endpoints.borrow();
         let closed = relay.full_endpoints(&endpoints, &need.service);
-        let context = dispatch_context(relay, &closed);
+        let context = dispatch_context(relay, &closed, &[]);
         let mut dispatcher = relay.dispatcher.borrow_mut();
         dispatcher.submit(now, &endpoints, need, terms, &context, rand::random)
     };
@@ -140,7 +141,8 @@
     let services = dispatcher.waiting_services();
     let closed = services.flat_map(|service| relay.full_endpoints(&endpoints, service));
     let closed: Vec<EndpointId> = closed.collect();
-    let context = dispatch_context(relay, &closed);
+    let versions = relay.queue_versions(&endpoints, dispatcher.waiting_services());
+    let context = dispatch_context(relay, &closed, &versions);
     dispatcher.next(relay.now(), &endpoints, &context, rand::random)
 }
 
@@ -167,7 +169,11 @@
     }
 }
 
-fn dispatch_context<'a>(relay: &'a Relay, closed: &'a [EndpointId]) -> DispatchContext<'a> {
+fn dispatch_context<'a>(
+    relay: &'a Relay,
+    closed: &'a [EndpointId],
+    queue_versions: &'a [(String, VersionFilter)],
+) -> DispatchContext<'a> {
     DispatchContext {
         closed,
         entry: EntryPosition {
@@ -176,6 +182,7 @@
             share: relay.zone_share.get(),
             zone: &relay.config.zone,
         },
+        queue_versions,
     }
 }
 
--- a/crates/masticsill_relay/src/endpoint_choice.rs
+++ b/crates/masticsill_relay/src/endpoint_choice.rs
@@ -39,6 +39,7 @@
         if !engine.supports_kv_backup || !request.route.is_resumable {
             return None;
         }
+        let versions = self.copy_versions(running);
         let endpoints = self.endpoints.borrow();
         let closed = self.full_endpoints(&endpoints, &request.service);
         let wanted = PlacementRequest {
@@ -49,6 +50,7 @@
             reserved_endpoint: None,
             service: &request.service,
             share: self.zone_share.get(),
+            versions: &versions,
             zone: &self.config.zone,
         };
         let tokens = request.held_tokens(&self.config.headers);
@@ -73,7 +75,7 @@
         retry_state: &RetryState,
         is_resume: bool,
     ) -> Dispatched {
-        let mut need = self.need_of(request, retry_state).await;
+        let mut need = self.need_of(request, retry_state, is_resume).await;
         let terms = terms_of(request, is_resume);
         let is_first = retry_state.excluded.is_empty();
         let discovery_wait_ms = request.left_ms(self.now()) / DISCOVERY_WAIT_DIVISOR;
@@ -82,6 +84,7 @@
         let lacking = self.endpoints.borrow().lacking_permits(
             self.now(),
             &request.service,
+            &need.versions.allowed,
             &retry_state.excluded,
         );
         if !lacking.is_empty() {
@@ -94,6 +97,8 @@
             let mut lists = self.isolation_exclusions(request);
             lists.push(Vec::new());
             for exclusions in lists {
+                // The versions may have changed during a wait.
+                need.versions = self.versions_for(request, retry_state, is_resume);
                 need.excluded = [retry_state.excluded.as_slice(), &exclusions].concat();
                 dispatched = dispatch(self, request, &need, &terms).await;
                 if !matches!(dispatched, Dispatched::NoEndpoint) {
@@ -131,13 +136,15 @@
         self: &Rc<Self>,
         request: &RelayRequest,
         retry_state: &RetryState,
+        is_resume: bool,
     ) -> Requirements {
         let names = &self.config.headers;
+        let versions = self.versions_for(request, retry_state, is_resume);
         let (kept, place) = match request.route.kind {
             RouteKind::Stream => {
                 // Boxed, because otherwise the future of every request would contain both queries.
                 let kept = Box::pin(find_cached(self, request));
-                let place = Box::pin(reserve_engine(self, request, retry_state));
+                let place = Box::pin(reserve_engine(self, request, retry_state, &versions));
                 tokio::join!(kept, place)
             }
             RouteKind::Idempotent | RouteKind::NonIdempotent => (Vec::new(), None),
@@ -160,6 +167,7 @@
             cached: kept,
             reserved_endpoint: place,
             service: request.service.clone(),
+            versions,
             work,
         }
     }
--- a/crates/masticsill_relay/src/endpoint_response.rs
+++ b/crates/masticsill_relay/src/endpoint_response.rs
@@ -10,6 +10,7 @@
 use crate::relay::Relay;
 use crate::request::RelayRequest;
 use crate::response::Response;
+use crate::rollout_evidence::AttemptOutcome;
 use crate::statements::rest_ms;
 use masticsill_dispatch::Failure;
 
@@ -84,8 +85,13 @@
             relay.note_completion(request);
             let answer_ms = relay.now().since(attempt.progress.began_at);
             relay.note_answer_ms(&endpoint.id, answer_ms, request.route.target_latency_ms);
+            let latency_ms = (head.status < 400).then_some(answer_ms);
+            attempt.note_evidence(AttemptOutcome::Answered { latency_ms });
+        }
+        Verdict::Failed => {
+            relay.note_completion(request);
+            attempt.note_evidence(AttemptOutcome::Failed { is_answered: false });
         }
-        Verdict::Failed => relay.note_completion(request),
         Verdict::NotRun { is_replaced } => {
             log_event!(
                 info,
--- a/crates/masticsill_relay/src/engine_reservation.rs
+++ b/crates/masticsill_relay/src/engine_reservation.rs
@@ -5,6 +5,7 @@
 
 use indexmap::IndexSet;
 use masticsill_registry::{EndpointId, EngineReservationRequest};
+use masticsill_rollout::RequestVersions;
 use masticsill_types::ZoneId;
 use rand::seq::SliceRandom;
 use tokio::time::{Instant, timeout_at};
@@ -23,6 +24,7 @@
     relay: &Rc<Relay>,
     request: &RelayRequest,
     retry_state: &RetryState,
+    versions: &RequestVersions,
 ) -> Option<EndpointId> {
     let service = &request.service;
     let bound = Instant::now() + CONTROL_QUERY_TIMEOUT;
@@ -35,6 +37,7 @@
         let reservation_request = EngineReservationRequest {
             avoided: relay.unusable_endpoints(service, &zone, retry_state),
             service: service.clone(),
+            versions: versions.drawn.as_ref().unwrap_or(&versions.allowed).clone(),
             watcher: relay.watcher(),
         };
         let reply = relay.control.take_place(replica, &reservation_request);
--- a/crates/masticsill_relay/src/events.rs
+++ b/crates/masticsill_relay/src/events.rs
@@ -69,6 +69,12 @@
 pub const REQUEST_LIMIT_STATED: Event = Event::new(2138, "request_limit_stated");
 /// An endpoint said in a response that it leaves.
 pub const ENDPOINT_LEAVES: Event = Event::new(2139, "endpoint_leaves");
+/// A roll-out began, or its phase changed.
+pub const ROLLOUT_CHANGED: Event = Event::new(2140, "rollout_changed");
+/// The leader's word on a roll-out in progress has expired, or is valid again.
+pub const ROLLOUT_LEASE: Event = Event::new(2141, "rollout_lease");
+/// A version of a service appeared beside others.
+pub const VERSION_APPEARED: Event = Event::new(2142, "version_appeared");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -105,4 +111,7 @@
     REQUEST_QUARANTINED,
     REQUEST_LIMIT_STATED,
     ENDPOINT_LEAVES,
+    ROLLOUT_CHANGED,
+    ROLLOUT_LEASE,
+    VERSION_APPEARED,
 ];
--- a/crates/masticsill_relay/src/failover.rs
+++ b/crates/masticsill_relay/src/failover.rs
@@ -20,6 +20,7 @@
 use crate::relay::Relay;
 use crate::request::RelayRequest;
 use crate::retry_state::Obstacle;
+use crate::rollout_evidence::AttemptOutcome;
 
 /// Failure cause of an attempt whose endpoint incarnation has been replaced.
 pub(crate) const INCARNATION_REPLACED: &str = "another life has its id or address";
@@ -110,6 +111,14 @@
 
     /// Records that the attempt was ended in favour of its replacement.
     fn note_replaced(&self) {
+        if !self.progress.is_answered() {
+            let latency_ms = Some(self.relay.now().since(self.progress.began_at));
+            self.relay.note_evidence(
+                &self.endpoint.service,
+                self.progress.evidence,
+                AttemptOutcome::Answered { latency_ms },
+            );
+        }
         let cause = "silent until its successor was connected";
         log_failure(
             self.relay,
--- a/crates/masticsill_relay/src/lib.rs
+++ b/crates/masticsill_relay/src/lib.rs
@@ -35,6 +35,8 @@
 mod response;
 mod retry_state;
 mod role;
+mod rollout_evidence;
+mod rollouts;
 mod server;
 mod statements;
 mod stream;
@@ -42,7 +44,7 @@
 mod stream_timing;
 mod suspects;
 
-pub use config::{DocumentReader, EngineCalls, HeaderNames, RelayConfig};
+pub use config::{DocumentReader, EngineCalls, HeaderNames, RelayConfig, RolloutConfig};
 pub use event_order::{EventOrder, EventPosition};
 pub use masticsill_dispatch::BudgetSettings;
 pub use role::RelayRole;
--- a/crates/masticsill_relay/src/metrics.rs
+++ b/crates/masticsill_relay/src/metrics.rs
@@ -37,6 +37,44 @@
     pub(crate) cause: &'static str,
 }
 
+/// Service and side of a roll-out.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct SideLabels {
+    pub(crate) service: String,
+    pub(crate) side: &'static str,
+}
+
+impl SideLabels {
+    pub(crate) fn new(service: &str, is_target: bool) -> Self {
+        Self {
+            service: service.to_owned(),
+            side: side_name(is_target),
+        }
+    }
+}
+
+/// Service, side and outcome of an attempt during a roll-out.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct SideOutcomeLabels {
+    pub(crate) outcome: &'static str,
+    pub(crate) service: String,
+    pub(crate) side: &'static str,
+}
+
+impl SideOutcomeLabels {
+    pub(crate) fn new(service: &str, is_target: bool, is_failed: bool) -> Self {
+        Self {
+            outcome: if is_failed { "failed" } else { "answered" },
+            service: service.to_owned(),
+            side: side_name(is_target),
+        }
+    }
+}
+
+fn side_name(is_target: bool) -> &'static str {
+    if is_target { "target" } else { "old" }
+}
+
 /// The metrics of one relay.
 #[derive(Clone, Debug)]
 pub(crate) struct RelayMetrics {
@@ -58,6 +96,8 @@
     pub(crate) resumes: Family<CauseLabel, Counter>,
     pub(crate) retries_left: Gauge,
     pub(crate) retries_refused: Counter,
+    pub(crate) rollout_answers: Family<SideOutcomeLabels, Counter>,
+    pub(crate) rollout_sends: Family<SideLabels, Counter>,
     pub(crate) runs_crashed: Counter,
     pub(crate) wait_ms: Histogram,
 }
@@ -88,6 +128,8 @@
             resumes: Family::default(),
             retries_left: Gauge::default(),
             retries_refused: Counter::default(),
+            rollout_answers: Family::default(),
+            rollout_sends: Family::default(),
             runs_crashed: Counter::default(),
             wait_ms: time_histogram(),
         };
@@ -151,6 +193,12 @@
         let help = "Runs that ended together with their endpoints";
         let crashed = self.runs_crashed.clone();
         registry.register("masticsill_relay_runs_crashed", help, crashed);
+        let help = "Requests that endpoints answered or failed while a roll-out was in progress";
+        let answers = self.rollout_answers.clone();
+        registry.register("masticsill_relay_rollout_answers", help, answers);
+        let help = "Requests that were sent to endpoints while a roll-out was in progress";
+        let sends = self.rollout_sends.clone();
+        registry.register("masticsill_relay_rollout_sends", help, sends);
         let help = "Requests by kind and outcome";
         registry.register("masticsill_relay_requests", help, self.requests.clone());
         let help = "Streams that went on at another endpoint";
--- a/crates/masticsill_relay/src/plain.rs
+++ b/crates/masticsill_relay/src/plain.rs
@@ -174,7 +174,7 @@
     let endpoint = attempt.endpoint().clone();
     let options = SendOptions::default();
     let watched = WatchedAttempt {
-        progress: attempt.begin(0),
+        progress: attempt.begin(request, 0, false),
         endpoint: &endpoint,
         failure: Failure::Silent,
         last_received_at: relay.now(),
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -17,6 +17,7 @@
 };
 use masticsill_quarantine::{CrashLedger, Fingerprint};
 use masticsill_registry::{Announcement, EndpointId, Watcher};
+use masticsill_rollout::Reporter;
 use masticsill_runtime::ShutdownSignal;
 use masticsill_types::{ClockMs, MonotonicClock, NodeId, ZoneId, log_event};
 use tokio::sync::{Notify, watch};
@@ -27,6 +28,7 @@
 use crate::events;
 use crate::metrics::{CauseLabel, RelayMetrics};
 use crate::pool::ConnectionPool;
+use crate::rollouts::Rollouts;
 use crate::server::SHUTDOWN_MARGIN;
 use crate::stream_durations::StreamDurations;
 
@@ -103,6 +105,8 @@
     /// Estimates from a caller's attempts how long it has waited in earlier ones.
     pub(crate) prior_wait_estimator: RefCell<PriorWaitEstimator>,
     pub(crate) pool: RefCell<ConnectionPool>,
+    /// Roll-outs of versions, where they are enabled.
+    pub(crate) rollouts: Option<Rollouts>,
     /// Notified whenever an endpoint may have capacity for a queued request.
     pub(crate) capacity_changed: Notify,
     /// This entry's rank among the entries of its zone.
@@ -135,6 +139,13 @@
         metrics: RelayMetrics,
     ) -> Self {
         let last_received_at = Cell::new(clock.now());
+        let reporter = || Reporter {
+            incarnation: rand::random(),
+            node: config.node.clone(),
+        };
+        let rollouts = config
+            .rollouts
+            .map(|settings| Rollouts::new(settings, reporter()));
         Self {
             active: Cell::new(0),
             stall_alerts: watch::Sender::new(None),
@@ -159,6 +170,7 @@
             index: RefCell::new(None),
             prior_wait_estimator: RefCell::default(),
             pool: RefCell::default(),
+            rollouts,
             capacity_changed: Notify::new(),
             zone_share: Cell::new(ZoneShare::default()),
             stopping,
--- a/crates/masticsill_relay/src/retry_state.rs
+++ b/crates/masticsill_relay/src/retry_state.rs
@@ -1,5 +1,7 @@
 //! The attempts of a request so far, and whether another one is allowed.
 
+use std::cell::OnceCell;
+
 use masticsill_dispatch::Overload;
 use masticsill_registry::EndpointId;
 
@@ -115,6 +117,9 @@
     dials_failed: u32,
     /// Endpoints that the request must not be sent to again.
     pub(crate) excluded: Vec<EndpointId>,
+    /// The version of the endpoint that the request was sent to first, or of the last one while it
+    /// certainly has not run; only where roll-outs are enabled.
+    first_version: Option<String>,
     /// The dispatcher's refusal, if there was one.
     overload: Option<Overload>,
     /// Whether the request may have run at any endpoint.
@@ -123,6 +128,9 @@
     pauses: u32,
     /// Attempts that count against the route's maximum.
     pub(crate) sends: u32,
+    /// A random number between 0 and 1 that decides for all attempts which version the request is
+    /// drawn for.
+    version_draw: OnceCell<f64>,
 }
 
 impl RetryState {
@@ -191,6 +199,29 @@
         (MIN_DIAL_TIMEOUT_MS << doublings).min(MAX_DIAL_TIMEOUT_MS)
     }
 
+    /// Consecutive connections that failed.
+    pub(crate) fn failed_dials(&self) -> u32 {
+        self.dials_failed
+    }
+
+    /// A random number between 0 and 1, the same for all attempts.
+    pub(crate) fn version_draw(&self) -> f64 {
+        *self.version_draw.get_or_init(rand::random)
+    }
+
+    /// Records the version of the endpoint that the request is about to be sent to.
+    pub(crate) fn note_version(&mut self, version: &str) {
+        if !self.may_have_run {
+            self.first_version = Some(version.to_owned());
+        }
+    }
+
+    /// The version of the endpoint that may have run the request first; none if it has not run.
+    pub(crate) fn first_version(&self) -> Option<&str> {
+        let first_version = self.first_version.as_deref();
+        first_version.filter(|_| self.may_have_run)
+    }
+
     /// Records that a connection was established.
     pub(crate) fn note_connected(&mut self) {
         self.dials_failed = 0;
--- a/crates/masticsill_relay/src/role.rs
+++ b/crates/masticsill_relay/src/role.rs
@@ -20,6 +20,7 @@
 use crate::events;
 use crate::metrics::RelayMetrics;
 use crate::relay::Relay;
+use crate::rollout_evidence::report_evidence;
 use crate::server::serve;
 
 /// Maximum number of control addresses that wait to be watched.
@@ -81,6 +82,7 @@
             let relay = Rc::new(relay);
             start_discovery(&relay, new_seeds, sources, parsed);
             spawn_local(run_dispatch(Rc::clone(&relay)));
+            spawn_local(report_evidence(Rc::clone(&relay)));
             serve(relay, listener).await;
             ended.request();
         })?;
--- /dev/null
+++ b/crates/masticsill_relay/src/rollouts.rs
@@ -0,0 +1,407 @@
+//! Roll-outs of versions as this relay knows them, and the versions that each request may be sent
+//! to.
+//!
+//! All of this exists only where the relay's settings enable roll-outs.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use masticsill_dispatch::{Endpoint, EndpointTable};
+use masticsill_registry::Announcement;
+use masticsill_rollout::{
+    KnownVersion, Phase, Reporter, RequestVersions, RolloutNumber, ServiceVersions, ServingRollout,
+    StartedRequest, VersionFilter, VersionRule,
+};
+use masticsill_types::{ClockMs, log_event};
+use masticsill_wire::control::WatchReply;
+use tokio::sync::Notify;
+
+use crate::config::RolloutConfig;
+use crate::events;
+use crate::relay::Relay;
+use crate::request::RelayRequest;
+use crate::retry_state::RetryState;
+use crate::rollout_evidence::EvidenceLog;
+
+/// For how long the leader's word on a roll-out holds, counted from the moment at which the relay
+/// asked for it.
+const LEASE_MS: u64 = 1_000;
+
+/// The latest roll-out of a service.
+#[derive(Debug)]
+struct KnownRollout {
+    /// When this relay learned of it.
+    learned_at: ClockMs,
+    rule: VersionRule,
+    /// Whether the lease was valid when that was last logged.
+    was_leased: bool,
+}
+
+/// A version of a service.
+#[derive(Debug)]
+struct SeenVersion {
+    first_seen_at: ClockMs,
+    /// When an endpoint of the version was last known to be ready.
+    ready_at: ClockMs,
+    version: String,
+}
+
+/// What the control replicas have reported.
+#[derive(Debug, Default)]
+pub(crate) struct RolloutState {
+    leader: Option<SocketAddr>,
+    /// When the leader was last asked for the roll-outs, with an answer.
+    leader_asked_at: Option<ClockMs>,
+    /// The roll-outs that each replica reported last, and their revision.
+    reported: IndexMap<SocketAddr, (u64, Vec<ServingRollout>)>,
+    /// The latest roll-out by service.
+    rollouts: IndexMap<String, KnownRollout>,
+    /// The versions of each service that have, or lately had, ready endpoints.
+    versions: IndexMap<String, Vec<SeenVersion>>,
+}
+
+/// Roll-outs, where they are enabled.
+#[derive(Debug)]
+pub(crate) struct Rollouts {
+    config: RolloutConfig,
+    pub(crate) evidence: RefCell<EvidenceLog>,
+    /// Notified when a report of evidence may be due earlier than before.
+    pub(crate) evidence_changed: Notify,
+    state: RefCell<RolloutState>,
+}
+
+impl Rollouts {
+    pub(crate) fn new(config: RolloutConfig, reporter: Reporter) -> Self {
+        Self {
+            config,
+            evidence: RefCell::new(EvidenceLog::new(reporter)),
+            evidence_changed: Notify::new(),
+            state: RefCell::default(),
+        }
+    }
+
+    /// The replica that leads, if known.
+    pub(crate) fn leader(&self) -> Option<SocketAddr> {
+        self.state.borrow().leader
+    }
+
+    /// The roll-outs in progress.
+    pub(crate) fn in_progress(&self) -> Vec<ServingRollout> {
+        let state = self.state.borrow();
+        let rollouts = state.rollouts.values().map(|it| it.rule.rollout());
+        let in_progress = rollouts.filter(|it| !it.phase.is_ended());
+        in_progress.cloned().collect()
+    }
+
+    /// The roll-out of a service that is in progress and was known when a request was received, and
+    /// whether a version is its target.
+    pub(crate) fn side_of(
+        &self,
+        service: &str,
+        version: &str,
+        received_at: ClockMs,
+    ) -> Option<(RolloutNumber, bool)> {
+        let state = self.state.borrow();
+        let known = state.rollouts.get(service)?;
+        let is_counted = !known.rule.is_ended() && received_at >= known.learned_at;
+        let number = known.rule.rollout().number;
+        is_counted.then(|| (number, known.rule.target() == version))
+    }
+
+    /// Records the roll-outs that a replica reported; it was asked at `asked_at`.
+    fn note_reply(&self, now: ClockMs, from: SocketAddr, asked_at: ClockMs, reply: &WatchReply) {
+        let mut state = self.state.borrow_mut();
+        let state = &mut *state;
+        let leased_until = reply.is_leading.then(|| asked_at + LEASE_MS);
+        if reply.is_leading {
+            state.leader_asked_at = state.leader_asked_at.max(Some(asked_at));
+        }
+        let reported = state.reported.entry(from).or_default();
+        let (revision, rollouts) = reported;
+        // A replica may leave out what has not changed since its last reply.
+        if *revision != reply.rollouts_revision || !reply.rollouts.is_empty() {
+            *revision = reply.rollouts_revision;
+            rollouts.clone_from(&reply.rollouts);
+        }
+        let mut has_begun = false;
+        for rollout in rollouts.iter() {
+            let known = state.rollouts.get_mut(&rollout.service);
+            let before = known.as_ref().map(|it| it.rule.rollout().clone());
+            if let Some(known) = known {
+                known.rule.note(rollout, leased_until);
+            } else {
+                let mut rule = VersionRule::new(rollout.clone());
+                rule.note(rollout, leased_until);
+                let known = KnownRollout {
+                    learned_at: now,
+                    was_leased: rule.is_leased(now),
+                    rule,
+                };
+                state.rollouts.insert(rollout.service.clone(), known);
+            }
+            let Some(known) = state.rollouts.get_mut(&rollout.service) else {
+                continue;
+            };
+            let held = known.rule.rollout();
+            let is_other = before.as_ref().is_none_or(|it| it.number != held.number);
+            if is_other {
+                known.learned_at = now;
+                has_begun = true;
+            }
+            if is_other || before.is_some_and(|it| it.phase != held.phase) {
+                log_rule(held, &from, known.rule.is_leased(now));
+            }
+        }
+        let was_leader = state.leader == Some(from);
+        if reply.is_leading && !was_leader {
+            state.leader = Some(from);
+            self.evidence.borrow_mut().repeat();
+        } else if !reply.is_leading && was_leader {
+            state.leader = None;
+        }
+        let is_new_leader = reply.is_leading && !was_leader;
+        if has_begun || is_new_leader {
+            self.evidence_changed.notify_one();
+        }
+    }
+
+    fn note_lost(&self, address: &SocketAddr) {
+        let mut state = self.state.borrow_mut();
+        state.leader = state.leader.filter(|leader| leader != address);
+        state.reported.swap_remove(address);
+    }
+
+    /// Records which versions have ready endpoints.
+    fn note_versions(&self, now: ClockMs, endpoints: &EndpointTable) {
+        let mut state = self.state.borrow_mut();
+        for endpoint in endpoints.iter().filter(|it| it.is_ready()) {
+            let Announcement {
+                service, version, ..
+            } = &endpoint.announcement;
+            let Some(versions) = state.versions.get_mut(service) else {
+                let seen = vec![SeenVersion::new(now, version)];
+                state.versions.insert(service.clone(), seen);
+                continue;
+            };
+            if let Some(seen) = versions.iter_mut().find(|it| it.version == *version) {
+                seen.ready_at = now;
+                continue;
+            }
+            log_event!(
+                info,
+                events::VERSION_APPEARED,
+                service = service,
+                version = version,
+                beside = versions.len(),
+                hold_ms = self.config.hold_ms
+            );
+            versions.push(SeenVersion::new(now, version));
+        }
+        state.versions.retain(|_, versions| {
+            versions.retain(|it| now.since(it.ready_at) < self.config.hold_ms);
+            !versions.is_empty()
+        });
+    }
+
+    /// Decides with what is known of a service's versions; `None` if it has endpoints of one
+    /// version only, so that there is nothing to decide.
+    fn decide<T>(
+        &self,
+        endpoints: &EndpointTable,
+        service: &str,
+        decide: impl FnOnce(&ServiceVersions<'_>) -> T,
+    ) -> Option<T> {
+        let state = self.state.borrow();
+        let seen = state.versions.get(service).filter(|it| it.len() > 1)?;
+        let is_counted = |it: &&Endpoint| it.is_ready() && it.announcement.service == service;
+        let mut versions: Vec<KnownVersion> = seen.iter().map(SeenVersion::without_ready).collect();
+        for endpoint in endpoints.iter().filter(is_counted) {
+            let version = &endpoint.announcement.version;
+            if let Some(known) = versions.iter_mut().find(|it| it.version == *version) {
+                known.ready += 1;
+            }
+        }
+        let known = state.rollouts.get(service);
+        Some(decide(&ServiceVersions {
+            hold_ms: self.config.hold_ms,
+            leader_asked_at: state.leader_asked_at,
+            rule: known.map(|it| &it.rule),
+            versions: &versions,
+        }))
+    }
+
+    /// Logs which roll-outs in progress have lost or regained their lease.
+    fn log_leases(&self, now: ClockMs) {
+        let mut state = self.state.borrow_mut();
+        for (service, known) in &mut state.rollouts {
+            let is_leased = known.rule.is_leased(now);
+            if is_leased == known.was_leased || known.rule.is_ended() {
+                continue;
+            }
+            known.was_leased = is_leased;
+            let rollout = known.rule.rollout();
+            log_event!(
+                info,
+                events::ROLLOUT_LEASE,
+                service = service,
+                number = rollout.number.0,
+                step = rollout.step,
+                target = rollout.target,
+                is_leased = is_leased
+            );
+        }
+    }
+}
+
+impl SeenVersion {
+    fn new(now: ClockMs, version: &str) -> Self {
+        Self {
+            first_seen_at: now,
+            ready_at: now,
+            version: version.to_owned(),
+        }
+    }
+
+    fn without_ready(&self) -> KnownVersion {
+        KnownVersion {
+            first_seen_at: self.first_seen_at,
+            ready: 0,
+            version: self.version.clone(),
+        }
+    }
+}
+
+fn log_rule(rollout: &ServingRollout, from: &SocketAddr, is_leased: bool) {
+    let (phase, share_permille) = match rollout.phase {
+        Phase::Canary { share_permille } => ("canary", share_permille),
+        Phase::Finishing => ("finishing", 1_000),
+        Phase::Completed => ("completed", 1_000),
+        Phase::RolledBack(_) => ("rolled_back", 0),
+    };
+    log_event!(
+        info,
+        events::ROLLOUT_CHANGED,
+        service = rollout.service,
+        number = rollout.number.0,
+        step = rollout.step,
+        target = rollout.target,
+        phase = phase,
+        share_permille = share_permille,
+        from = from,
+        is_leased = is_leased
+    );
+}
+
+impl Relay {
+    /// Records the roll-outs that a control replica reported; it was asked at `asked_at`.
+    pub(crate) fn note_rollouts(&self, from: SocketAddr, asked_at: ClockMs, reply: &WatchReply) {
+        if let Some(rollouts) = &self.rollouts {
+            rollouts.note_reply(self.now(), from, asked_at, reply);
+        }
+    }
+
+    /// Records that a control replica doesn't answer.
+    pub(crate) fn note_rollouts_lost(&self, address: &SocketAddr) {
+        if let Some(rollouts) = &self.rollouts {
+            rollouts.note_lost(address);
+        }
+    }
+
+    /// Records the versions of the known endpoints.
+    pub(crate) fn note_versions(&self) {
+        if let Some(rollouts) = &self.rollouts {
+            rollouts.note_versions(self.now(), &self.endpoints.borrow());
+        }
+    }
+
+    /// Logs changes of the roll-outs' leases.
+    pub(crate) fn log_rollout_leases(&self) {
+        if let Some(rollouts) = &self.rollouts {
+            rollouts.log_leases(self.now());
+        }
+    }
+
+    /// The versions that a request may be sent to now. `is_begun` says whether its caller has a
+    /// part of the answer.
+    pub(crate) fn versions_for(
+        &self,
+        request: &RelayRequest,
+        retry_state: &RetryState,
+        is_begun: bool,
+    ) -> RequestVersions {
+        let Some(rollouts) = &self.rollouts else {
+            return RequestVersions::default();
+        };
+        let now = self.now();
+        let endpoints = self.endpoints.borrow();
+        let service = &request.service;
+        let failed_dials = retry_state.failed_dials();
+        let decided = rollouts.decide(&endpoints, service, |known| {
+            let Some(first_version) = retry_state.first_version() else {
+                return known.for_new(now, retry_state.version_draw(), failed_dials);
+            };
+            let started = StartedRequest {
+                failed_dials,
+                first_version,
+                is_begun,
+            };
+            let is_usable = |versions: &VersionFilter| {
+                endpoints.has_ready(service, versions, &retry_state.excluded)
+            };
+            known.for_started(now, &started, is_usable)
+        });
+        decided.unwrap_or_default()
+    }
+
+    /// Whether a request that was assigned an endpoint of a version may still be sent there. The
+    /// relay may have been frozen since.
+    pub(crate) fn may_use_version(
+        &self,
+        request: &RelayRequest,
+        retry_state: &RetryState,
+        version: &str,
+    ) -> bool {
+        if self.rollouts.is_none() || retry_state.first_version().is_some() {
+            return true;
+        }
+        let versions = self.versions_for(request, retry_state, false);
+        let drawn = versions.drawn;
+        versions.allowed.allows(version) || drawn.is_some_and(|it| it.allows(version))
+    }
+
+    /// The versions of the engines that may hold a copy of a run.
+    pub(crate) fn copy_versions(&self, running: &Announcement) -> VersionFilter {
+        let Some(rollouts) = &self.rollouts else {
+            return VersionFilter::ANY;
+        };
+        let run = StartedRequest {
+            failed_dials: 0,
+            first_version: &running.version,
+            is_begun: true,
+        };
+        let endpoints = self.endpoints.borrow();
+        let decided = rollouts.decide(&endpoints, &running.service, |known| {
+            // A copy at the other side would be of no use.
+            known.for_started(self.now(), &run, |_| true).allowed
+        });
+        decided.unwrap_or_default()
+    }
+
+    /// The versions that queued requests of the services may be sent to, for services with several.
+    pub(crate) fn queue_versions<'a>(
+        &self,
+        endpoints: &EndpointTable,
+        services: impl Iterator<Item = &'a str>,
+    ) -> Vec<(String, VersionFilter)> {
+        let Some(rollouts) = &self.rollouts else {
+            return Vec::new();
+        };
+        let now = self.now();
+        let listed = services.filter_map(|service| {
+            let versions = rollouts.decide(endpoints, service, |known| known.for_waiting(now));
+            Some((service.to_owned(), versions?))
+        });
+        listed.collect()
+    }
+}
--- a/crates/masticsill_relay/src/server.rs
+++ b/crates/masticsill_relay/src/server.rs
@@ -78,6 +78,7 @@
         sleep(HOUSEKEEPING_INTERVAL).await;
         relay.pool.borrow_mut().close_idle(relay.now());
         relay.judge_crashes();
+        relay.log_rollout_leases();
         relay.update_gauges();
     }
 }
--- a/crates/masticsill_relay/src/stream/run.rs
+++ b/crates/masticsill_relay/src/stream/run.rs
@@ -52,7 +52,8 @@
         self.copies.reset(copy);
         self.is_copy_usable = from_copy.is_some();
         let silence_timeout_ms = self.first_event_timeout_ms();
-        let progress = attempt.begin(self.reached_ms);
+        let is_resume = self.delivered > 0;
+        let progress = attempt.begin(request, self.reached_ms, is_resume);
         let watched = self.watched(&endpoint, progress, silence_timeout_ms, Failure::Silent);
         let sent_at = watched.last_received_at;
         let exchange = exchange(relay, request, &mut attempt, &options);
--- a/crates/masticsill_relay/tests/document_fetch.rs
+++ b/crates/masticsill_relay/tests/document_fetch.rs
@@ -44,6 +44,7 @@
             listen_address: SocketAddr::from(([127, 0, 0, 1], 0)),
             node: node(),
             read_document,
+            rollouts: None,
             zone: "near".parse().unwrap(),
         };
         let role = RelayRole::start(config, MonotonicClock::start(), &mut registry).unwrap();
--- a/crates/masticsill_relay/tests/known_behind.rs
+++ b/crates/masticsill_relay/tests/known_behind.rs
@@ -34,6 +34,7 @@
         listen_address: SocketAddr::from(([127, 0, 0, 1], 0)),
         node: node(),
         read_document,
+        rollouts: None,
         zone: "near".parse().unwrap(),
     };
     RelayRole::start(config, MonotonicClock::start(), &mut Registry::default()).unwrap()
--- a/crates/masticsill_rollout/src/lib.rs
+++ b/crates/masticsill_rollout/src/lib.rs
@@ -9,8 +9,10 @@
 mod driver;
 mod evidence;
 mod order;
+mod service_versions;
 mod step;
 mod table;
+mod version_filter;
 mod version_rule;
 
 pub use driver::{DriverInput, RolloutDriver, RolloutLimits};
@@ -18,6 +20,8 @@
     ArmEvidence, EvidenceReport, EvidenceStore, LatencyHistogram, Reporter, RouteEvidence,
 };
 pub use order::{OrderAnswer, RolloutNumber, RolloutOrder};
+pub use service_versions::{KnownVersion, ServiceVersions, StartedRequest};
 pub use step::{Phase, RollbackCause, Rollout, RolloutState, RolloutStep};
 pub use table::Rollouts;
+pub use version_filter::{ANY_VERSION, RequestVersions, VersionFilter};
 pub use version_rule::{ServingRollout, VersionChoice, VersionRule};
--- /dev/null
+++ b/crates/masticsill_rollout/src/version_filter.rs
@@ -0,0 +1,61 @@
+//! The versions of a service's endpoints among which a request's endpoint is chosen.
+
+use serde::{Deserialize, Serialize};
+
+use crate::version_rule::VersionChoice;
+
+/// The versions of a service that a request may be sent to.
+#[derive(Clone, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct VersionFilter {
+    choice: VersionChoice,
+    /// Versions that no order covers yet.
+    held_back: Vec<String>,
+}
+
+impl VersionFilter {
+    /// Allows every version.
+    pub const ANY: Self = Self {
+        choice: VersionChoice::Any,
+        held_back: Vec::new(),
+    };
+
+    /// The versions of a choice without those that are held back.
+    #[must_use]
+    pub fn new(choice: VersionChoice, held_back: Vec<String>) -> Self {
+        Self { choice, held_back }
+    }
+
+    /// Whether endpoints of a version may be chosen.
+    #[must_use]
+    pub fn allows(&self, version: &str) -> bool {
+        self.choice.allows(version) && !self.held_back.iter().any(|it| it == version)
+    }
+
+    /// Whether every version is allowed.
+    #[must_use]
+    pub fn is_unrestricted(&self) -> bool {
+        self.choice == VersionChoice::Any && self.held_back.is_empty()
+    }
+}
+
+impl From<VersionChoice> for VersionFilter {
+    fn from(choice: VersionChoice) -> Self {
+        Self::new(choice, Vec::new())
+    }
+}
+
+/// Every version, for services with endpoints of one version only.
+pub static ANY_VERSION: VersionFilter = VersionFilter::ANY;
+
+/// The versions that a request needs an endpoint of.
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
+pub struct RequestVersions {
+    /// The versions that the request may be sent to, at once or after a wait.
+    pub allowed: VersionFilter,
+    /// The versions that the request was drawn for. If none of their endpoints has capacity, it is
+    /// sent to an allowed one.
+    pub drawn: Option<VersionFilter>,
+    /// Whether the request has already run on the allowed side, so that it waits for this side
+    /// even if new requests go elsewhere meanwhile.
+    pub is_fixed: bool,
+}
--- a/crates/masticsill_rollout/src/version_rule.rs
+++ b/crates/masticsill_rollout/src/version_rule.rs
@@ -34,7 +34,7 @@
 }
 
 /// The versions that one request may be sent to.
-#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub enum VersionChoice {
     /// Any version.
     #[default]
@@ -78,14 +78,23 @@
 
     /// Applies a report, unless a newer one is known. `leased_until` is set if the leader reported
     /// it itself.
+    ///
+    /// A lease stays valid with a later step of the same roll-out. Followers often report a step
+    /// first, and requests would leave the target until the leader reports it as well. The lease
+    /// still limits for how long a further step can remain unknown.
     pub fn note(&mut self, rollout: &ServingRollout, leased_until: Option<ClockMs>) {
         let (held, reported) = (&self.rollout, rollout);
         let is_newer = (reported.number, reported.step) > (held.number, held.step);
         let is_same = (reported.number, reported.step) == (held.number, held.step);
         if is_newer {
+            if held.number != reported.number {
+                self.leased_until = ClockMs(0);
+            }
             self.rollout = rollout.clone();
-            self.leased_until = leased_until.unwrap_or(ClockMs(0));
-        } else if is_same && let Some(leased_until) = leased_until {
+        }
+        if (is_newer || is_same)
+            && let Some(leased_until) = leased_until
+        {
             self.leased_until = self.leased_until.max(leased_until);
         }
     }
@@ -96,6 +105,48 @@
         &self.rollout
     }
 
+    /// The target version.
+    #[must_use]
+    pub fn target(&self) -> &str {
+        &self.rollout.target
+    }
+
+    /// Whether the roll-out has ended.
+    #[must_use]
+    pub fn is_ended(&self) -> bool {
+        self.rollout.phase.is_ended()
+    }
+
+    /// Whether the step may be relied on.
+    #[must_use]
+    pub fn is_leased(&self, now: ClockMs) -> bool {
+        now < self.leased_until
+    }
+
+    /// Whether the target version may get new requests.
+    #[must_use]
+    pub fn is_target_open(&self, now: ClockMs) -> bool {
+        match self.rollout.phase {
+            Phase::Completed => true,
+            Phase::Finishing => self.is_leased(now),
+            Phase::Canary { share_permille } => share_permille > 0 && self.is_leased(now),
+            Phase::RolledBack(_) => false,
+        }
+    }
+
+    /// The versions for a new request that is not drawn for the target version, because the target
+    /// has no capacity: the old ones, or any while the target is to get all requests.
+    #[must_use]
+    pub fn without_draw(&self, now: ClockMs) -> VersionChoice {
+        match self.rollout.phase {
+            Phase::Finishing if self.is_leased(now) => VersionChoice::Any,
+            Phase::Completed => VersionChoice::Only(self.rollout.target.clone()),
+            Phase::Canary { .. } | Phase::Finishing | Phase::RolledBack(_) => {
+                VersionChoice::Except(self.rollout.target.clone())
+            }
+        }
+    }
+
     /// Chooses the versions for a new request; `random` is a number between 0 and 1.
     ///
     /// Without a valid lease the target version gets no new requests: the roll-out may have been
@@ -103,7 +154,7 @@
     #[must_use]
     pub fn choose(&self, now: ClockMs, random: f64) -> VersionChoice {
         let target = || self.rollout.target.clone();
-        let is_leased = now < self.leased_until;
+        let is_leased = self.is_leased(now);
         match self.rollout.phase {
             Phase::Completed => VersionChoice::Only(target()),
             Phase::Finishing if is_leased => VersionChoice::Only(target()),
