Relays: tests of versions and evidence

Cause: the choice of versions had no tests.

The fake replica reports endpoints and roll-outs, says whether it leads, and records evidence and requests for reservations.

--- a/crates/masticsill_relay/tests/common/mod.rs
+++ b/crates/masticsill_relay/tests/common/mod.rs
@@ -1,7 +1,10 @@
-//! A control replica that serves documents and nothing else, behind a fault proxy.
+//! A control replica behind a fault proxy. It serves documents, and reports the endpoints and
+//! roll-outs that a test sets.
 
 #![allow(dead_code, reason = "each test file uses a part of this module")]
 
+pub(crate) mod endpoint;
+
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -14,10 +17,10 @@
 };
 use masticsill_quarantine::RequestRecord;
 use masticsill_registry::{
-    Announcement, CachedTokens, EndpointId, EndpointLoad, EngineReservationRequest, PromptPart,
-    Watcher,
+    Announcement, CachedTokens, EndpointId, EndpointLoad, EndpointRecord, EngineReservationRequest,
+    PromptPart, Watcher,
 };
-use masticsill_rollout::EvidenceReport;
+use masticsill_rollout::{EvidenceReport, ServingRollout};
 use masticsill_runtime::{DutyHandle, ShutdownSignal, listen, spawn_async_duty};
 use masticsill_testkit::FaultProxy;
 use masticsill_types::{NodeId, ZoneId};
@@ -32,10 +35,23 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+/// What the replica reports beside documents.
+#[derive(Clone, Debug, Default)]
+struct News {
+    endpoints: Vec<EndpointRecord>,
+    is_leading: bool,
+    /// Counts all changes.
+    revision: u64,
+    rollouts: Vec<ServingRollout>,
+}
+
 #[derive(Debug)]
 struct Shared {
     book: Mutex<PieceStore>,
     calls: AtomicU64,
+    evidence: Mutex<Vec<EvidenceReport>>,
+    news: watch::Sender<News>,
+    reservations: Mutex<Vec<EngineReservationRequest>>,
     sent_bytes: AtomicU64,
     versions: watch::Sender<Option<u64>>,
     zone: ZoneId,
@@ -59,6 +75,9 @@
         let shared = Arc::new(Shared {
             book: Mutex::default(),
             calls: AtomicU64::new(0),
+            evidence: Mutex::default(),
+            news: watch::Sender::default(),
+            reservations: Mutex::default(),
             sent_bytes: AtomicU64::new(0),
             versions: watch::Sender::new(None),
             zone: zone.parse().unwrap(),
@@ -99,6 +118,38 @@
         self.shared.versions.send_replace(Some(version));
     }
 
+    /// Reports endpoints in place of the former ones.
+    pub(crate) fn report_endpoints(&self, endpoints: Vec<EndpointRecord>) {
+        self.change(|news| news.endpoints = endpoints);
+    }
+
+    /// Reports roll-outs in place of the former ones.
+    pub(crate) fn report_rollouts(&self, rollouts: Vec<ServingRollout>) {
+        self.change(|news| news.rollouts = rollouts);
+    }
+
+    /// Sets whether the replica leads.
+    pub(crate) fn set_leading(&self, is_leading: bool) {
+        self.change(|news| news.is_leading = is_leading);
+    }
+
+    fn change(&self, change: impl FnOnce(&mut News)) {
+        self.shared.news.send_modify(|news| {
+            change(news);
+            news.revision += 1;
+        });
+    }
+
+    /// The reports of evidence received so far.
+    pub(crate) fn evidence(&self) -> Vec<EvidenceReport> {
+        self.shared.evidence.lock().unwrap().clone()
+    }
+
+    /// The requests for reservations received so far.
+    pub(crate) fn reservations(&self) -> Vec<EngineReservationRequest> {
+        self.shared.reservations.lock().unwrap().clone()
+    }
+
     /// Number of calls for pieces so far.
     pub(crate) fn calls(&self) -> u64 {
         self.shared.calls.load(Ordering::Relaxed)
@@ -130,23 +181,38 @@
 
     async fn watch(self, _: Context, request: WatchRequest) -> WatchReply {
         let mut versions = self.shared.versions.subscribe();
-        let is_news = versions.wait_for(|version| *version > request.document_seen);
-        let _ = timeout(Duration::from_millis(request.wait_ms), is_news).await;
+        let mut news = self.shared.news.subscribe();
+        let is_newer = |news: &News| {
+            news.revision > request.revision || news.revision > request.rollouts_revision
+        };
+        let changed = async {
+            tokio::select! {
+                _ = versions.wait_for(|version| *version > request.document_seen) => {}
+                _ = news.wait_for(is_newer) => {}
+            }
+        };
+        let _ = timeout(Duration::from_millis(request.wait_ms), changed).await;
         let document_version = *self.shared.versions.borrow();
+        let news = self.shared.news.borrow().clone();
+        let endpoints = if news.revision > request.revision {
+            news.endpoints
+        } else {
+            Vec::new()
+        };
         WatchReply {
             document_version,
-            endpoints: Vec::new(),
+            endpoints,
             entries: 1,
             entries_nearby: Vec::new(),
             heard: Vec::new(),
-            is_leading: false,
+            is_leading: news.is_leading,
             loads: Vec::new(),
             loads_revision: 0,
             members: Vec::new(),
             registry: 1,
-            revision: 0,
-            rollouts: Vec::new(),
-            rollouts_revision: 0,
+            revision: news.revision,
+            rollouts: news.rollouts,
+            rollouts_revision: news.revision,
             suspects: Vec::new(),
             suspects_revision: 0,
             zone: self.shared.zone.clone(),
@@ -177,13 +243,20 @@
 
     async fn tell_crashes(self, _: Context, _: Vec<RequestRecord>) {}
 
-    async fn tell_rollout_evidence(self, _: Context, _: Vec<EvidenceReport>) {}
+    async fn tell_rollout_evidence(self, _: Context, reports: Vec<EvidenceReport>) {
+        self.shared.evidence.lock().unwrap().extend(reports);
+    }
 
     async fn find_kept(self, _: Context, _: Vec<PromptPart>) -> Vec<CachedTokens> {
         Vec::new()
     }
 
-    async fn take_place(self, _: Context, _: EngineReservationRequest) -> Option<EndpointLoad> {
+    async fn take_place(
+        self,
+        _: Context,
+        request: EngineReservationRequest,
+    ) -> Option<EndpointLoad> {
+        self.shared.reservations.lock().unwrap().push(request);
         None
     }
 
