--- a/crates/masticsill_dispatch/tests/version_sides.rs
+++ b/crates/masticsill_dispatch/tests/version_sides.rs
@@ -31,7 +31,7 @@
         let mut announcement = entry.table.get(&id(name)).unwrap().announcement.clone();
         announcement.sequence += 1;
         let version = if name.starts_with('n') { "v2" } else { "v1" };
-        announcement.version = version.to_owned();
+        version.clone_into(&mut announcement.version);
         EndpointRecord {
             announcement,
             is_silent: false,
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -31,6 +31,9 @@
 /// carries this entry's loads and its reply the other entries' loads; the interval is about that
 /// between requests for long generations.
 const OWN_ZONE_WATCH_TIMEOUT_MS: u64 = 200;
+/// Maximum wait for a watch reply while a roll-out is in progress, in milliseconds: a quarter of
+/// the time for which the leader's word holds, so that it is renewed in time.
+const ROLLOUT_WATCH_TIMEOUT_MS: u64 = 250;
 /// Delay before changed loads are reported, so that simultaneous changes share a message.
 const LOAD_REPORT_DELAY: Duration = Duration::from_millis(4);
 /// Pause before an address is asked again whether it serves control, and which other replicas
@@ -103,7 +106,10 @@
         self.relay.note_document_version(reply.document_version);
     }
 
-    fn forget_source(&self, address: SocketAddr) {
+    /// Records that a replica doesn't answer.
+    fn note_lost(&self, address: SocketAddr) {
+        self.relay.note_control_lost(&address);
+        self.relay.note_rollouts_lost(&address);
         self.sources.send_modify(|sources| sources.remove(&address));
     }
 
@@ -152,6 +158,17 @@
     }
 }
 
+/// Maximum wait for the next reply of a replica, in milliseconds.
+fn watch_timeout_ms(relay: &Relay, is_own_zone: bool) -> u64 {
+    if is_own_zone {
+        OWN_ZONE_WATCH_TIMEOUT_MS
+    } else if relay.has_rollouts_in_progress() {
+        ROLLOUT_WATCH_TIMEOUT_MS
+    } else {
+        WATCH_TIMEOUT_MS
+    }
+}
+
 /// Watches one replica until the relay ends.
 async fn watch_replica(discovery: Rc<Discovery>, address: SocketAddr) {
     let relay = Rc::clone(&discovery.relay);
@@ -179,11 +196,7 @@
     let mut is_own_zone = false;
     let mut zone = None;
     loop {
-        request.wait_ms = if is_own_zone {
-            OWN_ZONE_WATCH_TIMEOUT_MS
-        } else {
-            WATCH_TIMEOUT_MS
-        };
+        request.wait_ms = watch_timeout_ms(&relay, is_own_zone);
         if let Some(zone) = &zone {
             request.loads = relay.endpoints.borrow().loads_in(relay.now(), zone);
         }
@@ -194,9 +207,7 @@
                 log_event!(warn, events::CONTROL_LOST, address = address);
             }
             is_reached = false;
-            relay.note_control_lost(&address);
-            relay.note_rollouts_lost(&address);
-            discovery.forget_source(address);
+            discovery.note_lost(address);
             sleep(RETRY_PAUSE).await;
             continue;
         };
--- a/crates/masticsill_relay/src/rollouts.rs
+++ b/crates/masticsill_relay/src/rollouts.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 
 use indexmap::IndexMap;
+use masticsill_catalogue::RouteKind;
 use masticsill_dispatch::{Endpoint, EndpointTable};
 use masticsill_registry::Announcement;
 use masticsill_rollout::{
@@ -308,6 +309,12 @@
         }
     }
 
+    /// Whether a roll-out is in progress.
+    pub(crate) fn has_rollouts_in_progress(&self) -> bool {
+        let rollouts = self.rollouts.as_ref();
+        rollouts.is_some_and(|it| !it.in_progress().is_empty())
+    }
+
     /// Records the versions of the known endpoints.
     pub(crate) fn note_versions(&self) {
         if let Some(rollouts) = &self.rollouts {
@@ -337,18 +344,25 @@
         let endpoints = self.endpoints.borrow();
         let service = &request.service;
         let failed_dials = retry_state.failed_dials();
+        let names = &self.config.headers;
+        let is_continued = || {
+            let is_stream = request.route.kind == RouteKind::Stream;
+            is_stream && request.last_event(names).is_some_and(|last| last > 0)
+        };
         let decided = rollouts.decide(&endpoints, service, |known| {
+            let is_usable = |versions: &VersionFilter| {
+                endpoints.has_ready(service, versions, &retry_state.excluded)
+            };
             let Some(first_version) = retry_state.first_version() else {
-                return known.for_new(now, retry_state.version_draw(), failed_dials);
+                let continued = is_continued().then(|| known.for_continued(is_usable));
+                let new = || known.for_new(now, retry_state.version_draw(), failed_dials);
+                return continued.flatten().unwrap_or_else(new);
             };
             let started = StartedRequest {
                 failed_dials,
                 first_version,
                 is_begun,
             };
-            let is_usable = |versions: &VersionFilter| {
-                endpoints.has_ready(service, versions, &retry_state.excluded)
-            };
             known.for_started(now, &started, is_usable)
         });
         decided.unwrap_or_default()
--- a/crates/masticsill_relay/tests/common/endpoint.rs
+++ b/crates/masticsill_relay/tests/common/endpoint.rs
@@ -118,7 +118,8 @@
         let mut line = String::new();
         while reader.read_line(&mut line)? > 0 && line != "\r\n" {
             if target.is_empty() {
-                target = line.split(' ').nth(1).unwrap_or_default().to_owned();
+                let path = line.split(' ').nth(1);
+                target.push_str(path.unwrap_or_default());
             } else if let Some((field, value)) = line.split_once(':') {
                 let number = value.trim().parse().unwrap_or_default();
                 match field.to_lowercase().as_str() {
--- a/crates/masticsill_relay/tests/rollouts.rs
+++ b/crates/masticsill_relay/tests/rollouts.rs
@@ -30,7 +30,9 @@
 const PLAIN: &str = "plain";
 const ENGINES: &str = "engines";
 
-fn document(_: &[u8]) -> Result<RouteDocument, String> {
+/// A document with all routes; its text is its version.
+fn document(bytes: &[u8]) -> Result<RouteDocument, String> {
+    let version = str::from_utf8(bytes).map_err(|error| error.to_string())?;
     let route = |name: &str, kind, service: &str| Route {
         target_event_gap_ms: None,
         host: "shop.example".to_owned(),
@@ -72,7 +74,7 @@
             route("stream", RouteKind::Stream, ENGINES),
         ],
         services: vec![service(PLAIN, None), service(ENGINES, Some(engine))],
-        version: 1,
+        version: version.trim().parse().map_err(|error| format!("{error}"))?,
         workspaces: None,
     })
 }
@@ -195,17 +197,7 @@
     }
 
     fn ask(&self, path: &str) -> String {
-        let address = self.relay.as_ref().unwrap().address();
-        let mut stream = TcpStream::connect(address).unwrap();
-        let request = format!(
-            "GET {path} HTTP/1.1\r\nHost: shop.example\r\nX-Time-Left-Ms: 8000\r\n\
-             Connection: close\r\n\r\n"
-        );
-        stream.write_all(request.as_bytes()).unwrap();
-        let mut answer = String::new();
-        // A cut stream may end with a reset.
-        let _ = stream.read_to_string(&mut answer);
-        answer
+        ask_at(self.relay.as_ref().unwrap().address(), path)
     }
 
     /// Number of answers of the target among `count` requests; all must succeed.
@@ -374,10 +366,12 @@
     assert_eq!(fixture.answers_of_target(20), 20);
 }
 
-fn ask_stream(address: SocketAddr) -> String {
+fn ask_at(address: SocketAddr, path: &str) -> String {
     let mut stream = TcpStream::connect(address).unwrap();
-    let request = "GET /stream/ HTTP/1.1\r\nHost: shop.example\r\nX-Time-Left-Ms: 8000\r\n\
-                   Connection: close\r\n\r\n";
+    let request = format!(
+        "GET {path} HTTP/1.1\r\nHost: shop.example\r\nX-Time-Left-Ms: 8000\r\n\
+         Connection: close\r\n\r\n"
+    );
     stream.write_all(request.as_bytes()).unwrap();
     let mut answer = String::new();
     // A cut stream may end with a reset.
@@ -420,7 +414,7 @@
         }
         let answer = thread::scope(|scope| {
             let (address, fixture) = (fixture.relay.as_ref().unwrap().address(), &mut fixture);
-            let asked = scope.spawn(move || ask_stream(address));
+            let asked = scope.spawn(move || ask_at(address, "/stream/"));
             thread::sleep(Duration::from_millis(100));
             fixture.advance(later);
             asked.join().unwrap()
@@ -443,7 +437,7 @@
     let mut fixture = Fixture::start(ENGINES, canary(0));
     let answer = thread::scope(|scope| {
         let address = fixture.relay.as_ref().unwrap().address();
-        let asked = scope.spawn(move || ask_stream(address));
+        let asked = scope.spawn(move || ask_at(address, "/stream/"));
         thread::sleep(Duration::from_millis(100));
         fixture.advance(Phase::Completed);
         fixture.old.stop();
@@ -503,6 +497,57 @@
     assert_eq!(slow(&first.old), 0, "{first:?}");
 }
 
+/// Guards against a version whose slowest answers don't count, because the relay repeats these
+/// requests elsewhere.
+#[test]
+fn evidence_counts_requests_that_were_given_up_as_slow() {
+    let fixture = Fixture::start(PLAIN, Phase::Finishing);
+    let other = Endpoint::start("n2", "v2");
+    let all = [&fixture.old, &fixture.new, &other];
+    let records = all.map(|it| it.record(PLAIN, EndpointState::Ready));
+    fixture.replica.report_endpoints(records.to_vec());
+    fixture.wait_for_ready(3);
+    fixture.new.set(Behavior {
+        delay_ms: 4_000,
+        ..Behavior::default()
+    });
+    wait_until("the slow endpoint is chosen", || {
+        assert!(fixture.ask("/first/").starts_with("HTTP/1.1 200"));
+        fixture.new.requests() > 0
+    });
+    let first = fixture.wait_for_evidence("first", |it| slow(&it.target) > 0);
+    assert_eq!(first.target.failed, 0);
+}
+
+/// Guards against old requests that are judged by what happened before the order.
+#[test]
+fn evidence_leaves_out_requests_from_before_the_roll_out() {
+    let mut fixture = Fixture::without_relay(PLAIN);
+    fixture.register(EndpointState::Ready, None);
+    fixture.start_relay();
+    fixture.wait_for_answer();
+    fixture.old.set(Behavior {
+        delay_ms: 1_000,
+        ..Behavior::default()
+    });
+    let before = fixture.old.requests();
+    let address = fixture.relay.as_ref().unwrap().address();
+    thread::scope(|scope| {
+        let asked = scope.spawn(move || ask_at(address, "/second/"));
+        wait_until("the request runs", || fixture.old.requests() > before);
+        fixture.advance(canary(0));
+        wait_until("the relay knows the roll-out", || {
+            !fixture.replica.evidence().is_empty()
+        });
+        assert!(asked.join().unwrap().starts_with("HTTP/1.1 200"));
+    });
+    fixture.old.set(Behavior::default());
+    assert!(fixture.ask("/first/").starts_with("HTTP/1.1 200"));
+    fixture.wait_for_evidence("first", |it| it.old.answered > 0);
+    let reports = fixture.replica.evidence();
+    assert!(reports.iter().all(|it| !it.routes.contains_key("second")));
+}
+
 /// Guards against a stream that breaks after its first event and counts as good.
 #[test]
 fn evidence_counts_a_broken_stream_as_failed() {
--- a/crates/masticsill_rollout/src/service_versions.rs
+++ b/crates/masticsill_rollout/src/service_versions.rs
@@ -133,6 +133,26 @@
         }
     }
 
+    /// Versions for a stream of which the caller already has a part from another entry; none if
+    /// they are those of a new request.
+    ///
+    /// The version of that part is unknown. While a roll-out is in progress, it is most likely an
+    /// old one: the target has a small share of the requests or has had all of them only since the
+    /// last few seconds.
+    #[must_use]
+    pub fn for_continued(
+        &self,
+        is_usable: impl Fn(&VersionFilter) -> bool,
+    ) -> Option<RequestVersions> {
+        let rule = self.rule.filter(|rule| !rule.is_ended())?;
+        let old = VersionFilter::from(VersionChoice::Except(rule.target().to_owned()));
+        is_usable(&old).then_some(RequestVersions {
+            allowed: old,
+            drawn: None,
+            is_fixed: true,
+        })
+    }
+
     /// Whether a request that ran on the target may run there again.
     fn keeps_target(&self, now: ClockMs, request: &StartedRequest<'_>) -> bool {
         let is_open = self.rule.is_some_and(|rule| rule.is_target_open(now));
--- a/crates/masticsill_rollout/tests/version_choice.rs
+++ b/crates/masticsill_rollout/tests/version_choice.rs
@@ -268,6 +268,22 @@
     assert!(side.allowed.allows(TARGET));
 }
 
+/// Guards against an answer of two versions when a caller moves to another entry.
+#[test]
+fn stream_continued_from_another_entry_stays_with_the_old_version() {
+    let versions = both();
+    let continued = |phase, usable: &str| {
+        let rule = leased(phase);
+        let continued = known(Some(&rule), &versions).for_continued(|it| it.allows(usable));
+        continued.map(|it| it.allowed.allows(TARGET))
+    };
+    for phase in [canary(1_000), Phase::Finishing] {
+        assert_eq!(continued(phase, OLD), Some(false));
+        assert_eq!(continued(phase, TARGET), None);
+    }
+    assert_eq!(continued(Phase::Completed, OLD), None);
+}
+
 /// Guards against retries at a version that has been rolled back, or may have been.
 #[test]
 fn retry_without_any_event_leaves_a_target_that_takes_no_new_requests() {
