Relays: old endpoints get nothing new while they complete their requests

Cause: a request that found no capacity at the target went to an old endpoint even while the roll-out was finishing. It would be cut when the old endpoints stop, or keep them from being finished.

Change: in that phase a leased relay sends new requests to the target only, as after the completion.

--- a/crates/masticsill_rollout/src/service_versions.rs
+++ b/crates/masticsill_rollout/src/service_versions.rs
@@ -74,7 +74,7 @@
         }
         let allowed = self.for_waiting(now);
         let choice = rule.choose(now, random);
-        let is_drawn = !rule.is_ended() && choice.allows(rule.target());
+        let is_drawn = choice.allows(rule.target()) && !allowed.allows(rule.target());
         let has_target = self.is_ready(|version| version == rule.target());
         RequestVersions {
             allowed,
--- a/crates/masticsill_rollout/src/version_filter.rs
+++ b/crates/masticsill_rollout/src/version_filter.rs
@@ -52,7 +52,7 @@
 pub struct RequestVersions {
     /// The versions that the request may be sent to, at once or after a wait.
     pub allowed: VersionFilter,
-    /// The versions that the request was drawn for. If none of their endpoints has capacity, it is
+    /// The versions that the request was drawn for, none of which are allowed ones. If none of their endpoints has capacity, it is
     /// sent to an allowed one.
     pub drawn: Option<VersionFilter>,
     /// Whether the request has already run on the allowed side, so that it waits for this side
--- a/crates/masticsill_rollout/src/version_rule.rs
+++ b/crates/masticsill_rollout/src/version_rule.rs
@@ -134,13 +134,18 @@
         }
     }
 
-    /// The versions for a new request that is not drawn for the target version, because the target
-    /// has no capacity: the old ones, or any while the target is to get all requests.
+    /// The versions for a new request that is not drawn for a share of the target version, or finds
+    /// no capacity there.
+    ///
+    /// While the old version completes its requests, it gets no new ones even if the target has no
+    /// capacity: they would be cut when the old endpoints stop.
     #[must_use]
     pub fn without_draw(&self, now: ClockMs) -> VersionChoice {
         match self.rollout.phase {
-            Phase::Finishing if self.is_leased(now) => VersionChoice::Any,
             Phase::Completed => VersionChoice::Only(self.rollout.target.clone()),
+            Phase::Finishing if self.is_leased(now) => {
+                VersionChoice::Only(self.rollout.target.clone())
+            }
             Phase::Canary { .. } | Phase::Finishing | Phase::RolledBack(_) => {
                 VersionChoice::Except(self.rollout.target.clone())
             }
