Relays: a cut-off relay that gave up the old endpoints keeps to the target

Cause: the check before a request is sent ran after the failed connections had been forgotten, so that the target was withdrawn again and the old endpoints were tried once more.

Change: the check comes first. A test with a relay that is cut off from control and five old endpoints that stop.

--- a/crates/masticsill_relay/src/attempt.rs
+++ b/crates/masticsill_relay/src/attempt.rs
@@ -204,6 +204,8 @@
             return Err(Obstacle::Unreachable);
         }
     };
+    // With the failed connections that led to this endpoint, which are forgotten next.
+    let may_use_version = relay.may_use_version(request, retry_state, &endpoint.version);
     retry_state.note_connected();
     let attempt = Attempt {
         progress: RunProgress {
@@ -216,11 +218,7 @@
         reservation,
         upstream: Some(UpstreamConnection::new(stream)),
     };
-    if relay.has_withdrawn(&attempt.endpoint().id) {
-        return Err(Obstacle::Withdrawn);
-    }
-    let version = &attempt.endpoint().version;
-    if !relay.may_use_version(request, retry_state, version) {
+    if relay.has_withdrawn(&attempt.endpoint().id) || !may_use_version {
         return Err(Obstacle::Withdrawn);
     }
     // Other endpoints may have crashed under this request while it waited for a reservation or for
--- a/crates/masticsill_relay/tests/rollouts.rs
+++ b/crates/masticsill_relay/tests/rollouts.rs
@@ -379,6 +379,29 @@
     answer
 }
 
+/// Guards against a relay that is cut off from control and refuses all requests once the old
+/// endpoints have stopped: it can't learn of the completion, and they stay registered there.
+#[test]
+fn cut_off_relay_uses_the_target_once_old_endpoints_refuse_connections() {
+    let fixture = Fixture::start(PLAIN, canary(1_000));
+    let more_old = ["e2", "e3", "e4", "e5"].map(|name| Endpoint::start(name, "v1"));
+    let all = more_old.iter().chain([&fixture.old, &fixture.new]);
+    let records = all.map(|it| it.record(PLAIN, EndpointState::Ready));
+    fixture.replica.report_endpoints(records.collect());
+    fixture.wait_for_ready(6);
+    fixture.replica.proxy.set_mode(ProxyMode::Cut);
+    fixture.wait_for_version("v1");
+    assert_eq!(fixture.answers_of_target(20), 0);
+    for old in more_old.iter().chain([&fixture.old]) {
+        old.stop();
+    }
+    // Connections that were open may be lost with a request on them.
+    wait_until("the target answers", || {
+        fixture.ask("/first/").contains("X-Version: v2")
+    });
+    assert_eq!(fixture.answers_of_target(20), 20);
+}
+
 /// The versions of a stream's events, and their numbers.
 fn events(answer: &str) -> (Vec<&str>, Vec<u64>) {
     let data = answer.lines().filter_map(|it| it.strip_prefix("data: "));
