Relays: the test of earlier requests sends one of them again after the order

Change: the request fails at its first endpoint and is sent to a second one after the relay knows the roll-out.

--- a/crates/masticsill_relay/tests/rollouts.rs
+++ b/crates/masticsill_relay/tests/rollouts.rs
@@ -542,33 +542,43 @@
     assert_eq!(first.target.failed, 0);
 }
 
-/// Guards against old requests that are judged by what happened before the order.
+/// Guards against old requests that are judged by what happened before the order, also if they are
+/// sent once more after it.
 #[test]
 fn evidence_leaves_out_requests_from_before_the_roll_out() {
     let mut fixture = Fixture::without_relay(PLAIN);
-    fixture.register(EndpointState::Ready, None);
+    let other = Endpoint::start("e2", "v1");
+    let all = [&fixture.old, &other];
+    let records = all.map(|it| it.record(PLAIN, EndpointState::Ready));
+    fixture.replica.report_endpoints(records.to_vec());
     fixture.start_relay();
     fixture.wait_for_answer();
-    fixture.old.set(Behavior {
-        delay_ms: 1_000,
-        ..Behavior::default()
-    });
-    let before = fixture.old.requests();
+    fixture.wait_for_ready(2);
+    for endpoint in [&fixture.old, &other] {
+        endpoint.set(Behavior {
+            delay_ms: 800,
+            failing_path: Some("/first/".to_owned()),
+            ..Behavior::default()
+        });
+    }
+    let before = all_requests(&[&fixture.old, &other]);
     let address = fixture.relay.as_ref().unwrap().address();
     thread::scope(|scope| {
-        let asked = scope.spawn(move || ask_at(address, "/second/"));
-        wait_until("the request runs", || fixture.old.requests() > before);
+        let asked = scope.spawn(move || ask_at(address, "/first/"));
+        wait_until("the request runs", || {
+            all_requests(&[&fixture.old, &other]) > before
+        });
         fixture.advance(canary(0));
         wait_until("the relay knows the roll-out", || {
             !fixture.replica.evidence().is_empty()
         });
-        assert!(asked.join().unwrap().starts_with("HTTP/1.1 200"));
+        assert!(asked.join().unwrap().starts_with("HTTP/1.1 500"));
     });
-    fixture.old.set(Behavior::default());
-    assert!(fixture.ask("/first/").starts_with("HTTP/1.1 200"));
-    fixture.wait_for_evidence("first", |it| it.old.answered > 0);
+    assert_eq!(all_requests(&[&fixture.old, &other]), before + 2);
+    assert!(fixture.ask("/second/").starts_with("HTTP/1.1 200"));
+    fixture.wait_for_evidence("second", |it| it.old.answered > 0);
     let reports = fixture.replica.evidence();
-    assert!(reports.iter().all(|it| !it.routes.contains_key("second")));
+    assert!(reports.iter().all(|it| !it.routes.contains_key("first")));
 }
 
 /// Guards against a stream that breaks after its first event and counts as good.
