--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -31,6 +31,9 @@
 /// carries this entry's loads and its reply the other entries' loads; the interval is about that
 /// between requests for long generations.
 const OWN_ZONE_WATCH_TIMEOUT_MS: u64 = 200;
+/// Maximum wait for a watch reply while a roll-out is in progress, in milliseconds: a quarter of
+/// the time for which the leader's word holds, so that it is renewed in time.
+const ROLLOUT_WATCH_TIMEOUT_MS: u64 = 250;
 /// Delay before changed loads are reported, so that simultaneous changes share a message.
 const LOAD_REPORT_DELAY: Duration = Duration::from_millis(4);
 /// Pause before an address is asked again whether it serves control, and which other replicas
@@ -103,7 +106,10 @@
         self.relay.note_document_version(reply.document_version);
     }
 
-    fn forget_source(&self, address: SocketAddr) {
+    /// Records that a replica doesn't answer.
+    fn note_lost(&self, address: SocketAddr) {
+        self.relay.note_control_lost(&address);
+        self.relay.note_rollouts_lost(&address);
         self.sources.send_modify(|sources| sources.remove(&address));
     }
 
@@ -124,6 +130,7 @@
                 state = endpoint.announcement.state.name(),
                 address = endpoint.announcement.address,
                 zone = endpoint.announcement.zone,
+                version = endpoint.announcement.version,
                 sequence = endpoint.announcement.sequence,
                 from = node,
                 revision = reply.revision
@@ -151,6 +158,17 @@
     }
 }
 
+/// Maximum wait for the next reply of a replica, in milliseconds.
+fn watch_timeout_ms(relay: &Relay, is_own_zone: bool) -> u64 {
+    if is_own_zone {
+        OWN_ZONE_WATCH_TIMEOUT_MS
+    } else if relay.has_rollouts_in_progress() {
+        ROLLOUT_WATCH_TIMEOUT_MS
+    } else {
+        WATCH_TIMEOUT_MS
+    }
+}
+
 /// Watches one replica until the relay ends.
 async fn watch_replica(discovery: Rc<Discovery>, address: SocketAddr) {
     let relay = Rc::clone(&discovery.relay);
@@ -178,22 +196,18 @@
     let mut is_own_zone = false;
     let mut zone = None;
     loop {
-        request.wait_ms = if is_own_zone {
-            OWN_ZONE_WATCH_TIMEOUT_MS
-        } else {
-            WATCH_TIMEOUT_MS
-        };
+        request.wait_ms = watch_timeout_ms(&relay, is_own_zone);
         if let Some(zone) = &zone {
             request.loads = relay.endpoints.borrow().loads_in(relay.now(), zone);
         }
+        let asked_at = relay.now();
         let reply = relay.control.watch(address, &request).await;
         let Some(reply) = reply else {
             if is_reached {
                 log_event!(warn, events::CONTROL_LOST, address = address);
             }
             is_reached = false;
-            relay.note_control_lost(&address);
-            discovery.forget_source(address);
+            discovery.note_lost(address);
             sleep(RETRY_PAUSE).await;
             continue;
         };
@@ -240,10 +254,14 @@
         request.registry = reply.registry;
         request.revision = reply.revision;
         discovery.note_document(address, &reply);
+        // Before the endpoints, so that no request is sent to a version by an outdated rule.
+        relay.note_rollouts(address, asked_at, &reply);
+        request.rollouts_revision = reply.rollouts_revision;
         discovery.merge_endpoints(&node, &reply);
         relay.note_entries(reply.entries);
         relay.update_zone_share(&reply.entries_nearby);
         if !reply.endpoints.is_empty() {
+            relay.note_versions();
             relay.notify_discovery();
         }
         relay.capacity_changed.notify_one();
