--- a/crates/masticsill/src/settings_map.rs
+++ b/crates/masticsill/src/settings_map.rs
@@ -97,6 +97,7 @@
         peers,
         prompt_cache_feed: None,
         replica: to_replica_settings(control.election_timeout_ms),
+        rollouts: None,
         rpc_address: address,
         seeds: Vec::new(),
         zone: settings.zone.clone(),
--- a/crates/masticsill_catalogue/src/audit.rs
+++ b/crates/masticsill_catalogue/src/audit.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use masticsill_rollout::{Phase, RolloutNumber};
 use masticsill_types::{CatalogueVersion, ChangeId, EntryId, NodeId, OperatorId, WorkspaceId};
 use serde::{Deserialize, Serialize};
 
@@ -45,6 +46,28 @@
         /// The document's version, chosen by the operator.
         version: u64,
     },
+    /// An order that began a roll-out, or was refused because of another one in progress.
+    RolloutOrdered {
+        /// Whether the order began a roll-out.
+        is_accepted: bool,
+        /// The roll-out that began, or the one in progress.
+        number: RolloutNumber,
+        /// The service.
+        service: String,
+        /// The version that the order names.
+        target: String,
+    },
+    /// The end of a roll-out.
+    RolloutEnded {
+        /// The roll-out.
+        number: RolloutNumber,
+        /// How it ended.
+        phase: Phase,
+        /// The service.
+        service: String,
+        /// The version that was ordered.
+        target: String,
+    },
 }
 
 /// A change of a catalogue entry, as recorded in the audit trail.
--- a/crates/masticsill_catalogue/src/state.rs
+++ b/crates/masticsill_catalogue/src/state.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 
 use indexmap::IndexMap;
+use masticsill_rollout::{OrderAnswer, Rollout, RolloutOrder, RolloutStep, Rollouts};
 use masticsill_types::{CatalogueVersion, ChangeId, GenerationId, NodeId, OperatorId, WorkspaceId};
 use serde::{Deserialize, Serialize};
 
@@ -27,6 +28,9 @@
 /// its expected version is no longer in force. It is therefore still never applied twice.
 pub const MAX_CHANGE_ANSWERS: usize = 16_384;
 
+/// Recorded as the operator of the end of a roll-out, which the quorum's leader decides.
+const ROLLOUT_OPERATOR_ID: &str = "rollouts";
+
 /// A command of the replicated log.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Command {
@@ -67,6 +71,15 @@
         /// The operator that sent the document.
         operator: OperatorId,
     },
+    /// Begins a roll-out, unless one of the service is in progress.
+    OrderRollout {
+        /// The operator that sent the order.
+        operator: OperatorId,
+        /// The order.
+        order: RolloutOrder,
+    },
+    /// Advances a roll-out, if the step directly follows the last one.
+    AdvanceRollout(RolloutStep),
 }
 
 /// The answer to a command.
@@ -82,6 +95,10 @@
     Done,
     /// The answer to a route document.
     Document(DocumentAnswer),
+    /// The answer to an order of a roll-out.
+    Rollout(OrderAnswer),
+    /// Whether the step of a roll-out was applied.
+    RolloutAdvanced(bool),
 }
 
 /// Identifies a change: different operators may use the same id.
@@ -110,6 +127,9 @@
     document: Option<StoredDocument>,
     order_sequence: u64,
     replica_addresses: IndexMap<NodeId, SocketAddr>,
+    /// Persisted separately, like the document.
+    #[serde(skip)]
+    rollouts: Rollouts,
     wall_ms: u64,
 }
 
@@ -133,6 +153,19 @@
         self
     }
 
+    /// The latest roll-out of each service.
+    #[must_use]
+    pub fn rollouts(&self) -> &Rollouts {
+        &self.rollouts
+    }
+
+    /// Returns the state with the given roll-outs, which are stored separately.
+    #[must_use]
+    pub fn with_rollouts(mut self, rollouts: Rollouts) -> Self {
+        self.rollouts = rollouts;
+        self
+    }
+
     /// The audit trail.
     #[must_use]
     pub fn audit(&self) -> &AuditTrail {
@@ -204,6 +237,12 @@
             Action::PutDocument { document, operator } => {
                 CommandAnswer::Document(self.put_document(document, operator))
             }
+            Action::OrderRollout { operator, order } => {
+                CommandAnswer::Rollout(self.order_rollout(operator, order))
+            }
+            Action::AdvanceRollout(step) => {
+                CommandAnswer::RolloutAdvanced(self.advance_rollout(step))
+            }
         }
     }
 
@@ -235,6 +274,51 @@
         DocumentAnswer::Accepted
     }
 
+    fn order_rollout(&mut self, operator: &OperatorId, order: &RolloutOrder) -> OrderAnswer {
+        let before = self.rollouts.revision();
+        let answer = self.rollouts.order(order);
+        let is_new = self.rollouts.revision() != before;
+        let (is_accepted, number) = match answer {
+            OrderAnswer::Accepted(number) => (true, number),
+            OrderAnswer::InProgress(number) => (false, number),
+        };
+        // A repeated order is not recorded: callers resend orders whose answers were lost.
+        if is_new || !is_accepted {
+            let action = AuditAction::RolloutOrdered {
+                is_accepted,
+                number,
+                service: order.service.clone(),
+                target: order.target.clone(),
+            };
+            self.audit.push(operator, self.wall_ms, action);
+        }
+        answer
+    }
+
+    fn advance_rollout(&mut self, step: &RolloutStep) -> bool {
+        let by_number = |it: &&Rollout| it.number == step.number;
+        let was_ended = self.rollouts.iter().find(by_number);
+        let was_ended = was_ended.is_some_and(|it| it.phase.is_ended());
+        if !self.rollouts.advance(step) {
+            return false;
+        }
+        if !was_ended
+            && step.phase.is_ended()
+            && let Some(rollout) = self.rollouts.iter().find(by_number)
+        {
+            let action = AuditAction::RolloutEnded {
+                number: step.number,
+                phase: step.phase,
+                service: rollout.order.service.clone(),
+                target: rollout.order.target.clone(),
+            };
+            let operator = OperatorId::new(ROLLOUT_OPERATOR_ID);
+            let operator = operator.expect("the name holds letters only");
+            self.audit.push(&operator, self.wall_ms, action);
+        }
+        true
+    }
+
     fn answer_change(&mut self, change: &Change, scope: &OperatorScope) -> ChangeAnswer {
         if let Some(answer) = self.first_answer(change) {
             if answer == ChangeAnswer::Refused(ChangeRefusal::ChangeIdReused) {
--- a/crates/masticsill_control/src/config.rs
+++ b/crates/masticsill_control/src/config.rs
@@ -9,6 +9,7 @@
 use masticsill_catalogue::OperatorScope;
 use masticsill_quorum::ReplicaSettings;
 use masticsill_registry::{CacheUpdate, RegistryTimeouts};
+use masticsill_rollout::RolloutLimits;
 use masticsill_types::{NodeId, OperatorId, ZoneId};
 use thiserror::Error;
 
@@ -39,6 +40,8 @@
     pub prompt_cache_feed: Option<PromptCacheFeed>,
     /// Timing and sizes of the quorum.
     pub replica: ReplicaSettings,
+    /// How roll-outs are carried out; `None` turns them off.
+    pub rollouts: Option<RolloutConfig>,
     /// RPC address at which other processes reach this process.
     pub rpc_address: SocketAddr,
     /// RPC addresses at which control is served, by replicas or by processes without state.
@@ -47,6 +50,15 @@
     pub zone: ZoneId,
 }
 
+/// How roll-outs are carried out.
+#[derive(Clone, Copy, Debug)]
+pub struct RolloutConfig {
+    /// Returns whether a document contains a service.
+    pub has_service: fn(&[u8], &str) -> bool,
+    /// Bounds that every roll-out keeps.
+    pub limits: RolloutLimits,
+}
+
 /// Parses a prompt cache update or list; the error text says what is wrong.
 pub type PromptCacheParser = fn(&[u8]) -> Result<CacheUpdate, String>;
 
--- a/crates/masticsill_control/src/endpoints.rs
+++ b/crates/masticsill_control/src/endpoints.rs
@@ -8,7 +8,7 @@
 mod suspects;
 
 pub(crate) use exchange::run_exchange;
-pub(crate) use hub::EndpointHub;
+pub(crate) use hub::{EndpointHub, RESTORED_GRACE_MS};
 pub(crate) use persistence::{read as read_endpoints, run_persistence};
 pub(crate) use prompts::follow_prompts;
 pub(crate) use suspects::run_judgements;
--- a/crates/masticsill_control/src/endpoints/exchange.rs
+++ b/crates/masticsill_control/src/endpoints/exchange.rs
@@ -69,7 +69,8 @@
         loads_revision: u64::MAX,
         registry: 0,
         revision: 0,
-        rollouts_revision: 0,
+        // Replicas apply roll-outs from the log.
+        rollouts_revision: u64::MAX,
         suspects_revision: 0,
         wait_ms: WAIT_MS,
         watcher: Watcher::Replica(node),
--- a/crates/masticsill_control/src/endpoints/hub.rs
+++ b/crates/masticsill_control/src/endpoints/hub.rs
@@ -8,6 +8,7 @@
     EndpointState, EngineReservationRequest, HeartbeatAge, LoadsChange, PromptCacheIndex,
     PromptPart, Registry, RegistryTimeouts, Watcher, WatcherTable,
 };
+use masticsill_rollout::{Rollout, Rollouts, ServingRollout};
 use masticsill_types::{MonotonicClock, NodeId, ZoneId, log_event};
 use masticsill_wire::control::{WatchReply, WatchRequest};
 use tokio::sync::{Notify, watch};
@@ -19,9 +20,12 @@
 use crate::unreadable::{UnreadableMessage, UnreadableMessages};
 
 /// How long a restored endpoint counts as live without a heartbeat: two heartbeat intervals.
-pub(super) const RESTORED_GRACE_MS: u64 = 2_500;
+pub(crate) const RESTORED_GRACE_MS: u64 = 2_500;
 /// Longest wait of one watch, even if the request asks for more.
 const MAX_WAIT_MS: u64 = 2_000;
+/// Longest wait of an entry's watch while a roll-out is in progress: an entry's lease lasts 1 s, so
+/// that several answers may be lost before it expires.
+const MAX_ROLLOUT_WAIT_MS: u64 = 250;
 /// Longest wait for the watchers' acknowledgement of a deregistration; senders give up after 1 s.
 const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Shortest cached prefix of a prompt that is reported, in tokens: prefilling fewer takes only a
@@ -55,6 +59,20 @@
     zone: ZoneId,
 }
 
+/// The roll-outs for a watcher: all of them if it has another revision, or else those in progress,
+/// whose leases its answer renews.
+fn serving_rollouts(rollouts: &Rollouts, request: &WatchRequest) -> Vec<ServingRollout> {
+    match request.watcher {
+        Watcher::Entry { .. } => {
+            let is_current = rollouts.revision() == request.rollouts_revision;
+            let is_needed = |it: &&Rollout| !is_current || !it.phase.is_ended();
+            let needed = rollouts.iter().filter(is_needed);
+            needed.map(ServingRollout::from).collect()
+        }
+        Watcher::Replica(_) => Vec::new(),
+    }
+}
+
 /// The registry and its watchers. Clones share them.
 #[derive(Clone, Debug)]
 pub(crate) struct EndpointHub {
@@ -205,6 +223,7 @@
     pub(crate) async fn watch(
         &self,
         published: &PublishedState,
+        lease_ms: u64,
         members: Vec<(NodeId, std::net::SocketAddr)>,
         request: WatchRequest,
     ) -> WatchReply {
@@ -213,7 +232,10 @@
         let mut documents = published.watch_document();
         let mut loads = self.shared.loads.subscribe();
         let mut suspects = self.suspects().watch_broadcast_revision();
-        let wait_ms = request.wait_ms.min(MAX_WAIT_MS);
+        let mut rollouts = published.watch_rollouts();
+        let wait_ms = request
+            .wait_ms
+            .min(self.max_wait_ms(published, lease_ms, &request));
         let began = Instant::now();
         let mut deadline = began + Duration::from_millis(wait_ms);
         while !self.has_urgent_update(published, &request) {
@@ -228,6 +250,7 @@
                     _ = revisions.changed() => {}
                     _ = documents.changed() => {}
                     _ = loads.changed() => {}
+                    _ = rollouts.changed() => {}
                     _ = suspects.changed() => {}
                 }
             };
@@ -235,7 +258,7 @@
                 break;
             }
         }
-        self.reply(published, members, &request)
+        self.reply(published, lease_ms, members, &request)
     }
 
     /// The engines of this zone that take requests and report their prompt cache.
@@ -250,6 +273,25 @@
         engines.map(|it| it.announcement.clone()).collect()
     }
 
+    /// The numbers of a service's endpoints that take requests: those of any version but `target`, and
+    /// those of `target`.
+    pub(crate) fn ready_by_version(&self, service: &str, target: &str) -> (u32, u32) {
+        let registry = self.registry();
+        let takes_requests = |it: &&EndpointRecord| {
+            let is_ready = it.announcement.state == EndpointState::Ready && !it.is_silent;
+            is_ready && it.announcement.service == service
+        };
+        let mut ready = (0, 0);
+        for record in registry.records().filter(takes_requests) {
+            if record.announcement.version == target {
+                ready.1 += 1;
+            } else {
+                ready.0 += 1;
+            }
+        }
+        ready
+    }
+
     /// Whether an endpoint takes requests, according to this registry.
     pub(crate) fn takes_requests(&self, id: &EndpointId) -> bool {
         let registry = self.registry();
@@ -342,8 +384,8 @@
         self.update_delay() * factor
     }
 
-    /// Whether an update must be sent at once: an endpoint that leaves, a new document, or a
-    /// request that crashes endpoints.
+    /// Whether an update must be sent at once: an endpoint that leaves, a new document, a step of a
+    /// roll-out, or a request that crashes endpoints.
     fn has_urgent_update(&self, published: &PublishedState, request: &WatchRequest) -> bool {
         if !self.is_same_incarnation(request)
             || self.registry().has_departure_since(request.revision)
@@ -353,16 +395,22 @@
         if self.suspects().broadcast_revision() > request.suspects_revision {
             return true;
         }
+        let takes_rollouts = matches!(request.watcher, Watcher::Entry { .. });
+        if takes_rollouts && *published.watch_rollouts().borrow() > request.rollouts_revision {
+            return true;
+        }
         *published.watch_document().borrow() > request.document_seen
     }
 
     fn reply(
         &self,
         published: &PublishedState,
+        lease_ms: u64,
         members: Vec<(NodeId, std::net::SocketAddr)>,
         request: &WatchRequest,
     ) -> WatchReply {
         let now = self.shared.clock.now();
+        let (rollouts, led_term) = published.rollouts(now, lease_ms);
         let watchers = self.watchers();
         let (entries, entries_nearby) = watchers.entries(&request.watcher);
         let loads = watchers.loads_of_others(now, &request.watcher);
@@ -383,20 +431,42 @@
             entries_nearby,
             endpoints: registry.changes_since(self.known_revision(request)),
             heard,
-            is_leading: false,
+            is_leading: led_term.is_some(),
             loads,
             loads_revision,
             members,
             registry: self.shared.incarnation,
             revision: registry.revision(),
-            rollouts: Vec::new(),
-            rollouts_revision: 0,
+            rollouts: serving_rollouts(&rollouts, request),
+            rollouts_revision: rollouts.revision(),
             suspects,
             suspects_revision,
             zone: self.shared.zone.clone(),
         }
     }
 
+    /// Longest wait for a watcher's answer. While a roll-out is in progress, entries are answered more
+    /// often, so that their leases are renewed.
+    fn max_wait_ms(
+        &self,
+        published: &PublishedState,
+        lease_ms: u64,
+        request: &WatchRequest,
+    ) -> u64 {
+        match request.watcher {
+            Watcher::Entry { .. } => {
+                let (rollouts, _) = published.rollouts(self.shared.clock.now(), lease_ms);
+                let is_in_progress = rollouts.iter().any(|it| !it.phase.is_ended());
+                if is_in_progress {
+                    MAX_ROLLOUT_WAIT_MS
+                } else {
+                    MAX_WAIT_MS
+                }
+            }
+            Watcher::Replica(_) => MAX_WAIT_MS,
+        }
+    }
+
     /// Whether a watcher's revisions refer to this incarnation of the registry.
     fn is_same_incarnation(&self, request: &WatchRequest) -> bool {
         request.registry == self.shared.incarnation
--- a/crates/masticsill_control/src/events.rs
+++ b/crates/masticsill_control/src/events.rs
@@ -63,6 +63,13 @@
 /// An endpoint crash was assessed: whether it counts against the request that ran there.
 pub const CRASH_JUDGED: Event = Event::new(4144, "control_crash_judged");
 
+/// The leader answered an operator's order of a roll-out.
+pub const ROLLOUT_ORDERED: Event = Event::new(4145, "control_rollout_ordered");
+/// A roll-out entered another phase, or its share changed.
+pub const ROLLOUT_STEPPED: Event = Event::new(4146, "control_rollout_stepped");
+/// A roll-out was completed or rolled back.
+pub const ROLLOUT_ENDED: Event = Event::new(4147, "control_rollout_ended");
+
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
     CONTROL_STARTED,
@@ -95,4 +102,7 @@
     WORD_UNREADABLE,
     FOUNDING_GIVEN_UP,
     CRASH_JUDGED,
+    ROLLOUT_ORDERED,
+    ROLLOUT_STEPPED,
+    ROLLOUT_ENDED,
 ];
--- a/crates/masticsill_control/src/forwarder/calls.rs
+++ b/crates/masticsill_control/src/forwarder/calls.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use masticsill_control_client::{ControlClient, ControlUnavailable};
+use masticsill_control_client::{ControlClient, ControlUnavailable, ORDER_TIMEOUT_MS};
 use masticsill_runtime::Ring;
 use masticsill_types::log_event;
 use tokio::task::spawn_local;
@@ -33,6 +33,9 @@
         Forward::Document(change, reply_to) => {
             let _ = reply_to.send(client.put_document(&change, timeout_ms).await);
         }
+        Forward::OrderRollout(request, reply_to) => {
+            let _ = reply_to.send(client.order_rollout(&request, ORDER_TIMEOUT_MS).await);
+        }
         Forward::Read(request, reply_to) => {
             let _ = reply_to.send(client.read(&request, timeout_ms).await);
         }
--- a/crates/masticsill_control/src/forwarder/service.rs
+++ b/crates/masticsill_control/src/forwarder/service.rs
@@ -18,7 +18,7 @@
 use masticsill_wire::control::{
     ChangeRequest, ControlReply, ControlService, Directory, DocumentChange, FoundingProposal,
     Introduction, QuorumBatch, ReadAnswer, ReadRequest, RenewReply, RenewRequest, ReplicaAnswer,
-    ReplicaChange, ReplicaIdentity, WatchReply, WatchRequest,
+    ReplicaChange, ReplicaIdentity, RolloutAnswer, RolloutRequest, WatchReply, WatchRequest,
 };
 use tarpc::context::Context;
 
@@ -178,4 +178,8 @@
     async fn find_pieces(self, _: Context, _: Vec<PieceHash>) -> Vec<(PieceHash, PackedPiece)> {
         Vec::new()
     }
+
+    async fn order_rollout(self, _: Context, _: RolloutRequest) -> ControlReply<RolloutAnswer> {
+        ControlReply::NotLeader(None)
+    }
 }
--- a/crates/masticsill_control/src/handle.rs
+++ b/crates/masticsill_control/src/handle.rs
@@ -3,8 +3,11 @@
 use masticsill_catalogue::{DocumentAnswer, StoredDocument};
 use masticsill_control_client::ControlUnavailable;
 use masticsill_registry::{Announcement, EndpointId};
+use masticsill_rollout::Rollout;
 use masticsill_runtime::Ring;
-use masticsill_wire::control::{DocumentChange, ReadAnswer, ReadRequest};
+use masticsill_wire::control::{
+    DocumentChange, ReadAnswer, ReadRequest, RolloutAnswer, RolloutRequest,
+};
 use tokio::sync::oneshot;
 
 use crate::endpoints::EndpointHub;
@@ -58,6 +61,38 @@
         }
     }
 
+    /// Orders a roll-out; returns once the order is durable.
+    ///
+    /// # Errors
+    ///
+    /// [`ControlUnavailable`] when no leader answered within a second; a repetition of the order
+    /// begins no second roll-out while it is repeatable.
+    pub async fn order_rollout(
+        &self,
+        request: RolloutRequest,
+    ) -> Result<RolloutAnswer, ControlUnavailable> {
+        self.forward(|reply_to| Forward::OrderRollout(request, reply_to))
+            .await
+    }
+
+    /// The latest roll-out of a service at some moment after this call began.
+    ///
+    /// # Errors
+    ///
+    /// [`ControlUnavailable`] when no leader answered in time.
+    pub async fn read_rollout(&self, service: &str) -> Result<Option<Rollout>, ControlUnavailable> {
+        let read = |reply_to| Forward::Read(ReadRequest::Rollouts, reply_to);
+        match self.forward(read).await? {
+            ReadAnswer::Rollouts(rollouts) => {
+                let mut rollouts = rollouts.into_iter();
+                Ok(rollouts.find(|it| it.order.service == service))
+            }
+            _ => Err(ControlUnavailable {
+                is_outcome_unknown: true,
+            }),
+        }
+    }
+
     /// Records an endpoint's heartbeat, or forwards the heartbeat to a replica.
     ///
     /// # Errors
--- a/crates/masticsill_control/src/http.rs
+++ b/crates/masticsill_control/src/http.rs
@@ -5,6 +5,7 @@
 mod document;
 mod operations;
 mod reply;
+mod rollouts;
 mod server;
 
 use std::sync::Arc;
@@ -67,6 +68,8 @@
         .route("/v1/catalogue/{id}*", web::delete().to(catalogue::delete))
         .route("/v1/document", web::get().to(document::document))
         .route("/v1/endpoints", web::get().to(document::endpoints))
+        .route("/v1/rollouts", web::get().to(rollouts::list))
+        .route("/v1/rollouts", web::post().to(rollouts::order))
         .route("/v1/audit", web::get().to(operations::audit))
         .route("/v1/replicas", web::get().to(operations::replicas))
         .route("/v1/replicas", web::post().to(operations::join))
--- a/crates/masticsill_control/src/http/catalogue.rs
+++ b/crates/masticsill_control/src/http/catalogue.rs
@@ -74,7 +74,8 @@
         | ReadAnswer::Document(_)
         | ReadAnswer::Entry(_)
         | ReadAnswer::HighestOrder(_)
-        | ReadAnswer::Replicas(_) => Err(ControlUnavailable {
+        | ReadAnswer::Replicas(_)
+        | ReadAnswer::Rollouts(_) => Err(ControlUnavailable {
             is_outcome_unknown: false,
         }),
     }
--- a/crates/masticsill_control/src/lib.rs
+++ b/crates/masticsill_control/src/lib.rs
@@ -18,17 +18,20 @@
 mod quorum;
 mod recovery;
 mod role;
+mod rollouts;
 mod rpc;
 mod unreadable;
 
 pub use config::{
     AdmissionPolicy, ControlConfig, FoundingPolicy, OperatorConfig, PromptCacheFeed,
-    PromptCacheParser, TokenHash, TokenHashError,
+    PromptCacheParser, RolloutConfig, TokenHash, TokenHashError,
 };
 pub use error::ControlError;
 pub use forwarder::{ControlForwarder, ForwarderConfig};
 pub use handle::ControlHandle;
-pub use masticsill_control_client::{AddressBook, ControlClient, ControlUnavailable};
+pub use masticsill_control_client::{
+    AddressBook, ControlClient, ControlUnavailable, ORDER_TIMEOUT_MS,
+};
 pub use quorum::StateError;
 pub use recovery::recover_as_sole_voter;
 pub use role::ControlRole;
--- a/crates/masticsill_control/src/quorum/outputs.rs
+++ b/crates/masticsill_control/src/quorum/outputs.rs
@@ -145,6 +145,10 @@
                 sequence: self.state_machine.state().order_sequence(),
             }),
             ReadRequest::Replicas => ReadAnswer::Replicas(members::view(&self.replica, &self.book)),
+            ReadRequest::Rollouts => {
+                let rollouts = self.state_machine.state().rollouts();
+                ReadAnswer::Rollouts(rollouts.iter().cloned().collect())
+            }
         };
         let _ = reply_to.send(ControlReply::Done(answer));
     }
--- a/crates/masticsill_control/src/quorum/published.rs
+++ b/crates/masticsill_control/src/quorum/published.rs
@@ -1,10 +1,11 @@
-//! The catalogue and its proof of freshness, for other duties to read without waiting for the
+//! The catalogue, the document, the roll-outs and their proof of freshness, for other duties to read without waiting for the
 //! quorum duty.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use masticsill_catalogue::{Catalogue, ControlState, Freshness, StoredDocument};
 use masticsill_orders::LeaderProof;
+use masticsill_rollout::Rollouts;
 use masticsill_types::{ClockMs, Term};
 use masticsill_wire::control::{RenewReply, RenewRequest};
 use tokio::sync::watch;
@@ -15,6 +16,7 @@
     document: Option<StoredDocument>,
     freshness: Freshness,
     leadership: Option<LeaderProof>,
+    rollouts: Arc<Rollouts>,
 }
 
 /// The state that the quorum duty last published. Clones share it.
@@ -25,6 +27,8 @@
     copy: Arc<Mutex<Published>>,
     /// Version of the document, for duties that wait for a newer one.
     document_version: Arc<watch::Sender<Option<u64>>>,
+    /// Revision of the roll-outs, likewise.
+    rollouts_revision: Arc<watch::Sender<u64>>,
 }
 
 impl PublishedState {
@@ -34,14 +38,16 @@
             document: None,
             freshness: Freshness::new(started_at),
             leadership: None,
+            rollouts: Arc::default(),
         };
         Self {
             copy: Arc::new(Mutex::new(copy)),
             document_version: Arc::new(watch::Sender::new(None)),
+            rollouts_revision: Arc::new(watch::Sender::new(0)),
         }
     }
 
-    /// Publishes the proofs, and the catalogue and the document if their versions have changed.
+    /// Publishes the proofs, and the catalogue, the document and the roll-outs if they have changed.
     pub(crate) fn publish(
         &self,
         state: &ControlState,
@@ -52,12 +58,20 @@
         let catalogue = state.catalogue();
         let is_known = self.lock().catalogue.version() == catalogue.version();
         let changed = (!is_known).then(|| Arc::new(catalogue.clone()));
+        let revision = state.rollouts().revision();
+        let has_new_rollouts = *self.rollouts_revision.borrow() != revision;
+        let rollouts = has_new_rollouts.then(|| Arc::new(state.rollouts().clone()));
         let mut copy = self.lock();
         copy.freshness = freshness;
         copy.leadership = leadership;
         if let Some(changed) = changed {
             copy.catalogue = changed;
         }
+        if let Some(rollouts) = rollouts {
+            copy.rollouts = rollouts;
+            drop(copy);
+            self.rollouts_revision.send_replace(revision);
+        }
     }
 
     fn publish_document(&self, document: Option<&StoredDocument>) {
@@ -79,6 +93,20 @@
         self.document_version.subscribe()
     }
 
+    /// The roll-outs as applied here, and the term that this replica leads, if its lease is valid at
+    /// `now`. Both were published at the same time: a leader's roll-outs contain every step that was
+    /// accepted before its lease was last confirmed.
+    pub(crate) fn rollouts(&self, now: ClockMs, lease_ms: u64) -> (Arc<Rollouts>, Option<Term>) {
+        let copy = self.lock();
+        let led_term = copy.leadership.and_then(|it| it.led_term(now, lease_ms));
+        (Arc::clone(&copy.rollouts), led_term)
+    }
+
+    /// Subscribes to the revision of the roll-outs.
+    pub(crate) fn watch_rollouts(&self) -> watch::Receiver<u64> {
+        self.rollouts_revision.subscribe()
+    }
+
     /// The term that this replica leads, if its lease is valid at `now`.
     pub(crate) fn led_term(&self, now: ClockMs, lease_ms: u64) -> Option<Term> {
         self.lock().leadership?.led_term(now, lease_ms)
--- a/crates/masticsill_control/src/quorum/state_machine.rs
+++ b/crates/masticsill_control/src/quorum/state_machine.rs
@@ -6,6 +6,7 @@
     Action, Command, CommandAnswer, ControlState, Freshness, StoredDocument,
 };
 use masticsill_quorum::{Entry, LogIndex, Payload, Snapshot};
+use masticsill_rollout::Rollouts;
 use masticsill_types::{CatalogueVersion, ClockMs, wall_ms};
 use masticsill_wire::control::AuditPage;
 use serde::{Deserialize, Serialize};
@@ -31,6 +32,8 @@
     V1(ControlState),
     /// The state together with the catalogue document.
     V2(ControlState, Option<StoredDocument>),
+    /// The state together with the catalogue document and the roll-outs.
+    V3(ControlState, Option<StoredDocument>, Rollouts),
 }
 
 /// The replicated state and the index up to which it is applied.
@@ -68,6 +71,9 @@
             match stored {
                 StoredState::V1(state) => state,
                 StoredState::V2(state, document) => state.with_document(document),
+                StoredState::V3(state, document, rollouts) => {
+                    state.with_document(document).with_rollouts(rollouts)
+                }
             }
         };
         self.applied = snapshot.index;
@@ -144,9 +150,16 @@
     Arc::from(bytes.expect("commands always encode into memory"))
 }
 
-/// Encodes the state for a snapshot.
+/// Encodes the state for a snapshot. A state without roll-outs is encoded as by releases that know
+/// of none, so that such a release can still read it.
 pub(crate) fn encode_state(state: ControlState) -> Vec<u8> {
     let document = state.document().cloned();
-    let bytes = postcard::to_stdvec(&StoredState::V2(state, document));
+    let stored = if state.rollouts().revision() == 0 {
+        StoredState::V2(state, document)
+    } else {
+        let rollouts = state.rollouts().clone();
+        StoredState::V3(state, document, rollouts)
+    };
+    let bytes = postcard::to_stdvec(&stored);
     bytes.expect("the state always encodes into memory")
 }
--- a/crates/masticsill_control/src/rpc/duty.rs
+++ b/crates/masticsill_control/src/rpc/duty.rs
@@ -22,6 +22,7 @@
 use crate::endpoints::{EndpointHub, follow_prompts, run_exchange, run_judgements};
 use crate::gauges::{ControlGauges, run_gauges};
 use crate::quorum::{Outgoing, PublishedState, QuorumHandle};
+use crate::rollouts::{ReceivedEvidence, run_rollouts};
 
 /// Arguments of [`run`].
 #[derive(Debug)]
@@ -54,11 +55,14 @@
         clock: parts.clock,
         documents: parts.documents,
         endpoints: parts.endpoints,
+        evidence: ReceivedEvidence::default(),
         first_seeds: config.seeds.clone().into(),
+        lease_ms: config.replica.lease_ms,
         node: config.node.clone(),
         published: parts.published,
         quorum: parts.quorum,
         reservations: Arc::new(Mutex::new(FoundingReservation::new(parts.clock.now()))),
+        rollouts: config.rollouts,
     };
     start_tasks(&config, &server, &local);
     spawn_local(run_gauges(server.clone(), parts.gauges));
@@ -100,6 +104,9 @@
     }
     spawn_local(run_exchange(server.clone(), config.node.clone()));
     spawn_local(run_judgements(server.endpoints.suspects().clone()));
+    if let Some(rollouts) = config.rollouts {
+        spawn_local(run_rollouts(server.clone(), rollouts.limits));
+    }
     if let Some(feed) = &config.prompt_cache_feed {
         spawn_local(follow_prompts(server.endpoints.clone(), feed.clone()));
     }
--- a/crates/masticsill_control/src/rpc/router.rs
+++ b/crates/masticsill_control/src/rpc/router.rs
@@ -7,7 +7,7 @@
 use masticsill_runtime::Ring;
 use masticsill_wire::control::{
     ChangeRequest, ControlReply, DocumentChange, ReadAnswer, ReadRequest, ReplicaAnswer,
-    ReplicaChange,
+    ReplicaChange, RolloutAnswer, RolloutRequest,
 };
 use tokio::sync::oneshot;
 
@@ -26,6 +26,7 @@
     Change(ChangeRequest, ForwardReply<ChangeAnswer>),
     Depart(EndpointId, ForwardReply<()>),
     Document(DocumentChange, ForwardReply<DocumentAnswer>),
+    OrderRollout(RolloutRequest, ForwardReply<RolloutAnswer>),
     Read(ReadRequest, ForwardReply<ReadAnswer>),
     Replicas(ReplicaChange, ForwardReply<ReplicaAnswer>),
 }
@@ -59,6 +60,9 @@
             let forwarded = client.put_document(&change, timeout_ms);
             let _ = reply_to.send(done_or_forwarded(local_reply, forwarded).await);
         }
+        Forward::OrderRollout(request, reply_to) => {
+            let _ = reply_to.send(server.order_rollout_anywhere(request).await);
+        }
         Forward::Read(request, reply_to) => {
             let local_reply = server.read_locally(request.clone()).await;
             let forwarded = client.read(&request, timeout_ms);
--- a/crates/masticsill_control/src/rpc/service.rs
+++ b/crates/masticsill_control/src/rpc/service.rs
@@ -19,17 +19,20 @@
 use masticsill_wire::control::{
     ChangeRequest, ControlReply, ControlService, Directory, DocumentChange, FoundingProposal,
     Introduction, QuorumBatch, ReadAnswer, ReadRequest, RenewReply, RenewRequest, ReplicaAction,
-    ReplicaAnswer, ReplicaChange, ReplicaIdentity, WatchReply, WatchRequest,
+    ReplicaAnswer, ReplicaChange, ReplicaIdentity, RolloutAnswer, RolloutRequest, WatchReply,
+    WatchRequest,
 };
 use tarpc::context::Context;
 
 use super::introductions::{attempt_of, record_introduction};
+use crate::config::RolloutConfig;
 use crate::document_pieces::DocumentPieces;
 use crate::endpoints::EndpointHub;
 use crate::events;
 use crate::quorum::{
     JoiningReplica, MembershipRequest, PublishedState, QuorumHandle, Request, voter,
 };
+use crate::rollouts::ReceivedEvidence;
 
 /// Answers calls of other processes. Each connection has a clone.
 #[derive(Clone, Debug)]
@@ -39,16 +42,19 @@
     pub(crate) clock: MonotonicClock,
     pub(crate) documents: DocumentPieces,
     pub(crate) endpoints: EndpointHub,
+    pub(crate) evidence: ReceivedEvidence,
     /// The configured seeds, which are the same in every process when the cluster is first started.
     pub(crate) first_seeds: Arc<[SocketAddr]>,
+    pub(crate) lease_ms: u64,
     pub(crate) node: NodeId,
     pub(crate) published: PublishedState,
     pub(crate) quorum: QuorumHandle,
     pub(crate) reservations: Arc<Mutex<FoundingReservation>>,
+    pub(crate) rollouts: Option<RolloutConfig>,
 }
 
 impl ControlServer {
-    async fn act(&self, action: Action) -> ControlReply<CommandAnswer> {
+    pub(crate) async fn act(&self, action: Action) -> ControlReply<CommandAnswer> {
         self.quorum
             .ask(|reply_to| Request::Command(action, reply_to))
             .await
@@ -290,7 +296,7 @@
     async fn watch(self, _: Context, request: WatchRequest) -> WatchReply {
         let members = self.book.named();
         self.endpoints
-            .watch(&self.published, members, request)
+            .watch(&self.published, self.lease_ms, members, request)
             .await
     }
 
@@ -302,8 +308,11 @@
         self.endpoints.suspects().merge(&records);
     }
 
-    /// Nothing orders roll-outs yet, so reports are not expected.
-    async fn tell_rollout_evidence(self, _: Context, _: Vec<EvidenceReport>) {}
+    async fn tell_rollout_evidence(self, _: Context, reports: Vec<EvidenceReport>) {
+        let now = self.clock.now();
+        let (rollouts, _) = self.published.rollouts(now, self.lease_ms);
+        self.evidence.note(now, reports, &rollouts);
+    }
 
     async fn find_kept(self, _: Context, prompt: Vec<PromptPart>) -> Vec<CachedTokens> {
         self.endpoints.find_cached(&prompt)
@@ -332,4 +341,12 @@
     ) -> Vec<(PieceHash, PackedPiece)> {
         self.documents.pieces(&hashes)
     }
+
+    async fn order_rollout(
+        self,
+        _: Context,
+        request: RolloutRequest,
+    ) -> ControlReply<RolloutAnswer> {
+        self.order_rollout_locally(request).await
+    }
 }
--- a/crates/masticsill_control/tests/common/mod.rs
+++ b/crates/masticsill_control/tests/common/mod.rs
@@ -147,6 +147,7 @@
             peers: peers.collect(),
             prompt_cache_feed: None,
             replica: self.replica_settings.clone(),
+            rollouts: None,
             rpc_address,
             seeds: Vec::new(),
         }
--- a/crates/masticsill_control_client/src/attempts.rs
+++ b/crates/masticsill_control_client/src/attempts.rs
@@ -84,6 +84,17 @@
         &self,
         total_timeout_ms: u64,
         send: impl AsyncFn(ControlServiceClient, Context) -> Result<ControlReply<T>, RpcError>,
+    ) -> Result<T, ControlUnavailable> {
+        self.call_leader_within(total_timeout_ms, ATTEMPT_TIMEOUT_MS, send)
+            .await
+    }
+
+    /// Calls the leader, with a timeout for all attempts and one for each of them.
+    pub(crate) async fn call_leader_within<T>(
+        &self,
+        total_timeout_ms: u64,
+        attempt_timeout_ms: u64,
+        send: impl AsyncFn(ControlServiceClient, Context) -> Result<ControlReply<T>, RpcError>,
     ) -> Result<T, ControlUnavailable> {
         let deadline = Instant::now() + Duration::from_millis(total_timeout_ms);
         let mut is_outcome_unknown = false;
@@ -92,7 +103,7 @@
             if remaining_ms == 0 {
                 return Err(ControlUnavailable { is_outcome_unknown });
             }
-            let timeout_ms = remaining_ms.min(ATTEMPT_TIMEOUT_MS);
+            let timeout_ms = remaining_ms.min(attempt_timeout_ms);
             let pause_ms = match self.attempt(timeout_ms, &send).await {
                 Attempt::Done(answer) => return Ok(answer),
                 Attempt::Lost => {
@@ -161,6 +172,13 @@
         all.get(position).copied()
     }
 
+    /// Calls this leader next: a replica in this process knows it from the quorum.
+    pub fn note_leader(&self, hint: &LeaderHint) {
+        if let Some(address) = self.book.get(&hint.node).or(hint.address) {
+            self.lock().leader = Some(address);
+        }
+    }
+
     /// Sets the leader to the one that a replica named; returns the pause before the next attempt,
     /// in milliseconds.
     fn follow_leader_hint(&self, called: SocketAddr, hint: Option<LeaderHint>) -> u64 {
--- a/crates/masticsill_control_client/src/client.rs
+++ b/crates/masticsill_control_client/src/client.rs
@@ -18,12 +18,19 @@
 use masticsill_wire::control::{
     ChangeRequest, ControlServiceClient, Directory, DocumentChange, FoundingProposal, Introduction,
     ReadAnswer, ReadRequest, RenewReply, RenewRequest, ReplicaAnswer, ReplicaChange,
-    ReplicaIdentity, WatchReply, WatchRequest,
+    ReplicaIdentity, RolloutAnswer, RolloutRequest, WatchReply, WatchRequest,
 };
 
 use crate::address_book::AddressBook;
 use crate::attempts::{ATTEMPT_TIMEOUT_MS, Connections};
 
+/// Timeout of an order of a roll-out including its retries. Operators send it to another process
+/// after this time.
+pub const ORDER_TIMEOUT_MS: u64 = 1_000;
+/// Timeout of one attempt of an order: several times what the quorum takes to accept it, and short
+/// enough that another replica is tried within [`ORDER_TIMEOUT_MS`].
+const ORDER_ATTEMPT_TIMEOUT_MS: u64 = 400;
+
 /// No leader answered within the time allowed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ControlUnavailable {
@@ -194,6 +201,24 @@
         self.call_leader(timeout_ms, send).await
     }
 
+    /// Orders a roll-out. An attempt without an answer is soon repeated at another replica, because
+    /// the caller itself moves on after [`ORDER_TIMEOUT_MS`].
+    ///
+    /// # Errors
+    ///
+    /// [`ControlUnavailable`] if no leader answered within `timeout_ms`.
+    pub async fn order_rollout(
+        &self,
+        request: &RolloutRequest,
+        timeout_ms: u64,
+    ) -> Result<RolloutAnswer, ControlUnavailable> {
+        let send = async |client: ControlServiceClient, context| {
+            client.order_rollout(context, request.clone()).await
+        };
+        self.call_leader_within(timeout_ms, ORDER_ATTEMPT_TIMEOUT_MS, send)
+            .await
+    }
+
     /// Requests a proof of freshness from the replica at an address; `None` when it does not
     /// answer.
     pub async fn renew(&self, address: SocketAddr, request: RenewRequest) -> Option<RenewReply> {
--- a/crates/masticsill_control_client/src/lib.rs
+++ b/crates/masticsill_control_client/src/lib.rs
@@ -6,4 +6,4 @@
 
 pub use address_book::AddressBook;
 pub use attempts::connect;
-pub use client::{ControlClient, ControlUnavailable};
+pub use client::{ControlClient, ControlUnavailable, ORDER_TIMEOUT_MS};
--- a/crates/masticsill_quorum/tests/control/operators.rs
+++ b/crates/masticsill_quorum/tests/control/operators.rs
@@ -224,6 +224,10 @@
         Action::Claim(claim) => claim.owner = owner.parse().unwrap(),
         Action::Reassign(reassign) => reassign.owner = owner.parse().unwrap(),
         Action::Settle(settle) => settle.end = CallEnd::NotRun,
-        Action::DrawOrderSequence | Action::NoteReplicas { .. } | Action::PutDocument { .. } => {}
+        Action::AdvanceRollout(_)
+        | Action::DrawOrderSequence
+        | Action::NoteReplicas { .. }
+        | Action::OrderRollout { .. }
+        | Action::PutDocument { .. } => {}
     }
 }
--- a/crates/masticsill_quorum/tests/control/reference.rs
+++ b/crates/masticsill_quorum/tests/control/reference.rs
@@ -44,7 +44,10 @@
                 self.order_sequence += 1;
                 CommandAnswer::OrderSequence(self.order_sequence)
             }
-            Action::NoteReplicas { .. } | Action::PutDocument { .. } => {
+            Action::AdvanceRollout(_)
+            | Action::NoteReplicas { .. }
+            | Action::OrderRollout { .. }
+            | Action::PutDocument { .. } => {
                 panic!("no client in this test sends this command")
             }
             Action::Reassign(reassign) => CommandAnswer::Claim(self.reassign(reassign)),
--- a/crates/masticsill_relay/tests/common/mod.rs
+++ b/crates/masticsill_relay/tests/common/mod.rs
@@ -24,7 +24,7 @@
 use masticsill_wire::control::{
     ChangeRequest, ControlReply, ControlService, Directory, DocumentChange, FoundingProposal,
     Introduction, QuorumBatch, ReadAnswer, ReadRequest, RenewReply, RenewRequest, ReplicaAnswer,
-    ReplicaChange, ReplicaIdentity, WatchReply, WatchRequest,
+    ReplicaChange, ReplicaIdentity, RolloutAnswer, RolloutRequest, WatchReply, WatchRequest,
 };
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
@@ -246,6 +246,10 @@
     async fn put_document(self, _: Context, _: DocumentChange) -> ControlReply<DocumentAnswer> {
         ControlReply::ShuttingDown
     }
+
+    async fn order_rollout(self, _: Context, _: RolloutRequest) -> ControlReply<RolloutAnswer> {
+        ControlReply::ShuttingDown
+    }
 }
 
 /// Node id of the relay under test.
--- a/crates/masticsill_rollout/src/order.rs
+++ b/crates/masticsill_rollout/src/order.rs
@@ -1,5 +1,7 @@
 //! Operators' orders.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 /// Number of a roll-out, unique among all services; a later roll-out has a higher one.
@@ -19,6 +21,31 @@
     pub target: String,
 }
 
+impl RolloutOrder {
+    /// Converts an order whose duration is given in seconds; `None` if the duration is not a positive
+    /// number or a name is empty.
+    #[must_use]
+    pub fn from_seconds(service: String, target: String, duration_s: f64) -> Option<Self> {
+        if !duration_s.is_finite() || duration_s <= 0.0 || service.is_empty() || target.is_empty() {
+            return None;
+        }
+        // The duration was checked to be positive; `as` saturates at the type's maximum.
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let duration_ms = (duration_s * 1_000.0).ceil() as u64;
+        Some(Self {
+            duration_ms,
+            service,
+            target,
+        })
+    }
+}
+
+impl fmt::Display for RolloutNumber {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(formatter)
+    }
+}
+
 /// The answer to an order.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum OrderAnswer {
--- a/crates/masticsill_rollout/src/step.rs
+++ b/crates/masticsill_rollout/src/step.rs
@@ -1,5 +1,7 @@
 //! The steps of a roll-out.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 use crate::order::{RolloutNumber, RolloutOrder};
@@ -55,6 +57,16 @@
         }
     }
 
+    /// The share of the new requests that the target version gets, in thousandths.
+    #[must_use]
+    pub fn share_permille(self) -> u16 {
+        match self {
+            Self::Canary { share_permille } => share_permille,
+            Self::Finishing | Self::Completed => 1_000,
+            Self::RolledBack(_) => 0,
+        }
+    }
+
     /// Whether the roll-out has ended; an ended one never changes.
     #[must_use]
     pub fn is_ended(self) -> bool {
@@ -62,6 +74,42 @@
     }
 }
 
+impl RolloutState {
+    /// The state's name in snake case.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Serving => "serving",
+            Self::Completed => "completed",
+            Self::RolledBack => "rolled_back",
+        }
+    }
+}
+
+impl RollbackCause {
+    /// The cause's name in snake case.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Failures => "failures",
+            Self::Slowness => "slowness",
+            Self::Undecided => "undecided",
+            Self::NoEndpoints => "no_endpoints",
+        }
+    }
+}
+
+impl fmt::Display for Phase {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Canary { .. } => formatter.write_str("canary"),
+            Self::Finishing => formatter.write_str("finishing"),
+            Self::Completed => formatter.write_str("completed"),
+            Self::RolledBack(cause) => write!(formatter, "rolled_back: {}", cause.name()),
+        }
+    }
+}
+
 /// One roll-out, as replicated.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Rollout {
--- a/crates/masticsill_wire/src/admin.rs
+++ b/crates/masticsill_wire/src/admin.rs
@@ -7,6 +7,8 @@
 //!   both return an [`AcceptedJson`], or an [`ErrorJson`] with the reason.
 //! - `GET /v1/audit?after=SEQUENCE&limit=N` returns an [`AuditJson`].
 //! - `GET /v1/replicas` returns a [`ReplicasJson`], `POST /v1/replicas` takes a [`JoinJson`].
+//! - `GET /v1/rollouts` returns a [`RolloutsJson`], `POST /v1/rollouts` takes an
+//!   [`OrderRolloutJson`] and returns an [`OrderedRolloutJson`].
 //! - `GET /v1/document` returns a [`DocumentJson`], `GET /v1/endpoints` an [`EndpointsJson`].
 //! - Every refusal is an [`ErrorJson`].
 
@@ -15,6 +17,7 @@
     VersionedEntry,
 };
 use masticsill_registry::EndpointRecord;
+use masticsill_rollout::Rollout;
 use serde::{Deserialize, Serialize};
 
 use crate::control::{AuditPage, ReplicaStanding, ReplicaView, ReplicasView};
@@ -163,7 +166,8 @@
 /// One record of the audit trail.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct AuditRecordJson {
-    /// `put`, `delete`, `add_replica`, `remove_replica` or `document`.
+    /// `put`, `delete`, `add_replica`, `remove_replica`, `document`, `order_rollout` or
+    /// `end_rollout`.
     pub action: String,
     /// Wall-clock time of the record, in milliseconds since 1970.
     pub at_wall_ms: u64,
@@ -178,20 +182,69 @@
     pub message: Option<String>,
     /// The operator who made the change.
     pub operator: String,
-    /// `accepted`, or the reason of the refusal.
+    /// `accepted`, or the reason of the refusal; how a roll-out ended.
     pub outcome: String,
     /// The entry's owner.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub owner: Option<String>,
     /// Sequence number in the trail.
     pub sequence: u64,
-    /// The entry or replica that the record is about.
+    /// The entry, replica or service that the record is about.
     pub subject: String,
     /// The version that the change made.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub version: Option<u64>,
 }
 
+/// The latest roll-out of each service that had one.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RolloutsJson {
+    /// The roll-outs.
+    pub rollouts: Vec<RolloutJson>,
+}
+
+/// One roll-out.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RolloutJson {
+    /// Time within which it was ordered to end, in milliseconds.
+    pub duration_ms: u64,
+    /// Time since the order as of the last step, in milliseconds.
+    pub elapsed_ms: u64,
+    /// Whether a repetition of the order is acknowledged without a new roll-out.
+    pub is_repeatable: bool,
+    /// The number of the roll-out.
+    pub number: u64,
+    /// `canary`, `finishing`, `completed`, or `rolled_back` with its cause.
+    pub phase: String,
+    /// The service.
+    pub service: String,
+    /// Share of the new requests that the target version gets, in thousandths.
+    pub share_permille: u16,
+    /// Number of steps so far.
+    pub step: u32,
+    /// The version that was ordered.
+    pub target: String,
+}
+
+/// Body of an order of a roll-out.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct OrderRolloutJson {
+    /// Time within which the roll-out is to end, in seconds.
+    pub duration_s: f64,
+    /// The service.
+    pub service: String,
+    /// The version that is to serve all requests afterwards.
+    pub target: String,
+}
+
+/// An accepted order of a roll-out.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct OrderedRolloutJson {
+    /// The number of the roll-out.
+    pub number: u64,
+}
+
 /// The control replicas.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ReplicasJson {
@@ -335,6 +388,30 @@
                     "superseded".clone_into(&mut json.outcome);
                 }
             }
+            AuditAction::RolloutOrdered {
+                is_accepted,
+                number,
+                service,
+                target,
+            } => {
+                "order_rollout".clone_into(&mut json.action);
+                json.subject.clone_from(service);
+                json.message = Some(format!("target {target}, number {}", number.0));
+                if !is_accepted {
+                    "in_progress".clone_into(&mut json.outcome);
+                }
+            }
+            AuditAction::RolloutEnded {
+                number,
+                phase,
+                service,
+                target,
+            } => {
+                "end_rollout".clone_into(&mut json.action);
+                json.subject.clone_from(service);
+                json.message = Some(format!("target {target}, number {}", number.0));
+                json.outcome = phase.to_string();
+            }
         }
         json
     }
@@ -368,6 +445,22 @@
     }
 }
 
+impl From<&Rollout> for RolloutJson {
+    fn from(rollout: &Rollout) -> Self {
+        Self {
+            duration_ms: rollout.order.duration_ms,
+            elapsed_ms: rollout.elapsed_ms,
+            is_repeatable: rollout.is_repeatable,
+            number: rollout.number.0,
+            phase: rollout.phase.to_string(),
+            service: rollout.order.service.clone(),
+            share_permille: rollout.phase.share_permille(),
+            step: rollout.step,
+            target: rollout.order.target.clone(),
+        }
+    }
+}
+
 impl From<&AuditPage> for AuditJson {
     fn from(page: &AuditPage) -> Self {
         Self {
--- a/crates/masticsill_wire/src/control.rs
+++ b/crates/masticsill_wire/src/control.rs
@@ -16,7 +16,7 @@
     Announcement, CachedTokens, EndpointId, EndpointLoad, EndpointRecord, EngineReservationRequest,
     HeartbeatAge, PromptPart, Watcher,
 };
-use masticsill_rollout::{EvidenceReport, ServingRollout};
+use masticsill_rollout::{EvidenceReport, Rollout, RolloutNumber, RolloutOrder, ServingRollout};
 use masticsill_types::{
     CatalogueVersion, EntryId, FencingNumber, NodeId, OperatorId, Term, ZoneId,
 };
@@ -173,6 +173,8 @@
     HighestOrder,
     /// The control replicas.
     Replicas,
+    /// The latest roll-out of each service.
+    Rollouts,
 }
 
 /// The result of a read.
@@ -190,6 +192,8 @@
     HighestOrder(FencingNumber),
     /// The control replicas.
     Replicas(ReplicasView),
+    /// The latest roll-out of each service.
+    Rollouts(Vec<Rollout>),
 }
 
 /// An operator's catalogue as one document, validated by the replica that received it.
@@ -201,6 +205,30 @@
     pub operator: OperatorId,
 }
 
+/// An operator's order of a roll-out, in a valid form.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RolloutRequest {
+    /// The operator.
+    pub operator: OperatorId,
+    /// The order.
+    pub order: RolloutOrder,
+}
+
+/// The leader's answer to an order of a roll-out.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum RolloutAnswer {
+    /// The roll-out began, or the same order had been accepted before.
+    Accepted(RolloutNumber),
+    /// A roll-out of the service to another version is in progress.
+    InProgress(RolloutNumber),
+    /// No document was accepted yet, so the service can't be known.
+    NoDocument,
+    /// The settings of the leader don't enable roll-outs.
+    NotEnabled,
+    /// The document in force does not contain the service.
+    UnknownService,
+}
+
 /// A long poll for changes of the document and of the endpoints.
 ///
 /// It also acknowledges the changes in the previous reply.
@@ -251,7 +279,9 @@
     pub registry: u64,
     /// Revision of the registry.
     pub revision: u64,
-    /// The latest roll-out of each service, as applied by this replica.
+    /// The latest roll-out of each service, as applied by this replica. While the watcher's revision
+    /// is current, only those in progress, because the watcher's leases are renewed by them; empty
+    /// for other replicas.
     pub rollouts: Vec<ServingRollout>,
     /// Revision of the roll-outs.
     pub rollouts_revision: u64,
@@ -408,4 +438,6 @@
     async fn document_pieces(version: u64) -> Option<PieceList>;
     /// Returns pieces of the most recent documents; pieces no longer stored are omitted.
     async fn find_pieces(hashes: Vec<PieceHash>) -> Vec<(PieceHash, PackedPiece)>;
+    /// Orders a roll-out.
+    async fn order_rollout(request: RolloutRequest) -> ControlReply<RolloutAnswer>;
 }
--- a/crates/masticsillctl/src/arguments.rs
+++ b/crates/masticsillctl/src/arguments.rs
@@ -6,6 +6,7 @@
 use std::str::FromStr;
 
 use lexopt::{Arg, Parser, ValueExt};
+use masticsill_wire::admin::OrderRolloutJson;
 
 use crate::failure::Failure;
 
@@ -50,8 +51,10 @@
     },
     Help,
     List,
+    OrderRollout(OrderRolloutJson),
     ReplaceReplica(Replacement),
     Replicas,
+    Rollouts,
     Watch {
         from: u64,
         is_once: bool,
@@ -83,6 +86,7 @@
     addresses: Vec<String>,
     after: Option<u64>,
     change_id: Option<String>,
+    duration_s: Option<f64>,
     expected_version: Option<u64>,
     from: Option<u64>,
     is_help: bool,
@@ -119,6 +123,7 @@
             Arg::Long("address") => options.addresses.push(text(&mut parser)?),
             Arg::Long("after") => options.after = Some(number(&mut parser)?),
             Arg::Long("change-id") => options.change_id = Some(text(&mut parser)?),
+            Arg::Long("duration-s") => options.duration_s = Some(number(&mut parser)?),
             Arg::Long("expected-version") => {
                 options.expected_version = Some(number(&mut parser)?);
             }
@@ -217,6 +222,15 @@
             old: old.to_owned(),
         })),
         ["replicas"] => Ok(Command::Replicas),
+        ["rollouts"] => Ok(Command::Rollouts),
+        ["rollouts", "order", service, target] => {
+            let duration_s = options.duration_s;
+            Ok(Command::OrderRollout(OrderRolloutJson {
+                duration_s: duration_s.ok_or_else(|| usage("give --duration-s"))?,
+                service: service.to_owned(),
+                target: target.to_owned(),
+            }))
+        }
         ["watch"] => Ok(Command::Watch {
             from: options.from.unwrap_or(0),
             is_once: options.is_once,
--- a/crates/masticsillctl/src/help.rs
+++ b/crates/masticsillctl/src/help.rs
@@ -14,6 +14,9 @@
   watch                    show changes as they come into force, until interrupted
   document                 show the catalogue as one document, where operators send it so
   endpoints                show the endpoints that registered themselves, as one instance knows them
+  rollouts                 show the latest roll-out of each service
+  rollouts order SERVICE TARGET
+                           move a service's requests to the endpoints of version TARGET
   check FILE               check an entry's file without sending it
   explain REQUEST_ID FILE...
                            say from the relays' structured logs what became of a request
@@ -44,6 +47,9 @@
   --change-id ID           the id of a change sent before, to learn its answer; without it, a new
                            id is made and printed
 
+Options of rollouts order:
+  --duration-s N           time within which the roll-out is to be completed or rolled back
+
 Options of audit:
   --after N                show records after this sequence (default 0)
   --limit N                show this many at most (default 100)
--- a/crates/masticsillctl/src/main.rs
+++ b/crates/masticsillctl/src/main.rs
@@ -8,6 +8,7 @@
 mod help;
 mod operations;
 mod output;
+mod rollouts;
 mod routing;
 
 use std::process::ExitCode;
@@ -60,7 +61,10 @@
     Ok(())
 }
 
-async fn run_remote(arguments: Arguments) -> eyre::Result<()> {
+async fn run_remote(mut arguments: Arguments) -> eyre::Result<()> {
+    if matches!(arguments.command, Command::OrderRollout(_)) {
+        arguments.timeout_s = arguments.timeout_s.min(rollouts::MAX_ORDER_TIMEOUT_S);
+    }
     let api = api::Api::connect(&arguments).await?;
     let output = output::Output {
         is_json: arguments.is_json,
@@ -76,6 +80,8 @@
             operations::join_replica(&api, output, address, node).await
         }
         Command::List => catalogue::list(&api, output).await,
+        Command::OrderRollout(order) => rollouts::order(&api, output, order).await,
+        Command::Rollouts => rollouts::list(&api, output).await,
         Command::Replicas => operations::replicas(&api, output).await,
         Command::ReplaceReplica(replacement) => {
             operations::replace_replica(&api, output, replacement).await
