Roll-outs: orders held back by a frozen process are refused; tests of replicas

Cause: an order that a frozen process or a slow link held back, carried out after the repetition window, would begin a second roll-out, for example of a version that was just rolled back.

--- a/crates/masticsill_control/src/forwarder/calls.rs
+++ b/crates/masticsill_control/src/forwarder/calls.rs
@@ -8,6 +8,7 @@
 use tokio::task::spawn_local;
 
 use crate::events;
+use crate::pauses::Pauses;
 use crate::rpc::{FORWARD_TIMEOUT_MS, Forward};
 
 /// Timeout for one replica to accept a heartbeat. The heartbeat of a leaving endpoint is held for
@@ -17,13 +18,13 @@
 const MAX_HEARTBEAT_ATTEMPTS: usize = 2;
 
 /// Forwards calls until the ring is closed.
-pub(super) async fn run_calls(client: ControlClient, calls: Ring<Forward>) {
+pub(super) async fn run_calls(client: ControlClient, pauses: Pauses, calls: Ring<Forward>) {
     while let Some(call) = calls.pop().await {
-        spawn_local(forward_call(client.clone(), call));
+        spawn_local(forward_call(client.clone(), pauses.clone(), call));
     }
 }
 
-async fn forward_call(client: ControlClient, call: Forward) {
+async fn forward_call(client: ControlClient, pauses: Pauses, call: Forward) {
     let timeout_ms = FORWARD_TIMEOUT_MS;
     // A send fails only if the caller has gone; then nobody needs the answer.
     match call {
@@ -33,8 +34,20 @@
         Forward::Document(change, reply_to) => {
             let _ = reply_to.send(client.put_document(&change, timeout_ms).await);
         }
-        Forward::OrderRollout(request, reply_to) => {
-            let _ = reply_to.send(client.order_rollout(&request, ORDER_TIMEOUT_MS).await);
+        Forward::OrderRollout(_, reply_to) if pauses.has_just_resumed() => {
+            let refused = ControlUnavailable {
+                is_outcome_unknown: false,
+            };
+            let _ = reply_to.send(Err(refused));
+        }
+        Forward::OrderRollout(request, mut reply_to) => {
+            // As at a replica, an order whose caller has gone is abandoned.
+            tokio::select! {
+                answer = client.order_rollout(&request, ORDER_TIMEOUT_MS) => {
+                    let _ = reply_to.send(answer);
+                }
+                () = reply_to.closed() => {}
+            }
         }
         Forward::Read(request, reply_to) => {
             let _ = reply_to.send(client.read(&request, timeout_ms).await);
--- a/crates/masticsill_control/src/forwarder/role.rs
+++ b/crates/masticsill_control/src/forwarder/role.rs
@@ -12,6 +12,7 @@
 use super::service::ForwarderServer;
 use crate::events;
 use crate::handle::{ControlHandle, HeartbeatSink};
+use crate::pauses::Pauses;
 use crate::rpc::{Forward, ProcessIdentity, run_introductions, serve_connections};
 use crate::unreadable::UnreadableMessages;
 
@@ -69,7 +70,9 @@
                 node: config.node,
             };
             spawn_local(run_introductions(server.client.clone(), identity, || false));
-            spawn_local(run_calls(server.client.clone(), queued_calls));
+            let pauses = Pauses::new(clock);
+            spawn_local(pauses.clone().run());
+            spawn_local(run_calls(server.client.clone(), pauses, queued_calls));
             tokio::select! {
                 () = serve_connections(&connections, server) => {}
                 () = stop.requested() => {}
--- a/crates/masticsill_control/src/lib.rs
+++ b/crates/masticsill_control/src/lib.rs
@@ -15,6 +15,7 @@
 mod handle;
 mod http;
 mod orders;
+mod pauses;
 mod quorum;
 mod recovery;
 mod role;
--- a/crates/masticsill_control/src/rollouts/orders.rs
+++ b/crates/masticsill_control/src/rollouts/orders.rs
@@ -14,6 +14,8 @@
 use crate::events;
 use crate::rpc::ControlServer;
 
+const RETRY_AFTER_PAUSE_MS: u64 = 200;
+
 impl ControlServer {
     /// Answers an order here if this replica leads, or else forwards it to the leader, within
     /// [`ORDER_TIMEOUT_MS`] in total.
@@ -21,6 +23,13 @@
         &self,
         request: RolloutRequest,
     ) -> Result<RolloutAnswer, ControlUnavailable> {
+        // A repetition that arrives long after the others would begin a new roll-out, so that none is
+        // accepted that may have been held up by a pause of this process. The caller resends it.
+        if self.pauses.has_just_resumed() {
+            return Err(ControlUnavailable {
+                is_outcome_unknown: false,
+            });
+        }
         let began = Instant::now();
         let local_reply = self.order_rollout_locally(request.clone());
         let local_reply = timeout(Duration::from_millis(ORDER_TIMEOUT_MS), local_reply).await;
@@ -51,6 +60,12 @@
             ControlReply::Done(document) => document,
             refused => return refused.and_then(|_| ControlReply::OutcomeUnknown),
         };
+        // Checked after the read, during which this process may have been frozen.
+        if self.pauses.has_just_resumed() {
+            return ControlReply::Overloaded {
+                retry_after_ms: RETRY_AFTER_PAUSE_MS,
+            };
+        }
         let bytes = document.map(|document| document.unpack());
         let answer = match bytes {
             Some(Ok(bytes)) if (config.has_service)(&bytes, &request.order.service) => {
--- a/crates/masticsill_control/src/rpc/duty.rs
+++ b/crates/masticsill_control/src/rpc/duty.rs
@@ -21,6 +21,7 @@
 use crate::document_pieces::DocumentPieces;
 use crate::endpoints::{EndpointHub, follow_prompts, run_exchange, run_judgements};
 use crate::gauges::{ControlGauges, run_gauges};
+use crate::pauses::Pauses;
 use crate::quorum::{Outgoing, PublishedState, QuorumHandle};
 use crate::rollouts::{ReceivedEvidence, run_rollouts};
 
@@ -59,12 +60,14 @@
         first_seeds: config.seeds.clone().into(),
         lease_ms: config.replica.lease_ms,
         node: config.node.clone(),
+        pauses: Pauses::new(parts.clock),
         published: parts.published,
         quorum: parts.quorum,
         reservations: Arc::new(Mutex::new(FoundingReservation::new(parts.clock.now()))),
         rollouts: config.rollouts,
     };
     start_tasks(&config, &server, &local);
+    spawn_local(server.pauses.clone().run());
     spawn_local(run_gauges(server.clone(), parts.gauges));
     spawn_local(run_proofs(server.clone()));
     spawn_local(run_outgoing(local, parts.book, parts.outgoing));
--- a/crates/masticsill_control/src/rpc/router.rs
+++ b/crates/masticsill_control/src/rpc/router.rs
@@ -60,8 +60,15 @@
             let forwarded = client.put_document(&change, timeout_ms);
             let _ = reply_to.send(done_or_forwarded(local_reply, forwarded).await);
         }
-        Forward::OrderRollout(request, reply_to) => {
-            let _ = reply_to.send(server.order_rollout_anywhere(request).await);
+        Forward::OrderRollout(request, mut reply_to) => {
+            // An order whose caller has gone is abandoned: it may be one that was held up on its
+            // way, and the caller has sent it to another process since.
+            tokio::select! {
+                answer = server.order_rollout_anywhere(request) => {
+                    let _ = reply_to.send(answer);
+                }
+                () = reply_to.closed() => {}
+            }
         }
         Forward::Read(request, reply_to) => {
             let local_reply = server.read_locally(request.clone()).await;
--- a/crates/masticsill_control/src/rpc/service.rs
+++ b/crates/masticsill_control/src/rpc/service.rs
@@ -29,6 +29,7 @@
 use crate::document_pieces::DocumentPieces;
 use crate::endpoints::EndpointHub;
 use crate::events;
+use crate::pauses::Pauses;
 use crate::quorum::{
     JoiningReplica, MembershipRequest, PublishedState, QuorumHandle, Request, voter,
 };
@@ -47,6 +48,7 @@
     pub(crate) first_seeds: Arc<[SocketAddr]>,
     pub(crate) lease_ms: u64,
     pub(crate) node: NodeId,
+    pub(crate) pauses: Pauses,
     pub(crate) published: PublishedState,
     pub(crate) quorum: QuorumHandle,
     pub(crate) reservations: Arc<Mutex<FoundingReservation>>,
--- a/crates/masticsill_control/tests/common/mod.rs
+++ b/crates/masticsill_control/tests/common/mod.rs
@@ -9,10 +9,11 @@
 use masticsill_catalogue::{Change, ChangeAnswer, ChangeContent, EntryJson, OperatorScope};
 use masticsill_control::{
     AddressBook, AdmissionPolicy, ControlClient, ControlConfig, ControlRole, FoundingPolicy,
-    OperatorConfig, TokenHash,
+    OperatorConfig, RolloutConfig, TokenHash,
 };
 use masticsill_quorum::ReplicaSettings;
 use masticsill_registry::RegistryTimeouts;
+use masticsill_rollout::RolloutLimits;
 use masticsill_runtime::{DutyHandle, Metrics, Ring, ShutdownSignal, listen, spawn_async_duty};
 use masticsill_testkit::{Direction, FaultProxy, ProxyMode};
 use masticsill_types::{CatalogueVersion, MonotonicClock, NodeId};
@@ -24,6 +25,17 @@
 const WAIT_TIMEOUT: Duration = Duration::from_secs(30);
 pub const CALL_TIMEOUT_MS: u64 = 20_000;
 
+/// Roll-outs of the service `s`, whatever the document is.
+pub const ROLLOUTS: RolloutConfig = RolloutConfig {
+    has_service: |_, service| service == "s",
+    limits: RolloutLimits {
+        expose_share: 0.1,
+        expose_slack: 50,
+        repeat_ms: 3_000,
+        rollback_ms: 5_000,
+    },
+};
+
 pub struct Cluster {
     pub clock: MonotonicClock,
     folders: TempDir,
@@ -147,7 +159,7 @@
             peers: peers.collect(),
             prompt_cache_feed: None,
             replica: self.replica_settings.clone(),
-            rollouts: None,
+            rollouts: Some(ROLLOUTS),
             rpc_address,
             seeds: Vec::new(),
         }
