--- a/crates/masticsill_rollout/src/order.rs
+++ b/crates/masticsill_rollout/src/order.rs
@@ -31,9 +31,9 @@
         }
         // The duration was checked to be positive; `as` saturates at the type's maximum.
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-        let duration_ms = (duration_s * 1_000.0).ceil() as u64;
+        let rounded_ms = (duration_s * 1_000.0).ceil() as u64;
         Some(Self {
-            duration_ms,
+            duration_ms: rounded_ms,
             service,
             target,
         })
