--- a/crates/masticsill_wire/src/admin.rs
+++ b/crates/masticsill_wire/src/admin.rs
@@ -150,6 +150,9 @@
     pub slots: u32,
     /// `ready`, `draining` or `gone`.
     pub state: String,
+    /// The version that it announces; empty if it announces none.
+    #[serde(default)]
+    pub version: String,
     /// Its availability zone.
     pub zone: String,
 }
@@ -440,6 +443,7 @@
             service: announcement.service.clone(),
             slots: announcement.slots,
             state: announcement.state.name().to_owned(),
+            version: announcement.version.clone(),
             zone: announcement.zone.to_string(),
         }
     }
--- a/crates/masticsillctl/src/routing.rs
+++ b/crates/masticsillctl/src/routing.rs
@@ -32,10 +32,16 @@
         service,
         slots,
         state,
+        version,
         zone,
     } = endpoint;
     let silence = if *is_silent { "  silent" } else { "" };
+    let version = match version.as_str() {
+        "" => String::new(),
+        version => format!("  version {version}"),
+    };
     format!(
-        "{id}  {service}  {zone}  {address}  {state}{silence}  {slots} slots  heartbeat {sequence}"
+        "{id}  {service}  {zone}  {address}  {state}{silence}  {slots} slots  \
+         heartbeat {sequence}{version}"
     )
 }
