--- a/crates/masticsill_control/src/rpc/router.rs
+++ b/crates/masticsill_control/src/rpc/router.rs
@@ -7,7 +7,7 @@
 use masticsill_runtime::Ring;
 use masticsill_wire::control::{
     ChangeRequest, ControlReply, DocumentChange, ReadAnswer, ReadRequest, ReplicaAnswer,
-    ReplicaChange,
+    ReplicaChange, RolloutAnswer, RolloutRequest,
 };
 use tokio::sync::oneshot;
 
@@ -26,6 +26,7 @@
     Change(ChangeRequest, ForwardReply<ChangeAnswer>),
     Depart(EndpointId, ForwardReply<()>),
     Document(DocumentChange, ForwardReply<DocumentAnswer>),
+    OrderRollout(RolloutRequest, ForwardReply<RolloutAnswer>),
     Read(ReadRequest, ForwardReply<ReadAnswer>),
     Replicas(ReplicaChange, ForwardReply<ReplicaAnswer>),
 }
@@ -59,6 +60,16 @@
             let forwarded = client.put_document(&change, timeout_ms);
             let _ = reply_to.send(done_or_forwarded(local_reply, forwarded).await);
         }
+        Forward::OrderRollout(request, mut reply_to) => {
+            // An order whose caller has gone is abandoned: it may be one that was held up on its
+            // way, and the caller has sent it to another process since.
+            tokio::select! {
+                answer = server.order_rollout_anywhere(request) => {
+                    let _ = reply_to.send(answer);
+                }
+                () = reply_to.closed() => {}
+            }
+        }
         Forward::Read(request, reply_to) => {
             let local_reply = server.read_locally(request.clone()).await;
             let forwarded = client.read(&request, timeout_ms);
--- a/crates/masticsill_relay/src/config.rs
+++ b/crates/masticsill_relay/src/config.rs
@@ -32,14 +32,14 @@
     /// Parser of documents.
     pub read_document: DocumentReader,
     /// Roll-outs of versions; none if requests are sent to endpoints of any version.
-    pub rollouts: Option<RolloutConfig>,
+    pub rollouts: Option<RelayRolloutConfig>,
     /// Availability zone of this process.
     pub zone: ZoneId,
 }
 
 /// Settings of roll-outs of versions.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct RolloutConfig {
+pub struct RelayRolloutConfig {
     /// How long a version that appears beside another one is held back while no order for it is
     /// known, in milliseconds.
     pub hold_ms: u64,
--- a/crates/masticsill_relay/src/lib.rs
+++ b/crates/masticsill_relay/src/lib.rs
@@ -44,7 +44,7 @@
 mod stream_timing;
 mod suspects;
 
-pub use config::{DocumentReader, EngineCalls, HeaderNames, RelayConfig, RolloutConfig};
+pub use config::{DocumentReader, EngineCalls, HeaderNames, RelayConfig, RelayRolloutConfig};
 pub use event_order::{EventOrder, EventPosition};
 pub use masticsill_dispatch::BudgetSettings;
 pub use role::RelayRole;
--- a/crates/masticsill_relay/src/rollouts.rs
+++ b/crates/masticsill_relay/src/rollouts.rs
@@ -18,7 +18,7 @@
 use masticsill_wire::control::WatchReply;
 use tokio::sync::Notify;
 
-use crate::config::RolloutConfig;
+use crate::config::RelayRolloutConfig;
 use crate::events;
 use crate::relay::Relay;
 use crate::request::RelayRequest;
@@ -65,7 +65,7 @@
 /// Roll-outs, where they are enabled.
 #[derive(Debug)]
 pub(crate) struct Rollouts {
-    config: RolloutConfig,
+    config: RelayRolloutConfig,
     pub(crate) evidence: RefCell<EvidenceLog>,
     /// Notified when a report of evidence may be due earlier than before.
     pub(crate) evidence_changed: Notify,
@@ -73,7 +73,7 @@
 }
 
 impl Rollouts {
-    pub(crate) fn new(config: RolloutConfig, reporter: Reporter) -> Self {
+    pub(crate) fn new(config: RelayRolloutConfig, reporter: Reporter) -> Self {
         Self {
             config,
             evidence: RefCell::new(EvidenceLog::new(reporter)),
--- a/crates/masticsill_relay/tests/rollouts.rs
+++ b/crates/masticsill_relay/tests/rollouts.rs
@@ -15,7 +15,7 @@
 };
 use masticsill_registry::EndpointState;
 use masticsill_relay::{
-    BudgetSettings, EngineCalls, HeaderNames, RelayConfig, RelayRole, RolloutConfig,
+    BudgetSettings, EngineCalls, HeaderNames, RelayConfig, RelayRole, RelayRolloutConfig,
 };
 use masticsill_rollout::{
     ArmEvidence, Phase, RollbackCause, RolloutNumber, RouteEvidence, ServingRollout,
@@ -93,7 +93,7 @@
         listen_address: SocketAddr::from(([127, 0, 0, 1], 0)),
         node: node(),
         read_document: document,
-        rollouts: Some(RolloutConfig { hold_ms: HOLD_MS }),
+        rollouts: Some(RelayRolloutConfig { hold_ms: HOLD_MS }),
         zone: "near".parse().unwrap(),
     };
     RelayRole::start(config, MonotonicClock::start(), registry).unwrap()
