--- /dev/null
+++ b/crates/masticsill_rollout/src/judge.rs
@@ -0,0 +1,276 @@
+//! Judges the target version by how it answers, against what the old version shows in the same
+//! period.
+//!
+//! A sequential test: for each route, and for all of them together, the likelihood of the target's
+//! answers if it were worse by one of a few margins, against their likelihood if it were like the old
+//! version. The mean of the ratios over the margins exceeds `1/a` at any time of a good version's
+//! roll-out with a probability of at most `a`, however often it is looked at, as far as the old
+//! version's share is known. It is estimated, and endpoints fail together when a zone fails; hence the
+//! limit on what one period contributes and the periods that are left out.
+
+use indexmap::IndexMap;
+
+use crate::evidence::{LatencyHistogram, RouteEvidence, as_f64};
+use crate::step::RollbackCause;
+
+/// Natural logarithm of the evidence at which the target is bad: odds of 1 in 8,000, for two signs on
+/// three routes and their sum, leave 1 in 1,000 for a false roll-back.
+const BAD_LN: f64 = 9.0;
+/// Natural logarithm of the evidence from which the target is not trusted with all requests. It is
+/// looked at once, when the roll-out would go on, so it may be less strict.
+const SUSPECT_LN: f64 = 4.0;
+/// Portion of `BAD_LN` that one period may contribute while the target has the smaller part of the
+/// requests: a zone's failure is over after two periods, and waiting costs few requests.
+const PERIOD_PART: f64 = 0.5;
+/// By how much more of the requests that the old version answers well a bad target may fail.
+const FAILURE_MARGINS: [f64; 4] = [0.1, 0.25, 0.5, 0.9];
+/// The same for requests that take twice the old version's median. A version that is several times
+/// slower is slow on most requests; load or a zone's failure makes some slow.
+const SLOWNESS_MARGINS: [f64; 3] = [0.3, 0.6, 0.9];
+/// Requests of the old version in a period that weigh as much as all its other periods.
+const SHRINKAGE: f64 = 10.0;
+/// Requests and failures that are assumed of the old version before it has shown any: a few failures
+/// of the target mean little while nothing is known of the old one.
+const PRIOR: Share = Share { bad: 1, of: 8 };
+/// Latencies of the old version that are needed to know its median.
+const MEDIAN_LATENCIES: u64 = 5;
+/// Old requests in a period below which the period doesn't show how the old version fares in it.
+const COMPARABLE: u64 = 3;
+/// Failures of the old version from which a period may be one of an outage.
+const OUTAGE_FAILURES: u64 = 3;
+
+/// What was seen in one period of a roll-out.
+#[derive(Clone, Debug, Default)]
+pub struct Period {
+    /// Whether the target's endpoints may still be cold; their latencies don't count then.
+    pub is_cold: bool,
+    /// Evidence of this period by route. `waiting` counts only in the last period.
+    pub routes: IndexMap<String, RouteEvidence>,
+}
+
+/// Requests, and those of them that show a sign of a bad version.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Share {
+    /// Requests that show the sign.
+    pub bad: u64,
+    /// All requests.
+    pub of: u64,
+}
+
+impl Share {
+    /// The sum of two shares.
+    #[must_use]
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            bad: self.bad + other.bad,
+            of: self.of + other.of,
+        }
+    }
+
+    /// The share, from 0 to 1; zero without requests.
+    #[must_use]
+    pub fn value(self) -> f64 {
+        as_f64(self.bad) / as_f64(self.of.max(1))
+    }
+}
+
+/// Both versions' shares in one period.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Trial {
+    /// The old version.
+    pub old: Share,
+    /// The target version.
+    pub target: Share,
+}
+
+/// The trials of a route, one a period.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTrials {
+    /// Failed requests.
+    pub failures: Vec<Trial>,
+    /// Requests that take more than about twice the old version's median.
+    pub slowness: Vec<Trial>,
+}
+
+/// What the judge finds.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Finding {
+    /// Why the target is bad; none if it isn't, as far as is known.
+    pub bad: Option<RollbackCause>,
+    /// Why the target is not to be trusted with all requests yet.
+    pub suspect: Option<RollbackCause>,
+}
+
+/// A way to judge.
+pub type JudgeFn = fn(&[Period]) -> Finding;
+
+/// Judges the target by the evidence of successive periods.
+#[must_use]
+pub fn judge(periods: &[Period]) -> Finding {
+    let routes = trials(periods);
+    let outages = outages(&routes, periods.len());
+    let failures = evidence_ln(
+        routes.values().map(|route| route.failures.as_slice()),
+        &outages,
+        &FAILURE_MARGINS,
+    );
+    let slowness = evidence_ln(
+        routes.values().map(|route| route.slowness.as_slice()),
+        &outages,
+        &SLOWNESS_MARGINS,
+    );
+    let cause = |limit_ln| {
+        if failures >= limit_ln {
+            Some(RollbackCause::Failures)
+        } else if slowness >= limit_ln {
+            Some(RollbackCause::Slowness)
+        } else {
+            None
+        }
+    };
+    Finding {
+        bad: cause(BAD_LN),
+        suspect: cause(SUSPECT_LN),
+    }
+}
+
+/// Counts the signs of a bad version, by route and period.
+#[must_use]
+pub fn trials(periods: &[Period]) -> IndexMap<String, RouteTrials> {
+    let mut sums = IndexMap::<&String, RouteEvidence>::new();
+    for (route, evidence) in periods.iter().flat_map(|period| &period.routes) {
+        sums.entry(route).or_default().add(evidence);
+    }
+    let by_route = sums.into_iter().map(|(route, sum)| {
+        let slow_from = slow_bucket(&sum.old.latency);
+        let mut trials = RouteTrials::default();
+        for (index, period) in periods.iter().enumerate() {
+            let is_last = index + 1 == periods.len();
+            let evidence = period.routes.get(route).cloned().unwrap_or_default();
+            trials.failures.push(Trial {
+                old: failed(&evidence.old),
+                target: failed(&evidence.target),
+            });
+            let slow = |arm: &crate::ArmEvidence| {
+                let slow_from = slow_from?;
+                let answered = Share {
+                    bad: arm.latency.count_from(slow_from),
+                    of: arm.latency.total(),
+                };
+                let overdue = if is_last {
+                    arm.waiting.count_from(slow_from)
+                } else {
+                    0
+                };
+                Some(answered.plus(Share {
+                    bad: overdue,
+                    of: overdue,
+                }))
+            };
+            trials.slowness.push(Trial {
+                old: slow(&evidence.old).unwrap_or_default(),
+                target: slow(&evidence.target)
+                    .filter(|_| !period.is_cold)
+                    .unwrap_or_default(),
+            });
+        }
+        (route.clone(), trials)
+    });
+    by_route.collect()
+}
+
+/// The failures among the requests sent. Those that wait count as good so far: among the answered
+/// ones, quick failures would outnumber slow successes at first.
+fn failed(arm: &crate::ArmEvidence) -> Share {
+    Share {
+        bad: arm.failed,
+        of: arm.sent.max(arm.failed),
+    }
+}
+
+fn slow_bucket(old: &LatencyHistogram) -> Option<usize> {
+    let median = old.quantile(0.5);
+    let median = median.filter(|_| old.total() >= MEDIAN_LATENCIES);
+    median.map(|median| median + LatencyHistogram::PER_DOUBLING)
+}
+
+/// The periods in which the old version fails far more than usual, as when a zone is down. Its
+/// endpoints and the target's may be in different zones, so that nothing can be told then.
+fn outages(routes: &IndexMap<String, RouteTrials>, periods: usize) -> Vec<bool> {
+    let olds = |period: usize| {
+        let trials = routes.values().map(move |route| route.failures[period].old);
+        trials.fold(Share::default(), Share::plus)
+    };
+    let usual = (0..periods)
+        .map(olds)
+        .fold(Share::default(), Share::plus)
+        .value();
+    let is_outage = |old: Share| old.bad >= OUTAGE_FAILURES && old.value() > 2.0 * usual + 0.1;
+    (0..periods).map(|period| is_outage(olds(period))).collect()
+}
+
+/// Natural logarithm of the strongest evidence among the routes and their sum.
+fn evidence_ln<'a>(
+    routes: impl Iterator<Item = &'a [Trial]>,
+    outages: &[bool],
+    margins: &[f64],
+) -> f64 {
+    let mut strongest = f64::NEG_INFINITY;
+    let mut sums = vec![0.0; margins.len()];
+    for trials in routes {
+        let ratios: Vec<f64> = margins
+            .iter()
+            .map(|margin| ratio_ln(trials, outages, *margin))
+            .collect();
+        for (sum, ratio) in sums.iter_mut().zip(&ratios) {
+            *sum += ratio;
+        }
+        strongest = strongest.max(mean_ln(&ratios));
+    }
+    strongest.max(mean_ln(&sums))
+}
+
+/// Logarithm of the likelihood ratio of one margin on one route.
+fn ratio_ln(trials: &[Trial], outages: &[bool], margin: f64) -> f64 {
+    let old = trials
+        .iter()
+        .fold(PRIOR, |sum, trial| sum.plus(trial.old))
+        .value();
+    let in_period = |old_there: Share| {
+        (as_f64(old_there.bad) + SHRINKAGE * old) / (as_f64(old_there.of) + SHRINKAGE)
+    };
+    let highest = trials
+        .iter()
+        .map(|trial| in_period(trial.old))
+        .fold(old, f64::max);
+    let kept = trials.iter().zip(outages).filter(|(_, outage)| !**outage);
+    let ratios = kept.map(|(trial, _)| {
+        // Without the old version's answers in the period, an outage can't be told.
+        let expected = if trial.old.of < COMPARABLE {
+            highest
+        } else {
+            in_period(trial.old)
+        };
+        let expected = expected.min(0.9);
+        let worse = expected + margin * (1.0 - expected);
+        let good = trial.target.of - trial.target.bad.min(trial.target.of);
+        let ratio = as_f64(trial.target.bad) * (worse / expected).ln()
+            + as_f64(good) * ((1.0 - worse) / (1.0 - expected)).ln();
+        if trial.target.of < trial.old.of {
+            ratio.min(PERIOD_PART * BAD_LN)
+        } else {
+            ratio
+        }
+    });
+    ratios.sum()
+}
+
+/// Logarithm of the mean of values that are given by their logarithms.
+fn mean_ln(values: &[f64]) -> f64 {
+    let most = values.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+    if !most.is_finite() {
+        return f64::NEG_INFINITY;
+    }
+    let sum: f64 = values.iter().map(|value| (value - most).exp()).sum();
+    most + (sum / as_f64(values.len() as u64)).ln()
+}
--- a/crates/masticsill_rollout/src/lib.rs
+++ b/crates/masticsill_rollout/src/lib.rs
@@ -8,7 +8,9 @@
 
 mod driver;
 mod evidence;
+mod judge;
 mod order;
+mod ramp;
 mod step;
 mod table;
 mod version_rule;
@@ -17,6 +19,7 @@
 pub use evidence::{
     ArmEvidence, EvidenceReport, EvidenceStore, LatencyHistogram, Reporter, RouteEvidence,
 };
+pub use judge::{Finding, JudgeFn, Period, RouteTrials, Share, Trial, judge, trials};
 pub use order::{OrderAnswer, RolloutNumber, RolloutOrder};
 pub use step::{Phase, RollbackCause, Rollout, RolloutState, RolloutStep};
 pub use table::Rollouts;
