Bench: roll-outs played on a virtual clock

Cause: the judge and the ramp were not measured.

Change: relays, a leader, endpoints of two versions and faults, with three ways to judge.

--- a/crates/masticsill_bench/src/lib.rs
+++ b/crates/masticsill_bench/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod lookups;
 pub mod overload;
 mod report;
+pub mod rollouts;
 mod stream;
 mod system;
 mod usage;
--- a/crates/masticsill_rollout/src/ramp.rs
+++ b/crates/masticsill_rollout/src/ramp.rs
@@ -52,6 +52,10 @@
 
 /// The times of a roll-out, since its order, in milliseconds.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[expect(
+    clippy::struct_field_names,
+    reason = "fields carry their unit, and all are times"
+)]
 pub(crate) struct Schedule {
     /// When the target is to be seen under load.
     pub(crate) load_from_ms: u64,
