Roll-outs: load, cold endpoints and streams that break on the way

Change: requests sent to cold endpoints are forgiven, latencies are compared only under comparable load, failures are counted against requests sent and in flight.

--- a/crates/masticsill_bench/src/rollouts/play.rs
+++ b/crates/masticsill_bench/src/rollouts/play.rs
@@ -63,16 +63,18 @@
     fn report(&mut self, now_ms: u64) -> EvidenceReport {
         let mut routes = self.routes.clone();
         for running in self.running.values() {
-            let is_waiting = running.is_counted && !running.has_begun;
             if let Some(route) = routes.get_mut(ROUTES[running.route])
-                && is_waiting
+                && running.is_counted
             {
                 let arm = if running.is_target {
                     &mut route.target
                 } else {
                     &mut route.old
                 };
-                arm.waiting.note(now_ms - running.sent_ms);
+                arm.in_flight += 1;
+                if !running.has_begun {
+                    arm.waiting.note(now_ms - running.sent_ms);
+                }
             }
         }
         let old = self.running.values().filter(|it| !it.is_target).count();
--- a/crates/masticsill_rollout/src/driver.rs
+++ b/crates/masticsill_rollout/src/driver.rs
@@ -47,6 +47,9 @@
 const MAX_PERIODS: u64 = 64;
 /// How long endpoints may be cold after the first request to one of them.
 const COLD_MS: u64 = 1_500;
+/// By how much more requests the target's endpoints may get than the old ones got, for latencies to be
+/// compared.
+const FAIR_LOAD: f64 = 1.4;
 /// A report that is older than this says nothing on what an entry does now.
 const STALE_MS: u64 = 1_000;
 /// How long an entry may send requests to the target after its last report that were not reported:
@@ -78,6 +81,8 @@
     limits: RolloutLimits,
     /// The evidence before the current period.
     counted: IndexMap<String, RouteEvidence>,
+    /// Highest rate of requests of each old endpoint in an ended period, a second.
+    most_old_load: f64,
     /// The ended periods.
     periods: Vec<Period>,
     period_began_at: ClockMs,
@@ -118,10 +123,12 @@
             for (route, seen) in &report.routes {
                 let sum = sums.routes.entry(route.clone()).or_default();
                 if is_stale {
-                    // Its requests that waited may have been answered since.
+                    // Its requests in flight may have ended since.
                     let mut seen = seen.clone();
-                    seen.old.waiting = LatencyHistogram::default();
-                    seen.target.waiting = LatencyHistogram::default();
+                    for arm in [&mut seen.old, &mut seen.target] {
+                        arm.in_flight = 0;
+                        arm.waiting = LatencyHistogram::default();
+                    }
                     sum.add(&seen);
                 } else {
                     sum.add(seen);
@@ -140,6 +147,12 @@
         self.arm(|route| &route.target)
     }
 
+    /// Mean duration of the old version's requests; that of a stream, or zero for short ones.
+    fn mean_ms(&self) -> u64 {
+        let median = self.durations.quantile(0.5);
+        median.map_or(0, LatencyHistogram::upper_bound_ms)
+    }
+
     fn arm(&self, arm: impl Fn(&RouteEvidence) -> &ArmEvidence) -> ArmEvidence {
         let mut sum = ArmEvidence::default();
         for route in self.routes.values() {
@@ -162,6 +175,7 @@
             judge,
             limits,
             missing_since: None,
+            most_old_load: 0.0,
             period_began_at: now,
             periods: Vec::new(),
             resumed_at: now,
@@ -220,8 +234,8 @@
         let sums = Sums::new(now, rollout.number, input.evidence);
         let (old, target) = (sums.old(), sums.target());
         let duration_ms = rollout.order.duration_ms;
-        self.note(now, duration_ms, &sums, target.sent);
-        let finding = self.find(now, &sums);
+        self.note(now, duration_ms, &sums, input);
+        let finding = self.find(now, &sums, input);
         if let Some(cause) = finding.bad {
             return Phase::RolledBack(cause);
         }
@@ -279,13 +293,14 @@
     }
 
     /// Closes the period if it is over, and notes when the target was first used.
-    fn note(&mut self, now: ClockMs, duration_ms: u64, sums: &Sums, target_sent: u64) {
-        if target_sent > 0 {
+    fn note(&mut self, now: ClockMs, duration_ms: u64, sums: &Sums, input: &DriverInput<'_>) {
+        if sums.target().sent > 0 {
             self.first_sent_at.get_or_insert(now);
         }
         let period_ms = PERIOD_MS.max(duration_ms / MAX_PERIODS);
         if now.since(self.period_began_at) >= period_ms && sums.reports > 0 {
-            let period = self.period(now, sums);
+            let period = self.period(now, sums, input);
+            self.most_old_load = self.most_old_load.max(self.loads(now, &period, input).0);
             self.periods.push(period);
             self.counted.clone_from(&sums.routes);
             self.period_began_at = now;
@@ -293,21 +308,38 @@
     }
 
     /// What was seen since the last period ended.
-    fn period(&self, now: ClockMs, sums: &Sums) -> Period {
+    fn period(&self, now: ClockMs, sums: &Sums, input: &DriverInput<'_>) -> Period {
         let is_cold = |since| now.since(since) < COLD_MS;
         let routes = sums.routes.iter().map(|(route, evidence)| {
             let earlier = self.counted.get(route).cloned().unwrap_or_default();
             (route.clone(), evidence.since(&earlier))
         });
-        Period {
+        let mut period = Period {
             is_cold: self.first_sent_at.is_none_or(is_cold),
+            is_load_fair: true,
             routes: routes.collect(),
-        }
+            turnover: as_f64(now.since(self.period_began_at)) / as_f64(sums.mean_ms().max(1)),
+        };
+        let (old_load, target_load) = self.loads(now, &period, input);
+        period.is_load_fair = target_load <= FAIR_LOAD * old_load.max(self.most_old_load);
+        period
+    }
+
+    /// Requests a second of each endpoint of the old and the target version in a period.
+    fn loads(&self, now: ClockMs, period: &Period, input: &DriverInput<'_>) -> (f64, f64) {
+        // A period that has just begun shows no rate yet.
+        let length_s = as_f64(now.since(self.period_began_at).max(PERIOD_MS / 2)) / 1_000.0;
+        let load = |sent: u64, ready: u32| as_f64(sent) / length_s / f64::from(ready.max(1));
+        let routes = || period.routes.values();
+        (
+            load(routes().map(|it| it.old.sent).sum(), input.old_ready),
+            load(routes().map(|it| it.target.sent).sum(), input.target_ready),
+        )
     }
 
-    fn find(&self, now: ClockMs, sums: &Sums) -> Finding {
+    fn find(&self, now: ClockMs, sums: &Sums, input: &DriverInput<'_>) -> Finding {
         let mut periods = self.periods.clone();
-        periods.push(self.period(now, sums));
+        periods.push(self.period(now, sums, input));
         (self.judge)(&periods)
     }
 
--- a/crates/masticsill_rollout/src/evidence.rs
+++ b/crates/masticsill_rollout/src/evidence.rs
@@ -124,6 +124,8 @@
     /// Of these, those that failed: an error status of the endpoint's own, an answer that is not
     /// valid, or a connection that broke.
     pub failed: u64,
+    /// Requests counted in `sent` that have not ended at the time of the report.
+    pub in_flight: u64,
     /// Time to the whole answer of a plain service, or to the first event of a stream, of those that
     /// succeeded. A stream is counted at its first event, before it is known how it ends.
     pub latency: LatencyHistogram,
@@ -139,17 +141,19 @@
     pub fn add(&mut self, other: &Self) {
         self.answered += other.answered;
         self.failed += other.failed;
+        self.in_flight += other.in_flight;
         self.latency.add(&other.latency);
         self.sent += other.sent;
         self.waiting.add(&other.waiting);
     }
 
-    /// What was seen since an earlier state; `waiting` stays as it is now.
+    /// What was seen since an earlier state; `in_flight` and `waiting` stay as they are now.
     #[must_use]
     pub fn since(&self, earlier: &Self) -> Self {
         Self {
             answered: self.answered.saturating_sub(earlier.answered),
             failed: self.failed.saturating_sub(earlier.failed),
+            in_flight: self.in_flight,
             latency: self.latency.since(&earlier.latency),
             sent: self.sent.saturating_sub(earlier.sent),
             waiting: self.waiting.clone(),
--- a/crates/masticsill_rollout/src/ramp.rs
+++ b/crates/masticsill_rollout/src/ramp.rs
@@ -30,7 +30,7 @@
 const SETTLE_MS: u64 = 700;
 /// Kept at the end: a step has to be replicated, and elapsed time may be understated by as much after
 /// a change of leader.
-const END_MARGIN_MS: u64 = 600;
+const END_MARGIN_MS: u64 = 1_000;
 /// Kept in addition, if requests are short, for one change of leader after the move: election, then
 /// all reports again.
 const LEADER_CHANGE_MS: u64 = 1_700;
