Roll-outs: exposure kept for the move, doubt, excess of all routes

Cause: versions that fail under load used up the exposure before the move; outages while the old version drains still cost good versions.

Change: the exposure for the time until a bad version is stopped is kept by rate; weak evidence delays the move; what failed beyond the usual in a period is taken from all routes.

--- a/crates/masticsill_bench/src/rollouts/judges.rs
+++ b/crates/masticsill_bench/src/rollouts/judges.rs
@@ -6,6 +6,7 @@
 /// every 100 ms, on each route: lower ones gave more false alarms.
 const POSTERIOR_BAD: f64 = 0.9995;
 const POSTERIOR_SUSPECT: f64 = 0.97;
+const POSTERIOR_DOUBT: f64 = 0.9;
 /// By how much a bad version's share exceeds the old one's.
 const POSTERIOR_MARGIN: f64 = 0.05;
 /// Points at which a share's density is evaluated.
@@ -36,6 +37,7 @@
     let cause = |limit| cause(most.0 >= limit, most.1 >= limit);
     Finding {
         bad: cause(POSTERIOR_BAD),
+        doubt: cause(POSTERIOR_DOUBT),
         suspect: cause(POSTERIOR_SUSPECT),
     }
 }
@@ -61,7 +63,11 @@
         routes.values().any(|route| is_bad(&route.failures)),
         routes.values().any(|route| is_bad(&route.slowness)),
     );
-    Finding { bad, suspect: bad }
+    Finding {
+        bad,
+        doubt: bad,
+        suspect: bad,
+    }
 }
 
 fn cause(failures: bool, slowness: bool) -> Option<RollbackCause> {
--- a/crates/masticsill_rollout/src/driver.rs
+++ b/crates/masticsill_rollout/src/driver.rs
@@ -47,9 +47,13 @@
 const MAX_PERIODS: u64 = 64;
 /// How long endpoints may be cold after the first request to one of them.
 const COLD_MS: u64 = 1_500;
+/// Highest share meanwhile: such requests tell little on latencies.
+const COLD_SHARE: f64 = 0.3;
 /// By how much more requests the target's endpoints may get than the old ones got, for latencies to be
 /// compared.
 const FAIR_LOAD: f64 = 1.4;
+/// Periods for which answers may still be slow after more load.
+const LOAD_PERIODS: usize = 2;
 /// A report that is older than this says nothing on what an entry does now.
 const STALE_MS: u64 = 1_000;
 /// How long an entry may send requests to the target after its last report that were not reported:
@@ -285,11 +289,12 @@
             && has_taken_over
             && is_telling
             && finding.suspect.is_none()
+            && (finding.doubt.is_none() || elapsed_ms >= schedule.latest_move_ms)
             && input.target_ready > 0
         {
             return Phase::Finishing;
         }
-        self.canary(elapsed_ms, rollout, input, &schedule, traffic.as_ref())
+        self.canary(now, elapsed_ms, rollout, input, &schedule, traffic.as_ref())
     }
 
     /// Closes the period if it is over, and notes when the target was first used.
@@ -309,32 +314,47 @@
 
     /// What was seen since the last period ended.
     fn period(&self, now: ClockMs, sums: &Sums, input: &DriverInput<'_>) -> Period {
-        let is_cold = |since| now.since(since) < COLD_MS;
         let routes = sums.routes.iter().map(|(route, evidence)| {
             let earlier = self.counted.get(route).cloned().unwrap_or_default();
             (route.clone(), evidence.since(&earlier))
         });
         let mut period = Period {
-            is_cold: self.first_sent_at.is_none_or(is_cold),
+            is_cold: self.is_cold(now),
             is_load_fair: true,
+            is_loaded: false,
             routes: routes.collect(),
             turnover: as_f64(now.since(self.period_began_at)) / as_f64(sums.mean_ms().max(1)),
         };
-        let (old_load, target_load) = self.loads(now, &period, input);
-        period.is_load_fair = target_load <= FAIR_LOAD * old_load.max(self.most_old_load);
+        let (old_load, target_sent) = self.loads(now, &period, input);
+        // As many as an old endpoint gets, on as many endpoints as the target has.
+        let length_s = self.length_s(now);
+        let as_old = old_load.max(self.most_old_load) * length_s * f64::from(input.target_ready);
+        let fair = FAIR_LOAD * as_old + 2.0 * as_old.sqrt();
+        let is_loaded = target_sent > fair;
+        // Answers show the load of some time ago.
+        let recent = self.periods.iter().rev().take(LOAD_PERIODS);
+        period.is_load_fair = !is_loaded && recent.filter(|it| it.is_loaded).count() == 0;
+        period.is_loaded = is_loaded;
         period
     }
 
-    /// Requests a second of each endpoint of the old and the target version in a period.
+    fn is_cold(&self, now: ClockMs) -> bool {
+        self.first_sent_at
+            .is_none_or(|since| now.since(since) < COLD_MS)
+    }
+
+    /// Length of the current period, in seconds; one that has just begun shows no rate yet.
+    fn length_s(&self, now: ClockMs) -> f64 {
+        as_f64(now.since(self.period_began_at).max(PERIOD_MS / 2)) / 1_000.0
+    }
+
+    /// Requests a second of each old endpoint in a period, and requests of the target.
     fn loads(&self, now: ClockMs, period: &Period, input: &DriverInput<'_>) -> (f64, f64) {
-        // A period that has just begun shows no rate yet.
-        let length_s = as_f64(now.since(self.period_began_at).max(PERIOD_MS / 2)) / 1_000.0;
-        let load = |sent: u64, ready: u32| as_f64(sent) / length_s / f64::from(ready.max(1));
         let routes = || period.routes.values();
-        (
-            load(routes().map(|it| it.old.sent).sum(), input.old_ready),
-            load(routes().map(|it| it.target.sent).sum(), input.target_ready),
-        )
+        let old: u64 = routes().map(|it| it.old.sent).sum();
+        let target: u64 = routes().map(|it| it.target.sent).sum();
+        let old = as_f64(old) / self.length_s(now) / f64::from(input.old_ready.max(1));
+        (old, as_f64(target))
     }
 
     fn find(&self, now: ClockMs, sums: &Sums, input: &DriverInput<'_>) -> Finding {
@@ -376,6 +396,7 @@
 
     fn canary(
         &self,
+        now: ClockMs,
         elapsed_ms: u64,
         rollout: &Rollout,
         input: &DriverInput<'_>,
@@ -395,6 +416,7 @@
         let load_ratio = f64::from(input.target_ready) / f64::from(input.old_ready.max(1));
         let duration_ms = rollout.order.duration_ms;
         let limits = &self.limits;
+        let most = if self.is_cold(now) { COLD_SHARE } else { 1.0 };
         let share = ramp::share(
             elapsed_ms,
             duration_ms,
@@ -403,6 +425,7 @@
             load_ratio,
             limits,
         );
+        let share = share.min(most);
         let held = f64::from(share_permille) / 1_000.0;
         if (share - held).abs() <= SHARE_TOLERANCE * held {
             return rollout.phase;
--- a/crates/masticsill_rollout/src/judge.rs
+++ b/crates/masticsill_rollout/src/judge.rs
@@ -19,6 +19,8 @@
 /// Natural logarithm of the evidence from which the target is not trusted with all requests. It is
 /// looked at once, when the roll-out would go on, so it may be less strict.
 const SUSPECT_LN: f64 = 4.0;
+/// Natural logarithm of the evidence from which the roll-out waits for more, as long as there is time.
+const DOUBT_LN: f64 = 1.0;
 /// Portion of `BAD_LN` that one period may contribute while the target has the smaller part of the
 /// requests: a zone's failure is over after two periods, and waiting costs few requests.
 const PERIOD_PART: f64 = 0.5;
@@ -48,6 +50,8 @@
     /// Whether the target's endpoints get no more requests each than the old ones did, so that latencies
     /// can be compared.
     pub is_load_fair: bool,
+    /// Whether they get more in this period.
+    pub is_loaded: bool,
     /// Evidence of this period by route. `waiting` counts only in the last period.
     pub routes: IndexMap<String, RouteEvidence>,
     /// How many times the requests in flight are replaced by others in the period.
@@ -103,6 +107,8 @@
 pub struct Finding {
     /// Why the target is bad; none if it isn't, as far as is known.
     pub bad: Option<RollbackCause>,
+    /// Why more evidence is to be waited for before the target gets all requests, if there is time.
+    pub doubt: Option<RollbackCause>,
     /// Why the target is not to be trusted with all requests yet.
     pub suspect: Option<RollbackCause>,
 }
@@ -114,17 +120,11 @@
 #[must_use]
 pub fn judge(periods: &[Period]) -> Finding {
     let routes = trials(periods);
-    let outages = outages(&routes, periods.len());
-    let failures = evidence_ln(
-        routes.values().map(|route| route.failures.as_slice()),
-        &outages,
-        &FAILURE_MARGINS,
-    );
-    let slowness = evidence_ln(
-        routes.values().map(|route| route.slowness.as_slice()),
-        &outages,
-        &SLOWNESS_MARGINS,
-    );
+    let failures: Vec<_> = routes.values().map(|it| it.failures.as_slice()).collect();
+    let slowness: Vec<_> = routes.values().map(|it| it.slowness.as_slice()).collect();
+    let outages = Background::new(failures.iter().copied(), periods.len()).is_outage;
+    let failures = evidence_ln(&failures, &outages, &FAILURE_MARGINS);
+    let slowness = evidence_ln(&slowness, &outages, &SLOWNESS_MARGINS);
     let cause = |limit_ln| {
         if failures >= limit_ln {
             Some(RollbackCause::Failures)
@@ -136,6 +136,7 @@
     };
     Finding {
         bad: cause(BAD_LN),
+        doubt: cause(DOUBT_LN),
         suspect: cause(SUSPECT_LN),
     }
 }
@@ -218,33 +219,60 @@
     median.map(|median| median + LatencyHistogram::PER_DOUBLING)
 }
 
-/// The periods in which the old version fails far more than usual, as when a zone is down. Its
-/// endpoints and the target's may be in different zones, so that nothing can be told then.
-fn outages(routes: &IndexMap<String, RouteTrials>, periods: usize) -> Vec<bool> {
-    let olds = |period: usize| {
-        let trials = routes.values().map(move |route| route.failures[period].old);
-        trials.fold(Share::default(), Share::plus)
-    };
-    let usual = (0..periods)
-        .map(olds)
-        .fold(Share::default(), Share::plus)
-        .value();
-    let is_outage = |old: Share| old.bad >= OUTAGE_FAILURES && old.value() > 2.0 * usual + 0.1;
-    (0..periods).map(|period| is_outage(olds(period))).collect()
+/// How the old version fared in the periods, over all routes.
+struct Background {
+    /// Share of the requests of each period that failed (or were slow) beyond what is usual for their
+    /// routes.
+    excess: Vec<f64>,
+    /// Whether the old version failed far more than usual, as when a zone is down. Its endpoints and the
+    /// target's may be in different zones, so that nothing can be told then.
+    is_outage: Vec<bool>,
+}
+
+impl Background {
+    fn new<'a>(routes: impl Iterator<Item = &'a [Trial]>, periods: usize) -> Self {
+        let mut seen = vec![Share::default(); periods];
+        let mut usual = vec![0.0; periods];
+        for trials in routes {
+            let share = usual_share(trials);
+            for (index, trial) in trials.iter().enumerate() {
+                seen[index] = seen[index].plus(trial.old);
+                usual[index] += share * trial.old.of;
+            }
+        }
+        let excess = |(seen, usual): (&Share, &f64)| {
+            ((seen.bad - usual) / (seen.of + SHRINKAGE)).clamp(0.0, 1.0)
+        };
+        let mut excess: Vec<f64> = seen.iter().zip(&usual).map(excess).collect();
+        let highest = excess.iter().copied().fold(0.0, f64::max);
+        let is_outage = |(seen, usual): (&Share, &f64)| {
+            seen.bad >= OUTAGE_FAILURES && seen.bad > 2.0 * usual + 0.1 * seen.of
+        };
+        let is_outage = seen.iter().zip(&usual).map(is_outage).collect();
+        for (excess, seen) in excess.iter_mut().zip(&seen) {
+            // Without the old version's answers in the period, an outage can't be told.
+            if seen.of < COMPARABLE {
+                *excess = highest;
+            }
+        }
+        Self { excess, is_outage }
+    }
+}
+
+fn usual_share(trials: &[Trial]) -> f64 {
+    let sum = trials.iter().fold(PRIOR, |sum, trial| sum.plus(trial.old));
+    sum.value()
 }
 
 /// Natural logarithm of the strongest evidence among the routes and their sum.
-fn evidence_ln<'a>(
-    routes: impl Iterator<Item = &'a [Trial]>,
-    outages: &[bool],
-    margins: &[f64],
-) -> f64 {
+fn evidence_ln(routes: &[&[Trial]], skipped: &[bool], margins: &[f64]) -> f64 {
+    let background = Background::new(routes.iter().copied(), skipped.len());
     let mut strongest = f64::NEG_INFINITY;
     let mut sums = vec![0.0; margins.len()];
     for trials in routes {
         let ratios: Vec<f64> = margins
             .iter()
-            .map(|margin| ratio_ln(trials, outages, *margin))
+            .map(|margin| ratio_ln(trials, &background, skipped, *margin))
             .collect();
         for (sum, ratio) in sums.iter_mut().zip(&ratios) {
             *sum += ratio;
@@ -255,38 +283,25 @@
 }
 
 /// Logarithm of the likelihood ratio of one margin on one route.
-fn ratio_ln(trials: &[Trial], outages: &[bool], margin: f64) -> f64 {
-    let old = trials
-        .iter()
-        .fold(PRIOR, |sum, trial| sum.plus(trial.old))
-        .value();
-    let in_period =
-        |old_there: Share| (old_there.bad + SHRINKAGE * old) / (old_there.of + SHRINKAGE);
-    let highest = trials
-        .iter()
-        .map(|trial| in_period(trial.old))
-        .fold(old, f64::max);
-    let kept = trials.iter().zip(outages).filter(|(_, outage)| !**outage);
-    let ratios = kept.map(|(trial, _)| {
-        // Without the old version's answers in the period, an outage can't be told. A few of them may
-        // happen to be good, and show nothing by that.
-        let expected = if trial.old.of < COMPARABLE {
-            highest
-        } else {
-            in_period(trial.old).max(old)
-        };
-        let expected = expected.min(0.9);
+fn ratio_ln(trials: &[Trial], background: &Background, skipped: &[bool], margin: f64) -> f64 {
+    let usual = usual_share(trials);
+    let mut sum = 0.0;
+    for (index, trial) in trials.iter().enumerate() {
+        if skipped[index] {
+            continue;
+        }
+        let expected = (usual + background.excess[index]).min(0.9);
         let worse = expected + margin * (1.0 - expected);
         let good = (trial.target.of - trial.target.bad).max(0.0);
         let ratio = trial.target.bad * (worse / expected).ln()
             + good * ((1.0 - worse) / (1.0 - expected)).ln();
-        if trial.target.of < trial.old.of {
+        sum += if trial.target.of < trial.old.of {
             ratio.min(PERIOD_PART * BAD_LN)
         } else {
             ratio
-        }
-    });
-    ratios.sum()
+        };
+    }
+    sum
 }
 
 /// Logarithm of the mean of values that are given by their logarithms.
--- a/crates/masticsill_rollout/src/ramp.rs
+++ b/crates/masticsill_rollout/src/ramp.rs
@@ -8,10 +8,13 @@
 use crate::driver::RolloutLimits;
 use crate::evidence::{LatencyHistogram, as_f64};
 
-/// Part of the allowed exposure that is spent before the target is seen under load.
-const CANARY_PART: f64 = 0.4;
-/// Part of it that is spent by the end of the time under load.
-const LOADED_PART: f64 = 0.7;
+/// Requests that are kept for the time from the moment at which the target gets all of them until a bad
+/// one gets none: reports, the duty's interval, and some tens of answers. In seconds of traffic.
+const RESERVE_S: f64 = 0.7;
+/// Largest part of the allowed exposure that is kept for that.
+const MAX_RESERVE_PART: f64 = 0.5;
+/// Largest part of the rest that is spent under load.
+const MAX_LOADED_PART: f64 = 0.6;
 /// How long the target is seen under load beside the old version: two reports of each entry.
 const LOADED_MS: u64 = 900;
 /// Highest share before the time under load.
@@ -23,14 +26,16 @@
 /// Portion of the present rate that is counted on for the rest of the duration: load may fall.
 const RATE_COUNTED_ON: f64 = 0.6;
 /// Quantile of the old version's durations that is waited for.
-const DURATION_QUANTILE: f64 = 0.98;
+const DURATION_QUANTILE: f64 = 0.95;
 /// Largest part of the duration that is left for the old version's requests to end.
 const MAX_FINISHING_PART: f64 = 0.55;
 /// Until all entries know of a step and have reported since: lease or watch, and a report.
-const SETTLE_MS: u64 = 700;
+const SETTLE_MS: u64 = 500;
 /// Kept at the end: a step has to be replicated, and elapsed time may be understated by as much after
 /// a change of leader.
-const END_MARGIN_MS: u64 = 1_000;
+const END_MARGIN_MS: u64 = 800;
+/// Time with all requests at the target that is left if the move waits for evidence.
+const LEAST_FINISHING_MS: u64 = 1_500;
 /// Kept in addition, if requests are short, for one change of leader after the move: election, then
 /// all reports again.
 const LEADER_CHANGE_MS: u64 = 1_700;
@@ -63,6 +68,9 @@
     pub(crate) move_from_ms: u64,
     /// When the roll-out has to end.
     pub(crate) end_ms: u64,
+    /// Until when the move may wait for more evidence. The old version's streams may not have ended
+    /// then at the end; they are resumed by the target's endpoints.
+    pub(crate) latest_move_ms: u64,
 }
 
 impl Schedule {
@@ -91,6 +99,7 @@
             load_from_ms: move_from_ms - LOADED_MS.min(move_from_ms / 4),
             move_from_ms,
             end_ms,
+            latest_move_ms: end_ms.saturating_sub(LEAST_FINISHING_MS).max(move_from_ms),
         }
     }
 }
@@ -113,13 +122,20 @@
     let left_s = as_f64(duration_ms.saturating_sub(elapsed_ms)) / 1_000.0;
     let expected = traffic.total + RATE_COUNTED_ON * traffic.least_per_s * left_s;
     let allowed = limits.expose_share * expected + f64::from(limits.expose_slack);
-    let is_loaded = elapsed_ms >= schedule.load_from_ms;
-    let (allowed, until_ms, most) = if is_loaded {
-        let most = MAX_LOADED_SHARE.min(load_ratio * 0.8);
-        (allowed * LOADED_PART, schedule.move_from_ms, most)
+    let kept = (RESERVE_S * traffic.most_per_s).min(MAX_RESERVE_PART * allowed);
+    let spent_by_move = allowed - kept;
+    let loaded_most = MAX_LOADED_SHARE.min(load_ratio * MAX_LOADED_SHARE);
+    let (allowed, until_ms, most) = if elapsed_ms >= schedule.load_from_ms {
+        (spent_by_move, schedule.move_from_ms, loaded_most)
     } else {
-        let most = MAX_CANARY_SHARE.min(even_load);
-        (allowed * CANARY_PART, schedule.load_from_ms, most)
+        let loaded_s = as_f64(schedule.move_from_ms - schedule.load_from_ms) / 1_000.0;
+        let loaded = loaded_most * traffic.most_per_s * loaded_s;
+        let canary = spent_by_move - loaded.min(MAX_LOADED_PART * spent_by_move);
+        (
+            canary,
+            schedule.load_from_ms,
+            MAX_CANARY_SHARE.min(even_load),
+        )
     };
     // The end of the spending is not exact: a step and the reports of it take some hundred
     // milliseconds.
