Roll-outs: limits that rise with the requests seen

Cause: with few streams the limit was too high for bad versions, with many plain requests too low for good ones.

Change: the limit rises with the target's requests; any doubt delays the move.

--- a/crates/masticsill_rollout/src/driver.rs
+++ b/crates/masticsill_rollout/src/driver.rs
@@ -46,12 +46,12 @@
 /// Most periods that are kept; they are longer in a longer roll-out.
 const MAX_PERIODS: u64 = 64;
 /// How long endpoints may be cold after the first request to one of them.
-const COLD_MS: u64 = 1_500;
+const COLD_MS: u64 = 1_000;
 /// Highest share meanwhile: such requests tell little on latencies.
 const COLD_SHARE: f64 = 0.3;
 /// By how much more requests the target's endpoints may get than the old ones got, for latencies to be
 /// compared.
-const FAIR_LOAD: f64 = 1.4;
+const FAIR_LOAD: f64 = 1.2;
 /// Periods for which answers may still be slow after more load.
 const LOAD_PERIODS: usize = 2;
 /// A report that is older than this says nothing on what an entry does now.
@@ -329,7 +329,7 @@
         // As many as an old endpoint gets, on as many endpoints as the target has.
         let length_s = self.length_s(now);
         let as_old = old_load.max(self.most_old_load) * length_s * f64::from(input.target_ready);
-        let fair = FAIR_LOAD * as_old + 2.0 * as_old.sqrt();
+        let fair = FAIR_LOAD * as_old + 1.5 * as_old.sqrt();
         let is_loaded = target_sent > fair;
         // Answers show the load of some time ago.
         let recent = self.periods.iter().rev().take(LOAD_PERIODS);
--- a/crates/masticsill_rollout/src/judge.rs
+++ b/crates/masticsill_rollout/src/judge.rs
@@ -15,12 +15,15 @@
 
 /// Natural logarithm of the evidence at which the target is bad: odds of 1 in 8,000, for two signs on
 /// three routes and their sum, leave 1 in 1,000 for a false roll-back.
-const BAD_LN: f64 = 9.0;
+const BAD_LN: f64 = 7.0;
+/// Requests of the target for which the limit rises like for one more look: with many requests there is
+/// evidence to spare, with few there is none.
+const REQUESTS_A_LOOK: f64 = 50.0;
 /// Natural logarithm of the evidence from which the target is not trusted with all requests. It is
 /// looked at once, when the roll-out would go on, so it may be less strict.
 const SUSPECT_LN: f64 = 4.0;
 /// Natural logarithm of the evidence from which the roll-out waits for more, as long as there is time.
-const DOUBT_LN: f64 = 1.0;
+const DOUBT_LN: f64 = 0.0;
 /// Portion of `BAD_LN` that one period may contribute while the target has the smaller part of the
 /// requests: a zone's failure is over after two periods, and waiting costs few requests.
 const PERIOD_PART: f64 = 0.5;
@@ -125,6 +128,9 @@
     let outages = Background::new(failures.iter().copied(), periods.len()).is_outage;
     let failures = evidence_ln(&failures, &outages, &FAILURE_MARGINS);
     let slowness = evidence_ln(&slowness, &outages, &SLOWNESS_MARGINS);
+    let requests = routes.values().flat_map(|it| &it.failures);
+    let requests: f64 = requests.map(|trial| trial.target.of).sum();
+    let bad_ln = BAD_LN + (1.0 + requests / REQUESTS_A_LOOK).ln();
     let cause = |limit_ln| {
         if failures >= limit_ln {
             Some(RollbackCause::Failures)
@@ -135,7 +141,7 @@
         }
     };
     Finding {
-        bad: cause(BAD_LN),
+        bad: cause(bad_ln),
         doubt: cause(DOUBT_LN),
         suspect: cause(SUSPECT_LN),
     }
@@ -252,7 +258,7 @@
         for (excess, seen) in excess.iter_mut().zip(&seen) {
             // Without the old version's answers in the period, an outage can't be told.
             if seen.of < COMPARABLE {
-                *excess = highest;
+                *excess = 1.5 * highest;
             }
         }
         Self { excess, is_outage }
