--- a/crates/masticsill_rollout/src/driver.rs
+++ b/crates/masticsill_rollout/src/driver.rs
@@ -66,8 +66,11 @@
 const SEEN_WITH_ALL_MS: u64 = 700;
 /// Requests of the service from which the target must have answered some.
 const TELLING_REQUESTS: u64 = 20;
-/// Requests that the target must have answered then.
+/// Requests that the target must have answered well then.
 const MIN_ANSWERED: u64 = 4;
+/// Part of its requests that the target must have answered then, as a part of what the old version has:
+/// a slow version has answered few of them when the move is due.
+const MIN_ANSWERED_PART: f64 = 0.5;
 /// A share is changed when it differs by more than this part: each step costs a write to the log.
 const SHARE_TOLERANCE: f64 = 0.2;
 
@@ -274,8 +277,9 @@
             };
         }
 
-        let answered = target.answered.max(target.latency.total());
-        let is_telling = old.sent + target.sent < TELLING_REQUESTS || answered >= MIN_ANSWERED;
+        let is_telling = old.sent + target.sent < TELLING_REQUESTS
+            || target.latency.total() >= MIN_ANSWERED
+                && answered_part(&target) >= MIN_ANSWERED_PART * answered_part(&old);
         if is_over {
             return Phase::RolledBack(if let Some(cause) = finding.suspect {
                 cause
@@ -440,6 +444,11 @@
     }
 }
 
+/// The part of the requests that were answered well, or whose stream has begun.
+fn answered_part(arm: &ArmEvidence) -> f64 {
+    as_f64(arm.latency.total()) / as_f64(arm.sent.max(1))
+}
+
 fn round(duration_ms: f64) -> u64 {
     #[expect(
         clippy::cast_possible_truncation,
