--- a/crates/masticsill_relay/src/attempt.rs
+++ b/crates/masticsill_relay/src/attempt.rs
@@ -169,6 +169,10 @@
 
 impl Drop for Attempt {
     fn drop(&mut self) {
+        let progress = self.progress;
+        let endpoint = self.reservation.endpoint();
+        self.relay
+            .end_evidence(endpoint, progress.evidence, progress.began_at);
         if self.upstream.take().is_some() {
             let id = &self.reservation.endpoint().id;
             self.relay.pool.borrow_mut().note_closed(id);
--- a/crates/masticsill_relay/src/rollout_evidence.rs
+++ b/crates/masticsill_relay/src/rollout_evidence.rs
@@ -13,7 +13,7 @@
 use masticsill_dispatch::EndpointTable;
 use masticsill_registry::Announcement;
 use masticsill_rollout::{
-    ArmEvidence, EvidenceReport, Reporter, RolloutNumber, RouteEvidence, ServingRollout,
+    ArmEvidence, EvidenceReport, LatencyHistogram, Reporter, RolloutNumber, RouteEvidence, ServingRollout,
 };
 use masticsill_types::ClockMs;
 use tokio::time::timeout;
@@ -35,6 +35,8 @@
 /// Where the outcome of one attempt is counted.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct EvidenceArm {
+    /// Identifies the attempt among those that have not ended.
+    attempt: u64,
     /// Whether the time to the answer says nothing, because the attempt resumes a stream.
     is_resume: bool,
     is_target: bool,
@@ -53,6 +55,14 @@
     Failed { is_answered: bool },
 }
 
+/// An attempt that has not ended.
+#[derive(Clone, Copy, Debug)]
+struct OpenAttempt {
+    arm: EvidenceArm,
+    is_answered: bool,
+    sent_at: ClockMs,
+}
+
 /// Everything counted so far, and when it is reported. Pure: the time is passed to each call.
 #[derive(Debug)]
 pub(crate) struct EvidenceLog {
@@ -60,7 +70,11 @@
     is_changed: bool,
     /// Whether there was a bad answer since the last report.
     is_urgent: bool,
+    last_attempt: u64,
+    /// Durations of the attempts at old endpoints that ended during each roll-out.
+    old_durations: IndexMap<RolloutNumber, LatencyHistogram>,
     old_in_flight: u32,
+    open: IndexMap<u64, OpenAttempt>,
     reported_at: Option<ClockMs>,
     reporter: Reporter,
     rollouts: IndexMap<RolloutNumber, IndexMap<String, RouteEvidence>>,
@@ -72,7 +86,10 @@
         Self {
             is_changed: false,
             is_urgent: false,
+            last_attempt: 0,
+            old_durations: IndexMap::new(),
             old_in_flight: 0,
+            open: IndexMap::new(),
             reported_at: None,
             reporter,
             rollouts: IndexMap::new(),
@@ -83,6 +100,7 @@
     /// Counts an attempt that is sent.
     pub(crate) fn begin(
         &mut self,
+        now: ClockMs,
         number: RolloutNumber,
         route: &str,
         is_target: bool,
@@ -97,13 +115,21 @@
                     .0
             }
         };
+        self.last_attempt += 1;
         let arm = EvidenceArm {
+            attempt: self.last_attempt,
             is_resume,
             is_target,
             number,
             route: position,
         };
         self.change(arm, |counts| counts.sent += 1);
+        let open = OpenAttempt {
+            arm,
+            is_answered: false,
+            sent_at: now,
+        };
+        self.open.insert(arm.attempt, open);
         arm
     }
 
@@ -122,6 +148,44 @@
             }
         });
         self.is_urgent |= matches!(outcome, AttemptOutcome::Failed { .. });
+        if let Some(open) = self.open.get_mut(&arm.attempt) {
+            open.is_answered = true;
+        }
+    }
+
+    /// Records the end of an attempt, whatever its outcome.
+    pub(crate) fn end(&mut self, arm: EvidenceArm) {
+        self.open.swap_remove(&arm.attempt);
+    }
+
+    /// Records how long an attempt at an endpoint of another version than the target took.
+    pub(crate) fn note_old_duration(&mut self, number: RolloutNumber, duration_ms: u64) {
+        self.old_durations
+            .entry(number)
+            .or_default()
+            .note(duration_ms);
+        self.is_changed = true;
+    }
+
+    /// The evidence of a roll-out by route, with the attempts that have not ended.
+    fn routes(&self, now: ClockMs, number: RolloutNumber) -> IndexMap<String, RouteEvidence> {
+        let mut routes = self.rollouts.get(&number).cloned().unwrap_or_default();
+        let open = self.open.values().filter(|open| open.arm.number == number);
+        for open in open {
+            let Some((_, route)) = routes.get_index_mut(open.arm.route) else {
+                continue;
+            };
+            let counts = if open.arm.is_target {
+                &mut route.target
+            } else {
+                &mut route.old
+            };
+            counts.in_flight += 1;
+            if !open.is_answered && !open.arm.is_resume {
+                counts.waiting.note(now.since(open.sent_at));
+            }
+        }
+        routes
     }
 
     /// Attempts of a roll-out that has ended meanwhile are not counted.
@@ -149,8 +213,10 @@
         let Some(reported_at) = self.reported_at else {
             return 0;
         };
-        // The end of an old request changes no count, and the leader waits for the last one.
-        let interval_ms = match (self.is_urgent, self.is_changed || self.old_in_flight > 0) {
+        // The end of an old request changes no count, and the leader waits for the last one. Requests
+        // that wait for their answers tell of a slow version.
+        let is_changed = self.is_changed || self.old_in_flight > 0 || !self.open.is_empty();
+        let interval_ms = match (self.is_urgent, is_changed) {
             (true, _) => URGENT_REPORT_INTERVAL_MS,
             (false, true) => REPORT_INTERVAL_MS,
             (false, false) => IDLE_REPORT_INTERVAL_MS,
@@ -168,18 +234,23 @@
         let is_in_progress =
             |number: &RolloutNumber| in_progress.iter().any(|(it, _)| it == number);
         self.rollouts.retain(|number, _| is_in_progress(number));
+        self.old_durations
+            .retain(|number, _| is_in_progress(number));
+        self.open
+            .retain(|_, open| is_in_progress(&open.arm.number));
         self.is_changed = false;
         self.is_urgent = false;
         self.old_in_flight = in_progress.iter().map(|(_, in_flight)| in_flight).sum();
         self.reported_at = Some(now);
         self.sequence += 1;
         let reports = in_progress.iter().map(|(number, old_in_flight)| {
-            let routes = self.rollouts.get(number).cloned();
+            let old_durations = self.old_durations.get(number).cloned();
             EvidenceReport {
+                old_durations: old_durations.unwrap_or_default(),
                 old_in_flight: *old_in_flight,
                 number: *number,
                 reporter: self.reporter.clone(),
-                routes: routes.unwrap_or_default(),
+                routes: self.routes(now, *number),
                 sequence: self.sequence,
             }
         });
@@ -207,7 +278,13 @@
         self.metrics.rollout_sends.get_or_create(&labels).inc();
         let mut evidence = rollouts.evidence.borrow_mut();
         let was_changed = evidence.is_changed;
-        let arm = evidence.begin(number, &request.route.name, is_target, is_resume);
+        let arm = evidence.begin(
+            self.now(),
+            number,
+            &request.route.name,
+            is_target,
+            is_resume,
+        );
         if !was_changed {
             rollouts.evidence_changed.notify_one();
         }
@@ -236,6 +313,28 @@
     }
 }
 
+impl Relay {
+    /// Records the end of an attempt that was sent to an endpoint at `began_at`.
+    pub(crate) fn end_evidence(
+        &self,
+        endpoint: &Announcement,
+        arm: Option<EvidenceArm>,
+        began_at: ClockMs,
+    ) {
+        let Some(rollouts) = &self.rollouts else {
+            return;
+        };
+        let mut evidence = rollouts.evidence.borrow_mut();
+        if let Some(arm) = arm {
+            evidence.end(arm);
+        }
+        let old_of = rollouts.number_if_old(&endpoint.service, &endpoint.version);
+        if let Some(number) = old_of {
+            evidence.note_old_duration(number, self.now().since(began_at));
+        }
+    }
+}
+
 /// Reports evidence to the replica that leads while roll-outs are in progress, until the relay ends.
 pub(crate) async fn report_evidence(relay: Rc<Relay>) {
     let Some(rollouts) = &relay.rollouts else {
--- a/crates/masticsill_relay/src/rollouts.rs
+++ b/crates/masticsill_relay/src/rollouts.rs
@@ -110,6 +110,14 @@
         is_counted.then(|| (number, known.rule.target() == version))
     }
 
+    /// The roll-out of a service that is in progress, if a version is not its target.
+    pub(crate) fn number_if_old(&self, service: &str, version: &str) -> Option<RolloutNumber> {
+        let state = self.state.borrow();
+        let rule = &state.rollouts.get(service)?.rule;
+        let is_old = !rule.is_ended() && rule.target() != version;
+        is_old.then(|| rule.rollout().number)
+    }
+
     /// Records the roll-outs that a replica reported; it was asked at `asked_at`.
     fn note_reply(&self, now: ClockMs, from: SocketAddr, asked_at: ClockMs, reply: &WatchReply) {
         let mut state = self.state.borrow_mut();
--- a/crates/masticsill_rollout/src/lib.rs
+++ b/crates/masticsill_rollout/src/lib.rs
@@ -8,7 +8,9 @@
 
 mod driver;
 mod evidence;
+mod judge;
 mod order;
+mod ramp;
 mod service_versions;
 mod step;
 mod table;
@@ -19,6 +21,7 @@
 pub use evidence::{
     ArmEvidence, EvidenceReport, EvidenceStore, LatencyHistogram, Reporter, RouteEvidence,
 };
+pub use judge::{Finding, JudgeFn, Period, RouteTrials, Share, Trial, judge, trials};
 pub use order::{OrderAnswer, RolloutNumber, RolloutOrder};
 pub use service_versions::{KnownVersion, ServiceVersions, StartedRequest};
 pub use step::{Phase, RollbackCause, Rollout, RolloutState, RolloutStep};
