Roll-outs: the move waits until the target has answered on each route

Change: while there is time, the move waits for a route whose target answers are few compared with the old ones.

--- a/crates/masticsill_bench/examples/rollouts.rs
+++ b/crates/masticsill_bench/examples/rollouts.rs
@@ -117,7 +117,7 @@
         let threads: Vec<_> = (0..THREADS)
             .map(|first| scope.spawn(move || run(first)))
             .collect();
-        let joined = threads.into_iter().map(|thread| thread.join());
+        let joined = threads.into_iter().map(std::thread::ScopedJoinHandle::join);
         joined
             .flat_map(|outcomes| outcomes.expect("a play ends"))
             .collect()
--- a/crates/masticsill_bench/src/rollouts/play.rs
+++ b/crates/masticsill_bench/src/rollouts/play.rs
@@ -122,24 +122,19 @@
 /// Plays one roll-out.
 #[must_use]
 pub fn play(plan: &RolloutPlan) -> RolloutOutcome {
-    let mut play = Play::new(plan);
-    let mut now_ms = 0;
-    while now_ms < BEFORE_MS + DURATION_MS + 1_000 {
-        play.tick(now_ms);
-        now_ms += TICK_MS;
-        if now_ms == BEFORE_MS + DURATION_MS {
-            break;
-        }
+    let mut state = Play::new(plan);
+    for tick in 0..(BEFORE_MS + DURATION_MS) / TICK_MS {
+        state.tick(tick * TICK_MS);
     }
     RolloutOutcome {
-        bad: play.bad,
-        cut: play.cut,
-        ended_ms: play.ended_ms,
-        fiftieth_bad_ms: play.fiftieth_bad_ms,
-        last_sent_ms: play.last_sent_ms,
-        phase: play.rollout().map_or(Phase::Finishing, |it| it.phase),
-        target: play.target,
-        total: play.total,
+        bad: state.bad,
+        cut: state.cut,
+        ended_ms: state.ended_ms,
+        fiftieth_bad_ms: state.fiftieth_bad_ms,
+        last_sent_ms: state.last_sent_ms,
+        phase: state.rollout().map_or(Phase::Finishing, |it| it.phase),
+        target: state.target,
+        total: state.total,
     }
 }
 
--- a/crates/masticsill_bench/src/rollouts/world.rs
+++ b/crates/masticsill_bench/src/rollouts/world.rs
@@ -145,14 +145,14 @@
                 first *= COLD_FACTOR;
             }
             let (share, factor) = match self.plan.flaw {
-                Flaw::None => (0.0, 1.0),
                 Flaw::Fails(share) => (share, 1.0),
                 Flaw::Slow(factor) => (0.0, factor),
                 Flaw::FailsFrom(share, from_ms) if now_ms >= from_ms => (share, 1.0),
                 Flaw::FailsUnderLoad(share) if load > BAD_LOAD => (share, 1.0),
                 Flaw::FailsOnRoute(share, on) if on == route => (share, 1.0),
                 Flaw::SlowOnRoute(factor, on) if on == route => (0.0, factor),
-                Flaw::FailsFrom(..)
+                Flaw::None
+                | Flaw::FailsFrom(..)
                 | Flaw::FailsUnderLoad(_)
                 | Flaw::FailsOnRoute(..)
                 | Flaw::SlowOnRoute(..) => (0.0, 1.0),
--- a/crates/masticsill_rollout/src/driver.rs
+++ b/crates/masticsill_rollout/src/driver.rs
@@ -277,6 +277,7 @@
             };
         }
 
+        let is_clear = finding.doubt.is_none() && !sums.routes.values().any(is_unanswered);
         let is_telling = old.sent + target.sent < TELLING_REQUESTS
             || target.latency.total() >= MIN_ANSWERED
                 && answered_part(&target) >= MIN_ANSWERED_PART * answered_part(&old);
@@ -293,7 +294,7 @@
             && has_taken_over
             && is_telling
             && finding.suspect.is_none()
-            && (finding.doubt.is_none() || elapsed_ms >= schedule.latest_move_ms)
+            && (is_clear || elapsed_ms >= schedule.latest_move_ms)
             && input.target_ready > 0
         {
             return Phase::Finishing;
@@ -449,6 +450,12 @@
     as_f64(arm.latency.total()) / as_f64(arm.sent.max(1))
 }
 
+/// Whether the target has answered few of a route's requests yet, compared with the old version.
+fn is_unanswered(route: &RouteEvidence) -> bool {
+    let least = MIN_ANSWERED_PART * answered_part(&route.old);
+    route.target.sent >= MIN_ANSWERED && answered_part(&route.target) < least
+}
+
 fn round(duration_ms: f64) -> u64 {
     #[expect(
         clippy::cast_possible_truncation,
--- a/crates/masticsill_rollout/src/judge.rs
+++ b/crates/masticsill_rollout/src/judge.rs
@@ -213,7 +213,7 @@
 /// failures of a zone's streams would be too many after the share of new ones has changed.
 fn failed(arm: &ArmEvidence, before: &ArmEvidence, turnover: f64) -> Share {
     let in_flight = as_f64(before.in_flight + arm.in_flight) / 2.0;
-    let might = (as_f64(arm.sent) + in_flight * turnover) / 2.0;
+    let might = f64::midpoint(as_f64(arm.sent), in_flight * turnover);
     let bad = as_f64(arm.failed);
     Share {
         bad,
@@ -235,6 +235,8 @@
     /// Whether the old version failed far more than usual, as when a zone is down. Its endpoints and the
     /// target's may be in different zones, so that nothing can be told then.
     is_outage: Vec<bool>,
+    /// Whether the old version failed on, or was slow on, nearly everything.
+    is_hopeless: Vec<bool>,
 }
 
 impl Background {
@@ -255,16 +257,23 @@
         let highest = excess.iter().copied().fold(0.0, f64::max);
         let is_outage = |(seen, usual): (&Share, &f64)| {
             let is_far_more = seen.bad > 2.0 * usual + 0.1 * seen.of;
-            seen.bad >= OUTAGE_FAILURES && (is_far_more || seen.value() > HOPELESS_SHARE)
+            seen.bad >= OUTAGE_FAILURES && is_far_more
         };
         let is_outage = seen.iter().zip(&usual).map(is_outage).collect();
+        let is_hopeless =
+            |seen: &Share| seen.bad >= OUTAGE_FAILURES && seen.value() > HOPELESS_SHARE;
+        let is_hopeless = seen.iter().map(is_hopeless).collect();
         for (excess, seen) in excess.iter_mut().zip(&seen) {
             // Without the old version's answers in the period, an outage can't be told.
             if seen.of < COMPARABLE {
                 *excess = 1.5 * highest;
             }
         }
-        Self { excess, is_outage }
+        Self {
+            excess,
+            is_outage,
+            is_hopeless,
+        }
     }
 }
 
@@ -296,7 +305,7 @@
     let usual = usual_share(trials);
     let mut sum = 0.0;
     for (index, trial) in trials.iter().enumerate() {
-        if skipped[index] || background.is_outage[index] {
+        if skipped[index] || background.is_hopeless[index] {
             continue;
         }
         let expected = (usual + background.excess[index]).min(0.9);
--- a/crates/masticsill_rollout/tests/evidence.rs
+++ b/crates/masticsill_rollout/tests/evidence.rs
@@ -21,9 +21,13 @@
         later in prop::collection::vec(0_u64..300_000, 0..40),
     ) {
         let mut before = LatencyHistogram::default();
-        earlier.iter().for_each(|latency_ms| before.note(*latency_ms));
+        for latency_ms in &earlier {
+            before.note(*latency_ms);
+        }
         let mut all = before.clone();
-        later.iter().for_each(|latency_ms| all.note(*latency_ms));
+        for latency_ms in &later {
+            all.note(*latency_ms);
+        }
         let mut sum = before.clone();
         sum.add(&all.since(&before));
         prop_assert_eq!(sum.counts(), all.counts());
