--- a/crates/masticsill_relay/src/rollout_evidence.rs
+++ b/crates/masticsill_relay/src/rollout_evidence.rs
@@ -13,7 +13,8 @@
 use masticsill_dispatch::EndpointTable;
 use masticsill_registry::Announcement;
 use masticsill_rollout::{
-    ArmEvidence, EvidenceReport, LatencyHistogram, Reporter, RolloutNumber, RouteEvidence, ServingRollout,
+    ArmEvidence, EvidenceReport, LatencyHistogram, Reporter, RolloutNumber, RouteEvidence,
+    ServingRollout,
 };
 use masticsill_types::ClockMs;
 use tokio::time::timeout;
@@ -236,8 +237,7 @@
         self.rollouts.retain(|number, _| is_in_progress(number));
         self.old_durations
             .retain(|number, _| is_in_progress(number));
-        self.open
-            .retain(|_, open| is_in_progress(&open.arm.number));
+        self.open.retain(|_, open| is_in_progress(&open.arm.number));
         self.is_changed = false;
         self.is_urgent = false;
         self.old_in_flight = in_progress.iter().map(|(_, in_flight)| in_flight).sum();
