Crash check: a connection must stay open to show that a process runs

Cause: the listener of a process that ends may accept for a moment after its other connections broke. The check took such a connection, made 0 to 1 ms after the break, for a running process, so that the crash was not counted.

--- a/crates/masticsill_relay/src/crash_check.rs
+++ b/crates/masticsill_relay/src/crash_check.rs
@@ -10,7 +10,7 @@
 use masticsill_quarantine::{CrashRecord, Weight};
 use masticsill_registry::{Announcement, EndpointState};
 use masticsill_types::log_event;
-use masticsill_upstream::dial;
+use masticsill_upstream::probe;
 use tokio::task::spawn_local;
 
 use crate::attempt::RunProgress;
@@ -18,7 +18,7 @@
 use crate::relay::Relay;
 use crate::request::RelayRequest;
 
-/// Timeout of the probe connection: a running endpoint accepts within a few milliseconds.
+/// Time in which the probe connects: a running endpoint accepts within a few milliseconds.
 pub(crate) const CRASH_PROBE_TIMEOUT_MS: u64 = 120;
 
 /// What a failure says about the endpoint's process.
@@ -26,7 +26,7 @@
 enum Suspicion {
     /// The process has ended.
     Down,
-    /// The process may have ended; it counts as down if no connection can be made.
+    /// The process may have ended; it counts as down if no connection can be made or stays open.
     Likely,
     /// The process is stalled or unreachable; it counts as down only if it refuses connections.
     Unlikely,
@@ -106,8 +106,8 @@
     if suspicion == Suspicion::Down {
         return true;
     }
-    match dial(endpoint.address, CRASH_PROBE_TIMEOUT_MS).await {
-        Ok(_) => false,
+    match probe(endpoint.address, CRASH_PROBE_TIMEOUT_MS).await {
+        Ok(()) => false,
         Err(error) => {
             suspicion == Suspicion::Likely || error.kind() == ErrorKind::ConnectionRefused
         }
--- a/crates/masticsill_upstream/src/lib.rs
+++ b/crates/masticsill_upstream/src/lib.rs
@@ -6,9 +6,11 @@
 mod call;
 mod dial;
 mod exchange;
+mod probe;
 mod read;
 
 pub use call::{EndpointCall, EndpointClient};
 pub use dial::{configure_socket, dial};
 pub use exchange::{ExchangeError, ExpectedResponse, UpstreamConnection};
+pub use probe::probe;
 pub use read::read_more;
