Patience of each engine: learned gaps, and a model of uneven engines (in progress)

Cause: a run is presumed to have failed after 350 ms without an event, also at an engine whose usual gaps are longer while it prefills another prompt.

Change: the gaps between an engine's events are learned, beside a prefill and without one, and the silence of runs that were left although the engine accepted connections counts as a gap. The silence after which a run is left is the longest usual gap, 350 ms at least. A zone that is down is looked for after 350 ms as before. Metrics and log fields for runs that were left alive. A model compares methods (example `uneven` of masticsill_bench).

The choice among the methods is not final. No system test was run on it yet.

--- a/crates/masticsill_bench/src/lib.rs
+++ b/crates/masticsill_bench/src/lib.rs
@@ -12,6 +12,7 @@
 mod report;
 mod stream;
 mod system;
+pub mod uneven;
 mod usage;
 
 pub use arguments::read_seeds;
--- a/crates/masticsill_dispatch/src/endpoint.rs
+++ b/crates/masticsill_dispatch/src/endpoint.rs
@@ -5,6 +5,7 @@
 
 use crate::capacity::FULL_BACKOFF_MS;
 use crate::concurrency_limit::ConcurrencyLimit;
+use crate::event_gaps::EventGaps;
 use crate::health::Health;
 use crate::reading::ReadingPace;
 use crate::request_limit::RequestLimit;
@@ -47,6 +48,8 @@
     pub health: Health,
     /// Limit of requests in flight from this entry, for a plain service.
     pub concurrency: ConcurrencyLimit,
+    /// Gaps between the events of this entry's streams.
+    pub(crate) event_gaps: EventGaps,
     /// When the endpoint may be used again after it has refused a request as full.
     full_until: Option<ClockMs>,
     /// Until when the endpoint has asked this entry to send nothing.
@@ -85,6 +88,7 @@
         Self {
             announcement,
             concurrency: ConcurrencyLimit::default(),
+            event_gaps: EventGaps::default(),
             full_until: None,
             health: Health::default(),
             held_tokens: 0,
--- a/crates/masticsill_dispatch/src/endpoints.rs
+++ b/crates/masticsill_dispatch/src/endpoints.rs
@@ -11,6 +11,7 @@
 use masticsill_types::{ClockMs, NodeId, ZoneId};
 
 use crate::endpoint::{Endpoint, OtherLoad};
+use crate::event_gaps::EventGaps;
 use crate::health::Failure;
 
 /// Minimum number of busy endpoints of a zone that must all be silent for the zone to count as
@@ -37,6 +38,8 @@
     endpoints: IndexMap<EndpointId, Endpoint>,
     /// Number of entries that share the endpoints' request limits; zero before it is known.
     entries: u32,
+    /// Gaps between the events of all engines of a service.
+    event_gaps: IndexMap<String, EventGaps>,
     last_order: u64,
     /// The newest incarnation of each name.
     newest_incarnations: IndexMap<String, EndpointIncarnation>,
@@ -385,6 +388,33 @@
         self.endpoints.values()
     }
 
+    /// Records a gap between two events of a stream at an engine, or the silence with which a run
+    /// was left although its engine was alive: the gap would have been at least as long.
+    pub fn note_event_gap(&mut self, now: ClockMs, id: &EndpointId, gap_ms: u64) {
+        let Some(endpoint) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        let is_prefilling = endpoint.reading_total(now) > 0;
+        endpoint.event_gaps.note(now, gap_ms, is_prefilling);
+        let service = &endpoint.announcement.service;
+        if let Some(gaps) = self.event_gaps.get_mut(service) {
+            gaps.note(now, gap_ms, is_prefilling);
+        } else {
+            let gaps = self.event_gaps.entry(service.clone()).or_default();
+            gaps.note(now, gap_ms, is_prefilling);
+        }
+    }
+
+    /// The longest usual gap between events of an engine, in milliseconds, or of all engines of its
+    /// service if too little is known of it.
+    #[must_use]
+    pub fn longest_usual_gap_ms(&self, now: ClockMs, id: &EndpointId) -> Option<u64> {
+        let endpoint = self.endpoints.get(id)?;
+        let own_ms = endpoint.event_gaps.longest_usual_ms(now);
+        let of_service = || self.event_gaps.get(&endpoint.announcement.service);
+        own_ms.or_else(|| of_service()?.longest_usual_ms(now))
+    }
+
     /// Records a failed exchange. Returns true if the endpoint's whole zone appears to be stalled.
     pub fn note_failure(&mut self, now: ClockMs, id: &EndpointId, failure: Failure) -> bool {
         let Some(endpoint) = self.endpoints.get_mut(id) else {
@@ -402,7 +432,8 @@
     /// them.
     ///
     /// If any of them still sends, a single endpoint is slow and the zone is not down.
-    fn is_zone_stalled(&self, now: ClockMs, failed: &Announcement) -> bool {
+    #[must_use]
+    pub fn is_zone_stalled(&self, now: ClockMs, failed: &Announcement) -> bool {
         let is_busy_neighbor = |it: &&Endpoint| {
             it.announcement.service == failed.service
                 && it.announcement.zone == failed.zone
--- a/crates/masticsill_relay/src/attempt.rs
+++ b/crates/masticsill_relay/src/attempt.rs
@@ -248,6 +248,7 @@
             attempt.endpoint(),
             failure,
             attempt.progress,
+            None,
         );
     }
     drop(attempt);
--- a/crates/masticsill_relay/src/crash_check.rs
+++ b/crates/masticsill_relay/src/crash_check.rs
@@ -45,13 +45,26 @@
     }
 }
 
+/// A run that was ended because another one replaces it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LeftRun {
+    /// Whether the run had sent events.
+    pub(crate) is_stalled: bool,
+    /// Prompt tokens that the other run prefills again.
+    pub(crate) prompt_tokens_again: u64,
+    pub(crate) silent_ms: u64,
+}
+
 /// Probes the endpoint of a failed run with a connection, and records a crash if it is down.
+///
+/// `left` describes a run that was ended only for its silence.
 pub(crate) fn check_for_crash(
     relay: &Rc<Relay>,
     request: &RelayRequest,
     endpoint: &Announcement,
     failure: Failure,
     progress: RunProgress,
+    left: Option<LeftRun>,
 ) {
     let suspicion = Suspicion::from(failure);
     // An endpoint that is leaving exits regularly, and its remaining runs end with it.
@@ -64,8 +77,11 @@
     let (id, fingerprint) = (request.id.clone(), request.fingerprint);
     relay.crash_checks.borrow_mut().push(fingerprint);
     spawn_local(async move {
-        let is_down = is_down(&endpoint, suspicion).await;
+        let (is_down, is_alive) = probe_endpoint(&endpoint, suspicion).await;
         relay.finish_crash_check(fingerprint);
+        if let Some(left) = left.filter(|_| is_alive) {
+            relay.note_left_alive(&endpoint.id, left);
+        }
         if is_down {
             let now = relay.now();
             let crash = CrashRecord {
@@ -88,6 +104,8 @@
             zone = endpoint.zone,
             failure = failure.name(),
             is_down = is_down,
+            is_alive = is_alive,
+            prompt_tokens_again = left.map_or(0, |it| it.prompt_tokens_again),
             ran_ms = ended_at.since(progress.began_at),
             answered_ms = progress.answered_ms(ended_at),
             reached_ms = progress.reached_ms(ended_at),
@@ -102,14 +120,16 @@
     known.is_some_and(|it| it.announcement.state > EndpointState::Ready)
 }
 
-async fn is_down(endpoint: &Announcement, suspicion: Suspicion) -> bool {
+/// Whether the endpoint's process has ended, and whether it is known to run.
+async fn probe_endpoint(endpoint: &Announcement, suspicion: Suspicion) -> (bool, bool) {
     if suspicion == Suspicion::Down {
-        return true;
+        return (true, false);
     }
     match probe(endpoint.address, CRASH_PROBE_TIMEOUT_MS).await {
-        Ok(()) => false,
+        Ok(()) => (false, true),
         Err(error) => {
-            suspicion == Suspicion::Likely || error.kind() == ErrorKind::ConnectionRefused
+            let is_refused = error.kind() == ErrorKind::ConnectionRefused;
+            (suspicion == Suspicion::Likely || is_refused, false)
         }
     }
 }
--- a/crates/masticsill_relay/src/failover.rs
+++ b/crates/masticsill_relay/src/failover.rs
@@ -9,13 +9,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use masticsill_dispatch::Failure;
+use masticsill_dispatch::{EVENT_GAP_TIMEOUT_MS, Failure};
 use masticsill_registry::Announcement;
 use masticsill_types::{ClockMs, log_event};
 use tokio::time::timeout;
 
 use crate::attempt::{RunProgress, log_failure, with_silence_timeout};
-use crate::crash_check::check_for_crash;
+use crate::crash_check::{LeftRun, check_for_crash};
 use crate::events;
 use crate::relay::Relay;
 use crate::request::RelayRequest;
@@ -57,15 +57,24 @@
         waiting: impl Future<Output = T>,
     ) -> Option<WatchResult<T, N>> {
         let (relay, endpoint) = (self.relay, self.endpoint);
-        let received = with_silence_timeout(
-            relay,
-            endpoint,
-            self.last_received_at,
-            self.silence_timeout_ms,
-            waiting,
-        );
-        if let Some(done) = received.await {
-            return Some(WatchResult::Done(done));
+        tokio::pin!(waiting);
+        // A zone that is down is detected as soon as at steady engines, also by runs at slow ones.
+        let is_kept_longer =
+            self.failure == Failure::Stalled && self.silence_timeout_ms > EVENT_GAP_TIMEOUT_MS;
+        if is_kept_longer {
+            let received = self.wait_for_bytes(EVENT_GAP_TIMEOUT_MS, waiting.as_mut());
+            if let Some(done) = received.await {
+                return Some(WatchResult::Done(done));
+            }
+        }
+        // The wait ends early if another run reported the endpoint or its zone as stalled.
+        let is_reported = relay.now() < self.last_received_at + EVENT_GAP_TIMEOUT_MS;
+        let is_over = is_kept_longer && (is_reported || relay.is_zone_stalled(endpoint));
+        if !is_over {
+            let received = self.wait_for_bytes(self.silence_timeout_ms, waiting);
+            if let Some(done) = received.await {
+                return Some(WatchResult::Done(done));
+            }
         }
         if self.request.left_ms(relay.now()) == 0 {
             return Some(WatchResult::DeadlineReached);
@@ -77,6 +86,22 @@
         None
     }
 
+    /// Waits for the next bytes of the attempt; `None` once it has been silent for a time.
+    async fn wait_for_bytes<T>(
+        &self,
+        silence_timeout_ms: u64,
+        waiting: impl Future<Output = T>,
+    ) -> Option<T> {
+        with_silence_timeout(
+            self.relay,
+            self.endpoint,
+            self.last_received_at,
+            silence_timeout_ms,
+            waiting,
+        )
+        .await
+    }
+
     /// Waits for the next bytes of a silent attempt or for its replacement, whichever comes first;
     /// without a replacement, until the request's deadline.
     pub(crate) async fn wait_until_replaced<T, N>(
@@ -95,7 +120,6 @@
             next = next => next,
         };
         if let Ok(next) = next {
-            self.note_replaced();
             return WatchResult::Replaced(next);
         }
         let left = Duration::from_millis(request.left_ms(relay.now()));
@@ -108,8 +132,9 @@
         }
     }
 
-    /// Records that the attempt was ended in favour of its replacement.
-    fn note_replaced(&self) {
+    /// Records that the attempt was ended in favour of its replacement, which prefills
+    /// `prompt_tokens_again` tokens once more.
+    pub(crate) fn note_replaced(&self, prompt_tokens_again: u64) {
         let cause = "silent until its successor was connected";
         log_failure(
             self.relay,
@@ -124,6 +149,11 @@
             self.endpoint,
             self.failure,
             self.progress,
+            Some(LeftRun {
+                is_stalled: self.failure == Failure::Stalled,
+                prompt_tokens_again,
+                silent_ms: self.relay.now().since(self.last_received_at),
+            }),
         );
     }
 }
--- a/crates/masticsill_relay/src/metrics.rs
+++ b/crates/masticsill_relay/src/metrics.rs
@@ -59,6 +59,8 @@
     pub(crate) retries_left: Gauge,
     pub(crate) retries_refused: Counter,
     pub(crate) runs_crashed: Counter,
+    pub(crate) runs_left_alive: Counter,
+    pub(crate) tokens_prefilled_again: Counter,
     pub(crate) wait_ms: Histogram,
 }
 
@@ -89,6 +91,8 @@
             retries_left: Gauge::default(),
             retries_refused: Counter::default(),
             runs_crashed: Counter::default(),
+            runs_left_alive: Counter::default(),
+            tokens_prefilled_again: Counter::default(),
             wait_ms: time_histogram(),
         };
         metrics.register(registry);
@@ -151,6 +155,12 @@
         let help = "Runs that ended together with their endpoints";
         let crashed = self.runs_crashed.clone();
         registry.register("masticsill_relay_runs_crashed", help, crashed);
+        let help = "Silent runs that were left although their endpoints accepted connections";
+        let left = self.runs_left_alive.clone();
+        registry.register("masticsill_relay_runs_left_alive", help, left);
+        let help = "Prompt tokens that are prefilled again after such runs";
+        let again = self.tokens_prefilled_again.clone();
+        registry.register("masticsill_relay_tokens_prefilled_again", help, again);
         let help = "Requests by kind and outcome";
         registry.register("masticsill_relay_requests", help, self.requests.clone());
         let help = "Streams that went on at another endpoint";
--- a/crates/masticsill_relay/src/plain.rs
+++ b/crates/masticsill_relay/src/plain.rs
@@ -220,7 +220,9 @@
     let presumed = retry_state.presume_failed(watched.endpoint.id.clone());
     let next = open_next(watched.relay, watched.request, retry_state);
     let waited = watched.wait_until_replaced(waiting, next).await;
-    if !matches!(waited, WatchResult::Replaced(_)) {
+    if matches!(waited, WatchResult::Replaced(_)) {
+        watched.note_replaced(0);
+    } else {
         retry_state.retract_presumed_failure(&presumed);
     }
     waited
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -23,6 +23,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::config::RelayConfig;
+use crate::crash_check::LeftRun;
 use crate::dispatch_queue::Waiters;
 use crate::events;
 use crate::metrics::{CauseLabel, RelayMetrics};
@@ -488,9 +489,29 @@
         });
     }
 
-    /// Records how long an endpoint took for one unit of work.
-    pub(crate) fn note_pace(&self, id: &EndpointId, pace_ms: u64) {
-        self.with_endpoint(id, |it| it.health.note_pace(pace_ms));
+    /// Records the time between two events of a stream.
+    pub(crate) fn note_event_gap(&self, id: &EndpointId, gap_ms: u64) {
+        self.with_endpoint(id, |it| it.health.note_pace(gap_ms));
+        let now = self.now();
+        self.endpoints.borrow_mut().note_event_gap(now, id, gap_ms);
+    }
+
+    /// Records that a silent run was left although its endpoint accepts connections.
+    pub(crate) fn note_left_alive(&self, id: &EndpointId, left: LeftRun) {
+        self.metrics.runs_left_alive.inc();
+        let again = &self.metrics.tokens_prefilled_again;
+        again.inc_by(left.prompt_tokens_again);
+        if left.is_stalled {
+            let now = self.now();
+            let mut endpoints = self.endpoints.borrow_mut();
+            endpoints.note_event_gap(now, id, left.silent_ms);
+        }
+    }
+
+    /// Whether the zone of an endpoint appears to be down.
+    pub(crate) fn is_zone_stalled(&self, endpoint: &Announcement) -> bool {
+        let now = self.now();
+        self.endpoints.borrow().is_zone_stalled(now, endpoint)
     }
 
     /// Updates an endpoint, unless it has been evicted.
--- a/crates/masticsill_relay/src/stream/run.rs
+++ b/crates/masticsill_relay/src/stream/run.rs
@@ -3,11 +3,11 @@
 use std::io;
 
 use bytes::BytesMut;
-use masticsill_dispatch::Failure;
+use masticsill_dispatch::{EVENT_GAP_TIMEOUT_MS, Failure, Patience, silence_timeout_ms};
 use masticsill_http1::{
     BodyDecoder, EventSplitter, HeadWriter, ResponseHead, write_chunk, write_last_chunk,
 };
-use masticsill_registry::Announcement;
+use masticsill_registry::{Announcement, EndpointId};
 use masticsill_types::{ClockMs, log_event};
 use tokio::io::AsyncWriteExt;
 
@@ -21,9 +21,11 @@
 use crate::metrics::CauseLabel;
 use crate::request::SendOptions;
 
-/// Silence between events after which a run is presumed to have failed: twice the longest usual
-/// gap, that of six decoding steps alongside another request's prefill (180 ms).
-const EVENT_GAP_TIMEOUT_MS: u64 = 350;
+/// Target gap of a route that states none.
+const DEFAULT_TARGET_GAP_MS: u64 = 700;
+/// Expected time from leaving a run to the first event of the run that resumes from its copy: the
+/// connection, and the copied engine's next event beside a prefill.
+const COPY_RESUME_MS: u64 = 160;
 /// Timeout of the first event, in addition to the prefill time.
 const FIRST_EVENT_BASE_TIMEOUT_MS: u64 = 3_000;
 /// Prompt tokens that an engine is expected to prefill per millisecond while other prompts are
@@ -120,8 +122,12 @@
         let presumed = self.retry_state.presume_failed(id.clone());
         let next = self.open_next(Some(id));
         let waited = watched.wait_until_replaced(waiting, next).await;
-        if matches!(waited, WatchResult::Replaced(_)) {
+        if let WatchResult::Replaced(next) = &waited {
             self.last_failure = watched.failure.name();
+            let is_from_copy = next.from_copy.is_some();
+            let tokens = self.request.prompt_tokens(&self.relay.config.headers);
+            let tokens_again = tokens.filter(|_| !is_from_copy).unwrap_or_default();
+            watched.note_replaced(tokens_again);
         } else {
             self.retry_state.retract_presumed_failure(&presumed);
         }
@@ -158,6 +164,19 @@
         left_ms.min(FIRST_EVENT_BASE_TIMEOUT_MS + prefill_ms)
     }
 
+    /// The silence after an event with which the run is presumed to have failed.
+    fn event_gap_timeout_ms(&self, endpoint: &EndpointId) -> u64 {
+        let endpoints = self.relay.endpoints.borrow();
+        let usual_ms = endpoints.longest_usual_gap_ms(self.relay.now(), endpoint);
+        let has_copy = self.is_copy_usable && self.copies.copy().is_some();
+        let target_gap_ms = self.request.route.target_event_gap_ms;
+        silence_timeout_ms(&Patience {
+            resume_ms: has_copy.then_some(COPY_RESUME_MS),
+            target_gap_ms: target_gap_ms.unwrap_or(DEFAULT_TARGET_GAP_MS),
+            usual_ms,
+        })
+    }
+
     /// Forwards a run's events until the run ends.
     async fn forward_events(
         &mut self,
@@ -169,10 +188,11 @@
         let mut decoder = BodyDecoder::new(head.framing);
         let mut splitter = EventSplitter::default();
         let mut has_event = false;
+        let mut last_event_at = self.relay.now();
         loop {
             let now = self.relay.now();
             let silence_ms = if has_event {
-                EVENT_GAP_TIMEOUT_MS
+                self.event_gap_timeout_ms(&endpoint.id)
             } else {
                 // A run whose head arrived at the last moment gets this long for its first event.
                 first_event_deadline.since(now).max(EVENT_GAP_TIMEOUT_MS)
@@ -190,16 +210,17 @@
                 WatchResult::DeadlineReached => (silence, "no event".to_owned()),
                 WatchResult::Done(Ok(Some(piece))) => {
                     self.relay.record_received(&endpoint.id);
+                    let gap_ms = self.relay.now().since(last_event_at);
                     splitter.push(&piece);
                     match self.forward_complete_events(&mut splitter, head).await {
                         Ok(true) => {
                             self.reached_ms = attempt.note_event();
                             self.relay.note_progress(self.request, self.reached_ms);
                             if has_event {
-                                let pace_ms = self.relay.now().since(now);
-                                self.relay.note_pace(&endpoint.id, pace_ms);
+                                self.relay.note_event_gap(&endpoint.id, gap_ms);
                             }
                             has_event = true;
+                            last_event_at = self.relay.now();
                             self.is_copy_usable = true;
                             self.retry_state.reset_pauses();
                             self.ensure_copy(&endpoint);
