--- a/crates/masticsill_bench/examples/uneven.rs
+++ b/crates/masticsill_bench/examples/uneven.rs
@@ -54,6 +54,13 @@
                 ..plan
             },
         ),
+        (
+            "4 of 24 uneven",
+            UnevenPlan {
+                steady_engines: 20,
+                ..plan
+            },
+        ),
         (
             "even, steady",
             UnevenPlan {
--- a/crates/masticsill_bench/src/uneven.rs
+++ b/crates/masticsill_bench/src/uneven.rs
@@ -86,6 +86,8 @@
     pub speeds: (f64, f64),
     /// Share of the time in which an engine is slow, for 600 ms at a time.
     pub slow_share: f64,
+    /// Engines of usual speed without slow periods; the others are as said above.
+    pub steady_engines: usize,
     /// Zones, one of which goes down for 5 s.
     pub zones: usize,
 }
@@ -101,6 +103,7 @@
             lifetime_ms: 120_000.0,
             speeds: (0.55, 1.2),
             slow_share: 0.15,
+            steady_engines: 0,
             zones: 3,
         }
     }
--- a/crates/masticsill_bench/src/uneven/play.rs
+++ b/crates/masticsill_bench/src/uneven/play.rs
@@ -1,6 +1,6 @@
 //! The play: streams, entries and engines in steps of a millisecond.
 
-use masticsill_dispatch::{EVENT_GAP_TIMEOUT_MS, EventGaps, Patience, silence_timeout_ms};
+use masticsill_dispatch::{EVENT_GAP_TIMEOUT_MS, EventGaps, silence_timeout_ms};
 use masticsill_types::ClockMs;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -21,6 +21,8 @@
 const STALLED_SILENCE_MS: u64 = 150;
 /// Silence of all busy engines of a zone with which the zone counts as down.
 const ZONE_SILENCE_MS: u64 = 250;
+/// Interval of looking for a zone that is down, after the silence of a steady engine.
+const ZONE_CHECK_INTERVAL_MS: u64 = 50;
 /// How long an entry avoids an engine that it left.
 const AVOIDED_MS: u64 = 1_000;
 /// Time after which a dark engine is known as silent to every entry.
@@ -40,7 +42,6 @@
     timeout_ms: u64,
     /// Another run was seen to stall at this engine or in its zone.
     is_alerted: bool,
-    is_zone_checked: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -185,7 +186,6 @@
         }
         at.last_ms = now_ms;
         at.is_alerted = false;
-        at.is_zone_checked = false;
         if of.is_copied && of.copy.is_none() {
             // A copy is held in another zone.
             let zone = self.engines[engine].zone;
@@ -214,38 +214,22 @@
         let of = &self.streams[stream];
         let known = &self.known[of.entry][engine];
         let now = ClockMs(self.now_ms);
-        let bounded = |usual_ms: Option<u64>| {
-            let usual_ms = usual_ms.unwrap_or_default();
-            usual_ms.clamp(EVENT_GAP_TIMEOUT_MS, TARGET_GAP_MS)
-        };
-        let resume_ms = of.copy.map(|_| COPY_MS + CONNECT_MS + 100);
-        let patience = |usual_ms| Patience {
-            resume_ms,
-            target_gap_ms: TARGET_GAP_MS,
-            usual_ms,
-        };
+        let own_ms = known.gaps.longest_usual_ms(now);
+        let all_ms = self.all_gaps[of.entry].longest_usual_ms(now);
+        let resume_ms = of.copy.map_or(0, |_| COPY_MS + CONNECT_MS + 100);
+        let to_target = |usual_ms| silence_timeout_ms(usual_ms, TARGET_GAP_MS);
+        let to_resume = |usual_ms| silence_timeout_ms(usual_ms, TARGET_GAP_MS - resume_ms);
         match self.method {
             Method::Fixed => EVENT_GAP_TIMEOUT_MS,
             #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-            Method::TwiceMean => bounded(known.mean_ms.map(|mean_ms| (mean_ms * 2.0) as u64)),
-            Method::Deviation => bounded(known.mixed.longest_usual_ms(now)),
-            Method::ByPrefill => bounded(known.gaps.longest_usual_ms(now)),
-            Method::Left => silence_timeout_ms(&patience(known.gaps.longest_usual_ms(now))),
-            Method::Weighted => {
-                let usual_ms = known.gaps.longest_usual_ms(now);
-                let all = &self.all_gaps[of.entry];
-                silence_timeout_ms(&patience(usual_ms.or_else(|| all.longest_usual_ms(now))))
-            }
-            Method::Kept => {
-                let usual_ms = known.gaps.longest_usual_ms(now);
-                let all = &self.all_gaps[of.entry];
-                bounded(usual_ms.or_else(|| all.longest_usual_ms(now)))
-            }
-            Method::Longer => {
-                let usual_ms = known.gaps.longest_usual_ms(now);
-                bounded(usual_ms.max(self.all_gaps[of.entry].longest_usual_ms(now)))
-            }
-            Method::TargetOnly => silence_timeout_ms(&patience(Some(TARGET_GAP_MS))),
+            Method::TwiceMean => to_target(known.mean_ms.map(|mean_ms| (mean_ms * 2.0) as u64)),
+            Method::Deviation => to_target(known.mixed.longest_usual_ms(now)),
+            Method::ByPrefill => to_target(own_ms),
+            Method::Left => to_resume(own_ms),
+            Method::Weighted => to_resume(own_ms.or(all_ms)),
+            Method::Kept => to_target(own_ms.or(all_ms)),
+            Method::Longer => to_target(own_ms.max(all_ms)),
+            Method::TargetOnly => to_resume(Some(TARGET_GAP_MS)),
         }
     }
 
@@ -282,7 +266,6 @@
             engine,
             has_event: false,
             is_alerted: false,
-            is_zone_checked: false,
             last_ms: self.now_ms,
             starts_ms: self.now_ms + delay_ms,
             timeout_ms: FIRST_EVENT_BASE_MS + prefill_ms,
@@ -311,11 +294,9 @@
             return;
         }
         let is_zone_down = at.has_event
-            && !at.is_zone_checked
+            && silent_ms >= EVENT_GAP_TIMEOUT_MS
+            && (silent_ms - EVENT_GAP_TIMEOUT_MS).is_multiple_of(ZONE_CHECK_INTERVAL_MS)
             && self.is_zone_silent(self.streams[stream].entry, at.engine);
-        if let Some(at) = &mut self.streams[stream].at {
-            at.is_zone_checked = true;
-        }
         if silent_ms >= timeout_ms || is_zone_down {
             self.leave(stream, at, is_zone_down);
         }
--- a/crates/masticsill_dispatch/src/endpoints.rs
+++ b/crates/masticsill_dispatch/src/endpoints.rs
@@ -405,14 +405,14 @@
         }
     }
 
-    /// The longest usual gap between events of an engine, in milliseconds, or of all engines of its
-    /// service if too little is known of it.
+    /// The longest usual gap between events of an engine, in milliseconds. It is at least that of all
+    /// engines of its service, since this entry sees only some of each engine's gaps.
     #[must_use]
     pub fn longest_usual_gap_ms(&self, now: ClockMs, id: &EndpointId) -> Option<u64> {
         let endpoint = self.endpoints.get(id)?;
         let own_ms = endpoint.event_gaps.longest_usual_ms(now);
-        let of_service = || self.event_gaps.get(&endpoint.announcement.service);
-        own_ms.or_else(|| of_service()?.longest_usual_ms(now))
+        let of_service = self.event_gaps.get(&endpoint.announcement.service);
+        own_ms.max(of_service.and_then(|it| it.longest_usual_ms(now)))
     }
 
     /// Records a failed exchange. Returns true if the endpoint's whole zone appears to be stalled.
--- a/crates/masticsill_dispatch/src/event_gaps.rs
+++ b/crates/masticsill_dispatch/src/event_gaps.rs
@@ -14,6 +14,9 @@
 /// Number of mean deviations above the mean up to which a gap is usual, as for retransmission
 /// timeouts (RFC 6298).
 const DEVIATIONS: f64 = 4.0;
+/// Least mean deviation, as a part of the mean: even an engine whose gaps have been equal is given
+/// half as much time again.
+const MIN_DEVIATION: f64 = 0.125;
 /// Number of gaps after which an engine is judged by its own gaps.
 const MIN_GAPS: u32 = 8;
 /// Age of the newest gap from which an engine's own gaps say nothing: it may have other load by then.
@@ -30,20 +33,19 @@
 
 impl GapAverage {
     fn note(&mut self, now: ClockMs, gap_ms: f64) {
-        if self.count == 0 {
-            self.mean_ms = gap_ms;
-            self.deviation_ms = gap_ms / 2.0;
-        } else {
-            let error_ms = gap_ms - self.mean_ms;
+        // The first gaps have equal weights.
+        let equal_weight = 1.0 / (f64::from(self.count) + 1.0);
+        let error_ms = gap_ms - self.mean_ms;
+        if self.count > 0 {
             let is_unusual = error_ms > self.deviation_ms;
             let weight = if is_unusual {
                 UNUSUAL_WEIGHT
             } else {
                 NEWEST_WEIGHT
             };
-            self.deviation_ms += (error_ms.abs() - self.deviation_ms) * weight;
-            self.mean_ms += error_ms * NEWEST_WEIGHT;
+            self.deviation_ms += (error_ms.abs() - self.deviation_ms) * weight.max(equal_weight);
         }
+        self.mean_ms += error_ms * NEWEST_WEIGHT.max(equal_weight);
         self.count = self.count.saturating_add(1);
         self.noted_at = now;
     }
@@ -51,7 +53,8 @@
     /// The longest usual gap; none if too few gaps are known, or only old ones.
     fn longest_usual_ms(&self, now: ClockMs) -> Option<f64> {
         let is_known = self.count >= MIN_GAPS && now.since(self.noted_at) < MAX_AGE_MS;
-        is_known.then_some(self.mean_ms + self.deviation_ms * DEVIATIONS)
+        let deviation_ms = self.deviation_ms.max(self.mean_ms * MIN_DEVIATION);
+        is_known.then_some(self.mean_ms + deviation_ms * DEVIATIONS)
     }
 }
 
@@ -91,28 +94,14 @@
     }
 }
 
-/// What decides for how long a run may be silent after its first event.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Patience {
-    /// Expected time from leaving the run to the next event of the run that resumes it; none if
-    /// that run begins with a prefill, which takes longer than any target gap.
-    pub resume_ms: Option<u64>,
-    /// The longest gap with which a stream is still in time for its caller.
-    pub target_gap_ms: u64,
-    /// The longest usual gap of the engine; none if it isn't known.
-    pub usual_ms: Option<u64>,
-}
-
-/// Silence in milliseconds after which a run is presumed to have failed: the longest usual gap of its
-/// engine, at least that of a steady engine.
+/// Silence in milliseconds after which a run is presumed to have failed: the longest usual gap, at
+/// least that of a steady engine.
 ///
-/// It is bounded by the time until which the run has to be left for its caller to be in time. A run
-/// that can't be resumed in time anyway is kept up to the target gap: what it would take to prefill
-/// its prompt again is spent only on an engine that is later than any caller expects.
+/// A stream whose gap exceeds `target_gap_ms` is late for its caller, so that no run is kept longer.
+/// The time of a resume isn't subtracted: leaving runs sooner, to resume from a copy in time, led to
+/// more late streams in the model of uneven engines, since each resume is load as well.
 #[must_use]
-pub fn silence_timeout_ms(patience: &Patience) -> u64 {
-    let resume_ms = patience.resume_ms.unwrap_or_default();
-    let longest_ms = patience.target_gap_ms.saturating_sub(resume_ms);
-    let usual_ms = patience.usual_ms.unwrap_or_default();
-    usual_ms.min(longest_ms).max(EVENT_GAP_TIMEOUT_MS)
+pub fn silence_timeout_ms(usual_ms: Option<u64>, target_gap_ms: u64) -> u64 {
+    let usual_ms = usual_ms.unwrap_or_default();
+    usual_ms.min(target_gap_ms).max(EVENT_GAP_TIMEOUT_MS)
 }
--- a/crates/masticsill_dispatch/src/lib.rs
+++ b/crates/masticsill_dispatch/src/lib.rs
@@ -28,7 +28,7 @@
 pub use endpoint::{Endpoint, OtherLoad};
 pub use endpoints::EndpointTable;
 pub use entries::EntryCount;
-pub use event_gaps::{EVENT_GAP_TIMEOUT_MS, EventGaps, Patience, silence_timeout_ms};
+pub use event_gaps::{EVENT_GAP_TIMEOUT_MS, EventGaps, silence_timeout_ms};
 pub use health::{Failure, Health};
 pub use placement::{Choice, PlacementRequest, ZoneShare, choose, choose_holder, suspect_zones};
 pub use prior_wait::PriorWaitEstimator;
--- a/crates/masticsill_relay/src/failover.rs
+++ b/crates/masticsill_relay/src/failover.rs
@@ -21,6 +21,8 @@
 use crate::request::RelayRequest;
 use crate::retry_state::Obstacle;
 
+/// Interval of looking whether the zone is down, while a run is kept longer than at a steady engine.
+const ZONE_CHECK_INTERVAL_MS: u64 = 50;
 /// Failure cause of an attempt whose endpoint incarnation has been replaced.
 pub(crate) const INCARNATION_REPLACED: &str = "another life has its id or address";
 
@@ -58,23 +60,25 @@
     ) -> Option<WatchResult<T, N>> {
         let (relay, endpoint) = (self.relay, self.endpoint);
         tokio::pin!(waiting);
-        // A zone that is down is detected as soon as at steady engines, also by runs at slow ones.
-        let is_kept_longer =
-            self.failure == Failure::Stalled && self.silence_timeout_ms > EVENT_GAP_TIMEOUT_MS;
-        if is_kept_longer {
-            let received = self.wait_for_bytes(EVENT_GAP_TIMEOUT_MS, waiting.as_mut());
-            if let Some(done) = received.await {
-                return Some(WatchResult::Done(done));
-            }
+        let mut silence_ms = self.silence_timeout_ms;
+        if self.failure == Failure::Stalled {
+            silence_ms = silence_ms.min(EVENT_GAP_TIMEOUT_MS);
         }
-        // The wait ends early if another run reported the endpoint or its zone as stalled.
-        let is_reported = relay.now() < self.last_received_at + EVENT_GAP_TIMEOUT_MS;
-        let is_over = is_kept_longer && (is_reported || relay.is_zone_stalled(endpoint));
-        if !is_over {
-            let received = self.wait_for_bytes(self.silence_timeout_ms, waiting);
+        loop {
+            let received = self.wait_for_bytes(silence_ms, waiting.as_mut());
             if let Some(done) = received.await {
                 return Some(WatchResult::Done(done));
             }
+            // The wait ends early if another run reported the endpoint or its zone as stalled. A
+            // zone that is down is detected as soon as at steady engines, also by runs at slow ones.
+            let is_reported = relay.now() < self.last_received_at + silence_ms;
+            let is_over = silence_ms >= self.silence_timeout_ms;
+            if is_over || is_reported || relay.is_zone_stalled(endpoint) {
+                break;
+            }
+            silence_ms = self
+                .silence_timeout_ms
+                .min(silence_ms + ZONE_CHECK_INTERVAL_MS);
         }
         if self.request.left_ms(relay.now()) == 0 {
             return Some(WatchResult::DeadlineReached);
--- a/crates/masticsill_relay/src/stream/run.rs
+++ b/crates/masticsill_relay/src/stream/run.rs
@@ -3,7 +3,7 @@
 use std::io;
 
 use bytes::BytesMut;
-use masticsill_dispatch::{EVENT_GAP_TIMEOUT_MS, Failure, Patience, silence_timeout_ms};
+use masticsill_dispatch::{EVENT_GAP_TIMEOUT_MS, Failure, silence_timeout_ms};
 use masticsill_http1::{
     BodyDecoder, EventSplitter, HeadWriter, ResponseHead, write_chunk, write_last_chunk,
 };
@@ -23,9 +23,6 @@
 
 /// Target gap of a route that states none.
 const DEFAULT_TARGET_GAP_MS: u64 = 700;
-/// Expected time from leaving a run to the first event of the run that resumes from its copy: the
-/// connection, and the copied engine's next event beside a prefill.
-const COPY_RESUME_MS: u64 = 160;
 /// Timeout of the first event, in addition to the prefill time.
 const FIRST_EVENT_BASE_TIMEOUT_MS: u64 = 3_000;
 /// Prompt tokens that an engine is expected to prefill per millisecond while other prompts are
@@ -168,13 +165,8 @@
     fn event_gap_timeout_ms(&self, endpoint: &EndpointId) -> u64 {
         let endpoints = self.relay.endpoints.borrow();
         let usual_ms = endpoints.longest_usual_gap_ms(self.relay.now(), endpoint);
-        let has_copy = self.is_copy_usable && self.copies.copy().is_some();
         let target_gap_ms = self.request.route.target_event_gap_ms;
-        silence_timeout_ms(&Patience {
-            resume_ms: has_copy.then_some(COPY_RESUME_MS),
-            target_gap_ms: target_gap_ms.unwrap_or(DEFAULT_TARGET_GAP_MS),
-            usual_ms,
-        })
+        silence_timeout_ms(usual_ms, target_gap_ms.unwrap_or(DEFAULT_TARGET_GAP_MS))
     }
 
     /// Forwards a run's events until the run ends.
