--- a/crates/masticsill_bench/src/uneven.rs
+++ b/crates/masticsill_bench/src/uneven.rs
@@ -128,7 +128,7 @@
     pub tokens_read_again: f64,
     /// Time from the death of an engine to leaving it, of streams with events, in milliseconds.
     pub detected_ms: Vec<u64>,
-    /// The same for engines whose zone went down.
+    /// The same for engines whose zone went down, of entries that had runs at several engines there.
     pub detected_zone_ms: Vec<u64>,
 }
 
--- a/crates/masticsill_bench/src/uneven/play.rs
+++ b/crates/masticsill_bench/src/uneven/play.rs
@@ -85,6 +85,8 @@
     random: ChaCha8Rng,
     streams: Vec<Stream>,
     tally: UnevenTally,
+    /// Whether several engines of the zone that went down were busy with runs of an entry, by entry.
+    was_zone_busy: Vec<bool>,
 }
 
 /// Plays a plan with a method.
@@ -101,6 +103,7 @@
         random: ChaCha8Rng::seed_from_u64(seed + 1_000),
         streams: draw_streams(plan, seed),
         tally: UnevenTally::default(),
+        was_zone_busy: vec![false; plan.entries],
     };
     while world.now_ms < plan.length_ms + 20_000 {
         world.step();
@@ -134,7 +137,24 @@
 }
 
 impl World {
+    /// Notes which entries have runs at several engines of the zone that goes down now.
+    fn note_zone_outage(&mut self) {
+        let begins = |it: &&Engine| {
+            let outage = it.outage(self.now_ms);
+            outage.is_some_and(|it| it.is_zone && it.from_ms == self.now_ms)
+        };
+        let Some(zone) = self.engines.iter().find(begins).map(|it| it.zone) else {
+            return;
+        };
+        for (known, was_busy) in self.known.iter().zip(&mut self.was_zone_busy) {
+            let of_zone = known.iter().zip(&self.engines);
+            let busy = of_zone.filter(|(it, engine)| engine.zone == zone && it.in_flight > 0);
+            *was_busy = busy.count() >= 2;
+        }
+    }
+
     fn step(&mut self) {
+        self.note_zone_outage();
         for engine in 0..self.engines.len() {
             let got_event = self.engines[engine].work(self.now_ms, &mut self.random);
             for stream in got_event {
@@ -346,7 +366,7 @@
                 self.tally.tokens_read_again += of.prompt_tokens;
             }
         } else if let Some(outage) = outage.filter(|it| at.has_event && it.from_ms >= at.last_ms) {
-            let detected = if outage.is_zone {
+            let detected = if outage.is_zone && self.was_zone_busy[entry] {
                 &mut self.tally.detected_zone_ms
             } else {
                 &mut self.tally.detected_ms
--- a/crates/masticsill_dispatch/src/event_gaps.rs
+++ b/crates/masticsill_dispatch/src/event_gaps.rs
@@ -22,6 +22,14 @@
 /// Age of the newest gap from which an engine's own gaps say nothing: it may have other load by then.
 const MAX_AGE_MS: u64 = 30_000;
 
+/// Shortest gap that shows that an engine isn't steady: four fifths of the silence after which a run
+/// at a steady engine is left. Without such gaps, the deviation between gaps beside a prefill and
+/// without one made the detection of dead engines slower (414 ms instead of 346 ms at the 95th
+/// percentile in the model).
+const LONG_GAP_MS: u64 = 280;
+/// How long such a gap counts: several times the interval between an engine's slow periods (4 s).
+const LONG_GAP_RETENTION_MS: u64 = 12_000;
+
 /// Moving average and mean deviation of gaps.
 #[derive(Clone, Copy, Debug, Default)]
 struct GapAverage {
@@ -63,12 +71,17 @@
 pub struct EventGaps {
     alone: GapAverage,
     beside_prefill: GapAverage,
+    /// When the last long gap was recorded.
+    long_gap_at: Option<ClockMs>,
 }
 
 impl EventGaps {
     /// Records a gap. `is_prefilling` tells whether the engine is known to have prefilled another
     /// prompt meanwhile.
     pub fn note(&mut self, now: ClockMs, gap_ms: u64, is_prefilling: bool) {
+        if gap_ms >= LONG_GAP_MS {
+            self.long_gap_at = Some(now);
+        }
         // Times are far below the precision of the type.
         #[allow(clippy::cast_precision_loss)]
         let gap_ms = gap_ms as f64;
@@ -80,12 +93,17 @@
         average.note(now, gap_ms);
     }
 
-    /// The longest usual gap in milliseconds; none if it isn't known.
+    /// The longest usual gap in milliseconds; none if it isn't known, or if the engine has had no long
+    /// gap lately.
     ///
     /// A prefill may begin at any time during a gap, so that gaps beside a prefill count in any
     /// case.
     #[must_use]
     pub fn longest_usual_ms(&self, now: ClockMs) -> Option<u64> {
+        let long_gap_at = self.long_gap_at?;
+        if now.since(long_gap_at) >= LONG_GAP_RETENTION_MS {
+            return None;
+        }
         let known = [&self.alone, &self.beside_prefill];
         let known = known.into_iter().filter_map(|it| it.longest_usual_ms(now));
         // Times are positive and far below the range of the type.
--- a/crates/masticsill_dispatch/tests/event_gaps.rs
+++ b/crates/masticsill_dispatch/tests/event_gaps.rs
@@ -68,6 +68,14 @@
     assert_eq!(silence_timeout_ms(Some(500), 200), EVENT_GAP_TIMEOUT_MS);
 }
 
+/// A steady engine decodes with and without a prefill beside it: the difference between these gaps
+/// must not delay the detection of a dead one.
+#[test]
+fn changing_load_of_a_steady_engine_does_not_lengthen_the_silence() {
+    let changing = gaps(&[(36, true), (186, true), (250, true)].repeat(20));
+    assert_eq!(timeout_ms(&changing), EVENT_GAP_TIMEOUT_MS);
+}
+
 /// After the first gaps of a steady engine beside a prefill, a dead one would be detected late.
 #[test]
 fn first_gaps_of_a_steady_engine_do_not_lengthen_the_silence() {
