--- a/crates/masticsill_bench/src/uneven/fleet.rs
+++ b/crates/masticsill_bench/src/uneven/fleet.rs
@@ -88,17 +88,17 @@
                 slow_from_ms.push(at_ms);
                 at_ms += SLOW_MS + exponential(&mut random, between_ms);
             }
-            let mut speed = random.random_range(plan.speeds.0..plan.speeds.1);
+            let mut usual_speed = random.random_range(plan.speeds.0..plan.speeds.1);
             if engine < plan.steady_engines {
                 slow_from_ms.clear();
-                speed = 1.0;
+                usual_speed = 1.0;
             }
             Engine {
                 outages,
                 prefilled: VecDeque::new(),
                 runs: Vec::new(),
                 slow_from_ms,
-                speed,
+                speed: usual_speed,
                 step_left_ms: 0.0,
                 zone,
             }
