--- a/crates/masticsill_bench/src/lib.rs
+++ b/crates/masticsill_bench/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod rollouts;
 mod stream;
 mod system;
+pub mod uneven;
 mod usage;
 
 pub use arguments::read_seeds;
--- a/crates/masticsill_relay/src/failover.rs
+++ b/crates/masticsill_relay/src/failover.rs
@@ -9,19 +9,21 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use masticsill_dispatch::Failure;
+use masticsill_dispatch::{EVENT_GAP_TIMEOUT_MS, Failure};
 use masticsill_registry::Announcement;
 use masticsill_types::{ClockMs, log_event};
 use tokio::time::timeout;
 
 use crate::attempt::{RunProgress, log_failure, with_silence_timeout};
-use crate::crash_check::check_for_crash;
+use crate::crash_check::{LeftRun, check_for_crash};
 use crate::events;
 use crate::relay::Relay;
 use crate::request::RelayRequest;
 use crate::retry_state::Obstacle;
 use crate::rollout_evidence::AttemptOutcome;
 
+/// Interval of looking whether the zone is down, while a run is kept longer than at a steady engine.
+const ZONE_CHECK_INTERVAL_MS: u64 = 50;
 /// Failure cause of an attempt whose endpoint incarnation has been replaced.
 pub(crate) const INCARNATION_REPLACED: &str = "another life has its id or address";
 
@@ -58,15 +60,26 @@
         waiting: impl Future<Output = T>,
     ) -> Option<WatchResult<T, N>> {
         let (relay, endpoint) = (self.relay, self.endpoint);
-        let received = with_silence_timeout(
-            relay,
-            endpoint,
-            self.last_received_at,
-            self.silence_timeout_ms,
-            waiting,
-        );
-        if let Some(done) = received.await {
-            return Some(WatchResult::Done(done));
+        tokio::pin!(waiting);
+        let mut silence_ms = self.silence_timeout_ms;
+        if self.failure == Failure::Stalled {
+            silence_ms = silence_ms.min(EVENT_GAP_TIMEOUT_MS);
+        }
+        loop {
+            let received = self.wait_for_bytes(silence_ms, waiting.as_mut());
+            if let Some(done) = received.await {
+                return Some(WatchResult::Done(done));
+            }
+            // The wait ends early if another run reported the endpoint or its zone as stalled. A
+            // zone that is down is detected as soon as at steady engines, also by runs at slow ones.
+            let is_reported = relay.now() < self.last_received_at + silence_ms;
+            let is_over = silence_ms >= self.silence_timeout_ms;
+            if is_over || is_reported || relay.is_zone_stalled(endpoint) {
+                break;
+            }
+            silence_ms = self
+                .silence_timeout_ms
+                .min(silence_ms + ZONE_CHECK_INTERVAL_MS);
         }
         if self.request.left_ms(relay.now()) == 0 {
             return Some(WatchResult::DeadlineReached);
@@ -78,6 +91,22 @@
         None
     }
 
+    /// Waits for the next bytes of the attempt; `None` once it has been silent for a time.
+    async fn wait_for_bytes<T>(
+        &self,
+        silence_timeout_ms: u64,
+        waiting: impl Future<Output = T>,
+    ) -> Option<T> {
+        with_silence_timeout(
+            self.relay,
+            self.endpoint,
+            self.last_received_at,
+            silence_timeout_ms,
+            waiting,
+        )
+        .await
+    }
+
     /// Waits for the next bytes of a silent attempt or for its replacement, whichever comes first;
     /// without a replacement, until the request's deadline.
     pub(crate) async fn wait_until_replaced<T, N>(
@@ -96,7 +125,6 @@
             next = next => next,
         };
         if let Ok(next) = next {
-            self.note_replaced();
             return WatchResult::Replaced(next);
         }
         let left = Duration::from_millis(request.left_ms(relay.now()));
@@ -109,8 +137,9 @@
         }
     }
 
-    /// Records that the attempt was ended in favour of its replacement.
-    fn note_replaced(&self) {
+    /// Records that the attempt was ended in favour of its replacement, which prefills
+    /// `prompt_tokens_again` tokens once more.
+    pub(crate) fn note_replaced(&self, prompt_tokens_again: u64) {
         if !self.progress.is_answered() {
             let latency_ms = Some(self.relay.now().since(self.progress.began_at));
             self.relay.note_evidence(
@@ -133,6 +162,11 @@
             self.endpoint,
             self.failure,
             self.progress,
+            Some(LeftRun {
+                is_stalled: self.failure == Failure::Stalled,
+                prompt_tokens_again,
+                silent_ms: self.relay.now().since(self.last_received_at),
+            }),
         );
     }
 }
--- a/crates/masticsill_relay/src/metrics.rs
+++ b/crates/masticsill_relay/src/metrics.rs
@@ -99,6 +99,8 @@
     pub(crate) rollout_answers: Family<SideOutcomeLabels, Counter>,
     pub(crate) rollout_sends: Family<SideLabels, Counter>,
     pub(crate) runs_crashed: Counter,
+    pub(crate) runs_left_alive: Counter,
+    pub(crate) tokens_prefilled_again: Counter,
     pub(crate) wait_ms: Histogram,
 }
 
@@ -131,6 +133,8 @@
             rollout_answers: Family::default(),
             rollout_sends: Family::default(),
             runs_crashed: Counter::default(),
+            runs_left_alive: Counter::default(),
+            tokens_prefilled_again: Counter::default(),
             wait_ms: time_histogram(),
         };
         metrics.register(registry);
@@ -199,6 +203,12 @@
         let help = "Requests that were sent to endpoints while a roll-out was in progress";
         let sends = self.rollout_sends.clone();
         registry.register("masticsill_relay_rollout_sends", help, sends);
+        let help = "Silent runs that were left although their endpoints accepted connections";
+        let left = self.runs_left_alive.clone();
+        registry.register("masticsill_relay_runs_left_alive", help, left);
+        let help = "Prompt tokens that are prefilled again after such runs";
+        let again = self.tokens_prefilled_again.clone();
+        registry.register("masticsill_relay_tokens_prefilled_again", help, again);
         let help = "Requests by kind and outcome";
         registry.register("masticsill_relay_requests", help, self.requests.clone());
         let help = "Streams that went on at another endpoint";
