Roll-outs: system tests from the order to the end, and the leaderless time counts

Cause: no test ordered a roll-out under load; a new leader counted a roll-out's age from when it took over, so that the time without a leader was lost.

Change: every replica notes when it applied the last step of a roll-out, and a new leader counts from there.

--- a/crates/masticsill_bench/tests/rollout_verdicts.rs
+++ b/crates/masticsill_bench/tests/rollout_verdicts.rs
@@ -17,14 +17,28 @@
     outcomes.collect()
 }
 
-/// Guards against noise being taken for a bad version. The aim is 995 of 1,000; docs/design/rollouts.md
-/// says what is reached.
+/// Guards against noise being taken for a bad version: 995 of 1,000 are to be completed, which allows
+/// none of 40 to be missed.
 #[test]
-fn most_good_versions_are_completed() {
+fn good_versions_are_completed() {
     for load in [STREAMS, PLAIN] {
         let outcomes = outcomes(Flaw::None, load);
         let completed = outcomes.iter().filter(|it| it.is_completed()).count();
-        assert!(completed >= 36, "{completed} of 40 with {load:?}");
+        assert_eq!(completed, outcomes.len(), "{load:?}");
+    }
+}
+
+/// Guards against a bad version of streams that is kept, or gets more of them than it may.
+#[test]
+fn bad_versions_of_streams_are_rolled_back_within_the_bounds() {
+    for flaw in [
+        Flaw::Fails(0.5),
+        Flaw::Slow(4.0),
+        Flaw::FailsFrom(0.7, 3_000),
+    ] {
+        for outcome in outcomes(flaw, STREAMS) {
+            assert!(outcome.keeps_bounds(), "{flaw:?}: {outcome:?}");
+        }
     }
 }
 
--- a/crates/masticsill_control/src/rollouts/duty.rs
+++ b/crates/masticsill_control/src/rollouts/duty.rs
@@ -7,7 +7,7 @@
 use indexmap::IndexMap;
 use masticsill_catalogue::{Action, CommandAnswer};
 use masticsill_rollout::{
-    DriverInput, Phase, Rollout, RolloutDriver, RolloutLimits, RolloutNumber, RolloutStep,
+    DriverInput, Phase, Rollout, RolloutDriver, RolloutLimits, RolloutNumber, RolloutStep, Rollouts,
 };
 use masticsill_types::{ClockMs, Term, log_event};
 use masticsill_wire::control::ControlReply;
@@ -28,15 +28,20 @@
     term: Term,
 }
 
+/// When this replica applied the last step of each roll-out. A new leader counts the time without
+/// a leader from there.
+type AppliedSteps = IndexMap<RolloutNumber, (u32, ClockMs)>;
+
 /// Drives the roll-outs whenever this replica leads; never returns.
 pub(crate) async fn run_rollouts(server: ControlServer, limits: RolloutLimits) {
     let started_at = server.clock.now();
     let mut ticks = interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut session = None;
+    let mut applied = AppliedSteps::new();
     loop {
         ticks.tick().await;
-        advance_all(&server, limits, &mut session, started_at);
+        advance_all(&server, limits, &mut session, &mut applied, started_at);
     }
 }
 
@@ -44,11 +49,13 @@
     server: &ControlServer,
     limits: RolloutLimits,
     session: &mut Option<Session>,
+    applied: &mut AppliedSteps,
     started_at: ClockMs,
 ) {
     let now = server.clock.now();
     let (rollouts, led_term) = server.published.rollouts(now, server.lease_ms);
     server.evidence.retain(&rollouts);
+    note_applied(applied, now, &rollouts);
     let Some(term) = led_term else {
         // The session is kept: if the lease of the same term is confirmed again, its drivers
         // continue.
@@ -69,10 +76,10 @@
         if session.pending.borrow().contains(&rollout.number) {
             continue;
         }
-        let driver = session
-            .drivers
-            .entry(rollout.number)
-            .or_insert_with(|| RolloutDriver::resume(now, rollout, limits));
+        let driver = session.drivers.entry(rollout.number).or_insert_with(|| {
+            let applied_at = applied.get(&rollout.number).map_or(now, |(_, at)| *at);
+            RolloutDriver::resume(applied_at, rollout, limits)
+        });
         let order = &rollout.order;
         let (old_ready, target_ready) = server
             .endpoints
@@ -105,6 +112,16 @@
     }
 }
 
+fn note_applied(applied: &mut AppliedSteps, now: ClockMs, rollouts: &Rollouts) {
+    applied.retain(|number, _| rollouts.iter().any(|it| it.number == *number));
+    for rollout in rollouts.iter() {
+        let known = applied.entry(rollout.number).or_insert((rollout.step, now));
+        if known.0 != rollout.step {
+            *known = (rollout.step, now);
+        }
+    }
+}
+
 /// A step, and the figures that it was decided with.
 struct Proposal {
     old_ready: u32,
