Registry: table of the endpoints that a control replica can't reach

Cause: each relay detects each unresponsive endpoint by a request of its own and forgets it after about a second. With 46 of 76 engines unresponsive, 81 of 101 late streams had first been placed at one of them.

Change: OutageTable, pure. A relay's report makes the replica of the zone connect to the endpoint; if that fails too, the endpoint is down until an attempt succeeds. No outage is declared by a replica that reaches less than a fifth of the endpoints that it tries, has just started, was paused during the attempt or had a local fault. An endpoint that the zone's other replica reaches is left to that one. From three unreachable endpoints on, all of the zone are tried, and those that fail twice are down without a report.

--- a/crates/masticsill_registry/src/lib.rs
+++ b/crates/masticsill_registry/src/lib.rs
@@ -9,6 +9,7 @@
 mod gauges;
 mod id;
 mod join;
+mod outages;
 mod permits;
 mod prompt_cache;
 mod rate;
@@ -22,6 +23,7 @@
 pub use gauges::StateGauges;
 pub use id::{EndpointId, EndpointIncarnation};
 pub use join::JoinOutcome;
+pub use outages::{ConnectResult, OutageChange, OutageTable};
 pub use prompt_cache::{CacheUpdate, CachedPart, CachedTokens, PromptCacheIndex, PromptPart};
 pub use rate::{LimitStatement, RequestRate};
 pub use record::{Announcement, EndpointRecord, EndpointState, HeartbeatAge};
