Control replicas find out which endpoints of their zone are down

The list is only sent when it changed. Replicas exchange what they reached, so that one with a faulty link leaves the endpoint to the other. Relays use an endpoint that is down like a silent one: not while any other is usable, for sends, resumes, copies and reservations. An answer that a relay gets there itself outweighs the report, and a report lapses 1.5 s after the replica's last answer. Endpoints that are known to be down don't make their zone suspect.

--- a/crates/masticsill_control/src/endpoints.rs
+++ b/crates/masticsill_control/src/endpoints.rs
@@ -3,12 +3,14 @@
 
 mod exchange;
 mod hub;
+mod outages;
 mod persistence;
 mod prompts;
 mod suspects;
 
 pub(crate) use exchange::run_exchange;
 pub(crate) use hub::EndpointHub;
+pub(crate) use outages::run_outage_checks;
 pub(crate) use persistence::{read as read_endpoints, run_persistence};
 pub(crate) use prompts::follow_prompts;
 pub(crate) use suspects::run_judgements;
--- a/crates/masticsill_control/src/endpoints/exchange.rs
+++ b/crates/masticsill_control/src/endpoints/exchange.rs
@@ -67,6 +67,8 @@
         loads: Vec::new(),
         // Replicas send no requests to endpoints, so they don't need the loads of other watchers.
         loads_revision: u64::MAX,
+        // Replicas don't need the outages of other zones, and decide themselves on those of theirs.
+        outages_revision: u64::MAX,
         registry: 0,
         revision: 0,
         rollouts_revision: 0,
@@ -88,6 +90,7 @@
             .borrow_mut()
             .insert(other.clone(), server.clock.now());
         server.endpoints.merge(&reply.endpoints, &reply.heard);
+        server.endpoints.outages().note_peer(&reply.reached);
         server.endpoints.suspects().merge(&reply.suspects);
         request.registry = reply.registry;
         request.revision = reply.revision;
--- a/crates/masticsill_control/src/endpoints/hub.rs
+++ b/crates/masticsill_control/src/endpoints/hub.rs
@@ -1,5 +1,6 @@
 //! The registry of this process, and the watchers that are notified of its changes.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, timeout_at};
 
+use super::outages::Outages;
 use super::suspects::Suspects;
 use crate::events;
 use crate::quorum::PublishedState;
@@ -33,6 +35,9 @@
 /// endpoints of a zone restart within a second, each watcher receives them in a few answers instead
 /// of one for each endpoint.
 const UPDATE_DELAY_PER_WATCHER_MS: u64 = 2;
+/// Longest delay of an update of the endpoints that are down, counted from the watcher's request. An
+/// outage that comes alone is sent at once, and those of many endpoints share a few answers.
+const MAX_OUTAGES_DELAY: Duration = Duration::from_millis(40);
 /// Factor by which the delay of loads is longer for watchers of another zone: traffic between zones
 /// is expensive, and such watchers seldom send requests to this zone.
 const REMOTE_ZONE_DELAY_FACTOR: u32 = 4;
@@ -47,6 +52,7 @@
     incarnation: u64,
     /// Counter of changes to any watcher's loads.
     loads: watch::Sender<u64>,
+    outages: Outages,
     registry: Mutex<Registry>,
     revision: watch::Sender<u64>,
     suspects: Suspects,
@@ -74,6 +80,7 @@
             prompt_cache: Mutex::default(),
             incarnation: rand::random(),
             loads: watch::Sender::new(0),
+            outages: Outages::new(clock),
             registry: Mutex::new(Registry::new(periods)),
             revision: watch::Sender::new(0),
             suspects: Suspects::new(clock),
@@ -91,6 +98,11 @@
         &self.shared.suspects
     }
 
+    /// The endpoints of this zone that are down.
+    pub(crate) fn outages(&self) -> &Outages {
+        &self.shared.outages
+    }
+
     /// Records a heartbeat. For a leaving endpoint, returns only once all reachable watchers have
     /// received the change, so that they send the endpoint no new requests, or after a bounded
     /// wait.
@@ -101,6 +113,7 @@
             let is_changed = registry.announce(now, &announcement);
             (is_changed, registry.revision())
         };
+        self.outages().note_heartbeat(&announcement.id);
         if !is_changed {
             return;
         }
@@ -205,7 +218,7 @@
     pub(crate) async fn watch(
         &self,
         published: &PublishedState,
-        members: Vec<(NodeId, std::net::SocketAddr)>,
+        members: Vec<(NodeId, SocketAddr)>,
         request: WatchRequest,
     ) -> WatchReply {
         self.record_watcher(&request);
@@ -213,6 +226,7 @@
         let mut documents = published.watch_document();
         let mut loads = self.shared.loads.subscribe();
         let mut suspects = self.suspects().watch_broadcast_revision();
+        let mut outages = self.outages().watch_revision();
         let wait_ms = request.wait_ms.min(MAX_WAIT_MS);
         let began = Instant::now();
         let mut deadline = began + Duration::from_millis(wait_ms);
@@ -223,12 +237,16 @@
             if self.have_loads_changed(&request) {
                 deadline = deadline.min(began + self.loads_delay(&request.watcher));
             }
+            if self.have_outages_changed(&request) {
+                deadline = deadline.min(began + self.outages_delay(&request.watcher));
+            }
             let change = async {
                 tokio::select! {
                     _ = revisions.changed() => {}
                     _ = documents.changed() => {}
                     _ = loads.changed() => {}
                     _ = suspects.changed() => {}
+                    _ = outages.changed() => {}
                 }
             };
             if timeout_at(deadline, change).await.is_err() {
@@ -250,6 +268,16 @@
         engines.map(|it| it.announcement.clone()).collect()
     }
 
+    /// The endpoints of this zone that are announced as ready, whether or not their heartbeats are
+    /// still received.
+    pub(crate) fn ready_in_zone(&self) -> Vec<(EndpointId, SocketAddr)> {
+        let registry = self.registry();
+        let announcements = registry.records().map(|it| &it.announcement);
+        let ready = announcements
+            .filter(|it| it.state == EndpointState::Ready && it.zone == self.shared.zone);
+        ready.map(|it| (it.id.clone(), it.address)).collect()
+    }
+
     /// Whether an endpoint takes requests, according to this registry.
     pub(crate) fn takes_requests(&self, id: &EndpointId) -> bool {
         let registry = self.registry();
@@ -296,6 +324,7 @@
         let now = self.shared.clock.now();
         let change = self.watchers().take_loads(now, watcher, loads);
         self.notify_loads_change(change);
+        self.outages().report(loads);
     }
 
     /// Reserves a slot at an engine of this zone; returns the engine with the other watchers' load
@@ -306,8 +335,12 @@
     ) -> Option<EndpointLoad> {
         let now = self.shared.clock.now();
         let registry = self.registry();
-        let engines = registry.ready_endpoints(&request.service, &self.shared.zone);
-        self.watchers().reserve_engine(now, request, &engines)
+        let mut engines = registry.ready_endpoints(&request.service, &self.shared.zone);
+        let (down, _) = self.outages().snapshot();
+        engines.retain(|id| !down.contains(id));
+        let mut watchers = self.watchers();
+        watchers.forget_failures(down.iter());
+        watchers.reserve_engine(now, request, &engines)
     }
 
     /// Grants one request at one of the endpoints, which state limits; `None` if none accepts more.
@@ -342,6 +375,16 @@
         self.update_delay() * factor
     }
 
+    /// Whether a watcher doesn't know yet which endpoints are down.
+    fn have_outages_changed(&self, request: &WatchRequest) -> bool {
+        self.outages().revision() > request.outages_revision
+    }
+
+    /// Delay of changed outages, counted in the same way.
+    fn outages_delay(&self, watcher: &Watcher) -> Duration {
+        self.loads_delay(watcher).min(MAX_OUTAGES_DELAY)
+    }
+
     /// Whether an update must be sent at once: an endpoint that leaves, a new document, or a
     /// request that crashes endpoints.
     fn has_urgent_update(&self, published: &PublishedState, request: &WatchRequest) -> bool {
@@ -359,7 +402,7 @@
     fn reply(
         &self,
         published: &PublishedState,
-        members: Vec<(NodeId, std::net::SocketAddr)>,
+        members: Vec<(NodeId, SocketAddr)>,
         request: &WatchRequest,
     ) -> WatchReply {
         let now = self.shared.clock.now();
@@ -372,10 +415,16 @@
         let suspects = self
             .suspects()
             .broadcast_since(self.known_suspects(request));
+        let (outages, outages_revision) = self.outages().snapshot();
+        let outages_known =
+            self.is_same_incarnation(request) && request.outages_revision >= outages_revision;
         let registry = self.registry();
-        let heard = match request.watcher {
-            Watcher::Entry { .. } => Vec::new(),
-            Watcher::Replica(_) => registry.direct_heartbeat_ages(now),
+        let (heard, reached) = match request.watcher {
+            Watcher::Entry { .. } => (Vec::new(), Vec::new()),
+            Watcher::Replica(_) => {
+                let heard = registry.direct_heartbeat_ages(now);
+                (heard, self.outages().reached_ages())
+            }
         };
         WatchReply {
             document_version: *published.watch_document().borrow(),
@@ -387,6 +436,9 @@
             loads,
             loads_revision,
             members,
+            outages: (!outages_known).then_some(outages),
+            outages_revision,
+            reached,
             registry: self.shared.incarnation,
             revision: registry.revision(),
             rollouts: Vec::new(),
@@ -427,6 +479,7 @@
             .watchers()
             .record_poll(now, &request.watcher, revision, &request.loads);
         self.notify_loads_change(change);
+        self.outages().report(&request.loads);
         self.shared.acknowledged.notify_waiters();
     }
 
--- a/crates/masticsill_control/src/events.rs
+++ b/crates/masticsill_control/src/events.rs
@@ -62,6 +62,10 @@
 pub const FOUNDING_GIVEN_UP: Event = Event::new(4143, "control_founding_given_up");
 /// An endpoint crash was assessed: whether it counts against the request that ran there.
 pub const CRASH_JUDGED: Event = Event::new(4144, "control_crash_judged");
+/// An endpoint of this replica's zone is down, or can be reached again.
+pub const ENDPOINT_OUTAGE: Event = Event::new(4150, "control_endpoint_outage");
+/// This replica can reach too few endpoints of its zone to report any as down, or again enough.
+pub const ZONE_UNREACHABLE: Event = Event::new(4151, "control_zone_unreachable");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -95,4 +99,6 @@
     WORD_UNREADABLE,
     FOUNDING_GIVEN_UP,
     CRASH_JUDGED,
+    ENDPOINT_OUTAGE,
+    ZONE_UNREACHABLE,
 ];
--- a/crates/masticsill_control/src/gauges.rs
+++ b/crates/masticsill_control/src/gauges.rs
@@ -18,6 +18,7 @@
 pub(crate) struct ControlGauges {
     document_version: Gauge<u64, AtomicU64>,
     endpoints: StateGauges,
+    endpoints_down: Gauge,
     is_founded: Gauge,
     is_leading: Gauge,
     term: Gauge<u64, AtomicU64>,
@@ -34,6 +35,12 @@
         gauges
             .endpoints
             .register("masticsill_control_endpoints", registry);
+        let help = "Endpoints of this replica's zone that it reports as down";
+        registry.register(
+            "masticsill_control_endpoints_down",
+            help,
+            gauges.endpoints_down.clone(),
+        );
         let help = "Whether the data folder belongs to a cluster";
         registry.register(
             "masticsill_control_founded",
@@ -62,6 +69,9 @@
         self.term.set(status.term.0);
         self.voters
             .set(i64::try_from(status.voters).unwrap_or(i64::MAX));
+        let (down, _) = server.endpoints.outages().snapshot();
+        self.endpoints_down
+            .set(i64::try_from(down.len()).unwrap_or(i64::MAX));
         let records = server.endpoints.records();
         let endpoint_states: Vec<EndpointState> =
             records.iter().map(|it| it.announcement.state).collect();
--- a/crates/masticsill_control/src/rpc/duty.rs
+++ b/crates/masticsill_control/src/rpc/duty.rs
@@ -19,7 +19,9 @@
 use crate::admission::{run_admission, run_member_removal};
 use crate::config::{AdmissionPolicy, ControlConfig, FoundingPolicy};
 use crate::document_pieces::DocumentPieces;
-use crate::endpoints::{EndpointHub, follow_prompts, run_exchange, run_judgements};
+use crate::endpoints::{
+    EndpointHub, follow_prompts, run_exchange, run_judgements, run_outage_checks,
+};
 use crate::gauges::{ControlGauges, run_gauges};
 use crate::quorum::{Outgoing, PublishedState, QuorumHandle};
 
@@ -100,6 +102,7 @@
     }
     spawn_local(run_exchange(server.clone(), config.node.clone()));
     spawn_local(run_judgements(server.endpoints.suspects().clone()));
+    spawn_local(run_outage_checks(server.endpoints.clone()));
     if let Some(feed) = &config.prompt_cache_feed {
         spawn_local(follow_prompts(server.endpoints.clone(), feed.clone()));
     }
--- a/crates/masticsill_control/tests/watch_news.rs
+++ b/crates/masticsill_control/tests/watch_news.rs
@@ -26,6 +26,7 @@
         document_seen: None,
         loads: Vec::new(),
         loads_revision: u64::MAX,
+        outages_revision: before.map_or(0, |reply| reply.outages_revision),
         registry: before.map_or(0, |reply| reply.registry),
         revision: before.map_or(0, |reply| reply.revision),
         rollouts_revision: before.map_or(0, |reply| reply.rollouts_revision),
--- a/crates/masticsill_dispatch/src/dispatcher.rs
+++ b/crates/masticsill_dispatch/src/dispatcher.rs
@@ -279,7 +279,10 @@
     let request = placement_request(requirements, context);
     let suspect = suspect_zones(table, &requirements.service, now);
     let is_healthy = |it: &Endpoint| {
-        !it.is_silent() && !it.is_backing_off(now) && !suspect.contains(&&it.announcement.zone)
+        !it.is_silent()
+            && !it.is_down(now)
+            && !it.is_backing_off(now)
+            && !suspect.contains(&&it.announcement.zone)
     };
     let is_any_healthy = table
         .iter()
--- a/crates/masticsill_dispatch/src/endpoint.rs
+++ b/crates/masticsill_dispatch/src/endpoint.rs
@@ -14,6 +14,18 @@
 /// How long another entry's report of a failure counts: endpoints recover.
 const OTHERS_FAILURE_TTL_MS: u64 = 1_000;
 
+/// How long a control replica's report of an outage counts after its last answer: longer than the
+/// interval between its answers. The replica may be frozen.
+const OUTAGE_REPORT_TTL_MS: u64 = 1_500;
+
+/// A control replica's report that the endpoint is down.
+#[derive(Clone, Debug)]
+struct OutageReport {
+    from: NodeId,
+    learned_at: ClockMs,
+    renewed_at: ClockMs,
+}
+
 /// The load of the other entries at an endpoint.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct OtherLoad {
@@ -75,6 +87,8 @@
     pub(crate) is_replaced: bool,
     /// Order in which incarnations became known; the latest one at an address takes precedence.
     pub(crate) order: u64,
+    /// Reports of control replicas of the endpoint's zone that the endpoint is down.
+    outage_reports: Vec<OutageReport>,
     /// Control replicas that report the endpoint as silent.
     silent_to: Vec<NodeId>,
 }
@@ -100,6 +114,7 @@
             request_limit: RequestLimit::default(),
             resting_until: None,
             capacity_since: ClockMs(0),
+            outage_reports: Vec::new(),
             silent_to: Vec::new(),
         }
     }
@@ -112,6 +127,36 @@
         }
     }
 
+    /// Records that a control replica of the endpoint's zone reports it as down.
+    pub(crate) fn note_outage(&mut self, now: ClockMs, from: &NodeId) {
+        let known = self.outage_reports.iter_mut().find(|it| it.from == *from);
+        if let Some(known) = known {
+            known.renewed_at = now;
+            return;
+        }
+        self.outage_reports.push(OutageReport {
+            from: from.clone(),
+            learned_at: now,
+            renewed_at: now,
+        });
+    }
+
+    /// Records that a control replica doesn't report the endpoint as down any more.
+    pub(crate) fn end_outage(&mut self, from: &NodeId) {
+        self.outage_reports.retain(|report| report.from != *from);
+    }
+
+    /// Whether a control replica of the endpoint's zone can't connect to it. An endpoint that has
+    /// sent anything to this entry since, and has not failed it after that, is not down.
+    #[must_use]
+    pub fn is_down(&self, now: ClockMs) -> bool {
+        let counts = |report: &OutageReport| {
+            let is_recent = now.since(report.renewed_at) < OUTAGE_REPORT_TTL_MS;
+            is_recent && !self.health.is_working_since(report.learned_at)
+        };
+        self.outage_reports.iter().any(counts)
+    }
+
     /// Whether the endpoint accepts new requests, as far as is known.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/masticsill_dispatch/src/endpoints.rs
+++ b/crates/masticsill_dispatch/src/endpoints.rs
@@ -42,6 +42,8 @@
     newest_incarnations: IndexMap<String, EndpointIncarnation>,
     /// When the other entries' loads in each zone were last reported.
     loads_reported_at: IndexMap<ZoneId, ClockMs>,
+    /// The endpoints that each control replica reports as down.
+    outages: IndexMap<NodeId, Vec<EndpointId>>,
 }
 
 impl EndpointTable {
@@ -150,6 +152,55 @@
         }
     }
 
+    /// Records which endpoints a control replica reports as down; `None` if they are the same as in
+    /// its last report. Only endpoints of the replica's own zone are taken into account, since it
+    /// reaches others through links that may be lossy. Returns those that are down as of now.
+    pub fn note_outages(
+        &mut self,
+        now: ClockMs,
+        from: &NodeId,
+        zone: &ZoneId,
+        down: Option<&[EndpointId]>,
+    ) -> Vec<EndpointId> {
+        if let Some(down) = down {
+            let ended = self.outages.swap_remove(from).unwrap_or_default();
+            for id in ended.iter().filter(|id| !down.contains(id)) {
+                self.with_endpoint(id, |it| it.end_outage(from));
+            }
+            if !down.is_empty() {
+                self.outages.insert(from.clone(), down.to_vec());
+            }
+        }
+        let Some(down) = self.outages.get(from) else {
+            return Vec::new();
+        };
+        let mut begun = Vec::new();
+        for id in down {
+            let endpoint = self.endpoints.get_mut(id);
+            if let Some(endpoint) = endpoint.filter(|it| it.announcement.zone == *zone) {
+                let was_down = endpoint.is_down(now);
+                endpoint.note_outage(now, from);
+                if !was_down && endpoint.is_down(now) {
+                    begun.push(id.clone());
+                }
+            }
+        }
+        begun
+    }
+
+    /// Number of endpoints that are down.
+    #[must_use]
+    pub fn count_down(&self, now: ClockMs) -> usize {
+        let ready = self.endpoints.values().filter(|it| it.is_ready());
+        ready.filter(|it| it.is_down(now)).count()
+    }
+
+    fn with_endpoint(&mut self, id: &EndpointId, note: impl FnOnce(&mut Endpoint)) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            note(endpoint);
+        }
+    }
+
     /// This entry's load at each endpoint of a zone, and which of them have just failed it.
     #[must_use]
     pub fn loads_in(&self, now: ClockMs, zone: &ZoneId) -> Vec<EndpointLoad> {
@@ -265,7 +316,7 @@
         }
         let candidates = self.of_service(service).filter(is_candidate);
         let lacking = candidates.filter(|it| {
-            let is_live = !it.is_silent() && !it.is_resting(now);
+            let is_live = !it.is_silent() && !it.is_down(now) && !it.is_resting(now);
             is_live && it.request_limit.may_ask_permit(now)
         });
         let lacking = lacking.map(|it| &it.announcement);
--- a/crates/masticsill_dispatch/src/health.rs
+++ b/crates/masticsill_dispatch/src/health.rs
@@ -81,6 +81,13 @@
         self.heard_at.is_some_and(|at| now.since(at) < time_ms)
     }
 
+    /// Whether a byte of an answer arrived after a time, and no exchange has failed after that.
+    #[must_use]
+    pub(crate) fn is_working_since(&self, time: ClockMs) -> bool {
+        let heard_at = self.heard_at.filter(|heard_at| *heard_at > time);
+        heard_at.is_some_and(|heard_at| self.last_failure_at.is_none_or(|at| at < heard_at))
+    }
+
     /// Records the head of an answer, which ends the backoff.
     pub fn note_answer(&mut self, is_error: bool) {
         self.failures = 0;
--- a/crates/masticsill_dispatch/src/placement.rs
+++ b/crates/masticsill_dispatch/src/placement.rs
@@ -25,7 +25,7 @@
 const MAX_CACHED_TOKENS: u64 = 12_000;
 /// Cost of an endpoint that fails every answer.
 const ERROR_COST: f64 = 12.0;
-/// Cost of a silent endpoint: it is used only if there is no other.
+/// Cost of a silent endpoint, or one that is down: it is used only if there is no other.
 const SILENT_COST: f64 = 1_000.0;
 /// Cost of an endpoint in backoff after a failure: below that of a silent one, above all others.
 const BACKOFF_COST: f64 = 500.0;
@@ -185,7 +185,10 @@
     let suspect_zones = suspect_zones(table, request.service, now);
     let is_healthy = |it: &Endpoint| {
         let zone = &it.announcement.zone;
-        !it.is_silent() && !it.is_backing_off(now) && !suspect_zones.contains(&zone)
+        !it.is_silent()
+            && !it.is_down(now)
+            && !it.is_backing_off(now)
+            && !suspect_zones.contains(&zone)
     };
     let candidates = table.iter().filter(|it| request.is_candidate(it));
     let candidates: Vec<&Endpoint> = candidates
@@ -288,7 +291,7 @@
     if endpoint.is_backing_off(now) {
         cost += BACKOFF_COST;
     }
-    if endpoint.is_silent() {
+    if endpoint.is_silent() || endpoint.is_down(now) {
         cost += SILENT_COST;
     }
     cost
@@ -299,12 +302,13 @@
 /// work, so that those which no request has tried since would appear to be the least loaded of all.
 ///
 /// Endpoints that the current request was sent to count as well, since they are the ones that
-/// failed.
+/// failed. Endpoints that a control replica of their zone reports as down don't count: the replica has
+/// tried others there.
 #[must_use]
 pub fn suspect_zones<'a>(table: &'a EndpointTable, service: &str, now: ClockMs) -> Vec<&'a ZoneId> {
     let mut zones: IndexMap<&ZoneId, ZoneFailures> = IndexMap::new();
     let of_service = table.iter().filter(|it| it.announcement.service == service);
-    for endpoint in of_service {
+    for endpoint in of_service.filter(|it| !it.is_down(now)) {
         let zone = zones.entry(&endpoint.announcement.zone).or_default();
         let has_failed = endpoint.health.has_failed_within(now, SUSPECT_WINDOW_MS);
         zone.at_work += usize::from(endpoint.is_at_work());
--- a/crates/masticsill_registry/src/outages.rs
+++ b/crates/masticsill_registry/src/outages.rs
@@ -203,20 +203,23 @@
         !self.is_network_trusted
     }
 
-    /// Records that a relay reported a failure of an endpoint.
-    pub fn report(&mut self, now: ClockMs, id: &EndpointId) {
+    /// Records that a relay reported a failure of an endpoint. Returns whether the endpoint has to be
+    /// tried, or decided on, sooner than before.
+    pub fn report(&mut self, now: ClockMs, id: &EndpointId) -> bool {
         if let Some(tracked) = self.tracked.get_mut(id) {
-            if !tracked.is_reported(now) && tracked.down_since.is_none() {
+            let is_first = !tracked.is_reported(now) && tracked.down_since.is_none();
+            if is_first {
                 let earliest = tracked.last_attempt_at.map(|at| at + MIN_INTERVAL_MS);
                 let due_at = earliest.unwrap_or(now).max(now);
                 tracked.next_attempt_at = tracked.next_attempt_at.min(due_at);
             }
             tracked.reported_at = Some(now);
-            return;
+            return is_first;
         }
         let mut tracked = Tracked::new(now);
         tracked.reported_at = Some(now);
         self.tracked.insert(id.clone(), tracked);
+        true
     }
 
     /// Records a heartbeat that an endpoint sent. If the endpoint is down, it is tried at once.
@@ -348,13 +351,19 @@
     /// is empty.
     #[must_use]
     pub fn next_attempt_in_ms(&self, now: ClockMs) -> Option<u64> {
-        let waiting = self.tracked.values();
-        let waiting = waiting.filter(|it| it.attempt_began_at.is_none());
-        let next_ms = waiting.map(|it| it.next_attempt_at.since(now)).min();
         if self.tracked.is_empty() {
             return None;
         }
-        Some(next_ms.unwrap_or(ATTEMPT_TIMEOUT_MS))
+        let (waiting, running): (Vec<&Tracked>, Vec<&Tracked>) = self
+            .tracked
+            .values()
+            .partition(|it| it.attempt_began_at.is_none());
+        if running.len() >= MAX_CONCURRENT_ATTEMPTS {
+            // The end of an attempt comes first.
+            return Some(ATTEMPT_TIMEOUT_MS);
+        }
+        let next_ms = waiting.iter().map(|it| it.next_attempt_at.since(now));
+        Some(next_ms.min().unwrap_or(ATTEMPT_TIMEOUT_MS))
     }
 
     /// Number of endpoints whose last attempt failed.
--- a/crates/masticsill_registry/src/reservations.rs
+++ b/crates/masticsill_registry/src/reservations.rs
@@ -121,6 +121,11 @@
         Some(least_loaded)
     }
 
+    /// Forgets that an engine has just failed an entry.
+    pub(crate) fn forget_failure(&mut self, engine: &EndpointId) {
+        self.failed_at.swap_remove(engine);
+    }
+
     fn evict_expired(&mut self, now: ClockMs) {
         self.reservations
             .retain(|reservation| now < reservation.leased_until);
--- a/crates/masticsill_registry/src/watchers.rs
+++ b/crates/masticsill_registry/src/watchers.rs
@@ -191,6 +191,14 @@
         Some(load.unwrap_or_else(|| EndpointLoad::none(reserved)))
     }
 
+    /// Forgets that some engines have just failed entries. Engines that are known to be down
+    /// themselves are no sign that their zone is.
+    pub fn forget_failures<'a>(&mut self, engines: impl Iterator<Item = &'a EndpointId>) {
+        for engine in engines {
+            self.reservations.forget_failure(engine);
+        }
+    }
+
     /// Grants an entry one request at one of the endpoints, which state limits; `None` if none of
     /// them accepts more at present, or none is known to state a limit.
     pub fn grant_request(&mut self, now: ClockMs, endpoints: &[EndpointId]) -> Option<EndpointId> {
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -165,6 +165,7 @@
         document_seen: None,
         loads: Vec::new(),
         loads_revision: 0,
+        outages_revision: 0,
         registry: 0,
         revision: 0,
         rollouts_revision: 0,
@@ -193,6 +194,8 @@
             }
             is_reached = false;
             relay.note_control_lost(&address);
+            // The next reply lists all endpoints that are down.
+            request.outages_revision = 0;
             discovery.forget_source(address);
             sleep(RETRY_PAUSE).await;
             continue;
@@ -216,6 +219,7 @@
             .endpoints
             .borrow_mut()
             .update_loads(relay.now(), &reply.zone, &reply.loads);
+        request.outages_revision = reply.outages_revision;
         note_reports(&relay, &reply.loads);
         if zone.is_none() {
             let reporting = report_loads(
@@ -241,6 +245,7 @@
         request.revision = reply.revision;
         discovery.note_document(address, &reply);
         discovery.merge_endpoints(&node, &reply);
+        relay.note_outages(&node, &reply.zone, reply.outages.as_deref());
         relay.note_entries(reply.entries);
         relay.update_zone_share(&reply.entries_nearby);
         if !reply.endpoints.is_empty() {
--- a/crates/masticsill_relay/src/endpoint_choice.rs
+++ b/crates/masticsill_relay/src/endpoint_choice.rs
@@ -229,7 +229,7 @@
         let closed = self.full_endpoints(&endpoints, service);
         let is_unusable = |it: &&Endpoint| {
             let id = &it.announcement.id;
-            let is_known_bad = it.is_backing_off(now) || it.is_silent();
+            let is_known_bad = it.is_backing_off(now) || it.is_silent() || it.is_down(now);
             let has_room = !it.is_full(now) && it.accepts_requests(now);
             is_known_bad || !has_room || closed.contains(id) || retry_state.excluded.contains(id)
         };
@@ -252,6 +252,7 @@
         match endpoints.get(id) {
             None => Some("forgotten"),
             Some(endpoint) if !endpoint.is_ready() => Some("gone or draining"),
+            Some(endpoint) if endpoint.is_down(self.now()) => Some("down"),
             Some(endpoint) if endpoint.is_backing_off(self.now()) => Some("failed just now"),
             Some(endpoint) if !endpoint.accepts_requests(self.now()) => {
                 Some("accepts no more requests for now")
--- a/crates/masticsill_relay/src/events.rs
+++ b/crates/masticsill_relay/src/events.rs
@@ -69,6 +69,8 @@
 pub const REQUEST_LIMIT_STATED: Event = Event::new(2138, "request_limit_stated");
 /// An endpoint said in a response that it leaves.
 pub const ENDPOINT_LEAVES: Event = Event::new(2139, "endpoint_leaves");
+/// A control replica of an endpoint's zone can't connect to the endpoint.
+pub const ENDPOINT_DOWN: Event = Event::new(2150, "endpoint_down");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -105,4 +107,5 @@
     REQUEST_QUARANTINED,
     REQUEST_LIMIT_STATED,
     ENDPOINT_LEAVES,
+    ENDPOINT_DOWN,
 ];
--- a/crates/masticsill_relay/src/metrics.rs
+++ b/crates/masticsill_relay/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::AtomicU64;
 
 use masticsill_registry::{EndpointState, StateGauges};
+use masticsill_types::ClockMs;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -47,6 +48,7 @@
     pub(crate) document_behind: Gauge,
     pub(crate) document_version: Gauge<u64, AtomicU64>,
     pub(crate) endpoints: StateGauges,
+    pub(crate) endpoints_down: Gauge,
     pub(crate) endpoints_limited: Gauge,
     pub(crate) event_gap_ms: Histogram,
     pub(crate) first_event_ms: Histogram,
@@ -77,6 +79,7 @@
             document_behind: Gauge::default(),
             document_version: Gauge::default(),
             endpoints: StateGauges::default(),
+            endpoints_down: Gauge::default(),
             endpoints_limited: Gauge::default(),
             event_gap_ms: time_histogram(),
             first_event_ms: time_histogram(),
@@ -116,6 +119,12 @@
         registry.register("masticsill_relay_document_version", help, version);
         self.endpoints
             .register("masticsill_relay_endpoints", registry);
+        let help = "Endpoints that a control replica of their zone reports as down";
+        registry.register(
+            "masticsill_relay_endpoints_down",
+            help,
+            self.endpoints_down.clone(),
+        );
         let help = "Endpoints of plain services that are given fewer requests at once";
         registry.register(
             "masticsill_relay_endpoints_limited",
@@ -189,7 +198,9 @@
     }
 
     /// Updates the gauges of the endpoints.
-    pub(crate) fn note_endpoints(&self, table: &EndpointTable) {
+    pub(crate) fn note_endpoints(&self, now: ClockMs, table: &EndpointTable) {
+        let down = i64::try_from(table.count_down(now)).unwrap_or(i64::MAX);
+        self.endpoints_down.set(down);
         let shown = [
             EndpointState::Ready,
             EndpointState::Draining,
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -44,6 +44,8 @@
 /// A report that endpoints are stalled. Requests that wait for them fail over sooner.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum StallAlert {
+    /// Endpoints that a control replica of their zone can't connect to.
+    Down(Vec<EndpointId>),
     /// One endpoint.
     Endpoint(EndpointId),
     /// The endpoints of a service in one zone.
@@ -54,6 +56,7 @@
     /// Whether the report covers an endpoint.
     pub(crate) fn applies_to(&self, endpoint: &Announcement) -> bool {
         match self {
+            Self::Down(ids) => ids.contains(&endpoint.id),
             Self::Endpoint(id) => *id == endpoint.id,
             Self::Zone { service, zone } => *service == endpoint.service && *zone == endpoint.zone,
         }
@@ -279,10 +282,35 @@
         });
     }
 
-    /// Whether an endpoint accepts requests, as far as is known.
-    pub(crate) fn is_ready(&self, id: &EndpointId) -> bool {
+    /// Records which endpoints of a zone a control replica reports as down. Requests that wait for
+    /// them fail over sooner.
+    pub(crate) fn note_outages(&self, from: &NodeId, zone: &ZoneId, down: Option<&[EndpointId]>) {
+        let now = self.now();
+        let mut endpoints = self.endpoints.borrow_mut();
+        let begun = endpoints.note_outages(now, from, zone, down);
+        drop(endpoints);
+        if begun.is_empty() {
+            return;
+        }
+        for id in &begun {
+            log_event!(
+                info,
+                events::ENDPOINT_DOWN,
+                endpoint = id,
+                zone = zone,
+                from = from
+            );
+        }
+        self.stall_alerts
+            .send_replace(Some(StallAlert::Down(begun)));
+    }
+
+    /// Whether an endpoint accepts requests and can hold a copy, as far as is known.
+    pub(crate) fn is_usable_holder(&self, id: &EndpointId) -> bool {
         let endpoints = self.endpoints.borrow();
-        endpoints.get(id).is_some_and(Endpoint::is_ready)
+        endpoints
+            .get(id)
+            .is_some_and(|it| it.is_ready() && !it.is_down(self.now()))
     }
 
     /// Whether an endpoint that had been chosen wants no request any more.
@@ -349,7 +377,7 @@
         self.metrics.active.set(i64::from(self.active.get()));
         let is_behind = self.is_behind_document();
         self.metrics.document_behind.set(i64::from(is_behind));
-        self.metrics.note_endpoints(&self.endpoints.borrow());
+        self.metrics.note_endpoints(now, &self.endpoints.borrow());
         let quarantined = self.crashes.borrow().quarantined(now);
         let quarantined = i64::try_from(quarantined).unwrap_or(i64::MAX);
         self.metrics.quarantined.set(quarantined);
--- a/crates/masticsill_relay/src/stream/run.rs
+++ b/crates/masticsill_relay/src/stream/run.rs
@@ -292,14 +292,14 @@
         let relay = self.relay;
         if !self
             .copies
-            .needs_copy(now, |copy| relay.is_ready(&copy.at.id))
+            .needs_copy(now, |copy| relay.is_usable_holder(&copy.at.id))
         {
             return;
         }
         // The current holder receives only what is new; another one would receive the whole KV
         // cache.
         let current_holder = self.copies.copy().map(|copy| copy.at.clone());
-        let current_holder = current_holder.filter(|at| relay.is_ready(&at.id));
+        let current_holder = current_holder.filter(|at| relay.is_usable_holder(&at.id));
         let renewed = current_holder.and_then(|at| Some((at, self.copies.reservation()?)));
         let new_copy = || self.choose_copy(running).map(RunCopy::into_parts);
         if let Some((at, reservation)) = renewed.or_else(new_copy) {
--- a/crates/masticsill_wire/src/control.rs
+++ b/crates/masticsill_wire/src/control.rs
@@ -212,6 +212,8 @@
     pub loads: Vec<EndpointLoad>,
     /// Revision of the other watchers' loads that the watcher has.
     pub loads_revision: u64,
+    /// Revision that the watcher has of the endpoints that are down.
+    pub outages_revision: u64,
     /// Id of the registry that `revision` belongs to; zero in the first request.
     pub registry: u64,
     /// Revision of the registry that the watcher has.
@@ -247,6 +249,14 @@
     pub loads_revision: u64,
     /// Addresses of the control replicas known to this one.
     pub members: Vec<(NodeId, SocketAddr)>,
+    /// The endpoints of this replica's zone that are down; `None` if the watcher has them at this
+    /// revision.
+    pub outages: Option<Vec<EndpointId>>,
+    /// Revision of the endpoints that are down.
+    pub outages_revision: u64,
+    /// Ages of this replica's last connections to endpoints of its zone that relays reported as
+    /// failing; only for other replicas.
+    pub reached: Vec<HeartbeatAge>,
     /// Id of the registry that `revision` belongs to; differs for each incarnation of the process.
     pub registry: u64,
     /// Revision of the registry.
