--- a/crates/masticsill_bench/src/overload.rs
+++ b/crates/masticsill_bench/src/overload.rs
@@ -7,11 +7,13 @@
 
 mod callers;
 mod engine;
+mod outage;
 mod plan;
 mod play;
 mod tally;
 
 pub use engine::EngineModel;
+pub use outage::OutagePlan;
 pub use plan::{KINDS, KindPlan, OverloadPlan, Policy};
 pub use play::{play, play_seeds};
 pub use tally::{KindTally, Tally};
--- a/crates/masticsill_bench/src/overload/callers.rs
+++ b/crates/masticsill_bench/src/overload/callers.rs
@@ -72,6 +72,7 @@
         prompt_tokens,
         record: CallerRecord {
             asked_at,
+            dark_sends: 0,
             first_at: None,
             meetings: 0,
             is_done: false,
--- a/crates/masticsill_bench/src/overload/plan.rs
+++ b/crates/masticsill_bench/src/overload/plan.rs
@@ -1,6 +1,7 @@
 //! What is played.
 
 use super::engine::EngineModel;
+use super::outage::OutagePlan;
 
 /// Who decides where requests go.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -50,6 +51,8 @@
     pub length_ms: u64,
     /// The overload's requests, in times of the usual ones.
     pub load: f64,
+    /// An outage of engines.
+    pub outage: Option<OutagePlan>,
     /// Pause between two words of the others' requests that an entry hears; zero if it hears each as it
     /// comes.
     pub pause_ms: u64,
@@ -86,6 +89,7 @@
             kinds: [only, none, none],
             length_ms: 34_000,
             load: 1.0,
+            outage: None,
             pause_ms: 0,
             policy: Policy::Dispatcher,
             seed: 1,
@@ -120,6 +124,25 @@
         }
     }
 
+    /// Two and a half times the usual load on 76 engines, of which a part answers nothing for 10 s of
+    /// the 20 s of overload.
+    #[must_use]
+    pub fn outage_of(share: f64, is_shared: bool) -> Self {
+        Self {
+            engines: 76,
+            entries: 22,
+            load: 2.5,
+            outage: Some(OutagePlan {
+                begins_ms: 8_000,
+                ends_ms: 18_000,
+                share,
+                is_shared,
+            }),
+            usual_per_s: 19.8,
+            ..Self::default()
+        }
+    }
+
     /// The same plan, with all kinds equally urgent.
     #[must_use]
     pub fn without_priorities(mut self) -> Self {
--- a/crates/masticsill_bench/src/overload/play.rs
+++ b/crates/masticsill_bench/src/overload/play.rs
@@ -2,10 +2,10 @@
 
 use indexmap::IndexMap;
 use masticsill_dispatch::{
-    Decision, Overload, PlacementRequest, Requirements, WaitOutcome, Work, choose,
+    Decision, Failure, Overload, PlacementRequest, Requirements, WaitOutcome, Work, choose,
 };
 use masticsill_registry::{EndpointId, EndpointLoad, EngineReservationRequest, WatcherTable};
-use masticsill_types::{ClockMs, Priority, ZoneId};
+use masticsill_types::{ClockMs, NodeId, Priority, ZoneId};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -13,6 +13,7 @@
 
 use super::callers::{Ask, draw_asks};
 use super::engine::{Engine, EngineEvent, Job};
+use super::outage::ZoneReplica;
 use super::plan::{OverloadPlan, Policy};
 use super::tally::{CallerRecord, Tally};
 
@@ -27,12 +28,31 @@
 /// Silence before the first event after which the naive policy asks another engine.
 const NAIVE_PATIENCE_MS: u64 = 5_700;
 
+/// Time after which a connection to an engine that answers nothing has failed, as at the relay.
+const DIAL_TIMEOUT_MS: u64 = 120;
+/// Silence after which a run that has begun is given up, as at the relay.
+const EVENT_GAP_TIMEOUT_MS: u64 = 350;
+/// Silence after which a run at an engine that is known to be down is given up, as at the relay.
+const DOWN_SILENCE_TIMEOUT_MS: u64 = 150;
+/// Silence before the first event after which a run is given up, beside the time to read its prompt.
+const FIRST_EVENT_TIMEOUT_MS: u64 = 3_000;
+/// Tokens of a prompt that are expected to be read in a millisecond.
+const PROMPT_TOKENS_PER_MS: u64 = 3;
+/// How long a connection is kept after a run, to be used again.
+const KEEP_ALIVE_MS: u64 = 5_000;
+/// How often entries hear from each control replica at least.
+const WATCH_INTERVAL_MS: u64 = 1_000;
+
 /// A request on its way.
 #[derive(Clone, Debug)]
 struct Live {
     attempts: u32,
     deadline_at: ClockMs,
     entry: usize,
+    /// Engines at which it has failed.
+    excluded: Vec<EndpointId>,
+    /// Whether it was sent on a connection that was open.
+    is_on_open_connection: bool,
     prompt_tokens: u64,
     /// Where it is, and since when.
     sent: Option<(usize, ClockMs, bool)>,
@@ -59,6 +79,12 @@
     plan: OverloadPlan,
     random: ChaCha8Rng,
     records: Vec<CallerRecord>,
+    /// The replicas of the zones, in their order.
+    replicas: Vec<ZoneReplica>,
+    /// The zones' engines that are down, and when the entries hear of them.
+    outage_words: Vec<(ClockMs, usize, Vec<EndpointId>)>,
+    /// When an entry's last run at an engine ended.
+    used_at: IndexMap<(usize, usize), ClockMs>,
     /// Loads that entries told, and when the others hear of them.
     words: Vec<(ClockMs, usize, Vec<EndpointLoad>)>,
     heard: Vec<Vec<EndpointLoad>>,
@@ -102,6 +128,9 @@
             plan: *plan,
             random,
             records: Vec::new(),
+            replicas: ZONES.iter().map(|_| ZoneReplica::new()).collect(),
+            outage_words: Vec::new(),
+            used_at: IndexMap::new(),
             words: Vec::new(),
             heard: vec![Vec::new(); plan.entries],
         };
@@ -124,6 +153,8 @@
             attempts: 0,
             deadline_at: asked_at + self.plan.deadline_ms,
             entry: 0,
+            excluded: Vec::new(),
+            is_on_open_connection: false,
             prompt_tokens: ask.prompt_tokens,
             sent: None,
             has_first: false,
@@ -138,7 +169,10 @@
     fn step(&mut self) {
         self.now = self.now + STEP_MS;
         self.hear_words();
+        self.check_outages();
+        self.hear_of_outages();
         self.work_engines();
+        self.fail_over();
         self.take_arrivals();
         self.end_waits();
         self.drop_overdue();
@@ -158,6 +192,11 @@
                     .cloned()
                     .collect();
                 book.record_poll(now, &watcher, 0, &loads);
+                if self.plan.outage.is_some_and(|outage| outage.is_shared) {
+                    for load in loads.iter().filter(|load| load.is_failing) {
+                        self.replicas[zone].table.report(now, &load.id);
+                    }
+                }
             }
             self.heard[entry] = loads;
         }
@@ -176,6 +215,100 @@
         }
     }
 
+    fn is_dark(&self, engine: usize) -> bool {
+        let outage = self.plan.outage;
+        outage.is_some_and(|outage| outage.is_dark(self.now, engine))
+    }
+
+    fn engines_of(&self, zone: usize) -> Vec<&EndpointId> {
+        let engines = self.engine_ids.iter().skip(zone).step_by(ZONES.len());
+        engines.collect()
+    }
+
+    /// Control replicas connect to engines that entries report.
+    fn check_outages(&mut self) {
+        let now = self.now;
+        let Some(outage) = self.plan.outage else {
+            return;
+        };
+        for zone in 0..ZONES.len() {
+            let engines = self.engine_ids.iter().skip(zone).step_by(ZONES.len());
+            let engines: Vec<&EndpointId> = engines.collect();
+            let is_dark = |id: &EndpointId| {
+                let engine = self.engine_ids.binary_search(id);
+                engine.is_ok_and(|engine| outage.is_dark(now, engine))
+            };
+            if let Some(down) = self.replicas[zone].step(now, &engines, is_dark) {
+                let word = (now + self.plan.word_ms, zone, down);
+                self.outage_words.push(word);
+            }
+        }
+    }
+
+    /// Entries hear which engines are down; runs there are given up sooner.
+    fn hear_of_outages(&mut self) {
+        let now = self.now;
+        let due = self.outage_words.extract_if(.., |(at, ..)| *at <= now);
+        let mut words: Vec<(usize, Option<Vec<EndpointId>>)> =
+            due.map(|(_, zone, down)| (zone, Some(down))).collect();
+        if now.0 % WATCH_INTERVAL_MS < STEP_MS {
+            words.extend((0..ZONES.len()).map(|zone| (zone, None)));
+        }
+        for (zone, down) in words {
+            let id = ZoneId::new(ZONES[zone]).expect("the name holds letters only");
+            let from = NodeId::new(ZONES[zone]).expect("the name holds letters only");
+            for entry in &mut self.entries {
+                entry.table.note_outages(now, &from, &id, down.as_deref());
+            }
+        }
+    }
+
+    /// Runs and connections at engines that answer nothing fail, and their requests go elsewhere.
+    fn fail_over(&mut self) {
+        let now = self.now;
+        let Some(outage) = self.plan.outage else {
+            return;
+        };
+        let failed = self.live.iter().filter_map(|(request, live)| {
+            let (engine, sent_at, _) = live.sent?;
+            if !outage.is_dark(now, engine) {
+                return None;
+            }
+            let heard_at = sent_at.max(ClockMs(outage.begins_ms));
+            let (usual_ms, failure) = if live.has_first {
+                (EVENT_GAP_TIMEOUT_MS, Failure::Stalled)
+            } else if live.is_on_open_connection {
+                let read_ms = live.prompt_tokens / PROMPT_TOKENS_PER_MS;
+                (FIRST_EVENT_TIMEOUT_MS + read_ms, Failure::Silent)
+            } else {
+                (DIAL_TIMEOUT_MS, Failure::Broken)
+            };
+            let table = &self.entries[live.entry].table;
+            let endpoint = table.get(&self.engine_ids[engine]);
+            let is_known = endpoint.is_some_and(|it| it.is_down(now));
+            let silence_ms = if is_known {
+                usual_ms.min(DOWN_SILENCE_TIMEOUT_MS)
+            } else {
+                usual_ms
+            };
+            (now.since(heard_at) >= silence_ms).then_some((*request, engine, failure))
+        });
+        let failed: Vec<(usize, usize, Failure)> = failed.collect();
+        for (request, engine, failure) in failed {
+            let mut live = self.live[&request].clone();
+            self.engines[engine].cancel(request);
+            let id = self.engine_ids[engine].clone();
+            self.entries[live.entry]
+                .table
+                .note_failure(now, &id, failure);
+            self.leave(&live, engine);
+            live.sent = None;
+            live.excluded.push(id);
+            self.live[&request] = live;
+            self.ask(request);
+        }
+    }
+
     /// Whether an entry receives the other entries' loads in this step. If reports have a fixed
     /// interval, entries receive them at different steps of it.
     fn hears_now(&self, listener: usize, has_news: bool) -> bool {
@@ -197,6 +330,7 @@
             sum.in_flight += load.in_flight;
             sum.reading += load.reading;
             sum.held_tokens += load.held_tokens;
+            sum.is_failing |= load.is_failing;
         }
         sums.into_values().collect()
     }
@@ -213,6 +347,9 @@
     #[allow(clippy::cast_precision_loss)]
     fn work_engines(&mut self) {
         for engine in 0..self.engines.len() {
+            if self.is_dark(engine) {
+                continue;
+            }
             let events = self.engines[engine].work(&self.plan.engine, STEP_MS as f64);
             for event in events {
                 match event {
@@ -234,6 +371,8 @@
         let began = live.sent.map(|(_, began, is_alone)| (began, is_alone));
         if let Some(endpoint) = self.entries[entry].table.get_mut(&endpoint_id(engine)) {
             endpoint.end_reading(now);
+            endpoint.health.note_heard(now);
+            endpoint.health.note_answer(false);
             if let Some((began, true)) = began {
                 endpoint.reading_pace.note(tokens, now.since(began));
             }
@@ -244,6 +383,7 @@
     fn note_done(&mut self, request: usize, engine: usize) {
         self.records[request].is_done = true;
         if let Some(live) = self.live.swap_remove(&request) {
+            self.used_at.insert((live.entry, engine), self.now);
             self.leave(&live, engine);
         }
     }
@@ -293,8 +433,13 @@
             watcher: self.entries[entry].watcher(),
         };
         for zone in [near, far] {
-            let engines = self.engine_ids.iter().skip(zone).step_by(ZONES.len());
-            let engines: Vec<&EndpointId> = engines.collect();
+            let mut engines = self.engines_of(zone);
+            let table = &self.replicas[zone].table;
+            engines.retain(|id| !table.is_down(id));
+            let down: Vec<EndpointId> = table.down().cloned().collect();
+            let engines: Vec<EndpointId> = engines.into_iter().cloned().collect();
+            let engines: Vec<&EndpointId> = engines.iter().collect();
+            self.books[zone].forget_failures(down.iter());
             let place = self.books[zone].reserve_engine(now, &request, &engines);
             if let Some(load) = place {
                 self.entries[entry].table.update_load(now, &load);
@@ -306,7 +451,7 @@
 
     fn need_of(&self, live: &Live, place: Option<EndpointId>) -> Requirements {
         Requirements {
-            excluded: Vec::new(),
+            excluded: live.excluded.clone(),
             cached: Vec::new(),
             reserved_endpoint: place,
             service: SERVICE.to_owned(),
@@ -325,7 +470,8 @@
         let entry = &mut self.entries[live.entry];
         let kind = &self.plan.kinds[self.records[request].kind];
         let priority = Priority::new(self.plan.workspace_priority, kind.priority);
-        let terms = entry.terms(now, kind.aim_ms, live.deadline_at, priority, workspace);
+        let mut terms = entry.terms(now, kind.aim_ms, live.deadline_at, priority, workspace);
+        terms.is_resume = live.has_first;
         let place = self.take_place(live.entry);
         let need = self.need_of(&live, place);
         let entry = &mut self.entries[live.entry];
@@ -424,6 +570,11 @@
         }
         let entry = live.entry;
         live.has_first = false;
+        let used_at = self.used_at.get(&(entry, engine));
+        live.is_on_open_connection = used_at.is_some_and(|at| now.since(*at) < KEEP_ALIVE_MS);
+        let outage = self.plan.outage;
+        let is_dark = outage.is_some_and(|outage| outage.is_dark(now, engine));
+        self.records[request].dark_sends += u32::from(is_dark);
         let mut is_alone = true;
         if let Some(endpoint) = self.entries[entry].table.get_mut(id) {
             is_alone = endpoint.reading_total(now) == 0;
--- a/crates/masticsill_bench/src/overload/tally.rs
+++ b/crates/masticsill_bench/src/overload/tally.rs
@@ -8,6 +8,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct CallerRecord {
     pub(super) asked_at: ClockMs,
+    /// How often it was sent to an engine that answered nothing.
+    pub(super) dark_sends: u32,
     pub(super) first_at: Option<ClockMs>,
     pub(super) is_done: bool,
     pub(super) is_hot: bool,
@@ -63,6 +65,10 @@
     pub lost: usize,
     /// Those whose prompt came to an engine that read another one.
     pub met: usize,
+    /// Sends to engines that answered nothing.
+    pub dark_sends: u32,
+    /// Late answers of requests that were sent to such an engine.
+    pub late_after_dark: usize,
     /// Part in time of the requests that came later than 2 s after the overload had gone.
     pub after_share: f64,
     /// Part in time of the longest tenth of the prompts.
@@ -117,6 +123,11 @@
             refused,
             lost: records.len() - done - refused,
             met: records.iter().filter(|it| it.meetings > 0).count(),
+            dark_sends: records.iter().map(|it| it.dark_sends).sum(),
+            late_after_dark: records
+                .iter()
+                .filter(|it| it.dark_sends > 0 && it.is_done && !is_in_aim(it))
+                .count(),
             after_share: share(&|it| it.asked_at > after),
             long_share: share(&|it| it.is_long),
             hot_share: share(&|it| it.is_hot),
--- a/crates/masticsill_control/src/endpoints/outages.rs
+++ b/crates/masticsill_control/src/endpoints/outages.rs
@@ -20,7 +20,7 @@
 use crate::events;
 
 /// How long the checks sleep while no endpoint has to be checked; a report wakes them.
-const IDLE_INTERVAL: Duration = Duration::from_secs(60);
+const IDLE_INTERVAL: Duration = Duration::from_mins(1);
 
 #[derive(Debug)]
 struct Shared {
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -129,6 +129,9 @@
                 revision = reply.revision
             );
         }
+        drop(endpoints);
+        let down = reply.outages.as_deref();
+        self.relay.note_outages(node, &reply.zone, down);
     }
 }
 
@@ -194,8 +197,6 @@
             }
             is_reached = false;
             relay.note_control_lost(&address);
-            // The next reply lists all endpoints that are down.
-            request.outages_revision = 0;
             discovery.forget_source(address);
             sleep(RETRY_PAUSE).await;
             continue;
@@ -245,7 +246,6 @@
         request.revision = reply.revision;
         discovery.note_document(address, &reply);
         discovery.merge_endpoints(&node, &reply);
-        relay.note_outages(&node, &reply.zone, reply.outages.as_deref());
         relay.note_entries(reply.entries);
         relay.update_zone_share(&reply.entries_nearby);
         if !reply.endpoints.is_empty() {
