--- a/crates/masticsill_bench/examples/dispatch_cost.rs
+++ b/crates/masticsill_bench/examples/dispatch_cost.rs
@@ -52,6 +52,7 @@
     let around = DispatchContext {
         closed: &[],
         entry: EntryPosition {
+            are_engines_granted: false,
             entries: 32,
             node: &node,
             share: ZoneShare {
--- a/crates/masticsill_bench/src/entry.rs
+++ b/crates/masticsill_bench/src/entry.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 use masticsill_dispatch::{
     Decision, DispatchContext, Dispatcher, EndpointTable, EntryPosition, PriorWaitEstimator,
-    Requirements, Terms, Ticket, WaitOutcome, ZoneShare,
+    QueueHead, Requirements, Terms, Ticket, WaitOutcome, ZoneShare,
 };
 use masticsill_registry::{Announcement, EndpointId, EndpointRecord, EndpointState, Watcher};
 use masticsill_types::{ClockMs, NodeId, Priority, ZoneId};
@@ -15,6 +15,7 @@
 
 /// One entry.
 pub(crate) struct Entry {
+    are_engines_granted: bool,
     dispatcher: Dispatcher,
     /// All entries.
     entries: u32,
@@ -36,6 +37,7 @@
         table.merge(&node, &records);
         let near = (entries + ZONES.len() - 1 - entry % ZONES.len()) / ZONES.len();
         Self {
+            are_engines_granted: false,
             dispatcher: Dispatcher::default(),
             entries: u32::try_from(entries).unwrap_or(u32::MAX),
             node,
@@ -50,6 +52,22 @@
         }
     }
 
+    /// The same entry; `are_engines_granted` says whether control replicas grant engines to its queue.
+    pub(crate) fn granted(mut self, are_engines_granted: bool) -> Self {
+        self.are_engines_granted = are_engines_granted;
+        self
+    }
+
+    /// The queued request that goes first.
+    pub(crate) fn head(&self) -> Option<QueueHead> {
+        self.dispatcher.heads().pop()
+    }
+
+    /// Gives a reserved engine to the queued request that goes first.
+    pub(crate) fn grant(&mut self, engine: &EndpointId) {
+        self.dispatcher.grant(SERVICE, engine);
+    }
+
     /// The entry as control replicas know it.
     pub(crate) fn watcher(&self) -> Watcher {
         Watcher::Entry {
@@ -89,7 +107,10 @@
         terms: &Terms,
         random: &mut ChaCha8Rng,
     ) -> Decision {
-        let turns = turns(&self.node, self.share, &self.zone, self.entries);
+        let turns = EntryPosition {
+            are_engines_granted: self.are_engines_granted,
+            ..turns(&self.node, self.share, &self.zone, self.entries)
+        };
         let around = DispatchContext {
             closed: &[],
             entry: turns,
@@ -104,7 +125,10 @@
         now: ClockMs,
         random: &mut ChaCha8Rng,
     ) -> Option<WaitOutcome> {
-        let turns = turns(&self.node, self.share, &self.zone, self.entries);
+        let turns = EntryPosition {
+            are_engines_granted: self.are_engines_granted,
+            ..turns(&self.node, self.share, &self.zone, self.entries)
+        };
         let around = DispatchContext {
             closed: &[],
             entry: turns,
@@ -128,6 +152,7 @@
     entries: u32,
 ) -> EntryPosition<'a> {
     EntryPosition {
+        are_engines_granted: false,
         entries,
         node,
         share,
--- a/crates/masticsill_bench/src/overload/plan.rs
+++ b/crates/masticsill_bench/src/overload/plan.rs
@@ -30,6 +30,8 @@
 /// An overload.
 #[derive(Clone, Copy, Debug)]
 pub struct OverloadPlan {
+    /// Whether control replicas grant engines to queued requests.
+    pub are_engines_granted: bool,
     /// When the overload comes.
     pub begins_ms: u64,
     /// Time that callers give.
@@ -76,6 +78,7 @@
         };
         let none = KindPlan { share: 0.0, ..only };
         Self {
+            are_engines_granted: true,
             begins_ms: 4_000,
             deadline_ms: 25_000,
             ends_ms: 24_000,
--- a/crates/masticsill_bench/src/overload/play.rs
+++ b/crates/masticsill_bench/src/overload/play.rs
@@ -20,6 +20,8 @@
 const STEP_MS: u64 = 5;
 /// Tokens of an answer.
 const OUTPUT_TOKENS: u64 = 650;
+/// Interval at which an entry requests an engine for the first of its queue.
+const QUEUE_REQUEST_MS: u64 = 40;
 /// Attempts of one caller.
 const ATTEMPTS: u32 = 2;
 /// When a caller comes back that was told no time.
@@ -106,9 +108,9 @@
             heard: vec![Vec::new(); plan.entries],
         };
         for entry in 0..plan.entries {
-            world
-                .entries
-                .push(Entry::new(entry, plan.entries, plan.engines));
+            world.entries.push(
+                Entry::new(entry, plan.entries, plan.engines).granted(plan.are_engines_granted),
+            );
         }
         for ask in draw_asks(plan, &mut world.random) {
             world.expect(ask);
@@ -140,6 +142,7 @@
         self.hear_words();
         self.work_engines();
         self.take_arrivals();
+        self.request_engines();
         self.end_waits();
         self.drop_overdue();
     }
@@ -283,13 +286,20 @@
 
     /// Asks the own zone's replica for a place, and then another one's. The question takes less than a
     /// step of the clock.
-    fn take_place(&mut self, entry: usize) -> Option<EndpointId> {
+    fn take_place(
+        &mut self,
+        entry: usize,
+        priority: Priority,
+        waited_ms: u64,
+    ) -> Option<EndpointId> {
         let now = self.now;
         let near = entry % ZONES.len();
         let far = (near + self.random.random_range(1..ZONES.len())) % ZONES.len();
         let request = EngineReservationRequest {
             avoided: Vec::new(),
+            priority,
             service: SERVICE.to_owned(),
+            waited_ms,
             watcher: self.entries[entry].watcher(),
         };
         for zone in [near, far] {
@@ -326,7 +336,8 @@
         let kind = &self.plan.kinds[self.records[request].kind];
         let priority = Priority::new(self.plan.workspace_priority, kind.priority);
         let terms = entry.terms(now, kind.aim_ms, live.deadline_at, priority, workspace);
-        let place = self.take_place(live.entry);
+        let place = self.take_place(live.entry, priority, 0);
+        let granted = place.clone();
         let need = self.need_of(&live, place);
         let entry = &mut self.entries[live.entry];
         let decision = entry.ask(now, &need, &terms, &mut self.random);
@@ -335,7 +346,28 @@
             Decision::Refuse(overload) => self.refuse(request, now, overload.retry_after_ms),
             Decision::Send(choice) => self.send(request, &choice.id),
             Decision::Wait(ticket) => {
-                self.entries[live.entry].waiting.insert(ticket, request);
+                let entry = &mut self.entries[live.entry];
+                entry.waiting.insert(ticket, request);
+                if let Some(engine) = granted {
+                    entry.grant(&engine);
+                }
+            }
+        }
+    }
+
+    /// Requests engines for the queued requests that go first at their entries.
+    fn request_engines(&mut self) {
+        if !self.plan.are_engines_granted {
+            return;
+        }
+        for entry in 0..self.entries.len() {
+            let is_due = (self.now.0 + entry as u64 * STEP_MS) % QUEUE_REQUEST_MS < STEP_MS;
+            let Some(head) = self.entries[entry].head().filter(|_| is_due) else {
+                continue;
+            };
+            let waited_ms = self.now.since(head.since);
+            if let Some(engine) = self.take_place(entry, head.priority, waited_ms) {
+                self.entries[entry].grant(&engine);
             }
         }
     }
--- a/crates/masticsill_dispatch/src/capacity.rs
+++ b/crates/masticsill_dispatch/src/capacity.rs
@@ -44,10 +44,17 @@
 /// Wait after which a request takes capacity without the delay for new requests.
 const IMMEDIATE_START_WAIT_MS: u64 = 600;
 
+/// How long an engine must have been known as idle before a queued request that was not granted it
+/// uses it, while control replicas grant engines: several times the time of a grant. Engines whose
+/// zone has no reachable control replica are used after it.
+const UNGRANTED_DELAY_MS: u64 = 700;
+
 /// This entry's position among all entries, which decides in what order entries use capacity that
 /// becomes free at an engine.
 #[derive(Clone, Copy, Debug)]
 pub struct EntryPosition<'a> {
+    /// Whether control replicas grant idle engines to queued requests of all entries.
+    pub are_engines_granted: bool,
     /// Number of entries.
     pub entries: u32,
     /// This entry's node.
@@ -80,20 +87,27 @@
             Contention::Uncontended => return 0,
             Contention::Contended(waited_ms) => waited_ms,
         };
+        if self.are_engines_granted {
+            return UNGRANTED_DELAY_MS + self.turn(endpoint) * TURN_STAGGER_MS;
+        }
         let remaining_ms = IMMEDIATE_START_WAIT_MS.saturating_sub(waited_ms);
         let new_request_delay_ms = NEW_REQUEST_DELAY_MS * remaining_ms / IMMEDIATE_START_WAIT_MS;
         if endpoint.is_freed_here() {
             return new_request_delay_ms;
         }
+        new_request_delay_ms + self.turn(endpoint) * TURN_STAGGER_MS
+    }
+
+    /// The turn of this entry at an engine; zero is the first.
+    fn turn(&self, endpoint: &Endpoint) -> u64 {
         let announcement = &endpoint.announcement;
         let local_entries = self.share.entries.max(1) as u64;
-        let turn = if announcement.zone == *self.zone {
+        if announcement.zone == *self.zone {
             (hash(&announcement.id) + self.share.rank as u64) % local_entries
         } else {
             let remote_entries = u64::from(self.entries).saturating_sub(local_entries).max(1);
             local_entries + hash((&announcement.id, self.node)) % remote_entries
-        };
-        new_request_delay_ms + turn * TURN_STAGGER_MS
+        }
     }
 }
 
--- a/crates/masticsill_dispatch/src/dispatcher.rs
+++ b/crates/masticsill_dispatch/src/dispatcher.rs
@@ -9,7 +9,7 @@
 
 use indexmap::IndexMap;
 use masticsill_registry::EndpointId;
-use masticsill_types::ClockMs;
+use masticsill_types::{ClockMs, Priority};
 
 use crate::capacity::{Contention, EntryPosition, has_capacity};
 use crate::endpoint::Endpoint;
@@ -64,6 +64,19 @@
     Send(Ticket, Choice),
 }
 
+/// The queued stream of a service that goes first.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct QueueHead {
+    /// Endpoints that the request has already been sent to.
+    pub excluded: Vec<EndpointId>,
+    /// Priority of the request.
+    pub priority: Priority,
+    /// The name of the service.
+    pub service: String,
+    /// Since when the request has been queued.
+    pub since: ClockMs,
+}
+
 /// The queues of this entry, one per service.
 #[derive(Clone, Debug, Default)]
 pub struct Dispatcher {
@@ -216,6 +229,30 @@
         queue.is_some_and(|queue| queue.is_overloaded(now))
     }
 
+    /// The queued stream that goes first in each service that has one.
+    #[must_use]
+    pub fn heads(&self) -> Vec<QueueHead> {
+        let queues = self.queues.iter();
+        let heads = queues.filter_map(|(service, queue)| {
+            let head = queue.head()?;
+            Some(QueueHead {
+                excluded: head.requirements.excluded.clone(),
+                priority: head.terms.priority,
+                service: service.clone(),
+                since: head.since,
+            })
+        });
+        heads.collect()
+    }
+
+    /// Records that a control replica has reserved an engine for a service. The queued stream that
+    /// goes first uses it, whichever request it was reserved for.
+    pub fn grant(&mut self, service: &str, engine: &EndpointId) {
+        if let Some(queue) = self.queues.get_mut(service) {
+            queue.grant(engine);
+        }
+    }
+
     /// Services that have queued requests.
     pub fn waiting_services(&self) -> impl Iterator<Item = &str> {
         let queues = self.queues.iter().filter(|(_, queue)| !queue.is_empty());
--- a/crates/masticsill_dispatch/src/lib.rs
+++ b/crates/masticsill_dispatch/src/lib.rs
@@ -23,7 +23,7 @@
 pub use budget::{BudgetSettings, RetryBudget};
 pub use capacity::{EntryPosition, has_memory_for_copy};
 pub use concurrency_limit::ConcurrencyLimit;
-pub use dispatcher::{Decision, DispatchContext, Dispatcher, WaitOutcome};
+pub use dispatcher::{Decision, DispatchContext, Dispatcher, QueueHead, WaitOutcome};
 pub use endpoint::{Endpoint, OtherLoad};
 pub use endpoints::EndpointTable;
 pub use entries::EntryCount;
--- a/crates/masticsill_dispatch/src/service_queue.rs
+++ b/crates/masticsill_dispatch/src/service_queue.rs
@@ -255,6 +255,25 @@
         order
     }
 
+    /// The queued stream that goes first.
+    pub(crate) fn head(&self) -> Option<&QueuedRequest> {
+        let is_stream = |it: &&QueuedRequest| matches!(it.requirements.work, Work::Stream { .. });
+        let streams = self.waiting.iter().filter(is_stream);
+        streams.min_by_key(|it| (it.place(), it.since))
+    }
+
+    /// Assigns an engine with a reservation to the queued stream that goes first.
+    pub(crate) fn grant(&mut self, engine: &EndpointId) {
+        let Some(head) = self.head().map(|head| head.ticket) else {
+            return;
+        };
+        for waiting in &mut self.waiting {
+            if waiting.ticket == head {
+                waiting.requirements.reserved_endpoint = Some(engine.clone());
+            }
+        }
+    }
+
     /// Records that a request of a priority was refused because it would have waited too long.
     pub(crate) fn note_refusal(&mut self, now: ClockMs, priority: Priority) {
         if self.refusals.len() >= MAX_URGENT_REFUSALS {
--- a/crates/masticsill_dispatch/tests/common/mod.rs
+++ b/crates/masticsill_dispatch/tests/common/mod.rs
@@ -145,6 +145,7 @@
     DispatchContext {
         closed: &[],
         entry: EntryPosition {
+            are_engines_granted: false,
             entries: 1,
             node,
             share: ZoneShare::default(),
--- a/crates/masticsill_registry/src/reservations.rs
+++ b/crates/masticsill_registry/src/reservations.rs
@@ -6,7 +6,7 @@
 //! reservation's lease has expired.
 
 use indexmap::IndexMap;
-use masticsill_types::ClockMs;
+use masticsill_types::{ClockMs, Priority};
 use serde::{Deserialize, Serialize};
 
 use crate::id::EndpointId;
@@ -23,14 +23,21 @@
 /// The whole zone may be down only if the failed engines are at least the number of engines with
 /// requests in flight divided by this.
 const MIN_FAILED_DIVISOR: usize = 6;
+/// How long an entry that got no engine goes before less urgent ones: entries with queued requests
+/// repeat their requests more often than this.
+const PENDING_RETENTION_MS: u64 = 150;
 
 /// An entry's request to reserve an engine that is not processing a prompt.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EngineReservationRequest {
     /// Engines that the entry doesn't want.
     pub avoided: Vec<EndpointId>,
+    /// Priority of the request that the engine is for.
+    pub priority: Priority,
     /// The service that the engine must belong to.
     pub service: String,
+    /// How long the request has waited for an engine, in milliseconds.
+    pub waited_ms: u64,
     /// The entry that asks.
     pub watcher: Watcher,
 }
@@ -43,11 +50,38 @@
     leased_until: ClockMs,
 }
 
+/// A request that got no engine, which goes before less urgent ones of other entries.
+#[derive(Clone, Debug)]
+struct PendingRequest {
+    avoided: Vec<EndpointId>,
+    place: (Priority, ClockMs),
+    received_at: ClockMs,
+    service: String,
+}
+
+impl PendingRequest {
+    fn new(now: ClockMs, request: &EngineReservationRequest) -> Self {
+        Self {
+            avoided: request.avoided.clone(),
+            place: place_of(now, request),
+            received_at: now,
+            service: request.service.clone(),
+        }
+    }
+}
+
+/// Place of a request among those of all entries: by priority, then by the beginning of its wait.
+fn place_of(now: ClockMs, request: &EngineReservationRequest) -> (Priority, ClockMs) {
+    (request.priority, now.before(request.waited_ms))
+}
+
 /// The reservations of one zone's engines.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct EngineReservations {
     /// Time at which each engine last failed an entry.
     failed_at: IndexMap<EndpointId, ClockMs>,
+    /// The latest request of each entry that got no engine.
+    pending: IndexMap<Watcher, PendingRequest>,
     /// Reservations, oldest first.
     reservations: Vec<Reservation>,
 }
@@ -85,7 +119,13 @@
 
     /// Reserves the least loaded of the engines that are neither processing a prompt, leaving,
     /// reserved, recently failed nor avoided by the entry; `loads` are the sums over all watchers.
-    /// Returns `None` if there is none or the zone may be down.
+    /// Returns `None` if there is none or the zone may be down, or if there are no more of them than
+    /// other entries recently requested for more urgent requests, or for equally urgent ones that
+    /// have waited longer.
+    ///
+    /// The load that this answers: more requests than the engines can read. Every entry waits for the
+    /// engines that become idle then; without one order for all, several would start at the same
+    /// engine, and the entry that learns of it first would win whatever its request.
     pub(crate) fn reserve(
         &mut self,
         now: ClockMs,
@@ -111,8 +151,15 @@
             let load = loads.get(id);
             load.map_or((0, 0), |load| (load.in_flight, load.held_tokens))
         };
-        let wanted = engines.iter().copied().filter(is_wanted);
-        let least_loaded = wanted.min_by_key(|id| work(id))?.clone();
+        let wanted: Vec<&EndpointId> = engines.iter().copied().filter(is_wanted).collect();
+        let ahead = self.count_ahead(now, request, &wanted);
+        if wanted.len() <= ahead {
+            let pending = PendingRequest::new(now, request);
+            self.pending.insert(request.watcher.clone(), pending);
+            return None;
+        }
+        self.pending.swap_remove(&request.watcher);
+        let least_loaded = wanted.into_iter().min_by_key(|id| work(id))?.clone();
         self.reservations.push(Reservation {
             endpoint: least_loaded.clone(),
             holder: request.watcher.clone(),
@@ -121,7 +168,26 @@
         Some(least_loaded)
     }
 
+    /// Number of other entries' pending requests that go first and want one of the engines.
+    fn count_ahead(
+        &self,
+        now: ClockMs,
+        request: &EngineReservationRequest,
+        wanted: &[&EndpointId],
+    ) -> usize {
+        let place = place_of(now, request);
+        let ahead = self.pending.iter().filter(|(watcher, pending)| {
+            **watcher != request.watcher
+                && pending.service == request.service
+                && pending.place < place
+                && wanted.iter().any(|id| !pending.avoided.contains(id))
+        });
+        ahead.count()
+    }
+
     fn evict_expired(&mut self, now: ClockMs) {
+        self.pending
+            .retain(|_, pending| now.since(pending.received_at) < PENDING_RETENTION_MS);
         self.reservations
             .retain(|reservation| now < reservation.leased_until);
         self.failed_at
--- a/crates/masticsill_registry/tests/handed_places.rs
+++ b/crates/masticsill_registry/tests/handed_places.rs
@@ -4,7 +4,7 @@
 use masticsill_registry::{
     EndpointId, EndpointLoad, EngineReservationRequest, Watcher, WatcherTable,
 };
-use masticsill_types::{ClockMs, NodeId, ZoneId};
+use masticsill_types::{ClockMs, NodeId, Priority, ZoneId};
 use proptest::prelude::*;
 
 const NOW: ClockMs = ClockMs(10_000);
@@ -65,13 +65,34 @@
     ) -> Option<EndpointLoad> {
         let request = EngineReservationRequest {
             avoided: avoided.iter().map(|name| id(name)).collect(),
+            priority: Priority::default(),
             service: "s".to_owned(),
+            waited_ms: 0,
             watcher: entry(name),
         };
         let engines: Vec<&EndpointId> = self.engines.iter().collect();
         self.table.reserve_engine(now, &request, &engines)
     }
 
+    fn reserve_for(
+        &mut self,
+        now: ClockMs,
+        name: &str,
+        route_priority: u32,
+        waited_ms: u64,
+    ) -> Option<String> {
+        let request = EngineReservationRequest {
+            avoided: Vec::new(),
+            priority: Priority::new(None, route_priority),
+            service: "s".to_owned(),
+            waited_ms,
+            watcher: entry(name),
+        };
+        let engines: Vec<&EndpointId> = self.engines.iter().collect();
+        let reserved = self.table.reserve_engine(now, &request, &engines);
+        reserved.map(|load| load.id.name)
+    }
+
     fn reserve(&mut self, now: ClockMs, name: &str) -> Option<String> {
         let reserved = self.reserve_avoiding(now, name, &[]);
         reserved.map(|load| load.id.name)
@@ -96,6 +117,43 @@
     assert_eq!(zone.reserve(NOW, "one"), None);
 }
 
+/// Guards against urgency that holds within one entry only: an engine that becomes idle went to
+/// whichever entry asked first.
+#[test]
+fn idle_engine_is_kept_for_the_more_urgent_entry() {
+    let mut zone = Zone::new(&["e1"]);
+    zone.poll(NOW, "one", &[load("e1", 1, 1)]);
+    assert_eq!(zone.reserve_for(NOW, "two", 0, 100), None);
+    zone.poll(NOW + 20, "one", &[load("e1", 1, 0)]);
+    assert_eq!(zone.reserve_for(NOW + 30, "one", 1, 2_000), None);
+    let urgent = zone.reserve_for(NOW + 50, "two", 0, 150);
+    assert_eq!(urgent.as_deref(), Some("e1"));
+}
+
+#[test]
+fn longest_wait_goes_first_among_equally_urgent_entries() {
+    let mut zone = Zone::new(&["e1"]);
+    zone.poll(NOW, "one", &[load("e1", 1, 1)]);
+    assert_eq!(zone.reserve_for(NOW, "two", 1, 900), None);
+    zone.poll(NOW + 20, "one", &[load("e1", 1, 0)]);
+    assert_eq!(zone.reserve_for(NOW + 30, "one", 1, 0), None);
+    assert_eq!(
+        zone.reserve_for(NOW + 50, "two", 1, 950).as_deref(),
+        Some("e1")
+    );
+}
+
+/// An entry whose caller has left, or that is gone, must not keep engines idle.
+#[test]
+fn entry_that_stops_asking_holds_nobody_back() {
+    let mut zone = Zone::new(&["e1"]);
+    zone.poll(NOW, "one", &[load("e1", 1, 1)]);
+    assert_eq!(zone.reserve_for(NOW, "two", 0, 100), None);
+    zone.poll(NOW + 20, "one", &[load("e1", 1, 0)]);
+    let less_urgent = zone.reserve_for(NOW + 200, "one", 1, 0);
+    assert_eq!(less_urgent.as_deref(), Some("e1"));
+}
+
 #[test]
 fn reservation_returns_the_loads_of_other_entries() {
     let mut zone = Zone::new(&["e1"]);
--- a/crates/masticsill_relay/src/dispatch_queue.rs
+++ b/crates/masticsill_relay/src/dispatch_queue.rs
@@ -87,7 +87,15 @@
             let reservation = Reservation::take(relay, endpoint, load);
             return Dispatched::Assigned(Box::new(choice), Box::new(reservation));
         }
-        Decision::Wait(ticket) => ticket,
+        Decision::Wait(ticket) => {
+            if let Some(engine) = &need.reserved_endpoint {
+                // The engine was reserved while other streams were queued, and the first of them
+                // uses it.
+                relay.dispatcher.borrow_mut().grant(&need.service, engine);
+                relay.capacity_changed.notify_one();
+            }
+            ticket
+        }
     };
     let (end, ended) = oneshot::channel();
     relay
@@ -171,6 +179,7 @@
     DispatchContext {
         closed,
         entry: EntryPosition {
+            are_engines_granted: !relay.control_reached.borrow().is_empty(),
             entries: relay.entry_count(),
             node: &relay.config.node,
             share: relay.zone_share.get(),
--- a/crates/masticsill_relay/src/endpoint_choice.rs
+++ b/crates/masticsill_relay/src/endpoint_choice.rs
@@ -5,8 +5,8 @@
 
 use masticsill_catalogue::RouteKind;
 use masticsill_dispatch::{
-    Choice, Endpoint, EndpointTable, PlacementRequest, Requirements, Terms, Work, choose_holder,
-    has_memory_for_copy, suspect_zones,
+    Choice, Endpoint, EndpointTable, PlacementRequest, QueueHead, Requirements, Terms, Work,
+    choose_holder, has_memory_for_copy, suspect_zones,
 };
 use masticsill_registry::{Announcement, EndpointId};
 use masticsill_types::{ZoneId, log_event};
@@ -135,9 +135,15 @@
         let names = &self.config.headers;
         let (kept, place) = match request.route.kind {
             RouteKind::Stream => {
+                let stream = QueueHead {
+                    excluded: retry_state.excluded.clone(),
+                    priority: request.priority,
+                    service: request.service.clone(),
+                    since: self.now(),
+                };
                 // Boxed, because otherwise the future of every request would contain both queries.
                 let kept = Box::pin(find_cached(self, request));
-                let place = Box::pin(reserve_engine(self, request, retry_state));
+                let place = Box::pin(reserve_engine(self, &stream));
                 tokio::join!(kept, place)
             }
             RouteKind::Idempotent | RouteKind::NonIdempotent => (Vec::new(), None),
@@ -222,7 +228,7 @@
         &self,
         service: &str,
         zone: &ZoneId,
-        retry_state: &RetryState,
+        excluded: &[EndpointId],
     ) -> Vec<EndpointId> {
         let now = self.now();
         let endpoints = self.endpoints.borrow();
@@ -231,7 +237,7 @@
             let id = &it.announcement.id;
             let is_known_bad = it.is_backing_off(now) || it.is_silent();
             let has_room = !it.is_full(now) && it.accepts_requests(now);
-            is_known_bad || !has_room || closed.contains(id) || retry_state.excluded.contains(id)
+            is_known_bad || !has_room || closed.contains(id) || excluded.contains(id)
         };
         let ready = endpoints.iter().filter(|it| it.is_ready());
         let of_zone = ready.filter(|it| it.announcement.zone == *zone);
--- a/crates/masticsill_relay/src/engine_reservation.rs
+++ b/crates/masticsill_relay/src/engine_reservation.rs
@@ -2,29 +2,44 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use indexmap::IndexSet;
+use masticsill_dispatch::QueueHead;
 use masticsill_registry::{EndpointId, EngineReservationRequest};
 use masticsill_types::ZoneId;
 use rand::seq::SliceRandom;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::prompts::CONTROL_QUERY_TIMEOUT;
 use crate::relay::Relay;
-use crate::request::RelayRequest;
-use crate::retry_state::RetryState;
+
+/// Interval at which an engine is requested for the first queued stream: a fraction of the time for
+/// which a control replica keeps its place among the entries.
+const QUEUE_REQUEST_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Requests engines for queued streams, until the relay ends. While more streams wait than engines
+/// are idle, control replicas decide which entry's stream goes next.
+pub(crate) async fn run_queue_reservations(relay: Rc<Relay>) {
+    loop {
+        sleep(QUEUE_REQUEST_INTERVAL).await;
+        let heads = relay.dispatcher.borrow().heads();
+        for head in heads {
+            if let Some(engine) = reserve_engine(&relay, &head).await {
+                relay.dispatcher.borrow_mut().grant(&head.service, &engine);
+                relay.capacity_changed.notify_one();
+            }
+        }
+    }
+}
 
 /// Requests an engine reservation for a stream: in this zone first, then in the other zones, one
 /// after the other.
 ///
 /// Returns `None` if no zone grants one in time; the engine is then chosen by the loads known to
 /// this relay.
-pub(crate) async fn reserve_engine(
-    relay: &Rc<Relay>,
-    request: &RelayRequest,
-    retry_state: &RetryState,
-) -> Option<EndpointId> {
-    let service = &request.service;
+pub(crate) async fn reserve_engine(relay: &Rc<Relay>, stream: &QueueHead) -> Option<EndpointId> {
+    let service = &stream.service;
     let bound = Instant::now() + CONTROL_QUERY_TIMEOUT;
     let own_zone =
         own_zone_replica(relay).filter(|_| !relay.is_suspect(service, &relay.config.zone));
@@ -33,8 +48,10 @@
         .chain(other_zone_replicas(relay, service))
     {
         let reservation_request = EngineReservationRequest {
-            avoided: relay.unusable_endpoints(service, &zone, retry_state),
+            avoided: relay.unusable_endpoints(service, &zone, &stream.excluded),
+            priority: stream.priority,
             service: service.clone(),
+            waited_ms: relay.now().since(stream.since),
             watcher: relay.watcher(),
         };
         let reply = relay.control.take_place(replica, &reservation_request);
--- a/crates/masticsill_relay/src/role.rs
+++ b/crates/masticsill_relay/src/role.rs
@@ -17,6 +17,7 @@
 use crate::discovery::start_discovery;
 use crate::dispatch_queue::run_dispatch;
 use crate::documents::{DocumentParts, PARSED_RING_ITEMS, run_documents};
+use crate::engine_reservation::run_queue_reservations;
 use crate::events;
 use crate::metrics::RelayMetrics;
 use crate::relay::Relay;
@@ -81,6 +82,7 @@
             let relay = Rc::new(relay);
             start_discovery(&relay, new_seeds, sources, parsed);
             spawn_local(run_dispatch(Rc::clone(&relay)));
+            spawn_local(run_queue_reservations(Rc::clone(&relay)));
             serve(relay, listener).await;
             ended.request();
         })?;
