--- a/crates/masticsill_relay/tests/rollouts.rs
+++ b/crates/masticsill_relay/tests/rollouts.rs
@@ -255,13 +255,11 @@
 }
 
 /// Number of latencies in a histogram that are longer than about 128 ms.
-fn slow(arm: &ArmEvidence) -> u32 {
-    let counts = arm.latency.counts();
-    let total: u32 = counts.iter().sum();
+fn slow(arm: &ArmEvidence) -> u64 {
     let mut fast = masticsill_rollout::LatencyHistogram::default();
     fast.note(127);
     let position = fast.counts().iter().position(|count| *count > 0).unwrap();
-    total - counts[..=position].iter().sum::<u32>()
+    arm.latency.count_from(position + 1)
 }
 
 /// Guards against a share that is not kept: more exposure, or too little evidence.
--- a/crates/masticsill_rollout/src/judge.rs
+++ b/crates/masticsill_rollout/src/judge.rs
@@ -13,15 +13,20 @@
 use crate::evidence::{ArmEvidence, LatencyHistogram, RouteEvidence, as_f64};
 use crate::step::RollbackCause;
 
-/// Natural logarithm of the evidence at which the target is bad: odds of 1 in 8,000, for two signs on
-/// three routes and their sum, leave 1 in 1,000 for a false roll-back.
+/// Natural logarithm of the evidence at which the target is bad: a good version shows as much of one
+/// sign on one route once in 1,100 roll-outs.
 const BAD_LN: f64 = 7.0;
 /// Requests of the target for which the limit rises like for one more look: with many requests there is
 /// evidence to spare, with few there is none.
 const REQUESTS_A_LOOK: f64 = 50.0;
-/// Natural logarithm of the evidence from which the target is not trusted with all requests. It is
-/// looked at once, when the roll-out would go on, so it may be less strict.
+/// Natural logarithm of the evidence from which the target is not trusted with all requests, if it got
+/// `SUSPECT_REQUESTS` or more. It is looked at once, when the roll-out would go on, so it may be less
+/// strict. With fewer requests a bad version shows less, and the limit is lower in proportion: a bad
+/// version with all requests breaks the exposure bound, a good one that is rolled back can be ordered
+/// again.
 const SUSPECT_LN: f64 = 4.0;
+/// Requests of the target among which a version that fails 2 in 10 nearly always shows.
+const SUSPECT_REQUESTS: f64 = 80.0;
 /// Natural logarithm of the evidence from which the roll-out waits for more, as long as there is time.
 const DOUBT_LN: f64 = 0.0;
 /// Portion of `BAD_LN` that one period may contribute while the target has the smaller part of the
@@ -145,7 +150,7 @@
     Finding {
         bad: cause(bad_ln),
         doubt: cause(DOUBT_LN),
-        suspect: cause(SUSPECT_LN),
+        suspect: cause(SUSPECT_LN * (requests / SUSPECT_REQUESTS).min(1.0)),
     }
 }
 
