Logs name the version of the endpoint that runs a stream, and the attempt that a caller continues

Change: version in both lines, stream_continued with the named attempt, a counter of such streams. No decision changes.

--- a/crates/masticsill_relay/src/config.rs
+++ b/crates/masticsill_relay/src/config.rs
@@ -102,6 +102,9 @@
     pub request_limit: String,
     /// Location of the KV cache copy that a run resumes from.
     pub resume_from: String,
+    /// Id of the attempt that brought the first event of a stream, sent by a caller that continues
+    /// the stream with another attempt.
+    pub resumes: String,
     /// An endpoint's signature of its response.
     pub signature: String,
     /// The number of prompt tokens and the maximum number of output tokens, separated by a comma.
@@ -134,6 +137,7 @@
             request_id: "X-Request-Id".to_owned(),
             request_limit: "X-Request-Limit".to_owned(),
             resume_from: "X-Resume-From".to_owned(),
+            resumes: "X-Resumes".to_owned(),
             signature: "X-Signature".to_owned(),
             token_count: "X-Tokens".to_owned(),
             not_run: "X-Not-Run".to_owned(),
--- a/crates/masticsill_relay/src/endpoint_choice.rs
+++ b/crates/masticsill_relay/src/endpoint_choice.rs
@@ -190,6 +190,7 @@
             request = request.id,
             endpoint = endpoint.id,
             zone = endpoint.zone,
+            version = endpoint.version,
             candidates = choice.candidates,
             cost = format_args!("{:.2}", choice.cost),
             in_flight = choice.in_flight,
--- a/crates/masticsill_relay/src/events.rs
+++ b/crates/masticsill_relay/src/events.rs
@@ -75,6 +75,8 @@
 pub const ROLLOUT_LEASE: Event = Event::new(2141, "rollout_lease");
 /// A version of a service appeared beside others.
 pub const VERSION_APPEARED: Event = Event::new(2142, "version_appeared");
+/// A caller continues a stream of which an earlier attempt brought events.
+pub const STREAM_CONTINUED: Event = Event::new(2143, "stream_continued");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -114,4 +116,5 @@
     ROLLOUT_CHANGED,
     ROLLOUT_LEASE,
     VERSION_APPEARED,
+    STREAM_CONTINUED,
 ];
--- a/crates/masticsill_relay/src/metrics.rs
+++ b/crates/masticsill_relay/src/metrics.rs
@@ -100,6 +100,7 @@
     pub(crate) rollout_sends: Family<SideLabels, Counter>,
     pub(crate) runs_crashed: Counter,
     pub(crate) runs_left_alive: Counter,
+    pub(crate) streams_continued: Counter,
     pub(crate) tokens_prefilled_again: Counter,
     pub(crate) wait_ms: Histogram,
 }
@@ -134,6 +135,7 @@
             rollout_sends: Family::default(),
             runs_crashed: Counter::default(),
             runs_left_alive: Counter::default(),
+            streams_continued: Counter::default(),
             tokens_prefilled_again: Counter::default(),
             wait_ms: time_histogram(),
         };
@@ -209,6 +211,9 @@
         let help = "Prompt tokens that are prefilled again after such runs";
         let again = self.tokens_prefilled_again.clone();
         registry.register("masticsill_relay_tokens_prefilled_again", help, again);
+        let help = "Streams that callers continued with another attempt";
+        let continued = self.streams_continued.clone();
+        registry.register("masticsill_relay_streams_continued", help, continued);
         let help = "Requests by kind and outcome";
         registry.register("masticsill_relay_requests", help, self.requests.clone());
         let help = "Streams that went on at another endpoint";
--- a/crates/masticsill_relay/src/request.rs
+++ b/crates/masticsill_relay/src/request.rs
@@ -59,6 +59,18 @@
         self.head.headers.number(&names.last_event)
     }
 
+    /// The attempt that brought the first event of the stream, if the caller continues one and names
+    /// the attempt.
+    pub(crate) fn continued_attempt(&self, names: &HeaderNames) -> Option<&str> {
+        self.head.headers.text(&names.resumes)
+    }
+
+    /// Whether the caller already has a part of the stream, from an earlier attempt.
+    pub(crate) fn is_continuation(&self, names: &HeaderNames) -> bool {
+        let is_stream = self.route.kind == RouteKind::Stream;
+        is_stream && self.last_event(names).is_some_and(|last| last > 0)
+    }
+
     /// Number of prompt tokens, if the caller states it.
     pub(crate) fn prompt_tokens(&self, names: &HeaderNames) -> Option<u64> {
         let counts = self.head.headers.text(&names.token_count)?;
--- a/crates/masticsill_relay/src/rollouts.rs
+++ b/crates/masticsill_relay/src/rollouts.rs
@@ -7,7 +7,6 @@
 use std::net::SocketAddr;
 
 use indexmap::IndexMap;
-use masticsill_catalogue::RouteKind;
 use masticsill_dispatch::{Endpoint, EndpointTable};
 use masticsill_registry::Announcement;
 use masticsill_rollout::{
@@ -352,11 +351,7 @@
         let endpoints = self.endpoints.borrow();
         let service = &request.service;
         let failed_dials = retry_state.failed_dials();
-        let names = &self.config.headers;
-        let is_continued = || {
-            let is_stream = request.route.kind == RouteKind::Stream;
-            is_stream && request.last_event(names).is_some_and(|last| last > 0)
-        };
+        let is_continued = || request.is_continuation(&self.config.headers);
         let decided = rollouts.decide(&endpoints, service, |known| {
             let is_usable = |versions: &VersionFilter| {
                 endpoints.has_ready(service, versions, &retry_state.excluded)
--- a/crates/masticsill_relay/src/stream.rs
+++ b/crates/masticsill_relay/src/stream.rs
@@ -134,6 +134,7 @@
 
     /// Relays until the stream is complete or given up.
     pub(crate) async fn run(mut self) -> StreamEnd {
+        self.note_continuation();
         let mut next = self.open_next(None).await;
         let obstacle = loop {
             let NextAttempt { from_copy, attempt } = match next {
@@ -195,6 +196,22 @@
         }
     }
 
+    /// Logs that the caller continues a stream of an earlier attempt.
+    fn note_continuation(&self) {
+        let names = &self.relay.config.headers;
+        if !self.request.is_continuation(names) {
+            return;
+        }
+        self.relay.metrics.streams_continued.inc();
+        log_event!(
+            info,
+            events::STREAM_CONTINUED,
+            request = self.request.id,
+            first_attempt = self.request.continued_attempt(names).unwrap_or_default(),
+            after_event = self.order.last().unwrap_or_default()
+        );
+    }
+
     /// Chooses the endpoint on which the stream resumes, and connects to it. `silent_endpoint` is
     /// the engine of a silent run that is kept open meanwhile.
     ///
--- a/crates/masticsill_relay/src/stream/run.rs
+++ b/crates/masticsill_relay/src/stream/run.rs
@@ -99,6 +99,7 @@
             request = self.request.id,
             endpoint = endpoint.id,
             zone = endpoint.zone,
+            version = endpoint.version,
             after_event = self.order.last().unwrap_or_default(),
             from_copy = is_from_copy,
             sends = self.retry_state.sends
