A begun stream goes on only at the version that began it

What callers saw: answers with status 200 and all events whose second half another software version had generated.

Cause: after an engine failed, the relay went on at the holder of the copy or the cheapest engine. The version was looked at only where the settings enable roll-outs, and there it was a preference: once the side had no usable endpoint, after three failed connections, or after a wait in the queue the stream moved to the other side. "Side" also meant every version but the target, so that two versions without an order counted as one.

Change: the first event that a caller gets binds its stream to the version of that run, in every deployment (VersionBinding::Required). Only endpoints of this version are chosen, reserved, waited for and given copies, and the version is compared once more when the connection stands. If none is left, the stream ends at once, and a queued one leaves the queue. Requests of which the caller has nothing move as before.

--- a/crates/masticsill_bench/src/lookups/play.rs
+++ b/crates/masticsill_bench/src/lookups/play.rs
@@ -200,6 +200,9 @@
             let ended = entry.next_end(self.now, &mut self.random);
             match ended {
                 None => return,
+                Some(WaitOutcome::NoEndpoint(_)) => {
+                    unreachable!("no request requires a version")
+                }
                 Some(WaitOutcome::Refuse(ticket, overload)) => {
                     if let Some(caller) = entry.waiting.swap_remove(&ticket) {
                         self.refuse(caller, overload.retry_after_ms);
--- a/crates/masticsill_bench/src/overload/play.rs
+++ b/crates/masticsill_bench/src/overload/play.rs
@@ -353,8 +353,8 @@
     }
 
     fn end_wait(&mut self, entry: usize, ended: &WaitOutcome) {
-        let (WaitOutcome::Refuse(ticket, _) | WaitOutcome::Send(ticket, _)) = ended;
-        let Some(request) = self.entries[entry].waiting.swap_remove(ticket) else {
+        let ticket = ended.ticket();
+        let Some(request) = self.entries[entry].waiting.swap_remove(&ticket) else {
             return;
         };
         match ended {
@@ -367,6 +367,7 @@
                 };
                 self.refuse(request, came_at, *retry_after_ms);
             }
+            WaitOutcome::NoEndpoint(_) => unreachable!("no request requires a version"),
             WaitOutcome::Send(_, choice) => self.send(request, &choice.id),
         }
     }
--- a/crates/masticsill_dispatch/src/dispatcher.rs
+++ b/crates/masticsill_dispatch/src/dispatcher.rs
@@ -9,7 +9,7 @@
 
 use indexmap::IndexMap;
 use masticsill_registry::EndpointId;
-use masticsill_rollout::{ANY_VERSION, VersionFilter};
+use masticsill_rollout::{ANY_VERSION, VersionBinding, VersionFilter};
 use masticsill_types::ClockMs;
 
 use crate::capacity::{Contention, EntryPosition, has_capacity};
@@ -49,7 +49,7 @@
 impl DispatchContext<'_> {
     /// The versions that a queued request may be sent to at present.
     fn versions_of<'a>(&'a self, requirements: &'a Requirements) -> &'a VersionFilter {
-        if requirements.versions.is_fixed {
+        if requirements.versions.binding != VersionBinding::Unbound {
             return &requirements.versions.allowed;
         }
         let mut listed = self.queue_versions.iter();
@@ -74,12 +74,24 @@
 /// The outcome of a queued request's wait.
 #[derive(Clone, Debug, PartialEq)]
 pub enum WaitOutcome {
+    /// No endpoint of the version that the request requires is left.
+    NoEndpoint(Ticket),
     /// The request is refused: it can't be answered in time any more.
     Refuse(Ticket, Overload),
     /// The request is sent to the chosen endpoint.
     Send(Ticket, Choice),
 }
 
+impl WaitOutcome {
+    /// The ticket of the queued request.
+    #[must_use]
+    pub fn ticket(&self) -> Ticket {
+        match self {
+            Self::NoEndpoint(ticket) | Self::Refuse(ticket, _) | Self::Send(ticket, _) => *ticket,
+        }
+    }
+}
+
 /// The queues of this entry, one per service.
 #[derive(Clone, Debug, Default)]
 pub struct Dispatcher {
@@ -214,6 +226,9 @@
         mut jitter: impl FnMut() -> f64,
     ) -> Option<WaitOutcome> {
         for queue in self.queues.values_mut().filter(|queue| !queue.is_empty()) {
+            if let Some(waiting) = take_unservable(queue, table) {
+                return Some(WaitOutcome::NoEndpoint(waiting.ticket));
+            }
             if let Some(waiting) = take_expired(queue, now, table, context.entry.entries) {
                 queue.note_refusal(now, waiting.terms.priority);
                 let ahead = queue.ahead_of(waiting.place());
@@ -298,8 +313,9 @@
         if let Some(choice) = choice {
             return Some((waiting.ticket, choice));
         }
-        let is_bound_to_side = requirements.versions.is_fixed && !versions.is_unrestricted();
-        if requirements.excluded.is_empty() && !is_bound_to_side {
+        let is_bound = requirements.versions.binding != VersionBinding::Unbound;
+        let is_bound = is_bound && !versions.is_unrestricted();
+        if requirements.excluded.is_empty() && !is_bound {
             return None;
         }
     }
@@ -333,14 +349,16 @@
     choose(table, now, request, is_available, jitter)
 }
 
-/// The versions, or any if no endpoint of theirs is registered as ready: they may have been stopped
-/// while the request waited.
+/// The versions, or any if no endpoint of theirs is registered as ready and the request does not
+/// require them: they may have been stopped while the request waited.
 fn or_any<'a>(
     table: &EndpointTable,
     requirements: &Requirements,
     versions: &'a VersionFilter,
 ) -> &'a VersionFilter {
-    if versions.is_unrestricted() || table.has_ready(&requirements.service, versions, &[]) {
+    let is_required = requirements.versions.binding == VersionBinding::Required;
+    let is_kept = is_required || versions.is_unrestricted();
+    if is_kept || table.has_ready(&requirements.service, versions, &[]) {
         versions
     } else {
         &ANY_VERSION
@@ -400,6 +418,20 @@
     now + table.acceptance_wait_ms(now, &requirements.service, ahead) < terms.deadline_at
 }
 
+/// Removes the first queued request that requires a version without a ready endpoint.
+fn take_unservable(queue: &mut ServiceQueue, table: &EndpointTable) -> Option<QueuedRequest> {
+    let is_unservable = |waiting: &&QueuedRequest| {
+        let Requirements {
+            service, versions, ..
+        } = &waiting.requirements;
+        let is_required = versions.binding == VersionBinding::Required;
+        is_required && !table.has_ready(service, &versions.allowed, &[])
+    };
+    let unservable = queue.in_order().into_iter().find(is_unservable);
+    let ticket = unservable.map(|it| it.ticket)?;
+    queue.take(ticket)
+}
+
 /// Removes the first queued request that can't be served in time.
 ///
 /// Each request is checked against the latest estimates once it has waited for the commit delay,
--- a/crates/masticsill_relay/src/attempt.rs
+++ b/crates/masticsill_relay/src/attempt.rs
@@ -209,7 +209,7 @@
         }
     };
     // With the failed connections that led to this endpoint, which are forgotten next.
-    let may_use_version = relay.may_use_version(request, retry_state, &endpoint.version);
+    let may_use_version = relay.may_use_version(request, retry_state, &endpoint);
     retry_state.note_connected();
     let attempt = Attempt {
         progress: RunProgress {
--- a/crates/masticsill_relay/src/dispatch_queue.rs
+++ b/crates/masticsill_relay/src/dispatch_queue.rs
@@ -148,6 +148,11 @@
 
 fn end_wait(relay: &Rc<Relay>, ended: WaitOutcome) {
     let (ticket, choice) = match ended {
+        WaitOutcome::NoEndpoint(ticket) => {
+            // The waiting task learns of it from the dropped sender.
+            relay.waiters.borrow_mut().swap_remove(&ticket);
+            return;
+        }
         WaitOutcome::Refuse(ticket, overload) => {
             if let Some(waiter) = relay.waiters.borrow_mut().swap_remove(&ticket) {
                 // The send fails only if the caller has just disconnected.
--- a/crates/masticsill_relay/src/endpoint_choice.rs
+++ b/crates/masticsill_relay/src/endpoint_choice.rs
@@ -9,6 +9,7 @@
     has_memory_for_copy, suspect_zones,
 };
 use masticsill_registry::{Announcement, EndpointId};
+use masticsill_rollout::{VersionChoice, VersionFilter};
 use masticsill_types::{ZoneId, log_event};
 use tokio::time::Instant;
 
@@ -39,7 +40,8 @@
         if !engine.supports_kv_backup || !request.route.is_resumable {
             return None;
         }
-        let versions = self.copy_versions(running);
+        // An engine of another version can't resume from the copy.
+        let versions = VersionFilter::from(VersionChoice::Only(running.version.clone()));
         let endpoints = self.endpoints.borrow();
         let closed = self.full_endpoints(&endpoints, &request.service);
         let wanted = PlacementRequest {
@@ -75,7 +77,7 @@
         retry_state: &RetryState,
         is_resume: bool,
     ) -> Dispatched {
-        let mut need = self.need_of(request, retry_state, is_resume).await;
+        let mut need = self.need_of(request, retry_state).await;
         let terms = terms_of(request, is_resume);
         let is_first = retry_state.excluded.is_empty();
         let discovery_wait_ms = request.left_ms(self.now()) / DISCOVERY_WAIT_DIVISOR;
@@ -98,7 +100,7 @@
             lists.push(Vec::new());
             for exclusions in lists {
                 // The versions may have changed during a wait.
-                need.versions = self.versions_for(request, retry_state, is_resume);
+                need.versions = self.versions_for(request, retry_state);
                 need.excluded = [retry_state.excluded.as_slice(), &exclusions].concat();
                 dispatched = dispatch(self, request, &need, &terms).await;
                 if !matches!(dispatched, Dispatched::NoEndpoint) {
@@ -136,10 +138,9 @@
         self: &Rc<Self>,
         request: &RelayRequest,
         retry_state: &RetryState,
-        is_resume: bool,
     ) -> Requirements {
         let names = &self.config.headers;
-        let versions = self.versions_for(request, retry_state, is_resume);
+        let versions = self.versions_for(request, retry_state);
         let (kept, place) = match request.route.kind {
             RouteKind::Stream => {
                 // Boxed, because otherwise the future of every request would contain both queries.
--- a/crates/masticsill_relay/src/response.rs
+++ b/crates/masticsill_relay/src/response.rs
@@ -98,6 +98,11 @@
     Stopping,
     /// The API key belongs to no workspace.
     UnknownKey,
+    /// The version that began the stream has no endpoint left, and the request did not run.
+    VersionGone {
+        /// When the caller should retry, in milliseconds.
+        retry_after_ms: u64,
+    },
 }
 
 impl Refusal {
@@ -111,7 +116,8 @@
             | Self::NoEndpoint
             | Self::Overloaded { .. }
             | Self::Quarantined { .. }
-            | Self::Stopping => 503,
+            | Self::Stopping
+            | Self::VersionGone { .. } => 503,
             Self::HeadTooLong => 431,
             Self::Malformed => 400,
             Self::SlowHead => 408,
@@ -124,9 +130,9 @@
         match self {
             Self::DeadlineBeforeSend | Self::NoEndpoint => Some(BUSY_RETRY_AFTER_MS),
             Self::NoDocument => Some(NO_DOCUMENT_RETRY_AFTER_MS),
-            Self::Overloaded { retry_after_ms } | Self::Quarantined { retry_after_ms } => {
-                Some(retry_after_ms)
-            }
+            Self::Overloaded { retry_after_ms }
+            | Self::Quarantined { retry_after_ms }
+            | Self::VersionGone { retry_after_ms } => Some(retry_after_ms),
             Self::Stopping => Some(STOPPING_RETRY_AFTER_MS),
             Self::BodyTooLong
             | Self::Broken
@@ -156,6 +162,7 @@
             Self::Quarantined { .. } => "quarantined",
             Self::Stopping => "stopping",
             Self::UnknownKey => "unknown_key",
+            Self::VersionGone { .. } => "version_gone",
         }
     }
 
@@ -179,6 +186,9 @@
             }
             Self::Stopping => "this instance is shutting down; the request has not run\n",
             Self::UnknownKey => "the API key belongs to no workspace\n",
+            Self::VersionGone { .. } => {
+                "the version that began this stream is gone; it has not run, start it anew\n"
+            }
         }
     }
 }
--- a/crates/masticsill_relay/src/retry_state.rs
+++ b/crates/masticsill_relay/src/retry_state.rs
@@ -55,6 +55,8 @@
     Quarantined,
     /// The chosen endpoint could not be connected to.
     Unreachable,
+    /// No endpoint of the version that began the stream is left.
+    VersionGone,
     /// The chosen endpoint has asked for rest, or begun to leave, since it was chosen.
     Withdrawn,
 }
@@ -74,6 +76,7 @@
             Self::Overloaded => "overloaded",
             Self::Quarantined => "quarantined",
             Self::Unreachable => "unreached",
+            Self::VersionGone => "version_gone",
             Self::Withdrawn => "withdrawn",
         }
     }
@@ -94,7 +97,8 @@
             | Self::Attempts
             | Self::Deadline
             | Self::MayNotRepeat
-            | Self::Quarantined => false,
+            | Self::Quarantined
+            | Self::VersionGone => false,
         }
     }
 }
@@ -128,6 +132,8 @@
     pauses: u32,
     /// Attempts that count against the route's maximum.
     pub(crate) sends: u32,
+    /// The version that wrote the events of the stream that the caller has.
+    stream_version: Option<String>,
     /// A random number between 0 and 1 that decides for all attempts which version the request is
     /// drawn for.
     version_draw: OnceCell<f64>,
@@ -222,6 +228,18 @@
         first_version.filter(|_| self.may_have_run)
     }
 
+    /// Records the version that wrote the events of the stream that the caller has. Only the first
+    /// one counts.
+    pub(crate) fn note_stream_version(&mut self, version: &str) {
+        let stream_version = &mut self.stream_version;
+        stream_version.get_or_insert_with(|| version.to_owned());
+    }
+
+    /// The version that wrote the events of the stream that the caller has; none without events.
+    pub(crate) fn stream_version(&self) -> Option<&str> {
+        self.stream_version.as_deref()
+    }
+
     /// Records that a connection was established.
     pub(crate) fn note_connected(&mut self) {
         self.dials_failed = 0;
@@ -267,6 +285,9 @@
         if self.may_have_run && !request.route.may_repeat() {
             return Err(Obstacle::MayNotRepeat);
         }
+        if !relay.has_stream_version(request, self) {
+            return Err(Obstacle::VersionGone);
+        }
         if self.excluded.len() >= MAX_FAILED_DIALS {
             return Err(Obstacle::Dials);
         }
--- a/crates/masticsill_relay/src/rollouts.rs
+++ b/crates/masticsill_relay/src/rollouts.rs
@@ -336,14 +336,18 @@
         }
     }
 
-    /// The versions that a request may be sent to now. `is_begun` says whether its caller has a
-    /// part of the answer.
+    /// The versions that a request may be sent to now.
+    ///
+    /// What two versions generate does not fit together, so that a stream of which the caller has
+    /// events is bound to their version, whatever the roll-outs say.
     pub(crate) fn versions_for(
         &self,
         request: &RelayRequest,
         retry_state: &RetryState,
-        is_begun: bool,
     ) -> RequestVersions {
+        if let Some(version) = retry_state.stream_version() {
+            return RequestVersions::of_begun_stream(version);
+        }
         let Some(rollouts) = &self.rollouts else {
             return RequestVersions::default();
         };
@@ -351,58 +355,56 @@
         let endpoints = self.endpoints.borrow();
         let service = &request.service;
         let failed_dials = retry_state.failed_dials();
-        let is_continued = || request.is_continuation(&self.config.headers);
         let decided = rollouts.decide(&endpoints, service, |known| {
             let is_usable = |versions: &VersionFilter| {
                 endpoints.has_ready(service, versions, &retry_state.excluded)
             };
             let Some(first_version) = retry_state.first_version() else {
-                let continued = is_continued().then(|| known.for_continued(is_usable));
-                let new = || known.for_new(now, retry_state.version_draw(), failed_dials);
-                return continued.flatten().unwrap_or_else(new);
+                return known.for_new(now, retry_state.version_draw(), failed_dials);
             };
             let started = StartedRequest {
                 failed_dials,
                 first_version,
-                is_begun,
             };
             known.for_started(now, &started, is_usable)
         });
         decided.unwrap_or_default()
     }
 
-    /// Whether a request that was assigned an endpoint of a version may still be sent there. The
-    /// relay may have been frozen since.
+    /// Whether a request that was assigned an endpoint may still be sent there. The relay may have
+    /// been frozen since, or the endpoint may have restarted with another version.
     pub(crate) fn may_use_version(
         &self,
         request: &RelayRequest,
         retry_state: &RetryState,
-        version: &str,
+        endpoint: &Announcement,
     ) -> bool {
+        if let Some(version) = retry_state.stream_version() {
+            let endpoints = self.endpoints.borrow();
+            let current = endpoints.get(&endpoint.id);
+            return current.is_some_and(|it| it.announcement.version == version);
+        }
         if self.rollouts.is_none() || retry_state.first_version().is_some() {
             return true;
         }
-        let versions = self.versions_for(request, retry_state, false);
+        let versions = self.versions_for(request, retry_state);
         let drawn = versions.drawn;
+        let version = &endpoint.version;
         versions.allowed.allows(version) || drawn.is_some_and(|it| it.allows(version))
     }
 
-    /// The versions of the engines that may hold a copy of a run.
-    pub(crate) fn copy_versions(&self, running: &Announcement) -> VersionFilter {
-        let Some(rollouts) = &self.rollouts else {
-            return VersionFilter::ANY;
-        };
-        let run = StartedRequest {
-            failed_dials: 0,
-            first_version: &running.version,
-            is_begun: true,
+    /// Whether the version that began a stream still has an endpoint; true for any other request.
+    pub(crate) fn has_stream_version(
+        &self,
+        request: &RelayRequest,
+        retry_state: &RetryState,
+    ) -> bool {
+        let Some(version) = retry_state.stream_version() else {
+            return true;
         };
+        let versions = RequestVersions::of_begun_stream(version).allowed;
         let endpoints = self.endpoints.borrow();
-        let decided = rollouts.decide(&endpoints, &running.service, |known| {
-            // A copy at the other side would be of no use.
-            known.for_started(self.now(), &run, |_| true).allowed
-        });
-        decided.unwrap_or_default()
+        endpoints.has_ready(&request.service, &versions, &[])
     }
 
     /// The versions that queued requests of the services may be sent to, for services with several.
--- a/crates/masticsill_relay/src/stream.rs
+++ b/crates/masticsill_relay/src/stream.rs
@@ -182,7 +182,13 @@
                 RunEnd::Replaced(next) => Ok(*next),
             };
         };
-        let refusal = self.retry_state.refusal(self.relay, self.request);
+        let refusal = match obstacle {
+            // No retry within the caller's time could succeed.
+            Obstacle::VersionGone if !self.retry_state.may_have_run => Refusal::VersionGone {
+                retry_after_ms: self.request.left_ms(self.relay.now()),
+            },
+            _ => self.retry_state.refusal(self.relay, self.request),
+        };
         if self.is_head_written {
             StreamEnd::BrokenOff(BrokenOff {
                 delivered: self.delivered,
--- a/crates/masticsill_relay/src/stream/run.rs
+++ b/crates/masticsill_relay/src/stream/run.rs
@@ -206,7 +206,11 @@
                     self.relay.record_received(&endpoint.id);
                     let gap_ms = self.relay.now().since(last_event_at);
                     splitter.push(&piece);
-                    match self.forward_complete_events(&mut splitter, head).await {
+                    let forwarded = self.forward_complete_events(&mut splitter, head).await;
+                    if self.delivered > 0 {
+                        self.retry_state.note_stream_version(&endpoint.version);
+                    }
+                    match forwarded {
                         Ok(true) => {
                             self.reached_ms = attempt.note_event();
                             self.relay.note_progress(self.request, self.reached_ms);
--- a/crates/masticsill_rollout/src/lib.rs
+++ b/crates/masticsill_rollout/src/lib.rs
@@ -26,5 +26,5 @@
 pub use service_versions::{KnownVersion, ServiceVersions, StartedRequest};
 pub use step::{Phase, RollbackCause, Rollout, RolloutState, RolloutStep};
 pub use table::Rollouts;
-pub use version_filter::{ANY_VERSION, RequestVersions, VersionFilter};
+pub use version_filter::{ANY_VERSION, RequestVersions, VersionBinding, VersionFilter};
 pub use version_rule::{ServingRollout, VersionChoice, VersionRule};
--- a/crates/masticsill_rollout/src/service_versions.rs
+++ b/crates/masticsill_rollout/src/service_versions.rs
@@ -8,7 +8,7 @@
 
 use masticsill_types::ClockMs;
 
-use crate::version_filter::{RequestVersions, VersionFilter};
+use crate::version_filter::{RequestVersions, VersionBinding, VersionFilter};
 use crate::version_rule::{VersionChoice, VersionRule};
 
 /// Versions first seen within this time of each other may have existed before an entry started: it
@@ -30,15 +30,13 @@
     pub version: String,
 }
 
-/// A request that may have run.
+/// A request that may have run, and of which the caller has nothing yet.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StartedRequest<'a> {
     /// Connections to endpoints that failed since the last one that succeeded.
     pub failed_dials: u32,
     /// The version of the endpoint that ran it first.
     pub first_version: &'a str,
-    /// Whether its caller has a part of the answer.
-    pub is_begun: bool,
 }
 
 /// What an entry knows of the versions of one service.
@@ -79,7 +77,7 @@
         RequestVersions {
             allowed,
             drawn: (is_drawn && has_target).then(|| choice.into()),
-            is_fixed: false,
+            binding: VersionBinding::Unbound,
         }
     }
 
@@ -95,8 +93,7 @@
     /// Versions for a request that may have run: those of the side that ran it first, unless that
     /// side has no usable endpoint left. `is_usable` tells whether a filter has one.
     ///
-    /// A request of which the caller has nothing yet doesn't stay on a target that takes no new
-    /// requests any more, or may not.
+    /// The request doesn't stay on a target that takes no new requests any more, or may not.
     #[must_use]
     pub fn for_started(
         &self,
@@ -104,15 +101,13 @@
         request: &StartedRequest<'_>,
         is_usable: impl Fn(&VersionFilter) -> bool,
     ) -> RequestVersions {
-        let fixed = |allowed| RequestVersions {
+        let preferred = |allowed| RequestVersions {
             allowed,
             drawn: None,
-            is_fixed: true,
+            binding: VersionBinding::Preferred,
         };
         let side = match self.rule {
-            Some(rule)
-                if rule.target() != request.first_version || !self.keeps_target(now, request) =>
-            {
+            Some(rule) if rule.target() != request.first_version || !rule.is_target_open(now) => {
                 VersionChoice::Except(rule.target().to_owned())
             }
             Some(_) | None => VersionChoice::Only(request.first_version.to_owned()),
@@ -123,42 +118,16 @@
         let is_stopped = may_be_stopped && request.failed_dials >= MAX_SIDE_DIALS;
         let side = VersionFilter::from(side);
         if is_usable(&side) && !is_stopped {
-            return fixed(side);
+            return preferred(side);
         }
         let other = self.for_waiting(now);
         if is_usable(&other) && !is_stopped {
-            fixed(other)
+            preferred(other)
         } else {
-            fixed(VersionFilter::ANY)
+            preferred(VersionFilter::ANY)
         }
     }
 
-    /// Versions for a stream of which the caller already has a part from another entry; none if
-    /// they are those of a new request.
-    ///
-    /// The version of that part is unknown. While a roll-out is in progress, it is most likely an
-    /// old one: the target has a small share of the requests or has had all of them only since the
-    /// last few seconds.
-    #[must_use]
-    pub fn for_continued(
-        &self,
-        is_usable: impl Fn(&VersionFilter) -> bool,
-    ) -> Option<RequestVersions> {
-        let rule = self.rule.filter(|rule| !rule.is_ended())?;
-        let old = VersionFilter::from(VersionChoice::Except(rule.target().to_owned()));
-        is_usable(&old).then_some(RequestVersions {
-            allowed: old,
-            drawn: None,
-            is_fixed: true,
-        })
-    }
-
-    /// Whether a request that ran on the target may run there again.
-    fn keeps_target(&self, now: ClockMs, request: &StartedRequest<'_>) -> bool {
-        let is_open = self.rule.is_some_and(|rule| rule.is_target_open(now));
-        request.is_begun || is_open
-    }
-
     /// The versions of a choice without those to be held back. If none of them has a ready
     /// endpoint, all versions: the old endpoints stop when a roll-out is completed, and this entry
     /// may not have learned of that yet.
--- a/crates/masticsill_rollout/src/version_filter.rs
+++ b/crates/masticsill_rollout/src/version_filter.rs
@@ -55,7 +55,31 @@
     /// The versions that the request was drawn for, none of which are allowed ones. If none of their endpoints has capacity, it is
     /// sent to an allowed one.
     pub drawn: Option<VersionFilter>,
-    /// Whether the request has already run on the allowed side, so that it waits for this side
-    /// even if new requests go elsewhere meanwhile.
-    pub is_fixed: bool,
+    /// How strictly the request is bound to the allowed versions.
+    pub binding: VersionBinding,
+}
+
+impl RequestVersions {
+    /// The versions for a stream of which the caller has events that `version` wrote.
+    #[must_use]
+    pub fn of_begun_stream(version: &str) -> Self {
+        Self {
+            allowed: VersionChoice::Only(version.to_owned()).into(),
+            drawn: None,
+            binding: VersionBinding::Required,
+        }
+    }
+}
+
+/// How strictly a request is bound to the versions that it may be sent to.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
+pub enum VersionBinding {
+    /// The request follows the versions that new requests may be sent to.
+    #[default]
+    Unbound,
+    /// The request may have run on the allowed versions, and waits for them while they have
+    /// endpoints.
+    Preferred,
+    /// The caller has events of the allowed version, and no other version can continue them.
+    Required,
 }
