A stream that its caller continues at another relay goes on at the version that began it

What callers saw: a stream cut by the end of its relay went on, after they came back, with events of another version.

Cause: the attempt with which a caller continues a stream was placed like a new one. The relay that had begun it knew the version, and nobody else did; with roll-outs it was guessed to be an old one.

Change: with the first event a relay records service and version under the caller's attempt, tells a control replica of its zone and one of another (again when they restart or change), and a relay that a caller comes back to looks it up by the attempt that Resumes names: at itself, then at all replicas. Without a record a stream goes on only if every known replica has replied and they know of one version alone, ended endpoints included; these are kept on disk now, as versions outlive their endpoints. Otherwise it is refused as not run: at once if no replica can know more, else after a tenth of its time. A stream that goes on waits for its version as a resume within an answer does, and before new ones.

Weighed: versions drawn by a hash of the attempt's id (no state, but the versions change while a stream runs); asking the other relays (the one that began it has mostly ended); the replicated log (17,000 entries a second at the aimed-at size).

--- a/crates/masticsill_control/src/endpoints/hub.rs
+++ b/crates/masticsill_control/src/endpoints/hub.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use masticsill_registry::{
-    Announcement, CacheUpdate, CachedTokens, EndpointId, EndpointLoad, EndpointRecord,
-    EndpointState, EngineReservationRequest, HeartbeatAge, LoadsChange, PromptCacheIndex,
-    PromptPart, Registry, RegistryTimeouts, Watcher, WatcherTable,
+    Announcement, AttemptKey, CacheUpdate, CachedTokens, EndpointId, EndpointLoad, EndpointRecord,
+    EndpointState, EngineReservationRequest, HeartbeatAge, LoadsChange, OriginReply,
+    PromptCacheIndex, PromptPart, Registry, RegistryTimeouts, StreamOrigins, StreamRecord, Watcher,
+    WatcherTable,
 };
 use masticsill_rollout::{Rollout, Rollouts, ServingRollout};
 use masticsill_types::{MonotonicClock, NodeId, ZoneId, log_event};
@@ -53,6 +54,7 @@
     loads: watch::Sender<u64>,
     registry: Mutex<Registry>,
     revision: watch::Sender<u64>,
+    streams: Mutex<StreamOrigins>,
     suspects: Suspects,
     unreadable: UnreadableMessages,
     watchers: Mutex<WatcherTable>,
@@ -94,6 +96,7 @@
             loads: watch::Sender::new(0),
             registry: Mutex::new(Registry::new(periods)),
             revision: watch::Sender::new(0),
+            streams: Mutex::default(),
             suspects: Suspects::new(clock),
             unreadable,
             watchers: Mutex::default(),
@@ -340,6 +343,31 @@
         self.notify_loads_change(change);
     }
 
+    /// Records the origins of streams that an entry has begun.
+    pub(crate) fn record_stream_origins(&self, records: &[StreamRecord]) {
+        let now = self.shared.clock.now();
+        let mut streams = self.streams();
+        for record in records {
+            streams.record(now, record);
+        }
+    }
+
+    /// What is known here of the origin of a stream.
+    pub(crate) fn find_stream_origin(
+        &self,
+        service: &str,
+        attempt: Option<AttemptKey>,
+    ) -> OriginReply {
+        let now = self.shared.clock.now();
+        let origin = attempt.and_then(|attempt| self.streams().find(now, &attempt).cloned());
+        let registry = self.registry();
+        OriginReply {
+            origin,
+            versions: registry.versions_of(service),
+            versions_kept_ms: registry.forget_ms(),
+        }
+    }
+
     /// Reserves a slot at an engine of this zone; returns the engine with the other watchers' load
     /// there, or `None` if no engine can be reserved.
     pub(crate) fn reserve_engine(
@@ -533,6 +561,11 @@
         registry.unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn streams(&self) -> MutexGuard<'_, StreamOrigins> {
+        let streams = self.shared.streams.lock();
+        streams.unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn prompt_cache(&self) -> MutexGuard<'_, PromptCacheIndex> {
         let prompt_cache = self.shared.prompt_cache.lock();
         prompt_cache.unwrap_or_else(PoisonError::into_inner)
--- a/crates/masticsill_control/src/endpoints/persistence.rs
+++ b/crates/masticsill_control/src/endpoints/persistence.rs
@@ -41,7 +41,7 @@
 /// The records that are kept over a restart of this replica.
 #[derive(Default, Deserialize, Serialize)]
 pub(crate) struct PersistedEndpoints {
-    /// Endpoints that have not ended.
+    /// The endpoints, including ended ones that are retained: their versions may have begun streams.
     pub(crate) endpoints: Vec<EndpointRecord>,
     /// Requests during which endpoints crashed, with their ages at the time of writing.
     pub(crate) suspects: Vec<RequestRecord>,
@@ -90,7 +90,7 @@
             () = ended.requested() => return,
         }
         let persisted = PersistedEndpoints {
-            endpoints: endpoints.records(),
+            endpoints: endpoints.all_records(),
             suspects: endpoints.suspects().broadcast_since(0),
         };
         if let Err(error) = write(&folder, persisted) {
--- a/crates/masticsill_control/src/forwarder/service.rs
+++ b/crates/masticsill_control/src/forwarder/service.rs
@@ -10,8 +10,8 @@
 use masticsill_quarantine::RequestRecord;
 use masticsill_quorum::FoundingReservation;
 use masticsill_registry::{
-    Announcement, CachedTokens, EndpointId, EndpointLoad, EngineReservationRequest, PromptPart,
-    Watcher,
+    Announcement, AttemptKey, CachedTokens, EndpointId, EndpointLoad, EngineReservationRequest,
+    OriginReply, PromptPart, StreamRecord, Watcher,
 };
 use masticsill_rollout::EvidenceReport;
 use masticsill_types::{CatalogueVersion, MonotonicClock, NodeId, ZoneId};
@@ -157,6 +157,12 @@
 
     async fn tell_crashes(self, _: Context, _: Vec<RequestRecord>) {}
 
+    async fn tell_stream_origins(self, _: Context, _: Vec<StreamRecord>) {}
+
+    async fn find_stream_origin(self, _: Context, _: String, _: Option<AttemptKey>) -> OriginReply {
+        OriginReply::default()
+    }
+
     async fn tell_rollout_evidence(self, _: Context, _: Vec<EvidenceReport>) {}
 
     async fn find_kept(self, _: Context, _: Vec<PromptPart>) -> Vec<CachedTokens> {
--- a/crates/masticsill_control/src/rpc/service.rs
+++ b/crates/masticsill_control/src/rpc/service.rs
@@ -11,8 +11,8 @@
 use masticsill_quarantine::RequestRecord;
 use masticsill_quorum::{FoundingReservation, VoterId, decode_message};
 use masticsill_registry::{
-    Announcement, CachedTokens, EndpointId, EndpointLoad, EngineReservationRequest, PromptPart,
-    Watcher,
+    Announcement, AttemptKey, CachedTokens, EndpointId, EndpointLoad, EngineReservationRequest,
+    OriginReply, PromptPart, StreamRecord, Watcher,
 };
 use masticsill_rollout::EvidenceReport;
 use masticsill_types::{MonotonicClock, NodeId, log_event};
@@ -310,6 +310,19 @@
         self.endpoints.suspects().merge(&records);
     }
 
+    async fn tell_stream_origins(self, _: Context, streams: Vec<StreamRecord>) {
+        self.endpoints.record_stream_origins(&streams);
+    }
+
+    async fn find_stream_origin(
+        self,
+        _: Context,
+        service: String,
+        attempt: Option<AttemptKey>,
+    ) -> OriginReply {
+        self.endpoints.find_stream_origin(&service, attempt)
+    }
+
     async fn tell_rollout_evidence(self, _: Context, reports: Vec<EvidenceReport>) {
         let now = self.clock.now();
         let (rollouts, _) = self.published.rollouts(now, self.lease_ms);
--- a/crates/masticsill_control_client/src/client.rs
+++ b/crates/masticsill_control_client/src/client.rs
@@ -10,8 +10,8 @@
 };
 use masticsill_quarantine::RequestRecord;
 use masticsill_registry::{
-    Announcement, CachedTokens, EndpointId, EndpointLoad, EngineReservationRequest, PromptPart,
-    Watcher,
+    Announcement, AttemptKey, CachedTokens, EndpointId, EndpointLoad, EngineReservationRequest,
+    OriginReply, PromptPart, StreamRecord, Watcher,
 };
 use masticsill_rollout::EvidenceReport;
 use masticsill_types::NodeId;
@@ -261,6 +261,32 @@
         self.call_once(address, send).await.is_some()
     }
 
+    /// Sends the replica at an address the origins of streams; returns whether the replica received
+    /// them.
+    pub async fn tell_stream_origins(&self, address: SocketAddr, streams: &[StreamRecord]) -> bool {
+        let send = async |client: ControlServiceClient, context| {
+            client.tell_stream_origins(context, streams.to_vec()).await
+        };
+        self.call_once(address, send).await.is_some()
+    }
+
+    /// Asks the replica at an address where a stream of a service began; `None` when it does not
+    /// answer within `timeout_ms`.
+    pub async fn find_stream_origin(
+        &self,
+        address: SocketAddr,
+        service: &str,
+        attempt: Option<AttemptKey>,
+        timeout_ms: u64,
+    ) -> Option<OriginReply> {
+        let send = async |client: ControlServiceClient, context| {
+            client
+                .find_stream_origin(context, service.to_owned(), attempt)
+                .await
+        };
+        self.try_within(address, timeout_ms, &send).await
+    }
+
     /// Sends the replica at an address what this entry has seen of roll-outs in progress; returns
     /// whether the replica received it.
     pub async fn tell_rollout_evidence(
--- a/crates/masticsill_registry/src/lib.rs
+++ b/crates/masticsill_registry/src/lib.rs
@@ -17,6 +17,7 @@
 mod reservations;
 mod silence;
 mod stated_limits;
+mod stream_origins;
 mod watchers;
 
 pub use gauges::StateGauges;
@@ -27,4 +28,7 @@
 pub use record::{Announcement, EndpointRecord, EndpointState, HeartbeatAge};
 pub use registry::{Registry, RegistryTimeouts};
 pub use reservations::{EngineReservationRequest, is_zone_down};
+pub use stream_origins::{
+    AttemptKey, OriginEvidence, OriginReply, StreamOrigin, StreamOrigins, StreamRecord,
+};
 pub use watchers::{EndpointLoad, LoadsChange, Watcher, WatcherTable};
--- a/crates/masticsill_registry/src/registry.rs
+++ b/crates/masticsill_registry/src/registry.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use masticsill_types::{ClockMs, ZoneId};
 
 use crate::id::EndpointId;
@@ -126,6 +126,20 @@
         self.tracked.get(name).map(|tracked| &tracked.record)
     }
 
+    /// The versions of a service's endpoints, including those of retained records that have ended.
+    #[must_use]
+    pub fn versions_of(&self, service: &str) -> IndexSet<String> {
+        let announcements = self.records().map(|record| &record.announcement);
+        let of_service = announcements.filter(|it| it.service == service);
+        of_service.map(|it| it.version.clone()).collect()
+    }
+
+    /// How long ended endpoints are retained, in milliseconds.
+    #[must_use]
+    pub fn forget_ms(&self) -> u64 {
+        self.timeouts.forget_ms
+    }
+
     /// Records that changed after a revision.
     #[must_use]
     pub fn changes_since(&self, revision: u64) -> Vec<EndpointRecord> {
--- a/crates/masticsill_relay/src/connection.rs
+++ b/crates/masticsill_relay/src/connection.rs
@@ -23,6 +23,7 @@
 };
 use crate::response::Refusal;
 use crate::stream::StreamRelay;
+use crate::stream_origins::find_origin;
 
 /// Serves a connection until either side closes it.
 pub(crate) async fn serve_connection(relay: Rc<Relay>, stream: TcpStream) {
@@ -125,7 +126,7 @@
             let end = relay_plain(relay, &request).await;
             end_plain(relay, writer, &request, end).await
         }
-        RouteKind::Stream => answer_stream(relay, writer, &request).await,
+        RouteKind::Stream => answer_stream(relay, writer, request).await,
     }
 }
 
@@ -144,13 +145,26 @@
 async fn answer_stream(
     relay: &Rc<Relay>,
     writer: &mut OwnedWriteHalf,
-    request: &RelayRequest,
+    mut request: RelayRequest,
 ) -> ConnectionAction {
     if !relay.accepts_streams() {
-        return refuse(relay, writer, request, Refusal::Stopping).await;
+        return refuse(relay, writer, &request, Refusal::Stopping).await;
+    }
+    let origin = if request.is_continuation(&relay.config.headers) {
+        // Boxed, since few requests need it.
+        match Box::pin(find_origin(relay, &request)).await {
+            Ok(origin) => origin,
+            Err(refusal) => return refuse(relay, writer, &request, refusal).await,
+        }
+    } else {
+        None
+    };
+    if let Some(origin) = &origin {
+        request.service.clone_from(&origin.service);
     }
     let is_closing = !request.head.is_keep_alive || relay.stopping_since.get().is_some();
-    let stream = StreamRelay::new(relay, request, writer, is_closing);
+    let version = origin.map(|origin| origin.version);
+    let stream = StreamRelay::new(relay, &request, version, writer, is_closing);
     let end = stream.run().await;
-    end_stream(relay, writer, request, end, is_closing).await
+    end_stream(relay, writer, &request, end, is_closing).await
 }
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -23,6 +23,7 @@
 use crate::events;
 use crate::relay::Relay;
 use crate::statements::note_reports;
+use crate::stream_origins::report_stream_origins;
 use crate::suspects::{ReportedRevision, report_crashes};
 
 /// Maximum wait for a watch reply, in milliseconds.
@@ -109,6 +110,7 @@
     /// Records that a replica doesn't answer.
     fn note_lost(&self, address: SocketAddr) {
         self.relay.note_control_lost(&address);
+        self.relay.notify_stream_reporters();
         self.relay.note_rollouts_lost(&address);
         self.sources.send_modify(|sources| sources.remove(&address));
     }
@@ -169,6 +171,30 @@
     }
 }
 
+/// How far a control replica has been informed of what this relay records.
+struct Reports {
+    crashes: ReportedRevision,
+    streams: ReportedRevision,
+}
+
+impl Reports {
+    /// Starts to report to a replica, until the relay ends.
+    fn start(relay: &Rc<Relay>, address: SocketAddr) -> Self {
+        let (crashes, streams) = (ReportedRevision::default(), ReportedRevision::default());
+        spawn_local(report_crashes(Rc::clone(relay), address, crashes.clone()));
+        let reporting = report_stream_origins(Rc::clone(relay), address, streams.clone());
+        spawn_local(reporting);
+        Self { crashes, streams }
+    }
+
+    /// Reports everything again.
+    fn repeat(&self, relay: &Relay) {
+        self.crashes.reset();
+        self.streams.reset();
+        relay.notify_reporters();
+    }
+}
+
 /// Watches one replica until the relay ends.
 async fn watch_replica(discovery: Rc<Discovery>, address: SocketAddr) {
     let relay = Rc::clone(&discovery.relay);
@@ -190,8 +216,7 @@
         wait_ms: WATCH_TIMEOUT_MS,
         watcher: watcher.clone(),
     };
-    let reported = ReportedRevision::default();
-    spawn_local(report_crashes(Rc::clone(&relay), address, reported.clone()));
+    let reports = Reports::start(&relay, address);
     let mut is_reached = false;
     let mut is_own_zone = false;
     let mut zone = None;
@@ -218,7 +243,7 @@
                 address = address,
                 zone = reply.zone
             );
-            relay.notify_crash_reporters();
+            relay.notify_reporters();
         }
         is_reached = true;
         relay.record_control_reply();
@@ -226,6 +251,8 @@
             .control_reached
             .borrow_mut()
             .insert(address, reply.zone.clone());
+        let members = reply.members.iter().map(|(_, member)| *member).collect();
+        relay.control_members.borrow_mut().insert(address, members);
         relay
             .endpoints
             .borrow_mut()
@@ -248,8 +275,7 @@
         request.suspects_revision = reply.suspects_revision;
         if reply.registry != request.registry {
             // A restarted replica may have lost what was reported to it.
-            reported.reset();
-            relay.notify_crash_reporters();
+            reports.repeat(&relay);
         }
         request.registry = reply.registry;
         request.revision = reply.revision;
--- a/crates/masticsill_relay/src/lib.rs
+++ b/crates/masticsill_relay/src/lib.rs
@@ -41,6 +41,7 @@
 mod statements;
 mod stream;
 mod stream_durations;
+mod stream_origins;
 mod stream_timing;
 mod suspects;
 
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -16,7 +16,7 @@
     ZoneShare,
 };
 use masticsill_quarantine::{CrashLedger, Fingerprint};
-use masticsill_registry::{Announcement, EndpointId, Watcher};
+use masticsill_registry::{Announcement, EndpointId, StreamOrigins, Watcher};
 use masticsill_rollout::Reporter;
 use masticsill_runtime::ShutdownSignal;
 use masticsill_types::{ClockMs, MonotonicClock, NodeId, ZoneId, log_event};
@@ -74,6 +74,8 @@
     pub(crate) control: ControlClient,
     /// Control replicas whose last reply arrived, with their zones.
     pub(crate) control_reached: RefCell<IndexMap<SocketAddr, ZoneId>>,
+    /// The control replicas that each of them last reported.
+    pub(crate) control_members: RefCell<IndexMap<SocketAddr, Vec<SocketAddr>>>,
     /// Requests whose endpoints are being probed for a crash, one entry per probe.
     pub(crate) crash_checks: RefCell<Vec<Fingerprint>>,
     /// Requests whose endpoints crashed.
@@ -116,6 +118,10 @@
     /// Running requests under which an endpoint has crashed, and the endpoints that run them.
     pub(crate) suspect_runs: RefCell<Vec<(Fingerprint, EndpointId)>>,
     pub(crate) stream_durations: Cell<StreamDurations>,
+    /// The origins of the streams that this relay has begun or continued.
+    pub(crate) stream_origins: RefCell<StreamOrigins>,
+    /// Counts the streams recorded, for the tasks that report them to control replicas.
+    pub(crate) stream_origin_changes: watch::Sender<u64>,
     /// Receivers of the results of queued requests.
     pub(crate) waiters: RefCell<Waiters>,
     /// When the graceful shutdown began.
@@ -155,6 +161,7 @@
             config,
             control: ControlClient::new(AddressBook::default()),
             control_reached: RefCell::default(),
+            control_members: RefCell::default(),
             crash_checks: RefCell::default(),
             crashes: RefCell::default(),
             dispatcher: RefCell::default(),
@@ -177,6 +184,8 @@
             stopping,
             suspect_runs: RefCell::default(),
             stream_durations: Cell::default(),
+            stream_origins: RefCell::default(),
+            stream_origin_changes: watch::Sender::new(0),
             waiters: RefCell::default(),
             stopping_since: Cell::new(None),
         }
@@ -452,6 +461,20 @@
         }
     }
 
+    /// Wakes the tasks that report to control replicas what this relay records.
+    pub(crate) fn notify_reporters(&self) {
+        self.notify_crash_reporters();
+        self.notify_stream_reporters();
+    }
+
+    /// Whether all control replicas that this relay has heard of answer.
+    pub(crate) fn reaches_all_replicas(&self) -> bool {
+        let reached = self.control_reached.borrow();
+        let members = self.control_members.borrow();
+        let mut known = members.keys().chain(members.values().flatten());
+        !reached.is_empty() && known.all(|address| reached.contains_key(address))
+    }
+
     /// Time since anything was received from an endpoint or control replica, in milliseconds.
     pub(crate) fn silent_ms(&self) -> u64 {
         self.now().since(self.last_received_at.get())
--- a/crates/masticsill_relay/src/request.rs
+++ b/crates/masticsill_relay/src/request.rs
@@ -6,7 +6,7 @@
 use masticsill_catalogue::{Route, RouteKind};
 use masticsill_http1::{HeadWriter, Header, HeaderList, RequestHead};
 use masticsill_quarantine::Fingerprint;
-use masticsill_registry::Announcement;
+use masticsill_registry::{Announcement, AttemptKey};
 use masticsill_types::{ClockMs, Priority};
 
 use crate::config::HeaderNames;
@@ -67,8 +67,20 @@
 
     /// Whether the caller already has a part of the stream, from an earlier attempt.
     pub(crate) fn is_continuation(&self, names: &HeaderNames) -> bool {
-        let is_stream = self.route.kind == RouteKind::Stream;
-        is_stream && self.last_event(names).is_some_and(|last| last > 0)
+        let has_events = self.last_event(names).is_some_and(|last| last > 0);
+        has_events || self.continued_attempt(names).is_some()
+    }
+
+    /// Identifies the attempt that brought the first event of the stream: an earlier one, if the
+    /// caller names it, or else this one. None if that attempt has no id.
+    pub(crate) fn first_attempt(&self, names: &HeaderNames) -> Option<AttemptKey> {
+        let id = match self.continued_attempt(names) {
+            Some(id) => id,
+            None if self.is_continuation(names) => "",
+            None => &self.id,
+        };
+        let workspace = self.workspace.as_deref();
+        (!id.is_empty()).then(|| AttemptKey::new(workspace, id))
     }
 
     /// Number of prompt tokens, if the caller states it.
--- a/crates/masticsill_relay/src/response.rs
+++ b/crates/masticsill_relay/src/response.rs
@@ -98,6 +98,11 @@
     Stopping,
     /// The API key belongs to no workspace.
     UnknownKey,
+    /// The version that began the stream is unknown, and the request did not run.
+    UnknownVersion {
+        /// When the caller should retry, in milliseconds.
+        retry_after_ms: u64,
+    },
     /// The version that began the stream has no endpoint left, and the request did not run.
     VersionGone {
         /// When the caller should retry, in milliseconds.
@@ -117,6 +122,7 @@
             | Self::Overloaded { .. }
             | Self::Quarantined { .. }
             | Self::Stopping
+            | Self::UnknownVersion { .. }
             | Self::VersionGone { .. } => 503,
             Self::HeadTooLong => 431,
             Self::Malformed => 400,
@@ -132,6 +138,7 @@
             Self::NoDocument => Some(NO_DOCUMENT_RETRY_AFTER_MS),
             Self::Overloaded { retry_after_ms }
             | Self::Quarantined { retry_after_ms }
+            | Self::UnknownVersion { retry_after_ms }
             | Self::VersionGone { retry_after_ms } => Some(retry_after_ms),
             Self::Stopping => Some(STOPPING_RETRY_AFTER_MS),
             Self::BodyTooLong
@@ -162,6 +169,7 @@
             Self::Quarantined { .. } => "quarantined",
             Self::Stopping => "stopping",
             Self::UnknownKey => "unknown_key",
+            Self::UnknownVersion { .. } => "unknown_version",
             Self::VersionGone { .. } => "version_gone",
         }
     }
@@ -186,6 +194,9 @@
             }
             Self::Stopping => "this instance is shutting down; the request has not run\n",
             Self::UnknownKey => "the API key belongs to no workspace\n",
+            Self::UnknownVersion { .. } => {
+                "it is unknown which version began this stream; it has not run, start it anew\n"
+            }
             Self::VersionGone { .. } => {
                 "the version that began this stream is gone; it has not run, start it anew\n"
             }
--- a/crates/masticsill_relay/src/retry_state.rs
+++ b/crates/masticsill_relay/src/retry_state.rs
@@ -140,6 +140,15 @@
 }
 
 impl RetryState {
+    /// The state of a request for a stream of which the caller has events that `version` wrote, or
+    /// of a new request without a version.
+    pub(crate) fn of_version(version: Option<String>) -> Self {
+        Self {
+            stream_version: version,
+            ..Self::default()
+        }
+    }
+
     /// Records a response that says that the request did not run.
     ///
     /// This is not counted as an attempt if the endpoint was chosen only because it holds a copy,
@@ -228,11 +237,9 @@
         first_version.filter(|_| self.may_have_run)
     }
 
-    /// Records the version that wrote the events of the stream that the caller has. Only the first
-    /// one counts.
-    pub(crate) fn note_stream_version(&mut self, version: &str) {
-        let stream_version = &mut self.stream_version;
-        stream_version.get_or_insert_with(|| version.to_owned());
+    /// Records the version that wrote the first event of the stream.
+    pub(crate) fn set_stream_version(&mut self, version: &str) {
+        self.stream_version = Some(version.to_owned());
     }
 
     /// The version that wrote the events of the stream that the caller has; none without events.
--- a/crates/masticsill_relay/src/stream.rs
+++ b/crates/masticsill_relay/src/stream.rs
@@ -108,9 +108,11 @@
 }
 
 impl<'a> StreamRelay<'a> {
+    /// Prepares a stream. `version` is the one that began it, if its caller continues a stream.
     pub(crate) fn new(
         relay: &'a Rc<Relay>,
         request: &'a RelayRequest,
+        version: Option<String>,
         writer: &'a mut OwnedWriteHalf,
         is_closing: bool,
     ) -> Self {
@@ -127,14 +129,13 @@
             request,
             resumes: 0,
             timing: StreamTiming::default(),
-            retry_state: RetryState::default(),
+            retry_state: RetryState::of_version(version),
             writer,
         }
     }
 
     /// Relays until the stream is complete or given up.
     pub(crate) async fn run(mut self) -> StreamEnd {
-        self.note_continuation();
         let mut next = self.open_next(None).await;
         let obstacle = loop {
             let NextAttempt { from_copy, attempt } = match next {
@@ -202,31 +203,16 @@
         }
     }
 
-    /// Logs that the caller continues a stream of an earlier attempt.
-    fn note_continuation(&self) {
-        let names = &self.relay.config.headers;
-        if !self.request.is_continuation(names) {
-            return;
-        }
-        self.relay.metrics.streams_continued.inc();
-        log_event!(
-            info,
-            events::STREAM_CONTINUED,
-            request = self.request.id,
-            first_attempt = self.request.continued_attempt(names).unwrap_or_default(),
-            after_event = self.order.last().unwrap_or_default()
-        );
-    }
-
     /// Chooses the endpoint on which the stream resumes, and connects to it. `silent_endpoint` is
     /// the engine of a silent run that is kept open meanwhile.
     ///
-    /// A stream that has begun waits for obstacles that may disappear with time.
+    /// A stream that has begun, here or in an earlier attempt of its caller, waits for obstacles that
+    /// may disappear with time.
     async fn open_next(
         &mut self,
         silent_endpoint: Option<&EndpointId>,
     ) -> Result<NextAttempt, Obstacle> {
-        let is_begun = self.is_head_written || silent_endpoint.is_some();
+        let is_begun = self.is_continued() || silent_endpoint.is_some();
         let mut logged_obstacle = None;
         loop {
             if self.request.left_ms(self.relay.now()) == 0 {
@@ -259,6 +245,11 @@
         }
     }
 
+    /// Whether the caller has a part of the stream.
+    fn is_continued(&self) -> bool {
+        self.retry_state.stream_version().is_some()
+    }
+
     async fn try_open(
         &mut self,
         is_begun: bool,
@@ -327,10 +318,9 @@
                 self.copies.clear();
             }
         }
-        let is_resume = self.delivered > 0;
-        let choosing = self
-            .relay
-            .choose_or_wait(self.request, &self.retry_state, is_resume);
+        let choosing =
+            self.relay
+                .choose_or_wait(self.request, &self.retry_state, self.is_continued());
         match choosing.await {
             Dispatched::Assigned(_, reservation) => Ok((*reservation, None)),
             Dispatched::Refused(overload) => {
--- a/crates/masticsill_relay/src/stream/run.rs
+++ b/crates/masticsill_relay/src/stream/run.rs
@@ -7,7 +7,7 @@
 use masticsill_http1::{
     BodyDecoder, EventSplitter, HeadWriter, ResponseHead, write_chunk, write_last_chunk,
 };
-use masticsill_registry::{Announcement, EndpointId};
+use masticsill_registry::{Announcement, EndpointId, StreamOrigin};
 use masticsill_types::{ClockMs, log_event};
 use tokio::io::AsyncWriteExt;
 
@@ -207,8 +207,13 @@
                     let gap_ms = self.relay.now().since(last_event_at);
                     splitter.push(&piece);
                     let forwarded = self.forward_complete_events(&mut splitter, head).await;
-                    if self.delivered > 0 {
-                        self.retry_state.note_stream_version(&endpoint.version);
+                    if self.delivered > 0 && !self.is_continued() {
+                        self.retry_state.set_stream_version(&endpoint.version);
+                        let origin = StreamOrigin {
+                            service: endpoint.service.clone(),
+                            version: endpoint.version.clone(),
+                        };
+                        self.relay.record_stream_origin(self.request, origin);
                     }
                     match forwarded {
                         Ok(true) => {
--- /dev/null
+++ b/crates/masticsill_relay/src/stream_origins.rs
@@ -0,0 +1,264 @@
+//! The versions that began streams: recorded here, reported to control replicas, and looked up when
+//! a caller continues a stream.
+//!
+//! A caller continues its stream at any relay, mostly because the one that began it has ended. A
+//! relay that can't learn which version began the stream refuses it, since another version would not
+//! continue what the caller has.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use indexmap::{IndexMap, IndexSet};
+use masticsill_registry::{AttemptKey, OriginEvidence, OriginReply, StreamOrigin, StreamRecord};
+use masticsill_rollout::{VersionChoice, VersionFilter};
+use masticsill_types::{ZoneId, log_event};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep};
+
+use crate::engine_reservation::first_replica;
+use crate::events;
+use crate::relay::{DISCOVERY_WAIT_DIVISOR, MAX_DISCOVERY_WAIT_MS, Relay};
+use crate::request::RelayRequest;
+use crate::response::Refusal;
+use crate::suspects::ReportedRevision;
+
+/// Delay before new streams are reported, so that simultaneous ones share a message.
+const REPORT_DELAY: Duration = Duration::from_millis(4);
+/// Pause before a report is repeated to a replica that did not answer.
+const REPORT_RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Timeout of one query to a control replica, in milliseconds: many times the round trip to another
+/// zone, and well below the gap between events that callers notice.
+const QUERY_TIMEOUT_MS: u64 = 200;
+/// Pause before the control replicas are asked again. A report that was on its way has arrived, and
+/// a replica that was restarting may answer.
+const QUERY_PAUSE: Duration = Duration::from_millis(100);
+/// Complete sets of replies without a record after which a stream's origin counts as unknown.
+const MAX_COMPLETE_QUERIES: u32 = 2;
+/// When a caller should retry at another relay, because this one can't reach all control replicas.
+const ELSEWHERE_RETRY_AFTER_MS: u64 = 250;
+
+impl Relay {
+    /// Records where the stream of a request began, unless its first attempt has no id.
+    pub(crate) fn record_stream_origin(&self, request: &RelayRequest, origin: StreamOrigin) {
+        let Some(attempt) = request.first_attempt(&self.config.headers) else {
+            return;
+        };
+        let now = self.now();
+        let record = StreamRecord {
+            attempt,
+            expires_in_ms: request.caller_leaves_at.since(now),
+            origin,
+        };
+        self.stream_origins.borrow_mut().record(now, &record);
+        self.notify_stream_reporters();
+    }
+
+    /// Wakes the tasks that report streams to control replicas.
+    pub(crate) fn notify_stream_reporters(&self) {
+        self.stream_origin_changes.send_modify(|count| *count += 1);
+    }
+
+    /// Whether a control replica keeps the origins of this relay's streams: one of this zone does,
+    /// and one of the next zone, so that a zone may be lost.
+    fn is_origin_keeper(&self, address: SocketAddr) -> bool {
+        let own_zone = &self.config.zone;
+        let mut zones: Vec<ZoneId> = {
+            let reached = self.control_reached.borrow();
+            let zones: IndexSet<&ZoneId> = reached.values().collect();
+            zones.into_iter().cloned().collect()
+        };
+        zones.sort_unstable_by(|a, b| (a < own_zone, a).cmp(&(b < own_zone, b)));
+        let keepers = zones.iter().take(2);
+        let mut keepers = keepers.filter_map(|zone| first_replica(self, zone));
+        keepers.any(|keeper| keeper == address)
+    }
+
+    fn known_origin(&self, attempt: Option<&AttemptKey>) -> Option<StreamOrigin> {
+        let origins = self.stream_origins.borrow();
+        origins.find(self.now(), attempt?).cloned()
+    }
+
+    /// The versions of a service's endpoints that this relay knows, including ended ones.
+    fn known_versions(&self, service: &str) -> IndexSet<String> {
+        let endpoints = self.endpoints.borrow();
+        let announcements = endpoints.iter().map(|it| &it.announcement);
+        let of_service = announcements.filter(|it| it.service == service);
+        of_service.map(|it| it.version.clone()).collect()
+    }
+}
+
+/// Reports the streams begun here to a control replica while it is to keep them, until the relay
+/// ends.
+pub(crate) async fn report_stream_origins(
+    relay: Rc<Relay>,
+    address: SocketAddr,
+    reported: ReportedRevision,
+) {
+    let mut changes = relay.stream_origin_changes.subscribe();
+    while changes.changed().await.is_ok() {
+        sleep(REPORT_DELAY).await;
+        loop {
+            let (revision, records) = {
+                let origins = relay.stream_origins.borrow();
+                if origins.revision() <= reported.get() || !relay.is_origin_keeper(address) {
+                    break;
+                }
+                (
+                    origins.revision(),
+                    origins.since(relay.now(), reported.get()),
+                )
+            };
+            if relay.control.tell_stream_origins(address, &records).await {
+                reported.set(revision);
+                continue;
+            }
+            sleep(REPORT_RETRY_PAUSE).await;
+            if !relay.control_reached.borrow().contains_key(&address) {
+                // The report is repeated once the replica is reached again.
+                break;
+            }
+        }
+    }
+}
+
+/// Finds where a stream began that a caller continues; none if the document has moved its route to
+/// other services since.
+///
+/// # Errors
+///
+/// The refusal to answer with, if the version is unknown.
+pub(crate) async fn find_origin(
+    relay: &Rc<Relay>,
+    request: &RelayRequest,
+) -> Result<Option<StreamOrigin>, Refusal> {
+    let names = &relay.config.headers;
+    let attempt = request.first_attempt(names);
+    let recorded = relay.known_origin(attempt.as_ref());
+    let is_local = recorded.is_some();
+    let found = match recorded {
+        Some(origin) => Ok(origin),
+        None => ask_replicas(relay, request, attempt).await,
+    };
+    relay.metrics.streams_continued.inc();
+    let origin = found.as_ref().ok();
+    log_event!(
+        info,
+        events::STREAM_CONTINUED,
+        request = request.id,
+        first_attempt = request.continued_attempt(names).unwrap_or_default(),
+        after_event = request.last_event(names).unwrap_or_default(),
+        service = origin.map_or("", |it| &it.service),
+        version = origin.map_or("", |it| &it.version),
+        is_known = origin.is_some(),
+        is_local = is_local,
+        looked_up_ms = relay.now().since(request.received_at)
+    );
+    let origin = found?;
+    relay.record_stream_origin(request, origin.clone());
+    let shares = &request.route.services;
+    let is_served = |it: &str| {
+        shares
+            .iter()
+            .any(|share| share.service == it && share.weight > 0)
+    };
+    if !is_served(&origin.service) {
+        return Ok(None);
+    }
+    if !relay.reaches_all_replicas() {
+        await_endpoint(relay, request, &origin).await;
+    }
+    Ok(Some(origin))
+}
+
+/// Waits for an endpoint that can continue a stream: a relay that has just started may not have
+/// heard of it yet.
+async fn await_endpoint(relay: &Relay, request: &RelayRequest, origin: &StreamOrigin) {
+    let versions = VersionFilter::from(VersionChoice::Only(origin.version.clone()));
+    let find = || {
+        let endpoints = relay.endpoints.borrow();
+        let is_known = endpoints.has_ready(&origin.service, &versions, &[]);
+        (is_known || relay.reaches_all_replicas()).then_some(())
+    };
+    // Without an endpoint the stream is refused next.
+    let _ = relay
+        .wait_for_discovery(patience_ms(relay, request), find)
+        .await;
+}
+
+fn patience_ms(relay: &Relay, request: &RelayRequest) -> u64 {
+    let left_ms = request.left_ms(relay.now());
+    (left_ms / DISCOVERY_WAIT_DIVISOR).min(MAX_DISCOVERY_WAIT_MS)
+}
+
+/// Asks the control replicas where a stream began, until that is certain.
+async fn ask_replicas(
+    relay: &Rc<Relay>,
+    request: &RelayRequest,
+    attempt: Option<AttemptKey>,
+) -> Result<StreamOrigin, Refusal> {
+    let bound = Instant::now() + Duration::from_millis(patience_ms(relay, request));
+    let mut complete_queries = 0;
+    loop {
+        let replies = collect_replies(relay, request, attempt).await;
+        let is_complete =
+            relay.reaches_all_replicas() && replies.len() == relay.control_reached.borrow().len();
+        let evidence = OriginEvidence {
+            is_complete,
+            max_age_ms: request.route.timeout_ms,
+            replies: &replies,
+            service: &request.service,
+            versions: &relay.known_versions(&request.service),
+        };
+        if let Some(origin) = evidence.origin() {
+            return Ok(origin);
+        }
+        complete_queries += u32::from(is_complete);
+        if complete_queries >= MAX_COMPLETE_QUERIES {
+            // No other relay knows more.
+            return Err(Refusal::UnknownVersion {
+                retry_after_ms: request.left_ms(relay.now()),
+            });
+        }
+        if Instant::now() + QUERY_PAUSE >= bound {
+            return Err(Refusal::UnknownVersion {
+                retry_after_ms: ELSEWHERE_RETRY_AFTER_MS,
+            });
+        }
+        sleep(QUERY_PAUSE).await;
+    }
+}
+
+/// Asks all control replicas that are reached at once. Returns when one has a record of the stream,
+/// or all have replied or timed out.
+async fn collect_replies(
+    relay: &Rc<Relay>,
+    request: &RelayRequest,
+    attempt: Option<AttemptKey>,
+) -> Vec<OriginReply> {
+    let replicas: IndexMap<SocketAddr, ZoneId> = relay.control_reached.borrow().clone();
+    let (found, mut answers) = mpsc::channel(replicas.len().max(1));
+    for (address, _) in replicas {
+        let (relay, found) = (Rc::clone(relay), found.clone());
+        let service = request.service.clone();
+        spawn_local(async move {
+            let control = &relay.control;
+            let reply = control.find_stream_origin(address, &service, attempt, QUERY_TIMEOUT_MS);
+            if let Some(reply) = reply.await {
+                // The send fails only if another replica had a record.
+                let _ = found.send(reply).await;
+            }
+        });
+    }
+    drop(found);
+    let mut replies = Vec::new();
+    while let Some(reply) = answers.recv().await {
+        let is_recorded = reply.origin.is_some();
+        replies.push(reply);
+        if is_recorded {
+            break;
+        }
+    }
+    replies
+}
--- a/crates/masticsill_relay/src/suspects.rs
+++ b/crates/masticsill_relay/src/suspects.rs
@@ -21,13 +21,21 @@
 /// Pause before a report is repeated to a replica that did not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// Revision of the crash records up to which a control replica has been informed.
+/// Revision of the records of one kind up to which a control replica has been informed.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ReportedRevision {
     revision: Rc<Cell<u64>>,
 }
 
 impl ReportedRevision {
+    pub(crate) fn get(&self) -> u64 {
+        self.revision.get()
+    }
+
+    pub(crate) fn set(&self, revision: u64) {
+        self.revision.set(revision);
+    }
+
     /// Causes everything to be reported again, to a replica that may have lost it.
     pub(crate) fn reset(&self) {
         self.revision.set(0);
@@ -234,14 +242,14 @@
         loop {
             let (revision, records) = {
                 let ledger = relay.crashes.borrow();
-                if ledger.local_revision() <= reported.revision.get() {
+                if ledger.local_revision() <= reported.get() {
                     break;
                 }
-                let records = ledger.local_since(relay.now(), reported.revision.get());
+                let records = ledger.local_since(relay.now(), reported.get());
                 (ledger.revision(), records)
             };
             if relay.control.tell_crashes(address, &records).await {
-                reported.revision.set(revision);
+                reported.set(revision);
                 continue;
             }
             sleep(RETRY_PAUSE).await;
--- a/crates/masticsill_relay/tests/common/mod.rs
+++ b/crates/masticsill_relay/tests/common/mod.rs
@@ -17,13 +17,13 @@
 };
 use masticsill_quarantine::RequestRecord;
 use masticsill_registry::{
-    Announcement, CachedTokens, EndpointId, EndpointLoad, EndpointRecord, EngineReservationRequest,
-    PromptPart, Watcher,
+    Announcement, AttemptKey, CachedTokens, EndpointId, EndpointLoad, EndpointRecord,
+    EngineReservationRequest, OriginReply, PromptPart, StreamOrigins, StreamRecord, Watcher,
 };
 use masticsill_rollout::{EvidenceReport, ServingRollout};
 use masticsill_runtime::{DutyHandle, ShutdownSignal, listen, spawn_async_duty};
 use masticsill_testkit::FaultProxy;
-use masticsill_types::{NodeId, ZoneId};
+use masticsill_types::{ClockMs, NodeId, ZoneId};
 use masticsill_wire::control::{
     ChangeRequest, ControlReply, ControlService, Directory, DocumentChange, FoundingProposal,
     Introduction, QuorumBatch, ReadAnswer, ReadRequest, RenewReply, RenewRequest, ReplicaAnswer,
@@ -35,6 +35,9 @@
 use tokio::task::spawn_local;
 use tokio::time::timeout;
 
+/// The replica's clock stands still, so that it keeps all that entries report.
+const NOW: ClockMs = ClockMs(0);
+
 /// What the replica reports beside documents.
 #[derive(Clone, Debug, Default)]
 struct News {
@@ -51,6 +54,7 @@
     calls: AtomicU64,
     evidence: Mutex<Vec<EvidenceReport>>,
     news: watch::Sender<News>,
+    origins: Mutex<StreamOrigins>,
     reservations: Mutex<Vec<EngineReservationRequest>>,
     sent_bytes: AtomicU64,
     versions: watch::Sender<Option<u64>>,
@@ -77,6 +81,7 @@
             calls: AtomicU64::new(0),
             evidence: Mutex::default(),
             news: watch::Sender::default(),
+            origins: Mutex::default(),
             reservations: Mutex::default(),
             sent_bytes: AtomicU64::new(0),
             versions: watch::Sender::new(None),
@@ -243,6 +248,30 @@
 
     async fn tell_crashes(self, _: Context, _: Vec<RequestRecord>) {}
 
+    async fn tell_stream_origins(self, _: Context, streams: Vec<StreamRecord>) {
+        let mut origins = self.shared.origins.lock().unwrap();
+        for record in &streams {
+            origins.record(NOW, record);
+        }
+    }
+
+    async fn find_stream_origin(
+        self,
+        _: Context,
+        service: String,
+        attempt: Option<AttemptKey>,
+    ) -> OriginReply {
+        let origins = self.shared.origins.lock().unwrap();
+        let announcements = self.shared.news.borrow().endpoints.clone();
+        let announcements = announcements.into_iter().map(|it| it.announcement);
+        let of_service = announcements.filter(|it| it.service == service);
+        OriginReply {
+            origin: attempt.and_then(|it| origins.find(NOW, &it).cloned()),
+            versions: of_service.map(|it| it.version).collect(),
+            versions_kept_ms: 60_000,
+        }
+    }
+
     async fn tell_rollout_evidence(self, _: Context, reports: Vec<EvidenceReport>) {
         self.shared.evidence.lock().unwrap().extend(reports);
     }
