--- a/crates/masticsill_registry/src/stream_origins.rs
+++ b/crates/masticsill_registry/src/stream_origins.rs
@@ -186,7 +186,8 @@
             return recorded.all(|it| it == first).then(|| first.clone());
         }
         let is_remembered = |it: &OriginReply| it.versions_kept_ms >= self.max_age_ms;
-        if !self.is_complete || !self.replies.iter().all(is_remembered) {
+        let is_certain = self.is_complete && !self.replies.is_empty();
+        if !is_certain || !self.replies.iter().all(is_remembered) {
             return None;
         }
         let known = self.replies.iter().flat_map(|it| &it.versions);
