Streams begin at versions that a majority of the control replicas know

Cause: without a record of a stream, its version is certain only if no replica can know another one, so that all had to reply.

Change: a relay begins streams at a version only once a majority of the replicas has reported endpoints of it, while another such version is ready. Any majority that replies then knows every version at which a stream may have begun, and a lookup ends with its replies. A relay that reaches a minority only since it started serves with what it knows.

--- a/crates/masticsill_registry/src/stream_origins.rs
+++ b/crates/masticsill_registry/src/stream_origins.rs
@@ -159,10 +159,10 @@
 }
 
 /// What an entry knows of a stream that a caller continues.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct OriginEvidence<'a> {
-    /// Whether every known control replica has replied.
-    pub is_complete: bool,
+    /// Number of control replicas that the entry knows.
+    pub replicas: usize,
     /// The longest time for which the stream may have lasted, in milliseconds.
     pub max_age_ms: u64,
     /// The replies.
@@ -170,15 +170,21 @@
     /// The service that the request is for.
     pub service: &'a str,
     /// The versions of the service that the entry itself knows.
-    pub versions: &'a IndexSet<String>,
+    pub versions: IndexSet<String>,
 }
 
 impl OriginEvidence<'_> {
+    /// Whether a majority of the control replicas has replied.
+    #[must_use]
+    pub fn has_majority(&self) -> bool {
+        2 * self.replies.len() > self.replicas
+    }
+
     /// Where the stream began; none if that is not certain.
     ///
     /// A stream of which no replica has a record can only have begun at the only version that the
-    /// service has had for as long as the stream may have lasted. A replica that is cut off may know
-    /// another version, so that this holds only if all have replied.
+    /// service has had for as long as the stream may have lasted. Entries begin streams at versions
+    /// that a majority of the replicas know, so that it is enough if a majority replies.
     #[must_use]
     pub fn origin(&self) -> Option<StreamOrigin> {
         let mut recorded = self.replies.iter().filter_map(|it| it.origin.as_ref());
@@ -186,12 +192,11 @@
             return recorded.all(|it| it == first).then(|| first.clone());
         }
         let is_remembered = |it: &OriginReply| it.versions_kept_ms >= self.max_age_ms;
-        let is_certain = self.is_complete && !self.replies.is_empty();
-        if !is_certain || !self.replies.iter().all(is_remembered) {
+        if !self.has_majority() || !self.replies.iter().all(is_remembered) {
             return None;
         }
         let known = self.replies.iter().flat_map(|it| &it.versions);
-        let known: IndexSet<&String> = known.chain(self.versions).collect();
+        let known: IndexSet<&String> = known.chain(&self.versions).collect();
         let version = known.first().filter(|_| known.len() == 1)?;
         Some(StreamOrigin {
             service: self.service.to_owned(),
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -116,6 +116,11 @@
     }
 
     fn merge_endpoints(&self, node: &NodeId, reply: &WatchReply) {
+        self.merge_records(node, reply);
+        self.relay.note_reported_versions(node, &reply.endpoints);
+    }
+
+    fn merge_records(&self, node: &NodeId, reply: &WatchReply) {
         let mut endpoints = self.relay.endpoints.borrow_mut();
         for id in endpoints.merge(node, &reply.endpoints) {
             let Some(endpoint) = endpoints.get(&id) else {
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use masticsill_catalogue::RouteIndex;
 use masticsill_control_client::{AddressBook, ControlClient};
 use masticsill_dispatch::{
@@ -17,7 +17,7 @@
 };
 use masticsill_quarantine::{CrashLedger, Fingerprint};
 use masticsill_registry::{Announcement, EndpointId, StreamOrigins, Watcher};
-use masticsill_rollout::Reporter;
+use masticsill_rollout::{ConfirmedVersions, Reporter};
 use masticsill_runtime::ShutdownSignal;
 use masticsill_types::{ClockMs, MonotonicClock, NodeId, ZoneId, log_event};
 use tokio::sync::{Notify, watch};
@@ -74,6 +74,8 @@
     pub(crate) control: ControlClient,
     /// Control replicas whose last reply arrived, with their zones.
     pub(crate) control_reached: RefCell<IndexMap<SocketAddr, ZoneId>>,
+    /// The versions of services that a majority of the control replicas know.
+    pub(crate) confirmed_versions: RefCell<ConfirmedVersions>,
     /// The control replicas that each of them last reported.
     pub(crate) control_members: RefCell<IndexMap<SocketAddr, Vec<SocketAddr>>>,
     /// Requests whose endpoints are being probed for a crash, one entry per probe.
@@ -161,6 +163,7 @@
             config,
             control: ControlClient::new(AddressBook::default()),
             control_reached: RefCell::default(),
+            confirmed_versions: RefCell::default(),
             control_members: RefCell::default(),
             crash_checks: RefCell::default(),
             crashes: RefCell::default(),
@@ -467,12 +470,18 @@
         self.notify_stream_reporters();
     }
 
+    /// The control replicas that this relay has heard of.
+    pub(crate) fn known_replicas(&self) -> IndexSet<SocketAddr> {
+        let members = self.control_members.borrow();
+        let known = members.keys().chain(members.values().flatten());
+        known.copied().collect()
+    }
+
     /// Whether all control replicas that this relay has heard of answer.
     pub(crate) fn reaches_all_replicas(&self) -> bool {
         let reached = self.control_reached.borrow();
-        let members = self.control_members.borrow();
-        let mut known = members.keys().chain(members.values().flatten());
-        !reached.is_empty() && known.all(|address| reached.contains_key(address))
+        let mut known = self.known_replicas().into_iter();
+        !reached.is_empty() && known.all(|address| reached.contains_key(&address))
     }
 
     /// Time since anything was received from an endpoint or control replica, in milliseconds.
--- a/crates/masticsill_relay/src/rollouts.rs
+++ b/crates/masticsill_relay/src/rollouts.rs
@@ -8,12 +8,12 @@
 
 use indexmap::IndexMap;
 use masticsill_dispatch::{Endpoint, EndpointTable};
-use masticsill_registry::Announcement;
+use masticsill_registry::{Announcement, EndpointRecord};
 use masticsill_rollout::{
     KnownVersion, Phase, Reporter, RequestVersions, RolloutNumber, ServiceVersions, ServingRollout,
-    StartedRequest, VersionFilter, VersionRule,
+    StartedRequest, VersionChoice, VersionFilter, VersionRule,
 };
-use masticsill_types::{ClockMs, log_event};
+use masticsill_types::{ClockMs, NodeId, log_event};
 use masticsill_wire::control::WatchReply;
 use tokio::sync::Notify;
 
@@ -322,6 +322,35 @@
         rollouts.is_some_and(|it| !it.in_progress().is_empty())
     }
 
+    /// Records the versions of the endpoints that a control replica reported.
+    pub(crate) fn note_reported_versions(&self, from: &NodeId, records: &[EndpointRecord]) {
+        if records.is_empty() {
+            return;
+        }
+        let replicas = self.known_replicas().len();
+        let endpoints = self.endpoints.borrow();
+        let mut versions = self.confirmed_versions.borrow_mut();
+        for EndpointRecord { announcement, .. } in records {
+            let Announcement {
+                service, version, ..
+            } = announcement;
+            versions.note(from, service, version, replicas);
+        }
+        versions.prune(|service, version| {
+            let mut known = endpoints.iter().map(|it| &it.announcement);
+            known.any(|it| it.service == service && it.version == version)
+        });
+    }
+
+    /// The versions of a service at which no stream may begin yet.
+    fn unconfirmed_versions(&self, endpoints: &EndpointTable, service: &str) -> Vec<String> {
+        let versions = self.confirmed_versions.borrow();
+        versions.unconfirmed(service, |version| {
+            let only = VersionFilter::from(VersionChoice::Only(version.to_owned()));
+            endpoints.has_ready(service, &only, &[])
+        })
+    }
+
     /// Records the versions of the known endpoints.
     pub(crate) fn note_versions(&self) {
         if let Some(rollouts) = &self.rollouts {
@@ -348,14 +377,26 @@
         if let Some(version) = retry_state.stream_version() {
             return RequestVersions::of_begun_stream(version);
         }
+        let endpoints = self.endpoints.borrow();
+        let unconfirmed = self.unconfirmed_versions(&endpoints, &request.service);
+        let versions = self.versions_by_rollouts(&endpoints, request, retry_state);
+        versions.holding_back(&unconfirmed)
+    }
+
+    /// The versions that the roll-outs allow a request to be sent to.
+    fn versions_by_rollouts(
+        &self,
+        endpoints: &EndpointTable,
+        request: &RelayRequest,
+        retry_state: &RetryState,
+    ) -> RequestVersions {
         let Some(rollouts) = &self.rollouts else {
             return RequestVersions::default();
         };
         let now = self.now();
-        let endpoints = self.endpoints.borrow();
         let service = &request.service;
         let failed_dials = retry_state.failed_dials();
-        let decided = rollouts.decide(&endpoints, service, |known| {
+        let decided = rollouts.decide(endpoints, service, |known| {
             let is_usable = |versions: &VersionFilter| {
                 endpoints.has_ready(service, versions, &retry_state.excluded)
             };
@@ -413,13 +454,17 @@
         endpoints: &EndpointTable,
         services: impl Iterator<Item = &'a str>,
     ) -> Vec<(String, VersionFilter)> {
-        let Some(rollouts) = &self.rollouts else {
-            return Vec::new();
-        };
         let now = self.now();
         let listed = services.filter_map(|service| {
-            let versions = rollouts.decide(endpoints, service, |known| known.for_waiting(now));
-            Some((service.to_owned(), versions?))
+            let rollouts = self.rollouts.as_ref();
+            let decided =
+                rollouts.and_then(|it| it.decide(endpoints, service, |it| it.for_waiting(now)));
+            let unconfirmed = self.unconfirmed_versions(endpoints, service);
+            if decided.is_none() && unconfirmed.is_empty() {
+                return None;
+            }
+            let versions = decided.unwrap_or_default().holding_back(&unconfirmed);
+            Some((service.to_owned(), versions))
         });
         listed.collect()
     }
--- a/crates/masticsill_relay/src/stream_origins.rs
+++ b/crates/masticsill_relay/src/stream_origins.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexSet;
 use masticsill_registry::{AttemptKey, OriginEvidence, OriginReply, StreamOrigin, StreamRecord};
 use masticsill_rollout::{VersionChoice, VersionFilter};
 use masticsill_types::{ZoneId, log_event};
@@ -34,9 +34,11 @@
 /// Pause before the control replicas are asked again. A report that was on its way has arrived, and
 /// a replica that was restarting may answer.
 const QUERY_PAUSE: Duration = Duration::from_millis(100);
-/// Complete sets of replies without a record after which a stream's origin counts as unknown.
-const MAX_COMPLETE_QUERIES: u32 = 2;
-/// When a caller should retry at another relay, because this one can't reach all control replicas.
+/// Queries answered by a majority of the control replicas, without a record, after which a stream's
+/// origin counts as unknown.
+const MAX_UNSUCCESSFUL_QUERIES: u32 = 2;
+/// When a caller should retry at another relay, because this one can't reach a majority of the
+/// control replicas.
 const ELSEWHERE_RETRY_AFTER_MS: u64 = 250;
 
 impl Relay {
@@ -199,23 +201,19 @@
     attempt: Option<AttemptKey>,
 ) -> Result<StreamOrigin, Refusal> {
     let bound = Instant::now() + Duration::from_millis(patience_ms(relay, request));
-    let mut complete_queries = 0;
+    let mut unsuccessful_queries = 0;
     loop {
-        let replies = collect_replies(relay, request, attempt).await;
-        let is_complete =
-            relay.reaches_all_replicas() && replies.len() == relay.control_reached.borrow().len();
-        let evidence = OriginEvidence {
-            is_complete,
-            max_age_ms: request.route.timeout_ms,
-            replies: &replies,
-            service: &request.service,
-            versions: &relay.known_versions(&request.service),
-        };
-        if let Some(origin) = evidence.origin() {
-            return Ok(origin);
+        let mut replies = Vec::new();
+        let mut answers = query_replicas(relay, request, attempt);
+        while let Some(reply) = answers.recv().await {
+            replies.push(reply);
+            if let Some(origin) = evidence(relay, request, &replies).origin() {
+                return Ok(origin);
+            }
         }
-        complete_queries += u32::from(is_complete);
-        if complete_queries >= MAX_COMPLETE_QUERIES {
+        let is_answered = evidence(relay, request, &replies).has_majority();
+        unsuccessful_queries += u32::from(is_answered);
+        if unsuccessful_queries >= MAX_UNSUCCESSFUL_QUERIES {
             // No other relay knows more.
             return Err(Refusal::UnknownVersion {
                 retry_after_ms: request.left_ms(relay.now()),
@@ -230,35 +228,39 @@
     }
 }
 
-/// Asks all control replicas that are reached at once. Returns when one has a record of the stream,
-/// or all have replied or timed out.
-async fn collect_replies(
+fn evidence<'a>(
+    relay: &Relay,
+    request: &'a RelayRequest,
+    replies: &'a [OriginReply],
+) -> OriginEvidence<'a> {
+    OriginEvidence {
+        max_age_ms: request.route.timeout_ms,
+        replicas: relay.known_replicas().len(),
+        replies,
+        service: &request.service,
+        versions: relay.known_versions(&request.service),
+    }
+}
+
+/// Asks all control replicas that are reached at once.
+fn query_replicas(
     relay: &Rc<Relay>,
     request: &RelayRequest,
     attempt: Option<AttemptKey>,
-) -> Vec<OriginReply> {
-    let replicas: IndexMap<SocketAddr, ZoneId> = relay.control_reached.borrow().clone();
-    let (found, mut answers) = mpsc::channel(replicas.len().max(1));
-    for (address, _) in replicas {
+) -> mpsc::Receiver<OriginReply> {
+    let replicas: Vec<SocketAddr> = relay.control_reached.borrow().keys().copied().collect();
+    let (found, answers) = mpsc::channel(replicas.len().max(1));
+    for address in replicas {
         let (relay, found) = (Rc::clone(relay), found.clone());
         let service = request.service.clone();
         spawn_local(async move {
             let control = &relay.control;
             let reply = control.find_stream_origin(address, &service, attempt, QUERY_TIMEOUT_MS);
             if let Some(reply) = reply.await {
-                // The send fails only if another replica had a record.
+                // The send fails only if other replies were enough.
                 let _ = found.send(reply).await;
             }
         });
     }
-    drop(found);
-    let mut replies = Vec::new();
-    while let Some(reply) = answers.recv().await {
-        let is_recorded = reply.origin.is_some();
-        replies.push(reply);
-        if is_recorded {
-            break;
-        }
-    }
-    replies
+    answers
 }
--- a/crates/masticsill_rollout/src/version_filter.rs
+++ b/crates/masticsill_rollout/src/version_filter.rs
@@ -25,6 +25,13 @@
         Self { choice, held_back }
     }
 
+    /// The same versions without those that are to be held back as well.
+    #[must_use]
+    pub fn holding_back(mut self, versions: &[String]) -> Self {
+        self.held_back.extend_from_slice(versions);
+        self
+    }
+
     /// Whether endpoints of a version may be chosen.
     #[must_use]
     pub fn allows(&self, version: &str) -> bool {
@@ -60,6 +67,16 @@
 }
 
 impl RequestVersions {
+    /// The same versions without those that are to be held back as well.
+    #[must_use]
+    pub fn holding_back(self, versions: &[String]) -> Self {
+        Self {
+            allowed: self.allowed.holding_back(versions),
+            drawn: self.drawn.map(|drawn| drawn.holding_back(versions)),
+            binding: self.binding,
+        }
+    }
+
     /// The versions for a stream of which the caller has events that `version` wrote.
     #[must_use]
     pub fn of_begun_stream(version: &str) -> Self {
--- /dev/null
+++ b/crates/masticsill_rollout/tests/confirmed_versions.rs
@@ -0,0 +1,46 @@
+//! Which versions a majority of the control replicas know.
+
+use masticsill_rollout::ConfirmedVersions;
+use masticsill_types::NodeId;
+
+const SERVICE: &str = "engines";
+
+fn note(versions: &mut ConfirmedVersions, from: &str, version: &str) {
+    versions.note(&NodeId::new(from).unwrap(), SERVICE, version, 3);
+}
+
+/// Guards against streams that begin at a version which most control replicas don't know.
+#[test]
+fn version_is_used_once_a_majority_has_reported_it() {
+    let mut versions = ConfirmedVersions::default();
+    note(&mut versions, "a", "v1");
+    note(&mut versions, "b", "v1");
+    note(&mut versions, "a", "v2");
+    note(&mut versions, "a", "v2");
+    assert_eq!(versions.unconfirmed(SERVICE, |_| true), ["v2"]);
+    note(&mut versions, "c", "v2");
+    assert!(versions.unconfirmed(SERVICE, |_| true).is_empty());
+}
+
+/// Guards against refusals where nothing else can serve.
+#[test]
+fn unconfirmed_version_is_used_without_a_ready_confirmed_one() {
+    let mut versions = ConfirmedVersions::default();
+    note(&mut versions, "a", "v1");
+    note(&mut versions, "a", "v2");
+    assert!(versions.unconfirmed(SERVICE, |_| true).is_empty());
+    note(&mut versions, "b", "v1");
+    assert!(versions.unconfirmed(SERVICE, |it| it == "v2").is_empty());
+    assert_eq!(versions.unconfirmed(SERVICE, |it| it == "v1"), ["v2"]);
+}
+
+/// Guards against memory that grows with each release.
+#[test]
+fn versions_without_endpoints_are_forgotten() {
+    let mut versions = ConfirmedVersions::default();
+    note(&mut versions, "a", "v1");
+    note(&mut versions, "b", "v1");
+    note(&mut versions, "a", "v2");
+    versions.prune(|service, version| service == SERVICE && version == "v1");
+    assert!(versions.unconfirmed(SERVICE, |_| true).is_empty());
+}
