A rolled-back version gets no begun streams for long

Cause: a begun stream is bound to its version, also to a target that was rolled back.

Change: 2 s after a relay learned of the roll-back, or at once if it had ended before, begun streams of the target are refused or end. The refusals are called unknown_origin and origin_gone, since version_gone means a model's version on the product's own path.

--- a/crates/masticsill_relay/src/response.rs
+++ b/crates/masticsill_relay/src/response.rs
@@ -99,12 +99,12 @@
     /// The API key belongs to no workspace.
     UnknownKey,
     /// The version that began the stream is unknown, and the request did not run.
-    UnknownVersion {
+    UnknownOrigin {
         /// When the caller should retry, in milliseconds.
         retry_after_ms: u64,
     },
     /// The version that began the stream has no endpoint left, and the request did not run.
-    VersionGone {
+    OriginGone {
         /// When the caller should retry, in milliseconds.
         retry_after_ms: u64,
     },
@@ -122,8 +122,8 @@
             | Self::Overloaded { .. }
             | Self::Quarantined { .. }
             | Self::Stopping
-            | Self::UnknownVersion { .. }
-            | Self::VersionGone { .. } => 503,
+            | Self::UnknownOrigin { .. }
+            | Self::OriginGone { .. } => 503,
             Self::HeadTooLong => 431,
             Self::Malformed => 400,
             Self::SlowHead => 408,
@@ -138,8 +138,8 @@
             Self::NoDocument => Some(NO_DOCUMENT_RETRY_AFTER_MS),
             Self::Overloaded { retry_after_ms }
             | Self::Quarantined { retry_after_ms }
-            | Self::UnknownVersion { retry_after_ms }
-            | Self::VersionGone { retry_after_ms } => Some(retry_after_ms),
+            | Self::UnknownOrigin { retry_after_ms }
+            | Self::OriginGone { retry_after_ms } => Some(retry_after_ms),
             Self::Stopping => Some(STOPPING_RETRY_AFTER_MS),
             Self::BodyTooLong
             | Self::Broken
@@ -169,8 +169,8 @@
             Self::Quarantined { .. } => "quarantined",
             Self::Stopping => "stopping",
             Self::UnknownKey => "unknown_key",
-            Self::UnknownVersion { .. } => "unknown_version",
-            Self::VersionGone { .. } => "version_gone",
+            Self::UnknownOrigin { .. } => "unknown_origin",
+            Self::OriginGone { .. } => "origin_gone",
         }
     }
 
@@ -194,10 +194,10 @@
             }
             Self::Stopping => "this instance is shutting down; the request has not run\n",
             Self::UnknownKey => "the API key belongs to no workspace\n",
-            Self::UnknownVersion { .. } => {
+            Self::UnknownOrigin { .. } => {
                 "it is unknown which version began this stream; it has not run, start it anew\n"
             }
-            Self::VersionGone { .. } => {
+            Self::OriginGone { .. } => {
                 "the version that began this stream is gone; it has not run, start it anew\n"
             }
         }
--- a/crates/masticsill_relay/src/retry_state.rs
+++ b/crates/masticsill_relay/src/retry_state.rs
@@ -56,7 +56,7 @@
     /// The chosen endpoint could not be connected to.
     Unreachable,
     /// No endpoint of the version that began the stream is left.
-    VersionGone,
+    OriginGone,
     /// The chosen endpoint has asked for rest, or begun to leave, since it was chosen.
     Withdrawn,
 }
@@ -76,7 +76,7 @@
             Self::Overloaded => "overloaded",
             Self::Quarantined => "quarantined",
             Self::Unreachable => "unreached",
-            Self::VersionGone => "version_gone",
+            Self::OriginGone => "origin_gone",
             Self::Withdrawn => "withdrawn",
         }
     }
@@ -98,7 +98,7 @@
             | Self::Deadline
             | Self::MayNotRepeat
             | Self::Quarantined
-            | Self::VersionGone => false,
+            | Self::OriginGone => false,
         }
     }
 }
@@ -293,7 +293,7 @@
             return Err(Obstacle::MayNotRepeat);
         }
         if !relay.has_stream_version(request, self) {
-            return Err(Obstacle::VersionGone);
+            return Err(Obstacle::OriginGone);
         }
         if self.excluded.len() >= MAX_FAILED_DIALS {
             return Err(Obstacle::Dials);
--- a/crates/masticsill_relay/src/rollouts.rs
+++ b/crates/masticsill_relay/src/rollouts.rs
@@ -28,11 +28,17 @@
 /// asked for it.
 const LEASE_MS: u64 = 1_000;
 
+/// Time after a roll-back in which begun streams may still be sent to the target, in milliseconds.
+/// Most of them end meanwhile, and the target must not get requests for long.
+const WITHDRAWAL_MS: u64 = 2_000;
+
 /// The latest roll-out of a service.
 #[derive(Debug)]
 struct KnownRollout {
     /// When this relay learned of it.
     learned_at: ClockMs,
+    /// When this relay learned of its phase.
+    phase_since: ClockMs,
     rule: VersionRule,
     /// Whether the lease was valid when that was last logged.
     was_leased: bool,
@@ -117,6 +123,16 @@
         is_old.then(|| rule.rollout().number)
     }
 
+    /// Whether a version was rolled back so long ago that not even begun streams are sent to it.
+    fn is_withdrawn(&self, now: ClockMs, service: &str, version: &str) -> bool {
+        let state = self.state.borrow();
+        state.rollouts.get(service).is_some_and(|known| {
+            let is_rolled_back = matches!(known.rule.rollout().phase, Phase::RolledBack(_));
+            let is_over = now.since(known.phase_since) >= WITHDRAWAL_MS;
+            is_rolled_back && is_over && known.rule.target() == version
+        })
+    }
+
     /// Records the roll-outs that a replica reported; it was asked at `asked_at`.
     fn note_reply(&self, now: ClockMs, from: SocketAddr, asked_at: ClockMs, reply: &WatchReply) {
         let mut state = self.state.borrow_mut();
@@ -141,8 +157,15 @@
             } else {
                 let mut rule = VersionRule::new(rollout.clone());
                 rule.note(rollout, leased_until);
+                // A roll-out that has ended before this relay learned of it may have done so long ago.
+                let phase_since = if rollout.phase.is_ended() {
+                    ClockMs(0)
+                } else {
+                    now
+                };
                 let known = KnownRollout {
                     learned_at: now,
+                    phase_since,
                     was_leased: rule.is_leased(now),
                     rule,
                 };
@@ -157,6 +180,9 @@
                 known.learned_at = now;
                 has_begun = true;
             }
+            if before.as_ref().is_some_and(|it| it.phase != held.phase) {
+                known.phase_since = now;
+            }
             if is_other || before.is_some_and(|it| it.phase != held.phase) {
                 log_rule(held, &from, known.rule.is_leased(now));
             }
@@ -434,7 +460,8 @@
         versions.allowed.allows(version) || drawn.is_some_and(|it| it.allows(version))
     }
 
-    /// Whether the version that began a stream still has an endpoint; true for any other request.
+    /// Whether the version that began a stream can still continue it: it has an endpoint, and was not
+    /// rolled back. True for any other request.
     pub(crate) fn has_stream_version(
         &self,
         request: &RelayRequest,
@@ -443,9 +470,14 @@
         let Some(version) = retry_state.stream_version() else {
             return true;
         };
+        let (now, service) = (self.now(), &request.service);
+        let rollouts = self.rollouts.as_ref();
+        if rollouts.is_some_and(|it| it.is_withdrawn(now, service, version)) {
+            return false;
+        }
         let versions = RequestVersions::of_begun_stream(version).allowed;
         let endpoints = self.endpoints.borrow();
-        endpoints.has_ready(&request.service, &versions, &[])
+        endpoints.has_ready(service, &versions, &[])
     }
 
     /// The versions that queued requests of the services may be sent to, for services with several.
--- a/crates/masticsill_relay/src/stream.rs
+++ b/crates/masticsill_relay/src/stream.rs
@@ -185,7 +185,7 @@
         };
         let refusal = match obstacle {
             // No retry within the caller's time could succeed.
-            Obstacle::VersionGone if !self.retry_state.may_have_run => Refusal::VersionGone {
+            Obstacle::OriginGone if !self.retry_state.may_have_run => Refusal::OriginGone {
                 retry_after_ms: self.request.left_ms(self.relay.now()),
             },
             _ => self.retry_state.refusal(self.relay, self.request),
--- a/crates/masticsill_relay/src/stream_origins.rs
+++ b/crates/masticsill_relay/src/stream_origins.rs
@@ -215,12 +215,12 @@
         unsuccessful_queries += u32::from(is_answered);
         if unsuccessful_queries >= MAX_UNSUCCESSFUL_QUERIES {
             // No other relay knows more.
-            return Err(Refusal::UnknownVersion {
+            return Err(Refusal::UnknownOrigin {
                 retry_after_ms: request.left_ms(relay.now()),
             });
         }
         if Instant::now() + QUERY_PAUSE >= bound {
-            return Err(Refusal::UnknownVersion {
+            return Err(Refusal::UnknownOrigin {
                 retry_after_ms: ELSEWHERE_RETRY_AFTER_MS,
             });
         }
--- a/crates/masticsill_relay/tests/rollouts.rs
+++ b/crates/masticsill_relay/tests/rollouts.rs
@@ -365,10 +365,15 @@
 }
 
 fn ask_at(address: SocketAddr, path: &str) -> String {
+    ask_with(address, path, "")
+}
+
+/// Asks with further header lines.
+fn ask_with(address: SocketAddr, path: &str, headers: &str) -> String {
     let mut stream = TcpStream::connect(address).unwrap();
     let request = format!(
         "GET {path} HTTP/1.1\r\nHost: shop.example\r\nX-Time-Left-Ms: 8000\r\n\
-         Connection: close\r\n\r\n"
+         {headers}Connection: close\r\n\r\n"
     );
     stream.write_all(request.as_bytes()).unwrap();
     let mut answer = String::new();
@@ -482,6 +487,30 @@
     assert_eq!(fixture.new.requests(), 5);
 }
 
+/// Guards against requests to a bad version, long after its roll-back, for streams that it began.
+#[test]
+fn begun_stream_leaves_a_version_that_was_rolled_back() {
+    let mut fixture = Fixture::start(ENGINES, Phase::Finishing);
+    let address = fixture.relay.as_ref().unwrap().address();
+    let first = ask_with(address, "/stream/", "X-Request-Id: a\r\n");
+    assert!(first.contains("X-Version: v2"), "{first}");
+    let continued = "X-Request-Id: b\r\nX-Resumes: a\r\nLast-Event-ID: 4\r\n";
+    fixture.advance(Phase::RolledBack(RollbackCause::Failures));
+    let at_once = ask_with(address, "/stream/", continued);
+    let (versions, ids) = events(&at_once);
+    assert_eq!(ids, (5..=EVENTS).collect::<Vec<_>>(), "{at_once}");
+    assert!(versions.iter().all(|it| *it == "v2"), "{versions:?}");
+    wait_until("the stream is refused", || {
+        ask_with(address, "/stream/", continued).starts_with("HTTP/1.1 503")
+    });
+    let requests = fixture.new.requests();
+    for _ in 0..3 {
+        let answer = ask_with(address, "/stream/", continued);
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    }
+    assert_eq!(fixture.new.requests(), requests);
+}
+
 /// Guards against reservations at engines that the request must not be sent to.
 #[test]
 fn reservations_are_limited_to_the_versions_of_the_request() {
