--- a/crates/masticsill_wire/src/control.rs
+++ b/crates/masticsill_wire/src/control.rs
@@ -425,11 +425,6 @@
     async fn tell_crashes(records: Vec<RequestRecord>);
     /// Receives what entries have seen of roll-outs in progress; only the leader uses it.
     async fn tell_rollout_evidence(reports: Vec<EvidenceReport>);
-    /// Receives the origins of streams whose first events an entry has delivered.
-    async fn tell_stream_origins(streams: Vec<StreamRecord>);
-    /// Returns what the replica knows of the origin of a stream, by the attempt that brought its
-    /// first event, if its caller named that.
-    async fn find_stream_origin(service: String, attempt: Option<AttemptKey>) -> OriginReply;
     /// Finds the engines in the replica's zone that have a prefix of the prompt cached.
     async fn find_kept(prompt: Vec<PromptPart>) -> Vec<CachedTokens>;
     /// Reserves an engine in the replica's zone that is not processing a prompt; returns the other
@@ -445,4 +440,9 @@
     async fn find_pieces(hashes: Vec<PieceHash>) -> Vec<(PieceHash, PackedPiece)>;
     /// Orders a roll-out.
     async fn order_rollout(request: RolloutRequest) -> ControlReply<RolloutAnswer>;
+    /// Receives the origins of streams whose first events an entry has delivered.
+    async fn tell_stream_origins(streams: Vec<StreamRecord>);
+    /// Returns what the replica knows of the origin of a stream, by the attempt that brought its
+    /// first event, if its caller named that.
+    async fn find_stream_origin(service: String, attempt: Option<AttemptKey>) -> OriginReply;
 }
