A copy at an endpoint that has another version now is left aside

By reading: the version is compared once more when the connection stands. A copy whose holder restarted under its id with another version failed that, was chosen again, and so on without a pause. It is looked at before it is chosen now. No test: an endpoint's version changes under its id only if it states no start time. VersionFilter::only in place of four spellings.

--- a/crates/masticsill_relay/src/endpoint_choice.rs
+++ b/crates/masticsill_relay/src/endpoint_choice.rs
@@ -9,7 +9,7 @@
     has_memory_for_copy, suspect_zones,
 };
 use masticsill_registry::{Announcement, EndpointId};
-use masticsill_rollout::{VersionChoice, VersionFilter};
+use masticsill_rollout::VersionFilter;
 use masticsill_types::{ZoneId, log_event};
 use tokio::time::Instant;
 
@@ -41,7 +41,7 @@
             return None;
         }
         // An engine of another version can't resume from the copy.
-        let versions = VersionFilter::from(VersionChoice::Only(running.version.clone()));
+        let versions = VersionFilter::only(&running.version);
         let endpoints = self.endpoints.borrow();
         let closed = self.full_endpoints(&endpoints, &request.service);
         let wanted = PlacementRequest {
--- a/crates/masticsill_relay/src/rollouts.rs
+++ b/crates/masticsill_relay/src/rollouts.rs
@@ -11,7 +11,7 @@
 use masticsill_registry::{Announcement, EndpointRecord};
 use masticsill_rollout::{
     KnownVersion, Phase, Reporter, RequestVersions, RolloutNumber, ServiceVersions, ServingRollout,
-    StartedRequest, VersionChoice, VersionFilter, VersionRule,
+    StartedRequest, VersionFilter, VersionRule,
 };
 use masticsill_types::{ClockMs, NodeId, log_event};
 use masticsill_wire::control::WatchReply;
@@ -372,8 +372,7 @@
     fn unconfirmed_versions(&self, endpoints: &EndpointTable, service: &str) -> Vec<String> {
         let versions = self.confirmed_versions.borrow();
         versions.unconfirmed(service, |version| {
-            let only = VersionFilter::from(VersionChoice::Only(version.to_owned()));
-            endpoints.has_ready(service, &only, &[])
+            endpoints.has_ready(service, &VersionFilter::only(version), &[])
         })
     }
 
@@ -475,9 +474,8 @@
         if rollouts.is_some_and(|it| it.is_withdrawn(now, service, version)) {
             return false;
         }
-        let versions = RequestVersions::of_begun_stream(version).allowed;
         let endpoints = self.endpoints.borrow();
-        endpoints.has_ready(service, &versions, &[])
+        endpoints.has_ready(service, &VersionFilter::only(version), &[])
     }
 
     /// The versions that queued requests of the services may be sent to, for services with several.
--- a/crates/masticsill_relay/src/stream.rs
+++ b/crates/masticsill_relay/src/stream.rs
@@ -294,7 +294,11 @@
             let is_colocated = self
                 .relay
                 .would_colocate_with_suspect(self.request, &copy.at.id);
+            let may_use = self
+                .relay
+                .may_use_version(self.request, &self.retry_state, &copy.at);
             let obstacle = obstacle
+                .or((!may_use).then_some("has another version now"))
                 .or(is_tried.then_some("tried before"))
                 .or(is_colocated.then_some("a request may crash it"));
             let Some(cause) = obstacle else {
--- a/crates/masticsill_relay/src/stream_origins.rs
+++ b/crates/masticsill_relay/src/stream_origins.rs
@@ -11,7 +11,7 @@
 
 use indexmap::IndexSet;
 use masticsill_registry::{AttemptKey, OriginEvidence, OriginReply, StreamOrigin, StreamRecord};
-use masticsill_rollout::{VersionChoice, VersionFilter};
+use masticsill_rollout::VersionFilter;
 use masticsill_types::{ZoneId, log_event};
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
@@ -177,7 +177,7 @@
 /// Waits for an endpoint that can continue a stream: a relay that has just started may not have
 /// heard of it yet.
 async fn await_endpoint(relay: &Relay, request: &RelayRequest, origin: &StreamOrigin) {
-    let versions = VersionFilter::from(VersionChoice::Only(origin.version.clone()));
+    let versions = VersionFilter::only(&origin.version);
     let find = || {
         let endpoints = relay.endpoints.borrow();
         let is_known = endpoints.has_ready(&origin.service, &versions, &[]);
--- a/crates/masticsill_rollout/src/version_filter.rs
+++ b/crates/masticsill_rollout/src/version_filter.rs
@@ -25,6 +25,12 @@
         Self { choice, held_back }
     }
 
+    /// One version.
+    #[must_use]
+    pub fn only(version: &str) -> Self {
+        VersionChoice::Only(version.to_owned()).into()
+    }
+
     /// The same versions without those that are to be held back as well.
     #[must_use]
     pub fn holding_back(mut self, versions: &[String]) -> Self {
@@ -81,7 +87,7 @@
     #[must_use]
     pub fn of_begun_stream(version: &str) -> Self {
         Self {
-            allowed: VersionChoice::Only(version.to_owned()).into(),
+            allowed: VersionFilter::only(version),
             drawn: None,
             binding: VersionBinding::Required,
         }
