--- a/crates/masticsill_relay/src/connection.rs
+++ b/crates/masticsill_relay/src/connection.rs
@@ -15,7 +15,7 @@
 use crate::caller::{BodyError, Caller, LINGER_TIMEOUT, NextRequest};
 use crate::events;
 use crate::plain::relay_plain;
-use crate::relay::{ActiveRequest, DISCOVERY_WAIT_DIVISOR, MAX_DISCOVERY_WAIT_MS, Relay};
+use crate::relay::{ActiveRequest, Relay, discovery_wait_ms};
 use crate::request::RelayRequest;
 use crate::request_end::{
     ConnectionAction, end_plain, end_stream, log_caller_left, refuse, refuse_unadmitted,
@@ -98,7 +98,7 @@
     let names = &relay.config.headers;
     let is_keep_alive = head.is_keep_alive;
     let asked_ms = head.headers.number(&names.deadline_ms).unwrap_or_default();
-    let bound_ms = (asked_ms / DISCOVERY_WAIT_DIVISOR).min(MAX_DISCOVERY_WAIT_MS);
+    let bound_ms = discovery_wait_ms(asked_ms);
     let authorized = relay.wait_for_discovery(bound_ms, || authorize_now(relay, &head));
     let authorized = match authorized.await {
         Some(Ok(authorized)) => authorized,
--- a/crates/masticsill_relay/src/endpoint_choice.rs
+++ b/crates/masticsill_relay/src/endpoint_choice.rs
@@ -17,7 +17,7 @@
 use crate::engine_reservation::reserve_engine;
 use crate::events;
 use crate::prompts::find_cached;
-use crate::relay::{DISCOVERY_WAIT_DIVISOR, MAX_DISCOVERY_WAIT_MS, Relay};
+use crate::relay::{Relay, discovery_wait_ms};
 use crate::request::RelayRequest;
 use crate::request_permit::request_permit;
 use crate::retry_state::RetryState;
@@ -80,9 +80,8 @@
         let mut need = self.need_of(request, retry_state).await;
         let terms = terms_of(request, is_resume);
         let is_first = retry_state.excluded.is_empty();
-        let discovery_wait_ms = request.left_ms(self.now()) / DISCOVERY_WAIT_DIVISOR;
-        let discovery_deadline = Instant::now()
-            + std::time::Duration::from_millis(discovery_wait_ms.min(MAX_DISCOVERY_WAIT_MS));
+        let wait_ms = discovery_wait_ms(request.left_ms(self.now()));
+        let discovery_deadline = Instant::now() + std::time::Duration::from_millis(wait_ms);
         let lacking = self.endpoints.borrow().lacking_permits(
             self.now(),
             &request.service,
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -35,10 +35,15 @@
 
 /// Divisor of a request's remaining time that gives how long it may wait for the first document or
 /// endpoint. The rest has to suffice to serve the request, or for its caller to retry elsewhere.
-pub(crate) const DISCOVERY_WAIT_DIVISOR: u64 = 10;
+const DISCOVERY_WAIT_DIVISOR: u64 = 10;
 /// Maximum wait for the first document or endpoint: an instance that starts learns both within one
 /// or two seconds.
-pub(crate) const MAX_DISCOVERY_WAIT_MS: u64 = 2_500;
+const MAX_DISCOVERY_WAIT_MS: u64 = 2_500;
+
+/// Maximum wait for the first document or endpoint of a request that has `left_ms` milliseconds left.
+pub(crate) fn discovery_wait_ms(left_ms: u64) -> u64 {
+    (left_ms / DISCOVERY_WAIT_DIVISOR).min(MAX_DISCOVERY_WAIT_MS)
+}
 
 /// Time after the beginning of a shutdown in which new streams are still accepted: the load
 /// balancer needs it to route callers elsewhere.
--- a/crates/masticsill_relay/src/stream_origins.rs
+++ b/crates/masticsill_relay/src/stream_origins.rs
@@ -19,7 +19,7 @@
 
 use crate::engine_reservation::first_replica;
 use crate::events;
-use crate::relay::{DISCOVERY_WAIT_DIVISOR, MAX_DISCOVERY_WAIT_MS, Relay};
+use crate::relay::{Relay, discovery_wait_ms};
 use crate::request::RelayRequest;
 use crate::response::Refusal;
 use crate::suspects::ReportedRevision;
@@ -190,8 +190,7 @@
 }
 
 fn patience_ms(relay: &Relay, request: &RelayRequest) -> u64 {
-    let left_ms = request.left_ms(relay.now());
-    (left_ms / DISCOVERY_WAIT_DIVISOR).min(MAX_DISCOVERY_WAIT_MS)
+    discovery_wait_ms(request.left_ms(relay.now()))
 }
 
 /// Asks the control replicas where a stream began, until that is certain.
