Logs and metrics: continued streams beside new ones, and how far a lookup came

A refusal as unknown_origin looked the same whether the replicas that kept the record had lost it or could not be reached. stream_continued says how often the replicas were asked, how many of the known ones replied, and the time left to the caller. masticsill_relay_streams_asked and _begun count new and continued streams side by side.

--- a/crates/masticsill_relay/src/connection.rs
+++ b/crates/masticsill_relay/src/connection.rs
@@ -14,6 +14,7 @@
 use crate::admission::{Authorized, admit, authorize};
 use crate::caller::{BodyError, Caller, LINGER_TIMEOUT, NextRequest};
 use crate::events;
+use crate::metrics::StreamLabel;
 use crate::plain::relay_plain;
 use crate::relay::{ActiveRequest, Relay, discovery_wait_ms};
 use crate::request::RelayRequest;
@@ -147,10 +148,13 @@
     writer: &mut OwnedWriteHalf,
     mut request: RelayRequest,
 ) -> ConnectionAction {
+    let is_continued = request.is_continuation(&relay.config.headers);
+    let asked = &relay.metrics.streams_asked;
+    asked.get_or_create(&StreamLabel::new(is_continued)).inc();
     if !relay.accepts_streams() {
         return refuse(relay, writer, &request, Refusal::Stopping).await;
     }
-    let origin = if request.is_continuation(&relay.config.headers) {
+    let origin = if is_continued {
         // Boxed, since few requests need it.
         match Box::pin(find_origin(relay, &request)).await {
             Ok(origin) => origin,
--- a/crates/masticsill_relay/src/metrics.rs
+++ b/crates/masticsill_relay/src/metrics.rs
@@ -37,6 +37,20 @@
     pub(crate) cause: &'static str,
 }
 
+/// Whether a stream is new, or one that its caller continues.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct StreamLabel {
+    pub(crate) kind: &'static str,
+}
+
+impl StreamLabel {
+    pub(crate) fn new(is_continued: bool) -> Self {
+        Self {
+            kind: if is_continued { "continued" } else { "new" },
+        }
+    }
+}
+
 /// Service and side of a roll-out.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct SideLabels {
@@ -100,6 +114,8 @@
     pub(crate) rollout_sends: Family<SideLabels, Counter>,
     pub(crate) runs_crashed: Counter,
     pub(crate) runs_left_alive: Counter,
+    pub(crate) streams_asked: Family<StreamLabel, Counter>,
+    pub(crate) streams_begun: Family<StreamLabel, Counter>,
     pub(crate) streams_continued: Counter,
     pub(crate) tokens_prefilled_again: Counter,
     pub(crate) wait_ms: Histogram,
@@ -135,6 +151,8 @@
             rollout_sends: Family::default(),
             runs_crashed: Counter::default(),
             runs_left_alive: Counter::default(),
+            streams_asked: Family::default(),
+            streams_begun: Family::default(),
             streams_continued: Counter::default(),
             tokens_prefilled_again: Counter::default(),
             wait_ms: time_histogram(),
@@ -211,6 +229,12 @@
         let help = "Prompt tokens that are prefilled again after such runs";
         let again = self.tokens_prefilled_again.clone();
         registry.register("masticsill_relay_tokens_prefilled_again", help, again);
+        let help = "Streams that callers asked for, new ones and continued ones";
+        let asked = self.streams_asked.clone();
+        registry.register("masticsill_relay_streams_asked", help, asked);
+        let help = "Streams of which a caller got an event from this relay";
+        let begun = self.streams_begun.clone();
+        registry.register("masticsill_relay_streams_begun", help, begun);
         let help = "Streams that callers continued with another attempt";
         let continued = self.streams_continued.clone();
         registry.register("masticsill_relay_streams_continued", help, continued);
--- a/crates/masticsill_relay/src/stream/run.rs
+++ b/crates/masticsill_relay/src/stream/run.rs
@@ -18,7 +18,7 @@
 use crate::event_order::EventPosition;
 use crate::events;
 use crate::failover::{INCARNATION_REPLACED, WatchResult, WatchedAttempt};
-use crate::metrics::CauseLabel;
+use crate::metrics::{CauseLabel, StreamLabel};
 use crate::request::SendOptions;
 
 /// Target gap of a route that states none.
@@ -257,6 +257,7 @@
         let mut passed = BytesMut::new();
         let mut is_missing = false;
         let mut has_event = false;
+        let is_first = self.delivered == 0;
         while let Some(event) = splitter.next_event() {
             has_event = true;
             match self.order.classify(event.id) {
@@ -273,6 +274,11 @@
             }
         }
         if !passed.is_empty() {
+            if is_first {
+                let label =
+                    StreamLabel::new(self.request.is_continuation(&self.relay.config.headers));
+                self.relay.metrics.streams_begun.get_or_create(&label).inc();
+            }
             let received_at = self.request.received_at;
             self.timing.note_events(received_at, self.relay.now());
             self.write(head, &passed)
--- a/crates/masticsill_relay/src/stream_origins.rs
+++ b/crates/masticsill_relay/src/stream_origins.rs
@@ -139,9 +139,10 @@
     let attempt = request.first_attempt(names);
     let recorded = relay.known_origin(attempt.as_ref());
     let is_local = recorded.is_some();
+    let mut progress = LookupProgress::default();
     let found = match recorded {
         Some(origin) => Ok(origin),
-        None => ask_replicas(relay, request, attempt).await,
+        None => ask_replicas(relay, request, attempt, &mut progress).await,
     };
     relay.metrics.streams_continued.inc();
     let origin = found.as_ref().ok();
@@ -155,6 +156,10 @@
         version = origin.map_or("", |it| &it.version),
         is_known = origin.is_some(),
         is_local = is_local,
+        queries = progress.queries,
+        replied = progress.replied,
+        replicas = relay.known_replicas().len(),
+        left_ms = request.left_ms(relay.now()),
         looked_up_ms = relay.now().since(request.received_at)
     );
     let origin = found?;
@@ -193,19 +198,32 @@
     discovery_wait_ms(request.left_ms(relay.now()))
 }
 
+/// How far a lookup has come.
+#[derive(Clone, Copy, Debug, Default)]
+struct LookupProgress {
+    /// How often the control replicas were asked.
+    queries: u32,
+    /// Number of replicas that replied to the last query.
+    replied: usize,
+}
+
 /// Asks the control replicas where a stream began, until that is certain.
 async fn ask_replicas(
     relay: &Rc<Relay>,
     request: &RelayRequest,
     attempt: Option<AttemptKey>,
+    progress: &mut LookupProgress,
 ) -> Result<StreamOrigin, Refusal> {
     let bound = Instant::now() + Duration::from_millis(patience_ms(relay, request));
     let mut unsuccessful_queries = 0;
     loop {
         let mut replies = Vec::new();
         let mut answers = query_replicas(relay, request, attempt);
+        progress.queries += 1;
+        progress.replied = 0;
         while let Some(reply) = answers.recv().await {
             replies.push(reply);
+            progress.replied = replies.len();
             if let Some(origin) = evidence(relay, request, &replies).origin() {
                 return Ok(origin);
             }
