Origins of streams outlive the processes that know them

What callers saw: streams that they took up again were refused as unknown_origin, although engines of their version were there, while new ones began (LOST). Cause: which version began a stream lay in the memory of its relay and of two control replicas. Each of them was a replica in name only: after a restart it was told again by the relay that began the stream, which has mostly ended when its caller comes back. Callers of a silent relay come back 18 s later; replicas that restarted meanwhile, one by one, knew nothing. The class is soft state whose only source is the process whose loss it is for. Change: half of the control replicas that a relay knows, rounded up, over as many zones as possible, keep its streams, so that each majority includes one. They store them in a log on their disks, written 10 ms after a report and synced every 100 ms, and read it at their start. Streams with contradicting origins are stored as such.

--- a/crates/masticsill_control/src/endpoints.rs
+++ b/crates/masticsill_control/src/endpoints.rs
@@ -3,12 +3,14 @@
 
 mod exchange;
 mod hub;
+mod origin_log;
 mod persistence;
 mod prompts;
 mod suspects;
 
 pub(crate) use exchange::run_exchange;
 pub(crate) use hub::{EndpointHub, RESTORED_GRACE_MS};
+pub(crate) use origin_log::read as read_origins;
 pub(crate) use persistence::{read as read_endpoints, run_persistence};
 pub(crate) use prompts::follow_prompts;
 pub(crate) use suspects::run_judgements;
--- a/crates/masticsill_control/src/endpoints/hub.rs
+++ b/crates/masticsill_control/src/endpoints/hub.rs
@@ -6,8 +6,8 @@
 use masticsill_registry::{
     Announcement, AttemptKey, CacheUpdate, CachedTokens, EndpointId, EndpointLoad, EndpointRecord,
     EndpointState, EngineReservationRequest, HeartbeatAge, LoadsChange, OriginReply,
-    PromptCacheIndex, PromptPart, Registry, RegistryTimeouts, StreamOrigins, StreamRecord, Watcher,
-    WatcherTable,
+    PromptCacheIndex, PromptPart, Registry, RegistryTimeouts, StoredStream, StreamOrigins,
+    StreamRecord, Watcher, WatcherTable,
 };
 use masticsill_rollout::{Rollout, Rollouts, ServingRollout};
 use masticsill_types::{MonotonicClock, NodeId, ZoneId, log_event};
@@ -55,6 +55,7 @@
     registry: Mutex<Registry>,
     revision: watch::Sender<u64>,
     streams: Mutex<StreamOrigins>,
+    stream_revision: watch::Sender<u64>,
     suspects: Suspects,
     unreadable: UnreadableMessages,
     watchers: Mutex<WatcherTable>,
@@ -97,6 +98,7 @@
             registry: Mutex::new(Registry::new(periods)),
             revision: watch::Sender::new(0),
             streams: Mutex::default(),
+            stream_revision: watch::Sender::new(0),
             suspects: Suspects::new(clock),
             unreadable,
             watchers: Mutex::default(),
@@ -350,6 +352,28 @@
         for record in records {
             streams.record(now, record);
         }
+        self.shared.stream_revision.send_replace(streams.revision());
+    }
+
+    /// Restores the origins of streams that a former process of this replica stored.
+    pub(crate) fn restore_streams(&self, stored: &[StoredStream]) {
+        let now = self.shared.clock.now();
+        self.streams().restore(now, stored);
+    }
+
+    /// The origins of streams that changed after a revision, oldest first, and the revision that
+    /// includes them.
+    pub(crate) fn streams_since(&self, revision: u64) -> (u64, Vec<StoredStream>) {
+        let now = self.shared.clock.now();
+        let streams = self.streams();
+        let mut changed = streams.stored_since(now, revision);
+        changed.reverse();
+        (streams.revision(), changed)
+    }
+
+    /// Subscribes to the revision of the streams' origins.
+    pub(crate) fn watch_stream_revision(&self) -> watch::Receiver<u64> {
+        self.shared.stream_revision.subscribe()
     }
 
     /// What is known here of the origin of a stream.
--- /dev/null
+++ b/crates/masticsill_control/src/endpoints/origin_log.rs
@@ -0,0 +1,167 @@
+//! Stores the origins of streams on this replica's disk. Callers continue a stream because the entry
+//! that began it has ended; if the replicas that keep its origin end too, only their disks know it.
+
+use std::fs;
+use std::future::pending;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use masticsill_quorum::storage::{Disk, FileDisk, encode_frame, scan_frames};
+use masticsill_registry::StoredStream;
+use masticsill_runtime::ShutdownSignal;
+use masticsill_types::log_event;
+use serde::{Deserialize, Serialize};
+use tokio::time::{Instant, sleep, sleep_until};
+
+use super::EndpointHub;
+use crate::events;
+
+/// Folder of the log within the data folder.
+const FOLDER: &str = "stream_origins";
+const FILE: &str = "log";
+/// Delay before new streams are written, so that simultaneous ones share a write.
+const WRITE_DELAY: Duration = Duration::from_millis(10);
+/// Interval between syncs, which the quorum's log has to wait for. A killed process loses nothing
+/// that it has written, so that only a power loss costs the last interval.
+const SYNC_INTERVAL: Duration = Duration::from_millis(100);
+/// Pause after a failed write.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// Size below which the log is not compacted.
+const MIN_COMPACTED_BYTES: usize = 256 * 1024;
+
+/// Durable encoding of a frame's body. Variants are only ever added at the end.
+#[derive(Deserialize, Serialize)]
+enum StoredStreams {
+    V1(Vec<StoredStream>),
+}
+
+fn encode(streams: Vec<StoredStream>) -> io::Result<Vec<u8>> {
+    let body = postcard::to_allocvec(&StoredStreams::V1(streams)).map_err(io::Error::other)?;
+    Ok(encode_frame(&body))
+}
+
+/// Reads the streams that a former process stored, in the order in which it did; what a power loss
+/// has damaged is left out.
+pub(crate) fn read(data_folder: &Path) -> Vec<StoredStream> {
+    let bytes = match fs::read(data_folder.join(FOLDER).join(FILE)) {
+        Ok(bytes) => bytes,
+        Err(error) if error.kind() == io::ErrorKind::NotFound => return Vec::new(),
+        Err(error) => {
+            log_event!(warn, events::STREAM_ORIGINS_NOT_STORED, cause = error);
+            return Vec::new();
+        }
+    };
+    let scan = scan_frames(&bytes);
+    let bodies = scan.frames.iter().map(|(_, body)| *body);
+    // A frame of a later version says nothing to this one.
+    let frames = bodies.filter_map(|body| postcard::from_bytes(body).ok());
+    frames
+        .flat_map(|StoredStreams::V1(streams)| streams)
+        .collect()
+}
+
+/// The log, open for writing.
+#[derive(Debug)]
+struct OriginLog {
+    disk: FileDisk,
+    /// Size in bytes, and its size when it was compacted last.
+    size: usize,
+    compacted_size: usize,
+}
+
+impl OriginLog {
+    /// Opens the log and replaces its content, since an interrupted write may have damaged its end.
+    fn open(data_folder: &Path, streams: Vec<StoredStream>) -> io::Result<Self> {
+        let disk = FileDisk::open(&data_folder.join(FOLDER)).map_err(io::Error::other)?;
+        let mut log = Self {
+            disk,
+            size: 0,
+            compacted_size: 0,
+        };
+        log.replace(streams)?;
+        Ok(log)
+    }
+
+    fn replace(&mut self, streams: Vec<StoredStream>) -> io::Result<()> {
+        let frame = encode(streams)?;
+        self.disk.replace(FILE, &frame)?;
+        self.size = frame.len();
+        self.compacted_size = frame.len();
+        Ok(())
+    }
+
+    /// Appends without a sync.
+    fn append(&mut self, streams: Vec<StoredStream>) -> io::Result<()> {
+        let frame = encode(streams)?;
+        self.disk.append(FILE, &frame)?;
+        self.size += frame.len();
+        Ok(())
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.disk.sync(FILE)
+    }
+
+    /// Whether most of the log is likely to have expired.
+    fn needs_compaction(&self) -> bool {
+        self.size > MIN_COMPACTED_BYTES.max(2 * self.compacted_size)
+    }
+}
+
+/// Stores the streams that are reported to this replica, until it ends.
+pub(crate) async fn run_origin_log(
+    data_folder: PathBuf,
+    endpoints: EndpointHub,
+    ended: ShutdownSignal,
+) {
+    while let Err(error) = store(&data_folder, &endpoints, &ended).await {
+        log_event!(warn, events::STREAM_ORIGINS_NOT_STORED, cause = error);
+        tokio::select! {
+            () = sleep(RETRY_PAUSE) => {}
+            () = ended.requested() => return,
+        }
+    }
+}
+
+/// Opens the log and stores streams until the replica ends or a write fails.
+async fn store(
+    data_folder: &Path,
+    endpoints: &EndpointHub,
+    ended: &ShutdownSignal,
+) -> io::Result<()> {
+    let mut revisions = endpoints.watch_stream_revision();
+    let (mut stored, streams) = endpoints.streams_since(0);
+    let mut log = OriginLog::open(data_folder, streams)?;
+    let mut sync_due: Option<Instant> = None;
+    loop {
+        let sync = async {
+            match sync_due {
+                Some(due) => sleep_until(due).await,
+                None => pending().await,
+            }
+        };
+        let has_ended = tokio::select! {
+            () = ended.requested() => true,
+            changed = revisions.changed() => changed.is_err(),
+            () = sync => {
+                log.sync()?;
+                sync_due = None;
+                continue;
+            }
+        };
+        if !has_ended {
+            sleep(WRITE_DELAY).await;
+        }
+        let (revision, streams) = endpoints.streams_since(stored);
+        log.append(streams)?;
+        stored = revision;
+        if has_ended {
+            return log.sync();
+        }
+        if log.needs_compaction() {
+            log.replace(endpoints.streams_since(0).1)?;
+        }
+        sync_due.get_or_insert_with(|| Instant::now() + SYNC_INTERVAL);
+    }
+}
--- a/crates/masticsill_control/src/endpoints/persistence.rs
+++ b/crates/masticsill_control/src/endpoints/persistence.rs
@@ -18,6 +18,7 @@
 use tokio::time::sleep;
 
 use super::EndpointHub;
+use super::origin_log::run_origin_log;
 use crate::events;
 
 const FILE: &str = "endpoints";
@@ -75,12 +76,20 @@
     }
 }
 
-/// Writes the records whenever they have changed, until the replica ends.
+/// Stores the registry's records and the origins of streams whenever they have changed, until the
+/// replica ends.
 pub(crate) async fn run_persistence(
     folder: PathBuf,
     endpoints: EndpointHub,
     ended: ShutdownSignal,
 ) {
+    tokio::join!(
+        run_origin_log(folder.clone(), endpoints.clone(), ended.clone()),
+        store_records(folder, endpoints, ended),
+    );
+}
+
+async fn store_records(folder: PathBuf, endpoints: EndpointHub, ended: ShutdownSignal) {
     let mut revisions = endpoints.revisions();
     let mut suspects = endpoints.suspects().watch_broadcast_revision();
     loop {
--- a/crates/masticsill_control/src/events.rs
+++ b/crates/masticsill_control/src/events.rs
@@ -69,6 +69,10 @@
 pub const ROLLOUT_STEPPED: Event = Event::new(4146, "control_rollout_stepped");
 /// A roll-out was completed or rolled back.
 pub const ROLLOUT_ENDED: Event = Event::new(4147, "control_rollout_ended");
+/// The origins of streams that a former process of this replica stored were read.
+pub const STREAM_ORIGINS_RESTORED: Event = Event::new(4148, "control_stream_origins_restored");
+/// The origins of streams could not be read or stored.
+pub const STREAM_ORIGINS_NOT_STORED: Event = Event::new(4149, "control_stream_origins_not_stored");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -105,4 +109,6 @@
     ROLLOUT_ORDERED,
     ROLLOUT_STEPPED,
     ROLLOUT_ENDED,
+    STREAM_ORIGINS_RESTORED,
+    STREAM_ORIGINS_NOT_STORED,
 ];
--- a/crates/masticsill_control/src/role.rs
+++ b/crates/masticsill_control/src/role.rs
@@ -18,7 +18,7 @@
 
 use crate::config::ControlConfig;
 use crate::document_pieces::{DocumentPieces, run_splitting};
-use crate::endpoints::{EndpointHub, read_endpoints, run_persistence};
+use crate::endpoints::{EndpointHub, read_endpoints, read_origins, run_persistence};
 use crate::error::ControlError;
 use crate::events;
 use crate::gauges::ControlGauges;
@@ -74,6 +74,13 @@
     let persisted = read_endpoints(&config.data_folder);
     endpoints.restore(&persisted.endpoints);
     endpoints.suspects().merge(&persisted.suspects);
+    let streams = read_origins(&config.data_folder);
+    endpoints.restore_streams(&streams);
+    log_event!(
+        info,
+        events::STREAM_ORIGINS_RESTORED,
+        streams = streams.len()
+    );
     endpoints
 }
 
--- a/crates/masticsill_quorum/src/storage.rs
+++ b/crates/masticsill_quorum/src/storage.rs
@@ -27,6 +27,7 @@
 
 pub use disk::{Disk, FileDisk};
 pub use error::StorageError;
+pub use frame::{FrameEnd, FrameScan, encode_frame, scan_frames};
 pub use open::{RecoveredStorage, TornTail};
 pub use space_wait::{SpaceWaitCanceller, SpaceWaitDisk};
 
--- a/crates/masticsill_quorum/src/storage/disk.rs
+++ b/crates/masticsill_quorum/src/storage/disk.rs
@@ -110,6 +110,12 @@
         File::open(&self.folder)?.sync_all()
     }
 
+    /// Closes the handle of a file that is removed or replaced: a later one of its name is another
+    /// file.
+    fn close_append_handle(&mut self, name: &str) {
+        self.append_handle.take_if(|it| it.name == name);
+    }
+
     fn append_handle(&mut self, name: &str) -> io::Result<&mut AppendHandle> {
         let is_open = |it: &AppendHandle| it.name == name;
         if !self.append_handle.as_ref().is_some_and(is_open) {
@@ -153,9 +159,7 @@
     }
 
     fn remove(&mut self, file: &str) -> io::Result<()> {
-        // A file created later under the same name is a different file, so the handle is closed.
-        self.append_handle
-            .take_if(|append_handle| append_handle.name == file);
+        self.close_append_handle(file);
         fs::remove_file(self.folder.join(file))
     }
 
@@ -164,6 +168,7 @@
         let mut written = File::create(&temporary)?;
         written.write_all(bytes)?;
         written.sync_all()?;
+        self.close_append_handle(file);
         fs::rename(&temporary, self.folder.join(file))?;
         self.sync_folder()
     }
--- a/crates/masticsill_quorum/src/storage/frame.rs
+++ b/crates/masticsill_quorum/src/storage/frame.rs
@@ -9,21 +9,30 @@
 
 /// The frames of a file and how the file ends.
 #[derive(Debug)]
-pub(crate) struct FrameScan<'a> {
+pub struct FrameScan<'a> {
     /// Offset and body of each complete frame.
-    pub(crate) frames: Vec<(usize, &'a [u8])>,
-    pub(crate) end: FrameEnd,
+    pub frames: Vec<(usize, &'a [u8])>,
+    /// How the file ends.
+    pub end: FrameEnd,
 }
 
 /// How a file of frames ends.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum FrameEnd {
+pub enum FrameEnd {
     /// The file ends with a complete frame.
     Clean,
     /// A frame is damaged in a way that an interrupted write does not explain.
-    Corrupt { offset: usize, reason: &'static str },
+    Corrupt {
+        /// Offset of the frame in bytes.
+        offset: usize,
+        /// What is wrong with it.
+        reason: &'static str,
+    },
     /// The last frame was only partly written.
-    Torn { offset: usize },
+    Torn {
+        /// Offset of the frame in bytes.
+        offset: usize,
+    },
 }
 
 /// The result of reading one frame.
@@ -41,7 +50,12 @@
 }
 
 /// Encodes a body as a frame.
-pub(crate) fn encode_frame(body: &[u8]) -> Vec<u8> {
+///
+/// # Panics
+///
+/// If the body has 4 GiB or more.
+#[must_use]
+pub fn encode_frame(body: &[u8]) -> Vec<u8> {
     let length = u32::try_from(body.len()).expect("bodies are far below 4 GiB");
     let mut frame = Vec::with_capacity(HEADER_BYTES + body.len());
     frame.extend_from_slice(&length.to_le_bytes());
@@ -52,7 +66,8 @@
 }
 
 /// Splits a file's content into frames, up to the first torn or corrupt one.
-pub(crate) fn scan_frames(bytes: &[u8]) -> FrameScan<'_> {
+#[must_use]
+pub fn scan_frames(bytes: &[u8]) -> FrameScan<'_> {
     let mut frames = Vec::new();
     let mut offset = 0;
     while offset < bytes.len() {
--- a/crates/masticsill_registry/src/lib.rs
+++ b/crates/masticsill_registry/src/lib.rs
@@ -9,6 +9,7 @@
 mod gauges;
 mod id;
 mod join;
+mod origin_lookup;
 mod permits;
 mod prompt_cache;
 mod rate;
@@ -23,12 +24,11 @@
 pub use gauges::StateGauges;
 pub use id::{EndpointId, EndpointIncarnation};
 pub use join::JoinOutcome;
+pub use origin_lookup::{OriginEvidence, OriginReply, origin_keepers};
 pub use prompt_cache::{CacheUpdate, CachedPart, CachedTokens, PromptCacheIndex, PromptPart};
 pub use rate::{LimitStatement, RequestRate};
 pub use record::{Announcement, EndpointRecord, EndpointState, HeartbeatAge};
 pub use registry::{Registry, RegistryTimeouts};
 pub use reservations::{EngineReservationRequest, is_zone_down};
-pub use stream_origins::{
-    AttemptKey, OriginEvidence, OriginReply, StreamOrigin, StreamOrigins, StreamRecord,
-};
+pub use stream_origins::{AttemptKey, StoredStream, StreamOrigin, StreamOrigins, StreamRecord};
 pub use watchers::{EndpointLoad, LoadsChange, Watcher, WatcherTable};
--- a/crates/masticsill_registry/src/stream_origins.rs
+++ b/crates/masticsill_registry/src/stream_origins.rs
@@ -55,12 +55,23 @@
     pub origin: StreamOrigin,
 }
 
+/// What a replica stores of one stream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StoredStream {
+    /// The attempt that brought the first event.
+    pub attempt: AttemptKey,
+    /// Time until the caller gives up, in milliseconds.
+    pub expires_in_ms: u64,
+    /// Where the first event came from; none if reports contradict each other.
+    pub origin: Option<StreamOrigin>,
+}
+
 #[derive(Clone, Debug)]
 struct KnownStream {
     expires_at: ClockMs,
     /// None if reports contradict each other.
     origin: Option<Arc<StreamOrigin>>,
-    /// The number of the change that added the stream.
+    /// The number of the change that added the stream or made its origin unknown.
     revision: u64,
 }
 
@@ -78,20 +89,45 @@
     /// Records the origin of a stream. Two different origins of one attempt make it unknown.
     pub fn record(&mut self, now: ClockMs, record: &StreamRecord) {
         let expires_at = now + record.expires_in_ms;
-        if let Some(known) = self.streams.get_mut(&record.attempt) {
+        self.join(now, record.attempt, expires_at, Some(&record.origin));
+    }
+
+    /// Restores streams that a former process stored. How long ago that was is not known, so that
+    /// they are kept for as long as if they had been stored just now.
+    pub fn restore(&mut self, now: ClockMs, streams: &[StoredStream]) {
+        for stream in streams {
+            let expires_at = now + stream.expires_in_ms;
+            self.join(now, stream.attempt, expires_at, stream.origin.as_ref());
+        }
+    }
+
+    fn join(
+        &mut self,
+        now: ClockMs,
+        attempt: AttemptKey,
+        expires_at: ClockMs,
+        origin: Option<&StreamOrigin>,
+    ) {
+        if let Some(known) = self.streams.get_mut(&attempt) {
             known.expires_at = known.expires_at.max(expires_at);
-            known.origin = known.origin.take().filter(|it| **it == record.origin);
-            return;
+            if known.origin.is_none() || known.origin.as_deref() == origin {
+                return;
+            }
         }
+        // A stream whose origin becomes unknown is added again, so that the order is that of the
+        // revisions.
+        let contradicted = self.streams.shift_remove(&attempt);
         self.prune(now);
-        let origin = self.shared_origin(&record.origin);
+        let expires_at = contradicted.as_ref().map_or(expires_at, |it| it.expires_at);
+        let origin = origin.filter(|_| contradicted.is_none());
+        let origin = origin.map(|origin| self.shared_origin(origin));
         self.revision += 1;
         let known = KnownStream {
             expires_at,
-            origin: Some(origin),
+            origin,
             revision: self.revision,
         };
-        self.streams.insert(record.attempt, known);
+        self.streams.insert(attempt, known);
     }
 
     /// The origin of the stream whose first event an attempt brought.
@@ -101,7 +137,7 @@
         known.origin.as_deref().filter(|_| now < known.expires_at)
     }
 
-    /// The number of the last stream that was added.
+    /// The number of the last change.
     #[must_use]
     pub fn revision(&self) -> u64 {
         self.revision
@@ -110,19 +146,39 @@
     /// The streams that were added after a revision and may still be continued.
     #[must_use]
     pub fn since(&self, now: ClockMs, revision: u64) -> Vec<StreamRecord> {
-        let newer = self.streams.iter().rev();
-        let newer = newer.take_while(|(_, known)| known.revision > revision);
-        let records = newer.filter_map(|(attempt, known)| {
-            let origin = known.origin.as_deref().filter(|_| now < known.expires_at)?;
+        let changed = self.changed_since(now, revision);
+        let records = changed.filter_map(|(attempt, known)| {
             Some(StreamRecord {
                 attempt: *attempt,
                 expires_in_ms: known.expires_at.since(now),
-                origin: origin.clone(),
+                origin: known.origin.as_deref()?.clone(),
             })
         });
         records.collect()
     }
 
+    /// The changes after a revision that have not expired, to be stored.
+    #[must_use]
+    pub fn stored_since(&self, now: ClockMs, revision: u64) -> Vec<StoredStream> {
+        let changed = self.changed_since(now, revision);
+        let streams = changed.map(|(attempt, known)| StoredStream {
+            attempt: *attempt,
+            expires_in_ms: known.expires_at.since(now),
+            origin: known.origin.as_deref().cloned(),
+        });
+        streams.collect()
+    }
+
+    fn changed_since(
+        &self,
+        now: ClockMs,
+        revision: u64,
+    ) -> impl Iterator<Item = (&AttemptKey, &KnownStream)> {
+        let newer = self.streams.iter().rev();
+        let newer = newer.take_while(move |(_, known)| known.revision > revision);
+        newer.filter(move |(_, known)| now < known.expires_at)
+    }
+
     fn shared_origin(&mut self, origin: &StreamOrigin) -> Arc<StreamOrigin> {
         if let Some(known) = self.origins.get(origin) {
             return Arc::clone(known);
@@ -146,61 +202,3 @@
         self.prune_at_len = (2 * self.streams.len()).min(MAX_STREAMS);
     }
 }
-
-/// A control replica's answer to the question where a stream began.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct OriginReply {
-    /// The origin of the stream, if the replica knows it.
-    pub origin: Option<StreamOrigin>,
-    /// The versions of the service's endpoints, including those that have ended lately.
-    pub versions: IndexSet<String>,
-    /// For how long the replica remembers ended endpoints, in milliseconds.
-    pub versions_kept_ms: u64,
-}
-
-/// What an entry knows of a stream that a caller continues.
-#[derive(Clone, Debug)]
-pub struct OriginEvidence<'a> {
-    /// Number of control replicas that the entry knows.
-    pub replicas: usize,
-    /// The longest time for which the stream may have lasted, in milliseconds.
-    pub max_age_ms: u64,
-    /// The replies.
-    pub replies: &'a [OriginReply],
-    /// The service that the request is for.
-    pub service: &'a str,
-    /// The versions of the service that the entry itself knows.
-    pub versions: IndexSet<String>,
-}
-
-impl OriginEvidence<'_> {
-    /// Whether a majority of the control replicas has replied.
-    #[must_use]
-    pub fn has_majority(&self) -> bool {
-        2 * self.replies.len() > self.replicas
-    }
-
-    /// Where the stream began; none if that is not certain.
-    ///
-    /// A stream of which no replica has a record can only have begun at the only version that the
-    /// service has had for as long as the stream may have lasted. Entries begin streams at versions
-    /// that a majority of the replicas know, so that it is enough if a majority replies.
-    #[must_use]
-    pub fn origin(&self) -> Option<StreamOrigin> {
-        let mut recorded = self.replies.iter().filter_map(|it| it.origin.as_ref());
-        if let Some(first) = recorded.next() {
-            return recorded.all(|it| it == first).then(|| first.clone());
-        }
-        let is_remembered = |it: &OriginReply| it.versions_kept_ms >= self.max_age_ms;
-        if !self.has_majority() || !self.replies.iter().all(is_remembered) {
-            return None;
-        }
-        let known = self.replies.iter().flat_map(|it| &it.versions);
-        let known: IndexSet<&String> = known.chain(&self.versions).collect();
-        let version = known.first().filter(|_| known.len() == 1)?;
-        Some(StreamOrigin {
-            service: self.service.to_owned(),
-            version: (*version).clone(),
-        })
-    }
-}
--- /dev/null
+++ b/crates/masticsill_registry/tests/origin_lookup.rs
@@ -0,0 +1,105 @@
+//! When the replies of control replicas settle where a stream began, and who keeps that.
+
+use std::net::SocketAddr;
+
+use indexmap::{IndexMap, IndexSet};
+use masticsill_registry::{OriginEvidence, OriginReply, StreamOrigin, origin_keepers};
+use masticsill_types::ZoneId;
+
+const SERVICE: &str = "engines";
+
+fn origin(version: &str) -> StreamOrigin {
+    StreamOrigin {
+        service: SERVICE.to_owned(),
+        version: version.to_owned(),
+    }
+}
+
+fn reply(recorded: Option<&str>, versions: &[&str]) -> OriginReply {
+    OriginReply {
+        origin: recorded.map(origin),
+        versions: versions.iter().map(ToString::to_string).collect(),
+        versions_kept_ms: 60_000,
+    }
+}
+
+fn settle(replies: &[OriginReply], replicas: usize, own: &[&str]) -> Option<String> {
+    let versions: IndexSet<String> = own.iter().map(ToString::to_string).collect();
+    let evidence = OriginEvidence {
+        max_age_ms: 25_000,
+        replicas,
+        replies,
+        service: SERVICE,
+        versions,
+    };
+    evidence.origin().map(|it| it.version)
+}
+
+#[test]
+fn one_record_settles_the_origin() {
+    let replies = [reply(None, &["v1", "v2"]), reply(Some("v1"), &["v1", "v2"])];
+    assert_eq!(settle(&replies, 5, &["v2"]).as_deref(), Some("v1"));
+    let contradicting = [reply(Some("v2"), &[]), reply(Some("v1"), &[])];
+    assert_eq!(settle(&contradicting, 2, &[]), None);
+}
+
+/// Guards against a guess: without a record only the one version that there has been is certain.
+#[test]
+fn stream_without_a_record_began_at_the_only_version() {
+    let one = [reply(None, &["v1"]), reply(None, &["v1"])];
+    assert_eq!(settle(&one, 3, &["v1"]).as_deref(), Some("v1"));
+    assert_eq!(settle(&one, 3, &[]).as_deref(), Some("v1"));
+    // The replicas that are cut off may know another version.
+    assert_eq!(settle(&one, 4, &["v1"]), None);
+    // This entry, or one replica, knows another version.
+    assert_eq!(settle(&one, 3, &["v1", "v2"]), None);
+    let two = [reply(None, &["v1"]), reply(None, &["v1", "v2"])];
+    assert_eq!(settle(&two, 3, &["v1"]), None);
+    assert_eq!(settle(&[reply(None, &[])], 1, &[]), None);
+    assert_eq!(settle(&[], 0, &["v1"]), None);
+}
+
+/// Guards against a version that ended long before, but not before the stream began.
+#[test]
+fn versions_are_certain_only_for_as_long_as_they_are_kept() {
+    let short = OriginReply {
+        versions_kept_ms: 24_999,
+        ..reply(None, &["v1"])
+    };
+    assert_eq!(settle(&[short], 1, &["v1"]), None);
+}
+
+fn replicas(zones: &[&str]) -> IndexMap<SocketAddr, ZoneId> {
+    let numbered = zones.iter().enumerate();
+    let replicas = numbered.map(|(number, zone)| {
+        let address = SocketAddr::from(([10, 0, 0, u8::try_from(number).unwrap()], 1));
+        (address, ZoneId::new(*zone).unwrap())
+    });
+    replicas.collect()
+}
+
+/// Guards against a record that is lost with fewer replicas than the quorum bears.
+#[test]
+fn every_majority_of_the_replicas_includes_a_keeper() {
+    let zones = ["a", "a", "b", "b", "c", "c", "c"];
+    for count in 1..=zones.len() {
+        let replicas = replicas(&zones[..count]);
+        let own_zone = ZoneId::new("b").unwrap();
+        let keepers = origin_keepers(&own_zone, &replicas, count);
+        let majority = count / 2 + 1;
+        assert!(keepers.len() + majority > count, "{count}: {keepers:?}");
+    }
+}
+
+#[test]
+fn keepers_are_in_different_zones() {
+    let replicas = replicas(&["a", "a", "b", "b", "c", "c"]);
+    let own_zone = ZoneId::new("b").unwrap();
+    let zone_of = |address: &SocketAddr| replicas[address].to_string();
+    let keepers = origin_keepers(&own_zone, &replicas, 6);
+    let zones: Vec<String> = keepers.iter().map(zone_of).collect();
+    assert_eq!(zones, ["b", "c", "a"]);
+    // Two of three zones are cut off.
+    let reached = replicas.iter().filter(|(_, zone)| **zone == own_zone);
+    assert_eq!(origin_keepers(&own_zone, reached, 6).len(), 2);
+}
--- a/crates/masticsill_registry/tests/stream_origins.rs
+++ b/crates/masticsill_registry/tests/stream_origins.rs
@@ -1,9 +1,6 @@
-//! Where streams began: what is remembered, and when replies of control replicas settle it.
+//! Where streams began: what is remembered, reported and stored.
 
-use indexmap::IndexSet;
-use masticsill_registry::{
-    AttemptKey, OriginEvidence, OriginReply, StreamOrigin, StreamOrigins, StreamRecord,
-};
+use masticsill_registry::{AttemptKey, StoredStream, StreamOrigin, StreamOrigins, StreamRecord};
 use masticsill_types::ClockMs;
 
 const NOW: ClockMs = ClockMs(100_000);
@@ -28,26 +25,6 @@
     }
 }
 
-fn reply(recorded: Option<&str>, versions: &[&str]) -> OriginReply {
-    OriginReply {
-        origin: recorded.map(origin),
-        versions: versions.iter().map(ToString::to_string).collect(),
-        versions_kept_ms: 60_000,
-    }
-}
-
-fn settle(replies: &[OriginReply], replicas: usize, own: &[&str]) -> Option<String> {
-    let versions: IndexSet<String> = own.iter().map(ToString::to_string).collect();
-    let evidence = OriginEvidence {
-        max_age_ms: 25_000,
-        replicas,
-        replies,
-        service: SERVICE,
-        versions,
-    };
-    evidence.origin().map(|it| it.version)
-}
-
 #[test]
 fn stream_is_remembered_until_its_caller_gives_up() {
     let mut origins = StreamOrigins::default();
@@ -114,36 +91,28 @@
     assert!(origins.since(NOW, 0).len() <= 262_144);
 }
 
+/// Guards against a stream that goes on at the first of two versions, once the replica has restarted.
 #[test]
-fn one_record_settles_the_origin() {
-    let replies = [reply(None, &["v1", "v2"]), reply(Some("v1"), &["v1", "v2"])];
-    assert_eq!(settle(&replies, 5, &["v2"]).as_deref(), Some("v1"));
-    let contradicting = [reply(Some("v2"), &[]), reply(Some("v1"), &[])];
-    assert_eq!(settle(&contradicting, 2, &[]), None);
-}
-
-/// Guards against a guess: without a record only the one version that there has been is certain.
-#[test]
-fn stream_without_a_record_began_at_the_only_version() {
-    let one = [reply(None, &["v1"]), reply(None, &["v1"])];
-    assert_eq!(settle(&one, 3, &["v1"]).as_deref(), Some("v1"));
-    assert_eq!(settle(&one, 3, &[]).as_deref(), Some("v1"));
-    // The replicas that are cut off may know another version.
-    assert_eq!(settle(&one, 4, &["v1"]), None);
-    // This entry, or one replica, knows another version.
-    assert_eq!(settle(&one, 3, &["v1", "v2"]), None);
-    let two = [reply(None, &["v1"]), reply(None, &["v1", "v2"])];
-    assert_eq!(settle(&two, 3, &["v1"]), None);
-    assert_eq!(settle(&[reply(None, &[])], 1, &[]), None);
-    assert_eq!(settle(&[], 0, &["v1"]), None);
-}
-
-/// Guards against a version that ended long before, but not before the stream began.
-#[test]
-fn versions_are_certain_only_for_as_long_as_they_are_kept() {
-    let short = OriginReply {
-        versions_kept_ms: 24_999,
-        ..reply(None, &["v1"])
+fn contradictions_are_stored_and_restored() {
+    let mut origins = StreamOrigins::default();
+    origins.record(NOW, &record("a", "v1", 5_000));
+    origins.record(NOW, &record("b", "v1", 5_000));
+    let mut stored = origins.stored_since(NOW, 0);
+    let before = origins.revision();
+    origins.record(NOW + 1, &record("a", "v2", 5_000));
+    let contradicted = StoredStream {
+        attempt: key("a"),
+        expires_in_ms: 5_000,
+        origin: None,
     };
-    assert_eq!(settle(&[short], 1, &["v1"]), None);
+    assert_eq!(origins.stored_since(NOW + 1, before), [contradicted]);
+    assert!(origins.since(NOW + 1, before).is_empty());
+    stored.reverse();
+    stored.extend(origins.stored_since(NOW + 1, before));
+    let mut restored = StreamOrigins::default();
+    restored.restore(NOW + 60_000, &stored);
+    assert_eq!(restored.find(NOW + 64_998, &key("a")), None);
+    assert_eq!(restored.find(NOW + 64_998, &key("b")), Some(&origin("v1")));
+    restored.record(NOW + 60_001, &record("a", "v1", 5_000));
+    assert_eq!(restored.find(NOW + 60_001, &key("a")), None);
 }
--- a/crates/masticsill_relay/src/stream_origins.rs
+++ b/crates/masticsill_relay/src/stream_origins.rs
@@ -10,14 +10,15 @@
 use std::time::Duration;
 
 use indexmap::IndexSet;
-use masticsill_registry::{AttemptKey, OriginEvidence, OriginReply, StreamOrigin, StreamRecord};
+use masticsill_registry::{
+    AttemptKey, OriginEvidence, OriginReply, StreamOrigin, StreamRecord, origin_keepers,
+};
 use masticsill_rollout::VersionFilter;
-use masticsill_types::{ZoneId, log_event};
+use masticsill_types::log_event;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep};
 
-use crate::engine_reservation::first_replica;
 use crate::events;
 use crate::relay::{Relay, discovery_wait_ms};
 use crate::request::RelayRequest;
@@ -62,19 +63,11 @@
         self.stream_origin_changes.send_modify(|count| *count += 1);
     }
 
-    /// Whether a control replica keeps the origins of this relay's streams: one of this zone does,
-    /// and one of the next zone, so that a zone may be lost.
+    /// Whether a control replica keeps the origins of this relay's streams.
     fn is_origin_keeper(&self, address: SocketAddr) -> bool {
-        let own_zone = &self.config.zone;
-        let mut zones: Vec<ZoneId> = {
-            let reached = self.control_reached.borrow();
-            let zones: IndexSet<&ZoneId> = reached.values().collect();
-            zones.into_iter().cloned().collect()
-        };
-        zones.sort_unstable_by(|a, b| (a < own_zone, a).cmp(&(b < own_zone, b)));
-        let keepers = zones.iter().take(2);
-        let mut keepers = keepers.filter_map(|zone| first_replica(self, zone));
-        keepers.any(|keeper| keeper == address)
+        let reached = self.control_reached.borrow();
+        let known = self.known_replicas().len();
+        origin_keepers(&self.config.zone, reached.iter(), known).contains(&address)
     }
 
     fn known_origin(&self, attempt: Option<&AttemptKey>) -> Option<StreamOrigin> {
