Lookups of a stream's origin wait for replicas that may have the record

What callers saw: unknown_origin while the replica with the record was restarting or away. Change: a lookup ends early only once all known replicas have replied twice. While a majority replies, the others are waited for, half of the caller's time and 5 s at most; an entry that reaches a minority sends its caller elsewhere after a tenth, as before. The decision is pure. Result: replicas_that_may_have_the_record_are_waited_for. That it fails on the code before follows from reading: there was no pure decision to run it on.

--- a/crates/masticsill_registry/src/lib.rs
+++ b/crates/masticsill_registry/src/lib.rs
@@ -24,7 +24,7 @@
 pub use gauges::StateGauges;
 pub use id::{EndpointId, EndpointIncarnation};
 pub use join::JoinOutcome;
-pub use origin_lookup::{OriginEvidence, OriginReply, origin_keepers};
+pub use origin_lookup::{LookupStep, OriginEvidence, OriginLookup, OriginReply, origin_keepers};
 pub use prompt_cache::{CacheUpdate, CachedPart, CachedTokens, PromptCacheIndex, PromptPart};
 pub use rate::{LimitStatement, RequestRate};
 pub use record::{Announcement, EndpointRecord, EndpointState, HeartbeatAge};
--- a/crates/masticsill_registry/src/origin_lookup.rs
+++ b/crates/masticsill_registry/src/origin_lookup.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use indexmap::{IndexMap, IndexSet};
-use masticsill_types::ZoneId;
+use masticsill_types::{ClockMs, ZoneId};
 use serde::{Deserialize, Serialize};
 
 use crate::stream_origins::StreamOrigin;
@@ -36,6 +36,12 @@
 }
 
 impl OriginEvidence<'_> {
+    /// Whether all control replicas that the entry knows have replied.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        !self.replies.is_empty() && self.replies.len() >= self.replicas
+    }
+
     /// Whether a majority of the control replicas has replied.
     #[must_use]
     pub fn has_majority(&self) -> bool {
@@ -67,6 +73,81 @@
     }
 }
 
+/// Queries that all control replicas answered without a record, after which a stream's origin counts
+/// as unknown: a report that was on its way to the first one has arrived at the second.
+const MAX_COMPLETE_QUERIES: u32 = 2;
+/// Part of the caller's remaining time for which replicas that don't answer are waited for while a
+/// majority does: one of the others may have the only record.
+const MAJORITY_WAIT_DIVISOR: u64 = 2;
+/// Maximum of that wait, in milliseconds: a replica that was killed is back sooner.
+const MAX_MAJORITY_WAIT_MS: u64 = 5_000;
+/// Part of the remaining time for which an entry waits that reaches a minority of the replicas:
+/// another entry may reach more.
+const MINORITY_WAIT_DIVISOR: u64 = 10;
+/// Maximum of that wait, in milliseconds.
+const MAX_MINORITY_WAIT_MS: u64 = 2_500;
+
+/// What follows from the replies to a query.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum LookupStep {
+    /// The replicas are asked again after a pause.
+    AskAgain,
+    /// The stream began here.
+    Found(StreamOrigin),
+    /// Where the stream began can't be learned in time.
+    Unknown {
+        /// Whether an entry that reaches other replicas may know it.
+        may_be_known_elsewhere: bool,
+    },
+}
+
+/// The lookup of one stream's origin.
+#[derive(Clone, Debug)]
+pub struct OriginLookup {
+    asked_at: ClockMs,
+    complete_queries: u32,
+    /// Time in milliseconds that the caller had left at first.
+    left_ms: u64,
+}
+
+impl OriginLookup {
+    /// Begins a lookup for a caller that waits for another `left_ms` milliseconds.
+    #[must_use]
+    pub fn new(now: ClockMs, left_ms: u64) -> Self {
+        Self {
+            asked_at: now,
+            complete_queries: 0,
+            left_ms,
+        }
+    }
+
+    /// Decides after all replies to a query. The next query would begin `pause_ms` later.
+    pub fn step(
+        &mut self,
+        now: ClockMs,
+        evidence: &OriginEvidence<'_>,
+        pause_ms: u64,
+    ) -> LookupStep {
+        if let Some(origin) = evidence.origin() {
+            return LookupStep::Found(origin);
+        }
+        self.complete_queries += u32::from(evidence.is_complete());
+        let has_majority = evidence.has_majority();
+        let wait_ms = if has_majority {
+            (self.left_ms / MAJORITY_WAIT_DIVISOR).min(MAX_MAJORITY_WAIT_MS)
+        } else {
+            (self.left_ms / MINORITY_WAIT_DIVISOR).min(MAX_MINORITY_WAIT_MS)
+        };
+        let is_over = now.since(self.asked_at) + pause_ms >= wait_ms;
+        if self.complete_queries >= MAX_COMPLETE_QUERIES || is_over {
+            return LookupStep::Unknown {
+                may_be_known_elsewhere: !has_majority,
+            };
+        }
+        LookupStep::AskAgain
+    }
+}
+
 /// The control replicas that keep the origins of an entry's streams, of those that it reaches:
 /// half of the `known` ones, rounded up, so that each majority of them includes one.
 ///
--- a/crates/masticsill_registry/tests/origin_lookup.rs
+++ b/crates/masticsill_registry/tests/origin_lookup.rs
@@ -1,11 +1,16 @@
-//! When the replies of control replicas settle where a stream began, and who keeps that.
+//! When the replies of control replicas settle where a stream began, who keeps that, and how long it
+//! is looked up.
 
 use std::net::SocketAddr;
 
 use indexmap::{IndexMap, IndexSet};
-use masticsill_registry::{OriginEvidence, OriginReply, StreamOrigin, origin_keepers};
-use masticsill_types::ZoneId;
+use masticsill_registry::{
+    LookupStep, OriginEvidence, OriginLookup, OriginReply, StreamOrigin, origin_keepers,
+};
+use masticsill_types::{ClockMs, ZoneId};
 
+const NOW: ClockMs = ClockMs(100_000);
+const PAUSE_MS: u64 = 100;
 const SERVICE: &str = "engines";
 
 fn origin(version: &str) -> StreamOrigin {
@@ -35,6 +40,36 @@
     evidence.origin().map(|it| it.version)
 }
 
+fn evidence(replies: &[OriginReply], replicas: usize) -> OriginEvidence<'_> {
+    OriginEvidence {
+        max_age_ms: 25_000,
+        replicas,
+        replies,
+        service: SERVICE,
+        versions: IndexSet::new(),
+    }
+}
+
+/// Asks until the lookup ends; returns when that is, in milliseconds, and the last step.
+fn look_up(left_ms: u64, replies_at: impl Fn(u64) -> Vec<OriginReply>) -> (u64, LookupStep) {
+    let mut lookup = OriginLookup::new(NOW, left_ms);
+    let mut after_ms = 0;
+    loop {
+        let replies = replies_at(after_ms);
+        let step = lookup.step(NOW + after_ms, &evidence(&replies, 5), PAUSE_MS);
+        if step != LookupStep::AskAgain {
+            return (after_ms, step);
+        }
+        after_ms += PAUSE_MS;
+    }
+}
+
+fn unknown(may_be_known_elsewhere: bool) -> LookupStep {
+    LookupStep::Unknown {
+        may_be_known_elsewhere,
+    }
+}
+
 #[test]
 fn one_record_settles_the_origin() {
     let replies = [reply(None, &["v1", "v2"]), reply(Some("v1"), &["v1", "v2"])];
@@ -69,6 +104,40 @@
     assert_eq!(settle(&[short], 1, &["v1"]), None);
 }
 
+/// Guards against a stream that is refused while the replica with its record restarts.
+#[test]
+fn replicas_that_may_have_the_record_are_waited_for() {
+    let without = vec![reply(None, &["v1", "v2"]); 4];
+    let replies_at = |after_ms| {
+        let mut replies = without.clone();
+        if after_ms >= 2_000 {
+            replies.push(reply(Some("v2"), &["v1", "v2"]));
+        }
+        replies
+    };
+    let found = LookupStep::Found(origin("v2"));
+    assert_eq!(look_up(20_000, replies_at), (2_000, found));
+    assert_eq!(
+        look_up(20_000, |_| without.clone()),
+        (4_900, unknown(false))
+    );
+    assert_eq!(look_up(2_000, |_| without.clone()), (900, unknown(false)));
+}
+
+/// Guards against a wait for a record that no replica can have.
+#[test]
+fn stream_that_no_replica_knows_is_refused_at_once() {
+    let all = vec![reply(None, &["v1", "v2"]); 5];
+    assert_eq!(look_up(20_000, |_| all.clone()), (PAUSE_MS, unknown(false)));
+}
+
+#[test]
+fn entry_that_reaches_a_minority_sends_callers_elsewhere() {
+    let few = vec![reply(None, &["v1", "v2"]); 2];
+    assert_eq!(look_up(20_000, |_| few.clone()), (1_900, unknown(true)));
+    assert_eq!(look_up(60_000, |_| Vec::new()), (2_400, unknown(true)));
+}
+
 fn replicas(zones: &[&str]) -> IndexMap<SocketAddr, ZoneId> {
     let numbered = zones.iter().enumerate();
     let replicas = numbered.map(|(number, zone)| {
--- a/crates/masticsill_relay/src/stream_origins.rs
+++ b/crates/masticsill_relay/src/stream_origins.rs
@@ -11,13 +11,14 @@
 
 use indexmap::IndexSet;
 use masticsill_registry::{
-    AttemptKey, OriginEvidence, OriginReply, StreamOrigin, StreamRecord, origin_keepers,
+    AttemptKey, LookupStep, OriginEvidence, OriginLookup, OriginReply, StreamOrigin, StreamRecord,
+    origin_keepers,
 };
 use masticsill_rollout::VersionFilter;
 use masticsill_types::log_event;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use crate::events;
 use crate::relay::{Relay, discovery_wait_ms};
@@ -32,12 +33,9 @@
 /// Timeout of one query to a control replica, in milliseconds: many times the round trip to another
 /// zone, and well below the gap between events that callers notice.
 const QUERY_TIMEOUT_MS: u64 = 200;
-/// Pause before the control replicas are asked again. A report that was on its way has arrived, and
-/// a replica that was restarting may answer.
-const QUERY_PAUSE: Duration = Duration::from_millis(100);
-/// Queries answered by a majority of the control replicas, without a record, after which a stream's
-/// origin counts as unknown.
-const MAX_UNSUCCESSFUL_QUERIES: u32 = 2;
+/// Pause in milliseconds before the control replicas are asked again. A report that was on its way
+/// has arrived, and a replica that was restarting may answer.
+const QUERY_PAUSE_MS: u64 = 100;
 /// When a caller should retry at another relay, because this one can't reach a majority of the
 /// control replicas.
 const ELSEWHERE_RETRY_AFTER_MS: u64 = 250;
@@ -183,14 +181,10 @@
     };
     // Without an endpoint the stream is refused next.
     let _ = relay
-        .wait_for_discovery(patience_ms(relay, request), find)
+        .wait_for_discovery(discovery_wait_ms(request.left_ms(relay.now())), find)
         .await;
 }
 
-fn patience_ms(relay: &Relay, request: &RelayRequest) -> u64 {
-    discovery_wait_ms(request.left_ms(relay.now()))
-}
-
 /// How far a lookup has come.
 #[derive(Clone, Copy, Debug, Default)]
 struct LookupProgress {
@@ -207,8 +201,7 @@
     attempt: Option<AttemptKey>,
     progress: &mut LookupProgress,
 ) -> Result<StreamOrigin, Refusal> {
-    let bound = Instant::now() + Duration::from_millis(patience_ms(relay, request));
-    let mut unsuccessful_queries = 0;
+    let mut lookup = OriginLookup::new(relay.now(), request.left_ms(relay.now()));
     loop {
         let mut replies = Vec::new();
         let mut answers = query_replicas(relay, request, attempt);
@@ -221,20 +214,23 @@
                 return Ok(origin);
             }
         }
-        let is_answered = evidence(relay, request, &replies).has_majority();
-        unsuccessful_queries += u32::from(is_answered);
-        if unsuccessful_queries >= MAX_UNSUCCESSFUL_QUERIES {
-            // No other relay knows more.
-            return Err(Refusal::UnknownOrigin {
-                retry_after_ms: request.left_ms(relay.now()),
-            });
-        }
-        if Instant::now() + QUERY_PAUSE >= bound {
-            return Err(Refusal::UnknownOrigin {
-                retry_after_ms: ELSEWHERE_RETRY_AFTER_MS,
-            });
-        }
-        sleep(QUERY_PAUSE).await;
+        let evidence = evidence(relay, request, &replies);
+        let may_be_known_elsewhere = match lookup.step(relay.now(), &evidence, QUERY_PAUSE_MS) {
+            LookupStep::Found(origin) => return Ok(origin),
+            LookupStep::AskAgain => {
+                sleep(Duration::from_millis(QUERY_PAUSE_MS)).await;
+                continue;
+            }
+            LookupStep::Unknown {
+                may_be_known_elsewhere,
+            } => may_be_known_elsewhere,
+        };
+        let retry_after_ms = if may_be_known_elsewhere {
+            ELSEWHERE_RETRY_AFTER_MS
+        } else {
+            request.left_ms(relay.now())
+        };
+        return Err(Refusal::UnknownOrigin { retry_after_ms });
     }
 }
 
