A stream whose origin a silent replica may keep is sent elsewhere, not away

What callers saw: by reading: after the wait for a replica that this entry can't reach, a caller was told not to retry within its time, although another entry may reach that replica. Change: the refusal names another time only once every known replica has replied. Result: replicas_that_may_have_the_record_are_waited_for states it for both waits.

--- a/crates/masticsill_registry/src/origin_lookup.rs
+++ b/crates/masticsill_registry/src/origin_lookup.rs
@@ -141,7 +141,7 @@
         let is_over = now.since(self.asked_at) + pause_ms >= wait_ms;
         if self.complete_queries >= MAX_COMPLETE_QUERIES || is_over {
             return LookupStep::Unknown {
-                may_be_known_elsewhere: !has_majority,
+                may_be_known_elsewhere: !evidence.is_complete(),
             };
         }
         LookupStep::AskAgain
