A report under way while its replica restarts does not count

What callers saw: nothing yet; found while tracing unknown_origin. A restarted replica could lack what a relay had recorded before: streams' origins, and requests that crash engines. Cause: a relay reports what is new since the replica's last acknowledged revision, and starts anew once it sees that the replica has restarted. If a report was under way then, its acknowledgement set the revision forward again, so that the older records were not repeated. Change: a report counts only if the replica has not restarted since it began, for both kinds.

--- a/crates/masticsill_registry/tests/origin_lookup.rs
+++ b/crates/masticsill_registry/tests/origin_lookup.rs
@@ -117,10 +117,7 @@
     };
     let found = LookupStep::Found(origin("v2"));
     assert_eq!(look_up(20_000, replies_at), (2_000, found));
-    assert_eq!(
-        look_up(20_000, |_| without.clone()),
-        (4_900, unknown(true))
-    );
+    assert_eq!(look_up(20_000, |_| without.clone()), (4_900, unknown(true)));
     assert_eq!(look_up(2_000, |_| without.clone()), (900, unknown(true)));
 }
 
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -4,14 +4,14 @@
 //! that acknowledged it. The document versions that the replicas report go to the duty that fetches
 //! documents; the documents it has read become active here.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use indexmap::IndexSet;
 use masticsill_catalogue::{DocumentSource, DocumentSources};
-use masticsill_registry::Watcher;
+use masticsill_registry::{ReportProgress, Watcher};
 use masticsill_runtime::Ring;
 use masticsill_types::{NodeId, ZoneId, log_event};
 use masticsill_wire::control::{WatchReply, WatchRequest};
@@ -24,7 +24,7 @@
 use crate::relay::Relay;
 use crate::statements::note_reports;
 use crate::stream_origins::report_stream_origins;
-use crate::suspects::{ReportedRevision, report_crashes};
+use crate::suspects::report_crashes;
 
 /// Maximum wait for a watch reply, in milliseconds.
 const WATCH_TIMEOUT_MS: u64 = 1_000;
@@ -178,24 +178,31 @@
 
 /// How far a control replica has been informed of what this relay records.
 struct Reports {
-    crashes: ReportedRevision,
-    streams: ReportedRevision,
+    crashes: Rc<Cell<ReportProgress>>,
+    streams: Rc<Cell<ReportProgress>>,
 }
 
 impl Reports {
     /// Starts to report to a replica, until the relay ends.
     fn start(relay: &Rc<Relay>, address: SocketAddr) -> Self {
-        let (crashes, streams) = (ReportedRevision::default(), ReportedRevision::default());
-        spawn_local(report_crashes(Rc::clone(relay), address, crashes.clone()));
-        let reporting = report_stream_origins(Rc::clone(relay), address, streams.clone());
+        let (crashes, streams) = (Rc::default(), Rc::default());
+        spawn_local(report_crashes(
+            Rc::clone(relay),
+            address,
+            Rc::clone(&crashes),
+        ));
+        let reporting = report_stream_origins(Rc::clone(relay), address, Rc::clone(&streams));
         spawn_local(reporting);
         Self { crashes, streams }
     }
 
     /// Reports everything again.
     fn repeat(&self, relay: &Relay) {
-        self.crashes.reset();
-        self.streams.reset();
+        for reported in [&self.crashes, &self.streams] {
+            let mut progress = reported.get();
+            progress.restart();
+            reported.set(progress);
+        }
         relay.notify_reporters();
     }
 }
--- a/crates/masticsill_relay/src/stream_origins.rs
+++ b/crates/masticsill_relay/src/stream_origins.rs
@@ -5,14 +5,15 @@
 //! relay that can't learn which version began the stream refuses it, since another version would not
 //! continue what the caller has.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use indexmap::IndexSet;
 use masticsill_registry::{
-    AttemptKey, LookupStep, OriginEvidence, OriginLookup, OriginReply, StreamOrigin, StreamRecord,
-    origin_keepers,
+    AttemptKey, LookupStep, OriginEvidence, OriginLookup, OriginReply, ReportProgress,
+    StreamOrigin, StreamRecord, origin_keepers,
 };
 use masticsill_rollout::VersionFilter;
 use masticsill_types::log_event;
@@ -24,7 +25,7 @@
 use crate::relay::{Relay, discovery_wait_ms};
 use crate::request::RelayRequest;
 use crate::response::Refusal;
-use crate::suspects::ReportedRevision;
+use crate::suspects::complete_report;
 
 /// Delay before new streams are reported, so that simultaneous ones share a message.
 const REPORT_DELAY: Duration = Duration::from_millis(4);
@@ -87,24 +88,25 @@
 pub(crate) async fn report_stream_origins(
     relay: Rc<Relay>,
     address: SocketAddr,
-    reported: ReportedRevision,
+    reported: Rc<Cell<ReportProgress>>,
 ) {
     let mut changes = relay.stream_origin_changes.subscribe();
     while changes.changed().await.is_ok() {
         sleep(REPORT_DELAY).await;
         loop {
+            let begun = reported.get();
             let (revision, records) = {
                 let origins = relay.stream_origins.borrow();
-                if origins.revision() <= reported.get() || !relay.is_origin_keeper(address) {
+                if origins.revision() <= begun.revision() || !relay.is_origin_keeper(address) {
                     break;
                 }
                 (
                     origins.revision(),
-                    origins.since(relay.now(), reported.get()),
+                    origins.since(relay.now(), begun.revision()),
                 )
             };
             if relay.control.tell_stream_origins(address, &records).await {
-                reported.set(revision);
+                complete_report(&reported, begun, revision);
                 continue;
             }
             sleep(REPORT_RETRY_PAUSE).await;
--- a/crates/masticsill_relay/src/suspects.rs
+++ b/crates/masticsill_relay/src/suspects.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use masticsill_quarantine::{CrashLedger, CrashRecord, Fingerprint, RequestRecord, Standing};
-use masticsill_registry::EndpointId;
+use masticsill_registry::{EndpointId, ReportProgress};
 use masticsill_types::log_event;
 use tokio::time::{sleep, timeout};
 
@@ -21,27 +21,6 @@
 /// Pause before a report is repeated to a replica that did not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// Revision of the records of one kind up to which a control replica has been informed.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct ReportedRevision {
-    revision: Rc<Cell<u64>>,
-}
-
-impl ReportedRevision {
-    pub(crate) fn get(&self) -> u64 {
-        self.revision.get()
-    }
-
-    pub(crate) fn set(&self, revision: u64) {
-        self.revision.set(revision);
-    }
-
-    /// Causes everything to be reported again, to a replica that may have lost it.
-    pub(crate) fn reset(&self) {
-        self.revision.set(0);
-    }
-}
-
 impl Relay {
     /// Records that a run of a request ended because its endpoint crashed.
     pub(crate) fn note_crash(&self, fingerprint: Fingerprint, crash: &CrashRecord) {
@@ -235,21 +214,22 @@
 pub(crate) async fn report_crashes(
     relay: Rc<Relay>,
     address: SocketAddr,
-    reported: ReportedRevision,
+    reported: Rc<Cell<ReportProgress>>,
 ) {
     let mut changes = relay.crash_changes.subscribe();
     while changes.changed().await.is_ok() {
         loop {
+            let begun = reported.get();
             let (revision, records) = {
                 let ledger = relay.crashes.borrow();
-                if ledger.local_revision() <= reported.get() {
+                if ledger.local_revision() <= begun.revision() {
                     break;
                 }
-                let records = ledger.local_since(relay.now(), reported.get());
+                let records = ledger.local_since(relay.now(), begun.revision());
                 (ledger.revision(), records)
             };
             if relay.control.tell_crashes(address, &records).await {
-                reported.set(revision);
+                complete_report(&reported, begun, revision);
                 continue;
             }
             sleep(RETRY_PAUSE).await;
@@ -261,6 +241,17 @@
     }
 }
 
+/// Records that a replica has received a report.
+pub(crate) fn complete_report(
+    reported: &Cell<ReportProgress>,
+    begun: ReportProgress,
+    revision: u64,
+) {
+    let mut progress = reported.get();
+    progress.complete(begun, revision);
+    reported.set(progress);
+}
+
 fn log_if_quarantined(record: &RequestRecord, standing: Standing) {
     let Standing::Quarantined { left_ms, strikes } = standing else {
         return;
