A stream's origin is recorded before its first event reaches the caller

What callers saw: by reading: a caller could have the first event, and its relay end, before the relay had recorded which version wrote it; the time of a blocked write to the caller counted. Change: the version is bound, and the report begun, before the event is written. A record of an event that the caller never gets does no harm: the attempt that brought none is not named. Result: no behaviour seen in tests changes (continued_streams, stream_versions, event_streams).

--- a/crates/masticsill_relay/src/stream/run.rs
+++ b/crates/masticsill_relay/src/stream/run.rs
@@ -206,15 +206,9 @@
                     self.relay.record_received(&endpoint.id);
                     let gap_ms = self.relay.now().since(last_event_at);
                     splitter.push(&piece);
-                    let forwarded = self.forward_complete_events(&mut splitter, head).await;
-                    if self.delivered > 0 && !self.is_continued() {
-                        self.retry_state.set_stream_version(&endpoint.version);
-                        let origin = StreamOrigin {
-                            service: endpoint.service.clone(),
-                            version: endpoint.version.clone(),
-                        };
-                        self.relay.record_stream_origin(self.request, origin);
-                    }
+                    let forwarded = self
+                        .forward_complete_events(&mut splitter, head, &endpoint)
+                        .await;
                     match forwarded {
                         Ok(true) => {
                             self.reached_ms = attempt.note_event();
@@ -253,6 +247,7 @@
         &mut self,
         splitter: &mut EventSplitter,
         head: &ResponseHead,
+        endpoint: &Announcement,
     ) -> Result<bool, ForwardError> {
         let mut passed = BytesMut::new();
         let mut is_missing = false;
@@ -274,6 +269,8 @@
             }
         }
         if !passed.is_empty() {
+            // Before the caller can have the event: it may continue the stream as soon as it has.
+            self.bind_version(endpoint);
             if is_first {
                 let label =
                     StreamLabel::new(self.request.is_continuation(&self.relay.config.headers));
@@ -292,6 +289,19 @@
         }
     }
 
+    /// Binds the stream to the version that wrote its first event.
+    fn bind_version(&mut self, endpoint: &Announcement) {
+        if self.is_continued() {
+            return;
+        }
+        self.retry_state.set_stream_version(&endpoint.version);
+        let origin = StreamOrigin {
+            service: endpoint.service.clone(),
+            version: endpoint.version.clone(),
+        };
+        self.relay.record_stream_origin(self.request, origin);
+    }
+
     async fn write(&mut self, head: &ResponseHead, events: &[u8]) -> io::Result<()> {
         let mut bytes = self.head_bytes(head);
         write_chunk(&mut bytes, events);
