Control replicas send those that start the origins of streams

Callers saw: every stream of a relay that had fallen silent was refused as of unknown origin once the control replicas had been replaced by empty machines one after the other, while new streams began.

Cause: only the relay that began a stream reports its origin, so that a new replica learned nothing of streams whose relay had ended or was cut off. Evidence: queries=7, replied=3, no record, in each of 16 lookups of the failing test.

Change: a replica sends all origins that it knows to each other replica whose registry it has not seen before, by the call that relays use. No message changes.

--- a/crates/masticsill_control/src/endpoints/exchange.rs
+++ b/crates/masticsill_control/src/endpoints/exchange.rs
@@ -1,4 +1,5 @@
-//! Exchange of endpoint records with the other replicas.
+//! Exchange of endpoint records with the other replicas, and of the origins of streams with those
+//! that have started.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -7,11 +8,12 @@
 
 use indexmap::IndexMap;
 use masticsill_registry::Watcher;
-use masticsill_types::{ClockMs, NodeId};
+use masticsill_types::{ClockMs, NodeId, log_event};
 use masticsill_wire::control::WatchRequest;
 use tokio::task::spawn_local;
 
 use super::hub::RESTORED_GRACE_MS;
+use crate::events;
 use crate::rpc::ControlServer;
 
 /// Longest wait of one exchange, and so the greatest age of a reported heartbeat age on arrival.
@@ -22,6 +24,9 @@
 /// A replica that answered within this time counts as reachable.
 const REACHABLE_TIMEOUT_MS: u64 = 2_500;
 
+/// Origins of streams in one message: far less than a frame may hold.
+const ORIGINS_PER_MESSAGE: usize = 4_096;
+
 /// Time of the last answer of each other replica.
 type Answers = Rc<RefCell<IndexMap<NodeId, ClockMs>>>;
 
@@ -62,6 +67,8 @@
 
 /// Merges the changes of one other replica's registry, repeatedly.
 async fn follow(server: ControlServer, node: NodeId, other: NodeId, answers: Answers) {
+    // The incarnation of the other replica that has been sent the origins of streams.
+    let mut informed = None;
     let mut request = WatchRequest {
         document_seen: Some(u64::MAX),
         loads: Vec::new(),
@@ -81,7 +88,7 @@
             Some(address) => server.client.watch(address, &request).await,
             None => None,
         };
-        let Some(reply) = reply else {
+        let Some((address, reply)) = address.zip(reply) else {
             tokio::time::sleep(RETRY_PAUSE).await;
             continue;
         };
@@ -93,5 +100,27 @@
         request.registry = reply.registry;
         request.revision = reply.revision;
         request.suspects_revision = reply.suspects_revision;
+        if informed != Some(reply.registry) && send_stream_origins(&server, &other, address).await {
+            informed = Some(reply.registry);
+        }
+    }
+}
+
+/// Sends another replica the origins of streams that are known here; returns whether it received
+/// them. It may have replaced a machine whose disk is lost, and the entries that began the streams
+/// may have ended.
+async fn send_stream_origins(server: &ControlServer, other: &NodeId, address: SocketAddr) -> bool {
+    let records = server.endpoints.stream_origins();
+    for records in records.chunks(ORIGINS_PER_MESSAGE) {
+        if !server.client.tell_stream_origins(address, records).await {
+            return false;
+        }
     }
+    log_event!(
+        info,
+        events::STREAM_ORIGINS_SENT,
+        replica = other,
+        streams = records.len()
+    );
+    true
 }
--- a/crates/masticsill_control/src/endpoints/hub.rs
+++ b/crates/masticsill_control/src/endpoints/hub.rs
@@ -355,6 +355,12 @@
         self.shared.stream_revision.send_replace(streams.revision());
     }
 
+    /// The origins of all streams that may still be continued.
+    pub(crate) fn stream_origins(&self) -> Vec<StreamRecord> {
+        let now = self.shared.clock.now();
+        self.streams().since(now, 0)
+    }
+
     /// Restores the origins of streams that a former process of this replica stored.
     pub(crate) fn restore_streams(&self, stored: &[StoredStream]) {
         let now = self.shared.clock.now();
--- a/crates/masticsill_control/src/events.rs
+++ b/crates/masticsill_control/src/events.rs
@@ -73,6 +73,8 @@
 pub const STREAM_ORIGINS_RESTORED: Event = Event::new(4148, "control_stream_origins_restored");
 /// The origins of streams could not be read or stored.
 pub const STREAM_ORIGINS_NOT_STORED: Event = Event::new(4149, "control_stream_origins_not_stored");
+/// Another replica that has started was sent the origins of streams that are known here.
+pub const STREAM_ORIGINS_SENT: Event = Event::new(4150, "control_stream_origins_sent");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -111,4 +113,5 @@
     ROLLOUT_ENDED,
     STREAM_ORIGINS_RESTORED,
     STREAM_ORIGINS_NOT_STORED,
+    STREAM_ORIGINS_SENT,
 ];
