Origins of streams are reported before their first event is written

Callers saw: streams whose relay was killed some milliseconds after their first event were refused as of unknown origin: 17 of 24 killed after 0 to 7 ms, all of those after 0 to 5 ms, beside 24 of 24 new ones that began.

Cause: the origin was recorded after the first event had been written to the caller, and then reported another 4 ms later, so that simultaneous streams share a message.

Change: it is recorded before the write, once a stream, and reported at once. Streams that begin while a report is under way still share the next one.

--- a/crates/masticsill_relay/src/stream/run.rs
+++ b/crates/masticsill_relay/src/stream/run.rs
@@ -206,16 +206,8 @@
                     self.relay.record_received(&endpoint.id);
                     let gap_ms = self.relay.now().since(last_event_at);
                     splitter.push(&piece);
-                    let forwarded = self.forward_complete_events(&mut splitter, head).await;
-                    if self.delivered > 0 && !self.is_continued() {
-                        self.retry_state.set_stream_version(&endpoint.version);
-                        let origin = StreamOrigin {
-                            service: endpoint.service.clone(),
-                            version: endpoint.version.clone(),
-                        };
-                        self.relay.record_stream_origin(self.request, origin);
-                    }
-                    match forwarded {
+                    let forwarded = self.forward_complete_events(&mut splitter, head, &endpoint);
+                    match forwarded.await {
                         Ok(true) => {
                             self.reached_ms = attempt.note_event();
                             self.relay.note_progress(self.request, self.reached_ms);
@@ -253,6 +245,7 @@
         &mut self,
         splitter: &mut EventSplitter,
         head: &ResponseHead,
+        endpoint: &Announcement,
     ) -> Result<bool, ForwardError> {
         let mut passed = BytesMut::new();
         let mut is_missing = false;
@@ -278,6 +271,7 @@
                 let label =
                     StreamLabel::new(self.request.is_continuation(&self.relay.config.headers));
                 self.relay.metrics.streams_begun.get_or_create(&label).inc();
+                self.record_origin(endpoint);
             }
             let received_at = self.request.received_at;
             self.timing.note_events(received_at, self.relay.now());
@@ -292,6 +286,19 @@
         }
     }
 
+    /// Records where the stream begins, before its caller can continue it elsewhere.
+    fn record_origin(&mut self, endpoint: &Announcement) {
+        if self.is_continued() {
+            return;
+        }
+        self.retry_state.set_stream_version(&endpoint.version);
+        let origin = StreamOrigin {
+            service: endpoint.service.clone(),
+            version: endpoint.version.clone(),
+        };
+        self.relay.record_stream_origin(self.request, origin);
+    }
+
     async fn write(&mut self, head: &ResponseHead, events: &[u8]) -> io::Result<()> {
         let mut bytes = self.head_bytes(head);
         write_chunk(&mut bytes, events);
--- a/crates/masticsill_relay/src/stream_origins.rs
+++ b/crates/masticsill_relay/src/stream_origins.rs
@@ -26,8 +26,6 @@
 use crate::response::Refusal;
 use crate::suspects::ReportedRevision;
 
-/// Delay before new streams are reported, so that simultaneous ones share a message.
-const REPORT_DELAY: Duration = Duration::from_millis(4);
 /// Pause before a report is repeated to a replica that did not answer.
 const REPORT_RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Timeout of one query to a control replica, in milliseconds: many times the round trip to another
@@ -83,7 +81,7 @@
 }
 
 /// Reports the streams begun here to a control replica while it is to keep them, until the relay
-/// ends.
+/// ends. Streams that begin during a report share the next one.
 pub(crate) async fn report_stream_origins(
     relay: Rc<Relay>,
     address: SocketAddr,
@@ -91,7 +89,6 @@
 ) {
     let mut changes = relay.stream_origin_changes.subscribe();
     while changes.changed().await.is_ok() {
-        sleep(REPORT_DELAY).await;
         loop {
             let (revision, records) = {
                 let origins = relay.stream_origins.borrow();
