A first event waits until a control replica has the stream's origin

Callers saw: streams whose relay was killed with their first event were refused as of unknown origin, 3 and 4 of 24, while 24 of 24 new ones began.

Cause: the report was on its way when the relay ended.

Change: while a service has two versions, the first event is written once one control replica has received the origin, after 50 ms at the latest, and at once if no replica is reached. With one version the record is not needed to continue a stream.

--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -129,6 +129,8 @@
     pub(crate) stream_origins: RefCell<StreamOrigins>,
     /// Counts the streams recorded, for the tasks that report them to control replicas.
     pub(crate) stream_origin_changes: watch::Sender<u64>,
+    /// The newest revision of `stream_origins` that a control replica has received.
+    pub(crate) stream_origins_received: watch::Sender<u64>,
     /// Receivers of the results of queued requests.
     pub(crate) waiters: RefCell<Waiters>,
     /// When the graceful shutdown began.
@@ -194,6 +196,7 @@
             stream_durations: Cell::default(),
             stream_origins: RefCell::default(),
             stream_origin_changes: watch::Sender::new(0),
+            stream_origins_received: watch::Sender::new(0),
             waiters: RefCell::default(),
             stopping_since: Cell::new(None),
         }
--- a/crates/masticsill_relay/src/stream/run.rs
+++ b/crates/masticsill_relay/src/stream/run.rs
@@ -271,7 +271,7 @@
                 let label =
                     StreamLabel::new(self.request.is_continuation(&self.relay.config.headers));
                 self.relay.metrics.streams_begun.get_or_create(&label).inc();
-                self.record_origin(endpoint);
+                self.record_origin(endpoint).await;
             }
             let received_at = self.request.received_at;
             self.timing.note_events(received_at, self.relay.now());
@@ -287,7 +287,7 @@
     }
 
     /// Records where the stream begins, before its caller can continue it elsewhere.
-    fn record_origin(&mut self, endpoint: &Announcement) {
+    async fn record_origin(&mut self, endpoint: &Announcement) {
         if self.is_continued() {
             return;
         }
@@ -296,7 +296,9 @@
             service: endpoint.service.clone(),
             version: endpoint.version.clone(),
         };
-        self.relay.record_stream_origin(self.request, origin);
+        self.relay
+            .record_stream_origin(self.request, origin.clone());
+        self.relay.await_origin_received(&origin).await;
     }
 
     async fn write(&mut self, head: &ResponseHead, events: &[u8]) -> io::Result<()> {
--- a/crates/masticsill_relay/src/stream_origins.rs
+++ b/crates/masticsill_relay/src/stream_origins.rs
@@ -18,7 +18,7 @@
 use masticsill_types::log_event;
 use tokio::sync::mpsc;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::events;
 use crate::relay::{Relay, discovery_wait_ms};
@@ -26,6 +26,9 @@
 use crate::response::Refusal;
 use crate::suspects::ReportedRevision;
 
+/// Maximum time for which a first event waits until a control replica has received the stream's
+/// origin: many times the round trip, and less than callers notice.
+const MAX_REPORT_WAIT: Duration = Duration::from_millis(50);
 /// Pause before a report is repeated to a replica that did not answer.
 const REPORT_RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Timeout of one query to a control replica, in milliseconds: many times the round trip to another
@@ -54,6 +57,27 @@
         self.notify_stream_reporters();
     }
 
+    /// Waits until a control replica has received the origins recorded so far, so that the stream can
+    /// be continued even if this relay ends with its first event.
+    ///
+    /// While a service has one version only, its streams can be continued without a record.
+    pub(crate) async fn await_origin_received(&self, origin: &StreamOrigin) {
+        if !self.has_other_version(origin) || self.control_reached.borrow().is_empty() {
+            return;
+        }
+        let revision = self.stream_origins.borrow().revision();
+        let mut received = self.stream_origins_received.subscribe();
+        // Without a reply in time the report goes on, and so does the stream.
+        let _ = timeout(MAX_REPORT_WAIT, received.wait_for(|it| *it >= revision)).await;
+    }
+
+    /// Whether this relay knows an endpoint of the same service that has another version.
+    fn has_other_version(&self, origin: &StreamOrigin) -> bool {
+        let endpoints = self.endpoints.borrow();
+        let mut announcements = endpoints.iter().map(|it| &it.announcement);
+        announcements.any(|it| it.service == origin.service && it.version != origin.version)
+    }
+
     /// Wakes the tasks that report streams to control replicas.
     pub(crate) fn notify_stream_reporters(&self) {
         self.stream_origin_changes.send_modify(|count| *count += 1);
@@ -102,6 +126,9 @@
             };
             if relay.control.tell_stream_origins(address, &records).await {
                 reported.set(revision);
+                relay
+                    .stream_origins_received
+                    .send_modify(|received| *received = revision.max(*received));
                 continue;
             }
             sleep(REPORT_RETRY_PAUSE).await;
