A lookup keeps the replies that it has, and asks each replica twice at most

Cause: each round was judged alone. Change: replies count for the whole lookup, since the stream began before it. A replica that has replied twice without a record is not asked again. Result: replicas_that_have_replied_are_not_asked_for_more.

--- a/crates/masticsill_registry/src/origin_lookup.rs
+++ b/crates/masticsill_registry/src/origin_lookup.rs
@@ -73,11 +73,11 @@
     }
 }
 
-/// Queries that all control replicas answered without a record, after which a stream's origin counts
-/// as unknown: a report that was on its way to the first one has arrived at the second.
-const MAX_COMPLETE_QUERIES: u32 = 2;
-/// Part of the caller's remaining time for which replicas that don't answer are waited for while a
-/// majority does: one of the others may have the only record.
+/// Replies without a record from one replica, after which it counts as having none: a report that
+/// was on its way to the first one has arrived at the second.
+const MAX_REPLIES: u32 = 2;
+/// Part of the caller's remaining time for which replicas that don't answer are waited for once a
+/// majority has replied: one of the others may have the only record.
 const MAJORITY_WAIT_DIVISOR: u64 = 2;
 /// Maximum of that wait, in milliseconds: a replica that was killed is back sooner.
 const MAX_MAJORITY_WAIT_MS: u64 = 5_000;
@@ -87,7 +87,7 @@
 /// Maximum of that wait, in milliseconds.
 const MAX_MINORITY_WAIT_MS: u64 = 2_500;
 
-/// What follows from the replies to a query.
+/// What follows from the replies so far.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum LookupStep {
     /// The replicas are asked again after a pause.
@@ -101,13 +101,17 @@
     },
 }
 
-/// The lookup of one stream's origin.
+/// The lookup of one stream's origin. Replies hold for the whole lookup, since the stream began
+/// before it.
 #[derive(Clone, Debug)]
 pub struct OriginLookup {
     asked_at: ClockMs,
-    complete_queries: u32,
     /// Time in milliseconds that the caller had left at first.
     left_ms: u64,
+    /// How often each replica has replied.
+    counts: IndexMap<SocketAddr, u32>,
+    /// The last reply of each replica, in the same order.
+    replies: Vec<OriginReply>,
 }
 
 impl OriginLookup {
@@ -116,32 +120,53 @@
     pub fn new(now: ClockMs, left_ms: u64) -> Self {
         Self {
             asked_at: now,
-            complete_queries: 0,
             left_ms,
+            counts: IndexMap::new(),
+            replies: Vec::new(),
         }
     }
 
-    /// Decides after all replies to a query. The next query would begin `pause_ms` later.
-    pub fn step(
-        &mut self,
-        now: ClockMs,
-        evidence: &OriginEvidence<'_>,
-        pause_ms: u64,
-    ) -> LookupStep {
+    /// Whether a replica is to be asked, or asked again.
+    #[must_use]
+    pub fn needs_reply(&self, replica: &SocketAddr) -> bool {
+        let count = self.counts.get(replica);
+        count.is_none_or(|count| *count < MAX_REPLIES)
+    }
+
+    /// Records a replica's reply.
+    pub fn record(&mut self, replica: SocketAddr, reply: OriginReply) {
+        let entry = self.counts.entry(replica);
+        let index = entry.index();
+        *entry.or_default() += 1;
+        match self.replies.get_mut(index) {
+            Some(former) => *former = reply,
+            None => self.replies.push(reply),
+        }
+    }
+
+    /// The last reply of each replica that has replied.
+    #[must_use]
+    pub fn replies(&self) -> &[OriginReply] {
+        &self.replies
+    }
+
+    /// Decides once all replicas that were asked have replied or failed to. They would be asked again
+    /// `pause_ms` later.
+    #[must_use]
+    pub fn step(&self, now: ClockMs, evidence: &OriginEvidence<'_>, pause_ms: u64) -> LookupStep {
         if let Some(origin) = evidence.origin() {
             return LookupStep::Found(origin);
         }
-        self.complete_queries += u32::from(evidence.is_complete());
-        let has_majority = evidence.has_majority();
-        let wait_ms = if has_majority {
+        let wait_ms = if evidence.has_majority() {
             (self.left_ms / MAJORITY_WAIT_DIVISOR).min(MAX_MAJORITY_WAIT_MS)
         } else {
             (self.left_ms / MINORITY_WAIT_DIVISOR).min(MAX_MINORITY_WAIT_MS)
         };
         let is_over = now.since(self.asked_at) + pause_ms >= wait_ms;
-        if self.complete_queries >= MAX_COMPLETE_QUERIES || is_over {
+        let has_none = evidence.is_complete() && self.counts.values().all(|it| *it >= MAX_REPLIES);
+        if has_none || is_over {
             return LookupStep::Unknown {
-                may_be_known_elsewhere: !evidence.is_complete(),
+                may_be_known_elsewhere: !has_none,
             };
         }
         LookupStep::AskAgain
--- a/crates/masticsill_registry/tests/origin_lookup.rs
+++ b/crates/masticsill_registry/tests/origin_lookup.rs
@@ -50,13 +50,19 @@
     }
 }
 
-/// Asks until the lookup ends; returns when that is, in milliseconds, and the last step.
+/// Asks until the lookup ends; returns when that is, in milliseconds, and the last step. Replies are
+/// those of the replicas 0 to 4 that answer at a time.
 fn look_up(left_ms: u64, replies_at: impl Fn(u64) -> Vec<OriginReply>) -> (u64, LookupStep) {
     let mut lookup = OriginLookup::new(NOW, left_ms);
     let mut after_ms = 0;
     loop {
-        let replies = replies_at(after_ms);
-        let step = lookup.step(NOW + after_ms, &evidence(&replies, 5), PAUSE_MS);
+        for (replica, reply) in replicas(&["a"; 5]).into_keys().zip(replies_at(after_ms)) {
+            if lookup.needs_reply(&replica) {
+                lookup.record(replica, reply);
+            }
+        }
+        let evidence = evidence(lookup.replies(), 5);
+        let step = lookup.step(NOW + after_ms, &evidence, PAUSE_MS);
         if step != LookupStep::AskAgain {
             return (after_ms, step);
         }
@@ -128,6 +134,21 @@
     assert_eq!(look_up(20_000, |_| all.clone()), (PAUSE_MS, unknown(false)));
 }
 
+/// Guards against a lookup that ends early because a majority replied before, and a minority now.
+#[test]
+fn replicas_that_have_replied_are_not_asked_for_more() {
+    let without = vec![reply(None, &["v1", "v2"]); 4];
+    let replies_at = |after_ms| match after_ms {
+        0..300 => without.clone(),
+        300..3_000 => Vec::new(),
+        _ => vec![reply(None, &[]); 5],
+    };
+    assert_eq!(
+        look_up(20_000, replies_at),
+        (3_000 + PAUSE_MS, unknown(false))
+    );
+}
+
 #[test]
 fn entry_that_reaches_a_minority_sends_callers_elsewhere() {
     let few = vec![reply(None, &["v1", "v2"]); 2];
--- a/crates/masticsill_relay/src/stream_origins.rs
+++ b/crates/masticsill_relay/src/stream_origins.rs
@@ -156,10 +156,10 @@
     let attempt = request.first_attempt(names);
     let recorded = relay.known_origin(attempt.as_ref());
     let is_local = recorded.is_some();
-    let mut progress = LookupProgress::default();
+    let mut lookup = OriginLookup::new(relay.now(), request.left_ms(relay.now()));
     let found = match recorded {
         Some(origin) => Ok(origin),
-        None => ask_replicas(relay, request, attempt, &mut progress).await,
+        None => ask_replicas(relay, request, attempt, &mut lookup).await,
     };
     relay.metrics.streams_continued.inc();
     let origin = found.as_ref().ok();
@@ -173,8 +173,7 @@
         version = origin.map_or("", |it| &it.version),
         is_known = origin.is_some(),
         is_local = is_local,
-        queries = progress.queries,
-        replied = progress.replied,
+        replied = lookup.replies().len(),
         replicas = relay.known_replicas().len(),
         left_ms = request.left_ms(relay.now()),
         looked_up_ms = relay.now().since(request.received_at)
@@ -211,36 +210,22 @@
         .await;
 }
 
-/// How far a lookup has come.
-#[derive(Clone, Copy, Debug, Default)]
-struct LookupProgress {
-    /// How often the control replicas were asked.
-    queries: u32,
-    /// Number of replicas that replied to the last query.
-    replied: usize,
-}
-
 /// Asks the control replicas where a stream began, until that is certain.
 async fn ask_replicas(
     relay: &Rc<Relay>,
     request: &RelayRequest,
     attempt: Option<AttemptKey>,
-    progress: &mut LookupProgress,
+    lookup: &mut OriginLookup,
 ) -> Result<StreamOrigin, Refusal> {
-    let mut lookup = OriginLookup::new(relay.now(), request.left_ms(relay.now()));
     loop {
-        let mut replies = Vec::new();
-        let mut answers = query_replicas(relay, request, attempt);
-        progress.queries += 1;
-        progress.replied = 0;
-        while let Some(reply) = answers.recv().await {
-            replies.push(reply);
-            progress.replied = replies.len();
-            if let Some(origin) = evidence(relay, request, &replies).origin() {
+        let mut answers = query_replicas(relay, request, attempt, lookup);
+        while let Some((replica, reply)) = answers.recv().await {
+            lookup.record(replica, reply);
+            if let Some(origin) = evidence(relay, request, lookup.replies()).origin() {
                 return Ok(origin);
             }
         }
-        let evidence = evidence(relay, request, &replies);
+        let evidence = evidence(relay, request, lookup.replies());
         let may_be_known_elsewhere = match lookup.step(relay.now(), &evidence, QUERY_PAUSE_MS) {
             LookupStep::Found(origin) => return Ok(origin),
             LookupStep::AskAgain => {
@@ -274,13 +259,18 @@
     }
 }
 
-/// Asks all control replicas that are reached at once.
+/// Asks all control replicas at once that are reached and whose reply is needed.
 fn query_replicas(
     relay: &Rc<Relay>,
     request: &RelayRequest,
     attempt: Option<AttemptKey>,
-) -> mpsc::Receiver<OriginReply> {
-    let replicas: Vec<SocketAddr> = relay.control_reached.borrow().keys().copied().collect();
+    lookup: &OriginLookup,
+) -> mpsc::Receiver<(SocketAddr, OriginReply)> {
+    let replicas: Vec<SocketAddr> = {
+        let reached = relay.control_reached.borrow();
+        let needed = reached.keys().filter(|it| lookup.needs_reply(it));
+        needed.copied().collect()
+    };
     let (found, answers) = mpsc::channel(replicas.len().max(1));
     for address in replicas {
         let (relay, found) = (Rc::clone(relay), found.clone());
@@ -290,7 +280,7 @@
             let reply = control.find_stream_origin(address, &service, attempt, QUERY_TIMEOUT_MS);
             if let Some(reply) = reply.await {
                 // The send fails only if other replies were enough.
-                let _ = found.send(reply).await;
+                let _ = found.send((address, reply)).await;
             }
         });
     }
