Names of the registry's files are durable, and failed writes are repeated

A renamed file of endpoints and the new folder of the origins' log could be gone after a power loss, so that a replica restarted with older endpoints or no origins; a write that failed, as on a full disk, waited for the next change. Change: the folders are synced, and a failed write is repeated with the next interval. Not shown by a test: no test here loses power.

--- a/crates/masticsill_control/src/endpoints/persistence.rs
+++ b/crates/masticsill_control/src/endpoints/persistence.rs
@@ -6,6 +6,7 @@
 //! that they are meant for.
 
 use std::fs::{self, File};
+use std::future::ready;
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -92,17 +93,21 @@
 async fn store_records(folder: PathBuf, endpoints: EndpointHub, ended: ShutdownSignal) {
     let mut revisions = endpoints.revisions();
     let mut suspects = endpoints.suspects().watch_broadcast_revision();
+    let mut is_outdated = false;
     loop {
         tokio::select! {
             changed = revisions.changed() => if changed.is_err() { return },
             changed = suspects.changed() => if changed.is_err() { return },
+            () = ready(()), if is_outdated => {}
             () = ended.requested() => return,
         }
         let persisted = PersistedEndpoints {
             endpoints: endpoints.all_records(),
             suspects: endpoints.suspects().broadcast_since(0),
         };
-        if let Err(error) = write(&folder, persisted) {
+        let written = write(&folder, persisted);
+        is_outdated = written.is_err();
+        if let Err(error) = written {
             log_event!(warn, events::ENDPOINTS_NOT_KEPT, cause = error);
         }
         tokio::select! {
@@ -120,5 +125,7 @@
     // Synced before the rename: a truncated file under the final name would be worse than an old
     // one.
     file.sync_all()?;
-    fs::rename(&temporary, folder.join(FILE))
+    fs::rename(&temporary, folder.join(FILE))?;
+    // After a power loss an older file may name fewer versions than this replica has reported.
+    File::open(folder)?.sync_all()
 }
--- a/crates/masticsill_quorum/src/storage/disk.rs
+++ b/crates/masticsill_quorum/src/storage/disk.rs
@@ -71,6 +71,18 @@
     _lock: File,
 }
 
+/// Creates a folder, unless it exists, and makes its name durable.
+fn create_folder(folder: &Path) -> io::Result<()> {
+    if folder.is_dir() {
+        return Ok(());
+    }
+    fs::create_dir_all(folder)?;
+    match folder.parent() {
+        Some(parent) if !parent.as_os_str().is_empty() => File::open(parent)?.sync_all(),
+        Some(_) | None => Ok(()),
+    }
+}
+
 #[derive(Debug)]
 struct AppendHandle {
     name: String,
@@ -87,7 +99,7 @@
     /// other failure.
     pub fn open(folder: &Path) -> Result<Self, StorageError> {
         let shown = folder.display().to_string();
-        fs::create_dir_all(folder).map_err(StorageError::io("create", &shown))?;
+        create_folder(folder).map_err(StorageError::io("create", &shown))?;
         let lock = File::create(folder.join(LOCK_FILE));
         let lock = lock.map_err(StorageError::io("create", LOCK_FILE))?;
         match lock.try_lock() {
