--- a/crates/masticsill_control/src/endpoints/hub.rs
+++ b/crates/masticsill_control/src/endpoints/hub.rs
@@ -352,7 +352,12 @@
         for record in records {
             streams.record(now, record);
         }
-        self.shared.stream_revision.send_replace(streams.revision());
+        let revision = streams.revision();
+        self.shared.stream_revision.send_if_modified(|known| {
+            let is_newer = revision > *known;
+            *known = revision;
+            is_newer
+        });
     }
 
     /// The origins of all streams that may still be continued.
