Continued streams that end without an event are logged with the reason

Callers saw that streams which they took up again did not go on; the logs said unknown_origin or origin_gone, and of the others nothing but a refusal or caller_left.

Cause: a stream that waits for its version was logged with the obstacle only (nobody, overloaded), not with what its endpoints were doing, and not at all if its caller left during the wait.

Change: M2144 continuation_failed, and masticsill_relay_continuations_failed by the same reason, once for each continued stream that ends without an event, also when its caller leaves. The reason tells apart where a lookup ended (all replicas, a majority, a minority replied), a version that was rolled back, has gone or leaves, and what keeps the endpoints of the version from the stream; how many there are in each state stands beside it. The states are a pure function over the endpoint table (masticsill_dispatch::VersionState).

Evidence: masticsill_dispatch version_state (6 tests); system tests refused_streams (5, real processes): resting until the caller left and until the deadline, leaving, version_gone, minority_replied, unknown_to_all. masticsill_dispatch and masticsill_relay: all tests pass.

--- a/crates/masticsill_dispatch/src/capacity.rs
+++ b/crates/masticsill_dispatch/src/capacity.rs
@@ -138,6 +138,22 @@
     }
 }
 
+/// Whether an endpoint has no capacity beside its current work, wherever prompts are cached.
+pub(crate) fn is_occupied(endpoint: &Endpoint, now: ClockMs, work: &Work) -> bool {
+    let has_room = match work {
+        Work::Whole => endpoint.concurrency.has_capacity(now, endpoint.in_flight),
+        Work::Stream {
+            kv_cache_tokens,
+            tokens,
+            ..
+        } => {
+            endpoint.reading_total(now) < MAX_READING_PROMPTS
+                && fits(endpoint, *kv_cache_tokens, *tokens, MAX_MEMORY_PERCENT)
+        }
+    };
+    endpoint.is_full(now) || !has_room
+}
+
 /// Whether an engine whose KV cache holds `kv_cache_tokens` has space for a copy of a run of
 /// `tokens` beside its own runs. An engine of unknown capacity always has.
 #[must_use]
--- a/crates/masticsill_dispatch/src/lib.rs
+++ b/crates/masticsill_dispatch/src/lib.rs
@@ -20,6 +20,7 @@
 mod refusal;
 mod request_limit;
 mod service_queue;
+mod version_state;
 
 pub use budget::{BudgetSettings, RetryBudget};
 pub use capacity::{EntryPosition, has_memory_for_copy};
@@ -36,3 +37,4 @@
 pub use refusal::Overload;
 pub use request_limit::RequestLimit;
 pub use service_queue::{Requirements, Terms, Ticket, Work};
+pub use version_state::{Hindrance, VersionQuery, VersionState};
--- a/crates/masticsill_relay/src/connection.rs
+++ b/crates/masticsill_relay/src/connection.rs
@@ -13,6 +13,7 @@
 
 use crate::admission::{Authorized, admit, authorize};
 use crate::caller::{BodyError, Caller, LINGER_TIMEOUT, NextRequest};
+use crate::continuation::{Continuation, ContinuationEnd};
 use crate::events;
 use crate::metrics::StreamLabel;
 use crate::plain::relay_plain;
@@ -151,24 +152,28 @@
     let is_continued = request.is_continuation(&relay.config.headers);
     let asked = &relay.metrics.streams_asked;
     asked.get_or_create(&StreamLabel::new(is_continued)).inc();
+    let mut continuation = is_continued.then(|| Continuation::new(relay, &request));
     if !relay.accepts_streams() {
-        return refuse(relay, writer, &request, Refusal::Stopping).await;
+        let refusal = Refusal::Stopping;
+        if let Some(continuation) = &mut continuation {
+            continuation.fail(ContinuationEnd::Refused(refusal), &[]);
+        }
+        return refuse(relay, writer, &request, refusal).await;
     }
-    let origin = if is_continued {
+    let origin = match &mut continuation {
         // Boxed, since few requests need it.
-        match Box::pin(find_origin(relay, &request)).await {
+        Some(continuation) => match Box::pin(find_origin(relay, &request, continuation)).await {
             Ok(origin) => origin,
             Err(refusal) => return refuse(relay, writer, &request, refusal).await,
-        }
-    } else {
-        None
+        },
+        None => None,
     };
     if let Some(origin) = &origin {
         request.service.clone_from(&origin.service);
     }
     let is_closing = !request.head.is_keep_alive || relay.stopping_since.get().is_some();
     let version = origin.map(|origin| origin.version);
-    let stream = StreamRelay::new(relay, &request, version, writer, is_closing);
+    let stream = StreamRelay::new(relay, &request, version, continuation, writer, is_closing);
     let end = stream.run().await;
     end_stream(relay, writer, &request, end, is_closing).await
 }
--- a/crates/masticsill_relay/src/endpoint_choice.rs
+++ b/crates/masticsill_relay/src/endpoint_choice.rs
@@ -138,7 +138,6 @@
         request: &RelayRequest,
         retry_state: &RetryState,
     ) -> Requirements {
-        let names = &self.config.headers;
         let versions = self.versions_for(request, retry_state);
         let (kept, place) = match request.route.kind {
             RouteKind::Stream => {
@@ -149,7 +148,21 @@
             }
             RouteKind::Idempotent | RouteKind::NonIdempotent => (Vec::new(), None),
         };
-        let work = match request.route.kind {
+        Requirements {
+            // Set for each choice.
+            excluded: Vec::new(),
+            cached: kept,
+            reserved_endpoint: place,
+            service: request.service.clone(),
+            versions,
+            work: self.work_of(request),
+        }
+    }
+
+    /// The work that a request causes at an endpoint.
+    pub(crate) fn work_of(&self, request: &RelayRequest) -> Work {
+        let names = &self.config.headers;
+        match request.route.kind {
             RouteKind::Stream => {
                 let index = self.index();
                 let engine = index.and_then(|index| index.service(&request.service)?.engine);
@@ -160,15 +173,6 @@
                 }
             }
             RouteKind::Idempotent | RouteKind::NonIdempotent => Work::Whole,
-        };
-        Requirements {
-            // Set for each choice.
-            excluded: Vec::new(),
-            cached: kept,
-            reserved_endpoint: place,
-            service: request.service.clone(),
-            versions,
-            work,
         }
     }
 
--- a/crates/masticsill_relay/src/events.rs
+++ b/crates/masticsill_relay/src/events.rs
@@ -77,6 +77,8 @@
 pub const VERSION_APPEARED: Event = Event::new(2142, "version_appeared");
 /// A caller continues a stream of which an earlier attempt brought events.
 pub const STREAM_CONTINUED: Event = Event::new(2143, "stream_continued");
+/// A stream that a caller continues ended without an event.
+pub const CONTINUATION_FAILED: Event = Event::new(2144, "continuation_failed");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -117,4 +119,5 @@
     ROLLOUT_LEASE,
     VERSION_APPEARED,
     STREAM_CONTINUED,
+    CONTINUATION_FAILED,
 ];
--- a/crates/masticsill_relay/src/lib.rs
+++ b/crates/masticsill_relay/src/lib.rs
@@ -11,6 +11,7 @@
 mod caller;
 mod config;
 mod connection;
+mod continuation;
 mod copies;
 mod crash_check;
 mod discovery;
--- a/crates/masticsill_relay/src/metrics.rs
+++ b/crates/masticsill_relay/src/metrics.rs
@@ -96,6 +96,7 @@
     pub(crate) answer_ms: Family<KindLabel, Histogram, fn() -> Histogram>,
     pub(crate) attempt_failures: Family<CauseLabel, Counter>,
     pub(crate) broken_off: Family<CauseLabel, Counter>,
+    pub(crate) continuations_failed: Family<CauseLabel, Counter>,
     pub(crate) document_behind: Gauge,
     pub(crate) document_version: Gauge<u64, AtomicU64>,
     pub(crate) endpoints: StateGauges,
@@ -133,6 +134,7 @@
             answer_ms: Family::new_with_constructor(time_histogram),
             attempt_failures: Family::default(),
             broken_off: Family::default(),
+            continuations_failed: Family::default(),
             document_behind: Gauge::default(),
             document_version: Gauge::default(),
             endpoints: StateGauges::default(),
@@ -238,6 +240,9 @@
         let help = "Streams that callers continued with another attempt";
         let continued = self.streams_continued.clone();
         registry.register("masticsill_relay_streams_continued", help, continued);
+        let help = "Continued streams that ended without an event";
+        let failed = self.continuations_failed.clone();
+        registry.register("masticsill_relay_continuations_failed", help, failed);
         let help = "Requests by kind and outcome";
         registry.register("masticsill_relay_requests", help, self.requests.clone());
         let help = "Streams that went on at another endpoint";
--- a/crates/masticsill_relay/src/request_end.rs
+++ b/crates/masticsill_relay/src/request_end.rs
@@ -91,7 +91,7 @@
             log_answered(relay, request, response.status, &endpoint, 1);
             write_response(relay, writer, &response, request.head.is_keep_alive).await
         }
-        StreamEnd::Refused(refusal) => refuse(relay, writer, request, refusal).await,
+        StreamEnd::Refused { refusal, .. } => refuse(relay, writer, request, refusal).await,
         StreamEnd::BrokenOff(broken) => {
             note_broken_off(relay, request, &broken);
             ConnectionAction::Abort
--- a/crates/masticsill_relay/src/rollouts.rs
+++ b/crates/masticsill_relay/src/rollouts.rs
@@ -469,13 +469,17 @@
         let Some(version) = retry_state.stream_version() else {
             return true;
         };
-        let (now, service) = (self.now(), &request.service);
-        let rollouts = self.rollouts.as_ref();
-        if rollouts.is_some_and(|it| it.is_withdrawn(now, service, version)) {
+        if self.is_version_withdrawn(&request.service, version) {
             return false;
         }
         let endpoints = self.endpoints.borrow();
-        endpoints.has_ready(service, &VersionFilter::only(version), &[])
+        endpoints.has_ready(&request.service, &VersionFilter::only(version), &[])
+    }
+
+    /// Whether a version was rolled back so long ago that not even begun streams are sent to it.
+    pub(crate) fn is_version_withdrawn(&self, service: &str, version: &str) -> bool {
+        let rollouts = self.rollouts.as_ref();
+        rollouts.is_some_and(|it| it.is_withdrawn(self.now(), service, version))
     }
 
     /// The versions that queued requests of the services may be sent to, for services with several.
--- a/crates/masticsill_relay/src/stream.rs
+++ b/crates/masticsill_relay/src/stream.rs
@@ -21,6 +21,7 @@
 use tokio::time::sleep;
 
 use crate::attempt::{Attempt, SendFailure, open};
+use crate::continuation::{Continuation, ContinuationEnd};
 use crate::copies::{CopyManager, RunCopy};
 use crate::dispatch_queue::Dispatched;
 use crate::event_order::EventOrder;
@@ -44,7 +45,11 @@
     /// An endpoint's response that is not a stream, to be written as a whole.
     Plain(Response, EndpointId),
     /// A response of the relay itself, to be written; nothing of the stream has been.
-    Refused(Refusal),
+    Refused {
+        /// Why no further attempt was possible.
+        obstacle: Obstacle,
+        refusal: Refusal,
+    },
     /// Part of the stream has been written and the rest is not available: the connection must be
     /// closed.
     BrokenOff(BrokenOff),
@@ -88,6 +93,8 @@
 
 /// A stream being relayed to its caller.
 pub(crate) struct StreamRelay<'a> {
+    /// The stream that the caller continues; none for a new one.
+    continuation: Option<Continuation>,
     copies: CopyManager,
     /// Events delivered by all runs.
     delivered: u64,
@@ -108,15 +115,18 @@
 }
 
 impl<'a> StreamRelay<'a> {
-    /// Prepares a stream. `version` is the one that began it, if its caller continues a stream.
+    /// Prepares a stream. `version` is the one that began it, if its caller continues a stream
+    /// (`continuation`).
     pub(crate) fn new(
         relay: &'a Rc<Relay>,
         request: &'a RelayRequest,
         version: Option<String>,
+        continuation: Option<Continuation>,
         writer: &'a mut OwnedWriteHalf,
         is_closing: bool,
     ) -> Self {
         Self {
+            continuation,
             copies: CopyManager::default(),
             delivered: 0,
             is_closing,
@@ -136,6 +146,24 @@
 
     /// Relays until the stream is complete or given up.
     pub(crate) async fn run(mut self) -> StreamEnd {
+        let end = self.relay_runs().await;
+        let ended = match &end {
+            StreamEnd::Whole { .. } => {
+                self.note_continued();
+                return end;
+            }
+            StreamEnd::Plain(..) => ContinuationEnd::EndpointFailed,
+            StreamEnd::Refused { obstacle, .. }
+            | StreamEnd::BrokenOff(BrokenOff { obstacle, .. }) => {
+                ContinuationEnd::Obstacle(*obstacle)
+            }
+            StreamEnd::CallerLeft(_) => ContinuationEnd::CallerLeft,
+        };
+        self.note_not_continued(ended);
+        end
+    }
+
+    async fn relay_runs(&mut self) -> StreamEnd {
         let mut next = self.open_next(None).await;
         let obstacle = loop {
             let NextAttempt { from_copy, attempt } = match next {
@@ -199,7 +227,21 @@
                 sends: self.retry_state.sends,
             })
         } else {
-            StreamEnd::Refused(refusal)
+            StreamEnd::Refused { obstacle, refusal }
+        }
+    }
+
+    /// Records that a continued stream has gone on.
+    fn note_continued(&mut self) {
+        if let Some(continuation) = &mut self.continuation {
+            continuation.succeed();
+        }
+    }
+
+    /// Records that a continued stream does not go on, unless it has.
+    fn note_not_continued(&mut self, end: ContinuationEnd) {
+        if let Some(continuation) = &mut self.continuation {
+            continuation.fail(end, &self.retry_state.excluded);
         }
     }
 
@@ -214,12 +256,20 @@
     ) -> Result<NextAttempt, Obstacle> {
         let is_begun = self.is_continued() || silent_endpoint.is_some();
         let mut logged_obstacle = None;
+        if let Some(continuation) = &mut self.continuation {
+            continuation.note_search();
+        }
         loop {
             if self.request.left_ms(self.relay.now()) == 0 {
                 return Err(Obstacle::Deadline);
             }
             let obstacle = match self.try_open(is_begun, silent_endpoint).await {
-                Ok(next) => return Ok(next),
+                Ok(next) => {
+                    if let Some(continuation) = &mut self.continuation {
+                        continuation.note_run();
+                    }
+                    return Ok(next);
+                }
                 Err(Obstacle::Unreachable) if !is_begun || !self.retry_state.needs_pause() => {
                     continue;
                 }
@@ -236,6 +286,9 @@
             if logged_obstacle != Some(obstacle) {
                 logged_obstacle = Some(obstacle);
                 self.log_wait(obstacle, silent_endpoint);
+                if let Some(continuation) = &mut self.continuation {
+                    continuation.note_wait(obstacle);
+                }
             }
             if matches!(obstacle, Obstacle::Dials | Obstacle::NoEndpoint) {
                 self.retry_state.clear_exclusions(silent_endpoint);
@@ -351,6 +404,7 @@
 impl Drop for StreamRelay<'_> {
     /// Releases the copy however the stream ends, so that it no longer occupies an engine's memory.
     fn drop(&mut self) {
+        self.note_not_continued(ContinuationEnd::CallerLeft);
         self.copies.poll_pending(self.relay.now());
         self.copies.release(self.relay);
     }
--- a/crates/masticsill_relay/src/stream/run.rs
+++ b/crates/masticsill_relay/src/stream/run.rs
@@ -278,6 +278,7 @@
                 let label =
                     StreamLabel::new(self.request.is_continuation(&self.relay.config.headers));
                 self.relay.metrics.streams_begun.get_or_create(&label).inc();
+                self.note_continued();
             }
             let received_at = self.request.received_at;
             self.timing.note_events(received_at, self.relay.now());
--- a/crates/masticsill_relay/src/stream_origins.rs
+++ b/crates/masticsill_relay/src/stream_origins.rs
@@ -20,6 +20,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::continuation::{Continuation, ContinuationEnd};
 use crate::events;
 use crate::relay::{Relay, discovery_wait_ms};
 use crate::request::RelayRequest;
@@ -125,6 +126,7 @@
 pub(crate) async fn find_origin(
     relay: &Rc<Relay>,
     request: &RelayRequest,
+    continuation: &mut Continuation,
 ) -> Result<Option<StreamOrigin>, Refusal> {
     let names = &relay.config.headers;
     let attempt = request.first_attempt(names);
@@ -153,7 +155,16 @@
         left_ms = request.left_ms(relay.now()),
         looked_up_ms = relay.now().since(request.received_at)
     );
-    let origin = found?;
+    let origin = match found {
+        Ok(origin) => origin,
+        Err(refusal) => {
+            let replied = progress.replied;
+            let replicas = relay.known_replicas().len();
+            continuation.fail(ContinuationEnd::UnknownOrigin { replied, replicas }, &[]);
+            return Err(refusal);
+        }
+    };
+    continuation.note_origin(&origin);
     relay.record_stream_origin(request, origin.clone());
     let shares = &request.route.services;
     let is_served = |it: &str| {
