Begun streams are not refused because new ones fill the queue

Callers saw a stream that they took up again wait in pauses of up to 1.1 s, and miss its version's endpoint each time that this one had capacity, while 256 new requests waited at the same relay.

Cause: the bound of a service's queue counted all requests alike, so that a resumed stream was refused (and retried after a pause) although it would have been the first in order.

Change: resumed answers are counted apart from all others, with the same bound each.

Evidence: begun_stream_waits_beside_a_full_queue_of_new_ones failed (Refuse) and passes; begun_streams_in_the_queue_are_bounded passes before and after. The other tests of the new file show what was checked and passed as it was: order, both endpoints full, resting, limited or backing off, a stream of another version ahead, KV cache space beside smaller new streams.

--- a/crates/masticsill_dispatch/src/dispatcher.rs
+++ b/crates/masticsill_dispatch/src/dispatcher.rs
@@ -32,7 +32,8 @@
 /// engine reads about two prompts.
 const MAX_LATE_WAIT_MS: u64 = 3_000;
 /// Requests that may wait for one service at one entry: more than can be served in time, so that a
-/// wrong estimate can't exhaust memory.
+/// wrong estimate can't exhaust memory. Resumed answers are counted apart from all others, which
+/// would otherwise keep them out.
 const MAX_QUEUED_REQUESTS: usize = 256;
 
 /// This entry's circumstances that a decision depends on.
@@ -190,7 +191,7 @@
         let yields_to_urgent = may_wait
             && matches!(rank, Rank::Returning | Rank::New)
             && queue.yields_to_urgent(now, terms.priority);
-        if !may_wait || yields_to_urgent || queue.len() >= MAX_QUEUED_REQUESTS {
+        if !may_wait || yields_to_urgent || queue.len_beside(rank) >= MAX_QUEUED_REQUESTS {
             let overload = refuse(queue, now, terms, ahead, wait_ms, jitter());
             return Decision::Refuse(Overload {
                 yields_to_urgent,
--- a/crates/masticsill_dispatch/src/service_queue.rs
+++ b/crates/masticsill_dispatch/src/service_queue.rs
@@ -225,6 +225,15 @@
         self.waiting.len()
     }
 
+    /// Number of queued requests among which one of the given rank is counted: the resumed answers,
+    /// or all others.
+    pub(crate) fn len_beside(&self, rank: Rank) -> usize {
+        let is_resume = rank == Rank::Resume;
+        let alike = self.waiting.iter();
+        let alike = alike.filter(|it| (it.rank == Rank::Resume) == is_resume);
+        alike.count()
+    }
+
     /// Number of queued requests that go before a new one at the given place.
     pub(crate) fn ahead_of(&self, place: QueuePlace) -> usize {
         let before = self.waiting.iter().filter(|it| it.place() <= place);
