Begun streams return to endpoints of their version that had turned them away

Callers saw a stream that they took up again wait until its deadline and end with 503, although an endpoint of its version had capacity.

Cause: an endpoint that turns a request away or fails it is excluded until no other is left to try. A stream that was queued for the others stayed there: while these rested, were full, or had left since, the excluded ones could have gone on with it. With the two engines that a release leaves of a version, one 503 and one long rest are enough.

Change: a queued request that must stay at its version is handed back when all endpoints that it does not exclude have left, and a begun stream that excludes some waits for the others for 1.2 s, the longest backoff, before it tries all of them again.

--- a/crates/masticsill_dispatch/src/dispatcher.rs
+++ b/crates/masticsill_dispatch/src/dispatcher.rs
@@ -75,7 +75,8 @@
 /// The outcome of a queued request's wait.
 #[derive(Clone, Debug, PartialEq)]
 pub enum WaitOutcome {
-    /// No endpoint of the version that the request requires is left.
+    /// No endpoint of the version that the request requires is left, apart from those that it
+    /// excludes.
     NoEndpoint(Ticket),
     /// The request is refused: it can't be answered in time any more.
     Refuse(Ticket, Overload),
@@ -419,14 +420,18 @@
     now + table.acceptance_wait_ms(now, &requirements.service, ahead) < terms.deadline_at
 }
 
-/// Removes the first queued request that requires a version without a ready endpoint.
+/// Removes the first queued request that requires a version without a ready endpoint, apart from
+/// those that it excludes.
 fn take_unservable(queue: &mut ServiceQueue, table: &EndpointTable) -> Option<QueuedRequest> {
     let is_unservable = |waiting: &&QueuedRequest| {
         let Requirements {
-            service, versions, ..
+            excluded,
+            service,
+            versions,
+            ..
         } = &waiting.requirements;
         let is_required = versions.binding == VersionBinding::Required;
-        is_required && !table.has_ready(service, &versions.allowed, &[])
+        is_required && !table.has_ready(service, &versions.allowed, excluded)
     };
     let unservable = queue.in_order().into_iter().find(is_unservable);
     let ticket = unservable.map(|it| it.ticket)?;
--- a/crates/masticsill_dispatch/tests/begun_streams.rs
+++ b/crates/masticsill_dispatch/tests/begun_streams.rs
@@ -92,6 +92,22 @@
     assert!(refused.count() > 0);
 }
 
+/// Guards against a begun stream that waits for nobody, because the endpoints that it was not yet
+/// sent to have left.
+#[test]
+fn begun_stream_does_not_wait_when_only_excluded_endpoints_are_left() {
+    let mut entry = busy(&["e1", "e2", "n1"]);
+    let tried = Requirements {
+        excluded: vec![id("e1")],
+        ..begun("v1")
+    };
+    let ticket = queued(&entry.submit(NOW + 10, &tried, &resume()));
+    assert_eq!(entry.next(NOW + 20), None);
+    entry.table.note_leaving(&id("e2"));
+    entry.first_event(NOW + 30, "e1");
+    assert_eq!(entry.next(NOW + 40), Some(WaitOutcome::NoEndpoint(ticket)));
+}
+
 #[test]
 fn begun_stream_is_not_held_up_by_one_of_another_version() {
     let mut entry = busy(&["e1", "n1"]);
--- a/crates/masticsill_relay/src/retry_state.rs
+++ b/crates/masticsill_relay/src/retry_state.rs
@@ -207,6 +207,11 @@
         self.excluded.retain(|id| Some(id) == running);
     }
 
+    /// Whether [`Self::clear_exclusions`] would allow an endpoint to be tried again.
+    pub(crate) fn has_exclusions_beside(&self, running: Option<&EndpointId>) -> bool {
+        self.excluded.iter().any(|id| Some(id) != running)
+    }
+
     /// Timeout of the next connection in milliseconds. It doubles with each failure from the second
     /// on, because the cause may be this relay's own link.
     pub(crate) fn dial_timeout_ms(&self) -> u64 {
--- a/crates/masticsill_relay/src/stream.rs
+++ b/crates/masticsill_relay/src/stream.rs
@@ -18,7 +18,7 @@
 use masticsill_registry::{Announcement, EndpointId};
 use masticsill_types::log_event;
 use tokio::net::tcp::OwnedWriteHalf;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::attempt::{Attempt, SendFailure, open};
 use crate::continuation::{Continuation, ContinuationEnd};
@@ -33,6 +33,10 @@
 use crate::retry_state::{Obstacle, RetryState};
 use crate::stream_timing::StreamTiming;
 
+/// How long a stream that has begun keeps away from the endpoints that turned it away or failed, if
+/// no other has capacity: as long as an endpoint is avoided at most after failures.
+const MAX_EXCLUSION_MS: u64 = 1_200;
+
 /// How a stream ended towards its caller.
 #[derive(Debug)]
 pub(crate) enum StreamEnd {
@@ -375,10 +379,19 @@
                 self.copies.clear();
             }
         }
+        let may_return = self.retry_state.has_exclusions_beside(silent_endpoint);
         let choosing =
             self.relay
                 .choose_or_wait(self.request, &self.retry_state, self.is_continued());
-        match choosing.await {
+        let is_bounded = self.is_continued() && may_return;
+        let dispatched = if is_bounded {
+            // Without an endpoint in time, those that are excluded are tried again.
+            let bound = timeout(Duration::from_millis(MAX_EXCLUSION_MS), choosing);
+            bound.await.unwrap_or(Dispatched::NoEndpoint)
+        } else {
+            choosing.await
+        };
+        match dispatched {
             Dispatched::Assigned(_, reservation) => Ok((*reservation, None)),
             Dispatched::Refused(overload) => {
                 self.retry_state.note_overload(overload);
