Begun streams wait in the queue for a connection to their version

Callers saw streams that they took up again wait in pauses of up to 1.1 s while no connection to an endpoint of their version was free, and new streams get each connection that became free meanwhile.

Cause: an endpoint at its connection limit was no endpoint at all, so that the stream was not queued but handed back as without endpoint, and tried again after a pause.

Change: whether there is an endpoint to wait for is decided without the connection limit, for resumed answers. They get the next connection as the first of the queue.

Evidence: begun_stream_waits_for_a_connection failed (NoEndpoint) and passes; all tests of masticsill_dispatch pass.

--- a/crates/masticsill_dispatch/src/dispatcher.rs
+++ b/crates/masticsill_dispatch/src/dispatcher.rs
@@ -152,16 +152,13 @@
             queue.note_start(now, requirements);
             return Decision::Send(choice);
         }
+        let mut request = placement_request(requirements, context, allowed);
+        if rank == Rank::Resume {
+            // A resumed answer waits for a connection in the queue, before new requests.
+            request.closed = &[];
+        }
         let any_endpoint = |_: &_| true;
-        if choose(
-            table,
-            now,
-            &placement_request(requirements, context, allowed),
-            any_endpoint,
-            &mut jitter,
-        )
-        .is_none()
-        {
+        if choose(table, now, &request, any_endpoint, &mut jitter).is_none() {
             return Decision::NoEndpoint;
         }
         queue.note_overloaded(now);
--- a/crates/masticsill_dispatch/tests/begun_streams.rs
+++ b/crates/masticsill_dispatch/tests/begun_streams.rs
@@ -4,11 +4,13 @@
 mod common;
 
 use assert_matches::assert_matches;
-use common::{Entry, NOW, id, requirements, terms};
-use masticsill_dispatch::{Decision, Requirements, Terms, Ticket, WaitOutcome, Work};
+use common::{Entry, NOW, context, id, requirements, terms};
+use masticsill_dispatch::{
+    Decision, DispatchContext, Requirements, Terms, Ticket, WaitOutcome, Work,
+};
 use masticsill_registry::{EndpointId, EndpointRecord, RequestRate};
 use masticsill_rollout::RequestVersions;
-use masticsill_types::NodeId;
+use masticsill_types::{ClockMs, NodeId};
 
 /// Far more requests than a queue holds.
 const MANY: usize = 400;
@@ -63,6 +65,15 @@
     *ticket
 }
 
+/// The next outcome, with endpoints that accept no connections.
+fn next_with_closed(entry: &mut Entry, now: ClockMs, closed: &[EndpointId]) -> Option<WaitOutcome> {
+    let context = DispatchContext {
+        closed,
+        ..context(&entry.node, &entry.zone)
+    };
+    entry.dispatcher.next(now, &entry.table, &context, || 0.0)
+}
+
 fn assert_sent(outcome: Option<WaitOutcome>, ticket: Ticket, name: &str) {
     assert_matches!(outcome, Some(WaitOutcome::Send(sent, choice)) if sent == ticket && choice.id == id(name));
 }
@@ -108,6 +119,24 @@
     assert_eq!(entry.next(NOW + 40), Some(WaitOutcome::NoEndpoint(ticket)));
 }
 
+/// Guards against begun streams that leave the queue to new ones while no connection is free.
+#[test]
+fn begun_stream_waits_for_a_connection() {
+    let mut entry = idle(&["e1", "n1"]);
+    let closed = [id("e1")];
+    let context = DispatchContext {
+        closed: &closed,
+        ..context(&entry.node, &entry.zone)
+    };
+    let decision =
+        entry
+            .dispatcher
+            .submit(NOW, &entry.table, &begun("v1"), &resume(), &context, || 0.0);
+    let ticket = queued(&decision);
+    assert_eq!(next_with_closed(&mut entry, NOW + 10, &closed), None);
+    assert_sent(entry.next(NOW + 20), ticket, "e1");
+}
+
 #[test]
 fn begun_stream_is_not_held_up_by_one_of_another_version() {
     let mut entry = busy(&["e1", "n1"]);
