New streams drawn for a version leave its endpoints to begun streams that wait

Callers saw new streams begin at a roll-out's target while streams that had begun there waited.

Cause: a request that is drawn for the target is placed there before the queue is looked at. Where an endpoint accepts requests again by the passage of time (the end of a rest, or a turn under a stated limit), the queue learns of it up to 25 ms later, and a drawn request that came meanwhile took it.

Change: a drawn request is not placed where a queued resumed answer may be sent to.

Evidence: drawn_request_does_not_overtake_a_begun_stream failed (Send) and passes; all tests of masticsill_dispatch pass.

--- a/crates/masticsill_dispatch/src/dispatcher.rs
+++ b/crates/masticsill_dispatch/src/dispatcher.rs
@@ -140,7 +140,10 @@
             .as_ref()
             .filter(|_| is_first && !yields)
         {
-            choice = choose_of(drawn, &mut jitter).filter(|it| is_healthy(table, now, &it.id));
+            let may_take = |it: &Choice| {
+                is_healthy(table, now, &it.id) && !is_awaited_by_resume(queue, table, &it.id)
+            };
+            choice = choose_of(drawn, &mut jitter).filter(may_take);
         }
         if choice.is_none() && ahead == 0 && !yields {
             choice = choose_of(allowed, &mut jitter);
@@ -370,6 +373,19 @@
     endpoint.is_some_and(|it| !it.is_silent() && !it.is_backing_off(now))
 }
 
+/// Whether a queued resumed answer may be sent to an endpoint. It goes there before new requests.
+fn is_awaited_by_resume(queue: &ServiceQueue, table: &EndpointTable, id: &EndpointId) -> bool {
+    let Some(endpoint) = table.get(id) else {
+        return false;
+    };
+    let version = &endpoint.announcement.version;
+    let may_use = |requirements: &Requirements| {
+        requirements.versions.allowed.allows(version) && !requirements.excluded.contains(id)
+    };
+    let mut resumes = queue.resumes();
+    resumes.any(|it| may_use(&it.requirements))
+}
+
 fn placement_request<'a>(
     requirements: &'a Requirements,
     context: &DispatchContext<'a>,
--- a/crates/masticsill_dispatch/src/service_queue.rs
+++ b/crates/masticsill_dispatch/src/service_queue.rs
@@ -228,10 +228,17 @@
     /// Number of queued requests among which one of the given rank is counted: the resumed answers,
     /// or all others.
     pub(crate) fn len_beside(&self, rank: Rank) -> usize {
-        let is_resume = rank == Rank::Resume;
-        let alike = self.waiting.iter();
-        let alike = alike.filter(|it| (it.rank == Rank::Resume) == is_resume);
-        alike.count()
+        let resumes = self.resumes().count();
+        if rank == Rank::Resume {
+            resumes
+        } else {
+            self.waiting.len() - resumes
+        }
+    }
+
+    /// The queued resumed answers.
+    pub(crate) fn resumes(&self) -> impl Iterator<Item = &QueuedRequest> {
+        self.waiting.iter().filter(|it| it.rank == Rank::Resume)
     }
 
     /// Number of queued requests that go before a new one at the given place.
--- a/crates/masticsill_dispatch/tests/begun_streams.rs
+++ b/crates/masticsill_dispatch/tests/begun_streams.rs
@@ -9,7 +9,7 @@
     Decision, DispatchContext, Requirements, Terms, Ticket, WaitOutcome, Work,
 };
 use masticsill_registry::{EndpointId, EndpointRecord, RequestRate};
-use masticsill_rollout::RequestVersions;
+use masticsill_rollout::{RequestVersions, VersionBinding, VersionChoice, VersionFilter};
 use masticsill_types::{ClockMs, NodeId};
 
 /// Far more requests than a queue holds.
@@ -137,6 +137,28 @@
     assert_sent(entry.next(NOW + 20), ticket, "e1");
 }
 
+/// Guards against a begun stream that new ones overtake in the moment in which its endpoint accepts
+/// requests again.
+#[test]
+fn drawn_request_does_not_overtake_a_begun_stream() {
+    let mut entry = idle(&["e1", "n1"]);
+    let resting = entry.table.get_mut(&id("n1")).unwrap();
+    resting.note_rest(NOW, 400);
+    let ticket = queued(&entry.submit(NOW + 10, &begun("v2"), &resume()));
+    let drawn = Requirements {
+        versions: RequestVersions {
+            allowed: VersionChoice::Except("v2".to_owned()).into(),
+            drawn: Some(VersionFilter::only("v2")),
+            binding: VersionBinding::Unbound,
+        },
+        ..requirements()
+    };
+    let decision = entry.submit(NOW + 401, &drawn, &terms("w"));
+    let overtakes = matches!(&decision, Decision::Send(choice) if choice.id == id("n1"));
+    assert!(!overtakes, "{decision:?}");
+    assert_sent(entry.next(NOW + 410), ticket, "n1");
+}
+
 #[test]
 fn begun_stream_is_not_held_up_by_one_of_another_version() {
     let mut entry = busy(&["e1", "n1"]);
