Begun streams that wait at endpoints with stated limits ask for permits again

Callers saw streams that they took up again end with 503 at their deadline, while the endpoint of their version accepted one request a second and got none.

Cause: a permit is asked for once, when a request is about to be placed. A stream that got none was queued for its relay's own turns (one in 10 s here, one in minutes among hundreds of relays), and new streams go to other versions, which accept them without a permit.

Change: while a resumed answer is queued, and no endpoint of its version accepts it without a permit, one is asked for four times a second. The limit is kept as before: replicas grant what they did.

--- a/crates/masticsill_relay/src/endpoint_choice.rs
+++ b/crates/masticsill_relay/src/endpoint_choice.rs
@@ -1,7 +1,9 @@
 //! Selection of an endpoint for one attempt, from the known state of the endpoints and the cached
 //! parts of the prompt.
 
+use std::convert::Infallible;
 use std::rc::Rc;
+use std::time::Duration;
 
 use masticsill_catalogue::RouteKind;
 use masticsill_dispatch::{
@@ -11,7 +13,7 @@
 use masticsill_registry::{Announcement, EndpointId};
 use masticsill_rollout::VersionFilter;
 use masticsill_types::{ZoneId, log_event};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use crate::dispatch_queue::{Dispatched, dispatch};
 use crate::engine_reservation::reserve_engine;
@@ -25,6 +27,9 @@
 /// Percentage of the connections accepted by an endpoint that the entries use. Health checks and
 /// connections that are just closing need the rest.
 const USED_PERCENT: u32 = 85;
+/// Interval at which a permit is asked for again while a resumed answer is queued. New requests ask
+/// once, since they are refused soon if they can't be sent.
+const PERMIT_INTERVAL: Duration = Duration::from_millis(250);
 
 impl Relay {
     /// Chooses the engine that is to hold a copy of a run: in another zone than the running engine,
@@ -81,17 +86,9 @@
         let terms = terms_of(request, is_resume);
         let is_first = retry_state.excluded.is_empty();
         let wait_ms = discovery_wait_ms(request.left_ms(self.now()));
-        let discovery_deadline = Instant::now() + std::time::Duration::from_millis(wait_ms);
-        let lacking = self.endpoints.borrow().lacking_permits(
-            self.now(),
-            &request.service,
-            &need.versions.allowed,
-            &retry_state.excluded,
-        );
-        if !lacking.is_empty() {
-            // Boxed, since few requests need it.
-            Box::pin(request_permit(self, lacking)).await;
-        }
+        let discovery_deadline = Instant::now() + Duration::from_millis(wait_ms);
+        self.ask_for_permit(request, retry_state, &need.versions.allowed)
+            .await;
         loop {
             let mut discovery_changes = self.discovery_changes.subscribe();
             let mut dispatched = Dispatched::NoEndpoint;
@@ -101,7 +98,19 @@
                 // The versions may have changed during a wait.
                 need.versions = self.versions_for(request, retry_state);
                 need.excluded = [retry_state.excluded.as_slice(), &exclusions].concat();
-                dispatched = dispatch(self, request, &need, &terms).await;
+                dispatched = if is_resume {
+                    tokio::select! {
+                        biased;
+                        dispatched = dispatch(self, request, &need, &terms) => dispatched,
+                        never = self.keep_asking_for_permits(
+                            request,
+                            retry_state,
+                            &need.versions.allowed,
+                        ) => match never {},
+                    }
+                } else {
+                    dispatch(self, request, &need, &terms).await
+                };
                 if !matches!(dispatched, Dispatched::NoEndpoint) {
                     break;
                 }
@@ -132,6 +141,38 @@
         }
     }
 
+    /// Asks for a permit if no endpoint accepts a request without one.
+    async fn ask_for_permit(
+        self: &Rc<Self>,
+        request: &RelayRequest,
+        retry_state: &RetryState,
+        versions: &VersionFilter,
+    ) {
+        let lacking = self.endpoints.borrow().lacking_permits(
+            self.now(),
+            &request.service,
+            versions,
+            &retry_state.excluded,
+        );
+        if !lacking.is_empty() {
+            // Boxed, since few requests need it.
+            Box::pin(request_permit(self, lacking)).await;
+        }
+    }
+
+    /// Asks for permits again and again, while a request is queued.
+    async fn keep_asking_for_permits(
+        self: &Rc<Self>,
+        request: &RelayRequest,
+        retry_state: &RetryState,
+        versions: &VersionFilter,
+    ) -> Infallible {
+        loop {
+            sleep(PERMIT_INTERVAL).await;
+            self.ask_for_permit(request, retry_state, versions).await;
+        }
+    }
+
     /// What a request requires of an endpoint.
     async fn need_of(
         self: &Rc<Self>,
