An endpoint that turns a stream away again counts once against the route's maximum

Callers saw streams that they took up again refused within a second or two, not run, while two engines of their version served, and new streams begin at the other version.

Cause: max_attempts bounds the endpoints that one request is sent to, and the relay counted sends. A stream whose version has two engines, which are both full for a moment, had used up four sends after two rounds, and was refused for good, although neither had run it.

Change: an endpoint that answered that it did not run the request counts once, however often. Retry budget is spent for each further send as before, and pauses between rounds grow as before. Requests other than begun streams are never sent to an endpoint again, so that nothing changes for them.

--- a/crates/masticsill_relay/src/plain.rs
+++ b/crates/masticsill_relay/src/plain.rs
@@ -64,7 +64,7 @@
                 failed = Some((response, id));
             }
             SendEnd::Answered(Verdict::NotRun { is_replaced }, _) => {
-                retry_state.note_not_run(!is_replaced);
+                retry_state.note_not_run(&id, !is_replaced);
                 retry_state.exclude(id);
             }
             SendEnd::Failed(failure) => retry_state.note(id, &failure),
--- a/crates/masticsill_relay/src/retry_state.rs
+++ b/crates/masticsill_relay/src/retry_state.rs
@@ -134,6 +134,8 @@
     pub(crate) sends: u32,
     /// The version that wrote the events of the stream that the caller has.
     stream_version: Option<String>,
+    /// Endpoints that did not run the request, and count against the route's maximum.
+    turned_away_by: Vec<EndpointId>,
     /// A random number between 0 and 1 that decides for all attempts which version the request is
     /// drawn for.
     version_draw: OnceCell<f64>,
@@ -149,13 +151,17 @@
         }
     }
 
-    /// Records a response that says that the request did not run.
+    /// Records a response of an endpoint that says that the request did not run.
     ///
     /// This is not counted as an attempt if the endpoint was chosen only because it holds a copy,
-    /// or if its address belongs to another incarnation.
-    pub(crate) fn note_not_run(&mut self, is_attempt: bool) {
+    /// or if its address belongs to another incarnation (`is_attempt` is false). An endpoint that
+    /// turns a stream away again counts once: the route's maximum is one of endpoints.
+    pub(crate) fn note_not_run(&mut self, id: &EndpointId, is_attempt: bool) {
         self.arrivals += 1;
-        self.sends += u32::from(is_attempt);
+        if is_attempt && !self.turned_away_by.contains(id) {
+            self.turned_away_by.push(id.clone());
+            self.sends += 1;
+        }
     }
 
     /// Records that the request could not be answered in time.
--- a/crates/masticsill_relay/src/stream.rs
+++ b/crates/masticsill_relay/src/stream.rs
@@ -194,7 +194,7 @@
                     // The endpoint did not run the request, so that it made no copy.
                     self.copies.clear();
                     self.retry_state
-                        .note_not_run(!is_replaced && from_copy.is_none());
+                        .note_not_run(&id, !is_replaced && from_copy.is_none());
                     // An engine that lacks the copy may still run the request from its prompt.
                     if from_copy.is_none() {
                         self.retry_state.exclude(id);
