--- a/crates/masticsill_dispatch/src/dispatcher.rs
+++ b/crates/masticsill_dispatch/src/dispatcher.rs
@@ -32,7 +32,8 @@
 /// engine reads about two prompts.
 const MAX_LATE_WAIT_MS: u64 = 3_000;
 /// Requests that may wait for one service at one entry: more than can be served in time, so that a
-/// wrong estimate can't exhaust memory.
+/// wrong estimate can't exhaust memory. Resumed answers are counted apart from all others, which
+/// would otherwise keep them out.
 const MAX_QUEUED_REQUESTS: usize = 256;
 
 /// This entry's circumstances that a decision depends on.
@@ -74,7 +75,8 @@
 /// The outcome of a queued request's wait.
 #[derive(Clone, Debug, PartialEq)]
 pub enum WaitOutcome {
-    /// No endpoint of the version that the request requires is left.
+    /// No endpoint of the version that the request requires is left, apart from those that it
+    /// excludes.
     NoEndpoint(Ticket),
     /// The request is refused: it can't be answered in time any more.
     Refuse(Ticket, Overload),
@@ -138,7 +140,10 @@
             .as_ref()
             .filter(|_| is_first && !yields)
         {
-            choice = choose_of(drawn, &mut jitter).filter(|it| is_healthy(table, now, &it.id));
+            let may_take = |it: &Choice| {
+                is_healthy(table, now, &it.id) && !is_awaited_by_resume(queue, table, &it.id)
+            };
+            choice = choose_of(drawn, &mut jitter).filter(may_take);
         }
         if choice.is_none() && ahead == 0 && !yields {
             choice = choose_of(allowed, &mut jitter);
@@ -150,16 +155,13 @@
             queue.note_start(now, requirements);
             return Decision::Send(choice);
         }
+        let mut request = placement_request(requirements, context, allowed);
+        if rank == Rank::Resume {
+            // A resumed answer waits for a connection in the queue, before new requests.
+            request.closed = &[];
+        }
         let any_endpoint = |_: &_| true;
-        if choose(
-            table,
-            now,
-            &placement_request(requirements, context, allowed),
-            any_endpoint,
-            &mut jitter,
-        )
-        .is_none()
-        {
+        if choose(table, now, &request, any_endpoint, &mut jitter).is_none() {
             return Decision::NoEndpoint;
         }
         queue.note_overloaded(now);
@@ -190,7 +192,7 @@
         let yields_to_urgent = may_wait
             && matches!(rank, Rank::Returning | Rank::New)
             && queue.yields_to_urgent(now, terms.priority);
-        if !may_wait || yields_to_urgent || queue.len() >= MAX_QUEUED_REQUESTS {
+        if !may_wait || yields_to_urgent || queue.len_beside(rank) >= MAX_QUEUED_REQUESTS {
             let overload = refuse(queue, now, terms, ahead, wait_ms, jitter());
             return Decision::Refuse(Overload {
                 yields_to_urgent,
@@ -371,6 +373,19 @@
     endpoint.is_some_and(|it| !it.is_silent() && !it.is_backing_off(now))
 }
 
+/// Whether a queued resumed answer may be sent to an endpoint. It goes there before new requests.
+fn is_awaited_by_resume(queue: &ServiceQueue, table: &EndpointTable, id: &EndpointId) -> bool {
+    let Some(endpoint) = table.get(id) else {
+        return false;
+    };
+    let version = &endpoint.announcement.version;
+    let may_use = |requirements: &Requirements| {
+        requirements.versions.allowed.allows(version) && !requirements.excluded.contains(id)
+    };
+    let mut resumes = queue.resumes();
+    resumes.any(|it| may_use(&it.requirements))
+}
+
 fn placement_request<'a>(
     requirements: &'a Requirements,
     context: &DispatchContext<'a>,
@@ -418,14 +433,18 @@
     now + table.acceptance_wait_ms(now, &requirements.service, ahead) < terms.deadline_at
 }
 
-/// Removes the first queued request that requires a version without a ready endpoint.
+/// Removes the first queued request that requires a version without a ready endpoint, apart from
+/// those that it excludes.
 fn take_unservable(queue: &mut ServiceQueue, table: &EndpointTable) -> Option<QueuedRequest> {
     let is_unservable = |waiting: &&QueuedRequest| {
         let Requirements {
-            service, versions, ..
+            excluded,
+            service,
+            versions,
+            ..
         } = &waiting.requirements;
         let is_required = versions.binding == VersionBinding::Required;
-        is_required && !table.has_ready(service, &versions.allowed, &[])
+        is_required && !table.has_ready(service, &versions.allowed, excluded)
     };
     let unservable = queue.in_order().into_iter().find(is_unservable);
     let ticket = unservable.map(|it| it.ticket)?;
--- a/crates/masticsill_dispatch/src/service_queue.rs
+++ b/crates/masticsill_dispatch/src/service_queue.rs
@@ -225,6 +225,22 @@
         self.waiting.len()
     }
 
+    /// Number of queued requests among which one of the given rank is counted: the resumed answers,
+    /// or all others.
+    pub(crate) fn len_beside(&self, rank: Rank) -> usize {
+        let resumes = self.resumes().count();
+        if rank == Rank::Resume {
+            resumes
+        } else {
+            self.waiting.len() - resumes
+        }
+    }
+
+    /// The queued resumed answers.
+    pub(crate) fn resumes(&self) -> impl Iterator<Item = &QueuedRequest> {
+        self.waiting.iter().filter(|it| it.rank == Rank::Resume)
+    }
+
     /// Number of queued requests that go before a new one at the given place.
     pub(crate) fn ahead_of(&self, place: QueuePlace) -> usize {
         let before = self.waiting.iter().filter(|it| it.place() <= place);
--- a/crates/masticsill_relay/src/stream/run.rs
+++ b/crates/masticsill_relay/src/stream/run.rs
@@ -271,6 +271,7 @@
                 let label =
                     StreamLabel::new(self.request.is_continuation(&self.relay.config.headers));
                 self.relay.metrics.streams_begun.get_or_create(&label).inc();
+                self.note_continued();
                 self.record_origin(endpoint).await;
             }
             let received_at = self.request.received_at;
