A returning caller is told that its answer is lost only once every holder has replied

What callers saw: a caller that came back through another entry, while the agent with its record was silent or cut off for 1.5 s, got 410 `record_lost` and had to discard what it had, although the agent was there. Cause: the search for the record asked each node once, and took a timeout of 1 s or a failed connection for the reply of a node without a record. Evidence: a_record_is_not_lost_while_its_agent_is_silent and .._is_cut_off: 410 on the code before. Change: the decision is pure (holder_search.rs). A node that does not reply is asked again; the record is lost only once every node that is not gone has replied without it. After 10 s, which is longer than membership takes to declare a dead node gone and shorter than `reattach_ms`, the caller gets 503, `no_endpoint`, not run, with Retry-After, and keeps its part. A request keeps its nonce when it is repeated, so that the agent takes copies for one owner. An entry is asked once for the whole search, because it releases its record only once.

--- a/crates/masticsill/tests/system/lost_entries.rs
+++ b/crates/masticsill/tests/system/lost_entries.rs
@@ -1,10 +1,14 @@
 //! Callers that resume their streams through another entry.
 
-use masticsill_testkit::wait_until;
+use std::thread;
+use std::time::Duration;
+
+use masticsill_testkit::{ProxyMode, wait_until};
 
 use crate::support::{Draft, End, Reader, SmallSystem, WAIT_TIMEOUT_MS};
 
 const TOKENS: u32 = 150;
+const OUTAGE: Duration = Duration::from_millis(1_500);
 
 #[test]
 fn a_lost_entrys_stream_is_resumed_through_another_entry() {
@@ -61,6 +65,61 @@
     }
 }
 
+/// Guards against a timeout that counts as the reply of a node without a record.
+#[test]
+fn a_record_is_not_lost_while_its_agent_is_silent() {
+    resume_during_outage(ProxyMode::BlackHole(None));
+}
+
+/// Guards against a failed connection that counts as the reply of a node without a record.
+#[test]
+fn a_record_is_not_lost_while_its_agent_is_cut_off() {
+    resume_during_outage(ProxyMode::Cut);
+}
+
+/// Guards against a final refusal while a node that may hold the record has not replied.
+#[test]
+fn a_resume_may_be_repeated_while_the_agent_stays_silent() {
+    let mut system = SmallSystem::start(2, 2);
+    let draft = Draft::new("long outage", TOKENS);
+    let mut reader = system.open("entry-0", &draft);
+    reader.read_bytes(20);
+    let agent = format!("agent-{}", system.busy_engine());
+    system.deployment.node_mut("entry-0").process.kill();
+    reader.read_to_end();
+    let proxy = &system.deployment.node(&agent).proxy;
+    proxy.set_mode(ProxyMode::BlackHole(None));
+    let refused = system.reopen("entry-1", &draft, &reader.last_id);
+    assert_eq!(refused.status(), 503, "the agent may have the record");
+    proxy.set_mode(ProxyMode::Pass);
+    let mut again = system.reopen("entry-1", &draft, &reader.last_id);
+    assert_eq!(again.read_to_end(), End::Done);
+    assert_eq!(reader.text + &again.text, draft.expected());
+}
+
+/// Kills the entry and resumes through another one while the agent can't be reached.
+fn resume_during_outage(mode: ProxyMode) {
+    let mut system = SmallSystem::start(2, 2);
+    let draft = Draft::new("outage", TOKENS);
+    let mut reader = system.open("entry-0", &draft);
+    reader.read_bytes(20);
+    let agent = format!("agent-{}", system.busy_engine());
+    system.deployment.node_mut("entry-0").process.kill();
+    reader.read_to_end();
+    let proxy = &system.deployment.node(&agent).proxy;
+    proxy.set_mode(mode);
+    let mut again = thread::scope(|scope| {
+        scope.spawn(|| {
+            thread::sleep(OUTAGE);
+            proxy.set_mode(ProxyMode::Pass);
+        });
+        system.reopen("entry-1", &draft, &reader.last_id)
+    });
+    assert_eq!(again.status(), 200, "the agent has the record");
+    assert_eq!(again.read_to_end(), End::Done);
+    assert_eq!(reader.text + &again.text, draft.expected());
+}
+
 #[test]
 fn a_resume_with_another_idempotency_key_is_refused() {
     let system = SmallSystem::start(1, 1);
--- a/crates/masticsill_entry/src/sessions_duty.rs
+++ b/crates/masticsill_entry/src/sessions_duty.rs
@@ -299,7 +299,8 @@
                 info,
                 events::GENERATION_TAKEN_OVER,
                 generation = position.id,
-                is_found = !matches!(found, SearchResult::NotFound)
+                is_found = matches!(found, SearchResult::AtAgent(..) | SearchResult::AtEntry(_)),
+                is_settled = !matches!(found, SearchResult::Unsettled)
             );
             sessions.with_table(|table, now| table.search_finished(now, position.id, found));
         });
--- a/crates/masticsill_session/src/lib.rs
+++ b/crates/masticsill_session/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod caller;
 mod endpoint;
+mod holder_search;
 mod placement;
 mod position;
 mod reconnect;
@@ -17,5 +18,6 @@
 
 pub use caller::{AnswerSink, StreamItem};
 pub use endpoint::{Endpoint, EndpointTable};
+pub use holder_search::{HolderSearch, SearchProgress, SearchStep};
 pub use position::{HolderHint, Position, PositionError};
 pub use session_table::{Action, SearchResult, SessionTable, SessionTableConfig, Submission};
--- a/crates/masticsill_session/src/reconnect.rs
+++ b/crates/masticsill_session/src/reconnect.rs
@@ -8,7 +8,7 @@
 use crate::caller::{AnswerSink, Caller};
 use crate::position::{HolderHint, Position};
 use crate::session::{Phase, Session};
-use crate::session_table::{Action, SearchResult, SessionTable, superseded};
+use crate::session_table::{Action, RETRY_AFTER_MS, SearchResult, SessionTable, superseded};
 use crate::work_request::build_work_request;
 
 impl SessionTable {
@@ -51,6 +51,10 @@
                 caller.refuse(record_lost());
                 return;
             }
+            SearchResult::Unsettled => {
+                caller.refuse(holder_silent());
+                return;
+            }
         };
         let Ok(record) = Record::from_snapshot(snapshot) else {
             caller.refuse(record_lost());
@@ -124,6 +128,14 @@
     }
 }
 
+fn holder_silent() -> Refusal {
+    Refusal::not_run(
+        RefusalKind::NoEndpoint,
+        "a node that may hold the answer did not reply; keep the part received and its last id",
+    )
+    .retry_after(RETRY_AFTER_MS)
+}
+
 fn record_lost() -> Refusal {
     Refusal::failed(
         RefusalKind::RecordLost,
--- a/crates/masticsill_session/src/session_table.rs
+++ b/crates/masticsill_session/src/session_table.rs
@@ -71,6 +71,8 @@
     AtEntry(RecordSnapshot),
     /// No node holds a record that contains the part of the answer that the caller received.
     NotFound,
+    /// No record was found, but a node that may hold it has not replied.
+    Unsettled,
 }
 
 /// All sessions of an entry node.
--- a/crates/masticsill_session/tests/sessions/caller_return.rs
+++ b/crates/masticsill_session/tests/sessions/caller_return.rs
@@ -127,6 +127,31 @@
     assert_eq!(returned.refusal(), lost);
 }
 
+/// Guards against a final refusal while a node that may hold the record has not replied.
+#[test]
+fn caller_may_retry_if_a_node_that_may_hold_the_record_is_silent() {
+    let mut fixture = Fixture::new();
+    let sink = FakeSink::new(100);
+    follow_two_tokens(&mut fixture, &sink);
+    let position = sink.position();
+    let mut other = Fixture::new();
+    let returned = FakeSink::new(100);
+    other
+        .table
+        .reattach(other.now, position, Box::new(returned.clone()));
+    other
+        .table
+        .search_finished(other.now, position.id, SearchResult::Unsettled);
+    let not_run = Some((RefusedOutcome::NotRun, RefusalKind::NoEndpoint));
+    assert_eq!(returned.refusal(), not_run);
+    let again = FakeSink::new(100);
+    other.table.take_actions();
+    other
+        .table
+        .reattach(other.now, position, Box::new(again.clone()));
+    assert_matches!(other.table.take_actions().as_slice(), [Action::Search(_)]);
+}
+
 #[test]
 fn caller_that_reconnects_after_a_refusal_is_refused_again_at_once() {
     let mut fixture = Fixture::new();
--- a/crates/masticsill_session/tests/sessions/main.rs
+++ b/crates/masticsill_session/tests/sessions/main.rs
@@ -3,5 +3,6 @@
 mod admission;
 mod caller_return;
 mod exact_resume;
+mod holder_search;
 mod support;
 mod true_refusals;
