Only the voters of the control quorum count

Callers saw: after enough control machines had been replaced, unnamed streams of a service with one version were refused, lookups of unknown streams waited for replicas that are gone, new versions got no streams, and no silence of an endpoint was ever conclusive.

Cause: relays counted every control replica that any of them had ever named, and so did the replicas in their exchange; the lists never shrink.

Change: a replica reports the voters of its log's newest membership, while it is one of them, in the same field as before. ReportedVoters decides which replicas are a majority: by the report of each of them. Versions are confirmed again when the voters change, and origins are kept by voters. The field of the watch reply keeps its type: an older replica's list holds all that it ever heard of, which is refused sooner, never believed.

Tests of the origin lookup and of confirmed versions state who replied in place of a number; the expected results are the same, some cases are new. The relay tests' stand-in reports itself as the only voter.

--- a/crates/masticsill_control/src/admission.rs
+++ b/crates/masticsill_control/src/admission.rs
@@ -43,6 +43,7 @@
             }
             if is_excluded(&server, &own).await {
                 server.quorum.ask_any(Request::GiveUpFounding).await;
+                server.endpoints.forget_past();
             }
             continue;
         }
@@ -110,7 +111,7 @@
             info,
             events::VOTER_TRIMMED,
             node = id.name,
-            voters = status.voters,
+            voters = status.voters.names.len(),
             outcome = format!("{reply:?}")
         );
     }
--- a/crates/masticsill_control/src/endpoints/exchange.rs
+++ b/crates/masticsill_control/src/endpoints/exchange.rs
@@ -5,13 +5,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use masticsill_registry::Watcher;
 use masticsill_types::{ClockMs, NodeId};
 use masticsill_wire::control::WatchRequest;
 use tokio::task::spawn_local;
 
 use super::hub::RESTORED_GRACE_MS;
+use crate::quorum::Request;
 use crate::rpc::ControlServer;
 
 /// Longest wait of one exchange, and so the greatest age of a reported heartbeat age on arrival.
@@ -22,21 +23,37 @@
 /// A replica that answered within this time counts as reachable.
 const REACHABLE_TIMEOUT_MS: u64 = 2_500;
 
-/// Time of the last answer of each other replica.
-type Answers = Rc<RefCell<IndexMap<NodeId, ClockMs>>>;
+/// What another replica has answered.
+#[derive(Clone, Copy, Debug, Default)]
+struct Answers {
+    /// The last answer; none if there has been none.
+    last_at: Option<ClockMs>,
+    /// Whether all that a replica knows has been merged which knows the past.
+    includes_past: bool,
+}
+
+/// The answers of each other replica.
+type AnswersOfReplicas = Rc<RefCell<IndexMap<NodeId, Answers>>>;
 
 /// Exchanges records with every other replica and updates which endpoints are silent; never
 /// returns.
 pub(crate) async fn run_exchange(server: ControlServer, node: NodeId) {
     let started_at = server.clock.now();
-    let answers: Answers = Rc::default();
+    let answers: AnswersOfReplicas = Rc::default();
+    if let Some((own, _)) = server.quorum.ask_any(Request::Identify).await
+        && own.is_founded
+    {
+        // The data folder holds what the former process of this replica knew.
+        server.endpoints.note_past_known();
+    }
     loop {
         let others = server.book.named();
         let others = others.into_iter().filter(|(other, _)| *other != node);
         for (other, _) in others {
             if !answers.borrow().contains_key(&other) {
-                // No answer yet: the origin of the clock lies before any answer.
-                answers.borrow_mut().insert(other.clone(), ClockMs(0));
+                answers
+                    .borrow_mut()
+                    .insert(other.clone(), Answers::default());
                 let following = follow(server.clone(), node.clone(), other, Rc::clone(&answers));
                 spawn_local(following);
             }
@@ -46,22 +63,62 @@
         // live for this long; after that the other replicas have reported which endpoints they
         // hear.
         let is_settled = now.since(started_at) > RESTORED_GRACE_MS;
+        let is_reached = |other: &NodeId| {
+            let last_at = answers.borrow().get(other).and_then(|it| it.last_at);
+            *other == node || last_at.is_some_and(|at| now.since(at) < REACHABLE_TIMEOUT_MS)
+        };
+        let voters = server.quorum.status().voters.names;
+        let reaches_majority = is_majority(&voters, is_reached);
         server
             .endpoints
-            .update_silence(is_settled && reaches_majority(&answers, now));
+            .update_silence(is_settled && reaches_majority);
+        // Whatever is remembered by then began after this replica had started.
+        let has_seen_all = now.since(started_at) >= server.endpoints.forget_ms();
+        if (has_seen_all && reaches_majority) || has_learned_past(&server, &answers).await {
+            server.endpoints.note_past_known();
+        }
         tokio::time::sleep(SILENCE_CHECK_INTERVAL).await;
     }
 }
 
-fn reaches_majority(answers: &Answers, now: ClockMs) -> bool {
-    let answers = answers.borrow();
-    let is_reached = |at: &&ClockMs| **at != ClockMs(0) && now.since(**at) < REACHABLE_TIMEOUT_MS;
-    let reached = answers.values().filter(is_reached).count();
-    (reached + 1) * 2 > answers.len() + 1
+/// Whether a majority of the voters satisfies `is_included`; false without voters. Of two voters with
+/// the same name one counts.
+fn is_majority(voters: &[NodeId], is_included: impl Fn(&NodeId) -> bool) -> bool {
+    let names: IndexSet<&NodeId> = voters.iter().collect();
+    let included = names.into_iter().filter(|name| is_included(name)).count();
+    2 * included > voters.len()
+}
+
+/// Whether this replica knows what the quorum knew before it started: it has founded the cluster, or
+/// has merged the records of a majority of the other voters. Whatever a majority knew, one of these
+/// knows.
+async fn has_learned_past(server: &ControlServer, answers: &AnswersOfReplicas) -> bool {
+    if server.endpoints.knows_past() {
+        return true;
+    }
+    let Some((own, founding)) = server.quorum.ask_any(Request::Identify).await else {
+        return false;
+    };
+    let others = server.quorum.status().voters.without(&server.node);
+    let includes_past = |other: &NodeId| {
+        let answers = answers.borrow();
+        answers.get(other).is_some_and(|it| it.includes_past)
+    };
+    let is_founder = own.is_founded && !founding.is_empty();
+    is_founder || is_majority(&others, includes_past)
+}
+
+/// Whether another replica knows the endpoints that the quorum knew before it started.
+async fn knows_past(server: &ControlServer, address: SocketAddr) -> bool {
+    let reply = server
+        .client
+        .find_stream_origin(address, "", None, WAIT_MS)
+        .await;
+    reply.is_some_and(|it| it.versions_kept_ms > 0)
 }
 
 /// Merges the changes of one other replica's registry, repeatedly.
-async fn follow(server: ControlServer, node: NodeId, other: NodeId, answers: Answers) {
+async fn follow(server: ControlServer, node: NodeId, other: NodeId, answers: AnswersOfReplicas) {
     let mut request = WatchRequest {
         document_seen: Some(u64::MAX),
         loads: Vec::new(),
@@ -77,19 +134,25 @@
     };
     loop {
         let address: Option<SocketAddr> = server.book.get(&other);
+        let mut includes_past = false;
         let reply = match address {
-            Some(address) => server.client.watch(address, &request).await,
+            Some(address) => {
+                let is_asked = !server.endpoints.knows_past();
+                includes_past = is_asked && knows_past(&server, address).await;
+                server.client.watch(address, &request).await
+            }
             None => None,
         };
         let Some(reply) = reply else {
             tokio::time::sleep(RETRY_PAUSE).await;
             continue;
         };
-        answers
-            .borrow_mut()
-            .insert(other.clone(), server.clock.now());
         server.endpoints.merge(&reply.endpoints, &reply.heard);
         server.endpoints.suspects().merge(&reply.suspects);
+        let mut merged = answers.borrow_mut();
+        let merged = merged.entry(other.clone()).or_default();
+        merged.last_at = Some(server.clock.now());
+        merged.includes_past |= includes_past;
         request.registry = reply.registry;
         request.revision = reply.revision;
         request.suspects_revision = reply.suspects_revision;
--- a/crates/masticsill_control/src/endpoints/hub.rs
+++ b/crates/masticsill_control/src/endpoints/hub.rs
@@ -1,5 +1,6 @@
 //! The registry of this process, and the watchers that are notified of its changes.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -10,7 +11,7 @@
     StreamRecord, Watcher, WatcherTable,
 };
 use masticsill_rollout::{Rollout, Rollouts, ServingRollout};
-use masticsill_types::{MonotonicClock, NodeId, ZoneId, log_event};
+use masticsill_types::{MonotonicClock, ZoneId, log_event};
 use masticsill_wire::control::{WatchReply, WatchRequest};
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, timeout_at};
@@ -46,6 +47,8 @@
 struct Shared {
     acknowledged: Notify,
     clock: MonotonicClock,
+    /// Whether this replica knows the endpoints that the quorum knew before it started.
+    knows_past: AtomicBool,
     prompt_cache: Mutex<PromptCacheIndex>,
     /// Random number that distinguishes this incarnation of the registry from those before a
     /// restart.
@@ -92,6 +95,7 @@
         let shared = Shared {
             acknowledged: Notify::new(),
             clock,
+            knows_past: AtomicBool::new(false),
             prompt_cache: Mutex::default(),
             incarnation: rand::random(),
             loads: watch::Sender::new(0),
@@ -224,12 +228,13 @@
         }
     }
 
-    /// Answers a watcher once there is an update, or when the wait is over.
+    /// Answers a watcher once there is an update, or when the wait is over. The caller adds the
+    /// members, whose change ends the wait.
     pub(crate) async fn watch(
         &self,
         published: &PublishedState,
         lease_ms: u64,
-        members: Vec<(NodeId, std::net::SocketAddr)>,
+        voters_change: impl Future<Output = ()>,
         request: WatchRequest,
     ) -> WatchReply {
         self.record_watcher(&request);
@@ -243,6 +248,7 @@
             .min(self.max_wait_ms(published, lease_ms, &request));
         let began = Instant::now();
         let mut deadline = began + Duration::from_millis(wait_ms);
+        tokio::pin!(voters_change);
         while !self.has_urgent_update(published, &request) {
             if self.registry().revision() > request.revision {
                 deadline = deadline.min(began + self.update_delay());
@@ -257,13 +263,15 @@
                     _ = loads.changed() => {}
                     _ = rollouts.changed() => {}
                     _ = suspects.changed() => {}
+                    () = &mut voters_change => return true,
                 }
+                false
             };
-            if timeout_at(deadline, change).await.is_err() {
+            if timeout_at(deadline, change).await.unwrap_or(true) {
                 break;
             }
         }
-        self.reply(published, lease_ms, members, &request)
+        self.reply(published, lease_ms, &request)
     }
 
     /// The engines of this zone that take requests and report their prompt cache.
@@ -376,6 +384,26 @@
         self.shared.stream_revision.subscribe()
     }
 
+    /// For how long ended endpoints are remembered, in milliseconds.
+    pub(crate) fn forget_ms(&self) -> u64 {
+        self.registry().forget_ms()
+    }
+
+    /// Whether this replica knows the endpoints that the quorum knew before it started.
+    pub(crate) fn knows_past(&self) -> bool {
+        self.shared.knows_past.load(Ordering::Relaxed)
+    }
+
+    /// Records that this replica knows the endpoints that the quorum knew before it started.
+    pub(crate) fn note_past_known(&self) {
+        self.shared.knows_past.store(true, Ordering::Relaxed);
+    }
+
+    /// Records that the quorum may know endpoints that this replica does not.
+    pub(crate) fn forget_past(&self) {
+        self.shared.knows_past.store(false, Ordering::Relaxed);
+    }
+
     /// What is known here of the origin of a stream.
     pub(crate) fn find_stream_origin(
         &self,
@@ -388,7 +416,11 @@
         OriginReply {
             origin,
             versions: registry.versions_of(service),
-            versions_kept_ms: registry.forget_ms(),
+            versions_kept_ms: if self.knows_past() {
+                registry.forget_ms()
+            } else {
+                0
+            },
         }
     }
 
@@ -465,7 +497,6 @@
         &self,
         published: &PublishedState,
         lease_ms: u64,
-        members: Vec<(NodeId, std::net::SocketAddr)>,
         request: &WatchRequest,
     ) -> WatchReply {
         let now = self.shared.clock.now();
@@ -493,7 +524,7 @@
             is_leading: led_term.is_some(),
             loads,
             loads_revision,
-            members,
+            members: Vec::new(),
             registry: self.shared.incarnation,
             revision: registry.revision(),
             rollouts: serving_rollouts(&rollouts, request),
--- a/crates/masticsill_control/src/gauges.rs
+++ b/crates/masticsill_control/src/gauges.rs
@@ -80,7 +80,7 @@
         self.update_rollouts(server);
         self.term.set(status.term.0);
         self.voters
-            .set(i64::try_from(status.voters).unwrap_or(i64::MAX));
+            .set(i64::try_from(status.voters.names.len()).unwrap_or(i64::MAX));
         let records = server.endpoints.records();
         let endpoint_states: Vec<EndpointState> =
             records.iter().map(|it| it.announcement.state).collect();
--- a/crates/masticsill_control/src/quorum/duty.rs
+++ b/crates/masticsill_control/src/quorum/duty.rs
@@ -20,7 +20,7 @@
 use super::founding::founding_members;
 use super::pending::{PendingCall, PendingCalls};
 use super::published::PublishedState;
-use super::request::{Request, Status};
+use super::request::{Request, Status, Voters};
 use super::state_machine::{self, StateError, StateMachine};
 use super::storage::{StorageProgress, StorageQueue};
 use crate::events;
@@ -111,6 +111,7 @@
         let founding = founding_members(&stored);
         let unfounded = stored.snapshot.is_none().then(|| stored.clone());
         let replica = Replica::new(settings.clone(), stored, clock.now(), rand::random())?;
+        status.send_modify(|status| status.voters = Voters::of(&replica));
         Ok(Self {
             answers: IndexMap::new(),
             book,
@@ -329,7 +330,7 @@
             removable_members: self.removable_members(now),
             term: self.replica.term(),
             version: self.state_machine.state().catalogue().version(),
-            voters: self.replica.membership().voters.len(),
+            voters: Voters::of(&self.replica),
         };
         self.status.send_if_modified(|published| {
             let is_changed = *published != status;
--- a/crates/masticsill_control/src/quorum/request.rs
+++ b/crates/masticsill_control/src/quorum/request.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use masticsill_catalogue::{Action, CommandAnswer};
-use masticsill_quorum::{Envelope, LogIndex, VoterId};
+use masticsill_quorum::{Envelope, LogIndex, Replica, VoterId};
 use masticsill_runtime::Ring;
 use masticsill_types::{CatalogueVersion, ClockMs, NodeId, OperatorId, Term};
 use masticsill_wire::control::{
@@ -96,8 +96,38 @@
     pub(crate) term: Term,
     /// The version of the applied catalogue.
     pub(crate) version: CatalogueVersion,
-    /// Number of voters of the newest membership.
-    pub(crate) voters: usize,
+    /// The voters of the newest membership of the log.
+    pub(crate) voters: Voters,
+}
+
+/// The voters of a membership.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Voters {
+    /// Whether this replica is one of them, with the folder that it has now.
+    pub(crate) includes_self: bool,
+    /// Their names. A name occurs twice while a voter that has lost its folder is being replaced.
+    pub(crate) names: Vec<NodeId>,
+}
+
+impl Voters {
+    /// The voters among the members that `replica` knows.
+    pub(crate) fn of(replica: &Replica) -> Self {
+        let membership = replica.membership();
+        let names = membership.voters.iter().map(|voter| voter.name.clone());
+        Self {
+            includes_self: membership.is_voter(replica.id()),
+            names: names.collect(),
+        }
+    }
+
+    /// The names of the voters except this replica, whose name is `own`.
+    pub(crate) fn without(mut self, own: &NodeId) -> Vec<NodeId> {
+        let position = self.names.iter().position(|name| name == own);
+        if let Some(position) = position.filter(|_| self.includes_self) {
+            self.names.remove(position);
+        }
+        self.names
+    }
 }
 
 /// Handle through which other duties send requests to the quorum duty.
--- a/crates/masticsill_control/src/rpc/service.rs
+++ b/crates/masticsill_control/src/rpc/service.rs
@@ -1,5 +1,6 @@
 //! The control service as implemented by a replica.
 
+use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -196,6 +197,20 @@
     }
 }
 
+impl ControlServer {
+    /// The voters of which a majority decides, with their addresses. Empty if this replica is not one
+    /// of them, or doesn't know the address of each: its watchers then don't count it.
+    fn counted_voters(&self) -> Vec<(NodeId, SocketAddr)> {
+        let voters = self.quorum.status().voters;
+        if !voters.includes_self {
+            return Vec::new();
+        }
+        let voters = voters.names.into_iter();
+        let located = voters.map(|voter| self.book.get(&voter).map(|address| (voter, address)));
+        located.collect::<Option<Vec<_>>>().unwrap_or_default()
+    }
+}
+
 impl ControlService for ControlServer {
     async fn quorum_messages(self, _: Context, batch: QuorumBatch) {
         self.book.record_announced(batch.node, batch.address);
@@ -296,10 +311,21 @@
     }
 
     async fn watch(self, _: Context, request: WatchRequest) -> WatchReply {
-        let members = self.book.named();
-        self.endpoints
-            .watch(&self.published, self.lease_ms, members, request)
-            .await
+        let mut status = self.quorum.status.clone();
+        let voters = self.quorum.status().voters;
+        let change = async {
+            if status.wait_for(|it| it.voters != voters).await.is_err() {
+                // The quorum duty has ended.
+                pending::<()>().await;
+            }
+        };
+        let replied = self
+            .endpoints
+            .watch(&self.published, self.lease_ms, change, request);
+        WatchReply {
+            members: self.counted_voters(),
+            ..replied.await
+        }
     }
 
     async fn tell_loads(self, _: Context, watcher: Watcher, loads: Vec<EndpointLoad>) {
--- a/crates/masticsill_registry/src/lib.rs
+++ b/crates/masticsill_registry/src/lib.rs
@@ -15,6 +15,7 @@
 mod rate;
 mod record;
 mod registry;
+mod reported_voters;
 mod reservations;
 mod silence;
 mod stated_limits;
@@ -29,6 +30,7 @@
 pub use rate::{LimitStatement, RequestRate};
 pub use record::{Announcement, EndpointRecord, EndpointState, HeartbeatAge};
 pub use registry::{Registry, RegistryTimeouts};
+pub use reported_voters::{QuorumShare, ReportedVoters};
 pub use reservations::{EngineReservationRequest, is_zone_down};
 pub use stream_origins::{AttemptKey, StoredStream, StreamOrigin, StreamOrigins, StreamRecord};
 pub use watchers::{EndpointLoad, LoadsChange, Watcher, WatcherTable};
--- a/crates/masticsill_registry/src/origin_lookup.rs
+++ b/crates/masticsill_registry/src/origin_lookup.rs
@@ -7,6 +7,7 @@
 use masticsill_types::{ClockMs, ZoneId};
 use serde::{Deserialize, Serialize};
 
+use crate::reported_voters::{QuorumShare, ReportedVoters};
 use crate::stream_origins::StreamOrigin;
 
 /// A control replica's answer to the question where a stream began.
@@ -16,54 +17,64 @@
     pub origin: Option<StreamOrigin>,
     /// The versions of the service's endpoints, including those that have ended lately.
     pub versions: IndexSet<String>,
-    /// For how long the replica remembers ended endpoints, in milliseconds.
+    /// For how long the replica remembers ended endpoints, in milliseconds. Zero while it has just
+    /// joined and may lack what the others knew before.
     pub versions_kept_ms: u64,
 }
 
 /// What an entry knows of a stream that a caller continues.
 #[derive(Clone, Debug)]
 pub struct OriginEvidence<'a> {
-    /// Number of control replicas that the entry knows.
-    pub replicas: usize,
     /// The longest time for which the stream may have lasted, in milliseconds.
     pub max_age_ms: u64,
-    /// The replies.
-    pub replies: &'a [OriginReply],
+    /// The replies, with the addresses of the replicas.
+    pub replies: &'a [(SocketAddr, OriginReply)],
     /// The service that the request is for.
     pub service: &'a str,
     /// The versions of the service that the entry itself knows.
     pub versions: IndexSet<String>,
+    /// The voters that the control replicas report.
+    pub voters: &'a ReportedVoters,
 }
 
 impl OriginEvidence<'_> {
-    /// Whether all control replicas that the entry knows have replied.
+    /// Whether all voters of the control quorum have replied.
     #[must_use]
     pub fn is_complete(&self) -> bool {
-        !self.replies.is_empty() && self.replies.len() >= self.replicas
+        self.share_of(|_| true) == QuorumShare::All
     }
 
-    /// Whether a majority of the control replicas has replied.
+    /// Whether a majority of the voters has replied.
     #[must_use]
     pub fn has_majority(&self) -> bool {
-        2 * self.replies.len() > self.replicas
+        self.share_of(|_| true) >= QuorumShare::Majority
+    }
+
+    /// How much of the control quorum gave replies that satisfy `is_counted`.
+    fn share_of(&self, is_counted: impl Fn(&OriginReply) -> bool) -> QuorumShare {
+        let counted = self.replies.iter().filter(|(_, reply)| is_counted(reply));
+        let counted: IndexSet<&SocketAddr> = counted.map(|(address, _)| address).collect();
+        self.voters.share(|replica| counted.contains(replica))
     }
 
     /// Where the stream began; none if that is not certain.
     ///
     /// A stream of which no replica has a record can only have begun at the only version that the
     /// service has had for as long as the stream may have lasted. Entries begin streams at versions
-    /// that a majority of the replicas know, so that it is enough if a majority replies.
+    /// that a majority of the replicas know, so that it is enough if a majority replies that
+    /// remembers that time.
     #[must_use]
     pub fn origin(&self) -> Option<StreamOrigin> {
-        let mut recorded = self.replies.iter().filter_map(|it| it.origin.as_ref());
+        let recorded = self.replies.iter();
+        let mut recorded = recorded.filter_map(|(_, reply)| reply.origin.as_ref());
         if let Some(first) = recorded.next() {
             return recorded.all(|it| it == first).then(|| first.clone());
         }
         let is_remembered = |it: &OriginReply| it.versions_kept_ms >= self.max_age_ms;
-        if !self.has_majority() || !self.replies.iter().all(is_remembered) {
+        if self.share_of(is_remembered) < QuorumShare::Majority {
             return None;
         }
-        let known = self.replies.iter().flat_map(|it| &it.versions);
+        let known = self.replies.iter().flat_map(|(_, reply)| &reply.versions);
         let known: IndexSet<&String> = known.chain(&self.versions).collect();
         let version = known.first().filter(|_| known.len() == 1)?;
         Some(StreamOrigin {
@@ -73,7 +84,7 @@
     }
 }
 
-/// Queries that all control replicas answered without a record, after which a stream's origin counts
+/// Queries that all voters answered without a record, after which a stream's origin counts
 /// as unknown: a report that was on its way to the first one has arrived at the second.
 const MAX_COMPLETE_QUERIES: u32 = 2;
 /// Part of the caller's remaining time for which replicas that don't answer are waited for while a
@@ -149,7 +160,7 @@
 }
 
 /// The control replicas that keep the origins of an entry's streams, of those that it reaches:
-/// half of the `known` ones, rounded up, so that each majority of them includes one.
+/// half of the `voters`, rounded up, so that each majority of them includes one.
 ///
 /// They are spread over as many zones as possible, beginning with the entry's own, and the same for
 /// all entries of a zone.
@@ -157,7 +168,7 @@
 pub fn origin_keepers<'a>(
     own_zone: &ZoneId,
     reached: impl IntoIterator<Item = (&'a SocketAddr, &'a ZoneId)>,
-    known: usize,
+    voters: usize,
 ) -> Vec<SocketAddr> {
     let mut reached: Vec<(&ZoneId, SocketAddr)> = reached
         .into_iter()
@@ -172,6 +183,6 @@
         *rank += 1;
     }
     ranked.sort_unstable();
-    let keepers = ranked.into_iter().take(known.div_ceil(2));
+    let keepers = ranked.into_iter().take(voters.div_ceil(2));
     keepers.map(|(_, _, _, address)| address).collect()
 }
--- a/crates/masticsill_registry/tests/origin_lookup.rs
+++ b/crates/masticsill_registry/tests/origin_lookup.rs
@@ -3,9 +3,10 @@
 
 use std::net::SocketAddr;
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use masticsill_registry::{
-    LookupStep, OriginEvidence, OriginLookup, OriginReply, StreamOrigin, origin_keepers,
+    LookupStep, OriginEvidence, OriginLookup, OriginReply, ReportedVoters, StreamOrigin,
+    origin_keepers,
 };
 use masticsill_types::{ClockMs, ZoneId};
 
@@ -28,26 +29,44 @@
     }
 }
 
-fn settle(replies: &[OriginReply], replicas: usize, own: &[&str]) -> Option<String> {
-    let versions: IndexSet<String> = own.iter().map(ToString::to_string).collect();
-    let evidence = OriginEvidence {
-        max_age_ms: 25_000,
-        replicas,
-        replies,
-        service: SERVICE,
-        versions,
-    };
-    evidence.origin().map(|it| it.version)
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, u8::try_from(number).unwrap()], 1))
 }
 
-fn evidence(replies: &[OriginReply], replicas: usize) -> OriginEvidence<'_> {
-    OriginEvidence {
+/// So many voters, each of which has reported all of them.
+fn voters(count: usize) -> ReportedVoters {
+    let mut reported = ReportedVoters::default();
+    let voters: Vec<SocketAddr> = (0..count).map(address).collect();
+    for voter in &voters {
+        reported.note(*voter, voters.clone());
+    }
+    reported
+}
+
+/// Calls `ask` with the evidence of the first replicas' replies.
+fn with_evidence<T>(
+    replies: &[OriginReply],
+    replicas: usize,
+    own: &[&str],
+    ask: impl FnOnce(&OriginEvidence<'_>) -> T,
+) -> T {
+    let replies = replies.iter().cloned().enumerate();
+    let replies: Vec<(SocketAddr, OriginReply)> = replies
+        .map(|(number, reply)| (address(number), reply))
+        .collect();
+    ask(&OriginEvidence {
         max_age_ms: 25_000,
-        replicas,
-        replies,
+        replies: &replies,
         service: SERVICE,
-        versions: IndexSet::new(),
-    }
+        versions: own.iter().map(ToString::to_string).collect(),
+        voters: &voters(replicas),
+    })
+}
+
+fn settle(replies: &[OriginReply], replicas: usize, own: &[&str]) -> Option<String> {
+    with_evidence(replies, replicas, own, |evidence| {
+        evidence.origin().map(|it| it.version)
+    })
 }
 
 /// Asks until the lookup ends; returns when that is, in milliseconds, and the last step.
@@ -56,7 +75,9 @@
     let mut after_ms = 0;
     loop {
         let replies = replies_at(after_ms);
-        let step = lookup.step(NOW + after_ms, &evidence(&replies, 5), PAUSE_MS);
+        let step = with_evidence(&replies, 5, &[], |evidence| {
+            lookup.step(NOW + after_ms, evidence, PAUSE_MS)
+        });
         if step != LookupStep::AskAgain {
             return (after_ms, step);
         }
@@ -104,6 +125,27 @@
     assert_eq!(settle(&[short], 1, &["v1"]), None);
 }
 
+/// Guards against a guess by the word of replicas that have just joined, and against a refusal where
+/// the others suffice.
+#[test]
+fn replicas_that_lack_the_past_are_not_counted() {
+    let known = reply(None, &["v1"]);
+    let joined = OriginReply {
+        versions_kept_ms: 0,
+        ..reply(None, &["v1"])
+    };
+    let one = [known.clone(), joined.clone(), joined.clone()];
+    assert_eq!(settle(&one, 3, &["v1"]), None);
+    let two = [known.clone(), known.clone(), joined];
+    assert_eq!(settle(&two, 3, &["v1"]).as_deref(), Some("v1"));
+    // A version that only such a replica knows may have begun the stream.
+    let second = OriginReply {
+        versions_kept_ms: 0,
+        ..reply(None, &["v2"])
+    };
+    assert_eq!(settle(&[known.clone(), known, second], 3, &["v1"]), None);
+}
+
 /// Guards against a stream that is refused while the replica with its record restarts.
 #[test]
 fn replicas_that_may_have_the_record_are_waited_for() {
@@ -140,10 +182,7 @@
 
 fn replicas(zones: &[&str]) -> IndexMap<SocketAddr, ZoneId> {
     let numbered = zones.iter().enumerate();
-    let replicas = numbered.map(|(number, zone)| {
-        let address = SocketAddr::from(([10, 0, 0, u8::try_from(number).unwrap()], 1));
-        (address, ZoneId::new(*zone).unwrap())
-    });
+    let replicas = numbered.map(|(number, zone)| (address(number), ZoneId::new(*zone).unwrap()));
     replicas.collect()
 }
 
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -115,9 +115,9 @@
         self.sources.send_modify(|sources| sources.remove(&address));
     }
 
-    fn merge_endpoints(&self, node: &NodeId, reply: &WatchReply) {
+    fn merge_endpoints(&self, address: SocketAddr, node: &NodeId, reply: &WatchReply) {
         self.merge_records(node, reply);
-        self.relay.note_reported_versions(node, &reply.endpoints);
+        self.relay.note_reported_versions(address, &reply.endpoints);
     }
 
     fn merge_records(&self, node: &NodeId, reply: &WatchReply) {
@@ -256,8 +256,8 @@
             .control_reached
             .borrow_mut()
             .insert(address, reply.zone.clone());
-        let members = reply.members.iter().map(|(_, member)| *member).collect();
-        relay.control_members.borrow_mut().insert(address, members);
+        let voters = reply.members.iter().map(|(_, voter)| *voter).collect();
+        relay.note_voters(address, voters);
         relay
             .endpoints
             .borrow_mut()
@@ -288,7 +288,7 @@
         // Before the endpoints, so that no request is sent to a version by an outdated rule.
         relay.note_rollouts(address, asked_at, &reply);
         request.rollouts_revision = reply.rollouts_revision;
-        discovery.merge_endpoints(&node, &reply);
+        discovery.merge_endpoints(address, &node, &reply);
         relay.note_entries(reply.entries);
         relay.update_zone_share(&reply.entries_nearby);
         if !reply.endpoints.is_empty() {
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -16,7 +16,9 @@
     ZoneShare,
 };
 use masticsill_quarantine::{CrashLedger, Fingerprint};
-use masticsill_registry::{Announcement, EndpointId, StreamOrigins, Watcher};
+use masticsill_registry::{
+    Announcement, EndpointId, QuorumShare, ReportedVoters, StreamOrigins, Watcher,
+};
 use masticsill_rollout::{ConfirmedVersions, Reporter};
 use masticsill_runtime::ShutdownSignal;
 use masticsill_types::{ClockMs, MonotonicClock, NodeId, ZoneId, log_event};
@@ -81,8 +83,8 @@
     pub(crate) control_reached: RefCell<IndexMap<SocketAddr, ZoneId>>,
     /// The versions of services that a majority of the control replicas know.
     pub(crate) confirmed_versions: RefCell<ConfirmedVersions>,
-    /// The control replicas that each of them last reported.
-    pub(crate) control_members: RefCell<IndexMap<SocketAddr, Vec<SocketAddr>>>,
+    /// The voters that the control replicas report whose last reply arrived.
+    pub(crate) control_voters: RefCell<ReportedVoters>,
     /// Requests whose endpoints are being probed for a crash, one entry per probe.
     pub(crate) crash_checks: RefCell<Vec<Fingerprint>>,
     /// Requests whose endpoints crashed.
@@ -169,7 +171,7 @@
             control: ControlClient::new(AddressBook::default()),
             control_reached: RefCell::default(),
             confirmed_versions: RefCell::default(),
-            control_members: RefCell::default(),
+            control_voters: RefCell::default(),
             crash_checks: RefCell::default(),
             crashes: RefCell::default(),
             dispatcher: RefCell::default(),
@@ -460,6 +462,9 @@
     /// Records that a control replica stopped answering. If no other replica of its zone answers,
     /// the loads of the other entries in that zone are unknown from now on.
     pub(crate) fn note_control_lost(&self, address: &SocketAddr) {
+        if self.control_voters.borrow_mut().remove(address) {
+            self.confirm_versions();
+        }
         let mut reached = self.control_reached.borrow_mut();
         let Some(zone) = reached.swap_remove(address) else {
             return;
@@ -475,18 +480,24 @@
         self.notify_stream_reporters();
     }
 
-    /// The control replicas that this relay has heard of.
-    pub(crate) fn known_replicas(&self) -> IndexSet<SocketAddr> {
-        let members = self.control_members.borrow();
-        let known = members.keys().chain(members.values().flatten());
-        known.copied().collect()
+    /// Records the voters of the control quorum that a replica reported.
+    pub(crate) fn note_voters(&self, replica: SocketAddr, voters: Vec<SocketAddr>) {
+        if self.control_voters.borrow_mut().note(replica, voters) {
+            self.confirm_versions();
+            self.notify_stream_reporters();
+        }
+    }
+
+    /// The voters of the control quorum that any reached replica reports.
+    pub(crate) fn known_voters(&self) -> IndexSet<SocketAddr> {
+        self.control_voters.borrow().voters()
     }
 
-    /// Whether all control replicas that this relay has heard of answer.
-    pub(crate) fn reaches_all_replicas(&self) -> bool {
+    /// Whether all voters of the control quorum answer.
+    pub(crate) fn reaches_all_voters(&self) -> bool {
         let reached = self.control_reached.borrow();
-        let mut known = self.known_replicas().into_iter();
-        !reached.is_empty() && known.all(|address| reached.contains_key(&address))
+        let voters = self.control_voters.borrow();
+        voters.share(|replica| reached.contains_key(replica)) == QuorumShare::All
     }
 
     /// Time since anything was received from an endpoint or control replica, in milliseconds.
--- a/crates/masticsill_relay/src/rollouts.rs
+++ b/crates/masticsill_relay/src/rollouts.rs
@@ -6,14 +6,14 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use masticsill_dispatch::{Endpoint, EndpointTable};
-use masticsill_registry::{Announcement, EndpointRecord};
+use masticsill_registry::{Announcement, EndpointRecord, QuorumShare};
 use masticsill_rollout::{
     KnownVersion, Phase, Reporter, RequestVersions, RolloutNumber, ServiceVersions, ServingRollout,
     StartedRequest, VersionFilter, VersionRule,
 };
-use masticsill_types::{ClockMs, NodeId, log_event};
+use masticsill_types::{ClockMs, log_event};
 use masticsill_wire::control::WatchReply;
 use tokio::sync::Notify;
 
@@ -349,23 +349,33 @@
     }
 
     /// Records the versions of the endpoints that a control replica reported.
-    pub(crate) fn note_reported_versions(&self, from: &NodeId, records: &[EndpointRecord]) {
+    pub(crate) fn note_reported_versions(&self, from: SocketAddr, records: &[EndpointRecord]) {
         if records.is_empty() {
             return;
         }
-        let replicas = self.known_replicas().len();
         let endpoints = self.endpoints.borrow();
         let mut versions = self.confirmed_versions.borrow_mut();
         for EndpointRecord { announcement, .. } in records {
             let Announcement {
                 service, version, ..
             } = announcement;
-            versions.note(from, service, version, replicas);
+            versions.note(from, service, version);
         }
         versions.prune(|service, version| {
             let mut known = endpoints.iter().map(|it| &it.announcement);
             known.any(|it| it.service == service && it.version == version)
         });
+        drop(versions);
+        self.confirm_versions();
+    }
+
+    /// Confirms the versions that a majority of the control replicas has reported.
+    pub(crate) fn confirm_versions(&self) {
+        let voters = self.control_voters.borrow();
+        let is_majority = |replicas: &IndexSet<SocketAddr>| {
+            voters.share(|it| replicas.contains(it)) >= QuorumShare::Majority
+        };
+        self.confirmed_versions.borrow_mut().confirm(is_majority);
     }
 
     /// The versions of a service at which no stream may begin yet.
--- a/crates/masticsill_relay/src/stream_origins.rs
+++ b/crates/masticsill_relay/src/stream_origins.rs
@@ -11,8 +11,8 @@
 
 use indexmap::IndexSet;
 use masticsill_registry::{
-    AttemptKey, LookupStep, OriginEvidence, OriginLookup, OriginReply, StreamOrigin, StreamRecord,
-    origin_keepers,
+    AttemptKey, LookupStep, OriginEvidence, OriginLookup, OriginReply, ReportedVoters,
+    StreamOrigin, StreamRecord, origin_keepers,
 };
 use masticsill_rollout::VersionFilter;
 use masticsill_types::log_event;
@@ -63,9 +63,12 @@
 
     /// Whether a control replica keeps the origins of this relay's streams.
     fn is_origin_keeper(&self, address: SocketAddr) -> bool {
+        let voters = self.known_voters();
         let reached = self.control_reached.borrow();
-        let known = self.known_replicas().len();
-        origin_keepers(&self.config.zone, reached.iter(), known).contains(&address)
+        let reached = reached
+            .iter()
+            .filter(|(replica, _)| voters.contains(*replica));
+        origin_keepers(&self.config.zone, reached, voters.len()).contains(&address)
     }
 
     fn known_origin(&self, attempt: Option<&AttemptKey>) -> Option<StreamOrigin> {
@@ -149,7 +152,7 @@
         is_local = is_local,
         queries = progress.queries,
         replied = progress.replied,
-        replicas = relay.known_replicas().len(),
+        replicas = relay.known_voters().len(),
         left_ms = request.left_ms(relay.now()),
         looked_up_ms = relay.now().since(request.received_at)
     );
@@ -164,7 +167,7 @@
     if !is_served(&origin.service) {
         return Ok(None);
     }
-    if !relay.reaches_all_replicas() {
+    if !relay.reaches_all_voters() {
         await_endpoint(relay, request, &origin).await;
     }
     Ok(Some(origin))
@@ -177,7 +180,7 @@
     let find = || {
         let endpoints = relay.endpoints.borrow();
         let is_known = endpoints.has_ready(&origin.service, &versions, &[]);
-        (is_known || relay.reaches_all_replicas()).then_some(())
+        (is_known || relay.reaches_all_voters()).then_some(())
     };
     // Without an endpoint the stream is refused next.
     let _ = relay
@@ -210,11 +213,13 @@
         while let Some(reply) = answers.recv().await {
             replies.push(reply);
             progress.replied = replies.len();
-            if let Some(origin) = evidence(relay, request, &replies).origin() {
+            let voters = relay.control_voters.borrow().clone();
+            if let Some(origin) = evidence(relay, request, &voters, &replies).origin() {
                 return Ok(origin);
             }
         }
-        let evidence = evidence(relay, request, &replies);
+        let voters = relay.control_voters.borrow().clone();
+        let evidence = evidence(relay, request, &voters, &replies);
         let may_be_known_elsewhere = match lookup.step(relay.now(), &evidence, QUERY_PAUSE_MS) {
             LookupStep::Found(origin) => return Ok(origin),
             LookupStep::AskAgain => {
@@ -237,14 +242,15 @@
 fn evidence<'a>(
     relay: &Relay,
     request: &'a RelayRequest,
-    replies: &'a [OriginReply],
+    voters: &'a ReportedVoters,
+    replies: &'a [(SocketAddr, OriginReply)],
 ) -> OriginEvidence<'a> {
     OriginEvidence {
         max_age_ms: request.route.timeout_ms,
-        replicas: relay.known_replicas().len(),
         replies,
         service: &request.service,
         versions: relay.known_versions(&request.service),
+        voters,
     }
 }
 
@@ -253,7 +259,7 @@
     relay: &Rc<Relay>,
     request: &RelayRequest,
     attempt: Option<AttemptKey>,
-) -> mpsc::Receiver<OriginReply> {
+) -> mpsc::Receiver<(SocketAddr, OriginReply)> {
     let replicas: Vec<SocketAddr> = relay.control_reached.borrow().keys().copied().collect();
     let (found, answers) = mpsc::channel(replicas.len().max(1));
     for address in replicas {
@@ -264,7 +270,7 @@
             let reply = control.find_stream_origin(address, &service, attempt, QUERY_TIMEOUT_MS);
             if let Some(reply) = reply.await {
                 // The send fails only if other replies were enough.
-                let _ = found.send(reply).await;
+                let _ = found.send((address, reply)).await;
             }
         });
     }
--- a/crates/masticsill_relay/tests/common/mod.rs
+++ b/crates/masticsill_relay/tests/common/mod.rs
@@ -50,6 +50,8 @@
 
 #[derive(Debug)]
 struct Shared {
+    /// Where relays reach the replica, the only voter.
+    address: SocketAddr,
     book: Mutex<PieceStore>,
     calls: AtomicU64,
     evidence: Mutex<Vec<EvidenceReport>>,
@@ -76,7 +78,10 @@
 
 impl Replica {
     pub(crate) fn start(zone: &str) -> Self {
+        let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+        let proxy = FaultProxy::start(Some(listener.local_address().unwrap())).unwrap();
         let shared = Arc::new(Shared {
+            address: proxy.address(),
             book: Mutex::default(),
             calls: AtomicU64::new(0),
             evidence: Mutex::default(),
@@ -87,8 +92,6 @@
             versions: watch::Sender::new(None),
             zone: zone.parse().unwrap(),
         });
-        let listener = listen(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
-        let proxy = FaultProxy::start(Some(listener.local_address().unwrap())).unwrap();
         let ended = ShutdownSignal::default();
         let (server, signal) = (Arc::clone(&shared), ended.clone());
         let duty = spawn_async_duty("replica", || async move {
@@ -213,7 +216,7 @@
             is_leading: news.is_leading,
             loads: Vec::new(),
             loads_revision: 0,
-            members: Vec::new(),
+            members: vec![("replica".parse().unwrap(), self.shared.address)],
             registry: 1,
             revision: news.revision,
             rollouts: news.rollouts,
--- a/crates/masticsill_rollout/src/confirmed_versions.rs
+++ b/crates/masticsill_rollout/src/confirmed_versions.rs
@@ -4,14 +4,15 @@
 //! the replicas then knows every version at which a stream may have begun, also while some replicas
 //! are cut off or have ended.
 
+use std::net::SocketAddr;
+
 use indexmap::{IndexMap, IndexSet};
-use masticsill_types::NodeId;
 
 /// The replicas that have reported endpoints of a version.
 #[derive(Clone, Debug, Default)]
 struct VersionReports {
     is_confirmed: bool,
-    replicas: IndexSet<NodeId>,
+    replicas: IndexSet<SocketAddr>,
 }
 
 /// The versions of each service, and who has reported them.
@@ -21,13 +22,20 @@
 }
 
 impl ConfirmedVersions {
-    /// Records that a replica reported an endpoint of a version. The entry knows `replicas` replicas
-    /// at present.
-    pub fn note(&mut self, from: &NodeId, service: &str, version: &str, replicas: usize) {
+    /// Records that a replica reported an endpoint of a version.
+    pub fn note(&mut self, from: SocketAddr, service: &str, version: &str) {
         let versions = self.services.entry(service.to_owned()).or_default();
         let reports = versions.entry(version.to_owned()).or_default();
-        reports.replicas.insert(from.clone());
-        reports.is_confirmed |= 2 * reports.replicas.len() > replicas;
+        reports.replicas.insert(from);
+    }
+
+    /// Confirms the versions that a majority has reported. Due after each report, and when the voters
+    /// have changed.
+    pub fn confirm(&mut self, is_majority: impl Fn(&IndexSet<SocketAddr>) -> bool) {
+        let reports = self.services.values_mut().flat_map(IndexMap::values_mut);
+        for reports in reports.filter(|it| !it.is_confirmed) {
+            reports.is_confirmed = is_majority(&reports.replicas);
+        }
     }
 
     /// Forgets the versions of services for which `is_known` is false, since they have no endpoint.
--- a/crates/masticsill_rollout/tests/confirmed_versions.rs
+++ b/crates/masticsill_rollout/tests/confirmed_versions.rs
@@ -1,12 +1,19 @@
 //! Which versions a majority of the control replicas know.
 
+use std::net::SocketAddr;
+
 use masticsill_rollout::ConfirmedVersions;
-use masticsill_types::NodeId;
 
 const SERVICE: &str = "engines";
 
+/// One of three replicas reports a version.
 fn note(versions: &mut ConfirmedVersions, from: &str, version: &str) {
-    versions.note(&NodeId::new(from).unwrap(), SERVICE, version, 3);
+    versions.note(replica(from), SERVICE, version);
+    versions.confirm(|replicas| 2 * replicas.len() > 3);
+}
+
+fn replica(name: &str) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, name.as_bytes()[0]], 1))
 }
 
 /// Guards against streams that begin at a version which most control replicas don't know.
@@ -44,3 +51,18 @@
     versions.prune(|service, version| service == SERVICE && version == "v1");
     assert!(versions.unconfirmed(SERVICE, |_| true).is_empty());
 }
+
+/// Guards against a version that no stream begins at since it was reported before the voters changed.
+#[test]
+fn version_is_confirmed_when_the_reporting_replicas_become_a_majority() {
+    let mut versions = ConfirmedVersions::default();
+    note(&mut versions, "a", "v1");
+    note(&mut versions, "b", "v1");
+    note(&mut versions, "c", "v2");
+    assert_eq!(versions.unconfirmed(SERVICE, |_| true), ["v2"]);
+    versions.confirm(|replicas| replicas.contains(&replica("c")));
+    assert!(versions.unconfirmed(SERVICE, |_| true).is_empty());
+    // The versions stay confirmed.
+    versions.confirm(|_| false);
+    assert!(versions.unconfirmed(SERVICE, |_| true).is_empty());
+}
--- a/crates/masticsill_wire/src/control.rs
+++ b/crates/masticsill_wire/src/control.rs
@@ -273,7 +273,7 @@
     pub loads: Vec<EndpointLoad>,
     /// Revision of these loads.
     pub loads_revision: u64,
-    /// Addresses of the control replicas known to this one.
+    /// The voters of the control quorum, by this replica's log; empty if it is not one of them.
     pub members: Vec<(NodeId, SocketAddr)>,
     /// Id of the registry that `revision` belongs to; differs for each incarnation of the process.
     pub registry: u64,
