--- a/crates/masticsill_registry/tests/origin_lookup.rs
+++ b/crates/masticsill_registry/tests/origin_lookup.rs
@@ -5,7 +5,8 @@
 
 use indexmap::{IndexMap, IndexSet};
 use masticsill_registry::{
-    LookupStep, OriginEvidence, OriginLookup, OriginReply, StreamOrigin, origin_keepers,
+    LookupStep, OriginEvidence, OriginLookup, OriginReply, ReportedVoters, StreamOrigin,
+    origin_keepers,
 };
 use masticsill_types::{ClockMs, ZoneId};
 
@@ -28,40 +29,65 @@
     }
 }
 
-fn settle(replies: &[OriginReply], replicas: usize, own: &[&str]) -> Option<String> {
-    let versions: IndexSet<String> = own.iter().map(ToString::to_string).collect();
-    let evidence = OriginEvidence {
-        max_age_ms: 25_000,
-        replicas,
-        replies,
-        service: SERVICE,
-        versions,
-    };
-    evidence.origin().map(|it| it.version)
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, u8::try_from(number).unwrap()], 1))
 }
 
-fn evidence(replies: &[OriginReply], replicas: usize) -> OriginEvidence<'_> {
-    OriginEvidence {
+/// So many voters, each of which has reported all of them.
+fn voters(count: usize) -> ReportedVoters {
+    let mut reported = ReportedVoters::default();
+    let voters: Vec<SocketAddr> = (0..count).map(address).collect();
+    for voter in &voters {
+        reported.note(*voter, voters.clone());
+    }
+    reported
+}
+
+/// Calls `ask` with the evidence of the first replicas' replies.
+fn with_evidence<T>(
+    replies: &[OriginReply],
+    replicas: usize,
+    own: &[&str],
+    ask: impl FnOnce(&OriginEvidence<'_>) -> T,
+) -> T {
+    let replies = replies.iter().cloned().enumerate();
+    let replies: Vec<(SocketAddr, OriginReply)> = replies
+        .map(|(number, reply)| (address(number), reply))
+        .collect();
+    ask(&OriginEvidence {
         max_age_ms: 25_000,
-        replicas,
-        replies,
+        replies: &replies,
         service: SERVICE,
-        versions: IndexSet::new(),
-    }
+        versions: own.iter().map(ToString::to_string).collect(),
+        voters: &voters(replicas),
+    })
+}
+
+fn settle(replies: &[OriginReply], replicas: usize, own: &[&str]) -> Option<String> {
+    with_evidence(replies, replicas, own, |evidence| {
+        evidence.origin().map(|it| it.version)
+    })
 }
 
 /// Asks until the lookup ends; returns when that is, in milliseconds, and the last step. Replies are
-/// those of the replicas 0 to 4 that answer at a time.
+/// those of the first replicas that answer at a time.
 fn look_up(left_ms: u64, replies_at: impl Fn(u64) -> Vec<OriginReply>) -> (u64, LookupStep) {
+    let voters = voters(5);
     let mut lookup = OriginLookup::new(NOW, left_ms);
     let mut after_ms = 0;
     loop {
-        for (replica, reply) in replicas(&["a"; 5]).into_keys().zip(replies_at(after_ms)) {
-            if lookup.needs_reply(&replica) {
-                lookup.record(replica, reply);
+        for (number, reply) in replies_at(after_ms).into_iter().enumerate() {
+            if lookup.needs_reply(&address(number)) {
+                lookup.record(address(number), reply);
             }
         }
-        let evidence = evidence(lookup.replies(), 5);
+        let evidence = OriginEvidence {
+            max_age_ms: 25_000,
+            replies: lookup.replies(),
+            service: SERVICE,
+            versions: IndexSet::new(),
+            voters: &voters,
+        };
         let step = lookup.step(NOW + after_ms, &evidence, PAUSE_MS);
         if step != LookupStep::AskAgain {
             return (after_ms, step);
@@ -110,6 +136,27 @@
     assert_eq!(settle(&[short], 1, &["v1"]), None);
 }
 
+/// Guards against a guess by the word of replicas that have just joined, and against a refusal where
+/// the others suffice.
+#[test]
+fn replicas_that_lack_the_past_are_not_counted() {
+    let known = reply(None, &["v1"]);
+    let joined = OriginReply {
+        versions_kept_ms: 0,
+        ..reply(None, &["v1"])
+    };
+    let one = [known.clone(), joined.clone(), joined.clone()];
+    assert_eq!(settle(&one, 3, &["v1"]), None);
+    let two = [known.clone(), known.clone(), joined];
+    assert_eq!(settle(&two, 3, &["v1"]).as_deref(), Some("v1"));
+    // A version that only such a replica knows may have begun the stream.
+    let second = OriginReply {
+        versions_kept_ms: 0,
+        ..reply(None, &["v2"])
+    };
+    assert_eq!(settle(&[known.clone(), known, second], 3, &["v1"]), None);
+}
+
 /// Guards against a stream that is refused while the replica with its record restarts.
 #[test]
 fn replicas_that_may_have_the_record_are_waited_for() {
@@ -177,10 +224,7 @@
 
 fn replicas(zones: &[&str]) -> IndexMap<SocketAddr, ZoneId> {
     let numbered = zones.iter().enumerate();
-    let replicas = numbered.map(|(number, zone)| {
-        let address = SocketAddr::from(([10, 0, 0, u8::try_from(number).unwrap()], 1));
-        (address, ZoneId::new(*zone).unwrap())
-    });
+    let replicas = numbered.map(|(number, zone)| (address(number), ZoneId::new(*zone).unwrap()));
     replicas.collect()
 }
 
--- a/crates/masticsill_relay/src/stream_origins.rs
+++ b/crates/masticsill_relay/src/stream_origins.rs
@@ -13,7 +13,7 @@
 use indexmap::IndexSet;
 use masticsill_registry::{
     AttemptKey, LookupStep, OriginEvidence, OriginLookup, OriginReply, ReportProgress,
-    StreamOrigin, StreamRecord, origin_keepers,
+    ReportedVoters, StreamOrigin, StreamRecord, origin_keepers,
 };
 use masticsill_rollout::VersionFilter;
 use masticsill_types::log_event;
@@ -87,9 +87,12 @@
 
     /// Whether a control replica keeps the origins of this relay's streams.
     fn is_origin_keeper(&self, address: SocketAddr) -> bool {
+        let voters = self.known_voters();
         let reached = self.control_reached.borrow();
-        let known = self.known_replicas().len();
-        origin_keepers(&self.config.zone, reached.iter(), known).contains(&address)
+        let reached = reached
+            .iter()
+            .filter(|(replica, _)| voters.contains(*replica));
+        origin_keepers(&self.config.zone, reached, voters.len()).contains(&address)
     }
 
     fn known_origin(&self, attempt: Option<&AttemptKey>) -> Option<StreamOrigin> {
@@ -176,7 +179,7 @@
         is_known = origin.is_some(),
         is_local = is_local,
         replied = lookup.replies().len(),
-        replicas = relay.known_replicas().len(),
+        replicas = relay.known_voters().len(),
         left_ms = request.left_ms(relay.now()),
         looked_up_ms = relay.now().since(request.received_at)
     );
@@ -184,7 +187,7 @@
         Ok(origin) => origin,
         Err(refusal) => {
             let replied = lookup.replies().len();
-            let replicas = relay.known_replicas().len();
+            let replicas = relay.known_voters().len();
             continuation.fail(ContinuationEnd::UnknownOrigin { replied, replicas }, &[]);
             return Err(refusal);
         }
@@ -200,7 +203,7 @@
     if !is_served(&origin.service) {
         return Ok(None);
     }
-    if !relay.reaches_all_replicas() {
+    if !relay.reaches_all_voters() {
         await_endpoint(relay, request, &origin).await;
     }
     Ok(Some(origin))
@@ -213,7 +216,7 @@
     let find = || {
         let endpoints = relay.endpoints.borrow();
         let is_known = endpoints.has_ready(&origin.service, &versions, &[]);
-        (is_known || relay.reaches_all_replicas()).then_some(())
+        (is_known || relay.reaches_all_voters()).then_some(())
     };
     // Without an endpoint the stream is refused next.
     let _ = relay
@@ -232,11 +235,13 @@
         let mut answers = query_replicas(relay, request, attempt, lookup);
         while let Some((replica, reply)) = answers.recv().await {
             lookup.record(replica, reply);
-            if let Some(origin) = evidence(relay, request, lookup.replies()).origin() {
+            let voters = relay.control_voters.borrow();
+            if let Some(origin) = evidence(relay, request, &voters, lookup.replies()).origin() {
                 return Ok(origin);
             }
         }
-        let evidence = evidence(relay, request, lookup.replies());
+        let voters = relay.control_voters.borrow().clone();
+        let evidence = evidence(relay, request, &voters, lookup.replies());
         let may_be_known_elsewhere = match lookup.step(relay.now(), &evidence, QUERY_PAUSE_MS) {
             LookupStep::Found(origin) => return Ok(origin),
             LookupStep::AskAgain => {
@@ -259,14 +264,15 @@
 fn evidence<'a>(
     relay: &Relay,
     request: &'a RelayRequest,
-    replies: &'a [OriginReply],
+    voters: &'a ReportedVoters,
+    replies: &'a [(SocketAddr, OriginReply)],
 ) -> OriginEvidence<'a> {
     OriginEvidence {
         max_age_ms: request.route.timeout_ms,
-        replicas: relay.known_replicas().len(),
         replies,
         service: &request.service,
         versions: relay.known_versions(&request.service),
+        voters,
     }
 }
 
