Lookups outlast the moment in which all control replicas restart

What callers saw: streams refused as unknown_origin after 0.2 to 0.9 s, with 0.6 to 8 s left, while all control replicas were away for 1 to 2 s and relays were killed beside them; new streams began. Cause: an entry that reaches no replica waited a tenth of the caller's time before it sent the caller elsewhere, where nobody knew more. Change: it waits 1.5 s if half of the caller's time allows that. Result: replicas_that_were_all_killed_are_waited_for.

--- a/crates/masticsill_registry/src/origin_lookup.rs
+++ b/crates/masticsill_registry/src/origin_lookup.rs
@@ -97,6 +97,9 @@
 const MINORITY_WAIT_DIVISOR: u64 = 10;
 /// Maximum of that wait, in milliseconds.
 const MAX_MINORITY_WAIT_MS: u64 = 2_500;
+/// Shortest of these waits, in milliseconds, unless the caller has less than twice as much time left.
+/// Replicas that were all killed at one moment are back within a second.
+const MIN_WAIT_MS: u64 = 1_500;
 
 /// What follows from the replies so far.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -168,11 +171,7 @@
         if let Some(origin) = evidence.origin() {
             return LookupStep::Found(origin);
         }
-        let wait_ms = if evidence.has_majority() {
-            (self.left_ms / MAJORITY_WAIT_DIVISOR).min(MAX_MAJORITY_WAIT_MS)
-        } else {
-            (self.left_ms / MINORITY_WAIT_DIVISOR).min(MAX_MINORITY_WAIT_MS)
-        };
+        let wait_ms = self.wait_ms(evidence.has_majority());
         let is_over = now.since(self.asked_at) + pause_ms >= wait_ms;
         let has_none = evidence.is_complete() && self.counts.values().all(|it| *it >= MAX_REPLIES);
         if has_none || is_over {
@@ -182,6 +181,15 @@
         }
         LookupStep::AskAgain
     }
+
+    fn wait_ms(&self, has_majority: bool) -> u64 {
+        let half_ms = self.left_ms / MAJORITY_WAIT_DIVISOR;
+        if has_majority {
+            return half_ms.min(MAX_MAJORITY_WAIT_MS);
+        }
+        let part_ms = (self.left_ms / MINORITY_WAIT_DIVISOR).min(MAX_MINORITY_WAIT_MS);
+        part_ms.max(half_ms.min(MIN_WAIT_MS))
+    }
 }
 
 /// The control replicas that keep the origins of an entry's streams, of those that it reaches:
--- a/crates/masticsill_registry/tests/origin_lookup.rs
+++ b/crates/masticsill_registry/tests/origin_lookup.rs
@@ -222,6 +222,20 @@
     );
 }
 
+/// Guards against streams that are refused because all replicas restart for a second.
+#[test]
+fn replicas_that_were_all_killed_are_waited_for() {
+    let replies_at = |after_ms| match after_ms {
+        0..1_000 => Vec::new(),
+        _ => vec![reply(Some("v1"), &["v1", "v2"])],
+    };
+    for left_ms in [2_500, 5_000, 10_000] {
+        let found = LookupStep::Found(origin("v1"));
+        assert_eq!(look_up(left_ms, replies_at), (1_000, found));
+    }
+    assert_eq!(look_up(1_000, |_| Vec::new()), (400, unknown(true)));
+}
+
 fn replicas(zones: &[&str]) -> IndexMap<SocketAddr, ZoneId> {
     let numbered = zones.iter().enumerate();
     let replicas = numbered.map(|(number, zone)| (address(number), ZoneId::new(*zone).unwrap()));
