Refusals of unknown origins are told apart by the quorum's share that replied

What operators saw: with every control replica away, continuation_failed named unknown_to_all. Found by refused_streams::lookup_without_control_replicas_is_logged_as_such. Change: the reason follows from the same share that the lookup uses; stream_continued says how often replicas were asked again, which versions_are_known_after_all_machines_were_replaced checks.

--- a/crates/masticsill_registry/src/origin_lookup.rs
+++ b/crates/masticsill_registry/src/origin_lookup.rs
@@ -38,16 +38,10 @@
 }
 
 impl OriginEvidence<'_> {
-    /// Whether all voters of the control quorum have replied.
+    /// How much of the control quorum has replied.
     #[must_use]
-    pub fn is_complete(&self) -> bool {
-        self.share_of(|_| true) == QuorumShare::All
-    }
-
-    /// Whether a majority of the voters has replied.
-    #[must_use]
-    pub fn has_majority(&self) -> bool {
-        self.share_of(|_| true) >= QuorumShare::Majority
+    pub fn replied(&self) -> QuorumShare {
+        self.share_of(|_| true)
     }
 
     /// How much of the control quorum gave replies that satisfy `is_counted`.
@@ -124,6 +118,7 @@
     left_ms: u64,
     /// How often each replica has replied.
     counts: IndexMap<SocketAddr, u32>,
+    queries: u32,
     /// The last reply of each replica, in the same order.
     replies: Vec<(SocketAddr, OriginReply)>,
 }
@@ -136,10 +131,22 @@
             asked_at: now,
             left_ms,
             counts: IndexMap::new(),
+            queries: 0,
             replies: Vec::new(),
         }
     }
 
+    /// Counts a query of the replicas.
+    pub fn begin_query(&mut self) {
+        self.queries += 1;
+    }
+
+    /// How often replicas were asked.
+    #[must_use]
+    pub fn queries(&self) -> u32 {
+        self.queries
+    }
+
     /// Whether a replica is to be asked, or asked again.
     #[must_use]
     pub fn needs_reply(&self, replica: &SocketAddr) -> bool {
@@ -171,9 +178,11 @@
         if let Some(origin) = evidence.origin() {
             return LookupStep::Found(origin);
         }
-        let wait_ms = self.wait_ms(evidence.has_majority());
+        let replied = evidence.replied();
+        let wait_ms = self.wait_ms(replied >= QuorumShare::Majority);
         let is_over = now.since(self.asked_at) + pause_ms >= wait_ms;
-        let has_none = evidence.is_complete() && self.counts.values().all(|it| *it >= MAX_REPLIES);
+        let has_none =
+            replied == QuorumShare::All && self.counts.values().all(|it| *it >= MAX_REPLIES);
         if has_none || is_over {
             return LookupStep::Unknown {
                 may_be_known_elsewhere: !has_none,
--- a/crates/masticsill_relay/src/continuation.rs
+++ b/crates/masticsill_relay/src/continuation.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use masticsill_dispatch::{Hindrance, VersionQuery, VersionState, Work};
-use masticsill_registry::{EndpointId, StreamOrigin};
+use masticsill_registry::{EndpointId, QuorumShare, StreamOrigin};
 use masticsill_types::{ClockMs, log_event};
 
 use crate::events;
@@ -26,10 +26,8 @@
     Refused(Refusal),
     /// Control replicas did not know where the stream began.
     UnknownOrigin {
-        /// Number of replicas that replied to the last query.
-        replied: usize,
-        /// Number of known replicas.
-        replicas: usize,
+        /// How much of the control quorum replied.
+        replied: QuorumShare,
     },
 }
 
@@ -44,9 +42,7 @@
         hindrance: Option<Hindrance>,
     ) -> &'static str {
         let last = match (self, waited_for) {
-            (Self::UnknownOrigin { replied, replicas }, _) => {
-                return unknown_origin_reason(replied, replicas);
-            }
+            (Self::UnknownOrigin { replied }, _) => return unknown_origin_reason(replied),
             (Self::EndpointFailed, _) => return "endpoint_failed",
             (Self::Refused(refusal), _) => return refusal.name(),
             (Self::CallerLeft | Self::Obstacle(Obstacle::Deadline), Some(obstacle))
@@ -73,13 +69,11 @@
 }
 
 /// Which control replicas did not know where a stream began.
-fn unknown_origin_reason(replied: usize, replicas: usize) -> &'static str {
-    if replied >= replicas {
-        "unknown_to_all"
-    } else if replied * 2 > replicas {
-        "unknown_to_majority"
-    } else {
-        "minority_replied"
+fn unknown_origin_reason(replied: QuorumShare) -> &'static str {
+    match replied {
+        QuorumShare::All => "unknown_to_all",
+        QuorumShare::Majority => "unknown_to_majority",
+        QuorumShare::Minority => "minority_replied",
     }
 }
 
--- a/crates/masticsill_relay/src/stream_origins.rs
+++ b/crates/masticsill_relay/src/stream_origins.rs
@@ -178,6 +178,7 @@
         version = origin.map_or("", |it| &it.version),
         is_known = origin.is_some(),
         is_local = is_local,
+        queries = lookup.queries(),
         replied = lookup.replies().len(),
         replicas = relay.known_voters().len(),
         left_ms = request.left_ms(relay.now()),
@@ -186,9 +187,11 @@
     let origin = match found {
         Ok(origin) => origin,
         Err(refusal) => {
-            let replied = lookup.replies().len();
-            let replicas = relay.known_voters().len();
-            continuation.fail(ContinuationEnd::UnknownOrigin { replied, replicas }, &[]);
+            let replied = {
+                let voters = relay.control_voters.borrow();
+                evidence(relay, request, &voters, lookup.replies()).replied()
+            };
+            continuation.fail(ContinuationEnd::UnknownOrigin { replied }, &[]);
             return Err(refusal);
         }
     };
@@ -232,6 +235,7 @@
     lookup: &mut OriginLookup,
 ) -> Result<StreamOrigin, Refusal> {
     loop {
+        lookup.begin_query();
         let mut answers = query_replicas(relay, request, attempt, lookup);
         while let Some((replica, reply)) = answers.recv().await {
             lookup.record(replica, reply);
