--- a/review/standin/src/bin/unsealed_streams.rs
+++ b/review/standin/src/bin/unsealed_streams.rs
@@ -149,7 +149,7 @@
             }
             answer(id, request, stream, is_spoilt)
         };
-        engines.push(Replica::start(&ip, "huvo11a", zone, 64, true, 1200, controls.clone(), serve));
+        engines.push(Replica::start(&ip, "huvo11a", zone, 64, true, 1200, controls.clone(), |_| (), serve));
     }
     // The relays learn of the engines, and become ready.
     sleep_s(3.0);
--- a/review/standin/src/lib.rs
+++ b/review/standin/src/lib.rs
@@ -460,8 +460,11 @@
     }
 }
 
-/// Reads one request with a length; none at the end of the channel.
-pub fn read_request(stream: &mut TcpStream) -> Option<Request> {
+/// Bytes in a millisecond that a replica reads on one channel: 1,000 Mbit/s, a machine's own link.
+const LINK_BYTES_PER_MS: usize = 125_000;
+
+/// Reads one request with a length; none at the end of the channel. `arrived` is told of its head.
+pub fn read_request(stream: &mut TcpStream, arrived: &dyn Fn(&Request)) -> Option<Request> {
     let mut bytes = Vec::new();
     let mut piece = vec![0u8; 64 * 1024];
     let end = loop {
@@ -483,18 +486,25 @@
         .header("Content-Length")
         .and_then(|it| it.parse().ok())
         .unwrap_or(0);
+    arrived(&request);
+    let mut unpaced = 0;
     while request.body.len() < length {
         let count = stream.read(&mut piece).ok()?;
         if count == 0 {
             return None;
         }
         request.body.extend_from_slice(&piece[..count]);
+        unpaced += count;
+        if unpaced >= LINK_BYTES_PER_MS {
+            unpaced -= LINK_BYTES_PER_MS;
+            thread::sleep(Duration::from_millis(1));
+        }
     }
     Some(request)
 }
 
 /// A replica: says that it is there, as PROTOCOL describes it, and serves each channel with `serve`,
-/// which answers one request and says whether the channel stays open.
+/// which answers one request and says whether the channel stays open. `arrived` is told of each head.
 pub struct Replica {
     pub id: String,
     pub address: SocketAddr,
@@ -510,6 +520,7 @@
         is_engine: bool,
         heartbeat_ms: u64,
         controls: Vec<SocketAddr>,
+        arrived: impl Fn(&Request) + Send + Sync + 'static,
         serve: impl Fn(&str, &Request, &mut TcpStream) -> bool + Send + Sync + 'static,
     ) -> Self {
         use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -520,12 +531,14 @@
         let id = format!("i-{:08x}", 0x7f3a_0000 + number * 257 + u64::from(std::process::id() % 251));
         let is_over = Arc::new(AtomicBool::new(false));
         let serve = Arc::new(serve);
+        let arrived = Arc::new(arrived);
         let own_id = id.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let _ = stream.set_nodelay(true);
                 let (serve, own_id) = (Arc::clone(&serve), own_id.clone());
-                thread::spawn(move || serve_channel(stream, &own_id, &*serve));
+                let arrived = Arc::clone(&arrived);
+                thread::spawn(move || serve_channel(stream, &own_id, &*arrived, &*serve));
             }
         });
         let models = if is_engine {
@@ -567,9 +580,10 @@
 fn serve_channel(
     mut stream: TcpStream,
     id: &str,
-    serve: &(impl Fn(&str, &Request, &mut TcpStream) -> bool + ?Sized),
+    arrived: &dyn Fn(&Request),
+    serve: &dyn Fn(&str, &Request, &mut TcpStream) -> bool,
 ) {
-    while let Some(request) = read_request(&mut stream) {
+    while let Some(request) = read_request(&mut stream, arrived) {
         if request.path().starts_with("/-/kv-events") {
             // No parts are kept. The call waits as long as it asks for.
             let wait: u64 = request.header("Wait-Ms").and_then(|it| it.parse().ok()).unwrap_or(0);
