Replicas log their members whenever they change

A replaced and a frozen voter could not be told apart from logs: control_voter_trimmed names who is removed, and no line says who votes. control_members_changed gives the voters, learners and leaving voters at each replica.

--- a/crates/masticsill_control/src/events.rs
+++ b/crates/masticsill_control/src/events.rs
@@ -76,6 +76,9 @@
 /// Another replica that has started was sent the origins of streams that are known here.
 pub const STREAM_ORIGINS_SENT: Event = Event::new(4150, "control_stream_origins_sent");
 
+/// The members in this replica's log changed.
+pub const MEMBERS_CHANGED: Event = Event::new(4151, "control_members_changed");
+
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
     CONTROL_STARTED,
@@ -114,4 +117,5 @@
     STREAM_ORIGINS_RESTORED,
     STREAM_ORIGINS_NOT_STORED,
     STREAM_ORIGINS_SENT,
+    MEMBERS_CHANGED,
 ];
--- a/crates/masticsill_control/src/quorum/duty.rs
+++ b/crates/masticsill_control/src/quorum/duty.rs
@@ -69,6 +69,8 @@
     pub(super) founding: Option<Membership>,
     pub(super) is_stopping: bool,
     pub(super) state_machine: StateMachine,
+    /// The members that were logged last.
+    logged_members: Membership,
     pub(super) messages: Ring<Envelope>,
     pub(super) metrics: Metrics,
     pub(super) outgoing: Ring<Outgoing>,
@@ -119,6 +121,7 @@
             founding,
             is_stopping: false,
             state_machine,
+            logged_members: Membership::default(),
             messages,
             metrics,
             outgoing,
@@ -307,7 +310,27 @@
         replica.removable_members(now, MEMBER_SILENCE_MS, target)
     }
 
+    fn log_members(&mut self) {
+        let membership = self.replica.membership();
+        if *membership == self.logged_members {
+            return;
+        }
+        let learners = membership.learners.iter().map(|learner| &learner.id);
+        let learners = join_ids(learners);
+        let (voters, leaving) = (join_ids(&membership.voters), join_ids(&membership.leaving));
+        log_event!(
+            info,
+            events::MEMBERS_CHANGED,
+            index = self.replica.last_index(),
+            voters = voters,
+            learners = learners,
+            leaving = leaving
+        );
+        self.logged_members = membership.clone();
+    }
+
     fn publish(&mut self) {
+        self.log_members();
         let now = self.clock.now();
         self.renew_own_proof(now);
         let freshness = self.state_machine.freshness();
@@ -341,3 +364,8 @@
         });
     }
 }
+
+fn join_ids<'a>(ids: impl IntoIterator<Item = &'a VoterId>) -> String {
+    let ids: Vec<String> = ids.into_iter().map(ToString::to_string).collect();
+    ids.join(",")
+}
