A voter that was removed, or left at a stop, comes back to the quorum

Cause: silence doesn't tell a lost voter from a frozen one, and a removal that rests on it could not be taken back. The leader removes a voter that is silent for 4 s while there are more than needed; the task that asks for admission ended for good at a folder with an entry.

Change: a replica that can't tell that it is a member asks the leader, and asks to be admitted if it isn't one, with the folder that it has.

--- a/crates/masticsill_control/src/admission.rs
+++ b/crates/masticsill_control/src/admission.rs
@@ -1,15 +1,17 @@
 //! Admission and removal of replicas by the quorum itself.
 //!
-//! A replica requests admission when its folder belongs to no cluster, or only to a founding that
-//! never committed an entry. It replaces a voter of the same name, whose folder was lost, or else
-//! joins in addition to the others. The leader removes members that have been silent for long:
-//! learners, and voters while more remain than are needed to tolerate the configured losses. Both
-//! use the membership changes that are otherwise made by operators: one at a time, and a replica
-//! counts only once it has caught up.
+//! A replica requests admission when its folder belongs to no cluster, or to one of which it is not
+//! a member. With a new folder it replaces a voter of the same name, whose folder was lost; otherwise
+//! it joins in addition to the others. While more voters remain than are needed to tolerate the
+//! configured losses, a voter that stops leaves, and the leader removes voters that have been silent
+//! for long. Silence doesn't tell a lost replica from a frozen one, so a replica that was removed and
+//! runs again requests admission with the folder that it has. All changes are made one at a time, and
+//! a replica counts only once it has caught up.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use masticsill_control_client::ControlUnavailable;
 use masticsill_quorum::LogIndex;
 use masticsill_types::{NodeId, OperatorId, log_event};
 use masticsill_wire::control::{
@@ -18,34 +20,41 @@
 };
 
 use crate::events;
-use crate::quorum::{MembershipRequest, Request};
+use crate::quorum::{MembershipRequest, Request, Standing};
 use crate::rpc::ControlServer;
 
 /// Pause between requests for admission; a lost disk must be replaced within a few seconds.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(250);
-/// Timeout of one request for admission.
+/// Timeout of one request for admission or removal.
 const REQUEST_TIMEOUT_MS: u64 = 1_000;
 /// How often the leader checks for silent members.
 const REMOVAL_INTERVAL: Duration = Duration::from_millis(500);
 /// Operator recorded in the audit trail.
 const OPERATOR: &str = "quorum";
 
-/// Requests admission until this replica belongs to a cluster.
+/// Keeps this replica a member of the quorum: requests admission whenever it is not one.
 pub(crate) async fn run_admission(server: ControlServer, node: NodeId, address: SocketAddr) {
     loop {
         tokio::time::sleep(REQUEST_INTERVAL).await;
+        if server.leaving.is_requested() {
+            return;
+        }
+        let status = server.quorum.status();
+        if status.standing == Standing::Member {
+            continue;
+        }
         let Some((own, _)) = server.quorum.ask_any(Request::Identify).await else {
             return;
         };
         if own.is_founded {
-            if server.quorum.status().last_index > LogIndex::default() {
-                return;
+            if !is_excluded(&server, &own).await {
+                continue;
             }
-            if is_excluded(&server, &own).await {
+            server.endpoints.forget_past();
+            if status.last_index == LogIndex::default() {
                 server.quorum.ask_any(Request::GiveUpFounding).await;
-                server.endpoints.forget_past();
+                continue;
             }
-            continue;
         }
         let join = ReplicaAction::Join {
             address: Some(address),
@@ -60,15 +69,12 @@
             .client
             .change_replicas(&change, REQUEST_TIMEOUT_MS)
             .await;
-        let outcome = match answer {
-            Ok(ReplicaAnswer::Accepted) => "accepted".to_owned(),
-            Ok(ReplicaAnswer::Refused(text)) => text,
-            Err(unavailable) => unavailable.to_string(),
-        };
+        let outcome = describe(&answer);
         log_event!(
             info,
             events::ADMISSION_ASKED,
             node = node,
+            folder = own.folder,
             outcome = outcome
         );
     }
@@ -76,8 +82,9 @@
 
 /// Whether a cluster with a leader exists of which this founded replica is not a member.
 ///
-/// That happens when this replica founded the cluster, lost power before the other founders
-/// received the members, and was away for so long that the others founded a cluster without it.
+/// That happens when the replica was silent for so long that it was removed. It also happens when it
+/// founded the cluster, lost power before the other founders received the members, and the others
+/// founded a cluster without it.
 async fn is_excluded(server: &ControlServer, own: &ReplicaIdentity) -> bool {
     let view = server
         .client
@@ -101,12 +108,12 @@
         else {
             continue;
         };
-        let membership_request = MembershipRequest::RemoveExact {
+        let membership_request = MembershipRequest::RemoveSurplus {
             id: id.clone(),
             operator: operator(),
         };
-        let trim = |reply_to| Request::ChangeReplicas(membership_request, reply_to);
-        let reply = server.quorum.ask(trim).await;
+        let remove = |reply_to| Request::ChangeReplicas(membership_request, reply_to);
+        let reply = server.quorum.ask(remove).await;
         log_event!(
             info,
             events::VOTER_TRIMMED,
@@ -117,6 +124,45 @@
     }
 }
 
+/// Asks the leader to remove this replica, which is about to stop, unless it is needed as a voter.
+pub(crate) async fn leave_quorum(
+    server: &ControlServer,
+) -> Result<ReplicaAnswer, ControlUnavailable> {
+    server.leaving.request();
+    let Some((own, _)) = server.quorum.ask_any(Request::Identify).await else {
+        return Err(ControlUnavailable {
+            is_outcome_unknown: false,
+        });
+    };
+    let change = ReplicaChange {
+        action: ReplicaAction::Leave {
+            folder: own.folder,
+            node: own.node.clone(),
+        },
+        operator: operator(),
+    };
+    let answer = server
+        .change_replicas_anywhere(change, REQUEST_TIMEOUT_MS)
+        .await;
+    let outcome = describe(&answer);
+    log_event!(
+        info,
+        events::LEAVE_ASKED,
+        node = own.node,
+        folder = own.folder,
+        outcome = outcome
+    );
+    answer
+}
+
+fn describe(answer: &Result<ReplicaAnswer, ControlUnavailable>) -> String {
+    match answer {
+        Ok(ReplicaAnswer::Accepted) => "accepted".to_owned(),
+        Ok(ReplicaAnswer::Refused(text)) => text.clone(),
+        Err(unavailable) => unavailable.to_string(),
+    }
+}
+
 fn operator() -> OperatorId {
     OperatorId::new(OPERATOR).expect("the name holds letters only")
 }
--- a/crates/masticsill_control/src/endpoints/exchange.rs
+++ b/crates/masticsill_control/src/endpoints/exchange.rs
@@ -44,6 +44,9 @@
 /// returns.
 pub(crate) async fn run_exchange(server: ControlServer, node: NodeId) {
     let started_at = server.clock.now();
+    // Since when this replica may lack what the quorum knows.
+    let mut uninformed_since = started_at;
+    let mut knew_past = false;
     let answers: AnswersOfReplicas = Rc::default();
     if let Some((own, _)) = server.quorum.ask_any(Request::Identify).await
         && own.is_founded
@@ -77,11 +80,18 @@
         server
             .endpoints
             .update_silence(is_settled && reaches_majority);
-        // Whatever is remembered by then began after this replica had started.
-        let has_seen_all = now.since(started_at) >= server.endpoints.forget_ms();
+        if knew_past && !server.endpoints.knows_past() {
+            // The quorum went on without this replica: what it learned before no longer suffices.
+            uninformed_since = now;
+            let mut answers = answers.borrow_mut();
+            answers.values_mut().for_each(|it| it.includes_past = false);
+        }
+        // Whatever is remembered by then began after this replica was back.
+        let has_seen_all = now.since(uninformed_since) >= server.endpoints.forget_ms();
         if (has_seen_all && reaches_majority) || has_learned_past(&server, &answers).await {
             server.endpoints.note_past_known();
         }
+        knew_past = server.endpoints.knows_past();
         tokio::time::sleep(SILENCE_CHECK_INTERVAL).await;
     }
 }
--- a/crates/masticsill_control/src/events.rs
+++ b/crates/masticsill_control/src/events.rs
@@ -78,6 +78,8 @@
 
 /// The members in this replica's log changed.
 pub const MEMBERS_CHANGED: Event = Event::new(4151, "control_members_changed");
+/// This replica is about to stop and asked to leave the quorum.
+pub const LEAVE_ASKED: Event = Event::new(4152, "control_leave_asked");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -118,4 +120,5 @@
     STREAM_ORIGINS_NOT_STORED,
     STREAM_ORIGINS_SENT,
     MEMBERS_CHANGED,
+    LEAVE_ASKED,
 ];
--- a/crates/masticsill_control/src/quorum.rs
+++ b/crates/masticsill_control/src/quorum.rs
@@ -14,7 +14,9 @@
 pub(crate) use duty::{DutyParts, Outgoing, QuorumDuty};
 pub(crate) use members::voter;
 pub(crate) use published::PublishedState;
-pub(crate) use request::{JoiningReplica, MembershipRequest, QuorumHandle, Request, Status};
+pub(crate) use request::{
+    JoiningReplica, MembershipRequest, QuorumHandle, Request, Standing, Status,
+};
 pub use state_machine::StateError;
 pub(crate) use state_machine::StateMachine;
 pub(crate) use storage::{Job, StorageProgress, StorageQueue, run_storage};
--- a/crates/masticsill_control/src/quorum/duty.rs
+++ b/crates/masticsill_control/src/quorum/duty.rs
@@ -20,7 +20,7 @@
 use super::founding::founding_members;
 use super::pending::{PendingCall, PendingCalls};
 use super::published::PublishedState;
-use super::request::{Request, Status, Voters};
+use super::request::{Request, Standing, Status, Voters};
 use super::state_machine::{self, StateError, StateMachine};
 use super::storage::{StorageProgress, StorageQueue};
 use crate::events;
@@ -85,7 +85,7 @@
     /// Copy of the stored state, kept while the folder belongs to no cluster.
     pub(super) unfounded: Option<StoredState>,
     pub(super) pending: PendingCalls,
-    target_voters: Option<usize>,
+    pub(super) target_voters: Option<usize>,
 }
 
 impl QuorumDuty {
@@ -351,6 +351,7 @@
             last_index: self.replica.last_index(),
             leader: self.replica.leader().map(|id| id.name.clone()),
             removable_members: self.removable_members(now),
+            standing: Standing::of(&self.replica, now),
             term: self.replica.term(),
             version: self.state_machine.state().catalogue().version(),
             voters: Voters::of(&self.replica),
--- a/crates/masticsill_control/src/quorum/founding.rs
+++ b/crates/masticsill_control/src/quorum/founding.rs
@@ -8,6 +8,7 @@
 
 use super::duty::QuorumDuty;
 use super::members::{self, Interpretation};
+use super::outputs;
 use super::pending::PendingCall;
 use super::request::{MembershipRequest, ReplyTo};
 use super::state_machine::StateError;
@@ -27,7 +28,10 @@
             let _ = reply_to.send(ControlReply::NotLeader(leader));
             return;
         }
-        let change = match members::interpret(&membership_request, self.replica.membership()) {
+        let membership = self.replica.membership();
+        let interpretation =
+            members::interpret(&membership_request, membership, self.target_voters);
+        let change = match interpretation {
             Interpretation::AlreadyDone => {
                 let _ = reply_to.send(ControlReply::Done(ReplicaAnswer::Accepted));
                 return;
@@ -38,6 +42,11 @@
             }
             Interpretation::Change(change) => change,
         };
+        if let Err(error) = membership.check(&change) {
+            // Refused before the audit record takes an entry of the log.
+            let _ = reply_to.send(outputs::refused_membership(&error));
+            return;
+        }
         let action = match membership_request {
             MembershipRequest::Join {
                 replica, operator, ..
@@ -53,7 +62,7 @@
                 operator,
                 replica: node,
             },
-            MembershipRequest::RemoveExact { id, operator } => Action::NoteReplicas {
+            MembershipRequest::RemoveSurplus { id, operator } => Action::NoteReplicas {
                 address: None,
                 is_added: false,
                 operator,
--- a/crates/masticsill_control/src/quorum/members.rs
+++ b/crates/masticsill_control/src/quorum/members.rs
@@ -20,20 +20,18 @@
     Refused(String),
 }
 
+/// Interprets a request; `target_voters` is `None` where operators maintain the members.
 pub(crate) fn interpret(
     membership_request: &MembershipRequest,
     membership: &Membership,
+    target_voters: Option<usize>,
 ) -> Interpretation {
     match membership_request {
         MembershipRequest::Join {
             replica, replaces, ..
         } => interpret_join(&replica.id, replaces.as_ref(), membership),
-        MembershipRequest::RemoveExact { id, .. } => {
-            if membership.is_member(id) {
-                Interpretation::Change(MembershipChange::Remove { id: id.clone() })
-            } else {
-                Interpretation::AlreadyDone
-            }
+        MembershipRequest::RemoveSurplus { id, .. } => {
+            interpret_surplus(id, membership, target_voters)
         }
         MembershipRequest::Remove { node, .. } => {
             let member = membership.members().find(|member| member.name == *node);
@@ -47,6 +45,25 @@
     }
 }
 
+fn interpret_surplus(
+    id: &VoterId,
+    membership: &Membership,
+    target_voters: Option<usize>,
+) -> Interpretation {
+    if !membership.is_member(id) || membership.leaving.contains(id) {
+        return Interpretation::AlreadyDone;
+    }
+    let Some(target_voters) = target_voters else {
+        return Interpretation::Refused(format!(
+            "replica `{id}` stays a member; operators maintain the members of this cluster"
+        ));
+    };
+    Interpretation::Change(MembershipChange::RemoveSurplus {
+        id: id.clone(),
+        target_voters,
+    })
+}
+
 fn interpret_join(
     id: &VoterId,
     replaces: Option<&NodeId>,
--- a/crates/masticsill_control/src/quorum/outputs.rs
+++ b/crates/masticsill_control/src/quorum/outputs.rs
@@ -192,7 +192,9 @@
     }
 }
 
-fn refused_membership(error: &masticsill_quorum::MembershipError) -> ControlReply<ReplicaAnswer> {
+pub(super) fn refused_membership(
+    error: &masticsill_quorum::MembershipError,
+) -> ControlReply<ReplicaAnswer> {
     use masticsill_quorum::MembershipError::{AlreadyMember, ChangeInProgress};
     match error {
         AlreadyMember(_) => ControlReply::Done(ReplicaAnswer::Accepted),
--- a/crates/masticsill_control/src/quorum/request.rs
+++ b/crates/masticsill_control/src/quorum/request.rs
@@ -61,8 +61,9 @@
         node: NodeId,
         operator: OperatorId,
     },
-    /// Remove the member with this identity; another member may have the same name.
-    RemoveExact {
+    /// Remove the member with this identity, unless it is needed as a voter. Another member may have
+    /// the same name.
+    RemoveSurplus {
         id: VoterId,
         operator: OperatorId,
     },
@@ -92,6 +93,8 @@
     pub(crate) leader: Option<NodeId>,
     /// Silent members that the quorum may remove by itself; only known while this replica leads.
     pub(crate) removable_members: Vec<VoterId>,
+    /// Whether the replica can tell that it is a member of the quorum.
+    pub(crate) standing: Standing,
     /// The current term.
     pub(crate) term: Term,
     /// The version of the applied catalogue.
@@ -100,6 +103,26 @@
     pub(crate) voters: Voters,
 }
 
+/// What a replica can tell of its own membership.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) enum Standing {
+    /// It is a member by its log, and leads or has heard from a leader within an election timeout.
+    Member,
+    /// It may have been removed.
+    #[default]
+    Uncertain,
+}
+
+impl Standing {
+    pub(crate) fn of(replica: &Replica, now: ClockMs) -> Self {
+        if replica.membership().is_member(replica.id()) && replica.is_in_contact(now) {
+            Self::Member
+        } else {
+            Self::Uncertain
+        }
+    }
+}
+
 /// The voters of a membership.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub(crate) struct Voters {
--- a/crates/masticsill_control/src/role.rs
+++ b/crates/masticsill_control/src/role.rs
@@ -14,7 +14,8 @@
 use masticsill_types::{MonotonicClock, log_event};
 use masticsill_wire::control::{RenewReply, RenewRequest};
 use prometheus_client::registry::Registry;
-use tokio::sync::watch;
+use tokio::sync::oneshot::error::TryRecvError;
+use tokio::sync::{oneshot, watch};
 
 use crate::config::ControlConfig;
 use crate::document_pieces::{DocumentPieces, run_splitting};
@@ -29,7 +30,7 @@
     DutyParts, Job, PublishedState, QuorumDuty, QuorumHandle, Request, StateMachine, Status,
     StorageProgress, StorageQueue, run_storage,
 };
-use crate::rpc::{self, RpcParts};
+use crate::rpc::{self, Forward, RpcParts};
 use crate::unreadable::UnreadableMessages;
 
 const REQUEST_QUEUE_CAPACITY: usize = 8_192;
@@ -38,6 +39,8 @@
 const CALL_QUEUE_CAPACITY: usize = 1_024;
 /// Longest wait of a stop for the transfer of leadership.
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait of a stop for its removal from the quorum.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(1);
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// A running control replica.
@@ -53,6 +56,8 @@
     space_wait_canceller: SpaceWaitCanceller,
     published: PublishedState,
     quorum: QuorumHandle,
+    /// Voters that the quorum maintains by itself; `None` where operators maintain the members.
+    target_voters: Option<usize>,
 }
 
 impl fmt::Debug for ControlRole {
@@ -200,6 +205,7 @@
             space_wait_canceller,
             published,
             quorum,
+            target_voters: config.admission.target_voters(),
         })
     }
 
@@ -262,14 +268,15 @@
         self.quorum.status().is_leading
     }
 
-    /// Stops the replica gracefully: transfers leadership, finishes the calls in flight, syncs and
-    /// stops.
+    /// Stops the replica gracefully: leaves the quorum if there are more voters than needed,
+    /// transfers leadership, finishes the calls in flight, syncs and stops.
     ///
     /// # Errors
     ///
     /// An error naming a duty that panicked.
     pub fn stop(self) -> io::Result<()> {
         self.http.refuse_readiness();
+        self.leave_quorum_if_surplus();
         if self.quorum.requests.push(Request::Stop).is_ok() {
             self.await_handover();
         }
@@ -302,6 +309,24 @@
         Ok(())
     }
 
+    /// Leaves the quorum if there are more voters than needed, so that a loss right after the stop
+    /// leaves a majority. If the process starts again, it requests admission.
+    fn leave_quorum_if_surplus(&self) {
+        let status = self.quorum.status();
+        let is_surplus = |target| status.voters.names.len() > target;
+        if !status.voters.includes_self || !self.target_voters.is_some_and(is_surplus) {
+            return;
+        }
+        let (reply_to, mut reply) = oneshot::channel();
+        if self.handle.calls.push(Forward::Leave(reply_to)).is_err() {
+            return;
+        }
+        let deadline = Instant::now() + LEAVE_TIMEOUT;
+        while reply.try_recv() == Err(TryRecvError::Empty) && Instant::now() < deadline {
+            thread::sleep(POLL_INTERVAL);
+        }
+    }
+
     fn await_handover(&self) {
         let deadline = Instant::now() + HANDOVER_TIMEOUT;
         while self.is_leading() && Instant::now() < deadline {
--- a/crates/masticsill_control/src/rpc/duty.rs
+++ b/crates/masticsill_control/src/rpc/duty.rs
@@ -59,6 +59,7 @@
         evidence: ReceivedEvidence::default(),
         first_seeds: config.seeds.clone().into(),
         lease_ms: config.replica.lease_ms,
+        leaving: ShutdownSignal::default(),
         node: config.node.clone(),
         pauses: Pauses::new(parts.clock),
         published: parts.published,
--- a/crates/masticsill_control/src/rpc/router.rs
+++ b/crates/masticsill_control/src/rpc/router.rs
@@ -12,6 +12,7 @@
 use tokio::sync::oneshot;
 
 use super::service::ControlServer;
+use crate::admission::leave_quorum;
 
 /// Timeout of a forwarded call including its retries, in milliseconds.
 pub(crate) const FORWARD_TIMEOUT_MS: u64 = 5_000;
@@ -26,6 +27,7 @@
     Change(ChangeRequest, ForwardReply<ChangeAnswer>),
     Depart(EndpointId, ForwardReply<()>),
     Document(DocumentChange, ForwardReply<DocumentAnswer>),
+    Leave(ForwardReply<ReplicaAnswer>),
     OrderRollout(RolloutRequest, ForwardReply<RolloutAnswer>),
     Read(ReadRequest, ForwardReply<ReadAnswer>),
     Replicas(ReplicaChange, ForwardReply<ReplicaAnswer>),
@@ -60,6 +62,9 @@
             let forwarded = client.put_document(&change, timeout_ms);
             let _ = reply_to.send(done_or_forwarded(local_reply, forwarded).await);
         }
+        Forward::Leave(reply_to) => {
+            let _ = reply_to.send(leave_quorum(&server).await);
+        }
         Forward::OrderRollout(request, mut reply_to) => {
             // An order whose caller has gone is abandoned: it may be one that was held up on its
             // way, and the caller has sent it to another process since.
@@ -76,16 +81,14 @@
             let _ = reply_to.send(done_or_forwarded(local_reply, forwarded).await);
         }
         Forward::Replicas(change, reply_to) => {
-            let local_reply = server.change_replicas_locally(change.clone()).await;
-            let forwarded = client.change_replicas(&change, timeout_ms);
-            let _ = reply_to.send(done_or_forwarded(local_reply, forwarded).await);
+            let _ = reply_to.send(server.change_replicas_anywhere(change, timeout_ms).await);
         }
     }
 }
 
 /// Returns the local answer, or else that of the forwarded call. The forwarded call starts only
 /// when the future is awaited.
-async fn done_or_forwarded<T>(
+pub(crate) async fn done_or_forwarded<T>(
     local_reply: ControlReply<T>,
     forwarded: impl Future<Output = Result<T, ControlUnavailable>>,
 ) -> Result<T, ControlUnavailable> {
--- a/crates/masticsill_control/src/rpc/service.rs
+++ b/crates/masticsill_control/src/rpc/service.rs
@@ -8,14 +8,15 @@
     Action, ChangeAnswer, Claim, ClaimAnswer, CommandAnswer, DocumentAnswer, PackedPiece,
     PieceHash, PieceList, Reassign, Settle,
 };
-use masticsill_control_client::{AddressBook, ControlClient};
+use masticsill_control_client::{AddressBook, ControlClient, ControlUnavailable};
 use masticsill_quarantine::RequestRecord;
-use masticsill_quorum::{FoundingReservation, VoterId, decode_message};
+use masticsill_quorum::{FolderId, FoundingReservation, VoterId, decode_message};
 use masticsill_registry::{
     Announcement, AttemptKey, CachedTokens, EndpointId, EndpointLoad, EngineReservationRequest,
     OriginReply, PromptPart, StreamRecord, Watcher,
 };
 use masticsill_rollout::EvidenceReport;
+use masticsill_runtime::ShutdownSignal;
 use masticsill_types::{MonotonicClock, NodeId, log_event};
 use masticsill_wire::control::{
     ChangeRequest, ControlReply, ControlService, Directory, DocumentChange, FoundingProposal,
@@ -26,6 +27,7 @@
 use tarpc::context::Context;
 
 use super::introductions::{attempt_of, record_introduction};
+use super::router::done_or_forwarded;
 use crate::config::RolloutConfig;
 use crate::document_pieces::DocumentPieces;
 use crate::endpoints::EndpointHub;
@@ -48,6 +50,8 @@
     /// The configured seeds, which are the same in every process when the cluster is first started.
     pub(crate) first_seeds: Arc<[SocketAddr]>,
     pub(crate) lease_ms: u64,
+    /// Requested when this replica leaves the quorum to stop; it asks for no admission afterwards.
+    pub(crate) leaving: ShutdownSignal,
     pub(crate) node: NodeId,
     pub(crate) pauses: Pauses,
     pub(crate) published: PublishedState,
@@ -134,12 +138,30 @@
                 }
             }
             ReplicaAction::Remove { node } => MembershipRequest::Remove { node, operator },
+            ReplicaAction::Leave { folder, node } => MembershipRequest::RemoveSurplus {
+                id: VoterId {
+                    folder: FolderId(folder),
+                    name: node,
+                },
+                operator,
+            },
         };
         self.quorum
             .ask(|reply_to| Request::ChangeReplicas(membership_request, reply_to))
             .await
     }
 
+    /// Changes the members here if this replica leads, and at the leader otherwise.
+    pub(crate) async fn change_replicas_anywhere(
+        &self,
+        change: ReplicaChange,
+        timeout_ms: u64,
+    ) -> Result<ReplicaAnswer, ControlUnavailable> {
+        let local_reply = self.change_replicas_locally(change.clone()).await;
+        let forwarded = self.client.change_replicas(&change, timeout_ms);
+        done_or_forwarded(local_reply, forwarded).await
+    }
+
     /// The identity of a running replica, or a text that says why it is unknown and what to do.
     async fn resolve_identity(
         &self,
--- a/crates/masticsill_quorum/src/candidate.rs
+++ b/crates/masticsill_quorum/src/candidate.rs
@@ -15,7 +15,7 @@
     }
 
     /// Whether a leader was heard from so recently that its lease may still be valid.
-    fn has_recent_leader_contact(&self, now: ClockMs) -> bool {
+    pub(crate) fn has_recent_leader_contact(&self, now: ClockMs) -> bool {
         matches!(self.role, RoleState::Leader(_))
             || now.since(self.leader_heard_at) < self.settings.election_min_ms
     }
--- a/crates/masticsill_quorum/src/membership.rs
+++ b/crates/masticsill_quorum/src/membership.rs
@@ -46,6 +46,16 @@
         /// The member to remove.
         id: VoterId,
     },
+    /// Remove a learner, or a voter that is not needed.
+    ///
+    /// The check and the removal are one step, so that two such changes never remove one voter too
+    /// many between them.
+    RemoveSurplus {
+        /// The member to remove.
+        id: VoterId,
+        /// The voters that must remain, not counting those that are leaving.
+        target_voters: usize,
+    },
 }
 
 /// Why a membership change is refused.
@@ -66,6 +76,9 @@
     /// The replica is not a member.
     #[error("replica `{0}` is not a member; list the members and name one of them")]
     UnknownMember(VoterId),
+    /// The voter can't be removed without falling below the number of voters needed.
+    #[error("replica `{0}` is needed as a voter; let another one join first")]
+    VoterNeeded(VoterId),
 }
 
 impl Membership {
@@ -129,11 +142,26 @@
         values.into_iter().nth(self.quorum_size(min_quorum) - 1)
     }
 
+    /// Checks whether a change is possible with these members.
+    ///
+    /// # Errors
+    ///
+    /// The reason for which the change would be refused.
+    pub fn check(&self, change: &MembershipChange) -> Result<(), MembershipError> {
+        self.with_change(change).map(drop)
+    }
+
     /// The membership after a requested change.
     pub(crate) fn with_change(&self, change: &MembershipChange) -> Result<Self, MembershipError> {
         match change {
             MembershipChange::Join { id, replaces } => self.with_learner(id, replaces.as_ref()),
             MembershipChange::Remove { id } => self.with_removal(id),
+            MembershipChange::RemoveSurplus { id, target_voters } => {
+                if self.is_needed(id, *target_voters) {
+                    return Err(MembershipError::VoterNeeded(id.clone()));
+                }
+                self.with_removal(id)
+            }
         }
     }
 
@@ -170,6 +198,14 @@
         Ok(next)
     }
 
+    /// Whether fewer than `target_voters` voters would remain without a voter that is not leaving
+    /// yet.
+    fn is_needed(&self, id: &VoterId, target_voters: usize) -> bool {
+        let stays = |voter: &&VoterId| !self.leaving.contains(voter);
+        let staying = self.voters.iter().filter(stays);
+        self.is_voter(id) && stays(&id) && staying.count() <= target_voters
+    }
+
     fn with_removal(&self, id: &VoterId) -> Result<Self, MembershipError> {
         if !self.is_member(id) {
             return Err(MembershipError::UnknownMember(id.clone()));
--- a/crates/masticsill_quorum/tests/simulation/mod.rs
+++ b/crates/masticsill_quorum/tests/simulation/mod.rs
@@ -552,7 +552,7 @@
         }
         let removable = node.removable_members(self.now, silence_ms, target_voters);
         let removable = removable.into_iter().take(1);
-        changes.extend(removable.map(|id| MembershipChange::Remove { id }));
+        changes.extend(removable.map(|id| MembershipChange::RemoveSurplus { id, target_voters }));
         for change in changes {
             self.propose_change_to(leader, change);
         }
--- /dev/null
+++ b/crates/masticsill_quorum/tests/surplus_voters.rs
@@ -0,0 +1,94 @@
+//! Removal of voters that are not needed, and their return.
+
+mod simulation;
+
+use assert_matches::assert_matches;
+use masticsill_quorum::{
+    CallerToken, Input, Membership, MembershipChange, MembershipError, Output, VoterId,
+};
+use simulation::{NO_FAULTS, Simulation};
+
+const TARGET_VOTERS: usize = 3;
+
+fn surplus(id: &VoterId) -> MembershipChange {
+    MembershipChange::RemoveSurplus {
+        id: id.clone(),
+        target_voters: TARGET_VOTERS,
+    }
+}
+
+fn followers(simulation: &Simulation, leader: usize) -> Vec<usize> {
+    (0..simulation.nodes.len())
+        .filter(|it| *it != leader)
+        .collect()
+}
+
+/// Guards against a silent voter and one that stops being removed together, which leaves too few.
+#[test]
+fn two_removals_do_not_go_below_the_target() {
+    for seed in 0..30 {
+        let mut simulation = Simulation::new(seed, 4, NO_FAULTS);
+        let leader = simulation.wait_for_leader();
+        simulation.run_for(100);
+        let followers = followers(&simulation, leader);
+        let [first, second] = [0, 1].map(|it| simulation.nodes[followers[it]].id.clone());
+        simulation.propose_change_to(leader, surplus(&first));
+        simulation.run_until("the first voter is leaving", |it| {
+            let replica = it.nodes[leader].replica.as_ref().unwrap();
+            let Membership {
+                voters, leaving, ..
+            } = replica.membership();
+            leaving.contains(&first) || !voters.contains(&first)
+        });
+        let mut errors = Vec::new();
+        simulation.run_until("the second removal is decided", |it| {
+            let input = Input::ChangeMembership {
+                token: CallerToken(7),
+                change: surplus(&second),
+            };
+            let now = it.now;
+            errors = it.nodes[leader].step(now, input);
+            !errors.iter().any(|it| {
+                matches!(
+                    it,
+                    Output::RefusedMembership {
+                        error: MembershipError::ChangeInProgress,
+                        ..
+                    }
+                )
+            })
+        });
+        assert_matches!(
+            errors.as_slice(),
+            [Output::RefusedMembership {
+                error: MembershipError::VoterNeeded(id),
+                ..
+            }] if *id == second
+        );
+    }
+}
+
+/// Guards against a removed voter that can't come back with the folder that it has.
+#[test]
+fn removed_voter_returns_with_its_folder() {
+    for seed in 0..30 {
+        let mut simulation = Simulation::new(seed, 4, NO_FAULTS);
+        let removed = simulation.wait_for_leader();
+        simulation.run_for(100);
+        simulation.isolate(removed);
+        // Entries that the others never get: the returning replica must give them up.
+        simulation.propose_batch_to(removed, 3);
+        let id = simulation.nodes[removed].id.clone();
+        simulation.run_until("the others have another leader", |it| {
+            it.leader().is_some_and(|leader| leader != removed)
+        });
+        simulation.run_until("the silent voter is removed", |it| {
+            if let Some(leader) = it.leader().filter(|leader| *leader != removed) {
+                it.propose_change_to(leader, surplus(&id));
+            }
+            !it.model.membership.is_member(&id)
+        });
+        simulation.heal_and_check();
+        assert!(simulation.model.membership.is_voter(&id));
+    }
+}
--- a/crates/masticsill_wire/src/control.rs
+++ b/crates/masticsill_wire/src/control.rs
@@ -367,6 +367,13 @@
         /// Its node.
         node: NodeId,
     },
+    /// Remove a replica that is about to stop, unless it is needed as a voter.
+    Leave {
+        /// Its data folder.
+        folder: u64,
+        /// Its node.
+        node: NodeId,
+    },
 }
 
 /// The answer to a change of the control replicas.
