A relay that stops says how many requests its queue holds

A queued request logs nothing until its wait ends, so that a request that waits at an engine can't be told from one that waits here when a relay is stopped.

--- a/crates/masticsill_relay/src/server.rs
+++ b/crates/masticsill_relay/src/server.rs
@@ -43,7 +43,12 @@
         () = relay.stopping.requested() => {}
     }
     relay.stopping_since.set(Some(relay.now()));
-    log_event!(info, events::RELAY_STOPPING, active = relay.active.get());
+    log_event!(
+        info,
+        events::RELAY_STOPPING,
+        active = relay.active.get(),
+        queued = relay.dispatcher.borrow().waiting()
+    );
     let began = Instant::now();
     let accept_deadline = sleep_until(began + ACCEPT_AFTER_SHUTDOWN);
     tokio::select! {
@@ -56,7 +61,12 @@
     while relay.active.get() > 0 && Instant::now() < end_by {
         sleep(DRAIN_POLL_INTERVAL).await;
     }
-    log_event!(info, events::RELAY_STOPPED, cut = relay.active.get());
+    log_event!(
+        info,
+        events::RELAY_STOPPED,
+        cut = relay.active.get(),
+        queued = relay.dispatcher.borrow().waiting()
+    );
 }
 
 async fn accept(relay: &Rc<Relay>, listener: &TcpListener) {
