A planned stop refuses what can't be completed instead of cutting it

Cause: a shutdown waited for the requests in flight and told none of them.

Change: the dispatcher returns queued requests that can't be completed before the stop, and 250 ms before the end every request without any byte of a response is refused: 503 if it was not sent, 502 if it may have run.

--- a/crates/masticsill_bench/src/lookups/play.rs
+++ b/crates/masticsill_bench/src/lookups/play.rs
@@ -203,6 +203,7 @@
                 Some(WaitOutcome::NoEndpoint(_)) => {
                     unreachable!("no request requires a version")
                 }
+                Some(WaitOutcome::Stopping(_)) => unreachable!("no entry stops"),
                 Some(WaitOutcome::Refuse(ticket, overload)) => {
                     if let Some(caller) = entry.waiting.swap_remove(&ticket) {
                         self.refuse(caller, overload.retry_after_ms);
--- a/crates/masticsill_bench/src/overload/play.rs
+++ b/crates/masticsill_bench/src/overload/play.rs
@@ -369,6 +369,7 @@
             }
             WaitOutcome::NoEndpoint(_) => unreachable!("no request requires a version"),
             WaitOutcome::Send(_, choice) => self.send(request, &choice.id),
+            WaitOutcome::Stopping(_) => unreachable!("no entry stops"),
         }
     }
 
--- a/crates/masticsill_dispatch/src/dispatcher.rs
+++ b/crates/masticsill_dispatch/src/dispatcher.rs
@@ -21,6 +21,7 @@
 use crate::service_queue::{
     QueuePlace, QueuedRequest, Rank, Requirements, ServiceQueue, Terms, Ticket,
 };
+use crate::stop_limits::StopLimits;
 
 /// Divisor of the target latency: after this part of it (a tenth), a queued request is either
 /// refused or committed. A committed request is not refused any more unless its deadline passes.
@@ -82,6 +83,8 @@
     Refuse(Ticket, Overload),
     /// The request is sent to the chosen endpoint.
     Send(Ticket, Choice),
+    /// This entry is about to stop and could not complete the request.
+    Stopping(Ticket),
 }
 
 impl WaitOutcome {
@@ -89,7 +92,10 @@
     #[must_use]
     pub fn ticket(&self) -> Ticket {
         match self {
-            Self::NoEndpoint(ticket) | Self::Refuse(ticket, _) | Self::Send(ticket, _) => *ticket,
+            Self::NoEndpoint(ticket)
+            | Self::Refuse(ticket, _)
+            | Self::Send(ticket, _)
+            | Self::Stopping(ticket) => *ticket,
         }
     }
 }
@@ -99,6 +105,8 @@
 pub struct Dispatcher {
     queues: IndexMap<String, ServiceQueue>,
     last_ticket: u64,
+    /// Set once this entry is about to stop.
+    stop: Option<StopLimits>,
 }
 
 impl Dispatcher {
@@ -231,6 +239,12 @@
             if let Some(waiting) = take_unservable(queue, table) {
                 return Some(WaitOutcome::NoEndpoint(waiting.ticket));
             }
+            if let Some(stop) = &self.stop
+                && let Some(waiting) =
+                    take_incompletable(queue, now, table, context.entry.entries, stop)
+            {
+                return Some(WaitOutcome::Stopping(waiting.ticket));
+            }
             if let Some(waiting) = take_expired(queue, now, table, context.entry.entries) {
                 queue.note_refusal(now, waiting.terms.priority);
                 let ahead = queue.ahead_of(waiting.place());
@@ -255,6 +269,12 @@
         None
     }
 
+    /// Begins a planned stop: queued requests that can't be completed here any more are returned by
+    /// [`Self::next`], so that their callers can go elsewhere while they have time left.
+    pub fn begin_stop(&mut self, limits: StopLimits) {
+        self.stop = Some(limits);
+    }
+
     /// Removes a queued request whose caller has disconnected.
     pub fn withdraw(&mut self, ticket: Ticket) {
         for queue in self.queues.values_mut() {
@@ -451,6 +471,23 @@
     queue.take(ticket)
 }
 
+/// Removes the first queued request that can't be completed before this entry stops.
+fn take_incompletable(
+    queue: &mut ServiceQueue,
+    now: ClockMs,
+    table: &EndpointTable,
+    entries: u32,
+    stop: &StopLimits,
+) -> Option<QueuedRequest> {
+    let mut order = queue.in_order().into_iter().enumerate();
+    let incompletable = order.find(|(ahead, waiting)| {
+        let wait_ms = wait_ms(queue, now, table, &waiting.requirements, entries, *ahead);
+        !stop.allows(now, wait_ms, waiting)
+    });
+    let ticket = incompletable.map(|(_, waiting)| waiting.ticket)?;
+    queue.take(ticket)
+}
+
 /// Removes the first queued request that can't be served in time.
 ///
 /// Each request is checked against the latest estimates once it has waited for the commit delay,
--- a/crates/masticsill_dispatch/src/lib.rs
+++ b/crates/masticsill_dispatch/src/lib.rs
@@ -20,6 +20,7 @@
 mod refusal;
 mod request_limit;
 mod service_queue;
+mod stop_limits;
 mod version_state;
 
 pub use budget::{BudgetSettings, RetryBudget};
@@ -37,4 +38,5 @@
 pub use refusal::Overload;
 pub use request_limit::RequestLimit;
 pub use service_queue::{Requirements, Terms, Ticket, Work};
+pub use stop_limits::StopLimits;
 pub use version_state::{Hindrance, VersionQuery, VersionState};
--- a/crates/masticsill_dispatch/tests/begun_streams.rs
+++ b/crates/masticsill_dispatch/tests/begun_streams.rs
@@ -279,7 +279,8 @@
             match outcome {
                 WaitOutcome::Send(started, _) if started == ticket => return,
                 WaitOutcome::Send(_, choice) => sent.push(choice.id.clone()),
-                WaitOutcome::NoEndpoint(_) | WaitOutcome::Refuse(..) => {}
+                WaitOutcome::NoEndpoint(_) | WaitOutcome::Refuse(..) | WaitOutcome::Stopping(_) => {
+                }
             }
             for id in sent.drain(..) {
                 entry.table.get_mut(&id).unwrap().held_tokens += 8_650;
--- a/crates/masticsill_relay/src/admission.rs
+++ b/crates/masticsill_relay/src/admission.rs
@@ -12,6 +12,7 @@
 
 use crate::config::HeaderNames;
 use crate::request::RelayRequest;
+use crate::request_stage::RequestStage;
 use crate::response::Refusal;
 
 /// The route and workspace that a document assigns to a request.
@@ -56,6 +57,7 @@
     received_at: ClockMs,
     head: RequestHead,
     body: Bytes,
+    stage: RequestStage,
 ) -> RelayRequest {
     let Authorized {
         priority,
@@ -85,6 +87,7 @@
         received_at,
         service: choose_service(&route, rand::random()),
         route,
+        stage,
         workspace,
         head,
     }
--- a/crates/masticsill_relay/src/attempt.rs
+++ b/crates/masticsill_relay/src/attempt.rs
@@ -113,6 +113,7 @@
         prior_answered_ms: u64,
         is_resume: bool,
     ) -> RunProgress {
+        request.stage.note_sent();
         let evidence = self
             .relay
             .begin_evidence(request, self.endpoint(), is_resume);
--- a/crates/masticsill_relay/src/connection.rs
+++ b/crates/masticsill_relay/src/connection.rs
@@ -1,5 +1,6 @@
 //! A caller's connection: its requests are served one after the other.
 
+use std::future::pending;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -23,6 +24,7 @@
     ConnectionAction, end_plain, end_stream, log_caller_left, refuse, refuse_unadmitted,
     write_final_refusal,
 };
+use crate::request_stage::RequestStage;
 use crate::response::Refusal;
 use crate::stream::StreamRelay;
 use crate::stream_origins::find_origin;
@@ -72,19 +74,40 @@
     let _active = ActiveRequest::begin(relay);
     let id = relay.config.headers.request_id_of(&head).to_owned();
     let is_keep_alive = head.is_keep_alive;
-    let body = match caller.read_body(relay, writer, &head).await {
+    let stage = RequestStage::default();
+    let body = tokio::select! {
+        biased;
+        body = caller.read_body(relay, writer, &head) => body,
+        refusal = final_refusal(relay, &stage) => Err(BodyError::Refused(refusal)),
+    };
+    let body = match body {
         Ok(body) => body,
         Err(BodyError::Refused(refusal)) => return write_final_refusal(writer, refusal).await,
         Err(BodyError::Ended) => return ConnectionAction::Abort,
     };
-    let answering = answer_complete_request(relay, writer, &id, head, body, received_at);
-    tokio::select! {
+    let answering =
+        answer_complete_request(relay, writer, &id, head, body, received_at, stage.clone());
+    let refusal = tokio::select! {
         biased;
-        action = answering => if is_keep_alive { action } else { action.at_least_close() },
+        action = answering => {
+            return if is_keep_alive { action } else { action.at_least_close() };
+        }
         () = caller.wait_for_close() => {
             log_caller_left(relay, &id, received_at, "closed its connection");
-            ConnectionAction::Abort
+            return ConnectionAction::Abort;
         }
+        refusal = final_refusal(relay, &stage) => refusal,
+    };
+    refuse_unadmitted(relay, writer, &id, refusal, is_keep_alive).await
+}
+
+/// Waits until the relay is about to end; returns the refusal of a request without any response by
+/// then. Never returns if a response is being written.
+async fn final_refusal(relay: &Relay, stage: &RequestStage) -> Refusal {
+    relay.ending.requested().await;
+    match stage.final_refusal() {
+        Some(refusal) => refusal,
+        None => pending().await,
     }
 }
 
@@ -96,6 +119,7 @@
     head: RequestHead,
     body: Bytes,
     received_at: ClockMs,
+    stage: RequestStage,
 ) -> ConnectionAction {
     let names = &relay.config.headers;
     let is_keep_alive = head.is_keep_alive;
@@ -105,9 +129,11 @@
     let authorized = match authorized.await {
         Some(Ok(authorized)) => authorized,
         Some(Err(refusal)) => {
+            stage.note_answering();
             return refuse_unadmitted(relay, writer, id, refusal, is_keep_alive).await;
         }
         None => {
+            stage.note_answering();
             return refuse_unadmitted(relay, writer, id, Refusal::NoDocument, is_keep_alive).await;
         }
     };
@@ -120,6 +146,7 @@
             received_at,
             head,
             body,
+            stage,
         )
     };
     relay.note_request(&request.service);
--- a/crates/masticsill_relay/src/continuation.rs
+++ b/crates/masticsill_relay/src/continuation.rs
@@ -63,7 +63,8 @@
             | Obstacle::Deadline
             | Obstacle::Held { .. }
             | Obstacle::MayNotRepeat
-            | Obstacle::Quarantined => last.name(),
+            | Obstacle::Quarantined
+            | Obstacle::Stopping => last.name(),
         }
     }
 }
--- a/crates/masticsill_relay/src/dispatch_queue.rs
+++ b/crates/masticsill_relay/src/dispatch_queue.rs
@@ -27,6 +27,7 @@
 pub(crate) enum WaitEnd {
     Refused(Overload),
     Assigned(Box<Choice>, Box<Reservation>),
+    Stopping,
 }
 
 /// Receivers of wait results, by ticket.
@@ -44,6 +45,8 @@
     NoEndpoint,
     Refused(Overload),
     Assigned(Box<Choice>, Box<Reservation>),
+    /// This relay is about to stop and could not complete the request.
+    Stopping,
 }
 
 /// Removes a request from the queue when its caller disconnects.
@@ -117,6 +120,7 @@
             note_overload(relay, request, overload, waited_ms);
             Dispatched::Refused(overload)
         }
+        Ok(WaitEnd::Stopping) => Dispatched::Stopping,
         Err(_) => Dispatched::NoEndpoint,
     }
 }
@@ -160,6 +164,12 @@
             }
             return;
         }
+        WaitOutcome::Stopping(ticket) => {
+            if let Some(waiter) = relay.waiters.borrow_mut().swap_remove(&ticket) {
+                let _ = waiter.end.send(WaitEnd::Stopping);
+            }
+            return;
+        }
         WaitOutcome::Send(ticket, choice) => (ticket, choice),
     };
     let waiter = relay.waiters.borrow_mut().swap_remove(&ticket);
--- a/crates/masticsill_relay/src/lib.rs
+++ b/crates/masticsill_relay/src/lib.rs
@@ -32,6 +32,7 @@
 mod request;
 mod request_end;
 mod request_permit;
+mod request_stage;
 mod reservation;
 mod response;
 mod retry_state;
--- a/crates/masticsill_relay/src/plain.rs
+++ b/crates/masticsill_relay/src/plain.rs
@@ -120,6 +120,7 @@
             return Err(Obstacle::Overloaded);
         }
         Dispatched::NoEndpoint => return Err(Obstacle::NoEndpoint),
+        Dispatched::Stopping => return Err(retry_state.note_stopping()),
     };
     let silence_timeout_ms = silence_timeout_ms(relay, request, retry_state, choice.candidates);
     let attempt = open(relay, request, reservation, retry_state).await?;
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -13,7 +13,7 @@
 use masticsill_control_client::{AddressBook, ControlClient};
 use masticsill_dispatch::{
     Dispatcher, Endpoint, EndpointTable, EntryCount, Failure, PriorWaitEstimator, RetryBudget,
-    ZoneShare,
+    StopLimits, ZoneShare,
 };
 use masticsill_quarantine::{CrashLedger, Fingerprint};
 use masticsill_registry::{
@@ -124,6 +124,8 @@
     /// This entry's rank among the entries of its zone.
     pub(crate) zone_share: Cell<ZoneShare>,
     pub(crate) stopping: ShutdownSignal,
+    /// Requested shortly before the relay ends: requests without any response are refused then.
+    pub(crate) ending: ShutdownSignal,
     /// Running requests under which an endpoint has crashed, and the endpoints that run them.
     pub(crate) suspect_runs: RefCell<Vec<(Fingerprint, EndpointId)>>,
     pub(crate) stream_durations: Cell<StreamDurations>,
@@ -194,6 +196,7 @@
             capacity_changed: Notify::new(),
             zone_share: Cell::new(ZoneShare::default()),
             stopping,
+            ending: ShutdownSignal::default(),
             suspect_runs: RefCell::default(),
             stream_durations: Cell::default(),
             stream_origins: RefCell::default(),
@@ -277,6 +280,18 @@
         Some(self.now().since(since))
     }
 
+    /// Begins the graceful shutdown; answers have to be complete within `serving_time`.
+    pub(crate) fn begin_stop(&self, serving_time: Duration) {
+        let now = self.now();
+        self.stopping_since.set(Some(now));
+        let serving_ms = u64::try_from(serving_time.as_millis()).unwrap_or(u64::MAX);
+        let ends_at = now + serving_ms;
+        let stream_ms = self.stream_durations.get().expected_ms();
+        let limits = StopLimits { ends_at, stream_ms };
+        self.dispatcher.borrow_mut().begin_stop(limits);
+        self.capacity_changed.notify_one();
+    }
+
     /// Records the duration of a completed stream.
     pub(crate) fn note_stream_ms(&self, took_ms: u64) {
         let mut times = self.stream_durations.get();
--- a/crates/masticsill_relay/src/request.rs
+++ b/crates/masticsill_relay/src/request.rs
@@ -10,6 +10,7 @@
 use masticsill_types::{ClockMs, Priority};
 
 use crate::config::HeaderNames;
+use crate::request_stage::RequestStage;
 
 /// The lowest priority that engines distinguish.
 const LOWEST_PRIORITY: u32 = 9;
@@ -33,6 +34,7 @@
     pub(crate) route: Arc<Route>,
     /// The service chosen among those of the route.
     pub(crate) service: String,
+    pub(crate) stage: RequestStage,
     /// The workspace that owns the caller's API key.
     pub(crate) workspace: Option<String>,
 }
--- a/crates/masticsill_relay/src/request_end.rs
+++ b/crates/masticsill_relay/src/request_end.rs
@@ -51,6 +51,7 @@
     request: &RelayRequest,
     end: PlainEnd,
 ) -> ConnectionAction {
+    request.stage.note_answering();
     match end {
         PlainEnd::Answered {
             response,
@@ -72,6 +73,7 @@
     end: StreamEnd,
     is_closing: bool,
 ) -> ConnectionAction {
+    request.stage.note_answering();
     match end {
         StreamEnd::Whole {
             endpoint,
@@ -134,6 +136,7 @@
     request: &RelayRequest,
     refusal: Refusal,
 ) -> ConnectionAction {
+    request.stage.note_answering();
     note_end(relay, request, refusal.name());
     write_refusal(
         relay,
--- a/crates/masticsill_relay/src/retry_state.rs
+++ b/crates/masticsill_relay/src/retry_state.rs
@@ -57,6 +57,8 @@
     Unreachable,
     /// No endpoint of the version that began the stream is left.
     OriginGone,
+    /// This relay is about to stop and could not complete the request.
+    Stopping,
     /// The chosen endpoint has asked for rest, or begun to leave, since it was chosen.
     Withdrawn,
 }
@@ -77,6 +79,7 @@
             Self::Quarantined => "quarantined",
             Self::Unreachable => "unreached",
             Self::OriginGone => "origin_gone",
+            Self::Stopping => "stopping",
             Self::Withdrawn => "withdrawn",
         }
     }
@@ -98,7 +101,8 @@
             | Self::Deadline
             | Self::MayNotRepeat
             | Self::Quarantined
-            | Self::OriginGone => false,
+            | Self::OriginGone
+            | Self::Stopping => false,
         }
     }
 }
@@ -126,6 +130,8 @@
     first_version: Option<String>,
     /// The dispatcher's refusal, if there was one.
     overload: Option<Overload>,
+    /// Whether the relay stopped while the request was queued.
+    is_stopped: bool,
     /// Whether the request may have run at any endpoint.
     pub(crate) may_have_run: bool,
     /// Pauses since the last run that made progress.
@@ -169,6 +175,12 @@
         self.overload = Some(overload);
     }
 
+    /// Records that the relay stops before it could complete the request; returns the obstacle.
+    pub(crate) fn note_stopping(&mut self) -> Obstacle {
+        self.is_stopped = true;
+        Obstacle::Stopping
+    }
+
     /// Records a failed attempt, and excludes its endpoint.
     pub(crate) fn note(&mut self, id: EndpointId, failure: &SendFailure) {
         self.exclude(id);
@@ -334,6 +346,9 @@
         {
             return Refusal::Quarantined { retry_after_ms };
         }
+        if !self.may_have_run && self.is_stopped && !is_over {
+            return Refusal::Stopping;
+        }
         match (self.may_have_run, is_over, self.overload) {
             (true, true, _) => Refusal::DeadlineAfterSend,
             (true, false, _) => Refusal::Broken,
--- a/crates/masticsill_relay/src/server.rs
+++ b/crates/masticsill_relay/src/server.rs
@@ -22,6 +22,8 @@
 /// Part of the grace period reserved for the exit of the process, which takes 6 ms after the last
 /// request on a fifth of a core.
 pub(crate) const SHUTDOWN_MARGIN: Duration = Duration::from_millis(450);
+/// Time reserved for writing the refusals of requests that have no response shortly before the end.
+const FINAL_REFUSAL_TIME: Duration = Duration::from_millis(250);
 /// Interval at which the end of the last request is checked for.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval at which idle connections are closed, crashes judged and gauges updated.
@@ -42,7 +44,9 @@
         () = accept(&relay, &listener) => {}
         () = relay.stopping.requested() => {}
     }
-    relay.stopping_since.set(Some(relay.now()));
+    let grace = Duration::from_millis(relay.config.grace_ms);
+    let serving_time = grace.saturating_sub(SHUTDOWN_MARGIN + FINAL_REFUSAL_TIME);
+    relay.begin_stop(serving_time);
     log_event!(
         info,
         events::RELAY_STOPPING,
@@ -50,13 +54,17 @@
         queued = relay.dispatcher.borrow().waiting()
     );
     let began = Instant::now();
+    let refusing = Rc::clone(&relay);
+    spawn_local(async move {
+        sleep(serving_time).await;
+        refusing.ending.request();
+    });
     let accept_deadline = sleep_until(began + ACCEPT_AFTER_SHUTDOWN);
     tokio::select! {
         () = accept(&relay, &listener) => {}
         () = accept_deadline => {}
     }
     drop(listener);
-    let grace = Duration::from_millis(relay.config.grace_ms);
     let end_by = began + grace.saturating_sub(SHUTDOWN_MARGIN);
     while relay.active.get() > 0 && Instant::now() < end_by {
         sleep(DRAIN_POLL_INTERVAL).await;
--- a/crates/masticsill_relay/src/stream.rs
+++ b/crates/masticsill_relay/src/stream.rs
@@ -398,6 +398,7 @@
                 Err(Obstacle::Overloaded)
             }
             Dispatched::NoEndpoint => Err(Obstacle::NoEndpoint),
+            Dispatched::Stopping => Err(self.retry_state.note_stopping()),
         }
     }
 
--- a/crates/masticsill_relay/src/stream/run.rs
+++ b/crates/masticsill_relay/src/stream/run.rs
@@ -314,6 +314,7 @@
             return BytesMut::new();
         }
         self.is_head_written = true;
+        self.request.stage.note_answering();
         let mut writer = HeadWriter::response(head.status);
         for header in &forwarded_headers(head) {
             writer.copy(header);
--- a/crates/masticsill_relay/src/stream_durations.rs
+++ b/crates/masticsill_relay/src/stream_durations.rs
@@ -20,9 +20,14 @@
         self.longest_ms = took_ms.max(decayed_ms);
     }
 
-    /// Whether a stream that starts now is expected to end within a time. A third is added to the
+    /// Expected duration of a stream that starts now, in milliseconds. A third is added to the
     /// maximum, because the stream may wait behind one prompt more.
+    pub(crate) fn expected_ms(self) -> u64 {
+        self.longest_ms + self.longest_ms / 3
+    }
+
+    /// Whether a stream that starts now is expected to end within a time.
     pub(crate) fn fits_within(self, left: Duration) -> bool {
-        Duration::from_millis(self.longest_ms + self.longest_ms / 3) <= left
+        Duration::from_millis(self.expected_ms()) <= left
     }
 }
