What relays hold of endpoints' answers has one bound for all exchanges

Cause: an event had no bound at all; bodies of 8 MiB and heads of 64 KiB were bounded each, not together; and bytes without an event counted as a sign of life, so that a stream stayed there until its deadline.

Bodies count until they are written, and long ones are no longer copied behind their heads. Events have a longest size, and silence counts from the last event.

--- a/crates/masticsill_control/src/endpoints/prompts.rs
+++ b/crates/masticsill_control/src/endpoints/prompts.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexSet;
 use masticsill_registry::{Announcement, CacheUpdate, EndpointId};
 use masticsill_types::log_event;
-use masticsill_upstream::{EndpointCall, EndpointClient};
+use masticsill_upstream::{BufferBudget, EndpointCall, EndpointClient};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -34,6 +34,9 @@
 /// How often the registry is checked for new engines.
 const DISCOVERY_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Memory for the responses of all engines while they are read.
+const BUFFER_BYTES: usize = 4 * 1024 * 1024;
+
 /// The engines that are being followed.
 type Followed = Rc<RefCell<IndexSet<EndpointId>>>;
 
@@ -41,11 +44,19 @@
 /// returns.
 pub(crate) async fn follow_prompts(endpoints: EndpointHub, feed: PromptCacheFeed) {
     let followed = Followed::default();
+    let buffers = BufferBudget::new(BUFFER_BYTES);
     loop {
         for engine in endpoints.prompt_caching_engines() {
             if followed.borrow_mut().insert(engine.id.clone()) {
+                let client = EndpointClient::new(engine.address, buffers.clone());
                 let (endpoints, feed) = (endpoints.clone(), feed.clone());
-                spawn_local(follow(endpoints, feed, engine, Rc::clone(&followed)));
+                spawn_local(follow(
+                    endpoints,
+                    feed,
+                    engine,
+                    client,
+                    Rc::clone(&followed),
+                ));
             }
         }
         sleep(DISCOVERY_INTERVAL).await;
@@ -57,12 +68,13 @@
     endpoints: EndpointHub,
     feed: PromptCacheFeed,
     engine: Announcement,
+    client: EndpointClient,
     followed: Followed,
 ) {
     let id = &engine.id;
     let mut reader = PromptCacheReader {
         feed,
-        client: EndpointClient::new(engine.address),
+        client,
         endpoints: endpoints.clone(),
         engine: id.clone(),
         listed_at: None,
--- a/crates/masticsill_relay/src/attempt.rs
+++ b/crates/masticsill_relay/src/attempt.rs
@@ -221,7 +221,7 @@
         },
         relay: Rc::clone(relay),
         reservation,
-        upstream: Some(UpstreamConnection::new(stream)),
+        upstream: Some(UpstreamConnection::new(stream, &relay.buffers)),
     };
     if relay.has_withdrawn(&attempt.endpoint().id) || !may_use_version {
         return Err(Obstacle::Withdrawn);
@@ -327,7 +327,7 @@
 pub(crate) fn failure_of(error: &ExchangeError) -> Failure {
     match error {
         ExchangeError::Connection(_) => Failure::Broken,
-        ExchangeError::Parse(_) => Failure::Malformed,
+        ExchangeError::OverBudget(_) | ExchangeError::Parse(_) => Failure::Malformed,
     }
 }
 
--- a/crates/masticsill_relay/src/copies.rs
+++ b/crates/masticsill_relay/src/copies.rs
@@ -249,7 +249,7 @@
     target: &str,
     body: &str,
 ) -> Result<BytesMut, String> {
-    let mut client = EndpointClient::new(engine.address);
+    let mut client = EndpointClient::new(engine.address, relay.buffers.clone());
     let call = EndpointCall {
         body,
         fields: &[],
--- a/crates/masticsill_relay/src/endpoint_response.rs
+++ b/crates/masticsill_relay/src/endpoint_response.rs
@@ -62,8 +62,8 @@
     let reading = attempt
         .upstream()
         .read_body(head.framing, MAX_RESPONSE_BYTES);
-    let body = match with_silence_timeout(relay, &endpoint, now, left_ms, reading).await {
-        Some(Ok(body)) => body,
+    let (body, share) = match with_silence_timeout(relay, &endpoint, now, left_ms, reading).await {
+        Some(Ok(read)) => read,
         Some(Err(error)) => {
             let cause = error.to_string();
             return Err(fail(relay, request, attempt, failure_of(&error), &cause));
@@ -112,6 +112,7 @@
     }
     let response = Response {
         body: body.freeze(),
+        _buffer_share: Some(share),
         headers: forwarded_headers(&head),
         retry_after_ms: None,
         status: head.status,
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -22,6 +22,7 @@
 use masticsill_rollout::{ConfirmedVersions, Reporter};
 use masticsill_runtime::ShutdownSignal;
 use masticsill_types::{ClockMs, MonotonicClock, NodeId, ZoneId, log_event};
+use masticsill_upstream::BufferBudget;
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, timeout_at};
 
@@ -75,6 +76,8 @@
     /// Number of requests being answered.
     pub(crate) active: Cell<u32>,
     pub(crate) stall_alerts: watch::Sender<Option<StallAlert>>,
+    /// Memory for the responses of endpoints.
+    pub(crate) buffers: BufferBudget,
     pub(crate) budgets: RefCell<IndexMap<String, RetryBudget>>,
     pub(crate) clock: MonotonicClock,
     pub(crate) config: RelayConfig,
@@ -169,6 +172,7 @@
         Self {
             active: Cell::new(0),
             stall_alerts: watch::Sender::new(None),
+            buffers: BufferBudget::new(config.buffer_bytes),
             budgets: RefCell::default(),
             clock,
             config,
--- a/crates/masticsill_relay/src/request_end.rs
+++ b/crates/masticsill_relay/src/request_end.rs
@@ -2,6 +2,7 @@
 //! open.
 
 use std::fmt::Display;
+use std::io;
 use std::rc::Rc;
 
 use masticsill_registry::EndpointId;
@@ -165,8 +166,8 @@
     writer: &mut OwnedWriteHalf,
     refusal: Refusal,
 ) -> ConnectionAction {
-    let bytes = Response::from_refusal(refusal).to_bytes(true);
-    match writer.write_all(&bytes).await {
+    let response = Response::from_refusal(refusal);
+    match write_whole(writer, &response, true).await {
         Ok(()) => ConnectionAction::Close,
         Err(_) => ConnectionAction::Abort,
     }
@@ -203,14 +204,23 @@
     is_keep_alive: bool,
 ) -> ConnectionAction {
     let is_closing = !is_keep_alive || relay.stopping.is_requested();
-    let bytes = response.to_bytes(is_closing);
-    match writer.write_all(&bytes).await {
+    match write_whole(writer, response, is_closing).await {
         Ok(()) if is_closing => ConnectionAction::Close,
         Ok(()) => ConnectionAction::Keep,
         Err(_) => ConnectionAction::Abort,
     }
 }
 
+async fn write_whole(
+    writer: &mut OwnedWriteHalf,
+    response: &Response,
+    is_closing: bool,
+) -> io::Result<()> {
+    let (head, body) = response.to_bytes(is_closing);
+    writer.write_all(&head).await?;
+    writer.write_all(&body).await
+}
+
 /// Counts the end of an admitted request.
 fn note_end(relay: &Relay, request: &RelayRequest, outcome: &'static str) {
     let kind = request.route.kind.name();
--- a/crates/masticsill_relay/src/response.rs
+++ b/crates/masticsill_relay/src/response.rs
@@ -2,11 +2,17 @@
 
 use bytes::{Bytes, BytesMut};
 use masticsill_http1::{HeadWriter, Header};
+use masticsill_upstream::BufferShare;
+
+/// Longest body that is copied behind its head, so that both take one write.
+const MAX_COPIED_BODY_BYTES: usize = 16 * 1024;
 
 /// A response whose body is known.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct Response {
     pub(crate) body: Bytes,
+    /// What the body takes of the memory for responses, returned when the response is dropped.
+    pub(crate) _buffer_share: Option<BufferShare>,
     pub(crate) headers: Vec<Header>,
     /// When the caller should retry, in milliseconds.
     pub(crate) retry_after_ms: Option<u64>,
@@ -18,13 +24,15 @@
     pub(crate) fn from_refusal(refusal: Refusal) -> Self {
         Self {
             body: Bytes::from_static(refusal.text().as_bytes()),
+            _buffer_share: None,
             headers: Vec::new(),
             retry_after_ms: refusal.retry_after_ms(),
             status: refusal.status(),
         }
     }
 
-    pub(crate) fn to_bytes(&self, is_closing: bool) -> BytesMut {
+    /// The head, followed by the body if that is short. The rest is to be written afterwards.
+    pub(crate) fn to_bytes(&self, is_closing: bool) -> (BytesMut, Bytes) {
         let mut writer = HeadWriter::response(self.status);
         for header in &self.headers {
             writer.copy(header);
@@ -37,8 +45,11 @@
             writer.field("Connection", "close");
         }
         let mut bytes = writer.finish();
+        if self.body.len() > MAX_COPIED_BODY_BYTES {
+            return (bytes, self.body.clone());
+        }
         bytes.extend_from_slice(&self.body);
-        bytes
+        (bytes, Bytes::new())
     }
 }
 
--- a/crates/masticsill_relay/src/stream/run.rs
+++ b/crates/masticsill_relay/src/stream/run.rs
@@ -25,6 +25,8 @@
 const DEFAULT_TARGET_GAP_MS: u64 = 700;
 /// Timeout of the first event, in addition to the prefill time.
 const FIRST_EVENT_BASE_TIMEOUT_MS: u64 = 3_000;
+/// Maximum size of an event: far more than an engine writes for a few tokens.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
 /// Prompt tokens that an engine is expected to prefill per millisecond while other prompts are
 /// ahead.
 const PROMPT_TOKENS_PER_MS: u64 = 3;
@@ -186,7 +188,9 @@
         loop {
             let now = self.relay.now();
             let silence_ms = if has_event {
-                self.event_gap_timeout_ms(&endpoint.id)
+                // Bytes that are no event are no sign that the run makes progress.
+                let timeout_ms = self.event_gap_timeout_ms(&endpoint.id);
+                timeout_ms.saturating_sub(now.since(last_event_at))
             } else {
                 // A run whose head arrived at the last moment gets this long for its first event.
                 first_event_deadline.since(now).max(EVENT_GAP_TIMEOUT_MS)
@@ -221,7 +225,14 @@
                             self.ensure_copy(&endpoint);
                             continue;
                         }
-                        Ok(false) => continue,
+                        Ok(false) => {
+                            let pending_bytes = splitter.pending_bytes();
+                            match attempt.upstream().hold(pending_bytes) {
+                                Ok(()) if pending_bytes <= MAX_EVENT_BYTES => continue,
+                                Ok(()) => (Failure::Malformed, "an event is too long".to_owned()),
+                                Err(error) => (failure_of(&error), error.to_string()),
+                            }
+                        }
                         Err(ForwardError::Caller(error)) => return RunEnd::CallerLeft(error),
                         Err(ForwardError::Order) => {
                             (Failure::Malformed, "events are missing".to_owned())
--- a/crates/masticsill_relay/tests/known_behind.rs
+++ b/crates/masticsill_relay/tests/known_behind.rs
@@ -22,6 +22,7 @@
 
 fn start(replica: &Replica) -> RelayRole {
     let config = RelayConfig {
+        buffer_bytes: 8 * 1024 * 1024,
         retry_budget: BudgetSettings {
             extra: 10,
             ratio: 0.5,
--- a/crates/masticsill_upstream/src/call.rs
+++ b/crates/masticsill_upstream/src/call.rs
@@ -8,6 +8,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::buffer_budget::BufferBudget;
 use crate::dial::dial;
 use crate::exchange::{ExchangeError, ExpectedResponse, UpstreamConnection};
 
@@ -33,15 +34,17 @@
 #[derive(Debug)]
 pub struct EndpointClient {
     address: SocketAddr,
+    budget: BufferBudget,
     idle_connection: Option<TcpStream>,
 }
 
 impl EndpointClient {
-    /// A client that has no connection yet.
+    /// A client that has no connection yet. Responses count towards `budget` while they are read.
     #[must_use]
-    pub fn new(address: SocketAddr) -> Self {
+    pub fn new(address: SocketAddr, budget: BufferBudget) -> Self {
         Self {
             address,
+            budget,
             idle_connection: None,
         }
     }
@@ -82,7 +85,7 @@
         stream: TcpStream,
         call: &EndpointCall<'_>,
     ) -> Result<(u16, BytesMut), ExchangeError> {
-        let mut upstream = UpstreamConnection::new(stream);
+        let mut upstream = UpstreamConnection::new(stream, &self.budget);
         let mut head = HeadWriter::request(call.method, call.target);
         head.field("Host", self.address);
         for (name, value) in call.fields {
@@ -100,7 +103,7 @@
             request_id: "",
         };
         let head = upstream.exchange(&bytes, expected).await?;
-        let body = upstream.read_body(head.framing, MAX_RESPONSE_BYTES).await?;
+        let (body, _share) = upstream.read_body(head.framing, MAX_RESPONSE_BYTES).await?;
         if head.is_keep_alive {
             self.idle_connection = upstream.into_reusable();
         }
--- a/crates/masticsill_upstream/src/exchange.rs
+++ b/crates/masticsill_upstream/src/exchange.rs
@@ -7,6 +7,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+use crate::buffer_budget::{BufferBudget, BufferShare, OverBudget};
 use crate::read::read_more;
 
 /// Maximum size of a response head.
@@ -21,10 +22,18 @@
 pub enum ExchangeError {
     /// The connection was closed or failed.
     Connection(io::Error),
+    /// The response needs more memory than is left for it.
+    OverBudget(OverBudget),
     /// The bytes received are not a valid response.
     Parse(ParseError),
 }
 
+impl From<OverBudget> for ExchangeError {
+    fn from(error: OverBudget) -> Self {
+        Self::OverBudget(error)
+    }
+}
+
 impl From<io::Error> for ExchangeError {
     fn from(error: io::Error) -> Self {
         Self::Connection(error)
@@ -41,6 +50,7 @@
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::Connection(error) => write!(formatter, "connection: {error}"),
+            Self::OverBudget(error) => write!(formatter, "answer: {error}"),
             Self::Parse(error) => write!(formatter, "answer: {error}"),
         }
     }
@@ -50,6 +60,9 @@
 #[derive(Debug)]
 pub struct UpstreamConnection {
     buffer: BytesMut,
+    budget: BufferBudget,
+    /// What is held of the budget for bytes that were received and not returned yet.
+    held: BufferShare,
     /// Whether the request has been sent completely.
     is_sent: bool,
     stream: TcpStream,
@@ -67,11 +80,14 @@
 }
 
 impl UpstreamConnection {
-    /// Starts an exchange on a connection that is not used by any other.
+    /// Starts an exchange on a connection that is not used by any other. What is held of its response
+    /// counts towards `budget`.
     #[must_use]
-    pub fn new(stream: TcpStream) -> Self {
+    pub fn new(stream: TcpStream, budget: &BufferBudget) -> Self {
         Self {
             buffer: BytesMut::with_capacity(READ_RESERVE_BYTES),
+            budget: budget.clone(),
+            held: budget.share(),
             is_sent: false,
             stream,
         }
@@ -94,7 +110,12 @@
         tokio::pin!(writing);
         let mut skipped = 0;
         loop {
-            let head = read_head(&mut reader, &mut self.buffer, expected.method);
+            let head = read_head(
+                &mut reader,
+                &mut self.buffer,
+                &mut self.held,
+                expected.method,
+            );
             let head = tokio::select! {
                 biased;
                 written = &mut writing, if !self.is_sent => {
@@ -132,25 +153,42 @@
         next_chunk(&mut self.stream, &mut self.buffer, decoder).await
     }
 
-    /// Reads the whole response body, of at most `max_bytes` bytes.
+    /// Reads the whole response body, of at most `max_bytes` bytes. It counts towards the budget until
+    /// the returned share is dropped.
     ///
     /// # Errors
     ///
-    /// As [`Self::next_chunk`]; a longer body counts as invalid.
+    /// As [`Self::next_chunk`]; a longer body counts as invalid. [`ExchangeError::OverBudget`] if the
+    /// budget has no room for the body.
     pub async fn read_body(
         &mut self,
         framing: Framing,
         max_bytes: usize,
-    ) -> Result<BytesMut, ExchangeError> {
+    ) -> Result<(BytesMut, BufferShare), ExchangeError> {
         let mut decoder = BodyDecoder::new(framing);
         let mut body = BytesMut::new();
+        let mut share = self.budget.share();
         while let Some(piece) = self.next_chunk(&mut decoder).await? {
-            body.extend_from_slice(&piece);
-            if body.len() > max_bytes {
+            let length = body.len() + piece.len();
+            if length > max_bytes {
                 return Err(ParseError::Framing.into());
             }
+            if length > body.capacity() {
+                // The former and the larger allocation exist at the same time.
+                share.resize(length * 2)?;
+            }
+            body.extend_from_slice(&piece);
         }
-        Ok(body)
+        Ok((body, share))
+    }
+
+    /// Records that the caller holds `bytes` bytes of the response besides what it has processed.
+    ///
+    /// # Errors
+    ///
+    /// [`ExchangeError::OverBudget`] if the budget has no room for them.
+    pub fn hold(&mut self, bytes: usize) -> Result<(), ExchangeError> {
+        Ok(self.held.resize(bytes)?)
     }
 
     /// The connection, if the next request may use it: the request has been sent completely and
@@ -163,12 +201,14 @@
 async fn read_head(
     reader: &mut (impl AsyncReadExt + Unpin),
     buffer: &mut BytesMut,
+    held: &mut BufferShare,
     method: &str,
 ) -> Result<ResponseHead, ExchangeError> {
     loop {
         if let Some(head) = parse_response(buffer, method, MAX_HEAD_BYTES)? {
             return Ok(head);
         }
+        held.resize(buffer.len())?;
         if !read_more(reader, buffer, READ_RESERVE_BYTES).await? {
             return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
         }
--- a/crates/masticsill_upstream/src/lib.rs
+++ b/crates/masticsill_upstream/src/lib.rs
@@ -3,12 +3,14 @@
 //!
 //! Relays forward requests with this crate, and control replicas ask engines what they have cached.
 
+mod buffer_budget;
 mod call;
 mod dial;
 mod exchange;
 mod probe;
 mod read;
 
+pub use buffer_budget::{BufferBudget, BufferShare, OverBudget};
 pub use call::{EndpointCall, EndpointClient};
 pub use dial::{configure_socket, dial};
 pub use exchange::{ExchangeError, ExpectedResponse, UpstreamConnection};
