Removed log segments can't come back with a gap between them

Evidence: storage::removed_segments_that_return_leave_no_gap, with a disk that brings removed files back, fails on the code before: Missing { file: "log-.segment" }.

Change: each removal is made durable before the next one.

--- a/crates/masticsill_quorum/src/storage.rs
+++ b/crates/masticsill_quorum/src/storage.rs
@@ -349,6 +349,9 @@
             let file = segment_name(self.segments.remove(0).sequence);
             let removed = self.disk.remove(&file);
             removed.map_err(StorageError::io("remove", &file))?;
+            // Before the next removal, so that a power loss never leaves a gap between segments.
+            let synced = self.disk.sync_removals();
+            synced.map_err(StorageError::io("sync", "."))?;
         }
         Ok(())
     }
--- a/crates/masticsill_quorum/src/storage/disk.rs
+++ b/crates/masticsill_quorum/src/storage/disk.rs
@@ -33,7 +33,8 @@
     /// The operating system's error.
     fn read(&self, file: &str) -> io::Result<Option<Vec<u8>>>;
 
-    /// Removes a file.
+    /// Removes a file. Until [`Self::sync_removals`] a power loss may bring it back, whatever became
+    /// of other files.
     ///
     /// # Errors
     ///
@@ -54,6 +55,13 @@
     /// The operating system's error.
     fn sync(&mut self, file: &str) -> io::Result<()>;
 
+    /// Makes all removals durable.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error.
+    fn sync_removals(&mut self) -> io::Result<()>;
+
     /// Truncates a file to a size in bytes and makes that durable.
     ///
     /// # Errors
@@ -195,6 +203,10 @@
         Ok(())
     }
 
+    fn sync_removals(&mut self) -> io::Result<()> {
+        self.sync_folder()
+    }
+
     fn truncate(&mut self, file: &str, size_bytes: u64) -> io::Result<()> {
         let opened = OpenOptions::new()
             .write(true)
--- a/crates/masticsill_quorum/src/storage/space_wait.rs
+++ b/crates/masticsill_quorum/src/storage/space_wait.rs
@@ -153,6 +153,10 @@
         self.disk.sync(file)
     }
 
+    fn sync_removals(&mut self) -> io::Result<()> {
+        self.disk.sync_removals()
+    }
+
     fn truncate(&mut self, file: &str, size_bytes: u64) -> io::Result<()> {
         self.sizes_bytes.swap_remove(file);
         self.disk.truncate(file, size_bytes)
--- a/crates/masticsill_quorum/tests/full_disk.rs
+++ b/crates/masticsill_quorum/tests/full_disk.rs
@@ -104,6 +104,10 @@
         Ok(())
     }
 
+    fn sync_removals(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+
     fn truncate(&mut self, _: &str, size_bytes: u64) -> io::Result<()> {
         let mut state = self.shared.lock().unwrap();
         let size = usize::try_from(size_bytes).unwrap();
--- a/crates/masticsill_quorum/tests/simulation/disk.rs
+++ b/crates/masticsill_quorum/tests/simulation/disk.rs
@@ -15,6 +15,8 @@
 #[derive(Debug, Default)]
 struct MemoryFolder {
     files: IndexMap<String, MemoryFile>,
+    /// Removed files that a power loss may bring back.
+    removed: IndexMap<String, MemoryFile>,
     is_sync_failing: bool,
 }
 
@@ -46,6 +48,17 @@
         }
     }
 
+    /// Brings back the removed files for which `returns` is true, as a power loss may.
+    pub fn restore_removed(&self, mut returns: impl FnMut(&str) -> bool) {
+        let mut folder = self.folder();
+        let removed = std::mem::take(&mut folder.removed);
+        for (name, file) in removed {
+            if returns(&name) {
+                folder.files.entry(name).or_insert(file);
+            }
+        }
+    }
+
     /// Damages a file by changing its content.
     pub fn damage(&self, file: &str, change: impl FnOnce(&mut Vec<u8>)) {
         let mut folder = self.folder();
@@ -76,7 +89,10 @@
     }
 
     fn remove(&mut self, file: &str) -> io::Result<()> {
-        self.folder().files.shift_remove(file);
+        let mut folder = self.folder();
+        if let Some(removed) = folder.files.shift_remove(file) {
+            folder.removed.insert(file.to_owned(), removed);
+        }
         Ok(())
     }
 
@@ -90,6 +106,7 @@
             synced_bytes: bytes.len(),
         };
         folder.files.insert(file.to_owned(), replaced);
+        folder.removed.clear();
         Ok(())
     }
 
@@ -103,6 +120,15 @@
         Ok(())
     }
 
+    fn sync_removals(&mut self) -> io::Result<()> {
+        let mut folder = self.folder();
+        if folder.is_sync_failing {
+            return Err(failing());
+        }
+        folder.removed.clear();
+        Ok(())
+    }
+
     fn truncate(&mut self, file: &str, size_bytes: u64) -> io::Result<()> {
         let size_bytes = usize::try_from(size_bytes).unwrap();
         self.damage(file, |bytes| bytes.truncate(size_bytes));
--- a/crates/masticsill_quorum/tests/storage.rs
+++ b/crates/masticsill_quorum/tests/storage.rs
@@ -325,11 +325,60 @@
         self.change(|disk| disk.sync(file))
     }
 
+    fn sync_removals(&mut self) -> io::Result<()> {
+        self.change(MemoryDisk::sync_removals)
+    }
+
     fn truncate(&mut self, file: &str, size_bytes: u64) -> io::Result<()> {
         self.change(|disk| disk.truncate(file, size_bytes))
     }
 }
 
+/// Guards against a power loss that brings back some of the removed segments, after which the folder
+/// is refused for good.
+#[test]
+fn removed_segments_that_return_leave_no_gap() {
+    let writes = [
+        entries(1..=6, 1),
+        snapshot(4, 1),
+        entries(7..=7, 1),
+        snapshot(7, 1),
+        entries(8..=8, 1),
+    ];
+    for changes_left in 0..30 {
+        for returning in 0..4 {
+            let disk = MemoryDisk::default();
+            let faulty = FaultyDisk {
+                changes_left,
+                disk: disk.clone(),
+            };
+            let opened = Storage::open_with_disk(Box::new(faulty), "cluster", &node(), FolderId(7));
+            let mut synced = SyncPoint(0);
+            if let Ok((mut storage, _)) = opened {
+                for (number, write) in (1..).zip(&writes) {
+                    let written = storage.write(SyncPoint(number), write);
+                    let Ok(point) = written.and_then(|()| storage.sync()) else {
+                        break;
+                    };
+                    synced = point;
+                }
+            }
+            disk.crash(|_| 0);
+            let mut position = 0;
+            disk.restore_removed(|_| {
+                position += 1;
+                returning & position != 0
+            });
+            let (_, recovered) = open(&disk).expect("the folder is accepted");
+            let snapshot = recovered.state.snapshot.map_or(LogIndex(0), |it| it.index);
+            let last = recovered.state.entries.last();
+            let last = last.map_or(snapshot, |it| it.index.max(snapshot));
+            let acknowledged = [0, 6, 6, 7, 7, 8][usize::try_from(synced.0).unwrap()];
+            assert!(last >= LogIndex(acknowledged), "{changes_left} {returning}");
+        }
+    }
+}
+
 /// A founded folder that has stored a term since, and its identity.
 fn founded_folder(disk: &MemoryDisk) -> VoterId {
     let (mut storage, mut recovered) = open(disk).unwrap();
