A stream without its engine's signature is no success

Plain answers were checked, streams not.

Evidence: event_streams::unsigned_stream_is_not_passed_on fails on the code before: the caller's head has no signature.

Change: the check is one function for both; such a run counts as malformed and the stream goes on elsewhere.

--- a/crates/masticsill_relay/src/endpoint_response.rs
+++ b/crates/masticsill_relay/src/endpoint_response.rs
@@ -19,6 +19,9 @@
 /// Status sent by an endpoint that is not the incarnation for which the request was meant.
 pub(crate) const MISDIRECTED_REQUEST: u16 = 421;
 
+/// Cause of a failed attempt whose response is a success that its endpoint did not sign.
+pub(crate) const UNSIGNED_SUCCESS: &str = "a success without a signature";
+
 /// What a response means for the request.
 pub(crate) enum Verdict {
     /// Deliver the response to the caller.
@@ -44,6 +47,12 @@
     }
 }
 
+/// Whether a response has an endpoint's signature.
+pub(crate) fn is_signed(relay: &Relay, head: &ResponseHead) -> bool {
+    let mut signatures = head.headers.all(&relay.config.headers.signature);
+    signatures.next().is_some()
+}
+
 /// Reads the rest of a response whose head has arrived.
 ///
 /// # Errors
@@ -73,11 +82,9 @@
             return Err(fail(relay, request, attempt, Failure::Silent, cause));
         }
     };
-    let names = &relay.config.headers;
-    let is_signed = head.headers.all(&names.signature).next().is_some();
-    if (200..300).contains(&head.status) && !is_signed {
-        let cause = "a success without a signature";
-        return Err(fail(relay, request, attempt, Failure::Malformed, cause));
+    if (200..300).contains(&head.status) && !is_signed(relay, &head) {
+        let failure = Failure::Malformed;
+        return Err(fail(relay, request, attempt, failure, UNSIGNED_SUCCESS));
     }
     let verdict = classify(relay, &head);
     match verdict {
--- a/crates/masticsill_relay/src/stream/run.rs
+++ b/crates/masticsill_relay/src/stream/run.rs
@@ -14,7 +14,9 @@
 use super::{NextAttempt, RunEnd, StreamRelay};
 use crate::attempt::{Attempt, RunProgress, SendFailure, exchange, fail, failure_of};
 use crate::copies::RunCopy;
-use crate::endpoint_response::{Verdict, forwarded_headers, read_response};
+use crate::endpoint_response::{
+    UNSIGNED_SUCCESS, Verdict, forwarded_headers, is_signed, read_response,
+};
 use crate::event_order::EventPosition;
 use crate::events;
 use crate::failover::{INCARNATION_REPLACED, WatchResult, WatchedAttempt};
@@ -80,6 +82,9 @@
                 Err(failure) => RunEnd::Failed(failure),
             };
         }
+        if !is_signed(relay, &head) {
+            return self.run_failed(attempt, Failure::Malformed, UNSIGNED_SUCCESS);
+        }
         self.forward_events(attempt, &head, sent_at + silence_timeout_ms)
             .await
     }
