Long bodies of callers have one bound for all requests

Cause: a body has a bound, all together have none; each is copied behind its head for each attempt.

Evidence: large_bodies on the code before: 160 MB held for 30 bodies (debug build).

Long bodies are sent from where they were read.

--- a/crates/masticsill_relay/src/caller.rs
+++ b/crates/masticsill_relay/src/caller.rs
@@ -8,7 +8,7 @@
 use masticsill_catalogue::RequestLimits;
 use masticsill_http1::{BodyDecoder, BodyStep, Framing, ParseError, RequestHead, parse_request};
 use masticsill_types::ClockMs;
-use masticsill_upstream::read_more;
+use masticsill_upstream::{BufferShare, OverBudget, read_more};
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::timeout;
@@ -47,12 +47,23 @@
     reader: OwnedReadHalf,
 }
 
+/// When to retry after a refusal for lack of memory: about the time in which a long body is read.
+const BODY_RETRY_AFTER_MS: u64 = 500;
+
 /// Why a body could not be read.
 pub(crate) enum BodyError {
     Ended,
     Refused(Refusal),
 }
 
+impl From<OverBudget> for BodyError {
+    fn from(_: OverBudget) -> Self {
+        Self::Refused(Refusal::Overloaded {
+            retry_after_ms: BODY_RETRY_AFTER_MS,
+        })
+    }
+}
+
 impl From<ParseError> for BodyError {
     fn from(_: ParseError) -> Self {
         Self::Refused(Refusal::Malformed)
@@ -136,7 +147,7 @@
         relay: &Rc<Relay>,
         writer: &mut OwnedWriteHalf,
         head: &RequestHead,
-    ) -> Result<Bytes, BodyError> {
+    ) -> Result<(Bytes, BufferShare), BodyError> {
         let limit_bytes = limits_of(relay).body_bytes;
         if matches!(head.framing, Framing::Length(length) if length > limit_bytes) {
             return Err(BodyError::Refused(Refusal::BodyTooLong));
@@ -147,10 +158,23 @@
         }
         let mut decoder = BodyDecoder::new(head.framing);
         let mut body = BytesMut::new();
+        let mut share = relay.body_buffers.share();
+        if let Framing::Length(length) = head.framing {
+            let length = usize::try_from(length).unwrap_or(usize::MAX);
+            share.resize(length)?;
+            body.reserve(length);
+        }
         loop {
             match decoder.step(&mut self.buffer)? {
-                BodyStep::Data(data) => body.extend_from_slice(&data),
-                BodyStep::End => return Ok(body.freeze()),
+                BodyStep::Data(data) => {
+                    let length = body.len() + data.len();
+                    if length > body.capacity() {
+                        // The former and the larger allocation exist at the same time.
+                        share.resize(length * 2)?;
+                    }
+                    body.extend_from_slice(&data);
+                }
+                BodyStep::End => return Ok((body.freeze(), share)),
                 BodyStep::NeedMore => {
                     let read = self.read_more().await;
                     if !read.unwrap_or(false) {
--- a/crates/masticsill_relay/src/config.rs
+++ b/crates/masticsill_relay/src/config.rs
@@ -15,6 +15,8 @@
 /// Settings of a relay.
 #[derive(Clone, Debug)]
 pub struct RelayConfig {
+    /// Memory for bodies of requests, in bytes; requests beyond it are refused.
+    pub body_buffer_bytes: usize,
     /// Memory for responses of endpoints that are read or written, in bytes; responses beyond it fail.
     pub buffer_bytes: usize,
     /// Retry budget: how many extra attempts may be made per service.
--- a/crates/masticsill_relay/src/connection.rs
+++ b/crates/masticsill_relay/src/connection.rs
@@ -80,8 +80,8 @@
         body = caller.read_body(relay, writer, &head) => body,
         refusal = final_refusal(relay, &stage) => Err(BodyError::Refused(refusal)),
     };
-    let body = match body {
-        Ok(body) => body,
+    let (body, _share) = match body {
+        Ok(read) => read,
         Err(BodyError::Refused(refusal)) => return write_final_refusal(writer, refusal).await,
         Err(BodyError::Ended) => return ConnectionAction::Abort,
     };
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -76,6 +76,8 @@
     /// Number of requests being answered.
     pub(crate) active: Cell<u32>,
     pub(crate) stall_alerts: watch::Sender<Option<StallAlert>>,
+    /// Memory for the bodies of requests.
+    pub(crate) body_buffers: BufferBudget,
     /// Memory for the responses of endpoints.
     pub(crate) buffers: BufferBudget,
     pub(crate) budgets: RefCell<IndexMap<String, RetryBudget>>,
@@ -172,6 +174,7 @@
         Self {
             active: Cell::new(0),
             stall_alerts: watch::Sender::new(None),
+            body_buffers: BufferBudget::new(config.body_buffer_bytes),
             buffers: BufferBudget::new(config.buffer_bytes),
             budgets: RefCell::default(),
             clock,
--- a/crates/masticsill_relay/src/request.rs
+++ b/crates/masticsill_relay/src/request.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use masticsill_catalogue::{Route, RouteKind};
 use masticsill_http1::{HeadWriter, Header, HeaderList, RequestHead};
 use masticsill_quarantine::Fingerprint;
@@ -11,6 +11,7 @@
 
 use crate::config::HeaderNames;
 use crate::request_stage::RequestStage;
+use crate::response::MAX_COPIED_BODY_BYTES;
 
 /// The lowest priority that engines distinguish.
 const LOWEST_PRIORITY: u32 = 9;
@@ -100,14 +101,14 @@
         counts.fold(0, u64::saturating_add)
     }
 
-    /// The bytes to send to an endpoint.
+    /// The head and the body to send to an endpoint. A short body follows its head in the first part.
     pub(crate) fn bytes_for(
         &self,
         names: &HeaderNames,
         endpoint: &Announcement,
         now: ClockMs,
         options: &SendOptions,
-    ) -> BytesMut {
+    ) -> [Bytes; 2] {
         let mut writer = HeadWriter::request(&self.head.method, &self.head.target);
         let is_forwarded = |field: &&Header| !is_managed_field(names, options, &field.name);
         for field in self.head.headers.end_to_end().filter(is_forwarded) {
@@ -136,9 +137,12 @@
         if !self.body.is_empty() || has_length(&self.head.headers) {
             writer.field("Content-Length", self.body.len());
         }
-        let mut bytes = writer.finish();
-        bytes.extend_from_slice(&self.body);
-        bytes
+        let mut head = writer.finish();
+        if self.body.len() > MAX_COPIED_BODY_BYTES {
+            return [head.freeze(), self.body.clone()];
+        }
+        head.extend_from_slice(&self.body);
+        [head.freeze(), Bytes::new()]
     }
 }
 
--- a/crates/masticsill_relay/src/response.rs
+++ b/crates/masticsill_relay/src/response.rs
@@ -5,7 +5,7 @@
 use masticsill_upstream::BufferShare;
 
 /// Longest body that is copied behind its head, so that both take one write.
-const MAX_COPIED_BODY_BYTES: usize = 16 * 1024;
+pub(crate) const MAX_COPIED_BODY_BYTES: usize = 16 * 1024;
 
 /// A response whose body is known.
 #[derive(Debug)]
--- a/crates/masticsill_relay/tests/document_fetch.rs
+++ b/crates/masticsill_relay/tests/document_fetch.rs
@@ -32,6 +32,7 @@
         let mut registry = Registry::default();
         let seeds = replicas.iter().map(|it| it.proxy.address());
         let config = RelayConfig {
+            body_buffer_bytes: 8 * 1024 * 1024,
             buffer_bytes: 8 * 1024 * 1024,
             retry_budget: BudgetSettings {
                 extra: 10,
--- a/crates/masticsill_relay/tests/known_behind.rs
+++ b/crates/masticsill_relay/tests/known_behind.rs
@@ -22,6 +22,7 @@
 
 fn start(replica: &Replica) -> RelayRole {
     let config = RelayConfig {
+        body_buffer_bytes: 8 * 1024 * 1024,
         buffer_bytes: 8 * 1024 * 1024,
         retry_budget: BudgetSettings {
             extra: 10,
--- a/crates/masticsill_relay/tests/rollouts.rs
+++ b/crates/masticsill_relay/tests/rollouts.rs
@@ -81,6 +81,7 @@
 
 fn start(replicas: &[&Replica], registry: &mut Registry) -> RelayRole {
     let config = RelayConfig {
+        body_buffer_bytes: 8 * 1024 * 1024,
         buffer_bytes: 8 * 1024 * 1024,
         retry_budget: BudgetSettings {
             extra: 100,
--- a/crates/masticsill_upstream/src/call.rs
+++ b/crates/masticsill_upstream/src/call.rs
@@ -102,7 +102,7 @@
             id_field: "",
             request_id: "",
         };
-        let head = upstream.exchange(&bytes, expected).await?;
+        let head = upstream.exchange([&bytes, &[]], expected).await?;
         let (body, _share) = upstream.read_body(head.framing, MAX_RESPONSE_BYTES).await?;
         if head.is_keep_alive {
             self.idle_connection = upstream.into_reusable();
--- a/crates/masticsill_upstream/src/exchange.rs
+++ b/crates/masticsill_upstream/src/exchange.rs
@@ -93,7 +93,7 @@
         }
     }
 
-    /// Sends a request and reads the head of its response, both at once: an endpoint may respond
+    /// Sends a request, given as its head and its body, and reads the head of its response, both at once: an endpoint may respond
     /// before it has read a long body. Responses to other requests are skipped.
     ///
     /// # Errors
@@ -102,11 +102,15 @@
     /// belong to other requests.
     pub async fn exchange(
         &mut self,
-        request: &[u8],
+        request: [&[u8]; 2],
         expected: ExpectedResponse<'_>,
     ) -> Result<ResponseHead, ExchangeError> {
         let (mut reader, mut writer) = self.stream.split();
-        let writing = writer.write_all(request);
+        let [head, body] = request;
+        let writing = async {
+            writer.write_all(head).await?;
+            writer.write_all(body).await
+        };
         tokio::pin!(writing);
         let mut skipped = 0;
         loop {
