--- a/crates/masticsill_testkit/src/process.rs
+++ b/crates/masticsill_testkit/src/process.rs
@@ -1,7 +1,7 @@
 //! Child processes under test: ready lines, signals and bounded waits.
 
 use std::ffi::OsStr;
-use std::fs::{File, OpenOptions};
+use std::fs::{self, File, OpenOptions};
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -16,6 +16,8 @@
 
 /// How long a process may take until it prints `ready`, in milliseconds.
 const READY_BOUND_MS: u64 = 30_000;
+/// How long a process may run on after SIGSTOP, in milliseconds.
+const STOPPED_BOUND_MS: u64 = 10_000;
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Kind of an address that is printed without one.
 const DEFAULT_KIND: &str = "http";
@@ -133,13 +135,19 @@
         let _ = self.child.wait();
     }
 
-    /// Stops the process where it stands (SIGSTOP).
+    /// Stops the process where it stands (SIGSTOP); returns once none of its threads runs.
     ///
     /// # Errors
     ///
     /// [`ProcessError::Io`] when the process has ended.
     pub fn pause(&mut self) -> Result<(), ProcessError> {
-        self.signal(Signal::STOP)
+        self.signal(Signal::STOP)?;
+        let threads = PathBuf::from(format!("/proc/{}/task", self.child.id()));
+        if wait_until(STOPPED_BOUND_MS, || are_stopped(&threads)) {
+            Ok(())
+        } else {
+            Err(self.fail(io::ErrorKind::TimedOut.into()))
+        }
     }
 
     /// Lets a paused process go on (SIGCONT).
@@ -311,3 +319,13 @@
     };
     Some((kind.to_owned(), address.parse().ok()?))
 }
+
+/// Whether every thread in a process's `task` folder is stopped. A thread that ends meanwhile counts as
+/// running.
+fn are_stopped(threads: &Path) -> bool {
+    let is_stopped = |thread: io::Result<fs::DirEntry>| {
+        let status = thread.and_then(|it| fs::read_to_string(it.path().join("status")));
+        status.is_ok_and(|status| status.lines().any(|line| line.starts_with("State:\tT")))
+    };
+    fs::read_dir(threads).is_ok_and(|mut threads| threads.all(is_stopped))
+}
