Calls that reach a stopped control replica are answered at once

Callers saw: an operator's call that arrives between the end of a control replica and the end of its API gets no answer, and the process stays for 5 s more.

Change: the queue is closed and emptied when the replica ends.

--- a/crates/masticsill_control/src/rpc/duty.rs
+++ b/crates/masticsill_control/src/rpc/duty.rs
@@ -72,7 +72,7 @@
     spawn_local(run_gauges(server.clone(), parts.gauges));
     spawn_local(run_proofs(server.clone()));
     spawn_local(run_outgoing(local, parts.book, parts.outgoing));
-    spawn_local(run_router(server.clone(), parts.calls));
+    spawn_local(run_router(server.clone(), parts.calls.clone()));
     tokio::select! {
         () = serve_connections(&parts.connections, server) => {}
         () = parts.ended.requested() => {}
@@ -81,6 +81,9 @@
     // replica.
     parts.connections.close();
     while parts.connections.try_pop().is_some() {}
+    // The process may still accept calls. Their callers learn that nobody answers them any more.
+    parts.calls.close();
+    while parts.calls.try_pop().is_some() {}
 }
 
 fn start_tasks(config: &ControlConfig, server: &ControlServer, local: &LocalReplica) {
--- a/crates/masticsill_control/tests/common/mod.rs
+++ b/crates/masticsill_control/tests/common/mod.rs
@@ -8,8 +8,8 @@
 use indexmap::{IndexMap, IndexSet};
 use masticsill_catalogue::{Change, ChangeAnswer, ChangeContent, EntryJson, OperatorScope};
 use masticsill_control::{
-    AddressBook, AdmissionPolicy, ControlClient, ControlConfig, ControlRole, FoundingPolicy,
-    OperatorConfig, RolloutConfig, TokenHash,
+    AddressBook, AdmissionPolicy, ControlClient, ControlConfig, ControlHandle, ControlRole,
+    FoundingPolicy, OperatorConfig, RolloutConfig, TokenHash,
 };
 use masticsill_quorum::ReplicaSettings;
 use masticsill_registry::RegistryTimeouts;
@@ -212,6 +212,10 @@
     }
 
     /// Addresses of the administration APIs of the running replicas.
+    pub fn handle(&self, name: &NodeId) -> ControlHandle {
+        self.replicas[name].role.as_ref().unwrap().handle()
+    }
+
     pub fn http_addresses(&self) -> Vec<SocketAddr> {
         let roles = self.replicas.values().map(|replica| replica.role.as_ref());
         roles.map(|role| role.unwrap().http_address()).collect()
