--- a/crates/masticsill_upstream/src/exchange.rs
+++ b/crates/masticsill_upstream/src/exchange.rs
@@ -93,8 +93,9 @@
         }
     }
 
-    /// Sends a request, given as its head and its body, and reads the head of its response, both at once: an endpoint may respond
-    /// before it has read a long body. Responses to other requests are skipped.
+    /// Sends a request, given as its head and its body, and reads the head of its response, both at
+    /// once: an endpoint may respond before it has read a long body. Responses to other requests are
+    /// skipped.
     ///
     /// # Errors
     ///
