What a stream holds of an unfinished event is counted after each read

A part that was counted for an unfinished event stayed counted after the event was complete, until the stream ended or another part came: by reading, an engine that writes events of over 16 KiB in parts would have used up the budget of responses. Counted after each read now. endless_answers, event_streams, large_bodies: 19 of 19 tests.

--- a/crates/masticsill_relay/src/stream/run.rs
+++ b/crates/masticsill_relay/src/stream/run.rs
@@ -228,16 +228,15 @@
                             self.is_copy_usable = true;
                             self.retry_state.reset_pauses();
                             self.ensure_copy(&endpoint);
-                            continue;
-                        }
-                        Ok(false) => {
-                            let pending_bytes = splitter.pending_bytes();
-                            match attempt.upstream().hold(pending_bytes) {
-                                Ok(()) if pending_bytes <= MAX_EVENT_BYTES => continue,
-                                Ok(()) => (Failure::Malformed, "an event is too long".to_owned()),
-                                Err(error) => (failure_of(&error), error.to_string()),
+                            match hold_pending(&mut attempt, &splitter) {
+                                Ok(()) => continue,
+                                Err(failed) => failed,
                             }
                         }
+                        Ok(false) => match hold_pending(&mut attempt, &splitter) {
+                            Ok(()) => continue,
+                            Err(failed) => failed,
+                        },
                         Err(ForwardError::Caller(error)) => return RunEnd::CallerLeft(error),
                         Err(ForwardError::Order) => {
                             (Failure::Malformed, "events are missing".to_owned())
@@ -382,3 +381,15 @@
     Caller(io::Error),
     Order,
 }
+
+/// Counts the bytes of an event that is not complete yet; returns why the run fails if they are too
+/// many.
+fn hold_pending(attempt: &mut Attempt, splitter: &EventSplitter) -> Result<(), (Failure, String)> {
+    let pending_bytes = splitter.pending_bytes();
+    if pending_bytes > MAX_EVENT_BYTES {
+        let cause = format!("an event has more than {MAX_EVENT_BYTES} bytes");
+        return Err((Failure::Malformed, cause));
+    }
+    let held = attempt.upstream().hold(pending_bytes);
+    held.map_err(|error| (failure_of(&error), error.to_string()))
+}
