One piece of code reads a message within a budget of memory

Bodies of requests and of responses were read by the same lines twice, which count a growing buffer towards its budget. HeldMessage does it for both. A connection no longer keeps a budget beside the share that names it.

No change of behaviour: endless_answers, large_bodies, event_streams, whole_path, at_most_once, bad_input, idempotent_retries and the tests of masticsill_upstream pass.

--- a/crates/masticsill_relay/src/caller.rs
+++ b/crates/masticsill_relay/src/caller.rs
@@ -8,7 +8,7 @@
 use masticsill_catalogue::RequestLimits;
 use masticsill_http1::{BodyDecoder, BodyStep, Framing, ParseError, RequestHead, parse_request};
 use masticsill_types::ClockMs;
-use masticsill_upstream::{BufferShare, OverBudget, read_more};
+use masticsill_upstream::{BufferShare, HeldMessage, OverBudget, read_more};
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time::timeout;
@@ -157,24 +157,21 @@
             go_on.map_err(|_| BodyError::Ended)?;
         }
         let mut decoder = BodyDecoder::new(head.framing);
-        let mut body = BytesMut::new();
-        let mut share = relay.body_buffers.share();
+        let mut body = HeldMessage::new(relay.body_buffers.share());
+        let mut length_bytes = 0;
         if let Framing::Length(length) = head.framing {
-            let length = usize::try_from(length).unwrap_or(usize::MAX);
-            share.resize(length)?;
-            body.reserve(length);
+            body.reserve(usize::try_from(length).unwrap_or(usize::MAX))?;
         }
         loop {
             match decoder.step(&mut self.buffer)? {
                 BodyStep::Data(data) => {
-                    let length = body.len() + data.len();
-                    if length > body.capacity() {
-                        // The former and the larger allocation exist at the same time.
-                        share.resize(length * 2)?;
-                    }
-                    body.extend_from_slice(&data);
+                    length_bytes += data.len() as u64;
+                    body.extend(&data)?;
+                }
+                BodyStep::End => {
+                    let (body, share) = body.into_parts();
+                    return Ok((body.freeze(), share));
                 }
-                BodyStep::End => return Ok((body.freeze(), share)),
                 BodyStep::NeedMore => {
                     let read = self.read_more().await;
                     if !read.unwrap_or(false) {
@@ -182,7 +179,7 @@
                     }
                 }
             }
-            if body.len() as u64 > limit_bytes {
+            if length_bytes > limit_bytes {
                 return Err(BodyError::Refused(Refusal::BodyTooLong));
             }
         }
--- a/crates/masticsill_upstream/src/buffer_budget.rs
+++ b/crates/masticsill_upstream/src/buffer_budget.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use bytes::BytesMut;
 use thiserror::Error;
 
 /// Bytes that each exchange may hold without a part of the budget: more than usual responses have.
@@ -68,6 +69,11 @@
 }
 
 impl BufferShare {
+    /// Another share of the same budget that holds nothing yet.
+    pub(crate) fn sibling(&self) -> Self {
+        self.budget.share()
+    }
+
     /// Records that the exchange holds `held_bytes` bytes now.
     ///
     /// # Errors
@@ -113,3 +119,53 @@
         self.record(0);
     }
 }
+
+/// A message that is read piece by piece, and counts towards a budget while it is held.
+#[derive(Debug)]
+pub struct HeldMessage {
+    bytes: BytesMut,
+    share: BufferShare,
+}
+
+impl HeldMessage {
+    /// An empty message that counts towards the budget of `share`.
+    #[must_use]
+    pub fn new(share: BufferShare) -> Self {
+        Self {
+            bytes: BytesMut::new(),
+            share,
+        }
+    }
+
+    /// Makes room for a message of a known length.
+    ///
+    /// # Errors
+    ///
+    /// [`OverBudget`] if the message does not fit.
+    pub fn reserve(&mut self, length_bytes: usize) -> Result<(), OverBudget> {
+        self.share.resize(length_bytes)?;
+        self.bytes.reserve(length_bytes);
+        Ok(())
+    }
+
+    /// Appends a piece.
+    ///
+    /// # Errors
+    ///
+    /// [`OverBudget`] if the message no longer fits.
+    pub fn extend(&mut self, piece: &[u8]) -> Result<(), OverBudget> {
+        let length_bytes = self.bytes.len() + piece.len();
+        if length_bytes > self.bytes.capacity() {
+            // The former and the larger allocation exist at the same time.
+            self.share.resize(length_bytes * 2)?;
+        }
+        self.bytes.extend_from_slice(piece);
+        Ok(())
+    }
+
+    /// The bytes, and the share that has to be kept as long as they are.
+    #[must_use]
+    pub fn into_parts(self) -> (BytesMut, BufferShare) {
+        (self.bytes, self.share)
+    }
+}
--- a/crates/masticsill_upstream/src/exchange.rs
+++ b/crates/masticsill_upstream/src/exchange.rs
@@ -7,7 +7,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::buffer_budget::{BufferBudget, BufferShare, OverBudget};
+use crate::buffer_budget::{BufferBudget, BufferShare, HeldMessage, OverBudget};
 use crate::read::read_more;
 
 /// Maximum size of a response head.
@@ -60,7 +60,6 @@
 #[derive(Debug)]
 pub struct UpstreamConnection {
     buffer: BytesMut,
-    budget: BufferBudget,
     /// What is held of the budget for bytes that were received and not returned yet.
     held: BufferShare,
     /// Whether the request has been sent completely.
@@ -86,16 +85,14 @@
     pub fn new(stream: TcpStream, budget: &BufferBudget) -> Self {
         Self {
             buffer: BytesMut::with_capacity(READ_RESERVE_BYTES),
-            budget: budget.clone(),
             held: budget.share(),
             is_sent: false,
             stream,
         }
     }
 
-    /// Sends a request, given as its head and its body, and reads the head of its response, both at
-    /// once: an endpoint may respond before it has read a long body. Responses to other requests are
-    /// skipped.
+    /// Sends a request, given in two parts, and reads the head of its response, both at once: an
+    /// endpoint may respond before it has read a long body. Responses to other requests are skipped.
     ///
     /// # Errors
     ///
@@ -107,10 +104,10 @@
         expected: ExpectedResponse<'_>,
     ) -> Result<ResponseHead, ExchangeError> {
         let (mut reader, mut writer) = self.stream.split();
-        let [head, body] = request;
+        let [first, second] = request;
         let writing = async {
-            writer.write_all(head).await?;
-            writer.write_all(body).await
+            writer.write_all(first).await?;
+            writer.write_all(second).await
         };
         tokio::pin!(writing);
         let mut skipped = 0;
@@ -171,20 +168,16 @@
         max_bytes: usize,
     ) -> Result<(BytesMut, BufferShare), ExchangeError> {
         let mut decoder = BodyDecoder::new(framing);
-        let mut body = BytesMut::new();
-        let mut share = self.budget.share();
+        let mut body = HeldMessage::new(self.held.sibling());
+        let mut length_bytes = 0;
         while let Some(piece) = self.next_chunk(&mut decoder).await? {
-            let length = body.len() + piece.len();
-            if length > max_bytes {
+            length_bytes += piece.len();
+            if length_bytes > max_bytes {
                 return Err(ParseError::Framing.into());
             }
-            if length > body.capacity() {
-                // The former and the larger allocation exist at the same time.
-                share.resize(length * 2)?;
-            }
-            body.extend_from_slice(&piece);
+            body.extend(&piece)?;
         }
-        Ok((body, share))
+        Ok(body.into_parts())
     }
 
     /// Records that the caller holds `bytes` bytes of the response besides what it has processed.
--- a/crates/masticsill_upstream/src/lib.rs
+++ b/crates/masticsill_upstream/src/lib.rs
@@ -10,7 +10,7 @@
 mod probe;
 mod read;
 
-pub use buffer_budget::{BufferBudget, BufferShare, OverBudget};
+pub use buffer_budget::{BufferBudget, BufferShare, HeldMessage, OverBudget};
 pub use call::{EndpointCall, EndpointClient};
 pub use dial::{configure_socket, dial};
 pub use exchange::{ExchangeError, ExpectedResponse, UpstreamConnection};
