One rule says when a body is copied behind its head

Requests to endpoints and responses to callers had the same lines; HeadWriter::finish_with serves both.

--- a/crates/masticsill_http1/src/write.rs
+++ b/crates/masticsill_http1/src/write.rs
@@ -2,10 +2,13 @@
 
 use std::fmt::{Display, Write};
 
-use bytes::{BufMut, BytesMut};
+use bytes::{BufMut, Bytes, BytesMut};
 
 use crate::headers::Header;
 
+/// Longest body that is copied behind its head, so that both take one write.
+const MAX_COPIED_BODY_BYTES: usize = 16 * 1024;
+
 /// Writes a head line by line.
 #[derive(Debug)]
 pub struct HeadWriter {
@@ -58,6 +61,18 @@
         self.buffer.put_slice(b"\r\n");
         self.buffer
     }
+
+    /// Ends the head of a message with this body; returns the two parts to be written in turn. A short
+    /// body is copied into the first part, and the second one is empty.
+    #[must_use]
+    pub fn finish_with(self, body: &Bytes) -> [Bytes; 2] {
+        let mut head = self.finish();
+        if body.len() > MAX_COPIED_BODY_BYTES {
+            return [head.freeze(), body.clone()];
+        }
+        head.extend_from_slice(body);
+        [head.freeze(), Bytes::new()]
+    }
 }
 
 /// Writes one chunk. Empty `data` writes nothing, because an empty chunk would end the body.
--- a/crates/masticsill_relay/src/attempt.rs
+++ b/crates/masticsill_relay/src/attempt.rs
@@ -251,7 +251,7 @@
     options: &SendOptions,
 ) -> Result<ResponseHead, ExchangeError> {
     let names = &relay.config.headers;
-    let [head, body] = request.bytes_for(
+    let [first, second] = request.bytes_for(
         names,
         attempt.endpoint(),
         attempt.progress.began_at,
@@ -264,7 +264,7 @@
     };
     let head = attempt
         .upstream()
-        .exchange([&head, &body], expected)
+        .exchange([&first, &second], expected)
         .await?;
     relay.record_received(&attempt.endpoint().id);
     relay.note_answer(&attempt.endpoint().id, head.status);
--- a/crates/masticsill_relay/src/request.rs
+++ b/crates/masticsill_relay/src/request.rs
@@ -11,7 +11,6 @@
 
 use crate::config::HeaderNames;
 use crate::request_stage::RequestStage;
-use crate::response::MAX_COPIED_BODY_BYTES;
 
 /// The lowest priority that engines distinguish.
 const LOWEST_PRIORITY: u32 = 9;
@@ -101,7 +100,7 @@
         counts.fold(0, u64::saturating_add)
     }
 
-    /// The head and the body to send to an endpoint. A short body follows its head in the first part.
+    /// The two parts to send to an endpoint in turn.
     pub(crate) fn bytes_for(
         &self,
         names: &HeaderNames,
@@ -137,12 +136,7 @@
         if !self.body.is_empty() || has_length(&self.head.headers) {
             writer.field("Content-Length", self.body.len());
         }
-        let mut head = writer.finish();
-        if self.body.len() > MAX_COPIED_BODY_BYTES {
-            return [head.freeze(), self.body.clone()];
-        }
-        head.extend_from_slice(&self.body);
-        [head.freeze(), Bytes::new()]
+        writer.finish_with(&self.body)
     }
 }
 
--- a/crates/masticsill_relay/src/request_end.rs
+++ b/crates/masticsill_relay/src/request_end.rs
@@ -216,9 +216,10 @@
     response: &Response,
     is_closing: bool,
 ) -> io::Result<()> {
-    let (head, body) = response.to_bytes(is_closing);
-    writer.write_all(&head).await?;
-    writer.write_all(&body).await
+    for part in response.to_bytes(is_closing) {
+        writer.write_all(&part).await?;
+    }
+    Ok(())
 }
 
 /// Counts the end of an admitted request.
--- a/crates/masticsill_relay/src/response.rs
+++ b/crates/masticsill_relay/src/response.rs
@@ -1,12 +1,9 @@
 //! Complete responses to callers: those of endpoints, and the relay's own.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use masticsill_http1::{HeadWriter, Header};
 use masticsill_upstream::BufferShare;
 
-/// Longest body that is copied behind its head, so that both take one write.
-pub(crate) const MAX_COPIED_BODY_BYTES: usize = 16 * 1024;
-
 /// A response whose body is known.
 #[derive(Debug)]
 pub(crate) struct Response {
@@ -31,8 +28,8 @@
         }
     }
 
-    /// The head, followed by the body if that is short. The rest is to be written afterwards.
-    pub(crate) fn to_bytes(&self, is_closing: bool) -> (BytesMut, Bytes) {
+    /// The two parts to be written in turn.
+    pub(crate) fn to_bytes(&self, is_closing: bool) -> [Bytes; 2] {
         let mut writer = HeadWriter::response(self.status);
         for header in &self.headers {
             writer.copy(header);
@@ -44,12 +41,7 @@
         if is_closing {
             writer.field("Connection", "close");
         }
-        let mut bytes = writer.finish();
-        if self.body.len() > MAX_COPIED_BODY_BYTES {
-            return (bytes, self.body.clone());
-        }
-        bytes.extend_from_slice(&self.body);
-        (bytes, Bytes::new())
+        writer.finish_with(&self.body)
     }
 }
 
