Waits in the queue end in one place

Each outcome of a wait took its waiter out of the list and sent an end by itself; a third one had been added with the planned stop. The waiter is taken out once, and the outcome only decides what is sent.

No change of behaviour: tests of masticsill_dispatch, masticsill_relay, and of the platform's endless_answers, event_streams, planned_stops, stated_limits, draining pass.

--- a/crates/masticsill_relay/src/dispatch_queue.rs
+++ b/crates/masticsill_relay/src/dispatch_queue.rs
@@ -151,37 +151,26 @@
 }
 
 fn end_wait(relay: &Rc<Relay>, ended: WaitOutcome) {
-    let (ticket, choice) = match ended {
-        WaitOutcome::NoEndpoint(ticket) => {
-            // The waiting task learns of it from the dropped sender.
-            relay.waiters.borrow_mut().swap_remove(&ticket);
-            return;
-        }
-        WaitOutcome::Refuse(ticket, overload) => {
-            if let Some(waiter) = relay.waiters.borrow_mut().swap_remove(&ticket) {
-                // The send fails only if the caller has just disconnected.
-                let _ = waiter.end.send(WaitEnd::Refused(overload));
-            }
-            return;
-        }
-        WaitOutcome::Stopping(ticket) => {
-            if let Some(waiter) = relay.waiters.borrow_mut().swap_remove(&ticket) {
-                let _ = waiter.end.send(WaitEnd::Stopping);
-            }
-            return;
+    let waiter = relay.waiters.borrow_mut().swap_remove(&ended.ticket());
+    let Some(Waiter { end, load }) = waiter else {
+        return;
+    };
+    let wait_end = match ended {
+        // The waiting task learns of it from the dropped sender.
+        WaitOutcome::NoEndpoint(_) => return,
+        WaitOutcome::Refuse(_, overload) => WaitEnd::Refused(overload),
+        WaitOutcome::Send(_, choice) => {
+            let Some(endpoint) = announcement_of(relay, &choice) else {
+                return;
+            };
+            let reservation = Reservation::take(relay, endpoint, load);
+            WaitEnd::Assigned(Box::new(choice), Box::new(reservation))
         }
-        WaitOutcome::Send(ticket, choice) => (ticket, choice),
+        WaitOutcome::Stopping(_) => WaitEnd::Stopping,
     };
-    let waiter = relay.waiters.borrow_mut().swap_remove(&ticket);
-    let endpoint = announcement_of(relay, &choice);
-    if let (Some(waiter), Some(endpoint)) = (waiter, endpoint) {
-        let reservation = Reservation::take(relay, endpoint, waiter.load);
-        // If the caller has just disconnected, the failed send drops the reservation, which frees
-        // it.
-        let _ = waiter
-            .end
-            .send(WaitEnd::Assigned(Box::new(choice), Box::new(reservation)));
-    }
+    // The send fails only if the caller has just disconnected. It then drops a reservation, which
+    // frees it.
+    let _ = end.send(wait_end);
 }
 
 fn dispatch_context<'a>(
