--- a/crates/masticsill_relay/src/stream/run.rs
+++ b/crates/masticsill_relay/src/stream/run.rs
@@ -217,26 +217,24 @@
                     splitter.push(&piece);
                     let forwarded = self.forward_complete_events(&mut splitter, head, &endpoint);
                     match forwarded.await {
-                        Ok(true) => {
-                            self.reached_ms = attempt.note_event();
-                            self.relay.note_progress(self.request, self.reached_ms);
-                            if has_event {
-                                self.relay.note_event_gap(&endpoint.id, gap_ms);
+                        Ok(has_new_event) => {
+                            if has_new_event {
+                                self.reached_ms = attempt.note_event();
+                                self.relay.note_progress(self.request, self.reached_ms);
+                                if has_event {
+                                    self.relay.note_event_gap(&endpoint.id, gap_ms);
+                                }
+                                has_event = true;
+                                last_event_at = self.relay.now();
+                                self.is_copy_usable = true;
+                                self.retry_state.reset_pauses();
+                                self.ensure_copy(&endpoint);
                             }
-                            has_event = true;
-                            last_event_at = self.relay.now();
-                            self.is_copy_usable = true;
-                            self.retry_state.reset_pauses();
-                            self.ensure_copy(&endpoint);
                             match hold_pending(&mut attempt, &splitter) {
                                 Ok(()) => continue,
                                 Err(failed) => failed,
                             }
                         }
-                        Ok(false) => match hold_pending(&mut attempt, &splitter) {
-                            Ok(()) => continue,
-                            Err(failed) => failed,
-                        },
                         Err(ForwardError::Caller(error)) => return RunEnd::CallerLeft(error),
                         Err(ForwardError::Order) => {
                             (Failure::Malformed, "events are missing".to_owned())
