--- a/crates/masticsill_control/src/quorum/request.rs
+++ b/crates/masticsill_control/src/quorum/request.rs
@@ -115,7 +115,7 @@
 
 impl Standing {
     pub(crate) fn of(replica: &Replica, now: ClockMs) -> Self {
-        if replica.membership().is_member(replica.id()) && replica.is_in_contact(now) {
+        if replica.membership().is_member(replica.id()) && replica.has_recent_leader_contact(now) {
             Self::Member
         } else {
             Self::Uncertain
--- a/crates/masticsill_quorum/src/candidate.rs
+++ b/crates/masticsill_quorum/src/candidate.rs
@@ -14,8 +14,10 @@
         (self.log.last_term(), self.log.last_index())
     }
 
-    /// Whether a leader was heard from so recently that its lease may still be valid.
-    pub(crate) fn has_recent_leader_contact(&self, now: ClockMs) -> bool {
+    /// Whether this replica leads, or has heard from a leader within the shortest election timeout, so
+    /// that the leader's lease may still be valid.
+    #[must_use]
+    pub fn has_recent_leader_contact(&self, now: ClockMs) -> bool {
         matches!(self.role, RoleState::Leader(_))
             || now.since(self.leader_heard_at) < self.settings.election_min_ms
     }
--- a/crates/masticsill_quorum/src/replica.rs
+++ b/crates/masticsill_quorum/src/replica.rs
@@ -149,12 +149,6 @@
         self.leader.as_ref()
     }
 
-    /// Whether this replica leads, or has heard from a leader within the shortest election timeout.
-    #[must_use]
-    pub fn is_in_contact(&self, now: ClockMs) -> bool {
-        self.has_recent_leader_contact(now)
-    }
-
     /// The replica's role. A leader's lease may have expired since the last step: check
     /// [`Self::lease_confirmed_at`].
     #[must_use]
