--- a/crates/masticsill_testkit/src/lib.rs
+++ b/crates/masticsill_testkit/src/lib.rs
@@ -19,7 +19,8 @@
 pub use engine_process::{EngineProcess, EngineProcessSettings};
 pub use events::ServerEvent;
 pub use process::{
-    ProcessError, ProcessUnderTest, built_binary, built_example, wait_until, write_settings,
+    ProcessError, ProcessUnderTest, built_binary, built_example, has_stopped, wait_until,
+    write_settings,
 };
 pub use proxy::{Direction, FaultProxy, ProxyMode};
 pub use service::{FakeService, ServiceSettings, ServiceStats};
--- a/crates/masticsill_testkit/src/process.rs
+++ b/crates/masticsill_testkit/src/process.rs
@@ -142,8 +142,8 @@
     /// [`ProcessError::Io`] when the process has ended.
     pub fn pause(&mut self) -> Result<(), ProcessError> {
         self.signal(Signal::STOP)?;
-        let threads = PathBuf::from(format!("/proc/{}/task", self.child.id()));
-        if wait_until(STOPPED_BOUND_MS, || are_stopped(&threads)) {
+        let id = self.child.id();
+        if wait_until(STOPPED_BOUND_MS, || has_stopped(id)) {
             Ok(())
         } else {
             Err(self.fail(io::ErrorKind::TimedOut.into()))
@@ -320,12 +320,14 @@
     Some((kind.to_owned(), address.parse().ok()?))
 }
 
-/// Whether every thread in a process's `task` folder is stopped. A thread that ends meanwhile counts as
-/// running.
-fn are_stopped(threads: &Path) -> bool {
+/// Whether no thread of a process runs after SIGSTOP. On a busy machine threads go on for some
+/// milliseconds after the signal. A thread that ends meanwhile counts as running.
+#[must_use]
+pub fn has_stopped(process_id: u32) -> bool {
     let is_stopped = |thread: io::Result<fs::DirEntry>| {
         let status = thread.and_then(|it| fs::read_to_string(it.path().join("status")));
         status.is_ok_and(|status| status.lines().any(|line| line.starts_with("State:\tT")))
     };
-    fs::read_dir(threads).is_ok_and(|mut threads| threads.all(is_stopped))
+    let threads = fs::read_dir(format!("/proc/{process_id}/task"));
+    threads.is_ok_and(|mut threads| threads.all(is_stopped))
 }
