A replica that stops leaves the quorum by a task of its own

The request to leave went through the queue of callers' calls, which forwarders serve as well, so that they had to answer a call that can't reach them. A task beside those of admission and removal waits for the stop instead, and tells when the leader has answered. Only quorums that maintain their members run it, as before.

--- a/crates/masticsill_control/src/admission.rs
+++ b/crates/masticsill_control/src/admission.rs
@@ -13,6 +13,7 @@
 
 use masticsill_control_client::ControlUnavailable;
 use masticsill_quorum::LogIndex;
+use masticsill_runtime::ShutdownSignal;
 use masticsill_types::{NodeId, OperatorId, log_event};
 use masticsill_wire::control::{
     ReadAnswer, ReadRequest, ReplicaAction, ReplicaAnswer, ReplicaChange, ReplicaIdentity,
@@ -32,11 +33,20 @@
 /// Operator recorded in the audit trail.
 const OPERATOR: &str = "quorum";
 
+/// The departure of a replica that is about to stop.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Departure {
+    /// Requested when the replica is to leave the quorum; it asks for no admission afterwards.
+    pub(crate) leaving: ShutdownSignal,
+    /// Requested once the leader has answered, or could not be asked.
+    pub(crate) answered: ShutdownSignal,
+}
+
 /// Keeps this replica a member of the quorum: requests admission whenever it is not one.
 pub(crate) async fn run_admission(server: ControlServer, node: NodeId, address: SocketAddr) {
     loop {
         tokio::time::sleep(REQUEST_INTERVAL).await;
-        if server.leaving.is_requested() {
+        if server.quorum.departure.leaving.is_requested() {
             return;
         }
         let status = server.quorum.status();
@@ -124,15 +134,17 @@
     }
 }
 
-/// Asks the leader to remove this replica, which is about to stop, unless it is needed as a voter.
-pub(crate) async fn leave_quorum(
-    server: &ControlServer,
-) -> Result<ReplicaAnswer, ControlUnavailable> {
-    server.leaving.request();
+/// Waits until this replica is about to stop, and asks the leader to remove it unless it is needed as
+/// a voter.
+pub(crate) async fn run_departure(server: ControlServer) {
+    server.quorum.departure.leaving.requested().await;
+    leave_quorum(&server).await;
+    server.quorum.departure.answered.request();
+}
+
+async fn leave_quorum(server: &ControlServer) {
     let Some((own, _)) = server.quorum.ask_any(Request::Identify).await else {
-        return Err(ControlUnavailable {
-            is_outcome_unknown: false,
-        });
+        return;
     };
     let change = ReplicaChange {
         action: ReplicaAction::Leave {
@@ -152,7 +164,6 @@
         folder = own.folder,
         outcome = outcome
     );
-    answer
 }
 
 fn describe(answer: &Result<ReplicaAnswer, ControlUnavailable>) -> String {
--- a/crates/masticsill_control/src/forwarder/calls.rs
+++ b/crates/masticsill_control/src/forwarder/calls.rs
@@ -34,12 +34,6 @@
         Forward::Document(change, reply_to) => {
             let _ = reply_to.send(client.put_document(&change, timeout_ms).await);
         }
-        Forward::Leave(reply_to) => {
-            // A forwarder is no member of the quorum.
-            let _ = reply_to.send(Err(ControlUnavailable {
-                is_outcome_unknown: false,
-            }));
-        }
         Forward::OrderRollout(_, reply_to) if pauses.has_just_resumed() => {
             let refused = ControlUnavailable {
                 is_outcome_unknown: false,
--- a/crates/masticsill_control/src/quorum/request.rs
+++ b/crates/masticsill_control/src/quorum/request.rs
@@ -13,6 +13,8 @@
 use tokio::sync::{oneshot, watch};
 use tokio::time::timeout;
 
+use crate::admission::Departure;
+
 const OVERLOADED_RETRY_AFTER_MS: u64 = 200;
 /// Longest wait for the quorum duty; after that the outcome of a command is unknown.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
@@ -156,6 +158,8 @@
 /// Handle through which other duties send requests to the quorum duty.
 #[derive(Clone, Debug)]
 pub(crate) struct QuorumHandle {
+    /// The departure of this replica from the quorum, if it is about to stop.
+    pub(crate) departure: Departure,
     /// Messages of other replicas; in a separate queue, so that many callers can't delay
     /// heartbeats.
     pub(crate) messages: Ring<Envelope>,
--- a/crates/masticsill_control/src/role.rs
+++ b/crates/masticsill_control/src/role.rs
@@ -14,9 +14,9 @@
 use masticsill_types::{MonotonicClock, log_event};
 use masticsill_wire::control::{RenewReply, RenewRequest};
 use prometheus_client::registry::Registry;
-use tokio::sync::oneshot::error::TryRecvError;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::watch;
 
+use crate::admission::Departure;
 use crate::config::ControlConfig;
 use crate::document_pieces::{DocumentPieces, run_splitting};
 use crate::endpoints::{EndpointHub, read_endpoints, read_origins, run_persistence};
@@ -30,7 +30,7 @@
     DutyParts, Job, PublishedState, QuorumDuty, QuorumHandle, Request, StateMachine, Status,
     StorageProgress, StorageQueue, run_storage,
 };
-use crate::rpc::{self, Forward, RpcParts};
+use crate::rpc::{self, RpcParts};
 use crate::unreadable::UnreadableMessages;
 
 const REQUEST_QUEUE_CAPACITY: usize = 8_192;
@@ -68,6 +68,13 @@
     }
 }
 
+/// The replicas of the settings.
+fn address_book(config: &ControlConfig) -> AddressBook {
+    let book = AddressBook::from_settings(config.peers.clone());
+    book.add_seeds(config.seeds.iter().copied());
+    book
+}
+
 /// The registry of endpoints, with the records that the former process persisted.
 fn restored_endpoints(
     config: &ControlConfig,
@@ -110,8 +117,7 @@
         let node = config.node.clone();
         let (storage, recovered) = Storage::open(&config.data_folder, &config.cluster, &node)?;
         let space_wait_canceller = storage.space_wait_canceller();
-        let book = AddressBook::from_settings(config.peers.clone());
-        book.add_seeds(config.seeds.iter().copied());
+        let book = address_book(config);
         let requests = Ring::with_capacity(REQUEST_QUEUE_CAPACITY);
         let messages = Ring::with_capacity(MESSAGE_QUEUE_CAPACITY);
         let jobs = Ring::with_capacity(STORAGE_QUEUE_CAPACITY);
@@ -137,6 +143,7 @@
             target_voters: config.admission.target_voters(),
         })?;
         let quorum = QuorumHandle {
+            departure: Departure::default(),
             messages,
             requests,
             status: status_receiver,
@@ -317,12 +324,9 @@
         if !status.voters.includes_self || !self.target_voters.is_some_and(is_surplus) {
             return;
         }
-        let (reply_to, mut reply) = oneshot::channel();
-        if self.handle.calls.push(Forward::Leave(reply_to)).is_err() {
-            return;
-        }
+        self.quorum.departure.leaving.request();
         let deadline = Instant::now() + LEAVE_TIMEOUT;
-        while reply.try_recv() == Err(TryRecvError::Empty) && Instant::now() < deadline {
+        while !self.quorum.departure.answered.is_requested() && Instant::now() < deadline {
             thread::sleep(POLL_INTERVAL);
         }
     }
--- a/crates/masticsill_control/src/rpc/duty.rs
+++ b/crates/masticsill_control/src/rpc/duty.rs
@@ -16,7 +16,7 @@
 use super::peers::{LocalReplica, run_outgoing, run_proofs};
 use super::router::{Forward, run_router};
 use super::service::ControlServer;
-use crate::admission::{run_admission, run_member_removal};
+use crate::admission::{run_admission, run_departure, run_member_removal};
 use crate::config::{AdmissionPolicy, ControlConfig, FoundingPolicy};
 use crate::document_pieces::DocumentPieces;
 use crate::endpoints::{EndpointHub, follow_prompts, run_exchange, run_judgements};
@@ -59,7 +59,6 @@
         evidence: ReceivedEvidence::default(),
         first_seeds: config.seeds.clone().into(),
         lease_ms: config.replica.lease_ms,
-        leaving: ShutdownSignal::default(),
         node: config.node.clone(),
         pauses: Pauses::new(parts.clock),
         published: parts.published,
@@ -122,6 +121,7 @@
         AdmissionPolicy::Quorum { .. } => {
             let (node, address) = (config.node.clone(), config.rpc_address);
             spawn_local(run_admission(server.clone(), node, address));
+            spawn_local(run_departure(server.clone()));
             spawn_local(run_member_removal(server.clone()));
         }
     }
--- a/crates/masticsill_control/src/rpc/router.rs
+++ b/crates/masticsill_control/src/rpc/router.rs
@@ -12,7 +12,6 @@
 use tokio::sync::oneshot;
 
 use super::service::ControlServer;
-use crate::admission::leave_quorum;
 
 /// Timeout of a forwarded call including its retries, in milliseconds.
 pub(crate) const FORWARD_TIMEOUT_MS: u64 = 5_000;
@@ -27,7 +26,6 @@
     Change(ChangeRequest, ForwardReply<ChangeAnswer>),
     Depart(EndpointId, ForwardReply<()>),
     Document(DocumentChange, ForwardReply<DocumentAnswer>),
-    Leave(ForwardReply<ReplicaAnswer>),
     OrderRollout(RolloutRequest, ForwardReply<RolloutAnswer>),
     Read(ReadRequest, ForwardReply<ReadAnswer>),
     Replicas(ReplicaChange, ForwardReply<ReplicaAnswer>),
@@ -62,9 +60,6 @@
             let forwarded = client.put_document(&change, timeout_ms);
             let _ = reply_to.send(done_or_forwarded(local_reply, forwarded).await);
         }
-        Forward::Leave(reply_to) => {
-            let _ = reply_to.send(leave_quorum(&server).await);
-        }
         Forward::OrderRollout(request, mut reply_to) => {
             // An order whose caller has gone is abandoned: it may be one that was held up on its
             // way, and the caller has sent it to another process since.
--- a/crates/masticsill_control/src/rpc/service.rs
+++ b/crates/masticsill_control/src/rpc/service.rs
@@ -16,7 +16,6 @@
     OriginReply, PromptPart, StreamRecord, Watcher,
 };
 use masticsill_rollout::EvidenceReport;
-use masticsill_runtime::ShutdownSignal;
 use masticsill_types::{MonotonicClock, NodeId, log_event};
 use masticsill_wire::control::{
     ChangeRequest, ControlReply, ControlService, Directory, DocumentChange, FoundingProposal,
@@ -50,8 +49,6 @@
     /// The configured seeds, which are the same in every process when the cluster is first started.
     pub(crate) first_seeds: Arc<[SocketAddr]>,
     pub(crate) lease_ms: u64,
-    /// Requested when this replica leaves the quorum to stop; it asks for no admission afterwards.
-    pub(crate) leaving: ShutdownSignal,
     pub(crate) node: NodeId,
     pub(crate) pauses: Pauses,
     pub(crate) published: PublishedState,
