A torn last record may have lost any of its parts

Seen: a control replica refuses its folder at each start, `log-N.segment` is corrupt, "the record's length fails its checksum", after a loss of power in the middle of an append.

Cause: a power loss keeps, loses or tears each write. The scan took a last record whose head was lost and whose rest was kept for damage in the middle of the log, which it refuses for good. Only records that had lost their end counted as torn.

A damaged record counts as damage of the log if a complete record begins after it, and as torn otherwise.

Damage before the last record is refused as before.

--- a/crates/masticsill_quorum/src/storage/frame.rs
+++ b/crates/masticsill_quorum/src/storage/frame.rs
@@ -21,7 +21,7 @@
 pub enum FrameEnd {
     /// The file ends with a complete frame.
     Clean,
-    /// A frame is damaged in a way that an interrupted write does not explain.
+    /// A frame is damaged although a later one is complete, which no interrupted write explains.
     Corrupt {
         /// Offset of the frame in bytes.
         offset: usize,
@@ -77,8 +77,12 @@
                 offset += HEADER_BYTES + body.len();
                 continue;
             }
-            FrameRead::Corrupt(reason) => FrameEnd::Corrupt { offset, reason },
-            FrameRead::Torn => FrameEnd::Torn { offset },
+            // A record is synced before the next one is written, so that only the last one can be
+            // torn, in any of its parts.
+            FrameRead::Corrupt(reason) if holds_frame(&bytes[offset + 1..]) => {
+                FrameEnd::Corrupt { offset, reason }
+            }
+            FrameRead::Corrupt(_) | FrameRead::Torn => FrameEnd::Torn { offset },
         };
         return FrameScan { frames, end };
     }
@@ -117,6 +121,19 @@
     }
 }
 
+/// Whether a complete frame begins anywhere in `bytes`.
+fn holds_frame(bytes: &[u8]) -> bool {
+    let begins_frame = |offset: usize| {
+        let rest = &bytes[offset..];
+        let length = read_u32(rest, 0);
+        let body = rest[HEADER_BYTES..].get(..length as usize);
+        read_u32(rest, 4) == header_checksum(length)
+            && body.is_some_and(|body| crc32fast::hash(body) == read_u32(rest, 8))
+    };
+    let offsets = (bytes.len() + 1).saturating_sub(HEADER_BYTES);
+    (0..offsets).any(begins_frame)
+}
+
 /// The body of the only frame of a file.
 pub(crate) fn single_frame<'a>(file: &str, bytes: &'a [u8]) -> Result<&'a [u8], StorageError> {
     let scan = scan_frames(bytes);
--- a/crates/masticsill_quorum/tests/storage.rs
+++ b/crates/masticsill_quorum/tests/storage.rs
@@ -149,6 +149,32 @@
     }
 }
 
+/// Guards against a power loss that keeps only a later part of the last record, after which the
+/// folder is refused for good.
+#[test]
+fn a_last_record_torn_at_any_place_is_truncated() {
+    let disk = MemoryDisk::default();
+    write_all(&disk, &[entries(1..=2, 1)]);
+    let whole = size_bytes(&disk);
+    write_all(&disk, &[entries(3..=4, 1)]);
+    let full = size_bytes(&disk);
+    for lost_from in whole..full {
+        for lost_to in lost_from + 1..=full {
+            let copy = MemoryDisk::default();
+            write_all(&copy, &[entries(1..=2, 1), entries(3..=4, 1)]);
+            copy.damage(SEGMENT, |bytes| bytes[lost_from..lost_to].fill(0));
+            let (_, recovered) = open(&copy).unwrap();
+            let expected: &[_] = if recovered.torn_tail.is_some() {
+                &[(1, 1), (2, 1)]
+            } else {
+                // The lost bytes were zeros.
+                &[(1, 1), (2, 1), (3, 1), (4, 1)]
+            };
+            assert_eq!(indexes_and_terms(&recovered), expected);
+        }
+    }
+}
+
 #[test]
 fn damage_before_the_last_record_fails_the_open() {
     let disk = MemoryDisk::default();
