The order of disk operations is apart from the operations themselves

`FileDisk` keeps the order of writes, renames and syncs that makes a change durable, over the operations of a `FileSystem`: the operating system's, or a test's, which can then lose power between any two of them.

--- a/crates/masticsill_quorum/src/storage.rs
+++ b/crates/masticsill_quorum/src/storage.rs
@@ -6,6 +6,7 @@
 
 mod disk;
 mod error;
+mod file_system;
 mod frame;
 mod open;
 mod record;
@@ -27,6 +28,7 @@
 
 pub use disk::{Disk, FileDisk};
 pub use error::StorageError;
+pub use file_system::{FileSystem, OsFolder};
 pub use frame::{FrameEnd, FrameScan, encode_frame, scan_frames};
 pub use open::{RecoveredStorage, TornTail};
 pub use space_wait::{SpaceWaitCanceller, SpaceWaitDisk};
@@ -350,7 +352,7 @@
             let removed = self.disk.remove(&file);
             removed.map_err(StorageError::io("remove", &file))?;
             // Before the next removal, so that a power loss never leaves a gap between segments.
-            let synced = self.disk.sync_removals();
+            let synced = self.disk.sync_names();
             synced.map_err(StorageError::io("sync", "."))?;
         }
         Ok(())
--- a/crates/masticsill_quorum/src/storage/space_wait.rs
+++ b/crates/masticsill_quorum/src/storage/space_wait.rs
@@ -153,8 +153,8 @@
         self.disk.sync(file)
     }
 
-    fn sync_removals(&mut self) -> io::Result<()> {
-        self.disk.sync_removals()
+    fn sync_names(&mut self) -> io::Result<()> {
+        self.disk.sync_names()
     }
 
     fn truncate(&mut self, file: &str, size_bytes: u64) -> io::Result<()> {
--- a/crates/masticsill_quorum/tests/full_disk.rs
+++ b/crates/masticsill_quorum/tests/full_disk.rs
@@ -104,7 +104,7 @@
         Ok(())
     }
 
-    fn sync_removals(&mut self) -> io::Result<()> {
+    fn sync_names(&mut self) -> io::Result<()> {
         Ok(())
     }
 
--- a/crates/masticsill_quorum/tests/simulation/disk.rs
+++ b/crates/masticsill_quorum/tests/simulation/disk.rs
@@ -120,7 +120,7 @@
         Ok(())
     }
 
-    fn sync_removals(&mut self) -> io::Result<()> {
+    fn sync_names(&mut self) -> io::Result<()> {
         let mut folder = self.folder();
         if folder.is_sync_failing {
             return Err(failing());
--- a/crates/masticsill_quorum/tests/storage.rs
+++ b/crates/masticsill_quorum/tests/storage.rs
@@ -351,8 +351,8 @@
         self.change(|disk| disk.sync(file))
     }
 
-    fn sync_removals(&mut self) -> io::Result<()> {
-        self.change(MemoryDisk::sync_removals)
+    fn sync_names(&mut self) -> io::Result<()> {
+        self.change(MemoryDisk::sync_names)
     }
 
     fn truncate(&mut self, file: &str, size_bytes: u64) -> io::Result<()> {
