Nothing is appended behind a partial write on a full disk

Seen (by reading): a write that finds no space leaves a part of itself, which is cut off before the next try. If the cut failed, its error was dropped and the write tried again behind the part: a complete record after a damaged one, which is refused at every later start.

Change: a failed cut is final, as any other failed write; the next process cuts the partial record off as torn.

Result: the new test's disk refuses each cut. On the code before it never ends, as parts are appended for good (ended by hand after 10 minutes); it passes now.

--- a/crates/masticsill_quorum/src/storage/space_wait.rs
+++ b/crates/masticsill_quorum/src/storage/space_wait.rs
@@ -86,12 +86,12 @@
     }
 
     /// Retries a write until the disk is no longer full or the wait is cancelled. `undo` removes
-    /// what a failed attempt left behind.
+    /// what a failed attempt left behind; the next one must not be appended to it.
     fn retry_while_full(
         &mut self,
         file: &str,
         write: impl Fn(&mut D) -> io::Result<()>,
-        undo: impl Fn(&mut D),
+        undo: impl Fn(&mut D) -> io::Result<()>,
     ) -> io::Result<()> {
         let mut is_full_logged = false;
         loop {
@@ -104,7 +104,7 @@
                     return done;
                 }
             };
-            undo(&mut self.disk);
+            undo(&mut self.disk)?;
             if self.space_wait_canceller.is_cancelled() {
                 return Err(refused);
             }
@@ -120,10 +120,7 @@
 impl<D: Disk> Disk for SpaceWaitDisk<D> {
     fn append(&mut self, file: &str, bytes: &[u8]) -> io::Result<()> {
         let before_bytes = self.size_bytes(file)?;
-        let undo = |disk: &mut D| {
-            // A failed truncation is ignored: its cause shows at the next append to the same file.
-            let _ = disk.truncate(file, before_bytes);
-        };
+        let undo = |disk: &mut D| disk.truncate(file, before_bytes);
         self.retry_while_full(file, |disk| disk.append(file, bytes), undo)?;
         let size_bytes = before_bytes + bytes.len() as u64;
         self.sizes_bytes.insert(file.to_owned(), size_bytes);
@@ -146,7 +143,7 @@
     fn replace(&mut self, file: &str, bytes: &[u8]) -> io::Result<()> {
         self.sizes_bytes.swap_remove(file);
         // A refused replacement leaves the file as it was.
-        self.retry_while_full(file, |disk| disk.replace(file, bytes), |_| {})
+        self.retry_while_full(file, |disk| disk.replace(file, bytes), |_| Ok(()))
     }
 
     fn sync(&mut self, file: &str) -> io::Result<()> {
--- a/crates/masticsill_quorum/tests/full_disk.rs
+++ b/crates/masticsill_quorum/tests/full_disk.rs
@@ -25,6 +25,7 @@
     /// Number of bytes freed after each refused write.
     freed_bytes: usize,
     refused: usize,
+    is_truncation_failing: bool,
 }
 
 impl Default for LimitedDiskState {
@@ -34,6 +35,7 @@
             free_bytes: 0,
             freed_bytes: 2,
             refused: 0,
+            is_truncation_failing: false,
         }
     }
 }
@@ -110,6 +112,9 @@
 
     fn truncate(&mut self, _: &str, size_bytes: u64) -> io::Result<()> {
         let mut state = self.shared.lock().unwrap();
+        if state.is_truncation_failing {
+            return Err(io::Error::other("truncation refused"));
+        }
         let size = usize::try_from(size_bytes).unwrap();
         state.free_bytes += state.content.len() - size;
         state.content.truncate(size);
@@ -132,6 +137,16 @@
     assert!(state.refused >= 3);
 }
 
+/// Guards against a complete record behind a partial one, which is refused as damage.
+#[test]
+fn nothing_is_appended_behind_a_partial_write() {
+    let disk = LimitedDisk::with_free(4);
+    disk.shared.lock().unwrap().is_truncation_failing = true;
+    let refused = waiting_disk(&disk).append("log", b"12345678");
+    assert_eq!(refused.unwrap_err().to_string(), "truncation refused");
+    assert_eq!(disk.shared.lock().unwrap().content, b"1234");
+}
+
 #[test]
 fn a_replacement_waits_for_space() {
     let disk = LimitedDisk::with_free(0);
