A replica whose data folder is damaged becomes a new one while the others form a quorum

Seen: a folder that is refused once (a file missing or corrupt, for example one that was split before segments were removed one by one) is refused at each start, so that the core bears no further loss until an operator comes.

Change: where the quorum maintains its members, a replica with a damaged folder waits until its own lease has ended, then for a leader that answers a read, which takes a quorum without this replica, for 5 s at most. Then its files are renamed (suffix .set_aside; a marker makes that one step whatever a loss of power keeps), the folder gets a new identity, and the quorum admits that in place of the old one, as after a lost disk. The old identity never votes again. Without such a quorum nothing is touched and the start fails as before, to be tried again. Errors of the disk itself, and folders of another cluster or node, are not replaced. Where operators maintain the members they replace the folder: who is admitted there is theirs to say.

Which loss is survivable: before, no further one; while the others form a quorum, none until the new identity votes, and the files that were set aside are still there; then one again.

--- a/crates/masticsill_control/src/events.rs
+++ b/crates/masticsill_control/src/events.rs
@@ -80,6 +80,10 @@
 pub const MEMBERS_CHANGED: Event = Event::new(4151, "control_members_changed");
 /// This replica is about to stop and asked to leave the quorum.
 pub const LEAVE_ASKED: Event = Event::new(4152, "control_leave_asked");
+/// The data folder is damaged; it is replaced if the other replicas form a quorum.
+pub const FOLDER_DAMAGED: Event = Event::new(4153, "control_folder_damaged");
+/// The files of a damaged data folder were set aside; this replica has a new identity.
+pub const FOLDER_SET_ASIDE: Event = Event::new(4154, "control_folder_set_aside");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -121,4 +125,6 @@
     STREAM_ORIGINS_SENT,
     MEMBERS_CHANGED,
     LEAVE_ASKED,
+    FOLDER_DAMAGED,
+    FOLDER_SET_ASIDE,
 ];
--- a/crates/masticsill_control/src/lib.rs
+++ b/crates/masticsill_control/src/lib.rs
@@ -18,6 +18,7 @@
 mod pauses;
 mod quorum;
 mod recovery;
+mod replacement;
 mod role;
 mod rollouts;
 mod rpc;
--- a/crates/masticsill_control/src/role.rs
+++ b/crates/masticsill_control/src/role.rs
@@ -7,7 +7,7 @@
 
 use masticsill_control_client::AddressBook;
 use masticsill_mesh::MeshHandle;
-use masticsill_quorum::storage::{SpaceWaitCanceller, Storage};
+use masticsill_quorum::storage::SpaceWaitCanceller;
 use masticsill_runtime::{
     DutyHandle, Metrics, Ring, ServiceStream, ShutdownSignal, spawn_async_duty,
 };
@@ -17,7 +17,7 @@
 use tokio::sync::watch;
 
 use crate::admission::Departure;
-use crate::config::ControlConfig;
+use crate::config::{ControlConfig, FoundingPolicy};
 use crate::document_pieces::{DocumentPieces, run_splitting};
 use crate::endpoints::{EndpointHub, read_endpoints, read_origins, run_persistence};
 use crate::error::ControlError;
@@ -30,6 +30,7 @@
     DutyParts, Job, PublishedState, QuorumDuty, QuorumHandle, Request, StateMachine, Status,
     StorageProgress, StorageQueue, run_storage,
 };
+use crate::replacement::open_folder;
 use crate::rpc::{self, RpcParts};
 use crate::unreadable::UnreadableMessages;
 
@@ -75,6 +76,13 @@
     book
 }
 
+fn with_founding(config: &ControlConfig, founding: FoundingPolicy) -> ControlConfig {
+    ControlConfig {
+        founding,
+        ..config.clone()
+    }
+}
+
 /// The registry of endpoints, with the records that the former process persisted.
 fn restored_endpoints(
     config: &ControlConfig,
@@ -115,8 +123,8 @@
         registry: &mut Registry,
     ) -> Result<Self, ControlError> {
         let node = config.node.clone();
-        let (storage, recovered) = Storage::open(&config.data_folder, &config.cluster, &node)?;
-        let space_wait_canceller = storage.space_wait_canceller();
+        let folder = open_folder(config)?;
+        let space_wait_canceller = folder.storage.space_wait_canceller();
         let book = address_book(config);
         let requests = Ring::with_capacity(REQUEST_QUEUE_CAPACITY);
         let messages = Ring::with_capacity(MESSAGE_QUEUE_CAPACITY);
@@ -139,7 +147,7 @@
             settings: config.replica.clone(),
             status,
             storage: StorageQueue::new(jobs.clone()),
-            stored: recovered.state,
+            stored: folder.recovered.state,
             target_voters: config.admission.target_voters(),
         })?;
         let quorum = QuorumHandle {
@@ -168,7 +176,6 @@
             published: published.clone(),
             quorum: quorum.clone(),
         };
-        let rpc_config = config.clone();
         let http_state = http::state(config, &quorum, &calls, &endpoints);
         let http = HttpEdge::start(config.http_address, http_state)?;
         let heartbeats = HeartbeatSink::Local(endpoints);
@@ -178,10 +185,11 @@
             unreadable,
         };
         let storage_jobs = jobs.clone();
+        let rpc_config = with_founding(config, folder.founding);
         let duties = vec![
             spawn_async_duty("control_rpc", || rpc::run(rpc_config, parts))?,
             spawn_async_duty("control_storage", || {
-                run_storage(storage, storage_jobs, progress)
+                run_storage(folder.storage, storage_jobs, progress)
             })?,
             spawn_async_duty("control_quorum", || quorum_duty.run())?,
             spawn_async_duty("control_endpoints", || {
--- a/crates/masticsill_quorum/src/storage.rs
+++ b/crates/masticsill_quorum/src/storage.rs
@@ -11,6 +11,7 @@
 mod open;
 mod record;
 mod replay;
+mod set_aside;
 mod space_wait;
 
 use std::path::Path;
@@ -20,6 +21,7 @@
 use crate::storage::open::recover;
 use crate::storage::record::{LogRecord, VoteRecord, encode_record};
 use crate::storage::replay::{Segment, segment_name};
+use crate::storage::set_aside::set_aside;
 use crate::wire::{WireEntry, WireSnapshot, WireVoterId};
 use crate::{
     Entry, FolderId, LogIndex, Membership, Payload, Snapshot, StoredState, SyncPoint, VoterId,
@@ -39,6 +41,10 @@
 /// Marker file that exists while the folder is being emptied, so that a folder left half emptied by
 /// a power loss is not used.
 pub(crate) const ABANDON_MARKER_FILE: &str = "given_up";
+/// Marker file that exists while the replica's files are being set aside.
+pub(crate) const SET_ASIDE_MARKER_FILE: &str = "set_aside";
+/// Suffix of the files of a folder that was set aside.
+pub(crate) const SET_ASIDE_SUFFIX: &str = ".set_aside";
 /// Size at which a segment is closed and a new one is started.
 const SEGMENT_ROLLOVER_BYTES: u64 = 4 * 1024 * 1024;
 
@@ -112,6 +118,28 @@
         Ok((storage, recovered))
     }
 
+    /// Sets the replica's files in a data folder aside, in place of those that were set aside before.
+    /// The next opening gives the folder a new identity; the old one never votes again.
+    ///
+    /// This costs the cluster a voter's data, as a lost disk does, until the new identity has taken
+    /// its place.
+    ///
+    /// # Errors
+    ///
+    /// [`StorageError`], naming the file and the remedy.
+    pub fn set_aside(folder: &Path) -> Result<(), StorageError> {
+        Self::set_aside_with_disk(&mut FileDisk::open(folder)?)
+    }
+
+    /// Like [`Self::set_aside`], on `disk`.
+    ///
+    /// # Errors
+    ///
+    /// [`StorageError`], naming the file and the remedy.
+    pub fn set_aside_with_disk(disk: &mut dyn Disk) -> Result<(), StorageError> {
+        set_aside(disk)
+    }
+
     /// Makes a new folder a founding member of a new cluster. Every founding member must be given
     /// the same membership, once.
     ///
--- a/crates/masticsill_quorum/src/storage/disk.rs
+++ b/crates/masticsill_quorum/src/storage/disk.rs
@@ -40,6 +40,14 @@
     /// The operating system's error.
     fn remove(&mut self, file: &str) -> io::Result<()>;
 
+    /// Renames a file, replacing any file of the new name. Until [`Self::sync_names`] a power loss may
+    /// undo it, whatever became of other files.
+    ///
+    /// # Errors
+    ///
+    /// The operating system's error.
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
+
     /// Replaces a file's content atomically and durably, creating the file if it does not exist.
     ///
     /// # Errors
@@ -120,6 +128,12 @@
         self.files.remove(file)
     }
 
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.synced_name
+            .take_if(|name| [from, to].contains(&name.as_str()));
+        self.files.rename(from, to)
+    }
+
     fn replace(&mut self, file: &str, bytes: &[u8]) -> io::Result<()> {
         let temporary = format!("{file}{TEMPORARY_SUFFIX}");
         self.files.overwrite(&temporary, bytes)?;
--- a/crates/masticsill_quorum/src/storage/error.rs
+++ b/crates/masticsill_quorum/src/storage/error.rs
@@ -73,6 +73,12 @@
 }
 
 impl StorageError {
+    /// Whether the folder can't be used although the disk works: a file is missing or corrupt.
+    #[must_use]
+    pub fn is_folder_damaged(&self) -> bool {
+        matches!(self, Self::Corrupt { .. } | Self::Missing { .. })
+    }
+
     pub(crate) fn corrupt(file: &str, offset_bytes: usize, reason: &'static str) -> Self {
         Self::Corrupt {
             file: file.to_owned(),
--- a/crates/masticsill_quorum/src/storage/open.rs
+++ b/crates/masticsill_quorum/src/storage/open.rs
@@ -5,6 +5,7 @@
 
 use crate::storage::record::{IdentityRecord, VoteRecord, decode_record, encode_record};
 use crate::storage::replay::{Replay, Segment, segment_name, segment_sequence};
+use crate::storage::set_aside::finish_setting_aside;
 use crate::storage::{
     ABANDON_MARKER_FILE, Disk, IDENTITY_FILE, SNAPSHOT_FILE, StorageError, VOTE_FILE,
 };
@@ -42,6 +43,7 @@
 ) -> Result<(RecoveredStorage, Vec<Segment>), StorageError> {
     // A killed process may have left names that are not durable yet.
     sync_names(disk)?;
+    finish_setting_aside(disk)?;
     let names = finish_abandoning(disk)?;
     let is_new = !names.iter().any(|name| name == IDENTITY_FILE);
     let id = if is_new {
@@ -73,7 +75,7 @@
     Ok((recovered, replay.segments))
 }
 
-fn sync_names(disk: &mut dyn Disk) -> Result<(), StorageError> {
+pub(crate) fn sync_names(disk: &mut dyn Disk) -> Result<(), StorageError> {
     disk.sync_names().map_err(StorageError::io("sync", "."))
 }
 
@@ -89,16 +91,11 @@
 /// Finishes emptying a folder whose founding was abandoned. Returns the names of the remaining
 /// files.
 fn finish_abandoning(disk: &mut dyn Disk) -> Result<Vec<String>, StorageError> {
-    let list = |disk: &dyn Disk| disk.list().map_err(StorageError::io("list", "."));
     let names = list(disk)?;
     if !names.iter().any(|name| name == ABANDON_MARKER_FILE) {
         return Ok(names);
     }
-    let is_replica_file = |name: &&String| {
-        let is_state_file = [IDENTITY_FILE, SNAPSHOT_FILE, VOTE_FILE].contains(&name.as_str());
-        is_state_file || segment_sequence(name).is_some()
-    };
-    for name in names.iter().filter(is_replica_file) {
+    for name in names.iter().filter(|name| is_replica_file(name)) {
         disk.remove(name)
             .map_err(StorageError::io("remove", name))?;
     }
@@ -111,6 +108,15 @@
     list(disk)
 }
 
+pub(crate) fn list(disk: &dyn Disk) -> Result<Vec<String>, StorageError> {
+    disk.list().map_err(StorageError::io("list", "."))
+}
+
+/// Whether a file belongs to the replica's state.
+pub(crate) fn is_replica_file(name: &str) -> bool {
+    [IDENTITY_FILE, SNAPSHOT_FILE, VOTE_FILE].contains(&name) || segment_sequence(name).is_some()
+}
+
 /// Rejects a log whose first segment is missing.
 fn check_first_segment(
     replay: &Replay,
--- a/crates/masticsill_quorum/src/storage/space_wait.rs
+++ b/crates/masticsill_quorum/src/storage/space_wait.rs
@@ -140,6 +140,12 @@
         self.disk.remove(file)
     }
 
+    fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.sizes_bytes.swap_remove(from);
+        self.sizes_bytes.swap_remove(to);
+        self.disk.rename(from, to)
+    }
+
     fn replace(&mut self, file: &str, bytes: &[u8]) -> io::Result<()> {
         self.sizes_bytes.swap_remove(file);
         // A refused replacement leaves the file as it was.
--- a/crates/masticsill_quorum/tests/full_disk.rs
+++ b/crates/masticsill_quorum/tests/full_disk.rs
@@ -91,6 +91,10 @@
         Ok(())
     }
 
+    fn rename(&mut self, _: &str, _: &str) -> io::Result<()> {
+        Ok(())
+    }
+
     fn replace(&mut self, _: &str, bytes: &[u8]) -> io::Result<()> {
         let mut state = self.shared.lock().unwrap();
         if bytes.len() > state.free_bytes {
