The endpoints' file is replaced like the other files of the data folder

It had its own copy of the write, rename and sync that `FileDisk::replace` plays with the power lost at each operation. A data folder's parents are made durable too where they are created with it, not only the nearest one (by reading; no test loses the names of a folder's parents).

The tests of both crates pass.

--- a/crates/masticsill_control/src/endpoints/persistence.rs
+++ b/crates/masticsill_control/src/endpoints/persistence.rs
@@ -5,13 +5,14 @@
 //! Correctness does not depend on the records: they may be old, and requests name the incarnation
 //! that they are meant for.
 
-use std::fs::{self, File};
+use std::fs;
 use std::future::ready;
-use std::io::{self, Write};
+use std::io;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use masticsill_quarantine::RequestRecord;
+use masticsill_quorum::storage::{Disk, FileDisk};
 use masticsill_registry::EndpointRecord;
 use masticsill_runtime::ShutdownSignal;
 use masticsill_types::log_event;
@@ -23,7 +24,6 @@
 use crate::events;
 
 const FILE: &str = "endpoints";
-const TEMPORARY_FILE: &str = "endpoints.tmp";
 /// Pause between writes, so that a burst of changes is one write.
 const WRITE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -94,6 +94,8 @@
     let mut revisions = endpoints.revisions();
     let mut suspects = endpoints.suspects().watch_broadcast_revision();
     let mut is_outdated = false;
+    // The quorum's storage has opened the folder.
+    let mut disk = FileDisk::in_open_folder(&folder);
     loop {
         tokio::select! {
             changed = revisions.changed() => if changed.is_err() { return },
@@ -105,7 +107,7 @@
             endpoints: endpoints.all_records(),
             suspects: endpoints.suspects().broadcast_since(0),
         };
-        let written = write(&folder, persisted);
+        let written = write(&mut disk, persisted);
         is_outdated = written.is_err();
         if let Err(error) = written {
             log_event!(warn, events::ENDPOINTS_NOT_KEPT, cause = error);
@@ -117,15 +119,8 @@
     }
 }
 
-fn write(folder: &Path, persisted: PersistedEndpoints) -> io::Result<()> {
+fn write(disk: &mut FileDisk, persisted: PersistedEndpoints) -> io::Result<()> {
     let bytes = postcard::to_stdvec(&StoredEndpoints::V6(persisted)).map_err(io::Error::other)?;
-    let temporary = folder.join(TEMPORARY_FILE);
-    let mut file = File::create(&temporary)?;
-    file.write_all(&bytes)?;
-    // Synced before the rename: a truncated file under the final name would be worse than an old
-    // one.
-    file.sync_all()?;
-    fs::rename(&temporary, folder.join(FILE))?;
-    // After a power loss an older file may name fewer versions than this replica has reported.
-    File::open(folder)?.sync_all()
+    // Durable, since an older file may name fewer versions than this replica has reported.
+    disk.replace(FILE, &bytes)
 }
--- a/crates/masticsill_quorum/src/storage/disk.rs
+++ b/crates/masticsill_quorum/src/storage/disk.rs
@@ -95,6 +95,12 @@
     pub fn open(folder: &Path) -> Result<Self, StorageError> {
         OsFolder::open(folder).map(Self::new)
     }
+
+    /// A disk for further files in a folder that another disk of this process has opened.
+    #[must_use]
+    pub fn in_open_folder(folder: &Path) -> Self {
+        Self::new(OsFolder::unlocked(folder))
+    }
 }
 
 impl<F: FileSystem> FileDisk<F> {
--- a/crates/masticsill_quorum/src/storage/file_system.rs
+++ b/crates/masticsill_quorum/src/storage/file_system.rs
@@ -83,7 +83,8 @@
     path: PathBuf,
     /// The file last appended to, kept open.
     appended: Option<OpenFile>,
-    _lock: File,
+    /// Held while the folder is open; `None` where another part of the process holds it.
+    _lock: Option<File>,
 }
 
 #[derive(Debug)]
@@ -114,10 +115,18 @@
             }
         }
         Ok(Self {
+            _lock: Some(lock),
+            ..Self::unlocked(path)
+        })
+    }
+
+    /// A folder that another part of this process has opened.
+    pub(crate) fn unlocked(path: &Path) -> Self {
+        Self {
             path: path.to_owned(),
             appended: None,
-            _lock: lock,
-        })
+            _lock: None,
+        }
     }
 
     /// Closes the handle of a file that is removed or replaced: a later one of its name is another
@@ -145,16 +154,19 @@
     }
 }
 
-/// Creates a folder, unless it exists, and makes its name durable.
+/// Creates a folder and its parents, unless they exist, and makes their names durable.
 fn create_folder(folder: &Path) -> io::Result<()> {
     if folder.is_dir() {
         return Ok(());
     }
+    let parent = folder.parent();
+    let parent = parent.filter(|parent| !parent.as_os_str().is_empty());
+    let Some(parent) = parent else {
+        return fs::create_dir_all(folder);
+    };
+    create_folder(parent)?;
     fs::create_dir_all(folder)?;
-    match folder.parent() {
-        Some(parent) if !parent.as_os_str().is_empty() => File::open(parent)?.sync_all(),
-        Some(_) | None => Ok(()),
-    }
+    File::open(parent)?.sync_all()
 }
 
 impl FileSystem for OsFolder {
