A test of superseded documents packs them before it applies them

Traced: packing 39 documents takes most of the time in which they are applied, so that on a busy machine a relay rightly fetches some of them in between.

--- a/crates/masticsill_relay/tests/common/mod.rs
+++ b/crates/masticsill_relay/tests/common/mod.rs
@@ -116,9 +116,12 @@
     }
 
     pub(crate) fn apply(&self, version: u64, text: &str) {
-        let document = StoredDocument::pack(text.as_bytes(), version);
-        self.shared.book.lock().unwrap().add(&document).unwrap();
-        self.shared.versions.send_replace(Some(version));
+        self.apply_packed(&StoredDocument::pack(text.as_bytes(), version));
+    }
+
+    pub(crate) fn apply_packed(&self, document: &StoredDocument) {
+        self.shared.book.lock().unwrap().add(document).unwrap();
+        self.shared.versions.send_replace(Some(document.version));
     }
 
     /// Reports a version whose pieces are not available yet.
--- a/crates/masticsill_relay/tests/document_fetch.rs
+++ b/crates/masticsill_relay/tests/document_fetch.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use common::{Replica, node};
-use masticsill_catalogue::{RequestLimits, RouteDocument};
+use masticsill_catalogue::{RequestLimits, RouteDocument, StoredDocument};
 use masticsill_relay::{BudgetSettings, EngineCalls, HeaderNames, RelayConfig, RelayRole};
 use masticsill_testkit::{Direction, ProxyMode};
 use masticsill_types::MonotonicClock;
@@ -216,8 +216,11 @@
     let relay = Relay::start(&[&near]);
     relay.wait_for_version(1);
     let (before, calls) = (near.sent_bytes(), near.calls());
-    for version in 2..=40 {
-        near.apply(version, &text(version));
+    // Packed first, so that the versions follow each other faster than one is fetched.
+    let pack = |version| StoredDocument::pack(text(version).as_bytes(), version);
+    let documents: Vec<StoredDocument> = (2..=40).map(pack).collect();
+    for document in &documents {
+        near.apply_packed(document);
     }
     relay.wait_for_version(40);
     assert!(near.calls() - calls < 20);
