A replaced file's temporary one is emptied in place again

That was meant for a renaming kept in part, whose two names shared one file; there are no links on the users' disks, and a renaming is one step.

--- a/crates/masticsill_quorum/src/storage/file_system.rs
+++ b/crates/masticsill_quorum/src/storage/file_system.rs
@@ -27,7 +27,7 @@
     /// The operating system's error.
     fn list(&self) -> io::Result<Vec<String>>;
 
-    /// Creates a file with a content, after removing any file of that name.
+    /// Creates or empties a file, then writes its content.
     ///
     /// # Errors
     ///
@@ -186,11 +186,8 @@
     }
 
     fn overwrite(&mut self, file: &str, bytes: &[u8]) -> io::Result<()> {
-        let path = self.path.join(file);
-        if path.exists() {
-            self.remove(file)?;
-        }
-        File::create_new(path)?.write_all(bytes)
+        self.close(file);
+        File::create(self.path.join(file))?.write_all(bytes)
     }
 
     fn read(&self, file: &str) -> io::Result<Option<Vec<u8>>> {
