One way to empty a data folder, one reader of frames, one application of writes

Emptying a folder stood twice, by removal after an abandoned founding and by renaming where it is set aside: a marker, the replica's files, a sync, the marker's removal. It is one piece of code with two ways to take a file away, and an opening lists the folder once in place of twice. The marker is no longer written a second time only to sync the folder. `holds_frame` repeated the checks of `read_frame`; both ask `complete_body`. What a write does to the stored state stood in the control role and again in power_loss.rs: it is `StoredState::apply`. Tests of torn records share their log.

Behaviour and stored names are as before.

--- a/crates/masticsill_control/src/quorum/outputs.rs
+++ b/crates/masticsill_control/src/quorum/outputs.rs
@@ -16,7 +16,6 @@
 use super::pending::{PendingCall, Refused};
 use super::request::Request;
 use super::state_machine::{self, StateError};
-use super::storage;
 use crate::events;
 
 const SNAPSHOT_RETRY_PAUSE: Duration = Duration::from_millis(20);
@@ -81,7 +80,7 @@
             self.unfounded = None;
         }
         if let Some(unfounded) = &mut self.unfounded {
-            storage::apply_write(unfounded, &write);
+            unfounded.apply(&write);
         }
         self.storage.write(point, write);
     }
--- a/crates/masticsill_control/src/quorum/storage.rs
+++ b/crates/masticsill_control/src/quorum/storage.rs
@@ -149,19 +149,3 @@
     }
     Ok(())
 }
-
-/// Applies a write to a copy of the stored state.
-pub(crate) fn apply_write(stored: &mut StoredState, write: &Write) {
-    match write {
-        Write::Append { entries } => stored.entries.extend(entries.iter().cloned()),
-        Write::Snapshot { snapshot } => {
-            stored.entries.retain(|entry| entry.index > snapshot.index);
-            stored.snapshot = Some(snapshot.clone());
-        }
-        Write::TruncateFrom { index } => stored.entries.retain(|entry| entry.index < *index),
-        Write::Vote { term, voted_for } => {
-            stored.term = *term;
-            stored.voted_for.clone_from(voted_for);
-        }
-    }
-}
--- a/crates/masticsill_quorum/src/entry.rs
+++ b/crates/masticsill_quorum/src/entry.rs
@@ -4,7 +4,7 @@
 
 use masticsill_types::Term;
 
-use crate::{LogIndex, Membership, VoterId};
+use crate::{LogIndex, Membership, VoterId, Write};
 
 /// An entry of the replicated log.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -77,3 +77,21 @@
     /// The entries after the snapshot, without gaps.
     pub entries: Vec<Entry>,
 }
+
+impl StoredState {
+    /// Applies a write, as the data folder does.
+    pub fn apply(&mut self, write: &Write) {
+        match write {
+            Write::Append { entries } => self.entries.extend(entries.iter().cloned()),
+            Write::Snapshot { snapshot } => {
+                self.entries.retain(|entry| entry.index > snapshot.index);
+                self.snapshot = Some(snapshot.clone());
+            }
+            Write::TruncateFrom { index } => self.entries.retain(|entry| entry.index < *index),
+            Write::Vote { term, voted_for } => {
+                self.term = *term;
+                self.voted_for.clone_from(voted_for);
+            }
+        }
+    }
+}
--- a/crates/masticsill_quorum/src/storage.rs
+++ b/crates/masticsill_quorum/src/storage.rs
@@ -5,23 +5,24 @@
 //! unknown, so nothing more is written until a restarted process has read the folder again.
 
 mod disk;
+mod emptying;
 mod error;
 mod file_system;
 mod frame;
 mod open;
 mod record;
 mod replay;
-mod set_aside;
 mod space_wait;
 
 use std::path::Path;
 
 use masticsill_types::{NodeId, Term, log_event};
 
+use crate::storage::disk::{remove, sync_names};
+use crate::storage::emptying::{Emptying, set_aside};
 use crate::storage::open::recover;
 use crate::storage::record::{LogRecord, VoteRecord, encode_record};
 use crate::storage::replay::{Segment, segment_name};
-use crate::storage::set_aside::set_aside;
 use crate::wire::{WireEntry, WireSnapshot, WireVoterId};
 use crate::{
     Entry, FolderId, LogIndex, Membership, Payload, Snapshot, StoredState, SyncPoint, VoterId,
@@ -38,13 +39,6 @@
 pub(crate) const IDENTITY_FILE: &str = "identity";
 pub(crate) const SNAPSHOT_FILE: &str = "snapshot";
 pub(crate) const VOTE_FILE: &str = "vote";
-/// Marker file that exists while the folder is being emptied, so that a folder left half emptied by
-/// a power loss is not used.
-pub(crate) const ABANDON_MARKER_FILE: &str = "given_up";
-/// Marker file that exists while the replica's files are being set aside.
-pub(crate) const SET_ASIDE_MARKER_FILE: &str = "set_aside";
-/// Suffix of the files of a folder that was set aside.
-pub(crate) const SET_ASIDE_SUFFIX: &str = ".set_aside";
 /// Size at which a segment is closed and a new one is started.
 const SEGMENT_ROLLOVER_BYTES: u64 = 4 * 1024 * 1024;
 
@@ -177,7 +171,7 @@
         }
         let mut new_state = None;
         self.run_checked(|storage| {
-            storage.replace(ABANDON_MARKER_FILE, &[])?;
+            Emptying::Abandoned.begin(storage.disk.as_mut())?;
             let new_id = VoterId {
                 name: storage.id.name.clone(),
                 folder: new_folder,
@@ -377,11 +371,9 @@
         }
         while self.segments.len() > 1 && self.segments[0].highest_index <= index {
             let file = segment_name(self.segments.remove(0).sequence);
-            let removed = self.disk.remove(&file);
-            removed.map_err(StorageError::io("remove", &file))?;
+            remove(self.disk.as_mut(), &file)?;
             // Before the next removal, so that a power loss never leaves a gap between segments.
-            let synced = self.disk.sync_names();
-            synced.map_err(StorageError::io("sync", "."))?;
+            sync_names(self.disk.as_mut())?;
         }
         Ok(())
     }
--- a/crates/masticsill_quorum/src/storage/disk.rs
+++ b/crates/masticsill_quorum/src/storage/disk.rs
@@ -96,9 +96,9 @@
         OsFolder::open(folder).map(Self::new)
     }
 
-    /// A disk for further files in a folder that another disk of this process has opened.
+    /// A disk for a folder that no other process uses, since this one holds a lock beside or above it.
     #[must_use]
-    pub fn in_open_folder(folder: &Path) -> Self {
+    pub fn unlocked(folder: &Path) -> Self {
         Self::new(OsFolder::unlocked(folder))
     }
 }
@@ -167,3 +167,18 @@
         self.files.sync_file(file)
     }
 }
+
+/// The names of the files, in no particular order.
+pub(crate) fn list(disk: &dyn Disk) -> Result<Vec<String>, StorageError> {
+    disk.list().map_err(StorageError::io("list", "."))
+}
+
+/// Removes a file; not durable until [`sync_names`].
+pub(crate) fn remove(disk: &mut dyn Disk, file: &str) -> Result<(), StorageError> {
+    disk.remove(file).map_err(StorageError::io("remove", file))
+}
+
+/// Makes all created, renamed and removed names durable.
+pub(crate) fn sync_names(disk: &mut dyn Disk) -> Result<(), StorageError> {
+    disk.sync_names().map_err(StorageError::io("sync", "."))
+}
--- a/crates/masticsill_quorum/src/storage/file_system.rs
+++ b/crates/masticsill_quorum/src/storage/file_system.rs
@@ -77,13 +77,13 @@
     fn sync_names(&mut self) -> io::Result<()>;
 }
 
-/// A folder of the operating system, locked against other processes.
+/// A folder of the operating system.
 #[derive(Debug)]
 pub struct OsFolder {
     path: PathBuf,
     /// The file last appended to, kept open.
     appended: Option<OpenFile>,
-    /// Held while the folder is open; `None` where another part of the process holds it.
+    /// Held while the folder is open; `None` where another lock of the process covers it.
     _lock: Option<File>,
 }
 
@@ -120,7 +120,7 @@
         })
     }
 
-    /// A folder that another part of this process has opened.
+    /// A folder that is not locked by itself.
     pub(crate) fn unlocked(path: &Path) -> Self {
         Self {
             path: path.to_owned(),
--- a/crates/masticsill_quorum/src/storage/frame.rs
+++ b/crates/masticsill_quorum/src/storage/frame.rs
@@ -95,7 +95,21 @@
     u32::from_le_bytes(field.expect("the slice holds four bytes"))
 }
 
+/// The body of the frame at the beginning of `rest`, if it is complete.
+fn complete_body(rest: &[u8]) -> Option<&[u8]> {
+    let (header, body) = rest.split_at_checked(HEADER_BYTES)?;
+    let length = read_u32(header, 0);
+    if read_u32(header, 4) != header_checksum(length) {
+        return None;
+    }
+    let body = body.get(..length as usize)?;
+    (crc32fast::hash(body) == read_u32(header, 8)).then_some(body)
+}
+
 fn read_frame(rest: &[u8]) -> FrameRead<'_> {
+    if let Some(body) = complete_body(rest) {
+        return FrameRead::Complete(body);
+    }
     // After a crash a file may have its new size without its new data; it then ends in zeros.
     if rest.len() < HEADER_BYTES || rest.iter().all(|byte| *byte == 0) {
         return FrameRead::Torn;
@@ -106,15 +120,7 @@
     if read_u32(rest, 4) != header_checksum(length) {
         return FrameRead::Corrupt("the record's length fails its checksum");
     }
-    let end = HEADER_BYTES + length as usize;
-    if end > rest.len() {
-        return FrameRead::Torn;
-    }
-    let body = &rest[HEADER_BYTES..end];
-    if crc32fast::hash(body) == read_u32(rest, 8) {
-        return FrameRead::Complete(body);
-    }
-    if end == rest.len() {
+    if HEADER_BYTES + length as usize >= rest.len() {
         FrameRead::Torn
     } else {
         FrameRead::Corrupt("the record fails its checksum")
@@ -123,15 +129,7 @@
 
 /// Whether a complete frame begins anywhere in `bytes`.
 fn holds_frame(bytes: &[u8]) -> bool {
-    let begins_frame = |offset: usize| {
-        let rest = &bytes[offset..];
-        let length = read_u32(rest, 0);
-        let body = rest[HEADER_BYTES..].get(..length as usize);
-        read_u32(rest, 4) == header_checksum(length)
-            && body.is_some_and(|body| crc32fast::hash(body) == read_u32(rest, 8))
-    };
-    let offsets = (bytes.len() + 1).saturating_sub(HEADER_BYTES);
-    (0..offsets).any(begins_frame)
+    (0..bytes.len()).any(|offset| complete_body(&bytes[offset..]).is_some())
 }
 
 /// The body of the only frame of a file.
--- a/crates/masticsill_quorum/src/storage/open.rs
+++ b/crates/masticsill_quorum/src/storage/open.rs
@@ -3,12 +3,11 @@
 use masticsill_types::{NodeId, Term, log_event};
 use serde::de::DeserializeOwned;
 
+use crate::storage::disk::sync_names;
+use crate::storage::emptying::finish_emptying;
 use crate::storage::record::{IdentityRecord, VoteRecord, decode_record, encode_record};
 use crate::storage::replay::{Replay, Segment, segment_name, segment_sequence};
-use crate::storage::set_aside::finish_setting_aside;
-use crate::storage::{
-    ABANDON_MARKER_FILE, Disk, IDENTITY_FILE, SNAPSHOT_FILE, StorageError, VOTE_FILE,
-};
+use crate::storage::{Disk, IDENTITY_FILE, SNAPSHOT_FILE, StorageError, VOTE_FILE};
 use crate::wire::WireSnapshot;
 use crate::{LogIndex, Snapshot, StoredState, VoterId, events};
 
@@ -43,8 +42,7 @@
 ) -> Result<(RecoveredStorage, Vec<Segment>), StorageError> {
     // A killed process may have left names that are not durable yet.
     sync_names(disk)?;
-    finish_setting_aside(disk)?;
-    let names = finish_abandoning(disk)?;
+    let names = finish_emptying(disk)?;
     let is_new = !names.iter().any(|name| name == IDENTITY_FILE);
     let id = if is_new {
         create_identity(disk, &names, cluster, new_id)?
@@ -75,10 +73,6 @@
     Ok((recovered, replay.segments))
 }
 
-pub(crate) fn sync_names(disk: &mut dyn Disk) -> Result<(), StorageError> {
-    disk.sync_names().map_err(StorageError::io("sync", "."))
-}
-
 /// Makes the last records durable, which a killed process may have written without a sync.
 fn sync_last_segment(disk: &mut dyn Disk, replay: &Replay) -> Result<(), StorageError> {
     let Some(last) = replay.segments.last() else {
@@ -88,35 +82,6 @@
     disk.sync(&file).map_err(StorageError::io("sync", &file))
 }
 
-/// Finishes emptying a folder whose founding was abandoned. Returns the names of the remaining
-/// files.
-fn finish_abandoning(disk: &mut dyn Disk) -> Result<Vec<String>, StorageError> {
-    let names = list(disk)?;
-    if !names.iter().any(|name| name == ABANDON_MARKER_FILE) {
-        return Ok(names);
-    }
-    for name in names.iter().filter(|name| is_replica_file(name)) {
-        disk.remove(name)
-            .map_err(StorageError::io("remove", name))?;
-    }
-    // Writing the marker again syncs the folder, which makes the removals durable before the marker
-    // itself is removed.
-    let marked = disk.replace(ABANDON_MARKER_FILE, &[]);
-    marked.map_err(StorageError::io("replace", ABANDON_MARKER_FILE))?;
-    let removed = disk.remove(ABANDON_MARKER_FILE);
-    removed.map_err(StorageError::io("remove", ABANDON_MARKER_FILE))?;
-    list(disk)
-}
-
-pub(crate) fn list(disk: &dyn Disk) -> Result<Vec<String>, StorageError> {
-    disk.list().map_err(StorageError::io("list", "."))
-}
-
-/// Whether a file belongs to the replica's state.
-pub(crate) fn is_replica_file(name: &str) -> bool {
-    [IDENTITY_FILE, SNAPSHOT_FILE, VOTE_FILE].contains(&name) || segment_sequence(name).is_some()
-}
-
 /// Rejects a log whose first segment is missing.
 fn check_first_segment(
     replay: &Replay,
--- a/crates/masticsill_quorum/tests/power_loss.rs
+++ b/crates/masticsill_quorum/tests/power_loss.rs
@@ -102,16 +102,7 @@
             let founders = Membership::from_voters([voter(FIRST_FOLDER)]);
             next.snapshot = Some(Snapshot::founding(founders));
         }
-        Step::Write(Write::Append { entries }) => next.entries.extend(entries.iter().cloned()),
-        Step::Write(Write::Snapshot { snapshot }) => {
-            next.entries.retain(|it| it.index > snapshot.index);
-            next.snapshot = Some(snapshot.clone());
-        }
-        Step::Write(Write::TruncateFrom { index }) => next.entries.retain(|it| it.index < *index),
-        Step::Write(Write::Vote { term, voted_for }) => {
-            next.term = *term;
-            next.voted_for.clone_from(voted_for);
-        }
+        Step::Write(write) => next.apply(write),
     }
     next
 }
--- a/crates/masticsill_quorum/tests/storage.rs
+++ b/crates/masticsill_quorum/tests/storage.rs
@@ -70,6 +70,16 @@
     size_bytes
 }
 
+/// A log whose last record holds entries 3 and 4, and its sizes without that record and with it.
+fn with_last_record() -> (MemoryDisk, [usize; 2]) {
+    let disk = MemoryDisk::default();
+    let sizes = [entries(1..=2, 1), entries(3..=4, 1)].map(|record| {
+        write_all(&disk, &[record]);
+        size_bytes(&disk)
+    });
+    (disk, sizes)
+}
+
 #[test]
 fn synced_writes_are_recovered() {
     let disk = MemoryDisk::default();
@@ -109,14 +119,9 @@
 
 #[test]
 fn a_torn_tail_of_any_length_is_truncated_and_reported() {
-    let disk = MemoryDisk::default();
-    write_all(&disk, &[entries(1..=2, 1)]);
-    let whole = size_bytes(&disk);
-    write_all(&disk, &[entries(3..=4, 1)]);
-    let full = size_bytes(&disk);
+    let (_, [whole, full]) = with_last_record();
     for kept in whole + 1..full {
-        let copy = MemoryDisk::default();
-        write_all(&copy, &[entries(1..=2, 1), entries(3..=4, 1)]);
+        let (copy, _) = with_last_record();
         copy.damage(SEGMENT, |bytes| bytes.truncate(kept));
         let (_, recovered) = open(&copy).unwrap();
         assert_eq!(indexes_and_terms(&recovered), [(1, 1), (2, 1)], "at {kept}");
@@ -135,10 +140,7 @@
 #[test]
 fn a_damaged_last_record_or_a_tail_of_zeros_counts_as_torn() {
     for is_zeros in [false, true] {
-        let disk = MemoryDisk::default();
-        write_all(&disk, &[entries(1..=2, 1)]);
-        let whole = size_bytes(&disk);
-        write_all(&disk, &[entries(3..=4, 1)]);
+        let (disk, [whole, _]) = with_last_record();
         disk.damage(SEGMENT, |bytes| {
             let last = bytes.len() - 1;
             if is_zeros {
@@ -157,15 +159,10 @@
 /// folder is refused for good.
 #[test]
 fn a_last_record_torn_at_any_place_is_truncated() {
-    let disk = MemoryDisk::default();
-    write_all(&disk, &[entries(1..=2, 1)]);
-    let whole = size_bytes(&disk);
-    write_all(&disk, &[entries(3..=4, 1)]);
-    let full = size_bytes(&disk);
+    let (_, [whole, full]) = with_last_record();
     for lost_from in whole..full {
         for lost_to in lost_from + 1..=full {
-            let copy = MemoryDisk::default();
-            write_all(&copy, &[entries(1..=2, 1), entries(3..=4, 1)]);
+            let (copy, _) = with_last_record();
             copy.damage(SEGMENT, |bytes| bytes[lost_from..lost_to].fill(0));
             let (_, recovered) = open(&copy).unwrap();
             let expected: &[_] = if recovered.torn_tail.is_some() {
