Persisted files, held messages and refusals use what exists

The endpoints' file and the log of origins told a missing file from an unreadable one by themselves: `FileDisk::read` does. Readers of bodies counted bytes beside the message that holds them. Two arms of the same refusal are one. The wait for a quorum retried a call that retries by itself until its timeout.

--- a/crates/masticsill_control/src/endpoints/origin_log.rs
+++ b/crates/masticsill_control/src/endpoints/origin_log.rs
@@ -1,7 +1,6 @@
 //! Stores the origins of streams on this replica's disk. Callers continue a stream because the entry
 //! that began it has ended; if the replicas that keep its origin end too, only their disks know it.
 
-use std::fs;
 use std::future::pending;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -44,9 +43,9 @@
 /// Reads the streams that a former process stored, in the order in which it did; what a power loss
 /// has damaged is left out.
 pub(crate) fn read(data_folder: &Path) -> Vec<StoredStream> {
-    let bytes = match fs::read(data_folder.join(FOLDER).join(FILE)) {
-        Ok(bytes) => bytes,
-        Err(error) if error.kind() == io::ErrorKind::NotFound => return Vec::new(),
+    let bytes = match FileDisk::unlocked(&data_folder.join(FOLDER)).read(FILE) {
+        Ok(Some(bytes)) => bytes,
+        Ok(None) => return Vec::new(),
         Err(error) => {
             log_event!(warn, events::STREAM_ORIGINS_NOT_STORED, cause = error);
             return Vec::new();
--- a/crates/masticsill_control/src/endpoints/persistence.rs
+++ b/crates/masticsill_control/src/endpoints/persistence.rs
@@ -5,7 +5,6 @@
 //! Correctness does not depend on the records: they may be old, and requests name the incarnation
 //! that they are meant for.
 
-use std::fs;
 use std::future::ready;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -51,11 +50,9 @@
 
 /// Reads the records of a former process; empty when there are none or they can't be read.
 pub(crate) fn read(folder: &Path) -> PersistedEndpoints {
-    let bytes = match fs::read(folder.join(FILE)) {
-        Ok(bytes) => bytes,
-        Err(error) if error.kind() == io::ErrorKind::NotFound => {
-            return PersistedEndpoints::default();
-        }
+    let bytes = match FileDisk::unlocked(folder).read(FILE) {
+        Ok(Some(bytes)) => bytes,
+        Ok(None) => return PersistedEndpoints::default(),
         Err(error) => {
             log_event!(warn, events::ENDPOINTS_NOT_KEPT, cause = error);
             return PersistedEndpoints::default();
@@ -94,8 +91,8 @@
     let mut revisions = endpoints.revisions();
     let mut suspects = endpoints.suspects().watch_broadcast_revision();
     let mut is_outdated = false;
-    // The quorum's storage has opened the folder.
-    let mut disk = FileDisk::in_open_folder(&folder);
+    // The quorum's storage holds the folder's lock.
+    let mut disk = FileDisk::unlocked(&folder);
     loop {
         tokio::select! {
             changed = revisions.changed() => if changed.is_err() { return },
--- a/crates/masticsill_control/src/replacement.rs
+++ b/crates/masticsill_control/src/replacement.rs
@@ -13,16 +13,14 @@
 use masticsill_runtime::{ShutdownSignal, spawn_async_duty};
 use masticsill_types::log_event;
 use masticsill_wire::control::ReadRequest;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::config::{ControlConfig, FoundingPolicy};
 use crate::error::ControlError;
 use crate::events;
 
 /// Longest wait for a quorum; the start fails after that, and a later one tries again.
-const QUORUM_TIMEOUT: Duration = Duration::from_secs(5);
-const READ_TIMEOUT_MS: u64 = 1_000;
-const READ_INTERVAL: Duration = Duration::from_millis(100);
+const QUORUM_TIMEOUT_MS: u64 = 5_000;
 
 /// A data folder that was opened.
 pub(crate) struct OpenedFolder {
@@ -76,25 +74,14 @@
     let duty = spawn_async_duty("control_replacement", move || async move {
         // A lease that this replica confirmed before it stopped has ended by then.
         sleep(lease).await;
-        let client = ControlClient::new(book);
-        if timeout(QUORUM_TIMEOUT, await_confirmed_read(&client))
-            .await
-            .is_ok()
-        {
+        // A leader answers a read only once a quorum has confirmed it.
+        let read = ControlClient::new(book)
+            .read(&ReadRequest::Replicas, QUORUM_TIMEOUT_MS)
+            .await;
+        if read.is_ok() {
             confirm.request();
         }
     })?;
     duty.join()?;
     Ok(confirmed.is_requested())
 }
-
-/// Waits until a leader answers a read, which takes a quorum.
-async fn await_confirmed_read(client: &ControlClient) {
-    while client
-        .read(&ReadRequest::Replicas, READ_TIMEOUT_MS)
-        .await
-        .is_err()
-    {
-        sleep(READ_INTERVAL).await;
-    }
-}
--- a/crates/masticsill_relay/src/caller.rs
+++ b/crates/masticsill_relay/src/caller.rs
@@ -158,16 +158,12 @@
         }
         let mut decoder = BodyDecoder::new(head.framing);
         let mut body = HeldMessage::new(relay.body_buffers.share());
-        let mut length_bytes = 0;
         if let Framing::Length(length) = head.framing {
             body.reserve(usize::try_from(length).unwrap_or(usize::MAX))?;
         }
         loop {
             match decoder.step(&mut self.buffer)? {
-                BodyStep::Data(data) => {
-                    length_bytes += data.len() as u64;
-                    body.extend(&data)?;
-                }
+                BodyStep::Data(data) => body.extend(&data)?,
                 BodyStep::End => {
                     let (body, share) = body.into_parts();
                     return Ok((body.freeze(), share));
@@ -179,7 +175,7 @@
                     }
                 }
             }
-            if length_bytes > limit_bytes {
+            if body.length_bytes() as u64 > limit_bytes {
                 return Err(BodyError::Refused(Refusal::BodyTooLong));
             }
         }
--- a/crates/masticsill_relay/src/connection.rs
+++ b/crates/masticsill_relay/src/connection.rs
@@ -126,16 +126,12 @@
     let asked_ms = head.headers.number(&names.deadline_ms).unwrap_or_default();
     let bound_ms = discovery_wait_ms(asked_ms);
     let authorized = relay.wait_for_discovery(bound_ms, || authorize_now(relay, &head));
-    let authorized = match authorized.await {
-        Some(Ok(authorized)) => authorized,
-        Some(Err(refusal)) => {
+    let authorized = match authorized.await.unwrap_or(Err(Refusal::NoDocument)) {
+        Ok(authorized) => authorized,
+        Err(refusal) => {
             stage.note_answering();
             return refuse_unadmitted(relay, writer, id, refusal, is_keep_alive).await;
         }
-        None => {
-            stage.note_answering();
-            return refuse_unadmitted(relay, writer, id, Refusal::NoDocument, is_keep_alive).await;
-        }
     };
     let request = {
         let mut prior_wait_estimator = relay.prior_wait_estimator.borrow_mut();
--- a/crates/masticsill_upstream/src/buffer_budget.rs
+++ b/crates/masticsill_upstream/src/buffer_budget.rs
@@ -148,6 +148,12 @@
         Ok(())
     }
 
+    /// The bytes received so far.
+    #[must_use]
+    pub fn length_bytes(&self) -> usize {
+        self.bytes.len()
+    }
+
     /// Appends a piece.
     ///
     /// # Errors
--- a/crates/masticsill_upstream/src/exchange.rs
+++ b/crates/masticsill_upstream/src/exchange.rs
@@ -169,10 +169,8 @@
     ) -> Result<(BytesMut, BufferShare), ExchangeError> {
         let mut decoder = BodyDecoder::new(framing);
         let mut body = HeldMessage::new(self.held.sibling());
-        let mut length_bytes = 0;
         while let Some(piece) = self.next_chunk(&mut decoder).await? {
-            length_bytes += piece.len();
-            if length_bytes > max_bytes {
+            if body.length_bytes() + piece.len() > max_bytes {
                 return Err(ParseError::Framing.into());
             }
             body.extend(&piece)?;
