Responses that RFC 9110 and 9112 don't allow are no answers

What callers saw: answers with statuses 000 to 099 and 600 to 999, passed on as `HTTP/1.1 0 Status`, on streams too; bodies that begin with header fields, since a lone line feed in front of a field's name ended the head. By reading the grammar, not reported: 101 without an upgrade taken for an interim answer, chunks in HTTP/1.0, bodies announced by 204 and interim answers (taken for the next answer), trailers and chunk extensions of any bytes, an empty line before an answer.

Cause: what the parsing library accepts was taken for what a response is. It reads any three digits as a status and a lone line feed as the end of a line, and doesn't look at the framing.

Change: parse_response checks status, line ends and framing by status, version and method; the body decoder checks extensions and trailers.

Names with a blank or a control byte other than a line feed were refused before.

--- a/crates/masticsill_http1/src/body.rs
+++ b/crates/masticsill_http1/src/body.rs
@@ -130,12 +130,12 @@
         match self.state {
             DecoderState::ChunkEnd if line.is_empty() => Ok(DecoderState::ChunkSize),
             DecoderState::Trailers { .. } if line.is_empty() => Ok(DecoderState::Done),
-            DecoderState::ChunkEnd | DecoderState::Trailers { remaining: 0 } => {
-                Err(ParseError::Chunk)
+            DecoderState::Trailers { remaining } if remaining > 0 && is_field_line(line) => {
+                Ok(DecoderState::Trailers {
+                    remaining: remaining - 1,
+                })
             }
-            DecoderState::Trailers { remaining } => Ok(DecoderState::Trailers {
-                remaining: remaining - 1,
-            }),
+            DecoderState::ChunkEnd | DecoderState::Trailers { .. } => Err(ParseError::Chunk),
             _ => match chunk_size(line)? {
                 0 => Ok(DecoderState::Trailers {
                     remaining: MAX_TRAILER_LINES,
@@ -176,8 +176,13 @@
 }
 
 fn chunk_size(line: &[u8]) -> Result<u64, ParseError> {
-    let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
-    let digits = digits.trim_ascii_end();
+    let mut parts = line.splitn(2, |byte| *byte == b';');
+    let digits = parts.next().unwrap_or_default();
+    let digits = match parts.next() {
+        Some(extensions) if extensions.iter().all(|byte| is_text(*byte)) => digits.trim_ascii_end(),
+        Some(_) => return Err(ParseError::Chunk),
+        None => digits,
+    };
     let is_hex = !digits.is_empty() && digits.iter().all(u8::is_ascii_hexdigit);
     let text = std::str::from_utf8(digits).map_err(|_| ParseError::Chunk)?;
     if !is_hex {
@@ -185,3 +190,22 @@
     }
     u64::from_str_radix(text, 16).map_err(|_| ParseError::Chunk)
 }
+
+/// Whether a line of the trailer section is a header field.
+fn is_field_line(line: &[u8]) -> bool {
+    let mut parts = line.splitn(2, |byte| *byte == b':');
+    let name = parts.next().unwrap_or_default();
+    let is_named = !name.is_empty() && name.iter().all(|byte| is_token(*byte));
+    let value = parts.next();
+    is_named && value.is_some_and(|value| value.iter().all(|byte| is_text(*byte)))
+}
+
+/// Whether a byte may be part of a token (RFC 9110, section 5.6.2).
+fn is_token(byte: u8) -> bool {
+    byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte)
+}
+
+/// Whether a byte may be part of a field value: all but control characters other than tabs.
+fn is_text(byte: u8) -> bool {
+    byte == b'\t' || !byte.is_ascii_control()
+}
--- a/crates/masticsill_http1/src/head.rs
+++ b/crates/masticsill_http1/src/head.rs
@@ -1,5 +1,7 @@
 //! Parses the heads of requests and responses.
 
+use std::ops::RangeInclusive;
+
 use bytes::{Buf, BytesMut};
 
 use crate::body::Framing;
@@ -8,6 +10,11 @@
 
 /// Most header fields of one message.
 const MAX_HEADER_FIELDS: usize = 96;
+/// The status codes that exist (RFC 9110, section 15).
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
+const SWITCHING_PROTOCOLS: u16 = 101;
+const NO_CONTENT: u16 = 204;
+const NOT_MODIFIED: u16 = 304;
 
 /// The head of a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -81,20 +88,27 @@
     max_bytes: usize,
 ) -> Result<Option<ResponseHead>, ParseError> {
     loop {
+        // Empty lines may come before a request, but not before a response.
+        if matches!(buffer.first(), Some(b'\r' | b'\n')) {
+            return Err(ParseError::Head);
+        }
         let mut fields = [httparse::EMPTY_HEADER; MAX_HEADER_FIELDS];
         let mut parsed = httparse::Response::new(&mut fields);
         let status = parsed.parse(buffer).map_err(head_error)?;
         let Some(size_bytes) = head_size(status, buffer.len(), max_bytes)? else {
             return Ok(None);
         };
-        let status = parsed.code.ok_or(ParseError::Head)?;
+        if has_bare_line_feed(&buffer[..size_bytes]) {
+            return Err(ParseError::Head);
+        }
+        let status = valid_status(parsed.code)?;
         let headers = HeaderList::from_parsed(parsed.headers);
         let is_http_1_1 = parsed.version == Some(1);
         buffer.advance(size_bytes);
-        if (100..200).contains(&status) {
+        let framing = response_framing(&headers, method, status, is_http_1_1)?;
+        if is_interim(status) {
             continue;
         }
-        let framing = response_framing(&headers, method, status)?;
         let is_delimited = framing != Framing::UntilClose;
         return Ok(Some(ResponseHead {
             framing,
@@ -151,21 +165,51 @@
     Ok(Framing::Chunked)
 }
 
+/// Whether a line of a head ends without a carriage return. The parser takes a lone line feed for the
+/// end of a line, which in a field's name or value would end the head early.
+fn has_bare_line_feed(head: &[u8]) -> bool {
+    let lines = head.split_inclusive(|byte| *byte == b'\n');
+    let mut lines = lines.filter(|line| line.ends_with(b"\n"));
+    lines.any(|line| !line.ends_with(b"\r\n"))
+}
+
+/// The status code of a response, if it is one that an endpoint may send: no request asks for another
+/// protocol.
+fn valid_status(code: Option<u16>) -> Result<u16, ParseError> {
+    let is_valid = |code: &u16| STATUS_CODES.contains(code) && *code != SWITCHING_PROTOCOLS;
+    code.filter(is_valid).ok_or(ParseError::Status)
+}
+
+fn is_interim(status: u16) -> bool {
+    status < 200
+}
+
 fn response_framing(
     headers: &HeaderList,
     method: &str,
     status: u16,
+    is_http_1_1: bool,
 ) -> Result<Framing, ParseError> {
-    if method == "HEAD" || status == 204 || status == 304 {
-        return Ok(Framing::Empty);
-    }
     let length = content_length(headers)?;
-    if is_chunked(headers)? {
-        return match length {
-            Some(_) => Err(ParseError::Framing),
-            None => Ok(Framing::Chunked),
+    let is_chunked = is_chunked(headers)?;
+    if is_chunked && (length.is_some() || !is_http_1_1) {
+        return Err(ParseError::Framing);
+    }
+    if is_interim(status) || status == NO_CONTENT {
+        // The bytes of such a body would be taken for the next response.
+        let has_body = is_chunked || length.is_some_and(|bytes| bytes > 0);
+        return if has_body {
+            Err(ParseError::Framing)
+        } else {
+            Ok(Framing::Empty)
         };
     }
+    if method == "HEAD" || status == NOT_MODIFIED {
+        return Ok(Framing::Empty);
+    }
+    if is_chunked {
+        return Ok(Framing::Chunked);
+    }
     Ok(length.map_or(Framing::UntilClose, Framing::from_length))
 }
 
--- a/crates/masticsill_http1/tests/framing.rs
+++ b/crates/masticsill_http1/tests/framing.rs
@@ -68,7 +68,7 @@
 
 #[test]
 fn a_chunked_body_ends_after_the_trailers_of_the_empty_chunk() {
-    let text = "3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: v\r\n\r\nrest";
+    let text = "3\r\nabc\r\n2 ; x=\"y z\"\r\nde\r\n000\r\nT: v\r\nU:\r\n\r\nrest";
     let (body, left) = whole_body(Framing::Chunked, text);
     assert_eq!(body, b"abcde");
     assert_eq!(left, "rest".len());
@@ -85,7 +85,22 @@
 
 #[test]
 fn malformed_chunks_are_refused() {
-    for text in ["x\r\nabc", "3\r\nabcd\r\n", "\r\n", "-1\r\n"] {
+    for text in [
+        "x\r\nabc",
+        "3\r\nabcd\r\n",
+        "\r\n",
+        "-1\r\n",
+        "3 \r\nabc\r\n",
+        " 3\r\nabc\r\n",
+        "3;a\nb\r\nabc\r\n",
+        "3;a\0\r\nabc\r\n",
+        "10000000000000003\r\nabc\r\n",
+        "0\r\nno field\r\n\r\n",
+        "0\r\nX Y: z\r\n\r\n",
+        "0\r\n: z\r\n\r\n",
+        "0\r\nX: \x01\r\n\r\n",
+        "0\r\nX: a\r\n folded\r\n\r\n",
+    ] {
         let mut buffer = BytesMut::from(text);
         let mut decoder = BodyDecoder::new(Framing::Chunked);
         let error = loop {
