Agents read the answers of plain services as relays do

What callers saw on the product's own path: status 600 with its body passed on as an answer; the empty body in place of an answer that ends with its connection; an interim answer (103) in place of the final one.

Cause: the agent's HTTP client takes any three digits from 100 on for a status and any first head for the final one, and gives an HTTP/1.1 answer without a length no body.

Change: an agent's call uses UpstreamConnection, the exchange that relays use, on a connection of its own as before.

Evidence: plain_calls::invalid_answers_are_unknown_outcomes and whole_answers_of_any_framing_are_returned failed before (`Answered { body: "half", status: 600 }`, `body: []` for "whole") and pass now.

--- a/crates/masticsill_agent/src/call.rs
+++ b/crates/masticsill_agent/src/call.rs
@@ -3,29 +3,34 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use masticsill_runtime::{Ring, is_unsent};
+use masticsill_http1::HeadWriter;
+use masticsill_runtime::Ring;
+use masticsill_upstream::{
+    BufferBudget, ExchangeError, ExpectedResponse, UpstreamConnection, dial,
+};
 use masticsill_wire::agent::{CallAnswer, CallRequest};
-use ntex::client::{Client, ClientResponse};
-use ntex::http::Method;
-use ntex::http::header::CONTENT_TYPE;
+use ntex::http::header::HeaderValue;
+use ntex::http::{Method, Uri};
 use tokio::time::timeout;
 
 use crate::config::AgentLimits;
 use crate::messages::{CallEnd, EndpointEvent, send_event};
 
-const REQUEST_ID_HEADER: &str = "x-request-id";
+const REQUEST_ID_HEADER: &str = "X-Request-Id";
+/// Timeout of a connection: the service runs on the same instance.
+const DIAL_TIMEOUT_MS: u64 = 1_000;
 
-/// Sends a call once and reports its outcome.
+/// Sends a call once and reports its outcome. What is held of its answer counts towards `budget`.
 pub(crate) async fn run_call(
-    client: Client,
     address: SocketAddr,
+    budget: BufferBudget,
     limits: AgentLimits,
     request: CallRequest,
     endpoint_events: Ring<EndpointEvent>,
 ) {
     let id = request.id;
     let call_timeout = Duration::from_millis(limits.call_timeout_ms);
-    let exchange_call = exchange(&client, address, limits.max_answer_bytes, request);
+    let exchange_call = exchange(address, &budget, limits.max_answer_bytes, &request);
     let end = timeout(call_timeout, exchange_call)
         .await
         .unwrap_or(CallEnd::Lost);
@@ -33,44 +38,61 @@
 }
 
 async fn exchange(
-    client: &Client,
     address: SocketAddr,
+    budget: &BufferBudget,
     max_answer_bytes: usize,
-    request: CallRequest,
+    request: &CallRequest,
 ) -> CallEnd {
-    let Ok(method) = request.method.parse::<Method>() else {
-        return CallEnd::Unsent("the call's method is not one of HTTP".to_owned());
+    let Some(head) = request_head(address, request) else {
+        return CallEnd::Unsent("the call is no request of HTTP".to_owned());
     };
-    let url = format!("http://{address}{}", request.path);
     // A new connection for each call: when a pooled connection breaks, it is unknown whether it
     // had already delivered the request.
-    let prepared = client.request(method, url).force_close().no_decompress();
-    let sent = prepared
-        .header(REQUEST_ID_HEADER, request.id.to_string())
-        .header(CONTENT_TYPE, request.content_type)
-        .send_body(request.body)
-        .await;
-    match sent {
-        Ok(response) => read_answer(response, max_answer_bytes).await,
-        Err(error) if is_unsent(&error) => {
-            CallEnd::Unsent("the service refuses connections".to_owned())
-        }
+    let Ok(stream) = dial(address, DIAL_TIMEOUT_MS).await else {
+        return CallEnd::Unsent("the service accepts no connection".to_owned());
+    };
+    let connection = UpstreamConnection::new(stream, budget);
+    match read_answer(connection, &head, max_answer_bytes, request).await {
+        Ok(answer) => CallEnd::Answered(answer),
         Err(_) => CallEnd::Lost,
     }
 }
 
-async fn read_answer(response: ClientResponse, max_answer_bytes: usize) -> CallEnd {
-    let content_type = response.headers().get(CONTENT_TYPE);
-    let content_type = content_type.and_then(|value| value.to_str().ok());
-    let content_type = content_type.unwrap_or_default().to_owned();
-    let status = response.status().as_u16();
-    let body_read = response.body().limit(max_answer_bytes);
-    let Ok(body) = body_read.await else {
-        return CallEnd::Lost;
+/// The head of a call; none if a part of it can't stand in a request.
+fn request_head(address: SocketAddr, request: &CallRequest) -> Option<Vec<u8>> {
+    let method: Method = request.method.parse().ok()?;
+    let path: Uri = request.path.parse().ok()?;
+    let content_type = HeaderValue::from_str(&request.content_type).ok()?;
+    let mut head = HeadWriter::request(method.as_str(), path.path_and_query()?.as_str());
+    head.field("Host", address);
+    head.field(REQUEST_ID_HEADER, request.id);
+    head.field("Content-Type", content_type.to_str().ok()?);
+    head.field("Content-Length", request.body.len());
+    head.field("Connection", "close");
+    Some(head.finish().to_vec())
+}
+
+async fn read_answer(
+    mut connection: UpstreamConnection,
+    head: &[u8],
+    max_answer_bytes: usize,
+    request: &CallRequest,
+) -> Result<CallAnswer, ExchangeError> {
+    // The connection carries one request only, so that its response needs no id.
+    let expected = ExpectedResponse {
+        method: &request.method,
+        id_field: "",
+        request_id: "",
     };
-    CallEnd::Answered(CallAnswer {
+    let head = connection.exchange([head, &request.body], expected).await?;
+    let (body, _share) = connection.read_body(head.framing, max_answer_bytes).await?;
+    Ok(CallAnswer {
         body: body.to_vec(),
-        content_type,
-        status,
+        content_type: head
+            .headers
+            .text("content-type")
+            .unwrap_or_default()
+            .to_owned(),
+        status: head.status,
     })
 }
--- a/crates/masticsill_agent/src/endpoint_duty.rs
+++ b/crates/masticsill_agent/src/endpoint_duty.rs
@@ -7,6 +7,7 @@
 use masticsill_generation::{EngineCommand, RunNumber, RunRequest};
 use masticsill_runtime::Ring;
 use masticsill_types::{ModelTarget, log_event};
+use masticsill_upstream::BufferBudget;
 use ntex::SharedCfg;
 use ntex::client::{Client, Connector};
 use ntex::rt::{DefaultRuntime, System, spawn};
@@ -39,6 +40,7 @@
             return;
         };
         let duty = EndpointDuty {
+            answer_budget: BufferBudget::new(config.limits.calls.max_answer_bytes),
             client,
             config,
             endpoint_events,
@@ -61,6 +63,8 @@
 }
 
 struct EndpointDuty {
+    /// Memory for the answers to calls while they are read.
+    answer_budget: BufferBudget,
     client: Client,
     config: AgentConfig,
     endpoint_events: Ring<EndpointEvent>,
@@ -90,8 +94,8 @@
             match command {
                 EndpointCommand::Call(request) => {
                     spawn(run_call(
-                        self.client.clone(),
                         self.config.endpoint_address,
+                        self.answer_budget.clone(),
                         self.config.limits,
                         *request,
                         self.endpoint_events.clone(),
--- a/crates/masticsill_agent/tests/plain_calls.rs
+++ b/crates/masticsill_agent/tests/plain_calls.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
 use std::thread;
 
 use assert_matches::assert_matches;
@@ -11,6 +13,37 @@
 
 use support::{TestAgent, TestEntry, context, wait_for};
 
+/// A service that reads the head and the short body of each request and sends these bytes.
+fn verbatim_service(answer: &'static [u8]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let mut request = Vec::new();
+            let mut bytes = [0; 4_096];
+            while !request.ends_with(b"two pallets") {
+                let size = stream.read(&mut bytes).unwrap();
+                request.extend_from_slice(&bytes[..size]);
+            }
+            stream.write_all(answer).unwrap();
+        }
+    });
+    address
+}
+
+/// What an agent makes of a service's answer to a call.
+fn reply_to_verbatim(answer: &'static [u8]) -> CallReply {
+    let agent = TestAgent::for_service(verbatim_service(answer), |_| {});
+    let fixture = Fixture {
+        entry: TestEntry::connect(&agent),
+        agent,
+        service: FakeService::start(ServiceSettings::default()).unwrap(),
+    };
+    let reply = fixture.call(fixture.request(1));
+    fixture.agent.stop();
+    reply
+}
+
 struct Fixture {
     agent: TestAgent,
     entry: TestEntry,
@@ -152,3 +185,38 @@
     wait_for("the agent is drained", || fixture.agent.handle.is_drained());
     fixture.agent.stop();
 }
+
+#[test]
+fn invalid_answers_are_unknown_outcomes() {
+    for answer in [
+        "HTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nhalf",
+        "HTTP/1.1 099 OK\r\nContent-Length: 4\r\n\r\nhalf",
+        "HTTP/1.1 600 OK\r\nContent-Length: 4\r\n\r\nhalf",
+        "HTTP/1.1 999 OK\r\nContent-Length: 4\r\n\r\nhalf",
+        "HTTP/1.1 101 OK\r\nUpgrade: x\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 4\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\n\nX: z\r\nContent-Length: 4\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+        "HTTP/1.1 103 Early Hints\r\n\r\n",
+    ] {
+        let reply = reply_to_verbatim(answer.as_bytes());
+        assert_eq!(reply, CallReply::OutcomeUnknown, "{answer:?}");
+    }
+}
+
+#[test]
+fn whole_answers_of_any_framing_are_returned() {
+    for answer in [
+        "HTTP/1.1 201 Created\r\nContent-Length: 5\r\n\r\nwhole",
+        "HTTP/1.1 201 Created\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+        "HTTP/1.1 201 Created\r\n\r\nwhole",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Created\r\nContent-Length: 5\r\n\r\nwhole",
+    ] {
+        let reply = reply_to_verbatim(answer.as_bytes());
+        assert_matches!(
+            reply,
+            CallReply::Answered(it) if it.status == 201 && it.body == b"whole",
+            "{answer:?}"
+        );
+    }
+}
