The operators' tool takes no refusal from an answer that is none

What operators saw: with status 101, 103, 304, 600 or 999 and a body that reads like a refusal the tool ended with "refused" (exit code 4), though the change may be in force.

Cause: every status other than 2xx and 503 was taken for a refusal if the body was one.

Change: only 4xx and 5xx refuse; any other status counts as no answer, so that the call is repeated and its outcome is unknown in the end (exit code 6).

Evidence: operator_tool::invalid_answers_are_neither_results_nor_refusals failed before (101: exit code 4) and passes now. Names with blanks, lone line feeds and answers cut short were no answers before.

--- a/crates/masticsillctl/src/api.rs
+++ b/crates/masticsillctl/src/api.rs
@@ -187,8 +187,12 @@
             .map(Ok)
             .map_err(|error| unreadable(error.to_string()));
     }
-    let error: ErrorJson = serde_json::from_slice(&body)
-        .map_err(|_| unreadable(format!("the address answered status {status}")))?;
+    let not_an_answer = || unreadable(format!("the address answered status {status}"));
+    // A body that reads like a refusal is none with a status that says something else.
+    if !(status.is_client_error() || status.is_server_error()) {
+        return Err(not_an_answer());
+    }
+    let error: ErrorJson = serde_json::from_slice(&body).map_err(|_| not_an_answer())?;
     if status == StatusCode::SERVICE_UNAVAILABLE {
         return Err(Unanswered {
             is_outcome_unknown: error.reason == "outcome_unknown",
--- a/crates/masticsillctl/tests/operator_tool.rs
+++ b/crates/masticsillctl/tests/operator_tool.rs
@@ -4,8 +4,11 @@
 mod common;
 
 use std::fs;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::{Command, Output};
+use std::thread;
 
 use common::{Cluster, node};
 use tempfile::TempDir;
@@ -175,3 +178,59 @@
     fixture.cluster.abort(&node(1));
     assert_ends(&fixture.run(&["list"]), 0, "catalogue version 1");
 }
+
+/// An address that reads each request and sends these bytes.
+fn verbatim_address(answer: String) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let mut reader = BufReader::new(&stream);
+            let mut length = 0;
+            loop {
+                let mut line = String::new();
+                reader.read_line(&mut line).unwrap();
+                if let Some(value) = line.to_lowercase().strip_prefix("content-length:") {
+                    length = value.trim().parse().unwrap();
+                }
+                if line.trim().is_empty() {
+                    break;
+                }
+            }
+            reader.read_exact(&mut vec![0; length]).unwrap();
+            (&stream).write_all(answer.as_bytes()).unwrap();
+        }
+    });
+    address
+}
+
+#[test]
+fn invalid_answers_are_neither_results_nor_refusals() {
+    let fixture = ToolFixture::start(1);
+    let file = fixture.file("entry.json", ENTRY);
+    let file = file.to_str().unwrap();
+    let refusal = r#"{"reason":"conflict","message":"version 9 is in force"}"#;
+    let apply = ["apply", file, "--expected-version", "0", "--timeout-s", "1"];
+    for status in ["000", "099", "101", "103", "304", "600", "999", "2x0"] {
+        let length = refusal.len();
+        let answer = format!("HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n\r\n{refusal}");
+        let output = fixture.run_at(&[verbatim_address(answer)], &apply);
+        assert_eq!(output.status.code(), Some(6), "{status}: {output:?}");
+    }
+    let length = refusal.len();
+    for answer in [
+        format!("HTTP/1.1 409 X\r\nX Y: z\r\nContent-Length: {length}\r\n\r\n{refusal}"),
+        format!("HTTP/1.1 409 X\r\n\nContent-Length: {length}\r\n\r\n{refusal}"),
+        format!(
+            "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{refusal}",
+            length + 1
+        ),
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}".to_owned(),
+    ] {
+        let output = fixture.run_at(&[verbatim_address(answer.clone())], &apply);
+        assert_eq!(output.status.code(), Some(6), "{answer}: {output:?}");
+    }
+    let answer = format!("HTTP/1.1 409 X\r\nContent-Length: {length}\r\n\r\n{refusal}");
+    let output = fixture.run_at(&[verbatim_address(answer)], &apply);
+    assert_ends(&output, 4, "version 9 is in force");
+}
