A late answer to an earlier call is not taken for that to the next one

What happened: an endpoint that sends a second, unasked answer on a kept connection had it taken for the answer to the next call there: what a control replica knows of an engine's kept prompts, for one.

Cause: relays' pools check that an idle connection has received nothing; the client of endpoints' own calls did not.

Change: EndpointClient uses the same check, which moves to masticsill_upstream.

Evidence: endpoint_calls::unasked_answers_belong_to_no_call failed before ("stale" for "second") and passes now; invalid_answers_are_errors shows that these calls refuse what relays refuse.

--- a/crates/masticsill_relay/src/pool.rs
+++ b/crates/masticsill_relay/src/pool.rs
@@ -1,9 +1,9 @@
 //! Idle connections to endpoints, kept for further requests.
 
-use bytes::BytesMut;
 use indexmap::IndexMap;
 use masticsill_registry::EndpointId;
 use masticsill_types::ClockMs;
+use masticsill_upstream::is_unused;
 use tokio::net::TcpStream;
 
 /// Maximum number of idle connections per endpoint.
@@ -113,13 +113,3 @@
         *count = count.saturating_sub(1);
     }
 }
-
-/// Whether a connection is open and has received nothing: bytes received while idle belong to no
-/// request.
-fn is_unused(stream: &TcpStream) -> bool {
-    let mut one = BytesMut::zeroed(1);
-    match stream.try_read(&mut one) {
-        Err(error) => error.kind() == std::io::ErrorKind::WouldBlock,
-        Ok(_) => false,
-    }
-}
--- a/crates/masticsill_upstream/src/call.rs
+++ b/crates/masticsill_upstream/src/call.rs
@@ -11,6 +11,7 @@
 use crate::buffer_budget::BufferBudget;
 use crate::dial::dial;
 use crate::exchange::{ExchangeError, ExpectedResponse, UpstreamConnection};
+use crate::idle::is_unused;
 
 /// Timeout of a connection: a healthy endpoint accepts within a few milliseconds.
 const DIAL_TIMEOUT_MS: u64 = 120;
@@ -66,7 +67,7 @@
     ) -> Result<(u16, BytesMut), String> {
         let exchange = async {
             // The endpoint may have closed the idle connection meanwhile.
-            if let Some(stream) = self.idle_connection.take()
+            if let Some(stream) = self.idle_connection.take().filter(is_unused)
                 && let Ok(response) = self.exchange(stream, call).await
             {
                 return Ok(response);
--- a/crates/masticsill_upstream/src/lib.rs
+++ b/crates/masticsill_upstream/src/lib.rs
@@ -7,6 +7,7 @@
 mod call;
 mod dial;
 mod exchange;
+mod idle;
 mod probe;
 mod read;
 
@@ -14,5 +15,6 @@
 pub use call::{EndpointCall, EndpointClient};
 pub use dial::{configure_socket, dial};
 pub use exchange::{ExchangeError, ExpectedResponse, UpstreamConnection};
+pub use idle::is_unused;
 pub use probe::probe;
 pub use read::read_more;
