Answers without content announce none, and nothing follows their heads

What callers saw: `Content-Length: 0` with 204, and in place of the endpoint's length with 304 and to HEAD; the text of a refusal behind the head that answers HEAD, and an empty chunk behind that of a stream asked for with HEAD: bytes that a caller takes for its next answer.

Cause: every answer's length was that of the body held, and each was written with its body.

Change: a response states its length apart from its body: none with 204, the endpoint's with 304 and to HEAD; to HEAD only the head is written.

Evidence: invalid_answers::answers_without_content_have_none failed before (204 with length 0) and passes now, on one kept connection of its caller.

--- a/crates/masticsill_http1/src/head.rs
+++ b/crates/masticsill_http1/src/head.rs
@@ -31,6 +31,14 @@
     pub target: String,
 }
 
+impl RequestHead {
+    /// Returns whether the request has this method. Methods are case-sensitive.
+    #[must_use]
+    pub fn is_method(&self, method: &str) -> bool {
+        self.method == method
+    }
+}
+
 /// The head of a response.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ResponseHead {
--- a/crates/masticsill_relay/src/connection.rs
+++ b/crates/masticsill_relay/src/connection.rs
@@ -25,7 +25,7 @@
     write_final_refusal,
 };
 use crate::request_stage::RequestStage;
-use crate::response::Refusal;
+use crate::response::{Refusal, ResponseForm};
 use crate::stream::StreamRelay;
 use crate::stream_origins::find_origin;
 
@@ -73,7 +73,7 @@
 ) -> ConnectionAction {
     let _active = ActiveRequest::begin(relay);
     let id = relay.config.headers.request_id_of(&head).to_owned();
-    let is_keep_alive = head.is_keep_alive;
+    let form = ResponseForm::from(&head);
     let stage = RequestStage::default();
     let body = tokio::select! {
         biased;
@@ -90,7 +90,7 @@
     let refusal = tokio::select! {
         biased;
         action = answering => {
-            return if is_keep_alive { action } else { action.at_least_close() };
+            return if form.is_keep_alive { action } else { action.at_least_close() };
         }
         () = caller.wait_for_close() => {
             log_caller_left(relay, &id, received_at, "closed its connection");
@@ -98,7 +98,7 @@
         }
         refusal = final_refusal(relay, &stage) => refusal,
     };
-    refuse_unadmitted(relay, writer, &id, refusal, is_keep_alive).await
+    refuse_unadmitted(relay, writer, &id, refusal, form).await
 }
 
 /// Waits until the relay is about to end; returns the refusal of a request without any response by
@@ -122,7 +122,7 @@
     stage: RequestStage,
 ) -> ConnectionAction {
     let names = &relay.config.headers;
-    let is_keep_alive = head.is_keep_alive;
+    let form = ResponseForm::from(&head);
     let asked_ms = head.headers.number(&names.deadline_ms).unwrap_or_default();
     let bound_ms = discovery_wait_ms(asked_ms);
     let authorized = relay.wait_for_discovery(bound_ms, || authorize_now(relay, &head));
@@ -130,7 +130,7 @@
         Ok(authorized) => authorized,
         Err(refusal) => {
             stage.note_answering();
-            return refuse_unadmitted(relay, writer, id, refusal, is_keep_alive).await;
+            return refuse_unadmitted(relay, writer, id, refusal, form).await;
         }
     };
     let request = {
--- a/crates/masticsill_relay/src/endpoint_response.rs
+++ b/crates/masticsill_relay/src/endpoint_response.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use masticsill_http1::{Header, ResponseHead};
+use masticsill_http1::{Header, RequestHead, ResponseHead};
 use masticsill_types::log_event;
 
 use crate::attempt::{Attempt, SendFailure, fail, failure_of, with_silence_timeout};
@@ -19,6 +19,10 @@
 /// Status sent by an endpoint that is not the incarnation for which the request was meant.
 pub(crate) const MISDIRECTED_REQUEST: u16 = 421;
 
+/// Statuses of responses without content.
+const NO_CONTENT: u16 = 204;
+const NOT_MODIFIED: u16 = 304;
+
 /// Cause of a failed attempt whose response is a success that its endpoint did not sign.
 pub(crate) const UNSIGNED_SUCCESS: &str = "a success without a signature";
 
@@ -118,6 +122,7 @@
         }
     }
     let response = Response {
+        length_bytes: stated_length(&request.head, &head, body.len()),
         body: body.freeze(),
         _buffer_share: Some(share),
         headers: forwarded_headers(&head),
@@ -128,6 +133,18 @@
     Ok((verdict, response))
 }
 
+/// The length that a response to a caller states: that of its body, or where a response has none, what
+/// the endpoint states of the body that another request would get.
+fn stated_length(request: &RequestHead, head: &ResponseHead, body_bytes: usize) -> Option<u64> {
+    if head.status == NO_CONTENT {
+        None
+    } else if request.is_method("HEAD") || head.status == NOT_MODIFIED {
+        head.headers.number("content-length")
+    } else {
+        Some(body_bytes as u64)
+    }
+}
+
 /// The header fields of an endpoint's response that are forwarded to the caller.
 pub(crate) fn forwarded_headers(head: &ResponseHead) -> Vec<Header> {
     let fields = head.headers.end_to_end();
--- a/crates/masticsill_relay/src/request_end.rs
+++ b/crates/masticsill_relay/src/request_end.rs
@@ -15,7 +15,7 @@
 use crate::plain::PlainEnd;
 use crate::relay::Relay;
 use crate::request::RelayRequest;
-use crate::response::{Refusal, Response};
+use crate::response::{Refusal, Response, ResponseForm};
 use crate::stream::{BrokenOff, StreamEnd};
 use crate::stream_timing::StreamTiming;
 
@@ -60,7 +60,7 @@
             sends,
         } => {
             log_answered(relay, request, response.status, &endpoint, sends);
-            write_response(relay, writer, &response, request.head.is_keep_alive).await
+            write_response(relay, writer, &response, (&request.head).into()).await
         }
         PlainEnd::Refused(refusal) => refuse(relay, writer, request, refusal).await,
     }
@@ -92,7 +92,7 @@
         }
         StreamEnd::Plain(response, endpoint) => {
             log_answered(relay, request, response.status, &endpoint, 1);
-            write_response(relay, writer, &response, request.head.is_keep_alive).await
+            write_response(relay, writer, &response, (&request.head).into()).await
         }
         StreamEnd::Refused { refusal, .. } => refuse(relay, writer, request, refusal).await,
         StreamEnd::BrokenOff(broken) => {
@@ -139,14 +139,7 @@
 ) -> ConnectionAction {
     request.stage.note_answering();
     note_end(relay, request, refusal.name());
-    write_refusal(
-        relay,
-        writer,
-        &request.id,
-        refusal,
-        request.head.is_keep_alive,
-    )
-    .await
+    write_refusal(relay, writer, &request.id, refusal, (&request.head).into()).await
 }
 
 /// Answers a request that was not admitted.
@@ -155,10 +148,10 @@
     writer: &mut OwnedWriteHalf,
     request_id: &str,
     refusal: Refusal,
-    is_keep_alive: bool,
+    form: ResponseForm,
 ) -> ConnectionAction {
     relay.metrics.note_end(UNADMITTED, refusal.name());
-    write_refusal(relay, writer, request_id, refusal, is_keep_alive).await
+    write_refusal(relay, writer, request_id, refusal, form).await
 }
 
 /// Answers input that is not a valid request; the connection has to be closed afterwards.
@@ -167,7 +160,7 @@
     refusal: Refusal,
 ) -> ConnectionAction {
     let response = Response::from_refusal(refusal);
-    match write_whole(writer, &response, true).await {
+    match write_whole(writer, &response, false, true).await {
         Ok(()) => ConnectionAction::Close,
         Err(_) => ConnectionAction::Abort,
     }
@@ -178,7 +171,7 @@
     writer: &mut OwnedWriteHalf,
     request_id: &str,
     refusal: Refusal,
-    is_keep_alive: bool,
+    form: ResponseForm,
 ) -> ConnectionAction {
     log_event!(
         warn,
@@ -188,23 +181,17 @@
         status = refusal.status(),
         active = relay.active.get()
     );
-    write_response(
-        relay,
-        writer,
-        &Response::from_refusal(refusal),
-        is_keep_alive,
-    )
-    .await
+    write_response(relay, writer, &Response::from_refusal(refusal), form).await
 }
 
 async fn write_response(
     relay: &Rc<Relay>,
     writer: &mut OwnedWriteHalf,
     response: &Response,
-    is_keep_alive: bool,
+    form: ResponseForm,
 ) -> ConnectionAction {
-    let is_closing = !is_keep_alive || relay.stopping.is_requested();
-    match write_whole(writer, response, is_closing).await {
+    let is_closing = !form.is_keep_alive || relay.stopping.is_requested();
+    match write_whole(writer, response, form.is_head_only, is_closing).await {
         Ok(()) if is_closing => ConnectionAction::Close,
         Ok(()) => ConnectionAction::Keep,
         Err(_) => ConnectionAction::Abort,
@@ -214,9 +201,10 @@
 async fn write_whole(
     writer: &mut OwnedWriteHalf,
     response: &Response,
+    is_head_only: bool,
     is_closing: bool,
 ) -> io::Result<()> {
-    for part in response.to_bytes(is_closing) {
+    for part in response.to_bytes(is_head_only, is_closing) {
         writer.write_all(&part).await?;
     }
     Ok(())
--- a/crates/masticsill_relay/src/response.rs
+++ b/crates/masticsill_relay/src/response.rs
@@ -1,9 +1,27 @@
 //! Complete responses to callers: those of endpoints, and the relay's own.
 
 use bytes::Bytes;
-use masticsill_http1::{HeadWriter, Header};
+use masticsill_http1::{HeadWriter, Header, RequestHead};
 use masticsill_upstream::BufferShare;
 
+/// What a request decides about the form of its response.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ResponseForm {
+    /// Whether the response has no body, whatever its head says.
+    pub(crate) is_head_only: bool,
+    /// Whether the caller keeps the connection open.
+    pub(crate) is_keep_alive: bool,
+}
+
+impl From<&RequestHead> for ResponseForm {
+    fn from(head: &RequestHead) -> Self {
+        Self {
+            is_head_only: head.is_method("HEAD"),
+            is_keep_alive: head.is_keep_alive,
+        }
+    }
+}
+
 /// A response whose body is known.
 #[derive(Debug)]
 pub(crate) struct Response {
@@ -11,6 +29,8 @@
     /// What the body takes of the memory for responses, returned when the response is dropped.
     pub(crate) _buffer_share: Option<BufferShare>,
     pub(crate) headers: Vec<Header>,
+    /// The length that the head states; the body of a response without content has another one.
+    pub(crate) length_bytes: Option<u64>,
     /// When the caller should retry, in milliseconds.
     pub(crate) retry_after_ms: Option<u64>,
     pub(crate) status: u16,
@@ -19,8 +39,10 @@
 impl Response {
     /// A response of the relay itself; it never carries an endpoint's signature.
     pub(crate) fn from_refusal(refusal: Refusal) -> Self {
+        let body = Bytes::from_static(refusal.text().as_bytes());
         Self {
-            body: Bytes::from_static(refusal.text().as_bytes()),
+            length_bytes: Some(body.len() as u64),
+            body,
             _buffer_share: None,
             headers: Vec::new(),
             retry_after_ms: refusal.retry_after_ms(),
@@ -29,7 +51,7 @@
     }
 
     /// The two parts to be written in turn.
-    pub(crate) fn to_bytes(&self, is_closing: bool) -> [Bytes; 2] {
+    pub(crate) fn to_bytes(&self, is_head_only: bool, is_closing: bool) -> [Bytes; 2] {
         let mut writer = HeadWriter::response(self.status);
         for header in &self.headers {
             writer.copy(header);
@@ -37,10 +59,15 @@
         if let Some(retry_after_ms) = self.retry_after_ms {
             writer.field("Retry-After", Seconds(retry_after_ms));
         }
-        writer.field("Content-Length", self.body.len());
+        if let Some(length_bytes) = self.length_bytes {
+            writer.field("Content-Length", length_bytes);
+        }
         if is_closing {
             writer.field("Connection", "close");
         }
+        if is_head_only {
+            return [writer.finish().freeze(), Bytes::new()];
+        }
         writer.finish_with(&self.body)
     }
 }
--- a/crates/masticsill_relay/src/stream/run.rs
+++ b/crates/masticsill_relay/src/stream/run.rs
@@ -73,7 +73,7 @@
                 return self.run_failed(attempt, Failure::Silent, "no answer");
             }
         };
-        if head.status != 200 {
+        if head.status != 200 || request.head.is_method("HEAD") {
             return match read_response(relay, request, attempt, head).await {
                 Ok((Verdict::NotRun { is_replaced }, _)) => RunEnd::NotRun { is_replaced },
                 // The caller has already received the head of another run.
