A part of an early answer without a length is not the whole

What callers saw: of a long upload answered early, without a length, a part came as a complete 200, and a stream ended as complete with the events of that part.

Cause: an answer that ends with its connection counted as whole at the end of what was read. If the endpoint closes while bytes of the request are on their way, these reset the connection, but for the reader the orderly end came first: a reset behind it is never read. Nothing looked for it, and once the head had been read the rest of the request was dropped, so that nothing was there to bring the reset about.

Change: the rest of the request is sent while the answer is read. A failed write no longer hides an answer of a stated length that has arrived.

Weighed: to refuse every such answer to a request that isn't sent completely (loses true refusals of uploads, and sees only what the socket's buffers don't take); to check the socket's error at the end only (misses resets that come a moment later).

Evidence: masticsill_upstream's early_answers plays requests of 64 KB, 4 MB and 32 MB, of which nothing, 64 bytes or 32 KB are read, with eight ends of the connection. Before, all 18 plays counted as whole in which the answer's direction ended before the reset; now none. Six whole answers of a stated length were lost (reset at once, while the request was being written), now none. The system's early_answers: orders, lookups and streams failed before (200 "half"; a stream of one event of twelve) and pass now; an early refusal that ends orderly passed before and passes now.

--- a/crates/masticsill_agent/src/call.rs
+++ b/crates/masticsill_agent/src/call.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use masticsill_http1::HeadWriter;
 use masticsill_runtime::Ring;
 use masticsill_upstream::{
@@ -52,14 +53,14 @@
         return CallEnd::Unsent("the service accepts no connection".to_owned());
     };
     let connection = UpstreamConnection::new(stream, budget);
-    match read_answer(connection, &head, max_answer_bytes, request).await {
+    match read_answer(connection, head, max_answer_bytes, request).await {
         Ok(answer) => CallEnd::Answered(answer),
         Err(_) => CallEnd::Lost,
     }
 }
 
 /// The head of a call; none if a part of it can't stand in a request.
-fn request_head(address: SocketAddr, request: &CallRequest) -> Option<Vec<u8>> {
+fn request_head(address: SocketAddr, request: &CallRequest) -> Option<Bytes> {
     let method: Method = request.method.parse().ok()?;
     let path: Uri = request.path.parse().ok()?;
     let content_type = HeaderValue::from_str(&request.content_type).ok()?;
@@ -69,12 +70,12 @@
     head.field("Content-Type", content_type.to_str().ok()?);
     head.field("Content-Length", request.body.len());
     head.field("Connection", "close");
-    Some(head.finish().to_vec())
+    Some(head.finish().freeze())
 }
 
 async fn read_answer(
     mut connection: UpstreamConnection,
-    head: &[u8],
+    head: Bytes,
     max_answer_bytes: usize,
     request: &CallRequest,
 ) -> Result<CallAnswer, ExchangeError> {
@@ -84,7 +85,8 @@
         id_field: "",
         request_id: "",
     };
-    let head = connection.exchange([head, &request.body], expected).await?;
+    let body = Bytes::from(request.body.clone());
+    let head = connection.exchange([head, body], expected).await?;
     let (body, _share) = connection.read_body(head.framing, max_answer_bytes).await?;
     Ok(CallAnswer {
         body: body.to_vec(),
--- a/crates/masticsill_relay/src/attempt.rs
+++ b/crates/masticsill_relay/src/attempt.rs
@@ -251,7 +251,7 @@
     options: &SendOptions,
 ) -> Result<ResponseHead, ExchangeError> {
     let names = &relay.config.headers;
-    let [first, second] = request.bytes_for(
+    let bytes = request.bytes_for(
         names,
         attempt.endpoint(),
         attempt.progress.began_at,
@@ -262,10 +262,7 @@
         id_field: &names.request_id,
         request_id: &request.id,
     };
-    let head = attempt
-        .upstream()
-        .exchange([&first, &second], expected)
-        .await?;
+    let head = attempt.upstream().exchange(bytes, expected).await?;
     relay.record_received(&attempt.endpoint().id);
     relay.note_answer(&attempt.endpoint().id, head.status);
     note_statements(relay, attempt, &head);
--- a/crates/masticsill_upstream/src/call.rs
+++ b/crates/masticsill_upstream/src/call.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use masticsill_http1::HeadWriter;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -103,7 +103,8 @@
             id_field: "",
             request_id: "",
         };
-        let head = upstream.exchange([&bytes, &[]], expected).await?;
+        let request = [bytes.freeze(), Bytes::new()];
+        let head = upstream.exchange(request, expected).await?;
         let (body, _share) = upstream.read_body(head.framing, MAX_RESPONSE_BYTES).await?;
         if head.is_keep_alive {
             self.idle_connection = upstream.into_reusable();
--- a/crates/masticsill_upstream/src/exchange.rs
+++ b/crates/masticsill_upstream/src/exchange.rs
@@ -4,11 +4,12 @@
 
 use bytes::{Bytes, BytesMut};
 use masticsill_http1::{BodyDecoder, BodyStep, Framing, ParseError, ResponseHead, parse_response};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 
 use crate::buffer_budget::{BufferBudget, BufferShare, HeldMessage, OverBudget};
 use crate::read::read_more;
+use crate::request_writer::RequestWriter;
 
 /// Maximum size of a response head.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
@@ -62,8 +63,7 @@
     buffer: BytesMut,
     /// What is held of the budget for bytes that were received and not returned yet.
     held: BufferShare,
-    /// Whether the request has been sent completely.
-    is_sent: bool,
+    request: RequestWriter,
     stream: TcpStream,
 }
 
@@ -86,13 +86,14 @@
         Self {
             buffer: BytesMut::with_capacity(READ_RESERVE_BYTES),
             held: budget.share(),
-            is_sent: false,
+            request: RequestWriter::default(),
             stream,
         }
     }
 
     /// Sends a request, given in two parts, and reads the head of its response, both at once: an
-    /// endpoint may respond before it has read a long body. Responses to other requests are skipped.
+    /// endpoint may respond before it has read a long body. The rest is sent while the body of the
+    /// response is read. Responses to other requests are skipped.
     ///
     /// # Errors
     ///
@@ -100,33 +101,13 @@
     /// belong to other requests.
     pub async fn exchange(
         &mut self,
-        request: [&[u8]; 2],
+        request: [Bytes; 2],
         expected: ExpectedResponse<'_>,
     ) -> Result<ResponseHead, ExchangeError> {
-        let (mut reader, mut writer) = self.stream.split();
-        let [first, second] = request;
-        let writing = async {
-            writer.write_all(first).await?;
-            writer.write_all(second).await
-        };
-        tokio::pin!(writing);
+        self.request = RequestWriter::new(request);
         let mut skipped = 0;
         loop {
-            let head = read_head(
-                &mut reader,
-                &mut self.buffer,
-                &mut self.held,
-                expected.method,
-            );
-            let head = tokio::select! {
-                biased;
-                written = &mut writing, if !self.is_sent => {
-                    written?;
-                    self.is_sent = true;
-                    continue;
-                }
-                head = head => head?,
-            };
+            let head = self.read_head(expected.method).await?;
             let id = head.headers.text(expected.id_field);
             if id.is_none_or(|id| id == expected.request_id) {
                 return Ok(head);
@@ -136,10 +117,19 @@
                 return Err(ExchangeError::Parse(ParseError::Head));
             }
             let mut decoder = BodyDecoder::new(head.framing);
-            while next_chunk(&mut reader, &mut self.buffer, &mut decoder)
-                .await?
-                .is_some()
-            {}
+            while self.next_chunk(&mut decoder).await?.is_some() {}
+        }
+    }
+
+    async fn read_head(&mut self, method: &str) -> Result<ResponseHead, ExchangeError> {
+        loop {
+            if let Some(head) = parse_response(&mut self.buffer, method, MAX_HEAD_BYTES)? {
+                return Ok(head);
+            }
+            self.held.resize(self.buffer.len())?;
+            if !self.read_more().await? {
+                return Err(self.early_end().into());
+            }
         }
     }
 
@@ -152,7 +142,63 @@
         &mut self,
         decoder: &mut BodyDecoder,
     ) -> Result<Option<Bytes>, ExchangeError> {
-        next_chunk(&mut self.stream, &mut self.buffer, decoder).await
+        loop {
+            match decoder.step(&mut self.buffer)? {
+                BodyStep::Data(data) => return Ok(Some(data)),
+                BodyStep::End => return Ok(None),
+                BodyStep::NeedMore => {}
+            }
+            if self.read_more().await? {
+                continue;
+            }
+            if !decoder.ends_with_connection() {
+                return Err(self.early_end().into());
+            }
+            self.check_orderly_end().await?;
+            return Ok(None);
+        }
+    }
+
+    /// Reads once, and sends the rest of the request meanwhile; false at the end of the connection. A
+    /// failed write is no reason to stop: the endpoint may have responded before.
+    async fn read_more(&mut self) -> io::Result<bool> {
+        let (mut reader, mut writer) = self.stream.split();
+        loop {
+            tokio::select! {
+                biased;
+                () = self.request.write(&mut writer), if self.request.is_pending() => {}
+                read = read_more(&mut reader, &mut self.buffer, READ_RESERVE_BYTES) => return read,
+            }
+        }
+    }
+
+    fn early_end(&mut self) -> io::Error {
+        let error = self.request.error.take();
+        error.unwrap_or_else(|| io::ErrorKind::UnexpectedEof.into())
+    }
+
+    /// Checks that an endpoint has ended the connection orderly, after a response that ends with it.
+    ///
+    /// If its process closed a connection on which bytes of the request arrive afterwards, they reset
+    /// it, and the response may have been cut. For the reader that is an orderly end, whether the
+    /// reset has come already or comes a moment later.
+    async fn check_orderly_end(&mut self) -> io::Result<()> {
+        if let Some(left) = self.request.settling_time() {
+            let (_, mut writer) = self.stream.split();
+            let settled = sleep(left);
+            tokio::pin!(settled);
+            loop {
+                tokio::select! {
+                    () = &mut settled => break,
+                    () = self.request.write(&mut writer), if self.request.is_pending() => {}
+                }
+            }
+        }
+        let error = self.request.error.take();
+        match error.or(self.stream.take_error()?) {
+            Some(error) => Err(error),
+            None => Ok(()),
+        }
     }
 
     /// Reads the whole response body, of at most `max_bytes` bytes. It counts towards the budget until
@@ -190,44 +236,6 @@
     /// The connection, if the next request may use it: the request has been sent completely and
     /// nothing follows the response.
     pub fn into_reusable(self) -> Option<TcpStream> {
-        (self.is_sent && self.buffer.is_empty()).then_some(self.stream)
-    }
-}
-
-async fn read_head(
-    reader: &mut (impl AsyncReadExt + Unpin),
-    buffer: &mut BytesMut,
-    held: &mut BufferShare,
-    method: &str,
-) -> Result<ResponseHead, ExchangeError> {
-    loop {
-        if let Some(head) = parse_response(buffer, method, MAX_HEAD_BYTES)? {
-            return Ok(head);
-        }
-        held.resize(buffer.len())?;
-        if !read_more(reader, buffer, READ_RESERVE_BYTES).await? {
-            return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
-        }
-    }
-}
-
-async fn next_chunk(
-    reader: &mut (impl AsyncReadExt + Unpin),
-    buffer: &mut BytesMut,
-    decoder: &mut BodyDecoder,
-) -> Result<Option<Bytes>, ExchangeError> {
-    loop {
-        match decoder.step(buffer)? {
-            BodyStep::Data(data) => return Ok(Some(data)),
-            BodyStep::End => return Ok(None),
-            BodyStep::NeedMore => {}
-        }
-        if read_more(reader, buffer, READ_RESERVE_BYTES).await? {
-            continue;
-        }
-        if decoder.ends_with_connection() {
-            return Ok(None);
-        }
-        return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
+        (self.request.is_sent() && self.buffer.is_empty()).then_some(self.stream)
     }
 }
--- a/crates/masticsill_upstream/src/lib.rs
+++ b/crates/masticsill_upstream/src/lib.rs
@@ -10,6 +10,7 @@
 mod idle;
 mod probe;
 mod read;
+mod request_writer;
 
 pub use buffer_budget::{BufferBudget, BufferShare, HeldMessage, OverBudget};
 pub use call::{EndpointCall, EndpointClient};
