What a restarted replica says of the past is what it had stored

What callers saw: relays and control replicas were killed right after a version's first endpoints had come, the disks were put back to before and these endpoints ended; streams begun there went on at the old version, with status 200.

Cause: entries began streams at a version as soon as a majority of the replicas had reported it, while the endpoints' file lagged by up to 500 ms; origins of streams were synced 100 ms after they had been told. A restarted replica took its folder for all that had been: without a record, the only version in it counted as the only one there had been.

Change, in order of what it costs to lose: - A replica reports which versions it has stored, and stores a new one at once. Entries begin streams at versions that a majority has stored, so that any majority knows them after any restart. - A replica answers a report of origins once they are synced, in groups, for at most a fifth of the disk's time. A first event waits for that (50 ms at most, as before), now also while a service has one version: at the moment when all processes end, another may be coming. - A caller that names its first attempt should have a record. Without one, only replicas that have run all the time that the stream may have lasted settle where it began; disks that have lost the record may have lost a version too.

Weighed: to sync more often (a smaller window is none); never to believe a folder (every stream without a record is refused for the 60 s after all replicas end, also where one version serves).

ConfirmedVersions moves to the registry, whose types it uses.

--- a/crates/masticsill_control/src/endpoints/exchange.rs
+++ b/crates/masticsill_control/src/endpoints/exchange.rs
@@ -146,6 +146,7 @@
         // Replicas apply roll-outs from the log.
         rollouts_revision: u64::MAX,
         suspects_revision: 0,
+        versions_revision: 0,
         wait_ms: WAIT_MS,
         watcher: Watcher::Replica(node),
     };
@@ -187,7 +188,8 @@
 async fn send_stream_origins(server: &ControlServer, other: &NodeId, address: SocketAddr) -> bool {
     let records = server.endpoints.stream_origins();
     for records in records.chunks(ORIGINS_PER_MESSAGE) {
-        if !server.client.tell_stream_origins(address, records).await {
+        let told = server.client.tell_stream_origins(address, records);
+        if told.await.is_none() {
             return false;
         }
     }
--- a/crates/masticsill_control/src/endpoints/hub.rs
+++ b/crates/masticsill_control/src/endpoints/hub.rs
@@ -1,20 +1,20 @@
 //! The registry of this process, and the watchers that are notified of its changes.
 
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use indexmap::IndexSet;
 use masticsill_registry::{
     Announcement, AttemptKey, CacheUpdate, CachedTokens, EndpointId, EndpointLoad, EndpointRecord,
     EndpointState, EngineReservationRequest, HeartbeatAge, LoadsChange, OriginReply,
-    PromptCacheIndex, PromptPart, Registry, RegistryTimeouts, StoredStream, StreamOrigins,
-    StreamRecord, Watcher, WatcherTable,
+    PromptCacheIndex, PromptPart, Registry, RegistryTimeouts, StoredStream, StreamOrigin,
+    StreamOrigins, StreamRecord, Watcher, WatcherTable,
 };
 use masticsill_rollout::{Rollout, Rollouts, ServingRollout};
-use masticsill_types::{MonotonicClock, ZoneId, log_event};
+use masticsill_types::{ClockMs, MonotonicClock, ZoneId, log_event};
 use masticsill_wire::control::{WatchReply, WatchRequest};
 use tokio::sync::{Notify, watch};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::suspects::Suspects;
 use crate::events;
@@ -30,6 +30,8 @@
 const MAX_ROLLOUT_WAIT_MS: u64 = 250;
 /// Longest wait for the watchers' acknowledgement of a deregistration; senders give up after 1 s.
 const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest wait for the origins of streams to be stored; entries wait less.
+const STORE_TIMEOUT: Duration = Duration::from_millis(200);
 /// Shortest cached prefix of a prompt that is reported, in tokens: prefilling fewer takes only a
 /// few hundredths of a second.
 const MIN_CACHED_TOKENS: u64 = 256;
@@ -48,7 +50,7 @@
     acknowledged: Notify,
     clock: MonotonicClock,
     /// Whether this replica knows the endpoints that the quorum knew before it started.
-    knows_past: AtomicBool,
+    knows_past: watch::Sender<bool>,
     prompt_cache: Mutex<PromptCacheIndex>,
     /// Random number that distinguishes this incarnation of the registry from those before a
     /// restart.
@@ -57,14 +59,25 @@
     loads: watch::Sender<u64>,
     registry: Mutex<Registry>,
     revision: watch::Sender<u64>,
+    started_at: ClockMs,
+    stored_versions: watch::Sender<StoredVersions>,
     streams: Mutex<StreamOrigins>,
     stream_revision: watch::Sender<u64>,
+    /// The revision up to which the origins of streams are stored.
+    stored_stream_revision: watch::Sender<u64>,
     suspects: Suspects,
     unreadable: UnreadableMessages,
     watchers: Mutex<WatcherTable>,
     zone: ZoneId,
 }
 
+/// The versions of endpoints that this replica knows after any restart.
+#[derive(Clone, Debug, Default)]
+struct StoredVersions {
+    revision: u64,
+    versions: IndexSet<StreamOrigin>,
+}
+
 /// The roll-outs for a watcher: all of them if it has another revision, or else those in progress,
 /// whose leases its answer renews.
 fn serving_rollouts(rollouts: &Rollouts, request: &WatchRequest) -> Vec<ServingRollout> {
@@ -79,6 +92,18 @@
     }
 }
 
+/// The service and version of an endpoint; none if only its deregistration is known.
+fn version_of(record: &EndpointRecord) -> Option<StreamOrigin> {
+    let Announcement {
+        service, version, ..
+    } = &record.announcement;
+    let origin = StreamOrigin {
+        service: service.clone(),
+        version: version.clone(),
+    };
+    (!service.is_empty()).then_some(origin)
+}
+
 /// The registry and its watchers. Clones share them.
 #[derive(Clone, Debug)]
 pub(crate) struct EndpointHub {
@@ -95,12 +120,15 @@
         let shared = Shared {
             acknowledged: Notify::new(),
             clock,
-            knows_past: AtomicBool::new(false),
+            knows_past: watch::Sender::new(false),
             prompt_cache: Mutex::default(),
             incarnation: rand::random(),
             loads: watch::Sender::new(0),
             registry: Mutex::new(Registry::new(periods)),
             revision: watch::Sender::new(0),
+            started_at: clock.now(),
+            stored_stream_revision: watch::Sender::new(0),
+            stored_versions: watch::Sender::default(),
             streams: Mutex::default(),
             stream_revision: watch::Sender::new(0),
             suspects: Suspects::new(clock),
@@ -190,6 +218,34 @@
         registry.records().filter(is_live).cloned().collect()
     }
 
+    /// Records that the versions of these endpoints are stored.
+    pub(crate) fn note_versions_stored(&self, records: &[EndpointRecord]) {
+        let versions = records.iter().filter_map(version_of).collect();
+        self.shared.stored_versions.send_if_modified(|stored| {
+            let is_changed = stored.versions != versions;
+            stored.versions = versions;
+            stored.revision += u64::from(is_changed);
+            is_changed
+        });
+    }
+
+    /// Waits until an endpoint has a version that is not stored.
+    pub(crate) async fn await_unstored_version(&self) {
+        let mut revisions = self.revisions();
+        while !self.has_unstored_version() {
+            if revisions.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn has_unstored_version(&self) -> bool {
+        let stored = self.shared.stored_versions.borrow();
+        let registry = self.registry();
+        let mut versions = registry.records().filter_map(version_of);
+        versions.any(|version| !stored.versions.contains(&version))
+    }
+
     /// Subscribes to the registry's revision.
     pub(crate) fn revisions(&self) -> watch::Receiver<u64> {
         self.shared.revision.subscribe()
@@ -243,6 +299,7 @@
         let mut loads = self.shared.loads.subscribe();
         let mut suspects = self.suspects().watch_broadcast_revision();
         let mut rollouts = published.watch_rollouts();
+        let mut versions = self.shared.stored_versions.subscribe();
         let wait_ms = request
             .wait_ms
             .min(self.max_wait_ms(published, lease_ms, &request));
@@ -250,7 +307,7 @@
         let mut deadline = began + Duration::from_millis(wait_ms);
         tokio::pin!(voters_change);
         while !self.has_urgent_update(published, &request) {
-            if self.registry().revision() > request.revision {
+            if self.registry().revision() > request.revision || self.has_stored_since(&request) {
                 deadline = deadline.min(began + self.update_delay());
             }
             if self.have_loads_changed(&request) {
@@ -263,6 +320,7 @@
                     _ = loads.changed() => {}
                     _ = rollouts.changed() => {}
                     _ = suspects.changed() => {}
+                    _ = versions.changed() => {}
                     () = &mut voters_change => return true,
                 }
                 false
@@ -353,8 +411,8 @@
         self.notify_loads_change(change);
     }
 
-    /// Records the origins of streams that an entry has begun.
-    pub(crate) fn record_stream_origins(&self, records: &[StreamRecord]) {
+    /// Records the origins of streams that an entry has begun; returns the revision that includes them.
+    pub(crate) fn record_stream_origins(&self, records: &[StreamRecord]) -> u64 {
         let now = self.shared.clock.now();
         let mut streams = self.streams();
         for record in records {
@@ -366,6 +424,20 @@
             *known = revision;
             is_newer
         });
+        revision
+    }
+
+    /// Waits until the origins of streams are stored up to a revision, for a bounded time; returns
+    /// whether they are.
+    pub(crate) async fn await_streams_stored(&self, revision: u64) -> bool {
+        let mut stored = self.shared.stored_stream_revision.subscribe();
+        let stored = stored.wait_for(|stored| *stored >= revision);
+        matches!(timeout(STORE_TIMEOUT, stored).await, Ok(Ok(_)))
+    }
+
+    /// Records that the origins of streams are stored up to a revision.
+    pub(crate) fn note_streams_stored(&self, revision: u64) {
+        self.shared.stored_stream_revision.send_replace(revision);
     }
 
     /// The origins of all streams that may still be continued.
@@ -402,17 +474,25 @@
 
     /// Whether this replica knows the endpoints that the quorum knew before it started.
     pub(crate) fn knows_past(&self) -> bool {
-        self.shared.knows_past.load(Ordering::Relaxed)
+        *self.shared.knows_past.borrow()
     }
 
     /// Records that this replica knows the endpoints that the quorum knew before it started.
     pub(crate) fn note_past_known(&self) {
-        self.shared.knows_past.store(true, Ordering::Relaxed);
+        self.set_knows_past(true);
     }
 
     /// Records that the quorum may know endpoints that this replica does not.
     pub(crate) fn forget_past(&self) {
-        self.shared.knows_past.store(false, Ordering::Relaxed);
+        self.set_knows_past(false);
+    }
+
+    fn set_knows_past(&self, knows_past: bool) {
+        self.shared.knows_past.send_if_modified(|known| {
+            let is_changed = *known != knows_past;
+            *known = knows_past;
+            is_changed
+        });
     }
 
     /// What is known here of the origin of a stream.
@@ -432,6 +512,7 @@
             } else {
                 0
             },
+            uptime_ms: now.since(self.shared.started_at),
         }
     }
 
@@ -521,6 +602,12 @@
         let suspects = self
             .suspects()
             .broadcast_since(self.known_suspects(request));
+        let stored = self.shared.stored_versions.borrow().clone();
+        let stored_versions = if stored.revision > self.known_versions_revision(request) {
+            stored.versions.into_iter().collect()
+        } else {
+            Vec::new()
+        };
         let registry = self.registry();
         let heard = match request.watcher {
             Watcher::Entry { .. } => Vec::new(),
@@ -540,8 +627,10 @@
             revision: registry.revision(),
             rollouts: serving_rollouts(&rollouts, request),
             rollouts_revision: rollouts.revision(),
+            stored_versions,
             suspects,
             suspects_revision,
+            versions_revision: stored.revision,
             zone: self.shared.zone.clone(),
         }
     }
@@ -582,6 +671,22 @@
         }
     }
 
+    /// Whether versions have been stored that an entry does not know to be stored.
+    fn has_stored_since(&self, request: &WatchRequest) -> bool {
+        let is_entry = matches!(request.watcher, Watcher::Entry { .. });
+        let revision = self.shared.stored_versions.borrow().revision;
+        is_entry && revision > self.known_versions_revision(request)
+    }
+
+    /// The revision of the stored versions that a watcher has.
+    fn known_versions_revision(&self, request: &WatchRequest) -> u64 {
+        if self.is_same_incarnation(request) {
+            request.versions_revision
+        } else {
+            0
+        }
+    }
+
     /// The revision up to which a watcher knows the requests that crash endpoints.
     fn known_suspects(&self, request: &WatchRequest) -> u64 {
         if self.is_same_incarnation(request) {
--- a/crates/masticsill_control/src/endpoints/origin_log.rs
+++ b/crates/masticsill_control/src/endpoints/origin_log.rs
@@ -1,7 +1,6 @@
 //! Stores the origins of streams on this replica's disk. Callers continue a stream because the entry
 //! that began it has ended; if the replicas that keep its origin end too, only their disks know it.
 
-use std::future::pending;
 use std::io;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -11,7 +10,7 @@
 use masticsill_runtime::ShutdownSignal;
 use masticsill_types::log_event;
 use serde::{Deserialize, Serialize};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep};
 
 use super::EndpointHub;
 use crate::events;
@@ -19,11 +18,10 @@
 /// Folder of the log within the data folder.
 const FOLDER: &str = "stream_origins";
 const FILE: &str = "log";
-/// Delay before new streams are written, so that simultaneous ones share a write.
-const WRITE_DELAY: Duration = Duration::from_millis(10);
-/// Interval between syncs, which the quorum's log has to wait for. A killed process loses nothing
-/// that it has written, so that only a power loss costs the last interval.
-const SYNC_INTERVAL: Duration = Duration::from_millis(100);
+/// Shortest pause between two syncs; streams reported meanwhile share the next one.
+const MIN_SYNC_PAUSE: Duration = Duration::from_millis(2);
+/// Pause after a sync, as a multiple of the time that it took: the quorum's log needs the disk as well.
+const SYNC_PAUSE_FACTOR: u32 = 4;
 /// Pause after a failed write.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Size below which the log is not compacted.
@@ -90,15 +88,10 @@
         Ok(())
     }
 
-    /// Appends without a sync.
     fn append(&mut self, streams: Vec<StoredStream>) -> io::Result<()> {
         let frame = encode(streams)?;
         self.disk.append(FILE, &frame)?;
         self.size += frame.len();
-        Ok(())
-    }
-
-    fn sync(&mut self) -> io::Result<()> {
         self.disk.sync(FILE)
     }
 
@@ -132,35 +125,28 @@
     let mut revisions = endpoints.watch_stream_revision();
     let (mut stored, streams) = endpoints.streams_since(0);
     let mut log = OriginLog::open(data_folder, streams)?;
-    let mut sync_due: Option<Instant> = None;
+    endpoints.note_streams_stored(stored);
     loop {
-        let sync = async {
-            match sync_due {
-                Some(due) => sleep_until(due).await,
-                None => pending().await,
-            }
-        };
         let has_ended = tokio::select! {
             () = ended.requested() => true,
             changed = revisions.changed() => changed.is_err(),
-            () = sync => {
-                log.sync()?;
-                sync_due = None;
-                continue;
-            }
         };
-        if !has_ended {
-            sleep(WRITE_DELAY).await;
-        }
+        let began = Instant::now();
         let (revision, streams) = endpoints.streams_since(stored);
-        log.append(streams)?;
+        if log.needs_compaction() {
+            log.replace(endpoints.streams_since(0).1)?;
+        } else {
+            log.append(streams)?;
+        }
         stored = revision;
+        endpoints.note_streams_stored(stored);
         if has_ended {
-            return log.sync();
+            return Ok(());
         }
-        if log.needs_compaction() {
-            log.replace(endpoints.streams_since(0).1)?;
+        let pause = MIN_SYNC_PAUSE.max(began.elapsed() * SYNC_PAUSE_FACTOR);
+        tokio::select! {
+            () = sleep(pause) => {}
+            () = ended.requested() => {}
         }
-        sync_due.get_or_insert_with(|| Instant::now() + SYNC_INTERVAL);
     }
 }
--- a/crates/masticsill_control/src/endpoints/persistence.rs
+++ b/crates/masticsill_control/src/endpoints/persistence.rs
@@ -2,8 +2,9 @@
 //! endpoints announce themselves only once a second. The requests that crash endpoints are
 //! persisted too: where all processes end at the same moment, no other process could report them.
 //!
-//! Correctness does not depend on the records: they may be old, and requests name the incarnation
-//! that they are meant for.
+//! Where a request is sent does not depend on the age of the records: it names the incarnation that it
+//! is meant for. Whether a version may have begun a stream does: entries are told which versions are
+//! stored, and begin streams at no others.
 
 use std::future::ready;
 use std::io;
@@ -90,7 +91,8 @@
 async fn store_records(folder: PathBuf, endpoints: EndpointHub, ended: ShutdownSignal) {
     let mut revisions = endpoints.revisions();
     let mut suspects = endpoints.suspects().watch_broadcast_revision();
-    let mut is_outdated = false;
+    // What a killed process wrote may not be durable yet.
+    let mut is_outdated = true;
     // The quorum's storage holds the folder's lock.
     let mut disk = FileDisk::unlocked(&folder);
     loop {
@@ -104,13 +106,17 @@
             endpoints: endpoints.all_records(),
             suspects: endpoints.suspects().broadcast_since(0),
         };
+        let records = persisted.endpoints.clone();
         let written = write(&mut disk, persisted);
         is_outdated = written.is_err();
-        if let Err(error) = written {
-            log_event!(warn, events::ENDPOINTS_NOT_KEPT, cause = error);
+        match written {
+            Ok(()) => endpoints.note_versions_stored(&records),
+            Err(error) => log_event!(warn, events::ENDPOINTS_NOT_KEPT, cause = error),
         }
         tokio::select! {
             () = sleep(WRITE_INTERVAL) => {}
+            // Entries begin no stream at a version before it is stored.
+            () = endpoints.await_unstored_version(), if !is_outdated => {}
             () = ended.requested() => return,
         }
     }
--- a/crates/masticsill_control/src/forwarder/service.rs
+++ b/crates/masticsill_control/src/forwarder/service.rs
@@ -147,8 +147,10 @@
             revision: 0,
             rollouts: Vec::new(),
             rollouts_revision: 0,
+            stored_versions: Vec::new(),
             suspects: Vec::new(),
             suspects_revision: 0,
+            versions_revision: 0,
             zone: self.zone.clone(),
         }
     }
@@ -157,7 +159,9 @@
 
     async fn tell_crashes(self, _: Context, _: Vec<RequestRecord>) {}
 
-    async fn tell_stream_origins(self, _: Context, _: Vec<StreamRecord>) {}
+    async fn tell_stream_origins(self, _: Context, _: Vec<StreamRecord>) -> bool {
+        false
+    }
 
     async fn find_stream_origin(self, _: Context, _: String, _: Option<AttemptKey>) -> OriginReply {
         OriginReply::default()
--- a/crates/masticsill_control/src/rpc/service.rs
+++ b/crates/masticsill_control/src/rpc/service.rs
@@ -355,8 +355,9 @@
         self.endpoints.suspects().merge(&records);
     }
 
-    async fn tell_stream_origins(self, _: Context, streams: Vec<StreamRecord>) {
-        self.endpoints.record_stream_origins(&streams);
+    async fn tell_stream_origins(self, _: Context, streams: Vec<StreamRecord>) -> bool {
+        let revision = self.endpoints.record_stream_origins(&streams);
+        self.endpoints.await_streams_stored(revision).await
     }
 
     async fn find_stream_origin(
--- a/crates/masticsill_control/tests/rollouts.rs
+++ b/crates/masticsill_control/tests/rollouts.rs
@@ -144,6 +144,7 @@
         revision: before.map_or(0, |reply| reply.revision),
         rollouts_revision: before.map_or(0, |reply| reply.rollouts_revision),
         suspects_revision: before.map_or(0, |reply| reply.suspects_revision),
+        versions_revision: before.map_or(0, |reply| reply.versions_revision),
         wait_ms: WAIT_MS,
         watcher,
     }
--- a/crates/masticsill_control/tests/watch_news.rs
+++ b/crates/masticsill_control/tests/watch_news.rs
@@ -30,6 +30,7 @@
         revision: before.map_or(0, |reply| reply.revision),
         rollouts_revision: before.map_or(0, |reply| reply.rollouts_revision),
         suspects_revision: before.map_or(0, |reply| reply.suspects_revision),
+        versions_revision: before.map_or(0, |reply| reply.versions_revision),
         wait_ms,
         watcher: Watcher::Entry {
             node: NodeId::new(format!("entry-{number}")).unwrap(),
--- a/crates/masticsill_control_client/src/client.rs
+++ b/crates/masticsill_control_client/src/client.rs
@@ -261,13 +261,17 @@
         self.call_once(address, send).await.is_some()
     }
 
-    /// Sends the replica at an address the origins of streams; returns whether the replica received
-    /// them.
-    pub async fn tell_stream_origins(&self, address: SocketAddr, streams: &[StreamRecord]) -> bool {
+    /// Sends the replica at an address the origins of streams; returns whether it has stored them, or
+    /// `None` if it may not have received them.
+    pub async fn tell_stream_origins(
+        &self,
+        address: SocketAddr,
+        streams: &[StreamRecord],
+    ) -> Option<bool> {
         let send = async |client: ControlServiceClient, context| {
             client.tell_stream_origins(context, streams.to_vec()).await
         };
-        self.call_once(address, send).await.is_some()
+        self.call_once(address, send).await
     }
 
     /// Asks the replica at an address where a stream of a service began; `None` when it does not
--- a/crates/masticsill_rollout/src/confirmed_versions.rs
+++ b/crates/masticsill_registry/src/confirmed_versions.rs
@@ -1,35 +1,60 @@
-//! Versions of services that a majority of the control replicas know.
+//! Versions of services that a majority of the control replicas have stored.
 //!
 //! A new stream begins at such a version only, while there is one with endpoints. Any majority of
 //! the replicas then knows every version at which a stream may have begun, also while some replicas
-//! are cut off or have ended.
+//! are cut off or have ended, and after all of them have restarted.
 
 use std::net::SocketAddr;
 
+use crate::stream_origins::StreamOrigin;
 use indexmap::{IndexMap, IndexSet};
 
-/// The replicas that have reported endpoints of a version.
+/// The replicas that have stored a version.
 #[derive(Clone, Debug, Default)]
 struct VersionReports {
     is_confirmed: bool,
     replicas: IndexSet<SocketAddr>,
 }
 
-/// The versions of each service, and who has reported them.
+/// The versions of each service, and who has stored them.
 #[derive(Clone, Debug, Default)]
 pub struct ConfirmedVersions {
+    /// What each replica has stored, by its last report.
+    reports: IndexMap<SocketAddr, Vec<StreamOrigin>>,
     services: IndexMap<String, IndexMap<String, VersionReports>>,
 }
 
 impl ConfirmedVersions {
-    /// Records that a replica reported an endpoint of a version.
-    pub fn note(&mut self, from: SocketAddr, service: &str, version: &str) {
+    /// Records that there is an endpoint of a version.
+    pub fn note_known(&mut self, service: &str, version: &str) {
         let versions = self.services.entry(service.to_owned()).or_default();
-        let reports = versions.entry(version.to_owned()).or_default();
-        reports.replicas.insert(from);
+        if versions.contains_key(version) {
+            return;
+        }
+        let has_stored = |report: &[StreamOrigin]| {
+            let mut stored = report.iter();
+            stored.any(|it| it.service == service && it.version == version)
+        };
+        let replicas = self.reports.iter().filter(|(_, it)| has_stored(it));
+        let reports = VersionReports {
+            is_confirmed: false,
+            replicas: replicas.map(|(replica, _)| *replica).collect(),
+        };
+        versions.insert(version.to_owned(), reports);
+    }
+
+    /// Records all versions that a replica has stored.
+    pub fn note_stored(&mut self, from: SocketAddr, stored: Vec<StreamOrigin>) {
+        for StreamOrigin { service, version } in &stored {
+            let versions = self.services.get_mut(service);
+            if let Some(reports) = versions.and_then(|it| it.get_mut(version)) {
+                reports.replicas.insert(from);
+            }
+        }
+        self.reports.insert(from, stored);
     }
 
-    /// Confirms the versions that a majority has reported. Due after each report, and when the voters
+    /// Confirms the versions that a majority has stored. Due after each report, and when the voters
     /// have changed.
     pub fn confirm(&mut self, is_majority: impl Fn(&IndexSet<SocketAddr>) -> bool) {
         let reports = self.services.values_mut().flat_map(IndexMap::values_mut);
--- a/crates/masticsill_registry/src/lib.rs
+++ b/crates/masticsill_registry/src/lib.rs
@@ -6,6 +6,7 @@
 //! within an incarnation by state and sequence, so that a heartbeat delayed by a partition never
 //! undoes a newer one. Pure logic: no sockets, and the time is passed to each call.
 
+mod confirmed_versions;
 mod gauges;
 mod id;
 mod join;
@@ -23,6 +24,7 @@
 mod stream_origins;
 mod watchers;
 
+pub use confirmed_versions::ConfirmedVersions;
 pub use gauges::StateGauges;
 pub use id::{EndpointId, EndpointIncarnation};
 pub use join::JoinOutcome;
--- a/crates/masticsill_registry/src/origin_lookup.rs
+++ b/crates/masticsill_registry/src/origin_lookup.rs
@@ -20,11 +20,16 @@
     /// For how long the replica remembers ended endpoints, in milliseconds. Zero while it has just
     /// joined and may lack what the others knew before.
     pub versions_kept_ms: u64,
+    /// For how long its process has run, in milliseconds. What it received in that time, it knows even
+    /// if its disk does not.
+    pub uptime_ms: u64,
 }
 
 /// What an entry knows of a stream that a caller continues.
 #[derive(Clone, Debug)]
 pub struct OriginEvidence<'a> {
+    /// Whether the caller named the attempt that brought the first event, which has a record.
+    pub is_named: bool,
     /// The longest time for which the stream may have lasted, in milliseconds.
     pub max_age_ms: u64,
     /// The replies, with the addresses of the replicas.
@@ -55,8 +60,12 @@
     ///
     /// A stream of which no replica has a record can only have begun at the only version that the
     /// service has had for as long as the stream may have lasted. Entries begin streams at versions
-    /// that a majority of the replicas know, so that it is enough if a majority replies that
+    /// that a majority of the replicas have stored, so that it is enough if a majority replies that
     /// remembers that time.
+    ///
+    /// A stream whose caller names its first attempt should have a record. If it has none though the
+    /// replicas have run all the time, its entry did not reach them. Otherwise their disks have lost
+    /// the record, and may have lost a version with it.
     #[must_use]
     pub fn origin(&self) -> Option<StreamOrigin> {
         let recorded = self.replies.iter();
@@ -64,7 +73,10 @@
         if let Some(first) = recorded.next() {
             return recorded.all(|it| it == first).then(|| first.clone());
         }
-        let is_remembered = |it: &OriginReply| it.versions_kept_ms >= self.max_age_ms;
+        let is_remembered = |it: &OriginReply| {
+            let is_lost = self.is_named && it.uptime_ms < self.max_age_ms;
+            it.versions_kept_ms >= self.max_age_ms && !is_lost
+        };
         if self.share_of(is_remembered) < QuorumShare::Majority {
             return None;
         }
--- a/crates/masticsill_rollout/tests/confirmed_versions.rs
+++ b/crates/masticsill_registry/tests/confirmed_versions.rs
@@ -1,14 +1,24 @@
-//! Which versions a majority of the control replicas know.
+//! Which versions a majority of the control replicas have stored.
 
 use std::net::SocketAddr;
 
-use masticsill_rollout::ConfirmedVersions;
+use masticsill_registry::{ConfirmedVersions, StreamOrigin};
 
 const SERVICE: &str = "engines";
 
-/// One of three replicas reports a version.
+/// One of three replicas has stored a version that has endpoints.
 fn note(versions: &mut ConfirmedVersions, from: &str, version: &str) {
-    versions.note(replica(from), SERVICE, version);
+    versions.note_known(SERVICE, version);
+    note_stored(versions, from, &[version]);
+}
+
+/// One of three replicas reports the versions that it has stored.
+fn note_stored(versions: &mut ConfirmedVersions, from: &str, stored: &[&str]) {
+    let stored = stored.iter().map(|version| StreamOrigin {
+        service: SERVICE.to_owned(),
+        version: (*version).to_owned(),
+    });
+    versions.note_stored(replica(from), stored.collect());
     versions.confirm(|replicas| 2 * replicas.len() > 3);
 }
 
@@ -66,3 +76,32 @@
     versions.confirm(|_| false);
     assert!(versions.unconfirmed(SERVICE, |_| true).is_empty());
 }
+
+/// Guards against streams that begin at a version which a power loss of all replicas would take away.
+#[test]
+fn version_that_is_known_but_not_stored_is_not_used() {
+    let mut versions = ConfirmedVersions::default();
+    versions.note_known(SERVICE, "v1");
+    note_stored(&mut versions, "a", &["v1"]);
+    note_stored(&mut versions, "b", &["v1"]);
+    versions.note_known(SERVICE, "v2");
+    versions.confirm(|replicas| 2 * replicas.len() > 3);
+    assert_eq!(versions.unconfirmed(SERVICE, |_| true), ["v2"]);
+    note_stored(&mut versions, "a", &["v1", "v2"]);
+    assert_eq!(versions.unconfirmed(SERVICE, |_| true), ["v2"]);
+    note_stored(&mut versions, "b", &["v1", "v2"]);
+    assert!(versions.unconfirmed(SERVICE, |_| true).is_empty());
+}
+
+/// Guards against a version that is never used since it was stored before this entry knew an endpoint.
+#[test]
+fn version_may_be_stored_before_it_is_known() {
+    let mut versions = ConfirmedVersions::default();
+    note_stored(&mut versions, "a", &["v1", "v2"]);
+    note_stored(&mut versions, "b", &["v1", "v2"]);
+    versions.note_known(SERVICE, "v1");
+    versions.prune(|_, version| version == "v1");
+    versions.note_known(SERVICE, "v2");
+    versions.confirm(|replicas| 2 * replicas.len() > 3);
+    assert!(versions.unconfirmed(SERVICE, |_| true).is_empty());
+}
--- a/crates/masticsill_registry/tests/origin_lookup.rs
+++ b/crates/masticsill_registry/tests/origin_lookup.rs
@@ -26,6 +26,7 @@
         origin: recorded.map(origin),
         versions: versions.iter().map(ToString::to_string).collect(),
         versions_kept_ms: 60_000,
+        uptime_ms: 60_000,
     }
 }
 
@@ -55,6 +56,7 @@
         .map(|(number, reply)| (address(number), reply))
         .collect();
     ask(&OriginEvidence {
+        is_named: true,
         max_age_ms: 25_000,
         replies: &replies,
         service: SERVICE,
@@ -82,6 +84,7 @@
             }
         }
         let evidence = OriginEvidence {
+            is_named: true,
             max_age_ms: 25_000,
             replies: lookup.replies(),
             service: SERVICE,
@@ -157,6 +160,37 @@
     assert_eq!(settle(&[known.clone(), known, second], 3, &["v1"]), None);
 }
 
+/// Guards against a guess where the disks have lost a record, and may have lost a version with it.
+#[test]
+fn named_stream_without_a_record_is_not_settled_by_replicas_that_have_restarted() {
+    let steady = reply(None, &["v1"]);
+    let restarted = OriginReply {
+        uptime_ms: 24_999,
+        ..reply(None, &["v1"])
+    };
+    let settle_named = |replies: &[OriginReply], is_named| {
+        with_evidence(replies, 3, &["v1"], |evidence| {
+            let evidence = OriginEvidence {
+                is_named,
+                ..evidence.clone()
+            };
+            evidence.origin().map(|it| it.version)
+        })
+    };
+    let most = [steady.clone(), restarted.clone(), restarted.clone()];
+    assert_eq!(settle_named(&most, true), None);
+    // Without a name no record is missing, and the versions are stored before a stream begins there.
+    assert_eq!(settle_named(&most, false).as_deref(), Some("v1"));
+    let one = [steady.clone(), steady, restarted.clone()];
+    assert_eq!(settle_named(&one, true).as_deref(), Some("v1"));
+    let recorded = OriginReply {
+        uptime_ms: 0,
+        ..reply(Some("v1"), &["v1", "v2"])
+    };
+    let found = [restarted.clone(), restarted, recorded];
+    assert_eq!(settle_named(&found, true).as_deref(), Some("v1"));
+}
+
 /// Guards against a stream that is refused while the replica with its record restarts.
 #[test]
 fn replicas_that_may_have_the_record_are_waited_for() {
--- a/crates/masticsill_relay/src/connection.rs
+++ b/crates/masticsill_relay/src/connection.rs
@@ -44,7 +44,8 @@
                 write_final_refusal(&mut writer, refusal).await
             }
             NextRequest::Request(head, received_at) => {
-                answer_request(&relay, &mut caller, &mut writer, head, received_at).await
+                let answering = answer_request(&relay, &mut caller, &mut writer, head, received_at);
+                Box::pin(answering).await
             }
         };
         match action {
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -117,7 +117,7 @@
 
     fn merge_endpoints(&self, address: SocketAddr, node: &NodeId, reply: &WatchReply) {
         self.merge_records(node, reply);
-        self.relay.note_reported_versions(address, &reply.endpoints);
+        self.relay.note_reported_versions(address, reply);
     }
 
     fn merge_records(&self, node: &NodeId, reply: &WatchReply) {
@@ -225,6 +225,7 @@
         revision: 0,
         rollouts_revision: 0,
         suspects_revision: 0,
+        versions_revision: 0,
         wait_ms: WATCH_TIMEOUT_MS,
         watcher: watcher.clone(),
     };
@@ -291,6 +292,7 @@
         }
         request.registry = reply.registry;
         request.revision = reply.revision;
+        request.versions_revision = reply.versions_revision;
         discovery.note_document(address, &reply);
         // Before the endpoints, so that no request is sent to a version by an outdated rule.
         relay.note_rollouts(address, asked_at, &reply);
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -17,9 +17,10 @@
 };
 use masticsill_quarantine::{CrashLedger, Fingerprint};
 use masticsill_registry::{
-    Announcement, EndpointId, QuorumShare, ReportedVoters, StreamOrigins, Watcher,
+    Announcement, ConfirmedVersions, EndpointId, QuorumShare, ReportedVoters, StreamOrigins,
+    Watcher,
 };
-use masticsill_rollout::{ConfirmedVersions, Reporter};
+use masticsill_rollout::Reporter;
 use masticsill_runtime::ShutdownSignal;
 use masticsill_types::{ClockMs, MonotonicClock, NodeId, ZoneId, log_event};
 use masticsill_upstream::BufferBudget;
@@ -139,7 +140,7 @@
     /// Counts the streams recorded, for the tasks that report them to control replicas.
     pub(crate) stream_origin_changes: watch::Sender<u64>,
     /// The newest revision of `stream_origins` that a control replica has received.
-    pub(crate) stream_origins_received: watch::Sender<u64>,
+    pub(crate) stream_origins_stored: watch::Sender<u64>,
     /// Receivers of the results of queued requests.
     pub(crate) waiters: RefCell<Waiters>,
     /// When the graceful shutdown began.
@@ -208,7 +209,7 @@
             stream_durations: Cell::default(),
             stream_origins: RefCell::default(),
             stream_origin_changes: watch::Sender::new(0),
-            stream_origins_received: watch::Sender::new(0),
+            stream_origins_stored: watch::Sender::new(0),
             waiters: RefCell::default(),
             stopping_since: Cell::new(None),
         }
--- a/crates/masticsill_relay/src/rollouts.rs
+++ b/crates/masticsill_relay/src/rollouts.rs
@@ -348,18 +348,22 @@
         rollouts.is_some_and(|it| !it.in_progress().is_empty())
     }
 
-    /// Records the versions of the endpoints that a control replica reported.
-    pub(crate) fn note_reported_versions(&self, from: SocketAddr, records: &[EndpointRecord]) {
-        if records.is_empty() {
+    /// Records the versions of the endpoints that a control replica reported, and those that it has
+    /// stored.
+    pub(crate) fn note_reported_versions(&self, from: SocketAddr, reply: &WatchReply) {
+        if reply.endpoints.is_empty() && reply.stored_versions.is_empty() {
             return;
         }
         let endpoints = self.endpoints.borrow();
         let mut versions = self.confirmed_versions.borrow_mut();
-        for EndpointRecord { announcement, .. } in records {
+        for EndpointRecord { announcement, .. } in &reply.endpoints {
             let Announcement {
                 service, version, ..
             } = announcement;
-            versions.note(from, service, version);
+            versions.note_known(service, version);
+        }
+        if !reply.stored_versions.is_empty() {
+            versions.note_stored(from, reply.stored_versions.clone());
         }
         versions.prune(|service, version| {
             let mut known = endpoints.iter().map(|it| &it.announcement);
@@ -369,7 +373,7 @@
         self.confirm_versions();
     }
 
-    /// Confirms the versions that a majority of the control replicas has reported.
+    /// Confirms the versions that a majority of the control replicas has stored.
     pub(crate) fn confirm_versions(&self) {
         let voters = self.control_voters.borrow();
         let is_majority = |replicas: &IndexSet<SocketAddr>| {
--- a/crates/masticsill_relay/src/stream/run.rs
+++ b/crates/masticsill_relay/src/stream/run.rs
@@ -310,9 +310,8 @@
             service: endpoint.service.clone(),
             version: endpoint.version.clone(),
         };
-        self.relay
-            .record_stream_origin(self.request, origin.clone());
-        self.relay.await_origin_received(&origin).await;
+        self.relay.record_stream_origin(self.request, origin);
+        self.relay.await_origin_stored().await;
     }
 
     async fn write(&mut self, head: &ResponseHead, events: &[u8]) -> io::Result<()> {
--- a/crates/masticsill_relay/src/stream_origins.rs
+++ b/crates/masticsill_relay/src/stream_origins.rs
@@ -28,8 +28,8 @@
 use crate::response::Refusal;
 use crate::suspects::complete_report;
 
-/// Maximum time for which a first event waits until a control replica has received the stream's
-/// origin: many times the round trip, and less than callers notice.
+/// Maximum time for which a first event waits until a control replica has stored the stream's origin:
+/// many times the round trip and a sync, and less than callers notice.
 const MAX_REPORT_WAIT: Duration = Duration::from_millis(50);
 /// Pause before a report is repeated to a replica that did not answer.
 const REPORT_RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -59,25 +59,19 @@
         self.notify_stream_reporters();
     }
 
-    /// Waits until a control replica has received the origins recorded so far, so that the stream can
-    /// be continued even if this relay ends with its first event.
+    /// Waits until a control replica has stored the origins recorded so far, so that the stream can be
+    /// continued even if this relay and all replicas end with its first event.
     ///
-    /// While a service has one version only, its streams can be continued without a record.
-    pub(crate) async fn await_origin_received(&self, origin: &StreamOrigin) {
-        if !self.has_other_version(origin) || self.control_reached.borrow().is_empty() {
+    /// It waits also while the service has one version only: when all of them end, another one may have
+    /// come.
+    pub(crate) async fn await_origin_stored(&self) {
+        if self.control_reached.borrow().is_empty() {
             return;
         }
         let revision = self.stream_origins.borrow().revision();
-        let mut received = self.stream_origins_received.subscribe();
+        let mut stored = self.stream_origins_stored.subscribe();
         // Without a reply in time the report goes on, and so does the stream.
-        let _ = timeout(MAX_REPORT_WAIT, received.wait_for(|it| *it >= revision)).await;
-    }
-
-    /// Whether this relay knows an endpoint of the same service that has another version.
-    fn has_other_version(&self, origin: &StreamOrigin) -> bool {
-        let endpoints = self.endpoints.borrow();
-        let mut announcements = endpoints.iter().map(|it| &it.announcement);
-        announcements.any(|it| it.service == origin.service && it.version != origin.version)
+        let _ = timeout(MAX_REPORT_WAIT, stored.wait_for(|it| *it >= revision)).await;
     }
 
     /// Wakes the tasks that report streams to control replicas.
@@ -130,11 +124,13 @@
                     origins.since(relay.now(), begun.revision()),
                 )
             };
-            if relay.control.tell_stream_origins(address, &records).await {
+            if let Some(is_stored) = relay.control.tell_stream_origins(address, &records).await {
                 complete_report(&reported, begun, revision);
-                relay
-                    .stream_origins_received
-                    .send_modify(|received| *received = revision.max(*received));
+                if is_stored {
+                    relay
+                        .stream_origins_stored
+                        .send_modify(|stored| *stored = revision.max(*stored));
+                }
                 continue;
             }
             sleep(REPORT_RETRY_PAUSE).await;
@@ -272,6 +268,7 @@
     replies: &'a [(SocketAddr, OriginReply)],
 ) -> OriginEvidence<'a> {
     OriginEvidence {
+        is_named: request.first_attempt(&relay.config.headers).is_some(),
         max_age_ms: request.route.timeout_ms,
         replies,
         service: &request.service,
--- a/crates/masticsill_relay/tests/common/mod.rs
+++ b/crates/masticsill_relay/tests/common/mod.rs
@@ -18,7 +18,8 @@
 use masticsill_quarantine::RequestRecord;
 use masticsill_registry::{
     Announcement, AttemptKey, CachedTokens, EndpointId, EndpointLoad, EndpointRecord,
-    EngineReservationRequest, OriginReply, PromptPart, StreamOrigins, StreamRecord, Watcher,
+    EngineReservationRequest, OriginReply, PromptPart, StreamOrigin, StreamOrigins, StreamRecord,
+    Watcher,
 };
 use masticsill_rollout::{EvidenceReport, ServingRollout};
 use masticsill_runtime::{DutyHandle, ShutdownSignal, listen, spawn_async_duty};
@@ -210,6 +211,11 @@
         } else {
             Vec::new()
         };
+        let stored = endpoints.iter().map(|it| StreamOrigin {
+            service: it.announcement.service.clone(),
+            version: it.announcement.version.clone(),
+        });
+        let stored_versions = stored.collect();
         WatchReply {
             document_version,
             endpoints,
@@ -224,8 +230,10 @@
             revision: news.revision,
             rollouts: news.rollouts,
             rollouts_revision: news.revision,
+            stored_versions,
             suspects: Vec::new(),
             suspects_revision: 0,
+            versions_revision: news.revision,
             zone: self.shared.zone.clone(),
         }
     }
@@ -254,11 +262,12 @@
 
     async fn tell_crashes(self, _: Context, _: Vec<RequestRecord>) {}
 
-    async fn tell_stream_origins(self, _: Context, streams: Vec<StreamRecord>) {
+    async fn tell_stream_origins(self, _: Context, streams: Vec<StreamRecord>) -> bool {
         let mut origins = self.shared.origins.lock().unwrap();
         for record in &streams {
             origins.record(NOW, record);
         }
+        true
     }
 
     async fn find_stream_origin(
@@ -275,6 +284,7 @@
             origin: attempt.and_then(|it| origins.find(NOW, &it).cloned()),
             versions: of_service.map(|it| it.version).collect(),
             versions_kept_ms: 60_000,
+            uptime_ms: 60_000,
         }
     }
 
--- a/crates/masticsill_rollout/src/lib.rs
+++ b/crates/masticsill_rollout/src/lib.rs
@@ -6,7 +6,6 @@
 //! new version more requests, to complete the roll-out, or to roll it back. Pure logic: no sockets,
 //! and the time is passed to each call.
 
-mod confirmed_versions;
 mod driver;
 mod evidence;
 mod judge;
@@ -18,7 +17,6 @@
 mod version_filter;
 mod version_rule;
 
-pub use confirmed_versions::ConfirmedVersions;
 pub use driver::{DriverInput, RolloutDriver, RolloutLimits};
 pub use evidence::{
     ArmEvidence, EvidenceReport, EvidenceStore, LatencyHistogram, Reporter, RouteEvidence,
--- a/crates/masticsill_wire/src/control.rs
+++ b/crates/masticsill_wire/src/control.rs
@@ -14,7 +14,8 @@
 use masticsill_quarantine::RequestRecord;
 use masticsill_registry::{
     Announcement, AttemptKey, CachedTokens, EndpointId, EndpointLoad, EndpointRecord,
-    EngineReservationRequest, HeartbeatAge, OriginReply, PromptPart, StreamRecord, Watcher,
+    EngineReservationRequest, HeartbeatAge, OriginReply, PromptPart, StreamOrigin, StreamRecord,
+    Watcher,
 };
 use masticsill_rollout::{EvidenceReport, Rollout, RolloutNumber, RolloutOrder, ServingRollout};
 use masticsill_types::{
@@ -248,6 +249,8 @@
     pub rollouts_revision: u64,
     /// Revision that the watcher has of the records of requests that crash endpoints.
     pub suspects_revision: u64,
+    /// Revision that the watcher has of the stored versions.
+    pub versions_revision: u64,
     /// Maximum wait for changes, in milliseconds.
     pub wait_ms: u64,
     /// The process that polls.
@@ -285,10 +288,15 @@
     pub rollouts: Vec<ServingRollout>,
     /// Revision of the roll-outs.
     pub rollouts_revision: u64,
+    /// All versions of endpoints that this replica has stored, so that it knows them after any
+    /// restart; empty while the watcher's revision is current.
+    pub stored_versions: Vec<StreamOrigin>,
     /// Records of requests during which endpoints crashed, as far as every watcher needs them.
     pub suspects: Vec<RequestRecord>,
     /// Revision of these records.
     pub suspects_revision: u64,
+    /// Revision of the stored versions.
+    pub versions_revision: u64,
     /// Availability zone of this replica.
     pub zone: ZoneId,
 }
@@ -447,8 +455,9 @@
     async fn find_pieces(hashes: Vec<PieceHash>) -> Vec<(PieceHash, PackedPiece)>;
     /// Orders a roll-out.
     async fn order_rollout(request: RolloutRequest) -> ControlReply<RolloutAnswer>;
-    /// Receives the origins of streams whose first events an entry has delivered.
-    async fn tell_stream_origins(streams: Vec<StreamRecord>);
+    /// Receives the origins of streams whose first events an entry has received; returns whether they
+    /// are stored, so that the replica knows them after any restart.
+    async fn tell_stream_origins(streams: Vec<StreamRecord>) -> bool;
     /// Returns what the replica knows of the origin of a stream, by the attempt that brought its
     /// first event, if its caller named that.
     async fn find_stream_origin(service: String, attempt: Option<AttemptKey>) -> OriginReply;
