A replica claims to know the past only if it had stored that it did

What callers saw: with the endpoints' files gone (never synced, unreadable, or of a replica that had joined and not yet merged what the others know) streams whose callers name no attempt went on at the only version that was still announced.

Cause: a founded folder counted as proof that its replica knew all that the quorum knew, and a founder's folder once more whenever the members of the founding were still in its log.

Change: the endpoints' file says whether its replica knew the past (format V7; an older file is ignored, as before). Without that a restarted replica learns it from a majority of the others, or in time.

--- a/crates/masticsill_control/src/endpoints/hub.rs
+++ b/crates/masticsill_control/src/endpoints/hub.rs
@@ -477,6 +477,11 @@
         *self.shared.knows_past.borrow()
     }
 
+    /// Subscribes to whether this replica knows the endpoints that the quorum knew before it started.
+    pub(crate) fn watch_knows_past(&self) -> watch::Receiver<bool> {
+        self.shared.knows_past.subscribe()
+    }
+
     /// Records that this replica knows the endpoints that the quorum knew before it started.
     pub(crate) fn note_past_known(&self) {
         self.set_knows_past(true);
--- a/crates/masticsill_control/src/endpoints/persistence.rs
+++ b/crates/masticsill_control/src/endpoints/persistence.rs
@@ -30,14 +30,15 @@
 /// Durable encoding. Variants are only ever added at the end.
 #[derive(Deserialize, Serialize)]
 enum StoredEndpoints {
-    /// V1 to V5 were written by former versions, whose records lack fields. Such a file is ignored:
+    /// V1 to V6 were written by former versions, whose records lack fields. Such a file is ignored:
     /// a decoder of its own is not worthwhile.
     V1,
     V2,
     V3,
     V4,
     V5,
-    V6(PersistedEndpoints),
+    V6,
+    V7(PersistedEndpoints),
 }
 
 /// The records that are kept over a restart of this replica.
@@ -47,6 +48,8 @@
     pub(crate) endpoints: Vec<EndpointRecord>,
     /// Requests during which endpoints crashed, with their ages at the time of writing.
     pub(crate) suspects: Vec<RequestRecord>,
+    /// Whether this replica knew the endpoints that the quorum knew.
+    pub(crate) knows_past: bool,
 }
 
 /// Reads the records of a former process; empty when there are none or they can't be read.
@@ -65,9 +68,10 @@
             | StoredEndpoints::V2
             | StoredEndpoints::V3
             | StoredEndpoints::V4
-            | StoredEndpoints::V5,
+            | StoredEndpoints::V5
+            | StoredEndpoints::V6,
         ) => PersistedEndpoints::default(),
-        Ok(StoredEndpoints::V6(persisted)) => persisted,
+        Ok(StoredEndpoints::V7(persisted)) => persisted,
         Err(error) => {
             log_event!(warn, events::ENDPOINTS_NOT_KEPT, cause = error);
             PersistedEndpoints::default()
@@ -91,6 +95,7 @@
 async fn store_records(folder: PathBuf, endpoints: EndpointHub, ended: ShutdownSignal) {
     let mut revisions = endpoints.revisions();
     let mut suspects = endpoints.suspects().watch_broadcast_revision();
+    let mut knows_past = endpoints.watch_knows_past();
     // What a killed process wrote may not be durable yet.
     let mut is_outdated = true;
     // The quorum's storage holds the folder's lock.
@@ -99,12 +104,14 @@
         tokio::select! {
             changed = revisions.changed() => if changed.is_err() { return },
             changed = suspects.changed() => if changed.is_err() { return },
+            changed = knows_past.changed() => if changed.is_err() { return },
             () = ready(()), if is_outdated => {}
             () = ended.requested() => return,
         }
         let persisted = PersistedEndpoints {
             endpoints: endpoints.all_records(),
             suspects: endpoints.suspects().broadcast_since(0),
+            knows_past: endpoints.knows_past(),
         };
         let records = persisted.endpoints.clone();
         let written = write(&mut disk, persisted);
@@ -123,7 +130,7 @@
 }
 
 fn write(disk: &mut FileDisk, persisted: PersistedEndpoints) -> io::Result<()> {
-    let bytes = postcard::to_stdvec(&StoredEndpoints::V6(persisted)).map_err(io::Error::other)?;
+    let bytes = postcard::to_stdvec(&StoredEndpoints::V7(persisted)).map_err(io::Error::other)?;
     // Durable, since an older file may name fewer versions than this replica has reported.
     disk.replace(FILE, &bytes)
 }
--- a/crates/masticsill_control/src/role.rs
+++ b/crates/masticsill_control/src/role.rs
@@ -93,6 +93,9 @@
     let endpoints = EndpointHub::new(clock, config.endpoints, zone, unreadable.clone());
     let persisted = read_endpoints(&config.data_folder);
     endpoints.restore(&persisted.endpoints);
+    if persisted.knows_past {
+        endpoints.note_past_known();
+    }
     endpoints.suspects().merge(&persisted.suspects);
     let streams = read_origins(&config.data_folder);
     endpoints.restore_streams(&streams);
