Origins of streams are reported while no replica names the voters

What callers saw: 0 of 48 streams went on that had begun while one control replica was silent and the others had restarted; 14 of 48 new ones began.

Cause: a restarted replica doesn't know the address of a silent one, and names no voters then; entries reported origins to voters only, so to nobody.

--- a/crates/masticsill_relay/src/stream_origins.rs
+++ b/crates/masticsill_relay/src/stream_origins.rs
@@ -83,6 +83,11 @@
     fn is_origin_keeper(&self, address: SocketAddr) -> bool {
         let voters = self.known_voters();
         let reached = self.control_reached.borrow();
+        if voters.is_empty() {
+            // Replicas that have just restarted don't know each other yet.
+            return origin_keepers(&self.config.zone, reached.iter(), reached.len())
+                .contains(&address);
+        }
         let reached = reached
             .iter()
             .filter(|(replica, _)| voters.contains(*replica));
