The log of streams' origins is played with a power loss at each operation

The log's order of writes and syncs moves to masticsill_quorum::storage::FrameLog, beside the frames that it consists of. Its test cuts the power at each operation of a log's creation, appends and replacement, 60 ways each: what was reported as stored is there, in order, and stays. Nothing changes in what is written.

--- a/crates/masticsill_control/src/endpoints/origin_log.rs
+++ b/crates/masticsill_control/src/endpoints/origin_log.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use masticsill_quorum::storage::{Disk, FileDisk, encode_frame, scan_frames};
+use masticsill_quorum::storage::{FileDisk, FrameLog, read_frame_log};
 use masticsill_registry::StoredStream;
 use masticsill_runtime::ShutdownSignal;
 use masticsill_types::log_event;
@@ -34,71 +34,29 @@
 }
 
 fn encode(streams: Vec<StoredStream>) -> io::Result<Vec<u8>> {
-    let body = postcard::to_allocvec(&StoredStreams::V1(streams)).map_err(io::Error::other)?;
-    Ok(encode_frame(&body))
+    postcard::to_allocvec(&StoredStreams::V1(streams)).map_err(io::Error::other)
 }
 
-/// Reads the streams that a former process stored, in the order in which it did; what a power loss
-/// has damaged is left out.
+/// Reads the streams that a former process stored, in the order in which it did.
 pub(crate) fn read(data_folder: &Path) -> Vec<StoredStream> {
-    let bytes = match FileDisk::unlocked(&data_folder.join(FOLDER)).read(FILE) {
-        Ok(Some(bytes)) => bytes,
-        Ok(None) => return Vec::new(),
+    let disk = FileDisk::unlocked(&data_folder.join(FOLDER));
+    let bodies = match read_frame_log(&disk, FILE) {
+        Ok(bodies) => bodies.unwrap_or_default(),
         Err(error) => {
             log_event!(warn, events::STREAM_ORIGINS_NOT_STORED, cause = error);
             return Vec::new();
         }
     };
-    let scan = scan_frames(&bytes);
-    let bodies = scan.frames.iter().map(|(_, body)| *body);
     // A frame of a later version says nothing to this one.
-    let frames = bodies.filter_map(|body| postcard::from_bytes(body).ok());
+    let frames = bodies.iter().filter_map(|it| postcard::from_bytes(it).ok());
     frames
         .flat_map(|StoredStreams::V1(streams)| streams)
         .collect()
 }
 
-/// The log, open for writing.
-#[derive(Debug)]
-struct OriginLog {
-    disk: FileDisk,
-    /// Size in bytes, and its size when it was compacted last.
-    size: usize,
-    compacted_size: usize,
-}
-
-impl OriginLog {
-    /// Opens the log and replaces its content, since an interrupted write may have damaged its end.
-    fn open(data_folder: &Path, streams: Vec<StoredStream>) -> io::Result<Self> {
-        let disk = FileDisk::open(&data_folder.join(FOLDER)).map_err(io::Error::other)?;
-        let mut log = Self {
-            disk,
-            size: 0,
-            compacted_size: 0,
-        };
-        log.replace(streams)?;
-        Ok(log)
-    }
-
-    fn replace(&mut self, streams: Vec<StoredStream>) -> io::Result<()> {
-        let frame = encode(streams)?;
-        self.disk.replace(FILE, &frame)?;
-        self.size = frame.len();
-        self.compacted_size = frame.len();
-        Ok(())
-    }
-
-    fn append(&mut self, streams: Vec<StoredStream>) -> io::Result<()> {
-        let frame = encode(streams)?;
-        self.disk.append(FILE, &frame)?;
-        self.size += frame.len();
-        self.disk.sync(FILE)
-    }
-
-    /// Whether most of the log is likely to have expired.
-    fn needs_compaction(&self) -> bool {
-        self.size > MIN_COMPACTED_BYTES.max(2 * self.compacted_size)
-    }
+/// Size from which a log is compacted: most of it is likely to have expired by then.
+fn next_compaction_bytes(log: &FrameLog) -> usize {
+    MIN_COMPACTED_BYTES.max(2 * log.size_bytes())
 }
 
 /// Stores the streams that are reported to this replica, until it ends.
@@ -124,7 +82,9 @@
 ) -> io::Result<()> {
     let mut revisions = endpoints.watch_stream_revision();
     let (mut stored, streams) = endpoints.streams_since(0);
-    let mut log = OriginLog::open(data_folder, streams)?;
+    let disk = FileDisk::open(&data_folder.join(FOLDER)).map_err(io::Error::other)?;
+    let mut log = FrameLog::create(Box::new(disk), FILE, &encode(streams)?)?;
+    let mut compaction_bytes = next_compaction_bytes(&log);
     endpoints.note_streams_stored(stored);
     loop {
         let has_ended = tokio::select! {
@@ -133,10 +93,11 @@
         };
         let began = Instant::now();
         let (revision, streams) = endpoints.streams_since(stored);
-        if log.needs_compaction() {
-            log.replace(endpoints.streams_since(0).1)?;
+        if log.size_bytes() > compaction_bytes {
+            log.replace(&encode(endpoints.streams_since(0).1)?)?;
+            compaction_bytes = next_compaction_bytes(&log);
         } else {
-            log.append(streams)?;
+            log.append(&encode(streams)?)?;
         }
         stored = revision;
         endpoints.note_streams_stored(stored);
--- a/crates/masticsill_quorum/src/storage.rs
+++ b/crates/masticsill_quorum/src/storage.rs
@@ -9,6 +9,7 @@
 mod error;
 mod file_system;
 mod frame;
+mod frame_log;
 mod open;
 mod record;
 mod replay;
@@ -33,6 +34,7 @@
 pub use error::StorageError;
 pub use file_system::{FileSystem, OsFolder};
 pub use frame::{FrameEnd, FrameScan, encode_frame, scan_frames};
+pub use frame_log::{FrameLog, read_frame_log};
 pub use open::{RecoveredStorage, TornTail};
 pub use space_wait::{SpaceWaitCanceller, SpaceWaitDisk};
 
