Whether a folder is new is read when it is opened

A replica whose first question to its quorum was not answered, or was answered after its founding, did not count as a founder until it had run for as long as versions are remembered. By reading; the folder itself says it. Also: no lock of the registry is held beside another one, an early answer's failed write ends the wait for its connection's end, and the statuses without content have one copy.

--- a/crates/masticsill_control/src/endpoints/exchange.rs
+++ b/crates/masticsill_control/src/endpoints/exchange.rs
@@ -48,9 +48,7 @@
     let mut uninformed_since = started_at;
     let mut knew_past = false;
     let answers: AnswersOfReplicas = Rc::default();
-    let identified = server.quorum.ask_any(Request::Identify).await;
-    let is_new = identified.is_some_and(|(own, _)| !own.is_founded);
-    if is_new {
+    if server.is_new {
         // The folder belongs to no cluster, whatever the former process of this replica knew.
         server.endpoints.forget_past();
     }
@@ -88,7 +86,7 @@
         }
         // Whatever is remembered by then began after this replica was back.
         let has_seen_all = now.since(uninformed_since) >= server.endpoints.forget_ms();
-        if (has_seen_all && reaches_majority) || has_learned_past(&server, is_new, &answers).await {
+        if (has_seen_all && reaches_majority) || has_learned_past(&server, &answers).await {
             server.endpoints.note_past_known();
         }
         knew_past = server.endpoints.knows_past();
@@ -104,14 +102,10 @@
     2 * included > voters.len()
 }
 
-/// Whether this replica knows what the quorum knew before it started: it was `new` then and has founded
-/// the cluster since, or has merged the records of a majority of the other voters. Whatever a majority
+/// Whether this replica knows what the quorum knew before it started: its folder was new then and it has
+/// founded the cluster since, or has merged the records of a majority of the other voters. Whatever a majority
 /// knew, one of these knows.
-async fn has_learned_past(
-    server: &ControlServer,
-    is_new: bool,
-    answers: &AnswersOfReplicas,
-) -> bool {
+async fn has_learned_past(server: &ControlServer, answers: &AnswersOfReplicas) -> bool {
     if server.endpoints.knows_past() {
         return true;
     }
@@ -123,7 +117,7 @@
         let answers = answers.borrow();
         answers.get(other).is_some_and(|it| it.includes_past)
     };
-    let is_founder = is_new && own.is_founded && !founding.is_empty();
+    let is_founder = server.is_new && own.is_founded && !founding.is_empty();
     is_founder || is_majority(&others, includes_past)
 }
 
--- a/crates/masticsill_control/src/endpoints/hub.rs
+++ b/crates/masticsill_control/src/endpoints/hub.rs
@@ -240,10 +240,15 @@
     }
 
     fn has_unstored_version(&self) -> bool {
-        let stored = self.shared.stored_versions.borrow();
+        let stored = self.shared.stored_versions.borrow().versions.clone();
         let registry = self.registry();
-        let mut versions = registry.records().filter_map(version_of);
-        versions.any(|version| !stored.versions.contains(&version))
+        let mut announcements = registry.records().map(|record| &record.announcement);
+        announcements.any(|announcement| {
+            let mut stored = stored.iter();
+            let is_stored = stored
+                .any(|it| it.service == announcement.service && it.version == announcement.version);
+            !announcement.service.is_empty() && !is_stored
+        })
     }
 
     /// Subscribes to the registry's revision.
@@ -307,7 +312,8 @@
         let mut deadline = began + Duration::from_millis(wait_ms);
         tokio::pin!(voters_change);
         while !self.has_urgent_update(published, &request) {
-            if self.registry().revision() > request.revision || self.has_stored_since(&request) {
+            let has_stored = self.has_stored_since(&request);
+            if has_stored || self.registry().revision() > request.revision {
                 deadline = deadline.min(began + self.update_delay());
             }
             if self.have_loads_changed(&request) {
--- a/crates/masticsill_control/src/replacement.rs
+++ b/crates/masticsill_control/src/replacement.rs
@@ -28,6 +28,8 @@
     pub(crate) recovered: RecoveredStorage,
     /// Who founds a cluster, if the folder belongs to none.
     pub(crate) founding: FoundingPolicy,
+    /// Whether the folder belongs to no cluster.
+    pub(crate) is_new: bool,
 }
 
 /// Opens the data folder, replacing one that is damaged if the other replicas form a quorum.
@@ -57,6 +59,7 @@
 fn open(config: &ControlConfig, founding: &FoundingPolicy) -> Result<OpenedFolder, StorageError> {
     let (storage, recovered) = Storage::open(&config.data_folder, &config.cluster, &config.node)?;
     Ok(OpenedFolder {
+        is_new: recovered.state.snapshot.is_none(),
         storage,
         recovered,
         founding: founding.clone(),
--- a/crates/masticsill_control/src/role.rs
+++ b/crates/masticsill_control/src/role.rs
@@ -125,7 +125,6 @@
         metrics: Metrics,
         registry: &mut Registry,
     ) -> Result<Self, ControlError> {
-        let node = config.node.clone();
         let folder = open_folder(config)?;
         let space_wait_canceller = folder.storage.space_wait_canceller();
         let book = address_book(config);
@@ -175,6 +174,7 @@
             endpoints: endpoints.clone(),
             ended: ended.clone(),
             gauges: ControlGauges::new(registry),
+            is_new: folder.is_new,
             outgoing,
             published: published.clone(),
             quorum: quorum.clone(),
@@ -207,7 +207,7 @@
         log_event!(
             info,
             events::CONTROL_STARTED,
-            node = node,
+            node = config.node,
             rpc = config.rpc_address,
             http = http.address()
         );
--- a/crates/masticsill_control/src/rpc/duty.rs
+++ b/crates/masticsill_control/src/rpc/duty.rs
@@ -36,6 +36,8 @@
     pub(crate) endpoints: EndpointHub,
     pub(crate) ended: ShutdownSignal,
     pub(crate) gauges: ControlGauges,
+    /// Whether the data folder was new when this process started.
+    pub(crate) is_new: bool,
     pub(crate) outgoing: Ring<Outgoing>,
     pub(crate) published: PublishedState,
     pub(crate) quorum: QuorumHandle,
@@ -58,6 +60,7 @@
         endpoints: parts.endpoints,
         evidence: ReceivedEvidence::default(),
         first_seeds: config.seeds.clone().into(),
+        is_new: parts.is_new,
         lease_ms: config.replica.lease_ms,
         node: config.node.clone(),
         pauses: Pauses::new(parts.clock),
--- a/crates/masticsill_control/src/rpc/service.rs
+++ b/crates/masticsill_control/src/rpc/service.rs
@@ -48,6 +48,8 @@
     pub(crate) evidence: ReceivedEvidence,
     /// The configured seeds, which are the same in every process when the cluster is first started.
     pub(crate) first_seeds: Arc<[SocketAddr]>,
+    /// Whether the data folder was new when this process started.
+    pub(crate) is_new: bool,
     pub(crate) lease_ms: u64,
     pub(crate) node: NodeId,
     pub(crate) pauses: Pauses,
--- a/crates/masticsill_http1/src/head.rs
+++ b/crates/masticsill_http1/src/head.rs
@@ -13,8 +13,10 @@
 /// The status codes that exist (RFC 9110, section 15).
 const STATUS_CODES: RangeInclusive<u16> = 100..=599;
 const SWITCHING_PROTOCOLS: u16 = 101;
-const NO_CONTENT: u16 = 204;
-const NOT_MODIFIED: u16 = 304;
+/// Status of a response that never has content.
+pub const NO_CONTENT: u16 = 204;
+/// Status of a response whose content the caller has already.
+pub const NOT_MODIFIED: u16 = 304;
 
 /// The head of a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/masticsill_http1/src/lib.rs
+++ b/crates/masticsill_http1/src/lib.rs
@@ -14,6 +14,8 @@
 pub use body::{BodyDecoder, BodyStep, Framing};
 pub use error::ParseError;
 pub use events::{EventSplitter, StreamEvent};
-pub use head::{RequestHead, ResponseHead, parse_request, parse_response};
+pub use head::{
+    NO_CONTENT, NOT_MODIFIED, RequestHead, ResponseHead, parse_request, parse_response,
+};
 pub use headers::{Header, HeaderList};
 pub use write::{HeadWriter, write_chunk, write_last_chunk};
--- a/crates/masticsill_registry/src/confirmed_versions.rs
+++ b/crates/masticsill_registry/src/confirmed_versions.rs
@@ -6,9 +6,10 @@
 
 use std::net::SocketAddr;
 
-use crate::stream_origins::StreamOrigin;
 use indexmap::{IndexMap, IndexSet};
 
+use crate::stream_origins::StreamOrigin;
+
 /// The replicas that have stored a version.
 #[derive(Clone, Debug, Default)]
 struct VersionReports {
--- a/crates/masticsill_relay/src/endpoint_response.rs
+++ b/crates/masticsill_relay/src/endpoint_response.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use masticsill_http1::{Header, RequestHead, ResponseHead};
+use masticsill_http1::{Header, NO_CONTENT, NOT_MODIFIED, RequestHead, ResponseHead};
 use masticsill_types::log_event;
 
 use crate::attempt::{Attempt, SendFailure, fail, failure_of, with_silence_timeout};
@@ -19,10 +19,6 @@
 /// Status sent by an endpoint that is not the incarnation for which the request was meant.
 pub(crate) const MISDIRECTED_REQUEST: u16 = 421;
 
-/// Statuses of responses without content.
-const NO_CONTENT: u16 = 204;
-const NOT_MODIFIED: u16 = 304;
-
 /// Cause of a failed attempt whose response is a success that its endpoint did not sign.
 pub(crate) const UNSIGNED_SUCCESS: &str = "a success without a signature";
 
--- a/crates/masticsill_upstream/src/exchange.rs
+++ b/crates/masticsill_upstream/src/exchange.rs
@@ -187,7 +187,7 @@
             let (_, mut writer) = self.stream.split();
             let settled = sleep(left);
             tokio::pin!(settled);
-            loop {
+            while self.request.error.is_none() {
                 tokio::select! {
                     () = &mut settled => break,
                     () = self.request.write(&mut writer), if self.request.is_pending() => {}
--- a/crates/masticsill_upstream/src/request_writer.rs
+++ b/crates/masticsill_upstream/src/request_writer.rs
@@ -59,7 +59,7 @@
     }
 
     /// For how long bytes of the request may still reset a connection that the endpoint has closed;
-    /// none if they would have by now.
+    /// none if they can't or would have by now.
     pub(crate) fn settling_time(&self) -> Option<Duration> {
         if !self.is_sent() {
             return Some(RESET_DELAY);
