--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -3,10 +3,13 @@
 //! Usage: `masticsill_review_2 CASE FOLDER`; the repository's root is the working directory. Exit
 //! status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
+mod caller;
 mod cluster;
 mod http;
 mod record;
+mod recovery;
 mod replaced_core;
+mod replica;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -34,6 +37,7 @@
     record.note(&format!("case {case}, disruption: {is_troubled}"));
     let verdict = match case.as_str() {
         "replaced-core" => replaced_core::run(&mut record, is_troubled),
+        "recovery" => recovery::run(&mut record, is_troubled),
         _ => Err(format!("there is no case {case}")),
     };
     match verdict {
