--- a/review/standin-2/src/cluster.rs
+++ b/review/standin-2/src/cluster.rs
@@ -152,8 +152,7 @@
         machine: usize,
         is_bootstrap: bool,
     ) -> Result<(), String> {
-        let role = if is_control { "control" } else { "relay" };
-        let settings = self.folder.join(format!("{role}-{machine}.json"));
+        let settings = self.settings_file(is_control, machine);
         let text = self.settings(is_control, machine, is_bootstrap);
         fs::write(&settings, text).map_err(|error| error.to_string())?;
         let log = File::options()
@@ -180,6 +179,30 @@
         self.start(true, machine, is_bootstrap)
     }
 
+    /// Kills all processes of a machine.
+    pub fn kill_machine(&mut self, machine: usize) {
+        let processes = self.processes.iter_mut();
+        processes
+            .filter(|it| it.machine == machine)
+            .for_each(Process::kill);
+    }
+
+    /// Names other machines as seeds in the settings file of every process.
+    pub fn exchange_seeds(&mut self, seeds: &[usize]) -> Result<(), String> {
+        self.seeds = seeds.to_vec();
+        for process in &self.processes {
+            let settings = self.settings_file(process.is_control, process.machine);
+            let text = self.settings(process.is_control, process.machine, false);
+            fs::write(settings, text).map_err(|error| error.to_string())?;
+        }
+        Ok(())
+    }
+
+    fn settings_file(&self, is_control: bool, machine: usize) -> PathBuf {
+        let role = if is_control { "control" } else { "relay" };
+        self.folder.join(format!("{role}-{machine}.json"))
+    }
+
     /// Kills all processes at once.
     pub fn kill_all(&mut self) {
         for process in &mut self.processes {
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -6,6 +6,7 @@
 mod caller;
 mod cluster;
 mod http;
+mod lost_seeds;
 mod record;
 mod recovery;
 mod replaced_core;
@@ -37,6 +38,7 @@
     record.note(&format!("case {case}, disruption: {is_troubled}"));
     let verdict = match case.as_str() {
         "replaced-core" => replaced_core::run(&mut record, is_troubled),
+        "lost-seeds" => lost_seeds::run(&mut record, is_troubled),
         "recovery" => recovery::run(&mut record, is_troubled),
         _ => Err(format!("there is no case {case}")),
     };
