The order in which lives of an endpoint become known doesn't decide who has an address

The same where the first heartbeat of a crashed replica was delayed until the next one at its address had registered.

Cause: a relay took the life that it learned of last for the one that has the address, for ever, and a control replica took the moment at which it learned a record for that of a heartbeat. Both are the order of arrival in place of the order of events. On the way: the guess was treated like an answer of the address itself, so that a run at the present life counted as broken by a crash, and a begun stream ended as having no endpoint of its version.

Change: - Relays keep apart what they guess (displaced) and what has answered (replaced, 421). A guess prefers lives that control hears over silent ones, and is taken back with them. Only the order of arrival is left where nothing else tells; the first request that names the wrong life ends it. A request that needs a version tries an endpoint in doubt before it is refused. - A control replica that learns a record counts it as silent if it was, and else as live for 2.5 s unless another replica hears it. Ages of heartbeats are applied after the records that they belong to. - Records are stored and sent in the order of their last heartbeats. - `endpoint_changed` says what the relay takes for true of the address.

Weighed: ages of heartbeats in each report to relays (bytes for every relay, and unknown after restarts, when it matters); no guess at all (each relay sends one request in vain to each crashed life, and counts its capacity for a minute).

--- a/crates/masticsill_control/src/endpoints.rs
+++ b/crates/masticsill_control/src/endpoints.rs
@@ -9,7 +9,7 @@
 mod suspects;
 
 pub(crate) use exchange::run_exchange;
-pub(crate) use hub::{EndpointHub, RESTORED_GRACE_MS};
+pub(crate) use hub::EndpointHub;
 pub(crate) use origin_log::read as read_origins;
 pub(crate) use persistence::{read as read_endpoints, run_persistence};
 pub(crate) use prompts::follow_prompts;
--- a/crates/masticsill_control/src/endpoints/exchange.rs
+++ b/crates/masticsill_control/src/endpoints/exchange.rs
@@ -7,12 +7,11 @@
 use std::time::Duration;
 
 use indexmap::{IndexMap, IndexSet};
-use masticsill_registry::Watcher;
+use masticsill_registry::{UNCONFIRMED_GRACE_MS, Watcher};
 use masticsill_types::{ClockMs, NodeId, log_event};
 use masticsill_wire::control::WatchRequest;
 use tokio::task::spawn_local;
 
-use super::hub::RESTORED_GRACE_MS;
 use crate::events;
 use crate::quorum::Request;
 use crate::rpc::ControlServer;
@@ -68,7 +67,7 @@
         // A replica that has just started has received no heartbeats yet. Restored records count as
         // live for this long; after that the other replicas have reported which endpoints they
         // hear.
-        let is_settled = now.since(started_at) > RESTORED_GRACE_MS;
+        let is_settled = now.since(started_at) > UNCONFIRMED_GRACE_MS;
         let is_reached = |other: &NodeId| {
             let last_at = answers.borrow().get(other).and_then(|it| it.last_at);
             *other == node || last_at.is_some_and(|at| now.since(at) < REACHABLE_TIMEOUT_MS)
--- a/crates/masticsill_control/src/endpoints/hub.rs
+++ b/crates/masticsill_control/src/endpoints/hub.rs
@@ -21,8 +21,6 @@
 use crate::quorum::PublishedState;
 use crate::unreadable::{UnreadableMessage, UnreadableMessages};
 
-/// How long a restored endpoint counts as live without a heartbeat: two heartbeat intervals.
-pub(crate) const RESTORED_GRACE_MS: u64 = 2_500;
 /// Longest wait of one watch, even if the request asks for more.
 const MAX_WAIT_MS: u64 = 2_000;
 /// Longest wait of an entry's watch while a roll-out is in progress: an entry's lease lasts 1 s, so
@@ -201,14 +199,14 @@
     /// Restores the records that a former process of this replica persisted.
     pub(crate) fn restore(&self, records: &[EndpointRecord]) {
         let mut registry = self.registry();
-        let age_ms = registry.silence_ms().saturating_sub(RESTORED_GRACE_MS);
-        registry.restore(self.shared.clock.now(), records, age_ms);
+        registry.merge(self.shared.clock.now(), records);
         self.shared.revision.send_replace(registry.revision());
     }
 
-    /// All records, including those of ended endpoints that are still retained.
+    /// All records, including those of ended endpoints that are still retained, in the order of their
+    /// last heartbeats.
     pub(crate) fn all_records(&self) -> Vec<EndpointRecord> {
-        self.registry().records().cloned().collect()
+        self.registry().changes_since(0)
     }
 
     /// The records of endpoints that have not ended.
@@ -260,8 +258,10 @@
     pub(crate) fn merge(&self, records: &[EndpointRecord], heard: &[HeartbeatAge]) {
         let now = self.shared.clock.now();
         let mut registry = self.registry();
+        let is_changed = registry.merge(now, records);
+        // After the records, as the ages of incarnations unknown before would be ignored.
         registry.apply_heartbeat_ages(now, heard);
-        if registry.merge(now, records) {
+        if is_changed {
             self.shared.revision.send_replace(registry.revision());
         }
     }
--- a/crates/masticsill_control/src/rollouts/duty.rs
+++ b/crates/masticsill_control/src/rollouts/duty.rs
@@ -6,6 +6,7 @@
 
 use indexmap::IndexMap;
 use masticsill_catalogue::{Action, CommandAnswer};
+use masticsill_registry::UNCONFIRMED_GRACE_MS;
 use masticsill_rollout::{
     DriverInput, Phase, Rollout, RolloutDriver, RolloutLimits, RolloutNumber, RolloutStep, Rollouts,
 };
@@ -14,7 +15,6 @@
 use tokio::task::spawn_local;
 use tokio::time::{MissedTickBehavior, interval};
 
-use crate::endpoints::RESTORED_GRACE_MS;
 use crate::events;
 use crate::rpc::ControlServer;
 
@@ -85,7 +85,7 @@
             .endpoints
             .ready_by_version(&order.service, &order.target);
         // A replica that has just started may not know of all endpoints yet.
-        let least = u32::from(now.since(started_at) < RESTORED_GRACE_MS);
+        let least = u32::from(now.since(started_at) < UNCONFIRMED_GRACE_MS);
         let (old_ready, target_ready) = (old_ready.max(least), target_ready.max(least));
         let step = server.evidence.read(|evidence| {
             let input = DriverInput {
--- a/crates/masticsill_dispatch/src/dispatcher.rs
+++ b/crates/masticsill_dispatch/src/dispatcher.rs
@@ -359,7 +359,7 @@
 ) -> Option<Choice> {
     let suspect = suspect_zones(table, &requirements.service, now);
     let is_healthy = |it: &Endpoint| {
-        !it.is_silent() && !it.is_backing_off(now) && !suspect.contains(&&it.announcement.zone)
+        !it.is_doubted() && !it.is_backing_off(now) && !suspect.contains(&&it.announcement.zone)
     };
     let is_any_healthy = table
         .iter()
@@ -390,7 +390,7 @@
 /// Whether an endpoint is neither silent nor backing off.
 fn is_healthy(table: &EndpointTable, now: ClockMs, id: &EndpointId) -> bool {
     let endpoint = table.get(id);
-    endpoint.is_some_and(|it| !it.is_silent() && !it.is_backing_off(now))
+    endpoint.is_some_and(|it| !it.is_doubted() && !it.is_backing_off(now))
 }
 
 /// Whether a queued resumed answer may be sent to an endpoint. It goes there before new requests.
--- a/crates/masticsill_dispatch/src/endpoint.rs
+++ b/crates/masticsill_dispatch/src/endpoint.rs
@@ -39,11 +39,48 @@
     }
 }
 
+/// Whether an incarnation has the address that it announces.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum AddressState {
+    /// No other incarnation is more likely to have it.
+    #[default]
+    Held,
+    /// Another incarnation is more likely to have it, by the reports of the control replicas.
+    Displaced,
+    /// Another incarnation has answered there.
+    Replaced,
+}
+
+impl AddressState {
+    /// Name in logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Held => "held",
+            Self::Displaced => "displaced",
+            Self::Replaced => "replaced",
+        }
+    }
+}
+
+/// How likely it is that an incarnation has its address, compared with the others there: the greatest
+/// claim is the likeliest.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct AddressClaim {
+    /// Whether its heartbeats are received.
+    is_heard: bool,
+    is_ready: bool,
+    /// Order in which incarnations became known.
+    order: u64,
+}
+
 /// One incarnation of an endpoint.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
     /// What the endpoint announces about itself.
     pub announcement: Announcement,
+    /// Whether the endpoint has the address that it announces.
+    pub(crate) address_state: AddressState,
     /// The endpoint's health as seen by requests of this entry.
     pub health: Health,
     /// Limit of requests in flight from this entry, for a plain service.
@@ -74,10 +111,8 @@
     others_reported_at: Option<ClockMs>,
     /// Whether the endpoint has said in a response, here or to another entry, that it leaves.
     is_leaving: bool,
-    /// Whether another incarnation has taken over the address.
-    pub(crate) is_replaced: bool,
-    /// Order in which incarnations became known; the latest one at an address takes precedence.
-    pub(crate) order: u64,
+    /// Order in which incarnations became known.
+    order: u64,
     /// Control replicas that report the endpoint as silent.
     silent_to: Vec<NodeId>,
 }
@@ -86,6 +121,7 @@
     /// Creates an incarnation of which only its announcement is known.
     pub(crate) fn new(announcement: Announcement, order: u64) -> Self {
         Self {
+            address_state: AddressState::default(),
             announcement,
             concurrency: ConcurrencyLimit::default(),
             event_gaps: EventGaps::default(),
@@ -95,7 +131,6 @@
             in_flight: 0,
             is_freed_here: false,
             is_leaving: false,
-            is_replaced: false,
             order,
             others: OtherLoad::default(),
             others_reported_at: None,
@@ -119,8 +154,30 @@
     /// Whether the endpoint accepts new requests, as far as is known.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let is_announced_ready = self.announcement.state == EndpointState::Ready;
-        is_announced_ready && !self.is_leaving && !self.is_replaced
+        self.is_announced_ready() && self.address_state == AddressState::Held
+    }
+
+    /// Whether the endpoint would accept new requests if it still has the address that another
+    /// incarnation is more likely to have. A request that names the endpoint shows which of them has.
+    #[must_use]
+    pub(crate) fn may_hold_address(&self) -> bool {
+        self.is_displaced() && self.is_announced_ready() && !self.is_silent()
+    }
+
+    /// Whether the endpoint has said that it accepts new requests, and not since that it leaves.
+    pub(crate) fn is_announced_ready(&self) -> bool {
+        self.announcement.state == EndpointState::Ready && !self.is_leaving
+    }
+
+    /// How likely it is that the endpoint has its address, compared with other incarnations there.
+    pub(crate) fn address_claim(&self) -> AddressClaim {
+        let is_heard = !self.is_silent();
+        AddressClaim {
+            is_heard,
+            // Of endpoints that are all silent, a former one must not succeed one that has ended.
+            is_ready: is_heard && self.is_announced_ready(),
+            order: self.order,
+        }
     }
 
     /// Records that the endpoint has said in a response that it leaves. Unlike its state, that is
@@ -134,10 +191,16 @@
         self.is_leaving && self.announcement.state == EndpointState::Ready
     }
 
-    /// Whether another incarnation has taken over the endpoint's address.
+    /// Whether the endpoint has the address that it announces, as far as is known.
+    #[must_use]
+    pub fn address_state(&self) -> AddressState {
+        self.address_state
+    }
+
+    /// Whether another incarnation has answered at the endpoint's address.
     #[must_use]
     pub fn is_replaced(&self) -> bool {
-        self.is_replaced
+        self.address_state == AddressState::Replaced
     }
 
     /// Whether requests of this entry or copies of their runs are at the endpoint.
@@ -266,6 +329,17 @@
         rest_ms.max(self.request_limit.next_turn_ms(now))
     }
 
+    /// Whether the endpoint may have ended: it is reported as silent, or its address is more likely
+    /// to belong to another incarnation.
+    pub(crate) fn is_doubted(&self) -> bool {
+        self.is_silent() || self.is_displaced()
+    }
+
+    /// Whether another incarnation is more likely to have the endpoint's address.
+    pub(crate) fn is_displaced(&self) -> bool {
+        self.address_state == AddressState::Displaced
+    }
+
     /// Whether at least one control replica reports the endpoint as silent.
     #[must_use]
     pub fn is_silent(&self) -> bool {
--- a/crates/masticsill_dispatch/src/endpoints.rs
+++ b/crates/masticsill_dispatch/src/endpoints.rs
@@ -11,7 +11,7 @@
 use masticsill_rollout::VersionFilter;
 use masticsill_types::{ClockMs, NodeId, ZoneId};
 
-use crate::endpoint::{Endpoint, OtherLoad};
+use crate::endpoint::{AddressClaim, AddressState, Endpoint, OtherLoad};
 use crate::event_gaps::EventGaps;
 use crate::health::Failure;
 
@@ -50,7 +50,8 @@
 
 impl EndpointTable {
     /// Merges the records of a control replica. Returns the ids whose state has changed, including
-    /// those of previous incarnations that a newer one has ended.
+    /// those of previous incarnations that a newer one has ended, and those of incarnations that are
+    /// no longer, or again, the likeliest to have their addresses.
     pub fn merge(&mut self, from: &NodeId, records: &[EndpointRecord]) -> Vec<EndpointId> {
         let mut changed = Vec::new();
         for record in records {
@@ -63,7 +64,11 @@
                 changed.push(id.clone());
             }
         }
-        self.mark_replaced_and_prune();
+        let displaced = self.update_displaced();
+        let displaced = displaced.into_iter().filter(|id| !changed.contains(id));
+        let displaced: Vec<EndpointId> = displaced.collect();
+        changed.extend(displaced);
+        self.prune();
         changed
     }
 
@@ -75,10 +80,17 @@
         };
         known.note_liveness(from, record.is_silent);
         let state = known.announcement.state;
+        let address = known.announcement.address;
         match known.announcement.join(announcement) {
             JoinOutcome::Same => false,
             // A previous incarnation is a separate table entry, since its id differs.
-            JoinOutcome::Changed | JoinOutcome::Replaced => state != known.announcement.state,
+            JoinOutcome::Changed | JoinOutcome::Replaced => {
+                if known.announcement.address != address {
+                    // What answered at the former address says nothing of the new one.
+                    known.address_state = AddressState::Held;
+                }
+                state != known.announcement.state
+            }
         }
     }
 
@@ -119,39 +131,57 @@
         self.endpoints.insert(id, endpoint);
     }
 
-    /// Marks all incarnations at an address but the latest one as replaced, and drops the oldest
-    /// ended incarnations.
-    fn mark_replaced_and_prune(&mut self) {
-        let mut newest: IndexMap<SocketAddr, u64> = IndexMap::new();
-        for endpoint in self.endpoints.values().filter(|it| it.is_ready()) {
-            let order = newest.entry(endpoint.announcement.address).or_default();
-            *order = endpoint.order.max(*order);
+    /// Marks the incarnations whose address another one is more likely to have.
+    ///
+    /// The order in which incarnations became known decides only where nothing else does: a control
+    /// replica that restarted may report a former one last. An endpoint that answers for another
+    /// incarnation ends the doubt. Returns the ids whose mark changed.
+    fn update_displaced(&mut self) -> Vec<EndpointId> {
+        let mut likeliest: IndexMap<SocketAddr, AddressClaim> = IndexMap::new();
+        for endpoint in self.endpoints.values().filter(|it| !it.is_replaced()) {
+            let claim = likeliest.entry(endpoint.announcement.address).or_default();
+            *claim = endpoint.address_claim().max(*claim);
         }
-        for endpoint in self.endpoints.values_mut() {
-            let newest = newest.get(&endpoint.announcement.address);
-            if newest.is_some_and(|newest| endpoint.order < *newest) {
-                endpoint.is_replaced = true;
+        let endpoints = self.endpoints.values_mut();
+        let mut changed = Vec::new();
+        for endpoint in endpoints.filter(|it| !it.is_replaced()) {
+            let likeliest = likeliest[&endpoint.announcement.address];
+            let state = if endpoint.address_claim() < likeliest {
+                AddressState::Displaced
+            } else {
+                AddressState::Held
+            };
+            if endpoint.address_state != state {
+                endpoint.address_state = state;
+                changed.push(endpoint.announcement.id.clone());
             }
         }
-        let is_ended = |it: &Endpoint| !it.is_ready() && it.in_flight == 0;
+        changed
+    }
+
+    /// Drops the oldest ended incarnations.
+    fn prune(&mut self) {
+        let is_ended =
+            |it: &Endpoint| !it.is_ready() && !it.may_hold_address() && it.in_flight == 0;
         // Ended incarnations are remembered, since other control replicas may still report them as
         // ready.
         let ended = self.endpoints.values().filter(|it| is_ended(it)).count();
-        if ended > MAX_ENDED_INCARNATIONS {
-            let mut excess = ended - MAX_ENDED_INCARNATIONS;
-            self.endpoints.retain(|_, endpoint| {
-                let is_dropped = excess > 0 && is_ended(endpoint);
-                excess -= usize::from(is_dropped);
-                !is_dropped
-            });
-            let endpoints = &self.endpoints;
-            let is_known = |name: &String, incarnation: EndpointIncarnation| {
-                let name = name.clone();
-                endpoints.contains_key(&EndpointId { incarnation, name })
-            };
-            self.newest_incarnations
-                .retain(|name, incarnation| is_known(name, *incarnation));
+        if ended <= MAX_ENDED_INCARNATIONS {
+            return;
         }
+        let mut excess = ended - MAX_ENDED_INCARNATIONS;
+        self.endpoints.retain(|_, endpoint| {
+            let is_dropped = excess > 0 && is_ended(endpoint);
+            excess -= usize::from(is_dropped);
+            !is_dropped
+        });
+        let endpoints = &self.endpoints;
+        let is_known = |name: &String, incarnation: EndpointIncarnation| {
+            let name = name.clone();
+            endpoints.contains_key(&EndpointId { incarnation, name })
+        };
+        self.newest_incarnations
+            .retain(|name, incarnation| is_known(name, *incarnation));
     }
 
     /// This entry's load at each endpoint of a zone, and which of them have just failed it.
@@ -218,9 +248,12 @@
 
     /// Records that an endpoint has said in a response that it leaves. Returns whether it is news.
     pub fn note_leaving(&mut self, id: &EndpointId) -> bool {
-        self.endpoints
-            .get_mut(id)
-            .is_some_and(Endpoint::note_leaving)
+        let endpoint = self.endpoints.get_mut(id);
+        let is_news = endpoint.is_some_and(Endpoint::note_leaving);
+        if is_news {
+            self.update_displaced();
+        }
+        is_news
     }
 
     /// Records which endpoints have told other entries that they leave. Returns those of which it is
@@ -349,7 +382,7 @@
     }
 
     /// Whether a service has an endpoint of the given versions that is registered as ready and not
-    /// among the excluded ones.
+    /// among the excluded ones. One that may have lost its address counts until it is known to.
     #[must_use]
     pub fn has_ready(
         &self,
@@ -357,7 +390,9 @@
         versions: &VersionFilter,
         excluded: &[EndpointId],
     ) -> bool {
-        let mut ready = self.of_service(service).filter(|it| it.is_ready());
+        let mut ready = self
+            .of_service(service)
+            .filter(|it| it.is_ready() || it.may_hold_address());
         ready.any(|it| {
             let announcement = &it.announcement;
             versions.allows(&announcement.version) && !excluded.contains(&announcement.id)
@@ -441,10 +476,11 @@
             return false;
         };
         endpoint.health.note_failure(now);
+        let failed = endpoint.announcement.clone();
         if failure == Failure::Replaced {
-            endpoint.is_replaced = true;
+            endpoint.address_state = AddressState::Replaced;
+            self.update_displaced();
         }
-        let failed = endpoint.announcement.clone();
         failure == Failure::Stalled && self.is_zone_stalled(now, &failed)
     }
 
--- a/crates/masticsill_dispatch/src/lib.rs
+++ b/crates/masticsill_dispatch/src/lib.rs
@@ -27,7 +27,7 @@
 pub use capacity::{EntryPosition, has_memory_for_copy};
 pub use concurrency_limit::ConcurrencyLimit;
 pub use dispatcher::{Decision, DispatchContext, Dispatcher, WaitOutcome};
-pub use endpoint::{Endpoint, OtherLoad};
+pub use endpoint::{AddressState, Endpoint, OtherLoad};
 pub use endpoints::EndpointTable;
 pub use entries::EntryCount;
 pub use event_gaps::{EVENT_GAP_TIMEOUT_MS, EventGaps, silence_timeout_ms};
--- a/crates/masticsill_dispatch/src/placement.rs
+++ b/crates/masticsill_dispatch/src/placement.rs
@@ -78,7 +78,9 @@
     /// Whether the endpoint may be chosen at all.
     pub(crate) fn is_candidate(&self, endpoint: &Endpoint) -> bool {
         let announcement = &endpoint.announcement;
-        endpoint.is_ready()
+        // A request that needs certain versions may have no other endpoint.
+        let is_last_resort = !self.versions.is_unrestricted() && endpoint.may_hold_address();
+        (endpoint.is_ready() || is_last_resort)
             && announcement.service == self.service
             && self.versions.allows(&announcement.version)
             && self.not_in_zone != Some(&announcement.zone)
@@ -189,7 +191,7 @@
     let suspect_zones = suspect_zones(table, request.service, now);
     let is_healthy = |it: &Endpoint| {
         let zone = &it.announcement.zone;
-        !it.is_silent() && !it.is_backing_off(now) && !suspect_zones.contains(&zone)
+        !it.is_doubted() && !it.is_backing_off(now) && !suspect_zones.contains(&zone)
     };
     let candidates = table.iter().filter(|it| request.is_candidate(it));
     let candidates: Vec<&Endpoint> = candidates
@@ -292,7 +294,7 @@
     if endpoint.is_backing_off(now) {
         cost += BACKOFF_COST;
     }
-    if endpoint.is_silent() {
+    if endpoint.is_doubted() {
         cost += SILENT_COST;
     }
     cost
--- a/crates/masticsill_dispatch/src/version_state.rs
+++ b/crates/masticsill_dispatch/src/version_state.rs
@@ -32,7 +32,7 @@
     Gone,
     /// The endpoint takes no new requests, because it is about to end.
     Leaving,
-    /// The endpoint does not send heartbeats.
+    /// The endpoint does not send heartbeats, or another one seems to have its address.
     Silent,
     /// An exchange with the endpoint has just failed.
     BackingOff,
@@ -135,8 +135,8 @@
     let is_gone = announcement.state == EndpointState::Gone || endpoint.is_replaced();
     let reasons = [
         (is_gone, Hindrance::Gone),
-        (!endpoint.is_ready(), Hindrance::Leaving),
-        (endpoint.is_silent(), Hindrance::Silent),
+        (!endpoint.is_announced_ready(), Hindrance::Leaving),
+        (endpoint.is_doubted(), Hindrance::Silent),
         (endpoint.is_backing_off(now), Hindrance::BackingOff),
         (
             suspect_zones.contains(&&announcement.zone),
--- a/crates/masticsill_registry/src/lib.rs
+++ b/crates/masticsill_registry/src/lib.rs
@@ -32,7 +32,7 @@
 pub use prompt_cache::{CacheUpdate, CachedPart, CachedTokens, PromptCacheIndex, PromptPart};
 pub use rate::{LimitStatement, RequestRate};
 pub use record::{Announcement, EndpointRecord, EndpointState, HeartbeatAge};
-pub use registry::{Registry, RegistryTimeouts};
+pub use registry::{Registry, RegistryTimeouts, UNCONFIRMED_GRACE_MS};
 pub use report_progress::ReportProgress;
 pub use reported_voters::{QuorumShare, ReportedVoters};
 pub use reservations::{EngineReservationRequest, is_zone_down};
--- a/crates/masticsill_registry/src/registry.rs
+++ b/crates/masticsill_registry/src/registry.rs
@@ -9,6 +9,10 @@
 use crate::join::JoinOutcome;
 use crate::record::{Announcement, EndpointRecord, EndpointState, HeartbeatAge};
 
+/// How long an incarnation counts as live of which this process knows no heartbeat, in milliseconds:
+/// two heartbeat intervals.
+pub const UNCONFIRMED_GRACE_MS: u64 = 2_500;
+
 /// Timeouts of a registry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct RegistryTimeouts {
@@ -140,12 +144,16 @@
         self.timeouts.forget_ms
     }
 
-    /// Records that changed after a revision.
+    /// Records that changed after a revision, in the order of their last heartbeats.
     #[must_use]
     pub fn changes_since(&self, revision: u64) -> Vec<EndpointRecord> {
         let tracked = self.tracked.values();
         let changed = tracked.filter(|tracked| tracked.revision > revision);
-        changed.map(|tracked| tracked.record.clone()).collect()
+        let mut changed: Vec<&Tracked> = changed.collect();
+        // Of the incarnations at an address, readers take the last one for the present one.
+        changed.sort_by_key(|tracked| tracked.heard_at);
+        let records = changed.into_iter().map(|tracked| &tracked.record);
+        records.cloned().collect()
     }
 
     /// Applies a heartbeat that this process received directly; returns whether anything changed.
@@ -153,7 +161,11 @@
         let is_newer = self
             .newest(&announcement.id.name)
             .is_none_or(|held| announcement.is_newer_than(&held.announcement));
-        let is_changed = self.apply(announcement, now);
+        let record = EndpointRecord {
+            announcement: announcement.clone(),
+            is_silent: false,
+        };
+        let is_changed = self.apply(&record, now);
         // A delayed heartbeat is no evidence that the endpoint is alive now.
         if is_newer && let Some(tracked) = self.tracked.get_mut(&announcement.id.name) {
             tracked.heard_directly_at = Some(now);
@@ -173,33 +185,32 @@
             Some(known) if !id.incarnation.is_known() => known.clone(),
             _ => id.clone(),
         };
-        self.apply(&Announcement::deregistration(&ended), now)
+        let record = EndpointRecord {
+            announcement: Announcement::deregistration(&ended),
+            is_silent: false,
+        };
+        self.apply(&record, now)
     }
 
-    /// Joins the records of another process; returns whether anything changed.
+    /// Joins records of another process, or of a former run of this one; returns whether anything
+    /// changed.
+    ///
+    /// A record shows that the incarnation was known, not that it sends heartbeats. That of an unknown
+    /// one counts as live for [`UNCONFIRMED_GRACE_MS`], unless it was silent already.
     pub fn merge(&mut self, now: ClockMs, records: &[EndpointRecord]) -> bool {
         let mut is_changed = false;
         for record in records {
-            // A silent record shows that the incarnation is known to another process, not that it
-            // is alive.
-            let heard_at = if record.is_silent {
-                now.before(self.timeouts.silence_ms)
+            let age_ms = if record.is_silent {
+                self.timeouts.silence_ms
             } else {
-                now
+                let silence_ms = self.timeouts.silence_ms;
+                silence_ms.saturating_sub(UNCONFIRMED_GRACE_MS)
             };
-            is_changed |= self.apply(&record.announcement, heard_at);
+            is_changed |= self.apply(record, now.before(age_ms));
         }
         is_changed
     }
 
-    /// Applies records that a former run of this process stored. Their heartbeats count as received
-    /// `age_ms` milliseconds ago.
-    pub fn restore(&mut self, now: ClockMs, records: &[EndpointRecord], age_ms: u64) {
-        for record in records {
-            self.apply(&record.announcement, now.before(age_ms));
-        }
-    }
-
     /// Applies the ages of heartbeats that another process received directly.
     pub fn apply_heartbeat_ages(&mut self, now: ClockMs, heard: &[HeartbeatAge]) {
         for HeartbeatAge { age_ms, id } in heard {
@@ -211,17 +222,18 @@
         }
     }
 
-    fn apply(&mut self, announcement: &Announcement, heard_at: ClockMs) -> bool {
+    fn apply(&mut self, record: &EndpointRecord, heard_at: ClockMs) -> bool {
+        let announcement = &record.announcement;
         let revision = self.revision + 1;
         let Some(tracked) = self.tracked.get_mut(&announcement.id.name) else {
-            self.insert(announcement, heard_at, revision);
+            self.insert(record, heard_at, revision);
             return true;
         };
         let held = &mut tracked.record.announcement;
         let is_newer = announcement.is_newer_than(held);
         let outcome = held.join(announcement);
         if outcome == JoinOutcome::Replaced {
-            self.insert(announcement, heard_at, revision);
+            self.insert(record, heard_at, revision);
             return true;
         }
         if is_newer {
@@ -238,18 +250,15 @@
     }
 
     /// Starts to track an incarnation, in place of a former one of the same name.
-    fn insert(&mut self, announcement: &Announcement, heard_at: ClockMs, revision: u64) {
-        let record = EndpointRecord {
-            announcement: announcement.clone(),
-            is_silent: false,
-        };
+    fn insert(&mut self, record: &EndpointRecord, heard_at: ClockMs, revision: u64) {
         let tracked = Tracked {
             heard_at,
             heard_directly_at: None,
-            record,
+            record: record.clone(),
             revision,
         };
         self.revision = revision;
+        let announcement = &record.announcement;
         if announcement.state > EndpointState::Ready {
             self.departure_revision = revision;
         }
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -136,6 +136,8 @@
                 life = id.incarnation,
                 state = endpoint.announcement.state.name(),
                 address = endpoint.announcement.address,
+                address_state = endpoint.address_state().name(),
+                is_silent = endpoint.is_silent(),
                 zone = endpoint.announcement.zone,
                 version = endpoint.announcement.version,
                 sequence = endpoint.announcement.sequence,
