--- a/crates/masticsill_control/src/config.rs
+++ b/crates/masticsill_control/src/config.rs
@@ -99,6 +99,8 @@
     /// The quorum does: a replica with a new folder requests admission, and the leader removes
     /// silent voters while there are more than `voters` of them.
     Quorum {
+        /// Silence after which a member that is not needed is removed, in milliseconds.
+        silence_ms: u64,
         /// Voters needed to tolerate the configured number of simultaneous losses.
         voters: usize,
     },
@@ -109,7 +111,7 @@
     pub(crate) fn target_voters(self) -> Option<usize> {
         match self {
             Self::Operators => None,
-            Self::Quorum { voters } => Some(voters),
+            Self::Quorum { voters, .. } => Some(voters),
         }
     }
 }
--- a/crates/masticsill_control/src/quorum/duty.rs
+++ b/crates/masticsill_control/src/quorum/duty.rs
@@ -23,15 +23,13 @@
 use super::request::{Request, Standing, Status, Voters};
 use super::state_machine::{self, StateError, StateMachine};
 use super::storage::{StorageProgress, StorageQueue};
+use crate::config::AdmissionPolicy;
 use crate::events;
 
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 /// Most requests taken in one step, so that their commands share a sync.
 const MAX_BATCH_REQUESTS: usize = 512;
 const MAX_BATCH_MESSAGES: usize = 256;
-/// Silence after which a member that is not needed is removed: far longer than a restart, which
-/// takes about 1 s.
-const MEMBER_SILENCE_MS: u64 = 4_000;
 
 /// An encoded message to another replica.
 #[derive(Debug)]
@@ -55,8 +53,8 @@
     pub(crate) status: watch::Sender<Status>,
     pub(crate) storage: StorageQueue,
     pub(crate) stored: StoredState,
-    /// Voters that the quorum maintains by itself; `None` where operators maintain the members.
-    pub(crate) target_voters: Option<usize>,
+    /// Who admits and removes replicas.
+    pub(crate) admission: AdmissionPolicy,
 }
 
 /// State of the quorum duty.
@@ -85,7 +83,7 @@
     /// Copy of the stored state, kept while the folder belongs to no cluster.
     pub(super) unfounded: Option<StoredState>,
     pub(super) pending: PendingCalls,
-    pub(super) target_voters: Option<usize>,
+    pub(super) admission: AdmissionPolicy,
 }
 
 impl QuorumDuty {
@@ -104,7 +102,7 @@
             status,
             storage,
             stored,
-            target_voters,
+            admission,
         } = parts;
         if let Some(snapshot) = &stored.snapshot {
             state_machine.restore(snapshot)?;
@@ -135,7 +133,7 @@
             storage,
             unfounded,
             pending: PendingCalls::default(),
-            target_voters,
+            admission,
         })
     }
 
@@ -303,11 +301,12 @@
     }
 
     fn removable_members(&self, now: ClockMs) -> Vec<VoterId> {
-        let Some(target) = self.target_voters else {
-            return Vec::new();
-        };
-        let replica = &self.replica;
-        replica.removable_members(now, MEMBER_SILENCE_MS, target)
+        match self.admission {
+            AdmissionPolicy::Operators => Vec::new(),
+            AdmissionPolicy::Quorum { silence_ms, voters } => {
+                self.replica.removable_members(now, silence_ms, voters)
+            }
+        }
     }
 
     fn log_members(&mut self) {
--- a/crates/masticsill_control/src/quorum/founding.rs
+++ b/crates/masticsill_control/src/quorum/founding.rs
@@ -29,8 +29,11 @@
             return;
         }
         let membership = self.replica.membership();
-        let interpretation =
-            members::interpret(&membership_request, membership, self.target_voters);
+        let interpretation = members::interpret(
+            &membership_request,
+            membership,
+            self.admission.target_voters(),
+        );
         let change = match interpretation {
             Interpretation::AlreadyDone => {
                 let _ = reply_to.send(ControlReply::Done(ReplicaAnswer::Accepted));
--- a/crates/masticsill_control/src/role.rs
+++ b/crates/masticsill_control/src/role.rs
@@ -150,7 +150,7 @@
             status,
             storage: StorageQueue::new(jobs.clone()),
             stored: folder.recovered.state,
-            target_voters: config.admission.target_voters(),
+            admission: config.admission,
         })?;
         let quorum = QuorumHandle {
             departure: Departure::default(),
--- a/crates/masticsill_quorum/src/follower.rs
+++ b/crates/masticsill_quorum/src/follower.rs
@@ -27,6 +27,7 @@
             self.become_follower(now, Some(from.clone()));
         }
         self.leader_heard_at = now;
+        self.last_leader = Some((from.clone(), now));
         self.reset_election_timer(now);
         match message {
             Message::Append {
--- a/crates/masticsill_quorum/src/leader.rs
+++ b/crates/masticsill_quorum/src/leader.rs
@@ -119,11 +119,26 @@
         }));
         self.report_role();
         self.track_members(now);
+        self.note_former_leader();
         self.start_heartbeat_round(now);
         let payload = self.first_entry_payload();
         self.append_own(vec![payload]);
     }
 
+    /// Counts the silence of the former leader from its last message to this replica, which has waited
+    /// for it since.
+    fn note_former_leader(&mut self) {
+        let former = self.last_leader.take();
+        let RoleState::Leader(state) = &mut self.role else {
+            return;
+        };
+        if let Some((id, heard_at)) = former
+            && let Some(progress) = state.progress.get_mut(&id)
+        {
+            progress.silent_since = heard_at;
+        }
+    }
+
     /// Payload of a leader's first entry: the founding membership if no log entry sets a membership
     /// yet, a no-op otherwise.
     ///
--- a/crates/masticsill_quorum/src/progress.rs
+++ b/crates/masticsill_quorum/src/progress.rs
@@ -31,6 +31,8 @@
     pub(crate) round: u64,
     /// When the leader last received a message from the peer in this term.
     pub(crate) last_heard_at: Option<ClockMs>,
+    /// Since when the peer is silent if it has sent nothing in this term.
+    pub(crate) silent_since: ClockMs,
     /// When the leader started to track the peer.
     pub(crate) tracked_at: ClockMs,
 }
@@ -45,6 +47,7 @@
             next_index,
             round: 0,
             last_heard_at: None,
+            silent_since: tracked_at,
             tracked_at,
         }
     }
--- a/crates/masticsill_quorum/src/replica.rs
+++ b/crates/masticsill_quorum/src/replica.rs
@@ -41,6 +41,9 @@
     pub(crate) commit: LogIndex,
     pub(crate) role: RoleState,
     pub(crate) leader: Option<VoterId>,
+    /// The leader that this replica followed last, until it leads itself, and when it was last heard
+    /// from.
+    pub(crate) last_leader: Option<(VoterId, ClockMs)>,
     /// When a leader was last heard from. Set to the start time initially, because contacts before
     /// a restart are not known.
     pub(crate) leader_heard_at: ClockMs,
@@ -80,6 +83,7 @@
             voted_for: stored.voted_for,
             role: RoleState::Follower,
             leader: None,
+            last_leader: None,
             leader_heard_at: now,
             election_due: now,
             incoming: None,
--- a/crates/masticsill_quorum/src/silent_members.rs
+++ b/crates/masticsill_quorum/src/silent_members.rs
@@ -37,9 +37,10 @@
         };
         let progress = state.progress.iter();
         let silent = progress.filter(|(_, progress)| {
-            // For a member never heard from, the silence starts when the leader began to track it.
-            let last_heard_at = progress.last_heard_at.unwrap_or(progress.tracked_at);
-            now.since(last_heard_at) >= silence_ms
+            let silent_since = progress.last_heard_at.unwrap_or(progress.silent_since);
+            // A former leader may have been silent for long before this one could ask it.
+            let had_time_to_answer = now.since(progress.tracked_at) >= self.settings.lease_ms;
+            now.since(silent_since) >= silence_ms && had_time_to_answer
         });
         silent.map(|(id, _)| id.clone()).collect()
     }
--- a/crates/masticsill_quorum/tests/surplus_voters.rs
+++ b/crates/masticsill_quorum/tests/surplus_voters.rs
@@ -4,7 +4,7 @@
 
 use assert_matches::assert_matches;
 use masticsill_quorum::{CallerToken, Input, MembershipChange, MembershipError, Output, VoterId};
-use simulation::{NO_FAULTS, Simulation};
+use simulation::{NO_FAULTS, Simulation, TICK_MS, settings};
 
 const TARGET_VOTERS: usize = 3;
 
@@ -86,3 +86,50 @@
         assert!(simulation.model.membership.is_voter(&id));
     }
 }
+
+/// Guards against a leader that was lost and counts as a voter for longer since another one was elected.
+#[test]
+fn silence_of_the_former_leader_counts_from_its_last_message() {
+    const SILENCE_MS: u64 = 600;
+    for seed in 0..30 {
+        let mut simulation = Simulation::new(seed, 4, NO_FAULTS);
+        let lost = simulation.wait_for_leader();
+        simulation.run_for(100);
+        let id = simulation.nodes[lost].id.clone();
+        simulation.isolate(lost);
+        let isolated_at = simulation.now;
+        simulation.run_until("the others have another leader", |it| {
+            it.leader().is_some_and(|leader| leader != lost)
+        });
+        simulation.run_until("the silent voter may be removed", |it| {
+            let leader = it.leader().filter(|leader| *leader != lost).unwrap();
+            let removable = it.nodes[leader].removable_members(it.now, SILENCE_MS, TARGET_VOTERS);
+            removable == [id.clone()]
+        });
+        let silent_ms = simulation.now - isolated_at;
+        let bound_ms = SILENCE_MS + 2 * TICK_MS;
+        assert!(silent_ms <= bound_ms, "seed {seed}: {silent_ms} ms");
+    }
+}
+
+/// Guards against a former leader that is removed before its successor could hear from it.
+#[test]
+fn new_leader_removes_nobody_that_had_no_time_to_answer() {
+    for seed in 0..30 {
+        let mut simulation = Simulation::new(seed, 4, NO_FAULTS);
+        let former = simulation.wait_for_leader();
+        simulation.run_for(100);
+        simulation.isolate(former);
+        simulation.run_until("the others have another leader", |it| {
+            it.leader().is_some_and(|leader| leader != former)
+        });
+        let leader = simulation.leader().unwrap();
+        let removable = |it: &Simulation| it.nodes[leader].removable_members(it.now, 1, 3);
+        assert_eq!(removable(&simulation), []);
+        simulation.heal();
+        simulation.run_for(settings().lease_ms);
+        let id = &simulation.nodes[former].id;
+        let removable = simulation.nodes[leader].removable_members(simulation.now, 50, 3);
+        assert!(!removable.contains(id), "seed {seed}");
+    }
+}
