--- a/crates/masticsill_agent/tests/plain_calls.rs
+++ b/crates/masticsill_agent/tests/plain_calls.rs
@@ -198,6 +198,12 @@
         "HTTP/1.1 200 OK\r\n\nX: z\r\nContent-Length: 4\r\n\r\nhalf",
         "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
         "HTTP/1.1 103 Early Hints\r\n\r\n",
+        // Cut off within the head.
+        "HTTP/1.1 200",
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r",
     ] {
         let reply = reply_to_verbatim(answer.as_bytes());
         assert_eq!(reply, CallReply::OutcomeUnknown, "{answer:?}");
