A continued stream stays at the service that began it, also while its route moves

Cause: the relay knew the service that began the stream, and gave that up where its document named no share for it: "routes have moved" was taken for "begins anew". A relay that has just been frozen doesn't know yet that its document is outdated.

Change: the request is routed to the service that began its stream. If the active document doesn't lead there, the relay waits for a newer one: 200 ms to learn whether there is one, and as long as for other discoveries if there is. Then the stream goes on by the newer document, or is refused as not run (`route_moved`).

Weighed: to run at the former service all the same (a route that was moved must not be obeyed any more); to say with each stream by which document it began (a wire and disk format more; the newest document is what counts, and it comes within seconds).

--- a/crates/masticsill_relay/src/admission.rs
+++ b/crates/masticsill_relay/src/admission.rs
@@ -23,6 +23,12 @@
     workspace: Option<String>,
 }
 
+impl Authorized {
+    pub(crate) fn route(&self) -> &Arc<Route> {
+        &self.route
+    }
+}
+
 /// Looks up the route and the workspace of a request in one document.
 ///
 /// # Errors
--- a/crates/masticsill_relay/src/connection.rs
+++ b/crates/masticsill_relay/src/connection.rs
@@ -186,15 +186,14 @@
     }
     let origin = match &mut continuation {
         // Boxed, since few requests need it.
-        Some(continuation) => match Box::pin(find_origin(relay, &request, continuation)).await {
-            Ok(origin) => origin,
-            Err(refusal) => return refuse(relay, writer, &request, refusal).await,
-        },
+        Some(continuation) => {
+            match Box::pin(find_origin(relay, &mut request, continuation)).await {
+                Ok(origin) => Some(origin),
+                Err(refusal) => return refuse(relay, writer, &request, refusal).await,
+            }
+        }
         None => None,
     };
-    if let Some(origin) = &origin {
-        request.service.clone_from(&origin.service);
-    }
     let is_closing = !request.head.is_keep_alive || relay.stopping_since.get().is_some();
     let version = origin.map(|origin| origin.version);
     let stream = StreamRelay::new(relay, &request, version, continuation, writer, is_closing);
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -521,9 +521,14 @@
 
     /// Whether all voters of the control quorum answer.
     pub(crate) fn reaches_all_voters(&self) -> bool {
+        self.reached_share() == QuorumShare::All
+    }
+
+    /// How much of the control quorum answers.
+    pub(crate) fn reached_share(&self) -> QuorumShare {
         let reached = self.control_reached.borrow();
         let voters = self.control_voters.borrow();
-        voters.share(|replica| reached.contains_key(replica)) == QuorumShare::All
+        voters.share(|replica| reached.contains_key(replica))
     }
 
     /// Time since anything was received from an endpoint or control replica, in milliseconds.
--- a/crates/masticsill_relay/src/response.rs
+++ b/crates/masticsill_relay/src/response.rs
@@ -138,6 +138,11 @@
         /// When the caller should retry, in milliseconds.
         retry_after_ms: u64,
     },
+    /// The route doesn't lead to the service that began the stream, and the request did not run.
+    RouteMoved {
+        /// When the caller should retry, in milliseconds.
+        retry_after_ms: u64,
+    },
 }
 
 impl Refusal {
@@ -153,7 +158,8 @@
             | Self::Quarantined { .. }
             | Self::Stopping
             | Self::UnknownOrigin { .. }
-            | Self::OriginGone { .. } => 503,
+            | Self::OriginGone { .. }
+            | Self::RouteMoved { .. } => 503,
             Self::HeadTooLong => 431,
             Self::Malformed => 400,
             Self::SlowHead => 408,
@@ -169,7 +175,8 @@
             Self::Overloaded { retry_after_ms }
             | Self::Quarantined { retry_after_ms }
             | Self::UnknownOrigin { retry_after_ms }
-            | Self::OriginGone { retry_after_ms } => Some(retry_after_ms),
+            | Self::OriginGone { retry_after_ms }
+            | Self::RouteMoved { retry_after_ms } => Some(retry_after_ms),
             Self::Stopping => Some(STOPPING_RETRY_AFTER_MS),
             Self::BodyTooLong
             | Self::Broken
@@ -201,6 +208,7 @@
             Self::UnknownKey => "unknown_key",
             Self::UnknownOrigin { .. } => "unknown_origin",
             Self::OriginGone { .. } => "origin_gone",
+            Self::RouteMoved { .. } => "route_moved",
         }
     }
 
@@ -230,6 +238,9 @@
             Self::OriginGone { .. } => {
                 "the version that began this stream is gone; it has not run, start it anew\n"
             }
+            Self::RouteMoved { .. } => {
+                "another service began this stream; it has not run, start it anew\n"
+            }
         }
     }
 }
--- a/crates/masticsill_relay/src/stream_origins.rs
+++ b/crates/masticsill_relay/src/stream_origins.rs
@@ -8,11 +8,13 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use indexmap::IndexSet;
+use masticsill_catalogue::Route;
 use masticsill_registry::{
-    AttemptKey, LookupStep, OriginEvidence, OriginLookup, OriginReply, ReportProgress,
+    AttemptKey, LookupStep, OriginEvidence, OriginLookup, OriginReply, QuorumShare, ReportProgress,
     ReportedVoters, StreamOrigin, StreamRecord, origin_keepers,
 };
 use masticsill_rollout::VersionFilter;
@@ -21,6 +23,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
+use crate::admission::authorize;
 use crate::continuation::{Continuation, ContinuationEnd};
 use crate::events;
 use crate::relay::{Relay, discovery_wait_ms};
@@ -40,8 +43,11 @@
 /// has arrived, and a replica that was restarting may answer.
 const QUERY_PAUSE_MS: u64 = 100;
 /// When a caller should retry at another relay, because this one can't reach a majority of the
-/// control replicas.
+/// control replicas, or lacks the newest document.
 const ELSEWHERE_RETRY_AFTER_MS: u64 = 250;
+/// Time in milliseconds in which a relay learns that there is a newer document: several round trips to
+/// another zone. One that was frozen knows nothing of it at first.
+const DOCUMENT_NOTICE_MS: u64 = 200;
 
 impl Relay {
     /// Records where the stream of a request began, unless its first attempt has no id.
@@ -147,17 +153,17 @@
     }
 }
 
-/// Finds where a stream began that a caller continues; none if the document has moved its route to
-/// other services since.
+/// Finds where a stream began that a caller continues, and routes the request there.
 ///
 /// # Errors
 ///
-/// The refusal to answer with, if the version is unknown.
+/// The refusal to answer with, if the version is unknown, or the document has moved the route to other
+/// services.
 pub(crate) async fn find_origin(
     relay: &Rc<Relay>,
-    request: &RelayRequest,
+    request: &mut RelayRequest,
     continuation: &mut Continuation,
-) -> Result<Option<StreamOrigin>, Refusal> {
+) -> Result<StreamOrigin, Refusal> {
     let names = &relay.config.headers;
     let attempt = request.first_attempt(names);
     let recorded = relay.known_origin(attempt.as_ref());
@@ -198,19 +204,57 @@
     };
     continuation.note_origin(&origin);
     relay.record_stream_origin(request, origin.clone());
-    let shares = &request.route.services;
-    let is_served = |it: &str| {
-        shares
-            .iter()
-            .any(|share| share.service == it && share.weight > 0)
-    };
-    if !is_served(&origin.service) {
-        return Ok(None);
+    if let Err(refusal) = route_to_service(relay, request, &origin.service).await {
+        continuation.fail(ContinuationEnd::Refused(refusal), &[]);
+        return Err(refusal);
     }
     if !relay.reaches_all_voters() {
         await_endpoint(relay, request, &origin).await;
     }
-    Ok(Some(origin))
+    Ok(origin)
+}
+
+/// Routes a request to the service that began its stream, as the active document or one that is on its
+/// way to this relay allows it.
+///
+/// Another service would not continue what the caller has. The stream may have begun by a newer
+/// document than this relay's.
+async fn route_to_service(
+    relay: &Relay,
+    request: &mut RelayRequest,
+    service: &str,
+) -> Result<(), Refusal> {
+    let bound_ms = discovery_wait_ms(request.left_ms(relay.now()));
+    let find = || find_route(relay, request, service);
+    let mut found = relay
+        .wait_for_discovery(bound_ms.min(DOCUMENT_NOTICE_MS), find)
+        .await;
+    if found.is_none() && relay.is_behind_document() {
+        found = relay.wait_for_discovery(bound_ms, find).await;
+    }
+    let Some(route) = found else {
+        let may_be_outdated =
+            relay.is_behind_document() || relay.reached_share() < QuorumShare::Majority;
+        let retry_after_ms = if may_be_outdated {
+            ELSEWHERE_RETRY_AFTER_MS
+        } else {
+            request.left_ms(relay.now())
+        };
+        return Err(Refusal::RouteMoved { retry_after_ms });
+    };
+    request.route = route;
+    service.clone_into(&mut request.service);
+    Ok(())
+}
+
+/// The route of a request in the active document, if it leads to a service.
+fn find_route(relay: &Relay, request: &RelayRequest, service: &str) -> Option<Arc<Route>> {
+    let index = relay.index()?;
+    let authorized = authorize(&index, &relay.config.headers, &request.head).ok()?;
+    let route = authorized.route();
+    let mut shares = route.services.iter();
+    let is_served = shares.any(|share| share.service == service && share.weight > 0);
+    is_served.then(|| Arc::clone(route))
 }
 
 /// Waits for an endpoint that can continue a stream: a relay that has just started may not have
