A relay out of touch asks an endpoint which life it is before it sends a stream there

Cause: the relay's knowledge of an endpoint has no age. It checks the version once more when the connection stands, against a table that nobody updates while it is cut off, and an endpoint that kept its id answers as the expected one.

Change: while no majority of the control replicas has answered within 1.5 s, a relay asks the endpoint for its report on itself after the connection stands, and compares its start time with that of the life that it knows. Another life is left as replaced, one that doesn't answer isn't used. That holds for all streams: one that began there would be recorded at the wrong version. The stream goes on at the endpoints of its version that are confirmed.

Weighed: to refuse what can't be known (breaks off streams whose version serves); to ask before each stream (a priced call for each, while a majority would have told).

Measured: broken_streams_go_on_at_their_version_without_control and streams_do_not_begin_at_a_version_that_the_relay_does_not_know fail before and pass, all eight streams of each go on or begin at their version. 54 neighbouring system tests pass.

Left: docs/PLATFORM.md, Open: a relay in touch in the moment before the restarted endpoint's first heartbeat, and ids that are used again without a start time.

--- a/crates/masticsill_relay/src/attempt.rs
+++ b/crates/masticsill_relay/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use masticsill_catalogue::RouteKind;
 use masticsill_http1::ResponseHead;
 use masticsill_registry::Announcement;
 use masticsill_types::{ClockMs, log_event};
@@ -12,6 +13,7 @@
 
 use crate::crash_check::check_for_crash;
 use crate::events;
+use crate::incarnation_check::confirm;
 use crate::relay::Relay;
 use crate::request::{RelayRequest, SendOptions};
 use crate::reservation::Reservation;
@@ -226,6 +228,10 @@
     if relay.has_withdrawn(&attempt.endpoint().id) || !may_use_version {
         return Err(Obstacle::Withdrawn);
     }
+    if request.route.kind == RouteKind::Stream && !relay.is_informed() {
+        // Boxed, since few requests need it.
+        Box::pin(confirm(relay, request, attempt.endpoint(), retry_state)).await?;
+    }
     // Other endpoints may have crashed under this request while it waited for a reservation or for
     // the connection.
     relay.check_crashes(request)?;
--- a/crates/masticsill_relay/src/config.rs
+++ b/crates/masticsill_relay/src/config.rs
@@ -49,7 +49,7 @@
     pub hold_ms: u64,
 }
 
-/// Calls to engines about copies of a run's KV cache: paths and JSON field names.
+/// Calls to engines about copies of a run's KV cache and about themselves: paths and JSON field names.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct EngineCalls {
     /// Path of the call that copies a run's KV cache to another engine.
@@ -58,10 +58,14 @@
     pub handle_field: String,
     /// Request field with the request's id.
     pub id_field: String,
+    /// Response field with an engine's start time, in milliseconds, in what it reports of itself.
+    pub incarnation_field: String,
     /// Request field that says whether the run is to stop after the copy.
     pub is_last_field: String,
     /// Path prefix of the call that drops a copy; the copy's handle is appended.
     pub release_path: String,
+    /// Path of the call for what an engine reports of itself.
+    pub report_path: String,
     /// Request field with the address of the engine that is to hold the copy.
     pub target_field: String,
 }
@@ -72,8 +76,10 @@
             copy_path: "/v1/copies".to_owned(),
             handle_field: "handle".to_owned(),
             id_field: "request".to_owned(),
+            incarnation_field: "started_ms".to_owned(),
             is_last_field: "is_last".to_owned(),
             release_path: "/v1/copies/".to_owned(),
+            report_path: "/v1/report".to_owned(),
             target_field: "target".to_owned(),
         }
     }
--- a/crates/masticsill_relay/src/copies.rs
+++ b/crates/masticsill_relay/src/copies.rs
@@ -204,7 +204,7 @@
             let calls = &relay.config.engine_calls;
             let target = format!("{}{handle}", calls.release_path);
             // An engine that cannot be reached drops the copy by itself within seconds.
-            let _ = call(&relay, &source, "DELETE", &target, "").await;
+            let _ = call(&relay, &source, "DELETE", &target, "", COPY_TIMEOUT_MS).await;
         });
     }
 }
@@ -228,7 +228,8 @@
         target_field: at.address.to_string(),
         is_last_field: false,
     });
-    let answer = call(relay, source, "POST", copy_path, &body.to_string()).await?;
+    let body = body.to_string();
+    let answer = call(relay, source, "POST", copy_path, &body, COPY_TIMEOUT_MS).await?;
     let answer: serde_json::Value =
         serde_json::from_slice(&answer).map_err(|error| error.to_string())?;
     let handle = answer.get(handle_field).and_then(serde_json::Value::as_str);
@@ -242,12 +243,13 @@
 /// # Errors
 ///
 /// A text that says what went wrong: another status, a failed connection, or no response in time.
-async fn call(
-    relay: &Rc<Relay>,
+pub(crate) async fn call(
+    relay: &Relay,
     engine: &Announcement,
     method: &str,
     target: &str,
     body: &str,
+    timeout_ms: u64,
 ) -> Result<BytesMut, String> {
     let mut client = EndpointClient::new(engine.address, relay.buffers.clone());
     let call = EndpointCall {
@@ -256,9 +258,9 @@
         method,
         target,
     };
-    let exchange = client.call(&call, COPY_TIMEOUT_MS);
+    let exchange = client.call(&call, timeout_ms);
     // A report that the engine or its zone is stalled shortens the wait.
-    match with_silence_timeout(relay, engine, relay.now(), COPY_TIMEOUT_MS, exchange).await {
+    match with_silence_timeout(relay, engine, relay.now(), timeout_ms, exchange).await {
         Some(Ok((200, answer))) => Ok(answer),
         Some(Ok((status, _))) => Err(format!("the engine answered {status}")),
         Some(Err(cause)) => Err(cause),
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -261,7 +261,7 @@
             relay.notify_reporters();
         }
         is_reached = true;
-        relay.record_control_reply();
+        relay.record_control_reply(address);
         relay
             .control_reached
             .borrow_mut()
--- a/crates/masticsill_relay/src/events.rs
+++ b/crates/masticsill_relay/src/events.rs
@@ -79,6 +79,8 @@
 pub const STREAM_CONTINUED: Event = Event::new(2143, "stream_continued");
 /// A stream that a caller continues ended without an event.
 pub const CONTINUATION_FAILED: Event = Event::new(2144, "continuation_failed");
+/// An endpoint was asked which incarnation it is.
+pub const INCARNATION_CHECKED: Event = Event::new(2145, "incarnation_checked");
 
 /// Every event of this crate.
 pub const ALL: &[Event] = &[
@@ -120,4 +122,5 @@
     VERSION_APPEARED,
     STREAM_CONTINUED,
     CONTINUATION_FAILED,
+    INCARNATION_CHECKED,
 ];
--- a/crates/masticsill_relay/src/lib.rs
+++ b/crates/masticsill_relay/src/lib.rs
@@ -23,6 +23,7 @@
 mod event_order;
 pub mod events;
 mod failover;
+mod incarnation_check;
 mod lateness;
 mod metrics;
 mod plain;
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -44,6 +44,10 @@
 /// or two seconds.
 const MAX_DISCOVERY_WAIT_MS: u64 = 2_500;
 
+/// Maximum age of the last answer of a control replica that tells of each change at once, in
+/// milliseconds: without a change it answers once a second.
+const MAX_REPLY_AGE_MS: u64 = 1_500;
+
 /// Maximum wait for the first document or endpoint of a request that has `left_ms` milliseconds left.
 pub(crate) fn discovery_wait_ms(left_ms: u64) -> u64 {
     (left_ms / DISCOVERY_WAIT_DIVISOR).min(MAX_DISCOVERY_WAIT_MS)
@@ -114,6 +118,8 @@
     /// Counts changes of the crash records, for the tasks that report them and the requests that
     /// wait for them.
     pub(crate) crash_changes: watch::Sender<u64>,
+    /// When each control replica answered last.
+    control_replied_at: RefCell<IndexMap<SocketAddr, ClockMs>>,
     /// The newest document version reported by any control replica.
     newest_document: Cell<Option<u64>>,
     /// Counts changes of the document and the endpoints, for requests that wait for them.
@@ -183,6 +189,7 @@
             control: ControlClient::new(AddressBook::default()),
             control_reached: RefCell::default(),
             confirmed_versions: RefCell::default(),
+            control_replied_at: RefCell::default(),
             control_voters: RefCell::default(),
             crash_checks: RefCell::default(),
             crashes: RefCell::default(),
@@ -481,13 +488,29 @@
     }
 
     /// Records that a control replica answered.
-    pub(crate) fn record_control_reply(&self) {
-        self.last_received_at.set(self.now());
+    pub(crate) fn record_control_reply(&self, address: SocketAddr) {
+        let now = self.now();
+        self.last_received_at.set(now);
+        self.control_replied_at.borrow_mut().insert(address, now);
+    }
+
+    /// Whether a majority of the control quorum has answered so lately that this relay would know of an
+    /// endpoint that has restarted.
+    pub(crate) fn is_informed(&self) -> bool {
+        let now = self.now();
+        let replied_at = self.control_replied_at.borrow();
+        let voters = self.control_voters.borrow();
+        let has_replied = |replica: &SocketAddr| {
+            let at = replied_at.get(replica);
+            at.is_some_and(|at| now.since(*at) < MAX_REPLY_AGE_MS)
+        };
+        voters.share(has_replied) >= QuorumShare::Majority
     }
 
     /// Records that a control replica stopped answering. If no other replica of its zone answers,
     /// the loads of the other entries in that zone are unknown from now on.
     pub(crate) fn note_control_lost(&self, address: &SocketAddr) {
+        self.control_replied_at.borrow_mut().swap_remove(address);
         if self.control_voters.borrow_mut().remove(address) {
             self.confirm_versions();
         }
