Replicas that all restart find each other without the seeds

Cause: a replica knows from its disk who the other voters are, and not where: addresses of founders were learned at the seeds and kept in memory only.

Change: on the platform a replica's name is its IP address, and all listen at one port. A control replica derives the address of a voter for which it has no other. Nothing more is stored.

Weighed: to store the addresses in the log or in a file of their own (a format and writes more, and clusters that exist have none).

Measured: replicas_that_all_restart_find_each_other_without_seeds fails before (20 s without an answer) and passes; the other four of diskless_control pass.

--- a/crates/masticsill/src/settings_map.rs
+++ b/crates/masticsill/src/settings_map.rs
@@ -87,6 +87,7 @@
     let operators = control.operators.iter().map(to_operator_config);
     Ok(ControlConfig {
         admission: AdmissionPolicy::Operators,
+        ip_name_port: None,
         endpoints: RegistryTimeouts::default(),
         cluster: settings.cluster.as_str().to_owned(),
         data_folder: control.data_folder.clone(),
--- a/crates/masticsill_control/src/config.rs
+++ b/crates/masticsill_control/src/config.rs
@@ -34,6 +34,9 @@
     pub node: NodeId,
     /// Operators of the administration API.
     pub operators: Vec<OperatorConfig>,
+    /// RPC port of the control replicas whose node names are IP addresses; none if names say nothing of
+    /// addresses.
+    pub ip_name_port: Option<u16>,
     /// Known RPC addresses of the other control replicas.
     pub peers: IndexMap<NodeId, SocketAddr>,
     /// How the engines' prompt caches are read; `None` turns that off.
--- a/crates/masticsill_control/src/role.rs
+++ b/crates/masticsill_control/src/role.rs
@@ -73,6 +73,9 @@
 fn address_book(config: &ControlConfig) -> AddressBook {
     let book = AddressBook::from_settings(config.peers.clone());
     book.add_seeds(config.seeds.iter().copied());
+    if let Some(port) = config.ip_name_port {
+        book.derive_from_ip_names(port);
+    }
     book
 }
 
--- a/crates/masticsill_control/tests/common/mod.rs
+++ b/crates/masticsill_control/tests/common/mod.rs
@@ -148,6 +148,7 @@
         let peers = links.map(|((_, to), link)| (node(*to), link.address()));
         ControlConfig {
             admission: AdmissionPolicy::Operators,
+            ip_name_port: None,
             endpoints: RegistryTimeouts::default(),
             zone: "a".parse().unwrap(),
             cluster: "test".to_owned(),
--- a/crates/masticsill_control_client/src/address_book.rs
+++ b/crates/masticsill_control_client/src/address_book.rs
@@ -1,6 +1,6 @@
 //! Addresses of the control replicas.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use indexmap::{IndexMap, IndexSet};
@@ -12,6 +12,8 @@
     admitted: IndexMap<NodeId, SocketAddr>,
     /// From the settings, by node.
     configured: IndexMap<NodeId, SocketAddr>,
+    /// Port of the nodes whose names are IP addresses.
+    ip_name_port: Option<u16>,
     /// Announced by the replicas themselves.
     learned: IndexMap<NodeId, SocketAddr>,
     /// Addresses whose nodes are unknown, from the settings or added later.
@@ -20,8 +22,8 @@
 
 /// Addresses of control replicas. Clones share one book.
 ///
-/// For one node, an address given by an operator takes precedence over the settings, and the
-/// settings over an announced address.
+/// For one node, an address given by an operator takes precedence over the settings, the settings over
+/// an announced address, and that over one derived from the node's name.
 #[derive(Clone, Debug, Default)]
 pub struct AddressBook {
     addresses: Arc<Mutex<Addresses>>,
@@ -54,6 +56,15 @@
         }
     }
 
+    /// Derives the addresses of nodes whose names are IP addresses; all are reached at one port.
+    ///
+    /// A replica knows the names of the other voters from its disk. If their addresses could only be
+    /// learned at the seeds, replicas that all restart while the seeds are lost would not find each
+    /// other.
+    pub fn derive_from_ip_names(&self, port: u16) {
+        self.lock().ip_name_port = Some(port);
+    }
+
     /// The address of a node, if known.
     #[must_use]
     pub fn get(&self, node: &NodeId) -> Option<SocketAddr> {
@@ -63,10 +74,11 @@
             &addresses.configured,
             &addresses.learned,
         ];
-        sources
-            .into_iter()
-            .find_map(|known| known.get(node))
-            .copied()
+        let known = sources.into_iter().find_map(|known| known.get(node));
+        known.copied().or_else(|| {
+            let ip: IpAddr = node.as_str().parse().ok()?;
+            Some(SocketAddr::new(ip, addresses.ip_name_port?))
+        })
     }
 
     /// Every node with a known address, and that address.
