A request for an endpoint in doubt is sent, and not withdrawn without end

With heartbeats of the former life that go on arriving the stream was refused.

Change: one question, whether an endpoint may be tried, decides the choice, the withdrawal and the use of copies.

Measured: late_heartbeats_of_a_former_incarnation_do_not_end_streams, whose former life now sends on, fails before (503) and passes.

--- a/crates/masticsill_dispatch/src/endpoint.rs
+++ b/crates/masticsill_dispatch/src/endpoint.rs
@@ -157,11 +157,13 @@
         self.is_announced_ready() && self.address_state == AddressState::Held
     }
 
-    /// Whether the endpoint would accept new requests if it still has the address that another
-    /// incarnation is more likely to have. A request that names the endpoint shows which of them has.
+    /// Whether a request that needs this endpoint may be sent: the endpoint accepts new requests, or
+    /// would if it still has the address that another incarnation is more likely to have. The request
+    /// names the endpoint, and so shows which of them has.
     #[must_use]
-    pub(crate) fn may_hold_address(&self) -> bool {
-        self.is_displaced() && self.is_announced_ready() && !self.is_silent()
+    pub fn may_be_tried(&self) -> bool {
+        let may_hold_address = self.is_displaced() && !self.is_silent();
+        self.is_ready() || (may_hold_address && self.is_announced_ready())
     }
 
     /// Whether the endpoint has said that it accepts new requests, and not since that it leaves.
--- a/crates/masticsill_dispatch/src/endpoints.rs
+++ b/crates/masticsill_dispatch/src/endpoints.rs
@@ -161,8 +161,7 @@
 
     /// Drops the oldest ended incarnations.
     fn prune(&mut self) {
-        let is_ended =
-            |it: &Endpoint| !it.is_ready() && !it.may_hold_address() && it.in_flight == 0;
+        let is_ended = |it: &Endpoint| !it.may_be_tried() && it.in_flight == 0;
         // Ended incarnations are remembered, since other control replicas may still report them as
         // ready.
         let ended = self.endpoints.values().filter(|it| is_ended(it)).count();
@@ -390,9 +389,7 @@
         versions: &VersionFilter,
         excluded: &[EndpointId],
     ) -> bool {
-        let mut ready = self
-            .of_service(service)
-            .filter(|it| it.is_ready() || it.may_hold_address());
+        let mut ready = self.of_service(service).filter(|it| it.may_be_tried());
         ready.any(|it| {
             let announcement = &it.announcement;
             versions.allows(&announcement.version) && !excluded.contains(&announcement.id)
--- a/crates/masticsill_dispatch/src/placement.rs
+++ b/crates/masticsill_dispatch/src/placement.rs
@@ -79,7 +79,7 @@
     pub(crate) fn is_candidate(&self, endpoint: &Endpoint) -> bool {
         let announcement = &endpoint.announcement;
         // A request that needs certain versions may have no other endpoint.
-        let is_last_resort = !self.versions.is_unrestricted() && endpoint.may_hold_address();
+        let is_last_resort = !self.versions.is_unrestricted() && endpoint.may_be_tried();
         (endpoint.is_ready() || is_last_resort)
             && announcement.service == self.service
             && self.versions.allows(&announcement.version)
--- a/crates/masticsill_relay/src/endpoint_choice.rs
+++ b/crates/masticsill_relay/src/endpoint_choice.rs
@@ -305,7 +305,7 @@
         let endpoints = self.endpoints.borrow();
         match endpoints.get(id) {
             None => Some("forgotten"),
-            Some(endpoint) if !endpoint.is_ready() => Some("gone or draining"),
+            Some(endpoint) if !endpoint.may_be_tried() => Some("gone or draining"),
             Some(endpoint) if endpoint.is_backing_off(self.now()) => Some("failed just now"),
             Some(endpoint) if !endpoint.accepts_requests(self.now()) => {
                 Some("accepts no more requests for now")
--- a/crates/masticsill_relay/src/relay.rs
+++ b/crates/masticsill_relay/src/relay.rs
@@ -354,7 +354,7 @@
     pub(crate) fn has_withdrawn(&self, id: &EndpointId) -> bool {
         let endpoints = self.endpoints.borrow();
         let endpoint = endpoints.get(id);
-        endpoint.is_some_and(|it| !it.is_ready() || it.is_resting(self.now()))
+        endpoint.is_some_and(|it| !it.may_be_tried() || it.is_resting(self.now()))
     }
 
     /// Whether an endpoint's incarnation is known to have ended, so that nothing more can arrive
