--- a/crates/masticsill_control/src/admission.rs
+++ b/crates/masticsill_control/src/admission.rs
@@ -4,7 +4,8 @@
 //! a member. With a new folder it replaces a voter of the same name, whose folder was lost; otherwise
 //! it joins in addition to the others. While more voters remain than are needed to tolerate the
 //! configured losses, a voter that stops leaves, and the leader removes voters that have been silent
-//! for some time: one that was lost for good would still count beside the replica that took its place. Silence doesn't tell a lost replica from a frozen one, so a replica that was removed and
+//! for some time: one that was lost for good would still count beside the replica that took its
+//! place. Silence doesn't tell a lost replica from a frozen one, so a replica that was removed and
 //! runs again requests admission with the folder that it has. All changes are made one at a time, and
 //! a replica counts only once it has caught up.
 
--- a/crates/masticsill_control/src/config.rs
+++ b/crates/masticsill_control/src/config.rs
@@ -30,13 +30,13 @@
     pub founding: FoundingPolicy,
     /// Listen address of the administration API.
     pub http_address: SocketAddr,
+    /// RPC port of the control replicas whose node names are IP addresses; none if names say nothing of
+    /// addresses.
+    pub ip_name_port: Option<u16>,
     /// This node.
     pub node: NodeId,
     /// Operators of the administration API.
     pub operators: Vec<OperatorConfig>,
-    /// RPC port of the control replicas whose node names are IP addresses; none if names say nothing of
-    /// addresses.
-    pub ip_name_port: Option<u16>,
     /// Known RPC addresses of the other control replicas.
     pub peers: IndexMap<NodeId, SocketAddr>,
     /// How the engines' prompt caches are read; `None` turns that off.
--- a/crates/masticsill_dispatch/src/endpoint.rs
+++ b/crates/masticsill_dispatch/src/endpoint.rs
@@ -162,8 +162,12 @@
     /// names the endpoint, and so shows which of them has.
     #[must_use]
     pub fn may_be_tried(&self) -> bool {
-        let may_hold_address = self.is_displaced() && !self.is_silent();
-        self.is_ready() || (may_hold_address && self.is_announced_ready())
+        let may_hold_address = match self.address_state {
+            AddressState::Held => true,
+            AddressState::Displaced => !self.is_silent(),
+            AddressState::Replaced => false,
+        };
+        may_hold_address && self.is_announced_ready()
     }
 
     /// Whether the endpoint has said that it accepts new requests, and not since that it leaves.
--- a/crates/masticsill_dispatch/src/endpoints.rs
+++ b/crates/masticsill_dispatch/src/endpoints.rs
@@ -64,10 +64,11 @@
                 changed.push(id.clone());
             }
         }
-        let displaced = self.update_displaced();
-        let displaced = displaced.into_iter().filter(|id| !changed.contains(id));
-        let displaced: Vec<EndpointId> = displaced.collect();
-        changed.extend(displaced);
+        for id in self.update_displaced() {
+            if !changed.contains(&id) {
+                changed.push(id);
+            }
+        }
         self.prune();
         changed
     }
--- a/crates/masticsill_dispatch/src/placement.rs
+++ b/crates/masticsill_dispatch/src/placement.rs
@@ -78,9 +78,13 @@
     /// Whether the endpoint may be chosen at all.
     pub(crate) fn is_candidate(&self, endpoint: &Endpoint) -> bool {
         let announcement = &endpoint.announcement;
-        // A request that needs certain versions may have no other endpoint.
-        let is_last_resort = !self.versions.is_unrestricted() && endpoint.may_be_tried();
-        (endpoint.is_ready() || is_last_resort)
+        let accepts = if self.versions.is_unrestricted() {
+            endpoint.is_ready()
+        } else {
+            // There may be no other endpoint of these versions.
+            endpoint.may_be_tried()
+        };
+        accepts
             && announcement.service == self.service
             && self.versions.allows(&announcement.version)
             && self.not_in_zone != Some(&announcement.zone)
--- a/crates/masticsill_relay/src/incarnation_check.rs
+++ b/crates/masticsill_relay/src/incarnation_check.rs
@@ -4,8 +4,6 @@
 //! first heartbeat. A relay that they don't reach would take the new process for the former one, and
 //! join what two versions generate in one stream.
 
-use std::rc::Rc;
-
 use masticsill_dispatch::Failure;
 use masticsill_registry::{Announcement, EndpointIncarnation};
 use masticsill_types::log_event;
@@ -48,7 +46,7 @@
 ///
 /// The endpoint is another incarnation, or may be; `retry_state` excludes it.
 pub(crate) async fn confirm(
-    relay: &Rc<Relay>,
+    relay: &Relay,
     request: &RelayRequest,
     endpoint: &Announcement,
     retry_state: &mut RetryState,
