Silence that a control replica reported counts no longer than that replica answers

Callers saw: an endpoint whose heartbeats had stopped for some seconds got no more requests from a relay after they had returned, if a control machine that had taken it for silent was removed meanwhile: it was the relay's last resort until the relay restarted. Where a former incarnation is known at its address, the endpoint could stay out of use.

A relay keeps for each replica whether it takes an endpoint for silent, and one that is gone never takes its report back.

Change: reports of replicas that answer count. Those of others count only as long as none that answers has reported on the endpoint, so that a relay out of touch still avoids what it knows to be silent.

Weighed: to forget a replica's reports when it stops answering (a replica that answers again doesn't repeat what hasn't changed).

Measured: endpoint_is_used_again_after_a_machine_that_missed_it_was_removed fails on (not used within 20 s) and passes; the other seven tests of replaced_machines and the 14 of endpoint_lives pass.

--- a/crates/masticsill_dispatch/src/endpoint.rs
+++ b/crates/masticsill_dispatch/src/endpoint.rs
@@ -1,5 +1,6 @@
 //! The state of one endpoint: its announcement, the health seen by requests, and its current load.
 
+use indexmap::{IndexMap, IndexSet};
 use masticsill_registry::{Announcement, EndpointLoad, EndpointState};
 use masticsill_types::{ClockMs, NodeId};
 
@@ -113,8 +114,10 @@
     is_leaving: bool,
     /// Order in which incarnations became known.
     order: u64,
-    /// Control replicas that report the endpoint as silent.
-    silent_to: Vec<NodeId>,
+    /// Whether the endpoint counts as silent, by the reports of the control replicas.
+    is_silent: bool,
+    /// Whether each control replica reported the endpoint as silent last.
+    silence_reports: IndexMap<NodeId, bool>,
 }
 
 impl Endpoint {
@@ -139,16 +142,33 @@
             request_limit: RequestLimit::default(),
             resting_until: None,
             capacity_since: ClockMs(0),
-            silent_to: Vec::new(),
+            is_silent: false,
+            silence_reports: IndexMap::new(),
         }
     }
 
-    /// Records whether a control replica reports the incarnation as silent.
-    pub(crate) fn note_liveness(&mut self, from: &NodeId, is_silent: bool) {
-        self.silent_to.retain(|node| node != from);
-        if is_silent {
-            self.silent_to.push(from.clone());
-        }
+    /// Records whether a control replica reports the incarnation as silent. `answering` are the replicas
+    /// that answer.
+    pub(crate) fn note_liveness(
+        &mut self,
+        from: &NodeId,
+        is_silent: bool,
+        answering: &IndexSet<NodeId>,
+    ) {
+        self.silence_reports.insert(from.clone(), is_silent);
+        self.update_silence(answering);
+    }
+
+    /// Decides anew whether the endpoint is silent.
+    ///
+    /// A replica that no longer answers can't take its report back. It counts only as long as no replica
+    /// that answers has reported on the endpoint.
+    pub(crate) fn update_silence(&mut self, answering: &IndexSet<NodeId>) {
+        let is_current = |node: &NodeId| answering.contains(node);
+        let has_current = self.silence_reports.keys().any(is_current);
+        let mut reports = self.silence_reports.iter();
+        self.is_silent =
+            reports.any(|(node, is_silent)| *is_silent && (!has_current || is_current(node)));
     }
 
     /// Whether the endpoint accepts new requests, as far as is known.
@@ -346,9 +366,9 @@
         self.address_state == AddressState::Displaced
     }
 
-    /// Whether at least one control replica reports the endpoint as silent.
+    /// Whether at least one control replica that answers reports the endpoint as silent.
     #[must_use]
     pub fn is_silent(&self) -> bool {
-        !self.silent_to.is_empty()
+        self.is_silent
     }
 }
--- a/crates/masticsill_dispatch/src/endpoints.rs
+++ b/crates/masticsill_dispatch/src/endpoints.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use masticsill_registry::{
     Announcement, EndpointId, EndpointIncarnation, EndpointLoad, EndpointRecord, EndpointState,
     JoinOutcome, RequestRate,
@@ -36,6 +36,8 @@
 /// All known endpoints.
 #[derive(Clone, Debug, Default)]
 pub struct EndpointTable {
+    /// Control replicas that answer.
+    answering: IndexSet<NodeId>,
     endpoints: IndexMap<EndpointId, Endpoint>,
     /// Number of entries that share the endpoints' request limits; zero before it is known.
     entries: u32,
@@ -53,6 +55,9 @@
     /// those of previous incarnations that a newer one has ended, and those of incarnations that are
     /// no longer, or again, the likeliest to have their addresses.
     pub fn merge(&mut self, from: &NodeId, records: &[EndpointRecord]) -> Vec<EndpointId> {
+        if self.answering.insert(from.clone()) {
+            self.update_silence();
+        }
         let mut changed = Vec::new();
         for record in records {
             let id = &record.announcement.id;
@@ -73,13 +78,29 @@
         changed
     }
 
+    /// Records that a control replica no longer answers. Returns the ids of incarnations that are no
+    /// longer, or again, the likeliest to have their addresses.
+    pub fn note_control_lost(&mut self, node: &NodeId) -> Vec<EndpointId> {
+        if !self.answering.swap_remove(node) {
+            return Vec::new();
+        }
+        self.update_silence();
+        self.update_displaced()
+    }
+
+    fn update_silence(&mut self) {
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.update_silence(&self.answering);
+        }
+    }
+
     fn merge_one(&mut self, from: &NodeId, record: &EndpointRecord) -> bool {
         let announcement = &record.announcement;
         let Some(known) = self.endpoints.get_mut(&announcement.id) else {
             self.insert(from, record);
             return true;
         };
-        known.note_liveness(from, record.is_silent);
+        known.note_liveness(from, record.is_silent, &self.answering);
         let state = known.announcement.state;
         let address = known.announcement.address;
         match known.announcement.join(announcement) {
@@ -127,7 +148,7 @@
     fn insert(&mut self, from: &NodeId, record: &EndpointRecord) {
         self.last_order += 1;
         let mut endpoint = Endpoint::new(record.announcement.clone(), self.last_order);
-        endpoint.note_liveness(from, record.is_silent);
+        endpoint.note_liveness(from, record.is_silent, &self.answering);
         let id = record.announcement.id.clone();
         self.endpoints.insert(id, endpoint);
     }
--- a/crates/masticsill_dispatch/tests/endpoint_lives.rs
+++ b/crates/masticsill_dispatch/tests/endpoint_lives.rs
@@ -330,6 +330,62 @@
     assert_eq!(chosen_of(&table, &[], &versions), None);
 }
 
+fn is_silent(table: &EndpointTable) -> bool {
+    let id = EndpointId::with_unknown_incarnation("e");
+    table.get(&id).unwrap().is_silent()
+}
+
+/// Guards against an endpoint that is avoided for good, since the replica that took it for silent is
+/// gone.
+#[test]
+fn silence_reported_by_a_lost_replica_ends_with_the_next_report() {
+    let mut table = EndpointTable::default();
+    let lost = control(0);
+    for replica in [&lost, &control(1)] {
+        table.merge(replica, &[at_address("e", true)]);
+    }
+    table.note_control_lost(&lost);
+    assert!(is_silent(&table));
+    table.merge(&control(1), &[at_address("e", false)]);
+    assert!(!is_silent(&table));
+    // It answers again, and what it has reported still holds.
+    table.merge(&lost, &[]);
+    assert!(is_silent(&table));
+}
+
+/// Guards against an endpoint that counts as heard since nobody tells of it any more.
+#[test]
+fn silence_reported_by_lost_replicas_lasts_until_another_reports() {
+    let mut table = EndpointTable::default();
+    let replicas = [0, 1].map(control);
+    for replica in &replicas {
+        table.merge(replica, &[at_address("e", true)]);
+    }
+    for replica in &replicas {
+        table.note_control_lost(replica);
+    }
+    assert!(is_silent(&table));
+    // A new replica doesn't know the endpoint yet.
+    table.merge(&control(2), &[]);
+    assert!(is_silent(&table));
+    table.merge(&control(2), &[at_address("e", false)]);
+    assert!(!is_silent(&table));
+}
+
+/// Guards against a former incarnation that keeps the address, since the replica that takes the present
+/// one for silent is gone.
+#[test]
+fn present_incarnation_returns_once_the_replica_that_missed_it_is_lost() {
+    let mut table = EndpointTable::default();
+    table.merge(&control(0), &[at_address("present", true)]);
+    table.merge(&control(1), &[at_address("present", false)]);
+    table.merge(&control(1), &[at_address("former", true)]);
+    assert_eq!(chosen_name(&table).as_deref(), Some("former"));
+    let changed = ["present", "former"].map(EndpointId::with_unknown_incarnation);
+    assert_eq!(table.note_control_lost(&control(0)), changed);
+    assert_eq!(chosen_name(&table).as_deref(), Some("present"));
+}
+
 proptest! {
     /// Guards against a choice that depends on which control replica was heard first.
     #[test]
--- a/crates/masticsill_relay/src/discovery.rs
+++ b/crates/masticsill_relay/src/discovery.rs
@@ -11,7 +11,8 @@
 
 use indexmap::IndexSet;
 use masticsill_catalogue::{DocumentSource, DocumentSources};
-use masticsill_registry::{ReportProgress, Watcher};
+use masticsill_dispatch::EndpointTable;
+use masticsill_registry::{EndpointId, ReportProgress, Watcher};
 use masticsill_runtime::Ring;
 use masticsill_types::{NodeId, ZoneId, log_event};
 use masticsill_wire::control::{WatchReply, WatchRequest};
@@ -108,7 +109,12 @@
     }
 
     /// Records that a replica doesn't answer.
-    fn note_lost(&self, address: SocketAddr) {
+    fn note_lost(&self, address: SocketAddr, node: &NodeId, revision: u64) {
+        let mut endpoints = self.relay.endpoints.borrow_mut();
+        for id in endpoints.note_control_lost(node) {
+            log_endpoint(&endpoints, &id, node, revision);
+        }
+        drop(endpoints);
         self.relay.note_control_lost(&address);
         self.relay.notify_stream_reporters();
         self.relay.note_rollouts_lost(&address);
@@ -123,31 +129,37 @@
     fn merge_records(&self, node: &NodeId, reply: &WatchReply) {
         let mut endpoints = self.relay.endpoints.borrow_mut();
         for id in endpoints.merge(node, &reply.endpoints) {
-            let Some(endpoint) = endpoints.get(&id) else {
-                continue;
-            };
             if endpoints.is_superseded(&id) {
                 self.relay.retire_incarnation(&id);
             }
-            log_event!(
-                info,
-                events::ENDPOINT_CHANGED,
-                endpoint = id,
-                life = id.incarnation,
-                state = endpoint.announcement.state.name(),
-                address = endpoint.announcement.address,
-                address_state = endpoint.address_state().name(),
-                is_silent = endpoint.is_silent(),
-                zone = endpoint.announcement.zone,
-                version = endpoint.announcement.version,
-                sequence = endpoint.announcement.sequence,
-                from = node,
-                revision = reply.revision
-            );
+            log_endpoint(&endpoints, &id, node, reply.revision);
         }
     }
 }
 
+/// Logs what is known of an endpoint. A replica has reported on it, or answers no longer; `revision` is
+/// the last one received from it.
+fn log_endpoint(endpoints: &EndpointTable, id: &EndpointId, node: &NodeId, revision: u64) {
+    let Some(endpoint) = endpoints.get(id) else {
+        return;
+    };
+    log_event!(
+        info,
+        events::ENDPOINT_CHANGED,
+        endpoint = id,
+        life = id.incarnation,
+        state = endpoint.announcement.state.name(),
+        address = endpoint.announcement.address,
+        address_state = endpoint.address_state().name(),
+        is_silent = endpoint.is_silent(),
+        zone = endpoint.announcement.zone,
+        version = endpoint.announcement.version,
+        sequence = endpoint.announcement.sequence,
+        from = node,
+        revision = revision
+    );
+}
+
 /// Activates the documents that were read, one after the other.
 async fn install_documents(relay: Rc<Relay>, parsed: Ring<ParsedDocument>) {
     while let Some(document) = parsed.pop().await {
@@ -247,7 +259,7 @@
                 log_event!(warn, events::CONTROL_LOST, address = address);
             }
             is_reached = false;
-            discovery.note_lost(address);
+            discovery.note_lost(address, &node, request.revision);
             sleep(RETRY_PAUSE).await;
             continue;
         };
