--- a/crates/masticsill_dispatch/src/endpoint.rs
+++ b/crates/masticsill_dispatch/src/endpoint.rs
@@ -114,10 +114,10 @@
     is_leaving: bool,
     /// Order in which incarnations became known.
     order: u64,
-    /// Whether the endpoint counts as silent, by the reports of the control replicas.
-    is_silent: bool,
-    /// Whether each control replica reported the endpoint as silent last.
+    /// The last report of each control replica: whether it takes the endpoint for silent.
     silence_reports: IndexMap<NodeId, bool>,
+    /// Whether the endpoint counts as silent by these reports.
+    is_silent: bool,
 }
 
 impl Endpoint {
@@ -366,7 +366,8 @@
         self.address_state == AddressState::Displaced
     }
 
-    /// Whether at least one control replica that answers reports the endpoint as silent.
+    /// Whether at least one control replica reports the endpoint as silent. Replicas that answer take
+    /// precedence over others.
     #[must_use]
     pub fn is_silent(&self) -> bool {
         self.is_silent
